--- /dev/null
+++ b/marigoldsill/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that several processes take together."""
--- /dev/null
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -0,0 +1,571 @@
+/**
+ * Messages between the processes of marigoldsill, and the records of its
+ * replicated state. Regenerate with `make generate`; the result is committed.
+ */
+namespace py marigoldsill.protocol.generated
+
+// ---------------------------------------------------------------- nouns
+
+/** What a worker can hold or a task asks for. */
+struct Resources {
+  1: i64 cpu_millicores = 0,
+  2: i64 memory_bytes = 0,
+  3: i32 accelerators_count = 0
+}
+
+enum Kind { SERVICE = 1, BATCH_JOB = 2, WATCHER = 3 }
+
+/** A service: answers callers while they wait. */
+struct Service {
+  1: string name,
+  2: string team = "default",
+  3: Resources resources,              // declared, per instance
+  4: i32 instances_count = 1,
+  5: i32 slots_count = 10,             // concurrent requests per instance
+  6: i32 connections_count = 60,
+  7: i64 latency_target_ms = 200,
+  8: i64 timeout_ms = 5000,            // default deadline of a request
+  9: string command = "",              // handed to the platform unchanged
+  10: i32 urgency = 5                  // 0 (may be sacrificed) to 9
+}
+
+/** A batch job: finishes once, by its deadline. */
+struct BatchJob {
+  1: string name,
+  2: string team = "default",
+  3: Resources resources,
+  4: i64 run_time_ms = 60000,          // declared: a hint
+  5: i64 deadline_unix_ms = 0,         // 0: none
+  6: bool checkpointable = true,
+  7: bool idempotent = true,
+  8: string command = "",
+  9: i32 urgency = 3,
+  10: i32 attempts_limit = 3           // own failures before it is given up
+}
+
+/** A watcher: always running; its absence is an alarm. */
+struct Watcher {
+  1: string name,
+  2: string team = "default",
+  3: Resources resources,
+  4: i64 absence_limit_ms = 10000,
+  5: string command = "",
+  6: i32 urgency = 7
+}
+
+/** A team and the most it may hold at a time (0: no limit). */
+struct Team {
+  1: string name,
+  2: Resources quota
+}
+
+/** Operator policy: what the placement weighs. Weights are 0 to 1. */
+struct Policy {
+  1: double latency_weight = 0.5,
+  2: double batch_weight = 0.5,
+  3: double eviction_share_limit = 0.2,   // share of running work per minute
+  4: i64 lease_ms = 3000,
+  5: bool sharing_allowed = true
+}
+
+/** Everything an operator declares; also the body of an intent file. */
+struct Intent {
+  1: list<Service> services = [],
+  2: list<BatchJob> batch_jobs = [],
+  3: list<Watcher> watchers = [],
+  4: list<Team> teams = []
+}
+
+// -------------------------------------------------------- state records
+
+enum TaskState {
+  QUEUED = 1,        // waits for a worker
+  ASSIGNED = 2,      // (task, epoch) granted to a worker
+  RUNNING = 3,       // the agent reported its start
+  STOPPING = 4,      // chosen for eviction, cancelled or removed; may be alive
+  DONE = 5,
+  CANCELLED = 6,
+  FAILED = 7,        // given up after attempts_limit own failures
+  IMPOSSIBLE = 8     // no worker could ever hold it
+}
+
+/** One instance to run; a run is (task, epoch). */
+struct Task {
+  1: string name,                 // owner name, "/", index
+  2: string owner,                // name of the service, batch job or watcher
+  3: Kind kind,
+  4: TaskState state = 1,
+  5: i64 epoch = 0,               // 0: never granted
+  6: string worker = "",          // holder while ASSIGNED, RUNNING, STOPPING
+  7: string checkpoint_id = "",
+  8: i64 worked_ms = 0,           // work kept by the last checkpoint
+  9: i32 failures_count = 0,
+  10: i64 queued_unix_ms = 0,
+  11: i64 started_unix_ms = 0,
+  12: string reason = "",         // why it waits, moved or ended (for explain)
+  13: i32 evictions_count = 0,
+  14: bool final_stop = false,    // STOPPING leads to CANCELLED, not QUEUED
+  15: Resources reserved,         // what the grant reserved on the worker
+  16: bool throttled = false
+}
+
+enum WorkerState { ACTIVE = 1, DRAINING = 2, QUARANTINED = 3, LOST = 4 }
+
+/** A worker VM as the replicated state knows it. */
+struct Worker {
+  1: string name,
+  2: string data_centre,
+  3: string rack,
+  4: Resources capacity,
+  5: string agent_address,        // host:port, thrift
+  6: WorkerState state = 1,
+  7: i64 incarnation = 0,         // of its agent
+  8: string reason = ""
+}
+
+enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
+
+/** One change of intent that a plan makes when confirmed. */
+struct Change {
+  1: ChangeVerb verb,
+  2: string subject,              // "service/lookup", "worker/w1", "policy"
+  3: optional Service service_after,
+  4: optional BatchJob batch_job_after,
+  5: optional Watcher watcher_after,
+  6: optional Team team_after,
+  7: optional Policy policy_after,
+  8: string before = "",          // readable, for plan output and audit
+  9: string after = ""
+}
+
+enum EffectVerb { START = 1, STOP = 2, MOVE = 3, EVICT = 4, THROTTLE = 5, WAIT = 6, NEVER_RUNS = 7 }
+
+/** One consequence that a plan predicts. */
+struct Effect {
+  1: EffectVerb verb,
+  2: string subject,              // task name
+  3: string worker = "",
+  4: string reason = ""
+}
+
+/** A guard rail that the plan hit; confirm must acknowledge it by name. */
+struct Guard {
+  1: string name,                 // for example "unit-slip"
+  2: string message
+}
+
+enum PlanState { PENDING = 1, CONFIRMED = 2, REFUSED = 3 }
+
+struct Plan {
+  1: i64 plan_id = 0,             // given by the state when recorded
+  2: string operator_name,
+  3: i64 state_version = 0,       // the version it was made against
+  4: list<Change> changes = [],
+  5: list<Effect> effects = [],
+  6: list<Guard> guards = [],
+  7: PlanState state = 1,
+  8: i64 created_unix_ms = 0
+}
+
+enum AuditVerb { PLANNED = 1, CONFIRMED = 2, REFUSED = 3 }
+
+/** One line of the audit trail. */
+struct AuditRecord {
+  1: i64 sequence = 0,
+  2: i64 at_unix_ms = 0,
+  3: string operator_name,
+  4: AuditVerb verb,
+  5: i64 plan_id = 0,
+  6: i64 state_version = 0,       // in force after it
+  7: list<string> subjects = [],
+  8: string before = "",
+  9: string after = "",
+  10: string reason = ""          // of a refusal
+}
+
+enum ClaimState { CLAIMED = 1, DONE = 2, NOT_RUN = 3, UNKNOWN = 4 }
+
+/** A non-idempotent request, claimed before it is dispatched. */
+struct Claim {
+  1: string key,
+  2: binary request_digest,
+  3: string entry,
+  4: string agent,
+  5: i64 attempt = 1,
+  6: ClaimState state = 1,
+  7: i32 status_code = 0,
+  8: binary body = "",
+  9: string content_type = "",
+  10: i64 expires_unix_ms = 0
+}
+
+// ------------------------------------------------------ log commands
+
+struct RecordPlan { 1: Plan plan }
+
+struct ConfirmPlan {
+  1: i64 plan_id,
+  2: string operator_name,
+  3: list<string> acknowledged_guards = [],
+  4: binary effects_digest = ""     // of the effects as recomputed at confirm
+}
+
+/** Records a refused change in the audit trail. */
+struct RefusePlan {
+  1: i64 plan_id,
+  2: string operator_name,
+  3: string reason
+}
+
+struct Assignment {
+  1: string task,
+  2: i64 epoch,                     // must be the task's epoch + 1
+  3: string worker,
+  4: Resources reserved,
+  5: string reason = ""
+}
+
+/** Grants runs; one entry for a batch of decisions. */
+struct AssignRuns { 1: list<Assignment> assignments }
+
+struct Eviction {
+  1: string task,
+  2: i64 epoch,
+  3: string reason
+}
+
+/** Chooses runs to give way: first step of an eviction. */
+struct EvictRuns { 1: list<Eviction> evictions }
+
+struct Throttle {
+  1: string task,
+  2: i64 epoch,
+  3: bool throttled
+}
+
+struct ThrottleRuns { 1: list<Throttle> throttles }
+
+enum RunEventKind { STARTED = 1, CHECKPOINTED = 2, STOPPED = 3, COMPLETED = 4, FAILED = 5, LOST = 6, REFUSED = 7 }
+
+/** What became of a run. Applying it again has no effect. */
+struct RunEvent {
+  1: string task,
+  2: i64 epoch,
+  3: RunEventKind kind,
+  4: string checkpoint_id = "",
+  5: i64 worked_ms = 0,
+  6: string detail = "",
+  7: i64 event_id = 0               // agent's own, for acknowledgement
+}
+
+struct RecordRunEvents { 1: list<RunEvent> events }
+
+/** A worker joined, changed, was quarantined, restored or lost. */
+struct PutWorker { 1: Worker worker }
+
+struct PutClaim { 1: Claim claim }
+
+/** Ends a claim; only for the attempt it names. */
+struct EndClaim {
+  1: string key,
+  2: i64 attempt,
+  3: ClaimState state,
+  4: i32 status_code = 0,
+  5: binary body = "",
+  6: string content_type = ""
+}
+
+struct NoOperation { 1: i64 term }
+
+/** One control process of a group. */
+struct Member {
+  1: string name,
+  2: string address,                // host:port, thrift
+  3: string http_address,
+  4: i64 incarnation = 0,
+  5: bool voter = true,
+  6: string data_centre = ""
+}
+
+struct ChangeMembers { 1: list<Member> members }
+
+/** One log entry's content: exactly one body is set. */
+struct Command {
+  1: string command_id = "",        // same id: same answer, applied once
+  2: i64 proposed_unix_ms = 0,
+  3: optional RecordPlan record_plan,
+  4: optional ConfirmPlan confirm_plan,
+  5: optional RefusePlan refuse_plan,
+  6: optional AssignRuns assign_runs,
+  7: optional EvictRuns evict_runs,
+  8: optional ThrottleRuns throttle_runs,
+  9: optional RecordRunEvents record_run_events,
+  10: optional PutWorker put_worker,
+  11: optional PutClaim put_claim,
+  12: optional EndClaim end_claim,
+  13: optional NoOperation no_operation,
+  14: optional ChangeMembers change_members
+}
+
+enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
+
+/** What applying a command gave; stored for its command id. */
+struct CommandResult {
+  1: Outcome outcome = 1,
+  2: i64 state_version = 0,
+  3: i64 plan_id = 0,
+  4: string message = "",
+  5: optional Claim claim,
+  6: i32 applied_count = 0          // of the batch, how many took effect
+}
+
+// ------------------------------------------------------- replication
+
+struct LogEntry {
+  1: i64 index,
+  2: i64 term,
+  3: binary command
+}
+
+struct VoteRequest {
+  1: i64 term,
+  2: string candidate,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: bool pre_vote = false,
+  6: i64 incarnation = 0
+}
+
+struct VoteReply { 1: i64 term, 2: bool granted }
+
+struct AppendRequest {
+  1: i64 term,
+  2: string leader,
+  3: i64 previous_index,
+  4: i64 previous_term,
+  5: list<LogEntry> entries,
+  6: i64 commit_index,
+  7: i64 target_incarnation = 0
+}
+
+struct AppendReply {
+  1: i64 term,
+  2: bool success,
+  3: i64 match_index,               // or, on failure, where to try next
+  4: i64 incarnation = 0
+}
+
+struct SnapshotChunk {
+  1: i64 term,
+  2: string leader,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: i64 offset_bytes,
+  6: binary data,
+  7: bool done,
+  8: list<Member> members = []
+}
+
+struct SnapshotReply { 1: i64 term, 2: bool accepted }
+
+exception NotLeader {
+  1: string leader_address = "",    // empty: not known
+  2: string leader_http_address = ""
+}
+
+/** The group has no majority now; nothing was done. */
+exception NoQuorum { 1: i64 retry_after_ms = 500 }
+
+service Peer {
+  VoteReply request_vote(1: VoteRequest request),
+  AppendReply append_entries(1: AppendRequest request),
+  SnapshotReply install_snapshot(1: SnapshotChunk chunk),
+  CommandResult propose(1: Command command) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum)
+}
+
+// ------------------------------------- agents and entries to control
+
+struct EndpointInfo {
+  1: string service_name,
+  2: string address,                // host:port, HTTP
+  3: i32 slots_count,
+  4: i32 connections_count,
+  5: bool draining = false,
+  6: string task = ""               // the run it belongs to, if any
+}
+
+struct RunningTask { 1: string task, 2: i64 epoch }
+
+/** A late measurement of one run. */
+struct Usage {
+  1: string task,
+  2: i64 cpu_millicores,
+  3: i64 memory_bytes,
+  4: i64 age_ms,                    // how long before sending it was measured
+  5: i64 latency_p99_us = 0,        // services only
+  6: i64 progress_ms = 0            // batch: work done so far
+}
+
+struct Heartbeat {
+  1: string agent,                  // the worker's name
+  2: i64 incarnation,
+  3: i64 sequence,
+  4: optional Worker worker,        // first heartbeat, and on a change
+  5: optional list<EndpointInfo> endpoints,   // same
+  6: list<RunningTask> running = [],
+  7: list<RunEvent> events = [],    // resent until acknowledged
+  8: list<Usage> usage = []
+}
+
+struct HeartbeatReply {
+  1: i64 term,
+  2: i64 lease_ms,                  // counted from when the agent sent it
+  3: list<i64> acknowledged_events = [],
+  4: bool resend_worker = false     // control forgot: send worker, endpoints
+}
+
+enum Desire { RUN = 1, THROTTLE = 2, CHECKPOINT_AND_STOP = 3, STOP = 4 }
+
+/** What an agent's worker should hold; level-triggered and complete. */
+struct Order {
+  1: string task,
+  2: i64 epoch,
+  3: Desire desire,
+  4: Kind kind,
+  5: Resources resources,
+  6: string command = "",
+  7: string checkpoint_id = "",
+  8: i64 worked_ms = 0,
+  9: i32 slots_count = 0,
+  10: i32 connections_count = 0,
+  11: string owner = "",
+  12: i64 run_time_ms = 0
+}
+
+/** Where a service's requests can go. */
+struct Route {
+  1: string agent,
+  2: string agent_address,
+  3: string data_centre,
+  4: string service_name,
+  5: i32 slots_count,
+  6: bool draining = false
+}
+
+enum Role { ENTRY = 1, AGENT = 2 }
+
+struct WatchRequest {
+  1: Role role,
+  2: string subscriber,
+  3: i64 config_version = 0,        // held by the subscriber; 0: nothing
+  4: i64 config_checksum = 0,
+  5: i64 routes_term = 0,
+  6: i64 routes_version = 0,
+  7: i64 orders_term = 0,
+  8: i64 orders_version = 0,
+  9: i64 wait_ms = 1000
+}
+
+/** Configuration since the version the subscriber named. */
+struct ConfigDelta {
+  1: i64 version,
+  2: i64 checksum,                  // of the whole at `version`
+  3: bool whole = false,            // replaces all that was held
+  4: list<Service> services = [],
+  5: list<string> removed_services = [],
+  6: optional Policy policy,
+  7: list<string> draining_workers = []
+}
+
+struct WatchReply {
+  1: i64 term,
+  2: ConfigDelta config,
+  3: optional list<Route> routes,   // entries; complete when set
+  4: i64 routes_version = 0,
+  5: optional list<Order> orders,   // agents; complete when set
+  6: i64 orders_version = 0
+}
+
+service Control {
+  HeartbeatReply heartbeat(1: Heartbeat heartbeat) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
+  WatchReply watch(1: WatchRequest request) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
+  CommandResult claim(1: PutClaim claim) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
+  CommandResult end_claim(1: EndClaim end) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum)
+}
+
+// ------------------------------------------------- entries to agents
+
+struct Header { 1: string name, 2: string value }
+
+struct CallRequest {
+  1: string request_id,
+  2: i64 attempt,
+  3: string service_name,
+  4: string method,
+  5: string path,                   // with the query
+  6: list<Header> headers,
+  7: binary body,
+  8: i64 budget_ms,                 // left until the deadline, when sent
+  9: bool idempotent = true
+}
+
+struct CallReply {
+  1: string request_id,
+  2: i32 status_code,
+  3: list<Header> headers,
+  4: binary body,
+  5: i64 body_digest,               // xxh64 of body, as signed
+  6: i32 in_flight = 0,             // load of the agent, for routing
+  7: i32 queued = 0
+}
+
+enum RefusalReason { OVERLOADED = 1, DRAINING = 2, NO_ENDPOINT = 3, TOO_LATE = 4, CANCELLED = 5, DUPLICATE = 6 }
+
+/** The request was not run, and a late copy of it will not run. */
+exception Refused {
+  1: RefusalReason reason,
+  2: i64 retry_after_ms = 0,
+  3: i32 in_flight = 0
+}
+
+/** The request was handed to an endpoint and no whole answer came back. */
+exception UnknownOutcome { 1: string detail }
+
+service Agent {
+  CallReply call(1: CallRequest request) throws (1: Refused refused, 2: UnknownOutcome unknown),
+  /** True: the request had not started and never will. */
+  bool cancel(1: string request_id, 2: i64 attempt)
+}
+
+// ---------------------------------------------------------- snapshots
+
+/** Which change last touched a subject. */
+struct SubjectVersion {
+  1: string subject,
+  2: i64 version,
+  3: i64 plan_id,
+  4: string operator_name,
+  5: bool removed = false
+}
+
+struct StoredResult { 1: string command_id, 2: CommandResult result }
+
+/** All tables of the replicated state. */
+struct TablesSnapshot {
+  1: i64 state_version,
+  2: i64 next_plan_id,
+  3: i64 next_audit_sequence,
+  4: Policy policy,
+  5: list<Service> services,
+  6: list<BatchJob> batch_jobs,
+  7: list<Watcher> watchers,
+  8: list<Team> teams,
+  9: list<SubjectVersion> versions,
+  10: list<Task> tasks,
+  11: list<Worker> workers,
+  12: list<Plan> plans,
+  13: list<AuditRecord> audit,
+  14: list<Claim> claims,
+  15: list<StoredResult> results,
+  16: list<Member> members = []
+}
--- /dev/null
+++ b/marigoldsill/roles/__init__.py
@@ -0,0 +1,1 @@
+"""What each process is: the wiring of the layers, nothing else."""
--- /dev/null
+++ b/marigoldsill/state/__init__.py
@@ -0,0 +1,1 @@
+"""The durable log, snapshots and the tables that commands build."""
--- /dev/null
+++ b/marigoldsill/state/machine.py
@@ -0,0 +1,94 @@
+"""Applies commands to the tables: the one place where the state changes.
+
+Applying is deterministic: the same commands in the same order give the same
+tables on every replica. A command whose id was seen before changes nothing and
+gives the first result again.
+"""
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import claims
+from marigoldsill.state import plans
+from marigoldsill.state import runs
+from marigoldsill.state import tables as tables_module
+
+RESULTS_LIMIT = 20_000
+
+_BODIES = (
+    "record_plan",
+    "confirm_plan",
+    "refuse_plan",
+    "assign_runs",
+    "evict_runs",
+    "throttle_runs",
+    "record_run_events",
+    "put_worker",
+    "put_claim",
+    "end_claim",
+    "no_operation",
+    "change_members",
+)
+
+
+def body_of(command: ttypes.Command) -> object:
+    """The one body of a command that is set, or None."""
+    bodies = (getattr(command, name) for name in _BODIES)
+    return next((body for body in bodies if body is not None), None)
+
+
+def apply(
+    tables: tables_module.Tables, command: ttypes.Command
+) -> ttypes.CommandResult:
+    """Applies one command and returns its result."""
+    known = tables.results.get(command.command_id)
+    if known is not None:
+        return known
+    result = _apply_body(tables, command)
+    if command.command_id:
+        _remember(tables, command.command_id, result)
+    return result
+
+
+def _apply_body(
+    tables: tables_module.Tables, command: ttypes.Command
+) -> ttypes.CommandResult:
+    now_unix_ms = command.proposed_unix_ms
+    match body_of(command):
+        case ttypes.RecordPlan(plan=plan):
+            return plans.record(tables, plan, now_unix_ms)
+        case ttypes.ConfirmPlan() as confirm:
+            return plans.confirm(tables, confirm, now_unix_ms)
+        case ttypes.RefusePlan() as refusal:
+            return plans.refuse(tables, refusal, now_unix_ms)
+        case ttypes.AssignRuns(assignments=assignments):
+            return runs.assign(tables, assignments, now_unix_ms)
+        case ttypes.EvictRuns(evictions=evictions):
+            return runs.evict(tables, evictions)
+        case ttypes.ThrottleRuns(throttles=throttles):
+            return runs.throttle(tables, throttles)
+        case ttypes.RecordRunEvents(events=events):
+            return runs.record_events(tables, events, now_unix_ms)
+        case ttypes.PutWorker(worker=worker):
+            return runs.put_worker(tables, worker)
+        case ttypes.PutClaim(claim=claim):
+            return claims.put(tables, claim, now_unix_ms)
+        case ttypes.EndClaim() as end:
+            return claims.end(tables, end)
+        case ttypes.ChangeMembers(members=members):
+            tables.members = members
+            return _ok(tables)
+        case _:
+            return _ok(tables)
+
+
+def _ok(tables: tables_module.Tables) -> ttypes.CommandResult:
+    return ttypes.CommandResult(state_version=tables.state_version)
+
+
+def _remember(
+    tables: tables_module.Tables,
+    command_id: str,
+    result: ttypes.CommandResult,
+) -> None:
+    tables.results[command_id] = result
+    if len(tables.results) > RESULTS_LIMIT:
+        del tables.results[next(iter(tables.results))]
--- /dev/null
+++ b/marigoldsill/state/runs.py
@@ -0,0 +1,209 @@
+"""How runs and workers change: grants, events, evictions.
+
+A run is (task, epoch). A new epoch is granted only from QUEUED, and a task is
+queued again only when its last run is surely over. Every step may be repeated:
+replaying it has no effect.
+"""
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+_LIVE = (ttypes.TaskState.ASSIGNED, ttypes.TaskState.RUNNING)
+
+
+def assign(
+    tables: tables_module.Tables,
+    assignments: list[ttypes.Assignment],
+    now_unix_ms: int,
+) -> ttypes.CommandResult:
+    """Grants runs; those whose task has changed meanwhile are left out."""
+    applied = 0
+    for grant in assignments:
+        task = tables.tasks.get(grant.task)
+        worker = tables.workers.get(grant.worker)
+        if task is None or worker is None:
+            continue
+        if task.state != ttypes.TaskState.QUEUED:
+            continue
+        if worker.state != ttypes.WorkerState.ACTIVE:
+            continue
+        if grant.epoch != task.epoch + 1:
+            continue
+        tables.change_task(
+            grant.task,
+            state=ttypes.TaskState.ASSIGNED,
+            epoch=grant.epoch,
+            worker=grant.worker,
+            reserved=grant.reserved,
+            reason=grant.reason,
+            started_unix_ms=now_unix_ms,
+            throttled=False,
+        )
+        applied += 1
+    return _result(tables, applied)
+
+
+def evict(
+    tables: tables_module.Tables, evictions: list[ttypes.Eviction]
+) -> ttypes.CommandResult:
+    """Marks runs as giving way; they are queued again once stopped."""
+    applied = 0
+    for eviction in evictions:
+        task = tables.tasks.get(eviction.task)
+        if task is None or task.epoch != eviction.epoch:
+            continue
+        if task.state not in _LIVE:
+            continue
+        tables.change_task(
+            task.name,
+            state=ttypes.TaskState.STOPPING,
+            reason=eviction.reason,
+            evictions_count=task.evictions_count + 1,
+        )
+        applied += 1
+    return _result(tables, applied)
+
+
+def throttle(
+    tables: tables_module.Tables, throttles: list[ttypes.Throttle]
+) -> ttypes.CommandResult:
+    """Throttles runs or lets them go again."""
+    applied = 0
+    for order in throttles:
+        task = tables.tasks.get(order.task)
+        if task is None or task.epoch != order.epoch:
+            continue
+        if task.state not in _LIVE or task.throttled == order.throttled:
+            continue
+        tables.change_task(task.name, throttled=order.throttled)
+        applied += 1
+    return _result(tables, applied)
+
+
+def record_events(
+    tables: tables_module.Tables,
+    events: list[ttypes.RunEvent],
+    now_unix_ms: int,
+) -> ttypes.CommandResult:
+    """Records what became of runs; only the current epoch counts."""
+    applied = sum(_record_event(tables, event, now_unix_ms) for event in events)
+    return _result(tables, applied)
+
+
+def put_worker(
+    tables: tables_module.Tables, worker: ttypes.Worker
+) -> ttypes.CommandResult:
+    """Adds or replaces a worker; draining by an operator is kept."""
+    old = tables.workers.get(worker.name)
+    if old is not None and worker.incarnation < old.incarnation:
+        return _result(tables, 0)
+    tables.workers[worker.name] = worker
+    return _result(tables, 1)
+
+
+def stop_for_good(tables: tables_module.Tables, name: str, reason: str) -> None:
+    """Ends a task on an operator's word: at once if no run may be alive."""
+    task = tables.tasks[name]
+    if tables_module.holds_worker(task):
+        tables.change_task(
+            name,
+            state=ttypes.TaskState.STOPPING,
+            final_stop=True,
+            reason=reason,
+        )
+    elif task.state == ttypes.TaskState.QUEUED:
+        tables.change_task(
+            name, state=ttypes.TaskState.CANCELLED, reason=reason
+        )
+
+
+def _record_event(
+    tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
+) -> int:
+    task = tables.tasks.get(event.task)
+    if task is None or task.epoch != event.epoch:
+        return 0
+    if not tables_module.holds_worker(task):
+        return 0
+    match event.kind:
+        case ttypes.RunEventKind.STARTED:
+            if task.state != ttypes.TaskState.ASSIGNED:
+                return 0
+            tables.change_task(task.name, state=ttypes.TaskState.RUNNING)
+        case ttypes.RunEventKind.CHECKPOINTED:
+            if event.worked_ms < task.worked_ms:
+                return 0
+            tables.change_task(
+                task.name,
+                checkpoint_id=event.checkpoint_id,
+                worked_ms=event.worked_ms,
+            )
+        case ttypes.RunEventKind.COMPLETED:
+            _complete(tables, task)
+        case ttypes.RunEventKind.FAILED:
+            _fail(tables, task, event, now_unix_ms)
+        case _:
+            _queue_again(tables, task, event, now_unix_ms)
+    return 1
+
+
+def _complete(tables: tables_module.Tables, task: ttypes.Task) -> None:
+    if task.kind == ttypes.Kind.BATCH_JOB:
+        tables.change_task(
+            task.name, state=ttypes.TaskState.DONE, reason="completed"
+        )
+        return
+    # A service or watcher never completes: it runs again.
+    tables.change_task(
+        task.name, state=ttypes.TaskState.QUEUED, reason="ended by itself"
+    )
+
+
+def _fail(
+    tables: tables_module.Tables,
+    task: ttypes.Task,
+    event: ttypes.RunEvent,
+    now_unix_ms: int,
+) -> None:
+    failures_count = task.failures_count + 1
+    owner = tables.owner_record(task)
+    limit = getattr(owner, "attempts_limit", 0)
+    given_up = bool(limit) and failures_count >= limit
+    tables.change_task(task.name, failures_count=failures_count)
+    if given_up and not task.final_stop:
+        tables.change_task(
+            task.name, state=ttypes.TaskState.FAILED, reason=event.detail
+        )
+        return
+    _queue_again(tables, tables.tasks[task.name], event, now_unix_ms)
+
+
+def _queue_again(
+    tables: tables_module.Tables,
+    task: ttypes.Task,
+    event: ttypes.RunEvent,
+    now_unix_ms: int,
+) -> None:
+    if event.checkpoint_id and event.worked_ms >= task.worked_ms:
+        tables.change_task(
+            task.name,
+            checkpoint_id=event.checkpoint_id,
+            worked_ms=event.worked_ms,
+        )
+    state = ttypes.TaskState.QUEUED
+    if task.final_stop:
+        state = ttypes.TaskState.CANCELLED
+    tables.change_task(
+        task.name,
+        state=state,
+        queued_unix_ms=now_unix_ms,
+        reason=event.detail or task.reason,
+    )
+    if task.final_stop and tables.owner_record(task) is None:
+        tables.remove_task(task.name)
+
+
+def _result(tables: tables_module.Tables, applied: int) -> ttypes.CommandResult:
+    return ttypes.CommandResult(
+        state_version=tables.state_version, applied_count=applied
+    )
--- /dev/null
+++ b/marigoldsill/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and thrift plumbing; knows no message of ours."""
--- /dev/null
+++ b/marigoldsill/transport/addresses.py
@@ -0,0 +1,24 @@
+"""Network addresses as written in settings: host:port."""
+
+from marigoldsill import errors
+
+_PORT_LIMIT = 65535
+
+
+def parse(text: str) -> tuple[str, int]:
+    """Splits "host:port".
+
+    Raises:
+        SettingsError: The text is not an address.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit():
+        raise errors.SettingsError(
+            f"{text!r} is no address; accepted is host:port, "
+            "for example 127.0.0.1:7400"
+        )
+    if int(port) > _PORT_LIMIT:
+        raise errors.SettingsError(
+            f"port {port} in {text!r} is above {_PORT_LIMIT}"
+        )
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/marigoldsill/transport/pools.py
@@ -0,0 +1,46 @@
+"""Bounded thread pools with small stacks."""
+
+from collections.abc import Callable
+from concurrent import futures
+import threading
+
+from marigoldsill import errors
+
+_STACK_BYTES = 512 * 1024
+
+
+class BoundedPool:
+    """A pool that refuses work at once when all its threads are busy.
+
+    Connections live long, so a queue in front of the threads would only hide
+    a connection that nobody reads.
+    """
+
+    def __init__(self, *, threads_count: int, name: str):
+        threading.stack_size(_STACK_BYTES)
+        self._pool = futures.ThreadPoolExecutor(threads_count, name)
+        self._free = threading.BoundedSemaphore(threads_count)
+        self.threads_count = threads_count
+
+    def submit(self, task: Callable, *args: object) -> futures.Future:
+        """Runs a task now.
+
+        Raises:
+            OverloadedError: All threads are busy.
+        """
+        if not self._free.acquire(blocking=False):
+            raise errors.OverloadedError(
+                f"all {self.threads_count} threads are busy",
+                retry_after_ms=1000,
+            )
+        try:
+            future = self._pool.submit(task, *args)
+        except RuntimeError:
+            self._free.release()
+            raise
+        future.add_done_callback(lambda _: self._free.release())
+        return future
+
+    def shut_down(self, *, wait: bool = False) -> None:
+        """Takes no more work; with `wait`, returns when all has ended."""
+        self._pool.shutdown(wait=wait, cancel_futures=True)
--- /dev/null
+++ b/marigoldsill/transport/thrift_client.py
@@ -0,0 +1,130 @@
+"""Thrift clients: long-lived connections to one peer."""
+
+from collections.abc import Callable
+import contextlib
+import socket
+import threading
+import time
+
+from thrift import Thrift
+from thrift.protocol import TBinaryProtocol
+from thrift.protocol import TMultiplexedProtocol
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from marigoldsill import errors
+from marigoldsill.transport import addresses
+from marigoldsill.transport import cuts
+from marigoldsill.transport import thrift_server
+
+_CONNECT_TIMEOUT_S = 1.0
+
+
+class Connection:
+    """One connection to a peer; one call at a time, kept open between."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        service_name: str,
+        client_class: Callable,
+        peer_name: str = "",
+        cut_switch: cuts.Cuts | None = None,
+    ):
+        self.address = address
+        self._service_name = service_name
+        self._client_class = client_class
+        self._peer_name = peer_name or address
+        self._cuts = cut_switch
+        self._lock = threading.Lock()
+        self._socket: TSocket.TSocket | None = None
+        self._client = None
+
+    def call(self, method: str, *args: object, timeout_s: float) -> object:
+        """Calls a method of the peer and returns its result.
+
+        Raises:
+            TransportError: No answer came; `sent` says whether the request
+                may have reached the peer.
+            Thrift.TException: The exceptions that the method declares.
+        """
+        with self._lock:
+            return self._call(method, args, timeout_s)
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens it again."""
+        sock, self._socket, self._client = self._socket, None, None
+        if sock is not None:
+            sock.close()
+
+    def abort(self) -> None:
+        """Ends a call that another thread waits in."""
+        sock = self._socket
+        handle = sock.handle if sock is not None else None
+        if handle is not None:
+            with contextlib.suppress(OSError):
+                handle.shutdown(socket.SHUT_RDWR)
+
+    def _call(self, method: str, args: tuple, timeout_s: float) -> object:
+        start_s = time.monotonic()
+        if self._cuts and self._cuts.outbound(self._peer_name):
+            self._vanish(start_s, timeout_s, sent=False)
+        self._open(min(timeout_s, _CONNECT_TIMEOUT_S))
+        self._socket.setTimeout(timeout_s * 1000)
+        try:
+            result = getattr(self._client, method)(*args)
+        except (TTransport.TTransportException, OSError, EOFError) as error:
+            self.close()
+            raise errors.TransportError(
+                f"{method} at {self.address}: {error}", sent=True
+            ) from error
+        except Thrift.TApplicationException as error:
+            self.close()
+            raise errors.TransportError(
+                f"{method} at {self.address} failed there: {error}", sent=True
+            ) from error
+        except Thrift.TException:
+            self._check_inbound(start_s, timeout_s)
+            raise
+        except Exception as error:
+            self.close()
+            raise errors.TransportError(
+                f"{method} at {self.address}: unreadable answer: {error}",
+                sent=True,
+            ) from error
+        self._check_inbound(start_s, timeout_s)
+        return result
+
+    def _check_inbound(self, start_s: float, timeout_s: float) -> None:
+        if self._cuts and self._cuts.inbound(self._peer_name):
+            self._vanish(start_s, timeout_s, sent=True)
+
+    def _vanish(self, start_s: float, timeout_s: float, *, sent: bool) -> None:
+        self.close()
+        time.sleep(max(0.0, start_s + timeout_s - time.monotonic()))
+        raise errors.TransportError(
+            f"{self.address} did not answer in {timeout_s} s", sent=sent
+        )
+
+    def _open(self, timeout_s: float) -> None:
+        if self._client is not None:
+            return
+        host, port = addresses.parse(self.address)
+        sock = TSocket.TSocket(host, port)
+        sock.setTimeout(timeout_s * 1000)
+        try:
+            sock.open()
+        except TTransport.TTransportException as error:
+            raise errors.TransportError(
+                f"cannot connect to {self.address}: {error}", sent=False
+            ) from error
+        sock.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        transport = thrift_server.BoundedFramedTransport(sock)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        self._socket = sock
+        self._client = self._client_class(
+            TMultiplexedProtocol.TMultiplexedProtocol(
+                protocol, self._service_name
+            )
+        )
--- /dev/null
+++ b/marigoldsill/transport/thrift_server.py
@@ -0,0 +1,127 @@
+"""A thrift server: one task for each connection, on a bounded pool."""
+
+from concurrent import futures
+import contextlib
+import socket
+import threading
+
+from thrift import Thrift
+from thrift import TMultiplexedProcessor
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from marigoldsill import errors
+from marigoldsill.transport import addresses
+from marigoldsill.transport import logs
+from marigoldsill.transport import pools
+
+FRAME_LIMIT_BYTES = 64 * 1024 * 1024
+_BACKLOG = 512
+
+
+class BoundedFramedTransport(TTransport.TFramedTransport):
+    """A framed transport that refuses frames above the limit unread."""
+
+    def readFrame(self) -> None:  # noqa: N802 (thrift's own name)
+        """Reads one frame.
+
+        Raises:
+            TTransportException: The length is negative or above the limit.
+        """
+        head = self._TFramedTransport__trans.readAll(4)
+        size_bytes = int.from_bytes(head, "big", signed=True)
+        if not 0 <= size_bytes <= FRAME_LIMIT_BYTES:
+            raise TTransport.TTransportException(
+                TTransport.TTransportException.SIZE_LIMIT,
+                f"frame of {size_bytes} bytes; the limit is "
+                f"{FRAME_LIMIT_BYTES}",
+            )
+        body = self._TFramedTransport__trans.readAll(size_bytes)
+        self._TFramedTransport__rbuf = TTransport.BufferIO(body)
+
+
+class ThriftServer:
+    """Serves thrift services on one address.
+
+    Attributes:
+        address: Where it listens, "host:port", with the port really taken.
+    """
+
+    def __init__(self, *, address: str, connections_count: int, name: str):
+        host, port = addresses.parse(address)
+        self._listener = socket.create_server(
+            (host, port), backlog=_BACKLOG, reuse_port=False
+        )
+        self.address = f"{host}:{self._listener.getsockname()[1]}"
+        self._pool = pools.BoundedPool(
+            threads_count=connections_count, name=f"{name}-thrift"
+        )
+        self._acceptor = futures.ThreadPoolExecutor(1, f"{name}-accept")
+        self._processor = TMultiplexedProcessor.TMultiplexedProcessor()
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+
+    def add(self, name: str, processor: Thrift.TProcessor) -> None:
+        """Adds a service under a name that clients use."""
+        self._processor.registerProcessor(name, processor)
+
+    def start(self) -> None:
+        """Begins to accept connections."""
+        self._acceptor.submit(self._accept)
+
+    def stop(self) -> None:
+        """Closes the listener and every connection."""
+        self._stopping.set()
+        _close(self._listener)
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            _close(connection)
+        self._acceptor.shutdown(wait=False)
+        self._pool.shut_down()
+
+    def _accept(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                self._pool.submit(self._serve, connection)
+            except (errors.OverloadedError, RuntimeError) as error:
+                logs.event("connection_refused", level="WARNING", reason=error)
+                _close(connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with self._lock:
+            self._open.add(connection)
+        sock = TSocket.TSocket()
+        sock.setHandle(connection)
+        transport = BoundedFramedTransport(sock)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        try:
+            while not self._stopping.is_set():
+                self._processor.process(protocol, protocol)
+        except TTransport.TTransportException as error:
+            if error.type != TTransport.TTransportException.END_OF_FILE:
+                logs.event("connection_broken", level="DEBUG", reason=error)
+        except Exception as error:  # a bad frame must not end the server
+            logs.event(
+                "bad_frame",
+                level="WARNING",
+                kind=type(error).__name__,
+                reason=error,
+            )
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+            _close(connection)
+
+
+def _close(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+    connection.close()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform worker and its endpoints."""
