Serve, plan and run end to end with separate processes

An operator plans and confirms an intent file; the agent starts the service, the batch job and the watcher through the worker interface; an entry routes a caller's request to the endpoint; a resent non-idempotent request is answered from its recorded outcome. The replica is still a group of one in memory.

The test failed first for a frame class written over the thrift library's: the library already bounds its frames, so ours went.

--- /dev/null
+++ b/marigoldsill/coordination/control_link.py
@@ -0,0 +1,93 @@
+"""A process's way to the leader of control."""
+
+from collections.abc import Sequence
+import threading
+
+from marigoldsill import errors
+from marigoldsill.protocol.generated import Control
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import cuts
+from marigoldsill.transport import thrift_client
+
+SERVICE_NAME = "control"
+_TRIES_PER_ADDRESS = 2
+
+
+class ControlLink:
+    """One connection to whichever control process leads.
+
+    It is used by one thread at a time; take one link for each.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[str],
+        cut_switch: cuts.Cuts | None = None,
+    ):
+        self._addresses = list(addresses)
+        self._cuts = cut_switch
+        self._current = self._addresses[0]
+        self._lock = threading.Lock()
+        self._connection: thrift_client.Connection | None = None
+
+    def call(self, method: str, request: object, *, timeout_s: float) -> object:
+        """Calls the leader, looking for it among the known addresses.
+
+        Raises:
+            NoQuorumError: No leader answered; the request was not done.
+            UnknownOutcomeError: It may have been done, but no answer came.
+        """
+        with self._lock:
+            return self._call(method, request, timeout_s)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+
+    def _call(self, method: str, request: object, timeout_s: float) -> object:
+        tries = _TRIES_PER_ADDRESS * len(self._addresses)
+        for _ in range(tries):
+            try:
+                return self._connect().call(
+                    method, request, timeout_s=timeout_s
+                )
+            except ttypes.NotLeader as error:
+                self._move_to(error.leader_address or self._next_address())
+            except ttypes.NoQuorum as error:
+                self._move_to(self._next_address())
+                raise errors.NoQuorumError(
+                    "control has no majority now",
+                    retry_after_ms=error.retry_after_ms,
+                ) from error
+            except errors.TransportError as error:
+                self._move_to(self._next_address())
+                if error.sent:
+                    raise errors.UnknownOutcomeError(error.message) from error
+        raise errors.NoQuorumError(
+            f"no leader of control found at {', '.join(self._addresses)}",
+            retry_after_ms=500,
+        )
+
+    def _connect(self) -> thrift_client.Connection:
+        if self._connection is None:
+            self._connection = thrift_client.Connection(
+                address=self._current,
+                service_name=SERVICE_NAME,
+                client_class=Control.Client,
+                cut_switch=self._cuts,
+            )
+        return self._connection
+
+    def _move_to(self, address: str) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+        self._current = address
+
+    def _next_address(self) -> str:
+        if self._current not in self._addresses:
+            return self._addresses[0]
+        position = self._addresses.index(self._current)
+        return self._addresses[(position + 1) % len(self._addresses)]
--- /dev/null
+++ b/marigoldsill/coordination/endpoints.py
@@ -0,0 +1,82 @@
+"""The endpoints that agents announced: soft state of the leader."""
+
+import threading
+
+from marigoldsill.protocol.generated import ttypes
+
+
+class EndpointRegistry:
+    """Endpoints by agent, and the routes that they make.
+
+    Attributes:
+        version: Raised with each change of the routes.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._endpoints: dict[str, list[ttypes.EndpointInfo]] = {}
+        self.version = 1
+
+    def put(self, agent: str, endpoints: list[ttypes.EndpointInfo]) -> bool:
+        """Replaces an agent's endpoints; whether anything changed."""
+        with self._lock:
+            if self._endpoints.get(agent) == endpoints:
+                return False
+            self._endpoints[agent] = endpoints
+            self.version += 1
+            return True
+
+    def knows(self, agent: str) -> bool:
+        """Whether the agent has announced under this leader."""
+        with self._lock:
+            return agent in self._endpoints
+
+    def remove(self, agent: str) -> bool:
+        """Forgets an agent; whether it was known."""
+        with self._lock:
+            known = self._endpoints.pop(agent, None) is not None
+            self.version += known
+            return known
+
+    def changed(self) -> None:
+        """Notes that routes changed for another reason, such as a drain."""
+        with self._lock:
+            self.version += 1
+
+    def reset(self) -> None:
+        """Forgets everything, as a new leader does."""
+        with self._lock:
+            self._endpoints.clear()
+            self.version += 1
+
+    def routes(self, workers: dict[str, ttypes.Worker]) -> list[ttypes.Route]:
+        """Where requests can go, one route for each service and agent."""
+        with self._lock:
+            known = [(a, list(e)) for a, e in self._endpoints.items()]
+        return [
+            route
+            for agent, endpoints in known
+            if agent in workers
+            for route in _routes_of(workers[agent], endpoints)
+        ]
+
+
+def _routes_of(
+    worker: ttypes.Worker, endpoints: list[ttypes.EndpointInfo]
+) -> list[ttypes.Route]:
+    services = sorted({e.service_name for e in endpoints})
+    draining = worker.state == ttypes.WorkerState.DRAINING
+    return [
+        ttypes.Route(
+            agent=worker.name,
+            agent_address=worker.agent_address,
+            data_centre=worker.data_centre,
+            service_name=service,
+            slots_count=sum(
+                e.slots_count for e in endpoints if e.service_name == service
+            ),
+            draining=draining
+            or all(e.draining for e in endpoints if e.service_name == service),
+        )
+        for service in services
+    ]
--- /dev/null
+++ b/marigoldsill/coordination/orders.py
@@ -0,0 +1,39 @@
+"""What an agent's worker should hold, worked out from the tables."""
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+
+def for_worker(tables: tables_module.Tables, worker: str) -> list[ttypes.Order]:
+    """The complete orders of one worker."""
+    return [_order(tables, task) for task in tables.tasks_on(worker)]
+
+
+def _order(tables: tables_module.Tables, task: ttypes.Task) -> ttypes.Order:
+    owner = tables.owner_record(task)
+    return ttypes.Order(
+        task=task.name,
+        epoch=task.epoch,
+        desire=_desire(task, owner),
+        kind=task.kind,
+        resources=task.reserved,
+        command=getattr(owner, "command", ""),
+        checkpoint_id=task.checkpoint_id,
+        worked_ms=task.worked_ms,
+        slots_count=getattr(owner, "slots_count", 0),
+        connections_count=getattr(owner, "connections_count", 0),
+        owner=task.owner,
+        run_time_ms=getattr(owner, "run_time_ms", 0),
+        started=task.state != ttypes.TaskState.ASSIGNED,
+    )
+
+
+def _desire(task: ttypes.Task, owner: object) -> ttypes.Desire:
+    if task.state == ttypes.TaskState.STOPPING:
+        keeps_work = getattr(owner, "checkpointable", False)
+        if keeps_work and not task.final_stop:
+            return ttypes.Desire.CHECKPOINT_AND_STOP
+        return ttypes.Desire.STOP
+    if task.throttled:
+        return ttypes.Desire.THROTTLE
+    return ttypes.Desire.RUN
--- /dev/null
+++ b/marigoldsill/coordination/subscriber.py
@@ -0,0 +1,102 @@
+"""Keeps a process's configuration, routes or orders up to date by watching."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent import futures
+import threading
+
+from marigoldsill import errors
+from marigoldsill.coordination import configuration as configuration_module
+from marigoldsill.coordination import control_link
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import cuts
+from marigoldsill.transport import logs
+
+_WAIT_MS = 2_000
+_ANSWER_MARGIN_S = 1.0
+_PAUSE_S = 0.1
+
+
+class Subscriber:
+    """One task that watches control for one process.
+
+    Attributes:
+        configuration: What is in force here.
+        ready: Set once the configuration was read from a confirmed leader.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        role: ttypes.Role,
+        control_addresses: Sequence[str],
+        on_reply: Callable[[ttypes.WatchReply], None],
+        cut_switch: cuts.Cuts | None = None,
+    ):
+        self.configuration = configuration_module.Configuration()
+        self.ready = threading.Event()
+        self._name = name
+        self._role = role
+        self._on_reply = on_reply
+        self._link = control_link.ControlLink(
+            addresses=control_addresses, cut_switch=cut_switch
+        )
+        self._list_term = 0
+        self._list_version = 0
+        self._term = 0
+        self._stopping = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(1, "subscriber")
+
+    def start(self) -> None:
+        """Begins to watch."""
+        self._pool.submit(self._loop)
+
+    def stop(self) -> None:
+        """Leaves off watching."""
+        self._stopping.set()
+        self._link.close()
+        self._pool.shutdown(wait=False)
+
+    def _loop(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                reply = self._link.call(
+                    "watch",
+                    self._request(),
+                    timeout_s=_WAIT_MS / 1000 + _ANSWER_MARGIN_S,
+                )
+                self._take(reply)
+            except errors.MarigoldsillError as error:
+                logs.event("watch_waits", level="DEBUG", reason=error.message)
+                self._stopping.wait(_PAUSE_S)
+            except Exception as error:  # must go on watching
+                logs.event("watch_failed", level="ERROR", reason=repr(error))
+                self._stopping.wait(_PAUSE_S)
+
+    def _request(self) -> ttypes.WatchRequest:
+        held = self.configuration
+        return ttypes.WatchRequest(
+            role=self._role,
+            subscriber=self._name,
+            config_version=held.version,
+            config_checksum=held.checksum,
+            routes_term=self._list_term,
+            routes_version=self._list_version,
+            orders_term=self._list_term,
+            orders_version=self._list_version,
+            wait_ms=_WAIT_MS,
+        )
+
+    def _take(self, reply: ttypes.WatchReply) -> None:
+        if reply.term < self._term:
+            logs.event("stale_leader", term=reply.term, known=self._term)
+            return
+        self._term = reply.term
+        if self.configuration.apply(reply.config):
+            logs.event("config_in_force", version=reply.config.version)
+        if reply.routes is not None or reply.orders is not None:
+            self._list_term = reply.term
+            self._list_version = max(reply.routes_version, reply.orders_version)
+        self._on_reply(reply)
+        self.ready.set()
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -439,7 +439,8 @@
   9: i32 slots_count = 0,
   10: i32 connections_count = 0,
   11: string owner = "",
-  12: i64 run_time_ms = 0
+  12: i64 run_time_ms = 0,
+  13: bool started = false          // its start was recorded
 }
 
 /** Where a service's requests can go. */
--- /dev/null
+++ b/marigoldsill/protocol/shapes.py
@@ -0,0 +1,30 @@
+"""JSON shapes of records for operators."""
+
+import enum
+
+from marigoldsill import errors
+
+_OUTPUT_TEXT_LIMIT_BYTES = 256
+
+
+def of_record(record: object) -> object:
+    """A generated record as plain JSON values; unset fields are left out."""
+    slots = getattr(type(record), "__slots__", None)
+    if isinstance(record, enum.Enum):
+        return record.name.lower()
+    if isinstance(record, list):
+        return [of_record(item) for item in record]
+    if isinstance(record, bytes):
+        return record[:_OUTPUT_TEXT_LIMIT_BYTES].hex()
+    if slots is None:
+        return record
+    values = ((slot, getattr(record, slot)) for slot in slots)
+    return {k: of_record(v) for k, v in values if v is not None}
+
+
+def of_error(error: errors.MarigoldsillError) -> dict[str, object]:
+    """An error as operators and callers get it."""
+    shape = {"error": error.kind, "message": error.message}
+    if error.retry_after_ms is not None:
+        shape["retry_after_ms"] = error.retry_after_ms
+    return shape
--- /dev/null
+++ b/marigoldsill/roles/common.py
@@ -0,0 +1,87 @@
+"""What every role does alike: health, readiness, metrics, errors, stopping."""
+
+from collections.abc import Callable
+import json
+import signal
+import threading
+
+from werkzeug import exceptions
+from werkzeug import wrappers
+
+from marigoldsill import errors
+from marigoldsill.protocol import shapes
+from marigoldsill.transport import logs
+from marigoldsill.transport import metrics
+
+
+def json_response(value: object, *, status: int = 200) -> wrappers.Response:
+    """A JSON answer."""
+    return wrappers.Response(
+        json.dumps(value), status=status, mimetype="application/json"
+    )
+
+
+def error_response(error: errors.MarigoldsillError) -> wrappers.Response:
+    """The answer that carries an error."""
+    response = json_response(shapes.of_error(error), status=error.http_status)
+    if error.retry_after_ms is not None:
+        seconds = -(-error.retry_after_ms // 1000)
+        response.headers["Retry-After"] = str(max(1, seconds))
+    return response
+
+
+def application(
+    handle: Callable[[wrappers.Request], wrappers.Response],
+    *,
+    ready: Callable[[], bool],
+    body_limit_bytes: int,
+) -> Callable:
+    """A WSGI application around a role's own handler."""
+
+    @wrappers.Request.application
+    def answer(request: wrappers.Request) -> wrappers.Response:
+        request.max_content_length = body_limit_bytes
+        try:
+            return _common(request, ready) or handle(request)
+        except errors.MarigoldsillError as error:
+            return error_response(error)
+        except exceptions.RequestEntityTooLarge:
+            return error_response(
+                errors.TooLargeError(
+                    f"the body is larger than {body_limit_bytes} bytes"
+                )
+            )
+        except exceptions.HTTPException as error:
+            return error.get_response(request.environ)
+        except Exception as error:  # the process must live on
+            logs.event("request_failed", level="ERROR", reason=repr(error))
+            return error_response(errors.MarigoldsillError("internal error"))
+
+    return answer
+
+
+def wait_for_stop() -> threading.Event:
+    """An event that SIGTERM or SIGINT sets."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    return stop
+
+
+def _common(
+    request: wrappers.Request, ready: Callable[[], bool]
+) -> wrappers.Response | None:
+    match request.path:
+        case "/health":
+            return json_response({"health": "ok"})
+        case "/ready":
+            is_ready = ready()
+            return json_response(
+                {"ready": is_ready}, status=200 if is_ready else 503
+            )
+        case "/metrics":
+            return wrappers.Response(
+                metrics.page(), content_type=metrics.CONTENT_TYPE
+            )
+        case _:
+            return None
--- /dev/null
+++ b/marigoldsill/roles/control.py
@@ -0,0 +1,138 @@
+"""The control role: the replicated state, and HTTP for operators."""
+
+import json
+import uuid
+
+from werkzeug import wrappers
+
+from marigoldsill import errors
+from marigoldsill import settings as settings_module
+from marigoldsill.coordination import control_service
+from marigoldsill.coordination import operators
+from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination import scheduler as scheduler_module
+from marigoldsill.protocol import shapes
+from marigoldsill.protocol.generated import Control as ControlThrift
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.roles import common
+from marigoldsill.transport import http_server
+from marigoldsill.transport import logs
+from marigoldsill.transport import thrift_server
+
+_BODY_LIMIT_BYTES = 2 << 20
+_HTTP_THREADS_COUNT = 32
+
+
+class Control:
+    """One control process.
+
+    Attributes:
+        http_address: Where operators reach it.
+        thrift_address: Where entries, agents and peers reach it.
+    """
+
+    def __init__(self, settings: settings_module.ControlSettings):
+        self._thrift = thrift_server.ThriftServer(
+            address=settings.thrift_address,
+            connections_count=settings.threads_count,
+            name=settings.name,
+        )
+        self._http = http_server.HttpServer(
+            address=settings.http_address,
+            app=common.application(
+                self._handle,
+                ready=lambda: self._replica.leader is not None,
+                body_limit_bytes=_BODY_LIMIT_BYTES,
+            ),
+            threads_count=_HTTP_THREADS_COUNT,
+        )
+        self.http_address = self._http.address
+        self.thrift_address = self._thrift.address
+        self._replica = replica_module.Replica(
+            member=ttypes.Member(
+                name=settings.name,
+                address=self.thrift_address,
+                http_address=self.http_address,
+                data_centre=settings.data_centre,
+            )
+        )
+        self._service = control_service.ControlService(replica=self._replica)
+        self._scheduler = scheduler_module.Scheduler(
+            replica=self._replica, service=self._service
+        )
+        self._operators = operators.Operators(
+            replica=self._replica, service=self._service
+        )
+        self._thrift.add("control", ControlThrift.Processor(self._service))
+
+    def start(self) -> None:
+        """Begins to serve."""
+        self._replica.start()
+        self._scheduler.start()
+        self._thrift.start()
+        self._http.start()
+        logs.event(
+            "started", http=self.http_address, thrift=self.thrift_address
+        )
+
+    def stop(self) -> None:
+        """Leaves off; the state on disk stays as it is."""
+        self._scheduler.stop()
+        self._http.stop(drain_limit_s=2.0)
+        self._thrift.stop()
+        self._replica.stop()
+        logs.event("stopped")
+
+    def _handle(self, request: wrappers.Request) -> wrappers.Response:
+        operator_name = request.headers.get("X-Operator", "operator")
+        command_id = request.headers.get("X-Command-Id") or str(uuid.uuid4())
+        match (request.method, *request.path.strip("/").split("/")):
+            case ("POST", "v1", "plans", action):
+                plan = self._operators.plan(
+                    action,
+                    request.get_data(),
+                    operator_name=operator_name,
+                    command_id=command_id,
+                )
+                return common.json_response(shapes.of_record(plan))
+            case ("POST", "v1", "plans", plan_id, "confirm") if (
+                plan_id.isdigit()
+            ):
+                return common.json_response(
+                    self._operators.confirm(
+                        int(plan_id),
+                        _acknowledged(request.get_data()),
+                        operator_name=operator_name,
+                        command_id=command_id,
+                    )
+                )
+            case ("GET", "v1", "status"):
+                return common.json_response(self._operators.status())
+            case ("GET", "v1", "explain", name):
+                return common.json_response(self._operators.explain(name))
+            case ("GET", "v1", "audit"):
+                return common.json_response(self._operators.audit())
+            case _:
+                raise errors.NotFoundError(
+                    f"{request.method} {request.path} is nothing here"
+                )
+
+
+def _acknowledged(body: bytes) -> list[str]:
+    if not body:
+        return []
+    try:
+        return [str(name) for name in json.loads(body)["acknowledged"]]
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.BadInputError(
+            'no confirmation; accepted is {"acknowledged": ["guard", ...]}'
+        ) from error
+
+
+def run(settings: settings_module.ControlSettings) -> None:
+    """Runs the role until a signal."""
+    stop = common.wait_for_stop()
+    control = Control(settings)
+    control.start()
+    stop.wait()
+    control.stop()
--- /dev/null
+++ b/marigoldsill/settings.py
@@ -0,0 +1,278 @@
+"""Settings of each role: typed, checked, from flags and the environment.
+
+Each setting is a field of its role's class. A flag `--lease-ms` and the
+variable `MARIGOLDSILL_LEASE_MS` give the same setting; the flag wins.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import os
+import re
+from typing import Any
+
+from marigoldsill import errors
+from marigoldsill.transport import addresses
+
+ENVIRONMENT_PREFIX = "MARIGOLDSILL_"
+_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def setting(
+    help_text: str,
+    check: Callable[[str], object],
+    *,
+    default: object = dataclasses.MISSING,
+) -> Any:
+    """A field that is a setting.
+
+    Args:
+        help_text: What it does, with its unit.
+        check: Turns text into the value or raises `SettingsError`.
+        default: Its value when not given; without one it must be given.
+    """
+    metadata = {"help": help_text, "check": check}
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+def parse_name(text: str) -> str:
+    """Checks the name of a process, data centre or rack."""
+    if not _NAME_PATTERN.fullmatch(text):
+        raise errors.SettingsError(
+            f"{text!r} is no name; accepted are 1 to 63 letters, digits, "
+            "'.', '_' and '-', a letter or digit first"
+        )
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Checks "host:port"."""
+    addresses.parse(text)
+    return text
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Checks a list of addresses with commas between."""
+    parts = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not parts:
+        raise errors.SettingsError(
+            f"{text!r} names no address; accepted is host:port,host:port"
+        )
+    return tuple(parse_address(part) for part in parts)
+
+
+def parse_integer(low: int, high: int) -> Callable[[str], int]:
+    """A check for a whole number from `low` to `high`."""
+
+    def check(text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError:
+            value = None
+        if value is None or not low <= value <= high:
+            raise errors.SettingsError(
+                f"{text!r} is not accepted; a whole number from {low} to "
+                f"{high} is"
+            )
+        return value
+
+    return check
+
+
+def parse_url(text: str) -> str:
+    """Checks an HTTP address such as http://127.0.0.1:9000."""
+    if not re.fullmatch(r"http://[^/\s]+(/\S*)?", text):
+        raise errors.SettingsError(
+            f"{text!r} is no address; accepted is http://host:port"
+        )
+    return text.rstrip("/")
+
+
+def parse_path(text: str) -> str:
+    """Checks a path of a file or folder."""
+    if not text.strip():
+        raise errors.SettingsError("an empty path is not accepted")
+    return text
+
+
+def parse_log_level(text: str) -> str:
+    """Checks the name of a log level."""
+    if text.upper() not in _LOG_LEVELS:
+        raise errors.SettingsError(
+            f"{text!r} is no log level; accepted are {', '.join(_LOG_LEVELS)}"
+        )
+    return text.upper()
+
+
+def parse_text(value: str) -> str:
+    """Accepts any text."""
+    return value
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ProcessSettings:
+    """What every process has."""
+
+    name: str = setting(
+        "Name of this process, unique in the system.", parse_name
+    )
+    data_centre: str = setting(
+        "Data centre that this VM stands in.", parse_name, default="dc1"
+    )
+    log_level: str = setting(
+        "Lowest level of events written.", parse_log_level, default="INFO"
+    )
+    http_address: str = setting(
+        "Where HTTP is served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class EntrySettings(ProcessSettings):
+    """Settings of `marigoldsill entry`."""
+
+    control_addresses: tuple[str, ...] = setting(
+        "Thrift addresses of the control processes, with commas between.",
+        parse_addresses,
+    )
+    threads_count: int = setting(
+        "Caller connections served at a time.",
+        parse_integer(1, 4096),
+        default=256,
+    )
+    body_limit_bytes: int = setting(
+        "Largest request body accepted, in bytes.",
+        parse_integer(1, 1 << 30),
+        default=1 << 20,
+    )
+    drain_limit_s: int = setting(
+        "How long requests in flight may take after SIGTERM, in seconds.",
+        parse_integer(0, 3600),
+        default=30,
+    )
+    notice_s: int = setting(
+        "How long the balancer gets to notice a stop, in seconds.",
+        parse_integer(0, 600),
+        default=0,
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ControlSettings(ProcessSettings):
+    """Settings of `marigoldsill control run`."""
+
+    thrift_address: str = setting(
+        "Where thrift is served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    data_folder: str = setting("Folder of the durable state.", parse_path)
+    threads_count: int = setting(
+        "Thrift connections served at a time.",
+        parse_integer(1, 8192),
+        default=1024,
+    )
+    election_timeout_ms: int = setting(
+        "Silence after which a new leader is sought, in milliseconds.",
+        parse_integer(100, 60_000),
+        default=1000,
+    )
+    tokens_file: str = setting(
+        "File of operator tokens, a line 'operator token' each; empty: "
+        "operators are not asked for one.",
+        parse_text,
+        default="",
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class AgentSettings(ProcessSettings):
+    """Settings of `marigoldsill agent`."""
+
+    control_addresses: tuple[str, ...] = setting(
+        "Thrift addresses of the control processes, with commas between.",
+        parse_addresses,
+    )
+    rack: str = setting("Rack of this worker.", parse_name, default="rack1")
+    worker_url: str = setting(
+        "The platform's interface to this worker, http://host:port.", parse_url
+    )
+    thrift_address: str = setting(
+        "Where thrift is served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    threads_count: int = setting(
+        "Entry connections served at a time.",
+        parse_integer(1, 8192),
+        default=256,
+    )
+    heartbeat_ms: int = setting(
+        "Time between heartbeats, in milliseconds.",
+        parse_integer(50, 60_000),
+        default=500,
+    )
+    queue_count: int = setting(
+        "Requests that may wait for a slot of one service.",
+        parse_integer(0, 10_000),
+        default=20,
+    )
+    drain_limit_s: int = setting(
+        "How long requests in flight may take after SIGTERM, in seconds.",
+        parse_integer(0, 3600),
+        default=30,
+    )
+
+
+def variable_of(setting_name: str) -> str:
+    """The environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + setting_name.upper()
+
+
+def flag_of(setting_name: str) -> str:
+    """The flag of a setting."""
+    return "--" + setting_name.replace("_", "-")
+
+
+def load(
+    settings_class: type,
+    flags: Mapping[str, str | None],
+    *,
+    environment: Mapping[str, str] | None = None,
+) -> Any:
+    """Builds a role's settings.
+
+    Args:
+        settings_class: The role's class.
+        flags: Texts by setting name; None where the flag was not given.
+        environment: Variables; those of the process by default.
+
+    Raises:
+        SettingsError: Names every setting that is wrong or missing.
+    """
+    environment = os.environ if environment is None else environment
+    values: dict[str, object] = {}
+    wrong: list[str] = []
+    for field in dataclasses.fields(settings_class):
+        given = flags.get(field.name)
+        source = flag_of(field.name)
+        if given is None:
+            given = environment.get(variable_of(field.name))
+            source = variable_of(field.name) if given is not None else source
+        if given is None:
+            if field.default is dataclasses.MISSING:
+                wrong.append(
+                    f"{source} (or {variable_of(field.name)}) is missing: "
+                    f"{field.metadata['help']}"
+                )
+            continue
+        try:
+            values[field.name] = field.metadata["check"](given)
+        except errors.SettingsError as error:
+            wrong.append(f"{source}: {error.message}")
+    if wrong:
+        raise errors.SettingsError("\n".join(wrong))
+    return settings_class(**values)
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -119,6 +119,8 @@
         old = self.versions.get(record.subject)
         if old is not None:
             self.config_checksum ^= subject_digest(old)
+        # Put last: the newest are found from the end.
+        self.versions.pop(record.subject, None)
         self.versions[record.subject] = record
         self.config_checksum ^= subject_digest(record)
 
--- a/marigoldsill/transport/thrift_client.py
+++ b/marigoldsill/transport/thrift_client.py
@@ -120,7 +120,9 @@
                 f"cannot connect to {self.address}: {error}", sent=False
             ) from error
         sock.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        transport = thrift_server.BoundedFramedTransport(sock)
+        transport = TTransport.TFramedTransport(
+            sock, thrift_server.FRAME_LIMIT_BYTES
+        )
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
         self._socket = sock
         self._client = self._client_class(
--- a/marigoldsill/transport/thrift_server.py
+++ b/marigoldsill/transport/thrift_server.py
@@ -16,31 +16,10 @@
 from marigoldsill.transport import logs
 from marigoldsill.transport import pools
 
-FRAME_LIMIT_BYTES = 64 * 1024 * 1024
+FRAME_LIMIT_BYTES = 64 << 20
 _BACKLOG = 512
 
 
-class BoundedFramedTransport(TTransport.TFramedTransport):
-    """A framed transport that refuses frames above the limit unread."""
-
-    def readFrame(self) -> None:  # noqa: N802 (thrift's own name)
-        """Reads one frame.
-
-        Raises:
-            TTransportException: The length is negative or above the limit.
-        """
-        head = self._TFramedTransport__trans.readAll(4)
-        size_bytes = int.from_bytes(head, "big", signed=True)
-        if not 0 <= size_bytes <= FRAME_LIMIT_BYTES:
-            raise TTransport.TTransportException(
-                TTransport.TTransportException.SIZE_LIMIT,
-                f"frame of {size_bytes} bytes; the limit is "
-                f"{FRAME_LIMIT_BYTES}",
-            )
-        body = self._TFramedTransport__trans.readAll(size_bytes)
-        self._TFramedTransport__rbuf = TTransport.BufferIO(body)
-
-
 class ThriftServer:
     """Serves thrift services on one address.
 
@@ -100,7 +79,7 @@
             self._open.add(connection)
         sock = TSocket.TSocket()
         sock.setHandle(connection)
-        transport = BoundedFramedTransport(sock)
+        transport = TTransport.TFramedTransport(sock, FRAME_LIMIT_BYTES)
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
         try:
             while not self._stopping.is_set():
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,80 @@
+"""A stand-in endpoint: answers requests, journals each one it really ran."""
+
+import hashlib
+import threading
+import time
+
+from werkzeug import wrappers
+
+from marigoldsill.transport import http_server
+from standins import faults as faults_module
+from standins import journal as journal_module
+
+
+class Endpoint:
+    """Serves one run of a service.
+
+    The answer repeats the request's id header, its path and the digest of its
+    body, so that a caller can tell whether the answer is its own. The query
+    `work_ms` sets how long it takes.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        worker: str,
+        task: str,
+        slots_count: int,
+        connections_count: int,
+        journal: journal_module.Journal,
+        faults: faults_module.Faults,
+    ):
+        self.service = service
+        self.task = task
+        self.slots_count = slots_count
+        self.connections_count = connections_count
+        self._worker = worker
+        self._journal = journal
+        self._faults = faults
+        self._slots = threading.Semaphore(max(1, slots_count))
+        self._server = http_server.HttpServer(
+            address="127.0.0.1:0",
+            app=self._answer,
+            threads_count=max(4, connections_count),
+        )
+        self.address = self._server.address
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops at once, as a stopped task does."""
+        self._server.stop()
+
+    @wrappers.Request.application
+    def _answer(self, request: wrappers.Request) -> wrappers.Response:
+        request_id = request.headers.get("X-Request-Id", "")
+        body = request.get_data()
+        self._journal.write(
+            "request_began",
+            service=self.service,
+            worker=self._worker,
+            task=self.task,
+            request_id=request_id,
+            key=request.headers.get("Idempotency-Key", ""),
+        )
+        with self._slots:
+            time.sleep(int(request.args.get("work_ms", "0")) / 1000)
+            time.sleep(self._faults.endpoint_delay_ms / 1000)
+            text = (
+                f"{self.service} {request.path} id={request_id} "
+                f"body={hashlib.sha256(body).hexdigest()[:16]}"
+            )
+            response = self._faults.spoil(text, request_id)
+        self._journal.write(
+            "request_ended",
+            service=self.service,
+            worker=self._worker,
+            task=self.task,
+            request_id=request_id,
+        )
+        return response
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,52 @@
+"""Faults that a stand-in can be told to have, by POST /faults."""
+
+import dataclasses
+
+from werkzeug import wrappers
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """The faults in force.
+
+    Attributes:
+        fail_starts: Every start fails.
+        runs_fail: Every batch run fails soon after its start.
+        usage_lag_ms: How late measurements come.
+        usage_factor: Measured sizes are this many times the true ones.
+        endpoint_delay_ms: Every answer takes this much longer.
+        endpoint_fails: Every request is answered with status 500.
+        endpoint_truncates: Answers end before their stated length.
+        endpoint_wrong_id: Answers carry another request's id.
+        endpoint_hangs: Requests are never answered.
+        slow_factor: Batch work goes on this many times slower.
+        announces: Whether endpoints announce themselves.
+    """
+
+    fail_starts: bool = False
+    runs_fail: bool = False
+    usage_lag_ms: int = 500
+    usage_factor: float = 1.0
+    endpoint_delay_ms: int = 0
+    endpoint_fails: bool = False
+    endpoint_truncates: bool = False
+    endpoint_wrong_id: bool = False
+    endpoint_hangs: bool = False
+    slow_factor: float = 1.0
+    announces: bool = True
+
+    def change(self, fields: dict[str, object]) -> None:
+        """Sets some of the faults by name."""
+        for name, value in fields.items():
+            setattr(self, name, value)
+
+    def spoil(self, text: str, request_id: str) -> wrappers.Response:
+        """The answer to a request, with the faults in force."""
+        if self.endpoint_fails:
+            return wrappers.Response("failed", status=500)
+        answer_id = "another" if self.endpoint_wrong_id else request_id
+        response = wrappers.Response(text, headers={"X-Request-Id": answer_id})
+        if self.endpoint_truncates:
+            response.headers["Content-Length"] = str(len(text) + 10)
+            response.automatically_set_content_length = False
+        return response
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,388 @@
+"""A stand-in for the platform's worker: runs tasks under leases.
+
+Run as `python -m standins.worker`. It serves the platform's worker interface
+by HTTP, enforces leases by its own clock, and keeps a journal.
+"""
+
+import argparse
+from concurrent import futures
+import dataclasses
+import json
+import signal
+import sys
+import threading
+import time
+
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+from marigoldsill import errors
+from marigoldsill.transport import http_client
+from marigoldsill.transport import http_server
+from standins import endpoint as endpoint_module
+from standins import faults as faults_module
+from standins import journal as journal_module
+
+_TICK_S = 0.02
+_ANNOUNCE_S = 0.5
+
+_URLS = routing.Map(
+    [
+        routing.Rule("/capacity", endpoint="capacity"),
+        routing.Rule("/tasks", endpoint="tasks"),
+        routing.Rule("/usage", endpoint="usage"),
+        *(
+            routing.Rule(f"/{name}", endpoint=name, methods=["POST"])
+            for name in (
+                "start",
+                "renew",
+                "checkpoint",
+                "throttle",
+                "stop",
+                "forget",
+                "faults",
+                "agent",
+            )
+        ),
+    ]
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    task: str
+    epoch: int
+    kind: str
+    owner: str
+    cpu_millicores: int
+    memory_bytes: int
+    accelerators_count: int
+    run_time_ms: int
+    progress_ms: float
+    lease_end_ns: int
+    advanced_s: float
+    state: str = "running"
+    checkpoint_id: str = ""
+    checkpoint_worked_ms: int = 0
+    throttled: bool = False
+    detail: str = ""
+    endpoint: endpoint_module.Endpoint | None = None
+
+    def listed(self) -> dict[str, object]:
+        return {
+            "task": self.task,
+            "epoch": self.epoch,
+            "state": self.state,
+            "cpu_millicores": self.cpu_millicores,
+            "memory_bytes": self.memory_bytes,
+            "accelerators_count": self.accelerators_count,
+            "progress_ms": int(self.progress_ms),
+            "checkpoint_id": self.checkpoint_id,
+            "checkpoint_worked_ms": self.checkpoint_worked_ms,
+            "throttled": self.throttled,
+            "detail": self.detail,
+        }
+
+
+class Worker:
+    """One worker with its capacity, tasks, faults and journal."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        cpu_millicores: int,
+        memory_bytes: int,
+        accelerators_count: int,
+        journal: journal_module.Journal,
+        address: str = "127.0.0.1:0",
+    ):
+        self.name = name
+        self.faults = faults_module.Faults()
+        self._capacity = {
+            "cpu_millicores": cpu_millicores,
+            "memory_bytes": memory_bytes,
+            "accelerators_count": accelerators_count,
+        }
+        self._journal = journal
+        self._lock = threading.RLock()
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._agent_url = ""
+        self._stopping = threading.Event()
+        self._ticker = futures.ThreadPoolExecutor(2, f"{name}-ticker")
+        self._server = http_server.HttpServer(
+            address=address, app=self._application, threads_count=32
+        )
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Begins to serve."""
+        self._journal.write("capacity", worker=self.name, **self._capacity)
+        self._ticker.submit(self._tick_forever)
+        self._ticker.submit(self._announce_forever)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops everything at once, as a failing VM does."""
+        self._stopping.set()
+        self._server.stop()
+        with self._lock:
+            for run in self._runs.values():
+                self._end(run, "stopped", "worker stopped")
+        self._ticker.shutdown(wait=False)
+
+    def set_agent(self, url: str) -> None:
+        """Tells where endpoints announce themselves."""
+        self._agent_url = url
+
+    @wrappers.Request.application
+    def _application(self, request: wrappers.Request) -> wrappers.Response:
+        try:
+            name, _ = _URLS.bind_to_environ(request.environ).match()
+        except exceptions.HTTPException as error:
+            return error.get_response()
+        body = json.loads(request.get_data() or b"{}")
+        with self._lock:
+            return getattr(self, f"_do_{name}")(body)
+
+    def _do_capacity(self, body: dict) -> wrappers.Response:
+        return _json(self._capacity)
+
+    def _do_tasks(self, body: dict) -> wrappers.Response:
+        return _json([run.listed() for run in self._runs.values()])
+
+    def _do_usage(self, body: dict) -> wrappers.Response:
+        factor = self.faults.usage_factor
+        return _json(
+            [
+                {
+                    "task": run.task,
+                    "cpu_millicores": int(run.cpu_millicores * factor),
+                    "memory_bytes": int(run.memory_bytes * factor),
+                    "age_ms": self.faults.usage_lag_ms,
+                    "progress_ms": int(run.progress_ms),
+                }
+                for run in self._runs.values()
+                if run.state == "running"
+            ]
+        )
+
+    def _do_start(self, body: dict) -> wrappers.Response:
+        key = (body["task"], body["epoch"])
+        if key in self._runs:
+            return _json({})
+        if time.monotonic_ns() > body["lease_end_ns"]:
+            return _json({"error": "the lease has run out"}, status=410)
+        if self.faults.fail_starts:
+            return _json({"error": "start failed"}, status=500)
+        if not self._fits(body):
+            return _json({"error": "does not fit"}, status=409)
+        now_s = time.monotonic()
+        run = _Run(
+            task=body["task"],
+            epoch=body["epoch"],
+            kind=body["kind"],
+            owner=body["owner"],
+            cpu_millicores=body["cpu_millicores"],
+            memory_bytes=body["memory_bytes"],
+            accelerators_count=body["accelerators_count"],
+            run_time_ms=body["run_time_ms"],
+            progress_ms=body["worked_ms"],
+            lease_end_ns=body["lease_end_ns"],
+            advanced_s=now_s,
+            checkpoint_id=body["checkpoint_id"],
+            checkpoint_worked_ms=body["worked_ms"],
+        )
+        if run.kind == "service":
+            run.endpoint = endpoint_module.Endpoint(
+                service=run.owner,
+                worker=self.name,
+                task=run.task,
+                slots_count=body["slots_count"],
+                connections_count=body["connections_count"],
+                journal=self._journal,
+                faults=self.faults,
+            )
+        self._runs[key] = run
+        self._journal.write(
+            "run_started",
+            worker=self.name,
+            kind=run.kind,
+            checkpoint_id=run.checkpoint_id,
+            worked_ms=body["worked_ms"],
+            **_identity(run),
+        )
+        return _json({})
+
+    def _do_renew(self, body: dict) -> wrappers.Response:
+        for run in self._runs.values():
+            run.lease_end_ns = max(run.lease_end_ns, body["lease_end_ns"])
+        return _json({})
+
+    def _do_checkpoint(self, body: dict) -> wrappers.Response:
+        run = self._runs.get((body["task"], body["epoch"]))
+        if run is None or run.state != "running":
+            return _json({"error": "not running"}, status=404)
+        self._advance(run)
+        run.checkpoint_worked_ms = int(run.progress_ms)
+        run.checkpoint_id = f"{run.task}@{run.epoch}:{int(run.progress_ms)}"
+        self._journal.write(
+            "run_checkpointed",
+            worker=self.name,
+            checkpoint_id=run.checkpoint_id,
+            worked_ms=run.checkpoint_worked_ms,
+            **_identity(run),
+        )
+        return _json(run.listed())
+
+    def _do_throttle(self, body: dict) -> wrappers.Response:
+        run = self._runs.get((body["task"], body["epoch"]))
+        if run is not None:
+            self._advance(run)
+            run.throttled = body["throttled"]
+        return _json({})
+
+    def _do_stop(self, body: dict) -> wrappers.Response:
+        run = self._runs.get((body["task"], body["epoch"]))
+        if run is not None:
+            self._end(run, "stopped", "stopped by the agent")
+        return _json({})
+
+    def _do_forget(self, body: dict) -> wrappers.Response:
+        key = (body["task"], body["epoch"])
+        run = self._runs.get(key)
+        if run is not None and run.state != "running":
+            del self._runs[key]
+        return _json({})
+
+    def _do_faults(self, body: dict) -> wrappers.Response:
+        self.faults.change(body)
+        return _json({})
+
+    def _do_agent(self, body: dict) -> wrappers.Response:
+        self._agent_url = body["url"]
+        return _json({})
+
+    def _fits(self, body: dict) -> bool:
+        live = [r for r in self._runs.values() if r.state == "running"]
+        return all(
+            body[name] + sum(getattr(r, name) for r in live) <= limit
+            for name, limit in self._capacity.items()
+        )
+
+    def _tick_forever(self) -> None:
+        while not self._stopping.wait(_TICK_S):
+            with self._lock:
+                for run in self._runs.values():
+                    self._tick(run)
+
+    def _tick(self, run: _Run) -> None:
+        if run.state != "running":
+            return
+        if time.monotonic_ns() > run.lease_end_ns:
+            self._end(run, "stopped", "lease ran out")
+            return
+        self._advance(run)
+        if run.kind != "batch_job":
+            return
+        if self.faults.runs_fail:
+            self._end(run, "failed", "the run failed")
+        elif run.progress_ms >= run.run_time_ms:
+            self._end(run, "completed", "")
+
+    def _advance(self, run: _Run) -> None:
+        now_s = time.monotonic()
+        factor = self.faults.slow_factor * (4 if run.throttled else 1)
+        run.progress_ms += (now_s - run.advanced_s) * 1000 / factor
+        run.advanced_s = now_s
+
+    def _end(self, run: _Run, state: str, detail: str) -> None:
+        if run.state != "running":
+            return
+        run.state = state
+        run.detail = detail
+        if run.endpoint is not None:
+            run.endpoint.stop()
+        self._journal.write(
+            f"run_{state}",
+            worker=self.name,
+            detail=detail,
+            worked_ms=int(run.progress_ms),
+            **_identity(run),
+        )
+
+    def _announce_forever(self) -> None:
+        while not self._stopping.wait(_ANNOUNCE_S / 5):
+            if not self._agent_url or not self.faults.announces:
+                continue
+            with self._lock:
+                endpoints = [
+                    run.endpoint
+                    for run in self._runs.values()
+                    if run.endpoint is not None and run.state == "running"
+                ]
+            body = [
+                {
+                    "service": e.service,
+                    "address": e.address,
+                    "slots_count": e.slots_count,
+                    "connections_count": e.connections_count,
+                    "task": e.task,
+                }
+                for e in endpoints
+            ]
+            try:
+                http_client.fetch(
+                    f"{self._agent_url}/endpoints",
+                    method="POST",
+                    body=json.dumps(body).encode(),
+                    timeout_s=1.0,
+                )
+            except errors.TransportError:
+                continue
+
+
+def _identity(run: _Run) -> dict[str, object]:
+    return {
+        "task": run.task,
+        "epoch": run.epoch,
+        "cpu_millicores": run.cpu_millicores,
+        "memory_bytes": run.memory_bytes,
+        "accelerators_count": run.accelerators_count,
+    }
+
+
+def _json(value: object, *, status: int = 200) -> wrappers.Response:
+    return wrappers.Response(
+        json.dumps(value), status=status, mimetype="application/json"
+    )
+
+
+def main() -> None:
+    """Runs one worker until SIGTERM; prints its address on a line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--address", default="127.0.0.1:0")
+    parser.add_argument("--cpu-millicores", type=int, default=30_000)
+    parser.add_argument("--memory-bytes", type=int, default=130 << 30)
+    parser.add_argument("--accelerators-count", type=int, default=0)
+    parser.add_argument("--journal")
+    arguments = parser.parse_args()
+    worker = Worker(
+        name=arguments.name,
+        cpu_millicores=arguments.cpu_millicores,
+        memory_bytes=arguments.memory_bytes,
+        accelerators_count=arguments.accelerators_count,
+        journal=journal_module.Journal(arguments.journal),
+        address=arguments.address,
+    )
+    worker.start()
+    print(f"address {worker.address}", flush=True)
+    signal.sigwait({signal.SIGTERM, signal.SIGINT})
+    worker.stop()
+    sys.exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/e2e/__init__.py
@@ -0,0 +1,1 @@
+"""End-to-end tests with separate processes."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,279 @@
+"""Starts the roles and stand-ins as separate processes on loopback."""
+
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import time
+
+from marigoldsill.transport import http_client
+
+WAIT_LIMIT_S = 30.0
+_POLL_S = 0.05
+_ADDRESS = re.compile(r"(http|thrift)=(\S+)")
+
+
+def wait_until(
+    condition: Callable[[], object],
+    *,
+    limit_s: float = WAIT_LIMIT_S,
+    what: str = "the condition",
+) -> object:
+    """Waits until a condition gives something true, and returns that."""
+    end_s = time.monotonic() + limit_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < end_s, f"{what} did not hold in {limit_s} s"
+        time.sleep(_POLL_S)
+
+
+class Process:
+    """One process of ours, with its log in a file."""
+
+    def __init__(
+        self,
+        arguments: list[str],
+        *,
+        log: pathlib.Path,
+        environment: dict[str, str] | None = None,
+    ):
+        self.log = log
+        with log.open("ab") as output:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=output,
+                stderr=output,
+                env=os.environ | (environment or {}),
+            )
+
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self._popen.pid
+
+    def text(self) -> str:
+        """Everything it wrote so far."""
+        return self.log.read_text(errors="replace")
+
+    def wait_for(self, pattern: str) -> re.Match:
+        """Waits until its log matches a pattern."""
+
+        def look() -> re.Match | None:
+            assert self._popen.poll() is None, self.text()
+            return re.search(pattern, self.text())
+
+        return wait_until(look, what=f"{pattern!r} in {self.log.name}")
+
+    def addresses(self) -> dict[str, str]:
+        """The addresses of its "started" event, by protocol."""
+        line = self.wait_for(r"event=started.*\n")[0]
+        return dict(_ADDRESS.findall(line))
+
+    def send(self, number: int) -> None:
+        """Sends it a signal."""
+        self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills it and waits for its end."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def stop(self) -> int:
+        """Sends SIGTERM and returns its exit status."""
+        self._popen.terminate()
+        try:
+            return self._popen.wait(WAIT_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def end(self) -> None:
+        """Ends it in whatever state it is."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGCONT)
+            self._popen.kill()
+            self._popen.wait()
+
+
+class System:
+    """Control, agents, entries and worker stand-ins of one test."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.control_thrift: list[str] = []
+        self.control_http: list[str] = []
+        self.workers: dict[str, str] = {}
+        self.entries: dict[str, str] = {}
+
+    def start_control(self, name: str = "control-1", *more: str) -> Process:
+        """Starts a control process."""
+        process = self._start(
+            name,
+            "marigoldsill",
+            "control",
+            "run",
+            "--name",
+            name,
+            "--data-folder",
+            str(self.folder / f"{name}.data"),
+            *more,
+        )
+        addresses = process.addresses()
+        self.control_thrift.append(addresses["thrift"])
+        self.control_http.append(addresses["http"])
+        return process
+
+    def start_worker(
+        self,
+        name: str,
+        *,
+        data_centre: str = "dc1",
+        rack: str = "rack1",
+        cores: int = 30,
+        memory_bytes: int = 130 << 30,
+        accelerators_count: int = 0,
+    ) -> Process:
+        """Starts a worker stand-in with its agent; returns the agent."""
+        platform = self._start(
+            f"{name}.platform",
+            "standins.worker",
+            "--name",
+            name,
+            "--cpu-millicores",
+            str(cores * 1000),
+            "--memory-bytes",
+            str(memory_bytes),
+            "--accelerators-count",
+            str(accelerators_count),
+            "--journal",
+            str(self.journal_path(name)),
+        )
+        address = platform.wait_for(r"address (\S+)")[1]
+        self.workers[name] = f"http://{address}"
+        return self.start_agent(name, data_centre=data_centre, rack=rack)
+
+    def start_agent(
+        self, name: str, *, data_centre: str = "dc1", rack: str = "rack1"
+    ) -> Process:
+        """Starts the agent of a worker that runs."""
+        process = self._start(
+            name,
+            "marigoldsill",
+            "agent",
+            "--name",
+            name,
+            "--data-centre",
+            data_centre,
+            "--rack",
+            rack,
+            "--worker-url",
+            self.workers[name],
+            "--control-addresses",
+            ",".join(self.control_thrift),
+        )
+        self.tell_worker(
+            name, "/agent", {"url": f"http://{process.addresses()['http']}"}
+        )
+        return process
+
+    def start_entry(
+        self, name: str = "entry-1", *, data_centre: str = "dc1"
+    ) -> Process:
+        """Starts an entry and waits until it is ready."""
+        process = self._start(
+            name,
+            "marigoldsill",
+            "entry",
+            "--name",
+            name,
+            "--data-centre",
+            data_centre,
+            "--control-addresses",
+            ",".join(self.control_thrift),
+        )
+        self.entries[name] = process.addresses()["http"]
+        wait_until(
+            lambda: self.get(self.entries[name], "/ready").status_code == 200,
+            what=f"{name} ready",
+        )
+        return process
+
+    def tell_worker(self, name: str, path: str, body: dict) -> None:
+        """Posts something to a worker stand-in, such as faults."""
+        http_client.fetch(
+            self.workers[name] + path,
+            method="POST",
+            body=json.dumps(body).encode(),
+            timeout_s=5.0,
+        )
+
+    def journal_path(self, worker: str) -> pathlib.Path:
+        """Where a worker stand-in keeps its journal."""
+        return self.folder / f"{worker}.journal"
+
+    def get(self, address: str, path: str) -> http_client.HttpAnswer:
+        """Gets something by HTTP."""
+        return http_client.fetch(f"http://{address}{path}", timeout_s=10.0)
+
+    def call(
+        self,
+        path: str,
+        *,
+        entry: str = "entry-1",
+        method: str = "GET",
+        body: bytes = b"",
+        key: str = "",
+    ) -> http_client.HttpAnswer:
+        """A caller's request."""
+        headers = (("Idempotency-Key", key),) if key else ()
+        return http_client.fetch(
+            f"http://{self.entries[entry]}{path}",
+            method=method,
+            body=body,
+            headers=headers,
+            timeout_s=15.0,
+        )
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Runs an operator's command."""
+        return subprocess.run(
+            [sys.executable, "-m", "marigoldsill", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=WAIT_LIMIT_S,
+            env=os.environ
+            | {"MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http)},
+            check=False,
+        )
+
+    def operate(self, *arguments: str) -> dict:
+        """Runs an operator's command that must succeed; its JSON output."""
+        done = self.command(*arguments)
+        assert done.returncode == 0, done.stderr
+        return json.loads(done.stdout)
+
+    def task_state(self, task: str) -> str:
+        """A task's state as `status` shows it."""
+        tasks = self.operate("status")["tasks"]
+        return next((t["state"] for t in tasks if t["name"] == task), "")
+
+    def end(self) -> None:
+        """Ends every process."""
+        for process in self.processes.values():
+            process.end()
+
+    def _start(self, name: str, *arguments: str) -> Process:
+        process = Process(
+            list(arguments),
+            log=self.folder / f"{name}.log",
+            environment={"PYTHONUNBUFFERED": "1"},
+        )
+        self.processes[name] = process
+        return process
