--- a/marigoldsill/__main__.py
+++ b/marigoldsill/__main__.py
@@ -1,6 +1,18 @@
 """Runs the command line as `python -m marigoldsill`."""
 
-from marigoldsill import cli
+import sys
+
+_INTERRUPTED_EXIT_CODE = 130
+
+
+def _main() -> None:
+    try:
+        from marigoldsill import cli
+
+        cli.main(prog_name="marigoldsill")
+    except KeyboardInterrupt:
+        sys.exit(_INTERRUPTED_EXIT_CODE)
+
 
 if __name__ == "__main__":
-    cli.main()
+    _main()
--- /dev/null
+++ b/marigoldsill/cli/__init__.py
@@ -0,0 +1,31 @@
+"""The command line: one program, a subcommand for each role and task.
+
+Each command lives in a module of its group and is imported only when it is
+used, so that an agent carries nothing of what other commands need.
+"""
+
+import click
+
+from marigoldsill.cli import groups
+
+__all__ = ["main"]
+
+_COMMANDS = {
+    "entry": "marigoldsill.cli.roles:entry",
+    "control": "marigoldsill.cli.roles:control",
+    "agent": "marigoldsill.cli.roles:agent",
+    "local": "marigoldsill.cli.local:local",
+    "plan": "marigoldsill.cli.plans:plan",
+    "confirm": "marigoldsill.cli.plans:confirm",
+    "status": "marigoldsill.cli.state:status",
+    "explain": "marigoldsill.cli.state:explain",
+    "audit": "marigoldsill.cli.state:audit",
+    "check": "marigoldsill.cli.check:check",
+    "completion": "marigoldsill.cli.completion:completion",
+}
+
+
+@click.group(cls=groups.LazyGroup, commands_by_name=_COMMANDS)
+@click.version_option(package_name="marigoldsill")
+def main() -> None:
+    """A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/marigoldsill/cli/roles.py
@@ -0,0 +1,42 @@
+"""Commands that run a role until a signal."""
+
+import importlib
+
+import click
+
+from marigoldsill import settings as settings_module
+from marigoldsill.cli import groups
+from marigoldsill.cli import options
+from marigoldsill.transport import logs
+
+
+@click.command()
+@options.for_settings(settings_module.EntrySettings)
+def entry(**flags: str | None) -> None:
+    """Serves callers."""
+    _run("entry", settings_module.EntrySettings, flags)
+
+
+@click.command()
+@options.for_settings(settings_module.AgentSettings)
+def agent(**flags: str | None) -> None:
+    """Keeps one worker's runs and requests."""
+    _run("agent", settings_module.AgentSettings, flags)
+
+
+@click.group(cls=groups.Group)
+def control() -> None:
+    """Keeps the replicated state."""
+
+
+@control.command("run")
+@options.for_settings(settings_module.ControlSettings)
+def control_run(**flags: str | None) -> None:
+    """Runs one control process."""
+    _run("control", settings_module.ControlSettings, flags)
+
+
+def _run(role: str, settings_class: type, flags: dict[str, str | None]) -> None:
+    settings = settings_module.load(settings_class, flags)
+    logs.set_up(role=role, name=settings.name, level=settings.log_level)
+    importlib.import_module(f"marigoldsill.roles.{role}").run(settings)
--- a/marigoldsill/protocol/shapes.py
+++ b/marigoldsill/protocol/shapes.py
@@ -27,4 +27,24 @@
     shape = {"error": error.kind, "message": error.message}
     if error.retry_after_ms is not None:
         shape["retry_after_ms"] = error.retry_after_ms
+    if isinstance(error, errors.NotLeaderError):
+        shape["leader_http"] = error.leader_http
     return shape
+
+
+def error_of(shape: object) -> errors.MarigoldsillError:
+    """The error that `of_error` gave a shape."""
+    if not isinstance(shape, dict):
+        return errors.MarigoldsillError(f"an unreadable error: {shape!r}")
+    known = getattr(errors, str(shape.get("error")), None)
+    message = str(shape.get("message", ""))
+    match known:
+        case errors.NotLeaderError:
+            leader_http = str(shape.get("leader_http", ""))
+            return known(message, leader_http=leader_http)
+        case errors.TransportError:
+            return known(message, sent=True)
+        case type() if issubclass(known, errors.MarigoldsillError):
+            return known(message, retry_after_ms=shape.get("retry_after_ms"))
+        case _:
+            return errors.MarigoldsillError(message)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -249,7 +249,10 @@
             text=True,
             timeout=WAIT_LIMIT_S,
             env=os.environ
-            | {"MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http)},
+            | {
+                "MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http),
+                "MARIGOLDSILL_OUTPUT": "json",
+            },
             check=False,
         )
 
