--- /dev/null
+++ b/marigoldsill/cli/local.py
@@ -0,0 +1,27 @@
+"""The command that runs all roles in one process."""
+
+import click
+
+from marigoldsill import settings as settings_module
+from marigoldsill.cli import options
+from marigoldsill.transport import logs
+
+
+@click.command()
+@options.for_settings(settings_module.LocalSettings)
+@click.option(
+    "--demo",
+    is_flag=True,
+    help="Runs the main job, checks each step, prints 'demo: ok' and ends.",
+)
+def local(demo: bool, **flags: str | None) -> None:
+    """Runs all roles and stand-in workers in this one process."""
+    settings = settings_module.load(settings_module.LocalSettings, flags)
+    logs.set_up(role="local", name="local", level=settings.log_level)
+    from marigoldsill.roles import demo as demo_module
+    from marigoldsill.roles import local as role
+
+    if demo:
+        demo_module.run(settings, tell=click.echo)
+    else:
+        role.run(settings, tell=click.echo)
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -170,3 +170,9 @@
 
     http_status = 409
     exit_code = 10
+
+
+class DemoError(MarigoldsillError):
+    """A step of the demo was not verified."""
+
+    exit_code = 11
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -209,8 +209,4 @@
 
 def run(settings: settings_module.AgentSettings) -> None:
     """Runs the role until a signal."""
-    stop = common.wait_for_stop()
-    agent = Agent(settings)
-    agent.start()
-    stop.wait()
-    agent.stop()
+    common.run(lambda: Agent(settings))
--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -2,9 +2,13 @@
 
 from collections.abc import Callable
 import json
+import os
 import signal
 import threading
+import time
+from typing import Protocol
 
+import prometheus_client
 from werkzeug import exceptions
 from werkzeug import wrappers
 
@@ -13,6 +17,30 @@
 from marigoldsill.transport import logs
 from marigoldsill.transport import metrics
 
+FORCED_EXIT_CODE = 1
+_REQUESTS = prometheus_client.Counter(
+    "marigoldsill_http_requests_total",
+    "HTTP requests answered, by status code.",
+    ["status"],
+)
+_REQUEST_SECONDS = prometheus_client.Histogram(
+    "marigoldsill_http_request_seconds",
+    "Time from reading a request to having its answer, in seconds.",
+)
+_READY = prometheus_client.Gauge(
+    "marigoldsill_ready_ratio", "1 while the process is ready, else 0."
+)
+
+
+class Role(Protocol):
+    """What runs until a signal."""
+
+    def start(self) -> None:
+        """Begins to serve."""
+
+    def stop(self) -> None:
+        """Ends gracefully."""
+
 
 def json_response(value: object, *, status: int = 200) -> wrappers.Response:
     """A JSON answer."""
@@ -40,34 +68,65 @@
 
     @wrappers.Request.application
     def answer(request: wrappers.Request) -> wrappers.Response:
+        start_s = time.perf_counter()
         request.max_content_length = body_limit_bytes
-        try:
-            return _common(request, ready) or handle(request)
-        except errors.MarigoldsillError as error:
-            return error_response(error)
-        except exceptions.RequestEntityTooLarge:
-            return error_response(
-                errors.TooLargeError(
-                    f"the body is larger than {body_limit_bytes} bytes"
-                )
-            )
-        except exceptions.HTTPException as error:
-            return error.get_response(request.environ)
-        except Exception as error:  # the process must live on
-            logs.event("request_failed", level="ERROR", reason=repr(error))
-            return error_response(errors.MarigoldsillError("internal error"))
+        response = _answer(request, handle, ready, body_limit_bytes)
+        _REQUEST_SECONDS.observe(time.perf_counter() - start_s)
+        _REQUESTS.labels(str(response.status_code)).inc()
+        return response
 
     return answer
 
 
+def run(make_role: Callable[[], Role]) -> None:
+    """Runs a role until SIGTERM or SIGINT; a second one ends it at once."""
+    stop = wait_for_stop()
+    role = make_role()
+    role.start()
+    stop.wait()
+    role.stop()
+
+
 def wait_for_stop() -> threading.Event:
-    """An event that SIGTERM or SIGINT sets."""
+    """An event that SIGTERM or SIGINT sets; a second signal ends at once."""
     stop = threading.Event()
+
+    def on_signal(number: int, frame: object) -> None:
+        if stop.is_set():
+            logs.event("stop_forced", level="WARNING", signal=number)
+            os._exit(FORCED_EXIT_CODE)
+        stop.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+        signal.signal(number, on_signal)
     return stop
 
 
+def _answer(
+    request: wrappers.Request,
+    handle: Callable[[wrappers.Request], wrappers.Response],
+    ready: Callable[[], bool],
+    body_limit_bytes: int,
+) -> wrappers.Response:
+    try:
+        return _common(request, ready) or handle(request)
+    except errors.MarigoldsillError as error:
+        return error_response(error)
+    except exceptions.RequestEntityTooLarge:
+        return error_response(
+            errors.TooLargeError(
+                f"the body is larger than {body_limit_bytes} bytes"
+            )
+        )
+    except exceptions.HTTPException as error:
+        return error_response(
+            errors.BadInputError(f"{error.name}: {error.description}")
+        )
+    except Exception as error:  # the process must live on
+        logs.event("request_failed", level="ERROR", reason=repr(error))
+        return error_response(errors.MarigoldsillError("internal error"))
+
+
 def _common(
     request: wrappers.Request, ready: Callable[[], bool]
 ) -> wrappers.Response | None:
@@ -80,6 +139,7 @@
                 {"ready": is_ready}, status=200 if is_ready else 503
             )
         case "/metrics":
+            _READY.set(1 if ready() else 0)
             return wrappers.Response(
                 metrics.page(), content_type=metrics.CONTENT_TYPE
             )
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -15,6 +15,7 @@
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.roles import common
+from marigoldsill.roles import tokens
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 from marigoldsill.transport import thrift_server
@@ -32,6 +33,7 @@
     """
 
     def __init__(self, settings: settings_module.ControlSettings):
+        self._tokens = tokens.OperatorTokens(settings.tokens_file)
         self._thrift = thrift_server.ThriftServer(
             address=settings.thrift_address,
             connections_count=settings.threads_count,
@@ -84,7 +86,10 @@
         logs.event("stopped")
 
     def _handle(self, request: wrappers.Request) -> wrappers.Response:
-        operator_name = request.headers.get("X-Operator", "operator")
+        operator_name = self._tokens.operator_of(
+            authorization=request.headers.get("Authorization", ""),
+            claimed_name=request.headers.get("X-Operator", ""),
+        )
         command_id = request.headers.get("X-Command-Id") or str(uuid.uuid4())
         match (request.method, *request.path.strip("/").split("/")):
             case ("POST", "v1", "plans", action):
@@ -131,8 +136,4 @@
 
 def run(settings: settings_module.ControlSettings) -> None:
     """Runs the role until a signal."""
-    stop = common.wait_for_stop()
-    control = Control(settings)
-    control.start()
-    stop.wait()
-    control.stop()
+    common.run(lambda: Control(settings))
--- /dev/null
+++ b/marigoldsill/roles/demo.py
@@ -0,0 +1,209 @@
+"""The main job on the embedded default, each step verified.
+
+An operator plans an intent and confirms the plan; the work starts; callers get
+answers; the batch job finishes once; the audit trail names the operator.
+"""
+
+import collections
+from collections.abc import Callable
+import json
+import time
+
+from marigoldsill import errors
+from marigoldsill import settings as settings_module
+from marigoldsill.roles import local as local_module
+from marigoldsill.transport import http_client
+from standins import journal as journal_module
+
+_LIMIT_S = 30.0
+_POLL_S = 0.05
+_TIMEOUT_S = 10.0
+_OPERATOR = "desk-1"
+_INTENT = """\
+[[service]]
+name = "lookup"
+cores = 2
+memory = "1GB"
+slots = 4
+connections = 8
+
+[[batch_job]]
+name = "rebuild"
+cores = 4
+memory = "2GB"
+run_time = "1s"
+
+[[watcher]]
+name = "parish"
+cores = 0.5
+memory = "100MB"
+"""
+_TASKS = ("lookup/0", "parish/0", "rebuild/0")
+
+
+def run(
+    settings: settings_module.LocalSettings, *, tell: Callable[[str], None]
+) -> None:
+    """Runs the demo to its end; the last line told is "demo: ok".
+
+    Raises:
+        DemoError: A step was not verified.
+    """
+    local = local_module.Local(settings)
+    local.start()
+    try:
+        _Demo(local, tell).run()
+    finally:
+        local.stop()
+    tell("demo: ok")
+
+
+class _Demo:
+    """The steps in order; each raises unless it was verified."""
+
+    def __init__(self, local: local_module.Local, tell: Callable[[str], None]):
+        self._local = local
+        self._tell = tell
+        self._steps_count = 0
+
+    def run(self) -> None:
+        self._wait_for_workers()
+        plan = self._plan()
+        self._confirm(plan)
+        self._wait_for_states()
+        self._call()
+        self._call_once()
+        self._check_journals()
+        self._check_audit(plan)
+
+    def _wait_for_workers(self) -> None:
+        names = list(self._local.journals)
+
+        def all_live() -> bool:
+            workers = self._get("/v1/status")["workers"]
+            return sorted(w["name"] for w in workers if w["live"]) == names
+
+        _wait(all_live, f"{len(names)} workers live")
+        self._done(f"{len(names)} workers have announced themselves")
+
+    def _plan(self) -> dict:
+        plan = self._post("/v1/plans/apply", _INTENT.encode())
+        starts = sorted(
+            effect["subject"]
+            for effect in plan["effects"]
+            if effect["verb"] == "start"
+        )
+        _require(starts == list(_TASKS), f"plan starts {starts}")
+        self._done(f"plan {plan['plan_id']} would start {', '.join(starts)}")
+        tasks = self._get("/v1/status")["tasks"]
+        _require(not tasks, f"nothing runs before a confirmation, not {tasks}")
+        self._done("nothing has started before the confirmation")
+        return plan
+
+    def _confirm(self, plan: dict) -> None:
+        path = f"/v1/plans/{plan['plan_id']}/confirm"
+        answer = self._post(path, b"")
+        _require(answer["state"] == "confirmed", f"confirmed, not {answer}")
+        self._done(f"plan {plan['plan_id']} is confirmed")
+
+    def _wait_for_states(self) -> None:
+        wanted = dict.fromkeys(_TASKS, "running") | {"rebuild/0": "done"}
+
+        def states() -> bool:
+            tasks = self._get("/v1/status")["tasks"]
+            return {t["name"]: t["state"] for t in tasks} == wanted
+
+        _wait(states, f"tasks are {wanted}")
+        self._done("the service and the watcher run, the batch job is done")
+
+    def _call(self) -> None:
+        url = f"http://{self._local.entry_http}/services/lookup/garcia"
+
+        def answered() -> bool:
+            answer = http_client.fetch(url, timeout_s=_TIMEOUT_S)
+            return answer.status_code == 200 and answer.body.startswith(
+                b"lookup /garcia"
+            )
+
+        _wait(answered, f"an answer from {url}")
+        self._done("a caller's request is answered by the service")
+
+    def _call_once(self) -> None:
+        url = f"http://{self._local.entry_http}/services/lookup/bill"
+        answers = [
+            http_client.fetch(
+                url,
+                method="POST",
+                body=b"family 7",
+                headers=(("Idempotency-Key", "demo-1"),),
+                timeout_s=_TIMEOUT_S,
+            )
+            for _ in range(2)
+        ]
+        statuses = [answer.status_code for answer in answers]
+        _require(statuses == [200, 200], f"two answers 200, not {statuses}")
+        _require(answers[0].body == answers[1].body, "both answers are equal")
+
+    def _check_journals(self) -> None:
+        events = [
+            event
+            for path in self._local.journals.values()
+            for event in journal_module.read(path)
+        ]
+        runs_count = sum(event.get("key") == "demo-1" for event in events)
+        _require(runs_count == 1, f"one run of the key, not {runs_count}")
+        self._done("a non-idempotent request sent twice has run once")
+        counts = collections.Counter(
+            event["event"]
+            for event in events
+            if event.get("task") == "rebuild/0"
+        )
+        _require(
+            counts["run_started"] == counts["run_completed"] == 1,
+            f"one start and one end of rebuild/0, not {dict(counts)}",
+        )
+        self._done("the batch job has started once and finished once")
+
+    def _check_audit(self, plan: dict) -> None:
+        records = self._get("/v1/audit")
+        seen = [
+            (record["verb"], record["operator_name"])
+            for record in records
+            if record["plan_id"] == plan["plan_id"]
+        ]
+        wanted = [("planned", _OPERATOR), ("confirmed", _OPERATOR)]
+        _require(seen == wanted, f"the audit trail has {wanted}, not {seen}")
+        self._done(f"the audit trail names {_OPERATOR}")
+
+    def _get(self, path: str) -> dict:
+        return self._fetch(path, method="GET", body=b"")
+
+    def _post(self, path: str, body: bytes) -> dict:
+        return self._fetch(path, method="POST", body=body)
+
+    def _fetch(self, path: str, *, method: str, body: bytes) -> dict:
+        answer = http_client.fetch(
+            f"http://{self._local.control_http}{path}",
+            method=method,
+            body=body,
+            headers=(("X-Operator", _OPERATOR),),
+            timeout_s=_TIMEOUT_S,
+        )
+        _require(answer.status_code == 200, f"{path}: {answer.body!r}")
+        return json.loads(answer.body)
+
+    def _done(self, text: str) -> None:
+        self._steps_count += 1
+        self._tell(f"{self._steps_count}. {text}")
+
+
+def _wait(condition: Callable[[], bool], what: str) -> None:
+    end_s = time.monotonic() + _LIMIT_S
+    while not condition():
+        _require(time.monotonic() < end_s, f"{what} within {_LIMIT_S} s")
+        time.sleep(_POLL_S)
+
+
+def _require(condition: bool, what: str) -> None:
+    if not condition:
+        raise errors.DemoError(f"not verified: {what}")
--- a/marigoldsill/roles/entry.py
+++ b/marigoldsill/roles/entry.py
@@ -124,8 +124,4 @@
 
 def run(settings: settings_module.EntrySettings) -> None:
     """Runs the role until a signal."""
-    stop = common.wait_for_stop()
-    entry = Entry(settings)
-    entry.start()
-    stop.wait()
-    entry.stop()
+    common.run(lambda: Entry(settings))
--- /dev/null
+++ b/marigoldsill/roles/local.py
@@ -0,0 +1,138 @@
+"""All roles and stand-in workers in one process, for a laptop.
+
+The durable state lives in a temporary folder that goes with the process,
+unless a folder is given.
+"""
+
+from collections.abc import Callable
+import contextlib
+import pathlib
+import tempfile
+
+from marigoldsill import settings as settings_module
+from marigoldsill.roles import agent as agent_role
+from marigoldsill.roles import common
+from marigoldsill.roles import control as control_role
+from marigoldsill.roles import entry as entry_role
+from standins import journal as journal_module
+from standins import worker as worker_standin
+
+_THREADS_COUNT = 64
+_DRAIN_LIMIT_S = 5
+
+
+class Local:
+    """One control, one entry, and stand-in workers with their agents.
+
+    Attributes:
+        control_http: Where operators reach it.
+        entry_http: Where callers reach it.
+        journals: What each stand-in worker really did, by its name.
+    """
+
+    def __init__(self, settings: settings_module.LocalSettings):
+        self._stack = contextlib.ExitStack()
+        self._settings = settings
+        self._folder = pathlib.Path(
+            settings.data_folder or self._temporary_folder()
+        )
+        self.journals: dict[str, pathlib.Path] = {}
+        self.control_http = ""
+        self.entry_http = ""
+
+    def start(self) -> None:
+        """Starts everything."""
+        with contextlib.ExitStack() as stack:
+            stack.push(self._stack.pop_all())
+            control = self._start_control(stack)
+            for index in range(1, self._settings.workers_count + 1):
+                self._start_worker(stack, f"worker-{index}", control)
+            self._start_entry(stack, control)
+            self._stack = stack.pop_all()
+
+    def stop(self) -> None:
+        """Stops everything, in the opposite order."""
+        self._stack.close()
+
+    def _temporary_folder(self) -> str:
+        return self._stack.enter_context(
+            tempfile.TemporaryDirectory(
+                prefix="marigoldsill-", ignore_cleanup_errors=True
+            )
+        )
+
+    def _start_control(
+        self, stack: contextlib.ExitStack
+    ) -> control_role.Control:
+        control = control_role.Control(
+            settings_module.ControlSettings(
+                name="control-1",
+                data_folder=str(self._folder / "control-1"),
+                http_address=self._settings.control_http_address,
+                threads_count=_THREADS_COUNT,
+            )
+        )
+        _start(stack, control)
+        self.control_http = control.http_address
+        return control
+
+    def _start_worker(
+        self,
+        stack: contextlib.ExitStack,
+        name: str,
+        control: control_role.Control,
+    ) -> None:
+        self.journals[name] = self._folder / f"{name}.journal"
+        worker = worker_standin.Worker(
+            name=name,
+            cpu_millicores=self._settings.worker_cores_count * 1000,
+            memory_bytes=self._settings.worker_memory_bytes,
+            accelerators_count=0,
+            journal=journal_module.Journal(str(self.journals[name])),
+        )
+        _start(stack, worker)
+        agent = agent_role.Agent(
+            settings_module.AgentSettings(
+                name=name,
+                control_addresses=(control.thrift_address,),
+                worker_url=f"http://{worker.address}",
+                threads_count=_THREADS_COUNT,
+                drain_limit_s=_DRAIN_LIMIT_S,
+            )
+        )
+        _start(stack, agent)
+        worker.set_agent(f"http://{agent.http_address}")
+
+    def _start_entry(
+        self, stack: contextlib.ExitStack, control: control_role.Control
+    ) -> None:
+        entry = entry_role.Entry(
+            settings_module.EntrySettings(
+                name="entry-1",
+                control_addresses=(control.thrift_address,),
+                http_address=self._settings.entry_http_address,
+                threads_count=_THREADS_COUNT,
+                drain_limit_s=_DRAIN_LIMIT_S,
+            )
+        )
+        _start(stack, entry)
+        self.entry_http = entry.http_address
+
+
+def _start(stack: contextlib.ExitStack, role: common.Role) -> None:
+    role.start()
+    stack.callback(role.stop)
+
+
+def run(
+    settings: settings_module.LocalSettings, *, tell: Callable[[str], None]
+) -> None:
+    """Runs everything until a signal."""
+    stop = common.wait_for_stop()
+    local = Local(settings)
+    local.start()
+    tell(f"callers:   http://{local.entry_http}/services/<service>/<path>")
+    tell(f"operators: export MARIGOLDSILL_CONTROL_HTTP={local.control_http}")
+    tell("Ctrl-C ends it.")
+    stop.wait()
+    local.stop()
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -232,6 +232,42 @@
     return ENVIRONMENT_PREFIX + setting_name.upper()
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class LocalSettings:
+    """Settings of `marigoldsill local`."""
+
+    workers_count: int = setting(
+        "Stand-in workers to run.", parse_integer(1, 20), default=2
+    )
+    worker_cores_count: int = setting(
+        "Cores of each stand-in worker.", parse_integer(1, 1024), default=30
+    )
+    worker_memory_bytes: int = setting(
+        "Memory of each stand-in worker, in bytes.",
+        parse_integer(1 << 20, 1 << 50),
+        default=130 << 30,
+    )
+    entry_http_address: str = setting(
+        "Where callers are served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    control_http_address: str = setting(
+        "Where operators are served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    data_folder: str = setting(
+        "Folder of the durable state; empty: a temporary one that goes with "
+        "the process.",
+        parse_text,
+        default="",
+    )
+    log_level: str = setting(
+        "Lowest level of events written.", parse_log_level, default="WARNING"
+    )
+
+
 def flag_of(setting_name: str) -> str:
     """The flag of a setting."""
     return "--" + setting_name.replace("_", "-")
