--- /dev/null
+++ b/build_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that build what is shipped."""
--- /dev/null
+++ b/tests/build_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of build_tools."""
--- /dev/null
+++ b/tests/e2e/test_binary.py
@@ -0,0 +1,116 @@
+"""The shipped binary, built and run as users do."""
+
+from collections.abc import Iterator
+import os
+import pathlib
+import re
+import subprocess
+
+import psutil
+import pytest
+
+from build_tools import binary
+from tests import processes
+
+_AGENT_LIMIT_BYTES = 64 << 20
+# Field of /proc/PID/stat after the name: page faults of children that ended.
+_CHILD_FAULTS_FIELD = 8
+
+
+@pytest.fixture(scope="module")
+def program(tmp_path_factory: pytest.TempPathFactory) -> pathlib.Path:
+    """The binary, built once."""
+    path = tmp_path_factory.mktemp("dist") / "marigoldsill"
+    binary.build(path)
+    return path
+
+
+@pytest.fixture
+def environment(tmp_path: pathlib.Path) -> Iterator[dict[str, str]]:
+    """An environment in which the binary unpacks into the test's folder."""
+    return {
+        "PATH": os.environ["PATH"],
+        "MARIGOLDSILL_UNPACK_FOLDER": str(tmp_path / "unpacked"),
+    }
+
+
+def test_binary_runs_the_demo(
+    program: pathlib.Path, environment: dict[str, str]
+) -> None:
+    done = subprocess.run(
+        [program, "local", "--demo"],
+        capture_output=True,
+        text=True,
+        env=environment,
+        timeout=processes.WAIT_LIMIT_S * 2,
+        check=False,
+    )
+
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.splitlines()[-1] == "demo: ok"
+
+
+def test_binary_starts_no_child_and_an_idle_agent_stays_small(
+    program: pathlib.Path,
+    environment: dict[str, str],
+    system: processes.System,
+) -> None:
+    system.start_control()
+    system.start_worker("worker-1")
+    log = (system.folder / "agent.log").open("w")
+    agent = subprocess.Popen(
+        [
+            program,
+            "agent",
+            "--name=worker-2",
+            f"--worker-url={system.workers['worker-1']}",
+            f"--control-addresses={','.join(system.control_thrift)}",
+        ],
+        env=environment,
+        stderr=log,
+    )
+    try:
+        processes.wait_until(
+            lambda: _is_ready(system, _text(log.name)), what="the agent ready"
+        )
+        process = psutil.Process(agent.pid)
+        assert process.children(recursive=True) == []
+        assert _child_faults_count(agent.pid) == 0
+        assert process.memory_info().rss < _AGENT_LIMIT_BYTES
+    finally:
+        agent.terminate()
+        assert agent.wait(processes.WAIT_LIMIT_S) == 0, _text(log.name)
+
+
+def test_binary_unpacks_under_the_data_folder_of_a_control_process(
+    program: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    data_folder = tmp_path / "data"
+
+    done = subprocess.run(
+        [program, "check", "control", "--name=c", "--data-folder", data_folder],
+        capture_output=True,
+        text=True,
+        env={"PATH": os.environ["PATH"]},
+        timeout=processes.WAIT_LIMIT_S,
+        check=False,
+    )
+
+    assert done.returncode == 0, done.stderr
+    assert list((data_folder / "unpacked").iterdir())
+
+
+def _is_ready(system: processes.System, log: str) -> bool:
+    started = re.search(r"event=started .*http=(\S+)", log)
+    return bool(started) and (
+        system.get(started[1], "/ready").status_code == 200
+    )
+
+
+def _text(path: str) -> str:
+    return pathlib.Path(path).read_text()
+
+
+def _child_faults_count(pid: int) -> int:
+    stat = _text(f"/proc/{pid}/stat")
+    return int(stat.rpartition(")")[2].split()[_CHILD_FAULTS_FIELD])
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -87,6 +87,10 @@
     def stop(self) -> int:
         """Sends SIGTERM and returns its exit status."""
         self._popen.terminate()
+        return self.wait()
+
+    def wait(self) -> int:
+        """Waits for its end and returns its exit status."""
         try:
             return self._popen.wait(WAIT_LIMIT_S)
         except subprocess.TimeoutExpired:
