--- /dev/null
+++ b/build_tools/settings_page.py
@@ -0,0 +1,59 @@
+"""Writes the settings reference from the settings classes.
+
+Run as `python -m build_tools.settings_page > docs/settings.md`.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+
+from marigoldsill import settings as settings_module
+
+_INTRODUCTION = """\
+# Settings
+
+<!-- Written by `make docs` from marigoldsill/settings.py. -->
+
+A setting is given by its flag or by its environment variable; the flag wins.
+`marigoldsill check ROLE` with the same flags checks them without starting
+anything. All wrong settings are reported at once, each with its value and what
+is accepted. Operators' commands take the options shown by `--help`; their
+variables are in the [operator's guide](operators-guide.md).
+"""
+_ROLES = {
+    "marigoldsill entry": settings_module.EntrySettings,
+    "marigoldsill control run": settings_module.ControlSettings,
+    "marigoldsill agent": settings_module.AgentSettings,
+    "marigoldsill local": settings_module.LocalSettings,
+}
+
+
+def page() -> str:
+    """The whole page."""
+    sections = (
+        "\n".join(_section(command, settings_class))
+        for command, settings_class in _ROLES.items()
+    )
+    return "\n".join([_INTRODUCTION, *sections])
+
+
+def _section(command: str, settings_class: type) -> Iterator[str]:
+    yield f"## `{command}`\n"
+    yield "| flag | variable | default | meaning |"
+    yield "| --- | --- | --- | --- |"
+    for field in dataclasses.fields(settings_class):
+        yield (
+            f"| `{settings_module.flag_of(field.name)}` "
+            f"| `{settings_module.variable_of(field.name)}` "
+            f"| {_default(field)} | {field.metadata['help']} |"
+        )
+    yield ""
+
+
+def _default(field: dataclasses.Field) -> str:
+    if field.default is dataclasses.MISSING:
+        return "must be given"
+    return f"`{field.default}`" if field.default != "" else "empty"
+
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/marigoldsill/cli/plans.py
+++ b/marigoldsill/cli/plans.py
@@ -101,7 +101,8 @@
             "no field of the policy was given; accepted are "
             + ", ".join("--" + name.replace("_", "-") for name in fields)
         )
-    _plan("policy", _json(**changed), **given)
+    lines = (f"{k} = {json.dumps(v)}" for k, v in changed.items())
+    _plan("policy", "\n".join(lines).encode(), **given)
 
 
 @click.command()
--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -17,7 +17,7 @@
 from marigoldsill.transport import logs
 from marigoldsill.transport import metrics
 
-FORCED_EXIT_CODE = 1
+_SIGNAL_EXIT_BASE = 128
 _REQUESTS = prometheus_client.Counter(
     "marigoldsill_http_requests_total",
     "HTTP requests answered, by status code.",
@@ -94,7 +94,7 @@
     def on_signal(number: int, frame: object) -> None:
         if stop.is_set():
             logs.event("stop_forced", level="WARNING", signal=number)
-            os._exit(FORCED_EXIT_CODE)
+            os._exit(_SIGNAL_EXIT_BASE + number)
         stop.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tests/lint/sources.py
@@ -0,0 +1,57 @@
+"""The project's source files, for tests that read them."""
+
+import ast
+from collections.abc import Iterator
+import functools
+import pathlib
+import subprocess
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PACKAGE = ROOT / "marigoldsill"
+_GENERATED = PACKAGE / "protocol" / "generated"
+
+
+def package_files() -> list[pathlib.Path]:
+    """Every module of the package but the generated ones."""
+    return [
+        path
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if _GENERATED not in path.parents
+    ]
+
+
+def identifier(path: pathlib.Path) -> str:
+    """A file's name in test output."""
+    return str(path.relative_to(ROOT))
+
+
+@functools.cache
+def tree(path: pathlib.Path) -> ast.Module:
+    """A parsed module."""
+    return ast.parse(path.read_text(encoding="utf-8"))
+
+
+def tracked_files() -> list[pathlib.Path]:
+    """Every text file that is under version control."""
+    done = subprocess.run(
+        ["git", "ls-files", "-z"], cwd=ROOT, capture_output=True, check=True
+    )
+    names = done.stdout.decode().split("\0")
+    return [ROOT / name for name in names if name and (ROOT / name).is_file()]
+
+
+def imports(path: pathlib.Path) -> Iterator[str]:
+    """Dotted names of the modules of ours that a module imports."""
+    for node in ast.walk(tree(path)):
+        match node:
+            case ast.Import(names=names):
+                yield from (alias.name for alias in names)
+            case ast.ImportFrom(module=str(module), names=names):
+                yield from (f"{module}.{alias.name}" for alias in names)
+
+
+def calls(path: pathlib.Path, *, function: str) -> Iterator[ast.Call]:
+    """Calls of "module.function" in a module."""
+    for node in ast.walk(tree(path)):
+        if isinstance(node, ast.Call) and ast.unparse(node.func) == function:
+            yield node
--- /dev/null
+++ b/tests/lint/test_documents.py
@@ -0,0 +1,93 @@
+"""Pages that must say what the code says."""
+
+import ast
+from collections.abc import Iterator
+import inspect
+import itertools
+import pathlib
+import re
+
+import pytest
+
+from build_tools import settings_page
+from marigoldsill import errors
+from tests.lint import sources
+
+_DOCS = sources.ROOT / "docs"
+_METRIC_KINDS = ("counter", "gauge", "histogram", "summary")
+_LINK = re.compile(r"\]\(([^)#:]+)(#[^)]*)?\)")
+
+
+def _metrics() -> Iterator[tuple[str, str]]:
+    """Names as scraped, and kinds, of all metrics in the package."""
+    for path, kind in itertools.product(sources.package_files(), _METRIC_KINDS):
+        function = f"prometheus_client.{kind.capitalize()}"
+        for call in sources.calls(path, function=function):
+            name = ast.literal_eval(call.args[0])
+            if kind == "counter":
+                name = f"{name.removesuffix('_total')}_total"
+            yield name, kind
+
+
+def test_settings_page_is_current() -> None:
+    page = (_DOCS / "settings.md").read_text()
+    assert page == settings_page.page(), "run `make docs`"
+
+
+def test_every_metric_is_documented_with_its_unit() -> None:
+    rows = (_DOCS / "metrics.md").read_text().splitlines()
+    documented = {
+        tuple(cell.strip(" `") for cell in row.split("|")[1:4])
+        for row in rows
+        if row.startswith("| `marigoldsill_")
+    }
+    assert {(name, kind) for name, kind, _ in documented} == set(_metrics())
+    assert [name for name, _, unit in documented if not unit] == []
+
+
+@pytest.mark.parametrize("name", sorted(name for name, _ in _metrics()))
+def test_a_histogram_or_byte_gauge_is_named_after_its_unit(name: str) -> None:
+    kinds = dict(_metrics())
+    if kinds[name] == "histogram":
+        assert name.endswith(("_seconds", "_bytes", "_ratio", "_count"))
+    assert not name.endswith(("_ms", "_us", "_millis", "_kb", "_mb"))
+
+
+def test_every_log_event_is_documented() -> None:
+    assert set(_events()) - _documented("log-events.md") == set()
+
+
+def test_every_documented_log_event_exists() -> None:
+    assert _documented("log-events.md") - set(_events()) == set()
+
+
+def test_every_error_is_documented_with_its_status_and_exit_code() -> None:
+    page = (_DOCS / "operators-guide.md").read_text()
+    rows = {
+        f"| `{name}` | {kind.http_status} | {kind.exit_code} |"
+        for name, kind in inspect.getmembers(errors, inspect.isclass)
+        if issubclass(kind, errors.MarigoldsillError)
+    }
+    assert [row for row in sorted(rows) if row not in page] == []
+
+
+@pytest.mark.parametrize(
+    "page",
+    [sources.ROOT / "README.md", *sorted(_DOCS.glob("*.md"))],
+    ids=sources.identifier,
+)
+def test_links_between_pages_lead_somewhere(page: pathlib.Path) -> None:
+    targets = [match[1] for match in _LINK.finditer(page.read_text())]
+    missing = [t for t in targets if not (page.parent / t).exists()]
+    assert missing == []
+
+
+def _documented(page: str) -> set[str]:
+    text = (_DOCS / page).read_text()
+    return set(re.findall(r"^\| `(\w+)`", text, re.MULTILINE))
+
+
+def _events() -> Iterator[str]:
+    for path in sources.package_files():
+        for call in sources.calls(path, function="logs.event"):
+            yield ast.literal_eval(call.args[0])
