Bound what reading an intent file costs and what its errors say

Property tests and trials with hostile files found four faults, each seen to fail first: a key with 50,000 dots kept the reader busy for 49 s (tomllib takes the square of the parts), an integer of 5,000 digits ended as an internal error, a message repeated a value of 100 kB, and 87,000 faults gave a message of 10 MB. Now lines have up to 24 dots, files 256 KiB and 5,000 entries of a kind, values are shown in 60 characters and 50 faults are listed.

--- a/marigoldsill/protocol/intent_file.py
+++ b/marigoldsill/protocol/intent_file.py
@@ -7,13 +7,15 @@
 from collections.abc import Callable
 import difflib
 import re
+import reprlib
 import tomllib
 from typing import Any
 
 from marigoldsill import errors
 from marigoldsill.protocol.generated import ttypes
 
-SIZE_LIMIT_BYTES = 1 << 20
+SIZE_LIMIT_BYTES = 256 << 10
+RECORDS_LIMIT = 5_000
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _COUNT_LIMIT = 100_000
 _URGENCY_LIMIT = 9
@@ -21,7 +23,11 @@
 _TIME_UNITS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
 _MILLICORES_LIMIT = 10_000_000
 _MEMORY_LIMIT_BYTES = 1 << 50
+_SHOWN_LENGTH = 60
 _TIME_LIMIT_MS = 366 * 24 * 3_600_000
+_FAULTS_LIMIT = 50
+# Reading a dotted key costs the square of its parts; our keys have none.
+_DOTS_LIMIT = 24
 
 
 def parse(data: bytes) -> ttypes.Intent:
@@ -37,17 +43,37 @@
             f"the intent file has {len(data)} bytes; accepted are up to "
             f"{SIZE_LIMIT_BYTES}"
         )
+    text = _decode(data)
     try:
-        document = tomllib.loads(data.decode("utf-8"))
+        document = tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise errors.IntentError(
+            f"the intent file is no TOML: {shown(str(error))}"
+        ) from error
+    return _Reader().intent(document)
+
+
+def shown(value: object) -> str:
+    """A value as messages show it: in short, whatever it is."""
+    short = reprlib.Repr()
+    short.maxstring = short.maxother = short.maxlong = _SHOWN_LENGTH
+    return short.repr(value)
+
+
+def _decode(data: bytes) -> str:
+    try:
+        text = data.decode("utf-8")
     except UnicodeDecodeError as error:
         raise errors.IntentError(
             f"the intent file is not UTF-8 at byte {error.start}"
         ) from error
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
-        raise errors.IntentError(f"the intent file is no TOML: {error}") from (
-            error
-        )
-    return _Reader().intent(document)
+    for number, line in enumerate(text.split("\n"), start=1):
+        if line.count(".") > _DOTS_LIMIT:
+            raise errors.IntentError(
+                f"line {number} has {line.count('.')} dots; accepted are up "
+                f"to {_DOTS_LIMIT} in a line"
+            )
+    return text
 
 
 class _Reader:
@@ -55,6 +81,7 @@
 
     def __init__(self):
         self._faults: list[str] = []
+        self._more_count = 0
 
     def intent(self, document: dict) -> ttypes.Intent:
         self._unknown("the file", document, _SECTIONS)
@@ -65,15 +92,27 @@
             teams=self._section(document, "team", ttypes.Team),
         )
         self._check_names(intent)
+        if self._more_count:
+            self._faults.append(f"and {self._more_count} more faults")
         if self._faults:
             raise errors.IntentError("\n".join(self._faults))
         return intent
 
+    def _fault(self, text: str) -> None:
+        if len(self._faults) < _FAULTS_LIMIT:
+            self._faults.append(text)
+        else:
+            self._more_count += 1
+
     def _section(self, document: dict, name: str, record: type) -> list:
         tables = document.get(name, [])
         if not isinstance(tables, list):
-            self._faults.append(
-                f"{name}: write [[{name}]], a table for each one"
+            self._fault(f"{name}: write [[{name}]], a table for each one")
+            return []
+        if len(tables) > RECORDS_LIMIT:
+            self._fault(
+                f"{name}: there are {len(tables)}; accepted in one file are "
+                f"up to {RECORDS_LIMIT}"
             )
             return []
         return [
@@ -85,12 +124,12 @@
         self, where: str, table: object, record: type, fields: dict
     ) -> object:
         if not isinstance(table, dict):
-            self._faults.append(f"{where}: {table!r} is no table")
+            self._fault(f"{where}: {shown(table)} is no table")
             return record(name="")
-        where = f"{where} {table.get('name', '')!r}"
+        where = f"{where} {shown(table.get('name', ''))}"
         self._unknown(where, table, fields)
         if "name" not in table:
-            self._faults.append(f"{where}: name is missing")
+            self._fault(f"{where}: name is missing")
         values: dict[str, object] = {}
         resources: dict[str, object] = {}
         for key, (target, check) in fields.items():
@@ -99,7 +138,7 @@
             try:
                 value = check(table[key])
             except errors.IntentError as error:
-                self._faults.append(f"{where}: {key}: {error.message}")
+                self._fault(f"{where}: {key}: {error.message}")
                 continue
             holder = resources if target in _RESOURCES else values
             holder[target] = value
@@ -112,9 +151,9 @@
             if key in known:
                 continue
             near = difflib.get_close_matches(key, known, n=1)
-            hint = f"; did you mean {near[0]!r}?" if near else ""
-            self._faults.append(
-                f"{where}: {key!r} is unknown{hint} Accepted: "
+            hint = f"; did you mean {near[0]!r}?" if near else "."
+            self._fault(
+                f"{where}: {shown(key)} is unknown{hint} Accepted: "
                 f"{', '.join(known)}"
             )
 
@@ -122,8 +161,8 @@
         seen: set[str] = set()
         for record in intent.services + intent.batch_jobs + intent.watchers:
             if record.name in seen:
-                self._faults.append(
-                    f"the name {record.name!r} is there twice; services, "
+                self._fault(
+                    f"the name {shown(record.name)} is there twice; services, "
                     "batch jobs and watchers share one set of names"
                 )
             seen.add(record.name)
@@ -132,7 +171,7 @@
 def _name(value: object) -> str:
     if not isinstance(value, str) or not _NAME_PATTERN.fullmatch(value):
         raise errors.IntentError(
-            f"{value!r} is no name; accepted are 1 to 63 letters, digits, "
+            f"{shown(value)} is no name; accepted are 1 to 63 letters, digits, "
             "'.', '_' and '-', a letter or digit first"
         )
     return value
@@ -140,13 +179,13 @@
 
 def _text(value: object) -> str:
     if not isinstance(value, str):
-        raise errors.IntentError(f"{value!r} is no text")
+        raise errors.IntentError(f"{shown(value)} is no text")
     return value
 
 
 def _flag(value: object) -> bool:
     if not isinstance(value, bool):
-        raise errors.IntentError(f"{value!r} is neither true nor false")
+        raise errors.IntentError(f"{shown(value)} is neither true nor false")
     return value
 
 
@@ -155,7 +194,7 @@
         whole = isinstance(value, int) and not isinstance(value, bool)
         if not whole or not low <= value <= high:
             raise errors.IntentError(
-                f"{value!r} is not accepted; a whole number from {low} to "
+                f"{shown(value)} is not accepted; a whole number from {low} to "
                 f"{high} is"
             )
         return value
@@ -172,7 +211,7 @@
         millicores = round(value * 1000)
     if millicores is None or not 0 < millicores <= _MILLICORES_LIMIT:
         raise errors.IntentError(
-            f"{value!r} is no processor time; accepted are cores such as 2 "
+            f"{shown(value)} is no processor time; accepted are cores such as 2 "
             "or 1.5, or thousandths such as '500m'"
         )
     return millicores
@@ -192,7 +231,7 @@
         amount = int(match[1]) * units[match[2]] if match else -1
         if not 0 < amount <= limit:
             raise errors.IntentError(
-                f"{value!r} is not accepted; a number above 0 with one of "
+                f"{shown(value)} is not accepted; a number above 0 with one of "
                 f"the units {', '.join(units)} is, such as {example!r}"
             )
         return amount
@@ -205,7 +244,7 @@
     offset = getattr(value, "utcoffset", lambda: None)()
     if offset is None:
         raise errors.IntentError(
-            f"{value!r} is no point in time; accepted is "
+            f"{shown(value)} is no point in time; accepted is "
             "2026-12-02T18:00:00Z, with its offset"
         )
     return int(value.timestamp() * 1000)
--- a/tests/e2e/test_binary.py
+++ b/tests/e2e/test_binary.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import subprocess
+import sys
 
 import psutil
 import pytest
@@ -25,11 +26,17 @@
     return path
 
 
+def _path() -> str:
+    """A PATH whose python3.11 is a program, not a script that starts one."""
+    python = pathlib.Path(sys.executable).resolve()
+    return f"{python.parent}:{os.environ['PATH']}"
+
+
 @pytest.fixture
 def environment(tmp_path: pathlib.Path) -> Iterator[dict[str, str]]:
     """An environment in which the binary unpacks into the test's folder."""
     return {
-        "PATH": os.environ["PATH"],
+        "PATH": _path(),
         "MARIGOLDSILL_UNPACK_FOLDER": str(tmp_path / "unpacked"),
     }
 
@@ -91,7 +98,7 @@
         [program, "check", "control", "--name=c", "--data-folder", data_folder],
         capture_output=True,
         text=True,
-        env={"PATH": os.environ["PATH"]},
+        env={"PATH": _path()},
         timeout=processes.WAIT_LIMIT_S,
         check=False,
     )
--- /dev/null
+++ b/tests/transport/test_thrift_server_bad_input.py
@@ -0,0 +1,135 @@
+"""Unreadable frames: the connection ends, the server lives on."""
+
+from collections.abc import Iterator
+import socket
+import struct
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from marigoldsill.protocol.generated import Agent
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import thrift_client
+from marigoldsill.transport import thrift_server
+
+_TIMEOUT_S = 10.0
+_CALL = b"\x80\x01\x00\x01\x00\x00\x00\x0aagent:call\x00\x00\x00\x01"
+_LIST_OF_HEADERS = b"\x0c\x00\x01\x0f\x00\x06\x0c"
+_FRAMES = {
+    "empty frame": struct.pack(">I", 0),
+    "negative length": struct.pack(">i", -5) + b"12345",
+    "absurd length": struct.pack(">I", 0x7FFFFFFF) + b"12345",
+    "http": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    "breaks off": struct.pack(">I", 100) + b"\x80\x01",
+}
+_BODIES = {
+    "old version": b"\x00\x00\x00\x04call",
+    "unknown service": _CALL.replace(b"agent:", b"agint:"),
+    "unknown method": _CALL.replace(b"call", b"cull"),
+    "no argument": _CALL + b"\x00",
+    "absurd list": _CALL + _LIST_OF_HEADERS + struct.pack(">i", 2**31 - 1),
+    "negative list": _CALL + _LIST_OF_HEADERS + struct.pack(">i", -1),
+    "deep structs": _CALL + b"\x0c\x00\x63" * 100_000,
+    "deep lists": _CALL + b"\x0f\x00\x63" + b"\x0f\x00\x00\x00\x01" * 100_000,
+    "wrong type": _CALL + b"\x0c\x00\x01\x08\x00\x01\x00\x00\x00\x07\x00\x00",
+}
+
+
+class _Handler:
+    """Counts the calls that reached it."""
+
+    def __init__(self):
+        self.requests: list[ttypes.CallRequest] = []
+
+    def call(self, request: ttypes.CallRequest) -> ttypes.CallReply:
+        self.requests.append(request)
+        return ttypes.CallReply(request_id=request.request_id)
+
+    def cancel(self, request_id: str, attempt: int) -> bool:
+        return False
+
+
+class _Served:
+    """A real server and its handler."""
+
+    def __init__(self):
+        self.handler = _Handler()
+        self.server = thrift_server.ThriftServer(
+            address="127.0.0.1:0", connections_count=8, name="test"
+        )
+        self.server.add("agent", Agent.Processor(self.handler))
+        self.server.start()
+
+    def send(self, data: bytes) -> None:
+        """Sends raw bytes and reads until the server closes."""
+        host, port = self.server.address.split(":")
+        with socket.create_connection((host, int(port)), _TIMEOUT_S) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(65_536):
+                pass
+
+    def check_lives(self) -> None:
+        """Makes a call that must be answered, and the only one handled."""
+        self.handler.requests.clear()
+        connection = thrift_client.Connection(
+            address=self.server.address,
+            service_name="agent",
+            client_class=Agent.Client,
+        )
+        reply = connection.call(
+            "call", ttypes.CallRequest(request_id="r-1"), timeout_s=_TIMEOUT_S
+        )
+        connection.close()
+        assert reply.request_id == "r-1"
+
+
+@pytest.fixture(scope="module")
+def served() -> Iterator[_Served]:
+    """A server that all tests of this module send to."""
+    running = _Served()
+    yield running
+    running.server.stop()
+
+
+@pytest.mark.parametrize("data", _FRAMES.values(), ids=_FRAMES.keys())
+def test_a_bad_frame_ends_its_connection_only(
+    served: _Served, data: bytes
+) -> None:
+    _check_refused(served, data)
+
+
+@pytest.mark.parametrize("body", _BODIES.values(), ids=_BODIES.keys())
+def test_a_bad_message_ends_its_connection_only(
+    served: _Served, body: bytes
+) -> None:
+    _check_refused(served, struct.pack(">I", len(body)) + body)
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(body=strategies.binary(max_size=300))
+def test_random_bytes_reach_no_handler(served: _Served, body: bytes) -> None:
+    _check_refused(served, struct.pack(">I", len(body)) + body)
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(data=strategies.data())
+def test_a_damaged_call_is_answered_or_refused(
+    served: _Served, data: strategies.DataObject
+) -> None:
+    good = _CALL + b"\x0c\x00\x01\x0b\x00\x01\x00\x00\x00\x03abc\x00\x00"
+    position = data.draw(strategies.integers(0, len(good) - 1))
+    byte = data.draw(strategies.integers(0, 255))
+    body = good[:position] + bytes([byte]) + good[position + 1 :]
+
+    served.send(struct.pack(">I", len(body)) + body)
+
+    served.check_lives()
+
+
+def _check_refused(served: _Served, data: bytes) -> None:
+    served.handler.requests.clear()
+    served.send(data)
+    assert [r for r in served.handler.requests if r is not None] == []
+    served.check_lives()
