--- /dev/null
+++ b/marigoldsill/coordination/applying.py
@@ -0,0 +1,164 @@
+"""Applies committed entries to the tables, and takes snapshots of them."""
+
+from collections.abc import Callable
+from concurrent import futures
+import threading
+
+from marigoldsill import errors
+from marigoldsill.coordination import group as group_module
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import machine
+from marigoldsill.state import snapshot as snapshot_module
+from marigoldsill.state import tables as tables_module
+from marigoldsill.transport import logs
+
+_BATCH_COUNT = 64
+_BATCH_BYTES = 1024 * 1024
+
+
+class AppliedState:
+    """The tables, and those who want to know of each change.
+
+    Attributes:
+        lock: Guards `tables`; hold it while reading them.
+        tables: The state as applied here; replaced by a snapshot.
+    """
+
+    def __init__(self, tables: tables_module.Tables):
+        self.lock = threading.RLock()
+        self.tables = tables
+        self.applied_listeners: list[Callable[[ttypes.Command], None]] = []
+        self.replaced_listeners: list[Callable[[], None]] = []
+
+    def apply(self, command: ttypes.Command) -> ttypes.CommandResult:
+        """Applies a command and tells the listeners."""
+        with self.lock:
+            result = machine.apply(self.tables, command)
+            for listener in self.applied_listeners:
+                listener(command)
+        return result
+
+    def replace(self, tables: tables_module.Tables) -> None:
+        """Puts other tables in place and tells the listeners."""
+        with self.lock:
+            self.tables = tables
+            for listener in self.replaced_listeners:
+                listener()
+
+
+class Applier:
+    """The one task that changes the tables of a replica."""
+
+    def __init__(
+        self, group: group_module.Group, state: AppliedState, last_index: int
+    ):
+        self._group = group
+        self._state = state
+        self._snapshot_index = last_index
+        self._installing: snapshot_module.Snapshot | None = None
+        self._writer = futures.ThreadPoolExecutor(1, f"{group.name}-snapshot")
+
+    def run(self) -> None:
+        """Applies what is committed until the group stops."""
+        group = self._group
+        while True:
+            with group.lock:
+                group.committed.wait_for(self._has_work)
+                if group.stopping:
+                    return
+                snapshot, self._installing = self._installing, None
+                entries = [] if snapshot else self._next_entries()
+            if snapshot is not None:
+                self._replace(snapshot)
+            else:
+                self._apply(entries)
+
+    def stop(self) -> None:
+        """Waits for a snapshot that is being written."""
+        self._writer.shutdown(wait=True)
+
+    def install(self, snapshot: snapshot_module.Snapshot) -> None:
+        """Has the tables replaced; called with `group.lock` held."""
+        self._installing = snapshot
+        self._group.committed.notify_all()
+
+    def _has_work(self) -> bool:
+        group = self._group
+        return (
+            group.stopping
+            or self._installing is not None
+            or group.commit_index > group.applied_index
+        )
+
+    def _next_entries(self) -> list[ttypes.LogEntry]:
+        group = self._group
+        committed_count = group.commit_index - group.applied_index
+        return group.log.entries(
+            group.applied_index + 1,
+            limit_count=min(_BATCH_COUNT, committed_count),
+            limit_bytes=_BATCH_BYTES,
+        )
+
+    def _apply(self, entries: list[ttypes.LogEntry]) -> None:
+        with self._state.lock:
+            results = [self._apply_one(entry) for entry in entries]
+        group = self._group
+        with group.lock:
+            group.applied_index = entries[-1].index
+            for entry, result in zip(entries, results, strict=True):
+                group.pending.resolve(entry, result)
+            group.answered.notify_all()
+        every_count = group.settings.snapshot_every_count
+        if entries[-1].index - self._snapshot_index >= every_count:
+            self._take_snapshot(entries[-1])
+
+    def _apply_one(self, entry: ttypes.LogEntry) -> ttypes.CommandResult | None:
+        try:
+            command = codec.decode(ttypes.Command(), entry.command)
+            return self._state.apply(command)
+        except Exception as error:  # must not stop what comes after it
+            logs.event(
+                "apply_failed",
+                level="ERROR",
+                index=entry.index,
+                kind=type(error).__name__,
+                reason=error,
+            )
+            return None
+
+    def _replace(self, snapshot: snapshot_module.Snapshot) -> None:
+        self._state.replace(tables_module.Tables.from_bytes(snapshot.data))
+        self._snapshot_index = snapshot.last_index
+        with self._group.lock:
+            self._group.applied_index = snapshot.last_index
+            self._group.answered.notify_all()
+
+    def _take_snapshot(self, last: ttypes.LogEntry) -> None:
+        kept_index, self._snapshot_index = self._snapshot_index, last.index
+        with self._state.lock:
+            members = self._state.tables.members
+            data = self._state.tables.to_bytes()
+        snapshot = snapshot_module.Snapshot(
+            last.index, last.term, members, data
+        )
+        self._writer.submit(self._write, snapshot, kept_index)
+
+    def _write(
+        self, snapshot: snapshot_module.Snapshot, kept_index: int
+    ) -> None:
+        group = self._group
+        try:
+            group.snapshots.save(snapshot)
+            with group.lock:
+                group.log.roll()
+                group.log.compact(kept_index)
+                group.membership.compact(kept_index)
+        except errors.StorageError as error:
+            group.fail(error)
+            return
+        logs.event(
+            "snapshot_taken",
+            last_index=snapshot.last_index,
+            size_bytes=len(snapshot.data),
+        )
--- /dev/null
+++ b/marigoldsill/coordination/election.py
@@ -0,0 +1,168 @@
+"""Elections: when to stand, whom to vote for, when a leader is one no more."""
+
+import dataclasses
+import math
+import random
+import time
+
+from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import peers as peers_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Ballot:
+    """One round of asking for votes.
+
+    Attributes:
+        request: What each voter is asked, but for the incarnations.
+        granted_s: Who granted it, and when each had been asked.
+    """
+
+    request: ttypes.VoteRequest
+    granted_s: dict[str, float]
+
+
+class Election:
+    """This member's part in elections; `group.lock` is held by callers."""
+
+    def __init__(self, group: group_module.Group):
+        self._group = group
+        self._random = random.Random(group.settings.seed)
+        self.ballot: Ballot | None = None
+        self._deadline_s = 0.0
+        self.postpone()
+
+    def postpone(self) -> None:
+        """Draws a new election timeout, counted from now."""
+        timeout_s = self._group.settings.election_timeout_s
+        wait_s = timeout_s * (1 + self._random.random())
+        self._deadline_s = time.monotonic() + wait_s
+
+    @property
+    def is_due(self) -> bool:
+        """Whether this member should stand for election now."""
+        group = self._group
+        if group.role is group_module.Role.LEADER or not group.counts:
+            return False
+        return time.monotonic() >= self._deadline_s
+
+    def stand(self) -> None:
+        """Begins with a pre-vote, which raises nobody's term."""
+        self.postpone()
+        self._ask(pre_vote=True)
+
+    def answer(self, request: ttypes.VoteRequest) -> ttypes.VoteReply:
+        """Grants or denies a vote asked of this member.
+
+        A member that heard a leader lately denies even a real vote in a later
+        term: the leader's lease counts on it.
+        """
+        group = self._group
+        if not self._may_grant(request):
+            return ttypes.VoteReply(term=group.term, granted=False)
+        if request.pre_vote:
+            return ttypes.VoteReply(term=group.term, granted=True)
+        if request.term > group.term:
+            group.step_down(term=request.term, reason="later term")
+        granted = group.votes.state.voted_for in ("", request.candidate)
+        if granted:
+            group.votes.save(voted_for=request.candidate)
+            group.heard_s = time.monotonic()
+            self.postpone()
+        return ttypes.VoteReply(term=group.term, granted=granted)
+
+    def request_for(self, peer: peers_module.Peer) -> ttypes.VoteRequest | None:
+        """What to ask a peer in the ballot under way, once each."""
+        ballot = self.ballot
+        if ballot is None or peer.asked_ballot is ballot:
+            return None
+        if not peer.member.voter:
+            return None
+        peer.asked_ballot = ballot
+        slots = ttypes.VoteRequest.__slots__
+        values = {slot: getattr(ballot.request, slot) for slot in slots}
+        values["target_incarnation"] = peer.member.incarnation
+        return ttypes.VoteRequest(**values)
+
+    def count(
+        self,
+        peer: peers_module.Peer,
+        ballot: Ballot,
+        reply: ttypes.VoteReply,
+        *,
+        asked_s: float,
+    ) -> bool:
+        """Takes a peer's reply; returns whether the election is won."""
+        group = self._group
+        if reply.term > group.term and not reply.granted:
+            self.ballot = None
+            group.step_down(term=reply.term, reason="later term")
+            return False
+        if ballot is not self.ballot or not reply.granted:
+            return False
+        ballot.granted_s[peer.name] = asked_s
+        return self._decide()
+
+    def _ask(self, *, pre_vote: bool) -> None:
+        group = self._group
+        if not pre_vote:
+            group.votes.save(term=group.term + 1, voted_for=group.name)
+            group.role = group_module.Role.CANDIDATE
+            group.leader_name = ""
+        request = ttypes.VoteRequest(
+            term=group.term + (1 if pre_vote else 0),
+            candidate=group.name,
+            last_index=group.log.last_index,
+            last_term=group.log.last_term,
+            pre_vote=pre_vote,
+            incarnation=group.incarnation,
+            cluster_id=group.cluster_id,
+        )
+        self.ballot = Ballot(request, {group.name: math.inf})
+        logs.event(
+            "election_begun",
+            level="DEBUG" if pre_vote else "INFO",
+            term=request.term,
+            pre_vote=pre_vote,
+        )
+        group.changed.notify_all()
+
+    def decide_alone(self) -> bool:
+        """Decides a ballot whose only voter is this member."""
+        return self.ballot is not None and self._decide()
+
+    def _decide(self) -> bool:
+        group, ballot = self._group, self.ballot
+        voters = {member.name for member in group.membership.voters}
+        granted = voters & ballot.granted_s.keys()
+        if len(granted) < group.membership.majority_count:
+            return False
+        if ballot.request.pre_vote:
+            self._ask(pre_vote=False)
+            return self._decide()
+        self.ballot = None
+        group.role = group_module.Role.LEADER
+        group.leader_name = group.name
+        return True
+
+    def _may_grant(self, request: ttypes.VoteRequest) -> bool:
+        group = self._group
+        if request.cluster_id != group.cluster_id or not group.cluster_id:
+            return False
+        if request.target_incarnation != group.incarnation:
+            return False
+        if request.term < group.term:
+            return False
+        if self._hears_leader():
+            return False
+        own = (group.log.last_term, group.log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def _hears_leader(self) -> bool:
+        group = self._group
+        if group.role is group_module.Role.LEADER:
+            return True
+        silent_s = time.monotonic() - group.heard_s
+        return silent_s < group.settings.election_timeout_s
--- /dev/null
+++ b/marigoldsill/coordination/following.py
@@ -0,0 +1,190 @@
+"""The follower's side of the log: entries and snapshots from a leader."""
+
+import time
+
+from marigoldsill import errors
+from marigoldsill.coordination import applying as applying_module
+from marigoldsill.coordination import election as election_module
+from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import replication as replication_module
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import snapshot as snapshot_module
+from marigoldsill.transport import logs
+
+
+class Following:
+    """Takes what a leader sends; `group.lock` is held by callers.
+
+    Nothing is acknowledged before it is durable here.
+    """
+
+    def __init__(
+        self,
+        group: group_module.Group,
+        election: election_module.Election,
+        replication: replication_module.Replication,
+        applier: applying_module.Applier,
+    ):
+        self._group = group
+        self._election = election
+        self._replication = replication
+        self._applier = applier
+        self._transfer: tuple[str, int, int] | None = None
+        self._received = bytearray()
+
+    def append_entries(
+        self, request: ttypes.AppendRequest
+    ) -> ttypes.AppendReply:
+        """Adds a leader's entries to the log, or says where to go on."""
+        group = self._group
+        addressed = group.is_addressed(
+            cluster_id=request.cluster_id,
+            incarnation=request.target_incarnation,
+        )
+        if not addressed:
+            return self._reply(term=0)
+        if request.term < group.term:
+            return self._reply()
+        self._hear(request.term, request.leader, request.cluster_id)
+        entries = self._joining(request)
+        if entries is None:
+            return self._reply(match_index=self._retry_index(request))
+        self._take(entries)
+        group.log.sync()
+        match_index = request.previous_index + len(request.entries)
+        self._commit(min(request.commit_index, match_index))
+        self._heard()
+        return self._reply(success=True, match_index=match_index)
+
+    def install_snapshot(
+        self, chunk: ttypes.SnapshotChunk
+    ) -> ttypes.SnapshotReply:
+        """Takes a piece of a snapshot; the last one puts it in place."""
+        group = self._group
+        addressed = group.is_addressed(
+            cluster_id=chunk.cluster_id, incarnation=chunk.target_incarnation
+        )
+        if not addressed:
+            return ttypes.SnapshotReply(term=0, accepted=False)
+        if chunk.term < group.term:
+            return ttypes.SnapshotReply(term=group.term, accepted=False)
+        self._hear(chunk.term, chunk.leader, chunk.cluster_id)
+        transfer = (chunk.leader, chunk.term, chunk.last_index)
+        if chunk.offset_bytes == 0:
+            self._transfer, self._received = transfer, bytearray()
+        elif (transfer, chunk.offset_bytes) != (
+            self._transfer,
+            len(self._received),
+        ):
+            return ttypes.SnapshotReply(term=group.term, accepted=False)
+        self._received += chunk.data
+        if chunk.done:
+            self._install(chunk, bytes(self._received))
+            self._transfer, self._received = None, bytearray()
+        self._heard()
+        return ttypes.SnapshotReply(term=group.term, accepted=True)
+
+    def _hear(self, term: int, leader: str, cluster_id: int) -> None:
+        self._group.join(cluster_id)
+        self._group.follow(term, leader)
+        self._heard()
+
+    def _heard(self) -> None:
+        self._group.heard_s = time.monotonic()
+        self._election.postpone()
+
+    def _reply(
+        self,
+        *,
+        term: int | None = None,
+        success: bool = False,
+        match_index: int = 0,
+    ) -> ttypes.AppendReply:
+        group = self._group
+        return ttypes.AppendReply(
+            term=group.term if term is None else term,
+            success=success,
+            match_index=match_index,
+            incarnation=group.incarnation,
+            cluster_id=group.cluster_id,
+        )
+
+    def _joining(
+        self, request: ttypes.AppendRequest
+    ) -> list[ttypes.LogEntry] | None:
+        """The entries that continue this log, or None when they don't."""
+        log = self._group.log
+        if request.previous_index < log.base_index:
+            held = log.base_index - request.previous_index
+            return request.entries[held:]
+        held_term = log.term_at(request.previous_index)
+        return request.entries if held_term == request.previous_term else None
+
+    def _retry_index(self, request: ttypes.AppendRequest) -> int:
+        log = self._group.log
+        if request.previous_index > log.last_index:
+            return log.last_index
+        wrong_term = log.term_at(request.previous_index)
+        index = request.previous_index
+        while index > log.base_index and log.term_at(index) == wrong_term:
+            index -= 1
+        return max(index, self._group.commit_index)
+
+    def _take(self, entries: list[ttypes.LogEntry]) -> None:
+        group, log = self._group, self._group.log
+        held = sum(log.term_at(entry.index) == entry.term for entry in entries)
+        fresh = entries[held:]
+        if not fresh:
+            return
+        if fresh[0].index <= log.last_index:
+            self._cut_from(fresh[0].index)
+        log.append(fresh)
+        changes = [entry for entry in fresh if entry.changes_members]
+        for entry in changes:
+            command = codec.decode(ttypes.Command(), entry.command)
+            members = command.change_members.members
+            group.membership.append(entry.index, members)
+        if changes:
+            self._replication.follow_members()
+
+    def _cut_from(self, index: int) -> None:
+        group = self._group
+        if index <= group.commit_index:
+            raise errors.LogCorruptError(
+                f"a leader replaces entry {index}, but {group.commit_index} "
+                "is committed here"
+            )
+        group.log.cut_from(index)
+        group.membership.cut_from(index)
+        self._replication.follow_members()
+
+    def _commit(self, index: int) -> None:
+        group = self._group
+        if index > group.commit_index:
+            group.commit_index = index
+            group.committed.notify_all()
+
+    def _install(self, chunk: ttypes.SnapshotChunk, data: bytes) -> None:
+        group = self._group
+        if chunk.last_index <= group.commit_index:
+            return
+        snapshot = snapshot_module.Snapshot(
+            chunk.last_index, chunk.last_term, chunk.members, data
+        )
+        group.snapshots.save(snapshot)
+        if group.log.term_at(chunk.last_index) != chunk.last_term:
+            group.log.reset(
+                last_index=chunk.last_index, last_term=chunk.last_term
+            )
+            group.membership.reset(chunk.last_index, chunk.members)
+        if not group.votes.state.initialised:
+            group.votes.save(initialised=True)
+        group.commit_index = chunk.last_index
+        self._replication.follow_members()
+        self._applier.install(snapshot)
+        logs.event(
+            "snapshot_installed",
+            last_index=chunk.last_index,
+            size_bytes=len(data),
+        )
--- /dev/null
+++ b/marigoldsill/coordination/group.py
@@ -0,0 +1,212 @@
+"""What one control process knows of its group, shared by its tasks."""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import threading
+import time
+import traceback
+
+from marigoldsill import errors
+from marigoldsill.coordination import members as members_module
+from marigoldsill.coordination import pending as pending_module
+from marigoldsill.state import log as log_module
+from marigoldsill.state import snapshot as snapshot_module
+from marigoldsill.state import vote as vote_module
+from marigoldsill.transport import logs
+
+
+class Role(enum.Enum):
+    """What a member does in its term."""
+
+    FOLLOWER = enum.auto()
+    CANDIDATE = enum.auto()
+    LEADER = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaSettings:
+    """Times and sizes of a replica; the same on all members.
+
+    Attributes:
+        election_timeout_ms: A follower waits between one and two of it before
+            it stands for election; a leader's lease is a little less than one.
+        heartbeat_ms: How often a leader sends when there is nothing to send.
+        snapshot_every_count: Entries applied between two snapshots.
+        check_quorum: Whether a leader that no majority answers stops counting
+            as one. Off only to measure what it prevents.
+        seed: Of the random election timeouts; None takes one from the OS.
+        batch_count: Most entries in one request to a follower.
+        batch_bytes: Most command bytes in one request, unless one entry is
+            larger.
+        chunk_bytes: Size of a piece of a snapshot on its way to a follower.
+    """
+
+    election_timeout_ms: int = 1000
+    heartbeat_ms: int = 150
+    snapshot_every_count: int = 2000
+    check_quorum: bool = True
+    seed: int | None = None
+    batch_count: int = 1024
+    batch_bytes: int = 1024 * 1024
+    chunk_bytes: int = 512 * 1024
+
+    @property
+    def election_timeout_s(self) -> float:
+        """The election timeout in seconds."""
+        return self.election_timeout_ms / 1000
+
+    @property
+    def heartbeat_s(self) -> float:
+        """The heartbeat interval in seconds."""
+        return self.heartbeat_ms / 1000
+
+
+class Group:
+    """Term, role, log and members of this process.
+
+    `lock` guards every field; the conditions share it. Code that holds
+    `Replica.lock` may take `lock`, never the other way round.
+
+    Attributes:
+        changed: Notified when there may be something to send or to write.
+        committed: Notified when there may be something to apply.
+        answered: Notified when a peer answered or the role changed.
+        leader_name: The leader of this term as far as known, or "".
+        heard_s: When a leader was last heard, or a vote last granted.
+        led_s: When this member last became leader.
+        term_start_index: Where this leader's term begins in the log.
+        applied_index: The last entry that the tables hold.
+        pending: Proposals of this leader that wait for their result.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        settings: ReplicaSettings,
+        log: log_module.Log,
+        votes: vote_module.VoteStore,
+        snapshots: snapshot_module.SnapshotStore,
+        membership: members_module.Membership,
+        applied_index: int,
+        on_fatal: Callable[[errors.StorageError], None],
+    ):
+        self.name = name
+        self.settings = settings
+        self.log = log
+        self.votes = votes
+        self.snapshots = snapshots
+        self.membership = membership
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.committed = threading.Condition(self.lock)
+        self.answered = threading.Condition(self.lock)
+        self.role = Role.FOLLOWER
+        self.leader_name = ""
+        self.heard_s = time.monotonic()
+        self.led_s = 0.0
+        self.commit_index = applied_index
+        self.applied_index = applied_index
+        self.term_start_index = 0
+        self.pending = pending_module.Pending()
+        self.stopping = False
+        self.failure: errors.StorageError | None = None
+        self._on_fatal = on_fatal
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self.votes.state.term
+
+    @property
+    def incarnation(self) -> int:
+        """Which life of this member's data folder this is."""
+        return self.votes.state.incarnation
+
+    @property
+    def cluster_id(self) -> int:
+        """The cluster this member belongs to, or 0."""
+        return self.votes.state.cluster_id
+
+    @property
+    def counts(self) -> bool:
+        """Whether this member may stand for election."""
+        return self.membership.is_voter(self.name, self.incarnation)
+
+    def is_addressed(self, *, cluster_id: int, incarnation: int) -> bool:
+        """Whether a request is meant for this life of this member."""
+        if incarnation != self.incarnation or not cluster_id:
+            return False
+        return self.cluster_id in (0, cluster_id)
+
+    def join(self, cluster_id: int) -> None:
+        """Takes a leader's cluster as one's own, if in none yet."""
+        if not self.cluster_id:
+            self.votes.save(cluster_id=cluster_id)
+            logs.event("cluster_joined", cluster=cluster_id, member=self.name)
+
+    def follow(self, term: int, leader_name: str) -> None:
+        """Becomes a follower of a leader, of this term or a later one."""
+        if term > self.term:
+            self.votes.save(term=term, voted_for="")
+        if self.role is not Role.FOLLOWER or self.leader_name != leader_name:
+            logs.event("following", term=term, leader=leader_name)
+        self._leave_role(leader_name)
+
+    def step_down(self, *, term: int, reason: str) -> None:
+        """Becomes a follower that knows no leader."""
+        if term > self.term:
+            self.votes.save(term=term, voted_for="")
+        if self.role is Role.LEADER:
+            logs.event(
+                "leadership_lost", level="WARNING", term=term, reason=reason
+            )
+        self._leave_role("")
+
+    def fail(self, error: errors.StorageError) -> None:
+        """Ends this member's part for good; takes `lock` itself."""
+        with self.lock:
+            if self.failure is not None or self.stopping:
+                return
+            self.failure = error
+            self._leave_role("")
+            self.stopping = True
+            self.notify_all()
+        logs.event(
+            "storage_failed",
+            level="CRITICAL",
+            kind=type(error).__name__,
+            reason=error,
+        )
+        self._on_fatal(error)
+
+    def run_task(self, task: Callable[[], None]) -> None:
+        """Runs a task; a failure of it ends this member's part."""
+        try:
+            task()
+        except errors.StorageError as error:
+            self.fail(error)
+        except Exception as error:
+            logs.event(
+                "task_failed", level="CRITICAL", trace=traceback.format_exc()
+            )
+            self.fail(
+                errors.StorageError(
+                    f"a task of the replica ended with "
+                    f"{type(error).__name__}: {error}"
+                )
+            )
+
+    def notify_all(self) -> None:
+        """Wakes every task."""
+        self.changed.notify_all()
+        self.committed.notify_all()
+        self.answered.notify_all()
+
+    def _leave_role(self, leader_name: str) -> None:
+        self.role = Role.FOLLOWER
+        self.leader_name = leader_name
+        self.pending.abandon("this process stopped leading")
+        self.answered.notify_all()
+        self.changed.notify_all()
--- /dev/null
+++ b/marigoldsill/coordination/peer_task.py
@@ -0,0 +1,246 @@
+"""The task that talks to one peer: votes, entries and snapshots in turn."""
+
+import dataclasses
+import time
+
+from marigoldsill.coordination import election as election_module
+from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import peers as peers_module
+from marigoldsill.coordination import replication as replication_module
+from marigoldsill.protocol.generated import ttypes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskVote:
+    """Ask the peer for its vote."""
+
+    request: ttypes.VoteRequest
+    ballot: election_module.Ballot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEntries:
+    """Send entries, or none as a heartbeat."""
+
+    request: ttypes.AppendRequest
+    progress: peers_module.Progress
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendSnapshot:
+    """Send the next piece of a snapshot."""
+
+    term: int
+    progress: peers_module.Progress
+
+
+class PeerTask:
+    """Runs as long as the peer is a member."""
+
+    def __init__(
+        self,
+        *,
+        group: group_module.Group,
+        peer: peers_module.Peer,
+        election: election_module.Election,
+        replication: replication_module.Replication,
+    ):
+        self._group = group
+        self._peer = peer
+        self._election = election
+        self._replication = replication
+
+    def run(self) -> None:
+        """Sends what there is to send until the peer is removed."""
+        try:
+            while (work := self._wait_for_work()) is not None:
+                self._do(work)
+        finally:
+            self._peer.disconnect()
+
+    def _wait_for_work(self) -> AskVote | SendEntries | SendSnapshot | None:
+        group = self._group
+        with group.lock:
+            while not group.stopping and not self._peer.removed:
+                work = self._next_work()
+                if work is not None:
+                    return work
+                group.changed.wait(self._idle_s())
+        return None
+
+    def _next_work(self) -> AskVote | SendEntries | SendSnapshot | None:
+        vote = self._election.request_for(self._peer)
+        if vote is not None:
+            return AskVote(vote, self._election.ballot)
+        group, progress = self._group, self._peer.progress
+        if group.role is not group_module.Role.LEADER or not self._is_due():
+            return None
+        progress.sent_s = time.monotonic()
+        if progress.next_index <= group.log.base_index:
+            return SendSnapshot(group.term, progress)
+        progress.transfer = None
+        return SendEntries(self._append_request(), progress)
+
+    def _is_due(self) -> bool:
+        group, progress = self._group, self._peer.progress
+        now_s = time.monotonic()
+        if now_s < progress.retry_s:
+            return False
+        return (
+            progress.next_index <= group.log.last_index
+            or progress.sent_s < self._replication.barrier_s
+            or now_s >= progress.sent_s + group.settings.heartbeat_s
+        )
+
+    def _idle_s(self) -> float:
+        heartbeat_s = self._group.settings.heartbeat_s
+        if self._group.role is not group_module.Role.LEADER:
+            return heartbeat_s
+        progress = self._peer.progress
+        due_s = max(progress.retry_s, progress.sent_s + heartbeat_s)
+        return max(0.0, min(heartbeat_s, due_s - time.monotonic()))
+
+    def _append_request(self) -> ttypes.AppendRequest:
+        group, progress = self._group, self._peer.progress
+        settings = group.settings
+        previous_index = progress.next_index - 1
+        return ttypes.AppendRequest(
+            term=group.term,
+            leader=group.name,
+            previous_index=previous_index,
+            previous_term=group.log.term_at(previous_index),
+            entries=group.log.entries(
+                progress.next_index,
+                limit_count=settings.batch_count,
+                limit_bytes=settings.batch_bytes,
+            ),
+            commit_index=group.commit_index,
+            target_incarnation=self._peer.member.incarnation,
+            cluster_id=group.cluster_id,
+        )
+
+    def _do(self, work: AskVote | SendEntries | SendSnapshot) -> None:
+        match work:
+            case AskVote():
+                self._ask_vote(work)
+            case SendEntries():
+                self._send_entries(work)
+            case SendSnapshot():
+                self._send_snapshot(work)
+
+    def _ask_vote(self, work: AskVote) -> None:
+        asked_s = time.monotonic()
+        reply = self._peer.call("request_vote", work.request)
+        if reply is None:
+            return
+        with self._group.lock:
+            won = self._election.count(
+                self._peer, work.ballot, reply, asked_s=asked_s
+            )
+            if won:
+                self._replication.lead(work.ballot.granted_s)
+
+    def _send_entries(self, work: SendEntries) -> None:
+        sent_s, request = work.progress.sent_s, work.request
+        reply = self._peer.call("append_entries", request)
+        with self._group.lock:
+            if reply is None:
+                self._peer.pause()
+                return
+            if not self._is_from_target(request, reply):
+                self._peer.pause()
+                return
+            if not self._is_current(work.progress, reply.term, request.term):
+                return
+            work.progress.answered_s = sent_s
+            if reply.success:
+                self._take_match(work.progress, reply.match_index)
+            else:
+                work.progress.next_index = max(
+                    1, min(request.previous_index, reply.match_index + 1)
+                )
+            self._group.answered.notify_all()
+
+    def _is_from_target(
+        self, request: ttypes.AppendRequest, reply: ttypes.AppendReply
+    ) -> bool:
+        own_cluster = reply.cluster_id in (0, request.cluster_id)
+        if own_cluster and reply.incarnation != request.target_incarnation:
+            self._peer.seen_incarnation = reply.incarnation
+            return False
+        return own_cluster
+
+    def _is_current(
+        self, progress: peers_module.Progress, term: int, sent_term: int
+    ) -> bool:
+        group = self._group
+        if term > group.term:
+            group.step_down(term=term, reason="later term")
+            return False
+        leads = group.role is group_module.Role.LEADER
+        return (
+            leads
+            and group.term == sent_term
+            and progress is self._peer.progress
+        )
+
+    def _take_match(
+        self, progress: peers_module.Progress, match_index: int
+    ) -> None:
+        progress.match_index = max(progress.match_index, match_index)
+        progress.next_index = progress.match_index + 1
+        self._replication.advance_commit()
+
+    def _send_snapshot(self, work: SendSnapshot) -> None:
+        progress, sent_s = work.progress, work.progress.sent_s
+        if progress.transfer is None:
+            snapshot = self._group.snapshots.load()
+            progress.transfer = peers_module.Transfer(snapshot)
+        chunk = self._chunk(work.term, progress.transfer)
+        reply = self._peer.call("install_snapshot", chunk)
+        with self._group.lock:
+            if reply is None or (not reply.accepted and not reply.term):
+                progress.transfer = None
+                progress.next_index = self._group.log.last_index + 1
+                self._peer.pause()
+                return
+            if not self._is_current(progress, reply.term, work.term):
+                return
+            progress.answered_s = sent_s
+            self._take_accepted(progress, chunk, accepted=reply.accepted)
+            self._group.answered.notify_all()
+
+    def _take_accepted(
+        self,
+        progress: peers_module.Progress,
+        chunk: ttypes.SnapshotChunk,
+        *,
+        accepted: bool,
+    ) -> None:
+        if not accepted:
+            progress.transfer = None
+            return
+        progress.sent_s = float("-inf")
+        progress.transfer.offset_bytes += len(chunk.data)
+        if chunk.done:
+            progress.transfer = None
+            self._take_match(progress, chunk.last_index)
+
+    def _chunk(
+        self, term: int, transfer: peers_module.Transfer
+    ) -> ttypes.SnapshotChunk:
+        group, snapshot = self._group, transfer.snapshot
+        start = transfer.offset_bytes
+        end = start + group.settings.chunk_bytes
+        return ttypes.SnapshotChunk(
+            term=term,
+            leader=group.name,
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            offset_bytes=start,
+            data=snapshot.data[start:end],
+            done=end >= len(snapshot.data),
+            members=snapshot.members,
+            target_incarnation=self._peer.member.incarnation,
+            cluster_id=group.cluster_id,
+        )
--- /dev/null
+++ b/marigoldsill/coordination/proposals.py
@@ -0,0 +1,157 @@
+"""Proposals and read barriers of the leader."""
+
+from concurrent import futures
+import time
+
+from marigoldsill import errors
+from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import replication as replication_module
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import ttypes
+
+PENDING_LIMIT = 10_000
+COMMAND_LIMIT_BYTES = 8 * 1024 * 1024
+_RETRY_MS = 500
+
+
+class Proposals:
+    """What may be asked of a leader; methods take `group.lock` themselves."""
+
+    def __init__(
+        self,
+        group: group_module.Group,
+        replication: replication_module.Replication,
+    ):
+        self._group = group
+        self._replication = replication
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads, knows all before it, and has a lease."""
+        group = self._group
+        return (
+            group.role is group_module.Role.LEADER
+            and group.applied_index >= group.term_start_index
+            and self._holds_lease
+        )
+
+    def propose(
+        self, command: ttypes.Command, *, timeout_s: float
+    ) -> ttypes.CommandResult:
+        """Logs a command and waits for its result."""
+        if command.change_members is not None:
+            raise errors.MembershipError(
+                "members are changed by put_member and remove_member, "
+                "one at a time"
+            )
+        data = codec.encode(command)
+        if len(data) > COMMAND_LIMIT_BYTES:
+            raise errors.TooLargeError(
+                f"a command of {len(data)} bytes; the limit is "
+                f"{COMMAND_LIMIT_BYTES}"
+            )
+        group = self._group
+        with group.lock:
+            self.check_leads()
+            if group.pending.count >= PENDING_LIMIT:
+                raise errors.OverloadedError(
+                    f"{PENDING_LIMIT} commands wait to be committed",
+                    retry_after_ms=_RETRY_MS,
+                )
+            index = self._replication.append(data)
+            future = group.pending.add(index, group.term)
+        return _result(future, timeout_s)
+
+    def change_members(
+        self, members: list[ttypes.Member], *, timeout_s: float
+    ) -> None:
+        """Logs other members and waits until a majority has them."""
+        group = self._group
+        with group.lock:
+            self.check_leads()
+            if not self._replication.may_change_members:
+                raise errors.ConflictError(
+                    "another change of the members is under way",
+                    retry_after_ms=_RETRY_MS,
+                )
+            index = self._replication.change_members(members)
+            future = group.pending.add(index, group.term)
+        _result(future, timeout_s)
+
+    def confirm_leadership(self, *, timeout_s: float) -> None:
+        """Waits for a majority's answer to a round begun after the call."""
+        group = self._group
+        with group.lock:
+            self.check_leads()
+            term, asked_s = group.term, time.monotonic()
+            read_index = max(group.commit_index, group.term_start_index)
+            self._replication.barrier_s = asked_s
+            group.changed.notify_all()
+
+            def is_decided() -> bool:
+                return not self._leads(term) or (
+                    self._replication.quorum_answered_s >= asked_s
+                    and group.applied_index >= read_index
+                )
+
+            decided = group.answered.wait_for(is_decided, timeout_s)
+            if not self._leads(term):
+                self.check_leads()
+                raise errors.NotLeaderError("the term ended meanwhile")
+            if not decided:
+                raise errors.NoQuorumError(
+                    f"no majority answered in {timeout_s} s",
+                    retry_after_ms=_RETRY_MS,
+                )
+
+    def check_leads(self) -> None:
+        """Raises unless this member leads; called with the lock held.
+
+        Raises:
+            NotLeaderError: Another one leads.
+            NoQuorumError: No leader is known, or no majority answers.
+        """
+        group = self._group
+        if group.role is group_module.Role.LEADER and not group.stopping:
+            if self._holds_lease:
+                return
+            raise errors.NoQuorumError(
+                f"no majority of {len(group.membership.voters)} voters "
+                "answers this leader; nothing was done",
+                retry_after_ms=_RETRY_MS,
+            )
+        leader = group.membership.find(group.leader_name)
+        if leader is None or group.stopping:
+            raise errors.NoQuorumError(
+                f"{group.name} knows no leader in term {group.term}; nothing "
+                "was done",
+                retry_after_ms=_RETRY_MS,
+            )
+        raise errors.NotLeaderError(
+            f"{group.name} is not the leader, {leader.name} at "
+            f"{leader.address} is; nothing was done",
+            leader_address=leader.address,
+            leader_http=leader.http_address,
+        )
+
+    @property
+    def _holds_lease(self) -> bool:
+        if not self._group.settings.check_quorum:
+            return True
+        return self._replication.has_lease
+
+    def _leads(self, term: int) -> bool:
+        group = self._group
+        leads = group.role is group_module.Role.LEADER
+        return leads and group.term == term and not group.stopping
+
+
+def _result(future: futures.Future, timeout_s: float) -> ttypes.CommandResult:
+    try:
+        return future.result(timeout_s)
+    except futures.TimeoutError:
+        raise errors.UnknownOutcomeError(
+            f"the command was logged but not known to be committed after "
+            f"{timeout_s} s; propose it again with the same command id",
+            retry_after_ms=_RETRY_MS,
+        ) from None
--- /dev/null
+++ b/marigoldsill/coordination/status.py
@@ -0,0 +1,86 @@
+"""Where a member of the group stands, for operators and tests."""
+
+import dataclasses
+import time
+
+from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import node as node_module
+from marigoldsill.protocol.generated import ttypes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerStatus:
+    """A peer as its leader sees it.
+
+    Attributes:
+        match_index: The last entry known to be durable there.
+        silent_s: Since when it hasn't answered.
+    """
+
+    member: ttypes.Member
+    match_index: int
+    silent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """One member's view.
+
+    Attributes:
+        cluster_id: 0 while it is in no cluster.
+        peers: Empty on a follower.
+        log_bytes: Written to the log since the start.
+        syncs_count: How often the log waited for the disk since the start.
+    """
+
+    name: str
+    incarnation: int
+    cluster_id: int
+    role: str
+    term: int
+    leader_name: str
+    first_index: int
+    last_index: int
+    durable_index: int
+    commit_index: int
+    applied_index: int
+    members: list[ttypes.Member]
+    peers: list[PeerStatus]
+    log_bytes: int
+    syncs_count: int
+
+
+def of(node: node_module.Node) -> ReplicaStatus:
+    """The status of a node now."""
+    group = node.group
+    with group.lock:
+        leads = group.role is group_module.Role.LEADER
+        return ReplicaStatus(
+            name=group.name,
+            incarnation=group.incarnation,
+            cluster_id=group.cluster_id,
+            role=group.role.name.lower(),
+            term=group.term,
+            leader_name=group.leader_name,
+            first_index=group.log.base_index + 1,
+            last_index=group.log.last_index,
+            durable_index=group.log.durable_index,
+            commit_index=group.commit_index,
+            applied_index=group.applied_index,
+            members=group.membership.members,
+            peers=_peers(node) if leads else [],
+            log_bytes=group.log.written_bytes,
+            syncs_count=group.log.syncs_count,
+        )
+
+
+def _peers(node: node_module.Node) -> list[PeerStatus]:
+    now_s = time.monotonic()
+    return [
+        PeerStatus(
+            member=peer.member,
+            match_index=peer.progress.match_index,
+            silent_s=now_s - peer.progress.answered_s,
+        )
+        for peer in node.replication.peers.values()
+    ]
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -324,7 +324,8 @@
 struct LogEntry {
   1: i64 index,
   2: i64 term,
-  3: binary command
+  3: binary command,
+  4: bool changes_members = false   // the command is a ChangeMembers
 }
 
 struct VoteRequest {
@@ -333,7 +334,9 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote = false,
-  6: i64 incarnation = 0
+  6: i64 incarnation = 0,
+  7: i64 target_incarnation = 0,    // whose vote is asked for
+  8: i64 cluster_id = 0
 }
 
 struct VoteReply { 1: i64 term, 2: bool granted }
@@ -345,14 +348,16 @@
   4: i64 previous_term,
   5: list<LogEntry> entries,
   6: i64 commit_index,
-  7: i64 target_incarnation = 0
+  7: i64 target_incarnation = 0,
+  8: i64 cluster_id = 0
 }
 
 struct AppendReply {
   1: i64 term,
   2: bool success,
   3: i64 match_index,               // or, on failure, where to try next
-  4: i64 incarnation = 0
+  4: i64 incarnation = 0,
+  5: i64 cluster_id = 0             // 0: in no cluster yet
 }
 
 struct SnapshotChunk {
@@ -363,7 +368,9 @@
   5: i64 offset_bytes,
   6: binary data,
   7: bool done,
-  8: list<Member> members = []
+  8: list<Member> members = [],
+  9: i64 target_incarnation = 0,
+  10: i64 cluster_id = 0
 }
 
 struct SnapshotReply { 1: i64 term, 2: bool accepted }
@@ -570,3 +577,13 @@
   15: list<StoredResult> results,
   16: list<Member> members = []
 }
+
+/** What a control process must remember about itself; one file. */
+struct MemberState {
+  1: string name,
+  2: i64 incarnation,               // new with each empty data folder
+  3: i64 cluster_id = 0,            // 0: in no cluster yet
+  4: i64 term = 0,
+  5: string voted_for = "",         // in `term`
+  6: bool initialised = false       // a first snapshot is on the disk
+}
--- /dev/null
+++ b/marigoldsill/state/log.py
@@ -0,0 +1,305 @@
+"""The log on the disk: segments of checked records.
+
+Appending to the log and making it durable are two steps, so that one sync
+serves every entry that came while the last one ran (group commit). A record
+is a head with its own checksum, then the command's bytes.
+"""
+
+import dataclasses
+import struct
+import threading
+import zlib
+
+from marigoldsill import errors
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import files as files_module
+
+SEGMENT_BYTES = 8 * 1024 * 1024
+
+_PREFIX = "log-"
+_MAGIC = b"mgslog01"
+_SEGMENT_HEAD = struct.Struct(">8sQQI")
+_SEGMENT_CHECKED = struct.Struct(">8sQQ")
+_RECORD_HEAD = struct.Struct(">IIQQBI")
+_RECORD_CHECKED = struct.Struct(">IIQQB")
+
+
+@dataclasses.dataclass(slots=True)
+class _Segment:
+    name: str
+    first_index: int
+    size_bytes: int
+
+
+class _TornError(Exception):
+    """The rest of a file is a write that a crash cut short."""
+
+
+class Log:
+    """The entries after `base_index`, in memory and on the disk.
+
+    Appending, cutting and reading are the caller's to serialise. `sync` may
+    run beside `append`: it takes what is there when it begins.
+
+    Attributes:
+        base_index: The index just before the first entry held.
+        base_term: The term of the entry there.
+        durable_index: The last index that is on the disk.
+        syncs_count: How often the disk was waited for.
+        written_bytes: What was written to the disk.
+    """
+
+    def __init__(
+        self, files: files_module.Files, *, segment_bytes: int = SEGMENT_BYTES
+    ):
+        self._files = files
+        self._segment_bytes = segment_bytes
+        self._file_lock = threading.Lock()
+        self._segments: list[_Segment] = []
+        self._entries: list[ttypes.LogEntry] = []
+        self._failure: errors.StorageError | None = None
+        self.base_index = 0
+        self.base_term = 0
+        self.durable_index = 0
+        self.syncs_count = 0
+        self.written_bytes = 0
+        self._load()
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no segment is on the disk."""
+        return not self._segments
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry, or None when it isn't held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entries(
+        self, first_index: int, *, limit_count: int, limit_bytes: int
+    ) -> list[ttypes.LogEntry]:
+        """Entries from `first_index` on; at least one if there is any."""
+        start = first_index - self.base_index - 1
+        chosen = self._entries[start : start + limit_count]
+        total_bytes = 0
+        for count, entry in enumerate(chosen):
+            total_bytes += len(entry.command)
+            if total_bytes > limit_bytes and count:
+                return chosen[:count]
+        return chosen
+
+    def append(self, entries: list[ttypes.LogEntry]) -> None:
+        """Adds entries after the last one; not durable before `sync`."""
+        self._entries.extend(entries)
+
+    def sync(self) -> None:
+        """Makes every entry durable that was appended before the call.
+
+        Raises:
+            DiskFullError: No space is left.
+            StorageError: The disk failed. Either way the log takes nothing
+                more: what the disk holds is known only after a restart.
+        """
+        with self._file_lock:
+            pending = self._entries[self.durable_index - self.base_index :]
+            if not pending:
+                return
+            self._check_usable()
+            try:
+                self._write(pending)
+            except errors.StorageError as error:
+                self._failure = error
+                raise
+            self.durable_index = pending[-1].index
+
+    def cut_from(self, index: int) -> None:
+        """Removes the entry at `index` and all after it, durably."""
+        with self._file_lock:
+            self._check_usable()
+            while self._segments and self._segments[-1].first_index > index:
+                self._files.remove(self._segments.pop().name)
+            if index <= self.durable_index:
+                self._cut_segment(self._segments[-1], index)
+            del self._entries[index - self.base_index - 1 :]
+            self.durable_index = min(self.durable_index, index - 1)
+
+    def compact(self, through_index: int) -> None:
+        """Drops whole segments that hold nothing after `through_index`."""
+        with self._file_lock:
+            while (
+                len(self._segments) > 1
+                and self._segments[1].first_index <= through_index + 1
+            ):
+                self._drop_first_segment()
+
+    def roll(self) -> None:
+        """Begins a new segment, so that the ones before can be dropped."""
+        with self._file_lock:
+            newest = self._segments[-1] if self._segments else None
+            if newest and newest.first_index == self.durable_index + 1:
+                return
+            self._add_segment(self.durable_index + 1)
+
+    def reset(self, *, last_index: int, last_term: int) -> None:
+        """Drops everything and goes on after `last_index`."""
+        with self._file_lock:
+            while self._segments:
+                self._files.remove(self._segments.pop().name)
+            self._entries = []
+            self.base_index = self.durable_index = last_index
+            self.base_term = last_term
+            self._add_segment(last_index + 1)
+
+    def _check_usable(self) -> None:
+        if self._failure is not None:
+            raise self._failure
+
+    def _write(self, pending: list[ttypes.LogEntry]) -> None:
+        first_index = pending[0].index
+        full = (
+            not self._segments
+            or self._segments[-1].size_bytes >= self._segment_bytes
+        )
+        if full:
+            self._add_segment(first_index)
+        data = b"".join(_encode(entry) for entry in pending)
+        segment = self._segments[-1]
+        self._files.append(segment.name, data)
+        segment.size_bytes += len(data)
+        self.syncs_count += 1
+        self.written_bytes += len(data)
+
+    def _add_segment(self, first_index: int) -> None:
+        checked = _SEGMENT_CHECKED.pack(
+            _MAGIC, first_index, self.term_at(first_index - 1)
+        )
+        head = checked + struct.pack(">I", zlib.crc32(checked))
+        name = f"{_PREFIX}{first_index:020d}"
+        self._files.replace(name, head)
+        self._segments.append(_Segment(name, first_index, len(head)))
+
+    def _cut_segment(self, segment: _Segment, index: int) -> None:
+        first = segment.first_index - self.base_index - 1
+        kept = self._entries[first : index - self.base_index - 1]
+        size_bytes = _SEGMENT_HEAD.size + sum(
+            _RECORD_HEAD.size + len(entry.command) for entry in kept
+        )
+        self._files.cut(segment.name, size_bytes)
+        segment.size_bytes = size_bytes
+
+    def _drop_first_segment(self) -> None:
+        next_first = self._segments[1].first_index
+        base_term = self.term_at(next_first - 1)
+        self._files.remove(self._segments.pop(0).name)
+        del self._entries[: next_first - self.base_index - 1]
+        self.base_index, self.base_term = next_first - 1, base_term
+
+    def _load(self) -> None:
+        names = [n for n in self._files.names() if n.startswith(_PREFIX)]
+        names = [n for n in names if n[len(_PREFIX) :].isdigit()]
+        for name in names:
+            self._load_segment(name, is_last=name == names[-1])
+        self.durable_index = self.last_index
+
+    def _load_segment(self, name: str, *, is_last: bool) -> None:
+        data = self._files.read(name)
+        first_index = self._segment_start(name, data)
+        segment = _Segment(name, first_index, len(data))
+        self._segments.append(segment)
+        offset = _SEGMENT_HEAD.size
+        try:
+            while offset < len(data):
+                entry = _decode(name, data, offset)
+                self._check_order(name, entry)
+                self._entries.append(entry)
+                offset += _RECORD_HEAD.size + len(entry.command)
+        except _TornError as error:
+            if not is_last:
+                raise errors.LogCorruptError(
+                    f"{name} ends within a record, but later segments follow"
+                ) from error
+            self._files.cut(name, offset)
+            segment.size_bytes = offset
+
+    def _segment_start(self, name: str, data: bytes) -> int:
+        if len(data) < _SEGMENT_HEAD.size:
+            raise errors.LogCorruptError(f"{name} has no whole head")
+        magic, first_index, before_term, crc = _SEGMENT_HEAD.unpack_from(data)
+        checked = data[: _SEGMENT_CHECKED.size]
+        if magic != _MAGIC or crc != zlib.crc32(checked):
+            raise errors.LogCorruptError(f"the head of {name} fails its check")
+        if not self._segments:
+            self.base_index, self.base_term = first_index - 1, before_term
+        if (first_index, before_term) != (self.last_index + 1, self.last_term):
+            raise errors.LogCorruptError(
+                f"{name} begins at {first_index} after term {before_term}, "
+                f"but the log before it ends at {self.last_index} in term "
+                f"{self.last_term}"
+            )
+        return first_index
+
+    def _check_order(self, name: str, entry: ttypes.LogEntry) -> None:
+        if entry.index != self.last_index + 1 or entry.term < self.last_term:
+            raise errors.LogCorruptError(
+                f"{name} holds entry {entry.index} of term {entry.term} "
+                f"after entry {self.last_index} of term {self.last_term}"
+            )
+
+
+def _encode(entry: ttypes.LogEntry) -> bytes:
+    checked = _RECORD_CHECKED.pack(
+        len(entry.command),
+        zlib.crc32(entry.command),
+        entry.index,
+        entry.term,
+        bool(entry.changes_members),
+    )
+    return checked + struct.pack(">I", zlib.crc32(checked)) + entry.command
+
+
+def _decode(name: str, data: bytes, offset: int) -> ttypes.LogEntry:
+    """One record.
+
+    A crash leaves a beginning of what was written, or zeros where the size
+    grew before the data came. Anything else that fails its check was once
+    whole, and perhaps acknowledged.
+    """
+    rest_bytes = len(data) - offset - _RECORD_HEAD.size
+    if rest_bytes < 0:
+        raise _TornError
+    fields = _RECORD_HEAD.unpack_from(data, offset)
+    size_bytes, command_crc, index, term, changes_members, head_crc = fields
+    checked = data[offset : offset + _RECORD_CHECKED.size]
+    if head_crc != zlib.crc32(checked):
+        if not any(data[offset:]):
+            raise _TornError
+        raise errors.LogCorruptError(
+            f"{name}: the record head at byte {offset} fails its check"
+        )
+    if rest_bytes < size_bytes:
+        raise _TornError
+    start = offset + _RECORD_HEAD.size
+    command = data[start : start + size_bytes]
+    if command_crc != zlib.crc32(command):
+        raise errors.LogCorruptError(
+            f"{name}: entry {index} at byte {offset} fails its check"
+        )
+    return ttypes.LogEntry(
+        index=index,
+        term=term,
+        command=command,
+        changes_members=bool(changes_members),
+    )
--- /dev/null
+++ b/marigoldsill/state/vote.py
@@ -0,0 +1,58 @@
+"""What a control process must not forget: who it is, its term, its vote."""
+
+import secrets
+
+from marigoldsill import errors
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import files as files_module
+from marigoldsill.state import sealed
+
+FILE_NAME = "vote"
+_ID_BITS = 62
+
+
+def new_id() -> int:
+    """A random positive id, for an incarnation or a cluster."""
+    return secrets.randbits(_ID_BITS) | 1
+
+
+class VoteStore:
+    """The member's own state on the disk; changed only durably.
+
+    A member is its name and incarnation together: an empty folder gets a new
+    incarnation, so that nothing the lost one promised is promised again.
+
+    Attributes:
+        state: What is on the disk.
+    """
+
+    def __init__(self, files: files_module.Files, *, name: str):
+        self._files = files
+        content = files.read(FILE_NAME)
+        if content is None:
+            self.state = ttypes.MemberState(name=name, incarnation=new_id())
+            self._write(self.state)
+            return
+        data = sealed.unseal(FILE_NAME, content)
+        self.state = codec.decode(ttypes.MemberState(), data)
+        if self.state.name != name:
+            raise errors.MembershipError(
+                f"the data folder belongs to member {self.state.name!r}, not "
+                f"to {name!r}; start it with its own name or another folder"
+            )
+
+    def save(self, **fields: object) -> None:
+        """Changes fields; returns once they are durable.
+
+        Raises:
+            StorageError: They are not; the process has to stop.
+        """
+        slots = ttypes.MemberState.__slots__
+        values = {slot: getattr(self.state, slot) for slot in slots}
+        state = ttypes.MemberState(**(values | fields))
+        self._write(state)
+        self.state = state
+
+    def _write(self, state: ttypes.MemberState) -> None:
+        self._files.replace(FILE_NAME, sealed.seal(codec.encode(state)))
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import logging
 import os
 import sys
 
@@ -19,6 +20,7 @@
         name: The process's own name.
         level: The lowest level that is written.
     """
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logger.remove()
     logger.configure(extra={"pairs": f"role={role} name={name}"})
     base = f"role={role} name={name} pid={os.getpid()}"
--- /dev/null
+++ b/tests/coordination/groups.py
@@ -0,0 +1,180 @@
+"""Groups of replicas in this process, on real folders and loopback thrift."""
+
+from collections.abc import Callable
+import pathlib
+import shutil
+import time
+
+from marigoldsill import errors
+from marigoldsill.coordination import peers
+from marigoldsill.coordination import replica as replica_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import cuts
+from marigoldsill.transport import thrift_server
+from tests import processes
+
+SETTINGS = replica_module.ReplicaSettings(
+    election_timeout_ms=500, heartbeat_ms=60, seed=7
+)
+_CONNECTIONS_COUNT = 32
+_TRY_S = 2.0
+
+
+def worker_command(number: int, *, padding: int = 0) -> ttypes.Command:
+    """A command that leaves worker "wN" in the tables."""
+    worker = ttypes.Worker(
+        name=f"w{number}",
+        data_centre="dc1",
+        rack="rack1",
+        capacity=ttypes.Resources(cpu_millicores=number),
+        agent_address="127.0.0.1:1",
+        reason="x" * padding,
+    )
+    return ttypes.Command(
+        command_id=f"put-{number}",
+        put_worker=ttypes.PutWorker(worker=worker),
+    )
+
+
+class LocalGroup:
+    """Members m0, m1, ... that can be stopped, wiped and cut off.
+
+    Attributes:
+        replicas: The members that run, by name.
+        fatal: What each member reported as fatal.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        count: int = 3,
+        settings: replica_module.ReplicaSettings = SETTINGS,
+    ):
+        self.folder = folder
+        self.settings = settings
+        self.replicas: dict[str, replica_module.Replica] = {}
+        self.fatal: dict[str, errors.StorageError] = {}
+        self._servers: dict[str, thrift_server.ThriftServer] = {}
+        self._cuts_path = folder / "cuts"
+        names = [f"m{number}" for number in range(count)]
+        self.members = {name: self._reserve(name) for name in names}
+
+    def form(self) -> None:
+        """Initialises m0, starts all members and waits for their votes."""
+        members = list(self.members.values())
+        replica_module.initialise(
+            self.data_folder("m0"), members, own_name="m0"
+        )
+        for name in self.members:
+            self.start(name)
+        self.wait_for_voters(len(members))
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Where a member keeps its state."""
+        return self.folder / name
+
+    def start(self, name: str) -> replica_module.Replica:
+        """Starts a member on its folder and address."""
+        member = self.members[name]
+        server = thrift_server.ThriftServer(
+            address=member.address,
+            connections_count=_CONNECTIONS_COUNT,
+            name=name,
+        )
+        replica = replica_module.Replica(
+            member=member,
+            data_folder=self.data_folder(name),
+            settings=self.settings,
+            on_fatal=lambda error: self.fatal.setdefault(name, error),
+            cut_switch=cuts.Cuts(own_name=name, path=str(self._cuts_path)),
+        )
+        server.add(peers.SERVICE_NAME, replica.processor)
+        self._servers[name], self.replicas[name] = server, replica
+        replica.start()
+        server.start()
+        return replica
+
+    def stop(self, name: str) -> None:
+        """Stops a member; its folder stays."""
+        self._servers.pop(name).stop()
+        self.replicas.pop(name).stop()
+
+    def wipe(self, name: str) -> None:
+        """Deletes the folder of a stopped member."""
+        shutil.rmtree(self.data_folder(name))
+
+    def end(self) -> None:
+        """Stops every member."""
+        for name in list(self.replicas):
+            self.stop(name)
+
+    def cut(self, *pairs: tuple[str, str]) -> None:
+        """Makes messages vanish, "from" to "to"; none mends all cuts."""
+        temporary = self._cuts_path.with_suffix(".new")
+        temporary.write_text("".join(f"{a} {b}\n" for a, b in pairs))
+        temporary.rename(self._cuts_path)
+
+    def leaders(self) -> list[replica_module.Replica]:
+        """Those that count themselves leader now."""
+        return [r for r in self.replicas.values() if r.is_leader]
+
+    def leader(self) -> replica_module.Replica:
+        """Waits for a leader."""
+        leaders = processes.wait_until(self.leaders, what="a leader")
+        return leaders[0]
+
+    def propose(self, command: ttypes.Command) -> ttypes.CommandResult:
+        """Proposes until it is acknowledged, with the same command id."""
+
+        def attempt() -> ttypes.CommandResult | None:
+            try:
+                return self.leader().propose(command, timeout_s=_TRY_S)
+            except (errors.NotRunError, errors.UnknownOutcomeError):
+                return None
+
+        return processes.wait_until(attempt, what="an acknowledgement")
+
+    def wait_for_voters(self, count: int) -> None:
+        """Waits until a leader counts that many voters, all caught up."""
+
+        def is_so() -> bool:
+            return any(
+                sum(m.voter for m in r.status().members) == count
+                and all(p.member.incarnation for p in r.status().peers)
+                and r.status().commit_index == r.status().last_index
+                for r in self.leaders()
+            )
+
+        processes.wait_until(is_so, what=f"{count} voters")
+
+    def wait_for_workers(self, name: str, numbers: set[int]) -> None:
+        """Waits until a member's tables hold just these workers."""
+        expected = {f"w{number}" for number in numbers}
+
+        def is_so() -> bool:
+            replica = self.replicas[name]
+            with replica.lock:
+                return set(replica.tables.workers) == expected
+
+        processes.wait_until(is_so, what=f"{len(expected)} workers on {name}")
+
+    def _reserve(self, name: str) -> ttypes.Member:
+        server = thrift_server.ThriftServer(
+            address="127.0.0.1:0", connections_count=1, name=name
+        )
+        server.stop()
+        return ttypes.Member(
+            name=name, address=server.address, http_address="127.0.0.1:1"
+        )
+
+
+def observe(
+    condition: Callable[[], bool], *, while_s: float, step_s: float = 0.002
+) -> int:
+    """How often a condition held, looked at for some time."""
+    end_s, count = time.monotonic() + while_s, 0
+    while time.monotonic() < end_s:
+        count += condition()
+        time.sleep(step_s)
+    return count
--- /dev/null
+++ b/tests/coordination/test_group.py
@@ -0,0 +1,97 @@
+"""A group of replicas in ordinary running: forming, agreeing, electing."""
+
+from collections.abc import Iterator
+import pathlib
+
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.coordination import replica as replica_module
+from tests import processes
+from tests.coordination import groups
+
+
+@pytest.fixture
+def group(tmp_path: pathlib.Path) -> Iterator[groups.LocalGroup]:
+    made = groups.LocalGroup(tmp_path)
+    yield made
+    made.end()
+
+
+def test_what_the_leader_acknowledges_reaches_every_member(group):
+    group.form()
+    for number in range(20):
+        group.propose(groups.worker_command(number))
+    for name in group.members:
+        group.wait_for_workers(name, set(range(20)))
+
+
+def test_a_follower_names_the_leader_and_does_nothing(group):
+    group.form()
+    leader = group.leader()
+    follower = next(r for r in group.replicas.values() if r is not leader)
+    processes.wait_until(lambda: follower.leader, what="a known leader")
+    with pytest.raises(errors.NotLeaderError) as caught:
+        follower.propose(groups.worker_command(1), timeout_s=1)
+    assert caught.value.leader_address == leader.member.address
+
+
+def test_the_others_elect_a_leader_when_it_stops(group):
+    group.form()
+    group.propose(groups.worker_command(1))
+    old = group.leader()
+    group.stop(old.member.name)
+    group.propose(groups.worker_command(2))
+    new = group.leader()
+    assert new.term > old.term
+    with new.lock:
+        assert set(new.tables.workers) == {"w1", "w2"}
+
+
+def test_a_resent_command_gets_the_first_answer_from_the_next_leader(group):
+    group.form()
+    first = group.propose(groups.worker_command(1))
+    group.stop(group.leader().member.name)
+    assert group.propose(groups.worker_command(1)) == first
+
+
+def test_leader_listeners_hear_of_each_change(group):
+    group.form()
+    leader = group.leader()
+    follower = next(r for r in group.replicas.values() if r is not leader)
+    heard = []
+    follower.on_leader_change(lambda member, term: heard.append(member))
+    group.stop(leader.member.name)
+    new = group.leader()
+    processes.wait_until(
+        lambda: heard and heard[-1] and heard[-1].name == new.member.name,
+        what="news of the new leader",
+    )
+
+
+def test_a_member_alone_in_memory_leads_without_being_started():
+    member = groups.LocalGroup(pathlib.Path(), count=1).members["m0"]
+    replica = replica_module.Replica(member=member)
+    replica.propose(groups.worker_command(1), timeout_s=1)
+    replica.confirm_leadership(timeout_s=1)
+    assert replica.is_leader
+    assert "w1" in replica.tables.workers
+
+
+def test_a_second_process_may_not_use_the_same_folder(group):
+    group.form()
+    with pytest.raises(errors.MembershipError, match="another process"):
+        replica_module.Replica(
+            member=group.members["m1"], data_folder=group.data_folder("m1")
+        )
+
+
+def test_a_cluster_is_formed_once_in_a_folder(group):
+    group.form()
+    group.end()
+    with pytest.raises(errors.MembershipError, match="already"):
+        replica_module.initialise(
+            group.data_folder("m0"),
+            list(group.members.values()),
+            own_name="m0",
+        )
