Close a ballot when its term ends or a leader is heard

A reply to an old ballot could have made a member leader in a later term, in which it had voted for another; and a late pre-vote could have raised the term under a leader just found. Votes now count only while their term goes on. Members whose settings differ keep the longer of the two promises, and equal seeds no longer give equal timeouts to all members.

--- a/marigoldsill/coordination/election.py
+++ b/marigoldsill/coordination/election.py
@@ -29,7 +29,7 @@
 
     def __init__(self, group: group_module.Group):
         self._group = group
-        self._random = random.Random(group.settings.seed)
+        self._random = _random(group)
         self.ballot: Ballot | None = None
         self._deadline_s = 0.0
         self.postpone()
@@ -40,6 +40,11 @@
         wait_s = timeout_s * (1 + self._random.random())
         self._deadline_s = time.monotonic() + wait_s
 
+    def hear_leader(self) -> None:
+        """Gives up standing, because there is a leader."""
+        self.ballot = None
+        self.postpone()
+
     @property
     def is_due(self) -> bool:
         """Whether this member should stand for election now."""
@@ -69,7 +74,7 @@
         granted = group.votes.state.voted_for in ("", request.candidate)
         if granted:
             group.votes.save(voted_for=request.candidate)
-            group.heard_s = time.monotonic()
+            group.hear(request.election_timeout_ms)
             self.postpone()
         return ttypes.VoteReply(term=group.term, granted=granted)
 
@@ -100,7 +105,7 @@
             self.ballot = None
             group.step_down(term=reply.term, reason="later term")
             return False
-        if ballot is not self.ballot or not reply.granted:
+        if not reply.granted or not self._is_open(ballot):
             return False
         ballot.granted_s[peer.name] = asked_s
         return self._decide()
@@ -119,6 +124,7 @@
             pre_vote=pre_vote,
             incarnation=group.incarnation,
             cluster_id=group.cluster_id,
+            election_timeout_ms=group.settings.election_timeout_ms,
         )
         self.ballot = Ballot(request, {group.name: math.inf})
         logs.event(
@@ -147,6 +153,12 @@
         group.leader_name = group.name
         return True
 
+    def _is_open(self, ballot: Ballot) -> bool:
+        """Whether votes of a ballot still count: the term goes on."""
+        request = ballot.request
+        own_term = request.term - (1 if request.pre_vote else 0)
+        return ballot is self.ballot and own_term == self._group.term
+
     def _may_grant(self, request: ttypes.VoteRequest) -> bool:
         group = self._group
         if request.cluster_id != group.cluster_id or not group.cluster_id:
@@ -164,5 +176,10 @@
         group = self._group
         if group.role is group_module.Role.LEADER:
             return True
-        silent_s = time.monotonic() - group.heard_s
-        return silent_s < group.settings.election_timeout_s
+        return time.monotonic() < group.promised_until_s
+
+
+def _random(group: group_module.Group) -> random.Random:
+    if group.settings.seed is None:
+        return random.Random()
+    return random.Random(f"{group.settings.seed} {group.name}")
--- a/marigoldsill/coordination/following.py
+++ b/marigoldsill/coordination/following.py
@@ -1,7 +1,5 @@
 """The follower's side of the log: entries and snapshots from a leader."""
 
-import time
-
 from marigoldsill import errors
 from marigoldsill.coordination import applying as applying_module
 from marigoldsill.coordination import election as election_module
@@ -46,7 +44,7 @@
             return self._reply(term=0)
         if request.term < group.term:
             return self._reply()
-        self._hear(request.term, request.leader, request.cluster_id)
+        self._hear(request)
         entries = self._joining(request)
         if entries is None:
             return self._reply(match_index=self._retry_index(request))
@@ -54,7 +52,7 @@
         group.log.sync()
         match_index = request.previous_index + len(request.entries)
         self._commit(min(request.commit_index, match_index))
-        self._heard()
+        self._heard(request)
         return self._reply(success=True, match_index=match_index)
 
     def install_snapshot(
@@ -69,7 +67,7 @@
             return ttypes.SnapshotReply(term=0, accepted=False)
         if chunk.term < group.term:
             return ttypes.SnapshotReply(term=group.term, accepted=False)
-        self._hear(chunk.term, chunk.leader, chunk.cluster_id)
+        self._hear(chunk)
         transfer = (chunk.leader, chunk.term, chunk.last_index)
         if chunk.offset_bytes == 0:
             self._transfer, self._received = transfer, bytearray()
@@ -82,17 +80,21 @@
         if chunk.done:
             self._install(chunk, bytes(self._received))
             self._transfer, self._received = None, bytearray()
-        self._heard()
+        self._heard(chunk)
         return ttypes.SnapshotReply(term=group.term, accepted=True)
 
-    def _hear(self, term: int, leader: str, cluster_id: int) -> None:
-        self._group.join(cluster_id)
-        self._group.follow(term, leader)
-        self._heard()
-
-    def _heard(self) -> None:
-        self._group.heard_s = time.monotonic()
-        self._election.postpone()
+    def _hear(
+        self, request: ttypes.AppendRequest | ttypes.SnapshotChunk
+    ) -> None:
+        self._group.join(request.cluster_id)
+        self._group.follow(request.term, request.leader)
+        self._heard(request)
+
+    def _heard(
+        self, request: ttypes.AppendRequest | ttypes.SnapshotChunk
+    ) -> None:
+        self._group.hear(request.election_timeout_ms)
+        self._election.hear_leader()
 
     def _reply(
         self,
--- a/marigoldsill/coordination/group.py
+++ b/marigoldsill/coordination/group.py
@@ -74,6 +74,7 @@
         answered: Notified when a peer answered or the role changed.
         leader_name: The leader of this term as far as known, or "".
         heard_s: When a leader was last heard, or a vote last granted.
+        promised_until_s: Until then nobody else gets this member's vote.
         led_s: When this member last became leader.
         term_start_index: Where this leader's term begins in the log.
         applied_index: The last entry that the tables hold.
@@ -104,7 +105,8 @@
         self.answered = threading.Condition(self.lock)
         self.role = Role.FOLLOWER
         self.leader_name = ""
-        self.heard_s = time.monotonic()
+        self.heard_s = self.promised_until_s = 0.0
+        self.hear(settings.election_timeout_ms)
         self.led_s = 0.0
         self.commit_index = applied_index
         self.applied_index = applied_index
@@ -140,6 +142,17 @@
             return False
         return self.cluster_id in (0, cluster_id)
 
+    def hear(self, election_timeout_ms: int) -> None:
+        """Notes that a leader was heard, or a vote was granted.
+
+        The leader's lease counts on this promise. Should the members' settings
+        differ, the longer timeout counts; a restarted member, which may have
+        promised before, begins with a promise.
+        """
+        timeout_ms = max(election_timeout_ms, self.settings.election_timeout_ms)
+        self.heard_s = time.monotonic()
+        self.promised_until_s = self.heard_s + timeout_ms / 1000
+
     def join(self, cluster_id: int) -> None:
         """Takes a leader's cluster as one's own, if in none yet."""
         if not self.cluster_id:
--- a/marigoldsill/coordination/peer_task.py
+++ b/marigoldsill/coordination/peer_task.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination import peers as peers_module
 from marigoldsill.coordination import replication as replication_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,6 +118,7 @@
             commit_index=group.commit_index,
             target_incarnation=self._peer.member.incarnation,
             cluster_id=group.cluster_id,
+            election_timeout_ms=settings.election_timeout_ms,
         )
 
     def _do(self, work: AskVote | SendEntries | SendSnapshot) -> None:
@@ -168,6 +170,16 @@
         if own_cluster and reply.incarnation != request.target_incarnation:
             self._peer.seen_incarnation = reply.incarnation
             return False
+        if not own_cluster and not self._peer.foreign:
+            self._peer.foreign = True
+            logs.event(
+                "member_of_other_cluster",
+                level="ERROR",
+                member=self._peer.name,
+                address=self._peer.member.address,
+                cluster=reply.cluster_id,
+                own_cluster=request.cluster_id,
+            )
         return own_cluster
 
     def _is_current(
@@ -243,4 +255,5 @@
             members=snapshot.members,
             target_incarnation=self._peer.member.incarnation,
             cluster_id=group.cluster_id,
+            election_timeout_ms=group.settings.election_timeout_ms,
         )
--- a/marigoldsill/coordination/peers.py
+++ b/marigoldsill/coordination/peers.py
@@ -56,6 +56,7 @@
         seen_incarnation: What it said its incarnation is, or 0.
         asked_ballot: The last ballot it was asked to vote in.
         removed: Whether its task has to end.
+        foreign: Whether it answered out of another cluster.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.seen_incarnation = 0
         self.asked_ballot: object = None
         self.removed = False
+        self.foreign = False
         self._group = group
         self._connection = thrift_client.Connection(
             address=member.address,
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -336,7 +336,8 @@
   5: bool pre_vote = false,
   6: i64 incarnation = 0,
   7: i64 target_incarnation = 0,    // whose vote is asked for
-  8: i64 cluster_id = 0
+  8: i64 cluster_id = 0,
+  9: i64 election_timeout_ms = 0    // of the candidate
 }
 
 struct VoteReply { 1: i64 term, 2: bool granted }
@@ -349,7 +350,8 @@
   5: list<LogEntry> entries,
   6: i64 commit_index,
   7: i64 target_incarnation = 0,
-  8: i64 cluster_id = 0
+  8: i64 cluster_id = 0,
+  9: i64 election_timeout_ms = 0    // of the leader; bounds its lease
 }
 
 struct AppendReply {
@@ -370,7 +372,8 @@
   7: bool done,
   8: list<Member> members = [],
   9: i64 target_incarnation = 0,
-  10: i64 cluster_id = 0
+  10: i64 cluster_id = 0,
+  11: i64 election_timeout_ms = 0   // of the leader; bounds its lease
 }
 
 struct SnapshotReply { 1: i64 term, 2: bool accepted }
