Test the log, the small files and replay against damage

The log's tests found a fault: when everything in a segment was cut off, and the segment was full all the same, the next entries went to a second segment of the same name and a restart lost them. A segment is now full only when it holds entries. test_entries_cut_off_are_replaced_for_good failed before.

--- a/marigoldsill/state/log.py
+++ b/marigoldsill/state/log.py
@@ -168,13 +168,8 @@
             raise self._failure
 
     def _write(self, pending: list[ttypes.LogEntry]) -> None:
-        first_index = pending[0].index
-        full = (
-            not self._segments
-            or self._segments[-1].size_bytes >= self._segment_bytes
-        )
-        if full:
-            self._add_segment(first_index)
+        if self._needs_segment(pending[0].index):
+            self._add_segment(pending[0].index)
         data = b"".join(_encode(entry) for entry in pending)
         segment = self._segments[-1]
         self._files.append(segment.name, data)
@@ -182,6 +177,13 @@
         self.syncs_count += 1
         self.written_bytes += len(data)
 
+    def _needs_segment(self, next_index: int) -> bool:
+        if not self._segments:
+            return True
+        newest = self._segments[-1]
+        is_full = newest.size_bytes >= self._segment_bytes
+        return is_full and newest.first_index < next_index
+
     def _add_segment(self, first_index: int) -> None:
         checked = _SEGMENT_CHECKED.pack(
             _MAGIC, first_index, self.term_at(first_index - 1)
--- /dev/null
+++ b/tests/state/test_log.py
@@ -0,0 +1,198 @@
+"""The log on the disk: what survives a crash, and what is not believed."""
+
+import pathlib
+import tempfile
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import files as files_module
+from marigoldsill.state import log as log_module
+from tests.state import disks
+
+_QUICK = hypothesis.settings(
+    max_examples=60, deadline=None, derandomize=True, database=None
+)
+
+
+def entries(first: int, last: int, *, term: int = 1) -> list[ttypes.LogEntry]:
+    return [
+        ttypes.LogEntry(
+            index=index, term=term, command=f"command-{index}".encode() * 3
+        )
+        for index in range(first, last + 1)
+    ]
+
+
+def written(folder, *batches, segment_bytes=log_module.SEGMENT_BYTES):
+    files = files_module.Files(folder)
+    log = log_module.Log(files, segment_bytes=segment_bytes)
+    for batch in batches:
+        log.append(batch)
+        log.sync()
+    files.close()
+
+
+def reopened(folder) -> list[ttypes.LogEntry]:
+    files = files_module.Files(folder)
+    try:
+        return held(log_module.Log(files))
+    finally:
+        files.close()
+
+
+def held(log: log_module.Log) -> list[ttypes.LogEntry]:
+    count = log.last_index - log.base_index
+    return log.entries(
+        log.base_index + 1, limit_count=count, limit_bytes=1 << 40
+    )
+
+
+def segments(folder) -> list[pathlib.Path]:
+    return sorted(pathlib.Path(folder).glob("log-*"))
+
+
+def test_what_was_synced_is_there_again(tmp_path):
+    written(tmp_path, entries(1, 3), entries(4, 9, term=2))
+    assert reopened(tmp_path) == entries(1, 3) + entries(4, 9, term=2)
+
+
+def test_one_sync_serves_all_entries_that_came_before_it(tmp_path):
+    log = log_module.Log(files_module.Files(tmp_path))
+    for entry in entries(1, 100):
+        log.append([entry])
+    log.sync()
+    log.sync()
+    assert log.syncs_count == 1
+    assert log.durable_index == 100
+
+
+@_QUICK
+@hypothesis.given(kept_ratio=st.floats(0, 1), more=st.integers(0, 3))
+def test_a_log_cut_short_anywhere_keeps_its_beginning(kept_ratio, more):
+    with tempfile.TemporaryDirectory() as folder:
+        written(folder, entries(1, 5), entries(6, 12), segment_bytes=100)
+        path = segments(folder)[-1]
+        data = path.read_bytes()
+        head_bytes = log_module._SEGMENT_HEAD.size
+        kept = head_bytes + int((len(data) - head_bytes) * kept_ratio)
+        path.write_bytes(data[:kept])
+        survivors = reopened(folder)
+        assert survivors == entries(1, len(survivors))
+        assert len(survivors) >= 5
+        next_index = len(survivors) + 1
+        new = entries(next_index, next_index + more, term=2)
+        written(folder, new)
+        assert reopened(folder) == survivors + new
+
+
+@_QUICK
+@hypothesis.given(
+    place_ratio=st.floats(0, 1, exclude_max=True), bit=st.integers(0, 7)
+)
+def test_a_flipped_bit_anywhere_is_never_believed(place_ratio, bit):
+    with tempfile.TemporaryDirectory() as folder:
+        written(folder, entries(1, 6))
+        path = segments(folder)[0]
+        data = bytearray(path.read_bytes())
+        data[int(len(data) * place_ratio)] ^= 1 << bit
+        path.write_bytes(data)
+        with pytest.raises(errors.LogCorruptError):
+            reopened(folder)
+
+
+def test_zeros_after_the_last_record_are_cut(tmp_path):
+    written(tmp_path, entries(1, 4))
+    with segments(tmp_path)[0].open("ab") as file:
+        file.write(bytes(500))
+    assert reopened(tmp_path) == entries(1, 4)
+
+
+def test_a_missing_segment_is_noticed(tmp_path):
+    batches = [entries(n, n) for n in range(1, 6)]
+    written(tmp_path, *batches, segment_bytes=1)
+    segments(tmp_path)[2].unlink()
+    with pytest.raises(errors.LogCorruptError, match="begins at 4"):
+        reopened(tmp_path)
+
+
+def test_a_torn_segment_before_the_last_is_noticed(tmp_path):
+    written(tmp_path, entries(1, 2), entries(3, 4), segment_bytes=1)
+    path = segments(tmp_path)[0]
+    path.write_bytes(path.read_bytes()[:-3])
+    with pytest.raises(errors.LogCorruptError, match="later segments"):
+        reopened(tmp_path)
+
+
+def test_a_full_disk_makes_nothing_durable(tmp_path):
+    files = disks.FailingFiles(tmp_path)
+    log = log_module.Log(files)
+    log.append(entries(1, 3))
+    log.sync()
+    files.space_bytes = 70
+    log.append(entries(4, 6))
+    with pytest.raises(errors.DiskFullError, match="no space"):
+        log.sync()
+    assert log.durable_index == 3
+    files.close()
+    assert reopened(tmp_path) == entries(1, 4)[: len(reopened(tmp_path))]
+    assert len(reopened(tmp_path)) >= 3
+
+
+def test_after_a_failed_sync_the_log_takes_nothing_more(tmp_path):
+    files = disks.FailingFiles(tmp_path)
+    log = log_module.Log(files)
+    log.append(entries(1, 3))
+    log.sync()
+    files.sync_fails = True
+    log.append(entries(4, 4))
+    with pytest.raises(errors.StorageError, match="Input/output"):
+        log.sync()
+    files.sync_fails = False
+    with pytest.raises(errors.StorageError):
+        log.sync()
+    assert log.durable_index == 3
+
+
+@pytest.mark.parametrize("segment_bytes", [1, 150, 1 << 20])
+@pytest.mark.parametrize("index", [2, 4, 5, 8])
+def test_entries_cut_off_are_replaced_for_good(tmp_path, segment_bytes, index):
+    written(tmp_path, entries(1, 4), entries(5, 8), segment_bytes=segment_bytes)
+    files = files_module.Files(tmp_path)
+    log = log_module.Log(files, segment_bytes=segment_bytes)
+    log.cut_from(index)
+    log.append(entries(index, index + 1, term=3))
+    log.sync()
+    files.close()
+    expected = entries(1, index - 1) + entries(index, index + 1, term=3)
+    assert reopened(tmp_path) == expected
+
+
+def test_dropping_old_segments_keeps_index_and_term(tmp_path):
+    files = files_module.Files(tmp_path)
+    log = log_module.Log(files)
+    log.append(entries(1, 5, term=2))
+    log.sync()
+    log.roll()
+    log.append(entries(6, 9, term=3))
+    log.sync()
+    log.compact(5)
+    files.close()
+    again = log_module.Log(files_module.Files(tmp_path))
+    assert (again.base_index, again.base_term) == (5, 2)
+    assert held(again) == entries(6, 9, term=3)
+    assert again.term_at(4) is None
+
+
+def test_a_segment_with_needed_entries_is_not_dropped(tmp_path):
+    log = log_module.Log(files_module.Files(tmp_path))
+    log.append(entries(1, 5))
+    log.sync()
+    log.roll()
+    log.append(entries(6, 9))
+    log.sync()
+    log.compact(4)
+    assert log.base_index == 0
