Refuse messages that lack something; feed bad input to every server

Malformed HTTP, random bytes, wrong bodies, oversized bodies and unreadable frames go to real servers in tests: typed answers, nothing changes. What libraries log (thrift's failed handlers with their tracebacks) becomes one event line.

--- a/marigoldsill/coordination/peer_service.py
+++ b/marigoldsill/coordination/peer_service.py
@@ -3,6 +3,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import node as node_module
+from marigoldsill.protocol import checks
 from marigoldsill.protocol.generated import Peer
 from marigoldsill.protocol.generated import ttypes
 
@@ -68,4 +69,4 @@
 
 def processor(node: node_module.Node) -> Peer.Processor:
     """The thrift processor to register under `peers.SERVICE_NAME`."""
-    return Peer.Processor(PeerHandler(node))
+    return Peer.Processor(checks.Checked(PeerHandler(node)))
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -14,6 +14,7 @@
 from marigoldsill.coordination import control_link
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.protocol import checks
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import Agent as AgentThrift
 from marigoldsill.protocol.generated import ttypes
@@ -61,7 +62,9 @@
         self._thrift.add(
             "agent",
             AgentThrift.Processor(
-                agent_service.AgentService(admission=self._admission)
+                checks.Checked(
+                    agent_service.AgentService(admission=self._admission)
+                )
             ),
         )
         self._http = http_server.HttpServer(
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -11,6 +11,7 @@
 from marigoldsill.coordination import operators
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import scheduler as scheduler_module
+from marigoldsill.protocol import checks
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
@@ -65,7 +66,9 @@
         self._operators = operators.Operators(
             replica=self._replica, service=self._service
         )
-        self._thrift.add("control", ControlThrift.Processor(self._service))
+        self._thrift.add(
+            "control", ControlThrift.Processor(checks.Checked(self._service))
+        )
 
     def start(self) -> None:
         """Begins to serve."""
--- a/marigoldsill/roles/local.py
+++ b/marigoldsill/roles/local.py
@@ -26,7 +26,10 @@
 
     Attributes:
         control_http: Where operators reach it.
+        control_thrift: Where agents and entries reach control.
         entry_http: Where callers reach it.
+        agents_http: Where endpoints announce themselves, by agent.
+        agents_thrift: Where entries reach agents.
         journals: What each stand-in worker really did, by its name.
     """
 
@@ -38,7 +41,10 @@
         )
         self.journals: dict[str, pathlib.Path] = {}
         self.control_http = ""
+        self.control_thrift = ""
         self.entry_http = ""
+        self.agents_http: list[str] = []
+        self.agents_thrift: list[str] = []
 
     def start(self) -> None:
         """Starts everything."""
@@ -74,6 +80,7 @@
         )
         _start(stack, control)
         self.control_http = control.http_address
+        self.control_thrift = control.thrift_address
         return control
 
     def _start_worker(
@@ -101,6 +108,8 @@
             )
         )
         _start(stack, agent)
+        self.agents_http.append(agent.http_address)
+        self.agents_thrift.append(agent.thrift_address)
         worker.set_agent(f"http://{agent.http_address}")
 
     def _start_entry(
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -12,6 +12,20 @@
 )
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log as events of ours, one line each."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        event(
+            "library_message",
+            level=record.levelname,
+            library=record.name,
+            text=record.getMessage(),
+            reason="" if error is None else repr(error),
+        )
+
+
 def set_up(*, role: str, name: str, level: str = "INFO") -> None:
     """Sends the events of this process to standard error.
 
@@ -31,6 +45,9 @@
         backtrace=False,
         diagnose=False,
     )
+    library_logger = logging.getLogger()
+    library_logger.handlers = [_LibraryHandler()]
+    library_logger.setLevel(logging.WARNING)
 
 
 def event(name: str, *, level: str = "INFO", **pairs: object) -> None:
--- a/tests/lint/test_documents.py
+++ b/tests/lint/test_documents.py
@@ -41,7 +41,11 @@
         for row in rows
         if row.startswith("| `marigoldsill_")
     }
-    assert {(name, kind) for name, kind, _ in documented} == set(_metrics())
+    stated = {(name, kind) for name, kind, _ in documented}
+    missing = sorted(set(_metrics()) - stated)
+    rows = [f"| `{n}` | {kind} | UNIT | | MEANING |" for n, kind in missing]
+    assert not rows, "add to docs/metrics.md:\n" + "\n".join(rows)
+    assert stated - set(_metrics()) == set()
     assert [name for name, _, unit in documented if not unit] == []
 
 
@@ -54,7 +58,9 @@
 
 
 def test_every_log_event_is_documented() -> None:
-    assert set(_events()) - _documented("log-events.md") == set()
+    missing = set(_events()) - _documented("log-events.md")
+    rows = [f"| `{name}` | LEVEL | `FIELD` | MEANING |" for name in missing]
+    assert not rows, "add to docs/log-events.md:\n" + "\n".join(sorted(rows))
 
 
 def test_every_documented_log_event_exists() -> None:
@@ -88,6 +94,7 @@
 
 
 def _events() -> Iterator[str]:
-    for path in sources.package_files():
-        for call in sources.calls(path, function="logs.event"):
+    names = ("logs.event", "event")
+    for path, name in itertools.product(sources.package_files(), names):
+        for call in sources.calls(path, function=name):
             yield ast.literal_eval(call.args[0])
--- /dev/null
+++ b/tests/roles/conftest.py
@@ -0,0 +1,26 @@
+"""A whole system in this process, that tests send bad input to."""
+
+from collections.abc import Iterator
+
+from loguru import logger
+import pytest
+
+from marigoldsill import settings
+from marigoldsill.roles import local as local_module
+from tests import processes
+from tests.roles import targets
+
+
+@pytest.fixture(scope="module")
+def local() -> Iterator[targets.Target]:
+    """All roles, with one service that runs."""
+    logger.remove()  # its sink would be closed before the last event
+    running = local_module.Local(settings.LocalSettings(workers_count=1))
+    running.start()
+    target = targets.Target(running)
+    processes.wait_until(
+        lambda: target.get("/ready").status_code == 200, what="a leader"
+    )
+    target.run_one_service()
+    yield target
+    running.stop()
--- /dev/null
+++ b/tests/roles/test_bad_http.py
@@ -0,0 +1,173 @@
+"""Bad HTTP sent to every role: a typed answer, and nothing changes."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.transport import http_client
+from tests.roles import targets
+
+_MEBIBYTE = 1 << 20
+_MALFORMED = {
+    "no http": b"hello\r\n\r\n",
+    "binary": bytes(range(256)) * 4,
+    "tls": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + b"\x00" * 200,
+    "unknown version": b"GET / HTTP/9.9\r\n\r\n",
+    "no version": b"GET\r\n\r\n",
+    "long line": b"GET /" + b"a" * 100_000 + b" HTTP/1.1\r\n\r\n",
+    "many headers": b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 10_000 + b"\r\n",
+    "long header": b"GET / HTTP/1.1\r\na: " + b"b" * 100_000 + b"\r\n\r\n",
+    "no colon": b"GET / HTTP/1.1\r\nnonsense\r\n\r\n",
+    "negative length": b"POST /v1/plans/apply HTTP/1.1\r\nContent-Length: -5"
+    b"\r\n\r\nhello",
+    "no number": b"POST /v1/plans/apply HTTP/1.1\r\nContent-Length: many"
+    b"\r\n\r\nhello",
+    "two lengths": b"POST /v1/plans/apply HTTP/1.1\r\nContent-Length: 5\r\n"
+    b"Content-Length: 7\r\n\r\nhello",
+    "bad chunk": b"POST /v1/plans/apply HTTP/1.1\r\nTransfer-Encoding: chunked"
+    b"\r\n\r\nzz\r\nhello\r\n",
+    "breaks off": b"POST /v1/plans/apply HTTP/1.1\r\nContent-Length: 500"
+    b"\r\n\r\nhello",
+    "null bytes": b"GET /\0/v1 HTTP/1.1\r\n\r\n",
+    "bad escape": b"GET /services/%ff%fe%00/x HTTP/1.1\r\n\r\n",
+}
+_ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy", "x")
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(["name", "names", "acknowledged", "x"]),
+            inner,
+            max_size=3,
+        )
+    ),
+    max_leaves=6,
+)
+_FEW = hypothesis.settings(
+    max_examples=40,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+
+
+@pytest.mark.parametrize("data", _MALFORMED.values(), ids=_MALFORMED.keys())
+def test_malformed_http_is_refused_by_every_role(
+    local: targets.Target, data: bytes
+) -> None:
+    before = local.state()
+    for address in local.http_addresses():
+        statuses = targets.send(address, data)
+        assert all(400 <= status < 600 for status in statuses), statuses
+        assert 500 not in statuses
+    _check_unharmed(local, before)
+
+
+@_FEW
+@hypothesis.given(data=strategies.binary(max_size=200))
+def test_random_bytes_are_refused_by_every_role(
+    local: targets.Target, data: bytes
+) -> None:
+    for address in local.http_addresses():
+        statuses = targets.send(address, data + b"\r\n\r\n")
+        assert all(400 <= status < 500 for status in statuses), statuses
+
+
+@pytest.mark.parametrize("path", ["/v1/plans/apply", "/endpoints"])
+def test_a_body_that_is_too_large_gets_a_typed_answer(
+    local: targets.Target, path: str
+) -> None:
+    before = local.state()
+    address = {
+        "/v1/plans/apply": local.local.control_http,
+        "/endpoints": local.local.agents_http[0],
+    }[path]
+
+    answer = http_client.fetch(
+        f"http://{address}{path}",
+        method="POST",
+        body=b"#" * (4 * _MEBIBYTE),
+        timeout_s=targets.TIMEOUT_S,
+    )
+
+    assert answer.status_code == 413
+    assert json.loads(answer.body)["error"] == errors.TooLargeError.__name__
+    _check_unharmed(local, before)
+
+
+def test_a_caller_whose_body_is_too_large_gets_a_typed_answer(
+    local: targets.Target,
+) -> None:
+    answer = http_client.fetch(
+        f"http://{local.local.entry_http}/services/lookup/x",
+        method="POST",
+        body=b"#" * (2 * _MEBIBYTE),
+        headers=(("Idempotency-Key", "large-1"),),
+        timeout_s=targets.TIMEOUT_S,
+    )
+
+    assert answer.status_code == 413
+    assert json.loads(answer.body)["error"] == errors.TooLargeError.__name__
+
+
+@_FEW
+@hypothesis.given(
+    action=strategies.sampled_from(_ACTIONS),
+    body=strategies.binary(max_size=60)
+    | _JSON.map(lambda value: json.dumps(value).encode()),
+)
+def test_a_wrong_body_of_an_operator_gets_a_typed_answer(
+    local: targets.Target, action: str, body: bytes
+) -> None:
+    before = local.state()
+
+    answer = local.post(f"/v1/plans/{action}", body)
+
+    assert 400 <= answer.status_code < 500, answer.body
+    kind = getattr(errors, json.loads(answer.body)["error"])
+    assert kind.http_status == answer.status_code
+    assert local.state() == before
+
+
+@_FEW
+@hypothesis.given(body=_JSON.map(lambda value: json.dumps(value).encode()))
+def test_a_wrong_announcement_of_endpoints_is_refused(
+    local: targets.Target, body: bytes
+) -> None:
+    answer = http_client.fetch(
+        f"http://{local.local.agents_http[0]}/endpoints",
+        method="POST",
+        body=body,
+        timeout_s=targets.TIMEOUT_S,
+    )
+
+    accepted = json.loads(body) in ([], {})
+    assert answer.status_code == (200 if accepted else 400), answer.body
+
+
+@pytest.mark.parametrize("plan_id", ["0", "99999999999999999999999", "x", "-1"])
+def test_confirming_what_is_no_plan_is_refused(
+    local: targets.Target, plan_id: str
+) -> None:
+    before = local.state()
+
+    answer = local.post(f"/v1/plans/{plan_id}/confirm", b"")
+
+    assert answer.status_code == 404
+    assert json.loads(answer.body)["error"] == errors.NotFoundError.__name__
+    assert local.state() == before
+
+
+def _check_unharmed(local: targets.Target, before: dict) -> None:
+    assert local.state() == before
+    for address in local.http_addresses():
+        answer = http_client.fetch(
+            f"http://{address}/health", timeout_s=targets.TIMEOUT_S
+        )
+        assert answer.status_code == 200
--- /dev/null
+++ b/tests/transport/test_logs.py
@@ -0,0 +1,52 @@
+"""Events are one line of key=value pairs each."""
+
+import io
+import logging
+import sys
+
+from loguru import logger
+import pytest
+
+from marigoldsill.transport import logs
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch):
+    """Lines written so far."""
+    written = io.StringIO()
+    monkeypatch.setattr(sys, "stderr", written)
+    handlers = logging.getLogger().handlers
+    logs.set_up(role="test", name="test-1")
+    yield lambda: written.getvalue().splitlines()
+    logger.remove()
+    logging.getLogger().handlers = handlers
+
+
+def test_an_event_is_one_line_whatever_its_values_hold(lines) -> None:
+    logs.event("started", reason='two\nlines and "quotes"', empty="")
+
+    [line] = lines()
+
+    assert "event=started role=test name=test-1" in line
+    assert r'reason="two\nlines and \"quotes\"" empty=""' in line
+
+
+def test_what_a_library_logs_is_one_event_without_a_traceback(lines) -> None:
+    try:
+        raise ValueError("first\nsecond")
+    except ValueError:
+        logging.getLogger("library").exception("Unexpected")
+
+    [line] = lines()
+
+    assert "event=library_message" in line
+    assert "library=library text=Unexpected" in line
+
+
+@pytest.mark.parametrize("value", ["{x}", "<red>", "%s", "\\"])
+def test_a_value_is_written_as_it_is(lines, value: str) -> None:
+    logs.event("started", reason=value)
+
+    [line] = lines()
+
+    assert line.endswith(f"reason={value}")
--- a/tests/transport/test_thrift_server_bad_input.py
+++ b/tests/transport/test_thrift_server_bad_input.py
@@ -1,17 +1,18 @@
 """Unreadable frames: the connection ends, the server lives on."""
 
 from collections.abc import Iterator
-import socket
 import struct
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from marigoldsill.protocol import checks
 from marigoldsill.protocol.generated import Agent
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import thrift_client
 from marigoldsill.transport import thrift_server
+from tests import raw_sockets
 
 _TIMEOUT_S = 10.0
 _CALL = b"\x80\x01\x00\x01\x00\x00\x00\x0aagent:call\x00\x00\x00\x01"
@@ -30,11 +31,22 @@
     "no argument": _CALL + b"\x00",
     "absurd list": _CALL + _LIST_OF_HEADERS + struct.pack(">i", 2**31 - 1),
     "negative list": _CALL + _LIST_OF_HEADERS + struct.pack(">i", -1),
+    "wrong type": _CALL + b"\x0c\x00\x01\x08\x00\x01\x00\x00\x00\x07\x00\x00",
     "deep structs": _CALL + b"\x0c\x00\x63" * 100_000,
     "deep lists": _CALL + b"\x0f\x00\x63" + b"\x0f\x00\x00\x00\x01" * 100_000,
-    "wrong type": _CALL + b"\x0c\x00\x01\x08\x00\x01\x00\x00\x00\x07\x00\x00",
 }
 
+_GOOD_CALL = ttypes.CallRequest(
+    request_id="r-1",
+    attempt=1,
+    service_name="lookup",
+    method="GET",
+    path="/",
+    headers=[],
+    body=b"",
+    budget_ms=1000,
+)
+
 
 class _Handler:
     """Counts the calls that reached it."""
@@ -58,18 +70,9 @@
         self.server = thrift_server.ThriftServer(
             address="127.0.0.1:0", connections_count=8, name="test"
         )
-        self.server.add("agent", Agent.Processor(self.handler))
+        self.server.add("agent", Agent.Processor(checks.Checked(self.handler)))
         self.server.start()
 
-    def send(self, data: bytes) -> None:
-        """Sends raw bytes and reads until the server closes."""
-        host, port = self.server.address.split(":")
-        with socket.create_connection((host, int(port)), _TIMEOUT_S) as sock:
-            sock.sendall(data)
-            sock.shutdown(socket.SHUT_WR)
-            while sock.recv(65_536):
-                pass
-
     def check_lives(self) -> None:
         """Makes a call that must be answered, and the only one handled."""
         self.handler.requests.clear()
@@ -78,9 +81,7 @@
             service_name="agent",
             client_class=Agent.Client,
         )
-        reply = connection.call(
-            "call", ttypes.CallRequest(request_id="r-1"), timeout_s=_TIMEOUT_S
-        )
+        reply = connection.call("call", _GOOD_CALL, timeout_s=_TIMEOUT_S)
         connection.close()
         assert reply.request_id == "r-1"
 
@@ -123,13 +124,15 @@
     byte = data.draw(strategies.integers(0, 255))
     body = good[:position] + bytes([byte]) + good[position + 1 :]
 
-    served.send(struct.pack(">I", len(body)) + body)
+    raw_sockets.exchange(
+        served.server.address, struct.pack(">I", len(body)) + body
+    )
 
     served.check_lives()
 
 
 def _check_refused(served: _Served, data: bytes) -> None:
     served.handler.requests.clear()
-    served.send(data)
-    assert [r for r in served.handler.requests if r is not None] == []
+    raw_sockets.exchange(served.server.address, data)
+    assert served.handler.requests == []
     served.check_lives()
