--- a/build_tools/settings_page.py
+++ b/build_tools/settings_page.py
@@ -21,6 +21,7 @@
 """
 _ROLES = {
     "marigoldsill entry": settings_module.EntrySettings,
+    "marigoldsill control init": settings_module.ControlInitSettings,
     "marigoldsill control run": settings_module.ControlSettings,
     "marigoldsill agent": settings_module.AgentSettings,
     "marigoldsill local": settings_module.LocalSettings,
--- a/marigoldsill/cli/roles.py
+++ b/marigoldsill/cli/roles.py
@@ -36,6 +36,17 @@
     _run("control", settings_module.ControlSettings, flags)
 
 
+@control.command("init")
+@options.for_settings(settings_module.ControlInitSettings)
+def control_init(**flags: str | None) -> None:
+    """Forms a group of control processes; on one VM, and only once."""
+    settings = settings_module.load(settings_module.ControlInitSettings, flags)
+    logs.set_up(role="control", name=settings.name)
+    role = importlib.import_module("marigoldsill.roles.control")
+    cluster_id = role.initialise(settings)
+    click.echo(f"formed cluster {cluster_id} in {settings.data_folder}")
+
+
 def _run(role: str, settings_class: type, flags: dict[str, str | None]) -> None:
     settings = settings_module.load(settings_class, flags)
     logs.set_up(role=role, name=settings.name, level=settings.log_level)
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -98,6 +98,14 @@
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
+                "members": [
+                    {
+                        "name": member.name,
+                        "address": member.address,
+                        "voter": member.voter,
+                    }
+                    for member in tables.members
+                ],
                 "workers": [
                     {
                         "name": worker.name,
--- a/marigoldsill/protocol/shapes.py
+++ b/marigoldsill/protocol/shapes.py
@@ -3,8 +3,20 @@
 import enum
 
 from marigoldsill import errors
+from marigoldsill.protocol.generated import ttypes
 
 _OUTPUT_TEXT_LIMIT_BYTES = 256
+# A decoded record holds bare numbers where it was made with members.
+_ENUMS = {
+    (ttypes.Task, "kind"): ttypes.Kind,
+    (ttypes.Task, "state"): ttypes.TaskState,
+    (ttypes.Worker, "state"): ttypes.WorkerState,
+    (ttypes.Change, "verb"): ttypes.ChangeVerb,
+    (ttypes.Effect, "verb"): ttypes.EffectVerb,
+    (ttypes.Plan, "state"): ttypes.PlanState,
+    (ttypes.AuditRecord, "verb"): ttypes.AuditVerb,
+    (ttypes.Claim, "state"): ttypes.ClaimState,
+}
 
 
 def of_record(record: object) -> object:
@@ -18,10 +30,16 @@
         return record[:_OUTPUT_TEXT_LIMIT_BYTES].hex()
     if slots is None:
         return record
-    values = ((slot, getattr(record, slot)) for slot in slots)
+    values = ((slot, _value(record, slot)) for slot in slots)
     return {k: of_record(v) for k, v in values if v is not None}
 
 
+def _value(record: object, slot: str) -> object:
+    value = getattr(record, slot)
+    kind = _ENUMS.get((type(record), slot))
+    return value if kind is None or value is None else kind(value)
+
+
 def of_error(error: errors.MarigoldsillError) -> dict[str, object]:
     """An error as operators and callers get it."""
     shape = {"error": error.kind, "message": error.message}
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -1,6 +1,8 @@
 """The control role: the replicated state, and HTTP for operators."""
 
+import contextlib
 import json
+import os
 import uuid
 
 from werkzeug import wrappers
@@ -9,6 +11,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
+from marigoldsill.coordination import peers
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import scheduler as scheduler_module
 from marigoldsill.protocol import shapes
@@ -32,7 +35,23 @@
         thrift_address: Where entries, agents and peers reach it.
     """
 
-    def __init__(self, settings: settings_module.ControlSettings):
+    def __init__(
+        self,
+        settings: settings_module.ControlSettings,
+        *,
+        forms_alone: bool = False,
+    ):
+        """Opens the data folder and takes the addresses.
+
+        Args:
+            settings: As checked.
+            forms_alone: Whether an empty folder becomes a group of this
+                process alone, for a system in one process.
+
+        Raises:
+            MembershipError: The folder is another member's, or in use.
+            StorageError: The disk failed.
+        """
         self._tokens = tokens.OperatorTokens(settings.tokens_file)
         self._thrift = thrift_server.ThriftServer(
             address=settings.thrift_address,
@@ -50,13 +69,21 @@
         )
         self.http_address = self._http.address
         self.thrift_address = self._thrift.address
+        member = ttypes.Member(
+            name=settings.name,
+            address=self.thrift_address,
+            http_address=self.http_address,
+            data_centre=settings.data_centre,
+        )
+        if forms_alone:
+            _form_alone(settings, member)
         self._replica = replica_module.Replica(
-            member=ttypes.Member(
-                name=settings.name,
-                address=self.thrift_address,
-                http_address=self.http_address,
-                data_centre=settings.data_centre,
-            )
+            member=member,
+            data_folder=settings.data_folder,
+            settings=replica_module.ReplicaSettings(
+                election_timeout_ms=settings.election_timeout_ms
+            ),
+            on_fatal=_end_process,
         )
         self._service = control_service.ControlService(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
@@ -66,6 +93,7 @@
             replica=self._replica, service=self._service
         )
         self._thrift.add("control", ControlThrift.Processor(self._service))
+        self._thrift.add(peers.SERVICE_NAME, self._replica.processor)
 
     def start(self) -> None:
         """Begins to serve."""
@@ -134,6 +162,41 @@
         ) from error
 
 
+def initialise(settings: settings_module.ControlInitSettings) -> int:
+    """Forms a group in an empty data folder; returns its cluster id.
+
+    Raises:
+        MembershipError: The folder belongs to a cluster already.
+        BadInputError: The members are not acceptable.
+        StorageError: The disk failed.
+    """
+    members = [
+        ttypes.Member(
+            name=member.name,
+            address=member.thrift_address,
+            http_address=member.http_address,
+        )
+        for member in settings.members
+    ]
+    return replica_module.initialise(
+        settings.data_folder, members, own_name=settings.name
+    )
+
+
+def _form_alone(
+    settings: settings_module.ControlSettings, member: ttypes.Member
+) -> None:
+    with contextlib.suppress(errors.MembershipError):
+        replica_module.initialise(
+            settings.data_folder, [member], own_name=settings.name
+        )
+
+
+def _end_process(error: errors.StorageError) -> None:
+    logs.event("disk_failed", level="ERROR", reason=error.message)
+    os._exit(error.exit_code)
+
+
 def run(settings: settings_module.ControlSettings) -> None:
     """Runs the role until a signal."""
     common.run(lambda: Control(settings))
--- a/marigoldsill/roles/local.py
+++ b/marigoldsill/roles/local.py
@@ -70,7 +70,8 @@
                 data_folder=str(self._folder / "control-1"),
                 http_address=self._settings.control_http_address,
                 threads_count=_THREADS_COUNT,
-            )
+            ),
+            forms_alone=True,
         )
         _start(stack, control)
         self.control_http = control.http_address
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -16,6 +16,7 @@
 
 ENVIRONMENT_PREFIX = "MARIGOLDSILL_"
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_MEMBER_PARTS_COUNT = 3
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -62,6 +63,37 @@
     return tuple(parse_address(part) for part in parts)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MemberAddresses:
+    """A control process as written in settings.
+
+    Attributes:
+        name: Its name.
+        thrift_address: Where its peers reach it, host:port.
+        http_address: Where operators reach it, host:port.
+    """
+
+    name: str
+    thrift_address: str
+    http_address: str
+
+
+def parse_members(text: str) -> tuple[MemberAddresses, ...]:
+    """Checks a list of control processes with commas between."""
+    parts = [part.strip().split("=") for part in text.split(",")]
+    if not all(len(part) == _MEMBER_PARTS_COUNT for part in parts):
+        raise errors.SettingsError(
+            f"{text!r} is no list of control processes; accepted is "
+            "name=thrift host:port=http host:port, with commas between"
+        )
+    return tuple(
+        MemberAddresses(
+            parse_name(name), parse_address(thrift), parse_address(http)
+        )
+        for name, thrift, http in parts
+    )
+
+
 def parse_integer(low: int, high: int) -> Callable[[str], int]:
     """A check for a whole number from `low` to `high`."""
 
@@ -188,6 +220,19 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ControlInitSettings:
+    """Settings of `marigoldsill control init`."""
+
+    name: str = setting("Name of this control process.", parse_name)
+    data_folder: str = setting("Folder of the durable state.", parse_path)
+    members: tuple[MemberAddresses, ...] = setting(
+        "All control processes of the group, this one among them: "
+        "name=thrift host:port=http host:port, with commas between.",
+        parse_members,
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AgentSettings(ProcessSettings):
     """Settings of `marigoldsill agent`."""
--- /dev/null
+++ b/tests/protocol/test_shapes.py
@@ -0,0 +1,31 @@
+"""Tests of the JSON shapes of records."""
+
+import inspect
+
+import pytest
+
+from marigoldsill.protocol import codec
+from marigoldsill.protocol import shapes
+from marigoldsill.protocol.generated import ttypes
+
+_SHOWN = (
+    ttypes.Task,
+    ttypes.Worker,
+    ttypes.Change,
+    ttypes.Effect,
+    ttypes.Plan,
+    ttypes.AuditRecord,
+    ttypes.Claim,
+)
+_ENUM_FIELDS = ("kind", "state", "verb")
+
+
+@pytest.mark.parametrize("record_class", _SHOWN)
+def test_a_record_is_shown_alike_before_and_after_the_log(record_class) -> None:
+    names = inspect.signature(record_class).parameters
+    fields = {name: 1 for name in _ENUM_FIELDS if name in names}
+    record = record_class(**fields)
+    decoded = codec.decode(record_class(), codec.encode(record))
+    shape = shapes.of_record(decoded)
+    assert {type(shape[name]) for name in fields} == {str}
+    assert shape == shapes.of_record(record)
