--- a/tests/coordination/test_bad_disks.py
+++ b/tests/coordination/test_bad_disks.py
@@ -1,5 +1,8 @@
 """Members whose disks fail, fill up, forget or come back damaged."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
+import pathlib
 import threading
 
 import pytest
@@ -10,6 +13,23 @@
 from tests.state import disks
 
 
+@pytest.fixture
+def make_group(
+    tmp_path: pathlib.Path,
+) -> Iterator[Callable[..., groups.LocalGroup]]:
+    """Forms a group with disks of the test's choice, ended afterwards."""
+    made = []
+
+    def make(**options) -> groups.LocalGroup:
+        made.append(groups.LocalGroup(tmp_path, **options))
+        made[0].form()
+        return made[0]
+
+    yield make
+    for group in made:
+        group.end()
+
+
 @pytest.mark.parametrize(
     ("fields", "kind"),
     [
@@ -18,10 +38,9 @@
     ],
 )
 def test_a_member_whose_disk_fails_acknowledges_nothing_and_stops(
-    tmp_path, fields, kind
+    make_group, fields, kind
 ):
-    group = groups.LocalGroup(tmp_path, count=1, open_files=disks.FailingFiles)
-    group.form()
+    group = make_group(count=1, open_files=disks.FailingFiles)
     group.propose(groups.worker_command(1))
     for name, value in fields.items():
         setattr(group.disks["m0"], name, value)
@@ -33,24 +52,20 @@
     assert not replica.is_leader
     with pytest.raises(errors.NoQuorumError):
         replica.propose(groups.worker_command(3), timeout_s=5)
-    group.end()
 
 
-def test_the_others_go_on_when_the_leaders_disk_fails(tmp_path):
-    group = groups.LocalGroup(tmp_path, open_files=disks.FailingFiles)
-    group.form()
+def test_the_others_go_on_when_the_leaders_disk_fails(make_group):
+    group = make_group(open_files=disks.FailingFiles)
     group.propose(groups.worker_command(1))
     failed = group.leader().member.name
     group.disks[failed].sync_fails = True
     group.propose(groups.worker_command(2))
     assert group.leader().member.name != failed
     processes.wait_until(lambda: failed in group.fatal, what="its stop")
-    group.end()
 
 
-def test_what_was_acknowledged_survives_a_loss_of_power_everywhere(tmp_path):
-    group = groups.LocalGroup(tmp_path, open_files=disks.LossyFiles)
-    group.form()
+def test_what_was_acknowledged_survives_a_loss_of_power_everywhere(make_group):
+    group = make_group(open_files=disks.LossyFiles)
     for disk in group.disks.values():
         disk.sync_s = 0.03
     leader = group.leader()
@@ -63,7 +78,16 @@
     with group.leader().lock:
         workers = set(group.leader().tables.workers)
     assert workers == {f"w{number}" for number in range(5)}
-    group.end()
+
+
+def test_a_leader_counts_its_own_log_only_once_it_is_durable(make_group):
+    group = make_group(open_files=disks.LossyFiles)
+    leader = group.leader()
+    follower = next(n for n in group.members if n != leader.member.name)
+    group.stop(follower)
+    group.disks[leader.member.name].sync_s = 1.0
+    with pytest.raises(errors.UnknownOutcomeError):
+        leader.propose(groups.worker_command(1), timeout_s=0.3)
 
 
 def _lose_power(group: groups.LocalGroup) -> None:
