--- a/marigoldsill/state/log.py
+++ b/marigoldsill/state/log.py
@@ -13,6 +13,7 @@
 from marigoldsill import errors
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files as files_module
+from marigoldsill.state import log_records
 
 SEGMENT_BYTES = 8 * 1024 * 1024
 
@@ -20,8 +21,6 @@
 _MAGIC = b"mgslog01"
 _SEGMENT_HEAD = struct.Struct(">8sQQI")
 _SEGMENT_CHECKED = struct.Struct(">8sQQ")
-_RECORD_HEAD = struct.Struct(">IIQQBI")
-_RECORD_CHECKED = struct.Struct(">IIQQB")
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,10 +30,6 @@
     size_bytes: int
 
 
-class _TornError(Exception):
-    """The rest of a file is a write that a crash cut short."""
-
-
 class Log:
     """The entries after `base_index`, in memory and on the disk.
 
@@ -170,7 +165,7 @@
     def _write(self, pending: list[ttypes.LogEntry]) -> None:
         if self._needs_segment(pending[0].index):
             self._add_segment(pending[0].index)
-        data = b"".join(_encode(entry) for entry in pending)
+        data = b"".join(log_records.encode(entry) for entry in pending)
         segment = self._segments[-1]
         self._files.append(segment.name, data)
         segment.size_bytes += len(data)
@@ -197,7 +192,7 @@
         first = segment.first_index - self.base_index - 1
         kept = self._entries[first : index - self.base_index - 1]
         size_bytes = _SEGMENT_HEAD.size + sum(
-            _RECORD_HEAD.size + len(entry.command) for entry in kept
+            log_records.size_bytes(entry) for entry in kept
         )
         self._files.cut(segment.name, size_bytes)
         segment.size_bytes = size_bytes
@@ -224,11 +219,11 @@
         offset = _SEGMENT_HEAD.size
         try:
             while offset < len(data):
-                entry = _decode(name, data, offset)
+                entry = log_records.decode(name, data, offset)
                 self._check_order(name, entry)
                 self._entries.append(entry)
-                offset += _RECORD_HEAD.size + len(entry.command)
-        except _TornError as error:
+                offset += log_records.size_bytes(entry)
+        except log_records.TornError as error:
             if not is_last:
                 raise errors.LogCorruptError(
                     f"{name} ends within a record, but later segments follow"
@@ -259,49 +254,3 @@
                 f"{name} holds entry {entry.index} of term {entry.term} "
                 f"after entry {self.last_index} of term {self.last_term}"
             )
-
-
-def _encode(entry: ttypes.LogEntry) -> bytes:
-    checked = _RECORD_CHECKED.pack(
-        len(entry.command),
-        zlib.crc32(entry.command),
-        entry.index,
-        entry.term,
-        bool(entry.changes_members),
-    )
-    return checked + struct.pack(">I", zlib.crc32(checked)) + entry.command
-
-
-def _decode(name: str, data: bytes, offset: int) -> ttypes.LogEntry:
-    """One record.
-
-    A crash leaves a beginning of what was written, or zeros where the size
-    grew before the data came. Anything else that fails its check was once
-    whole, and perhaps acknowledged.
-    """
-    rest_bytes = len(data) - offset - _RECORD_HEAD.size
-    if rest_bytes < 0:
-        raise _TornError
-    fields = _RECORD_HEAD.unpack_from(data, offset)
-    size_bytes, command_crc, index, term, changes_members, head_crc = fields
-    checked = data[offset : offset + _RECORD_CHECKED.size]
-    if head_crc != zlib.crc32(checked):
-        if not any(data[offset:]):
-            raise _TornError
-        raise errors.LogCorruptError(
-            f"{name}: the record head at byte {offset} fails its check"
-        )
-    if rest_bytes < size_bytes:
-        raise _TornError
-    start = offset + _RECORD_HEAD.size
-    command = data[start : start + size_bytes]
-    if command_crc != zlib.crc32(command):
-        raise errors.LogCorruptError(
-            f"{name}: entry {index} at byte {offset} fails its check"
-        )
-    return ttypes.LogEntry(
-        index=index,
-        term=term,
-        command=command,
-        changes_members=bool(changes_members),
-    )
