--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -98,6 +98,14 @@
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
+                "members": [
+                    {
+                        "name": member.name,
+                        "address": member.address,
+                        "voter": member.voter,
+                    }
+                    for member in tables.members
+                ],
                 "workers": [
                     {
                         "name": worker.name,
@@ -202,7 +210,7 @@
 def _field(body: bytes, name: str, kind: type) -> object:
     try:
         value = json.loads(body)[name]
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise errors.BadInputError(
             f"the body is no JSON object with {name!r}"
         ) from error
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -1,6 +1,9 @@
 """The control role: the replicated state, and HTTP for operators."""
 
+import contextlib
 import json
+import os
+import re
 import uuid
 
 from werkzeug import wrappers
@@ -9,6 +12,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
+from marigoldsill.coordination import peers
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import scheduler as scheduler_module
 from marigoldsill.protocol import checks
@@ -23,6 +27,9 @@
 
 _BODY_LIMIT_BYTES = 2 << 20
 _HTTP_THREADS_COUNT = 32
+_PLAN_ID = re.compile(r"[0-9]{1,18}", re.ASCII)
+_GUARD_NAME = re.compile(r"[a-z0-9-]{1,64}")
+_SHOWN_LENGTH = 40
 
 
 class Control:
@@ -33,7 +40,23 @@
         thrift_address: Where entries, agents and peers reach it.
     """
 
-    def __init__(self, settings: settings_module.ControlSettings):
+    def __init__(
+        self,
+        settings: settings_module.ControlSettings,
+        *,
+        forms_alone: bool = False,
+    ):
+        """Opens the data folder and takes the addresses.
+
+        Args:
+            settings: As checked.
+            forms_alone: Whether an empty folder becomes a group of this
+                process alone, for a system in one process.
+
+        Raises:
+            MembershipError: The folder is another member's, or in use.
+            StorageError: The disk failed.
+        """
         self._tokens = tokens.OperatorTokens(settings.tokens_file)
         self._thrift = thrift_server.ThriftServer(
             address=settings.thrift_address,
@@ -51,13 +74,21 @@
         )
         self.http_address = self._http.address
         self.thrift_address = self._thrift.address
+        member = ttypes.Member(
+            name=settings.name,
+            address=self.thrift_address,
+            http_address=self.http_address,
+            data_centre=settings.data_centre,
+        )
+        if forms_alone:
+            _form_alone(settings, member)
         self._replica = replica_module.Replica(
-            member=ttypes.Member(
-                name=settings.name,
-                address=self.thrift_address,
-                http_address=self.http_address,
-                data_centre=settings.data_centre,
-            )
+            member=member,
+            data_folder=settings.data_folder,
+            settings=replica_module.ReplicaSettings(
+                election_timeout_ms=settings.election_timeout_ms
+            ),
+            on_fatal=_end_process,
         )
         self._service = control_service.ControlService(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
@@ -69,6 +100,7 @@
         self._thrift.add(
             "control", ControlThrift.Processor(checks.Checked(self._service))
         )
+        self._thrift.add(peers.SERVICE_NAME, self._replica.processor)
 
     def start(self) -> None:
         """Begins to serve."""
@@ -103,12 +135,10 @@
                     command_id=command_id,
                 )
                 return common.json_response(shapes.of_record(plan))
-            case ("POST", "v1", "plans", plan_id, "confirm") if (
-                plan_id.isdigit()
-            ):
+            case ("POST", "v1", "plans", plan_id, "confirm"):
                 return common.json_response(
                     self._operators.confirm(
-                        int(plan_id),
+                        _plan_id(plan_id),
                         _acknowledged(request.get_data()),
                         operator_name=operator_name,
                         command_id=command_id,
@@ -126,15 +156,63 @@
                 )
 
 
+def _plan_id(text: str) -> int:
+    if not _PLAN_ID.fullmatch(text):
+        raise errors.NotFoundError(f"there is no plan {text[:_SHOWN_LENGTH]!r}")
+    return int(text)
+
+
 def _acknowledged(body: bytes) -> list[str]:
     if not body:
         return []
     try:
-        return [str(name) for name in json.loads(body)["acknowledged"]]
-    except (ValueError, KeyError, TypeError) as error:
+        names = json.loads(body)["acknowledged"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        names = None
+    if not isinstance(names, list) or not all(map(_is_guard_name, names)):
         raise errors.BadInputError(
             'no confirmation; accepted is {"acknowledged": ["guard", ...]}'
-        ) from error
+        )
+    return names
+
+
+def _is_guard_name(value: object) -> bool:
+    return isinstance(value, str) and bool(_GUARD_NAME.fullmatch(value))
+
+
+def initialise(settings: settings_module.ControlInitSettings) -> int:
+    """Forms a group in an empty data folder; returns its cluster id.
+
+    Raises:
+        MembershipError: The folder belongs to a cluster already.
+        BadInputError: The members are not acceptable.
+        StorageError: The disk failed.
+    """
+    members = [
+        ttypes.Member(
+            name=member.name,
+            address=member.thrift_address,
+            http_address=member.http_address,
+        )
+        for member in settings.members
+    ]
+    return replica_module.initialise(
+        settings.data_folder, members, own_name=settings.name
+    )
+
+
+def _form_alone(
+    settings: settings_module.ControlSettings, member: ttypes.Member
+) -> None:
+    with contextlib.suppress(errors.MembershipError):
+        replica_module.initialise(
+            settings.data_folder, [member], own_name=settings.name
+        )
+
+
+def _end_process(error: errors.StorageError) -> None:
+    logs.event("disk_failed", level="ERROR", reason=error.message)
+    os._exit(error.exit_code)
 
 
 def run(settings: settings_module.ControlSettings) -> None:
--- a/tests/roles/test_bad_http.py
+++ b/tests/roles/test_bad_http.py
@@ -34,6 +34,7 @@
     "null bytes": b"GET /\0/v1 HTTP/1.1\r\n\r\n",
     "bad escape": b"GET /services/%ff%fe%00/x HTTP/1.1\r\n\r\n",
 }
+_OTHER_INTENT = b'[[service]]\nname = "other"\ncores = 1\nmemory = "1MB"\n'
 _ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy", "x")
 _JSON = strategies.recursive(
     strategies.none()
@@ -147,11 +148,11 @@
         timeout_s=targets.TIMEOUT_S,
     )
 
-    accepted = json.loads(body) in ([], {})
+    accepted = json.loads(body) == []
     assert answer.status_code == (200 if accepted else 400), answer.body
 
 
-@pytest.mark.parametrize("plan_id", ["0", "99999999999999999999999", "x", "-1"])
+@pytest.mark.parametrize("plan_id", ["0", "9" * 30, "x", "-1", "%C2%B2"])
 def test_confirming_what_is_no_plan_is_refused(
     local: targets.Target, plan_id: str
 ) -> None:
@@ -164,6 +165,34 @@
     assert local.state() == before
 
 
+@_FEW
+@hypothesis.given(
+    body=_JSON.map(lambda value: json.dumps(value).encode())
+    | strategies.binary(min_size=1, max_size=20)
+)
+def test_a_wrong_confirmation_confirms_nothing(
+    local: targets.Target, body: bytes
+) -> None:
+    hypothesis.assume(body.strip() != b'{"acknowledged": []}')
+    plan = json.loads(local.post("/v1/plans/apply", _OTHER_INTENT).body)
+    path = f"/v1/plans/{plan['plan_id']}/confirm"
+
+    answer = local.post(path, body)
+
+    assert answer.status_code == 400, answer.body
+    assert [name for name, _ in local.state()["tasks"]] == ["lookup/0"]
+
+
+@pytest.mark.parametrize("action", [a for a in _ACTIONS if a != "x"])
+@pytest.mark.parametrize("body", [b"[" * 20_000, b'{"a":' * 20_000])
+def test_a_body_that_is_nested_too_deep_is_refused(
+    local: targets.Target, action: str, body: bytes
+) -> None:
+    answer = local.post(f"/v1/plans/{action}", body)
+
+    assert answer.status_code == 400, answer.body
+
+
 def _check_unharmed(local: targets.Target, before: dict) -> None:
     assert local.state() == before
     for address in local.http_addresses():
