--- a/marigoldsill/coordination/control_link.py
+++ b/marigoldsill/coordination/control_link.py
@@ -41,6 +41,11 @@
         with self._lock:
             return self._call(method, request, timeout_s)
 
+    def look_elsewhere(self) -> None:
+        """Asks another process next: this one is no leader any more."""
+        with self._lock:
+            self._move_to(self._next_address())
+
     def close(self) -> None:
         """Closes the connection."""
         if self._connection is not None:
--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -4,18 +4,14 @@
 import uuid
 
 from marigoldsill import errors
-from marigoldsill.coordination import configuration
 from marigoldsill.coordination import endpoints as endpoints_module
 from marigoldsill.coordination import leases as leases_module
-from marigoldsill.coordination import orders
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination import watch_hub
+from marigoldsill.coordination import watch_service
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state import machine
 
 _PROPOSE_TIMEOUT_S = 2.0
-_WAIT_LIMIT_MS = 30_000
 
 
 class ControlService:
@@ -25,16 +21,17 @@
         leases: Leases that this process gave as leader.
         endpoints: Endpoints announced to it as leader.
         usage: Late measurements sent to it as leader.
+        watches: What it tells those that watch it.
     """
 
     def __init__(self, *, replica: replica_module.Replica):
         self._replica = replica
-        self._hub = watch_hub.WatchHub()
-        self._orders_version: dict[str, int] = {}
         self.leases = leases_module.LeaseTable()
         self.endpoints = endpoints_module.EndpointRegistry()
         self.usage = usage_module.UsageTable()
-        replica.on_applied(self._on_applied)
+        self.watches = watch_service.WatchService(
+            replica=replica, endpoints=self.endpoints
+        )
 
     def become_leader(self) -> None:
         """Starts the soft state of a new leader over."""
@@ -42,7 +39,7 @@
             lease_ms = self._replica.tables.policy.lease_ms
         self.leases.reset(lease_ms=lease_ms)
         self.endpoints.reset()
-        self._hub.wake_all()
+        self.watches.reset()
 
     def heartbeat(self, heartbeat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
         """Renews an agent's lease and records what it reports."""
@@ -75,17 +72,7 @@
 
     def watch(self, request: ttypes.WatchRequest) -> ttypes.WatchReply:
         """Answers when there is something new, or when the wait is over."""
-        self._require_leader()
-        if request.config_version == 0:
-            self._confirm_leadership()
-        wait_ms = min(max(request.wait_ms, 0), _WAIT_LIMIT_MS)
-        self._hub.wait(
-            request.subscriber,
-            lambda: self._has_news(request),
-            timeout_s=wait_ms / 1000,
-        )
-        self._require_leader()
-        return self._watch_reply(request)
+        return self.watches.watch(request)
 
     def claim(self, claim: ttypes.PutClaim) -> ttypes.CommandResult:
         """Claims a key for a non-idempotent request."""
@@ -99,69 +86,12 @@
 
     def endpoints_changed(self) -> None:
         """Tells entries that routes changed."""
-        self._hub.wake_all()
+        self.watches.routes_changed()
 
     def forget_agent(self, agent: str) -> None:
         """Takes an agent whose lease is over out of the routes."""
         if self.endpoints.remove(agent):
-            self._hub.wake_all()
-
-    def _watch_reply(self, request: ttypes.WatchRequest) -> ttypes.WatchReply:
-        with self._replica.lock:
-            tables = self._replica.tables
-            term = self._replica.term
-            reply = ttypes.WatchReply(
-                term=term,
-                config=configuration.delta_since(
-                    tables, request.config_version, request.config_checksum
-                ),
-            )
-            if request.role == ttypes.Role.AGENT:
-                version = self._orders_version.get(request.subscriber, 0)
-                if (request.orders_term, request.orders_version) != (
-                    term,
-                    version,
-                ):
-                    reply.orders = orders.for_worker(tables, request.subscriber)
-                    reply.orders_version = version
-            else:
-                version = self.endpoints.version
-                if (request.routes_term, request.routes_version) != (
-                    term,
-                    version,
-                ):
-                    reply.routes = self.endpoints.routes(tables.workers)
-                    reply.routes_version = version
-        return reply
-
-    def _has_news(self, request: ttypes.WatchRequest) -> bool:
-        if not self._replica.is_leader:
-            return True
-        tables = self._replica.tables
-        if request.config_version != tables.state_version:
-            return True
-        if request.config_checksum != tables.config_checksum:
-            return True
-        term = self._replica.term
-        if request.role == ttypes.Role.AGENT:
-            version = self._orders_version.get(request.subscriber, 0)
-            held = (request.orders_term, request.orders_version)
-            return held != (term, version)
-        held = (request.routes_term, request.routes_version)
-        return held != (term, self.endpoints.version)
-
-    def _on_applied(self, command: ttypes.Command) -> None:
-        tables = self._replica.tables
-        touched = tables.take_touched()
-        for worker in touched:
-            version = self._orders_version.get(worker, 0)
-            self._orders_version[worker] = version + 1
-        match machine.body_of(command):
-            case ttypes.ConfirmPlan() | ttypes.PutWorker():
-                self.endpoints.changed()
-                self._hub.wake_all()
-            case _:
-                self._hub.wake(touched)
+            self.watches.routes_changed()
 
     def _record_worker(
         self, worker: ttypes.Worker, known: ttypes.Worker | None
@@ -178,7 +108,7 @@
 
     def _record_endpoints(self, heartbeat: ttypes.Heartbeat) -> None:
         if self.endpoints.put(heartbeat.agent, heartbeat.endpoints):
-            self._hub.wake_all()
+            self.watches.routes_changed()
 
     def _unknown_agent(self) -> ttypes.HeartbeatReply:
         return ttypes.HeartbeatReply(
@@ -194,14 +124,6 @@
             leader_http_address=leader.http_address if leader else "",
         )
 
-    def _confirm_leadership(self) -> None:
-        try:
-            self._replica.confirm_leadership(timeout_s=_PROPOSE_TIMEOUT_S)
-        except errors.NotLeaderError as error:
-            raise ttypes.NotLeader() from error
-        except errors.NoQuorumError as error:
-            raise ttypes.NoQuorum() from error
-
     def _propose(self, **body: object) -> ttypes.CommandResult:
         command = ttypes.Command(
             command_id=str(uuid.uuid4()),
--- /dev/null
+++ b/marigoldsill/coordination/effects.py
@@ -0,0 +1,159 @@
+"""What a plan would do: its changes tried out on a copy of the tables.
+
+The same code makes the changes, ends the runs and places the queue as after a
+confirmation, so a prediction differs from what comes only by what happens in
+between.
+"""
+
+from collections.abc import Iterator
+
+from marigoldsill.coordination import placement
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import changes as changes_module
+from marigoldsill.state import runs
+from marigoldsill.state import tables as tables_module
+
+_PLACED_LIMIT = 100_000
+
+
+class Forecast:
+    """The tables before and after some changes, and where tasks would go.
+
+    Attributes:
+        before: The tables as they are; not changed.
+        after: A copy with the changes made and the runs that end ended.
+        grants: Where queued tasks of `after` would go, by task.
+        harm: The runs that the changes stop or move.
+    """
+
+    def __init__(
+        self,
+        tables: tables_module.Tables,
+        changes: list[ttypes.Change],
+        *,
+        live_agents: set[str],
+    ):
+        self.before = tables
+        self.harm = changes_module.harm(tables, changes)
+        self.after = tables.scratch()
+        changes_module.make(self.after, changes, 0)
+        self._end_runs()
+        self.grants = _grants(self.after, live_agents)
+        self._grants_before = _grants(tables, live_agents)
+        self._capacities = [w.capacity for w in self.after.workers.values()]
+
+    def effects(self) -> list[ttypes.Effect]:
+        """Every consequence, the harmful ones first."""
+        return [*self._ended(), *self._started(), *self._delayed()]
+
+    def can_ever_run(self, task: ttypes.Task) -> bool:
+        """Whether a worker that is known could hold a task when empty."""
+        wanted = self.after.owner_record(task).resources
+        return any(placement.fits(wanted, c) for c in self._capacities)
+
+    def has_place(self, task: ttypes.Task) -> bool:
+        """Whether a task runs after the changes, or could once there is room.
+
+        Workers that drain, are lost or in quarantine are no place.
+        """
+        if tables_module.holds_worker(task) or task.name in self.grants:
+            return True
+        wanted = self.after.owner_record(task).resources
+        return any(
+            placement.fits(wanted, worker.capacity)
+            for worker in self.after.workers.values()
+            if worker.state == ttypes.WorkerState.ACTIVE
+        )
+
+    def _end_runs(self) -> None:
+        runs.record_events(
+            self.after,
+            [
+                ttypes.RunEvent(
+                    task=task.name,
+                    epoch=task.epoch,
+                    kind=ttypes.RunEventKind.STOPPED,
+                )
+                for task in (self.after.tasks[e.subject] for e in self.harm)
+            ],
+            0,
+        )
+
+    def _ended(self) -> Iterator[ttypes.Effect]:
+        for effect in self.harm:
+            task = self.after.tasks.get(effect.subject)
+            if effect.verb != ttypes.EffectVerb.MOVE or task is None:
+                yield effect
+                continue
+            grant = self.grants.get(effect.subject)
+            where = "no other worker has room now; it waits"
+            if grant is not None:
+                where = f"would go to {grant.worker}"
+            yield ttypes.Effect(
+                verb=effect.verb,
+                subject=effect.subject,
+                worker=effect.worker,
+                reason=f"{effect.reason}; {where}",
+            )
+
+    def _started(self) -> Iterator[ttypes.Effect]:
+        moved = {effect.subject for effect in self.harm}
+        for name in self.after.queued:
+            if name in self.before.queued or name in moved:
+                continue
+            yield self._start_of(self.after.tasks[name])
+
+    def _start_of(self, task: ttypes.Task) -> ttypes.Effect:
+        grant = self.grants.get(task.name)
+        if grant is not None:
+            return ttypes.Effect(
+                verb=ttypes.EffectVerb.START,
+                subject=task.name,
+                worker=grant.worker,
+                reason=grant.reason,
+            )
+        if not self._capacities:
+            return _waits(task, "no worker is known yet")
+        if not self.can_ever_run(task):
+            return ttypes.Effect(
+                verb=ttypes.EffectVerb.NEVER_RUNS,
+                subject=task.name,
+                reason=f"{_asked(self.after, task)}: larger than every "
+                "worker known",
+            )
+        if not self.has_place(task):
+            return _waits(
+                task, "every worker that could hold it drains or is lost"
+            )
+        return _waits(task, "no worker has room now")
+
+    def _delayed(self) -> Iterator[ttypes.Effect]:
+        later = self._grants_before.keys() - self.grants.keys()
+        for name in sorted(later & self.after.queued.keys()):
+            yield _waits(
+                self.after.tasks[name], "what the plan starts goes before it"
+            )
+
+
+def _grants(
+    tables: tables_module.Tables, live_agents: set[str]
+) -> dict[str, ttypes.Assignment]:
+    placed = placement.place_queued(
+        tables, live_agents=live_agents, limit=_PLACED_LIMIT
+    )
+    return {grant.task: grant for grant in placed}
+
+
+def _waits(task: ttypes.Task, reason: str) -> ttypes.Effect:
+    return ttypes.Effect(
+        verb=ttypes.EffectVerb.WAIT, subject=task.name, reason=reason
+    )
+
+
+def _asked(tables: tables_module.Tables, task: ttypes.Task) -> str:
+    asked = tables.owner_record(task).resources
+    return (
+        f"asks for {asked.cpu_millicores} millicores, "
+        f"{asked.memory_bytes} bytes and {asked.accelerators_count} "
+        "accelerators"
+    )
--- a/marigoldsill/coordination/endpoints.py
+++ b/marigoldsill/coordination/endpoints.py
@@ -65,7 +65,7 @@
     worker: ttypes.Worker, endpoints: list[ttypes.EndpointInfo]
 ) -> list[ttypes.Route]:
     services = sorted({e.service_name for e in endpoints})
-    draining = worker.state == ttypes.WorkerState.DRAINING
+    draining = worker.draining
     return [
         ttypes.Route(
             agent=worker.name,
--- a/marigoldsill/coordination/planning.py
+++ b/marigoldsill/coordination/planning.py
@@ -1,17 +1,60 @@
 """From an operator's intent to a plan: what would change, and its effects."""
 
+import dataclasses
+
 from marigoldsill import errors
-from marigoldsill.coordination import placement
+from marigoldsill.coordination import effects as effects_module
+from marigoldsill.coordination import guards
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
 _KINDS = ("service", "batch_job", "watcher", "team")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Planner:
+    """Makes plans against the tables as they are now.
+
+    Attributes:
+        tables: The state; its lock is held by the caller.
+        observed: What the leader saw lately besides the tables.
+        operator_name: For whom.
+    """
+
+    tables: tables_module.Tables
+    observed: guards.Observed
+    operator_name: str
+
+    def make(self, changes: list[ttypes.Change]) -> ttypes.Plan:
+        """A plan of given changes, with its effects and guard rails."""
+        forecast = effects_module.Forecast(
+            self.tables, changes, live_agents=self.observed.live_agents
+        )
+        effects = forecast.effects()
+        return ttypes.Plan(
+            operator_name=self.operator_name,
+            state_version=self.tables.state_version,
+            changes=changes,
+            effects=effects,
+            guards=guards.check(
+                guards.Case(
+                    changes=changes,
+                    effects=effects,
+                    forecast=forecast,
+                    observed=self.observed,
+                )
+            ),
+        )
+
+
 def for_apply(
-    tables: tables_module.Tables, intent: ttypes.Intent, operator_name: str
-) -> ttypes.Plan:
-    """A plan that brings an intent file into force."""
+    tables: tables_module.Tables, intent: ttypes.Intent
+) -> list[ttypes.Change]:
+    """What brings an intent file into force.
+
+    Raises:
+        ConflictError: A name is taken, or a batch job of it has finished.
+    """
     declared = (
         [("service", record) for record in intent.services]
         + [("batch_job", record) for record in intent.batch_jobs]
@@ -19,31 +62,29 @@
         + [("team", record) for record in intent.teams]
     )
     changes = [_change(tables, kind, record) for kind, record in declared]
-    return make(tables, [c for c in changes if c is not None], operator_name)
+    return [change for change in changes if change is not None]
 
 
-def for_remove(
-    tables: tables_module.Tables, name: str, operator_name: str
-) -> ttypes.Plan:
-    """A plan that removes a declared thing.
+def for_remove(tables: tables_module.Tables, name: str) -> list[ttypes.Change]:
+    """What removes a declared thing.
 
     Raises:
         NotFoundError: Nothing has that name.
     """
     kind = _kind_of(tables, name)
-    record = _table(tables, kind)[name]
-    change = ttypes.Change(
-        verb=ttypes.ChangeVerb.REMOVE,
-        subject=f"{kind}/{name}",
-        before=describe(record),
-    )
-    return make(tables, [change], operator_name)
+    return [
+        ttypes.Change(
+            verb=ttypes.ChangeVerb.REMOVE,
+            subject=f"{kind}/{name}",
+            before=describe(_table(tables, kind)[name]),
+        )
+    ]
 
 
 def for_cancel(
-    tables: tables_module.Tables, names: list[str], operator_name: str
-) -> ttypes.Plan:
-    """A plan that cancels batch jobs.
+    tables: tables_module.Tables, names: list[str]
+) -> list[ttypes.Change]:
+    """What cancels batch jobs; those that have ended are left out.
 
     Raises:
         NotFoundError: One of the names is no batch job.
@@ -53,26 +94,22 @@
         raise errors.NotFoundError(
             f"no batch job is named {', '.join(map(repr, unknown))}"
         )
-    changes = [
+    return [
         ttypes.Change(
             verb=ttypes.ChangeVerb.CANCEL,
             subject=f"batch_job/{name}",
             before=describe(tables.batch_jobs[name]),
             after="cancelled",
         )
-        for name in names
+        for name in dict.fromkeys(names)
+        if any(_can_end(task) for task in tables.tasks_of(name))
     ]
-    return make(tables, changes, operator_name)
 
 
 def for_drain(
-    tables: tables_module.Tables,
-    name: str,
-    operator_name: str,
-    *,
-    drain: bool = True,
-) -> ttypes.Plan:
-    """A plan that drains a worker, or lets it take work again.
+    tables: tables_module.Tables, name: str, *, drain: bool = True
+) -> list[ttypes.Change]:
+    """What drains a worker, or lets it take work again.
 
     Raises:
         NotFoundError: No worker has that name.
@@ -80,44 +117,35 @@
     worker = tables.workers.get(name)
     if worker is None:
         raise errors.NotFoundError(f"no worker is named {name!r}")
-    verb = ttypes.ChangeVerb.DRAIN if drain else ttypes.ChangeVerb.UNDRAIN
-    change = ttypes.Change(
-        verb=verb,
-        subject=f"worker/{name}",
-        before=ttypes.WorkerState(worker.state).name.lower(),
-        after="draining" if drain else "active",
-    )
-    return make(tables, [change], operator_name)
+    if worker.draining == drain:
+        return []
+    return [
+        ttypes.Change(
+            verb=(
+                ttypes.ChangeVerb.DRAIN if drain else ttypes.ChangeVerb.UNDRAIN
+            ),
+            subject=f"worker/{name}",
+            before="draining" if worker.draining else "takes work",
+            after="draining" if drain else "takes work",
+        )
+    ]
 
 
 def for_policy(
-    tables: tables_module.Tables, policy: ttypes.Policy, operator_name: str
-) -> ttypes.Plan:
-    """A plan that sets the operator policy."""
-    change = ttypes.Change(
-        verb=ttypes.ChangeVerb.POLICY,
-        subject="policy",
-        policy_after=policy,
-        before=describe(tables.policy),
-        after=describe(policy),
-    )
-    return make(tables, [change], operator_name)
-
-
-def make(
-    tables: tables_module.Tables,
-    changes: list[ttypes.Change],
-    operator_name: str,
-) -> ttypes.Plan:
-    """A plan of given changes with the effects that they would have."""
-    effects = [e for change in changes for e in _effects(tables, change)]
-    return ttypes.Plan(
-        operator_name=operator_name,
-        state_version=tables.state_version,
-        changes=changes,
-        effects=effects,
-        guards=[],
-    )
+    tables: tables_module.Tables, policy: ttypes.Policy
+) -> list[ttypes.Change]:
+    """What sets the operator policy."""
+    if policy == tables.policy:
+        return []
+    return [
+        ttypes.Change(
+            verb=ttypes.ChangeVerb.POLICY,
+            subject="policy",
+            policy_after=policy,
+            before=describe(tables.policy),
+            after=describe(policy),
+        )
+    ]
 
 
 def describe(record: object) -> str:
@@ -154,6 +182,8 @@
     if old == record:
         return None
     _check_name_free(tables, kind, record.name)
+    if kind == "batch_job":
+        _check_job(tables, record.name, new=old is None)
     verb = ttypes.ChangeVerb.ADD if old is None else ttypes.ChangeVerb.REPLACE
     return ttypes.Change(
         verb=verb,
@@ -179,54 +209,24 @@
         )
 
 
-def _effects(
-    tables: tables_module.Tables, change: ttypes.Change
-) -> list[ttypes.Effect]:
-    name = change.subject.partition("/")[2]
-    match change.verb:
-        case ttypes.ChangeVerb.ADD | ttypes.ChangeVerb.REPLACE:
-            return _effects_of_put(tables, change, name)
-        case ttypes.ChangeVerb.REMOVE | ttypes.ChangeVerb.CANCEL:
-            return [
-                ttypes.Effect(
-                    verb=ttypes.EffectVerb.STOP,
-                    subject=task.name,
-                    worker=task.worker,
-                    reason="removed or cancelled",
-                )
-                for task in tables.tasks_of(name)
-                if tables_module.holds_worker(task)
-            ]
-        case ttypes.ChangeVerb.DRAIN:
-            return [
-                ttypes.Effect(
-                    verb=ttypes.EffectVerb.MOVE,
-                    subject=task.name,
-                    worker=name,
-                    reason=f"{name} drains",
-                )
-                for task in tables.tasks_on(name)
-            ]
-        case _:
-            return []
-
-
-def _effects_of_put(
-    tables: tables_module.Tables, change: ttypes.Change, name: str
-) -> list[ttypes.Effect]:
-    record = change.service_after or change.batch_job_after
-    record = record or change.watcher_after
-    if record is None:
-        return []
-    count = getattr(record, "instances_count", 1)
-    held = tables.tasks_by_owner.get(name, set())
-    new = [f"{name}/{i}" for i in range(count) if f"{name}/{i}" not in held]
-    possible = any(
-        placement.fits(record.resources, worker.capacity)
-        for worker in tables.workers.values()
-    )
-    verb = ttypes.EffectVerb.START if possible else ttypes.EffectVerb.NEVER_RUNS
-    reason = "new" if possible else "larger than every worker known"
-    return [
-        ttypes.Effect(verb=verb, subject=task, reason=reason) for task in new
-    ]
+def _can_end(task: ttypes.Task) -> bool:
+    if task.state == ttypes.TaskState.QUEUED:
+        return True
+    return tables_module.holds_worker(task) and not task.final_stop
+
+
+def _check_job(tables: tables_module.Tables, name: str, *, new: bool) -> None:
+    """A batch job runs once: an end is not undone by a changed file."""
+    tasks = tables.tasks_of(name)
+    if new and tasks:
+        raise errors.ConflictError(
+            f"the batch job {name!r} that was removed is still stopping on "
+            f"{tasks[0].worker}; apply again once it has stopped, or choose "
+            "another name"
+        )
+    if any(task.state == ttypes.TaskState.DONE for task in tasks):
+        raise errors.ConflictError(
+            f"the batch job {name!r} has finished and is not run again by a "
+            "changed declaration. Give the new work a new name, or remove "
+            f"{name!r} first and apply again"
+        )
--- a/marigoldsill/coordination/subscriber.py
+++ b/marigoldsill/coordination/subscriber.py
@@ -4,16 +4,19 @@
 from collections.abc import Sequence
 from concurrent import futures
 import threading
+import time
 
 from marigoldsill import errors
 from marigoldsill.coordination import configuration as configuration_module
 from marigoldsill.coordination import control_link
+from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
 from marigoldsill.transport import logs
 
 _WAIT_MS = 2_000
 _ANSWER_MARGIN_S = 1.0
+_ANSWER_LIMIT_S = _WAIT_MS / 1000 + _ANSWER_MARGIN_S
 _PAUSE_S = 0.1
 
 
@@ -45,6 +48,7 @@
         self._list_term = 0
         self._list_version = 0
         self._term = 0
+        self._called: set[str] = set()
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "subscriber")
 
@@ -58,15 +62,14 @@
         self._link.close()
         self._pool.shutdown(wait=False)
 
+    def note_call(self, service: str) -> None:
+        """Notes that a service had a caller; control learns of it."""
+        self._called.add(service)
+
     def _loop(self) -> None:
         while not self._stopping.is_set():
             try:
-                reply = self._link.call(
-                    "watch",
-                    self._request(),
-                    timeout_s=_WAIT_MS / 1000 + _ANSWER_MARGIN_S,
-                )
-                self._take(reply)
+                self._watch()
             except errors.MarigoldsillError as error:
                 logs.event("watch_waits", level="DEBUG", reason=error.message)
                 self._stopping.wait(_PAUSE_S)
@@ -74,29 +77,53 @@
                 logs.event("watch_failed", level="ERROR", reason=repr(error))
                 self._stopping.wait(_PAUSE_S)
 
+    def _watch(self) -> None:
+        start_s = time.monotonic()
+        reply = self._link.call(
+            "watch", self._request(), timeout_s=_ANSWER_LIMIT_S
+        )
+        if time.monotonic() - start_s > _ANSWER_LIMIT_S:
+            # This process was frozen: what it read may be long out of date.
+            logs.event("late_answer", level="WARNING", term=reply.term)
+            return
+        self._take(reply)
+
     def _request(self) -> ttypes.WatchRequest:
         held = self.configuration
         return ttypes.WatchRequest(
             role=self._role,
             subscriber=self._name,
-            config_version=held.version,
-            config_checksum=held.checksum,
+            config_version=0 if held.wants_whole else held.version,
+            config_checksum=0 if held.wants_whole else held.checksum,
             routes_term=self._list_term,
             routes_version=self._list_version,
             orders_term=self._list_term,
             orders_version=self._list_version,
-            wait_ms=_WAIT_MS,
+            wait_ms=_WAIT_MS if self.ready.is_set() else 0,
+            called_services=self._take_called(),
         )
 
+    def _take_called(self) -> list[str]:
+        called, self._called = self._called, set()
+        return sorted(called)
+
     def _take(self, reply: ttypes.WatchReply) -> None:
         if reply.term < self._term:
             logs.event("stale_leader", term=reply.term, known=self._term)
+            self._link.look_elsewhere()
             return
         self._term = reply.term
-        if self.configuration.apply(reply.config):
-            logs.event("config_in_force", version=reply.config.version)
+        delta = codec.decode(ttypes.ConfigDelta(), reply.encoded_config)
+        if self.configuration.apply(delta, term=reply.term):
+            logs.event("config_in_force", version=delta.version)
+        if self.configuration.wants_whole:
+            logs.event(
+                "config_check_failed", level="ERROR", delta=delta.version
+            )
+            return
         if reply.routes is not None or reply.orders is not None:
             self._list_term = reply.term
             self._list_version = max(reply.routes_version, reply.orders_version)
         self._on_reply(reply)
-        self.ready.set()
+        if self.configuration.known:
+            self.ready.set()
--- a/marigoldsill/coordination/usage.py
+++ b/marigoldsill/coordination/usage.py
@@ -42,3 +42,14 @@
         """The last measurement of each task, by name."""
         with self._lock:
             return dict(self._last)
+
+    def largest_by_owner(self) -> dict[str, ttypes.Resources]:
+        """The largest use last seen among the tasks of each owner."""
+        sizes: dict[str, ttypes.Resources] = {}
+        for task, seen in self.last().items():
+            size = sizes.setdefault(task.rpartition("/")[0], ttypes.Resources())
+            size.cpu_millicores = max(
+                size.cpu_millicores, seen.usage.cpu_millicores
+            )
+            size.memory_bytes = max(size.memory_bytes, seen.usage.memory_bytes)
+        return sizes
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -120,7 +120,8 @@
   5: string agent_address,        // host:port, thrift
   6: WorkerState state = 1,
   7: i64 incarnation = 0,         // of its agent
-  8: string reason = ""
+  8: string reason = "",
+  9: bool draining = false        // an operator's word; survives its loss
 }
 
 enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
@@ -464,7 +465,15 @@
   6: i64 routes_version = 0,
   7: i64 orders_term = 0,
   8: i64 orders_version = 0,
-  9: i64 wait_ms = 1000
+  9: i64 wait_ms = 1000,
+  10: list<string> called_services = []   // entries: had callers lately
+}
+
+/** The version of one thing that a configuration holds. */
+struct ItemVersion {
+  1: string subject,              // "service/lookup", "worker/w1", "policy"
+  2: i64 version,
+  3: bool removed = false
 }
 
 /** Configuration since the version the subscriber named. */
@@ -475,16 +484,18 @@
   4: list<Service> services = [],
   5: list<string> removed_services = [],
   6: optional Policy policy,
-  7: list<string> draining_workers = []
+  7: list<string> draining_workers = [],
+  8: list<ItemVersion> items = []     // versions of all that is new or gone
 }
 
 struct WatchReply {
   1: i64 term,
-  2: ConfigDelta config,
+  2: optional ConfigDelta config,   // no longer set: see encoded_config
   3: optional list<Route> routes,   // entries; complete when set
   4: i64 routes_version = 0,
   5: optional list<Order> orders,   // agents; complete when set
-  6: i64 orders_version = 0
+  6: i64 orders_version = 0,
+  7: binary encoded_config = ""     // a ConfigDelta, encoded once for many
 }
 
 service Control {
@@ -568,5 +579,9 @@
   13: list<AuditRecord> audit,
   14: list<Claim> claims,
   15: list<StoredResult> results,
-  16: list<Member> members = []
+  16: list<Member> members = [],
+  17: i64 epoch_floor = 0,          // no epoch of a removed task is above it
+  18: i64 forgotten_version = 0,    // tombstones up to it may be gone
+  19: list<StoredResult> operator_results = [],
+  20: i64 config_version = 0
 }
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -110,14 +110,25 @@
                 return common.json_response(self._operators.status())
             case ("GET", "v1", "explain", name):
                 return common.json_response(self._operators.explain(name))
+            case ("GET", "v1", "plans", plan_id) if plan_id.isdigit():
+                return common.json_response(self._operators.show(int(plan_id)))
             case ("GET", "v1", "audit"):
-                return common.json_response(self._operators.audit())
+                since = _sequence(request.args.get("since", "0"))
+                return common.json_response(self._operators.audit(since=since))
             case _:
                 raise errors.NotFoundError(
                     f"{request.method} {request.path} is nothing here"
                 )
 
 
+def _sequence(text: str) -> int:
+    if not text.isdigit():
+        raise errors.BadInputError(
+            f"since is {text!r}; accepted is the sequence number of a record"
+        )
+    return int(text)
+
+
 def _acknowledged(body: bytes) -> list[str]:
     if not body:
         return []
--- a/marigoldsill/roles/entry.py
+++ b/marigoldsill/roles/entry.py
@@ -102,6 +102,7 @@
         service = self._subscriber.configuration.service(name)
         if service is None:
             raise errors.NotFoundError(f"no service is named {name!r}")
+        self._subscriber.note_call(name)
         query = request.query_string.decode("latin-1")
         key = request.headers.get("Idempotency-Key", "")
         idempotent = request.method in _SAFE_METHODS and not key
--- /dev/null
+++ b/marigoldsill/state/changes.py
@@ -0,0 +1,214 @@
+"""What each confirmed change does to the tables, and whom it harms."""
+
+from collections.abc import Iterable
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import runs
+from marigoldsill.state import tables as tables_module
+
+HARMFUL = frozenset(
+    {
+        ttypes.EffectVerb.STOP,
+        ttypes.EffectVerb.MOVE,
+        ttypes.EffectVerb.EVICT,
+        ttypes.EffectVerb.NEVER_RUNS,
+    }
+)
+_ENDED = frozenset(
+    {
+        ttypes.TaskState.CANCELLED,
+        ttypes.TaskState.FAILED,
+        ttypes.TaskState.IMPOSSIBLE,
+    }
+)
+
+
+def make(
+    tables: tables_module.Tables,
+    changes: Iterable[ttypes.Change],
+    now_unix_ms: int,
+) -> None:
+    """Makes changes, one after another."""
+    for change in changes:
+        _make_change(tables, change, now_unix_ms)
+
+
+def harm(
+    tables: tables_module.Tables, changes: Iterable[ttypes.Change]
+) -> list[ttypes.Effect]:
+    """The runs that changes would stop or move, as the tables are now."""
+    return [e for change in changes for e in _harm_of(tables, change)]
+
+
+def harmful_keys(
+    effects: Iterable[ttypes.Effect],
+) -> set[tuple[ttypes.EffectVerb, str]]:
+    """What has to agree between a plan and its confirmation."""
+    return {(e.verb, e.subject) for e in effects if e.verb in HARMFUL}
+
+
+def _harm_of(
+    tables: tables_module.Tables, change: ttypes.Change
+) -> list[ttypes.Effect]:
+    name = change.subject.partition("/")[2]
+    match change.verb:
+        case ttypes.ChangeVerb.REMOVE:
+            return _stops(tables.tasks_of(name), f"{name} is removed")
+        case ttypes.ChangeVerb.CANCEL:
+            return _stops(tables.tasks_of(name), f"{name} is cancelled")
+        case ttypes.ChangeVerb.REPLACE if change.service_after is not None:
+            wanted = _names(name, change.service_after.instances_count)
+            gone = [t for t in tables.tasks_of(name) if t.name not in wanted]
+            return _stops(gone, f"{name} is scaled down")
+        case ttypes.ChangeVerb.DRAIN:
+            return [
+                ttypes.Effect(
+                    verb=ttypes.EffectVerb.MOVE,
+                    subject=task.name,
+                    worker=name,
+                    reason=f"{name} drains",
+                )
+                for task in tables.tasks_on(name)
+                if task.state != ttypes.TaskState.STOPPING
+            ]
+        case _:
+            return []
+
+
+def _stops(tasks: list[ttypes.Task], reason: str) -> list[ttypes.Effect]:
+    return [
+        ttypes.Effect(
+            verb=ttypes.EffectVerb.STOP,
+            subject=task.name,
+            worker=task.worker,
+            reason=reason,
+        )
+        for task in tasks
+        if tables_module.holds_worker(task) and not task.final_stop
+    ]
+
+
+def _make_change(
+    tables: tables_module.Tables, change: ttypes.Change, now_unix_ms: int
+) -> None:
+    name = change.subject.partition("/")[2]
+    match change.verb:
+        case ttypes.ChangeVerb.ADD | ttypes.ChangeVerb.REPLACE:
+            _put(tables, change, now_unix_ms)
+        case ttypes.ChangeVerb.REMOVE:
+            _remove(tables, change.subject)
+        case ttypes.ChangeVerb.CANCEL:
+            for task in tables.tasks_of(name):
+                runs.stop_for_good(tables, task.name, "cancelled")
+        case ttypes.ChangeVerb.DRAIN:
+            _drain(tables, name)
+        case ttypes.ChangeVerb.UNDRAIN:
+            runs.set_draining(tables, name, draining=False)
+        case ttypes.ChangeVerb.POLICY:
+            tables.policy = change.policy_after
+
+
+def _put(
+    tables: tables_module.Tables, change: ttypes.Change, now_unix_ms: int
+) -> None:
+    if change.service_after is not None:
+        service = change.service_after
+        tables.services[service.name] = service
+        _scale(
+            tables,
+            service.name,
+            ttypes.Kind.SERVICE,
+            service.instances_count,
+            now_unix_ms,
+        )
+    elif change.batch_job_after is not None:
+        job = change.batch_job_after
+        tables.batch_jobs[job.name] = job
+        _scale(tables, job.name, ttypes.Kind.BATCH_JOB, 1, now_unix_ms)
+    elif change.watcher_after is not None:
+        watcher = change.watcher_after
+        tables.watchers[watcher.name] = watcher
+        _scale(tables, watcher.name, ttypes.Kind.WATCHER, 1, now_unix_ms)
+    elif change.team_after is not None:
+        tables.teams[change.team_after.name] = change.team_after
+
+
+def _names(owner: str, count: int) -> set[str]:
+    return {f"{owner}/{index}" for index in range(count)}
+
+
+def _scale(
+    tables: tables_module.Tables,
+    owner: str,
+    kind: ttypes.Kind,
+    count: int,
+    now_unix_ms: int,
+) -> None:
+    wanted = _names(owner, count)
+    held = set(tables.tasks_by_owner.get(owner, ()))
+    for name in sorted(wanted - held):
+        tables.put_task(
+            ttypes.Task(
+                name=name,
+                owner=owner,
+                kind=kind,
+                epoch=tables.epoch_floor,
+                queued_unix_ms=now_unix_ms,
+                reserved=ttypes.Resources(),
+                reason="waits for a worker",
+            )
+        )
+    for name in sorted(wanted & held):
+        _want_again(tables, tables.tasks[name], now_unix_ms)
+    for name in sorted(held - wanted):
+        runs.stop_for_good(tables, name, "scaled down")
+
+
+def _want_again(
+    tables: tables_module.Tables, task: ttypes.Task, now_unix_ms: int
+) -> None:
+    """Takes back the end of a task; a finished batch job stays finished."""
+    if task.final_stop and tables_module.holds_worker(task):
+        tables.change_task(
+            task.name, final_stop=False, reason="declared again while it stops"
+        )
+    elif task.state in _ENDED:
+        tables.change_task(
+            task.name,
+            state=ttypes.TaskState.QUEUED,
+            final_stop=False,
+            failures_count=0,
+            queued_unix_ms=now_unix_ms,
+            reason="declared again",
+        )
+
+
+def _remove(tables: tables_module.Tables, subject: str) -> None:
+    kind, _, name = subject.partition("/")
+    match kind:
+        case "service":
+            tables.services.pop(name, None)
+        case "batch_job":
+            tables.batch_jobs.pop(name, None)
+        case "watcher":
+            tables.watchers.pop(name, None)
+        case "team":
+            tables.teams.pop(name, None)
+            return
+    for task in tables.tasks_of(name):
+        runs.stop_for_good(tables, task.name, "removed")
+        if not tables_module.holds_worker(tables.tasks[task.name]):
+            tables.remove_task(task.name)
+
+
+def _drain(tables: tables_module.Tables, name: str) -> None:
+    runs.set_draining(tables, name, draining=True)
+    runs.evict(
+        tables,
+        [
+            ttypes.Eviction(
+                task=task.name, epoch=task.epoch, reason=f"{name} drains"
+            )
+            for task in tables.tasks_on(name)
+        ],
+    )
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -12,6 +12,7 @@
 from marigoldsill.state import tables as tables_module
 
 RESULTS_LIMIT = 20_000
+OPERATOR_RESULTS_LIMIT = 10_000
 
 _BODIES = (
     "record_plan",
@@ -27,6 +28,11 @@
     "no_operation",
     "change_members",
 )
+_OPERATOR_BODIES = (
+    ttypes.RecordPlan,
+    ttypes.ConfirmPlan,
+    ttypes.RefusePlan,
+)
 
 
 def body_of(command: ttypes.Command) -> object:
@@ -39,15 +45,23 @@
     tables: tables_module.Tables, command: ttypes.Command
 ) -> ttypes.CommandResult:
     """Applies one command and returns its result."""
-    known = tables.results.get(command.command_id)
+    known = result_of(tables, command.command_id)
     if known is not None:
         return known
     result = _apply_body(tables, command)
     if command.command_id:
-        _remember(tables, command.command_id, result)
+        _remember(tables, command, result)
     return result
 
 
+def result_of(
+    tables: tables_module.Tables, command_id: str
+) -> ttypes.CommandResult | None:
+    """The result of a command that was applied, or None."""
+    known = tables.operator_results.get(command_id)
+    return known or tables.results.get(command_id)
+
+
 def _apply_body(
     tables: tables_module.Tables, command: ttypes.Command
 ) -> ttypes.CommandResult:
@@ -86,9 +100,14 @@
 
 def _remember(
     tables: tables_module.Tables,
-    command_id: str,
+    command: ttypes.Command,
     result: ttypes.CommandResult,
 ) -> None:
-    tables.results[command_id] = result
-    if len(tables.results) > RESULTS_LIMIT:
-        del tables.results[next(iter(tables.results))]
+    # Kept apart: the stream of agents' and entries' commands must not push
+    # out what an operator may still resend.
+    results, limit = tables.results, RESULTS_LIMIT
+    if isinstance(body_of(command), _OPERATOR_BODIES):
+        results, limit = tables.operator_results, OPERATOR_RESULTS_LIMIT
+    results[command.command_id] = result
+    if len(results) > limit:
+        del results[next(iter(results))]
--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -1,20 +1,35 @@
 """Plans: recorded, then confirmed once against the versions they saw."""
 
+import dataclasses
+
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
-from marigoldsill.state import runs
+from marigoldsill.state import changes
 from marigoldsill.state import tables as tables_module
 
 PLANS_LIMIT = 1_000
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Refusal:
+    """Why a plan may not be confirmed.
+
+    Attributes:
+        outcome: What the operator's command gets.
+        message: What was wrong and what to do.
+        final: Whether the plan is refused for good.
+    """
+
+    outcome: ttypes.Outcome
+    message: str
+    final: bool = True
+
+
 def record(
     tables: tables_module.Tables, plan: ttypes.Plan, now_unix_ms: int
 ) -> ttypes.CommandResult:
     """Keeps a plan under a new id."""
-    values = {slot: getattr(plan, slot) for slot in ttypes.Plan.__slots__}
-    values |= {"plan_id": tables.next_plan_id, "created_unix_ms": now_unix_ms}
-    kept = ttypes.Plan(**values)
+    kept = _with(plan, plan_id=tables.next_plan_id, created_unix_ms=now_unix_ms)
     tables.plans[kept.plan_id] = kept
     tables.next_plan_id += 1
     if len(tables.plans) > PLANS_LIMIT:
@@ -28,45 +43,25 @@
     confirmation: ttypes.ConfirmPlan,
     now_unix_ms: int,
 ) -> ttypes.CommandResult:
-    """Makes a plan's changes, if nothing it touches has changed since."""
+    """Makes a plan's changes, if they would do what the plan says."""
     plan = tables.plans.get(confirmation.plan_id)
     if plan is None:
         return _result(tables, confirmation.plan_id, ttypes.Outcome.NOT_FOUND)
-    if plan.state != ttypes.PlanState.PENDING:
-        return _result(
-            tables,
-            plan.plan_id,
-            ttypes.Outcome.CONFLICT,
-            f"plan {plan.plan_id} was already "
-            f"{ttypes.PlanState(plan.state).name.lower()}",
-        )
-    winner = _winner(tables, plan)
-    if winner is not None:
-        message = (
-            f"plan {plan.plan_id} was made against state version "
-            f"{plan.state_version}, but version {winner.version} of "
-            f"{winner.subject} is in force (changed by plan "
-            f"{winner.plan_id}, operator {winner.operator_name!r}). "
-            "Make the plan again to see what it would do now."
+    refusal = _refusal(tables, plan, confirmation)
+    if refusal is not None:
+        return _refuse(
+            tables, plan, refusal, confirmation.operator_name, now_unix_ms
         )
-        return _refused(
-            tables, plan, ttypes.Outcome.CONFLICT, message, now_unix_ms
-        )
-    missing = _unacknowledged(plan, confirmation)
-    if missing:
-        message = (
-            f"plan {plan.plan_id} hit guard rails that must be acknowledged "
-            f"by name: {', '.join(missing)}"
-        )
-        return _result(tables, plan.plan_id, ttypes.Outcome.GUARDED, message)
-    _make_changes(tables, plan, confirmation.operator_name, now_unix_ms)
-    plan.state = ttypes.PlanState.CONFIRMED
+    changes.make(tables, plan.changes, now_unix_ms)
+    _note_versions(tables, plan, confirmation.operator_name)
+    plan = _set_state(tables, plan, ttypes.PlanState.CONFIRMED)
     audit.append(
         tables,
         ttypes.AuditVerb.CONFIRMED,
         plan,
         now_unix_ms,
         operator_name=confirmation.operator_name,
+        reason=_acknowledged(plan),
     )
     return _result(tables, plan.plan_id)
 
@@ -76,32 +71,20 @@
     refusal: ttypes.RefusePlan,
     now_unix_ms: int,
 ) -> ttypes.CommandResult:
-    """Ends a plan that may not be confirmed any more."""
+    """Ends a plan whose effects would be others now."""
     plan = tables.plans.get(refusal.plan_id)
-    if plan is None or plan.state != ttypes.PlanState.PENDING:
+    if plan is None:
         return _result(tables, refusal.plan_id, ttypes.Outcome.NOT_FOUND)
-    return _refused(
-        tables, plan, ttypes.Outcome.STALE, refusal.reason, now_unix_ms
-    )
-
-
-def _refused(
-    tables: tables_module.Tables,
-    plan: ttypes.Plan,
-    outcome: ttypes.Outcome,
-    message: str,
-    now_unix_ms: int,
-) -> ttypes.CommandResult:
-    plan.state = ttypes.PlanState.REFUSED
-    audit.append(
-        tables, ttypes.AuditVerb.REFUSED, plan, now_unix_ms, reason=message
+    reason = _already(tables, plan) or _Refusal(
+        ttypes.Outcome.STALE, refusal.reason
     )
-    return _result(tables, plan.plan_id, outcome, message)
+    return _refuse(tables, plan, reason, refusal.operator_name, now_unix_ms)
 
 
-def _winner(
+def winner(
     tables: tables_module.Tables, plan: ttypes.Plan
 ) -> ttypes.SubjectVersion | None:
+    """A change of what the plan touches that came after it was made."""
     touched = (tables.versions.get(c.subject) for c in plan.changes)
     later = (
         v for v in touched if v is not None and v.version > plan.state_version
@@ -109,22 +92,125 @@
     return next(later, None)
 
 
-def _unacknowledged(
+def _refusal(
+    tables: tables_module.Tables,
+    plan: ttypes.Plan,
+    confirmation: ttypes.ConfirmPlan,
+) -> _Refusal | None:
+    return (
+        _already(tables, plan)
+        or _conflict(tables, plan)
+        or _other_harm(tables, plan)
+        or _guarded(plan, confirmation)
+    )
+
+
+def _already(
+    tables: tables_module.Tables, plan: ttypes.Plan
+) -> _Refusal | None:
+    if plan.state == ttypes.PlanState.PENDING:
+        return None
+    state = ttypes.PlanState(plan.state).name.lower()
+    by = audit.last_of(tables, plan.plan_id)
+    who = f" by operator {by.operator_name!r}" if by is not None else ""
+    return _Refusal(
+        ttypes.Outcome.CONFLICT,
+        f"plan {plan.plan_id} was already {state}{who}; make a new plan to "
+        "change anything more",
+        final=False,
+    )
+
+
+def _conflict(
+    tables: tables_module.Tables, plan: ttypes.Plan
+) -> _Refusal | None:
+    later = winner(tables, plan)
+    if later is not None:
+        return _Refusal(
+            ttypes.Outcome.CONFLICT,
+            f"plan {plan.plan_id} was made against state version "
+            f"{plan.state_version}, but version {later.version} of "
+            f"{later.subject} is in force (changed by plan "
+            f"{later.plan_id}, operator {later.operator_name!r}). "
+            "Make the plan again to see what it would do now.",
+        )
+    if plan.state_version < tables.forgotten_version:
+        return _Refusal(
+            ttypes.Outcome.CONFLICT,
+            f"plan {plan.plan_id} was made against state version "
+            f"{plan.state_version}; what was removed up to version "
+            f"{tables.forgotten_version} is forgotten, so conflicts can't be "
+            "ruled out. Make the plan again.",
+        )
+    return None
+
+
+def _other_harm(
+    tables: tables_module.Tables, plan: ttypes.Plan
+) -> _Refusal | None:
+    planned = changes.harmful_keys(plan.effects)
+    now = changes.harmful_keys(changes.harm(tables, plan.changes))
+    if now <= planned:
+        return None
+    verb, subject = min(now - planned)
+    return _Refusal(
+        ttypes.Outcome.STALE,
+        f"plan {plan.plan_id} would now also "
+        f"{ttypes.EffectVerb(verb).name.lower()} {subject} "
+        f"({len(now - planned)} effects that were not planned). "
+        "Make the plan again to see what it would do now.",
+    )
+
+
+def _guarded(
     plan: ttypes.Plan, confirmation: ttypes.ConfirmPlan
-) -> list[str]:
+) -> _Refusal | None:
     given = set(confirmation.acknowledged_guards)
-    return sorted({g.name for g in plan.guards} - given)
+    missing = [g for g in plan.guards if g.name not in given]
+    if not missing:
+        return None
+    told = "; ".join(f"{g.name}: {g.message}" for g in missing)
+    options = " ".join(
+        f"--acknowledge {name}" for name in sorted({g.name for g in missing})
+    )
+    return _Refusal(
+        ttypes.Outcome.GUARDED,
+        f"plan {plan.plan_id} hit guard rails ({told}). If that is meant, "
+        f"confirm it with {options}",
+        final=False,
+    )
 
 
-def _make_changes(
+def _refuse(
     tables: tables_module.Tables,
     plan: ttypes.Plan,
+    refusal: _Refusal,
     operator_name: str,
     now_unix_ms: int,
+) -> ttypes.CommandResult:
+    if refusal.final:
+        plan = _set_state(tables, plan, ttypes.PlanState.REFUSED)
+    audit.append(
+        tables,
+        ttypes.AuditVerb.REFUSED,
+        plan,
+        now_unix_ms,
+        operator_name=operator_name,
+        reason=refusal.message,
+    )
+    return _result(tables, plan.plan_id, refusal.outcome, refusal.message)
+
+
+def _acknowledged(plan: ttypes.Plan) -> str:
+    names = sorted({guard.name for guard in plan.guards})
+    return f"acknowledged {', '.join(names)}" if names else ""
+
+
+def _note_versions(
+    tables: tables_module.Tables, plan: ttypes.Plan, operator_name: str
 ) -> None:
     tables.state_version += 1
     for change in plan.changes:
-        _make_change(tables, change, now_unix_ms)
         tables.set_version(
             ttypes.SubjectVersion(
                 subject=change.subject,
@@ -136,99 +222,16 @@
         )
 
 
-def _make_change(
-    tables: tables_module.Tables, change: ttypes.Change, now_unix_ms: int
-) -> None:
-    name = change.subject.partition("/")[2]
-    match change.verb:
-        case ttypes.ChangeVerb.ADD | ttypes.ChangeVerb.REPLACE:
-            _put(tables, change, now_unix_ms)
-        case ttypes.ChangeVerb.REMOVE:
-            _remove(tables, change.subject)
-        case ttypes.ChangeVerb.CANCEL:
-            for task in tables.tasks_of(name):
-                runs.stop_for_good(tables, task.name, "cancelled")
-        case ttypes.ChangeVerb.DRAIN:
-            _set_worker(tables, name, ttypes.WorkerState.DRAINING)
-        case ttypes.ChangeVerb.UNDRAIN:
-            _set_worker(tables, name, ttypes.WorkerState.ACTIVE)
-        case ttypes.ChangeVerb.POLICY:
-            tables.policy = change.policy_after
-
-
-def _put(
-    tables: tables_module.Tables, change: ttypes.Change, now_unix_ms: int
-) -> None:
-    if change.service_after is not None:
-        service = change.service_after
-        tables.services[service.name] = service
-        _scale(
-            tables,
-            service.name,
-            ttypes.Kind.SERVICE,
-            service.instances_count,
-            now_unix_ms,
-        )
-    elif change.batch_job_after is not None:
-        job = change.batch_job_after
-        tables.batch_jobs[job.name] = job
-        _scale(tables, job.name, ttypes.Kind.BATCH_JOB, 1, now_unix_ms)
-    elif change.watcher_after is not None:
-        watcher = change.watcher_after
-        tables.watchers[watcher.name] = watcher
-        _scale(tables, watcher.name, ttypes.Kind.WATCHER, 1, now_unix_ms)
-    elif change.team_after is not None:
-        tables.teams[change.team_after.name] = change.team_after
-
-
-def _scale(
-    tables: tables_module.Tables,
-    owner: str,
-    kind: ttypes.Kind,
-    count: int,
-    now_unix_ms: int,
-) -> None:
-    wanted = {f"{owner}/{index}" for index in range(count)}
-    held = tables.tasks_by_owner.get(owner, set())
-    for name in sorted(wanted - held):
-        tables.put_task(
-            ttypes.Task(
-                name=name,
-                owner=owner,
-                kind=kind,
-                queued_unix_ms=now_unix_ms,
-                reserved=ttypes.Resources(),
-                reason="waits for a worker",
-            )
-        )
-    for name in sorted(held - wanted):
-        runs.stop_for_good(tables, name, "scaled down")
-
-
-def _remove(tables: tables_module.Tables, subject: str) -> None:
-    kind, _, name = subject.partition("/")
-    match kind:
-        case "service":
-            tables.services.pop(name, None)
-        case "batch_job":
-            tables.batch_jobs.pop(name, None)
-        case "watcher":
-            tables.watchers.pop(name, None)
-        case "team":
-            tables.teams.pop(name, None)
-            return
-    for task in tables.tasks_of(name):
-        runs.stop_for_good(tables, task.name, "removed")
-        if not tables_module.holds_worker(tables.tasks[task.name]):
-            tables.remove_task(task.name)
-
-
-def _set_worker(
-    tables: tables_module.Tables, name: str, state: ttypes.WorkerState
-) -> None:
-    worker = tables.workers.get(name)
-    if worker is not None:
-        worker.state = state
+def _set_state(
+    tables: tables_module.Tables, plan: ttypes.Plan, state: ttypes.PlanState
+) -> ttypes.Plan:
+    tables.plans[plan.plan_id] = _with(plan, state=state)
+    return tables.plans[plan.plan_id]
+
+
+def _with(plan: ttypes.Plan, **fields: object) -> ttypes.Plan:
+    values = {slot: getattr(plan, slot) for slot in ttypes.Plan.__slots__}
+    return ttypes.Plan(**(values | fields))
 
 
 def _result(
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -97,10 +97,30 @@
     old = tables.workers.get(worker.name)
     if old is not None and worker.incarnation < old.incarnation:
         return _result(tables, 0)
-    tables.workers[worker.name] = worker
+    draining = old is not None and old.draining
+    tables.workers[worker.name] = _with_draining(worker, draining=draining)
     return _result(tables, 1)
 
 
+def set_draining(
+    tables: tables_module.Tables, name: str, *, draining: bool
+) -> None:
+    """Notes an operator's word; it outlives the loss of the worker."""
+    worker = tables.workers.get(name)
+    if worker is not None:
+        tables.workers[name] = _with_draining(worker, draining=draining)
+
+
+def _with_draining(worker: ttypes.Worker, *, draining: bool) -> ttypes.Worker:
+    state = worker.state
+    if state in (ttypes.WorkerState.ACTIVE, ttypes.WorkerState.DRAINING):
+        state = ttypes.WorkerState.ACTIVE
+        if draining:
+            state = ttypes.WorkerState.DRAINING
+    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
+    return ttypes.Worker(**(values | {"state": state, "draining": draining}))
+
+
 def stop_for_good(tables: tables_module.Tables, name: str, reason: str) -> None:
     """Ends a task on an operator's word: at once if no run may be alive."""
     task = tables.tasks[name]
@@ -152,6 +172,13 @@
         tables.change_task(
             task.name, state=ttypes.TaskState.DONE, reason="completed"
         )
+        if tables.owner_record(task) is None:
+            tables.remove_task(task.name)
+        return
+    if task.final_stop:
+        tables.change_task(task.name, state=ttypes.TaskState.CANCELLED)
+        if tables.owner_record(task) is None:
+            tables.remove_task(task.name)
         return
     # A service or watcher never completes: it runs again.
     tables.change_task(
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -10,6 +10,18 @@
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 
+TOMBSTONES_LIMIT = 2_000
+
+_CONFIGURATION_PREFIXES = ("service/", "worker/", "policy")
+_SCRATCH_TABLES = (
+    "services",
+    "batch_jobs",
+    "watchers",
+    "teams",
+    "tasks",
+    "workers",
+    "queued",
+)
 _HOLDING = frozenset(
     {
         ttypes.TaskState.ASSIGNED,
@@ -28,15 +40,23 @@
     """Every record of the state, by name.
 
     Attributes:
-        state_version: Raised by one with each confirmed change.
-        config_checksum: Over all subjects and their versions; equal for equal
-            configurations whatever the order of changes.
+        state_version: Raised by one with each confirmed plan.
+        config_version: The state version of the last change that entries and
+            agents hold: services, policy, drained workers.
+        config_checksum: Over those subjects and their versions; equal for
+            equal configurations whatever the order of changes.
+        forgotten_version: Tombstones up to this version may be gone.
+        epoch_floor: No epoch of a removed task is above it, so that a task of
+            the same name never meets an old run's epoch again.
         touched_workers: Workers whose runs changed since `take_touched`.
     """
 
     def __init__(self):
         self.state_version = 0
+        self.config_version = 0
         self.config_checksum = 0
+        self.forgotten_version = 0
+        self.epoch_floor = 0
         self.next_plan_id = 1
         self.next_audit_sequence = 1
         self.policy = ttypes.Policy()
@@ -45,12 +65,15 @@
         self.watchers: dict[str, ttypes.Watcher] = {}
         self.teams: dict[str, ttypes.Team] = {}
         self.versions: dict[str, ttypes.SubjectVersion] = {}
+        self.config_versions: dict[str, ttypes.SubjectVersion] = {}
+        self.tombstones: dict[str, None] = {}
         self.tasks: dict[str, ttypes.Task] = {}
         self.workers: dict[str, ttypes.Worker] = {}
         self.plans: dict[int, ttypes.Plan] = {}
         self.audit: collections.deque[ttypes.AuditRecord] = collections.deque()
         self.claims: dict[str, ttypes.Claim] = {}
         self.results: dict[str, ttypes.CommandResult] = {}
+        self.operator_results: dict[str, ttypes.CommandResult] = {}
         self.members: list[ttypes.Member] = []
         self.queued: dict[str, None] = {}
         self.tasks_by_owner: dict[str, set[str]] = {}
@@ -64,7 +87,7 @@
 
     def put_task(self, task: ttypes.Task) -> None:
         """Adds or replaces a task and mends the indexes."""
-        self.remove_task(task.name)
+        self._unlink_task(task.name)
         self.tasks[task.name] = task
         self.tasks_by_owner.setdefault(task.owner, set()).add(task.name)
         if task.state == ttypes.TaskState.QUEUED:
@@ -74,15 +97,21 @@
             self.touched_workers.add(task.worker)
 
     def remove_task(self, name: str) -> None:
-        """Takes a task out of the table and the indexes."""
+        """Takes a task out of the table and the indexes for good."""
+        task = self._unlink_task(name)
+        if task is not None:
+            self.epoch_floor = max(self.epoch_floor, task.epoch)
+
+    def _unlink_task(self, name: str) -> ttypes.Task | None:
         task = self.tasks.pop(name, None)
         self.queued.pop(name, None)
         if task is None:
-            return
+            return None
         _discard(self.tasks_by_owner, task.owner, name)
         if name in self.tasks_by_worker.get(task.worker, ()):
             _discard(self.tasks_by_worker, task.worker, name)
             self.touched_workers.add(task.worker)
+        return task
 
     def change_task(self, name: str, **fields: object) -> ttypes.Task:
         """Sets fields of a task and mends the indexes."""
@@ -116,13 +145,47 @@
 
     def set_version(self, record: ttypes.SubjectVersion) -> None:
         """Notes which change last touched a subject."""
-        old = self.versions.get(record.subject)
-        if old is not None:
-            self.config_checksum ^= subject_digest(old)
+        self._drop_version(record.subject)
         # Put last: the newest are found from the end.
-        self.versions.pop(record.subject, None)
         self.versions[record.subject] = record
-        self.config_checksum ^= subject_digest(record)
+        if record.removed:
+            self.tombstones[record.subject] = None
+        if is_configuration(record.subject):
+            self.config_versions[record.subject] = record
+            self.config_version = max(self.config_version, record.version)
+            self.config_checksum ^= subject_digest(record)
+        if len(self.tombstones) > TOMBSTONES_LIMIT:
+            oldest = next(iter(self.tombstones))
+            forgotten = self._drop_version(oldest)
+            self.forgotten_version = max(
+                self.forgotten_version, forgotten.version
+            )
+
+    def _drop_version(self, subject: str) -> ttypes.SubjectVersion | None:
+        old = self.versions.pop(subject, None)
+        self.tombstones.pop(subject, None)
+        if self.config_versions.pop(subject, None) is not None:
+            self.config_checksum ^= subject_digest(old)
+        return old
+
+    def scratch(self) -> "Tables":
+        """A copy to try changes on; records are shared, never changed.
+
+        Plans, the audit trail, claims and results are left out.
+        """
+        copy = Tables()
+        copy.state_version = self.state_version
+        copy.epoch_floor = self.epoch_floor
+        copy.policy = self.policy
+        for name in _SCRATCH_TABLES:
+            setattr(copy, name, dict(getattr(self, name)))
+        copy.tasks_by_owner = {
+            k: set(v) for k, v in self.tasks_by_owner.items()
+        }
+        copy.tasks_by_worker = {
+            k: set(v) for k, v in self.tasks_by_worker.items()
+        }
+        return copy
 
     def to_bytes(self) -> bytes:
         """The whole state as a snapshot."""
@@ -142,11 +205,12 @@
                 plans=list(self.plans.values()),
                 audit=list(self.audit),
                 claims=list(self.claims.values()),
-                results=[
-                    ttypes.StoredResult(command_id=key, result=value)
-                    for key, value in self.results.items()
-                ],
+                results=_stored(self.results),
                 members=self.members,
+                epoch_floor=self.epoch_floor,
+                forgotten_version=self.forgotten_version,
+                config_version=self.config_version,
+                operator_results=_stored(self.operator_results),
             )
         )
 
@@ -172,9 +236,16 @@
         tables.audit.extend(snapshot.audit)
         tables.claims = {claim.key: claim for claim in snapshot.claims}
         tables.results = {r.command_id: r.result for r in snapshot.results}
+        tables.operator_results = {
+            r.command_id: r.result for r in snapshot.operator_results
+        }
         tables.members = snapshot.members
+        tables.epoch_floor = snapshot.epoch_floor
+        tables.forgotten_version = snapshot.forgotten_version
         for record in snapshot.versions:
             tables.set_version(record)
+        # The last one may have been a tombstone that is gone.
+        tables.config_version = snapshot.config_version
         for task in snapshot.tasks:
             tables.put_task(task)
         tables.touched_workers = set(
@@ -183,10 +254,27 @@
         return tables
 
 
-def subject_digest(record: ttypes.SubjectVersion) -> int:
-    """What one subject adds to the checksum of the configuration."""
-    text = f"{record.subject}\0{record.version}\0{int(record.removed)}"
-    return codec.digest(text.encode())
+def subject_digest(
+    record: ttypes.SubjectVersion | ttypes.ItemVersion,
+) -> int:
+    """What one subject adds to the checksum; a removed one adds nothing."""
+    if record.removed:
+        return 0
+    return codec.digest(f"{record.subject}\0{record.version}".encode())
+
+
+def is_configuration(subject: str) -> bool:
+    """Whether entries and agents hold this subject."""
+    return subject.startswith(_CONFIGURATION_PREFIXES)
+
+
+def _stored(
+    results: dict[str, ttypes.CommandResult],
+) -> list[ttypes.StoredResult]:
+    return [
+        ttypes.StoredResult(command_id=key, result=value)
+        for key, value in results.items()
+    ]
 
 
 def _by_name(records: list) -> dict:
