Test plans, guards, configuration, watches and racing operators

The first wake after a start woke everybody: the last seen configuration now starts from the tables.

--- a/marigoldsill/coordination/watch_hub.py
+++ b/marigoldsill/coordination/watch_hub.py
@@ -36,8 +36,14 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._rooms: dict[str, _Room] = {}
+        self._ended = False
         self.wakes_count = 0
 
+    @property
+    def waiting_count(self) -> int:
+        """How many subscribers wait now."""
+        return len(self._rooms)
+
     def wait(
         self,
         subscriber: str,
@@ -52,7 +58,7 @@
         """
         room = self._enter(subscriber, role)
         try:
-            return _wait_in(room, ready, timeout_s)
+            return _wait_in(room, lambda: self._ended or ready(), timeout_s)
         finally:
             self._leave(subscriber, room)
 
@@ -74,6 +80,11 @@
             rooms = list(self._rooms.values())
         self._notify(rooms)
 
+    def end(self) -> None:
+        """Lets every wait return at once, from now on."""
+        self._ended = True
+        self.wake_all()
+
     def _enter(self, subscriber: str, role: ttypes.Role) -> _Room:
         with self._lock:
             room = self._rooms.setdefault(subscriber, _Room(role))
--- a/marigoldsill/coordination/watch_service.py
+++ b/marigoldsill/coordination/watch_service.py
@@ -36,7 +36,7 @@
         self._replica = replica
         self._endpoints = endpoints
         self._orders_version: dict[str, int] = {}
-        self._config = (0, 0)
+        self._config = _config_of(replica.tables)
         self._called_lock = threading.Lock()
         self._called_s: dict[str, float] = {}
         self.hub = watch_hub.WatchHub()
@@ -45,6 +45,8 @@
 
     def reset(self) -> None:
         """Starts over as a new leader."""
+        with self._replica.lock:
+            self._config = _config_of(self._replica.tables)
         self.hub.wake_all()
 
     def routes_changed(self) -> None:
@@ -103,7 +105,7 @@
             return True
         tables = self._replica.tables
         held = (request.config_version, request.config_checksum)
-        current = (tables.config_version, tables.config_checksum)
+        current = _config_of(tables)
         if held != current and held[0] <= current[0]:
             return True
         current = (self._replica.term, self._list_version(request))
@@ -120,7 +122,7 @@
         for worker in touched:
             version = self._orders_version.get(worker, 0)
             self._orders_version[worker] = version + 1
-        config = (tables.config_version, tables.config_checksum)
+        config = _config_of(tables)
         if config != self._config:
             self._config = config
             if _drains_changed(tables):
@@ -159,6 +161,10 @@
             raise ttypes.NoQuorum() from error
 
 
+def _config_of(tables: tables_module.Tables) -> tuple[int, int]:
+    return tables.config_version, tables.config_checksum
+
+
 def _drains_changed(tables: tables_module.Tables) -> bool:
     newest = itertools.takewhile(
         lambda v: v.version == tables.config_version,
--- /dev/null
+++ b/tests/coordination/test_planning.py
@@ -0,0 +1,295 @@
+"""Plans say what confirming them then does, and guard likely mistakes."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.coordination import guards
+from marigoldsill.coordination import placement
+from marigoldsill.coordination import planning
+from marigoldsill.protocol import intent_file
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+from tests.state import states
+
+_VERB = ttypes.EffectVerb
+_DRAIN = ttypes.ChangeVerb.DRAIN
+_REMOVE = ttypes.ChangeVerb.REMOVE
+_TIGHT = ttypes.Resources(cpu_millicores=4000, memory_bytes=4 << 30)
+
+
+def _plan(
+    tables: tables_module.Tables,
+    *changes: ttypes.Change,
+    **observed: object,
+) -> ttypes.Plan:
+    seen = guards.Observed(live_agents=set(tables.workers), **observed)
+    planner = planning.Planner(
+        tables=tables, observed=seen, operator_name="desk-1"
+    )
+    return planner.make(list(changes))
+
+
+def _effects(plan: ttypes.Plan) -> dict[str, str]:
+    return {e.subject: _VERB(e.verb).name for e in plan.effects}
+
+
+def _guards(plan: ttypes.Plan) -> list[str]:
+    return sorted({guard.name for guard in plan.guards})
+
+
+def _place(tables: tables_module.Tables) -> None:
+    grants = placement.place_queued(
+        tables, live_agents=set(tables.workers), limit=1000
+    )
+    states.apply(tables, assign_runs=ttypes.AssignRuns(assignments=grants))
+
+
+_SIZES = st.sampled_from([500, 1000, 3000, 9000])
+_NAMES = st.sampled_from(["a", "b", "c"])
+
+
+@st.composite
+def _puts(draw: st.DrawFn, tables: tables_module.Tables) -> ttypes.Change:
+    name = draw(_NAMES)
+    resources = ttypes.Resources(cpu_millicores=draw(_SIZES))
+    build = {
+        "a": lambda: states.service(
+            "a", instances=draw(st.integers(1, 4)), resources=resources
+        ),
+        "b": lambda: states.batch_job("b", resources=resources),
+        "c": lambda: states.watcher("c", resources=resources),
+    }[name]
+    known = tables.services | tables.batch_jobs | tables.watchers
+    return states.put(build(), replace=name in known)
+
+
+@st.composite
+def _changes(draw: st.DrawFn, tables: tables_module.Tables) -> ttypes.Change:
+    if draw(st.booleans()):
+        return draw(_puts(tables))
+    kinds = {"a": "service", "b": "batch_job", "c": "watcher"}
+    known = [
+        f"{kinds[name]}/{name}"
+        for name in tables.services | tables.batch_jobs | tables.watchers
+    ]
+    verb, subject = draw(
+        st.sampled_from(
+            [(_DRAIN, f"worker/{name}") for name in tables.workers]
+            + [(_REMOVE, subject) for subject in known]
+        )
+    )
+    return states.change(verb, subject)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(data=st.data(), workers_count=st.integers(1, 3))
+def test_a_confirmed_plan_does_what_it_said(
+    data: st.DataObject, workers_count: int
+) -> None:
+    tables = tables_module.Tables()
+    for index in range(workers_count):
+        worker = states.worker(f"w{index}", capacity=_TIGHT)
+        states.apply(tables, put_worker=ttypes.PutWorker(worker=worker))
+    for _ in range(data.draw(st.integers(0, 4))):
+        states.make(tables, data.draw(_changes(tables)))
+        _place(tables)
+    plan = _plan(tables, data.draw(_changes(tables)))
+    before = dict(tables.tasks)
+
+    plan_id = states.plan(tables, *plan.changes, effects=plan.effects)
+    assert states.confirm(tables, plan_id).outcome == ttypes.Outcome.OK
+    ended = [e.subject for e in plan.effects if e.verb in (2, 3)]
+    states.report(tables, ttypes.RunEventKind.STOPPED, *ended)
+    _place(tables)
+
+    for effect in plan.effects:
+        task = tables.tasks.get(effect.subject)
+        match effect.verb:
+            case _VERB.START:
+                assert task.worker == effect.worker
+                assert task.epoch > 0
+            case _VERB.STOP:
+                assert task is None or not tables_module.holds_worker(task)
+            case _VERB.MOVE:
+                assert task.worker != effect.worker or (
+                    task.state == ttypes.TaskState.QUEUED
+                )
+            case _:
+                assert task.state == ttypes.TaskState.QUEUED
+    quiet = tables.tasks.keys() - _effects(plan).keys()
+    for name in quiet & before.keys():
+        old, new = before[name], tables.tasks[name]
+        assert (new.epoch == old.epoch) or old.state == 1, name
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(data=st.data())
+def test_replaying_every_command_has_no_effect(data: st.DataObject) -> None:
+    tables = states.with_workers("w0", "w1")
+    for number in range(data.draw(st.integers(1, 5))):
+        plan = _plan(tables, data.draw(_changes(tables)))
+        plan_id = states.plan(tables, *plan.changes, effects=plan.effects)
+        first = states.confirm(tables, plan_id, command_id=f"c{number}")
+        held = tables.to_bytes()
+        again = states.confirm(tables, plan_id, command_id=f"c{number}")
+        assert again == first
+        assert tables.to_bytes() == held
+        other = states.confirm(tables, plan_id)
+        assert other.outcome == ttypes.Outcome.CONFLICT
+        assert tables.state_version == first.state_version
+
+
+def test_effects_name_what_starts_waits_and_never_runs() -> None:
+    tables = tables_module.Tables()
+    states.apply(
+        tables,
+        put_worker=ttypes.PutWorker(
+            worker=states.worker("w1", capacity=_TIGHT)
+        ),
+    )
+    huge = ttypes.Resources(cpu_millicores=64_000)
+    plan = _plan(
+        tables,
+        states.put(states.service("lookup", instances=5)),
+        states.put(states.batch_job("huge", resources=huge)),
+    )
+    effects = _effects(plan)
+    assert effects["lookup/3"] == "START"
+    assert effects["lookup/4"] == "WAIT"
+    assert effects["huge/0"] == "NEVER_RUNS"
+    assert _guards(plan) == ["unit-slip"]
+
+
+def _running(
+    *records: object, workers: tuple[str, ...] = ("w1", "w2")
+) -> tables_module.Tables:
+    tables = states.with_workers(*workers)
+    states.make(tables, *(states.put(record) for record in records))
+    states.run_all(tables, on="w1")
+    return tables
+
+
+def _slip(declared: int, new: int) -> ttypes.Plan:
+    tables = _running(
+        states.batch_job(
+            "rebuild", resources=ttypes.Resources(memory_bytes=declared)
+        )
+    )
+    job = states.batch_job(
+        "rebuild", resources=ttypes.Resources(memory_bytes=new)
+    )
+    return _plan(tables, states.put(job, replace=True))
+
+
+@pytest.mark.parametrize(
+    ("declared", "new", "hit"),
+    [
+        (4 << 20, 4 << 30, ["unit-slip"]),
+        (4 << 30, 4 << 20, ["unit-slip"]),
+        (4 << 30, 8 << 30, []),
+        (100 << 30, 200 << 30, ["unit-slip"]),
+    ],
+)
+def test_a_size_far_off_the_declared_one_is_guarded(
+    declared: int, new: int, hit: list[str]
+) -> None:
+    assert _guards(_slip(declared, new)) == hit
+
+
+def test_a_size_far_off_the_observed_one_is_guarded() -> None:
+    tables = states.with_workers("w1")
+    seen = {"rebuild": ttypes.Resources(memory_bytes=20 << 30)}
+    plan = _plan(tables, states.put(states.batch_job("rebuild")), sizes=seen)
+    assert _guards(plan) == ["unit-slip"]
+
+
+@pytest.mark.parametrize(
+    ("instances", "called", "hit"),
+    [
+        (0, {"lookup"}, ["live-callers"]),
+        (1, {"lookup"}, ["live-callers"]),
+        (3, {"lookup"}, []),
+        (0, {"desk"}, []),
+    ],
+)
+def test_a_service_with_callers_is_guarded(
+    instances: int, called: set[str], hit: list[str]
+) -> None:
+    many = [states.batch_job(f"job{i}") for i in range(30)]
+    tables = _running(states.service("lookup", instances=4), *many)
+    smaller = states.service("lookup", instances=instances)
+    change = states.change(_REMOVE, "service/lookup")
+    if instances:
+        change = states.put(smaller, replace=True)
+    assert _guards(_plan(tables, change, called_services=called)) == hit
+
+
+def test_stopping_a_large_share_of_running_work_is_guarded() -> None:
+    jobs = [states.batch_job(f"job{i}") for i in range(10)]
+    tables = _running(*jobs)
+    cancels = [
+        states.change(ttypes.ChangeVerb.CANCEL, f"batch_job/job{i}")
+        for i in range(3)
+    ]
+    assert _guards(_plan(tables, *cancels)) == ["eviction-share"]
+    assert _guards(_plan(tables, *cancels[:2])) == []
+
+
+def test_a_drain_that_leaves_a_watcher_nowhere_is_guarded() -> None:
+    drain = states.change(_DRAIN, "worker/w1")
+    alone = _running(states.watcher("parish"), workers=("w1",))
+    with_other = _running(states.watcher("parish"))
+    assert _guards(_plan(alone, drain)) == ["watcher-nowhere"]
+    assert _guards(_plan(with_other, drain)) == []
+
+
+def test_draining_the_last_worker_of_a_service_is_guarded() -> None:
+    tables = _running(states.service("lookup"))
+    plan = _plan(tables, states.change(_DRAIN, "worker/w1"))
+    assert _guards(plan) == ["last-worker"]
+    assert _effects(plan) == {"lookup/0": "MOVE"}
+
+
+@pytest.mark.parametrize(
+    ("observed", "hit"),
+    [({}, []), ({"rebuild": 7_200_000}, ["deadline-missed"])],
+)
+def test_a_deadline_that_run_times_rule_out_is_guarded(
+    observed: dict[str, int], hit: list[str]
+) -> None:
+    job = states.batch_job(
+        "rebuild", run_time_ms=60_000, deadline_unix_ms=3_600_000
+    )
+    tables = states.with_workers("w1")
+    plan = _plan(tables, states.put(job), run_times_ms=observed)
+    assert _guards(plan) == hit
+
+
+def _apply(tables: tables_module.Tables, cores: int) -> list[ttypes.Change]:
+    text = f'[[batch_job]]\nname = "rebuild"\ncores = {cores}\n'
+    return planning.for_apply(tables, intent_file.parse(text.encode()))
+
+
+def test_a_finished_job_is_not_run_again_by_applying_its_file() -> None:
+    tables = states.with_workers("w1")
+    states.make(tables, *_apply(tables, 1))
+    states.run_all(tables, on="w1")
+    states.report(tables, ttypes.RunEventKind.COMPLETED, "rebuild/0")
+
+    assert _apply(tables, 1) == []
+    with pytest.raises(errors.ConflictError, match="new name"):
+        _apply(tables, 2)
+
+
+def test_a_cancelled_job_runs_again_once_it_is_declared_otherwise() -> None:
+    tables = states.with_workers("w1")
+    states.make(tables, *_apply(tables, 1))
+    cancel = states.change(ttypes.ChangeVerb.CANCEL, "batch_job/rebuild")
+    states.make(tables, cancel)
+
+    assert _apply(tables, 1) == []
+    plan = _plan(tables, *_apply(tables, 2))
+    assert _effects(plan) == {"rebuild/0": "START"}
