Name queued tasks that start because a plan frees room

Cause: a mutation check left the ending of runs out of the forecast and no test failed, because a task that already waited was never an effect. The property now asks that whatever is not named keeps its epoch, and that a move's reason names where it goes.

--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/effects.py
@@ -98,10 +98,11 @@
 
     def _started(self) -> Iterator[ttypes.Effect]:
         moved = {effect.subject for effect in self.harm}
+        freed = self.grants.keys() - self._grants_before.keys()
         for name in self.after.queued:
-            if name in self.before.queued or name in moved:
-                continue
-            yield self._start_of(self.after.tasks[name])
+            new = name not in self.before.queued
+            if name not in moved and (new or name in freed):
+                yield self._start_of(self.after.tasks[name])
 
     def _start_of(self, task: ttypes.Task) -> ttypes.Effect:
         grant = self.grants.get(task.name)
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -114,15 +114,15 @@
             case _VERB.STOP:
                 assert task is None or not tables_module.holds_worker(task)
             case _VERB.MOVE:
-                assert task.worker != effect.worker or (
-                    task.state == ttypes.TaskState.QUEUED
-                )
+                where = f"would go to {task.worker}"
+                if task.state == ttypes.TaskState.QUEUED:
+                    where = "it waits"
+                assert where in effect.reason
             case _:
                 assert task.state == ttypes.TaskState.QUEUED
     quiet = tables.tasks.keys() - _effects(plan).keys()
     for name in quiet & before.keys():
-        old, new = before[name], tables.tasks[name]
-        assert (new.epoch == old.epoch) or old.state == 1, name
+        assert tables.tasks[name].epoch == before[name].epoch, name
 
 
 @settings(max_examples=50, deadline=None, derandomize=True)
--- a/tests/state/test_plans.py
+++ b/tests/state/test_plans.py
@@ -144,6 +144,23 @@
     assert restored.to_bytes() == tables.to_bytes()
 
 
+def test_the_configuration_does_not_fall_back_with_a_forgotten_removal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(tables_module, "TOMBSTONES_LIMIT", 1)
+    tables = states.with_workers("w1")
+    for record, subject in (
+        (states.service("lookup"), "service/lookup"),
+        (states.batch_job("rebuild"), "batch_job/rebuild"),
+    ):
+        states.make(tables, states.put(record))
+        states.make(tables, states.change(_VERB.REMOVE, subject))
+
+    restored = tables_module.Tables.from_bytes(tables.to_bytes())
+
+    assert restored.config_version == tables.config_version == 2
+
+
 def test_an_operators_result_outlasts_a_flood_of_agents_commands(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
