--- a/marigoldsill/coordination/configuration.py
+++ b/marigoldsill/coordination/configuration.py
@@ -179,7 +179,8 @@
     base = _Held() if delta.whole else held
     gone = {item.subject for item in delta.items if item.removed}
     live = [item for item in delta.items if not item.removed]
-    items = _without(base.items, gone) | {i.subject: i for i in live}
+    new = {item.subject: item for item in live}
+    replaced = [base.items[s] for s in gone | new.keys() if s in base.items]
     services = _without(
         base.services, {name for kind, name in map(_split, gone)}
     )
@@ -187,17 +188,18 @@
     draining = base.draining_workers - touched | set(delta.draining_workers)
     return _Held(
         version=delta.version,
-        checksum=_checksum(items.values()),
+        checksum=_checksum(base.checksum, [*replaced, *live]),
         policy=delta.policy,
         services=services | {s.name: s for s in delta.services},
         draining_workers=frozenset(draining),
-        items=items,
+        items=_without(base.items, gone) | new,
     )
 
 
-def _checksum(items: Iterable[ttypes.ItemVersion]) -> int:
+def _checksum(held: int, items: Iterable[ttypes.ItemVersion]) -> int:
+    """The checksum after items that were held went and others came."""
     digests = map(tables_module.subject_digest, items)
-    return functools.reduce(operator.xor, digests, 0)
+    return functools.reduce(operator.xor, digests, held)
 
 
 def _without(records: dict, names: set[str]) -> dict:
