--- a/tests/processes.py
+++ b/tests/processes.py
@@ -87,6 +87,10 @@
     def stop(self) -> int:
         """Sends SIGTERM and returns its exit status."""
         self._popen.terminate()
+        return self.wait()
+
+    def wait(self) -> int:
+        """Waits for its end and returns its exit status."""
         try:
             return self._popen.wait(WAIT_LIMIT_S)
         except subprocess.TimeoutExpired:
@@ -249,7 +253,10 @@
             text=True,
             timeout=WAIT_LIMIT_S,
             env=os.environ
-            | {"MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http)},
+            | {
+                "MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http),
+                "MARIGOLDSILL_OUTPUT": "json",
+            },
             check=False,
         )
 
