Plan without counting on a heartbeat having come yet; log the audit trail

Cause: the demo's plan now and then started nothing, because a worker had announced itself and not renewed its lease yet; a new leader would have predicted the same for everything. Every worker not known as lost counts now.

--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/effects.py
@@ -10,7 +10,7 @@
 from marigoldsill.coordination import placement
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes as changes_module
-from marigoldsill.state import runs
+from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
 
 _PLACED_LIMIT = 100_000
@@ -30,16 +30,14 @@
         self,
         tables: tables_module.Tables,
         changes: list[ttypes.Change],
-        *,
-        live_agents: set[str],
     ):
         self.before = tables
         self.harm = changes_module.harm(tables, changes)
         self.after = tables.scratch()
         changes_module.make(self.after, changes, 0)
         self._end_runs()
-        self.grants = _grants(self.after, live_agents)
-        self._grants_before = _grants(tables, live_agents)
+        self.grants = _grants(self.after)
+        self._grants_before = _grants(tables)
         self._capacities = [w.capacity for w in self.after.workers.values()]
 
     def effects(self) -> list[ttypes.Effect]:
@@ -66,18 +64,16 @@
         )
 
     def _end_runs(self) -> None:
-        runs.record_events(
-            self.after,
-            [
-                ttypes.RunEvent(
-                    task=task.name,
-                    epoch=task.epoch,
-                    kind=ttypes.RunEventKind.STOPPED,
-                )
-                for task in (self.after.tasks[e.subject] for e in self.harm)
-            ],
-            0,
-        )
+        events = [
+            ttypes.RunEvent(
+                task=task.name,
+                epoch=task.epoch,
+                kind=ttypes.RunEventKind.STOPPED,
+            )
+            for task in (self.after.tasks[e.subject] for e in self.harm)
+        ]
+        ended = ttypes.RecordRunEvents(events=events)
+        machine.apply(self.after, ttypes.Command(record_run_events=ended))
 
     def _ended(self) -> Iterator[ttypes.Effect]:
         for effect in self.harm:
@@ -136,11 +132,11 @@
             )
 
 
-def _grants(
-    tables: tables_module.Tables, live_agents: set[str]
-) -> dict[str, ttypes.Assignment]:
+def _grants(tables: tables_module.Tables) -> dict[str, ttypes.Assignment]:
+    # Every worker that is not known as lost counts as live: a new leader has
+    # heard of none yet.
     placed = placement.place_queued(
-        tables, live_agents=live_agents, limit=_PLACED_LIMIT
+        tables, live_agents=set(tables.workers), limit=_PLACED_LIMIT
     )
     return {grant.task: grant for grant in placed}
 
--- a/marigoldsill/coordination/guards.py
+++ b/marigoldsill/coordination/guards.py
@@ -28,7 +28,6 @@
 
     Attributes:
         now_unix_ms: The time of planning.
-        live_agents: Agents whose lease is live.
         called_services: Services that had callers lately.
         sizes: The largest use seen of each owner's tasks.
         run_times_ms: How long each batch job is expected to run, where that
@@ -36,7 +35,6 @@
     """
 
     now_unix_ms: int = 0
-    live_agents: set[str] = dataclasses.field(default_factory=set)
     called_services: set[str] = dataclasses.field(default_factory=set)
     sizes: dict[str, ttypes.Resources] = dataclasses.field(default_factory=dict)
     run_times_ms: dict[str, int] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/marigoldsill/coordination/leadership.py
@@ -0,0 +1,32 @@
+"""Checks that this process leads, for those who ask it something."""
+
+from marigoldsill import errors
+from marigoldsill.coordination import replica as replica_module
+
+
+def require(replica: replica_module.Replica) -> None:
+    """Checks that this process leads as far as it knows.
+
+    Raises:
+        NotLeaderError: Another process leads, or none is known to.
+    """
+    if replica.is_leader:
+        return
+    leader = replica.leader
+    raise errors.NotLeaderError(
+        f"{replica.member.name} does not lead; "
+        f"{leader.name if leader else 'no other known process'} does",
+        leader_address=leader.address if leader else "",
+        leader_http=leader.http_address if leader else "",
+    )
+
+
+def confirm(replica: replica_module.Replica, *, timeout_s: float) -> None:
+    """Checks with a majority that this process leads now.
+
+    Raises:
+        NotLeaderError: Another process leads, or none is known to.
+        NoQuorumError: No majority answered in time.
+    """
+    require(replica)
+    replica.confirm_leadership(timeout_s=timeout_s)
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -1,30 +1,23 @@
 """What operators ask of the leader: plan, confirm, status, explain, audit."""
 
-import json
-import time
-
 from marigoldsill import errors
 from marigoldsill.coordination import control_service
-from marigoldsill.coordination import guards
-from marigoldsill.coordination import planning
+from marigoldsill.coordination import leadership
+from marigoldsill.coordination import plan_commands
 from marigoldsill.coordination import replica as replica_module
-from marigoldsill.protocol import codec
-from marigoldsill.protocol import intent_file
-from marigoldsill.protocol import policy_file
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
-from marigoldsill.state import changes
-from marigoldsill.state import machine
-from marigoldsill.state import plans
 
-ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy")
 _TIMEOUT_S = 3.0
-_ID_LIMIT = 128
 
 
 class Operators:
-    """Answers operators while this process leads."""
+    """Answers operators while this process leads.
+
+    What is shown was in force when it was asked for: a majority confirms the
+    leader first.
+    """
 
     def __init__(
         self,
@@ -34,6 +27,9 @@
     ):
         self._replica = replica
         self._service = service
+        self._plans = plan_commands.PlanCommands(
+            replica=replica, service=service
+        )
 
     def plan(
         self, action: str, body: bytes, *, operator_name: str, command_id: str
@@ -42,18 +38,12 @@
 
         Raises:
             BadInputError: The action or the body is not accepted.
+            ConflictError: Nothing would change, or a name is taken.
             NotLeaderError: Another process leads.
         """
-        command_id = _command_id(
-            operator_name, "plan", action, command_id, body
+        return self._plans.plan(
+            action, body, operator_name=operator_name, command_id=command_id
         )
-        self._confirm_leadership()
-        with self._replica.lock:
-            known = machine.result_of(self._replica.tables, command_id)
-            plan = None if known else self._make(action, body, operator_name)
-        result = known or self._record(command_id, plan)
-        with self._replica.lock:
-            return self._replica.tables.plans[result.plan_id]
 
     def confirm(
         self,
@@ -71,66 +61,11 @@
             NotFoundError: There is no such plan.
             StalePlanError: It would harm others now; names the new plan.
         """
-        command_id = _command_id(
-            operator_name,
-            "confirm",
-            str(plan_id),
-            command_id,
-            "\0".join(sorted(acknowledged)).encode(),
-        )
-        self._confirm_leadership()
-        with self._replica.lock:
-            result = machine.result_of(self._replica.tables, command_id)
-            newer = None if result else self._newer(plan_id)
-        if newer is not None:
-            result = self._replace(plan_id, newer, operator_name, command_id)
-        if result is None:
-            result = self._propose(
-                command_id,
-                confirm_plan=ttypes.ConfirmPlan(
-                    plan_id=plan_id,
-                    operator_name=operator_name,
-                    acknowledged_guards=acknowledged,
-                ),
-            )
-        return _confirmation(plan_id, result)
-
-    def _newer(self, plan_id: int) -> ttypes.Plan | None:
-        """A new plan of the same changes, if it would harm others by now."""
-        tables = self._replica.tables
-        plan = tables.plans.get(plan_id)
-        if plan is None or plan.state != ttypes.PlanState.PENDING:
-            return None
-        if plans.winner(tables, plan) is not None:
-            return None
-        newer = self._planner(plan.operator_name).make(plan.changes)
-        harm = changes.harmful_keys(newer.effects)
-        guards_hit = {g.name for g in newer.guards}
-        if harm <= changes.harmful_keys(plan.effects) and guards_hit <= {
-            g.name for g in plan.guards
-        }:
-            return None
-        return newer
-
-    def _replace(
-        self,
-        plan_id: int,
-        newer: ttypes.Plan,
-        operator_name: str,
-        command_id: str,
-    ) -> ttypes.CommandResult:
-        recorded = self._record(f"{command_id}/newer", newer)
-        return self._propose(
-            command_id,
-            refuse_plan=ttypes.RefusePlan(
-                plan_id=plan_id,
-                operator_name=operator_name,
-                reason=(
-                    f"plan {plan_id} would harm other work now than when it "
-                    f"was made; plan {recorded.plan_id} shows what it would "
-                    f"do now. Look at it, then confirm {recorded.plan_id}."
-                ),
-            ),
+        return self._plans.confirm(
+            plan_id,
+            acknowledged,
+            operator_name=operator_name,
+            command_id=command_id,
         )
 
     def show(self, plan_id: int) -> object:
@@ -139,7 +74,7 @@
         Raises:
             NotFoundError: There is no such plan, or no longer.
         """
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         with self._replica.lock:
             plan = self._replica.tables.plans.get(plan_id)
         if plan is None:
@@ -148,7 +83,7 @@
 
     def status(self) -> dict[str, object]:
         """The state in short, confirmed by a majority."""
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         live = self._service.leases.live()
         with self._replica.lock:
             tables = self._replica.tables
@@ -181,7 +116,7 @@
                 ],
             }
         # Again: this process may have been frozen since it was confirmed.
-        self._require_leader()
+        leadership.require(self._replica)
         return answer
 
     def explain(self, name: str) -> dict[str, object]:
@@ -190,7 +125,7 @@
         Raises:
             NotFoundError: Nothing has that name.
         """
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         with self._replica.lock:
             tables = self._replica.tables
             tasks = tables.tasks_of(name)
@@ -205,149 +140,7 @@
 
     def audit(self, *, since: int = 0) -> list[object]:
         """The audit trail from a sequence number on, oldest first."""
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         with self._replica.lock:
             records = audit.since(self._replica.tables, since)
         return [shapes.of_record(record) for record in records]
-
-    def _make(
-        self, action: str, body: bytes, operator_name: str
-    ) -> ttypes.Plan:
-        wanted = self._changes(action, body)
-        if not wanted:
-            raise errors.ConflictError(
-                "nothing would change: all of it is in force already"
-            )
-        return self._planner(operator_name).make(wanted)
-
-    def _changes(self, action: str, body: bytes) -> list[ttypes.Change]:
-        tables = self._replica.tables
-        match action:
-            case "apply":
-                return planning.for_apply(tables, intent_file.parse(body))
-            case "remove":
-                return planning.for_remove(tables, _field(body, "name", str))
-            case "drain" | "undrain":
-                return planning.for_drain(
-                    tables,
-                    _field(body, "name", str),
-                    drain=action == "drain",
-                )
-            case "cancel":
-                return planning.for_cancel(tables, _names(body))
-            case "policy":
-                return planning.for_policy(
-                    tables, policy_file.parse(body, tables.policy)
-                )
-            case _:
-                raise errors.BadInputError(
-                    f"{action!r} is no action; accepted are "
-                    f"{', '.join(ACTIONS)}"
-                )
-
-    def _planner(self, operator_name: str) -> planning.Planner:
-        return planning.Planner(
-            tables=self._replica.tables,
-            observed=guards.Observed(
-                now_unix_ms=_now_unix_ms(),
-                live_agents=self._service.leases.live(),
-                called_services=self._service.watches.called_services(),
-                sizes=self._service.usage.largest_by_owner(),
-            ),
-            operator_name=operator_name,
-        )
-
-    def _record(
-        self, command_id: str, plan: ttypes.Plan
-    ) -> ttypes.CommandResult:
-        return self._propose(
-            command_id, record_plan=ttypes.RecordPlan(plan=plan)
-        )
-
-    def _require_leader(self) -> None:
-        if self._replica.is_leader:
-            return
-        leader = self._replica.leader
-        raise errors.NotLeaderError(
-            f"{self._replica.member.name} does not lead; "
-            f"{leader.name if leader else 'no other known process'} does",
-            leader_address=leader.address if leader else "",
-            leader_http=leader.http_address if leader else "",
-        )
-
-    def _confirm_leadership(self) -> None:
-        self._require_leader()
-        self._replica.confirm_leadership(timeout_s=_TIMEOUT_S)
-
-    def _propose(self, command_id: str, **body: object) -> ttypes.CommandResult:
-        command = ttypes.Command(
-            command_id=command_id,
-            proposed_unix_ms=_now_unix_ms(),
-            **body,
-        )
-        return self._replica.propose(command, timeout_s=_TIMEOUT_S)
-
-
-def _command_id(
-    operator_name: str, verb: str, subject: str, given_id: str, body: bytes
-) -> str:
-    """What an identical resend has in common, and nothing else has.
-
-    Raises:
-        BadInputError: A part is too long.
-    """
-    for part in (operator_name, given_id):
-        if not 0 < len(part) <= _ID_LIMIT:
-            raise errors.BadInputError(
-                f"{part[:_ID_LIMIT]!r} has {len(part)} characters; accepted "
-                f"as operator name and command id are 1 to {_ID_LIMIT}"
-            )
-    digest = codec.digest(body)
-    return "/".join((operator_name, verb, subject, given_id, f"{digest:x}"))
-
-
-def _confirmation(
-    plan_id: int, result: ttypes.CommandResult
-) -> dict[str, object]:
-    match result.outcome:
-        case ttypes.Outcome.OK:
-            return {
-                "plan_id": plan_id,
-                "state": "confirmed",
-                "state_version": result.state_version,
-            }
-        case ttypes.Outcome.NOT_FOUND:
-            raise errors.NotFoundError(f"there is no plan {plan_id}")
-        case ttypes.Outcome.GUARDED:
-            raise errors.GuardError(result.message)
-        case ttypes.Outcome.STALE:
-            raise errors.StalePlanError(result.message)
-        case _:
-            raise errors.ConflictError(result.message)
-
-
-def _now_unix_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
-def _names(body: bytes) -> list[str]:
-    names = _field(body, "names", list)
-    if not all(isinstance(name, str) for name in names):
-        raise errors.BadInputError(
-            f"'names' is {names!r}; accepted is a list of names"
-        )
-    return names
-
-
-def _field(body: bytes, name: str, kind: type) -> object:
-    try:
-        value = json.loads(body)[name]
-    except (ValueError, KeyError, TypeError) as error:
-        raise errors.BadInputError(
-            f"the body is no JSON object with {name!r}"
-        ) from error
-    if not isinstance(value, kind):
-        raise errors.BadInputError(
-            f"{name!r} is {value!r}; accepted is a {kind.__name__}"
-        )
-    return value
--- a/marigoldsill/coordination/planning.py
+++ b/marigoldsill/coordination/planning.py
@@ -27,9 +27,7 @@
 
     def make(self, changes: list[ttypes.Change]) -> ttypes.Plan:
         """A plan of given changes, with its effects and guard rails."""
-        forecast = effects_module.Forecast(
-            self.tables, changes, live_agents=self.observed.live_agents
-        )
+        forecast = effects_module.Forecast(self.tables, changes)
         effects = forecast.effects()
         return ttypes.Plan(
             operator_name=self.operator_name,
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -121,7 +121,7 @@
   6: WorkerState state = 1,
   7: i64 incarnation = 0,         // of its agent
   8: string reason = "",
-  9: bool draining = false        // an operator's word; survives its loss
+  50: bool draining = false       // an operator's word; survives its loss
 }
 
 enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
@@ -476,7 +476,7 @@
   7: i64 orders_term = 0,
   8: i64 orders_version = 0,
   9: i64 wait_ms = 1000,
-  10: list<string> called_services = []   // entries: had callers lately
+  50: list<string> called_services = []   // entries: had callers lately
 }
 
 /** The version of one thing that a configuration holds. */
@@ -495,7 +495,7 @@
   5: list<string> removed_services = [],
   6: optional Policy policy,
   7: list<string> draining_workers = [],
-  8: list<ItemVersion> items = []     // versions of all that is new or gone
+  50: list<ItemVersion> items = []    // versions of all that is new or gone
 }
 
 struct WatchReply {
@@ -505,7 +505,7 @@
   4: i64 routes_version = 0,
   5: optional list<Order> orders,   // agents; complete when set
   6: i64 orders_version = 0,
-  7: binary encoded_config = ""     // a ConfigDelta, encoded once for many
+  50: binary encoded_config = ""    // a ConfigDelta, encoded once for many
 }
 
 service Control {
@@ -590,10 +590,10 @@
   14: list<Claim> claims,
   15: list<StoredResult> results,
   16: list<Member> members = [],
-  17: i64 epoch_floor = 0,          // no epoch of a removed task is above it
-  18: i64 forgotten_version = 0,    // tombstones up to it may be gone
-  19: list<StoredResult> operator_results = [],
-  20: i64 config_version = 0
+  50: i64 epoch_floor = 0,          // no epoch of a removed task is above it
+  51: i64 forgotten_version = 0,    // tombstones up to it may be gone
+  52: list<StoredResult> operator_results = [],
+  53: i64 config_version = 0
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -7,6 +7,7 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
+from marigoldsill.coordination import audit_log
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
 from marigoldsill.coordination import replica as replica_module
@@ -59,6 +60,7 @@
             )
         )
         self._service = control_service.ControlService(replica=self._replica)
+        self._audit_log = audit_log.AuditLog(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
             replica=self._replica, service=self._service
         )
--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -54,6 +54,12 @@
     assert _plan(operators, "apply", _LOOKUP).plan_id == plans[0].plan_id
 
 
+def test_a_plan_of_a_new_leader_counts_on_workers_not_heard_of_yet() -> None:
+    replica, operators = _desk()
+    plan = _plan(operators, "apply", _LOOKUP)
+    assert [e.verb for e in plan.effects] == [ttypes.EffectVerb.START]
+
+
 def test_one_command_id_for_two_commands_confuses_neither() -> None:
     replica, operators = _desk()
     first = _plan(operators, "apply", _LOOKUP, command_id="same")
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -25,7 +25,7 @@
     *changes: ttypes.Change,
     **observed: object,
 ) -> ttypes.Plan:
-    seen = guards.Observed(live_agents=set(tables.workers), **observed)
+    seen = guards.Observed(**observed)
     planner = planning.Planner(
         tables=tables, observed=seen, operator_name="desk-1"
     )
