--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plan_commands.py
@@ -16,6 +16,7 @@
 from marigoldsill.state import changes
 from marigoldsill.state import machine
 from marigoldsill.state import plans
+from marigoldsill.state import tables as tables_module
 
 ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy")
 _TIMEOUT_S = 3.0
@@ -51,12 +52,17 @@
             operator_name, "plan", action, command_id, body
         )
         leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
+        result = self._known(command_id)
+        if result is None:
+            plan = self._make(action, body, operator_name)
+            result = self._record(command_id, plan)
         with self._replica.lock:
-            known = machine.result_of(self._replica.tables, command_id)
-            plan = None if known else self._make(action, body, operator_name)
-        result = known or self._record(command_id, plan)
-        with self._replica.lock:
-            return self._replica.tables.plans[result.plan_id]
+            plan = self._replica.tables.plans.get(result.plan_id)
+        if plan is None:
+            raise errors.NotFoundError(
+                f"plan {result.plan_id} is no longer kept; make a new one"
+            )
+        return plan
 
     def confirm(
         self,
@@ -82,9 +88,8 @@
             "\0".join(sorted(acknowledged)).encode(),
         )
         leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
-        with self._replica.lock:
-            result = machine.result_of(self._replica.tables, command_id)
-            newer = None if result else self._newer(plan_id)
+        result = self._known(command_id)
+        newer = None if result else self._newer(plan_id)
         if newer is not None:
             result = self._replace(plan_id, newer, operator_name, command_id)
         if result is None:
@@ -100,12 +105,13 @@
 
     def _newer(self, plan_id: int) -> ttypes.Plan | None:
         """A new plan of the same changes, if it would harm others by now."""
-        tables = self._replica.tables
-        plan = tables.plans.get(plan_id)
-        if plan is None or plan.state != ttypes.PlanState.PENDING:
-            return None
-        if plans.winner(tables, plan) is not None:
-            return None
+        with self._replica.lock:
+            tables = self._replica.tables
+            plan = tables.plans.get(plan_id)
+            if plan is None or plan.state != ttypes.PlanState.PENDING:
+                return None
+            if plans.winner(tables, plan) is not None:
+                return None
         newer = self._planner(plan.operator_name).make(plan.changes)
         harm = changes.harmful_keys(newer.effects)
         guards_hit = {g.name for g in newer.guards}
@@ -139,41 +145,25 @@
     def _make(
         self, action: str, body: bytes, operator_name: str
     ) -> ttypes.Plan:
-        wanted = self._changes(action, body)
+        planner = self._planner(operator_name)
+        wanted = _changes(planner.tables, action, body)
         if not wanted:
             raise errors.ConflictError(
                 "nothing would change: all of it is in force already"
             )
-        return self._planner(operator_name).make(wanted)
+        return planner.make(wanted)
 
-    def _changes(self, action: str, body: bytes) -> list[ttypes.Change]:
-        tables = self._replica.tables
-        match action:
-            case "apply":
-                return planning.for_apply(tables, intent_file.parse(body))
-            case "remove":
-                return planning.for_remove(tables, _field(body, "name", str))
-            case "drain" | "undrain":
-                return planning.for_drain(
-                    tables,
-                    _field(body, "name", str),
-                    drain=action == "drain",
-                )
-            case "cancel":
-                return planning.for_cancel(tables, _names(body))
-            case "policy":
-                return planning.for_policy(
-                    tables, policy_file.parse(body, tables.policy)
-                )
-            case _:
-                raise errors.BadInputError(
-                    f"{action!r} is no action; accepted are "
-                    f"{', '.join(ACTIONS)}"
-                )
+    def _known(self, command_id: str) -> ttypes.CommandResult | None:
+        with self._replica.lock:
+            return machine.result_of(self._replica.tables, command_id)
 
     def _planner(self, operator_name: str) -> planning.Planner:
+        # A copy, so that what is agreed on meanwhile needn't wait for the
+        # plan: at 64,000 tasks that takes a third of a second.
+        with self._replica.lock:
+            tables = self._replica.tables.scratch()
         return planning.Planner(
-            tables=self._replica.tables,
+            tables=tables,
             observed=guards.Observed(
                 now_unix_ms=_now_unix_ms(),
                 called_services=self._service.watches.called_services(),
@@ -198,6 +188,32 @@
         return self._replica.propose(command, timeout_s=_TIMEOUT_S)
 
 
+def _changes(
+    tables: tables_module.Tables, action: str, body: bytes
+) -> list[ttypes.Change]:
+    match action:
+        case "apply":
+            return planning.for_apply(tables, intent_file.parse(body))
+        case "remove":
+            return planning.for_remove(tables, _field(body, "name", str))
+        case "drain" | "undrain":
+            return planning.for_drain(
+                tables,
+                _field(body, "name", str),
+                drain=action == "drain",
+            )
+        case "cancel":
+            return planning.for_cancel(tables, _names(body))
+        case "policy":
+            return planning.for_policy(
+                tables, policy_file.parse(body, tables.policy)
+            )
+        case _:
+            raise errors.BadInputError(
+                f"{action!r} is no action; accepted are {', '.join(ACTIONS)}"
+            )
+
+
 def _command_id(
     operator_name: str, verb: str, subject: str, given_id: str, body: bytes
 ) -> str:
--- a/marigoldsill/coordination/subscriber.py
+++ b/marigoldsill/coordination/subscriber.py
@@ -18,6 +18,7 @@
 _ANSWER_MARGIN_S = 1.0
 _ANSWER_LIMIT_S = _WAIT_MS / 1000 + _ANSWER_MARGIN_S
 _PAUSE_S = 0.1
+_CALLED_WITHIN_S = 30.0
 
 
 class Subscriber:
@@ -48,7 +49,7 @@
         self._list_term = 0
         self._list_version = 0
         self._term = 0
-        self._called: set[str] = set()
+        self._called_s: dict[str, float] = {}
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "subscriber")
 
@@ -64,7 +65,7 @@
 
     def note_call(self, service: str) -> None:
         """Notes that a service had a caller; control learns of it."""
-        self._called.add(service)
+        self._called_s[service] = time.monotonic()
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
@@ -100,12 +101,14 @@
             orders_term=self._list_term,
             orders_version=self._list_version,
             wait_ms=_WAIT_MS if self.ready.is_set() else 0,
-            called_services=self._take_called(),
+            called_services=self._called_lately(),
         )
 
-    def _take_called(self) -> list[str]:
-        called, self._called = self._called, set()
-        return sorted(called)
+    def _called_lately(self) -> list[str]:
+        # All of them each time: a new leader has heard of none.
+        oldest_s = time.monotonic() - _CALLED_WITHIN_S
+        called_s = dict(self._called_s)
+        return sorted(n for n, at_s in called_s.items() if at_s > oldest_s)
 
     def _take(self, reply: ttypes.WatchReply) -> None:
         if reply.term < self._term:
