--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -9,6 +9,7 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
+from marigoldsill.coordination import audit_log
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
 from marigoldsill.coordination import peers
@@ -86,6 +87,7 @@
             on_fatal=_end_process,
         )
         self._service = control_service.ControlService(replica=self._replica)
+        self._audit_log = audit_log.AuditLog(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
             replica=self._replica, service=self._service
         )
@@ -143,14 +145,25 @@
                 return common.json_response(self._operators.status())
             case ("GET", "v1", "explain", name):
                 return common.json_response(self._operators.explain(name))
+            case ("GET", "v1", "plans", plan_id) if plan_id.isdigit():
+                return common.json_response(self._operators.show(int(plan_id)))
             case ("GET", "v1", "audit"):
-                return common.json_response(self._operators.audit())
+                since = _sequence(request.args.get("since", "0"))
+                return common.json_response(self._operators.audit(since=since))
             case _:
                 raise errors.NotFoundError(
                     f"{request.method} {request.path} is nothing here"
                 )
 
 
+def _sequence(text: str) -> int:
+    if not text.isdigit():
+        raise errors.BadInputError(
+            f"since is {text!r}; accepted is the sequence number of a record"
+        )
+    return int(text)
+
+
 def _acknowledged(body: bytes) -> list[str]:
     if not body:
         return []
