Run all benchmarks into one table with bounds and verdicts

Cause: each part needs a place to state what it measured and what must not get worse.

Ruled out: pytest-benchmark, whose bounds are times against a stored run; times differ between machines, so bounds here go on counts and ratios of one run.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: install test lint format generate
+.PHONY: install test lint format generate bench
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+bench: install
+	$(BIN)/python -m benchmarks
+
 generate:
 	rm -rf build/gen && mkdir -p build/gen
 	thrift -r --gen py:slots,enum -out build/gen marigoldsill/protocol/marigoldsill.thrift
