--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes that the capacity page is worked out from."""
--- /dev/null
+++ b/benchmarks/slopes/messages.py
@@ -0,0 +1,324 @@
+"""Bytes of each message against what it carries; exact counts.
+
+Run alone: `python -m benchmarks.slopes.messages`.
+"""
+
+from collections.abc import Callable
+import types
+
+from thrift import TMultiplexedProcessor
+from thrift.protocol import TBinaryProtocol
+from thrift.protocol import TMultiplexedProtocol
+from thrift.transport import TTransport
+
+from benchmarks.slopes import fit
+from benchmarks.slopes import states
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import Control
+from marigoldsill.protocol.generated import Peer
+from marigoldsill.protocol.generated import ttypes
+
+SEGMENT_HEADER_BYTES = 52
+"""TCP over IPv4 with the timestamp option; a call takes two segments and,
+as each answer carries the acknowledgement, about one more for the last."""
+
+SEGMENTS_PER_CALL_COUNT = 3
+
+_TASKS = (5, 15, 30, 60)
+_FEW = (1, 5, 20, 50)
+_MANY = (10, 100, 1_000)
+_LEASE_MS = 3_000
+
+
+def on_the_wire(payload_bytes: float) -> float:
+    """What a call costs on the network, headers included."""
+    return payload_bytes + SEGMENTS_PER_CALL_COUNT * SEGMENT_HEADER_BYTES
+
+
+def call_bytes(
+    client_class: Callable,
+    module: types.ModuleType,
+    method: str,
+    *parts: object,
+) -> int:
+    """Bytes of one call, request and reply with their frames.
+
+    Args:
+        client_class: The generated client.
+        module: The generated module, for its processor.
+        method: Which call.
+        *parts: The argument, then the reply.
+    """
+    argument, reply = parts
+    request_buffer = TTransport.TMemoryBuffer()
+    name = module.__name__.rpartition(".")[2].lower()
+    client = client_class(
+        TMultiplexedProtocol.TMultiplexedProtocol(_framed(request_buffer), name)
+    )
+    getattr(client, f"send_{method}")(argument)
+    request = request_buffer.getvalue()
+    handler = types.SimpleNamespace(**{method: lambda _: reply})
+    processor = TMultiplexedProcessor.TMultiplexedProcessor()
+    processor.registerProcessor(name, module.Processor(handler))
+    reply_buffer = TTransport.TMemoryBuffer()
+    processor.process(
+        _framed(TTransport.TMemoryBuffer(request)), _framed(reply_buffer)
+    )
+    return len(request) + len(reply_buffer.getvalue())
+
+
+def heartbeat(*, tasks_count: int, events_count: int = 0) -> ttypes.Heartbeat:
+    """A heartbeat of a worker with some tasks, usage of each."""
+    return ttypes.Heartbeat(
+        agent=states.worker_name(1),
+        incarnation=1_790_000_000_000_000_000,
+        sequence=100_000,
+        events=[
+            ttypes.RunEvent(
+                task=states.task_name(index),
+                epoch=3,
+                kind=ttypes.RunEventKind.STARTED,
+                event_id=index,
+            )
+            for index in range(events_count)
+        ],
+        usage=[
+            ttypes.Usage(
+                task=states.task_name(index),
+                cpu_millicores=1_900,
+                memory_bytes=8 << 30,
+                age_ms=2_000,
+                progress_ms=600_000,
+            )
+            for index in range(tasks_count)
+        ],
+    )
+
+
+def heartbeat_bytes(tasks_count: int, events_count: int = 0) -> int:
+    """Bytes of a heartbeat and its reply."""
+    reply = ttypes.HeartbeatReply(
+        term=7,
+        lease_ms=_LEASE_MS,
+        acknowledged_events=list(range(events_count)),
+    )
+    sent = heartbeat(tasks_count=tasks_count, events_count=events_count)
+    return call_bytes(Control.Client, Control, "heartbeat", sent, reply)
+
+
+def watch_bytes(**news: object) -> int:
+    """Bytes of a watch and its reply.
+
+    Args:
+        **news: Fields of the reply, or `delta` with the configuration.
+    """
+    delta = news.pop("delta", None)
+    request = ttypes.WatchRequest(
+        role=ttypes.Role.AGENT,
+        subscriber=states.worker_name(1),
+        config_version=17_000,
+        config_checksum=-(1 << 62),
+        wait_ms=2_000,
+    )
+    reply = ttypes.WatchReply(
+        term=7,
+        config=delta or ttypes.ConfigDelta(version=17_000, checksum=-(1 << 62)),
+        **news,
+    )
+    return call_bytes(Control.Client, Control, "watch", request, reply)
+
+
+def delta_bytes(services_count: int, *, draining_count: int = 0) -> int:
+    """Bytes of a watch that brings changed services."""
+    delta = ttypes.ConfigDelta(
+        version=17_000,
+        checksum=-(1 << 62),
+        services=[
+            ttypes.Service(
+                name=f"name-lookup-{index:03}",
+                team=states.team_name(index),
+                resources=ttypes.Resources(cpu_millicores=2_000),
+                command="lookup --index surnames",
+            )
+            for index in range(services_count)
+        ],
+        policy=ttypes.Policy(),
+        draining_workers=[states.worker_name(i) for i in range(draining_count)],
+    )
+    return watch_bytes(delta=delta)
+
+
+def orders_bytes(tasks_count: int) -> int:
+    """Bytes of a watch that brings a worker's complete orders."""
+    orders = [
+        ttypes.Order(
+            task=states.task_name(index),
+            epoch=3,
+            desire=ttypes.Desire.RUN,
+            kind=ttypes.Kind.BATCH_JOB,
+            resources=ttypes.Resources(2_000, 8 << 30, 0),
+            command=f"rebuild --club {index}",
+            owner=states.job_name(index),
+            run_time_ms=3_600_000,
+            started=True,
+        )
+        for index in range(tasks_count)
+    ]
+    return watch_bytes(orders=orders, orders_version=100_000)
+
+
+def routes_bytes(routes_count: int) -> int:
+    """Bytes of a watch that brings the complete routes."""
+    routes = [
+        ttypes.Route(
+            agent=states.worker_name(index),
+            agent_address=states.worker(index).agent_address,
+            data_centre="dc1",
+            service_name=f"name-lookup-{index % 100:03}",
+            slots_count=10,
+        )
+        for index in range(routes_count)
+    ]
+    return watch_bytes(routes=routes, routes_version=100_000)
+
+
+def start_command_bytes(starts_count: int) -> int:
+    """Bytes in the log of a batch of grants and the reports of their starts."""
+    grants = [
+        ttypes.Assignment(
+            task=states.task_name(index),
+            epoch=3,
+            worker=states.worker_name(index),
+            reserved=ttypes.Resources(2_000, 8 << 30, 0),
+            reason=f"placed on {states.worker_name(index)}",
+        )
+        for index in range(starts_count)
+    ]
+    started = states.events(grants, ttypes.RunEventKind.STARTED)
+    return command_bytes(
+        assign_runs=ttypes.AssignRuns(assignments=grants)
+    ) + command_bytes(record_run_events=ttypes.RecordRunEvents(events=started))
+
+
+def command_bytes(**body: object) -> int:
+    """Bytes of one command in the log."""
+    return len(
+        codec.encode(
+            ttypes.Command(
+                command_id="00000000-0000-0000-0000-000000000000",
+                proposed_unix_ms=1_790_000_000_000,
+                **body,
+            )
+        )
+    )
+
+
+def append_bytes(entries_count: int) -> int:
+    """Bytes of an append with entries of one claim each, and its reply."""
+    claim = ttypes.Claim(
+        key="name-lookup-001/00000000-0000-0000-0000-000000000000",
+        request_digest=bytes(32),
+        entry="dc1-entry-1",
+        agent="",
+        expires_unix_ms=1_790_000_000_000,
+    )
+    command = codec.encode(
+        ttypes.Command(
+            command_id="00000000-0000-0000-0000-000000000000",
+            proposed_unix_ms=1_790_000_000_000,
+            put_claim=ttypes.PutClaim(claim=claim),
+        )
+    )
+    request = ttypes.AppendRequest(
+        term=7,
+        leader="control-1",
+        previous_index=1_000_000,
+        previous_term=7,
+        entries=[
+            ttypes.LogEntry(index=index, term=7, command=command)
+            for index in range(entries_count)
+        ],
+        commit_index=1_000_000,
+    )
+    reply = ttypes.AppendReply(term=7, success=True, match_index=1_000_000)
+    return call_bytes(Peer.Client, Peer, "append_entries", request, reply)
+
+
+def measure() -> list[fit.Slope]:
+    """The slopes of all messages."""
+    return [
+        fit.over(
+            "heartbeat bytes",
+            _TASKS,
+            heartbeat_bytes,
+            unit="bytes",
+            per="task on the worker",
+            bound=120,
+        ),
+        fit.over(
+            "heartbeat event bytes",
+            _FEW,
+            lambda count: heartbeat_bytes(0, count),
+            unit="bytes",
+            per="run event",
+            bound=120,
+        ),
+        fit.over(
+            "orders bytes",
+            _TASKS,
+            orders_bytes,
+            unit="bytes",
+            per="task on the worker",
+            bound=260,
+        ),
+        fit.over(
+            "configuration bytes",
+            _FEW,
+            delta_bytes,
+            unit="bytes",
+            per="changed service",
+            bound=220,
+        ),
+        fit.over(
+            "draining list bytes",
+            _MANY,
+            lambda count: delta_bytes(1, draining_count=count),
+            unit="bytes",
+            per="draining worker",
+            bound=30,
+        ),
+        fit.over(
+            "routes bytes",
+            _MANY,
+            routes_bytes,
+            unit="bytes",
+            per="route",
+            bound=130,
+        ),
+        fit.over(
+            "start log bytes",
+            _MANY,
+            start_command_bytes,
+            unit="bytes",
+            per="start",
+            bound=300,
+        ),
+        fit.over(
+            "append bytes",
+            _MANY,
+            append_bytes,
+            unit="bytes",
+            per="claim entry",
+            bound=400,
+        ),
+    ]
+
+
+def _framed(buffer: TTransport.TMemoryBuffer) -> object:
+    return TBinaryProtocol.TBinaryProtocolAccelerated(
+        TTransport.TFramedTransport(buffer)
+    )
+
+
+if __name__ == "__main__":
+    fit.show(measure())
--- /dev/null
+++ b/benchmarks/slopes/placing.py
@@ -0,0 +1,19 @@
+"""One placement pass of the scheduler, ready to be timed."""
+
+from collections.abc import Callable
+
+from benchmarks.slopes import states
+from marigoldsill.coordination import placement
+
+
+def prepare(*, workers_count: int, queued_count: int) -> Callable[[], object]:
+    """A pass over running workers and some queued tasks."""
+    tables = states.running(
+        workers_count=workers_count,
+        tasks_count=workers_count * states.TASKS_PER_WORKER_COUNT,
+    )
+    states.add_jobs(tables, queued_count)
+    live = set(tables.workers)
+    return lambda: placement.place_queued(
+        tables, live_agents=live, limit=max(1, queued_count)
+    )
--- /dev/null
+++ b/benchmarks/slopes/state.py
@@ -0,0 +1,272 @@
+"""Memory, snapshots, applying and placement against the size of the state.
+
+Run alone: `python -m benchmarks.slopes.state`.
+"""
+
+from collections.abc import Callable
+import gc
+import time
+import tracemalloc
+
+from benchmarks.slopes import fit
+from benchmarks.slopes import placing
+from benchmarks.slopes import states
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+_TASKS = (2_000, 4_000, 8_000)
+_WORKERS = (225, 450, 900)
+_TEAMS = (100, 200, 400)
+_COMMANDS = (500, 1_000, 2_000)
+_REPEATS = 3
+
+
+def allocated_bytes(
+    prepare: Callable[[tables_module.Tables], None],
+    grow: Callable[[tables_module.Tables], None],
+) -> int:
+    """Bytes that the tables gained by `grow`, as the allocator counts them."""
+    tables = tables_module.Tables()
+    prepare(tables)
+    tables.results.clear()
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        grow(tables)
+        tables.results.clear()  # measured apart: they have a limit
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return after - before
+
+
+def best_s(action: Callable[[], object]) -> float:
+    """The shortest of a few runs, in processor seconds of this thread."""
+    return min(_thread_s(action) for _ in range(_REPEATS))
+
+
+def memory() -> list[fit.Slope]:
+    """Memory of each record that the state keeps."""
+
+    def tasks(count: int) -> int:
+        def grow(tables: tables_module.Tables) -> None:
+            states.add_jobs(tables, count)
+            states.run_all(tables)
+
+        return allocated_bytes(lambda t: states.add_workers(t, 100), grow)
+
+    return [
+        fit.over(
+            "memory of a task",
+            _TASKS,
+            tasks,
+            unit="bytes",
+            per="running task with its job",
+            bound=4_000,
+        ),
+        fit.over(
+            "memory of a worker",
+            _WORKERS,
+            lambda count: allocated_bytes(
+                lambda _: None, lambda t: states.add_workers(t, count)
+            ),
+            unit="bytes",
+            per="worker",
+            bound=1_500,
+        ),
+        fit.over(
+            "memory of a change",
+            _TEAMS,
+            lambda count: allocated_bytes(
+                lambda _: None, lambda t: states.add_teams(t, count)
+            ),
+            unit="bytes",
+            per="change with its plan, audit records and team",
+            bound=6_000,
+        ),
+        fit.over(
+            "memory of a claim",
+            _COMMANDS,
+            lambda count: allocated_bytes(
+                lambda _: None, lambda t: _claim(t, count)
+            ),
+            unit="bytes",
+            per="claim with an answer of 256 bytes",
+            bound=2_500,
+        ),
+        fit.over(
+            "memory of a result",
+            _COMMANDS,
+            _result_memory,
+            unit="bytes",
+            per="remembered command result",
+            bound=800,
+        ),
+    ]
+
+
+def snapshots() -> list[fit.Slope]:
+    """Size and time of a snapshot against running tasks."""
+    made = {
+        count: states.running(
+            workers_count=count // states.TASKS_PER_WORKER_COUNT,
+            tasks_count=count,
+        )
+        for count in _TASKS
+    }
+    for tables in made.values():
+        tables.results.clear()
+    data = {count: tables.to_bytes() for count, tables in made.items()}
+    return [
+        fit.over(
+            "snapshot bytes",
+            _TASKS,
+            lambda count: len(data[count]),
+            unit="bytes",
+            per="running task with its job and share of a worker",
+            bound=700,
+        ),
+        fit.over(
+            "snapshot write time",
+            _TASKS,
+            lambda count: best_s(made[count].to_bytes) * 1e6,
+            unit="us",
+            per="running task",
+        ),
+        fit.over(
+            "snapshot read time",
+            _TASKS,
+            lambda count: (
+                best_s(lambda: tables_module.Tables.from_bytes(data[count]))
+                * 1e6
+            ),
+            unit="us",
+            per="running task",
+        ),
+    ]
+
+
+def applying() -> list[fit.Slope]:
+    """Processor time of applying a run's whole life."""
+
+    def life(count: int) -> float:
+        def once() -> float:
+            tables = tables_module.Tables()
+            states.add_workers(tables, 100)
+            states.add_jobs(tables, count)
+            grants = states.assignments(tables, count)
+            return _thread_s(lambda: _live(tables, grants))
+
+        return min(once() for _ in range(_REPEATS)) * 1e6
+
+    return [
+        fit.over(
+            "apply time of a run",
+            _COMMANDS,
+            life,
+            unit="us",
+            per="run (granted, started, completed; decoded and applied)",
+        )
+    ]
+
+
+def placement() -> list[fit.Slope]:
+    """Processor time of one placement pass."""
+    queued = 50
+    workers = {
+        count: placing.prepare(workers_count=count, queued_count=queued)
+        for count in _WORKERS
+    }
+    idle = {
+        count: placing.prepare(workers_count=count, queued_count=0)
+        for count in _WORKERS
+    }
+    queues = {
+        count: placing.prepare(workers_count=_WORKERS[0], queued_count=count)
+        for count in (50, 100, 200)
+    }
+    return [
+        fit.over(
+            "placement time by workers",
+            workers,
+            lambda count: best_s(workers[count]) * 1e6,
+            unit="us",
+            per=f"worker, for {queued} queued tasks",
+        ),
+        fit.over(
+            "placement time with nothing queued",
+            idle,
+            lambda count: best_s(idle[count]) * 1e6,
+            unit="us",
+            per="worker",
+        ),
+        fit.over(
+            "placement time by tasks",
+            queues,
+            lambda count: best_s(queues[count]) * 1e6,
+            unit="us",
+            per=f"queued task, for {_WORKERS[0]} workers",
+        ),
+    ]
+
+
+def measure() -> list[fit.Slope]:
+    """All slopes of the state."""
+    return [*memory(), *snapshots(), *applying(), *placement()]
+
+
+def _thread_s(action: Callable[[], object]) -> float:
+    start_s = time.thread_time()
+    action()
+    return time.thread_time() - start_s
+
+
+def _claim(tables: tables_module.Tables, count: int) -> None:
+    for index in range(count):
+        key = f"name-lookup-001/00000000-0000-0000-0000-{index:012}"
+        claim = ttypes.Claim(
+            key=key,
+            request_digest=bytes(32),
+            entry="dc1-entry-1",
+            agent="",
+            expires_unix_ms=1_790_000_000_000,
+        )
+        states.do(tables, put_claim=ttypes.PutClaim(claim=claim))
+        end = ttypes.EndClaim(
+            key=key,
+            attempt=1,
+            state=ttypes.ClaimState.DONE,
+            status_code=200,
+            body=index.to_bytes(256, "big"),
+            content_type="text/plain",
+        )
+        states.do(tables, end_claim=end)
+
+
+def _result_memory(count: int) -> int:
+    tables = tables_module.Tables()
+    gc.collect()
+    tracemalloc.start()
+    try:
+        for _ in range(count):
+            states.do(tables, no_operation=ttypes.NoOperation(term=1))
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def _live(
+    tables: tables_module.Tables, grants: list[ttypes.Assignment]
+) -> None:
+    kinds = (ttypes.RunEventKind.STARTED, ttypes.RunEventKind.COMPLETED)
+    states.do(tables, assign_runs=ttypes.AssignRuns(assignments=grants))
+    for kind in kinds:
+        body = ttypes.RecordRunEvents(events=states.events(grants, kind))
+        states.do(tables, record_run_events=body)
+
+
+if __name__ == "__main__":
+    fit.show(measure())
