--- a/benchmarks/slopes/messages.py
+++ b/benchmarks/slopes/messages.py
@@ -167,9 +167,9 @@
     return watch_bytes(orders=orders, orders_version=100_000)
 
 
-def routes_bytes(routes_count: int) -> int:
-    """Bytes of a watch that brings the complete routes."""
-    routes = [
+def routes(routes_count: int) -> list[ttypes.Route]:
+    """Routes of a hundred services."""
+    return [
         ttypes.Route(
             agent=states.worker_name(index),
             agent_address=states.worker(index).agent_address,
@@ -179,7 +179,11 @@
         )
         for index in range(routes_count)
     ]
-    return watch_bytes(routes=routes, routes_version=100_000)
+
+
+def routes_bytes(routes_count: int) -> int:
+    """Bytes of a watch that brings the complete routes."""
+    return watch_bytes(routes=routes(routes_count), routes_version=100_000)
 
 
 def start_command_bytes(starts_count: int) -> int:
--- a/benchmarks/slopes/roles.py
+++ b/benchmarks/slopes/roles.py
@@ -11,12 +11,12 @@
 import psutil
 
 from benchmarks import table
-from benchmarks.slopes import control
 from benchmarks.slopes import fit
+from benchmarks.slopes import load
 from marigoldsill.transport import http_client
 from tests import processes
 
-_TASKS = (5, 15, 30)
+_TASKS = (5, 15, 35)
 _REQUESTS = (200, 400, 800)
 _THREADS_COUNT = 8
 _MEASURE_S = 4.0
@@ -75,9 +75,9 @@
     def processor_us_per_s(self, name: str) -> float:
         """Processor time of a role, in microseconds a second."""
         pid = self.process_id(name)
-        before_s, start_s = control.processor_s(pid), time.monotonic()
+        before_s, start_s = load.processor_s(pid), time.monotonic()
         time.sleep(_MEASURE_S)
-        spent_s = control.processor_s(pid) - before_s
+        spent_s = load.processor_s(pid) - before_s
         return spent_s / (time.monotonic() - start_s) * 1e6
 
 
@@ -160,7 +160,7 @@
 
 
 def _spent_s(site: Site, name: str) -> float:
-    return control.processor_s(site.process_id(name))
+    return load.processor_s(site.process_id(name))
 
 
 if __name__ == "__main__":
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -9,8 +9,11 @@
 import tracemalloc
 
 from benchmarks.slopes import fit
+from benchmarks.slopes import messages
 from benchmarks.slopes import placing
 from benchmarks.slopes import states
+from marigoldsill.coordination import routing
+from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
@@ -18,6 +21,7 @@
 _WORKERS = (225, 450, 900)
 _TEAMS = (100, 200, 400)
 _COMMANDS = (500, 1_000, 2_000)
+_ROUTES = (1_000, 2_000, 4_000)
 _REPEATS = 3
 
 
@@ -212,9 +216,47 @@
     ]
 
 
+def routes() -> list[fit.Slope]:
+    """Memory and time of an entry that takes the complete routes."""
+
+    def kept_bytes(count: int) -> int:
+        gc.collect()
+        tracemalloc.start()
+        try:
+            router = routing.Router(data_centre="dc1")
+            router.update(_decoded(messages.routes(count)))
+            gc.collect()
+            return tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+
+    def update_us(count: int) -> float:
+        router = routing.Router(data_centre="dc1")
+        data = codec.encode(ttypes.WatchReply(routes=messages.routes(count)))
+        return 1e6 * best_s(
+            lambda: router.update(
+                codec.decode(ttypes.WatchReply(), data).routes
+            )
+        )
+
+    return [
+        fit.over(
+            "memory of a route", _ROUTES, kept_bytes, unit="bytes", per="route"
+        ),
+        fit.over(
+            "routes update time", _ROUTES, update_us, unit="us", per="route"
+        ),
+    ]
+
+
 def measure() -> list[fit.Slope]:
     """All slopes of the state."""
-    return [*memory(), *snapshots(), *applying(), *placement()]
+    return [*memory(), *snapshots(), *applying(), *placement(), *routes()]
+
+
+def _decoded(routes_given: list[ttypes.Route]) -> list[ttypes.Route]:
+    data = codec.encode(ttypes.WatchReply(routes=routes_given))
+    return codec.decode(ttypes.WatchReply(), data).routes
 
 
 def _thread_s(action: Callable[[], object]) -> float:
