--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,106 @@
+"""The slopes of the capacity page, and the page's tables.
+
+`python -m benchmarks.capacity` prints the rows; with `--write` it also writes
+the tables of docs/CAPACITY.md. It takes about a minute and a half.
+"""
+
+from collections.abc import Mapping
+import datetime
+import os
+import platform
+import sys
+
+from benchmarks import table
+from benchmarks.slopes import control
+from benchmarks.slopes import fit
+from benchmarks.slopes import full_size
+from benchmarks.slopes import messages
+from benchmarks.slopes import page
+from benchmarks.slopes import roles
+from benchmarks.slopes import sizing
+from benchmarks.slopes import state
+
+_Parts = Mapping[str, list[fit.Slope]]
+
+
+def run() -> list[table.Row]:
+    """The slopes and single figures; only counts have bounds."""
+    parts, rows = measure()
+    return [s.row() for part in parts.values() for s in part] + rows
+
+
+def measure() -> tuple[_Parts, list[table.Row]]:
+    """Measures everything; slopes by the module that gave them."""
+    role_slopes, rows = roles.measure()
+    parts = {
+        "messages": messages.measure(),
+        "state": state.measure(),
+        "control": control.measure(),
+        "roles": role_slopes,
+    }
+    return parts, rows + full_size.measure()
+
+
+def tables(parts: _Parts, rows: list[table.Row]) -> dict[str, str]:
+    """The tables of the page by the names of their markers."""
+    figures = sizing.Figures(
+        slopes={s.name: s for part in parts.values() for s in part},
+        rows={row.name.removeprefix("capacity: "): row.value for row in rows},
+    )
+    slopes = {
+        f"slopes {name}": page.slopes_table(
+            part, f"python -m benchmarks.slopes.{name}"
+        )
+        for name, part in parts.items()
+    }
+    group = sizing.group_leader(
+        figures,
+        workers_count=sizing.GROUP_WORKERS_COUNT,
+        starts_per_s=sizing.GROUP_STARTS_PER_S,
+    )
+    single = sizing.group_leader(
+        figures,
+        workers_count=sizing.WORKERS_COUNT,
+        starts_per_s=sizing.STARTS_PEAK_PER_S,
+    )
+    group_delays = sizing.delays(
+        figures, workers_count=sizing.GROUP_WORKERS_COUNT
+    )
+    single_delays = sizing.delays(figures, workers_count=sizing.WORKERS_COUNT)
+    return slopes | {
+        "machine": _machine(),
+        "single figures": page.rows_table(rows),
+        "agent": page.lines_table(sizing.agent(figures)),
+        "entry": page.lines_table(sizing.entry(figures)),
+        "group": page.lines_table([*group, *group_delays]),
+        "intents": page.lines_table(sizing.intents_leader(figures)),
+        "single": page.lines_table([*single, *single_delays]),
+        "failures": page.lines_table(sizing.failures(figures)),
+    }
+
+
+def _machine() -> str:
+    load = os.getloadavg()[0]
+    today = datetime.datetime.now(datetime.UTC).date()
+    return (
+        f"Written on {today} by Python {platform.python_version()} on "
+        f"{os.cpu_count()} processors, load average {load:.1f} at the end of "
+        "the run."
+    )
+
+
+def main() -> None:
+    """Measures, prints the rows, and with `--write` writes the page."""
+    parts, rows = measure()
+    slopes = [s for part in parts.values() for s in part]
+    fit.show(slopes)
+    print(table.render(rows), end="")
+    if "--write" in sys.argv[1:]:
+        text = page.PAGE.read_text()
+        for name, content in tables(parts, rows).items():
+            text = page.rewrite(text, name, content)
+        page.PAGE.write_text(text)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/slopes/placing.py
+++ b/benchmarks/slopes/placing.py
@@ -4,6 +4,7 @@
 
 from benchmarks.slopes import states
 from marigoldsill.coordination import placement
+from marigoldsill.state import tables as tables_module
 
 
 def prepare(*, workers_count: int, queued_count: int) -> Callable[[], object]:
@@ -12,6 +13,13 @@
         workers_count=workers_count,
         tasks_count=workers_count * states.TASKS_PER_WORKER_COUNT,
     )
+    return over(tables, queued_count=queued_count)
+
+
+def over(
+    tables: tables_module.Tables, *, queued_count: int
+) -> Callable[[], object]:
+    """A pass over given tables and some more queued tasks."""
     states.add_jobs(tables, queued_count)
     live = set(tables.workers)
     return lambda: placement.place_queued(
--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -77,10 +77,12 @@
     return "\n".join(lines) + "\n"
 
 
-def to_json(rows: Iterable[Row]) -> str:
+def to_json(rows: Iterable[Row], *, verdicts: bool = True) -> str:
     """The rows as JSON, for comparing one run with another."""
     records = [
-        dataclasses.asdict(row) | {"verdict": row.verdict.value} for row in rows
+        dataclasses.asdict(row)
+        | ({"verdict": row.verdict.value} if verdicts else {})
+        for row in rows
     ]
     return json.dumps(records, indent=2) + "\n"
 
@@ -91,14 +93,14 @@
 
 
 def number(value: float) -> str:
-    """A figure with four significant digits, whole numbers in full."""
+    """A figure with three significant digits, whole numbers in full."""
     if not math.isfinite(value):
         return str(value)
     if value == int(value) and abs(value) < 1e15:
         return f"{int(value):,}"
     if abs(value) >= 1000:
         return f"{value:,.0f}"
-    return f"{value:.4g}"
+    return f"{value:.3g}"
 
 
 def _cells(row: Row) -> tuple[str, ...]:
