--- /dev/null
+++ b/tests/benchmarks/test_slopes.py
@@ -0,0 +1,72 @@
+"""Slopes, what is worked out from them, and the page they go to."""
+
+import pytest
+
+from benchmarks.slopes import fit
+from benchmarks.slopes import messages
+from benchmarks.slopes import page
+from benchmarks.slopes import sizing
+from benchmarks.slopes import states
+from marigoldsill import errors
+from marigoldsill.protocol.generated import ttypes
+
+
+def test_line_finds_slope_intercept_and_residual() -> None:
+    slope = fit.line(
+        "x", [(1, 12), (2, 14), (3, 16)], unit="bytes", per="thing"
+    )
+
+    assert (slope.slope, slope.intercept) == pytest.approx((2, 10))
+    assert slope.residual_ratio == pytest.approx(0)
+    assert slope.at(10) == pytest.approx(30)
+
+
+def test_residual_is_the_largest_distance_over_the_largest_value() -> None:
+    slope = fit.line("x", [(0, 0), (1, 3), (2, 0)], unit="s", per="thing")
+
+    assert slope.residual_ratio == pytest.approx(2 / 3)
+
+
+def test_line_refuses_two_sizes() -> None:
+    points = [(1, 1), (2, 2), (2, 3)]
+
+    with pytest.raises(errors.BadInputError, match="2 sizes"):
+        fit.line("x", points, unit="s", per="thing")
+
+
+@pytest.mark.parametrize(
+    ("value", "verdict"),
+    [(1.0, "holds, at 50%"), (2.0, "holds, at 100%"), (5.0, "misses by 2.5")],
+)
+def test_verdict_names_the_factor_of_a_miss(value: float, verdict: str) -> None:
+    line = sizing.Line("x", "", value, "s", 2.0)
+
+    assert line.verdict.startswith(verdict)
+
+
+def test_rewrite_replaces_only_the_marked_table_and_may_be_repeated() -> None:
+    text = "a\n<!-- table one -->\nold\n<!-- end -->\nb\n<!-- table two -->\n"
+
+    once = page.rewrite(text, "one", "new")
+
+    assert once.startswith("a\n<!-- table one -->\n\nnew\n\n<!-- end -->\nb\n")
+    assert page.rewrite(once, "one", "new") == once
+
+
+def test_rewrite_refuses_a_page_without_the_marker() -> None:
+    with pytest.raises(errors.NotFoundError, match="table one"):
+        page.rewrite("nothing", "one", "new")
+
+
+def test_built_states_run_what_was_asked_for() -> None:
+    tables = states.running(workers_count=4, tasks_count=30)
+
+    assert len(tables.workers) == 4
+    assert {t.state for t in tables.tasks.values()} == {
+        ttypes.TaskState.RUNNING
+    }
+    assert len(tables.tasks) == 30
+
+
+def test_bytes_of_messages_grow_in_a_straight_line() -> None:
+    assert all(s.residual_ratio < 0.01 for s in messages.measure())
