--- a/benchmarks/slopes/load.py
+++ b/benchmarks/slopes/load.py
@@ -13,6 +13,7 @@
 
 import psutil
 
+from benchmarks.slopes import compiled
 from benchmarks.slopes import messages
 from benchmarks.slopes import states
 from marigoldsill import errors
@@ -141,7 +142,7 @@
 @contextlib.contextmanager
 def started() -> Iterator[Load]:
     """A control process with load generators around it."""
-    with tempfile.TemporaryDirectory() as folder:
+    with compiled.modules(), tempfile.TemporaryDirectory() as folder:
         system = processes.System(pathlib.Path(folder))
         try:
             leader = system.start_control()
--- a/benchmarks/slopes/roles.py
+++ b/benchmarks/slopes/roles.py
@@ -11,6 +11,7 @@
 import psutil
 
 from benchmarks import table
+from benchmarks.slopes import compiled
 from benchmarks.slopes import fit
 from benchmarks.slopes import load
 from marigoldsill.transport import http_client
@@ -127,7 +128,7 @@
 
 def measure() -> tuple[list[fit.Slope], list[table.Row]]:
     """Slopes of whole processes, and their memory when idle."""
-    with tempfile.TemporaryDirectory() as folder:
+    with compiled.modules(), tempfile.TemporaryDirectory() as folder:
         site = Site(pathlib.Path(folder))
         try:
             site.start()
