--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,6 +11,7 @@
 import sys
 
 from benchmarks import table
+from benchmarks.slopes import commits
 from benchmarks.slopes import control
 from benchmarks.slopes import fit
 from benchmarks.slopes import full_size
@@ -32,13 +33,15 @@
 def measure() -> tuple[_Parts, list[table.Row]]:
     """Measures everything; slopes by the module that gave them."""
     role_slopes, rows = roles.measure()
+    commit_slopes, elections = commits.measure()
     parts = {
         "messages": messages.measure(),
         "state": state.measure(),
         "control": control.measure(),
         "roles": role_slopes,
+        "commits": commit_slopes,
     }
-    return parts, rows + full_size.measure()
+    return parts, [*rows, *elections, *full_size.measure()]
 
 
 def tables(parts: _Parts, rows: list[table.Row]) -> dict[str, str]:
--- a/tests/coordination/member_group.py
+++ b/tests/coordination/member_group.py
@@ -49,8 +49,18 @@
                 text=True,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
             )
-        self._connection = thrift_client.Connection(
-            address=config["member"]["address"],
+        self._address = config["member"]["address"]
+        self._connection = self.connect()
+
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self._popen.pid
+
+    def connect(self) -> thrift_client.Connection:
+        """A new connection to it, as peers have."""
+        return thrift_client.Connection(
+            address=self._address,
             service_name=peers.SERVICE_NAME,
             client_class=PeerService.Client,
         )
