--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -1,21 +1,23 @@
 """What operators ask of the leader: plan, confirm, status, explain, audit."""
 
-import json
-import time
-
 from marigoldsill import errors
 from marigoldsill.coordination import control_service
-from marigoldsill.coordination import planning
+from marigoldsill.coordination import leadership
+from marigoldsill.coordination import plan_commands
 from marigoldsill.coordination import replica as replica_module
-from marigoldsill.protocol import intent_file
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import audit
 
 _TIMEOUT_S = 3.0
 
 
 class Operators:
-    """Answers operators while this process leads."""
+    """Answers operators while this process leads.
+
+    What is shown was in force when it was asked for: a majority confirms the
+    leader first.
+    """
 
     def __init__(
         self,
@@ -25,6 +27,9 @@
     ):
         self._replica = replica
         self._service = service
+        self._plans = plan_commands.PlanCommands(
+            replica=replica, service=service
+        )
 
     def plan(
         self, action: str, body: bytes, *, operator_name: str, command_id: str
@@ -33,20 +38,12 @@
 
         Raises:
             BadInputError: The action or the body is not accepted.
+            ConflictError: Nothing would change, or a name is taken.
             NotLeaderError: Another process leads.
         """
-        self._require_leader()
-        with self._replica.lock:
-            plan = self._make(action, body, operator_name)
-        if not plan.changes:
-            raise errors.ConflictError(
-                "nothing would change: all of it is in force already"
-            )
-        result = self._propose(
-            command_id, record_plan=ttypes.RecordPlan(plan=plan)
+        return self._plans.plan(
+            action, body, operator_name=operator_name, command_id=command_id
         )
-        with self._replica.lock:
-            return self._replica.tables.plans[result.plan_id]
 
     def confirm(
         self,
@@ -56,45 +53,41 @@
         operator_name: str,
         command_id: str,
     ) -> dict[str, object]:
-        """Confirms a plan.
+        """Confirms a plan; a resend gets the first answer.
 
         Raises:
             ConflictError: Another change came first.
             GuardError: A guard rail was not acknowledged.
             NotFoundError: There is no such plan.
+            StalePlanError: It would harm others now; names the new plan.
         """
-        self._require_leader()
-        result = self._propose(
-            command_id,
-            confirm_plan=ttypes.ConfirmPlan(
-                plan_id=plan_id,
-                operator_name=operator_name,
-                acknowledged_guards=acknowledged,
-            ),
+        return self._plans.confirm(
+            plan_id,
+            acknowledged,
+            operator_name=operator_name,
+            command_id=command_id,
         )
-        match result.outcome:
-            case ttypes.Outcome.OK:
-                return {
-                    "plan_id": plan_id,
-                    "state": "confirmed",
-                    "state_version": result.state_version,
-                }
-            case ttypes.Outcome.NOT_FOUND:
-                raise errors.NotFoundError(f"there is no plan {plan_id}")
-            case ttypes.Outcome.GUARDED:
-                raise errors.GuardError(result.message)
-            case ttypes.Outcome.STALE:
-                raise errors.StalePlanError(result.message)
-            case _:
-                raise errors.ConflictError(result.message)
+
+    def show(self, plan_id: int) -> object:
+        """A plan as it was made.
+
+        Raises:
+            NotFoundError: There is no such plan, or no longer.
+        """
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
+        with self._replica.lock:
+            plan = self._replica.tables.plans.get(plan_id)
+        if plan is None:
+            raise errors.NotFoundError(f"there is no plan {plan_id}")
+        return shapes.of_record(plan)
 
     def status(self) -> dict[str, object]:
         """The state in short, confirmed by a majority."""
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         live = self._service.leases.live()
         with self._replica.lock:
             tables = self._replica.tables
-            return {
+            answer = {
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
@@ -106,11 +99,13 @@
                     }
                     for member in tables.members
                 ],
+                "config_version": tables.config_version,
                 "workers": [
                     {
                         "name": worker.name,
                         "data_centre": worker.data_centre,
                         "state": ttypes.WorkerState(worker.state).name.lower(),
+                        "draining": worker.draining,
                         "live": worker.name in live,
                         "tasks": len(tables.tasks_on(worker.name)),
                     }
@@ -128,6 +123,9 @@
                     for task in tables.tasks.values()
                 ],
             }
+        # Again: this process may have been frozen since it was confirmed.
+        leadership.require(self._replica)
+        return answer
 
     def explain(self, name: str) -> dict[str, object]:
         """Why something is as it is.
@@ -135,7 +133,7 @@
         Raises:
             NotFoundError: Nothing has that name.
         """
-        self._confirm_leadership()
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         with self._replica.lock:
             tables = self._replica.tables
             tasks = tables.tasks_of(name)
@@ -148,74 +146,9 @@
                 "tasks": [shapes.of_record(task) for task in tasks],
             }
 
-    def audit(self) -> list[object]:
-        """The audit trail, oldest first."""
-        self._confirm_leadership()
+    def audit(self, *, since: int = 0) -> list[object]:
+        """The audit trail from a sequence number on, oldest first."""
+        leadership.confirm(self._replica, timeout_s=_TIMEOUT_S)
         with self._replica.lock:
-            return [shapes.of_record(r) for r in self._replica.tables.audit]
-
-    def _make(
-        self, action: str, body: bytes, operator_name: str
-    ) -> ttypes.Plan:
-        tables = self._replica.tables
-        match action:
-            case "apply":
-                intent = intent_file.parse(body)
-                return planning.for_apply(tables, intent, operator_name)
-            case "remove":
-                return planning.for_remove(
-                    tables, _field(body, "name", str), operator_name
-                )
-            case "drain" | "undrain":
-                return planning.for_drain(
-                    tables,
-                    _field(body, "name", str),
-                    operator_name,
-                    drain=action == "drain",
-                )
-            case "cancel":
-                return planning.for_cancel(
-                    tables, _field(body, "names", list), operator_name
-                )
-            case _:
-                raise errors.BadInputError(
-                    f"{action!r} is no action; accepted are apply, remove, "
-                    "drain, undrain, cancel"
-                )
-
-    def _require_leader(self) -> None:
-        if self._replica.is_leader:
-            return
-        leader = self._replica.leader
-        raise errors.NotLeaderError(
-            f"{self._replica.member.name} does not lead; "
-            f"{leader.name if leader else 'no other known process'} does",
-            leader_address=leader.address if leader else "",
-            leader_http=leader.http_address if leader else "",
-        )
-
-    def _confirm_leadership(self) -> None:
-        self._require_leader()
-        self._replica.confirm_leadership(timeout_s=_TIMEOUT_S)
-
-    def _propose(self, command_id: str, **body: object) -> ttypes.CommandResult:
-        command = ttypes.Command(
-            command_id=command_id,
-            proposed_unix_ms=time.time_ns() // 1_000_000,
-            **body,
-        )
-        return self._replica.propose(command, timeout_s=_TIMEOUT_S)
-
-
-def _field(body: bytes, name: str, kind: type) -> object:
-    try:
-        value = json.loads(body)[name]
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        raise errors.BadInputError(
-            f"the body is no JSON object with {name!r}"
-        ) from error
-    if not isinstance(value, kind):
-        raise errors.BadInputError(
-            f"{name!r} is {value!r}; accepted is a {kind.__name__}"
-        )
-    return value
+            records = audit.since(self._replica.tables, since)
+        return [shapes.of_record(record) for record in records]
--- a/marigoldsill/protocol/intent_file.py
+++ b/marigoldsill/protocol/intent_file.py
@@ -7,14 +7,12 @@
 from collections.abc import Callable
 import difflib
 import re
-import reprlib
-import tomllib
 from typing import Any
 
 from marigoldsill import errors
+from marigoldsill.protocol import toml_document
 from marigoldsill.protocol.generated import ttypes
 
-SIZE_LIMIT_BYTES = 256 << 10
 RECORDS_LIMIT = 5_000
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _COUNT_LIMIT = 100_000
@@ -23,11 +21,8 @@
 _TIME_UNITS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
 _MILLICORES_LIMIT = 10_000_000
 _MEMORY_LIMIT_BYTES = 1 << 50
-_SHOWN_LENGTH = 60
 _TIME_LIMIT_MS = 366 * 24 * 3_600_000
 _FAULTS_LIMIT = 50
-# Reading a dotted key costs the square of its parts; our keys have none.
-_DOTS_LIMIT = 24
 
 
 def parse(data: bytes) -> ttypes.Intent:
@@ -36,46 +31,12 @@
     Raises:
         IntentError: It is no TOML, or something in it is not accepted; the
             message names every fault.
-        TooLargeError: It is larger than `SIZE_LIMIT_BYTES`.
+        TooLargeError: It is larger than `toml_document.SIZE_LIMIT_BYTES`.
     """
-    if len(data) > SIZE_LIMIT_BYTES:
-        raise errors.TooLargeError(
-            f"the intent file has {len(data)} bytes; accepted are up to "
-            f"{SIZE_LIMIT_BYTES}"
-        )
-    text = _decode(data)
-    try:
-        document = tomllib.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise errors.IntentError(
-            f"the intent file is no TOML: {shown(str(error))}"
-        ) from error
+    document = toml_document.read(data, what="the intent file")
     return _Reader().intent(document)
 
 
-def shown(value: object) -> str:
-    """A value as messages show it: in short, whatever it is."""
-    short = reprlib.Repr()
-    short.maxstring = short.maxother = short.maxlong = _SHOWN_LENGTH
-    return short.repr(value)
-
-
-def _decode(data: bytes) -> str:
-    try:
-        text = data.decode("utf-8")
-    except UnicodeDecodeError as error:
-        raise errors.IntentError(
-            f"the intent file is not UTF-8 at byte {error.start}"
-        ) from error
-    for number, line in enumerate(text.split("\n"), start=1):
-        if line.count(".") > _DOTS_LIMIT:
-            raise errors.IntentError(
-                f"line {number} has {line.count('.')} dots; accepted are up "
-                f"to {_DOTS_LIMIT} in a line"
-            )
-    return text
-
-
 class _Reader:
     """Reads tables and collects every fault before giving up."""
 
@@ -124,9 +85,9 @@
         self, where: str, table: object, record: type, fields: dict
     ) -> object:
         if not isinstance(table, dict):
-            self._fault(f"{where}: {shown(table)} is no table")
+            self._fault(f"{where}: {toml_document.shown(table)} is no table")
             return record(name="")
-        where = f"{where} {shown(table.get('name', ''))}"
+        where = f"{where} {toml_document.shown(table.get('name', ''))}"
         self._unknown(where, table, fields)
         if "name" not in table:
             self._fault(f"{where}: name is missing")
@@ -153,7 +114,7 @@
             near = difflib.get_close_matches(key, known, n=1)
             hint = f"; did you mean {near[0]!r}?" if near else "."
             self._fault(
-                f"{where}: {shown(key)} is unknown{hint} Accepted: "
+                f"{where}: {toml_document.shown(key)} is unknown{hint} Accepted: "
                 f"{', '.join(known)}"
             )
 
@@ -162,7 +123,7 @@
         for record in intent.services + intent.batch_jobs + intent.watchers:
             if record.name in seen:
                 self._fault(
-                    f"the name {shown(record.name)} is there twice; services, "
+                    f"the name {toml_document.shown(record.name)} is there twice; services, "
                     "batch jobs and watchers share one set of names"
                 )
             seen.add(record.name)
@@ -171,7 +132,7 @@
 def _name(value: object) -> str:
     if not isinstance(value, str) or not _NAME_PATTERN.fullmatch(value):
         raise errors.IntentError(
-            f"{shown(value)} is no name; accepted are 1 to 63 letters, digits, "
+            f"{toml_document.shown(value)} is no name; accepted are 1 to 63 letters, digits, "
             "'.', '_' and '-', a letter or digit first"
         )
     return value
@@ -179,13 +140,15 @@
 
 def _text(value: object) -> str:
     if not isinstance(value, str):
-        raise errors.IntentError(f"{shown(value)} is no text")
+        raise errors.IntentError(f"{toml_document.shown(value)} is no text")
     return value
 
 
 def _flag(value: object) -> bool:
     if not isinstance(value, bool):
-        raise errors.IntentError(f"{shown(value)} is neither true nor false")
+        raise errors.IntentError(
+            f"{toml_document.shown(value)} is neither true nor false"
+        )
     return value
 
 
@@ -194,7 +157,7 @@
         whole = isinstance(value, int) and not isinstance(value, bool)
         if not whole or not low <= value <= high:
             raise errors.IntentError(
-                f"{shown(value)} is not accepted; a whole number from {low} to "
+                f"{toml_document.shown(value)} is not accepted; a whole number from {low} to "
                 f"{high} is"
             )
         return value
@@ -211,7 +174,7 @@
         millicores = round(value * 1000)
     if millicores is None or not 0 < millicores <= _MILLICORES_LIMIT:
         raise errors.IntentError(
-            f"{shown(value)} is no processor time; accepted are cores such as 2 "
+            f"{toml_document.shown(value)} is no processor time; accepted are cores such as 2 "
             "or 1.5, or thousandths such as '500m'"
         )
     return millicores
@@ -231,7 +194,7 @@
         amount = int(match[1]) * units[match[2]] if match else -1
         if not 0 < amount <= limit:
             raise errors.IntentError(
-                f"{shown(value)} is not accepted; a number above 0 with one of "
+                f"{toml_document.shown(value)} is not accepted; a number above 0 with one of "
                 f"the units {', '.join(units)} is, such as {example!r}"
             )
         return amount
@@ -244,7 +207,7 @@
     offset = getattr(value, "utcoffset", lambda: None)()
     if offset is None:
         raise errors.IntentError(
-            f"{shown(value)} is no point in time; accepted is "
+            f"{toml_document.shown(value)} is no point in time; accepted is "
             "2026-12-02T18:00:00Z, with its offset"
         )
     return int(value.timestamp() * 1000)
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -10,6 +10,7 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
+from marigoldsill.coordination import audit_log
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
 from marigoldsill.coordination import peers
@@ -27,7 +28,7 @@
 
 _BODY_LIMIT_BYTES = 2 << 20
 _HTTP_THREADS_COUNT = 32
-_PLAN_ID = re.compile(r"[0-9]{1,18}", re.ASCII)
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
 _GUARD_NAME = re.compile(r"[a-z0-9-]{1,64}")
 _SHOWN_LENGTH = 40
 
@@ -91,6 +92,7 @@
             on_fatal=_end_process,
         )
         self._service = control_service.ControlService(replica=self._replica)
+        self._audit_log = audit_log.AuditLog(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
             replica=self._replica, service=self._service
         )
@@ -148,8 +150,13 @@
                 return common.json_response(self._operators.status())
             case ("GET", "v1", "explain", name):
                 return common.json_response(self._operators.explain(name))
+            case ("GET", "v1", "plans", plan_id):
+                return common.json_response(
+                    self._operators.show(_plan_id(plan_id))
+                )
             case ("GET", "v1", "audit"):
-                return common.json_response(self._operators.audit())
+                since = _sequence(request.args.get("since", "0"))
+                return common.json_response(self._operators.audit(since=since))
             case _:
                 raise errors.NotFoundError(
                     f"{request.method} {request.path} is nothing here"
@@ -157,11 +164,19 @@
 
 
 def _plan_id(text: str) -> int:
-    if not _PLAN_ID.fullmatch(text):
+    if not _WHOLE_NUMBER.fullmatch(text):
         raise errors.NotFoundError(f"there is no plan {text[:_SHOWN_LENGTH]!r}")
     return int(text)
 
 
+def _sequence(text: str) -> int:
+    if not _WHOLE_NUMBER.fullmatch(text):
+        raise errors.BadInputError(
+            f"since is {text[:_SHOWN_LENGTH]!r}; accepted is the sequence number of a record"
+        )
+    return int(text)
+
+
 def _acknowledged(body: bytes) -> list[str]:
     if not body:
         return []
