--- a/marigoldsill/cli/plans.py
+++ b/marigoldsill/cli/plans.py
@@ -105,6 +105,21 @@
     _plan("policy", "\n".join(lines).encode(), **given)
 
 
+@plan.command()
+@click.argument("plan_id", type=click.IntRange(min=1))
+@options.for_operators
+def show(
+    plan_id: int,
+    control_http: str,
+    token_file: pathlib.Path | None,
+    operator: str,
+    output: str,
+) -> None:
+    """Shows the plan PLAN_ID as it was made."""
+    client = client_module.make(control_http, token_file, operator)
+    output_module.show(client.get(f"/v1/plans/{plan_id}"), output)
+
+
 @click.command()
 @click.argument("plan_id", type=click.IntRange(min=1))
 @click.option(
--- a/marigoldsill/cli/state.py
+++ b/marigoldsill/cli/state.py
@@ -57,8 +57,16 @@
 
 
 @click.command()
+@click.option(
+    "--since",
+    type=click.IntRange(min=0),
+    default=0,
+    show_default=True,
+    help="Leaves out records before this sequence number.",
+)
 @options.for_operators
 def audit(
+    since: int,
     control_http: str,
     token_file: pathlib.Path | None,
     operator: str,
@@ -66,7 +74,7 @@
 ) -> None:
     """Shows who planned, confirmed or was refused what, and when."""
     client = client_module.make(control_http, token_file, operator)
-    output_module.show(client.get("/v1/audit"), output)
+    output_module.show(client.get(f"/v1/audit?since={since}"), output)
 
 
 def _show_again(client: client_module.Client, output: str) -> None:
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,222 @@
+"""Commands as operators type them, against a control that answers as told."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import json
+import pathlib
+
+from click import testing
+import pytest
+
+from marigoldsill import cli
+from marigoldsill import errors
+from tests.cli import fake_control
+
+_PLAN = {
+    "plan_id": 3,
+    "state_version": 5,
+    "effects": [{"verb": "start", "subject": "lookup/0", "worker": "w1"}],
+    "guards": [{"name": "unit-slip", "message": "400 cores"}],
+}
+
+
+@pytest.fixture
+def control() -> Iterator[fake_control.FakeControl]:
+    """A control process that gives a plan."""
+    running = fake_control.FakeControl(fake_control.gives(_PLAN))
+    yield running
+    running.stop()
+
+
+@pytest.fixture
+def run(control: fake_control.FakeControl) -> Callable[..., testing.Result]:
+    """Runs a command against `control`."""
+    environment = {"MARIGOLDSILL_CONTROL_HTTP": control.address}
+
+    def invoke(*arguments: object, **more: str) -> testing.Result:
+        return testing.CliRunner().invoke(
+            cli.main, list(map(str, arguments)), env=environment | more
+        )
+
+    return invoke
+
+
+@pytest.mark.parametrize(
+    ("arguments", "path", "body"),
+    [
+        (["remove", "lookup"], "remove", {"name": "lookup"}),
+        (["drain", "w1"], "drain", {"name": "w1"}),
+        (["undrain", "w1"], "undrain", {"name": "w1"}),
+        (["cancel", "a", "b"], "cancel", {"names": ["a", "b"]}),
+    ],
+    ids=lambda value: str(value[0]) if isinstance(value, list) else "",
+)
+def test_each_kind_of_plan_is_asked_for(
+    run, control: fake_control.FakeControl, arguments, path, body
+) -> None:
+    result = run("plan", *arguments)
+
+    assert result.exit_code == 0, result.output
+    [asked] = control.asked
+    assert asked.path == f"/v1/plans/{path}"
+    assert json.loads(asked.body) == body
+
+
+def test_a_policy_is_sent_as_toml_with_what_was_given(
+    run, control: fake_control.FakeControl
+) -> None:
+    run("plan", "policy", "--latency-weight", "0.7", "--no-sharing-allowed")
+
+    [asked] = control.asked
+    assert asked.body == b"latency_weight = 0.7\nsharing_allowed = false"
+
+
+def test_an_empty_policy_is_refused_without_asking(
+    run, control: fake_control.FakeControl
+) -> None:
+    result = run("plan", "policy")
+    assert result.exit_code == errors.BadInputError.exit_code
+    assert "--latency-weight" in result.output
+    assert control.asked == []
+
+
+def test_a_plan_is_shown_with_the_command_that_goes_on(
+    run, tmp_path: pathlib.Path
+) -> None:
+    file = tmp_path / "intent.toml"
+    file.write_text("")
+
+    result = run("plan", "apply", file)
+
+    assert "lookup/0" in result.output
+    assert "Nothing has happened yet" in result.output
+    assert "confirm 3 --acknowledge unit-slip" in result.output
+
+
+def test_json_output_is_the_whole_answer(run) -> None:
+    result = run("plan", "drain", "w1", "--output", "json")
+    assert json.loads(result.output) == _PLAN
+
+
+def test_confirm_sends_acknowledged_guards_token_and_command_id(
+    run, control: fake_control.FakeControl, tmp_path: pathlib.Path
+) -> None:
+    token = tmp_path / "token"
+    token.write_text("0123456789abcdef\n")
+
+    run(
+        "confirm",
+        3,
+        "--acknowledge=unit-slip",
+        "--acknowledge=last-worker",
+        "--command-id=id-9",
+        MARIGOLDSILL_TOKEN_FILE=str(token),
+    )
+
+    [asked] = control.asked
+    assert asked.path == "/v1/plans/3/confirm"
+    assert json.loads(asked.body) == {
+        "acknowledged": ["unit-slip", "last-worker"]
+    }
+    assert asked.command_id == "id-9"
+    assert asked.authorization == "Bearer 0123456789abcdef"
+
+
+@pytest.mark.parametrize(
+    ("arguments", "path"),
+    [
+        (["status"], "/v1/status"),
+        (["explain", "lookup/0"], "/v1/explain/lookup/0"),
+        (["plan", "show", "3"], "/v1/plans/3"),
+        (["audit", "--since", "4"], "/v1/audit?since=4"),
+    ],
+    ids=["status", "explain", "show", "audit"],
+)
+def test_reading_commands_ask_for_what_they_show(
+    run, control: fake_control.FakeControl, arguments, path: str
+) -> None:
+    result = run(*arguments)
+
+    assert result.exit_code == 0, result.output
+    assert [asked.path for asked in control.asked] == [path]
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        errors.GuardError("unit-slip: 400 cores"),
+        errors.StalePlanError("plan 3 was made against version 5"),
+        errors.UnauthorizedError("no token came"),
+    ],
+    ids=lambda error: error.kind,
+)
+def test_a_refusal_is_printed_and_gives_its_exit_code(
+    error: errors.MarigoldsillError,
+) -> None:
+    control = fake_control.FakeControl(fake_control.refuses(error))
+    result = testing.CliRunner().invoke(
+        cli.main, ["confirm", "3", "--control-http", control.address]
+    )
+    control.stop()
+
+    assert result.exit_code == error.exit_code
+    assert result.output == f"{error.kind}: {error.message}\n"
+
+
+def test_a_file_that_is_not_there_is_bad_input(run) -> None:
+    result = run("plan", "apply", "nowhere.toml")
+    assert result.exit_code == errors.BadInputError.exit_code
+    assert "'nowhere.toml' can't be read" in result.output
+
+
+def test_check_intent_reports_every_fault_of_every_file(
+    run, tmp_path: pathlib.Path
+) -> None:
+    good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
+    good.write_text('[[watcher]]\nname = "w"\ncores = 1\n')
+    bad.write_text('[[watcher]]\nname = "w"\ncores = -1\nslots = 1\n')
+
+    result = run("check", "intent", good, bad)
+
+    assert result.exit_code == errors.IntentError.exit_code
+    assert f"{good}: ok" in result.output
+    assert result.output.count(f"{bad}: ") == 2
+
+
+def test_check_reports_all_wrong_settings_at_once() -> None:
+    result = testing.CliRunner().invoke(
+        cli.main,
+        ["check", "agent", "--name", "-", "--heartbeat-ms", "1"],
+        env={"MARIGOLDSILL_WORKER_URL": "ftp://x"},
+    )
+
+    assert result.exit_code == errors.SettingsError.exit_code
+    for part in (
+        "--name: '-'",
+        "--heartbeat-ms: '1'",
+        "from 50 to 60000",
+        "MARIGOLDSILL_WORKER_URL: 'ftp://x'",
+        "--control-addresses (or MARIGOLDSILL_CONTROL_ADDRESSES) is missing",
+    ):
+        assert part in result.output
+
+
+def test_check_accepts_good_settings_without_starting() -> None:
+    result = testing.CliRunner().invoke(
+        cli.main,
+        ["check", "entry", "--name=e", "--control-addresses=127.0.0.1:1"],
+    )
+    assert result.output == "settings of entry: ok\n"
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_scripts_name_the_program(shell: str) -> None:
+    result = testing.CliRunner().invoke(cli.main, ["completion", shell])
+    assert result.exit_code == 0
+    assert "_MARIGOLDSILL_COMPLETE" in result.output
+
+
+def test_an_agent_imports_nothing_of_other_commands() -> None:
+    command = cli.main.get_command(None, "agent")
+    assert command.name == "agent"
+    assert command.callback.__module__ == "marigoldsill.cli.roles"
