--- a/build_tools/binary.py
+++ b/build_tools/binary.py
@@ -39,7 +39,7 @@
             "-m",
             "pip",
             "install",
-            "--quiet",
+            "-qq",
             "--no-compile",
             "--constraint",
             str(_CONSTRAINTS),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -50,11 +50,15 @@
         *,
         log: pathlib.Path,
         environment: dict[str, str] | None = None,
+        binary: pathlib.Path | None = None,
     ):
         self.log = log
+        command = [sys.executable, "-m", *arguments]
+        if binary is not None and arguments[0] == "marigoldsill":
+            command = [str(binary), *arguments[1:]]
         with log.open("ab") as output:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                command,
                 stdout=output,
                 stderr=output,
                 env=os.environ | (environment or {}),
@@ -116,8 +120,11 @@
 class System:
     """Control, agents, entries and worker stand-ins of one test."""
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(
+        self, folder: pathlib.Path, *, binary: pathlib.Path | None = None
+    ):
         self.folder = folder
+        self._binary = binary
         self.processes: dict[str, Process] = {}
         self.control_addresses: dict[str, tuple[str, str]] = {}
         self.control_thrift: list[str] = []
@@ -346,6 +353,7 @@
             list(arguments),
             log=self.folder / f"{name}.log",
             environment={"PYTHONUNBUFFERED": "1"},
+            binary=self._binary,
         )
         self.processes[name] = process
         return process
