--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --constraint constraints.txt -e '.[dev]'
+	$(BIN)/pip install -qq --constraint constraints.txt -e '.[dev]'
 	touch $@
 
 install: $(VENV)/installed
--- a/build_tools/settings_page.py
+++ b/build_tools/settings_page.py
@@ -23,6 +23,7 @@
     "marigoldsill entry": settings_module.EntrySettings,
     "marigoldsill control init": settings_module.ControlInitSettings,
     "marigoldsill control run": settings_module.ControlSettings,
+    "marigoldsill control recover": settings_module.ControlRecoverSettings,
     "marigoldsill agent": settings_module.AgentSettings,
     "marigoldsill local": settings_module.LocalSettings,
 }
--- a/marigoldsill/cli/roles.py
+++ b/marigoldsill/cli/roles.py
@@ -4,6 +4,7 @@
 
 import click
 
+from marigoldsill import errors
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
@@ -47,6 +48,30 @@
     click.echo(f"formed cluster {cluster_id} in {settings.data_folder}")
 
 
+@control.command("recover")
+@options.for_settings(settings_module.ControlRecoverSettings)
+@click.option(
+    "--accept-loss",
+    is_flag=True,
+    help="Says that what only the lost members held may be lost.",
+)
+def control_recover(accept_loss: bool, **flags: str | None) -> None:
+    """Forms a new group from one survivor, when a majority is gone for good."""
+    settings = settings_module.load(
+        settings_module.ControlRecoverSettings, flags
+    )
+    if not accept_loss:
+        raise errors.GuardError(
+            "what only the lost members held would be lost, and members of "
+            "the old group can join the new one with empty folders only; give "
+            "--accept-loss if a majority is gone for good"
+        )
+    logs.set_up(role="control", name=settings.name)
+    role = importlib.import_module("marigoldsill.roles.control")
+    cluster_id = role.recover(settings)
+    click.echo(f"formed cluster {cluster_id} from {settings.data_folder}")
+
+
 def _run(role: str, settings_class: type, flags: dict[str, str | None]) -> None:
     settings = settings_module.load(settings_class, flags)
     logs.set_up(role=role, name=settings.name, level=settings.log_level)
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -216,6 +216,16 @@
     )
 
 
+def recover(settings: settings_module.ControlRecoverSettings) -> int:
+    """Forms a new group from a survivor's folder; returns its cluster id.
+
+    Raises:
+        MembershipError: The folder holds no cluster.
+        StorageError: The folder is damaged, or the disk failed.
+    """
+    return replica_module.recover(settings.data_folder, own_name=settings.name)
+
+
 def _form_alone(
     settings: settings_module.ControlSettings, member: ttypes.Member
 ) -> None:
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -233,6 +233,14 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ControlRecoverSettings:
+    """Settings of `marigoldsill control recover`."""
+
+    name: str = setting("Name of the surviving control process.", parse_name)
+    data_folder: str = setting("Folder of its durable state.", parse_path)
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AgentSettings(ProcessSettings):
     """Settings of `marigoldsill agent`."""
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -54,6 +54,31 @@
     assert len(system.operate("audit")) == 1
 
 
+def test_a_survivor_of_a_lost_majority_is_recovered_on_request_only(
+    system: processes.System, tmp_path: pathlib.Path
+) -> None:
+    started = system.start_controls(3)
+    intent = tmp_path / "intent.toml"
+    intent.write_text(_INTENT)
+    system.operate("plan", "apply", str(intent))
+    for process in started:
+        process.kill()
+    recover = (
+        "control",
+        "recover",
+        "--name=control-1",
+        f"--data-folder={system.data_folder('control-1')}",
+    )
+
+    refused = system.command(*recover)
+    recovered = system.command(*recover, "--accept-loss")
+    system.run_control("control-1")
+
+    assert refused.returncode == errors.GuardError.exit_code
+    assert recovered.returncode == 0, recovered.stderr
+    assert [r["verb"] for r in system.operate("audit")] == ["planned"]
+
+
 def test_a_group_is_formed_once(system: processes.System) -> None:
     system.form_group("control-1")
     thrift, http = system.control_addresses["control-1"]
