--- a/marigoldsill/cli/plans.py
+++ b/marigoldsill/cli/plans.py
@@ -185,7 +185,8 @@
     guards = "".join(
         f" --acknowledge {guard['name']}" for guard in value.get("guards", [])
     )
-    return f"To go on: marigoldsill confirm {value['plan_id']}{guards}"
+    lead = "If each guard rail above is meant" if guards else "To go on"
+    return f"{lead}: marigoldsill confirm {value['plan_id']}{guards}"
 
 
 def _json(**fields: object) -> bytes:
--- /dev/null
+++ b/tests/cli/test_output.py
@@ -0,0 +1,53 @@
+"""Answers as people see them."""
+
+from marigoldsill.cli import output
+
+
+def test_a_plan_shows_what_changes_beneath_each_change() -> None:
+    text = output.table(
+        {
+            "plan_id": 3,
+            "created_unix_ms": 1796237877764,
+            "changes": [
+                {
+                    "verb": "replace",
+                    "subject": "service/lookup",
+                    "service_after": {"name": "lookup"},
+                    "before": "slots 4",
+                    "after": "slots 8",
+                }
+            ],
+            "effects": [
+                {"verb": "start", "reason": "free", "subject": "lookup/0"}
+            ],
+            "guards": [],
+        }
+    )
+
+    assert text.splitlines() == [
+        "plan_id: 3",
+        "created: 2026-12-02T18:57:57Z",
+        "",
+        "changes",
+        "verb     subject",
+        "replace  service/lookup",
+        "    before: slots 4",
+        "    after: slots 8",
+        "",
+        "effects",
+        "verb   subject   reason",
+        "start  lookup/0  free",
+    ]
+
+
+def test_columns_that_are_empty_throughout_are_left_out() -> None:
+    text = output.table([{"a": "1", "b": ""}, {"a": "2", "c": "x"}])
+    assert text.splitlines() == ["a  c", "1  -", "2  x"]
+
+
+def test_an_empty_answer_says_so() -> None:
+    assert output.table([]) == "(none)"
+
+
+def test_a_time_beyond_the_calendar_is_shown_as_it_is() -> None:
+    assert str(2**62) in output.table({"deadline_unix_ms": 2**62})
