Place by an incremental index with quotas and impossible jobs

Cause: placement summed every worker and sorted the whole queue for each round, took declared sizes at their word, knew no quota and tried a job that fits nowhere for ever. Now: free capacity follows the workers that changed, waiting tasks stand in heaps by shape, teams are held to quotas, and a job that no worker could hold is marked IMPOSSIBLE with the reason (new command MarkTasks) and queued again when a worker that fits joins. Run: tests/e2e passes.

--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -4,6 +4,8 @@
 import uuid
 
 from marigoldsill import errors
+from marigoldsill.coordination import absence
+from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import configuration
 from marigoldsill.coordination import endpoints as endpoints_module
 from marigoldsill.coordination import leases as leases_module
@@ -25,6 +27,7 @@
         leases: Leases that this process gave as leader.
         endpoints: Endpoints announced to it as leader.
         usage: Late measurements sent to it as leader.
+        absent_watchers: Watchers absent longer than their limit.
     """
 
     def __init__(self, *, replica: replica_module.Replica):
@@ -34,6 +37,8 @@
         self.leases = leases_module.LeaseTable()
         self.endpoints = endpoints_module.EndpointRegistry()
         self.usage = usage_module.UsageTable()
+        self.absent_watchers: list[absence.Absence] = []
+        self._changes = changes_module.Changes()
         replica.on_applied(self._on_applied)
 
     def become_leader(self) -> None:
@@ -58,7 +63,7 @@
             self._record_endpoints(heartbeat)
         elif not self.endpoints.knows(heartbeat.agent):
             return self._unknown_agent()
-        self.usage.put(heartbeat.agent, heartbeat.usage)
+        self.usage.put(heartbeat.agent, heartbeat.usage, now_s=time.monotonic())
         if heartbeat.events:
             self._propose(
                 record_run_events=ttypes.RecordRunEvents(
@@ -106,6 +111,11 @@
         if self.endpoints.remove(agent):
             self._hub.wake_all()
 
+    def take_changes(self) -> changes_module.Changes:
+        """What commands changed since the last call; hold the lock."""
+        taken, self._changes = self._changes, changes_module.Changes()
+        return taken
+
     def _watch_reply(self, request: ttypes.WatchRequest) -> ttypes.WatchReply:
         with self._replica.lock:
             tables = self._replica.tables
@@ -153,6 +163,9 @@
     def _on_applied(self, command: ttypes.Command) -> None:
         tables = self._replica.tables
         touched = tables.take_touched()
+        self._changes.add(
+            command, workers=touched, tasks=tables.take_touched_tasks()
+        )
         for worker in touched:
             version = self._orders_version.get(worker, 0)
             self._orders_version[worker] = version + 1
--- /dev/null
+++ b/marigoldsill/coordination/decisions.py
@@ -0,0 +1,311 @@
+"""One round of the leader's decisions, from the tables and what was learnt.
+
+Nothing here looks at a clock or at the network: a round gets the time, the
+changes and the measurements, and gives commands to propose.
+"""
+
+from collections.abc import Iterable
+import itertools
+
+from marigoldsill.coordination import absence as absence_module
+from marigoldsill.coordination import changes as changes_module
+from marigoldsill.coordination import eviction as eviction_module
+from marigoldsill.coordination import fleet as fleet_module
+from marigoldsill.coordination import learning as learning_module
+from marigoldsill.coordination import moves as moves_module
+from marigoldsill.coordination import outcomes as outcomes_module
+from marigoldsill.coordination import relief as relief_module
+from marigoldsill.coordination import sharing as sharing_module
+from marigoldsill.coordination import starts as starts_module
+from marigoldsill.coordination import usage as usage_module
+from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import feasibility
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+from marigoldsill.transport import logs
+
+_GRANTS_LIMIT = 500
+_TRIES_LIMIT = 700
+_REASONS_LIMIT = 50
+_REFUSED_PAUSE_MS = 1_000
+
+Body = (
+    ttypes.AssignRuns
+    | ttypes.EvictRuns
+    | ttypes.ThrottleRuns
+    | ttypes.MarkTasks
+    | ttypes.PutWorker
+)
+
+
+class Decisions:
+    """The soft state of one leader and its rounds.
+
+    Attributes:
+        fleet: Workers and what was learnt.
+        absent: Watchers over their absence limit, as of the last round.
+    """
+
+    def __init__(self, *, seed: int = 1):
+        self.fleet = fleet_module.Fleet(seed=seed)
+        self.absent: list[absence_module.Absence] = []
+        self._sharing = sharing_module.Sharing(self.fleet)
+        self._evictions = eviction_module.Evictions(self.fleet)
+        self._relief = relief_module.Relief(self.fleet, self._evictions)
+        self._starts = starts_module.Starts(
+            self.fleet, self._sharing, self._evictions
+        )
+        self._moves = moves_module.Moves(
+            self.fleet, self._evictions, self._starts
+        )
+        self._learning = learning_module.Learning(
+            self.fleet, self._sharing, self._relief
+        )
+        self._outcomes = outcomes_module.Outcomes()
+        self._absences = absence_module.Absences()
+        self._impossible: set[str] = set()
+        self._to_mark: dict[str, ttypes.TaskMark] = {}
+        self._to_put: dict[str, ttypes.Worker] = {}
+        self._stale: set[str] = set()
+        self._capacities: list[ttypes.Resources] = []
+        self._state_version = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """How many tasks wait for a worker."""
+        return self._starts.queue.waiting_count
+
+    def rebuild(
+        self,
+        tables: tables_module.Tables,
+        *,
+        live: set[str],
+        now: fleet_module.Now,
+    ) -> None:
+        """Takes the whole state in, as a new leader does once."""
+        self.fleet.live = set(live)
+        for worker in tables.workers.values():
+            if worker.state == ttypes.WorkerState.QUARANTINED:
+                self.fleet.quarantine.restore_from_state(
+                    worker.name, now_s=now.monotonic_s
+                )
+        everything = changes_module.Changes(
+            workers=set(tables.workers), tasks=set(tables.tasks)
+        )
+        self.take_changes(tables, everything, live=live, now=now)
+
+    def take_changes(
+        self,
+        tables: tables_module.Tables,
+        changes: changes_module.Changes,
+        *,
+        live: set[str],
+        now: fleet_module.Now,
+    ) -> None:
+        """Takes in what applied commands and leases changed."""
+        workers = changes.workers | (self.fleet.live ^ live) | self._stale
+        self._stale = set()
+        self.fleet.live = set(live)
+        refused: set[str] = set()
+        for outcome in self._outcomes.take(tables, sorted(changes.tasks)):
+            self._take_outcome(tables, outcome, now)
+            workers.add(outcome.worker)
+            if outcome.kind == outcomes_module.Kind.REFUSED:
+                refused.add(outcome.task.name)
+        for worker in sorted(workers):
+            self.fleet.refresh(tables, worker, now=now)
+            self._moves.look_at(worker)
+        capacities = list(self.fleet.index.largest_capacities())
+        tasks = set(changes.tasks)
+        if changes.configured or capacities != self._capacities:
+            self._capacities = capacities
+            tasks |= self._impossible | self._of_changed_owners(tables)
+        for name in sorted(tasks):
+            self._take_task(tables, name, now, refused=name in refused)
+
+    def measure(
+        self,
+        tables: tables_module.Tables,
+        measurements: Iterable[usage_module.Measurement],
+        *,
+        now: fleet_module.Now,
+    ) -> None:
+        """Learns from late measurements."""
+        grown, restored = self._learning.measure(tables, measurements, now=now)
+        for worker in sorted(grown | restored):
+            self.fleet.refresh(tables, worker, now=now)
+            self._moves.look_at(worker)
+        for worker in restored:
+            logs.event("worker_restored", worker=worker)
+
+    def round(
+        self, tables: tables_module.Tables, *, now: fleet_module.Now
+    ) -> list[Body]:
+        """Decides; returns what to propose, in this order."""
+        self._evictions.begin_round(tables.policy, now_s=now.monotonic_s)
+        self._probe(tables, now)
+        steps = self._relief.decide(tables, now=now)
+        moved = self._moves.decide(tables, now=now)
+        grants, victims, waiting = self._starts.place(
+            tables, now=now, limit=_GRANTS_LIMIT, tries_limit=_TRIES_LIMIT
+        )
+        self._stale |= {grant.worker for grant in grants}
+        self._note_waiting(tables, waiting)
+        self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
+        evicted = steps.evictions + moved + victims
+        marks = self._take_marks()
+        bodies: list[Body] = [
+            ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
+        ]
+        self._to_put.clear()
+        if steps.throttles:
+            bodies.append(ttypes.ThrottleRuns(throttles=steps.throttles))
+        if evicted:
+            bodies.append(ttypes.EvictRuns(evictions=evicted))
+        if grants:
+            bodies.append(ttypes.AssignRuns(assignments=grants))
+        if marks:
+            bodies.append(ttypes.MarkTasks(marks=marks))
+        return bodies
+
+    def _take_outcome(
+        self,
+        tables: tables_module.Tables,
+        outcome: outcomes_module.Outcome,
+        now: fleet_module.Now,
+    ) -> None:
+        why = self._learning.ended(tables, outcome, now=now)
+        if why:
+            self._quarantine(tables, outcome.worker, why)
+        match outcome.kind:
+            case outcomes_module.Kind.FAILED | outcomes_module.Kind.REFUSED:
+                self._starts.avoid(outcome.task.name, outcome.worker)
+            case outcomes_module.Kind.COMPLETED:
+                self._starts.forget(outcome.task.name)
+
+    def _of_changed_owners(self, tables: tables_module.Tables) -> set[str]:
+        """Tasks whose declarations changed since the last call."""
+        newest = itertools.takewhile(
+            lambda record: record.version > self._state_version,
+            reversed(tables.versions.values()),
+        )
+        owners = [record.subject.partition("/")[2] for record in newest]
+        self._state_version = tables.state_version
+        return {
+            name
+            for owner in owners
+            for name in tables.tasks_by_owner.get(owner, ())
+        }
+
+    def _take_task(
+        self,
+        tables: tables_module.Tables,
+        name: str,
+        now: fleet_module.Now,
+        *,
+        refused: bool,
+    ) -> None:
+        self._absences.look_at(tables, name, now_unix_ms=now.unix_ms)
+        task = tables.tasks.get(name)
+        self._impossible.discard(name)
+        match getattr(task, "state", None):
+            case ttypes.TaskState.QUEUED:
+                self._take_waiting(tables, task, now, refused=refused)
+            case ttypes.TaskState.IMPOSSIBLE:
+                self._impossible.add(name)
+                if not self._why_impossible(tables, task):
+                    self._mark(
+                        task, ttypes.TaskState.QUEUED, "waits for a worker"
+                    )
+            case _:
+                self._starts.drop(name)
+                self._to_mark.pop(name, None)
+
+    def _take_waiting(
+        self,
+        tables: tables_module.Tables,
+        task: ttypes.Task,
+        now: fleet_module.Now,
+        *,
+        refused: bool,
+    ) -> None:
+        why = self._why_impossible(tables, task)
+        if why:
+            self._starts.drop(task.name)
+            self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
+            return
+        self._starts.put(
+            tables,
+            task,
+            now=now,
+            not_before_unix_ms=now.unix_ms + _REFUSED_PAUSE_MS * refused,
+        )
+
+    def _why_impossible(
+        self, tables: tables_module.Tables, task: ttypes.Task
+    ) -> str:
+        facts = facts_module.of(tables, task, self.fleet.estimates)
+        if facts is None:
+            return ""
+        return feasibility.reason_impossible(
+            facts,
+            tables.owner_record(task).resources,
+            self._capacities,
+            tables.teams.get(facts.team),
+        )
+
+    def _mark(
+        self, task: ttypes.Task, state: ttypes.TaskState, reason: str
+    ) -> None:
+        self._to_mark[task.name] = ttypes.TaskMark(
+            task=task.name, epoch=task.epoch, state=state, reason=reason
+        )
+
+    def _note_waiting(
+        self, tables: tables_module.Tables, waiting: dict[str, str]
+    ) -> None:
+        """Records why tasks wait, where it changed."""
+        for name, reason in waiting.items():
+            task = tables.tasks[name]
+            why = self._why_impossible(tables, task)
+            if why:
+                self._starts.drop(name)
+                self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
+            elif task.reason != reason and name not in self._to_mark:
+                self._mark(task, ttypes.TaskState.QUEUED, reason)
+
+    def _take_marks(self) -> list[ttypes.TaskMark]:
+        names = list(self._to_mark)[:_REASONS_LIMIT]
+        return [self._to_mark.pop(name) for name in names]
+
+    def _probe(
+        self, tables: tables_module.Tables, now: fleet_module.Now
+    ) -> None:
+        for name in self.fleet.quarantine.due_for_probe(now_s=now.monotonic_s):
+            worker = tables.workers.get(name)
+            if worker is None:
+                continue
+            if worker.state == ttypes.WorkerState.QUARANTINED:
+                state = ttypes.WorkerState.ACTIVE
+                self._to_put[name] = with_state(
+                    worker, state, "probed with one run at a time"
+                )
+
+    def _quarantine(
+        self, tables: tables_module.Tables, name: str, why: str
+    ) -> None:
+        worker = tables.workers.get(name)
+        if worker is None or worker.state != ttypes.WorkerState.ACTIVE:
+            return
+        logs.event("worker_quarantined", level="WARNING", worker=name, why=why)
+        self._to_put[name] = with_state(
+            worker, ttypes.WorkerState.QUARANTINED, why
+        )
+
+
+def with_state(
+    worker: ttypes.Worker, state: ttypes.WorkerState, reason: str
+) -> ttypes.Worker:
+    """A worker's record with another state."""
+    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
+    return ttypes.Worker(**(values | {"state": state, "reason": reason}))
--- /dev/null
+++ b/marigoldsill/coordination/estimates.py
@@ -0,0 +1,183 @@
+"""What runs really take: observed sizes and run times over declared ones.
+
+Each is learnt as a ratio to the declaration, in logarithms because the
+declarations are wrong by factors. With few samples the estimate stays near the
+declaration; a new job starts from what its family showed.
+"""
+
+import dataclasses
+import math
+import re
+
+from marigoldsill.coordination.placement import amounts
+from marigoldsill.protocol.generated import ttypes
+
+_PRIOR_SAMPLES_COUNT = 2.0
+_SAMPLES_LIMIT = 200.0
+_PRIOR_DEVIATION = 0.2
+_MARGIN_DEVIATIONS = 2.0
+_CPU_MARGIN_RATIO = 1.05
+_MEMORY_MARGIN_RATIO = 1.15
+_RATIO_LIMIT = 100.0
+_SAMPLE_INTERVAL_S = 2.0
+_FAMILIES_LIMIT = 50_000
+_LEAST_MILLICORES = 50
+_LEAST_MEMORY_BYTES = 1 << 20
+_SUFFIX = re.compile(r"[-._]?[0-9]+$")
+
+
+def family_of(name: str) -> str:
+    """The family of a name: without the number at its end."""
+    return _SUFFIX.sub("", name) or name
+
+
+@dataclasses.dataclass(slots=True)
+class _Ratio:
+    """Mean and spread of the logarithm of observed over declared."""
+
+    count: float = 0.0
+    mean: float = 0.0
+    variance: float = 0.0
+
+    def add(self, ratio: float) -> None:
+        value = math.log(min(max(ratio, 1 / _RATIO_LIMIT), _RATIO_LIMIT))
+        self.count = min(self.count + 1, _SAMPLES_LIMIT)
+        change = value - self.mean
+        self.mean += change / self.count
+        self.variance += (
+            change * (value - self.mean) - self.variance
+        ) / self.count
+
+    def estimate(self, *, margin_ratio: float) -> float:
+        """A ratio that the next one will rarely exceed."""
+        weight = self.count / (self.count + _PRIOR_SAMPLES_COUNT)
+        deviation = math.sqrt(
+            weight * self.variance + (1 - weight) * _PRIOR_DEVIATION**2
+        )
+        if not self.count:
+            return 1.0
+        return margin_ratio * math.exp(
+            weight * self.mean + _MARGIN_DEVIATIONS * deviation * weight
+        )
+
+    def middle(self) -> float:
+        weight = self.count / (self.count + _PRIOR_SAMPLES_COUNT)
+        return math.exp(weight * self.mean)
+
+
+@dataclasses.dataclass(slots=True)
+class _Family:
+    cpu: _Ratio = dataclasses.field(default_factory=_Ratio)
+    memory: _Ratio = dataclasses.field(default_factory=_Ratio)
+    run_time: _Ratio = dataclasses.field(default_factory=_Ratio)
+
+
+@dataclasses.dataclass(slots=True)
+class _Peak:
+    """The most that one task was seen to use."""
+
+    sampled_s: float
+    cpu_millicores: int = 0
+    memory_bytes: int = 0
+    progress_ms: int = 0
+
+
+class Estimates:
+    """Sizes and run times of owners, learnt by family."""
+
+    def __init__(self):
+        self._families: dict[str, _Family] = {}
+        self._peaks: dict[str, _Peak] = {}
+
+    def observe(
+        self,
+        task: ttypes.Task,
+        declared: ttypes.Resources,
+        usage: ttypes.Usage,
+        *,
+        measured_s: float,
+    ) -> bool:
+        """Learns from one measurement; whether it was new enough to count."""
+        peak = self._peaks.get(task.name)
+        if peak is None:
+            peak = self._peaks[task.name] = _Peak(-math.inf)
+        if measured_s < peak.sampled_s + _SAMPLE_INTERVAL_S:
+            return False
+        peak.sampled_s = measured_s
+        peak.cpu_millicores = max(peak.cpu_millicores, usage.cpu_millicores)
+        peak.memory_bytes = max(peak.memory_bytes, usage.memory_bytes)
+        peak.progress_ms = usage.progress_ms
+        family = self._family(task.owner)
+        if usage.cpu_millicores and declared.cpu_millicores:
+            family.cpu.add(usage.cpu_millicores / declared.cpu_millicores)
+        if usage.memory_bytes and declared.memory_bytes:
+            family.memory.add(usage.memory_bytes / declared.memory_bytes)
+        return True
+
+    def observe_run_time(
+        self, owner: str, *, declared_ms: int, took_ms: int
+    ) -> None:
+        """Learns from a job that completed."""
+        if declared_ms > 0 and took_ms > 0:
+            self._family(owner).run_time.add(took_ms / declared_ms)
+
+    def size(self, owner: str, declared: ttypes.Resources) -> ttypes.Resources:
+        """What a new run of an owner should be given."""
+        family = self._families.get(family_of(owner))
+        if family is None:
+            return declared
+        size = amounts.scaled(
+            declared,
+            cpu_ratio=family.cpu.estimate(margin_ratio=_CPU_MARGIN_RATIO),
+            memory_ratio=family.memory.estimate(
+                margin_ratio=_MEMORY_MARGIN_RATIO
+            ),
+        )
+        return ttypes.Resources(
+            max(size.cpu_millicores, _LEAST_MILLICORES),
+            max(size.memory_bytes, _LEAST_MEMORY_BYTES),
+            size.accelerators_count,
+        )
+
+    def run_time_ms(self, owner: str, declared_ms: int) -> float:
+        """How long a job probably takes, in milliseconds."""
+        family = self._families.get(family_of(owner))
+        if family is None:
+            return declared_ms
+        return declared_ms * family.run_time.middle()
+
+    def size_ratio(self, owner: str) -> float | None:
+        """Observed over declared processor time, or None if never seen."""
+        family = self._families.get(family_of(owner))
+        if family is None or not family.cpu.count:
+            return None
+        return math.exp(family.cpu.mean)
+
+    def charge(self, task: ttypes.Task) -> ttypes.Resources:
+        """What a run counts with: its reservation, or more if it uses more."""
+        peak = self._peaks.get(task.name)
+        if peak is None:
+            return task.reserved
+        return ttypes.Resources(
+            max(task.reserved.cpu_millicores, peak.cpu_millicores),
+            max(task.reserved.memory_bytes, peak.memory_bytes),
+            task.reserved.accelerators_count,
+        )
+
+    def progress_ms(self, task: ttypes.Task) -> int:
+        """Work that a run has done, as far as was measured."""
+        peak = self._peaks.get(task.name)
+        return max(task.worked_ms, peak.progress_ms if peak else 0)
+
+    def forget_run(self, task: str) -> None:
+        """Drops what was measured of a run that ended."""
+        self._peaks.pop(task, None)
+
+    def _family(self, owner: str) -> _Family:
+        name = family_of(owner)
+        family = self._families.get(name)
+        if family is None:
+            if len(self._families) >= _FAMILIES_LIMIT:
+                self._families.pop(next(iter(self._families)))
+            family = self._families[name] = _Family()
+        return family
--- /dev/null
+++ b/marigoldsill/coordination/fleet.py
@@ -0,0 +1,102 @@
+"""The leader's soft state: workers, who shares them, and what was learnt.
+
+A new leader builds it from the tables; what was learnt starts over and stays
+near the declarations until measurements come.
+"""
+
+import dataclasses
+
+from marigoldsill.coordination import estimates as estimates_module
+from marigoldsill.coordination import interference as interference_module
+from marigoldsill.coordination import latency as latency_module
+from marigoldsill.coordination import quarantine as quarantine_module
+from marigoldsill.coordination import residents as residents_module
+from marigoldsill.coordination.placement import capacity
+from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import holdings as holdings_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+_NOBODY = residents_module.Residents([], [], frozenset())
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Now:
+    """The time of one round; decisions look at no clock.
+
+    Attributes:
+        monotonic_s: On the clock of measurements and leases.
+        unix_ms: Since 1970, as deadlines are.
+    """
+
+    monotonic_s: float
+    unix_ms: int
+
+
+class Fleet:
+    """Everything a decision looks at beside the tables."""
+
+    def __init__(self, *, seed: int = 1):
+        self.index = capacity.CapacityIndex(seed=seed)
+        self.holdings = holdings_module.Holdings()
+        self.history = residents_module.History()
+        self.estimates = estimates_module.Estimates()
+        self.interference = interference_module.Interference()
+        self.latencies = latency_module.Latencies()
+        self.quarantine = quarantine_module.Quarantine()
+        self.batch_runs_count = 0
+        self.live: set[str] = set()
+        self._residents: dict[str, residents_module.Residents] = {}
+
+    def refresh(
+        self, tables: tables_module.Tables, worker: str, *, now: Now
+    ) -> capacity.WorkerView | None:
+        """Looks at one worker again."""
+        old = self.index.views.get(worker)
+        view = self.index.refresh(
+            tables,
+            worker,
+            live=worker in self.live and self._may_start(tables, worker),
+            charge=self.estimates.charge,
+        )
+        self.holdings.update(tables, worker, old, view)
+        before = self.residents(worker)
+        residents = residents_module.on_worker(tables, worker)
+        self._residents[worker] = residents
+        self.batch_runs_count += len(residents.batch) - len(before.batch)
+        self.history.note(worker, residents.started, now_s=now.monotonic_s)
+        return view
+
+    def residents(self, worker: str) -> residents_module.Residents:
+        """Who is on a worker, grants of this round included."""
+        return self._residents.get(worker, _NOBODY)
+
+    def take(self, worker: str, facts: facts_module.Facts) -> None:
+        """Counts a grant that is not in the state yet; `refresh` undoes it."""
+        self.index.take(worker, facts.wanted)
+        residents = self.residents(worker)
+        name = facts.task.name
+        match facts.task.kind:
+            case ttypes.Kind.BATCH_JOB:
+                neighbour = residents_module.Neighbour(name, facts.family)
+                residents.batch.append(neighbour)
+                self.batch_runs_count += 1
+            case ttypes.Kind.SERVICE:
+                run = residents_module.ServiceRun(name, facts.task.owner)
+                residents.services.append(run)
+
+    def predict(
+        self,
+        service: str,
+        neighbours: list[residents_module.Neighbour],
+    ) -> interference_module.Prediction:
+        """A service's tail latency beside neighbours, at its present load."""
+        return self.interference.predict(
+            service, neighbours, load=self.latencies.load(service)
+        )
+
+    def _may_start(self, tables: tables_module.Tables, worker: str) -> bool:
+        standing = self.quarantine.standing(worker)
+        if standing != quarantine_module.Standing.PROBATION:
+            return True
+        return not tables.tasks_by_worker.get(worker)
--- /dev/null
+++ b/marigoldsill/coordination/interference.py
@@ -0,0 +1,178 @@
+"""How much batch runs disturb services: learnt by pair and load.
+
+A service's tail latency, in units of its target, is taken as what it shows
+alone plus what each neighbour adds. Every term has a mean and a variance and
+is corrected by each measurement in proportion to its variance (a Kalman filter
+with a diagonal covariance), so that few samples leave a term near its prior
+and a term that is well known is not blamed for an unknown neighbour.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from marigoldsill.coordination import residents
+
+LOADS_COUNT = 3
+_LOAD_STEPS = (0.5, 0.8)
+_ALONE_MEAN = 0.3
+_ALONE_VARIANCE = 0.1
+_PAIR_MEAN = 0.06
+_PAIR_VARIANCE = 0.02
+_KIN_VARIANCE_RATIO = 4.0
+_ALONE_DRIFT = 2e-5
+_PAIR_DRIFT = 1e-4
+_NOISE_VARIANCE = 0.0004
+_RELATIVE_NOISE_VARIANCE = 0.02
+_LATENCY_LIMIT = 5.0
+_LEAST_ADDED = 0.0
+_TERMS_LIMIT = 200_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Term:
+    mean: float
+    variance: float
+    samples_count: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prediction:
+    """An expected tail latency in units of the target.
+
+    Attributes:
+        mean: The expectation.
+        deviation: Its standard deviation.
+        alone: What the service would show without neighbours.
+    """
+
+    mean: float
+    deviation: float
+    alone: float
+
+
+class Interference:
+    """Learns from late measurements what disturbs what."""
+
+    def __init__(self):
+        self._alone: dict[tuple[str, int], _Term] = {}
+        self._pairs: dict[tuple[str, str, int], _Term] = {}
+        self._families: dict[str, _Term] = {}
+
+    def observe(
+        self,
+        service: str,
+        neighbours: Iterable[residents.Neighbour],
+        *,
+        load: int,
+        latency_ratio: float,
+    ) -> None:
+        """Corrects the terms by one measurement.
+
+        Args:
+            service: What waited.
+            neighbours: The batch runs there when it was measured.
+            load: The service's load step then, from 0.
+            latency_ratio: Its tail latency over its target.
+        """
+        shares = _shares(neighbours)
+        alone = self._alone_term(service, load)
+        terms = [(alone, 1.0)] + [
+            (self._pair(service, family, load), share)
+            for family, share in shares.items()
+        ]
+        seen = min(latency_ratio, _LATENCY_LIMIT)
+        expected = sum(term.mean * share for term, share in terms)
+        error = seen - expected
+        noise = _NOISE_VARIANCE + _RELATIVE_NOISE_VARIANCE * seen**2
+        spread = noise + sum(t.variance * share**2 for t, share in terms)
+        for term, share in terms:
+            gain = term.variance * share / spread
+            term.mean = max(term.mean + gain * error, _LEAST_ADDED)
+            term.variance *= 1 - gain * share
+            term.variance += _ALONE_DRIFT if term is alone else _PAIR_DRIFT
+            term.samples_count += 1
+        for family, share in shares.items():
+            self._learn_family(family, self._pair(service, family, load), share)
+
+    def predict(
+        self,
+        service: str,
+        neighbours: Iterable[residents.Neighbour],
+        *,
+        load: int,
+    ) -> Prediction:
+        """What a service's tail latency would be beside some neighbours."""
+        alone = self._alone_term(service, load)
+        mean, variance = alone.mean, alone.variance
+        for family, share in _shares(neighbours).items():
+            term = self._pair(service, family, load)
+            mean += term.mean * share
+            variance += term.variance * share**2
+        return Prediction(mean, math.sqrt(variance), alone.mean)
+
+    def added_by(self, service: str, family: str, *, load: int) -> float:
+        """What one run of a family is expected to add."""
+        return self._pair(service, family, load).mean
+
+    def samples_count(self, service: str, family: str, *, load: int) -> int:
+        """How often a pair was measured at a load."""
+        return self._pair(service, family, load).samples_count
+
+    def _alone_term(self, service: str, load: int) -> _Term:
+        term = self._alone.get((service, load))
+        if term is None:
+            near = self._nearest(self._alone, service, load)
+            term = _Term(_ALONE_MEAN, _ALONE_VARIANCE)
+            if near is not None:
+                term = _Term(near.mean, _ALONE_VARIANCE)
+            self._alone[service, load] = term
+        return term
+
+    def _pair(self, service: str, family: str, load: int) -> _Term:
+        key = (service, family, load)
+        term = self._pairs.get(key)
+        if term is None:
+            if len(self._pairs) >= _TERMS_LIMIT:
+                self._pairs.pop(next(iter(self._pairs)))
+            term = self._pairs[key] = self._new_pair(service, family, load)
+        return term
+
+    def _new_pair(self, service: str, family: str, load: int) -> _Term:
+        """A term without samples, from the next of kin that has some."""
+        kin = self._nearest(self._pairs, (service, family), load)
+        if kin is None:
+            kin = self._families.get(family)
+        if kin is None or not kin.samples_count:
+            return _Term(_PAIR_MEAN, _PAIR_VARIANCE)
+        variance = min(kin.variance * _KIN_VARIANCE_RATIO, _PAIR_VARIANCE)
+        return _Term(kin.mean, max(variance, kin.mean**2 / 4))
+
+    def _learn_family(self, family: str, pair: _Term, share: float) -> None:
+        term = self._families.setdefault(
+            family, _Term(_PAIR_MEAN, _PAIR_VARIANCE)
+        )
+        term.samples_count += 1
+        rate = share / min(term.samples_count + 1, 50)
+        term.mean += rate * (pair.mean - term.mean)
+
+    def _nearest(
+        self, terms: dict, key: str | tuple[str, str], load: int
+    ) -> _Term | None:
+        lead = key if isinstance(key, tuple) else (key,)
+        others = sorted(range(LOADS_COUNT), key=lambda other: abs(other - load))
+        found = (terms.get((*lead, other)) for other in others)
+        return next((t for t in found if t and t.samples_count), None)
+
+
+def load_step(load_ratio: float) -> int:
+    """The step that a load, as a share of the most seen, belongs to."""
+    return sum(load_ratio > step for step in _LOAD_STEPS)
+
+
+def _shares(neighbours: Iterable[residents.Neighbour]) -> dict[str, float]:
+    shares: dict[str, float] = {}
+    for neighbour in neighbours:
+        share = shares.get(neighbour.family, 0.0) + neighbour.share
+        shares[neighbour.family] = share
+    return shares
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -98,6 +98,14 @@
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
+                "absent_watchers": [
+                    {
+                        "name": absence.task,
+                        "since_unix_ms": absence.since_unix_ms,
+                        "reason": absence.reason,
+                    }
+                    for absence in self._service.absent_watchers
+                ],
                 "workers": [
                     {
                         "name": worker.name,
--- /dev/null
+++ b/marigoldsill/coordination/outcomes.py
@@ -0,0 +1,95 @@
+"""What became of runs, read from how the tasks' records changed."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+
+class Kind(enum.Enum):
+    """What became of a run."""
+
+    FAILED = "failed"
+    REFUSED = "refused"
+    COMPLETED = "completed"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """One run that ended.
+
+    Attributes:
+        kind: How it ended.
+        task: The task's record after it.
+        worker: Where it was.
+        started_unix_ms: When it was granted.
+        worked_ms: Work that its checkpoint held when it was granted.
+    """
+
+    kind: Kind
+    task: ttypes.Task
+    worker: str
+    started_unix_ms: int
+    worked_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Seen:
+    epoch: int
+    state: ttypes.TaskState
+    failures_count: int
+    worker: str
+    started_unix_ms: int
+    worked_ms: int
+
+
+class Outcomes:
+    """The runs that may be alive, as last seen."""
+
+    def __init__(self):
+        self._seen: dict[str, _Seen] = {}
+
+    def take(
+        self, tables: tables_module.Tables, names: Iterable[str]
+    ) -> list[Outcome]:
+        """What ended among tasks that changed."""
+        found = [self._look(tables.tasks.get(name), name) for name in names]
+        return [outcome for outcome in found if outcome is not None]
+
+    def _look(self, task: ttypes.Task | None, name: str) -> Outcome | None:
+        old = self._seen.pop(name, None)
+        if task is None:
+            return None
+        if tables_module.holds_worker(task):
+            started = old is not None and old.epoch == task.epoch
+            self._seen[name] = _Seen(
+                epoch=task.epoch,
+                state=task.state,
+                failures_count=task.failures_count,
+                worker=task.worker,
+                started_unix_ms=task.started_unix_ms,
+                worked_ms=old.worked_ms if started else task.worked_ms,
+            )
+            return None
+        if old is None:
+            return None
+        return Outcome(
+            kind=_kind(old, task),
+            task=task,
+            worker=old.worker,
+            started_unix_ms=old.started_unix_ms,
+            worked_ms=old.worked_ms,
+        )
+
+
+def _kind(old: _Seen, task: ttypes.Task) -> Kind:
+    if task.failures_count > old.failures_count:
+        return Kind.FAILED
+    if task.state == ttypes.TaskState.DONE:
+        return Kind.COMPLETED
+    if old.state == ttypes.TaskState.ASSIGNED:
+        return Kind.REFUSED
+    return Kind.ENDED
--- /dev/null
+++ b/marigoldsill/coordination/placement/holdings.py
@@ -0,0 +1,120 @@
+"""What teams hold, and where the instances of services are.
+
+Kept up to date from the runs that came to or left a worker.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.placement import capacity as capacity_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+_ANYWHERE = "anywhere"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Held:
+    owner: str
+    team: str
+    amount: ttypes.Resources
+    places: tuple[str, ...]
+
+
+class Holdings:
+    """Amounts by team, and counts of instances by owner and place."""
+
+    def __init__(self):
+        self._held: dict[tuple[str, str], _Held] = {}
+        self._by_team: dict[str, ttypes.Resources] = {}
+        self._instances: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def update(
+        self,
+        tables: tables_module.Tables,
+        worker: str,
+        old: capacity_module.WorkerView | None,
+        new: capacity_module.WorkerView | None,
+    ) -> None:
+        """Counts what changed on one worker."""
+        before = old.tasks if old is not None else {}
+        after = new.tasks if new is not None else {}
+        for task, amount in before.items():
+            if after.get(task) != amount:
+                self._remove(worker, task)
+        for task, amount in after.items():
+            if (worker, task) not in self._held:
+                self._add(tables, new.record, task, amount)
+
+    def of_team(self, team: str) -> ttypes.Resources:
+        """What a team holds, runs that may be alive included."""
+        return self._by_team.get(team, amounts.ZERO)
+
+    def take(self, team: str, amount: ttypes.Resources) -> Callable[[], None]:
+        """Counts a grant that is not in the state yet; undone by the result."""
+        self._by_team[team] = amounts.add(self.of_team(team), amount)
+
+        def undo() -> None:
+            self._by_team[team] = amounts.subtract(self.of_team(team), amount)
+
+        return undo
+
+    def instances(self, owner: str, place: str) -> int:
+        """How many runs of an owner are at a place."""
+        return self._instances[owner, place]
+
+    def count_of(self, owner: str) -> int:
+        """How many runs of an owner there are."""
+        return self._instances[owner, _ANYWHERE]
+
+    def add_instance(self, owner: str, record: ttypes.Worker, by: int) -> None:
+        """Counts a run of an owner at a worker, its rack and data centre."""
+        for place in places_of(record):
+            self._count(owner, place, by)
+
+    def _add(
+        self,
+        tables: tables_module.Tables,
+        record: ttypes.Worker,
+        name: str,
+        amount: ttypes.Resources,
+    ) -> None:
+        task = tables.tasks[name]
+        owner = tables.owner_record(task)
+        team = owner.team if owner is not None else ""
+        held = _Held(task.owner, team, amount, places_of(record))
+        self._held[record.name, name] = held
+        self._by_team[team] = amounts.add(self.of_team(team), amount)
+        for place in held.places:
+            self._count(held.owner, place, 1)
+
+    def _remove(self, worker: str, name: str) -> None:
+        held = self._held.pop((worker, name), None)
+        if held is None:
+            return
+        self._by_team[held.team] = amounts.subtract(
+            self.of_team(held.team), held.amount
+        )
+        for place in held.places:
+            self._count(held.owner, place, -1)
+
+    def _count(self, owner: str, place: str, by: int) -> None:
+        key = (owner, place)
+        self._instances[key] += by
+        if not self._instances[key]:
+            del self._instances[key]
+
+
+def places_of(record: ttypes.Worker) -> tuple[str, str, str, str]:
+    """Everywhere, a worker's data centre, its rack and its name."""
+    centre = f"dc:{record.data_centre}"
+    return (
+        _ANYWHERE,
+        centre,
+        f"{centre}/rack:{record.rack}",
+        f"worker:{record.name}",
+    )
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -1,4 +1,4 @@
-"""The leader's loop: ends lost runs and places queued ones."""
+"""The leader's loop: ends lost runs and proposes what it decided."""
 
 from concurrent import futures
 import threading
@@ -7,14 +7,23 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import control_service
-from marigoldsill.coordination import placement
+from marigoldsill.coordination import decisions as decisions_module
+from marigoldsill.coordination import fleet
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
 
 _TICK_S = 0.1
 _PROPOSE_TIMEOUT_S = 2.0
-_BATCH_LIMIT = 500
+_LOST_EVERY_S = 0.3
+_BODY_NAMES = {
+    ttypes.AssignRuns: "assign_runs",
+    ttypes.EvictRuns: "evict_runs",
+    ttypes.ThrottleRuns: "throttle_runs",
+    ttypes.MarkTasks: "mark_tasks",
+    ttypes.PutWorker: "put_worker",
+}
 
 
 class Scheduler:
@@ -28,6 +37,9 @@
     ):
         self._replica = replica
         self._service = service
+        self._decisions = decisions_module.Decisions()
+        self._tables: tables_module.Tables | None = None
+        self._looked_for_lost_s = 0.0
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "scheduler")
 
@@ -46,8 +58,11 @@
             leads = self._replica.is_leader
             if leads and not led:
                 self._service.become_leader()
+                self._tables = None
             led = leads
             if not leads:
+                with self._replica.lock:
+                    self._service.take_changes()
                 continue
             try:
                 self._tick()
@@ -64,6 +79,16 @@
                 )
 
     def _tick(self) -> None:
+        self._end_lost()
+        with self._replica.lock:
+            bodies = self._decide()
+        for body in bodies:
+            self._propose(**{_BODY_NAMES[type(body)]: body})
+
+    def _end_lost(self) -> None:
+        if time.monotonic() < self._looked_for_lost_s + _LOST_EVERY_S:
+            return
+        self._looked_for_lost_s = time.monotonic()
         with self._replica.lock:
             lost = self._lost_runs()
             gone = self._lost_workers()
@@ -72,14 +97,22 @@
         for worker in gone:
             self._propose(put_worker=ttypes.PutWorker(worker=worker))
             self._service.forget_agent(worker.name)
-        with self._replica.lock:
-            grants = placement.place_queued(
-                self._replica.tables,
-                live_agents=self._service.leases.live(),
-                limit=_BATCH_LIMIT,
-            )
-        if grants:
-            self._propose(assign_runs=ttypes.AssignRuns(assignments=grants))
+
+    def _decide(self) -> list[decisions_module.Body]:
+        tables = self._replica.tables
+        live = self._service.leases.live()
+        changes = self._service.take_changes()
+        now = fleet.Now(time.monotonic(), time.time_ns() // 1_000_000)
+        if tables is not self._tables:
+            self._tables = tables
+            self._decisions = decisions_module.Decisions()
+            self._decisions.rebuild(tables, live=live, now=now)
+        else:
+            self._decisions.take_changes(tables, changes, live=live, now=now)
+        self._decisions.measure(tables, self._service.usage.take_new(), now=now)
+        bodies = self._decisions.round(tables, now=now)
+        self._service.absent_watchers = self._decisions.absent
+        return bodies
 
     def _lost_runs(self) -> list[ttypes.RunEvent]:
         tables = self._replica.tables
@@ -114,6 +147,6 @@
 
 
 def _as_lost(worker: ttypes.Worker) -> ttypes.Worker:
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    values |= {"state": ttypes.WorkerState.LOST, "reason": "its lease ran out"}
-    return ttypes.Worker(**values)
+    return decisions_module.with_state(
+        worker, ttypes.WorkerState.LOST, "its lease ran out"
+    )
--- a/marigoldsill/coordination/usage.py
+++ b/marigoldsill/coordination/usage.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 import threading
-import time
 
 from marigoldsill.protocol.generated import ttypes
 
+_NEW_LIMIT = 200_000
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Measurement:
@@ -23,22 +24,38 @@
 
 
 class UsageTable:
-    """The last measurement of each task."""
+    """The last measurement of each task, and those not yet learnt from."""
 
     def __init__(self):
         self._lock = threading.Lock()
         self._last: dict[str, Measurement] = {}
+        self._new: list[Measurement] = []
 
-    def put(self, worker: str, usage: list[ttypes.Usage]) -> None:
-        """Keeps what a heartbeat brought."""
-        now_s = time.monotonic()
+    def put(
+        self, worker: str, usage: list[ttypes.Usage], *, now_s: float
+    ) -> None:
+        """Keeps what a heartbeat brought at `now_s`."""
         with self._lock:
             for item in usage:
-                self._last[item.task] = Measurement(
+                measurement = Measurement(
                     worker, item, now_s - item.age_ms / 1000
                 )
+                self._last[item.task] = measurement
+                if len(self._new) < _NEW_LIMIT:
+                    self._new.append(measurement)
 
     def last(self) -> dict[str, Measurement]:
         """The last measurement of each task, by name."""
         with self._lock:
             return dict(self._last)
+
+    def take_new(self) -> list[Measurement]:
+        """The measurements that came since the last call."""
+        with self._lock:
+            taken, self._new = self._new, []
+        return taken
+
+    def forget(self, task: str) -> None:
+        """Drops the measurements of a task that ended."""
+        with self._lock:
+            self._last.pop(task, None)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -289,6 +289,17 @@
 
 struct ChangeMembers { 1: list<Member> members }
 
+/** What the leader found out about a task that waits or can never run. */
+struct TaskMark {
+  1: string task,
+  2: i64 epoch,
+  3: TaskState state,               // QUEUED or IMPOSSIBLE
+  4: string reason = ""
+}
+
+/** Marks waiting tasks: why they wait, or that they can never run. */
+struct MarkTasks { 1: list<TaskMark> marks }
+
 /** One log entry's content: exactly one body is set. */
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
@@ -304,7 +315,8 @@
   11: optional PutClaim put_claim,
   12: optional EndClaim end_claim,
   13: optional NoOperation no_operation,
-  14: optional ChangeMembers change_members
+  14: optional ChangeMembers change_members,
+  30: optional MarkTasks mark_tasks
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -26,6 +26,7 @@
     "end_claim",
     "no_operation",
     "change_members",
+    "mark_tasks",
 )
 
 
@@ -73,6 +74,8 @@
             return claims.put(tables, claim, now_unix_ms)
         case ttypes.EndClaim() as end:
             return claims.end(tables, end)
+        case ttypes.MarkTasks(marks=marks):
+            return runs.mark(tables, marks)
         case ttypes.ChangeMembers(members=members):
             tables.members = members
             return _ok(tables)
--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -229,6 +229,7 @@
     worker = tables.workers.get(name)
     if worker is not None:
         worker.state = state
+        tables.touched_workers.add(name)
 
 
 def _result(
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -8,6 +8,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
+_WAITING = (ttypes.TaskState.QUEUED, ttypes.TaskState.IMPOSSIBLE)
 _LIVE = (ttypes.TaskState.ASSIGNED, ttypes.TaskState.RUNNING)
 
 
@@ -90,6 +91,22 @@
     return _result(tables, applied)
 
 
+def mark(
+    tables: tables_module.Tables, marks: list[ttypes.TaskMark]
+) -> ttypes.CommandResult:
+    """Marks waiting tasks as waiting or as impossible, with the reason."""
+    applied = 0
+    for item in marks:
+        task = tables.tasks.get(item.task)
+        if task is None or task.epoch != item.epoch:
+            continue
+        if task.state not in _WAITING or item.state not in _WAITING:
+            continue
+        tables.change_task(task.name, state=item.state, reason=item.reason)
+        applied += 1
+    return _result(tables, applied)
+
+
 def put_worker(
     tables: tables_module.Tables, worker: ttypes.Worker
 ) -> ttypes.CommandResult:
@@ -111,7 +128,7 @@
             final_stop=True,
             reason=reason,
         )
-    elif task.state == ttypes.TaskState.QUEUED:
+    elif task.state in _WAITING:
         tables.change_task(
             name, state=ttypes.TaskState.CANCELLED, reason=reason
         )
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -32,6 +32,7 @@
         config_checksum: Over all subjects and their versions; equal for equal
             configurations whatever the order of changes.
         touched_workers: Workers whose runs changed since `take_touched`.
+        touched_tasks: Tasks that changed since `take_touched_tasks`.
     """
 
     def __init__(self):
@@ -56,6 +57,12 @@
         self.tasks_by_owner: dict[str, set[str]] = {}
         self.tasks_by_worker: dict[str, set[str]] = {}
         self.touched_workers: set[str] = set()
+        self.touched_tasks: set[str] = set()
+
+    def take_touched_tasks(self) -> set[str]:
+        """The tasks that changed since the last call."""
+        touched, self.touched_tasks = self.touched_tasks, set()
+        return touched
 
     def take_touched(self) -> set[str]:
         """The workers whose runs changed since the last call."""
@@ -66,6 +73,7 @@
         """Adds or replaces a task and mends the indexes."""
         self.remove_task(task.name)
         self.tasks[task.name] = task
+        self.touched_tasks.add(task.name)
         self.tasks_by_owner.setdefault(task.owner, set()).add(task.name)
         if task.state == ttypes.TaskState.QUEUED:
             self.queued[task.name] = None
@@ -79,6 +87,7 @@
         self.queued.pop(name, None)
         if task is None:
             return
+        self.touched_tasks.add(name)
         _discard(self.tasks_by_owner, task.owner, name)
         if name in self.tasks_by_worker.get(task.worker, ()):
             _discard(self.tasks_by_worker, task.worker, name)
