Judge relief by sums of excess and throttle only what disturbs

Cause: single noisy measurements over the limit throttled neighbours, the harmless ones too once the worst was slowed; the limit mixed loads; the guard emptied whole services; starved jobs held four workers for ever. Now: an excess is summed until it shows, the neighbour with most harm left is throttled and then moved, those known as harmless stay, a limit is taken at the load of the measurement, a job's stay is judged by the highest load of as long a time before, the guard tightens the limit, and holds for starved jobs need three times the usual wait.

--- a/marigoldsill/coordination/fleet.py
+++ b/marigoldsill/coordination/fleet.py
@@ -89,11 +89,27 @@
         self,
         service: str,
         neighbours: list[residents_module.Neighbour],
+        *,
+        now: Now,
+        ahead_s: float = 0.0,
     ) -> interference_module.Prediction:
-        """A service's tail latency beside neighbours, at its present load."""
-        return self.interference.predict(
-            service, neighbours, load=self.latencies.load(service)
+        """A service's tail latency beside neighbours, for a time ahead."""
+        load = self.latencies.load_within(
+            service, ahead_s=ahead_s, now_s=now.monotonic_s
         )
+        return self.interference.predict(service, neighbours, load=load)
+
+    def limit(
+        self,
+        policy: ttypes.Policy,
+        service: str,
+        prediction: interference_module.Prediction,
+        *,
+        now: Now,
+    ) -> float:
+        """The tail latency that sharing may cause a service."""
+        guarded = self.latencies.suspended(service, now_s=now.monotonic_s)
+        return latency_module.limit_of(policy, prediction, guarded=guarded)
 
     def _may_start(self, tables: tables_module.Tables, worker: str) -> bool:
         standing = self.quarantine.standing(worker)
--- a/marigoldsill/coordination/interference.py
+++ b/marigoldsill/coordination/interference.py
@@ -115,6 +115,11 @@
         """What one run of a family is expected to add."""
         return self._pair(service, family, load).mean
 
+    def family_added(self, family: str) -> float:
+        """What one run of a family adds to services on the whole."""
+        term = self._families.get(family)
+        return term.mean if term is not None else _PAIR_MEAN
+
     def samples_count(self, service: str, family: str, *, load: int) -> int:
         """How often a pair was measured at a load."""
         return self._pair(service, family, load).samples_count
--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/latency.py
@@ -19,7 +19,7 @@
 _GUARD_SUSPENSION_LIMIT_S = 960.0
 _GUARD_MARGIN = 0.05
 _HEADROOM_SHARE_LEAST = 0.1
-_HEADROOM_SHARE_SPAN = 0.8
+_HEADROOM_SHARE_SPAN = 0.6
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +43,9 @@
     peak_millicores: float = 0.0
     peak_s: float = -math.inf
     load: int = 0
-    load_s: float = -math.inf
+    seen_s: list[float] = dataclasses.field(
+        default_factory=lambda: [-math.inf] * interference_module.LOADS_COUNT
+    )
     shared: _MissRate = dataclasses.field(default_factory=_MissRate)
     alone: _MissRate = dataclasses.field(default_factory=_MissRate)
     suspended_until_s: float = -math.inf
@@ -84,11 +86,23 @@
             self._guard(known, now_s)
         return load
 
-    def load(self, service: str) -> int:
-        """The load step to expect of a service."""
+    def load_now(self, service: str) -> int:
+        """The load step that a service was last measured at."""
         known = self._services.get(service)
         return known.load if known is not None else 0
 
+    def load_within(self, service: str, *, ahead_s: float, now_s: float) -> int:
+        """The highest load step to expect in the time ahead.
+
+        It is taken to be the highest of as long a time before now.
+        """
+        known = self._services.get(service)
+        if known is None:
+            return 0
+        since_s = now_s - max(ahead_s, _LOAD_HOLD_S)
+        steps = (i for i, at_s in enumerate(known.seen_s) if at_s >= since_s)
+        return max(steps, default=known.load)
+
     def suspended(self, service: str, *, now_s: float) -> bool:
         """Whether the guard forbids sharing with a service now."""
         known = self._services.get(service)
@@ -118,16 +132,22 @@
 
 
 def limit_of(
-    policy: ttypes.Policy, prediction: interference_module.Prediction
+    policy: ttypes.Policy,
+    prediction: interference_module.Prediction,
+    *,
+    guarded: bool = False,
 ) -> float:
     """The tail latency, in units of the target, that sharing may cause.
 
     It is what the service shows alone plus a share of the room up to its
-    target; the more batch work weighs, the larger the share.
+    target; the more batch work weighs, the larger the share. A service that
+    the guard protects gets the least share.
     """
     weight = policy.batch_weight + policy.latency_weight
     batch_share = policy.batch_weight / weight if weight > 0 else 0.5
-    share = _HEADROOM_SHARE_LEAST + _HEADROOM_SHARE_SPAN * batch_share
+    share = _HEADROOM_SHARE_LEAST
+    if not guarded:
+        share += _HEADROOM_SHARE_SPAN * batch_share
     return prediction.alone + share * max(1 - prediction.alone, 0.0)
 
 
@@ -138,6 +158,6 @@
         known.peak_millicores, known.peak_s = cpu_millicores, measured_s
         faded = cpu_millicores
     load = interference_module.load_step(cpu_millicores / max(faded, 1))
-    if load >= known.load or measured_s > known.load_s + _LOAD_HOLD_S:
-        known.load, known.load_s = load, measured_s
+    known.load = load
+    known.seen_s[load] = max(known.seen_s[load], measured_s)
     return load
--- a/marigoldsill/coordination/learning.py
+++ b/marigoldsill/coordination/learning.py
@@ -52,7 +52,7 @@
                 continue
             before = self._fleet.estimates.charge(task)
             if task.kind == ttypes.Kind.SERVICE:
-                self._latency(task, owner, item, now)
+                self._latency(tables, task, owner, item, now)
             if not self._fleet.estimates.observe(
                 task, owner.resources, item.usage, measured_s=item.measured_s
             ):
@@ -105,6 +105,7 @@
 
     def _latency(
         self,
+        tables: tables_module.Tables,
         task: ttypes.Task,
         owner: ttypes.Service,
         item: usage_module.Measurement,
@@ -122,8 +123,17 @@
             measured_s=item.measured_s,
             now_s=now.monotonic_s,
         )
+        limit = self._fleet.limit(
+            tables.policy,
+            owner.name,
+            self._fleet.interference.predict(owner.name, (), load=load),
+            now=now,
+        )
         self._relief.observe(
-            item.worker, latency_ratio=ratio, measured_s=item.measured_s
+            item.worker,
+            latency_ratio=ratio,
+            limit=limit,
+            measured_s=item.measured_s,
         )
         if neighbours is None:
             return
--- a/marigoldsill/coordination/relief.py
+++ b/marigoldsill/coordination/relief.py
@@ -9,24 +9,42 @@
 
 from marigoldsill.coordination import eviction as eviction_module
 from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import latency as latency_module
 from marigoldsill.coordination import residents as residents_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
 _SETTLE_S = 2.0
 _SAMPLES_COUNT = 2
-_RESTORE_BELOW = 0.8
 _RESTORE_AFTER_S = 10.0
 _FADING = 0.5
+_EXCESS_LIMIT = 0.3
+_EXCESS_ALLOWED = 0.05
+_LEAST_HARM = 0.02
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Outlook:
+    """Limits on a worker's tail latency, in units of the target."""
+
+    limit: float
+    calm: float
 
 
 @dataclasses.dataclass(slots=True)
 class _Trouble:
-    """How a worker's services did since the last step there."""
+    """How a worker's services did since the last step there.
+
+    Attributes:
+        stepped_s: When a neighbour was last throttled, moved or let go.
+        ratio: Tail latency over the target, smoothed.
+        excess: Sum of what was over the limit, in units of the limit; a
+            large miss shows at once, small ones only when they go on.
+        samples_count: Measurements since the step.
+    """
 
     stepped_s: float = -math.inf
     ratio: float = 0.0
+    excess: float = 0.0
     samples_count: int = 0
 
 
@@ -52,15 +70,30 @@
         self._to_judge: set[str] = set()
 
     def observe(
-        self, worker: str, *, latency_ratio: float, measured_s: float
+        self,
+        worker: str,
+        *,
+        latency_ratio: float,
+        limit: float,
+        measured_s: float,
     ) -> None:
-        """Takes a measurement of a service on a worker in."""
+        """Takes a measurement of a service on a worker in.
+
+        Args:
+            worker: The worker.
+            latency_ratio: The tail latency over the target.
+            limit: What it may be beside neighbours, at that load.
+            measured_s: When it was measured.
+        """
         trouble = self._troubles.setdefault(worker, _Trouble())
         if measured_s < trouble.stepped_s + _SETTLE_S:
             return
         trouble.samples_count += 1
         share = _FADING if trouble.samples_count > 1 else 1.0
         trouble.ratio += share * (latency_ratio - trouble.ratio)
+        trouble.excess = max(
+            trouble.excess + latency_ratio / limit - 1 - _EXCESS_ALLOWED, 0.0
+        )
         self._to_judge.add(worker)
 
     def forget(self, worker: str) -> None:
@@ -90,20 +123,11 @@
             return
         if trouble.samples_count < _SAMPLES_COUNT:
             return
-        limit = max(
-            latency_module.limit_of(
-                tables.policy, self._fleet.predict(run.service, residents.batch)
-            )
-            for run in residents.services
-        )
-        guarded = any(
-            self._fleet.latencies.suspended(run.service, now_s=now.monotonic_s)
-            for run in residents.services
-        )
-        if guarded or trouble.ratio > limit:
-            stepped = self._force(tables, worker, now, steps, guarded)
+        outlook = self._outlook(tables.policy, worker, now)
+        if trouble.excess > _EXCESS_LIMIT:
+            stepped = self._force(tables, worker, now, steps)
         else:
-            stepped = self._restore(tables, worker, now, steps, limit)
+            stepped = self._restore(tables, worker, now, steps, outlook)
         if stepped:
             self._troubles[worker] = _Trouble(stepped_s=now.monotonic_s)
 
@@ -113,31 +137,34 @@
         worker: str,
         now: fleet_module.Now,
         steps: Steps,
-        guarded: bool,
     ) -> bool:
+        """Acts on the neighbour that still disturbs most.
+
+        One that runs freely is throttled, one that is throttled already has
+        to move; neighbours that are known to disturb little are left alone.
+        """
         residents = self._fleet.residents(worker)
         running = [
-            n for n in residents.batch if self._may_step(tables, n.task, worker)
+            n
+            for n in residents.batch
+            if self._may_step(tables, n.task, worker)
+            and self._harm(worker, n) >= _LEAST_HARM
         ]
         if not running:
             return False
-        full = [n for n in running if n.share == 1.0]
-        if full:
-            chosen = full if guarded else [self._worst(worker, full)]
-            steps.throttles += [
-                _throttle(tables, n.task, throttled=True) for n in chosen
-            ]
-            return True
-        worst = self._worst_for_cost(tables, worker, running, now)
+        worst = max(running, key=lambda n: (self._harm(worker, n), n.task))
         task = tables.tasks[worst.task]
+        if not task.throttled:
+            steps.throttles.append(_throttle(task, throttled=True))
+            return True
         if not self._evictions.has_stayed(task, now=now):
             return False
         if not self._evictions.budget.take():
             return False
-        waits = ", ".join(sorted(r.service for r in residents.services))
+        waits = ", ".join(sorted({r.service for r in residents.services}))
         steps.evictions.append(
             self._evictions.choose(
-                task, f"disturbed {waits} on {worker}, throttled too"
+                task, f"disturbed {waits} on {worker} even when throttled"
             )
         )
         return True
@@ -148,8 +175,9 @@
         worker: str,
         now: fleet_module.Now,
         steps: Steps,
-        limit: float,
+        outlook: _Outlook,
     ) -> bool:
+        """Lets the mildest throttled run go again once there is room."""
         trouble = self._troubles[worker]
         if now.monotonic_s < trouble.stepped_s + _RESTORE_AFTER_S:
             return False
@@ -159,49 +187,45 @@
             for n in residents.batch
             if n.share < 1.0 and self._may_step(tables, n.task, worker)
         ]
-        if not slowed:
+        if not slowed or trouble.ratio > outlook.calm:
             return False
-        mildest = min(slowed, key=lambda n: self._harm(worker, n))
+        mildest = min(slowed, key=lambda n: (self._harm(worker, n), n.task))
         freed = dataclasses.replace(mildest, share=1.0)
         then = [n for n in residents.batch if n is not mildest] + [freed]
-        if trouble.ratio <= _RESTORE_BELOW * limit and all(
-            self._stays_within(tables.policy, run.service, then)
+        if not all(
+            self._stays_within(tables.policy, run.service, then, now)
             for run in residents.services
         ):
-            steps.throttles.append(
-                _throttle(tables, mildest.task, throttled=False)
-            )
-            return True
-        return False
+            return False
+        task = tables.tasks[mildest.task]
+        steps.throttles.append(_throttle(task, throttled=False))
+        return True
 
     def _stays_within(
         self,
         policy: ttypes.Policy,
         service: str,
         neighbours: list[residents_module.Neighbour],
+        now: fleet_module.Now,
     ) -> bool:
-        prediction = self._fleet.predict(service, neighbours)
-        limit = latency_module.limit_of(policy, prediction)
+        prediction = self._fleet.predict(service, neighbours, now=now)
+        limit = self._fleet.limit(policy, service, prediction, now=now)
         return prediction.mean <= limit
 
-    def _worst(
-        self, worker: str, neighbours: list[residents_module.Neighbour]
-    ) -> residents_module.Neighbour:
-        return max(neighbours, key=lambda n: (self._harm(worker, n), n.task))
-
-    def _worst_for_cost(
-        self,
-        tables: tables_module.Tables,
-        worker: str,
-        neighbours: list[residents_module.Neighbour],
-        now: fleet_module.Now,
-    ) -> residents_module.Neighbour:
-        def gain(neighbour: residents_module.Neighbour) -> float:
-            task = tables.tasks[neighbour.task]
-            cost_s = self._evictions.cost_s(tables, task, now=now)
-            return self._harm(worker, neighbour) / (1 + cost_s)
-
-        return max(neighbours, key=lambda n: (gain(n), n.task))
+    def _outlook(
+        self, policy: ttypes.Policy, worker: str, now: fleet_module.Now
+    ) -> _Outlook:
+        """The limits of the most tolerant service there."""
+        residents = self._fleet.residents(worker)
+        limits, calms = [0.0], [0.0]
+        for run in residents.services:
+            prediction = self._fleet.predict(
+                run.service, residents.batch, now=now
+            )
+            limit = self._fleet.limit(policy, run.service, prediction, now=now)
+            limits.append(limit)
+            calms.append((limit + prediction.alone) / 2)
+        return _Outlook(max(limits), max(calms))
 
     def _may_step(
         self, tables: tables_module.Tables, name: str, worker: str
@@ -218,15 +242,13 @@
             self._fleet.interference.added_by(
                 run.service,
                 neighbour.family,
-                load=self._fleet.latencies.load(run.service),
+                load=self._fleet.latencies.load_now(run.service),
             )
             for run in self._fleet.residents(worker).services
         )
 
 
-def _throttle(
-    tables: tables_module.Tables, name: str, *, throttled: bool
-) -> ttypes.Throttle:
+def _throttle(task: ttypes.Task, *, throttled: bool) -> ttypes.Throttle:
     return ttypes.Throttle(
-        task=name, epoch=tables.tasks[name].epoch, throttled=throttled
+        task=task.name, epoch=task.epoch, throttled=throttled
     )
--- a/marigoldsill/coordination/sharing.py
+++ b/marigoldsill/coordination/sharing.py
@@ -4,7 +4,6 @@
 import math
 
 from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import latency as latency_module
 from marigoldsill.coordination import residents as residents_module
 from marigoldsill.protocol.generated import ttypes
 
@@ -42,9 +41,23 @@
         self._exploring: dict[str, set[str]] = {}
 
     def of_batch(
-        self, policy: ttypes.Policy, worker: str, family: str, *, now_s: float
+        self,
+        policy: ttypes.Policy,
+        worker: str,
+        family: str,
+        *,
+        now: fleet_module.Now,
+        ahead_s: float,
     ) -> Verdict:
-        """A batch run of a family beside the services on a worker."""
+        """A batch run of a family beside the services on a worker.
+
+        Args:
+            policy: The operators' weights.
+            worker: The worker.
+            family: The run's family.
+            now: The time of the round.
+            ahead_s: How long the run will probably stay.
+        """
         residents = self._fleet.residents(worker)
         if not residents.services:
             return _ALONE
@@ -54,10 +67,14 @@
         neighbours = [*residents.batch, added]
         harm, explores = 0.0, False
         for run in residents.services:
-            if self._fleet.latencies.suspended(run.service, now_s=now_s):
+            if self._fleet.latencies.suspended(
+                run.service, now_s=now.monotonic_s
+            ):
                 return _REFUSED
-            prediction = self._fleet.predict(run.service, neighbours)
-            limit = latency_module.limit_of(policy, prediction)
+            prediction = self._fleet.predict(
+                run.service, neighbours, now=now, ahead_s=ahead_s
+            )
+            limit = self._fleet.limit(policy, run.service, prediction, now=now)
             if prediction.mean > limit:
                 return _REFUSED
             margin = _certainty(policy) * prediction.deviation
@@ -69,18 +86,22 @@
         return Verdict(True, harm + explores * _EXPLORE_PENALTY, explores)
 
     def of_service(
-        self, policy: ttypes.Policy, worker: str, service: str, *, now_s: float
+        self,
+        policy: ttypes.Policy,
+        worker: str,
+        service: str,
+        *,
+        now: fleet_module.Now,
     ) -> Verdict:
         """A service's instance beside the batch runs on a worker."""
         batch = self._fleet.residents(worker).batch
         if not batch:
             return _ALONE
-        suspended = self._fleet.latencies.suspended(service, now_s=now_s)
-        if suspended or not policy.sharing_allowed:
+        if not policy.sharing_allowed:
             return _REFUSED
-        prediction = self._fleet.predict(service, batch)
+        prediction = self._fleet.predict(service, batch, now=now)
         harm = prediction.mean - prediction.alone
-        limit = latency_module.limit_of(policy, prediction)
+        limit = self._fleet.limit(policy, service, prediction, now=now)
         return Verdict(prediction.mean <= limit, harm)
 
     def explore(self, worker: str) -> None:
@@ -104,14 +125,14 @@
         return len(exploring) < max(1, _EXPLORING_SHARE * count)
 
     def _known(self, service: str, family: str) -> bool:
-        load = self._fleet.latencies.load(service)
+        load = self._fleet.latencies.load_now(service)
         seen = self._fleet.interference.samples_count(
             service, family, load=load
         )
         return seen >= _KNOWN_SAMPLES_COUNT
 
     def _added(self, service: str, family: str) -> float:
-        load = self._fleet.latencies.load(service)
+        load = self._fleet.latencies.load_now(service)
         return self._fleet.interference.added_by(service, family, load=load)
 
 
--- a/marigoldsill/coordination/starts.py
+++ b/marigoldsill/coordination/starts.py
@@ -17,10 +17,14 @@
 _WORKERS_LIMIT = 24
 _HOLD_S = 30.0
 _STARVED_MS = 60_000
-_STARVED_HOLDS_LIMIT = 4
+_STARVED_RATIO = 3.0
+_STARVED_HOLDS_SHARE = 0.01
+_WAIT_FADING = 0.02
 _AVOIDED_COUNT = 4
 _HARM_COST = 4.0
 _PACKING_COST = 0.5
+_SOLITUDE_COST = 1.0
+_DISTURBING_RATIO = 0.1
 _SAME_WORKER_COST = 8.0
 _SAME_RACK_COST = 2.0
 _USED_COST = 0.5
@@ -57,6 +61,7 @@
         self._holds: dict[str, _Hold] = {}
         self._avoided: dict[str, list[str]] = {}
         self._freed_count = 0
+        self._usual_wait_ms = 0.0
 
     def put(
         self,
@@ -113,6 +118,10 @@
             grant, reason = self._try(tables, facts, now, victims)
             if grant is not None:
                 grants.append(grant)
+                waited_ms = now.unix_ms - facts.task.queued_unix_ms
+                self._usual_wait_ms += _WAIT_FADING * (
+                    waited_ms - self._usual_wait_ms
+                )
                 self.queue.placed(facts)
             else:
                 waiting[facts.task.name] = reason
@@ -254,16 +263,20 @@
         match facts.task.kind:
             case ttypes.Kind.BATCH_JOB:
                 verdict = self._sharing.of_batch(
-                    policy, worker, facts.family, now_s=now.monotonic_s
+                    policy,
+                    worker,
+                    facts.family,
+                    now=now,
+                    ahead_s=facts.remaining_ms / 1000,
                 )
                 if not verdict.allowed:
                     return None
                 cost = self._packing_cost(facts, worker)
-                cost += _HARM_COST * policy.latency_weight * verdict.harm
-                cost += 0.1 * verdict.harm
+                cost += _HARM_COST * verdict.harm
+                cost += self._solitude_cost(facts, worker)
             case ttypes.Kind.SERVICE:
                 verdict = self._sharing.of_service(
-                    policy, worker, facts.task.owner, now_s=now.monotonic_s
+                    policy, worker, facts.task.owner, now=now
                 )
                 if not verdict.allowed and not policy.sharing_allowed:
                     return None
@@ -284,6 +297,13 @@
         left = amounts.subtract(view.free, facts.wanted)
         return _PACKING_COST * amounts.largest_share(left, view.record.capacity)
 
+    def _solitude_cost(self, facts: facts_module.Facts, worker: str) -> float:
+        """Keeps workers without services for families that disturb them."""
+        if self._fleet.residents(worker).services:
+            return 0.0
+        added = self._fleet.interference.family_added(facts.family)
+        return _SOLITUDE_COST * max(0.0, 1 - added / _DISTURBING_RATIO)
+
     def _spread_cost(self, facts: facts_module.Facts, worker: str) -> float:
         view = self._fleet.index.views[worker]
         holdings = self._fleet.holdings
@@ -344,11 +364,12 @@
         self, facts: facts_module.Facts, now: fleet_module.Now
     ) -> None:
         """Keeps smaller runs from taking all that ends before a large one."""
-        if now.unix_ms - facts.task.queued_unix_ms < _STARVED_MS:
+        views = self._fleet.index.views
+        waited_ms = now.unix_ms - facts.task.queued_unix_ms
+        if waited_ms < max(_STARVED_MS, _STARVED_RATIO * self._usual_wait_ms):
             return
-        if len(self._holds) >= _STARVED_HOLDS_LIMIT:
+        if len(self._holds) >= 1 + len(views) * _STARVED_HOLDS_SHARE:
             return
-        views = self._fleet.index.views
         names = [
             name
             for name in self._fleet.index.sample_open(_WORKERS_LIMIT)
