Ask for at least one standard deviation of certainty before sharing

Cause: under batch weights 0.4 deviations let six unknown neighbours onto a worker at once; the guard then held the service for 240 s.

--- a/marigoldsill/coordination/sharing.py
+++ b/marigoldsill/coordination/sharing.py
@@ -10,8 +10,8 @@
 _EXPLORING_SHARE = 0.1
 _KNOWN_SAMPLES_COUNT = 5
 _EXPLORE_PENALTY = 0.05
-_LEAST_CERTAINTY = 0.3
-_CERTAINTY_SPAN = 1.2
+_LEAST_CERTAINTY = 1.0
+_CERTAINTY_SPAN = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
