Learn sizes only from runs that were not throttled when measured

Cause: throttled runs use a third, which spread the learnt sizes so far that every reservation held a fifth too much. With it: what a service shows alone is kept by ten load steps in place of three, because the lowest step spanned a quarter of its latency.

--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/estimates.py
@@ -96,8 +96,12 @@
         usage: ttypes.Usage,
         *,
         measured_s: float,
+        free_running: bool = True,
     ) -> bool:
-        """Learns from one measurement; whether it was new enough to count."""
+        """Learns from one measurement; whether it was new enough to count.
+
+        What a throttled run uses says nothing about what it would like to.
+        """
         peak = self._peaks.get(task.name)
         if peak is None:
             peak = self._peaks[task.name] = _Peak(-math.inf)
@@ -108,7 +112,7 @@
         peak.memory_bytes = max(peak.memory_bytes, usage.memory_bytes)
         peak.progress_ms = usage.progress_ms
         family = self._family(task.owner)
-        if usage.cpu_millicores and declared.cpu_millicores:
+        if free_running and usage.cpu_millicores and declared.cpu_millicores:
             family.cpu.add(usage.cpu_millicores / declared.cpu_millicores)
         if usage.memory_bytes and declared.memory_bytes:
             family.memory.add(usage.memory_bytes / declared.memory_bytes)
--- a/marigoldsill/coordination/interference.py
+++ b/marigoldsill/coordination/interference.py
@@ -13,10 +13,11 @@
 
 from marigoldsill.coordination import residents
 
-LOADS_COUNT = 3
-_LOAD_STEPS = (0.5, 0.8)
+LOADS_COUNT = 10
+_PAIR_LOADS = (0, 0, 0, 0, 0, 1, 1, 1, 2, 2)
 _ALONE_MEAN = 0.3
 _ALONE_VARIANCE = 0.1
+_NEAR_VARIANCE = 0.01
 _PAIR_MEAN = 0.06
 _PAIR_VARIANCE = 0.02
 _KIN_VARIANCE_RATIO = 4.0
@@ -127,20 +128,21 @@
     def _alone_term(self, service: str, load: int) -> _Term:
         term = self._alone.get((service, load))
         if term is None:
-            near = self._nearest(self._alone, service, load)
+            near = self._nearest(self._alone, (service,), load)
             term = _Term(_ALONE_MEAN, _ALONE_VARIANCE)
             if near is not None:
-                term = _Term(near.mean, _ALONE_VARIANCE)
+                term = _Term(near.mean, _NEAR_VARIANCE)
             self._alone[service, load] = term
         return term
 
     def _pair(self, service: str, family: str, load: int) -> _Term:
-        key = (service, family, load)
+        step = _PAIR_LOADS[load]
+        key = (service, family, step)
         term = self._pairs.get(key)
         if term is None:
             if len(self._pairs) >= _TERMS_LIMIT:
                 self._pairs.pop(next(iter(self._pairs)))
-            term = self._pairs[key] = self._new_pair(service, family, load)
+            term = self._pairs[key] = self._new_pair(service, family, step)
         return term
 
     def _new_pair(self, service: str, family: str, load: int) -> _Term:
@@ -162,17 +164,20 @@
         term.mean += rate * (pair.mean - term.mean)
 
     def _nearest(
-        self, terms: dict, key: str | tuple[str, str], load: int
+        self, terms: dict, lead: tuple[str, ...], load: int
     ) -> _Term | None:
-        lead = key if isinstance(key, tuple) else (key,)
         others = sorted(range(LOADS_COUNT), key=lambda other: abs(other - load))
         found = (terms.get((*lead, other)) for other in others)
         return next((t for t in found if t and t.samples_count), None)
 
 
 def load_step(load_ratio: float) -> int:
-    """The step that a load, as a share of the most seen, belongs to."""
-    return sum(load_ratio > step for step in _LOAD_STEPS)
+    """The step that a load, as a share of the most seen, belongs to.
+
+    What a service shows alone is kept for each step, what a neighbour adds
+    for a few groups of steps, because it is measured less often.
+    """
+    return min(int(load_ratio * LOADS_COUNT), LOADS_COUNT - 1)
 
 
 def _shares(neighbours: Iterable[residents.Neighbour]) -> dict[str, float]:
--- a/marigoldsill/coordination/learning.py
+++ b/marigoldsill/coordination/learning.py
@@ -54,7 +54,11 @@
             if task.kind == ttypes.Kind.SERVICE:
                 self._latency(tables, task, owner, item, now)
             if not self._fleet.estimates.observe(
-                task, owner.resources, item.usage, measured_s=item.measured_s
+                task,
+                owner.resources,
+                item.usage,
+                measured_s=item.measured_s,
+                free_running=self._ran_freely(task, item),
             ):
                 continue
             if self._fleet.estimates.charge(task) != before:
@@ -103,6 +107,17 @@
         age_ms = 1000 * (now.monotonic_s - item.measured_s)
         return now.unix_ms - age_ms >= task.started_unix_ms
 
+    def _ran_freely(
+        self, task: ttypes.Task, item: usage_module.Measurement
+    ) -> bool:
+        """Whether a run was surely not throttled when it was measured."""
+        if task.kind != ttypes.Kind.BATCH_JOB:
+            return True
+        there = self._fleet.history.at(item.worker, item.measured_s)
+        return there is not None and any(
+            n.task == task.name and n.share == 1.0 for n in there
+        )
+
     def _latency(
         self,
         tables: tables_module.Tables,
