Put only one run of an unmeasured family on a worker

Cause: sizes declared ten times too small were believed for a whole backlog before the first measurement.

--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/estimates.py
@@ -157,6 +157,11 @@
             return None
         return math.exp(family.cpu.mean)
 
+    def is_known(self, family: str) -> bool:
+        """Whether any run of a family was measured."""
+        known = self._families.get(family)
+        return known is not None and known.cpu.count > 0
+
     def charge(self, task: ttypes.Task) -> ttypes.Resources:
         """What a run counts with: its reservation, or more if it uses more."""
         peak = self._peaks.get(task.name)
--- a/marigoldsill/coordination/starts.py
+++ b/marigoldsill/coordination/starts.py
@@ -262,6 +262,8 @@
         policy = tables.policy
         match facts.task.kind:
             case ttypes.Kind.BATCH_JOB:
+                if not self._may_be_unknown(facts, worker):
+                    return None
                 verdict = self._sharing.of_batch(
                     policy,
                     worker,
@@ -291,6 +293,18 @@
             cost += _AVOIDED_COST
         return _Place(worker, verdict, cost)
 
+    def _may_be_unknown(self, facts: facts_module.Facts, worker: str) -> bool:
+        """Whether a run's size is known, or no other unknown one is there.
+
+        A declaration may be ten times too small; one such run at a time
+        bounds by how much a worker can be overrun before it is measured.
+        """
+        estimates = self._fleet.estimates
+        if estimates.is_known(facts.family):
+            return True
+        batch = self._fleet.residents(worker).batch
+        return all(estimates.is_known(n.family) for n in batch)
+
     def _packing_cost(self, facts: facts_module.Facts, worker: str) -> float:
         """Low where little is left over: large holes stay for large runs."""
         view = self._fleet.index.views[worker]
