Judge a waiting task by what is known when it is tried

Cause: the size of a waiting task was taken when it queued, so a backlog declared ten times too large kept its sizes; grants of one round did not count towards quotas and spread; a command of unknown outcome could be applied after its room was given away, so AssignRuns now checks room in the state too. Starts is split into starts, places and holds.

--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -146,13 +146,13 @@
         self._probe(tables, now)
         steps = self._relief.decide(tables, now=now)
         moved = self._moves.decide(tables, now=now)
-        grants, victims, waiting = self._starts.place(
+        placed = self._starts.place(
             tables, now=now, limit=_GRANTS_LIMIT, tries_limit=_TRIES_LIMIT
         )
-        self._stale |= {grant.worker for grant in grants}
-        self._note_waiting(tables, waiting)
+        self._stale |= {grant.worker for grant in placed.grants}
+        self._note_waiting(tables, placed.waiting)
         self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
-        evicted = steps.evictions + moved + victims
+        evicted = steps.evictions + moved + placed.victims
         marks = self._take_marks()
         bodies: list[Body] = [
             ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
@@ -162,8 +162,8 @@
             bodies.append(ttypes.ThrottleRuns(throttles=steps.throttles))
         if evicted:
             bodies.append(ttypes.EvictRuns(evictions=evicted))
-        if grants:
-            bodies.append(ttypes.AssignRuns(assignments=grants))
+        if placed.grants:
+            bodies.append(ttypes.AssignRuns(assignments=placed.grants))
         if marks:
             bodies.append(ttypes.MarkTasks(marks=marks))
         return bodies
@@ -179,9 +179,9 @@
             self._quarantine(tables, outcome.worker, why)
         match outcome.kind:
             case outcomes_module.Kind.FAILED | outcomes_module.Kind.REFUSED:
-                self._starts.avoid(outcome.task.name, outcome.worker)
+                self._starts.places.avoid(outcome.task.name, outcome.worker)
             case outcomes_module.Kind.COMPLETED:
-                self._starts.forget(outcome.task.name)
+                self._starts.places.forget(outcome.task.name)
 
     def _of_changed_owners(self, tables: tables_module.Tables) -> set[str]:
         """Tasks whose declarations changed since the last call."""
--- a/marigoldsill/coordination/fleet.py
+++ b/marigoldsill/coordination/fleet.py
@@ -74,6 +74,8 @@
     def take(self, worker: str, facts: facts_module.Facts) -> None:
         """Counts a grant that is not in the state yet; `refresh` undoes it."""
         self.index.take(worker, facts.wanted)
+        record = self.index.views[worker].record
+        self.holdings.grant(facts.task.owner, facts.team, record, facts.wanted)
         residents = self.residents(worker)
         name = facts.task.name
         match facts.task.kind:
@@ -112,7 +114,10 @@
         return latency_module.limit_of(policy, prediction, guarded=guarded)
 
     def _may_start(self, tables: tables_module.Tables, worker: str) -> bool:
-        standing = self.quarantine.standing(worker)
-        if standing != quarantine_module.Standing.PROBATION:
-            return True
-        return not tables.tasks_by_worker.get(worker)
+        match self.quarantine.standing(worker):
+            case quarantine_module.Standing.GOOD:
+                return True
+            case quarantine_module.Standing.PROBATION:
+                return not tables.tasks_by_worker.get(worker)
+            case _:
+                return False
--- a/marigoldsill/coordination/moves.py
+++ b/marigoldsill/coordination/moves.py
@@ -93,11 +93,7 @@
         ]
         if down:
             return False
-        elsewhere = self._starts.fits_elsewhere(tables, task, now=now)
-        if not elsewhere:
-            return False
-        self._starts.hold(tables, task, elsewhere, now=now)
-        return True
+        return self._starts.reserve_elsewhere(tables, task, now=now)
 
     def _unload(
         self,
--- a/marigoldsill/coordination/placement/holdings.py
+++ b/marigoldsill/coordination/placement/holdings.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-from collections.abc import Callable
 import dataclasses
 
 from marigoldsill.coordination.placement import amounts
@@ -32,6 +31,10 @@
         self._instances: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._granted: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._granted_by_team: dict[str, ttypes.Resources] = {}
 
     def update(
         self,
@@ -51,31 +54,37 @@
                 self._add(tables, new.record, task, amount)
 
     def of_team(self, team: str) -> ttypes.Resources:
-        """What a team holds, runs that may be alive included."""
-        return self._by_team.get(team, amounts.ZERO)
-
-    def take(self, team: str, amount: ttypes.Resources) -> Callable[[], None]:
-        """Counts a grant that is not in the state yet; undone by the result."""
-        self._by_team[team] = amounts.add(self.of_team(team), amount)
+        """What a team holds, with runs that may be alive and new grants."""
+        held = self._by_team.get(team, amounts.ZERO)
+        granted = self._granted_by_team.get(team)
+        return held if granted is None else amounts.add(held, granted)
 
-        def undo() -> None:
-            self._by_team[team] = amounts.subtract(self.of_team(team), amount)
+    def begin_round(self) -> None:
+        """Forgets the grants of the last round; the state has them or not."""
+        self._granted_by_team.clear()
+        self._granted.clear()
 
-        return undo
+    def grant(
+        self,
+        owner: str,
+        team: str,
+        record: ttypes.Worker,
+        amount: ttypes.Resources,
+    ) -> None:
+        """Counts a grant that is not in the state yet."""
+        granted = self._granted_by_team.get(team, amounts.ZERO)
+        self._granted_by_team[team] = amounts.add(granted, amount)
+        self._granted.update((owner, place) for place in places_of(record))
 
     def instances(self, owner: str, place: str) -> int:
         """How many runs of an owner are at a place."""
-        return self._instances[owner, place]
+        key = (owner, place)
+        return self._instances[key] + self._granted[key]
 
     def count_of(self, owner: str) -> int:
         """How many runs of an owner there are."""
         return self._instances[owner, _ANYWHERE]
 
-    def add_instance(self, owner: str, record: ttypes.Worker, by: int) -> None:
-        """Counts a run of an owner at a worker, its rack and data centre."""
-        for place in places_of(record):
-            self._count(owner, place, by)
-
     def _add(
         self,
         tables: tables_module.Tables,
@@ -88,7 +97,8 @@
         team = owner.team if owner is not None else ""
         held = _Held(task.owner, team, amount, places_of(record))
         self._held[record.name, name] = held
-        self._by_team[team] = amounts.add(self.of_team(team), amount)
+        before = self._by_team.get(team, amounts.ZERO)
+        self._by_team[team] = amounts.add(before, amount)
         for place in held.places:
             self._count(held.owner, place, 1)
 
@@ -97,7 +107,7 @@
         if held is None:
             return
         self._by_team[held.team] = amounts.subtract(
-            self.of_team(held.team), held.amount
+            self._by_team[held.team], held.amount
         )
         for place in held.places:
             self._count(held.owner, place, -1)
@@ -109,9 +119,14 @@
             del self._instances[key]
 
 
+def data_centre(name: str) -> str:
+    """A data centre as a place."""
+    return f"dc:{name}"
+
+
 def places_of(record: ttypes.Worker) -> tuple[str, str, str, str]:
     """Everywhere, a worker's data centre, its rack and its name."""
-    centre = f"dc:{record.data_centre}"
+    centre = data_centre(record.data_centre)
     return (
         _ANYWHERE,
         centre,
--- /dev/null
+++ b/marigoldsill/coordination/places.py
@@ -0,0 +1,196 @@
+"""Finds the best worker for one task."""
+
+import dataclasses
+import math
+
+from marigoldsill.coordination import fleet as fleet_module
+from marigoldsill.coordination import sharing as sharing_module
+from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import holdings
+from marigoldsill.protocol.generated import ttypes
+
+_CANDIDATES_COUNT = 16
+_AVOIDED_COUNT = 4
+_HARM_COST = 4.0
+_PACKING_COST = 0.5
+_SOLITUDE_COST = 1.0
+_DISTURBING_RATIO = 0.1
+_SAME_WORKER_COST = 8.0
+_SAME_RACK_COST = 2.0
+_USED_COST = 0.5
+_NOT_ALLOWED_COST = 4.0
+_AVOIDED_COST = 100.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """A worker for a task.
+
+    Attributes:
+        worker: Its name.
+        verdict: What sharing it would mean.
+        cost: Lower is better.
+    """
+
+    worker: str
+    verdict: sharing_module.Verdict
+    cost: float
+
+
+class Places:
+    """Judges candidates by fit, harm and spread."""
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, sharing: sharing_module.Sharing
+    ):
+        self._fleet = fleet
+        self._sharing = sharing
+        self._avoided: dict[str, list[str]] = {}
+
+    def avoid(self, task: str, worker: str) -> None:
+        """Has a task tried elsewhere after it failed on a worker."""
+        avoided = self._avoided.setdefault(task, [])
+        if worker not in avoided:
+            avoided.append(worker)
+        del avoided[:-_AVOIDED_COUNT]
+
+    def forget(self, task: str) -> None:
+        """Drops what was kept about a task that ended."""
+        self._avoided.pop(task, None)
+
+    def best(
+        self,
+        policy: ttypes.Policy,
+        facts: facts_module.Facts,
+        *,
+        now: fleet_module.Now,
+    ) -> Place | None:
+        """The best place with room, or None."""
+        places = [
+            place
+            for name in self._candidates(facts)
+            if (place := self._judge(policy, facts, name, now)) is not None
+        ]
+        return min(places, key=lambda p: (p.cost, p.worker), default=None)
+
+    def _candidates(self, facts: facts_module.Facts) -> list[str]:
+        """Workers to judge; a service looks first where it has least."""
+        index = self._fleet.index
+        if facts.task.kind != ttypes.Kind.SERVICE:
+            return index.candidates(facts.wanted, limit=_CANDIDATES_COUNT)
+        centres = sorted(
+            index.data_centres(),
+            key=lambda centre: self._fleet.holdings.instances(
+                facts.task.owner, holdings.data_centre(centre)
+            ),
+        )
+        found = (
+            index.candidates(
+                facts.wanted, limit=_CANDIDATES_COUNT, data_centre=centre
+            )
+            for centre in centres
+        )
+        return next((names for names in found if names), [])
+
+    def _judge(
+        self,
+        policy: ttypes.Policy,
+        facts: facts_module.Facts,
+        worker: str,
+        now: fleet_module.Now,
+    ) -> Place | None:
+        match facts.task.kind:
+            case ttypes.Kind.BATCH_JOB:
+                place = self._judge_batch(policy, facts, worker, now)
+            case ttypes.Kind.SERVICE:
+                place = self._judge_service(policy, facts, worker, now)
+            case _:
+                verdict = sharing_module.Verdict(allowed=True)
+                cost = self._spread_cost(facts, worker)
+                place = Place(worker, verdict, cost)
+        if place is None:
+            return None
+        if worker in self._avoided.get(facts.task.name, ()):
+            return dataclasses.replace(place, cost=place.cost + _AVOIDED_COST)
+        return place
+
+    def _judge_batch(
+        self,
+        policy: ttypes.Policy,
+        facts: facts_module.Facts,
+        worker: str,
+        now: fleet_module.Now,
+    ) -> Place | None:
+        if not self._may_be_unknown(facts, worker):
+            return None
+        verdict = self._sharing.of_batch(
+            policy,
+            worker,
+            facts.family,
+            now=now,
+            ahead_s=facts.remaining_ms / 1000,
+        )
+        if not verdict.allowed:
+            return None
+        cost = (
+            self._packing_cost(facts, worker)
+            + _HARM_COST * verdict.harm
+            + self._solitude_cost(facts, worker)
+        )
+        return Place(worker, verdict, cost)
+
+    def _judge_service(
+        self,
+        policy: ttypes.Policy,
+        facts: facts_module.Facts,
+        worker: str,
+        now: fleet_module.Now,
+    ) -> Place | None:
+        verdict = self._sharing.of_service(
+            policy, worker, facts.task.owner, now=now
+        )
+        if not verdict.allowed and not policy.sharing_allowed:
+            return None
+        cost = self._spread_cost(facts, worker)
+        cost += _NOT_ALLOWED_COST * (not verdict.allowed)
+        if math.isfinite(verdict.harm):
+            cost += _HARM_COST * policy.latency_weight * verdict.harm
+        return Place(worker, verdict, cost)
+
+    def _may_be_unknown(self, facts: facts_module.Facts, worker: str) -> bool:
+        """Whether a run's size is known, or no other unknown one is there.
+
+        A declaration may be ten times too small; one such run at a time
+        bounds by how much a worker can be overrun before it is measured.
+        """
+        estimates = self._fleet.estimates
+        if estimates.is_known(facts.family):
+            return True
+        batch = self._fleet.residents(worker).batch
+        return all(estimates.is_known(n.family) for n in batch)
+
+    def _packing_cost(self, facts: facts_module.Facts, worker: str) -> float:
+        """Low where little is left over: large holes stay for large runs."""
+        view = self._fleet.index.views[worker]
+        left = amounts.subtract(view.free, facts.wanted)
+        return _PACKING_COST * amounts.largest_share(left, view.record.capacity)
+
+    def _solitude_cost(self, facts: facts_module.Facts, worker: str) -> float:
+        """Keeps workers without services for families that disturb them."""
+        if self._fleet.residents(worker).services:
+            return 0.0
+        added = self._fleet.interference.family_added(facts.family)
+        return _SOLITUDE_COST * max(0.0, 1 - added / _DISTURBING_RATIO)
+
+    def _spread_cost(self, facts: facts_module.Facts, worker: str) -> float:
+        view = self._fleet.index.views[worker]
+        held = self._fleet.holdings
+        owner = facts.task.owner
+        _, _, rack, here = holdings.places_of(view.record)
+        free = amounts.largest_share(view.free, view.record.capacity)
+        return (
+            _SAME_WORKER_COST * held.instances(owner, here)
+            + _SAME_RACK_COST * held.instances(owner, rack)
+            + _USED_COST * (1 - free)
+        )
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -30,6 +30,8 @@
             continue
         if grant.epoch != task.epoch + 1:
             continue
+        if not _has_room(tables, worker, grant.reserved):
+            continue
         tables.change_task(
             grant.task,
             state=ttypes.TaskState.ASSIGNED,
@@ -134,6 +136,24 @@
         )
 
 
+def _has_room(
+    tables: tables_module.Tables,
+    worker: ttypes.Worker,
+    wanted: ttypes.Resources,
+) -> bool:
+    """Whether a reservation fits beside the runs that may be alive.
+
+    The leader counts too, but a command whose outcome it did not learn may be
+    applied after it has given the same room to another task.
+    """
+    held = [task.reserved for task in tables.tasks_on(worker.name)]
+    return all(
+        sum(getattr(item, name) for item in held) + getattr(wanted, name)
+        <= getattr(worker.capacity, name)
+        for name in ttypes.Resources.__slots__
+    )
+
+
 def _record_event(
     tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
 ) -> int:
