--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -1,5 +1,6 @@
 """What the leader of control does for agents and entries."""
 
+from collections.abc import Callable
 import time
 import uuid
 
@@ -27,6 +28,7 @@
         leases: Leases that this process gave as leader.
         endpoints: Endpoints announced to it as leader.
         usage: Late measurements sent to it as leader.
+        why_waits: Why a task waits, as the leader's decisions last saw it.
         absent_watchers: Watchers absent longer than their limit.
     """
 
@@ -37,6 +39,7 @@
         self.leases = leases_module.LeaseTable()
         self.endpoints = endpoints_module.EndpointRegistry()
         self.usage = usage_module.UsageTable()
+        self.why_waits: Callable[[str], str] = lambda task: ""
         self.absent_watchers: list[absence.Absence] = []
         self._changes = changes_module.Changes()
         replica.on_applied(self._on_applied)
--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -26,7 +26,7 @@
 
 _GRANTS_LIMIT = 500
 _TRIES_LIMIT = 700
-_REASONS_LIMIT = 50
+_MARKS_LIMIT = 500
 _REFUSED_PAUSE_MS = 1_000
 
 Body = (
@@ -75,6 +75,10 @@
         """How many tasks wait for a worker."""
         return self._starts.queue.waiting_count
 
+    def why_waits(self, task: str) -> str:
+        """Why a task waits, as of its last try; empty if it is not known."""
+        return self._starts.queue.why_waits(task)
+
     def rebuild(
         self,
         tables: tables_module.Tables,
@@ -150,6 +154,10 @@
             tables, now=now, limit=_GRANTS_LIMIT, tries_limit=_TRIES_LIMIT
         )
         self._stale |= {grant.worker for grant in placed.grants}
+        for grant in placed.grants:
+            self._outcomes.granted(
+                tables.tasks[grant.task], grant, now_unix_ms=now.unix_ms
+            )
         self._note_waiting(tables, placed.waiting)
         self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
         evicted = steps.evictions + moved + placed.victims
@@ -262,20 +270,18 @@
         )
 
     def _note_waiting(
-        self, tables: tables_module.Tables, waiting: dict[str, str]
+        self, tables: tables_module.Tables, waiting: Iterable[str]
     ) -> None:
-        """Records why tasks wait, where it changed."""
-        for name, reason in waiting.items():
+        """Marks what turned out to be impossible when it was tried."""
+        for name in waiting:
             task = tables.tasks[name]
             why = self._why_impossible(tables, task)
             if why:
                 self._starts.drop(name)
                 self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
-            elif task.reason != reason and name not in self._to_mark:
-                self._mark(task, ttypes.TaskState.QUEUED, reason)
 
     def _take_marks(self) -> list[ttypes.TaskMark]:
-        names = list(self._to_mark)[:_REASONS_LIMIT]
+        names = list(self._to_mark)[:_MARKS_LIMIT]
         return [self._to_mark.pop(name) for name in names]
 
     def _probe(
--- a/marigoldsill/coordination/fleet.py
+++ b/marigoldsill/coordination/fleet.py
@@ -71,7 +71,7 @@
         """Who is on a worker, grants of this round included."""
         return self._residents.get(worker, _NOBODY)
 
-    def take(self, worker: str, facts: facts_module.Facts) -> None:
+    def take(self, worker: str, facts: facts_module.Facts, *, now: Now) -> None:
         """Counts a grant that is not in the state yet; `refresh` undoes it."""
         self.index.take(worker, facts.wanted)
         record = self.index.views[worker].record
@@ -80,7 +80,12 @@
         name = facts.task.name
         match facts.task.kind:
             case ttypes.Kind.BATCH_JOB:
-                neighbour = residents_module.Neighbour(name, facts.family)
+                neighbour = residents_module.Neighbour(
+                    name,
+                    facts.family,
+                    cpu_millicores=facts.wanted.cpu_millicores,
+                    granted_unix_ms=now.unix_ms,
+                )
                 residents.batch.append(neighbour)
                 self.batch_runs_count += 1
             case ttypes.Kind.SERVICE:
--- a/marigoldsill/coordination/moves.py
+++ b/marigoldsill/coordination/moves.py
@@ -88,13 +88,17 @@
         down = [
             t
             for t in others
-            if t.state != ttypes.TaskState.RUNNING
-            and t.state != ttypes.TaskState.IMPOSSIBLE
+            if t.state != ttypes.TaskState.IMPOSSIBLE
+            and not self._goes_on_running(t)
         ]
         if down:
             return False
         return self._starts.reserve_elsewhere(tables, task, now=now)
 
+    def _goes_on_running(self, task: ttypes.Task) -> bool:
+        running = task.state == ttypes.TaskState.RUNNING
+        return running and self._evictions.is_open(task)
+
     def _unload(
         self,
         tables: tables_module.Tables,
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -123,7 +123,7 @@
                         "state": ttypes.TaskState(task.state).name.lower(),
                         "worker": task.worker,
                         "epoch": task.epoch,
-                        "reason": task.reason,
+                        "reason": self._reason(task),
                     }
                     for task in tables.tasks.values()
                 ],
@@ -145,7 +145,10 @@
                 raise errors.NotFoundError(f"nothing is named {name!r}")
             return {
                 "name": name,
-                "tasks": [shapes.of_record(task) for task in tasks],
+                "tasks": [
+                    shapes.of_record(task) | {"reason": self._reason(task)}
+                    for task in tasks
+                ],
             }
 
     def audit(self) -> list[object]:
@@ -183,6 +186,12 @@
                     "drain, undrain, cancel"
                 )
 
+    def _reason(self, task: ttypes.Task) -> str:
+        if task.state != ttypes.TaskState.QUEUED:
+            return task.reason
+        waits = self._service.why_waits(task.name)
+        return f"{waits} (before: {task.reason})" if waits else task.reason
+
     def _require_leader(self) -> None:
         if self._replica.is_leader:
             return
--- a/marigoldsill/coordination/outcomes.py
+++ b/marigoldsill/coordination/outcomes.py
@@ -59,6 +59,19 @@
         found = [self._look(tables.tasks.get(name), name) for name in names]
         return [outcome for outcome in found if outcome is not None]
 
+    def granted(
+        self, task: ttypes.Task, grant: ttypes.Assignment, *, now_unix_ms: int
+    ) -> None:
+        """Expects a run, which may start and end before the next look."""
+        self._seen[task.name] = _Seen(
+            epoch=grant.epoch,
+            state=ttypes.TaskState.ASSIGNED,
+            failures_count=task.failures_count,
+            worker=grant.worker,
+            started_unix_ms=now_unix_ms,
+            worked_ms=task.worked_ms,
+        )
+
     def _look(self, task: ttypes.Task | None, name: str) -> Outcome | None:
         old = self._seen.pop(name, None)
         if task is None:
@@ -74,7 +87,7 @@
                 worked_ms=old.worked_ms if started else task.worked_ms,
             )
             return None
-        if old is None:
+        if old is None or old.epoch != task.epoch:
             return None
         return Outcome(
             kind=_kind(old, task),
--- a/marigoldsill/coordination/placement/queue.py
+++ b/marigoldsill/coordination/placement/queue.py
@@ -21,6 +21,7 @@
     """Waiting tasks of one shape: (order, name), some of them outdated."""
 
     heap: list[tuple] = dataclasses.field(default_factory=list)
+    reason: str = ""
     pause_rounds: int = 0
     resume_round: int = 0
 
@@ -95,9 +96,18 @@
             else:
                 heapq.heappop(heads)
 
-    def step_aside(self, facts: facts_module.Facts) -> None:
+    def why_waits(self, name: str) -> str:
+        """Why the first of a task's shape found no place, or empty."""
+        facts = self._facts.get(name)
+        if facts is None:
+            return ""
+        shape = self._shapes.get(facts_module.shape_of(facts))
+        return shape.reason if shape is not None else ""
+
+    def step_aside(self, facts: facts_module.Facts, reason: str) -> None:
         """Notes that the first of a shape found no place in this round."""
         shape = self._shapes[facts_module.shape_of(facts)]
+        shape.reason = reason
         shape.pause_rounds = min(
             max(1, 2 * shape.pause_rounds), _PAUSE_LIMIT_ROUNDS
         )
@@ -107,6 +117,7 @@
         """Takes a task that found a place out."""
         shape = self._shapes[facts_module.shape_of(facts)]
         shape.pause_rounds = 0
+        shape.reason = ""
         self.remove(facts.task.name)
 
     def _push(self, facts: facts_module.Facts) -> None:
--- a/marigoldsill/coordination/places.py
+++ b/marigoldsill/coordination/places.py
@@ -21,6 +21,8 @@
 _USED_COST = 0.5
 _NOT_ALLOWED_COST = 4.0
 _AVOIDED_COST = 100.0
+_UNKNOWN_MS = 15_000
+_UNKNOWN_FACTOR = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -122,7 +124,7 @@
         worker: str,
         now: fleet_module.Now,
     ) -> Place | None:
-        if not self._may_be_unknown(facts, worker):
+        if not self._may_be_unknown(facts, worker, now):
             return None
         verdict = self._sharing.of_batch(
             policy,
@@ -158,17 +160,31 @@
             cost += _HARM_COST * policy.latency_weight * verdict.harm
         return Place(worker, verdict, cost)
 
-    def _may_be_unknown(self, facts: facts_module.Facts, worker: str) -> bool:
-        """Whether a run's size is known, or no other unknown one is there.
+    def _may_be_unknown(
+        self, facts: facts_module.Facts, worker: str, now: fleet_module.Now
+    ) -> bool:
+        """Whether a run's size is known, or a wrong one would do no harm.
 
-        A declaration may be ten times too small; one such run at a time
-        bounds by how much a worker can be overrun before it is measured.
+        A declaration may be ten times too small. So that a worker is not
+        overrun before the first measurements come, the runs that were not
+        measured yet share it only while ten times their sizes would fit;
+        a run whose measurement never comes counts for a while only.
         """
-        estimates = self._fleet.estimates
-        if estimates.is_known(facts.family):
+        known = self._fleet.estimates.is_known
+        if known(facts.family):
             return True
-        batch = self._fleet.residents(worker).batch
-        return all(estimates.is_known(n.family) for n in batch)
+        recent_unix_ms = now.unix_ms - _UNKNOWN_MS
+        unknown = [
+            neighbour.cpu_millicores
+            for neighbour in self._fleet.residents(worker).batch
+            if neighbour.granted_unix_ms > recent_unix_ms
+            and not known(neighbour.family)
+        ]
+        if not unknown:
+            return True
+        free = self._fleet.index.views[worker].free.cpu_millicores
+        wanted = sum(unknown) + facts.wanted.cpu_millicores
+        return _UNKNOWN_FACTOR * wanted <= free + sum(unknown)
 
     def _packing_cost(self, facts: facts_module.Facts, worker: str) -> float:
         """Low where little is left over: large holes stay for large runs."""
--- a/marigoldsill/coordination/residents.py
+++ b/marigoldsill/coordination/residents.py
@@ -21,11 +21,15 @@
         family: Its owner's family: what disturbs.
         share: How much of its usual disturbance to expect, 1 unless it is
             throttled.
+        cpu_millicores: What it reserved.
+        granted_unix_ms: When it was granted.
     """
 
     task: str
     family: str
     share: float = 1.0
+    cpu_millicores: int = 0
+    granted_unix_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,6 +64,8 @@
                     name,
                     estimates_module.family_of(task.owner),
                     THROTTLED_SHARE if task.throttled else 1.0,
+                    task.reserved.cpu_millicores,
+                    task.started_unix_ms,
                 )
                 batch.append(neighbour)
                 if task.state != ttypes.TaskState.ASSIGNED:
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -106,6 +106,7 @@
         if tables is not self._tables:
             self._tables = tables
             self._decisions = decisions_module.Decisions()
+            self._service.why_waits = self._decisions.why_waits
             self._decisions.rebuild(tables, live=live, now=now)
         else:
             self._decisions.take_changes(tables, changes, live=live, now=now)
--- a/marigoldsill/coordination/starts.py
+++ b/marigoldsill/coordination/starts.py
@@ -30,12 +30,12 @@
     Attributes:
         grants: Runs to start.
         victims: Runs that give way.
-        waiting: Why tasks that were tried go on waiting.
+        waiting: Tasks that were tried and go on waiting.
     """
 
     grants: list[ttypes.Assignment] = dataclasses.field(default_factory=list)
     victims: list[ttypes.Eviction] = dataclasses.field(default_factory=list)
-    waiting: dict[str, str] = dataclasses.field(default_factory=dict)
+    waiting: list[str] = dataclasses.field(default_factory=list)
 
 
 class Starts:
@@ -147,8 +147,8 @@
             return
         grant, reason = self._try(tables, facts, now, decided)
         if grant is None:
-            decided.waiting[name] = reason
-            self.queue.step_aside(facts)
+            decided.waiting.append(name)
+            self.queue.step_aside(facts, reason)
             return
         decided.grants.append(grant)
         waited_ms = now.unix_ms - facts.task.queued_unix_ms
@@ -169,7 +169,7 @@
         place = place or self.places.best(tables.policy, facts, now=now)
         if place is not None:
             self._holds.end(facts.task.name)
-            return self._grant(facts, place), ""
+            return self._grant(facts, place, now), ""
         if facts.task.name in self._holds:
             return None, "waits: room is being made for it"
         choice = self._make_room(tables, facts, now)
@@ -198,11 +198,14 @@
         return amounts.within_quota(with_it, team.quota)
 
     def _grant(
-        self, facts: facts_module.Facts, place: places_module.Place
+        self,
+        facts: facts_module.Facts,
+        place: places_module.Place,
+        now: fleet_module.Now,
     ) -> ttypes.Assignment:
         if place.verdict.explores:
             self._sharing.explore(place.worker)
-        self._fleet.take(place.worker, facts)
+        self._fleet.take(place.worker, facts, now=now)
         return ttypes.Assignment(
             task=facts.task.name,
             epoch=facts.task.epoch + 1,
--- /dev/null
+++ b/tests/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions that several processes take together."""
