--- a/marigoldsill/coordination/watch_service.py
+++ b/marigoldsill/coordination/watch_service.py
@@ -41,7 +41,6 @@
         self._called_s: dict[str, float] = {}
         self.hub = watch_hub.WatchHub()
         self.deltas = configuration.DeltaCache()
-        replica.on_applied(self._on_applied)
 
     def reset(self) -> None:
         """Starts over as a new leader."""
@@ -116,9 +115,9 @@
             return self._orders_version.get(request.subscriber, 0)
         return self._endpoints.version
 
-    def _on_applied(self, command: ttypes.Command) -> None:
+    def on_applied(self, command: ttypes.Command, touched: set[str]) -> None:
+        """Wakes those whom an applied command concerns; hold the lock."""
         tables = self._replica.tables
-        touched = tables.take_touched()
         for worker in touched:
             version = self._orders_version.get(worker, 0)
             self._orders_version[worker] = version + 1
