--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plan_commands.py
@@ -12,6 +12,7 @@
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import intent_file
 from marigoldsill.protocol import policy_file
+from marigoldsill.protocol import toml_document
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes
 from marigoldsill.state import machine
@@ -268,12 +269,12 @@
 def _field(body: bytes, name: str, kind: type) -> object:
     try:
         value = json.loads(body)[name]
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise errors.BadInputError(
             f"the body is no JSON object with {name!r}"
         ) from error
     if not isinstance(value, kind):
         raise errors.BadInputError(
-            f"{name!r} is {value!r}; accepted is a {kind.__name__}"
+            f"{name!r} is {toml_document.shown(value)}; accepted is a {kind.__name__}"
         )
     return value
--- a/tests/protocol/test_intent_file.py
+++ b/tests/protocol/test_intent_file.py
@@ -8,6 +8,7 @@
 
 from marigoldsill import errors
 from marigoldsill.protocol import intent_file
+from marigoldsill.protocol import toml_document
 from marigoldsill.protocol.generated import ttypes
 
 _SECTIONS = ("service", "batch_job", "watcher", "team", "sirvice")
@@ -132,7 +133,7 @@
         (b"a = " + b"[" * 50_000, errors.IntentError),
         (b"service = 3", errors.IntentError),
         (b"service = [3]", errors.IntentError),
-        (b"#" * (intent_file.SIZE_LIMIT_BYTES + 1), errors.TooLargeError),
+        (b"#" * (toml_document.SIZE_LIMIT_BYTES + 1), errors.TooLargeError),
     ],
     ids=range(9),
 )
