--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/benchmarks/replicated_log.py
@@ -0,0 +1,282 @@
+"""The replicated log: commits, elections, replay, catch-up, cut leaders.
+
+Members are processes of their own on this machine, but for the cut leader,
+which is observed from within one process.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+
+from benchmarks import table
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import files as files_module
+from marigoldsill.state import log as log_module
+from marigoldsill.state import machine
+from marigoldsill.state import snapshot as snapshot_module
+from marigoldsill.state import tables as tables_module
+from tests.coordination import groups
+from tests.coordination import member_group
+
+_LOADS = ((1, 800), (16, 4000), (128, 8000))
+_ELECTIONS_COUNT = 5
+_SIZES = (2_000, 8_000, 32_000)
+_MISSED = (10, 100, 1_000)
+_CUT_S = 4.0
+_PRODUCTION = {"election_timeout_ms": 1000, "heartbeat_ms": 150}
+
+
+def run() -> list[table.Row]:
+    """Runs every part; well under two minutes."""
+    parts = (_commits, _elections, _replay, _catch_up, _cut_leader)
+    return [row for part in parts for row in part()]
+
+
+def _commits() -> Iterator[table.Row]:
+    with _processes(**_PRODUCTION) as group:
+        leader = group.running[group.leader()]
+        leader.ask("load 16 500")
+        for proposers_count, commands_count in _LOADS:
+            done = leader.ask(f"load {proposers_count} {commands_count}")
+            yield from _commit_rows(proposers_count, commands_count, done)
+
+
+def _commit_rows(
+    proposers_count: int, commands_count: int, done: dict
+) -> Iterator[table.Row]:
+    name = f"{proposers_count} proposers"
+    rate = commands_count / done["elapsed_s"]
+    syncs_ratio = done["syncs_count"] / commands_count
+    bounds = {1: 1.05, 16: 0.5, 128: 0.2}
+    yield table.Row(f"commits, {name}", rate, "1/s")
+    yield table.Row(
+        f"syncs of the leader's log per commit, {name}",
+        syncs_ratio,
+        "ratio",
+        bounds[proposers_count],
+        "max",
+    )
+    command = groups.worker_command(0)
+    overhead = done["log_bytes"] / commands_count - len(codec.encode(command))
+    yield table.Row(
+        f"log bytes per commit beyond a command of "
+        f"{len(codec.encode(command))}, {name}",
+        overhead,
+        "bytes",
+        80,
+        "max",
+    )
+
+
+def _elections() -> Iterator[table.Row]:
+    times_s = []
+    with _processes(**_PRODUCTION) as group:
+        for _ in range(_ELECTIONS_COUNT):
+            name = group.leader()
+            start_s = time.monotonic()
+            group.kill(name)
+            group.leader()
+            times_s.append(time.monotonic() - start_s)
+            group.start(name)
+            group.wait_for_voters(3)
+    timeout_s = _PRODUCTION["election_timeout_ms"] / 1000
+    yield table.Row(
+        "new leader after a kill, median",
+        statistics.median(times_s) / timeout_s,
+        "election timeouts",
+        3,
+        "max",
+    )
+    yield table.Row(
+        "new leader after a kill, longest",
+        max(times_s) / timeout_s,
+        "election timeouts",
+    )
+
+
+def _replay() -> Iterator[table.Row]:
+    costs = [_replay_cost(size) for size in _SIZES]
+    for size, cost in zip(_SIZES, costs, strict=True):
+        yield table.Row(f"replay of {size} entries", cost.replay_s, "s")
+        yield table.Row(f"encode {size} workers", cost.encode_s, "s")
+        yield table.Row("write that snapshot", cost.write_s, "s")
+        yield table.Row("load that snapshot", cost.load_s, "s")
+        yield table.Row(
+            "snapshot bytes per entry", cost.snapshot_bytes / size, "bytes"
+        )
+    for part in ("replay_s", "encode_s", "load_s"):
+        first, last = getattr(costs[0], part), getattr(costs[-1], part)
+        yield table.Row(
+            f"{part.removesuffix('_s')} cost per entry, largest to smallest",
+            (last / _SIZES[-1]) / (first / _SIZES[0]),
+            "ratio",
+            2.5,
+            "max",
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Cost:
+    replay_s: float
+    encode_s: float
+    write_s: float
+    load_s: float
+    snapshot_bytes: int
+
+
+def _replay_cost(size: int) -> _Cost:
+    with tempfile.TemporaryDirectory() as folder:
+        _write_log(pathlib.Path(folder), size)
+        files = files_module.Files(folder)
+        start_s = time.monotonic()
+        tables = _replayed(files)
+        replayed_s = time.monotonic()
+        data = tables.to_bytes()
+        encoded_s = time.monotonic()
+        snapshots = snapshot_module.SnapshotStore(files)
+        snapshots.save(snapshot_module.Snapshot(size, 1, [], data))
+        written_s = time.monotonic()
+        tables_module.Tables.from_bytes(snapshots.load().data)
+        loaded_s = time.monotonic()
+        files.close()
+    return _Cost(
+        replayed_s - start_s,
+        encoded_s - replayed_s,
+        written_s - encoded_s,
+        loaded_s - written_s,
+        len(data),
+    )
+
+
+def _write_log(folder: pathlib.Path, size: int) -> None:
+    files = files_module.Files(folder)
+    log = log_module.Log(files)
+    log.append(
+        [
+            ttypes.LogEntry(
+                index=number,
+                term=1,
+                command=codec.encode(groups.worker_command(number)),
+            )
+            for number in range(1, size + 1)
+        ]
+    )
+    log.sync()
+    files.close()
+
+
+def _replayed(files: files_module.Files) -> tables_module.Tables:
+    log, tables = log_module.Log(files), tables_module.Tables()
+    entries = log.entries(1, limit_count=1 << 30, limit_bytes=1 << 40)
+    for entry in entries:
+        machine.apply(tables, codec.decode(ttypes.Command(), entry.command))
+    return tables
+
+
+def _catch_up() -> Iterator[table.Row]:
+    for missed in _MISSED:
+        with _processes(snapshot_every_count=300) as group:
+            leader = group.running[group.leader()]
+            leader.ask("load 16 1000")
+            victim = next(n for n in group.running if n != group.leader())
+            group.kill(victim)
+            leader.ask(f"load 16 {missed}")
+            index = leader.ask("status")["commit_index"]
+            start_s = time.monotonic()
+            process = group.start(victim)
+            started = process.ask("status")
+            ready_s = time.monotonic()
+            status = started
+            while status["applied_index"] < index:
+                status = process.ask("status")
+            done_s = time.monotonic()
+            name = f"after missing {missed}"
+            yield table.Row(f"process start {name}", ready_s - start_s, "s")
+            yield table.Row(f"catch-up {name}", done_s - ready_s, "s")
+            yield table.Row(
+                f"peak memory {name}",
+                process.peak_memory_bytes / (1 << 20),
+                "MiB",
+            )
+            yield table.Row(
+                f"log entries kept {name}",
+                status["applied_index"] + 1 - status["first_index"],
+                "count",
+                700,
+                "max",
+            )
+
+
+def _cut_leader() -> Iterator[table.Row]:
+    for check_quorum in (True, False):
+        with tempfile.TemporaryDirectory() as folder:
+            group = groups.LocalGroup(
+                pathlib.Path(folder),
+                settings=dataclasses.replace(
+                    groups.SETTINGS, check_quorum=check_quorum
+                ),
+            )
+            group.form()
+            seen = _watch_cut(group)
+            group.end()
+        name = "with CheckQuorum" if check_quorum else "without CheckQuorum"
+        yield from _cut_rows(name, seen, bounded=check_quorum)
+
+
+def _watch_cut(group: groups.LocalGroup) -> list[tuple[float, bool, bool]]:
+    """(time since the cut, old one leads, another leads) over the cut."""
+    old = group.leader().member.name
+    pairs = [(old, n) for n in group.members if n != old]
+    group.cut(*pairs, *((b, a) for a, b in pairs))
+    start_s, seen = time.monotonic(), []
+    while (since_s := time.monotonic() - start_s) < _CUT_S:
+        leaders = {r.member.name for r in group.leaders()}
+        seen.append((since_s, old in leaders, bool(leaders - {old})))
+        time.sleep(0.001)
+    return seen
+
+
+def _cut_rows(
+    name: str, seen: list[tuple[float, bool, bool]], *, bounded: bool
+) -> Iterator[table.Row]:
+    step_s = seen[-1][0] / len(seen)
+    overlap_s = sum(old and new for _, old, new in seen) * step_s
+    none_s = sum(not old and not new for _, old, new in seen) * step_s
+    old_s = max((at for at, old, _ in seen if old), default=0.0)
+    timeout_s = groups.SETTINGS.election_timeout_s
+    yield table.Row(
+        f"old leader counts after a cut of {_CUT_S:g} s, {name}",
+        old_s / timeout_s,
+        "election timeouts",
+        1.0 if bounded else None,
+        "max" if bounded else None,
+    )
+    yield table.Row(
+        f"two leaders at once, {name}",
+        overlap_s,
+        "s",
+        0.0 if bounded else None,
+        "max" if bounded else None,
+    )
+    yield table.Row(f"no leader, {name}", none_s, "s")
+
+
+@contextlib.contextmanager
+def _processes(**settings: object) -> Iterator[member_group.MemberGroup]:
+    with tempfile.TemporaryDirectory() as folder:
+        group = member_group.MemberGroup(pathlib.Path(folder), **settings)
+        try:
+            group.form()
+            yield group
+        finally:
+            group.end()
+
+
+if __name__ == "__main__":
+    sys.exit(0 if table.show(run()) else 1)
--- a/tests/coordination/member.py
+++ b/tests/coordination/member.py
@@ -3,9 +3,11 @@
 Each line in is a request, each line out its answer, as JSON.
 """
 
+from concurrent import futures
 import json
 import os
 import sys
+import time
 
 from marigoldsill import errors
 from marigoldsill.coordination import peers
@@ -13,9 +15,11 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 from marigoldsill.transport import thrift_server
+from tests.coordination import groups
 
 FATAL_STATUS = 9
 _CONNECTIONS_COUNT = 32
+_LOAD_LIMIT_S = 30.0
 
 
 def main() -> None:
@@ -52,6 +56,8 @@
                 return _tables(replica)
             case "tables":
                 return _tables(replica)
+            case load if load.startswith("load "):
+                return _load(replica, *map(int, load.split()[1:]))
             case _:
                 return _status(replica)
     except errors.MarigoldsillError as error:
@@ -71,6 +77,29 @@
     return {"plans": names}
 
 
+def _load(
+    replica: replica_module.Replica, proposers_count: int, commands_count: int
+) -> dict:
+    before, start_s = replica.status(), time.monotonic()
+    with futures.ThreadPoolExecutor(proposers_count) as pool:
+        numbers = range(commands_count)
+        list(pool.map(lambda number: _propose(replica, number), numbers))
+    elapsed_s, after = time.monotonic() - start_s, replica.status()
+    return {
+        "elapsed_s": elapsed_s,
+        "syncs_count": after.syncs_count - before.syncs_count,
+        "log_bytes": after.log_bytes - before.log_bytes,
+    }
+
+
+def _propose(replica: replica_module.Replica, number: int) -> None:
+    worker = groups.worker_command(number).put_worker
+    command = ttypes.Command(
+        command_id=f"{time.monotonic_ns()}-{number}", put_worker=worker
+    )
+    replica.propose(command, timeout_s=_LOAD_LIMIT_S)
+
+
 def _status(replica: replica_module.Replica) -> dict:
     status = replica.status()
     return {
