--- a/marigoldsill/coordination/applying.py
+++ b/marigoldsill/coordination/applying.py
@@ -56,6 +56,8 @@
         self._group = group
         self._state = state
         self._snapshot_index = last_index
+        self._applied_bytes = 0
+        self._rolled_index = 0
         self._installing: snapshot_module.Snapshot | None = None
         self._writer = futures.ThreadPoolExecutor(1, f"{group.name}-snapshot")
 
@@ -109,10 +111,17 @@
             for entry, result in zip(entries, results, strict=True):
                 group.pending.resolve(entry, result)
             group.answered.notify_all()
-        every_count = group.settings.snapshot_every_count
-        if entries[-1].index - self._snapshot_index >= every_count:
+        self._applied_bytes += sum(len(entry.command) for entry in entries)
+        if self._needs_snapshot(entries[-1].index):
             self._take_snapshot(entries[-1])
 
+    def _needs_snapshot(self, index: int) -> bool:
+        settings = self._group.settings
+        return (
+            index - self._snapshot_index >= settings.snapshot_every_count
+            or self._applied_bytes >= settings.snapshot_every_bytes
+        )
+
     def _apply_one(self, entry: ttypes.LogEntry) -> ttypes.CommandResult | None:
         try:
             command = codec.decode(ttypes.Command(), entry.command)
@@ -135,25 +144,22 @@
             self._group.answered.notify_all()
 
     def _take_snapshot(self, last: ttypes.LogEntry) -> None:
-        kept_index, self._snapshot_index = self._snapshot_index, last.index
+        self._snapshot_index = last.index
+        self._applied_bytes = 0
         with self._state.lock:
             members = self._state.tables.members
             data = self._state.tables.to_bytes()
         snapshot = snapshot_module.Snapshot(
             last.index, last.term, members, data
         )
-        self._writer.submit(self._write, snapshot, kept_index)
+        self._writer.submit(self._write, snapshot)
 
-    def _write(
-        self, snapshot: snapshot_module.Snapshot, kept_index: int
-    ) -> None:
+    def _write(self, snapshot: snapshot_module.Snapshot) -> None:
         group = self._group
         try:
             group.snapshots.save(snapshot)
             with group.lock:
-                group.log.roll()
-                group.log.compact(kept_index)
-                group.membership.compact(kept_index)
+                self._shorten_log(snapshot.last_index)
         except errors.StorageError as error:
             group.fail(error)
             return
@@ -162,3 +168,12 @@
             last_index=snapshot.last_index,
             size_bytes=len(snapshot.data),
         )
+
+    def _shorten_log(self, snapshot_index: int) -> None:
+        """Keeps what came after the snapshot before, for slow followers."""
+        log = self._group.log
+        kept_index = min(self._rolled_index, snapshot_index)
+        log.roll()
+        self._rolled_index = log.durable_index
+        log.compact(kept_index)
+        self._group.membership.compact(kept_index)
--- a/marigoldsill/coordination/group.py
+++ b/marigoldsill/coordination/group.py
@@ -33,6 +33,7 @@
             it stands for election; a leader's lease is a little less than one.
         heartbeat_ms: How often a leader sends when there is nothing to send.
         snapshot_every_count: Entries applied between two snapshots.
+        snapshot_every_bytes: Their commands' bytes, if that comes first.
         check_quorum: Whether a leader that no majority answers stops counting
             as one. Off only to measure what it prevents.
         seed: Of the random election timeouts; None takes one from the OS.
@@ -45,6 +46,7 @@
     election_timeout_ms: int = 1000
     heartbeat_ms: int = 150
     snapshot_every_count: int = 2000
+    snapshot_every_bytes: int = 32 * 1024 * 1024
     check_quorum: bool = True
     seed: int | None = None
     batch_count: int = 1024
--- a/marigoldsill/coordination/replication.py
+++ b/marigoldsill/coordination/replication.py
@@ -173,13 +173,7 @@
     def _mended(self, peer: peers_module.Peer) -> ttypes.Member | None:
         member, seen = peer.member, peer.seen_incarnation
         if seen not in (0, member.incarnation):
-            logs.event(
-                "member_replaced",
-                level="WARNING",
-                member=member.name,
-                was_voter=member.voter,
-                incarnation=seen,
-            )
+            _note_incarnation(member, seen)
             return members_module.changed(member, incarnation=seen, voter=False)
         if member.voter or not member.incarnation or not self._current(peer):
             return None
@@ -212,3 +206,16 @@
         self.peers[member.name] = peer
         if self._pool is not None:
             self._pool.submit(self._run_peer, peer)
+
+
+def _note_incarnation(member: ttypes.Member, seen: int) -> None:
+    if not member.incarnation:
+        logs.event("member_joined", member=member.name, incarnation=seen)
+        return
+    logs.event(
+        "member_replaced",
+        level="WARNING",
+        member=member.name,
+        was_voter=member.voter,
+        incarnation=seen,
+    )
--- a/tests/coordination/test_group.py
+++ b/tests/coordination/test_group.py
@@ -1,11 +1,14 @@
 """A group of replicas in ordinary running: forming, agreeing, electing."""
 
+import dataclasses
 import pathlib
 
 import pytest
 
 from marigoldsill import errors
 from marigoldsill.coordination import replica as replica_module
+from marigoldsill.state import files as files_module
+from marigoldsill.state import vote
 from tests import processes
 from tests.coordination import groups
 
@@ -78,6 +81,49 @@
         )
 
 
+def test_large_commands_bring_the_next_snapshot_sooner(group):
+    group.settings = dataclasses.replace(
+        group.settings, snapshot_every_bytes=20_000
+    )
+    group.form()
+    for number in range(12):
+        group.propose(groups.worker_command(number, padding=5_000))
+    for replica in group.replicas.values():
+        processes.wait_until(
+            lambda status=replica.status: status().first_index > 3,
+            what="a shorter log",
+        )
+
+
+def test_a_survivor_can_found_a_new_cluster_that_the_old_cannot_join(group):
+    group.form()
+    for number in range(5):
+        group.propose(groups.worker_command(number))
+    group.wait_for_workers("m1", set(range(5)))
+    group.end()
+    old_id = formation_state(group, "m2").cluster_id
+    new_id = replica_module.recover(group.data_folder("m1"), own_name="m1")
+    assert new_id != old_id
+    group.start("m1")
+    group.wait_for_workers("m1", set(range(5)))
+    group.start("m2")
+    group.propose(groups.worker_command(5))
+    assert group.replicas["m2"].status().cluster_id == old_id
+    group.stop("m2")
+    group.wipe("m2")
+    group.start("m2")
+    group.wait_for_voters(2)
+    group.wait_for_workers("m2", set(range(6)))
+
+
+def formation_state(group, name: str):
+    files = files_module.Files(group.data_folder(name))
+    try:
+        return vote.VoteStore(files, name=name).state
+    finally:
+        files.close()
+
+
 def test_a_cluster_is_formed_once_in_a_folder(group):
     group.form()
     group.end()
