--- a/tests/coordination/test_killed_members.py
+++ b/tests/coordination/test_killed_members.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests import processes
 from tests.coordination import member_group
 
 _SEEDS_COUNT = 6
@@ -83,10 +84,16 @@
     group.form()
     group.propose(member_group.plan_command(1))
     lost = ("m1", "m2")
+    # All at once, and only when the survivor does not lead: one wiped member
+    # is repaired by the others, and a leader begins that at once.
     for name in lost:
         group.kill(name)
-        group.wipe(name)
+    survivor = group.running["m0"]
+    processes.wait_until(
+        lambda: not survivor.ask("status")["is_leader"], what="its step down"
+    )
     for name in lost:
+        group.wipe(name)
         group.start(name)
     end_s = time.monotonic() + 2.5
     while time.monotonic() < end_s:
