--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -92,6 +92,14 @@
                 "term": self._replica.term,
                 "state_version": tables.state_version,
                 "config_version": tables.config_version,
+                "members": [
+                    {
+                        "name": member.name,
+                        "address": member.address,
+                        "voter": member.voter,
+                    }
+                    for member in tables.members
+                ],
                 "workers": [
                     {
                         "name": worker.name,
