--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -91,7 +91,6 @@
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
-                "config_version": tables.config_version,
                 "members": [
                     {
                         "name": member.name,
@@ -100,6 +99,7 @@
                     }
                     for member in tables.members
                 ],
+                "config_version": tables.config_version,
                 "workers": [
                     {
                         "name": worker.name,
