Send a command again when control says its outcome is unknown

Cause: a leader that loses its majority between logging and committing answers UnknownOutcomeError; the client gave up without naming the command id, though the resend gives the first answer. The test failed before.

--- a/marigoldsill/cli/client.py
+++ b/marigoldsill/cli/client.py
@@ -66,7 +66,9 @@
                 if answer.status_code < 400:
                     return _value(answer)
                 failure = shapes.error_of(_value(answer))
-                if not isinstance(failure, errors.NotRunError):
+                unknown = isinstance(failure, errors.UnknownOutcomeError)
+                lost = lost or unknown
+                if not unknown and not isinstance(failure, errors.NotRunError):
                     raise failure
                 if isinstance(failure, errors.NotLeaderError):
                     targets.prefer(failure.leader_http)
