--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole operator sessions."""
