--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -1,9 +1,12 @@
 """What the leader of control does for agents and entries."""
 
+from collections.abc import Callable
 import time
 import uuid
 
 from marigoldsill import errors
+from marigoldsill.coordination import absence
+from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import endpoints as endpoints_module
 from marigoldsill.coordination import leases as leases_module
 from marigoldsill.coordination import replica as replica_module
@@ -22,6 +25,8 @@
         endpoints: Endpoints announced to it as leader.
         usage: Late measurements sent to it as leader.
         watches: What it tells those that watch it.
+        why_waits: Why a task waits, as the leader's decisions last saw it.
+        absent_watchers: Watchers absent longer than their limit.
     """
 
     def __init__(self, *, replica: replica_module.Replica):
@@ -32,6 +37,10 @@
         self.watches = watch_service.WatchService(
             replica=replica, endpoints=self.endpoints
         )
+        self.why_waits: Callable[[str], str] = lambda task: ""
+        self.absent_watchers: list[absence.Absence] = []
+        self._changes = changes_module.Changes()
+        replica.on_applied(self._on_applied)
 
     def become_leader(self) -> None:
         """Starts the soft state of a new leader over."""
@@ -55,7 +64,7 @@
             self._record_endpoints(heartbeat)
         elif not self.endpoints.knows(heartbeat.agent):
             return self._unknown_agent()
-        self.usage.put(heartbeat.agent, heartbeat.usage)
+        self.usage.put(heartbeat.agent, heartbeat.usage, now_s=time.monotonic())
         if heartbeat.events:
             self._propose(
                 record_run_events=ttypes.RecordRunEvents(
@@ -93,6 +102,19 @@
         if self.endpoints.remove(agent):
             self.watches.routes_changed()
 
+    def take_changes(self) -> changes_module.Changes:
+        """What commands changed since the last call; hold the lock."""
+        taken, self._changes = self._changes, changes_module.Changes()
+        return taken
+
+    def _on_applied(self, command: ttypes.Command) -> None:
+        tables = self._replica.tables
+        workers = tables.take_touched()
+        self._changes.add(
+            command, workers=workers, tasks=tables.take_touched_tasks()
+        )
+        self.watches.on_applied(command, workers)
+
     def _record_worker(
         self, worker: ttypes.Worker, known: ttypes.Worker | None
     ) -> None:
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -100,6 +100,14 @@
                     for member in tables.members
                 ],
                 "config_version": tables.config_version,
+                "absent_watchers": [
+                    {
+                        "name": absence.task,
+                        "since_unix_ms": absence.since_unix_ms,
+                        "reason": absence.reason,
+                    }
+                    for absence in self._service.absent_watchers
+                ],
                 "workers": [
                     {
                         "name": worker.name,
@@ -118,7 +126,7 @@
                         "state": ttypes.TaskState(task.state).name.lower(),
                         "worker": task.worker,
                         "epoch": task.epoch,
-                        "reason": task.reason,
+                        "reason": self._reason(task),
                     }
                     for task in tables.tasks.values()
                 ],
@@ -143,7 +151,10 @@
                 raise errors.NotFoundError(f"nothing is named {name!r}")
             return {
                 "name": name,
-                "tasks": [shapes.of_record(task) for task in tasks],
+                "tasks": [
+                    shapes.of_record(task) | {"reason": self._reason(task)}
+                    for task in tasks
+                ],
             }
 
     def audit(self, *, since: int = 0) -> list[object]:
@@ -152,3 +163,9 @@
         with self._replica.lock:
             records = audit.since(self._replica.tables, since)
         return [shapes.of_record(record) for record in records]
+
+    def _reason(self, task: ttypes.Task) -> str:
+        if task.state != ttypes.TaskState.QUEUED:
+            return task.reason
+        waits = self._service.why_waits(task.name)
+        return f"{waits} (before: {task.reason})" if waits else task.reason
--- a/marigoldsill/state/changes.py
+++ b/marigoldsill/state/changes.py
@@ -101,7 +101,7 @@
             for task in tables.tasks_of(name):
                 runs.stop_for_good(tables, task.name, "cancelled")
         case ttypes.ChangeVerb.DRAIN:
-            _drain(tables, name)
+            runs.set_draining(tables, name, draining=True)
         case ttypes.ChangeVerb.UNDRAIN:
             runs.set_draining(tables, name, draining=False)
         case ttypes.ChangeVerb.POLICY:
@@ -199,16 +199,3 @@
         runs.stop_for_good(tables, task.name, "removed")
         if not tables_module.holds_worker(tables.tasks[task.name]):
             tables.remove_task(task.name)
-
-
-def _drain(tables: tables_module.Tables, name: str) -> None:
-    runs.set_draining(tables, name, draining=True)
-    runs.evict(
-        tables,
-        [
-            ttypes.Eviction(
-                task=task.name, epoch=task.epoch, reason=f"{name} drains"
-            )
-            for task in tables.tasks_on(name)
-        ],
-    )
