--- a/marigoldsill/coordination/group.py
+++ b/marigoldsill/coordination/group.py
@@ -174,9 +174,8 @@
         if term > self.term:
             self.votes.save(term=term, voted_for="")
         if self.role is Role.LEADER:
-            logs.event(
-                "leadership_lost", level="WARNING", term=term, reason=reason
-            )
+            level = "INFO" if self.stopping else "WARNING"
+            logs.event("leadership_lost", level=level, term=term, reason=reason)
         self._leave_role("")
 
     def fail(self, error: errors.StorageError) -> None:
--- a/marigoldsill/transport/addresses.py
+++ b/marigoldsill/transport/addresses.py
@@ -1,7 +1,10 @@
 """Network addresses as written in settings: host:port."""
 
+import re
+
 from marigoldsill import errors
 
+_PORT = re.compile(r"[0-9]{1,5}")
 _PORT_LIMIT = 65535
 
 
@@ -12,7 +15,7 @@
         SettingsError: The text is not an address.
     """
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit():
+    if not colon or not host or not _PORT.fullmatch(port):
         raise errors.SettingsError(
             f"{text!r} is no address; accepted is host:port, "
             "for example 127.0.0.1:7400"
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,97 @@
+"""Settings: typed, checked, from flags and the environment."""
+
+import dataclasses
+
+import pytest
+
+from marigoldsill import errors
+from marigoldsill import settings as settings_module
+
+_CLASSES = (
+    settings_module.EntrySettings,
+    settings_module.ControlSettings,
+    settings_module.ControlInitSettings,
+    settings_module.AgentSettings,
+    settings_module.LocalSettings,
+)
+_GOOD = {"name": "entry-1", "control_addresses": "10.0.0.1:7400,10.0.0.2:7400"}
+
+
+def _load(flags: dict, environment: dict | None = None):
+    return settings_module.load(
+        settings_module.EntrySettings, flags, environment=environment or {}
+    )
+
+
+def test_texts_become_typed_values_and_the_rest_has_defaults() -> None:
+    settings = _load(_GOOD | {"threads_count": "12"})
+    assert settings.control_addresses == ("10.0.0.1:7400", "10.0.0.2:7400")
+    assert settings.threads_count == 12
+    assert settings.log_level == "INFO"
+
+
+def test_a_flag_goes_before_its_variable() -> None:
+    environment = {
+        "MARIGOLDSILL_NAME": "other",
+        "MARIGOLDSILL_DATA_CENTRE": "dc2",
+    }
+    settings = _load(_GOOD, environment)
+    assert (settings.name, settings.data_centre) == ("entry-1", "dc2")
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "accepted"),
+    [
+        ("name", "", "1 to 63"),
+        ("name", "a b", "1 to 63"),
+        ("name", "é", "1 to 63"),
+        ("http_address", "127.0.0.1", "host:port"),
+        ("http_address", "127.0.0.1:99999", "65535"),
+        ("http_address", "127.0.0.1:²", "host:port"),
+        ("http_address", "127.0.0.1:" + "9" * 5000, "host:port"),
+        ("control_addresses", ",", "host:port,host:port"),
+        ("control_addresses", "a:1,b", "host:port"),
+        ("threads_count", "0", "from 1 to 4096"),
+        ("threads_count", "1.5", "from 1 to 4096"),
+        ("threads_count", "9" * 5000, "from 1 to 4096"),
+        ("log_level", "loud", "DEBUG, INFO"),
+    ],
+)
+def test_a_wrong_value_is_named_with_what_is_accepted(
+    name: str, value: str, accepted: str
+) -> None:
+    with pytest.raises(errors.SettingsError) as caught:
+        _load(_GOOD | {name: value})
+    assert caught.value.message.startswith(settings_module.flag_of(name))
+    assert accepted in caught.value.message
+
+
+def test_all_wrong_and_missing_settings_are_named_at_once() -> None:
+    with pytest.raises(errors.SettingsError) as caught:
+        _load({"threads_count": "no"}, {"MARIGOLDSILL_HTTP_ADDRESS": "no"})
+    lines = caught.value.message.splitlines()
+    starts = [line.split()[0].rstrip(":") for line in lines]
+    assert sorted(starts) == [
+        "--control-addresses",
+        "--name",
+        "--threads-count",
+        "MARIGOLDSILL_HTTP_ADDRESS",
+    ]
+
+
+@pytest.mark.parametrize(
+    "text", ["", "a", "a=1", "a=h:1=h:2,b", "a=h=h", "a b=h:1=h:2"]
+)
+def test_a_wrong_list_of_members_is_refused(text: str) -> None:
+    with pytest.raises(errors.SettingsError):
+        settings_module.parse_members(text)
+
+
+@pytest.mark.parametrize("settings_class", _CLASSES)
+def test_every_default_is_one_that_would_be_accepted(
+    settings_class: type,
+) -> None:
+    for field in dataclasses.fields(settings_class):
+        if field.default is not dataclasses.MISSING:
+            check = field.metadata["check"]
+            assert check(str(field.default)) == field.default
