--- a/marigoldsill/transport/addresses.py
+++ b/marigoldsill/transport/addresses.py
@@ -25,3 +25,11 @@
             f"port {port} in {text!r} is above {_PORT_LIMIT}"
         )
     return host.strip("[]"), int(port)
+
+
+def cannot_listen(address: str, error: OSError) -> errors.SettingsError:
+    """The error of an address that can't be taken."""
+    return errors.SettingsError(
+        f"cannot listen at {address}: {error.strerror or error}; choose a "
+        "free address of this machine"
+    )
--- a/marigoldsill/transport/http_server.py
+++ b/marigoldsill/transport/http_server.py
@@ -69,6 +69,18 @@
             self._in_flight_count -= 1
             return self.draining
 
+    def server_bind(self) -> None:
+        """Takes the address.
+
+        Raises:
+            SettingsError: It can't be taken.
+        """
+        try:
+            super().server_bind()
+        except OSError as error:
+            host, port = self.server_address[:2]
+            raise addresses.cannot_listen(f"{host}:{port}", error) from error
+
     def process_request(
         self, request: socket.socket, client_address: tuple
     ) -> None:
--- a/marigoldsill/transport/thrift_server.py
+++ b/marigoldsill/transport/thrift_server.py
@@ -29,9 +29,12 @@
 
     def __init__(self, *, address: str, connections_count: int, name: str):
         host, port = addresses.parse(address)
-        self._listener = socket.create_server(
-            (host, port), backlog=_BACKLOG, reuse_port=False
-        )
+        try:
+            self._listener = socket.create_server(
+                (host, port), backlog=_BACKLOG, reuse_port=False
+            )
+        except OSError as error:
+            raise addresses.cannot_listen(address, error) from error
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         self._pool = pools.BoundedPool(
             threads_count=connections_count, name=f"{name}-thrift"
