--- a/marigoldsill/protocol/intent_file.py
+++ b/marigoldsill/protocol/intent_file.py
@@ -45,7 +45,7 @@
         self._more_count = 0
 
     def intent(self, document: dict) -> ttypes.Intent:
-        self._unknown("the file", document, _SECTIONS)
+        self._unknown("the file", document, FIELDS)
         intent = ttypes.Intent(
             services=self._section(document, "service", ttypes.Service),
             batch_jobs=self._section(document, "batch_job", ttypes.BatchJob),
@@ -77,7 +77,7 @@
             )
             return []
         return [
-            self._record(f"{name}[{index}]", table, record, _SECTIONS[name])
+            self._record(f"{name}[{index}]", table, record, FIELDS[name])
             for index, table in enumerate(tables)
         ]
 
@@ -228,7 +228,7 @@
     "command": ("command", _text),
     "urgency": ("urgency", _integer(0, _URGENCY_LIMIT)),
 } | _SIZES
-_SECTIONS: dict[str, _Fields] = {
+FIELDS: dict[str, _Fields] = {
     "service": _COMMON
     | {
         "instances": ("instances_count", _integer(1, _COUNT_LIMIT)),
--- a/tests/lint/test_documents.py
+++ b/tests/lint/test_documents.py
@@ -11,10 +11,12 @@
 
 from build_tools import settings_page
 from marigoldsill import errors
+from marigoldsill.protocol import intent_file
 from tests.lint import sources
 
 _DOCS = sources.ROOT / "docs"
 _METRIC_KINDS = ("counter", "gauge", "histogram", "summary")
+_EXAMPLE = re.compile(r"(?:```toml|<<'EOF')\n(.*?)(?:```|EOF)", re.DOTALL)
 _LINK = re.compile(r"\]\(([^)#:]+)(#[^)]*)?\)")
 
 
@@ -88,6 +90,22 @@
     assert missing == []
 
 
+def test_every_field_of_an_intent_file_is_documented() -> None:
+    page = (_DOCS / "intent-files.md").read_text()
+    named = set(re.findall(r"`(\w+)`", page))
+    fields = itertools.chain.from_iterable(intent_file.FIELDS.values())
+    assert set(fields) - named == set()
+
+
+@pytest.mark.parametrize("name", ["intent-files.md", "getting-started.md"])
+def test_examples_of_intent_files_are_accepted(name: str) -> None:
+    text = (_DOCS / name).read_text()
+    examples = _EXAMPLE.findall(text)
+    assert examples
+    for example in examples:
+        intent_file.parse(example.encode())
+
+
 def _documented(page: str) -> set[str]:
     text = (_DOCS / page).read_text()
     return set(re.findall(r"^\| `(\w+)`", text, re.MULTILINE))
