--- a/marigoldsill/coordination/placement/preview.py
+++ b/marigoldsill/coordination/placement/preview.py
@@ -81,7 +81,9 @@
         if fitting:
             best = max(fitting, key=lambda n: self._free[n].cpu_millicores)
             self._take(best, owner.team, wanted)
-            return Outlook(ttypes.EffectVerb.START, best, [], "new")
+            return Outlook(
+                ttypes.EffectVerb.START, best, [], f"{best} has room"
+            )
         choices = (
             (name, self._victims(name, owner, wanted)) for name in self._free
         )
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -6,16 +6,12 @@
 
 from loguru import logger
 
-_FORMAT = (
-    "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} "
-    "event={message} {extra[pairs]}"
-)
-
 
 class _LibraryHandler(logging.Handler):
     """Writes what libraries log as events of ours, one line each."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Writes one message, with its exception if it has one."""
         error = record.exc_info[1] if record.exc_info else None
         event(
             "library_message",
@@ -48,9 +44,6 @@
         backtrace=False,
         diagnose=False,
     )
-    library_logger = logging.getLogger()
-    library_logger.handlers = [_LibraryHandler()]
-    library_logger.setLevel(logging.WARNING)
 
 
 def event(name: str, *, level: str = "INFO", **pairs: object) -> None:
@@ -65,22 +58,6 @@
     logger.bind(pairs=text).log(level, name)
 
 
-class _LibraryHandler(logging.Handler):
-    """Writes what libraries log as events of ours."""
-
-    def emit(self, record: logging.LogRecord) -> None:
-        """Writes one message, with its exception if it has one."""
-        reason = record.getMessage()
-        if record.exc_info and record.exc_info[1] is not None:
-            reason = f"{reason}: {record.exc_info[1]!r}"
-        event(
-            "library_message",
-            level=record.levelname,
-            logger=record.name,
-            reason=reason,
-        )
-
-
 def _line(record: dict, base: str) -> str:
     record["extra"]["line"] = (
         f"time={record['time']:YYYY-MM-DDTHH:mm:ss.SSSZZ} "
