--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -6,16 +6,12 @@
 
 from loguru import logger
 
-_FORMAT = (
-    "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} "
-    "event={message} {extra[pairs]}"
-)
-
 
 class _LibraryHandler(logging.Handler):
     """Writes what libraries log as events of ours, one line each."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Writes one message, with its exception if it has one."""
         error = record.exc_info[1] if record.exc_info else None
         event(
             "library_message",
