--- a/marigoldsill/roles/demo.py
+++ b/marigoldsill/roles/demo.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import json
 import time
+import uuid
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
@@ -18,6 +19,10 @@
 _LIMIT_S = 30.0
 _POLL_S = 0.05
 _TIMEOUT_S = 10.0
+_NO_LEADER = (
+    errors.NotLeaderError.http_status,
+    errors.NoQuorumError.http_status,
+)
 _OPERATOR = "desk-1"
 _INTENT = """\
 [[service]]
@@ -182,15 +187,25 @@
         return self._fetch(path, method="POST", body=body)
 
     def _fetch(self, path: str, *, method: str, body: bytes) -> dict:
-        answer = http_client.fetch(
+        command_id = str(uuid.uuid4())
+        answer = self._ask(path, method, body, command_id)
+        end_s = time.monotonic() + _LIMIT_S
+        while answer.status_code in _NO_LEADER and time.monotonic() < end_s:
+            time.sleep(_POLL_S)
+            answer = self._ask(path, method, body, command_id)
+        _require(answer.status_code == 200, f"{path}: {answer.body!r}")
+        return json.loads(answer.body)
+
+    def _ask(
+        self, path: str, method: str, body: bytes, command_id: str
+    ) -> http_client.HttpAnswer:
+        return http_client.fetch(
             f"http://{self._local.control_http}{path}",
             method=method,
             body=body,
-            headers=(("X-Operator", _OPERATOR),),
+            headers=(("X-Operator", _OPERATOR), ("X-Command-Id", command_id)),
             timeout_s=_TIMEOUT_S,
         )
-        _require(answer.status_code == 200, f"{path}: {answer.body!r}")
-        return json.loads(answer.body)
 
     def _done(self, text: str) -> None:
         self._steps_count += 1
