--- a/build_tools/settings_page.py
+++ b/build_tools/settings_page.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import dataclasses
 
+from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 
 _INTRODUCTION = """\
@@ -44,8 +45,8 @@
     yield "| --- | --- | --- | --- |"
     for field in dataclasses.fields(settings_class):
         yield (
-            f"| `{settings_module.flag_of(field.name)}` "
-            f"| `{settings_module.variable_of(field.name)}` "
+            f"| `{setting_sources.flag_of(field.name)}` "
+            f"| `{setting_sources.variable_of(field.name)}` "
             f"| {_default(field)} | {field.metadata['help']} |"
         )
     yield ""
--- a/marigoldsill/cli/check.py
+++ b/marigoldsill/cli/check.py
@@ -5,6 +5,7 @@
 import click
 
 from marigoldsill import errors
+from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
@@ -60,5 +61,5 @@
 def _settings(
     role: str, settings_class: type, flags: dict[str, str | None]
 ) -> None:
-    settings_module.load(settings_class, flags)
+    setting_sources.load(settings_class, flags)
     click.echo(f"settings of {role}: ok")
--- a/marigoldsill/cli/local.py
+++ b/marigoldsill/cli/local.py
@@ -2,6 +2,7 @@
 
 import click
 
+from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import options
 from marigoldsill.transport import logs
@@ -16,7 +17,7 @@
 )
 def local(demo: bool, **flags: str | None) -> None:
     """Runs all roles and stand-in workers in this one process."""
-    settings = settings_module.load(settings_module.LocalSettings, flags)
+    settings = setting_sources.load(settings_module.LocalSettings, flags)
     logs.set_up(role="local", name="local", level=settings.log_level)
     from marigoldsill.roles import demo as demo_module
     from marigoldsill.roles import local as role
--- a/marigoldsill/cli/options.py
+++ b/marigoldsill/cli/options.py
@@ -6,7 +6,7 @@
 
 import click
 
-from marigoldsill import settings as settings_module
+from marigoldsill import setting_sources
 
 
 def for_settings(settings_class: type) -> Callable:
@@ -15,7 +15,7 @@
     def decorate(command: Callable) -> Callable:
         for field in reversed(dataclasses.fields(settings_class)):
             option = click.option(
-                settings_module.flag_of(field.name),
+                setting_sources.flag_of(field.name),
                 field.name,
                 help=field.metadata["help"],
             )
--- a/marigoldsill/cli/roles.py
+++ b/marigoldsill/cli/roles.py
@@ -5,6 +5,7 @@
 import click
 
 from marigoldsill import errors
+from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
@@ -41,7 +42,7 @@
 @options.for_settings(settings_module.ControlInitSettings)
 def control_init(**flags: str | None) -> None:
     """Forms a group of control processes; on one VM, and only once."""
-    settings = settings_module.load(settings_module.ControlInitSettings, flags)
+    settings = setting_sources.load(settings_module.ControlInitSettings, flags)
     logs.set_up(role="control", name=settings.name)
     role = importlib.import_module("marigoldsill.roles.control")
     cluster_id = role.initialise(settings)
@@ -57,7 +58,7 @@
 )
 def control_recover(accept_loss: bool, **flags: str | None) -> None:
     """Forms a new group from one survivor, when a majority is gone for good."""
-    settings = settings_module.load(
+    settings = setting_sources.load(
         settings_module.ControlRecoverSettings, flags
     )
     if not accept_loss:
@@ -73,6 +74,6 @@
 
 
 def _run(role: str, settings_class: type, flags: dict[str, str | None]) -> None:
-    settings = settings_module.load(settings_class, flags)
+    settings = setting_sources.load(settings_class, flags)
     logs.set_up(role=role, name=settings.name, level=settings.log_level)
     importlib.import_module(f"marigoldsill.roles.{role}").run(settings)
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -5,16 +5,13 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import dataclasses
-import os
 import re
 from typing import Any
 
 from marigoldsill import errors
 from marigoldsill.transport import addresses
 
-ENVIRONMENT_PREFIX = "MARIGOLDSILL_"
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MEMBER_PARTS_COUNT = 3
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -280,11 +277,6 @@
     )
 
 
-def variable_of(setting_name: str) -> str:
-    """The environment variable of a setting."""
-    return ENVIRONMENT_PREFIX + setting_name.upper()
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class LocalSettings:
     """Settings of `marigoldsill local`."""
@@ -319,49 +311,3 @@
     log_level: str = setting(
         "Lowest level of events written.", parse_log_level, default="WARNING"
     )
-
-
-def flag_of(setting_name: str) -> str:
-    """The flag of a setting."""
-    return "--" + setting_name.replace("_", "-")
-
-
-def load(
-    settings_class: type,
-    flags: Mapping[str, str | None],
-    *,
-    environment: Mapping[str, str] | None = None,
-) -> Any:
-    """Builds a role's settings.
-
-    Args:
-        settings_class: The role's class.
-        flags: Texts by setting name; None where the flag was not given.
-        environment: Variables; those of the process by default.
-
-    Raises:
-        SettingsError: Names every setting that is wrong or missing.
-    """
-    environment = os.environ if environment is None else environment
-    values: dict[str, object] = {}
-    wrong: list[str] = []
-    for field in dataclasses.fields(settings_class):
-        given = flags.get(field.name)
-        source = flag_of(field.name)
-        if given is None:
-            given = environment.get(variable_of(field.name))
-            source = variable_of(field.name) if given is not None else source
-        if given is None:
-            if field.default is dataclasses.MISSING:
-                wrong.append(
-                    f"{source} (or {variable_of(field.name)}) is missing: "
-                    f"{field.metadata['help']}"
-                )
-            continue
-        try:
-            values[field.name] = field.metadata["check"](given)
-        except errors.SettingsError as error:
-            wrong.append(f"{source}: {error.message}")
-    if wrong:
-        raise errors.SettingsError("\n".join(wrong))
-    return settings_class(**values)
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -9,7 +9,7 @@
 from tests.lint import sources
 
 _ORDER = ("transport", "protocol", "state", "coordination", "roles", "cli")
-_SHARED = frozenset({"errors", "settings", "setting_checks"})
+_SHARED = frozenset({"errors", "settings", "setting_sources"})
 _FORBIDDEN = frozenset({"subprocess", "multiprocessing", "pty", "asyncio"})
 _FORBIDDEN_CALLS = frozenset(
     {"os.fork", "os.forkpty", "os.system", "os.popen", "os.posix_spawn"}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 
 _CLASSES = (
@@ -18,7 +19,7 @@
 
 
 def _load(flags: dict, environment: dict | None = None):
-    return settings_module.load(
+    return setting_sources.load(
         settings_module.EntrySettings, flags, environment=environment or {}
     )
 
@@ -62,7 +63,7 @@
 ) -> None:
     with pytest.raises(errors.SettingsError) as caught:
         _load(_GOOD | {name: value})
-    assert caught.value.message.startswith(settings_module.flag_of(name))
+    assert caught.value.message.startswith(setting_sources.flag_of(name))
     assert accepted in caught.value.message
 
 
