--- a/tests/roles/test_bad_http.py
+++ b/tests/roles/test_bad_http.py
@@ -54,7 +54,6 @@
 )
 _FEW = hypothesis.settings(
     max_examples=40,
-    deadline=None,
     suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
 )
 
--- a/tests/transport/test_thrift_server_bad_input.py
+++ b/tests/transport/test_thrift_server_bad_input.py
@@ -108,13 +108,13 @@
     _check_refused(served, struct.pack(">I", len(body)) + body)
 
 
-@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.settings(max_examples=60)
 @hypothesis.given(body=strategies.binary(max_size=300))
 def test_random_bytes_reach_no_handler(served: _Served, body: bytes) -> None:
     _check_refused(served, struct.pack(">I", len(body)) + body)
 
 
-@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.settings(max_examples=60)
 @hypothesis.given(data=strategies.data())
 def test_a_damaged_call_is_answered_or_refused(
     served: _Served, data: strategies.DataObject
