--- a/tests/cli/fake_control.py
+++ b/tests/cli/fake_control.py
@@ -74,5 +74,6 @@
     """An answer that ends before its stated length."""
     response = wrappers.Response(json.dumps({}))
     response.headers["Content-Length"] = "1000"
+    response.headers["Connection"] = "close"
     response.automatically_set_content_length = False
     return response
