--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination import configuration
 from marigoldsill.coordination import endpoints as endpoints_module
+from marigoldsill.coordination import heartbeats as heartbeats_module
 from marigoldsill.coordination import leases as leases_module
 from marigoldsill.coordination import orders
 from marigoldsill.coordination import replica as replica_module
@@ -25,21 +26,42 @@
         leases: Leases that this process gave as leader.
         endpoints: Endpoints announced to it as leader.
         usage: Late measurements sent to it as leader.
+        led_term: The last term that it led; what it decides from leases holds
+            only for that term.
     """
 
     def __init__(self, *, replica: replica_module.Replica):
         self._replica = replica
         self._hub = watch_hub.WatchHub()
+        self.led_term = 0
         self._orders_version: dict[str, int] = {}
         self.leases = leases_module.LeaseTable()
         self.endpoints = endpoints_module.EndpointRegistry()
         self.usage = usage_module.UsageTable()
+        self._heartbeats = heartbeats_module.Heartbeats(
+            replica=replica,
+            leases=self.leases,
+            endpoints=self.endpoints,
+            usage=self.usage,
+            propose=self._propose,
+            orders_version=lambda agent: self._orders_version.get(agent, 0),
+            routes_changed=self._hub.wake_all,
+        )
         replica.on_applied(self._on_applied)
 
     def become_leader(self) -> None:
-        """Starts the soft state of a new leader over."""
+        """Starts the soft state over, once for each term that is led.
+
+        A process that lost its lead and has it again may not have noticed;
+        meanwhile another leader may have renewed leases.
+        """
         with self._replica.lock:
-            lease_ms = self._replica.tables.policy.lease_ms
+            term = self._replica.term
+            if term == self.led_term:
+                return
+            self.led_term = term
+            lease_ms = self._replica.tables.longest_lease_ms
+        self._heartbeats.reset()
         self.leases.reset(lease_ms=lease_ms)
         self.endpoints.reset()
         self._hub.wake_all()
@@ -47,31 +69,9 @@
     def heartbeat(self, heartbeat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
         """Renews an agent's lease and records what it reports."""
         self._require_leader()
-        with self._replica.lock:
-            known = self._replica.tables.workers.get(heartbeat.agent)
-            lease_ms = self._replica.tables.policy.lease_ms
-        if heartbeat.worker is not None:
-            self._record_worker(heartbeat.worker, known)
-        elif known is None or known.incarnation != heartbeat.incarnation:
-            return self._unknown_agent()
-        if heartbeat.endpoints is not None:
-            self._record_endpoints(heartbeat)
-        elif not self.endpoints.knows(heartbeat.agent):
-            return self._unknown_agent()
-        self.usage.put(heartbeat.agent, heartbeat.usage)
-        if heartbeat.events:
-            self._propose(
-                record_run_events=ttypes.RecordRunEvents(
-                    events=heartbeat.events
-                )
-            )
+        reply = self._heartbeats.take(heartbeat)
         self._require_leader()
-        self.leases.renew(heartbeat.agent, lease_ms=lease_ms)
-        return ttypes.HeartbeatReply(
-            term=self._replica.term,
-            lease_ms=lease_ms,
-            acknowledged_events=[e.event_id for e in heartbeat.events],
-        )
+        return reply
 
     def watch(self, request: ttypes.WatchRequest) -> ttypes.WatchReply:
         """Answers when there is something new, or when the wait is over."""
@@ -163,30 +163,9 @@
             case _:
                 self._hub.wake(touched)
 
-    def _record_worker(
-        self, worker: ttypes.Worker, known: ttypes.Worker | None
-    ) -> None:
-        if known is not None and worker.incarnation < known.incarnation:
-            raise ttypes.NotLeader()
-        state = ttypes.WorkerState.ACTIVE
-        reason = ""
-        if known is not None and known.state != ttypes.WorkerState.LOST:
-            state, reason = known.state, known.reason
-        worker.state, worker.reason = state, reason
-        if worker != known:
-            self._propose(put_worker=ttypes.PutWorker(worker=worker))
-
-    def _record_endpoints(self, heartbeat: ttypes.Heartbeat) -> None:
-        if self.endpoints.put(heartbeat.agent, heartbeat.endpoints):
-            self._hub.wake_all()
-
-    def _unknown_agent(self) -> ttypes.HeartbeatReply:
-        return ttypes.HeartbeatReply(
-            term=self._replica.term, lease_ms=0, resend_worker=True
-        )
-
     def _require_leader(self) -> None:
         if self._replica.is_leader:
+            self.become_leader()
             return
         leader = self._replica.leader
         raise ttypes.NotLeader(
--- /dev/null
+++ b/marigoldsill/coordination/heartbeat_sender.py
@@ -0,0 +1,177 @@
+"""An agent's heartbeats: they ask for its lease and carry its events."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent import futures
+import threading
+import time
+
+import prometheus_client
+
+from marigoldsill import errors
+from marigoldsill.coordination import control_link
+from marigoldsill.coordination import lease_renewer
+from marigoldsill.coordination import run_keeper
+from marigoldsill.coordination import worker_usage
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import cuts
+from marigoldsill.transport import failpoints
+from marigoldsill.transport import logs
+
+_TIMEOUT_S = 1.0
+_SPACING_S = 0.02
+_EVENTS_LIMIT = 100
+_LATENCY = prometheus_client.Histogram(
+    "marigoldsill_heartbeat_seconds",
+    "Time from a heartbeat's sending to its answer.",
+    buckets=(0.005, 0.02, 0.1, 0.5, 1.0),
+)
+
+
+class HeartbeatSender:
+    """Sends heartbeats at an interval, and at once when there is an event."""
+
+    def __init__(
+        self,
+        *,
+        agent: str,
+        control_addresses: Sequence[str],
+        interval_s: float,
+        runs: run_keeper.RunKeeper,
+        usage: worker_usage.WorkerUsage,
+        describe_worker: Callable[[int, ttypes.Resources], ttypes.Worker],
+        endpoints: Callable[[], list[ttypes.EndpointInfo]],
+        cut_switch: cuts.Cuts | None = None,
+    ):
+        """Prepares to send.
+
+        Args:
+            agent: The worker's name.
+            control_addresses: Thrift addresses of the control processes.
+            interval_s: Longest time between heartbeats, in seconds.
+            runs: What it reports about and renews.
+            usage: Where measurements come from.
+            describe_worker: Gives the worker's record for an incarnation and
+                a capacity.
+            endpoints: Gives the endpoints announced now.
+            cut_switch: Cuts of failure tests.
+        """
+        self._agent = agent
+        self._interval_s = interval_s
+        self._runs = runs
+        self._usage = usage
+        self._describe_worker = describe_worker
+        self._endpoints = endpoints
+        self._link = control_link.ControlLink(
+            addresses=control_addresses, cut_switch=cut_switch
+        )
+        self._incarnation = time.time_ns()
+        self._sequence = 0
+        self._resend = True
+        self._leased = False
+        self._replaced = False
+        self._announced: list[ttypes.EndpointInfo] | None = None
+        self._capacity: ttypes.Resources | None = None
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(1, "heartbeat")
+
+    def start(self) -> None:
+        """Begins to send."""
+        self._pool.submit(self._loop)
+
+    def stop(self) -> None:
+        """Leaves off sending."""
+        self._stopping.set()
+        self._wake.set()
+        self._link.close()
+        self._pool.shutdown(wait=False)
+
+    def wake(self) -> None:
+        """Sends the next heartbeat at once."""
+        self._wake.set()
+
+    def _loop(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self._beat()
+            except errors.MarigoldsillError as error:
+                logs.event(
+                    "heartbeat_failed", level="WARNING", reason=error.message
+                )
+            except Exception as error:  # must go on sending
+                logs.event(
+                    "heartbeat_failed", level="ERROR", reason=repr(error)
+                )
+            self._stopping.wait(_SPACING_S)
+            self._wake.wait(self._interval_s)
+            self._wake.clear()
+
+    def _beat(self) -> None:
+        capacity = self._runs.room.capacity
+        if self._replaced or capacity is None:
+            return
+        endpoints = self._endpoints()
+        heartbeat = self._heartbeat(capacity, endpoints)
+        sent_ns = time.monotonic_ns()
+        with _LATENCY.time():
+            reply = self._link.call(
+                "heartbeat", heartbeat, timeout_s=_TIMEOUT_S
+            )
+        failpoints.reach("heartbeat.answered")
+        if reply.replaced_by:
+            self._note_replaced(reply.replaced_by)
+            return
+        self._resend = reply.resend_worker
+        if reply.resend_worker:
+            self._wake.set()
+            return
+        self._announced, self._capacity = endpoints, capacity
+        self._runs.acknowledge(reply.acknowledged_events)
+        if not reply.lease_ms:
+            return
+        self._leased = True
+        self._runs.renew_lease(
+            lease_renewer.AgentLease(
+                end_ns=sent_ns + reply.lease_ms * 1_000_000,
+                length_ms=reply.lease_ms,
+                term=reply.term,
+                orders_version=reply.orders_version,
+            )
+        )
+
+    def _heartbeat(
+        self,
+        capacity: ttypes.Resources,
+        endpoints: list[ttypes.EndpointInfo],
+    ) -> ttypes.Heartbeat:
+        self._sequence += 1
+        tells_worker = self._resend or capacity != self._capacity
+        tells_endpoints = self._resend or endpoints != self._announced
+        return ttypes.Heartbeat(
+            agent=self._agent,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            worker=self._describe_worker(self._incarnation, capacity)
+            if tells_worker
+            else None,
+            endpoints=endpoints if tells_endpoints else None,
+            events=self._runs.events(limit=_EVENTS_LIMIT),
+            usage=self._usage.take(),
+            worker_silent=self._runs.renewer.is_silent,
+        )
+
+    def _note_replaced(self, incarnation: int) -> None:
+        if not self._leased:
+            # The VM's wall clock went back since the last agent's start.
+            self._incarnation = incarnation + 1
+            self._wake.set()
+            return
+        self._replaced = True
+        logs.event(
+            "replaced",
+            level="ERROR",
+            reason="another agent has this name; this one's runs end with "
+            "their leases",
+            incarnation=incarnation,
+        )
--- /dev/null
+++ b/marigoldsill/coordination/heartbeats.py
@@ -0,0 +1,169 @@
+"""What the leader does with agents' heartbeats: leases, events, endpoints.
+
+A lease is granted only when the agent is the newest of its name, its heartbeat
+is newer than the last one, its worker renews leases, and no loss of its runs
+waits to be recorded.
+"""
+
+from collections.abc import Callable
+import threading
+
+import prometheus_client
+
+from marigoldsill.coordination import endpoints as endpoints_module
+from marigoldsill.coordination import leases as leases_module
+from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination import usage as usage_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
+
+_HEARTBEATS = prometheus_client.Counter(
+    "marigoldsill_heartbeats", "Heartbeats by what came of them.", ["outcome"]
+)
+
+
+class Heartbeats:
+    """Handles heartbeats while this process leads."""
+
+    def __init__(
+        self,
+        *,
+        replica: replica_module.Replica,
+        leases: leases_module.LeaseTable,
+        endpoints: endpoints_module.EndpointRegistry,
+        usage: usage_module.UsageTable,
+        propose: Callable[..., ttypes.CommandResult],
+        orders_version: Callable[[str], int],
+        routes_changed: Callable[[], None],
+    ):
+        """Handles heartbeats with what the leader knows.
+
+        Args:
+            replica: The replicated state.
+            leases: Leases of this leader.
+            endpoints: Endpoints announced to this leader.
+            usage: Where measurements go.
+            propose: Proposes the body of a command by its field's name.
+            orders_version: The version of an agent's orders; call it with
+                the replica's lock held.
+            routes_changed: Called when endpoints changed.
+        """
+        self._replica = replica
+        self._leases = leases
+        self._endpoints = endpoints
+        self._usage = usage
+        self._propose = propose
+        self._orders_version = orders_version
+        self._routes_changed = routes_changed
+        self._lock = threading.Lock()
+        self._sequences: dict[str, tuple[int, int]] = {}
+
+    def reset(self) -> None:
+        """Forgets what came under an earlier leader."""
+        with self._lock:
+            self._sequences.clear()
+
+    def take(self, heartbeat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
+        """Records what an agent reports, and grants a lease if it may."""
+        term = self._replica.term
+        with self._replica.lock:
+            known = self._replica.tables.workers.get(heartbeat.agent)
+        if known is not None and heartbeat.incarnation < known.incarnation:
+            return _refusal(term, "replaced", replaced_by=known.incarnation)
+        if not self._is_newest(heartbeat):
+            return _refusal(term, "out_of_order")
+        if heartbeat.worker is not None:
+            self._record_worker(heartbeat.worker, known)
+        elif not _is_known(known, heartbeat):
+            return _refusal(term, "unknown", resend_worker=True)
+        if heartbeat.endpoints is not None:
+            if self._endpoints.put(heartbeat.agent, heartbeat.endpoints):
+                self._routes_changed()
+        elif not self._endpoints.knows(heartbeat.agent):
+            return _refusal(term, "unknown", resend_worker=True)
+        if heartbeat.usage:
+            self._usage.put(heartbeat.agent, heartbeat.usage)
+        if heartbeat.events:
+            self._propose(
+                record_run_events=ttypes.RecordRunEvents(
+                    events=heartbeat.events
+                )
+            )
+        return self._answer(heartbeat, term)
+
+    def _answer(
+        self, heartbeat: ttypes.Heartbeat, term: int
+    ) -> ttypes.HeartbeatReply:
+        lease_ms, orders_version = 0, 0
+        if not heartbeat.worker_silent:
+            lease_ms, orders_version = self._grant(heartbeat.agent, term)
+        _HEARTBEATS.labels("lease" if lease_ms else "no_lease").inc()
+        return ttypes.HeartbeatReply(
+            term=term,
+            lease_ms=lease_ms,
+            orders_version=orders_version,
+            acknowledged_events=[e.event_id for e in heartbeat.events],
+        )
+
+    def _grant(self, agent: str, term: int) -> tuple[int, int]:
+        """Grants a lease; its length and the version of the orders by then."""
+        with self._replica.lock:
+            if not self._replica.is_leader or self._replica.term != term:
+                return 0, 0
+            tables = self._replica.tables
+            lease_ms = tables.policy.lease_ms
+            if not self._leases.renew(agent, lease_ms=lease_ms):
+                if tables.tasks_on(agent):
+                    return 0, 0
+                self._leases.reopen(agent)
+                self._leases.renew(agent, lease_ms=lease_ms)
+            return lease_ms, self._orders_version(agent)
+
+    def _is_newest(self, heartbeat: ttypes.Heartbeat) -> bool:
+        number = (heartbeat.incarnation, heartbeat.sequence)
+        with self._lock:
+            if number <= self._sequences.get(heartbeat.agent, (0, 0)):
+                return False
+            self._sequences[heartbeat.agent] = number
+            return True
+
+    def _record_worker(
+        self, worker: ttypes.Worker, known: ttypes.Worker | None
+    ) -> None:
+        worker.state, worker.reason = ttypes.WorkerState.ACTIVE, ""
+        if known is not None and known.state == ttypes.WorkerState.LOST:
+            worker.state = known.resume_state
+        elif known is not None:
+            worker.state, worker.reason = known.state, known.reason
+        if worker != known:
+            self._propose(put_worker=ttypes.PutWorker(worker=worker))
+            logs.event(
+                "worker_registered",
+                worker=worker.name,
+                incarnation=worker.incarnation,
+                cpu_millicores=worker.capacity.cpu_millicores,
+            )
+
+
+def _is_known(known: ttypes.Worker | None, heartbeat: ttypes.Heartbeat) -> bool:
+    return (
+        known is not None
+        and known.incarnation == heartbeat.incarnation
+        and known.state != ttypes.WorkerState.LOST
+    )
+
+
+def _refusal(
+    term: int,
+    outcome: str,
+    *,
+    resend_worker: bool = False,
+    replaced_by: int = 0,
+) -> ttypes.HeartbeatReply:
+    _HEARTBEATS.labels(outcome).inc()
+    return ttypes.HeartbeatReply(
+        term=term,
+        lease_ms=0,
+        resend_worker=resend_worker,
+        replaced_by=replaced_by,
+    )
--- a/marigoldsill/coordination/leases.py
+++ b/marigoldsill/coordination/leases.py
@@ -8,8 +8,8 @@
 import threading
 import time
 
-_DRIFT_RATIO = 1.1
-_MARGIN_S = 0.2
+DRIFT_RATIO = 1.1
+MARGIN_S = 0.2
 
 
 class LeaseTable:
@@ -18,24 +18,48 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._end_s: dict[str, float] = {}
+        self._closed: set[str] = set()
         self._floor_s = 0.0
 
     def reset(self, *, lease_ms: int) -> None:
         """Starts over as a new leader: all leases count as just renewed."""
         with self._lock:
             self._end_s.clear()
+            self._closed.clear()
             self._floor_s = _end_of(lease_ms)
 
-    def renew(self, agent: str, *, lease_ms: int) -> None:
-        """Notes a heartbeat that was answered with a lease."""
+    def renew(self, agent: str, *, lease_ms: int) -> bool:
+        """Renews a lease; False if `expired` has said that it is over.
+
+        A shorter lease than the last never shortens what was granted.
+        """
         with self._lock:
-            self._end_s[agent] = _end_of(lease_ms)
+            if agent in self._closed:
+                return False
+            end_s = max(self._end_s.get(agent, 0.0), _end_of(lease_ms))
+            self._end_s[agent] = end_s
+            return True
 
     def expired(self, agent: str) -> bool:
-        """Whether the agent's lease is surely over."""
+        """Whether the agent's lease is surely over.
+
+        Once it is, it stays so until `reopen`: a heartbeat that comes while
+        the loss is being recorded renews nothing.
+        """
         with self._lock:
+            if agent in self._closed:
+                return True
             end_s = max(self._end_s.get(agent, 0.0), self._floor_s)
-        return time.monotonic() > end_s
+            if time.monotonic() <= end_s:
+                return False
+            self._closed.add(agent)
+            self._end_s.pop(agent, None)
+            return True
+
+    def reopen(self, agent: str) -> None:
+        """Lets an agent have a lease again, once no run of it is recorded."""
+        with self._lock:
+            self._closed.discard(agent)
 
     def live(self) -> set[str]:
         """Agents that renewed under this leader and have not run out."""
@@ -45,4 +69,4 @@
 
 
 def _end_of(lease_ms: int) -> float:
-    return time.monotonic() + lease_ms / 1000 * _DRIFT_RATIO + _MARGIN_S
+    return time.monotonic() + lease_ms / 1000 * DRIFT_RATIO + MARGIN_S
--- a/marigoldsill/coordination/orders.py
+++ b/marigoldsill/coordination/orders.py
@@ -24,7 +24,8 @@
         connections_count=getattr(owner, "connections_count", 0),
         owner=task.owner,
         run_time_ms=getattr(owner, "run_time_ms", 0),
-        started=task.state != ttypes.TaskState.ASSIGNED,
+        started=bool(task.running_since_unix_ms),
+        checkpointable=getattr(owner, "checkpointable", False),
     )
 
 
--- /dev/null
+++ b/marigoldsill/coordination/run_events.py
@@ -0,0 +1,107 @@
+"""An agent's events: sent until control has recorded them, each once."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import threading
+
+import prometheus_client
+
+from marigoldsill.protocol.generated import ttypes
+
+_ENDING = frozenset(
+    {
+        ttypes.RunEventKind.STOPPED,
+        ttypes.RunEventKind.COMPLETED,
+        ttypes.RunEventKind.FAILED,
+        ttypes.RunEventKind.LOST,
+        ttypes.RunEventKind.REFUSED,
+    }
+)
+_WAITING = prometheus_client.Gauge(
+    "marigoldsill_run_events_waiting", "Events that control has not recorded."
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunId:
+    """Names a run: an epoch of a task."""
+
+    task: str
+    epoch: int
+
+
+def run_of(
+    item: ttypes.Order | ttypes.RunEvent | ttypes.Assignment,
+) -> RunId:
+    """The run that an order, an event or a listed task is about."""
+    return RunId(item.task, item.epoch)
+
+
+class EventOutbox:
+    """Events that control has not yet recorded, and what was reported."""
+
+    def __init__(self, *, on_event: Callable[[], None] = lambda: None):
+        self._on_event = on_event
+        self._lock = threading.Lock()
+        self._waiting: dict[int, ttypes.RunEvent] = {}
+        self._reported: dict[RunId, set[tuple[int, str]]] = {}
+        self._ids = itertools.count(1)
+
+    def add(self, event: ttypes.RunEvent) -> None:
+        """Queues an event; one that was reported before changes nothing."""
+        run, content = run_of(event), (event.kind, event.checkpoint_id)
+        if event.kind != ttypes.RunEventKind.CHECKPOINTED:
+            content = (event.kind, "")
+        with self._lock:
+            reported = self._reported.setdefault(run, set())
+            if content in reported:
+                return
+            reported.add(content)
+            self._drop_older_checkpoints(event)
+            event.event_id = next(self._ids)
+            self._waiting[event.event_id] = event
+            _WAITING.set(len(self._waiting))
+        self._on_event()
+
+    def waiting(self, *, limit: int) -> list[ttypes.RunEvent]:
+        """The oldest events that control has not acknowledged."""
+        with self._lock:
+            return list(itertools.islice(self._waiting.values(), limit))
+
+    def acknowledge(self, event_ids: Iterable[int]) -> list[ttypes.RunEvent]:
+        """Drops events that control has recorded and returns them."""
+        with self._lock:
+            done = [self._waiting.pop(i, None) for i in event_ids]
+            _WAITING.set(len(self._waiting))
+        return [event for event in done if event is not None]
+
+    def has_ended(self, run: RunId) -> bool:
+        """Whether an end of the run, of whatever kind, was reported."""
+        with self._lock:
+            reported = self._reported.get(run, ())
+            return any(kind in _ENDING for kind, _ in reported)
+
+    def awaits(self, run: RunId) -> bool:
+        """Whether an event of the run waits to be recorded."""
+        with self._lock:
+            return any(run_of(e) == run for e in self._waiting.values())
+
+    def forget_all_but(self, runs: set[RunId]) -> None:
+        """Forgets what was reported of runs that nobody speaks of any more."""
+        with self._lock:
+            kept = runs | {run_of(e) for e in self._waiting.values()}
+            for run in [r for r in self._reported if r not in kept]:
+                del self._reported[run]
+
+    def _drop_older_checkpoints(self, event: ttypes.RunEvent) -> None:
+        if event.kind != ttypes.RunEventKind.CHECKPOINTED:
+            return
+        older = [
+            event_id
+            for event_id, other in self._waiting.items()
+            if other.kind == event.kind and run_of(other) == run_of(event)
+        ]
+        for event_id in older:
+            del self._waiting[event_id]
--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -2,24 +2,30 @@
 
 Nothing is durable here. The worker's own task list says what runs; events are
 sent until control acknowledged them, and only then an ended run is forgotten.
+Whatever changes the worker needs a live lease and orders at least as new as
+those in force when that lease was granted.
 """
 
+from collections.abc import Callable
 from concurrent import futures
-import itertools
+import dataclasses
 import threading
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination import lease_renewer
+from marigoldsill.coordination import leases
+from marigoldsill.coordination import run_events
+from marigoldsill.coordination import run_operations
+from marigoldsill.coordination import worker_room
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import failpoints
 from marigoldsill.transport import logs
 
-_TICK_S = 0.1
-_KINDS = {
-    ttypes.Kind.SERVICE: "service",
-    ttypes.Kind.BATCH_JOB: "batch_job",
-    ttypes.Kind.WATCHER: "watcher",
-}
+_POLL_S = 0.25
+_EVICTION_LIMIT_S = 5.0
+_CHECKPOINT_TRIES = 2
 _ENDED_EVENTS = {
     "completed": ttypes.RunEventKind.COMPLETED,
     "failed": ttypes.RunEventKind.FAILED,
@@ -27,63 +33,118 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Orders:
+    term: int
+    version: int
+    by_run: dict[run_events.RunId, ttypes.Order]
+
+
+@dataclasses.dataclass(slots=True)
+class _Eviction:
+    """How far a run is on its way out."""
+
+    begun_s: float
+    tries_count: int = 0
+    checkpointed: bool = False
+
+    def note(self, succeeded: bool) -> None:
+        self.tries_count += 1
+        self.checkpointed = succeeded
+
+
 class RunKeeper:
-    """Holds the runs of one worker."""
+    """Holds the runs of one worker.
 
-    def __init__(self, *, worker: worker_interface.WorkerInterface):
+    Attributes:
+        renewer: Holds the lease and passes it on to the worker.
+        room: What the worker can hold.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker: worker_interface.WorkerInterface,
+        checkpoint_interval_s: float = 60.0,
+        on_event: Callable[[], None] = lambda: None,
+    ):
         self._worker = worker
-        self._lock = threading.Lock()
-        self._term = 0
-        self._orders: list[ttypes.Order] | None = None
-        self._lease_end_ns = 0
-        self._events: dict[int, ttypes.RunEvent] = {}
-        self._reported: dict[tuple[str, int, int], int] = {}
-        self._event_ids = itertools.count(1)
+        self._on_event = on_event
+        self._checkpoint_interval_s = checkpoint_interval_s
         self._wake = threading.Event()
         self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._outbox = run_events.EventOutbox(on_event=on_event)
+        self._operations = run_operations.RunOperations(
+            worker=worker, outbox=self._outbox, on_done=self._wake.set
+        )
+        self.renewer = lease_renewer.LeaseRenewer(worker=worker)
+        self.room = worker_room.WorkerRoom(worker=worker)
+        self._orders: _Orders | None = None
+        self._inherited: set[run_events.RunId] = set()
+        self._quiet_until_s: float | None = None
+        self._evictions: dict[run_events.RunId, _Eviction] = {}
+        self._checkpoint_due_s: dict[run_events.RunId, float] = {}
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
         """Begins to bring the worker to the orders."""
+        self.renewer.start()
         self._pool.submit(self._loop)
 
     def stop(self) -> None:
         """Leaves off; runs go on until their leases run out."""
         self._stopping.set()
         self._wake.set()
+        self.renewer.stop()
+        self._operations.shut_down()
         self._pool.shutdown(wait=False)
 
-    def take_orders(self, term: int, orders: list[ttypes.Order]) -> None:
-        """Takes complete orders; those of an older leader are refused."""
+    def take_orders(
+        self, term: int, version: int, orders: list[ttypes.Order]
+    ) -> bool:
+        """Takes complete orders; False if newer or a later leader's are held."""
+        taken = _Orders(
+            term, version, {run_events.run_of(o): o for o in orders}
+        )
         with self._lock:
-            if term < self._term:
-                return
-            self._term = term
-            self._orders = orders
+            held = self._orders
+            if held is not None and (term, version) < (held.term, held.version):
+                logs.event("stale_orders", term=term, version=version)
+                return False
+            if held is None:
+                self._inherited = set(taken.by_run)
+            self._orders = taken
         self._wake.set()
+        return True
 
-    def renew_lease(self, lease_end_ns: int) -> None:
-        """Notes until when control's lease holds, on the monotonic clock."""
-        with self._lock:
-            self._lease_end_ns = max(self._lease_end_ns, lease_end_ns)
+    def renew_lease(self, lease: lease_renewer.AgentLease) -> None:
+        """Takes a lease that control granted."""
+        if self._quiet_until_s is None and lease.length_ms:
+            # Before this, another agent of the same name may still have had
+            # a lease, and what it asked for may still take effect.
+            full_s = lease.length_ms / 1000 * leases.DRIFT_RATIO
+            self._quiet_until_s = time.monotonic() + full_s + leases.MARGIN_S
+        self.renewer.renew(lease)
         self._wake.set()
 
-    def events(self) -> list[ttypes.RunEvent]:
-        """Events that control has not acknowledged."""
-        with self._lock:
-            return list(self._events.values())
+    def events(self, *, limit: int) -> list[ttypes.RunEvent]:
+        """The oldest events that control has not acknowledged."""
+        return self._outbox.waiting(limit=limit)
 
     def acknowledge(self, event_ids: list[int]) -> None:
         """Drops events that control has recorded."""
-        with self._lock:
-            done = [self._events.pop(i, None) for i in event_ids]
-        for event in (e for e in done if e is not None):
+        recorded = self._outbox.acknowledge(event_ids)
+        failpoints.reach("end.acknowledged")
+        for event in recorded:
             if event.kind in _ENDED_EVENTS.values():
-                self._forget(event)
+                self._operations.forget(run_events.run_of(event))
+        if recorded:
+            self._wake.set()
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
-            self._wake.wait(_TICK_S)
+            self._wake.wait(_POLL_S)
             self._wake.clear()
             try:
                 self._reconcile()
@@ -97,139 +158,203 @@
                 )
 
     def _reconcile(self) -> None:
+        self._refresh_room()
+        # Before the list: a start that is neither here nor there is none.
+        starts = self._operations.starts()
+        listed = {
+            run_events.RunId(t.task, t.epoch): t for t in self._worker.tasks()
+        }
+        self._operations.settle_starts(set(listed))
+        for run, task in listed.items():
+            if task.state != "running":
+                self._report_end(run, task)
         with self._lock:
             orders = self._orders
-            lease_end_ns = self._lease_end_ns
-        if orders is None or time.monotonic_ns() > lease_end_ns:
+        if orders is None:
+            return
+        self._forget_old(orders, listed)
+        lease = self.renewer.lease
+        if not lease.is_live:
+            return
+        if not lease.covers(term=orders.term, version=orders.version):
             return
-        self._worker.renew(lease_end_ns=lease_end_ns)
-        listed = {(t.task, t.epoch): t for t in self._worker.tasks()}
-        wanted = {(o.task, o.epoch): o for o in orders}
-        for key, task in listed.items():
+        self._stop_unwanted(orders, listed)
+        self.room.count(listed, starts, wanted=set(orders.by_run))
+        for run, order in orders.by_run.items():
+            if not self._operations.is_busy(run):
+                self._follow(run, order, listed, lease)
+
+    def _refresh_room(self) -> None:
+        held = self.room.capacity
+        self.room.refresh()
+        if self.room.capacity != held:
+            self._on_event()
+
+    def _stop_unwanted(
+        self,
+        orders: _Orders,
+        listed: dict[run_events.RunId, worker_interface.PlatformTask],
+    ) -> None:
+        for run, task in listed.items():
             if task.state != "running":
-                self._report_end(task)
-            elif key not in wanted:
-                self._worker.stop(task.task, epoch=task.epoch)
-        for key, order in wanted.items():
-            self._follow(order, listed.get(key), lease_end_ns)
+                continue
+            if run not in orders.by_run or self._outbox.has_ended(run):
+                self._operations.stop(run)
 
     def _follow(
         self,
+        run: run_events.RunId,
         order: ttypes.Order,
-        task: worker_interface.PlatformTask | None,
-        lease_end_ns: int,
+        listed: dict[run_events.RunId, worker_interface.PlatformTask],
+        lease: lease_renewer.AgentLease,
     ) -> None:
+        task = listed.get(run)
+        if self._outbox.has_ended(run) or (task and task.state != "running"):
+            return
         match order.desire:
             case ttypes.Desire.RUN | ttypes.Desire.THROTTLE if task is None:
-                self._start(order, lease_end_ns)
+                self._start(run, order, listed, lease)
             case ttypes.Desire.RUN | ttypes.Desire.THROTTLE:
-                self._keep(order, task)
+                self._keep(run, order, task)
             case _ if task is None:
-                self._report(order, ttypes.RunEventKind.LOST, "not there")
+                self._report_lost(run, "not on the worker")
             case ttypes.Desire.CHECKPOINT_AND_STOP:
-                self._checkpoint_and_stop(order, task)
-            case ttypes.Desire.STOP:
-                self._worker.stop(order.task, epoch=order.epoch)
+                self._evict(run, order)
+            case _:
+                self._operations.stop(run)
 
-    def _start(self, order: ttypes.Order, lease_end_ns: int) -> None:
+    def _start(
+        self,
+        run: run_events.RunId,
+        order: ttypes.Order,
+        listed: dict[run_events.RunId, worker_interface.PlatformTask],
+        lease: lease_renewer.AgentLease,
+    ) -> None:
         if order.started:
-            self._report(
-                order, ttypes.RunEventKind.LOST, "the worker lost the run"
-            )
-            return
-        if self._already_ended(order):
+            self._report_lost(run, "the worker lost the run")
             return
-        try:
-            self._worker.start(_spec(order, lease_end_ns))
-        except errors.CapacityError as error:
-            self._report(order, ttypes.RunEventKind.REFUSED, error.message)
+        if run in self._inherited and not self._is_quiet():
             return
-        except errors.PlatformError as error:
-            self._report(order, ttypes.RunEventKind.FAILED, error.message)
+        if self._other_epoch_lives(run, listed):
             return
-        logs.event("run_started", task=order.task, epoch=order.epoch)
-        self._report(order, ttypes.RunEventKind.STARTED, "")
+        match self.room.judge(order.resources):
+            case worker_room.Verdict.FITS:
+                self.room.take(order.resources)
+                self._operations.start(order, lease)
+            case worker_room.Verdict.WAITS:
+                logs.event("start_waits", level="DEBUG", task=run.task)
+            case worker_room.Verdict.TOO_LARGE:
+                self._report(
+                    run,
+                    ttypes.RunEventKind.REFUSED,
+                    f"it does not fit: {self.room.describe()}",
+                )
 
     def _keep(
-        self, order: ttypes.Order, task: worker_interface.PlatformTask
+        self,
+        run: run_events.RunId,
+        order: ttypes.Order,
+        task: worker_interface.PlatformTask,
     ) -> None:
-        if task.state != "running":
-            return
         if not order.started:
-            self._report(order, ttypes.RunEventKind.STARTED, "")
+            self._report(run, ttypes.RunEventKind.STARTED, "")
         throttled = order.desire == ttypes.Desire.THROTTLE
         if throttled != task.throttled:
-            self._worker.throttle(
-                order.task, epoch=order.epoch, throttled=throttled
-            )
+            self._operations.throttle(order, throttled=throttled)
+        elif order.checkpointable and self._is_checkpoint_due(run):
+            self._operations.checkpoint(order, on_result=lambda _: None)
 
-    def _checkpoint_and_stop(
-        self, order: ttypes.Order, task: worker_interface.PlatformTask
-    ) -> None:
-        if task.state != "running":
+    def _evict(self, run: run_events.RunId, order: ttypes.Order) -> None:
+        """Checkpoints, waits until that is recorded, stops; all bounded."""
+        now_s = time.monotonic()
+        eviction = self._evictions.setdefault(run, _Eviction(begun_s=now_s))
+        out_of_time = now_s - eviction.begun_s > _EVICTION_LIMIT_S
+        if not eviction.checkpointed and not out_of_time:
+            if eviction.tries_count < _CHECKPOINT_TRIES:
+                self._operations.checkpoint(order, on_result=eviction.note)
+                return
+            logs.event(
+                "evicted_without_checkpoint",
+                level="WARNING",
+                task=run.task,
+                epoch=run.epoch,
+                kept_ms=order.worked_ms,
+            )
+        if self._outbox.awaits(run) and not out_of_time:
             return
-        self._worker.checkpoint(order.task, epoch=order.epoch)
-        self._worker.stop(order.task, epoch=order.epoch)
+        self._operations.stop(run)
 
-    def _already_ended(self, order: ttypes.Order) -> bool:
-        kinds = (*_ENDED_EVENTS.values(), ttypes.RunEventKind.REFUSED)
-        with self._lock:
-            return any(
-                (order.task, order.epoch, kind) in self._reported
-                for kind in kinds
-            )
+    def _is_checkpoint_due(self, run: run_events.RunId) -> bool:
+        now_s = time.monotonic()
+        interval_s = self._checkpoint_interval_s
+        due_s = self._checkpoint_due_s.setdefault(run, now_s + interval_s)
+        if now_s < due_s:
+            return False
+        self._checkpoint_due_s[run] = now_s + interval_s
+        return True
+
+    def _other_epoch_lives(
+        self,
+        run: run_events.RunId,
+        listed: dict[run_events.RunId, worker_interface.PlatformTask],
+    ) -> bool:
+        running = {r for r, t in listed.items() if t.state == "running"}
+        others = running | set(self._operations.starts())
+        return any(o.task == run.task and o != run for o in others)
+
+    def _is_quiet(self) -> bool:
+        """Whether nothing that an earlier agent asked for can take effect."""
+        until_s = self._quiet_until_s
+        return until_s is not None and time.monotonic() > until_s
+
+    def _report_lost(self, run: run_events.RunId, detail: str) -> None:
+        """Reports a run that the list doesn't show, once it surely is gone."""
+        if run in self._operations.starts():
+            return
+        if run in self._inherited and not self._is_quiet():
+            return
+        self._report(run, ttypes.RunEventKind.LOST, detail)
 
-    def _report_end(self, task: worker_interface.PlatformTask) -> None:
-        self._add(
+    def _report_end(
+        self, run: run_events.RunId, task: worker_interface.PlatformTask
+    ) -> None:
+        failpoints.reach("end.before")
+        self._outbox.add(
             ttypes.RunEvent(
-                task=task.task,
-                epoch=task.epoch,
+                task=run.task,
+                epoch=run.epoch,
                 kind=_ENDED_EVENTS[task.state],
                 checkpoint_id=task.checkpoint_id,
                 worked_ms=task.checkpoint_worked_ms,
                 detail=task.detail,
             )
         )
+        failpoints.reach("end.reported")
 
     def _report(
-        self, order: ttypes.Order, kind: ttypes.RunEventKind, detail: str
+        self, run: run_events.RunId, kind: ttypes.RunEventKind, detail: str
     ) -> None:
-        self._add(
+        logs.event(
+            "run_reported",
+            task=run.task,
+            epoch=run.epoch,
+            kind=ttypes.RunEventKind(kind).name.lower(),
+            reason=detail,
+        )
+        self._outbox.add(
             ttypes.RunEvent(
-                task=order.task, epoch=order.epoch, kind=kind, detail=detail
+                task=run.task, epoch=run.epoch, kind=kind, detail=detail
             )
         )
 
-    def _add(self, event: ttypes.RunEvent) -> None:
-        key = (event.task, event.epoch, event.kind)
-        with self._lock:
-            if key in self._reported:
-                return
-            event.event_id = next(self._event_ids)
-            self._reported[key] = event.event_id
-            self._events[event.event_id] = event
-
-    def _forget(self, event: ttypes.RunEvent) -> None:
-        try:
-            self._worker.forget(event.task, epoch=event.epoch)
-        except errors.MarigoldsillError as error:
-            logs.event("forget_failed", level="WARNING", reason=error.message)
-
-
-def _spec(order: ttypes.Order, lease_end_ns: int) -> worker_interface.StartSpec:
-    return worker_interface.StartSpec(
-        task=order.task,
-        epoch=order.epoch,
-        kind=_KINDS[order.kind],
-        owner=order.owner,
-        command=order.command,
-        cpu_millicores=order.resources.cpu_millicores,
-        memory_bytes=order.resources.memory_bytes,
-        accelerators_count=order.resources.accelerators_count,
-        lease_end_ns=lease_end_ns,
-        checkpoint_id=order.checkpoint_id,
-        worked_ms=order.worked_ms,
-        run_time_ms=order.run_time_ms,
-        slots_count=order.slots_count,
-        connections_count=order.connections_count,
-    )
+    def _forget_old(
+        self,
+        orders: _Orders,
+        listed: dict[run_events.RunId, worker_interface.PlatformTask],
+    ) -> None:
+        current = set(orders.by_run) | set(listed)
+        self._outbox.forget_all_but(current)
+        self._inherited &= current
+        for table in (self._evictions, self._checkpoint_due_s):
+            for run in [r for r in table if r not in current]:
+                del table[run]
--- /dev/null
+++ b/marigoldsill/coordination/run_operations.py
@@ -0,0 +1,262 @@
+"""The steps that an agent asks of its worker, each safe to repeat.
+
+Each step runs on a small pool, one at a time for a run, so that one that hangs
+holds up no other run. What came of it goes to the outbox.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import threading
+import time
+
+import prometheus_client
+
+from marigoldsill import errors
+from marigoldsill.coordination import lease_renewer
+from marigoldsill.coordination import run_events
+from marigoldsill.protocol import worker_interface
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import failpoints
+from marigoldsill.transport import logs
+
+_THREADS_COUNT = 4
+_KINDS = {
+    ttypes.Kind.SERVICE: "service",
+    ttypes.Kind.BATCH_JOB: "batch_job",
+    ttypes.Kind.WATCHER: "watcher",
+}
+_STEPS = prometheus_client.Counter(
+    "marigoldsill_run_steps",
+    "Steps asked of the worker, by what came of them.",
+    ["step", "outcome"],
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StartAttempt:
+    """A start that may yet take effect on the worker.
+
+    Attributes:
+        resources: What the run takes.
+        lease_end_ns: When the worker refuses it at the latest.
+    """
+
+    resources: ttypes.Resources
+    lease_end_ns: int
+
+
+class RunOperations:
+    """Starts, checkpoints, throttles and stops runs of one worker."""
+
+    def __init__(
+        self,
+        *,
+        worker: worker_interface.WorkerInterface,
+        outbox: run_events.EventOutbox,
+        on_done: Callable[[], None],
+    ):
+        self._worker = worker
+        self._outbox = outbox
+        self._on_done = on_done
+        self._lock = threading.Lock()
+        self._busy: set[run_events.RunId] = set()
+        self._starts: dict[run_events.RunId, StartAttempt] = {}
+        self._pool = futures.ThreadPoolExecutor(
+            _THREADS_COUNT, "run-operations"
+        )
+
+    def shut_down(self) -> None:
+        """Takes no further steps."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def is_busy(self, run: run_events.RunId) -> bool:
+        """Whether a step of the run is under way."""
+        with self._lock:
+            return run in self._busy
+
+    def starts(self) -> dict[run_events.RunId, StartAttempt]:
+        """Starts that may have taken effect, or may yet."""
+        with self._lock:
+            return dict(self._starts)
+
+    def settle_starts(self, listed: set[run_events.RunId]) -> None:
+        """Drops starts that the worker lists or would refuse by now."""
+        now_ns = time.monotonic_ns()
+        with self._lock:
+            over = [
+                run
+                for run, attempt in self._starts.items()
+                if run in listed
+                or (attempt.lease_end_ns < now_ns and run not in self._busy)
+            ]
+            for run in over:
+                del self._starts[run]
+
+    def start(
+        self, order: ttypes.Order, lease: lease_renewer.AgentLease
+    ) -> None:
+        """Starts a run under a lease."""
+        run = run_events.run_of(order)
+        with self._lock:
+            self._starts[run] = StartAttempt(order.resources, lease.end_ns)
+        self._submit("start", run, self._start, order, lease.end_ns)
+
+    def checkpoint(
+        self, order: ttypes.Order, *, on_result: Callable[[bool], None]
+    ) -> None:
+        """Checkpoints a run; `on_result` hears whether it succeeded."""
+        self._submit(
+            "checkpoint",
+            run_events.run_of(order),
+            self._checkpoint,
+            order,
+            on_result,
+        )
+
+    def throttle(self, order: ttypes.Order, *, throttled: bool) -> None:
+        """Throttles a run or lets it go."""
+        self._submit(
+            "throttle",
+            run_events.run_of(order),
+            lambda: self._worker.throttle(
+                order.task, epoch=order.epoch, throttled=throttled
+            ),
+        )
+
+    def stop(self, run: run_events.RunId) -> None:
+        """Stops a run; the worker's list then says how it ended."""
+        self._submit("stop", run, self._stop, run)
+
+    def forget(self, run: run_events.RunId) -> None:
+        """Lets the worker drop a run whose end is recorded."""
+        self._submit(
+            "forget",
+            run,
+            lambda: self._worker.forget(run.task, epoch=run.epoch),
+        )
+
+    def _submit(
+        self,
+        step: str,
+        run: run_events.RunId,
+        operation: Callable,
+        *arguments: object,
+    ) -> None:
+        with self._lock:
+            if run in self._busy:
+                return
+            self._busy.add(run)
+        self._pool.submit(self._perform, step, run, operation, arguments)
+
+    def _perform(
+        self,
+        step: str,
+        run: run_events.RunId,
+        operation: Callable,
+        arguments: tuple,
+    ) -> None:
+        outcome = "ok"
+        try:
+            operation(*arguments)
+        except errors.MarigoldsillError as error:
+            outcome = error.kind
+            logs.event(
+                f"{step}_failed",
+                level="WARNING",
+                task=run.task,
+                epoch=run.epoch,
+                reason=error.message,
+            )
+        except Exception as error:  # the pool must live on
+            outcome = type(error).__name__
+            logs.event(f"{step}_failed", level="ERROR", reason=repr(error))
+        finally:
+            _STEPS.labels(step, outcome).inc()
+            with self._lock:
+                self._busy.discard(run)
+            self._on_done()
+
+    def _start(self, order: ttypes.Order, lease_end_ns: int) -> None:
+        failpoints.reach("start.before")
+        run = run_events.run_of(order)
+        try:
+            self._worker.start(_spec(order, lease_end_ns))
+        except errors.LeaseOverError:
+            self._drop_start(run)
+            raise
+        except errors.CapacityError as error:
+            self._drop_start(run)
+            self._report(order, ttypes.RunEventKind.REFUSED, error.message)
+            raise
+        except errors.PlatformError as error:
+            self._drop_start(run)
+            self._report(order, ttypes.RunEventKind.FAILED, error.message)
+            raise
+        except errors.TransportError as error:
+            if not error.sent:
+                self._drop_start(run)
+            raise
+        failpoints.reach("start.done")
+        logs.event("run_started", task=order.task, epoch=order.epoch)
+        self._report(order, ttypes.RunEventKind.STARTED, "")
+        failpoints.reach("start.reported")
+
+    def _checkpoint(
+        self, order: ttypes.Order, on_result: Callable[[bool], None]
+    ) -> None:
+        failpoints.reach("checkpoint.before")
+        try:
+            task = self._worker.checkpoint(order.task, epoch=order.epoch)
+        except errors.MarigoldsillError:
+            on_result(False)
+            raise
+        failpoints.reach("checkpoint.done")
+        self._outbox.add(
+            ttypes.RunEvent(
+                task=order.task,
+                epoch=order.epoch,
+                kind=ttypes.RunEventKind.CHECKPOINTED,
+                checkpoint_id=task.checkpoint_id,
+                worked_ms=task.checkpoint_worked_ms,
+            )
+        )
+        failpoints.reach("checkpoint.reported")
+        on_result(True)
+
+    def _stop(self, run: run_events.RunId) -> None:
+        failpoints.reach("stop.before")
+        self._worker.stop(run.task, epoch=run.epoch)
+        failpoints.reach("stop.done")
+
+    def _drop_start(self, run: run_events.RunId) -> None:
+        with self._lock:
+            self._starts.pop(run, None)
+
+    def _report(
+        self, order: ttypes.Order, kind: ttypes.RunEventKind, detail: str
+    ) -> None:
+        self._outbox.add(
+            ttypes.RunEvent(
+                task=order.task, epoch=order.epoch, kind=kind, detail=detail
+            )
+        )
+
+
+def _spec(order: ttypes.Order, lease_end_ns: int) -> worker_interface.StartSpec:
+    return worker_interface.StartSpec(
+        task=order.task,
+        epoch=order.epoch,
+        kind=_KINDS[order.kind],
+        owner=order.owner,
+        command=order.command,
+        cpu_millicores=order.resources.cpu_millicores,
+        memory_bytes=order.resources.memory_bytes,
+        accelerators_count=order.resources.accelerators_count,
+        lease_end_ns=lease_end_ns,
+        checkpoint_id=order.checkpoint_id,
+        worked_ms=order.worked_ms,
+        run_time_ms=order.run_time_ms,
+        slots_count=order.slots_count,
+        connections_count=order.connections_count,
+    )
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -41,14 +41,10 @@
         self._pool.shutdown(wait=False)
 
     def _loop(self) -> None:
-        led = False
         while not self._stopping.wait(_TICK_S):
-            leads = self._replica.is_leader
-            if leads and not led:
-                self._service.become_leader()
-            led = leads
-            if not leads:
+            if not self._replica.is_leader:
                 continue
+            self._service.become_leader()
             try:
                 self._tick()
             except errors.MarigoldsillError as error:
@@ -65,12 +61,20 @@
 
     def _tick(self) -> None:
         with self._replica.lock:
+            # What leases say holds only while no later leader renews them.
+            term = self._service.led_term
             lost = self._lost_runs()
             gone = self._lost_workers()
         if lost:
-            self._propose(record_run_events=ttypes.RecordRunEvents(events=lost))
+            self._propose(
+                record_run_events=ttypes.RecordRunEvents(
+                    events=lost, decided_term=term
+                )
+            )
         for worker in gone:
-            self._propose(put_worker=ttypes.PutWorker(worker=worker))
+            self._propose(
+                put_worker=ttypes.PutWorker(worker=worker, decided_term=term)
+            )
             self._service.forget_agent(worker.name)
         with self._replica.lock:
             grants = placement.place_queued(
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -151,6 +151,10 @@
     """The run does not fit what the worker has left."""
 
 
+class LeaseOverError(PlatformError):
+    """The lease under which something was asked for has run out."""
+
+
 class StorageError(MarigoldsillError):
     """The durable state could not be read or written; the process stops."""
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -106,7 +106,9 @@
   13: i32 evictions_count = 0,
   14: bool final_stop = false,    // STOPPING leads to CANCELLED, not QUEUED
   15: Resources reserved,         // what the grant reserved on the worker
-  16: bool throttled = false
+  16: bool throttled = false,
+  40: i64 absent_since_unix_ms = 0, // last time that it ran for long
+  41: i64 running_since_unix_ms = 0 // its start was recorded then
 }
 
 enum WorkerState { ACTIVE = 1, DRAINING = 2, QUARANTINED = 3, LOST = 4 }
@@ -120,7 +122,8 @@
   5: string agent_address,        // host:port, thrift
   6: WorkerState state = 1,
   7: i64 incarnation = 0,         // of its agent
-  8: string reason = ""
+  8: string reason = "",
+  40: WorkerState resume_state = 1  // once live again; kept while LOST
 }
 
 enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
@@ -258,10 +261,16 @@
   7: i64 event_id = 0               // agent's own, for acknowledgement
 }
 
-struct RecordRunEvents { 1: list<RunEvent> events }
+struct RecordRunEvents {
+  1: list<RunEvent> events,
+  40: i64 decided_term = 0          // 0: an agent's; else no later leader's
+}
 
 /** A worker joined, changed, was quarantined, restored or lost. */
-struct PutWorker { 1: Worker worker }
+struct PutWorker {
+  1: Worker worker,
+  40: i64 decided_term = 0          // 0: always; else no later leader's
+}
 
 struct PutClaim { 1: Claim claim }
 
@@ -414,14 +423,17 @@
   5: optional list<EndpointInfo> endpoints,   // same
   6: list<RunningTask> running = [],
   7: list<RunEvent> events = [],    // resent until acknowledged
-  8: list<Usage> usage = []
+  8: list<Usage> usage = [],
+  40: bool worker_silent = false    // the platform renews no lease now
 }
 
 struct HeartbeatReply {
   1: i64 term,
   2: i64 lease_ms,                  // counted from when the agent sent it
   3: list<i64> acknowledged_events = [],
-  4: bool resend_worker = false     // control forgot: send worker, endpoints
+  4: bool resend_worker = false,    // control forgot: send worker, endpoints
+  40: i64 orders_version = 0,       // of `term`; start nothing on older ones
+  41: i64 replaced_by = 0           // a newer incarnation of this agent
 }
 
 enum Desire { RUN = 1, THROTTLE = 2, CHECKPOINT_AND_STOP = 3, STOP = 4 }
@@ -440,7 +452,8 @@
   10: i32 connections_count = 0,
   11: string owner = "",
   12: i64 run_time_ms = 0,
-  13: bool started = false          // its start was recorded
+  13: bool started = false,         // its start was recorded
+  40: bool checkpointable = false
 }
 
 /** Where a service's requests can go. */
@@ -568,5 +581,7 @@
   13: list<AuditRecord> audit,
   14: list<Claim> claims,
   15: list<StoredResult> results,
-  16: list<Member> members = []
+  16: list<Member> members = [],
+  40: i64 leader_term = 0,
+  41: i64 longest_lease_ms = 0
 }
--- a/marigoldsill/protocol/worker_interface.py
+++ b/marigoldsill/protocol/worker_interface.py
@@ -136,7 +136,12 @@
 
     @abc.abstractmethod
     def start(self, spec: StartSpec) -> None:
-        """Starts a run; starting the same (task, epoch) again is harmless."""
+        """Starts a run; starting the same (task, epoch) again is harmless.
+
+        Raises:
+            CapacityError: The run does not fit; it was not started.
+            LeaseOverError: Its lease has run out; it was not started.
+        """
 
     @abc.abstractmethod
     def renew(self, *, lease_end_ns: int) -> None:
@@ -216,6 +221,8 @@
         )
         if answer.status_code == 409:
             raise errors.CapacityError(_detail(answer))
+        if answer.status_code == 410:
+            raise errors.LeaseOverError(_detail(answer))
         if answer.status_code >= 400:
             raise errors.PlatformError(
                 f"{path} gave {answer.status_code}: {_detail(answer)}"
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -1,8 +1,6 @@
 """The agent role: one worker's runs and requests."""
 
-from concurrent import futures
 import json
-import threading
 import time
 
 from werkzeug import wrappers
@@ -11,9 +9,10 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.coordination import admission as admission_module
 from marigoldsill.coordination import agent_service
-from marigoldsill.coordination import control_link
+from marigoldsill.coordination import heartbeat_sender
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.coordination import worker_usage
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import Agent as AgentThrift
 from marigoldsill.protocol.generated import ttypes
@@ -25,7 +24,6 @@
 
 _BODY_LIMIT_BYTES = 1 << 20
 _HTTP_THREADS_COUNT = 8
-_HEARTBEAT_TIMEOUT_S = 1.0
 
 
 class Agent:
@@ -38,11 +36,14 @@
 
     def __init__(self, settings: settings_module.AgentSettings):
         self._settings = settings
-        self._incarnation = time.time_ns()
-        self._stopping = threading.Event()
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
-        self._runs = run_keeper.RunKeeper(worker=self._worker)
+        self._usage = worker_usage.WorkerUsage(worker=self._worker)
+        self._runs = run_keeper.RunKeeper(
+            worker=self._worker,
+            checkpoint_interval_s=settings.checkpoint_interval_s,
+            on_event=lambda: self._heartbeats.wake(),
+        )
         self._admission = admission_module.Admission(
             queue_count=settings.queue_count
         )
@@ -73,10 +74,16 @@
             ),
             threads_count=_HTTP_THREADS_COUNT,
         )
-        self._pool = futures.ThreadPoolExecutor(1, "heartbeat")
-        self._announced: list[ttypes.EndpointInfo] | None = None
-        self._resend = True
-        self._sequence = 0
+        self._heartbeats = heartbeat_sender.HeartbeatSender(
+            agent=settings.name,
+            control_addresses=settings.control_addresses,
+            interval_s=settings.heartbeat_ms / 1000,
+            runs=self._runs,
+            usage=self._usage,
+            describe_worker=self._describe_worker,
+            endpoints=self._admission.endpoints,
+            cut_switch=self._cuts,
+        )
         self.http_address = self._http.address
         self.thrift_address = self._thrift.address
 
@@ -86,7 +93,8 @@
         self._http.start()
         self._runs.start()
         self._subscriber.start()
-        self._pool.submit(self._heartbeat_loop)
+        self._usage.start()
+        self._heartbeats.start()
         logs.event(
             "started", http=self.http_address, thrift=self.thrift_address
         )
@@ -97,17 +105,19 @@
         end_s = time.monotonic() + self._settings.drain_limit_s
         while sum(self._admission.load()) and time.monotonic() < end_s:
             time.sleep(0.05)
-        self._stopping.set()
+        self._heartbeats.stop()
+        self._usage.stop()
         self._subscriber.stop()
         self._runs.stop()
         self._thrift.stop()
         self._http.stop()
-        self._pool.shutdown(wait=False)
         logs.event("stopped")
 
     def _on_reply(self, reply: ttypes.WatchReply) -> None:
         if reply.orders is not None:
-            self._runs.take_orders(reply.term, reply.orders)
+            self._runs.take_orders(
+                reply.term, reply.orders_version, reply.orders
+            )
         draining = self._subscriber.configuration.draining_workers
         self._admission.draining = self._settings.name in draining
 
@@ -117,74 +127,16 @@
         self._admission.announce(_endpoints(request.get_data()))
         return common.json_response({})
 
-    def _heartbeat_loop(self) -> None:
-        link = control_link.ControlLink(
-            addresses=self._settings.control_addresses, cut_switch=self._cuts
-        )
-        while not self._stopping.is_set():
-            try:
-                self._heartbeat(link)
-            except errors.MarigoldsillError as error:
-                logs.event(
-                    "heartbeat_failed", level="WARNING", reason=error.message
-                )
-            except Exception as error:  # must go on sending
-                logs.event(
-                    "heartbeat_failed", level="ERROR", reason=repr(error)
-                )
-            self._stopping.wait(self._settings.heartbeat_ms / 1000)
-        link.close()
-
-    def _heartbeat(self, link: control_link.ControlLink) -> None:
-        self._sequence += 1
-        endpoints = self._admission.endpoints()
-        changed = self._resend or endpoints != self._announced
-        heartbeat = ttypes.Heartbeat(
-            agent=self._settings.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            worker=self._own_worker() if self._resend else None,
-            endpoints=endpoints if changed else None,
-            events=self._runs.events(),
-            usage=self._usage(),
-        )
-        sent_ns = time.monotonic_ns()
-        reply = link.call(
-            "heartbeat", heartbeat, timeout_s=_HEARTBEAT_TIMEOUT_S
-        )
-        self._resend = reply.resend_worker
-        if reply.resend_worker:
-            return
-        self._announced = endpoints
-        self._runs.acknowledge(reply.acknowledged_events)
-        self._runs.renew_lease(sent_ns + reply.lease_ms * 1_000_000)
-
-    def _usage(self) -> list[ttypes.Usage]:
-        return [
-            ttypes.Usage(
-                task=item.task,
-                cpu_millicores=item.cpu_millicores,
-                memory_bytes=item.memory_bytes,
-                age_ms=item.age_ms,
-                latency_p99_us=item.latency_p99_us,
-                progress_ms=item.progress_ms,
-            )
-            for item in self._worker.usage()
-        ]
-
-    def _own_worker(self) -> ttypes.Worker:
-        capacity = self._worker.capacity()
+    def _describe_worker(
+        self, incarnation: int, capacity: ttypes.Resources
+    ) -> ttypes.Worker:
         return ttypes.Worker(
             name=self._settings.name,
             data_centre=self._settings.data_centre,
             rack=self._settings.rack,
-            capacity=ttypes.Resources(
-                cpu_millicores=capacity.cpu_millicores,
-                memory_bytes=capacity.memory_bytes,
-                accelerators_count=capacity.accelerators_count,
-            ),
+            capacity=capacity,
             agent_address=self.thrift_address,
-            incarnation=self._incarnation,
+            incarnation=incarnation,
         )
 
 
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -215,6 +215,12 @@
         parse_integer(50, 60_000),
         default=500,
     )
+    checkpoint_interval_s: int = setting(
+        "Time between checkpoints of a batch job that runs, in seconds; a "
+        "lost worker costs at most so much of its work.",
+        parse_integer(1, 86_400),
+        default=60,
+    )
     queue_count: int = setting(
         "Requests that may wait for a slot of one service.",
         parse_integer(0, 10_000),
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -65,10 +65,13 @@
             return runs.evict(tables, evictions)
         case ttypes.ThrottleRuns(throttles=throttles):
             return runs.throttle(tables, throttles)
-        case ttypes.RecordRunEvents(events=events):
-            return runs.record_events(tables, events, now_unix_ms)
-        case ttypes.PutWorker(worker=worker):
-            return runs.put_worker(tables, worker)
+        case ttypes.RecordRunEvents() as record:
+            return runs.record_events(tables, record, now_unix_ms)
+        case ttypes.PutWorker() as put:
+            return runs.put_worker(tables, put)
+        case ttypes.NoOperation(term=term):
+            tables.leader_term = max(tables.leader_term, term)
+            return _ok(tables)
         case ttypes.PutClaim(claim=claim):
             return claims.put(tables, claim, now_unix_ms)
         case ttypes.EndClaim() as end:
--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -153,7 +153,7 @@
         case ttypes.ChangeVerb.UNDRAIN:
             _set_worker(tables, name, ttypes.WorkerState.ACTIVE)
         case ttypes.ChangeVerb.POLICY:
-            tables.policy = change.policy_after
+            tables.set_policy(change.policy_after)
 
 
 def _put(
@@ -197,6 +197,7 @@
                 owner=owner,
                 kind=kind,
                 queued_unix_ms=now_unix_ms,
+                absent_since_unix_ms=now_unix_ms,
                 reserved=ttypes.Resources(),
                 reason="waits for a worker",
             )
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -82,21 +82,36 @@
 
 def record_events(
     tables: tables_module.Tables,
-    events: list[ttypes.RunEvent],
+    record: ttypes.RecordRunEvents,
     now_unix_ms: int,
 ) -> ttypes.CommandResult:
-    """Records what became of runs; only the current epoch counts."""
-    applied = sum(_record_event(tables, event, now_unix_ms) for event in events)
+    """Records what became of runs; only the current epoch counts.
+
+    What a leader decided from leases counts only while no later leader has
+    begun: that one may have renewed them.
+    """
+    if _is_outdated(tables, record.decided_term):
+        return _result(tables, 0)
+    applied = sum(
+        _record_event(tables, event, now_unix_ms) for event in record.events
+    )
     return _result(tables, applied)
 
 
 def put_worker(
-    tables: tables_module.Tables, worker: ttypes.Worker
+    tables: tables_module.Tables, put: ttypes.PutWorker
 ) -> ttypes.CommandResult:
-    """Adds or replaces a worker; draining by an operator is kept."""
+    """Adds or replaces a worker; draining by an operator outlives a loss."""
+    worker = put.worker
     old = tables.workers.get(worker.name)
     if old is not None and worker.incarnation < old.incarnation:
         return _result(tables, 0)
+    if _is_outdated(tables, put.decided_term):
+        return _result(tables, 0)
+    if old is not None and worker.state == ttypes.WorkerState.LOST:
+        worker.resume_state = old.state
+        if old.state == ttypes.WorkerState.LOST:
+            worker.resume_state = old.resume_state
     tables.workers[worker.name] = worker
     return _result(tables, 1)
 
@@ -117,6 +132,10 @@
         )
 
 
+def _is_outdated(tables: tables_module.Tables, decided_term: int) -> bool:
+    return 0 < decided_term < tables.leader_term
+
+
 def _record_event(
     tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
 ) -> int:
@@ -129,7 +148,11 @@
         case ttypes.RunEventKind.STARTED:
             if task.state != ttypes.TaskState.ASSIGNED:
                 return 0
-            tables.change_task(task.name, state=ttypes.TaskState.RUNNING)
+            tables.change_task(
+                task.name,
+                state=ttypes.TaskState.RUNNING,
+                running_since_unix_ms=now_unix_ms,
+            )
         case ttypes.RunEventKind.CHECKPOINTED:
             if event.worked_ms < task.worked_ms:
                 return 0
@@ -139,7 +162,7 @@
                 worked_ms=event.worked_ms,
             )
         case ttypes.RunEventKind.COMPLETED:
-            _complete(tables, task)
+            _complete(tables, task, event, now_unix_ms)
         case ttypes.RunEventKind.FAILED:
             _fail(tables, task, event, now_unix_ms)
         case _:
@@ -147,16 +170,21 @@
     return 1
 
 
-def _complete(tables: tables_module.Tables, task: ttypes.Task) -> None:
-    if task.kind == ttypes.Kind.BATCH_JOB:
-        tables.change_task(
-            task.name, state=ttypes.TaskState.DONE, reason="completed"
-        )
+def _complete(
+    tables: tables_module.Tables,
+    task: ttypes.Task,
+    event: ttypes.RunEvent,
+    now_unix_ms: int,
+) -> None:
+    if task.kind != ttypes.Kind.BATCH_JOB:
+        # A service or watcher never completes: it runs again.
+        _queue_again(tables, task, event, now_unix_ms, reason="ended by itself")
         return
-    # A service or watcher never completes: it runs again.
     tables.change_task(
-        task.name, state=ttypes.TaskState.QUEUED, reason="ended by itself"
+        task.name, state=ttypes.TaskState.DONE, reason="completed"
     )
+    if tables.owner_record(task) is None:
+        tables.remove_task(task.name)
 
 
 def _fail(
@@ -183,6 +211,8 @@
     task: ttypes.Task,
     event: ttypes.RunEvent,
     now_unix_ms: int,
+    *,
+    reason: str = "",
 ) -> None:
     if event.checkpoint_id and event.worked_ms >= task.worked_ms:
         tables.change_task(
@@ -197,12 +227,26 @@
         task.name,
         state=state,
         queued_unix_ms=now_unix_ms,
-        reason=event.detail or task.reason,
+        reason=reason or event.detail or task.reason,
+        absent_since_unix_ms=_absent_since(tables, task, now_unix_ms),
+        running_since_unix_ms=0,
     )
     if task.final_stop and tables.owner_record(task) is None:
         tables.remove_task(task.name)
 
 
+def _absent_since(
+    tables: tables_module.Tables, task: ttypes.Task, now_unix_ms: int
+) -> int:
+    """Since when a task is absent; a run too short to count changes nothing."""
+    owner = tables.owner_record(task)
+    long_enough_ms = getattr(owner, "absence_limit_ms", 0)
+    since_unix_ms = task.running_since_unix_ms
+    if since_unix_ms and now_unix_ms - since_unix_ms >= long_enough_ms:
+        return now_unix_ms
+    return task.absent_since_unix_ms
+
+
 def _result(tables: tables_module.Tables, applied: int) -> ttypes.CommandResult:
     return ttypes.CommandResult(
         state_version=tables.state_version, applied_count=applied
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -32,6 +32,9 @@
         config_checksum: Over all subjects and their versions; equal for equal
             configurations whatever the order of changes.
         touched_workers: Workers whose runs changed since `take_touched`.
+        leader_term: Term of the last leader that the log knows.
+        longest_lease_ms: The longest lease that any policy allowed; a new
+            leader waits for it, since an older policy may have granted it.
     """
 
     def __init__(self):
@@ -40,6 +43,8 @@
         self.next_plan_id = 1
         self.next_audit_sequence = 1
         self.policy = ttypes.Policy()
+        self.leader_term = 0
+        self.longest_lease_ms = self.policy.lease_ms
         self.services: dict[str, ttypes.Service] = {}
         self.batch_jobs: dict[str, ttypes.BatchJob] = {}
         self.watchers: dict[str, ttypes.Watcher] = {}
@@ -62,6 +67,11 @@
         touched, self.touched_workers = self.touched_workers, set()
         return touched
 
+    def set_policy(self, policy: ttypes.Policy) -> None:
+        """Brings an operator policy into force."""
+        self.policy = policy
+        self.longest_lease_ms = max(self.longest_lease_ms, policy.lease_ms)
+
     def put_task(self, task: ttypes.Task) -> None:
         """Adds or replaces a task and mends the indexes."""
         self.remove_task(task.name)
@@ -147,6 +157,8 @@
                     for key, value in self.results.items()
                 ],
                 members=self.members,
+                leader_term=self.leader_term,
+                longest_lease_ms=self.longest_lease_ms,
             )
         )
 
@@ -163,6 +175,10 @@
         tables.next_plan_id = snapshot.next_plan_id
         tables.next_audit_sequence = snapshot.next_audit_sequence
         tables.policy = snapshot.policy
+        tables.leader_term = snapshot.leader_term
+        tables.longest_lease_ms = max(
+            snapshot.longest_lease_ms, snapshot.policy.lease_ms
+        )
         tables.services = _by_name(snapshot.services)
         tables.batch_jobs = _by_name(snapshot.batch_jobs)
         tables.watchers = _by_name(snapshot.watchers)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -21,6 +21,13 @@
         endpoint_hangs: Requests are never answered.
         slow_factor: Batch work goes on this many times slower.
         announces: Whether endpoints announce themselves.
+        fail_owners: Runs of these batch jobs fail soon after their start.
+        checkpoints_fail: Every checkpoint fails.
+        usage_missing: No measurement is given.
+        hangs: Operations, such as "checkpoint", that get no answer and are
+            not done.
+        late_ms: Operations that are done so much later than they came, in
+            milliseconds by name.
     """
 
     fail_starts: bool = False
@@ -34,6 +41,11 @@
     endpoint_hangs: bool = False
     slow_factor: float = 1.0
     announces: bool = True
+    fail_owners: list[str] = dataclasses.field(default_factory=list)
+    checkpoints_fail: bool = False
+    usage_missing: bool = False
+    hangs: list[str] = dataclasses.field(default_factory=list)
+    late_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def change(self, fields: dict[str, object]) -> None:
         """Sets some of the faults by name."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,6 +26,7 @@
 
 _TICK_S = 0.02
 _ANNOUNCE_S = 0.5
+_HANG_S = 20.0
 
 _URLS = routing.Map(
     [
@@ -43,6 +44,7 @@
                 "forget",
                 "faults",
                 "agent",
+                "resize",
             )
         ),
     ]
@@ -118,7 +120,9 @@
 
     def start(self) -> None:
         """Begins to serve."""
-        self._journal.write("capacity", worker=self.name, **self._capacity)
+        self._journal.write(
+            "worker_started", worker=self.name, **self._capacity
+        )
         self._ticker.submit(self._tick_forever)
         self._ticker.submit(self._announce_forever)
         self._server.start()
@@ -143,6 +147,10 @@
         except exceptions.HTTPException as error:
             return error.get_response()
         body = json.loads(request.get_data() or b"{}")
+        if name in self.faults.hangs:
+            self._stopping.wait(_HANG_S)
+            return _json({"error": "no answer in time"}, status=503)
+        self._stopping.wait(self.faults.late_ms.get(name, 0) / 1000)
         with self._lock:
             return getattr(self, f"_do_{name}")(body)
 
@@ -154,6 +162,8 @@
 
     def _do_usage(self, body: dict) -> wrappers.Response:
         factor = self.faults.usage_factor
+        if self.faults.usage_missing:
+            return _json([])
         return _json(
             [
                 {
@@ -173,6 +183,13 @@
         if key in self._runs:
             return _json({})
         if time.monotonic_ns() > body["lease_end_ns"]:
+            self._journal.write(
+                "start_refused",
+                worker=self.name,
+                task=body["task"],
+                epoch=body["epoch"],
+                detail="the lease has run out",
+            )
             return _json({"error": "the lease has run out"}, status=410)
         if self.faults.fail_starts:
             return _json({"error": "start failed"}, status=500)
@@ -217,6 +234,8 @@
 
     def _do_renew(self, body: dict) -> wrappers.Response:
         for run in self._runs.values():
+            # First, so that a lease that has run out is never renewed.
+            self._tick(run)
             run.lease_end_ns = max(run.lease_end_ns, body["lease_end_ns"])
         return _json({})
 
@@ -224,6 +243,8 @@
         run = self._runs.get((body["task"], body["epoch"]))
         if run is None or run.state != "running":
             return _json({"error": "not running"}, status=404)
+        if self.faults.checkpoints_fail:
+            return _json({"error": "checkpoint failed"}, status=500)
         self._advance(run)
         run.checkpoint_worked_ms = int(run.progress_ms)
         run.checkpoint_id = f"{run.task}@{run.epoch}:{int(run.progress_ms)}"
@@ -264,6 +285,11 @@
         self._agent_url = body["url"]
         return _json({})
 
+    def _do_resize(self, body: dict) -> wrappers.Response:
+        self._capacity |= body
+        self._journal.write("capacity", worker=self.name, **self._capacity)
+        return _json({})
+
     def _fits(self, body: dict) -> bool:
         live = [r for r in self._runs.values() if r.state == "running"]
         return all(
@@ -286,7 +312,7 @@
         self._advance(run)
         if run.kind != "batch_job":
             return
-        if self.faults.runs_fail:
+        if self.faults.runs_fail or run.owner in self.faults.fail_owners:
             self._end(run, "failed", "the run failed")
         elif run.progress_ms >= run.run_time_ms:
             self._end(run, "completed", "")
@@ -296,6 +322,8 @@
         factor = self.faults.slow_factor * (4 if run.throttled else 1)
         run.progress_ms += (now_s - run.advanced_s) * 1000 / factor
         run.advanced_s = now_s
+        if run.kind == "batch_job":
+            run.progress_ms = min(run.progress_ms, run.run_time_ms)
 
     def _end(self, run: _Run, state: str, detail: str) -> None:
         if run.state != "running":
