Judge runs by one place of invariants over the stand-ins' journals

Failure tests had nothing in common to judge by. tests/invariants.py checks capacity at each start, overlap of epochs, epochs started twice, work counted twice or lost in an orderly stop, jobs done again and keys run twice; its own test shows that each violation is seen. The stand-in worker can hang, be late, fail checkpoints, change its capacity and restart empty.

--- a/marigoldsill/coordination/run_events.py
+++ b/marigoldsill/coordination/run_events.py
@@ -77,6 +77,12 @@
             _WAITING.set(len(self._waiting))
         return [event for event in done if event is not None]
 
+    def has_started(self, run: RunId) -> bool:
+        """Whether its start was reported."""
+        with self._lock:
+            reported = self._reported.get(run, ())
+            return (ttypes.RunEventKind.STARTED, "") in reported
+
     def has_ended(self, run: RunId) -> bool:
         """Whether an end of the run, of whatever kind, was reported."""
         with self._lock:
--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -135,9 +135,9 @@
     def acknowledge(self, event_ids: list[int]) -> None:
         """Drops events that control has recorded."""
         recorded = self._outbox.acknowledge(event_ids)
-        failpoints.reach("end.acknowledged")
         for event in recorded:
             if event.kind in _ENDED_EVENTS.values():
+                failpoints.reach("end.acknowledged")
                 self._operations.forget(run_events.run_of(event))
         if recorded:
             self._wake.set()
@@ -230,11 +230,12 @@
         listed: dict[run_events.RunId, worker_interface.PlatformTask],
         lease: lease_renewer.AgentLease,
     ) -> None:
-        if order.started:
+        # An epoch is started once. What an earlier agent may have started is
+        # on the list, or it is lost.
+        was_started = order.started or self._outbox.has_started(run)
+        if was_started or run in self._inherited:
             self._report_lost(run, "the worker lost the run")
             return
-        if run in self._inherited and not self._is_quiet():
-            return
         if self._other_epoch_lives(run, listed):
             return
         match self.room.judge(order.resources):
--- a/standins/journal.py
+++ b/standins/journal.py
@@ -33,4 +33,4 @@
         return []
     text = path.read_text()
     lines = text[: text.rfind("\n") + 1].splitlines()
-    return [json.loads(line) for line in lines]
+    return [json.loads(line) for line in lines if line]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -140,6 +140,23 @@
         """Tells where endpoints announce themselves."""
         self._agent_url = url
 
+    def resize(self, **capacity: int) -> None:
+        """Changes what the worker can hold, for those named."""
+        with self._lock:
+            self._capacity |= capacity
+            self._journal.write("capacity", worker=self.name, **self._capacity)
+
+    def restart_empty(self) -> None:
+        """Loses every run without a word, as a VM that restarts does."""
+        with self._lock:
+            for run in self._runs.values():
+                if run.endpoint is not None:
+                    run.endpoint.stop()
+            self._runs.clear()
+            self._journal.write(
+                "worker_started", worker=self.name, **self._capacity
+            )
+
     @wrappers.Request.application
     def _application(self, request: wrappers.Request) -> wrappers.Response:
         try:
@@ -228,6 +245,7 @@
             kind=run.kind,
             checkpoint_id=run.checkpoint_id,
             worked_ms=body["worked_ms"],
+            run_time_ms=run.run_time_ms,
             **_identity(run),
         )
         return _json({})
@@ -286,8 +304,7 @@
         return _json({})
 
     def _do_resize(self, body: dict) -> wrappers.Response:
-        self._capacity |= body
-        self._journal.write("capacity", worker=self.name, **self._capacity)
+        self.resize(**body)
         return _json({})
 
     def _fits(self, body: dict) -> bool:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,6 +1,7 @@
 """Starts the roles and stand-ins as separate processes on loopback."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -10,7 +11,10 @@
 import sys
 import time
 
+from marigoldsill import errors
 from marigoldsill.transport import http_client
+from standins import journal
+from tests import invariants
 
 WAIT_LIMIT_S = 30.0
 _POLL_S = 0.05
@@ -84,6 +88,14 @@
         self._popen.kill()
         self._popen.wait()
 
+    def wait_for_end(self) -> int:
+        """Waits until it has ended by itself; its exit status."""
+        wait_until(
+            lambda: self._popen.poll() is not None,
+            what=f"the end of {self.log.name}",
+        )
+        return self._popen.returncode
+
     def stop(self) -> int:
         """Sends SIGTERM and returns its exit status."""
         self._popen.terminate()
@@ -111,8 +123,15 @@
         self.control_http: list[str] = []
         self.workers: dict[str, str] = {}
         self.entries: dict[str, str] = {}
+        self.cuts_file = folder / "cuts"
+        self._started_count = 0
 
-    def start_control(self, name: str = "control-1", *more: str) -> Process:
+    def start_control(
+        self,
+        name: str = "control-1",
+        *more: str,
+        environment: dict[str, str] | None = None,
+    ) -> Process:
         """Starts a control process."""
         process = self._start(
             name,
@@ -124,6 +143,7 @@
             "--data-folder",
             str(self.folder / f"{name}.data"),
             *more,
+            environment=environment,
         )
         addresses = process.addresses()
         self.control_thrift.append(addresses["thrift"])
@@ -139,13 +159,41 @@
         cores: int = 30,
         memory_bytes: int = 130 << 30,
         accelerators_count: int = 0,
+        agent_flags: Sequence[str] = (),
+        environment: dict[str, str] | None = None,
     ) -> Process:
         """Starts a worker stand-in with its agent; returns the agent."""
+        self.start_platform(
+            name,
+            cores=cores,
+            memory_bytes=memory_bytes,
+            accelerators_count=accelerators_count,
+        )
+        return self.start_agent(
+            name,
+            data_centre=data_centre,
+            rack=rack,
+            flags=agent_flags,
+            environment=environment,
+        )
+
+    def start_platform(
+        self,
+        name: str,
+        *,
+        cores: int = 30,
+        memory_bytes: int = 130 << 30,
+        accelerators_count: int = 0,
+    ) -> Process:
+        """Starts a worker stand-in; again, at the address that it had."""
+        address = self.workers.get(name, "http://127.0.0.1:0")
         platform = self._start(
             f"{name}.platform",
             "standins.worker",
             "--name",
             name,
+            "--address",
+            address.removeprefix("http://"),
             "--cpu-millicores",
             str(cores * 1000),
             "--memory-bytes",
@@ -157,10 +205,23 @@
         )
         address = platform.wait_for(r"address (\S+)")[1]
         self.workers[name] = f"http://{address}"
-        return self.start_agent(name, data_centre=data_centre, rack=rack)
+        return platform
+
+    def kill_platform(self, name: str) -> None:
+        """Kills a worker stand-in, as a VM fails, and journals that."""
+        self.processes[f"{name}.platform"].kill()
+        with self.journal_path(name).open("ab") as file:
+            line = {"event": "worker_killed", "at_ns": time.monotonic_ns()}
+            file.write(b"\n" + json.dumps(line).encode() + b"\n")
 
     def start_agent(
-        self, name: str, *, data_centre: str = "dc1", rack: str = "rack1"
+        self,
+        name: str,
+        *,
+        data_centre: str = "dc1",
+        rack: str = "rack1",
+        flags: Sequence[str] = (),
+        environment: dict[str, str] | None = None,
     ) -> Process:
         """Starts the agent of a worker that runs."""
         process = self._start(
@@ -177,6 +238,8 @@
             self.workers[name],
             "--control-addresses",
             ",".join(self.control_thrift),
+            *flags,
+            environment=environment,
         )
         self.tell_worker(
             name, "/agent", {"url": f"http://{process.addresses()['http']}"}
@@ -259,21 +322,107 @@
         assert done.returncode == 0, done.stderr
         return json.loads(done.stdout)
 
+    def request(self, method: str, path: str, body: bytes = b"") -> object:
+        """What the leader answers an operator, by HTTP; waits for one."""
+
+        def ask() -> http_client.HttpAnswer | None:
+            for address in self.control_http:
+                try:
+                    answer = http_client.fetch(
+                        f"http://{address}{path}",
+                        method=method,
+                        body=body,
+                        timeout_s=5.0,
+                    )
+                except errors.TransportError:
+                    continue
+                if answer.status_code not in (421, 503):
+                    return answer
+            return None
+
+        answer = wait_until(ask, what=f"an answer to {path}")
+        assert answer.status_code < 400, answer.body.decode()
+        return json.loads(answer.body)
+
+    def apply(self, intent: str) -> dict:
+        """Plans an intent and confirms it, guard rails and all."""
+        return self.confirm(
+            self.request("POST", "/v1/plans/apply", intent.encode())
+        )
+
+    def confirm(self, plan: dict) -> dict:
+        """Confirms a plan with every guard rail acknowledged."""
+        names = [guard["name"] for guard in plan["guards"]]
+        body = json.dumps({"acknowledged": names}).encode()
+        path = f"/v1/plans/{plan['plan_id']}/confirm"
+        return self.request("POST", path, body)
+
+    def task(self, name: str) -> dict:
+        """A task as `status` shows it; empty when there is none."""
+        tasks = self.request("GET", "/v1/status")["tasks"]
+        return next((t for t in tasks if t["name"] == name), {})
+
     def task_state(self, task: str) -> str:
         """A task's state as `status` shows it."""
-        tasks = self.operate("status")["tasks"]
-        return next((t["state"] for t in tasks if t["name"] == task), "")
+        return self.task(task).get("state", "")
+
+    def wait_for_state(self, task: str, *states: str) -> dict:
+        """Waits until a task has one of some states, and returns it."""
+        return wait_until(
+            lambda: (t := self.task(task)).get("state") in states and t,
+            what=f"{task} {'/'.join(states)}",
+        )
+
+    def cut(self, *pairs: str) -> None:
+        """Cuts connections, "FROM TO" each; without any, mends them all."""
+        self.cuts_file.write_text("\n".join(pairs))
+
+    def events(self, worker: str) -> list[dict]:
+        """What a worker stand-in journaled so far."""
+        return journal.read(self.journal_path(worker))
+
+    def wait_for_event(self, worker: str, event: str, **fields: object) -> dict:
+        """Waits for an event with some fields in a worker's journal."""
+        wanted = {"event": event, **fields}
+
+        def look() -> dict | None:
+            events = self.events(worker)
+            return next(
+                (e for e in events if wanted.items() <= e.items()), None
+            )
+
+        return wait_until(look, what=f"{wanted} on {worker}")
+
+    def assert_invariants(self, *unreachable: str) -> None:
+        """Judges the journals of all workers."""
+        invariants.assert_hold(
+            [self.journal_path(worker) for worker in self.workers],
+            unreachable=frozenset(unreachable),
+        )
 
     def end(self) -> None:
         """Ends every process."""
         for process in self.processes.values():
             process.end()
 
-    def _start(self, name: str, *arguments: str) -> Process:
+    def _start(
+        self,
+        name: str,
+        *arguments: str,
+        environment: dict[str, str] | None = None,
+    ) -> Process:
+        old = self.processes.get(name)
+        if old is not None:
+            old.end()
+        self._started_count += 1
         process = Process(
             list(arguments),
-            log=self.folder / f"{name}.log",
-            environment={"PYTHONUNBUFFERED": "1"},
+            log=self.folder / f"{name}.{self._started_count}.log",
+            environment={
+                "PYTHONUNBUFFERED": "1",
+                "MARIGOLDSILL_CUTS_FILE": str(self.cuts_file),
+            }
+            | (environment or {}),
         )
         self.processes[name] = process
         return process
