--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -109,9 +109,7 @@
     if _is_outdated(tables, put.decided_term):
         return _result(tables, 0)
     if old is not None and worker.state == ttypes.WorkerState.LOST:
-        worker.resume_state = old.state
-        if old.state == ttypes.WorkerState.LOST:
-            worker.resume_state = old.resume_state
+        worker = _lost_after(worker, old)
     tables.workers[worker.name] = worker
     return _result(tables, 1)
 
@@ -132,6 +130,14 @@
         )
 
 
+def _lost_after(worker: ttypes.Worker, old: ttypes.Worker) -> ttypes.Worker:
+    resume_state = old.state
+    if old.state == ttypes.WorkerState.LOST:
+        resume_state = old.resume_state
+    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
+    return ttypes.Worker(**(values | {"resume_state": resume_state}))
+
+
 def _is_outdated(tables: tables_module.Tables, decided_term: int) -> bool:
     return 0 < decided_term < tables.leader_term
 
--- /dev/null
+++ b/tests/coordination/fakes.py
@@ -0,0 +1,114 @@
+"""A replica without a group, for what needs only its interface."""
+
+from collections.abc import Callable
+import threading
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import machine
+from marigoldsill.state import tables as tables_module
+
+
+class FakeReplica:
+    """Applies every command at once; leads as long as the test says so."""
+
+    def __init__(self, *, term: int = 1):
+        self.lock = threading.RLock()
+        self.tables = tables_module.Tables()
+        self.member = ttypes.Member(
+            name="control-1", address="127.0.0.1:1", http_address="127.0.0.1:2"
+        )
+        self.is_leader = True
+        self.leader = self.member
+        self.term = 0
+        self._listeners: list[Callable[[ttypes.Command], None]] = []
+        self.lead(term)
+
+    def lead(self, term: int) -> None:
+        """Begins a term, as a new leader's first entry does."""
+        self.term = term
+        self.apply(no_operation=ttypes.NoOperation(term=term))
+
+    def on_applied(self, listener: Callable[[ttypes.Command], None]) -> None:
+        """Calls `listener` after each command."""
+        self._listeners.append(listener)
+
+    def propose(
+        self, command: ttypes.Command, *, timeout_s: float
+    ) -> ttypes.CommandResult:
+        """Applies a command."""
+        with self.lock:
+            result = machine.apply(self.tables, command)
+            for listener in self._listeners:
+                listener(command)
+        return result
+
+    def apply(self, *, at_unix_ms: int = 1, **body: object) -> None:
+        """Applies the body of a command, named by its field."""
+        self.propose(
+            ttypes.Command(proposed_unix_ms=at_unix_ms, **body), timeout_s=1.0
+        )
+
+    def confirm_leadership(self, *, timeout_s: float) -> None:
+        """There is nobody to ask."""
+
+    def declare(self, *changes: ttypes.Change) -> None:
+        """Plans and confirms changes."""
+        plan_id = self.tables.next_plan_id
+        plan = ttypes.Plan(operator_name="desk-1", changes=list(changes))
+        self.apply(record_plan=ttypes.RecordPlan(plan=plan))
+        self.apply(
+            confirm_plan=ttypes.ConfirmPlan(
+                plan_id=plan_id, operator_name="desk-1"
+            )
+        )
+
+
+def job_change(name: str = "rebuild") -> ttypes.Change:
+    """The change that adds a batch job."""
+    return ttypes.Change(
+        verb=ttypes.ChangeVerb.ADD,
+        subject=f"batch_job/{name}",
+        batch_job_after=ttypes.BatchJob(
+            name=name, resources=ttypes.Resources(cpu_millicores=1000)
+        ),
+    )
+
+
+def watcher_change(name: str = "parish") -> ttypes.Change:
+    """The change that adds a watcher with a limit of 10 s."""
+    return ttypes.Change(
+        verb=ttypes.ChangeVerb.ADD,
+        subject=f"watcher/{name}",
+        watcher_after=ttypes.Watcher(
+            name=name, resources=ttypes.Resources(cpu_millicores=1000)
+        ),
+    )
+
+
+def assignment(
+    task: str = "rebuild/0", *, epoch: int = 1, worker: str = "worker-1"
+) -> ttypes.AssignRuns:
+    """The body that grants one run."""
+    return ttypes.AssignRuns(
+        assignments=[
+            ttypes.Assignment(
+                task=task,
+                epoch=epoch,
+                worker=worker,
+                reserved=ttypes.Resources(cpu_millicores=1000),
+            )
+        ]
+    )
+
+
+def events(
+    kind: int,
+    *,
+    task: str = "rebuild/0",
+    epoch: int = 1,
+    decided_term: int = 0,
+    **fields: object,
+) -> ttypes.RecordRunEvents:
+    """The body that records one event of a run."""
+    event = ttypes.RunEvent(task=task, epoch=epoch, kind=kind, **fields)
+    return ttypes.RecordRunEvents(events=[event], decided_term=decided_term)
