--- a/tests/coordination/__init__.py
+++ b/tests/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of marigoldsill.coordination."""
+"""Tests of the decisions that several processes take together."""
--- a/tests/state/__init__.py
+++ b/tests/state/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of marigoldsill.state."""
+"""Tests of the state on the disk and in the tables."""
