--- a/marigoldsill/coordination/run_operations.py
+++ b/marigoldsill/coordination/run_operations.py
@@ -162,15 +162,18 @@
         except errors.MarigoldsillError as error:
             outcome = error.kind
             logs.event(
-                f"{step}_failed",
+                "run_step_failed",
                 level="WARNING",
+                step=step,
                 task=run.task,
                 epoch=run.epoch,
                 reason=error.message,
             )
         except Exception as error:  # the pool must live on
             outcome = type(error).__name__
-            logs.event(f"{step}_failed", level="ERROR", reason=repr(error))
+            logs.event(
+                "run_step_failed", level="ERROR", step=step, reason=repr(error)
+            )
         finally:
             _STEPS.labels(step, outcome).inc()
             with self._lock:
--- a/tests/failures/test_agent_crashes.py
+++ b/tests/failures/test_agent_crashes.py
@@ -39,7 +39,7 @@
     numbers = range(len(failpoints))
     system.apply("".join(JOB.format(number=number) for number in numbers))
     for worker, agent in agents.items():
-        agent.wait_for_end()
+        agent.wait()
         system.start_agent(worker, flags=FLAGS)
 
     for number in numbers:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -7,6 +7,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -26,6 +27,7 @@
     *,
     limit_s: float = WAIT_LIMIT_S,
     what: str = "the condition",
+    poll_s: float = _POLL_S,
 ) -> object:
     """Waits until a condition gives something true, and returns that."""
     end_s = time.monotonic() + limit_s
@@ -34,7 +36,13 @@
         if value:
             return value
         assert time.monotonic() < end_s, f"{what} did not hold in {limit_s} s"
-        time.sleep(_POLL_S)
+        time.sleep(poll_s)
+
+
+def free_address() -> str:
+    """An address of this machine whose port was free just now."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return f"127.0.0.1:{server.getsockname()[1]}"
 
 
 class Process:
@@ -88,14 +96,6 @@
         self._popen.kill()
         self._popen.wait()
 
-    def wait_for_end(self) -> int:
-        """Waits until it has ended by itself; its exit status."""
-        wait_until(
-            lambda: self._popen.poll() is not None,
-            what=f"the end of {self.log.name}",
-        )
-        return self._popen.returncode
-
     def stop(self) -> int:
         """Sends SIGTERM and returns its exit status."""
         self._popen.terminate()
@@ -123,6 +123,7 @@
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
         self.processes: dict[str, Process] = {}
+        self.control_addresses: dict[str, tuple[str, str]] = {}
         self.control_thrift: list[str] = []
         self.control_http: list[str] = []
         self.workers: dict[str, str] = {}
@@ -130,13 +131,50 @@
         self.cuts_file = folder / "cuts"
         self._started_count = 0
 
-    def start_control(
+    def start_control(self, name: str = "control-1", *more: str) -> Process:
+        """Forms a group of one control process and starts it."""
+        self.form_group(name)
+        return self.run_control(name, *more)
+
+    def start_controls(self, count: int = 3, *more: str) -> list[Process]:
+        """Forms a group, starts all of it and waits for every vote."""
+        names = [f"control-{number}" for number in range(1, count + 1)]
+        self.form_group(*names)
+        started = [self.run_control(name, *more) for name in names]
+        self.wait_for_voters(names)
+        return started
+
+    def form_group(self, *names: str) -> None:
+        """Forms a group of control processes on free ports."""
+        self.control_addresses = {
+            name: (free_address(), free_address()) for name in names
+        }
+        self.control_thrift = [t for t, _ in self.control_addresses.values()]
+        self.control_http = [h for _, h in self.control_addresses.values()]
+        members = ",".join(
+            f"{name}={thrift}={http}"
+            for name, (thrift, http) in self.control_addresses.items()
+        )
+        done = self.command(
+            "control",
+            "init",
+            "--name",
+            names[0],
+            "--data-folder",
+            str(self.data_folder(names[0])),
+            "--members",
+            members,
+        )
+        assert done.returncode == 0, done.stderr
+
+    def run_control(
         self,
-        name: str = "control-1",
+        name: str,
         *more: str,
         environment: dict[str, str] | None = None,
     ) -> Process:
-        """Starts a control process."""
+        """Starts a member of the group, also after its end."""
+        thrift, http = self.control_addresses[name]
         process = self._start(
             name,
             "marigoldsill",
@@ -144,16 +182,35 @@
             "run",
             "--name",
             name,
+            "--thrift-address",
+            thrift,
+            "--http-address",
+            http,
             "--data-folder",
-            str(self.folder / f"{name}.data"),
+            str(self.data_folder(name)),
             *more,
             environment=environment,
         )
-        addresses = process.addresses()
-        self.control_thrift.append(addresses["thrift"])
-        self.control_http.append(addresses["http"])
+        process.addresses()
         return process
 
+    def wait_for_voters(self, names: list[str]) -> None:
+        """Waits until a leader counts all of these members."""
+
+        def all_vote() -> bool:
+            done = self.command("status", "--output", "json")
+            if done.returncode != 0:
+                return False
+            members = json.loads(done.stdout)["members"]
+            voters = {m["name"] for m in members if m["voter"]}
+            return voters == set(names)
+
+        wait_until(all_vote, what=f"votes of {names}")
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """The data folder of a control process."""
+        return self.folder / f"{name}.data"
+
     def start_worker(
         self,
         name: str,
