--- a/tests/failures/test_agent_crashes.py
+++ b/tests/failures/test_agent_crashes.py
@@ -3,17 +3,60 @@
 import pytest
 
 from tests import processes
+from tests.failures import control_commands
 
-FLAGS = ("--heartbeat-ms", "200", "--checkpoint-interval-s", "1")
+LEASE_MS = 1500
 JOB = """
 [[batch_job]]
 name = "rebuild-{number}"
 cores = 30
 memory = "2GB"
-run_time = "1500ms"
+run_time = "{run_time}"
 """
 
 
+def _flags(*, checkpoint_interval_s: int) -> tuple[str, ...]:
+    interval = str(checkpoint_interval_s)
+    return ("--heartbeat-ms", "200", "--checkpoint-interval-s", interval)
+
+
+def _start(
+    system: processes.System, failpoints: tuple[str, ...], flags: tuple
+) -> dict[str, processes.Process]:
+    """One agent for each failpoint, by worker."""
+    system.start_control()
+    control_commands.set_lease(system, lease_ms=LEASE_MS)
+    return {
+        f"worker-{number}": system.start_worker(
+            f"worker-{number}",
+            agent_flags=flags,
+            environment={"MARIGOLDSILL_FAILPOINT": name},
+        )
+        for number, name in enumerate(failpoints)
+    }
+
+
+def _restart_dead(
+    system: processes.System,
+    agents: dict[str, processes.Process],
+    flags: tuple,
+) -> None:
+    for worker, agent in agents.items():
+        agent.wait()
+        system.start_agent(worker, flags=flags)
+
+
+def _apply(system: processes.System, *, count: int, run_time: str) -> list[str]:
+    """Declares jobs that fill a worker each; their tasks."""
+    system.apply(
+        "".join(
+            JOB.format(number=number, run_time=run_time)
+            for number in range(count)
+        )
+    )
+    return [f"rebuild-{number}/0" for number in range(count)]
+
+
 @pytest.mark.parametrize(
     "failpoints",
     [
@@ -26,23 +69,38 @@
 def test_each_job_is_done_once_though_agents_die_at(
     system: processes.System, failpoints: tuple[str, ...]
 ) -> None:
-    # A job fills a worker, so each agent has one and dies at its own point.
-    system.start_control()
-    agents = {
-        f"worker-{number}": system.start_worker(
-            f"worker-{number}",
-            agent_flags=FLAGS,
-            environment={"MARIGOLDSILL_FAILPOINT": name},
-        )
-        for number, name in enumerate(failpoints)
-    }
-    numbers = range(len(failpoints))
-    system.apply("".join(JOB.format(number=number) for number in numbers))
-    for worker, agent in agents.items():
-        agent.wait()
-        system.start_agent(worker, flags=FLAGS)
+    flags = _flags(checkpoint_interval_s=1)
+    agents = _start(system, failpoints, flags)
+    tasks = _apply(system, count=len(agents), run_time="1500ms")
+    _restart_dead(system, agents, flags)
+
+    for task in tasks:
+        system.wait_for_state(task, "done")
+
+    system.assert_invariants()
+
+
+@pytest.mark.parametrize(
+    "failpoints",
+    [
+        ("checkpoint.before", "checkpoint.done", "checkpoint.reported"),
+        ("stop.before", "stop.done", "end.reported"),
+    ],
+    ids=lambda names: names[0].partition(".")[0],
+)
+def test_each_evicted_job_goes_on_once_though_agents_die_at(
+    system: processes.System, failpoints: tuple[str, ...]
+) -> None:
+    flags = _flags(checkpoint_interval_s=600)
+    agents = _start(system, failpoints, flags)
+    tasks = _apply(system, count=len(agents), run_time="2s")
+    for task in tasks:
+        system.wait_for_state(task, "running")
+    for task in tasks:
+        control_commands.evict(system, task)
+    _restart_dead(system, agents, flags)
 
-    for number in numbers:
-        system.wait_for_state(f"rebuild-{number}/0", "done")
+    for task in tasks:
+        assert system.wait_for_state(task, "done")["epoch"] > 1
 
     system.assert_invariants()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,7 @@
 
 WAIT_LIMIT_S = 30.0
 _POLL_S = 0.05
+_OPERATOR_TIMEOUT_S = 2.0
 _ADDRESS = re.compile(r"(http|thrift)=(\S+)")
 
 
@@ -396,7 +397,7 @@
                         f"http://{address}{path}",
                         method=method,
                         body=body,
-                        timeout_s=5.0,
+                        timeout_s=_OPERATOR_TIMEOUT_S,
                     )
                 except errors.TransportError:
                     continue
