--- a/marigoldsill/coordination/heartbeats.py
+++ b/marigoldsill/coordination/heartbeats.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import threading
+import time
 
 import prometheus_client
 
@@ -82,7 +83,9 @@
         elif not self._endpoints.knows(heartbeat.agent):
             return _refusal(term, "unknown", resend_worker=True)
         if heartbeat.usage:
-            self._usage.put(heartbeat.agent, heartbeat.usage)
+            self._usage.put(
+                heartbeat.agent, heartbeat.usage, now_s=time.monotonic()
+            )
         if heartbeat.events:
             self._propose(
                 record_run_events=ttypes.RecordRunEvents(
@@ -131,9 +134,9 @@
         self, worker: ttypes.Worker, known: ttypes.Worker | None
     ) -> None:
         worker.state, worker.reason = ttypes.WorkerState.ACTIVE, ""
-        if known is not None and known.state == ttypes.WorkerState.LOST:
-            worker.state = known.resume_state
-        elif known is not None:
+        if known is not None:
+            worker.draining = known.draining
+        if known is not None and known.state != ttypes.WorkerState.LOST:
             worker.state, worker.reason = known.state, known.reason
         if worker != known:
             self._propose(put_worker=ttypes.PutWorker(worker=worker))
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -123,7 +123,7 @@
   6: WorkerState state = 1,
   7: i64 incarnation = 0,         // of its agent
   8: string reason = "",
-  40: WorkerState resume_state = 1  // once live again; kept while LOST
+  50: bool draining = false       // an operator's word; survives its loss
 }
 
 enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
@@ -298,6 +298,17 @@
 
 struct ChangeMembers { 1: list<Member> members }
 
+/** What the leader found out about a task that waits or can never run. */
+struct TaskMark {
+  1: string task,
+  2: i64 epoch,
+  3: TaskState state,               // QUEUED or IMPOSSIBLE
+  4: string reason = ""
+}
+
+/** Marks waiting tasks: why they wait, or that they can never run. */
+struct MarkTasks { 1: list<TaskMark> marks }
+
 /** One log entry's content: exactly one body is set. */
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
@@ -313,7 +324,8 @@
   11: optional PutClaim put_claim,
   12: optional EndClaim end_claim,
   13: optional NoOperation no_operation,
-  14: optional ChangeMembers change_members
+  14: optional ChangeMembers change_members,
+  30: optional MarkTasks mark_tasks
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
@@ -487,7 +499,15 @@
   6: i64 routes_version = 0,
   7: i64 orders_term = 0,
   8: i64 orders_version = 0,
-  9: i64 wait_ms = 1000
+  9: i64 wait_ms = 1000,
+  50: list<string> called_services = []   // entries: had callers lately
+}
+
+/** The version of one thing that a configuration holds. */
+struct ItemVersion {
+  1: string subject,              // "service/lookup", "worker/w1", "policy"
+  2: i64 version,
+  3: bool removed = false
 }
 
 /** Configuration since the version the subscriber named. */
@@ -498,16 +518,18 @@
   4: list<Service> services = [],
   5: list<string> removed_services = [],
   6: optional Policy policy,
-  7: list<string> draining_workers = []
+  7: list<string> draining_workers = [],
+  50: list<ItemVersion> items = []    // versions of all that is new or gone
 }
 
 struct WatchReply {
   1: i64 term,
-  2: ConfigDelta config,
+  2: optional ConfigDelta config,   // no longer set: see encoded_config
   3: optional list<Route> routes,   // entries; complete when set
   4: i64 routes_version = 0,
   5: optional list<Order> orders,   // agents; complete when set
-  6: i64 orders_version = 0
+  6: i64 orders_version = 0,
+  50: binary encoded_config = ""    // a ConfigDelta, encoded once for many
 }
 
 service Control {
@@ -593,7 +615,11 @@
   15: list<StoredResult> results,
   16: list<Member> members = [],
   40: i64 leader_term = 0,
-  41: i64 longest_lease_ms = 0
+  41: i64 longest_lease_ms = 0,
+  50: i64 epoch_floor = 0,          // no epoch of a removed task is above it
+  51: i64 forgotten_version = 0,    // tombstones up to it may be gone
+  52: list<StoredResult> operator_results = [],
+  53: i64 config_version = 0
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -8,6 +8,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
+_WAITING = (ttypes.TaskState.QUEUED, ttypes.TaskState.IMPOSSIBLE)
 _LIVE = (ttypes.TaskState.ASSIGNED, ttypes.TaskState.RUNNING)
 
 
@@ -29,6 +30,8 @@
             continue
         if grant.epoch != task.epoch + 1:
             continue
+        if not _has_room(tables, worker, grant.reserved):
+            continue
         tables.change_task(
             grant.task,
             state=ttypes.TaskState.ASSIGNED,
@@ -98,6 +101,22 @@
     return _result(tables, applied)
 
 
+def mark(
+    tables: tables_module.Tables, marks: list[ttypes.TaskMark]
+) -> ttypes.CommandResult:
+    """Marks waiting tasks as waiting or as impossible, with the reason."""
+    applied = 0
+    for item in marks:
+        task = tables.tasks.get(item.task)
+        if task is None or task.epoch != item.epoch:
+            continue
+        if task.state not in _WAITING or item.state not in _WAITING:
+            continue
+        tables.change_task(task.name, state=item.state, reason=item.reason)
+        applied += 1
+    return _result(tables, applied)
+
+
 def put_worker(
     tables: tables_module.Tables, put: ttypes.PutWorker
 ) -> ttypes.CommandResult:
@@ -108,12 +127,31 @@
         return _result(tables, 0)
     if _is_outdated(tables, put.decided_term):
         return _result(tables, 0)
-    if old is not None and worker.state == ttypes.WorkerState.LOST:
-        worker = _lost_after(worker, old)
-    tables.workers[worker.name] = worker
+    draining = old is not None and old.draining
+    tables.workers[worker.name] = _with_draining(worker, draining=draining)
     return _result(tables, 1)
 
 
+def set_draining(
+    tables: tables_module.Tables, name: str, *, draining: bool
+) -> None:
+    """Notes an operator's word; it outlives the loss of the worker."""
+    worker = tables.workers.get(name)
+    if worker is not None:
+        tables.workers[name] = _with_draining(worker, draining=draining)
+        tables.touched_workers.add(name)
+
+
+def _with_draining(worker: ttypes.Worker, *, draining: bool) -> ttypes.Worker:
+    state = worker.state
+    if state in (ttypes.WorkerState.ACTIVE, ttypes.WorkerState.DRAINING):
+        state = ttypes.WorkerState.ACTIVE
+        if draining:
+            state = ttypes.WorkerState.DRAINING
+    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
+    return ttypes.Worker(**(values | {"state": state, "draining": draining}))
+
+
 def stop_for_good(tables: tables_module.Tables, name: str, reason: str) -> None:
     """Ends a task on an operator's word: at once if no run may be alive."""
     task = tables.tasks[name]
@@ -124,24 +162,34 @@
             final_stop=True,
             reason=reason,
         )
-    elif task.state == ttypes.TaskState.QUEUED:
+    elif task.state in _WAITING:
         tables.change_task(
             name, state=ttypes.TaskState.CANCELLED, reason=reason
         )
 
 
-def _lost_after(worker: ttypes.Worker, old: ttypes.Worker) -> ttypes.Worker:
-    resume_state = old.state
-    if old.state == ttypes.WorkerState.LOST:
-        resume_state = old.resume_state
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    return ttypes.Worker(**(values | {"resume_state": resume_state}))
-
-
 def _is_outdated(tables: tables_module.Tables, decided_term: int) -> bool:
     return 0 < decided_term < tables.leader_term
 
 
+def _has_room(
+    tables: tables_module.Tables,
+    worker: ttypes.Worker,
+    wanted: ttypes.Resources,
+) -> bool:
+    """Whether a reservation fits beside the runs that may be alive.
+
+    The leader counts too, but a command whose outcome it did not learn may be
+    applied after it has given the same room to another task.
+    """
+    held = [task.reserved for task in tables.tasks_on(worker.name)]
+    return all(
+        sum(getattr(item, name) for item in held) + getattr(wanted, name)
+        <= getattr(worker.capacity, name)
+        for name in ttypes.Resources.__slots__
+    )
+
+
 def _record_event(
     tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
 ) -> int:
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -12,6 +12,20 @@
 )
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log as events of ours, one line each."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        event(
+            "library_message",
+            level=record.levelname,
+            library=record.name,
+            text=record.getMessage(),
+            reason="" if error is None else repr(error),
+        )
+
+
 def set_up(*, role: str, name: str, level: str = "INFO") -> None:
     """Sends the events of this process to standard error.
 
@@ -21,6 +35,9 @@
         level: The lowest level that is written.
     """
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
     logger.remove()
     logger.configure(extra={"pairs": f"role={role} name={name}"})
     base = f"role={role} name={name} pid={os.getpid()}"
@@ -31,6 +48,9 @@
         backtrace=False,
         diagnose=False,
     )
+    library_logger = logging.getLogger()
+    library_logger.handlers = [_LibraryHandler()]
+    library_logger.setLevel(logging.WARNING)
 
 
 def event(name: str, *, level: str = "INFO", **pairs: object) -> None:
@@ -45,6 +65,22 @@
     logger.bind(pairs=text).log(level, name)
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log as events of ours."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one message, with its exception if it has one."""
+        reason = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            reason = f"{reason}: {record.exc_info[1]!r}"
+        event(
+            "library_message",
+            level=record.levelname,
+            logger=record.name,
+            reason=reason,
+        )
+
+
 def _line(record: dict, base: str) -> str:
     record["extra"]["line"] = (
         f"time={record['time']:YYYY-MM-DDTHH:mm:ss.SSSZZ} "
--- a/tests/coordination/test_heartbeats.py
+++ b/tests/coordination/test_heartbeats.py
@@ -8,7 +8,7 @@
 from marigoldsill.coordination import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
-from tests.coordination import fakes
+from tests.coordination import commands
 
 KINDS = ttypes.RunEventKind
 NEVER_MS = 3_600_000
@@ -18,7 +18,7 @@
     """A leader and the agent of worker-1."""
 
     def __init__(self):
-        self.replica = fakes.FakeReplica()
+        self.replica = commands.LeadingReplica()
         self.service = control_service.ControlService(replica=self.replica)
         self.sequence = 0
 
@@ -55,9 +55,9 @@
     def run_job(self) -> None:
         """Has a job run on worker-1."""
         self.beat(whole=True)
-        self.replica.declare(fakes.job_change())
-        self.replica.apply(assign_runs=fakes.assignment())
-        self.replica.apply(record_run_events=fakes.events(KINDS.STARTED))
+        self.replica.declare(commands.job_change())
+        self.replica.apply(assign_runs=commands.assignment())
+        self.replica.apply(record_run_events=commands.events(KINDS.STARTED))
 
     def let_lease_run_out(self) -> None:
         """Makes the lease of worker-1 a thing of the past."""
@@ -123,7 +123,7 @@
     assert leader.beat().lease_ms == 0
     assert "worker-1" not in leader.service.leases.live()
     leader.replica.apply(
-        record_run_events=fakes.events(KINDS.LOST, decided_term=1)
+        record_run_events=commands.events(KINDS.LOST, decided_term=1)
     )
     assert leader.beat().lease_ms == 3000
 
@@ -131,7 +131,7 @@
 def test_lease_names_the_orders_in_force(leader: Leader) -> None:
     leader.run_job()
     before = leader.beat().orders_version
-    leader.replica.apply(record_run_events=fakes.events(KINDS.LOST))
+    leader.replica.apply(record_run_events=commands.events(KINDS.LOST))
 
     assert leader.beat().orders_version > before
 
@@ -192,7 +192,7 @@
 ) -> None:
     leader.run_job()
     leader.replica.lead(2)
-    lost = fakes.events(KINDS.LOST, decided_term=1)
+    lost = commands.events(KINDS.LOST, decided_term=1)
     leader.replica.apply(record_run_events=lost)
 
     assert leader.task.state == ttypes.TaskState.RUNNING
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -57,11 +57,15 @@
         *,
         log: pathlib.Path,
         environment: dict[str, str] | None = None,
+        binary: pathlib.Path | None = None,
     ):
         self.log = log
+        command = [sys.executable, "-m", *arguments]
+        if binary is not None and arguments[0] == "marigoldsill":
+            command = [str(binary), *arguments[1:]]
         with log.open("ab") as output:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                command,
                 stdout=output,
                 stderr=output,
                 env=os.environ | (environment or {}),
@@ -123,8 +127,11 @@
 class System:
     """Control, agents, entries and worker stand-ins of one test."""
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(
+        self, folder: pathlib.Path, *, binary: pathlib.Path | None = None
+    ):
         self.folder = folder
+        self._binary = binary
         self.processes: dict[str, Process] = {}
         self.control_addresses: dict[str, tuple[str, str]] = {}
         self.control_thrift: list[str] = []
@@ -500,6 +507,7 @@
                 "MARIGOLDSILL_CUTS_FILE": str(self.cuts_file),
             }
             | (environment or {}),
+            binary=self._binary,
         )
         self.processes[name] = process
         return process
