--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -39,6 +39,7 @@
         self._service = service
         self._decisions = decisions_module.Decisions()
         self._tables: tables_module.Tables | None = None
+        self._term = 0
         self._looked_for_lost_s = 0.0
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "scheduler")
@@ -53,17 +54,15 @@
         self._pool.shutdown(wait=False)
 
     def _loop(self) -> None:
-        led = False
         while not self._stopping.wait(_TICK_S):
-            leads = self._replica.is_leader
-            if leads and not led:
-                self._service.become_leader()
-                self._tables = None
-            led = leads
-            if not leads:
+            if not self._replica.is_leader:
                 with self._replica.lock:
                     self._service.take_changes()
                 continue
+            self._service.become_leader()
+            if self._service.led_term != self._term:
+                self._term = self._service.led_term
+                self._tables = None
             try:
                 self._tick()
             except errors.MarigoldsillError as error:
@@ -90,12 +89,20 @@
             return
         self._looked_for_lost_s = time.monotonic()
         with self._replica.lock:
+            # What leases say holds only while no later leader renews them.
+            term = self._service.led_term
             lost = self._lost_runs()
             gone = self._lost_workers()
         if lost:
-            self._propose(record_run_events=ttypes.RecordRunEvents(events=lost))
+            self._propose(
+                record_run_events=ttypes.RecordRunEvents(
+                    events=lost, decided_term=term
+                )
+            )
         for worker in gone:
-            self._propose(put_worker=ttypes.PutWorker(worker=worker))
+            self._propose(
+                put_worker=ttypes.PutWorker(worker=worker, decided_term=term)
+            )
             self._service.forget_agent(worker.name)
 
     def _decide(self) -> list[decisions_module.Body]:
