Name the agent and its incarnation in a claim, and number claims

A claim said who asked but not who may run it, so that a repeat at another entry could neither ask that agent nor rely on its refusal. The claim now carries the agent, its incarnation, the claim's own id and a sequence that grows with each claim; an entry that got no answer may send the same claim again; a holder may replace its own attempt that was surely not run in one commit. Ruled out: deadlines by wall clock, since clocks of VMs differ. The claim part of the control service has its own module.

--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -4,6 +4,7 @@
 import uuid
 
 from marigoldsill import errors
+from marigoldsill.coordination import claim_service
 from marigoldsill.coordination import configuration
 from marigoldsill.coordination import endpoints as endpoints_module
 from marigoldsill.coordination import leases as leases_module
@@ -90,12 +91,12 @@
     def claim(self, claim: ttypes.PutClaim) -> ttypes.CommandResult:
         """Claims a key for a non-idempotent request."""
         self._require_leader()
-        return self._propose(put_claim=claim)
+        return claim_service.put(self._replica, claim)
 
     def end_claim(self, end: ttypes.EndClaim) -> ttypes.CommandResult:
         """Records how a claimed request ended."""
         self._require_leader()
-        return self._propose(end_claim=end)
+        return claim_service.end(self._replica, end)
 
     def endpoints_changed(self) -> None:
         """Tells entries that routes changed."""
--- a/marigoldsill/coordination/endpoints.py
+++ b/marigoldsill/coordination/endpoints.py
@@ -77,6 +77,7 @@
             ),
             draining=draining
             or all(e.draining for e in endpoints if e.service_name == service),
+            agent_incarnation=worker.incarnation,
         )
         for service in services
     ]
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -196,7 +196,14 @@
   7: i32 status_code = 0,
   8: binary body = "",
   9: string content_type = "",
-  10: i64 expires_unix_ms = 0
+  10: i64 expires_unix_ms = 0,
+  11: string claim_id = "",         // chosen by the entry; same id: same claim
+  12: i64 claimed_unix_ms = 0,      // given by the state
+  13: i64 sequence = 0,             // given by the state; grows with each claim
+  14: string agent_address = "",
+  15: i64 agent_incarnation = 0,    // only this incarnation may run it
+  16: i64 budget_ms = 0,            // of the attempt, from when it was claimed
+  17: bool body_kept = true         // false: the answer was too large to keep
 }
 
 // ------------------------------------------------------ log commands
@@ -263,7 +270,10 @@
 /** A worker joined, changed, was quarantined, restored or lost. */
 struct PutWorker { 1: Worker worker }
 
-struct PutClaim { 1: Claim claim }
+struct PutClaim {
+  1: Claim claim,
+  2: i64 supersedes_attempt = 0     // own attempt that was surely not run
+}
 
 /** Ends a claim; only for the attempt it names. */
 struct EndClaim {
@@ -272,7 +282,8 @@
   3: ClaimState state,
   4: i32 status_code = 0,
   5: binary body = "",
-  6: string content_type = ""
+  6: string content_type = "",
+  7: bool body_kept = true
 }
 
 struct NoOperation { 1: i64 term }
@@ -450,7 +461,8 @@
   3: string data_centre,
   4: string service_name,
   5: i32 slots_count,
-  6: bool draining = false
+  6: bool draining = false,
+  7: i64 agent_incarnation = 0
 }
 
 enum Role { ENTRY = 1, AGENT = 2 }
@@ -507,7 +519,9 @@
   6: list<Header> headers,
   7: binary body,
   8: i64 budget_ms,                 // left until the deadline, when sent
-  9: bool idempotent = true
+  9: bool idempotent = true,
+  10: i64 agent_incarnation = 0,    // not idempotent: of the claim
+  11: i64 claim_sequence = 0        // same
 }
 
 struct CallReply {
@@ -520,22 +534,39 @@
   7: i32 queued = 0
 }
 
-enum RefusalReason { OVERLOADED = 1, DRAINING = 2, NO_ENDPOINT = 3, TOO_LATE = 4, CANCELLED = 5, DUPLICATE = 6 }
+enum RefusalReason { OVERLOADED = 1, DRAINING = 2, NO_ENDPOINT = 3, TOO_LATE = 4, CANCELLED = 5, DUPLICATE = 6, OTHER_INCARNATION = 7, CLAIM_TOO_OLD = 8 }
 
 /** The request was not run, and a late copy of it will not run. */
 exception Refused {
   1: RefusalReason reason,
   2: i64 retry_after_ms = 0,
-  3: i32 in_flight = 0
+  3: i32 in_flight = 0,
+  4: i32 queued = 0
 }
 
 /** The request was handed to an endpoint and no whole answer came back. */
 exception UnknownOutcome { 1: string detail }
 
+/** Asks what became of a claimed request. */
+struct ResolveRequest {
+  1: string request_id,
+  2: i64 attempt,
+  3: i64 claim_sequence,
+  4: i64 agent_incarnation,
+  5: bool end = false               // a request not begun yet never will be
+}
+
+/** CLAIMED: it runs, or may still come. UNKNOWN: this agent can't tell. */
+struct ResolveReply {
+  1: ClaimState state,
+  2: optional CallReply reply       // of a request that is DONE
+}
+
 service Agent {
   CallReply call(1: CallRequest request) throws (1: Refused refused, 2: UnknownOutcome unknown),
   /** True: the request had not started and never will. */
-  bool cancel(1: string request_id, 2: i64 attempt)
+  bool cancel(1: string request_id, 2: i64 attempt),
+  ResolveReply resolve(1: ResolveRequest request)
 }
 
 // ---------------------------------------------------------- snapshots
@@ -568,5 +599,6 @@
   13: list<AuditRecord> audit,
   14: list<Claim> claims,
   15: list<StoredResult> results,
-  16: list<Member> members = []
+  16: list<Member> members = [],
+  17: i64 next_claim_sequence = 1
 }
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -69,8 +69,10 @@
             return runs.record_events(tables, events, now_unix_ms)
         case ttypes.PutWorker(worker=worker):
             return runs.put_worker(tables, worker)
-        case ttypes.PutClaim(claim=claim):
-            return claims.put(tables, claim, now_unix_ms)
+        case ttypes.PutClaim(claim=claim, supersedes_attempt=superseded):
+            return claims.put(
+                tables, claim, now_unix_ms, supersedes_attempt=superseded
+            )
         case ttypes.EndClaim() as end:
             return claims.end(tables, end)
         case ttypes.ChangeMembers(members=members):
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -39,6 +39,7 @@
         self.config_checksum = 0
         self.next_plan_id = 1
         self.next_audit_sequence = 1
+        self.next_claim_sequence = 1
         self.policy = ttypes.Policy()
         self.services: dict[str, ttypes.Service] = {}
         self.batch_jobs: dict[str, ttypes.BatchJob] = {}
@@ -147,6 +148,7 @@
                     for key, value in self.results.items()
                 ],
                 members=self.members,
+                next_claim_sequence=self.next_claim_sequence,
             )
         )
 
@@ -173,6 +175,7 @@
         tables.claims = {claim.key: claim for claim in snapshot.claims}
         tables.results = {r.command_id: r.result for r in snapshot.results}
         tables.members = snapshot.members
+        tables.next_claim_sequence = snapshot.next_claim_sequence
         for record in snapshot.versions:
             tables.set_version(record)
         for task in snapshot.tasks:
