Admit requests at the agent by service, once each, and keep tombstones

A drain refuses those who wait as well, has separate reasons for configuration and SIGTERM (one used to undo the other), and goes out with a heartbeat at once. Calls to endpoints use kept connections of their own pool, can be ended from another thread, pass paths, repeated and empty headers unchanged, and count an answer without a stated end as incomplete.

Now only a call on a new connection can be surely unsent, and requests that are not idempotent never use a kept one.

--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/agent_service.py
@@ -4,79 +4,178 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import admission as admission_module
+from marigoldsill.coordination import deadlines
+from marigoldsill.coordination import request_metrics
+from marigoldsill.coordination import seen_requests
 from marigoldsill.protocol import codec
+from marigoldsill.protocol import headers as headers_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import http_client
 
-_HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "host"}
+_OWN_HEADERS = frozenset(
+    {
+        headers_module.REQUEST_ID.lower(),
+        headers_module.TIMEOUT_MS.lower(),
+    }
 )
 
 
 class AgentService:
     """Handles the thrift service `Agent`."""
 
-    def __init__(self, *, admission: admission_module.Admission):
+    def __init__(
+        self, *, admission: admission_module.Admission, incarnation: int
+    ):
         self._admission = admission
+        self._incarnation = incarnation
+        self._seen = seen_requests.SeenRequests()
+        self._client = http_client.Client()
 
     def call(self, request: ttypes.CallRequest) -> ttypes.CallReply:
-        """Runs one request and returns the endpoint's whole answer."""
-        end_s = time.monotonic() + request.budget_ms / 1000
-        info = self._admission.enter(
-            request.service_name, timeout_s=request.budget_ms / 1000
-        )
+        """Runs one request and returns the endpoint's whole answer.
+
+        Raises:
+            Refused: It was not run, and no copy of it will be.
+            UnknownOutcome: An endpoint got it and gave no whole answer.
+        """
+        deadline = deadlines.Deadline.after(request.budget_ms / 1000)
+        attempt = self._arrive(request)
         try:
-            answer = self._fetch(info, request, end_s - time.monotonic())
-        finally:
-            self._admission.leave(info)
-        in_flight, queued = self._admission.load()
-        return ttypes.CallReply(
-            request_id=request.request_id,
-            status_code=answer.status_code,
-            headers=[
-                ttypes.Header(name=name, value=value)
-                for name, value in answer.headers
-                if name not in _HOP_HEADERS
-            ],
-            body=answer.body,
-            body_digest=codec.digest(answer.body),
-            in_flight=in_flight,
-            queued=queued,
-        )
+            slots = self._admission.enter(
+                request.service_name,
+                deadline=deadline,
+                cancel_hook=lambda end: self._seen.on_cancel(attempt, end),
+            )
+        except ttypes.Refused as error:
+            self._seen.refuse(attempt)
+            _refused(error.reason)
+            raise
+        return self._run(request, attempt, slots, deadline)
 
     def cancel(self, request_id: str, attempt: int) -> bool:
         """Cancels a request; whether it surely never runs."""
-        return False
+        never_runs = self._seen.cancel(request_id, attempt)
+        request_metrics.AGENT_CANCELS.inc()
+        return never_runs
+
+    def resolve(self, request: ttypes.ResolveRequest) -> ttypes.ResolveReply:
+        """Says what became of a claimed request."""
+        if request.agent_incarnation != self._incarnation:
+            return ttypes.ResolveReply(state=ttypes.ClaimState.UNKNOWN)
+        return self._seen.resolve(request)
+
+    def _arrive(self, request: ttypes.CallRequest) -> seen_requests.Attempt:
+        if request.agent_incarnation not in (0, self._incarnation):
+            _refused(ttypes.RefusalReason.OTHER_INCARNATION)
+            raise ttypes.Refused(reason=ttypes.RefusalReason.OTHER_INCARNATION)
+        try:
+            return self._seen.arrive(request)
+        except ttypes.Refused as error:
+            _refused(error.reason)
+            raise
+
+    def _run(
+        self,
+        request: ttypes.CallRequest,
+        attempt: seen_requests.Attempt,
+        slots: admission_module.Slots,
+        deadline: deadlines.Deadline,
+    ) -> ttypes.CallReply:
+        start_s = time.monotonic()
+        busy_s = 0.0
+        failed = False
+        try:
+            if deadline.passed():
+                self._seen.refuse(attempt)
+                raise ttypes.Refused(reason=ttypes.RefusalReason.TOO_LATE)
+            self._seen.begin(attempt)
+            answer = self._fetch(slots.info, request, attempt, deadline)
+            busy_s = time.monotonic() - start_s
+        except ttypes.Refused as error:
+            failed = error.reason == ttypes.RefusalReason.NO_ENDPOINT
+            _refused(error.reason)
+            raise
+        except ttypes.UnknownOutcome:
+            busy_s = time.monotonic() - start_s
+            raise
+        finally:
+            self._admission.leave(
+                request.service_name, slots, busy_s=busy_s, failed=failed
+            )
+        reply = self._reply(request, answer)
+        self._seen.finish(attempt, reply)
+        return reply
 
     def _fetch(
         self,
         info: ttypes.EndpointInfo,
         request: ttypes.CallRequest,
-        timeout_s: float,
+        attempt: seen_requests.Attempt,
+        deadline: deadlines.Deadline,
     ) -> http_client.HttpAnswer:
-        headers = tuple(
-            (h.name, h.value)
-            for h in request.headers
-            if h.name.lower() not in _HOP_HEADERS
+        left_s = deadline.left_s()
+        own = (
+            (headers_module.REQUEST_ID, request.request_id),
+            (headers_module.TIMEOUT_MS, str(int(left_s * 1000))),
         )
+        cancellation = http_client.Cancellation()
+        self._seen.on_cancel(attempt, cancellation.cancel)
         try:
-            answer = http_client.fetch(
-                f"http://{info.address}{request.path}",
+            answer = self._client.fetch(
+                info.address,
+                request.path,
                 method=request.method,
                 body=request.body,
-                headers=(*headers, ("X-Request-Id", request.request_id)),
-                timeout_s=max(timeout_s, 0.001),
+                headers=(*_passed_on(request), *own),
+                timeout_s=left_s,
+                cancellation=cancellation,
+                fresh=not request.idempotent,
+                whole_only=True,
             )
         except errors.TransportError as error:
             if not error.sent:
+                self._seen.refuse(attempt)
                 raise ttypes.Refused(
-                    reason=ttypes.RefusalReason.NO_ENDPOINT
+                    reason=ttypes.RefusalReason.NO_ENDPOINT, retry_after_ms=500
                 ) from error
+            self._seen.lose(attempt)
             raise ttypes.UnknownOutcome(detail=error.message) from error
-        if answer.header("x-request-id", request.request_id) != (
-            request.request_id
-        ):
+        answered_id = answer.header(headers_module.REQUEST_ID)
+        if answered_id not in ("", request.request_id):
+            # What else is under way on these connections is not to be trusted.
+            self._client.forget(info.address)
+            self._seen.lose(attempt)
+            request_metrics.WRONG_ANSWERS.inc()
             raise ttypes.UnknownOutcome(
-                detail="the endpoint answered another request's id"
+                detail=f"the endpoint answered request {answered_id!r} "
+                f"when asked {request.request_id!r}"
             )
         return answer
+
+    def _reply(
+        self, request: ttypes.CallRequest, answer: http_client.HttpAnswer
+    ) -> ttypes.CallReply:
+        in_flight, queued = self._admission.load(request.service_name)
+        passed = headers_module.end_to_end(answer.headers, without=_OWN_HEADERS)
+        if request.method == "HEAD":
+            passed += [p for p in answer.headers if p[0] == "content-length"]
+        return ttypes.CallReply(
+            request_id=request.request_id,
+            status_code=answer.status_code,
+            headers=[ttypes.Header(name=n, value=v) for n, v in passed],
+            body=answer.body,
+            body_digest=codec.digest(answer.body),
+            in_flight=in_flight,
+            queued=queued,
+        )
+
+
+def _passed_on(request: ttypes.CallRequest) -> list[tuple[str, str]]:
+    return headers_module.end_to_end(
+        ((h.name, h.value) for h in request.headers), without=_OWN_HEADERS
+    )
+
+
+def _refused(reason: ttypes.RefusalReason) -> None:
+    name = ttypes.RefusalReason(reason).name.lower()
+    request_metrics.AGENT_REFUSALS.labels(reason=name).inc()
--- /dev/null
+++ b/marigoldsill/coordination/deadlines.py
@@ -0,0 +1,32 @@
+"""Deadlines on the monotonic clock; between processes they go as budgets."""
+
+import dataclasses
+import time
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Deadline:
+    """When a request's answer stops being of use.
+
+    Attributes:
+        end_s: On this process's monotonic clock.
+    """
+
+    end_s: float
+
+    @classmethod
+    def after(cls, budget_s: float) -> "Deadline":
+        """The deadline that lies `budget_s` from now."""
+        return cls(time.monotonic() + budget_s)
+
+    def left_s(self) -> float:
+        """What is left, never below zero."""
+        return max(0.0, self.end_s - time.monotonic())
+
+    def passed(self) -> bool:
+        """Whether nothing is left."""
+        return time.monotonic() >= self.end_s
+
+    def sooner(self, budget_s: float) -> "Deadline":
+        """This deadline, or the one `budget_s` from now if that is sooner."""
+        return Deadline(min(self.end_s, time.monotonic() + budget_s))
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -26,6 +26,10 @@
 _BODY_LIMIT_BYTES = 1 << 20
 _HTTP_THREADS_COUNT = 8
 _HEARTBEAT_TIMEOUT_S = 1.0
+# After a drain was announced, entries may send for as long as they take to
+# hear of it; they are refused and go elsewhere.
+_NOTICE_S = 1.0
+_POLL_S = 0.05
 
 
 class Agent:
@@ -40,6 +44,7 @@
         self._settings = settings
         self._incarnation = time.time_ns()
         self._stopping = threading.Event()
+        self._beat_now = threading.Event()
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
         self._runs = run_keeper.RunKeeper(worker=self._worker)
@@ -61,7 +66,9 @@
         self._thrift.add(
             "agent",
             AgentThrift.Processor(
-                agent_service.AgentService(admission=self._admission)
+                agent_service.AgentService(
+                    admission=self._admission, incarnation=self._incarnation
+                )
             ),
         )
         self._http = http_server.HttpServer(
@@ -93,11 +100,16 @@
 
     def stop(self) -> None:
         """Refuses new requests, finishes those in flight, then ends."""
-        self._admission.draining = True
+        self._admission.set_draining("stop", draining=True)
+        self._beat_now.set()
         end_s = time.monotonic() + self._settings.drain_limit_s
-        while sum(self._admission.load()) and time.monotonic() < end_s:
-            time.sleep(0.05)
+        notice_end_s = time.monotonic() + _NOTICE_S
+        while time.monotonic() < end_s and (
+            sum(self._admission.load()) or time.monotonic() < notice_end_s
+        ):
+            time.sleep(_POLL_S)
         self._stopping.set()
+        self._beat_now.set()
         self._subscriber.stop()
         self._runs.stop()
         self._thrift.stop()
@@ -109,7 +121,9 @@
         if reply.orders is not None:
             self._runs.take_orders(reply.term, reply.orders)
         draining = self._subscriber.configuration.draining_workers
-        self._admission.draining = self._settings.name in draining
+        self._admission.set_draining(
+            "configuration", draining=self._settings.name in draining
+        )
 
     def _handle(self, request: wrappers.Request) -> wrappers.Response:
         if request.path != "/endpoints" or request.method != "POST":
@@ -132,7 +146,8 @@
                 logs.event(
                     "heartbeat_failed", level="ERROR", reason=repr(error)
                 )
-            self._stopping.wait(self._settings.heartbeat_ms / 1000)
+            self._beat_now.wait(self._settings.heartbeat_ms / 1000)
+            self._beat_now.clear()
         link.close()
 
     def _heartbeat(self, link: control_link.ControlLink) -> None:
--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -1,14 +1,20 @@
 """HTTP calls by pycurl, with connections kept between calls."""
 
+import collections
+import contextlib
 import dataclasses
 import io
+import socket
 import threading
 
 import pycurl
 
 from marigoldsill import errors
 
-_local = threading.local()
+_ANSWER_LIMIT_BYTES = 16 << 20
+_IDLE_LIMIT_COUNT = 64
+_NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+_NO_BODY_STATUSES = frozenset({204, 304})
 _NOT_SENT = frozenset(
     {
         pycurl.E_COULDNT_CONNECT,
@@ -16,6 +22,8 @@
         pycurl.E_URL_MALFORMAT,
     }
 )
+# Headers that curl adds of its own accord unless they are named empty.
+_CURL_HEADERS = ("Accept", "Content-Type", "User-Agent", "Expect")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,7 +32,7 @@
 
     Attributes:
         status_code: The HTTP status.
-        headers: Names in lower case, as (name, value).
+        headers: Names in lower case, as (name, value), in order.
         body: The body, whole.
     """
 
@@ -37,6 +45,120 @@
         return next((v for n, v in self.headers if n == name.lower()), default)
 
 
+class Cancellation:
+    """Ends the HTTP call that another thread makes."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._socket: socket.socket | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Ends the call, now or as soon as it begins."""
+        with self._lock:
+            self.cancelled = True
+            if self._socket is not None:
+                with contextlib.suppress(OSError):
+                    self._socket.shutdown(socket.SHUT_RDWR)
+
+    def watch(self, sock: socket.socket | None) -> None:
+        """Names the socket of the call, or None when it is over."""
+        with self._lock:
+            self._socket = sock
+            if sock is not None and self.cancelled:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+
+class Client:
+    """Calls to HTTP servers on kept connections, a few for each server.
+
+    A connection is used by one call at a time. Any thread may call.
+    """
+
+    def __init__(self, *, idle_limit_count: int = _IDLE_LIMIT_COUNT):
+        self._idle_limit_count = idle_limit_count
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[_Connection]] = collections.defaultdict(list)
+
+    def fetch(
+        self,
+        address: str,
+        path: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout_s: float,
+        cancellation: Cancellation | None = None,
+        fresh: bool = False,
+        whole_only: bool = False,
+    ) -> HttpAnswer:
+        """Makes one HTTP call.
+
+        Args:
+            address: The server, host:port.
+            path: Sent unchanged, with its query.
+            method: The HTTP method.
+            body: Sent unless empty and the method needs none.
+            headers: Sent as given, in order.
+            timeout_s: For the whole call.
+            cancellation: Through which another thread can end the call.
+            fresh: Whether to open a connection for it. On a kept one curl may
+                send a request again if the server closes it meanwhile.
+            whole_only: Whether an answer that ends with its connection counts
+                as incomplete, since nothing shows that it is whole.
+
+        Raises:
+            TransportError: No whole answer came.
+        """
+        connection = self._take(address, fresh=fresh)
+        try:
+            answer = connection.fetch(
+                f"http://{address}{path}",
+                method,
+                body,
+                headers,
+                timeout_s,
+                cancellation,
+                whole_only,
+            )
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(address, connection)
+        return answer
+
+    def forget(self, address: str) -> None:
+        """Closes the kept connections to a server."""
+        with self._lock:
+            connections = self._idle.pop(address, ())
+        for connection in connections:
+            connection.close()
+
+    def _take(self, address: str, *, fresh: bool) -> "_Connection":
+        with self._lock:
+            idle = self._idle[address]
+            if idle and not fresh:
+                return idle.pop()
+            # A kept connection makes room, so that no more are open at once.
+            surplus = idle.pop(0) if idle else None
+        if surplus is not None:
+            surplus.close()
+        return _Connection()
+
+    def _give_back(self, address: str, connection: "_Connection") -> None:
+        with self._lock:
+            idle = self._idle[address]
+            if len(idle) < self._idle_limit_count:
+                idle.append(connection)
+                return
+        connection.close()
+
+
+_default_client = Client()
+
+
 def fetch(
     url: str,
     *,
@@ -44,68 +166,155 @@
     body: bytes = b"",
     headers: tuple[tuple[str, str], ...] = (),
     timeout_s: float,
-    cancelled: threading.Event | None = None,
 ) -> HttpAnswer:
-    """Makes one HTTP call on this thread's own connection.
-
-    Args:
-        url: Where to.
-        method: The HTTP method.
-        body: Sent unless empty and the method is GET, HEAD or DELETE.
-        headers: Sent as given.
-        timeout_s: For the whole call.
-        cancelled: When set meanwhile, the call ends as a transport error.
+    """Makes one HTTP call to a URL such as http://host:port/path.
 
     Raises:
         TransportError: No whole answer came.
     """
-    chunks = io.BytesIO()
-    lines: list[str] = []
-    curl = _handle()
-    curl.setopt(pycurl.URL, url)
-    curl.setopt(pycurl.CUSTOMREQUEST, method)
-    curl.setopt(pycurl.NOBODY, method == "HEAD")
-    if body or method not in ("GET", "HEAD", "DELETE"):
-        curl.setopt(pycurl.POSTFIELDS, body)
-    curl.setopt(
-        pycurl.HTTPHEADER,
-        [f"{name}: {value}" for name, value in headers] + ["Expect:"],
-    )
-    curl.setopt(pycurl.WRITEFUNCTION, chunks.write)
-    curl.setopt(
-        pycurl.HEADERFUNCTION, lambda line: lines.append(line.decode("latin-1"))
+    address, _, path = url.removeprefix("http://").partition("/")
+    return _default_client.fetch(
+        address,
+        f"/{path}",
+        method=method,
+        body=body,
+        headers=headers,
+        timeout_s=timeout_s,
     )
-    curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(timeout_s * 1000)))
-    if cancelled is not None:
-        curl.setopt(pycurl.NOPROGRESS, False)
-        curl.setopt(
-            pycurl.XFERINFOFUNCTION, lambda *_: 1 if cancelled.is_set() else 0
-        )
-    try:
-        curl.perform()
-    except pycurl.error as error:
-        code, message = error.args
-        sent = code not in _NOT_SENT and curl.getinfo(pycurl.REQUEST_SIZE) > 0
-        raise errors.TransportError(
-            f"{method} {url}: {message}", sent=sent
-        ) from error
-    finally:
-        status_code = curl.getinfo(pycurl.RESPONSE_CODE)
-        curl.reset()
-    return HttpAnswer(status_code, _headers(lines), chunks.getvalue())
-
-
-def _handle() -> pycurl.Curl:
-    if not hasattr(_local, "curl"):
-        _local.curl = pycurl.Curl()
-    _local.curl.setopt(pycurl.NOSIGNAL, True)
-    _local.curl.setopt(pycurl.TCP_NODELAY, True)
-    return _local.curl
-
-
-def _headers(lines: list[str]) -> tuple[tuple[str, str], ...]:
-    starts = [i for i, line in enumerate(lines) if line.startswith("HTTP/")]
+
+
+class _Connection:
+    """One curl handle with the socket that it holds open."""
+
+    def __init__(self):
+        self._curl = pycurl.Curl()
+        self._socket: socket.socket | None = None
+        self._cancellation: Cancellation | None = None
+
+    def close(self) -> None:
+        self._curl.close()
+        self._close_socket()
+
+    def fetch(
+        self,
+        url: str,
+        method: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        timeout_s: float,
+        cancellation: Cancellation | None,
+        whole_only: bool,
+    ) -> HttpAnswer:
+        chunks = io.BytesIO()
+        lines: list[bytes] = []
+        curl = self._curl
+        kept = self._socket is not None
+        self._cancellation = cancellation
+        self._prepare(url, method, body, headers, timeout_s)
+        curl.setopt(pycurl.WRITEFUNCTION, _bounded(chunks))
+        curl.setopt(pycurl.HEADERFUNCTION, lines.append)
+        if cancellation is not None:
+            cancellation.watch(self._socket)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            code, message = error.args
+            # On a kept connection that breaks, curl sends again on a new one:
+            # then a failure to connect says nothing about the first copy.
+            sent = kept or (
+                code not in _NOT_SENT and curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            )
+            raise errors.TransportError(
+                f"{method} {url}: {message}", sent=sent
+            ) from error
+        finally:
+            if cancellation is not None:
+                cancellation.watch(None)
+            self._cancellation = None
+            status_code = curl.getinfo(pycurl.RESPONSE_CODE)
+            if curl.getinfo(pycurl.LASTSOCKET) == -1:
+                self._close_socket()
+            curl.reset()
+        answer = HttpAnswer(status_code, _headers(lines), chunks.getvalue())
+        if whole_only and not _has_end(answer, method):
+            raise errors.TransportError(
+                f"{method} {url}: the answer has neither Content-Length nor "
+                "chunks, so nothing shows that it is whole",
+                sent=True,
+            )
+        return answer
+
+    def _prepare(
+        self,
+        url: str,
+        method: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        timeout_s: float,
+    ) -> None:
+        curl = self._curl
+        timeout_ms = max(1, int(timeout_s * 1000))
+        curl.setopt(pycurl.NOSIGNAL, True)
+        curl.setopt(pycurl.URL, url.encode("latin-1", "replace"))
+        curl.setopt(pycurl.PATH_AS_IS, True)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.NOBODY, method == "HEAD")
+        if body or method not in _NO_BODY_METHODS:
+            curl.setopt(pycurl.POSTFIELDS, body)
+        curl.setopt(pycurl.HTTPHEADER, _header_lines(headers))
+        curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, timeout_ms)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
+
+    def _open_socket(self, purpose: int, target: tuple) -> socket.socket:
+        family, kind, protocol, _ = target
+        self._close_socket()
+        sock = socket.socket(family, kind, protocol)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # curl works on a duplicate; this one lets another thread shut it down.
+        self._socket = sock
+        if self._cancellation is not None:
+            self._cancellation.watch(sock)
+        return sock
+
+    def _close_socket(self) -> None:
+        sock, self._socket = self._socket, None
+        if sock is not None:
+            if self._cancellation is not None:
+                self._cancellation.watch(None)
+            sock.close()
+
+
+def _bounded(chunks: io.BytesIO):
+    def write(data: bytes) -> int:
+        if chunks.tell() + len(data) > _ANSWER_LIMIT_BYTES:
+            return -1
+        return chunks.write(data)
+
+    return write
+
+
+def _header_lines(headers: tuple[tuple[str, str], ...]) -> list[bytes]:
+    given = {name.lower() for name, _ in headers}
+    own = [f"{name}:" for name in _CURL_HEADERS if name.lower() not in given]
+    # curl sends a header without a value only when it ends with a semicolon.
+    lines = [f"{n}: {v}" if v else f"{n};" for n, v in headers]
+    return [line.encode("latin-1", "replace") for line in lines + own]
+
+
+def _headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
+    starts = [i for i, line in enumerate(lines) if line.startswith(b"HTTP/")]
     last = lines[starts[-1] + 1 :] if starts else []
-    pairs = (line.split(":", 1) for line in last if ":" in line)
+    pairs = (
+        line.decode("latin-1").split(":", 1) for line in last if b":" in line
+    )
     return tuple((name.strip().lower(), value.strip()) for name, value in pairs)
+
+
+def _has_end(answer: HttpAnswer, method: str) -> bool:
+    return (
+        method == "HEAD"
+        or answer.status_code in _NO_BODY_STATUSES
+        or bool(answer.header("content-length"))
+        or "chunked" in answer.header("transfer-encoding").lower()
+    )
--- a/marigoldsill/transport/thrift_server.py
+++ b/marigoldsill/transport/thrift_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 from thrift import Thrift
 from thrift import TMultiplexedProcessor
@@ -18,6 +19,8 @@
 
 FRAME_LIMIT_BYTES = 64 << 20
 _BACKLOG = 512
+_LAST_CALLS_LIMIT_S = 1.0
+_POLL_S = 0.01
 
 
 class ThriftServer:
@@ -51,16 +54,25 @@
         self._acceptor.submit(self._accept)
 
     def stop(self) -> None:
-        """Closes the listener and every connection."""
+        """Closes the listener, answers what has come, closes connections."""
         self._stopping.set()
         _close(self._listener)
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
+        for connection in self._connections():
+            # What the peer has sent already is still read and answered.
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RD)
+        end_s = time.monotonic() + _LAST_CALLS_LIMIT_S
+        while self._connections() and time.monotonic() < end_s:
+            time.sleep(_POLL_S)
+        for connection in self._connections():
             _close(connection)
         self._acceptor.shutdown(wait=False)
         self._pool.shut_down()
 
+    def _connections(self) -> list[socket.socket]:
+        with self._lock:
+            return list(self._open)
+
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -82,7 +94,7 @@
         transport = TTransport.TFramedTransport(sock, FRAME_LIMIT_BYTES)
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
         try:
-            while not self._stopping.is_set():
+            while True:
                 self._processor.process(protocol, protocol)
         except TTransport.TTransportException as error:
             if error.type != TTransport.TTransportException.END_OF_FILE:
