--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/agent_service.py
@@ -103,7 +103,8 @@
                 request.service_name, slots, busy_s=busy_s, failed=failed
             )
         reply = self._reply(request, answer)
-        self._seen.finish(attempt, reply)
+        if not self._seen.finish(attempt, reply):
+            request_metrics.LATE_ANSWERS.inc()
         return reply
 
     def _fetch(
--- a/marigoldsill/coordination/request_metrics.py
+++ b/marigoldsill/coordination/request_metrics.py
@@ -44,6 +44,10 @@
     "Further attempts that the retry budget did not allow.",
     ("service",),
 )
+ABANDONED_ATTEMPTS = prometheus_client.Counter(
+    "marigoldsill_abandoned_attempts",
+    "Attempts that the entry gave up; what still comes of them is dropped.",
+)
 LATE_ANSWERS = prometheus_client.Counter(
     "marigoldsill_late_answers",
     "Answers dropped since nobody waited for them any more.",
@@ -66,10 +70,6 @@
     "marigoldsill_claim_ends_pending",
     "Ends of claims not recorded yet.",
 )
-CALLERS_GONE = prometheus_client.Counter(
-    "marigoldsill_callers_gone",
-    "Requests whose caller left before the answer.",
-)
 AGENT_REFUSALS = prometheus_client.Counter(
     "marigoldsill_agent_refusals",
     "Requests that the agent refused, by reason.",
--- a/marigoldsill/coordination/seen_requests.py
+++ b/marigoldsill/coordination/seen_requests.py
@@ -101,7 +101,9 @@
         """Names what ends an attempt's call, which may be due already."""
         with self._lock:
             attempt.on_cancel = end
-            due = attempt.cancelled
+            due = attempt.cancelled and not (
+                attempt.sequence and attempt.state == State.RUNNING
+            )
         if due:
             end()
 
@@ -115,8 +117,12 @@
         with self._lock:
             attempt.state = State.UNKNOWN
 
-    def finish(self, attempt: Attempt, reply: ttypes.CallReply) -> None:
-        """Marks an attempt as answered; keeps the answer of a claimed one."""
+    def finish(self, attempt: Attempt, reply: ttypes.CallReply) -> bool:
+        """Marks an attempt as answered; keeps the answer of a claimed one.
+
+        Returns:
+            Whether somebody still waits for the answer.
+        """
         size_bytes = len(reply.body)
         with self._lock:
             attempt.state = State.DONE
@@ -127,6 +133,7 @@
             ):
                 attempt.reply = reply
                 self._kept_bytes += size_bytes
+            return not attempt.cancelled
 
     def cancel(self, request_id: str, attempt_number: int) -> bool:
         """Gives an attempt up; whether it surely has not run and never will."""
@@ -194,6 +201,9 @@
 
 def _end(attempt: Attempt) -> bool:
     attempt.cancelled = True
+    if attempt.state == State.RUNNING and attempt.sequence:
+        # Its answer is worth having: a repeat under its key will ask for it.
+        return False
     if attempt.state == State.QUEUED:
         attempt.state = State.REFUSED
     if attempt.on_cancel is not None:
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -11,15 +11,21 @@
     Attributes:
         http_status: Status of an HTTP answer that carries this error.
         exit_code: Exit status of a command that ends with this error.
+        outcome: What became of a caller's request: "not-run", "unknown" or,
+            where the error says nothing about it, empty.
+        key_checked: Whether an outcome holds for all calls under the
+            request's idempotency key, not only for this one.
         retry_after_ms: When coming back makes sense, or None.
     """
 
     http_status = 500
     exit_code = 1
+    outcome = ""
 
     def __init__(self, message: str, *, retry_after_ms: int | None = None):
         super().__init__(message)
         self.message = message
+        self.key_checked = False
         self.retry_after_ms = retry_after_ms
 
     @property
@@ -33,6 +39,7 @@
 
     http_status = 400
     exit_code = 2
+    outcome = "not-run"
 
 
 class SettingsError(BadInputError):
@@ -49,6 +56,12 @@
     http_status = 413
 
 
+class SlowRequestError(BadInputError):
+    """A request did not arrive whole in time."""
+
+    http_status = 408
+
+
 class UnauthorizedError(BadInputError):
     """No valid operator token came with the request."""
 
@@ -61,6 +74,7 @@
 
     http_status = 404
     exit_code = 3
+    outcome = "not-run"
 
 
 class ConflictError(MarigoldsillError):
@@ -85,6 +99,19 @@
     """An idempotency key came again with another request."""
 
     http_status = 422
+    outcome = "not-run"
+
+
+class InProgressError(ConflictError):
+    """A request with the same key is under way; come back for its answer."""
+
+    outcome = "unknown"
+
+
+class AnswerNotKeptError(ConflictError):
+    """The key's request has run, but its answer was too large to keep."""
+
+    outcome = "answered"
 
 
 class NotRunError(MarigoldsillError):
@@ -92,6 +119,7 @@
 
     http_status = 503
     exit_code = 7
+    outcome = "not-run"
 
 
 class OverloadedError(NotRunError):
@@ -100,6 +128,10 @@
     http_status = 429
 
 
+class DrainingError(NotRunError):
+    """The agent takes no new requests, since it is leaving."""
+
+
 class NoEndpointError(NotRunError):
     """No endpoint of the service takes new requests."""
 
@@ -126,6 +158,19 @@
 
     http_status = 502
     exit_code = 8
+    outcome = "unknown"
+
+
+class DeadlineExceededError(UnknownOutcomeError):
+    """The deadline passed before a whole answer came; it may have run."""
+
+    http_status = 504
+
+
+class CallerGoneError(UnknownOutcomeError):
+    """The caller left before the answer; nobody gets this error."""
+
+    http_status = 499
 
 
 class TransportError(MarigoldsillError):
--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import json
+import os
 import signal
 import threading
 
@@ -13,6 +14,8 @@
 from marigoldsill.transport import logs
 from marigoldsill.transport import metrics
 
+_SIGNAL_EXIT_BASE = 128
+
 
 def json_response(value: object, *, status: int = 200) -> wrappers.Response:
     """A JSON answer."""
@@ -24,12 +27,20 @@
 def error_response(error: errors.MarigoldsillError) -> wrappers.Response:
     """The answer that carries an error."""
     response = json_response(shapes.of_error(error), status=error.http_status)
-    if error.retry_after_ms is not None:
-        seconds = -(-error.retry_after_ms // 1000)
-        response.headers["Retry-After"] = str(max(1, seconds))
+    set_retry_after(response, error)
     return response
 
 
+def set_retry_after(
+    response: wrappers.Response, error: errors.MarigoldsillError
+) -> None:
+    """Says when coming back makes sense, in whole seconds as HTTP has it."""
+    if error.retry_after_ms is None:
+        return
+    seconds = -(-error.retry_after_ms // 1000)
+    response.headers["Retry-After"] = str(max(1, seconds))
+
+
 def application(
     handle: Callable[[wrappers.Request], wrappers.Response],
     *,
@@ -61,10 +72,16 @@
 
 
 def wait_for_stop() -> threading.Event:
-    """An event that SIGTERM or SIGINT sets."""
+    """An event that SIGTERM or SIGINT sets; a second signal ends at once."""
     stop = threading.Event()
+
+    def handle(number: int, frame: object) -> None:
+        if stop.is_set():
+            os._exit(_SIGNAL_EXIT_BASE + number)
+        stop.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+        signal.signal(number, handle)
     return stop
 
 
--- a/marigoldsill/roles/entry.py
+++ b/marigoldsill/roles/entry.py
@@ -3,21 +3,30 @@
 import threading
 import time
 
+from werkzeug import datastructures
 from werkzeug import wrappers
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
+from marigoldsill.coordination import attempts
 from marigoldsill.coordination import calls
+from marigoldsill.coordination import deadlines
+from marigoldsill.coordination import request_metrics
 from marigoldsill.coordination import routing
 from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.protocol import caller_requests
+from marigoldsill.protocol import headers as headers_module
+from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.roles import common
 from marigoldsill.transport import cuts
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 
-_PREFIX = "/services/"
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+_ANSWERED = "answered"
+_NOT_RUN = "not-run"
+# Said where the key was not looked up: an earlier call with it may have run.
+_CALL_NOT_RUN = "call-not-run"
 
 
 class Entry:
@@ -42,8 +51,9 @@
         self._caller = calls.Caller(
             entry=settings.name,
             router=self._router,
-            subscriber=self._subscriber,
             control_addresses=settings.control_addresses,
+            threads_count=settings.threads_count,
+            claim_life_s=settings.claim_life_s,
             cut_switch=cut_switch,
         )
         self._http = http_server.HttpServer(
@@ -54,6 +64,8 @@
                 body_limit_bytes=settings.body_limit_bytes,
             ),
             threads_count=settings.threads_count,
+            body_limit_bytes=settings.body_limit_bytes,
+            request_timeout_s=settings.request_timeout_s,
         )
         self.http_address = self._http.address
 
@@ -70,56 +82,114 @@
     def stop(self) -> None:
         """Fails its readiness, finishes requests in flight, then ends."""
         self._stopping.set()
+        self._http.drain()
         time.sleep(self._settings.notice_s)
         finished = self._http.stop(drain_limit_s=self._settings.drain_limit_s)
+        self._caller.stop()
         self._subscriber.stop()
         logs.event("stopped", finished=finished)
 
     def _on_reply(self, reply: ttypes.WatchReply) -> None:
         if reply.routes is not None:
             self._router.update(reply.routes)
+            self._caller.keep_agents({r.agent_address for r in reply.routes})
 
     def _handle(self, request: wrappers.Request) -> wrappers.Response:
-        if not request.path.startswith(_PREFIX):
+        start_s = time.monotonic()
+        raw_path = request.environ["RAW_URI"]
+        target = caller_requests.target_of(raw_path)
+        service = self._subscriber.configuration.service(target.service)
+        if service is None:
             raise errors.NotFoundError(
-                f"{request.path!r} is nothing here; services are at "
-                f"{_PREFIX}<service>/<path>"
+                f"no service is named {target.service!r}"
             )
-        answer = self._run(self._call_of(request))
-        response = wrappers.Response(answer.body, status=answer.status_code)
-        for name, value in answer.headers:
-            response.headers[name] = value
-        return response
-
-    def _run(self, call: calls.Call) -> calls.Answer:
+        key = request.headers.get(headers_module.IDEMPOTENCY_KEY, "")
+        in_flight = request_metrics.IN_FLIGHT.labels(service=service.name)
+        in_flight.inc()
+        outcome = _ANSWERED
         try:
-            return self._caller.run(call)
-        except calls.RecordedAnswer as recorded:
-            return recorded.answer
-
-    def _call_of(self, request: wrappers.Request) -> calls.Call:
-        name, _, path = request.path[len(_PREFIX) :].partition("/")
-        service = self._subscriber.configuration.service(name)
-        if service is None:
-            raise errors.NotFoundError(f"no service is named {name!r}")
-        query = request.query_string.decode("latin-1")
-        key = request.headers.get("Idempotency-Key", "")
-        idempotent = request.method in _SAFE_METHODS and not key
-        if not idempotent and not key:
-            raise errors.BadInputError(
-                f"{request.method} needs an Idempotency-Key header, so that "
-                "it runs at most once"
+            answer = self._caller.run(_call_of(request, target, service, key))
+            return _response(request, answer)
+        except errors.MarigoldsillError as error:
+            outcome = _outcome(error, key)
+            return _error_response(request, error, outcome)
+        finally:
+            in_flight.dec()
+            request_metrics.REQUESTS.labels(
+                service=service.name, outcome=outcome or "other"
+            ).inc()
+            request_metrics.LATENCY.labels(service=service.name).observe(
+                time.monotonic() - start_s
             )
-        return calls.Call(
-            service=name,
-            method=request.method,
-            path=f"/{path}" + (f"?{query}" if query else ""),
-            headers=tuple(request.headers.items()),
-            body=request.get_data(),
-            key=key,
-            idempotent=idempotent,
-            deadline_s=time.monotonic() + service.timeout_ms / 1000,
-        )
+
+
+def _call_of(
+    request: wrappers.Request,
+    target: caller_requests.Target,
+    service: ttypes.Service,
+    key: str,
+) -> attempts.Call:
+    idempotent = caller_requests.is_idempotent(request.method, key)
+    budget_s = caller_requests.budget_s(
+        request.headers.get(headers_module.TIMEOUT_MS, ""),
+        limit_ms=service.timeout_ms,
+    )
+    return attempts.Call(
+        service=target.service,
+        method=request.method,
+        path=target.path,
+        headers=caller_requests.passed_headers(
+            request.environ[http_server.HEADERS_KEY]
+        ),
+        body=request.get_data(cache=False),
+        key=key,
+        idempotent=idempotent,
+        deadline=deadlines.Deadline.after(budget_s),
+        hangup=request.environ[http_server.HANGUP_KEY],
+    )
+
+
+def _response(
+    request: wrappers.Request, answer: attempts.Answer
+) -> wrappers.Response:
+    headers = datastructures.Headers(list(answer.headers))
+    headers[headers_module.OUTCOME] = _ANSWERED
+    _repeat_id(request, headers)
+    response = wrappers.Response(
+        answer.body, status=answer.status_code, headers=headers
+    )
+    response.automatically_set_content_length = request.method != "HEAD"
+    if "content-type" not in {name for name, _ in answer.headers}:
+        response.headers.remove("Content-Type")
+    return response
+
+
+def _error_response(
+    request: wrappers.Request, error: errors.MarigoldsillError, outcome: str
+) -> wrappers.Response:
+    shape = shapes.of_error(error)
+    if outcome:
+        shape["outcome"] = outcome
+    response = common.json_response(shape, status=error.http_status)
+    common.set_retry_after(response, error)
+    if outcome:
+        response.headers[headers_module.OUTCOME] = outcome
+    _repeat_id(request, response.headers)
+    return response
+
+
+def _repeat_id(
+    request: wrappers.Request, headers: datastructures.Headers
+) -> None:
+    caller_id = request.headers.get(headers_module.REQUEST_ID)
+    if caller_id is not None:
+        headers[headers_module.REQUEST_ID] = caller_id
+
+
+def _outcome(error: errors.MarigoldsillError, key: str) -> str:
+    if error.outcome == _NOT_RUN and key and not error.key_checked:
+        return _CALL_NOT_RUN
+    return error.outcome
 
 
 def run(settings: settings_module.EntrySettings) -> None:
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -158,6 +158,17 @@
         parse_integer(0, 600),
         default=0,
     )
+    request_timeout_s: int = setting(
+        "How long a caller may take to send a request, in seconds.",
+        parse_integer(1, 600),
+        default=10,
+    )
+    claim_life_s: int = setting(
+        "How long an idempotency key is remembered, in seconds; longer than "
+        "any caller goes on repeating a request.",
+        parse_integer(60, 7 * 86_400),
+        default=3600,
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldsill/transport/pools.py
+++ b/marigoldsill/transport/pools.py
@@ -22,13 +22,20 @@
         self._free = threading.BoundedSemaphore(threads_count)
         self.threads_count = threads_count
 
-    def submit(self, task: Callable, *args: object) -> futures.Future:
+    def submit(
+        self, task: Callable, *args: object, wait_s: float = 0.0
+    ) -> futures.Future:
         """Runs a task now.
 
+        Args:
+            task: What to run.
+            *args: Its arguments.
+            wait_s: How long to wait for a free thread.
+
         Raises:
             OverloadedError: All threads are busy.
         """
-        if not self._free.acquire(blocking=False):
+        if not self._free.acquire(timeout=wait_s):
             raise errors.OverloadedError(
                 f"all {self.threads_count} threads are busy",
                 retry_after_ms=1000,
--- a/marigoldsill/transport/thrift_client.py
+++ b/marigoldsill/transport/thrift_client.py
@@ -107,9 +107,25 @@
             f"{self.address} did not answer in {timeout_s} s", sent=sent
         )
 
+    def _has_ended(self) -> bool:
+        """Whether the peer closed the connection while nobody used it."""
+        handle = self._socket.handle if self._socket is not None else None
+        if handle is None:
+            return True
+        try:
+            handle.settimeout(0)
+            handle.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        # An end, or an answer that nobody asked for.
+        return True
+
     def _open(self, timeout_s: float) -> None:
-        if self._client is not None:
+        if self._client is not None and not self._has_ended():
             return
+        self.close()
         host, port = addresses.parse(self.address)
         sock = TSocket.TSocket(host, port)
         sock.setTimeout(timeout_s * 1000)
