--- a/tests/processes.py
+++ b/tests/processes.py
@@ -90,7 +90,7 @@
         return self.wait()
 
     def wait(self) -> int:
-        """Waits until it ends and returns its exit status."""
+        """Waits for its end and returns its exit status."""
         try:
             return self._popen.wait(WAIT_LIMIT_S)
         except subprocess.TimeoutExpired:
@@ -254,7 +254,10 @@
             text=True,
             timeout=WAIT_LIMIT_S,
             env=os.environ
-            | {"MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http)},
+            | {
+                "MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http),
+                "MARIGOLDSILL_OUTPUT": "json",
+            },
             check=False,
         )
 
