--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,307 @@
+"""Callers' requests: the path's price, overload, drains, claims, truth.
+
+Ratios within one run carry the bounds; absolute times are only recorded. Run
+as `python -m benchmarks.requests`.
+"""
+
+from collections.abc import Iterator
+import itertools
+import sys
+import threading
+import time
+
+from benchmarks import load
+from benchmarks import request_system
+from benchmarks import table
+
+_WORKERS_COUNT = 4
+_SLOTS_COUNT = 10
+_PERCENTILES = (50, 99, 99.9)
+_PATH_RATE_PER_S = 100
+_PATH_DURATION_S = 6.0
+_PATH_WORK_MS = 5
+_FULL_RATE_PER_S = 1500
+_OVERLOAD_WORK_MS = 200
+_OVERLOAD_DURATION_S = 5.0
+_OVERLOAD_TIMEOUT_MS = 1000
+_DRAIN_WAIT_S = 3.0
+_FAULT_SHARE = 0.05
+_CLAIM_RATE_PER_S = 50
+
+
+def run() -> list[table.Row]:
+    """Measures everything; takes about two minutes."""
+    parts = (_path, _overload, _drain, _claims, _truth, _profiles)
+    return list(itertools.chain.from_iterable(part() for part in parts))
+
+
+def _path() -> Iterator[table.Row]:
+    with request_system.System(workers_count=_WORKERS_COUNT) as system:
+        settings = {
+            "rate_per_s": _PATH_RATE_PER_S,
+            "duration_s": _PATH_DURATION_S,
+            "work_ms": _PATH_WORK_MS,
+            "threads_count": 32,
+        }
+        system.run(**settings | {"duration_s": 1.0})
+        direct = load.latencies(
+            _direct(system, settings), chosen=lambda r: r.last.good
+        )
+        through = load.latencies(system.run(**settings))
+        for p in _PERCENTILES:
+            added_us = through.get_value_at_percentile(
+                p
+            ) - direct.get_value_at_percentile(p)
+            yield _row(f"added latency p{p}", added_us / 1000, "ms")
+        before_s = system.processor_s("entry-1")
+        records = system.run(
+            rate_per_s=_FULL_RATE_PER_S,
+            duration_s=4.0,
+            work_ms=0,
+            processes_count=3,
+            threads_count=40,
+        )
+        used_s = system.processor_s("entry-1") - before_s
+        good = [r for r in records if r.last.good]
+        took_s = max(r.started_s + r.latency_us / 1e6 for r in records) - min(
+            r.started_s for r in records
+        )
+        yield _row("entry process at most", len(good) / took_s, "requests/s")
+        yield _row(
+            "entry processor time",
+            used_s * 1e6 / max(1, len(records)),
+            "us/request",
+        )
+        yield _row(
+            "falsely answered at most rate",
+            _untrue(system, records),
+            "requests",
+            0,
+            "max",
+        )
+
+
+def _direct(system: request_system.System, settings: dict) -> list[load.Record]:
+    return system.run(
+        **settings | {"addresses": ",".join(system.endpoint_addresses())},
+        direct="",
+    )
+
+
+def _overload() -> Iterator[table.Row]:
+    capacity = _WORKERS_COUNT * _SLOTS_COUNT * 1000 / _OVERLOAD_WORK_MS
+    with request_system.System(
+        workers_count=_WORKERS_COUNT, entries_count=2
+    ) as system:
+        rates = {
+            factor: _goodput(system, factor * capacity, system.entries)
+            for factor in (1, 2, 5)
+        }
+        peak = max(good for good, _ in rates.values())
+        for factor, (good, p99_ms) in rates.items():
+            name = f"goodput at {factor}x"
+            yield _row(name, good, "requests/s")
+            yield _row(f"{name} p99 of good", p99_ms, "ms")
+        yield _row(
+            "goodput at 5x to peak", rates[5][0] / peak, "ratio", 0.9, "min"
+        )
+        yield _row(
+            "goodput at 5x to slot capacity", rates[5][0] / capacity, "ratio"
+        )
+        after, _ = _goodput(system, 0.5 * capacity, system.entries)
+        yield _row(
+            "goodput at 0.5x after overload to offered",
+            after / (0.5 * capacity),
+            "ratio",
+            0.95,
+            "min",
+        )
+        bare = system.start_bare_proxy()
+        for factor in (1, 5):
+            good, p99_ms = _goodput(system, factor * capacity, (bare,))
+            name = f"random choice, unbounded queue: goodput at {factor}x"
+            yield _row(name, good, "requests/s")
+
+
+def _goodput(
+    system: request_system.System, rate_per_s: float, addresses: tuple
+) -> tuple[float, float]:
+    """Answers in time, each second, and the p99 of those in milliseconds."""
+    records = system.run(
+        rate_per_s=rate_per_s,
+        duration_s=_OVERLOAD_DURATION_S,
+        work_ms=_OVERLOAD_WORK_MS,
+        timeout_ms=_OVERLOAD_TIMEOUT_MS,
+        addresses=",".join(addresses),
+        processes_count=3,
+        threads_count=300,
+    )
+    in_time = [
+        r
+        for r in records
+        if r.last.good and r.latency_us <= _OVERLOAD_TIMEOUT_MS * 1000
+    ]
+    hdr = load.latencies(in_time)
+    return (
+        len(in_time) / _OVERLOAD_DURATION_S,
+        hdr.get_value_at_percentile(99) / 1000,
+    )
+
+
+def _drain() -> Iterator[table.Row]:
+    with request_system.System(
+        workers_count=_WORKERS_COUNT, entries_count=2
+    ) as system:
+        running = load.Load(
+            load.Settings(
+                addresses=system.entries,
+                rate_per_s=120,
+                duration_s=30.0,
+                work_ms=50,
+                threads_count=60,
+            )
+        )
+        records: list[load.Record] = []
+        thread = threading.Thread(target=lambda: records.extend(running.run()))
+        thread.start()
+        time.sleep(1.0)
+        confirmed_ns = system.drain("worker-1")
+        time.sleep(_DRAIN_WAIT_S)
+        running.stop()
+        thread.join()
+        last_ns = max(
+            e["at_ns"]
+            for e in system.events()
+            if e["event"] == "request_began" and e["worker"] == "worker-1"
+        )
+        yield _row(
+            "drain: confirmed until last new request",
+            max(0.0, (last_ns - confirmed_ns) / 1e9),
+            "s",
+            2.0,
+            "max",
+        )
+        yield _row(
+            "drain: requests not answered",
+            sum(not r.last.good for r in records),
+            "requests",
+            0,
+            "max",
+        )
+
+
+def _claims() -> Iterator[table.Row]:
+    with request_system.System(workers_count=2, controls_count=3) as system:
+        settings = {
+            "rate_per_s": _CLAIM_RATE_PER_S,
+            "duration_s": _PATH_DURATION_S,
+            "work_ms": _PATH_WORK_MS,
+            "threads_count": 32,
+        }
+        system.run(**settings | {"duration_s": 1.0, "keyed_share": 0.5})
+        free = load.latencies(system.run(**settings))
+        claimed = load.latencies(system.run(**settings | {"keyed_share": 1.0}))
+        for p in (50, 99):
+            price_us = claimed.get_value_at_percentile(
+                p
+            ) - free.get_value_at_percentile(p)
+            yield _row(f"price of a claim p{p}", price_us / 1000, "ms")
+
+
+def _truth() -> Iterator[table.Row]:
+    with request_system.System(
+        workers_count=_WORKERS_COUNT, entries_count=2
+    ) as system:
+        faults = (
+            {"endpoint_truncates": True},
+            {"endpoint_truncates": False, "endpoint_wrong_id": True},
+            {"endpoint_wrong_id": False, "endpoint_duplicates": True},
+            {"endpoint_duplicates": False, "endpoint_hangs": True},
+        )
+        records: list[load.Record] = []
+        for fault in faults:
+            system.faults(endpoint_fault_share=_FAULT_SHARE, **fault)
+            records += system.run(
+                rate_per_s=150,
+                duration_s=4.0,
+                work_ms=10,
+                keyed_share=0.3,
+                timeout_ms=1500,
+                threads_count=100,
+            )
+        system.faults(endpoint_hangs=False)
+        verdict = system.verdict(records)
+    yield _row("faults: requests judged", verdict.asked_count, "requests")
+    for name in ("wrong", "lost", "duplicated", "falsely_not_run"):
+        count = getattr(verdict, f"{name}_count")
+        yield _row(f"faults: {name}", count, "requests", 0, "max")
+    free = [r for r in records if not r.key]
+    yield _row(
+        "faults: idempotent requests answered",
+        sum(r.last.good for r in free) / len(free),
+        "ratio",
+        0.95,
+        "min",
+    )
+
+
+def _profiles() -> Iterator[table.Row]:
+    for name, data_centres_count, delay_ms in (
+        ("Raices", 3, 3.0),
+        ("Qureshi", 4, 1.0),
+    ):
+        with request_system.System(
+            workers_count=10,
+            entries_count=2,
+            data_centres_count=data_centres_count,
+        ) as system:
+            records = system.run(
+                rate_per_s=250,
+                duration_s=5.0,
+                work_ms=200,
+                client_delay_ms=delay_ms,
+                processes_count=2,
+                threads_count=150,
+                keyed_share=0.05,
+            )
+            hdr = load.latencies(records)
+            verdict = system.verdict(records)
+        for p in _PERCENTILES:
+            value_ms = hdr.get_value_at_percentile(p) / 1000
+            yield _row(f"{name} at half load p{p}", value_ms, "ms")
+        yield _row(
+            f"{name} at half load answered",
+            verdict.good_count / verdict.asked_count,
+            "ratio",
+            0.99,
+            "min",
+        )
+
+
+def _untrue(system: request_system.System, records: list[load.Record]) -> int:
+    verdict = system.verdict(records)
+    return (
+        verdict.wrong_count
+        + verdict.duplicated_count
+        + verdict.falsely_not_run_count
+    )
+
+
+def _row(
+    name: str,
+    value: float,
+    unit: str,
+    bound: float | None = None,
+    bound_kind: str | None = None,
+) -> table.Row:
+    row = table.Row(f"requests: {name}", value, unit, bound, bound_kind)
+    print(
+        f"{row.name}: {table.number(value)} {unit}",
+        file=sys.stderr,
+        flush=True,
+    )
+    return row
+
+
+if __name__ == "__main__":
+    print(table.render(run()))
--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -53,7 +53,11 @@
             lease_ms = self._replica.tables.policy.lease_ms
         if heartbeat.worker is not None:
             self._record_worker(heartbeat.worker, known)
-        elif known is None or known.incarnation != heartbeat.incarnation:
+        elif (
+            known is None
+            or known.incarnation != heartbeat.incarnation
+            or known.state == ttypes.WorkerState.LOST
+        ):
             return self._unknown_agent()
         if heartbeat.endpoints is not None:
             self._record_endpoints(heartbeat)
--- a/marigoldsill/transport/http_server.py
+++ b/marigoldsill/transport/http_server.py
@@ -75,6 +75,7 @@
             self.connection,
             idle_s=_IDLE_TIMEOUT_S,
             request_s=self.server.request_timeout_s,
+            on_begun=lambda: self.server.busy(self.connection),
         )
         self.rfile = io.BufferedReader(self._stream, 65_536)
 
@@ -93,10 +94,8 @@
         """Reads one request and answers it."""
         self._stream.begin()
         self.server.idle(self.connection)
-        try:
-            self.raw_requestline = self.rfile.readline(65_537)
-        finally:
-            self.server.busy(self.connection)
+        self.raw_requestline = self.rfile.readline(65_537)
+        self.server.busy(self.connection)
         if not self.raw_requestline or not self.parse_request():
             self.close_connection = True
             return
@@ -110,7 +109,7 @@
         """Runs the application once and counts the request as in flight."""
         self.server.enter_request()
         try:
-            with self.server.hangups.watched(self.connection) as hangup:
+            with self.server.watch(self.connection) as hangup:
                 status, headers, body = self._run(hangup)
             self._send(status, headers, body)
         finally:
@@ -238,6 +237,7 @@
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
         self._idle: dict[socket.socket, None] = {}
+        self._read_ended: set[socket.socket] = set()
         self._in_flight_count = 0
         self.body_limit_bytes = body_limit_bytes
         self.request_timeout_s = request_timeout_s
@@ -311,10 +311,22 @@
             connection.setblocking(True)
             self.process_request(connection, address)
 
+    def watch(
+        self, connection: socket.socket
+    ) -> contextlib.AbstractContextManager[hangups.Hangup]:
+        """Watches whether a caller leaves while its request is under way."""
+        with self._lock:
+            ended = connection in self._read_ended
+        if ended:
+            # This side's own end of reading would look like the caller's.
+            return contextlib.nullcontext(hangups.Hangup())
+        return self.hangups.watched(connection)
+
     def close_idle(self) -> None:
         """Ends connections that wait; a request that has come is still read."""
         with self._lock:
             idle = list(self._idle)
+            self._read_ended |= set(idle)
         for connection in idle:
             _shut_down(connection, socket.SHUT_RD)
 
@@ -344,6 +356,7 @@
             if connection is None:
                 return False
             del self._idle[connection]
+            self._read_ended.add(connection)
         _shut_down(connection, socket.SHUT_RD)
         return True
 
@@ -358,6 +371,7 @@
     def _forget(self, request: socket.socket) -> None:
         with self._lock:
             self._connections.discard(request)
+            self._read_ended.discard(request)
             self._idle.pop(request, None)
         self.shutdown_request(request)
 
--- a/marigoldsill/transport/request_reader.py
+++ b/marigoldsill/transport/request_reader.py
@@ -1,5 +1,6 @@
 """Reads requests from a caller's connection, bounded in time and size."""
 
+from collections.abc import Callable
 import io
 import socket
 import time
@@ -19,11 +20,25 @@
     """
 
     def __init__(
-        self, connection: socket.socket, *, idle_s: float, request_s: float
+        self,
+        connection: socket.socket,
+        *,
+        idle_s: float,
+        request_s: float,
+        on_begun: Callable[[], None],
     ):
+        """Reads from a connection.
+
+        Args:
+            connection: The caller's.
+            idle_s: How long to wait for a request.
+            request_s: How long a request may take to arrive.
+            on_begun: Called when the first bytes of a request have come.
+        """
         self._connection = connection
         self._idle_s = idle_s
         self._request_s = request_s
+        self._on_begun = on_begun
         self._end_s = 0.0
         self.idle = True
 
@@ -53,6 +68,7 @@
         count = self._connection.recv_into(buffer)
         if self.idle:
             self.idle = False
+            self._on_begun()
             self._end_s = time.monotonic() + self._request_s
         return count
 
