--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -3,17 +3,20 @@
 import contextlib
 import json
 import os
+import re
 import uuid
 
 from werkzeug import wrappers
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
+from marigoldsill.coordination import audit_log
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import operators
 from marigoldsill.coordination import peers
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import scheduler as scheduler_module
+from marigoldsill.protocol import checks
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
@@ -25,6 +28,9 @@
 
 _BODY_LIMIT_BYTES = 2 << 20
 _HTTP_THREADS_COUNT = 32
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
+_GUARD_NAME = re.compile(r"[a-z0-9-]{1,64}")
+_SHOWN_LENGTH = 40
 
 
 class Control:
@@ -86,13 +92,16 @@
             on_fatal=_end_process,
         )
         self._service = control_service.ControlService(replica=self._replica)
+        self._audit_log = audit_log.AuditLog(replica=self._replica)
         self._scheduler = scheduler_module.Scheduler(
             replica=self._replica, service=self._service
         )
         self._operators = operators.Operators(
             replica=self._replica, service=self._service
         )
-        self._thrift.add("control", ControlThrift.Processor(self._service))
+        self._thrift.add(
+            "control", ControlThrift.Processor(checks.Checked(self._service))
+        )
         self._thrift.add(peers.SERVICE_NAME, self._replica.processor)
 
     def start(self) -> None:
@@ -128,12 +137,10 @@
                     command_id=command_id,
                 )
                 return common.json_response(shapes.of_record(plan))
-            case ("POST", "v1", "plans", plan_id, "confirm") if (
-                plan_id.isdigit()
-            ):
+            case ("POST", "v1", "plans", plan_id, "confirm"):
                 return common.json_response(
                     self._operators.confirm(
-                        int(plan_id),
+                        _plan_id(plan_id),
                         _acknowledged(request.get_data()),
                         operator_name=operator_name,
                         command_id=command_id,
@@ -143,23 +150,49 @@
                 return common.json_response(self._operators.status())
             case ("GET", "v1", "explain", name):
                 return common.json_response(self._operators.explain(name))
+            case ("GET", "v1", "plans", plan_id):
+                return common.json_response(
+                    self._operators.show(_plan_id(plan_id))
+                )
             case ("GET", "v1", "audit"):
-                return common.json_response(self._operators.audit())
+                since = _sequence(request.args.get("since", "0"))
+                return common.json_response(self._operators.audit(since=since))
             case _:
                 raise errors.NotFoundError(
                     f"{request.method} {request.path} is nothing here"
                 )
 
 
+def _plan_id(text: str) -> int:
+    if not _WHOLE_NUMBER.fullmatch(text):
+        raise errors.NotFoundError(f"there is no plan {text[:_SHOWN_LENGTH]!r}")
+    return int(text)
+
+
+def _sequence(text: str) -> int:
+    if not _WHOLE_NUMBER.fullmatch(text):
+        raise errors.BadInputError(
+            f"since is {text[:_SHOWN_LENGTH]!r}; accepted is the sequence number of a record"
+        )
+    return int(text)
+
+
 def _acknowledged(body: bytes) -> list[str]:
     if not body:
         return []
     try:
-        return [str(name) for name in json.loads(body)["acknowledged"]]
-    except (ValueError, KeyError, TypeError) as error:
+        names = json.loads(body)["acknowledged"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        names = None
+    if not isinstance(names, list) or not all(map(_is_guard_name, names)):
         raise errors.BadInputError(
             'no confirmation; accepted is {"acknowledged": ["guard", ...]}'
-        ) from error
+        )
+    return names
+
+
+def _is_guard_name(value: object) -> bool:
+    return isinstance(value, str) and bool(_GUARD_NAME.fullmatch(value))
 
 
 def initialise(settings: settings_module.ControlInitSettings) -> int:
@@ -183,6 +216,16 @@
     )
 
 
+def recover(settings: settings_module.ControlRecoverSettings) -> int:
+    """Forms a new group from a survivor's folder; returns its cluster id.
+
+    Raises:
+        MembershipError: The folder holds no cluster.
+        StorageError: The folder is damaged, or the disk failed.
+    """
+    return replica_module.recover(settings.data_folder, own_name=settings.name)
+
+
 def _form_alone(
     settings: settings_module.ControlSettings, member: ttypes.Member
 ) -> None:
--- a/marigoldsill/roles/entry.py
+++ b/marigoldsill/roles/entry.py
@@ -103,6 +103,7 @@
             raise errors.NotFoundError(
                 f"no service is named {target.service!r}"
             )
+        self._subscriber.note_call(service.name)
         key = request.headers.get(headers_module.IDEMPOTENCY_KEY, "")
         in_flight = request_metrics.IN_FLIGHT.labels(service=service.name)
         in_flight.inc()
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -6,10 +6,20 @@
 
 from loguru import logger
 
-_FORMAT = (
-    "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} "
-    "event={message} {extra[pairs]}"
-)
+
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log as events of ours, one line each."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one message, with its exception if it has one."""
+        error = record.exc_info[1] if record.exc_info else None
+        event(
+            "library_message",
+            level=record.levelname,
+            library=record.name,
+            text=record.getMessage(),
+            reason="" if error is None else repr(error),
+        )
 
 
 def set_up(*, role: str, name: str, level: str = "INFO") -> None:
@@ -21,6 +31,9 @@
         level: The lowest level that is written.
     """
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
     logger.remove()
     logger.configure(extra={"pairs": f"role={role} name={name}"})
     base = f"role={role} name={name} pid={os.getpid()}"
