--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -67,8 +67,22 @@
         worker: worker_interface.WorkerInterface,
         checkpoint_interval_s: float = 60.0,
         on_event: Callable[[], None] = lambda: None,
+        drain_task: Callable[[str], int] = lambda task: 0,
+        drain_limit_s: float = 30.0,
     ):
+        """Prepares to keep runs.
+
+        Args:
+            worker: The platform's interface to the worker.
+            checkpoint_interval_s: Between checkpoints of a run, in seconds.
+            on_event: Called when there is something to tell control.
+            drain_task: Gives a run's endpoints no new requests; returns how
+                many are in flight.
+            drain_limit_s: How long a stop waits for requests in flight.
+        """
         self._worker = worker
+        self._drain_task = drain_task
+        self._drain_limit_s = drain_limit_s
         self._on_event = on_event
         self._checkpoint_interval_s = checkpoint_interval_s
         self._wake = threading.Event()
@@ -84,6 +98,7 @@
         self._inherited: set[run_events.RunId] = set()
         self._quiet_until_s: float | None = None
         self._evictions: dict[run_events.RunId, _Eviction] = {}
+        self._drains_begun_s: dict[run_events.RunId, float] = {}
         self._checkpoint_due_s: dict[run_events.RunId, float] = {}
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
@@ -220,7 +235,7 @@
                 self._report_lost(run, "not on the worker")
             case ttypes.Desire.CHECKPOINT_AND_STOP:
                 self._evict(run, order)
-            case _:
+            case _ if self._is_drained(run):
                 self._operations.stop(run)
 
     def _start(
@@ -285,6 +300,16 @@
             return
         self._operations.stop(run)
 
+    def _is_drained(self, run: run_events.RunId) -> bool:
+        """Whether no request is in flight, or it has taken too long."""
+        now_s = time.monotonic()
+        in_flight_count = self._drain_task(run.task)
+        if run not in self._drains_begun_s:
+            self._drains_begun_s[run] = now_s
+            self._on_event()
+        waited_s = now_s - self._drains_begun_s[run]
+        return not in_flight_count or waited_s > self._drain_limit_s
+
     def _is_checkpoint_due(self, run: run_events.RunId) -> bool:
         now_s = time.monotonic()
         interval_s = self._checkpoint_interval_s
@@ -356,6 +381,10 @@
         current = set(orders.by_run) | set(listed)
         self._outbox.forget_all_but(current)
         self._inherited &= current
-        for table in (self._evictions, self._checkpoint_due_s):
+        for table in (
+            self._evictions,
+            self._drains_begun_s,
+            self._checkpoint_due_s,
+        ):
             for run in [r for r in table if r not in current]:
                 del table[run]
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -25,6 +25,10 @@
 
 _BODY_LIMIT_BYTES = 1 << 20
 _HTTP_THREADS_COUNT = 8
+# After a drain was announced, entries may send for as long as they take to
+# hear of it; they are refused and go elsewhere.
+_NOTICE_S = 1.0
+_POLL_S = 0.05
 
 
 class Agent:
@@ -40,13 +44,15 @@
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
         self._usage = worker_usage.WorkerUsage(worker=self._worker)
+        self._admission = admission_module.Admission(
+            queue_count=settings.queue_count
+        )
         self._runs = run_keeper.RunKeeper(
             worker=self._worker,
             checkpoint_interval_s=settings.checkpoint_interval_s,
             on_event=lambda: self._heartbeats.wake(),
-        )
-        self._admission = admission_module.Admission(
-            queue_count=settings.queue_count
+            drain_task=self._admission.drain_task,
+            drain_limit_s=settings.drain_limit_s,
         )
         self._subscriber = subscriber_module.Subscriber(
             name=settings.name,
@@ -64,7 +70,10 @@
             "agent",
             AgentThrift.Processor(
                 checks.Checked(
-                    agent_service.AgentService(admission=self._admission)
+                    agent_service.AgentService(
+                        admission=self._admission,
+                        incarnation=lambda: self._heartbeats.incarnation,
+                    )
                 )
             ),
         )
@@ -104,10 +113,14 @@
 
     def stop(self) -> None:
         """Refuses new requests, finishes those in flight, then ends."""
-        self._admission.draining = True
+        self._admission.set_draining("stop", draining=True)
+        self._heartbeats.wake()
         end_s = time.monotonic() + self._settings.drain_limit_s
-        while sum(self._admission.load()) and time.monotonic() < end_s:
-            time.sleep(0.05)
+        notice_end_s = time.monotonic() + _NOTICE_S
+        while time.monotonic() < end_s and (
+            sum(self._admission.load()) or time.monotonic() < notice_end_s
+        ):
+            time.sleep(_POLL_S)
         self._heartbeats.stop()
         self._usage.stop()
         self._subscriber.stop()
@@ -122,7 +135,9 @@
                 reply.term, reply.orders_version, reply.orders
             )
         draining = self._subscriber.configuration.draining_workers
-        self._admission.draining = self._settings.name in draining
+        self._admission.set_draining(
+            "configuration", draining=self._settings.name in draining
+        )
 
     def _handle(self, request: wrappers.Request) -> wrappers.Response:
         if request.path != "/endpoints" or request.method != "POST":
--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -52,12 +52,20 @@
 def error_response(error: errors.MarigoldsillError) -> wrappers.Response:
     """The answer that carries an error."""
     response = json_response(shapes.of_error(error), status=error.http_status)
-    if error.retry_after_ms is not None:
-        seconds = -(-error.retry_after_ms // 1000)
-        response.headers["Retry-After"] = str(max(1, seconds))
+    set_retry_after(response, error)
     return response
 
 
+def set_retry_after(
+    response: wrappers.Response, error: errors.MarigoldsillError
+) -> None:
+    """Says when coming back makes sense, in whole seconds as HTTP has it."""
+    if error.retry_after_ms is None:
+        return
+    seconds = -(-error.retry_after_ms // 1000)
+    response.headers["Retry-After"] = str(max(1, seconds))
+
+
 def application(
     handle: Callable[[wrappers.Request], wrappers.Response],
     *,
