--- a/marigoldsill/transport/http_server.py
+++ b/marigoldsill/transport/http_server.py
@@ -281,6 +281,18 @@
         with self._lock:
             self._idle.pop(connection, None)
 
+    def server_bind(self) -> None:
+        """Takes the address.
+
+        Raises:
+            SettingsError: It can't be taken.
+        """
+        try:
+            super().server_bind()
+        except OSError as error:
+            host, port = self.server_address[:2]
+            raise addresses.cannot_listen(f"{host}:{port}", error) from error
+
     def process_request(
         self, request: socket.socket, client_address: tuple
     ) -> None:
