--- a/marigoldsill/coordination/lease_renewer.py
+++ b/marigoldsill/coordination/lease_renewer.py
@@ -15,7 +15,7 @@
 from marigoldsill.protocol import worker_interface
 from marigoldsill.transport import logs
 
-_PROBE_S = 0.5
+_PROBE_S = 1.0
 _SILENCE_RATIO = 0.5
 _SILENT = prometheus_client.Gauge(
     "marigoldsill_worker_silent", "1 while the worker renews no lease."
--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -23,7 +23,7 @@
 from marigoldsill.transport import failpoints
 from marigoldsill.transport import logs
 
-_POLL_S = 0.25
+_POLL_S = 0.5
 _EVICTION_LIMIT_S = 5.0
 _CHECKPOINT_TRIES = 2
 _ENDED_EVENTS = {
@@ -125,8 +125,10 @@
             # a lease, and what it asked for may still take effect.
             full_s = lease.length_ms / 1000 * leases.DRIFT_RATIO
             self._quiet_until_s = time.monotonic() + full_s + leases.MARGIN_S
+        held = self.renewer.lease
         self.renewer.renew(lease)
-        self._wake.set()
+        if not held.is_live or held.orders_version != lease.orders_version:
+            self._wake.set()
 
     def events(self, *, limit: int) -> list[ttypes.RunEvent]:
         """The oldest events that control has not acknowledged."""
--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -95,6 +95,13 @@
 
         processes.wait_until(look, limit_s=20.0, what=f"{kind!r} of {task}")
 
+    def wait_for_lists(self, count: int) -> None:
+        """Waits until the keeper has looked at the worker so often."""
+        begun_count = self.platform.lists_count
+        processes.wait_until(
+            lambda: self.platform.lists_count > begun_count + count
+        )
+
     def states(self) -> dict[tuple[str, int], str]:
         """The state of each run that the worker lists."""
         return {(t.task, t.epoch): t.state for t in self.platform.tasks()}
@@ -168,9 +175,11 @@
 
 
 def test_starts_nothing_on_orders_older_than_its_lease(bench: Bench) -> None:
-    bench.keeper.take_orders(TERM, bench.version, [order()])
+    held_version = bench.version
     bench.version += 1
     bench.lease()
+    bench.keeper.take_orders(TERM, held_version, [order()])
+    bench.wait_for_lists(2)
     bench.order(order("other/0"))
     bench.wait_for(KINDS.STARTED, task="other/0")
 
@@ -185,10 +194,10 @@
         )
     )
     bench.keeper.take_orders(TERM + 1, 1, [order()])
-    read_count = bench.platform.lists_count
-    processes.wait_until(lambda: bench.platform.lists_count > read_count + 2)
+    bench.wait_for_lists(2)
 
     assert bench.states() == {}
+    assert not bench.journaled("start_refused")
 
 
 def test_worker_itself_refuses_a_start_after_the_lease(bench: Bench) -> None:
@@ -257,6 +266,7 @@
 ) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
+    bench.worker.faults.change({"late_ms": {"stop": 300}})
     bench.order(order(epoch=2))
     processes.wait_until(
         lambda: bench.states().get(("rebuild/0", 2)) == "running"
