--- a/tests/coordination/commands.py
+++ b/tests/coordination/commands.py
@@ -26,7 +26,11 @@
     def declare(self, *changes: ttypes.Change) -> None:
         """Plans and confirms changes."""
         plan_id = self.tables.next_plan_id
-        plan = ttypes.Plan(operator_name="desk-1", changes=list(changes))
+        plan = ttypes.Plan(
+            operator_name="desk-1",
+            state_version=self.tables.state_version,
+            changes=list(changes),
+        )
         self.apply(record_plan=ttypes.RecordPlan(plan=plan))
         self.apply(
             confirm_plan=ttypes.ConfirmPlan(
--- /dev/null
+++ b/tests/failures/test_broken_work.py
@@ -0,0 +1,79 @@
+"""Workers that fail what they start, and a job that fails everywhere."""
+
+from tests import processes
+
+FLAGS = ("--heartbeat-ms", "200")
+JOB = """
+[[batch_job]]
+name = "{name}"
+cores = 2
+memory = "1GB"
+run_time = "{run_time}"
+"""
+WATCHER = """
+[[watcher]]
+name = "parish"
+cores = 1
+memory = "1GB"
+"""
+
+
+def test_worker_that_fails_every_start_costs_no_job(
+    system: processes.System,
+) -> None:
+    system.start_control()
+    system.start_workers("worker-1", "worker-2", agent_flags=FLAGS)
+    system.tell_worker("worker-1", "/faults", {"fail_starts": True})
+    names = [f"rebuild-{number}" for number in range(6)]
+    system.apply(
+        "".join(JOB.format(name=name, run_time="200ms") for name in names)
+    )
+    for name in names:
+        system.wait_for_state(f"{name}/0", "done", "failed")
+
+    states = {system.task_state(f"{name}/0") for name in names}
+    assert states == {"done"}
+    assert not any(
+        e["event"] == "run_started" for e in system.events("worker-1")
+    )
+    system.assert_invariants()
+
+
+def test_job_that_fails_everywhere_is_given_up_and_harms_no_other(
+    system: processes.System,
+) -> None:
+    system.start_control()
+    system.start_workers("worker-1", "worker-2", agent_flags=FLAGS)
+    for worker in ("worker-1", "worker-2"):
+        faults = {"fail_owners": ["broken"]}
+        system.tell_worker(worker, "/faults", faults)
+    system.apply(
+        JOB.format(name="broken", run_time="10s")
+        + JOB.format(name="sound", run_time="1s")
+    )
+    broken = system.wait_for_state("broken/0", "failed")
+    system.wait_for_state("sound/0", "done")
+
+    assert broken["epoch"] == 3
+    workers = system.request("GET", "/v1/status")["workers"]
+    assert {worker["state"] for worker in workers} == {"active"}
+    system.assert_invariants()
+
+
+def test_what_no_longer_fits_a_smaller_worker_is_moved(
+    system: processes.System,
+) -> None:
+    system.start_control()
+    system.start_workers("worker-1", agent_flags=FLAGS)
+    system.apply(JOB.format(name="rebuild", run_time="1h") + WATCHER)
+    for name in ("rebuild", "parish"):
+        system.wait_for_state(f"{name}/0", "running")
+    system.tell_worker("worker-1", "/resize", {"cpu_millicores": 2500})
+    # An agent that restarts reads the capacity at once.
+    system.start_agent("worker-1", flags=FLAGS)
+    system.start_worker("worker-2", agent_flags=FLAGS)
+    moved = system.wait_for_event("worker-2", "run_started", epoch=2)
+
+    stopped = system.wait_for_event("worker-1", "run_stopped")
+    assert stopped["task"] == moved["task"]
+    system.assert_invariants()
