Forget ended runs from what the worker lists, and test two agents of a name

A forget that failed once left an ended run on the worker's list for good. The keeper now forgets whatever is listed as ended and recorded, each time it looks; the test failed before (the run stayed listed). Two agents of one name on two VMs: the older is refused, and the newer calls nothing lost before the older one's lease is over.

--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -137,10 +137,8 @@
     def acknowledge(self, event_ids: list[int]) -> None:
         """Drops events that control has recorded."""
         recorded = self._outbox.acknowledge(event_ids)
-        for event in recorded:
-            if event.kind in _ENDED_EVENTS.values():
-                failpoints.reach("end.acknowledged")
-                self._operations.forget(run_events.run_of(event))
+        if any(event.kind in _ENDED_EVENTS.values() for event in recorded):
+            failpoints.reach("end.acknowledged")
         if recorded:
             self._wake.set()
 
@@ -169,7 +167,7 @@
         self._operations.settle_starts(set(listed))
         for run, task in listed.items():
             if task.state != "running":
-                self._report_end(run, task)
+                self._settle_end(run, task)
         with self._lock:
             orders = self._orders
         if orders is None:
@@ -318,9 +316,14 @@
             return
         self._report(run, ttypes.RunEventKind.LOST, detail)
 
-    def _report_end(
+    def _settle_end(
         self, run: run_events.RunId, task: worker_interface.PlatformTask
     ) -> None:
+        """Reports an end; once that is recorded, clears the worker's list."""
+        if self._outbox.has_ended(run):
+            if not self._outbox.awaits(run):
+                self._operations.forget(run)
+            return
         failpoints.reach("end.before")
         self._outbox.add(
             ttypes.RunEvent(
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,6 +23,7 @@
         announces: Whether endpoints announce themselves.
         fail_owners: Runs of these batch jobs fail soon after their start.
         checkpoints_fail: Every checkpoint fails.
+        fail_forgets: Ended runs stay on the list.
         usage_missing: No measurement is given.
         hangs: Operations, such as "checkpoint", that get no answer and are
             not done.
@@ -43,6 +44,7 @@
     announces: bool = True
     fail_owners: list[str] = dataclasses.field(default_factory=list)
     checkpoints_fail: bool = False
+    fail_forgets: bool = False
     usage_missing: bool = False
     hangs: list[str] = dataclasses.field(default_factory=list)
     late_ms: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -291,6 +291,8 @@
     def _do_forget(self, body: dict) -> wrappers.Response:
         key = (body["task"], body["epoch"])
         run = self._runs.get(key)
+        if self.faults.fail_forgets:
+            return _json({"error": "forget failed"}, status=500)
         if run is not None and run.state != "running":
             del self._runs[key]
         return _json({})
--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -249,6 +249,22 @@
     assert bench.keeper.room.capacity.cpu_millicores == 6000
 
 
+def test_throttles_a_run_and_lets_it_go_again(bench: Bench) -> None:
+    bench.order(order())
+    bench.wait_for(KINDS.STARTED)
+    for desire, throttled in (
+        (ttypes.Desire.THROTTLE, True),
+        (ttypes.Desire.RUN, False),
+    ):
+        bench.order(order(started=True, desire=desire))
+        processes.wait_until(
+            lambda throttled=throttled: (
+                [t.throttled for t in bench.platform.tasks()] == [throttled]
+            ),
+            what=f"throttled {throttled}",
+        )
+
+
 def test_waits_for_a_run_on_its_way_out_instead_of_refusing(
     bench: Bench,
 ) -> None:
@@ -342,6 +358,20 @@
     processes.wait_until(lambda: bench.states() == {}, what="forgotten")
 
 
+def test_forgets_an_ended_run_though_the_worker_failed_at_first(
+    bench: Bench,
+) -> None:
+    bench.worker.faults.change({"fail_forgets": True})
+    bench.order(order(run_time_ms=1))
+    bench.wait_for(KINDS.COMPLETED)
+    bench.order()
+    bench.wait_for_lists(2)
+    assert bench.states() == {("rebuild/0", 1): "completed"}
+    bench.worker.faults.change({"fail_forgets": False})
+
+    processes.wait_until(lambda: bench.states() == {}, what="forgotten")
+
+
 def test_run_that_the_worker_lost_is_reported_lost(bench: Bench) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
--- a/tests/failures/test_lost_and_cut_off.py
+++ b/tests/failures/test_lost_and_cut_off.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests import invariants
 from tests import processes
 from tests.failures import control_commands
 
@@ -151,6 +152,26 @@
     system.assert_invariants("worker-1")
 
 
+def test_second_agent_of_a_name_takes_over_and_runs_nothing_twice(
+    system: processes.System,
+) -> None:
+    _start(system, workers=1)
+    system.apply(_job())
+    _worker_of(system, "rebuild")
+    # Another VM whose agent was given the same name by mistake.
+    first = system.processes.pop("worker-1")
+    system.processes["worker-1.first"] = first
+    system.start_platform("twin")
+    system.workers["worker-1"] = system.workers["twin"]
+    system.start_agent("worker-1", flags=FLAGS)
+    first.wait_for("event=replaced")
+    system.wait_for_state("rebuild/0", "done")
+
+    invariants.assert_hold(
+        [system.journal_path(name) for name in ("worker-1", "twin")]
+    )
+
+
 def test_wrong_and_missing_measurements_break_nothing(
     system: processes.System,
 ) -> None:
