--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -47,6 +47,7 @@
         self.worker.start()
         self.platform = CountingWorker(base_url=f"http://{self.worker.address}")
         self.version = 0
+        self.lease_ms = LEASE_MS
         self.seen: list[ttypes.RunEvent] = []
         self.keeper = self.new_keeper()
         # Orders that a new agent finds may be an earlier agent's doing.
@@ -61,12 +62,12 @@
         self.keeper = keeper
         return keeper
 
-    def lease(self, *, length_ms: int = LEASE_MS) -> None:
+    def lease(self) -> None:
         """Grants a lease under the orders in force."""
         self.keeper.renew_lease(
             lease_renewer.AgentLease(
-                end_ns=time.monotonic_ns() + length_ms * 1_000_000,
-                length_ms=length_ms,
+                end_ns=time.monotonic_ns() + self.lease_ms * 1_000_000,
+                length_ms=self.lease_ms,
                 term=TERM,
                 orders_version=self.version,
             )
@@ -381,6 +382,22 @@
     bench.wait_for(KINDS.LOST)
 
 
+def test_new_agent_starts_no_epoch_that_another_may_have_started(
+    bench: Bench,
+) -> None:
+    bench.order(order())
+    bench.wait_for(KINDS.STARTED)
+    bench.keeper.stop()
+    bench.worker.restart_empty()
+    bench.lease_ms = 1000
+    bench.new_keeper()
+    # Control has not recorded the start.
+    bench.order(order())
+    bench.wait_for(KINDS.LOST)
+
+    assert len(bench.journaled("run_started")) == 1
+
+
 def test_remembers_nothing_of_runs_that_are_over(bench: Bench) -> None:
     for number in range(5):
         task = f"rebuild-{number}/0"
