--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -13,6 +13,7 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination import checkpointing
 from marigoldsill.coordination import lease_renewer
 from marigoldsill.coordination import leases
 from marigoldsill.coordination import run_events
@@ -24,8 +25,6 @@
 from marigoldsill.transport import logs
 
 _POLL_S = 0.5
-_EVICTION_LIMIT_S = 5.0
-_CHECKPOINT_TRIES = 2
 _ENDED_EVENTS = {
     "completed": ttypes.RunEventKind.COMPLETED,
     "failed": ttypes.RunEventKind.FAILED,
@@ -40,19 +39,6 @@
     by_run: dict[run_events.RunId, ttypes.Order]
 
 
-@dataclasses.dataclass(slots=True)
-class _Eviction:
-    """How far a run is on its way out."""
-
-    begun_s: float
-    tries_count: int = 0
-    checkpointed: bool = False
-
-    def note(self, succeeded: bool) -> None:
-        self.tries_count += 1
-        self.checkpointed = succeeded
-
-
 class RunKeeper:
     """Holds the runs of one worker.
 
@@ -70,7 +56,9 @@
     ):
         self._worker = worker
         self._on_event = on_event
-        self._checkpoint_interval_s = checkpoint_interval_s
+        self._checkpointing = checkpointing.Checkpointing(
+            interval_s=checkpoint_interval_s
+        )
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -83,8 +71,6 @@
         self._orders: _Orders | None = None
         self._inherited: set[run_events.RunId] = set()
         self._quiet_until_s: float | None = None
-        self._evictions: dict[run_events.RunId, _Eviction] = {}
-        self._checkpoint_due_s: dict[run_events.RunId, float] = {}
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -262,37 +248,18 @@
         throttled = order.desire == ttypes.Desire.THROTTLE
         if throttled != task.throttled:
             self._operations.throttle(order, throttled=throttled)
-        elif order.checkpointable and self._is_checkpoint_due(run):
+        elif order.checkpointable and self._checkpointing.is_due(run):
             self._operations.checkpoint(order, on_result=lambda _: None)
 
     def _evict(self, run: run_events.RunId, order: ttypes.Order) -> None:
-        """Checkpoints, waits until that is recorded, stops; all bounded."""
-        now_s = time.monotonic()
-        eviction = self._evictions.setdefault(run, _Eviction(begun_s=now_s))
-        out_of_time = now_s - eviction.begun_s > _EVICTION_LIMIT_S
-        if not eviction.checkpointed and not out_of_time:
-            if eviction.tries_count < _CHECKPOINT_TRIES:
+        eviction = self._checkpointing.eviction_of(run)
+        step = eviction.next_step(recorded=not self._outbox.awaits(run))
+        checkpointing.tell_if_lost(order, eviction, step)
+        match step:
+            case checkpointing.EvictionStep.CHECKPOINT:
                 self._operations.checkpoint(order, on_result=eviction.note)
-                return
-            logs.event(
-                "evicted_without_checkpoint",
-                level="WARNING",
-                task=run.task,
-                epoch=run.epoch,
-                kept_ms=order.worked_ms,
-            )
-        if self._outbox.awaits(run) and not out_of_time:
-            return
-        self._operations.stop(run)
-
-    def _is_checkpoint_due(self, run: run_events.RunId) -> bool:
-        now_s = time.monotonic()
-        interval_s = self._checkpoint_interval_s
-        due_s = self._checkpoint_due_s.setdefault(run, now_s + interval_s)
-        if now_s < due_s:
-            return False
-        self._checkpoint_due_s[run] = now_s + interval_s
-        return True
+            case checkpointing.EvictionStep.STOP:
+                self._operations.stop(run)
 
     def _other_epoch_lives(
         self,
@@ -361,6 +328,4 @@
         current = set(orders.by_run) | set(listed)
         self._outbox.forget_all_but(current)
         self._inherited &= current
-        for table in (self._evictions, self._checkpoint_due_s):
-            for run in [r for r in table if r not in current]:
-                del table[run]
+        self._checkpointing.forget_all_but(current)
--- /dev/null
+++ b/standins/announcements.py
@@ -0,0 +1,33 @@
+"""What a stand-in worker tells its agent of its endpoints."""
+
+from collections.abc import Iterable
+import json
+
+from marigoldsill import errors
+from marigoldsill.transport import http_client
+from standins import endpoint as endpoint_module
+
+PAUSE_S = 0.1
+
+
+def send(agent_url: str, endpoints: Iterable[endpoint_module.Endpoint]) -> None:
+    """Announces the endpoints that run now; one that fails is not repeated."""
+    body = [
+        {
+            "service": e.service,
+            "address": e.address,
+            "slots_count": e.slots_count,
+            "connections_count": e.connections_count,
+            "task": e.task,
+        }
+        for e in endpoints
+    ]
+    try:
+        http_client.fetch(
+            f"{agent_url}/endpoints",
+            method="POST",
+            body=json.dumps(body).encode(),
+            timeout_s=1.0,
+        )
+    except errors.TransportError:
+        return
--- /dev/null
+++ b/standins/run.py
@@ -0,0 +1,55 @@
+"""A run as the stand-in worker holds it."""
+
+import dataclasses
+
+from standins import endpoint as endpoint_module
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One run on a stand-in worker; `advanced_s` is when its work was counted."""
+
+    task: str
+    epoch: int
+    kind: str
+    owner: str
+    cpu_millicores: int
+    memory_bytes: int
+    accelerators_count: int
+    run_time_ms: int
+    progress_ms: float
+    lease_end_ns: int
+    advanced_s: float
+    state: str = "running"
+    checkpoint_id: str = ""
+    checkpoint_worked_ms: int = 0
+    throttled: bool = False
+    detail: str = ""
+    endpoint: endpoint_module.Endpoint | None = None
+
+    def listed(self) -> dict[str, object]:
+        """The run as the platform lists it."""
+        return {
+            "task": self.task,
+            "epoch": self.epoch,
+            "state": self.state,
+            "cpu_millicores": self.cpu_millicores,
+            "memory_bytes": self.memory_bytes,
+            "accelerators_count": self.accelerators_count,
+            "progress_ms": int(self.progress_ms),
+            "checkpoint_id": self.checkpoint_id,
+            "checkpoint_worked_ms": self.checkpoint_worked_ms,
+            "throttled": self.throttled,
+            "detail": self.detail,
+        }
+
+
+def identity(run: Run) -> dict[str, object]:
+    """What every journal line about a run names."""
+    return {
+        "task": run.task,
+        "epoch": run.epoch,
+        "cpu_millicores": run.cpu_millicores,
+        "memory_bytes": run.memory_bytes,
+        "accelerators_count": run.accelerators_count,
+    }
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -6,7 +6,6 @@
 
 import argparse
 from concurrent import futures
-import dataclasses
 import json
 import signal
 import sys
@@ -17,15 +16,14 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
-from marigoldsill import errors
-from marigoldsill.transport import http_client
 from marigoldsill.transport import http_server
+from standins import announcements
 from standins import endpoint as endpoint_module
 from standins import faults as faults_module
 from standins import journal as journal_module
+from standins import run as run_module
 
 _TICK_S = 0.02
-_ANNOUNCE_S = 0.5
 _HANG_S = 20.0
 
 _URLS = routing.Map(
@@ -51,42 +49,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    task: str
-    epoch: int
-    kind: str
-    owner: str
-    cpu_millicores: int
-    memory_bytes: int
-    accelerators_count: int
-    run_time_ms: int
-    progress_ms: float
-    lease_end_ns: int
-    advanced_s: float
-    state: str = "running"
-    checkpoint_id: str = ""
-    checkpoint_worked_ms: int = 0
-    throttled: bool = False
-    detail: str = ""
-    endpoint: endpoint_module.Endpoint | None = None
-
-    def listed(self) -> dict[str, object]:
-        return {
-            "task": self.task,
-            "epoch": self.epoch,
-            "state": self.state,
-            "cpu_millicores": self.cpu_millicores,
-            "memory_bytes": self.memory_bytes,
-            "accelerators_count": self.accelerators_count,
-            "progress_ms": int(self.progress_ms),
-            "checkpoint_id": self.checkpoint_id,
-            "checkpoint_worked_ms": self.checkpoint_worked_ms,
-            "throttled": self.throttled,
-            "detail": self.detail,
-        }
-
-
 class Worker:
     """One worker with its capacity, tasks, faults and journal."""
 
@@ -109,7 +71,7 @@
         }
         self._journal = journal
         self._lock = threading.RLock()
-        self._runs: dict[tuple[str, int], _Run] = {}
+        self._runs: dict[tuple[str, int], run_module.Run] = {}
         self._agent_url = ""
         self._stopping = threading.Event()
         self._ticker = futures.ThreadPoolExecutor(2, f"{name}-ticker")
@@ -213,7 +175,7 @@
         if not self._fits(body):
             return _json({"error": "does not fit"}, status=409)
         now_s = time.monotonic()
-        run = _Run(
+        run = run_module.Run(
             task=body["task"],
             epoch=body["epoch"],
             kind=body["kind"],
@@ -246,7 +208,7 @@
             checkpoint_id=run.checkpoint_id,
             worked_ms=body["worked_ms"],
             run_time_ms=run.run_time_ms,
-            **_identity(run),
+            **run_module.identity(run),
         )
         return _json({})
 
@@ -271,7 +233,7 @@
             worker=self.name,
             checkpoint_id=run.checkpoint_id,
             worked_ms=run.checkpoint_worked_ms,
-            **_identity(run),
+            **run_module.identity(run),
         )
         return _json(run.listed())
 
@@ -316,13 +278,23 @@
             for name, limit in self._capacity.items()
         )
 
+    def _announce_forever(self) -> None:
+        while not self._stopping.wait(announcements.PAUSE_S):
+            if not self._agent_url or not self.faults.announces:
+                continue
+            with self._lock:
+                live = [r for r in self._runs.values() if r.state == "running"]
+            announcements.send(
+                self._agent_url, [r.endpoint for r in live if r.endpoint]
+            )
+
     def _tick_forever(self) -> None:
         while not self._stopping.wait(_TICK_S):
             with self._lock:
                 for run in self._runs.values():
                     self._tick(run)
 
-    def _tick(self, run: _Run) -> None:
+    def _tick(self, run: run_module.Run) -> None:
         if run.state != "running":
             return
         if time.monotonic_ns() > run.lease_end_ns:
@@ -336,7 +308,7 @@
         elif run.progress_ms >= run.run_time_ms:
             self._end(run, "completed", "")
 
-    def _advance(self, run: _Run) -> None:
+    def _advance(self, run: run_module.Run) -> None:
         now_s = time.monotonic()
         factor = self.faults.slow_factor * (4 if run.throttled else 1)
         run.progress_ms += (now_s - run.advanced_s) * 1000 / factor
@@ -344,7 +316,7 @@
         if run.kind == "batch_job":
             run.progress_ms = min(run.progress_ms, run.run_time_ms)
 
-    def _end(self, run: _Run, state: str, detail: str) -> None:
+    def _end(self, run: run_module.Run, state: str, detail: str) -> None:
         if run.state != "running":
             return
         run.state = state
@@ -356,49 +328,9 @@
             worker=self.name,
             detail=detail,
             worked_ms=int(run.progress_ms),
-            **_identity(run),
+            **run_module.identity(run),
         )
 
-    def _announce_forever(self) -> None:
-        while not self._stopping.wait(_ANNOUNCE_S / 5):
-            if not self._agent_url or not self.faults.announces:
-                continue
-            with self._lock:
-                endpoints = [
-                    run.endpoint
-                    for run in self._runs.values()
-                    if run.endpoint is not None and run.state == "running"
-                ]
-            body = [
-                {
-                    "service": e.service,
-                    "address": e.address,
-                    "slots_count": e.slots_count,
-                    "connections_count": e.connections_count,
-                    "task": e.task,
-                }
-                for e in endpoints
-            ]
-            try:
-                http_client.fetch(
-                    f"{self._agent_url}/endpoints",
-                    method="POST",
-                    body=json.dumps(body).encode(),
-                    timeout_s=1.0,
-                )
-            except errors.TransportError:
-                continue
-
-
-def _identity(run: _Run) -> dict[str, object]:
-    return {
-        "task": run.task,
-        "epoch": run.epoch,
-        "cpu_millicores": run.cpu_millicores,
-        "memory_bytes": run.memory_bytes,
-        "accelerators_count": run.accelerators_count,
-    }
-
 
 def _json(value: object, *, status: int = 200) -> wrappers.Response:
     return wrappers.Response(
