--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -51,8 +51,6 @@
             worker=self._worker,
             checkpoint_interval_s=settings.checkpoint_interval_s,
             on_event=lambda: self._heartbeats.wake(),
-            drain_task=self._admission.drain_task,
-            drain_limit_s=settings.drain_limit_s,
         )
         self._subscriber = subscriber_module.Subscriber(
             name=settings.name,
