--- a/marigoldsill/coordination/applying.py
+++ b/marigoldsill/coordination/applying.py
@@ -6,6 +6,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination import replication as replication_module
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import machine
@@ -51,10 +52,16 @@
     """The one task that changes the tables of a replica."""
 
     def __init__(
-        self, group: group_module.Group, state: AppliedState, last_index: int
+        self,
+        group: group_module.Group,
+        state: AppliedState,
+        replication: replication_module.Replication,
+        *,
+        last_index: int,
     ):
         self._group = group
         self._state = state
+        self._replication = replication
         self._snapshot_index = last_index
         self._applied_bytes = 0
         self._rolled_index = 0
@@ -172,7 +179,9 @@
     def _shorten_log(self, snapshot_index: int) -> None:
         """Keeps what came after the snapshot before, for slow followers."""
         log = self._group.log
-        kept_index = min(self._rolled_index, snapshot_index)
+        kept_index = min(
+            self._rolled_index, snapshot_index, self._replication.needed_index
+        )
         log.roll()
         self._rolled_index = log.durable_index
         log.compact(kept_index)
--- a/marigoldsill/coordination/node.py
+++ b/marigoldsill/coordination/node.py
@@ -51,7 +51,10 @@
             self.group, cut_switch=cut_switch
         )
         self.applier = applying.Applier(
-            self.group, self.state, storage.applied_index
+            self.group,
+            self.state,
+            self.replication,
+            last_index=storage.applied_index,
         )
         self.following = following.Following(
             self.group, self.election, self.replication, self.applier
--- a/marigoldsill/coordination/replication.py
+++ b/marigoldsill/coordination/replication.py
@@ -16,6 +16,8 @@
 _PEER_TASKS_LIMIT = 16
 # A leader's clock may run this much slower than a follower's.
 _LEASE_RATIO = 0.9
+# Snapshot intervals of entries that are kept at most for slow peers.
+_KEPT_INTERVALS = 8
 
 
 class Replication:
@@ -40,6 +42,7 @@
         self._run_peer: Callable[[peers_module.Peer], None] | None = None
         self.peers: dict[str, peers_module.Peer] = {}
         self.barrier_s = -math.inf
+        self._earlier_index = 0
 
     def start(self, run_peer: Callable[[peers_module.Peer], None]) -> None:
         """Begins one task for each peer, now and as they join."""
@@ -116,13 +119,39 @@
             and group.commit_index >= group.membership.index
         )
 
+    @property
+    def needed_index(self) -> int:
+        """Entries after it are still to be sent to peers that answer.
+
+        A peer that is slow, or is being sent a snapshot, would otherwise find
+        the log shortened again and again and never catch up under load.
+        """
+        log, settings = self._group.log, self._group.settings
+        if self._group.role is not group_module.Role.LEADER:
+            return log.last_index
+        needed = [
+            peer.progress.transfer.snapshot.last_index
+            if peer.progress.transfer is not None
+            else peer.progress.match_index
+            for peer in self.peers.values()
+            if self._answers(peer)
+        ]
+        limit_count = _KEPT_INTERVALS * settings.snapshot_every_count
+        return max(
+            min(needed, default=log.last_index), log.last_index - limit_count
+        )
+
     def upkeep(self) -> None:
         """Replaces a member that lost its disk; promotes one caught up."""
+        earlier_index, self._earlier_index = (
+            self._earlier_index,
+            self._group.commit_index,
+        )
         if not self.may_change_members:
             return
         members = self._group.membership.members
         for peer in self.peers.values():
-            member = self._mended(peer)
+            member = self._mended(peer, earlier_index)
             if member is not None:
                 changed = members_module.with_member(members, member)
                 self.change_members(changed)
@@ -170,23 +199,25 @@
             return of_unknown
         return sorted(values, reverse=True)[len(values) // 2]
 
-    def _mended(self, peer: peers_module.Peer) -> ttypes.Member | None:
+    def _mended(
+        self, peer: peers_module.Peer, earlier_index: int
+    ) -> ttypes.Member | None:
         member, seen = peer.member, peer.seen_incarnation
         if seen not in (0, member.incarnation):
             _note_incarnation(member, seen)
             return members_module.changed(member, incarnation=seen, voter=False)
-        if member.voter or not member.incarnation or not self._current(peer):
+        if member.voter or not member.incarnation:
+            return None
+        if not self._answers(peer):
+            return None
+        if peer.progress.match_index < max(1, earlier_index):
             return None
         logs.event("member_promoted", member=member.name)
         return members_module.changed(member, voter=True)
 
-    def _current(self, peer: peers_module.Peer) -> bool:
-        group = self._group
+    def _answers(self, peer: peers_module.Peer) -> bool:
         silent_s = time.monotonic() - peer.progress.answered_s
-        return (
-            peer.progress.match_index >= group.commit_index
-            and silent_s < group.settings.election_timeout_s
-        )
+        return silent_s < self._group.settings.election_timeout_s
 
     def _follow_member(self, member: ttypes.Member) -> None:
         peer = self.peers.get(member.name)
