--- a/tests/coordination/test_group.py
+++ b/tests/coordination/test_group.py
@@ -82,6 +82,14 @@
         )
 
 
+@pytest.mark.parametrize("election_timeout_ms", [100, 1000, 60_000])
+def test_several_heartbeats_fit_in_any_election_timeout(election_timeout_ms):
+    settings = replica_module.ReplicaSettings(
+        election_timeout_ms=election_timeout_ms
+    )
+    assert settings.heartbeat_s <= settings.election_timeout_s / 5
+
+
 def test_large_commands_bring_the_next_snapshot_sooner(group):
     group.settings = dataclasses.replace(
         group.settings, snapshot_every_bytes=20_000
