Make each change of the members from those in force

put_member and remove_member read the members before they took the lock, so that two of them, or one and the leader's own upkeep, could have changed two members at once and undone each other. The change is now made under the lock. test_racing_changes_of_members_come_one_after_another failed before.

--- a/marigoldsill/coordination/members.py
+++ b/marigoldsill/coordination/members.py
@@ -75,6 +75,19 @@
     return [*members, member]
 
 
+def with_addresses(
+    members: list[ttypes.Member], member: ttypes.Member
+) -> list[ttypes.Member]:
+    """The members with a learner added, or a known one's addresses changed."""
+    known = next((m for m in members if m.name == member.name), None)
+    record = changed(
+        member,
+        incarnation=known.incarnation if known else 0,
+        voter=known.voter if known else False,
+    )
+    return with_member(members, record)
+
+
 def without_member(
     members: list[ttypes.Member], name: str
 ) -> list[ttypes.Member]:
--- a/marigoldsill/coordination/proposals.py
+++ b/marigoldsill/coordination/proposals.py
@@ -1,5 +1,6 @@
 """Proposals and read barriers of the leader."""
 
+from collections.abc import Callable
 from concurrent import futures
 import time
 
@@ -63,9 +64,18 @@
         return _result(future, timeout_s)
 
     def change_members(
-        self, members: list[ttypes.Member], *, timeout_s: float
+        self,
+        change: Callable[[list[ttypes.Member]], list[ttypes.Member]],
+        *,
+        timeout_s: float,
     ) -> None:
-        """Logs other members and waits until a majority has them."""
+        """Logs other members and waits until a majority has them.
+
+        Args:
+            change: Gives the new members from those in force; called with
+                the lock held, so that no other change comes in between.
+            timeout_s: How long to wait.
+        """
         group = self._group
         with group.lock:
             self.check_leads()
@@ -74,6 +84,7 @@
                     "another change of the members is under way",
                     retry_after_ms=_RETRY_MS,
                 )
+            members = change(group.membership.members)
             index = self._replication.change_members(members)
             future = group.pending.add(index, group.term)
         _result(future, timeout_s)
--- a/marigoldsill/coordination/replica.py
+++ b/marigoldsill/coordination/replica.py
@@ -176,17 +176,10 @@
             ConflictError: Another change of the members is under way.
             UnknownOutcomeError: It may still come into force.
         """
-        node_ = self._require_node()
-        known = node_.group.membership.find(member.name)
-        record = members_module.changed(
-            member,
-            incarnation=known.incarnation if known else 0,
-            voter=known.voter if known else False,
+        self._require_node().proposals.change_members(
+            lambda members: members_module.with_addresses(members, member),
+            timeout_s=timeout_s,
         )
-        members = members_module.with_member(
-            node_.group.membership.members, record
-        )
-        node_.proposals.change_members(members, timeout_s=timeout_s)
 
     def remove_member(self, name: str, *, timeout_s: float) -> None:
         """Takes a member out of the group.
@@ -199,16 +192,16 @@
             ConflictError: Another change of the members is under way.
             UnknownOutcomeError: It may still come into force.
         """
-        node_ = self._require_node()
+        proposals = self._require_node().proposals
         if name == self.member.name:
             raise errors.MembershipError(
                 f"{name} leads the group; stop its process, then remove it "
                 "through the next leader"
             )
-        members = members_module.without_member(
-            node_.group.membership.members, name
+        proposals.change_members(
+            lambda members: members_module.without_member(members, name),
+            timeout_s=timeout_s,
         )
-        node_.proposals.change_members(members, timeout_s=timeout_s)
 
     def status(self) -> status_module.ReplicaStatus:
         """Where this member and, on a leader, its peers stand."""
--- a/tests/coordination/test_votes.py
+++ b/tests/coordination/test_votes.py
@@ -1,6 +1,9 @@
 """Single votes and members' records, asked of one member directly."""
 
+from concurrent import futures
+import contextlib
 import dataclasses
+import threading
 
 import pytest
 
@@ -167,6 +170,34 @@
     assert names == {"m0", "m1", "m2", "m3"} - {gone}
 
 
+def test_racing_changes_of_members_come_one_after_another(group, monkeypatch):
+    group.form()
+    leader = group.leader()
+    both_read = threading.Barrier(2)
+    with_member = members.with_member
+
+    def slow(old, member):
+        new = with_member(old, member)
+        with contextlib.suppress(threading.BrokenBarrierError):
+            both_read.wait(0.3)
+        if member.name == "m4":
+            threading.Event().wait(0.3)
+        return new
+
+    monkeypatch.setattr(members, "with_member", slow)
+    added = [groups.reserve(name) for name in ("m3", "m4")]
+    with futures.ThreadPoolExecutor() as pool:
+        done = [pool.submit(leader.put_member, m, timeout_s=5) for m in added]
+    accepted = {
+        member.name
+        for member, future in zip(added, done, strict=True)
+        if future.exception() is None
+    }
+    assert accepted
+    names = {m.name for m in leader.status().members}
+    assert names == {"m0", "m1", "m2"} | accepted
+
+
 def test_majorities_before_and_after_a_change_share_a_member():
     records = [ttypes.Member(name=f"m{n}", voter=True) for n in range(4)]
     before = members.Membership(1, records[:3])
