--- a/marigoldsill/coordination/formation.py
+++ b/marigoldsill/coordination/formation.py
@@ -145,6 +145,8 @@
         tables = tables_module.Tables()
         return Storage(files, votes, snapshots, log, tables, membership, 0)
     _join_ends(log, snapshot, initialised=votes.state.initialised)
+    if not votes.state.initialised:
+        votes.save(initialised=True)
     return Storage(
         files,
         votes,
--- a/marigoldsill/state/log.py
+++ b/marigoldsill/state/log.py
@@ -14,10 +14,13 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files as files_module
 from marigoldsill.state import log_records
+from marigoldsill.state import sealed
 
 SEGMENT_BYTES = 8 * 1024 * 1024
 
 _PREFIX = "log-"
+_RESET_NAME = "log-reset"
+_RESET = struct.Struct(">QQ")
 _MAGIC = b"mgslog01"
 _SEGMENT_HEAD = struct.Struct(">8sQQI")
 _SEGMENT_CHECKED = struct.Struct(">8sQQ")
@@ -149,14 +152,14 @@
             self._add_segment(self.durable_index + 1)
 
     def reset(self, *, last_index: int, last_term: int) -> None:
-        """Drops everything and goes on after `last_index`."""
+        """Drops everything and goes on after `last_index`.
+
+        A crash on the way is made up for when the log is opened again.
+        """
         with self._file_lock:
-            while self._segments:
-                self._files.remove(self._segments.pop().name)
-            self._entries = []
-            self.base_index = self.durable_index = last_index
-            self.base_term = last_term
-            self._add_segment(last_index + 1)
+            position = _RESET.pack(last_index, last_term)
+            self._files.replace(_RESET_NAME, sealed.seal(position))
+            self._finish_reset(last_index, last_term)
 
     def _check_usable(self) -> None:
         if self._failure is not None:
@@ -204,9 +207,26 @@
         del self._entries[: next_first - self.base_index - 1]
         self.base_index, self.base_term = next_first - 1, base_term
 
-    def _load(self) -> None:
+    def _finish_reset(self, last_index: int, last_term: int) -> None:
+        for name in self._segment_names():
+            self._files.remove(name)
+        self._segments, self._entries = [], []
+        self.base_index = self.durable_index = last_index
+        self.base_term = last_term
+        self._add_segment(last_index + 1)
+        self._files.remove(_RESET_NAME)
+
+    def _segment_names(self) -> list[str]:
         names = [n for n in self._files.names() if n.startswith(_PREFIX)]
-        names = [n for n in names if n[len(_PREFIX) :].isdigit()]
+        return [name for name in names if name[len(_PREFIX) :].isdigit()]
+
+    def _load(self) -> None:
+        reset = self._files.read(_RESET_NAME)
+        if reset is not None:
+            position = _RESET.unpack(sealed.unseal(_RESET_NAME, reset))
+            self._finish_reset(*position)
+            return
+        names = self._segment_names()
         for name in names:
             self._load_segment(name, is_last=name == names[-1])
         self.durable_index = self.last_index
--- a/tests/state/disks.py
+++ b/tests/state/disks.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from marigoldsill import errors
 from marigoldsill.state import files
 
 
@@ -38,6 +39,31 @@
         super().sync(fd)
 
 
+class DyingFiles(files.Files):
+    """A disk of a machine that dies after some changes of its files.
+
+    Attributes:
+        changes_left: How many files may still be replaced or removed.
+    """
+
+    changes_left = 1 << 30
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file while the machine lives."""
+        self._count()
+        super().replace(name, data)
+
+    def remove(self, name: str) -> None:
+        """Removes a file while the machine lives."""
+        self._count()
+        super().remove(name)
+
+    def _count(self) -> None:
+        if not self.changes_left:
+            raise errors.StorageError("the machine died")
+        self.changes_left -= 1
+
+
 class LossyFiles(files.Files):
     """A disk that forgets what was not synced when its machine loses power.
 
--- a/tests/state/test_log.py
+++ b/tests/state/test_log.py
@@ -1,5 +1,6 @@
 """The log on the disk: what survives a crash, and what is not believed."""
 
+import contextlib
 import pathlib
 import tempfile
 
@@ -171,6 +172,24 @@
     assert reopened(tmp_path) == expected
 
 
+@pytest.mark.parametrize("changes_count", range(8))
+def test_a_crash_within_a_reset_leaves_the_old_log_or_the_new(
+    tmp_path, changes_count
+):
+    batches = [entries(n, n) for n in range(1, 5)]
+    written(tmp_path, *batches, segment_bytes=1)
+    files = disks.DyingFiles(tmp_path)
+    log = log_module.Log(files)
+    files.changes_left = changes_count
+    with contextlib.suppress(errors.StorageError):
+        log.reset(last_index=90, last_term=7)
+    files.close()
+    again = log_module.Log(files_module.Files(tmp_path))
+    ends = (again.base_index, again.last_index, again.last_term)
+    assert ends in [(0, 4, 1), (90, 90, 7)]
+    assert not again.is_empty
+
+
 def test_dropping_old_segments_keeps_index_and_term(tmp_path):
     files = files_module.Files(tmp_path)
     log = log_module.Log(files)
