--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -49,6 +49,9 @@
         epoch_floor: No epoch of a removed task is above it, so that a task of
             the same name never meets an old run's epoch again.
         touched_workers: Workers whose runs changed since `take_touched`.
+        leader_term: Term of the last leader that the log knows.
+        longest_lease_ms: The longest lease that any policy allowed; a new
+            leader waits for it, since an older policy may have granted it.
         touched_tasks: Tasks that changed since `take_touched_tasks`.
     """
 
@@ -61,6 +64,8 @@
         self.next_plan_id = 1
         self.next_audit_sequence = 1
         self.policy = ttypes.Policy()
+        self.leader_term = 0
+        self.longest_lease_ms = self.policy.lease_ms
         self.services: dict[str, ttypes.Service] = {}
         self.batch_jobs: dict[str, ttypes.BatchJob] = {}
         self.watchers: dict[str, ttypes.Watcher] = {}
@@ -92,6 +97,11 @@
         touched, self.touched_workers = self.touched_workers, set()
         return touched
 
+    def set_policy(self, policy: ttypes.Policy) -> None:
+        """Brings an operator policy into force."""
+        self.policy = policy
+        self.longest_lease_ms = max(self.longest_lease_ms, policy.lease_ms)
+
     def put_task(self, task: ttypes.Task) -> None:
         """Adds or replaces a task and mends the indexes."""
         self._unlink_task(task.name)
@@ -216,6 +226,8 @@
                 claims=list(self.claims.values()),
                 results=_stored(self.results),
                 members=self.members,
+                leader_term=self.leader_term,
+                longest_lease_ms=self.longest_lease_ms,
                 epoch_floor=self.epoch_floor,
                 forgotten_version=self.forgotten_version,
                 config_version=self.config_version,
@@ -236,6 +248,10 @@
         tables.next_plan_id = snapshot.next_plan_id
         tables.next_audit_sequence = snapshot.next_audit_sequence
         tables.policy = snapshot.policy
+        tables.leader_term = snapshot.leader_term
+        tables.longest_lease_ms = max(
+            snapshot.longest_lease_ms, snapshot.policy.lease_ms
+        )
         tables.services = _by_name(snapshot.services)
         tables.batch_jobs = _by_name(snapshot.batch_jobs)
         tables.watchers = _by_name(snapshot.watchers)
