--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/effects.py
@@ -32,6 +32,7 @@
         changes: list[ttypes.Change],
     ):
         self.before = tables
+        self._changes = changes
         self.harm = changes_module.harm(tables, changes)
         self.after = tables.scratch()
         changes_module.make(self.after, changes, 0)
@@ -42,7 +43,12 @@
 
     def effects(self) -> list[ttypes.Effect]:
         """Every consequence, the harmful ones first."""
-        return [*self._ended(), *self._started(), *self._delayed()]
+        return [
+            *self._ended(),
+            *self._started(),
+            *self._delayed(),
+            *self._kept(),
+        ]
 
     def can_ever_run(self, task: ttypes.Task) -> bool:
         """Whether a worker that is known could hold a task when empty."""
@@ -131,6 +137,25 @@
                 self.after.tasks[name], "what the plan starts goes before it"
             )
 
+    def _kept(self) -> Iterator[ttypes.Effect]:
+        """Runs that go on as they were started."""
+        for change in self._changes:
+            if change.verb != ttypes.ChangeVerb.REPLACE:
+                continue
+            name = change.subject.partition("/")[2]
+            for task in self.after.tasks_of(name):
+                if tables_module.holds_worker(task) and self._differs(task):
+                    yield _waits(
+                        task,
+                        "runs on as it was started; the new size and command "
+                        "count from its next start",
+                    )
+
+    def _differs(self, task: ttypes.Task) -> bool:
+        old = self.before.owner_record(task)
+        new = self.after.owner_record(task)
+        return (old.resources, old.command) != (new.resources, new.command)
+
 
 def _grants(tables: tables_module.Tables) -> dict[str, ttypes.Assignment]:
     # Every worker that is not known as lost counts as live: a new leader has
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -118,6 +118,8 @@
                 if task.state == ttypes.TaskState.QUEUED:
                     where = "it waits"
                 assert where in effect.reason
+            case _ if "runs on as it was started" in effect.reason:
+                assert task == before[effect.subject]
             case _:
                 assert task.state == ttypes.TaskState.QUEUED
     quiet = tables.tasks.keys() - _effects(plan).keys()
@@ -142,6 +144,14 @@
         assert tables.state_version == first.state_version
 
 
+def test_a_new_size_is_said_to_wait_for_the_next_start() -> None:
+    tables = _running(states.service("lookup"))
+    larger = states.service("lookup", resources=_TIGHT)
+    plan = _plan(tables, states.put(larger, replace=True))
+    assert _effects(plan) == {"lookup/0": "WAIT"}
+    assert "next start" in plan.effects[0].reason
+
+
 def test_effects_name_what_starts_waits_and_never_runs() -> None:
     tables = tables_module.Tables()
     states.apply(
