--- a/benchmarks/slopes/placing.py
+++ b/benchmarks/slopes/placing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from benchmarks.slopes import states
-from marigoldsill.coordination import placement
+from marigoldsill.coordination.placement import forecast
 from marigoldsill.state import tables as tables_module
 
 
@@ -21,7 +21,4 @@
 ) -> Callable[[], object]:
     """A pass over given tables and some more queued tasks."""
     states.add_jobs(tables, queued_count)
-    live = set(tables.workers)
-    return lambda: placement.place_queued(
-        tables, live_agents=live, limit=max(1, queued_count)
-    )
+    return lambda: forecast.place_queued(tables, limit=max(1, queued_count))
--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/effects.py
@@ -7,14 +7,14 @@
 
 from collections.abc import Iterator
 
-from marigoldsill.coordination import placement
+from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.placement import forecast
+from marigoldsill.coordination.placement import preview as preview_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes as changes_module
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
 
-_PLACED_LIMIT = 100_000
-
 
 class Forecast:
     """The tables before and after some changes, and where tasks would go.
@@ -22,7 +22,7 @@
     Attributes:
         before: The tables as they are; not changed.
         after: A copy with the changes made and the runs that end ended.
-        grants: Where queued tasks of `after` would go, by task.
+        grants: The queued tasks of `after` that would start, by name.
         harm: The runs that the changes stop or move.
     """
 
@@ -37,8 +37,9 @@
         self.after = tables.scratch()
         changes_module.make(self.after, changes, 0)
         self._end_runs()
-        self.grants = _grants(self.after)
-        self._grants_before = _grants(tables)
+        self._outlooks = forecast.outlooks(self.after)
+        self.grants = _starts(self._outlooks)
+        self._grants_before = _starts(forecast.outlooks(tables))
         self._capacities = [w.capacity for w in self.after.workers.values()]
 
     def effects(self) -> list[ttypes.Effect]:
@@ -53,7 +54,7 @@
     def can_ever_run(self, task: ttypes.Task) -> bool:
         """Whether a worker that is known could hold a task when empty."""
         wanted = self.after.owner_record(task).resources
-        return any(placement.fits(wanted, c) for c in self._capacities)
+        return any(amounts.fits(wanted, c) for c in self._capacities)
 
     def has_place(self, task: ttypes.Task) -> bool:
         """Whether a task runs after the changes, or could once there is room.
@@ -64,7 +65,7 @@
             return True
         wanted = self.after.owner_record(task).resources
         return any(
-            placement.fits(wanted, worker.capacity)
+            amounts.fits(wanted, worker.capacity)
             for worker in self.after.workers.values()
             if worker.state == ttypes.WorkerState.ACTIVE
         )
@@ -103,8 +104,20 @@
         freed = self.grants.keys() - self._grants_before.keys()
         for name in self.after.queued:
             new = name not in self.before.queued
-            if name not in moved and (new or name in freed):
-                yield self._start_of(self.after.tasks[name])
+            if name in moved or not (new or name in freed):
+                continue
+            yield self._start_of(self.after.tasks[name])
+            yield from self._evicted_for(name)
+
+    def _evicted_for(self, name: str) -> Iterator[ttypes.Effect]:
+        outlook = self._outlooks.get(name)
+        for victim in outlook.evicted if outlook is not None else ():
+            yield ttypes.Effect(
+                verb=ttypes.EffectVerb.EVICT,
+                subject=victim,
+                worker=outlook.worker,
+                reason=f"gives way to {name}, which is more urgent",
+            )
 
     def _start_of(self, task: ttypes.Task) -> ttypes.Effect:
         grant = self.grants.get(task.name)
@@ -124,6 +137,13 @@
                 reason=f"{_asked(self.after, task)}: larger than every "
                 "worker known",
             )
+        outlook = self._outlooks.get(task.name)
+        if outlook is not None and outlook.evicted:
+            return _waits(
+                task,
+                f"starts on {outlook.worker} once {len(outlook.evicted)} less "
+                "urgent runs gave way",
+            )
         if not self.has_place(task):
             return _waits(
                 task, "every worker that could hold it drains or is lost"
@@ -157,13 +177,14 @@
         return (old.resources, old.command) != (new.resources, new.command)
 
 
-def _grants(tables: tables_module.Tables) -> dict[str, ttypes.Assignment]:
-    # Every worker that is not known as lost counts as live: a new leader has
-    # heard of none yet.
-    placed = placement.place_queued(
-        tables, live_agents=set(tables.workers), limit=_PLACED_LIMIT
-    )
-    return {grant.task: grant for grant in placed}
+def _starts(
+    outlooks: dict[str, preview_module.Outlook],
+) -> dict[str, preview_module.Outlook]:
+    return {
+        name: outlook
+        for name, outlook in outlooks.items()
+        if outlook.verb == ttypes.EffectVerb.START
+    }
 
 
 def _waits(task: ttypes.Task, reason: str) -> ttypes.Effect:
--- a/marigoldsill/protocol/policy_file.py
+++ b/marigoldsill/protocol/policy_file.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 import math
-import tomllib
 
 from marigoldsill import errors
+from marigoldsill.protocol import toml_document
 from marigoldsill.protocol.generated import ttypes
 
 _LEASE_LOW_MS = 500
@@ -18,10 +18,7 @@
         IntentError: It is no TOML, or a value is not accepted; the message
             names every fault.
     """
-    try:
-        document = tomllib.loads(data.decode("utf-8"))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise errors.IntentError(f"the policy is no TOML: {error}") from error
+    document = toml_document.read(data, what="the policy")
     faults = [fault for item in document.items() for fault in _faults(*item)]
     if not document:
         faults = [f"the policy is empty; accepted are {', '.join(_FIELDS)}"]
@@ -36,11 +33,15 @@
 
 def _faults(key: str, value: object) -> list[str]:
     if key not in _FIELDS:
-        return [f"{key!r} is unknown; accepted are {', '.join(_FIELDS)}"]
+        return [
+            f"{toml_document.shown(key)} is unknown; accepted are {', '.join(_FIELDS)}"
+        ]
     is_accepted, accepted = _FIELDS[key]
     if is_accepted(value):
         return []
-    return [f"{key}: {value!r} is not accepted; {accepted} is"]
+    return [
+        f"{key}: {toml_document.shown(value)} is not accepted; {accepted} is"
+    ]
 
 
 def _is_ratio(value: object) -> bool:
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -8,6 +8,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
+_WAITING = (ttypes.TaskState.QUEUED, ttypes.TaskState.IMPOSSIBLE)
 _LIVE = (ttypes.TaskState.ASSIGNED, ttypes.TaskState.RUNNING)
 
 
@@ -29,6 +30,8 @@
             continue
         if grant.epoch != task.epoch + 1:
             continue
+        if not _has_room(tables, worker, grant.reserved):
+            continue
         tables.change_task(
             grant.task,
             state=ttypes.TaskState.ASSIGNED,
@@ -90,6 +93,22 @@
     return _result(tables, applied)
 
 
+def mark(
+    tables: tables_module.Tables, marks: list[ttypes.TaskMark]
+) -> ttypes.CommandResult:
+    """Marks waiting tasks as waiting or as impossible, with the reason."""
+    applied = 0
+    for item in marks:
+        task = tables.tasks.get(item.task)
+        if task is None or task.epoch != item.epoch:
+            continue
+        if task.state not in _WAITING or item.state not in _WAITING:
+            continue
+        tables.change_task(task.name, state=item.state, reason=item.reason)
+        applied += 1
+    return _result(tables, applied)
+
+
 def put_worker(
     tables: tables_module.Tables, worker: ttypes.Worker
 ) -> ttypes.CommandResult:
@@ -109,6 +128,7 @@
     worker = tables.workers.get(name)
     if worker is not None:
         tables.workers[name] = _with_draining(worker, draining=draining)
+        tables.touched_workers.add(name)
 
 
 def _with_draining(worker: ttypes.Worker, *, draining: bool) -> ttypes.Worker:
@@ -131,12 +151,30 @@
             final_stop=True,
             reason=reason,
         )
-    elif task.state == ttypes.TaskState.QUEUED:
+    elif task.state in _WAITING:
         tables.change_task(
             name, state=ttypes.TaskState.CANCELLED, reason=reason
         )
 
 
+def _has_room(
+    tables: tables_module.Tables,
+    worker: ttypes.Worker,
+    wanted: ttypes.Resources,
+) -> bool:
+    """Whether a reservation fits beside the runs that may be alive.
+
+    The leader counts too, but a command whose outcome it did not learn may be
+    applied after it has given the same room to another task.
+    """
+    held = [task.reserved for task in tables.tasks_on(worker.name)]
+    return all(
+        sum(getattr(item, name) for item in held) + getattr(wanted, name)
+        <= getattr(worker.capacity, name)
+        for name in ttypes.Resources.__slots__
+    )
+
+
 def _record_event(
     tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
 ) -> int:
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -7,8 +7,8 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import guards
-from marigoldsill.coordination import placement
 from marigoldsill.coordination import planning
+from marigoldsill.coordination.placement import forecast
 from marigoldsill.protocol import intent_file
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
@@ -41,9 +41,7 @@
 
 
 def _place(tables: tables_module.Tables) -> None:
-    grants = placement.place_queued(
-        tables, live_agents=set(tables.workers), limit=1000
-    )
+    grants = forecast.place_queued(tables, limit=1000)
     states.apply(tables, assign_runs=ttypes.AssignRuns(assignments=grants))
 
 
@@ -120,6 +118,9 @@
                 assert where in effect.reason
             case _ if "runs on as it was started" in effect.reason:
                 assert task == before[effect.subject]
+            case _VERB.EVICT:
+                assert task.worker == effect.worker
+                assert task.kind == ttypes.Kind.BATCH_JOB
             case _:
                 assert task.state == ttypes.TaskState.QUEUED
     quiet = tables.tasks.keys() - _effects(plan).keys()
