Bound what a plan costs however many tasks wait

Cause: the forecast looked for room and for runs to evict anew for each waiting task: 3.4 s at 500 waiting tasks on 80 workers, 93 s at 5,000 on 400, beyond the client's time limit, and twice (plan and confirm). Ruled out: looking only at the plan's own tasks, since what waits before them decides whether they start.

--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/effects.py
@@ -148,7 +148,8 @@
             return _waits(
                 task, "every worker that could hold it drains or is lost"
             )
-        return _waits(task, "no worker has room now")
+        reason = "no worker has room now"
+        return _waits(task, outlook.reason if outlook is not None else reason)
 
     def _delayed(self) -> Iterator[ttypes.Effect]:
         later = self._grants_before.keys() - self.grants.keys()
--- a/marigoldsill/coordination/placement/forecast.py
+++ b/marigoldsill/coordination/placement/forecast.py
@@ -6,18 +6,61 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
+SEARCHES_LIMIT = 100
+_NOT_LOOKED_AT = preview_module.Outlook(
+    ttypes.EffectVerb.WAIT,
+    "",
+    [],
+    "too many tasks wait to say where it would go",
+)
+
 
 def outlooks(
     tables: tables_module.Tables,
 ) -> dict[str, preview_module.Outlook]:
-    """What would become of each waiting task, in the order of placement."""
-    preview = preview_module.Preview(tables)
+    """What would become of each waiting task, in the order of placement.
+
+    A plan must stay cheap however long the queue is: tasks alike share the
+    search that found no room, and after many searches the rest is not looked
+    at and counts as waiting.
+    """
+    placing = _Placing(tables)
     return {
-        facts.task.name: preview.add(tables.owner_record(facts.task))
+        facts.task.name: placing.add(tables.owner_record(facts.task))
         for facts in _queue(tables)
     }
 
 
+class _Placing:
+    """Places tasks one after another on a copy of what is free."""
+
+    def __init__(self, tables: tables_module.Tables):
+        self._preview = preview_module.Preview(tables)
+        self._waits: dict[tuple, preview_module.Outlook] = {}
+        self._searches_count = 0
+
+    def add(
+        self,
+        owner: ttypes.Service | ttypes.BatchJob | ttypes.Watcher,
+    ) -> preview_module.Outlook:
+        """What would become of one more task of an owner."""
+        kind = (owner.team, owner.urgency, *_amounts(owner.resources))
+        if kind in self._waits:
+            return self._waits[kind]
+        if self._searches_count >= SEARCHES_LIMIT:
+            return _NOT_LOOKED_AT
+        outlook = self._preview.add(owner)
+        match outlook.verb:
+            case ttypes.EffectVerb.WAIT:
+                self._searches_count += 1
+                self._waits[kind] = outlook
+            case ttypes.EffectVerb.EVICT:
+                # What gave way may leave more room than was asked for.
+                self._searches_count += 1
+                self._waits.clear()
+        return outlook
+
+
 def place_queued(
     tables: tables_module.Tables, *, limit: int
 ) -> list[ttypes.Assignment]:
@@ -33,6 +76,10 @@
     ]
 
 
+def _amounts(resources: ttypes.Resources) -> tuple[int, ...]:
+    return tuple(getattr(resources, name) for name in resources.__slots__)
+
+
 def _queue(tables: tables_module.Tables) -> list[facts_module.Facts]:
     declared = estimates_module.Estimates()
     waiting = (tables.tasks[name] for name in tables.queued)
