--- a/benchmarks/plans.py
+++ b/benchmarks/plans.py
@@ -15,6 +15,7 @@
 
 _TASKS_COUNTS = (1_000, 10_000)
 _TASKS_PER_WORKER_COUNT = 12
+_QUEUES_COUNTS = (500, 4_000)
 _REPEATS_COUNT = 5
 _RECORDS_COUNT = 1_000
 
@@ -34,8 +35,21 @@
             ("one more job", "copy under the lock"), pair, strict=True
         )
     ]
+    waiting = {count: _plan(_waiting(count))[0] for count in _QUEUES_COUNTS}
+    short, long = _QUEUES_COUNTS
     return [
         *rows,
+        *(
+            table.Row(f"plans: one more job after {count} waiting", cost, "ms")
+            for count, cost in waiting.items()
+        ),
+        table.Row(
+            "plans: eight times the waiting tasks against the waiting tasks",
+            waiting[long] / waiting[short],
+            "ratio",
+            20.0,
+            "max",
+        ),
         table.Row(
             "plans: ten times the tasks against the tasks",
             costs[many][0] / costs[few][0],
@@ -71,6 +85,19 @@
     return tables
 
 
+def _waiting(count: int) -> tables_module.Tables:
+    """Tables with no room, and batch jobs that wait for some."""
+    tables = _running(_TASKS_COUNTS[0])
+    for worker in tables.workers.values():
+        worker.capacity = ttypes.Resources(
+            cpu_millicores=_TASKS_PER_WORKER_COUNT * 1000,
+            memory_bytes=_TASKS_PER_WORKER_COUNT << 30,
+        )
+    jobs = (states.batch_job(f"job{number}") for number in range(count))
+    states.make(tables, *(states.put(job) for job in jobs))
+    return tables
+
+
 def _plan(tables: tables_module.Tables) -> tuple[float, float]:
     """Milliseconds of a plan, and of the copy that it is made on."""
     plan_ms, copy_ms = [], []
--- a/marigoldsill/coordination/planning.py
+++ b/marigoldsill/coordination/planning.py
@@ -208,7 +208,7 @@
 
 
 def _can_end(task: ttypes.Task) -> bool:
-    if task.state == ttypes.TaskState.QUEUED:
+    if task.state in (ttypes.TaskState.QUEUED, ttypes.TaskState.IMPOSSIBLE):
         return True
     return tables_module.holds_worker(task) and not task.final_stop
 
--- a/marigoldsill/coordination/subscriber.py
+++ b/marigoldsill/coordination/subscriber.py
@@ -37,12 +37,14 @@
         control_addresses: Sequence[str],
         on_reply: Callable[[ttypes.WatchReply], None],
         cut_switch: cuts.Cuts | None = None,
+        clock_s: Callable[[], float] = time.monotonic,
     ):
         self.configuration = configuration_module.Configuration()
         self.ready = threading.Event()
         self._name = name
         self._role = role
         self._on_reply = on_reply
+        self._clock_s = clock_s
         self._link = control_link.ControlLink(
             addresses=control_addresses, cut_switch=cut_switch
         )
@@ -79,11 +81,11 @@
                 self._stopping.wait(_PAUSE_S)
 
     def _watch(self) -> None:
-        start_s = time.monotonic()
+        start_s = self._clock_s()
         reply = self._link.call(
             "watch", self._request(), timeout_s=_ANSWER_LIMIT_S
         )
-        if time.monotonic() - start_s > _ANSWER_LIMIT_S:
+        if self._clock_s() - start_s > _ANSWER_LIMIT_S:
             # This process was frozen: what it read may be long out of date.
             logs.event("late_answer", level="WARNING", term=reply.term)
             return
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination import guards
 from marigoldsill.coordination import planning
 from marigoldsill.coordination.placement import forecast
+from marigoldsill.coordination.placement import preview as preview_module
 from marigoldsill.protocol import intent_file
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
@@ -145,6 +146,57 @@
         assert tables.state_version == first.state_version
 
 
+def _outlook_of_each(tables: tables_module.Tables) -> dict[str, object]:
+    """What the searches give that tasks alike do not share."""
+    preview = preview_module.Preview(tables)
+    return {
+        name: preview.add(tables.owner_record(tables.tasks[name]))
+        for name in forecast.outlooks(tables)
+    }
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    runs=st.lists(st.tuples(_SIZES, st.integers(0, 9)), max_size=12),
+    waiting=st.lists(st.tuples(_SIZES, st.integers(0, 9)), max_size=12),
+)
+def test_tasks_alike_share_a_search_without_changing_what_comes_of_it(
+    runs: list[tuple[int, int]], waiting: list[tuple[int, int]]
+) -> None:
+    tables = tables_module.Tables()
+    for name in ("w0", "w1"):
+        worker = states.worker(name, capacity=_TIGHT)
+        states.apply(tables, put_worker=ttypes.PutWorker(worker=worker))
+    for prefix, jobs in (("r", runs), ("q", waiting)):
+        for number, (size, urgency) in enumerate(jobs):
+            job = states.batch_job(
+                f"{prefix}{number}",
+                urgency=urgency,
+                resources=ttypes.Resources(cpu_millicores=size),
+            )
+            states.make(tables, states.put(job))
+        if prefix == "r":
+            _place(tables)
+    assert forecast.outlooks(tables) == _outlook_of_each(tables)
+
+
+def test_a_long_queue_is_searched_for_a_bounded_number_of_times(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(forecast, "SEARCHES_LIMIT", 3)
+    tables = tables_module.Tables()
+    worker = states.worker("w1", capacity=_TIGHT)
+    states.apply(tables, put_worker=ttypes.PutWorker(worker=worker))
+    states.make(tables, states.put(states.batch_job("all", resources=_TIGHT)))
+    _place(tables)
+    for number in range(10):
+        size = ttypes.Resources(cpu_millicores=1000 + number)
+        job = states.batch_job(f"job{number}", resources=size)
+        states.make(tables, states.put(job))
+    reasons = [o.reason for o in forecast.outlooks(tables).values()]
+    assert len([r for r in reasons if "too many tasks wait" in r]) == 7
+
+
 def test_a_new_size_is_said_to_wait_for_the_next_start() -> None:
     tables = _running(states.service("lookup"))
     larger = states.service("lookup", resources=_TIGHT)
--- /dev/null
+++ b/tests/coordination/test_subscriber.py
@@ -0,0 +1,108 @@
+"""A subscriber listens to no older leader and drops answers that are late."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import itertools
+import time
+
+from marigoldsill.coordination import configuration
+from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.protocol import codec
+from marigoldsill.protocol.generated import Control as ControlThrift
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import thrift_server
+from tests import processes
+from tests.state import states
+
+
+class _Leader:
+    """Answers watches at once, in one term, from a given number of changes.
+
+    Attributes:
+        requests: What it was asked.
+    """
+
+    def __init__(self, *, term: int, changes_count: int):
+        self.term = term
+        self.tables = states.with_workers("w1")
+        self.requests: list[ttypes.WatchRequest] = []
+        for number in range(changes_count):
+            record = states.service("lookup", slots_count=number + 1)
+            states.make(self.tables, states.put(record, replace=bool(number)))
+
+    def watch(self, request: ttypes.WatchRequest) -> ttypes.WatchReply:
+        self.requests.append(request)
+        delta = configuration.delta_since(
+            self.tables, request.config_version, request.config_checksum
+        )
+        return ttypes.WatchReply(
+            term=self.term, encoded_config=codec.encode(delta)
+        )
+
+
+@contextlib.contextmanager
+def _serving(leader: _Leader) -> Iterator[str]:
+    server = thrift_server.ThriftServer(
+        address="127.0.0.1:0", connections_count=4, name="leader"
+    )
+    server.add("control", ControlThrift.Processor(leader))
+    server.start()
+    try:
+        yield server.address
+    finally:
+        server.stop()
+
+
+@contextlib.contextmanager
+def _watching(
+    *addresses: str, **options: object
+) -> Iterator[subscriber_module.Subscriber]:
+    subscriber = subscriber_module.Subscriber(
+        name="entry-1",
+        role=ttypes.Role.ENTRY,
+        control_addresses=addresses,
+        on_reply=lambda _: None,
+        **options,
+    )
+    subscriber.start()
+    try:
+        yield subscriber
+    finally:
+        subscriber.stop()
+
+
+def _until(condition: Callable[[], object]) -> None:
+    processes.wait_until(condition, limit_s=10.0)
+
+
+def test_an_older_leader_is_refused_though_it_names_a_newer_version() -> None:
+    newer = _Leader(term=2, changes_count=1)
+    older = _Leader(term=1, changes_count=3)
+    with (
+        _serving(older) as older_address,
+        _serving(newer) as address,
+        _watching(address, older_address) as subscriber,
+    ):
+        _until(lambda: subscriber.configuration.version == 1)
+        newer.term = 0  # from now on nobody it has heard of leads
+        _until(lambda: len(older.requests) > 2)
+        assert subscriber.configuration.version == 1
+        newer.term = 3
+        newer.tables = _Leader(term=3, changes_count=2).tables
+        _until(lambda: subscriber.configuration.version == 2)
+
+
+def test_an_answer_that_came_too_late_is_dropped() -> None:
+    leader = _Leader(term=1, changes_count=1)
+    frozen_s = itertools.count(step=10)  # between any two looks at it
+    clock: list[Callable[[], float]] = [lambda: next(frozen_s)]
+    with (
+        _serving(leader) as address,
+        _watching(address, clock_s=lambda: clock[0]()) as subscriber,
+    ):
+        _until(lambda: len(leader.requests) > 2)
+        assert not subscriber.ready.is_set()
+        assert subscriber.configuration.version == 0
+        clock[0] = time.monotonic
+        _until(subscriber.ready.is_set)
