--- a/marigoldsill/coordination/placement/forecast.py
+++ b/marigoldsill/coordination/placement/forecast.py
@@ -50,14 +50,14 @@
         if self._searches_count >= SEARCHES_LIMIT:
             return _NOT_LOOKED_AT
         outlook = self._preview.add(owner)
+        # What is free and what may give way, together, only shrink from here
+        # on, so tasks alike wait too.
         match outlook.verb:
             case ttypes.EffectVerb.WAIT:
                 self._searches_count += 1
                 self._waits[kind] = outlook
             case ttypes.EffectVerb.EVICT:
-                # What gave way may leave more room than was asked for.
                 self._searches_count += 1
-                self._waits.clear()
         return outlook
 
 
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -146,6 +146,16 @@
         assert tables.state_version == first.state_version
 
 
+def test_runs_that_would_give_way_to_something_more_urgent_are_named() -> None:
+    tables = tables_module.Tables()
+    worker = states.worker("w1", capacity=_TIGHT)
+    states.apply(tables, put_worker=ttypes.PutWorker(worker=worker))
+    states.make(tables, states.put(states.batch_job("all", resources=_TIGHT)))
+    _place(tables)
+    plan = _plan(tables, states.put(states.service("lookup")))
+    assert _effects(plan) == {"lookup/0": "WAIT", "all/0": "EVICT"}
+
+
 def _outlook_of_each(tables: tables_module.Tables) -> dict[str, object]:
     """What the searches give that tasks alike do not share."""
     preview = preview_module.Preview(tables)
--- a/tests/e2e/test_whole_path.py
+++ b/tests/e2e/test_whole_path.py
@@ -65,3 +65,12 @@
     assert counts["run_completed", "rebuild/0"] == 1
     assert counts["run_started", "rebuild/0"] == 1
     assert [e["key"] for e in events if e.get("key")] == ["k-1"]
+
+    def guards_of_a_removal() -> list[str]:
+        plan = system.operate("plan", "remove", "lookup")
+        return [guard["name"] for guard in plan["guards"]]
+
+    processes.wait_until(
+        lambda: "live-callers" in guards_of_a_removal(),
+        what="control knows of the callers",
+    )
