--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plan_commands.py
@@ -3,6 +3,8 @@
 import json
 import time
 
+import prometheus_client
+
 from marigoldsill import errors
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import guards
@@ -22,6 +24,11 @@
 ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy")
 _TIMEOUT_S = 3.0
 _ID_LIMIT = 128
+_CONFIRMATIONS = prometheus_client.Counter(
+    "marigoldsill_confirmations_total",
+    "Answers to confirmations of plans, by outcome; resends count again.",
+    ["outcome"],
+)
 
 
 class PlanCommands:
@@ -102,6 +109,8 @@
                     acknowledged_guards=acknowledged,
                 ),
             )
+        outcome = ttypes.Outcome(result.outcome).name.lower()
+        _CONFIRMATIONS.labels(outcome).inc()
         return _confirmation(plan_id, result)
 
     def _newer(self, plan_id: int) -> ttypes.Plan | None:
--- a/marigoldsill/coordination/subscriber.py
+++ b/marigoldsill/coordination/subscriber.py
@@ -6,6 +6,8 @@
 import threading
 import time
 
+import prometheus_client
+
 from marigoldsill import errors
 from marigoldsill.coordination import configuration as configuration_module
 from marigoldsill.coordination import control_link
@@ -20,6 +22,14 @@
 _PAUSE_S = 0.1
 _CALLED_WITHIN_S = 30.0
 
+_VERSION = prometheus_client.Gauge(
+    "marigoldsill_config_version", "Version of the configuration in force here."
+)
+_REFUSED = prometheus_client.Counter(
+    "marigoldsill_config_refused_total",
+    "Answers refused: of an older leader, older, late, or failing their check.",
+)
+
 
 class Subscriber:
     """One task that watches control for one process.
@@ -87,6 +97,7 @@
         )
         if self._clock_s() - start_s > _ANSWER_LIMIT_S:
             # This process was frozen: what it read may be long out of date.
+            _REFUSED.inc()
             logs.event("late_answer", level="WARNING", term=reply.term)
             return
         self._take(reply)
@@ -114,13 +125,17 @@
 
     def _take(self, reply: ttypes.WatchReply) -> None:
         if reply.term < self._term:
+            _REFUSED.inc()
             logs.event("stale_leader", term=reply.term, known=self._term)
             self._link.look_elsewhere()
             return
         self._term = reply.term
         delta = codec.decode(ttypes.ConfigDelta(), reply.encoded_config)
+        refused_count = self.configuration.refused_count
         if self.configuration.apply(delta, term=reply.term):
+            _VERSION.set(delta.version)
             logs.event("config_in_force", version=delta.version)
+        _REFUSED.inc(self.configuration.refused_count - refused_count)
         if self.configuration.wants_whole:
             logs.event(
                 "config_check_failed", level="ERROR", delta=delta.version
