--- a/marigoldsill/coordination/absence.py
+++ b/marigoldsill/coordination/absence.py
@@ -1,4 +1,8 @@
-"""Watchers that are not running: never silently."""
+"""Watchers that are not running: never silently.
+
+Since when one is absent is in the replicated state: neither a change of leader
+nor runs that fail at once start the count over.
+"""
 
 import dataclasses
 
@@ -52,8 +56,8 @@
                 ttypes.TaskState.CANCELLED,
             )
         if not running:
-            since = task.queued_unix_ms or now_unix_ms
-            if task.state != ttypes.TaskState.QUEUED:
+            since = task.absent_since_unix_ms or now_unix_ms
+            if task.state == ttypes.TaskState.STOPPING:
                 since = now_unix_ms
             self._since_unix_ms.setdefault(name, since)
             return
--- a/marigoldsill/state/changes.py
+++ b/marigoldsill/state/changes.py
@@ -105,7 +105,7 @@
         case ttypes.ChangeVerb.UNDRAIN:
             runs.set_draining(tables, name, draining=False)
         case ttypes.ChangeVerb.POLICY:
-            tables.policy = change.policy_after
+            tables.set_policy(change.policy_after)
 
 
 def _put(
@@ -154,6 +154,7 @@
                 kind=kind,
                 epoch=tables.epoch_floor,
                 queued_unix_ms=now_unix_ms,
+                absent_since_unix_ms=now_unix_ms,
                 reserved=ttypes.Resources(),
                 reason="waits for a worker",
             )
@@ -179,6 +180,7 @@
             final_stop=False,
             failures_count=0,
             queued_unix_ms=now_unix_ms,
+            absent_since_unix_ms=now_unix_ms,
             reason="declared again",
         )
 
