--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -1,7 +1,6 @@
 """The agent role: one worker's runs and requests."""
 
 from concurrent import futures
-import json
 import threading
 import time
 
@@ -14,6 +13,8 @@
 from marigoldsill.coordination import control_link
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.protocol import announcements
+from marigoldsill.protocol import checks
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import Agent as AgentThrift
 from marigoldsill.protocol.generated import ttypes
@@ -61,7 +62,9 @@
         self._thrift.add(
             "agent",
             AgentThrift.Processor(
-                agent_service.AgentService(admission=self._admission)
+                checks.Checked(
+                    agent_service.AgentService(admission=self._admission)
+                )
             ),
         )
         self._http = http_server.HttpServer(
@@ -114,7 +117,7 @@
     def _handle(self, request: wrappers.Request) -> wrappers.Response:
         if request.path != "/endpoints" or request.method != "POST":
             raise errors.NotFoundError(f"{request.path!r} is nothing here")
-        self._admission.announce(_endpoints(request.get_data()))
+        self._admission.announce(announcements.parse(request.get_data()))
         return common.json_response({})
 
     def _heartbeat_loop(self) -> None:
@@ -188,29 +191,6 @@
         )
 
 
-def _endpoints(body: bytes) -> list[ttypes.EndpointInfo]:
-    try:
-        return [
-            ttypes.EndpointInfo(
-                service_name=str(item["service"]),
-                address=str(item["address"]),
-                slots_count=int(item["slots_count"]),
-                connections_count=int(item["connections_count"]),
-                task=str(item.get("task", "")),
-            )
-            for item in json.loads(body)
-        ]
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise errors.BadInputError(
-            f"no list of endpoints: {error!r}; accepted are objects with "
-            "service, address, slots_count and connections_count"
-        ) from error
-
-
 def run(settings: settings_module.AgentSettings) -> None:
     """Runs the role until a signal."""
-    stop = common.wait_for_stop()
-    agent = Agent(settings)
-    agent.start()
-    stop.wait()
-    agent.stop()
+    common.run(lambda: Agent(settings))
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -16,6 +16,7 @@
 
 ENVIRONMENT_PREFIX = "MARIGOLDSILL_"
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_MEMBER_PARTS_COUNT = 3
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -62,6 +63,37 @@
     return tuple(parse_address(part) for part in parts)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MemberAddresses:
+    """A control process as written in settings.
+
+    Attributes:
+        name: Its name.
+        thrift_address: Where its peers reach it, host:port.
+        http_address: Where operators reach it, host:port.
+    """
+
+    name: str
+    thrift_address: str
+    http_address: str
+
+
+def parse_members(text: str) -> tuple[MemberAddresses, ...]:
+    """Checks a list of control processes with commas between."""
+    parts = [part.strip().split("=") for part in text.split(",")]
+    if not all(len(part) == _MEMBER_PARTS_COUNT for part in parts):
+        raise errors.SettingsError(
+            f"{text!r} is no list of control processes; accepted is "
+            "name=thrift host:port=http host:port, with commas between"
+        )
+    return tuple(
+        MemberAddresses(
+            parse_name(name), parse_address(thrift), parse_address(http)
+        )
+        for name, thrift, http in parts
+    )
+
+
 def parse_integer(low: int, high: int) -> Callable[[str], int]:
     """A check for a whole number from `low` to `high`."""
 
@@ -188,6 +220,27 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ControlInitSettings:
+    """Settings of `marigoldsill control init`."""
+
+    name: str = setting("Name of this control process.", parse_name)
+    data_folder: str = setting("Folder of the durable state.", parse_path)
+    members: tuple[MemberAddresses, ...] = setting(
+        "All control processes of the group, this one among them: "
+        "name=thrift host:port=http host:port, with commas between.",
+        parse_members,
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class ControlRecoverSettings:
+    """Settings of `marigoldsill control recover`."""
+
+    name: str = setting("Name of the surviving control process.", parse_name)
+    data_folder: str = setting("Folder of its durable state.", parse_path)
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AgentSettings(ProcessSettings):
     """Settings of `marigoldsill agent`."""
@@ -232,6 +285,42 @@
     return ENVIRONMENT_PREFIX + setting_name.upper()
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class LocalSettings:
+    """Settings of `marigoldsill local`."""
+
+    workers_count: int = setting(
+        "Stand-in workers to run.", parse_integer(1, 20), default=2
+    )
+    worker_cores_count: int = setting(
+        "Cores of each stand-in worker.", parse_integer(1, 1024), default=30
+    )
+    worker_memory_bytes: int = setting(
+        "Memory of each stand-in worker, in bytes.",
+        parse_integer(1 << 20, 1 << 50),
+        default=130 << 30,
+    )
+    entry_http_address: str = setting(
+        "Where callers are served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    control_http_address: str = setting(
+        "Where operators are served, host:port; port 0 takes a free one.",
+        parse_address,
+        default="127.0.0.1:0",
+    )
+    data_folder: str = setting(
+        "Folder of the durable state; empty: a temporary one that goes with "
+        "the process.",
+        parse_text,
+        default="",
+    )
+    log_level: str = setting(
+        "Lowest level of events written.", parse_log_level, default="WARNING"
+    )
+
+
 def flag_of(setting_name: str) -> str:
     """The flag of a setting."""
     return "--" + setting_name.replace("_", "-")
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -6,6 +6,7 @@
 from marigoldsill.coordination import usage as usage_module
 from marigoldsill.coordination.placement import amounts
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import changes as state_changes
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
 
@@ -95,6 +96,7 @@
             operator_name="test",
             state_version=self.tables.state_version,
             changes=changes,
+            effects=state_changes.harm(self.tables, changes),
         )
         self.apply(record_plan=ttypes.RecordPlan(plan=plan))
         self.apply(
