--- /dev/null
+++ b/benchmarks/placement_time.py
@@ -0,0 +1,205 @@
+"""Time of placement against the number of workers and of queued tasks.
+
+The workers are nearly full, and 74 runs end and start in each round of a
+tenth of a second: the 740 starts a second of the target size.
+"""
+
+import random
+import time
+
+from benchmarks import table
+from marigoldsill.coordination import changes as changes_module
+from marigoldsill.coordination import decisions as decisions_module
+from marigoldsill.coordination import fleet
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import machine
+from marigoldsill.state import tables as tables_module
+
+_WORKERS_COUNTS = (10, 100, 1000, 5400)
+_QUEUED_COUNTS = (1_000, 17_000)
+_RUNS_PER_WORKER = 12
+_STARTS_PER_ROUND = 74
+_ROUNDS_COUNT = 20
+_ROUND_S = 0.1
+_FAMILIES_COUNT = 40
+_GB = 1 << 30
+_START_UNIX_MS = 1_800_000_000_000
+_FLATNESS_BOUND = 6.0
+
+
+class _Target:
+    """Workers that are full of runs, and a queue."""
+
+    def __init__(self, workers_count: int, queued_count: int):
+        self._random = random.Random(5)
+        self._now_s = 0.0
+        self._names = iter(range(1 << 40))
+        self.tables = tables_module.Tables()
+        self.decisions = decisions_module.Decisions()
+        self._changes = changes_module.Changes()
+        for i in range(workers_count):
+            self._apply(put_worker=ttypes.PutWorker(worker=_worker(i)))
+        self._live = set(self.tables.workers)
+        running_count = workers_count * _RUNS_PER_WORKER
+        for _ in range(running_count + queued_count):
+            self._queue()
+        self._fill(running_count)
+
+    def round(self) -> tuple[float, float, int]:
+        """Ends some runs and decides; seconds of deciding and applying."""
+        self._now_s += _ROUND_S
+        running = self._running
+        ended = [
+            running.pop(self._random.randrange(len(running)))
+            for _ in range(min(_STARTS_PER_ROUND, len(running)))
+        ]
+        self._report(ended, ttypes.RunEventKind.COMPLETED)
+        for _ in ended:
+            self._queue()
+        begin_s = time.perf_counter()
+        changes, self._changes = self._changes, changes_module.Changes()
+        now = self._now()
+        self.decisions.take_changes(
+            self.tables, changes, live=self._live, now=now
+        )
+        bodies = self.decisions.round(self.tables, now=now)
+        decided_s = time.perf_counter()
+        grants = [
+            grant
+            for body in bodies
+            if isinstance(body, ttypes.AssignRuns)
+            for grant in body.assignments
+        ]
+        self._apply(assign_runs=ttypes.AssignRuns(assignments=grants))
+        applied_s = time.perf_counter()
+        names = [grant.task for grant in grants]
+        self._report(names, ttypes.RunEventKind.STARTED)
+        running += names
+        return decided_s - begin_s, applied_s - decided_s, len(grants)
+
+    def _fill(self, running_count: int) -> None:
+        names = list(self.tables.queued)[:running_count]
+        workers = list(self.tables.workers)
+        grants = [
+            ttypes.Assignment(
+                name,
+                1,
+                workers[i % len(workers)],
+                self.tables.owner_record(self.tables.tasks[name]).resources,
+            )
+            for i, name in enumerate(names)
+        ]
+        self._apply(assign_runs=ttypes.AssignRuns(assignments=grants))
+        self._running = [
+            name for name in names if self.tables.tasks[name].epoch
+        ]
+        self._report(self._running, ttypes.RunEventKind.STARTED)
+        self._changes = changes_module.Changes()
+        self.decisions.rebuild(self.tables, live=self._live, now=self._now())
+        known = self.decisions.fleet.estimates
+        for i in range(_FAMILIES_COUNT):
+            name = f"kind{i}x"
+            task = ttypes.Task(name=name, owner=name)
+            size = _size(i)
+            usage = ttypes.Usage(name, size.cpu_millicores, size.memory_bytes)
+            known.observe(task, size, usage, measured_s=0.0)
+
+    def _queue(self) -> None:
+        """Adds a job as the confirmation of a plan would."""
+        number = next(self._names)
+        kind = self._random.randrange(_FAMILIES_COUNT)
+        job = ttypes.BatchJob(
+            name=f"kind{kind}x-{number}", resources=_size(kind)
+        )
+        self.tables.batch_jobs[job.name] = job
+        self.tables.put_task(
+            ttypes.Task(
+                name=f"{job.name}/0",
+                owner=job.name,
+                kind=ttypes.Kind.BATCH_JOB,
+                queued_unix_ms=self._now().unix_ms,
+                reserved=ttypes.Resources(),
+            )
+        )
+
+    def _report(self, names: list[str], kind: ttypes.RunEventKind) -> None:
+        events = [
+            ttypes.RunEvent(name, self.tables.tasks[name].epoch, kind)
+            for name in names
+        ]
+        self._apply(record_run_events=ttypes.RecordRunEvents(events=events))
+
+    def _now(self) -> fleet.Now:
+        return fleet.Now(self._now_s, _START_UNIX_MS + int(1000 * self._now_s))
+
+    def _apply(self, **body: object) -> None:
+        command = ttypes.Command(proposed_unix_ms=self._now().unix_ms, **body)
+        machine.apply(self.tables, command)
+        self._changes.add(
+            command,
+            workers=self.tables.take_touched(),
+            tasks=self.tables.take_touched_tasks(),
+        )
+
+
+def _worker(number: int) -> ttypes.Worker:
+    return ttypes.Worker(
+        name=f"w{number}",
+        data_centre=f"d{number % 6}",
+        rack=f"r{number // 60}",
+        capacity=ttypes.Resources(32_000, 128 * _GB, 0),
+        agent_address="",
+    )
+
+
+def _size(kind: int) -> ttypes.Resources:
+    return ttypes.Resources(1000 + 75 * kind, (1 + kind % 5) * _GB, 0)
+
+
+def measure(workers_count: int, queued_count: int) -> tuple[float, float, int]:
+    """Microseconds of deciding and applying a start, and the starts made."""
+    target = _Target(workers_count, queued_count)
+    target.round()
+    rounds = [target.round() for _ in range(_ROUNDS_COUNT)]
+    starts = sum(count for _, _, count in rounds)
+    decide_s = sum(decided_s for decided_s, _, _ in rounds)
+    apply_s = sum(applied_s for _, applied_s, _ in rounds)
+    return decide_s / starts * 1e6, apply_s / starts * 1e6, starts
+
+
+def run() -> list[table.Row]:
+    """Rows of placement time; bounded is how it grows with the workers."""
+    rows = []
+    decide_us = {}
+    for workers_count in _WORKERS_COUNTS:
+        for queued_count in _QUEUED_COUNTS:
+            one_us, apply_us, starts = measure(workers_count, queued_count)
+            decide_us[workers_count, queued_count] = one_us
+            where = f"{workers_count} workers, {queued_count} queued"
+            rows += [
+                table.Row(f"placement_time: a start, {where}", one_us, "us"),
+                table.Row(f"placement_time: applied, {where}", apply_us, "us"),
+                table.Row(
+                    f"placement_time: share of a core at 740/s, {where}",
+                    740 * one_us / 1e6,
+                    "ratio",
+                ),
+                table.Row(f"placement_time: starts, {where}", starts, "count"),
+            ]
+    for queued_count in _QUEUED_COUNTS:
+        growth = decide_us[5400, queued_count] / decide_us[100, queued_count]
+        rows.append(
+            table.Row(
+                "placement_time: a start at 5400 workers over 100, "
+                f"{queued_count} queued",
+                growth,
+                "ratio",
+                _FLATNESS_BOUND,
+                "max",
+            )
+        )
+    return rows
+
+
+if __name__ == "__main__":
+    print(table.render(run()))
