--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/estimates.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import re
 
@@ -26,6 +27,7 @@
 _SUFFIX = re.compile(r"[-._]?[0-9]+$")
 
 
+@functools.lru_cache(maxsize=_FAMILIES_LIMIT)
 def family_of(name: str) -> str:
     """The family of a name: without the number at its end."""
     return _SUFFIX.sub("", name) or name
--- a/marigoldsill/coordination/placement/capacity.py
+++ b/marigoldsill/coordination/placement/capacity.py
@@ -5,10 +5,12 @@
 workers with about the same processor time free.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import itertools
 import math
 import random
 
@@ -18,7 +20,7 @@
 
 _BUCKET_RATIO = math.log(1.5)
 _BUCKETS_COUNT = 48
-_WHOLE_SCAN_COUNT = 64
+_WHOLE_SCAN_COUNT = 32
 _DRAWS_PER_CANDIDATE = 4
 
 
@@ -176,7 +178,7 @@
             if bucket.names
         ]
         total = sum(map(len, buckets))
-        if total <= max(limit, _WHOLE_SCAN_COUNT):
+        if total <= _WHOLE_SCAN_COUNT:
             return [
                 name
                 for names in buckets
@@ -207,13 +209,11 @@
         limit: int,
     ) -> list[str]:
         found: dict[str, None] = {}
+        ends = list(itertools.accumulate(map(len, buckets)))
         for _ in range(limit * _DRAWS_PER_CANDIDATE):
-            position = self._random.randrange(total)
-            for names in buckets:
-                if position < len(names):
-                    break
-                position -= len(names)
-            name = names[position]
+            position = int(self._random.random() * total)
+            bucket = bisect.bisect_right(ends, position)
+            name = buckets[bucket][position - ends[bucket]]
             if amounts.fits(wanted, self.views[name].free):
                 found[name] = None
                 if len(found) >= limit:
--- a/marigoldsill/coordination/places.py
+++ b/marigoldsill/coordination/places.py
@@ -10,7 +10,7 @@
 from marigoldsill.coordination.placement import holdings
 from marigoldsill.protocol.generated import ttypes
 
-_CANDIDATES_COUNT = 16
+_CANDIDATES_COUNT = 10
 _AVOIDED_COUNT = 4
 _HARM_COST = 4.0
 _PACKING_COST = 0.5
