--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -1,6 +1,8 @@
 """The workloads that the placement benchmarks run."""
 
 import dataclasses
+import math
+import random
 
 from benchmarks import fake_workers
 
@@ -46,3 +48,30 @@
         dataclasses.replace(f, declared_ratio=ratios[f.name]) for f in _FAMILIES
     )
     return usual(families=families, **changes)
+
+
+def mild(**changes: object) -> fake_workers.Scenario:
+    """Every neighbour disturbs half as much."""
+    services = tuple(
+        dataclasses.replace(
+            spec, added={name: 0.5 * by for name, by in spec.added.items()}
+        )
+        for spec in _SERVICES
+    )
+    return usual(services=services, **changes)
+
+
+def drawn(*, seed: int, **changes: object) -> fake_workers.Scenario:
+    """What each pair adds is drawn anew for each seed, over a factor of 300."""
+    source = random.Random(seed)
+    services = tuple(
+        dataclasses.replace(
+            spec,
+            added={
+                name: math.exp(source.uniform(math.log(0.005), math.log(1.5)))
+                for name in spec.added
+            },
+        )
+        for spec in _SERVICES
+    )
+    return usual(services=services, seed=seed, **changes)
--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/latency.py
@@ -17,7 +17,7 @@
 _GUARD_LEAST_SAMPLES = 20.0
 _GUARD_SUSPENSION_S = 60.0
 _GUARD_SUSPENSION_LIMIT_S = 960.0
-_GUARD_MARGIN = 0.05
+_GUARD_MARGIN_RATIO = 0.05
 _HEADROOM_SHARE_LEAST = 0.1
 _HEADROOM_SHARE_SPAN = 0.6
 
@@ -53,9 +53,15 @@
 
 
 class Latencies:
-    """Loads, targets and the guard of every service."""
+    """Loads, targets and the guard of every service.
+
+    Attributes:
+        guard_margin_ratio: By how much more often instances with neighbours
+            may miss the target than those without.
+    """
 
     def __init__(self):
+        self.guard_margin_ratio = _GUARD_MARGIN_RATIO
         self._services: dict[str, _Service] = {}
 
     def observe(
@@ -121,7 +127,7 @@
             return
         if known.shared.count < _GUARD_LEAST_SAMPLES:
             return
-        allowed = known.alone.ratio() + _GUARD_MARGIN
+        allowed = known.alone.ratio() + self.guard_margin_ratio
         if known.shared.ratio() <= allowed:
             return
         known.suspended_until_s = now_s + known.suspension_s
