Keep co-residence as changes and the largest use by owner

Cause: whole sets of neighbours at each change would have taken some hundred megabytes at 5,400 workers, and the last measurement of every task ever measured was kept for good.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -202,7 +202,7 @@
             ]
     cases = [case for group in points.values() for case in group]
     with futures.ProcessPoolExecutor(_WORKERS_COUNT) as pool:
-        results = dict(zip(cases, pool.map(measure, cases), strict=True))
+        results = dict(zip(cases, pool.map(_summary, cases), strict=True))
     means = {
         key: _mean([results[case] for case in group])
         for key, group in points.items()
@@ -213,33 +213,37 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Mean:
+    """Figures of one run, or their means over several."""
+
     p50: float
     p99: float
     p999: float
     cores: float
     deadlines_met: float
     evictions: float
-    violations: int
+    violations: float
     overused: float
 
 
-def _mean(results: list[fake_workers.Result]) -> _Mean:
-    def mean(values) -> float:
-        return statistics.mean(values)
-
-    duration_s = scenarios.usual().duration_s
+def _summary(case: Case) -> _Mean:
+    result = measure(case)
     return _Mean(
-        p50=mean(r.latency_ratio(50) for r in results),
-        p99=mean(r.latency_ratio(99) for r in results),
-        p999=mean(r.latency_ratio(99.9) for r in results),
-        cores=mean(r.done_core_s / duration_s for r in results),
-        deadlines_met=mean(r.deadlines_met_count for r in results),
-        evictions=mean(r.evictions_count for r in results),
-        violations=sum(r.violations_count for r in results),
-        overused=mean(r.overused_count for r in results),
+        p50=result.latency_ratio(50),
+        p99=result.latency_ratio(99),
+        p999=result.latency_ratio(99.9),
+        cores=result.done_core_s / scenarios.usual().duration_s,
+        deadlines_met=result.deadlines_met_count,
+        evictions=result.evictions_count,
+        violations=result.violations_count,
+        overused=result.overused_count,
     )
 
 
+def _mean(summaries: list[_Mean]) -> _Mean:
+    columns = zip(*map(dataclasses.astuple, summaries), strict=True)
+    return _Mean(*map(statistics.mean, columns))
+
+
 def _table(means: dict[tuple[str, object], _Mean]) -> str:
     lines = [
         "| condition | policy | p50 | p99 | p99.9 | batch cores "
@@ -253,7 +257,7 @@
         lines.append(
             f"| {condition} | {name} | {m.p50:.2f} | {m.p99:.2f} "
             f"| {m.p999:.2f} | {m.cores:.0f} | {m.deadlines_met:.0f} "
-            f"| {m.evictions:.0f} | {m.violations} | {m.overused:.0f} |"
+            f"| {m.evictions:.0f} | {m.violations:.0f} | {m.overused:.0f} |"
         )
     return "\n".join(lines) + "\n"
 
--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -188,8 +188,8 @@
         match outcome.kind:
             case outcomes_module.Kind.FAILED | outcomes_module.Kind.REFUSED:
                 self._starts.places.avoid(outcome.task.name, outcome.worker)
-            case outcomes_module.Kind.COMPLETED:
-                self._starts.places.forget(outcome.task.name)
+        if outcome.task.state != ttypes.TaskState.QUEUED:
+            self._starts.places.forget(outcome.task.name)
 
     def _of_changed_owners(self, tables: tables_module.Tables) -> set[str]:
         """Tasks whose declarations changed since the last call."""
--- a/marigoldsill/coordination/residents.py
+++ b/marigoldsill/coordination/residents.py
@@ -8,7 +8,8 @@
 from marigoldsill.state import tables as tables_module
 
 THROTTLED_SHARE = 0.3
-_HISTORY_COUNT = 64
+_CHANGES_COUNT = 128
+_KEPT_S = 300.0
 _WINDOW_S = 1.0
 
 
@@ -73,24 +74,56 @@
     return Residents(services, batch, frozenset(started))
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Change:
+    """A batch run that came to a worker or left it."""
+
+    at_s: float
+    neighbour: Neighbour
+    came: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Log:
+    """Who is on one worker, and the latest changes to that.
+
+    Attributes:
+        now: Who is there.
+        changes: What led to it, the oldest first.
+        since_s: Before this nothing is known any more.
+    """
+
+    now: frozenset[Neighbour]
+    changes: collections.deque[_Change]
+    since_s: float
+
+
 class History:
     """A bounded record, by worker, of which batch runs were there when."""
 
     def __init__(self):
-        self._by_worker: dict[
-            str, collections.deque[tuple[float, frozenset[Neighbour]]]
-        ] = {}
+        self._by_worker: dict[str, _Log] = {}
 
     def note(
         self, worker: str, started: frozenset[Neighbour], *, now_s: float
     ) -> None:
         """Notes who is there from now on, if that changed."""
-        entries = self._by_worker.get(worker)
-        if entries is None:
-            entries = collections.deque(maxlen=_HISTORY_COUNT)
-            self._by_worker[worker] = entries
-        if not entries or entries[-1][1] != started:
-            entries.append((now_s, started))
+        log = self._by_worker.get(worker)
+        if log is None:
+            self._by_worker[worker] = _Log(
+                started, collections.deque(), since_s=now_s
+            )
+            return
+        if log.now == started:
+            return
+        log.changes.extend(_Change(now_s, n, True) for n in started - log.now)
+        log.changes.extend(_Change(now_s, n, False) for n in log.now - started)
+        log.now = started
+        while log.changes and (
+            len(log.changes) > _CHANGES_COUNT
+            or log.changes[0].at_s < now_s - _KEPT_S
+        ):
+            log.since_s = log.changes.popleft().at_s
 
     def at(self, worker: str, measured_s: float) -> frozenset[Neighbour] | None:
         """Who was there when something was measured.
@@ -98,12 +131,17 @@
         None if it is not known any more, or if somebody came or left within
         the window that the measurement covers.
         """
-        entries = self._by_worker.get(worker, ())
-        for since_s, started in reversed(entries):
-            if since_s <= measured_s:
-                return started if since_s <= measured_s - _WINDOW_S else None
-        return None
-
-    def clear(self) -> None:
-        """Forgets everything."""
-        self._by_worker.clear()
+        log = self._by_worker.get(worker)
+        if log is None or measured_s - _WINDOW_S < log.since_s:
+            return None
+        there = set(log.now)
+        for change in reversed(log.changes):
+            if change.at_s <= measured_s - _WINDOW_S:
+                break
+            if change.at_s <= measured_s:
+                return None
+            if change.came:
+                there.discard(change.neighbour)
+            else:
+                there.add(change.neighbour)
+        return frozenset(there)
--- a/marigoldsill/coordination/usage.py
+++ b/marigoldsill/coordination/usage.py
@@ -6,6 +6,7 @@
 from marigoldsill.protocol.generated import ttypes
 
 _NEW_LIMIT = 200_000
+_OWNERS_LIMIT = 100_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,11 +25,11 @@
 
 
 class UsageTable:
-    """The last measurement of each task, and those not yet learnt from."""
+    """Measurements not yet learnt from, and the largest use of each owner."""
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._last: dict[str, Measurement] = {}
+        self._largest: dict[str, ttypes.Resources] = {}
         self._new: list[Measurement] = []
 
     def put(
@@ -36,29 +37,18 @@
     ) -> None:
         """Keeps what a heartbeat brought at `now_s`."""
         with self._lock:
+            room = _NEW_LIMIT - len(self._new)
+            self._new += [
+                Measurement(worker, item, now_s - item.age_ms / 1000)
+                for item in usage[:room]
+            ]
             for item in usage:
-                measurement = Measurement(
-                    worker, item, now_s - item.age_ms / 1000
-                )
-                self._last[item.task] = measurement
-                if len(self._new) < _NEW_LIMIT:
-                    self._new.append(measurement)
-
-    def last(self) -> dict[str, Measurement]:
-        """The last measurement of each task, by name."""
-        with self._lock:
-            return dict(self._last)
+                self._note_largest(item)
 
     def largest_by_owner(self) -> dict[str, ttypes.Resources]:
-        """The largest use last seen among the tasks of each owner."""
-        sizes: dict[str, ttypes.Resources] = {}
-        for task, seen in self.last().items():
-            size = sizes.setdefault(task.rpartition("/")[0], ttypes.Resources())
-            size.cpu_millicores = max(
-                size.cpu_millicores, seen.usage.cpu_millicores
-            )
-            size.memory_bytes = max(size.memory_bytes, seen.usage.memory_bytes)
-        return sizes
+        """The largest use seen of each owner's tasks; a bounded number."""
+        with self._lock:
+            return dict(self._largest)
 
     def take_new(self) -> list[Measurement]:
         """The measurements that came since the last call."""
@@ -66,7 +56,12 @@
             taken, self._new = self._new, []
         return taken
 
-    def forget(self, task: str) -> None:
-        """Drops the measurements of a task that ended."""
-        with self._lock:
-            self._last.pop(task, None)
+    def _note_largest(self, item: ttypes.Usage) -> None:
+        owner = item.task.rpartition("/")[0]
+        size = self._largest.get(owner)
+        if size is None:
+            if len(self._largest) >= _OWNERS_LIMIT:
+                del self._largest[next(iter(self._largest))]
+            size = self._largest[owner] = ttypes.Resources()
+        size.cpu_millicores = max(size.cpu_millicores, item.cpu_millicores)
+        size.memory_bytes = max(size.memory_bytes, item.memory_bytes)
