--- /dev/null
+++ b/tests/coordination/test_quarantine.py
@@ -0,0 +1,93 @@
+"""Workers that fail everything, jobs that fail everywhere."""
+
+from marigoldsill.coordination import quarantine
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination import world as world_module
+
+EVENTS = world_module.EVENTS
+
+
+def start_and_fail(world, bad: set[str], *, broken: str = "none") -> None:
+    """Runs on bad workers fail, and so does the broken job everywhere."""
+    world.apply_bodies(world.decide(passed_s=2))
+    assigned = [t for t in world.tables.tasks.values() if t.state == 2]
+    world.report(
+        {
+            task.name: EVENTS.FAILED
+            if task.worker in bad or task.owner == broken
+            else EVENTS.COMPLETED
+            for task in assigned
+        }
+    )
+
+
+def worker_states(world) -> dict[str, str]:
+    return {
+        w.name: ttypes.WorkerState(w.state).name
+        for w in world.tables.workers.values()
+    }
+
+
+def test_worker_that_fails_everything_is_quarantined_and_jobs_go_on():
+    world = world_module.World()
+    for i in range(4):
+        world.worker(f"w{i}", cores=4)
+    for i in range(40):
+        world.job(f"kind{i % 4}x-{i}", cores=4)
+    for _ in range(10):
+        start_and_fail(world, {"w2"})
+    assert worker_states(world) == {
+        "w0": "ACTIVE",
+        "w1": "ACTIVE",
+        "w2": "QUARANTINED",
+        "w3": "ACTIVE",
+    }
+    for _ in range(30):
+        start_and_fail(world, {"w2"})
+    assert {t.state for t in world.tables.tasks.values()} == {
+        ttypes.TaskState.DONE
+    }
+
+
+def test_broken_job_is_given_up_and_no_worker_is_blamed():
+    world = world_module.World()
+    for i in range(4):
+        world.worker(f"w{i}", cores=4)
+    for i in range(20):
+        world.job(f"good{i % 4}x-{i}")
+    world.job("broken", attempts_limit=12)
+    for _ in range(300):
+        start_and_fail(world, set(), broken="broken")
+    assert world.state("broken/0") == "FAILED"
+    assert world.task("broken/0").failures_count == 12
+    assert set(worker_states(world).values()) == {"ACTIVE"}
+
+
+def test_job_that_failed_elsewhere_hardly_counts_against_a_worker():
+    judge = quarantine.Quarantine()
+    for i in range(60):
+        judge.ran(f"w{i % 3}", "good", now_s=1.0)
+    for i in range(3):
+        judge.failed(f"w{i}", "broken", now_s=1.0)
+    assert not any(judge.failed("w4", "broken", now_s=2.0) for _ in range(6))
+
+
+def test_quarantined_worker_is_probed_with_one_run_and_restored():
+    world = world_module.World()
+    for i in range(2):
+        world.worker(f"w{i}", cores=20)
+    for i in range(40):
+        world.job(f"kind{i % 4}x-{i}", cores=2)
+    while worker_states(world)["w1"] != "QUARANTINED":
+        start_and_fail(world, {"w1"})
+    for i in range(40, 60):
+        world.job(f"kind{i % 4}x-{i}", cores=9)
+    world.apply_bodies(world.decide(passed_s=100))
+    world.apply_bodies(world.decide(passed_s=1))
+    world.apply_bodies(world.decide(passed_s=1))
+    probe = world.tables.tasks_on("w1")
+    assert len(probe) == 1
+    world.report({probe[0].name: EVENTS.COMPLETED})
+    world.apply_bodies(world.decide(passed_s=1))
+    world.apply_bodies(world.decide(passed_s=1))
+    assert len(world.tables.tasks_on("w1")) > 1
