Give services what they need at their peak, and doubt single samples

Cause: a service that restarts in a quiet hour would have been given its mean use; a single usage report wrong by ten times marked its worker as overloaded and evicted runs. A run is charged for what it used twice in a row, and the peak of a family grows by at most three deviations at once.

--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/estimates.py
@@ -20,6 +20,9 @@
 _CPU_MARGIN_RATIO = 1.05
 _MEMORY_MARGIN_RATIO = 1.15
 _RATIO_LIMIT = 100.0
+_LARGEST_FADING = 1e-6
+_BELIEVED_COUNT = 10
+_BELIEVED_SPREAD = math.log(2)
 _SAMPLE_INTERVAL_S = 2.0
 _FAMILIES_LIMIT = 50_000
 _LEAST_MILLICORES = 50
@@ -40,10 +43,16 @@
     count: float = 0.0
     mean: float = 0.0
     variance: float = 0.0
+    largest: float = -math.inf
 
     def add(self, ratio: float) -> None:
         value = math.log(min(max(ratio, 1 / _RATIO_LIMIT), _RATIO_LIMIT))
         self.count = min(self.count + 1, _SAMPLES_LIMIT)
+        believed = value
+        if self.count >= _BELIEVED_COUNT:
+            spread = max(3 * math.sqrt(self.variance), _BELIEVED_SPREAD)
+            believed = min(value, self.mean + spread)
+        self.largest = max(believed, self.largest - _LARGEST_FADING)
         change = value - self.mean
         self.mean += change / self.count
         self.variance += (
@@ -62,6 +71,13 @@
             weight * self.mean + _MARGIN_DEVIATIONS * deviation * weight
         )
 
+    def peak(self, *, margin_ratio: float) -> float:
+        """The largest ratio seen lately, with a margin."""
+        if not self.count:
+            return 1.0
+        weight = self.count / (self.count + _PRIOR_SAMPLES_COUNT)
+        return margin_ratio * math.exp(weight * self.largest)
+
     def middle(self) -> float:
         weight = self.count / (self.count + _PRIOR_SAMPLES_COUNT)
         return math.exp(weight * self.mean)
@@ -76,12 +92,26 @@
 
 @dataclasses.dataclass(slots=True)
 class _Peak:
-    """The most that one task was seen to use."""
+    """The most that one task was seen to use, twice in a row.
+
+    A single measurement may be wrong by a factor.
+    """
 
     sampled_s: float
     cpu_millicores: int = 0
     memory_bytes: int = 0
     progress_ms: int = 0
+    last_cpu_millicores: int = 0
+    last_memory_bytes: int = 0
+
+    def add(self, usage: ttypes.Usage) -> None:
+        cpu = min(usage.cpu_millicores, self.last_cpu_millicores)
+        memory = min(usage.memory_bytes, self.last_memory_bytes)
+        self.cpu_millicores = max(self.cpu_millicores, cpu)
+        self.memory_bytes = max(self.memory_bytes, memory)
+        self.last_cpu_millicores = usage.cpu_millicores
+        self.last_memory_bytes = usage.memory_bytes
+        self.progress_ms = usage.progress_ms
 
 
 class Estimates:
@@ -110,9 +140,7 @@
         if measured_s < peak.sampled_s + _SAMPLE_INTERVAL_S:
             return False
         peak.sampled_s = measured_s
-        peak.cpu_millicores = max(peak.cpu_millicores, usage.cpu_millicores)
-        peak.memory_bytes = max(peak.memory_bytes, usage.memory_bytes)
-        peak.progress_ms = usage.progress_ms
+        peak.add(usage)
         family = self._family(task.owner)
         if free_running and usage.cpu_millicores and declared.cpu_millicores:
             family.cpu.add(usage.cpu_millicores / declared.cpu_millicores)
@@ -127,17 +155,27 @@
         if declared_ms > 0 and took_ms > 0:
             self._family(owner).run_time.add(took_ms / declared_ms)
 
-    def size(self, owner: str, declared: ttypes.Resources) -> ttypes.Resources:
-        """What a new run of an owner should be given."""
+    def size(
+        self, owner: str, declared: ttypes.Resources, *, steady: bool = True
+    ) -> ttypes.Resources:
+        """What a new run of an owner should be given.
+
+        Args:
+            owner: Its name.
+            declared: What was declared for it.
+            steady: Whether it uses much the same all the time, as batch jobs
+                do; otherwise it is given what it needed at its peak.
+        """
         family = self._families.get(family_of(owner))
         if family is None:
             return declared
+        cpu_ratio = family.cpu.peak(margin_ratio=_CPU_MARGIN_RATIO)
+        if steady:
+            cpu_ratio = family.cpu.estimate(margin_ratio=_CPU_MARGIN_RATIO)
         size = amounts.scaled(
             declared,
-            cpu_ratio=family.cpu.estimate(margin_ratio=_CPU_MARGIN_RATIO),
-            memory_ratio=family.memory.estimate(
-                margin_ratio=_MEMORY_MARGIN_RATIO
-            ),
+            cpu_ratio=cpu_ratio,
+            memory_ratio=family.memory.peak(margin_ratio=_MEMORY_MARGIN_RATIO),
         )
         return ttypes.Resources(
             max(size.cpu_millicores, _LEAST_MILLICORES),
--- a/marigoldsill/coordination/placement/facts.py
+++ b/marigoldsill/coordination/placement/facts.py
@@ -73,7 +73,11 @@
         team=owner.team,
         family=estimates_module.family_of(owner.name),
         urgency=owner.urgency,
-        wanted=estimates.size(owner.name, owner.resources),
+        wanted=estimates.size(
+            owner.name,
+            owner.resources,
+            steady=task.kind == ttypes.Kind.BATCH_JOB,
+        ),
         latest_start_unix_ms=latest_start_unix_ms,
         remaining_ms=remaining_ms,
         ready_unix_ms=task.queued_unix_ms + 1000 * _backoff_s(task, owner),
--- a/tests/coordination/test_evictions.py
+++ b/tests/coordination/test_evictions.py
@@ -156,3 +156,18 @@
     assert len(draining) == 2
     assert not left & draining
     assert world.state("job/0") == "RUNNING"
+
+
+def test_one_wrong_measurement_evicts_nobody():
+    world = full_worker()
+    for cores in (2, 20, 2):
+        world.measure("job-4/0", cores=cores)
+        assert evictions(world.step(passed_s=5)) == []
+
+
+def test_run_that_uses_more_than_there_is_makes_the_cheapest_go():
+    world = full_worker()
+    for _ in range(2):
+        world.measure("job-4/0", cores=4)
+        bodies = world.step(passed_s=5)
+    assert evictions(bodies) == ["job-0/0"]
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -195,6 +195,8 @@
     world.job("small", cores=1)
     world.run(20)
     world.measure("small/0", cores=8)
+    world.run(3)
+    world.measure("small/0", cores=8)
     world.job("other", cores=4)
     world.run(20)
     assert world.state("other/0") == "QUEUED"
