--- a/tests/coordination/test_learning.py
+++ b/tests/coordination/test_learning.py
@@ -50,12 +50,12 @@
 
 def test_measurement_from_before_a_step_does_not_cause_another():
     world = shared_worker()
+    world.run(30)
     while not throttled(world.step(passed_s=2)):
-        world.measure("lookup/0", latency_ms=300)
+        world.measure("lookup/0", latency_ms=300, ago_s=20)
     for _ in range(10):
-        bodies = world.step(passed_s=1)
         world.measure("lookup/0", latency_ms=300, ago_s=20)
-        assert not evictions(bodies)
+        assert not evictions(world.step(passed_s=2))
     assert world.task("mild-1/0").throttled
 
 
