--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -200,3 +200,16 @@
     world.job("other", cores=4)
     world.run(20)
     assert world.state("other/0") == "QUEUED"
+
+
+def test_grant_that_is_applied_late_does_not_exceed_the_capacity():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("slow", cores=4)
+    late = world.decide()
+    world.job("urgent", cores=4, urgency=9)
+    world.apply_bodies(world.decide())
+    assert world.state("urgent/0") == "ASSIGNED"
+    world.apply_bodies(late)
+    assert world.state("slow/0") == "QUEUED"
+    assert world.held("w1").cpu_millicores == 4000
