Make unmeasured terms anew from their kin each time

A term that was only asked for was stored at its prior, so what was learnt at other loads never reached it. Terms are stored when they are measured now.

--- a/marigoldsill/coordination/interference.py
+++ b/marigoldsill/coordination/interference.py
@@ -78,9 +78,10 @@
         """
         shares = _shares(neighbours)
         alone = self._alone_term(service, load)
+        pairs = {f: self._pair(service, f, load) for f in shares}
+        self._keep(service, load, alone, pairs)
         terms = [(alone, 1.0)] + [
-            (self._pair(service, family, load), share)
-            for family, share in shares.items()
+            (pairs[family], share) for family, share in shares.items()
         ]
         seen = min(latency_ratio, _LATENCY_LIMIT)
         expected = sum(term.mean * share for term, share in terms)
@@ -94,7 +95,7 @@
             term.variance += _ALONE_DRIFT if term is alone else _PAIR_DRIFT
             term.samples_count += 1
         for family, share in shares.items():
-            self._learn_family(family, self._pair(service, family, load), share)
+            self._learn_family(family, pairs[family], share)
 
     def predict(
         self,
@@ -126,24 +127,32 @@
         return self._pair(service, family, load).samples_count
 
     def _alone_term(self, service: str, load: int) -> _Term:
+        """The service's own term; one without samples is made anew each time.
+
+        What is learnt meanwhile at other loads would be missed otherwise.
+        """
         term = self._alone.get((service, load))
-        if term is None:
-            near = self._nearest(self._alone, (service,), load)
-            term = _Term(_ALONE_MEAN, _ALONE_VARIANCE)
-            if near is not None:
-                term = _Term(near.mean, _NEAR_VARIANCE)
-            self._alone[service, load] = term
-        return term
+        if term is not None:
+            return term
+        near = self._nearest(self._alone, (service,), load)
+        if near is None:
+            return _Term(_ALONE_MEAN, _ALONE_VARIANCE)
+        return _Term(near.mean, _NEAR_VARIANCE)
 
     def _pair(self, service: str, family: str, load: int) -> _Term:
         step = _PAIR_LOADS[load]
-        key = (service, family, step)
-        term = self._pairs.get(key)
-        if term is None:
-            if len(self._pairs) >= _TERMS_LIMIT:
-                self._pairs.pop(next(iter(self._pairs)))
-            term = self._pairs[key] = self._new_pair(service, family, step)
-        return term
+        term = self._pairs.get((service, family, step))
+        return term or self._new_pair(service, family, step)
+
+    def _keep(
+        self, service: str, load: int, alone: _Term, pairs: dict[str, _Term]
+    ) -> None:
+        """Keeps the terms that a measurement corrects."""
+        self._alone[service, load] = alone
+        for family, term in pairs.items():
+            self._pairs[service, family, _PAIR_LOADS[load]] = term
+        while len(self._pairs) > _TERMS_LIMIT:
+            del self._pairs[next(iter(self._pairs))]
 
     def _new_pair(self, service: str, family: str, load: int) -> _Term:
         """A term without samples, from the next of kin that has some."""
