--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -11,6 +11,7 @@
 from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import eviction as eviction_module
 from marigoldsill.coordination import fleet as fleet_module
+from marigoldsill.coordination import impossible as impossible_module
 from marigoldsill.coordination import learning as learning_module
 from marigoldsill.coordination import moves as moves_module
 from marigoldsill.coordination import outcomes as outcomes_module
@@ -18,8 +19,6 @@
 from marigoldsill.coordination import sharing as sharing_module
 from marigoldsill.coordination import starts as starts_module
 from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination.placement import facts as facts_module
-from marigoldsill.coordination.placement import feasibility
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
@@ -28,7 +27,6 @@
 _TASKS_LIMIT = 4_000
 _WORKERS_LIMIT = 800
 _TRIES_LIMIT = 300
-_MARKS_LIMIT = 500
 _REFUSED_PAUSE_MS = 1_000
 
 Body = (
@@ -65,12 +63,10 @@
         )
         self._outcomes = outcomes_module.Outcomes()
         self._absences = absence_module.Absences()
-        self._impossible: set[str] = set()
-        self._to_mark: dict[str, ttypes.TaskMark] = {}
+        self._impossible = impossible_module.Impossible(self.fleet.estimates)
         self._to_put: dict[str, ttypes.Worker] = {}
         self._stale: set[str] = set()
         self._pending = changes_module.Changes()
-        self._capacities: list[ttypes.Resources] = []
         self._state_version = 0
 
     @property
@@ -136,9 +132,10 @@
             self.fleet.refresh(tables, worker, now=now)
             self._moves.look_at(worker)
         capacities = list(self.fleet.index.largest_capacities())
-        if changes.configured or capacities != self._capacities:
-            self._capacities = capacities
-            tasks |= self._impossible | self._of_changed_owners(tables)
+        if changes.configured or capacities != self._impossible.capacities:
+            self._impossible.capacities = capacities
+            tasks |= self._impossible.tasks
+            tasks |= self._of_changed_owners(tables)
         for name in sorted(tasks):
             self._take_task(tables, name, now, refused=name in refused)
 
@@ -178,7 +175,7 @@
         self._note_waiting(tables, placed.waiting)
         self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
         evicted = steps.evictions + moved + placed.victims
-        marks = self._take_marks()
+        marks = self._impossible.take_marks()
         bodies: list[Body] = [
             ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
         ]
@@ -232,19 +229,15 @@
     ) -> None:
         self._absences.look_at(tables, name, now_unix_ms=now.unix_ms)
         task = tables.tasks.get(name)
-        self._impossible.discard(name)
+        self._impossible.forget(name)
         match getattr(task, "state", None):
             case ttypes.TaskState.QUEUED:
                 self._take_waiting(tables, task, now, refused=refused)
             case ttypes.TaskState.IMPOSSIBLE:
-                self._impossible.add(name)
-                if not self._why_impossible(tables, task):
-                    self._mark(
-                        task, ttypes.TaskState.QUEUED, "waits for a worker"
-                    )
+                self._impossible.look_at(tables, task)
             case _:
                 self._starts.drop(name)
-                self._to_mark.pop(name, None)
+                self._impossible.drop_mark(name)
 
     def _take_waiting(
         self,
@@ -254,10 +247,10 @@
         *,
         refused: bool,
     ) -> None:
-        why = self._why_impossible(tables, task)
+        why = self._impossible.why(tables, task)
         if why:
             self._starts.drop(task.name)
-            self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
+            self._impossible.mark(task, why)
             return
         self._starts.put(
             tables,
@@ -266,40 +259,16 @@
             not_before_unix_ms=now.unix_ms + _REFUSED_PAUSE_MS * refused,
         )
 
-    def _why_impossible(
-        self, tables: tables_module.Tables, task: ttypes.Task
-    ) -> str:
-        facts = facts_module.of(tables, task, self.fleet.estimates)
-        if facts is None:
-            return ""
-        return feasibility.reason_impossible(
-            facts,
-            tables.owner_record(task).resources,
-            self._capacities,
-            tables.teams.get(facts.team),
-        )
-
-    def _mark(
-        self, task: ttypes.Task, state: ttypes.TaskState, reason: str
-    ) -> None:
-        self._to_mark[task.name] = ttypes.TaskMark(
-            task=task.name, epoch=task.epoch, state=state, reason=reason
-        )
-
     def _note_waiting(
         self, tables: tables_module.Tables, waiting: Iterable[str]
     ) -> None:
         """Marks what turned out to be impossible when it was tried."""
         for name in waiting:
             task = tables.tasks[name]
-            why = self._why_impossible(tables, task)
+            why = self._impossible.why(tables, task)
             if why:
                 self._starts.drop(name)
-                self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
-
-    def _take_marks(self) -> list[ttypes.TaskMark]:
-        names = list(self._to_mark)[:_MARKS_LIMIT]
-        return [self._to_mark.pop(name) for name in names]
+                self._impossible.mark(task, why)
 
     def _probe(
         self, tables: tables_module.Tables, now: fleet_module.Now
--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/estimates.py
@@ -192,13 +192,6 @@
             return declared_ms
         return declared_ms * family.run_time.middle()
 
-    def size_ratio(self, owner: str) -> float | None:
-        """Observed over declared processor time, or None if never seen."""
-        family = self._families.get(family_of(owner))
-        if family is None or not family.cpu.count:
-            return None
-        return math.exp(family.cpu.mean)
-
     def is_known(self, family: str) -> bool:
         """Whether any run of a family was measured."""
         known = self._families.get(family)
--- /dev/null
+++ b/marigoldsill/coordination/impossible.py
@@ -0,0 +1,66 @@
+"""Tasks that can never run as things are: marked, and marked back."""
+
+from marigoldsill.coordination import estimates as estimates_module
+from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import feasibility
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
+
+_MARKS_LIMIT = 500
+
+
+class Impossible:
+    """Which tasks are impossible, and the marks to propose.
+
+    Attributes:
+        capacities: The distinct capacities of all known workers.
+        tasks: Tasks that are marked as impossible in the state.
+    """
+
+    def __init__(self, estimates: estimates_module.Estimates):
+        self.capacities: list[ttypes.Resources] = []
+        self.tasks: set[str] = set()
+        self._estimates = estimates
+        self._marks: dict[str, ttypes.TaskMark] = {}
+
+    def why(self, tables: tables_module.Tables, task: ttypes.Task) -> str:
+        """Why a task can never run, or an empty text."""
+        facts = facts_module.of(tables, task, self._estimates)
+        if facts is None:
+            return ""
+        return feasibility.reason_impossible(
+            facts,
+            tables.owner_record(task).resources,
+            self.capacities,
+            tables.teams.get(facts.team),
+        )
+
+    def mark(self, task: ttypes.Task, reason: str) -> None:
+        """Marks a waiting task as impossible."""
+        self._put(task, ttypes.TaskState.IMPOSSIBLE, reason)
+
+    def look_at(self, tables: tables_module.Tables, task: ttypes.Task) -> None:
+        """Queues an impossible task again if it could run by now."""
+        self.tasks.add(task.name)
+        if not self.why(tables, task):
+            self._put(task, ttypes.TaskState.QUEUED, "waits for a worker")
+
+    def forget(self, name: str) -> None:
+        """Drops a task that is not impossible in the state."""
+        self.tasks.discard(name)
+
+    def drop_mark(self, name: str) -> None:
+        """Drops the mark of a task that does not wait any more."""
+        self._marks.pop(name, None)
+
+    def take_marks(self) -> list[ttypes.TaskMark]:
+        """The marks to propose now; a bounded number."""
+        names = list(self._marks)[:_MARKS_LIMIT]
+        return [self._marks.pop(name) for name in names]
+
+    def _put(
+        self, task: ttypes.Task, state: ttypes.TaskState, reason: str
+    ) -> None:
+        self._marks[task.name] = ttypes.TaskMark(
+            task=task.name, epoch=task.epoch, state=state, reason=reason
+        )
--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/latency.py
@@ -10,6 +10,7 @@
 
 from marigoldsill.coordination import interference as interference_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 _LOAD_HOLD_S = 20.0
 _PEAK_HALF_LIFE_S = 600.0
@@ -89,7 +90,7 @@
         if shared is not None:
             rate = known.shared if shared else known.alone
             rate.add(latency_ratio > 1)
-            self._guard(known, now_s)
+            self._guard(service, known, now_s)
         return load
 
     def load_now(self, service: str) -> int:
@@ -114,15 +115,7 @@
         known = self._services.get(service)
         return known is not None and now_s < known.suspended_until_s
 
-    def suspended_services(self, *, now_s: float) -> list[str]:
-        """The services that the guard keeps alone now."""
-        return [
-            name
-            for name, known in self._services.items()
-            if now_s < known.suspended_until_s
-        ]
-
-    def _guard(self, known: _Service, now_s: float) -> None:
+    def _guard(self, service: str, known: _Service, now_s: float) -> None:
         if now_s < known.suspended_until_s:
             return
         if known.shared.count < _GUARD_LEAST_SAMPLES:
@@ -135,6 +128,12 @@
             2 * known.suspension_s, _GUARD_SUSPENSION_LIMIT_S
         )
         known.shared = _MissRate()
+        logs.event(
+            "sharing_suspended",
+            level="WARNING",
+            service=service,
+            seconds=round(known.suspended_until_s - now_s),
+        )
 
 
 def limit_of(
--- a/marigoldsill/coordination/placement/facts.py
+++ b/marigoldsill/coordination/placement/facts.py
@@ -98,11 +98,6 @@
     )
 
 
-def is_late(facts: Facts, *, now_unix_ms: int) -> bool:
-    """Whether a job with a deadline has no slack left."""
-    return facts.latest_start_unix_ms <= now_unix_ms
-
-
 def fits_somewhere(
     wanted: ttypes.Resources, capacities: list[ttypes.Resources]
 ) -> bool:
