Decide again what a lost command had decided

Cause: a grant whose AssignRuns met no quorum left the task out of the queue for good, and a lost MarkTasks left it neither queued nor marked. Two tests, both seen failing before the change.

--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -66,6 +66,7 @@
         self._impossible = impossible_module.Impossible(self.fleet.estimates)
         self._to_put: dict[str, ttypes.Worker] = {}
         self._stale: set[str] = set()
+        self._granted: set[str] = set()
         self._pending = changes_module.Changes()
         self._state_version = 0
 
@@ -117,8 +118,9 @@
         """
         self._pending.workers |= changes.workers | self._stale
         self._pending.workers |= self.fleet.live ^ live
-        self._pending.tasks |= changes.tasks
+        self._pending.tasks |= changes.tasks | self._granted
         self._stale = set()
+        self._granted = set()
         self.fleet.live = set(live)
         tasks = _take_some(self._pending.tasks, _TASKS_LIMIT)
         workers = _take_some(self._pending.workers, _WORKERS_LIMIT)
@@ -167,7 +169,9 @@
         placed = self._starts.place(
             tables, now=now, limit=_GRANTS_LIMIT, tries_limit=_TRIES_LIMIT
         )
+        # A command may be lost: what it touched is looked at again anyway.
         self._stale |= {grant.worker for grant in placed.grants}
+        self._granted |= {grant.task for grant in placed.grants}
         for grant in placed.grants:
             self._outcomes.granted(
                 tables.tasks[grant.task], grant, now_unix_ms=now.unix_ms
@@ -175,7 +179,7 @@
         self._note_waiting(tables, placed.waiting)
         self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
         evicted = steps.evictions + moved + placed.victims
-        marks = self._impossible.take_marks()
+        marks = self._impossible.marks(tables)
         bodies: list[Body] = [
             ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
         ]
@@ -234,10 +238,10 @@
             case ttypes.TaskState.QUEUED:
                 self._take_waiting(tables, task, now, refused=refused)
             case ttypes.TaskState.IMPOSSIBLE:
+                self._starts.drop(name)
                 self._impossible.look_at(tables, task)
             case _:
                 self._starts.drop(name)
-                self._impossible.drop_mark(name)
 
     def _take_waiting(
         self,
@@ -247,11 +251,6 @@
         *,
         refused: bool,
     ) -> None:
-        why = self._impossible.why(tables, task)
-        if why:
-            self._starts.drop(task.name)
-            self._impossible.mark(task, why)
-            return
         self._starts.put(
             tables,
             task,
@@ -267,7 +266,6 @@
             task = tables.tasks[name]
             why = self._impossible.why(tables, task)
             if why:
-                self._starts.drop(name)
                 self._impossible.mark(task, why)
 
     def _probe(
--- a/marigoldsill/coordination/impossible.py
+++ b/marigoldsill/coordination/impossible.py
@@ -1,5 +1,7 @@
 """Tasks that can never run as things are: marked, and marked back."""
 
+import itertools
+
 from marigoldsill.coordination import estimates as estimates_module
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.coordination.placement import feasibility
@@ -46,17 +48,25 @@
             self._put(task, ttypes.TaskState.QUEUED, "waits for a worker")
 
     def forget(self, name: str) -> None:
-        """Drops a task that is not impossible in the state."""
+        """Drops what was known of a task that has changed."""
         self.tasks.discard(name)
-
-    def drop_mark(self, name: str) -> None:
-        """Drops the mark of a task that does not wait any more."""
         self._marks.pop(name, None)
 
-    def take_marks(self) -> list[ttypes.TaskMark]:
-        """The marks to propose now; a bounded number."""
-        names = list(self._marks)[:_MARKS_LIMIT]
-        return [self._marks.pop(name) for name in names]
+    def marks(self, tables: tables_module.Tables) -> list[ttypes.TaskMark]:
+        """The marks to propose now; a bounded number.
+
+        A mark is given again until the state has it, as a command may be
+        lost, or until the task has changed.
+        """
+        old = [
+            name
+            for name, mark in self._marks.items()
+            if name not in tables.tasks
+            or tables.tasks[name].epoch != mark.epoch
+        ]
+        for name in old:
+            del self._marks[name]
+        return list(itertools.islice(self._marks.values(), _MARKS_LIMIT))
 
     def _put(
         self, task: ttypes.Task, state: ttypes.TaskState, reason: str
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -213,3 +213,29 @@
     world.apply_bodies(late)
     assert world.state("slow/0") == "QUEUED"
     assert world.held("w1").cpu_millicores == 4000
+
+
+def test_round_whose_commands_were_lost_is_decided_again():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("job", cores=1)
+    world.job("huge", cores=64)
+    lost = world.decide()
+    assert [type(body) for body in lost] == [
+        ttypes.AssignRuns,
+        ttypes.MarkTasks,
+    ]
+    world.run(3)
+    assert world.state("job/0") == "RUNNING"
+    assert world.state("huge/0") == "IMPOSSIBLE"
+
+
+def test_lost_mark_back_to_waiting_is_made_again():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("huge", cores=64)
+    world.run(3)
+    world.worker("w2", cores=80)
+    world.decide()
+    world.run(3)
+    assert world.state("huge/0") == "RUNNING"
