--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 import itertools
 
 from marigoldsill.coordination import absence as absence_module
@@ -38,6 +39,15 @@
 )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Standing:
+    """A change of a worker's state that was decided."""
+
+    before: ttypes.WorkerState
+    after: ttypes.WorkerState
+    reason: str
+
+
 class Decisions:
     """The soft state of one leader and its rounds.
 
@@ -64,7 +74,7 @@
         self._outcomes = outcomes_module.Outcomes()
         self._absences = absence_module.Absences()
         self._impossible = impossible_module.Impossible(self.fleet.estimates)
-        self._to_put: dict[str, ttypes.Worker] = {}
+        self._standings: dict[str, _Standing] = {}
         self._stale: set[str] = set()
         self._granted: set[str] = set()
         self._pending = changes_module.Changes()
@@ -181,9 +191,9 @@
         evicted = steps.evictions + moved + placed.victims
         marks = self._impossible.marks(tables)
         bodies: list[Body] = [
-            ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
+            ttypes.PutWorker(worker=worker)
+            for worker in self._changed_workers(tables)
         ]
-        self._to_put.clear()
         if steps.throttles:
             bodies.append(ttypes.ThrottleRuns(throttles=steps.throttles))
         if evicted:
@@ -272,14 +282,26 @@
         self, tables: tables_module.Tables, now: fleet_module.Now
     ) -> None:
         for name in self.fleet.quarantine.due_for_probe(now_s=now.monotonic_s):
-            worker = tables.workers.get(name)
-            if worker is None:
-                continue
-            if worker.state == ttypes.WorkerState.QUARANTINED:
-                state = ttypes.WorkerState.ACTIVE
-                self._to_put[name] = with_state(
-                    worker, state, "probed with one run at a time"
-                )
+            self._standings[name] = _Standing(
+                ttypes.WorkerState.QUARANTINED,
+                ttypes.WorkerState.ACTIVE,
+                "probed with one run at a time",
+            )
+
+    def _changed_workers(
+        self, tables: tables_module.Tables
+    ) -> list[ttypes.Worker]:
+        """Workers to record with another state, until the state has it."""
+        self._standings = {
+            name: standing
+            for name, standing in self._standings.items()
+            if name in tables.workers
+            and tables.workers[name].state == standing.before
+        }
+        return [
+            with_state(tables.workers[name], standing.after, standing.reason)
+            for name, standing in self._standings.items()
+        ]
 
     def _quarantine(
         self, tables: tables_module.Tables, name: str, why: str
@@ -288,8 +310,8 @@
         if worker is None or worker.state != ttypes.WorkerState.ACTIVE:
             return
         logs.event("worker_quarantined", level="WARNING", worker=name, why=why)
-        self._to_put[name] = with_state(
-            worker, ttypes.WorkerState.QUARANTINED, why
+        self._standings[name] = _Standing(
+            ttypes.WorkerState.ACTIVE, ttypes.WorkerState.QUARANTINED, why
         )
 
 
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -91,3 +91,18 @@
     world.apply_bodies(world.decide(passed_s=1))
     world.apply_bodies(world.decide(passed_s=1))
     assert len(world.tables.tasks_on("w1")) > 1
+
+
+def test_lost_command_does_not_leave_a_worker_out_for_good():
+    world = world_module.World()
+    for i in range(2):
+        world.worker(f"w{i}", cores=4)
+    for i in range(40):
+        world.job(f"kind{i % 4}x-{i}", cores=4)
+    while worker_states(world)["w1"] != "QUARANTINED":
+        start_and_fail(world, {"w1"})
+    lost = world.decide(passed_s=100)
+    assert any(isinstance(body, ttypes.PutWorker) for body in lost)
+    start_and_fail(world, set())
+    start_and_fail(world, set())
+    assert worker_states(world)["w1"] == "ACTIVE"
