--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import itertools
 
 from marigoldsill.coordination import absence as absence_module
@@ -18,6 +17,7 @@
 from marigoldsill.coordination import outcomes as outcomes_module
 from marigoldsill.coordination import relief as relief_module
 from marigoldsill.coordination import sharing as sharing_module
+from marigoldsill.coordination import standings as standings_module
 from marigoldsill.coordination import starts as starts_module
 from marigoldsill.coordination import usage as usage_module
 from marigoldsill.protocol.generated import ttypes
@@ -39,15 +39,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Standing:
-    """A change of a worker's state that was decided."""
-
-    before: ttypes.WorkerState
-    after: ttypes.WorkerState
-    reason: str
-
-
 class Decisions:
     """The soft state of one leader and its rounds.
 
@@ -74,7 +65,7 @@
         self._outcomes = outcomes_module.Outcomes()
         self._absences = absence_module.Absences()
         self._impossible = impossible_module.Impossible(self.fleet.estimates)
-        self._standings: dict[str, _Standing] = {}
+        self._standings = standings_module.Standings()
         self._stale: set[str] = set()
         self._granted: set[str] = set()
         self._pending = changes_module.Changes()
@@ -173,7 +164,7 @@
         if not self.up_to_date:
             return []
         self._evictions.begin_round(tables.policy, now_s=now.monotonic_s)
-        self._probe(tables, now)
+        self._probe(now)
         steps = self._relief.decide(tables, now=now)
         moved = self._moves.decide(tables, now=now)
         placed = self._starts.place(
@@ -192,7 +183,7 @@
         marks = self._impossible.marks(tables)
         bodies: list[Body] = [
             ttypes.PutWorker(worker=worker)
-            for worker in self._changed_workers(tables)
+            for worker in self._standings.proposals(tables)
         ]
         if steps.throttles:
             bodies.append(ttypes.ThrottleRuns(throttles=steps.throttles))
@@ -278,30 +269,9 @@
             if why:
                 self._impossible.mark(task, why)
 
-    def _probe(
-        self, tables: tables_module.Tables, now: fleet_module.Now
-    ) -> None:
+    def _probe(self, now: fleet_module.Now) -> None:
         for name in self.fleet.quarantine.due_for_probe(now_s=now.monotonic_s):
-            self._standings[name] = _Standing(
-                ttypes.WorkerState.QUARANTINED,
-                ttypes.WorkerState.ACTIVE,
-                "probed with one run at a time",
-            )
-
-    def _changed_workers(
-        self, tables: tables_module.Tables
-    ) -> list[ttypes.Worker]:
-        """Workers to record with another state, until the state has it."""
-        self._standings = {
-            name: standing
-            for name, standing in self._standings.items()
-            if name in tables.workers
-            and tables.workers[name].state == standing.before
-        }
-        return [
-            with_state(tables.workers[name], standing.after, standing.reason)
-            for name, standing in self._standings.items()
-        ]
+            self._standings.probe(name)
 
     def _quarantine(
         self, tables: tables_module.Tables, name: str, why: str
@@ -310,17 +280,7 @@
         if worker is None or worker.state != ttypes.WorkerState.ACTIVE:
             return
         logs.event("worker_quarantined", level="WARNING", worker=name, why=why)
-        self._standings[name] = _Standing(
-            ttypes.WorkerState.ACTIVE, ttypes.WorkerState.QUARANTINED, why
-        )
-
-
-def with_state(
-    worker: ttypes.Worker, state: ttypes.WorkerState, reason: str
-) -> ttypes.Worker:
-    """A worker's record with another state."""
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    return ttypes.Worker(**(values | {"state": state, "reason": reason}))
+        self._standings.quarantine(name, why)
 
 
 def _take_some(names: set[str], limit: int) -> set[str]:
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -10,6 +10,7 @@
 from marigoldsill.coordination import decisions as decisions_module
 from marigoldsill.coordination import fleet
 from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination import standings
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
@@ -148,6 +149,6 @@
 
 
 def _as_lost(worker: ttypes.Worker) -> ttypes.Worker:
-    return decisions_module.with_state(
+    return standings.with_state(
         worker, ttypes.WorkerState.LOST, "its lease ran out"
     )
