--- a/marigoldsill/coordination/watch_service.py
+++ b/marigoldsill/coordination/watch_service.py
@@ -110,9 +110,13 @@
         current = (self._replica.term, self._list_version(request))
         return _held_list(request) != current
 
+    def orders_version(self, agent: str) -> int:
+        """The version of an agent's orders by now; hold the lock."""
+        return self._orders_version.get(agent, 0)
+
     def _list_version(self, request: ttypes.WatchRequest) -> int:
         if request.role == ttypes.Role.AGENT:
-            return self._orders_version.get(request.subscriber, 0)
+            return self.orders_version(request.subscriber)
         return self._endpoints.version
 
     def on_applied(self, command: ttypes.Command, touched: set[str]) -> None:
