--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -94,6 +94,7 @@
     ) -> None:
         """Begins to take the whole state in, as a new leader does once."""
         self.fleet.live = set(live)
+        self._state_version = tables.state_version
         for worker in tables.workers.values():
             if worker.state == ttypes.WorkerState.QUARANTINED:
                 self.fleet.quarantine.restore_from_state(
