--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/latency.py
@@ -10,6 +10,7 @@
 
 from marigoldsill.coordination import interference as interference_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 _LOAD_HOLD_S = 20.0
 _PEAK_HALF_LIFE_S = 600.0
@@ -17,9 +18,9 @@
 _GUARD_LEAST_SAMPLES = 20.0
 _GUARD_SUSPENSION_S = 60.0
 _GUARD_SUSPENSION_LIMIT_S = 960.0
-_GUARD_MARGIN = 0.05
+_GUARD_MARGIN_RATIO = 0.05
 _HEADROOM_SHARE_LEAST = 0.1
-_HEADROOM_SHARE_SPAN = 0.6
+_HEADROOM_SHARE_SPAN = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,9 +54,15 @@
 
 
 class Latencies:
-    """Loads, targets and the guard of every service."""
+    """Loads, targets and the guard of every service.
+
+    Attributes:
+        guard_margin_ratio: By how much more often instances with neighbours
+            may miss the target than those without.
+    """
 
     def __init__(self):
+        self.guard_margin_ratio = _GUARD_MARGIN_RATIO
         self._services: dict[str, _Service] = {}
 
     def observe(
@@ -83,7 +90,7 @@
         if shared is not None:
             rate = known.shared if shared else known.alone
             rate.add(latency_ratio > 1)
-            self._guard(known, now_s)
+            self._guard(service, known, now_s)
         return load
 
     def load_now(self, service: str) -> int:
@@ -108,20 +115,12 @@
         known = self._services.get(service)
         return known is not None and now_s < known.suspended_until_s
 
-    def suspended_services(self, *, now_s: float) -> list[str]:
-        """The services that the guard keeps alone now."""
-        return [
-            name
-            for name, known in self._services.items()
-            if now_s < known.suspended_until_s
-        ]
-
-    def _guard(self, known: _Service, now_s: float) -> None:
+    def _guard(self, service: str, known: _Service, now_s: float) -> None:
         if now_s < known.suspended_until_s:
             return
         if known.shared.count < _GUARD_LEAST_SAMPLES:
             return
-        allowed = known.alone.ratio() + _GUARD_MARGIN
+        allowed = known.alone.ratio() + self.guard_margin_ratio
         if known.shared.ratio() <= allowed:
             return
         known.suspended_until_s = now_s + known.suspension_s
@@ -129,6 +128,12 @@
             2 * known.suspension_s, _GUARD_SUSPENSION_LIMIT_S
         )
         known.shared = _MissRate()
+        logs.event(
+            "sharing_suspended",
+            level="WARNING",
+            service=service,
+            seconds=round(known.suspended_until_s - now_s),
+        )
 
 
 def limit_of(
