--- a/marigoldsill/coordination/heartbeat_sender.py
+++ b/marigoldsill/coordination/heartbeat_sender.py
@@ -76,6 +76,11 @@
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "heartbeat")
 
+    @property
+    def incarnation(self) -> int:
+        """Which start of the agent this is; grows from start to start."""
+        return self._incarnation
+
     def start(self) -> None:
         """Begins to send."""
         self._pool.submit(self._loop)
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -63,6 +63,7 @@
         self.epoch_floor = 0
         self.next_plan_id = 1
         self.next_audit_sequence = 1
+        self.next_claim_sequence = 1
         self.policy = ttypes.Policy()
         self.leader_term = 0
         self.longest_lease_ms = self.policy.lease_ms
@@ -226,6 +227,7 @@
                 claims=list(self.claims.values()),
                 results=_stored(self.results),
                 members=self.members,
+                next_claim_sequence=self.next_claim_sequence,
                 leader_term=self.leader_term,
                 longest_lease_ms=self.longest_lease_ms,
                 epoch_floor=self.epoch_floor,
@@ -265,6 +267,7 @@
             r.command_id: r.result for r in snapshot.operator_results
         }
         tables.members = snapshot.members
+        tables.next_claim_sequence = snapshot.next_claim_sequence
         tables.epoch_floor = snapshot.epoch_floor
         tables.forgotten_version = snapshot.forgotten_version
         for record in snapshot.versions:
--- a/tests/e2e/test_racing_operators.py
+++ b/tests/e2e/test_racing_operators.py
@@ -124,6 +124,13 @@
         others = client_module.Client(
             addresses=tuple(a for a in system.control_http if a != old_http)
         )
+        processes.wait_until(
+            lambda: any(
+                "state_version" in _direct_status(system, address)
+                for address in others.addresses
+            ),
+            what="the next leader",
+        )
         newest = _change(others, slots=2)
         restarted = system.start_entry("entry-2")
         system.processes[old].send(signal.SIGCONT)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -60,6 +60,8 @@
         binary: pathlib.Path | None = None,
     ):
         self.log = log
+        # A process that is started again writes on in the same file.
+        self._log_start = log.stat().st_size if log.exists() else 0
         command = [sys.executable, "-m", *arguments]
         if binary is not None and arguments[0] == "marigoldsill":
             command = [str(binary), *arguments[1:]]
@@ -78,7 +80,8 @@
 
     def text(self) -> str:
         """Everything it wrote so far."""
-        return self.log.read_text(errors="replace")
+        written = self.log.read_bytes()[self._log_start :]
+        return written.decode(errors="replace")
 
     def wait_for(self, pattern: str) -> re.Match:
         """Waits until its log matches a pattern."""
@@ -329,7 +332,7 @@
         return process
 
     def start_entry(
-        self, name: str = "entry-1", *, data_centre: str = "dc1"
+        self, name: str = "entry-1", *more: str, data_centre: str = "dc1"
     ) -> Process:
         """Starts an entry and waits until it is ready."""
         process = self._start(
@@ -342,6 +345,7 @@
             data_centre,
             "--control-addresses",
             ",".join(self.control_thrift),
+            *more,
         )
         self.entries[name] = process.addresses()["http"]
         wait_until(
