--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV ?= .venv
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 PYTEST_ARGS ?=
+# Most tests wait for other processes, so several run side by side.
+TEST_WORKERS ?= -n 4 --dist loadfile
 BIN = $(VENV)/bin
 BINARY = dist/marigoldsill
 
@@ -22,7 +24,7 @@
 	$(BIN)/python -m marigoldsill local --demo
 
 test: install
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest $(TEST_WORKERS) $(PYTEST_ARGS)
 
 lint: install
 	$(BIN)/ruff format --check .
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -31,6 +31,9 @@
         level: The lowest level that is written.
     """
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
     logger.remove()
     logger.configure(extra={"pairs": f"role={role} name={name}"})
     base = f"role={role} name={name} pid={os.getpid()}"
