--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -29,6 +29,8 @@
             only for that term.
         watches: What it tells those that watch it.
         why_waits: Why a task waits, as the leader's decisions last saw it.
+        run_time_ms: How long a job of a name and declared run time probably
+            takes, as the leader's decisions have learnt.
         absent_watchers: Watchers absent longer than their limit.
     """
 
@@ -51,6 +53,9 @@
             routes_changed=self.watches.routes_changed,
         )
         self.why_waits: Callable[[str], str] = lambda task: ""
+        self.run_time_ms: Callable[[str, int], float] = (
+            lambda owner, declared_ms: declared_ms
+        )
         self.absent_watchers: list[absence.Absence] = []
         self._changes = changes_module.Changes()
         replica.on_applied(self._on_applied)
--- a/marigoldsill/coordination/guards.py
+++ b/marigoldsill/coordination/guards.py
@@ -30,14 +30,16 @@
         now_unix_ms: The time of planning.
         called_services: Services that had callers lately.
         sizes: The largest use seen of each owner's tasks.
-        run_times_ms: How long each batch job is expected to run, where that
-            was observed.
+        run_time_ms: How long a job of a name and declared run time probably
+            takes.
     """
 
     now_unix_ms: int = 0
     called_services: set[str] = dataclasses.field(default_factory=set)
     sizes: dict[str, ttypes.Resources] = dataclasses.field(default_factory=dict)
-    run_times_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    run_time_ms: Callable[[str, int], float] = lambda owner, declared_ms: (
+        declared_ms
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -133,14 +135,13 @@
         if job is None or not job.deadline_unix_ms:
             continue
         left_ms = job.deadline_unix_ms - case.observed.now_unix_ms
-        seen_ms = case.observed.run_times_ms.get(job.name)
-        needed_ms = seen_ms or job.run_time_ms
+        needed_ms = case.observed.run_time_ms(job.name, job.run_time_ms)
         if needed_ms > left_ms:
-            source = "declared" if seen_ms is None else "observed"
             yield (
-                f"batch job {job.name!r} takes {needed_ms / 1000:g} s "
-                f"({source}), but its deadline is "
-                f"{left_ms / 1000:g} s from now"
+                f"batch job {job.name!r} probably takes "
+                f"{needed_ms / 1000:.0f} s ({job.run_time_ms / 1000:.0f} s "
+                "were declared), but its deadline is "
+                f"{left_ms / 1000:.0f} s from now"
             )
 
 
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -117,7 +117,7 @@
                         "live": worker.name in live,
                         "tasks": len(tables.tasks_on(worker.name)),
                     }
-                    for worker in tables.workers.values()
+                    for _, worker in sorted(tables.workers.items())
                 ],
                 "tasks": [
                     {
@@ -128,7 +128,7 @@
                         "epoch": task.epoch,
                         "reason": self._reason(task),
                     }
-                    for task in tables.tasks.values()
+                    for _, task in sorted(tables.tasks.items())
                 ],
             }
         # Again: this process may have been frozen since it was confirmed.
--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plan_commands.py
@@ -178,6 +178,7 @@
                 now_unix_ms=_now_unix_ms(),
                 called_services=self._service.watches.called_services(),
                 sizes=self._service.usage.largest_by_owner(),
+                run_time_ms=self._service.run_time_ms,
             ),
             operator_name=operator_name,
         )
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -114,6 +114,8 @@
             self._tables = tables
             self._decisions = decisions_module.Decisions()
             self._service.why_waits = self._decisions.why_waits
+            estimates = self._decisions.fleet.estimates
+            self._service.run_time_ms = estimates.run_time_ms
             self._decisions.rebuild(tables, live=live, now=now)
         else:
             self._decisions.take_changes(tables, changes, live=live, now=now)
--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -60,6 +60,16 @@
     assert [e.verb for e in plan.effects] == [ttypes.EffectVerb.START]
 
 
+def test_a_deadline_is_judged_by_the_run_time_that_was_learnt() -> None:
+    replica, service = fakes.control(states.with_workers("w1"))
+    operators = operators_module.Operators(replica=replica, service=service)
+    service.run_time_ms = lambda name, declared_ms: declared_ms * 1e6
+    job = b'[[batch_job]]\nname = "pack"\nrun_time = "1h"\n'
+    deadline = b"deadline = 2099-01-01T00:00:00Z\n"
+    plan = _plan(operators, "apply", job + deadline)
+    assert [guard.name for guard in plan.guards] == ["deadline-missed"]
+
+
 def test_one_command_id_for_two_commands_confuses_neither() -> None:
     replica, operators = _desk()
     first = _plan(operators, "apply", _LOOKUP, command_id="same")
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -327,17 +327,21 @@
 
 
 @pytest.mark.parametrize(
-    ("observed", "hit"),
-    [({}, []), ({"rebuild": 7_200_000}, ["deadline-missed"])],
+    ("observed_ratio", "hit"),
+    [(1, []), (59, []), (61, ["deadline-missed"])],
 )
 def test_a_deadline_that_run_times_rule_out_is_guarded(
-    observed: dict[str, int], hit: list[str]
+    observed_ratio: int, hit: list[str]
 ) -> None:
     job = states.batch_job(
         "rebuild", run_time_ms=60_000, deadline_unix_ms=3_600_000
     )
     tables = states.with_workers("w1")
-    plan = _plan(tables, states.put(job), run_times_ms=observed)
+    plan = _plan(
+        tables,
+        states.put(job),
+        run_time_ms=lambda _, declared_ms: declared_ms * observed_ratio,
+    )
     assert _guards(plan) == hit
 
 
