--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/decisions.py
@@ -11,22 +11,23 @@
 from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import eviction as eviction_module
 from marigoldsill.coordination import fleet as fleet_module
+from marigoldsill.coordination import impossible as impossible_module
 from marigoldsill.coordination import learning as learning_module
 from marigoldsill.coordination import moves as moves_module
 from marigoldsill.coordination import outcomes as outcomes_module
 from marigoldsill.coordination import relief as relief_module
 from marigoldsill.coordination import sharing as sharing_module
+from marigoldsill.coordination import standings as standings_module
 from marigoldsill.coordination import starts as starts_module
 from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination.placement import facts as facts_module
-from marigoldsill.coordination.placement import feasibility
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
 
-_GRANTS_LIMIT = 500
-_TRIES_LIMIT = 700
-_MARKS_LIMIT = 500
+_GRANTS_LIMIT = 300
+_TASKS_LIMIT = 4_000
+_WORKERS_LIMIT = 800
+_TRIES_LIMIT = 300
 _REFUSED_PAUSE_MS = 1_000
 
 Body = (
@@ -63,11 +64,11 @@
         )
         self._outcomes = outcomes_module.Outcomes()
         self._absences = absence_module.Absences()
-        self._impossible: set[str] = set()
-        self._to_mark: dict[str, ttypes.TaskMark] = {}
-        self._to_put: dict[str, ttypes.Worker] = {}
+        self._impossible = impossible_module.Impossible(self.fleet.estimates)
+        self._standings = standings_module.Standings()
         self._stale: set[str] = set()
-        self._capacities: list[ttypes.Resources] = []
+        self._granted: set[str] = set()
+        self._pending = changes_module.Changes()
         self._state_version = 0
 
     @property
@@ -75,6 +76,11 @@
         """How many tasks wait for a worker."""
         return self._starts.queue.waiting_count
 
+    @property
+    def up_to_date(self) -> bool:
+        """Whether all changes so far are taken in."""
+        return not self._pending.workers and not self._pending.tasks
+
     def why_waits(self, task: str) -> str:
         """Why a task waits, as of its last try; empty if it is not known."""
         return self._starts.queue.why_waits(task)
@@ -86,8 +92,9 @@
         live: set[str],
         now: fleet_module.Now,
     ) -> None:
-        """Takes the whole state in, as a new leader does once."""
+        """Begins to take the whole state in, as a new leader does once."""
         self.fleet.live = set(live)
+        self._state_version = tables.state_version
         for worker in tables.workers.values():
             if worker.state == ttypes.WorkerState.QUARANTINED:
                 self.fleet.quarantine.restore_from_state(
@@ -106,12 +113,21 @@
         live: set[str],
         now: fleet_module.Now,
     ) -> None:
-        """Takes in what applied commands and leases changed."""
-        workers = changes.workers | (self.fleet.live ^ live) | self._stale
+        """Takes in what applied commands and leases changed.
+
+        A great many changes are taken in over several rounds, so that the
+        state is never locked for long; until then nothing is decided.
+        """
+        self._pending.workers |= changes.workers | self._stale
+        self._pending.workers |= self.fleet.live ^ live
+        self._pending.tasks |= changes.tasks | self._granted
         self._stale = set()
+        self._granted = set()
         self.fleet.live = set(live)
+        tasks = _take_some(self._pending.tasks, _TASKS_LIMIT)
+        workers = _take_some(self._pending.workers, _WORKERS_LIMIT)
         refused: set[str] = set()
-        for outcome in self._outcomes.take(tables, sorted(changes.tasks)):
+        for outcome in self._outcomes.take(tables, sorted(tasks)):
             self._take_outcome(tables, outcome, now)
             workers.add(outcome.worker)
             if outcome.kind == outcomes_module.Kind.REFUSED:
@@ -120,10 +136,10 @@
             self.fleet.refresh(tables, worker, now=now)
             self._moves.look_at(worker)
         capacities = list(self.fleet.index.largest_capacities())
-        tasks = set(changes.tasks)
-        if changes.configured or capacities != self._capacities:
-            self._capacities = capacities
-            tasks |= self._impossible | self._of_changed_owners(tables)
+        if changes.configured or capacities != self._impossible.capacities:
+            self._impossible.capacities = capacities
+            tasks |= self._impossible.tasks
+            tasks |= self._of_changed_owners(tables)
         for name in sorted(tasks):
             self._take_task(tables, name, now, refused=name in refused)
 
@@ -146,14 +162,18 @@
         self, tables: tables_module.Tables, *, now: fleet_module.Now
     ) -> list[Body]:
         """Decides; returns what to propose, in this order."""
+        if not self.up_to_date:
+            return []
         self._evictions.begin_round(tables.policy, now_s=now.monotonic_s)
-        self._probe(tables, now)
+        self._probe(now)
         steps = self._relief.decide(tables, now=now)
         moved = self._moves.decide(tables, now=now)
         placed = self._starts.place(
             tables, now=now, limit=_GRANTS_LIMIT, tries_limit=_TRIES_LIMIT
         )
+        # A command may be lost: what it touched is looked at again anyway.
         self._stale |= {grant.worker for grant in placed.grants}
+        self._granted |= {grant.task for grant in placed.grants}
         for grant in placed.grants:
             self._outcomes.granted(
                 tables.tasks[grant.task], grant, now_unix_ms=now.unix_ms
@@ -161,11 +181,11 @@
         self._note_waiting(tables, placed.waiting)
         self.absent = self._absences.check(tables, now_unix_ms=now.unix_ms)
         evicted = steps.evictions + moved + placed.victims
-        marks = self._take_marks()
+        marks = self._impossible.marks(tables)
         bodies: list[Body] = [
-            ttypes.PutWorker(worker=worker) for worker in self._to_put.values()
+            ttypes.PutWorker(worker=worker)
+            for worker in self._standings.proposals(tables)
         ]
-        self._to_put.clear()
         if steps.throttles:
             bodies.append(ttypes.ThrottleRuns(throttles=steps.throttles))
         if evicted:
@@ -188,8 +208,8 @@
         match outcome.kind:
             case outcomes_module.Kind.FAILED | outcomes_module.Kind.REFUSED:
                 self._starts.places.avoid(outcome.task.name, outcome.worker)
-            case outcomes_module.Kind.COMPLETED:
-                self._starts.places.forget(outcome.task.name)
+        if outcome.task.state != ttypes.TaskState.QUEUED:
+            self._starts.places.forget(outcome.task.name)
 
     def _of_changed_owners(self, tables: tables_module.Tables) -> set[str]:
         """Tasks whose declarations changed since the last call."""
@@ -215,19 +235,15 @@
     ) -> None:
         self._absences.look_at(tables, name, now_unix_ms=now.unix_ms)
         task = tables.tasks.get(name)
-        self._impossible.discard(name)
+        self._impossible.forget(name)
         match getattr(task, "state", None):
             case ttypes.TaskState.QUEUED:
                 self._take_waiting(tables, task, now, refused=refused)
             case ttypes.TaskState.IMPOSSIBLE:
-                self._impossible.add(name)
-                if not self._why_impossible(tables, task):
-                    self._mark(
-                        task, ttypes.TaskState.QUEUED, "waits for a worker"
-                    )
+                self._starts.drop(name)
+                self._impossible.look_at(tables, task)
             case _:
                 self._starts.drop(name)
-                self._to_mark.pop(name, None)
 
     def _take_waiting(
         self,
@@ -237,11 +253,6 @@
         *,
         refused: bool,
     ) -> None:
-        why = self._why_impossible(tables, task)
-        if why:
-            self._starts.drop(task.name)
-            self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
-            return
         self._starts.put(
             tables,
             task,
@@ -249,53 +260,19 @@
             not_before_unix_ms=now.unix_ms + _REFUSED_PAUSE_MS * refused,
         )
 
-    def _why_impossible(
-        self, tables: tables_module.Tables, task: ttypes.Task
-    ) -> str:
-        facts = facts_module.of(tables, task, self.fleet.estimates)
-        if facts is None:
-            return ""
-        return feasibility.reason_impossible(
-            facts,
-            tables.owner_record(task).resources,
-            self._capacities,
-            tables.teams.get(facts.team),
-        )
-
-    def _mark(
-        self, task: ttypes.Task, state: ttypes.TaskState, reason: str
-    ) -> None:
-        self._to_mark[task.name] = ttypes.TaskMark(
-            task=task.name, epoch=task.epoch, state=state, reason=reason
-        )
-
     def _note_waiting(
         self, tables: tables_module.Tables, waiting: Iterable[str]
     ) -> None:
         """Marks what turned out to be impossible when it was tried."""
         for name in waiting:
             task = tables.tasks[name]
-            why = self._why_impossible(tables, task)
+            why = self._impossible.why(tables, task)
             if why:
-                self._starts.drop(name)
-                self._mark(task, ttypes.TaskState.IMPOSSIBLE, why)
-
-    def _take_marks(self) -> list[ttypes.TaskMark]:
-        names = list(self._to_mark)[:_MARKS_LIMIT]
-        return [self._to_mark.pop(name) for name in names]
+                self._impossible.mark(task, why)
 
-    def _probe(
-        self, tables: tables_module.Tables, now: fleet_module.Now
-    ) -> None:
+    def _probe(self, now: fleet_module.Now) -> None:
         for name in self.fleet.quarantine.due_for_probe(now_s=now.monotonic_s):
-            worker = tables.workers.get(name)
-            if worker is None:
-                continue
-            if worker.state == ttypes.WorkerState.QUARANTINED:
-                state = ttypes.WorkerState.ACTIVE
-                self._to_put[name] = with_state(
-                    worker, state, "probed with one run at a time"
-                )
+            self._standings.probe(name)
 
     def _quarantine(
         self, tables: tables_module.Tables, name: str, why: str
@@ -304,14 +281,15 @@
         if worker is None or worker.state != ttypes.WorkerState.ACTIVE:
             return
         logs.event("worker_quarantined", level="WARNING", worker=name, why=why)
-        self._to_put[name] = with_state(
-            worker, ttypes.WorkerState.QUARANTINED, why
-        )
+        self._standings.quarantine(name, why)
 
 
-def with_state(
-    worker: ttypes.Worker, state: ttypes.WorkerState, reason: str
-) -> ttypes.Worker:
-    """A worker's record with another state."""
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    return ttypes.Worker(**(values | {"state": state, "reason": reason}))
+def _take_some(names: set[str], limit: int) -> set[str]:
+    """Takes up to `limit` names out of a set."""
+    if len(names) <= limit:
+        taken = set(names)
+        names.clear()
+        return taken
+    taken = set(itertools.islice(names, limit))
+    names -= taken
+    return taken
--- a/tests/coordination/test_starts.py
+++ b/tests/coordination/test_placement.py
@@ -56,7 +56,7 @@
     world = world_module.World()
     world.worker("w1", cores=4)
     world.job("huge", cores=64)
-    world.step()
+    world.run(3)
     world.worker("w2", cores=80)
     for _ in range(3):
         world.step()
@@ -193,9 +193,49 @@
     world = world_module.World()
     world.worker("w1", cores=10)
     world.job("small", cores=1)
-    world.step()
-    world.now_s += 3
+    world.run(20)
+    world.measure("small/0", cores=8)
+    world.run(3)
     world.measure("small/0", cores=8)
     world.job("other", cores=4)
-    world.step()
+    world.run(20)
     assert world.state("other/0") == "QUEUED"
+
+
+def test_grant_that_is_applied_late_does_not_exceed_the_capacity():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("slow", cores=4)
+    late = world.decide()
+    world.job("urgent", cores=4, urgency=9)
+    world.apply_bodies(world.decide())
+    assert world.state("urgent/0") == "ASSIGNED"
+    world.apply_bodies(late)
+    assert world.state("slow/0") == "QUEUED"
+    assert world.held("w1").cpu_millicores == 4000
+
+
+def test_round_whose_commands_were_lost_is_decided_again():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("job", cores=1)
+    world.job("huge", cores=64)
+    lost = world.decide()
+    assert [type(body) for body in lost] == [
+        ttypes.AssignRuns,
+        ttypes.MarkTasks,
+    ]
+    world.run(3)
+    assert world.state("job/0") == "RUNNING"
+    assert world.state("huge/0") == "IMPOSSIBLE"
+
+
+def test_lost_mark_back_to_waiting_is_made_again():
+    world = world_module.World()
+    world.worker("w1", cores=4)
+    world.job("huge", cores=64)
+    world.run(3)
+    world.worker("w2", cores=80)
+    world.decide()
+    world.run(3)
+    assert world.state("huge/0") == "RUNNING"
