Say why a task left where it was

Cause: the new grant's reason, and before it the agent's 'stopped by the agent', wrote over why a run was evicted, so explain could not tell. A run that was told to stop keeps the reason it was told; a moved task shows it.

--- a/marigoldsill/coordination/starts.py
+++ b/marigoldsill/coordination/starts.py
@@ -21,6 +21,7 @@
 _STARVED_HOLDS_SHARE = 0.01
 _WAIT_FADING = 0.02
 _LATE_MARGIN_RATIO = 0.2
+_BEFORE = " (before: "
 
 
 @dataclasses.dataclass(slots=True)
@@ -287,12 +288,13 @@
 
 
 def _reason(facts: facts_module.Facts, place: places_module.Place) -> str:
-    if facts.task.epoch:
-        verb = f"moved to {place.worker}"
-    else:
-        verb = f"placed on {place.worker}"
+    """Why a task is where it is, and why it left where it was."""
+    why = "best fit"
     if place.verdict.explores:
-        return f"{verb}: tried there to learn how it disturbs"
-    if place.verdict.harm:
-        return f"{verb}: least disturbance expected there"
-    return f"{verb}: best fit"
+        why = "tried there to learn how it disturbs"
+    elif place.verdict.harm:
+        why = "least disturbance expected there"
+    if not facts.task.epoch:
+        return f"placed on {place.worker}: {why}"
+    before = facts.task.reason.partition(_BEFORE)[0]
+    return f"moved to {place.worker}: {why}{_BEFORE}{before})"
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -281,7 +281,7 @@
         task.name,
         state=state,
         queued_unix_ms=now_unix_ms,
-        reason=reason or event.detail or task.reason,
+        reason=reason or _reason(task, event),
         absent_since_unix_ms=_absent_since(tables, task, now_unix_ms),
         running_since_unix_ms=0,
     )
@@ -301,6 +301,14 @@
     return task.absent_since_unix_ms
 
 
+def _reason(task: ttypes.Task, event: ttypes.RunEvent) -> str:
+    """Why a task is queued again; one that was told to stop keeps why."""
+    told = task.state == ttypes.TaskState.STOPPING
+    if told and event.kind == ttypes.RunEventKind.STOPPED:
+        return task.reason
+    return event.detail or task.reason
+
+
 def _result(tables: tables_module.Tables, applied: int) -> ttypes.CommandResult:
     return ttypes.CommandResult(
         state_version=tables.state_version, applied_count=applied
--- a/tests/coordination/test_evictions.py
+++ b/tests/coordination/test_evictions.py
@@ -171,3 +171,16 @@
         world.measure("job-4/0", cores=4)
         bodies = world.step(passed_s=5)
     assert evictions(bodies) == ["job-0/0"]
+
+
+def test_task_that_moved_says_why_it_left():
+    world = full_worker()
+    world.service("lookup", cores=2, urgency=5)
+    world.run(2)
+    world.worker("w2", cores=10)
+    world.run(20)
+    moved = world.task("job-0/0")
+    assert moved.worker == "w2"
+    assert moved.reason == (
+        "moved to w2: best fit (before: gave way on w1 to lookup/0)"
+    )
