--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -13,6 +13,7 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination import checkpointing
 from marigoldsill.coordination import lease_renewer
 from marigoldsill.coordination import leases
 from marigoldsill.coordination import run_events
@@ -23,9 +24,7 @@
 from marigoldsill.transport import failpoints
 from marigoldsill.transport import logs
 
-_POLL_S = 0.25
-_EVICTION_LIMIT_S = 5.0
-_CHECKPOINT_TRIES = 2
+_POLL_S = 0.5
 _ENDED_EVENTS = {
     "completed": ttypes.RunEventKind.COMPLETED,
     "failed": ttypes.RunEventKind.FAILED,
@@ -40,19 +39,6 @@
     by_run: dict[run_events.RunId, ttypes.Order]
 
 
-@dataclasses.dataclass(slots=True)
-class _Eviction:
-    """How far a run is on its way out."""
-
-    begun_s: float
-    tries_count: int = 0
-    checkpointed: bool = False
-
-    def note(self, succeeded: bool) -> None:
-        self.tries_count += 1
-        self.checkpointed = succeeded
-
-
 class RunKeeper:
     """Holds the runs of one worker.
 
@@ -70,7 +56,9 @@
     ):
         self._worker = worker
         self._on_event = on_event
-        self._checkpoint_interval_s = checkpoint_interval_s
+        self._checkpointing = checkpointing.Checkpointing(
+            interval_s=checkpoint_interval_s
+        )
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -83,8 +71,6 @@
         self._orders: _Orders | None = None
         self._inherited: set[run_events.RunId] = set()
         self._quiet_until_s: float | None = None
-        self._evictions: dict[run_events.RunId, _Eviction] = {}
-        self._checkpoint_due_s: dict[run_events.RunId, float] = {}
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -125,8 +111,10 @@
             # a lease, and what it asked for may still take effect.
             full_s = lease.length_ms / 1000 * leases.DRIFT_RATIO
             self._quiet_until_s = time.monotonic() + full_s + leases.MARGIN_S
+        held = self.renewer.lease
         self.renewer.renew(lease)
-        self._wake.set()
+        if not held.is_live or held.orders_version != lease.orders_version:
+            self._wake.set()
 
     def events(self, *, limit: int) -> list[ttypes.RunEvent]:
         """The oldest events that control has not acknowledged."""
@@ -135,10 +123,8 @@
     def acknowledge(self, event_ids: list[int]) -> None:
         """Drops events that control has recorded."""
         recorded = self._outbox.acknowledge(event_ids)
-        for event in recorded:
-            if event.kind in _ENDED_EVENTS.values():
-                failpoints.reach("end.acknowledged")
-                self._operations.forget(run_events.run_of(event))
+        if any(event.kind in _ENDED_EVENTS.values() for event in recorded):
+            failpoints.reach("end.acknowledged")
         if recorded:
             self._wake.set()
 
@@ -167,7 +153,7 @@
         self._operations.settle_starts(set(listed))
         for run, task in listed.items():
             if task.state != "running":
-                self._report_end(run, task)
+                self._settle_end(run, task)
         with self._lock:
             orders = self._orders
         if orders is None:
@@ -262,37 +248,18 @@
         throttled = order.desire == ttypes.Desire.THROTTLE
         if throttled != task.throttled:
             self._operations.throttle(order, throttled=throttled)
-        elif order.checkpointable and self._is_checkpoint_due(run):
+        elif order.checkpointable and self._checkpointing.is_due(run):
             self._operations.checkpoint(order, on_result=lambda _: None)
 
     def _evict(self, run: run_events.RunId, order: ttypes.Order) -> None:
-        """Checkpoints, waits until that is recorded, stops; all bounded."""
-        now_s = time.monotonic()
-        eviction = self._evictions.setdefault(run, _Eviction(begun_s=now_s))
-        out_of_time = now_s - eviction.begun_s > _EVICTION_LIMIT_S
-        if not eviction.checkpointed and not out_of_time:
-            if eviction.tries_count < _CHECKPOINT_TRIES:
+        eviction = self._checkpointing.eviction_of(run)
+        step = eviction.next_step(recorded=not self._outbox.awaits(run))
+        checkpointing.tell_if_lost(order, eviction, step)
+        match step:
+            case checkpointing.EvictionStep.CHECKPOINT:
                 self._operations.checkpoint(order, on_result=eviction.note)
-                return
-            logs.event(
-                "evicted_without_checkpoint",
-                level="WARNING",
-                task=run.task,
-                epoch=run.epoch,
-                kept_ms=order.worked_ms,
-            )
-        if self._outbox.awaits(run) and not out_of_time:
-            return
-        self._operations.stop(run)
-
-    def _is_checkpoint_due(self, run: run_events.RunId) -> bool:
-        now_s = time.monotonic()
-        interval_s = self._checkpoint_interval_s
-        due_s = self._checkpoint_due_s.setdefault(run, now_s + interval_s)
-        if now_s < due_s:
-            return False
-        self._checkpoint_due_s[run] = now_s + interval_s
-        return True
+            case checkpointing.EvictionStep.STOP:
+                self._operations.stop(run)
 
     def _other_epoch_lives(
         self,
@@ -316,9 +283,14 @@
             return
         self._report(run, ttypes.RunEventKind.LOST, detail)
 
-    def _report_end(
+    def _settle_end(
         self, run: run_events.RunId, task: worker_interface.PlatformTask
     ) -> None:
+        """Reports an end; once that is recorded, clears the worker's list."""
+        if self._outbox.has_ended(run):
+            if not self._outbox.awaits(run):
+                self._operations.forget(run)
+            return
         failpoints.reach("end.before")
         self._outbox.add(
             ttypes.RunEvent(
@@ -356,6 +328,4 @@
         current = set(orders.by_run) | set(listed)
         self._outbox.forget_all_but(current)
         self._inherited &= current
-        for table in (self._evictions, self._checkpoint_due_s):
-            for run in [r for r in table if r not in current]:
-                del table[run]
+        self._checkpointing.forget_all_but(current)
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -87,8 +87,10 @@
         case ttypes.NoOperation(term=term):
             tables.leader_term = max(tables.leader_term, term)
             return _ok(tables)
-        case ttypes.PutClaim(claim=claim):
-            return claims.put(tables, claim, now_unix_ms)
+        case ttypes.PutClaim(claim=claim, supersedes_attempt=superseded):
+            return claims.put(
+                tables, claim, now_unix_ms, supersedes_attempt=superseded
+            )
         case ttypes.EndClaim() as end:
             return claims.end(tables, end)
         case ttypes.MarkTasks(marks=marks):
