--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -153,8 +153,8 @@
                 break
             delay_s = settings.client_delay_ms / 1000
             pause_s = start_s + due_s + delay_s - time.monotonic()
-            if pause_s > 0:
-                time.sleep(pause_s)
+            if pause_s > 0 and self._stopping.wait(pause_s):
+                break
             records.append(self._send(number, keyed, start_s + due_s))
         return records
 
--- a/marigoldsill/coordination/admission.py
+++ b/marigoldsill/coordination/admission.py
@@ -149,6 +149,9 @@
             leaving = [s for s in self._all() if s.info.task == task]
             for slots in leaving:
                 slots.draining = True
+            for queue in self._queues.values():
+                if queue.endpoints and not queue.slots_count:
+                    self._refuse_waiters(queue, ttypes.RefusalReason.DRAINING)
             return sum(s.in_flight_count for s in leaving)
 
     def announce(self, endpoints: list[ttypes.EndpointInfo]) -> None:
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -11,6 +11,7 @@
 from marigoldsill.coordination import admission as admission_module
 from marigoldsill.coordination import agent_service
 from marigoldsill.coordination import control_link
+from marigoldsill.coordination import graceful_worker
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
 from marigoldsill.protocol import announcements
@@ -48,10 +49,16 @@
         self._beat_now = threading.Event()
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
-        self._runs = run_keeper.RunKeeper(worker=self._worker)
         self._admission = admission_module.Admission(
             queue_count=settings.queue_count
         )
+        self._runs = run_keeper.RunKeeper(
+            worker=graceful_worker.GracefulWorker(
+                worker=self._worker,
+                admission=self._admission,
+                limit_s=settings.drain_limit_s,
+            )
+        )
         self._subscriber = subscriber_module.Subscriber(
             name=settings.name,
             role=ttypes.Role.AGENT,
--- a/tests/failures/test_requests_process_faults.py
+++ b/tests/failures/test_requests_process_faults.py
@@ -60,8 +60,9 @@
     verdict = serving.verdict(records)
     serving_module.assert_truthful(verdict)
     assert verdict.lost_count == 0, verdict
-    good_count = sum(r.last.good for r in records if not r.key)
-    assert good_count >= 0.9 * sum(not r.key for r in records), verdict
+    # Each has time left for the other agent, and retries suffice for all.
+    free = [r for r in records if not r.key]
+    assert sum(r.last.good for r in free) >= 0.98 * len(free), verdict
     if number == signal.SIGKILL:
         serving.system.start_agent("worker-1")
     serving.wait_until_all_serve("entry-1", _WORKERS_COUNT)
--- a/tests/failures/test_requests_stops_and_overload.py
+++ b/tests/failures/test_requests_stops_and_overload.py
@@ -10,7 +10,9 @@
 from tests import serving as serving_module
 
 _SLOTS_COUNT = 5
-_WORKERS_COUNT = 2
+# One worker more than instances, so that a drained one has where to go.
+_WORKERS_COUNT = 3
+_INSTANCES_COUNT = 2
 _DRAIN_LIMIT_NS = 2_000_000_000
 _SETTLE_S = 0.5
 
@@ -23,6 +25,7 @@
     try:
         running.start(
             workers_count=_WORKERS_COUNT,
+            instances_count=_INSTANCES_COUNT,
             entries_count=2,
             slots_count=_SLOTS_COUNT,
             notice_s=1,
@@ -45,6 +48,17 @@
     )
 
 
+def _slow_load(serving: serving_module.Serving):
+    """Requests that take longer than any connection outlives a drain."""
+    return serving.new_load(
+        rate_per_s=3,
+        duration_s=30.0,
+        work_ms=1500,
+        keyed_share=0.5,
+        timeout_ms=0,
+    )
+
+
 def _confirm(serving: serving_module.Serving, *change: str) -> int:
     plan = serving.system.operate("plan", *change)
     guards = [g["name"] for g in plan.get("guards", ())]
@@ -56,9 +70,11 @@
 def test_a_drained_worker_gets_no_new_requests_and_cuts_none_off(
     serving: serving_module.Serving,
 ) -> None:
-    load = _steady_load(serving)
+    worker = serving.wait_until_all_serve("entry-1", _INSTANCES_COUNT)[0]
+    load = _slow_load(serving)
     with serving.under(load) as future:
-        confirmed_ns = _confirm(serving, "drain", "worker-1")
+        time.sleep(3 * _SETTLE_S)
+        confirmed_ns = _confirm(serving, "drain", worker)
         time.sleep(_DRAIN_LIMIT_NS / 1e9 + _SETTLE_S)
         load.stop()
         records = future.result()
@@ -66,27 +82,29 @@
         e
         for e in serving.events()
         if e["event"] == "request_began"
-        and e["worker"] == "worker-1"
+        and e["worker"] == worker
         and e["at_ns"] > confirmed_ns + _DRAIN_LIMIT_NS
     ]
-    _confirm(serving, "undrain", "worker-1")
-    serving.wait_until_all_serve("entry-1", _WORKERS_COUNT)
+    moved_to = serving.wait_until_all_serve("entry-1", _INSTANCES_COUNT)
+    _confirm(serving, "undrain", worker)
     _assert_all_good(serving, records)
     assert not late
+    assert worker not in moved_to
 
 
 def test_a_stopping_agent_cuts_off_no_request(
     serving: serving_module.Serving,
 ) -> None:
-    load = _steady_load(serving)
+    worker = serving.wait_until_all_serve("entry-1", _INSTANCES_COUNT)[0]
+    load = _slow_load(serving)
     with serving.under(load) as future:
-        time.sleep(_SETTLE_S)
-        status = serving.system.processes["worker-1"].stop()
+        time.sleep(3 * _SETTLE_S)
+        status = serving.system.processes[worker].stop()
         time.sleep(_SETTLE_S)
         load.stop()
         records = future.result()
-    serving.system.start_agent("worker-1")
-    serving.wait_until_all_serve("entry-1", _WORKERS_COUNT)
+    serving.system.start_agent(worker)
+    serving.wait_until_all_serve("entry-1", _INSTANCES_COUNT)
     _assert_all_good(serving, records)
     assert status == 0
 
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -34,6 +34,7 @@
         *,
         controls_count: int = 1,
         workers_count: int = 2,
+        instances_count: int = 2,
         entries_count: int = 1,
         slots_count: int = 10,
         notice_s: int = 0,
@@ -51,31 +52,35 @@
             self.start_entry(f"entry-{number}")
         intent = system.folder / "intent.toml"
         intent.write_text(
-            _INTENT.format(count=workers_count, slots=slots_count)
+            _INTENT.format(count=instances_count, slots=slots_count)
         )
         plan = system.operate("plan", "apply", str(intent))
         system.operate("confirm", str(plan["plan_id"]))
         for entry in system.entries:
-            self.wait_until_all_serve(entry, workers_count)
+            self.wait_until_all_serve(entry, instances_count)
 
     def start_entry(self, name: str) -> None:
         """Starts an entry, also after its end."""
         self.system.start_entry(name, "--notice-s", str(self._notice_s))
 
-    def wait_until_all_serve(self, entry: str, workers_count: int) -> None:
-        """Waits until an entry sends requests to so many workers."""
+    def wait_until_all_serve(self, entry: str, workers_count: int) -> list[str]:
+        """Waits until an entry sends requests to so many workers.
+
+        Returns:
+            Their names.
+        """
         start_ns = time.monotonic_ns()
 
-        def look() -> bool:
+        def look() -> list[str]:
             self.system.call(f"/services/{SERVICE}/look", entry=entry)
             seen = {
                 e["worker"]
                 for e in self.events()
                 if e["event"] == "request_began" and e["at_ns"] > start_ns
             }
-            return len(seen) >= workers_count
+            return sorted(seen) if len(seen) >= workers_count else []
 
-        processes.wait_until(look, what=f"{workers_count} workers serve")
+        return processes.wait_until(look, what=f"{workers_count} workers serve")
 
     def addresses(self) -> tuple[str, ...]:
         """Where the entries listen."""
