--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/agent_service.py
@@ -1,5 +1,6 @@
 """What an agent does for entries: runs requests on its endpoints."""
 
+from collections.abc import Callable
 import time
 
 from marigoldsill import errors
@@ -24,8 +25,17 @@
     """Handles the thrift service `Agent`."""
 
     def __init__(
-        self, *, admission: admission_module.Admission, incarnation: int
+        self,
+        *,
+        admission: admission_module.Admission,
+        incarnation: Callable[[], int],
     ):
+        """Prepares to serve.
+
+        Args:
+            admission: The slots of this worker's endpoints.
+            incarnation: Gives the agent's own, which claims name.
+        """
         self._admission = admission
         self._incarnation = incarnation
         self._seen = seen_requests.SeenRequests()
@@ -60,12 +70,12 @@
 
     def resolve(self, request: ttypes.ResolveRequest) -> ttypes.ResolveReply:
         """Says what became of a claimed request."""
-        if request.agent_incarnation != self._incarnation:
+        if request.agent_incarnation != self._incarnation():
             return ttypes.ResolveReply(state=ttypes.ClaimState.UNKNOWN)
         return self._seen.resolve(request)
 
     def _arrive(self, request: ttypes.CallRequest) -> seen_requests.Attempt:
-        if request.agent_incarnation not in (0, self._incarnation):
+        if request.agent_incarnation not in (0, self._incarnation()):
             _refused(ttypes.RefusalReason.OTHER_INCARNATION)
             raise ttypes.Refused(reason=ttypes.RefusalReason.OTHER_INCARNATION)
         try:
--- a/marigoldsill/coordination/graceful_worker.py
+++ b/marigoldsill/coordination/graceful_worker.py
@@ -8,6 +8,8 @@
 from marigoldsill.transport import logs
 
 _REMEMBERED_S = 600.0
+_MOMENT_S = 0.2
+_POLL_S = 0.02
 
 
 class GracefulWorker:
@@ -42,8 +44,8 @@
         Raises:
             PlatformError: The worker refused.
         """
-        in_flight_count = self._admission.drain_task(task)
         waited_s = self._waited_s(task, epoch)
+        in_flight_count = self._drain(task)
         if in_flight_count and waited_s < self._limit_s:
             return
         if in_flight_count:
@@ -55,6 +57,15 @@
             )
         self._worker.stop(task, epoch=epoch)
 
+    def _drain(self, task: str) -> int:
+        """Requests still in flight after a moment, so that asking is slow."""
+        end_s = time.monotonic() + _MOMENT_S
+        in_flight_count = self._admission.drain_task(task)
+        while in_flight_count and time.monotonic() < end_s:
+            time.sleep(_POLL_S)
+            in_flight_count = self._admission.drain_task(task)
+        return in_flight_count
+
     def _waited_s(self, task: str, epoch: int) -> float:
         now_s = time.monotonic()
         with self._lock:
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -1,7 +1,5 @@
 """The agent role: one worker's runs and requests."""
 
-from concurrent import futures
-import threading
 import time
 
 from werkzeug import wrappers
@@ -10,10 +8,11 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.coordination import admission as admission_module
 from marigoldsill.coordination import agent_service
-from marigoldsill.coordination import control_link
 from marigoldsill.coordination import graceful_worker
+from marigoldsill.coordination import heartbeat_sender
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.coordination import worker_usage
 from marigoldsill.protocol import announcements
 from marigoldsill.protocol import checks
 from marigoldsill.protocol import worker_interface
@@ -27,7 +26,6 @@
 
 _BODY_LIMIT_BYTES = 1 << 20
 _HTTP_THREADS_COUNT = 8
-_HEARTBEAT_TIMEOUT_S = 1.0
 # After a drain was announced, entries may send for as long as they take to
 # hear of it; they are refused and go elsewhere.
 _NOTICE_S = 1.0
@@ -44,11 +42,9 @@
 
     def __init__(self, settings: settings_module.AgentSettings):
         self._settings = settings
-        self._incarnation = time.time_ns()
-        self._stopping = threading.Event()
-        self._beat_now = threading.Event()
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
+        self._usage = worker_usage.WorkerUsage(worker=self._worker)
         self._admission = admission_module.Admission(
             queue_count=settings.queue_count
         )
@@ -57,7 +53,9 @@
                 worker=self._worker,
                 admission=self._admission,
                 limit_s=settings.drain_limit_s,
-            )
+            ),
+            checkpoint_interval_s=settings.checkpoint_interval_s,
+            on_event=lambda: self._heartbeats.wake(),
         )
         self._subscriber = subscriber_module.Subscriber(
             name=settings.name,
@@ -77,7 +75,7 @@
                 checks.Checked(
                     agent_service.AgentService(
                         admission=self._admission,
-                        incarnation=self._incarnation,
+                        incarnation=lambda: self._heartbeats.incarnation,
                     )
                 )
             ),
@@ -91,10 +89,16 @@
             ),
             threads_count=_HTTP_THREADS_COUNT,
         )
-        self._pool = futures.ThreadPoolExecutor(1, "heartbeat")
-        self._announced: list[ttypes.EndpointInfo] | None = None
-        self._resend = True
-        self._sequence = 0
+        self._heartbeats = heartbeat_sender.HeartbeatSender(
+            agent=settings.name,
+            control_addresses=settings.control_addresses,
+            interval_s=settings.heartbeat_ms / 1000,
+            runs=self._runs,
+            usage=self._usage,
+            describe_worker=self._describe_worker,
+            endpoints=self._admission.endpoints,
+            cut_switch=self._cuts,
+        )
         self.http_address = self._http.address
         self.thrift_address = self._thrift.address
 
@@ -104,7 +108,8 @@
         self._http.start()
         self._runs.start()
         self._subscriber.start()
-        self._pool.submit(self._heartbeat_loop)
+        self._usage.start()
+        self._heartbeats.start()
         logs.event(
             "started", http=self.http_address, thrift=self.thrift_address
         )
@@ -112,25 +117,26 @@
     def stop(self) -> None:
         """Refuses new requests, finishes those in flight, then ends."""
         self._admission.set_draining("stop", draining=True)
-        self._beat_now.set()
+        self._heartbeats.wake()
         end_s = time.monotonic() + self._settings.drain_limit_s
         notice_end_s = time.monotonic() + _NOTICE_S
         while time.monotonic() < end_s and (
             sum(self._admission.load()) or time.monotonic() < notice_end_s
         ):
             time.sleep(_POLL_S)
-        self._stopping.set()
-        self._beat_now.set()
+        self._heartbeats.stop()
+        self._usage.stop()
         self._subscriber.stop()
         self._runs.stop()
         self._thrift.stop()
         self._http.stop()
-        self._pool.shutdown(wait=False)
         logs.event("stopped")
 
     def _on_reply(self, reply: ttypes.WatchReply) -> None:
         if reply.orders is not None:
-            self._runs.take_orders(reply.term, reply.orders)
+            self._runs.take_orders(
+                reply.term, reply.orders_version, reply.orders
+            )
         draining = self._subscriber.configuration.draining_workers
         self._admission.set_draining(
             "configuration", draining=self._settings.name in draining
@@ -142,75 +148,16 @@
         self._admission.announce(announcements.parse(request.get_data()))
         return common.json_response({})
 
-    def _heartbeat_loop(self) -> None:
-        link = control_link.ControlLink(
-            addresses=self._settings.control_addresses, cut_switch=self._cuts
-        )
-        while not self._stopping.is_set():
-            try:
-                self._heartbeat(link)
-            except errors.MarigoldsillError as error:
-                logs.event(
-                    "heartbeat_failed", level="WARNING", reason=error.message
-                )
-            except Exception as error:  # must go on sending
-                logs.event(
-                    "heartbeat_failed", level="ERROR", reason=repr(error)
-                )
-            self._beat_now.wait(self._settings.heartbeat_ms / 1000)
-            self._beat_now.clear()
-        link.close()
-
-    def _heartbeat(self, link: control_link.ControlLink) -> None:
-        self._sequence += 1
-        endpoints = self._admission.endpoints()
-        changed = self._resend or endpoints != self._announced
-        heartbeat = ttypes.Heartbeat(
-            agent=self._settings.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            worker=self._own_worker() if self._resend else None,
-            endpoints=endpoints if changed else None,
-            events=self._runs.events(),
-            usage=self._usage(),
-        )
-        sent_ns = time.monotonic_ns()
-        reply = link.call(
-            "heartbeat", heartbeat, timeout_s=_HEARTBEAT_TIMEOUT_S
-        )
-        self._resend = reply.resend_worker
-        if reply.resend_worker:
-            return
-        self._announced = endpoints
-        self._runs.acknowledge(reply.acknowledged_events)
-        self._runs.renew_lease(sent_ns + reply.lease_ms * 1_000_000)
-
-    def _usage(self) -> list[ttypes.Usage]:
-        return [
-            ttypes.Usage(
-                task=item.task,
-                cpu_millicores=item.cpu_millicores,
-                memory_bytes=item.memory_bytes,
-                age_ms=item.age_ms,
-                latency_p99_us=item.latency_p99_us,
-                progress_ms=item.progress_ms,
-            )
-            for item in self._worker.usage()
-        ]
-
-    def _own_worker(self) -> ttypes.Worker:
-        capacity = self._worker.capacity()
+    def _describe_worker(
+        self, incarnation: int, capacity: ttypes.Resources
+    ) -> ttypes.Worker:
         return ttypes.Worker(
             name=self._settings.name,
             data_centre=self._settings.data_centre,
             rack=self._settings.rack,
-            capacity=ttypes.Resources(
-                cpu_millicores=capacity.cpu_millicores,
-                memory_bytes=capacity.memory_bytes,
-                accelerators_count=capacity.accelerators_count,
-            ),
+            capacity=capacity,
             agent_address=self.thrift_address,
-            incarnation=self._incarnation,
+            incarnation=incarnation,
         )
 
 
--- a/tests/failures/test_requests_stops_and_overload.py
+++ b/tests/failures/test_requests_stops_and_overload.py
@@ -96,9 +96,15 @@
     serving: serving_module.Serving,
 ) -> None:
     worker = serving.wait_until_all_serve("entry-1", _INSTANCES_COUNT)[0]
-    load = _slow_load(serving)
+    load = serving.new_load(
+        rate_per_s=1.5,
+        duration_s=30.0,
+        work_ms=3000,
+        keyed_share=1.0,
+        timeout_ms=0,
+    )
     with serving.under(load) as future:
-        time.sleep(3 * _SETTLE_S)
+        time.sleep(6 * _SETTLE_S)
         status = serving.system.processes[worker].stop()
         time.sleep(_SETTLE_S)
         load.stop()
