--- a/marigoldsill/coordination/heartbeat_sender.py
+++ b/marigoldsill/coordination/heartbeat_sender.py
@@ -76,6 +76,11 @@
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "heartbeat")
 
+    @property
+    def incarnation(self) -> int:
+        """Which start of the agent this is; grows from start to start."""
+        return self._incarnation
+
     def start(self) -> None:
         """Begins to send."""
         self._pool.submit(self._loop)
@@ -87,11 +92,6 @@
         self._link.close()
         self._pool.shutdown(wait=False)
 
-    @property
-    def incarnation(self) -> int:
-        """Which start of the agent of this name this is."""
-        return self._incarnation
-
     def wake(self) -> None:
         """Sends the next heartbeat at once."""
         self._wake.set()
--- a/marigoldsill/transport/http_server.py
+++ b/marigoldsill/transport/http_server.py
@@ -188,7 +188,7 @@
         has_body = self.command != "HEAD" and code not in (204, 304)
         if has_body and "content-length" not in names:
             lines.append(f"Content-Length: {len(body)}")
-        if self.server.draining:
+        if self.server.draining or (has_body and not _is_whole(headers, body)):
             self.close_connection = True
         if self.close_connection:
             lines.append("Connection: close")
@@ -281,6 +281,18 @@
         with self._lock:
             self._idle.pop(connection, None)
 
+    def server_bind(self) -> None:
+        """Takes the address.
+
+        Raises:
+            SettingsError: It can't be taken.
+        """
+        try:
+            super().server_bind()
+        except OSError as error:
+            host, port = self.server_address[:2]
+            raise addresses.cannot_listen(f"{host}:{port}", error) from error
+
     def process_request(
         self, request: socket.socket, client_address: tuple
     ) -> None:
@@ -447,6 +459,12 @@
             time.sleep(_POLL_S)
 
 
+def _is_whole(headers: list, body: bytes) -> bool:
+    """Whether a body has the length that its headers state, if any."""
+    stated = (v for name, v in headers if name.lower() == "content-length")
+    return all(int(value) == len(body) for value in stated)
+
+
 def _refuse(connection: socket.socket) -> None:
     answer = (
         _CONNECTION_REFUSAL
--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -47,6 +47,7 @@
         self.worker.start()
         self.platform = CountingWorker(base_url=f"http://{self.worker.address}")
         self.version = 0
+        self.lease_ms = LEASE_MS
         self.seen: list[ttypes.RunEvent] = []
         self.keeper = self.new_keeper()
         # Orders that a new agent finds may be an earlier agent's doing.
@@ -61,12 +62,12 @@
         self.keeper = keeper
         return keeper
 
-    def lease(self, *, length_ms: int = LEASE_MS) -> None:
+    def lease(self) -> None:
         """Grants a lease under the orders in force."""
         self.keeper.renew_lease(
             lease_renewer.AgentLease(
-                end_ns=time.monotonic_ns() + length_ms * 1_000_000,
-                length_ms=length_ms,
+                end_ns=time.monotonic_ns() + self.lease_ms * 1_000_000,
+                length_ms=self.lease_ms,
                 term=TERM,
                 orders_version=self.version,
             )
@@ -95,6 +96,13 @@
 
         processes.wait_until(look, limit_s=20.0, what=f"{kind!r} of {task}")
 
+    def wait_for_lists(self, count: int) -> None:
+        """Waits until the keeper has looked at the worker so often."""
+        begun_count = self.platform.lists_count
+        processes.wait_until(
+            lambda: self.platform.lists_count > begun_count + count
+        )
+
     def states(self) -> dict[tuple[str, int], str]:
         """The state of each run that the worker lists."""
         return {(t.task, t.epoch): t.state for t in self.platform.tasks()}
@@ -168,9 +176,11 @@
 
 
 def test_starts_nothing_on_orders_older_than_its_lease(bench: Bench) -> None:
-    bench.keeper.take_orders(TERM, bench.version, [order()])
+    held_version = bench.version
     bench.version += 1
     bench.lease()
+    bench.keeper.take_orders(TERM, held_version, [order()])
+    bench.wait_for_lists(2)
     bench.order(order("other/0"))
     bench.wait_for(KINDS.STARTED, task="other/0")
 
@@ -185,10 +195,10 @@
         )
     )
     bench.keeper.take_orders(TERM + 1, 1, [order()])
-    read_count = bench.platform.lists_count
-    processes.wait_until(lambda: bench.platform.lists_count > read_count + 2)
+    bench.wait_for_lists(2)
 
     assert bench.states() == {}
+    assert not bench.journaled("start_refused")
 
 
 def test_worker_itself_refuses_a_start_after_the_lease(bench: Bench) -> None:
@@ -240,6 +250,22 @@
     assert bench.keeper.room.capacity.cpu_millicores == 6000
 
 
+def test_throttles_a_run_and_lets_it_go_again(bench: Bench) -> None:
+    bench.order(order())
+    bench.wait_for(KINDS.STARTED)
+    for desire, throttled in (
+        (ttypes.Desire.THROTTLE, True),
+        (ttypes.Desire.RUN, False),
+    ):
+        bench.order(order(started=True, desire=desire))
+        processes.wait_until(
+            lambda throttled=throttled: (
+                [t.throttled for t in bench.platform.tasks()] == [throttled]
+            ),
+            what=f"throttled {throttled}",
+        )
+
+
 def test_waits_for_a_run_on_its_way_out_instead_of_refusing(
     bench: Bench,
 ) -> None:
@@ -257,6 +283,7 @@
 ) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
+    bench.worker.faults.change({"late_ms": {"stop": 300}})
     bench.order(order(epoch=2))
     processes.wait_until(
         lambda: bench.states().get(("rebuild/0", 2)) == "running"
@@ -332,6 +359,20 @@
     processes.wait_until(lambda: bench.states() == {}, what="forgotten")
 
 
+def test_forgets_an_ended_run_though_the_worker_failed_at_first(
+    bench: Bench,
+) -> None:
+    bench.worker.faults.change({"fail_forgets": True})
+    bench.order(order(run_time_ms=1))
+    bench.wait_for(KINDS.COMPLETED)
+    bench.order()
+    bench.wait_for_lists(2)
+    assert bench.states() == {("rebuild/0", 1): "completed"}
+    bench.worker.faults.change({"fail_forgets": False})
+
+    processes.wait_until(lambda: bench.states() == {}, what="forgotten")
+
+
 def test_run_that_the_worker_lost_is_reported_lost(bench: Bench) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
@@ -341,6 +382,22 @@
     bench.wait_for(KINDS.LOST)
 
 
+def test_new_agent_starts_no_epoch_that_another_may_have_started(
+    bench: Bench,
+) -> None:
+    bench.order(order())
+    bench.wait_for(KINDS.STARTED)
+    bench.keeper.stop()
+    bench.worker.restart_empty()
+    bench.lease_ms = 1000
+    bench.new_keeper()
+    # Control has not recorded the start.
+    bench.order(order())
+    bench.wait_for(KINDS.LOST)
+
+    assert len(bench.journaled("run_started")) == 1
+
+
 def test_remembers_nothing_of_runs_that_are_over(bench: Bench) -> None:
     for number in range(5):
         task = f"rebuild-{number}/0"
