--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/agent_service.py
@@ -30,6 +30,12 @@
         admission: admission_module.Admission,
         incarnation: Callable[[], int],
     ):
+        """Prepares to serve.
+
+        Args:
+            admission: The slots of this worker's endpoints.
+            incarnation: Gives the agent's own, which claims name.
+        """
         self._admission = admission
         self._incarnation = incarnation
         self._seen = seen_requests.SeenRequests()
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -8,6 +8,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.coordination import admission as admission_module
 from marigoldsill.coordination import agent_service
+from marigoldsill.coordination import graceful_worker
 from marigoldsill.coordination import heartbeat_sender
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
@@ -48,7 +49,11 @@
             queue_count=settings.queue_count
         )
         self._runs = run_keeper.RunKeeper(
-            worker=self._worker,
+            worker=graceful_worker.GracefulWorker(
+                worker=self._worker,
+                admission=self._admission,
+                limit_s=settings.drain_limit_s,
+            ),
             checkpoint_interval_s=settings.checkpoint_interval_s,
             on_event=lambda: self._heartbeats.wake(),
         )
