--- a/tests/failures/test_requests_stops_and_overload.py
+++ b/tests/failures/test_requests_stops_and_overload.py
@@ -54,7 +54,7 @@
         rate_per_s=3,
         duration_s=30.0,
         work_ms=1500,
-        keyed_share=0.5,
+        keyed_share=1.0,
         timeout_ms=0,
     )
 
