Measure services' tail latency at the agent and send it to the leader

Cause: nothing filled latency_p99_us, so that interference was learnt in the unit tests and the fake of workers only, never end to end: the platform's interface measures no latency. The wait for a slot is left out, since it comes from the service's own load. Ruled out: the entry's view, which has the network in it and would need another message.

--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/agent_service.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination import admission as admission_module
 from marigoldsill.coordination import deadlines
+from marigoldsill.coordination import request_latency
 from marigoldsill.coordination import request_metrics
 from marigoldsill.coordination import seen_requests
 from marigoldsill.protocol import codec
@@ -29,15 +30,18 @@
         *,
         admission: admission_module.Admission,
         incarnation: Callable[[], int],
+        latency: request_latency.RequestLatency,
     ):
         """Prepares to serve.
 
         Args:
             admission: The slots of this worker's endpoints.
             incarnation: Gives the agent's own, which claims name.
+            latency: Hears how long each whole answer took.
         """
         self._admission = admission
         self._incarnation = incarnation
+        self._latency = latency
         self._seen = seen_requests.SeenRequests()
         self._client = http_client.Client()
 
@@ -112,6 +116,7 @@
             self._admission.leave(
                 request.service_name, slots, busy_s=busy_s, failed=failed
             )
+        self._latency.record(slots.info.task, busy_s)
         reply = self._reply(request, answer)
         if not self._seen.finish(attempt, reply):
             request_metrics.LATE_ANSWERS.inc()
--- a/marigoldsill/coordination/worker_usage.py
+++ b/marigoldsill/coordination/worker_usage.py
@@ -10,6 +10,7 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination import request_latency
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
@@ -65,8 +66,14 @@
 class WorkerUsage:
     """Reads measurements on a thread of its own: they may hang."""
 
-    def __init__(self, *, worker: worker_interface.WorkerInterface):
+    def __init__(
+        self,
+        *,
+        worker: worker_interface.WorkerInterface,
+        latency: request_latency.RequestLatency,
+    ):
         self._worker = worker
+        self._latency = latency
         self._lock = threading.Lock()
         self._fresh: list[worker_interface.PlatformUsage] = []
         self._read_s = 0.0
@@ -107,9 +114,19 @@
             except Exception as error:  # a bad measurement harms nothing
                 logs.event("usage_missing", level="ERROR", reason=repr(error))
                 continue
+            usage = [self._with_latency(item) for item in usage]
+            self._latency.forget_all_but({item.task for item in usage})
             with self._lock:
                 self._fresh, self._read_s = usage, time.monotonic()
 
+    def _with_latency(
+        self, usage: worker_interface.PlatformUsage
+    ) -> worker_interface.PlatformUsage:
+        p99_us = self._latency.take_p99_us(usage.task)
+        if not p99_us:
+            return usage
+        return dataclasses.replace(usage, latency_p99_us=p99_us)
+
 
 def _record(usage: worker_interface.PlatformUsage) -> ttypes.Usage:
     return ttypes.Usage(
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -10,6 +10,7 @@
 from marigoldsill.coordination import agent_service
 from marigoldsill.coordination import graceful_worker
 from marigoldsill.coordination import heartbeat_sender
+from marigoldsill.coordination import request_latency
 from marigoldsill.coordination import run_keeper
 from marigoldsill.coordination import subscriber as subscriber_module
 from marigoldsill.coordination import worker_usage
@@ -44,7 +45,10 @@
         self._settings = settings
         self._cuts = cuts.Cuts(own_name=settings.name)
         self._worker = worker_interface.HttpWorker(base_url=settings.worker_url)
-        self._usage = worker_usage.WorkerUsage(worker=self._worker)
+        latency = request_latency.RequestLatency()
+        self._usage = worker_usage.WorkerUsage(
+            worker=self._worker, latency=latency
+        )
         self._admission = admission_module.Admission(
             queue_count=settings.queue_count
         )
@@ -76,6 +80,7 @@
                     agent_service.AgentService(
                         admission=self._admission,
                         incarnation=lambda: self._heartbeats.incarnation,
+                        latency=latency,
                     )
                 )
             ),
