--- a/benchmarks/slopes/full_size.py
+++ b/benchmarks/slopes/full_size.py
@@ -17,8 +17,6 @@
 from benchmarks.slopes import sizing
 from benchmarks.slopes import states
 
-_QUEUED_COUNT = 50
-
 
 def measure() -> list[table.Row]:
     """Builds the tables in a process of their own and measures them there."""
@@ -44,19 +42,14 @@
     start_s = time.thread_time()
     type(tables).from_bytes(data)
     read_s = time.thread_time() - start_s
-    times = placing.over(tables, queued_count=_QUEUED_COUNT)
+    rebuild_s = placing.rebuild_of(tables)
     return [
         table.Row("capacity: full size resident growth", grown / 1e6, "MB"),
         table.Row("capacity: full size snapshot", len(data) / 1e6, "MB"),
         table.Row("capacity: full size snapshot write", written_s, "s"),
         table.Row("capacity: full size snapshot read", read_s, "s"),
         table.Row(
-            f"capacity: full size round with {_QUEUED_COUNT} queued tasks",
-            times.round_s,
-            "s",
-        ),
-        table.Row(
-            "capacity: full size rebuild of a new leader", times.rebuild_s, "s"
+            "capacity: full size rebuild of a new leader", rebuild_s, "s"
         ),
     ]
 
--- a/benchmarks/slopes/sizing.py
+++ b/benchmarks/slopes/sizing.py
@@ -35,7 +35,6 @@
 """An agent reads once a second and sends at most four of what changed."""
 
 WATCH_PERIOD_S = 2
-TICKS_PER_S = 10
 LEASE_OVER_S = 3.0 * 1.1 + 0.2
 """After this long without a heartbeat the leader takes a lease as over."""
 
@@ -184,14 +183,6 @@
             f"{_n(starts_per_s)}/s x {_n(figures.slope('start time'))} us",
             starts_per_s * figures.slope("start time"),
         ),
-        (
-            "rounds of decisions with nothing to do",
-            f"{TICKS_PER_S}/s x "
-            f"{_n(figures.at('round time with nothing queued', workers_count))}"
-            " us",
-            TICKS_PER_S
-            * figures.at("round time with nothing queued", workers_count),
-        ),
     ]
     lines = [
         Line(f"processor time, {what}", working, spent_us / 1e4, "% of a core")
@@ -363,8 +354,8 @@
         figures.at("configuration change delay", workers_count + ENTRIES_COUNT)
         / 1000
     )
-    placement = figures.at("round time by workers", workers_count) / 1e6
-    base = max(0.0, figures.slopes["start delay"].intercept) / 1000
+    first = figures.slopes["start delay"]
+    urgent = first.values[0] / 1000
     starts = 1000 / figures.slope("start delay")
     return [
         Line(
@@ -377,15 +368,16 @@
         ),
         Line(
             "urgent start, room is free",
-            f"{_n(base)} s (measured, small) + {_n(placement)} s (a round)",
-            base + placement,
+            f"at most that of {_n(first.sizes[0])} at once, measured; a round "
+            "does not grow with the workers",
+            urgent,
             "s",
             URGENT_LIMIT_S,
         ),
         Line(
             "urgent start after its worker failed",
             f"{_n(LEASE_OVER_S)} s (lease surely over) + the line above",
-            LEASE_OVER_S + base + placement,
+            LEASE_OVER_S + urgent,
             "s",
             URGENT_LIMIT_S,
         ),
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -182,46 +182,18 @@
 
 
 def placement() -> list[fit.Slope]:
-    """Processor time of a round of decisions, and of a new leader's first."""
-    queued = 50
-    by_workers = {
-        count: placing.measure(workers_count=count, queued_count=queued)
-        for count in _WORKERS
-    }
-    idle = {
-        count: placing.measure(workers_count=count, queued_count=0)
-        for count in _WORKERS
-    }
-    by_tasks = {
-        count: placing.measure(workers_count=_WORKERS[0], queued_count=count)
-        for count in (50, 100, 200)
+    """Processor time of a new leader that takes the state in.
+
+    Rounds that place something are measured by `benchmarks.placement_time`.
+    """
+    rebuilds = {
+        count: placing.rebuild_s(workers_count=count) for count in _WORKERS
     }
     return [
-        fit.over(
-            "round time by workers",
-            by_workers,
-            lambda count: by_workers[count].round_s * 1e6,
-            unit="us",
-            per=f"worker, for {queued} queued tasks",
-        ),
-        fit.over(
-            "round time with nothing queued",
-            idle,
-            lambda count: idle[count].round_s * 1e6,
-            unit="us",
-            per="worker",
-        ),
-        fit.over(
-            "round time by tasks",
-            by_tasks,
-            lambda count: by_tasks[count].round_s * 1e6,
-            unit="us",
-            per=f"queued task, for {_WORKERS[0]} workers",
-        ),
         fit.over(
             "rebuild time of a new leader",
-            idle,
-            lambda count: idle[count].rebuild_s * 1e6,
+            rebuilds,
+            lambda count: rebuilds[count] * 1e6,
             unit="us",
             per=f"worker with {states.TASKS_PER_WORKER_COUNT} tasks",
         ),
