Keep stop signals back until they are waited for

Cause: a handler set an event that the main thread waited on. Tried first: a SimpleQueue, whose wait a signal to another thread does not end.

--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -2,9 +2,6 @@
 
 from collections.abc import Callable
 import json
-import os
-import signal
-import threading
 import time
 from typing import Protocol
 
@@ -14,10 +11,10 @@
 
 from marigoldsill import errors
 from marigoldsill.protocol import shapes
+from marigoldsill.roles import stopping
 from marigoldsill.transport import logs
 from marigoldsill.transport import metrics
 
-_SIGNAL_EXIT_BASE = 128
 _REQUESTS = prometheus_client.Counter(
     "marigoldsill_http_requests_total",
     "HTTP requests answered, by status code.",
@@ -88,28 +85,13 @@
 
 def run(make_role: Callable[[], Role]) -> None:
     """Runs a role until SIGTERM or SIGINT; a second one ends it at once."""
-    stop = wait_for_stop()
+    stop = stopping.StopSignals()
     role = make_role()
     role.start()
     stop.wait()
     role.stop()
 
 
-def wait_for_stop() -> threading.Event:
-    """An event that SIGTERM or SIGINT sets; a second signal ends at once."""
-    stop = threading.Event()
-
-    def on_signal(number: int, frame: object) -> None:
-        if stop.is_set():
-            logs.event("stop_forced", level="WARNING", signal=number)
-            os._exit(_SIGNAL_EXIT_BASE + number)
-        stop.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_signal)
-    return stop
-
-
 def _answer(
     request: wrappers.Request,
     handle: Callable[[wrappers.Request], wrappers.Response],
--- /dev/null
+++ b/tests/roles/test_stopping.py
@@ -0,0 +1,54 @@
+"""A signal ends a role's wait, whenever it comes."""
+
+import subprocess
+import sys
+
+import pytest
+
+_LIMIT_S = 20.0
+# The first signal comes while the waiting thread holds whatever condition it
+# waits on; a handler that wanted the same one would wait for ever.
+_WAIT = """
+import os, signal, threading
+from marigoldsill.roles import stopping
+
+stop = stopping.StopSignals()
+enter = threading.Condition.__enter__
+
+def enter_then_signal(condition):
+    entered = enter(condition)
+    threading.Condition.__enter__ = enter
+    signal.raise_signal(signal.SIGTERM)
+    return entered
+
+threading.Timer(0.2, os.kill, [os.getpid(), signal.SIGTERM]).start()
+threading.Condition.__enter__ = enter_then_signal
+stop.wait()
+print("ended")
+"""
+_SECOND = """
+import signal
+from marigoldsill.roles import stopping
+
+stop = stopping.StopSignals()
+signal.raise_signal(signal.SIGTERM)
+stop.wait()
+signal.raise_signal(signal.SIGINT)
+print("not reached")
+"""
+
+
+@pytest.mark.parametrize(
+    ("script", "status", "printed"),
+    [(_WAIT, 0, "ended\n"), (_SECOND, 128 + 2, "")],
+    ids=["the first ends the wait", "the second ends the process"],
+)
+def test_of_two_signals(script: str, status: int, printed: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-c", script],
+        capture_output=True,
+        text=True,
+        timeout=_LIMIT_S,
+        check=False,
+    )
+    assert (done.returncode, done.stdout) == (status, printed), done.stderr
