--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -1,12 +1,7 @@
 """The control role: the replicated state, and HTTP for operators."""
 
 import contextlib
-import json
 import os
-import re
-import uuid
-
-from werkzeug import wrappers
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
@@ -17,10 +12,10 @@
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import scheduler as scheduler_module
 from marigoldsill.protocol import checks
-from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.roles import common
+from marigoldsill.roles import operator_http
 from marigoldsill.roles import tokens
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
@@ -28,9 +23,6 @@
 
 _BODY_LIMIT_BYTES = 2 << 20
 _HTTP_THREADS_COUNT = 32
-_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
-_GUARD_NAME = re.compile(r"[a-z0-9-]{1,64}")
-_SHOWN_LENGTH = 40
 
 
 class Control:
@@ -58,7 +50,7 @@
             MembershipError: The folder is another member's, or in use.
             StorageError: The disk failed.
         """
-        self._tokens = tokens.OperatorTokens(settings.tokens_file)
+        operator_tokens = tokens.OperatorTokens(settings.tokens_file)
         self._thrift = thrift_server.ThriftServer(
             address=settings.thrift_address,
             connections_count=settings.threads_count,
@@ -67,7 +59,7 @@
         self._http = http_server.HttpServer(
             address=settings.http_address,
             app=common.application(
-                self._handle,
+                lambda request: self._operator_http.handle(request),
                 ready=lambda: self._replica.leader is not None,
                 body_limit_bytes=_BODY_LIMIT_BYTES,
             ),
@@ -96,8 +88,11 @@
         self._scheduler = scheduler_module.Scheduler(
             replica=self._replica, service=self._service
         )
-        self._operators = operators.Operators(
-            replica=self._replica, service=self._service
+        self._operator_http = operator_http.OperatorHttp(
+            operators=operators.Operators(
+                replica=self._replica, service=self._service
+            ),
+            tokens=operator_tokens,
         )
         self._thrift.add(
             "control", ControlThrift.Processor(checks.Checked(self._service))
@@ -122,78 +117,6 @@
         self._replica.stop()
         logs.event("stopped")
 
-    def _handle(self, request: wrappers.Request) -> wrappers.Response:
-        operator_name = self._tokens.operator_of(
-            authorization=request.headers.get("Authorization", ""),
-            claimed_name=request.headers.get("X-Operator", ""),
-        )
-        command_id = request.headers.get("X-Command-Id") or str(uuid.uuid4())
-        match (request.method, *request.path.strip("/").split("/")):
-            case ("POST", "v1", "plans", action):
-                plan = self._operators.plan(
-                    action,
-                    request.get_data(),
-                    operator_name=operator_name,
-                    command_id=command_id,
-                )
-                return common.json_response(shapes.of_record(plan))
-            case ("POST", "v1", "plans", plan_id, "confirm"):
-                return common.json_response(
-                    self._operators.confirm(
-                        _plan_id(plan_id),
-                        _acknowledged(request.get_data()),
-                        operator_name=operator_name,
-                        command_id=command_id,
-                    )
-                )
-            case ("GET", "v1", "status"):
-                return common.json_response(self._operators.status())
-            case ("GET", "v1", "explain", name):
-                return common.json_response(self._operators.explain(name))
-            case ("GET", "v1", "plans", plan_id):
-                return common.json_response(
-                    self._operators.show(_plan_id(plan_id))
-                )
-            case ("GET", "v1", "audit"):
-                since = _sequence(request.args.get("since", "0"))
-                return common.json_response(self._operators.audit(since=since))
-            case _:
-                raise errors.NotFoundError(
-                    f"{request.method} {request.path} is nothing here"
-                )
-
-
-def _plan_id(text: str) -> int:
-    if not _WHOLE_NUMBER.fullmatch(text):
-        raise errors.NotFoundError(f"there is no plan {text[:_SHOWN_LENGTH]!r}")
-    return int(text)
-
-
-def _sequence(text: str) -> int:
-    if not _WHOLE_NUMBER.fullmatch(text):
-        raise errors.BadInputError(
-            f"since is {text[:_SHOWN_LENGTH]!r}; accepted is the sequence number of a record"
-        )
-    return int(text)
-
-
-def _acknowledged(body: bytes) -> list[str]:
-    if not body:
-        return []
-    try:
-        names = json.loads(body)["acknowledged"]
-    except (ValueError, KeyError, TypeError, RecursionError):
-        names = None
-    if not isinstance(names, list) or not all(map(_is_guard_name, names)):
-        raise errors.BadInputError(
-            'no confirmation; accepted is {"acknowledged": ["guard", ...]}'
-        )
-    return names
-
-
-def _is_guard_name(value: object) -> bool:
-    return isinstance(value, str) and bool(_GUARD_NAME.fullmatch(value))
-
 
 def initialise(settings: settings_module.ControlInitSettings) -> int:
     """Forms a group in an empty data folder; returns its cluster id.
