Let batch work join services that nobody calls

Cause: an unknown neighbour is tried on one worker a service until a measurement of its latency comes, and none comes while nobody calls. Ruled out: the room (the test's worker has 30 cores for one service and twelve jobs of one core each) and the queue's pauses. An exploration that ends after a time was weighed: at one a minute 24 jobs take 24 minutes.

--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/latency.py
@@ -13,6 +13,7 @@
 from marigoldsill.transport import logs
 
 _LOAD_HOLD_S = 20.0
+_IDLE_S = 60.0
 _PEAK_HALF_LIFE_S = 600.0
 _GUARD_HALF_LIFE_COUNT = 60.0
 _GUARD_LEAST_SAMPLES = 20.0
@@ -49,6 +50,7 @@
     )
     shared: _MissRate = dataclasses.field(default_factory=_MissRate)
     alone: _MissRate = dataclasses.field(default_factory=_MissRate)
+    looked_at_s: float = math.inf
     suspended_until_s: float = -math.inf
     suspension_s: float = _GUARD_SUSPENSION_S
 
@@ -110,6 +112,17 @@
         steps = (i for i, at_s in enumerate(known.seen_s) if at_s >= since_s)
         return max(steps, default=known.load)
 
+    def idle(self, service: str, *, now_s: float) -> bool:
+        """Whether nobody has called a service for a minute, as far as seen.
+
+        Without callers there is no tail latency to learn from, and none to
+        spoil. A service that was not watched for as long is not idle.
+        """
+        known = self._services.setdefault(service, _Service())
+        known.looked_at_s = min(known.looked_at_s, now_s)
+        measured_s = max(known.seen_s)
+        return now_s - max(known.looked_at_s, measured_s) > _IDLE_S
+
     def suspended(self, service: str, *, now_s: float) -> bool:
         """Whether the guard forbids sharing with a service now."""
         known = self._services.get(service)
--- a/marigoldsill/coordination/sharing.py
+++ b/marigoldsill/coordination/sharing.py
@@ -78,7 +78,10 @@
             if prediction.mean > limit:
                 return _REFUSED
             margin = _certainty(policy) * prediction.deviation
-            if prediction.mean + margin > limit:
+            idle = self._fleet.latencies.idle(
+                run.service, now_s=now.monotonic_s
+            )
+            if prediction.mean + margin > limit and not idle:
                 if not self._may_explore(run.service, worker, residents):
                     return _REFUSED
                 explores = True
