Split the tests' process module by job

Cause: tests/processes.py held one process, the system of processes and the calls of operators and callers in 527 lines. Now tests/one_process.py holds one process and the waits, tests/system_calls.py the calls, tests/processes.py the system (281 lines); it keeps the names that tests use. Methods were moved, not changed. Ruled out: renaming at the 180 uses, which tells a reader no more. Run: the tests of lint, roles, sessions, leader changes, the whole path, operators and the group pass.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,156 +1,34 @@
 """Starts the roles and stand-ins as separate processes on loopback."""
 
-from collections.abc import Callable
 from collections.abc import Sequence
 from concurrent import futures
-import contextlib
 import itertools
 import json
-import os
 import pathlib
-import random
-import re
-import signal
-import socket
-import subprocess
-import sys
 import time
 
-from marigoldsill import errors
-from marigoldsill.transport import http_client
-from standins import journal
 from tests import invariants
+from tests import one_process
+from tests import system_calls
 
-WAIT_LIMIT_S = 30.0
-_POLL_S = 0.05
-_LISTENING_PORTS = (15_000, 32_000)
-_OPERATOR_TIMEOUT_S = 2.0
-_ADDRESS = re.compile(r"(http|thrift)=(\S+)")
+# Tests that start a system wait for it too: they need this module only.
+WAIT_LIMIT_S = one_process.WAIT_LIMIT_S
+Process = one_process.Process
+free_address = one_process.free_address
+wait_until = one_process.wait_until
 
 
-def wait_until(
-    condition: Callable[[], object],
-    *,
-    limit_s: float = WAIT_LIMIT_S,
-    what: str = "the condition",
-    poll_s: float = _POLL_S,
-) -> object:
-    """Waits until a condition gives something true, and returns that."""
-    end_s = time.monotonic() + limit_s
-    while True:
-        value = condition()
-        if value:
-            return value
-        assert time.monotonic() < end_s, f"{what} did not hold in {limit_s} s"
-        time.sleep(poll_s)
-
-
-def free_address() -> str:
-    """An address of this machine whose port was free just now.
-
-    It is below the ports that the system gives to outgoing connections: one of
-    those may take the port of a process that is about to start, or start again.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*_LISTENING_PORTS)
-        with contextlib.suppress(OSError):
-            socket.create_server(("127.0.0.1", port)).close()
-            return f"127.0.0.1:{port}"
-
-
-class Process:
-    """One process of ours, with its log in a file."""
-
-    def __init__(
-        self,
-        arguments: list[str],
-        *,
-        log: pathlib.Path,
-        environment: dict[str, str] | None = None,
-        binary: pathlib.Path | None = None,
-    ):
-        self.log = log
-        # A process that is started again writes on in the same file.
-        self._log_start = log.stat().st_size if log.exists() else 0
-        command = [sys.executable, "-m", *arguments]
-        if binary is not None and arguments[0] == "marigoldsill":
-            command = [str(binary), *arguments[1:]]
-        with log.open("ab") as output:
-            self._popen = subprocess.Popen(
-                command,
-                stdout=output,
-                stderr=output,
-                env=os.environ | (environment or {}),
-            )
-
-    @property
-    def pid(self) -> int:
-        """Its process id."""
-        return self._popen.pid
-
-    def text(self) -> str:
-        """Everything it wrote so far."""
-        written = self.log.read_bytes()[self._log_start :]
-        return written.decode(errors="replace")
-
-    def wait_for(self, pattern: str) -> re.Match:
-        """Waits until its log matches a pattern."""
-
-        def look() -> re.Match | None:
-            assert self._popen.poll() is None, self.text()
-            return re.search(pattern, self.text())
-
-        return wait_until(look, what=f"{pattern!r} in {self.log.name}")
-
-    def addresses(self) -> dict[str, str]:
-        """The addresses of its "started" event, by protocol."""
-        line = self.wait_for(r"event=started.*\n")[0]
-        return dict(_ADDRESS.findall(line))
-
-    def send(self, number: int) -> None:
-        """Sends it a signal."""
-        self._popen.send_signal(number)
-
-    def kill(self) -> None:
-        """Kills it and waits for its end."""
-        self._popen.kill()
-        self._popen.wait()
-
-    def stop(self) -> int:
-        """Sends SIGTERM and returns its exit status."""
-        self._popen.terminate()
-        return self.wait()
-
-    def wait(self) -> int:
-        """Waits for its end and returns its exit status."""
-        try:
-            return self._popen.wait(WAIT_LIMIT_S)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            raise
-
-    def end(self) -> None:
-        """Ends it in whatever state it is."""
-        if self._popen.poll() is None:
-            self._popen.send_signal(signal.SIGCONT)
-            self._popen.kill()
-            self._popen.wait()
-
-
-class System:
+class System(system_calls.SystemCalls):
     """Control, agents, entries and worker stand-ins of one test."""
 
     def __init__(
         self, folder: pathlib.Path, *, binary: pathlib.Path | None = None
     ):
-        self.folder = folder
+        super().__init__(folder)
         self._binary = binary
         self.processes: dict[str, Process] = {}
         self.control_addresses: dict[str, tuple[str, str]] = {}
         self.control_thrift: list[str] = []
-        self.control_http: list[str] = []
-        self.workers: dict[str, str] = {}
-        self.entries: dict[str, str] = {}
         self.cuts_file = folder / "cuts"
         self._start_numbers = itertools.count(1)
 
@@ -364,134 +242,10 @@
         )
         return process
 
-    def tell_worker(self, name: str, path: str, body: dict) -> None:
-        """Posts something to a worker stand-in, such as faults."""
-        http_client.fetch(
-            self.workers[name] + path,
-            method="POST",
-            body=json.dumps(body).encode(),
-            timeout_s=5.0,
-        )
-
-    def journal_path(self, worker: str) -> pathlib.Path:
-        """Where a worker stand-in keeps its journal."""
-        return self.folder / f"{worker}.journal"
-
-    def get(self, address: str, path: str) -> http_client.HttpAnswer:
-        """Gets something by HTTP."""
-        return http_client.fetch(f"http://{address}{path}", timeout_s=10.0)
-
-    def call(
-        self,
-        path: str,
-        *,
-        entry: str = "entry-1",
-        method: str = "GET",
-        body: bytes = b"",
-        key: str = "",
-    ) -> http_client.HttpAnswer:
-        """A caller's request."""
-        headers = (("Idempotency-Key", key),) if key else ()
-        return http_client.fetch(
-            f"http://{self.entries[entry]}{path}",
-            method=method,
-            body=body,
-            headers=headers,
-            timeout_s=15.0,
-        )
-
-    def command(self, *arguments: str) -> subprocess.CompletedProcess:
-        """Runs an operator's command."""
-        return subprocess.run(
-            [sys.executable, "-m", "marigoldsill", *arguments],
-            capture_output=True,
-            text=True,
-            timeout=WAIT_LIMIT_S,
-            env=os.environ
-            | {
-                "MARIGOLDSILL_CONTROL_HTTP": ",".join(self.control_http),
-                "MARIGOLDSILL_OUTPUT": "json",
-            },
-            check=False,
-        )
-
-    def operate(self, *arguments: str) -> dict:
-        """Runs an operator's command that must succeed; its JSON output."""
-        done = self.command(*arguments)
-        assert done.returncode == 0, done.stderr
-        return json.loads(done.stdout)
-
-    def request(self, method: str, path: str, body: bytes = b"") -> object:
-        """What the leader answers an operator, by HTTP; waits for one."""
-
-        def ask() -> http_client.HttpAnswer | None:
-            for address in self.control_http:
-                try:
-                    answer = http_client.fetch(
-                        f"http://{address}{path}",
-                        method=method,
-                        body=body,
-                        timeout_s=_OPERATOR_TIMEOUT_S,
-                    )
-                except errors.TransportError:
-                    continue
-                if answer.status_code not in (421, 503):
-                    return answer
-            return None
-
-        answer = wait_until(ask, what=f"an answer to {path}")
-        assert answer.status_code < 400, answer.body.decode()
-        return json.loads(answer.body)
-
-    def apply(self, intent: str) -> dict:
-        """Plans an intent and confirms it, guard rails and all."""
-        return self.confirm(
-            self.request("POST", "/v1/plans/apply", intent.encode())
-        )
-
-    def confirm(self, plan: dict) -> dict:
-        """Confirms a plan with every guard rail acknowledged."""
-        names = [guard["name"] for guard in plan["guards"]]
-        body = json.dumps({"acknowledged": names}).encode()
-        path = f"/v1/plans/{plan['plan_id']}/confirm"
-        return self.request("POST", path, body)
-
-    def task(self, name: str) -> dict:
-        """A task as `status` shows it; empty when there is none."""
-        tasks = self.request("GET", "/v1/status")["tasks"]
-        return next((t for t in tasks if t["name"] == name), {})
-
-    def task_state(self, task: str) -> str:
-        """A task's state as `status` shows it."""
-        return self.task(task).get("state", "")
-
-    def wait_for_state(self, task: str, *states: str) -> dict:
-        """Waits until a task has one of some states, and returns it."""
-        return wait_until(
-            lambda: (t := self.task(task)).get("state") in states and t,
-            what=f"{task} {'/'.join(states)}",
-        )
-
     def cut(self, *pairs: str) -> None:
         """Cuts connections, "FROM TO" each; without any, mends them all."""
         self.cuts_file.write_text("\n".join(pairs))
 
-    def events(self, worker: str) -> list[dict]:
-        """What a worker stand-in journaled so far."""
-        return journal.read(self.journal_path(worker))
-
-    def wait_for_event(self, worker: str, event: str, **fields: object) -> dict:
-        """Waits for an event with some fields in a worker's journal."""
-        wanted = {"event": event, **fields}
-
-        def look() -> dict | None:
-            events = self.events(worker)
-            return next(
-                (e for e in events if wanted.items() <= e.items()), None
-            )
-
-        return wait_until(look, what=f"{wanted} on {worker}")
-
     def assert_invariants(self, *unreachable: str) -> None:
         """Judges the journals of all workers."""
         invariants.assert_hold(
