--- a/tests/coordination/test_absences.py
+++ b/tests/coordination/test_absences.py
@@ -5,6 +5,7 @@
 from marigoldsill.coordination import absence as absence_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import commands
+from tests.coordination import world as world_module
 
 KINDS = ttypes.RunEventKind
 TASK = "parish/0"
@@ -82,3 +83,22 @@
         _end(replica, epoch=epoch, at_unix_ms=epoch * 1000 + 100)
 
     assert _absent_ms(replica, now_unix_ms=11_200) == 11_199
+
+
+def test_absent_watcher_is_told_of_and_comes_back() -> None:
+    world = world_module.World()
+    world.declare(
+        ttypes.Watcher(
+            name="parish",
+            resources=world_module.size(1),
+            absence_limit_ms=10_000,
+        )
+    )
+    world.step(passed_s=5)
+    assert world.decisions.absent == []
+    world.step(passed_s=6)
+    assert [a.task for a in world.decisions.absent] == ["parish/0"]
+    world.worker("w1")
+    world.step()
+    world.step()
+    assert world.decisions.absent == []
