Split the sizing of the capacity page by role

Run: on the same made-up slopes and rows the 38 lines with their verdicts are the same before and after; tests/benchmarks and tests/lint pass. The page was not measured anew.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,13 +13,16 @@
 from benchmarks import table
 from benchmarks.slopes import commits
 from benchmarks.slopes import control
+from benchmarks.slopes import daemons
 from benchmarks.slopes import fit
 from benchmarks.slopes import full_size
+from benchmarks.slopes import leaders
 from benchmarks.slopes import messages
 from benchmarks.slopes import page
 from benchmarks.slopes import roles
 from benchmarks.slopes import sizing
 from benchmarks.slopes import state
+from benchmarks.slopes import times
 
 _Parts = Mapping[str, list[fit.Slope]]
 
@@ -56,29 +59,29 @@
         )
         for name, part in parts.items()
     }
-    group = sizing.group_leader(
+    group = leaders.group_leader(
         figures,
         workers_count=sizing.GROUP_WORKERS_COUNT,
         starts_per_s=sizing.GROUP_STARTS_PER_S,
     )
-    single = sizing.group_leader(
+    single = leaders.group_leader(
         figures,
         workers_count=sizing.WORKERS_COUNT,
         starts_per_s=sizing.STARTS_PEAK_PER_S,
     )
-    group_delays = sizing.delays(
+    group_delays = times.delays(
         figures, workers_count=sizing.GROUP_WORKERS_COUNT
     )
-    single_delays = sizing.delays(figures, workers_count=sizing.WORKERS_COUNT)
+    single_delays = times.delays(figures, workers_count=sizing.WORKERS_COUNT)
     return slopes | {
         "machine": _machine(),
         "single figures": page.rows_table(rows),
-        "agent": page.lines_table(sizing.agent(figures)),
-        "entry": page.lines_table(sizing.entry(figures)),
+        "agent": page.lines_table(daemons.agent(figures)),
+        "entry": page.lines_table(daemons.entry(figures)),
         "group": page.lines_table([*group, *group_delays]),
-        "intents": page.lines_table(sizing.intents_leader(figures)),
+        "intents": page.lines_table(leaders.intents_leader(figures)),
         "single": page.lines_table([*single, *single_delays]),
-        "failures": page.lines_table(sizing.failures(figures)),
+        "failures": page.lines_table(times.failures(figures)),
     }
 
 
