Split the fake workers of the placement benchmarks by job

Cause: benchmarks/fake_workers.py held the shapes of a scenario, the arrival of jobs, the hidden truth and the virtual clock in 440 lines. Now scenarios.py holds the shapes, arrivals.py what is declared, true_behaviour.py what the decisions never see, fake_workers.py the clock (307 lines).

--- a/benchmarks/fake_workers.py
+++ b/benchmarks/fake_workers.py
@@ -14,6 +14,9 @@
 
 from hdrh import histogram
 
+from benchmarks import arrivals
+from benchmarks import scenarios
+from benchmarks import true_behaviour
 from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import fleet
 from marigoldsill.coordination import usage as usage_module
@@ -22,13 +25,7 @@
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
 
-GB = 1 << 30
-START_UNIX_MS = 1_800_000_000_000
-_SPREAD = 0.35  # of one request's latency, in logarithms
-_P99_OVER_MEDIAN = math.exp(2.326 * _SPREAD)
-_REQUESTS_PER_STEP = 6
 _MEASURE_EVERY_S = 2
-_THROTTLED_RATE = 0.35
 _BODY_NAMES = {
     ttypes.AssignRuns: "assign_runs",
     ttypes.EvictRuns: "evict_runs",
@@ -38,55 +35,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Family:
-    """A kind of batch job: what is declared and what is true."""
-
-    name: str
-    cores: float
-    declared_ratio: float
-    run_time_s: float
-    share: float
-    checkpointable: bool = True
-    noisy: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ServiceSpec:
-    """A service, and how much one run of each family really adds."""
-
-    name: str
-    instances_count: int
-    cores: int
-    median_ms: float
-    target_ms: int
-    added: dict[str, float]
-    phase: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Scenario:
-    """What is tried.
-
-    Attributes:
-        lag_s: How late measurements come.
-        wave_factor: What noisy families' disturbance is multiplied with in
-            waves.
-        offered_cores: Batch work that arrives, on average.
-    """
-
-    families: tuple[Family, ...]
-    services: tuple[ServiceSpec, ...]
-    workers_count: int = 14
-    cores: int = 30
-    duration_s: int = 1200
-    lag_s: float = 5.0
-    wave_factor: float = 1.0
-    offered_cores: float = 230.0
-    deadline_share: float = 0.3
-    seed: int = 7
-
-
 class Decider(Protocol):
     """What is measured: the real decisions, or a baseline."""
 
@@ -129,11 +77,10 @@
 class FakeFleet:
     """Workers, services and arriving batch jobs."""
 
-    def __init__(self, scenario: Scenario, policy: ttypes.Policy):
+    def __init__(self, scenario: scenarios.Scenario, policy: ttypes.Policy):
         self._scenario = scenario
         self._random = random.Random(scenario.seed)
-        self._families = {f.name: f for f in scenario.families}
-        self._services = {s.name: s for s in scenario.services}
+        self._true = true_behaviour.TrueBehaviour(scenario, self._random)
         self._progress_s: dict[tuple[str, int], float] = {}
         self._late: list[tuple[float, int, usage_module.Measurement]] = []
         self._numbers = itertools.count()
@@ -144,7 +91,7 @@
         self.live = set()
         self.result = Result(histogram.HdrHistogram(1, 1_000_000, 3))
         self._add_workers()
-        self._arrivals = self._plan_arrivals()
+        self._arrivals = arrivals.plan(scenario, self._random)
 
     def run(self, decider: Decider) -> Result:
         """Runs the scenario through."""
@@ -152,7 +99,7 @@
             ttypes.Change(
                 verb=ttypes.ChangeVerb.ADD,
                 subject=f"service/{spec.name}",
-                service_after=_service(spec),
+                service_after=arrivals.service(spec),
             )
             for spec in self._scenario.services
         )
@@ -170,7 +117,7 @@
         return self.result
 
     def _unix_ms(self) -> int:
-        return START_UNIX_MS + int(self._now_s * 1000)
+        return arrivals.START_UNIX_MS + int(self._now_s * 1000)
 
     def _apply(self, **body: object) -> None:
         command = ttypes.Command(proposed_unix_ms=self._unix_ms(), **body)
@@ -195,40 +142,17 @@
                 data_centre=f"d{i % 3}",
                 rack=f"r{i // 9}",
                 capacity=ttypes.Resources(
-                    self._scenario.cores * 1000, 130 * GB, 0
+                    self._scenario.cores * 1000, 130 * arrivals.GB, 0
                 ),
                 agent_address="",
             )
             self.live.add(worker.name)
             self._apply(put_worker=ttypes.PutWorker(worker=worker))
 
-    def _plan_arrivals(self) -> list[tuple[float, Family, ttypes.BatchJob]]:
-        """The same jobs at the same times for every decider."""
-        families = self._scenario.families
-        work_s = sum(f.share * f.cores * f.run_time_s for f in families)
-        rate = self._scenario.offered_cores / work_s
-        arrivals, at_s = [], 0.0
-        while at_s < self._scenario.duration_s:
-            family = self._random.choices(
-                families, [f.share for f in families]
-            )[0]
-            deadline_s = 0.0
-            if self._random.random() < self._scenario.deadline_share:
-                deadline_s = at_s + self._random.uniform(2, 4) * (
-                    family.run_time_s
-                )
-            arrivals.append(
-                (at_s, family, _job(family, len(arrivals), deadline_s))
-            )
-            # A backlog at the start, then a steady stream.
-            if len(arrivals) > 60:
-                at_s += self._random.expovariate(rate)
-        return arrivals[::-1]
-
     def _arrive(self) -> None:
         due = []
         while self._arrivals and self._arrivals[-1][0] <= self._now_s:
-            due.append(self._arrivals.pop()[2])
+            due.append(self._arrivals.pop()[1])
         self._declare(
             ttypes.Change(
                 verb=ttypes.ChangeVerb.ADD,
@@ -283,23 +207,9 @@
             self.result.violations_count += 1
 
     def _use(self, tasks: list[ttypes.Task]) -> float:
-        return sum(self._cpu(task) for task in tasks)
-
-    def _cpu(self, task: ttypes.Task) -> float:
-        if task.state == ttypes.TaskState.ASSIGNED:
-            return 0.0
-        if task.kind == ttypes.Kind.SERVICE:
-            spec = self._services[task.owner]
-            return 1000 * spec.cores * self._load(spec)
-        rate = _THROTTLED_RATE if task.throttled else 1.0
-        return 1000 * rate * self._family(task).cores
-
-    def _family(self, task: ttypes.Task) -> Family:
-        return self._families[task.owner.partition("-")[0]]
-
-    def _load(self, spec: ServiceSpec) -> float:
-        wave = math.sin(2 * math.pi * (self._now_s / 600 + spec.phase))
-        return 0.5 + 0.4 * wave
+        return sum(
+            self._true.cpu_millicores(task, now_s=self._now_s) for task in tasks
+        )
 
     def _step_task(
         self,
@@ -320,10 +230,16 @@
             return
         latency_us = 0
         if task.kind == ttypes.Kind.SERVICE:
-            latency_us = self._serve(task, tasks, crowding)
+            latency_us = self._true.serve(
+                task,
+                tasks,
+                crowding=crowding,
+                now_s=self._now_s,
+                latency=self.result.latency,
+            )
         else:
-            rate = _THROTTLED_RATE if task.throttled else 1.0
-            family = self._family(task)
+            rate = true_behaviour.rate(task)
+            family = self._true.family(task)
             key = (task.name, task.epoch)
             self._progress_s[key] += rate / crowding
             self.result.done_core_s += family.cores * rate / crowding
@@ -339,7 +255,7 @@
         )
         if task.kind != ttypes.Kind.BATCH_JOB:
             return event
-        family = self._family(task)
+        family = self._true.family(task)
         progress_s = self._progress_s.pop((task.name, task.epoch))
         if family.checkpointable:
             event.checkpoint_id = f"c{task.epoch}"
@@ -365,33 +281,6 @@
                 self._unix_ms() <= deadline_unix_ms
             )
 
-    def _serve(
-        self, task: ttypes.Task, tasks: list[ttypes.Task], crowding: float
-    ) -> int:
-        """Serves some requests; their true tail latency, in microseconds."""
-        spec = self._services[task.owner]
-        load = self._load(spec)
-        added = sum(
-            spec.added[self._family(other).name] * self._noise(other)
-            for other in tasks
-            if other.kind == ttypes.Kind.BATCH_JOB
-            and other.state != ttypes.TaskState.ASSIGNED
-        )
-        median_ms = spec.median_ms * (1 + 0.8 * load**2)
-        median_ms *= (1 + added * (0.4 + 1.2 * load**2)) * crowding**3
-        for _ in range(_REQUESTS_PER_STEP):
-            latency_ms = median_ms * math.exp(self._random.gauss(0, _SPREAD))
-            ratio = latency_ms / spec.target_ms
-            self.result.latency.record_value(max(1, int(1000 * ratio)))
-        return int(1000 * median_ms * _P99_OVER_MEDIAN)
-
-    def _noise(self, other: ttypes.Task) -> float:
-        rate = _THROTTLED_RATE if other.throttled else 1.0
-        in_wave = int(self._now_s / 120) % 3 == 2
-        if in_wave and self._family(other).noisy:
-            return rate * self._scenario.wave_factor
-        return rate
-
     def _measure(
         self, task: ttypes.Task, worker: str, latency_us: int, crowding: float
     ) -> None:
@@ -401,7 +290,9 @@
             ttypes.Usage(
                 task=task.name,
                 cpu_millicores=int(
-                    self._cpu(task) / crowding * self._random.uniform(0.9, 1.0)
+                    self._true.cpu_millicores(task, now_s=self._now_s)
+                    / crowding
+                    * self._random.uniform(0.9, 1.0)
                 ),
                 memory_bytes=task.reserved.memory_bytes // 2,
                 age_ms=int(self._scenario.lag_s * 1000),
@@ -414,27 +305,3 @@
         )
         due_s = self._now_s + self._scenario.lag_s
         heapq.heappush(self._late, (due_s, next(self._numbers), measurement))
-
-
-def _service(spec: ServiceSpec) -> ttypes.Service:
-    return ttypes.Service(
-        name=spec.name,
-        resources=ttypes.Resources(spec.cores * 1000, 8 * GB, 0),
-        instances_count=spec.instances_count,
-        latency_target_ms=spec.target_ms,
-    )
-
-
-def _job(family: Family, number: int, deadline_s: float) -> ttypes.BatchJob:
-    deadline_unix_ms = 0
-    if deadline_s:
-        deadline_unix_ms = START_UNIX_MS + int(deadline_s * 1000)
-    return ttypes.BatchJob(
-        name=f"{family.name}-{number}",
-        resources=ttypes.Resources(
-            int(1000 * family.cores * family.declared_ratio), 2 * GB, 0
-        ),
-        run_time_ms=int(1000 * family.run_time_s * family.declared_ratio),
-        deadline_unix_ms=deadline_unix_ms,
-        checkpointable=family.checkpointable,
-    )
