Let one piece serve where test modules did the same

Cause: the duplicates of tests showed the same forming of a group twice, the same serving fixture three times, and the demo, the quarantined worker and the stopped member twice. Each is one function or base class now. Left: pairs alike by shape only, whose values are what the tests are about.

--- a/tests/coordination/groups.py
+++ b/tests/coordination/groups.py
@@ -1,5 +1,6 @@
 """Groups of replicas in this process, on real folders and loopback thrift."""
 
+import abc
 from collections.abc import Callable
 import pathlib
 import shutil
@@ -37,7 +38,38 @@
     )
 
 
-class LocalGroup:
+class Group(abc.ABC):
+    """Members m0, m1, ... on folders and addresses of their own."""
+
+    def __init__(self, folder: pathlib.Path, *, count: int):
+        self.folder = folder
+        names = [f"m{number}" for number in range(count)]
+        self.members = {name: reserve(name) for name in names}
+
+    def form(self) -> None:
+        """Initialises m0, starts all members and waits for their votes."""
+        members = list(self.members.values())
+        replica_module.initialise(
+            self.data_folder("m0"), members, own_name="m0"
+        )
+        for name in self.members:
+            self.start(name)
+        self.wait_for_voters(len(members))
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Where a member keeps its state."""
+        return self.folder / name
+
+    @abc.abstractmethod
+    def start(self, name: str) -> object:
+        """Starts a member on its folder and address."""
+
+    @abc.abstractmethod
+    def wait_for_voters(self, count: int) -> None:
+        """Waits until a leader counts that many of those that run now."""
+
+
+class LocalGroup(Group):
     """Members m0, m1, ... that can be stopped, wiped and cut off.
 
     Attributes:
@@ -54,7 +86,7 @@
         settings: replica_module.ReplicaSettings = SETTINGS,
         open_files: Callable[[pathlib.Path], files.Files] = files.Files,
     ):
-        self.folder = folder
+        super().__init__(folder, count=count)
         self.settings = settings
         self.disks: dict[str, files.Files] = {}
         self.replicas: dict[str, replica_module.Replica] = {}
@@ -62,22 +94,6 @@
         self._servers: dict[str, thrift_server.ThriftServer] = {}
         self._open_files = open_files
         self._cuts_path = folder / "cuts"
-        names = [f"m{number}" for number in range(count)]
-        self.members = {name: reserve(name) for name in names}
-
-    def form(self) -> None:
-        """Initialises m0, starts all members and waits for their votes."""
-        members = list(self.members.values())
-        replica_module.initialise(
-            self.data_folder("m0"), members, own_name="m0"
-        )
-        for name in self.members:
-            self.start(name)
-        self.wait_for_voters(len(members))
-
-    def data_folder(self, name: str) -> pathlib.Path:
-        """Where a member keeps its state."""
-        return self.folder / name
 
     def start(self, name: str) -> replica_module.Replica:
         """Starts a member on its folder and address."""
--- a/tests/coordination/member_group.py
+++ b/tests/coordination/member_group.py
@@ -13,7 +13,6 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
 from marigoldsill.protocol.generated import Peer as PeerService  # noqa: N811
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import thrift_client
@@ -113,7 +112,7 @@
         return int(line.split()[1]) * 1024
 
 
-class MemberGroup:
+class MemberGroup(groups.Group):
     """Members m0, m1, ... each in a process of its own."""
 
     def __init__(
@@ -123,29 +122,13 @@
         count: int = 3,
         **settings: object,
     ):
-        self.folder = folder
+        super().__init__(folder, count=count)
         self.settings = {
             "election_timeout_ms": 400,
             "heartbeat_ms": 50,
             "seed": 11,
         } | settings
         self.running: dict[str, MemberProcess] = {}
-        names = [f"m{number}" for number in range(count)]
-        self.members = {name: groups.reserve(name) for name in names}
-
-    def form(self) -> None:
-        """Initialises m0, starts all and waits until all are voters."""
-        members = list(self.members.values())
-        replica_module.initialise(
-            self.data_folder("m0"), members, own_name="m0"
-        )
-        for name in self.members:
-            self.start(name)
-        self.wait_for_voters(len(members))
-
-    def data_folder(self, name: str) -> pathlib.Path:
-        """Where a member keeps its state."""
-        return self.folder / name
 
     def log_text(self, name: str) -> str:
         """What a member wrote as events, over all its lives."""
--- a/tests/coordination/test_bad_disks.py
+++ b/tests/coordination/test_bad_disks.py
@@ -95,13 +95,21 @@
     group.end()
 
 
-def test_a_damaged_log_counts_as_a_lost_disk(group):
+def _stop_after_five_commands(
+    group: groups.LocalGroup,
+) -> tuple[object, pathlib.Path]:
+    """Stops m2 with five workers known; its incarnation and newest log."""
     group.form()
     for number in range(5):
         group.propose(groups.worker_command(number))
-    old = group.replicas["m2"].status().incarnation
+    incarnation = group.replicas["m2"].status().incarnation
     group.stop("m2")
-    path = sorted(group.data_folder("m2").glob("log-*"))[-1]
+    newest = sorted(group.data_folder("m2").glob("log-*"))[-1]
+    return incarnation, newest
+
+
+def test_a_damaged_log_counts_as_a_lost_disk(group):
+    old, path = _stop_after_five_commands(group)
     data = bytearray(path.read_bytes())
     data[len(data) // 2] ^= 1
     path.write_bytes(data)
@@ -114,12 +122,7 @@
 
 
 def test_a_torn_tail_is_cut_and_fetched_again(group):
-    group.form()
-    for number in range(5):
-        group.propose(groups.worker_command(number))
-    old = group.replicas["m2"].status().incarnation
-    group.stop("m2")
-    path = sorted(group.data_folder("m2").glob("log-*"))[-1]
+    old, path = _stop_after_five_commands(group)
     path.write_bytes(path.read_bytes()[:-7])
     group.start("m2")
     group.wait_for_workers("m2", set(range(5)))
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -28,6 +28,18 @@
     }
 
 
+def with_quarantined(*, worker_cores: int, job_cores: int):
+    """Two workers, of which w1 failed until it was quarantined; 40 jobs."""
+    world = world_module.World()
+    for i in range(2):
+        world.worker(f"w{i}", cores=worker_cores)
+    for i in range(40):
+        world.job(f"kind{i % 4}x-{i}", cores=job_cores)
+    while worker_states(world)["w1"] != "QUARANTINED":
+        start_and_fail(world, {"w1"})
+    return world
+
+
 def test_worker_that_fails_everything_is_quarantined_and_jobs_go_on():
     world = world_module.World()
     for i in range(4):
@@ -73,13 +85,7 @@
 
 
 def test_quarantined_worker_is_probed_with_one_run_and_restored():
-    world = world_module.World()
-    for i in range(2):
-        world.worker(f"w{i}", cores=20)
-    for i in range(40):
-        world.job(f"kind{i % 4}x-{i}", cores=2)
-    while worker_states(world)["w1"] != "QUARANTINED":
-        start_and_fail(world, {"w1"})
+    world = with_quarantined(worker_cores=20, job_cores=2)
     for i in range(40, 60):
         world.job(f"kind{i % 4}x-{i}", cores=9)
     world.apply_bodies(world.decide(passed_s=100))
@@ -94,13 +100,7 @@
 
 
 def test_lost_command_does_not_leave_a_worker_out_for_good():
-    world = world_module.World()
-    for i in range(2):
-        world.worker(f"w{i}", cores=4)
-    for i in range(40):
-        world.job(f"kind{i % 4}x-{i}", cores=4)
-    while worker_states(world)["w1"] != "QUARANTINED":
-        start_and_fail(world, {"w1"})
+    world = with_quarantined(worker_cores=4, job_cores=4)
     lost = world.decide(passed_s=100)
     assert any(isinstance(body, ttypes.PutWorker) for body in lost)
     start_and_fail(world, set())
--- a/tests/e2e/test_binary.py
+++ b/tests/e2e/test_binary.py
@@ -12,6 +12,7 @@
 
 from build_tools import binary
 from tests import processes
+from tests.e2e import demo
 
 _AGENT_LIMIT_BYTES = 64 << 20
 # Field of /proc/PID/stat after the name: page faults of children that ended.
@@ -44,17 +45,7 @@
 def test_binary_runs_the_demo(
     program: pathlib.Path, environment: dict[str, str]
 ) -> None:
-    done = subprocess.run(
-        [program, "local", "--demo"],
-        capture_output=True,
-        text=True,
-        env=environment,
-        timeout=processes.WAIT_LIMIT_S * 2,
-        check=False,
-    )
-
-    assert done.returncode == 0, done.stderr
-    assert done.stdout.splitlines()[-1] == "demo: ok"
+    demo.assert_ok(str(program), environment=environment)
 
 
 def test_binary_starts_no_child_and_an_idle_agent_stays_small(
--- a/tests/e2e/test_local.py
+++ b/tests/e2e/test_local.py
@@ -1,25 +1,15 @@
 """The embedded default as its own process."""
 
 import signal
-import subprocess
 import sys
 
 from marigoldsill.transport import http_client
 from tests import processes
+from tests.e2e import demo
 
 
 def test_demo_verifies_every_step_and_says_ok() -> None:
-    done = subprocess.run(
-        [sys.executable, "-m", "marigoldsill", "local", "--demo"],
-        capture_output=True,
-        text=True,
-        timeout=processes.WAIT_LIMIT_S * 2,
-        check=False,
-    )
-
-    assert done.returncode == 0, done.stderr
-    assert done.stdout.splitlines()[-1] == "demo: ok"
-    assert "Traceback" not in done.stderr
+    demo.assert_ok(sys.executable, "-m", "marigoldsill")
 
 
 def test_local_serves_until_ctrl_c_and_ends_without_a_traceback(
--- a/tests/failures/test_requests_endpoint_faults.py
+++ b/tests/failures/test_requests_endpoint_faults.py
@@ -33,12 +33,10 @@
 def serving(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[serving_module.Serving]:
-    running = serving_module.Serving(tmp_path_factory.mktemp("faults"))
-    try:
-        running.start(workers_count=2)
+    with serving_module.started(
+        tmp_path_factory.mktemp("faults"), workers_count=2
+    ) as running:
         yield running
-    finally:
-        running.system.end()
 
 
 @pytest.mark.parametrize("fault", _FAULTS)
--- a/tests/failures/test_requests_process_faults.py
+++ b/tests/failures/test_requests_process_faults.py
@@ -17,14 +17,13 @@
 def serving(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[serving_module.Serving]:
-    running = serving_module.Serving(tmp_path_factory.mktemp("processes"))
-    try:
-        running.start(
-            controls_count=3, workers_count=_WORKERS_COUNT, entries_count=2
-        )
+    with serving_module.started(
+        tmp_path_factory.mktemp("processes"),
+        controls_count=3,
+        workers_count=_WORKERS_COUNT,
+        entries_count=2,
+    ) as running:
         yield running
-    finally:
-        running.system.end()
 
 
 def _await_began(serving: serving_module.Serving, worker: str) -> None:
--- a/tests/failures/test_requests_stops_and_overload.py
+++ b/tests/failures/test_requests_stops_and_overload.py
@@ -21,18 +21,15 @@
 def serving(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[serving_module.Serving]:
-    running = serving_module.Serving(tmp_path_factory.mktemp("stops"))
-    try:
-        running.start(
-            workers_count=_WORKERS_COUNT,
-            instances_count=_INSTANCES_COUNT,
-            entries_count=2,
-            slots_count=_SLOTS_COUNT,
-            notice_s=1,
-        )
+    with serving_module.started(
+        tmp_path_factory.mktemp("stops"),
+        workers_count=_WORKERS_COUNT,
+        instances_count=_INSTANCES_COUNT,
+        entries_count=2,
+        slots_count=_SLOTS_COUNT,
+        notice_s=1,
+    ) as running:
         yield running
-    finally:
-        running.system.end()
 
 
 def _assert_all_good(serving: serving_module.Serving, records: list) -> None:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -1,5 +1,6 @@
 """A system that serves one service, and load on it with a verdict."""
 
+from collections.abc import Iterator
 from concurrent import futures
 import contextlib
 import pathlib
@@ -130,3 +131,14 @@
     assert verdict.wrong_count == 0, verdict
     assert verdict.duplicated_count == 0, verdict
     assert verdict.falsely_not_run_count == 0, verdict
+
+
+@contextlib.contextmanager
+def started(folder: pathlib.Path, **options: int) -> Iterator[Serving]:
+    """A system that serves, by the options of `Serving.start`; ended after."""
+    running = Serving(folder)
+    try:
+        running.start(**options)
+        yield running
+    finally:
+        running.system.end()
