Show why a process of a test ended; try a taken port once more

Cause: a set-up error ("a control process ended while starting") was never explained: the assertion named neither the process nor its exit status. It now names the log, the status, what was waited for and the whole text. When the first member of a group finds its port taken, while no member ever ran, the group is formed anew on other ports, once; a member that ran, and the second and third members, whose addresses the group knows, are never moved. Ruled out: trying again on any early end, which would hide real faults. That a taken port was the cause of the old error isn't shown.

--- a/tests/one_process.py
+++ b/tests/one_process.py
@@ -16,6 +16,7 @@
 _POLL_S = 0.05
 _LISTENING_PORTS = (15_000, 32_000)
 _ADDRESS = re.compile(r"(http|thrift)=(\S+)")
+_PORT_TAKEN = re.compile(r"cannot listen at \S+: Address already in use")
 
 
 def wait_until(
@@ -87,11 +88,21 @@
         """Waits until its log matches a pattern."""
 
         def look() -> re.Match | None:
-            assert self._popen.poll() is None, self.text()
+            status = self._popen.poll()
+            assert status is None, (
+                f"{self.log.name} ended with status {status} before it wrote "
+                f"{pattern!r}; it wrote: {self.text() or 'nothing'}"
+            )
             return re.search(pattern, self.text())
 
         return wait_until(look, what=f"{pattern!r} in {self.log.name}")
 
+    def found_its_port_taken(self) -> bool:
+        """Whether it ended because an address of its was in use."""
+        return self._popen.poll() is not None and bool(
+            _PORT_TAKEN.search(self.text())
+        )
+
     def addresses(self) -> dict[str, str]:
         """The addresses of its "started" event, by protocol."""
         line = self.wait_for(r"event=started.*\n")[0]
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import pathlib
+import shutil
 import time
 
 from tests import invariants
@@ -34,14 +35,13 @@
 
     def start_control(self, name: str = "control-1", *more: str) -> Process:
         """Forms a group of one control process and starts it."""
-        self.form_group(name)
-        return self.run_control(name, *more)
+        return self._form_and_run_first([name], *more)
 
     def start_controls(self, count: int = 3, *more: str) -> list[Process]:
         """Forms a group, starts all of it and waits for every vote."""
         names = [f"control-{number}" for number in range(1, count + 1)]
-        self.form_group(*names)
-        started = [self.run_control(name, *more) for name in names]
+        started = [self._form_and_run_first(names, *more)]
+        started += [self.run_control(name, *more) for name in names[1:]]
         self.wait_for_voters(names)
         return started
 
@@ -258,6 +258,22 @@
         for process in self.processes.values():
             process.end()
 
+    def _form_and_run_first(self, names: list[str], *more: str) -> Process:
+        """Forms a group and starts its first member.
+
+        Another process may have taken a port since it was chosen. While no
+        member ever ran, the group is formed anew on other ports, once.
+        """
+        self.form_group(*names)
+        try:
+            return self.run_control(names[0], *more)
+        except AssertionError:
+            if not self.processes[names[0]].found_its_port_taken():
+                raise
+        shutil.rmtree(self.data_folder(names[0]))
+        self.form_group(*names)
+        return self.run_control(names[0], *more)
+
     def _start(
         self,
         name: str,
