--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -11,6 +11,7 @@
 from marigoldsill.coordination import run_keeper
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import http_client
 from standins import journal as journal_module
 from standins import worker as worker_module
 from tests import invariants
@@ -207,7 +208,7 @@
         "epoch": 1,
         "lease_end_ns": time.monotonic_ns() - 1,
     }
-    answer = processes.http_client.fetch(
+    answer = http_client.fetch(
         f"http://{bench.worker.address}/start",
         method="POST",
         body=json.dumps(body).encode(),
