Split one connection's handler out of the HTTP server

Cause: http_server.py held four jobs in 483 lines: one connection's requests, the answer to a refused connection, the listener, and the stop. Now http_connection.py reads and answers one connection's requests, and http_server.py listens, drains and stops. HttpServer, HEADERS_KEY and HANGUP_KEY are still found in http_server.

Ruled out: a third module for the stop; it shares the listener's connections and would only have passed them back and forth.

--- a/marigoldsill/transport/http_server.py
+++ b/marigoldsill/transport/http_server.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from concurrent import futures
 import contextlib
-import io
-import json
 import socket
 import socketserver
 import threading
@@ -15,206 +13,19 @@
 from marigoldsill import errors
 from marigoldsill.transport import addresses
 from marigoldsill.transport import hangups
+from marigoldsill.transport import http_connection
 from marigoldsill.transport import logs
 from marigoldsill.transport import pools
-from marigoldsill.transport import request_reader
 
-# What an application finds in its environment besides the usual.
-HEADERS_KEY = "marigoldsill.headers"
-HANGUP_KEY = "marigoldsill.hangup"
+HEADERS_KEY = http_connection.HEADERS_KEY
+HANGUP_KEY = http_connection.HANGUP_KEY
 
-_IDLE_TIMEOUT_S = 30.0
 _REQUEST_TIMEOUT_S = 10.0
-_SEND_TIMEOUT_S = 30.0
 _BODY_LIMIT_BYTES = 64 << 20
 _LAST_REQUEST_S = 0.3
-_LINGER_S = 0.5
-_LINGER_LIMIT_BYTES = 4 << 20
 _POLL_S = 0.02
 # Only a stop waits for it; each look costs a waking of the process.
 _ACCEPT_POLL_S = 0.2
-_CONNECTION_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
-    b"Retry-After: 1\r\nConnection: close\r\nX-Request-Outcome: not-run\r\n"
-)
-_CONNECTION_REFUSAL_BODY = json.dumps(
-    {
-        "error": "OverloadedError",
-        "message": "all connections of this process are taken",
-        "outcome": "not-run",
-        "retry_after_ms": 1000,
-    }
-).encode()
-
-
-class _FailedBody(io.RawIOBase):
-    """Stands for a body that did not arrive: reading it raises why."""
-
-    def __init__(self, error: errors.MarigoldsillError):
-        self._error = error
-
-    def readable(self) -> bool:
-        return True
-
-    def readinto(self, buffer: memoryview) -> int:
-        raise self._error
-
-
-class _Handler(serving.WSGIRequestHandler):
-    """One connection: its requests, one after the other.
-
-    Werkzeug's own handler closes a connection after each request and waits a
-    little for more input before; this one reads each request whole first, so
-    that the connection can be kept.
-    """
-
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-
-    def setup(self) -> None:
-        super().setup()
-        self._stream = request_reader.DeadlineStream(
-            self.connection,
-            idle_s=_IDLE_TIMEOUT_S,
-            request_s=self.server.request_timeout_s,
-            on_begun=lambda: self.server.busy(self.connection),
-        )
-        self.rfile = io.BufferedReader(self._stream, 65_536)
-
-    def log(self, type: str, message: str, *args: object) -> None:  # noqa: A002
-        """Drops werkzeug's own lines: roles write their own events."""
-
-    def handle(self) -> None:
-        """Serves requests until the connection is to be closed."""
-        self.close_connection = True
-        with contextlib.suppress(TimeoutError, ConnectionError):
-            self.handle_one_request()
-            while not self.close_connection:
-                self.handle_one_request()
-
-    def handle_one_request(self) -> None:
-        """Reads one request and answers it."""
-        self._stream.begin()
-        self.server.idle(self.connection)
-        self.raw_requestline = self.rfile.readline(65_537)
-        self.server.busy(self.connection)
-        if not self.raw_requestline or not self.parse_request():
-            self.close_connection = True
-            return
-        self.run_wsgi()
-
-    def handle_expect_100(self) -> bool:
-        """Lets the body come only once it is known to be acceptable."""
-        return True
-
-    def run_wsgi(self) -> None:
-        """Runs the application once and counts the request as in flight."""
-        self.server.enter_request()
-        try:
-            with self.server.watch(self.connection) as hangup:
-                status, headers, body = self._run(hangup)
-            self._send(status, headers, body)
-        finally:
-            self.server.leave_request()
-
-    def _run(self, hangup: hangups.Hangup) -> tuple[str, list, bytes]:
-        environ = self.make_environ()
-        environ[HEADERS_KEY] = self.headers.items()
-        environ[HANGUP_KEY] = hangup
-        environ["wsgi.input_terminated"] = True
-        try:
-            environ["wsgi.input"] = io.BytesIO(self._read_body(environ))
-        except errors.MarigoldsillError as error:
-            self.close_connection = True
-            environ["wsgi.input"] = _FailedBody(error)
-            environ.pop("CONTENT_LENGTH", None)
-        started: list[tuple[str, list]] = []
-
-        def start_response(
-            status: str, headers: list, exc_info: object = None
-        ) -> None:
-            started.append((status, headers))
-
-        chunks = self.server.app(environ, start_response)
-        try:
-            body = b"".join(chunks)
-        finally:
-            if hasattr(chunks, "close"):
-                chunks.close()
-        status, headers = started[-1]
-        return status, headers, body
-
-    def _read_body(self, environ: dict) -> bytes:
-        length_text = self.headers.get("Content-Length")
-        codings = self.headers.get("Transfer-Encoding", "").strip().lower()
-        if codings not in ("", "chunked"):
-            raise errors.BadInputError(
-                f"transfer encoding {codings!r} is not accepted; chunked is"
-            )
-        if length_text is not None and (codings or not length_text.isdigit()):
-            raise errors.BadInputError(
-                f"Content-Length {length_text!r} is not accepted here; a whole "
-                "number without Transfer-Encoding is"
-            )
-        if len(self.headers.get_all("Content-Length", ())) > 1:
-            raise errors.BadInputError("Content-Length came more than once")
-        length_bytes = int(length_text) if length_text else 0
-        if not length_bytes and not codings:
-            return b""
-        limit_bytes = self.server.body_limit_bytes
-        expects = self.headers.get("Expect", "").strip().lower()
-        if expects == "100-continue" and length_bytes <= limit_bytes:
-            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._stream.expect_body()
-        body = request_reader.read_body(
-            self.rfile,
-            length_bytes=length_bytes,
-            chunked=bool(codings),
-            limit_bytes=limit_bytes,
-        )
-        environ["CONTENT_LENGTH"] = str(len(body))
-        return body
-
-    def _send(self, status: str, headers: list, body: bytes) -> None:
-        code = int(status.split(" ", 1)[0])
-        names = {name.lower() for name, _ in headers}
-        if ("connection", "close") in {
-            (name.lower(), value.lower()) for name, value in headers
-        }:
-            self.close_connection = True
-            headers = [h for h in headers if h[0].lower() != "connection"]
-        lines = [f"HTTP/1.1 {status}"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        if "date" not in names:
-            lines.append(f"Date: {self.date_time_string()}")
-        has_body = self.command != "HEAD" and code not in (204, 304)
-        if has_body and "content-length" not in names:
-            lines.append(f"Content-Length: {len(body)}")
-        if self.server.draining or (has_body and not _is_whole(headers, body)):
-            self.close_connection = True
-        if self.close_connection:
-            lines.append("Connection: close")
-        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
-        self.connection.settimeout(_SEND_TIMEOUT_S)
-        self.connection.sendall(head + body if has_body else head)
-        if self.close_connection:
-            self._linger()
-
-    def _linger(self) -> None:
-        """Lets the caller read the answer although it may still send.
-
-        Closing with input unread would reset the connection under the answer.
-        """
-        end_s = time.monotonic() + _LINGER_S
-        read_bytes = 0
-        with contextlib.suppress(OSError):
-            self.connection.shutdown(socket.SHUT_WR)
-            while read_bytes < _LINGER_LIMIT_BYTES:
-                self.connection.settimeout(max(0.001, end_s - time.monotonic()))
-                data = self.connection.recv(65_536)
-                read_bytes += len(data)
-                if not data:
-                    return
 
 
 class _Server(serving.BaseWSGIServer):
@@ -234,7 +45,9 @@
         body_limit_bytes: int,
         request_timeout_s: float,
     ):
-        super().__init__(host, port, app, handler=_Handler)
+        super().__init__(
+            host, port, app, handler=http_connection.ConnectionHandler
+        )
         self._pool = pools.BoundedPool(threads_count=threads_count, name="http")
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
@@ -305,7 +118,7 @@
             self._submit(request, client_address)
         except (errors.OverloadedError, RuntimeError) as error:
             logs.event("connection_refused", level="DEBUG", reason=error)
-            _refuse(request)
+            http_connection.refuse(request)
             self._forget(request)
 
     def handle_error(
@@ -461,23 +274,6 @@
             time.sleep(_POLL_S)
 
 
-def _is_whole(headers: list, body: bytes) -> bool:
-    """Whether a body has the length that its headers state, if any."""
-    stated = (v for name, v in headers if name.lower() == "content-length")
-    return all(int(value) == len(body) for value in stated)
-
-
-def _refuse(connection: socket.socket) -> None:
-    answer = (
-        _CONNECTION_REFUSAL
-        + b"Content-Length: %d\r\n\r\n" % len(_CONNECTION_REFUSAL_BODY)
-        + _CONNECTION_REFUSAL_BODY
-    )
-    with contextlib.suppress(OSError):
-        connection.settimeout(0)
-        connection.send(answer)
-
-
 def _shut_down(connection: socket.socket, how: int) -> None:
     with contextlib.suppress(OSError):
         connection.shutdown(how)
