Copy generated records with changed fields in one place

Cause: "every slot of a record, some replaced" was written out in nine modules (members, standings, election, formation's and replication's callers, tables, claims, plans, runs, vote). protocol/records.py now has it once, as `records.changed`; members.changed is gone with its three callers moved.

Ruled out: policy_file.py's copy, which also turns ratios into floats.

Checked: ruff, and tests/lint, state, coordination, transport, cli and roles all pass.

--- a/marigoldsill/coordination/election.py
+++ b/marigoldsill/coordination/election.py
@@ -7,6 +7,7 @@
 
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import peers as peers_module
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
@@ -87,10 +88,9 @@
         if not peer.member.voter:
             return None
         peer.asked_ballot = ballot
-        slots = ttypes.VoteRequest.__slots__
-        values = {slot: getattr(ballot.request, slot) for slot in slots}
-        values["target_incarnation"] = peer.member.incarnation
-        return ttypes.VoteRequest(**values)
+        return records.changed(
+            ballot.request, target_incarnation=peer.member.incarnation
+        )
 
     def count(
         self,
--- a/marigoldsill/coordination/formation.py
+++ b/marigoldsill/coordination/formation.py
@@ -7,6 +7,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination import members as members_module
 from marigoldsill.protocol import codec
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files as files_module
 from marigoldsill.state import log as log_module
@@ -217,7 +218,7 @@
     members: list[ttypes.Member], state: ttypes.MemberState
 ) -> list[ttypes.Member]:
     return [
-        members_module.changed(
+        records.changed(
             member,
             voter=member.name == state.name,
             incarnation=state.incarnation if member.name == state.name else 0,
--- a/marigoldsill/coordination/members.py
+++ b/marigoldsill/coordination/members.py
@@ -6,6 +6,7 @@
 """
 
 from marigoldsill import errors
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 
 
@@ -80,7 +81,7 @@
 ) -> list[ttypes.Member]:
     """The members with a learner added, or a known one's addresses changed."""
     known = next((m for m in members if m.name == member.name), None)
-    record = changed(
+    record = records.changed(
         member,
         incarnation=known.incarnation if known else 0,
         voter=known.voter if known else False,
@@ -101,10 +102,3 @@
         known = ", ".join(m.name for m in members)
         raise errors.NotFoundError(f"no member {name!r}; members are {known}")
     return rest
-
-
-def changed(member: ttypes.Member, **fields: object) -> ttypes.Member:
-    """A copy of a member with other fields."""
-    slots = ttypes.Member.__slots__
-    values = {slot: getattr(member, slot) for slot in slots}
-    return ttypes.Member(**(values | fields))
--- a/marigoldsill/coordination/replication.py
+++ b/marigoldsill/coordination/replication.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination import members as members_module
 from marigoldsill.coordination import peers as peers_module
 from marigoldsill.protocol import codec
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
 from marigoldsill.transport import logs
@@ -205,7 +206,7 @@
         member, seen = peer.member, peer.seen_incarnation
         if seen not in (0, member.incarnation):
             _note_incarnation(member, seen)
-            return members_module.changed(member, incarnation=seen, voter=False)
+            return records.changed(member, incarnation=seen, voter=False)
         if member.voter or not member.incarnation:
             return None
         if not self._answers(peer):
@@ -213,7 +214,7 @@
         if peer.progress.match_index < max(1, earlier_index):
             return None
         logs.event("member_promoted", member=member.name)
-        return members_module.changed(member, voter=True)
+        return records.changed(member, voter=True)
 
     def _answers(self, peer: peers_module.Peer) -> bool:
         silent_s = time.monotonic() - peer.progress.answered_s
--- a/marigoldsill/coordination/standings.py
+++ b/marigoldsill/coordination/standings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
@@ -55,5 +56,4 @@
     worker: ttypes.Worker, state: ttypes.WorkerState, reason: str
 ) -> ttypes.Worker:
     """A worker's record with another state."""
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    return ttypes.Worker(**(values | {"state": state, "reason": reason}))
+    return records.changed(worker, state=state, reason=reason)
--- a/marigoldsill/state/claims.py
+++ b/marigoldsill/state/claims.py
@@ -8,6 +8,7 @@
 
 import itertools
 
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
@@ -62,7 +63,7 @@
         return _result(tables, ttypes.Outcome.CONFLICT, old)
     if old.state not in _OPEN:
         return _result(tables, ttypes.Outcome.ALREADY, old)
-    new = _copy(
+    new = records.changed(
         old,
         state=end_claim.state,
         status_code=end_claim.status_code,
@@ -80,7 +81,7 @@
     attempt: int,
     now_unix_ms: int,
 ) -> ttypes.CommandResult:
-    new = _copy(
+    new = records.changed(
         claim,
         attempt=attempt,
         state=ttypes.ClaimState.CLAIMED,
@@ -111,11 +112,6 @@
     return old
 
 
-def _copy(claim: ttypes.Claim, **fields: object) -> ttypes.Claim:
-    values = {slot: getattr(claim, slot) for slot in ttypes.Claim.__slots__}
-    return ttypes.Claim(**(values | fields))
-
-
 def _expire(tables: tables_module.Tables, now_unix_ms: int) -> None:
     oldest = itertools.islice(tables.claims.values(), _EXPIRE_AT_ONCE)
     gone = [c.key for c in oldest if c.expires_unix_ms < now_unix_ms]
--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
 from marigoldsill.state import changes
@@ -29,7 +30,9 @@
     tables: tables_module.Tables, plan: ttypes.Plan, now_unix_ms: int
 ) -> ttypes.CommandResult:
     """Keeps a plan under a new id."""
-    kept = _with(plan, plan_id=tables.next_plan_id, created_unix_ms=now_unix_ms)
+    kept = records.changed(
+        plan, plan_id=tables.next_plan_id, created_unix_ms=now_unix_ms
+    )
     tables.plans[kept.plan_id] = kept
     tables.next_plan_id += 1
     if len(tables.plans) > PLANS_LIMIT:
@@ -225,15 +228,10 @@
 def _set_state(
     tables: tables_module.Tables, plan: ttypes.Plan, state: ttypes.PlanState
 ) -> ttypes.Plan:
-    tables.plans[plan.plan_id] = _with(plan, state=state)
+    tables.plans[plan.plan_id] = records.changed(plan, state=state)
     return tables.plans[plan.plan_id]
 
 
-def _with(plan: ttypes.Plan, **fields: object) -> ttypes.Plan:
-    values = {slot: getattr(plan, slot) for slot in ttypes.Plan.__slots__}
-    return ttypes.Plan(**(values | fields))
-
-
 def _result(
     tables: tables_module.Tables,
     plan_id: int,
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -5,6 +5,7 @@
 replaying it has no effect.
 """
 
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
@@ -148,8 +149,7 @@
         state = ttypes.WorkerState.ACTIVE
         if draining:
             state = ttypes.WorkerState.DRAINING
-    values = {slot: getattr(worker, slot) for slot in ttypes.Worker.__slots__}
-    return ttypes.Worker(**(values | {"state": state, "draining": draining}))
+    return records.changed(worker, state=state, draining=draining)
 
 
 def stop_for_good(tables: tables_module.Tables, name: str, reason: str) -> None:
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -8,6 +8,7 @@
 import itertools
 
 from marigoldsill.protocol import codec
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 
 TOMBSTONES_LIMIT = 2_000
@@ -135,9 +136,7 @@
 
     def change_task(self, name: str, **fields: object) -> ttypes.Task:
         """Sets fields of a task and mends the indexes."""
-        old = self.tasks[name]
-        values = {slot: getattr(old, slot) for slot in ttypes.Task.__slots__}
-        task = ttypes.Task(**(values | fields))
+        task = records.changed(self.tasks[name], **fields)
         self.put_task(task)
         return task
 
@@ -305,8 +304,8 @@
     ]
 
 
-def _by_name(records: list) -> dict:
-    return {record.name: record for record in records}
+def _by_name(named: list) -> dict:
+    return {record.name: record for record in named}
 
 
 def _discard(index: dict[str, set[str]], key: str, name: str) -> None:
--- a/marigoldsill/state/vote.py
+++ b/marigoldsill/state/vote.py
@@ -4,6 +4,7 @@
 
 from marigoldsill import errors
 from marigoldsill.protocol import codec
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files as files_module
 from marigoldsill.state import sealed
@@ -48,9 +49,7 @@
         Raises:
             StorageError: They are not; the process has to stop.
         """
-        slots = ttypes.MemberState.__slots__
-        values = {slot: getattr(self.state, slot) for slot in slots}
-        state = ttypes.MemberState(**(values | fields))
+        state = records.changed(self.state, **fields)
         self._write(state)
         self.state = state
 
