Stamp commands and refuse non-leaders in one place each

Cause: a Command with id and wall-clock time was put together in scheduler.py, control_service.py, claim_service.py and plan_commands.py; NotLeader with the leader's addresses stood in control_service.py and watch_service.py; the same two errors were translated for the protocol in three modules. Now coordination/commands.py stamps commands, and leadership.py has not_leader and protocol_error. A claim without an id keeps its empty command id.

Ruled out: a context manager for the translation. A trial showed that one lets thrift's generated errors, which are immutable, through as TypeError; the docstring says so. peer_service.py's translation stays: it also passes the leader's addresses and the retry time.

--- a/marigoldsill/coordination/claim_service.py
+++ b/marigoldsill/coordination/claim_service.py
@@ -5,9 +5,9 @@
 may send the same claim again and takes no second one by it.
 """
 
-import time
-
 from marigoldsill import errors
+from marigoldsill.coordination import commands
+from marigoldsill.coordination import leadership
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
 
@@ -43,14 +43,8 @@
 def _propose(
     replica: replica_module.Replica, *, command_id: str, **body: object
 ) -> ttypes.CommandResult:
-    command = ttypes.Command(
-        command_id=command_id,
-        proposed_unix_ms=time.time_ns() // 1_000_000,
-        **body,
-    )
+    command = commands.new(command_id=command_id, **body)
     try:
         return replica.propose(command, timeout_s=_PROPOSE_TIMEOUT_S)
-    except errors.NotLeaderError as error:
-        raise ttypes.NotLeader() from error
-    except errors.NoQuorumError as error:
-        raise ttypes.NoQuorum() from error
+    except (errors.NotLeaderError, errors.NoQuorumError) as error:
+        raise leadership.protocol_error(error) from error
--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -1,15 +1,15 @@
 """What the leader of control does for agents and entries."""
 
 from collections.abc import Callable
-import time
-import uuid
 
 from marigoldsill import errors
 from marigoldsill.coordination import absence
 from marigoldsill.coordination import changes as changes_module
 from marigoldsill.coordination import claim_service
+from marigoldsill.coordination import commands
 from marigoldsill.coordination import endpoints as endpoints_module
 from marigoldsill.coordination import heartbeats as heartbeats_module
+from marigoldsill.coordination import leadership
 from marigoldsill.coordination import leases as leases_module
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import usage as usage_module
@@ -125,21 +125,11 @@
         if self._replica.is_leader:
             self.become_leader()
             return
-        leader = self._replica.leader
-        raise ttypes.NotLeader(
-            leader_address=leader.address if leader else "",
-            leader_http_address=leader.http_address if leader else "",
-        )
+        raise leadership.not_leader(self._replica)
 
     def _propose(self, **body: object) -> ttypes.CommandResult:
-        command = ttypes.Command(
-            command_id=str(uuid.uuid4()),
-            proposed_unix_ms=time.time_ns() // 1_000_000,
-            **body,
-        )
+        command = commands.new(**body)
         try:
             return self._replica.propose(command, timeout_s=_PROPOSE_TIMEOUT_S)
-        except errors.NotLeaderError as error:
-            raise ttypes.NotLeader() from error
-        except errors.NoQuorumError as error:
-            raise ttypes.NoQuorum() from error
+        except (errors.NotLeaderError, errors.NoQuorumError) as error:
+            raise leadership.protocol_error(error) from error
--- a/marigoldsill/coordination/leadership.py
+++ b/marigoldsill/coordination/leadership.py
@@ -2,6 +2,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination import replica as replica_module
+from marigoldsill.protocol.generated import ttypes
 
 
 def require(replica: replica_module.Replica) -> None:
@@ -21,6 +22,28 @@
     )
 
 
+def not_leader(replica: replica_module.Replica) -> ttypes.NotLeader:
+    """What another process is told that asked this one as leader."""
+    leader = replica.leader
+    return ttypes.NotLeader(
+        leader_address=leader.address if leader else "",
+        leader_http_address=leader.http_address if leader else "",
+    )
+
+
+def protocol_error(
+    error: errors.NotLeaderError | errors.NoQuorumError,
+) -> ttypes.NotLeader | ttypes.NoQuorum:
+    """What another process is told when a command could not be agreed on.
+
+    Not a context manager: those set attributes of the errors that pass
+    through, which thrift's generated ones refuse.
+    """
+    if isinstance(error, errors.NotLeaderError):
+        return ttypes.NotLeader()
+    return ttypes.NoQuorum()
+
+
 def confirm(replica: replica_module.Replica, *, timeout_s: float) -> None:
     """Checks with a majority that this process leads now.
 
--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plan_commands.py
@@ -1,11 +1,11 @@
 """Makes plans and confirms them, for operators."""
 
 import json
-import time
 
 import prometheus_client
 
 from marigoldsill import errors
+from marigoldsill.coordination import commands
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import guards
 from marigoldsill.coordination import leadership
@@ -175,7 +175,7 @@
         return planning.Planner(
             tables=tables,
             observed=guards.Observed(
-                now_unix_ms=_now_unix_ms(),
+                now_unix_ms=commands.now_unix_ms(),
                 called_services=self._service.watches.called_services(),
                 sizes=self._service.usage.largest_by_owner(),
                 run_time_ms=self._service.run_time_ms,
@@ -191,11 +191,7 @@
         )
 
     def _propose(self, command_id: str, **body: object) -> ttypes.CommandResult:
-        command = ttypes.Command(
-            command_id=command_id,
-            proposed_unix_ms=_now_unix_ms(),
-            **body,
-        )
+        command = commands.new(command_id=command_id, **body)
         return self._replica.propose(command, timeout_s=_TIMEOUT_S)
 
 
@@ -263,10 +259,6 @@
             raise errors.ConflictError(result.message)
 
 
-def _now_unix_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 def _names(body: bytes) -> list[str]:
     names = _field(body, "names", list)
     if not all(isinstance(name, str) for name in names):
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/scheduler.py
@@ -3,9 +3,9 @@
 from concurrent import futures
 import threading
 import time
-import uuid
 
 from marigoldsill import errors
+from marigoldsill.coordination import commands
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import decisions as decisions_module
 from marigoldsill.coordination import fleet
@@ -110,7 +110,7 @@
         tables = self._replica.tables
         live = self._service.leases.live()
         changes = self._service.take_changes()
-        now = fleet.Now(time.monotonic(), time.time_ns() // 1_000_000)
+        now = fleet.Now(time.monotonic(), commands.now_unix_ms())
         if tables is not self._tables:
             self._tables = tables
             self._decisions = decisions_module.Decisions()
@@ -149,11 +149,7 @@
         ]
 
     def _propose(self, **body: object) -> None:
-        command = ttypes.Command(
-            command_id=str(uuid.uuid4()),
-            proposed_unix_ms=time.time_ns() // 1_000_000,
-            **body,
-        )
+        command = commands.new(**body)
         self._replica.propose(command, timeout_s=_PROPOSE_TIMEOUT_S)
 
 
--- a/marigoldsill/coordination/watch_service.py
+++ b/marigoldsill/coordination/watch_service.py
@@ -7,6 +7,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination import configuration
 from marigoldsill.coordination import endpoints as endpoints_module
+from marigoldsill.coordination import leadership
 from marigoldsill.coordination import orders
 from marigoldsill.coordination import replica as replica_module
 from marigoldsill.coordination import watch_hub
@@ -149,19 +150,13 @@
     def _require_leader(self) -> None:
         if self._replica.is_leader:
             return
-        leader = self._replica.leader
-        raise ttypes.NotLeader(
-            leader_address=leader.address if leader else "",
-            leader_http_address=leader.http_address if leader else "",
-        )
+        raise leadership.not_leader(self._replica)
 
     def _confirm_leadership(self) -> None:
         try:
             self._replica.confirm_leadership(timeout_s=_CONFIRM_TIMEOUT_S)
-        except errors.NotLeaderError as error:
-            raise ttypes.NotLeader() from error
-        except errors.NoQuorumError as error:
-            raise ttypes.NoQuorum() from error
+        except (errors.NotLeaderError, errors.NoQuorumError) as error:
+            raise leadership.protocol_error(error) from error
 
 
 def _config_of(tables: tables_module.Tables) -> tuple[int, int]:
