Hand operators' options to commands as one object

Cause: where, who and how to print were spelt out as four parameters in each command of cli/plans.py and cli/state.py, with the same two lines to make a client and to print. options.for_operators now gives a command one OperatorOptions, which makes the client when it is asked to, so that faults are found in the order as before.

--- a/marigoldsill/cli/options.py
+++ b/marigoldsill/cli/options.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import pathlib
 
 import click
 
 from marigoldsill import setting_sources
+from marigoldsill.cli import client as client_module
+from marigoldsill.cli import output as output_module
 
 
 def for_settings(settings_class: type) -> Callable:
@@ -25,11 +28,48 @@
     return decorate
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OperatorOptions:
+    """What every operators' command takes: where, who, how to print."""
+
+    control_http: str
+    token_file: pathlib.Path | None
+    operator: str
+    output: str
+
+    def client(self) -> client_module.Client:
+        """A client of the control processes.
+
+        Raises:
+            SettingsError: An address is wrong or the token can't be read.
+        """
+        return client_module.make(
+            self.control_http, self.token_file, self.operator
+        )
+
+    def show(self, value: object) -> None:
+        """Prints an answer as asked."""
+        output_module.show(value, self.output)
+
+
 def for_operators(command: Callable) -> Callable:
-    """Adds what every operators' command takes: where, who, how to print."""
+    """Adds the operators' options; the command gets them as `operators`."""
+
+    @functools.wraps(command)
+    def with_options(
+        *,
+        control_http: str,
+        token_file: pathlib.Path | None,
+        operator: str,
+        output: str,
+        **others: object,
+    ) -> None:
+        given = OperatorOptions(control_http, token_file, operator, output)
+        command(operators=given, **others)
+
     for option in reversed(_OPERATOR_OPTIONS):
-        command = option(command)
-    return command
+        with_options = option(with_options)
+    return with_options
 
 
 command_id = click.option(
--- a/marigoldsill/cli/plans.py
+++ b/marigoldsill/cli/plans.py
@@ -7,10 +7,8 @@
 import click
 
 from marigoldsill import errors
-from marigoldsill.cli import client as client_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
-from marigoldsill.cli import output as output_module
 
 
 @click.group(cls=groups.Group)
@@ -110,14 +108,11 @@
 @options.for_operators
 def show(
     plan_id: int,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
     """Shows the plan PLAN_ID as it was made."""
-    client = client_module.make(control_http, token_file, operator)
-    output_module.show(client.get(f"/v1/plans/{plan_id}"), output)
+    client = operators.client()
+    operators.show(client.get(f"/v1/plans/{plan_id}"))
 
 
 @click.command()
@@ -134,19 +129,16 @@
     plan_id: int,
     acknowledge: tuple[str, ...],
     command_id: str,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
     """Confirms the plan PLAN_ID, which then takes effect."""
-    client = client_module.make(control_http, token_file, operator)
+    client = operators.client()
     value = client.post(
         f"/v1/plans/{plan_id}/confirm",
         _json(acknowledged=list(acknowledge)),
         command_id=command_id,
     )
-    output_module.show(value, output)
+    operators.show(value)
 
 
 def read_file(path: pathlib.Path) -> bytes:
@@ -168,16 +160,13 @@
     body: bytes,
     *,
     command_id: str,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
-    client = client_module.make(control_http, token_file, operator)
+    client = operators.client()
     path = f"/v1/plans/{urllib.parse.quote(action)}"
     value = client.post(path, body, command_id=command_id)
-    output_module.show(value, output)
-    if output == "table":
+    operators.show(value)
+    if operators.output == "table":
         click.echo(f"\nNothing has happened yet. {_next_step(value)}")
 
 
--- a/marigoldsill/cli/state.py
+++ b/marigoldsill/cli/state.py
@@ -1,6 +1,5 @@
 """Commands that read: status, explain and audit."""
 
-import pathlib
 import time
 import urllib.parse
 
@@ -9,7 +8,6 @@
 from marigoldsill import errors
 from marigoldsill.cli import client as client_module
 from marigoldsill.cli import options
-from marigoldsill.cli import output as output_module
 
 
 @click.command()
@@ -25,18 +23,15 @@
 def status(
     watch: bool,
     interval_ms: int,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
     """Shows workers, tasks and what needs attention."""
-    client = client_module.make(control_http, token_file, operator)
+    client = operators.client()
     if not watch:
-        output_module.show(client.get("/v1/status"), output)
+        operators.show(client.get("/v1/status"))
         return
     while True:
-        _show_again(client, output)
+        _show_again(client, operators)
         time.sleep(interval_ms / 1000)
 
 
@@ -45,15 +40,12 @@
 @options.for_operators
 def explain(
     name: str,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
     """Says why what NAME names waits, moved, or ended."""
-    client = client_module.make(control_http, token_file, operator)
+    client = operators.client()
     path = f"/v1/explain/{urllib.parse.quote(name, safe='')}"
-    output_module.show(client.get(path), output)
+    operators.show(client.get(path))
 
 
 @click.command()
@@ -67,22 +59,21 @@
 @options.for_operators
 def audit(
     since: int,
-    control_http: str,
-    token_file: pathlib.Path | None,
-    operator: str,
-    output: str,
+    operators: options.OperatorOptions,
 ) -> None:
     """Shows who planned, confirmed or was refused what, and when."""
-    client = client_module.make(control_http, token_file, operator)
-    output_module.show(client.get(f"/v1/audit?since={since}"), output)
+    client = operators.client()
+    operators.show(client.get(f"/v1/audit?since={since}"))
 
 
-def _show_again(client: client_module.Client, output: str) -> None:
+def _show_again(
+    client: client_module.Client, operators: options.OperatorOptions
+) -> None:
     try:
         value = client.get("/v1/status")
     except errors.NotRunError as error:
         click.echo(f"{error.kind}: {error.message}", err=True)
         return
-    if output == "table":
+    if operators.output == "table":
         click.clear()
-    output_module.show(value, output)
+    operators.show(value)
