Find a run's task in one place

Ruled out: one loop for evict, throttle and mark, given what to change as a function; the three differ in their conditions, and the loop is three lines.

--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -21,17 +21,7 @@
     """Grants runs; those whose task has changed meanwhile are left out."""
     applied = 0
     for grant in assignments:
-        task = tables.tasks.get(grant.task)
-        worker = tables.workers.get(grant.worker)
-        if task is None or worker is None:
-            continue
-        if task.state != ttypes.TaskState.QUEUED:
-            continue
-        if worker.state != ttypes.WorkerState.ACTIVE:
-            continue
-        if grant.epoch != task.epoch + 1:
-            continue
-        if not _has_room(tables, worker, grant.reserved):
+        if not _may_start(tables, grant):
             continue
         tables.change_task(
             grant.task,
@@ -53,10 +43,8 @@
     """Marks runs as giving way; they are queued again once stopped."""
     applied = 0
     for eviction in evictions:
-        task = tables.tasks.get(eviction.task)
-        if task is None or task.epoch != eviction.epoch:
-            continue
-        if task.state not in _LIVE:
+        task = _task_in_epoch(tables, eviction.task, eviction.epoch)
+        if task is None or task.state not in _LIVE:
             continue
         tables.change_task(
             task.name,
@@ -74,8 +62,8 @@
     """Throttles runs or lets them go again."""
     applied = 0
     for order in throttles:
-        task = tables.tasks.get(order.task)
-        if task is None or task.epoch != order.epoch:
+        task = _task_in_epoch(tables, order.task, order.epoch)
+        if task is None:
             continue
         if task.state not in _LIVE or task.throttled == order.throttled:
             continue
@@ -108,8 +96,8 @@
     """Marks waiting tasks as waiting or as impossible, with the reason."""
     applied = 0
     for item in marks:
-        task = tables.tasks.get(item.task)
-        if task is None or task.epoch != item.epoch:
+        task = _task_in_epoch(tables, item.task, item.epoch)
+        if task is None:
             continue
         if task.state not in _WAITING or item.state not in _WAITING:
             continue
@@ -172,6 +160,30 @@
     return 0 < decided_term < tables.leader_term
 
 
+def _task_in_epoch(
+    tables: tables_module.Tables, name: str, epoch: int
+) -> ttypes.Task | None:
+    """A task, unless it is gone or another run of it was granted since."""
+    task = tables.tasks.get(name)
+    if task is None or task.epoch != epoch:
+        return None
+    return task
+
+
+def _may_start(tables: tables_module.Tables, grant: ttypes.Assignment) -> bool:
+    """Whether what a grant was decided from still holds."""
+    task = tables.tasks.get(grant.task)
+    worker = tables.workers.get(grant.worker)
+    if task is None or worker is None:
+        return False
+    return (
+        task.state == ttypes.TaskState.QUEUED
+        and worker.state == ttypes.WorkerState.ACTIVE
+        and grant.epoch == task.epoch + 1
+        and _has_room(tables, worker, grant.reserved)
+    )
+
+
 def _has_room(
     tables: tables_module.Tables,
     worker: ttypes.Worker,
@@ -193,10 +205,8 @@
 def _record_event(
     tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
 ) -> int:
-    task = tables.tasks.get(event.task)
-    if task is None or task.epoch != event.epoch:
-        return 0
-    if not tables_module.holds_worker(task):
+    task = _task_in_epoch(tables, event.task, event.epoch)
+    if task is None or not tables_module.holds_worker(task):
         return 0
     match event.kind:
         case ttypes.RunEventKind.STARTED:
