Take the operators' status apart into one function a record

Cause: Operators.status was the longest statement of coordination, with four record shapes written out inside one dictionary under the lock. Each shape is now a function of its own; fields and their order are the same.

Ruled out: shapes.of_record, which would show every field of a record.

--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/operators.py
@@ -1,6 +1,7 @@
 """What operators ask of the leader: plan, confirm, status, explain, audit."""
 
 from marigoldsill import errors
+from marigoldsill.coordination import absence
 from marigoldsill.coordination import control_service
 from marigoldsill.coordination import leadership
 from marigoldsill.coordination import plan_commands
@@ -8,6 +9,7 @@
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
+from marigoldsill.state import tables as tables_module
 
 _TIMEOUT_S = 3.0
 
@@ -91,43 +93,17 @@
                 "leader": self._replica.member.name,
                 "term": self._replica.term,
                 "state_version": tables.state_version,
-                "members": [
-                    {
-                        "name": member.name,
-                        "address": member.address,
-                        "voter": member.voter,
-                    }
-                    for member in tables.members
-                ],
+                "members": [_member(member) for member in tables.members],
                 "config_version": tables.config_version,
                 "absent_watchers": [
-                    {
-                        "name": absence.task,
-                        "since_unix_ms": absence.since_unix_ms,
-                        "reason": absence.reason,
-                    }
-                    for absence in self._service.absent_watchers
+                    _absence(absent) for absent in self._service.absent_watchers
                 ],
                 "workers": [
-                    {
-                        "name": worker.name,
-                        "data_centre": worker.data_centre,
-                        "state": ttypes.WorkerState(worker.state).name.lower(),
-                        "draining": worker.draining,
-                        "live": worker.name in live,
-                        "tasks": len(tables.tasks_on(worker.name)),
-                    }
+                    _worker(tables, worker, live=worker.name in live)
                     for _, worker in sorted(tables.workers.items())
                 ],
                 "tasks": [
-                    {
-                        "name": task.name,
-                        "kind": ttypes.Kind(task.kind).name.lower(),
-                        "state": ttypes.TaskState(task.state).name.lower(),
-                        "worker": task.worker,
-                        "epoch": task.epoch,
-                        "reason": self._reason(task),
-                    }
+                    _task(task, reason=self._reason(task))
                     for _, task in sorted(tables.tasks.items())
                 ],
             }
@@ -169,3 +145,43 @@
             return task.reason
         waits = self._service.why_waits(task.name)
         return f"{waits} (before: {task.reason})" if waits else task.reason
+
+
+def _member(member: ttypes.Member) -> dict[str, object]:
+    return {
+        "name": member.name,
+        "address": member.address,
+        "voter": member.voter,
+    }
+
+
+def _absence(absent: absence.Absence) -> dict[str, object]:
+    return {
+        "name": absent.task,
+        "since_unix_ms": absent.since_unix_ms,
+        "reason": absent.reason,
+    }
+
+
+def _worker(
+    tables: tables_module.Tables, worker: ttypes.Worker, *, live: bool
+) -> dict[str, object]:
+    return {
+        "name": worker.name,
+        "data_centre": worker.data_centre,
+        "state": ttypes.WorkerState(worker.state).name.lower(),
+        "draining": worker.draining,
+        "live": live,
+        "tasks": len(tables.tasks_on(worker.name)),
+    }
+
+
+def _task(task: ttypes.Task, *, reason: str) -> dict[str, object]:
+    return {
+        "name": task.name,
+        "kind": ttypes.Kind(task.kind).name.lower(),
+        "state": ttypes.TaskState(task.state).name.lower(),
+        "worker": task.worker,
+        "epoch": task.epoch,
+        "reason": reason,
+    }
