Name the subject in tests whose names had none

Cause: fifteen test names did not read as sentences ("of two signals", "no vote right after a start", the run keeper's without a keeper).

--- a/tests/coordination/test_heartbeat_sender.py
+++ b/tests/coordination/test_heartbeat_sender.py
@@ -118,7 +118,7 @@
     assert changed.worker.capacity.cpu_millicores == 4000
 
 
-def test_sends_events_until_they_are_acknowledged(
+def test_sender_repeats_events_until_they_are_acknowledged(
     leader: Leader, runs: Runs, sender: heartbeat_sender.HeartbeatSender
 ) -> None:
     sender.start()
@@ -139,7 +139,7 @@
     assert sequences == sorted(set(sequences))
 
 
-def test_takes_a_later_incarnation_when_the_clock_went_back(
+def test_sender_takes_a_later_incarnation_when_the_clock_went_back(
     leader: Leader, sender: heartbeat_sender.HeartbeatSender
 ) -> None:
     far = 1 << 62
--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/test_run_keeper.py
@@ -151,7 +151,7 @@
     )
 
 
-def test_starts_once_though_orders_come_again(bench: Bench) -> None:
+def test_run_starts_once_though_orders_come_again(bench: Bench) -> None:
     for _ in range(5):
         bench.order(order())
     bench.wait_for(KINDS.STARTED)
@@ -164,7 +164,7 @@
 @pytest.mark.parametrize(
     ("term", "version"), [(TERM - 1, 99), (TERM, 1)], ids=["leader", "order"]
 )
-def test_refuses_orders_of_an_older(
+def test_keeper_refuses_orders_of_an_older(
     bench: Bench, term: int, version: int
 ) -> None:
     bench.order(order())
@@ -176,7 +176,9 @@
     assert bench.states() == {("rebuild/0", 1): "running"}
 
 
-def test_starts_nothing_on_orders_older_than_its_lease(bench: Bench) -> None:
+def test_keeper_starts_nothing_on_orders_older_than_its_lease(
+    bench: Bench,
+) -> None:
     held_version = bench.version
     bench.version += 1
     bench.lease()
@@ -189,7 +191,7 @@
     assert started == ["other/0"]
 
 
-def test_starts_nothing_once_its_lease_is_over(bench: Bench) -> None:
+def test_keeper_starts_nothing_once_its_lease_is_over(bench: Bench) -> None:
     bench.keeper.renewer.renew(
         lease_renewer.AgentLease(
             end_ns=time.monotonic_ns(), length_ms=1, term=TERM + 1
@@ -219,7 +221,7 @@
     assert bench.states() == {}
 
 
-def test_does_not_renew_a_lease_that_has_run_out(bench: Bench) -> None:
+def test_keeper_does_not_renew_a_lease_that_has_run_out(bench: Bench) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
     end_ns = bench.keeper.renewer.lease.end_ns
@@ -230,7 +232,7 @@
     assert bench.states() == {("rebuild/0", 1): "stopped"}
 
 
-def test_refuses_what_does_not_fit_its_worker(bench: Bench) -> None:
+def test_keeper_refuses_what_does_not_fit_its_worker(bench: Bench) -> None:
     bench.order(order(cores=6), order("other/0", cores=3))
     bench.wait_for(KINDS.REFUSED, task="other/0")
 
@@ -251,7 +253,7 @@
     assert bench.keeper.room.capacity.cpu_millicores == 6000
 
 
-def test_throttles_a_run_and_lets_it_go_again(bench: Bench) -> None:
+def test_keeper_throttles_a_run_and_lets_it_go_again(bench: Bench) -> None:
     bench.order(order())
     bench.wait_for(KINDS.STARTED)
     for desire, throttled in (
@@ -267,7 +269,7 @@
         )
 
 
-def test_waits_for_a_run_on_its_way_out_instead_of_refusing(
+def test_keeper_waits_for_a_run_on_its_way_out_instead_of_refusing(
     bench: Bench,
 ) -> None:
     bench.order(order(cores=8))
@@ -399,7 +401,7 @@
     assert len(bench.journaled("run_started")) == 1
 
 
-def test_remembers_nothing_of_runs_that_are_over(bench: Bench) -> None:
+def test_keeper_remembers_nothing_of_runs_that_are_over(bench: Bench) -> None:
     for number in range(5):
         task = f"rebuild-{number}/0"
         bench.order(order(task, run_time_ms=1))
--- a/tests/coordination/test_votes.py
+++ b/tests/coordination/test_votes.py
@@ -64,7 +64,7 @@
     assert not _ask(lonely, "m1", term=term, candidate="m2").granted
 
 
-def test_no_vote_for_what_could_lose_entries(lonely):
+def test_no_vote_is_given_for_what_could_lose_entries(lonely):
     wrong = [
         {"last_index": 1, "last_term": 1},
         {"target_incarnation": 5},
@@ -82,7 +82,7 @@
     assert lonely.replicas["m1"].term == term
 
 
-def test_no_vote_while_a_leader_was_heard_lately(group):
+def test_no_vote_is_given_while_a_leader_was_heard_lately(group):
     group.form()
     leader = group.leader()
     name = next(n for n in group.members if n != leader.member.name)
@@ -90,7 +90,7 @@
     assert group.replicas[name].term == leader.term
 
 
-def test_no_vote_right_after_a_start(lonely):
+def test_no_vote_is_given_right_after_a_start(lonely):
     lonely.stop("m1")
     lonely.start("m1")
     assert not _ask(lonely, "m1").granted
--- a/tests/roles/test_stopping.py
+++ b/tests/roles/test_stopping.py
@@ -43,7 +43,9 @@
     [(_WAIT, 0, "ended\n"), (_SECOND, 128 + 2, "")],
     ids=["the first ends the wait", "the second ends the process"],
 )
-def test_of_two_signals(script: str, status: int, printed: str) -> None:
+def test_first_signal_ends_the_wait_and_a_second_the_process(
+    script: str, status: int, printed: str
+) -> None:
     done = subprocess.run(
         [sys.executable, "-c", script],
         capture_output=True,
