Keep what an earlier agent may have started in a module of its own

Cause: run_keeper.py mixed bringing the worker to its orders with the wait for an earlier agent of the same name. coordination/inherited_runs.py holds the runs of the first orders and that wait; the conditions are the same.

Ruled out: moving the reports of ends too; they need the keeper's operations, outbox and failpoints, so there is no seam.

--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/run_keeper.py
@@ -10,12 +10,11 @@
 from concurrent import futures
 import dataclasses
 import threading
-import time
 
 from marigoldsill import errors
 from marigoldsill.coordination import checkpointing
+from marigoldsill.coordination import inherited_runs
 from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import leases
 from marigoldsill.coordination import run_events
 from marigoldsill.coordination import run_operations
 from marigoldsill.coordination import worker_room
@@ -69,8 +68,7 @@
         self.renewer = lease_renewer.LeaseRenewer(worker=worker)
         self.room = worker_room.WorkerRoom(worker=worker)
         self._orders: _Orders | None = None
-        self._inherited: set[run_events.RunId] = set()
-        self._quiet_until_s: float | None = None
+        self._inherited = inherited_runs.InheritedRuns()
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -99,18 +97,14 @@
                 logs.event("stale_orders", term=term, version=version)
                 return False
             if held is None:
-                self._inherited = set(taken.by_run)
+                self._inherited.take(set(taken.by_run))
             self._orders = taken
         self._wake.set()
         return True
 
     def renew_lease(self, lease: lease_renewer.AgentLease) -> None:
         """Takes a lease that control granted."""
-        if self._quiet_until_s is None and lease.length_ms:
-            # Before this, another agent of the same name may still have had
-            # a lease, and what it asked for may still take effect.
-            full_s = lease.length_ms / 1000 * leases.DRIFT_RATIO
-            self._quiet_until_s = time.monotonic() + full_s + leases.MARGIN_S
+        self._inherited.note_lease(lease)
         held = self.renewer.lease
         self.renewer.renew(lease)
         if not held.is_live or held.orders_version != lease.orders_version:
@@ -270,16 +264,11 @@
         others = running | set(self._operations.starts())
         return any(o.task == run.task and o != run for o in others)
 
-    def _is_quiet(self) -> bool:
-        """Whether nothing that an earlier agent asked for can take effect."""
-        until_s = self._quiet_until_s
-        return until_s is not None and time.monotonic() > until_s
-
     def _report_lost(self, run: run_events.RunId, detail: str) -> None:
         """Reports a run that the list doesn't show, once it surely is gone."""
         if run in self._operations.starts():
             return
-        if run in self._inherited and not self._is_quiet():
+        if run in self._inherited and not self._inherited.is_quiet():
             return
         self._report(run, ttypes.RunEventKind.LOST, detail)
 
@@ -327,5 +316,5 @@
     ) -> None:
         current = set(orders.by_run) | set(listed)
         self._outbox.forget_all_but(current)
-        self._inherited &= current
+        self._inherited.forget_all_but(current)
         self._checkpointing.forget_all_but(current)
