--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 PYTEST_ARGS ?=
 # Most tests wait for other processes, so several run side by side.
-TEST_WORKERS ?= -n 4 --dist loadfile
+TEST_WORKERS ?= -n 4
 BIN = $(VENV)/bin
 BINARY = dist/marigoldsill
 
