Drop a method of the control service that nothing calls

Cause: read once more over the whole change: endpoints_changed stayed behind when watches told of changed routes themselves. Ruled out as dead by the same search over package, tests, benchmarks and stand-ins: the command functions, which click calls, and werkzeug's and logging's hooks. Behaviour is unchanged.

--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/control_service.py
@@ -99,10 +99,6 @@
         self._require_leader()
         return claim_service.end(self._replica, end)
 
-    def endpoints_changed(self) -> None:
-        """Tells entries that routes changed."""
-        self.watches.routes_changed()
-
     def forget_agent(self, agent: str) -> None:
         """Takes an agent whose lease is over out of the routes."""
         if self.endpoints.remove(agent):
