Keep filling tasks off workers that serve, and pace them there

Ruled out: pacing by the leader alone, whose view is a report old.

Change: serving tasks share workers with each other and with quick work; filling tasks go elsewhere while they fit. Each agent lowers the pace of what fills on its worker as soon as a tail comes near its target.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import threading
 
+from marigoldsill.coordination.job_agent import pacer as pacer_module
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
@@ -37,6 +38,8 @@
 
     Attributes:
         changed: Notified on every change.
+        clock: The worker's clock.
+        pacer: The pace of tasks that fill.
         worker: The worker, once it has answered; None before.
         announced: The latest announcement of a worker that may be another.
         lease: The newest lease.
@@ -54,6 +57,7 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.clock = worker_clock.WorkerClock()
+        self.pacer = pacer_module.Pacer()
         self.worker: ttypes.PoolWorker | None = None
         self.announced: run_worker.Announcement | None = None
         self.lease = Lease()
@@ -84,6 +88,20 @@
             and self.orders_version >= self.lease.orders_version
         )
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether tasks that fill run beside some that serve."""
+        held = [o for k, o in self.orders.items() if k in self.running]
+        return any(o.fills for o in held) and any(
+            o.tail_target_ms for o in held
+        )
+
+    def pace_of(self, order: ttypes.RunOrder) -> int:
+        """The percent of its speed that a run may take now."""
+        if not order.fills:
+            return order.pace_percent
+        return min(order.pace_percent, self.pacer.percent)
+
     def announce(self, announcement: run_worker.Announcement) -> None:
         """Takes what the worker says of itself; late ones change nothing."""
         worker = announcement.worker
@@ -163,6 +181,7 @@
                 if ended.number > self.acknowledged:
                     self.ends[ended.end.task, ended.end.run] = ended.end
                 self.listed_through = max(self.listed_through, ended.number)
+            self.pacer.look(self.orders, self.running)
             self._settle_orders()
             self.changed.notify_all()
 
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -105,7 +105,7 @@
         if order.desire == ttypes.RunDesire.STOP or work.refused:
             self._follow_stop(key, order, work, runs=runs)
         elif runs or work.started:
-            if order.pace_percent != work.pace_percent:
+            if self._state.pace_of(order) != work.pace_percent:
                 self._begin(self._pace, order, work)
         elif self._state.may_start:
             if self._state.worker.draining:
@@ -227,11 +227,12 @@
         )
 
     def _pace(self, order: ttypes.RunOrder, work: _Work) -> None:
+        percent = self._state.pace_of(order)
         self._worker.pace(
             order.worker_id,
             order.task,
             order.run,
-            percent=order.pace_percent,
+            percent=percent,
             token=self._state.term,
         )
-        work.pace_percent = order.pace_percent
+        work.pace_percent = percent
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -8,6 +8,8 @@
 
 # How long the worker may hold its answer back; it bounds the age of looks.
 _WAIT_MS = 1_000
+# The same while tasks share the worker that disturb each other.
+_SHARED_WAIT_MS = 250
 # Until control has recorded ends, the worker would list them at once again.
 _UNRECORDED_WAIT_S = 0.1
 _PAUSE_S = 0.1
@@ -71,6 +73,9 @@
                 state.changed.wait()
         return ""
 
+    def _wait_ms(self) -> int:
+        return _SHARED_WAIT_MS if self._state.is_shared else _WAIT_MS
+
     def _hold(self, worker_id: str) -> None:
         state = self._state
         is_known = worker_id == state.worker_id
@@ -80,7 +85,7 @@
             token=state.term,
             acknowledged=state.acknowledged if is_known else 0,
             deadline_ms=deadline_ms,
-            wait_ms=_WAIT_MS if deadline_ms is not None else 0,
+            wait_ms=self._wait_ms() if deadline_ms is not None else 0,
         )
         state.confirm(worker_id)
         received_s = clock.now_s()
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -138,7 +138,11 @@
         )
         if desire == ttypes.RunDesire.RUN:
             record = tables.jobs.jobs[live.job_id]
-            task = tables.jobs.find(live.task)
+            address = task_names.parse(live.task)
+            step = record.job.steps[address.step]
+            task = job_tables.find_task(record, address)
+            order.fills = step.fills
+            order.tail_target_ms = step.tail_target_ms
             run = next(r for r in task.runs if r.run == live.run)
             order.command = record.job.command
             order.checkpoint_id = run.checkpoint_id
--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/jobs/placing.py
@@ -68,13 +68,25 @@
     ]
     if not fitting:
         return None
-    return max(
-        fitting,
-        key=lambda room: (
-            room.worker.rack == step.preferred_rack,
-            room.cpu_millicores / room.worker.capacity.cpu_millicores,
-        ),
-    )
+    return max(fitting, key=lambda room: _preference(step, room))
+
+
+def _preference(
+    step: ttypes.Step, room: rooms_module.Room
+) -> tuple[bool, bool, float]:
+    """How well a worker suits a task; the highest is chosen.
+
+    Tasks that serve users are kept apart from those that fill, because these
+    disturb them. All others go beside those that serve, whom they don't
+    disturb, and so leave the rest of the fleet to tasks that fill.
+    """
+    is_near = room.worker.rack == step.preferred_rack
+    serves = room.serving_count > 0
+    if step.tail_target_ms:
+        return is_near, serves, -room.fills_millicores
+    if step.fills:
+        return is_near, not serves, room.unfilled_share
+    return is_near, serves, room.unfilled_share
 
 
 def _is_crowded(
--- a/marigoldsill/coordination/jobs/rooms.py
+++ b/marigoldsill/coordination/jobs/rooms.py
@@ -19,6 +19,9 @@
         cpu_millicores: Processor time left.
         memory_bytes: Memory left.
         accelerators_count: Accelerators left.
+        serving_count: Tasks on it that serve users of their own.
+        fills_millicores: Processor time that tasks would like to take which
+            get only what the others leave.
         by_step: How many runs of a step are on it.
     """
 
@@ -27,6 +30,8 @@
     cpu_millicores: int
     memory_bytes: int
     accelerators_count: int
+    serving_count: int = 0
+    fills_millicores: int = 0
     by_step: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
     )
@@ -40,11 +45,20 @@
             and wanted.accelerators_count <= self.accelerators_count
         )
 
+    @property
+    def unfilled_share(self) -> float:
+        """Share of the worker that neither tasks nor fills would take."""
+        left = self.cpu_millicores - self.fills_millicores
+        return left / max(1, self.worker.capacity.cpu_millicores)
+
     def take(self, key: tuple[str, int, int], step: ttypes.Step) -> None:
         """Counts a run of a step's task."""
         wanted = step.resources
-        if not step.fills:
+        if step.fills:
+            self.fills_millicores += wanted.cpu_millicores
+        else:
             self.cpu_millicores -= wanted.cpu_millicores
+        self.serving_count += bool(step.tail_target_ms)
         self.memory_bytes -= wanted.memory_bytes
         self.accelerators_count -= wanted.accelerators_count
         self.by_step[key] = self.by_step.get(key, 0) + 1
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -765,7 +765,9 @@
   5: string command = "",
   6: string checkpoint_id = "",
   7: i32 pace_percent = 100,
-  8: string ticket = ""
+  8: string ticket = "",
+  9: bool fills = false,            // takes what other tasks leave
+  10: i64 tail_target_ms = 0        // serves users of its own
 }
 
 struct RunId { 1: string task, 2: i64 run }
