Know a worker's earlier lives from orders; read settings again on SIGHUP

Ruled out: the lease. It was renewed by the new agent, so it could not lapse.

Change: once a life of the worker answers, orders for any other are over. SIGHUP and a changed file have the settings read again.

--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -17,16 +17,18 @@
 @platform.command("edge")
 def edge() -> None:
     """Serves callers and operators; keeps state where there is a disk."""
-    _run("edge")
+    _run("edge", "Edge")
 
 
 @platform.command("side")
 def side() -> None:
     """Keeps the runs of the worker on this machine."""
-    _run("side")
+    _run("side", "Side")
 
 
-def _run(role: str) -> None:
-    settings = settings_file.load(settings_file.path_of())
-    logs.set_up(role=role, name=settings.name)
-    importlib.import_module(f"marigoldsill.platform.{role}").run(settings)
+def _run(role: str, class_name: str) -> None:
+    path = settings_file.path_of()
+    logs.set_up(role=role, name=settings_file.load(path).name)
+    module = importlib.import_module(f"marigoldsill.platform.{role}")
+    process = importlib.import_module("marigoldsill.platform.process")
+    process.run(getattr(module, class_name), path)
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -130,6 +130,7 @@
             old_id = self.worker_id
             self._forget_worker()
             self.worker = self.announced.worker
+            self._settle_orders()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.changed.notify_all()
 
@@ -217,9 +218,20 @@
         self._settle_orders()
 
     def _settle_orders(self) -> None:
-        """Ends orders for a life of the worker that is surely over."""
+        """Ends orders for a life of the worker that is surely over.
+
+        Orders name only lives that this machine's agent has reported, so one
+        that is not the life that answers is an earlier one.
+        """
+        if self.worker is None and not self._gone_ids:
+            return
         for key, order in self.orders.items():
-            if order.worker_id in self._gone_ids and key not in self.ends:
+            is_over = (
+                order.worker_id in self._gone_ids
+                if self.worker is None
+                else order.worker_id != self.worker_id
+            )
+            if is_over and key not in self.ends:
                 self.ends[key] = ttypes.RunEnd(
                     task=order.task,
                     run=order.run,
--- a/marigoldsill/coordination/job_client.py
+++ b/marigoldsill/coordination/job_client.py
@@ -69,6 +69,14 @@
         """Reads the routing in force."""
         return self._call("routing", deadline=deadline)
 
+    def learn(self, addresses: Sequence[str]) -> None:
+        """Takes other addresses of control processes than at the start."""
+        with self._lock:
+            self._addresses = list(addresses)
+            links = list(self._idle)
+        for link in links:
+            link.learn(addresses)
+
     def close(self) -> None:
         """Closes the kept links."""
         with self._lock:
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -8,7 +8,6 @@
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import operators
 from marigoldsill.platform import settings_file
-from marigoldsill.roles import common
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 
@@ -75,6 +74,11 @@
         self._node.stop()
         logs.event("stopped")
 
+    def reload(self, settings: settings_file.PlatformSettings) -> None:
+        """Takes other settings; only the seeds may change while it runs."""
+        self._client.learn(settings.seed_addresses)
+        self._node.learn(settings.seed_addresses)
+
     def _server(
         self, address: str, handle: http_apps.Handler, threads_count: int
     ) -> http_server.HttpServer:
@@ -92,8 +96,3 @@
                 )
             case _:
                 raise http_apps.nothing_here(request)
-
-
-def run(settings: settings_file.PlatformSettings) -> None:
-    """Runs the process until a signal."""
-    common.run(lambda: Edge(settings))
--- /dev/null
+++ b/marigoldsill/platform/process.py
@@ -0,0 +1,65 @@
+"""Runs a role on the platform: settings again on SIGHUP, a stop on SIGTERM."""
+
+from collections.abc import Callable
+import pathlib
+from typing import Protocol
+
+from marigoldsill import errors
+from marigoldsill.platform import settings_file
+from marigoldsill.roles import stopping
+from marigoldsill.transport import logs
+
+# The file may also change without a signal.
+_LOOK_S = 1.0
+
+
+class Role(Protocol):
+    """What runs until a signal."""
+
+    def start(self) -> None:
+        """Begins to serve."""
+
+    def stop(self) -> None:
+        """Ends gracefully."""
+
+    def reload(self, settings: settings_file.PlatformSettings) -> None:
+        """Takes other settings."""
+
+
+class _Reloader:
+    """Hands changed settings to a role; wrong ones change nothing."""
+
+    def __init__(
+        self,
+        role: Role,
+        path: pathlib.Path,
+        settings: settings_file.PlatformSettings,
+    ):
+        self._role = role
+        self._path = path
+        self._settings = settings
+
+    def look(self) -> None:
+        try:
+            settings = settings_file.load(self._path)
+        except errors.SettingsError as error:
+            logs.event("reload_failed", level="ERROR", reason=error.message)
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._role.reload(settings)
+        logs.event("reloaded", seeds=",".join(settings.seed_hosts))
+
+
+def run(
+    make_role: Callable[[settings_file.PlatformSettings], Role],
+    path: pathlib.Path,
+) -> None:
+    """Runs a role until SIGTERM or SIGINT."""
+    settings = settings_file.load(path)
+    stop = stopping.StopSignals(reloads=True)
+    role = make_role(settings)
+    role.start()
+    stop.wait(on_reload=_Reloader(role, path, settings).look, every_s=_LOOK_S)
+    role.stop()
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -1,5 +1,6 @@
 """The agent on a worker's machine of the platform."""
 
+from collections.abc import Callable
 from concurrent import futures
 
 from marigoldsill.coordination import control_link
@@ -12,7 +13,6 @@
 from marigoldsill.platform import settings_file
 from marigoldsill.platform import worker_client
 from marigoldsill.platform import workers
-from marigoldsill.roles import common
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 
@@ -71,15 +71,15 @@
         self._http.stop()
         logs.event("stopped")
 
+    def reload(self, settings: settings_file.PlatformSettings) -> None:
+        """Takes other settings; only the seeds may change while it runs."""
+        for link in self._links:
+            link.learn(settings.seed_addresses)
+
 
-def _logged(task) -> None:
+def _logged(task: Callable[[], None]) -> None:
     try:
         task()
     except Exception as error:
-        logs.event("task_failed", level="CRITICAL", reason=repr(error))
+        logs.event("task_failed", level="CRITICAL", trace=repr(error))
         raise
-
-
-def run(settings: settings_file.PlatformSettings) -> None:
-    """Runs the agent until a signal."""
-    common.run(lambda: Side(settings))
--- a/marigoldsill/roles/stopping.py
+++ b/marigoldsill/roles/stopping.py
@@ -1,5 +1,9 @@
-"""SIGTERM and SIGINT end a role gracefully; a second one ends it at once."""
+"""SIGTERM and SIGINT end a role gracefully; a second one ends it at once.
 
+SIGHUP has a role that can do so read its settings again.
+"""
+
+from collections.abc import Callable
 import os
 import signal
 
@@ -18,16 +22,41 @@
     event's own lock, and then neither would go on.
     """
 
-    def __init__(self):
-        signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    def __init__(self, *, reloads: bool = False):
+        """Keeps the signals back.
+
+        Args:
+            reloads: Whether SIGHUP is kept back too, rather than ending the
+                process.
+        """
+        hangup = {signal.SIGHUP} if reloads else set()
+        self._kept = frozenset(_SIGNALS | hangup)
+        signal.pthread_sigmask(signal.SIG_BLOCK, self._kept)
 
-    def wait(self) -> None:
-        """Returns once a signal has come; the next one ends the process."""
-        signal.sigwait(_SIGNALS)
+    def wait(
+        self,
+        *,
+        on_reload: Callable[[], None] = lambda: None,
+        every_s: float | None = None,
+    ) -> None:
+        """Returns once a signal has come; the next one ends the process.
+
+        Args:
+            on_reload: Called for each SIGHUP.
+            every_s: Calls it this often without a signal as well.
+        """
+        while self._next_signal(every_s) not in _SIGNALS:
+            on_reload()
         for number in _SIGNALS:
             signal.signal(number, _end)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
 
+    def _next_signal(self, every_s: float | None) -> int | None:
+        if every_s is None:
+            return signal.sigwait(self._kept)
+        information = signal.sigtimedwait(self._kept, every_s)
+        return None if information is None else information.si_signo
+
 
 def _end(number: int, frame: object) -> None:
     try:
