--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs."""
--- /dev/null
+++ b/tests/jobs/builders.py
@@ -0,0 +1,127 @@
+"""Jobs, grants and ends for tests, and a state that takes them."""
+
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import machine
+from marigoldsill.state import tables as tables_module
+
+QUEUE = "fast"
+POOL = "pool"
+NOW_UNIX_MS = 1_000
+
+
+def queue(name: str = QUEUE, **fields: object) -> ttypes.Queue:
+    """A queue of the pool that all tests use."""
+    values = {"host": "jobs.example", "path_prefix": f"/{name}/"} | fields
+    return ttypes.Queue(name=name, pool=POOL, **values)
+
+
+def routing(
+    version: int = 1, queues: list[ttypes.Queue] | None = None
+) -> ttypes.Routing:
+    """A routing with one pool."""
+    return ttypes.Routing(
+        version=version,
+        queues=[queue()] if queues is None else queues,
+        pools=[ttypes.Pool(name=POOL)],
+        document=f"document {version}".encode(),
+    )
+
+
+def step(tasks_count: int = 1, **fields: object) -> ttypes.Step:
+    """A step whose tasks take one core and 1 MB each."""
+    values = {
+        "resources": ttypes.Resources(
+            cpu_millicores=1_000, memory_bytes=1 << 20
+        ),
+        "after": [],
+    }
+    return ttypes.Step(tasks_count=tasks_count, **(values | fields))
+
+
+def job(
+    job_id: str = "j1", *steps: ttypes.Step, **fields: object
+) -> ttypes.Job:
+    """A job; of one step with one task, unless steps are given."""
+    return ttypes.Job(
+        job_id=job_id,
+        queue=QUEUE,
+        command=f"command of {job_id}",
+        steps=list(steps) or [step()],
+        **fields,
+    )
+
+
+def task(number: int = 0, job_id: str = "j1", step_number: int = 0) -> str:
+    """The name of a task of the first occurrence."""
+    return f"{job_id}.0.{step_number}.{number}"
+
+
+def grant(name: str, run: int = 1, agent: str = "a1") -> ttypes.RunGrant:
+    """A grant to the first life of an agent's worker."""
+    return ttypes.RunGrant(
+        task=name, run=run, agent=agent, worker_id=f"{agent}-life1"
+    )
+
+
+def end(
+    name: str,
+    kind: ttypes.RunEndKind,
+    run: int = 1,
+    checkpoint_id: str = "",
+) -> ttypes.RunEnd:
+    """How a run ended."""
+    return ttypes.RunEnd(
+        task=name, run=run, kind=kind, checkpoint_id=checkpoint_id
+    )
+
+
+class State:
+    """Tables with a routing in force, changed by commands only."""
+
+    def __init__(self, *queues: ttypes.Queue):
+        self.tables = tables_module.Tables()
+        self.apply(
+            replace_routing=ttypes.ReplaceRouting(
+                routing=routing(queues=list(queues) or None)
+            )
+        )
+
+    def apply(
+        self, *, at_unix_ms: int = NOW_UNIX_MS, **body: object
+    ) -> ttypes.CommandResult:
+        """Applies a command of one body."""
+        command = ttypes.Command(proposed_unix_ms=at_unix_ms, **body)
+        return machine.apply(self.tables, command)
+
+    def submit(self, new_job: ttypes.Job) -> ttypes.CommandResult:
+        """Takes a job in."""
+        return self.apply(submit_job=ttypes.SubmitJob(job=new_job))
+
+    def cancel(self, job_id: str = "j1") -> ttypes.CommandResult:
+        """Cancels a job."""
+        return self.apply(cancel_job=ttypes.CancelJob(job_id=job_id))
+
+    def grant(self, *grants: ttypes.RunGrant) -> int:
+        """Grants runs; how many took effect."""
+        result = self.apply(grant_runs=ttypes.GrantRuns(grants=list(grants)))
+        return result.applied_count
+
+    def end(self, *ends: ttypes.RunEnd, decided_term: int = 0) -> int:
+        """Records ends; how many took effect."""
+        record = ttypes.RecordRunEnds(
+            ends=list(ends), decided_term=decided_term
+        )
+        return self.apply(record_run_ends=record).applied_count
+
+    def run(self, name: str, kind: ttypes.RunEndKind, run: int = 1) -> None:
+        """Grants a run and ends it."""
+        assert self.grant(grant(name, run)) == 1
+        assert self.end(end(name, kind, run)) == 1
+
+    def state_of(self, job_id: str = "j1") -> ttypes.JobState:
+        """A job's state."""
+        return self.tables.jobs.jobs[job_id].state
+
+    def task(self, name: str) -> ttypes.JobTask:
+        """An open task."""
+        return self.tables.jobs.find(name)
