--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -55,10 +55,12 @@
         state: agent_state.AgentState,
         worker: run_worker.RunWorker,
         holder: holder_module.Holder,
+        retry_s: float = _RETRY_S,
     ):
         self._state = state
         self._worker = worker
         self._holder = holder
+        self._retry_s = retry_s
         self._work: dict[agent_state.RunKey, _Work] = {}
         self._pool = futures.ThreadPoolExecutor(_THREADS_COUNT, "executor")
 
@@ -67,12 +69,22 @@
         state = self._state
         with state.changed:
             while not state.stopping:
-                wait_s = self._look()
+                wait_s = self.look()
                 state.changed.wait(wait_s)
         self._pool.shutdown(wait=False)
 
-    def _look(self) -> float | None:
-        """Begins what is due; returns when to look again at the latest."""
+    def wait_until_idle(self) -> None:
+        """Waits until no call is under way."""
+        with self._state.changed:
+            self._state.changed.wait_for(
+                lambda: not any(work.busy for work in self._work.values())
+            )
+
+    def look(self) -> float | None:
+        """Begins what is due; returns when to look again at the latest.
+
+        Called with the state's lock held.
+        """
         state = self._state
         self._work = {
             key: work
@@ -90,7 +102,7 @@
             if work.busy:
                 continue
             if work.retry_s > now_s:
-                wait_s = _RETRY_S
+                wait_s = self._retry_s
                 continue
             self._follow(key, order, work)
         return wait_s
@@ -149,7 +161,7 @@
         try:
             call(order, work)
         except errors.MarigoldsillError as error:
-            work.retry_s = clock.now_s() + _RETRY_S
+            work.retry_s = clock.now_s() + self._retry_s
             logs.event(
                 "order_failed",
                 level="WARNING",
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -33,7 +33,7 @@
         """Holds until the agent stops."""
         while worker_id := self._wait_for_worker():
             try:
-                self._hold(worker_id)
+                self.hold(worker_id)
             except errors.OtherWorkerError:
                 self._state.retire(worker_id)
             except errors.MarigoldsillError as error:
@@ -76,7 +76,14 @@
     def _wait_ms(self) -> int:
         return _SHARED_WAIT_MS if self._state.is_shared else _WAIT_MS
 
-    def _hold(self, worker_id: str) -> None:
+    def hold(self, worker_id: str) -> None:
+        """Prolongs the worker's lease once and takes what it lists.
+
+        Raises:
+            OtherWorkerError: Another life of the worker answered.
+            RunRefusedError: The worker knows a later leader.
+            TransportError: No answer came.
+        """
         state = self._state
         is_known = worker_id == state.worker_id
         deadline_ms = self.deadline_ms() if is_known else None
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -15,7 +15,7 @@
 from marigoldsill.state import tables as tables_module
 
 # Changes kept for each agent; one that lags further gets everything.
-_HISTORY_COUNT = 1_000
+HISTORY_COUNT = 1_000
 
 RunKey = tuple[str, int]
 
@@ -25,7 +25,7 @@
     version: int = 0
     wanted: dict[RunKey, tuple] = dataclasses.field(default_factory=dict)
     history: collections.deque[tuple[int, RunKey]] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=_HISTORY_COUNT)
+        default_factory=lambda: collections.deque(maxlen=HISTORY_COUNT)
     )
 
 
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -226,6 +226,8 @@
         members = occurrence.steps[address.step].tasks
     for member in members:
         member.done = True
+    # Other copies have to stop.
+    tables.jobs.touched_agents |= {run.agent for run in task.runs}
     if step.gang:
         _drop_gang(tables.jobs, address, members)
     all_begun = record.begun_count >= job_tables.occurrences_count(record.job)
--- /dev/null
+++ b/tests/jobs/fake_worker.py
@@ -0,0 +1,131 @@
+"""A worker in memory that behaves as the interface says, with faults."""
+
+import itertools
+
+from marigoldsill import errors
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
+
+RunKey = tuple[str, int]
+
+
+class FakeWorker(run_worker.RunWorker):
+    """Starts, stops and lists runs at once; no time passes in it.
+
+    Attributes:
+        life: The life that answers.
+        running: What runs.
+        refusal: Reason to refuse starts with, or empty.
+        unanswered: Calls, by name, that give no answer until removed here.
+        late: What such calls will do when `deliver_late` is called.
+        calls: Names of the calls that came, with their run.
+        paces: The pace that each run was given.
+    """
+
+    def __init__(self, life: str = "a1-life1"):
+        self.life = life
+        self.running: dict[RunKey, ttypes.RunLook] = {}
+        self.refusal = ""
+        self.unwell = False
+        self.unanswered: set[str] = set()
+        self.late: list = []
+        self.calls: list[tuple[str, RunKey]] = []
+        self.paces: dict[RunKey, int] = {}
+        self.deadlines: list[int | None] = []
+        self.acknowledged = 0
+        self._ended: list[run_worker.EndedRun] = []
+        self._numbers = itertools.count(1)
+        self._highest_over: dict[str, int] = {}
+
+    def start(
+        self, worker_id: str, start: run_worker.RunStart, *, token: int
+    ) -> int:
+        """Starts a run."""
+        key = (start.task, start.run)
+        return self._call("start", worker_id, key, lambda: self._start(key))
+
+    def stop(self, worker_id: str, task: str, run: int, *, token: int) -> int:
+        """Stops a run."""
+        key = (task, run)
+        return self._call("stop", worker_id, key, lambda: self._stop(key))
+
+    def hold(
+        self,
+        worker_id: str,
+        *,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> run_worker.Listing:
+        """Lists."""
+        self._check_life(worker_id)
+        self.deadlines.append(deadline_ms)
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        self._ended = [e for e in self._ended if e.number > acknowledged]
+        return run_worker.Listing(
+            clock_ms=1_000,
+            running=list(self.running.values()),
+            ended=list(self._ended),
+        )
+
+    def pace(
+        self, worker_id: str, task: str, run: int, *, percent: int, token: int
+    ) -> int:
+        """Notes a pace."""
+        self.paces[task, run] = percent
+        return 1_000
+
+    def end(self, key: RunKey, kind: ttypes.RunEndKind) -> None:
+        """Ends a run by itself."""
+        self._end(key, kind)
+
+    def deliver_late(self) -> None:
+        """Carries out the calls that were not answered."""
+        late, self.late = self.late, []
+        for action in late:
+            try:
+                action()
+            except errors.PlatformError:
+                continue
+
+    def _call(self, name: str, worker_id: str, key: RunKey, action) -> int:
+        self.calls.append((name, key))
+        self._check_life(worker_id)
+        if self.unwell:
+            raise errors.WorkerUnwellError("503")
+        if name in self.unanswered:
+            self.late.append(action)
+            raise errors.TransportError("no answer", sent=True)
+        action()
+        return 1_000
+
+    def _check_life(self, worker_id: str) -> None:
+        if worker_id != self.life:
+            raise errors.OtherWorkerError("421")
+
+    def _start(self, key: RunKey) -> None:
+        if key in self.running:
+            return
+        task, run = key
+        if run <= self._highest_over.get(task, 0):
+            reason = run_worker.RefusalReason.OUTDATED
+            raise errors.RunRefusedError("409", reason=reason)
+        if self.refusal:
+            raise errors.RunRefusedError("409", reason=self.refusal)
+        self.running[key] = ttypes.RunLook(
+            task=task, run=run, percent=0, load=0
+        )
+
+    def _stop(self, key: RunKey) -> None:
+        task, run = key
+        self._highest_over[task] = max(self._highest_over.get(task, 0), run)
+        if key in self.running:
+            self._end(key, ttypes.RunEndKind.STOPPED)
+
+    def _end(self, key: RunKey, kind: ttypes.RunEndKind) -> None:
+        del self.running[key]
+        task, run = key
+        self._highest_over[task] = max(self._highest_over.get(task, 0), run)
+        end = ttypes.RunEnd(task=task, run=run, kind=kind)
+        self._ended.append(run_worker.EndedRun(next(self._numbers), end))
--- /dev/null
+++ b/tests/jobs/test_agent.py
@@ -0,0 +1,304 @@
+"""An agent brings its worker to its orders, and reports every end once."""
+
+import dataclasses
+
+import pytest
+
+from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import executor as executor_module
+from marigoldsill.coordination.job_agent import holder as holder_module
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+from tests.jobs import fake_worker
+
+_TERM = 3
+_RUN = ttypes.RunDesire.RUN
+_STOP = ttypes.RunDesire.STOP
+_KEY = ("j1.0.0.0", 1)
+
+
+def announcement(life: str, sequence: int = 1) -> run_worker.Announcement:
+    worker = ttypes.PoolWorker(
+        worker_id=life,
+        pool="pool",
+        data_centre="dc1",
+        rack="r1",
+        labels=[],
+        capacity=ttypes.Resources(cpu_millicores=4_000, memory_bytes=1 << 30),
+    )
+    return run_worker.Announcement(worker, sequence)
+
+
+@dataclasses.dataclass
+class Agent:
+    """An agent whose tasks run one step at a time."""
+
+    worker: fake_worker.FakeWorker
+    state: agent_state.AgentState
+    holder: holder_module.Holder
+    executor: executor_module.Executor
+    version: int = 0
+
+    def order(
+        self,
+        desire: ttypes.RunDesire,
+        key: tuple[str, int] = _KEY,
+        life: str = "a1-life1",
+    ) -> None:
+        self.version += 1
+        order = ttypes.RunOrder(
+            task=key[0], run=key[1], desire=desire, worker_id=life
+        )
+        self.take(orders=[order], removed=[])
+
+    def take(self, *, term: int = _TERM, **fields: object) -> bool:
+        reply = ttypes.OrdersReply(term=term, version=self.version, **fields)
+        return self.state.take_orders(reply)
+
+    def lease(self, length_s: float = 60.0, orders_version: int = 0) -> None:
+        self.state.take_lease(
+            agent_state.Lease(clock.now_s() + length_s, _TERM, orders_version)
+        )
+
+    def hold(self) -> None:
+        self.holder.hold(self.state.announced.worker.worker_id)
+
+    def work(self) -> None:
+        """Carries out what is due, and waits until it is done."""
+        with self.state.changed:
+            self.executor.look()
+        self.executor.wait_until_idle()
+
+    def settle(self) -> None:
+        """Lets orders, listings and calls follow each other to an end."""
+        for _ in range(6):
+            self.work()
+            self.hold()
+
+    def ends(self) -> dict[tuple[str, int], ttypes.RunEndKind]:
+        return {key: end.kind for key, end in self.state.ends.items()}
+
+    def names_of_calls(self) -> list[str]:
+        return [name for name, _ in self.worker.calls]
+
+
+@pytest.fixture
+def agent() -> Agent:
+    state = agent_state.AgentState()
+    worker = fake_worker.FakeWorker()
+    holder = holder_module.Holder(
+        state=state, worker=worker, hold_limit_ms=6_000
+    )
+    executor = executor_module.Executor(
+        state=state, worker=worker, holder=holder, retry_s=0.0
+    )
+    made = Agent(worker, state, holder, executor)
+    state.announce(announcement("a1-life1"))
+    made.take(orders=[], removed=[])
+    made.lease()
+    made.hold()
+    return made
+
+
+def test_an_ordered_run_is_started_once(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    assert list(agent.worker.running) == [_KEY]
+    assert agent.names_of_calls() == ["start"]
+
+
+def test_nothing_is_started_without_a_lease(agent: Agent) -> None:
+    agent.lease(length_s=-1.0)
+    agent.order(_RUN)
+    agent.settle()
+    assert agent.worker.calls == []
+
+
+def test_nothing_is_started_on_orders_older_than_the_lease(
+    agent: Agent,
+) -> None:
+    agent.order(_RUN)
+    agent.lease(orders_version=agent.version + 1)
+    agent.settle()
+    assert agent.worker.calls == []
+    agent.version += 1
+    agent.take(orders=[], removed=[])
+    agent.settle()
+    assert list(agent.worker.running) == [_KEY]
+
+
+def test_orders_of_an_older_leader_are_refused(agent: Agent) -> None:
+    assert not agent.take(term=_TERM - 1, orders=[], removed=[])
+
+
+def test_a_start_without_an_answer_is_sent_again(agent: Agent) -> None:
+    agent.worker.unanswered = {"start"}
+    agent.order(_RUN)
+    agent.work()
+    agent.worker.unanswered = set()
+    agent.settle()
+    agent.worker.deliver_late()
+    assert agent.names_of_calls() == ["start", "start"]
+    assert list(agent.worker.running) == [_KEY]
+
+
+def test_a_run_whose_start_may_still_arrive_is_stopped_before_it_counts_as_over(
+    agent: Agent,
+) -> None:
+    agent.worker.unanswered = {"start"}
+    agent.order(_RUN)
+    agent.work()
+    agent.order(_STOP)
+    agent.work()
+    assert agent.names_of_calls() == ["start", "stop"]
+    assert agent.ends() == {}
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.REFUSED}
+    agent.worker.deliver_late()
+    assert agent.worker.running == {}
+
+
+def test_a_refusal_after_an_unanswered_start_is_no_end_yet(
+    agent: Agent,
+) -> None:
+    agent.worker.unanswered = {"start"}
+    agent.order(_RUN)
+    agent.work()
+    agent.worker.unanswered = {"stop"}
+    agent.worker.refusal = run_worker.RefusalReason.NO_ROOM
+    agent.settle()
+    assert agent.ends() == {}
+    agent.worker.unanswered = set()
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.REFUSED}
+
+
+def test_a_refused_start_is_reported_with_its_reason(agent: Agent) -> None:
+    agent.worker.refusal = run_worker.RefusalReason.NO_ROOM
+    agent.order(_RUN)
+    agent.settle()
+    assert agent.state.ends[_KEY].detail == run_worker.RefusalReason.NO_ROOM
+    assert agent.names_of_calls() == ["start"]
+
+
+def test_a_start_that_came_too_late_is_tried_again(agent: Agent) -> None:
+    agent.worker.refusal = run_worker.RefusalReason.TOO_LATE
+    agent.order(_RUN)
+    agent.work()
+    agent.worker.refusal = ""
+    agent.settle()
+    assert list(agent.worker.running) == [_KEY]
+
+
+def test_an_unwell_worker_refuses(agent: Agent) -> None:
+    agent.worker.unwell = True
+    agent.order(_RUN)
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.REFUSED}
+
+
+def test_a_stop_without_an_answer_is_sent_again(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    agent.worker.unanswered = {"stop"}
+    agent.order(_STOP)
+    agent.work()
+    agent.worker.unanswered = set()
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.STOPPED}
+
+
+def test_an_end_is_listed_until_it_is_recorded(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    agent.worker.end(_KEY, ttypes.RunEndKind.DONE)
+    agent.hold()
+    agent.hold()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.DONE}
+    assert agent.worker.acknowledged == 0
+    report = ttypes.AgentReport(
+        agent="a1",
+        ends=list(agent.state.ends.values()),
+        worker_id="a1-life1",
+    )
+    agent.state.take_recorded(report, agent.state.listed_through)
+    agent.hold()
+    agent.hold()
+    assert agent.ends() == {}
+    assert agent.worker.acknowledged == 1
+
+
+def test_runs_of_a_worker_that_was_reborn_are_lost(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    agent.worker.life = "a1-life2"
+    agent.worker.running.clear()
+    agent.state.announce(announcement("a1-life2"))
+    agent.hold()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.LOST}
+
+
+def test_orders_from_before_a_restart_of_agent_and_worker_are_lost(
+    agent: Agent,
+) -> None:
+    agent.order(_RUN, life="a1-life0")
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.LOST}
+    assert agent.worker.calls == []
+
+
+def test_a_late_heartbeat_of_a_dead_life_changes_nothing(
+    agent: Agent,
+) -> None:
+    agent.worker.life = "a1-life2"
+    agent.state.announce(announcement("a1-life2"))
+    agent.hold()
+    agent.state.announce(announcement("a1-life1", sequence=99))
+    assert agent.state.worker_id == "a1-life2"
+    assert agent.state.announced.worker.worker_id == "a1-life2"
+
+
+def test_a_worker_that_left_has_lost_its_runs(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    agent.state.retire("a1-life1")
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.LOST}
+
+
+def test_nothing_is_started_on_a_worker_that_drains(agent: Agent) -> None:
+    draining = announcement("a1-life1", sequence=2)
+    draining.worker.draining = True
+    agent.state.announce(draining)
+    agent.order(_RUN)
+    agent.settle()
+    assert agent.worker.calls == []
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.REFUSED}
+
+
+def test_a_deadline_never_lies_beyond_the_lease(agent: Agent) -> None:
+    agent.lease(length_s=2.0)
+    agent.hold()
+    assert agent.worker.deadlines[-1] <= 3_000
+    agent.lease(length_s=60.0)
+    agent.hold()
+    assert agent.worker.deadlines[-1] <= 7_000
+
+
+def test_without_a_lease_nothing_is_prolonged(agent: Agent) -> None:
+    agent.lease(length_s=-1.0)
+    agent.hold()
+    assert agent.worker.deadlines[-1] is None
+
+
+def test_tasks_are_independent_of_one_that_is_not_answered(
+    agent: Agent,
+) -> None:
+    other = ("j2.0.0.0", 1)
+    agent.worker.unanswered = {"start"}
+    agent.order(_RUN)
+    agent.work()
+    agent.worker.unanswered = set()
+    agent.order(_RUN, other)
+    agent.settle()
+    assert set(agent.worker.running) == {_KEY, other}
