Count leases and terms on a clock that goes on while a machine is suspended

Cause: the monotonic clock stands still during a suspension, so a leader that wakes would take its quorum's answers as recent and prolong leases that a later leader counts as over.

Change: agreement and leases use the boot-time clock (transport/clock.py).

--- a/marigoldsill/coordination/election.py
+++ b/marigoldsill/coordination/election.py
@@ -3,12 +3,12 @@
 import dataclasses
 import math
 import random
-import time
 
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import peers as peers_module
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 
@@ -39,7 +39,7 @@
         """Draws a new election timeout, counted from now."""
         timeout_s = self._group.settings.election_timeout_s
         wait_s = timeout_s * (1 + self._random.random())
-        self._deadline_s = time.monotonic() + wait_s
+        self._deadline_s = clock.now_s() + wait_s
 
     def hear_leader(self) -> None:
         """Gives up standing, because there is a leader."""
@@ -52,7 +52,7 @@
         group = self._group
         if group.role is group_module.Role.LEADER or not group.counts:
             return False
-        return time.monotonic() >= self._deadline_s
+        return clock.now_s() >= self._deadline_s
 
     def stand(self) -> None:
         """Begins with a pre-vote, which raises nobody's term."""
@@ -177,7 +177,7 @@
         group = self._group
         if group.role is group_module.Role.LEADER:
             return True
-        return time.monotonic() < group.promised_until_s
+        return clock.now_s() < group.promised_until_s
 
 
 def _random(group: group_module.Group) -> random.Random:
--- a/marigoldsill/coordination/group.py
+++ b/marigoldsill/coordination/group.py
@@ -4,7 +4,6 @@
 import dataclasses
 import enum
 import threading
-import time
 import traceback
 
 from marigoldsill import errors
@@ -13,6 +12,7 @@
 from marigoldsill.state import log as log_module
 from marigoldsill.state import snapshot as snapshot_module
 from marigoldsill.state import vote as vote_module
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 _HEARTBEATS_PER_TIMEOUT = 6
@@ -157,7 +157,7 @@
         promised before, begins with a promise.
         """
         timeout_ms = max(election_timeout_ms, self.settings.election_timeout_ms)
-        self.heard_s = time.monotonic()
+        self.heard_s = clock.now_s()
         self.promised_until_s = self.heard_s + timeout_ms / 1000
 
     def join(self, cluster_id: int) -> None:
--- a/marigoldsill/coordination/leases.py
+++ b/marigoldsill/coordination/leases.py
@@ -1,12 +1,14 @@
 """The leader's leases: which agents may still have runs alive.
 
 Renewals are not in the log. A new leader therefore takes every lease as live
-for one full lease from its election. Clocks are monotonic; the agent counts
-from when it sent, the leader from when it received, plus a margin for drift.
+for one full lease from its election. Clocks go on while a machine is suspended;
+the agent counts from when it sent, the leader from when it received, plus a
+margin for drift.
 """
 
 import threading
-import time
+
+from marigoldsill.transport import clock
 
 DRIFT_RATIO = 1.1
 MARGIN_S = 0.2
@@ -50,7 +52,7 @@
             if agent in self._closed:
                 return True
             end_s = max(self._end_s.get(agent, 0.0), self._floor_s)
-            if time.monotonic() <= end_s:
+            if clock.now_s() <= end_s:
                 return False
             self._closed.add(agent)
             self._end_s.pop(agent, None)
@@ -63,10 +65,10 @@
 
     def live(self) -> set[str]:
         """Agents that renewed under this leader and have not run out."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         with self._lock:
             return {a for a, end_s in self._end_s.items() if end_s >= now_s}
 
 
 def _end_of(lease_ms: int) -> float:
-    return time.monotonic() + lease_ms / 1000 * DRIFT_RATIO + MARGIN_S
+    return clock.now_s() + lease_ms / 1000 * DRIFT_RATIO + MARGIN_S
--- a/marigoldsill/coordination/peer_task.py
+++ b/marigoldsill/coordination/peer_task.py
@@ -1,13 +1,13 @@
 """The task that talks to one peer: votes, entries and snapshots in turn."""
 
 import dataclasses
-import time
 
 from marigoldsill.coordination import election as election_module
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import peers as peers_module
 from marigoldsill.coordination import replication as replication_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 
@@ -76,7 +76,7 @@
         group, progress = self._group, self._peer.progress
         if group.role is not group_module.Role.LEADER or not self._is_due():
             return None
-        progress.sent_s = time.monotonic()
+        progress.sent_s = clock.now_s()
         if progress.next_index <= group.log.base_index:
             return SendSnapshot(group.term, progress)
         progress.transfer = None
@@ -84,7 +84,7 @@
 
     def _is_due(self) -> bool:
         group, progress = self._group, self._peer.progress
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         if now_s < progress.retry_s:
             return False
         return (
@@ -99,7 +99,7 @@
             return heartbeat_s
         progress = self._peer.progress
         due_s = max(progress.retry_s, progress.sent_s + heartbeat_s)
-        return max(0.0, min(heartbeat_s, due_s - time.monotonic()))
+        return max(0.0, min(heartbeat_s, due_s - clock.now_s()))
 
     def _append_request(self) -> ttypes.AppendRequest:
         group, progress = self._group, self._peer.progress
@@ -131,7 +131,7 @@
                 self._send_snapshot(work)
 
     def _ask_vote(self, work: AskVote) -> None:
-        asked_s = time.monotonic()
+        asked_s = clock.now_s()
         reply = self._peer.call("request_vote", work.request)
         if reply is None:
             return
--- a/marigoldsill/coordination/peers.py
+++ b/marigoldsill/coordination/peers.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import math
-import time
 
 from thrift import Thrift
 
@@ -11,6 +10,7 @@
 from marigoldsill.protocol.generated import Peer as PeerService  # noqa: N811
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import snapshot as snapshot_module
+from marigoldsill.transport import clock
 from marigoldsill.transport import cuts
 from marigoldsill.transport import logs
 from marigoldsill.transport import thrift_client
@@ -95,7 +95,7 @@
     def pause(self) -> None:
         """Sends nothing more for one heartbeat."""
         heartbeat_s = self._group.settings.heartbeat_s
-        self.progress.retry_s = time.monotonic() + heartbeat_s
+        self.progress.retry_s = clock.now_s() + heartbeat_s
 
     def call(self, method: str, request: object) -> object | None:
         """Sends a request and returns the reply, or None without one."""
--- a/marigoldsill/coordination/proposals.py
+++ b/marigoldsill/coordination/proposals.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 from concurrent import futures
-import time
 
 from marigoldsill import errors
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import replication as replication_module
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 
 PENDING_LIMIT = 10_000
 COMMAND_LIMIT_BYTES = 8 * 1024 * 1024
@@ -94,7 +94,7 @@
         group = self._group
         with group.lock:
             self.check_leads()
-            term, asked_s = group.term, time.monotonic()
+            term, asked_s = group.term, clock.now_s()
             read_index = max(group.commit_index, group.term_start_index)
             self._replication.barrier_s = asked_s
             group.changed.notify_all()
--- a/marigoldsill/coordination/replication.py
+++ b/marigoldsill/coordination/replication.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from concurrent import futures
 import math
-import time
 
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import members as members_module
@@ -11,6 +10,7 @@
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from marigoldsill.transport import cuts
 from marigoldsill.transport import logs
 
@@ -80,7 +80,7 @@
         group = self._group
         for name, peer in self.peers.items():
             peer.begin_term(answered_s=granted_s.get(name, -math.inf))
-        group.led_s = time.monotonic()
+        group.led_s = clock.now_s()
         logs.event("leader_elected", term=group.term, leader=group.name)
         command = ttypes.Command(
             no_operation=ttypes.NoOperation(term=group.term)
@@ -163,7 +163,7 @@
         """Whether a majority answered within the lease; needs no lock."""
         timeout_s = self._group.settings.election_timeout_s
         valid_s = timeout_s * _LEASE_RATIO
-        return time.monotonic() < self.quorum_answered_s + valid_s
+        return clock.now_s() < self.quorum_answered_s + valid_s
 
     @property
     def quorum_answered_s(self) -> float:
@@ -217,7 +217,7 @@
         return records.changed(member, voter=True)
 
     def _answers(self, peer: peers_module.Peer) -> bool:
-        silent_s = time.monotonic() - peer.progress.answered_s
+        silent_s = clock.now_s() - peer.progress.answered_s
         return silent_s < self._group.settings.election_timeout_s
 
     def _follow_member(self, member: ttypes.Member) -> None:
--- a/marigoldsill/coordination/tending.py
+++ b/marigoldsill/coordination/tending.py
@@ -1,10 +1,9 @@
 """The task that watches the clock: elections, the lease, members, alarms."""
 
-import time
-
 from marigoldsill.coordination import election as election_module
 from marigoldsill.coordination import group as group_module
 from marigoldsill.coordination import replication as replication_module
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 _TICKS_PER_HEARTBEAT = 3
@@ -25,7 +24,7 @@
         self._election = election
         self._replication = replication
         self._alarm_s = 0.0
-        self._led_s = time.monotonic()
+        self._led_s = clock.now_s()
         self._silent: set[str] = set()
 
     @property
@@ -68,7 +67,7 @@
 
     def _note_silent_members(self) -> None:
         limit_s = _SILENCE_TIMEOUTS * self._group.settings.election_timeout_s
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         silent = {
             name
             for name, peer in self._replication.peers.items()
@@ -82,7 +81,7 @@
         self._silent = silent
 
     def _raise_alarms(self) -> None:
-        group, now_s = self._group, time.monotonic()
+        group, now_s = self._group, clock.now_s()
         if group.leader_name:
             self._led_s = now_s
         limit_s = _SILENCE_TIMEOUTS * group.settings.election_timeout_s
--- a/tests/coordination/test_heartbeats.py
+++ b/tests/coordination/test_heartbeats.py
@@ -172,7 +172,7 @@
         )
     leader.replica.lead(2)
     leader.service.become_leader()
-    now_s = leases_module.time.monotonic()
+    now_s = leases_module.clock.now_s()
 
     assert leader.service.leases._floor_s > now_s + NEVER_MS / 1000
 
