--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -19,8 +19,10 @@
 import tracemalloc
 
 from benchmarks import table
-from marigoldsill.coordination import configuration
-from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.coordination.configuration import configuration
+from marigoldsill.coordination.configuration import (
+    subscriber as subscriber_module,
+)
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
--- a/benchmarks/fake_workers.py
+++ b/benchmarks/fake_workers.py
@@ -17,11 +17,11 @@
 from benchmarks import arrivals
 from benchmarks import scenarios
 from benchmarks import true_behaviour
-from marigoldsill.coordination import changes as changes_module
-from marigoldsill.coordination import fleet
-from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.leadership import changes as changes_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.placement import fleet
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
 
--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -19,8 +19,8 @@
 from thrift.transport import TTransport
 
 from benchmarks import table
-from marigoldsill.coordination import control_link
-from marigoldsill.coordination import worker_usage
+from marigoldsill.coordination.leadership import control_link
+from marigoldsill.coordination.runs import worker_usage
 from marigoldsill.protocol.generated import Control
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -18,7 +18,7 @@
 from benchmarks import fake_workers
 from benchmarks import scenarios
 from benchmarks import table
-from marigoldsill.coordination import decisions
+from marigoldsill.coordination.deciding import decisions
 from marigoldsill.protocol.generated import ttypes
 
 _FIGURE = pathlib.Path("docs/figures/placement_frontier.svg")
--- a/benchmarks/placement_time.py
+++ b/benchmarks/placement_time.py
@@ -8,10 +8,10 @@
 import time
 
 from benchmarks import table
-from marigoldsill.coordination import changes as changes_module
-from marigoldsill.coordination import decisions as decisions_module
-from marigoldsill.coordination import fleet
-from marigoldsill.coordination import usage as usage_module
+from marigoldsill.coordination.deciding import decisions as decisions_module
+from marigoldsill.coordination.leadership import changes as changes_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.placement import fleet
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
--- a/benchmarks/plans.py
+++ b/benchmarks/plans.py
@@ -6,8 +6,8 @@
 import tracemalloc
 
 from benchmarks import table
-from marigoldsill.coordination import guards
-from marigoldsill.coordination import planning
+from marigoldsill.coordination.plans import guards
+from marigoldsill.coordination.plans import planning
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
 from marigoldsill.state import tables as tables_module
--- a/benchmarks/slopes/placing.py
+++ b/benchmarks/slopes/placing.py
@@ -3,8 +3,8 @@
 import time
 
 from benchmarks.slopes import states
-from marigoldsill.coordination import decisions as decisions_module
-from marigoldsill.coordination import fleet
+from marigoldsill.coordination.deciding import decisions as decisions_module
+from marigoldsill.coordination.placement import fleet
 from marigoldsill.state import tables as tables_module
 
 _REPEATS = 3
--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -12,7 +12,7 @@
 from benchmarks.slopes import messages
 from benchmarks.slopes import placing
 from benchmarks.slopes import states
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
--- a/marigoldsill/coordination/__init__.py
+++ b/marigoldsill/coordination/__init__.py
@@ -1,1 +1,5 @@
-"""Decisions that several processes take together."""
+"""Every decision, in rooms by job; imports go one way between them.
+
+From the lowest: agreement, leadership, configuration, requests, runs, learning,
+placement, deciding, plans; beside the last four, jobs and job_agent.
+"""
--- a/marigoldsill/coordination/applying.py
+++ b/marigoldsill/coordination/agreement/applying.py
@@ -5,8 +5,10 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import replication as replication_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import (
+    replication as replication_module,
+)
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import machine
--- a/marigoldsill/coordination/election.py
+++ b/marigoldsill/coordination/agreement/election.py
@@ -4,8 +4,8 @@
 import math
 import random
 
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import peers as peers_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import peers as peers_module
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
--- a/marigoldsill/coordination/following.py
+++ b/marigoldsill/coordination/agreement/following.py
@@ -1,10 +1,12 @@
 """The follower's side of the log: entries and snapshots from a leader."""
 
 from marigoldsill import errors
-from marigoldsill.coordination import applying as applying_module
-from marigoldsill.coordination import election as election_module
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import replication as replication_module
+from marigoldsill.coordination.agreement import applying as applying_module
+from marigoldsill.coordination.agreement import election as election_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import (
+    replication as replication_module,
+)
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import snapshot as snapshot_module
--- a/marigoldsill/coordination/formation.py
+++ b/marigoldsill/coordination/agreement/formation.py
@@ -5,7 +5,7 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import members as members_module
+from marigoldsill.coordination.agreement import members as members_module
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/group.py
+++ b/marigoldsill/coordination/agreement/group.py
@@ -7,8 +7,8 @@
 import traceback
 
 from marigoldsill import errors
-from marigoldsill.coordination import members as members_module
-from marigoldsill.coordination import pending as pending_module
+from marigoldsill.coordination.agreement import members as members_module
+from marigoldsill.coordination.agreement import pending as pending_module
 from marigoldsill.state import log as log_module
 from marigoldsill.state import snapshot as snapshot_module
 from marigoldsill.state import vote as vote_module
--- a/marigoldsill/coordination/jobs/joining.py
+++ b/marigoldsill/coordination/agreement/joining.py
@@ -14,7 +14,7 @@
 from thrift import Thrift
 
 from marigoldsill import errors
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import Formation
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/node.py
+++ b/marigoldsill/coordination/agreement/node.py
@@ -5,16 +5,16 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import applying
-from marigoldsill.coordination import election
-from marigoldsill.coordination import following
-from marigoldsill.coordination import formation
-from marigoldsill.coordination import group
-from marigoldsill.coordination import peer_task
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import proposals
-from marigoldsill.coordination import replication
-from marigoldsill.coordination import tending
+from marigoldsill.coordination.agreement import applying
+from marigoldsill.coordination.agreement import election
+from marigoldsill.coordination.agreement import following
+from marigoldsill.coordination.agreement import formation
+from marigoldsill.coordination.agreement import group
+from marigoldsill.coordination.agreement import peer_task
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import proposals
+from marigoldsill.coordination.agreement import replication
+from marigoldsill.coordination.agreement import tending
 from marigoldsill.state import files as files_module
 from marigoldsill.transport import cuts
 
--- a/marigoldsill/coordination/peer_service.py
+++ b/marigoldsill/coordination/agreement/peer_service.py
@@ -1,8 +1,8 @@
 """What a control process answers to its peers."""
 
 from marigoldsill import errors
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import node as node_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import node as node_module
 from marigoldsill.protocol import checks
 from marigoldsill.protocol.generated import Peer
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/peer_task.py
+++ b/marigoldsill/coordination/agreement/peer_task.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 
-from marigoldsill.coordination import election as election_module
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import peers as peers_module
-from marigoldsill.coordination import replication as replication_module
+from marigoldsill.coordination.agreement import election as election_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import peers as peers_module
+from marigoldsill.coordination.agreement import (
+    replication as replication_module,
+)
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/peers.py
+++ b/marigoldsill/coordination/agreement/peers.py
@@ -6,7 +6,7 @@
 from thrift import Thrift
 
 from marigoldsill import errors
-from marigoldsill.coordination import group as group_module
+from marigoldsill.coordination.agreement import group as group_module
 from marigoldsill.protocol.generated import Peer as PeerService  # noqa: N811
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import snapshot as snapshot_module
--- a/marigoldsill/coordination/proposals.py
+++ b/marigoldsill/coordination/agreement/proposals.py
@@ -4,8 +4,10 @@
 from concurrent import futures
 
 from marigoldsill import errors
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import replication as replication_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import (
+    replication as replication_module,
+)
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
--- a/marigoldsill/coordination/replica.py
+++ b/marigoldsill/coordination/agreement/replica.py
@@ -11,13 +11,13 @@
 from thrift import Thrift
 
 from marigoldsill import errors
-from marigoldsill.coordination import applying
-from marigoldsill.coordination import formation
-from marigoldsill.coordination import group
-from marigoldsill.coordination import members as members_module
-from marigoldsill.coordination import node
-from marigoldsill.coordination import peer_service
-from marigoldsill.coordination import status as status_module
+from marigoldsill.coordination.agreement import applying
+from marigoldsill.coordination.agreement import formation
+from marigoldsill.coordination.agreement import group
+from marigoldsill.coordination.agreement import members as members_module
+from marigoldsill.coordination.agreement import node
+from marigoldsill.coordination.agreement import peer_service
+from marigoldsill.coordination.agreement import status as status_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files
 from marigoldsill.state import tables as tables_module
--- a/marigoldsill/coordination/replication.py
+++ b/marigoldsill/coordination/agreement/replication.py
@@ -4,9 +4,9 @@
 from concurrent import futures
 import math
 
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import members as members_module
-from marigoldsill.coordination import peers as peers_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import members as members_module
+from marigoldsill.coordination.agreement import peers as peers_module
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/status.py
+++ b/marigoldsill/coordination/agreement/status.py
@@ -3,8 +3,8 @@
 import dataclasses
 import time
 
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import node as node_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import node as node_module
 from marigoldsill.protocol.generated import ttypes
 
 
--- a/marigoldsill/coordination/tending.py
+++ b/marigoldsill/coordination/agreement/tending.py
@@ -1,8 +1,10 @@
 """The task that watches the clock: elections, the lease, members, alarms."""
 
-from marigoldsill.coordination import election as election_module
-from marigoldsill.coordination import group as group_module
-from marigoldsill.coordination import replication as replication_module
+from marigoldsill.coordination.agreement import election as election_module
+from marigoldsill.coordination.agreement import group as group_module
+from marigoldsill.coordination.agreement import (
+    replication as replication_module,
+)
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/subscriber.py
+++ b/marigoldsill/coordination/configuration/subscriber.py
@@ -9,8 +9,10 @@
 import prometheus_client
 
 from marigoldsill import errors
-from marigoldsill.coordination import configuration as configuration_module
-from marigoldsill.coordination import control_link
+from marigoldsill.coordination.configuration import (
+    configuration as configuration_module,
+)
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
--- a/marigoldsill/coordination/watch_service.py
+++ b/marigoldsill/coordination/configuration/watch_service.py
@@ -5,12 +5,14 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import configuration
-from marigoldsill.coordination import endpoints as endpoints_module
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import orders
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import watch_hub
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.configuration import configuration
+from marigoldsill.coordination.configuration import (
+    endpoints as endpoints_module,
+)
+from marigoldsill.coordination.configuration import orders
+from marigoldsill.coordination.configuration import watch_hub
+from marigoldsill.coordination.leadership import leadership
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
--- a/marigoldsill/coordination/control_service.py
+++ b/marigoldsill/coordination/deciding/control_service.py
@@ -3,17 +3,19 @@
 from collections.abc import Callable
 
 from marigoldsill import errors
-from marigoldsill.coordination import absence
-from marigoldsill.coordination import changes as changes_module
-from marigoldsill.coordination import claim_service
-from marigoldsill.coordination import commands
-from marigoldsill.coordination import endpoints as endpoints_module
-from marigoldsill.coordination import heartbeats as heartbeats_module
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import leases as leases_module
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination import watch_service
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.configuration import (
+    endpoints as endpoints_module,
+)
+from marigoldsill.coordination.configuration import watch_service
+from marigoldsill.coordination.deciding import absence
+from marigoldsill.coordination.deciding import heartbeats as heartbeats_module
+from marigoldsill.coordination.leadership import changes as changes_module
+from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.leadership import leadership
+from marigoldsill.coordination.leadership import leases as leases_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.requests import claim_service
 from marigoldsill.protocol.generated import ttypes
 
 _PROPOSE_TIMEOUT_S = 2.0
--- a/marigoldsill/coordination/decisions.py
+++ b/marigoldsill/coordination/deciding/decisions.py
@@ -7,19 +7,19 @@
 from collections.abc import Iterable
 import itertools
 
-from marigoldsill.coordination import absence as absence_module
-from marigoldsill.coordination import changes as changes_module
-from marigoldsill.coordination import eviction as eviction_module
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import impossible as impossible_module
-from marigoldsill.coordination import learning as learning_module
-from marigoldsill.coordination import moves as moves_module
-from marigoldsill.coordination import outcomes as outcomes_module
-from marigoldsill.coordination import relief as relief_module
-from marigoldsill.coordination import sharing as sharing_module
-from marigoldsill.coordination import standings as standings_module
-from marigoldsill.coordination import starts as starts_module
-from marigoldsill.coordination import usage as usage_module
+from marigoldsill.coordination.deciding import absence as absence_module
+from marigoldsill.coordination.deciding import impossible as impossible_module
+from marigoldsill.coordination.deciding import learning as learning_module
+from marigoldsill.coordination.deciding import outcomes as outcomes_module
+from marigoldsill.coordination.deciding import standings as standings_module
+from marigoldsill.coordination.leadership import changes as changes_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.placement import eviction as eviction_module
+from marigoldsill.coordination.placement import fleet as fleet_module
+from marigoldsill.coordination.placement import moves as moves_module
+from marigoldsill.coordination.placement import relief as relief_module
+from marigoldsill.coordination.placement import sharing as sharing_module
+from marigoldsill.coordination.placement import starts as starts_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/heartbeats.py
+++ b/marigoldsill/coordination/deciding/heartbeats.py
@@ -11,10 +11,12 @@
 
 import prometheus_client
 
-from marigoldsill.coordination import endpoints as endpoints_module
-from marigoldsill.coordination import leases as leases_module
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import usage as usage_module
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.configuration import (
+    endpoints as endpoints_module,
+)
+from marigoldsill.coordination.leadership import leases as leases_module
+from marigoldsill.coordination.learning import usage as usage_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/impossible.py
+++ b/marigoldsill/coordination/deciding/impossible.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from marigoldsill.coordination import estimates as estimates_module
+from marigoldsill.coordination.learning import estimates as estimates_module
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.coordination.placement import feasibility
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/learning.py
+++ b/marigoldsill/coordination/deciding/learning.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterable
 
-from marigoldsill.coordination import estimates as estimates_module
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import outcomes as outcomes_module
-from marigoldsill.coordination import relief as relief_module
-from marigoldsill.coordination import sharing as sharing_module
-from marigoldsill.coordination import usage as usage_module
+from marigoldsill.coordination.deciding import outcomes as outcomes_module
+from marigoldsill.coordination.learning import estimates as estimates_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.placement import fleet as fleet_module
+from marigoldsill.coordination.placement import relief as relief_module
+from marigoldsill.coordination.placement import sharing as sharing_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
--- a/marigoldsill/coordination/scheduler.py
+++ b/marigoldsill/coordination/deciding/scheduler.py
@@ -5,12 +5,12 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import commands
-from marigoldsill.coordination import control_service
-from marigoldsill.coordination import decisions as decisions_module
-from marigoldsill.coordination import fleet
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import standings
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.deciding import control_service
+from marigoldsill.coordination.deciding import decisions as decisions_module
+from marigoldsill.coordination.deciding import standings
+from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.placement import fleet
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/job_agent/__init__.py
+++ b/marigoldsill/coordination/job_agent/__init__.py
@@ -1,1 +1,14 @@
-"""What an agent does for the runs of jobs on its worker."""
+"""An agent's runs of jobs: its lease, its worker, its orders.
+
+The room decides what an agent asks its worker to do for jobs, and when a
+run is surely over.
+Other rooms use the modules listed here only.
+"""
+
+__all__ = [
+    "agent_state",
+    "executor",
+    "holder",
+    "order_watch",
+    "reporter",
+]
--- a/marigoldsill/coordination/job_agent/order_watch.py
+++ b/marigoldsill/coordination/job_agent/order_watch.py
@@ -1,8 +1,8 @@
 """The task that asks the leader for new orders."""
 
 from marigoldsill import errors
-from marigoldsill.coordination import control_link
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -3,8 +3,8 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import control_link
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/jobs/__init__.py
+++ b/marigoldsill/coordination/jobs/__init__.py
@@ -1,1 +1,11 @@
-"""What the leader of control does for queues, their jobs and their agents."""
+"""Queues and their jobs, on the leader and on the way to it.
+
+The room decides whether a job is taken in and where its tasks run.
+Other rooms use the modules listed here only.
+"""
+
+__all__ = [
+    "client",
+    "scheduler",
+    "service",
+]
--- a/marigoldsill/coordination/job_client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -11,9 +11,9 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import control_link
-from marigoldsill.coordination import deadlines
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 
 # A commit takes some 10 ms; a leader that is silent so long is looked for.
 _TRY_TIMEOUT_S = 0.8
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -4,7 +4,7 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
 from marigoldsill.coordination.jobs import placing
 from marigoldsill.coordination.jobs import rooms as rooms_module
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -4,15 +4,15 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import commands
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import leases as leases_module
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import watch_hub
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.configuration import watch_hub
 from marigoldsill.coordination.jobs import agents as agents_module
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
+from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.leadership import leadership
+from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 
 # A commit takes two syncs and a round trip; a slow disk some hundred ms.
--- a/marigoldsill/coordination/audit_log.py
+++ b/marigoldsill/coordination/leadership/audit_log.py
@@ -5,7 +5,7 @@
 snapshot held: put the logs of all together and keep one line a sequence.
 """
 
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/leadership.py
+++ b/marigoldsill/coordination/leadership/leadership.py
@@ -1,7 +1,7 @@
 """Checks that this process leads, for those who ask it something."""
 
 from marigoldsill import errors
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
 
 
--- a/marigoldsill/coordination/estimates.py
+++ b/marigoldsill/coordination/learning/estimates.py
@@ -10,8 +10,8 @@
 import math
 import re
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 
 _PRIOR_SAMPLES_COUNT = 2.0
 _SAMPLES_LIMIT = 200.0
--- a/marigoldsill/coordination/interference.py
+++ b/marigoldsill/coordination/learning/interference.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import residents
+from marigoldsill.coordination.learning import residents
 
 LOADS_COUNT = 10
 _PAIR_LOADS = (0, 0, 0, 0, 0, 1, 1, 1, 2, 2)
--- a/marigoldsill/coordination/latency.py
+++ b/marigoldsill/coordination/learning/latency.py
@@ -8,7 +8,9 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import interference as interference_module
+from marigoldsill.coordination.learning import (
+    interference as interference_module,
+)
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/residents.py
+++ b/marigoldsill/coordination/learning/residents.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from marigoldsill.coordination import estimates as estimates_module
+from marigoldsill.coordination.learning import estimates as estimates_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
--- a/marigoldsill/coordination/placement/__init__.py
+++ b/marigoldsill/coordination/placement/__init__.py
@@ -1,5 +1,18 @@
-"""Which worker takes which task.
+"""Which worker takes a task, and what gives way for it.
 
-`amounts.fits` and `capacity.free_on` answer for single workers, `preview` and
-`forecast` for plans; the leader's decisions use the index in `capacity`.
+The room decides where there is room, who shares it, and who is moved.
+Other rooms use the modules listed here only.
 """
+
+__all__ = [
+    "eviction",
+    "facts",
+    "feasibility",
+    "fleet",
+    "forecast",
+    "moves",
+    "preview",
+    "relief",
+    "sharing",
+    "starts",
+]
--- a/marigoldsill/coordination/placement/capacity.py
+++ b/marigoldsill/coordination/placement/capacity.py
@@ -14,8 +14,8 @@
 import math
 import random
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _BUCKET_RATIO = math.log(1.5)
--- a/marigoldsill/coordination/eviction.py
+++ b/marigoldsill/coordination/placement/eviction.py
@@ -4,10 +4,10 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import fleet as fleet_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _RESTART_COST_S = 5.0
--- a/marigoldsill/coordination/placement/facts.py
+++ b/marigoldsill/coordination/placement/facts.py
@@ -3,9 +3,9 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import estimates as estimates_module
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.learning import estimates as estimates_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _BACKOFF_S = 0.5
--- a/marigoldsill/coordination/placement/feasibility.py
+++ b/marigoldsill/coordination/placement/feasibility.py
@@ -1,8 +1,8 @@
 """Whether a task could run at all, and why not."""
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 
 
 def reason_impossible(
--- a/marigoldsill/coordination/fleet.py
+++ b/marigoldsill/coordination/placement/fleet.py
@@ -6,11 +6,13 @@
 
 import dataclasses
 
-from marigoldsill.coordination import estimates as estimates_module
-from marigoldsill.coordination import interference as interference_module
-from marigoldsill.coordination import latency as latency_module
-from marigoldsill.coordination import quarantine as quarantine_module
-from marigoldsill.coordination import residents as residents_module
+from marigoldsill.coordination.learning import estimates as estimates_module
+from marigoldsill.coordination.learning import (
+    interference as interference_module,
+)
+from marigoldsill.coordination.learning import latency as latency_module
+from marigoldsill.coordination.learning import quarantine as quarantine_module
+from marigoldsill.coordination.learning import residents as residents_module
 from marigoldsill.coordination.placement import capacity
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.coordination.placement import holdings as holdings_module
--- a/marigoldsill/coordination/placement/forecast.py
+++ b/marigoldsill/coordination/placement/forecast.py
@@ -1,6 +1,6 @@
 """Where the waiting tasks would go if the queue were placed now; for plans."""
 
-from marigoldsill.coordination import estimates as estimates_module
+from marigoldsill.coordination.learning import estimates as estimates_module
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.coordination.placement import preview as preview_module
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/placement/holdings.py
+++ b/marigoldsill/coordination/placement/holdings.py
@@ -6,9 +6,9 @@
 import collections
 import dataclasses
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import capacity as capacity_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _ANYWHERE = "anywhere"
--- a/marigoldsill/coordination/holds.py
+++ b/marigoldsill/coordination/placement/holds.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import fleet as fleet_module
+from marigoldsill.state import amounts
 
 _HOLD_S = 30.0
 
--- a/marigoldsill/coordination/moves.py
+++ b/marigoldsill/coordination/placement/moves.py
@@ -1,10 +1,10 @@
 """Moves runs off workers that drain or hold more than they should."""
 
-from marigoldsill.coordination import eviction as eviction_module
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import starts as starts_module
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.placement import eviction as eviction_module
+from marigoldsill.coordination.placement import fleet as fleet_module
+from marigoldsill.coordination.placement import starts as starts_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 
--- a/marigoldsill/coordination/places.py
+++ b/marigoldsill/coordination/placement/places.py
@@ -3,12 +3,12 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import sharing as sharing_module
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import facts as facts_module
+from marigoldsill.coordination.placement import fleet as fleet_module
 from marigoldsill.coordination.placement import holdings
+from marigoldsill.coordination.placement import sharing as sharing_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 
 _CANDIDATES_COUNT = 10
 _AVOIDED_COUNT = 4
--- a/marigoldsill/coordination/placement/preview.py
+++ b/marigoldsill/coordination/placement/preview.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import capacity
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _WORKERS_LIMIT = 200
--- a/marigoldsill/coordination/relief.py
+++ b/marigoldsill/coordination/placement/relief.py
@@ -7,9 +7,9 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import eviction as eviction_module
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import residents as residents_module
+from marigoldsill.coordination.learning import residents as residents_module
+from marigoldsill.coordination.placement import eviction as eviction_module
+from marigoldsill.coordination.placement import fleet as fleet_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
--- a/marigoldsill/coordination/sharing.py
+++ b/marigoldsill/coordination/placement/sharing.py
@@ -3,8 +3,8 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import residents as residents_module
+from marigoldsill.coordination.learning import residents as residents_module
+from marigoldsill.coordination.placement import fleet as fleet_module
 from marigoldsill.protocol.generated import ttypes
 
 _EXPLORING_SHARE = 0.1
--- a/marigoldsill/coordination/starts.py
+++ b/marigoldsill/coordination/placement/starts.py
@@ -3,16 +3,16 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination import eviction as eviction_module
-from marigoldsill.coordination import fleet as fleet_module
-from marigoldsill.coordination import holds as holds_module
-from marigoldsill.coordination import places as places_module
-from marigoldsill.coordination import sharing as sharing_module
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.placement import eviction as eviction_module
 from marigoldsill.coordination.placement import facts as facts_module
 from marigoldsill.coordination.placement import feasibility
+from marigoldsill.coordination.placement import fleet as fleet_module
+from marigoldsill.coordination.placement import holds as holds_module
+from marigoldsill.coordination.placement import places as places_module
 from marigoldsill.coordination.placement import queue as queue_module
+from marigoldsill.coordination.placement import sharing as sharing_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
 _WORKERS_LIMIT = 24
--- a/marigoldsill/coordination/effects.py
+++ b/marigoldsill/coordination/plans/effects.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Iterator
 
-from marigoldsill.coordination.placement import amounts
 from marigoldsill.coordination.placement import forecast
 from marigoldsill.coordination.placement import preview as preview_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import changes as changes_module
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
--- a/marigoldsill/coordination/guards.py
+++ b/marigoldsill/coordination/plans/guards.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 import dataclasses
 
-from marigoldsill.coordination import effects as effects_module
+from marigoldsill.coordination.plans import effects as effects_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes as changes_module
 from marigoldsill.state import tables as tables_module
--- a/marigoldsill/coordination/operators.py
+++ b/marigoldsill/coordination/plans/operators.py
@@ -1,11 +1,11 @@
 """What operators ask of the leader: plan, confirm, status, explain, audit."""
 
 from marigoldsill import errors
-from marigoldsill.coordination import absence
-from marigoldsill.coordination import control_service
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import plan_commands
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.deciding import absence
+from marigoldsill.coordination.deciding import control_service
+from marigoldsill.coordination.leadership import leadership
+from marigoldsill.coordination.plans import plan_commands
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import audit
--- a/marigoldsill/coordination/plan_commands.py
+++ b/marigoldsill/coordination/plans/plan_commands.py
@@ -5,12 +5,12 @@
 import prometheus_client
 
 from marigoldsill import errors
-from marigoldsill.coordination import commands
-from marigoldsill.coordination import control_service
-from marigoldsill.coordination import guards
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import planning
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.deciding import control_service
+from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.leadership import leadership
+from marigoldsill.coordination.plans import guards
+from marigoldsill.coordination.plans import planning
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import intent_file
 from marigoldsill.protocol import policy_file
--- a/marigoldsill/coordination/planning.py
+++ b/marigoldsill/coordination/plans/planning.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from marigoldsill import errors
-from marigoldsill.coordination import effects as effects_module
-from marigoldsill.coordination import guards
+from marigoldsill.coordination.plans import effects as effects_module
+from marigoldsill.coordination.plans import guards
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
 
--- a/marigoldsill/coordination/admission.py
+++ b/marigoldsill/coordination/requests/admission.py
@@ -13,8 +13,8 @@
 import threading
 import time
 
-from marigoldsill.coordination import deadlines
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 
 _ANNOUNCEMENT_LIFE_S = 3.0
 _MEAN_WEIGHT = 0.1
--- a/marigoldsill/coordination/agent_connections.py
+++ b/marigoldsill/coordination/requests/agent_connections.py
@@ -5,7 +5,7 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import request_metrics
+from marigoldsill.coordination.requests import request_metrics
 from marigoldsill.protocol.generated import Agent
 from marigoldsill.transport import cuts
 from marigoldsill.transport import thrift_client
--- a/marigoldsill/coordination/agent_service.py
+++ b/marigoldsill/coordination/requests/agent_service.py
@@ -4,14 +4,14 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import admission as admission_module
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import request_latency
-from marigoldsill.coordination import request_metrics
-from marigoldsill.coordination import seen_requests
+from marigoldsill.coordination.requests import admission as admission_module
+from marigoldsill.coordination.requests import request_latency
+from marigoldsill.coordination.requests import request_metrics
+from marigoldsill.coordination.requests import seen_requests
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import headers as headers_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 from marigoldsill.transport import http_client
 
 _OWN_HEADERS = frozenset(
--- a/marigoldsill/coordination/attempts.py
+++ b/marigoldsill/coordination/requests/attempts.py
@@ -3,12 +3,12 @@
 import dataclasses
 
 from marigoldsill import errors
-from marigoldsill.coordination import agent_connections
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import request_metrics
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import agent_connections
+from marigoldsill.coordination.requests import request_metrics
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 from marigoldsill.transport import hangups
 from marigoldsill.transport import thrift_client
 
--- a/marigoldsill/coordination/calls.py
+++ b/marigoldsill/coordination/requests/calls.py
@@ -3,16 +3,16 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import agent_connections
-from marigoldsill.coordination import attempts as attempts_module
-from marigoldsill.coordination import claimed_calls
-from marigoldsill.coordination import claims_client
-from marigoldsill.coordination import entry_limits
-from marigoldsill.coordination import idempotent_calls
-from marigoldsill.coordination import repeats as repeats_module
-from marigoldsill.coordination import retries as retries_module
-from marigoldsill.coordination import retry_budget
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import agent_connections
+from marigoldsill.coordination.requests import attempts as attempts_module
+from marigoldsill.coordination.requests import claimed_calls
+from marigoldsill.coordination.requests import claims_client
+from marigoldsill.coordination.requests import entry_limits
+from marigoldsill.coordination.requests import idempotent_calls
+from marigoldsill.coordination.requests import repeats as repeats_module
+from marigoldsill.coordination.requests import retries as retries_module
+from marigoldsill.coordination.requests import retry_budget
+from marigoldsill.coordination.requests import routing
 from marigoldsill.transport import cuts
 
 
--- a/marigoldsill/coordination/claim_service.py
+++ b/marigoldsill/coordination/requests/claim_service.py
@@ -6,9 +6,9 @@
 """
 
 from marigoldsill import errors
-from marigoldsill.coordination import commands
-from marigoldsill.coordination import leadership
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.leadership import leadership
 from marigoldsill.protocol.generated import ttypes
 
 _PROPOSE_TIMEOUT_S = 1.0
--- a/marigoldsill/coordination/claimed_calls.py
+++ b/marigoldsill/coordination/requests/claimed_calls.py
@@ -4,11 +4,11 @@
 import contextlib
 
 from marigoldsill import errors
-from marigoldsill.coordination import attempts as attempts_module
-from marigoldsill.coordination import claims_client
-from marigoldsill.coordination import repeats as repeats_module
-from marigoldsill.coordination import retries as retries_module
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import attempts as attempts_module
+from marigoldsill.coordination.requests import claims_client
+from marigoldsill.coordination.requests import repeats as repeats_module
+from marigoldsill.coordination.requests import retries as retries_module
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 
 _TAKEN_LIMIT = 2
--- a/marigoldsill/coordination/claims_client.py
+++ b/marigoldsill/coordination/requests/claims_client.py
@@ -12,9 +12,9 @@
 import uuid
 
 from marigoldsill import errors
-from marigoldsill.coordination import attempts
-from marigoldsill.coordination import control_link
-from marigoldsill.coordination import request_metrics
+from marigoldsill.coordination.leadership import control_link
+from marigoldsill.coordination.requests import attempts
+from marigoldsill.coordination.requests import request_metrics
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/idempotent_calls.py
+++ b/marigoldsill/coordination/requests/idempotent_calls.py
@@ -4,11 +4,11 @@
 import uuid
 
 from marigoldsill import errors
-from marigoldsill.coordination import attempts as attempts_module
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import retries as retries_module
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import attempts as attempts_module
+from marigoldsill.coordination.requests import retries as retries_module
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 
 # An attempt that can still be followed by another leaves time for it, unless
 # the service's attempts usually take too long for two.
--- a/marigoldsill/coordination/repeats.py
+++ b/marigoldsill/coordination/requests/repeats.py
@@ -3,9 +3,9 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import agent_connections
-from marigoldsill.coordination import attempts
-from marigoldsill.coordination import claims_client
+from marigoldsill.coordination.requests import agent_connections
+from marigoldsill.coordination.requests import attempts
+from marigoldsill.coordination.requests import claims_client
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 
--- a/marigoldsill/coordination/routing.py
+++ b/marigoldsill/coordination/requests/routing.py
@@ -6,8 +6,8 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import passive_health
-from marigoldsill.coordination import request_metrics
+from marigoldsill.coordination.requests import passive_health
+from marigoldsill.coordination.requests import request_metrics
 from marigoldsill.protocol.generated import ttypes
 
 _REPORT_LIFE_S = 1.0
--- a/marigoldsill/coordination/checkpointing.py
+++ b/marigoldsill/coordination/runs/checkpointing.py
@@ -4,7 +4,7 @@
 import enum
 import time
 
-from marigoldsill.coordination import run_events
+from marigoldsill.coordination.runs import run_events
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/graceful_worker.py
+++ b/marigoldsill/coordination/runs/graceful_worker.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from marigoldsill.coordination import admission as admission_module
+from marigoldsill.coordination.requests import admission as admission_module
 from marigoldsill.protocol import worker_interface
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/heartbeat_sender.py
+++ b/marigoldsill/coordination/runs/heartbeat_sender.py
@@ -9,10 +9,10 @@
 import prometheus_client
 
 from marigoldsill import errors
-from marigoldsill.coordination import control_link
-from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import run_keeper
-from marigoldsill.coordination import worker_usage
+from marigoldsill.coordination.leadership import control_link
+from marigoldsill.coordination.runs import lease_renewer
+from marigoldsill.coordination.runs import run_keeper
+from marigoldsill.coordination.runs import worker_usage
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
 from marigoldsill.transport import failpoints
--- a/marigoldsill/coordination/inherited_runs.py
+++ b/marigoldsill/coordination/runs/inherited_runs.py
@@ -2,9 +2,9 @@
 
 import time
 
-from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import leases
-from marigoldsill.coordination import run_events
+from marigoldsill.coordination.leadership import leases
+from marigoldsill.coordination.runs import lease_renewer
+from marigoldsill.coordination.runs import run_events
 
 
 class InheritedRuns:
--- a/marigoldsill/coordination/run_keeper.py
+++ b/marigoldsill/coordination/runs/run_keeper.py
@@ -12,12 +12,12 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import checkpointing
-from marigoldsill.coordination import inherited_runs
-from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import run_events
-from marigoldsill.coordination import run_operations
-from marigoldsill.coordination import worker_room
+from marigoldsill.coordination.runs import checkpointing
+from marigoldsill.coordination.runs import inherited_runs
+from marigoldsill.coordination.runs import lease_renewer
+from marigoldsill.coordination.runs import run_events
+from marigoldsill.coordination.runs import run_operations
+from marigoldsill.coordination.runs import worker_room
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import failpoints
--- a/marigoldsill/coordination/run_operations.py
+++ b/marigoldsill/coordination/runs/run_operations.py
@@ -13,8 +13,8 @@
 import prometheus_client
 
 from marigoldsill import errors
-from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import run_events
+from marigoldsill.coordination.runs import lease_renewer
+from marigoldsill.coordination.runs import run_events
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import failpoints
--- a/marigoldsill/coordination/worker_room.py
+++ b/marigoldsill/coordination/runs/worker_room.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-from marigoldsill.coordination import run_events
-from marigoldsill.coordination import run_operations
+from marigoldsill.coordination.runs import run_events
+from marigoldsill.coordination.runs import run_operations
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/worker_usage.py
+++ b/marigoldsill/coordination/runs/worker_usage.py
@@ -10,7 +10,7 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import request_latency
+from marigoldsill.coordination.requests import request_latency
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
--- a/marigoldsill/platform/callers.py
+++ b/marigoldsill/platform/callers.py
@@ -3,11 +3,11 @@
 from werkzeug import wrappers
 
 from marigoldsill import errors
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import job_client
+from marigoldsill.coordination.jobs import client as job_client
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import job_bodies
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 
 _DEADLINE = "Request-Deadline"
 _GONE = 410
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -2,12 +2,12 @@
 
 from werkzeug import wrappers
 
-from marigoldsill.coordination import job_client
-from marigoldsill.coordination.jobs import control_node
+from marigoldsill.coordination.jobs import client as job_client
 from marigoldsill.platform import callers
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import operators
 from marigoldsill.platform import settings_file
+from marigoldsill.roles import control_node
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 
--- a/marigoldsill/platform/operators.py
+++ b/marigoldsill/platform/operators.py
@@ -3,10 +3,10 @@
 from werkzeug import wrappers
 
 from marigoldsill import errors
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import job_client
+from marigoldsill.coordination.jobs import client as job_client
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import routing_bodies
+from marigoldsill.transport import deadlines
 
 # An operator goes to another process after a second without an answer.
 _BUDGET_S = 0.9
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from concurrent import futures
 
-from marigoldsill.coordination import control_link
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import executor as executor_module
 from marigoldsill.coordination.job_agent import holder as holder_module
 from marigoldsill.coordination.job_agent import order_watch
 from marigoldsill.coordination.job_agent import reporter as reporter_module
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import settings_file
 from marigoldsill.platform import worker_client
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -6,14 +6,16 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
-from marigoldsill.coordination import admission as admission_module
-from marigoldsill.coordination import agent_service
-from marigoldsill.coordination import graceful_worker
-from marigoldsill.coordination import heartbeat_sender
-from marigoldsill.coordination import request_latency
-from marigoldsill.coordination import run_keeper
-from marigoldsill.coordination import subscriber as subscriber_module
-from marigoldsill.coordination import worker_usage
+from marigoldsill.coordination.configuration import (
+    subscriber as subscriber_module,
+)
+from marigoldsill.coordination.requests import admission as admission_module
+from marigoldsill.coordination.requests import agent_service
+from marigoldsill.coordination.requests import request_latency
+from marigoldsill.coordination.runs import graceful_worker
+from marigoldsill.coordination.runs import heartbeat_sender
+from marigoldsill.coordination.runs import run_keeper
+from marigoldsill.coordination.runs import worker_usage
 from marigoldsill.protocol import announcements
 from marigoldsill.protocol import checks
 from marigoldsill.protocol import worker_interface
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -5,12 +5,12 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
-from marigoldsill.coordination import audit_log
-from marigoldsill.coordination import control_service
-from marigoldsill.coordination import operators
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination import scheduler as scheduler_module
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.deciding import control_service
+from marigoldsill.coordination.deciding import scheduler as scheduler_module
+from marigoldsill.coordination.leadership import audit_log
+from marigoldsill.coordination.plans import operators
 from marigoldsill.protocol import checks
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/jobs/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -10,9 +10,9 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
-from marigoldsill.coordination.jobs import joining
+from marigoldsill.coordination.agreement import joining
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.protocol.generated import Control as ControlThrift
--- a/marigoldsill/roles/entry.py
+++ b/marigoldsill/roles/entry.py
@@ -8,18 +8,20 @@
 
 from marigoldsill import errors
 from marigoldsill import settings as settings_module
-from marigoldsill.coordination import attempts
-from marigoldsill.coordination import calls
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import request_metrics
-from marigoldsill.coordination import routing
-from marigoldsill.coordination import subscriber as subscriber_module
+from marigoldsill.coordination.configuration import (
+    subscriber as subscriber_module,
+)
+from marigoldsill.coordination.requests import attempts
+from marigoldsill.coordination.requests import calls
+from marigoldsill.coordination.requests import request_metrics
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol import caller_requests
 from marigoldsill.protocol import headers as headers_module
 from marigoldsill.protocol import shapes
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.roles import common
 from marigoldsill.transport import cuts
+from marigoldsill.transport import deadlines
 from marigoldsill.transport import http_server
 from marigoldsill.transport import logs
 
--- a/marigoldsill/roles/operator_http.py
+++ b/marigoldsill/roles/operator_http.py
@@ -7,7 +7,7 @@
 from werkzeug import wrappers
 
 from marigoldsill import errors
-from marigoldsill.coordination import operators as operators_module
+from marigoldsill.coordination.plans import operators as operators_module
 from marigoldsill.protocol import shapes
 from marigoldsill.roles import common
 from marigoldsill.roles import tokens as tokens_module
--- a/tests/coordination/test_group.py
+++ b/tests/coordination/agreement/test_group.py
@@ -7,8 +7,8 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.state import snapshot
 from tests import processes
 from tests.coordination import groups
--- a/tests/coordination/test_votes.py
+++ b/tests/coordination/agreement/test_votes.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from marigoldsill.coordination import members
-from marigoldsill.coordination import peer_service
+from marigoldsill.coordination.agreement import members
+from marigoldsill.coordination.agreement import peer_service
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
 from tests.coordination import groups
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/configuration/test_configuration.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from marigoldsill.coordination import configuration
+from marigoldsill.coordination.configuration import configuration
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
--- a/tests/coordination/test_watch_service.py
+++ b/tests/coordination/configuration/test_watch_service.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from marigoldsill.coordination import watch_service
+from marigoldsill.coordination.configuration import watch_service
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
--- a/tests/coordination/test_absences.py
+++ b/tests/coordination/deciding/test_absences.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination import absence as absence_module
+from marigoldsill.coordination.deciding import absence as absence_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import commands
 from tests.coordination import world as world_module
--- a/tests/coordination/test_heartbeats.py
+++ b/tests/coordination/deciding/test_heartbeats.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from marigoldsill.coordination import control_service
-from marigoldsill.coordination import leases as leases_module
+from marigoldsill.coordination.deciding import control_service
+from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
 from tests.coordination import commands
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -4,7 +4,7 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination import control_service
+from marigoldsill.coordination.deciding import control_service
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
--- a/tests/coordination/groups.py
+++ b/tests/coordination/groups.py
@@ -7,8 +7,8 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files
 from marigoldsill.transport import cuts
--- a/tests/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -10,7 +10,7 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
-from tests.jobs import fake_worker
+from tests.coordination.jobs import fake_worker
 
 _TERM = 3
 _RUN = ttypes.RunDesire.RUN
--- a/tests/jobs/test_job_changes.py
+++ b/tests/coordination/jobs/test_job_changes.py
@@ -4,7 +4,7 @@
 
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
-from tests.jobs import builders
+from tests.coordination.jobs import builders
 
 _DONE = ttypes.RunEndKind.DONE
 _FAILED = ttypes.RunEndKind.FAILED
--- a/tests/jobs/test_orders.py
+++ b/tests/coordination/jobs/test_orders.py
@@ -4,7 +4,7 @@
 
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.protocol.generated import ttypes
-from tests.jobs import builders
+from tests.coordination.jobs import builders
 
 _TERM = 3
 
--- a/tests/coordination/test_estimates.py
+++ b/tests/coordination/learning/test_estimates.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination import estimates
+from marigoldsill.coordination.learning import estimates
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import world
 
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/learning/test_quarantine.py
@@ -1,6 +1,6 @@
 """Workers that fail everything, jobs that fail everywhere."""
 
-from marigoldsill.coordination import quarantine
+from marigoldsill.coordination.learning import quarantine
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import world as world_module
 
--- a/tests/coordination/member.py
+++ b/tests/coordination/member.py
@@ -10,8 +10,8 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
-from marigoldsill.coordination import replica as replica_module
+from marigoldsill.coordination.agreement import peers
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 from marigoldsill.transport import thrift_server
--- a/tests/coordination/member_group.py
+++ b/tests/coordination/member_group.py
@@ -12,7 +12,7 @@
 from thrift import Thrift
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
+from marigoldsill.coordination.agreement import peers
 from marigoldsill.protocol.generated import Peer as PeerService  # noqa: N811
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import thrift_client
--- a/tests/coordination/test_capacity_laws.py
+++ b/tests/coordination/placement/test_capacity_laws.py
@@ -6,10 +6,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from marigoldsill.coordination import quarantine
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.learning import quarantine
 from marigoldsill.coordination.placement import capacity
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from tests.coordination import world as world_module
 
 EVENTS = world_module.EVENTS
--- a/tests/coordination/test_evictions.py
+++ b/tests/coordination/placement/test_evictions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination import eviction
+from marigoldsill.coordination.placement import eviction
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import world as world_module
 
--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/plans/test_operators.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import operators as operators_module
+from marigoldsill.coordination.plans import operators as operators_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import fakes
 from tests.state import states
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/plans/test_planning.py
@@ -6,10 +6,10 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import guards
-from marigoldsill.coordination import planning
 from marigoldsill.coordination.placement import forecast
 from marigoldsill.coordination.placement import preview as preview_module
+from marigoldsill.coordination.plans import guards
+from marigoldsill.coordination.plans import planning
 from marigoldsill.protocol import intent_file
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/requests/test_admission.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from marigoldsill.coordination import admission as admission_module
-from marigoldsill.coordination import deadlines
+from marigoldsill.coordination.requests import admission as admission_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
 
 _FAR_S = 20.0
 
--- a/tests/coordination/test_request_latency.py
+++ b/tests/coordination/requests/test_request_latency.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from marigoldsill.coordination import request_latency
-from marigoldsill.coordination import worker_usage
+from marigoldsill.coordination.requests import request_latency
+from marigoldsill.coordination.runs import worker_usage
 from marigoldsill.protocol import worker_interface
 from tests import processes
 
--- a/tests/coordination/test_retries.py
+++ b/tests/coordination/requests/test_retries.py
@@ -3,11 +3,11 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import attempts
-from marigoldsill.coordination import deadlines
-from marigoldsill.coordination import idempotent_calls
-from marigoldsill.coordination import retries as retries_module
-from marigoldsill.coordination import retry_budget
+from marigoldsill.coordination.requests import attempts
+from marigoldsill.coordination.requests import idempotent_calls
+from marigoldsill.coordination.requests import retries as retries_module
+from marigoldsill.coordination.requests import retry_budget
+from marigoldsill.transport import deadlines
 from marigoldsill.transport import hangups
 
 
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/requests/test_routing.py
@@ -6,9 +6,9 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import passive_health
-from marigoldsill.coordination import retry_budget
-from marigoldsill.coordination import routing
+from marigoldsill.coordination.requests import passive_health
+from marigoldsill.coordination.requests import retry_budget
+from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 
 
--- a/tests/coordination/test_seen_requests.py
+++ b/tests/coordination/requests/test_seen_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination import seen_requests
+from marigoldsill.coordination.requests import seen_requests
 from marigoldsill.protocol.generated import ttypes
 
 
--- a/tests/coordination/test_heartbeat_sender.py
+++ b/tests/coordination/runs/test_heartbeat_sender.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination import heartbeat_sender
+from marigoldsill.coordination.runs import heartbeat_sender
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
 
--- a/tests/coordination/test_run_keeper.py
+++ b/tests/coordination/runs/test_run_keeper.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from marigoldsill.coordination import lease_renewer
-from marigoldsill.coordination import run_keeper
+from marigoldsill.coordination.runs import lease_renewer
+from marigoldsill.coordination.runs import run_keeper
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import http_client
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -1,11 +1,11 @@
 """A state, a virtual clock and the real decisions, without processes."""
 
-from marigoldsill.coordination import changes as changes_module
-from marigoldsill.coordination import decisions as decisions_module
-from marigoldsill.coordination import fleet
-from marigoldsill.coordination import usage as usage_module
-from marigoldsill.coordination.placement import amounts
+from marigoldsill.coordination.deciding import decisions as decisions_module
+from marigoldsill.coordination.leadership import changes as changes_module
+from marigoldsill.coordination.learning import usage as usage_module
+from marigoldsill.coordination.placement import fleet
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import changes as state_changes
 from marigoldsill.state import machine
 from marigoldsill.state import tables as tables_module
--- a/tests/failures/control_commands.py
+++ b/tests/failures/control_commands.py
@@ -4,7 +4,7 @@
 import uuid
 
 from marigoldsill import errors
-from marigoldsill.coordination import peers
+from marigoldsill.coordination.agreement import peers
 from marigoldsill.protocol.generated import Peer
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import thrift_client
--- a/tests/jobs/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of jobs."""
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -4,6 +4,8 @@
 """
 
 import ast
+import collections
+import importlib
 import importlib.util
 import pathlib
 
@@ -20,6 +22,21 @@
     "platform",
     "cli",
 )
+_ROOMS = (
+    "agreement",
+    "leadership",
+    "configuration",
+    "requests",
+    "runs",
+    "learning",
+    "placement",
+    "deciding",
+    "plans",
+    "jobs",
+    "job_agent",
+)
+_ROOM_LIMIT = 20
+_IN_ROOM_DEPTH = 2
 _SHARED = frozenset({"errors", "settings", "setting_sources"})
 _FORBIDDEN = frozenset({"subprocess", "multiprocessing", "pty", "asyncio"})
 _FORBIDDEN_CALLS = frozenset(
@@ -43,6 +60,42 @@
     assert set(ours) <= allowed, f"{layer} may import {sorted(allowed)}"
 
 
+@pytest.mark.parametrize(
+    "path", sources.package_files(), ids=sources.identifier
+)
+def test_a_room_imports_no_room_above_it(path: pathlib.Path) -> None:
+    own = _room_of(path)
+    if own is None:
+        return
+    allowed = set(_ROOMS[: _ROOMS.index(own) + 1])
+    assert {room for room, _ in _used_modules(path)} <= allowed
+
+
+@pytest.mark.parametrize(
+    "path", sources.package_files(), ids=sources.identifier
+)
+def test_a_room_is_entered_by_its_public_modules(path: pathlib.Path) -> None:
+    own = _room_of(path)
+    hidden = [
+        f"{room}.{module}"
+        for room, module in _used_modules(path)
+        if room != own and module not in _public_modules(room)
+    ]
+    assert hidden == []
+
+
+def test_every_module_of_coordination_is_in_a_room() -> None:
+    folder = sources.PACKAGE / "coordination"
+    assert [p.name for p in folder.glob("*.py")] == ["__init__.py"]
+    assert {p.name for p in folder.iterdir() if _is_package(p)} == set(_ROOMS)
+
+
+def test_no_folder_is_crowded() -> None:
+    counts = collections.Counter(p.parent for p in sources.package_files())
+    crowded = {p for p, count in counts.items() if count > _ROOM_LIMIT}
+    assert crowded == set()
+
+
 @pytest.mark.parametrize(
     "path", sources.package_files(), ids=sources.identifier
 )
@@ -70,5 +123,27 @@
     assert not [name for name in used if name.startswith("os.exec")]
 
 
+def _room_of(path: pathlib.Path) -> str | None:
+    parts = path.relative_to(sources.PACKAGE).parts
+    is_in_room = parts[0] == "coordination" and len(parts) > _IN_ROOM_DEPTH
+    return parts[1] if is_in_room else None
+
+
+def _used_modules(path: pathlib.Path) -> list[tuple[str, str]]:
+    """Rooms and modules of coordination that a module imports."""
+    prefix = "marigoldsill.coordination."
+    names = [n for n in sources.imports(path) if n.startswith(prefix)]
+    return [tuple(n.removeprefix(prefix).split(".")[:2]) for n in names]
+
+
+def _public_modules(room: str) -> list[str]:
+    package = importlib.import_module(f"marigoldsill.coordination.{room}")
+    return package.__all__
+
+
+def _is_package(path: pathlib.Path) -> bool:
+    return (path / "__init__.py").is_file()
+
+
 def _is_module(name: str) -> bool:
     return importlib.util.find_spec(name) is not None
