Learn which images disturb which; place and pace by it

Cause: filling tasks beside serving ones were paced all alike, by halves, and came back only below half of the target, which loads of their own exceed: they stood still.

Ruled out: a term added to the tail latency itself.

Change: a filter learns the strain each pair of images adds; serving tasks are packed, filling ones placed by predicted strain; agents allot speed by it, new pairs begin slowly; runs that stay slow move. The leader logs jobs and runs.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -46,6 +46,7 @@
         orders: Orders by (task, run).
         orders_term: Term of the leader that gave them.
         orders_version: Their version in that term.
+        pressures_version: Version of what the pacer was told of images.
         running: What the worker listed as running last.
         ends: Ends to report, by (task, run).
         listed_through: Number of the last end that was listed.
@@ -65,6 +66,7 @@
         self.orders: dict[RunKey, ttypes.RunOrder] = {}
         self.orders_term = 0
         self.orders_version = 0
+        self.pressures_version = 0
         self.running: dict[RunKey, ttypes.RunLook] = {}
         self.listings_count = 0
         self.ends: dict[RunKey, ttypes.RunEnd] = {}
@@ -100,7 +102,22 @@
         """The percent of its speed that a run may take now."""
         if not order.fills:
             return order.pace_percent
-        return min(order.pace_percent, self.pacer.percent)
+        percent = self.pacer.percent((order.task, order.run))
+        return min(order.pace_percent, percent)
+
+    def note_started(self, order: ttypes.RunOrder) -> None:
+        """Gives a run that fills its first pace; hold the lock."""
+        if order.fills:
+            self.pacer.first_percent(order, self._serving_images())
+
+    def _serving_images(self) -> set[str]:
+        return {o.image for o in self.orders.values() if o.tail_target_ms}
+
+    def looks(self) -> list[ttypes.RunLook]:
+        """What the worker lists as running, with the paces in force."""
+        for key, look in self.running.items():
+            look.pace_percent = self.pacer.percent(key)
+        return list(self.running.values())
 
     def announce(self, announcement: run_worker.Announcement) -> None:
         """Takes what the worker says of itself; late ones change nothing."""
@@ -160,6 +177,12 @@
                 self.orders[order.task, order.run] = order
             self.orders_term = reply.term
             self.orders_version = reply.version
+            if reply.pressures is not None:
+                self.pressures_version = reply.pressures_version
+                self.pacer.added = {
+                    (p.serving_image, p.filling_image): p.added
+                    for p in reply.pressures
+                }
             self._settle_orders()
             self.changed.notify_all()
             return True
@@ -182,7 +205,13 @@
                 if ended.number > self.acknowledged:
                     self.ends[ended.end.task, ended.end.run] = ended.end
                 self.listed_through = max(self.listed_through, ended.number)
-            self.pacer.look(self.orders, self.running)
+            if self.worker is not None:
+                self.pacer.look(
+                    self.orders,
+                    self.running,
+                    capacity_millicores=self.worker.capacity.cpu_millicores,
+                    now_s=clock.now_s(),
+                )
             self._settle_orders()
             self.changed.notify_all()
 
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -213,7 +213,9 @@
                 work.refused = "the worker is not healthy"
             raise
         work.unanswered = False
-        work.started = True
+        with state.changed:
+            work.started = True
+            state.note_started(order)
         state.clock.note(clock_ms, received_s=clock.now_s())
         logs.event(
             "run_started",
@@ -248,3 +250,4 @@
             token=self._state.term,
         )
         work.pace_percent = percent
+        logs.event("run_paced", task=order.task, run=order.run, percent=percent)
--- a/marigoldsill/coordination/job_agent/pacer.py
+++ b/marigoldsill/coordination/job_agent/pacer.py
@@ -1,52 +1,210 @@
-"""Slows down tasks that fill as soon as those that serve suffer.
+"""Slows down tasks that fill so that those that serve keep their targets.
 
 The agent decides by what its worker lists, several times a second and without
-asking control: what disturbs changes within seconds. All tasks that fill on the
-worker share one pace. It falls at once by a ratio while a task that serves is
-near its target, and rises slowly while all of them are well below.
+asking control: what disturbs changes within seconds. From the strain that a
+task that serves shows, and what is known of the pairs of images, it works out
+what the task would bear alone, and gives those that fill as much speed as the
+rest of the way to the goal allows, the ones that disturb least first.
 """
 
 from collections.abc import Mapping
+import dataclasses
+import math
 
+from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol.generated import ttypes
 
-# Of its target: above the first a tail is too high, below the second calm.
-_HIGH_RATIO = 0.8
-_CALM_RATIO = 0.5
-_FALL_RATIO = 0.5
-_RISE_PERCENT = 8
-_LOWEST_PERCENT = 0
-_HIGHEST_PERCENT = 100
+# In units of the target. A load that rises takes a tail from the first to the
+# second in about the time that a pace takes to show.
+_GOAL_STRAIN = strain.at_ratio(0.65)
+_HIGH_STRAIN = strain.at_ratio(0.85)
+# A pace takes 0.1 s to show, and a listed tail is that of the last half second.
+_SETTLE_S = 0.5
+# Speed is given in steps, in case a pair disturbs more than is known.
+_RISE_PERCENT = 25
+_FIRST_PERCENT = 25
+# A pair that adds less, by a tenth of the worker in use, needs no such care.
+_LIGHT_STRAIN = 0.02
+_WHOLE_PERCENT = 100
 # Below this a task is as good as stopped.
-_STOP_PERCENT = 10
+_STOP_PERCENT = 8
+# Smaller changes are not worth a call.
+_CHANGE_PERCENT = 5
+# Where little that is known explains a strain, what is not known to be light
+# stops, and the rest gives way.
+_LIGHT_KEPT_SHARE = 0.5
+_EXPLAINED_SHARE = 0.4
+_TENTHS = 10
 
 RunKey = tuple[str, int]
+Pair = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Filling:
+    """A task that fills.
+
+    Attributes:
+        key: Its run.
+        image: What it runs.
+        in_use: Tenths of the worker that it has in use.
+        wanted: Tenths of the worker that it would take at its whole speed.
+        percent: Its pace.
+    """
+
+    key: RunKey
+    image: str
+    in_use: float
+    wanted: float
+    percent: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Serving:
+    image: str
+    strain: float
 
 
 class Pacer:
-    """The pace of the tasks that fill on one worker.
+    """The paces of the tasks that fill on one worker.
 
     Attributes:
-        percent: What each of them may take of its speed.
+        added: What a tenth of the worker in use by tasks of an image adds to
+            the strain of another; by (serving, filling) image.
     """
 
     def __init__(self):
-        self.percent = _HIGHEST_PERCENT
+        self.added: dict[Pair, float] = {}
+        self._percents: dict[RunKey, int] = {}
+        self._cut_s = 0.0
+
+    def percent(self, key: RunKey) -> int:
+        """What a run that fills may take of its speed."""
+        return self._percents.get(key, _WHOLE_PERCENT)
+
+    def first_percent(
+        self, order: ttypes.RunOrder, serving_images: set[str]
+    ) -> int:
+        """The pace with which a run that fills begins."""
+        key = (order.task, order.run)
+        if key not in self._percents:
+            is_light = self._is_light(serving_images, order.image)
+            percent = _WHOLE_PERCENT if is_light else _FIRST_PERCENT
+            self._percents[key] = percent
+        return self._percents[key]
 
     def look(
         self,
         orders: Mapping[RunKey, ttypes.RunOrder],
         running: Mapping[RunKey, ttypes.RunLook],
+        *,
+        capacity_millicores: int,
+        now_s: float,
     ) -> None:
-        """Takes what the worker lists and sets the pace anew."""
-        ratios = [
-            running[key].load / order.tail_target_ms
-            for key, order in orders.items()
-            if order.tail_target_ms and key in running
+        """Takes what the worker lists and sets the paces anew."""
+        tenth = max(1, capacity_millicores) / _TENTHS
+        listed = [(k, o, running[k]) for k, o in orders.items() if k in running]
+        filling = [
+            _Filling(
+                key=key,
+                image=order.image,
+                in_use=look.load / tenth,
+                wanted=order.cpu_millicores / tenth,
+                percent=self.percent(key),
+            )
+            for key, order, look in listed
+            if order.fills
+        ]
+        serving = [
+            _Serving(
+                order.image, strain.of_tail(look.load, order.tail_target_ms)
+            )
+            for _, order, look in listed
+            if order.tail_target_ms and look.load
         ]
-        worst = max(ratios, default=0.0)
-        if worst > _HIGH_RATIO:
-            lower = int(self.percent * _FALL_RATIO)
-            self.percent = lower if lower >= _STOP_PERCENT else _LOWEST_PERCENT
-        elif worst < _CALM_RATIO:
-            self.percent = min(_HIGHEST_PERCENT, self.percent + _RISE_PERCENT)
+        held = {f.key: f.percent for f in filling}
+        # Of runs that are not listed yet, the pace is kept until they are.
+        self._percents = {
+            key: held.get(key, percent)
+            for key, percent in self._percents.items()
+            if key in orders
+        } | held
+        if not filling:
+            return
+        unexplained = self._unexplained(serving, filling)
+        if unexplained:
+            if now_s >= self._cut_s + _SETTLE_S:
+                self._cut_s = now_s
+                self._cut_all(serving, filling)
+            return
+        self._allot(serving, filling)
+
+    def _unexplained(
+        self, serving: list[_Serving], filling: list[_Filling]
+    ) -> bool:
+        """Whether a tail is high for no reason that is known."""
+        return any(
+            s.strain > _HIGH_STRAIN
+            and self._borne(s, filling)
+            < _EXPLAINED_SHARE * (s.strain - _GOAL_STRAIN)
+            for s in serving
+        )
+
+    def _cut_all(
+        self, serving: list[_Serving], filling: list[_Filling]
+    ) -> None:
+        for f in filling:
+            is_light = self._is_light({s.image for s in serving}, f.image)
+            kept_share = _LIGHT_KEPT_SHARE if is_light else 0.0
+            self._set(f, f.percent * kept_share)
+
+    def _is_light(self, serving_images: set[str], image: str) -> bool:
+        """Whether an image is known to disturb none of those that serve."""
+        return all(
+            self.added.get((serving, image), math.inf) < _LIGHT_STRAIN
+            for serving in serving_images
+        )
+
+    def _allot(self, serving: list[_Serving], filling: list[_Filling]) -> None:
+        """Gives speed to tasks that fill, those that disturb least first."""
+        left = [
+            _GOAL_STRAIN - (s.strain - self._borne(s, filling)) for s in serving
+        ]
+        for f in sorted(filling, key=lambda f: self._worst(serving, f)):
+            most = min(f.percent + _RISE_PERCENT, _WHOLE_PERCENT)
+            per_percent = [
+                self._added(s, f) * f.wanted / _WHOLE_PERCENT for s in serving
+            ]
+            allowed = min(
+                (
+                    room / per
+                    for room, per in zip(left, per_percent, strict=True)
+                    if per > 0
+                ),
+                default=most,
+            )
+            percent = max(0.0, min(most, allowed))
+            left = [
+                room - per * percent
+                for room, per in zip(left, per_percent, strict=True)
+            ]
+            self._set(f, percent)
+
+    def _borne(self, serving: _Serving, filling: list[_Filling]) -> float:
+        """What tasks that fill add to a strain now, as far as is known."""
+        return sum(self._added(serving, f) * f.in_use for f in filling)
+
+    def _worst(self, serving: list[_Serving], filling: _Filling) -> float:
+        return max((self._added(s, filling) for s in serving), default=0.0)
+
+    def _added(self, serving: _Serving, filling: _Filling) -> float:
+        return self.added.get((serving.image, filling.image), 0.0)
+
+    def _set(self, filling: _Filling, percent: float) -> None:
+        whole = int(percent)
+        if whole < _STOP_PERCENT:
+            whole = 0
+        is_small = abs(whole - filling.percent) < _CHANGE_PERCENT
+        if is_small and whole not in (0, _WHOLE_PERCENT):
+            return
+        self._percents[filling.key] = whole
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -11,6 +11,9 @@
 
 # Several reports fit into a lease, so that one lost report costs nothing.
 _INTERVAL_S = 1.0
+# The same while tasks share the worker that disturb each other: control learns
+# from what is listed.
+_SHARED_INTERVAL_S = 0.5
 _TIMEOUT_S = 1.0
 _PAUSE_S = 0.1
 _SILENT_S = 2.0
@@ -49,7 +52,10 @@
                 with state.changed:
                     state.changed.wait(_PAUSE_S)
             with state.changed:
-                state.changed.wait_for(self._has_news, _INTERVAL_S)
+                interval_s = (
+                    _SHARED_INTERVAL_S if state.is_shared else _INTERVAL_S
+                )
+                state.changed.wait_for(self._has_news, interval_s)
 
     def _has_news(self) -> bool:
         state = self._state
@@ -75,7 +81,7 @@
                 sequence=self._sequence,
                 worker=worker if self._tells_worker() else None,
                 ends=ends,
-                running=list(state.running.values()),
+                running=state.looks(),
                 worker_id=state.worker_id,
                 worker_silent=clock.now_s() - state.answered_s > _SILENT_S,
             )
--- a/marigoldsill/coordination/jobs/backlog.py
+++ b/marigoldsill/coordination/jobs/backlog.py
@@ -55,7 +55,7 @@
     def in_order(self) -> list[WaitingStep]:
         """The waiting steps, the most urgent first."""
         steps = [s for steps in self._by_job.values() for s in steps]
-        steps.sort(key=lambda s: (s.queue.priority, s.accepted_unix_ms))
+        steps.sort(key=lambda s: (s.queue.priority, s.accepted_unix_ms, s.key))
         return steps
 
 
--- /dev/null
+++ b/marigoldsill/coordination/jobs/job_events.py
@@ -0,0 +1,109 @@
+"""Log lines about jobs and runs, written by the leader as it applies them."""
+
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
+from marigoldsill.state import machine
+from marigoldsill.transport import logs
+
+
+class JobEvents:
+    """Writes one line for each decision that is in force.
+
+    Called after each applied command while this process leads, with the
+    replica's lock held.
+    """
+
+    def __init__(self):
+        self._ended: set[str] = set()
+
+    def reset(self, jobs: job_tables.JobTables) -> None:
+        """Starts over as a new leader: what ended before is not told."""
+        self._ended = {
+            job_id
+            for job_id, record in jobs.jobs.items()
+            if record.state in job_tables.ENDED
+        }
+
+    def take(self, jobs: job_tables.JobTables, command: ttypes.Command) -> None:
+        """Tells what a command did."""
+        match machine.body_of(command):
+            case ttypes.SubmitJob(job=job):
+                self._tell_accepted(jobs, job.job_id)
+            case ttypes.GrantRuns(grants=grants):
+                for grant in grants:
+                    _tell_granted(grant)
+            case ttypes.RecordRunEnds(ends=ends):
+                for end in ends:
+                    _tell_run_ended(end)
+                ids = {task_names.parse(end.task).job_id for end in ends}
+                self._tell_ended(jobs, ids, command.proposed_unix_ms)
+            case ttypes.CancelJob(job_id=job_id):
+                self._tell_ended(jobs, {job_id}, command.proposed_unix_ms)
+            case ttypes.ReplaceRouting(routing=routing):
+                logs.event(
+                    "routing_in_force",
+                    version=jobs.routing.version,
+                    sent=routing.version,
+                    queues_count=len(jobs.queues),
+                )
+
+    def _tell_accepted(self, jobs: job_tables.JobTables, job_id: str) -> None:
+        record = jobs.jobs.get(job_id)
+        if record is None or not record.job.steps:
+            return
+        steps = record.job.steps
+        logs.event(
+            "job_accepted",
+            job=job_id,
+            queue=record.job.queue,
+            tasks=",".join(str(step.tasks_count) for step in steps),
+            cores=",".join(
+                f"{step.resources.cpu_millicores / 1000:.1f}" for step in steps
+            ),
+            estimated_ms=",".join(str(step.estimated_ms) for step in steps),
+            kind=_kind_of(steps[0]),
+        )
+
+    def _tell_ended(
+        self, jobs: job_tables.JobTables, job_ids: set[str], now_unix_ms: int
+    ) -> None:
+        for job_id in job_ids - self._ended:
+            record = jobs.jobs.get(job_id)
+            if record is None or record.state not in job_tables.ENDED:
+                continue
+            self._ended.add(job_id)
+            logs.event(
+                "job_ended",
+                job=job_id,
+                queue=record.job.queue,
+                state=ttypes.JobState(record.state).name.lower(),
+                age_ms=now_unix_ms - record.job.accepted_unix_ms,
+                reason=record.reason,
+            )
+
+
+def _tell_granted(grant: ttypes.RunGrant) -> None:
+    logs.event(
+        "run_granted",
+        task=grant.task,
+        run=grant.run,
+        agent=grant.agent,
+        worker_id=grant.worker_id,
+    )
+
+
+def _tell_run_ended(end: ttypes.RunEnd) -> None:
+    logs.event(
+        "run_ended",
+        task=end.task,
+        run=end.run,
+        kind=ttypes.RunEndKind(end.kind).name.lower(),
+        reason=end.detail,
+    )
+
+
+def _kind_of(step: ttypes.Step) -> str:
+    if step.long_running:
+        return "serves" if step.tail_target_ms else "lasts"
+    return "fills" if step.fills else "batch"
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -143,6 +143,8 @@
             task = job_tables.find_task(record, address)
             order.fills = step.fills
             order.tail_target_ms = step.tail_target_ms
+            order.image = step.image
+            order.cpu_millicores = step.resources.cpu_millicores
             run = next(r for r in task.runs if r.run == live.run)
             order.command = record.job.command
             order.checkpoint_id = run.checkpoint_id
--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/jobs/placing.py
@@ -4,89 +4,191 @@
 
 from marigoldsill.coordination.jobs import backlog as backlog_module
 from marigoldsill.coordination.jobs import rooms as rooms_module
+from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol.generated import ttypes
 
 # Grants in one command, which bounds how long a round holds the lock.
 _GRANTS_LIMIT = 300
+# Up to here a task that fills may be put beside one that serves, at its usual
+# load. Agents slow it down while that load is higher.
+_STRAIN_LIMIT = strain.at_ratio(0.6)
+# What a worker where nothing serves counts as, in shares of the strain that is
+# left: tasks that hardly disturb leave it to those that do.
+_APART_COST = 0.1
+_FULL_COST = 0.3
+_LEAST_LEFT = 1e-6
+# Tasks that fill may ask for a little more than is left: their declarations
+# are rough. Far beyond that all of them only get slower, so they wait.
+_OVERFILL_SHARE = 0.1
+
+
+class Placing:
+    """One round of choices, by what was learnt so far."""
+
+    def __init__(self, sharing: sharing_module.Sharing):
+        self._sharing = sharing
+
+    def place(
+        self,
+        steps: Sequence[backlog_module.WaitingStep],
+        rooms: Sequence[rooms_module.Room],
+    ) -> list[ttypes.RunGrant]:
+        """Grants for waiting tasks, in order, as far as there is room."""
+        grants: list[ttypes.RunGrant] = []
+        for waiting in steps:
+            if len(grants) >= _GRANTS_LIMIT:
+                break
+            candidates = [r for r in rooms if _may_run(waiting, r)]
+            grants += self._place_step(waiting, candidates)
+        return grants
+
+    def _place_step(
+        self,
+        waiting: backlog_module.WaitingStep,
+        candidates: list[rooms_module.Room],
+    ) -> list[ttypes.RunGrant]:
+        grants = []
+        for index in waiting.waiting:
+            room = self._choose(waiting, candidates)
+            if room is None:
+                break
+            self.take(room, waiting.key, waiting.step)
+            grants.append(
+                ttypes.RunGrant(
+                    task=waiting.task_name(index),
+                    run=waiting.tasks[index].last_run + 1,
+                    agent=room.agent,
+                    worker_id=room.worker.worker_id,
+                )
+            )
+        return grants
+
+    def best_for_filling(
+        self,
+        step: ttypes.Step,
+        pool: str,
+        rooms: Sequence[rooms_module.Room],
+        *,
+        limit: float,
+    ) -> rooms_module.Room | None:
+        """Where a task that fills would do best, if it would do well.
+
+        Args:
+            step: The task's step.
+            pool: The pool of its queue.
+            rooms: Where it may go.
+            limit: The share of the strain left there that it may take.
+        """
+        fitting = [
+            room
+            for room in rooms
+            if room.worker.pool == pool
+            and not room.worker.draining
+            and _has_label(room, step)
+            and room.fits(step)
+            and self._may_fill(room, step)
+            and self._disturbance(room, step) <= limit
+        ]
+        return max(
+            fitting, key=lambda r: self._preference(step, r), default=None
+        )
 
+    def take(
+        self,
+        room: rooms_module.Room,
+        key: tuple[str, int, int],
+        step: ttypes.Step,
+    ) -> None:
+        """Counts one more task of a step on a worker."""
+        room.take(key, step)
+        if step.fills:
+            room.serving = [
+                sharing_module.Serving(
+                    s.image, s.strain + self._added(room, s, step)
+                )
+                for s in room.serving
+            ]
+
+    def _choose(
+        self,
+        waiting: backlog_module.WaitingStep,
+        candidates: list[rooms_module.Room],
+    ) -> rooms_module.Room | None:
+        step = waiting.step
+        fitting = [
+            room
+            for room in candidates
+            if room.fits(step) and not _is_crowded(room, waiting)
+        ]
+        if step.fills:
+            fitting = [room for room in fitting if self._may_fill(room, step)]
+        if not fitting:
+            return None
+        return max(fitting, key=lambda room: self._preference(step, room))
+
+    def _may_fill(self, room: rooms_module.Room, step: ttypes.Step) -> bool:
+        """Whether a task that fills gets its speed and disturbs nobody."""
+        capacity = room.worker.capacity.cpu_millicores
+        lack = step.resources.cpu_millicores - room.unused_millicores
+        if lack > _OVERFILL_SHARE * capacity:
+            return False
+        return self._disturbance(room, step) <= 1
+
+    def _disturbance(self, room: rooms_module.Room, step: ttypes.Step) -> float:
+        """The share of the strain left there that a task that fills takes."""
+        return max(
+            (
+                self._added(room, s, step)
+                / max(_LEAST_LEFT, _STRAIN_LIMIT - s.strain)
+                for s in room.serving
+            ),
+            default=0.0,
+        )
 
-def place(
-    steps: Sequence[backlog_module.WaitingStep],
-    rooms: Sequence[rooms_module.Room],
-) -> list[ttypes.RunGrant]:
-    """Grants for waiting tasks, in order, as far as there is room."""
-    grants: list[ttypes.RunGrant] = []
-    for waiting in steps:
-        if len(grants) >= _GRANTS_LIMIT:
-            break
-        candidates = [r for r in rooms if _may_run(waiting, r)]
-        grants += _place_step(waiting, candidates)
-    return grants
+    def _added(
+        self,
+        room: rooms_module.Room,
+        serving: sharing_module.Serving,
+        step: ttypes.Step,
+    ) -> float:
+        share = room.share_of(step.resources.cpu_millicores)
+        return self._sharing.added(serving.image, step.image, share)
+
+    def _preference(
+        self, step: ttypes.Step, room: rooms_module.Room
+    ) -> tuple[float, ...]:
+        """How well a worker suits a task; the highest is chosen.
+
+        Tasks that serve users are packed, those of one image together, so that
+        as many workers as can be are left to tasks that fill and would disturb
+        them. All others go beside those that serve, whom they don't disturb.
+        """
+        is_near = room.worker.rack == step.preferred_rack
+        serves = bool(room.serving)
+        if step.tail_target_ms:
+            others = [s for s in room.serving if s.image != step.image]
+            return is_near, serves, -len(others), -room.cpu_millicores
+        if step.fills:
+            apart = 0.0 if serves else _APART_COST
+            cost = self._disturbance(room, step) + apart
+            return is_near, _FULL_COST * room.unused_share - cost
+        return is_near, serves, room.unused_share
 
 
 def _may_run(
     waiting: backlog_module.WaitingStep, room: rooms_module.Room
 ) -> bool:
-    label = waiting.step.required_label
     return (
         room.worker.pool == waiting.queue.pool
         and not room.worker.draining
-        and (not label or label in room.worker.labels)
+        and _has_label(room, waiting.step)
     )
 
 
-def _place_step(
-    waiting: backlog_module.WaitingStep,
-    candidates: list[rooms_module.Room],
-) -> list[ttypes.RunGrant]:
-    grants = []
-    for index in waiting.waiting:
-        room = _choose(waiting, candidates)
-        if room is None:
-            break
-        room.take(waiting.key, waiting.step)
-        grants.append(
-            ttypes.RunGrant(
-                task=waiting.task_name(index),
-                run=waiting.tasks[index].last_run + 1,
-                agent=room.agent,
-                worker_id=room.worker.worker_id,
-            )
-        )
-    return grants
-
-
-def _choose(
-    waiting: backlog_module.WaitingStep,
-    candidates: list[rooms_module.Room],
-) -> rooms_module.Room | None:
-    step = waiting.step
-    fitting = [
-        room
-        for room in candidates
-        if room.fits(step) and not _is_crowded(room, waiting)
-    ]
-    if not fitting:
-        return None
-    return max(fitting, key=lambda room: _preference(step, room))
-
-
-def _preference(
-    step: ttypes.Step, room: rooms_module.Room
-) -> tuple[bool, bool, float]:
-    """How well a worker suits a task; the highest is chosen.
-
-    Tasks that serve users are kept apart from those that fill, because these
-    disturb them. All others go beside those that serve, whom they don't
-    disturb, and so leave the rest of the fleet to tasks that fill.
-    """
-    is_near = room.worker.rack == step.preferred_rack
-    serves = room.serving_count > 0
-    if step.tail_target_ms:
-        return is_near, serves, -room.fills_millicores
-    if step.fills:
-        return is_near, not serves, room.unfilled_share
-    return is_near, serves, room.unfilled_share
+def _has_label(room: rooms_module.Room, step: ttypes.Step) -> bool:
+    label = step.required_label
+    return not label or label in room.worker.labels
 
 
 def _is_crowded(
--- /dev/null
+++ b/marigoldsill/coordination/jobs/relocating.py
@@ -0,0 +1,91 @@
+"""Moves tasks that fill away from where they hardly get any speed."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+
+from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.jobs import orders as orders_module
+from marigoldsill.coordination.jobs import placing as placing_module
+from marigoldsill.coordination.jobs import rooms as rooms_module
+from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
+
+# A task whose pace stays below this for so long is as good as stopped.
+_SLOW_PERCENT = 30
+_SLOW_FOR_S = 1.5
+# Without checkpoints only a run that has just begun is worth starting anew.
+_LOST_PERCENT = 15
+# A few at a time, since what gives way changes what is right for the others.
+_MOVES_LIMIT = 4
+# The way to another worker is worth it only for a clear gain.
+_DISTURBANCE_LIMIT = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Move:
+    """A run that should give way.
+
+    Attributes:
+        key: Its task and number.
+        agent: Where it runs.
+    """
+
+    key: orders_module.RunKey
+    agent: str
+
+
+class Relocating:
+    """Finds runs that have been slow for a while and fit elsewhere."""
+
+    def __init__(self):
+        self._slow_since_s: dict[orders_module.RunKey, float] = {}
+
+    def moves(
+        self,
+        jobs: job_tables.JobTables,
+        views: Iterable[agents_module.AgentView],
+        rooms: Sequence[rooms_module.Room],
+        placing: placing_module.Placing,
+        *,
+        is_evicted: Callable[[orders_module.RunKey], bool],
+    ) -> list[Move]:
+        """Runs that should give way now."""
+        slow = {
+            key: (view, look)
+            for view in views
+            for key, look in view.looks.items()
+            if look.pace_percent < _SLOW_PERCENT
+        }
+        self._slow_since_s = {
+            key: self._slow_since_s.get(key, view.looked_s)
+            for key, (view, _) in slow.items()
+        }
+        moves: list[Move] = []
+        for key, (view, look) in slow.items():
+            if len(moves) >= _MOVES_LIMIT:
+                break
+            slow_s = view.looked_s - self._slow_since_s[key]
+            if slow_s < _SLOW_FOR_S or is_evicted(key):
+                continue
+            step = sharing_module.step_of(jobs, key[0])
+            if step is None or not _is_worth_it(step, look):
+                continue
+            others = [room for room in rooms if room.agent != view.name]
+            pool = view.worker.pool if view.worker else ""
+            room = placing.best_for_filling(
+                step, pool, others, limit=_DISTURBANCE_LIMIT
+            )
+            if room is not None:
+                address = task_names.parse(key[0])
+                step_key = (address.job_id, address.occurrence, address.step)
+                placing.take(room, step_key, step)
+                moves.append(Move(key, view.name))
+        return moves
+
+
+def _is_worth_it(step: ttypes.Step, look: ttypes.RunLook) -> bool:
+    return step.checkpointing or look.percent < _LOST_PERCENT
--- a/marigoldsill/coordination/jobs/rooms.py
+++ b/marigoldsill/coordination/jobs/rooms.py
@@ -1,13 +1,18 @@
 """How much room each agent's worker has left for tasks of jobs."""
 
-from collections.abc import Iterable
 import dataclasses
 
 from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.jobs import sharing as sharing_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
+# Tasks that serve use about half of what they ask for, with a swing of half of
+# that; the rest is left to tasks that fill.
+_SERVING_USED_SHARE = 0.6
+_TENTHS = 10
+
 
 @dataclasses.dataclass(slots=True)
 class Room:
@@ -19,9 +24,9 @@
         cpu_millicores: Processor time left.
         memory_bytes: Memory left.
         accelerators_count: Accelerators left.
-        serving_count: Tasks on it that serve users of their own.
-        fills_millicores: Processor time that tasks would like to take which
-            get only what the others leave.
+        serving: Tasks on it that serve users of their own.
+        unused_millicores: Processor time that is probably left to tasks that
+            fill, beside those that are there.
         by_step: How many runs of a step are on it.
     """
 
@@ -30,8 +35,8 @@
     cpu_millicores: int
     memory_bytes: int
     accelerators_count: int
-    serving_count: int = 0
-    fills_millicores: int = 0
+    serving: list[sharing_module.Serving]
+    unused_millicores: float
     by_step: dict[tuple[str, int, int], int] = dataclasses.field(
         default_factory=dict
     )
@@ -46,25 +51,33 @@
         )
 
     @property
-    def unfilled_share(self) -> float:
-        """Share of the worker that neither tasks nor fills would take."""
-        left = self.cpu_millicores - self.fills_millicores
-        return left / max(1, self.worker.capacity.cpu_millicores)
+    def unused_share(self) -> float:
+        """Share of the worker that is probably left to tasks that fill."""
+        whole = max(1, self.worker.capacity.cpu_millicores)
+        return self.unused_millicores / whole
+
+    def share_of(self, millicores: float) -> float:
+        """Tenths of the worker that some processor time is."""
+        whole = max(1, self.worker.capacity.cpu_millicores)
+        return _TENTHS * millicores / whole
 
     def take(self, key: tuple[str, int, int], step: ttypes.Step) -> None:
         """Counts a run of a step's task."""
         wanted = step.resources
-        if step.fills:
-            self.fills_millicores += wanted.cpu_millicores
-        else:
+        used_share = _SERVING_USED_SHARE if step.tail_target_ms else 1.0
+        self.unused_millicores -= wanted.cpu_millicores * used_share
+        if not step.fills:
             self.cpu_millicores -= wanted.cpu_millicores
-        self.serving_count += bool(step.tail_target_ms)
         self.memory_bytes -= wanted.memory_bytes
         self.accelerators_count -= wanted.accelerators_count
         self.by_step[key] = self.by_step.get(key, 0) + 1
 
 
-def of_agent(jobs: job_tables.JobTables, view: agents_module.AgentView) -> Room:
+def of_agent(
+    jobs: job_tables.JobTables,
+    view: agents_module.AgentView,
+    sharing: sharing_module.Sharing,
+) -> Room:
     """The room of an agent's worker beside all runs that may be alive.
 
     Runs that were granted to an earlier life of the worker count as well:
@@ -77,15 +90,21 @@
         cpu_millicores=capacity.cpu_millicores,
         memory_bytes=capacity.memory_bytes,
         accelerators_count=capacity.accelerators_count,
+        serving=[],
+        unused_millicores=capacity.cpu_millicores,
     )
+    filling: list[tuple[str, float]] = []
+    serving: list[tuple[str, str]] = []
     for task, _ in jobs.runs_by_agent.get(view.name, ()):
         address = task_names.parse(task)
-        record = jobs.jobs[address.job_id]
-        key = (address.job_id, address.occurrence, address.step)
-        room.take(key, record.job.steps[address.step])
+        step = jobs.jobs[address.job_id].job.steps[address.step]
+        room.take((address.job_id, address.occurrence, address.step), step)
+        if step.fills:
+            share = room.share_of(step.resources.cpu_millicores)
+            filling.append((step.image, share))
+        if step.tail_target_ms:
+            serving.append((address.job_id, step.image))
+    room.serving = [
+        sharing.serving(job_id, image, filling) for job_id, image in serving
+    ]
     return room
-
-
-def of_pool(rooms: Iterable[Room], pool: str) -> list[Room]:
-    """The rooms of a pool's workers."""
-    return [room for room in rooms if room.worker.pool == pool]
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -6,7 +6,8 @@
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
-from marigoldsill.coordination.jobs import placing
+from marigoldsill.coordination.jobs import placing as placing_module
+from marigoldsill.coordination.jobs import relocating
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.protocol.generated import ttypes
@@ -25,6 +26,7 @@
         self._replica = replica
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
+        self._relocating = relocating.Relocating()
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -86,16 +88,43 @@
             self._backlog = backlog_module.Backlog()
             touched = set(jobs.jobs)
         self._backlog.refresh(jobs, touched)
-        steps = self._backlog.in_order()
-        if not steps:
-            return []
-        return placing.place(steps, self._rooms())
+        sharing = self._service.sharing
+        sharing.learn(jobs, self._service.agents.all())
+        placing = placing_module.Placing(sharing)
+        rooms = self._rooms()
+        grants = placing.place(self._backlog.in_order(), rooms)
+        self._move(placing, rooms)
+        return grants
+
+    def _move(
+        self,
+        placing: placing_module.Placing,
+        rooms: list[rooms_module.Room],
+    ) -> None:
+        orders = self._service.orders
+        moves = self._relocating.moves(
+            self._replica.tables.jobs,
+            self._service.agents.all(),
+            rooms,
+            placing,
+            is_evicted=lambda key: key in orders.evicted,
+        )
+        for move in moves:
+            orders.evicted.add(move.key)
+            logs.event(
+                "run_evicted",
+                task=move.key[0],
+                run=move.key[1],
+                agent=move.agent,
+                reason="slow beside tasks that serve",
+            )
+        self._service.orders_changed({move.agent for move in moves})
 
     def _rooms(self) -> list[rooms_module.Room]:
         jobs = self._replica.tables.jobs
         live = self._service.leases.live()
         return [
-            rooms_module.of_agent(jobs, view)
+            rooms_module.of_agent(jobs, view, self._service.sharing)
             for view in self._service.agents.all()
             if view.worker is not None and not view.silent and view.name in live
         ]
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -7,9 +7,11 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.configuration import watch_hub
 from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.jobs import job_events
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
+from marigoldsill.coordination.jobs import sharing as sharing_module
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
@@ -28,6 +30,8 @@
         agents: Agents heard of in this term.
         leases: Leases that this process gave as leader.
         orders: Orders of this term.
+        sharing: What was learnt in this term of tasks on one worker.
+        hub: Where agents wait for orders.
         led_term: The last term that it led.
     """
 
@@ -57,7 +61,9 @@
         self.agents = agents_module.Agents()
         self.leases = leases_module.LeaseTable()
         self.orders = orders_module.Orders()
+        self.sharing = sharing_module.Sharing()
         self.hub = watch_hub.WatchHub()
+        self._events = job_events.JobEvents()
         self._queues = queues_module.QueueIndex()
         self._reports = reports_module.Reports(
             replica=replica,
@@ -174,6 +180,9 @@
             reply = self.orders.since(
                 self._replica.tables, request, term=self._replica.term
             )
+            if request.pressures_version != self.sharing.version:
+                reply.pressures_version = self.sharing.version
+                reply.pressures = self.sharing.pressures()
             members = self._replica.tables.members
             reply.control_addresses = [m.address for m in members]
         # Last, since this process may have been frozen at any line above.
@@ -237,6 +246,7 @@
             # Not a leader's; becoming one works everything out anew.
             return
         self.orders_changed(agents)
+        self._events.take(jobs, command)
         if jobs.touched_jobs:
             self._on_change()
 
--- a/marigoldsill/coordination/learning/__init__.py
+++ b/marigoldsill/coordination/learning/__init__.py
@@ -11,5 +11,6 @@
     "latency",
     "quarantine",
     "residents",
+    "strain",
     "usage",
 ]
--- a/marigoldsill/coordination/learning/interference.py
+++ b/marigoldsill/coordination/learning/interference.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 
+from marigoldsill.coordination.learning import filtering
 from marigoldsill.coordination.learning import residents
 
 LOADS_COUNT = 10
@@ -26,17 +27,9 @@
 _NOISE_VARIANCE = 0.0004
 _RELATIVE_NOISE_VARIANCE = 0.02
 _LATENCY_LIMIT = 5.0
-_LEAST_ADDED = 0.0
 _TERMS_LIMIT = 200_000
 
 
-@dataclasses.dataclass(slots=True)
-class _Term:
-    mean: float
-    variance: float
-    samples_count: int = 0
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Prediction:
     """An expected tail latency in units of the target.
@@ -56,9 +49,9 @@
     """Learns from late measurements what disturbs what."""
 
     def __init__(self):
-        self._alone: dict[tuple[str, int], _Term] = {}
-        self._pairs: dict[tuple[str, str, int], _Term] = {}
-        self._families: dict[str, _Term] = {}
+        self._alone: dict[tuple[str, int], filtering.Term] = {}
+        self._pairs: dict[tuple[str, str, int], filtering.Term] = {}
+        self._families: dict[str, filtering.Term] = {}
 
     def observe(
         self,
@@ -84,16 +77,10 @@
             (pairs[family], share) for family, share in shares.items()
         ]
         seen = min(latency_ratio, _LATENCY_LIMIT)
-        expected = sum(term.mean * share for term, share in terms)
-        error = seen - expected
         noise = _NOISE_VARIANCE + _RELATIVE_NOISE_VARIANCE * seen**2
-        spread = noise + sum(t.variance * share**2 for t, share in terms)
-        for term, share in terms:
-            gain = term.variance * share / spread
-            term.mean = max(term.mean + gain * error, _LEAST_ADDED)
-            term.variance *= 1 - gain * share
+        filtering.correct(terms, seen, noise_variance=noise)
+        for term, _ in terms:
             term.variance += _ALONE_DRIFT if term is alone else _PAIR_DRIFT
-            term.samples_count += 1
         for family, share in shares.items():
             self._learn_family(family, pairs[family], share)
 
@@ -126,7 +113,7 @@
         """How often a pair was measured at a load."""
         return self._pair(service, family, load).samples_count
 
-    def _alone_term(self, service: str, load: int) -> _Term:
+    def _alone_term(self, service: str, load: int) -> filtering.Term:
         """The service's own term; one without samples is made anew each time.
 
         What is learnt meanwhile at other loads would be missed otherwise.
@@ -136,16 +123,20 @@
             return term
         near = self._nearest(self._alone, (service,), load)
         if near is None:
-            return _Term(_ALONE_MEAN, _ALONE_VARIANCE)
-        return _Term(near.mean, _NEAR_VARIANCE)
+            return filtering.Term(_ALONE_MEAN, _ALONE_VARIANCE)
+        return filtering.Term(near.mean, _NEAR_VARIANCE)
 
-    def _pair(self, service: str, family: str, load: int) -> _Term:
+    def _pair(self, service: str, family: str, load: int) -> filtering.Term:
         step = _PAIR_LOADS[load]
         term = self._pairs.get((service, family, step))
         return term or self._new_pair(service, family, step)
 
     def _keep(
-        self, service: str, load: int, alone: _Term, pairs: dict[str, _Term]
+        self,
+        service: str,
+        load: int,
+        alone: filtering.Term,
+        pairs: dict[str, filtering.Term],
     ) -> None:
         """Keeps the terms that a measurement corrects."""
         self._alone[service, load] = alone
@@ -154,19 +145,21 @@
         while len(self._pairs) > _TERMS_LIMIT:
             del self._pairs[next(iter(self._pairs))]
 
-    def _new_pair(self, service: str, family: str, load: int) -> _Term:
+    def _new_pair(self, service: str, family: str, load: int) -> filtering.Term:
         """A term without samples, from the next of kin that has some."""
         kin = self._nearest(self._pairs, (service, family), load)
         if kin is None:
             kin = self._families.get(family)
         if kin is None or not kin.samples_count:
-            return _Term(_PAIR_MEAN, _PAIR_VARIANCE)
+            return filtering.Term(_PAIR_MEAN, _PAIR_VARIANCE)
         variance = min(kin.variance * _KIN_VARIANCE_RATIO, _PAIR_VARIANCE)
-        return _Term(kin.mean, max(variance, kin.mean**2 / 4))
+        return filtering.Term(kin.mean, max(variance, kin.mean**2 / 4))
 
-    def _learn_family(self, family: str, pair: _Term, share: float) -> None:
+    def _learn_family(
+        self, family: str, pair: filtering.Term, share: float
+    ) -> None:
         term = self._families.setdefault(
-            family, _Term(_PAIR_MEAN, _PAIR_VARIANCE)
+            family, filtering.Term(_PAIR_MEAN, _PAIR_VARIANCE)
         )
         term.samples_count += 1
         rate = share / min(term.samples_count + 1, 50)
@@ -174,7 +167,7 @@
 
     def _nearest(
         self, terms: dict, lead: tuple[str, ...], load: int
-    ) -> _Term | None:
+    ) -> filtering.Term | None:
         others = sorted(range(LOADS_COUNT), key=lambda other: abs(other - load))
         found = (terms.get((*lead, other)) for other in others)
         return next((t for t in found if t and t.samples_count), None)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -732,7 +732,8 @@
   2: i64 run,
   3: i32 percent,                   // of its work
   4: i64 load,                      // tail latency in ms, or millicores in use
-  5: string checkpoint_id = ""
+  5: string checkpoint_id = "",
+  6: i32 pace_percent = 100
 }
 
 struct AgentReport {
@@ -767,7 +768,16 @@
   7: i32 pace_percent = 100,
   8: string ticket = "",
   9: bool fills = false,            // takes what other tasks leave
-  10: i64 tail_target_ms = 0        // serves users of its own
+  10: i64 tail_target_ms = 0,       // serves users of its own
+  11: string image = "",
+  12: i64 cpu_millicores = 0
+}
+
+/** What tasks of one image add to the strain of tasks of another. */
+struct Pressure {
+  1: string serving_image,
+  2: string filling_image,
+  3: double added = 0.0             // by a tenth of the worker in use
 }
 
 struct RunId { 1: string task, 2: i64 run }
@@ -776,7 +786,8 @@
   1: string agent,
   2: i64 term = 0,                  // of the version that it holds
   3: i64 version = 0,
-  4: i64 wait_ms = 0
+  4: i64 wait_ms = 0,
+  5: i64 pressures_version = 0
 }
 
 struct OrdersReply {
@@ -785,7 +796,9 @@
   3: bool whole = false,            // replaces all that was held
   4: list<RunOrder> orders = [],
   5: list<RunId> removed = [],
-  6: list<string> control_addresses = []
+  6: list<string> control_addresses = [],
+  7: i64 pressures_version = 0,
+  8: optional list<Pressure> pressures   // all of them, when there are others
 }
 
 // ------------------------------------------- forming a group by itself
--- /dev/null
+++ b/tests/coordination/jobs/test_placing.py
@@ -0,0 +1,192 @@
+"""Which worker takes a waiting task."""
+
+import pytest
+
+from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.jobs import placing as placing_module
+from marigoldsill.coordination.jobs import rooms as rooms_module
+from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
+
+_GIGABYTE = 1 << 30
+
+
+def _resources(cores: float, gigabytes: int = 1) -> ttypes.Resources:
+    return ttypes.Resources(
+        cpu_millicores=int(cores * 1000), memory_bytes=gigabytes * _GIGABYTE
+    )
+
+
+class _Leader:
+    """A state with agents, and rounds of placing on it."""
+
+    def __init__(self):
+        self.state = builders.State()
+        self.sharing = sharing_module.Sharing()
+        self.backlog = backlog_module.Backlog()
+        self.views: dict[str, agents_module.AgentView] = {}
+
+    def worker(self, agent: str, cores: int = 8, **fields: object) -> None:
+        values = {"pool": builders.POOL, "rack": "r1", "labels": ["a", "r1"]}
+        worker = ttypes.PoolWorker(
+            worker_id=f"{agent}-life1",
+            capacity=_resources(cores, 64),
+            **(values | fields),
+        )
+        self.views[agent] = agents_module.AgentView(agent, worker=worker)
+
+    def submit(self, job_id: str, *steps: ttypes.Step) -> None:
+        self.state.submit(builders.job(job_id, *steps))
+
+    def round(self) -> dict[str, str]:
+        """Places and grants; returns agents by task."""
+        jobs = self.state.tables.jobs
+        self.backlog.refresh(jobs, jobs.take_touched_jobs())
+        rooms = [
+            rooms_module.of_agent(jobs, view, self.sharing)
+            for view in self.views.values()
+        ]
+        placing = placing_module.Placing(self.sharing)
+        grants = placing.place(self.backlog.in_order(), rooms)
+        assert self.state.grant(*grants) == len(grants)
+        return {grant.task: grant.agent for grant in grants}
+
+
+@pytest.fixture
+def leader() -> _Leader:
+    return _Leader()
+
+
+def test_a_worker_is_never_given_more_than_it_holds(leader: _Leader) -> None:
+    leader.worker("a1", cores=8)
+    leader.submit("j1", builders.step(5, resources=_resources(3)))
+    assert len(leader.round()) == 2
+    assert leader.round() == {}
+
+
+def test_a_run_that_is_to_stop_still_holds_its_room(leader: _Leader) -> None:
+    leader.worker("a1", cores=4)
+    leader.submit("j1", builders.step(resources=_resources(4)))
+    leader.round()
+    leader.state.cancel("j1")
+    leader.submit("j2", builders.step(resources=_resources(4)))
+    assert leader.round() == {}
+
+
+def test_a_step_waits_for_the_steps_before_it(leader: _Leader) -> None:
+    leader.worker("a1")
+    leader.submit("j1", builders.step(), builders.step(after=[0]))
+    assert list(leader.round()) == [builders.task(0)]
+    done = builders.end(builders.task(0), ttypes.RunEndKind.DONE)
+    leader.state.end(done)
+    assert list(leader.round()) == [builders.task(0, step_number=1)]
+
+
+def test_a_label_that_no_worker_has_is_waited_for(leader: _Leader) -> None:
+    leader.worker("a1")
+    leader.submit("j1", builders.step(required_label="b"))
+    assert leader.round() == {}
+    leader.worker("a2", labels=["b", "r2"])
+    assert leader.round() == {builders.task(0): "a2"}
+
+
+def test_a_step_is_spread_as_far_as_it_asks(leader: _Leader) -> None:
+    leader.worker("a1")
+    leader.worker("a2")
+    leader.submit("j1", builders.step(5, spread_limit=1))
+    assert sorted(leader.round().values()) == ["a1", "a2"]
+
+
+def test_a_worker_near_the_data_is_preferred(leader: _Leader) -> None:
+    leader.worker("a1", rack="r1")
+    leader.worker("a2", rack="r2")
+    leader.submit("j1", builders.step(2, preferred_rack="r2"))
+    assert set(leader.round().values()) == {"a2"}
+
+
+def test_nothing_is_placed_on_a_worker_that_drains(leader: _Leader) -> None:
+    leader.worker("a1", draining=True)
+    leader.submit("j1")
+    assert leader.round() == {}
+
+
+def test_nothing_is_placed_on_a_worker_of_another_pool(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", pool="other")
+    leader.submit("j1")
+    assert leader.round() == {}
+
+
+def _serving(image: str = "desk", cores: float = 4) -> ttypes.Step:
+    return builders.step(
+        long_running=True,
+        image=image,
+        tail_target_ms=100,
+        resources=_resources(cores),
+    )
+
+
+def _filling(image: str = "heavy", cores: float = 4) -> ttypes.Step:
+    return builders.step(image=image, fills=True, resources=_resources(cores))
+
+
+def test_tasks_that_serve_are_packed(leader: _Leader) -> None:
+    leader.worker("a1", cores=16)
+    leader.worker("a2", cores=16)
+    leader.submit("j1", _serving())
+    leader.submit("j2", _serving("other"))
+    assert len(set(leader.round().values())) == 1
+
+
+def test_tasks_that_serve_are_put_beside_their_image(leader: _Leader) -> None:
+    for agent, job, image in (("a1", "j1", "desk"), ("a2", "j2", "other")):
+        leader.worker(agent, cores=16)
+        leader.submit(job, _serving(image))
+        leader.round()
+        leader.views["a1"].worker.draining = agent == "a1"
+    leader.views["a1"].worker.draining = False
+    leader.submit("j3", _serving("other"))
+    assert list(leader.round().values()) == ["a2"]
+
+
+def test_tasks_that_fill_stay_off_workers_that_serve(leader: _Leader) -> None:
+    leader.worker("a1", cores=16)
+    leader.worker("a2", cores=16)
+    leader.submit("j1", _serving())
+    serving = leader.round()["j1.0.0.0"]
+    leader.submit("j2", _filling())
+    assert leader.round()["j2.0.0.0"] != serving
+
+
+def test_tasks_that_fill_do_not_count_their_processor_time(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", cores=8)
+    leader.submit("j1", _filling(cores=6))
+    assert list(leader.round()) == ["j1.0.0.0"]
+    leader.submit("j2", builders.step(resources=_resources(8)))
+    assert list(leader.round()) == ["j2.0.0.0"]
+
+
+def test_tasks_that_fill_wait_once_a_worker_is_used_up(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", cores=8)
+    leader.submit("j1", _filling(cores=7), _filling(cores=7))
+    assert len(leader.round()) == 1
+
+
+def test_an_urgent_queue_goes_first() -> None:
+    leader = _Leader()
+    leader.state = builders.State(
+        builders.queue("late", priority=2), builders.queue("soon", priority=0)
+    )
+    leader.worker("a1", cores=1)
+    for job_id, queue in (("j1", "late"), ("j2", "soon")):
+        job = builders.job(job_id)
+        job.queue = queue
+        leader.state.submit(job)
+    assert list(leader.round()) == ["j2.0.0.0"]
