Rank jobs by what still can be in time; never leave one idle

Change: a job without any run for 2 s gets one task placed where it disturbs least. Jobs that can make their objective go before those that can't; run times are learnt by queue from rough estimates. At most a fifth of the strain that is left may be taken by one filling task.

--- a/marigoldsill/coordination/jobs/backlog.py
+++ b/marigoldsill/coordination/jobs/backlog.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
+from marigoldsill.coordination.jobs import urgency as urgency_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -20,7 +22,10 @@
         queue: The job's queue.
         waiting: Indexes of the tasks without a run.
         tasks: All tasks of the step.
-        accepted_unix_ms: When its job was taken in.
+        record: The job.
+        occurrence: The occurrence of the job.
+        idle_since_s: Since when its job has had nothing running; infinite
+            while something runs.
     """
 
     key: StepKey
@@ -28,7 +33,9 @@
     queue: ttypes.Queue
     waiting: list[int]
     tasks: list[ttypes.JobTask]
-    accepted_unix_ms: int
+    record: ttypes.JobRecord
+    occurrence: ttypes.Occurrence
+    idle_since_s: float = math.inf
 
     def task_name(self, index: int) -> str:
         """The name of one of its tasks."""
@@ -42,21 +49,56 @@
         self._by_job: dict[str, list[WaitingStep]] = {}
 
     def refresh(
-        self, jobs: job_tables.JobTables, job_ids: Iterable[str]
+        self,
+        jobs: job_tables.JobTables,
+        job_ids: Iterable[str],
+        *,
+        now_s: float,
     ) -> None:
         """Looks at some jobs again."""
         for job_id in job_ids:
             steps = _waiting_steps(jobs, job_id)
+            idle_since_s = self._idle_since_s(steps, job_id, now_s)
             if steps:
+                for step in steps:
+                    step.idle_since_s = idle_since_s
                 self._by_job[job_id] = steps
             else:
                 self._by_job.pop(job_id, None)
 
-    def in_order(self) -> list[WaitingStep]:
+    def in_order(
+        self, urgency: urgency_module.Urgency, *, now_unix_ms: int
+    ) -> list[WaitingStep]:
         """The waiting steps, the most urgent first."""
-        steps = [s for steps in self._by_job.values() for s in steps]
-        steps.sort(key=lambda s: (s.queue.priority, s.accepted_unix_ms, s.key))
-        return steps
+        ranked = [
+            (
+                urgency.rank(
+                    step.record,
+                    step.queue,
+                    step.occurrence,
+                    now_unix_ms=now_unix_ms,
+                ),
+                step.key,
+                step,
+            )
+            for steps in self._by_job.values()
+            for step in steps
+        ]
+        ranked.sort(key=lambda item: item[:2])
+        return [step for _, _, step in ranked]
+
+    def _idle_since_s(
+        self, steps: list[WaitingStep], job_id: str, now_s: float
+    ) -> float:
+        if not steps or has_runs(steps[0].record):
+            return math.inf
+        before = self._by_job.get(job_id)
+        return min(before[0].idle_since_s, now_s) if before else now_s
+
+
+def has_runs(record: ttypes.JobRecord) -> bool:
+    """Whether a run of a job may be alive."""
+    return any(task.runs for _, _, task in job_tables.tasks_of(record))
 
 
 def _waiting_steps(
@@ -102,5 +144,6 @@
             if not task.done and not task.runs
         ],
         tasks=tasks,
-        accepted_unix_ms=record.job.accepted_unix_ms,
+        record=record,
+        occurrence=occurrence,
     )
--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/jobs/placing.py
@@ -18,6 +18,9 @@
 _APART_COST = 0.1
 _FULL_COST = 0.3
 _LEAST_LEFT = 1e-6
+# A job that has had nothing running for so long gets a task in any case.
+_IDLE_LIMIT_S = 2.0
+_DISTURBANCE_LIMIT = 0.2
 # Tasks that fill may ask for a little more than is left: their declarations
 # are rough. Far beyond that all of them only get slower, so they wait.
 _OVERFILL_SHARE = 0.1
@@ -33,6 +36,8 @@
         self,
         steps: Sequence[backlog_module.WaitingStep],
         rooms: Sequence[rooms_module.Room],
+        *,
+        now_s: float,
     ) -> list[ttypes.RunGrant]:
         """Grants for waiting tasks, in order, as far as there is room."""
         grants: list[ttypes.RunGrant] = []
@@ -40,9 +45,33 @@
             if len(grants) >= _GRANTS_LIMIT:
                 break
             candidates = [r for r in rooms if _may_run(waiting, r)]
-            grants += self._place_step(waiting, candidates)
+            granted = self._place_step(waiting, candidates)
+            is_idle = now_s - waiting.idle_since_s > _IDLE_LIMIT_S
+            if not granted and is_idle and waiting.step.fills:
+                granted = self._place_anyway(waiting, candidates)
+            grants += granted
         return grants
 
+    def _place_anyway(
+        self,
+        waiting: backlog_module.WaitingStep,
+        candidates: list[rooms_module.Room],
+    ) -> list[ttypes.RunGrant]:
+        """Begins one task of a job that has nothing running.
+
+        Its worker is where it disturbs least; the agent gives it the speed
+        that is left. So every job goes on, however slowly.
+        """
+        fitting = [r for r in candidates if _has_room(r, waiting)]
+        if not fitting:
+            return []
+        step = waiting.step
+        room = min(
+            fitting,
+            key=lambda r: (self._disturbance(r, step), -r.unused_share),
+        )
+        return [self._grant(waiting, waiting.waiting[0], room)]
+
     def _place_step(
         self,
         waiting: backlog_module.WaitingStep,
@@ -53,17 +82,23 @@
             room = self._choose(waiting, candidates)
             if room is None:
                 break
-            self.take(room, waiting.key, waiting.step)
-            grants.append(
-                ttypes.RunGrant(
-                    task=waiting.task_name(index),
-                    run=waiting.tasks[index].last_run + 1,
-                    agent=room.agent,
-                    worker_id=room.worker.worker_id,
-                )
-            )
+            grants.append(self._grant(waiting, index, room))
         return grants
 
+    def _grant(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        room: rooms_module.Room,
+    ) -> ttypes.RunGrant:
+        self.take(room, waiting.key, waiting.step)
+        return ttypes.RunGrant(
+            task=waiting.task_name(index),
+            run=waiting.tasks[index].last_run + 1,
+            agent=room.agent,
+            worker_id=room.worker.worker_id,
+        )
+
     def best_for_filling(
         self,
         step: ttypes.Step,
@@ -116,11 +151,7 @@
         candidates: list[rooms_module.Room],
     ) -> rooms_module.Room | None:
         step = waiting.step
-        fitting = [
-            room
-            for room in candidates
-            if room.fits(step) and not _is_crowded(room, waiting)
-        ]
+        fitting = [r for r in candidates if _has_room(r, waiting)]
         if step.fills:
             fitting = [room for room in fitting if self._may_fill(room, step)]
         if not fitting:
@@ -133,7 +164,7 @@
         lack = step.resources.cpu_millicores - room.unused_millicores
         if lack > _OVERFILL_SHARE * capacity:
             return False
-        return self._disturbance(room, step) <= 1
+        return self._disturbance(room, step) <= _DISTURBANCE_LIMIT
 
     def _disturbance(self, room: rooms_module.Room, step: ttypes.Step) -> float:
         """The share of the strain left there that a task that fills takes."""
@@ -191,8 +222,11 @@
     return not label or label in room.worker.labels
 
 
-def _is_crowded(
+def _has_room(
     room: rooms_module.Room, waiting: backlog_module.WaitingStep
 ) -> bool:
+    """Whether a task fits, as many of its step as may be there counted."""
     limit = waiting.step.spread_limit
-    return bool(limit) and room.by_step.get(waiting.key, 0) >= limit
+    if limit and room.by_step.get(waiting.key, 0) >= limit:
+        return False
+    return room.fits(waiting.step)
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -9,8 +9,12 @@
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import relocating
 from marigoldsill.coordination.jobs import rooms as rooms_module
+from marigoldsill.coordination.jobs import run_clock
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import urgency
+from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 # Without news a round is due for what only time brings, such as lost leases.
@@ -26,11 +30,16 @@
         self._replica = replica
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
+        self._urgency = urgency.Urgency()
+        self._run_clock = run_clock.RunClock()
         self._relocating = relocating.Relocating()
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "job-scheduler")
+        replica.on_applied(
+            lambda command: self._run_clock.take(replica.tables.jobs, command)
+        )
 
     def start(self, service: service_module.JobService) -> None:
         """Begins to decide whenever this process leads."""
@@ -87,12 +96,24 @@
             self._term = self._service.led_term
             self._backlog = backlog_module.Backlog()
             touched = set(jobs.jobs)
-        self._backlog.refresh(jobs, touched)
+        now_s = clock.now_s()
+        self._backlog.refresh(jobs, touched, now_s=now_s)
         sharing = self._service.sharing
-        sharing.learn(jobs, self._service.agents.all())
+        views = self._service.agents.all()
+        sharing.learn(jobs, views)
+        self._run_clock.look(views)
+        for sample in self._run_clock.take_samples():
+            self._urgency.run_times.observe(
+                sample.queue,
+                estimated_ms=sample.estimated_ms,
+                run_ms=sample.run_ms,
+            )
         placing = placing_module.Placing(sharing)
         rooms = self._rooms()
-        grants = placing.place(self._backlog.in_order(), rooms)
+        waiting = self._backlog.in_order(
+            self._urgency, now_unix_ms=commands.now_unix_ms()
+        )
+        grants = placing.place(waiting, rooms, now_s=now_s)
         self._move(placing, rooms)
         return grants
 
--- a/marigoldsill/coordination/learning/__init__.py
+++ b/marigoldsill/coordination/learning/__init__.py
@@ -11,6 +11,7 @@
     "latency",
     "quarantine",
     "residents",
+    "run_times",
     "strain",
     "usage",
 ]
--- a/tests/coordination/jobs/test_placing.py
+++ b/tests/coordination/jobs/test_placing.py
@@ -7,6 +7,7 @@
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.coordination.jobs import urgency as urgency_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
 
@@ -26,6 +27,8 @@
         self.state = builders.State()
         self.sharing = sharing_module.Sharing()
         self.backlog = backlog_module.Backlog()
+        self.urgency = urgency_module.Urgency()
+        self.now_s = 100.0
         self.views: dict[str, agents_module.AgentView] = {}
 
     def worker(self, agent: str, cores: int = 8, **fields: object) -> None:
@@ -43,13 +46,16 @@
     def round(self) -> dict[str, str]:
         """Places and grants; returns agents by task."""
         jobs = self.state.tables.jobs
-        self.backlog.refresh(jobs, jobs.take_touched_jobs())
+        self.backlog.refresh(jobs, jobs.take_touched_jobs(), now_s=self.now_s)
         rooms = [
             rooms_module.of_agent(jobs, view, self.sharing)
             for view in self.views.values()
         ]
         placing = placing_module.Placing(self.sharing)
-        grants = placing.place(self.backlog.in_order(), rooms)
+        waiting = self.backlog.in_order(
+            self.urgency, now_unix_ms=builders.NOW_UNIX_MS
+        )
+        grants = placing.place(waiting, rooms, now_s=self.now_s)
         assert self.state.grant(*grants) == len(grants)
         return {grant.task: grant.agent for grant in grants}
 
@@ -129,8 +135,14 @@
     )
 
 
+def _filling_fields(
+    image: str = "heavy", cores: float = 4
+) -> dict[str, object]:
+    return {"image": image, "fills": True, "resources": _resources(cores)}
+
+
 def _filling(image: str = "heavy", cores: float = 4) -> ttypes.Step:
-    return builders.step(image=image, fills=True, resources=_resources(cores))
+    return builders.step(**_filling_fields(image, cores))
 
 
 def test_tasks_that_serve_are_packed(leader: _Leader) -> None:
@@ -190,3 +202,17 @@
         job.queue = queue
         leader.state.submit(job)
     assert list(leader.round()) == ["j2.0.0.0"]
+
+
+def test_a_job_that_fills_is_never_left_idle_for_long(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", cores=8)
+    leader.submit("j1", _filling(cores=7))
+    leader.round()
+    leader.submit("j2", builders.step(2, **_filling_fields(cores=7)))
+    assert leader.round() == {}
+    leader.now_s += 3.0
+    assert len(leader.round()) == 1
+    leader.now_s += 3.0
+    assert leader.round() == {}
