Expect less of unknown pairs of images, so that they are tried

Cause: the first guess of a pair exceeded what a filling task may take of the strain left, so unknown pairs were never measured.

--- a/marigoldsill/coordination/learning/strain.py
+++ b/marigoldsill/coordination/learning/strain.py
@@ -22,8 +22,8 @@
 _ALONE_DRIFT_PER_S = 0.01
 # For a tenth of the worker in use. Of the images measured, those that hardly
 # disturb add 0.01, the others 0.1 to 0.2.
-_PAIR_MEAN = 0.05
-_PAIR_VARIANCE = 0.005
+_PAIR_MEAN = 0.03
+_PAIR_VARIANCE = 0.004
 _PAIR_DRIFT_PER_S = 0.0001
 _NOISE_VARIANCE = 0.001
 # Tail latencies come in whole milliseconds.
