Let only as many members vote as losses need; the others stand by

Change: two voters for each loss to be borne, and one; the other members copy the log. One of them takes the place of a voter that has been silent for 3 s. A place that a removed machine leaves is filled the same way.

--- a/marigoldsill/coordination/agreement/group.py
+++ b/marigoldsill/coordination/agreement/group.py
@@ -44,6 +44,7 @@
         batch_bytes: Most command bytes in one request, unless one entry is
             larger.
         chunk_bytes: Size of a piece of a snapshot on its way to a follower.
+        voters_count: How many members vote; the others stand by. 0: all.
     """
 
     election_timeout_ms: int = 1000
@@ -55,6 +56,7 @@
     batch_count: int = 1024
     batch_bytes: int = 1024 * 1024
     chunk_bytes: int = 512 * 1024
+    voters_count: int = 0
 
     @property
     def election_timeout_s(self) -> float:
--- a/marigoldsill/coordination/agreement/members.py
+++ b/marigoldsill/coordination/agreement/members.py
@@ -102,3 +102,35 @@
         known = ", ".join(m.name for m in members)
         raise errors.NotFoundError(f"no member {name!r}; members are {known}")
     return rest
+
+
+def rebalanced(
+    members: list[ttypes.Member],
+    *,
+    wanted_count: int,
+    leader: str,
+    caught_up: set[str],
+    silent: set[str],
+) -> list[ttypes.Member] | None:
+    """The members with one vote given or taken, or None if all is well.
+
+    The group keeps as many voters as wanted. Others copy the log and stand by:
+    one of them takes the place of a voter that has been silent for long.
+
+    Args:
+        members: Those in force.
+        wanted_count: How many should vote; 0 for all.
+        leader: Who leads, and keeps its vote.
+        caught_up: Learners that hold the log and answer.
+        silent: Members that have not answered for long.
+    """
+    voters = [m for m in members if m.voter]
+    ready = [m for m in members if not m.voter and m.name in caught_up]
+    gone = [m for m in voters if m.name in silent]
+    is_short = not wanted_count or len(voters) < wanted_count
+    if ready and (is_short or (gone and len(voters) == wanted_count)):
+        return with_member(members, records.changed(ready[0], voter=True))
+    if wanted_count and len(voters) > wanted_count:
+        spare = gone or [m for m in voters if m.name != leader]
+        return with_member(members, records.changed(spare[-1], voter=False))
+    return None
--- a/marigoldsill/coordination/agreement/replication.py
+++ b/marigoldsill/coordination/agreement/replication.py
@@ -17,6 +17,8 @@
 _PEER_TASKS_LIMIT = 16
 # A leader's clock may run this much slower than a follower's.
 _LEASE_RATIO = 0.9
+# Longer than a process takes to start again, and than usual freezes and cuts.
+_REPLACE_SILENT_S = 3.0
 # Snapshot intervals of entries that are kept at most for slow peers.
 _KEPT_INTERVALS = 8
 
@@ -143,7 +145,7 @@
         )
 
     def upkeep(self) -> None:
-        """Replaces a member that lost its disk; promotes one caught up."""
+        """Replaces a member that lost its disk; gives and takes votes."""
         earlier_index, self._earlier_index = (
             self._earlier_index,
             self._group.commit_index,
@@ -152,11 +154,41 @@
             return
         members = self._group.membership.members
         for peer in self.peers.values():
-            member = self._mended(peer, earlier_index)
+            member = _mended(peer)
             if member is not None:
                 changed = members_module.with_member(members, member)
                 self.change_members(changed)
                 return
+        self._rebalance(members, earlier_index)
+
+    def _rebalance(
+        self, members: list[ttypes.Member], earlier_index: int
+    ) -> None:
+        group = self._group
+        changed = members_module.rebalanced(
+            members,
+            wanted_count=group.settings.voters_count,
+            leader=group.name,
+            caught_up={
+                name
+                for name, peer in self.peers.items()
+                if self._has_caught_up(peer, earlier_index)
+            },
+            silent={
+                name
+                for name, peer in self.peers.items()
+                if self._silent_s(peer) > _REPLACE_SILENT_S
+            },
+        )
+        if changed is None:
+            return
+        before = {m.name for m in members if m.voter}
+        after = {m.name for m in changed if m.voter}
+        for name in after - before:
+            logs.event("member_promoted", member=name)
+        for name in before - after:
+            logs.event("member_demoted", level="WARNING", member=name)
+        self.change_members(changed)
 
     @property
     def has_lease(self) -> bool:
@@ -200,21 +232,19 @@
             return of_unknown
         return sorted(values, reverse=True)[len(values) // 2]
 
-    def _mended(
+    def _has_caught_up(
         self, peer: peers_module.Peer, earlier_index: int
-    ) -> ttypes.Member | None:
-        member, seen = peer.member, peer.seen_incarnation
-        if seen not in (0, member.incarnation):
-            _note_incarnation(member, seen)
-            return records.changed(member, incarnation=seen, voter=False)
-        if member.voter or not member.incarnation:
-            return None
-        if not self._answers(peer):
-            return None
-        if peer.progress.match_index < max(1, earlier_index):
-            return None
-        logs.event("member_promoted", member=member.name)
-        return records.changed(member, voter=True)
+    ) -> bool:
+        return (
+            bool(peer.member.incarnation)
+            and self._answers(peer)
+            and peer.progress.match_index >= max(1, earlier_index)
+        )
+
+    def _silent_s(self, peer: peers_module.Peer) -> float:
+        """How long a peer has not answered this leader."""
+        heard_s = max(peer.progress.answered_s, self._group.led_s)
+        return clock.now_s() - heard_s
 
     def _answers(self, peer: peers_module.Peer) -> bool:
         silent_s = clock.now_s() - peer.progress.answered_s
@@ -240,6 +270,15 @@
             self._pool.submit(self._run_peer, peer)
 
 
+def _mended(peer: peers_module.Peer) -> ttypes.Member | None:
+    """A member that lost its disk, as a learner under its new incarnation."""
+    member, seen = peer.member, peer.seen_incarnation
+    if seen in (0, member.incarnation):
+        return None
+    _note_incarnation(member, seen)
+    return records.changed(member, incarnation=seen, voter=False)
+
+
 def _note_incarnation(member: ttypes.Member, seen: int) -> None:
     if not member.incarnation:
         logs.event("member_joined", member=member.name, incarnation=seen)
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -89,7 +89,8 @@
             member=self._member,
             data_folder=self._data_folder,
             settings=replica_module.ReplicaSettings(
-                election_timeout_ms=_ELECTION_TIMEOUT_MS
+                election_timeout_ms=_ELECTION_TIMEOUT_MS,
+                voters_count=self._voters_wanted_count,
             ),
             on_fatal=_end_process,
         )
--- a/tests/coordination/groups.py
+++ b/tests/coordination/groups.py
@@ -46,7 +46,7 @@
         names = [f"m{number}" for number in range(count)]
         self.members = {name: reserve(name) for name in names}
 
-    def form(self) -> None:
+    def form(self, *, voters_count: int | None = None) -> None:
         """Initialises m0, starts all members and waits for their votes."""
         members = list(self.members.values())
         replica_module.initialise(
@@ -54,7 +54,7 @@
         )
         for name in self.members:
             self.start(name)
-        self.wait_for_voters(len(members))
+        self.wait_for_voters(voters_count or len(members))
 
     def data_folder(self, name: str) -> pathlib.Path:
         """Where a member keeps its state."""
