Write a role's events to standard output through a bounded queue

Cause: events went to standard error, written by whoever had them; a reader that is stuck would have held requests up.

A test that read a log line without waiting for it waits now.

--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -28,7 +28,8 @@
 
 def _run(role: str, class_name: str) -> None:
     path = settings_file.path_of()
-    logs.set_up(role=role, name=settings_file.load(path).name)
+    name = settings_file.load(path).name
+    logs.set_up(role=role, name=name, serves=True)
     module = importlib.import_module(f"marigoldsill.platform.{role}")
     process = importlib.import_module("marigoldsill.platform.process")
     process.run(getattr(module, class_name), path)
--- a/marigoldsill/cli/roles.py
+++ b/marigoldsill/cli/roles.py
@@ -75,5 +75,10 @@
 
 def _run(role: str, settings_class: type, flags: dict[str, str | None]) -> None:
     settings = setting_sources.load(settings_class, flags)
-    logs.set_up(role=role, name=settings.name, level=settings.log_level)
+    logs.set_up(
+        role=role,
+        name=settings.name,
+        level=settings.log_level,
+        serves=True,
+    )
     importlib.import_module(f"marigoldsill.roles.{role}").run(settings)
--- a/marigoldsill/platform/process.py
+++ b/marigoldsill/platform/process.py
@@ -63,3 +63,4 @@
     role.start()
     stop.wait(on_reload=_Reloader(role, path, settings).look, every_s=_LOOK_S)
     role.stop()
+    logs.flush()
--- a/marigoldsill/roles/common.py
+++ b/marigoldsill/roles/common.py
@@ -90,6 +90,7 @@
     role.start()
     stop.wait()
     role.stop()
+    logs.flush()
 
 
 def _answer(
--- a/marigoldsill/roles/control.py
+++ b/marigoldsill/roles/control.py
@@ -160,6 +160,7 @@
 
 def _end_process(error: errors.StorageError) -> None:
     logs.event("disk_failed", level="ERROR", reason=error.message)
+    logs.flush()
     os._exit(error.exit_code)
 
 
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -132,4 +132,5 @@
 
 def _end_process(error: errors.StorageError) -> None:
     logs.event("disk_failed", level="ERROR", reason=error.message)
+    logs.flush()
     os._exit(error.exit_code)
--- a/marigoldsill/roles/stopping.py
+++ b/marigoldsill/roles/stopping.py
@@ -61,5 +61,6 @@
 def _end(number: int, frame: object) -> None:
     try:
         logs.event("stop_forced", level="WARNING", signal=number)
+        logs.flush()
     finally:
         os._exit(_EXIT_BASE + number)
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -1,11 +1,25 @@
-"""Structured logs: one line of key=value pairs for each event."""
+"""Structured logs: one line of key=value pairs for each event.
+
+Roles write to standard output without ever waiting for its reader; commands
+write to standard error.
+"""
 
 import logging
 import os
 import sys
+import time
 
 from loguru import logger
 
+from marigoldsill.transport import event_budget
+from marigoldsill.transport import line_writer
+
+_HURRYING_LEVELS = frozenset({"ERROR", "CRITICAL"})
+_FLUSH_LIMIT_S = 0.5
+
+_budget = event_budget.EventBudget(clock_s=time.monotonic)
+_writer: line_writer.LineWriter | None = None
+
 
 class _LibraryHandler(logging.Handler):
     """Writes what libraries log as events of ours, one line each."""
@@ -22,14 +36,19 @@
         )
 
 
-def set_up(*, role: str, name: str, level: str = "INFO") -> None:
-    """Sends the events of this process to standard error.
+def set_up(
+    *, role: str, name: str, level: str = "INFO", serves: bool = False
+) -> None:
+    """Says where the events of this process go.
 
     Args:
         role: Which role the process has, for example "agent".
         name: The process's own name.
         level: The lowest level that is written.
+        serves: Whether it is a role that must never wait for a reader; its
+            events go to standard output, else to standard error.
     """
+    global _writer
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     logging.basicConfig(
         handlers=[_LibraryHandler()], level=logging.WARNING, force=True
@@ -37,8 +56,15 @@
     logger.remove()
     logger.configure(extra={"pairs": f"role={role} name={name}"})
     base = f"role={role} name={name} pid={os.getpid()}"
+    sink = sys.stderr
+    if serves:
+        _writer = line_writer.LineWriter(
+            sys.stdout.fileno(),
+            on_dropped=_tell_dropped,
+        )
+        sink = _queue_line
     logger.add(
-        sys.stderr,
+        sink,
         format=lambda record: _line(record, base),
         level=level,
         backtrace=False,
@@ -47,15 +73,34 @@
 
 
 def event(name: str, *, level: str = "INFO", **pairs: object) -> None:
-    """Writes one event.
+    """Writes one event, unless too many of its name came in this second.
 
     Args:
         name: Stable event name, for example "lease_lost".
         level: The event's level.
         **pairs: Its fields; values with spaces are quoted.
     """
-    text = " ".join(f"{key}={_value(value)}" for key, value in pairs.items())
-    logger.bind(pairs=text).log(level, name)
+    may_write, left_out = _budget.spend(name)
+    for other, count in left_out.items():
+        event("log_suppressed", level="WARNING", of=other, count=count)
+    if may_write:
+        text = " ".join(f"{k}={_value(v)}" for k, v in pairs.items())
+        logger.bind(pairs=text).log(level, name)
+
+
+def flush() -> None:
+    """Waits a little until everything is written, before the process ends."""
+    if _writer is not None:
+        _writer.flush(timeout_s=_FLUSH_LIMIT_S)
+
+
+def _queue_line(message) -> None:
+    hurries = message.record["level"].name in _HURRYING_LEVELS
+    _writer.write(str(message), hurries=hurries)
+
+
+def _tell_dropped(count: int) -> None:
+    event("log_dropped", level="WARNING", count=count)
 
 
 def _line(record: dict, base: str) -> str:
--- a/tests/e2e/test_binary.py
+++ b/tests/e2e/test_binary.py
@@ -65,7 +65,7 @@
             f"--control-addresses={','.join(system.control_thrift)}",
         ],
         env=environment,
-        stderr=log,
+        stdout=log,
     )
     try:
         processes.wait_until(
--- a/tests/e2e/test_racing_operators.py
+++ b/tests/e2e/test_racing_operators.py
@@ -139,7 +139,10 @@
 
     versions = [a["state_version"] for a in answers if "state_version" in a]
     assert all(version >= newest for version in versions)
-    assert _versions(restarted)[0] == newest
+    versions = processes.wait_until(
+        lambda: _versions(restarted), what="the restarted entry's log"
+    )
+    assert versions[0] == newest
     newest = _change(desk, slots=3)
     for process in (entry, restarted):
         processes.wait_until(
--- a/tests/transport/test_logs.py
+++ b/tests/transport/test_logs.py
@@ -2,11 +2,13 @@
 
 import io
 import logging
+import subprocess
 import sys
 
 from loguru import logger
 import pytest
 
+from marigoldsill.transport import event_budget
 from marigoldsill.transport import logs
 
 
@@ -50,3 +52,31 @@
     [line] = lines()
 
     assert line.endswith(f"reason={value}")
+
+
+def test_events_of_a_role_go_to_standard_output() -> None:
+    script = (
+        "from marigoldsill.transport import logs;"
+        "logs.set_up(role='agent', name='a1', serves=True);"
+        "logs.event('started', http='h:1');"
+        "logs.flush()"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True
+    )
+    assert "event=started role=agent name=a1" in done.stdout
+    assert done.stderr == ""
+
+
+def test_an_event_that_floods_is_summed_up(lines, monkeypatch) -> None:
+    now_s = [5.0]
+    budget = event_budget.EventBudget(clock_s=lambda: now_s[0], lines_per_s=2)
+    monkeypatch.setattr(logs, "_budget", budget)
+    for _ in range(5):
+        logs.event("flood")
+    now_s[0] = 6.0
+    logs.event("other")
+
+    assert len(lines()) == 4
+    assert "event=log_suppressed" in lines()[2]
+    assert "of=flood count=3" in lines()[2]
