Serve metrics of jobs and agents; log each call about jobs

The entry logs every call of a caller or operator with its id, outcome, time taken and time left; commits, rounds, first grants, finishes, ends, evictions, starts and reports are counted or timed, and served on a port of their own.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from marigoldsill import errors
+from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import holder as holder_module
 from marigoldsill.protocol import run_worker
@@ -158,9 +159,11 @@
         self._pool.submit(self._carry_out, call, order, work)
 
     def _carry_out(self, call, order: ttypes.RunOrder, work: _Work) -> None:
+        outcome = "done"
         try:
             call(order, work)
         except errors.MarigoldsillError as error:
+            outcome = error.kind
             work.retry_s = clock.now_s() + self._retry_s
             logs.event(
                 "order_failed",
@@ -171,6 +174,8 @@
                 reason=error.message,
             )
         finally:
+            name = call.__name__.removeprefix("_")
+            agent_metrics.CALLS.labels(name, outcome).inc()
             with self._state.changed:
                 work.busy = False
                 self._state.changed.notify_all()
@@ -193,7 +198,10 @@
         earlier = work.unanswered
         work.unanswered = True
         try:
-            clock_ms = self._worker.start(order.worker_id, start, token=token)
+            with agent_metrics.START_SECONDS.time():
+                clock_ms = self._worker.start(
+                    order.worker_id, start, token=token
+                )
         except errors.RunRefusedError as error:
             work.unanswered = earlier
             if error.reason == run_worker.RefusalReason.TOO_LATE:
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -3,6 +3,7 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
@@ -86,7 +87,11 @@
                 worker_silent=clock.now_s() - state.answered_s > _SILENT_S,
             )
         sent_s = clock.now_s()
-        reply = self._link.call("agent_report", report, timeout_s=_TIMEOUT_S)
+        with agent_metrics.REPORT_SECONDS.time():
+            reply = self._link.call(
+                "agent_report", report, timeout_s=_TIMEOUT_S
+            )
+        agent_metrics.RUNNING.set(len(report.running))
         self._take(reply, report, worker, sent_s, listed_through)
 
     def _take(
--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -6,14 +6,16 @@
 
 from collections.abc import Sequence
 import contextlib
-import itertools
+import dataclasses
 import threading
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
+from marigoldsill.transport import logs
 
 # A commit takes some 10 ms; a leader that is silent so long is looked for.
 _TRY_TIMEOUT_S = 0.8
@@ -22,6 +24,19 @@
 _LINKS_LIMIT = 32
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallContext:
+    """Whose call it is, and how long it is of use.
+
+    Attributes:
+        deadline: When its caller stops waiting.
+        request_id: The caller's own name for it; may be empty.
+    """
+
+    deadline: deadlines.Deadline
+    request_id: str = ""
+
+
 class JobClient:
     """Calls the leader on a few kept links."""
 
@@ -36,38 +51,38 @@
         address: ttypes.JobAddress,
         job: ttypes.Job,
         *,
-        deadline: deadlines.Deadline,
+        context: CallContext,
     ) -> ttypes.JobReply:
         """Hands a job in."""
-        return self._call("submit_job", address, job, deadline=deadline)
+        return self._call("submit_job", address, job, context=context)
 
     def state(
-        self, address: ttypes.JobAddress, *, deadline: deadlines.Deadline
+        self, address: ttypes.JobAddress, *, context: CallContext
     ) -> ttypes.JobReply:
         """Asks for a job's state."""
-        return self._call("job_state", address, deadline=deadline)
+        return self._call("job_state", address, context=context)
 
     def cancel(
-        self, address: ttypes.JobAddress, *, deadline: deadlines.Deadline
+        self, address: ttypes.JobAddress, *, context: CallContext
     ) -> ttypes.JobReply:
         """Cancels a job."""
-        return self._call("cancel_job", address, deadline=deadline)
+        return self._call("cancel_job", address, context=context)
 
     def pending(
-        self, address: ttypes.JobAddress, *, deadline: deadlines.Deadline
+        self, address: ttypes.JobAddress, *, context: CallContext
     ) -> ttypes.JobReply:
         """Asks how many jobs of a queue have not begun."""
-        return self._call("pending_jobs", address, deadline=deadline)
+        return self._call("pending_jobs", address, context=context)
 
     def replace_routing(
-        self, routing: ttypes.Routing, *, deadline: deadlines.Deadline
+        self, routing: ttypes.Routing, *, context: CallContext
     ) -> None:
         """Brings a routing into force."""
-        self._call("replace_routing", routing, deadline=deadline)
+        self._call("replace_routing", routing, context=context)
 
-    def routing(self, *, deadline: deadlines.Deadline) -> ttypes.RoutingReply:
+    def routing(self, *, context: CallContext) -> ttypes.RoutingReply:
         """Reads the routing in force."""
-        return self._call("routing", deadline=deadline)
+        return self._call("routing", context=context)
 
     def learn(self, addresses: Sequence[str]) -> None:
         """Takes other addresses of control processes than at the start."""
@@ -85,28 +100,51 @@
             link.close()
 
     def _call(
-        self,
-        method: str,
-        *requests: object,
-        deadline: deadlines.Deadline,
+        self, method: str, *requests: object, context: CallContext
     ) -> object:
-        """Calls until an answer comes or the time is over.
+        """Calls until an answer comes or the time is over, and tells.
 
         Raises:
             NoQuorumError: No leader answered; nothing was done.
             UnknownOutcomeError: It may have been done or may still be.
         """
+        start_s = time.monotonic()
+        outcome = "failed"
+        try:
+            reply = self._call_until(method, requests, context.deadline)
+            outcome = _outcome_of(reply)
+            return reply
+        except errors.MarigoldsillError as error:
+            outcome = error.kind
+            raise
+        finally:
+            took_s = time.monotonic() - start_s
+            job_metrics.CALLS.labels(method, outcome).inc()
+            job_metrics.CALL_SECONDS.labels(method).observe(took_s)
+            logs.event(
+                "job_call",
+                call=method,
+                about=_subject_of(requests),
+                request=context.request_id,
+                outcome=outcome,
+                took_ms=round(took_s * 1000),
+                left_ms=round(context.deadline.left_s() * 1000),
+            )
+
+    def _call_until(
+        self,
+        method: str,
+        requests: tuple[object, ...],
+        deadline: deadlines.Deadline,
+    ) -> object:
         unknown: errors.UnknownOutcomeError | None = None
-        for _ in itertools.count():
-            left_s = deadline.left_s()
-            if left_s <= 0:
-                break
+        while left_s := deadline.left_s():
             try:
                 return self._try(method, requests, min(left_s, _TRY_TIMEOUT_S))
             except errors.UnknownOutcomeError as error:
                 unknown = error
             except errors.NoQuorumError:
-                time.sleep(min(_PAUSE_S, max(0.0, deadline.left_s())))
+                time.sleep(min(_PAUSE_S, deadline.left_s()))
         if unknown is not None:
             raise unknown
         raise errors.NoQuorumError(
@@ -139,3 +177,20 @@
                 return
         with contextlib.suppress(OSError):
             link.close()
+
+
+def _outcome_of(reply: object) -> str:
+    if isinstance(reply, ttypes.JobReply):
+        return ttypes.JobOutcome(reply.outcome).name.lower()
+    return "done"
+
+
+def _subject_of(requests: tuple[object, ...]) -> str:
+    """What a call is about: a job, a queue, a routing."""
+    match requests:
+        case (ttypes.JobAddress(path=path), *_):
+            return path.rpartition("/")[2] or path
+        case (ttypes.Routing(version=version),):
+            return f"routing-{version}"
+        case _:
+            return "routing"
--- a/marigoldsill/coordination/jobs/job_events.py
+++ b/marigoldsill/coordination/jobs/job_events.py
@@ -1,5 +1,6 @@
 """Log lines about jobs and runs, written by the leader as it applies them."""
 
+from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -16,9 +17,11 @@
 
     def __init__(self):
         self._ended: set[str] = set()
+        self._waiting: set[str] = set()
 
     def reset(self, jobs: job_tables.JobTables) -> None:
         """Starts over as a new leader: what ended before is not told."""
+        self._waiting = set()
         self._ended = {
             job_id
             for job_id, record in jobs.jobs.items()
@@ -33,6 +36,8 @@
             case ttypes.GrantRuns(grants=grants):
                 for grant in grants:
                     _tell_granted(grant)
+                ids = {task_names.parse(g.task).job_id for g in grants}
+                self._time_first_grants(jobs, ids, command.proposed_unix_ms)
             case ttypes.RecordRunEnds(ends=ends):
                 for end in ends:
                     _tell_run_ended(end)
@@ -53,6 +58,7 @@
         if record is None or not record.job.steps:
             return
         steps = record.job.steps
+        self._waiting.add(job_id)
         logs.event(
             "job_accepted",
             job=job_id,
@@ -65,6 +71,16 @@
             kind=_kind_of(steps[0]),
         )
 
+    def _time_first_grants(
+        self, jobs: job_tables.JobTables, job_ids: set[str], now_unix_ms: int
+    ) -> None:
+        for job_id in job_ids & self._waiting:
+            record = jobs.jobs.get(job_id)
+            if record is not None:
+                age_ms = now_unix_ms - record.job.accepted_unix_ms
+                job_metrics.FIRST_GRANT_SECONDS.observe(max(0, age_ms) / 1000)
+        self._waiting -= job_ids
+
     def _tell_ended(
         self, jobs: job_tables.JobTables, job_ids: set[str], now_unix_ms: int
     ) -> None:
@@ -73,17 +89,24 @@
             if record is None or record.state not in job_tables.ENDED:
                 continue
             self._ended.add(job_id)
+            self._waiting.discard(job_id)
+            state = ttypes.JobState(record.state).name.lower()
+            age_ms = now_unix_ms - record.job.accepted_unix_ms
+            job_metrics.FINISH_SECONDS.labels(record.job.queue, state).observe(
+                max(0, age_ms) / 1000
+            )
             logs.event(
                 "job_ended",
                 job=job_id,
                 queue=record.job.queue,
-                state=ttypes.JobState(record.state).name.lower(),
-                age_ms=now_unix_ms - record.job.accepted_unix_ms,
+                state=state,
+                age_ms=age_ms,
                 reason=record.reason,
             )
 
 
 def _tell_granted(grant: ttypes.RunGrant) -> None:
+    job_metrics.GRANTS.inc()
     logs.event(
         "run_granted",
         task=grant.task,
@@ -94,11 +117,13 @@
 
 
 def _tell_run_ended(end: ttypes.RunEnd) -> None:
+    kind = ttypes.RunEndKind(end.kind).name.lower()
+    job_metrics.RUN_ENDS.labels(kind).inc()
     logs.event(
         "run_ended",
         task=end.task,
         run=end.run,
-        kind=ttypes.RunEndKind(end.kind).name.lower(),
+        kind=kind,
         reason=end.detail,
     )
 
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import relocating
 from marigoldsill.coordination.jobs import rooms as rooms_module
@@ -64,7 +65,8 @@
             if not self._replica.is_leader:
                 continue
             try:
-                self._round()
+                with job_metrics.ROUND_SECONDS.time():
+                    self._round()
             except errors.MarigoldsillError as error:
                 logs.event(
                     "scheduler_waits", level="WARNING", reason=error.message
@@ -113,6 +115,8 @@
         waiting = self._backlog.in_order(
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
+        job_metrics.WAITING.set(len(waiting))
+        job_metrics.LIVE_AGENTS.set(len(rooms))
         grants = placing.place(waiting, rooms, now_s=now_s)
         self._move(placing, rooms)
         return grants
@@ -132,6 +136,7 @@
         )
         for move in moves:
             orders.evicted.add(move.key)
+            job_metrics.EVICTIONS.labels("slow").inc()
             logs.event(
                 "run_evicted",
                 task=move.key[0],
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.configuration import watch_hub
 from marigoldsill.coordination.jobs import agents as agents_module
 from marigoldsill.coordination.jobs import job_events
+from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
@@ -199,7 +200,10 @@
         """
         command = commands.new(command_id="", **body)
         try:
-            return self._replica.propose(command, timeout_s=_PROPOSE_TIMEOUT_S)
+            with job_metrics.COMMIT_SECONDS.time():
+                return self._replica.propose(
+                    command, timeout_s=_PROPOSE_TIMEOUT_S
+                )
         except (errors.NotLeaderError, errors.NoQuorumError) as error:
             raise leadership.protocol_error(error) from error
 
--- a/marigoldsill/platform/operators.py
+++ b/marigoldsill/platform/operators.py
@@ -20,19 +20,19 @@
 
     def handle(self, request: wrappers.Request) -> wrappers.Response:
         """Answers one request."""
-        deadline = deadlines.Deadline.after(_BUDGET_S)
+        context = job_client.CallContext(deadlines.Deadline.after(_BUDGET_S))
         match http_apps.call_of(request):
             case ("POST", "Config.Replace"):
                 routing = routing_bodies.decode(request.get_data(cache=False))
-                self._client.replace_routing(routing, deadline=deadline)
+                self._client.replace_routing(routing, context=context)
                 return http_apps.of_json({})
             case ("GET", "Config.Describe"):
-                return self._describe(deadline)
+                return self._describe(context)
             case _:
                 raise http_apps.nothing_here(request)
 
-    def _describe(self, deadline: deadlines.Deadline) -> wrappers.Response:
-        reply = self._client.routing(deadline=deadline)
+    def _describe(self, context: job_client.CallContext) -> wrappers.Response:
+        reply = self._client.routing(context=context)
         if not reply.document:
             raise errors.NotRunError(
                 "no configuration is in force yet", retry_after_ms=1_000
--- a/marigoldsill/platform/process.py
+++ b/marigoldsill/platform/process.py
@@ -6,6 +6,7 @@
 
 from marigoldsill import errors
 from marigoldsill.platform import settings_file
+from marigoldsill.roles import metrics_http
 from marigoldsill.roles import stopping
 from marigoldsill.transport import logs
 
@@ -55,11 +56,22 @@
 def run(
     make_role: Callable[[settings_file.PlatformSettings], Role],
     path: pathlib.Path,
+    *,
+    metrics_port: int = 0,
 ) -> None:
-    """Runs a role until SIGTERM or SIGINT."""
+    """Runs a role until SIGTERM or SIGINT.
+
+    Args:
+        make_role: Makes it from its settings.
+        path: Of the settings file.
+        metrics_port: Where metrics are served on the machine's own address; 0
+            for nowhere.
+    """
     settings = settings_file.load(path)
     stop = stopping.StopSignals(reloads=True)
     role = make_role(settings)
+    if metrics_port:
+        metrics_http.server(f"{settings.ip_address}:{metrics_port}").start()
     role.start()
     stop.wait(on_reload=_Reloader(role, path, settings).look, every_s=_LOOK_S)
     role.stop()
--- /dev/null
+++ b/marigoldsill/roles/metrics_http.py
@@ -0,0 +1,28 @@
+"""Serves a process's metrics on an address of their own."""
+
+from werkzeug import exceptions
+from werkzeug import wrappers
+
+from marigoldsill.transport import http_server
+from marigoldsill.transport import metrics
+
+PATH = "/metrics"
+_THREADS_COUNT = 2
+
+
+def server(address: str) -> http_server.HttpServer:
+    """A server of the metrics; start it.
+
+    Raises:
+        SettingsError: The address can't be taken.
+    """
+    return http_server.HttpServer(
+        address=address, app=_answer, threads_count=_THREADS_COUNT
+    )
+
+
+@wrappers.Request.application
+def _answer(request: wrappers.Request) -> wrappers.Response:
+    if request.path != PATH:
+        raise exceptions.NotFound
+    return wrappers.Response(metrics.page(), content_type=metrics.CONTENT_TYPE)
