Keep seeds beside the members that a leader tells; a stand-in of the platform

Cause: a link took the members that the leader told for all there are.

Change: members and seeds are both tried. Tests run the real programs as processes on loopback addresses against a stand-in worker that keeps leases, ends and fencing tokens and can leave orders unanswered.

--- a/marigoldsill/coordination/agreement/joining.py
+++ b/marigoldsill/coordination/agreement/joining.py
@@ -78,7 +78,7 @@
             self._ask_to_join()
             self._stopping.wait(_PAUSE_S)
 
-    def learn(self, seed_addresses: Sequence[str]) -> None:
+    def reseed(self, seed_addresses: Sequence[str]) -> None:
         """Takes other seeds than at the start."""
         self._addresses = list(seed_addresses)
 
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -134,6 +134,13 @@
                 return
             self.announced = announcement
             if worker.worker_id == self.worker_id:
+                if worker.draining != self.worker.draining:
+                    logs.event(
+                        "worker_drains",
+                        worker_id=worker.worker_id,
+                        draining=worker.draining,
+                        remaining_ms=worker.remaining_ms,
+                    )
                 self.worker = worker
             self.changed.notify_all()
 
--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -84,13 +84,13 @@
         """Reads the routing in force."""
         return self._call("routing", context=context)
 
-    def learn(self, addresses: Sequence[str]) -> None:
-        """Takes other addresses of control processes than at the start."""
+    def reseed(self, addresses: Sequence[str]) -> None:
+        """Takes other seeds than at the start."""
         with self._lock:
             self._addresses = list(addresses)
             links = list(self._idle)
         for link in links:
-            link.learn(addresses)
+            link.reseed(addresses)
 
     def close(self) -> None:
         """Closes the kept links."""
--- a/marigoldsill/coordination/leadership/control_link.py
+++ b/marigoldsill/coordination/leadership/control_link.py
@@ -26,9 +26,10 @@
         addresses: Sequence[str],
         cut_switch: cuts.Cuts | None = None,
     ):
-        self._addresses = list(addresses)
+        self._seeds = tuple(addresses)
+        self._members: tuple[str, ...] = ()
         self._cuts = cut_switch
-        self._current = self._addresses[0]
+        self._current = self._seeds[0]
         self._lock = threading.Lock()
         self._connection: thrift_client.Connection | None = None
 
@@ -47,12 +48,18 @@
         with self._lock:
             return self._call(method, requests, timeout_s)
 
-    def learn(self, addresses: Sequence[str]) -> None:
-        """Takes other addresses of control processes than at the start."""
-        if not addresses or set(addresses) == set(self._addresses):
-            return
-        with self._lock:
-            self._addresses = list(addresses)
+    def learn(self, members: Sequence[str]) -> None:
+        """Takes the addresses of all members, as a leader told them.
+
+        The seeds are kept: a group that is just forming names few of those
+        that will belong to it.
+        """
+        self._members = tuple(members)
+
+    def reseed(self, addresses: Sequence[str]) -> None:
+        """Takes other seeds than at the start."""
+        if addresses:
+            self._seeds = tuple(addresses)
 
     def look_elsewhere(self) -> None:
         """Asks another process next: this one is no leader any more."""
@@ -108,8 +115,14 @@
         self._connection = None
         self._current = address
 
+    @property
+    def _addresses(self) -> list[str]:
+        """Every address known, each once, members first."""
+        return list(dict.fromkeys((*self._members, *self._seeds)))
+
     def _next_address(self) -> str:
-        if self._current not in self._addresses:
-            return self._addresses[0]
-        position = self._addresses.index(self._current)
-        return self._addresses[(position + 1) % len(self._addresses)]
+        addresses = self._addresses
+        if self._current not in addresses:
+            return addresses[0]
+        position = addresses.index(self._current)
+        return addresses[(position + 1) % len(addresses)]
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -76,8 +76,8 @@
 
     def reload(self, settings: settings_file.PlatformSettings) -> None:
         """Takes other settings; only the seeds may change while it runs."""
-        self._client.learn(settings.seed_addresses)
-        self._node.learn(settings.seed_addresses)
+        self._client.reseed(settings.seed_addresses)
+        self._node.reseed(settings.seed_addresses)
 
     def _server(
         self, address: str, handle: http_apps.Handler, threads_count: int
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -74,7 +74,7 @@
     def reload(self, settings: settings_file.PlatformSettings) -> None:
         """Takes other settings; only the seeds may change while it runs."""
         for link in self._links:
-            link.learn(settings.seed_addresses)
+            link.reseed(settings.seed_addresses)
 
 
 def _logged(task: Callable[[], None]) -> None:
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -109,9 +109,9 @@
         self._scheduler.start(service)
         self._pool.submit(self._joining.run)
 
-    def learn(self, seed_addresses: Sequence[str]) -> None:
+    def reseed(self, seed_addresses: Sequence[str]) -> None:
         """Takes other seeds than at the start."""
-        self._joining.learn(seed_addresses)
+        self._joining.reseed(seed_addresses)
 
     def stop(self) -> None:
         """Leaves off; the state on disk stays as it is."""
--- /dev/null
+++ b/standins/pool_run.py
@@ -0,0 +1,70 @@
+"""A run as the stand-in of the users' platform holds it.
+
+What a run does stands in its spec: "work 300" takes 300 ms, "fail 100" fails
+after 100 ms, "last" goes on until it is stopped.
+"""
+
+import dataclasses
+
+_KINDS = ("work", "fail", "last")
+
+
+@dataclasses.dataclass(slots=True)
+class PoolRun:
+    """One run; times are of the stand-in's clock.
+
+    Attributes:
+        task: Its task's name.
+        run: Its number.
+        spec: What it does.
+        begun_ms: When it was started.
+        percent: Its pace.
+        progress_ms: Work done until `counted_ms`.
+        counted_ms: When its work was last counted.
+        load: What its row of the list shows last.
+    """
+
+    task: str
+    run: int
+    spec: str
+    begun_ms: int
+    counted_ms: int
+    percent: int = 100
+    progress_ms: float = 0.0
+    load: int = 1
+
+    @property
+    def kind(self) -> str:
+        """What its spec begins with."""
+        word = self.spec.partition(" ")[0]
+        return word if word in _KINDS else "work"
+
+    @property
+    def work_ms(self) -> float:
+        """How long it works."""
+        number = self.spec.partition(" ")[2]
+        return float(number) if number.isdecimal() else 50.0
+
+    def advance(self, now_ms: int) -> str | None:
+        """Works until now; how it ended, if it did."""
+        self.progress_ms += (now_ms - self.counted_ms) * self.percent / 100
+        self.counted_ms = now_ms
+        if self.kind == "last" or self.progress_ms < self.work_ms:
+            return None
+        return "failed" if self.kind == "fail" else "done"
+
+    @property
+    def checkpoint(self) -> str:
+        """A checkpoint of what is done so far."""
+        return f"{int(self.progress_ms):08d}"
+
+    def listed(self) -> list[object]:
+        """Its row in the list of what runs."""
+        share = 1.0 if self.kind == "last" else self.progress_ms / self.work_ms
+        return [
+            self.task,
+            self.run,
+            self.checkpoint,
+            min(100, int(100 * share)),
+            self.load,
+        ]
--- /dev/null
+++ b/tests/coordination/leadership/test_control_link.py
@@ -0,0 +1,91 @@
+"""A link finds the leader among all addresses that it ever was told."""
+
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.coordination.leadership import control_link
+from marigoldsill.protocol.generated import Control
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import thrift_server
+
+
+class _Leader:
+    def routing(self) -> ttypes.RoutingReply:
+        return ttypes.RoutingReply(document=b"found")
+
+
+class _Follower:
+    def __init__(self, leader_address: str):
+        self._leader_address = leader_address
+
+    def routing(self) -> ttypes.RoutingReply:
+        raise ttypes.NotLeader(leader_address=self._leader_address)
+
+
+@pytest.fixture
+def serve():
+    """Serves a handler; gives its address. Ended after the test."""
+    servers = []
+
+    def start(handler: object) -> str:
+        server = thrift_server.ThriftServer(
+            address="127.0.0.1:0", connections_count=4, name="control"
+        )
+        server.add("control", Control.Processor(handler))
+        server.start()
+        servers.append(server)
+        return server.address
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+def _gone(serve) -> str:
+    """An address where nobody listens any more."""
+    server = thrift_server.ThriftServer(
+        address="127.0.0.1:0", connections_count=1, name="gone"
+    )
+    server.stop()
+    return server.address
+
+
+def _find(link: control_link.ControlLink) -> bytes:
+    return link.call("routing", timeout_s=5.0).document
+
+
+def test_a_follower_names_the_leader(serve) -> None:
+    leader = serve(_Leader())
+    link = control_link.ControlLink(addresses=[serve(_Follower(leader))])
+    assert _find(link) == b"found"
+
+
+def test_a_follower_that_knows_no_leader_is_passed_over(serve) -> None:
+    follower, leader = serve(_Follower("")), serve(_Leader())
+    link = control_link.ControlLink(addresses=[follower, leader])
+    assert _find(link) == b"found"
+
+
+def test_seeds_are_tried_when_all_members_told_are_gone(serve) -> None:
+    gone, seed = _gone(serve), serve(_Leader())
+    link = control_link.ControlLink(addresses=[gone, seed])
+    link.learn([gone])
+    assert _find(link) == b"found"
+
+
+def test_members_are_tried_when_all_seeds_are_gone(serve) -> None:
+    link = control_link.ControlLink(addresses=[_gone(serve)])
+    link.learn([serve(_Leader())])
+    assert _find(link) == b"found"
+
+
+def test_other_seeds_count_from_then_on(serve) -> None:
+    link = control_link.ControlLink(addresses=[_gone(serve)])
+    link.reseed([serve(_Leader())])
+    assert _find(link) == b"found"
+
+
+def test_nothing_was_done_where_nobody_answers(serve) -> None:
+    link = control_link.ControlLink(addresses=[_gone(serve)])
+    with pytest.raises(errors.NoQuorumError):
+        _find(link)
--- /dev/null
+++ b/tests/platform/rules.py
@@ -0,0 +1,91 @@
+"""What must hold of the workers' journal, whatever failed.
+
+Times are of one clock, and a journal is written before the worker answers, so
+the lines tell what really ran.
+"""
+
+from collections.abc import Iterable
+import itertools
+
+
+def check(events: Iterable[dict]) -> None:
+    """Checks every rule."""
+    lines = list(events)
+    assert two_at_a_time(lines) == []
+    assert started_after_done(lines) == []
+    assert step_out_of_order(lines) == []
+    assert run_numbers_not_rising(lines) == []
+
+
+def two_at_a_time(lines: list[dict]) -> list[str]:
+    """Tasks of which two runs were alive at one time."""
+    found = []
+    alive: dict[str, set[tuple[str, int]]] = {}
+    for line in lines:
+        if line["event"] == "noted":
+            continue
+        runs = alive.setdefault(line["task"], set())
+        run = (line["worker"], line["run"])
+        if line["event"] == "started":
+            if runs:
+                found.append(line["task"])
+            runs.add(run)
+        else:
+            runs.discard(run)
+    return found
+
+
+def started_after_done(lines: list[dict]) -> list[str]:
+    """Tasks started after a run of theirs was done and taken note of.
+
+    What a worker lists after a lapse of its lease does not count: by then
+    nobody could know of it.
+    """
+    noted = {
+        (line["task"], line["run"])
+        for line in lines
+        if line["event"] == "noted"
+    }
+    done: set[str] = set()
+    found = []
+    for line in lines:
+        if line["event"] == "started" and line["task"] in done:
+            found.append(line["task"])
+        is_noted = (line["task"], line["run"]) in noted
+        if line.get("how") == "done" and is_noted:
+            done.add(line["task"])
+    return found
+
+
+def step_out_of_order(lines: list[dict]) -> list[str]:
+    """Tasks of a second step that began before the first was over.
+
+    Jobs of these tests have steps that follow each other.
+    """
+    ended_ns: dict[tuple[str, int], int] = {}
+    for line in lines:
+        job, _, step, _ = line["task"].rsplit(".", 3)
+        if line.get("how") == "done":
+            key = (job, int(step))
+            ended_ns[key] = max(ended_ns.get(key, 0), line["at_ns"])
+    found = []
+    for line in lines:
+        job, _, step, _ = line["task"].rsplit(".", 3)
+        before_ns = ended_ns.get((job, int(step) - 1))
+        is_start = line["event"] == "started" and int(step)
+        if is_start and (before_ns is None or before_ns > line["at_ns"]):
+            found.append(line["task"])
+    return found
+
+
+def run_numbers_not_rising(lines: list[dict]) -> list[str]:
+    """Tasks whose later starts do not have a higher number."""
+    starts = sorted(
+        (line for line in lines if line["event"] == "started"),
+        key=lambda line: (line["task"], line["at_ns"]),
+    )
+    return [
+        task
+        for task, group in itertools.groupby(starts, lambda s: s["task"])
+        if any(b["run"] <= a["run"] for a, b in itertools.pairwise(group))
+    ]
--- /dev/null
+++ b/tests/platform/system.py
@@ -0,0 +1,300 @@
+"""The programs on the users' platform as processes on loopback addresses."""
+
+import dataclasses
+import json
+import pathlib
+import random
+
+from marigoldsill import errors
+from marigoldsill.transport import http_client
+from standins import journal as journal_module
+from standins import pool_worker
+from tests import one_process
+
+_FRONTEND_PORT, _READINESS_PORT, _CONTROL_PORT = 8161, 8167, 8166
+_WORKER_PORT, _INTERNAL_PORT = 8165, 7720
+HOST = "jobs.example"
+POOL = "desk"
+_JSON = ("Content-Type", "application/json")
+_SETTINGS = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "r"
+internal_ports = [{internal}, {internal_last}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+data_dir = "{data}"
+app = "{app}"
+unknown_field = "is ignored"
+[listen_addresses]
+{listen}
+[fault_tolerance]
+machines = 1
+[bounds]
+max_hold_ms = 6000
+grace_s = 6
+status_s = 120
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An HTTP answer.
+
+    Attributes:
+        status: Its status; 0 where none came.
+        value: Its decoded body.
+    """
+
+    status: int
+    value: dict
+
+
+class System:
+    """Edge and side processes, stand-in workers, a client and an operator."""
+
+    def __init__(self, folder: pathlib.Path, *, disks_count: int = 3):
+        self.folder = folder
+        self.processes: dict[str, one_process.Process] = {}
+        self.workers: dict[str, pool_worker.PoolWorker] = {}
+        self.journal_path = folder / "journal"
+        self._journal = journal_module.Journal(str(self.journal_path))
+        numbers = random.SystemRandom()
+        block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
+        self._ips = {
+            f"edge-{n}": f"{block}.{10 + n}" for n in range(1, disks_count + 1)
+        }
+        self._block = block
+        self._client = http_client.Client()
+        self._first_start = True
+
+    def start(self, *, workers_count: int = 2, cpu_millicores: int = 8000):
+        """Starts everything and brings a configuration into force."""
+        for name in self._ips:
+            self.start_edge(name)
+        for number in range(1, workers_count + 1):
+            self.start_side(f"side-{number}", cpu_millicores=cpu_millicores)
+        self.replace_configuration(1)
+        self._first_start = False
+
+    def start_edge(self, name: str) -> None:
+        """Starts an edge process, also after its end."""
+        listen = "\n".join(
+            f'{what} = "{self._ips[name]}:{port}"'
+            for what, port in (
+                ("frontend", _FRONTEND_PORT),
+                ("readiness", _READINESS_PORT),
+                ("control", _CONTROL_PORT),
+            )
+        )
+        data = self.folder / f"{name}.data"
+        self._run(name, "edge", self._ips[name], listen, data=str(data))
+
+    def start_side(self, name: str, *, cpu_millicores: int = 8000) -> None:
+        """Starts an agent, and its worker unless that runs already."""
+        number = int(name.rpartition("-")[2])
+        ip = f"{self._block}.{100 + number}"
+        control, app = f"{ip}:{_CONTROL_PORT}", f"{ip}:{_WORKER_PORT}"
+        if name not in self.workers:
+            worker = pool_worker.PoolWorker(
+                address=app,
+                control_address=control,
+                pool=POOL,
+                data_centre="z1",
+                labels=["a", f"r1-{number}"],
+                cpu_millicores=cpu_millicores,
+                journal=self._journal,
+            )
+            worker.start()
+            self.workers[name] = worker
+        self._run(name, "side", ip, f'control = "{control}"', app=app)
+
+    def power_off(self, *names: str) -> None:
+        """Kills processes; their folders stay."""
+        for name in names:
+            self.processes.pop(name).kill()
+
+    def edges(self) -> list[str]:
+        """Names of the edge processes that run."""
+        return [name for name in self.processes if name.startswith("edge")]
+
+    def leader(self) -> str:
+        """The edge process that was elected last, by the logs."""
+        elected = {
+            name: len(self.processes[name].text().split("leader_elected"))
+            for name in self.edges()
+        }
+        return max(elected, key=elected.get)
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Where an edge process keeps its state."""
+        return self.folder / f"{name}.data"
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        edge: str | None = None,
+        host: str = HOST,
+        port: int = _FRONTEND_PORT,
+        raw: bytes | None = None,
+    ) -> Answer:
+        """Makes one HTTP call to an edge process."""
+        edge = edge or self.edges()[0]
+        data = raw if raw is not None else b""
+        if body is not None:
+            data = json.dumps(body).encode()
+        try:
+            answer = self._client.fetch(
+                f"{self._ips[edge]}:{port}",
+                path,
+                method=method,
+                body=data,
+                headers=(("Host", host), _JSON, ("Request-Deadline", "3000")),
+                timeout_s=4.0,
+            )
+        except errors.TransportError:
+            return Answer(0, {})
+        return Answer(answer.status_code, json.loads(answer.body or b"{}"))
+
+    def operate(
+        self, method: str, name: str, body: object = None, **more: object
+    ) -> Answer:
+        """Makes one call of an operator."""
+        path = f"/marigoldsill/{name}"
+        return self.call(method, path, body, port=_CONTROL_PORT, **more)
+
+    def replace_configuration(
+        self, version: int, **more: object
+    ) -> dict[str, object]:
+        """Sends a configuration until it is acknowledged."""
+        body = configuration(version, **more)
+        one_process.wait_until(
+            lambda: self._acknowledges(body),
+            what=f"configuration {version} acknowledged",
+        )
+        return body
+
+    def submit(self, job_id: str, *steps: dict, **fields: object) -> None:
+        """Hands a job in until it is accepted."""
+        spec = fields.pop("spec", "work 100")
+        body = {"spec": spec, "steps": list(steps)} | fields
+        one_process.wait_until(
+            lambda: self._accepts(job_id, body), what=f"{job_id} accepted"
+        )
+
+    def state(self, job_id: str, **more: object) -> Answer:
+        """Asks for a job's state."""
+        return self.call("GET", f"/fast/{job_id}", **more)
+
+    def wait_for_state(self, job_id: str, *states: str) -> str:
+        """Waits until a job has one of these states."""
+
+        def look() -> str | None:
+            answers = [self.state(job_id, edge=e) for e in self.edges()]
+            found = {a.value.get("state") for a in answers if a.status == 200}
+            return next((s for s in states if s in found), None)
+
+        return one_process.wait_until(look, what=f"{job_id} in {states}")
+
+    def journal(self) -> list[dict]:
+        """What the workers really did."""
+        return journal_module.read(self.journal_path)
+
+    def stop(self) -> None:
+        """Ends everything."""
+        for worker in self.workers.values():
+            worker.stop()
+        for process in self.processes.values():
+            process.end()
+
+    def _acknowledges(self, body: dict) -> bool:
+        return any(
+            self.operate("POST", "Config.Replace", body, edge=edge).status
+            == 200
+            for edge in self.edges()
+        )
+
+    def _accepts(self, job_id: str, body: dict) -> bool:
+        return any(
+            self.call("POST", f"/fast/{job_id}", body, edge=edge).status == 200
+            for edge in self.edges()
+        )
+
+    def _run(
+        self,
+        name: str,
+        role: str,
+        ip: str,
+        listen: str,
+        *,
+        data: str = "",
+        app: str = "",
+    ) -> None:
+        seeds = list(self._ips.values())[:3]
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            _SETTINGS.format(
+                name=name,
+                ip=ip,
+                zone="z1",
+                internal=_INTERNAL_PORT,
+                internal_last=_INTERNAL_PORT + 15,
+                seeds=", ".join(f'"{s}:{_CONTROL_PORT}"' for s in seeds),
+                bootstrap=str(self._first_start).lower(),
+                data=data,
+                app=app,
+                listen=listen,
+            )
+        )
+        self.processes[name] = one_process.Process(
+            ["marigoldsill", "platform", role],
+            log=self.folder / f"{name}.log",
+            environment={"MARIGOLDSILL_CONFIG": str(path)},
+        )
+
+
+def configuration(
+    version: int, *, routes: list[dict] | None = None, **fields: object
+) -> dict[str, object]:
+    """A configuration with one service and, unless given, one route."""
+    return {
+        "version": version,
+        "routes": [route()] if routes is None else routes,
+        "services": [
+            {
+                "name": POOL,
+                "health_path": "/health",
+                "max_connections": 64,
+                "protocol": "h1",
+                "tls": False,
+                "enforce_limits": False,
+                "standby": False,
+            }
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
+    } | fields
+
+
+def route(name: str = "fast", **fields: object) -> dict[str, object]:
+    """A route of a configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "type": "unsafe",
+        "timeout_ms": 3000,
+        "target_latency_ms": 250,
+        "priority": 0,
+        "service": POOL,
+        "max_attempts": 3,
+        "stretch_factor": 1.5,
+    } | fields
+
+
+def step(count: int = 1, **fields: object) -> dict[str, object]:
+    """A step of a job."""
+    return {"count": count, "cpu": 500, "mem_mb": 64} | fields
