Restart killed agents at once, within their lease, in the tests of crashes

Cause: the agents of three workers came back one after the other, 0.7 s each on a slow machine, while the lease was 1.5 s. Control then rightly took a worker as lost and ran its job again (trace: agent of worker-2 dead at 30.7 s, back at 33.1 s). Ruled out: a completion reported and forgotten; the run had ended while no agent was there to report it. Change: agents come back as each dies; the lease is 6 s. Checks are the same.

--- a/tests/failures/test_agent_crashes.py
+++ b/tests/failures/test_agent_crashes.py
@@ -7,7 +7,9 @@
 from tests import processes
 from tests.failures import control_commands
 
-LEASE_MS = 1500
+# Longer than an agent takes to come back on a slow machine: a worker without an
+# agent for a whole lease counts as lost, and its job may run again.
+LEASE_MS = 6000
 JOB = """
 [[batch_job]]
 name = "rebuild-{number}"
@@ -47,10 +49,13 @@
     agents: dict[str, processes.Process],
     flags: tuple,
 ) -> None:
-    for worker, agent in agents.items():
-        agent.wait()
+    def restart(worker: str) -> None:
+        agents[worker].wait()
         system.start_agent(worker, flags=flags)
 
+    with futures.ThreadPoolExecutor(len(agents)) as pool:
+        list(pool.map(restart, agents))
+
 
 def _apply(system: processes.System, *, count: int, run_time: str) -> list[str]:
     """Declares jobs that fill a worker each; their tasks."""
