Leave workers alone that refuse or fail what they are given

Cause: a worker that answers 503 refused each start at once, its room looked free, and the leader granted it the same tasks again, some hundred a second (test_an_unwell_worker_costs_no_attempts: not done in 30 s). Workers that fail all that they start were given more in the same way and used up attempts. Ruled out: lost answers; the agent reported each refusal. Change: coordination/jobs/worker_health.py: a pause of 0.5 s doubling to 4 s after a refusal, the product's quarantine for workers that fail what runs elsewhere, and another worker for a task that failed. A stop before a start now counts as stopped, not as refused.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -145,11 +145,15 @@
             self._end(order, work)
 
     def _end(self, order: ttypes.RunOrder, work: _Work) -> None:
+        """Reports a run that never was on the worker, or left no trace."""
+        kind = ttypes.RunEndKind.STOPPED
+        if work.refused:
+            kind = ttypes.RunEndKind.REFUSED
         self._state.add_end(
             ttypes.RunEnd(
                 task=order.task,
                 run=order.run,
-                kind=ttypes.RunEndKind.REFUSED,
+                kind=kind,
                 detail=work.refused or "stopped before it began",
             )
         )
--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/jobs/placing.py
@@ -5,6 +5,7 @@
 from marigoldsill.coordination.jobs import backlog as backlog_module
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.coordination.jobs import worker_health
 from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol.generated import ttypes
 
@@ -29,8 +30,13 @@
 class Placing:
     """One round of choices, by what was learnt so far."""
 
-    def __init__(self, sharing: sharing_module.Sharing):
+    def __init__(
+        self,
+        sharing: sharing_module.Sharing,
+        health: worker_health.WorkerHealth,
+    ):
         self._sharing = sharing
+        self._health = health
 
     def place(
         self,
@@ -79,7 +85,7 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         for index in waiting.waiting:
-            room = self._choose(waiting, candidates)
+            room = self._choose(waiting, index, candidates)
             if room is None:
                 break
             grants.append(self._grant(waiting, index, room))
@@ -148,16 +154,27 @@
     def _choose(
         self,
         waiting: backlog_module.WaitingStep,
+        index: int,
         candidates: list[rooms_module.Room],
     ) -> rooms_module.Room | None:
         step = waiting.step
         fitting = [r for r in candidates if _has_room(r, waiting)]
         if step.fills:
             fitting = [room for room in fitting if self._may_fill(room, step)]
+        if waiting.tasks[index].failures_count:
+            fitting = self._not_avoided(waiting.task_name(index), fitting)
         if not fitting:
             return None
         return max(fitting, key=lambda room: self._preference(step, room))
 
+    def _not_avoided(
+        self, task: str, fitting: list[rooms_module.Room]
+    ) -> list[rooms_module.Room]:
+        """Workers where a task has not failed, or all if there is none."""
+        avoided = self._health.avoided(task)
+        others = [r for r in fitting if r.worker.worker_id not in avoided]
+        return others or fitting
+
     def _may_fill(self, room: rooms_module.Room, step: ttypes.Step) -> bool:
         """Whether a task that fills gets its speed and disturbs nobody."""
         capacity = room.worker.capacity.cpu_millicores
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.jobs import run_clock
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import urgency
+from marigoldsill.coordination.jobs import worker_health
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -38,9 +39,10 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(1, "job-scheduler")
-        replica.on_applied(
-            lambda command: self._run_clock.take(replica.tables.jobs, command)
+        self._health = worker_health.WorkerHealth(
+            decides=lambda: replica.is_leader
         )
+        replica.on_applied(self._on_applied)
 
     def start(self, service: service_module.JobService) -> None:
         """Begins to decide whenever this process leads."""
@@ -57,6 +59,10 @@
         """Has a round begin soon."""
         self._wake.set()
 
+    def _on_applied(self, command: ttypes.Command) -> None:
+        self._run_clock.take(self._replica.tables.jobs, command)
+        self._health.take(command)
+
     def _loop(self) -> None:
         while not self._stopping.is_set():
             self._wake.wait(_IDLE_S)
@@ -110,7 +116,8 @@
                 estimated_ms=sample.estimated_ms,
                 run_ms=sample.run_ms,
             )
-        placing = placing_module.Placing(sharing)
+        self._health.look()
+        placing = placing_module.Placing(sharing, self._health)
         rooms = self._rooms()
         waiting = self._backlog.in_order(
             self._urgency, now_unix_ms=commands.now_unix_ms()
@@ -153,6 +160,10 @@
             rooms_module.of_agent(jobs, view, self._service.sharing)
             for view in self._service.agents.all()
             if view.worker is not None and not view.silent and view.name in live
+            if self._health.may_take(
+                view.worker.worker_id,
+                runs_count=len(jobs.runs_by_agent.get(view.name, ())),
+            )
         ]
 
     def _end_lost(self) -> None:
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -46,7 +46,20 @@
 class Quarantine:
     """Failures by worker and family."""
 
-    def __init__(self):
+    def __init__(
+        self,
+        *,
+        least_failures: float = _LEAST_FAILURES,
+        cooldown_s: float = _COOLDOWN_S,
+    ):
+        """Starts without any failure.
+
+        Args:
+            least_failures: Blame from which on a worker may be put out.
+            cooldown_s: How long it is put out for the first time.
+        """
+        self._least_failures = least_failures
+        self._cooldown_s = cooldown_s
         self._workers: dict[str, _Worker] = {}
         self._ran_on: dict[str, collections.deque[str]] = {}
         self._failed_on: dict[str, collections.deque[str]] = {}
@@ -62,20 +75,20 @@
     def ran(self, worker: str, family: str, *, now_s: float) -> bool:
         """Notes a run that lived; whether it restored the worker."""
         _note(self._ran_on, family, worker)
-        known = self._workers.setdefault(worker, _Worker())
+        known = self._workers.setdefault(worker, self._new_worker())
         known.recent.append((now_s, family, True))
         self._count_fleet(failed=False)
         if known.standing != Standing.PROBATION:
             return False
         known.standing = Standing.GOOD
-        known.cooldown_s = _COOLDOWN_S
+        known.cooldown_s = self._cooldown_s
         known.recent.clear()
         return True
 
     def failed(self, worker: str, family: str, *, now_s: float) -> str:
         """Notes a failed run; why the worker is now quarantined, or empty."""
         _note(self._failed_on, family, worker)
-        known = self._workers.setdefault(worker, _Worker())
+        known = self._workers.setdefault(worker, self._new_worker())
         known.recent.append((now_s, family, False))
         self._count_fleet(failed=True)
         if known.standing == Standing.QUARANTINED:
@@ -90,7 +103,7 @@
 
     def restore_from_state(self, worker: str, *, now_s: float) -> None:
         """Takes over a quarantine that an earlier leader recorded."""
-        known = self._workers.setdefault(worker, _Worker())
+        known = self._workers.setdefault(worker, self._new_worker())
         known.standing = Standing.QUARANTINED
         known.until_s = now_s + known.cooldown_s
         self._out.add(worker)
@@ -103,12 +116,15 @@
             self._out.discard(worker)
         return due
 
+    def _new_worker(self) -> _Worker:
+        return _Worker(cooldown_s=self._cooldown_s)
+
     def _judge(self, worker: str, known: _Worker, now_s: float) -> str:
         fresh = [r for r in known.recent if r[0] > now_s - _WINDOW_S]
         failed = {family for _, family, ran in fresh if not ran}
         blame = sum(self._weight(worker, f) for _, f, ran in fresh if not ran)
         ran_count = sum(ran for _, _, ran in fresh)
-        if blame < _LEAST_FAILURES:
+        if blame < self._least_failures:
             return ""
         blamed = {f for f in failed if self._weight(worker, f) > 0.5}
         if len(blamed) < _LEAST_FAMILIES and not self._sure(blamed, worker):
--- a/tests/coordination/jobs/test_placing.py
+++ b/tests/coordination/jobs/test_placing.py
@@ -8,6 +8,8 @@
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import sharing as sharing_module
 from marigoldsill.coordination.jobs import urgency as urgency_module
+from marigoldsill.coordination.jobs import worker_health
+from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
 
@@ -28,6 +30,7 @@
         self.sharing = sharing_module.Sharing()
         self.backlog = backlog_module.Backlog()
         self.urgency = urgency_module.Urgency()
+        self.health = worker_health.WorkerHealth()
         self.now_s = 100.0
         self.views: dict[str, agents_module.AgentView] = {}
 
@@ -51,14 +54,25 @@
             rooms_module.of_agent(jobs, view, self.sharing)
             for view in self.views.values()
         ]
-        placing = placing_module.Placing(self.sharing)
+        placing = placing_module.Placing(self.sharing, self.health)
         waiting = self.backlog.in_order(
             self.urgency, now_unix_ms=builders.NOW_UNIX_MS
         )
         grants = placing.place(waiting, rooms, now_s=self.now_s)
         assert self.state.grant(*grants) == len(grants)
+        self.health.take(
+            commands.new(
+                command_id="", grant_runs=ttypes.GrantRuns(grants=grants)
+            )
+        )
         return {grant.task: grant.agent for grant in grants}
 
+    def take_end(self, end: ttypes.RunEnd) -> None:
+        """Records an end and has it looked at."""
+        self.state.end(end)
+        record = ttypes.RecordRunEnds(ends=[end])
+        self.health.take(commands.new(command_id="", record_run_ends=record))
+
 
 @pytest.fixture
 def leader() -> _Leader:
@@ -216,3 +230,23 @@
     assert len(leader.round()) == 1
     leader.now_s += 3.0
     assert leader.round() == {}
+
+
+def test_a_task_that_failed_goes_to_another_worker(leader: _Leader) -> None:
+    leader.worker("a1", rack="r1")
+    leader.worker("a2", rack="r2")
+    step = builders.step(preferred_rack="r1")
+    leader.submit("j1", step)
+    assert leader.round() == {builders.task(): "a1"}
+    leader.take_end(builders.end(builders.task(), ttypes.RunEndKind.FAILED))
+    assert leader.round() == {builders.task(): "a2"}
+
+
+def test_a_task_that_failed_stays_where_there_is_no_other_worker(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1")
+    leader.submit("j1", builders.step())
+    leader.round()
+    leader.take_end(builders.end(builders.task(), ttypes.RunEndKind.FAILED))
+    assert leader.round() == {builders.task(): "a1"}
