--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import relocating
@@ -28,13 +29,21 @@
 class JobScheduler:
     """Decides about jobs while this process leads."""
 
-    def __init__(self, *, replica: replica_module.Replica):
+    def __init__(self, *, replica: replica_module.Replica, job_kept_s: float):
+        """Prepares to decide.
+
+        Args:
+            replica: The replicated state.
+            job_kept_s: How long the state of an ended job must be told.
+        """
         self._replica = replica
+        self._job_kept_s = job_kept_s
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency.Urgency()
         self._run_clock = run_clock.RunClock()
         self._relocating = relocating.Relocating()
+        self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -96,6 +105,15 @@
             grants = self._decide()
         if grants:
             self._service.propose(grant_runs=ttypes.GrantRuns(grants=grants))
+        self._forget()
+
+    def _forget(self) -> None:
+        due = self._forgetting.due(now_s=clock.now_s())
+        if not due:
+            return
+        self._service.propose(forget_jobs=ttypes.ForgetJobs(job_ids=due))
+        self._forgetting.drop(len(due))
+        logs.event("jobs_forgotten", jobs_count=len(due), first=due[0])
 
     def _decide(self) -> list[ttypes.RunGrant]:
         jobs = self._replica.tables.jobs
@@ -103,8 +121,10 @@
         if self._service.led_term != self._term:
             self._term = self._service.led_term
             self._backlog = backlog_module.Backlog()
+            self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
             touched = set(jobs.jobs)
         now_s = clock.now_s()
+        self._forgetting.note(jobs, touched, now_s=now_s)
         self._backlog.refresh(jobs, touched, now_s=now_s)
         sharing = self._service.sharing
         views = self._service.agents.all()
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -32,6 +32,7 @@
             else "",
             seed_addresses=settings.seed_addresses,
             voters_wanted_count=2 * settings.tolerated_losses_count + 1,
+            job_kept_s=settings.job_kept_s,
         )
         self._client = job_client.JobClient(
             control_addresses=settings.seed_addresses
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -41,6 +41,7 @@
         founder_address: str,
         seed_addresses: Sequence[str],
         voters_wanted_count: int,
+        job_kept_s: float,
     ):
         """Prepares to take part.
 
@@ -54,6 +55,7 @@
             seed_addresses: Some processes of the group.
             voters_wanted_count: Nothing is accepted before the group has so
                 many, but for a while at most.
+            job_kept_s: How long the state of an ended job must be told.
         """
         self._member = ttypes.Member(
             name=name,
@@ -63,6 +65,7 @@
         )
         self._data_folder = data_folder
         self._voters_wanted_count = voters_wanted_count
+        self._job_kept_s = job_kept_s
         self._replica: replica_module.Replica | None = None
         self._scheduler: scheduler_module.JobScheduler | None = None
         self._joining = joining.Joining(
@@ -95,7 +98,9 @@
             on_fatal=_end_process,
         )
         self._replica = replica
-        self._scheduler = scheduler_module.JobScheduler(replica=replica)
+        self._scheduler = scheduler_module.JobScheduler(
+            replica=replica, job_kept_s=self._job_kept_s
+        )
         service = service_module.JobService(
             replica=replica,
             lease_ms=_LEASE_MS,
