Begin timed jobs when they are due; start gangs whole or not at all

Cause: a timed job was accepted, and no process ever proposed to begin its occurrences; members of a gang were placed one by one, so that some waited in vain where the others did not fit. Change: coordination/jobs/timetable.py (the next occurrence of each timed job, by the time of day; the scheduler wakes for it) and gangs.py (all members in one command under one number, one rack first where that is asked for; runs of a gang that lacks members give way). Tests: test_timetable.py, five in test_placing.py.

--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/jobs/placing.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.jobs import gangs
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import sharing as sharing_module
 from marigoldsill.coordination.jobs import worker_health
@@ -51,6 +52,9 @@
             if len(grants) >= _GRANTS_LIMIT:
                 break
             candidates = [r for r in rooms if _may_run(waiting, r)]
+            if waiting.step.gang:
+                grants += self._place_gang(waiting, candidates)
+                continue
             granted = self._place_step(waiting, candidates)
             is_idle = now_s - waiting.idle_since_s > _IDLE_LIMIT_S
             if not granted and is_idle and waiting.step.fills:
@@ -78,6 +82,41 @@
         )
         return [self._grant(waiting, waiting.waiting[0], room)]
 
+    def _place_gang(
+        self,
+        waiting: backlog_module.WaitingStep,
+        candidates: list[rooms_module.Room],
+    ) -> list[ttypes.RunGrant]:
+        """Begins all members under one number, or none."""
+        if any(task.runs or task.done for task in waiting.tasks):
+            return []
+        run = 1 + max(task.last_run for task in waiting.tasks)
+        by_agent = {room.agent: room for room in candidates}
+        for group in gangs.groups(waiting.step, candidates):
+            agents = self._agents_for_gang(waiting, group)
+            if agents:
+                return [
+                    self._grant(waiting, index, by_agent[agent], run=run)
+                    for index, agent in enumerate(agents)
+                ]
+        return []
+
+    def _agents_for_gang(
+        self,
+        waiting: backlog_module.WaitingStep,
+        group: list[rooms_module.Room],
+    ) -> list[str]:
+        """An agent for each member, or none if not all of them fit."""
+        tried = [room.copy() for room in group]
+        agents: list[str] = []
+        for index in range(len(waiting.tasks)):
+            room = self._choose(waiting, index, tried)
+            if room is None:
+                return []
+            self.take(room, waiting.key, waiting.step)
+            agents.append(room.agent)
+        return agents
+
     def _place_step(
         self,
         waiting: backlog_module.WaitingStep,
@@ -96,11 +135,13 @@
         waiting: backlog_module.WaitingStep,
         index: int,
         room: rooms_module.Room,
+        *,
+        run: int | None = None,
     ) -> ttypes.RunGrant:
         self.take(room, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
-            run=waiting.tasks[index].last_run + 1,
+            run=run or waiting.tasks[index].last_run + 1,
             agent=room.agent,
             worker_id=room.worker.worker_id,
         )
--- a/marigoldsill/coordination/jobs/rooms.py
+++ b/marigoldsill/coordination/jobs/rooms.py
@@ -50,6 +50,12 @@
             and wanted.accelerators_count <= self.accelerators_count
         )
 
+    def copy(self) -> "Room":
+        """A room to try out what fits, with no effect on this one."""
+        return dataclasses.replace(
+            self, serving=list(self.serving), by_step=dict(self.by_step)
+        )
+
     @property
     def unused_share(self) -> float:
         """Share of the worker that is probably left to tasks that fill."""
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -7,12 +7,14 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
 from marigoldsill.coordination.jobs import forgetting
+from marigoldsill.coordination.jobs import gangs
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import relocating
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import run_clock
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.jobs import urgency
 from marigoldsill.coordination.jobs import worker_health
 from marigoldsill.coordination.leadership import commands
@@ -44,6 +46,7 @@
         self._run_clock = run_clock.RunClock()
         self._relocating = relocating.Relocating()
         self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
+        self._timetable = timetable.Timetable()
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -74,7 +77,11 @@
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
-            self._wake.wait(_IDLE_S)
+            self._wake.wait(
+                self._timetable.wait_s(
+                    now_unix_ms=commands.now_unix_ms(), limit_s=_IDLE_S
+                )
+            )
             self._stopping.wait(_GATHER_S)
             self._wake.clear()
             if not self._replica.is_leader:
@@ -103,10 +110,20 @@
         self._end_lost()
         with self._replica.lock:
             grants = self._decide()
+            due = self._timetable.due(now_unix_ms=commands.now_unix_ms())
         if grants:
             self._service.propose(grant_runs=ttypes.GrantRuns(grants=grants))
+        if due:
+            self._begin(due)
         self._forget()
 
+    def _begin(self, due: list[ttypes.OccurrenceDue]) -> None:
+        self._service.propose(
+            begin_occurrences=ttypes.BeginOccurrences(due=due)
+        )
+        for item in due:
+            logs.event("occurrence_begun", job=item.job_id, number=item.number)
+
     def _forget(self) -> None:
         due = self._forgetting.due(now_s=clock.now_s())
         if not due:
@@ -122,9 +139,11 @@
             self._term = self._service.led_term
             self._backlog = backlog_module.Backlog()
             self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
+            self._timetable = timetable.Timetable()
             touched = set(jobs.jobs)
         now_s = clock.now_s()
         self._forgetting.note(jobs, touched, now_s=now_s)
+        self._timetable.note(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
         sharing = self._service.sharing
         views = self._service.agents.all()
@@ -145,9 +164,26 @@
         job_metrics.WAITING.set(len(waiting))
         job_metrics.LIVE_AGENTS.set(len(rooms))
         grants = placing.place(waiting, rooms, now_s=now_s)
+        self._evict(
+            gangs.incomplete(jobs, touched), reason="not all members are there"
+        )
         self._move(placing, rooms)
         return grants
 
+    def _evict(self, runs: list[relocating.Move], *, reason: str) -> None:
+        evicted = self._service.orders.evicted
+        fresh = [run for run in runs if run.key not in evicted]
+        for run in fresh:
+            evicted.add(run.key)
+            logs.event(
+                "run_evicted",
+                task=run.key[0],
+                run=run.key[1],
+                agent=run.agent,
+                reason=reason,
+            )
+        self._service.orders_changed({run.agent for run in fresh})
+
     def _move(
         self,
         placing: placing_module.Placing,
@@ -161,17 +197,8 @@
             placing,
             is_evicted=lambda key: key in orders.evicted,
         )
-        for move in moves:
-            orders.evicted.add(move.key)
-            job_metrics.EVICTIONS.labels("slow").inc()
-            logs.event(
-                "run_evicted",
-                task=move.key[0],
-                run=move.key[1],
-                agent=move.agent,
-                reason="slow beside tasks that serve",
-            )
-        self._service.orders_changed({move.agent for move in moves})
+        job_metrics.EVICTIONS.labels("slow").inc(len(moves))
+        self._evict(moves, reason="slow beside tasks that serve")
 
     def _rooms(self) -> list[rooms_module.Room]:
         jobs = self._replica.tables.jobs
--- a/tests/coordination/jobs/test_placing.py
+++ b/tests/coordination/jobs/test_placing.py
@@ -4,6 +4,7 @@
 
 from marigoldsill.coordination.jobs import agents as agents_module
 from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.jobs import gangs
 from marigoldsill.coordination.jobs import placing as placing_module
 from marigoldsill.coordination.jobs import rooms as rooms_module
 from marigoldsill.coordination.jobs import sharing as sharing_module
@@ -250,3 +251,59 @@
     leader.round()
     leader.take_end(builders.end(builders.task(), ttypes.RunEndKind.FAILED))
     assert leader.round() == {builders.task(): "a1"}
+
+
+def test_a_gang_begins_whole_or_not_at_all(leader: _Leader) -> None:
+    leader.worker("a1", cores=4)
+    step = builders.step(3, gang=True, resources=_resources(2))
+    leader.submit("j1", step)
+    assert leader.round() == {}
+    leader.worker("a2", cores=4)
+    assert sorted(leader.round().values()) == ["a1", "a1", "a2"]
+
+
+def test_a_gang_that_does_not_fit_takes_no_room(leader: _Leader) -> None:
+    leader.worker("a1", cores=4)
+    leader.submit("j1", builders.step(3, gang=True, resources=_resources(2)))
+    leader.submit("j2", builders.step(2, resources=_resources(2)))
+    assert sorted(leader.round()) == [
+        builders.task(0, "j2"),
+        builders.task(1, "j2"),
+    ]
+
+
+def test_members_of_a_gang_get_one_number_above_all_before(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1")
+    leader.submit("j1", builders.step(2, gang=True))
+    leader.round()
+    leader.take_end(builders.end(builders.task(0), ttypes.RunEndKind.FAILED))
+    assert leader.round() == {}
+    ended = ttypes.RunEndKind.MEMBER_ENDED
+    leader.take_end(builders.end(builders.task(1), ended))
+    assert sorted(leader.round()) == [builders.task(0), builders.task(1)]
+    tasks = [leader.state.task(builders.task(n)) for n in (0, 1)]
+    assert [task.runs[0].run for task in tasks] == [2, 2]
+
+
+def test_a_gang_goes_on_one_rack_where_it_fits(leader: _Leader) -> None:
+    leader.worker("a1", cores=6, rack="r1")
+    leader.worker("a2", cores=4, rack="r2")
+    leader.worker("a3", cores=4, rack="r2")
+    step = builders.step(4, gang=True, same_rack=True, resources=_resources(2))
+    leader.submit("j1", step)
+    assert set(leader.round().values()) == {"a2", "a3"}
+
+
+def test_members_that_wait_for_one_that_is_away_give_way(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1")
+    leader.submit("j1", builders.step(3, gang=True))
+    leader.round()
+    jobs = leader.state.tables.jobs
+    assert gangs.incomplete(jobs, ["j1"]) == []
+    leader.take_end(builders.end(builders.task(1), ttypes.RunEndKind.REFUSED))
+    keys = [move.key for move in gangs.incomplete(jobs, ["j1"])]
+    assert keys == [(builders.task(0), 1), (builders.task(2), 1)]
--- /dev/null
+++ b/tests/coordination/jobs/test_timetable.py
@@ -0,0 +1,75 @@
+"""Occurrences of timed jobs begin when they are due, each once."""
+
+import pytest
+
+from marigoldsill.coordination.jobs import timetable as timetable_module
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
+
+_FIRST_MS, _INTERVAL_MS = 50_000, 2_000
+
+
+class _Case:
+    def __init__(self):
+        self.state = builders.State()
+        self.timetable = timetable_module.Timetable()
+        self.state.submit(
+            builders.job(
+                repeat_count=3,
+                first_due_unix_ms=_FIRST_MS,
+                interval_ms=_INTERVAL_MS,
+            )
+        )
+
+    def begin(self, now_unix_ms: int) -> list[int]:
+        """Begins what is due at a time; the numbers that began."""
+        jobs = self.state.tables.jobs
+        numbers = []
+        while True:
+            self.timetable.note(jobs, jobs.take_touched_jobs())
+            due = self.timetable.due(now_unix_ms=now_unix_ms)
+            if not due:
+                return numbers
+            self.state.apply(begin_occurrences=ttypes.BeginOccurrences(due=due))
+            numbers += [item.number for item in due]
+
+
+@pytest.fixture
+def case() -> _Case:
+    return _Case()
+
+
+def test_nothing_begins_before_its_time(case: _Case) -> None:
+    assert case.begin(_FIRST_MS - 1) == []
+    assert case.begin(_FIRST_MS) == [0]
+    assert case.begin(_FIRST_MS + _INTERVAL_MS - 1) == []
+
+
+def test_what_was_missed_begins_in_order_and_overlaps(case: _Case) -> None:
+    assert case.begin(_FIRST_MS + 10 * _INTERVAL_MS) == [0, 1, 2]
+    record = case.state.tables.jobs.jobs["j1"]
+    assert [o.number for o in record.open] == [0, 1, 2]
+
+
+def test_a_cancelled_job_has_no_more_occurrences(case: _Case) -> None:
+    assert case.begin(_FIRST_MS) == [0]
+    case.state.cancel("j1")
+    assert case.begin(_FIRST_MS + _INTERVAL_MS) == []
+
+
+def test_a_leader_that_comes_new_goes_on_where_the_last_one_was(
+    case: _Case,
+) -> None:
+    case.begin(_FIRST_MS)
+    case.timetable = timetable_module.Timetable()
+    case.timetable.note(case.state.tables.jobs, ["j1"])
+    assert case.begin(_FIRST_MS) == []
+    assert case.begin(_FIRST_MS + _INTERVAL_MS) == [1]
+
+
+def test_the_wait_ends_when_the_next_one_is_due(case: _Case) -> None:
+    case.begin(0)
+    wait_s = case.timetable.wait_s(now_unix_ms=_FIRST_MS - 100, limit_s=0.25)
+    assert wait_s == pytest.approx(0.1)
+    far_s = case.timetable.wait_s(now_unix_ms=0, limit_s=0.25)
+    assert far_s == pytest.approx(0.25)
