Move the choice of workers for jobs into a room of its own

The type of a run's key stood in four places and stands in protocol/task_names.py now. No change of behaviour.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -6,12 +6,11 @@
 from marigoldsill.coordination.job_agent import pacer as pacer_module
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
-RunKey = tuple[str, int]
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Lease:
@@ -63,13 +62,13 @@
         self.announced: run_worker.Announcement | None = None
         self.lease = Lease()
         self.term = 0
-        self.orders: dict[RunKey, ttypes.RunOrder] = {}
+        self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
         self.orders_term = 0
         self.orders_version = 0
         self.pressures_version = 0
-        self.running: dict[RunKey, ttypes.RunLook] = {}
+        self.running: dict[task_names.RunKey, ttypes.RunLook] = {}
         self.listings_count = 0
-        self.ends: dict[RunKey, ttypes.RunEnd] = {}
+        self.ends: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.listed_through = 0
         self.acknowledged = 0
         self.answered_s = clock.now_s()
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import holder as holder_module
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
@@ -62,7 +63,7 @@
         self._worker = worker
         self._holder = holder
         self._retry_s = retry_s
-        self._work: dict[agent_state.RunKey, _Work] = {}
+        self._work: dict[task_names.RunKey, _Work] = {}
         self._pool = futures.ThreadPoolExecutor(_THREADS_COUNT, "executor")
 
     def run(self) -> None:
@@ -110,7 +111,7 @@
 
     def _follow(
         self,
-        key: agent_state.RunKey,
+        key: task_names.RunKey,
         order: ttypes.RunOrder,
         work: _Work,
     ) -> None:
@@ -129,7 +130,7 @@
 
     def _follow_stop(
         self,
-        key: agent_state.RunKey,
+        key: task_names.RunKey,
         order: ttypes.RunOrder,
         work: _Work,
         *,
--- a/marigoldsill/coordination/job_agent/pacer.py
+++ b/marigoldsill/coordination/job_agent/pacer.py
@@ -12,6 +12,7 @@
 import math
 
 from marigoldsill.coordination.learning import strain
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
 # In units of the target. A load that rises takes a tail from the first to the
@@ -36,7 +37,6 @@
 _EXPLAINED_SHARE = 0.4
 _TENTHS = 10
 
-RunKey = tuple[str, int]
 Pair = tuple[str, str]
 
 
@@ -52,7 +52,7 @@
         percent: Its pace.
     """
 
-    key: RunKey
+    key: task_names.RunKey
     image: str
     in_use: float
     wanted: float
@@ -75,10 +75,10 @@
 
     def __init__(self):
         self.added: dict[Pair, float] = {}
-        self._percents: dict[RunKey, int] = {}
+        self._percents: dict[task_names.RunKey, int] = {}
         self._cut_s = 0.0
 
-    def percent(self, key: RunKey) -> int:
+    def percent(self, key: task_names.RunKey) -> int:
         """What a run that fills may take of its speed."""
         return self._percents.get(key, _WHOLE_PERCENT)
 
@@ -95,8 +95,8 @@
 
     def look(
         self,
-        orders: Mapping[RunKey, ttypes.RunOrder],
-        running: Mapping[RunKey, ttypes.RunLook],
+        orders: Mapping[task_names.RunKey, ttypes.RunOrder],
+        running: Mapping[task_names.RunKey, ttypes.RunLook],
         *,
         capacity_millicores: int,
         now_s: float,
--- /dev/null
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -0,0 +1,19 @@
+"""Where tasks of jobs run, and in which order they get their turn.
+
+The room decides by what agents report and by what was learnt of run times,
+of tasks that disturb each other and of workers that refuse or fail.
+Other rooms use the modules listed here only.
+"""
+
+__all__ = [
+    "agents",
+    "backlog",
+    "gangs",
+    "placing",
+    "relocating",
+    "rooms",
+    "run_clock",
+    "sharing",
+    "urgency",
+    "worker_health",
+]
--- a/marigoldsill/coordination/jobs/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination.jobs import urgency as urgency_module
+from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
--- a/marigoldsill/coordination/jobs/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Sequence
 
-from marigoldsill.coordination.jobs import backlog as backlog_module
-from marigoldsill.coordination.jobs import gangs
-from marigoldsill.coordination.jobs import rooms as rooms_module
-from marigoldsill.coordination.jobs import sharing as sharing_module
-from marigoldsill.coordination.jobs import worker_health
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol.generated import ttypes
 
--- a/marigoldsill/coordination/jobs/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -5,11 +5,10 @@
 from collections.abc import Sequence
 import dataclasses
 
-from marigoldsill.coordination.jobs import agents as agents_module
-from marigoldsill.coordination.jobs import orders as orders_module
-from marigoldsill.coordination.jobs import placing as placing_module
-from marigoldsill.coordination.jobs import rooms as rooms_module
-from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -26,7 +25,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Move:
+class Eviction:
     """A run that should give way.
 
     Attributes:
@@ -34,7 +33,7 @@
         agent: Where it runs.
     """
 
-    key: orders_module.RunKey
+    key: task_names.RunKey
     agent: str
 
 
@@ -42,7 +41,7 @@
     """Finds runs that have been slow for a while and fit elsewhere."""
 
     def __init__(self):
-        self._slow_since_s: dict[orders_module.RunKey, float] = {}
+        self._slow_since_s: dict[task_names.RunKey, float] = {}
 
     def moves(
         self,
@@ -51,8 +50,8 @@
         rooms: Sequence[rooms_module.Room],
         placing: placing_module.Placing,
         *,
-        is_evicted: Callable[[orders_module.RunKey], bool],
-    ) -> list[Move]:
+        is_evicted: Callable[[task_names.RunKey], bool],
+    ) -> list[Eviction]:
         """Runs that should give way now."""
         slow = {
             key: (view, look)
@@ -64,7 +63,7 @@
             key: self._slow_since_s.get(key, view.looked_s)
             for key, (view, _) in slow.items()
         }
-        moves: list[Move] = []
+        moves: list[Eviction] = []
         for key, (view, look) in slow.items():
             if len(moves) >= _MOVES_LIMIT:
                 break
@@ -83,7 +82,7 @@
                 address = task_names.parse(key[0])
                 step_key = (address.job_id, address.occurrence, address.step)
                 placing.take(room, step_key, step)
-                moves.append(Move(key, view.name))
+                moves.append(Eviction(key, view.name))
         return moves
 
 
--- a/marigoldsill/coordination/jobs/rooms.py
+++ b/marigoldsill/coordination/job_placing/rooms.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from marigoldsill.coordination.jobs import agents as agents_module
-from marigoldsill.coordination.jobs import sharing as sharing_module
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
--- a/marigoldsill/coordination/jobs/run_clock.py
+++ b/marigoldsill/coordination/job_placing/run_clock.py
@@ -3,8 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 
-from marigoldsill.coordination.jobs import agents as agents_module
-from marigoldsill.coordination.jobs import orders as orders_module
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -47,7 +46,7 @@
     """Times runs of this term; called with the replica's lock held."""
 
     def __init__(self):
-        self._running: dict[orders_module.RunKey, _Running] = {}
+        self._running: dict[task_names.RunKey, _Running] = {}
         self._samples: list[Sample] = []
 
     def take(self, jobs: job_tables.JobTables, command: ttypes.Command) -> None:
--- a/marigoldsill/coordination/jobs/sharing.py
+++ b/marigoldsill/coordination/job_placing/sharing.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 import dataclasses
 
-from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/jobs/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 import dataclasses
 
-from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.learning import quarantine as quarantine_module
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -54,7 +53,7 @@
                 workers has an effect and is logged.
         """
         self._decides = decides
-        self._granted: dict[orders_module.RunKey, str] = {}
+        self._granted: dict[task_names.RunKey, str] = {}
         self._refusals: dict[str, _Refusals] = {}
         self._failed_on: dict[str, collections.deque[str]] = {}
         self._quarantine = quarantine_module.Quarantine(
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -17,15 +17,17 @@
 # Changes kept for each agent; one that lags further gets everything.
 HISTORY_COUNT = 1_000
 
-RunKey = tuple[str, int]
-
 
 @dataclasses.dataclass(slots=True)
 class _Book:
     version: int = 0
-    wanted: dict[RunKey, tuple] = dataclasses.field(default_factory=dict)
-    history: collections.deque[tuple[int, RunKey]] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=HISTORY_COUNT)
+    wanted: dict[task_names.RunKey, tuple] = dataclasses.field(
+        default_factory=dict
+    )
+    history: collections.deque[tuple[int, task_names.RunKey]] = (
+        dataclasses.field(
+            default_factory=lambda: collections.deque(maxlen=HISTORY_COUNT)
+        )
     )
 
 
@@ -40,9 +42,9 @@
 
     def __init__(self):
         self._books: dict[str, _Book] = {}
-        self.evicted: set[RunKey] = set()
-        self.paces: dict[RunKey, int] = {}
-        self.tickets: dict[RunKey, str] = {}
+        self.evicted: set[task_names.RunKey] = set()
+        self.paces: dict[task_names.RunKey, int] = {}
+        self.tickets: dict[task_names.RunKey, str] = {}
 
     def reset(self, tables: tables_module.Tables) -> None:
         """Starts over as a new leader."""
@@ -90,7 +92,7 @@
         """What an agent lacks that holds the version of a request."""
         book = self._books.setdefault(request.agent, _Book())
         reply = ttypes.OrdersReply(term=term, version=book.version)
-        keys: set[RunKey] = set(book.wanted)
+        keys: set[task_names.RunKey] = set(book.wanted)
         if request.term != term or not _reaches(book, request.version):
             reply.whole = True
         else:
@@ -109,7 +111,7 @@
         return reply
 
     def _desire(
-        self, tables: tables_module.Tables, key: RunKey
+        self, tables: tables_module.Tables, key: task_names.RunKey
     ) -> ttypes.RunDesire:
         address = task_names.parse(key[0])
         record = tables.jobs.jobs[address.job_id]
@@ -123,7 +125,7 @@
     def _order(
         self,
         tables: tables_module.Tables,
-        key: RunKey,
+        key: task_names.RunKey,
         live: job_tables.LiveRun,
         wanted: tuple[ttypes.RunDesire, int],
     ) -> ttypes.RunOrder:
--- a/marigoldsill/coordination/jobs/reports.py
+++ b/marigoldsill/coordination/jobs/reports.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from marigoldsill.coordination.agreement import replica as replica_module
-from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -5,18 +5,18 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
-from marigoldsill.coordination.jobs import backlog as backlog_module
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import relocating
+from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import run_clock
+from marigoldsill.coordination.job_placing import urgency
+from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import forgetting
-from marigoldsill.coordination.jobs import gangs
 from marigoldsill.coordination.jobs import job_metrics
-from marigoldsill.coordination.jobs import placing as placing_module
-from marigoldsill.coordination.jobs import relocating
-from marigoldsill.coordination.jobs import rooms as rooms_module
-from marigoldsill.coordination.jobs import run_clock
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import timetable
-from marigoldsill.coordination.jobs import urgency
-from marigoldsill.coordination.jobs import worker_health
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -170,7 +170,7 @@
         self._move(placing, rooms)
         return grants
 
-    def _evict(self, runs: list[relocating.Move], *, reason: str) -> None:
+    def _evict(self, runs: list[relocating.Eviction], *, reason: str) -> None:
         evicted = self._service.orders.evicted
         fresh = [run for run in runs if run.key not in evicted]
         for run in fresh:
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -6,13 +6,13 @@
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.configuration import watch_hub
-from marigoldsill.coordination.jobs import agents as agents_module
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.jobs import job_events
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
-from marigoldsill.coordination.jobs import sharing as sharing_module
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
--- a/marigoldsill/protocol/task_names.py
+++ b/marigoldsill/protocol/task_names.py
@@ -6,6 +6,9 @@
 
 _PARTS_COUNT = 4
 
+# A task's name and the number of its start.
+RunKey = tuple[str, int]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TaskAddress:
--- a/tests/coordination/jobs/test_placing.py
+++ b/tests/coordination/job_placing/test_placing.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from marigoldsill.coordination.jobs import agents as agents_module
-from marigoldsill.coordination.jobs import backlog as backlog_module
-from marigoldsill.coordination.jobs import gangs
-from marigoldsill.coordination.jobs import placing as placing_module
-from marigoldsill.coordination.jobs import rooms as rooms_module
-from marigoldsill.coordination.jobs import sharing as sharing_module
-from marigoldsill.coordination.jobs import urgency as urgency_module
-from marigoldsill.coordination.jobs import worker_health
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import urgency as urgency_module
+from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
--- a/tests/coordination/jobs/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marigoldsill.coordination.jobs import worker_health
+from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -4,11 +4,10 @@
 
 from marigoldsill import errors
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
-RunKey = tuple[str, int]
-
 
 class FakeWorker(run_worker.RunWorker):
     """Starts, stops and lists runs at once; no time passes in it.
@@ -25,13 +24,13 @@
 
     def __init__(self, life: str = "a1-life1"):
         self.life = life
-        self.running: dict[RunKey, ttypes.RunLook] = {}
+        self.running: dict[task_names.RunKey, ttypes.RunLook] = {}
         self.refusal = ""
         self.unwell = False
         self.unanswered: set[str] = set()
         self.late: list = []
-        self.calls: list[tuple[str, RunKey]] = []
-        self.paces: dict[RunKey, int] = {}
+        self.calls: list[tuple[str, task_names.RunKey]] = []
+        self.paces: dict[task_names.RunKey, int] = {}
         self.deadlines: list[int | None] = []
         self.acknowledged = 0
         self._ended: list[run_worker.EndedRun] = []
@@ -83,7 +82,7 @@
         self.paces[task, run] = percent
         return self.clock_ms()
 
-    def end(self, key: RunKey, kind: ttypes.RunEndKind) -> None:
+    def end(self, key: task_names.RunKey, kind: ttypes.RunEndKind) -> None:
         """Ends a run by itself."""
         self._end(key, kind)
 
@@ -96,7 +95,9 @@
             except errors.PlatformError:
                 continue
 
-    def _call(self, name: str, worker_id: str, key: RunKey, action) -> int:
+    def _call(
+        self, name: str, worker_id: str, key: task_names.RunKey, action
+    ) -> int:
         self.calls.append((name, key))
         self._check_life(worker_id)
         if self.unwell:
@@ -111,7 +112,7 @@
         if worker_id != self.life:
             raise errors.OtherWorkerError("421")
 
-    def _start(self, key: RunKey) -> None:
+    def _start(self, key: task_names.RunKey) -> None:
         if key in self.running:
             return
         task, run = key
@@ -124,13 +125,13 @@
             task=task, run=run, percent=0, load=0
         )
 
-    def _stop(self, key: RunKey) -> None:
+    def _stop(self, key: task_names.RunKey) -> None:
         task, run = key
         self._highest_over[task] = max(self._highest_over.get(task, 0), run)
         if key in self.running:
             self._end(key, ttypes.RunEndKind.STOPPED)
 
-    def _end(self, key: RunKey, kind: ttypes.RunEndKind) -> None:
+    def _end(self, key: task_names.RunKey, kind: ttypes.RunEndKind) -> None:
         del self.running[key]
         task, run = key
         self._highest_over[task] = max(self._highest_over.get(task, 0), run)
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -32,6 +32,7 @@
     "placement",
     "deciding",
     "plans",
+    "job_placing",
     "jobs",
     "job_agent",
 )
