Tell the story of a job, a task or a worker out of logs

marigoldsill explain-logs NAME FILE...: the lines that name it, those about the workers of its runs meanwhile, leaders, and what the logs leave out. Reads logs with whatever a collector put before each line.

--- a/marigoldsill/cli/__init__.py
+++ b/marigoldsill/cli/__init__.py
@@ -21,6 +21,7 @@
     "status": "marigoldsill.cli.state:status",
     "explain": "marigoldsill.cli.state:explain",
     "audit": "marigoldsill.cli.state:audit",
+    "explain-logs": "marigoldsill.cli.logs:explain_logs",
     "check": "marigoldsill.cli.check:check",
     "completion": "marigoldsill.cli.completion:completion",
 }
--- /dev/null
+++ b/marigoldsill/cli/story.py
@@ -0,0 +1,147 @@
+"""The story of a job, a task or a worker, out of the logs of many processes.
+
+It holds the lines that name the subject, those about workers while its runs
+were there, and those about leaders and lost lines meanwhile. Times are those of
+the processes' own clocks.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+
+from marigoldsill.transport import log_reading
+
+# What is told of a worker's life between a grant and the run's end.
+_OF_WORKERS = frozenset(
+    {
+        "worker_answers",
+        "worker_drains",
+        "worker_gone",
+        "worker_left_alone",
+        "worker_probed",
+        "worker_quarantined",
+        "worker_restored",
+        "hold_failed",
+        "report_failed",
+        "orders_wait",
+        "started",
+        "stopped",
+    }
+)
+# What changes for every job.
+_OF_CONTROL = frozenset(
+    {
+        "leader_elected",
+        "leadership_lost",
+        "quorum_lost",
+        "no_leader",
+        "disk_failed",
+        "runs_lost",
+        "scheduler_waits",
+        "scheduler_failed",
+    }
+)
+_LEFT_OUT = frozenset({"log_dropped", "log_suppressed"})
+# A grant is followed by the agent's own lines, an end is preceded by them.
+_MARGIN = datetime.timedelta(seconds=1)
+_WITHOUT_END = datetime.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Story:
+    """What the logs tell of a subject.
+
+    Attributes:
+        lines: In order of time.
+        gaps: What they don't tell, in words.
+    """
+
+    lines: list[log_reading.LogLine]
+    gaps: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Stay:
+    """A run on a worker, from its grant to its recorded end."""
+
+    task: str
+    run: str
+    agent: str
+    worker_id: str
+    begin: datetime.datetime
+    end: datetime.datetime | None = None
+
+    def holds(self, line: log_reading.LogLine) -> bool:
+        end = self.end or self.begin + _WITHOUT_END
+        if not self.begin - _MARGIN <= line.time <= end + _MARGIN:
+            return False
+        worker_id = line.fields.get("worker_id")
+        return worker_id == self.worker_id or line.process == self.agent
+
+
+def tell(subject: str, lines: Iterable[log_reading.LogLine]) -> Story:
+    """The story of a subject, by its id or name."""
+    ordered = sorted(lines, key=lambda line: line.time)
+    own = [line for line in ordered if _names(line, subject)]
+    if not own:
+        return Story([], [f"no line names {subject}"])
+    stays = _stays(own)
+    begin, end = own[0].time, own[-1].time
+    told = [
+        line
+        for line in ordered
+        if _names(line, subject)
+        or (line.event in _OF_WORKERS and any(s.holds(line) for s in stays))
+        or (line.event in _OF_CONTROL | _LEFT_OUT and begin <= line.time <= end)
+    ]
+    return Story(told, _gaps(subject, own, told, stays))
+
+
+def _names(line: log_reading.LogLine, subject: str) -> bool:
+    return line.process == subject or any(
+        value == subject or value.startswith(f"{subject}.")
+        for value in line.fields.values()
+    )
+
+
+def _stays(lines: Iterable[log_reading.LogLine]) -> list[_Stay]:
+    stays: dict[tuple[str, str], _Stay] = {}
+    for line in lines:
+        key = line.fields.get("task", ""), line.fields.get("run", "")
+        if line.event == "run_granted":
+            stays[key] = _Stay(
+                *key,
+                line.fields.get("agent", ""),
+                line.fields.get("worker_id", ""),
+                line.time,
+            )
+        elif line.event == "run_ended" and key in stays:
+            stays[key].end = line.time
+    return list(stays.values())
+
+
+def _gaps(
+    subject: str,
+    own: list[log_reading.LogLine],
+    told: list[log_reading.LogLine],
+    stays: list[_Stay],
+) -> list[str]:
+    events = {line.event for line in own}
+    gaps = [
+        f"run {stay.run} of {stay.task} was granted to {stay.agent}; its end "
+        "is not told"
+        for stay in stays
+        if stay.end is None
+    ]
+    is_job = any(line.fields.get("job") == subject for line in own)
+    if is_job and "job_accepted" not in events:
+        gaps.append(f"it is not told that {subject} was accepted")
+    if is_job and "job_ended" not in events:
+        gaps.append(f"it is not told how {subject} ended")
+    gaps += [
+        f"{line.process} left lines out at {line.time.isoformat()}: "
+        f"{line.fields.get('count', '?')} of {line.fields.get('of', 'all')}"
+        for line in told
+        if line.event in _LEFT_OUT
+    ]
+    return gaps
--- /dev/null
+++ b/marigoldsill/transport/log_reading.py
@@ -0,0 +1,80 @@
+"""Reads what `marigoldsill.transport.logs` wrote, from any number of files."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import re
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_ESCAPED = re.compile(r"\\(.)")
+_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S.%f%z"
+_HEAD = frozenset({"time", "level", "event", "role", "name", "pid"})
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LogLine:
+    """One event.
+
+    Attributes:
+        time: When it was written, by the clock of its process.
+        level: Its level.
+        event: The event's name.
+        process: The name of the process that wrote it.
+        fields: Its other fields, as text.
+    """
+
+    time: datetime.datetime
+    level: str
+    event: str
+    process: str
+    fields: dict[str, str]
+
+    def shown(self) -> str:
+        """The line for a reader: when, who, what."""
+        pairs = " ".join(f"{k}={_shown(v)}" for k, v in self.fields.items())
+        shown_time = self.time.isoformat(timespec="milliseconds")
+        return f"{shown_time} {self.process} {self.event} {pairs}".rstrip()
+
+
+def read(lines: Iterable[str]) -> Iterator[LogLine]:
+    """The events among some lines; other lines are left out.
+
+    Whatever a collector of logs put before `time=` is skipped.
+    """
+    for line in lines:
+        begin = line.find("time=")
+        if begin >= 0 and "event=" in line:
+            parsed = _parse(line[begin:])
+            if parsed is not None:
+                yield parsed
+
+
+def _parse(text: str) -> LogLine | None:
+    pairs = {key: _unquoted(value) for key, value in _PAIR.findall(text)}
+    try:
+        time = datetime.datetime.strptime(pairs["time"], _TIME_FORMAT)
+        event = pairs["event"]
+    except (KeyError, ValueError):
+        return None
+    return LogLine(
+        time=time,
+        level=pairs.get("level", ""),
+        event=event,
+        process=pairs.get("name", ""),
+        fields={k: v for k, v in pairs.items() if k not in _HEAD},
+    )
+
+
+def _unquoted(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return _ESCAPED.sub(_unescape, value[1:-1])
+
+
+def _unescape(match: re.Match) -> str:
+    return {"n": "\n", "r": "\r"}.get(match[1], match[1])
+
+
+def _shown(value: str) -> str:
+    return value if value and not re.search(r"\s", value) else repr(value)
--- /dev/null
+++ b/tests/transport/test_log_reading.py
@@ -0,0 +1,64 @@
+"""What logs write is read back as it was, whatever stands in its values."""
+
+import datetime
+import io
+
+import hypothesis
+from hypothesis import strategies
+from loguru import logger
+import pytest
+
+from marigoldsill.transport import log_reading
+from marigoldsill.transport import logs
+
+_LINE = (
+    "time=2026-07-12T04:36:01.396+0000 level=INFO event=run_ended role=edge "
+    'name=edge-1 pid=7 task=j1.0.0.1 run=2 kind=failed reason="its own fault"'
+)
+
+
+def test_a_line_is_read_with_its_fields() -> None:
+    (line,) = log_reading.read([_LINE])
+    utc = datetime.UTC
+    assert line == log_reading.LogLine(
+        time=datetime.datetime(2026, 7, 12, 4, 36, 1, 396_000, utc),
+        level="INFO",
+        event="run_ended",
+        process="edge-1",
+        fields={
+            "task": "j1.0.0.1",
+            "run": "2",
+            "kind": "failed",
+            "reason": "its own fault",
+        },
+    )
+
+
+def test_what_a_collector_put_before_a_line_is_skipped() -> None:
+    (line,) = log_reading.read([f"  46.4368 edge-1 {_LINE}\n"])
+    assert line.event == "run_ended"
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "Traceback (most recent call last):", "time=soon event=x", "time=1"],
+)
+def test_other_lines_are_left_out(text: str) -> None:
+    assert list(log_reading.read([text])) == []
+
+
+@hypothesis.given(strategies.text())
+def test_every_value_that_is_logged_is_read_back(value: str) -> None:
+    hypothesis.assume(not set(value) & set("\x1c\x1d\x1e\x85\u2028\u2029"))
+    sink = io.StringIO()
+    logger.remove()
+    base = "role=edge name=edge-1 pid=7"
+    handler = logger.add(sink, format=lambda r: logs._line(r, base))
+    try:
+        logs.event("tried", value=value, after="end")
+    finally:
+        logger.remove(handler)
+    written = sink.getvalue()
+    hypothesis.assume(written)
+    (line,) = log_reading.read([written])
+    assert line.fields == {"value": value, "after": "end"}
