--- a/marigoldsill/cli/story.py
+++ b/marigoldsill/cli/story.py
@@ -21,9 +21,8 @@
         "worker_probed",
         "worker_quarantined",
         "worker_restored",
-        "hold_failed",
-        "report_failed",
-        "orders_wait",
+        "dependency_lost",
+        "dependency_regained",
         "started",
         "stopped",
     }
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -4,7 +4,7 @@
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
-from marigoldsill.transport import logs
+from marigoldsill.transport import dependency_log
 
 # How long the worker may hold its answer back; it bounds the age of looks.
 _WAIT_MS = 1_000
@@ -27,6 +27,7 @@
     ):
         self._state = state
         self._worker = worker
+        self._dependency = dependency_log.DependencyLog("worker")
         self._hold_limit_s = hold_limit_ms / 1000
 
     def run(self) -> None:
@@ -37,13 +38,7 @@
             except errors.OtherWorkerError:
                 self._state.retire(worker_id)
             except errors.MarigoldsillError as error:
-                logs.event(
-                    "hold_failed",
-                    level="WARNING",
-                    worker_id=worker_id,
-                    kind=error.kind,
-                    reason=error.message,
-                )
+                self._dependency.failed(error.kind, error.message)
                 with self._state.changed:
                     self._state.changed.wait(_PAUSE_S)
 
@@ -94,6 +89,7 @@
             deadline_ms=deadline_ms,
             wait_ms=self._wait_ms() if deadline_ms is not None else 0,
         )
+        self._dependency.answered()
         state.confirm(worker_id)
         received_s = clock.now_s()
         state.clock.note(listing.clock_ms, received_s=received_s)
--- a/marigoldsill/coordination/job_agent/order_watch.py
+++ b/marigoldsill/coordination/job_agent/order_watch.py
@@ -4,7 +4,7 @@
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.transport import logs
+from marigoldsill.transport import dependency_log
 
 _WAIT_MS = 1_000
 # A leader that is gone without a word is noticed after wait and margin.
@@ -25,6 +25,7 @@
         self._agent = agent
         self._state = state
         self._link = link
+        self._dependency = dependency_log.DependencyLog("control_orders")
 
     def run(self) -> None:
         """Watches until the agent stops."""
@@ -43,10 +44,11 @@
                     timeout_s=_WAIT_MS / 1000 + _MARGIN_S,
                 )
             except errors.MarigoldsillError as error:
-                logs.event("orders_wait", level="WARNING", reason=error.message)
+                self._dependency.failed(error.kind, error.message)
                 with state.changed:
                     state.changed.wait(_PAUSE_S)
                 continue
+            self._dependency.answered()
             if state.take_orders(reply):
                 self._link.learn(reply.control_addresses)
             else:
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
+from marigoldsill.transport import dependency_log
 from marigoldsill.transport import logs
 
 # Several reports fit into a lease, so that one lost report costs nothing.
@@ -34,6 +35,7 @@
         self._agent = agent
         self._state = state
         self._link = link
+        self._dependency = dependency_log.DependencyLog("control_reports")
         self._incarnation = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         self._sequence = 0
         self._told: ttypes.PoolWorker | None = None
@@ -47,9 +49,7 @@
             try:
                 self._report()
             except errors.MarigoldsillError as error:
-                logs.event(
-                    "report_failed", level="WARNING", reason=error.message
-                )
+                self._dependency.failed(error.kind, error.message)
                 with state.changed:
                     state.changed.wait(_PAUSE_S)
             with state.changed:
@@ -91,6 +91,7 @@
             reply = self._link.call(
                 "agent_report", report, timeout_s=_TIMEOUT_S
             )
+        self._dependency.answered()
         agent_metrics.RUNNING.set(len(report.running))
         self._take(reply, report, worker, sent_s, listed_through)
 
