--- a/marigoldsill/cli/logs.py
+++ b/marigoldsill/cli/logs.py
@@ -30,8 +30,8 @@
 def explain_logs(name: str, logs: tuple[TextIO, ...], output: str) -> None:
     """Tells the story of a job of a queue out of logs.
 
-    NAME is a job's id, the name of one of its tasks, a worker's id or the name
-    of an agent. Each FILE holds lines of any number of processes; - is standard
+    NAME is a job's id, the name of one of its tasks, the id of a caller's
+    request, a worker's id or the name of an agent. Each FILE holds lines of any number of processes; - is standard
     input. What the logs don't tell is named in the end.
     """
     told = story.tell(
--- a/marigoldsill/cli/story.py
+++ b/marigoldsill/cli/story.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Set
 import dataclasses
 import datetime
 
@@ -79,9 +80,17 @@
 
 
 def tell(subject: str, lines: Iterable[log_reading.LogLine]) -> Story:
-    """The story of a subject, by its id or name."""
+    """The story of a subject, by its id or name.
+
+    The id of a caller's request leads to the job that the request was about.
+    """
     ordered = sorted(lines, key=lambda line: line.time)
-    own = [line for line in ordered if _names(line, subject)]
+    subjects = {subject} | {
+        line.fields["about"]
+        for line in ordered
+        if line.fields.get("request") == subject and "about" in line.fields
+    }
+    own = [line for line in ordered if _names(line, subjects)]
     if not own:
         return Story([], [f"no line names {subject}"])
     stays = _stays(own)
@@ -89,17 +98,18 @@
     told = [
         line
         for line in ordered
-        if _names(line, subject)
+        if _names(line, subjects)
         or (line.event in _OF_WORKERS and any(s.holds(line) for s in stays))
         or (line.event in _OF_CONTROL | _LEFT_OUT and begin <= line.time <= end)
     ]
-    return Story(told, _gaps(subject, own, told, stays))
+    return Story(told, _gaps(subjects, own, told, stays))
 
 
-def _names(line: log_reading.LogLine, subject: str) -> bool:
-    return line.process == subject or any(
+def _names(line: log_reading.LogLine, subjects: Set[str]) -> bool:
+    return line.process in subjects or any(
         value == subject or value.startswith(f"{subject}.")
         for value in line.fields.values()
+        for subject in subjects
     )
 
 
@@ -120,7 +130,7 @@
 
 
 def _gaps(
-    subject: str,
+    subjects: Set[str],
     own: list[log_reading.LogLine],
     told: list[log_reading.LogLine],
     stays: list[_Stay],
@@ -132,11 +142,12 @@
         for stay in stays
         if stay.end is None
     ]
-    is_job = any(line.fields.get("job") == subject for line in own)
-    if is_job and "job_accepted" not in events:
-        gaps.append(f"it is not told that {subject} was accepted")
-    if is_job and "job_ended" not in events:
-        gaps.append(f"it is not told how {subject} ended")
+    jobs = {line.fields.get("job") for line in own} & subjects
+    for job in sorted(jobs):
+        if "job_accepted" not in events:
+            gaps.append(f"it is not told that {job} was accepted")
+        if "job_ended" not in events:
+            gaps.append(f"it is not told how {job} ended")
     gaps += [
         f"{line.process} left lines out at {line.time.isoformat()}: "
         f"{line.fields.get('count', '?')} of {line.fields.get('of', 'all')}"
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -59,6 +59,12 @@
     assert {"run_granted", "run_started", "worker_gone"} <= set(events)
 
 
+def test_a_request_leads_to_its_job() -> None:
+    call = "call=submit_job about=j1 request=r77 outcome=accepted"
+    told = _tell("r77", [*_LINES, _line(1, "edge-2", "job_call", call)])
+    assert len(told.lines) == len(_LINES) + 1
+
+
 def test_what_is_missing_is_told() -> None:
     told = _tell("j1", [_LINES[1], _line(2, "edge-1", "x", "about=j1 job=j1")])
     assert told.gaps == [
