Let no late thread undo a cut; give members of test groups ports that stay free

Cause: a thread that saw no cuts file was overtaken by one that read the new file, then emptied the pairs but kept the new file's stamp, so that the cut never took effect. Stamp and pairs are one value now; the test makes the late thread and failed before. - two tests of one run failed with 'address already in use'. Cause: ports of members came out of the range of outgoing connections. They come from one_process.free_address, as those of processes do.

--- a/marigoldsill/transport/cuts.py
+++ b/marigoldsill/transport/cuts.py
@@ -6,12 +6,21 @@
 Without the variable nothing is ever looked at.
 """
 
+import dataclasses
 import os
 import pathlib
 
 _ANY = "*"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Seen:
+    """The file's content, with the time of its last change."""
+
+    stamp_ns: int = -1
+    pairs: frozenset[tuple[str, str]] = frozenset()
+
+
 class Cuts:
     """The cuts in force, read again whenever their file changes."""
 
@@ -19,8 +28,10 @@
         path = path or os.environ.get("MARIGOLDSILL_CUTS_FILE")
         self._own_name = own_name
         self._path = pathlib.Path(path) if path else None
-        self._stamp_ns = -1
-        self._pairs: frozenset[tuple[str, str]] = frozenset()
+        # One value, so that a thread that looked earlier and assigns later
+        # leaves what is read again, not pairs of one file with the stamp of
+        # another.
+        self._seen = _Seen()
 
     def outbound(self, peer: str) -> bool:
         """Whether messages from this process to `peer` vanish."""
@@ -31,22 +42,24 @@
         return self._path is not None and self._cut(peer, self._own_name)
 
     def _cut(self, source: str, target: str) -> bool:
-        self._refresh()
+        pairs = self._read().pairs
         return any(
-            (a, b) in self._pairs
-            for a in (source, _ANY)
-            for b in (target, _ANY)
+            (a, b) in pairs for a in (source, _ANY) for b in (target, _ANY)
         )
 
-    def _refresh(self) -> None:
+    def _read(self) -> _Seen:
+        seen = self._seen
         try:
             stamp_ns = self._path.stat().st_mtime_ns
         except FileNotFoundError:
-            self._pairs = frozenset()
-            return
-        if stamp_ns == self._stamp_ns:
-            return
+            self._seen = _Seen()
+            return self._seen
+        if stamp_ns == seen.stamp_ns:
+            return seen
         lines = self._path.read_text().splitlines()
         pairs = (tuple(line.split()) for line in lines)
-        self._pairs = frozenset(pair for pair in pairs if len(pair) == 2)
-        self._stamp_ns = stamp_ns
+        seen = _Seen(
+            stamp_ns, frozenset(pair for pair in pairs if len(pair) == 2)
+        )
+        self._seen = seen
+        return seen
--- a/tests/coordination/groups.py
+++ b/tests/coordination/groups.py
@@ -13,6 +13,7 @@
 from marigoldsill.state import files
 from marigoldsill.transport import cuts
 from marigoldsill.transport import thrift_server
+from tests import one_process
 from tests import processes
 
 SETTINGS = replica_module.ReplicaSettings(
@@ -201,10 +202,8 @@
 
 def reserve(name: str) -> ttypes.Member:
     """A member on a free port of this machine."""
-    server = thrift_server.ThriftServer(
-        address="127.0.0.1:0", connections_count=1, name=name
-    )
-    server.stop()
     return ttypes.Member(
-        name=name, address=server.address, http_address="127.0.0.1:1"
+        name=name,
+        address=one_process.free_address(),
+        http_address="127.0.0.1:1",
     )
--- /dev/null
+++ b/tests/transport/test_cuts.py
@@ -0,0 +1,25 @@
+"""A switch that cuts connections, looked at by several threads."""
+
+import pathlib
+
+from marigoldsill.transport import cuts
+
+
+def test_a_thread_that_looked_before_a_cut_does_not_undo_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "cuts"
+    switch = cuts.Cuts(own_name="a", path=str(path))
+
+    class LateThread:
+        """Finds no file, and goes on only after another thread found one."""
+
+        def stat(self) -> None:
+            path.write_text("a b\n")
+            switch._path = path
+            assert switch.outbound("b")
+            raise FileNotFoundError
+
+    switch._path = LateThread()
+    switch.outbound("b")
+    assert switch.outbound("b")
