Have a leader that stops name the one who should lead next

Ruled out: slow votes; the election itself takes some ms. Change: a leader that is told to stop steps down, then sends each peer one last append that names the voter that holds most of the log. Peers take their promise back (the old leader answers nothing any more), and the named one stands after 30 ms. A first try, in which all peers stood within 100 ms, split the vote in the test. Test: test_leaving.py with an election timeout of a minute; red before.

--- a/marigoldsill/coordination/agreement/election.py
+++ b/marigoldsill/coordination/agreement/election.py
@@ -11,6 +11,10 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
+# Whom a leaving leader names stands after this time: by then the others have
+# heard of it too and give their votes, at some milliseconds one way.
+_SUCCESSION_S = 0.03
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Ballot:
@@ -41,6 +45,10 @@
         wait_s = timeout_s * (1 + self._random.random())
         self._deadline_s = clock.now_s() + wait_s
 
+    def succeed(self) -> None:
+        """Stands soon, because a leader that left has named this member."""
+        self._deadline_s = clock.now_s() + _SUCCESSION_S
+
     def hear_leader(self) -> None:
         """Gives up standing, because there is a leader."""
         self.ballot = None
--- a/marigoldsill/coordination/agreement/following.py
+++ b/marigoldsill/coordination/agreement/following.py
@@ -55,6 +55,10 @@
         match_index = request.previous_index + len(request.entries)
         self._commit(min(request.commit_index, match_index))
         self._heard(request)
+        if request.successor:
+            group.release()
+        if request.successor == group.name:
+            self._election.succeed()
         return self._reply(success=True, match_index=match_index)
 
     def install_snapshot(
--- a/marigoldsill/coordination/agreement/group.py
+++ b/marigoldsill/coordination/agreement/group.py
@@ -85,6 +85,8 @@
         heard_s: When a leader was last heard, or a vote last granted.
         promised_until_s: Until then nobody else gets this member's vote.
         led_s: When this member last became leader.
+        left_term: The term that it led when it was told to stop, or 0.
+        successor: Whom it named then to lead next, or "".
         term_start_index: Where this leader's term begins in the log.
         applied_index: The last entry that the tables hold.
         pending: Proposals of this leader that wait for their result.
@@ -122,6 +124,8 @@
         self.term_start_index = 0
         self.pending = pending_module.Pending()
         self.stopping = False
+        self.left_term = 0
+        self.successor = ""
         self.failure: errors.StorageError | None = None
         self._on_fatal = on_fatal
 
@@ -162,6 +166,11 @@
         self.heard_s = clock.now_s()
         self.promised_until_s = self.heard_s + timeout_ms / 1000
 
+    def release(self) -> None:
+        """Takes back the promise to a leader that has said it leads no more."""
+        self.promised_until_s = 0.0
+        self.leader_name = ""
+
     def join(self, cluster_id: int) -> None:
         """Takes a leader's cluster as one's own, if in none yet."""
         if not self.cluster_id:
--- a/marigoldsill/coordination/agreement/node.py
+++ b/marigoldsill/coordination/agreement/node.py
@@ -19,6 +19,9 @@
 from marigoldsill.transport import cuts
 
 _TASKS_COUNT = 4
+# How long a leader that stops waits for its peers to hear of it: some round
+# trips with a sync. Who does not hear it waits for an election timeout.
+_LEAVING_LIMIT_S = 0.2
 
 
 class Node:
@@ -84,15 +87,30 @@
     def stop(self) -> None:
         """Ends the tasks and closes the files."""
         with self.group.lock:
+            leads = self.group.role is group.Role.LEADER
+            if leads:
+                self.group.left_term = self.group.term
+                self.group.successor = self.replication.successor()
             self.group.stopping = True
             self.group.step_down(term=self.group.term, reason="stopping")
             self.group.notify_all()
+            if self.group.successor:
+                self.group.changed.wait_for(
+                    self._has_told_leaving, _LEAVING_LIMIT_S
+                )
         self._stopped.set()
         self.replication.stop()
         self._pool.shutdown(wait=True)
         self.applier.stop()
         self.files.close()
 
+    def _has_told_leaving(self) -> bool:
+        return all(
+            peer.told_leaving
+            for peer in self.replication.peers.values()
+            if peer.member.voter
+        )
+
     def _run_peer(self, peer: peers.Peer) -> None:
         task = peer_task.PeerTask(
             group=self.group,
--- a/marigoldsill/coordination/agreement/peer_task.py
+++ b/marigoldsill/coordination/agreement/peer_task.py
@@ -58,6 +58,7 @@
         try:
             while (work := self._wait_for_work()) is not None:
                 self._do(work)
+            self._tell_leaving()
         finally:
             self._peer.disconnect()
 
@@ -71,6 +72,26 @@
                 group.changed.wait(self._idle_s())
         return None
 
+    def _tell_leaving(self) -> None:
+        """Names the peer who should lead, if this member led until now.
+
+        By now it answers nothing as a leader, so that the peer may take its
+        promise back.
+        """
+        group = self._group
+        with group.lock:
+            if not group.successor or self._peer.removed:
+                return
+            if self._peer.progress.next_index <= group.log.base_index:
+                return
+            request = self._append_request()
+        request.term = group.left_term
+        request.successor = group.successor
+        self._peer.call("append_entries", request)
+        with group.lock:
+            self._peer.told_leaving = True
+            group.notify_all()
+
     def _next_work(self) -> AskVote | SendEntries | SendSnapshot | None:
         vote = self._election.request_for(self._peer)
         if vote is not None:
--- a/marigoldsill/coordination/agreement/peers.py
+++ b/marigoldsill/coordination/agreement/peers.py
@@ -57,6 +57,7 @@
         asked_ballot: The last ballot it was asked to vote in.
         removed: Whether its task has to end.
         foreign: Whether it answered out of another cluster.
+        told_leaving: Whether it was told that this member leads no more.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.asked_ballot: object = None
         self.removed = False
         self.foreign = False
+        self.told_leaving = False
         self._group = group
         self._connection = thrift_client.Connection(
             address=member.address,
--- a/marigoldsill/coordination/agreement/replication.py
+++ b/marigoldsill/coordination/agreement/replication.py
@@ -89,6 +89,16 @@
         )
         group.term_start_index = self.append(codec.encode(command))
 
+    def successor(self) -> str:
+        """Which voter would best lead next, or "" if there is none."""
+        voters = [peer for peer in self.peers.values() if peer.member.voter]
+        best = max(
+            voters,
+            key=lambda p: (p.progress.match_index, p.progress.answered_s),
+            default=None,
+        )
+        return "" if best is None else best.name
+
     def append(self, command: bytes, *, changes_members: bool = False) -> int:
         """Puts a command in the leader's log; returns its index."""
         group = self._group
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -535,7 +535,8 @@
   6: i64 commit_index,
   7: i64 target_incarnation = 0,
   8: i64 cluster_id = 0,
-  9: i64 election_timeout_ms = 0    // of the leader; bounds its lease
+  9: i64 election_timeout_ms = 0,   // of the leader; bounds its lease
+  10: string successor = ""         // it leads no more; who should stand
 }
 
 struct AppendReply {
