Wait for space on a full disk instead of ending again and again

Change: before it takes part in control, a process probes its disk; while no space is left it goes on serving callers and agents, and looks each 0.5 s. Test: tests/roles/test_control_node.py; before, the process ended.

--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -18,6 +18,7 @@
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import Formation as FormationThrift
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import disk_space
 from marigoldsill.transport import logs
 from marigoldsill.transport import thrift_server
 
@@ -26,6 +27,9 @@
 # work, short enough to move the work of one that is lost.
 _LEASE_MS = 7_000
 _ELECTION_TIMEOUT_MS = 700
+# How often a full disk is tried again: a start costs a second of a core, this
+# costs one small write.
+_DISK_LOOK_S = 0.5
 
 
 class ControlNode:
@@ -87,6 +91,25 @@
             self._thrift.start()
             return
         self._thrift.start()
+        if disk_space.takes_writes(self._data_folder):
+            self._open()
+            return
+        logs.event(
+            "disk_full",
+            level="ERROR",
+            folder=self._data_folder,
+            reason="no part in control until there is space",
+        )
+        self._pool.submit(self._open_when_possible)
+
+    def _open_when_possible(self) -> None:
+        while not self._stopping.wait(_DISK_LOOK_S):
+            if disk_space.takes_writes(self._data_folder):
+                self._open()
+                return
+
+    def _open(self) -> None:
+        """Takes part in control with what is on the disk."""
         self._joining.form()
         replica = replica_module.Replica(
             member=self._member,
@@ -120,6 +143,7 @@
 
     def stop(self) -> None:
         """Leaves off; the state on disk stays as it is."""
+        self._stopping.set()
         self._joining.stop()
         if self._scheduler is not None:
             self._scheduler.stop()
--- /dev/null
+++ b/tests/roles/test_control_node.py
@@ -0,0 +1,49 @@
+"""A process that may keep a copy of the state, and its disk."""
+
+import pathlib
+
+import pytest
+
+from marigoldsill.roles import control_node
+from marigoldsill.state import disk_space
+from tests import one_process
+
+
+def test_a_process_on_a_full_disk_waits_for_space_instead_of_ending(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    has_space = False
+    looks = []
+
+    def takes_writes(folder: str) -> bool:
+        looks.append(folder)
+        return has_space
+
+    monkeypatch.setattr(disk_space, "takes_writes", takes_writes)
+    address = one_process.free_address()
+    node = control_node.ControlNode(
+        name="edge-1",
+        address=address,
+        data_centre="dc1",
+        data_folder=str(tmp_path / "data"),
+        founder_address=address,
+        seed_addresses=[address],
+        voters_wanted_count=1,
+        job_kept_s=120.0,
+    )
+    node.start()
+    try:
+        one_process.wait_until(lambda: len(looks) > 2, what="some looks")
+        assert node._replica is None
+        has_space = True
+        one_process.wait_until(
+            lambda: node._replica is not None and node._replica.is_leader,
+            what="its part in control",
+        )
+    finally:
+        node.stop()
+
+
+def test_a_probe_leaves_nothing_behind(tmp_path: pathlib.Path) -> None:
+    assert disk_space.takes_writes(tmp_path / "data")
+    assert list((tmp_path / "data").iterdir()) == []
