Tell callers early that no leader is found

Change: a call that surely was not run is refused after 1.4 s, twice the shortest election timeout, with the time to come back. A call whose outcome is unknown goes on, to learn it. Test: test_client.py, red before.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -20,6 +20,9 @@
 # A commit takes some 10 ms; a leader that is silent so long is looked for.
 _TRY_TIMEOUT_S = 0.8
 _PAUSE_S = 0.05
+# Twice the shortest election timeout: an ordinary election is over by then. A
+# caller who is told so early still has time to come back.
+_SEARCH_LIMIT_S = 1.4
 _RETRY_AFTER_MS = 1_000
 _LINKS_LIMIT = 32
 
@@ -138,12 +141,15 @@
         deadline: deadlines.Deadline,
     ) -> object:
         unknown: errors.UnknownOutcomeError | None = None
+        give_up_s = time.monotonic() + _SEARCH_LIMIT_S
         while left_s := deadline.left_s():
             try:
                 return self._try(method, requests, min(left_s, _TRY_TIMEOUT_S))
             except errors.UnknownOutcomeError as error:
                 unknown = error
             except errors.NoQuorumError:
+                if unknown is None and time.monotonic() > give_up_s:
+                    break
                 time.sleep(min(_PAUSE_S, deadline.left_s()))
         if unknown is not None:
             raise unknown
--- /dev/null
+++ b/tests/coordination/jobs/test_client.py
@@ -0,0 +1,28 @@
+"""An entry's calls to the leader, when there is none."""
+
+import time
+
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.coordination.jobs import client as client_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import deadlines
+from tests import one_process
+
+_PATIENCE_S = 60.0
+
+
+def test_a_caller_hears_at_once_when_no_leader_is_found_for_long() -> None:
+    client = client_module.JobClient(
+        control_addresses=[one_process.free_address()]
+    )
+    deadline = deadlines.Deadline(time.monotonic() + _PATIENCE_S)
+    with pytest.raises(errors.NoQuorumError) as caught:
+        client.submit(
+            ttypes.JobAddress(host="jobs.example", path="/fast/1"),
+            ttypes.Job(job_id="1"),
+            context=client_module.CallContext(deadline),
+        )
+    assert caught.value.retry_after_ms
+    assert deadline.left_s() > _PATIENCE_S / 2
