Have runs leave workers on which nothing advances

Ruled out: refused starts, failures, lost lists; nothing told of it but percent. Change: job_placing/stalls.py finds workers with two or more runs that take processor time while none advances for 1.5 s; they are quarantined until one advances, and runs that would be done sooner elsewhere leave. A stalled worker is found 3.5 to 4 s after it begins to stall, not within 2: lists come each second and several must agree. Left as it is.

--- a/marigoldsill/cli/story.py
+++ b/marigoldsill/cli/story.py
@@ -22,6 +22,7 @@
         "worker_probed",
         "worker_quarantined",
         "worker_restored",
+        "worker_stalled",
         "dependency_lost",
         "dependency_regained",
         "started",
--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -14,6 +14,7 @@
     "rooms",
     "run_clock",
     "sharing",
+    "stalls",
     "urgency",
     "worker_health",
 ]
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -98,6 +98,21 @@
         for worker_id in self._quarantine.due_for_probe(now_s=clock.now_s()):
             logs.event("worker_probed", worker_id=worker_id)
 
+    def stands_still(self, worker_id: str, *, runs_count: int) -> None:
+        """Takes note that nothing on a worker advances."""
+        if self._quarantine.put_out(worker_id, now_s=clock.now_s()):
+            logs.event(
+                "worker_stalled",
+                level="WARNING",
+                worker_id=worker_id,
+                runs_count=runs_count,
+            )
+
+    def advances(self, worker_id: str) -> None:
+        """Takes note that a run on a worker advances."""
+        if self._quarantine.restore(worker_id):
+            logs.event("worker_restored", worker_id=worker_id, task="")
+
     def _take_end(self, end: ttypes.RunEnd) -> None:
         worker_id = self._granted.pop((end.task, end.run), "")
         if not worker_id:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -5,12 +5,14 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import placing as placing_module
 from marigoldsill.coordination.job_placing import relocating
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import run_clock
+from marigoldsill.coordination.job_placing import stalls
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import forgetting
@@ -19,6 +21,7 @@
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
@@ -47,6 +50,7 @@
         self._relocating = relocating.Relocating()
         self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
         self._timetable = timetable.Timetable()
+        self._stalls = stalls.Stalls(self._urgency)
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -140,6 +144,7 @@
             self._backlog = backlog_module.Backlog()
             self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
             self._timetable = timetable.Timetable()
+            self._stalls = stalls.Stalls(self._urgency)
             touched = set(jobs.jobs)
         now_s = clock.now_s()
         self._forgetting.note(jobs, touched, now_s=now_s)
@@ -156,6 +161,7 @@
                 run_ms=sample.run_ms,
             )
         self._health.look()
+        self._leave_stalled(jobs, views)
         placing = placing_module.Placing(sharing, self._health)
         rooms = self._rooms()
         waiting = self._backlog.in_order(
@@ -170,6 +176,27 @@
         self._move(placing, rooms)
         return grants
 
+    def _leave_stalled(
+        self,
+        jobs: job_tables.JobTables,
+        views: list[agents_module.AgentView],
+    ) -> None:
+        """Has runs go on elsewhere whose worker stands still."""
+        for stall in self._stalls.look(jobs, views):
+            self._health.stands_still(
+                stall.worker_id, runs_count=stall.runs_count
+            )
+            self._evict(
+                [
+                    relocating.Eviction(key, stall.agent)
+                    for key in stall.worth_moving
+                ],
+                reason="nothing on its worker advances",
+            )
+        for view in views:
+            if view.worker is not None and self._stalls.advances(view):
+                self._health.advances(view.worker.worker_id)
+
     def _evict(self, runs: list[relocating.Eviction], *, reason: str) -> None:
         evicted = self._service.orders.evicted
         fresh = [run for run in runs if run.key not in evicted]
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -101,6 +101,23 @@
             )
         return self._judge(worker, known, now_s)
 
+    def put_out(self, worker: str, *, now_s: float) -> bool:
+        """Quarantines a worker for another reason; whether that is new."""
+        known = self._workers.setdefault(worker, self._new_worker())
+        if known.standing == Standing.QUARANTINED:
+            return False
+        self._put_out(worker, known, "", now_s)
+        return True
+
+    def restore(self, worker: str) -> bool:
+        """Trusts a worker again; whether it was not trusted."""
+        known = self._workers.get(worker)
+        if known is None or known.standing == Standing.GOOD:
+            return False
+        known.standing = Standing.GOOD
+        self._out.discard(worker)
+        return True
+
     def restore_from_state(self, worker: str, *, now_s: float) -> None:
         """Takes over a quarantine that an earlier leader recorded."""
         known = self._workers.setdefault(worker, self._new_worker())
