Split evictions off the scheduler; break a circle of imports; skip advised queues

Queues whose workers need an adviser's ticket are left out of placing, with a line at acceptance: each start would be refused, again and again, and refusals for want of a ticket made workers look unwell to all other queues.

--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -8,6 +8,7 @@
 __all__ = [
     "agents",
     "backlog",
+    "evictions",
     "gangs",
     "placing",
     "relocating",
--- a/marigoldsill/coordination/job_placing/gangs.py
+++ b/marigoldsill/coordination/job_placing/gangs.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 import itertools
 
-from marigoldsill.coordination.job_placing import relocating
+from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -34,7 +34,7 @@
 
 def incomplete(
     jobs: job_tables.JobTables, job_ids: Iterable[str]
-) -> list[relocating.Eviction]:
+) -> list[evictions.Eviction]:
     """Runs of gangs some members of which are away.
 
     They could only wait for the others, so they have to give way until the
@@ -54,12 +54,12 @@
 
 def _runs_of_incomplete(
     job_id: str, occurrence: ttypes.Occurrence, number: int
-) -> list[relocating.Eviction]:
+) -> list[evictions.Eviction]:
     tasks = occurrence.steps[number].tasks
     if all(task.runs or task.done for task in tasks):
         return []
     return [
-        relocating.Eviction(
+        evictions.Eviction(
             key=(
                 task_names.name_of(job_id, occurrence.number, number, index),
                 run.run,
--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -51,6 +51,10 @@
         for waiting in steps:
             if len(grants) >= _GRANTS_LIMIT:
                 break
+            if waiting.queue.advised:
+                # Workers refuse every start without the adviser's ticket, and
+                # nothing here asks for one yet.
+                continue
             candidates = [r for r in rooms if _may_run(waiting, r)]
             if waiting.step.gang:
                 grants += self._place_gang(waiting, candidates)
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 
 from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import placing as placing_module
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import sharing as sharing_module
@@ -24,19 +24,6 @@
 _DISTURBANCE_LIMIT = 0.5
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Eviction:
-    """A run that should give way.
-
-    Attributes:
-        key: Its task and number.
-        agent: Where it runs.
-    """
-
-    key: task_names.RunKey
-    agent: str
-
-
 class Relocating:
     """Finds runs that have been slow for a while and fit elsewhere."""
 
@@ -51,7 +38,7 @@
         placing: placing_module.Placing,
         *,
         is_evicted: Callable[[task_names.RunKey], bool],
-    ) -> list[Eviction]:
+    ) -> list[evictions.Eviction]:
         """Runs that should give way now."""
         slow = {
             key: (view, look)
@@ -63,7 +50,7 @@
             key: self._slow_since_s.get(key, view.looked_s)
             for key, (view, _) in slow.items()
         }
-        moves: list[Eviction] = []
+        moves: list[evictions.Eviction] = []
         for key, (view, look) in slow.items():
             if len(moves) >= _MOVES_LIMIT:
                 break
@@ -82,7 +69,7 @@
                 address = task_names.parse(key[0])
                 step_key = (address.job_id, address.occurrence, address.step)
                 placing.take(room, step_key, step)
-                moves.append(Eviction(key, view.name))
+                moves.append(evictions.Eviction(key, view.name))
         return moves
 
 
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -33,6 +33,13 @@
 # Workers where a task failed that its next run avoids.
 _AVOIDED_COUNT = 2
 _KEPT_LIMIT = 20_000
+# Refusals that say nothing of other runs on the same worker.
+_ABOUT_THE_RUN = frozenset(
+    {
+        run_worker.RefusalReason.OUTDATED,
+        run_worker.RefusalReason.NO_TICKET,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,8 +135,7 @@
                 self._take_failure(worker_id, end.task)
 
     def _take_refusal(self, worker_id: str, reason: str) -> None:
-        if reason == run_worker.RefusalReason.OUTDATED:
-            # Another run of the task was there; this says nothing of others.
+        if reason in _ABOUT_THE_RUN:
             return
         now_s = clock.now_s()
         refusals = self._refusals.setdefault(worker_id, _Refusals())
--- a/marigoldsill/coordination/jobs/job_events.py
+++ b/marigoldsill/coordination/jobs/job_events.py
@@ -71,6 +71,15 @@
             kind=_kind_of(steps[0]),
         )
 
+        if record.queue.advised:
+            logs.event(
+                "job_waits",
+                level="WARNING",
+                job=job_id,
+                queue=record.job.queue,
+                reason="no tickets of an adviser can be got yet",
+            )
+
     def _time_first_grants(
         self, jobs: job_tables.JobTables, job_ids: set[str], now_unix_ms: int
     ) -> None:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -7,14 +7,12 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import placing as placing_module
-from marigoldsill.coordination.job_placing import relocating
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import run_clock
-from marigoldsill.coordination.job_placing import stalls
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.jobs import evicting
 from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import service as service_module
@@ -47,10 +45,9 @@
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency.Urgency()
         self._run_clock = run_clock.RunClock()
-        self._relocating = relocating.Relocating()
         self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
         self._timetable = timetable.Timetable()
-        self._stalls = stalls.Stalls(self._urgency)
+        self._evicting: evicting.Evicting | None = None
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -81,11 +78,7 @@
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
-            self._wake.wait(
-                self._timetable.wait_s(
-                    now_unix_ms=commands.now_unix_ms(), limit_s=_IDLE_S
-                )
-            )
+            self._wake.wait(self._wait_s())
             self._stopping.wait(_GATHER_S)
             self._wake.clear()
             if not self._replica.is_leader:
@@ -109,6 +102,13 @@
                     reason=error,
                 )
 
+    def _wait_s(self) -> float:
+        if not self._replica.is_leader:
+            return _IDLE_S
+        return self._timetable.wait_s(
+            now_unix_ms=commands.now_unix_ms(), limit_s=_IDLE_S
+        )
+
     def _round(self) -> None:
         self._service.become_leader()
         self._end_lost()
@@ -140,29 +140,17 @@
         jobs = self._replica.tables.jobs
         touched = jobs.take_touched_jobs()
         if self._service.led_term != self._term:
-            self._term = self._service.led_term
-            self._backlog = backlog_module.Backlog()
-            self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
-            self._timetable = timetable.Timetable()
-            self._stalls = stalls.Stalls(self._urgency)
+            self._begin_term()
             touched = set(jobs.jobs)
         now_s = clock.now_s()
         self._forgetting.note(jobs, touched, now_s=now_s)
         self._timetable.note(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
-        sharing = self._service.sharing
         views = self._service.agents.all()
-        sharing.learn(jobs, views)
-        self._run_clock.look(views)
-        for sample in self._run_clock.take_samples():
-            self._urgency.run_times.observe(
-                sample.queue,
-                estimated_ms=sample.estimated_ms,
-                run_ms=sample.run_ms,
-            )
+        self._learn(jobs, views)
         self._health.look()
-        self._leave_stalled(jobs, views)
-        placing = placing_module.Placing(sharing, self._health)
+        self._evicting.leave_stalled(jobs, views)
+        placing = placing_module.Placing(self._service.sharing, self._health)
         rooms = self._rooms()
         waiting = self._backlog.in_order(
             self._urgency, now_unix_ms=commands.now_unix_ms()
@@ -170,62 +158,34 @@
         job_metrics.WAITING.set(len(waiting))
         job_metrics.LIVE_AGENTS.set(len(rooms))
         grants = placing.place(waiting, rooms, now_s=now_s)
-        self._evict(
-            gangs.incomplete(jobs, touched), reason="not all members are there"
-        )
-        self._move(placing, rooms)
+        self._evicting.leave_incomplete(jobs, touched)
+        self._evicting.leave_slow(jobs, views, rooms, placing)
         return grants
 
-    def _leave_stalled(
+    def _begin_term(self) -> None:
+        """Starts over what was worked out from an earlier term's state."""
+        self._term = self._service.led_term
+        self._backlog = backlog_module.Backlog()
+        self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
+        self._timetable = timetable.Timetable()
+        self._evicting = evicting.Evicting(
+            service=self._service, urgency=self._urgency, health=self._health
+        )
+
+    def _learn(
         self,
         jobs: job_tables.JobTables,
         views: list[agents_module.AgentView],
     ) -> None:
-        """Has runs go on elsewhere whose worker stands still."""
-        for stall in self._stalls.look(jobs, views):
-            self._health.stands_still(
-                stall.worker_id, runs_count=stall.runs_count
-            )
-            self._evict(
-                [
-                    relocating.Eviction(key, stall.agent)
-                    for key in stall.worth_moving
-                ],
-                reason="nothing on its worker advances",
-            )
-        for view in views:
-            if view.worker is not None and self._stalls.advances(view):
-                self._health.advances(view.worker.worker_id)
-
-    def _evict(self, runs: list[relocating.Eviction], *, reason: str) -> None:
-        evicted = self._service.orders.evicted
-        fresh = [run for run in runs if run.key not in evicted]
-        for run in fresh:
-            evicted.add(run.key)
-            logs.event(
-                "run_evicted",
-                task=run.key[0],
-                run=run.key[1],
-                agent=run.agent,
-                reason=reason,
+        """Takes in what agents reported and which runs were done."""
+        self._service.sharing.learn(jobs, views)
+        self._run_clock.look(views)
+        for sample in self._run_clock.take_samples():
+            self._urgency.run_times.observe(
+                sample.queue,
+                estimated_ms=sample.estimated_ms,
+                run_ms=sample.run_ms,
             )
-        self._service.orders_changed({run.agent for run in fresh})
-
-    def _move(
-        self,
-        placing: placing_module.Placing,
-        rooms: list[rooms_module.Room],
-    ) -> None:
-        orders = self._service.orders
-        moves = self._relocating.moves(
-            self._replica.tables.jobs,
-            self._service.agents.all(),
-            rooms,
-            placing,
-            is_evicted=lambda key: key in orders.evicted,
-        )
-        job_metrics.EVICTIONS.labels("slow").inc(len(moves))
-        self._evict(moves, reason="slow beside tasks that serve")
 
     def _rooms(self) -> list[rooms_module.Room]:
         jobs = self._replica.tables.jobs
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -5,6 +5,7 @@
 
 import ast
 import collections
+import graphlib
 import importlib
 import importlib.util
 import pathlib
@@ -91,6 +92,22 @@
     assert {p.name for p in folder.iterdir() if _is_package(p)} == set(_ROOMS)
 
 
+def test_no_modules_import_each_other() -> None:
+    """With graphlib: it names the modules of a circle that it finds."""
+    names = {_dotted(path): path for path in sources.package_files()}
+    graph = {
+        name: [used for used in sources.imports(path) if used in names]
+        for name, path in names.items()
+        if path.name != "__init__.py"
+    }
+    graphlib.TopologicalSorter(graph).prepare()
+
+
+def _dotted(path: pathlib.Path) -> str:
+    parts = path.relative_to(sources.ROOT).with_suffix("").parts
+    return ".".join(parts)
+
+
 def test_no_folder_is_crowded() -> None:
     counts = collections.Counter(p.parent for p in sources.package_files())
     crowded = {p for p, count in counts.items() if count > _ROOM_LIMIT}
