--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import pathlib
+import signal
 
 import hypothesis
 import pytest
@@ -14,6 +15,11 @@
 )
 hypothesis.settings.load_profile("steady")
 
+# A shell that runs the tests in the background has them ignore SIGINT, and so
+# would every process that they start. With a handler here those have the
+# default again, however the tests were started.
+signal.signal(signal.SIGINT, signal.default_int_handler)
+
 
 @pytest.fixture
 def system(tmp_path: pathlib.Path) -> Iterator[processes.System]:
