Bound what quarantine remembers of workers

Cause: records were kept by worker for ever; with queues each life of a worker is another one, so they grew with every restart of a worker. Change: the 20,000 workers heard of last are kept. Test red before: an old worker stayed quarantined.

--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -23,6 +23,9 @@
 _COOLDOWN_LIMIT_S = 1920.0
 _WINDOW_S = 600.0
 _FAMILIES_LIMIT = 20_000
+# Several times the workers that one control group has to do with; where a
+# worker's every start counts as another worker, they never stop coming.
+_WORKERS_LIMIT = 20_000
 
 
 class Standing(enum.Enum):
@@ -75,7 +78,7 @@
     def ran(self, worker: str, family: str, *, now_s: float) -> bool:
         """Notes a run that lived; whether it restored the worker."""
         _note(self._ran_on, family, worker)
-        known = self._workers.setdefault(worker, self._new_worker())
+        known = self._known(worker)
         known.recent.append((now_s, family, True))
         self._count_fleet(failed=False)
         if known.standing != Standing.PROBATION:
@@ -88,7 +91,7 @@
     def failed(self, worker: str, family: str, *, now_s: float) -> str:
         """Notes a failed run; why the worker is now quarantined, or empty."""
         _note(self._failed_on, family, worker)
-        known = self._workers.setdefault(worker, self._new_worker())
+        known = self._known(worker)
         known.recent.append((now_s, family, False))
         self._count_fleet(failed=True)
         if known.standing == Standing.QUARANTINED:
@@ -103,7 +106,7 @@
 
     def put_out(self, worker: str, *, now_s: float) -> bool:
         """Quarantines a worker for another reason; whether that is new."""
-        known = self._workers.setdefault(worker, self._new_worker())
+        known = self._known(worker)
         if known.standing == Standing.QUARANTINED:
             return False
         self._put_out(worker, known, "", now_s)
@@ -120,7 +123,7 @@
 
     def restore_from_state(self, worker: str, *, now_s: float) -> None:
         """Takes over a quarantine that an earlier leader recorded."""
-        known = self._workers.setdefault(worker, self._new_worker())
+        known = self._known(worker)
         known.standing = Standing.QUARANTINED
         known.until_s = now_s + known.cooldown_s
         self._out.add(worker)
@@ -133,8 +136,18 @@
             self._out.discard(worker)
         return due
 
-    def _new_worker(self) -> _Worker:
-        return _Worker(cooldown_s=self._cooldown_s)
+    def _known(self, worker: str) -> _Worker:
+        """A worker's record; one seldom heard of makes way for a new one."""
+        known = self._workers.pop(worker, None)
+        if known is None:
+            known = _Worker(cooldown_s=self._cooldown_s)
+        # The last in order is the one heard of last.
+        self._workers[worker] = known
+        while len(self._workers) > _WORKERS_LIMIT:
+            oldest = next(iter(self._workers))
+            del self._workers[oldest]
+            self._out.discard(oldest)
+        return known
 
     def _judge(self, worker: str, known: _Worker, now_s: float) -> str:
         fresh = [r for r in known.recent if r[0] > now_s - _WINDOW_S]
--- a/tests/coordination/learning/test_quarantine.py
+++ b/tests/coordination/learning/test_quarantine.py
@@ -1,6 +1,8 @@
 """Workers that fail everything, jobs that fail everywhere."""
 
-from marigoldsill.coordination.learning import quarantine
+import pytest
+
+from marigoldsill.coordination.learning import quarantine as quarantine_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination import world as world_module
 
@@ -76,7 +78,7 @@
 
 
 def test_job_that_failed_elsewhere_hardly_counts_against_a_worker():
-    judge = quarantine.Quarantine()
+    judge = quarantine_module.Quarantine()
     for i in range(60):
         judge.ran(f"w{i % 3}", "good", now_s=1.0)
     for i in range(3):
@@ -106,3 +108,19 @@
     start_and_fail(world, set())
     start_and_fail(world, set())
     assert worker_states(world)["w1"] == "ACTIVE"
+
+
+def test_workers_that_are_never_heard_of_again_are_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(quarantine_module, "_WORKERS_LIMIT", 10)
+    quarantine = quarantine_module.Quarantine()
+    quarantine.put_out("old", now_s=0.0)
+    quarantine.put_out("known", now_s=0.0)
+    for number in range(9):
+        quarantine.failed(f"w{number}", "family", now_s=1.0)
+        quarantine.failed("known", "family", now_s=1.0)
+    good = quarantine_module.Standing.GOOD
+    assert quarantine.standing("old") == good
+    assert quarantine.standing("known") != good
+    assert quarantine.due_for_probe(now_s=1e6) == ["known"]
