--- a/marigoldsill/cli/logs.py
+++ b/marigoldsill/cli/logs.py
@@ -5,6 +5,7 @@
 
 import click
 
+from marigoldsill.cli import options
 from marigoldsill.cli import output as output_module
 from marigoldsill.cli import story
 from marigoldsill.transport import log_reading
@@ -19,14 +20,7 @@
     required=True,
     type=click.File("r", errors="replace"),
 )
-@click.option(
-    "--output",
-    envvar="MARIGOLDSILL_OUTPUT",
-    type=click.Choice(["table", "json"]),
-    default="table",
-    show_default=True,
-    help="How to print the story.",
-)
+@options.output
 def explain_logs(name: str, logs: tuple[TextIO, ...], output: str) -> None:
     """Tells the story of a job of a queue out of logs.
 
--- a/marigoldsill/cli/options.py
+++ b/marigoldsill/cli/options.py
@@ -79,6 +79,15 @@
     "id it takes effect once.",
 )
 
+output = click.option(
+    "--output",
+    envvar="MARIGOLDSILL_OUTPUT",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+    help="How to print the answer.",
+)
+
 _OPERATOR_OPTIONS = (
     click.option(
         "--control-http",
@@ -99,12 +108,5 @@
         show_default=True,
         help="The operator's name, where control asks for no token.",
     ),
-    click.option(
-        "--output",
-        envvar="MARIGOLDSILL_OUTPUT",
-        type=click.Choice(["table", "json"]),
-        default="table",
-        show_default=True,
-        help="How to print the answer.",
-    ),
+    output,
 )
--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -9,8 +9,6 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
-StepKey = tuple[str, int, int]
-
 
 @dataclasses.dataclass(slots=True)
 class WaitingStep:
@@ -28,7 +26,7 @@
             while something runs.
     """
 
-    key: StepKey
+    key: task_names.StepKey
     step: ttypes.Step
     queue: ttypes.Queue
     waiting: list[int]
--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.learning import strain
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
 # Grants in one command, which bounds how long a round holds the lock.
@@ -183,7 +184,7 @@
     def take(
         self,
         room: rooms_module.Room,
-        key: tuple[str, int, int],
+        key: task_names.StepKey,
         step: ttypes.Step,
     ) -> None:
         """Counts one more task of a step on a worker."""
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -8,7 +8,6 @@
 from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import placing as placing_module
 from marigoldsill.coordination.job_placing import rooms as rooms_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -57,7 +56,7 @@
             slow_s = view.looked_s - self._slow_since_s[key]
             if slow_s < _SLOW_FOR_S or is_evicted(key):
                 continue
-            step = sharing_module.step_of(jobs, key[0])
+            step = jobs.step_of(key[0])
             if step is None or not _is_worth_it(step, look):
                 continue
             others = [room for room in rooms if room.agent != view.name]
@@ -66,8 +65,7 @@
                 step, pool, others, limit=_DISTURBANCE_LIMIT
             )
             if room is not None:
-                address = task_names.parse(key[0])
-                step_key = (address.job_id, address.occurrence, address.step)
+                step_key = task_names.parse(key[0]).step_key
                 placing.take(room, step_key, step)
                 moves.append(evictions.Eviction(key, view.name))
         return moves
--- a/marigoldsill/coordination/job_placing/rooms.py
+++ b/marigoldsill/coordination/job_placing/rooms.py
@@ -37,7 +37,7 @@
     accelerators_count: int
     serving: list[sharing_module.Serving]
     unused_millicores: float
-    by_step: dict[tuple[str, int, int], int] = dataclasses.field(
+    by_step: dict[task_names.StepKey, int] = dataclasses.field(
         default_factory=dict
     )
 
@@ -67,7 +67,7 @@
         whole = max(1, self.worker.capacity.cpu_millicores)
         return _TENTHS * millicores / whole
 
-    def take(self, key: tuple[str, int, int], step: ttypes.Step) -> None:
+    def take(self, key: task_names.StepKey, step: ttypes.Step) -> None:
         """Counts a run of a step's task."""
         wanted = step.resources
         used_share = _SERVING_USED_SHARE if step.tail_target_ms else 1.0
@@ -104,7 +104,7 @@
     for task, _ in jobs.runs_by_agent.get(view.name, ()):
         address = task_names.parse(task)
         step = jobs.jobs[address.job_id].job.steps[address.step]
-        room.take((address.job_id, address.occurrence, address.step), step)
+        room.take(address.step_key, step)
         if step.fills:
             share = room.share_of(step.resources.cpu_millicores)
             filling.append((step.image, share))
--- a/marigoldsill/coordination/job_placing/run_clock.py
+++ b/marigoldsill/coordination/job_placing/run_clock.py
@@ -76,12 +76,10 @@
         self, jobs: job_tables.JobTables, grant: ttypes.RunGrant
     ) -> None:
         address = task_names.parse(grant.task)
-        record = jobs.jobs.get(address.job_id)
-        if record is None or address.step >= len(record.job.steps):
-            return
-        step = record.job.steps[address.step]
-        if step.long_running:
+        step = jobs.step_of(grant.task)
+        if step is None or step.long_running:
             return
+        record = jobs.jobs[address.job_id]
         task = job_tables.find_task(record, address)
         # A run that goes on from a checkpoint is shorter than its task.
         if task is None or task.checkpoint_id:
--- a/marigoldsill/coordination/job_placing/sharing.py
+++ b/marigoldsill/coordination/job_placing/sharing.py
@@ -103,7 +103,7 @@
         listed = [
             (task_names.parse(task).job_id, step, look)
             for (task, _), look in view.looks.items()
-            if (step := step_of(jobs, task)) is not None
+            if (step := jobs.step_of(task)) is not None
         ]
         shares: dict[str, float] = {}
         for _, step, look in listed:
@@ -139,14 +139,5 @@
     return _TENTHS * millicores / max(1, whole)
 
 
-def step_of(jobs: job_tables.JobTables, task: str) -> ttypes.Step | None:
-    """The step of a task, or None if its job is over."""
-    address = task_names.parse(task)
-    record = jobs.jobs.get(address.job_id)
-    if record is None or address.step >= len(record.job.steps):
-        return None
-    return record.job.steps[address.step]
-
-
 def _differs(added: float, told: float) -> bool:
     return abs(added - told) > max(_CHANGED_STRAIN, told * _CHANGED_SHARE)
--- a/marigoldsill/coordination/job_placing/stalls.py
+++ b/marigoldsill/coordination/job_placing/stalls.py
@@ -9,7 +9,6 @@
 import dataclasses
 
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -103,7 +102,7 @@
         still = {
             key: step
             for key, look in view.looks.items()
-            if (step := sharing_module.step_of(jobs, key[0])) is not None
+            if (step := jobs.step_of(key[0])) is not None
             and self._stands_still(jobs, view, key, look, step)
         }
         if len(still) < _LEAST_RUNS_COUNT:
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -188,8 +188,8 @@
 
 def _family_of(task: str) -> str:
     """Tasks of one step fail alike where the fault is theirs."""
-    address = task_names.parse(task)
-    return f"{address.job_id}.{address.occurrence}.{address.step}"
+    step_name, _, _ = task.rpartition(".")
+    return step_name
 
 
 def _bound(kept: dict) -> None:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -151,7 +151,7 @@
         self._health.look()
         self._evicting.leave_stalled(jobs, views)
         placing = placing_module.Placing(self._service.sharing, self._health)
-        rooms = self._rooms()
+        rooms = self._rooms(views)
         waiting = self._backlog.in_order(
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
@@ -187,12 +187,14 @@
                 run_ms=sample.run_ms,
             )
 
-    def _rooms(self) -> list[rooms_module.Room]:
+    def _rooms(
+        self, views: list[agents_module.AgentView]
+    ) -> list[rooms_module.Room]:
         jobs = self._replica.tables.jobs
         live = self._service.leases.live()
         return [
             rooms_module.of_agent(jobs, view, self._service.sharing)
-            for view in self._service.agents.all()
+            for view in views
             if view.worker is not None and not view.silent and view.name in live
             if self._health.may_take(
                 view.worker.worker_id,
--- a/marigoldsill/protocol/task_names.py
+++ b/marigoldsill/protocol/task_names.py
@@ -8,6 +8,8 @@
 
 # A task's name and the number of its start.
 RunKey = tuple[str, int]
+# Job, occurrence and number of a step.
+StepKey = tuple[str, int, int]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,6 +28,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self) -> StepKey:
+        """Which step of which occurrence of its job it belongs to."""
+        return self.job_id, self.occurrence, self.step
+
 
 def name_of(job_id: str, occurrence: int, step: int, index: int) -> str:
     """The name of one task of a job."""
--- a/marigoldsill/state/disk_space.py
+++ b/marigoldsill/state/disk_space.py
@@ -1,13 +1,13 @@
 """Whether a data folder's disk takes writes at all."""
 
-import errno
 import os
 import pathlib
 
+from marigoldsill.state import files
+
 _PROBE_NAME = "probe"
 # More than a vote and a batch of small commands take.
 _PROBE_BYTES = 64 << 10
-_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 def takes_writes(folder: str | pathlib.Path) -> bool:
@@ -24,5 +24,5 @@
             os.fsync(probe.fileno())
         path.unlink()
     except OSError as error:
-        return error.errno not in _FULL
+        return error.errno not in files.FULL_ERRORS
     return True
--- a/marigoldsill/state/files.py
+++ b/marigoldsill/state/files.py
@@ -11,7 +11,8 @@
 
 from marigoldsill import errors
 
-_FULL = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+# What a disk without space answers.
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
 _LOCK_NAME = "lock"
 _TEMPORARY_SUFFIX = ".new"
 
@@ -151,7 +152,7 @@
     try:
         yield
     except OSError as error:
-        if error.errno in _FULL:
+        if error.errno in FULL_ERRORS:
             raise errors.DiskFullError(
                 f"cannot {doing}: no space left ({error.strerror}); nothing "
                 "was acknowledged. Free space and start the process again."
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -91,6 +91,14 @@
             return None
         return find_task(record, address)
 
+    def step_of(self, task: str) -> ttypes.Step | None:
+        """The step of a task, or None if its job is over."""
+        address = task_names.parse(task)
+        record = self.jobs.get(address.job_id)
+        if record is None or address.step >= len(record.job.steps):
+            return None
+        return record.job.steps[address.step]
+
     def index_run(self, job_id: str, task: str, run: ttypes.JobRun) -> None:
         """Notes a run that may be alive."""
         live = LiveRun(task, run.run, run.worker_id, job_id)
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -202,12 +202,20 @@
     checkpoint_id: str,
 ) -> None:
     """Keeps a checkpoint; any member's is valid for its whole gang."""
+    for member in _members(record, address, task):
+        member.checkpoint_id = checkpoint_id
+
+
+def _members(
+    record: ttypes.JobRecord,
+    address: task_names.TaskAddress,
+    task: ttypes.JobTask,
+) -> list[ttypes.JobTask]:
+    """All members of a task's gang, or the task alone."""
     if not record.job.steps[address.step].gang:
-        task.checkpoint_id = checkpoint_id
-        return
+        return [task]
     occurrence = job_tables.find_occurrence(record, address.occurrence)
-    for member in occurrence.steps[address.step].tasks:
-        member.checkpoint_id = checkpoint_id
+    return occurrence.steps[address.step].tasks
 
 
 def _take_done(
@@ -220,10 +228,7 @@
     step = record.job.steps[address.step]
     if step.long_running:
         return
-    occurrence = job_tables.find_occurrence(record, address.occurrence)
-    members = [task]
-    if step.gang:
-        members = occurrence.steps[address.step].tasks
+    members = _members(record, address, task)
     for member in members:
         member.done = True
     # Other copies have to stop.
@@ -269,11 +274,8 @@
     step = record.job.steps[address.step]
     if step.long_running or task.done:
         return
-    failures_count = task.failures_count
-    if step.gang:
-        occurrence = job_tables.find_occurrence(record, address.occurrence)
-        members = occurrence.steps[address.step].tasks
-        failures_count = sum(member.failures_count for member in members)
+    members = _members(record, address, task)
+    failures_count = sum(member.failures_count for member in members)
     limit = tables.jobs.queue_of(record).attempts_limit
     if failures_count >= limit:
         _end(
