End the metrics server with its process, so that SIGTERM ends it at once

Cause: the thread that serves metrics was never told to end, and the interpreter waits for it. Ruled out: requests in flight (the processes had closed all connections 0.7 s after SIGTERM).

Change: the server is stopped after the role. The tests' processes now serve metrics as the deploy file has them do.

A role's own SIGTERM test hung for 30 s before and ends within 2 s.

--- a/marigoldsill/platform/process.py
+++ b/marigoldsill/platform/process.py
@@ -70,9 +70,16 @@
     settings = settings_file.load(path)
     stop = stopping.StopSignals(reloads=True)
     role = make_role(settings)
+    metrics_server = None
     if metrics_port:
-        metrics_http.server(f"{settings.ip_address}:{metrics_port}").start()
+        address = f"{settings.ip_address}:{metrics_port}"
+        metrics_server = metrics_http.server(address)
+        metrics_server.start()
     role.start()
     stop.wait(on_reload=_Reloader(role, path, settings).look, every_s=_LOOK_S)
     role.stop()
+    if metrics_server is not None:
+        # The interpreter waits for its thread; served on, the process stayed
+        # until it was killed, 6 s later.
+        metrics_server.stop()
     logs.flush()
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -13,6 +13,7 @@
 
 _FRONTEND_PORT, _READINESS_PORT, _CONTROL_PORT = 8161, 8167, 8166
 _WORKER_PORT, _INTERNAL_PORT = 8165, 7720
+_METRICS_PORT = 9464
 HOST = "jobs.example"
 POOL = "desk"
 _JSON = ("Content-Type", "application/json")
@@ -251,7 +252,13 @@
             )
         )
         self.processes[name] = one_process.Process(
-            ["marigoldsill", "platform", role],
+            [
+                "marigoldsill",
+                "platform",
+                role,
+                "--metrics-port",
+                str(_METRICS_PORT),
+            ],
             log=self.folder / f"{name}.log",
             environment={"MARIGOLDSILL_CONFIG": str(path)},
         )
