Keep what leaders learn in the log, so that the next one goes on from there

Cause: pairs of images and run times were learnt from reports to the leader alone; a new leader began with nothing and told agents its empty list, which replaced what they knew. Besides, followers timed runs without seeing which were slowed, so a new leader began with run times that were too long.

Change: the leader records changed pairs and run times every 2 s; agents are told the whole list with the first orders of a term; runs are timed by the leader only.

--- a/marigoldsill/coordination/job_placing/sharing.py
+++ b/marigoldsill/coordination/job_placing/sharing.py
@@ -48,6 +48,14 @@
         self._told: dict[tuple[str, str], float] = {}
         self._learnt_s: dict[str, float] = {}
 
+    def restore(self, pressures: Iterable[ttypes.Pressure]) -> None:
+        """Goes on from what an earlier leader recorded."""
+        for pressure in pressures:
+            serving, filling = pressure.serving_image, pressure.filling_image
+            self._filter.restore(serving, filling, pressure.added)
+            self._told[serving, filling] = pressure.added
+        self.version += 1
+
     def learn(
         self,
         jobs: job_tables.JobTables,
--- /dev/null
+++ b/marigoldsill/coordination/jobs/learnt_log.py
@@ -0,0 +1,62 @@
+"""What of the leader's learning goes into the log, and when."""
+
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.learning import run_times as run_times_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import learnt as learnt_module
+
+# A leader that ends takes at most so much of its learning with it.
+_INTERVAL_S = 2.0
+# Run times are recorded again when their mean has moved by about 5% (it is a
+# logarithm), or a quarter more samples have come.
+_MEAN_STEP = 0.05
+_SAMPLES_STEP_SHARE = 0.25
+
+
+class LearntLog:
+    """Compares what this leader has learnt with what the log holds."""
+
+    def __init__(self):
+        self._looked_s = 0.0
+
+    def due(
+        self,
+        learnt: learnt_module.Learnt,
+        sharing: sharing_module.Sharing,
+        run_times: run_times_module.RunTimes,
+        *,
+        now_s: float,
+    ) -> ttypes.RecordLearnt | None:
+        """What to record now, or None."""
+        if now_s - self._looked_s < _INTERVAL_S:
+            return None
+        self._looked_s = now_s
+        record = ttypes.RecordLearnt(
+            pressures=[
+                pressure
+                for pressure in sharing.pressures()
+                if learnt.pressures.get(_pair_of(pressure)) != pressure
+            ],
+            run_times=[
+                line
+                for line in run_times.records()
+                if _has_moved(learnt.run_times.get(line.queue), line)
+            ],
+        )
+        return record if record.pressures or record.run_times else None
+
+
+def _pair_of(pressure: ttypes.Pressure) -> learnt_module.Pair:
+    return pressure.serving_image, pressure.filling_image
+
+
+def _has_moved(
+    held: ttypes.RunTimesLine | None, line: ttypes.RunTimesLine
+) -> bool:
+    if held is None:
+        return True
+    more_count = line.samples_count - held.samples_count
+    return (
+        more_count > _SAMPLES_STEP_SHARE * held.samples_count
+        or abs(line.run_mean - held.run_mean) > _MEAN_STEP
+    )
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.jobs import evicting
 from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
+from marigoldsill.coordination.jobs import learnt_log
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.leadership import commands
@@ -47,6 +48,7 @@
         self._run_clock = run_clock.RunClock()
         self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
         self._timetable = timetable.Timetable()
+        self._learnt_log = learnt_log.LearntLog()
         self._evicting: evicting.Evicting | None = None
         self._term = 0
         self._wake = threading.Event()
@@ -73,7 +75,9 @@
         self._wake.set()
 
     def _on_applied(self, command: ttypes.Command) -> None:
-        self._run_clock.take(self._replica.tables.jobs, command)
+        # Only a leader sees which runs are slowed, so only it times them.
+        if self._service is not None and self._leads_term():
+            self._run_clock.take(self._replica.tables.jobs, command)
         self._health.take(command)
 
     def _loop(self) -> None:
@@ -115,12 +119,24 @@
         with self._replica.lock:
             grants = self._decide()
             due = self._timetable.due(now_unix_ms=commands.now_unix_ms())
+            learnt = self._learnt_log.due(
+                self._replica.tables.jobs.learnt,
+                self._service.sharing,
+                self._urgency.run_times,
+                now_s=clock.now_s(),
+            )
         if grants:
             self._service.propose(grant_runs=ttypes.GrantRuns(grants=grants))
         if due:
             self._begin(due)
+        if learnt is not None:
+            self._service.propose(record_learnt=learnt)
         self._forget()
 
+    def _leads_term(self) -> bool:
+        """Whether this process has begun to decide in the current term."""
+        return self._replica.is_leader and self._term == self._replica.term
+
     def _begin(self, due: list[ttypes.OccurrenceDue]) -> None:
         self._service.propose(
             begin_occurrences=ttypes.BeginOccurrences(due=due)
@@ -168,6 +184,17 @@
         self._backlog = backlog_module.Backlog()
         self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
         self._timetable = timetable.Timetable()
+        self._run_clock = run_clock.RunClock()
+        self._learnt_log = learnt_log.LearntLog()
+        learnt = self._replica.tables.jobs.learnt
+        self._service.sharing.restore(learnt.pressures.values())
+        self._urgency.run_times.restore(learnt.run_times.values())
+        logs.event(
+            "learning_restored",
+            term=self._term,
+            pairs_count=len(learnt.pressures),
+            queues_count=len(learnt.run_times),
+        )
         self._evicting = evicting.Evicting(
             service=self._service, urgency=self._urgency, health=self._health
         )
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -181,7 +181,8 @@
             reply = self.orders.since(
                 self._replica.tables, request, term=self._replica.term
             )
-            if request.pressures_version != self.sharing.version:
+            told = (request.term, request.pressures_version)
+            if told != (self._replica.term, self.sharing.version):
                 reply.pressures_version = self.sharing.version
                 reply.pressures = self.sharing.pressures()
             members = self._replica.tables.members
--- a/marigoldsill/coordination/learning/run_times.py
+++ b/marigoldsill/coordination/learning/run_times.py
@@ -6,9 +6,12 @@
 usual run time decides.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import math
 
+from marigoldsill.protocol.generated import ttypes
+
 # Before any sample an estimate counts by this much, as if so many had shown it.
 _PRIOR_SLOPE = 0.5
 _PRIOR_SAMPLES_COUNT = 4.0
@@ -63,6 +66,31 @@
         line = self._lines.setdefault(queue, _Line())
         line.add(_log(estimated_ms), _log(run_ms))
 
+    def restore(self, lines: Iterable[ttypes.RunTimesLine]) -> None:
+        """Goes on from what an earlier leader recorded."""
+        for record in lines:
+            self._lines[record.queue] = _Line(
+                count=record.samples_count,
+                mean_x=record.estimate_mean,
+                mean_y=record.run_mean,
+                variance_x=record.estimate_variance,
+                covariance=record.covariance,
+            )
+
+    def records(self) -> list[ttypes.RunTimesLine]:
+        """What was learnt of each queue, to be recorded."""
+        return [
+            ttypes.RunTimesLine(
+                queue=queue,
+                samples_count=line.count,
+                estimate_mean=line.mean_x,
+                run_mean=line.mean_y,
+                estimate_variance=line.variance_x,
+                covariance=line.covariance,
+            )
+            for queue, line in self._lines.items()
+        ]
+
     def run_ms(self, queue: str, estimated_ms: float) -> float:
         """How long a task probably takes."""
         line = self._lines.get(queue)
--- a/marigoldsill/coordination/learning/strain.py
+++ b/marigoldsill/coordination/learning/strain.py
@@ -25,6 +25,8 @@
 _PAIR_MEAN = 0.03
 _PAIR_VARIANCE = 0.004
 _PAIR_DRIFT_PER_S = 0.0001
+# A pair as an earlier leader knew it: better than unknown, but it has drifted.
+_RESTORED_VARIANCE = 0.001
 _NOISE_VARIANCE = 0.001
 # Tail latencies come in whole milliseconds.
 _ROUNDING_MS = 0.5
@@ -111,6 +113,11 @@
         self._note_usual(job, alone.mean, now_s)
         self._limit()
 
+    def restore(self, image: str, filling: str, added: float) -> None:
+        """Goes on from what an earlier leader knew of a pair."""
+        self._pairs[image, filling] = filtering.Term(added, _RESTORED_VARIANCE)
+        self._limit()
+
     def usual(self, job: str) -> float:
         """The strain that a job's tasks bear alone, over the last seconds."""
         usual = self._usual.get(job)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -465,6 +465,29 @@
 /** Forgets jobs that ended long ago. */
 struct ForgetJobs { 1: list<string> job_ids }
 
+/** What tasks of one image add to the strain of tasks of another. */
+struct Pressure {
+  1: string serving_image,
+  2: string filling_image,
+  3: double added = 0.0             // by a tenth of the worker in use
+}
+
+/** How run times of a queue follow from estimates: a line over logarithms. */
+struct RunTimesLine {
+  1: string queue,
+  2: double samples_count = 0.0,
+  3: double estimate_mean = 0.0,    // logarithm of milliseconds, as below
+  4: double run_mean = 0.0,
+  5: double estimate_variance = 0.0,
+  6: double covariance = 0.0
+}
+
+/** What a leader has learnt, so that the next one goes on from there. */
+struct RecordLearnt {
+  1: list<Pressure> pressures = [],
+  2: list<RunTimesLine> run_times = []
+}
+
 /** One log entry's content: exactly one body is set. */
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
@@ -488,7 +511,8 @@
   63: optional GrantRuns grant_runs,
   64: optional RecordRunEnds record_run_ends,
   65: optional BeginOccurrences begin_occurrences,
-  66: optional ForgetJobs forget_jobs
+  66: optional ForgetJobs forget_jobs,
+  67: optional RecordLearnt record_learnt
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
@@ -774,13 +798,6 @@
   12: i64 cpu_millicores = 0
 }
 
-/** What tasks of one image add to the strain of tasks of another. */
-struct Pressure {
-  1: string serving_image,
-  2: string filling_image,
-  3: double added = 0.0             // by a tenth of the worker in use
-}
-
 struct RunId { 1: string task, 2: i64 run }
 
 struct OrdersRequest {
@@ -929,7 +946,8 @@
   52: list<StoredResult> operator_results = [],
   53: i64 config_version = 0,
   60: Routing routing,
-  61: list<JobRecord> jobs = []
+  61: list<JobRecord> jobs = [],
+  62: optional RecordLearnt learnt
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -9,6 +9,7 @@
 
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import learnt as learnt_module
 
 ENDED = frozenset(
     {
@@ -47,7 +48,7 @@
         runs_by_agent: Runs that may be alive, by agent, then (task, run).
         touched_agents: Agents whose runs changed since `take_touched_agents`.
         touched_jobs: Jobs that changed since `take_touched_jobs`.
-        routing_changed: Whether the routing changed since it was last taken.
+        learnt: What leaders have learnt of run times and disturbances.
     """
 
     def __init__(self):
@@ -58,6 +59,7 @@
         self.runs_by_agent: dict[str, dict[tuple[str, int], LiveRun]] = {}
         self.touched_agents: set[str] = set()
         self.touched_jobs: set[str] = set()
+        self.learnt = learnt_module.Learnt()
 
     def set_routing(self, routing: ttypes.Routing) -> None:
         """Brings a routing into force."""
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -36,6 +36,7 @@
     "record_run_ends",
     "begin_occurrences",
     "forget_jobs",
+    "record_learnt",
 )
 _OPERATOR_BODIES = (
     ttypes.RecordPlan,
@@ -120,6 +121,9 @@
             return jobs.begin_occurrences(tables, due)
         case ttypes.ForgetJobs(job_ids=job_ids):
             return jobs.forget(tables, job_ids)
+        case ttypes.RecordLearnt() as learnt:
+            tables.jobs.learnt.take(learnt)
+            return _ok(tables)
         case _:
             return _ok(tables)
 
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -238,6 +238,7 @@
                 operator_results=_stored(self.operator_results),
                 routing=self.jobs.routing,
                 jobs=list(self.jobs.jobs.values()),
+                learnt=self.jobs.learnt.record(),
             )
         )
 
@@ -284,6 +285,8 @@
             tables.jobs.set_routing(snapshot.routing)
         for job in snapshot.jobs:
             tables.jobs.put(job)
+        if snapshot.learnt is not None:
+            tables.jobs.learnt.take(snapshot.learnt)
         tables.touched_workers = set(
             itertools.chain(tables.workers, tables.tasks_by_worker)
         )
