Ask the adviser for tickets, so that jobs of advised queues run

Cause: workers refuse starts on a queue with an adviser without its ticket, and nobody asked for one: such jobs waited for ever.

Tests with a stand-in adviser: a job runs only where the adviser lets it, a busy adviser is asked again; before, both waited until the test's limit.

--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -16,6 +16,7 @@
     "run_clock",
     "sharing",
     "stalls",
+    "tickets",
     "urgency",
     "worker_health",
 ]
--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -6,6 +6,7 @@
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol import task_names
@@ -36,9 +37,11 @@
         self,
         sharing: sharing_module.Sharing,
         health: worker_health.WorkerHealth,
+        tickets: tickets_module.Tickets,
     ):
         self._sharing = sharing
         self._health = health
+        self._tickets = tickets
 
     def place(
         self,
@@ -52,11 +55,9 @@
         for waiting in steps:
             if len(grants) >= _GRANTS_LIMIT:
                 break
-            if waiting.queue.advised:
-                # Workers refuse every start without the adviser's ticket, and
-                # nothing here asks for one yet.
-                continue
-            candidates = [r for r in rooms if _may_run(waiting, r)]
+            candidates = [
+                room for room in rooms if self._may_run(waiting, room, now_s)
+            ]
             if waiting.step.gang:
                 grants += self._place_gang(waiting, candidates)
                 continue
@@ -67,6 +68,20 @@
             grants += granted
         return grants
 
+    def _may_run(
+        self,
+        waiting: backlog_module.WaitingStep,
+        room: rooms_module.Room,
+        now_s: float,
+    ) -> bool:
+        """Whether a worker takes a step's tasks, with a ticket if it must."""
+        if not room.takes(waiting.step, waiting.queue.pool):
+            return False
+        if not waiting.queue.advised:
+            return True
+        worker_id = room.worker.worker_id
+        return bool(self._tickets.ticket(waiting.key, worker_id, now_s=now_s))
+
     def _place_anyway(
         self,
         waiting: backlog_module.WaitingStep,
@@ -170,10 +185,7 @@
         fitting = [
             room
             for room in rooms
-            if room.worker.pool == pool
-            and not room.worker.draining
-            and _has_label(room, step)
-            and room.fits(step)
+            if room.takes(step, pool)
             and self._may_fill(room, step)
             and self._disturbance(room, step) <= limit
         ]
@@ -270,21 +282,6 @@
         return is_near, serves, room.unused_share
 
 
-def _may_run(
-    waiting: backlog_module.WaitingStep, room: rooms_module.Room
-) -> bool:
-    return (
-        room.worker.pool == waiting.queue.pool
-        and not room.worker.draining
-        and _has_label(room, waiting.step)
-    )
-
-
-def _has_label(room: rooms_module.Room, step: ttypes.Step) -> bool:
-    label = step.required_label
-    return not label or label in room.worker.labels
-
-
 def _has_room(
     room: rooms_module.Room, waiting: backlog_module.WaitingStep
 ) -> bool:
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -59,6 +59,9 @@
             step = jobs.step_of(key[0])
             if step is None or not _is_worth_it(step, look):
                 continue
+            if _is_advised(jobs, key[0]):
+                # Where else it may run is known only once the adviser has said.
+                continue
             others = [room for room in rooms if room.agent != view.name]
             pool = view.worker.pool if view.worker else ""
             room = placing.best_for_filling(
@@ -71,5 +74,10 @@
         return moves
 
 
+def _is_advised(jobs: job_tables.JobTables, task: str) -> bool:
+    record = jobs.jobs[task_names.parse(task).job_id]
+    return jobs.queue_of(record).advised
+
+
 def _is_worth_it(step: ttypes.Step, look: ttypes.RunLook) -> bool:
     return step.checkpointing or look.percent < _LOST_PERCENT
--- a/marigoldsill/coordination/job_placing/rooms.py
+++ b/marigoldsill/coordination/job_placing/rooms.py
@@ -50,6 +50,16 @@
             and wanted.accelerators_count <= self.accelerators_count
         )
 
+    def takes(self, step: ttypes.Step, pool: str) -> bool:
+        """Whether its worker takes tasks of a step, and one fits now."""
+        label = step.required_label
+        return (
+            self.worker.pool == pool
+            and not self.worker.draining
+            and (not label or label in self.worker.labels)
+            and self.fits(step)
+        )
+
     def copy(self) -> "Room":
         """A room to try out what fits, with no effect on this one."""
         return dataclasses.replace(
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -192,6 +192,10 @@
     """The platform's worker refused or failed an operation."""
 
 
+class AdviserBusyError(PlatformError):
+    """The adviser takes no more calls now; it did nothing."""
+
+
 class CapacityError(PlatformError):
     """The run does not fit what the worker has left."""
 
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -3,6 +3,7 @@
 from werkzeug import wrappers
 
 from marigoldsill.coordination.jobs import client as job_client
+from marigoldsill.platform import adviser_client
 from marigoldsill.platform import callers
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import operators
@@ -33,6 +34,7 @@
             seed_addresses=settings.seed_addresses,
             voters_wanted_count=2 * settings.tolerated_losses_count + 1,
             job_kept_s=settings.job_kept_s,
+            adviser=_adviser(settings),
         )
         self._client = job_client.JobClient(
             control_addresses=settings.seed_addresses
@@ -97,3 +99,11 @@
                 )
             case _:
                 raise http_apps.nothing_here(request)
+
+
+def _adviser(
+    settings: settings_file.PlatformSettings,
+) -> adviser_client.PlatformAdviser | None:
+    if not settings.adviser_address:
+        return None
+    return adviser_client.PlatformAdviser(address=settings.adviser_address)
--- a/marigoldsill/platform/settings_file.py
+++ b/marigoldsill/platform/settings_file.py
@@ -29,6 +29,8 @@
         readiness_address: Where readiness is asked for; empty if nowhere.
         control_address: Where operators or, on a worker's machine, the
             worker are served.
+        adviser_address: Who gives tickets to queues that need them; empty if
+            nobody does.
         worker_address: The worker of this machine; empty if it has none.
         hold_limit_ms: The longest lease that a worker accepts.
         tolerated_losses_count: Machines with a disk that may be lost at once.
@@ -46,6 +48,7 @@
     frontend_address: str
     readiness_address: str
     control_address: str
+    adviser_address: str
     worker_address: str
     hold_limit_ms: int
     tolerated_losses_count: int
@@ -113,6 +116,8 @@
             frontend_address=self._text(listen, "frontend", ""),
             readiness_address=self._text(listen, "readiness", ""),
             control_address=self._text(listen, "control", ""),
+            # "recommendation" is the address of the service that gives tickets.
+            adviser_address=self._text(values, "recommendation", ""),
             # "app" is the address of the worker on the same machine.
             worker_address=self._text(values, "app", ""),
             hold_limit_ms=self._integer(bounds, "max_hold_ms", 6_000),
--- a/marigoldsill/protocol/task_names.py
+++ b/marigoldsill/protocol/task_names.py
@@ -39,6 +39,12 @@
     return f"{job_id}.{occurrence}.{step}.{index}"
 
 
+def name_of_step(key: StepKey) -> str:
+    """The name of one step of a job: "job.occurrence.step"."""
+    job_id, occurrence, step = key
+    return f"{job_id}.{occurrence}.{step}"
+
+
 def parse(name: str) -> TaskAddress:
     """The address that a task's name stands for.
 
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.protocol import adviser as adviser_module
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import Formation as FormationThrift
 from marigoldsill.protocol.generated import ttypes
@@ -46,6 +47,7 @@
         seed_addresses: Sequence[str],
         voters_wanted_count: int,
         job_kept_s: float,
+        adviser: adviser_module.Adviser | None = None,
     ):
         """Prepares to take part.
 
@@ -60,6 +62,7 @@
             voters_wanted_count: Nothing is accepted before the group has so
                 many, but for a while at most.
             job_kept_s: How long the state of an ended job must be told.
+            adviser: Who gives the tickets that some queues need, if anybody.
         """
         self._member = ttypes.Member(
             name=name,
@@ -70,6 +73,7 @@
         self._data_folder = data_folder
         self._voters_wanted_count = voters_wanted_count
         self._job_kept_s = job_kept_s
+        self._adviser = adviser
         self._replica: replica_module.Replica | None = None
         self._scheduler: scheduler_module.JobScheduler | None = None
         self._joining = joining.Joining(
@@ -122,7 +126,9 @@
         )
         self._replica = replica
         self._scheduler = scheduler_module.JobScheduler(
-            replica=replica, job_kept_s=self._job_kept_s
+            replica=replica,
+            job_kept_s=self._job_kept_s,
+            adviser=self._adviser,
         )
         service = service_module.JobService(
             replica=replica,
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -69,6 +69,8 @@
         address: Where its agent calls it.
         life: The id of its present life.
         faults: What goes wrong with it.
+        takes_ticket: Whether a start may be carried out, by its ticket, its
+            task and this worker's life; None where starts need no ticket.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
     ):
         self.faults = PoolFaults()
         self.draining = False
+        self.takes_ticket: Callable[[str, str, str], bool] | None = None
         self._control_address = control_address
         self._pool = pool
         self._data_centre = data_centre
@@ -191,6 +194,9 @@
             raise _RefusedError(409, "old")
         if body["deadline_ms"] < _now_ms():
             raise _RefusedError(409, "late")
+        ticket = body.get("ticket", "")
+        if self.takes_ticket and not self.takes_ticket(ticket, task, self.life):
+            raise _RefusedError(409, "ticket")
         started = pool_run.PoolRun(
             task=task,
             run=run,
--- a/tests/coordination/job_placing/test_placing.py
+++ b/tests/coordination/job_placing/test_placing.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.job_placing import placing as placing_module
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import commands
@@ -32,6 +33,7 @@
         self.backlog = backlog_module.Backlog()
         self.urgency = urgency_module.Urgency()
         self.health = worker_health.WorkerHealth()
+        self.tickets = tickets_module.Tickets()
         self.now_s = 100.0
         self.views: dict[str, agents_module.AgentView] = {}
 
@@ -55,7 +57,9 @@
             rooms_module.of_agent(jobs, view, self.sharing)
             for view in self.views.values()
         ]
-        placing = placing_module.Placing(self.sharing, self.health)
+        placing = placing_module.Placing(
+            self.sharing, self.health, self.tickets
+        )
         waiting = self.backlog.in_order(
             self.urgency, now_unix_ms=builders.NOW_UNIX_MS
         )
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -7,6 +7,7 @@
 
 from marigoldsill import errors
 from marigoldsill.transport import http_client
+from standins import adviser as adviser_module
 from standins import journal as journal_module
 from standins import pool_worker
 from tests import one_process
@@ -27,6 +28,7 @@
 bootstrap = {bootstrap}
 data_dir = "{data}"
 app = "{app}"
+recommendation = "{adviser}"
 unknown_field = "is ignored"
 [listen_addresses]
 {listen}
@@ -59,6 +61,7 @@
         self.folder = folder
         self.processes: dict[str, one_process.Process] = {}
         self.workers: dict[str, pool_worker.PoolWorker] = {}
+        self.adviser: adviser_module.Adviser | None = None
         self.journal_path = folder / "journal"
         self._journal = journal_module.Journal(str(self.journal_path))
         numbers = random.SystemRandom()
@@ -201,6 +204,10 @@
 
         return one_process.wait_until(look, what=f"{job_id} in {states}")
 
+    def text(self) -> str:
+        """What all processes wrote so far."""
+        return "".join(p.text() for p in self.processes.values())
+
     def journal(self) -> list[dict]:
         """What the workers really did."""
         return journal_module.read(self.journal_path)
@@ -248,6 +255,7 @@
                 bootstrap=str(self._first_start).lower(),
                 data=data,
                 app=app,
+                adviser=self.adviser.address if self.adviser else "",
                 listen=listen,
             )
         )
