Meet rising loads ahead and let tails come nearer to their target

Change: the goal is 0.78, and what a load will have risen by until a pace shows is taken off beforehand.

--- a/marigoldsill/coordination/job_agent/pacer.py
+++ b/marigoldsill/coordination/job_agent/pacer.py
@@ -11,14 +11,16 @@
 import dataclasses
 import math
 
+from marigoldsill.coordination.job_agent import load_trends
 from marigoldsill.coordination.learning import strain
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
-# In units of the target. A load that rises takes a tail from the first to the
-# second in about the time that a pace takes to show.
-_GOAL_STRAIN = strain.at_ratio(0.65)
-_HIGH_STRAIN = strain.at_ratio(0.85)
+# In units of the target. With rising loads met ahead, a goal of 0.78 instead of
+# 0.65 gave large jobs that fill 0.64 of their worth instead of 0.54, and those
+# that serve 0.92 instead of 0.95 (means of seven played days of a site).
+_GOAL_STRAIN = strain.at_ratio(0.78)
+_HIGH_STRAIN = strain.at_ratio(0.92)
 # A pace takes 0.1 s to show, and a listed tail is that of the last half second.
 _SETTLE_S = 0.5
 # Speed is given in steps, in case a pair disturbs more than is known.
@@ -61,6 +63,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Serving:
+    key: task_names.RunKey
     image: str
     strain: float
 
@@ -77,6 +80,7 @@
         self.added: dict[Pair, float] = {}
         self._percents: dict[task_names.RunKey, int] = {}
         self._cut_s = 0.0
+        self._trends = load_trends.LoadTrends()
 
     def percent(self, key: task_names.RunKey) -> int:
         """What a run that fills may take of its speed."""
@@ -117,9 +121,11 @@
         ]
         serving = [
             _Serving(
-                order.image, strain.of_tail(look.load, order.tail_target_ms)
+                key,
+                order.image,
+                strain.of_tail(look.load, order.tail_target_ms),
             )
-            for _, order, look in listed
+            for key, order, look in listed
             if order.tail_target_ms and look.load
         ]
         held = {f.key: f.percent for f in filling}
@@ -129,6 +135,10 @@
             for key, percent in self._percents.items()
             if key in orders
         } | held
+        self._trends.look(
+            {s.key: s.strain - self._borne(s, filling) for s in serving},
+            now_s=now_s,
+        )
         if not filling:
             return
         unexplained = self._unexplained(serving, filling)
@@ -168,7 +178,10 @@
     def _allot(self, serving: list[_Serving], filling: list[_Filling]) -> None:
         """Gives speed to tasks that fill, those that disturb least first."""
         left = [
-            _GOAL_STRAIN - (s.strain - self._borne(s, filling)) for s in serving
+            _GOAL_STRAIN
+            - (s.strain - self._borne(s, filling))
+            - self._trends.rise(s.key)
+            for s in serving
         ]
         for f in sorted(filling, key=lambda f: self._worst(serving, f)):
             most = min(f.percent + _RISE_PERCENT, _WHOLE_PERCENT)
--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -16,7 +16,7 @@
 _GRANTS_LIMIT = 300
 # Up to here a task that fills may be put beside one that serves, at its usual
 # load. Agents slow it down while that load is higher.
-_STRAIN_LIMIT = strain.at_ratio(0.6)
+_STRAIN_LIMIT = strain.at_ratio(0.74)
 # What a worker where nothing serves counts as, in shares of the strain that is
 # left: tasks that hardly disturb leave it to those that do.
 _APART_COST = 0.1
