--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,4 @@
+"""Runs the real programs on one machine, with faults from outside, by seeds.
+
+`python -m soak --help` says how; docs/SOAK.md says what is checked.
+"""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Runs soaks by hand: `python -m soak --seeds 50`."""
+
+import pathlib
+import random
+import sys
+import tempfile
+
+import click
+
+from soak import run as run_module
+
+
+@click.command()
+@click.option("--seeds", default=1, help="How many soaks to run.")
+@click.option(
+    "--first", type=int, help="The first seed; a fresh one if left out."
+)
+@click.option("--seconds", default=15.0, help="How long faults come in each.")
+@click.option(
+    "--logs",
+    type=click.Path(path_type=pathlib.Path),
+    help="Where logs go; a folder for temporary files if left out.",
+)
+def main(
+    seeds: int, first: int | None, seconds: float, logs: pathlib.Path | None
+) -> None:
+    """Runs soaks one after another; exits with 1 if a promise was broken."""
+    logs = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    start = random.SystemRandom().randrange(1 << 32) if first is None else first
+    failed = 0
+    for seed in range(start, start + seeds):
+        folder = logs / str(seed)
+        folder.mkdir(parents=True)
+        result = run_module.run(seed, folder, duration_s=seconds)
+        failed += bool(result.broken)
+        click.echo(
+            f"seed={seed} faults={result.faults_count} "
+            f"jobs={result.jobs_count} broken={len(result.broken)}"
+        )
+        for line in result.broken:
+            click.echo(f"  {line}")
+    click.echo(f"{seeds - failed} soaks kept every promise, {failed} did not")
+    click.echo(f"logs: {logs}")
+    sys.exit(1 if failed else 0)
+
+
+main()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,136 @@
+"""One soak: a system, callers, faults by a seed, and what must hold."""
+
+import dataclasses
+import pathlib
+
+from soak import callers as callers_module
+from soak import faults
+from soak import injector as injector_module
+from soak import proxy
+from tests import one_process
+from tests.platform import rules
+from tests.platform import system as system_module
+
+_WORKERS_COUNT = 3
+# After the last fault: leases run out, and work starts again elsewhere.
+_SETTLE_LIMIT_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What one soak showed.
+
+    Attributes:
+        seed: Of its faults and callers.
+        faults_count: How many faults were planned.
+        jobs_count: How many jobs were accepted.
+        broken: Promises that were broken.
+    """
+
+    seed: int
+    faults_count: int
+    jobs_count: int
+    broken: list[str]
+
+
+def run(seed: int, folder: pathlib.Path, *, duration_s: float) -> Result:
+    """Runs one soak; its logs stay in the folder."""
+    links = _Links()
+    system = system_module.System(folder, reach=links.reach)
+    try:
+        system.start(workers_count=_WORKERS_COUNT)
+        plan = faults.draw(
+            seed,
+            duration_s=duration_s,
+            edges=system.edges(),
+            sides=list(system.workers),
+        )
+        callers = callers_module.Callers(system, seed=seed)
+        callers.start()
+        named = links.named(system)
+        injector_module.Injector(system, named).play(plan)
+        callers.stop()
+        broken = callers.broken + _settle(system, callers)
+    finally:
+        system.stop()
+        links.stop()
+    broken += _check_journal(system.journal(), callers.jobs)
+    accepted = [job for job in callers.jobs if job.accepted]
+    return Result(seed, len(plan), len(accepted), broken)
+
+
+class _Links:
+    """A proxy before each address that a system lets others reach."""
+
+    def __init__(self):
+        self._by_target: dict[str, proxy.Proxy] = {}
+
+    def reach(self, target: str) -> str:
+        """The address of the proxy before an address."""
+        if target not in self._by_target:
+            self._by_target[target] = proxy.Proxy(target)
+        return self._by_target[target].address
+
+    def named(self, system: system_module.System) -> dict[str, proxy.Proxy]:
+        """The proxies of workers and of edges, by the machine's name."""
+        targets = {name: w.address for name, w in system.workers.items()}
+        targets |= {name: system.frontend(name) for name in system.edges()}
+        for target in targets.values():
+            self.reach(target)
+        return {name: self._by_target[t] for name, t in targets.items()}
+
+    def stop(self) -> None:
+        """Ends all of them."""
+        for link in self._by_target.values():
+            link.stop()
+
+
+def _settle(
+    system: system_module.System, callers: callers_module.Callers
+) -> list[str]:
+    """Waits until all accepted jobs are over; what is not, or not read."""
+    edge = system.edges()[0]
+
+    def all_are_over() -> bool:
+        open_jobs = [j for j in callers.jobs if j.accepted and not j.completed]
+        states = [callers.look_at(job, edge=edge) for job in open_jobs]
+        return all(state in ("completed", "cancelled") for state in states)
+
+    found: list[str] = []
+    try:
+        limit_s = _SETTLE_LIMIT_S
+        one_process.wait_until(all_are_over, limit_s=limit_s, what="the ends")
+        one_process.wait_until(
+            lambda: callers.read_configuration(edge), what="a read-back"
+        )
+    except AssertionError as error:
+        found.append(str(error))
+    return found
+
+
+def _check_journal(
+    lines: list[dict], jobs: list[callers_module.Submitted]
+) -> list[str]:
+    """Compares what workers did with what callers were told."""
+    found = [
+        *(f"{task} ran twice at a time" for task in rules.two_at_a_time(lines)),
+        *(
+            f"{task} ran after its end"
+            for task in rules.started_after_done(lines)
+        ),
+        *(f"{task} ran too early" for task in rules.step_out_of_order(lines)),
+        *(f"{t} was renumbered" for t in rules.run_numbers_not_rising(lines)),
+    ]
+    started = {_job_of(x) for x in lines if x["event"] == "started"}
+    done = {x["task"] for x in lines if x.get("how") == "done"}
+    for job in jobs:
+        if job.refused and job.job_id in started:
+            found.append(f"{job.job_id} was refused, but ran")
+        done_count = sum(task.startswith(f"{job.job_id}.") for task in done)
+        if job.completed and done_count != job.tasks_count:
+            found.append(f"{job.job_id} completed with {done_count} tasks done")
+    return found
+
+
+def _job_of(line: dict) -> str:
+    return line["task"].partition(".")[0]
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -1,5 +1,6 @@
 """The programs on the users' platform as processes on loopback addresses."""
 
+from collections.abc import Callable
 import dataclasses
 import json
 import pathlib
@@ -57,8 +58,23 @@
 class System:
     """Edge and side processes, stand-in workers, a client and an operator."""
 
-    def __init__(self, folder: pathlib.Path, *, disks_count: int = 3):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        disks_count: int = 3,
+        reach: Callable[[str], str] = lambda address: address,
+    ):
+        """Prepares a system.
+
+        Args:
+            folder: For its files.
+            disks_count: How many edge processes there are.
+            reach: Where workers and agents reach each other, and callers the
+                edges, by the address of whom they mean; for a proxy between.
+        """
         self.folder = folder
+        self._reach = reach
         self.processes: dict[str, one_process.Process] = {}
         self.workers: dict[str, pool_worker.PoolWorker] = {}
         self.adviser: adviser_module.Adviser | None = None
@@ -103,7 +119,7 @@
         if name not in self.workers:
             worker = pool_worker.PoolWorker(
                 address=app,
-                control_address=control,
+                control_address=self._reach(control),
                 pool=POOL,
                 data_centre="z1",
                 labels=["a", f"r1-{number}"],
@@ -112,7 +128,19 @@
             )
             worker.start()
             self.workers[name] = worker
-        self._run(name, "side", ip, f'control = "{control}"', app=app)
+        listen = f'control = "{control}"'
+        self._run(name, "side", ip, listen, app=self._reach(app))
+
+    def start_again(self, name: str) -> None:
+        """Starts a process that has ended."""
+        if name in self.workers:
+            self.start_side(name)
+        else:
+            self.start_edge(name)
+
+    def frontend(self, name: str) -> str:
+        """Where an edge process serves callers."""
+        return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
     def power_off(self, *names: str) -> None:
         """Kills processes; their folders stay."""
@@ -153,7 +181,7 @@
             data = json.dumps(body).encode()
         try:
             answer = self._client.fetch(
-                f"{self._ips[edge]}:{port}",
+                self._reach(f"{self._ips[edge]}:{port}"),
                 path,
                 method=method,
                 body=data,
