--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -10,20 +10,17 @@
 from marigoldsill.coordination.job_placing import placing as placing_module
 from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import run_clock
-from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
-from marigoldsill.coordination.jobs import advising as advising_module
 from marigoldsill.coordination.jobs import evicting
 from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import learnt_log
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import ticketing
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol import adviser as adviser_module
-from marigoldsill.protocol import run_worker
-from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 from marigoldsill.transport import clock
@@ -62,12 +59,9 @@
         self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
         self._timetable = timetable.Timetable()
         self._learnt_log = learnt_log.LearntLog()
-        self._tickets = tickets_module.Tickets()
-        self._advising: advising_module.Advising | None = None
-        if adviser is not None:
-            self._advising = advising_module.Advising(
-                adviser=adviser, lock=replica.lock, on_answer=self.wake
-            )
+        self._ticketing = ticketing.Ticketing(
+            adviser=adviser, lock=replica.lock, on_answer=self.wake
+        )
         self._evicting: evicting.Evicting | None = None
         self._term = 0
         self._wake = threading.Event()
@@ -81,16 +75,14 @@
     def start(self, service: service_module.JobService) -> None:
         """Begins to decide whenever this process leads."""
         self._service = service
-        if self._advising is not None:
-            self._advising.start()
+        self._ticketing.start()
         self._pool.submit(self._loop)
 
     def stop(self) -> None:
         """Leaves off."""
         self._stopping.set()
         self._wake.set()
-        if self._advising is not None:
-            self._advising.stop()
+        self._ticketing.stop()
         self._pool.shutdown(wait=False)
 
     def wake(self) -> None:
@@ -102,8 +94,7 @@
         if self._service is not None and self._leads_term():
             self._run_clock.take(self._replica.tables.jobs, command)
         self._health.take(command)
-        for key in _refused_tickets(command):
-            self._tickets.drop(key)
+        self._ticketing.take(command)
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
@@ -192,7 +183,7 @@
         self._health.look()
         self._evicting.leave_stalled(jobs, views)
         placing = placing_module.Placing(
-            self._service.sharing, self._health, self._tickets
+            self._service.sharing, self._health, self._ticketing.tickets
         )
         rooms = self._rooms(views)
         waiting = self._backlog.in_order(
@@ -201,45 +192,12 @@
         job_metrics.WAITING.set(len(waiting))
         job_metrics.LIVE_AGENTS.set(len(rooms))
         grants = placing.place(waiting, rooms, now_s=now_s)
-        self._use_tickets(jobs, grants, now_s)
-        self._want_tickets(waiting, rooms, now_s)
+        self._ticketing.show(jobs, grants, self._service.orders, now_s=now_s)
+        self._ticketing.want(waiting, rooms, now_s=now_s)
         self._evicting.leave_incomplete(jobs, touched)
         self._evicting.leave_slow(jobs, views, rooms, placing)
         return grants
 
-    def _use_tickets(
-        self,
-        jobs: job_tables.JobTables,
-        grants: list[ttypes.RunGrant],
-        now_s: float,
-    ) -> None:
-        """Has the orders of granted runs show their tickets."""
-        for grant in grants:
-            address = task_names.parse(grant.task)
-            if not jobs.queue_of(jobs.jobs[address.job_id]).advised:
-                continue
-            self._service.orders.tickets[grant.task, grant.run] = (
-                self._tickets.ticket(
-                    address.step_key, grant.worker_id, now_s=now_s
-                )
-            )
-
-    def _want_tickets(
-        self,
-        waiting: list[backlog_module.WaitingStep],
-        rooms: list[rooms_module.Room],
-        now_s: float,
-    ) -> None:
-        """Has the adviser asked for what could not start."""
-        if self._advising is None:
-            return
-        advised = [step for step in waiting if step.queue.advised]
-        self._tickets.keep_only(step.key for step in advised)
-        wanted = advising_module.questions(
-            advised, rooms, self._tickets, now_s=now_s
-        )
-        self._advising.want(wanted, self._tickets)
-
     def _begin_term(self) -> None:
         """Starts over what was worked out from an earlier term's state."""
         self._term = self._service.led_term
@@ -248,7 +206,7 @@
         self._timetable = timetable.Timetable()
         self._run_clock = run_clock.RunClock()
         self._learnt_log = learnt_log.LearntLog()
-        self._tickets = tickets_module.Tickets()
+        self._ticketing.begin_term()
         learnt = self._replica.tables.jobs.learnt
         self._service.sharing.restore(learnt.pressures.values())
         self._urgency.run_times.restore(learnt.run_times.values())
@@ -315,16 +273,3 @@
         self._service.propose(
             record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
         )
-
-
-def _refused_tickets(command: ttypes.Command) -> list[task_names.StepKey]:
-    """Steps of which a worker refused a ticket."""
-    record = command.record_run_ends
-    if record is None:
-        return []
-    return [
-        task_names.parse(end.task).step_key
-        for end in record.ends
-        if end.kind == ttypes.RunEndKind.REFUSED
-        and end.detail == run_worker.RefusalReason.NO_TICKET
-    ]
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -7,6 +7,7 @@
 
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import claims
+from marigoldsill.state import job_ends
 from marigoldsill.state import jobs
 from marigoldsill.state import plans
 from marigoldsill.state import runs
@@ -116,7 +117,7 @@
         case ttypes.GrantRuns(grants=grants):
             return jobs.grant(tables, grants, now_unix_ms)
         case ttypes.RecordRunEnds() as record:
-            return jobs.record_ends(tables, record, now_unix_ms)
+            return job_ends.record(tables, record, now_unix_ms)
         case ttypes.BeginOccurrences(due=due):
             return jobs.begin_occurrences(tables, due)
         case ttypes.ForgetJobs(job_ids=job_ids):
