Tell callers after 1.4 s also when an outcome is not known

A call that surely did nothing has been told after 1.4 s for long. Ruled out: holding on for the leader's return, since elections are over by then.

Change: after 1.4 s the answer is 502, which callers take as leave to ask again with the same id.

The test waited for a minute before and hears within seconds now.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -1,7 +1,8 @@
 """An entry's calls to the leader about jobs and routing.
 
 All of them may be sent again: a job has an id, a routing a version. So a call
-whose answer was lost is simply made again, until the caller's time is over.
+whose answer was lost is simply made again. When no leader answers for long, the
+caller is told while it still has time to ask another process.
 """
 
 from collections.abc import Sequence
@@ -105,7 +106,7 @@
     def _call(
         self, method: str, *requests: object, context: CallContext
     ) -> object:
-        """Calls until an answer comes or the time is over, and tells.
+        """Calls until an answer comes or is given up, and logs it.
 
         Raises:
             NoQuorumError: No leader answered; nothing was done.
@@ -148,9 +149,9 @@
             except errors.UnknownOutcomeError as error:
                 unknown = error
             except errors.NoQuorumError:
-                if unknown is None and time.monotonic() > give_up_s:
-                    break
                 time.sleep(min(_PAUSE_S, deadline.left_s()))
+            if time.monotonic() > give_up_s:
+                break
         if unknown is not None:
             raise unknown
         raise errors.NoQuorumError(
--- a/tests/coordination/jobs/test_client.py
+++ b/tests/coordination/jobs/test_client.py
@@ -1,5 +1,6 @@
 """An entry's calls to the leader, when there is none."""
 
+import socket
 import time
 
 import pytest
@@ -26,3 +27,19 @@
         )
     assert caught.value.retry_after_ms
     assert deadline.left_s() > _PATIENCE_S / 2
+
+
+def test_a_caller_hears_early_that_the_outcome_is_not_known() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        port = silent.getsockname()[1]
+        client = client_module.JobClient(
+            control_addresses=[f"127.0.0.1:{port}"]
+        )
+        deadline = deadlines.Deadline(time.monotonic() + _PATIENCE_S)
+        with pytest.raises(errors.UnknownOutcomeError):
+            client.submit(
+                ttypes.JobAddress(host="jobs.example", path="/fast/1"),
+                ttypes.Job(job_id="1"),
+                context=client_module.CallContext(deadline),
+            )
+    assert deadline.left_s() > _PATIENCE_S / 2
