--- a/marigoldsill/platform/fields.py
+++ b/marigoldsill/platform/fields.py
@@ -33,7 +33,7 @@
     ) -> str:
         """A text; without a default it must be there."""
         value = self._values.get(name, default)
-        if not isinstance(value, str):
+        if not _is_text(value):
             raise self._wrong(name, value, "a text")
         if len(value.encode()) > limit_bytes:
             raise self._wrong(name, value, f"at most {limit_bytes} bytes")
@@ -58,7 +58,9 @@
         """A number that is not negative."""
         value = self._values.get(name, default)
         is_number = isinstance(value, int | float)
-        if isinstance(value, bool) or not is_number or not value >= 0:
+        if isinstance(value, bool) or not is_number:
+            raise self._wrong(name, value, "a number of 0 or more")
+        if not 0 <= value <= _INTEGER_LIMIT:
             raise self._wrong(name, value, "a number of 0 or more")
         return float(value)
 
@@ -91,7 +93,7 @@
     def texts(self, name: str) -> list[str]:
         """A list of texts."""
         values = self.items(name)
-        if not all(isinstance(value, str) for value in values):
+        if not all(_is_text(value) for value in values):
             raise self._wrong(name, values, "a list of texts")
         return values
 
@@ -123,6 +125,20 @@
     return Fields(values, where=where)
 
 
+def _is_text(value: object) -> bool:
+    """Whether a value is a text that can be written as UTF-8.
+
+    JSON may hold halves of surrogate pairs, which can't.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _shown(value: object) -> str:
     if value is None:
         return "missing"
--- a/marigoldsill/platform/job_bodies.py
+++ b/marigoldsill/platform/job_bodies.py
@@ -7,6 +7,9 @@
 _COMMAND_LIMIT_BYTES = 4_000
 _STEPS_LIMIT = 1_000
 _TASKS_LIMIT = 10_000
+# Of all steps: each task that has not begun takes 140 bytes of memory on every
+# member (measured with tracemalloc), so such a job takes 7 MB.
+_JOB_TASKS_LIMIT = 50_000
 _MEGABYTE = 1 << 20
 
 STATE_WORDS = {
@@ -30,12 +33,19 @@
         raise errors.BadInputError(
             f"the job has {len(tables)} steps; accepted are 1 to {_STEPS_LIMIT}"
         )
+    steps = [_step(table, number) for number, table in enumerate(tables)]
+    tasks_count = sum(step.tasks_count for step in steps)
+    if tasks_count > _JOB_TASKS_LIMIT:
+        raise errors.BadInputError(
+            f"the job has {tasks_count} tasks in all steps; accepted are at "
+            f"most {_JOB_TASKS_LIMIT}"
+        )
     return ttypes.Job(
         job_id=job_id,
         queue="",
         # "spec" is what the worker is told to run, opaque to us.
         command=job.text("spec", limit_bytes=_COMMAND_LIMIT_BYTES),
-        steps=[_step(table, number) for number, table in enumerate(tables)],
+        steps=steps,
         repeat_count=job.integer("repeat_count", default=0, high=1_000_000),
         # Not a delay: the time of the first occurrence, since 1970.
         first_due_unix_ms=job.integer("initial_delay_ms", default=0),
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -4,6 +4,7 @@
 from marigoldsill.platform import fields as fields_module
 from marigoldsill.platform import job_bodies
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
 _END_KINDS = {
@@ -56,34 +57,53 @@
             running=[_running(row) for row in table.items("running")],
             ended=[_ended(row) for row in table.items("ended_runs")],
         )
-    except (errors.BadInputError, ValueError, TypeError, KeyError) as error:
+    except (
+        errors.BadInputError,
+        ValueError,
+        TypeError,
+        KeyError,
+        OverflowError,
+    ) as error:
         raise errors.PlatformError(f"unreadable listing: {error}") from error
 
 
 def _running(row: list) -> ttypes.RunLook:
     task, run, checkpoint_id, percent, *load = row
     return ttypes.RunLook(
-        task=task,
-        run=run,
+        task=_task(task),
+        run=int(run),
         percent=int(percent),
         load=int(load[0]) if load else 0,
-        checkpoint_id=checkpoint_id,
+        checkpoint_id=_text(checkpoint_id),
     )
 
 
 def _ended(row: list) -> run_worker.EndedRun:
     number, task, run, how, checkpoint_id = row
     return run_worker.EndedRun(
-        number,
+        int(number),
         ttypes.RunEnd(
-            task=task,
-            run=run,
+            task=_task(task),
+            run=int(run),
             kind=_END_KINDS[how],
-            checkpoint_id=checkpoint_id,
+            checkpoint_id=_text(checkpoint_id),
         ),
     )
 
 
+def _task(value: object) -> str:
+    """A task's name; others would stop whoever looks its job up."""
+    name = _text(value)
+    task_names.parse(name)
+    return name
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
 def _rack(labels: list[str]) -> str:
     """The second label is the rack; the first one is the worker's kind."""
     return labels[1] if len(labels) > 1 else ""
