--- a/marigoldsill/cli/check.py
+++ b/marigoldsill/cli/check.py
@@ -14,7 +14,7 @@
 
 @click.group(cls=groups.Group)
 def check() -> None:
-    """Checks the settings of a role, or intent files, offline."""
+    """Checks settings of a role or the platform's, or intent files, offline."""
 
 
 @check.command("entry")
@@ -58,6 +58,16 @@
         raise errors.IntentError("\n".join(faults))
 
 
+@check.command("platform")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+def check_platform(file: pathlib.Path) -> None:
+    """Checks a settings FILE of the users' platform; reports every fault."""
+    from marigoldsill.platform import settings_file
+
+    settings = settings_file.load(file)
+    click.echo(f"{file}: ok, machine {settings.name!r}")
+
+
 def _settings(
     role: str, settings_class: type, flags: dict[str, str | None]
 ) -> None:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -209,6 +209,35 @@
     assert result.output == "settings of entry: ok\n"
 
 
+def test_check_reports_all_that_is_wrong_in_the_platforms_file(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text('node_name = 5\nip = "10.0.0.1"\nzone = "z"\nseeds = 7\n')
+
+    result = testing.CliRunner().invoke(
+        cli.main, ["check", "platform", str(path)]
+    )
+
+    assert result.exit_code == errors.SettingsError.exit_code
+    for part in ("node_name", "seeds", "internal_ports"):
+        assert part in result.output
+
+
+def test_check_accepts_the_platforms_file(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(
+        'node_name = "edge-1"\nip = "10.0.0.1"\nzone = "z"\n'
+        'internal_ports = [7720, 7735]\nseeds = ["10.0.0.1:8166"]\n'
+    )
+
+    result = testing.CliRunner().invoke(
+        cli.main, ["check", "platform", str(path)]
+    )
+
+    assert result.output == f"{path}: ok, machine 'edge-1'\n"
+
+
 @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
 def test_completion_scripts_name_the_program(shell: str) -> None:
     result = testing.CliRunner().invoke(cli.main, ["completion", shell])
