Quote values alike in log lines and in the stories told from them

explain-logs showed values with spaces as Python texts, the lines themselves in double quotes: a value copied from a story did not match its line. One function serves both now.

--- a/marigoldsill/coordination/jobs/advising.py
+++ b/marigoldsill/coordination/jobs/advising.py
@@ -19,7 +19,7 @@
 from marigoldsill.transport import logs
 
 # The adviser takes its time for each worker that is named, so a call names as
-# many as a step usually needs to find room.
+# many as a step usually needs to find room, of the 100 that it accepts.
 _WORKERS_COUNT = 30
 # Steps that wait for their turn here; the rest is named again next time.
 _STEPS_COUNT = 16
@@ -176,8 +176,7 @@
     unknown = tickets.unknown(waiting.key, ids, now_s=now_s)
     if not unknown:
         return None
-    limit = min(_WORKERS_COUNT, adviser_module.WORKERS_LIMIT)
-    worker_ids = tuple(unknown[:limit])
+    worker_ids = tuple(unknown[:_WORKERS_COUNT])
     return Question(
         key=waiting.key,
         worker_ids=worker_ids,
--- a/marigoldsill/protocol/adviser.py
+++ b/marigoldsill/protocol/adviser.py
@@ -29,7 +29,7 @@
 
         Args:
             step: The step's name, as `task_names.name_of_step` gives it.
-            worker_ids: Lives of workers, at most `WORKERS_LIMIT`.
+            worker_ids: Lives of workers, at most 100.
             timeout_s: How long to wait for the answer.
 
         Raises:
@@ -37,7 +37,3 @@
             TransportError: No answer came.
             PlatformError: The answer can't be read.
         """
-
-
-# The most workers that one call may name.
-WORKERS_LIMIT = 100
--- a/marigoldsill/transport/log_reading.py
+++ b/marigoldsill/transport/log_reading.py
@@ -6,6 +6,8 @@
 import datetime
 import re
 
+from marigoldsill.transport import logs
+
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _ESCAPED = re.compile(r"\\(.)")
 _TIME_FORMAT = "%Y-%m-%dT%H:%M:%S.%f%z"
@@ -32,7 +34,9 @@
 
     def shown(self) -> str:
         """The line for a reader: when, who, what."""
-        pairs = " ".join(f"{k}={_shown(v)}" for k, v in self.fields.items())
+        pairs = " ".join(
+            f"{k}={logs.quoted(v)}" for k, v in self.fields.items()
+        )
         shown_time = self.time.isoformat(timespec="milliseconds")
         return f"{shown_time} {self.process} {self.event} {pairs}".rstrip()
 
@@ -74,7 +78,3 @@
 
 def _unescape(match: re.Match) -> str:
     return {"n": "\n", "r": "\r"}.get(match[1], match[1])
-
-
-def _shown(value: str) -> str:
-    return value if value and not re.search(r"\s", value) else repr(value)
--- a/marigoldsill/transport/logs.py
+++ b/marigoldsill/transport/logs.py
@@ -84,10 +84,19 @@
     for other, count in left_out.items():
         event("log_suppressed", level="WARNING", of=other, count=count)
     if may_write:
-        text = " ".join(f"{k}={_value(v)}" for k, v in pairs.items())
+        text = " ".join(f"{k}={quoted(v)}" for k, v in pairs.items())
         logger.bind(pairs=text).log(level, name)
 
 
+def quoted(value: object) -> str:
+    """A field's value as a line has it: in quotes where it needs them."""
+    text = str(value)
+    if text and not any(char.isspace() or char in '"=' for char in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
+
+
 def flush() -> None:
     """Waits a little until everything is written, before the process ends."""
     if _writer is not None:
@@ -110,11 +119,3 @@
         f"{record['extra'].get('pairs', '')}".rstrip()
     )
     return "{extra[line]}\n"
-
-
-def _value(value: object) -> str:
-    text = str(value)
-    if text and not any(char.isspace() or char in '"=' for char in text):
-        return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
