Try workers on probation though tasks that last run on them

On probation a worker got a run only when none was alive on it, but five tasks that last were: those never end, so it never had its try, and its room was lost for good. Ruled out: leases (ends recorded 0.1 s after the workers left), order of the queue (what lasts goes first), room by declared processor time (others were granted).

Change: only runs that can show whether the worker is sound keep it from its try: not those that last, nor those held at pace 0. A task that lasts and starts there is at work soon, which restores it.

--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -10,10 +10,12 @@
 from collections.abc import Callable
 import dataclasses
 
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.learning import quarantine as quarantine_module
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
 from marigoldsill.state import machine
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
@@ -83,7 +85,8 @@
 
         Args:
             worker_id: The life of the worker.
-            runs_count: How many runs may be alive on it.
+            runs_count: How many runs may be alive on it that show whether it
+                is sound, as `telling_runs_count` has them.
         """
         refusals = self._refusals.get(worker_id)
         if refusals is not None and clock.now_s() < refusals.until_s:
@@ -186,6 +189,27 @@
             )
 
 
+def telling_runs_count(
+    jobs: job_tables.JobTables, view: agents_module.AgentView
+) -> int:
+    """How many runs on a worker show by themselves whether it is sound.
+
+    What lasts never ends, and what stands still at pace 0 does not advance: a
+    worker on probation that waited for those would get nothing for ever, while
+    tasks that last wait for its room.
+    """
+    return sum(
+        _is_telling(jobs.step_of(task), view.looks.get((task, run)))
+        for task, run in jobs.runs_by_agent.get(view.name, ())
+    )
+
+
+def _is_telling(step: ttypes.Step | None, look: ttypes.RunLook | None) -> bool:
+    if step is None or step.long_running:
+        return False
+    return look is None or look.pace_percent > 0
+
+
 def _family_of(task: str) -> str:
     """Tasks of one step fail alike where the fault is theirs."""
     step_name, _, _ = task.rpartition(".")
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -246,7 +246,7 @@
             if view.worker is not None and not view.silent and view.name in live
             if self._health.may_take(
                 view.worker.worker_id,
-                runs_count=len(jobs.runs_by_agent.get(view.name, ())),
+                runs_count=worker_health.telling_runs_count(jobs, view),
             )
         ]
 
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol import run_worker
@@ -145,3 +146,28 @@
     for job in range(3):
         case.run(_task(job), _ODD, _FAILED)
     assert case.takes("a2-life2")
+
+
+@pytest.mark.parametrize(
+    ("fields", "pace_percent", "count"),
+    [
+        ({}, 100, 1),
+        ({"long_running": True}, 100, 0),
+        ({"fills": True}, 50, 1),
+        ({"fills": True}, 0, 0),
+    ],
+    ids=["ends", "lasts", "is slowed", "stands still"],
+)
+def test_a_worker_on_probation_waits_only_for_runs_that_can_tell(
+    fields: dict, pace_percent: int, count: int
+) -> None:
+    state = builders.State()
+    state.submit(builders.job("j1", builders.step(**fields)))
+    task = builders.task()
+    state.grant(builders.grant(task))
+    look = ttypes.RunLook(
+        task=task, run=1, percent=100, pace_percent=pace_percent
+    )
+    view = agents_module.AgentView("a1", looks={(task, 1): look})
+    jobs = state.tables.jobs
+    assert worker_health.telling_runs_count(jobs, view) == count
