--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -100,7 +100,7 @@
 
 def _text(value: object) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"{value!r} is no text")
+        raise errors.PlatformError(f"{value!r} in a listing is no text")
     return value
 
 
