Have the stand-in worker compare the life that a call means under its lock

The platform's workers answer 421 to any other life; ours did the right thing by that. The check is stricter than before.

--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -145,7 +145,8 @@
         if self.faults.silent:
             self._stopping.wait(_UNANSWERED_S)
             return wrappers.Response(status=500)
-        if request.headers.get("Target-Instance", self.life) != self.life:
+        life = request.headers.get("Target-Instance", self.life)
+        if life != self.life:
             return _json({}, status=421)
         body = json.loads(request.get_data() or b"{}")
         if name in self.faults.unanswered:
@@ -153,7 +154,7 @@
             self._stopping.wait(_UNANSWERED_S)
             return wrappers.Response(status=500)
         try:
-            answer = self._obey(name, body)
+            answer = self._obey(name, body, life)
         except _RefusedError as refusal:
             answer = {"clock_ms": _now_ms(), "reason": refusal.reason}
             return _json(answer, status=refusal.status)
@@ -161,14 +162,12 @@
 
     def _obey_late(self, name: str, body: dict, life: str) -> None:
         self._stopping.wait(self.faults.late_s)
-        if life != self.life:
-            return
         try:
-            self._obey(name, body)
+            self._obey(name, body, life)
         except _RefusedError:
             return
 
-    def _obey(self, name: str, body: dict) -> dict:
+    def _obey(self, name: str, body: dict, life: str) -> dict:
         orders: dict[str, Callable[[dict], dict]] = {
             "run-start": self._start,
             "run-stop": self._stop,
@@ -176,6 +175,9 @@
             "pace": self._pace,
         }
         with self._changed:
+            # It may have been born anew since the call came.
+            if life != self.life:
+                raise _RefusedError(421)
             if self.faults.unwell and name != "hold":
                 raise _RefusedError(503)
             token = body.get("fencing_token", 0)
