Count a worker's runs only on probation; sort out advised queues once

Read-through of the change: the runs that show whether a worker is sound were counted for every worker in every round, though only one on probation needs the count; and steps of advised queues were sorted out twice, by Ticketing and again in questions().

--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -80,13 +80,16 @@
                 for end in ends:
                     self._take_end(end)
 
-    def may_take(self, worker_id: str, *, runs_count: int) -> bool:
+    def may_take(
+        self, worker_id: str, *, count_runs: Callable[[], int]
+    ) -> bool:
         """Whether a worker may get a run now.
 
         Args:
             worker_id: The life of the worker.
-            runs_count: How many runs may be alive on it that show whether it
-                is sound, as `telling_runs_count` has them.
+            count_runs: Counts the runs that may be alive on it and show
+                whether it is sound, as `telling_runs_count` does; called only
+                for a worker on probation.
         """
         refusals = self._refusals.get(worker_id)
         if refusals is not None and clock.now_s() < refusals.until_s:
@@ -95,7 +98,7 @@
             case quarantine_module.Standing.QUARANTINED:
                 return False
             case quarantine_module.Standing.PROBATION:
-                return not runs_count
+                return not count_runs()
             case quarantine_module.Standing.GOOD:
                 return True
 
--- a/marigoldsill/coordination/jobs/advising.py
+++ b/marigoldsill/coordination/jobs/advising.py
@@ -53,12 +53,8 @@
     *,
     now_s: float,
 ) -> list[Question]:
-    """What to ask so that waiting steps can start, the most urgent first."""
-    asked = (
-        _question(waiting, rooms, tickets, now_s)
-        for waiting in steps
-        if waiting.queue.advised
-    )
+    """What to ask so that steps of advised queues can start, in their order."""
+    asked = (_question(waiting, rooms, tickets, now_s) for waiting in steps)
     found = (question for question in asked if question is not None)
     return list(itertools.islice(found, _STEPS_COUNT))
 
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -1,6 +1,7 @@
 """The leader's loop for jobs: ends lost runs, grants runs as room comes."""
 
 from concurrent import futures
+import functools
 import threading
 
 from marigoldsill import errors
@@ -246,7 +247,9 @@
             if view.worker is not None and not view.silent and view.name in live
             if self._health.may_take(
                 view.worker.worker_id,
-                runs_count=worker_health.telling_runs_count(jobs, view),
+                count_runs=functools.partial(
+                    worker_health.telling_runs_count, jobs, view
+                ),
             )
         ]
 
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -43,7 +43,7 @@
         self.health.look()
 
     def takes(self, worker_id: str, runs_count: int = 0) -> bool:
-        return self.health.may_take(worker_id, runs_count=runs_count)
+        return self.health.may_take(worker_id, count_runs=lambda: runs_count)
 
     def _take(self, **body: object) -> None:
         self.health.take(commands.new(command_id="", **body))
