--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -63,13 +63,15 @@
         folder: pathlib.Path,
         *,
         disks_count: int = 3,
+        plain_edges_count: int = 0,
         reach: Callable[[str], str] = lambda address: address,
     ):
         """Prepares a system.
 
         Args:
             folder: For its files.
-            disks_count: How many edge processes there are.
+            disks_count: How many edge processes with a disk there are.
+            plain_edges_count: How many there are without one.
             reach: Where workers and agents reach each other, and callers the
                 edges, by the address of whom they mean; for a proxy between.
         """
@@ -82,9 +84,13 @@
         self._journal = journal_module.Journal(str(self.journal_path))
         numbers = random.SystemRandom()
         block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
+        edges_count = disks_count + plain_edges_count
         self._ips = {
-            f"edge-{n}": f"{block}.{10 + n}" for n in range(1, disks_count + 1)
+            f"edge-{n}": f"{block}.{10 + n}" for n in range(1, edges_count + 1)
         }
+        self._disks = set(list(self._ips)[:disks_count])
+        self._seeds = list(self._ips)[:3]
+        self._settings: dict[str, dict[str, str]] = {}
         self._block = block
         self._client = http_client.Client()
         self._first_start = True
@@ -108,8 +114,8 @@
                 ("control", _CONTROL_PORT),
             )
         )
-        data = self.folder / f"{name}.data"
-        self._run(name, "edge", self._ips[name], listen, data=str(data))
+        data = str(self.data_folder(name)) if name in self._disks else ""
+        self._run(name, "edge", self._ips[name], listen, data=data)
 
     def start_side(self, name: str, *, cpu_millicores: int = 8000) -> None:
         """Starts an agent, and its worker unless that runs already."""
@@ -147,6 +153,12 @@
         for name in names:
             self.processes.pop(name).kill()
 
+    def change_seeds(self, *names: str) -> None:
+        """Has the settings of everybody name other seeds, without a signal."""
+        self._seeds = list(names)
+        for name in self._settings:
+            self._write_settings(name)
+
     def edges(self) -> list[str]:
         """Names of the edge processes that run."""
         return [name for name in self.processes if name.startswith("edge")]
@@ -270,23 +282,14 @@
         data: str = "",
         app: str = "",
     ) -> None:
-        seeds = list(self._ips.values())[:3]
-        path = self.folder / f"{name}.toml"
-        path.write_text(
-            _SETTINGS.format(
-                name=name,
-                ip=ip,
-                zone="z1",
-                internal=_INTERNAL_PORT,
-                internal_last=_INTERNAL_PORT + 15,
-                seeds=", ".join(f'"{s}:{_CONTROL_PORT}"' for s in seeds),
-                bootstrap=str(self._first_start).lower(),
-                data=data,
-                app=app,
-                adviser=self.adviser.address if self.adviser else "",
-                listen=listen,
-            )
-        )
+        self._settings[name] = {
+            "name": name,
+            "ip": ip,
+            "data": data,
+            "app": app,
+            "listen": listen,
+        }
+        path = self._write_settings(name)
         self.processes[name] = one_process.Process(
             [
                 "marigoldsill",
@@ -299,6 +302,22 @@
             environment={"MARIGOLDSILL_CONFIG": str(path)},
         )
 
+    def _write_settings(self, name: str) -> pathlib.Path:
+        path = self.folder / f"{name}.toml"
+        seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in self._seeds]
+        path.write_text(
+            _SETTINGS.format(
+                **self._settings[name],
+                zone="z1",
+                internal=_INTERNAL_PORT,
+                internal_last=_INTERNAL_PORT + 15,
+                seeds=", ".join(seeds),
+                bootstrap=str(self._first_start).lower(),
+                adviser=self.adviser.address if self.adviser else "",
+            )
+        )
+        return path
+
 
 def configuration(
     version: int, *, routes: list[dict] | None = None, **fields: object
