Tell in job_call why a call failed and where the leader was looked for

The reason goes into failing lines only. tests/coordination/jobs, tests/cli -k 'client or explain or log': passed.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -114,12 +114,14 @@
         """
         start_s = time.monotonic()
         outcome = "failed"
+        failure: dict[str, str] = {}
         try:
             reply = self._call_until(method, requests, context.deadline)
             outcome = _outcome_of(reply)
             return reply
         except errors.MarigoldsillError as error:
             outcome = error.kind
+            failure = {"reason": error.message}
             raise
         finally:
             took_s = time.monotonic() - start_s
@@ -133,6 +135,7 @@
                 outcome=outcome,
                 took_ms=round(took_s * 1000),
                 left_ms=round(context.deadline.left_s() * 1000),
+                **failure,
             )
 
     def _call_until(
@@ -142,20 +145,23 @@
         deadline: deadlines.Deadline,
     ) -> object:
         unknown: errors.UnknownOutcomeError | None = None
+        found_none = "the call's time was over"
         give_up_s = time.monotonic() + _SEARCH_LIMIT_S
         while left_s := deadline.left_s():
             try:
                 return self._try(method, requests, min(left_s, _TRY_TIMEOUT_S))
             except errors.UnknownOutcomeError as error:
                 unknown = error
-            except errors.NoQuorumError:
+            except errors.NoQuorumError as error:
+                found_none = error.message
                 time.sleep(min(_PAUSE_S, deadline.left_s()))
             if time.monotonic() > give_up_s:
                 break
         if unknown is not None:
             raise unknown
         raise errors.NoQuorumError(
-            "no leader of control answered in time; nothing was done",
+            "no leader of control answered in time, nothing was done: "
+            f"{found_none}",
             retry_after_ms=_RETRY_AFTER_MS,
         )
 
