Have seeds that keep no state name the group to whoever asks

Cause: a process that restarts knows its seeds only. Settings may name any edge process as a seed; those without a disk served no 'control' and knew of no group. Once settings named three of them, nobody who restarted ever found the leader: not the agents, not the entries, not a member that lost its disk.

Ruled out: leases of a new leader (all runs were recorded as lost 8 s after the election and nothing was granted after), workers left alone (no such line).

Change: each edge process keeps the newest view of the group (term, members, leader). Members tell it to their seeds that are no members; others ask their seeds. A process that is no member refers calls for control, and processes that want to join, by it.

Conclusion: the class is knowledge that only some processes keep being asked of all.

--- a/marigoldsill/coordination/agreement/__init__.py
+++ b/marigoldsill/coordination/agreement/__init__.py
@@ -5,7 +5,6 @@
 """
 
 __all__ = [
-    "joining",
     "peers",
     "replica",
 ]
--- a/marigoldsill/coordination/agreement/replica.py
+++ b/marigoldsill/coordination/agreement/replica.py
@@ -207,6 +207,10 @@
         """Where this member and, on a leader, its peers stand."""
         return status_module.of(self._require_node())
 
+    def view(self) -> ttypes.GroupView:
+        """Where the group is, as this member's state has it."""
+        return status_module.view_of(self._require_node())
+
     def start(self) -> None:
         """Begins to take part in the group."""
         if self._node is not None:
--- a/marigoldsill/coordination/agreement/status.py
+++ b/marigoldsill/coordination/agreement/status.py
@@ -74,6 +74,22 @@
         )
 
 
+def view_of(node: node_module.Node) -> ttypes.GroupView:
+    """The group as this member's state has it; of term 0 while it has none."""
+    group = node.group
+    with group.lock:
+        members = group.membership.members
+        if not members:
+            return ttypes.GroupView(addresses=[])
+        leader = group.membership.find(group.leader_name)
+        return ttypes.GroupView(
+            term=group.term,
+            members_index=group.membership.index,
+            addresses=[member.address for member in members],
+            leader_address=leader.address if leader else "",
+        )
+
+
 def _peers(node: node_module.Node) -> list[PeerStatus]:
     now_s = time.monotonic()
     return [
--- a/marigoldsill/coordination/agreement/joining.py
+++ b/marigoldsill/coordination/discovery/joining.py
@@ -11,17 +11,13 @@
 import threading
 import time
 
-from thrift import Thrift
-
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
-from marigoldsill.protocol.generated import Formation
+from marigoldsill.coordination.discovery import directory as directory_module
+from marigoldsill.coordination.discovery import formation_calls
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
-from marigoldsill.transport import thrift_client
 
-_SERVICE_NAME = "formation"
-_TIMEOUT_S = 1.0
 _PAUSE_S = 0.2
 _LOOK_S = 1.0
 _CHANGE_TIMEOUT_S = 1.0
@@ -43,8 +39,10 @@
         data_folder: str,
         founder_address: str,
         seed_addresses: Sequence[str],
+        directory: directory_module.Directory,
     ):
         self.replica: replica_module.Replica | None = None
+        self._directory = directory
         self._member = member
         self._data_folder = data_folder
         self._founder_address = founder_address
@@ -90,16 +88,25 @@
         """Adds a member, or says who may."""
         replica = self.replica
         if replica is None:
-            return ttypes.JoinReply(may_found=self._grant(request.member.name))
+            return ttypes.JoinReply(
+                may_found=self._grant(request.member.name),
+                control_addresses=self._directory.view().addresses,
+            )
         leader = replica.leader
         if not replica.is_leader:
-            addresses = [leader.address] if leader else []
+            known = self._directory.view().addresses
+            addresses = [leader.address] if leader else known
             return ttypes.JoinReply(control_addresses=addresses)
         if not _holds(replica, request.member):
             self._add(replica, request.member)
         members = replica.status().members
         return ttypes.JoinReply(control_addresses=[m.address for m in members])
 
+    def exchange_views(self, view: ttypes.GroupView) -> ttypes.GroupView:
+        """Takes what another process knows of the group; tells the same."""
+        self._directory.take(view, teller="")
+        return self._directory.view()
+
     def _add(
         self, replica: replica_module.Replica, member: ttypes.Member
     ) -> None:
@@ -149,22 +156,8 @@
                 addresses = [*reply.control_addresses, *addresses]
 
     def _ask(self, address: str) -> ttypes.JoinReply | None:
-        connection = thrift_client.Connection(
-            address=address,
-            service_name=_SERVICE_NAME,
-            client_class=Formation.Client,
-        )
-        try:
-            return connection.call(
-                "join",
-                ttypes.JoinRequest(member=self._member),
-                timeout_s=_TIMEOUT_S,
-            )
-        except (errors.TransportError, Thrift.TException) as error:
-            logs.event("join_waits", level="DEBUG", at=address, reason=error)
-            return None
-        finally:
-            connection.close()
+        request = ttypes.JoinRequest(member=self._member)
+        return formation_calls.call(address, "join", request)
 
 
 def _holds(replica: replica_module.Replica, member: ttypes.Member) -> bool:
--- /dev/null
+++ b/marigoldsill/coordination/discovery/view_exchange.py
@@ -0,0 +1,82 @@
+"""The task that exchanges views of the group with the seeds.
+
+Members do it in turn with the seeds that are no members: such a seed forgets the
+group when it restarts, and those who know nothing but their seeds ask there.
+"""
+
+from collections.abc import Sequence
+import threading
+
+from marigoldsill.coordination.discovery import directory as directory_module
+from marigoldsill.coordination.discovery import formation_calls
+
+# A seed that restarts knows of no group for so long; agents keep their workers'
+# leases 7 s without a leader.
+_MEMBER_INTERVAL_S = 1.0
+# While nothing is known a process is of no use to anybody.
+_SEARCH_INTERVAL_S = 0.3
+# Others ask leaders all the time; this is for members replaced unnoticed.
+_REFRESH_INTERVAL_S = 5.0
+
+
+class ViewExchange:
+    """Exchanges views until it is stopped."""
+
+    def __init__(
+        self,
+        *,
+        directory: directory_module.Directory,
+        own_address: str,
+        seed_addresses: Sequence[str],
+    ):
+        self._directory = directory
+        self._own_address = own_address
+        self._seeds = tuple(seed_addresses)
+        self._wake = threading.Event()
+        self._stopping = False
+
+    def run(self) -> None:
+        """Exchanges in turn until `stop`."""
+        while not self._stopping:
+            self.look()
+            self._wake.wait(self._interval_s())
+            self._wake.clear()
+
+    def look(self) -> None:
+        """Exchanges views once with each seed that has use for it."""
+        for address in self._partners():
+            if self._stopping:
+                return
+            view = formation_calls.call(
+                address, "exchange_views", self._directory.view()
+            )
+            if view is not None:
+                self._directory.take(view, teller=address)
+
+    def reseed(self, seed_addresses: Sequence[str]) -> None:
+        """Takes other seeds than at the start, at once."""
+        self._seeds = tuple(seed_addresses)
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Leaves off."""
+        self._stopping = True
+        self._wake.set()
+
+    def _partners(self) -> list[str]:
+        others = [a for a in self._seeds if a != self._own_address]
+        if not self._is_member():
+            return others
+        # Members know each other by the log.
+        members = self._directory.view().addresses
+        return [a for a in others if a not in members]
+
+    def _is_member(self) -> bool:
+        return self._own_address in self._directory.view().addresses
+
+    def _interval_s(self) -> float:
+        if self._is_member():
+            return _MEMBER_INTERVAL_S
+        if self._directory.view().term:
+            return _REFRESH_INTERVAL_S
+        return _SEARCH_INTERVAL_S
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -43,6 +43,7 @@
         lease_ms: int,
         settled: Callable[[], bool] = lambda: True,
         on_change: Callable[[], None] = lambda: None,
+        refer: Callable[[], str] = lambda: "",
     ):
         """Answers from a replica.
 
@@ -52,7 +53,10 @@
             settled: Whether the group has the members that it waits for
                 before it accepts anything.
             on_change: Called when there may be something to decide.
+            refer: Whom to ask instead while the replica knows no leader;
+                empty if nobody is known.
         """
+        self._refer = refer
         self._replica = replica
         self._settled = settled
         self._on_change = on_change
@@ -257,7 +261,7 @@
 
     def _require_leader(self, *, settled: bool = False) -> None:
         if not self._replica.is_leader:
-            raise leadership.not_leader(self._replica)
+            raise leadership.not_leader(self._replica, refer=self._refer)
         self.become_leader()
         if settled and not self._settled():
             raise ttypes.NoQuorum()
--- a/marigoldsill/coordination/leadership/leadership.py
+++ b/marigoldsill/coordination/leadership/leadership.py
@@ -1,5 +1,7 @@
 """Checks that this process leads, for those who ask it something."""
 
+from collections.abc import Callable
+
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.protocol.generated import ttypes
@@ -22,11 +24,19 @@
     )
 
 
-def not_leader(replica: replica_module.Replica) -> ttypes.NotLeader:
-    """What another process is told that asked this one as leader."""
+def not_leader(
+    replica: replica_module.Replica, *, refer: Callable[[], str] = lambda: ""
+) -> ttypes.NotLeader:
+    """What another process is told that asked this one as leader.
+
+    Args:
+        replica: This process's.
+        refer: Whom to ask while the replica knows no leader: a process that
+            is not taken in yet may have heard of one; empty if not.
+    """
     leader = replica.leader
     return ttypes.NotLeader(
-        leader_address=leader.address if leader else "",
+        leader_address=leader.address if leader else refer(),
         leader_http_address=leader.http_address if leader else "",
     )
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -824,6 +824,14 @@
 struct JoinRequest { 1: Member member }
 struct JoinReply { 1: bool may_found = false, 2: list<string> control_addresses = [] }
 
+/** Where the group is, as far as a process knows; the newest one counts. */
+struct GroupView {
+  1: i64 term = 0,                  // 0: nothing is known
+  2: i64 members_index = 0,         // log index of the latest change of members
+  3: list<string> addresses = [],   // of all members
+  4: string leader_address = ""     // empty: not known
+}
+
 service Control {
   HeartbeatReply heartbeat(1: Heartbeat heartbeat) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
   WatchReply watch(1: WatchRequest request) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
@@ -841,7 +849,9 @@
 
 /** What control processes and entries ask each other to find the group. */
 service Formation {
-  JoinReply join(1: JoinRequest request)
+  JoinReply join(1: JoinRequest request),
+  /** Each side tells what it knows; both keep the newer. */
+  GroupView exchange_views(1: GroupView view)
 }
 
 // ------------------------------------------------- entries to agents
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -1,7 +1,7 @@
 """A process that may keep a copy of the state: forming, joining, serving.
 
-With a data folder it is one member of the group. Without one it only tells
-others where the group is.
+With a data folder it is one member of the group. Without one, and until it is
+one, it only tells others where the group is.
 """
 
 from collections.abc import Sequence
@@ -10,11 +10,16 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination.agreement import joining
 from marigoldsill.coordination.agreement import peers
 from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.discovery import directory as directory_module
+from marigoldsill.coordination.discovery import formation_calls
+from marigoldsill.coordination.discovery import joining
+from marigoldsill.coordination.discovery import referral
+from marigoldsill.coordination.discovery import view_exchange
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol import adviser as adviser_module
 from marigoldsill.protocol.generated import Control as ControlThrift
 from marigoldsill.protocol.generated import Formation as FormationThrift
@@ -24,6 +29,8 @@
 from marigoldsill.transport import thrift_server
 
 _CONNECTIONS_COUNT = 1024
+# Joining, or waiting for space on the disk, and the exchange of views.
+_TASKS_COUNT = 2
 # Long enough for a machine that is cut off or frozen some seconds to keep its
 # work, short enough to move the work of one that is lost.
 _LEASE_MS = 7_000
@@ -76,25 +83,47 @@
         self._adviser = adviser
         self._replica: replica_module.Replica | None = None
         self._scheduler: scheduler_module.JobScheduler | None = None
+        self._directory = directory_module.Directory(
+            own_address=address, own_view=self._own_view
+        )
+        self._view_exchange = view_exchange.ViewExchange(
+            directory=self._directory,
+            own_address=address,
+            seed_addresses=seed_addresses,
+        )
         self._joining = joining.Joining(
             member=self._member,
             data_folder=data_folder,
             founder_address=founder_address,
             seed_addresses=seed_addresses,
+            directory=self._directory,
         )
         self._thrift = thrift_server.ThriftServer(
             address=address, connections_count=_CONNECTIONS_COUNT, name=name
         )
-        self._thrift.add("formation", FormationThrift.Processor(self._joining))
-        self._pool = futures.ThreadPoolExecutor(1, "joining")
+        self._thrift.add(
+            formation_calls.SERVICE_NAME,
+            FormationThrift.Processor(self._joining),
+        )
+        # Agents and entries that know this process as a seed ask it as control,
+        # whether it keeps state or not.
+        self._thrift.add(
+            control_link.SERVICE_NAME,
+            ControlThrift.Processor(
+                referral.Referral(
+                    control_address=self._directory.control_address
+                )
+            ),
+        )
+        self._pool = futures.ThreadPoolExecutor(_TASKS_COUNT, "joining")
         self._stopping = threading.Event()
 
     def start(self) -> None:
         """Begins to take part."""
+        self._thrift.start()
+        self._pool.submit(self._view_exchange.run)
         if not self._data_folder:
-            self._thrift.start()
             return
-        self._thrift.start()
         if disk_space.takes_writes(self._data_folder):
             self._open()
             return
@@ -135,8 +164,11 @@
             lease_ms=_LEASE_MS,
             settled=self._is_settled,
             on_change=self._scheduler.wake,
+            refer=self._directory.control_address,
+        )
+        self._thrift.add(
+            control_link.SERVICE_NAME, ControlThrift.Processor(service)
         )
-        self._thrift.add("control", ControlThrift.Processor(service))
         self._thrift.add(peers.SERVICE_NAME, replica.processor)
         self._joining.replica = replica
         replica.start()
@@ -146,17 +178,24 @@
     def reseed(self, seed_addresses: Sequence[str]) -> None:
         """Takes other seeds than at the start."""
         self._joining.reseed(seed_addresses)
+        self._view_exchange.reseed(seed_addresses)
 
     def stop(self) -> None:
         """Leaves off; the state on disk stays as it is."""
         self._stopping.set()
         self._joining.stop()
+        self._view_exchange.stop()
         if self._scheduler is not None:
             self._scheduler.stop()
         self._thrift.stop()
         if self._replica is not None:
             self._replica.stop()
 
+    def _own_view(self) -> ttypes.GroupView:
+        if self._replica is None:
+            return ttypes.GroupView(addresses=[])
+        return self._replica.view()
+
     def _is_settled(self) -> bool:
         voters = [m for m in self._replica.tables.members if m.voter]
         return (
--- /dev/null
+++ b/tests/coordination/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room discovery."""
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -25,6 +25,7 @@
 )
 _ROOMS = (
     "agreement",
+    "discovery",
     "leadership",
     "configuration",
     "requests",
