Show that a member's own entry serves nobody while all seeds are down: a failing test

The same cause elsewhere: an entry asks its seeds only, though its own process may be a member that leads.

--- a/tests/platform/test_seeds.py
+++ b/tests/platform/test_seeds.py
@@ -130,3 +130,12 @@
     other = next(e for e in system.edges()[:3] if e != lost)
     system.power_off(other)
     _wait_until_served(system, _JOB)
+
+
+def test_an_entry_of_a_member_finds_the_group_while_all_seeds_are_down(
+    system: system_module.System,
+) -> None:
+    _turn_seeds(system, "edge-4", "edge-5", "edge-6")
+    system.power_off("edge-4", "edge-5", "edge-6")
+    _lose_power(system, "edge-1", "edge-2", "edge-3")
+    _wait_until_served(system, _JOB)
