Share one set of control addresses among all links of a process; ask the own process too

An entry asked seeds only, though its own process may lead. An agent's reports went by seeds only, while its orders went by the members that a leader told: with all seeds down it got orders and lost its lease. A link of an entry in use while seeds changed kept the old ones for good (found by reading).

Change: ControlAddresses, shared by all links of a process, takes seeds and members; an entry looks in its own process after its seeds. The links of the product's own entries and agents take it unchanged.

One failure while writing: 'the new seeds read did not hold', traced in the logs: an edge that was still starting had read the changed file at its start, so it never reloaded; the test waits until all have started now.

Conclusion: a test of links that learn together holds it.

--- a/marigoldsill/coordination/configuration/subscriber.py
+++ b/marigoldsill/coordination/configuration/subscriber.py
@@ -12,6 +12,9 @@
 from marigoldsill.coordination.configuration import (
     configuration as configuration_module,
 )
+from marigoldsill.coordination.leadership import (
+    control_addresses as control_addresses_module,
+)
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
@@ -58,7 +61,10 @@
         self._on_reply = on_reply
         self._clock_s = clock_s
         self._link = control_link.ControlLink(
-            addresses=control_addresses, cut_switch=cut_switch
+            addresses=control_addresses_module.ControlAddresses(
+                control_addresses
+            ),
+            cut_switch=cut_switch,
         )
         self._list_term = 0
         self._list_version = 0
--- a/marigoldsill/coordination/job_agent/order_watch.py
+++ b/marigoldsill/coordination/job_agent/order_watch.py
@@ -2,6 +2,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import dependency_log
@@ -21,7 +22,17 @@
         agent: str,
         state: agent_state.AgentState,
         link: control_link.ControlLink,
+        addresses: control_addresses.ControlAddresses,
     ):
+        """Prepares to watch.
+
+        Args:
+            agent: This agent's name.
+            state: Takes the orders.
+            link: The way to the leader.
+            addresses: Takes the members that the leader names.
+        """
+        self._addresses = addresses
         self._agent = agent
         self._state = state
         self._link = link
@@ -50,6 +61,6 @@
                 continue
             self._dependency.answered()
             if state.take_orders(reply):
-                self._link.learn(reply.control_addresses)
+                self._addresses.learn(reply.control_addresses)
             else:
                 self._link.look_elsewhere()
--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -5,7 +5,6 @@
 caller is told while it still has time to ask another process.
 """
 
-from collections.abc import Sequence
 import contextlib
 import dataclasses
 import threading
@@ -13,6 +12,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import job_metrics
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
@@ -44,8 +44,13 @@
 class JobClient:
     """Calls the leader on a few kept links."""
 
-    def __init__(self, *, control_addresses: Sequence[str]):
-        self._addresses = list(control_addresses)
+    def __init__(self, *, addresses: control_addresses.ControlAddresses):
+        """Prepares to call.
+
+        Args:
+            addresses: Where to look for the leader; may change meanwhile.
+        """
+        self._addresses = addresses
         self._lock = threading.Lock()
         self._idle: list[control_link.ControlLink] = []
         self._answered_s = 0.0
@@ -88,14 +93,6 @@
         """Reads the routing in force."""
         return self._call("routing", context=context)
 
-    def reseed(self, addresses: Sequence[str]) -> None:
-        """Takes other seeds than at the start."""
-        with self._lock:
-            self._addresses = list(addresses)
-            links = list(self._idle)
-        for link in links:
-            link.reseed(addresses)
-
     def close(self) -> None:
         """Closes the kept links."""
         with self._lock:
--- a/marigoldsill/coordination/leadership/__init__.py
+++ b/marigoldsill/coordination/leadership/__init__.py
@@ -9,6 +9,7 @@
     "audit_log",
     "changes",
     "commands",
+    "control_addresses",
     "control_link",
     "leadership",
     "leases",
--- a/marigoldsill/coordination/leadership/control_link.py
+++ b/marigoldsill/coordination/leadership/control_link.py
@@ -1,10 +1,10 @@
 """A process's way to the leader of control."""
 
-from collections.abc import Sequence
 import threading
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.protocol.generated import Control
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import cuts
@@ -23,13 +23,18 @@
     def __init__(
         self,
         *,
-        addresses: Sequence[str],
+        addresses: control_addresses.ControlAddresses,
         cut_switch: cuts.Cuts | None = None,
     ):
-        self._seeds = tuple(addresses)
-        self._members: tuple[str, ...] = ()
+        """Takes a way that is not open yet.
+
+        Args:
+            addresses: Where to look; may change meanwhile.
+            cut_switch: Network cuts, for tests.
+        """
+        self._addresses = addresses
         self._cuts = cut_switch
-        self._current = self._seeds[0]
+        self._current = addresses.all()[0]
         self._lock = threading.Lock()
         self._connection: thrift_client.Connection | None = None
 
@@ -48,19 +53,6 @@
         with self._lock:
             return self._call(method, requests, timeout_s)
 
-    def learn(self, members: Sequence[str]) -> None:
-        """Takes the addresses of all members, as a leader told them.
-
-        The seeds are kept: a group that is just forming names few of those
-        that will belong to it.
-        """
-        self._members = tuple(members)
-
-    def reseed(self, addresses: Sequence[str]) -> None:
-        """Takes other seeds than at the start."""
-        if addresses:
-            self._seeds = tuple(addresses)
-
     def look_elsewhere(self) -> None:
         """Asks another process next: this one is no leader any more."""
         with self._lock:
@@ -74,7 +66,7 @@
     def _call(
         self, method: str, requests: tuple[object, ...], timeout_s: float
     ) -> object:
-        tries = _TRIES_PER_ADDRESS * len(self._addresses)
+        tries = _TRIES_PER_ADDRESS * len(self._addresses.all())
         end_s = time.monotonic() + timeout_s
         for _ in range(tries):
             left_s = end_s - time.monotonic()
@@ -95,7 +87,7 @@
                 if error.sent:
                     raise errors.UnknownOutcomeError(error.message) from error
         raise errors.NoQuorumError(
-            f"no leader of control found at {', '.join(self._addresses)}",
+            f"no leader of control found at {', '.join(self._addresses.all())}",
             retry_after_ms=500,
         )
 
@@ -115,13 +107,8 @@
         self._connection = None
         self._current = address
 
-    @property
-    def _addresses(self) -> list[str]:
-        """Every address known, each once, members first."""
-        return list(dict.fromkeys((*self._members, *self._seeds)))
-
     def _next_address(self) -> str:
-        addresses = self._addresses
+        addresses = self._addresses.all()
         if self._current not in addresses:
             return addresses[0]
         position = addresses.index(self._current)
--- a/marigoldsill/coordination/requests/claims_client.py
+++ b/marigoldsill/coordination/requests/claims_client.py
@@ -12,6 +12,9 @@
 import uuid
 
 from marigoldsill import errors
+from marigoldsill.coordination.leadership import (
+    control_addresses as control_addresses_module,
+)
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.requests import attempts
 from marigoldsill.coordination.requests import request_metrics
@@ -72,7 +75,10 @@
         for _ in range(_LINKS_COUNT):
             self._links.put(
                 control_link.ControlLink(
-                    addresses=control_addresses, cut_switch=cut_switch
+                    addresses=control_addresses_module.ControlAddresses(
+                        control_addresses
+                    ),
+                    cut_switch=cut_switch,
                 )
             )
         self._no_quorum_until_s = 0.0
--- a/marigoldsill/coordination/runs/heartbeat_sender.py
+++ b/marigoldsill/coordination/runs/heartbeat_sender.py
@@ -9,6 +9,9 @@
 import prometheus_client
 
 from marigoldsill import errors
+from marigoldsill.coordination.leadership import (
+    control_addresses as control_addresses_module,
+)
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.runs import lease_renewer
 from marigoldsill.coordination.runs import run_keeper
@@ -63,7 +66,10 @@
         self._describe_worker = describe_worker
         self._endpoints = endpoints
         self._link = control_link.ControlLink(
-            addresses=control_addresses, cut_switch=cut_switch
+            addresses=control_addresses_module.ControlAddresses(
+                control_addresses
+            ),
+            cut_switch=cut_switch,
         )
         self._incarnation = time.time_ns()
         self._sequence = 0
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -3,6 +3,7 @@
 from werkzeug import wrappers
 
 from marigoldsill.coordination.jobs import client as job_client
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.platform import adviser_client
 from marigoldsill.platform import callers
 from marigoldsill.platform import http_apps
@@ -36,9 +37,10 @@
             job_kept_s=settings.job_kept_s,
             adviser=_adviser(settings),
         )
-        self._client = job_client.JobClient(
-            control_addresses=settings.seed_addresses
+        self._control_addresses = control_addresses.ControlAddresses(
+            _seeds_and_self(settings)
         )
+        self._client = job_client.JobClient(addresses=self._control_addresses)
         self._stopping = False
         self._servers = [
             self._server(
@@ -79,7 +81,7 @@
 
     def reload(self, settings: settings_file.PlatformSettings) -> None:
         """Takes other settings; only the seeds may change while it runs."""
-        self._client.reseed(settings.seed_addresses)
+        self._control_addresses.reseed(_seeds_and_self(settings))
         self._node.reseed(settings.seed_addresses)
 
     def _server(
@@ -101,6 +103,16 @@
                 raise http_apps.nothing_here(request)
 
 
+def _seeds_and_self(
+    settings: settings_file.PlatformSettings,
+) -> list[str]:
+    """Whom an entry asks for the leader: seeds, then its own process.
+
+    That one may be a member, or know one, while no seed answers.
+    """
+    return [*settings.seed_addresses, settings.internal_address]
+
+
 def _adviser(
     settings: settings_file.PlatformSettings,
 ) -> adviser_client.PlatformAdviser | None:
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.job_agent import holder as holder_module
 from marigoldsill.coordination.job_agent import order_watch
 from marigoldsill.coordination.job_agent import reporter as reporter_module
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import settings_file
@@ -34,15 +35,21 @@
         self._executor = executor_module.Executor(
             state=self._state, worker=worker, holder=holder
         )
+        self._control_addresses = control_addresses.ControlAddresses(
+            settings.seed_addresses
+        )
         self._links = [
-            control_link.ControlLink(addresses=settings.seed_addresses)
+            control_link.ControlLink(addresses=self._control_addresses)
             for _ in range(2)
         ]
         reporter = reporter_module.Reporter(
             agent=settings.name, state=self._state, link=self._links[0]
         )
         watch = order_watch.OrderWatch(
-            agent=settings.name, state=self._state, link=self._links[1]
+            agent=settings.name,
+            state=self._state,
+            link=self._links[1],
+            addresses=self._control_addresses,
         )
         self._http = http_server.HttpServer(
             address=settings.control_address,
@@ -73,8 +80,7 @@
 
     def reload(self, settings: settings_file.PlatformSettings) -> None:
         """Takes other settings; only the seeds may change while it runs."""
-        for link in self._links:
-            link.reseed(settings.seed_addresses)
+        self._control_addresses.reseed(settings.seed_addresses)
 
 
 def _logged(task: Callable[[], None]) -> None:
--- a/tests/coordination/jobs/test_client.py
+++ b/tests/coordination/jobs/test_client.py
@@ -7,6 +7,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import client as client_module
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 from tests import one_process
@@ -16,7 +17,9 @@
 
 def test_a_caller_hears_at_once_when_no_leader_is_found_for_long() -> None:
     client = client_module.JobClient(
-        control_addresses=[one_process.free_address()]
+        addresses=control_addresses.ControlAddresses(
+            [one_process.free_address()]
+        )
     )
     deadline = deadlines.Deadline(time.monotonic() + _PATIENCE_S)
     with pytest.raises(errors.NoQuorumError) as caught:
@@ -33,7 +36,7 @@
     with socket.create_server(("127.0.0.1", 0)) as silent:
         port = silent.getsockname()[1]
         client = client_module.JobClient(
-            control_addresses=[f"127.0.0.1:{port}"]
+            addresses=control_addresses.ControlAddresses([f"127.0.0.1:{port}"])
         )
         deadline = deadlines.Deadline(time.monotonic() + _PATIENCE_S)
         with pytest.raises(errors.UnknownOutcomeError):
--- a/tests/coordination/leadership/test_control_link.py
+++ b/tests/coordination/leadership/test_control_link.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import Control
 from marigoldsill.protocol.generated import ttypes
@@ -50,42 +51,62 @@
     return server.address
 
 
+def _link(
+    *seeds: str,
+) -> tuple[control_addresses.ControlAddresses, control_link.ControlLink]:
+    known = control_addresses.ControlAddresses(seeds)
+    return known, control_link.ControlLink(addresses=known)
+
+
 def _find(link: control_link.ControlLink) -> bytes:
     return link.call("routing", timeout_s=5.0).document
 
 
 def test_a_follower_names_the_leader(serve) -> None:
     leader = serve(_Leader())
-    link = control_link.ControlLink(addresses=[serve(_Follower(leader))])
+    _, link = _link(serve(_Follower(leader)))
     assert _find(link) == b"found"
 
 
 def test_a_follower_that_knows_no_leader_is_passed_over(serve) -> None:
     follower, leader = serve(_Follower("")), serve(_Leader())
-    link = control_link.ControlLink(addresses=[follower, leader])
+    _, link = _link(follower, leader)
     assert _find(link) == b"found"
 
 
 def test_seeds_are_tried_when_all_members_told_are_gone(serve) -> None:
     gone, seed = _gone(serve), serve(_Leader())
-    link = control_link.ControlLink(addresses=[gone, seed])
-    link.learn([gone])
+    known, link = _link(gone, seed)
+    known.learn([gone])
     assert _find(link) == b"found"
 
 
 def test_members_are_tried_when_all_seeds_are_gone(serve) -> None:
-    link = control_link.ControlLink(addresses=[_gone(serve)])
-    link.learn([serve(_Leader())])
+    known, link = _link(_gone(serve))
+    known.learn([serve(_Leader())])
     assert _find(link) == b"found"
 
 
 def test_other_seeds_count_from_then_on(serve) -> None:
-    link = control_link.ControlLink(addresses=[_gone(serve)])
-    link.reseed([serve(_Leader())])
+    known, link = _link(_gone(serve))
+    known.reseed([serve(_Leader())])
     assert _find(link) == b"found"
 
 
 def test_nothing_was_done_where_nobody_answers(serve) -> None:
-    link = control_link.ControlLink(addresses=[_gone(serve)])
+    _, link = _link(_gone(serve))
     with pytest.raises(errors.NoQuorumError):
         _find(link)
+
+
+def test_all_links_of_a_process_learn_of_the_members_at_once(serve) -> None:
+    """An agent whose reports found nobody lost its runs while orders came.
+
+    Only the link that asked for orders was told the members; once the seeds were
+    gone, the one that reports found no leader, and the agent's lease ran out. A
+    link in use while the seeds changed kept the old ones as well.
+    """
+    known, first = _link(_gone(serve))
+    second = control_link.ControlLink(addresses=known)
+    known.learn([serve(_Leader())])
+    assert _find(first) == _find(second) == b"found"
--- a/tests/platform/test_seeds.py
+++ b/tests/platform/test_seeds.py
@@ -60,6 +60,9 @@
 
 def _turn_seeds(system: system_module.System, *names: str) -> None:
     """Changes the seeds and waits until every process has read them."""
+    for _, process in _running(system):
+        # One that is still starting would begin with the new ones.
+        process.wait_for("event=started")
     seen = {n: p.text().count("reloaded") for n, p in _running(system)}
     system.change_seeds(*names)
     one_process.wait_until(
