Note silent agents in the log, so that each leader need not wait for a whole lease

Cause: when an agent was last heard only its leader knew, in memory. Each new leader took all leases as live for a whole lease from its election, so with leaders that ended every 5 s the tasks of a lost worker were never granted again.

Change: an agent with runs whose lease was not renewed for 2.5 s is noted in the log. No leader renews such a lease before a note that it is heard again is committed; so each process may count the lease's end from when it first applied the note. The leader that proposes the note stops renewing first, and a renewal that races with a second note loses (suspensions are numbered).

Conclusion: a cut of more than 2.5 s costs one commit more on return.

--- a/marigoldsill/coordination/jobs/reports.py
+++ b/marigoldsill/coordination/jobs/reports.py
@@ -12,6 +12,7 @@
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
+from marigoldsill.transport import logs
 
 
 class Reports:
@@ -63,11 +64,24 @@
         view = self._agents.get(report.agent)
         reply.resend_worker = view is not None and view.worker is None
         if not report.worker_silent and not reply.resend_worker:
+            self._note_heard(report.agent)
             self._grant(report.agent, reply)
         if report.worker is not None:
             self._on_change()
         return reply
 
+    def _note_heard(self, agent: str) -> None:
+        """Ends a silence in the log, so that a lease may be granted again."""
+        with self._replica.lock:
+            is_silent = agent in self._replica.tables.jobs.silent_agents
+            suspension = self._leases.suspension(agent)
+        if self._leases.is_closed(agent) or not (is_silent or suspension):
+            return
+        self._propose(note_silence=ttypes.NoteSilence(silent=[], heard=[agent]))
+        # Another note of silence may be on its way to the log by now.
+        self._leases.resume(agent, suspension=suspension)
+        logs.event("agent_heard", agent=agent)
+
     def _grant(self, agent: str, reply: ttypes.AgentReply) -> None:
         with self._replica.lock:
             if not self._replica.is_leader or self._replica.term != reply.term:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import learnt_log
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import silences as silences_module
 from marigoldsill.coordination.jobs import ticketing
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.leadership import commands
@@ -256,7 +257,9 @@
     def _end_lost(self) -> None:
         with self._replica.lock:
             term = self._service.led_term
-            runs_by_agent = self._replica.tables.jobs.runs_by_agent
+            jobs = self._replica.tables.jobs
+            runs_by_agent = jobs.runs_by_agent
+            note = silences_module.due(self._service.leases, jobs)
             lost = [
                 ttypes.RunEnd(
                     task=task,
@@ -265,9 +268,13 @@
                     detail=f"the lease of {agent} ran out",
                 )
                 for agent in list(runs_by_agent)
-                if self._service.leases.expired(agent)
+                if self._service.leases.expired(
+                    agent, bound_s=self._service.silences.bound_s(agent)
+                )
                 for task, run in runs_by_agent[agent]
             ]
+        if note is not None:
+            self._service.propose(note_silence=note)
         if not lost:
             return
         logs.event(
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
+from marigoldsill.coordination.jobs import silences as silences_module
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
@@ -32,6 +33,7 @@
         leases: Leases that this process gave as leader.
         orders: Orders of this term.
         sharing: What was learnt in this term of tasks on one worker.
+        silences: Agents that the log says are silent.
         hub: Where agents wait for orders.
         led_term: The last term that it led.
     """
@@ -68,6 +70,9 @@
         self.orders = orders_module.Orders()
         self.sharing = sharing_module.Sharing()
         self.hub = watch_hub.WatchHub()
+        self.silences = silences_module.Silences(
+            replica=replica, lease_ms=lease_ms
+        )
         self._events = job_events.JobEvents()
         self._queues = queues_module.QueueIndex()
         self._reports = reports_module.Reports(
@@ -250,6 +255,7 @@
 
     def _on_applied(self, command: ttypes.Command) -> None:
         jobs = self._replica.tables.jobs
+        self.silences.take(command)
         agents = jobs.take_touched_agents()
         if self.led_term != self._replica.term:
             # Not a leader's; becoming one works everything out anew.
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -489,6 +489,9 @@
 }
 
 /** One log entry's content: exactly one body is set. */
+/** Agents that a leader has not heard for a while, and that are heard again. */
+struct NoteSilence { 1: list<string> silent = [], 2: list<string> heard = [] }
+
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
   2: i64 proposed_unix_ms = 0,
@@ -512,7 +515,8 @@
   64: optional RecordRunEnds record_run_ends,
   65: optional BeginOccurrences begin_occurrences,
   66: optional ForgetJobs forget_jobs,
-  67: optional RecordLearnt record_learnt
+  67: optional RecordLearnt record_learnt,
+  68: optional NoteSilence note_silence
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
@@ -957,7 +961,8 @@
   53: i64 config_version = 0,
   60: Routing routing,
   61: list<JobRecord> jobs = [],
-  62: optional RecordLearnt learnt
+  62: optional RecordLearnt learnt,
+  63: list<string> silent_agents = []
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -4,6 +4,7 @@
 are changed in place, under the lock of the replica.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
@@ -49,6 +50,8 @@
         touched_agents: Agents whose runs changed since `take_touched_agents`.
         touched_jobs: Jobs that changed since `take_touched_jobs`.
         learnt: What leaders have learnt of run times and disturbances.
+        silent_agents: Agents with runs whose lease no leader renews before
+            it has recorded that they are heard again.
     """
 
     def __init__(self):
@@ -60,6 +63,7 @@
         self.touched_agents: set[str] = set()
         self.touched_jobs: set[str] = set()
         self.learnt = learnt_module.Learnt()
+        self.silent_agents: set[str] = set()
 
     def set_routing(self, routing: ttypes.Routing) -> None:
         """Brings a routing into force."""
@@ -114,8 +118,17 @@
         runs.pop((task, run.run), None)
         if not runs:
             self.runs_by_agent.pop(run.agent, None)
+            self.silent_agents.discard(run.agent)
         self.touched_agents.add(run.agent)
 
+    def note_silence(self, silent: Iterable[str], heard: Iterable[str]) -> None:
+        """Notes agents that fell silent or are heard again.
+
+        Only those with runs matter: of others no lease has to end.
+        """
+        self.silent_agents.update(a for a in silent if a in self.runs_by_agent)
+        self.silent_agents.difference_update(heard)
+
     def take_touched_agents(self) -> set[str]:
         """The agents whose runs changed since the last call."""
         touched, self.touched_agents = self.touched_agents, set()
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -38,6 +38,7 @@
     "begin_occurrences",
     "forget_jobs",
     "record_learnt",
+    "note_silence",
 )
 _OPERATOR_BODIES = (
     ttypes.RecordPlan,
@@ -125,6 +126,9 @@
         case ttypes.RecordLearnt() as learnt:
             tables.jobs.learnt.take(learnt)
             return _ok(tables)
+        case ttypes.NoteSilence(silent=silent, heard=heard):
+            tables.jobs.note_silence(silent, heard)
+            return _ok(tables)
         case _:
             return _ok(tables)
 
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -239,6 +239,7 @@
                 routing=self.jobs.routing,
                 jobs=list(self.jobs.jobs.values()),
                 learnt=self.jobs.learnt.record(),
+                silent_agents=sorted(self.jobs.silent_agents),
             )
         )
 
@@ -287,6 +288,7 @@
             tables.jobs.put(job)
         if snapshot.learnt is not None:
             tables.jobs.learnt.take(snapshot.learnt)
+        tables.jobs.note_silence(snapshot.silent_agents, ())
         tables.touched_workers = set(
             itertools.chain(tables.workers, tables.tasks_by_worker)
         )
