Show what heartbeats of other writers do to a worker that lives

These tests fail. Decoder (tests/platform/test_decoders.py): a heartbeat is taken that lacks its state, zone, labels, capacity, sequence, slots, version or address, one with another state than ready or draining, with an empty service, with an id that is empty or that no header can carry, and one whose megabytes make more bytes than a report can hold (a job's step too).

The heartbeat that the decoder's tests start from is a whole one now, with address, version and slots, as workers send it and as the stand-in does; what the tests assert of it is as it was, and more. The stand-in can leave its heartbeats out, as between two rare ones.

--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -43,6 +43,7 @@
         starts_fail: Everything fails as soon as it was started.
         stalls: What runs makes no progress.
         silent: Nothing is answered or announced.
+        unannounced: Nothing is announced, as between two rare heartbeats.
     """
 
     unanswered: set[str] = dataclasses.field(default_factory=set)
@@ -51,6 +52,7 @@
     starts_fail: bool = False
     stalls: bool = False
     silent: bool = False
+    unannounced: bool = False
 
 
 class _RefusedError(Exception):
@@ -277,7 +279,7 @@
 
     def _announce_forever(self) -> None:
         while not self._stopping.wait(_BEAT_S):
-            if self.faults.silent:
+            if self.faults.silent or self.faults.unannounced:
                 continue
             try:
                 self._announce()
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -113,16 +113,16 @@
 
     def start_side(self, name: str, *, cpu_millicores: int = 8000) -> None:
         """Starts an agent, and its worker unless that runs already."""
-        number = int(name.rpartition("-")[2])
-        ip = f"{self._block}.{100 + number}"
-        control, app = f"{ip}:{_CONTROL_PORT}", f"{ip}:{_WORKER_PORT}"
+        control = self.side_address(name)
+        ip = control.rpartition(":")[0]
+        app = f"{ip}:{_WORKER_PORT}"
         if name not in self.workers:
             worker = pool_worker.PoolWorker(
                 address=app,
                 control_address=self._reach(control),
                 pool=POOL,
                 data_centre="z1",
-                labels=["a", f"r1-{number}"],
+                labels=["a", f"r1-{_number(name)}"],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
             )
@@ -142,6 +142,10 @@
         """Where an edge process serves callers."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
+    def side_address(self, name: str) -> str:
+        """Where an agent hears of its worker."""
+        return f"{self._block}.{100 + _number(name)}:{_CONTROL_PORT}"
+
     def power_off(self, *names: str) -> None:
         """Kills processes; their folders stay."""
         for name in names:
@@ -300,6 +304,11 @@
         )
 
 
+def _number(name: str) -> int:
+    """The number at the end of a process's name."""
+    return int(name.rpartition("-")[2])
+
+
 def configuration(
     version: int, *, routes: list[dict] | None = None, **fields: object
 ) -> dict[str, object]:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -11,6 +11,7 @@
 from marigoldsill.platform import routing_bodies
 from marigoldsill.platform import settings_file
 from marigoldsill.platform import worker_bodies
+from marigoldsill.protocol import codec
 
 _SCALARS = (
     strategies.none()
@@ -89,7 +90,10 @@
 }
 _BEAT = {
     "service": "s",
+    "address": "127.0.0.1:8080",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
     "labels": ["a", "r1"],
     "capacity": {"cpu": 1000, "mem_mb": 64, "gpu": 0},
@@ -132,6 +136,130 @@
     except errors.BadInputError:
         return
     assert said.worker.worker_id == "i-1"
+    assert said.worker.pool
+    assert said.worker.rack
+    codec.encode(said.worker)
+
+
+@hypothesis.given(field=strategies.sampled_from(sorted(_BEAT)), value=_VALUES)
+def test_one_field_of_a_heartbeat_may_hold_anything(
+    field: str, value: object
+) -> None:
+    body = _bytes_of(_BEAT | {field: value})
+    try:
+        said = worker_bodies.decode_announcement(body, worker_id="i-1")
+    except errors.BadInputError:
+        return
+    codec.encode(said.worker)
+
+
+@hypothesis.given(strategies.binary(max_size=60))
+def test_any_bytes_as_a_heartbeat_are_refused(body: bytes) -> None:
+    with pytest.raises(errors.BadInputError):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+
+
+@hypothesis.given(strategies.text(max_size=300))
+def test_any_id_of_a_worker_can_be_sent_back_to_it(worker_id: str) -> None:
+    try:
+        said = worker_bodies.decode_announcement(
+            _bytes_of(_BEAT), worker_id=worker_id
+        )
+    except errors.BadInputError:
+        return
+    text = said.worker.worker_id
+    assert text
+    assert text.isascii()
+    assert text.isprintable()
+    assert " " not in text
+
+
+@pytest.mark.parametrize("field", sorted(_BEAT))
+def test_a_heartbeat_that_lacks_a_field_is_refused(field: str) -> None:
+    """Another writer's heartbeat could turn a worker that lives into another.
+
+    What users would see: tasks stop to be placed on a sound worker, or are
+    placed on one that has no room. Another writer sends a heartbeat under the
+    worker's id that lacks fields. Each one that was missing had a default, so
+    it was read as a worker with no rack, no room and a state of "ready".
+    """
+    body = _bytes_of({k: v for k, v in _BEAT.items() if k != field})
+    with pytest.raises(errors.BadInputError, match=field):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+
+
+@pytest.mark.parametrize("field", ["cpu", "mem_mb", "gpu"])
+def test_a_heartbeat_whose_capacity_lacks_a_field_is_refused(
+    field: str,
+) -> None:
+    capacity = {k: v for k, v in _BEAT["capacity"].items() if k != field}
+    body = _bytes_of(_BEAT | {"capacity": capacity})
+    with pytest.raises(errors.BadInputError, match=field):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "leaving"),
+        ("state", ""),
+        ("service", ""),
+        ("zone", ""),
+        ("address", ""),
+        ("version", 1),
+        ("slots", -1),
+        ("sequence", -1),
+        ("sequence", 1 << 60),
+        ("labels", []),
+        ("labels", ["a"]),
+        ("labels", ["a", ""]),
+        ("capacity", [1, 2, 3]),
+    ],
+)
+def test_a_heartbeat_with_a_value_that_means_nothing_is_refused(
+    field: str, value: object
+) -> None:
+    """A worker in no state that is known counted as ready.
+
+    What users would see: tasks are placed on a worker that takes none. Cause:
+    whatever was not "draining" was read as "ready".
+    """
+    body = _bytes_of(_BEAT | {field: value})
+    with pytest.raises(errors.BadInputError, match=field):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+
+
+@pytest.mark.parametrize(
+    "worker_id", ["", "i 1", "i\n1", "i/1", "\u00e9", "\ufffd", "i" * 1_000]
+)
+def test_an_id_that_names_no_worker_is_refused(worker_id: str) -> None:
+    """One heartbeat with an odd id ended the task that keeps leases alive.
+
+    What users would see: everything on a sound worker is killed some seconds
+    later, and nothing starts there until its agent is started again. Another
+    writer sends a heartbeat without an id, or with one that no header can
+    carry. The empty id ended the holder's loop, and for the other the call to
+    the worker raised an error that nobody expected.
+    """
+    with pytest.raises(errors.BadInputError, match="id"):
+        worker_bodies.decode_announcement(_bytes_of(_BEAT), worker_id=worker_id)
+
+
+@pytest.mark.parametrize("mem_mb", [1 << 44, 1 << 53])
+def test_memory_that_cant_be_sent_on_is_refused(mem_mb: int) -> None:
+    """A heartbeat with absurd memory ended the task that reports.
+
+    What users would see: the machine's lease runs out and everything on it is
+    killed. The megabytes were within bounds, but not the bytes that they make:
+    the report to the leader could not be written, which nobody expected.
+    """
+    capacity = _BEAT["capacity"] | {"mem_mb": mem_mb}
+    body = _bytes_of(_BEAT | {"capacity": capacity})
+    with pytest.raises(errors.BadInputError, match="mem_mb"):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+    steps = [{"count": 1, "mem_mb": mem_mb}]
+    with pytest.raises(errors.BadInputError, match="mem_mb"):
+        job_bodies.decode(_bytes_of({"spec": "x", "steps": steps}), job_id="j")
 
 
 @hypothesis.given(_like(_LISTING).map(_bytes_of))
