Refuse heartbeats that can be no worker's, and log them

Cause: each field of a heartbeat but the service had a default, so what another writer sent became a worker: in state "ready", without a rack or room. The id of the path was taken as it came: the empty one ended the holder's loop, others no header can carry. Megabytes were bounded, the bytes made of them were not.

Change: every field that workers send must be there and of its type, the state one of two, the id a word. remaining_ms stays optional while a worker drains: a worker that leaves is better heard without it. The answer is 400, one heartbeat_refused event tells path and reason, at most 200 a second as for every event. An agent reads bodies of up to 4 MiB. A job's step with absurd memory gets 400 too.

Duplicate keys stay allowed: such a body can be read, and its last values are checked like any others.

--- a/marigoldsill/platform/job_bodies.py
+++ b/marigoldsill/platform/job_bodies.py
@@ -11,6 +11,9 @@
 # member (measured with tracemalloc), so such a job takes 7 MB.
 _JOB_TASKS_LIMIT = 50_000
 _MEGABYTE = 1 << 20
+# In bytes, 2**53, as much as any other whole number here; a record holds less than
+# 2**63.
+_MEMORY_LIMIT_MB = 1 << 33
 
 STATE_WORDS = {
     ttypes.JobState.QUEUED: "queued",
@@ -95,11 +98,20 @@
     return earlier
 
 
-def resources(table: fields_module.Fields) -> ttypes.Resources:
-    """What a task asks for or a worker can hold."""
+def resources(
+    table: fields_module.Fields, *, required: bool = False
+) -> ttypes.Resources:
+    """What a task asks for or a worker can hold.
+
+    Args:
+        table: Where it stands.
+        required: Whether each field must be there.
+    """
+    default = None if required else 0
     return ttypes.Resources(
         # "cpu" is in thousandths of a core.
-        cpu_millicores=table.integer("cpu", default=0),
-        memory_bytes=table.integer("mem_mb", default=0) * _MEGABYTE,
-        accelerators_count=table.integer("gpu", default=0, high=1 << 20),
+        cpu_millicores=table.integer("cpu", default=default),
+        memory_bytes=_MEGABYTE
+        * table.integer("mem_mb", default=default, high=_MEMORY_LIMIT_MB),
+        accelerators_count=table.integer("gpu", default=default, high=1 << 20),
     )
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -18,6 +18,8 @@
 
 _HTTP_THREADS_COUNT = 8
 _TASKS_COUNT = 4
+# The most that a heartbeat may have, as the platform says.
+_BODY_LIMIT_BYTES = 4 << 20
 
 
 class Side:
@@ -50,6 +52,7 @@
                 workers.WorkersHttp(state=self._state).handle
             ),
             threads_count=_HTTP_THREADS_COUNT,
+            body_limit_bytes=_BODY_LIMIT_BYTES,
         )
         self._tasks = (holder.run, self._executor.run, reporter.run, watch.run)
         self._pool = futures.ThreadPoolExecutor(_TASKS_COUNT, "agent")
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -1,4 +1,11 @@
-"""What workers of the platform say of themselves and list."""
+"""What workers of the platform say of themselves and list.
+
+Heartbeats reach an agent without a proof of who wrote them. So each field must be
+there as workers send it, used here or not: what lacks one is no worker's, and no
+default may make a worker of it.
+"""
+
+import re
 
 from marigoldsill import errors
 from marigoldsill.platform import fields as fields_module
@@ -7,6 +14,13 @@
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
+# An id is sent back to the worker in a header, and is a word of our logs. Workers'
+# ids have about 10 characters.
+_WORKER_ID = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
+# Whether a worker in that state leaves.
+_DRAINING = {"ready": False, "draining": True}
+# Its kind and its rack.
+_LABELS_COUNT = 2
 _END_KINDS = {
     "done": ttypes.RunEndKind.DONE,
     "failed": ttypes.RunEndKind.FAILED,
@@ -19,29 +33,80 @@
 }
 
 
+def decode_worker_id(text: str) -> str:
+    """The id of a worker's life, as a call's path names it.
+
+    Raises:
+        BadInputError: It can be no worker's.
+    """
+    if not _WORKER_ID.fullmatch(text):
+        raise errors.BadInputError(
+            f"the id {text[:40]!r} is no worker's; accepted is "
+            f"{_WORKER_ID.pattern}"
+        )
+    return text
+
+
 def decode_announcement(
     body: bytes, *, worker_id: str
 ) -> run_worker.Announcement:
     """What a heartbeat of a worker says.
 
     Raises:
-        BadInputError: It can't be read.
+        BadInputError: It can't be read, or is no worker's.
     """
     beat = fields_module.decode_json(body, where="the heartbeat")
-    labels = beat.texts("labels")
+    labels = _labels(beat)
     worker = ttypes.PoolWorker(
-        worker_id=worker_id,
+        worker_id=decode_worker_id(worker_id),
         # "service" is the pool that the worker belongs to.
-        pool=beat.text("service"),
-        data_centre=beat.text("zone", default=""),
-        rack=_rack(labels),
+        pool=_word(beat, "service"),
+        data_centre=_word(beat, "zone"),
+        rack=labels[1],
         labels=labels,
-        capacity=job_bodies.resources(beat.table("capacity")),
-        draining=beat.text("state", default="ready") == "draining",
+        capacity=job_bodies.resources(
+            beat.table("capacity", required=True), required=True
+        ),
+        draining=_is_draining(beat),
         remaining_ms=beat.integer("remaining_ms", default=-1, low=-1),
-        cold_remaining_ms=int(beat.number("cold_remaining_ms", default=0)),
+        cold_remaining_ms=int(beat.number("cold_remaining_ms")),
     )
-    return run_worker.Announcement(worker, beat.integer("sequence", default=0))
+    # These are of no use here, but what lacks them is no worker's.
+    _word(beat, "address")
+    beat.text("version")
+    beat.integer("slots")
+    return run_worker.Announcement(worker, beat.integer("sequence"))
+
+
+def _word(beat: fields_module.Fields, name: str) -> str:
+    """A text that names something."""
+    value = beat.text(name)
+    if not value:
+        raise errors.BadInputError(
+            f"{name} of {beat.where} is empty; accepted is a name"
+        )
+    return value
+
+
+def _is_draining(beat: fields_module.Fields) -> bool:
+    state = beat.text("state")
+    if state not in _DRAINING:
+        raise errors.BadInputError(
+            f"state of {beat.where} is {state[:40]!r}; accepted are "
+            f"{', '.join(_DRAINING)}"
+        )
+    return _DRAINING[state]
+
+
+def _labels(beat: fields_module.Fields) -> list[str]:
+    """The worker's kind, its rack, and what else it is called."""
+    labels = beat.texts("labels")
+    if len(labels) < _LABELS_COUNT or not all(labels):
+        raise errors.BadInputError(
+            f"labels of {beat.where} are {labels[:3]!r}; accepted are a kind "
+            "and a rack"
+        )
+    return labels
 
 
 def decode_listing(body: bytes) -> run_worker.Listing:
@@ -102,8 +167,3 @@
     if not isinstance(value, str):
         raise errors.PlatformError(f"{value!r} in a listing is no text")
     return value
-
-
-def _rack(labels: list[str]) -> str:
-    """The second label is the rack; the first one is the worker's kind."""
-    return labels[1] if len(labels) > 1 else ""
--- a/marigoldsill/platform/workers.py
+++ b/marigoldsill/platform/workers.py
@@ -2,12 +2,16 @@
 
 from werkzeug import wrappers
 
+from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.platform import http_apps
 from marigoldsill.platform import worker_bodies
+from marigoldsill.transport import logs
 
 _HEARTBEAT = "Instances.Heartbeat/"
 _DEREGISTER = "Instances.Deregister/"
+# Of a path in a log line; a worker's is shorter.
+_SHOWN_LENGTH = 80
 
 
 class WorkersHttp:
@@ -18,6 +22,19 @@
 
     def handle(self, request: wrappers.Request) -> wrappers.Response:
         """Answers one request."""
+        try:
+            return self._take(request)
+        except errors.BadInputError as error:
+            logs.event(
+                "heartbeat_refused",
+                level="WARNING",
+                path=request.path[:_SHOWN_LENGTH],
+                kind=error.kind,
+                reason=error.message,
+            )
+            raise
+
+    def _take(self, request: wrappers.Request) -> wrappers.Response:
         method, name = http_apps.call_of(request)
         if method == "POST" and name.startswith(_HEARTBEAT):
             announcement = worker_bodies.decode_announcement(
@@ -27,6 +44,9 @@
             self._state.announce(announcement)
             return http_apps.of_json({})
         if method == "POST" and name.startswith(_DEREGISTER):
-            self._state.retire(name.removeprefix(_DEREGISTER))
+            worker_id = worker_bodies.decode_worker_id(
+                name.removeprefix(_DEREGISTER)
+            )
+            self._state.retire(worker_id)
             return http_apps.of_json({})
         raise http_apps.nothing_here(request)
