Show that a heartbeat under another id ends the holding of a worker

These tests of tests/coordination/jobs/test_agent.py fail: - a worker is held on when another writer names another life: the held life gets no call of 4 (2 expected); - the same while the announced life gives no answer, or other lives are announced in turn: 0 of 6 calls (3 expected); - a new life is found behind one that another writer names: it is not called; - a late heartbeat stays late after another writer's: the worker's drain is undone; - a life of earlier orders that leaves has lost its runs: they stay open; - what other writers announce is bounded: ids are kept for good (the property that counts them isn't there yet).

Passing already: a farewell of a life that nobody knows changes nothing.

The holder's loop is split into next_life and call, without a change of what it does, so that tests can take single steps of it. The fake worker notes whom a hold meant.

--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -33,14 +33,26 @@
     def run(self) -> None:
         """Holds until the agent stops."""
         while worker_id := self._wait_for_worker():
-            try:
-                self.hold(worker_id)
-            except errors.OtherWorkerError:
-                self._state.retire(worker_id)
-            except errors.MarigoldsillError as error:
-                self._dependency.failed(error.kind, error.message)
-                with self._state.changed:
-                    self._state.changed.wait(_PAUSE_S)
+            self.call(worker_id)
+
+    def call(self, worker_id: str) -> None:
+        """Holds once, and takes note if the worker does not answer."""
+        try:
+            self.hold(worker_id)
+        except errors.OtherWorkerError:
+            self._state.retire(worker_id)
+        except errors.MarigoldsillError as error:
+            self._dependency.failed(error.kind, error.message)
+            with self._state.changed:
+                self._state.changed.wait(_PAUSE_S)
+
+    def next_life(self) -> str:
+        """The life of the worker to call next, or empty."""
+        state = self._state
+        with state.changed:
+            if state.announced is None or not state.term:
+                return ""
+            return state.announced.worker.worker_id
 
     def lease_end_s(self) -> float | None:
         """Until when the worker may be told to go on, or None."""
@@ -63,8 +75,8 @@
                         lambda: state.stopping or not state.ends,
                         _UNRECORDED_WAIT_S,
                     )
-                if state.announced is not None and state.term:
-                    return state.announced.worker.worker_id
+                if worker_id := self.next_life():
+                    return worker_id
                 state.changed.wait()
         return ""
 
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -20,6 +20,8 @@
         late: What such calls will do when `deliver_late` is called.
         calls: Names of the calls that came, with their run.
         paces: The pace that each run was given.
+        held_lives: The lives that calls to hold meant, in turn.
+        lost_lives: Lives of which calls get no answer.
     """
 
     def __init__(self, life: str = "a1-life1"):
@@ -33,6 +35,8 @@
         self.paces: dict[task_names.RunKey, int] = {}
         self.deadlines: list[int | None] = []
         self.acknowledged = 0
+        self.held_lives: list[str] = []
+        self.lost_lives: set[str] = set()
         self._ended: list[run_worker.EndedRun] = []
         self._numbers = itertools.count(1)
         self._highest_over: dict[str, int] = {}
@@ -65,6 +69,9 @@
         wait_ms: int,
     ) -> run_worker.Listing:
         """Lists."""
+        self.held_lives.append(worker_id)
+        if worker_id in self.lost_lives:
+            raise errors.TransportError("no answer", sent=True)
         self._check_life(worker_id)
         self.deadlines.append(deadline_ms)
         self.acknowledged = max(self.acknowledged, acknowledged)
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -65,6 +65,14 @@
     def hold(self) -> None:
         self.holder.hold(self.state.announced.worker.worker_id)
 
+    def call_next(self, *, rounds_count: int) -> list[str]:
+        """Lets the holder call whom it would; the lives that it called."""
+        before = len(self.worker.held_lives)
+        for _ in range(rounds_count):
+            if life := self.holder.next_life():
+                self.holder.call(life)
+        return self.worker.held_lives[before:]
+
     def work(self) -> None:
         """Carries out what is due, and waits until it is done."""
         with self.state.changed:
@@ -260,6 +268,123 @@
     assert agent.state.announced.worker.worker_id == "a1-life2"
 
 
+def test_a_worker_is_held_on_when_another_writer_names_another_life(
+    agent: Agent,
+) -> None:
+    """A heartbeat under an id that is no life here ended the holding.
+
+    What users would see: everything on a sound worker is killed a lease after
+    another writer's heartbeat, where the worker's own are rare. The agent asked
+    the life that was announced, the worker refused the call since it is
+    another, and the agent was left without any life to hold until the worker's
+    next heartbeat.
+    """
+    agent.state.announce(announcement("i-other"))
+    called = agent.call_next(rounds_count=4)
+    assert called.count("a1-life1") >= 2
+    assert agent.state.worker_id == "a1-life1"
+    assert agent.worker.deadlines[-1] is not None
+
+
+def test_a_life_that_does_not_answer_costs_the_held_one_no_turn(
+    agent: Agent,
+) -> None:
+    """Of two lives, each gets its turn until the worker has refused one.
+
+    What users would see: as above. The refusal itself may be lost on its way;
+    the agent asked the announced life again and again, the held one never.
+    """
+    agent.worker.lost_lives = {"i-other"}
+    agent.state.announce(announcement("i-other"))
+    called = agent.call_next(rounds_count=6)
+    assert called.count("a1-life1") == 3
+    assert agent.state.worker_id == "a1-life1"
+
+
+def test_lives_that_are_announced_in_turn_cost_the_held_one_no_turn(
+    agent: Agent,
+) -> None:
+    called = []
+    for number in range(6):
+        agent.state.announce(announcement(f"i-other-{number}"))
+        called += agent.call_next(rounds_count=1)
+    assert called.count("a1-life1") == 3
+
+
+def test_a_new_life_is_found_behind_one_that_another_writer_names(
+    agent: Agent,
+) -> None:
+    """The worker was reborn, and another writer's heartbeat came after its own.
+
+    What users would see: a reborn worker gets its tasks a heartbeat later than
+    it could. Only the last announcement was kept.
+    """
+    agent.order(_RUN)
+    agent.settle()
+    agent.worker.life = "a1-life2"
+    agent.worker.running.clear()
+    agent.state.announce(announcement("a1-life2"))
+    agent.state.announce(announcement("i-other"))
+    agent.call_next(rounds_count=4)
+    assert agent.state.worker_id == "a1-life2"
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.LOST}
+
+
+def test_a_late_heartbeat_stays_late_after_one_of_another_writer(
+    agent: Agent,
+) -> None:
+    """A worker that leaves counted as staying, and got new tasks.
+
+    What users would see: a task is started on a worker that leaves, and is
+    killed with it. The worker says that it drains; then come another writer's
+    heartbeat and a late one of the worker. Only the last announcement was
+    compared, so the late one was taken for news.
+    """
+    draining = announcement("a1-life1", sequence=2)
+    draining.worker.draining = True
+    agent.state.announce(draining)
+    agent.state.announce(announcement("i-other", sequence=1_000))
+    agent.state.announce(announcement("a1-life1", sequence=1))
+    assert agent.state.worker.draining
+    agent.call_next(rounds_count=3)
+    agent.state.announce(announcement("a1-life1", sequence=3))
+    assert not agent.state.worker.draining
+
+
+def test_what_other_writers_announce_is_bounded(agent: Agent) -> None:
+    """Ids of other writers were remembered for good.
+
+    What users would see: an agent that takes more memory each day.
+    """
+    for number in range(3_000):
+        agent.state.announce(announcement(f"i-other-{number}"))
+        agent.state.retire(f"i-gone-{number}")
+    assert agent.state.remembered_count <= 2_000
+    agent.call_next(rounds_count=60)
+    assert agent.state.worker_id == "a1-life1"
+    agent.order(_RUN)
+    agent.settle()
+    assert list(agent.worker.running) == [_KEY]
+
+
+def test_a_farewell_of_an_unknown_life_changes_nothing(agent: Agent) -> None:
+    agent.order(_RUN)
+    agent.settle()
+    agent.state.retire("i-other")
+    agent.settle()
+    assert agent.ends() == {}
+    assert agent.call_next(rounds_count=2) == ["a1-life1"] * 2
+
+
+def test_a_life_of_earlier_orders_that_leaves_has_lost_its_runs(
+    agent: Agent,
+) -> None:
+    agent.state.retire("a1-life1")
+    agent.order(_RUN, life="a1-life0")
+    agent.state.retire("a1-life0")
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.LOST}
+
+
 def test_a_worker_that_left_has_lost_its_runs(agent: Agent) -> None:
     agent.order(_RUN)
     agent.settle()
