Hold the worker on while a life that was announced beside it is asked

Cause: the agent kept one announcement, the last one of anybody. A whole heartbeat under another id took the held life's place; the worker refused the call, and then no life was left to hold until the worker's next heartbeat. A call without an answer was repeated for good. Late heartbeats were told by the last announcement only.

Change: announced lives wait beside the held one, eight at most, and are called in turn with it, so that it never waits for more than one other call; 421 drops the announced one only. Sequences are compared life by life. Lives that are over are remembered up to a thousand. A farewell of a life that is neither held nor named by an order changes nothing; of one that an order names, it ends the run at once. The judge of an id is the worker itself, as before: an agent may know neither the configuration nor the lives before its own start.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import threading
 
+from marigoldsill.coordination.job_agent import lives as lives_module
 from marigoldsill.coordination.job_agent import pacer as pacer_module
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
@@ -40,7 +41,6 @@
         clock: The worker's clock.
         pacer: The pace of tasks that fill.
         worker: The worker, once it has answered; None before.
-        announced: The latest announcement of a worker that may be another.
         lease: The newest lease.
         orders: Orders by (task, run).
         orders_term: Term of the leader that gave them.
@@ -59,7 +59,6 @@
         self.clock = worker_clock.WorkerClock()
         self.pacer = pacer_module.Pacer()
         self.worker: ttypes.PoolWorker | None = None
-        self.announced: run_worker.Announcement | None = None
         self.lease = Lease()
         self.term = 0
         self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
@@ -73,13 +72,23 @@
         self.acknowledged = 0
         self.answered_s = clock.now_s()
         self.stopping = False
-        self._gone_ids: set[str] = set()
+        self._lives = lives_module.Lives()
 
     @property
     def worker_id(self) -> str:
         """The life of the worker that answers, or empty."""
         return "" if self.worker is None else self.worker.worker_id
 
+    @property
+    def announced(self) -> run_worker.Announcement | None:
+        """The newest announcement of another life, or else of the worker."""
+        return self._lives.newest
+
+    @property
+    def remembered_count(self) -> int:
+        """How many lives other than the worker's are remembered."""
+        return self._lives.remembered_count
+
     @property
     def may_start(self) -> bool:
         """Whether lease and orders allow to start something now."""
@@ -122,16 +131,8 @@
         """Takes what the worker says of itself; late ones change nothing."""
         worker = announcement.worker
         with self.changed:
-            if worker.worker_id in self._gone_ids:
-                return
-            held = self.announced
-            if (
-                held is not None
-                and held.worker.worker_id == worker.worker_id
-                and held.sequence >= announcement.sequence
-            ):
+            if not self._lives.take(announcement):
                 return
-            self.announced = announcement
             if worker.worker_id == self.worker_id:
                 if worker.draining != self.worker.draining:
                     logs.event(
@@ -143,16 +144,19 @@
                 self.worker = worker
             self.changed.notify_all()
 
+    def next_life(self) -> str:
+        """The life of the worker to call next, or empty."""
+        with self.changed:
+            return self._lives.next_id() if self.term else ""
+
     def confirm(self, worker_id: str) -> None:
         """Takes the announced worker as the one that runs now."""
         with self.changed:
-            if worker_id == self.worker_id or self.announced is None:
-                return
-            if self.announced.worker.worker_id != worker_id:
-                return
             old_id = self.worker_id
+            if not self._lives.hold(worker_id):
+                return
             self._forget_worker()
-            self.worker = self.announced.worker
+            self.worker = self._lives.held.worker
             self._settle_orders()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.changed.notify_all()
@@ -160,13 +164,11 @@
     def retire(self, worker_id: str) -> None:
         """Notes that a life of the worker is over for good."""
         with self.changed:
-            self._gone_ids.add(worker_id)
-            announced = self.announced
-            if announced and announced.worker.worker_id == worker_id:
-                self.announced = None
+            self._lives.end(worker_id)
             if worker_id == self.worker_id:
                 self._forget_worker()
                 logs.event("worker_gone", worker_id=worker_id)
+            self._settle_orders()
             self.changed.notify_all()
 
     def take_orders(self, reply: ttypes.OrdersReply) -> bool:
@@ -244,8 +246,6 @@
 
     def _forget_worker(self) -> None:
         """Ends what ran on a life of the worker that is over."""
-        if self.worker is not None:
-            self._gone_ids.add(self.worker.worker_id)
         self.worker = None
         self.clock.reset()
         self.running = {}
@@ -258,11 +258,11 @@
         Orders name only lives that this machine's agent has reported, so one
         that is not the life that answers is an earlier one.
         """
-        if self.worker is None and not self._gone_ids:
+        if self.worker is None and not self._lives.knows_gone:
             return
         for key, order in self.orders.items():
             is_over = (
-                order.worker_id in self._gone_ids
+                self._lives.is_gone(order.worker_id)
                 if self.worker is None
                 else order.worker_id != self.worker_id
             )
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -5,6 +5,7 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
+from marigoldsill.transport import logs
 
 # How long the worker may hold its answer back; it bounds the age of looks.
 _WAIT_MS = 1_000
@@ -37,22 +38,22 @@
 
     def call(self, worker_id: str) -> None:
         """Holds once, and takes note if the worker does not answer."""
+        held_id = self._state.worker_id
         try:
             self.hold(worker_id)
         except errors.OtherWorkerError:
+            if worker_id != held_id:
+                logs.event("life_refused", worker_id=worker_id, held=held_id)
             self._state.retire(worker_id)
         except errors.MarigoldsillError as error:
-            self._dependency.failed(error.kind, error.message)
+            if held_id in ("", worker_id):
+                self._dependency.failed(error.kind, error.message)
             with self._state.changed:
                 self._state.changed.wait(_PAUSE_S)
 
     def next_life(self) -> str:
         """The life of the worker to call next, or empty."""
-        state = self._state
-        with state.changed:
-            if state.announced is None or not state.term:
-                return ""
-            return state.announced.worker.worker_id
+        return self._state.next_life()
 
     def lease_end_s(self) -> float | None:
         """Until when the worker may be told to go on, or None."""
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/lives.py
@@ -0,0 +1,106 @@
+"""Lives of a machine's worker: the one that is held, and others announced.
+
+Whoever reaches an agent may announce a life. Only the worker itself knows which
+life it is, and refuses calls that mean another. So a life that is announced is
+asked once, beside the held one, which stays held until another one has answered.
+"""
+
+from marigoldsill.protocol import run_worker
+
+# Announced lives that wait for a call. Of real ones there is one at a time; each
+# waits for at most as many calls to the held one, of about a second.
+_CANDIDATES_LIMIT = 8
+# A heartbeat of a life that is over may come late, but not a thousand lives late;
+# one that is forgotten is asked again, and refused again.
+_GONE_LIMIT = 1_000
+
+
+class Lives:
+    """What was announced; guarded by the lock of its owner.
+
+    Attributes:
+        held: The newest announcement of the life that answers, or None.
+    """
+
+    def __init__(self):
+        self.held: run_worker.Announcement | None = None
+        # Both with the oldest first.
+        self._candidates: dict[str, run_worker.Announcement] = {}
+        self._gone_ids: dict[str, None] = {}
+        self._held_was_called = True
+
+    @property
+    def held_id(self) -> str:
+        """The life that answers, or empty."""
+        return "" if self.held is None else self.held.worker.worker_id
+
+    @property
+    def newest(self) -> run_worker.Announcement | None:
+        """The newest announcement of another life, or else of the held one."""
+        if self._candidates:
+            return next(reversed(self._candidates.values()))
+        return self.held
+
+    @property
+    def knows_gone(self) -> bool:
+        """Whether any life is known to be over."""
+        return bool(self._gone_ids)
+
+    @property
+    def remembered_count(self) -> int:
+        """How many lives other than the held one are remembered."""
+        return len(self._candidates) + len(self._gone_ids)
+
+    def take(self, announcement: run_worker.Announcement) -> bool:
+        """Takes what is said of a life; False if it is late or over."""
+        worker_id = announcement.worker.worker_id
+        if self.is_gone(worker_id):
+            return False
+        is_held = worker_id == self.held_id
+        known = self.held if is_held else self._candidates.get(worker_id)
+        if known is not None and known.sequence >= announcement.sequence:
+            return False
+        if is_held:
+            self.held = announcement
+            return True
+        self._candidates[worker_id] = announcement
+        if len(self._candidates) > _CANDIDATES_LIMIT:
+            del self._candidates[next(iter(self._candidates))]
+        return True
+
+    def next_id(self) -> str:
+        """The life to call next, or empty: others and the held one in turn."""
+        held_turn = self.held is not None and not self._held_was_called
+        if held_turn or not self._candidates:
+            self._held_was_called = True
+            return self.held_id
+        self._held_was_called = False
+        # It goes to the end, in case that it does not answer.
+        worker_id = next(iter(self._candidates))
+        self._candidates[worker_id] = self._candidates.pop(worker_id)
+        return worker_id
+
+    def hold(self, worker_id: str) -> bool:
+        """Holds an announced life that answered; whether it is another one."""
+        announcement = self._candidates.pop(worker_id, None)
+        if announcement is None:
+            return False
+        self.end(self.held_id)
+        self.held = announcement
+        return True
+
+    def end(self, worker_id: str) -> None:
+        """Notes that a life is over for good."""
+        if not worker_id:
+            return
+        self._candidates.pop(worker_id, None)
+        if worker_id == self.held_id:
+            self.held = None
+        self._gone_ids.pop(worker_id, None)
+        self._gone_ids[worker_id] = None
+        if len(self._gone_ids) > _GONE_LIMIT:
+            del self._gone_ids[next(iter(self._gone_ids))]
+
+    def is_gone(self, worker_id: str) -> bool:
+        """Whether a life is known to be over."""
+        return worker_id in self._gone_ids
