Show that a whole heartbeat under a worker's id makes another worker of it

These tests fail: a heartbeat under the held worker's id with another service (one that no configuration names, say), data centre, labels or capacity is taken (4 cases; no error raised, and the worker's own later heartbeats count as late); one that comes now and then is; and the test with processes gets 200 for a service that is unknown.

--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import executor as executor_module
 from marigoldsill.coordination.job_agent import holder as holder_module
@@ -351,6 +352,70 @@
     assert not agent.state.worker.draining
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("pool", "no-pool"),
+        ("data_centre", "dc2"),
+        ("labels", ["b", "r2"]),
+        ("capacity", ttypes.Resources(cpu_millicores=1, memory_bytes=1)),
+    ],
+)
+def test_another_writer_makes_nothing_else_of_the_worker(
+    agent: Agent, field: str, value: object
+) -> None:
+    """A heartbeat that names an unknown service took a worker out of its pool.
+
+    What users would see: nothing more is placed on a sound worker, until its
+    agent is started again. Another writer sends a whole heartbeat under the
+    worker's id, with a service that no configuration names and a high sequence.
+    It was taken for news, and the worker's own heartbeats for late ones.
+    """
+    odd = announcement("a1-life1", sequence=1_000)
+    setattr(odd.worker, field, value)
+    odd.worker.draining = True
+    before = agent.state.worker
+    with pytest.raises(errors.ConflictError):
+        agent.state.announce(odd)
+    assert agent.state.worker == before
+    news = announcement("a1-life1", sequence=2)
+    news.worker.cold_remaining_ms = 7
+    agent.state.announce(news)
+    assert agent.state.worker == news.worker
+
+
+def test_a_worker_that_goes_on_to_tell_otherwise_is_believed(
+    agent: Agent,
+) -> None:
+    """Another writer's heartbeat came before the first one of the worker.
+
+    What users would see: nothing is placed on a sound worker after its agent
+    was started again. If what came first were kept for good, the worker itself
+    would be refused.
+    """
+    for sequence in (2, 3):
+        other = announcement("a1-life1", sequence=sequence)
+        other.worker.pool = "other"
+        with pytest.raises(errors.ConflictError):
+            agent.state.announce(other)
+    other = announcement("a1-life1", sequence=4)
+    other.worker.pool = "other"
+    agent.state.announce(other)
+    assert agent.state.worker.pool == "other"
+
+
+def test_writers_that_contradict_the_worker_now_and_then_change_nothing(
+    agent: Agent,
+) -> None:
+    for number in range(2, 20):
+        odd = announcement("a1-life1", sequence=1_000 + number)
+        odd.worker.pool = "no-pool"
+        with pytest.raises(errors.ConflictError):
+            agent.state.announce(odd)
+        agent.state.announce(announcement("a1-life1", sequence=number))
+    assert agent.state.worker.pool == "pool"
+
+
 def test_what_other_writers_announce_is_bounded(agent: Agent) -> None:
     """Ids of other writers were remembered for good.
 
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -119,10 +119,12 @@
         time.sleep(_PAUSE_S)
         if time.monotonic() > end_s:
             break
+    other_pool = json.dumps(_beat(service="no-pool", state="draining")).encode()
+    statuses.add(writer.send(f"Heartbeat/{worker.life}", other_pool))
     assert worker.running() == before
     ended = [line for line in busy.journal() if line["event"] == "ended"]
     assert ended == []
-    assert statuses == {400}
+    assert statuses == {400, 409}
     worker.faults.unannounced = False
     busy.submit("00000000000000d2", system_module.step())
     busy.wait_for_state("00000000000000d2", "completed")
