Refuse a heartbeat that contradicts what the held worker says of itself

Cause: each heartbeat under the held life's id was taken whole, so another writer's could put the worker into another service or give it other room, and its sequence made the worker's own ones late.

Change: a life's service, zone, labels and capacity stay as the worker announced them; a heartbeat that differs in one gets 409, is logged, and has no effect on the sequence either. Three in a row that agree, with rising sequences and none as before between them, are believed: an agent that has just started may have heard another writer first.

The agent is told of no configuration, and must take a worker in that joins before one names its pool; the leader hears of a worker only what its agent took.

Not covered: a heartbeat that is whole, under the worker's id, the same in all these and newer. It can't be told from the worker's own; it may say that the worker drains.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -128,7 +128,11 @@
         return list(self.running.values())
 
     def announce(self, announcement: run_worker.Announcement) -> None:
-        """Takes what the worker says of itself; late ones change nothing."""
+        """Takes what the worker says of itself; late ones change nothing.
+
+        Raises:
+            ConflictError: It is not what this life has said of itself.
+        """
         worker = announcement.worker
         with self.changed:
             if not self._lives.take(announcement):
--- a/marigoldsill/coordination/job_agent/lives.py
+++ b/marigoldsill/coordination/job_agent/lives.py
@@ -5,7 +5,9 @@
 asked once, beside the held one, which stays held until another one has answered.
 """
 
+from marigoldsill import errors
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
 
 # Announced lives that wait for a call. Of real ones there is one at a time; each
 # waits for at most as many calls to the held one, of about a second.
@@ -13,6 +15,9 @@
 # A heartbeat of a life that is over may come late, but not a thousand lives late;
 # one that is forgotten is asked again, and refused again.
 _GONE_LIMIT = 1_000
+# So many heartbeats in a row, without one as before between them, are the worker's
+# own: another writer's may have come first, before an agent knew its worker.
+_BELIEVED_COUNT = 3
 
 
 class Lives:
@@ -28,6 +33,8 @@
         self._candidates: dict[str, run_worker.Announcement] = {}
         self._gone_ids: dict[str, None] = {}
         self._held_was_called = True
+        self._doubted: run_worker.Announcement | None = None
+        self._doubts_count = 0
 
     @property
     def held_id(self) -> str:
@@ -52,17 +59,19 @@
         return len(self._candidates) + len(self._gone_ids)
 
     def take(self, announcement: run_worker.Announcement) -> bool:
-        """Takes what is said of a life; False if it is late or over."""
+        """Takes what is said of a life; False if it is late or over.
+
+        Raises:
+            ConflictError: It is not what the held life has said of itself.
+        """
         worker_id = announcement.worker.worker_id
         if self.is_gone(worker_id):
             return False
-        is_held = worker_id == self.held_id
-        known = self.held if is_held else self._candidates.get(worker_id)
+        if worker_id == self.held_id:
+            return self._take_held(announcement)
+        known = self._candidates.get(worker_id)
         if known is not None and known.sequence >= announcement.sequence:
             return False
-        if is_held:
-            self.held = announcement
-            return True
         self._candidates[worker_id] = announcement
         if len(self._candidates) > _CANDIDATES_LIMIT:
             del self._candidates[next(iter(self._candidates))]
@@ -86,7 +95,7 @@
         if announcement is None:
             return False
         self.end(self.held_id)
-        self.held = announcement
+        self._believe(announcement)
         return True
 
     def end(self, worker_id: str) -> None:
@@ -104,3 +113,46 @@
     def is_gone(self, worker_id: str) -> bool:
         """Whether a life is known to be over."""
         return worker_id in self._gone_ids
+
+    def _take_held(self, announcement: run_worker.Announcement) -> bool:
+        if _is_same(announcement, self.held):
+            self._doubted, self._doubts_count = None, 0
+            if self.held.sequence >= announcement.sequence:
+                return False
+        else:
+            self._doubt(announcement)
+        self._believe(announcement)
+        return True
+
+    def _doubt(self, announcement: run_worker.Announcement) -> None:
+        """Refuses what contradicts the held life, until it is said again."""
+        said_before = (
+            self._doubted is not None
+            and _is_same(announcement, self._doubted)
+            and announcement.sequence > self._doubted.sequence
+        )
+        self._doubts_count = self._doubts_count + 1 if said_before else 1
+        self._doubted = announcement
+        if self._doubts_count < _BELIEVED_COUNT:
+            worker = announcement.worker
+            raise errors.ConflictError(
+                f"life {worker.worker_id} is of pool {self.held.worker.pool!r} "
+                f"and was announced as of {worker.pool[:40]!r}, with "
+                f"labels {worker.labels[:2]!r}; a life's pool, data centre, "
+                "labels and capacity stay"
+            )
+
+    def _believe(self, announcement: run_worker.Announcement) -> None:
+        self.held = announcement
+        self._doubted, self._doubts_count = None, 0
+
+
+def _is_same(
+    one: run_worker.Announcement, other: run_worker.Announcement
+) -> bool:
+    """Whether two announcements agree on what stays for a life."""
+    return _lasting(one.worker) == _lasting(other.worker)
+
+
+def _lasting(worker: ttypes.PoolWorker) -> tuple:
+    return worker.pool, worker.data_centre, worker.labels, worker.capacity
--- a/marigoldsill/platform/workers.py
+++ b/marigoldsill/platform/workers.py
@@ -24,7 +24,7 @@
         """Answers one request."""
         try:
             return self._take(request)
-        except errors.BadInputError as error:
+        except (errors.BadInputError, errors.ConflictError) as error:
             logs.event(
                 "heartbeat_refused",
                 level="WARNING",
