Show that one unreadable row hides all that a worker lists

These tests fail. tests/platform/test_decoders.py: any row of another type makes the whole list a PlatformError, so ends are not recorded and the worker counts as silent; a run, a percent or an end's number of another type, or too large for a report, is taken (24 cases and one by hypothesis). tests/coordination/jobs/test_agent.py: a run that is being stopped counts as over while its row can't be read; rows of ends that can't be read make the agent call without a pause. A listing that can't be read as a whole stays an error: passes already.

Listing has counts of rows that could not be read, which nothing sets yet. The fake worker can leave rows out as unread, and let runs linger after a stop.

--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -67,11 +67,15 @@
         clock_ms: The worker's clock when it answered.
         running: What runs.
         ended: Unacknowledged ends, the oldest first; not always all.
+        unread_running_count: Rows of what runs that could not be read.
+        unread_ended_count: Rows of ends that could not be read.
     """
 
     clock_ms: int
     running: list[ttypes.RunLook]
     ended: list[EndedRun]
+    unread_running_count: int = 0
+    unread_ended_count: int = 0
 
 
 class RunWorker(abc.ABC):
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -22,6 +22,9 @@
         paces: The pace that each run was given.
         held_lives: The lives that calls to hold meant, in turn.
         lost_lives: Lives of which calls get no answer.
+        unread: Runs whose row of the list can't be read.
+        unread_ended_count: How many rows of ends can't be read.
+        lingering: Whether runs go on after their stop was confirmed.
     """
 
     def __init__(self, life: str = "a1-life1"):
@@ -37,6 +40,10 @@
         self.acknowledged = 0
         self.held_lives: list[str] = []
         self.lost_lives: set[str] = set()
+        self.unread: set[task_names.RunKey] = set()
+        self.unread_ended_count = 0
+        self.lingering = False
+        self._stopping: set[task_names.RunKey] = set()
         self._ended: list[run_worker.EndedRun] = []
         self._numbers = itertools.count(1)
         self._highest_over: dict[str, int] = {}
@@ -76,10 +83,18 @@
         self.deadlines.append(deadline_ms)
         self.acknowledged = max(self.acknowledged, acknowledged)
         self._ended = [e for e in self._ended if e.number > acknowledged]
+        if not self.lingering:
+            for key in self._stopping & self.running.keys():
+                self._end(key, ttypes.RunEndKind.STOPPED)
+        read = [
+            look for key, look in self.running.items() if key not in self.unread
+        ]
         return run_worker.Listing(
             clock_ms=self.clock_ms(),
-            running=list(self.running.values()),
+            running=read,
             ended=list(self._ended),
+            unread_running_count=len(self.running) - len(read),
+            unread_ended_count=self.unread_ended_count,
         )
 
     def pace(
@@ -135,7 +150,8 @@
     def _stop(self, key: task_names.RunKey) -> None:
         task, run = key
         self._highest_over[task] = max(self._highest_over.get(task, 0), run)
-        if key in self.running:
+        self._stopping.add(key)
+        if key in self.running and not self.lingering:
             self._end(key, ttypes.RunEndKind.STOPPED)
 
     def _end(self, key: task_names.RunKey, kind: ttypes.RunEndKind) -> None:
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -184,6 +184,43 @@
     assert agent.ends() == {_KEY: ttypes.RunEndKind.REFUSED}
 
 
+def test_a_run_is_not_over_because_its_row_cant_be_read(
+    agent: Agent,
+) -> None:
+    """A task ran twice at a time.
+
+    What users would see: a task is started elsewhere while it still runs here.
+    It was told to stop and takes a while; meanwhile its row in the worker's list
+    can't be read, and a run that is listed neither as running nor as ended after
+    its stop counts as over.
+    """
+    agent.order(_RUN)
+    agent.settle()
+    agent.worker.lingering = True
+    agent.worker.unread = {_KEY}
+    agent.order(_STOP)
+    agent.settle()
+    assert agent.ends() == {}
+    agent.worker.lingering = False
+    agent.worker.unread = set()
+    agent.settle()
+    assert agent.ends() == {_KEY: ttypes.RunEndKind.STOPPED}
+
+
+def test_an_end_that_cant_be_read_is_no_reason_to_call_without_pause(
+    agent: Agent,
+) -> None:
+    """An agent and its worker were busy with each other.
+
+    What users would see: less time for tasks. The worker lists an end until it
+    is acknowledged, at once; one that can't be read never is.
+    """
+    agent.worker.unread_ended_count = 1
+    begun_s = clock.now_s()
+    agent.call_next(rounds_count=3)
+    assert clock.now_s() - begun_s >= 0.3
+
+
 def test_a_refused_start_is_reported_with_its_reason(agent: Agent) -> None:
     agent.worker.refusal = run_worker.RefusalReason.NO_ROOM
     agent.order(_RUN)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -308,6 +308,101 @@
         worker_bodies.decode_listing(body)
 
 
+@hypothesis.given(
+    rows=strategies.lists(_VALUES, max_size=4),
+    ended=strategies.lists(_VALUES, max_size=4),
+)
+def test_rows_that_cant_be_read_hide_no_others(rows: list, ended: list) -> None:
+    """One row of another writer kept an agent from all that its worker lists.
+
+    What users would see: ends of tasks are not recorded and, as the worker
+    counts as silent, everything on it is killed. One row that could not be read
+    made the whole list unreadable.
+    """
+    good = _LISTING["running"] + rows
+    ends = _LISTING["ended_runs"] + ended
+    body = _bytes_of(_LISTING | {"running": good, "ended_runs": ends})
+    listing = worker_bodies.decode_listing(body)
+    assert listing.running[0].task == "j.0.0.1"
+    assert listing.ended[0].end.task == "j.0.0.9"
+    for record in [*listing.running, *(e.end for e in listing.ended)]:
+        codec.encode(record)
+
+
+_RUNNING_ROW = _LISTING["running"][0]
+_ENDED_ROW = _LISTING["ended_runs"][0]
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        None,
+        7,
+        "row",
+        {},
+        [],
+        _RUNNING_ROW[:3],
+        ["no-task", *_RUNNING_ROW[1:]],
+        ["j.0.0.\u00b2", *_RUNNING_ROW[1:]],
+        ["j.0.0.2", "2", "", 41, 7],
+        ["j.0.0.2", True, "", 41, 7],
+        ["j.0.0.2", 1 << 70, "", 41, 7],
+        ["j.0.0.2", 2, None, 41, 7],
+        ["j.0.0.2", 2, "", 1 << 40, 7],
+        ["j.0.0.2", 2, "", 41, "7"],
+        ["j.0.0.2", 2, "\ud800", 41, 7],
+    ],
+)
+def test_a_running_row_that_cant_be_read_is_left_out(row: object) -> None:
+    rows = [_RUNNING_ROW, row]
+    listing = worker_bodies.decode_listing(
+        _bytes_of(_LISTING | {"running": rows})
+    )
+    assert [look.task for look in listing.running] == ["j.0.0.1"]
+    assert [end.number for end in listing.ended] == [58]
+    assert listing.unread_running_count == 1
+    assert listing.unread_ended_count == 0
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        None,
+        [],
+        _ENDED_ROW[:4],
+        [59, "no-task", 1, "done", ""],
+        [59, "j.0.0.2", 1, "vanished", ""],
+        [59, "j.0.0.2", 1, ["done"], ""],
+        [59, "j.0.0.2", 1, "done", 3],
+        ["59", "j.0.0.2", 1, "done", ""],
+        [0, "j.0.0.2", 1, "done", ""],
+    ],
+)
+def test_an_ended_row_that_cant_be_read_is_left_out(row: object) -> None:
+    rows = [row, _ENDED_ROW]
+    listing = worker_bodies.decode_listing(
+        _bytes_of(_LISTING | {"ended_runs": rows})
+    )
+    assert [end.number for end in listing.ended] == [58]
+    assert listing.unread_ended_count == 1
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"clock_ms": None},
+        {"clock_ms": 1 << 70},
+        {"running": None},
+        {"ended_runs": "rows"},
+    ],
+)
+def test_a_listing_that_cant_be_read_at_all_is_the_platforms_fault(
+    change: dict,
+) -> None:
+    with pytest.raises(errors.PlatformError):
+        worker_bodies.decode_listing(_bytes_of(_LISTING | change))
+
+
 def test_a_half_of_a_surrogate_pair_is_no_text() -> None:
     with pytest.raises(errors.BadInputError, match="spec"):
         job_bodies.decode(_bytes_of(_JOB | {"spec": "\ud800"}), job_id="j")
