Read a worker's list row by row

Cause: one row that could not be read made the whole list unreadable; and numbers of rows were taken from texts, or larger than a report can hold, which ended the task that reports.

Change: rows that can't be read are left out, counted and logged (row_unread); the others hold. Absence proves no end while a row of what runs can't be read. A list of which clock, form or every row of what runs can't be read stays an error.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -47,6 +47,7 @@
         orders_version: Their version in that term.
         pressures_version: Version of what the pacer was told of images.
         running: What the worker listed as running last.
+        listings_count: How many lists of what runs were read whole.
         ends: Ends to report, by (task, run).
         listed_through: Number of the last end that was listed.
         acknowledged: Ends up to this number are recorded by control.
@@ -211,7 +212,9 @@
     def take_listing(self, listing: run_worker.Listing) -> None:
         """Takes what the worker lists."""
         with self.changed:
-            self.listings_count += 1
+            if not listing.unread_running_count:
+                # Else a run that isn't listed may run all the same.
+                self.listings_count += 1
             self.running = {(r.task, r.run): r for r in listing.running}
             for ended in listing.ended:
                 if ended.number > self.acknowledged:
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -108,3 +108,7 @@
         state.clock.note(listing.clock_ms, received_s=received_s)
         state.answered_s = received_s
         state.take_listing(listing)
+        if listing.unread_ended_count:
+            # They are never acknowledged, so the next list would come at once.
+            with state.changed:
+                state.changed.wait(_PAUSE_S)
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -5,7 +5,9 @@
 default may make a worker of it.
 """
 
+from collections.abc import Callable
 import re
+from typing import TypeVar
 
 from marigoldsill import errors
 from marigoldsill.platform import fields as fields_module
@@ -13,14 +15,23 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 # An id is sent back to the worker in a header, and is a word of our logs. Workers'
 # ids have about 10 characters.
 _WORKER_ID = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
 # Whether a worker in that state leaves.
 _DRAINING = {"ready": False, "draining": True}
+# No rough figure of a row is larger; a record holds it, as it holds any whole number
+# of a body.
+_ROUGH_LIMIT = 1 << 53
+# Of a record's field of 32 bits; a whole run has 100.
+_PERCENT_LIMIT = (1 << 31) - 1
+# Of a row in a log line.
+_SHOWN_LENGTH = 120
 # Its kind and its rack.
 _LABELS_COUNT = 2
+_Row = TypeVar("_Row")
 _END_KINDS = {
     "done": ttypes.RunEndKind.DONE,
     "failed": ttypes.RunEndKind.FAILED,
@@ -110,35 +121,61 @@
 
 
 def decode_listing(body: bytes) -> run_worker.Listing:
-    """The answer to a hold.
+    """The answer to a hold; rows that can't be read are left out and counted.
 
     Raises:
-        PlatformError: It can't be read.
+        PlatformError: It can't be read, or no row of what runs can.
     """
     try:
         table = fields_module.decode_json(body, where="the worker's answer")
-        return run_worker.Listing(
-            clock_ms=table.integer("clock_ms"),
-            running=[_running(row) for row in table.items("running")],
-            ended=[_ended(row) for row in table.items("ended_runs")],
-        )
-    except (
-        errors.BadInputError,
-        ValueError,
-        TypeError,
-        KeyError,
-        OverflowError,
-    ) as error:
+        clock_ms = table.integer("clock_ms")
+        running_rows = table.items("running")
+        ended_rows = table.items("ended_runs")
+    except errors.BadInputError as error:
         raise errors.PlatformError(f"unreadable listing: {error}") from error
+    running = _read_rows(running_rows, _running)
+    if running_rows and not running:
+        raise errors.PlatformError(
+            f"unreadable listing: none of {len(running_rows)} rows of what "
+            "runs can be read"
+        )
+    ended = _read_rows(ended_rows, _ended)
+    return run_worker.Listing(
+        clock_ms=clock_ms,
+        running=running,
+        ended=ended,
+        unread_running_count=len(running_rows) - len(running),
+        unread_ended_count=len(ended_rows) - len(ended),
+    )
+
+
+def _read_rows(rows: list, read: Callable[[list], _Row]) -> list[_Row]:
+    found = []
+    for row in rows:
+        try:
+            found.append(read(row))
+        except (
+            errors.MarigoldsillError,
+            ValueError,
+            TypeError,
+            KeyError,
+        ) as error:
+            logs.event(
+                "row_unread",
+                level="WARNING",
+                row=repr(row)[:_SHOWN_LENGTH],
+                reason=str(error)[:_SHOWN_LENGTH],
+            )
+    return found
 
 
 def _running(row: list) -> ttypes.RunLook:
     task, run, checkpoint_id, percent, *load = row
     return ttypes.RunLook(
         task=_task(task),
-        run=int(run),
-        percent=int(percent),
-        load=int(load[0]) if load else 0,
+        run=_count(run),
+        percent=_rough(percent, high=_PERCENT_LIMIT),
+        load=_rough(load[0]) if load else 0,
         checkpoint_id=_text(checkpoint_id),
     )
 
@@ -146,10 +183,10 @@
 def _ended(row: list) -> run_worker.EndedRun:
     number, task, run, how, checkpoint_id = row
     return run_worker.EndedRun(
-        int(number),
+        _count(number),
         ttypes.RunEnd(
             task=_task(task),
-            run=int(run),
+            run=_count(run),
             kind=_END_KINDS[how],
             checkpoint_id=_text(checkpoint_id),
         ),
@@ -163,7 +200,27 @@
     return name
 
 
+def _count(value: object) -> int:
+    """A number that counts from 1."""
+    return _fields_of(value).integer("value", low=1)
+
+
+def _rough(value: object, *, high: int = _ROUGH_LIMIT) -> int:
+    """A figure, which may have a fraction.
+
+    Raises:
+        BadInputError: It is none, or larger than a record can hold.
+    """
+    figure = int(_fields_of(value).number("value"))
+    if figure > high:
+        raise errors.BadInputError(f"{figure} in a row is more than {high}")
+    return figure
+
+
 def _text(value: object) -> str:
-    if not isinstance(value, str):
-        raise errors.PlatformError(f"{value!r} in a listing is no text")
-    return value
+    """A text that can be sent on."""
+    return _fields_of(value).text("value")
+
+
+def _fields_of(value: object) -> fields_module.Fields:
+    return fields_module.Fields({"value": value}, where="a row")
