Show that one unreadable entry hides all endpoints of an announcement

Fails in its 7 cases: BadInputError, where the two other entries should be read. That a list as a whole that can't be read is refused passes already.

--- a/tests/protocol/test_announcements.py
+++ b/tests/protocol/test_announcements.py
@@ -32,6 +32,37 @@
         announcements.parse(json.dumps([item]).encode())
 
 
+@pytest.mark.parametrize(
+    "entry",
+    [
+        None,
+        [],
+        {},
+        _GOOD | {"address": "nowhere"},
+        _GOOD | {"service": ""},
+        _GOOD | {"slots_count": "4"},
+        _GOOD | {"task": None},
+    ],
+)
+def test_an_entry_that_cant_be_read_hides_no_others(entry: object) -> None:
+    """One unreadable entry took all endpoints of a worker away.
+
+    What users would see: requests to a service get 503 although its endpoints
+    are well. Another writer's entry is in the list; the list was refused as a
+    whole each time, and what went before is out of date after seconds.
+    """
+    other = _GOOD | {"address": "127.0.0.1:9001"}
+    body = json.dumps([_GOOD, entry, other]).encode()
+    found = [e.address for e in announcements.parse(body)]
+    assert found == ["127.0.0.1:9000", "127.0.0.1:9001"]
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"7", b"\xff", b"[" * 10_000])
+def test_a_list_that_cant_be_read_is_refused(body: bytes) -> None:
+    with pytest.raises(errors.BadInputError):
+        announcements.parse(body)
+
+
 @hypothesis.given(
     field=strategies.sampled_from(sorted(_GOOD)),
     value=strategies.none()
