Read an announcement of endpoints entry by entry

Cause: one entry that could not be read had the whole announcement refused, each time, until what went before was out of date.

Change: such entries are left out and logged (entry_unread); an announcement of which no entry can be read is refused, as before.

--- a/marigoldsill/protocol/announcements.py
+++ b/marigoldsill/protocol/announcements.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import addresses
+from marigoldsill.transport import logs
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _TASK = re.compile(r"[A-Za-z0-9._/-]{0,100}")
@@ -14,10 +15,11 @@
 
 
 def parse(body: bytes) -> list[ttypes.EndpointInfo]:
-    """Reads an announcement.
+    """Reads an announcement; entries that can't be read are left out.
 
     Raises:
-        BadInputError: It is none; what went before stays in force.
+        BadInputError: It is none, or no entry of it can be read; what went
+            before stays in force.
     """
     try:
         items = json.loads(body)
@@ -30,7 +32,17 @@
             "the announcement is no list; accepted is a list of up to "
             f"{_ENDPOINTS_LIMIT} objects"
         )
-    return [_endpoint(item) for item in items]
+    found, wrong = [], []
+    for item in items:
+        try:
+            found.append(_endpoint(item))
+        except errors.BadInputError as error:
+            wrong.append(error)
+    if wrong and not found:
+        raise wrong[0]
+    for error in wrong:
+        logs.event("entry_unread", level="WARNING", reason=error.message)
+    return found
 
 
 def _endpoint(item: object) -> ttypes.EndpointInfo:
--- a/tests/protocol/test_announcements.py
+++ b/tests/protocol/test_announcements.py
@@ -1,4 +1,4 @@
-"""Announcements of endpoints: read whole or refused whole."""
+"""Announcements of endpoints: entries hold one by one."""
 
 import json
 
