--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -5,6 +5,7 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
+from marigoldsill.transport import logs
 
 # How long the worker may hold its answer back; it bounds the age of looks.
 _WAIT_MS = 1_000
@@ -33,14 +34,26 @@
     def run(self) -> None:
         """Holds until the agent stops."""
         while worker_id := self._wait_for_worker():
-            try:
-                self.hold(worker_id)
-            except errors.OtherWorkerError:
-                self._state.retire(worker_id)
-            except errors.MarigoldsillError as error:
+            self.call(worker_id)
+
+    def call(self, worker_id: str) -> None:
+        """Holds once, and takes note if the worker does not answer."""
+        held_id = self._state.worker_id
+        try:
+            self.hold(worker_id)
+        except errors.OtherWorkerError:
+            if worker_id != held_id:
+                logs.event("life_refused", worker_id=worker_id, held=held_id)
+            self._state.retire(worker_id)
+        except errors.MarigoldsillError as error:
+            if held_id in ("", worker_id):
                 self._dependency.failed(error.kind, error.message)
-                with self._state.changed:
-                    self._state.changed.wait(_PAUSE_S)
+            with self._state.changed:
+                self._state.changed.wait(_PAUSE_S)
+
+    def next_life(self) -> str:
+        """The life of the worker to call next, or empty."""
+        return self._state.next_life()
 
     def lease_end_s(self) -> float | None:
         """Until when the worker may be told to go on, or None."""
@@ -63,8 +76,8 @@
                         lambda: state.stopping or not state.ends,
                         _UNRECORDED_WAIT_S,
                     )
-                if state.announced is not None and state.term:
-                    return state.announced.worker.worker_id
+                if worker_id := self.next_life():
+                    return worker_id
                 state.changed.wait()
         return ""
 
@@ -95,3 +108,7 @@
         state.clock.note(listing.clock_ms, received_s=received_s)
         state.answered_s = received_s
         state.take_listing(listing)
+        if listing.unread_ended_count:
+            # They are never acknowledged, so the next list would come at once.
+            with state.changed:
+                state.changed.wait(_PAUSE_S)
