--- a/marigoldsill/platform/fields.py
+++ b/marigoldsill/platform/fields.py
@@ -90,9 +90,9 @@
         value = self._values.get(name, None if required else {})
         return Fields(value, where=f"{self.where}.{name}")
 
-    def texts(self, name: str) -> list[str]:
+    def texts(self, name: str, *, required: bool = False) -> list[str]:
         """A list of texts."""
-        values = self.items(name)
+        values = self.items(name, required=required)
         if not all(_is_text(value) for value in values):
             raise self._wrong(name, values, "a list of texts")
         return values
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -29,8 +29,6 @@
 _PERCENT_LIMIT = (1 << 31) - 1
 # Of a row in a log line.
 _SHOWN_LENGTH = 120
-# Its kind and its rack.
-_LABELS_COUNT = 2
 _Row = TypeVar("_Row")
 _END_KINDS = {
     "done": ttypes.RunEndKind.DONE,
@@ -73,7 +71,7 @@
         # "service" is the pool that the worker belongs to.
         pool=_word(beat, "service"),
         data_centre=_word(beat, "zone"),
-        rack=labels[1],
+        rack=_rack(labels),
         labels=labels,
         capacity=job_bodies.resources(
             beat.table("capacity", required=True), required=True
@@ -110,16 +108,20 @@
 
 
 def _labels(beat: fields_module.Fields) -> list[str]:
-    """The worker's kind, its rack, and what else it is called."""
-    labels = beat.texts("labels")
-    if len(labels) < _LABELS_COUNT or not all(labels):
+    """The worker's kind, its rack where there are racks, and others."""
+    labels = beat.texts("labels", required=True)
+    if not all(labels):
         raise errors.BadInputError(
-            f"labels of {beat.where} are {labels[:3]!r}; accepted are a kind "
-            "and a rack"
+            f"labels of {beat.where} are {labels[:3]!r}; accepted are names"
         )
     return labels
 
 
+def _rack(labels: list[str]) -> str:
+    """The second label is the rack; the first one is the worker's kind."""
+    return labels[1] if len(labels) > 1 else ""
+
+
 def decode_listing(body: bytes) -> run_worker.Listing:
     """The answer to a hold; rows that can't be read are left out and counted.
 
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -46,6 +46,9 @@
     whole = _beat()
     for name in whole.keys() - {"clock_ms"}:
         for value in (None, True, -1, [], {}, "\ud800", 1 << 70):
+            if name == "labels" and value == []:
+                # As of a worker where there are no kinds or racks.
+                continue
             yield json.dumps(whole | {name: value}).encode()
         missing = {k: v for k, v in whole.items() if k != name}
         yield json.dumps(missing).encode()
