Show that a seed that names a leader that is gone hides all other seeds: failing tests

A link that was referred begins with its first address again when that fails, is sent to the same process again, and so on for good. Run once: both failed.

--- a/tests/coordination/leadership/test_control_link.py
+++ b/tests/coordination/leadership/test_control_link.py
@@ -110,3 +110,24 @@
     second = control_link.ControlLink(addresses=known)
     known.learn([serve(_Leader())])
     assert _find(first) == _find(second) == b"found"
+
+
+def test_a_seed_that_names_a_leader_that_is_gone_hides_no_other(serve) -> None:
+    """A process that restarted found nobody though its second seed knew all.
+
+    Its first seed, which keeps no state, had not heard yet that another leads,
+    and named the one that was gone. After that one failed, the link began with
+    its first address again, was sent there again, and so on for good: the place
+    in the list was lost with each referral.
+    """
+    gone, leader = _gone(serve), serve(_Leader())
+    stale, knowing = serve(_Follower(gone)), serve(_Follower(leader))
+    _, link = _link(stale, knowing)
+    assert _find(link) == b"found"
+
+
+def test_a_listed_leader_that_is_gone_hides_no_other_seed(serve) -> None:
+    """The same where the one that is gone is in the list itself, before them."""
+    gone, leader = _gone(serve), serve(_Leader())
+    _, link = _link(gone, serve(_Follower(gone)), leader)
+    assert _find(link) == b"found"
