Show that views stay stale where no seed answers or no state is open: failing tests

A process without state asks its seeds only, not the members it knows. One that finds itself listed asks no member, also while its own state is not open (a full disk).

--- a/tests/coordination/discovery/test_directory.py
+++ b/tests/coordination/discovery/test_directory.py
@@ -135,6 +135,44 @@
     assert seed.directory.view().term == 3
 
 
+def test_a_listed_process_that_has_no_state_open_goes_on_asking(seed) -> None:
+    """A seed whose disk was full at its start named an old leader for good.
+
+    The order: it asked its seeds once and found itself among the members, since
+    it had been one before; so it asked no member any more. But its own state was
+    not open, no log told it anything. Another was elected, and whoever had it
+    as a seed was sent to the old one.
+    """
+    members = [_OWN, _A, seed.address]
+    directory = _directory()
+    directory.take(_view(3, leader=_A, addresses=members), teller="")
+    seed.directory.take(
+        _view(4, leader=seed.address, addresses=members), teller=""
+    )
+    _exchange(directory, _OWN, seed.address).look()
+    assert directory.control_address() == seed.address
+
+
+def test_members_are_asked_while_no_seed_answers(seed) -> None:
+    """An entry without a disk knew two members that were up and served nobody.
+
+    The order: its seeds ended, then the leader. The others elected a new one;
+    but the entry asked its seeds only, so its view named the one that was gone.
+    """
+    gone = thrift_server.ThriftServer(
+        address="127.0.0.1:0", connections_count=1, name="gone"
+    )
+    gone.stop()
+    members = [_A, seed.address]
+    directory = _directory()
+    directory.take(_view(3, leader=_A, addresses=members), teller="")
+    seed.directory.take(
+        _view(4, leader=seed.address, addresses=members), teller=""
+    )
+    _exchange(directory, _OWN, gone.address).look()
+    assert directory.control_address() == seed.address
+
+
 def test_a_referral_has_every_call_of_control() -> None:
     calls = [n for n in vars(Control.Iface) if not n.startswith("_")]
     refers = referral.Referral(control_address=lambda: _B)
