--- a/tests/platform/test_seeds.py
+++ b/tests/platform/test_seeds.py
@@ -142,3 +142,21 @@
     system.power_off("edge-4", "edge-5", "edge-6")
     _lose_power(system, "edge-1", "edge-2", "edge-3")
     _wait_until_served(system, _JOB)
+
+
+def test_an_entry_that_is_no_seed_finds_another_leader_without_any_seed(
+    system: system_module.System,
+) -> None:
+    """An entry without a disk answered 503 for good though two members led.
+
+    The order: all seeds, which keep no state, lost power, and then the leader.
+    The entry's own process knew the members, but asked its seeds only, so its
+    view named the leader that was gone, and the entry was referred to that.
+    """
+    _turn_seeds(system, "edge-4", "edge-5")
+    one_process.wait_until(
+        lambda: system.processes["edge-6"].text().count("group_found") >= 1,
+        what="a view at edge-6",
+    )
+    system.power_off("edge-4", "edge-5", system.leader())
+    _wait_until_served(system, _JOB)
