Keep a link's place in its list of addresses through referrals

A referral lost the place, so after a leader that is gone the link began anew and was sent there again. It now goes on with whom the list names next.

test_control_link: 2 failed before, all pass.

--- a/marigoldsill/coordination/leadership/control_link.py
+++ b/marigoldsill/coordination/leadership/control_link.py
@@ -35,6 +35,9 @@
         self._addresses = addresses
         self._cuts = cut_switch
         self._current = addresses.all()[0]
+        # Whom it came to by the list itself: a referral must not lose the place
+        # there, or one process with an old view hides those listed after it.
+        self._listed = self._current
         self._lock = threading.Lock()
         self._connection: thrift_client.Connection | None = None
 
@@ -109,7 +112,8 @@
 
     def _next_address(self) -> str:
         addresses = self._addresses.all()
-        if self._current not in addresses:
-            return addresses[0]
-        position = addresses.index(self._current)
-        return addresses[(position + 1) % len(addresses)]
+        position = -1
+        if self._listed in addresses:
+            position = addresses.index(self._listed)
+        self._listed = addresses[(position + 1) % len(addresses)]
+        return self._listed
