Have processes without an open state ask the members they know as well

A process is a member by its own state only, not since a view lists it; and one without state asks, after its seeds, the members in turn until one answers, the leader first.

Cost for one without state: one more call each 5 s, while a member answers.

--- a/marigoldsill/coordination/discovery/directory.py
+++ b/marigoldsill/coordination/discovery/directory.py
@@ -62,6 +62,20 @@
                 teller=teller,
             )
 
+    def own_members(self) -> list[str]:
+        """The members by this process's own state alone, no hearsay.
+
+        Empty where the state is not open: a listed process hears of nothing by
+        the log then.
+        """
+        return self._own_view().addresses
+
+    def others(self) -> list[str]:
+        """The members known but this process, the leader first."""
+        view = self.view()
+        others = [a for a in view.addresses if a != self._own_address]
+        return sorted(others, key=lambda a: a != view.leader_address)
+
     def control_address(self) -> str:
         """Whom to ask as control: the leader, else each member in turn.
 
--- a/marigoldsill/coordination/discovery/view_exchange.py
+++ b/marigoldsill/coordination/discovery/view_exchange.py
@@ -43,15 +43,29 @@
             self._wake.clear()
 
     def look(self) -> None:
-        """Exchanges views once with each seed that has use for it."""
+        """Exchanges views once with each seed that has use for it.
+
+        One without state asks a member as well: its seeds may be gone, or know
+        no more than itself.
+        """
         for address in self._partners():
-            if self._stopping:
+            self._exchange(address)
+        if self._is_member():
+            return
+        for address in self._directory.others():
+            if self._exchange(address):
                 return
-            view = formation_calls.call(
-                address, "exchange_views", self._directory.view()
-            )
-            if view is not None:
-                self._directory.take(view, teller=address)
+
+    def _exchange(self, address: str) -> bool:
+        """Exchanges views with one process; whether it answered."""
+        if self._stopping:
+            return False
+        view = formation_calls.call(
+            address, "exchange_views", self._directory.view()
+        )
+        if view is not None:
+            self._directory.take(view, teller=address)
+        return view is not None
 
     def reseed(self, seed_addresses: Sequence[str]) -> None:
         """Takes other seeds than at the start, at once."""
@@ -72,7 +86,7 @@
         return [a for a in others if a not in members]
 
     def _is_member(self) -> bool:
-        return self._own_address in self._directory.view().addresses
+        return self._own_address in self._directory.own_members()
 
     def _interval_s(self) -> float:
         if self._is_member():
