--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -102,6 +102,10 @@
         for number in range(1, workers_count + 1):
             self.start_side(f"side-{number}", cpu_millicores=cpu_millicores)
         self.replace_configuration(1)
+        self.end_first_start()
+
+    def end_first_start(self) -> None:
+        """Has settings written from now on tell of no first start."""
         self._first_start = False
 
     def start_edge(self, name: str) -> None:
--- a/tests/platform/test_losses.py
+++ b/tests/platform/test_losses.py
@@ -1,5 +1,6 @@
 """Jobs and configurations survive kills, losses of power and lost disks."""
 
+import pathlib
 import shutil
 
 from tests import one_process
@@ -90,3 +91,26 @@
     one_process.wait_until(lambda: silent.running(), what="its runs")
     silent.faults.silent = True
     system.wait_for_state("00000000000000ba", "completed")
+
+
+def test_a_group_forms_though_its_first_seed_restarted_before(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Nothing was ever accepted: no process formed the group, and none would.
+
+    The order: the first seed, which alone may form the group, ended before it
+    had, and came back by settings that tell of no first start any more. It
+    formed none then, and told all who asked that they may not either.
+
+    The cause: who may form the group is known to one process only, and in
+    memory only.
+    """
+    system = system_module.System(tmp_path)
+    try:
+        system.start_edge("edge-2")
+        system.start_edge("edge-3")
+        system.end_first_start()
+        system.start_edge("edge-1")
+        system.replace_configuration(1)
+    finally:
+        system.stop()
