--- a/marigoldsill/transport/thrift_client.py
+++ b/marigoldsill/transport/thrift_client.py
@@ -133,7 +133,8 @@
         sock.setTimeout(timeout_s * 1000)
         try:
             sock.open()
-        except TTransport.TTransportException as error:
+        except (TTransport.TTransportException, OSError) as error:
+            # The latter where there is no descriptor left.
             raise errors.TransportError(
                 f"cannot connect to {self.address}: {error}", sent=False
             ) from error
