--- a/marigoldsill/transport/thrift_server.py
+++ b/marigoldsill/transport/thrift_server.py
@@ -80,8 +80,13 @@
         while not self._stopping.is_set():
             try:
                 connection, _ = self._listener.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if self._stopping.is_set():
+                    return
+                # No descriptor left, or the peer is gone again.
+                logs.event("accept_failed", level="WARNING", reason=error)
+                self._stopping.wait(_POLL_S)
+                continue
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             try:
                 self._pool.submit(self._serve, connection)
