Show that an island of seeds without state never finds the group: a failing test

Where members' settings name members only and all others' three entries without a disk, nobody finds the group after a loss of all power. The test system can give processes seeds of their own.

--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -1,6 +1,7 @@
 """The programs on the users' platform as processes on loopback addresses."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import json
 import pathlib
@@ -90,6 +91,7 @@
         }
         self._disks = set(list(self._ips)[:disks_count])
         self._seeds = list(self._ips)[:3]
+        self._seeds_of: dict[str, list[str]] = {}
         self._settings: dict[str, dict[str, str]] = {}
         self._block = block
         self._client = http_client.Client()
@@ -157,10 +159,18 @@
         for name in names:
             self.processes.pop(name).kill()
 
-    def change_seeds(self, *names: str) -> None:
-        """Has the settings of everybody name other seeds, without a signal."""
-        self._seeds = list(names)
-        for name in self._settings:
+    def change_seeds(self, *names: str, of: Sequence[str] = ()) -> None:
+        """Has settings name other seeds, without a signal.
+
+        Args:
+            *names: The seeds.
+            of: Whose settings; empty for everybody's.
+        """
+        if of:
+            self._seeds_of |= dict.fromkeys(of, list(names))
+        else:
+            self._seeds, self._seeds_of = list(names), {}
+        for name in of or self._settings:
             self._write_settings(name)
 
     def edges(self) -> list[str]:
@@ -308,7 +318,8 @@
 
     def _write_settings(self, name: str) -> pathlib.Path:
         path = self.folder / f"{name}.toml"
-        seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in self._seeds]
+        names = self._seeds_of.get(name, self._seeds)
+        seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in names]
         path.write_text(
             _SETTINGS.format(
                 **self._settings[name],
--- a/tests/platform/test_seeds.py
+++ b/tests/platform/test_seeds.py
@@ -20,6 +20,7 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import pathlib
 import shutil
 
@@ -58,17 +59,23 @@
     one_process.wait_until(all_run, what="the lasting tasks at work")
 
 
-def _turn_seeds(system: system_module.System, *names: str) -> None:
-    """Changes the seeds and waits until every process has read them."""
+def _turn_seeds(
+    system: system_module.System, *names: str, of: Sequence[str] = ()
+) -> None:
+    """Changes the seeds and waits until all concerned have read them."""
     for _, process in _running(system):
         # One that is still starting would begin with the new ones.
         process.wait_for("event=started")
-    seen = {n: p.text().count("reloaded") for n, p in _running(system)}
-    system.change_seeds(*names)
+    seen = {
+        name: process.text().count("reloaded")
+        for name, process in _running(system)
+        if not of or name in of
+    }
+    system.change_seeds(*names, of=of)
     one_process.wait_until(
         lambda: all(
-            process.text().count("reloaded") > seen[name]
-            for name, process in _running(system)
+            system.processes[name].text().count("reloaded") > count
+            for name, count in seen.items()
         ),
         what="the new seeds read",
     )
@@ -160,3 +167,23 @@
     )
     system.power_off("edge-4", "edge-5", system.leader())
     _wait_until_served(system, _JOB)
+
+
+def test_all_find_the_group_whose_members_name_no_seed_of_theirs(
+    system: system_module.System,
+) -> None:
+    """Nobody but the members' own entries served after a loss of all power.
+
+    The order: settings came to differ. Those of the members named the members,
+    those of all others three entries without a disk. Then everything lost power.
+
+    The cause: members tell the group to their own seeds only, which knew it; the
+    three had no seeds but each other. While all ran they had called members all
+    the time, but no member remembers who did.
+    """
+    members = ("edge-1", "edge-2", "edge-3")
+    others = [name for name in system.processes if name not in members]
+    _turn_seeds(system, "edge-4", "edge-5", "edge-6", of=others)
+    _lose_power(system, *list(system.processes))
+    _wait_until_served(system, _JOB)
+    _wait_for_lasting_tasks(system)
