--- a/tests/roles/test_control_node.py
+++ b/tests/roles/test_control_node.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.roles import control_node
 from marigoldsill.state import disk_space
 from tests import one_process
@@ -44,6 +45,45 @@
         node.stop()
 
 
+def test_a_process_whose_state_can_not_be_opened_later_ends(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    """A process ran on without its part in control and said nothing of it.
+
+    The order: its disk was full at its start; then it took writes again, but
+    refused one while the state was opened. At a start that ends the process,
+    which is started again; on the task that waits for space it was lost.
+    """
+    has_space = False
+    monkeypatch.setattr(disk_space, "takes_writes", lambda _: has_space)
+    ended: list[errors.MarigoldsillError] = []
+    monkeypatch.setattr(control_node, "_end_process", ended.append)
+    refused = errors.StorageError("no space left on the device")
+
+    def refuse(**_: object) -> None:
+        raise refused
+
+    address = one_process.free_address()
+    node = control_node.ControlNode(
+        name="edge-1",
+        address=address,
+        data_centre="dc1",
+        data_folder=str(tmp_path / "data"),
+        founder_address=address,
+        seed_addresses=[address],
+        voters_wanted_count=1,
+        job_kept_s=120.0,
+    )
+    node.start()
+    monkeypatch.setattr(control_node.replica_module, "Replica", refuse)
+    has_space = True
+    try:
+        one_process.wait_until(lambda: ended, limit_s=5.0, what="its end")
+    finally:
+        node.stop()
+    assert ended == [refused]
+
+
 def test_a_probe_leaves_nothing_behind(tmp_path: pathlib.Path) -> None:
     assert disk_space.takes_writes(tmp_path / "data")
     assert list((tmp_path / "data").iterdir()) == []
