Have the leader note entries in the log and tell those that do not ask it

Where the members' name members and all others' three entries without a disk, nobody told those after a loss of all power: members had been called by them all the time, and remembered nobody.

Change: an exchange of views names who asks; the leader notes new ones in the log (512 at most) and tells, six a second, those that have not asked for 6 s.

--- a/marigoldsill/coordination/discovery/__init__.py
+++ b/marigoldsill/coordination/discovery/__init__.py
@@ -8,6 +8,7 @@
     "directory",
     "formation_calls",
     "joining",
+    "known_entries",
     "referral",
     "view_exchange",
 ]
--- a/marigoldsill/coordination/discovery/directory.py
+++ b/marigoldsill/coordination/discovery/directory.py
@@ -9,6 +9,7 @@
 import itertools
 import threading
 
+from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
@@ -51,8 +52,9 @@
         known = self.view()
         if _age_key(view) <= _age_key(known):
             return
+        heard = records.changed(view, teller_address="")
         with self._lock:
-            self._heard = max(self._heard, view, key=_age_key)
+            self._heard = max(self._heard, heard, key=_age_key)
         if view.leader_address != known.leader_address:
             logs.event(
                 "group_found",
--- a/marigoldsill/coordination/discovery/joining.py
+++ b/marigoldsill/coordination/discovery/joining.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.discovery import directory as directory_module
 from marigoldsill.coordination.discovery import formation_calls
+from marigoldsill.coordination.discovery import known_entries
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
@@ -40,9 +41,11 @@
         founder_address: str,
         seed_addresses: Sequence[str],
         directory: directory_module.Directory,
+        entries: known_entries.KnownEntries,
     ):
         self.replica: replica_module.Replica | None = None
         self._directory = directory
+        self._entries = entries
         self._member = member
         self._data_folder = data_folder
         self._founder_address = founder_address
@@ -104,7 +107,8 @@
 
     def exchange_views(self, view: ttypes.GroupView) -> ttypes.GroupView:
         """Takes what another process knows of the group; tells the same."""
-        self._directory.take(view, teller="")
+        self._directory.take(view, teller=view.teller_address)
+        self._entries.note(view.teller_address)
         return self._directory.view()
 
     def _add(
--- a/marigoldsill/coordination/discovery/view_exchange.py
+++ b/marigoldsill/coordination/discovery/view_exchange.py
@@ -9,6 +9,8 @@
 
 from marigoldsill.coordination.discovery import directory as directory_module
 from marigoldsill.coordination.discovery import formation_calls
+from marigoldsill.coordination.discovery import known_entries
+from marigoldsill.protocol import records
 
 # A seed that restarts knows of no group for so long; agents keep their workers'
 # leases 7 s without a leader.
@@ -26,10 +28,12 @@
         self,
         *,
         directory: directory_module.Directory,
+        entries: known_entries.KnownEntries,
         own_address: str,
         seed_addresses: Sequence[str],
     ):
         self._directory = directory
+        self._entries = entries
         self._own_address = own_address
         self._seeds = tuple(seed_addresses)
         self._wake = threading.Event()
@@ -50,6 +54,8 @@
         """
         for address in self._partners():
             self._exchange(address)
+        for address in self._entries.due():
+            self._exchange(address)
         if self._is_member():
             return
         for address in self._directory.others():
@@ -60,9 +66,10 @@
         """Exchanges views with one process; whether it answered."""
         if self._stopping:
             return False
-        view = formation_calls.call(
-            address, "exchange_views", self._directory.view()
+        known = records.changed(
+            self._directory.view(), teller_address=self._own_address
         )
+        view = formation_calls.call(address, "exchange_views", known)
         if view is not None:
             self._directory.take(view, teller=address)
         return view is not None
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -492,6 +492,9 @@
 /** Agents that a leader has not heard for a while, and that are heard again. */
 struct NoteSilence { 1: list<string> silent = [], 2: list<string> heard = [] }
 
+/** Processes without state that asked the leader where the group is. */
+struct NoteEntries { 1: list<string> addresses = [] }
+
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
   2: i64 proposed_unix_ms = 0,
@@ -516,7 +519,8 @@
   65: optional BeginOccurrences begin_occurrences,
   66: optional ForgetJobs forget_jobs,
   67: optional RecordLearnt record_learnt,
-  68: optional NoteSilence note_silence
+  68: optional NoteSilence note_silence,
+  69: optional NoteEntries note_entries
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
@@ -833,7 +837,8 @@
   1: i64 term = 0,                  // 0: nothing is known
   2: i64 members_index = 0,         // log index of the latest change of members
   3: list<string> addresses = [],   // of all members
-  4: string leader_address = ""     // empty: not known
+  4: string leader_address = "",    // empty: not known
+  5: string teller_address = ""     // where others reach who tells it
 }
 
 service Control {
@@ -962,7 +967,8 @@
   60: Routing routing,
   61: list<JobRecord> jobs = [],
   62: optional RecordLearnt learnt,
-  63: list<string> silent_agents = []
+  63: list<string> silent_agents = [],
+  64: list<string> entry_addresses = []
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.discovery import directory as directory_module
 from marigoldsill.coordination.discovery import formation_calls
 from marigoldsill.coordination.discovery import joining
+from marigoldsill.coordination.discovery import known_entries
 from marigoldsill.coordination.discovery import referral
 from marigoldsill.coordination.discovery import view_exchange
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
@@ -86,8 +87,10 @@
         self._directory = directory_module.Directory(
             own_address=address, own_view=self._own_view
         )
+        self._entries = known_entries.KnownEntries()
         self._view_exchange = view_exchange.ViewExchange(
             directory=self._directory,
+            entries=self._entries,
             own_address=address,
             seed_addresses=seed_addresses,
         )
@@ -97,6 +100,7 @@
             founder_address=founder_address,
             seed_addresses=seed_addresses,
             directory=self._directory,
+            entries=self._entries,
         )
         self._thrift = thrift_server.ThriftServer(
             address=address, connections_count=_CONNECTIONS_COUNT, name=name
@@ -138,9 +142,16 @@
     def _open_when_possible(self) -> None:
         while not self._stopping.wait(_DISK_LOOK_S):
             if disk_space.takes_writes(self._data_folder):
-                self._open()
+                self._open_or_end()
                 return
 
+    def _open_or_end(self) -> None:
+        """Opens the state on a task of its own, where nobody sees it fail."""
+        try:
+            self._open()
+        except errors.StorageError as error:
+            _end_process(error)
+
     def _open(self) -> None:
         """Takes part in control with what is on the disk."""
         self._joining.form()
@@ -170,7 +181,7 @@
             control_link.SERVICE_NAME, ControlThrift.Processor(service)
         )
         self._thrift.add(peers.SERVICE_NAME, replica.processor)
-        self._joining.replica = replica
+        self._joining.replica = self._entries.replica = replica
         replica.start()
         self._scheduler.start(service)
         self._pool.submit(self._joining.run)
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -39,6 +39,7 @@
     "forget_jobs",
     "record_learnt",
     "note_silence",
+    "note_entries",
 )
 _OPERATOR_BODIES = (
     ttypes.RecordPlan,
@@ -129,6 +130,9 @@
         case ttypes.NoteSilence(silent=silent, heard=heard):
             tables.jobs.note_silence(silent, heard)
             return _ok(tables)
+        case ttypes.NoteEntries(addresses=addresses):
+            tables.note_entries(addresses)
+            return _ok(tables)
         case _:
             return _ok(tables)
 
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import itertools
 
 from marigoldsill.protocol import codec
@@ -13,6 +14,9 @@
 from marigoldsill.state import job_tables
 
 TOMBSTONES_LIMIT = 2_000
+# Some times the entries of the largest site; addresses of machines that are gone
+# stay until others come.
+ENTRIES_LIMIT = 512
 
 _CONFIGURATION_PREFIXES = ("service/", "worker/", "policy")
 _SCRATCH_TABLES = (
@@ -56,6 +60,8 @@
             leader waits for it, since an older policy may have granted it.
         touched_tasks: Tasks that changed since `take_touched_tasks`.
         jobs: Queues, their jobs and the runs of those.
+        entry_addresses: Where processes without state were that asked a
+            leader, the one noted last at the end.
     """
 
     def __init__(self):
@@ -91,6 +97,7 @@
         self.touched_workers: set[str] = set()
         self.touched_tasks: set[str] = set()
         self.jobs = job_tables.JobTables()
+        self.entry_addresses: dict[str, None] = {}
 
     def take_touched_tasks(self) -> set[str]:
         """The tasks that changed since the last call."""
@@ -209,6 +216,14 @@
         }
         return copy
 
+    def note_entries(self, addresses: Iterable[str]) -> None:
+        """Notes where processes without state are; the oldest make way."""
+        for address in addresses:
+            self.entry_addresses.pop(address, None)
+            self.entry_addresses[address] = None
+        while len(self.entry_addresses) > ENTRIES_LIMIT:
+            del self.entry_addresses[next(iter(self.entry_addresses))]
+
     def to_bytes(self) -> bytes:
         """The whole state as a snapshot."""
         return codec.encode(
@@ -240,6 +255,7 @@
                 jobs=list(self.jobs.jobs.values()),
                 learnt=self.jobs.learnt.record(),
                 silent_agents=sorted(self.jobs.silent_agents),
+                entry_addresses=list(self.entry_addresses),
             )
         )
 
@@ -289,6 +305,7 @@
         if snapshot.learnt is not None:
             tables.jobs.learnt.take(snapshot.learnt)
         tables.jobs.note_silence(snapshot.silent_agents, ())
+        tables.note_entries(snapshot.entry_addresses)
         tables.touched_workers = set(
             itertools.chain(tables.workers, tables.tasks_by_worker)
         )
--- a/tests/coordination/discovery/test_directory.py
+++ b/tests/coordination/discovery/test_directory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marigoldsill.coordination.discovery import directory as directory_module
+from marigoldsill.coordination.discovery import known_entries
 from marigoldsill.coordination.discovery import referral
 from marigoldsill.coordination.discovery import view_exchange
 from marigoldsill.protocol.generated import Control
@@ -102,7 +103,10 @@
     directory: directory_module.Directory, own_address: str, *seeds: str
 ) -> view_exchange.ViewExchange:
     return view_exchange.ViewExchange(
-        directory=directory, own_address=own_address, seed_addresses=seeds
+        directory=directory,
+        entries=known_entries.KnownEntries(),
+        own_address=own_address,
+        seed_addresses=seeds,
     )
 
 
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -25,8 +25,8 @@
 )
 _ROOMS = (
     "agreement",
-    "discovery",
     "leadership",
+    "discovery",
     "configuration",
     "requests",
     "runs",
