--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -137,9 +137,14 @@
 
     def _open_when_possible(self) -> None:
         while not self._stopping.wait(_DISK_LOOK_S):
-            if disk_space.takes_writes(self._data_folder):
+            if not disk_space.takes_writes(self._data_folder):
+                continue
+            try:
                 self._open()
-                return
+            except errors.MarigoldsillError as error:
+                # As at a start; here nobody else would hear of it.
+                _end_process(error)
+            return
 
     def _open(self) -> None:
         """Takes part in control with what is on the disk."""
@@ -204,7 +209,7 @@
         )
 
 
-def _end_process(error: errors.StorageError) -> None:
+def _end_process(error: errors.MarigoldsillError) -> None:
     logs.event("disk_failed", level="ERROR", reason=error.message)
     logs.flush()
     os._exit(error.exit_code)
