Draw the loss of all power, other seeds and stops of all members in soaks

Purpose: the series that left a group unfound for good (a member replaced by an empty one, seeds without state, much later no power) could not be drawn.

Change: three edges without a disk beside the members; settings that name other seeds, half of the time only such edges; all processes killed at once; all members stopped at once. What comes after a slow end of a fault keeps its distance in real time. Settings files change at once, so nobody reads a half one.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,9 +13,15 @@
 # A lost disk is one more loss: nothing else happens to a member so long before
 # and after it.
 _DISK_APART_S = 6.0
+# When the first disk is lost, and how long after it the next, in seconds.
+_FIRST_DISK_S = (2.0, 30.0)
+_NEXT_DISK_S = (20.0, 40.0)
 _DELAYS_S = (0.005, 0.1)
-_EDGE_SHARE = 0.45
-_DISK_SHARE = 0.1
+_MEMBER_SHARE = 0.45
+# Seeds that keep no state forget the group, so they are drawn alone as often.
+_PLAIN_SEEDS_SHARE = 0.5
+# Settings name up to so many.
+_SEEDS_COUNT = 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,11 +54,32 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DiskLost:
-    """A process is killed and comes back with an empty folder."""
+    """A member is replaced by an empty one at the same address."""
 
     process: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PowerLost:
+    """Processes are killed at once, workers with them, and start again."""
+
+    processes: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AllStopped:
+    """Processes get SIGTERM at once, and are started again after their end."""
+
+    processes: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SeedsChanged:
+    """The settings of everybody name other seeds from now on."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reborn:
     """A worker crashes and runs again, empty, under a new id."""
@@ -82,6 +109,9 @@
     | Paused
     | Reloaded
     | DiskLost
+    | PowerLost
+    | AllStopped
+    | SeedsChanged
     | Reborn
     | Disobedient
     | Link
@@ -103,63 +133,120 @@
     fault: Fault
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Machines:
+    """What faults may happen to: edges with and without a disk, sides."""
+
+    members: tuple[str, ...]
+    plain_edges: tuple[str, ...]
+    sides: tuple[str, ...]
+
+    @property
+    def edges(self) -> tuple[str, ...]:
+        return (*self.members, *self.plain_edges)
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        return (*self.edges, *self.sides)
+
+
 def draw(
     seed: int,
     *,
     duration_s: float,
     edges: Sequence[str],
     sides: Sequence[str],
+    plain_edges: Sequence[str] = (),
 ) -> list[Planned]:
-    """The faults of one soak."""
-    return list(_draw(random.Random(seed), duration_s, edges, sides))
+    """The faults of one soak.
+
+    Args:
+        seed: The same one gives the same faults.
+        duration_s: When the last one begins at the latest.
+        edges: Those with a disk.
+        sides: The workers' machines.
+        plain_edges: Edges without a disk.
+    """
+    machines = _Machines(tuple(edges), tuple(plain_edges), tuple(sides))
+    return list(_draw(random.Random(seed), duration_s, machines))
 
 
 def _draw(
-    numbers: random.Random,
-    duration_s: float,
-    edges: Sequence[str],
-    sides: Sequence[str],
+    numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[Planned]:
+    disks = list(_disks(numbers, duration_s, machines))
+    yield from disks
     at_s = numbers.uniform(*_APART_S)
-    disk_free_s = _DISK_APART_S
-    edge_free_s = 0.0
     while at_s < duration_s:
         lasts_s = numbers.uniform(*_LASTS_S)
-        is_edge = numbers.random() < _EDGE_SHARE
-        if is_edge and at_s >= disk_free_s and numbers.random() < _DISK_SHARE:
-            yield Planned(at_s, lasts_s, DiskLost(numbers.choice(edges)))
-            edge_free_s = at_s + lasts_s + _DISK_APART_S
-            disk_free_s = edge_free_s + _DISK_APART_S
-        elif is_edge and at_s >= edge_free_s:
-            yield Planned(at_s, lasts_s, _of_process(numbers, edges))
-            disk_free_s = max(disk_free_s, at_s + lasts_s + _DISK_APART_S)
+        is_member = numbers.random() < _MEMBER_SHARE
+        if is_member and not any(_is_near(d, at_s, lasts_s) for d in disks):
+            yield Planned(at_s, lasts_s, _of_members(numbers, machines))
         else:
-            yield Planned(at_s, lasts_s, _of_side(numbers, edges, sides))
+            yield Planned(at_s, lasts_s, _of_others(numbers, machines))
         at_s += numbers.uniform(*_APART_S)
 
 
+def _disks(
+    numbers: random.Random, duration_s: float, machines: _Machines
+) -> Iterator[Planned]:
+    at_s = numbers.uniform(*_FIRST_DISK_S)
+    while at_s < duration_s:
+        lasts_s = numbers.uniform(*_LASTS_S)
+        lost = DiskLost(numbers.choice(machines.members))
+        yield Planned(at_s, lasts_s, lost)
+        at_s += numbers.uniform(*_NEXT_DISK_S)
+
+
+def _is_near(disk: Planned, at_s: float, lasts_s: float) -> bool:
+    """Whether a fault of a member comes too near to a lost disk."""
+    return (
+        at_s + lasts_s > disk.at_s - _DISK_APART_S
+        and at_s < disk.at_s + disk.lasts_s + _DISK_APART_S
+    )
+
+
+def _of_members(numbers: random.Random, machines: _Machines) -> Fault:
+    match numbers.randrange(10):
+        case 0:
+            return PowerLost(machines.all)
+        case 1:
+            return AllStopped(machines.members)
+        case _:
+            return _of_process(numbers, machines.members)
+
+
 def _of_process(numbers: random.Random, names: Sequence[str]) -> Fault:
     kind = numbers.choice((Killed, Stopped, Paused, Reloaded))
     return kind(numbers.choice(names))
 
 
-def _of_side(
-    numbers: random.Random, edges: Sequence[str], sides: Sequence[str]
-) -> Fault:
-    side = numbers.choice(sides)
-    match numbers.randrange(5):
+def _of_others(numbers: random.Random, machines: _Machines) -> Fault:
+    side = numbers.choice(machines.sides)
+    match numbers.randrange(6):
         case 0:
-            return _of_process(numbers, sides)
+            others = (*machines.plain_edges, *machines.sides)
+            return _of_process(numbers, others)
         case 1:
             return Reborn(side)
         case 2:
             return Disobedient(side, numbers.choice(("run-start", "run-stop")))
         case 3:
-            return Link(numbers.choice(edges), _mode(numbers))
+            return SeedsChanged(_seeds(numbers, machines))
+        case 4:
+            return Link(numbers.choice(machines.edges), _mode(numbers))
         case _:
             return Link(side, _mode(numbers))
 
 
+def _seeds(numbers: random.Random, machines: _Machines) -> tuple[str, ...]:
+    """Any edges, and often only such without a disk."""
+    is_plain = numbers.random() < _PLAIN_SEEDS_SHARE
+    names = machines.plain_edges if is_plain else ()
+    names = names or machines.edges
+    return tuple(numbers.sample(names, min(_SEEDS_COUNT, len(names))))
+
+
 def _mode(numbers: random.Random) -> proxy.Mode:
     return numbers.choice(
         (
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -14,7 +14,7 @@
 
 
 class Injector:
-    """Begins and ends faults; what overlaps on one process waits."""
+    """Begins and ends faults; of those of one process only one at a time."""
 
     def __init__(
         self,
@@ -23,7 +23,8 @@
     ):
         self._system = system
         self._links = links
-        self._busy: set[str] = set()
+        # By process, the fault that is to let it run again.
+        self._busy: dict[str, faults.Fault] = {}
 
     def play(self, plan: list[faults.Planned]) -> None:
         """Plays a plan to its end; everything runs again afterwards."""
@@ -33,7 +34,11 @@
         heapq.heapify(due)
         while due:
             at_s, _, item, begins = heapq.heappop(due)
-            time.sleep(max(0.0, begun_s + at_s - time.monotonic()))
+            left_s = begun_s + at_s - time.monotonic()
+            time.sleep(max(0.0, left_s))
+            # What comes after a slow end keeps its distance: disks are lost
+            # one at a time.
+            begun_s += max(0.0, -left_s)
             if not begins:
                 self._end(item.fault)
             elif self._begin(item.fault):
@@ -51,6 +56,10 @@
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.unanswered = {call}
                 worker_faults.late_s = _LATE_S
+            case faults.SeedsChanged(names=names):
+                self._system.change_seeds(*names)
+            case faults.PowerLost() | faults.AllStopped():
+                self._begin_all(fault)
             case _:
                 return self._begin_process(fault)
         return True
@@ -58,7 +67,7 @@
     def _begin_process(self, fault: faults.Fault) -> bool:
         if fault.process in self._busy:
             return False
-        self._busy.add(fault.process)
+        self._busy[fault.process] = fault
         process = self._system.processes[fault.process]
         match fault:
             case faults.Killed() | faults.DiskLost():
@@ -67,21 +76,49 @@
                 process.send(signal.SIGTERM)
             case faults.Paused():
                 process.send(signal.SIGSTOP)
-            case faults.Reloaded():
+            case faults.Reloaded() if "event=started" in process.text():
+                # One that is still starting would end by it, as any program
+                # does; there is nobody here who starts it again.
                 process.send(signal.SIGHUP)
         return True
 
+    def _begin_all(self, fault: faults.PowerLost | faults.AllStopped) -> None:
+        """Takes processes down, whatever else has happened to them."""
+        for name in fault.processes:
+            self._busy[name] = fault
+            process = self._system.processes[name]
+            match fault:
+                case faults.PowerLost():
+                    process.send(signal.SIGKILL)
+                    if name in self._system.workers:
+                        self._system.workers[name].be_reborn()
+                case faults.AllStopped():
+                    process.send(signal.SIGTERM)
+                    process.send(signal.SIGCONT)
+
     def _end(self, fault: faults.Fault) -> None:
         match fault:
             case faults.Link(name=name):
                 self._links[name].set(proxy.Through())
             case faults.Disobedient(worker=worker):
                 self._system.workers[worker].faults.unanswered = set()
-            case faults.Reborn():
+            case faults.Reborn() | faults.SeedsChanged():
                 pass
-            case _:
+            case faults.PowerLost(processes=names):
+                self._end_all(fault, names)
+            case faults.AllStopped(processes=names):
+                self._end_all(fault, names)
+            case _ if self._busy.get(fault.process) is fault:
                 self._end_process(fault)
-                self._busy.discard(fault.process)
+                del self._busy[fault.process]
+
+    def _end_all(self, fault: faults.Fault, names: tuple[str, ...]) -> None:
+        """Starts what no later fault took over."""
+        for name in names:
+            if self._busy.get(name) is fault:
+                self._system.processes[name].wait()
+                self._system.start_again(name)
+                del self._busy[name]
 
     def _end_process(self, fault: faults.Fault) -> None:
         name = fault.process
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from tests.platform import system as system_module
 
 _WORKERS_COUNT = 3
+_PLAIN_EDGES_COUNT = 3
 # After the last fault: leases run out, and work starts again elsewhere.
 _SETTLE_LIMIT_S = 60.0
 
@@ -36,14 +37,19 @@
 def run(seed: int, folder: pathlib.Path, *, duration_s: float) -> Result:
     """Runs one soak; its logs stay in the folder."""
     links = _Links()
-    system = system_module.System(folder, reach=links.reach)
+    system = system_module.System(
+        folder, plain_edges_count=_PLAIN_EDGES_COUNT, reach=links.reach
+    )
     try:
         system.start(workers_count=_WORKERS_COUNT)
         plan = faults.draw(
             seed,
             duration_s=duration_s,
-            edges=system.edges(),
+            edges=system.members(),
             sides=list(system.workers),
+            plain_edges=[
+                e for e in system.edges() if e not in system.members()
+            ],
         )
         callers = callers_module.Callers(system, seed=seed)
         callers.start()
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -159,6 +159,10 @@
         for name in self._settings:
             self._write_settings(name)
 
+    def members(self) -> list[str]:
+        """Names of the edge processes with a disk."""
+        return sorted(self._disks)
+
     def edges(self) -> list[str]:
         """Names of the edge processes that run."""
         return [name for name in self.processes if name.startswith("edge")]
@@ -305,7 +309,9 @@
     def _write_settings(self, name: str) -> pathlib.Path:
         path = self.folder / f"{name}.toml"
         seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in self._seeds]
-        path.write_text(
+        # Whoever starts meanwhile reads the old file or the new one.
+        new = path.with_suffix(".new")
+        new.write_text(
             _SETTINGS.format(
                 **self._settings[name],
                 zone="z1",
@@ -316,6 +322,7 @@
                 adviser=self.adviser.address if self.adviser else "",
             )
         )
+        new.rename(path)
         return path
 
 
