Let an edge process tell others another address than it listens at

Purpose: behind a NAT or a port map, what others are told is not what a process listens at; tests need the same to put proxies between members.

What nobody can call (no port, port 0, 0.0.0.0, a URL) is refused. Without it others are told where the process listens, as before.

--- a/build_tools/settings_page.py
+++ b/build_tools/settings_page.py
@@ -18,7 +18,8 @@
 `marigoldsill check ROLE` with the same flags checks them without starting
 anything. All wrong settings are reported at once, each with its value and what
 is accepted. Operators' commands take the options shown by `--help`; their
-variables are in the [operator's guide](operators-guide.md).
+variables are in the [operator's guide](operators-guide.md). Processes on the
+users' platform have the platform's settings file besides.
 """
 _ROLES = {
     "marigoldsill entry": settings_module.EntrySettings,
@@ -26,6 +27,8 @@
     "marigoldsill control run": settings_module.ControlSettings,
     "marigoldsill control recover": settings_module.ControlRecoverSettings,
     "marigoldsill agent": settings_module.AgentSettings,
+    "marigoldsill platform edge": settings_module.PlatformEdgeSettings,
+    "marigoldsill platform side": settings_module.PlatformSideSettings,
     "marigoldsill local": settings_module.LocalSettings,
 }
 
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -22,11 +22,23 @@
 class Edge:
     """One edge process."""
 
-    def __init__(self, settings: settings_file.PlatformSettings):
+    def __init__(
+        self,
+        settings: settings_file.PlatformSettings,
+        *,
+        advertise_address: str = "",
+    ):
+        """Prepares to serve.
+
+        Args:
+            settings: The platform's.
+            advertise_address: Where others reach it; empty: where it listens.
+        """
         self._settings = settings
         self._node = control_node.ControlNode(
             name=settings.name,
-            address=settings.internal_address,
+            address=advertise_address or settings.internal_address,
+            listen_address=settings.internal_address,
             data_centre=settings.data_centre,
             data_folder=settings.data_folder,
             founder_address=settings.seed_addresses[0]
@@ -65,7 +77,7 @@
         self._node.start()
         for server in self._servers:
             server.start()
-        logs.event("started", address=self._settings.internal_address)
+        logs.event("started", address=self._node.address)
 
     def stop(self) -> None:
         """Fails its readiness, finishes what is in flight, then ends."""
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -41,13 +41,18 @@
 
 
 class ControlNode:
-    """One process's part in control."""
+    """One process's part in control.
+
+    Attributes:
+        address: Where other processes reach it.
+    """
 
     def __init__(
         self,
         *,
         name: str,
         address: str,
+        listen_address: str = "",
         data_centre: str,
         data_folder: str,
         founder_address: str,
@@ -61,6 +66,7 @@
         Args:
             name: This process's own, unique.
             address: Where other processes reach it.
+            listen_address: Where it listens; empty: at the same address.
             data_centre: Where it stands.
             data_folder: Its durable state; empty if it keeps none.
             founder_address: Who forms the group, if it is to be formed now;
@@ -71,6 +77,7 @@
             job_kept_s: How long the state of an ended job must be told.
             adviser: Who gives the tickets that some queues need, if anybody.
         """
+        self.address = address
         self._member = ttypes.Member(
             name=name,
             address=address,
@@ -99,7 +106,9 @@
             directory=self._directory,
         )
         self._thrift = thrift_server.ThriftServer(
-            address=address, connections_count=_CONNECTIONS_COUNT, name=name
+            address=listen_address or address,
+            connections_count=_CONNECTIONS_COUNT,
+            name=name,
         )
         self._thrift.add(
             formation_calls.SERVICE_NAME,
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -13,6 +13,9 @@
 from marigoldsill.transport import addresses
 
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_HOST = re.compile(r"[A-Za-z0-9.:_-]+")
+# What a process may listen at, but nobody can call.
+_EVERY_HOST = ("0.0.0.0", "::")
 _MEMBER_PARTS_COUNT = 3
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -50,6 +53,19 @@
     return text
 
 
+def parse_reachable_address(text: str) -> str:
+    """Checks "host:port" that others can call; empty is accepted."""
+    if not text:
+        return text
+    host, port = addresses.parse(text)
+    if not port or not _HOST.fullmatch(host) or host in _EVERY_HOST:
+        raise errors.SettingsError(
+            f"nobody can call {text!r}; accepted is the name or address of one "
+            "machine, and a port from 1 to 65535"
+        )
+    return text
+
+
 def parse_addresses(text: str) -> tuple[str, ...]:
     """Checks a list of addresses with commas between."""
     parts = tuple(part.strip() for part in text.split(",") if part.strip())
@@ -294,6 +310,29 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class PlatformSideSettings:
+    """Settings of `marigoldsill platform side`."""
+
+    metrics_port: int = setting(
+        "Port on which metrics are served; 0 for nowhere.",
+        parse_integer(0, 65_535),
+        default=0,
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class PlatformEdgeSettings(PlatformSideSettings):
+    """Settings of `marigoldsill platform edge`."""
+
+    advertise_address: str = setting(
+        "Where others reach this process, host:port, if a NAT or port map "
+        "stands before it; seeds must name it too. Empty: where it listens.",
+        parse_reachable_address,
+        default="",
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class LocalSettings:
     """Settings of `marigoldsill local`."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,6 +13,8 @@
     settings_module.ControlSettings,
     settings_module.ControlInitSettings,
     settings_module.AgentSettings,
+    settings_module.PlatformEdgeSettings,
+    settings_module.PlatformSideSettings,
     settings_module.LocalSettings,
 )
 _GOOD = {"name": "entry-1", "control_addresses": "10.0.0.1:7400,10.0.0.2:7400"}
@@ -67,6 +69,31 @@
     assert accepted in caught.value.message
 
 
+@pytest.mark.parametrize(
+    "text",
+    ["nat", "nat:0", "0.0.0.0:7720", "[::]:7720", "http://nat:7720", "a b:1"],
+)
+def test_an_address_that_nobody_can_call_is_not_told_to_others(
+    text: str,
+) -> None:
+    with pytest.raises(errors.SettingsError) as caught:
+        setting_sources.load(
+            settings_module.PlatformEdgeSettings, {"advertise_address": text}
+        )
+    assert caught.value.message.startswith("--advertise-address")
+    assert "accepted is" in caught.value.message
+
+
+@pytest.mark.parametrize("text", ["", "nat:7720", "10.0.0.1:1", "[fd00::1]:7"])
+def test_an_address_of_one_machine_may_be_told_to_others(text: str) -> None:
+    settings = setting_sources.load(
+        settings_module.PlatformEdgeSettings,
+        {},
+        environment={"MARIGOLDSILL_ADVERTISE_ADDRESS": text},
+    )
+    assert settings.advertise_address == text
+
+
 def test_all_wrong_and_missing_settings_are_named_at_once() -> None:
     with pytest.raises(errors.SettingsError) as caught:
         _load({"threads_count": "no"}, {"MARIGOLDSILL_HTTP_ADDRESS": "no"})
