Put proxies between members, and between agents or edges and members, in soaks

Purpose: silence between members came from paused processes only.

Change: each edge tells others the address of a proxy on a host of its own, and seeds name these hosts. A proxy treats callers differently: it finds the process at the other end of a connection in /proc, and only where that matters. Drawn: one way between two processes, or to all others, in one direction or both, and all processes in two parts; delayed, reset, cut, passing one way, silent. Some faults last up to 12 s, longer than leases. Ways between members stay whole 6 s around the loss of a disk.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,9 @@
 # Faults come this far apart and last so long, in seconds, so that some overlap.
 _APART_S = (0.2, 1.5)
 _LASTS_S = (0.2, 4.0)
+# Some last so long that leases run out, which are 7 s.
+_LONG_S = (4.0, 12.0)
+_LONG_SHARE = 0.15
 # A lost disk is one more loss: nothing else happens to a member so long before
 # and after it.
 _DISK_APART_S = 6.0
@@ -22,6 +25,7 @@
 _PLAIN_SEEDS_SHARE = 0.5
 # Settings name up to so many.
 _SEEDS_COUNT = 3
+_BOTH_WAYS_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -103,6 +107,23 @@
     mode: proxy.Mode
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Between:
+    """Something is wrong on the way from some processes to others' control.
+
+    Attributes:
+        callers: Who calls.
+        targets: Who is called; those that are edges.
+        both_ways: Whether the same is wrong with calls from these to those.
+        mode: What is wrong.
+    """
+
+    callers: tuple[str, ...]
+    targets: tuple[str, ...]
+    both_ways: bool
+    mode: proxy.Mode
+
+
 Fault = (
     Killed
     | Stopped
@@ -115,6 +136,7 @@
     | Reborn
     | Disobedient
     | Link
+    | Between
 )
 
 
@@ -178,7 +200,7 @@
     yield from disks
     at_s = numbers.uniform(*_APART_S)
     while at_s < duration_s:
-        lasts_s = numbers.uniform(*_LASTS_S)
+        lasts_s = _lasts_s(numbers)
         is_member = numbers.random() < _MEMBER_SHARE
         if is_member and not any(_is_near(d, at_s, lasts_s) for d in disks):
             yield Planned(at_s, lasts_s, _of_members(numbers, machines))
@@ -192,12 +214,17 @@
 ) -> Iterator[Planned]:
     at_s = numbers.uniform(*_FIRST_DISK_S)
     while at_s < duration_s:
-        lasts_s = numbers.uniform(*_LASTS_S)
+        lasts_s = _lasts_s(numbers)
         lost = DiskLost(numbers.choice(machines.members))
         yield Planned(at_s, lasts_s, lost)
         at_s += numbers.uniform(*_NEXT_DISK_S)
 
 
+def _lasts_s(numbers: random.Random) -> float:
+    is_long = numbers.random() < _LONG_SHARE
+    return numbers.uniform(*(_LONG_S if is_long else _LASTS_S))
+
+
 def _is_near(disk: Planned, at_s: float, lasts_s: float) -> bool:
     """Whether a fault of a member comes too near to a lost disk."""
     return (
@@ -207,11 +234,15 @@
 
 
 def _of_members(numbers: random.Random, machines: _Machines) -> Fault:
-    match numbers.randrange(10):
+    match numbers.randrange(12):
         case 0:
             return PowerLost(machines.all)
         case 1:
             return AllStopped(machines.members)
+        case 2 | 3:
+            return _between(numbers, machines.members, machines.members)
+        case 4 | 5:
+            return _halves(numbers, machines.all)
         case _:
             return _of_process(numbers, machines.members)
 
@@ -223,7 +254,7 @@
 
 def _of_others(numbers: random.Random, machines: _Machines) -> Fault:
     side = numbers.choice(machines.sides)
-    match numbers.randrange(6):
+    match numbers.randrange(8):
         case 0:
             others = (*machines.plain_edges, *machines.sides)
             return _of_process(numbers, others)
@@ -235,8 +266,32 @@
             return SeedsChanged(_seeds(numbers, machines))
         case 4:
             return Link(numbers.choice(machines.edges), _mode(numbers))
-        case _:
+        case 5:
             return Link(side, _mode(numbers))
+        case _:
+            others = (*machines.plain_edges, *machines.sides)
+            return _between(numbers, others, machines.edges)
+
+
+def _between(
+    numbers: random.Random, callers: Sequence[str], targets: Sequence[str]
+) -> Between:
+    """One way between two, or to them all from one."""
+    caller = numbers.choice(callers)
+    others = [name for name in targets if name != caller]
+    called = numbers.sample(others, numbers.choice((1, len(others))))
+    is_both = numbers.random() < _BOTH_WAYS_SHARE
+    return Between((caller,), tuple(called), is_both, _mode(numbers))
+
+
+def _halves(numbers: random.Random, names: Sequence[str]) -> Between:
+    """All machines fall into two parts."""
+    mixed = numbers.sample(names, len(names))
+    count = numbers.randrange(1, len(mixed))
+    one, other = tuple(mixed[:count]), tuple(mixed[count:])
+    is_both = numbers.random() < _BOTH_WAYS_SHARE
+    mode = numbers.choice((proxy.Silent(), proxy.Cut()))
+    return Between(one, other, is_both, mode)
 
 
 def _seeds(numbers: random.Random, machines: _Machines) -> tuple[str, ...]:
@@ -255,5 +310,6 @@
             proxy.OneWay(to_target=False),
             proxy.Silent(),
             proxy.Reset(),
+            proxy.Cut(),
         )
     )
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,9 +20,18 @@
         self,
         system: system_module.System,
         links: dict[str, proxy.Proxy],
+        ways: dict[str, proxy.Proxy],
     ):
+        """Begins with nothing wrong.
+
+        Args:
+            system: What faults happen to.
+            links: Proxies before what workers and callers reach.
+            ways: Proxies before what edges tell other processes.
+        """
         self._system = system
         self._links = links
+        self._ways = ways
         # By process, the fault that is to let it run again.
         self._busy: dict[str, faults.Fault] = {}
 
@@ -50,6 +59,8 @@
         match fault:
             case faults.Link(name=name, mode=mode):
                 self._links[name].set(mode)
+            case faults.Between(mode=mode):
+                self._set_between(fault, mode)
             case faults.Reborn(worker=worker):
                 self._system.workers[worker].be_reborn()
             case faults.Disobedient(worker=worker, call=call):
@@ -64,6 +75,15 @@
                 return self._begin_process(fault)
         return True
 
+    def _set_between(self, fault: faults.Between, mode: proxy.Mode) -> None:
+        ways = [(fault.callers, fault.targets)]
+        if fault.both_ways:
+            ways.append((fault.targets, fault.callers))
+        for callers, targets in ways:
+            for name in targets:
+                if name in self._ways:
+                    self._ways[name].set(mode, callers=callers)
+
     def _begin_process(self, fault: faults.Fault) -> bool:
         if fault.process in self._busy:
             return False
@@ -100,6 +120,8 @@
         match fault:
             case faults.Link(name=name):
                 self._links[name].set(proxy.Through())
+            case faults.Between():
+                self._set_between(fault, proxy.Through())
             case faults.Disobedient(worker=worker):
                 self._system.workers[worker].faults.unanswered = set()
             case faults.Reborn() | faults.SeedsChanged():
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,5 +1,7 @@
 """A loopback proxy that delays, resets, cuts or silences connections."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 import socket
@@ -10,6 +12,7 @@
 _CHUNK_BYTES = 65_536
 _POLL_S = 0.05
 _CONNECT_TIMEOUT_S = 1.0
+_BACKLOG = 512
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,7 +52,31 @@
     """Open connections are reset; new ones pass."""
 
 
-Mode = Through | Delayed | OneWay | Silent | Reset
+@dataclasses.dataclass(slots=True, frozen=True)
+class Cut:
+    """Open connections are reset, and new ones too."""
+
+
+Mode = Through | Delayed | OneWay | Silent | Reset | Cut
+
+
+class _Caller:
+    """Who opened a connection, looked up once where it matters."""
+
+    def __init__(
+        self, connection: socket.socket, name: Callable[[socket.socket], str]
+    ):
+        self._connection = connection
+        self._name = name
+        self._found: str | None = None
+
+    def is_among(self, names: frozenset[str]) -> bool:
+        """Whether it is one of these; whoever it is, if there are none."""
+        if not names:
+            return True
+        if self._found is None:
+            self._found = self._name(self._connection)
+        return self._found in names
 
 
 class Proxy:
@@ -57,27 +84,52 @@
 
     Attributes:
         address: Where it listens.
+        target: Where connections go.
     """
 
-    def __init__(self, target: str):
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
+    def __init__(
+        self,
+        target: str,
+        *,
+        address: str = "127.0.0.1:0",
+        name_caller: Callable[[socket.socket], str] = lambda _: "",
+    ):
+        """Begins to listen.
+
+        Args:
+            target: Where connections go.
+            address: Where they come in.
+            name_caller: Who opened a connection that came in.
+        """
+        self.target = target
+        self._name_caller = name_caller
         self._lock = threading.Lock()
-        self._mode: Mode = Through()
-        self._open: set[socket.socket] = set()
+        # By the callers that are meant; the newest last.
+        self._modes: dict[frozenset[str], Mode] = {}
+        self._open: dict[socket.socket, _Caller] = {}
         self._stopping = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._listener = socket.create_server(_parts(address), backlog=_BACKLOG)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
         _begin(self._accept)
 
-    def set(self, mode: Mode) -> None:
-        """Changes what happens to connections, also to open ones."""
+    def set(self, mode: Mode, *, callers: Iterable[str] = ()) -> None:
+        """Changes what happens to connections, also to open ones.
+
+        Args:
+            mode: What happens.
+            callers: To whose connections; to everybody's if left out.
+        """
+        names = frozenset(callers)
         with self._lock:
-            self._mode = mode
-            connections = list(self._open)
-        if isinstance(mode, Reset):
-            for connection in connections:
-                _reset(connection)
+            self._modes.pop(names, None)
+            if not isinstance(mode, Through):
+                self._modes[names] = mode
+            connections = list(self._open.items())
+        if isinstance(mode, Reset | Cut):
+            for connection, caller in connections:
+                if caller.is_among(names):
+                    _reset(connection)
 
     def stop(self) -> None:
         """Ends everything."""
@@ -88,55 +140,70 @@
         for connection in connections:
             _reset(connection)
 
+    def _mode(self, caller: _Caller) -> Mode:
+        with self._lock:
+            modes = list(reversed(self._modes.items()))
+        found = (mode for names, mode in modes if caller.is_among(names))
+        return next(found, Through())
+
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
-                caller, _ = self._listener.accept()
+                connection, _ = self._listener.accept()
             except OSError:
                 return
-            _begin(self._serve, caller)
+            _begin(self._serve, connection)
 
-    def _serve(self, caller: socket.socket) -> None:
+    def _serve(self, connection: socket.socket) -> None:
+        caller = _Caller(connection, self._name_caller)
+        if isinstance(self._mode(caller), Cut):
+            _reset(connection)
+            return
         try:
-            target = socket.create_connection(self._target, _CONNECT_TIMEOUT_S)
+            target = socket.create_connection(
+                _parts(self.target), _CONNECT_TIMEOUT_S
+            )
         except OSError:
-            _reset(caller)
+            _reset(connection)
             return
         target.settimeout(None)
         with self._lock:
-            self._open |= {caller, target}
-        _begin(self._copy, caller, target, True)
-        _begin(self._copy, target, caller, False)
+            self._open |= {connection: caller, target: caller}
+        _begin(self._copy, connection, target, True)
+        _begin(self._copy, target, connection, False)
 
     def _copy(
         self, source: socket.socket, sink: socket.socket, to_target: bool
     ) -> None:
+        caller = self._open[source]
         try:
             while data := source.recv(_CHUNK_BYTES):
-                self._pass(sink, data, to_target)
-            self._finish(sink)
+                self._pass(sink, data, caller, to_target)
+            self._finish(sink, caller)
         except OSError:
             _reset(sink)
         finally:
             with self._lock:
-                self._open.discard(source)
+                del self._open[source]
 
-    def _finish(self, sink: socket.socket) -> None:
+    def _finish(self, sink: socket.socket, caller: _Caller) -> None:
         """Hands the end of a connection on."""
-        with self._lock:
-            mode = self._mode
-        match mode:
-            case Reset():
+        match self._mode(caller):
+            case Reset() | Cut():
                 _reset(sink)
             case _:
                 sink.shutdown(socket.SHUT_WR)
 
-    def _pass(self, sink: socket.socket, data: bytes, to_target: bool) -> None:
+    def _pass(
+        self,
+        sink: socket.socket,
+        data: bytes,
+        caller: _Caller,
+        to_target: bool,
+    ) -> None:
         """Hands data on, once the mode lets it."""
         while not self._stopping.is_set():
-            with self._lock:
-                mode = self._mode
-            match mode:
+            match self._mode(caller):
                 case Silent():
                     self._stopping.wait(_POLL_S)
                 case OneWay(to_target=passing) if passing != to_target:
@@ -150,6 +217,11 @@
                     return
 
 
+def _parts(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def _begin(task, *arguments: object) -> None:
     threading.Thread(target=task, args=arguments, daemon=True).start()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import pathlib
+import socket
 
 from soak import callers as callers_module
 from soak import faults
 from soak import injector as injector_module
+from soak import owners
 from soak import proxy
 from tests import one_process
 from tests.platform import rules
@@ -36,10 +38,14 @@
 
 def run(seed: int, folder: pathlib.Path, *, duration_s: float) -> Result:
     """Runs one soak; its logs stay in the folder."""
-    links = _Links()
+    links = Links()
     system = system_module.System(
-        folder, plain_edges_count=_PLAIN_EDGES_COUNT, reach=links.reach
+        folder,
+        plain_edges_count=_PLAIN_EDGES_COUNT,
+        reach=links.reach,
+        advertise=links.advertise,
     )
+    links.system = system
     try:
         system.start(workers_count=_WORKERS_COUNT)
         plan = faults.draw(
@@ -53,8 +59,7 @@
         )
         callers = callers_module.Callers(system, seed=seed)
         callers.start()
-        named = links.named(system)
-        injector_module.Injector(system, named).play(plan)
+        injector_module.Injector(system, links.named(), links.ways()).play(plan)
         callers.stop()
         broken = callers.broken + _settle(system, callers)
     finally:
@@ -65,10 +70,15 @@
     return Result(seed, len(plan), len(accepted), broken)
 
 
-class _Links:
-    """A proxy before each address that a system lets others reach."""
+class Links:
+    """A proxy before each address that a system lets others reach.
+
+    Attributes:
+        system: Whose they are.
+    """
 
     def __init__(self):
+        self.system: system_module.System | None = None
         self._by_target: dict[str, proxy.Proxy] = {}
 
     def reach(self, target: str) -> str:
@@ -77,14 +87,36 @@
             self._by_target[target] = proxy.Proxy(target)
         return self._by_target[target].address
 
-    def named(self, system: system_module.System) -> dict[str, proxy.Proxy]:
+    def advertise(self, target: str) -> str:
+        """Like `reach`, with the same port, on a host of its own."""
+        host, _, port = target.rpartition(":")
+        first, second, third, last = host.split(".")
+        address = f"{first}.{second}.{int(third) + 1}.{last}:{port}"
+        if target not in self._by_target:
+            self._by_target[target] = proxy.Proxy(
+                target, address=address, name_caller=self._name
+            )
+        return address
+
+    def named(self) -> dict[str, proxy.Proxy]:
         """The proxies of workers and of edges, by the machine's name."""
+        system = self.system
         targets = {name: w.address for name, w in system.workers.items()}
         targets |= {name: system.frontend(name) for name in system.edges()}
         for target in targets.values():
             self.reach(target)
         return {name: self._by_target[t] for name, t in targets.items()}
 
+    def ways(self) -> dict[str, proxy.Proxy]:
+        """The proxies between processes, by the edge that is called."""
+        by_address = {link.address: link for link in self._by_target.values()}
+        names = self.system.edges()
+        return {name: by_address[self.system.outside(name)] for name in names}
+
+    def _name(self, connection: socket.socket) -> str:
+        processes = self.system.processes.items()
+        return owners.name(connection, {n: p.pid for n, p in processes})
+
     def stop(self) -> None:
         """Ends all of them."""
         for link in self._by_target.values():
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -65,6 +65,7 @@
         disks_count: int = 3,
         plain_edges_count: int = 0,
         reach: Callable[[str], str] = lambda address: address,
+        advertise: Callable[[str], str] = lambda address: address,
     ):
         """Prepares a system.
 
@@ -74,16 +75,21 @@
             plain_edges_count: How many there are without one.
             reach: Where workers and agents reach each other, and callers the
                 edges, by the address of whom they mean; for a proxy between.
+            advertise: What an edge tells others, by the address where it
+                listens for them; another host with the same port.
         """
         self.folder = folder
         self._reach = reach
+        self._advertise = advertise
         self.processes: dict[str, one_process.Process] = {}
         self.workers: dict[str, pool_worker.PoolWorker] = {}
         self.adviser: adviser_module.Adviser | None = None
         self.journal_path = folder / "journal"
         self._journal = journal_module.Journal(str(self.journal_path))
         numbers = random.SystemRandom()
-        block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
+        # Hosts of edges end with 11 to 99, those of sides with 101 and more;
+        # the block that follows is left to `advertise`.
+        block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 254)}"
         edges_count = disks_count + plain_edges_count
         self._ips = {
             f"edge-{n}": f"{block}.{10 + n}" for n in range(1, edges_count + 1)
@@ -148,6 +154,10 @@
         """Where an edge process serves callers."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
+    def outside(self, name: str) -> str:
+        """Where other processes reach an edge process."""
+        return self._advertise(f"{self._ips[name]}:{_INTERNAL_PORT}")
+
     def power_off(self, *names: str) -> None:
         """Kills processes; their folders stay."""
         for name in names:
@@ -293,7 +303,9 @@
             "app": app,
             "listen": listen,
         }
-        path = self._write_settings(name)
+        environment = {"MARIGOLDSILL_CONFIG": str(self._write_settings(name))}
+        if role == "edge":
+            environment["MARIGOLDSILL_ADVERTISE_ADDRESS"] = self.outside(name)
         self.processes[name] = one_process.Process(
             [
                 "marigoldsill",
@@ -303,12 +315,13 @@
                 str(_METRICS_PORT),
             ],
             log=self.folder / f"{name}.log",
-            environment={"MARIGOLDSILL_CONFIG": str(path)},
+            environment=environment,
         )
 
     def _write_settings(self, name: str) -> pathlib.Path:
         path = self.folder / f"{name}.toml"
-        seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in self._seeds]
+        hosts = [self.outside(s).rpartition(":")[0] for s in self._seeds]
+        seeds = [f'"{host}:{_CONTROL_PORT}"' for host in hosts]
         # Whoever starts meanwhile reads the old file or the new one.
         new = path.with_suffix(".new")
         new.write_text(
