--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,12 +10,22 @@
 # Faults come this far apart and last so long, in seconds, so that some overlap.
 _APART_S = (0.2, 1.5)
 _LASTS_S = (0.2, 4.0)
+# Some last so long that leases run out, which are 7 s.
+_LONG_S = (4.0, 12.0)
+_LONG_SHARE = 0.15
 # A lost disk is one more loss: nothing else happens to a member so long before
 # and after it.
 _DISK_APART_S = 6.0
+# When the first disk is lost, and how long after it the next, in seconds.
+_FIRST_DISK_S = (2.0, 30.0)
+_NEXT_DISK_S = (20.0, 40.0)
 _DELAYS_S = (0.005, 0.1)
-_EDGE_SHARE = 0.45
-_DISK_SHARE = 0.1
+_MEMBER_SHARE = 0.45
+# Seeds that keep no state forget the group, so they are drawn alone as often.
+_PLAIN_SEEDS_SHARE = 0.5
+# Settings name up to so many.
+_SEEDS_COUNT = 3
+_BOTH_WAYS_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,11 +58,32 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DiskLost:
-    """A process is killed and comes back with an empty folder."""
+    """A member is replaced by an empty one at the same address."""
 
     process: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PowerLost:
+    """Processes are killed at once, workers with them, and start again."""
+
+    processes: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AllStopped:
+    """Processes get SIGTERM at once, and are started again after their end."""
+
+    processes: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SeedsChanged:
+    """The settings of everybody name other seeds from now on."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reborn:
     """A worker crashes and runs again, empty, under a new id."""
@@ -76,15 +107,36 @@
     mode: proxy.Mode
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Between:
+    """Something is wrong on the way from some processes to others' control.
+
+    Attributes:
+        callers: Who calls.
+        targets: Who is called; those that are edges.
+        both_ways: Whether the same is wrong with calls from these to those.
+        mode: What is wrong.
+    """
+
+    callers: tuple[str, ...]
+    targets: tuple[str, ...]
+    both_ways: bool
+    mode: proxy.Mode
+
+
 Fault = (
     Killed
     | Stopped
     | Paused
     | Reloaded
     | DiskLost
+    | PowerLost
+    | AllStopped
+    | SeedsChanged
     | Reborn
     | Disobedient
     | Link
+    | Between
 )
 
 
@@ -103,61 +155,151 @@
     fault: Fault
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Machines:
+    """What faults may happen to: edges with and without a disk, sides."""
+
+    members: tuple[str, ...]
+    plain_edges: tuple[str, ...]
+    sides: tuple[str, ...]
+
+    @property
+    def edges(self) -> tuple[str, ...]:
+        return (*self.members, *self.plain_edges)
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        return (*self.edges, *self.sides)
+
+
 def draw(
     seed: int,
     *,
     duration_s: float,
     edges: Sequence[str],
     sides: Sequence[str],
+    plain_edges: Sequence[str] = (),
 ) -> list[Planned]:
-    """The faults of one soak."""
-    return list(_draw(random.Random(seed), duration_s, edges, sides))
+    """The faults of one soak.
+
+    Args:
+        seed: The same one gives the same faults.
+        duration_s: When the last one begins at the latest.
+        edges: Those with a disk.
+        sides: The workers' machines.
+        plain_edges: Edges without a disk.
+    """
+    machines = _Machines(tuple(edges), tuple(plain_edges), tuple(sides))
+    return list(_draw(random.Random(seed), duration_s, machines))
 
 
 def _draw(
-    numbers: random.Random,
-    duration_s: float,
-    edges: Sequence[str],
-    sides: Sequence[str],
+    numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[Planned]:
+    disks = list(_disks(numbers, duration_s, machines))
+    yield from disks
     at_s = numbers.uniform(*_APART_S)
-    disk_free_s = _DISK_APART_S
-    edge_free_s = 0.0
     while at_s < duration_s:
-        lasts_s = numbers.uniform(*_LASTS_S)
-        is_edge = numbers.random() < _EDGE_SHARE
-        if is_edge and at_s >= disk_free_s and numbers.random() < _DISK_SHARE:
-            yield Planned(at_s, lasts_s, DiskLost(numbers.choice(edges)))
-            edge_free_s = at_s + lasts_s + _DISK_APART_S
-            disk_free_s = edge_free_s + _DISK_APART_S
-        elif is_edge and at_s >= edge_free_s:
-            yield Planned(at_s, lasts_s, _of_process(numbers, edges))
-            disk_free_s = max(disk_free_s, at_s + lasts_s + _DISK_APART_S)
+        lasts_s = _lasts_s(numbers)
+        is_member = numbers.random() < _MEMBER_SHARE
+        if is_member and not any(_is_near(d, at_s, lasts_s) for d in disks):
+            yield Planned(at_s, lasts_s, _of_members(numbers, machines))
         else:
-            yield Planned(at_s, lasts_s, _of_side(numbers, edges, sides))
+            yield Planned(at_s, lasts_s, _of_others(numbers, machines))
         at_s += numbers.uniform(*_APART_S)
 
 
+def _disks(
+    numbers: random.Random, duration_s: float, machines: _Machines
+) -> Iterator[Planned]:
+    at_s = numbers.uniform(*_FIRST_DISK_S)
+    while at_s < duration_s:
+        lasts_s = _lasts_s(numbers)
+        lost = DiskLost(numbers.choice(machines.members))
+        yield Planned(at_s, lasts_s, lost)
+        at_s += numbers.uniform(*_NEXT_DISK_S)
+
+
+def _lasts_s(numbers: random.Random) -> float:
+    is_long = numbers.random() < _LONG_SHARE
+    return numbers.uniform(*(_LONG_S if is_long else _LASTS_S))
+
+
+def _is_near(disk: Planned, at_s: float, lasts_s: float) -> bool:
+    """Whether a fault of a member comes too near to a lost disk."""
+    return (
+        at_s + lasts_s > disk.at_s - _DISK_APART_S
+        and at_s < disk.at_s + disk.lasts_s + _DISK_APART_S
+    )
+
+
+def _of_members(numbers: random.Random, machines: _Machines) -> Fault:
+    match numbers.randrange(12):
+        case 0:
+            return PowerLost(machines.all)
+        case 1:
+            return AllStopped(machines.members)
+        case 2 | 3:
+            return _between(numbers, machines.members, machines.members)
+        case 4 | 5:
+            return _halves(numbers, machines.all)
+        case _:
+            return _of_process(numbers, machines.members)
+
+
 def _of_process(numbers: random.Random, names: Sequence[str]) -> Fault:
     kind = numbers.choice((Killed, Stopped, Paused, Reloaded))
     return kind(numbers.choice(names))
 
 
-def _of_side(
-    numbers: random.Random, edges: Sequence[str], sides: Sequence[str]
-) -> Fault:
-    side = numbers.choice(sides)
-    match numbers.randrange(5):
+def _of_others(numbers: random.Random, machines: _Machines) -> Fault:
+    side = numbers.choice(machines.sides)
+    match numbers.randrange(8):
         case 0:
-            return _of_process(numbers, sides)
+            others = (*machines.plain_edges, *machines.sides)
+            return _of_process(numbers, others)
         case 1:
             return Reborn(side)
         case 2:
             return Disobedient(side, numbers.choice(("run-start", "run-stop")))
         case 3:
-            return Link(numbers.choice(edges), _mode(numbers))
-        case _:
+            return SeedsChanged(_seeds(numbers, machines))
+        case 4:
+            return Link(numbers.choice(machines.edges), _mode(numbers))
+        case 5:
             return Link(side, _mode(numbers))
+        case _:
+            others = (*machines.plain_edges, *machines.sides)
+            return _between(numbers, others, machines.edges)
+
+
+def _between(
+    numbers: random.Random, callers: Sequence[str], targets: Sequence[str]
+) -> Between:
+    """One way between two, or to them all from one."""
+    caller = numbers.choice(callers)
+    others = [name for name in targets if name != caller]
+    called = numbers.sample(others, numbers.choice((1, len(others))))
+    is_both = numbers.random() < _BOTH_WAYS_SHARE
+    return Between((caller,), tuple(called), is_both, _mode(numbers))
+
+
+def _halves(numbers: random.Random, names: Sequence[str]) -> Between:
+    """All machines fall into two parts."""
+    mixed = numbers.sample(names, len(names))
+    count = numbers.randrange(1, len(mixed))
+    one, other = tuple(mixed[:count]), tuple(mixed[count:])
+    is_both = numbers.random() < _BOTH_WAYS_SHARE
+    mode = numbers.choice((proxy.Silent(), proxy.Cut()))
+    return Between(one, other, is_both, mode)
+
+
+def _seeds(numbers: random.Random, machines: _Machines) -> tuple[str, ...]:
+    """Any edges, and often only such without a disk."""
+    is_plain = numbers.random() < _PLAIN_SEEDS_SHARE
+    names = machines.plain_edges if is_plain else ()
+    names = names or machines.edges
+    return tuple(numbers.sample(names, min(_SEEDS_COUNT, len(names))))
 
 
 def _mode(numbers: random.Random) -> proxy.Mode:
@@ -168,5 +310,6 @@
             proxy.OneWay(to_target=False),
             proxy.Silent(),
             proxy.Reset(),
+            proxy.Cut(),
         )
     )
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -66,6 +66,7 @@
         disks_count: int = 3,
         plain_edges_count: int = 0,
         reach: Callable[[str], str] = lambda address: address,
+        advertise: Callable[[str], str] = lambda address: address,
     ):
         """Prepares a system.
 
@@ -75,16 +76,21 @@
             plain_edges_count: How many there are without one.
             reach: Where workers and agents reach each other, and callers the
                 edges, by the address of whom they mean; for a proxy between.
+            advertise: What an edge tells others, by the address where it
+                listens for them; another host with the same port.
         """
         self.folder = folder
         self._reach = reach
+        self._advertise = advertise
         self.processes: dict[str, one_process.Process] = {}
         self.workers: dict[str, pool_worker.PoolWorker] = {}
         self.adviser: adviser_module.Adviser | None = None
         self.journal_path = folder / "journal"
         self._journal = journal_module.Journal(str(self.journal_path))
         numbers = random.SystemRandom()
-        block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
+        # Hosts of edges end with 11 to 99, those of sides with 101 and more;
+        # the block that follows is left to `advertise`.
+        block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 254)}"
         edges_count = disks_count + plain_edges_count
         self._ips = {
             f"edge-{n}": f"{block}.{10 + n}" for n in range(1, edges_count + 1)
@@ -158,6 +164,10 @@
         """Where an agent hears of its worker."""
         return f"{self._block}.{100 + _number(name)}:{_CONTROL_PORT}"
 
+    def outside(self, name: str) -> str:
+        """Where other processes reach an edge process."""
+        return self._advertise(f"{self._ips[name]}:{_INTERNAL_PORT}")
+
     def power_off(self, *names: str) -> None:
         """Kills processes; their folders stay."""
         for name in names:
@@ -177,6 +187,10 @@
         for name in of or self._settings:
             self._write_settings(name)
 
+    def members(self) -> list[str]:
+        """Names of the edge processes with a disk."""
+        return sorted(self._disks)
+
     def edges(self) -> list[str]:
         """Names of the edge processes that run."""
         return [name for name in self.processes if name.startswith("edge")]
@@ -307,7 +321,9 @@
             "app": app,
             "listen": listen,
         }
-        path = self._write_settings(name)
+        environment = {"MARIGOLDSILL_CONFIG": str(self._write_settings(name))}
+        if role == "edge":
+            environment["MARIGOLDSILL_ADVERTISE_ADDRESS"] = self.outside(name)
         self.processes[name] = one_process.Process(
             [
                 "marigoldsill",
@@ -317,14 +333,17 @@
                 str(_METRICS_PORT),
             ],
             log=self.folder / f"{name}.log",
-            environment={"MARIGOLDSILL_CONFIG": str(path)},
+            environment=environment,
         )
 
     def _write_settings(self, name: str) -> pathlib.Path:
         path = self.folder / f"{name}.toml"
         names = self._seeds_of.get(name, self._seeds)
-        seeds = [f'"{self._ips[s]}:{_CONTROL_PORT}"' for s in names]
-        path.write_text(
+        hosts = [self.outside(s).rpartition(":")[0] for s in names]
+        seeds = [f'"{host}:{_CONTROL_PORT}"' for host in hosts]
+        # Whoever starts meanwhile reads the old file or the new one.
+        new = path.with_suffix(".new")
+        new.write_text(
             _SETTINGS.format(
                 **self._settings[name],
                 zone="z1",
@@ -335,6 +354,7 @@
                 adviser=self.adviser.address if self.adviser else "",
             )
         )
+        new.rename(path)
         return path
 
 
