Send agents others' heartbeats in soaks; let soaks be larger and tell their memory

Purpose: a heartbeat of another writer, or one that can't be read, must cost an agent nothing; and how many processes a soak plays was fixed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,13 +16,30 @@
     "--first", type=int, help="The first seed; a fresh one if left out."
 )
 @click.option("--seconds", default=15.0, help="How long faults come in each.")
+@click.option(
+    "--workers",
+    type=click.IntRange(1, 150),
+    default=run_module.WORKERS_COUNT,
+    help="Workers, with an agent each.",
+)
+@click.option(
+    "--edges",
+    type=click.IntRange(3, 89),
+    default=run_module.EDGES_COUNT,
+    help="Edge processes, three of them with a disk.",
+)
 @click.option(
     "--logs",
     type=click.Path(path_type=pathlib.Path),
     help="Where logs go; a folder for temporary files if left out.",
 )
 def main(
-    seeds: int, first: int | None, seconds: float, logs: pathlib.Path | None
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    workers: int,
+    edges: int,
+    logs: pathlib.Path | None,
 ) -> None:
     """Runs soaks one after another; exits with 1 if a promise was broken."""
     logs = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -31,11 +48,19 @@
     for seed in range(start, start + seeds):
         folder = logs / str(seed)
         folder.mkdir(parents=True)
-        result = run_module.run(seed, folder, duration_s=seconds)
+        result = run_module.run(
+            seed,
+            folder,
+            duration_s=seconds,
+            workers_count=workers,
+            edges_count=edges,
+        )
         failed += bool(result.broken)
         click.echo(
             f"seed={seed} faults={result.faults_count} "
-            f"jobs={result.jobs_count} broken={len(result.broken)}"
+            f"jobs={result.jobs_count} broken={len(result.broken)} "
+            f"processes={result.processes_count} "
+            f"peak_mb={result.peak_bytes // 1_000_000}"
         )
         for line in result.broken:
             click.echo(f"  {line}")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -99,6 +99,14 @@
     call: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForeignBeats:
+    """An agent hears others' heartbeats, and such that can't be read."""
+
+    worker: str
+    seed: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Link:
     """Something is wrong with the connections to an address."""
@@ -135,6 +143,7 @@
     | SeedsChanged
     | Reborn
     | Disobedient
+    | ForeignBeats
     | Link
     | Between
 )
@@ -254,7 +263,7 @@
 
 def _of_others(numbers: random.Random, machines: _Machines) -> Fault:
     side = numbers.choice(machines.sides)
-    match numbers.randrange(8):
+    match numbers.randrange(9):
         case 0:
             others = (*machines.plain_edges, *machines.sides)
             return _of_process(numbers, others)
@@ -268,6 +277,8 @@
             return Link(numbers.choice(machines.edges), _mode(numbers))
         case 5:
             return Link(side, _mode(numbers))
+        case 6:
+            return ForeignBeats(side, numbers.randrange(1 << 32))
         case _:
             others = (*machines.plain_edges, *machines.sides)
             return _between(numbers, others, machines.edges)
--- /dev/null
+++ b/soak/footprint.py
@@ -0,0 +1,54 @@
+"""How many processes a soak runs, and how much memory they take at most."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import os
+import pathlib
+import re
+import threading
+
+_LOOK_S = 1.0
+_SHARE = re.compile(r"^Pss:\s+(\d+) kB", re.MULTILINE)
+
+
+class Footprint:
+    """Looks at processes, this one among them, until it is stopped.
+
+    Attributes:
+        processes_count: How many there were at most.
+        peak_bytes: What they took together at most; memory that several share
+            counts once.
+    """
+
+    def __init__(self, pids: Callable[[], Iterable[int]]):
+        self.processes_count = 0
+        self.peak_bytes = 0
+        self._pids = pids
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begins to look."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_LOOK_S):
+            sizes_bytes = [_size_bytes(p) for p in (*self._pids(), os.getpid())]
+            alive_count = sum(size > 0 for size in sizes_bytes)
+            self.processes_count = max(self.processes_count, alive_count)
+            self.peak_bytes = max(self.peak_bytes, sum(sizes_bytes))
+
+
+def _size_bytes(pid: int) -> int:
+    """The memory of a process; 0 if it has ended."""
+    with contextlib.suppress(OSError):
+        text = pathlib.Path(f"/proc/{pid}/smaps_rollup").read_text()
+        found = _SHARE.search(text)
+        return int(found[1]) * 1024 if found else 0
+    return 0
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -7,6 +7,7 @@
 import time
 
 from soak import faults
+from soak import foreign
 from soak import proxy
 from tests.platform import system as system_module
 
@@ -32,6 +33,7 @@
         self._system = system
         self._links = links
         self._ways = ways
+        self._writers: dict[faults.Fault, foreign.Writer] = {}
         # By process, the fault that is to let it run again.
         self._busy: dict[str, faults.Fault] = {}
 
@@ -67,6 +69,10 @@
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.unanswered = {call}
                 worker_faults.late_s = _LATE_S
+            case faults.ForeignBeats(worker=worker, seed=seed):
+                address = self._system.control(worker)
+                self._writers[fault] = foreign.Writer(address, seed=seed)
+                self._writers[fault].start()
             case faults.SeedsChanged(names=names):
                 self._system.change_seeds(*names)
             case faults.PowerLost() | faults.AllStopped():
@@ -124,6 +130,8 @@
                 self._set_between(fault, proxy.Through())
             case faults.Disobedient(worker=worker):
                 self._system.workers[worker].faults.unanswered = set()
+            case faults.ForeignBeats():
+                self._writers.pop(fault).stop()
             case faults.Reborn() | faults.SeedsChanged():
                 pass
             case faults.PowerLost(processes=names):
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 import pathlib
-import socket
 
 from soak import callers as callers_module
 from soak import faults
+from soak import footprint
 from soak import injector as injector_module
 from soak import owners
 from soak import proxy
@@ -13,8 +13,9 @@
 from tests.platform import rules
 from tests.platform import system as system_module
 
-_WORKERS_COUNT = 3
-_PLAIN_EDGES_COUNT = 3
+WORKERS_COUNT = 3
+EDGES_COUNT = 6
+_DISKS_COUNT = 3
 # After the last fault: leases run out, and work starts again elsewhere.
 _SETTLE_LIMIT_S = 60.0
 
@@ -28,26 +29,50 @@
         faults_count: How many faults were planned.
         jobs_count: How many jobs were accepted.
         broken: Promises that were broken.
+        processes_count: How many ran at a time at most.
+        peak_bytes: How much memory they took at most.
     """
 
     seed: int
     faults_count: int
     jobs_count: int
     broken: list[str]
+    processes_count: int
+    peak_bytes: int
 
 
-def run(seed: int, folder: pathlib.Path, *, duration_s: float) -> Result:
-    """Runs one soak; its logs stay in the folder."""
+def run(
+    seed: int,
+    folder: pathlib.Path,
+    *,
+    duration_s: float,
+    workers_count: int = WORKERS_COUNT,
+    edges_count: int = EDGES_COUNT,
+) -> Result:
+    """Runs one soak; its logs stay in the folder.
+
+    Args:
+        seed: Of its faults and callers.
+        folder: For logs and state.
+        duration_s: How long faults come.
+        workers_count: Workers, with an agent each.
+        edges_count: Edge processes, three of them with a disk.
+    """
     links = Links()
     system = system_module.System(
         folder,
-        plain_edges_count=_PLAIN_EDGES_COUNT,
+        disks_count=_DISKS_COUNT,
+        plain_edges_count=edges_count - _DISKS_COUNT,
         reach=links.reach,
         advertise=links.advertise,
     )
     links.system = system
+    watch = footprint.Footprint(
+        lambda: [process.pid for process in list(system.processes.values())]
+    )
     try:
-        system.start(workers_count=_WORKERS_COUNT)
+        watch.start()
+        system.start(workers_count=workers_count)
         plan = faults.draw(
             seed,
             duration_s=duration_s,
@@ -63,11 +88,19 @@
         callers.stop()
         broken = callers.broken + _settle(system, callers)
     finally:
+        watch.stop()
         system.stop()
         links.stop()
     broken += _check_journal(system.journal(), callers.jobs)
     accepted = [job for job in callers.jobs if job.accepted]
-    return Result(seed, len(plan), len(accepted), broken)
+    return Result(
+        seed=seed,
+        faults_count=len(plan),
+        jobs_count=len(accepted),
+        broken=broken,
+        processes_count=watch.processes_count,
+        peak_bytes=watch.peak_bytes,
+    )
 
 
 class Links:
@@ -79,6 +112,7 @@
 
     def __init__(self):
         self.system: system_module.System | None = None
+        self._owners = owners.Owners(self._pids)
         self._by_target: dict[str, proxy.Proxy] = {}
 
     def reach(self, target: str) -> str:
@@ -94,7 +128,7 @@
         address = f"{first}.{second}.{int(third) + 1}.{last}:{port}"
         if target not in self._by_target:
             self._by_target[target] = proxy.Proxy(
-                target, address=address, name_caller=self._name
+                target, address=address, name_caller=self._owners.name
             )
         return address
 
@@ -113,9 +147,8 @@
         names = self.system.edges()
         return {name: by_address[self.system.outside(name)] for name in names}
 
-    def _name(self, connection: socket.socket) -> str:
-        processes = self.system.processes.items()
-        return owners.name(connection, {n: p.pid for n, p in processes})
+    def _pids(self) -> dict[str, int]:
+        return {n: p.pid for n, p in list(self.system.processes.items())}
 
     def stop(self) -> None:
         """Ends all of them."""
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -154,6 +154,10 @@
         """Where an edge process serves callers."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
+    def control(self, name: str) -> str:
+        """Where a process serves operators or its worker."""
+        return f"{self._settings[name]['ip']}:{_CONTROL_PORT}"
+
     def outside(self, name: str) -> str:
         """Where other processes reach an edge process."""
         return self._advertise(f"{self._ips[name]}:{_INTERNAL_PORT}")
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -6,10 +6,14 @@
 import socket
 
 import pytest
+from werkzeug import wrappers
 
+from marigoldsill.transport import http_server
 from soak import faults
+from soak import foreign
 from soak import owners
 from soak import proxy
+from tests import one_process
 
 _MEMBERS = ("edge-1", "edge-2", "edge-3")
 _PLAIN = ("edge-4", "edge-5", "edge-6")
@@ -169,5 +173,34 @@
         end = stack.enter_context(listener.accept()[0])
         assert caller.getsockname() == end.getpeername()
         pids = {"parent": os.getppid(), "own": os.getpid()}
-        assert owners.name(end, pids) == "own"
-        assert owners.name(end, {"parent": os.getppid()}) == ""
+        known = owners.Owners(lambda: pids)
+        assert known.name(end) == "own"
+        del pids["own"]
+        assert known.name(end) == ""
+
+
+def test_an_agent_gets_what_it_can_read_and_what_it_cannot() -> None:
+    got: list[bytes] = []
+
+    def answer(request: wrappers.Request) -> wrappers.Response:
+        assert "/Instances.Heartbeat/i-other-" in request.path
+        got.append(request.get_data())
+        return wrappers.Response(status=400)
+
+    server = http_server.HttpServer(
+        address="127.0.0.1:0",
+        app=wrappers.Request.application(answer),
+        threads_count=4,
+    )
+    server.start()
+    writer = foreign.Writer(server.address, seed=1)
+    writer.start()
+    try:
+        one_process.wait_until(
+            lambda: b"{" in got and any(b'"sequence"' in b for b in got),
+            limit_s=_LIMIT_S,
+            what="both kinds",
+        )
+    finally:
+        writer.stop()
+        server.stop()
