--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -160,9 +160,9 @@
         """Where an edge process serves callers."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
-    def side_address(self, name: str) -> str:
-        """Where an agent hears of its worker."""
-        return f"{self._block}.{100 + _number(name)}:{_CONTROL_PORT}"
+    def control(self, name: str) -> str:
+        """Where a process serves operators or its worker."""
+        return f"{self._settings[name]['ip']}:{_CONTROL_PORT}"
 
     def outside(self, name: str) -> str:
         """Where other processes reach an edge process."""
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -100,7 +100,7 @@
     stopped to prolong the lease.
     """
     worker = busy.workers["side-1"]
-    writer = _Writer(busy.side_address("side-1"))
+    writer = _Writer(busy.control("side-1"))
     before = worker.running()
     # What others send is heard between two of its own heartbeats.
     worker.faults.unannounced = True
@@ -139,7 +139,7 @@
 
 
 def test_a_heartbeat_of_more_than_its_limit_is_refused(busy) -> None:
-    writer = _Writer(busy.side_address("side-1"))
+    writer = _Writer(busy.control("side-1"))
     life = busy.workers["side-1"].life
     body = b" " * (_SIZE_LIMIT_BYTES + 1)
     assert writer.send(f"Heartbeat/{life}", body) in (0, 413)
