Have the stand-in workers play gangs

A gang's members ended each for itself, so no test of the programs could tell whether a gang starts whole. A spec "gang N MS" now waits for N members of one run, works from then on and ends together with them; a member that waits 3 s (gang_timeout_ms of the platform) ends alone.

--- a/standins/pool_run.py
+++ b/standins/pool_run.py
@@ -1,12 +1,17 @@
 """A run as the stand-in of the users' platform holds it.
 
 What a run does stands in its spec: "work 300" takes 300 ms, "fail 100" fails
-after 100 ms, "last" goes on until it is stopped.
+after 100 ms, "last" goes on until it is stopped, "gang 3 200" waits for a gang
+of three and takes 200 ms from then on.
 """
 
 import dataclasses
 
-_KINDS = ("work", "fail", "last")
+from standins import gangs
+
+_KINDS = ("work", "fail", "last", "gang")
+# `gang_timeout_ms` of the platform.
+_GANG_TIMEOUT_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +27,7 @@
         progress_ms: Work done until `counted_ms`.
         counted_ms: When its work was last counted.
         load: What its row of the list shows last.
+        gang: What it is a member of, if anything.
     """
 
     task: str
@@ -32,6 +38,7 @@
     percent: int = 100
     progress_ms: float = 0.0
     load: int = 1
+    gang: gangs.Gang | None = None
 
     @property
     def kind(self) -> str:
@@ -39,14 +46,26 @@
         word = self.spec.partition(" ")[0]
         return word if word in _KINDS else "work"
 
+    @property
+    def gang_size(self) -> int:
+        """How many members its gang has; 0 if it is in none."""
+        words = self.spec.split()
+        return int(words[1]) if self.kind == "gang" else 0
+
     @property
     def work_ms(self) -> float:
         """How long it works."""
-        number = self.spec.partition(" ")[2]
+        number = self.spec.rpartition(" ")[2]
         return float(number) if number.isdecimal() else 50.0
 
     def advance(self, now_ms: int) -> str | None:
         """Works until now; how it ended, if it did."""
+        if self.gang is not None and self.gang.end is not None:
+            return self.gang.end
+        if self.gang is not None and not self.gang.whole:
+            self.counted_ms = now_ms
+            is_late = now_ms - self.begun_ms > _GANG_TIMEOUT_MS
+            return "alone" if is_late else None
         self.progress_ms += (now_ms - self.counted_ms) * self.percent / 100
         self.counted_ms = now_ms
         if self.kind == "last" or self.progress_ms < self.work_ms:
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -18,6 +18,7 @@
 from marigoldsill import errors
 from marigoldsill.transport import http_client
 from marigoldsill.transport import http_server
+from standins import gangs as gangs_module
 from standins import journal as journal_module
 from standins import pool_run
 
@@ -83,7 +84,9 @@
         labels: list[str],
         cpu_millicores: int,
         journal: journal_module.Journal,
+        gangs: gangs_module.Gangs | None = None,
     ):
+        self._gangs = gangs or gangs_module.Gangs()
         self.faults = PoolFaults()
         self.draining = False
         self.takes_ticket: Callable[[str, str, str], bool] | None = None
@@ -120,6 +123,8 @@
         with self._changed:
             for run in self._runs.values():
                 self._write("lost", run)
+                if run.gang is not None:
+                    run.gang.leave(run.task, "lost")
             self._be_born()
 
     def running(self) -> dict[str, int]:
@@ -207,6 +212,9 @@
             counted_ms=_now_ms(),
         )
         started.progress_ms = float(body.get("last_checkpoint") or 0)
+        if started.gang_size:
+            started.gang = self._gangs.of(task, run, started.gang_size)
+            started.gang.join(task)
         self._runs[task] = started
         self._write("started", started, spec=started.spec)
         if self.faults.starts_fail:
@@ -254,6 +262,8 @@
         row = [next(self._numbers), run.task, run.run, how, run.checkpoint]
         self._ended.append(row)
         self._write("ended", run, how=how)
+        if run.gang is not None:
+            run.gang.leave(run.task, how)
         self._changed.notify_all()
 
     def _tick_forever(self) -> None:
@@ -316,7 +326,12 @@
         self, event: str, run: pool_run.PoolRun, **fields: object
     ) -> None:
         self._journal.write(
-            event, worker=self.life, task=run.task, run=run.run, **fields
+            event,
+            worker=self.life,
+            machine=self.address,
+            task=run.task,
+            run=run.run,
+            **fields,
         )
 
 
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -9,6 +9,7 @@
 from marigoldsill import errors
 from marigoldsill.transport import http_client
 from standins import adviser as adviser_module
+from standins import gangs
 from standins import journal as journal_module
 from standins import pool_worker
 from tests import one_process
@@ -82,6 +83,7 @@
         self.adviser: adviser_module.Adviser | None = None
         self.journal_path = folder / "journal"
         self._journal = journal_module.Journal(str(self.journal_path))
+        self._gangs = gangs.Gangs()
         numbers = random.SystemRandom()
         block = f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
         edges_count = disks_count + plain_edges_count
@@ -131,6 +133,7 @@
                 labels=["a", f"r1-{number}"],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
+                gangs=self._gangs,
             )
             worker.start()
             self.workers[name] = worker
--- /dev/null
+++ b/tests/test_stand_in_gangs.py
@@ -0,0 +1,66 @@
+"""Members of a gang of the stand-ins work only together, and end together."""
+
+import pytest
+
+from standins import gangs as gangs_module
+from standins import pool_run
+
+_STEP = "0000000000000001.0.0"
+_ALONE_MS = 3_001
+
+
+@pytest.fixture
+def members() -> list[pool_run.PoolRun]:
+    """A gang of two; only the first one has come."""
+    gangs = gangs_module.Gangs()
+    made = [
+        pool_run.PoolRun(
+            task=f"{_STEP}.{index}",
+            run=1,
+            spec="gang 2 300",
+            begun_ms=0,
+            counted_ms=0,
+            gang=gangs.of(f"{_STEP}.{index}", 1, 2),
+        )
+        for index in range(2)
+    ]
+    made[0].gang.join(made[0].task)
+    return made
+
+
+def test_a_member_waits_for_the_others_and_does_nothing(members) -> None:
+    assert members[0].advance(1_000) is None
+    assert members[0].progress_ms == 0
+
+
+def test_a_member_that_waits_too_long_ends_alone(members) -> None:
+    assert members[0].advance(_ALONE_MS) == "alone"
+
+
+def test_members_work_from_the_moment_when_all_are_there(members) -> None:
+    members[0].advance(1_000)
+    members[1].gang.join(members[1].task)
+    assert members[0].advance(1_299) is None
+    assert members[0].advance(1_300) == "done"
+
+
+@pytest.mark.parametrize(
+    ("how", "of_the_others"), [("done", "done"), ("lapsed", "broken")]
+)
+def test_members_end_together(members, how: str, of_the_others: str) -> None:
+    members[1].gang.join(members[1].task)
+    members[0].gang.leave(members[0].task, how)
+    assert members[1].advance(10) == of_the_others
+
+
+def test_who_leaves_before_all_are_there_breaks_nothing(members) -> None:
+    members[0].gang.leave(members[0].task, "stopped")
+    members[1].gang.join(members[1].task)
+    assert members[1].advance(10) is None
+
+
+def test_runs_of_other_numbers_are_other_gangs() -> None:
+    gangs = gangs_module.Gangs()
+    first, second = (gangs.of(f"{_STEP}.0", run, 2) for run in (1, 2))
+    assert first is not second
+    assert gangs.of(f"{_STEP}.1", 1, 2) is first
