--- a/soak/injector.py
+++ b/soak/injector.py
@@ -34,6 +34,9 @@
         self._links = links
         self._ways = ways
         self._writers: dict[faults.Fault, foreign.Writer] = {}
+        # When faults began and ended, in nanoseconds of the monotonic clock.
+        self.begun_ns: dict[faults.Planned, int] = {}
+        self.ended_ns: dict[faults.Planned, int] = {}
         # By process, the fault that is to let it run again.
         self._busy: dict[str, faults.Fault] = {}
 
@@ -52,7 +55,9 @@
             begun_s += max(0.0, -left_s)
             if not begins:
                 self._end(item.fault)
+                self.ended_ns[item] = time.monotonic_ns()
             elif self._begin(item.fault):
+                self.begun_ns[item] = time.monotonic_ns()
                 end = (at_s + item.lasts_s, next(order), item, False)
                 heapq.heappush(due, end)
 
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -10,6 +10,7 @@
 from marigoldsill import errors
 from marigoldsill.transport import http_client
 from standins import adviser as adviser_module
+from standins import gangs
 from standins import journal as journal_module
 from standins import pool_worker
 from tests import one_process
@@ -87,6 +88,7 @@
         self.adviser: adviser_module.Adviser | None = None
         self.journal_path = folder / "journal"
         self._journal = journal_module.Journal(str(self.journal_path))
+        self._gangs = gangs.Gangs()
         numbers = random.SystemRandom()
         # Hosts of edges end with 11 to 99, those of sides with 101 and more;
         # the block that follows is left to `advertise`.
@@ -131,8 +133,8 @@
 
     def start_side(self, name: str, *, cpu_millicores: int = 8000) -> None:
         """Starts an agent, and its worker unless that runs already."""
-        control = self.side_address(name)
-        ip = control.rpartition(":")[0]
+        ip = f"{self._block}.{100 + _number(name)}"
+        control = f"{ip}:{_CONTROL_PORT}"
         app = f"{ip}:{_WORKER_PORT}"
         if name not in self.workers:
             worker = pool_worker.PoolWorker(
@@ -143,6 +145,7 @@
                 labels=["a", f"r1-{_number(name)}"],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
+                gangs=self._gangs,
             )
             worker.start()
             self.workers[name] = worker
