Read grants from the logs as they are written, and end the settling of a soak in time

The soak's own test asks for grants now. The settling asked for every open job in turn, also once a call got no answer, and so could pass its limit by far; it looks at the limit after each such call.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -63,8 +63,8 @@
         for thread in self._threads:
             thread.join()
 
-    def look_at(self, job: history.Submitted, *, edge: str) -> None:
-        """Asks for a job's state and checks the answer."""
+    def look_at(self, job: history.Submitted, *, edge: str) -> bool:
+        """Asks for a job's state and checks it; whether there was an answer."""
         was_completed, was_accepted = job.completed, job.accepted
         answer = self._system.state(job.job_id, edge=edge)
         state = answer.value.get("state", "")
@@ -80,6 +80,7 @@
             self.broken.append(f"{job.job_id} completed, then {state}")
         job.completed = job.completed or state == "completed"
         job.state = state or job.state
+        return answer.status != 0
 
     def cancel(self, job: history.Submitted, numbers: random.Random) -> None:
         """Cancels a job, until that is acknowledged or some calls failed."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,7 @@
 # After the last fault: leases run out, and work starts again elsewhere.
 _SETTLE_LIMIT_S = 60.0
 _READ_LIMIT_S = 30.0
-_GRANT = re.compile(r" run_granted task=(\S+) run=(\d+) agent=(\S+)")
+_GRANT = re.compile(r" event=run_granted .*? task=(\S+) run=(\d+) agent=(\S+)")
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,7 +86,7 @@
         lines=[x for x in system.journal() if x["at_ns"] <= ended_ns],
         jobs=callers.jobs,
         happened=history_module.happened(injector.begun_ns, injector.ended_ns),
-        grants=_grants(folder),
+        grants=grants(folder),
         members=system.edges(),
         machines={w.address: name for name, w in system.workers.items()},
         ended_ns=ended_ns,
@@ -144,8 +144,9 @@
         for job in callers.jobs:
             if job.cancelling and not job.cancel_acknowledged_ns:
                 callers.cancel(job, numbers)
-            if job.is_open:
-                callers.look_at(job, edge=edge)
+            if job.is_open and not callers.look_at(job, edge=edge):
+                # The next one would wait as long: time to look at the limit.
+                return False
         at_work = {t for w in system.workers.values() for t in w.running()}
         lasting = {t for job in callers.jobs for t in job.tasks_to_last()}
         ended = {t for j in callers.jobs if j.cancelling for t in j.tasks()}
@@ -167,7 +168,7 @@
         callers.broken.append(str(error))
 
 
-def _grants(folder: pathlib.Path) -> list[history_module.Grant]:
+def grants(folder: pathlib.Path) -> list[history_module.Grant]:
     """Who was told to run what, by all leaders' logs."""
     return [
         history_module.Grant(task, int(number), agent)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
     result = run.run(seed, tmp_path, duration_s=_DURATION_S)
     assert result.broken == [], result.story()
     assert result.jobs_count
+    assert run.grants(tmp_path)
 
 
 def test_a_seed_gives_the_same_faults_again() -> None:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -481,6 +481,18 @@
     assert len(callers.broken) == 1
 
 
+def test_grants_are_read_from_the_logs(tmp_path: pathlib.Path) -> None:
+    (tmp_path / "edge-3.log").write_text(
+        "time=2026-01-01T00:00:00.000+0000 level=INFO event=run_granted "
+        f"role=edge name=edge-3 pid=1 task={_TASK} run=2 agent=side-1 "
+        "worker_id=i-00000007\n"
+        "time=2026-01-01T00:00:00.000+0000 level=INFO event=run_started "
+        f"role=side name=side-1 pid=2 task={_TASK} run=2\n"
+    )
+    found = run_module.grants(tmp_path)
+    assert found == [history_module.Grant(_TASK, 2, "side-1")]
+
+
 def test_a_result_says_how_to_play_its_seed_again(
     tmp_path: pathlib.Path,
 ) -> None:
