Begin a quarter of the soaks with the series that left a group unfound

Purpose: a replaced member, then seeds without state, then no power came together in 1 of 200 seeds.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,10 @@
 # When the first disk is lost, and how long after it the next, in seconds.
 _FIRST_DISK_S = (2.0, 30.0)
 _NEXT_DISK_S = (20.0, 40.0)
+# A series that has left a group unfound for good: rare by chance alone.
+_SERIES_SHARE = 0.25
+_SERIES_DISK_S = (2.0, 3.0)
+_SERIES_LASTS_S = (0.2, 1.0)
 _DELAYS_S = (0.005, 0.1)
 _MEMBER_SHARE = 0.45
 # Seeds that keep no state forget the group, so they are drawn alone as often.
@@ -205,8 +209,11 @@
 def _draw(
     numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[Planned]:
-    disks = list(_disks(numbers, duration_s, machines))
-    yield from disks
+    is_series = numbers.random() < _SERIES_SHARE
+    draw_first = _series if is_series else _disks
+    first = list(draw_first(numbers, duration_s, machines))
+    yield from first
+    disks = [item for item in first if isinstance(item.fault, DiskLost)]
     at_s = numbers.uniform(*_APART_S)
     while at_s < duration_s:
         lasts_s = _lasts_s(numbers)
@@ -218,6 +225,21 @@
         at_s += numbers.uniform(*_APART_S)
 
 
+def _series(
+    numbers: random.Random, duration_s: float, machines: _Machines
+) -> Iterator[Planned]:
+    """A member replaced by an empty one, then other seeds, then no power."""
+    disk_s = numbers.uniform(*_SERIES_DISK_S)
+    lasts_s = numbers.uniform(*_SERIES_LASTS_S)
+    power_s = disk_s + lasts_s + _DISK_APART_S
+    lost = DiskLost(numbers.choice(machines.members))
+    seeds = SeedsChanged(_seeds(numbers, machines))
+    if power_s < duration_s:
+        yield Planned(disk_s, lasts_s, lost)
+        yield Planned(numbers.uniform(disk_s, power_s), 0.0, seeds)
+        yield Planned(power_s, _lasts_s(numbers), PowerLost(machines.all))
+
+
 def _disks(
     numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[Planned]:
