--- a/soak/history.py
+++ b/soak/history.py
@@ -207,7 +207,7 @@
         return [
             h.span
             for h in self.happened
-            if name in _touched(h.fault)
+            if name in _touched(h.fault, self.members)
             and not (name in self.members and isinstance(h.fault, faults.Link))
         ]
 
@@ -249,15 +249,11 @@
     return begun_ns if isinstance(item.fault, faults.Reborn) else ended_ns
 
 
-def _touched(fault: faults.Fault) -> Sequence[str]:
+def _touched(fault: faults.Fault, members: Sequence[str]) -> Sequence[str]:
     """The machines and processes that a fault may keep from their work."""
     match fault:
         case faults.Reloaded() | faults.SeedsChanged() | faults.ForeignBeats():
             return ()
-        case faults.PowerLost() | faults.AllStopped():
-            return fault.processes
-        case faults.Between(callers=callers, targets=targets):
-            return (*callers, *targets)
         case faults.Link(name=name):
             return (name,)
         case faults.Reborn(worker=name) | faults.Disobedient(worker=name):
@@ -266,6 +262,32 @@
             return (fault.process,)
         case faults.DiskLost(process=name):
             return (name,)
+        case faults.PowerLost() | faults.AllStopped():
+            return fault.processes
+        case faults.Between():
+            return _cut_off(fault, members)
+
+
+def _cut_off(fault: faults.Between, members: Sequence[str]) -> Sequence[str]:
+    """Who cannot call the members as usual.
+
+    Of the members themselves, these are the fewer on one side of the fault.
+    """
+    ways = [(fault.callers, fault.targets)]
+    if fault.both_ways:
+        ways.append((fault.targets, fault.callers))
+    outer = [
+        name
+        for callers, targets in ways
+        if set(targets) & set(members)
+        for name in callers
+        if name not in members
+    ]
+    sides = [
+        [name for name in side if name in members]
+        for side in (fault.callers, fault.targets)
+    ]
+    return (*outer, *min(sides, key=len))
 
 
 def _key(line: dict) -> tuple[str, str, int]:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -23,6 +23,8 @@
 _MEMBERS = ("edge-1", "edge-2", "edge-3")
 _LINK = faults.Link("side-1", proxy.Silent())
 _END_S = 100.0
+_ONE = {"edge-1"}
+_CUT = {"edge-1", "side-1"}
 
 
 def _ns(at_s: float) -> int:
@@ -358,6 +360,36 @@
     assert spans == [history_module.Span(_ns(2), _ns(ended_s))]
 
 
+def _between(callers: str, targets: str, *, both_ways: bool) -> faults.Between:
+    return faults.Between(
+        tuple(callers.split()), tuple(targets.split()), both_ways, proxy.Cut()
+    )
+
+
+@pytest.mark.parametrize(
+    ("fault", "names"),
+    [
+        (faults.PowerLost(("edge-1", "side-1")), {"edge-1", "side-1"}),
+        (faults.AllStopped(("edge-1", "edge-2")), {"edge-1", "edge-2"}),
+        (faults.SeedsChanged(("edge-1",)), set()),
+        (_between("side-1", "edge-1", both_ways=False), {"side-1"}),
+        # Without a disk: nobody needs it to reach the members.
+        (_between("side-1", "edge-4", both_ways=False), set()),
+        (_between("edge-1", "edge-2 edge-3", both_ways=False), {"edge-1"}),
+        (_between("edge-1 side-1", "edge-2 edge-3", both_ways=False), _CUT),
+        (_between("edge-2 edge-3", "edge-1 side-1", both_ways=False), _ONE),
+        (_between("edge-2 edge-3", "edge-1 side-1", both_ways=True), _CUT),
+    ],
+)
+def test_a_fault_of_many_excuses_whom_it_keeps_from_most_members(
+    fault: faults.Fault, names: set[str]
+) -> None:
+    history = _of(_job(), happened=[_wrong(fault, 2, 5)])
+    everybody = (*_MEMBERS, "edge-4", "side-1")
+    found = {name for name in everybody if history.faults_of(name)}
+    assert found == names
+
+
 @pytest.mark.parametrize(
     "fault",
     [faults.Reloaded("edge-1"), faults.Link("edge-1", proxy.Silent())],
