Ask for the members once a look; leave out oneself in one place

Read-through of the change: KnownEntries.due built the whole view of the group, under its lock, once for each known entry and second, and Directory left its own address out of the members twice.

--- a/marigoldsill/coordination/discovery/directory.py
+++ b/marigoldsill/coordination/discovery/directory.py
@@ -83,10 +83,10 @@
 
         Empty if this process knows of no other process of the group.
         """
-        view = self.view()
-        if view.leader_address not in ("", self._own_address):
-            return view.leader_address
-        others = [a for a in view.addresses if a != self._own_address]
+        leader_address = self.view().leader_address
+        if leader_address not in ("", self._own_address):
+            return leader_address
+        others = self.others()
         return others[next(self._turns) % len(others)] if others else ""
 
 
--- a/marigoldsill/coordination/discovery/known_entries.py
+++ b/marigoldsill/coordination/discovery/known_entries.py
@@ -39,7 +39,7 @@
         self._asked_s[address] = clock.now_s()
         with replica.lock:
             is_known = address in replica.tables.entry_addresses
-        if is_known or _is_member(replica, address):
+        if is_known or address in replica.view().addresses:
             return
         note = ttypes.NoteEntries(addresses=[address])
         command = commands.new(command_id="", note_entries=note)
@@ -58,11 +58,12 @@
             known = list(replica.tables.entry_addresses)
         self._forget_all_but(known)
         now_s = clock.now_s()
+        members = replica.view().addresses
         quiet = [
             address
             for address in known
             if now_s - self._asked_s.get(address, -_QUIET_S) >= _QUIET_S
-            and not _is_member(replica, address)
+            and address not in members
         ]
         quiet.sort(key=lambda address: self._told_s.get(address, 0.0))
         due = quiet[:_TOLD_AT_ONCE_COUNT]
@@ -73,7 +74,3 @@
         self._told_s = {a: s for a, s in self._told_s.items() if a in known}
         for address in [a for a in self._asked_s if a not in known]:
             self._asked_s.pop(address, None)
-
-
-def _is_member(replica: replica_module.Replica, address: str) -> bool:
-    return address in replica.view().addresses
