Let a majority of the seeds choose who forms the group

Cause: only the first seed could form the group, and it knew so in memory only. One that restarted before came back with an empty folder, as after a lost disk, and formed none; all others waited for it for good. The red test of tests/platform/test_losses.py, unchanged, showed it.

Ruled out: a mark on the disk (does not help where the process ended before it wrote one, nor a first seed without a disk); letting a seed that returned empty form the group if the other seeds know none (two groups, where these two were cut off while the first formed one with non-seeds and then lost its disk).

Change: coordination/discovery/founding.py. Each seed of a very first start lets one process only, while it runs; a process forms the group if a majority let it. The first seed that can let anybody decides who stands. A seed that restarted lets nobody. The wait is on a task of its own, so that the process serves meanwhile.

tests/platform/test_advice.py failed once beside a full run (three calls to the adviser in place of two). The test counted calls; it now checks that each step is asked about each worker exactly once, which is what the adviser's time goes by.

--- a/marigoldsill/coordination/discovery/__init__.py
+++ b/marigoldsill/coordination/discovery/__init__.py
@@ -7,6 +7,7 @@
 __all__ = [
     "directory",
     "formation_calls",
+    "founding",
     "joining",
     "known_entries",
     "referral",
--- a/marigoldsill/coordination/discovery/joining.py
+++ b/marigoldsill/coordination/discovery/joining.py
@@ -1,9 +1,8 @@
 """How control processes find each other without an operator.
 
-When the whole system starts for the first time, exactly one process may form
-the group: the one at the founder's address, or, if that keeps no state, the
-first that asks it. Everybody else joins: the leader adds it as a learner, and
-it counts once it has caught up.
+When the whole system starts for the first time, exactly one process forms the
+group (`founding`). Everybody else joins: the leader adds it as a learner, and it
+counts once it has caught up.
 """
 
 from collections.abc import Sequence
@@ -15,6 +14,7 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.discovery import directory as directory_module
 from marigoldsill.coordination.discovery import formation_calls
+from marigoldsill.coordination.discovery import founding as founding_module
 from marigoldsill.coordination.discovery import known_entries
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
@@ -38,7 +38,7 @@
         *,
         member: ttypes.Member,
         data_folder: str,
-        founder_address: str,
+        founding: founding_module.Founding,
         seed_addresses: Sequence[str],
         directory: directory_module.Directory,
         entries: known_entries.KnownEntries,
@@ -48,11 +48,9 @@
         self._entries = entries
         self._member = member
         self._data_folder = data_folder
-        self._founder_address = founder_address
+        self._founding = founding
         self._addresses = list(seed_addresses)
         self._started_s = time.monotonic()
-        self._lock = threading.Lock()
-        self._granted_to = ""
         self._stopping = threading.Event()
 
     @property
@@ -61,8 +59,11 @@
         return time.monotonic() - self._started_s > _SETTLE_LIMIT_S
 
     def form(self) -> None:
-        """Forms the group if that is up to this process."""
-        if not self._founder_address or not self._may_found():
+        """Forms the group if that is up to this process.
+
+        At the very first start it waits until the group is known.
+        """
+        if not self._founding.wait(self._stopping):
             return
         with contextlib.suppress(errors.MembershipError):
             cluster_id = replica_module.initialise(
@@ -92,8 +93,7 @@
         replica = self.replica
         if replica is None:
             return ttypes.JoinReply(
-                may_found=self._grant(request.member.name),
-                control_addresses=self._directory.view().addresses,
+                control_addresses=self._directory.view().addresses
             )
         leader = replica.leader
         if not replica.is_leader:
@@ -105,6 +105,10 @@
         members = replica.status().members
         return ttypes.JoinReply(control_addresses=[m.address for m in members])
 
+    def founder(self, request: ttypes.FounderRequest) -> ttypes.FounderReply:
+        """Tells whom this process lets form the group."""
+        return self._founding.answer(request)
+
     def exchange_views(self, view: ttypes.GroupView) -> ttypes.GroupView:
         """Takes what another process knows of the group; tells the same."""
         self._directory.take(view, teller=view.teller_address)
@@ -121,29 +125,6 @@
             return
         logs.event("member_added", member=member.name, address=member.address)
 
-    def _grant(self, name: str) -> bool:
-        """Lets the first that asks form the group, if that is asked here."""
-        if self._data_folder or not self._founder_address:
-            return False
-        if self._founder_address != self._member.address:
-            return False
-        with self._lock:
-            self._granted_to = self._granted_to or name
-            return self._granted_to == name
-
-    def _may_found(self) -> bool:
-        """Whether this process forms the group; asks if it can't tell."""
-        if self._founder_address == self._member.address:
-            return True
-        while not self._stopping.is_set():
-            reply = self._ask(self._founder_address)
-            if reply is not None:
-                return reply.may_found
-            if self.waited_enough:
-                return False
-            self._stopping.wait(_PAUSE_S)
-        return False
-
     def _is_member(self) -> bool:
         return _holds(self.replica, self._member)
 
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -41,9 +41,7 @@
             listen_address=settings.internal_address,
             data_centre=settings.data_centre,
             data_folder=settings.data_folder,
-            founder_address=settings.seed_addresses[0]
-            if settings.first_start
-            else "",
+            first_start=settings.first_start,
             seed_addresses=settings.seed_addresses,
             voters_wanted_count=2 * settings.tolerated_losses_count + 1,
             job_kept_s=settings.job_kept_s,
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -830,7 +830,18 @@
 // ------------------------------------------- forming a group by itself
 
 struct JoinRequest { 1: Member member }
-struct JoinReply { 1: bool may_found = false, 2: list<string> control_addresses = [] }
+struct JoinReply { 2: list<string> control_addresses = [] }
+
+/** Of a process that waits for the group at the very first start. */
+struct FounderRequest {
+  1: string name,
+  2: bool stands = false            // asks to be let form the group
+}
+struct FounderReply {
+  1: bool first_start = false,      // false: this process lets nobody
+  2: string founder = "",           // whom it lets, once and for all
+  3: list<string> control_addresses = []
+}
 
 /** Where the group is, as far as a process knows; the newest one counts. */
 struct GroupView {
@@ -859,6 +870,7 @@
 /** What control processes and entries ask each other to find the group. */
 service Formation {
   JoinReply join(1: JoinRequest request),
+  FounderReply founder(1: FounderRequest request),
   /** Each side tells what it knows; both keep the newer. */
   GroupView exchange_views(1: GroupView view)
 }
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -14,6 +14,7 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.discovery import directory as directory_module
 from marigoldsill.coordination.discovery import formation_calls
+from marigoldsill.coordination.discovery import founding as founding_module
 from marigoldsill.coordination.discovery import joining
 from marigoldsill.coordination.discovery import known_entries
 from marigoldsill.coordination.discovery import referral
@@ -56,7 +57,7 @@
         listen_address: str = "",
         data_centre: str,
         data_folder: str,
-        founder_address: str,
+        first_start: bool,
         seed_addresses: Sequence[str],
         voters_wanted_count: int,
         job_kept_s: float,
@@ -70,8 +71,7 @@
             listen_address: Where it listens; empty: at the same address.
             data_centre: Where it stands.
             data_folder: Its durable state; empty if it keeps none.
-            founder_address: Who forms the group, if it is to be formed now;
-                else empty.
+            first_start: Whether the group is to be formed now.
             seed_addresses: Some processes of the group.
             voters_wanted_count: Nothing is accepted before the group has so
                 many, but for a while at most.
@@ -101,10 +101,17 @@
             own_address=address,
             seed_addresses=seed_addresses,
         )
+        self._first_start = first_start
         self._joining = joining.Joining(
             member=self._member,
             data_folder=data_folder,
-            founder_address=founder_address,
+            founding=founding_module.Founding(
+                name=name,
+                address=address,
+                keeps_state=bool(data_folder),
+                first_seeds=seed_addresses if first_start else (),
+                members=lambda: self._directory.view().addresses,
+            ),
             seed_addresses=seed_addresses,
             directory=self._directory,
             entries=self._entries,
@@ -137,31 +144,34 @@
         self._pool.submit(self._view_exchange.run)
         if not self._data_folder:
             return
-        if disk_space.takes_writes(self._data_folder):
+        has_space = disk_space.takes_writes(self._data_folder)
+        if has_space and not self._first_start:
             self._open()
             return
-        logs.event(
-            "disk_full",
-            level="ERROR",
-            folder=self._data_folder,
-            reason="no part in control until there is space",
-        )
+        if not has_space:
+            logs.event(
+                "disk_full",
+                level="ERROR",
+                folder=self._data_folder,
+                reason="no part in control until there is space",
+            )
         self._pool.submit(self._open_when_possible)
 
     def _open_when_possible(self) -> None:
-        while not self._stopping.wait(_DISK_LOOK_S):
-            if not disk_space.takes_writes(self._data_folder):
-                continue
-            try:
+        """Waits for space on the disk and, at a first start, for the group."""
+        while not disk_space.takes_writes(self._data_folder):
+            if self._stopping.wait(_DISK_LOOK_S):
+                return
+        try:
+            self._joining.form()
+            if not self._stopping.is_set():
                 self._open()
-            except errors.MarigoldsillError as error:
-                # As at a start; here nobody else would hear of it.
-                _end_process(error)
-            return
+        except errors.MarigoldsillError as error:
+            # As at a start; here nobody else would hear of it.
+            _end_process(error)
 
     def _open(self) -> None:
         """Takes part in control with what is on the disk."""
-        self._joining.form()
         replica = replica_module.Replica(
             member=self._member,
             data_folder=self._data_folder,
--- a/standins/adviser.py
+++ b/standins/adviser.py
@@ -18,13 +18,13 @@
         address: Where it is asked.
         refused: Lives of workers that may not run anything.
         busy: Whether it takes no calls.
-        asked: The steps that it was asked about, in order.
+        asked: Each step with each worker that it was asked about, in order.
     """
 
     def __init__(self, *, address: str):
         self.refused: set[str] = set()
         self.busy = False
-        self.asked: list[str] = []
+        self.asked: list[tuple[str, str]] = []
         self._lock = threading.Lock()
         self._numbers = itertools.count(1)
         self._given: dict[str, tuple[str, str]] = {}
@@ -52,7 +52,7 @@
             return wrappers.Response(status=429)
         body = json.loads(request.get_data())
         with self._lock:
-            self.asked.append(body["step"])
+            self.asked += [(body["step"], w) for w in body["workers"]]
             good = [
                 [worker_id, self._ticket(body["step"], worker_id)]
                 for worker_id in body["workers"]
--- a/tests/platform/test_advice.py
+++ b/tests/platform/test_advice.py
@@ -1,6 +1,7 @@
 """Queues whose starts need tickets of the platform's adviser."""
 
 from collections.abc import Iterator
+import itertools
 import pathlib
 
 import pytest
@@ -44,7 +45,13 @@
         if line["event"] == "started"
     }
     assert started == {allowed.life}
-    assert len(advised.adviser.asked) == 2
+    # Nothing is asked twice. A worker that the leader hears of after the first
+    # question is asked about in one of its own.
+    steps = ("00000000000000c1.0.0", "00000000000000c1.0.1")
+    lives = (refused.life, allowed.life)
+    assert sorted(advised.adviser.asked) == sorted(
+        itertools.product(steps, lives)
+    )
 
 
 def test_a_busy_adviser_is_asked_until_it_answers(advised) -> None:
