--- /dev/null
+++ b/experiments/__main__.py
@@ -0,0 +1,140 @@
+"""`python -m experiments run LOAD --policy a,b`: policies side by side."""
+
+from concurrent import futures
+import json
+import math
+import pathlib
+import statistics
+
+import click
+
+from experiments import day
+from experiments import loads
+from experiments import policies
+from marigoldsill import errors
+
+_SHOWN = (
+    "worth",
+    "unserved",
+    "filling_credit",
+    "filling_in_time",
+    "filling_unserved",
+    "serving_credit",
+    "serving_unserved",
+    "batch_credit",
+    "over_s",
+    "use_filled",
+    "use_paced_away",
+    "use_contended",
+    "use_idle",
+    "use_thrown_away",
+)
+# Two standard errors: about one in twenty equal policies looks different.
+_SURE = 2.0
+
+Figures = dict[str, list[float]]
+
+
+@click.group()
+def main() -> None:
+    """Plays loads in virtual time on the product's own decisions."""
+
+
+@main.command()
+@click.argument("load_name")
+@click.option("--policy", "names", default="product", show_default=True)
+@click.option("--seeds", "seeds_count", default=20, show_default=True)
+@click.option("--jobs", "jobs_count", default=4, show_default=True)
+@click.option("--out", type=click.Path(path_type=pathlib.Path))
+def run(
+    load_name: str,
+    names: str,
+    seeds_count: int,
+    jobs_count: int,
+    out: pathlib.Path | None,
+) -> None:
+    """Plays LOAD_NAME by each policy, the same seeds for all."""
+    try:
+        load = loads.load(loads.find(load_name))
+    except errors.MarigoldsillError as error:
+        raise click.ClickException(error.message) from error
+    chosen = names.split(",")
+    unknown = [name for name in chosen if name not in policies.POLICIES]
+    if unknown:
+        raise click.ClickException(
+            f"no policy {unknown[0]!r}; there are "
+            f"{', '.join(policies.POLICIES)}"
+        )
+    results = _play_all(load, chosen, seeds_count, jobs_count)
+    click.echo(_table(results))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        content = {"load": load.name, "results": results}
+        (out / f"{load.name}.json").write_text(json.dumps(content, indent=1))
+
+
+@main.command()
+@click.argument("before", type=click.Path(path_type=pathlib.Path))
+@click.argument("after", type=click.Path(path_type=pathlib.Path))
+def compare(before: pathlib.Path, after: pathlib.Path) -> None:
+    """Compares the first policy of two folders' runs, seed by seed."""
+    for path in sorted(before.glob("*.json")):
+        other = after / path.name
+        if not other.exists():
+            continue
+        first = next(iter(json.loads(path.read_text())["results"].values()))
+        second = next(iter(json.loads(other.read_text())["results"].values()))
+        click.echo(path.stem)
+        click.echo(_table({"before": first, "after": second}))
+
+
+def _play_all(
+    load: loads.Load, names: list[str], seeds_count: int, jobs_count: int
+) -> dict[str, Figures]:
+    plays = [(name, seed) for name in names for seed in range(seeds_count)]
+    results: dict[str, Figures] = {name: {} for name in names}
+    with (
+        futures.ProcessPoolExecutor(jobs_count) as pool,
+        click.progressbar(length=len(plays), label=load.name) as bar,
+    ):
+        played = pool.map(_play, [load] * len(plays), *zip(*plays, strict=True))
+        for (name, _), figures in zip(plays, played, strict=True):
+            for key, value in figures.items():
+                results[name].setdefault(key, []).append(value)
+            bar.update(1)
+    return results
+
+
+def _play(load: loads.Load, name: str, seed: int) -> dict[str, float]:
+    with policies.POLICIES[name]():
+        return day.play(load, seed).figures()
+
+
+def _table(results: dict[str, Figures]) -> str:
+    """Means, and the paired difference to the first with its error."""
+    names = list(results)
+    first = results[names[0]]
+    lines = [f"{'':18}" + "".join(f"{name:>26}" for name in names)]
+    for key in _SHOWN:
+        cells = [f"{statistics.fmean(first[key]):26.3f}"]
+        for name in names[1:]:
+            mean = statistics.fmean(results[name][key])
+            difference, error = paired(first[key], results[name][key])
+            is_sure = abs(difference) > _SURE * error
+            mark = "*" if is_sure and difference else " "
+            cells.append(f"{mean:9.3f} {difference:+7.3f}±{error:.3f}{mark}")
+        lines.append(f"{key:18}" + "".join(f"{cell:>26}" for cell in cells))
+    return "\n".join(lines)
+
+
+def paired(before: list[float], after: list[float]) -> tuple[float, float]:
+    """The mean difference, seed by seed, and its standard error."""
+    differences = [b - a for a, b in zip(before, after, strict=True)]
+    if len(differences) < 2:
+        return differences[0], math.inf
+    error = statistics.stdev(differences) / math.sqrt(len(differences))
+    return statistics.fmean(differences), error
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/experiments/day.py
@@ -0,0 +1,362 @@
+"""One day of a load: the product decides, the world answers.
+
+What is real: the tables and the commands that change them, backlog, urgency,
+placing, relocating, what the leader learns, and the paces of each agent. What is
+not: replication, calls, leases; a decision reaches a worker after `_CALL_S`.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import itertools
+
+import numpy
+import simpy
+
+from experiments import arrivals as arrivals_module
+from experiments import loads
+from experiments import outcomes as outcomes_module
+from experiments import world
+from marigoldsill.coordination.job_agent import pacer as pacer_module
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import relocating
+from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import run_clock
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import tickets as tickets_module
+from marigoldsill.coordination.job_placing import urgency as urgency_module
+from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import machine
+from marigoldsill.state import tables as tables_module
+from marigoldsill.transport import clock
+
+# As in the product: how often a shared worker is listed, a round without news,
+# and from a decision to its effect.
+_LIST_S = 0.25
+_ROUND_S = 0.25
+_CALL_S = 0.05
+# Those that are lost come back after this share of the day.
+_LOST_SHARE = 0.1
+# After the last job came; what is not over then counts as it is.
+_TAIL_SHARE = 0.25
+_GIGABYTE = 1 << 30
+
+
+def play(load: loads.Load, seed: int) -> outcomes_module.Outcome:
+    """Plays one day and tells what callers got."""
+    with _Day(load, seed) as day:
+        return day.play()
+
+
+@dataclasses.dataclass(slots=True)
+class _Agent:
+    worker: world.Worker
+    view: agents_module.AgentView
+    pacer: pacer_module.Pacer
+    orders: dict[task_names.RunKey, ttypes.RunOrder]
+
+
+class _Day:
+    def __init__(self, load: loads.Load, seed: int):
+        self._load = load
+        self._random = numpy.random.default_rng(seed)
+        self._env = simpy.Environment()
+        self._truth = world.TrueBehaviour(load, self._random)
+        self._arrivals = arrivals_module.draw(load, self._random)
+        self._by_job = {a.job.job_id: a for a in self._arrivals}
+        self._tables = tables_module.Tables()
+        self._outcome = outcomes_module.Recorder(self._arrivals, load.worths)
+        self._use = world.Use()
+        self._backlog = backlog_module.Backlog()
+        self._urgency = urgency_module.Urgency()
+        self._sharing = sharing_module.Sharing()
+        self._health = worker_health.WorkerHealth()
+        self._clock = run_clock.RunClock()
+        self._relocating = relocating.Relocating()
+        self._evicted: set[task_names.RunKey] = set()
+        self._saved_s: dict[str, float] = {}
+        self._agents = {
+            f"a{number:04}": self._agent(number)
+            for number in range(load.workers_count)
+        }
+        self._changed = True
+        self._original_clock = clock.now_s
+
+    def __enter__(self) -> "_Day":
+        clock.now_s = self._now_s
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        clock.now_s = self._original_clock
+
+    def play(self) -> outcomes_module.Outcome:
+        routing = ttypes.Routing(
+            version=1,
+            queues=list(arrivals_module.QUEUES),
+            pools=[ttypes.Pool(name=arrivals_module.POOL)],
+            document=b"1",
+        )
+        self._apply(replace_routing=ttypes.ReplaceRouting(routing=routing))
+        for process in (self._come(), self._work(), self._list(), self._lead()):
+            self._env.process(process)
+        if self._load.failing_share:
+            self._env.process(self._lose())
+        self._env.run(until=self._load.length_s * (1 + _TAIL_SHARE))
+        return self._outcome.result(self._env.now, self._use)
+
+    def _now_s(self) -> float:
+        # Above zero, as the product takes 0 for "never".
+        return 1_000.0 + self._env.now
+
+    def _agent(self, number: int) -> _Agent:
+        is_large = number < self._load.large_share * self._load.workers_count
+        cores = self._load.worker_cores * (1.5 if is_large else 1.0)
+        name = f"a{number:04}"
+        capacity = ttypes.Resources(
+            cpu_millicores=int(cores * 1000),
+            memory_bytes=int(cores * 4) * _GIGABYTE,
+        )
+        described = ttypes.PoolWorker(
+            worker_id=f"{name}-1",
+            pool=arrivals_module.POOL,
+            data_centre="d",
+            rack=f"r{number // 3}",
+            labels=[],
+            capacity=capacity,
+        )
+        return _Agent(
+            worker=world.Worker(name, cores, self._truth),
+            view=agents_module.AgentView(name=name, worker=described),
+            pacer=pacer_module.Pacer(),
+            orders={},
+        )
+
+    def _apply(self, **body: object) -> ttypes.CommandResult:
+        command = ttypes.Command(
+            command_id="",
+            proposed_unix_ms=int(self._now_s() * 1000),
+            **body,
+        )
+        result = machine.apply(self._tables, command)
+        self._clock.take(self._tables.jobs, command)
+        self._health.take(command)
+        self._changed = True
+        return result
+
+    def _come(self) -> Iterator[simpy.Event]:
+        for arrival in self._arrivals:
+            yield self._env.timeout(max(0.0, arrival.at_s - self._env.now))
+            self._apply(submit_job=ttypes.SubmitJob(job=arrival.job))
+
+    def _work(self) -> Iterator[simpy.Event]:
+        while True:
+            yield self._env.timeout(world.STEP_S)
+            now_s = self._env.now
+            ends = []
+            for agent in self._agents.values():
+                if not agent.worker.is_up:
+                    continue
+                for run in agent.worker.advance(now_s, self._use):
+                    agent.orders.pop(run.key, None)
+                    ends.append(_end(run.key, ttypes.RunEndKind.DONE))
+            self._outcome.watch(
+                [a.worker for a in self._agents.values() if a.worker.is_up],
+                now_s,
+            )
+            if ends:
+                self._end(ends)
+
+    def _list(self) -> Iterator[simpy.Event]:
+        while True:
+            yield self._env.timeout(_LIST_S)
+            now_s = self._now_s()
+            pressures = {
+                (p.serving_image, p.filling_image): p.added
+                for p in self._sharing.pressures()
+            }
+            for agent in self._agents.values():
+                if agent.worker.is_up:
+                    self._look(agent, pressures, now_s)
+            self._changed = True
+
+    def _look(
+        self,
+        agent: _Agent,
+        pressures: dict[tuple[str, str], float],
+        now_s: float,
+    ) -> None:
+        looks = {
+            (look.task, look.run): look
+            for look in agent.worker.looks(self._random)
+        }
+        agent.pacer.added = pressures
+        agent.pacer.look(
+            agent.orders,
+            looks,
+            capacity_millicores=agent.view.worker.capacity.cpu_millicores,
+            now_s=now_s,
+        )
+        for key, order in agent.orders.items():
+            if order.fills and key in looks:
+                percent = agent.pacer.percent(key)
+                agent.worker.pace(key, percent, self._env.now)
+                looks[key].pace_percent = percent
+        agent.view.looks = looks
+        agent.view.looked_s = now_s
+
+    def _lead(self) -> Iterator[simpy.Event]:
+        for tick in itertools.count():
+            yield self._env.timeout(world.STEP_S)
+            is_due = tick % round(_ROUND_S / world.STEP_S) == 0
+            if self._changed or is_due:
+                self._changed = False
+                self._round()
+
+    def _round(self) -> None:
+        jobs, now_s = self._tables.jobs, self._now_s()
+        self._backlog.refresh(jobs, jobs.take_touched_jobs(), now_s=now_s)
+        up = [a for a in self._agents.values() if a.worker.is_up]
+        views = [agent.view for agent in up]
+        self._learn(views)
+        placing = placing_module.Placing(
+            self._sharing, self._health, tickets_module.Tickets()
+        )
+        rooms = [rooms_module.of_agent(jobs, v, self._sharing) for v in views]
+        waiting = self._backlog.in_order(
+            self._urgency, now_unix_ms=int(now_s * 1000)
+        )
+        grants = placing.place(waiting, rooms, now_s=now_s)
+        moves = self._relocating.moves(
+            jobs,
+            views,
+            rooms,
+            placing,
+            is_evicted=self._evicted.__contains__,
+        )
+        if grants:
+            self._apply(grant_runs=ttypes.GrantRuns(grants=grants))
+            for grant in grants:
+                self._start(grant)
+        stopped = []
+        for move in moves:
+            self._evicted.add(move.key)
+            if self._stop(self._agents[move.agent], move.key):
+                stopped.append(_end(move.key, ttypes.RunEndKind.STOPPED))
+        if stopped:
+            self._end(stopped)
+
+    def _learn(self, views: list[agents_module.AgentView]) -> None:
+        self._sharing.learn(self._tables.jobs, views)
+        self._clock.look(views)
+        for sample in self._clock.take_samples():
+            self._urgency.run_times.observe(
+                sample.queue,
+                estimated_ms=sample.estimated_ms,
+                run_ms=sample.run_ms,
+            )
+
+    def _start(self, grant: ttypes.RunGrant) -> None:
+        agent, key = self._agents[grant.agent], (grant.task, grant.run)
+        address = task_names.parse(grant.task)
+        step = self._tables.jobs.step_of(grant.task)
+        arrival = self._by_job[address.job_id]
+        work_s = float("inf")
+        if not step.long_running:
+            work_s = arrival.run_s[address.step][address.index]
+        saved_s = self._saved_s.get(grant.task, 0.0)
+        run = world.Run(
+            key=key,
+            step=step,
+            job_id=address.job_id,
+            work_s=work_s,
+            done_s=saved_s,
+            saved_s=saved_s,
+            starts_at_s=self._env.now + _CALL_S,
+            phase=arrival.phase,
+            uneven=world.draw_uneven(self._random),
+        )
+        order = ttypes.RunOrder(
+            task=grant.task,
+            run=grant.run,
+            fills=step.fills,
+            tail_target_ms=step.tail_target_ms,
+            image=step.image,
+            cpu_millicores=step.resources.cpu_millicores,
+        )
+        agent.orders[key] = order
+        if step.fills:
+            serving = {
+                o.image for o in agent.orders.values() if o.tail_target_ms
+            }
+            run.percent = agent.pacer.first_percent(order, serving)
+            run.next_percent = run.percent
+        agent.worker.start(run)
+
+    def _stop(self, agent: _Agent, key: task_names.RunKey) -> bool:
+        agent.orders.pop(key, None)
+        run = agent.worker.runs.pop(key, None)
+        if run is None:
+            return False
+        if run.step.checkpointing:
+            # A stop makes a checkpoint.
+            run.saved_s = run.done_s
+        self._keep(run)
+        return True
+
+    def _keep(self, run: world.Run) -> None:
+        self._saved_s[run.key[0]] = run.saved_s
+        lost_s = run.done_s - run.saved_s
+        self._use.thrown_away += lost_s * run.cores
+
+    def _end(self, ends: list[ttypes.RunEnd]) -> None:
+        self._apply(record_run_ends=ttypes.RecordRunEnds(ends=ends))
+        for end in ends:
+            job_id = task_names.parse(end.task).job_id
+            record = self._tables.jobs.jobs[job_id]
+            if record.state == ttypes.JobState.COMPLETED:
+                self._outcome.completed(job_id, self._env.now)
+
+    def _lose(self) -> Iterator[simpy.Event]:
+        """Loses some workers at once, and has them back empty."""
+        yield self._env.timeout(self._load.length_s / 2)
+        count = round(self._load.failing_share * len(self._agents))
+        lost = list(self._agents.values())[-count:]
+        for agent in lost:
+            agent.worker.is_up = False
+            ends = []
+            for run in list(agent.worker.runs.values()):
+                agent.worker.runs.pop(run.key)
+                agent.orders.pop(run.key, None)
+                self._keep(run)
+                ends.append(_end(run.key, ttypes.RunEndKind.LOST))
+            agent.view.looks = {}
+            if ends:
+                self._end(ends)
+        yield self._env.timeout(self._load.length_s * _LOST_SHARE)
+        for agent in lost:
+            agent.worker.is_up = True
+
+
+def _end(key: task_names.RunKey, kind: ttypes.RunEndKind) -> ttypes.RunEnd:
+    return ttypes.RunEnd(task=key[0], run=key[1], kind=kind)
+
+
+@contextlib.contextmanager
+def constants(**changes: tuple[object, object]) -> Iterator[None]:
+    """Has modules use other constants while it lasts.
+
+    Args:
+        **changes: By the name of the constant: its module, and the value.
+    """
+    before = {n: getattr(module, n) for n, (module, _) in changes.items()}
+    try:
+        for name, (module, value) in changes.items():
+            setattr(module, name, value)
+        yield
+    finally:
+        for name, (module, _) in changes.items():
+            setattr(module, name, before[name])
