--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -22,8 +22,12 @@
 _APART_COST = 0.1
 _FULL_COST = 0.3
 _LEAST_LEFT = 1e-6
-# A job that has had nothing running for so long gets a task in any case.
+# A job that has had nothing running for so long gets a task in any case. Beside
+# tasks that it presses hard that costs their users about what it earns, so while
+# those that serve or have room of their own hold most of a pool, it waits longer.
 _IDLE_LIMIT_S = 2.0
+_FULL_POOL_IDLE_LIMIT_S = 20.0
+_FULL_POOL_SHARE = 0.6
 _DISTURBANCE_LIMIT = 0.2
 # Tasks that fill may ask for a little more than is left: their declarations
 # are rough. Far beyond that all of them only get slower, so they wait.
@@ -62,8 +66,12 @@
                 grants += self._place_gang(waiting, candidates)
                 continue
             granted = self._place_step(waiting, candidates)
-            is_idle = now_s - waiting.idle_since_s > _IDLE_LIMIT_S
-            if not granted and is_idle and waiting.step.fills:
+            idle_s = now_s - waiting.idle_since_s
+            if (
+                not granted
+                and waiting.step.fills
+                and idle_s > _idle_limit_s(rooms, waiting.queue.pool)
+            ):
                 granted = self._place_anyway(waiting, candidates)
             grants += granted
         return grants
@@ -282,6 +290,15 @@
         return is_near, serves, room.unused_share
 
 
+def _idle_limit_s(rooms: Sequence[rooms_module.Room], pool: str) -> float:
+    """How long a job may have nothing running before one task is begun."""
+    own = [room for room in rooms if room.worker.pool == pool]
+    whole = sum(room.worker.capacity.cpu_millicores for room in own)
+    left = sum(room.cpu_millicores for room in own)
+    is_full = whole - left > _FULL_POOL_SHARE * whole
+    return _FULL_POOL_IDLE_LIMIT_S if is_full else _IDLE_LIMIT_S
+
+
 def _has_room(
     room: rooms_module.Room, waiting: backlog_module.WaitingStep
 ) -> bool:
