--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -17,6 +17,9 @@
 # Up to here a task that fills may be put beside one that serves, at its usual
 # load. Agents slow it down while that load is higher.
 _STRAIN_LIMIT = strain.at_ratio(0.74)
+# A task begins at its whole speed and is slowed down only once it is there and
+# seen, so none begins where that would bring a tail over its target.
+_START_LIMIT = strain.at_ratio(1.0)
 # What a worker where nothing serves counts as, in shares of the strain that is
 # left: tasks that hardly disturb leave it to those that do.
 _APART_COST = 0.1
@@ -209,10 +212,14 @@
     ) -> None:
         """Counts one more task of a step on a worker."""
         room.take(key, step)
+        if step.tail_target_ms:
+            room.serving = [*room.serving, self._sharing.granted(step)]
         if step.fills:
             room.serving = [
                 sharing_module.Serving(
-                    s.image, s.strain + self._added(room, s, step)
+                    s.image,
+                    s.strain + self._added(room, s, step),
+                    s.strain_now + self._added_at_most(room, s, step),
                 )
                 for s in room.serving
             ]
@@ -247,8 +254,17 @@
         lack = step.resources.cpu_millicores - room.unused_millicores
         if lack > _OVERFILL_SHARE * capacity:
             return False
+        if not self._bears_start(room, step):
+            return False
         return self._disturbance(room, step) <= _DISTURBANCE_LIMIT
 
+    def _bears_start(self, room: rooms_module.Room, step: ttypes.Step) -> bool:
+        """Whether those that serve bear one more at its whole speed now."""
+        return all(
+            s.strain_now + self._added_at_most(room, s, step) <= _START_LIMIT
+            for s in room.serving
+        )
+
     def _disturbance(self, room: rooms_module.Room, step: ttypes.Step) -> float:
         """The share of the strain left there that a task that fills takes."""
         return max(
@@ -269,6 +285,15 @@
         share = room.share_of(step.resources.cpu_millicores)
         return self._sharing.added(serving.image, step.image, share)
 
+    def _added_at_most(
+        self,
+        room: rooms_module.Room,
+        serving: sharing_module.Serving,
+        step: ttypes.Step,
+    ) -> float:
+        share = room.share_of(step.resources.cpu_millicores)
+        return self._sharing.added_at_most(serving.image, step.image, share)
+
     def _preference(
         self, step: ttypes.Step, room: rooms_module.Room
     ) -> tuple[float, ...]:
--- a/marigoldsill/coordination/job_placing/rooms.py
+++ b/marigoldsill/coordination/job_placing/rooms.py
@@ -110,8 +110,8 @@
         unused_millicores=capacity.cpu_millicores,
     )
     filling: list[tuple[str, float]] = []
-    serving: list[tuple[str, str]] = []
-    for task, _ in jobs.runs_by_agent.get(view.name, ()):
+    serving: list[tuple[str, ttypes.Step, ttypes.RunLook | None]] = []
+    for task, run in jobs.runs_by_agent.get(view.name, ()):
         address = task_names.parse(task)
         step = jobs.jobs[address.job_id].job.steps[address.step]
         room.take(address.step_key, step)
@@ -119,8 +119,9 @@
             share = room.share_of(step.resources.cpu_millicores)
             filling.append((step.image, share))
         if step.tail_target_ms:
-            serving.append((address.job_id, step.image))
+            serving.append((address.job_id, step, view.looks.get((task, run))))
     room.serving = [
-        sharing.serving(job_id, image, filling) for job_id, image in serving
+        sharing.serving(job_id, step, look, filling)
+        for job_id, step, look in serving
     ]
     return room
--- a/marigoldsill/coordination/job_placing/sharing.py
+++ b/marigoldsill/coordination/job_placing/sharing.py
@@ -20,6 +20,11 @@
 _CHANGED_SHARE = 0.25
 _CHANGED_STRAIN = 0.01
 _WORKING_PERCENT = 100
+# What a task that serves is taken to bear until it was listed, within half a
+# second: so much that nothing begins beside it but what is known to be light.
+# After a loss of all power everything is granted in one round; tasks that fill
+# were then put beside those that serve as if nobody served there.
+_UNSEEN_STRAIN = strain.at_ratio(0.92)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,10 +34,12 @@
     Attributes:
         image: What it runs.
         strain: As its load usually is, with what fills beside it.
+        strain_now: As it was listed last, with what begins beside it.
     """
 
     image: str
     strain: float
+    strain_now: float
 
 
 class Sharing:
@@ -80,21 +87,37 @@
         """
         return self._filter.added(serving_image, filling_image) * share
 
+    def added_at_most(
+        self, serving_image: str, filling_image: str, share: float
+    ) -> float:
+        """The same with a standard deviation to spare; more if not known yet."""
+        return self._filter.added_at_most(serving_image, filling_image) * share
+
     def serving(
         self,
         job_id: str,
-        image: str,
+        step: ttypes.Step,
+        look: ttypes.RunLook | None,
         filling: Iterable[tuple[str, float]],
     ) -> Serving:
         """A task that serves beside tasks that fill.
 
         Args:
             job_id: The task's job.
-            image: What it runs.
+            step: Its step.
+            look: The task as listed last; None if it was not yet.
             filling: Images that fill, each with its tenths of the worker.
         """
-        added = sum(self.added(image, other, s) for other, s in filling)
-        return Serving(image, self._filter.usual(job_id) + added)
+        added = sum(self.added(step.image, other, s) for other, s in filling)
+        usual = self._filter.usual(job_id)
+        now = _UNSEEN_STRAIN
+        if look is not None and look.load:
+            now = strain.of_tail(look.load, step.tail_target_ms)
+        return Serving(step.image, usual + added, now)
+
+    def granted(self, step: ttypes.Step) -> Serving:
+        """A task that serves and was granted just now."""
+        return Serving(step.image, _UNSEEN_STRAIN, _UNSEEN_STRAIN)
 
     def pressures(self) -> list[ttypes.Pressure]:
         """What agents are to be told."""
--- a/marigoldsill/coordination/learning/strain.py
+++ b/marigoldsill/coordination/learning/strain.py
@@ -133,6 +133,13 @@
         term = self._pairs.get((image, filling))
         return _PAIR_MEAN if term is None else term.mean
 
+    def added_at_most(self, image: str, filling: str) -> float:
+        """The same with one standard deviation to spare."""
+        term = self._pairs.get((image, filling))
+        if term is None:
+            return _PAIR_MEAN + math.sqrt(_PAIR_VARIANCE)
+        return term.mean + math.sqrt(term.variance)
+
     def pairs(self) -> dict[tuple[str, str], float]:
         """What was learnt of each pair: serving image, filling image."""
         return {pair: term.mean for pair, term in self._pairs.items()}
--- a/tests/coordination/job_placing/test_placing.py
+++ b/tests/coordination/job_placing/test_placing.py
@@ -72,6 +72,14 @@
         )
         return {grant.task: grant.agent for grant in grants}
 
+    def list_tail(self, agent: str, task: str, *, tail_ms: int) -> None:
+        """Has a worker list a task that serves."""
+        look = ttypes.RunLook(task=task, run=1, percent=100, load=tail_ms)
+        self.now_s += 1.0
+        view = self.views[agent]
+        view.looks, view.looked_s = {(task, 1): look}, self.now_s
+        self.sharing.learn(self.state.tables.jobs, [view])
+
     def take_end(self, end: ttypes.RunEnd) -> None:
         """Records an end and has it looked at."""
         self.state.end(end)
@@ -192,6 +200,39 @@
     assert leader.round()["j2.0.0.0"] != serving
 
 
+def test_nothing_begins_beside_what_serves_and_was_not_seen_yet(
+    leader: _Leader,
+) -> None:
+    """After a loss of all power tasks that serve were over their targets.
+
+    The order: everything was lost and granted again in one round. Tasks that
+    fill were placed as if nobody served on the workers that had just been given
+    to tasks that serve, whose load nobody had seen yet, and began there at
+    their whole speed.
+    """
+    leader.worker("a1", cores=16)
+    leader.submit("j1", _serving())
+    leader.submit("j2", _filling())
+    assert list(leader.round()) == ["j1.0.0.0"]
+    assert leader.round() == {}
+    leader.list_tail("a1", "j1.0.0.0", tail_ms=15)
+    assert list(leader.round()) == ["j2.0.0.0"]
+
+
+def test_nothing_begins_where_its_whole_speed_would_be_too_much_now(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", cores=16)
+    leader.submit("j1", _serving())
+    leader.round()
+    for tail_ms in (30, 30, 30, 97):
+        leader.list_tail("a1", "j1.0.0.0", tail_ms=tail_ms)
+    leader.submit("j2", _filling(cores=1))
+    assert leader.round() == {}
+    leader.list_tail("a1", "j1.0.0.0", tail_ms=30)
+    assert list(leader.round()) == ["j2.0.0.0"]
+
+
 def test_tasks_that_fill_do_not_count_their_processor_time(
     leader: _Leader,
 ) -> None:
@@ -237,6 +278,21 @@
     assert leader.round() == {}
 
 
+def test_in_a_full_pool_an_idle_job_waits_longer_for_a_bad_place(
+    leader: _Leader,
+) -> None:
+    leader.worker("a1", cores=16)
+    leader.submit("j1", _serving(cores=12))
+    leader.round()
+    leader.list_tail("a1", "j1.0.0.0", tail_ms=90)
+    leader.submit("j2", _filling())
+    assert leader.round() == {}
+    leader.now_s += 10.0
+    assert leader.round() == {}
+    leader.now_s += 11.0
+    assert list(leader.round()) == ["j2.0.0.0"]
+
+
 def test_a_task_that_failed_goes_to_another_worker(leader: _Leader) -> None:
     leader.worker("a1", rack="r1")
     leader.worker("a2", rack="r2")
