--- a/experiments/day.py
+++ b/experiments/day.py
@@ -292,8 +292,11 @@
             serving = {
                 o.image for o in agent.orders.values() if o.tail_target_ms
             }
-            run.percent = agent.pacer.first_percent(order, serving)
-            run.next_percent = run.percent
+            # It begins at its whole speed; a pace needs the run to be there.
+            percent = agent.pacer.first_percent(order, serving)
+            agent.worker.start(run)
+            agent.worker.pace(key, percent, run.starts_at_s)
+            return
         agent.worker.start(run)
 
     def _stop(self, agent: _Agent, key: task_names.RunKey) -> bool:
--- a/experiments/loads.py
+++ b/experiments/loads.py
@@ -80,8 +80,8 @@
     filling_run_s: float = 3.0
     filling_images_count: int = 8
     heavy_share: float = 0.5
-    heavy_press: float = 2.0
-    light_press: float = 0.2
+    heavy_press: float = 5.0
+    light_press: float = 0.3
     batch_jobs_per_s: float = 2.0
     batch_width: int = 6
     batch_cores: float = 0.3
--- a/experiments/outcomes.py
+++ b/experiments/outcomes.py
@@ -75,11 +75,11 @@
         for worker in workers:
             for run in worker.runs.values():
                 target_ms = run.step.tail_target_ms
-                if not target_ms or not run.tails:
+                if not target_ms or not run.tail_ms:
                     continue
                 key = run.job_id, piece
                 good = 1.0
-                if run.tails[-1] > target_ms:
+                if run.tail_ms > target_ms:
                     self._over_s += world.STEP_S
                     good = 1.0 - _DISTURBED_WEIGHT
                 self._good[key] = self._good.get(key, 0.0) + good
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -85,6 +85,9 @@
     "goal-0.70": lambda: day.constants(
         _GOAL_STRAIN=(pacer, strain.at_ratio(0.70))
     ),
+    "starts-anyway": lambda: day.constants(
+        _START_LIMIT=(placing, float("inf"))
+    ),
     "goal-0.92": lambda: day.constants(
         _GOAL_STRAIN=(pacer, strain.at_ratio(0.92))
     ),
@@ -114,3 +117,69 @@
 POLICIES["serving-graded"] = lambda: day.constants(
     _preference=(placing.Placing, _serving_graded)
 )
+
+
+def _both(*names):
+    @contextlib.contextmanager
+    def policy():
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                stack.enter_context(POLICIES[name]())
+            yield
+
+    return policy
+
+
+def _c(**kw):
+    return lambda: day.constants(**kw)
+
+
+POLICIES["limit-0.85"] = _c(_STRAIN_LIMIT=(placing, strain.at_ratio(0.85)))
+POLICIES["limit-0.95"] = _c(_STRAIN_LIMIT=(placing, strain.at_ratio(0.95)))
+POLICIES["dist-0.3"] = _c(_DISTURBANCE_LIMIT=(placing, 0.3))
+POLICIES["dist-0.1"] = _c(_DISTURBANCE_LIMIT=(placing, 0.1))
+POLICIES["moves-0.7s"] = _c(_SLOW_FOR_S=(relocating, 0.7))
+POLICIES["moves-50"] = _c(_SLOW_PERCENT=(relocating, 50))
+POLICIES["rise-50"] = _c(_RISE_PERCENT=(pacer, 50))
+POLICIES["first-50"] = _c(_FIRST_PERCENT=(pacer, 50))
+POLICIES["first-10"] = _c(_FIRST_PERCENT=(pacer, 10))
+POLICIES["goal-0.96"] = _c(
+    _GOAL_STRAIN=(pacer, strain.at_ratio(0.96)),
+    _HIGH_STRAIN=(pacer, strain.at_ratio(1.0)),
+)
+POLICIES["goal-0.92h"] = _c(
+    _GOAL_STRAIN=(pacer, strain.at_ratio(0.92)),
+    _HIGH_STRAIN=(pacer, strain.at_ratio(0.97)),
+)
+for x in (
+    "limit-0.85",
+    "limit-0.95",
+    "dist-0.3",
+    "dist-0.1",
+    "moves-0.7s",
+    "moves-50",
+    "rise-50",
+    "first-50",
+    "first-10",
+    "idle-6",
+    "serving-apart",
+    "no-trends",
+    "serving-graded",
+):
+    POLICIES["g+" + x] = _both("goal-0.92", x)
+POLICIES["g"] = contextlib.nullcontext
+POLICIES["var"] = _c(_PAIR_VARIANCE=(strain, 0.02))
+POLICIES["var2"] = _c(_PAIR_VARIANCE=(strain, 0.02), _PAIR_MEAN=(strain, 0.1))
+POLICIES["g+var"] = _both("g", "var")
+POLICIES["g+var2"] = _both("g", "var2")
+POLICIES["idle-20"] = _c(_IDLE_LIMIT_S=(placing, 20.0))
+POLICIES["g+var+idle-6"] = _both("g", "var", "idle-6")
+POLICIES["g+var+idle-20"] = _both("g", "var", "idle-20")
+for d in (0.3, 0.4, 0.5, 0.7):
+    for s in (0.74, 0.88):
+        POLICIES[f"g+d{d}l{s}"] = _both("g", "_")
+        POLICIES[f"d{d}l{s}"] = _c(
+            _DISTURBANCE_LIMIT=(placing, d),
+            _STRAIN_LIMIT=(placing, strain.at_ratio(s)),
+        )
+        POLICIES[f"g+d{d}l{s}"] = _both("g", f"d{d}l{s}")
--- a/experiments/world.py
+++ b/experiments/world.py
@@ -2,7 +2,7 @@
 
 A task that serves has a tail latency of tail / (1 - x), with x its own load and
 what tasks that fill press on it; a listed tail is rough, rounded to whole
-milliseconds, and covers the last half second.
+milliseconds, and smoothed; processor time in use is told as it was a moment ago.
 """
 
 import collections
@@ -16,7 +16,8 @@
 from marigoldsill.protocol.generated import ttypes
 
 STEP_S = 0.05
-_LISTED_S = 0.5
+_TAIL_SMOOTHED_S = 0.4
+_USE_LATE_S = 0.3
 _PACE_SHOWS_S = 0.1
 _RESTORE_S = 0.5
 _NOISE = 0.05
@@ -42,7 +43,9 @@
         next_percent: The pace last ordered.
         pace_at_s: When that comes into force.
         starts_at_s: When it begins to work.
-        tails: Its newest tail latencies, over the time that a list covers.
+        tail_ms: Its tail latency now, if it serves.
+        shown_ms: The same, smoothed.
+        used_millicores: Its processor time in the last moments, newest last.
         phase: Of its job's load.
         uneven: Its own share of that load, against the others of its job.
     """
@@ -60,9 +63,11 @@
     percent: int = 100
     next_percent: int = 100
     pace_at_s: float = math.inf
-    tails: collections.deque[float] = dataclasses.field(
+    tail_ms: float = 0.0
+    shown_ms: float = 0.0
+    used_millicores: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(
-            maxlen=int(_LISTED_S / STEP_S)
+            maxlen=int(_USE_LATE_S / STEP_S)
         )
     )
 
@@ -182,12 +187,16 @@
                 shares[run.step.image] += run.in_use_cores / self.cores
         for run in at_work:
             if not run.step.tail_target_ms:
+                run.used_millicores.append(run.in_use_cores * 1000)
                 continue
             x = self._truth.own_load(run, now_s) + sum(
                 self._truth.press(run.step.image, image) * share
                 for image, share in shares.items()
             )
-            run.tails.append(self._truth.tail_ms(x))
+            run.tail_ms = self._truth.tail_ms(x)
+            kept = math.exp(-STEP_S / _TAIL_SMOOTHED_S)
+            before_ms = run.shown_ms or run.tail_ms
+            run.shown_ms = run.tail_ms + kept * (before_ms - run.tail_ms)
 
     def _work(self, at_work: list[Run]) -> list[Run]:
         done = []
@@ -213,10 +222,9 @@
 
 
 def _look(run: Run, random: numpy.random.Generator) -> ttypes.RunLook:
-    load = int(run.in_use_cores * 1000)
+    shown = run.used_millicores[0] if run.used_millicores else 0.0
     if run.step.tail_target_ms:
-        mean_ms = sum(run.tails) / len(run.tails) if run.tails else 0.0
-        load = round(mean_ms * random.lognormal(0.0, _NOISE))
+        shown = run.shown_ms
     percent = 100
     if math.isfinite(run.work_s):
         percent = int(100 * run.done_s / run.work_s)
@@ -224,6 +232,6 @@
         task=run.key[0],
         run=run.key[1],
         percent=percent,
-        load=load,
+        load=round(shown * random.lognormal(0.0, _NOISE)),
         pace_percent=run.next_percent,
     )
--- /dev/null
+++ b/tests/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model that plays days in virtual time."""
