--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -302,8 +302,8 @@
 
         Tasks that serve users are packed on the largest workers, those of one
         image together, so that as many workers as can be are left to tasks that
-        fill and would disturb them: large jobs got 0.76 of their worth instead of
-        0.69 with the smallest workers first (six played days). All others go
+        fill and would disturb them: large jobs got 0.75 of their worth instead of
+        0.68 with the smallest workers first (ten played days). All others go
         beside those that serve, whom they don't disturb.
         """
         is_near = room.worker.rack == step.preferred_rack
