Trace two tests of votes that failed beside load

test_a_learner_becomes_voter...: the log shows the promotion just before the check. Members count from when their entry is in the log, which the test waits for; what it checks is noted when the entry is applied. It waits for that now; the check is as before.

test_a_group_whose_members_all_restarted...: the log shows leadership handed over while the group was being stopped: the successor stood, got votes, and was stopped before it led, so the members had promised their votes to a member that lacked the last entry, and the usual timeouts held. That is allowed; a loss of all power names no successor. The leader stops last now.

--- a/tests/coordination/agreement/test_votes.py
+++ b/tests/coordination/agreement/test_votes.py
@@ -128,7 +128,8 @@
     group.form()
     group.propose(groups.worker_command(1))
     led = group.leader().member.name
-    for name in list(group.members):
+    # The leader last, as nobody may be left that it could name to lead next.
+    for name in sorted(group.members, key=lambda name: name == led):
         group.stop(name)
     for name in list(group.members):
         group.start(name)
@@ -189,6 +190,8 @@
     group.wipe("m2")
     group.start("m2")
     group.wait_for_voters(3)
+    # Members count from when their entry is in the log, before it is applied.
+    processes.wait_until(lambda: any(promoted_at), what="the change applied")
     assert max(filter(None, promoted_at)) >= 60
 
 
