--- a/marigoldsill/coordination/agreement/election.py
+++ b/marigoldsill/coordination/agreement/election.py
@@ -11,13 +11,6 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
-# A member that led before it restarted stands after this share of its election
-# timeout, again and again for some timeouts: all others may be starting too, and
-# what runs waits for a leader. With a timeout of 0.7 s a group whose processes
-# start within 0.4 s of each other has one 0.2 s after its majority is there, else
-# 0.9 s (loss of all power, played).
-_RETURN_SHARE = 0.15
-_RETURN_TIMEOUTS = 4.0
 # Whom a leaving leader names stands after this time: by then the others have
 # heard of it too and give their votes, at some milliseconds one way.
 _SUCCESSION_S = 0.03
@@ -44,17 +37,11 @@
         self._random = _random(group)
         self.ballot: Ballot | None = None
         self._deadline_s = 0.0
-        self._returns_until_s = 0.0
-        if group.votes.state.voted_for == group.name:
-            timeout_s = group.settings.election_timeout_s
-            self._returns_until_s = clock.now_s() + _RETURN_TIMEOUTS * timeout_s
         self.postpone()
 
     def postpone(self) -> None:
         """Draws a new election timeout, counted from now."""
         timeout_s = self._group.settings.election_timeout_s
-        if clock.now_s() < self._returns_until_s:
-            timeout_s *= _RETURN_SHARE
         wait_s = timeout_s * (1 + self._random.random())
         self._deadline_s = clock.now_s() + wait_s
 
@@ -65,7 +52,6 @@
     def hear_leader(self) -> None:
         """Gives up standing, because there is a leader."""
         self.ballot = None
-        self._returns_until_s = 0.0
         self.postpone()
 
     @property
@@ -172,7 +158,6 @@
             self._ask(pre_vote=False)
             return self._decide()
         self.ballot = None
-        self._returns_until_s = 0.0
         group.role = group_module.Role.LEADER
         group.leader_name = group.name
         return True
@@ -191,11 +176,17 @@
             return False
         if request.term < group.term:
             return False
-        if group.is_promised_away(request.candidate):
+        if self._hears_leader():
             return False
         own = (group.log.last_term, group.log.last_index)
         return (request.last_term, request.last_index) >= own
 
+    def _hears_leader(self) -> bool:
+        group = self._group
+        if group.role is group_module.Role.LEADER:
+            return True
+        return clock.now_s() < group.promised_until_s
+
 
 def _random(group: group_module.Group) -> random.Random:
     if group.settings.seed is None:
--- a/marigoldsill/coordination/agreement/group.py
+++ b/marigoldsill/coordination/agreement/group.py
@@ -166,19 +166,6 @@
         self.heard_s = clock.now_s()
         self.promised_until_s = self.heard_s + timeout_ms / 1000
 
-    def is_promised_away(self, candidate: str) -> bool:
-        """Whether another than a candidate may count on this member's vote.
-
-        Whoever was promised it and stands itself leads no more: the term in
-        which it did is over for it. After a loss of all power nobody could be
-        elected before the promises are over, though all had restarted.
-        """
-        if self.role is Role.LEADER:
-            return True
-        if clock.now_s() >= self.promised_until_s:
-            return False
-        return self.votes.state.voted_for != candidate
-
     def release(self) -> None:
         """Takes back the promise to a leader that has said it leads no more."""
         self.promised_until_s = 0.0
@@ -191,13 +178,9 @@
             logs.event("cluster_joined", cluster=cluster_id, member=self.name)
 
     def follow(self, term: int, leader_name: str) -> None:
-        """Becomes a follower of a leader, of this term or a later one.
-
-        The leader counts as voted for, so that a restart does not forget to
-        whom this member has promised its vote.
-        """
-        if term > self.term or self.votes.state.voted_for != leader_name:
-            self.votes.save(term=term, voted_for=leader_name)
+        """Becomes a follower of a leader, of this term or a later one."""
+        if term > self.term:
+            self.votes.save(term=term, voted_for="")
         if self.role is not Role.FOLLOWER or self.leader_name != leader_name:
             logs.event("following", term=term, leader=leader_name)
         self._leave_role(leader_name)
