Wait until a frozen process stands before it is asked

A trace with times in both processes: SIGSTOP was sent at 287.2501 s, the request was read at 287.2526 and confirmed by a majority at 287.2533, while the threads still ran (states RSRSSS...); they stood 20 ms later. So the answer was whole before the freeze and before the change that it was compared with, which is allowed.

Change: Process.freeze() waits until each thread stands. The check is as it was and now always meets a frozen process. Two other tests that freeze and then act take it too.

--- a/tests/e2e/test_racing_operators.py
+++ b/tests/e2e/test_racing_operators.py
@@ -117,7 +117,7 @@
     _change(desk, slots=1)
     old = _leader(system)
     old_http = system.control_addresses[old][1]
-    system.processes[old].send(signal.SIGSTOP)
+    system.processes[old].freeze()
     with futures.ThreadPoolExecutor(1) as pool:
         # It waits in the frozen process until that is thawed.
         asked = pool.submit(_direct_status, system, old_http)
--- a/tests/failures/test_leader_changes.py
+++ b/tests/failures/test_leader_changes.py
@@ -64,7 +64,7 @@
     leader = _leader(running)
     others = [name for name in CONTROLS if name != leader]
     if fault == "frozen":
-        running.processes[leader].send(signal.SIGSTOP)
+        running.processes[leader].freeze()
     else:
         running.cut(
             *(f"{leader} {name}" for name in others),
--- a/tests/failures/test_lost_and_cut_off.py
+++ b/tests/failures/test_lost_and_cut_off.py
@@ -71,7 +71,7 @@
     system.apply(_job("freezes") + _job("cut"))
     frozen = _worker_of(system, "freezes")
     cut = _worker_of(system, "cut")
-    system.processes[frozen].send(signal.SIGSTOP)
+    system.processes[frozen].freeze()
     system.cut(f"{cut} *", f"* {cut}")
     _wait_until_moved(system, "freezes", "cut")
     system.processes[frozen].send(signal.SIGCONT)
--- a/tests/one_process.py
+++ b/tests/one_process.py
@@ -112,6 +112,26 @@
         """Sends it a signal."""
         self._popen.send_signal(number)
 
+    def freeze(self) -> None:
+        """Stops it and waits until each of its threads stands.
+
+        The signal takes effect after it was sent: on a busy machine whole
+        requests were still answered in between.
+        """
+        self.send(signal.SIGSTOP)
+        wait_until(
+            lambda: set(self._thread_states()) == {"T"},
+            what=f"each thread of {self.pid} stands",
+        )
+
+    def _thread_states(self) -> list[str]:
+        """The state of each thread, a letter as proc(5) has them."""
+        tasks = pathlib.Path(f"/proc/{self.pid}/task")
+        return [
+            (task / "stat").read_text().rpartition(")")[2].split()[0]
+            for task in tasks.iterdir()
+        ]
+
     def kill(self) -> None:
         """Kills it and waits for its end."""
         self._popen.kill()
