Work out a task's share of a worker once where it is placed

Placing asked twice for the share of the worker that a task takes, in two functions alike but for the estimate (mean, or with a deviation to spare), on the path that looks at each worker for each waiting task. No behaviour.

--- a/marigoldsill/coordination/job_placing/placing.py
+++ b/marigoldsill/coordination/job_placing/placing.py
@@ -216,11 +216,13 @@
         if step.tail_target_ms:
             room.serving = [*room.serving, self._sharing.granted(step)]
         if step.fills:
+            image, share = step.image, _share(room, step)
             room.serving = [
                 sharing_module.Serving(
                     s.image,
-                    s.strain + self._added(room, s, step),
-                    s.strain_now + self._added_at_most(room, s, step),
+                    s.strain + self._sharing.added(s.image, image, share),
+                    s.strain_now
+                    + self._sharing.added_at_most(s.image, image, share),
                 )
                 for s in room.serving
             ]
@@ -261,40 +263,25 @@
 
     def _bears_start(self, room: rooms_module.Room, step: ttypes.Step) -> bool:
         """Whether those that serve bear one more at its whole speed now."""
+        image, share = step.image, _share(room, step)
         return all(
-            s.strain_now + self._added_at_most(room, s, step) <= _START_LIMIT
+            s.strain_now + self._sharing.added_at_most(s.image, image, share)
+            <= _START_LIMIT
             for s in room.serving
         )
 
     def _disturbance(self, room: rooms_module.Room, step: ttypes.Step) -> float:
         """The share of the strain left there that a task that fills takes."""
+        image, share = step.image, _share(room, step)
         return max(
             (
-                self._added(room, s, step)
+                self._sharing.added(s.image, image, share)
                 / max(_LEAST_LEFT, _STRAIN_LIMIT - s.strain)
                 for s in room.serving
             ),
             default=0.0,
         )
 
-    def _added(
-        self,
-        room: rooms_module.Room,
-        serving: sharing_module.Serving,
-        step: ttypes.Step,
-    ) -> float:
-        share = room.share_of(step.resources.cpu_millicores)
-        return self._sharing.added(serving.image, step.image, share)
-
-    def _added_at_most(
-        self,
-        room: rooms_module.Room,
-        serving: sharing_module.Serving,
-        step: ttypes.Step,
-    ) -> float:
-        share = room.share_of(step.resources.cpu_millicores)
-        return self._sharing.added_at_most(serving.image, step.image, share)
-
     def _preference(
         self, step: ttypes.Step, room: rooms_module.Room
     ) -> tuple[float, ...]:
@@ -319,6 +306,11 @@
         return is_near, serves, room.unused_share
 
 
+def _share(room: rooms_module.Room, step: ttypes.Step) -> float:
+    """Tenths of a worker that a task asks for."""
+    return room.share_of(step.resources.cpu_millicores)
+
+
 def _is_idle_too_long(
     waiting: backlog_module.WaitingStep,
     rooms: Sequence[rooms_module.Room],
