An agent that was replaced still tells how its runs ended

Ruled out: a run that outlives its lease; a start twice on one worker.

Change: a replaced agent goes on to send events, and control records those ends of which only the worker that had the run tells (completed, failed). What an agent misses on its own worker is still not taken from a replaced one, as before. Grants, orders and leases are as they were.

--- a/marigoldsill/coordination/deciding/heartbeats.py
+++ b/marigoldsill/coordination/deciding/heartbeats.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import threading
 import time
 
@@ -23,6 +24,10 @@
 _HEARTBEATS = prometheus_client.Counter(
     "marigoldsill_heartbeats", "Heartbeats by what came of them.", ["outcome"]
 )
+# Ends of which the worker that had the run tells, and no other one.
+_WORKERS_ENDS = frozenset(
+    {ttypes.RunEventKind.COMPLETED, ttypes.RunEventKind.FAILED}
+)
 
 
 class Heartbeats:
@@ -72,7 +77,7 @@
         with self._replica.lock:
             known = self._replica.tables.workers.get(heartbeat.agent)
         if known is not None and heartbeat.incarnation < known.incarnation:
-            return _refusal(term, "replaced", replaced_by=known.incarnation)
+            return self._refuse_replaced(heartbeat, term, known.incarnation)
         if not self._is_newest(heartbeat):
             return _refusal(term, "out_of_order")
         if heartbeat.worker is not None:
@@ -88,13 +93,28 @@
             self._usage.put(
                 heartbeat.agent, heartbeat.usage, now_s=time.monotonic()
             )
-        if heartbeat.events:
+        self._record(heartbeat.events)
+        return self._answer(heartbeat, term)
+
+    def _refuse_replaced(
+        self, heartbeat: ttypes.Heartbeat, term: int, replaced_by: int
+    ) -> ttypes.HeartbeatReply:
+        """Takes what only it can know from an agent that was replaced.
+
+        A job that was over on its worker was else run once more on another
+        one, as lost. What it misses on its own worker may be on the other's.
+        """
+        self._record(e for e in heartbeat.events if e.kind in _WORKERS_ENDS)
+        reply = _refusal(term, "replaced", replaced_by=replaced_by)
+        reply.acknowledged_events = _event_ids(heartbeat)
+        return reply
+
+    def _record(self, events: Iterable[ttypes.RunEvent]) -> None:
+        recorded = list(events)
+        if recorded:
             self._propose(
-                record_run_events=ttypes.RecordRunEvents(
-                    events=heartbeat.events
-                )
+                record_run_events=ttypes.RecordRunEvents(events=recorded)
             )
-        return self._answer(heartbeat, term)
 
     def _answer(
         self, heartbeat: ttypes.Heartbeat, term: int
@@ -107,7 +127,7 @@
             term=term,
             lease_ms=lease_ms,
             orders_version=orders_version,
-            acknowledged_events=[e.event_id for e in heartbeat.events],
+            acknowledged_events=_event_ids(heartbeat),
         )
 
     def _grant(self, agent: str, term: int) -> tuple[int, int]:
@@ -150,6 +170,10 @@
             )
 
 
+def _event_ids(heartbeat: ttypes.Heartbeat) -> list[int]:
+    return [event.event_id for event in heartbeat.events]
+
+
 def _is_known(known: ttypes.Worker | None, heartbeat: ttypes.Heartbeat) -> bool:
     return (
         known is not None
--- a/marigoldsill/coordination/runs/heartbeat_sender.py
+++ b/marigoldsill/coordination/runs/heartbeat_sender.py
@@ -120,7 +120,10 @@
 
     def _beat(self) -> None:
         capacity = self._runs.room.capacity
-        if self._replaced or capacity is None:
+        if self._replaced:
+            self._tell_last_events()
+            return
+        if capacity is None:
             return
         endpoints = self._endpoints()
         heartbeat = self._heartbeat(capacity, endpoints)
@@ -151,6 +154,22 @@
             )
         )
 
+    def _tell_last_events(self) -> None:
+        """Reports how runs end that began before this agent was replaced."""
+        events = self._runs.events(limit=_EVENTS_LIMIT)
+        if not events:
+            return
+        self._sequence += 1
+        heartbeat = ttypes.Heartbeat(
+            agent=self._agent,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            events=events,
+            worker_silent=True,
+        )
+        reply = self._link.call("heartbeat", heartbeat, timeout_s=_TIMEOUT_S)
+        self._runs.acknowledge(reply.acknowledged_events)
+
     def _heartbeat(
         self,
         capacity: ttypes.Resources,
--- a/tests/coordination/deciding/test_heartbeats.py
+++ b/tests/coordination/deciding/test_heartbeats.py
@@ -113,6 +113,31 @@
     assert leader.task.state == ttypes.TaskState.RUNNING
 
 
+def test_what_a_replaced_agents_worker_finished_is_not_run_again(
+    leader: Leader,
+) -> None:
+    """Two VMs had one name; the first one's job ended after the second came.
+
+    Its agent was told that it is replaced and told nothing any more, so 2 s later
+    the second agent reported the run as lost, and the job, done 1.4 s ago by the
+    worker's journal, was started again (26 of 60 plays on a busy machine).
+    """
+    leader.run_job()
+    leader.beat(incarnation=2, whole=True)
+    reply = leader.beat(
+        incarnation=1,
+        events=[
+            ttypes.RunEvent(
+                task="rebuild/0", epoch=1, kind=KINDS.COMPLETED, event_id=7
+            )
+        ],
+    )
+
+    assert (reply.lease_ms, reply.replaced_by) == (0, 2)
+    assert reply.acknowledged_events == [7]
+    assert leader.task.state == ttypes.TaskState.DONE
+
+
 def test_lease_is_not_renewed_while_a_loss_waits_to_be_recorded(
     leader: Leader,
 ) -> None:
--- a/tests/coordination/runs/test_heartbeat_sender.py
+++ b/tests/coordination/runs/test_heartbeat_sender.py
@@ -171,3 +171,31 @@
 
     assert len(leader.sent) == 2
     assert len(runs.leases) == 1
+
+
+def test_tells_how_its_runs_ended_though_a_newer_agent_has_its_name(
+    leader: Leader, runs: Runs, sender: heartbeat_sender.HeartbeatSender
+) -> None:
+    sender.start()
+    processes.wait_until(lambda: runs.leases)
+    leader.answer = lambda beat: ttypes.HeartbeatReply(
+        term=1,
+        lease_ms=0,
+        replaced_by=beat.incarnation + 1,
+        acknowledged_events=[event.event_id for event in beat.events],
+    )
+    sender.wake()
+    processes.wait_until(lambda: sender._replaced)
+    runs.waiting = [
+        ttypes.RunEvent(
+            task="rebuild/0",
+            epoch=1,
+            kind=ttypes.RunEventKind.COMPLETED,
+            event_id=1,
+        )
+    ]
+    sender.wake()
+    processes.wait_until(lambda: not runs.waiting)
+
+    assert [len(beat.events) for beat in leader.sent][-1] == 1
+    assert len(runs.leases) == 1
