--- /dev/null
+++ b/tests/coordination/jobs/one_agent.py
@@ -0,0 +1,108 @@
+"""One agent whose tasks run one step at a time, and what it is told."""
+
+import dataclasses
+
+from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import executor as executor_module
+from marigoldsill.coordination.job_agent import holder as holder_module
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+from tests.coordination.jobs import fake_worker
+
+TERM = 3
+HOLD_LIMIT_MS = 6_000
+RUN = ttypes.RunDesire.RUN
+STOP = ttypes.RunDesire.STOP
+KEY = ("j1.0.0.0", 1)
+
+
+def announcement(life: str, sequence: int = 1) -> run_worker.Announcement:
+    worker = ttypes.PoolWorker(
+        worker_id=life,
+        pool="pool",
+        data_centre="dc1",
+        rack="r1",
+        labels=[],
+        capacity=ttypes.Resources(cpu_millicores=4_000, memory_bytes=1 << 30),
+    )
+    return run_worker.Announcement(worker, sequence)
+
+
+@dataclasses.dataclass
+class Agent:
+    """An agent whose tasks run one step at a time."""
+
+    worker: fake_worker.FakeWorker
+    state: agent_state.AgentState
+    holder: holder_module.Holder
+    executor: executor_module.Executor
+    version: int = 0
+
+    def order(
+        self,
+        desire: ttypes.RunDesire,
+        key: tuple[str, int] = KEY,
+        life: str = "a1-life1",
+    ) -> None:
+        self.version += 1
+        order = ttypes.RunOrder(
+            task=key[0], run=key[1], desire=desire, worker_id=life
+        )
+        self.take(orders=[order], removed=[])
+
+    def take(self, *, term: int = TERM, **fields: object) -> bool:
+        reply = ttypes.OrdersReply(term=term, version=self.version, **fields)
+        return self.state.take_orders(reply)
+
+    def lease(self, length_s: float = 60.0, orders_version: int = 0) -> None:
+        self.state.take_lease(
+            agent_state.Lease(clock.now_s() + length_s, TERM, orders_version)
+        )
+
+    def hold(self) -> None:
+        self.holder.hold(self.state.announced.worker.worker_id)
+
+    def call_next(self, *, rounds_count: int) -> list[str]:
+        """Lets the holder call whom it would; the lives that it called."""
+        before = len(self.worker.held_lives)
+        for _ in range(rounds_count):
+            if life := self.holder.next_life():
+                self.holder.call(life)
+        return self.worker.held_lives[before:]
+
+    def work(self) -> None:
+        """Carries out what is due, and waits until it is done."""
+        with self.state.changed:
+            self.executor.look()
+        self.executor.wait_until_idle()
+
+    def settle(self) -> None:
+        """Lets orders, listings and calls follow each other to an end."""
+        for _ in range(6):
+            self.work()
+            self.hold()
+
+    def ends(self) -> dict[tuple[str, int], ttypes.RunEndKind]:
+        return {key: end.kind for key, end in self.state.ends.items()}
+
+    def names_of_calls(self) -> list[str]:
+        return [name for name, _ in self.worker.calls]
+
+
+def make() -> Agent:
+    """An agent that holds its worker and has a lease."""
+    state = agent_state.AgentState()
+    worker = fake_worker.FakeWorker()
+    holder = holder_module.Holder(
+        state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
+    )
+    executor = executor_module.Executor(
+        state=state, worker=worker, holder=holder, retry_s=0.0
+    )
+    made = Agent(worker, state, holder, executor)
+    state.announce(announcement("a1-life1"))
+    made.take(orders=[], removed=[])
+    made.lease()
+    made.hold()
+    return made
--- /dev/null
+++ b/tests/coordination/jobs/test_agent_lives.py
@@ -0,0 +1,208 @@
+"""What an agent believes of its worker's lives, and who may tell it."""
+
+import pytest
+
+from marigoldsill import errors
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import one_agent
+
+
+@pytest.fixture
+def agent() -> one_agent.Agent:
+    return one_agent.make()
+
+
+def test_a_late_heartbeat_of_a_dead_life_changes_nothing(
+    agent: one_agent.Agent,
+) -> None:
+    agent.worker.life = "a1-life2"
+    agent.state.announce(one_agent.announcement("a1-life2"))
+    agent.hold()
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=99))
+    assert agent.state.worker_id == "a1-life2"
+    assert agent.state.announced.worker.worker_id == "a1-life2"
+
+
+def test_a_worker_is_held_on_when_another_writer_names_another_life(
+    agent: one_agent.Agent,
+) -> None:
+    """A heartbeat under an id that is no life here ended the holding.
+
+    What users would see: everything on a sound worker is killed a lease after
+    another writer's heartbeat, where the worker's own are rare. The agent asked
+    the life that was announced, the worker refused the call since it is
+    another, and the agent was left without any life to hold until the worker's
+    next heartbeat.
+    """
+    agent.state.announce(one_agent.announcement("i-other"))
+    called = agent.call_next(rounds_count=4)
+    assert called.count("a1-life1") >= 2
+    assert agent.state.worker_id == "a1-life1"
+    assert agent.worker.deadlines[-1] is not None
+
+
+def test_a_life_that_does_not_answer_costs_the_held_one_no_turn(
+    agent: one_agent.Agent,
+) -> None:
+    """Of two lives, each gets its turn until the worker has refused one.
+
+    What users would see: as above. The refusal itself may be lost on its way;
+    the agent asked the announced life again and again, the held one never.
+    """
+    agent.worker.lost_lives = {"i-other"}
+    agent.state.announce(one_agent.announcement("i-other"))
+    called = agent.call_next(rounds_count=6)
+    assert called.count("a1-life1") == 3
+    assert agent.state.worker_id == "a1-life1"
+
+
+def test_lives_that_are_announced_in_turn_cost_the_held_one_no_turn(
+    agent: one_agent.Agent,
+) -> None:
+    called = []
+    for number in range(6):
+        agent.state.announce(one_agent.announcement(f"i-other-{number}"))
+        called += agent.call_next(rounds_count=1)
+    assert called.count("a1-life1") == 3
+
+
+def test_a_new_life_is_found_behind_one_that_another_writer_names(
+    agent: one_agent.Agent,
+) -> None:
+    """The worker was reborn, and another writer's heartbeat came after its own.
+
+    What users would see: a reborn worker gets its tasks a heartbeat later than
+    it could. Only the last announcement was kept.
+    """
+    agent.order(one_agent.RUN)
+    agent.settle()
+    agent.worker.life = "a1-life2"
+    agent.worker.running.clear()
+    agent.state.announce(one_agent.announcement("a1-life2"))
+    agent.state.announce(one_agent.announcement("i-other"))
+    agent.call_next(rounds_count=4)
+    assert agent.state.worker_id == "a1-life2"
+    assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.LOST}
+
+
+def test_a_late_heartbeat_stays_late_after_one_of_another_writer(
+    agent: one_agent.Agent,
+) -> None:
+    """A worker that leaves counted as staying, and got new tasks.
+
+    What users would see: a task is started on a worker that leaves, and is
+    killed with it. The worker says that it drains; then come another writer's
+    heartbeat and a late one of the worker. Only the last announcement was
+    compared, so the late one was taken for news.
+    """
+    draining = one_agent.announcement("a1-life1", sequence=2)
+    draining.worker.draining = True
+    agent.state.announce(draining)
+    agent.state.announce(one_agent.announcement("i-other", sequence=1_000))
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=1))
+    assert agent.state.worker.draining
+    agent.call_next(rounds_count=3)
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=3))
+    assert not agent.state.worker.draining
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("pool", "no-pool"),
+        ("data_centre", "dc2"),
+        ("labels", ["b", "r2"]),
+        ("capacity", ttypes.Resources(cpu_millicores=1, memory_bytes=1)),
+    ],
+)
+def test_another_writer_makes_nothing_else_of_the_worker(
+    agent: one_agent.Agent, field: str, value: object
+) -> None:
+    """A heartbeat that names an unknown service took a worker out of its pool.
+
+    What users would see: nothing more is placed on a sound worker, until its
+    agent is started again. Another writer sends a whole heartbeat under the
+    worker's id, with a service that no configuration names and a high sequence.
+    It was taken for news, and the worker's own heartbeats for late ones.
+    """
+    odd = one_agent.announcement("a1-life1", sequence=1_000)
+    setattr(odd.worker, field, value)
+    odd.worker.draining = True
+    before = agent.state.worker
+    with pytest.raises(errors.ConflictError):
+        agent.state.announce(odd)
+    assert agent.state.worker == before
+    news = one_agent.announcement("a1-life1", sequence=2)
+    news.worker.cold_remaining_ms = 7
+    agent.state.announce(news)
+    assert agent.state.worker == news.worker
+
+
+def test_a_worker_that_goes_on_to_tell_otherwise_is_believed(
+    agent: one_agent.Agent,
+) -> None:
+    """Another writer's heartbeat came before the first one of the worker.
+
+    What users would see: nothing is placed on a sound worker after its agent
+    was started again. If what came first were kept for good, the worker itself
+    would be refused.
+    """
+    for sequence in (2, 3):
+        other = one_agent.announcement("a1-life1", sequence=sequence)
+        other.worker.pool = "other"
+        with pytest.raises(errors.ConflictError):
+            agent.state.announce(other)
+    other = one_agent.announcement("a1-life1", sequence=4)
+    other.worker.pool = "other"
+    agent.state.announce(other)
+    assert agent.state.worker.pool == "other"
+
+
+def test_writers_that_contradict_the_worker_now_and_then_change_nothing(
+    agent: one_agent.Agent,
+) -> None:
+    for number in range(2, 20):
+        odd = one_agent.announcement("a1-life1", sequence=1_000 + number)
+        odd.worker.pool = "no-pool"
+        with pytest.raises(errors.ConflictError):
+            agent.state.announce(odd)
+        agent.state.announce(
+            one_agent.announcement("a1-life1", sequence=number)
+        )
+    assert agent.state.worker.pool == "pool"
+
+
+def test_what_other_writers_announce_is_bounded(agent: one_agent.Agent) -> None:
+    """Ids of other writers were remembered for good.
+
+    What users would see: an agent that takes more memory each day.
+    """
+    for number in range(3_000):
+        agent.state.announce(one_agent.announcement(f"i-other-{number}"))
+        agent.state.retire(f"i-gone-{number}")
+    assert agent.state.remembered_count <= 2_000
+    agent.call_next(rounds_count=60)
+    assert agent.state.worker_id == "a1-life1"
+    agent.order(one_agent.RUN)
+    agent.settle()
+    assert list(agent.worker.running) == [one_agent.KEY]
+
+
+def test_a_farewell_of_an_unknown_life_changes_nothing(
+    agent: one_agent.Agent,
+) -> None:
+    agent.order(one_agent.RUN)
+    agent.settle()
+    agent.state.retire("i-other")
+    agent.settle()
+    assert agent.ends() == {}
+    assert agent.call_next(rounds_count=2) == ["a1-life1"] * 2
+
+
+def test_a_life_of_earlier_orders_that_leaves_has_lost_its_runs(
+    agent: one_agent.Agent,
+) -> None:
+    agent.state.retire("a1-life1")
+    agent.order(one_agent.RUN, life="a1-life0")
+    agent.state.retire("a1-life0")
+    assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.LOST}
--- a/tests/experiments/test_policies.py
+++ b/tests/experiments/test_policies.py
@@ -11,11 +11,17 @@
 
 _SEEDS = (1, 2, 3)
 _FULL = dataclasses.replace(loads.load(loads.find("full")), length_s=24.0)
+_WHOLE_DAY_SEEDS = (1, 2, 3, 4, 5, 6)
+_WHOLE_DAY = loads.load(loads.find("full"))
 
 
-def _worth(name: str) -> float:
+def _worth(
+    name: str,
+    load: loads.Load = _FULL,
+    seeds: tuple[int, ...] = _SEEDS,
+) -> float:
     with policies.POLICIES[name]():
-        return statistics.fmean(day.play(_FULL, s).worth for s in _SEEDS)
+        return statistics.fmean(day.play(load, seed).worth for seed in seeds)
 
 
 @pytest.mark.timeout(400)
@@ -28,3 +34,18 @@
     first) changes nothing, so it is where tasks are placed.
     """
     assert _worth("product") >= _worth("fifo-first-fit")
+
+
+@pytest.mark.timeout(600)
+def test_on_whole_days_the_product_serves_no_worse_than_first_fit() -> None:
+    """Tasks that serve on the smallest workers first left too little to others.
+
+    Before, on days of 75 s, the product earned 0.808 of all worth and first come,
+    first fit 0.882 (six seeds); with the largest workers first 0.899 and 0.879.
+    Short days differ by more from seed to seed than the policies do.
+    """
+    worths = [
+        _worth(name, _WHOLE_DAY, _WHOLE_DAY_SEEDS)
+        for name in ("product", "fifo-first-fit")
+    ]
+    assert worths[0] >= worths[1]
