--- a/marigoldsill/coordination/agreement/election.py
+++ b/marigoldsill/coordination/agreement/election.py
@@ -14,7 +14,7 @@
 # A member that led last and has just restarted asks after this share of its
 # election timeout, again and again for some timeouts, whether a majority restarted
 # with it. With a timeout of 0.7 s a group whose processes start within 0.4 s of each
-# other has a leader 0.2 s after its majority is there, else 0.87 s (loss of all
+# other had a leader 0.02 s after its majority was there, else 0.87 s (loss of all
 # power, played). When it stands in its turn is not changed by that.
 _RETURN_SHARE = 0.15
 _RETURN_TIMEOUTS = 4.0
@@ -79,7 +79,10 @@
         return returns or now_s >= self._deadline_s
 
     def stand(self) -> None:
-        """Begins with a pre-vote, which raises nobody's term."""
+        """Begins with a pre-vote, which raises nobody's term.
+
+        Before its turn only a member asks that led last and has just restarted.
+        """
         returning = clock.now_s() < self._deadline_s
         if returning:
             self._postpone_return()
--- a/tests/coordination/agreement/test_votes.py
+++ b/tests/coordination/agreement/test_votes.py
@@ -47,6 +47,16 @@
     return group
 
 
+@pytest.fixture
+def patient(group):
+    """A formed group in which elections in turn take 3 s at the least."""
+    group.settings = dataclasses.replace(
+        group.settings, election_timeout_ms=3_000, heartbeat_ms=100
+    )
+    group.form()
+    return group
+
+
 def test_a_vote_is_given_once_in_a_term(lonely):
     term = lonely.replicas["m1"].term + 1
     assert _ask(lonely, "m1", term=term).granted
@@ -134,57 +144,48 @@
     assert _ask(lonely, "m1", candidate="m0", **returning).granted
 
 
-def test_a_group_whose_members_all_restarted_has_its_leader_at_once(group):
-    group.settings = dataclasses.replace(
-        group.settings, election_timeout_ms=3_000, heartbeat_ms=100
-    )
-    group.form()
+def _stop_all(group) -> str:
+    """Stops all members, the leader last, so that it names no other; its name."""
     group.propose(groups.worker_command(1))
     led = group.leader().member.name
-    for name in list(group.members):
+    for name in sorted(group.members, key=lambda name: name == led):
         group.stop(name)
-    for name in list(group.members):
-        group.start(name)
+    return led
+
+
+def test_a_group_whose_members_all_restarted_has_its_leader_at_once(patient):
+    led = _stop_all(patient)
+    for name in list(patient.members):
+        patient.start(name)
     # Without its earlier leader, in 3 s at the earliest.
     processes.wait_until(
-        lambda: any(r.is_leader for r in group.replicas.values()),
+        lambda: any(r.is_leader for r in patient.replicas.values()),
         what="a leader",
         limit_s=2.0,
     )
-    assert group.leader().member.name == led
+    assert patient.leader().member.name == led
 
 
-def test_a_leader_that_restarts_alone_waits_its_turn(group):
-    group.settings = dataclasses.replace(
-        group.settings, election_timeout_ms=3_000, heartbeat_ms=100
-    )
-    group.form()
-    led = group.leader().member.name
-    group.stop(led)
-    group.start(led)
-    replica = group.replicas[led]
+def test_a_leader_that_restarts_alone_waits_its_turn(patient):
+    led = patient.leader().member.name
+    patient.stop(led)
+    patient.start(led)
+    replica = patient.replicas[led]
     assert not groups.observe(lambda: replica.is_leader, while_s=2.0)
 
 
-def test_a_lost_disk_does_not_keep_the_last_leader_from_returning(group):
+def test_a_lost_disk_does_not_keep_the_last_leader_from_returning(patient):
     """One member's disk was lost with all power; its denial came first.
 
     The pre-vote was won all the same, but the vote itself was asked for as any
     other and denied, in a new term: a leader 1.6 s after the start, not 0.9 s.
     """
-    group.settings = dataclasses.replace(
-        group.settings, election_timeout_ms=3_000, heartbeat_ms=100
-    )
-    group.form()
-    group.propose(groups.worker_command(1))
-    led = group.leader().member.name
-    for name in list(group.members):
-        group.stop(name)
-    group.wipe(next(name for name in group.members if name != led))
-    for name in list(group.members):
-        group.start(name)
+    led = _stop_all(patient)
+    patient.wipe(next(name for name in patient.members if name != led))
+    for name in list(patient.members):
+        patient.start(name)
     processes.wait_until(
-        lambda: group.replicas[led].is_leader, what="a leader", limit_s=2.0
+        lambda: patient.replicas[led].is_leader, what="a leader", limit_s=2.0
     )
 
 
