--- a/experiments/day.py
+++ b/experiments/day.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterator
-import contextlib
 import dataclasses
 import itertools
 
@@ -346,20 +345,3 @@
 
 def _end(key: task_names.RunKey, kind: ttypes.RunEndKind) -> ttypes.RunEnd:
     return ttypes.RunEnd(task=key[0], run=key[1], kind=kind)
-
-
-@contextlib.contextmanager
-def constants(**changes: tuple[object, object]) -> Iterator[None]:
-    """Has modules use other constants while it lasts.
-
-    Args:
-        **changes: By the name of the constant: its module, and the value.
-    """
-    before = {n: getattr(module, n) for n, (module, _) in changes.items()}
-    try:
-        for name, (module, value) in changes.items():
-            setattr(module, name, value)
-        yield
-    finally:
-        for name, (module, _) in changes.items():
-            setattr(module, name, before[name])
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -5,9 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 
-from experiments import day
 from marigoldsill.coordination.job_agent import load_trends
 from marigoldsill.coordination.job_agent import pacer
 from marigoldsill.coordination.job_placing import placing
@@ -22,8 +22,25 @@
 _PREFERENCE = placing.Placing._preference
 
 
+@contextlib.contextmanager
+def constants(**changes: tuple[object, object]) -> Iterator[None]:
+    """Has modules use other constants while it lasts.
+
+    Args:
+        **changes: By the name of the constant: its module, and the value.
+    """
+    before = {n: getattr(module, n) for n, (module, _) in changes.items()}
+    try:
+        for name, (module, value) in changes.items():
+            setattr(module, name, value)
+        yield
+    finally:
+        for name, (module, _) in changes.items():
+            setattr(module, name, before[name])
+
+
 def _constant(module: object, name: str, value: object) -> Policy:
-    return lambda: day.constants(**{name: (module, value)})
+    return lambda: constants(**{name: (module, value)})
 
 
 def _first_in_first_out(_self, record, queue, _occurrence, **_: object):
@@ -50,12 +67,12 @@
 
 _BASELINES: dict[str, Policy] = {
     "product": contextlib.nullcontext,
-    "fifo-first-fit": lambda: day.constants(
+    "fifo-first-fit": lambda: constants(
         rank=(urgency.Urgency, _first_in_first_out),
         _preference=(placing.Placing, _first_fit),
     ),
     "shortest-first": _constant(urgency.Urgency, "rank", _shortest_first),
-    "no-sharing": lambda: day.constants(
+    "no-sharing": lambda: constants(
         _disturbance=(
             placing.Placing,
             lambda _self, room, _step: 1.0 if room.serving else 0.0,
@@ -66,7 +83,7 @@
 }
 # One mechanism off, all others as they are.
 ABLATION: dict[str, Policy] = {
-    "no-pacing": lambda: day.constants(
+    "no-pacing": lambda: constants(
         percent=(pacer.Pacer, lambda _self, _key: 100),
         first_percent=(pacer.Pacer, lambda _self, _order, _images: 100),
     ),
@@ -76,7 +93,7 @@
     "no-trends": _constant(
         load_trends.LoadTrends, "rise", lambda _self, _key: 0.0
     ),
-    "no-idle-start": lambda: day.constants(
+    "no-idle-start": lambda: constants(
         _IDLE_LIMIT_S=(placing, _NEVER),
         _FULL_POOL_IDLE_LIMIT_S=(placing, _NEVER),
     ),
