--- a/experiments/day.py
+++ b/experiments/day.py
@@ -19,9 +19,8 @@
 from marigoldsill.coordination.job_agent import pacer as pacer_module
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import relocating
-from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import run_clock
 from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
@@ -75,6 +74,11 @@
         self._sharing = sharing_module.Sharing()
         self._health = worker_health.WorkerHealth()
         self._clock = run_clock.RunClock()
+        self._placement = placement_module.Placement(
+            sharing=self._sharing,
+            health=self._health,
+            tickets=tickets_module.Tickets(),
+        )
         self._relocating = relocating.Relocating()
         self._evicted: set[task_names.RunKey] = set()
         self._saved_s: dict[str, float] = {}
@@ -83,6 +87,7 @@
             for number in range(load.workers_count)
         }
         self._changed = True
+        self._listed = set(self._agents)
         self._original_clock = clock.now_s
 
     def __enter__(self) -> "_Day":
@@ -206,6 +211,7 @@
                 looks[key].pace_percent = percent
         agent.view.looks = looks
         agent.view.looked_s = now_s
+        self._listed.add(agent.view.name)
 
     def _lead(self) -> Iterator[simpy.Event]:
         for tick in itertools.count():
@@ -218,23 +224,23 @@
     def _round(self) -> None:
         jobs, now_s = self._tables.jobs, self._now_s()
         self._backlog.refresh(jobs, jobs.take_touched_jobs(), now_s=now_s)
-        up = [a for a in self._agents.values() if a.worker.is_up]
-        views = [agent.view for agent in up]
+        listed, self._listed = self._listed, set()
+        # Sorted, so that a seed gives the same day again.
+        views = [self._agents[name].view for name in sorted(listed)]
         self._learn(views)
-        placing = placing_module.Placing(
-            self._sharing, self._health, tickets_module.Tickets()
-        )
-        rooms = [rooms_module.of_agent(jobs, v, self._sharing) for v in views]
+        for view in views:
+            self._relocating.observe(jobs, view)
+        for name in sorted(listed | jobs.take_touched_agents()):
+            agent = self._agents[name]
+            self._placement.refresh(
+                jobs, agent.view, is_eligible=agent.worker.is_up
+            )
         waiting = self._backlog.in_order(
             self._urgency, now_unix_ms=int(now_s * 1000)
         )
-        grants = placing.place(waiting, rooms, now_s=now_s)
+        grants = self._placement.place(waiting, now_s=now_s)
         moves = self._relocating.moves(
-            jobs,
-            views,
-            rooms,
-            placing,
-            is_evicted=self._evicted.__contains__,
+            self._placement, is_evicted=self._evicted.__contains__
         )
         if grants:
             self._apply(grant_runs=ttypes.GrantRuns(grants=grants))
@@ -242,6 +248,7 @@
                 self._start(grant)
         stopped = []
         for move in moves:
+            self._listed.add(move.next_agent)
             self._evicted.add(move.key)
             if self._stop(self._agents[move.agent], move.key):
                 stopped.append(_end(move.key, ttypes.RunEndKind.STOPPED))
@@ -329,6 +336,7 @@
         lost = list(self._agents.values())[-count:]
         for agent in lost:
             agent.worker.is_up = False
+            self._listed.add(agent.view.name)
             ends = []
             for run in list(agent.worker.runs.values()):
                 agent.worker.runs.pop(run.key)
@@ -341,6 +349,7 @@
         yield self._env.timeout(self._load.length_s * _LOST_SHARE)
         for agent in lost:
             agent.worker.is_up = True
+            self._listed.add(agent.view.name)
 
 
 def _end(key: task_names.RunKey, kind: ttypes.RunEndKind) -> ttypes.RunEnd:
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -10,8 +10,9 @@
 
 from marigoldsill.coordination.job_agent import load_trends
 from marigoldsill.coordination.job_agent import pacer
-from marigoldsill.coordination.job_placing import placing
+from marigoldsill.coordination.job_placing import placement
 from marigoldsill.coordination.job_placing import relocating
+from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import sharing
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.learning import strain
@@ -19,7 +20,7 @@
 Policy = Callable[[], contextlib.AbstractContextManager]
 
 _NEVER = float("inf")
-_PREFERENCE = placing.Placing._preference
+_SCORE = scoring.score
 
 
 @contextlib.contextmanager
@@ -43,42 +44,43 @@
     return lambda: constants(**{name: (module, value)})
 
 
-def _first_in_first_out(_self, record, queue, _occurrence, **_: object):
-    return urgency.Rank(queue.priority, 0, record.job.accepted_unix_ms)
+def _first_in_first_out(_self, job, queue, _occurrence, **_: object):
+    return urgency.Rank(queue.priority, 0, job.accepted_unix_ms)
 
 
-def _shortest_first(self, record, queue, _occurrence, **_: object):
-    work_ms = self.work_ms(record.job, queue)
-    return urgency.Rank(queue.priority, 0, work_ms)
+def _shortest_first(self, job, queue, _occurrence, **_: object):
+    return urgency.Rank(queue.priority, 0, self.work_ms(job, queue))
 
 
-def _first_fit(_self, _step, _room):
-    return 0
+def _first_fit(_free, _step, **_: object):
+    return (0.0,)
 
 
-def _serving_apart(self, step, room):
-    """Tasks that serve go where only their image serves, or nothing does."""
+def _latency_critical_apart(free, step, **options: object):
+    """Latency-critical tasks go where only their image is, or none."""
     if not step.tail_target_ms:
-        return _PREFERENCE(self, step, room)
-    others = {s.image for s in room.serving} - {step.image}
-    is_near = room.worker.rack == step.preferred_rack
-    return is_near, -len(others), bool(room.serving), -room.cpu_millicores
+        return _SCORE(free, step, **options)
+    others = {t.image for t in free.latency_critical} - {step.image}
+    is_near = free.worker.rack == step.preferred_rack
+    is_shared = bool(free.latency_critical)
+    return is_near, -len(others), is_shared, -free.cpu_millicores
+
+
+def _any_neighbour_disturbs(free, _step, _sharing):
+    return 1.0 if free.latency_critical else 0.0
 
 
 _BASELINES: dict[str, Policy] = {
     "product": contextlib.nullcontext,
     "fifo-first-fit": lambda: constants(
         rank=(urgency.Urgency, _first_in_first_out),
-        _preference=(placing.Placing, _first_fit),
+        score=(scoring, _first_fit),
     ),
     "shortest-first": _constant(urgency.Urgency, "rank", _shortest_first),
     "no-sharing": lambda: constants(
-        _disturbance=(
-            placing.Placing,
-            lambda _self, room, _step: 1.0 if room.serving else 0.0,
-        ),
-        _IDLE_LIMIT_S=(placing, _NEVER),
-        _FULL_POOL_IDLE_LIMIT_S=(placing, _NEVER),
+        interference_share=(scoring, _any_neighbour_disturbs),
+        _IDLE_LIMIT_S=(placement, _NEVER),
+        _FULL_POOL_IDLE_LIMIT_S=(placement, _NEVER),
     ),
 }
 # One mechanism off, all others as they are.
@@ -94,15 +96,15 @@
         load_trends.LoadTrends, "rise", lambda _self, _key: 0.0
     ),
     "no-idle-start": lambda: constants(
-        _IDLE_LIMIT_S=(placing, _NEVER),
-        _FULL_POOL_IDLE_LIMIT_S=(placing, _NEVER),
+        _IDLE_LIMIT_S=(placement, _NEVER),
+        _FULL_POOL_IDLE_LIMIT_S=(placement, _NEVER),
     ),
-    "idle-start-at-once": _constant(placing, "_FULL_POOL_IDLE_LIMIT_S", 2.0),
+    "idle-start-at-once": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 2.0),
     "no-moves": _constant(relocating.Relocating, "moves", lambda *_, **__: []),
     "usual-load-unknown": _constant(
         strain.StrainFilter, "usual", lambda *_: strain._ALONE_MEAN
     ),
-    "starts-anyway": _constant(placing, "_START_LIMIT", _NEVER),
+    "starts-anyway": _constant(scoring, "_START_LIMIT", _NEVER),
     "unseen-as-idle": _constant(sharing, "_UNSEEN_STRAIN", strain._ALONE_MEAN),
 }
 # Thresholds about halved and doubled, and what was tried instead.
@@ -110,17 +112,17 @@
     "goal-0.70": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.70)),
     "goal-0.78": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.78)),
     "goal-0.96": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.96)),
-    "disturbance-0.1": _constant(placing, "_DISTURBANCE_LIMIT", 0.1),
-    "disturbance-0.2": _constant(placing, "_DISTURBANCE_LIMIT", 0.2),
-    "disturbance-0.3": _constant(placing, "_DISTURBANCE_LIMIT", 0.3),
-    "disturbance-0.5": _constant(placing, "_DISTURBANCE_LIMIT", 0.5),
-    "idle-start-10": _constant(placing, "_FULL_POOL_IDLE_LIMIT_S", 10.0),
-    "idle-start-40": _constant(placing, "_FULL_POOL_IDLE_LIMIT_S", 40.0),
+    "disturbance-0.1": _constant(scoring, "_INTERFERENCE_LIMIT", 0.1),
+    "disturbance-0.2": _constant(scoring, "_INTERFERENCE_LIMIT", 0.2),
+    "disturbance-0.3": _constant(scoring, "_INTERFERENCE_LIMIT", 0.3),
+    "disturbance-0.5": _constant(scoring, "_INTERFERENCE_LIMIT", 0.5),
+    "idle-start-10": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 10.0),
+    "idle-start-40": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 40.0),
     "start-limit-0.85": _constant(
-        placing, "_START_LIMIT", strain.at_ratio(0.85)
+        scoring, "_START_LIMIT", strain.at_ratio(0.85)
     ),
-    "start-limit-1.3": _constant(placing, "_START_LIMIT", strain.at_ratio(1.3)),
+    "start-limit-1.3": _constant(scoring, "_START_LIMIT", strain.at_ratio(1.3)),
     "wide-prior": _constant(strain, "_PAIR_VARIANCE", 0.02),
-    "serving-apart": _constant(placing.Placing, "_preference", _serving_apart),
+    "serving-apart": _constant(scoring, "score", _latency_critical_apart),
 }
 POLICIES = _BASELINES | ABLATION | _VARIED
--- a/marigoldsill/coordination/job_placing/agents.py
+++ b/marigoldsill/coordination/job_placing/agents.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(slots=True)
 class AgentView:
-    """One agent, as its reports describe it.
+    """One agent, as its reports describe it; each report makes a new one.
 
     Attributes:
         name: The agent's name.
@@ -41,11 +41,13 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._views: dict[str, AgentView] = {}
+        self._changed: set[str] = set()
 
     def reset(self) -> None:
         """Starts over as a new leader."""
         with self._lock:
             self._views = {}
+            self._changed = set()
 
     def get(self, name: str) -> AgentView | None:
         """What is known of an agent."""
@@ -56,6 +58,12 @@
         with self._lock:
             return list(self._views.values())
 
+    def take_changed(self) -> list[AgentView]:
+        """Agents that have reported since the last call."""
+        with self._lock:
+            changed, self._changed = self._changed, set()
+            return [self._views[name] for name in changed]
+
     def newer_incarnation(self, report: ttypes.AgentReport) -> int:
         """A later start of the agent that has reported, or 0."""
         view = self._views.get(report.agent)
@@ -66,19 +74,34 @@
     def take(self, report: ttypes.AgentReport, *, now_s: float) -> bool:
         """Takes a report in; False if a newer one was taken before."""
         with self._lock:
-            view = self._views.setdefault(
-                report.agent, AgentView(name=report.agent)
-            )
+            before = self._views.get(report.agent)
+            if before is None:
+                before = AgentView(name=report.agent)
             number = (report.incarnation, report.sequence)
-            if number <= (view.incarnation, view.sequence):
+            if number <= (before.incarnation, before.sequence):
                 return False
-            if report.incarnation != view.incarnation:
-                view.worker = None
-            view.incarnation, view.sequence = number
-            if report.worker is not None:
-                view.worker = report.worker
-            view.silent = report.worker_silent
-            if report.running is not None:
-                view.looks = {(r.task, r.run): r for r in report.running}
-                view.looked_s = now_s
+            self._views[report.agent] = _after(before, report, now_s)
+            self._changed.add(report.agent)
             return True
+
+
+def _after(
+    before: AgentView, report: ttypes.AgentReport, now_s: float
+) -> AgentView:
+    """An agent as it is known after a report."""
+    worker = report.worker
+    if worker is None and report.incarnation == before.incarnation:
+        worker = before.worker
+    looks, looked_s = before.looks, before.looked_s
+    if report.running is not None:
+        looks = {(look.task, look.run): look for look in report.running}
+        looked_s = now_s
+    return AgentView(
+        name=before.name,
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        worker=worker,
+        silent=report.worker_silent,
+        looks=looks,
+        looked_s=looked_s,
+    )
--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import itertools
 import math
 import statistics
 
@@ -11,6 +12,9 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
+# Ranks change slowly with time and with what is learnt of run times.
+_RANKS_KEPT_MS = 250
+
 
 @dataclasses.dataclass(slots=True)
 class WaitingStep:
@@ -22,7 +26,8 @@
         queue: The job's queue.
         waiting: Indexes of the tasks without a run.
         tasks: All tasks of the step.
-        record: The job.
+        record: The job's record, which the log may change meanwhile.
+        job: The job as it was handed in.
         occurrence: The occurrence of the job.
         idle_since_s: Since when its job has had nothing running; infinite
             while something runs.
@@ -34,6 +39,7 @@
     waiting: list[int]
     tasks: list[ttypes.JobTask]
     record: ttypes.JobRecord
+    job: ttypes.Job
     occurrence: ttypes.Occurrence
     idle_since_s: float = math.inf
 
@@ -43,10 +49,14 @@
 
 
 class Backlog:
-    """The waiting steps of all jobs."""
+    """The waiting steps of all jobs; only `refresh` reads the tables."""
 
     def __init__(self):
         self._by_job: dict[str, list[WaitingStep]] = {}
+        self._ranks: dict[task_names.StepKey, urgency_module.Rank] = {}
+        self._unranked: set[str] = set()
+        self._usual_work_ms: dict[str, float] = {}
+        self._ranked_unix_ms = -math.inf
 
     def refresh(
         self,
@@ -59,43 +69,61 @@
         for job_id in job_ids:
             steps = _waiting_steps(jobs, job_id)
             idle_since_s = self._idle_since_s(steps, job_id, now_s)
+            self._drop(job_id)
             if steps:
                 for step in steps:
                     step.idle_since_s = idle_since_s
                 self._by_job[job_id] = steps
-            else:
-                self._by_job.pop(job_id, None)
+                self._unranked.add(job_id)
 
     def in_order(
         self, urgency: urgency_module.Urgency, *, now_unix_ms: int
     ) -> list[WaitingStep]:
-        """The waiting steps, the most urgent first."""
-        usual_work_ms = self._usual_work_ms(urgency)
-        ranked = [
-            (
-                urgency.rank(
-                    step.record,
-                    step.queue,
-                    step.occurrence,
-                    usual_work_ms=usual_work_ms[step.queue.name],
-                    now_unix_ms=now_unix_ms,
-                ),
-                step.key,
-                step,
-            )
-            for steps in self._by_job.values()
-            for step in steps
-        ]
-        ranked.sort(key=lambda item: item[:2])
-        return [step for _, _, step in ranked]
-
-    def _usual_work_ms(
+        """The waiting steps, the most urgent first.
+
+        All are ranked again from time to time, those that were refreshed at once.
+        """
+        kept_ms = now_unix_ms - self._ranked_unix_ms
+        if not 0 <= kept_ms < _RANKS_KEPT_MS:
+            self._ranked_unix_ms = now_unix_ms
+            self._usual_work_ms = self._mean_work_ms(urgency)
+            self._unranked = set(self._by_job)
+        for job_id in self._unranked:
+            for step in self._by_job[job_id]:
+                self._ranks[step.key] = self._rank(step, urgency, now_unix_ms)
+        self._unranked = set()
+        steps = itertools.chain.from_iterable(self._by_job.values())
+        return sorted(steps, key=lambda step: (self._ranks[step.key], step.key))
+
+    def _rank(
+        self,
+        step: WaitingStep,
+        urgency: urgency_module.Urgency,
+        now_unix_ms: int,
+    ) -> urgency_module.Rank:
+        usual_work_ms = self._usual_work_ms.get(step.queue.name)
+        if usual_work_ms is None:
+            usual_work_ms = urgency.work_ms(step.job, step.queue)
+        return urgency.rank(
+            step.job,
+            step.queue,
+            step.occurrence,
+            usual_work_ms=usual_work_ms,
+            now_unix_ms=now_unix_ms,
+        )
+
+    def _drop(self, job_id: str) -> None:
+        for step in self._by_job.pop(job_id, ()):
+            self._ranks.pop(step.key, None)
+        self._unranked.discard(job_id)
+
+    def _mean_work_ms(
         self, urgency: urgency_module.Urgency
     ) -> dict[str, float]:
         """The mean work of the jobs that wait, by queue."""
         works_ms = collections.defaultdict(list)
         for first, *_ in self._by_job.values():
-            work_ms = urgency.work_ms(first.record.job, first.queue)
+            work_ms = urgency.work_ms(first.job, first.queue)
             works_ms[first.queue.name].append(work_ms)
         return {
             queue: statistics.fmean(values)
@@ -160,5 +188,6 @@
         ],
         tasks=tasks,
         record=record,
+        job=record.job,
         occurrence=occurrence,
     )
--- a/marigoldsill/coordination/job_placing/evictions.py
+++ b/marigoldsill/coordination/job_placing/evictions.py
@@ -12,7 +12,9 @@
     Attributes:
         key: Its task and number.
         agent: Where it runs.
+        next_agent: Where its task is expected to run next; empty if unknown.
     """
 
     key: task_names.RunKey
     agent: str
+    next_agent: str = ""
--- /dev/null
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -0,0 +1,187 @@
+"""Free capacity of one worker, beside every run that may be alive on it."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
+
+# Share of its declared processor time that a latency-critical task keeps busy at
+# the peak of its load; the rest is available to best-effort tasks.
+_LATENCY_CRITICAL_USED_SHARE = 0.6
+_TENTHS = 10
+
+
+@dataclasses.dataclass(slots=True)
+class FreeCapacity:
+    """What is free on one worker.
+
+    Attributes:
+        agent: The worker's agent.
+        worker: The worker as last reported.
+        cpu_millicores: Processor time that no task has reserved.
+        memory_bytes: Memory that no task has reserved.
+        accelerators_count: Accelerators that no task has reserved.
+        latency_critical: Its latency-critical tasks.
+        idle_millicores: Processor time that tasks probably leave unused.
+        runs_by_step: How many runs of a step are on it.
+    """
+
+    agent: str
+    worker: ttypes.PoolWorker
+    cpu_millicores: int
+    memory_bytes: int
+    accelerators_count: int
+    latency_critical: list[sharing_module.Serving]
+    idle_millicores: float
+    runs_by_step: dict[task_names.StepKey, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def fits(self, step: ttypes.Step) -> bool:
+        """Whether the resources of one task of a step are free."""
+        wanted = step.resources
+        return (
+            wanted.memory_bytes <= self.memory_bytes
+            and (step.fills or wanted.cpu_millicores <= self.cpu_millicores)
+            and wanted.accelerators_count <= self.accelerators_count
+        )
+
+    def admits(self, step: ttypes.Step, pool: str) -> bool:
+        """Whether the worker may run a step's tasks, and one fits now."""
+        label = step.required_label
+        return (
+            self.fits(step)
+            and self.worker.pool == pool
+            and not self.worker.draining
+            and (not label or label in self.worker.labels)
+        )
+
+    def copy(self) -> "FreeCapacity":
+        """An independent copy, to try reservations on."""
+        return dataclasses.replace(
+            self,
+            latency_critical=list(self.latency_critical),
+            runs_by_step=dict(self.runs_by_step),
+        )
+
+    @property
+    def capacity_millicores(self) -> int:
+        """Processor time of the whole worker, at least 1."""
+        return max(1, self.worker.capacity.cpu_millicores)
+
+    @property
+    def idle_share(self) -> float:
+        """Share of the worker's processor time that is probably unused."""
+        return self.idle_millicores / self.capacity_millicores
+
+    def tenths_of(self, millicores: float) -> float:
+        """Some processor time in tenths of the worker."""
+        return _TENTHS * millicores / self.capacity_millicores
+
+    def reserve(
+        self,
+        key: task_names.StepKey,
+        step: ttypes.Step,
+        sharing: sharing_module.Sharing,
+    ) -> None:
+        """Reserves the resources of one more task of a step.
+
+        Args:
+            key: The step.
+            step: What its tasks ask for.
+            sharing: What was learnt of interference.
+        """
+        self._subtract(key, step)
+        if step.tail_target_ms:
+            self.latency_critical.append(sharing.granted(step))
+        if not step.fills:
+            return
+        tenths = self.tenths_of(step.resources.cpu_millicores)
+        self.latency_critical = [
+            sharing_module.Serving(
+                task.image,
+                task.strain + sharing.added(task.image, step.image, tenths),
+                task.strain_now
+                + sharing.added_at_most(task.image, step.image, tenths),
+            )
+            for task in self.latency_critical
+        ]
+
+    def _subtract(self, key: task_names.StepKey, step: ttypes.Step) -> None:
+        wanted = step.resources
+        used_share = (
+            _LATENCY_CRITICAL_USED_SHARE if step.tail_target_ms else 1.0
+        )
+        self.idle_millicores -= wanted.cpu_millicores * used_share
+        if not step.fills:
+            self.cpu_millicores -= wanted.cpu_millicores
+        self.memory_bytes -= wanted.memory_bytes
+        self.accelerators_count -= wanted.accelerators_count
+        self.runs_by_step[key] = self.runs_by_step.get(key, 0) + 1
+
+
+def of_agent(
+    jobs: job_tables.JobTables,
+    view: agents_module.AgentView,
+    sharing: sharing_module.Sharing,
+    *,
+    pending: Iterable[ttypes.RunGrant] = (),
+) -> FreeCapacity:
+    """The free capacity of an agent's worker.
+
+    Runs that were granted to an earlier life of the worker count as well:
+    whether they are over is known only when their end is recorded.
+
+    Args:
+        jobs: The jobs, with the runs that may be alive.
+        view: The agent, with a worker.
+        sharing: What was learnt of interference.
+        pending: Grants to the agent that are not known to be applied; those
+            that are in `jobs` count once.
+    """
+    capacity = view.worker.capacity
+    free = FreeCapacity(
+        agent=view.name,
+        worker=view.worker,
+        cpu_millicores=capacity.cpu_millicores,
+        memory_bytes=capacity.memory_bytes,
+        accelerators_count=capacity.accelerators_count,
+        latency_critical=[],
+        idle_millicores=capacity.cpu_millicores,
+    )
+    best_effort: list[tuple[str, float]] = []
+    latency_critical: list[tuple[str, ttypes.Step, ttypes.RunLook | None]] = []
+    for key, address in _runs(jobs, view.name, pending):
+        step = jobs.jobs[address.job_id].job.steps[address.step]
+        free._subtract(address.step_key, step)
+        if step.fills:
+            tenths = free.tenths_of(step.resources.cpu_millicores)
+            best_effort.append((step.image, tenths))
+        if step.tail_target_ms:
+            look = view.looks.get(key)
+            latency_critical.append((address.job_id, step, look))
+    free.latency_critical = [
+        sharing.serving(job_id, step, look, best_effort)
+        for job_id, step, look in latency_critical
+    ]
+    return free
+
+
+def _runs(
+    jobs: job_tables.JobTables,
+    agent: str,
+    pending: Iterable[ttypes.RunGrant],
+) -> list[tuple[task_names.RunKey, task_names.TaskAddress]]:
+    """Runs that may be or become alive on an agent's worker."""
+    live = jobs.runs_by_agent.get(agent, {})
+    runs = [(key, run.address) for key, run in live.items()]
+    for grant in pending:
+        key = (grant.task, grant.run)
+        step = jobs.step_of(grant.task)
+        if key not in live and step is not None:
+            runs.append((key, task_names.parse(grant.task)))
+    return runs
--- a/marigoldsill/coordination/job_placing/gangs.py
+++ b/marigoldsill/coordination/job_placing/gangs.py
@@ -6,30 +6,30 @@
 import itertools
 
 from marigoldsill.coordination.job_placing import evictions
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
 
 def groups(
-    step: ttypes.Step, rooms: Sequence[rooms_module.Room]
-) -> Iterator[list[rooms_module.Room]]:
+    step: ttypes.Step, workers: Sequence[free_capacity.FreeCapacity]
+) -> Iterator[list[free_capacity.FreeCapacity]]:
     """Sets of workers to try for a whole gang, the best first.
 
     A gang that is slower across racks is put on one rack where it fits, the
-    one with the most processor time left first.
+    one with the most free processor time first.
     """
     if step.same_rack:
-        by_rack = sorted(rooms, key=lambda room: room.worker.rack)
+        by_rack = sorted(workers, key=lambda free: free.worker.rack)
         racks = [
             list(group)
             for _, group in itertools.groupby(
-                by_rack, key=lambda room: room.worker.rack
+                by_rack, key=lambda free: free.worker.rack
             )
         ]
-        yield from sorted(racks, key=_left_millicores, reverse=True)
-    yield list(rooms)
+        yield from sorted(racks, key=_free_millicores, reverse=True)
+    yield list(workers)
 
 
 def incomplete(
@@ -71,5 +71,5 @@
     ]
 
 
-def _left_millicores(rooms: Sequence[rooms_module.Room]) -> int:
-    return sum(room.cpu_millicores for room in rooms)
+def _free_millicores(workers: Sequence[free_capacity.FreeCapacity]) -> int:
+    return sum(free.cpu_millicores for free in workers)
--- /dev/null
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -0,0 +1,407 @@
+"""Chooses workers for waiting tasks, at a cost that follows what changed.
+
+Tasks of equal needs share one set of candidates. A worker is scored again for it
+only after the worker changed, so what did not fit costs nothing until something
+changes that could make it fit.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import heapq
+
+from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import (
+    candidates as candidates_module,
+)
+from marigoldsill.coordination.job_placing import capacity_index
+from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import scoring
+from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import tickets as tickets_module
+from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
+
+# Grants of one round, which bounds the size of a command.
+_GRANTS_LIMIT = 300
+# A job with nothing running for so long gets a task in any case: no job may
+# stand idle for 3 s while less than half of a pool is in use.
+_IDLE_LIMIT_S = 2.0
+# Such a start costs the users of the tasks that it disturbs about what it earns,
+# so while tasks have reserved more than this share of a pool, a margin over that
+# half, a job waits for about the time that large jobs take.
+_FULL_POOL_SHARE = 0.6
+_FULL_POOL_IDLE_LIMIT_S = 20.0
+# Gangs tried in one round; each is tried on a copy of all workers that admit it.
+_GANGS_LIMIT = 4
+# Rounds after which candidates are dropped that no waiting task needs.
+_UNUSED_ROUNDS = 100
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _TaskClass:
+    """All that decides where a task may start, and how well."""
+
+    pool: str
+    image: str
+    is_best_effort: bool
+    is_latency_critical: bool
+    cpu_millicores: int
+    memory_bytes: int
+    accelerators_count: int
+    required_label: str
+    preferred_rack: str
+    starts_regardless: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Cached:
+    """Candidates of a class, as far as the log of changes was followed."""
+
+    candidates: candidates_module.Candidates
+    position: int
+    used_round: int
+
+
+class Placement:
+    """Places tasks in one term; used by one thread.
+
+    Attributes:
+        index: Workers that may be given tasks.
+    """
+
+    def __init__(
+        self,
+        *,
+        sharing: sharing_module.Sharing,
+        health: worker_health.WorkerHealth,
+        tickets: tickets_module.Tickets,
+        is_live: Callable[[str], bool] = lambda agent: True,
+    ):
+        """Starts without a worker.
+
+        Args:
+            sharing: What is learnt of interference.
+            health: Where tasks failed.
+            tickets: What the adviser has said.
+            is_live: Whether an agent's lease is live; asked before a grant.
+        """
+        self.index = capacity_index.CapacityIndex()
+        self._sharing = sharing
+        self._health = health
+        self._tickets = tickets
+        self._is_live = is_live
+        self._classes: dict[_TaskClass, _Cached] = {}
+        self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
+        self._gang_tried: dict[task_names.StepKey, int] = {}
+        self._round = 0
+
+    def refresh(
+        self,
+        jobs: job_tables.JobTables,
+        view: agents_module.AgentView,
+        *,
+        is_eligible: bool,
+    ) -> None:
+        """Works out anew what is free on one agent's worker.
+
+        Args:
+            jobs: The jobs, with the runs that may be alive.
+            view: The agent.
+            is_eligible: Whether its worker may be given tasks.
+        """
+        if not is_eligible or view.worker is None:
+            self.index.remove(view.name)
+            return
+        pending = self._pending.get(view.name, {})
+        free = free_capacity.of_agent(
+            jobs, view, self._sharing, pending=pending.values()
+        )
+        self.index.put(free)
+
+    def place(
+        self, steps: Sequence[backlog_module.WaitingStep], *, now_s: float
+    ) -> list[ttypes.RunGrant]:
+        """Grants for waiting tasks, in order, as far as they fit.
+
+        What they need stays reserved until `settle`.
+        """
+        self._round += 1
+        gang_keys = self._gangs_to_try(steps)
+        grants: list[ttypes.RunGrant] = []
+        for waiting in steps:
+            if len(grants) >= _GRANTS_LIMIT:
+                break
+            if waiting.step.gang:
+                if waiting.key in gang_keys:
+                    grants += self._place_gang(waiting, now_s)
+                continue
+            granted = self._place_step(waiting, now_s)
+            if not granted and self._is_idle_too_long(waiting, now_s):
+                granted = self._place_regardless(waiting, now_s)
+            grants += granted
+        self._drop_unused()
+        return grants
+
+    def settle(
+        self, grants: Iterable[ttypes.RunGrant], *, is_decided: bool
+    ) -> set[str]:
+        """Takes note of what became of some grants.
+
+        Args:
+            grants: As `place` gave them.
+            is_decided: Whether they are applied or never will be. Until then
+                what they need stays reserved.
+
+        Returns:
+            Agents to be refreshed.
+        """
+        grants = list(grants)
+        for grant in grants:
+            pending = self._pending.setdefault(grant.agent, {})
+            if is_decided:
+                pending.pop((grant.task, grant.run), None)
+            else:
+                pending[grant.task, grant.run] = grant
+            if not pending:
+                del self._pending[grant.agent]
+        return {grant.agent for grant in grants}
+
+    def find_other(
+        self, step: ttypes.Step, pool: str, *, agent: str
+    ) -> free_capacity.FreeCapacity | None:
+        """The best worker for a task that runs at another agent's."""
+        cached = self._candidates(step, pool)
+        return cached.candidates.best(
+            lambda free: free.agent != agent and self._is_live(free.agent)
+        )
+
+    def reserve(
+        self,
+        free: free_capacity.FreeCapacity,
+        key: task_names.StepKey,
+        step: ttypes.Step,
+    ) -> None:
+        """Reserves what one task needs until its worker is refreshed."""
+        free.reserve(key, step, self._sharing)
+        self.index.note_change(free.agent)
+
+    def _place_step(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> list[ttypes.RunGrant]:
+        grants = []
+        for index in waiting.waiting:
+            cached = self._candidates(waiting.step, waiting.queue.pool)
+            free = self._choose(waiting, index, cached.candidates, now_s)
+            if free is None:
+                break
+            grants.append(self._grant(waiting, index, free))
+        return grants
+
+    def _place_regardless(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> list[ttypes.RunGrant]:
+        """Starts one task of a job that has nothing running.
+
+        Its worker is where it disturbs least; the agent gives it the speed
+        that is left. So every job makes progress, however slowly.
+        """
+        cached = self._candidates(
+            waiting.step, waiting.queue.pool, starts_regardless=True
+        )
+        free = cached.candidates.best(self._acceptance(waiting, now_s))
+        if free is None:
+            return []
+        return [self._grant(waiting, waiting.waiting[0], free)]
+
+    def _place_gang(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> list[ttypes.RunGrant]:
+        """Starts all members under one number, or none."""
+        if any(task.runs or task.done for task in waiting.tasks):
+            return []
+        accepts = self._acceptance(waiting, now_s)
+        admitted = [
+            free
+            for free in self.index.workers.values()
+            if free.admits(waiting.step, waiting.queue.pool) and accepts(free)
+        ]
+        run = 1 + max(task.last_run for task in waiting.tasks)
+        for group in gangs.groups(waiting.step, admitted):
+            agents = self._agents_for_gang(waiting, group, now_s)
+            if agents:
+                return [
+                    self._grant(
+                        waiting, index, self.index.workers[agent], run=run
+                    )
+                    for index, agent in enumerate(agents)
+                ]
+        return []
+
+    def _agents_for_gang(
+        self,
+        waiting: backlog_module.WaitingStep,
+        group: Iterable[free_capacity.FreeCapacity],
+        now_s: float,
+    ) -> list[str]:
+        """An agent for each member, or none if not all of them fit."""
+        step, pool = waiting.step, waiting.queue.pool
+        tried = candidates_module.Candidates(
+            lambda free: scoring.rate(free, step, pool, self._sharing)
+        )
+        for free in group:
+            tried.update(free.copy(), self.index.order(free.agent))
+        agents: list[str] = []
+        for index in range(len(waiting.tasks)):
+            free = self._choose(waiting, index, tried, now_s)
+            if free is None:
+                return []
+            free.reserve(waiting.key, step, self._sharing)
+            tried.update(free, self.index.order(free.agent))
+            agents.append(free.agent)
+        return agents
+
+    def _choose(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        candidates: candidates_module.Candidates,
+        now_s: float,
+    ) -> free_capacity.FreeCapacity | None:
+        """The best worker for a task, one where it has not failed if any."""
+        accepts = self._acceptance(waiting, now_s)
+        if waiting.tasks[index].failures_count:
+            avoided = self._health.avoided(waiting.task_name(index))
+            other = candidates.best(
+                lambda free: (
+                    free.worker.worker_id not in avoided and accepts(free)
+                )
+            )
+            if other is not None:
+                return other
+        return candidates.best(accepts)
+
+    def _acceptance(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """What a step asks of a worker beside what its class does."""
+        limit = waiting.step.spread_limit
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            if limit and free.runs_by_step.get(waiting.key, 0) >= limit:
+                return False
+            if not self._is_live(free.agent):
+                return False
+            if not waiting.queue.advised:
+                return True
+            worker_id = free.worker.worker_id
+            return bool(
+                self._tickets.ticket(waiting.key, worker_id, now_s=now_s)
+            )
+
+        return accepts
+
+    def _grant(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        free: free_capacity.FreeCapacity,
+        *,
+        run: int | None = None,
+    ) -> ttypes.RunGrant:
+        self.reserve(free, waiting.key, waiting.step)
+        return ttypes.RunGrant(
+            task=waiting.task_name(index),
+            run=run or waiting.tasks[index].last_run + 1,
+            agent=free.agent,
+            worker_id=free.worker.worker_id,
+        )
+
+    def _is_idle_too_long(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> bool:
+        """Whether a best-effort job has had nothing running for too long."""
+        idle_s = now_s - waiting.idle_since_s
+        if not waiting.step.fills or idle_s <= _IDLE_LIMIT_S:
+            return False
+        if idle_s > _FULL_POOL_IDLE_LIMIT_S:
+            return True
+        reserved_share = self.index.reserved_share(waiting.queue.pool)
+        return reserved_share <= _FULL_POOL_SHARE
+
+    def _gangs_to_try(
+        self, steps: Iterable[backlog_module.WaitingStep]
+    ) -> set[task_names.StepKey]:
+        """The gangs whose turn it is, those first that were tried longest ago."""
+        waiting = [step.key for step in steps if step.step.gang]
+        tried = {key: self._gang_tried.get(key, 0) for key in waiting}
+        chosen = heapq.nsmallest(_GANGS_LIMIT, waiting, key=tried.__getitem__)
+        self._gang_tried = tried | dict.fromkeys(chosen, self._round)
+        return set(chosen)
+
+    def _candidates(
+        self, step: ttypes.Step, pool: str, *, starts_regardless: bool = False
+    ) -> _Cached:
+        """Candidates of a step's class, brought up to date."""
+        task_class = _class_of(step, pool, starts_regardless)
+        cached = self._classes.get(task_class)
+        if cached is None:
+            rate = scoring.rate
+            if starts_regardless:
+                rate = scoring.rate_regardless
+            cached = self._classes[task_class] = _Cached(
+                candidates_module.Candidates(
+                    lambda free: rate(free, step, pool, self._sharing)
+                ),
+                position=-1,
+                used_round=self._round,
+            )
+        cached.used_round = self._round
+        self._follow(cached)
+        return cached
+
+    def _follow(self, cached: _Cached) -> None:
+        """Scores the workers that changed since the last time."""
+        position = self.index.position
+        if cached.position == position:
+            return
+        for agent in self.index.changed_since(cached.position):
+            free = self.index.workers.get(agent)
+            if free is None:
+                cached.candidates.discard(agent)
+            else:
+                cached.candidates.update(free, self.index.order(agent))
+        cached.position = position
+
+    def _drop_unused(self) -> None:
+        if self._round % _UNUSED_ROUNDS:
+            return
+        oldest = self._round - _UNUSED_ROUNDS
+        self._classes = {
+            task_class: cached
+            for task_class, cached in self._classes.items()
+            if cached.used_round >= oldest
+        }
+
+
+def _class_of(
+    step: ttypes.Step, pool: str, starts_regardless: bool
+) -> _TaskClass:
+    wanted = step.resources
+    return _TaskClass(
+        pool=pool,
+        image=step.image,
+        is_best_effort=step.fills,
+        is_latency_critical=bool(step.tail_target_ms),
+        cpu_millicores=wanted.cpu_millicores,
+        memory_bytes=wanted.memory_bytes,
+        accelerators_count=wanted.accelerators_count,
+        required_label=step.required_label,
+        preferred_rack=step.preferred_rack,
+        starts_regardless=starts_regardless,
+    )
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -1,83 +1,105 @@
-"""Moves tasks that fill away from where they hardly get any speed."""
+"""Moves best-effort tasks away from where they hardly get any speed."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Sequence
+import dataclasses
+import itertools
 
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import evictions
-from marigoldsill.coordination.job_placing import placing as placing_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
-# A task whose pace stays below this for so long is as good as stopped.
+# A task that was throttled below this share for so long is as good as stopped.
 _SLOW_PERCENT = 30
 _SLOW_FOR_S = 1.5
 # Without checkpoints only a run that has just begun is worth starting anew.
 _LOST_PERCENT = 15
-# A few at a time, since what gives way changes what is right for the others.
+# A few at a time, since each move changes what is right for the others.
 _MOVES_LIMIT = 4
-# The way to another worker is worth it only for a clear gain.
-_DISTURBANCE_LIMIT = 0.5
+# Runs looked at in one round; the others keep their turn.
+_LOOKS_LIMIT = 64
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _SlowRun:
+    """A run that may have to move.
+
+    Attributes:
+        agent: Where it runs.
+        step: What it is a task of.
+        pool: The pool of its queue.
+    """
+
+    agent: str
+    step: ttypes.Step
+    pool: str
 
 
 class Relocating:
-    """Finds runs that have been slow for a while and fit elsewhere."""
+    """Follows reports for runs that have been slow for a while."""
 
     def __init__(self):
-        self._slow_since_s: dict[task_names.RunKey, float] = {}
+        self._slow_since_s: dict[str, dict[task_names.RunKey, float]] = {}
+        self._due: dict[task_names.RunKey, _SlowRun] = {}
+
+    def observe(
+        self, jobs: job_tables.JobTables, view: agents_module.AgentView
+    ) -> None:
+        """Takes in the newest report of an agent."""
+        before = self._slow_since_s.get(view.name, {})
+        since = {
+            key: before.get(key, view.looked_s)
+            for key, look in view.looks.items()
+            if look.pace_percent < _SLOW_PERCENT
+        }
+        self._slow_since_s[view.name] = since
+        for key in before.keys() - since.keys():
+            self._due.pop(key, None)
+        for key, since_s in since.items():
+            if view.looked_s - since_s < _SLOW_FOR_S:
+                continue
+            run = _movable(jobs, view, key)
+            if run is not None:
+                # A run that is due already keeps its turn.
+                self._due[key] = run
 
     def moves(
         self,
-        jobs: job_tables.JobTables,
-        views: Iterable[agents_module.AgentView],
-        rooms: Sequence[rooms_module.Room],
-        placing: placing_module.Placing,
+        placement: placement_module.Placement,
         *,
         is_evicted: Callable[[task_names.RunKey], bool],
     ) -> list[evictions.Eviction]:
-        """Runs that should give way now."""
-        slow = {
-            key: (view, look)
-            for view in views
-            for key, look in view.looks.items()
-            if look.pace_percent < _SLOW_PERCENT
-        }
-        self._slow_since_s = {
-            key: self._slow_since_s.get(key, view.looked_s)
-            for key, (view, _) in slow.items()
-        }
+        """Runs that should give way now, those due longest first."""
         moves: list[evictions.Eviction] = []
-        for key, (view, look) in slow.items():
+        for key in list(itertools.islice(self._due, _LOOKS_LIMIT)):
             if len(moves) >= _MOVES_LIMIT:
                 break
-            slow_s = view.looked_s - self._slow_since_s[key]
-            if slow_s < _SLOW_FOR_S or is_evicted(key):
+            run = self._due.pop(key)
+            if is_evicted(key):
                 continue
-            step = jobs.step_of(key[0])
-            if step is None or not _is_worth_it(step, look):
-                continue
-            if _is_advised(jobs, key[0]):
-                # Where else it may run is known only once the adviser has said.
-                continue
-            others = [room for room in rooms if room.agent != view.name]
-            pool = view.worker.pool if view.worker else ""
-            room = placing.best_for_filling(
-                step, pool, others, limit=_DISTURBANCE_LIMIT
-            )
-            if room is not None:
+            free = placement.find_other(run.step, run.pool, agent=run.agent)
+            if free is not None:
                 step_key = task_names.parse(key[0]).step_key
-                placing.take(room, step_key, step)
-                moves.append(evictions.Eviction(key, view.name))
+                placement.reserve(free, step_key, run.step)
+                moves.append(evictions.Eviction(key, run.agent, free.agent))
         return moves
 
 
-def _is_advised(jobs: job_tables.JobTables, task: str) -> bool:
-    record = jobs.jobs[task_names.parse(task).job_id]
-    return jobs.queue_of(record).advised
-
-
-def _is_worth_it(step: ttypes.Step, look: ttypes.RunLook) -> bool:
-    return step.checkpointing or look.percent < _LOST_PERCENT
+def _movable(
+    jobs: job_tables.JobTables,
+    view: agents_module.AgentView,
+    key: task_names.RunKey,
+) -> _SlowRun | None:
+    """A slow run, if it is worth starting it elsewhere."""
+    step = jobs.step_of(key[0])
+    if step is None or view.worker is None:
+        return None
+    if not step.checkpointing and view.looks[key].percent >= _LOST_PERCENT:
+        return None
+    record = jobs.jobs[task_names.parse(key[0]).job_id]
+    if jobs.queue_of(record).advised:
+        # Where else it may run is known only once the adviser has answered.
+        return None
+    return _SlowRun(view.name, step, view.worker.pool)
--- a/marigoldsill/coordination/job_placing/sharing.py
+++ b/marigoldsill/coordination/job_placing/sharing.py
@@ -11,7 +11,6 @@
 
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.learning import strain
-from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
@@ -60,7 +59,7 @@
         for pressure in pressures:
             serving, filling = pressure.serving_image, pressure.filling_image
             self._filter.restore(serving, filling, pressure.added)
-            self._told[serving, filling] = pressure.added
+            self._told = self._told | {(serving, filling): pressure.added}
         self.version += 1
 
     def learn(
@@ -120,21 +119,25 @@
         return Serving(step.image, _UNSEEN_STRAIN, _UNSEEN_STRAIN)
 
     def pressures(self) -> list[ttypes.Pressure]:
-        """What agents are to be told."""
+        """What agents are to be told; may be called by other threads."""
+        told = self._told
         return [
             ttypes.Pressure(
                 serving_image=serving, filling_image=filling, added=added
             )
-            for (serving, filling), added in self._told.items()
+            for (serving, filling), added in told.items()
         ]
 
     def _observe(
         self, jobs: job_tables.JobTables, view: agents_module.AgentView
     ) -> None:
+        addresses = [jobs.address_of(view.name, key) for key in view.looks]
         listed = [
-            (task_names.parse(task).job_id, step, look)
-            for (task, _), look in view.looks.items()
-            if (step := jobs.step_of(task)) is not None
+            (address.job_id, step, look)
+            for address, look in zip(
+                addresses, view.looks.values(), strict=True
+            )
+            if (step := jobs.step_at(address)) is not None
         ]
         shares: dict[str, float] = {}
         for _, step, look in listed:
@@ -156,11 +159,12 @@
     def _note_changes(self) -> None:
         changed = {
             pair: added
-            for pair, added in self._filter.pairs().items()
+            for pair, added in self._filter.take_changed_pairs().items()
             if _differs(added, self._told.get(pair, 0.0))
         }
         if changed:
-            self._told |= changed
+            # Replaced, not changed, as `pressures` may be reading it.
+            self._told = self._told | changed
             self.version += 1
 
 
--- a/marigoldsill/coordination/job_placing/stalls.py
+++ b/marigoldsill/coordination/job_placing/stalls.py
@@ -47,57 +47,59 @@
 
 
 class Stalls:
-    """Follows the lists of all workers."""
+    """Follows the reports of all agents."""
 
     def __init__(self, urgency: urgency_module.Urgency):
         self._urgency = urgency
-        self._seen: dict[task_names.RunKey, _Seen] = {}
-        self._advanced_s: dict[str, float] = {}
+        self._seen: dict[str, dict[task_names.RunKey, _Seen]] = {}
+        self._advanced: dict[str, tuple[str, float]] = {}
 
     def look(
         self,
         jobs: job_tables.JobTables,
         views: Iterable[agents_module.AgentView],
     ) -> list[Stall]:
-        """Workers that stand still, by the newest lists."""
+        """Those of some workers that stand still, by their newest reports.
+
+        Args:
+            jobs: The jobs.
+            views: Agents that have reported since the last call.
+        """
         listed = [view for view in views if view.worker is not None]
-        self._seen = {
-            key: self._follow(view, key, look)
-            for view in listed
-            for key, look in view.looks.items()
-        }
-        lives = {view.worker.worker_id for view in listed}
-        self._advanced_s = {
-            worker_id: advanced_s
-            for worker_id, advanced_s in self._advanced_s.items()
-            if worker_id in lives
-        }
+        for view in listed:
+            self._follow(view)
         stalls = (self._stall_of(jobs, view) for view in listed)
         return [stall for stall in stalls if stall is not None]
 
     def advances(self, view: agents_module.AgentView) -> bool:
-        """Whether something on a worker has advanced in its newest list."""
-        return self._advanced_s.get(view.worker.worker_id) == view.looked_s
-
-    def _follow(
-        self,
-        view: agents_module.AgentView,
-        key: task_names.RunKey,
-        look: ttypes.RunLook,
-    ) -> _Seen:
-        seen = self._seen.get(key)
-        if seen is not None and seen.percent == look.percent:
-            return seen
-        if seen is not None:
-            self._advanced_s[view.worker.worker_id] = view.looked_s
-        return _Seen(look.percent, view.looked_s)
+        """Whether something on a worker has advanced in its newest report."""
+        advanced = (view.worker.worker_id, view.looked_s)
+        return self._advanced.get(view.name) == advanced
+
+    def _follow(self, view: agents_module.AgentView) -> None:
+        before = self._seen.get(view.name, {})
+        now: dict[task_names.RunKey, _Seen] = {}
+        for key, look in view.looks.items():
+            seen = before.get(key)
+            if seen is not None and seen.percent == look.percent:
+                now[key] = seen
+                continue
+            now[key] = _Seen(look.percent, view.looked_s)
+            if seen is not None:
+                advanced = (view.worker.worker_id, view.looked_s)
+                self._advanced[view.name] = advanced
+        self._seen[view.name] = now
+
+    def _advanced_s(self, view: agents_module.AgentView) -> float:
+        """When something last advanced on a worker; 0 if nothing did."""
+        worker_id, advanced_s = self._advanced.get(view.name, ("", 0.0))
+        return advanced_s if worker_id == view.worker.worker_id else 0.0
 
     def _stall_of(
         self, jobs: job_tables.JobTables, view: agents_module.AgentView
     ) -> Stall | None:
         worker_id = view.worker.worker_id
-        advanced_s = self._advanced_s.get(worker_id, 0.0)
-        if view.looked_s - advanced_s < _STILL_S:
+        if view.looked_s - self._advanced_s(view) < _STILL_S:
             return None
         still = {
             key: step
@@ -129,4 +131,4 @@
         # With little processor time a task takes longer for each percent.
         speed = min(1.0, look.load / max(1, step.resources.cpu_millicores))
         limit_s = max(_STILL_S, _STILL_SHARE * run_ms / 1000 / speed)
-        return view.looked_s - self._seen[key].since_s >= limit_s
+        return view.looked_s - self._seen[view.name][key].since_s >= limit_s
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -56,7 +56,7 @@
 
     def rank(
         self,
-        record: ttypes.JobRecord,
+        job: ttypes.Job,
         queue: ttypes.Queue,
         occurrence: ttypes.Occurrence,
         *,
@@ -66,14 +66,13 @@
         """How urgent one occurrence of a job is now.
 
         Args:
-            record: The job.
+            job: The job.
             queue: Its queue.
             occurrence: Which one of its occurrences.
             usual_work_ms: What jobs of the queue usually need, in ms of a
                 core.
             now_unix_ms: The time of day.
         """
-        job = record.job
         if job.steps[0].long_running:
             # Nothing makes up for the time that it is away.
             return Rank(queue.priority, 0, 0.0)
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -6,7 +6,6 @@
 forgotten with a worker's life and with this process.
 """
 
-import collections
 from collections.abc import Callable
 import dataclasses
 
@@ -64,7 +63,7 @@
         self._decides = decides
         self._granted: dict[task_names.RunKey, str] = {}
         self._refusals: dict[str, _Refusals] = {}
-        self._failed_on: dict[str, collections.deque[str]] = {}
+        self._failed_on: dict[str, tuple[str, ...]] = {}
         self._quarantine = quarantine_module.Quarantine(
             least_failures=_LEAST_FAILURES, cooldown_s=_COOLDOWN_S
         )
@@ -103,7 +102,7 @@
                 return True
 
     def avoided(self, task: str) -> frozenset[str]:
-        """Workers where a task failed not long ago."""
+        """Workers where a task failed not long ago; needs no lock."""
         return frozenset(self._failed_on.get(task, ()))
 
     def look(self) -> None:
@@ -174,10 +173,8 @@
             logs.event("worker_restored", worker_id=worker_id, task=task)
 
     def _take_failure(self, worker_id: str, task: str) -> None:
-        failed_on = self._failed_on.setdefault(
-            task, collections.deque(maxlen=_AVOIDED_COUNT)
-        )
-        failed_on.append(worker_id)
+        failed_on = (*self._failed_on.get(task, ()), worker_id)
+        self._failed_on[task] = failed_on[-_AVOIDED_COUNT:]
         _bound(self._failed_on)
         reason = self._quarantine.failed(
             worker_id, _family_of(task), now_s=clock.now_s()
--- a/marigoldsill/coordination/jobs/advising.py
+++ b/marigoldsill/coordination/jobs/advising.py
@@ -1,8 +1,8 @@
 """The task that asks the adviser for the tickets that waiting steps need."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Sequence
 from concurrent import futures
 import dataclasses
 import itertools
@@ -10,7 +10,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.protocol import adviser as adviser_module
 from marigoldsill.protocol import task_names
@@ -48,13 +48,13 @@
 
 def questions(
     steps: Iterable[backlog_module.WaitingStep],
-    rooms: Sequence[rooms_module.Room],
+    workers: Collection[free_capacity.FreeCapacity],
     tickets: tickets_module.Tickets,
     *,
     now_s: float,
 ) -> list[Question]:
     """What to ask so that steps of advised queues can start, in their order."""
-    asked = (_question(waiting, rooms, tickets, now_s) for waiting in steps)
+    asked = (_question(waiting, workers, tickets, now_s) for waiting in steps)
     found = (question for question in asked if question is not None)
     return list(itertools.islice(found, _STEPS_COUNT))
 
@@ -162,13 +162,16 @@
 
 def _question(
     waiting: backlog_module.WaitingStep,
-    rooms: Sequence[rooms_module.Room],
+    workers: Collection[free_capacity.FreeCapacity],
     tickets: tickets_module.Tickets,
     now_s: float,
 ) -> Question | None:
     """What to ask about a step, if some worker with room is not known."""
-    fitting = [r for r in rooms if r.takes(waiting.step, waiting.queue.pool)]
-    ids = [room.worker.worker_id for room in fitting]
+    ids = [
+        free.worker.worker_id
+        for free in workers
+        if free.admits(waiting.step, waiting.queue.pool)
+    ]
     unknown = tickets.unknown(waiting.key, ids, now_s=now_s)
     if not unknown:
         return None
--- a/marigoldsill/coordination/jobs/evicting.py
+++ b/marigoldsill/coordination/jobs/evicting.py
@@ -6,9 +6,8 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import gangs
-from marigoldsill.coordination.job_placing import placing as placing_module
+from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import relocating
-from marigoldsill.coordination.job_placing import rooms as rooms_module
 from marigoldsill.coordination.job_placing import stalls
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
@@ -33,12 +32,17 @@
         self._stalls = stalls.Stalls(urgency)
         self._relocating = relocating.Relocating()
 
-    def leave_stalled(
+    def observe(
         self,
         jobs: job_tables.JobTables,
         views: Sequence[agents_module.AgentView],
     ) -> None:
-        """Evicts from workers on which nothing advances."""
+        """Takes in agents that have reported since the last call.
+
+        Evicts from workers on which nothing advances.
+        """
+        for view in views:
+            self._relocating.observe(jobs, view)
         for stall in self._stalls.look(jobs, views):
             self._health.stands_still(
                 stall.worker_id, runs_count=stall.runs_count
@@ -64,22 +68,17 @@
             reason="not all members are there",
         )
 
-    def leave_slow(
-        self,
-        jobs: job_tables.JobTables,
-        views: Sequence[agents_module.AgentView],
-        rooms: Sequence[rooms_module.Room],
-        placing: placing_module.Placing,
-    ) -> None:
-        """Evicts filling tasks that hardly get on and fit elsewhere."""
+    def slow(
+        self, placement: placement_module.Placement
+    ) -> list[evictions.Eviction]:
+        """Best-effort runs that hardly get on and fit elsewhere; no lock held."""
         evicted = self._service.orders.evicted
-        runs = self._relocating.moves(
-            jobs,
-            views,
-            rooms,
-            placing,
-            is_evicted=lambda key: key in evicted,
+        return self._relocating.moves(
+            placement, is_evicted=lambda key: key in evicted
         )
+
+    def leave_slow(self, runs: Iterable[evictions.Eviction]) -> None:
+        """Evicts what `slow` has found."""
         self._evict(runs, kind="slow", reason="slow beside tasks that serve")
 
     def _evict(
--- a/marigoldsill/coordination/jobs/job_metrics.py
+++ b/marigoldsill/coordination/jobs/job_metrics.py
@@ -40,6 +40,10 @@
 GRANTS = prometheus_client.Counter(
     "marigoldsill_run_grants", "Runs of jobs granted by this leader."
 )
+OVERTAKEN_GRANTS = prometheus_client.Counter(
+    "marigoldsill_run_grants_overtaken",
+    "Runs that this leader granted and whose task had changed meanwhile.",
+)
 EVICTIONS = prometheus_client.Counter(
     "marigoldsill_run_evictions", "Runs of jobs told to give way.", ("reason",)
 )
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -65,8 +65,8 @@
         book = self._books.setdefault(agent, _Book())
         runs = tables.jobs.runs_by_agent.get(agent, {})
         wanted = {
-            key: (self._desire(tables, key), self.paces.get(key, 100))
-            for key in runs
+            key: (self._desire(tables, key, run), self.paces.get(key, 100))
+            for key, run in runs.items()
         }
         changed = [k for k, v in wanted.items() if book.wanted.get(k) != v]
         gone = [k for k in book.wanted if k not in wanted]
@@ -111,11 +111,13 @@
         return reply
 
     def _desire(
-        self, tables: tables_module.Tables, key: task_names.RunKey
+        self,
+        tables: tables_module.Tables,
+        key: task_names.RunKey,
+        live: job_tables.LiveRun,
     ) -> ttypes.RunDesire:
-        address = task_names.parse(key[0])
-        record = tables.jobs.jobs[address.job_id]
-        task = job_tables.find_task(record, address)
+        record = tables.jobs.jobs[live.address.job_id]
+        task = job_tables.find_task(record, live.address)
         if record.state in job_tables.ENDED or task.done:
             return ttypes.RunDesire.STOP
         if key in self.evicted:
@@ -139,8 +141,8 @@
             ticket=self.tickets.get(key, ""),
         )
         if desire == ttypes.RunDesire.RUN:
-            record = tables.jobs.jobs[live.job_id]
-            address = task_names.parse(live.task)
+            address = live.address
+            record = tables.jobs.jobs[address.job_id]
             step = record.job.steps[address.step]
             task = job_tables.find_task(record, address)
             order.fills = step.fills
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -1,15 +1,17 @@
-"""The leader's loop for jobs: ends lost runs, grants runs as room comes."""
+"""The leader's loop for jobs: ends lost runs, grants runs as capacity comes.
+
+A round reads what changed under the lock of the replica, decides without it, and
+proposes. What the log has overtaken meanwhile is left out where it is applied.
+"""
 
 from concurrent import futures
-import functools
 import threading
 
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import placing as placing_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import run_clock
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
@@ -21,6 +23,7 @@
 from marigoldsill.coordination.jobs import silences as silences_module
 from marigoldsill.coordination.jobs import ticketing
 from marigoldsill.coordination.jobs import timetable
+from marigoldsill.coordination.jobs import worker_refresh
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol import adviser as adviser_module
 from marigoldsill.protocol.generated import ttypes
@@ -32,6 +35,8 @@
 _IDLE_S = 0.25
 # Changes that come within this time are decided on together.
 _GATHER_S = 0.005
+# How often leases are looked at that nobody renews.
+_LEASES_INTERVAL_S = 0.1
 
 
 class JobScheduler:
@@ -65,6 +70,10 @@
             adviser=adviser, lock=replica.lock, on_answer=self.wake
         )
         self._evicting: evicting.Evicting | None = None
+        self._placement: placement_module.Placement | None = None
+        self._workers: worker_refresh.WorkerRefresh | None = None
+        self._late_grants: list[ttypes.RunGrant] = []
+        self._leases_looked_s = 0.0
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -95,6 +104,8 @@
         # Only a leader sees which runs are slowed, so only it times them.
         if self._service is not None and self._leads_term():
             self._run_clock.take(self._replica.tables.jobs, command)
+            if command.grant_runs is not None:
+                self._late_grants += command.grant_runs.grants
         self._health.take(command)
         self._ticketing.take(command)
 
@@ -134,23 +145,63 @@
     def _round(self) -> None:
         self._service.become_leader()
         self._end_lost()
+        now_s = clock.now_s()
         with self._replica.lock:
-            grants = self._decide()
+            self._observe(now_s)
             due = self._timetable.due(now_unix_ms=commands.now_unix_ms())
             learnt = self._learnt_log.due(
                 self._replica.tables.jobs.learnt,
                 self._service.sharing,
                 self._urgency.run_times,
-                now_s=clock.now_s(),
+                now_s=now_s,
             )
-        if grants:
-            self._service.propose(grant_runs=ttypes.GrantRuns(grants=grants))
+        waiting = self._backlog.in_order(
+            self._urgency, now_unix_ms=commands.now_unix_ms()
+        )
+        job_metrics.WAITING.set(len(waiting))
+        grants = self._placement.place(waiting, now_s=now_s)
+        moves = self._evicting.slow(self._placement)
+        with self._replica.lock:
+            self._prepare(waiting, grants, now_s)
+            self._evicting.leave_slow(moves)
+        # What a move reserved is free until its task is granted there.
+        self._workers.mark(move.next_agent for move in moves)
+        self._grant(grants)
         if due:
             self._begin(due)
         if learnt is not None:
             self._service.propose(record_learnt=learnt)
         self._forget()
 
+    def _grant(self, grants: list[ttypes.RunGrant]) -> None:
+        if not grants:
+            return
+        is_decided = True
+        try:
+            result = self._service.propose(
+                grant_runs=ttypes.GrantRuns(grants=grants)
+            )
+            overtaken_count = len(grants) - result.applied_count
+            job_metrics.OVERTAKEN_GRANTS.inc(overtaken_count)
+        except errors.UnknownOutcomeError:
+            is_decided = False
+            raise
+        finally:
+            agents = self._placement.settle(grants, is_decided=is_decided)
+            self._workers.mark(agents)
+
+    def _prepare(
+        self,
+        waiting: list[backlog_module.WaitingStep],
+        grants: list[ttypes.RunGrant],
+        now_s: float,
+    ) -> None:
+        """Attaches tickets to what is to be granted; hold the lock."""
+        jobs = self._replica.tables.jobs
+        self._ticketing.show(jobs, grants, self._service.orders, now_s=now_s)
+        workers = self._placement.index.workers.values()
+        self._ticketing.want(waiting, workers, now_s=now_s)
+
     def _leads_term(self) -> bool:
         """Whether this process has begun to decide in the current term."""
         return self._replica.is_leader and self._term == self._replica.term
@@ -170,35 +221,27 @@
         self._forgetting.drop(len(due))
         logs.event("jobs_forgotten", jobs_count=len(due), first=due[0])
 
-    def _decide(self) -> list[ttypes.RunGrant]:
+    def _observe(self, now_s: float) -> None:
+        """Takes in what changed since the last round; hold the lock."""
         jobs = self._replica.tables.jobs
         touched = jobs.take_touched_jobs()
         if self._service.led_term != self._term:
             self._begin_term()
             touched = set(jobs.jobs)
-        now_s = clock.now_s()
         self._forgetting.note(jobs, touched, now_s=now_s)
         self._timetable.note(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
-        views = self._service.agents.all()
+        views = self._service.agents.take_changed()
         self._learn(jobs, views)
         self._health.look()
-        self._evicting.leave_stalled(jobs, views)
-        placing = placing_module.Placing(
-            self._service.sharing, self._health, self._ticketing.tickets
-        )
-        rooms = self._rooms(views)
-        waiting = self._backlog.in_order(
-            self._urgency, now_unix_ms=commands.now_unix_ms()
-        )
-        job_metrics.WAITING.set(len(waiting))
-        job_metrics.LIVE_AGENTS.set(len(rooms))
-        grants = placing.place(waiting, rooms, now_s=now_s)
-        self._ticketing.show(jobs, grants, self._service.orders, now_s=now_s)
-        self._ticketing.want(waiting, rooms, now_s=now_s)
+        self._evicting.observe(jobs, views)
         self._evicting.leave_incomplete(jobs, touched)
-        self._evicting.leave_slow(jobs, views, rooms, placing)
-        return grants
+        applied, self._late_grants = self._late_grants, []
+        self._workers.mark(self._placement.settle(applied, is_decided=True))
+        self._workers.mark(self._service.take_touched_agents())
+        self._workers.mark(view.name for view in views)
+        self._workers.refresh(jobs, now_s=now_s)
+        job_metrics.LIVE_AGENTS.set(len(self._placement.index.workers))
 
     def _begin_term(self) -> None:
         """Starts over what was worked out from an earlier term's state."""
@@ -221,6 +264,19 @@
         self._evicting = evicting.Evicting(
             service=self._service, urgency=self._urgency, health=self._health
         )
+        self._placement = placement_module.Placement(
+            sharing=self._service.sharing,
+            health=self._health,
+            tickets=self._ticketing.tickets,
+            is_live=self._service.leases.is_live,
+        )
+        self._workers = worker_refresh.WorkerRefresh(
+            agents=self._service.agents,
+            leases=self._service.leases,
+            health=self._health,
+            placement=self._placement,
+        )
+        self._late_grants = []
 
     def _learn(
         self,
@@ -237,24 +293,11 @@
                 run_ms=sample.run_ms,
             )
 
-    def _rooms(
-        self, views: list[agents_module.AgentView]
-    ) -> list[rooms_module.Room]:
-        jobs = self._replica.tables.jobs
-        live = self._service.leases.live()
-        return [
-            rooms_module.of_agent(jobs, view, self._service.sharing)
-            for view in views
-            if view.worker is not None and not view.silent and view.name in live
-            if self._health.may_take(
-                view.worker.worker_id,
-                count_runs=functools.partial(
-                    worker_health.telling_runs_count, jobs, view
-                ),
-            )
-        ]
-
     def _end_lost(self) -> None:
+        now_s = clock.now_s()
+        if now_s - self._leases_looked_s < _LEASES_INTERVAL_S:
+            return
+        self._leases_looked_s = now_s
         with self._replica.lock:
             term = self._service.led_term
             jobs = self._replica.tables.jobs
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -73,6 +73,7 @@
         self.silences = silences_module.Silences(
             replica=replica, lease_ms=lease_ms
         )
+        self._touched_agents: set[str] = set()
         self._events = job_events.JobEvents()
         self._queues = queues_module.QueueIndex()
         self._reports = reports_module.Reports(
@@ -95,6 +96,7 @@
             self.leases.reset(lease_ms=self._lease_ms)
             self.agents.reset()
             self.orders.reset(self._replica.tables)
+            self._touched_agents = set()
             self.led_term = term
         self.hub.wake_all()
 
@@ -224,6 +226,11 @@
         if changed:
             self.hub.wake(changed)
 
+    def take_touched_agents(self) -> set[str]:
+        """Agents whose runs changed since the last call; hold the lock."""
+        touched, self._touched_agents = self._touched_agents, set()
+        return touched
+
     def _has_orders(self, request: ttypes.OrdersRequest) -> bool:
         if not self._replica.is_leader:
             return True
@@ -260,6 +267,7 @@
         if self.led_term != self._replica.term:
             # Not a leader's; becoming one works everything out anew.
             return
+        self._touched_agents |= agents
         self.orders_changed(agents)
         self._events.take(jobs, command)
         if jobs.touched_jobs:
--- a/marigoldsill/coordination/jobs/ticketing.py
+++ b/marigoldsill/coordination/jobs/ticketing.py
@@ -1,12 +1,12 @@
 """Tickets for starts on queues with an adviser, in the leader's rounds."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Sequence
 import threading
 
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.jobs import advising as advising_module
 from marigoldsill.coordination.jobs import orders as orders_module
@@ -90,7 +90,7 @@
     def want(
         self,
         waiting: Iterable[backlog_module.WaitingStep],
-        rooms: Sequence[rooms_module.Room],
+        workers: Collection[free_capacity.FreeCapacity],
         *,
         now_s: float,
     ) -> None:
@@ -100,6 +100,6 @@
         advised = [step for step in waiting if step.queue.advised]
         self.tickets.keep_only(step.key for step in advised)
         questions = advising_module.questions(
-            advised, rooms, self.tickets, now_s=now_s
+            advised, workers, self.tickets, now_s=now_s
         )
         self._advising.want(questions, self.tickets)
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -115,6 +115,10 @@
             self._closed.discard(agent)
             self._suspended.pop(agent, None)
 
+    def is_live(self, agent: str) -> bool:
+        """Whether an agent renewed under this leader and has not run out."""
+        return self._end_s.get(agent, 0.0) >= clock.now_s()
+
     def live(self) -> set[str]:
         """Agents that renewed under this leader and have not run out."""
         now_s = clock.now_s()
--- a/marigoldsill/coordination/learning/strain.py
+++ b/marigoldsill/coordination/learning/strain.py
@@ -75,6 +75,7 @@
         self._alone: dict[str, filtering.Term] = {}
         self._pairs: dict[tuple[str, str], filtering.Term] = {}
         self._usual: dict[str, _Average] = {}
+        self._changed_pairs: set[tuple[str, str]] = set()
 
     def observe(
         self,
@@ -105,6 +106,7 @@
             pair = self._pair(image, filling)
             _grow_old(pair, _PAIR_DRIFT_PER_S, _PAIR_VARIANCE, now_s)
             terms.append((pair, share))
+            self._changed_pairs.add((image, filling))
         seen = of_tail(tail_ms, target_ms)
         rounding = (1 - seen) * _ROUNDING_MS / max(tail_ms, 1.0)
         filtering.correct(
@@ -140,9 +142,17 @@
             return _PAIR_MEAN + math.sqrt(_PAIR_VARIANCE)
         return term.mean + math.sqrt(term.variance)
 
-    def pairs(self) -> dict[tuple[str, str], float]:
-        """What was learnt of each pair: serving image, filling image."""
-        return {pair: term.mean for pair, term in self._pairs.items()}
+    def take_changed_pairs(self) -> dict[tuple[str, str], float]:
+        """What is known of the pairs observed since the last call.
+
+        A pair is the serving image and the filling one.
+        """
+        changed, self._changed_pairs = self._changed_pairs, set()
+        return {
+            pair: self._pairs[pair].mean
+            for pair in changed
+            if pair in self._pairs
+        }
 
     def _pair(self, image: str, filling: str) -> filtering.Term:
         return self._pairs.setdefault(
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -29,13 +29,13 @@
         task: The task's name.
         run: Which start of the task it is.
         worker_id: The life of the agent's worker that it was granted to.
-        job_id: The task's job.
+        address: Which task of which job the name means.
     """
 
     task: str
     run: int
     worker_id: str
-    job_id: str
+    address: task_names.TaskAddress
 
 
 class JobTables:
@@ -78,7 +78,7 @@
         self.touched_jobs.add(job_id)
         for name, _, task in tasks_of(record):
             for run in task.runs:
-                self.index_run(job_id, name, run)
+                self.index_run(name, run)
 
     def remove(self, job_id: str) -> None:
         """Forgets a job that has nothing alive."""
@@ -99,15 +99,26 @@
 
     def step_of(self, task: str) -> ttypes.Step | None:
         """The step of a task, or None if its job is over."""
-        address = task_names.parse(task)
+        return self.step_at(task_names.parse(task))
+
+    def step_at(self, address: task_names.TaskAddress) -> ttypes.Step | None:
+        """The step that an address names, or None if its job is over."""
         record = self.jobs.get(address.job_id)
         if record is None or address.step >= len(record.job.steps):
             return None
         return record.job.steps[address.step]
 
-    def index_run(self, job_id: str, task: str, run: ttypes.JobRun) -> None:
+    def address_of(
+        self, agent: str, key: task_names.RunKey
+    ) -> task_names.TaskAddress:
+        """The address of a run that an agent lists."""
+        live = self.runs_by_agent.get(agent, {}).get(key)
+        return task_names.parse(key[0]) if live is None else live.address
+
+    def index_run(self, task: str, run: ttypes.JobRun) -> None:
         """Notes a run that may be alive."""
-        live = LiveRun(task, run.run, run.worker_id, job_id)
+        address = task_names.parse(task)
+        live = LiveRun(task, run.run, run.worker_id, address)
         runs = self.runs_by_agent.setdefault(run.agent, {})
         runs[task, run.run] = live
         self.touched_agents.add(run.agent)
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -134,7 +134,7 @@
     task.runs.append(run)
     task.last_run = item.run
     record.state = ttypes.JobState.RUNNING
-    jobs.index_run(address.job_id, item.task, run)
+    jobs.index_run(item.task, run)
     jobs.touched_jobs.add(address.job_id)
     return 1
 
--- a/tests/coordination/job_placing/test_placing.py
+++ b/tests/coordination/job_placing/test_placement.py
@@ -5,8 +5,7 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import gangs
-from marigoldsill.coordination.job_placing import placing as placing_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -34,6 +33,9 @@
         self.urgency = urgency_module.Urgency()
         self.health = worker_health.WorkerHealth()
         self.tickets = tickets_module.Tickets()
+        self.placement = placement_module.Placement(
+            sharing=self.sharing, health=self.health, tickets=self.tickets
+        )
         self.now_s = 100.0
         self.views: dict[str, agents_module.AgentView] = {}
 
@@ -53,17 +55,12 @@
         """Places and grants; returns agents by task."""
         jobs = self.state.tables.jobs
         self.backlog.refresh(jobs, jobs.take_touched_jobs(), now_s=self.now_s)
-        rooms = [
-            rooms_module.of_agent(jobs, view, self.sharing)
-            for view in self.views.values()
-        ]
-        placing = placing_module.Placing(
-            self.sharing, self.health, self.tickets
-        )
+        for view in self.views.values():
+            self.placement.refresh(jobs, view, is_eligible=True)
         waiting = self.backlog.in_order(
             self.urgency, now_unix_ms=builders.NOW_UNIX_MS
         )
-        grants = placing.place(waiting, rooms, now_s=self.now_s)
+        grants = self.placement.place(waiting, now_s=self.now_s)
         assert self.state.grant(*grants) == len(grants)
         self.health.take(
             commands.new(
--- a/tests/coordination/jobs/test_advising.py
+++ b/tests/coordination/jobs/test_advising.py
@@ -8,7 +8,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import rooms as rooms_module
+from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -60,13 +60,13 @@
         steps = self.backlog.in_order(
             urgency_module.Urgency(), now_unix_ms=builders.NOW_UNIX_MS
         )
-        rooms = [_room(self.state, f"a{n}") for n in range(workers_count)]
+        workers = [_free(self.state, f"a{n}") for n in range(workers_count)]
         return advising_module.questions(
-            steps, rooms, self.tickets, now_s=_NOW_S
+            steps, workers, self.tickets, now_s=_NOW_S
         )
 
 
-def _room(state: builders.State, agent: str) -> rooms_module.Room:
+def _free(state: builders.State, agent: str) -> free_capacity.FreeCapacity:
     worker = ttypes.PoolWorker(
         worker_id=f"{agent}-life1",
         pool=builders.POOL,
@@ -76,7 +76,7 @@
         labels=[],
     )
     view = agents_module.AgentView(agent, worker=worker)
-    return rooms_module.of_agent(
+    return free_capacity.of_agent(
         state.tables.jobs, view, sharing_module.Sharing()
     )
 
