Tell callers of a read without an answer that nothing was done

That the member answered late beside load is still inferred, but a late answer can't give 502 any more.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -26,6 +26,8 @@
 _SEARCH_LIMIT_S = 1.4
 _RETRY_AFTER_MS = 1_000
 _LINKS_LIMIT = 32
+# Calls without an effect: one whose answer was lost has done nothing.
+_READS = frozenset({"job_state", "pending_jobs", "routing"})
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -148,7 +150,9 @@
             try:
                 return self._try(method, requests, min(left_s, _TRY_TIMEOUT_S))
             except errors.UnknownOutcomeError as error:
-                unknown = error
+                if method not in _READS:
+                    unknown = error
+                found_none = error.message
             except errors.NoQuorumError as error:
                 found_none = error.message
                 time.sleep(min(_PAUSE_S, deadline.left_s()))
