--- a/benchmarks/job_rounds.py
+++ b/benchmarks/job_rounds.py
@@ -13,8 +13,8 @@
 from experiments import loads
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
@@ -93,7 +93,7 @@
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency_module.Urgency()
         self._placement = placement_module.Placement(
-            sharing=sharing_module.Sharing(),
+            interference=interference_model.InterferenceModel(),
             health=worker_health.WorkerHealth(),
             tickets=tickets_module.Tickets(),
         )
@@ -173,7 +173,7 @@
             cpu_millicores=3_500, memory_bytes=6 * _GIGABYTE
         ),
         "after": [],
-        "fills": True,
+        "best_effort": True,
         "image": "f0",
         "estimated_ms": 4_000,
     }
@@ -186,13 +186,13 @@
     tasks_count = 9 * workers_count
     grants = []
     for number in range(tasks_count // _STEP_TASKS_COUNT + 1):
-        leader.submit(f"j{number}", _step(_STEP_TASKS_COUNT, fills=False))
+        leader.submit(f"j{number}", _step(_STEP_TASKS_COUNT, best_effort=False))
         granted = leader.round()
         leader.apply(granted)
         grants += granted
     for number in range(20):
         image = f"f{number % _IMAGES_COUNT}"
-        leader.submit(f"w{number}", _step(8, fills=False, image=image))
+        leader.submit(f"w{number}", _step(8, best_effort=False, image=image))
     leader.apply(leader.round())
     return leader, grants
 
--- a/experiments/arrivals.py
+++ b/experiments/arrivals.py
@@ -41,7 +41,7 @@
         at_s: When.
         job: What is handed in.
         run_s: How long the tasks of each step truly take.
-        phase: Of the load of its tasks that serve.
+        phase: Of the load of its latency-critical tasks.
     """
 
     at_s: float
@@ -101,7 +101,7 @@
                     after=[number - 1] if number else [],
                     checkpointing=random.random() < 0.8,
                     image=f"f{random.integers(load.filling_images_count)}",
-                    fills=True,
+                    best_effort=True,
                 )
             )
             run_s.append(tuple(seconds * random.lognormal(0, 0.2, size=count)))
--- a/experiments/day.py
+++ b/experiments/day.py
@@ -1,7 +1,7 @@
 """One day of a load: the product decides, the world answers.
 
 What is real: the tables and the commands that change them, backlog, urgency,
-placing, relocating, what the leader learns, and the paces of each agent. What is
+placing, relocating, what the leader learns, and the quotas of each agent. What is
 not: replication, calls, leases; a decision reaches a worker after `_CALL_S`.
 """
 
@@ -16,13 +16,13 @@
 from experiments import loads
 from experiments import outcomes as outcomes_module
 from experiments import world
-from marigoldsill.coordination.job_agent import pacer as pacer_module
+from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import relocating
 from marigoldsill.coordination.job_placing import run_clock
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
@@ -54,7 +54,7 @@
 class _Agent:
     worker: world.Worker
     view: agents_module.AgentView
-    pacer: pacer_module.Pacer
+    throttle: cpu_throttle.CpuThrottle
     orders: dict[task_names.RunKey, ttypes.RunOrder]
 
 
@@ -71,11 +71,11 @@
         self._use = world.Use()
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency_module.Urgency()
-        self._sharing = sharing_module.Sharing()
+        self._interference = interference_model.InterferenceModel()
         self._health = worker_health.WorkerHealth()
         self._clock = run_clock.RunClock()
         self._placement = placement_module.Placement(
-            sharing=self._sharing,
+            interference=self._interference,
             health=self._health,
             tickets=tickets_module.Tickets(),
         )
@@ -135,7 +135,7 @@
         return _Agent(
             worker=world.Worker(name, cores, self._truth),
             view=agents_module.AgentView(name=name, worker=described),
-            pacer=pacer_module.Pacer(),
+            throttle=cpu_throttle.CpuThrottle(),
             orders={},
         )
 
@@ -146,8 +146,8 @@
             **body,
         )
         result = machine.apply(self._tables, command)
-        self._clock.take(self._tables.jobs, command)
-        self._health.take(command)
+        self._clock.observe_command(self._tables.jobs, command)
+        self._health.observe_command(command)
         self._changed = True
         return result
 
@@ -178,39 +178,39 @@
         while True:
             yield self._env.timeout(_LIST_S)
             now_s = self._now_s()
-            pressures = {
-                (p.serving_image, p.filling_image): p.added
-                for p in self._sharing.pressures()
+            interference = {
+                (p.latency_critical_image, p.best_effort_image): p.added
+                for p in self._interference.published()
             }
             for agent in self._agents.values():
                 if agent.worker.is_up:
-                    self._look(agent, pressures, now_s)
+                    self._look(agent, interference, now_s)
             self._changed = True
 
     def _look(
         self,
         agent: _Agent,
-        pressures: dict[tuple[str, str], float],
+        interference: dict[tuple[str, str], float],
         now_s: float,
     ) -> None:
-        looks = {
-            (look.task, look.run): look
-            for look in agent.worker.looks(self._random)
+        samples = {
+            (sample.task, sample.run): sample
+            for sample in agent.worker.samples(self._random)
         }
-        agent.pacer.added = pressures
-        agent.pacer.look(
+        agent.throttle.added = interference
+        agent.throttle.update(
             agent.orders,
-            looks,
+            samples,
             capacity_millicores=agent.view.worker.capacity.cpu_millicores,
             now_s=now_s,
         )
         for key, order in agent.orders.items():
-            if order.fills and key in looks:
-                percent = agent.pacer.percent(key)
+            if order.best_effort and key in samples:
+                percent = agent.throttle.percent(key)
                 agent.worker.pace(key, percent, self._env.now)
-                looks[key].pace_percent = percent
-        agent.view.looks = looks
-        agent.view.looked_s = now_s
+                samples[key].quota_percent = percent
+        agent.view.samples = samples
+        agent.view.sampled_s = now_s
         self._listed.add(agent.view.name)
 
     def _lead(self) -> Iterator[simpy.Event]:
@@ -256,8 +256,8 @@
             self._end(stopped)
 
     def _learn(self, views: list[agents_module.AgentView]) -> None:
-        self._sharing.learn(self._tables.jobs, views)
-        self._clock.look(views)
+        self._interference.learn(self._tables.jobs, views)
+        self._clock.observe(views)
         for sample in self._clock.take_samples():
             self._urgency.run_times.observe(
                 sample.queue,
@@ -288,18 +288,18 @@
         order = ttypes.RunOrder(
             task=grant.task,
             run=grant.run,
-            fills=step.fills,
+            best_effort=step.best_effort,
             tail_target_ms=step.tail_target_ms,
             image=step.image,
             cpu_millicores=step.resources.cpu_millicores,
         )
         agent.orders[key] = order
-        if step.fills:
-            serving = {
+        if step.best_effort:
+            latency_critical = {
                 o.image for o in agent.orders.values() if o.tail_target_ms
             }
             # It begins at its whole speed; a pace needs the run to be there.
-            percent = agent.pacer.first_percent(order, serving)
+            percent = agent.throttle.first_percent(order, latency_critical)
             agent.worker.start(run)
             agent.worker.pace(key, percent, run.starts_at_s)
             return
@@ -343,7 +343,7 @@
                 agent.orders.pop(run.key, None)
                 self._keep(run)
                 ends.append(_end(run.key, ttypes.RunEndKind.LOST))
-            agent.view.looks = {}
+            agent.view.samples = {}
             if ends:
                 self._end(ends)
         yield self._env.timeout(self._load.length_s * _LOST_SHARE)
--- a/experiments/loads.py
+++ b/experiments/loads.py
@@ -34,7 +34,7 @@
         swing_s: The period of the swing.
         tail_ms: Tail latency of a serving task without load.
         target_ms: What its tail latency should stay below.
-        filling_jobs_per_s: Jobs of tasks that fill.
+        filling_jobs_per_s: Jobs of best-effort tasks.
         filling_burst_factor: Rate of these in the burst, as a factor.
         filling_burst_s: When the burst begins and ends.
         filling_steps_mean: Steps of one.
@@ -53,7 +53,7 @@
         estimate_spread: How far estimates are off, in units of the logarithm.
         failing_share: Share of the workers that are lost in the middle of the
             day, for a tenth of it.
-        worths: Of a job that fills, of 2 s of a lasting job, of a quick job.
+        worths: Of a best-effort job, of 2 s of a lasting job, of a quick job.
     """
 
     name: str = ""
--- a/experiments/outcomes.py
+++ b/experiments/outcomes.py
@@ -9,7 +9,7 @@
 # A caller has use for an answer up to so many times its objective, though less.
 _LATE_OBJECTIVES = 3.0
 _LATE_CREDIT = 0.15
-# Tasks that serve are looked at in pieces of this length; what others make of
+# Latency-critical tasks are looked at in pieces of this length; what others make of
 # a tail over its target weighs four times.
 _PIECE_S = 2.0
 _DISTURBED_WEIGHT = 4.0
@@ -21,7 +21,7 @@
     """What one day gave.
 
     Attributes:
-        filling_credit: Credit of jobs that fill over what was owed, by work.
+        filling_credit: Credit of best-effort jobs over what was owed, by work.
         filling_in_time: Share of them over within their objective.
         filling_unserved: Share of them not over in useful time.
         batch_credit: The same of quick jobs, by number.
@@ -70,7 +70,7 @@
         self._ended_s.setdefault(job_id, at_s)
 
     def watch(self, workers: Iterable[world.Worker], now_s: float) -> None:
-        """Looks at the tasks that serve."""
+        """Looks at the latency-critical tasks."""
         piece = int(now_s / _PIECE_S)
         for worker in workers:
             for run in worker.runs.values():
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterator
 import contextlib
 
+from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import load_trends
-from marigoldsill.coordination.job_agent import pacer
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement
 from marigoldsill.coordination.job_placing import relocating
 from marigoldsill.coordination.job_placing import scoring
-from marigoldsill.coordination.job_placing import sharing
 from marigoldsill.coordination.job_placing import urgency
-from marigoldsill.coordination.learning import strain
+from marigoldsill.coordination.learning import utilization
 
 Policy = Callable[[], contextlib.AbstractContextManager]
 
@@ -66,7 +66,7 @@
     return is_near, -len(others), is_shared, -free.cpu_millicores
 
 
-def _any_neighbour_disturbs(free, _step, _sharing):
+def _any_neighbour_disturbs(free, _step, _interference):
     return 1.0 if free.latency_critical else 0.0
 
 
@@ -86,11 +86,16 @@
 # One mechanism off, all others as they are.
 ABLATION: dict[str, Policy] = {
     "no-pacing": lambda: constants(
-        percent=(pacer.Pacer, lambda _self, _key: 100),
-        first_percent=(pacer.Pacer, lambda _self, _order, _images: 100),
+        percent=(cpu_throttle.CpuThrottle, lambda _self, _key: 100),
+        first_percent=(
+            cpu_throttle.CpuThrottle,
+            lambda _self, _order, _images: 100,
+        ),
     ),
     "no-pairs-learnt": _constant(
-        strain.StrainFilter, "added", lambda *_: strain._PAIR_MEAN
+        utilization.UtilizationFilter,
+        "added",
+        lambda *_: utilization._PAIR_MEAN,
     ),
     "no-trends": _constant(
         load_trends.LoadTrends, "rise", lambda _self, _key: 0.0
@@ -102,16 +107,26 @@
     "idle-start-at-once": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 2.0),
     "no-moves": _constant(relocating.Relocating, "moves", lambda *_, **__: []),
     "usual-load-unknown": _constant(
-        strain.StrainFilter, "usual", lambda *_: strain._ALONE_MEAN
+        utilization.UtilizationFilter,
+        "usual",
+        lambda *_: utilization._ALONE_MEAN,
     ),
     "starts-anyway": _constant(scoring, "_START_LIMIT", _NEVER),
-    "unseen-as-idle": _constant(sharing, "_UNSEEN_STRAIN", strain._ALONE_MEAN),
+    "unseen-as-idle": _constant(
+        interference_model, "_UNSAMPLED_UTILIZATION", utilization._ALONE_MEAN
+    ),
 }
 # Thresholds about halved and doubled, and what was tried instead.
 _VARIED: dict[str, Policy] = {
-    "goal-0.70": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.70)),
-    "goal-0.78": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.78)),
-    "goal-0.96": _constant(pacer, "_GOAL_STRAIN", strain.at_ratio(0.96)),
+    "goal-0.70": _constant(
+        cpu_throttle, "_TARGET_UTILIZATION", utilization.at_ratio(0.70)
+    ),
+    "goal-0.78": _constant(
+        cpu_throttle, "_TARGET_UTILIZATION", utilization.at_ratio(0.78)
+    ),
+    "goal-0.96": _constant(
+        cpu_throttle, "_TARGET_UTILIZATION", utilization.at_ratio(0.96)
+    ),
     "disturbance-0.1": _constant(scoring, "_INTERFERENCE_LIMIT", 0.1),
     "disturbance-0.2": _constant(scoring, "_INTERFERENCE_LIMIT", 0.2),
     "disturbance-0.3": _constant(scoring, "_INTERFERENCE_LIMIT", 0.3),
@@ -119,10 +134,12 @@
     "idle-start-10": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 10.0),
     "idle-start-40": _constant(placement, "_FULL_POOL_IDLE_LIMIT_S", 40.0),
     "start-limit-0.85": _constant(
-        scoring, "_START_LIMIT", strain.at_ratio(0.85)
+        scoring, "_START_LIMIT", utilization.at_ratio(0.85)
+    ),
+    "start-limit-1.3": _constant(
+        scoring, "_START_LIMIT", utilization.at_ratio(1.3)
     ),
-    "start-limit-1.3": _constant(scoring, "_START_LIMIT", strain.at_ratio(1.3)),
-    "wide-prior": _constant(strain, "_PAIR_VARIANCE", 0.02),
+    "wide-prior": _constant(utilization, "_PAIR_VARIANCE", 0.02),
     "serving-apart": _constant(scoring, "score", _latency_critical_apart),
 }
 POLICIES = _BASELINES | ABLATION | _VARIED
--- a/experiments/world.py
+++ b/experiments/world.py
@@ -1,7 +1,7 @@
 """How workers and tasks truly behave, unknown to what decides.
 
-A task that serves has a tail latency of tail / (1 - x), with x its own load and
-what tasks that fill press on it; a listed tail is rough, rounded to whole
+A latency-critical task has a tail latency of tail / (1 - x), with x its own load and
+what best-effort tasks press on it; a listed tail is rough, rounded to whole
 milliseconds, and smoothed; processor time in use is told as it was a moment ago.
 """
 
@@ -87,9 +87,13 @@
         press = numpy.where(heavy, load.heavy_press, load.light_press)
         self._press = press * scale
 
-    def press(self, serving_image: str, filling_image: str) -> float:
+    def press(
+        self, latency_critical_image: str, best_effort_image: str
+    ) -> float:
         """What a whole worker in use by one adds to the load of the other."""
-        return self._press[int(serving_image[1:]), int(filling_image[1:])]
+        return self._press[
+            int(latency_critical_image[1:]), int(best_effort_image[1:])
+        ]
 
     def own_load(self, run: Run, now_s: float) -> float:
         """The load of a serving task by its own users."""
@@ -138,7 +142,9 @@
             run.starts_at_s += _RESTORE_S
         self.runs[run.key] = run
 
-    def pace(self, key: task_names.RunKey, percent: int, now_s: float) -> None:
+    def throttle(
+        self, key: task_names.RunKey, percent: int, now_s: float
+    ) -> None:
         """Orders a pace, which shows a little later."""
         run = self.runs[key]
         if run.next_percent != percent:
@@ -153,7 +159,7 @@
         at_work = [r for r in self.runs.values() if now_s >= r.starts_at_s]
         left = self.cores
         for run in at_work:
-            if run.step.fills:
+            if run.step.best_effort:
                 continue
             run.in_use_cores = run.cores
             if run.step.tail_target_ms:
@@ -169,7 +175,7 @@
         return self._work(at_work)
 
     def _fill(self, at_work: list[Run], left: float, use: Use) -> float:
-        filling = [run for run in at_work if run.step.fills]
+        filling = [run for run in at_work if run.step.best_effort]
         asked = sum(run.cores * run.percent / 100 for run in filling)
         speed = min(1.0, left / asked) if asked else 0.0
         for run in filling:
@@ -183,7 +189,7 @@
     def _press(self, at_work: list[Run], now_s: float) -> None:
         shares: dict[str, float] = collections.defaultdict(float)
         for run in at_work:
-            if run.step.fills:
+            if run.step.best_effort:
                 shares[run.step.image] += run.in_use_cores / self.cores
         for run in at_work:
             if not run.step.tail_target_ms:
@@ -211,9 +217,9 @@
             del self.runs[run.key]
         return done
 
-    def looks(self, random: numpy.random.Generator) -> list[ttypes.RunLook]:
+    def samples(self, random: numpy.random.Generator) -> list[ttypes.RunSample]:
         """What it lists as running."""
-        return [_look(run, random) for run in self.runs.values()]
+        return [_sample(run, random) for run in self.runs.values()]
 
 
 def draw_uneven(random: numpy.random.Generator) -> float:
@@ -221,17 +227,17 @@
     return random.lognormal(0.0, _UNEVEN)
 
 
-def _look(run: Run, random: numpy.random.Generator) -> ttypes.RunLook:
+def _sample(run: Run, random: numpy.random.Generator) -> ttypes.RunSample:
     shown = run.used_millicores[0] if run.used_millicores else 0.0
     if run.step.tail_target_ms:
         shown = run.shown_ms
     percent = 100
     if math.isfinite(run.work_s):
         percent = int(100 * run.done_s / run.work_s)
-    return ttypes.RunLook(
+    return ttypes.RunSample(
         task=run.key[0],
         run=run.key[1],
         percent=percent,
         load=round(shown * random.lognormal(0.0, _NOISE)),
-        pace_percent=run.next_percent,
+        quota_percent=run.next_percent,
     )
--- a/marigoldsill/coordination/job_agent/__init__.py
+++ b/marigoldsill/coordination/job_agent/__init__.py
@@ -1,8 +1,8 @@
 """An agent's runs of jobs: its lease, its worker, its orders.
 
-The room decides what an agent asks its worker to do for jobs, and when a
+The package decides what an agent asks its worker to do for jobs, and when a
 run is surely over.
-Other rooms use the modules listed here only.
+Other packages use the modules listed here only.
 """
 
 __all__ = [
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -3,8 +3,8 @@
 import dataclasses
 import threading
 
-from marigoldsill.coordination.job_agent import lives as lives_module
-from marigoldsill.coordination.job_agent import pacer as pacer_module
+from marigoldsill.coordination.job_agent import cpu_throttle
+from marigoldsill.coordination.job_agent import incarnations
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -39,13 +39,13 @@
     Attributes:
         changed: Notified on every change.
         clock: The worker's clock.
-        pacer: The pace of tasks that fill.
+        throttle: The CPU quotas of best-effort tasks.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         orders: Orders by (task, run).
         orders_term: Term of the leader that gave them.
         orders_version: Their version in that term.
-        pressures_version: Version of what the pacer was told of images.
+        interference_version: Version of what the throttle was told of images.
         running: What the worker listed as running last.
         listings_count: How many lists of what runs were read whole.
         ends: Ends to report, by (task, run).
@@ -58,37 +58,37 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.clock = worker_clock.WorkerClock()
-        self.pacer = pacer_module.Pacer()
+        self.throttle = cpu_throttle.CpuThrottle()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
         self.term = 0
         self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
         self.orders_term = 0
         self.orders_version = 0
-        self.pressures_version = 0
-        self.running: dict[task_names.RunKey, ttypes.RunLook] = {}
+        self.interference_version = 0
+        self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.listings_count = 0
         self.ends: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.listed_through = 0
         self.acknowledged = 0
         self.answered_s = clock.now_s()
         self.stopping = False
-        self._lives = lives_module.Lives()
+        self._incarnations = incarnations.Incarnations()
 
     @property
     def worker_id(self) -> str:
-        """The life of the worker that answers, or empty."""
+        """The incarnation of the worker that answers, or empty."""
         return "" if self.worker is None else self.worker.worker_id
 
     @property
     def announced(self) -> run_worker.Announcement | None:
-        """The newest announcement of another life, or else of the worker."""
-        return self._lives.newest
+        """The newest announcement of another incarnation, or else of the worker."""
+        return self._incarnations.newest
 
     @property
     def remembered_count(self) -> int:
-        """How many lives other than the worker's are remembered."""
-        return self._lives.remembered_count
+        """How many incarnations other than the worker's are remembered."""
+        return self._incarnations.remembered_count
 
     @property
     def may_start(self) -> bool:
@@ -101,42 +101,42 @@
 
     @property
     def is_shared(self) -> bool:
-        """Whether tasks that fill run beside some that serve."""
+        """Whether best-effort tasks run beside some that serve."""
         held = [o for k, o in self.orders.items() if k in self.running]
-        return any(o.fills for o in held) and any(
+        return any(o.best_effort for o in held) and any(
             o.tail_target_ms for o in held
         )
 
-    def pace_of(self, order: ttypes.RunOrder) -> int:
+    def quota_of(self, order: ttypes.RunOrder) -> int:
         """The percent of its speed that a run may take now."""
-        if not order.fills:
-            return order.pace_percent
-        percent = self.pacer.percent((order.task, order.run))
-        return min(order.pace_percent, percent)
+        if not order.best_effort:
+            return order.quota_percent
+        percent = self.throttle.percent((order.task, order.run))
+        return min(order.quota_percent, percent)
 
     def note_started(self, order: ttypes.RunOrder) -> None:
-        """Gives a run that fills its first pace; hold the lock."""
-        if order.fills:
-            self.pacer.first_percent(order, self._serving_images())
+        """Gives a best-effort run its first quota; hold the lock."""
+        if order.best_effort:
+            self.throttle.first_percent(order, self._latency_critical_images())
 
-    def _serving_images(self) -> set[str]:
+    def _latency_critical_images(self) -> set[str]:
         return {o.image for o in self.orders.values() if o.tail_target_ms}
 
-    def looks(self) -> list[ttypes.RunLook]:
-        """What the worker lists as running, with the paces in force."""
-        for key, look in self.running.items():
-            look.pace_percent = self.pacer.percent(key)
+    def samples(self) -> list[ttypes.RunSample]:
+        """What the worker lists as running, with the quotas in force."""
+        for key, sample in self.running.items():
+            sample.quota_percent = self.throttle.percent(key)
         return list(self.running.values())
 
     def announce(self, announcement: run_worker.Announcement) -> None:
         """Takes what the worker says of itself; late ones change nothing.
 
         Raises:
-            ConflictError: It is not what this life has said of itself.
+            ConflictError: It is not what this incarnation has said of itself.
         """
         worker = announcement.worker
         with self.changed:
-            if not self._lives.take(announcement):
+            if not self._incarnations.take(announcement):
                 return
             if worker.worker_id == self.worker_id:
                 if worker.draining != self.worker.draining:
@@ -149,27 +149,27 @@
                 self.worker = worker
             self.changed.notify_all()
 
-    def next_life(self) -> str:
-        """The life of the worker to call next, or empty."""
+    def next_incarnation(self) -> str:
+        """The incarnation of the worker to call next, or empty."""
         with self.changed:
-            return self._lives.next_id() if self.term else ""
+            return self._incarnations.next_id() if self.term else ""
 
     def confirm(self, worker_id: str) -> None:
         """Takes the announced worker as the one that runs now."""
         with self.changed:
             old_id = self.worker_id
-            if not self._lives.hold(worker_id):
+            if not self._incarnations.hold(worker_id):
                 return
             self._forget_worker()
-            self.worker = self._lives.held.worker
+            self.worker = self._incarnations.held.worker
             self._settle_orders()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.changed.notify_all()
 
     def retire(self, worker_id: str) -> None:
-        """Notes that a life of the worker is over for good."""
+        """Notes that an incarnation of the worker is over for good."""
         with self.changed:
-            self._lives.end(worker_id)
+            self._incarnations.end(worker_id)
             if worker_id == self.worker_id:
                 self._forget_worker()
                 logs.event("worker_gone", worker_id=worker_id)
@@ -190,11 +190,11 @@
                 self.orders[order.task, order.run] = order
             self.orders_term = reply.term
             self.orders_version = reply.version
-            if reply.pressures is not None:
-                self.pressures_version = reply.pressures_version
-                self.pacer.added = {
-                    (p.serving_image, p.filling_image): p.added
-                    for p in reply.pressures
+            if reply.interference is not None:
+                self.interference_version = reply.interference_version
+                self.throttle.added = {
+                    (p.latency_critical_image, p.best_effort_image): p.added
+                    for p in reply.interference
                 }
             self._settle_orders()
             self.changed.notify_all()
@@ -221,7 +221,7 @@
                     self.ends[ended.end.task, ended.end.run] = ended.end
                 self.listed_through = max(self.listed_through, ended.number)
             if self.worker is not None:
-                self.pacer.look(
+                self.throttle.update(
                     self.orders,
                     self.running,
                     capacity_millicores=self.worker.capacity.cpu_millicores,
@@ -252,7 +252,7 @@
             self.changed.notify_all()
 
     def _forget_worker(self) -> None:
-        """Ends what ran on a life of the worker that is over."""
+        """Ends what ran on an incarnation of the worker that is over."""
         self.worker = None
         self.clock.reset()
         self.running = {}
@@ -260,16 +260,16 @@
         self._settle_orders()
 
     def _settle_orders(self) -> None:
-        """Ends orders for a life of the worker that is surely over.
+        """Ends orders for an incarnation of the worker that is surely over.
 
-        Orders name only lives that this machine's agent has reported, so one
-        that is not the life that answers is an earlier one.
+        Orders name only incarnations that this machine's agent has reported, so one
+        that is not the incarnation that answers is an earlier one.
         """
-        if self.worker is None and not self._lives.knows_gone:
+        if self.worker is None and not self._incarnations.knows_gone:
             return
         for key, order in self.orders.items():
             is_over = (
-                self._lives.is_gone(order.worker_id)
+                self._incarnations.is_gone(order.worker_id)
                 if self.worker is None
                 else order.worker_id != self.worker_id
             )
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -1,4 +1,4 @@
-"""Carries orders out on the worker: starts, stops, paces.
+"""Carries orders out on the worker: starts, stops, quotas.
 
 An order whose answer was lost is sent again until it is answered: starting
 twice or stopping twice has no effect. A run whose start may still be on its way
@@ -35,7 +35,7 @@
         stopped_listing: Number of listings when the stop was confirmed; 0
             before.
         refused: Why the worker refused it.
-        pace_percent: The pace that the worker confirmed.
+        quota_percent: The quota that the worker confirmed.
         retry_s: Nothing is sent before.
     """
 
@@ -44,7 +44,7 @@
     unanswered: bool = False
     stopped_listing: int = 0
     refused: str = ""
-    pace_percent: int = 100
+    quota_percent: int = 100
     retry_s: float = 0.0
 
 
@@ -71,7 +71,7 @@
         state = self._state
         with state.changed:
             while not state.stopping:
-                wait_s = self.look()
+                wait_s = self.reconcile()
                 state.changed.wait(wait_s)
         self._pool.shutdown(wait=False)
 
@@ -82,8 +82,8 @@
                 lambda: not any(work.busy for work in self._work.values())
             )
 
-    def look(self) -> float | None:
-        """Begins what is due; returns when to look again at the latest.
+    def reconcile(self) -> float | None:
+        """Begins what is due; returns when to run again at the latest.
 
         Called with the state's lock held.
         """
@@ -119,8 +119,8 @@
         if order.desire == ttypes.RunDesire.STOP or work.refused:
             self._follow_stop(key, order, work, runs=runs)
         elif runs or work.started:
-            if self._state.pace_of(order) != work.pace_percent:
-                self._begin(self._pace, order, work)
+            if self._state.quota_of(order) != work.quota_percent:
+                self._begin(self._throttle, order, work)
         elif self._state.may_start:
             if self._state.worker.draining:
                 work.refused = "the worker drains"
@@ -253,14 +253,16 @@
             worker_id=order.worker_id,
         )
 
-    def _pace(self, order: ttypes.RunOrder, work: _Work) -> None:
-        percent = self._state.pace_of(order)
-        self._worker.pace(
+    def _throttle(self, order: ttypes.RunOrder, work: _Work) -> None:
+        percent = self._state.quota_of(order)
+        self._worker.throttle(
             order.worker_id,
             order.task,
             order.run,
             percent=percent,
             token=self._state.term,
         )
-        work.pace_percent = percent
-        logs.event("run_paced", task=order.task, run=order.run, percent=percent)
+        work.quota_percent = percent
+        logs.event(
+            "run_throttled", task=order.task, run=order.run, percent=percent
+        )
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -7,7 +7,7 @@
 from marigoldsill.transport import dependency_log
 from marigoldsill.transport import logs
 
-# How long the worker may hold its answer back; it bounds the age of looks.
+# How long the worker may hold its answer back; it bounds the age of samples.
 _WAIT_MS = 1_000
 # The same while tasks share the worker that disturb each other.
 _SHARED_WAIT_MS = 250
@@ -43,7 +43,9 @@
             self.hold(worker_id)
         except errors.OtherWorkerError:
             if worker_id != held_id:
-                logs.event("life_refused", worker_id=worker_id, held=held_id)
+                logs.event(
+                    "incarnation_refused", worker_id=worker_id, held=held_id
+                )
             self._state.retire(worker_id)
         except errors.MarigoldsillError as error:
             if held_id in ("", worker_id):
@@ -51,9 +53,9 @@
             with self._state.changed:
                 self._state.changed.wait(_PAUSE_S)
 
-    def next_life(self) -> str:
-        """The life of the worker to call next, or empty."""
-        return self._state.next_life()
+    def next_incarnation(self) -> str:
+        """The incarnation of the worker to call next, or empty."""
+        return self._state.next_incarnation()
 
     def lease_end_s(self) -> float | None:
         """Until when the worker may be told to go on, or None."""
@@ -76,7 +78,7 @@
                         lambda: state.stopping or not state.ends,
                         _UNRECORDED_WAIT_S,
                     )
-                if worker_id := self.next_life():
+                if worker_id := self.next_incarnation():
                     return worker_id
                 state.changed.wait()
         return ""
@@ -88,7 +90,7 @@
         """Prolongs the worker's lease once and takes what it lists.
 
         Raises:
-            OtherWorkerError: Another life of the worker answered.
+            OtherWorkerError: Another incarnation of the worker answered.
             RunRefusedError: The worker knows a later leader.
             TransportError: No answer came.
         """
--- a/marigoldsill/coordination/job_agent/lives.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -1,7 +1,7 @@
-"""Lives of a machine's worker: the one that is held, and others announced.
+"""Incarnations of a machine's worker: the one that is held, and others announced.
 
-Whoever reaches an agent may announce a life. Only the worker itself knows which
-life it is, and refuses calls that mean another. So a life that is announced is
+Whoever reaches an agent may announce an incarnation. Only the worker itself knows which
+incarnation it is, and refuses calls that mean another. So an incarnation that is announced is
 asked once, beside the held one, which stays held until another one has answered.
 """
 
@@ -9,10 +9,10 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 
-# Announced lives that wait for a call. Of real ones there is one at a time; each
+# Announced incarnations that wait for a call. Of real ones there is one at a time; each
 # waits for at most as many calls to the held one, of about a second.
 _CANDIDATES_LIMIT = 8
-# A heartbeat of a life that is over may come late, but not a thousand lives late;
+# A heartbeat of an incarnation that is over may come late, but not a thousand incarnations late;
 # one that is forgotten is asked again, and refused again.
 _GONE_LIMIT = 1_000
 # So many heartbeats in a row, without one as before between them, are the worker's
@@ -20,11 +20,11 @@
 _BELIEVED_COUNT = 3
 
 
-class Lives:
+class Incarnations:
     """What was announced; guarded by the lock of its owner.
 
     Attributes:
-        held: The newest announcement of the life that answers, or None.
+        held: The newest announcement of the incarnation that answers, or None.
     """
 
     def __init__(self):
@@ -38,31 +38,31 @@
 
     @property
     def held_id(self) -> str:
-        """The life that answers, or empty."""
+        """The incarnation that answers, or empty."""
         return "" if self.held is None else self.held.worker.worker_id
 
     @property
     def newest(self) -> run_worker.Announcement | None:
-        """The newest announcement of another life, or else of the held one."""
+        """The newest announcement of another incarnation, or else of the held one."""
         if self._candidates:
             return next(reversed(self._candidates.values()))
         return self.held
 
     @property
     def knows_gone(self) -> bool:
-        """Whether any life is known to be over."""
+        """Whether any incarnation is known to be over."""
         return bool(self._gone_ids)
 
     @property
     def remembered_count(self) -> int:
-        """How many lives other than the held one are remembered."""
+        """How many incarnations other than the held one are remembered."""
         return len(self._candidates) + len(self._gone_ids)
 
     def take(self, announcement: run_worker.Announcement) -> bool:
-        """Takes what is said of a life; False if it is late or over.
+        """Takes what is said of an incarnation; False if it is late or over.
 
         Raises:
-            ConflictError: It is not what the held life has said of itself.
+            ConflictError: It is not what the held incarnation has said of itself.
         """
         worker_id = announcement.worker.worker_id
         if self.is_gone(worker_id):
@@ -78,7 +78,7 @@
         return True
 
     def next_id(self) -> str:
-        """The life to call next, or empty: others and the held one in turn."""
+        """The incarnation to call next, or empty: others and the held one in turn."""
         held_turn = self.held is not None and not self._held_was_called
         if held_turn or not self._candidates:
             self._held_was_called = True
@@ -90,7 +90,7 @@
         return worker_id
 
     def hold(self, worker_id: str) -> bool:
-        """Holds an announced life that answered; whether it is another one."""
+        """Holds an announced incarnation that answered; whether it is another one."""
         announcement = self._candidates.pop(worker_id, None)
         if announcement is None:
             return False
@@ -99,7 +99,7 @@
         return True
 
     def end(self, worker_id: str) -> None:
-        """Notes that a life is over for good."""
+        """Notes that an incarnation is over for good."""
         if not worker_id:
             return
         self._candidates.pop(worker_id, None)
@@ -111,7 +111,7 @@
             del self._gone_ids[next(iter(self._gone_ids))]
 
     def is_gone(self, worker_id: str) -> bool:
-        """Whether a life is known to be over."""
+        """Whether an incarnation is known to be over."""
         return worker_id in self._gone_ids
 
     def _take_held(self, announcement: run_worker.Announcement) -> bool:
@@ -125,7 +125,7 @@
         return True
 
     def _doubt(self, announcement: run_worker.Announcement) -> None:
-        """Refuses what contradicts the held life, until it is said again."""
+        """Refuses what contradicts the held incarnation, until it is said again."""
         said_before = (
             self._doubted is not None
             and _is_same(announcement, self._doubted)
@@ -136,9 +136,9 @@
         if self._doubts_count < _BELIEVED_COUNT:
             worker = announcement.worker
             raise errors.ConflictError(
-                f"life {worker.worker_id} is of pool {self.held.worker.pool!r} "
+                f"incarnation {worker.worker_id} is of pool {self.held.worker.pool!r} "
                 f"and was announced as of {worker.pool[:40]!r}, with "
-                f"labels {worker.labels[:2]!r}; a life's pool, data centre, "
+                f"labels {worker.labels[:2]!r}; an incarnation's pool, data centre, "
                 "labels and capacity stay"
             )
 
@@ -150,7 +150,7 @@
 def _is_same(
     one: run_worker.Announcement, other: run_worker.Announcement
 ) -> bool:
-    """Whether two announcements agree on what stays for a life."""
+    """Whether two announcements agree on what stays for an incarnation."""
     return _lasting(one.worker) == _lasting(other.worker)
 
 
--- a/marigoldsill/coordination/job_agent/load_trends.py
+++ b/marigoldsill/coordination/job_agent/load_trends.py
@@ -1,8 +1,8 @@
-"""How fast the load of tasks that serve rises, to slow others down in time.
+"""Load trends of latency-critical tasks, to throttle others ahead of a rise.
 
-What an agent sees is late: a listed tail latency covers the last half second,
-lists are a quarter of a second apart, and a pace takes a tenth to show. A load
-that rises meanwhile would carry a tail past its target.
+Samples lag: a tail latency covers the last half second, lists are a quarter of a
+second apart, and a quota takes a tenth to show. A load that rises meanwhile would
+carry a tail past its target.
 """
 
 from collections.abc import Mapping
@@ -10,25 +10,25 @@
 
 from marigoldsill.protocol import task_names
 
-# From the middle of what a tail covers until a pace that follows it shows.
+# From the middle of what a tail covers until a quota set by it shows.
 _LEAD_S = 0.6
-# Two looks closer than this say more of rounding than of a trend.
+# Samples closer than this tell more of rounding than of a trend.
 _LEAST_APART_S = 0.2
-# The share of the newest step in a trend; the rest is what was seen before.
+# Weight of the newest sample in a trend.
 _NEW_SHARE = 0.5
-# A load that swings by half within 10 s raises strain by 0.11 a second; what
-# seems faster is a task that fills whose effect is not known well.
+# A load that swings by half within 10 s raises utilization by 0.11 a second; a
+# faster rise is interference that is not known well.
 _LIMIT_PER_S = 0.12
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Trend:
     alone: float
-    looked_s: float
+    sampled_s: float
     per_s: float = 0.0
 
     def next(self, alone: float, now_s: float) -> "_Trend":
-        passed_s = now_s - self.looked_s
+        passed_s = now_s - self.sampled_s
         if passed_s < _LEAST_APART_S:
             return self
         newest_per_s = (alone - self.alone) / passed_s
@@ -37,15 +37,15 @@
 
 
 class LoadTrends:
-    """The trends of the tasks that serve on one worker."""
+    """The trends of the latency-critical tasks on one worker."""
 
     def __init__(self):
         self._trends: dict[task_names.RunKey, _Trend] = {}
 
-    def look(
+    def update(
         self, alone: Mapping[task_names.RunKey, float], *, now_s: float
     ) -> None:
-        """Takes the strain that each task bears alone, as it seems now."""
+        """Takes the present utilization of each task without interference."""
         self._trends = {
             key: self._trends[key].next(value, now_s)
             if key in self._trends
@@ -54,5 +54,5 @@
         }
 
     def rise(self, key: task_names.RunKey) -> float:
-        """By how much a task's strain will have risen once a pace shows."""
+        """By how much a utilization will have risen once a quota shows."""
         return self._trends[key].per_s * _LEAD_S
--- a/marigoldsill/coordination/job_agent/order_watch.py
+++ b/marigoldsill/coordination/job_agent/order_watch.py
@@ -50,7 +50,7 @@
                         term=state.orders_term,
                         version=state.orders_version,
                         wait_ms=_WAIT_MS,
-                        pressures_version=state.pressures_version,
+                        interference_version=state.interference_version,
                     ),
                     timeout_s=_WAIT_MS / 1000 + _MARGIN_S,
                 )
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -91,7 +91,7 @@
                 sequence=self._sequence,
                 worker=worker if self._tells_worker() else None,
                 ends=ends,
-                running=state.looks() if lists else None,
+                running=state.samples() if lists else None,
                 worker_id=state.worker_id,
                 worker_silent=clock.now_s() - state.answered_s > _SILENT_S,
             )
--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -1,8 +1,8 @@
 """Where tasks of jobs run, and in which order they get their turn.
 
-The room decides by what agents report and by what was learnt of run times,
+The package decides by what agents report and by what was learnt of run times,
 of tasks that disturb each other and of workers that refuse or fail.
-Other rooms use the modules listed here only.
+Other packages use the modules listed here only.
 """
 
 __all__ = [
@@ -14,7 +14,7 @@
     "placement",
     "relocating",
     "run_clock",
-    "sharing",
+    "interference_model",
     "stalls",
     "tickets",
     "urgency",
--- a/marigoldsill/coordination/job_placing/agents.py
+++ b/marigoldsill/coordination/job_placing/agents.py
@@ -20,8 +20,8 @@
         sequence: The number of its newest report.
         worker: Its worker, or None until it was described.
         silent: Whether the worker does not answer its agent.
-        looks: What the worker listed as running, by (task, run).
-        looked_s: When the newest list came.
+        samples: What the worker listed as running, by (task, run).
+        sampled_s: When the newest list came.
     """
 
     name: str
@@ -29,10 +29,10 @@
     sequence: int = 0
     worker: ttypes.PoolWorker | None = None
     silent: bool = False
-    looks: dict[tuple[str, int], ttypes.RunLook] = dataclasses.field(
+    samples: dict[tuple[str, int], ttypes.RunSample] = dataclasses.field(
         default_factory=dict
     )
-    looked_s: float = 0.0
+    sampled_s: float = 0.0
 
 
 class Agents:
@@ -92,16 +92,18 @@
     worker = report.worker
     if worker is None and report.incarnation == before.incarnation:
         worker = before.worker
-    looks, looked_s = before.looks, before.looked_s
+    samples, sampled_s = before.samples, before.sampled_s
     if report.running is not None:
-        looks = {(look.task, look.run): look for look in report.running}
-        looked_s = now_s
+        samples = {
+            (sample.task, sample.run): sample for sample in report.running
+        }
+        sampled_s = now_s
     return AgentView(
         name=before.name,
         incarnation=report.incarnation,
         sequence=report.sequence,
         worker=worker,
         silent=report.worker_silent,
-        looks=looks,
-        looked_s=looked_s,
+        samples=samples,
+        sampled_s=sampled_s,
     )
--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -35,7 +35,7 @@
     cpu_millicores: int
     memory_bytes: int
     accelerators_count: int
-    latency_critical: list[sharing_module.Serving]
+    latency_critical: list[interference_model.LatencyCriticalTask]
     idle_millicores: float
     runs_by_step: dict[task_names.StepKey, int] = dataclasses.field(
         default_factory=dict
@@ -46,7 +46,9 @@
         wanted = step.resources
         return (
             wanted.memory_bytes <= self.memory_bytes
-            and (step.fills or wanted.cpu_millicores <= self.cpu_millicores)
+            and (
+                step.best_effort or wanted.cpu_millicores <= self.cpu_millicores
+            )
             and wanted.accelerators_count <= self.accelerators_count
         )
 
@@ -86,27 +88,27 @@
         self,
         key: task_names.StepKey,
         step: ttypes.Step,
-        sharing: sharing_module.Sharing,
+        model: interference_model.InterferenceModel,
     ) -> None:
         """Reserves the resources of one more task of a step.
 
         Args:
             key: The step.
             step: What its tasks ask for.
-            sharing: What was learnt of interference.
+            model: What was learnt of interference.
         """
         self._subtract(key, step)
         if step.tail_target_ms:
-            self.latency_critical.append(sharing.granted(step))
-        if not step.fills:
+            self.latency_critical.append(model.unsampled(step))
+        if not step.best_effort:
             return
         tenths = self.tenths_of(step.resources.cpu_millicores)
         self.latency_critical = [
-            sharing_module.Serving(
+            interference_model.LatencyCriticalTask(
                 task.image,
-                task.strain + sharing.added(task.image, step.image, tenths),
-                task.strain_now
-                + sharing.added_at_most(task.image, step.image, tenths),
+                task.utilization + model.added(task.image, step.image, tenths),
+                task.current_utilization
+                + model.added_upper_bound(task.image, step.image, tenths),
             )
             for task in self.latency_critical
         ]
@@ -117,7 +119,7 @@
             _LATENCY_CRITICAL_USED_SHARE if step.tail_target_ms else 1.0
         )
         self.idle_millicores -= wanted.cpu_millicores * used_share
-        if not step.fills:
+        if not step.best_effort:
             self.cpu_millicores -= wanted.cpu_millicores
         self.memory_bytes -= wanted.memory_bytes
         self.accelerators_count -= wanted.accelerators_count
@@ -127,19 +129,19 @@
 def of_agent(
     jobs: job_tables.JobTables,
     view: agents_module.AgentView,
-    sharing: sharing_module.Sharing,
+    model: interference_model.InterferenceModel,
     *,
     pending: Iterable[ttypes.RunGrant] = (),
 ) -> FreeCapacity:
     """The free capacity of an agent's worker.
 
-    Runs that were granted to an earlier life of the worker count as well:
+    Runs that were granted to an earlier incarnation of the worker count as well:
     whether they are over is known only when their end is recorded.
 
     Args:
         jobs: The jobs, with the runs that may be alive.
         view: The agent, with a worker.
-        sharing: What was learnt of interference.
+        model: What was learnt of interference.
         pending: Grants to the agent that are not known to be applied; those
             that are in `jobs` count once.
     """
@@ -154,19 +156,21 @@
         idle_millicores=capacity.cpu_millicores,
     )
     best_effort: list[tuple[str, float]] = []
-    latency_critical: list[tuple[str, ttypes.Step, ttypes.RunLook | None]] = []
+    latency_critical: list[
+        tuple[str, ttypes.Step, ttypes.RunSample | None]
+    ] = []
     for key, address in _runs(jobs, view.name, pending):
         step = jobs.jobs[address.job_id].job.steps[address.step]
         free._subtract(address.step_key, step)
-        if step.fills:
+        if step.best_effort:
             tenths = free.tenths_of(step.resources.cpu_millicores)
             best_effort.append((step.image, tenths))
         if step.tail_target_ms:
-            look = view.looks.get(key)
-            latency_critical.append((address.job_id, step, look))
+            sample = view.samples.get(key)
+            latency_critical.append((address.job_id, step, sample))
     free.latency_critical = [
-        sharing.serving(job_id, step, look, best_effort)
-        for job_id, step, look in latency_critical
+        model.expected(job_id, step, sample, best_effort)
+        for job_id, step, sample in latency_critical
     ]
     return free
 
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -19,8 +19,8 @@
 from marigoldsill.coordination.job_placing import capacity_index
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import scoring
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol import task_names
@@ -78,7 +78,7 @@
     def __init__(
         self,
         *,
-        sharing: sharing_module.Sharing,
+        interference: interference_model.InterferenceModel,
         health: worker_health.WorkerHealth,
         tickets: tickets_module.Tickets,
         is_live: Callable[[str], bool] = lambda agent: True,
@@ -86,13 +86,13 @@
         """Starts without a worker.
 
         Args:
-            sharing: What is learnt of interference.
+            interference: What is learnt of interference.
             health: Where tasks failed.
             tickets: What the adviser has said.
             is_live: Whether an agent's lease is live; asked before a grant.
         """
         self.index = capacity_index.CapacityIndex()
-        self._sharing = sharing
+        self._interference = interference
         self._health = health
         self._tickets = tickets
         self._is_live = is_live
@@ -120,7 +120,7 @@
             return
         pending = self._pending.get(view.name, {})
         free = free_capacity.of_agent(
-            jobs, view, self._sharing, pending=pending.values()
+            jobs, view, self._interference, pending=pending.values()
         )
         self.index.put(free)
 
@@ -188,7 +188,7 @@
         step: ttypes.Step,
     ) -> None:
         """Reserves what one task needs until its worker is refreshed."""
-        free.reserve(key, step, self._sharing)
+        free.reserve(key, step, self._interference)
         self.index.note_change(free.agent)
 
     def _place_step(
@@ -252,7 +252,7 @@
         """An agent for each member, or none if not all of them fit."""
         step, pool = waiting.step, waiting.queue.pool
         tried = candidates_module.Candidates(
-            lambda free: scoring.rate(free, step, pool, self._sharing)
+            lambda free: scoring.rate(free, step, pool, self._interference)
         )
         for free in group:
             tried.update(free.copy(), self.index.order(free.agent))
@@ -261,7 +261,7 @@
             free = self._choose(waiting, index, tried, now_s)
             if free is None:
                 return []
-            free.reserve(waiting.key, step, self._sharing)
+            free.reserve(waiting.key, step, self._interference)
             tried.update(free, self.index.order(free.agent))
             agents.append(free.agent)
         return agents
@@ -327,7 +327,7 @@
     ) -> bool:
         """Whether a best-effort job has had nothing running for too long."""
         idle_s = now_s - waiting.idle_since_s
-        if not waiting.step.fills or idle_s <= _IDLE_LIMIT_S:
+        if not waiting.step.best_effort or idle_s <= _IDLE_LIMIT_S:
             return False
         if idle_s > _FULL_POOL_IDLE_LIMIT_S:
             return True
@@ -356,7 +356,7 @@
                 rate = scoring.rate_regardless
             cached = self._classes[task_class] = _Cached(
                 candidates_module.Candidates(
-                    lambda free: rate(free, step, pool, self._sharing)
+                    lambda free: rate(free, step, pool, self._interference)
                 ),
                 position=-1,
                 used_round=self._round,
@@ -396,7 +396,7 @@
     return _TaskClass(
         pool=pool,
         image=step.image,
-        is_best_effort=step.fills,
+        is_best_effort=step.best_effort,
         is_latency_critical=bool(step.tail_target_ms),
         cpu_millicores=wanted.cpu_millicores,
         memory_bytes=wanted.memory_bytes,
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -50,15 +50,15 @@
         """Takes in the newest report of an agent."""
         before = self._slow_since_s.get(view.name, {})
         since = {
-            key: before.get(key, view.looked_s)
-            for key, look in view.looks.items()
-            if look.pace_percent < _SLOW_PERCENT
+            key: before.get(key, view.sampled_s)
+            for key, sample in view.samples.items()
+            if sample.quota_percent < _SLOW_PERCENT
         }
         self._slow_since_s[view.name] = since
         for key in before.keys() - since.keys():
             self._due.pop(key, None)
         for key, since_s in since.items():
-            if view.looked_s - since_s < _SLOW_FOR_S:
+            if view.sampled_s - since_s < _SLOW_FOR_S:
                 continue
             run = _movable(jobs, view, key)
             if run is not None:
@@ -96,7 +96,7 @@
     step = jobs.step_of(key[0])
     if step is None or view.worker is None:
         return None
-    if not step.checkpointing and view.looks[key].percent >= _LOST_PERCENT:
+    if not step.checkpointing and view.samples[key].percent >= _LOST_PERCENT:
         return None
     record = jobs.jobs[task_names.parse(key[0]).job_id]
     if jobs.queue_of(record).advised:
--- a/marigoldsill/coordination/job_placing/run_clock.py
+++ b/marigoldsill/coordination/job_placing/run_clock.py
@@ -1,4 +1,4 @@
-"""How long runs took, for those that went at their full speed."""
+"""Run times of runs that had their full speed throughout."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -10,8 +10,8 @@
 from marigoldsill.state import machine
 from marigoldsill.transport import clock
 
-# A run paced lower, or one that got less of the processor time it asked for,
-# shows how busy its worker was rather than how long its task takes.
+# A run that was throttled, or got less processor time than it asked for, tells
+# how busy its worker was rather than how long its task takes.
 _FULL_PERCENT = 95
 _FULL_SHARE = 0.7
 _KEPT_LIMIT = 20_000
@@ -37,7 +37,7 @@
     queue: str
     estimated_ms: int
     cpu_millicores: int
-    fills: bool
+    is_best_effort: bool
     granted_s: float
     slowed: bool = False
 
@@ -49,8 +49,10 @@
         self._running: dict[task_names.RunKey, _Running] = {}
         self._samples: list[Sample] = []
 
-    def take(self, jobs: job_tables.JobTables, command: ttypes.Command) -> None:
-        """Takes an applied command in."""
+    def observe_command(
+        self, jobs: job_tables.JobTables, command: ttypes.Command
+    ) -> None:
+        """Begins and ends timing by an applied command."""
         match machine.body_of(command):
             case ttypes.GrantRuns(grants=grants):
                 for grant in grants:
@@ -59,12 +61,12 @@
                 for end in ends:
                     self._end(end)
 
-    def look(self, views: Iterable[agents_module.AgentView]) -> None:
-        """Notes which runs do not go at their full speed."""
+    def observe(self, views: Iterable[agents_module.AgentView]) -> None:
+        """Excludes runs that reports show below their full speed."""
         for view in views:
-            for key, look in view.looks.items():
+            for key, sample in view.samples.items():
                 running = self._running.get(key)
-                if running is not None and _is_slowed(running, look):
+                if running is not None and _is_slowed(running, sample):
                     running.slowed = True
 
     def take_samples(self) -> list[Sample]:
@@ -88,7 +90,7 @@
             record.job.queue,
             step.estimated_ms,
             step.resources.cpu_millicores,
-            step.fills,
+            step.best_effort,
             clock.now_s(),
         )
         if len(self._running) > _KEPT_LIMIT:
@@ -105,10 +107,10 @@
             )
 
 
-def _is_slowed(running: _Running, look: ttypes.RunLook) -> bool:
-    if not running.fills or not look.load:
+def _is_slowed(running: _Running, sample: ttypes.RunSample) -> bool:
+    if not running.is_best_effort or not sample.load:
         return False
     return (
-        look.pace_percent < _FULL_PERCENT
-        or look.load < _FULL_SHARE * running.cpu_millicores
+        sample.quota_percent < _FULL_PERCENT
+        or sample.load < _FULL_SHARE * running.cpu_millicores
     )
--- a/marigoldsill/coordination/job_placing/scoring.py
+++ b/marigoldsill/coordination/job_placing/scoring.py
@@ -5,8 +5,8 @@
 """
 
 from marigoldsill.coordination.job_placing import free_capacity
-from marigoldsill.coordination.job_placing import sharing as sharing_module
-from marigoldsill.coordination.learning import strain
+from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.learning import utilization
 from marigoldsill.protocol.generated import ttypes
 
 # The higher, the better; compared item by item.
@@ -14,10 +14,10 @@
 
 # Best-effort tasks are placed so that tail latencies stay below this share of
 # their target at the usual load. Agents throttle them while the load is higher.
-_USUAL_LIMIT = strain.at_ratio(0.74)
+_USUAL_LIMIT = utilization.at_ratio(0.74)
 # A task starts at full speed and is throttled only once it was reported, so none
 # starts where that would bring a tail latency over its target now.
-_START_LIMIT = strain.at_ratio(1.0)
+_START_LIMIT = utilization.at_ratio(1.0)
 # Cost of a worker without latency-critical tasks, as an interference share: it
 # is kept for best-effort tasks that fit nowhere else.
 _UNSHARED_COST = 0.1
@@ -33,7 +33,7 @@
     free: free_capacity.FreeCapacity,
     step: ttypes.Step,
     pool: str,
-    sharing: sharing_module.Sharing,
+    model: interference_model.InterferenceModel,
 ) -> Score | None:
     """How well a worker suits one more task of a step.
 
@@ -41,18 +41,18 @@
         free: The worker.
         step: What the task asks for.
         pool: The pool of the step's queue.
-        sharing: What was learnt of interference.
+        model: What was learnt of interference.
 
     Returns:
         The score, or None if no task of the step may start there now.
     """
     if not free.admits(step, pool):
         return None
-    if not step.fills:
+    if not step.best_effort:
         return score(free, step, interference=0.0)
-    if not tolerates_start(free, step, sharing):
+    if not tolerates_start(free, step, model):
         return None
-    interference = interference_share(free, step, sharing)
+    interference = interference_share(free, step, model)
     if interference > _INTERFERENCE_LIMIT:
         return None
     return score(free, step, interference=interference)
@@ -62,12 +62,12 @@
     free: free_capacity.FreeCapacity,
     step: ttypes.Step,
     pool: str,
-    sharing: sharing_module.Sharing,
+    model: interference_model.InterferenceModel,
 ) -> Score | None:
     """The same for a best-effort task that starts whatever it disturbs."""
     if not free.admits(step, pool):
         return None
-    return -interference_share(free, step, sharing), free.idle_share
+    return -interference_share(free, step, model), free.idle_share
 
 
 def score(
@@ -95,7 +95,7 @@
         )
         capacity = free.worker.capacity.cpu_millicores
         return is_near, is_shared, capacity, -others_count, -free.cpu_millicores
-    if step.fills:
+    if step.best_effort:
         cost = interference + (0.0 if is_shared else _UNSHARED_COST)
         return is_near, _IDLE_WEIGHT * free.idle_share - cost
     return is_near, is_shared, free.idle_share
@@ -104,7 +104,7 @@
 def tolerates_start(
     free: free_capacity.FreeCapacity,
     step: ttypes.Step,
-    sharing: sharing_module.Sharing,
+    model: interference_model.InterferenceModel,
 ) -> bool:
     """Whether a best-effort task may start at full speed.
 
@@ -117,7 +117,8 @@
         return False
     tenths = free.tenths_of(wanted_millicores)
     return all(
-        task.strain_now + sharing.added_at_most(task.image, step.image, tenths)
+        task.current_utilization
+        + model.added_upper_bound(task.image, step.image, tenths)
         <= _START_LIMIT
         for task in free.latency_critical
     )
@@ -126,14 +127,14 @@
 def interference_share(
     free: free_capacity.FreeCapacity,
     step: ttypes.Step,
-    sharing: sharing_module.Sharing,
+    model: interference_model.InterferenceModel,
 ) -> float:
     """Share of the remaining headroom that a best-effort task would take."""
     tenths = free.tenths_of(step.resources.cpu_millicores)
     return max(
         (
-            sharing.added(task.image, step.image, tenths)
-            / max(_LEAST_HEADROOM, _USUAL_LIMIT - task.strain)
+            model.added(task.image, step.image, tenths)
+            / max(_LEAST_HEADROOM, _USUAL_LIMIT - task.utilization)
             for task in free.latency_critical
         ),
         default=0.0,
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -1,9 +1,9 @@
 """Which workers get new runs, by how the last ones on them began and ended.
 
-A worker that refuses starts is left alone for a while, longer each time. One
-that fails what runs well elsewhere is put in quarantine, then tried with one
-run. A task that failed goes to another worker where there is one. All of it is
-forgotten with a worker's life and with this process.
+A worker that refuses starts gets none for an exponentially growing backoff. One
+that fails what runs well elsewhere is quarantined, then put on probation with one
+run. A task that failed avoids that worker if there is another. All of it is lost
+with the worker's incarnation and with this process.
 """
 
 from collections.abc import Callable
@@ -19,17 +19,17 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
-# The pause after a refusal, which doubles with each that follows it. A refused
+# The backoff after a refusal, which doubles with each that follows it. A refused
 # start costs a commit and a call, and the task waits for both.
-_PAUSE_S = 0.5
-_PAUSE_LIMIT_S = 4.0
-# A refusal so long after the last one is a new matter.
+_BACKOFF_S = 0.5
+_BACKOFF_LIMIT_S = 4.0
+# A refusal so long after the last one starts the backoff anew.
 _REFUSALS_APART_S = 10.0
 # Three failures of runs that are not known to fail elsewhere, or two that ran
 # elsewhere, are enough here: a worker that fails at once takes a task of the
 # queue every few milliseconds.
 _LEAST_FAILURES = 1.7
-# A quarantine costs a worker's room; one run that fails tells when it is over.
+# A quarantine costs a worker's capacity; one run that fails tells when it is over.
 _COOLDOWN_S = 2.0
 # Workers where a task failed that its next run avoids.
 _AVOIDED_COUNT = 2
@@ -68,8 +68,8 @@
             least_failures=_LEAST_FAILURES, cooldown_s=_COOLDOWN_S
         )
 
-    def take(self, command: ttypes.Command) -> None:
-        """Takes an applied command in."""
+    def observe_command(self, command: ttypes.Command) -> None:
+        """Follows how runs begin and end by an applied command."""
         match machine.body_of(command):
             case ttypes.GrantRuns(grants=grants):
                 for grant in grants:
@@ -77,7 +77,7 @@
                 _bound(self._granted)
             case ttypes.RecordRunEnds(ends=ends):
                 for end in ends:
-                    self._take_end(end)
+                    self._record_end(end)
 
     def may_take(
         self, worker_id: str, *, count_runs: Callable[[], int]
@@ -85,7 +85,7 @@
         """Whether a worker may get a run now.
 
         Args:
-            worker_id: The life of the worker.
+            worker_id: The incarnation of the worker.
             count_runs: Counts the runs that may be alive on it and show
                 whether it is sound, as `telling_runs_count` does; called only
                 for a worker on probation.
@@ -105,13 +105,13 @@
         """Workers where a task failed not long ago; needs no lock."""
         return frozenset(self._failed_on.get(task, ()))
 
-    def look(self) -> None:
-        """Lets workers whose quarantine is over be tried."""
+    def release_due(self) -> None:
+        """Puts workers whose quarantine is over on probation."""
         for worker_id in self._quarantine.due_for_probe(now_s=clock.now_s()):
             logs.event("worker_probed", worker_id=worker_id)
 
-    def stands_still(self, worker_id: str, *, runs_count: int) -> None:
-        """Takes note that nothing on a worker advances."""
+    def report_stall(self, worker_id: str, *, runs_count: int) -> None:
+        """Quarantines a worker on which no run makes progress."""
         if self._quarantine.put_out(worker_id, now_s=clock.now_s()):
             logs.event(
                 "worker_stalled",
@@ -120,26 +120,26 @@
                 runs_count=runs_count,
             )
 
-    def advances(self, worker_id: str) -> None:
-        """Takes note that a run on a worker advances."""
+    def report_progress(self, worker_id: str) -> None:
+        """Restores a worker on which a run makes progress."""
         if self._quarantine.restore(worker_id):
             logs.event("worker_restored", worker_id=worker_id, task="")
 
-    def _take_end(self, end: ttypes.RunEnd) -> None:
+    def _record_end(self, end: ttypes.RunEnd) -> None:
         worker_id = self._granted.pop((end.task, end.run), "")
         if not worker_id:
             return
         match end.kind:
             case ttypes.RunEndKind.REFUSED:
-                self._take_refusal(worker_id, end.detail)
+                self._record_refusal(worker_id, end.detail)
             case ttypes.RunEndKind.DONE:
                 self._refusals.pop(worker_id, None)
                 self._failed_on.pop(end.task, None)
-                self._take_done(worker_id, end.task)
+                self._record_success(worker_id, end.task)
             case ttypes.RunEndKind.FAILED:
-                self._take_failure(worker_id, end.task)
+                self._record_failure(worker_id, end.task)
 
-    def _take_refusal(self, worker_id: str, reason: str) -> None:
+    def _record_refusal(self, worker_id: str, reason: str) -> None:
         if reason in _ABOUT_THE_RUN:
             return
         now_s = clock.now_s()
@@ -149,30 +149,30 @@
             return
         if now_s - refusals.last_s > _REFUSALS_APART_S:
             refusals.count = 0
-        pause_s = min(_PAUSE_S * 2**refusals.count, _PAUSE_LIMIT_S)
+        backoff_s = min(_BACKOFF_S * 2**refusals.count, _BACKOFF_LIMIT_S)
         refusals.count += 1
         refusals.last_s = now_s
-        refusals.until_s = now_s + pause_s
+        refusals.until_s = now_s + backoff_s
         _bound(self._refusals)
         if not self._decides():
             return
         logs.event(
-            "worker_left_alone",
+            "worker_backoff",
             level="WARNING",
             worker_id=worker_id,
-            pause_s=pause_s,
+            backoff_s=backoff_s,
             refusals_count=refusals.count,
             reason=reason,
         )
 
-    def _take_done(self, worker_id: str, task: str) -> None:
+    def _record_success(self, worker_id: str, task: str) -> None:
         restored = self._quarantine.ran(
             worker_id, _family_of(task), now_s=clock.now_s()
         )
         if restored and self._decides():
             logs.event("worker_restored", worker_id=worker_id, task=task)
 
-    def _take_failure(self, worker_id: str, task: str) -> None:
+    def _record_failure(self, worker_id: str, task: str) -> None:
         failed_on = (*self._failed_on.get(task, ()), worker_id)
         self._failed_on[task] = failed_on[-_AVOIDED_COUNT:]
         _bound(self._failed_on)
@@ -194,20 +194,22 @@
 ) -> int:
     """How many runs on a worker show by themselves whether it is sound.
 
-    What lasts never ends, and what stands still at pace 0 does not advance: a
-    worker on probation that waited for those would get nothing for ever, while
-    tasks that last wait for its room.
+    Long-running tasks never end, and a task throttled to 0 makes no progress: a
+    worker on probation that waited for those would get no run for ever, while
+    long-running tasks wait for its capacity.
     """
     return sum(
-        _is_telling(jobs.step_of(task), view.looks.get((task, run)))
+        _is_telling(jobs.step_of(task), view.samples.get((task, run)))
         for task, run in jobs.runs_by_agent.get(view.name, ())
     )
 
 
-def _is_telling(step: ttypes.Step | None, look: ttypes.RunLook | None) -> bool:
+def _is_telling(
+    step: ttypes.Step | None, sample: ttypes.RunSample | None
+) -> bool:
     if step is None or step.long_running:
         return False
-    return look is None or look.pace_percent > 0
+    return sample is None or sample.quota_percent > 0
 
 
 def _family_of(task: str) -> str:
--- a/marigoldsill/coordination/jobs/__init__.py
+++ b/marigoldsill/coordination/jobs/__init__.py
@@ -1,7 +1,7 @@
 """Queues and their jobs, on the leader and on the way to it.
 
-The room decides whether a job is taken in and where its tasks run.
-Other rooms use the modules listed here only.
+The package decides whether a job is taken in and where its tasks run.
+Other packages use the modules listed here only.
 """
 
 __all__ = [
--- a/marigoldsill/coordination/jobs/advising.py
+++ b/marigoldsill/coordination/jobs/advising.py
@@ -19,7 +19,7 @@
 from marigoldsill.transport import logs
 
 # The adviser takes its time for each worker that is named, so a call names as
-# many as a step usually needs to find room, of the 100 that it accepts.
+# many as a step usually needs to find capacity, of the 100 that it accepts.
 _WORKERS_COUNT = 30
 # Steps that wait for their turn here; the rest is named again next time.
 _STEPS_COUNT = 16
@@ -35,7 +35,7 @@
 
     Attributes:
         key: The step.
-        worker_ids: Workers that have room for it.
+        worker_ids: Workers with free capacity for it.
         expected_s: How long the adviser takes for them.
         valid_ms: How long its tickets are valid.
     """
@@ -166,7 +166,7 @@
     tickets: tickets_module.Tickets,
     now_s: float,
 ) -> Question | None:
-    """What to ask about a step, if some worker with room is not known."""
+    """What to ask about a step, if some worker with capacity is not known."""
     ids = [
         free.worker.worker_id
         for free in workers
--- a/marigoldsill/coordination/jobs/evicting.py
+++ b/marigoldsill/coordination/jobs/evicting.py
@@ -43,8 +43,8 @@
         """
         for view in views:
             self._relocating.observe(jobs, view)
-        for stall in self._stalls.look(jobs, views):
-            self._health.stands_still(
+        for stall in self._stalls.find(jobs, views):
+            self._health.report_stall(
                 stall.worker_id, runs_count=stall.runs_count
             )
             runs = [
@@ -55,8 +55,8 @@
                 runs, kind="stalled", reason="nothing on its worker advances"
             )
         for view in views:
-            if view.worker is not None and self._stalls.advances(view):
-                self._health.advances(view.worker.worker_id)
+            if view.worker is not None and self._stalls.made_progress(view):
+                self._health.report_progress(view.worker.worker_id)
 
     def leave_incomplete(
         self, jobs: job_tables.JobTables, job_ids: Iterable[str]
@@ -79,7 +79,9 @@
 
     def leave_slow(self, runs: Iterable[evictions.Eviction]) -> None:
         """Evicts what `slow` has found."""
-        self._evict(runs, kind="slow", reason="slow beside tasks that serve")
+        self._evict(
+            runs, kind="slow", reason="slow beside latency-critical tasks"
+        )
 
     def _evict(
         self, runs: Iterable[evictions.Eviction], *, kind: str, reason: str
--- a/marigoldsill/coordination/jobs/job_events.py
+++ b/marigoldsill/coordination/jobs/job_events.py
@@ -139,5 +139,5 @@
 
 def _kind_of(step: ttypes.Step) -> str:
     if step.long_running:
-        return "serves" if step.tail_target_ms else "lasts"
-    return "fills" if step.fills else "batch"
+        return "latency_critical" if step.tail_target_ms else "long_running"
+    return "best_effort" if step.best_effort else "batch"
--- a/marigoldsill/coordination/jobs/learnt_log.py
+++ b/marigoldsill/coordination/jobs/learnt_log.py
@@ -1,6 +1,6 @@
 """What of the leader's learning goes into the log, and when."""
 
-from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.learning import run_times as run_times_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import learnt as learnt_module
@@ -22,7 +22,7 @@
     def due(
         self,
         learnt: learnt_module.Learnt,
-        sharing: sharing_module.Sharing,
+        interference: interference_model.InterferenceModel,
         run_times: run_times_module.RunTimes,
         *,
         now_s: float,
@@ -32,10 +32,10 @@
             return None
         self._looked_s = now_s
         record = ttypes.RecordLearnt(
-            pressures=[
-                pressure
-                for pressure in sharing.pressures()
-                if learnt.pressures.get(_pair_of(pressure)) != pressure
+            interference=[
+                pair
+                for pair in interference.published()
+                if learnt.interference.get(_pair_of(pair)) != pair
             ],
             run_times=[
                 line
@@ -43,11 +43,11 @@
                 if _has_moved(learnt.run_times.get(line.queue), line)
             ],
         )
-        return record if record.pressures or record.run_times else None
+        return record if record.interference or record.run_times else None
 
 
-def _pair_of(pressure: ttypes.Pressure) -> learnt_module.Pair:
-    return pressure.serving_image, pressure.filling_image
+def _pair_of(pair: ttypes.PairInterference) -> learnt_module.Pair:
+    return pair.latency_critical_image, pair.best_effort_image
 
 
 def _has_moved(
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -36,21 +36,21 @@
 
     Attributes:
         evicted: Runs that have to give way, by (task, run).
-        paces: Percent of its speed that a run may take, where not all.
+        quotas: Percent of its speed that a run may take, where not all.
         tickets: What the adviser gave for a run.
     """
 
     def __init__(self):
         self._books: dict[str, _Book] = {}
         self.evicted: set[task_names.RunKey] = set()
-        self.paces: dict[task_names.RunKey, int] = {}
+        self.quotas: dict[task_names.RunKey, int] = {}
         self.tickets: dict[task_names.RunKey, str] = {}
 
     def reset(self, tables: tables_module.Tables) -> None:
         """Starts over as a new leader."""
         self._books = {}
         self.evicted.clear()
-        self.paces.clear()
+        self.quotas.clear()
         self.tickets.clear()
         for agent in tables.jobs.runs_by_agent:
             self.refresh(tables, agent)
@@ -65,7 +65,7 @@
         book = self._books.setdefault(agent, _Book())
         runs = tables.jobs.runs_by_agent.get(agent, {})
         wanted = {
-            key: (self._desire(tables, key, run), self.paces.get(key, 100))
+            key: (self._desire(tables, key, run), self.quotas.get(key, 100))
             for key, run in runs.items()
         }
         changed = [k for k, v in wanted.items() if book.wanted.get(k) != v]
@@ -77,7 +77,7 @@
             book.history.append((book.version, key))
         for key in gone:
             self.evicted.discard(key)
-            self.paces.pop(key, None)
+            self.quotas.pop(key, None)
             self.tickets.pop(key, None)
         book.wanted = wanted
         return True
@@ -131,13 +131,13 @@
         live: job_tables.LiveRun,
         wanted: tuple[ttypes.RunDesire, int],
     ) -> ttypes.RunOrder:
-        desire, pace_percent = wanted
+        desire, quota_percent = wanted
         order = ttypes.RunOrder(
             task=live.task,
             run=live.run,
             desire=desire,
             worker_id=live.worker_id,
-            pace_percent=pace_percent,
+            quota_percent=quota_percent,
             ticket=self.tickets.get(key, ""),
         )
         if desire == ttypes.RunDesire.RUN:
@@ -145,7 +145,7 @@
             record = tables.jobs.jobs[address.job_id]
             step = record.job.steps[address.step]
             task = job_tables.find_task(record, address)
-            order.fills = step.fills
+            order.best_effort = step.best_effort
             order.tail_target_ms = step.tail_target_ms
             order.image = step.image
             order.cpu_millicores = step.resources.cpu_millicores
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -103,10 +103,10 @@
     def _on_applied(self, command: ttypes.Command) -> None:
         # Only a leader sees which runs are slowed, so only it times them.
         if self._service is not None and self._leads_term():
-            self._run_clock.take(self._replica.tables.jobs, command)
+            self._run_clock.observe_command(self._replica.tables.jobs, command)
             if command.grant_runs is not None:
                 self._late_grants += command.grant_runs.grants
-        self._health.take(command)
+        self._health.observe_command(command)
         self._ticketing.take(command)
 
     def _loop(self) -> None:
@@ -151,7 +151,7 @@
             due = self._timetable.due(now_unix_ms=commands.now_unix_ms())
             learnt = self._learnt_log.due(
                 self._replica.tables.jobs.learnt,
-                self._service.sharing,
+                self._service.interference,
                 self._urgency.run_times,
                 now_s=now_s,
             )
@@ -233,7 +233,7 @@
         self._backlog.refresh(jobs, touched, now_s=now_s)
         views = self._service.agents.take_changed()
         self._learn(jobs, views)
-        self._health.look()
+        self._health.release_due()
         self._evicting.observe(jobs, views)
         self._evicting.leave_incomplete(jobs, touched)
         applied, self._late_grants = self._late_grants, []
@@ -253,19 +253,19 @@
         self._learnt_log = learnt_log.LearntLog()
         self._ticketing.begin_term()
         learnt = self._replica.tables.jobs.learnt
-        self._service.sharing.restore(learnt.pressures.values())
+        self._service.interference.restore(learnt.interference.values())
         self._urgency.run_times.restore(learnt.run_times.values())
         logs.event(
             "learning_restored",
             term=self._term,
-            pairs_count=len(learnt.pressures),
+            pairs_count=len(learnt.interference),
             queues_count=len(learnt.run_times),
         )
         self._evicting = evicting.Evicting(
             service=self._service, urgency=self._urgency, health=self._health
         )
         self._placement = placement_module.Placement(
-            sharing=self._service.sharing,
+            interference=self._service.interference,
             health=self._health,
             tickets=self._ticketing.tickets,
             is_live=self._service.leases.is_live,
@@ -284,8 +284,8 @@
         views: list[agents_module.AgentView],
     ) -> None:
         """Takes in what agents reported and which runs were done."""
-        self._service.sharing.learn(jobs, views)
-        self._run_clock.look(views)
+        self._service.interference.learn(jobs, views)
+        self._run_clock.observe(views)
         for sample in self._run_clock.take_samples():
             self._urgency.run_times.observe(
                 sample.queue,
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -7,7 +7,7 @@
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.configuration import watch_hub
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.jobs import job_events
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
@@ -32,7 +32,7 @@
         agents: Agents heard of in this term.
         leases: Leases that this process gave as leader.
         orders: Orders of this term.
-        sharing: What was learnt in this term of tasks on one worker.
+        interference: What was learnt in this term of tasks on one worker.
         silences: Agents that the log says are silent.
         hub: Where agents wait for orders.
         led_term: The last term that it led.
@@ -68,7 +68,7 @@
         self.agents = agents_module.Agents()
         self.leases = leases_module.LeaseTable()
         self.orders = orders_module.Orders()
-        self.sharing = sharing_module.Sharing()
+        self.interference = interference_model.InterferenceModel()
         self.hub = watch_hub.WatchHub()
         self.silences = silences_module.Silences(
             replica=replica, lease_ms=lease_ms
@@ -192,10 +192,10 @@
             reply = self.orders.since(
                 self._replica.tables, request, term=self._replica.term
             )
-            told = (request.term, request.pressures_version)
-            if told != (self._replica.term, self.sharing.version):
-                reply.pressures_version = self.sharing.version
-                reply.pressures = self.sharing.pressures()
+            told = (request.term, request.interference_version)
+            if told != (self._replica.term, self.interference.version):
+                reply.interference_version = self.interference.version
+                reply.interference = self.interference.published()
             members = self._replica.tables.members
             reply.control_addresses = [m.address for m in members]
         # Last, since this process may have been frozen at any line above.
--- a/marigoldsill/coordination/learning/__init__.py
+++ b/marigoldsill/coordination/learning/__init__.py
@@ -12,6 +12,6 @@
     "quarantine",
     "residents",
     "run_times",
-    "strain",
+    "utilization",
     "usage",
 ]
--- a/marigoldsill/coordination/learning/strain.py
+++ b/marigoldsill/coordination/learning/utilization.py
@@ -1,10 +1,8 @@
-"""How close tasks that serve are to their target, and what brings them there.
+"""Utilization of latency-critical tasks, and what interference adds to it.
 
-A task that serves behaves like a queue: its tail latency is about t0 / (1 - x)
-with x its load, so 1 / tail falls in proportion to the load. Tasks that fill on
-the same worker add to x by an amount that differs by the pair of images and
-drifts. So what is learnt is linear in `strain`, which grows as the reciprocal
-of the tail latency falls.
+A latency-critical task behaves like a queue: its tail latency is about t0 / (1 - x)
+with x its utilization, so 1 / tail is linear in x. Best-effort tasks on the same
+worker add to x by an amount that differs by the pair of images and drifts.
 """
 
 from collections.abc import Mapping
@@ -13,19 +11,17 @@
 
 from marigoldsill.coordination.learning import filtering
 
-# Scales strain so that 0 is a tail of an eighth of the target; any tail that is
-# lower has room enough.
+# A tail of an eighth of the target counts as utilization 0, a lower one too.
 _LOWEST_RATIO = 1 / 8
 _ALONE_MEAN = 0.5
 _ALONE_VARIANCE = 0.04
-# A load that swings by half in 10 s changes strain by up to 0.11 a second.
+# A load that swings by half in 10 s changes utilization by up to 0.11 a second.
 _ALONE_DRIFT_PER_S = 0.01
-# For a tenth of the worker in use. Of the images measured, those that hardly
-# disturb add 0.01, the others 0.1 to 0.2.
+# For a tenth of the worker in use; light images add 0.01, others 0.1 to 0.2.
 _PAIR_MEAN = 0.03
 _PAIR_VARIANCE = 0.004
 _PAIR_DRIFT_PER_S = 0.0001
-# A pair as an earlier leader knew it: better than unknown, but it has drifted.
+# Of a pair as an earlier leader knew it, which has drifted since.
 _RESTORED_VARIANCE = 0.001
 _NOISE_VARIANCE = 0.001
 # Tail latencies come in whole milliseconds.
@@ -36,19 +32,19 @@
 
 
 def of_tail(tail_ms: float, target_ms: float) -> float:
-    """The strain that a tail latency shows, from 0 to almost 1."""
+    """The utilization that a tail latency shows, from 0 to almost 1."""
     ratio = max(tail_ms / target_ms, _LOWEST_RATIO)
     return 1 - _LOWEST_RATIO / ratio
 
 
 def at_ratio(ratio: float) -> float:
-    """The strain at which a tail is that many times its target."""
+    """The utilization at which a tail is that many times its target."""
     return of_tail(ratio, 1.0)
 
 
 @dataclasses.dataclass(slots=True)
 class _Average:
-    """A mean that forgets.
+    """An exponentially weighted mean.
 
     Attributes:
         mean: Of what was added, the newest weighing most.
@@ -64,11 +60,11 @@
         self.at_s = now_s
 
 
-class StrainFilter:
-    """Learns what each task that serves bears alone, and what others add.
+class UtilizationFilter:
+    """Learns each task's utilization alone, and what best-effort tasks add.
 
-    Tasks of one job share their users' load, so what they bear alone is one
-    term, wherever they run; what fills beside them tells them apart.
+    Tasks of one job share their users' load, so their utilization alone is one
+    term, wherever they run.
     """
 
     def __init__(self):
@@ -81,18 +77,18 @@
         self,
         job: str,
         image: str,
-        shares: Mapping[str, float],
+        used: Mapping[str, float],
         *,
         tail_ms: float,
         target_ms: float,
         now_s: float,
     ) -> None:
-        """Takes one measurement of a task that serves.
+        """Learns from one sample of a latency-critical task.
 
         Args:
             job: The task's job.
             image: What it runs.
-            shares: Tenths of the worker in use by tasks that fill, by image.
+            used: Tenths of the worker in use by best-effort tasks, by image.
             tail_ms: The tail latency measured.
             target_ms: What it should stay below.
             now_s: When it was measured.
@@ -100,13 +96,13 @@
         alone = self._alone.setdefault(
             job, filtering.Term(_ALONE_MEAN, _ALONE_VARIANCE)
         )
-        _grow_old(alone, _ALONE_DRIFT_PER_S, _ALONE_VARIANCE, now_s)
+        _age(alone, _ALONE_DRIFT_PER_S, _ALONE_VARIANCE, now_s)
         terms = [(alone, 1.0)]
-        for filling, share in shares.items():
-            pair = self._pair(image, filling)
-            _grow_old(pair, _PAIR_DRIFT_PER_S, _PAIR_VARIANCE, now_s)
-            terms.append((pair, share))
-            self._changed_pairs.add((image, filling))
+        for best_effort, tenths in used.items():
+            pair = self._pair(image, best_effort)
+            _age(pair, _PAIR_DRIFT_PER_S, _PAIR_VARIANCE, now_s)
+            terms.append((pair, tenths))
+            self._changed_pairs.add((image, best_effort))
         seen = of_tail(tail_ms, target_ms)
         rounding = (1 - seen) * _ROUNDING_MS / max(tail_ms, 1.0)
         filtering.correct(
@@ -115,29 +111,31 @@
         self._note_usual(job, alone.mean, now_s)
         self._limit()
 
-    def restore(self, image: str, filling: str, added: float) -> None:
+    def restore(self, image: str, best_effort: str, added: float) -> None:
         """Goes on from what an earlier leader knew of a pair."""
-        self._pairs[image, filling] = filtering.Term(added, _RESTORED_VARIANCE)
+        self._pairs[image, best_effort] = filtering.Term(
+            added, _RESTORED_VARIANCE
+        )
         self._limit()
 
     def usual(self, job: str) -> float:
-        """The strain that a job's tasks bear alone, over the last seconds."""
+        """The utilization of a job's tasks alone, over the last seconds."""
         usual = self._usual.get(job)
         return _ALONE_MEAN if usual is None else usual.mean
 
     def alone(self, job: str) -> float:
-        """The strain of a job's tasks without anything that fills."""
+        """The utilization of a job's tasks without interference now."""
         term = self._alone.get(job)
         return _ALONE_MEAN if term is None else term.mean
 
-    def added(self, image: str, filling: str) -> float:
-        """What a tenth of the worker in use adds to the strain."""
-        term = self._pairs.get((image, filling))
+    def added(self, image: str, best_effort: str) -> float:
+        """What a tenth of the worker in use adds to a utilization."""
+        term = self._pairs.get((image, best_effort))
         return _PAIR_MEAN if term is None else term.mean
 
-    def added_at_most(self, image: str, filling: str) -> float:
-        """The same with one standard deviation to spare."""
-        term = self._pairs.get((image, filling))
+    def added_upper_bound(self, image: str, best_effort: str) -> float:
+        """The same, one standard deviation higher."""
+        term = self._pairs.get((image, best_effort))
         if term is None:
             return _PAIR_MEAN + math.sqrt(_PAIR_VARIANCE)
         return term.mean + math.sqrt(term.variance)
@@ -145,7 +143,7 @@
     def take_changed_pairs(self) -> dict[tuple[str, str], float]:
         """What is known of the pairs observed since the last call.
 
-        A pair is the serving image and the filling one.
+        A pair is the latency-critical image and the best-effort one.
         """
         changed, self._changed_pairs = self._changed_pairs, set()
         return {
@@ -154,9 +152,9 @@
             if pair in self._pairs
         }
 
-    def _pair(self, image: str, filling: str) -> filtering.Term:
+    def _pair(self, image: str, best_effort: str) -> filtering.Term:
         return self._pairs.setdefault(
-            (image, filling), filtering.Term(_PAIR_MEAN, _PAIR_VARIANCE)
+            (image, best_effort), filtering.Term(_PAIR_MEAN, _PAIR_VARIANCE)
         )
 
     def _note_usual(self, job: str, alone: float, now_s: float) -> None:
@@ -169,7 +167,7 @@
                 del terms[next(iter(terms))]
 
 
-def _grow_old(
+def _age(
     term: filtering.Term, per_s: float, limit: float, now_s: float
 ) -> None:
     """Makes a term less certain with the time since it was measured."""
--- a/marigoldsill/platform/job_bodies.py
+++ b/marigoldsill/platform/job_bodies.py
@@ -77,7 +77,7 @@
         long_running=step.flag("long_running"),
         image=step.text("image", default=""),
         tail_target_ms=step.integer("target_ms", default=0),
-        fills=step.flag("fills"),
+        best_effort=step.flag("fills"),
         absent_limit=step.integer(
             "miss_tolerance", default=0, high=_TASKS_LIMIT
         ),
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -171,9 +171,9 @@
     return found
 
 
-def _running(row: list) -> ttypes.RunLook:
+def _running(row: list) -> ttypes.RunSample:
     task, run, checkpoint_id, percent, *load = row
-    return ttypes.RunLook(
+    return ttypes.RunSample(
         task=_task(task),
         run=_count(run),
         percent=_rough(percent, high=_PERCENT_LIMIT),
--- a/marigoldsill/platform/worker_client.py
+++ b/marigoldsill/platform/worker_client.py
@@ -72,7 +72,7 @@
         )
         return worker_bodies.decode_listing(answer.body)
 
-    def pace(
+    def throttle(
         self, worker_id: str, task: str, run: int, *, percent: int, token: int
     ) -> int:
         """Lets a run take a share of its speed."""
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -125,8 +125,8 @@
   11: bool speculative = false,     // copies of a task may run at a time
   12: bool long_running = false,
   13: string image = "",
-  14: i64 tail_target_ms = 0,       // of a task that serves users of its own
-  15: bool fills = false,           // uses processor time that others leave
+  14: i64 tail_target_ms = 0,       // of a latency-critical task users of its own
+  15: bool best_effort = false,           // uses processor time that others leave
   16: i32 absent_limit = 0          // tasks that may be away by our own doing
 }
 
@@ -466,9 +466,9 @@
 struct ForgetJobs { 1: list<string> job_ids }
 
 /** What tasks of one image add to the strain of tasks of another. */
-struct Pressure {
-  1: string serving_image,
-  2: string filling_image,
+struct PairInterference {
+  1: string latency_critical_image,
+  2: string best_effort_image,
   3: double added = 0.0             // by a tenth of the worker in use
 }
 
@@ -484,7 +484,7 @@
 
 /** What a leader has learnt, so that the next one goes on from there. */
 struct RecordLearnt {
-  1: list<Pressure> pressures = [],
+  1: list<PairInterference> interference = [],
   2: list<RunTimesLine> run_times = []
 }
 
@@ -761,13 +761,13 @@
 }
 
 /** A run that the worker lists as running. */
-struct RunLook {
+struct RunSample {
   1: string task,
   2: i64 run,
   3: i32 percent,                   // of its work
   4: i64 load,                      // tail latency in ms, or millicores in use
   5: string checkpoint_id = "",
-  6: i32 pace_percent = 100
+  6: i32 quota_percent = 100
 }
 
 struct AgentReport {
@@ -776,7 +776,7 @@
   3: i64 sequence,
   4: optional PoolWorker worker,    // first report, and on a change
   5: list<RunEnd> ends = [],        // resent until recorded
-  6: optional list<RunLook> running,
+  6: optional list<RunSample> running,
   7: string worker_id = "",
   8: bool worker_silent = false
 }
@@ -799,9 +799,9 @@
   4: string worker_id = "",
   5: string command = "",
   6: string checkpoint_id = "",
-  7: i32 pace_percent = 100,
+  7: i32 quota_percent = 100,
   8: string ticket = "",
-  9: bool fills = false,            // takes what other tasks leave
+  9: bool best_effort = false,            // takes what other tasks leave
   10: i64 tail_target_ms = 0,       // serves users of its own
   11: string image = "",
   12: i64 cpu_millicores = 0
@@ -814,7 +814,7 @@
   2: i64 term = 0,                  // of the version that it holds
   3: i64 version = 0,
   4: i64 wait_ms = 0,
-  5: i64 pressures_version = 0
+  5: i64 interference_version = 0
 }
 
 struct OrdersReply {
@@ -824,8 +824,8 @@
   4: list<RunOrder> orders = [],
   5: list<RunId> removed = [],
   6: list<string> control_addresses = [],
-  7: i64 pressures_version = 0,
-  8: optional list<Pressure> pressures   // all of them, when there are others
+  7: i64 interference_version = 0,
+  8: optional list<PairInterference> interference   // all of them, when there are others
 }
 
 // ------------------------------------------- forming a group by itself
--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -72,7 +72,7 @@
     """
 
     clock_ms: int
-    running: list[ttypes.RunLook]
+    running: list[ttypes.RunSample]
     ended: list[EndedRun]
     unread_running_count: int = 0
     unread_ended_count: int = 0
@@ -133,7 +133,7 @@
         """
 
     @abc.abstractmethod
-    def pace(
+    def throttle(
         self, worker_id: str, task: str, run: int, *, percent: int, token: int
     ) -> int:
         """Lets a run take a share of its speed.
--- a/marigoldsill/state/learnt.py
+++ b/marigoldsill/state/learnt.py
@@ -14,26 +14,26 @@
     """The newest record of each pair of images and of each queue.
 
     Attributes:
-        pressures: By serving and filling image.
+        interference: By latency-critical and best-effort image.
         run_times: By queue.
     """
 
     def __init__(self):
-        self.pressures: dict[Pair, ttypes.Pressure] = {}
+        self.interference: dict[Pair, ttypes.PairInterference] = {}
         self.run_times: dict[str, ttypes.RunTimesLine] = {}
 
     def take(self, record: ttypes.RecordLearnt) -> None:
         """Replaces what is recorded of the same pairs and queues."""
-        for pressure in record.pressures:
-            pair = (pressure.serving_image, pressure.filling_image)
-            _put(self.pressures, pair, pressure, PAIRS_LIMIT)
+        for item in record.interference:
+            pair = (item.latency_critical_image, item.best_effort_image)
+            _put(self.interference, pair, item, PAIRS_LIMIT)
         for line in record.run_times:
             _put(self.run_times, line.queue, line, QUEUES_LIMIT)
 
     def record(self) -> ttypes.RecordLearnt:
         """Everything, as one record."""
         return ttypes.RecordLearnt(
-            pressures=list(self.pressures.values()),
+            interference=list(self.interference.values()),
             run_times=list(self.run_times.values()),
         )
 
--- a/tests/coordination/job_placing/test_free_capacity.py
+++ b/tests/coordination/job_placing/test_free_capacity.py
@@ -7,9 +7,9 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import scoring
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
@@ -32,9 +32,9 @@
     def __init__(self):
         self.state = builders.State()
         self.jobs = self.state.tables.jobs
-        self.sharing = sharing_module.Sharing()
+        self.interference = interference_model.InterferenceModel()
         self.placement = placement_module.Placement(
-            sharing=self.sharing,
+            interference=self.interference,
             health=worker_health.WorkerHealth(),
             tickets=tickets_module.Tickets(),
         )
@@ -96,7 +96,7 @@
         assert set(kept) == {a for a in _AGENTS if self.up[a]}
         for agent, free in kept.items():
             anew = free_capacity.of_agent(
-                self.jobs, self.views[agent], self.sharing
+                self.jobs, self.views[agent], self.interference
             )
             assert free == anew
         self._check_candidates()
@@ -108,7 +108,7 @@
             best = self.placement.find_other(step, builders.POOL, agent="")
             scores = {
                 free.agent: scoring.rate(
-                    free, step, builders.POOL, self.sharing
+                    free, step, builders.POOL, self.interference
                 )
                 for free in workers
             }
@@ -128,7 +128,11 @@
 
 _BATCH = builders.step(2, resources=_resources(1, 1))
 _BEST_EFFORT = builders.step(
-    3, resources=_resources(2, 1), fills=True, image="f", checkpointing=True
+    3,
+    resources=_resources(2, 1),
+    best_effort=True,
+    image="f",
+    checkpointing=True,
 )
 _LATENCY_CRITICAL = builders.step(
     2,
--- a/tests/coordination/job_placing/test_placement.py
+++ b/tests/coordination/job_placing/test_placement.py
@@ -5,8 +5,8 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import gangs
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
@@ -28,13 +28,15 @@
 
     def __init__(self, *queues: ttypes.Queue):
         self.state = builders.State(*queues)
-        self.sharing = sharing_module.Sharing()
+        self.interference = interference_model.InterferenceModel()
         self.backlog = backlog_module.Backlog()
         self.urgency = urgency_module.Urgency()
         self.health = worker_health.WorkerHealth()
         self.tickets = tickets_module.Tickets()
         self.placement = placement_module.Placement(
-            sharing=self.sharing, health=self.health, tickets=self.tickets
+            interference=self.interference,
+            health=self.health,
+            tickets=self.tickets,
         )
         self.now_s = 100.0
         self.views: dict[str, agents_module.AgentView] = {}
@@ -62,7 +64,7 @@
         )
         grants = self.placement.place(waiting, now_s=self.now_s)
         assert self.state.grant(*grants) == len(grants)
-        self.health.take(
+        self.health.observe_command(
             commands.new(
                 command_id="", grant_runs=ttypes.GrantRuns(grants=grants)
             )
@@ -70,18 +72,20 @@
         return {grant.task: grant.agent for grant in grants}
 
     def list_tail(self, agent: str, task: str, *, tail_ms: int) -> None:
-        """Has a worker list a task that serves."""
-        look = ttypes.RunLook(task=task, run=1, percent=100, load=tail_ms)
+        """Has a worker list a latency-critical task."""
+        sample = ttypes.RunSample(task=task, run=1, percent=100, load=tail_ms)
         self.now_s += 1.0
         view = self.views[agent]
-        view.looks, view.looked_s = {(task, 1): look}, self.now_s
-        self.sharing.learn(self.state.tables.jobs, [view])
+        view.samples, view.sampled_s = {(task, 1): sample}, self.now_s
+        self.interference.learn(self.state.tables.jobs, [view])
 
     def take_end(self, end: ttypes.RunEnd) -> None:
         """Records an end and has it looked at."""
         self.state.end(end)
         record = ttypes.RecordRunEnds(ends=[end])
-        self.health.take(commands.new(command_id="", record_run_ends=record))
+        self.health.observe_command(
+            commands.new(command_id="", record_run_ends=record)
+        )
 
 
 @pytest.fixture
@@ -150,7 +154,9 @@
     assert leader.round() == {}
 
 
-def _serving_fields(image: str = "desk", cores: float = 4) -> dict[str, object]:
+def _latency_critical_fields(
+    image: str = "desk", cores: float = 4
+) -> dict[str, object]:
     return {
         "long_running": True,
         "image": image,
@@ -159,25 +165,25 @@
     }
 
 
-def _serving(image: str = "desk", cores: float = 4) -> ttypes.Step:
-    return builders.step(**_serving_fields(image, cores))
+def _latency_critical(image: str = "desk", cores: float = 4) -> ttypes.Step:
+    return builders.step(**_latency_critical_fields(image, cores))
 
 
-def _filling_fields(
+def _best_effort_fields(
     image: str = "heavy", cores: float = 4
 ) -> dict[str, object]:
-    return {"image": image, "fills": True, "resources": _resources(cores)}
+    return {"image": image, "best_effort": True, "resources": _resources(cores)}
 
 
-def _filling(image: str = "heavy", cores: float = 4) -> ttypes.Step:
-    return builders.step(**_filling_fields(image, cores))
+def _best_effort(image: str = "heavy", cores: float = 4) -> ttypes.Step:
+    return builders.step(**_best_effort_fields(image, cores))
 
 
 def test_tasks_that_serve_are_packed(leader: _Leader) -> None:
     leader.worker("a1", cores=16)
     leader.worker("a2", cores=16)
-    leader.submit("j1", _serving())
-    leader.submit("j2", _serving("other"))
+    leader.submit("j1", _latency_critical())
+    leader.submit("j2", _latency_critical("other"))
     assert len(set(leader.round().values())) == 1
 
 
@@ -186,49 +192,51 @@
 ) -> None:
     """Large jobs found no worker where nothing served, on a site nearly full.
 
-    Tasks that serve went to the smallest workers that they fitted on, so that
-    nearly all workers had some, and tasks that fill were slowed down on all.
+    Latency-critical tasks went to the smallest workers that they fitted on, so that
+    nearly all workers had some, and best-effort tasks were slowed down on all.
     """
     for agent, cores in (("a1", 8), ("a2", 24), ("a3", 16)):
         leader.worker(agent, cores=cores)
-    leader.submit("j1", builders.step(6, **_serving_fields(cores=4)))
-    leader.submit("j2", builders.step(2, **_serving_fields("other", 4)))
+    leader.submit("j1", builders.step(6, **_latency_critical_fields(cores=4)))
+    leader.submit(
+        "j2", builders.step(2, **_latency_critical_fields("other", 4))
+    )
     assert sorted(leader.round().values()) == ["a2"] * 6 + ["a3"] * 2
 
 
 def test_tasks_that_serve_are_put_beside_their_image(leader: _Leader) -> None:
     for agent, job, image in (("a1", "j1", "desk"), ("a2", "j2", "other")):
         leader.worker(agent, cores=16)
-        leader.submit(job, _serving(image))
+        leader.submit(job, _latency_critical(image))
         leader.round()
         leader.views["a1"].worker.draining = agent == "a1"
     leader.views["a1"].worker.draining = False
-    leader.submit("j3", _serving("other"))
+    leader.submit("j3", _latency_critical("other"))
     assert list(leader.round().values()) == ["a2"]
 
 
 def test_tasks_that_fill_stay_off_workers_that_serve(leader: _Leader) -> None:
     leader.worker("a1", cores=16)
     leader.worker("a2", cores=16)
-    leader.submit("j1", _serving())
-    serving = leader.round()["j1.0.0.0"]
-    leader.submit("j2", _filling())
-    assert leader.round()["j2.0.0.0"] != serving
+    leader.submit("j1", _latency_critical())
+    latency_critical = leader.round()["j1.0.0.0"]
+    leader.submit("j2", _best_effort())
+    assert leader.round()["j2.0.0.0"] != latency_critical
 
 
 def test_nothing_begins_beside_what_serves_and_was_not_seen_yet(
     leader: _Leader,
 ) -> None:
-    """After a loss of all power tasks that serve were over their targets.
+    """After a loss of all power latency-critical tasks were over their targets.
 
     The order: everything was lost and granted again in one round. Tasks that
     fill were placed as if nobody served on the workers that had just been given
-    to tasks that serve, whose load nobody had seen yet, and began there at
+    to latency-critical tasks, whose load nobody had seen yet, and began there at
     their whole speed.
     """
     leader.worker("a1", cores=16)
-    leader.submit("j1", _serving())
-    leader.submit("j2", _filling())
+    leader.submit("j1", _latency_critical())
+    leader.submit("j2", _best_effort())
     assert list(leader.round()) == ["j1.0.0.0"]
     assert leader.round() == {}
     leader.list_tail("a1", "j1.0.0.0", tail_ms=15)
@@ -239,11 +247,11 @@
     leader: _Leader,
 ) -> None:
     leader.worker("a1", cores=16)
-    leader.submit("j1", _serving())
+    leader.submit("j1", _latency_critical())
     leader.round()
     for tail_ms in (30, 30, 30, 97):
         leader.list_tail("a1", "j1.0.0.0", tail_ms=tail_ms)
-    leader.submit("j2", _filling(cores=1))
+    leader.submit("j2", _best_effort(cores=1))
     assert leader.round() == {}
     leader.list_tail("a1", "j1.0.0.0", tail_ms=30)
     assert list(leader.round()) == ["j2.0.0.0"]
@@ -253,7 +261,7 @@
     leader: _Leader,
 ) -> None:
     leader.worker("a1", cores=8)
-    leader.submit("j1", _filling(cores=6))
+    leader.submit("j1", _best_effort(cores=6))
     assert list(leader.round()) == ["j1.0.0.0"]
     leader.submit("j2", builders.step(resources=_resources(8)))
     assert list(leader.round()) == ["j2.0.0.0"]
@@ -263,7 +271,7 @@
     leader: _Leader,
 ) -> None:
     leader.worker("a1", cores=8)
-    leader.submit("j1", _filling(cores=7), _filling(cores=7))
+    leader.submit("j1", _best_effort(cores=7), _best_effort(cores=7))
     assert len(leader.round()) == 1
 
 
@@ -284,9 +292,9 @@
     leader: _Leader,
 ) -> None:
     leader.worker("a1", cores=8)
-    leader.submit("j1", _filling(cores=7))
+    leader.submit("j1", _best_effort(cores=7))
     leader.round()
-    leader.submit("j2", builders.step(2, **_filling_fields(cores=7)))
+    leader.submit("j2", builders.step(2, **_best_effort_fields(cores=7)))
     assert leader.round() == {}
     leader.now_s += 3.0
     assert len(leader.round()) == 1
@@ -298,10 +306,10 @@
     leader: _Leader,
 ) -> None:
     leader.worker("a1", cores=16)
-    leader.submit("j1", _serving(cores=12))
+    leader.submit("j1", _latency_critical(cores=12))
     leader.round()
     leader.list_tail("a1", "j1.0.0.0", tail_ms=90)
-    leader.submit("j2", _filling())
+    leader.submit("j2", _best_effort())
     assert leader.round() == {}
     leader.now_s += 10.0
     assert leader.round() == {}
--- a/tests/coordination/job_placing/test_stalls.py
+++ b/tests/coordination/job_placing/test_stalls.py
@@ -32,16 +32,16 @@
     def listed(self, *percents: int, load: int = 1_000) -> None:
         """Half a second later the worker lists so much work as done."""
         self.now_s += 0.5
-        self.view.looked_s = self.now_s
-        self.view.looks = {
-            (builders.task(index), 1): ttypes.RunLook(
+        self.view.sampled_s = self.now_s
+        self.view.samples = {
+            (builders.task(index), 1): ttypes.RunSample(
                 task=builders.task(index), run=1, percent=percent, load=load
             )
             for index, percent in enumerate(percents)
         }
 
     def look(self) -> list[stalls_module.Stall]:
-        return self.stalls.look(self.state.tables.jobs, [self.view])
+        return self.stalls.find(self.state.tables.jobs, [self.view])
 
     def look_often(self, *percents: int, load: int = 1_000) -> bool:
         """Whether the worker counts as stalled in the next 4 seconds."""
@@ -92,7 +92,7 @@
     for percent in range(10, 50, 5):
         case.listed(10, 10, percent)
         assert case.look() == []
-    assert case.stalls.advances(case.view)
+    assert case.stalls.made_progress(case.view)
 
 
 def test_tasks_without_processor_time_are_not_stalled(case: _Case) -> None:
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -40,13 +40,13 @@
 
     def wait(self, seconds: float) -> None:
         self.now_s += seconds
-        self.health.look()
+        self.health.release_due()
 
     def takes(self, worker_id: str, runs_count: int = 0) -> bool:
         return self.health.may_take(worker_id, count_runs=lambda: runs_count)
 
     def _take(self, **body: object) -> None:
-        self.health.take(commands.new(command_id="", **body))
+        self.health.observe_command(commands.new(command_id="", **body))
 
 
 @pytest.fixture
@@ -149,25 +149,25 @@
 
 
 @pytest.mark.parametrize(
-    ("fields", "pace_percent", "count"),
+    ("fields", "quota_percent", "count"),
     [
         ({}, 100, 1),
         ({"long_running": True}, 100, 0),
-        ({"fills": True}, 50, 1),
-        ({"fills": True}, 0, 0),
+        ({"best_effort": True}, 50, 1),
+        ({"best_effort": True}, 0, 0),
     ],
     ids=["ends", "lasts", "is slowed", "stands still"],
 )
 def test_a_worker_on_probation_waits_only_for_runs_that_can_tell(
-    fields: dict, pace_percent: int, count: int
+    fields: dict, quota_percent: int, count: int
 ) -> None:
     state = builders.State()
     state.submit(builders.job("j1", builders.step(**fields)))
     task = builders.task()
     state.grant(builders.grant(task))
-    look = ttypes.RunLook(
-        task=task, run=1, percent=100, pace_percent=pace_percent
+    sample = ttypes.RunSample(
+        task=task, run=1, percent=100, quota_percent=quota_percent
     )
-    view = agents_module.AgentView("a1", looks={(task, 1): look})
+    view = agents_module.AgentView("a1", samples={(task, 1): sample})
     jobs = state.tables.jobs
     assert worker_health.telling_runs_count(jobs, view) == count
--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -57,7 +57,7 @@
 
 
 def grant(name: str, run: int = 1, agent: str = "a1") -> ttypes.RunGrant:
-    """A grant to the first life of an agent's worker."""
+    """A grant to the first incarnation of an agent's worker."""
     return ttypes.RunGrant(
         task=name, run=run, agent=agent, worker_id=f"{agent}-life1"
     )
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -13,32 +13,32 @@
     """Starts, stops and lists runs at once; no time passes in it.
 
     Attributes:
-        life: The life that answers.
+        incarnation: The incarnation that answers.
         running: What runs.
         refusal: Reason to refuse starts with, or empty.
         unanswered: Calls, by name, that give no answer until removed here.
         late: What such calls will do when `deliver_late` is called.
         calls: Names of the calls that came, with their run.
-        paces: The pace that each run was given.
-        held_lives: The lives that calls to hold meant, in turn.
-        lost_lives: Lives of which calls get no answer.
+        quotas: The pace that each run was given.
+        held_incarnations: The incarnations that calls to hold meant, in turn.
+        lost_lives: Incarnations of which calls get no answer.
         unread: Runs whose row of the list can't be read.
         unread_ended_count: How many rows of ends can't be read.
         lingering: Whether runs go on after their stop was confirmed.
     """
 
-    def __init__(self, life: str = "a1-life1"):
-        self.life = life
-        self.running: dict[task_names.RunKey, ttypes.RunLook] = {}
+    def __init__(self, incarnation: str = "a1-life1"):
+        self.incarnation = incarnation
+        self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.refusal = ""
         self.unwell = False
         self.unanswered: set[str] = set()
         self.late: list = []
         self.calls: list[tuple[str, task_names.RunKey]] = []
-        self.paces: dict[task_names.RunKey, int] = {}
+        self.quotas: dict[task_names.RunKey, int] = {}
         self.deadlines: list[int | None] = []
         self.acknowledged = 0
-        self.held_lives: list[str] = []
+        self.held_incarnations: list[str] = []
         self.lost_lives: set[str] = set()
         self.unread: set[task_names.RunKey] = set()
         self.unread_ended_count = 0
@@ -76,7 +76,7 @@
         wait_ms: int,
     ) -> run_worker.Listing:
         """Lists."""
-        self.held_lives.append(worker_id)
+        self.held_incarnations.append(worker_id)
         if worker_id in self.lost_lives:
             raise errors.TransportError("no answer", sent=True)
         self._check_life(worker_id)
@@ -87,7 +87,9 @@
             for key in self._stopping & self.running.keys():
                 self._end(key, ttypes.RunEndKind.STOPPED)
         read = [
-            look for key, look in self.running.items() if key not in self.unread
+            sample
+            for key, sample in self.running.items()
+            if key not in self.unread
         ]
         return run_worker.Listing(
             clock_ms=self.clock_ms(),
@@ -97,11 +99,11 @@
             unread_ended_count=self.unread_ended_count,
         )
 
-    def pace(
+    def throttle(
         self, worker_id: str, task: str, run: int, *, percent: int, token: int
     ) -> int:
         """Notes a pace."""
-        self.paces[task, run] = percent
+        self.quotas[task, run] = percent
         return self.clock_ms()
 
     def end(self, key: task_names.RunKey, kind: ttypes.RunEndKind) -> None:
@@ -131,7 +133,7 @@
         return self.clock_ms()
 
     def _check_life(self, worker_id: str) -> None:
-        if worker_id != self.life:
+        if worker_id != self.incarnation:
             raise errors.OtherWorkerError("421")
 
     def _start(self, key: task_names.RunKey) -> None:
@@ -143,7 +145,7 @@
             raise errors.RunRefusedError("409", reason=reason)
         if self.refusal:
             raise errors.RunRefusedError("409", reason=self.refusal)
-        self.running[key] = ttypes.RunLook(
+        self.running[key] = ttypes.RunSample(
             task=task, run=run, percent=0, load=0
         )
 
--- a/tests/coordination/jobs/one_agent.py
+++ b/tests/coordination/jobs/one_agent.py
@@ -17,9 +17,11 @@
 KEY = ("j1.0.0.0", 1)
 
 
-def announcement(life: str, sequence: int = 1) -> run_worker.Announcement:
+def announcement(
+    incarnation: str, sequence: int = 1
+) -> run_worker.Announcement:
     worker = ttypes.PoolWorker(
-        worker_id=life,
+        worker_id=incarnation,
         pool="pool",
         data_centre="dc1",
         rack="r1",
@@ -43,11 +45,11 @@
         self,
         desire: ttypes.RunDesire,
         key: tuple[str, int] = KEY,
-        life: str = "a1-life1",
+        incarnation: str = "a1-life1",
     ) -> None:
         self.version += 1
         order = ttypes.RunOrder(
-            task=key[0], run=key[1], desire=desire, worker_id=life
+            task=key[0], run=key[1], desire=desire, worker_id=incarnation
         )
         self.take(orders=[order], removed=[])
 
@@ -64,17 +66,17 @@
         self.holder.hold(self.state.announced.worker.worker_id)
 
     def call_next(self, *, rounds_count: int) -> list[str]:
-        """Lets the holder call whom it would; the lives that it called."""
-        before = len(self.worker.held_lives)
+        """Lets the holder call whom it would; the incarnations that it called."""
+        before = len(self.worker.held_incarnations)
         for _ in range(rounds_count):
-            if life := self.holder.next_life():
-                self.holder.call(life)
-        return self.worker.held_lives[before:]
+            if incarnation := self.holder.next_incarnation():
+                self.holder.call(incarnation)
+        return self.worker.held_incarnations[before:]
 
     def work(self) -> None:
         """Carries out what is due, and waits until it is done."""
         with self.state.changed:
-            self.executor.look()
+            self.executor.reconcile()
         self.executor.wait_until_idle()
 
     def settle(self) -> None:
--- a/tests/coordination/jobs/test_advising.py
+++ b/tests/coordination/jobs/test_advising.py
@@ -9,7 +9,7 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import free_capacity
-from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.jobs import advising as advising_module
@@ -77,7 +77,7 @@
     )
     view = agents_module.AgentView(agent, worker=worker)
     return free_capacity.of_agent(
-        state.tables.jobs, view, sharing_module.Sharing()
+        state.tables.jobs, view, interference_model.InterferenceModel()
     )
 
 
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -192,7 +192,7 @@
 ) -> None:
     agent.order(one_agent.RUN)
     agent.settle()
-    agent.worker.life = "a1-life2"
+    agent.worker.incarnation = "a1-life2"
     agent.worker.running.clear()
     agent.state.announce(one_agent.announcement("a1-life2"))
     agent.hold()
@@ -202,7 +202,7 @@
 def test_orders_from_before_a_restart_of_agent_and_worker_are_lost(
     agent: one_agent.Agent,
 ) -> None:
-    agent.order(one_agent.RUN, life="a1-life0")
+    agent.order(one_agent.RUN, incarnation="a1-life0")
     agent.settle()
     assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.LOST}
     assert agent.worker.calls == []
--- a/tests/coordination/jobs/test_agent_lives.py
+++ b/tests/coordination/jobs/test_agent_lives.py
@@ -1,4 +1,4 @@
-"""What an agent believes of its worker's lives, and who may tell it."""
+"""What an agent believes of its worker's incarnations, and who may tell it."""
 
 import pytest
 
@@ -15,7 +15,7 @@
 def test_a_late_heartbeat_of_a_dead_life_changes_nothing(
     agent: one_agent.Agent,
 ) -> None:
-    agent.worker.life = "a1-life2"
+    agent.worker.incarnation = "a1-life2"
     agent.state.announce(one_agent.announcement("a1-life2"))
     agent.hold()
     agent.state.announce(one_agent.announcement("a1-life1", sequence=99))
@@ -26,12 +26,12 @@
 def test_a_worker_is_held_on_when_another_writer_names_another_life(
     agent: one_agent.Agent,
 ) -> None:
-    """A heartbeat under an id that is no life here ended the holding.
+    """A heartbeat under an id that is no incarnation here ended the holding.
 
     What users would see: everything on a sound worker is killed a lease after
     another writer's heartbeat, where the worker's own are rare. The agent asked
-    the life that was announced, the worker refused the call since it is
-    another, and the agent was left without any life to hold until the worker's
+    the incarnation that was announced, the worker refused the call since it is
+    another, and the agent was left without any incarnation to hold until the worker's
     next heartbeat.
     """
     agent.state.announce(one_agent.announcement("i-other"))
@@ -44,10 +44,10 @@
 def test_a_life_that_does_not_answer_costs_the_held_one_no_turn(
     agent: one_agent.Agent,
 ) -> None:
-    """Of two lives, each gets its turn until the worker has refused one.
+    """Of two incarnations, each gets its turn until the worker has refused one.
 
     What users would see: as above. The refusal itself may be lost on its way;
-    the agent asked the announced life again and again, the held one never.
+    the agent asked the announced incarnation again and again, the held one never.
     """
     agent.worker.lost_lives = {"i-other"}
     agent.state.announce(one_agent.announcement("i-other"))
@@ -76,7 +76,7 @@
     """
     agent.order(one_agent.RUN)
     agent.settle()
-    agent.worker.life = "a1-life2"
+    agent.worker.incarnation = "a1-life2"
     agent.worker.running.clear()
     agent.state.announce(one_agent.announcement("a1-life2"))
     agent.state.announce(one_agent.announcement("i-other"))
@@ -203,6 +203,6 @@
     agent: one_agent.Agent,
 ) -> None:
     agent.state.retire("a1-life1")
-    agent.order(one_agent.RUN, life="a1-life0")
+    agent.order(one_agent.RUN, incarnation="a1-life0")
     agent.state.retire("a1-life0")
     assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.LOST}
--- a/tests/coordination/jobs/test_learnt_log.py
+++ b/tests/coordination/jobs/test_learnt_log.py
@@ -3,7 +3,7 @@
 import pytest
 
 from marigoldsill.coordination.agreement import replica as replica_module
-from marigoldsill.coordination.job_placing import sharing as sharing_module
+from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.jobs import learnt_log
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import service as service_module
@@ -13,8 +13,8 @@
 from marigoldsill.state import learnt as learnt_module
 from tests import one_process
 
-_PRESSURE = ttypes.Pressure(
-    serving_image="desk", filling_image="pack", added=0.25
+_PRESSURE = ttypes.PairInterference(
+    latency_critical_image="desk", best_effort_image="pack", added=0.25
 )
 
 
@@ -23,7 +23,7 @@
 
     def __init__(self):
         self.learnt = learnt_module.Learnt()
-        self.sharing = sharing_module.Sharing()
+        self.interference = interference_model.InterferenceModel()
         self.run_times = run_times_module.RunTimes()
         self.log = learnt_log.LearntLog()
         self.now_s = 100.0
@@ -32,7 +32,7 @@
         """Records what is due some time later."""
         self.now_s += 10.0
         record = self.log.due(
-            self.learnt, self.sharing, self.run_times, now_s=self.now_s
+            self.learnt, self.interference, self.run_times, now_s=self.now_s
         )
         if record is not None:
             self.learnt.take(record)
@@ -49,10 +49,10 @@
 
 
 def test_what_was_learnt_is_recorded_once(leader: _Leader) -> None:
-    leader.sharing.restore([_PRESSURE])
+    leader.interference.restore([_PRESSURE])
     leader.run(2_000)
     record = leader.record()
-    assert record.pressures == [_PRESSURE]
+    assert record.interference == [_PRESSURE]
     assert [line.queue for line in record.run_times] == ["fast"]
     assert leader.record() is None
 
@@ -84,7 +84,7 @@
 
 def test_a_new_leader_places_by_what_the_log_holds() -> None:
     replica = replica_module.Replica(member=ttypes.Member(name="c1"))
-    record = ttypes.RecordLearnt(pressures=[_PRESSURE])
+    record = ttypes.RecordLearnt(interference=[_PRESSURE])
     replica.propose(
         commands.new(command_id="", record_learnt=record), timeout_s=1.0
     )
@@ -93,9 +93,11 @@
     scheduler.start(service)
     try:
         one_process.wait_until(
-            lambda: service.sharing.pressures() == [_PRESSURE],
+            lambda: service.interference.published() == [_PRESSURE],
             what="the new leader's figures",
         )
-        assert service.sharing.added("desk", "pack", 1.0) == _PRESSURE.added
+        assert (
+            service.interference.added("desk", "pack", 1.0) == _PRESSURE.added
+        )
     finally:
         scheduler.stop()
--- a/tests/coordination/jobs/test_load_trends.py
+++ b/tests/coordination/jobs/test_load_trends.py
@@ -10,7 +10,7 @@
 def _rise_after(*alone: float, apart_s: float = 0.25) -> float:
     trends = load_trends.LoadTrends()
     for number, value in enumerate(alone):
-        trends.look({_KEY: value}, now_s=number * apart_s)
+        trends.update({_KEY: value}, now_s=number * apart_s)
     return trends.rise(_KEY)
 
 
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -41,11 +41,11 @@
 
     def list(self, *ends: ttypes.RunEnd) -> None:
         """Has the worker list one run, and ends."""
-        look = ttypes.RunLook(task="j1.0.0.0", run=1, percent=50, load=900)
+        sample = ttypes.RunSample(task="j1.0.0.0", run=1, percent=50, load=900)
         self.state.take_listing(
             run_worker.Listing(
                 clock_ms=0,
-                running=[look],
+                running=[sample],
                 ended=[
                     run_worker.EndedRun(number, end)
                     for number, end in enumerate(ends, 1)
@@ -66,7 +66,7 @@
 
 def test_the_first_report_lists_what_runs(case: _Case) -> None:
     report = case.report(after_s=0.0)
-    assert [look.task for look in report.running] == ["j1.0.0.0"]
+    assert [sample.task for sample in report.running] == ["j1.0.0.0"]
     assert report.worker.worker_id == "a1-life1"
 
 
--- a/tests/coordination/learning/test_strain.py
+++ b/tests/coordination/learning/test_utilization.py
@@ -1,10 +1,10 @@
-"""What serving tasks bear, and which filling images bring them near a limit."""
+"""What latency_critical tasks bear, and which best_effort images bring them near a limit."""
 
 import random
 
 import pytest
 
-from marigoldsill.coordination.learning import strain
+from marigoldsill.coordination.learning import utilization
 
 _T0_MS = 4.0
 _TARGET_MS = 24.0
@@ -16,20 +16,22 @@
 
 
 def test_strain_is_linear_in_the_load_of_a_queue() -> None:
-    strains = [
-        strain.of_tail(_T0_MS / (1 - load), _TARGET_MS)
+    utilizations = [
+        utilization.of_tail(_T0_MS / (1 - load), _TARGET_MS)
         for load in (0.3, 0.5, 0.7)
     ]
-    assert strains[2] - strains[1] == pytest.approx(strains[1] - strains[0])
+    assert utilizations[2] - utilizations[1] == pytest.approx(
+        utilizations[1] - utilizations[0]
+    )
 
 
 def test_a_tail_at_its_target_is_a_strain_below_one() -> None:
-    assert strain.at_ratio(0.5) < strain.at_ratio(1.0) < 1
-    assert strain.of_tail(0, _TARGET_MS) == 0
+    assert utilization.at_ratio(0.5) < utilization.at_ratio(1.0) < 1
+    assert utilization.of_tail(0, _TARGET_MS) == 0
 
 
 def test_a_heavy_and_a_light_image_are_told_apart_though_loads_swing() -> None:
-    learnt = strain.StrainFilter()
+    learnt = utilization.UtilizationFilter()
     random_ = random.Random(5)
     added_load = {"heavy": 0.15, "light": 0.005}
     for tick in range(120):
@@ -54,7 +56,7 @@
 
 
 def test_one_sample_leaves_a_pair_near_what_is_usual() -> None:
-    learnt = strain.StrainFilter()
+    learnt = utilization.UtilizationFilter()
     before = learnt.added("desk", "new")
     learnt.observe(
         "job",
@@ -68,7 +70,7 @@
 
 
 def test_the_usual_strain_is_a_mean_of_the_last_seconds() -> None:
-    learnt = strain.StrainFilter()
+    learnt = utilization.UtilizationFilter()
     for tick in range(200):
         learnt.observe(
             "job",
@@ -78,6 +80,6 @@
             target_ms=_TARGET_MS,
             now_s=float(tick),
         )
-    low = strain.of_tail(_tail_ms(0.3), _TARGET_MS)
-    high = strain.of_tail(_tail_ms(0.7), _TARGET_MS)
+    low = utilization.of_tail(_tail_ms(0.3), _TARGET_MS)
+    high = utilization.of_tail(_tail_ms(0.7), _TARGET_MS)
     assert learnt.usual("job") == pytest.approx((low + high) / 2, abs=0.05)
--- a/tests/experiments/test_day.py
+++ b/tests/experiments/test_day.py
@@ -81,10 +81,10 @@
 def test_what_serves_is_spared_when_everything_is_granted_anew() -> None:
     """Every worker of a site is lost at once and comes back empty.
 
-    Before, tasks that fill began beside tasks that serve whose load nobody had
+    Before, best-effort tasks began beside latency-critical tasks whose load nobody had
     seen: these were 97 s over their target in a day, 0.77 of their users' credit
     (means of ten seeds of the load `outage`); after: 35 s, 0.86. The aim: it
-    costs those that serve no more than a day on which nothing is lost.
+    costs the latency-critical ones no more than a day on which nothing is lost.
     """
     outage = loads.load(loads.find("outage"))
     calm = dataclasses.replace(outage, failing_share=0.0)
--- a/tests/experiments/test_policies.py
+++ b/tests/experiments/test_policies.py
@@ -38,7 +38,7 @@
 
 @pytest.mark.timeout(600)
 def test_on_whole_days_the_product_serves_no_worse_than_first_fit() -> None:
-    """Tasks that serve on the smallest workers first left too little to others.
+    """Latency-critical tasks on the smallest workers first left too little to others.
 
     Before, on days of 75 s, the product earned 0.808 of all worth and first come,
     first fit 0.882 (six seeds); with the largest workers first 0.899 and 0.879.
--- a/tests/failures/test_agent_crashes.py
+++ b/tests/failures/test_agent_crashes.py
@@ -58,7 +58,7 @@
 
 
 def _apply(system: processes.System, *, count: int, run_time: str) -> list[str]:
-    """Declares jobs that fill a worker each; their tasks."""
+    """Declares best-effort jobs a worker each; their tasks."""
     system.apply(
         "".join(
             JOB.format(number=number, run_time=run_time)
--- a/tests/state/test_learnt.py
+++ b/tests/state/test_learnt.py
@@ -8,9 +8,11 @@
 from tests.coordination.jobs import builders
 
 
-def _pressure(serving: str, filling: str, added: float) -> ttypes.Pressure:
-    return ttypes.Pressure(
-        serving_image=serving, filling_image=filling, added=added
+def _pressure(
+    serving: str, filling: str, added: float
+) -> ttypes.PairInterference:
+    return ttypes.PairInterference(
+        latency_critical_image=serving, best_effort_image=filling, added=added
     )
 
 
@@ -21,16 +23,16 @@
 def test_a_record_replaces_only_the_same_pairs() -> None:
     learnt = learnt_module.Learnt()
     kept, old = _pressure("desk", "pack", 0.2), _pressure("desk", "tree", 0.1)
-    learnt.take(ttypes.RecordLearnt(pressures=[kept, old]))
+    learnt.take(ttypes.RecordLearnt(interference=[kept, old]))
     new = _pressure("desk", "tree", 0.3)
-    learnt.take(ttypes.RecordLearnt(pressures=[new]))
-    assert list(learnt.pressures.values()) == [kept, new]
+    learnt.take(ttypes.RecordLearnt(interference=[new]))
+    assert list(learnt.interference.values()) == [kept, new]
 
 
 def test_what_was_learnt_is_in_snapshots() -> None:
     state = builders.State()
     record = ttypes.RecordLearnt(
-        pressures=[_pressure("desk", "pack", 0.2)], run_times=[_line()]
+        interference=[_pressure("desk", "pack", 0.2)], run_times=[_line()]
     )
     state.apply(record_learnt=record)
     read = tables_module.Tables.from_bytes(state.tables.to_bytes())
