--- a/experiments/day.py
+++ b/experiments/day.py
@@ -207,7 +207,7 @@
         for key, order in agent.orders.items():
             if order.best_effort and key in samples:
                 percent = agent.throttle.percent(key)
-                agent.worker.pace(key, percent, self._env.now)
+                agent.worker.throttle(key, percent, self._env.now)
                 samples[key].quota_percent = percent
         agent.view.samples = samples
         agent.view.sampled_s = now_s
@@ -301,7 +301,7 @@
             # It begins at its whole speed; a pace needs the run to be there.
             percent = agent.throttle.first_percent(order, latency_critical)
             agent.worker.start(run)
-            agent.worker.pace(key, percent, run.starts_at_s)
+            agent.worker.throttle(key, percent, run.starts_at_s)
             return
         agent.worker.start(run)
 
