--- a/marigoldsill/coordination/jobs/job_metrics.py
+++ b/marigoldsill/coordination/jobs/job_metrics.py
@@ -56,6 +56,16 @@
     "Time of one round of the leader's decisions about jobs.",
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5),
 )
+ROUND_LAG_SECONDS = prometheus_client.Histogram(
+    "marigoldsill_job_round_lag_seconds",
+    "How late the timer before a round of decisions fired, on the leader.",
+    buckets=(0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0),
+)
+DECISION_SECONDS = prometheus_client.Histogram(
+    "marigoldsill_job_decision_seconds",
+    "From a change to the commit of the grants that it allowed.",
+    buckets=_QUICK_BUCKETS_S,
+)
 LIVE_AGENTS = prometheus_client.Gauge(
     "marigoldsill_agents_live", "Agents whose lease is live, on the leader."
 )
--- /dev/null
+++ b/marigoldsill/coordination/jobs/lost_runs.py
@@ -0,0 +1,68 @@
+"""Ends runs whose agent's lease is over."""
+
+import math
+
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import silences as silences_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
+
+_INTERVAL_S = 0.1
+
+
+class LostRuns:
+    """Looks at leases at intervals while this process leads."""
+
+    def __init__(
+        self,
+        *,
+        replica: replica_module.Replica,
+        service: service_module.JobService,
+    ):
+        self._replica = replica
+        self._service = service
+        self._looked_s = -math.inf
+
+    def end_due(self, *, now_s: float) -> None:
+        """Records agents that fell silent, and runs of expired leases as lost.
+
+        Raises:
+            NotLeader: Another process leads; nothing was done.
+            NoQuorum: No majority answers; nothing was done.
+            UnknownOutcomeError: It may still be recorded.
+        """
+        if now_s - self._looked_s < _INTERVAL_S:
+            return
+        self._looked_s = now_s
+        with self._replica.lock:
+            term = self._service.led_term
+            jobs = self._replica.tables.jobs
+            note = silences_module.due(self._service.leases, jobs)
+            lost = self._lost()
+        if note is not None:
+            self._service.propose(note_silence=note)
+        if not lost:
+            return
+        logs.event(
+            "runs_lost", level="WARNING", term=term, runs_count=len(lost)
+        )
+        self._service.propose(
+            record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
+        )
+
+    def _lost(self) -> list[ttypes.RunEnd]:
+        runs_by_agent = self._replica.tables.jobs.runs_by_agent
+        return [
+            ttypes.RunEnd(
+                task=task,
+                run=run,
+                kind=ttypes.RunEndKind.LOST,
+                detail=f"the lease of {agent} ran out",
+            )
+            for agent in list(runs_by_agent)
+            if self._service.leases.expired(
+                agent, bound_s=self._service.silences.bound_s(agent)
+            )
+            for task, run in runs_by_agent[agent]
+        ]
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -18,9 +18,10 @@
 from marigoldsill.coordination.jobs import evicting
 from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
+from marigoldsill.coordination.jobs import leader_load
 from marigoldsill.coordination.jobs import learnt_log
+from marigoldsill.coordination.jobs import lost_runs
 from marigoldsill.coordination.jobs import service as service_module
-from marigoldsill.coordination.jobs import silences as silences_module
 from marigoldsill.coordination.jobs import ticketing
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.jobs import worker_refresh
@@ -35,8 +36,6 @@
 _IDLE_S = 0.25
 # Changes that come within this time are decided on together.
 _GATHER_S = 0.005
-# How often leases are looked at that nobody renews.
-_LEASES_INTERVAL_S = 0.1
 
 
 class JobScheduler:
@@ -73,7 +72,9 @@
         self._placement: placement_module.Placement | None = None
         self._workers: worker_refresh.WorkerRefresh | None = None
         self._late_grants: list[ttypes.RunGrant] = []
-        self._leases_looked_s = 0.0
+        self._lost_runs: lost_runs.LostRuns | None = None
+        self._load = leader_load.LeaderLoad()
+        self._woken_s = 0.0
         self._term = 0
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -86,6 +87,9 @@
     def start(self, service: service_module.JobService) -> None:
         """Begins to decide whenever this process leads."""
         self._service = service
+        self._lost_runs = lost_runs.LostRuns(
+            replica=self._replica, service=service
+        )
         self._ticketing.start()
         self._pool.submit(self._loop)
 
@@ -98,6 +102,8 @@
 
     def wake(self) -> None:
         """Has a round begin soon."""
+        if not self._wake.is_set():
+            self._woken_s = clock.now_s()
         self._wake.set()
 
     def _on_applied(self, command: ttypes.Command) -> None:
@@ -111,14 +117,25 @@
 
     def _loop(self) -> None:
         while not self._stopping.is_set():
-            self._wake.wait(self._wait_s())
+            is_woken = self._wake.wait(self._wait_s())
+            gather_s = clock.now_s()
             self._stopping.wait(_GATHER_S)
+            begin_s = clock.now_s()
+            woken_s = self._woken_s if is_woken else begin_s
             self._wake.clear()
             if not self._replica.is_leader:
                 continue
             try:
-                with job_metrics.ROUND_SECONDS.time():
-                    self._round()
+                granted_count = self._round()
+                end_s = clock.now_s()
+                self._load.observe(
+                    leader_load.RoundTimes(
+                        lag_s=max(0.0, begin_s - gather_s - _GATHER_S),
+                        round_s=end_s - begin_s,
+                        delay_s=end_s - woken_s if granted_count else None,
+                    ),
+                    now_s=end_s,
+                )
             except errors.MarigoldsillError as error:
                 logs.event(
                     "scheduler_waits", level="WARNING", reason=error.message
@@ -142,10 +159,11 @@
             now_unix_ms=commands.now_unix_ms(), limit_s=_IDLE_S
         )
 
-    def _round(self) -> None:
+    def _round(self) -> int:
+        """Decides once; returns how many runs it granted."""
         self._service.become_leader()
-        self._end_lost()
         now_s = clock.now_s()
+        self._lost_runs.end_due(now_s=now_s)
         with self._replica.lock:
             self._observe(now_s)
             due = self._timetable.due(now_unix_ms=commands.now_unix_ms())
@@ -172,6 +190,7 @@
         if learnt is not None:
             self._service.propose(record_learnt=learnt)
         self._forget()
+        return len(grants)
 
     def _grant(self, grants: list[ttypes.RunGrant]) -> None:
         if not grants:
@@ -292,37 +311,3 @@
                 estimated_ms=sample.estimated_ms,
                 run_ms=sample.run_ms,
             )
-
-    def _end_lost(self) -> None:
-        now_s = clock.now_s()
-        if now_s - self._leases_looked_s < _LEASES_INTERVAL_S:
-            return
-        self._leases_looked_s = now_s
-        with self._replica.lock:
-            term = self._service.led_term
-            jobs = self._replica.tables.jobs
-            runs_by_agent = jobs.runs_by_agent
-            note = silences_module.due(self._service.leases, jobs)
-            lost = [
-                ttypes.RunEnd(
-                    task=task,
-                    run=run,
-                    kind=ttypes.RunEndKind.LOST,
-                    detail=f"the lease of {agent} ran out",
-                )
-                for agent in list(runs_by_agent)
-                if self._service.leases.expired(
-                    agent, bound_s=self._service.silences.bound_s(agent)
-                )
-                for task, run in runs_by_agent[agent]
-            ]
-        if note is not None:
-            self._service.propose(note_silence=note)
-        if not lost:
-            return
-        logs.event(
-            "runs_lost", level="WARNING", term=term, runs_count=len(lost)
-        )
-        self._service.propose(
-            record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
-        )
