--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 import heapq
 
 from marigoldsill.coordination.job_placing import agents as agents_module
@@ -21,6 +20,7 @@
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import scoring
+from marigoldsill.coordination.job_placing import task_classes
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol import task_names
@@ -39,33 +39,6 @@
 _FULL_POOL_IDLE_LIMIT_S = 20.0
 # Gangs tried in one round; each is tried on a copy of all workers that admit it.
 _GANGS_LIMIT = 4
-# Rounds after which candidates are dropped that no waiting task needs.
-_UNUSED_ROUNDS = 100
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _TaskClass:
-    """All that decides where a task may start, and how well."""
-
-    pool: str
-    image: str
-    is_best_effort: bool
-    is_latency_critical: bool
-    cpu_millicores: int
-    memory_bytes: int
-    accelerators_count: int
-    required_label: str
-    preferred_rack: str
-    starts_regardless: bool
-
-
-@dataclasses.dataclass(slots=True)
-class _Cached:
-    """Candidates of a class, as far as the log of changes was followed."""
-
-    candidates: candidates_module.Candidates
-    position: int
-    used_round: int
 
 
 class Placement:
@@ -96,7 +69,7 @@
         self._health = health
         self._tickets = tickets
         self._is_live = is_live
-        self._classes: dict[_TaskClass, _Cached] = {}
+        self._classes = task_classes.TaskClasses(self.index, interference)
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
         self._gang_tried: dict[task_names.StepKey, int] = {}
         self._round = 0
@@ -145,7 +118,7 @@
             if not granted and self._is_idle_too_long(waiting, now_s):
                 granted = self._place_regardless(waiting, now_s)
             grants += granted
-        self._drop_unused()
+        self._classes.end_round()
         return grants
 
     def settle(
@@ -176,8 +149,8 @@
         self, step: ttypes.Step, pool: str, *, agent: str
     ) -> free_capacity.FreeCapacity | None:
         """The best worker for a task that runs at another agent's."""
-        cached = self._candidates(step, pool)
-        return cached.candidates.best(
+        candidates = self._classes.candidates(step, pool)
+        return candidates.best(
             lambda free: free.agent != agent and self._is_live(free.agent)
         )
 
@@ -196,8 +169,10 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         for index in waiting.waiting:
-            cached = self._candidates(waiting.step, waiting.queue.pool)
-            free = self._choose(waiting, index, cached.candidates, now_s)
+            candidates = self._classes.candidates(
+                waiting.step, waiting.queue.pool
+            )
+            free = self._choose(waiting, index, candidates, now_s)
             if free is None:
                 break
             grants.append(self._grant(waiting, index, free))
@@ -211,10 +186,10 @@
         Its worker is where it disturbs least; the agent gives it the speed
         that is left. So every job makes progress, however slowly.
         """
-        cached = self._candidates(
+        candidates = self._classes.candidates(
             waiting.step, waiting.queue.pool, starts_regardless=True
         )
-        free = cached.candidates.best(self._acceptance(waiting, now_s))
+        free = candidates.best(self._acceptance(waiting, now_s))
         if free is None:
             return []
         return [self._grant(waiting, waiting.waiting[0], free)]
@@ -343,65 +318,3 @@
         chosen = heapq.nsmallest(_GANGS_LIMIT, waiting, key=tried.__getitem__)
         self._gang_tried = tried | dict.fromkeys(chosen, self._round)
         return set(chosen)
-
-    def _candidates(
-        self, step: ttypes.Step, pool: str, *, starts_regardless: bool = False
-    ) -> _Cached:
-        """Candidates of a step's class, brought up to date."""
-        task_class = _class_of(step, pool, starts_regardless)
-        cached = self._classes.get(task_class)
-        if cached is None:
-            rate = scoring.rate
-            if starts_regardless:
-                rate = scoring.rate_regardless
-            cached = self._classes[task_class] = _Cached(
-                candidates_module.Candidates(
-                    lambda free: rate(free, step, pool, self._interference)
-                ),
-                position=-1,
-                used_round=self._round,
-            )
-        cached.used_round = self._round
-        self._follow(cached)
-        return cached
-
-    def _follow(self, cached: _Cached) -> None:
-        """Scores the workers that changed since the last time."""
-        position = self.index.position
-        if cached.position == position:
-            return
-        for agent in self.index.changed_since(cached.position):
-            free = self.index.workers.get(agent)
-            if free is None:
-                cached.candidates.discard(agent)
-            else:
-                cached.candidates.update(free, self.index.order(agent))
-        cached.position = position
-
-    def _drop_unused(self) -> None:
-        if self._round % _UNUSED_ROUNDS:
-            return
-        oldest = self._round - _UNUSED_ROUNDS
-        self._classes = {
-            task_class: cached
-            for task_class, cached in self._classes.items()
-            if cached.used_round >= oldest
-        }
-
-
-def _class_of(
-    step: ttypes.Step, pool: str, starts_regardless: bool
-) -> _TaskClass:
-    wanted = step.resources
-    return _TaskClass(
-        pool=pool,
-        image=step.image,
-        is_best_effort=step.best_effort,
-        is_latency_critical=bool(step.tail_target_ms),
-        cpu_millicores=wanted.cpu_millicores,
-        memory_bytes=wanted.memory_bytes,
-        accelerators_count=wanted.accelerators_count,
-        required_label=step.required_label,
-        preferred_rack=step.preferred_rack,
-        starts_regardless=starts_regardless,
-    )
