--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -1,14 +1,10 @@
-"""Which job goes first: what its caller still waits for, in good time.
+"""Priority order of waiting jobs.
 
-A caller is content while its job is over within its objective: the run time on
-sound workers, stretched by what the queue allows, and the queue's target. Jobs
-that can still make it go first, those before the others that need least core
-time for what they are worth: when not all can be in time, most are. What is
-late already gives way to them, but is never left out.
-
-By nearest objective instead, the jobs of an overloaded queue became late
-together: over six played days of a site, 0.45 of the worth of its large jobs was
-earned that way, and 0.52 this way.
+A caller is content while its job ends within its objective: the run time on sound
+workers, stretched by what the queue allows, and the queue's target. Jobs that can
+still meet it go first, those before the others that need least core time for what
+they are worth, so that in an overload most of them meet it. Late jobs come after them
+and are never left out.
 """
 
 from collections.abc import Collection
