Try an unknown pair of images on one worker at a time

A large job's 39 tasks start together, so all workers find out at the same moment.

Change: a pair that is not known is tried on one worker for up to 2 s, others wait for its samples. A job that would stand idle starts all the same.

--- a/experiments/day.py
+++ b/experiments/day.py
@@ -240,7 +240,9 @@
         )
         grants = self._placement.place(waiting, now_s=now_s)
         moves = self._relocating.moves(
-            self._placement, is_evicted=self._evicted.__contains__
+            self._placement,
+            now_s=now_s,
+            is_evicted=self._evicted.__contains__,
         )
         if grants:
             self._apply(grant_runs=ttypes.GrantRuns(grants=grants))
--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -9,6 +9,7 @@
     "agents",
     "backlog",
     "evictions",
+    "exploration",
     "free_capacity",
     "gangs",
     "placement",
--- a/marigoldsill/coordination/job_placing/interference_model.py
+++ b/marigoldsill/coordination/job_placing/interference_model.py
@@ -94,6 +94,10 @@
         bound = self._filter.added_upper_bound(latency_critical, best_effort)
         return bound * tenths
 
+    def is_known(self, latency_critical: str, best_effort: str) -> bool:
+        """Whether samples have shown what one image adds to another."""
+        return self._filter.is_known(latency_critical, best_effort)
+
     def expected(
         self,
         job_id: str,
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -16,6 +16,7 @@
     candidates as candidates_module,
 )
 from marigoldsill.coordination.job_placing import capacity_index
+from marigoldsill.coordination.job_placing import exploration
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
@@ -69,6 +70,7 @@
         self._health = health
         self._tickets = tickets
         self._is_live = is_live
+        self._exploration = exploration.Exploration(interference)
         self._classes = task_classes.TaskClasses(self.index, interference)
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
         self._gang_tried: dict[task_names.StepKey, int] = {}
@@ -146,12 +148,16 @@
         return {grant.agent for grant in grants}
 
     def find_other(
-        self, step: ttypes.Step, pool: str, *, agent: str
+        self, step: ttypes.Step, pool: str, *, agent: str, now_s: float
     ) -> free_capacity.FreeCapacity | None:
         """The best worker for a task that runs at another agent's."""
         candidates = self._classes.candidates(step, pool)
         return candidates.best(
-            lambda free: free.agent != agent and self._is_live(free.agent)
+            lambda free: (
+                free.agent != agent
+                and self._is_live(free.agent)
+                and self._exploration.allows(free, step, now_s=now_s)
+            )
         )
 
     def reserve(
@@ -175,7 +181,7 @@
             free = self._choose(waiting, index, candidates, now_s)
             if free is None:
                 break
-            grants.append(self._grant(waiting, index, free))
+            grants.append(self._grant(waiting, index, free, now_s))
         return grants
 
     def _place_regardless(
@@ -192,7 +198,7 @@
         free = candidates.best(self._acceptance(waiting, now_s))
         if free is None:
             return []
-        return [self._grant(waiting, waiting.waiting[0], free)]
+        return [self._grant(waiting, waiting.waiting[0], free, now_s)]
 
     def _place_gang(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -212,7 +218,11 @@
             if agents:
                 return [
                     self._grant(
-                        waiting, index, self.index.workers[agent], run=run
+                        waiting,
+                        index,
+                        self.index.workers[agent],
+                        now_s,
+                        run=run,
                     )
                     for index, agent in enumerate(agents)
                 ]
@@ -249,7 +259,13 @@
         now_s: float,
     ) -> free_capacity.FreeCapacity | None:
         """The best worker for a task, one where it has not failed if any."""
-        accepts = self._acceptance(waiting, now_s)
+        is_acceptable = self._acceptance(waiting, now_s)
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            return is_acceptable(free) and self._exploration.allows(
+                free, waiting.step, now_s=now_s
+            )
+
         if waiting.tasks[index].failures_count:
             avoided = self._health.avoided(waiting.task_name(index))
             other = candidates.best(
@@ -286,9 +302,11 @@
         waiting: backlog_module.WaitingStep,
         index: int,
         free: free_capacity.FreeCapacity,
+        now_s: float,
         *,
         run: int | None = None,
     ) -> ttypes.RunGrant:
+        self._exploration.record_start(free, waiting.step, now_s=now_s)
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
--- a/marigoldsill/coordination/job_placing/relocating.py
+++ b/marigoldsill/coordination/job_placing/relocating.py
@@ -69,6 +69,7 @@
         self,
         placement: placement_module.Placement,
         *,
+        now_s: float,
         is_evicted: Callable[[task_names.RunKey], bool],
     ) -> list[evictions.Eviction]:
         """Runs that should give way now, those due longest first."""
@@ -79,7 +80,9 @@
             run = self._due.pop(key)
             if is_evicted(key):
                 continue
-            free = placement.find_other(run.step, run.pool, agent=run.agent)
+            free = placement.find_other(
+                run.step, run.pool, agent=run.agent, now_s=now_s
+            )
             if free is not None:
                 step_key = task_names.parse(key[0]).step_key
                 placement.reserve(free, step_key, run.step)
--- a/marigoldsill/coordination/jobs/evicting.py
+++ b/marigoldsill/coordination/jobs/evicting.py
@@ -69,12 +69,12 @@
         )
 
     def slow(
-        self, placement: placement_module.Placement
+        self, placement: placement_module.Placement, *, now_s: float
     ) -> list[evictions.Eviction]:
         """Best-effort runs that hardly get on and fit elsewhere; no lock held."""
         evicted = self._service.orders.evicted
         return self._relocating.moves(
-            placement, is_evicted=lambda key: key in evicted
+            placement, now_s=now_s, is_evicted=lambda key: key in evicted
         )
 
     def leave_slow(self, runs: Iterable[evictions.Eviction]) -> None:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -178,7 +178,7 @@
         )
         job_metrics.WAITING.set(len(waiting))
         grants = self._placement.place(waiting, now_s=now_s)
-        moves = self._evicting.slow(self._placement)
+        moves = self._evicting.slow(self._placement, now_s=now_s)
         with self._replica.lock:
             self._prepare(waiting, grants, now_s)
             self._evicting.leave_slow(moves)
--- a/marigoldsill/coordination/learning/utilization.py
+++ b/marigoldsill/coordination/learning/utilization.py
@@ -21,6 +21,9 @@
 _PAIR_MEAN = 0.03
 _PAIR_VARIANCE = 0.004
 _PAIR_DRIFT_PER_S = 0.0001
+# A pair counts as known once its variance is below this share of the prior's.
+_KNOWN_SHARE = 0.75
+_KNOWN_SAMPLES_COUNT = 6
 # Of a pair as an earlier leader knew it, which has drifted since.
 _RESTORED_VARIANCE = 0.001
 _NOISE_VARIANCE = 0.001
@@ -140,6 +143,17 @@
             return _PAIR_MEAN + math.sqrt(_PAIR_VARIANCE)
         return term.mean + math.sqrt(term.variance)
 
+    def is_known(self, image: str, best_effort: str) -> bool:
+        """Whether samples tell more of a pair than its prior does.
+
+        A small task tells little with each sample, and adds little either.
+        """
+        term = self._pairs.get((image, best_effort))
+        if term is None:
+            return False
+        is_certain = term.variance < _KNOWN_SHARE * _PAIR_VARIANCE
+        return is_certain or term.samples_count >= _KNOWN_SAMPLES_COUNT
+
     def take_changed_pairs(self) -> dict[tuple[str, str], float]:
         """What is known of the pairs observed since the last call.
 
--- a/tests/coordination/job_placing/test_free_capacity.py
+++ b/tests/coordination/job_placing/test_free_capacity.py
@@ -105,7 +105,9 @@
         """The best candidate is the best of all workers scored anew."""
         workers = self.placement.index.workers.values()
         for step in (_BATCH, _BEST_EFFORT, _LATENCY_CRITICAL):
-            best = self.placement.find_other(step, builders.POOL, agent="")
+            best = self.placement.find_other(
+                step, builders.POOL, agent="", now_s=self.now_s
+            )
             scores = {
                 free.agent: scoring.rate(
                     free, step, builders.POOL, self.interference
