--- a/marigoldsill/coordination/jobs/lost_runs.py
+++ b/marigoldsill/coordination/jobs/lost_runs.py
@@ -4,7 +4,7 @@
 
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import service as service_module
-from marigoldsill.coordination.jobs import silences as silences_module
+from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
@@ -38,10 +38,10 @@
         with self._replica.lock:
             term = self._service.led_term
             jobs = self._replica.tables.jobs
-            note = silences_module.due(self._service.leases, jobs)
+            note = unresponsive_agents.due(self._service.leases, jobs)
             lost = self._lost()
         if note is not None:
-            self._service.propose(note_silence=note)
+            self._service.propose(note_unresponsive=note)
         if not lost:
             return
         logs.event(
@@ -62,7 +62,7 @@
             )
             for agent in list(runs_by_agent)
             if self._service.leases.expired(
-                agent, bound_s=self._service.silences.bound_s(agent)
+                agent, bound_s=self._service.unresponsive.bound_s(agent)
             )
             for task, run in runs_by_agent[agent]
         ]
--- a/marigoldsill/coordination/jobs/reports.py
+++ b/marigoldsill/coordination/jobs/reports.py
@@ -71,16 +71,22 @@
         return reply
 
     def _note_heard(self, agent: str) -> None:
-        """Ends a silence in the log, so that a lease may be granted again."""
+        """Records that an agent reports again, so that a lease may be granted."""
         with self._replica.lock:
-            is_silent = agent in self._replica.tables.jobs.silent_agents
+            is_unresponsive = (
+                agent in self._replica.tables.jobs.unresponsive_agents
+            )
             suspension = self._leases.suspension(agent)
-        if self._leases.is_closed(agent) or not (is_silent or suspension):
+        if self._leases.is_closed(agent) or not (is_unresponsive or suspension):
             return
-        self._propose(note_silence=ttypes.NoteSilence(silent=[], heard=[agent]))
-        # Another note of silence may be on its way to the log by now.
+        self._propose(
+            note_unresponsive=ttypes.NoteUnresponsive(
+                unresponsive=[], responsive=[agent]
+            )
+        )
+        # It may have been recorded as unresponsive once more by now.
         self._leases.resume(agent, suspension=suspension)
-        logs.event("agent_heard", agent=agent)
+        logs.event("agent_responsive", agent=agent)
 
     def _grant(self, agent: str, reply: ttypes.AgentReply) -> None:
         with self._replica.lock:
--- a/marigoldsill/coordination/jobs/forgetting.py
+++ b/marigoldsill/coordination/jobs/retention.py
@@ -10,7 +10,7 @@
 _BATCH_LIMIT = 500
 
 
-class Forgetting:
+class Retention:
     """Counts on this process's steady clock, from when it saw a job ended.
 
     The time of day may jump, so it does not decide. A process that begins to
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -16,11 +16,11 @@
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import evicting
-from marigoldsill.coordination.jobs import forgetting
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import leader_load
 from marigoldsill.coordination.jobs import learnt_log
 from marigoldsill.coordination.jobs import lost_runs
+from marigoldsill.coordination.jobs import retention
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import ticketing
 from marigoldsill.coordination.jobs import timetable
@@ -62,7 +62,7 @@
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency.Urgency()
         self._run_clock = run_clock.RunClock()
-        self._forgetting = forgetting.Forgetting(kept_s=job_kept_s)
+        self._retention = retention.Retention(kept_s=job_kept_s)
         self._timetable = timetable.Timetable()
         self._learnt_log = learnt_log.LearntLog()
         self._ticketing = ticketing.Ticketing(
@@ -233,11 +233,11 @@
             logs.event("occurrence_begun", job=item.job_id, number=item.number)
 
     def _forget(self) -> None:
-        due = self._forgetting.due(now_s=clock.now_s())
+        due = self._retention.due(now_s=clock.now_s())
         if not due:
             return
         self._service.propose(forget_jobs=ttypes.ForgetJobs(job_ids=due))
-        self._forgetting.drop(len(due))
+        self._retention.drop(len(due))
         logs.event("jobs_forgotten", jobs_count=len(due), first=due[0])
 
     def _observe(self, now_s: float) -> None:
@@ -247,7 +247,7 @@
         if self._service.led_term != self._term:
             self._begin_term()
             touched = set(jobs.jobs)
-        self._forgetting.note(jobs, touched, now_s=now_s)
+        self._retention.note(jobs, touched, now_s=now_s)
         self._timetable.note(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
         views = self._service.agents.take_changed()
@@ -266,7 +266,7 @@
         """Starts over what was worked out from an earlier term's state."""
         self._term = self._service.led_term
         self._backlog = backlog_module.Backlog()
-        self._forgetting = forgetting.Forgetting(kept_s=self._job_kept_s)
+        self._retention = retention.Retention(kept_s=self._job_kept_s)
         self._timetable = timetable.Timetable()
         self._run_clock = run_clock.RunClock()
         self._learnt_log = learnt_log.LearntLog()
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -13,7 +13,7 @@
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import queues as queues_module
 from marigoldsill.coordination.jobs import reports as reports_module
-from marigoldsill.coordination.jobs import silences as silences_module
+from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
@@ -33,7 +33,7 @@
         leases: Leases that this process gave as leader.
         orders: Orders of this term.
         interference: What was learnt in this term of tasks on one worker.
-        silences: Agents that the log says are silent.
+        unresponsive: Agents that the log says are unresponsive.
         hub: Where agents wait for orders.
         led_term: The last term that it led.
     """
@@ -70,7 +70,7 @@
         self.orders = orders_module.Orders()
         self.interference = interference_model.InterferenceModel()
         self.hub = watch_hub.WatchHub()
-        self.silences = silences_module.Silences(
+        self.unresponsive = unresponsive_agents.UnresponsiveAgents(
             replica=replica, lease_ms=lease_ms
         )
         self._touched_agents: set[str] = set()
@@ -262,7 +262,7 @@
 
     def _on_applied(self, command: ttypes.Command) -> None:
         jobs = self._replica.tables.jobs
-        self.silences.take(command)
+        self.unresponsive.observe_command(command)
         agents = jobs.take_touched_agents()
         if self.led_term != self._replica.term:
             # Not a leader's; becoming one works everything out anew.
--- /dev/null
+++ b/marigoldsill/coordination/jobs/unresponsive_agents.py
@@ -0,0 +1,67 @@
+"""Agents that stopped renewing their lease, recorded in the log.
+
+A new leader knows nothing of renewals and has to take every lease as live for its
+whole length, so tasks of a lost worker would stay away while leaders change and a
+lease longer. Once an agent is recorded as unresponsive, no leader renews its lease
+before it has recorded the opposite: the last renewal was before the record was
+proposed, and so before any process applied it.
+"""
+
+import math
+
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.leadership import leases as leases_module
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
+from marigoldsill.transport import logs
+
+# Longer than an agent takes to find another leader: its reports are 1 s apart,
+# and one to a leader that is gone without a word is given up after 1 s.
+UNRENEWED_S = 2.5
+
+
+class UnresponsiveAgents:
+    """Follows what the log says of agents; hold the replica's lock."""
+
+    def __init__(self, *, replica: replica_module.Replica, lease_ms: int):
+        self._replica = replica
+        self._lease_ms = lease_ms
+        self._bounds_s: dict[str, float] = {}
+        # What came in a snapshot may have ended and begun anew meanwhile.
+        replica.on_replaced(self._bounds_s.clear)
+
+    def observe_command(self, command: ttypes.Command) -> None:
+        """Follows the agents that an applied command names."""
+        unresponsive_agents = self._replica.tables.jobs.unresponsive_agents
+        for agent in [
+            a for a in self._bounds_s if a not in unresponsive_agents
+        ]:
+            # Its next unresponsive time has a later bound.
+            del self._bounds_s[agent]
+        if command.note_unresponsive is not None:
+            for agent in unresponsive_agents.intersection(
+                command.note_unresponsive.unresponsive
+            ):
+                self.bound_s(agent)
+
+    def bound_s(self, agent: str) -> float:
+        """When an unresponsive agent's lease is over; infinite for others."""
+        if agent not in self._replica.tables.jobs.unresponsive_agents:
+            return math.inf
+        return self._bounds_s.setdefault(
+            agent, leases_module.end_of(self._lease_ms)
+        )
+
+
+def due(
+    leases: leases_module.LeaseTable, jobs: job_tables.JobTables
+) -> ttypes.NoteUnresponsive | None:
+    """Suspends leases of agents with runs that are not renewed; the note."""
+    agents = [
+        a for a in jobs.runs_by_agent if a not in jobs.unresponsive_agents
+    ]
+    found = leases.suspend_unrenewed(agents, unrenewed_s=UNRENEWED_S)
+    if not found:
+        return None
+    logs.event("agents_unresponsive", level="WARNING", agents=",".join(found))
+    return ttypes.NoteUnresponsive(unresponsive=found, responsive=[])
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -489,8 +489,11 @@
 }
 
 /** One log entry's content: exactly one body is set. */
-/** Agents that a leader has not heard for a while, and that are heard again. */
-struct NoteSilence { 1: list<string> silent = [], 2: list<string> heard = [] }
+/** Agents that stopped renewing their lease, and that renew it again. */
+struct NoteUnresponsive {
+  1: list<string> unresponsive = [],
+  2: list<string> responsive = []
+}
 
 /** Processes without state that asked the leader where the group is. */
 struct NoteEntries { 1: list<string> addresses = [] }
@@ -519,7 +522,7 @@
   65: optional BeginOccurrences begin_occurrences,
   66: optional ForgetJobs forget_jobs,
   67: optional RecordLearnt record_learnt,
-  68: optional NoteSilence note_silence,
+  68: optional NoteUnresponsive note_unresponsive,
   69: optional NoteEntries note_entries
 }
 
@@ -980,7 +983,7 @@
   60: Routing routing,
   61: list<JobRecord> jobs = [],
   62: optional RecordLearnt learnt,
-  63: list<string> silent_agents = [],
+  63: list<string> unresponsive_agents = [],
   64: list<string> entry_addresses = []
 }
 
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -50,7 +50,7 @@
         touched_agents: Agents whose runs changed since `take_touched_agents`.
         touched_jobs: Jobs that changed since `take_touched_jobs`.
         learnt: What leaders have learnt of run times and disturbances.
-        silent_agents: Agents with runs whose lease no leader renews before
+        unresponsive_agents: Agents with runs whose lease no leader renews before
             it has recorded that they are heard again.
     """
 
@@ -63,7 +63,7 @@
         self.touched_agents: set[str] = set()
         self.touched_jobs: set[str] = set()
         self.learnt = learnt_module.Learnt()
-        self.silent_agents: set[str] = set()
+        self.unresponsive_agents: set[str] = set()
 
     def set_routing(self, routing: ttypes.Routing) -> None:
         """Brings a routing into force."""
@@ -129,16 +129,20 @@
         runs.pop((task, run.run), None)
         if not runs:
             self.runs_by_agent.pop(run.agent, None)
-            self.silent_agents.discard(run.agent)
+            self.unresponsive_agents.discard(run.agent)
         self.touched_agents.add(run.agent)
 
-    def note_silence(self, silent: Iterable[str], heard: Iterable[str]) -> None:
-        """Notes agents that fell silent or are heard again.
+    def note_unresponsive(
+        self, unresponsive: Iterable[str], responsive: Iterable[str]
+    ) -> None:
+        """Records agents that stopped renewing their lease, or renew it again.
 
         Only those with runs matter: of others no lease has to end.
         """
-        self.silent_agents.update(a for a in silent if a in self.runs_by_agent)
-        self.silent_agents.difference_update(heard)
+        self.unresponsive_agents.update(
+            agent for agent in unresponsive if agent in self.runs_by_agent
+        )
+        self.unresponsive_agents.difference_update(responsive)
 
     def take_touched_agents(self) -> set[str]:
         """The agents whose runs changed since the last call."""
--- a/marigoldsill/state/machine.py
+++ b/marigoldsill/state/machine.py
@@ -38,7 +38,7 @@
     "begin_occurrences",
     "forget_jobs",
     "record_learnt",
-    "note_silence",
+    "note_unresponsive",
     "note_entries",
 )
 _OPERATOR_BODIES = (
@@ -127,8 +127,8 @@
         case ttypes.RecordLearnt() as learnt:
             tables.jobs.learnt.take(learnt)
             return _ok(tables)
-        case ttypes.NoteSilence(silent=silent, heard=heard):
-            tables.jobs.note_silence(silent, heard)
+        case ttypes.NoteUnresponsive(unresponsive=gone, responsive=back):
+            tables.jobs.note_unresponsive(gone, back)
             return _ok(tables)
         case ttypes.NoteEntries(addresses=addresses):
             tables.note_entries(addresses)
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -254,7 +254,7 @@
                 routing=self.jobs.routing,
                 jobs=list(self.jobs.jobs.values()),
                 learnt=self.jobs.learnt.record(),
-                silent_agents=sorted(self.jobs.silent_agents),
+                unresponsive_agents=sorted(self.jobs.unresponsive_agents),
                 entry_addresses=list(self.entry_addresses),
             )
         )
@@ -304,7 +304,7 @@
             tables.jobs.put(job)
         if snapshot.learnt is not None:
             tables.jobs.learnt.take(snapshot.learnt)
-        tables.jobs.note_silence(snapshot.silent_agents, ())
+        tables.jobs.note_unresponsive(snapshot.unresponsive_agents, ())
         tables.note_entries(snapshot.entry_addresses)
         tables.touched_workers = set(
             itertools.chain(tables.workers, tables.tasks_by_worker)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets, cuts or silences connections."""
+"""A loopback proxy that delays, resets, cuts or unresponsive connections."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
--- a/tests/coordination/jobs/test_silences.py
+++ b/tests/coordination/jobs/test_unresponsive_agents.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from marigoldsill.coordination.jobs import silences as silences_module
+from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
@@ -38,7 +38,7 @@
         self.state = builders.State()
         self.state.submit(builders.job())
         self.replica = _Replica(self.state)
-        self.silences = silences_module.Silences(
+        self.unresponsive = unresponsive_agents.UnresponsiveAgents(
             replica=self.replica, lease_ms=_LEASE_MS
         )
         self.leases = leases_module.LeaseTable()
@@ -53,17 +53,19 @@
         ends = [builders.end(builders.task(), ttypes.RunEndKind.LOST, run)]
         self.apply(record_run_ends=ttypes.RecordRunEnds(ends=ends))
 
-    def note(self, *, silent=(), heard=()) -> None:
-        note = ttypes.NoteSilence(silent=list(silent), heard=list(heard))
-        self.apply(note_silence=note)
+    def note(self, *, unresponsive=(), responsive=()) -> None:
+        note = ttypes.NoteUnresponsive(
+            unresponsive=list(unresponsive), responsive=list(responsive)
+        )
+        self.apply(note_unresponsive=note)
 
     def apply(self, **body: object) -> None:
         self.state.apply(**body)
-        self.silences.take(ttypes.Command(**body))
+        self.unresponsive.observe_command(ttypes.Command(**body))
 
     def due(self) -> list[str]:
-        note = silences_module.due(self.leases, self.state.tables.jobs)
-        return [] if note is None else note.silent
+        note = unresponsive_agents.due(self.leases, self.state.tables.jobs)
+        return [] if note is None else note.unresponsive
 
 
 class _Clock:
@@ -82,11 +84,11 @@
 
 def test_the_next_leader_waits_from_when_the_note_came(time_) -> None:
     case = _Case()
-    case.note(silent=["a1"])
+    case.note(unresponsive=["a1"])
     time_.now_s += 5.0
     next_leader = leases_module.LeaseTable()
     next_leader.reset(lease_ms=_LEASE_MS)
-    bound_s = case.silences.bound_s("a1")
+    bound_s = case.unresponsive.bound_s("a1")
     assert not next_leader.expired("a1", bound_s=bound_s)
     time_.now_s += _WHOLE_S - 4.9
     assert next_leader.expired("a1", bound_s=bound_s)
@@ -94,62 +96,66 @@
 
 def test_a_second_note_of_the_same_silence_puts_nothing_off(time_) -> None:
     case = _Case()
-    case.note(silent=["a1"])
-    first_s = case.silences.bound_s("a1")
+    case.note(unresponsive=["a1"])
+    first_s = case.unresponsive.bound_s("a1")
     time_.now_s += 3.0
-    case.note(silent=["a1"])
-    assert case.silences.bound_s("a1") == first_s
+    case.note(unresponsive=["a1"])
+    assert case.unresponsive.bound_s("a1") == first_s
 
 
 @pytest.mark.parametrize("how", ["heard", "its runs ended"])
 def test_the_next_silence_is_another_one(time_, how: str) -> None:
     case = _Case()
-    case.note(silent=["a1"])
+    case.note(unresponsive=["a1"])
     time_.now_s += 4.0
     if how == "heard":
-        case.note(heard=["a1"])
+        case.note(responsive=["a1"])
     else:
         case.end(1)
         case.grant(2)
-    assert case.silences.bound_s("a1") == math.inf
-    case.note(silent=["a1"])
-    assert case.silences.bound_s("a1") == pytest.approx(time_.now_s + _WHOLE_S)
+    assert case.unresponsive.bound_s("a1") == math.inf
+    case.note(unresponsive=["a1"])
+    assert case.unresponsive.bound_s("a1") == pytest.approx(
+        time_.now_s + _WHOLE_S
+    )
 
 
 def test_after_a_snapshot_a_silence_counts_from_then(time_) -> None:
     case = _Case()
-    case.note(silent=["a1"])
+    case.note(unresponsive=["a1"])
     time_.now_s += 4.0
     data = case.state.tables.to_bytes()
     case.state.tables = tables_module.Tables.from_bytes(data)
     for listener in case.replica.replaced:
         listener()
-    assert case.silences.bound_s("a1") == pytest.approx(time_.now_s + _WHOLE_S)
+    assert case.unresponsive.bound_s("a1") == pytest.approx(
+        time_.now_s + _WHOLE_S
+    )
 
 
 def test_agents_without_runs_are_not_noted(time_) -> None:
     case = _Case()
-    case.note(silent=["a1", "a2"])
-    assert case.state.tables.jobs.silent_agents == {"a1"}
+    case.note(unresponsive=["a1", "a2"])
+    assert case.state.tables.jobs.unresponsive_agents == {"a1"}
 
 
 def test_only_leases_not_renewed_for_a_while_are_suspended(time_) -> None:
     case = _Case()
-    time_.now_s += silences_module.SILENT_S - 0.1
+    time_.now_s += unresponsive_agents.UNRENEWED_S - 0.1
     assert case.due() == []
     assert case.leases.renew("a1", lease_ms=_LEASE_MS)
-    time_.now_s += silences_module.SILENT_S + 0.1
+    time_.now_s += unresponsive_agents.UNRENEWED_S + 0.1
     assert case.due() == ["a1"]
     assert not case.leases.renew("a1", lease_ms=_LEASE_MS)
     # Its note may have failed, so it is due until it is in the log.
     assert case.due() == ["a1"]
-    case.note(silent=["a1"])
+    case.note(unresponsive=["a1"])
     assert case.due() == []
 
 
 def test_a_lease_is_renewed_again_only_after_the_note_of_it(time_) -> None:
     case = _Case()
-    time_.now_s += silences_module.SILENT_S + 0.1
+    time_.now_s += unresponsive_agents.UNRENEWED_S + 0.1
     case.due()
     number = case.leases.suspension("a1")
     # The scheduler notes the silence once more while an agent is being heard.
--- a/tests/lint/test_words.py
+++ b/tests/lint/test_words.py
@@ -12,7 +12,7 @@
 _RENAMED = ("job_placing", "jobs", "job_agent")
 _RETIRED = re.compile(
     r"\b(strains?|pacers?|paced?|paces|pacing|lives|life|rooms?"
-    r"|filling|fills|run_?look|looked_s|left alone|stands still"
+    r"|filling|fills|silences?|forgetting|run_?look|looked_s|left alone|stands still"
     r"|tasks? that (serves?|fills?))\b",
     re.IGNORECASE,
 )
