Report which runs were on a lost worker and their minimum age

All runs of a lost worker ended with the same kind and the same detail, whether or not their start was confirmed and however long they had run. The logs therefore could not distinguish a task that crashes its worker from a start that never arrived, or from a run that only happened to be on the same worker. The agent now records when each run started and when the worker last answered. The end of a run states how long it had run at least, the worker_lost event states how many runs were on the worker and the age of the youngest, and a counter counts the incarnations of the worker that ended. No decision depends on this data yet.

--- a/marigoldsill/cli/story.py
+++ b/marigoldsill/cli/story.py
@@ -18,6 +18,7 @@
         "worker_answers",
         "worker_drains",
         "worker_gone",
+        "worker_lost",
         "worker_backoff",
         "worker_probed",
         "worker_quarantined",
--- a/marigoldsill/coordination/job_agent/agent_metrics.py
+++ b/marigoldsill/coordination/job_agent/agent_metrics.py
@@ -22,3 +22,8 @@
 RUNNING = prometheus_client.Gauge(
     "marigoldsill_worker_runs", "Runs that the worker listed last."
 )
+WORKER_LOSSES = prometheus_client.Counter(
+    "marigoldsill_worker_losses",
+    "Incarnations of the worker that ended, planned (it was draining) or not.",
+    ("kind",),
+)
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -3,8 +3,10 @@
 import dataclasses
 import threading
 
+from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import incarnations
+from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -40,6 +42,7 @@
         changed: Notified on every change.
         clock: The worker's clock.
         throttle: The CPU quotas of best-effort tasks.
+        starts: Starts of runs on the current incarnation of the worker.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         orders: Orders by (task, run).
@@ -59,6 +62,7 @@
         self.changed = threading.Condition()
         self.clock = worker_clock.WorkerClock()
         self.throttle = cpu_throttle.CpuThrottle()
+        self.starts = run_starts.RunStarts()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
         self.term = 0
@@ -114,8 +118,21 @@
         percent = self.throttle.percent((order.task, order.run))
         return min(order.quota_percent, percent)
 
+    def note_start_sent(self, order: ttypes.RunOrder) -> None:
+        """Records a start request to the worker; the caller must hold the lock."""
+        if order.worker_id == self.worker_id:
+            self.starts.note_sent((order.task, order.run))
+
     def note_started(self, order: ttypes.RunOrder) -> None:
-        """Gives a best-effort run its first quota; hold the lock."""
+        """Records a confirmed start and sets a best-effort run's first quota.
+
+        The caller must hold the lock.
+        """
+        # The answer may come after another incarnation was confirmed.
+        if order.worker_id == self.worker_id:
+            now_s = clock.now_s()
+            self.starts.note_started((order.task, order.run), now_s=now_s)
+            self.starts.note_answer(now_s=now_s)
         if order.best_effort:
             self.throttle.first_percent(order, self._latency_critical_images())
 
@@ -216,6 +233,7 @@
                 # Else a run that isn't listed may run all the same.
                 self.listings_count += 1
             self.running = {(r.task, r.run): r for r in listing.running}
+            self._note_listed(listing)
             for ended in listing.ended:
                 if ended.number > self.acknowledged:
                     self.ends[ended.end.task, ended.end.run] = ended.end
@@ -234,6 +252,7 @@
         """Adds an end that the worker will not list."""
         with self.changed:
             key = (end.task, end.run)
+            self.starts.note_ended(key)
             if key not in self.ends and key in self.orders:
                 self.ends[key] = end
             self.changed.notify_all()
@@ -251,14 +270,53 @@
                 self.acknowledged = max(self.acknowledged, listed_through)
             self.changed.notify_all()
 
+    def _note_listed(self, listing: run_worker.Listing) -> None:
+        now_s = clock.now_s()
+        self.starts.note_answer(now_s=now_s)
+        for key in self.running:
+            self.starts.note_started(key, now_s=now_s)
+        for ended in listing.ended:
+            self.starts.note_ended((ended.end.task, ended.end.run))
+
     def _forget_worker(self) -> None:
         """Ends what ran on an incarnation of the worker that is over."""
+        if self.worker is not None:
+            self._end_runs_of_lost_worker()
         self.worker = None
         self.clock.reset()
         self.running = {}
         self.listed_through = self.acknowledged = 0
         self._settle_orders()
 
+    def _end_runs_of_lost_worker(self) -> None:
+        """Logs and counts the loss of the worker, and ends its runs as lost."""
+        ages_s = self.starts.min_ages_s()
+        self.starts.clear()
+        agent_metrics.WORKER_LOSSES.labels(
+            "planned" if self.worker.draining else "unplanned"
+        ).inc()
+        logs.event(
+            "worker_lost",
+            level="WARNING",
+            worker_id=self.worker_id,
+            draining=self.worker.draining,
+            silent_ms=int(1000 * (clock.now_s() - self.answered_s)),
+            runs_count=len(ages_s),
+            youngest_ms=int(1000 * min(ages_s.values(), default=0.0)),
+        )
+        for key, age_s in ages_s.items():
+            if key in self.ends or key not in self.orders:
+                continue
+            self.ends[key] = ttypes.RunEnd(
+                task=key[0],
+                run=key[1],
+                kind=ttypes.RunEndKind.LOST,
+                detail=(
+                    f"worker {self.worker_id} is gone; the run was on it for "
+                    f"{int(1000 * age_s)} ms or more"
+                ),
+            )
+
     def _settle_orders(self) -> None:
         """Ends orders for an incarnation of the worker that is surely over.
 
@@ -278,5 +336,8 @@
                     task=order.task,
                     run=order.run,
                     kind=ttypes.RunEndKind.LOST,
-                    detail=f"worker {order.worker_id} is gone",
+                    detail=(
+                        f"worker {order.worker_id} is gone; the run is not "
+                        "known to have begun on it"
+                    ),
                 )
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -202,13 +202,15 @@
         )
         earlier = work.unanswered
         work.unanswered = True
+        with state.changed:
+            state.note_start_sent(order)
         try:
             with agent_metrics.START_SECONDS.time():
                 clock_ms = self._worker.start(
                     order.worker_id, start, token=token
                 )
         except errors.RunRefusedError as error:
-            work.unanswered = earlier
+            self._note_not_started(order, work, earlier)
             if error.reason == run_worker.RefusalReason.TOO_LATE:
                 raise
             work.refused = error.reason
@@ -221,10 +223,15 @@
             )
             return
         except (errors.OtherWorkerError, errors.WorkerUnwellError) as error:
-            work.unanswered = earlier
+            self._note_not_started(order, work, earlier)
             if isinstance(error, errors.WorkerUnwellError):
                 work.refused = "the worker is not healthy"
             raise
+        except errors.TransportError as error:
+            if not error.sent and not earlier:
+                with state.changed:
+                    state.starts.note_not_started((order.task, order.run))
+            raise
         work.unanswered = False
         with state.changed:
             work.started = True
@@ -238,6 +245,21 @@
             token=token,
         )
 
+    def _note_not_started(
+        self, order: ttypes.RunOrder, work: _Work, earlier: bool
+    ) -> None:
+        """Records that the last start request had no effect.
+
+        Args:
+            order: The order to start the run.
+            work: The progress of the order.
+            earlier: Whether an earlier request may still take effect.
+        """
+        work.unanswered = earlier
+        if not earlier:
+            with self._state.changed:
+                self._state.starts.note_not_started((order.task, order.run))
+
     def _stop(self, order: ttypes.RunOrder, work: _Work) -> None:
         state = self._state
         self._worker.stop(
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/run_starts.py
@@ -0,0 +1,61 @@
+"""Tracks the runs started on a worker and the minimum age of each.
+
+A worker that crashes reports nothing about its runs. The agent derives a lower
+bound of each run's age from its start and the worker's last answer.
+"""
+
+import math
+
+from marigoldsill.protocol import task_names
+
+
+class RunStarts:
+    """Starts of runs on one incarnation of a worker.
+
+    Not thread-safe: the owner's lock must be held for every call.
+    """
+
+    def __init__(self):
+        self._unanswered: set[task_names.RunKey] = set()
+        self._started_s: dict[task_names.RunKey, float] = {}
+        self._answered_s = -math.inf
+
+    def note_sent(self, key: task_names.RunKey) -> None:
+        """Records a start request, which may take effect without an answer."""
+        if key not in self._started_s:
+            self._unanswered.add(key)
+
+    def note_not_started(self, key: task_names.RunKey) -> None:
+        """Records that no start request for a run has taken effect."""
+        self._unanswered.discard(key)
+
+    def note_started(self, key: task_names.RunKey, *, now_s: float) -> None:
+        """Records that a run is on the worker; the first call sets its start time."""
+        self._unanswered.discard(key)
+        self._started_s.setdefault(key, now_s)
+
+    def note_ended(self, key: task_names.RunKey) -> None:
+        """Records that a run has ended."""
+        self._unanswered.discard(key)
+        self._started_s.pop(key, None)
+
+    def note_answer(self, *, now_s: float) -> None:
+        """Records the time of the worker's last answer."""
+        self._answered_s = now_s
+
+    def min_ages_s(self) -> dict[task_names.RunKey, float]:
+        """Returns each run's minimum age at the worker's last answer.
+
+        A run whose start request is unanswered may have started, so it is included
+        with age 0.
+        """
+        ages_s = dict.fromkeys(self._unanswered, 0.0)
+        for key, started_s in self._started_s.items():
+            ages_s[key] = max(0.0, self._answered_s - started_s)
+        return ages_s
+
+    def clear(self) -> None:
+        """Removes all state before the next incarnation of the worker."""
+        self._unanswered.clear()
+        self._started_s.clear()
+        self._answered_s = -math.inf
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -73,6 +73,18 @@
     assert agent.worker.running == {}
 
 
+def test_a_stopped_run_is_not_counted_as_on_the_worker(
+    agent: one_agent.Agent,
+) -> None:
+    agent.worker.unanswered = {"start"}
+    agent.order(one_agent.RUN)
+    agent.work()
+    assert list(agent.state.starts.min_ages_s()) == [one_agent.KEY]
+    agent.order(one_agent.STOP)
+    agent.settle()
+    assert agent.state.starts.min_ages_s() == {}
+
+
 def test_a_refusal_after_an_unanswered_start_is_no_end_yet(
     agent: one_agent.Agent,
 ) -> None:
--- /dev/null
+++ b/tests/coordination/jobs/test_run_starts.py
@@ -0,0 +1,49 @@
+"""Tests of which runs were on a lost worker, and of their minimum ages."""
+
+import pytest
+
+from marigoldsill.coordination.job_agent import run_starts
+
+_KEY, _OTHER_KEY = ("j1.0.0.0", 1), ("j1.0.0.1", 1)
+
+
+@pytest.fixture
+def starts() -> run_starts.RunStarts:
+    return run_starts.RunStarts()
+
+
+def test_age_counts_from_the_first_start_to_the_last_answer(
+    starts: run_starts.RunStarts,
+) -> None:
+    starts.note_sent(_KEY)
+    starts.note_started(_KEY, now_s=10.0)
+    starts.note_started(_KEY, now_s=11.0)
+    starts.note_answer(now_s=12.5)
+    starts.note_started(_OTHER_KEY, now_s=13.0)
+    assert starts.min_ages_s() == {_KEY: 2.5, _OTHER_KEY: 0.0}
+
+
+def test_an_unanswered_start_counts_with_age_zero(
+    starts: run_starts.RunStarts,
+) -> None:
+    starts.note_sent(_KEY)
+    starts.note_answer(now_s=12.5)
+    assert starts.min_ages_s() == {_KEY: 0.0}
+    starts.note_not_started(_KEY)
+    assert starts.min_ages_s() == {}
+
+
+def test_an_ended_run_is_removed(
+    starts: run_starts.RunStarts,
+) -> None:
+    starts.note_started(_KEY, now_s=10.0)
+    starts.note_ended(_KEY)
+    assert starts.min_ages_s() == {}
+
+
+def test_clear_removes_runs_of_the_earlier_incarnation(
+    starts: run_starts.RunStarts,
+) -> None:
+    starts.note_started(_KEY, now_s=10.0)
+    starts.clear()
+    assert starts.min_ages_s() == {}
