Test that a task that crashes its workers fails its job

Fails: in 30 s the task was started 296 times on three workers, and its job was never shown as failed.

The stand-in worker gains a run that crashes it.

--- a/standins/pool_run.py
+++ b/standins/pool_run.py
@@ -1,15 +1,17 @@
 """A run as the stand-in of the users' platform holds it.
 
 What a run does stands in its spec: "work 300" takes 300 ms, "fail 100" fails
-after 100 ms, "last" goes on until it is stopped, "gang 3 200" waits for a gang
-of three and takes 200 ms from then on.
+after 100 ms, "crash 10" crashes its worker after 10 ms, "last" goes on until it is
+stopped, "gang 3 200" waits for a gang of three and takes 200 ms from then on.
 """
 
 import dataclasses
 
 from standins import gangs
 
-_KINDS = ("work", "fail", "last", "gang")
+# Outcome of a run that crashes its worker.
+CRASHED = "crashed"
+_KINDS = ("work", "fail", "crash", "last", "gang")
 # `gang_timeout_ms` of the platform.
 _GANG_TIMEOUT_MS = 3_000
 
@@ -70,7 +72,7 @@
         self.counted_ms = now_ms
         if self.kind == "last" or self.progress_ms < self.work_ms:
             return None
-        return "failed" if self.kind == "fail" else "done"
+        return {"fail": "failed", "crash": CRASHED}.get(self.kind, "done")
 
     @property
     def checkpoint(self) -> str:
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -128,6 +128,7 @@
                 if run.gang is not None:
                     run.gang.leave(run.task, "lost")
             self._be_born()
+            self._changed.notify_all()
 
     def running(self) -> dict[str, int]:
         """The tasks that run, with their run's number."""
@@ -235,7 +236,12 @@
         self._note_ends(body.get("acked_through", 0))
         self._prolong(body)
         wait_ms = min(body.get("wait_ms", 0), _WAIT_LIMIT_MS)
-        self._changed.wait_for(lambda: self._ended, wait_ms / 1000)
+        life = self.life
+        self._changed.wait_for(
+            lambda: self._ended or life != self.life, wait_ms / 1000
+        )
+        if life != self.life:
+            raise _RefusedError(421)
         return {
             "running": [run.listed() for run in self._runs.values()],
             "ended_runs": list(self._ended),
@@ -284,6 +290,9 @@
             if self.faults.stalls:
                 run.counted_ms = now_ms
             how = run.advance(now_ms)
+            if how == pool_run.CRASHED:
+                self.be_reborn()
+                return
             if how is not None:
                 self._end(run, how)
 
--- a/tests/platform/rules.py
+++ b/tests/platform/rules.py
@@ -4,6 +4,7 @@
 the lines tell what really ran.
 """
 
+import collections
 from collections.abc import Iterable
 import itertools
 
@@ -15,6 +16,7 @@
     assert started_after_done(lines) == []
     assert step_out_of_order(lines) == []
     assert run_numbers_not_rising(lines) == []
+    assert started_after_crashes(lines) == []
 
 
 def two_at_a_time(lines: list[dict]) -> list[str]:
@@ -95,3 +97,21 @@
         for task, group in itertools.groupby(starts, lambda s: s["task"])
         if any(b["run"] <= a["run"] for a, b in itertools.pairwise(group))
     ]
+
+
+def started_after_crashes(lines: list[dict]) -> list[str]:
+    """Crashing tasks that were started more than twice after three crashes."""
+    specs = {
+        line["task"]: line.get("spec", "")
+        for line in lines
+        if line["event"] == "started"
+    }
+    crashing = {t for t, spec in specs.items() if spec.startswith("crash")}
+    crashes: collections.Counter[str] = collections.Counter()
+    starts: collections.Counter[str] = collections.Counter()
+    for line in lines:
+        if line["event"] == "lost":
+            crashes[line["task"]] += 1
+        elif line["event"] == "started" and crashes[line["task"]] >= 3:
+            starts[line["task"]] += 1
+    return [task for task in sorted(crashing) if starts[task] >= 3]
