Fail jobs whose tasks repeatedly crash workers

Callers saw late or missing answers: a task that crashed its worker was queued again as soon as the worker was gone and was started on the next one, without limit.

Cause: the end of a run whose worker was gone was recorded as lost, which counts against no limit. The class of fault is an unlimited retry after an end that is attributed to nothing.

Evidence: the worker was gone 10 ms after each start of the named tasks, on whichever worker, while the same worker had run other tasks for seconds before; the leader granted the next run within 15 ms of the end.

Agents now report such ends as crashed, with the age of the run and the number of runs suspected of the crash: those that had just started, or else all that were young. The replicated state counts the crashes of each task, once for each run, even if the run had been recorded as lost before. A task fails its job after a second crash of which it was the only suspect, or after a third. A run that worked clearly longer than before any crash resets the count when its own worker is lost.

Since a crash ends all runs on the worker, suspects restart in isolation, on a few workers that take no other tasks meanwhile: in small groups, and alone after a second crash, for 2 s and 4 s of waiting at most. Tasks that only shared the worker are thus not failed with the one that crashes it. Gangs count too, but are not isolated.

The soak test now submits such tasks too, and checks that they are started at most twice after three crashes and that no job fails under which fewer than two workers crashed. Before, it reported any failed job as a fault.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -123,6 +123,11 @@
         if order.worker_id == self.worker_id:
             self.starts.note_sent((order.task, order.run))
 
+    def note_unreachable(self, worker_id: str) -> None:
+        """Records a call without an answer; the caller must hold the lock."""
+        if worker_id == self.worker_id:
+            self.starts.note_unreachable()
+
     def note_started(self, order: ttypes.RunOrder) -> None:
         """Records a confirmed start and sets a best-effort run's first quota.
 
@@ -289,32 +294,44 @@
         self._settle_orders()
 
     def _end_runs_of_lost_worker(self) -> None:
-        """Logs and counts the loss of the worker, and ends its runs as lost."""
+        """Logs and counts the loss of the worker, and ends its runs."""
+        worker = self.worker
         ages_s = self.starts.min_ages_s()
+        # A draining worker shuts down as planned, so no run is suspected.
+        suspects = (
+            frozenset() if worker.draining else self.starts.crash_suspects()
+        )
         self.starts.clear()
         agent_metrics.WORKER_LOSSES.labels(
-            "planned" if self.worker.draining else "unplanned"
+            "planned" if worker.draining else "unplanned"
         ).inc()
         logs.event(
             "worker_lost",
             level="WARNING",
-            worker_id=self.worker_id,
-            draining=self.worker.draining,
+            worker_id=worker.worker_id,
+            draining=worker.draining,
             silent_ms=int(1000 * (clock.now_s() - self.answered_s)),
             runs_count=len(ages_s),
             youngest_ms=int(1000 * min(ages_s.values(), default=0.0)),
+            suspects_count=len(suspects),
         )
+        kind = ttypes.RunEndKind.CRASHED
+        if worker.draining:
+            kind = ttypes.RunEndKind.LOST
         for key, age_s in ages_s.items():
-            if key in self.ends or key not in self.orders:
+            if key in self.ends:
                 continue
+            age_ms = int(1000 * age_s)
             self.ends[key] = ttypes.RunEnd(
                 task=key[0],
                 run=key[1],
-                kind=ttypes.RunEndKind.LOST,
+                kind=kind,
                 detail=(
-                    f"worker {self.worker_id} is gone; the run was on it for "
-                    f"{int(1000 * age_s)} ms or more"
+                    f"worker {worker.worker_id} is gone; the run was on it for "
+                    f"{age_ms} ms or more"
                 ),
+                suspects_count=len(suspects) if key in suspects else 0,
+                age_ms=age_ms,
             )
 
     def _settle_orders(self) -> None:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -228,9 +228,10 @@
                 work.refused = "the worker is not healthy"
             raise
         except errors.TransportError as error:
-            if not error.sent and not earlier:
-                with state.changed:
+            with state.changed:
+                if not error.sent and not earlier:
                     state.starts.note_not_started((order.task, order.run))
+                state.note_unreachable(order.worker_id)
             raise
         work.unanswered = False
         with state.changed:
--- a/marigoldsill/coordination/job_agent/holder.py
+++ b/marigoldsill/coordination/job_agent/holder.py
@@ -51,6 +51,7 @@
             if held_id in ("", worker_id):
                 self._dependency.failed(error.kind, error.message)
             with self._state.changed:
+                self._state.note_unreachable(worker_id)
                 self._state.changed.wait(_PAUSE_S)
 
     def next_incarnation(self) -> str:
--- a/marigoldsill/coordination/job_agent/run_starts.py
+++ b/marigoldsill/coordination/job_agent/run_starts.py
@@ -1,4 +1,4 @@
-"""Tracks the runs started on a worker and the minimum age of each.
+"""Tracks the runs started on a worker, and which of them may have crashed it.
 
 A worker that crashes reports nothing about its runs. The agent derives a lower
 bound of each run's age from its start and the worker's last answer.
@@ -8,6 +8,12 @@
 
 from marigoldsill.protocol import task_names
 
+# Runs younger than this are suspected first: a task that crashes its worker usually
+# does so at startup.
+_STARTUP_S = 0.5
+# If no run is that young, runs up to this age are suspected.
+_SUSPECT_AGE_LIMIT_S = 5.0
+
 
 class RunStarts:
     """Starts of runs on one incarnation of a worker.
@@ -19,10 +25,15 @@
         self._unanswered: set[task_names.RunKey] = set()
         self._started_s: dict[task_names.RunKey, float] = {}
         self._answered_s = -math.inf
+        self._is_unreachable = False
 
     def note_sent(self, key: task_names.RunKey) -> None:
-        """Records a start request, which may take effect without an answer."""
-        if key not in self._started_s:
+        """Records a start request, which may take effect without an answer.
+
+        Requests sent while the worker is unreachable are ignored, as they start
+        nothing.
+        """
+        if key not in self._started_s and not self._is_unreachable:
             self._unanswered.add(key)
 
     def note_not_started(self, key: task_names.RunKey) -> None:
@@ -42,6 +53,11 @@
     def note_answer(self, *, now_s: float) -> None:
         """Records the time of the worker's last answer."""
         self._answered_s = now_s
+        self._is_unreachable = False
+
+    def note_unreachable(self) -> None:
+        """Records that a call to the worker got no answer."""
+        self._is_unreachable = True
 
     def min_ages_s(self) -> dict[task_names.RunKey, float]:
         """Returns each run's minimum age at the worker's last answer.
@@ -54,8 +70,18 @@
             ages_s[key] = max(0.0, self._answered_s - started_s)
         return ages_s
 
+    def crash_suspects(self) -> frozenset[task_names.RunKey]:
+        """Returns the runs to suspect if the worker has crashed."""
+        ages_s = self.min_ages_s()
+        youngest_s = min(ages_s.values(), default=math.inf)
+        limit_s = (
+            _STARTUP_S if youngest_s < _STARTUP_S else _SUSPECT_AGE_LIMIT_S
+        )
+        return frozenset(key for key, age in ages_s.items() if age < limit_s)
+
     def clear(self) -> None:
         """Removes all state before the next incarnation of the worker."""
         self._unanswered.clear()
         self._started_s.clear()
         self._answered_s = -math.inf
+        self._is_unreachable = False
--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -31,6 +31,8 @@
         occurrence: The occurrence of the job.
         idle_since_s: Since when its job has had nothing running; infinite
             while something runs.
+        suspects_count: How many of the tasks without a run are suspected of
+            crashing a worker; 0 for gangs.
     """
 
     key: task_names.StepKey
@@ -42,6 +44,7 @@
     job: ttypes.Job
     occurrence: ttypes.Occurrence
     idle_since_s: float = math.inf
+    suspects_count: int = 0
 
     def task_name(self, index: int) -> str:
         """The name of one of its tasks."""
@@ -177,17 +180,29 @@
     number: int,
 ) -> WaitingStep:
     tasks = occurrence.steps[number].tasks
+    waiting = [
+        index
+        for index, task in enumerate(tasks)
+        if not task.done and not task.runs
+    ]
     return WaitingStep(
         key=(record.job.job_id, occurrence.number, number),
         step=record.job.steps[number],
         queue=queue,
-        waiting=[
-            index
-            for index, task in enumerate(tasks)
-            if not task.done and not task.runs
-        ],
+        waiting=waiting,
         tasks=tasks,
         record=record,
         job=record.job,
         occurrence=occurrence,
+        suspects_count=_suspects_count(record.job.steps[number], tasks),
+    )
+
+
+def _suspects_count(step: ttypes.Step, tasks: list[ttypes.JobTask]) -> int:
+    if step.gang:
+        # Members of a gang start together, so they cannot be isolated.
+        return 0
+    return sum(
+        task.crashes_count > 0 and not task.done and not task.runs
+        for task in tasks
     )
--- a/marigoldsill/coordination/job_placing/gangs.py
+++ b/marigoldsill/coordination/job_placing/gangs.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
+import heapq
 import itertools
 
 from marigoldsill.coordination.job_placing import evictions
@@ -11,6 +12,29 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
+# Gangs tried in one round; each is tried on a copy of all workers that admit it.
+_GANGS_LIMIT = 4
+
+
+class Selector:
+    """Selects the gangs to try in each round, least recently tried first."""
+
+    def __init__(self):
+        self._tried_round: dict[task_names.StepKey, int] = {}
+        self._round = 0
+
+    def choose(
+        self, waiting: Iterable[task_names.StepKey]
+    ) -> set[task_names.StepKey]:
+        """The gangs to try in this round."""
+        self._round += 1
+        tried_round = {key: self._tried_round.get(key, 0) for key in waiting}
+        chosen = heapq.nsmallest(
+            _GANGS_LIMIT, tried_round, key=tried_round.__getitem__
+        )
+        self._tried_round = tried_round | dict.fromkeys(chosen, self._round)
+        return set(chosen)
+
 
 def groups(
     step: ttypes.Step, workers: Sequence[free_capacity.FreeCapacity]
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import heapq
 
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
@@ -16,6 +15,7 @@
     candidates as candidates_module,
 )
 from marigoldsill.coordination.job_placing import capacity_index
+from marigoldsill.coordination.job_placing import crash_isolation
 from marigoldsill.coordination.job_placing import exploration
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
@@ -38,8 +38,6 @@
 # half, a job waits for about the time that large jobs take.
 _FULL_POOL_SHARE = 0.6
 _FULL_POOL_IDLE_LIMIT_S = 20.0
-# Gangs tried in one round; each is tried on a copy of all workers that admit it.
-_GANGS_LIMIT = 4
 
 
 class Placement:
@@ -72,9 +70,9 @@
         self._is_live = is_live
         self._exploration = exploration.Exploration(interference)
         self._classes = task_classes.TaskClasses(self.index, interference)
+        self._isolation = crash_isolation.CrashIsolation()
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
-        self._gang_tried: dict[task_names.StepKey, int] = {}
-        self._round = 0
+        self._gang_selector = gangs.Selector()
 
     def refresh(
         self,
@@ -106,8 +104,14 @@
 
         What they need stays reserved until `settle`.
         """
-        self._round += 1
-        gang_keys = self._gangs_to_try(steps)
+        self._isolation.begin_round(
+            suspects_count=sum(waiting.suspects_count for waiting in steps),
+            workers_count=len(self.index.workers),
+            now_s=now_s,
+        )
+        gang_keys = self._gang_selector.choose(
+            step.key for step in steps if step.step.gang
+        )
         grants: list[ttypes.RunGrant] = []
         for waiting in steps:
             if len(grants) >= _GRANTS_LIMIT:
@@ -155,6 +159,7 @@
         return candidates.best(
             lambda free: (
                 free.agent != agent
+                and self._isolation.admits(free.agent)
                 and self._is_live(free.agent)
                 and self._exploration.allows(free, step, now_s=now_s)
             )
@@ -174,16 +179,52 @@
         self, waiting: backlog_module.WaitingStep, now_s: float
     ) -> list[ttypes.RunGrant]:
         grants = []
+        has_candidates = True
         for index in waiting.waiting:
-            candidates = self._classes.candidates(
-                waiting.step, waiting.queue.pool
-            )
-            free = self._choose(waiting, index, candidates, now_s)
-            if free is None:
+            if self._is_isolated(waiting, index, now_s):
+                free = self._choose_for_suspect(waiting, index, now_s)
+            elif not has_candidates:
+                continue
+            else:
+                candidates = self._classes.candidates(
+                    waiting.step, waiting.queue.pool
+                )
+                free = self._choose(waiting, index, candidates, now_s)
+                has_candidates = free is not None
+            if free is not None:
+                grants.append(self._grant(waiting, index, free, now_s))
+            elif not waiting.suspects_count:
                 break
-            grants.append(self._grant(waiting, index, free, now_s))
         return grants
 
+    def _is_isolated(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> bool:
+        """Whether a task is a crash suspect that may start only in isolation."""
+        task = waiting.tasks[index]
+        if not task.crashes_count:
+            return False
+        name = waiting.task_name(index)
+        return not self._isolation.is_overdue(name, task, now_s=now_s)
+
+    def _choose_for_suspect(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> free_capacity.FreeCapacity | None:
+        """A worker reserved for crash suspects where a task may start now, or None."""
+        is_acceptable = self._acceptance(waiting, now_s, allows_reserved=True)
+        step, pool = waiting.step, waiting.queue.pool
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            rating = scoring.rate(free, step, pool, self._interference)
+            return rating is not None and is_acceptable(free)
+
+        return self._isolation.choose(
+            waiting.tasks[index],
+            self.index.workers,
+            accepts,
+            now_s=now_s,
+        )
+
     def _place_regardless(
         self, waiting: backlog_module.WaitingStep, now_s: float
     ) -> list[ttypes.RunGrant]:
@@ -192,13 +233,23 @@
         Its worker is where it disturbs least; the agent gives it the speed
         that is left. So every job makes progress, however slowly.
         """
+        index = next(
+            (
+                index
+                for index in waiting.waiting
+                if not self._is_isolated(waiting, index, now_s)
+            ),
+            None,
+        )
+        if index is None:
+            return []
         candidates = self._classes.candidates(
             waiting.step, waiting.queue.pool, starts_regardless=True
         )
         free = candidates.best(self._acceptance(waiting, now_s))
         if free is None:
             return []
-        return [self._grant(waiting, waiting.waiting[0], free, now_s)]
+        return [self._grant(waiting, index, free, now_s)]
 
     def _place_gang(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -278,12 +329,25 @@
         return candidates.best(accepts)
 
     def _acceptance(
-        self, waiting: backlog_module.WaitingStep, now_s: float
+        self,
+        waiting: backlog_module.WaitingStep,
+        now_s: float,
+        *,
+        allows_reserved: bool = False,
     ) -> Callable[[free_capacity.FreeCapacity], bool]:
-        """What a step asks of a worker beside what its class does."""
+        """What a step asks of a worker beside what its class does.
+
+        Args:
+            waiting: The step.
+            now_s: The time of the round.
+            allows_reserved: Whether workers reserved for crash suspects are
+                accepted.
+        """
         limit = waiting.step.spread_limit
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
+            if not allows_reserved and not self._isolation.admits(free.agent):
+                return False
             if limit and free.runs_by_step.get(waiting.key, 0) >= limit:
                 return False
             if not self._is_live(free.agent):
@@ -307,6 +371,12 @@
         run: int | None = None,
     ) -> ttypes.RunGrant:
         self._exploration.record_start(free, waiting.step, now_s=now_s)
+        self._isolation.record_start(
+            waiting.task_name(index),
+            waiting.tasks[index],
+            free.agent,
+            now_s=now_s,
+        )
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
@@ -326,13 +396,3 @@
             return True
         reserved_share = self.index.reserved_share(waiting.queue.pool)
         return reserved_share <= _FULL_POOL_SHARE
-
-    def _gangs_to_try(
-        self, steps: Iterable[backlog_module.WaitingStep]
-    ) -> set[task_names.StepKey]:
-        """The gangs whose turn it is, those first that were tried longest ago."""
-        waiting = [step.key for step in steps if step.step.gang]
-        tried = {key: self._gang_tried.get(key, 0) for key in waiting}
-        chosen = heapq.nsmallest(_GANGS_LIMIT, waiting, key=tried.__getitem__)
-        self._gang_tried = tried | dict.fromkeys(chosen, self._round)
-        return set(chosen)
--- a/marigoldsill/coordination/jobs/job_events.py
+++ b/marigoldsill/coordination/jobs/job_events.py
@@ -41,6 +41,7 @@
             case ttypes.RecordRunEnds(ends=ends):
                 for end in ends:
                     _tell_run_ended(end)
+                    _tell_crash(jobs, end)
                 ids = {task_names.parse(end.task).job_id for end in ends}
                 self._tell_ended(jobs, ids, command.proposed_unix_ms)
             case ttypes.CancelJob(job_id=job_id):
@@ -137,6 +138,20 @@
     )
 
 
+def _tell_crash(jobs: job_tables.JobTables, end: ttypes.RunEnd) -> None:
+    task = jobs.find(end.task) if end.suspects_count else None
+    if task is None:
+        return
+    logs.event(
+        "crash_suspected",
+        level="WARNING",
+        task=end.task,
+        run=end.run,
+        suspects_count=end.suspects_count,
+        crashes_count=task.crashes_count,
+    )
+
+
 def _kind_of(step: ttypes.Step) -> str:
     if step.long_running:
         return "latency_critical" if step.tail_target_ms else "long_running"
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -269,7 +269,11 @@
   2: i64 last_run = 0,              // 0: never granted
   3: i32 failures_count = 0,
   4: string checkpoint_id = "",     // newest known
-  5: list<JobRun> runs = []         // that may be alive
+  5: list<JobRun> runs = [],        // that may be alive
+  6: i32 crashes_count = 0,         // worker crashes that it is suspected of
+  7: i64 last_crashed_run = 0,      // 0: none
+  8: list<string> crashed_agents = [],  // agents of these workers, as far as known
+  9: i64 crash_age_ms = 0           // highest age of its runs at these crashes
 }
 
 struct StepTasks { 1: list<JobTask> tasks }
@@ -442,7 +446,7 @@
 /** Grants runs of jobs' tasks; one entry for a batch of decisions. */
 struct GrantRuns { 1: list<RunGrant> grants }
 
-enum RunEndKind { DONE = 1, FAILED = 2, STOPPED = 3, LAPSED = 4, MEMBER_ENDED = 5, MEMBERS_MISSING = 6, REFUSED = 7, LOST = 8 }
+enum RunEndKind { DONE = 1, FAILED = 2, STOPPED = 3, LAPSED = 4, MEMBER_ENDED = 5, MEMBERS_MISSING = 6, REFUSED = 7, LOST = 8, CRASHED = 9 }
 
 /** How a run ended. Recording it again has no effect. */
 struct RunEnd {
@@ -450,7 +454,9 @@
   2: i64 run,
   3: RunEndKind kind,
   4: string checkpoint_id = "",
-  5: string detail = ""
+  5: string detail = "",
+  6: i32 suspects_count = 0,        // CRASHED: runs suspected of the crash; 0: not this one
+  7: i64 age_ms = 0                 // lower bound of the run's age when its worker was lost
 }
 
 struct RecordRunEnds {
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -106,7 +106,10 @@
 def _begin(record: ttypes.JobRecord, number: int) -> None:
     steps = [
         ttypes.StepTasks(
-            tasks=[ttypes.JobTask(runs=[]) for _ in range(step.tasks_count)]
+            tasks=[
+                ttypes.JobTask(runs=[], crashed_agents=[])
+                for _ in range(step.tasks_count)
+            ]
         )
         for step in record.job.steps
     ]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,10 @@
 _SPECIAL_PAUSE_S = 0.4
 _LASTING_LIMIT = 4
 _SPECIAL_CANCEL_SHARE = 0.3
+# Jobs whose task crashes its worker: the interval between two of them, and the range
+# of the time from a start to the crash.
+_CRASHING_PAUSE_S = 3.0
+_CRASH_DELAYS_MS = (1, 300)
 # Timed jobs: so many occurrences, the first one due after so many ms.
 _OCCURRENCES = (1, 3)
 _DELAYS_MS = (0, 2_500)
@@ -46,6 +50,7 @@
             self._look,
             self._operate,
             self._submit_special,
+            self._submit_crashing,
         )
         self._threads = [
             threading.Thread(target=task, args=(number,), daemon=True)
@@ -74,8 +79,10 @@
             self.broken.append(f"{job.job_id} has state {state!r}")
         if job.lasting and state == "completed":
             self.broken.append(f"{job.job_id} lasts, but completed")
-        if state == "failed" or (state == "cancelled" and not job.cancelling):
+        if state == "cancelled" and not job.cancelling:
             self.broken.append(f"{job.job_id} is {state} without a cause")
+        if job.state == "failed" and state not in ("", "failed"):
+            self.broken.append(f"{job.job_id} failed, then {state}")
         if was_completed and state not in ("", "completed"):
             self.broken.append(f"{job.job_id} completed, then {state}")
         job.completed = job.completed or state == "completed"
@@ -129,6 +136,19 @@
             if job.accepted and numbers.random() < _SPECIAL_CANCEL_SHARE:
                 self.cancel(job, numbers)
 
+    def _submit_crashing(self, number: int) -> None:
+        """Submits jobs with a task that crashes every worker that starts it."""
+        numbers = random.Random(f"{self._seed} {number}")
+        for count in range(1_000_000):
+            if self._stopping.wait(_CRASHING_PAUSE_S):
+                return
+            job_id = f"{number:04x}{count:012x}"
+            body = {
+                "spec": f"crash {numbers.randint(*_CRASH_DELAYS_MS)}",
+                "steps": [system_module.step()],
+            }
+            self._hand_in(history.Submitted(job_id, [1]), body, numbers)
+
     def _hand_in(
         self, job: history.Submitted, body: dict, numbers: random.Random
     ) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -102,7 +102,12 @@
 
     def tasks_to_last(self) -> list[str]:
         """Its tasks that are to be at work until the end."""
-        is_to_last = self.lasting and self.accepted and not self.cancelling
+        is_to_last = (
+            self.lasting
+            and self.accepted
+            and not self.cancelling
+            and self.state != "failed"
+        )
         return self.tasks() if is_to_last else []
 
     @property
@@ -112,7 +117,7 @@
             self.accepted
             and (self.cancelling or not self.lasting)
             and not self.completed
-            and self.state != "cancelled"
+            and self.state not in ("cancelled", "failed")
         )
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -6,6 +6,7 @@
 bound.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -33,6 +34,8 @@
 NEAR_S = 3.0
 # Unix times of jobs are in whole milliseconds.
 EARLY_S = 0.002
+# A job may fail once a task of it has lost this many workers.
+MIN_CRASHES_TO_FAIL = 2
 # Workers of the soak hold 16 tasks of its size; one place may be promised to a
 # run that no worker has heard of yet.
 ROOM = 15
@@ -46,7 +49,12 @@
         *(f"{t} ran after its end" for t in rules.started_after_done(lines)),
         *(f"{t} ran too early" for t in rules.step_out_of_order(lines)),
         *(f"{t} was renumbered" for t in rules.run_numbers_not_rising(lines)),
+        *(
+            f"{t} was restarted too often after crashes"
+            for t in rules.started_after_crashes(lines)
+        ),
         *refused_that_ran(history),
+        *failed_without_cause(history),
         *completed_but_not_done(history),
         *not_over(history),
         *away_too_long(history),
@@ -68,6 +76,19 @@
     ]
 
 
+def failed_without_cause(history: history_module.History) -> list[str]:
+    """Jobs that were shown as failed while no task had lost two workers."""
+    crashes = collections.Counter(
+        run.task for run in history.runs() if run.how == "lost"
+    )
+    return [
+        f"{job.job_id} failed after too few worker crashes"
+        for job in history.jobs
+        if job.state == "failed"
+        and all(crashes[task] < MIN_CRASHES_TO_FAIL for task in job.tasks())
+    ]
+
+
 def completed_but_not_done(history: history_module.History) -> list[str]:
     """Jobs that were shown as completed while not all tasks were done."""
     done = {run.task for run in history.runs() if run.how == "done"}
@@ -113,7 +134,7 @@
     return [
         (task, piece)
         for job in history.jobs
-        if job.lasting and job.accepted
+        if job.lasting and job.accepted and job.state != "failed"
         for task in job.tasks()
         for gap in _gaps(history, job, task)
         for piece in gap.span.outside(excuses + gap.excuses)
--- a/soak/run.py
+++ b/soak/run.py
@@ -209,13 +209,16 @@
     numbers = random.Random(0)
 
     def is_settled() -> bool:
+        at_work = {t for w in system.workers.values() for t in w.running()}
         for job in callers.jobs:
             if job.cancelling and not job.cancel_acknowledged_ns:
                 callers.cancel(job, numbers)
-            if job.is_open and not callers.look_at(job, edge=edge):
+            is_awaited = job.is_open or not at_work.issuperset(
+                job.tasks_to_last()
+            )
+            if is_awaited and not callers.look_at(job, edge=edge):
                 # The next one would wait as long: time to look at the limit.
                 return False
-        at_work = {t for w in system.workers.values() for t in w.running()}
         lasting = {t for job in callers.jobs for t in job.tasks_to_last()}
         ended = {t for j in callers.jobs if j.cancelling for t in j.tasks()}
         return (
--- a/tests/coordination/jobs/one_agent.py
+++ b/tests/coordination/jobs/one_agent.py
@@ -65,6 +65,13 @@
     def hold(self) -> None:
         self.holder.hold(self.state.announced.worker.worker_id)
 
+    def crash(self, incarnation: str = "a1-life2") -> None:
+        """Restarts the worker under another incarnation, without its runs."""
+        self.worker.incarnation = incarnation
+        self.worker.running.clear()
+        self.state.announce(announcement(incarnation))
+        self.hold()
+
     def call_next(self, *, rounds_count: int) -> list[str]:
         """Lets the holder call whom it would; the incarnations that it called."""
         before = len(self.worker.held_incarnations)
--- /dev/null
+++ b/tests/state/test_job_crashes.py
@@ -0,0 +1,140 @@
+"""Tests of how worker crashes count against the tasks suspected of them."""
+
+import pytest
+
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
+
+_CRASHED = ttypes.RunEndKind.CRASHED
+_TASK = builders.task()
+
+
+@pytest.fixture
+def state() -> builders.State:
+    made = builders.State()
+    made.submit(builders.job("j1", builders.step(2)))
+    return made
+
+
+def _crash(
+    state: builders.State, run: int, *, agent: str = "a1", **fields: int
+) -> None:
+    assert state.grant(builders.grant(_TASK, run, agent)) == 1
+    _report(state, run, **fields)
+
+
+def _report(
+    state: builders.State, run: int, *, suspects_count: int = 1, age_ms: int = 0
+) -> None:
+    end = builders.end(_TASK, _CRASHED, run)
+    end.suspects_count = suspects_count
+    end.age_ms = age_ms
+    state.end(end)
+
+
+def test_a_sole_suspect_fails_its_job_at_the_second_crash(
+    state: builders.State,
+) -> None:
+    _crash(state, 1)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    _crash(state, 2, agent="a2")
+    assert state.state_of() == ttypes.JobState.FAILED
+    assert "2 workers crashed" in state.tables.jobs.jobs["j1"].reason
+
+
+def test_one_of_several_suspects_fails_its_job_at_the_third_crash(
+    state: builders.State,
+) -> None:
+    _crash(state, 1, suspects_count=5)
+    _crash(state, 2, suspects_count=3)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    _crash(state, 3, suspects_count=2)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_a_crash_that_is_reported_twice_counts_once(
+    state: builders.State,
+) -> None:
+    _crash(state, 1, suspects_count=2)
+    _report(state, 1, suspects_count=2)
+    assert state.task(_TASK).crashes_count == 1
+
+
+def test_a_crash_reported_after_the_run_was_lost_counts(
+    state: builders.State,
+) -> None:
+    state.run(_TASK, ttypes.RunEndKind.LOST)
+    state.grant(builders.grant(_TASK, 2))
+    _report(state, 1, suspects_count=1)
+    assert state.task(_TASK).crashes_count == 1
+    assert [run.run for run in state.task(_TASK).runs] == [2]
+
+
+def test_a_crash_of_a_run_that_was_never_granted_is_ignored(
+    state: builders.State,
+) -> None:
+    _report(state, 1, suspects_count=1)
+    assert state.task(_TASK).crashes_count == 0
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "crashes_count"), [(1_000, 1), (1_600, 1), (1_800, 0)]
+)
+def test_a_run_that_outlives_earlier_crashes_resets_the_count(
+    state: builders.State, age_ms: int, crashes_count: int
+) -> None:
+    _crash(state, 1, suspects_count=2, age_ms=100)
+    _crash(state, 2, suspects_count=0, age_ms=age_ms)
+    assert state.task(_TASK).crashes_count == crashes_count
+
+
+def test_counting_starts_over_after_a_longer_run(state: builders.State) -> None:
+    _crash(state, 1)
+    _crash(state, 2, suspects_count=0, age_ms=60_000)
+    _crash(state, 3)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    assert state.task(_TASK).crashed_agents == ["a1"]
+
+
+def test_a_task_that_crashes_workers_at_similar_ages_fails_its_job(
+    state: builders.State,
+) -> None:
+    _crash(state, 1, suspects_count=3, age_ms=3_000)
+    _crash(state, 2, suspects_count=4, age_ms=3_900)
+    _crash(state, 3, suspects_count=3, age_ms=2_800)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_a_long_running_task_fails_its_job_as_well() -> None:
+    state = builders.State()
+    state.submit(builders.job("j1", builders.step(long_running=True)))
+    _crash(state, 1)
+    _crash(state, 2)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_a_crash_of_another_copy_of_a_done_task_does_not_fail_its_job(
+    state: builders.State,
+) -> None:
+    state.submit(builders.job("j2", builders.step(2, speculative=True)))
+    copied = builders.task(job_id="j2")
+    crash = builders.end(copied, _CRASHED, 1)
+    crash.suspects_count = 1
+    state.grant(builders.grant(copied, 1, "a1"))
+    state.end(crash)
+    state.grant(builders.grant(copied, 2, "a1"))
+    state.grant(builders.grant(copied, 3, "a2"))
+    state.end(builders.end(copied, ttypes.RunEndKind.DONE, 2))
+    crash.run = 3
+    state.end(crash)
+    assert state.state_of("j2") == ttypes.JobState.RUNNING
+
+
+def test_a_reset_that_is_reported_after_the_run_was_lost_touches_the_job(
+    state: builders.State,
+) -> None:
+    _crash(state, 1, suspects_count=2)
+    state.run(_TASK, ttypes.RunEndKind.LOST, run=2)
+    state.tables.jobs.take_touched_jobs()
+    _report(state, 2, suspects_count=0, age_ms=60_000)
+    assert state.tables.jobs.take_touched_jobs() == {"j1"}
