Apply capacity changes of running workers and start no run over them

A worker's capacity may be reduced or increased while it runs. An agent treated a heartbeat with a changed capacity as one from another writer and refused it until the third in a row: with heartbeats 1.5 s apart, the leader kept granting runs by the old capacity for about 4.5 s. A changed capacity is now accepted with the next heartbeat. A heartbeat whose sequence number is far ahead is refused until the third in a row, so it no longer makes the worker's own heartbeats count as late.

An agent also checks each start against the capacity that the worker announced last, together with all ordered runs that may be on the worker, including those to be stopped. A run granted before the capacity was reduced is thus refused instead of started. The agent starts nothing if the worker has announced nothing for 4 s (contact_ms plus a heartbeat minus 0.5 s, by the settings), since a reduction may not have arrived. Orders carry the resources that a run reserves, also when the run is to be stopped.

The agent tests fail without this change: the heartbeat raised ConflictError, and runs were started over the capacity. The soak test now temporarily reduces the capacity of workers, drawn from a separate generator so that the other faults of a seed are unchanged, and checks that no run is started over a reduced capacity later than 3.1 s after the reduction. Runs that are on a worker when its capacity is reduced continue.

The code that ends the runs of a lost worker moves to its own module, unchanged.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,16 +1,20 @@
 """What an agent knows now: its worker, its lease, its orders, open ends."""
 
+from collections.abc import Iterable
 import dataclasses
+import math
 import threading
 
-from marigoldsill.coordination.job_agent import agent_metrics
+from marigoldsill.coordination.job_agent import capacity_check
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import incarnations
+from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
@@ -58,8 +62,16 @@
         stopping: Whether the agent is about to end.
     """
 
-    def __init__(self):
+    def __init__(self, *, announcement_age_limit_s: float = math.inf):
+        """Starts without a worker.
+
+        Args:
+            announcement_age_limit_s: Maximum age of the worker's last
+                announcement for a start; beyond it the capacity may be outdated.
+        """
         self.changed = threading.Condition()
+        self._announcement_age_limit_s = announcement_age_limit_s
+        self._announced_s = clock.now_s()
         self.clock = worker_clock.WorkerClock()
         self.throttle = cpu_throttle.CpuThrottle()
         self.starts = run_starts.RunStarts()
@@ -96,9 +108,11 @@
 
     @property
     def may_start(self) -> bool:
-        """Whether lease and orders allow to start something now."""
+        """Whether the lease, orders and last announcement allow a start now."""
+        announcement_age_s = clock.now_s() - self._announced_s
         return (
-            self.lease.is_live
+            announcement_age_s <= self._announcement_age_limit_s
+            and self.lease.is_live
             and self.lease.term == self.orders_term
             and self.orders_version >= self.lease.orders_version
         )
@@ -111,6 +125,21 @@
             o.tail_target_ms for o in held
         )
 
+    def has_capacity_for(
+        self, order: ttypes.RunOrder, busy_keys: Iterable[task_names.RunKey]
+    ) -> bool:
+        """Whether a run fits into the worker's last announced capacity.
+
+        Args:
+            order: The run to start.
+            busy_keys: Runs with a call to the worker in progress; a start among
+                them may not be recorded yet.
+        """
+        keys = {*self.starts.min_ages_s(), *busy_keys}
+        keys.discard((order.task, order.run))
+        others = [self.orders[key] for key in keys if key in self.orders]
+        return capacity_check.fits(order, others, self.worker.capacity)
+
     def quota_of(self, order: ttypes.RunOrder) -> int:
         """The percent of its speed that a run may take now."""
         if not order.best_effort:
@@ -158,9 +187,15 @@
         """
         worker = announcement.worker
         with self.changed:
-            if not self._incarnations.take(announcement):
+            is_news = self._incarnations.take(announcement)
+            is_held = worker.worker_id == self.worker_id
+            # Confirms what is known even if its sequence is not higher.
+            if is_held and worker.capacity == self.worker.capacity:
+                self._announced_s = clock.now_s()
+            if not is_news:
                 return
-            if worker.worker_id == self.worker_id:
+            if is_held:
+                self._announced_s = clock.now_s()
                 if worker.draining != self.worker.draining:
                     logs.event(
                         "worker_drains",
@@ -168,6 +203,13 @@
                         draining=worker.draining,
                         remaining_ms=worker.remaining_ms,
                     )
+                if worker.capacity != self.worker.capacity:
+                    logs.event(
+                        "worker_capacity_changed",
+                        worker_id=worker.worker_id,
+                        before=amounts.describe(self.worker.capacity),
+                        after=amounts.describe(worker.capacity),
+                    )
                 self.worker = worker
             self.changed.notify_all()
 
@@ -184,6 +226,7 @@
                 return
             self._forget_worker()
             self.worker = self._incarnations.held.worker
+            self._announced_s = clock.now_s()
             self._settle_orders()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.changed.notify_all()
@@ -286,54 +329,20 @@
     def _forget_worker(self) -> None:
         """Ends what ran on an incarnation of the worker that is over."""
         if self.worker is not None:
-            self._end_runs_of_lost_worker()
+            ends = lost_worker.end_runs(
+                self.worker,
+                self.starts,
+                silent_s=clock.now_s() - self.answered_s,
+            )
+            for end in ends:
+                self.ends.setdefault((end.task, end.run), end)
+            self.starts.clear()
         self.worker = None
         self.clock.reset()
         self.running = {}
         self.listed_through = self.acknowledged = 0
         self._settle_orders()
 
-    def _end_runs_of_lost_worker(self) -> None:
-        """Logs and counts the loss of the worker, and ends its runs."""
-        worker = self.worker
-        ages_s = self.starts.min_ages_s()
-        # A draining worker shuts down as planned, so no run is suspected.
-        suspects = (
-            frozenset() if worker.draining else self.starts.crash_suspects()
-        )
-        self.starts.clear()
-        agent_metrics.WORKER_LOSSES.labels(
-            "planned" if worker.draining else "unplanned"
-        ).inc()
-        logs.event(
-            "worker_lost",
-            level="WARNING",
-            worker_id=worker.worker_id,
-            draining=worker.draining,
-            silent_ms=int(1000 * (clock.now_s() - self.answered_s)),
-            runs_count=len(ages_s),
-            youngest_ms=int(1000 * min(ages_s.values(), default=0.0)),
-            suspects_count=len(suspects),
-        )
-        kind = ttypes.RunEndKind.CRASHED
-        if worker.draining:
-            kind = ttypes.RunEndKind.LOST
-        for key, age_s in ages_s.items():
-            if key in self.ends:
-                continue
-            age_ms = int(1000 * age_s)
-            self.ends[key] = ttypes.RunEnd(
-                task=key[0],
-                run=key[1],
-                kind=kind,
-                detail=(
-                    f"worker {worker.worker_id} is gone; the run was on it for "
-                    f"{age_ms} ms or more"
-                ),
-                suspects_count=len(suspects) if key in suspects else 0,
-                age_ms=age_ms,
-            )
-
     def _settle_orders(self) -> None:
         """Ends orders for an incarnation of the worker that is surely over.
 
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -122,12 +122,28 @@
             if self._state.quota_of(order) != work.quota_percent:
                 self._begin(self._throttle, order, work)
         elif self._state.may_start:
-            if self._state.worker.draining:
-                work.refused = "the worker drains"
+            work.refused = self._refusal_reason(order, work)
+            if work.refused:
                 self._follow_stop(key, order, work, runs=runs)
             else:
                 self._begin(self._start, order, work)
 
+    def _refusal_reason(self, order: ttypes.RunOrder, work: _Work) -> str:
+        """Why the worker cannot take a run now, or empty if it can."""
+        state = self._state
+        if state.worker.draining:
+            return "the worker drains"
+        if work.unanswered:
+            # An earlier start request may have taken effect, so it is repeated.
+            return ""
+        if not self._has_capacity_for(order):
+            return run_worker.RefusalReason.NO_ROOM
+        return ""
+
+    def _has_capacity_for(self, order: ttypes.RunOrder) -> bool:
+        busy_keys = [key for key, work in self._work.items() if work.busy]
+        return self._state.has_capacity_for(order, busy_keys)
+
     def _follow_stop(
         self,
         key: task_names.RunKey,
@@ -192,6 +208,9 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
+            # The capacity may have changed since the order was picked up.
+            if not work.unanswered and not self._has_capacity_for(order):
+                return
         start = run_worker.RunStart(
             task=order.task,
             run=order.run,
--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -18,6 +18,9 @@
 # So many heartbeats in a row, without one as before between them, are the worker's
 # own: another writer's may have come first, before an agent knew its worker.
 _BELIEVED_COUNT = 3
+# Largest gap in sequence numbers across which a heartbeat is accepted at once. It
+# allows for lost heartbeats; a larger gap suggests another writer.
+_SEQUENCE_GAP_LIMIT = 100
 
 
 class Incarnations:
@@ -115,11 +118,13 @@
         return worker_id in self._gone_ids
 
     def _take_held(self, announcement: run_worker.Announcement) -> bool:
-        if _is_same(announcement, self.held):
+        gap = announcement.sequence - self.held.sequence
+        is_same = _is_same(announcement, self.held)
+        if is_same and gap <= 0:
             self._doubted, self._doubts_count = None, 0
-            if self.held.sequence >= announcement.sequence:
-                return False
-        else:
+            return False
+        is_near = 0 < gap <= _SEQUENCE_GAP_LIMIT
+        if not is_near or not _agrees(announcement, self.held):
             self._doubt(announcement)
         self._believe(announcement)
         return True
@@ -138,8 +143,10 @@
             raise errors.ConflictError(
                 f"incarnation {worker.worker_id} is of pool {self.held.worker.pool!r} "
                 f"and was announced as of {worker.pool[:40]!r}, with "
-                f"labels {worker.labels[:2]!r}; an incarnation's pool, data centre, "
-                "labels and capacity stay"
+                f"labels {worker.labels[:2]!r} and sequence "
+                f"{announcement.sequence} after {self.held.sequence}; an "
+                "incarnation's pool, data centre and labels do not change, and "
+                "its capacity changes only in subsequent heartbeats"
             )
 
     def _believe(self, announcement: run_worker.Announcement) -> None:
@@ -150,9 +157,18 @@
 def _is_same(
     one: run_worker.Announcement, other: run_worker.Announcement
 ) -> bool:
-    """Whether two announcements agree on what stays for an incarnation."""
+    """Whether two announcements agree on the capacity and all fixed properties."""
+    has_same_capacity = one.worker.capacity == other.worker.capacity
+    return has_same_capacity and _agrees(one, other)
+
+
+def _agrees(
+    one: run_worker.Announcement, other: run_worker.Announcement
+) -> bool:
+    """Whether two announcements agree on all fixed properties."""
     return _lasting(one.worker) == _lasting(other.worker)
 
 
 def _lasting(worker: ttypes.PoolWorker) -> tuple:
-    return worker.pool, worker.data_centre, worker.labels, worker.capacity
+    """The properties of a worker that are fixed for an incarnation."""
+    return worker.pool, worker.data_centre, worker.labels
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -140,12 +140,13 @@
             quota_percent=quota_percent,
             ticket=self.tickets.get(key, ""),
         )
+        address = live.address
+        record = tables.jobs.jobs[address.job_id]
+        step = record.job.steps[address.step]
+        order.resources = _reserved_resources(step)
         if desire == ttypes.RunDesire.RUN:
-            address = live.address
-            record = tables.jobs.jobs[address.job_id]
-            step = record.job.steps[address.step]
-            task = job_tables.find_task(record, address)
             order.best_effort = step.best_effort
+            task = job_tables.find_task(record, address)
             order.tail_target_ms = step.tail_target_ms
             order.image = step.image
             order.cpu_millicores = step.resources.cpu_millicores
@@ -155,6 +156,16 @@
         return order
 
 
+def _reserved_resources(step: ttypes.Step) -> ttypes.Resources:
+    """The resources that a run reserves; best-effort runs reserve no CPU."""
+    if not step.best_effort:
+        return step.resources
+    return ttypes.Resources(
+        memory_bytes=step.resources.memory_bytes,
+        accelerators_count=step.resources.accelerators_count,
+    )
+
+
 def _reaches(book: _Book, version: int) -> bool:
     """Whether the history holds every change after a version."""
     if version > book.version:
--- a/marigoldsill/platform/settings_file.py
+++ b/marigoldsill/platform/settings_file.py
@@ -12,6 +12,9 @@
 
 VARIABLE = "MARIGOLDSILL_CONFIG"
 
+# Allows for the time from the decision to start a run until its worker starts it.
+_START_MARGIN_MS = 500
+
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class PlatformSettings:
@@ -33,6 +36,8 @@
             nobody does.
         worker_address: The worker of this machine; empty if it has none.
         hold_limit_ms: The longest lease that a worker accepts.
+        announcement_age_limit_ms: Maximum age of a worker's last heartbeat for
+            a run to be started on it.
         tolerated_losses_count: Machines with a disk that may be lost at once.
         stop_limit_s: Time between SIGTERM and SIGKILL.
         job_kept_s: How long a job's state must be told after its end.
@@ -51,6 +56,7 @@
     adviser_address: str
     worker_address: str
     hold_limit_ms: int
+    announcement_age_limit_ms: int = 4_000
     tolerated_losses_count: int
     stop_limit_s: float
     job_kept_s: float
@@ -121,6 +127,13 @@
             # "app" is the address of the worker on the same machine.
             worker_address=self._text(values, "app", ""),
             hold_limit_ms=self._integer(bounds, "max_hold_ms", 6_000),
+            # A reduced capacity may be announced one heartbeat after the last one,
+            # and is binding `contact_ms` after that.
+            announcement_age_limit_ms=(
+                self._integer(bounds, "contact_ms", 3_000)
+                + self._integer(values, "heartbeat_ms", 1_500)
+                - _START_MARGIN_MS
+            ),
             tolerated_losses_count=self._integer(losses, "machines", 1),
             stop_limit_s=self._number(bounds, "grace_s", 6.0),
             job_kept_s=self._number(bounds, "status_s", 120.0),
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -27,7 +27,9 @@
     """One agent process."""
 
     def __init__(self, settings: settings_file.PlatformSettings):
-        self._state = agent_state.AgentState()
+        self._state = agent_state.AgentState(
+            announcement_age_limit_s=settings.announcement_age_limit_ms / 1000
+        )
         worker = worker_client.PlatformWorker(address=settings.worker_address)
         holder = holder_module.Holder(
             state=self._state,
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -814,7 +814,8 @@
   9: bool best_effort = false,            // takes what other tasks leave
   10: i64 tail_target_ms = 0,       // serves users of its own
   11: string image = "",
-  12: i64 cpu_millicores = 0
+  12: i64 cpu_millicores = 0,
+  13: Resources resources           // reserved by the run; also set for STOP
 }
 
 struct RunId { 1: string task, 2: i64 run }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,11 @@
 # Settings name up to so many.
 _SEEDS_COUNT = 3
 _BOTH_WAYS_SHARE = 0.5
+# CPU capacity of a worker: normally, and while it is reduced.
+CAPACITY_MILLICORES = 8_000
+_REDUCED_CAPACITIES_MILLICORES = (1_000, 2_000, 4_000)
+# Time without a reduction before the next one.
+_RESIZES_APART_S = (0.5, 3.0)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -103,6 +108,14 @@
     call: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Resized:
+    """A worker's CPU capacity is reduced temporarily."""
+
+    worker: str
+    cpu_millicores: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ForeignBeats:
     """An agent hears others' heartbeats, and such that can't be read."""
@@ -147,6 +160,7 @@
     | SeedsChanged
     | Reborn
     | Disobedient
+    | Resized
     | ForeignBeats
     | Link
     | Between
@@ -203,7 +217,11 @@
         plain_edges: Edges without a disk.
     """
     machines = _Machines(tuple(edges), tuple(plain_edges), tuple(sides))
-    return list(_draw(random.Random(seed), duration_s, machines))
+    return [
+        *_draw(random.Random(seed), duration_s, machines),
+        # A separate generator keeps the other faults of a seed unchanged.
+        *_resizes(random.Random(f"{seed} resizes"), duration_s, sides),
+    ]
 
 
 def _draw(
@@ -225,6 +243,21 @@
         at_s += numbers.uniform(*_APART_S)
 
 
+def _resizes(
+    numbers: random.Random, duration_s: float, sides: Sequence[str]
+) -> Iterator[Planned]:
+    """Reduces the capacity of one worker at a time."""
+    at_s = numbers.uniform(*_RESIZES_APART_S)
+    while at_s < duration_s:
+        lasts_s = numbers.uniform(*_LONG_S)
+        fault = Resized(
+            numbers.choice(sides),
+            numbers.choice(_REDUCED_CAPACITIES_MILLICORES),
+        )
+        yield Planned(at_s, lasts_s, fault)
+        at_s += lasts_s + numbers.uniform(*_RESIZES_APART_S)
+
+
 def _series(
     numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[Planned]:
--- a/soak/history.py
+++ b/soak/history.py
@@ -225,10 +225,23 @@
         ]
         return overlaps(spans, least=max(1, (len(self.members) + 1) // 2))
 
+    def resizes(self) -> list[tuple[faults.Resized, Span]]:
+        """The times at which a worker's capacity was reduced, with the fault."""
+        return [
+            (h.fault, h.span)
+            for h in self.happened
+            if isinstance(h.fault, faults.Resized)
+        ]
+
     def without_room(self, *, room: int) -> list[Span]:
-        """When every machine had its room taken or something wrong with it."""
+        """When every machine had its room taken or something wrong with it.
+
+        A machine whose worker's capacity is reduced counts as taken.
+        """
         names = set(self.machines.values())
         taken = {name: self.faults_of(name) for name in names}
+        for fault, span in self.resizes():
+            taken[fault.worker].append(span)
         by_machine: dict[str, list[Span]] = {name: [] for name in names}
         for run in self.runs():
             by_machine[run.machine].append(run.span)
@@ -259,6 +272,8 @@
     match fault:
         case faults.Reloaded() | faults.SeedsChanged() | faults.ForeignBeats():
             return ()
+        case faults.Resized():
+            return ()
         case faults.Link(name=name):
             return (name,)
         case faults.Reborn(worker=name) | faults.Disobedient(worker=name):
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -70,6 +70,8 @@
                 self._set_between(fault, mode)
             case faults.Reborn(worker=worker):
                 self._system.workers[worker].be_reborn()
+            case faults.Resized(worker=worker, cpu_millicores=cpu_millicores):
+                self._system.workers[worker].resize(cpu_millicores)
             case faults.Disobedient(worker=worker, call=call):
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.unanswered = {call}
@@ -135,6 +137,8 @@
                 self._set_between(fault, proxy.Through())
             case faults.Disobedient(worker=worker):
                 self._system.workers[worker].faults.unanswered = set()
+            case faults.Resized(worker=worker):
+                self._system.workers[worker].resize(faults.CAPACITY_MILLICORES)
             case faults.ForeignBeats():
                 self._writers.pop(fault).stop()
             case faults.Reborn() | faults.SeedsChanged():
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -36,6 +36,11 @@
 EARLY_S = 0.002
 # A job may fail once a task of it has lost this many workers.
 MIN_CRASHES_TO_FAIL = 2
+# A reduced capacity is binding after `contact_ms` of the platform and one heartbeat
+# of the soak's workers.
+CAPACITY_CHANGE_DELAY_S = 3.1
+# Reserved by each task of the soak.
+TASK_MILLICORES = 500
 # Workers of the soak hold 16 tasks of its size; one place may be promised to a
 # run that no worker has heard of yet.
 ROOM = 15
@@ -55,6 +60,7 @@
         ),
         *refused_that_ran(history),
         *failed_without_cause(history),
+        *over_capacity(history),
         *completed_but_not_done(history),
         *not_over(history),
         *away_too_long(history),
@@ -89,6 +95,34 @@
     ]
 
 
+def over_capacity(history: history_module.History) -> list[str]:
+    """Runs that were started over a worker's reduced capacity once it was binding."""
+    runs = list(history.runs())
+    return [
+        f"{run.task} was started over the capacity of {run.machine}"
+        for fault, span in history.resizes()
+        for run in runs
+        if run.machine == fault.worker
+        and span.begun_ns + _ns(CAPACITY_CHANGE_DELAY_S)
+        < run.span.begun_ns
+        < span.ended_ns
+        and _concurrent_runs_count(runs, run) * TASK_MILLICORES
+        > fault.cpu_millicores
+    ]
+
+
+def _concurrent_runs_count(
+    runs: list[history_module.Run], started: history_module.Run
+) -> int:
+    """The number of runs on a worker when one started, including that one."""
+    at_ns = started.span.begun_ns
+    return sum(
+        run.machine == started.machine
+        and run.span.begun_ns <= at_ns < run.span.ended_ns
+        for run in runs
+    )
+
+
 def completed_but_not_done(history: history_module.History) -> list[str]:
     """Jobs that were shown as completed while not all tasks were done."""
     done = {run.task for run in history.runs() if run.how == "done"}
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -130,6 +130,10 @@
             self._be_born()
             self._changed.notify_all()
 
+    def resize(self, cpu_millicores: int) -> None:
+        """Changes the announced capacity; current runs continue."""
+        self._cpu_millicores = cpu_millicores
+
     def running(self) -> dict[str, int]:
         """The tasks that run, with their run's number."""
         with self._changed:
--- a/tests/coordination/job_placing/test_placement.py
+++ b/tests/coordination/job_placing/test_placement.py
@@ -22,6 +22,20 @@
     assert leader.round() == {}
 
 
+def test_nothing_is_placed_on_a_worker_whose_capacity_fell_below_its_use(
+    leader: leading.Leader,
+) -> None:
+    """Guards against placements by a capacity from before a reduction."""
+    leader.worker("a1", cores=8)
+    leader.submit("j1", builders.step(6))
+    leader.round()
+    leader.worker("a1", cores=5)
+    leader.submit("j2", builders.step())
+    assert leader.round() == {}
+    leader.worker("a1", cores=7)
+    assert len(leader.round()) == 1
+
+
 def test_a_run_that_is_to_stop_still_holds_its_room(
     leader: leading.Leader,
 ) -> None:
--- a/tests/coordination/jobs/one_agent.py
+++ b/tests/coordination/jobs/one_agent.py
@@ -46,10 +46,15 @@
         desire: ttypes.RunDesire,
         key: tuple[str, int] = KEY,
         incarnation: str = "a1-life1",
+        **fields: object,
     ) -> None:
         self.version += 1
         order = ttypes.RunOrder(
-            task=key[0], run=key[1], desire=desire, worker_id=incarnation
+            task=key[0],
+            run=key[1],
+            desire=desire,
+            worker_id=incarnation,
+            **fields,
         )
         self.take(orders=[order], removed=[])
 
@@ -99,9 +104,9 @@
         return [name for name, _ in self.worker.calls]
 
 
-def make() -> Agent:
+def make(**state_options: float) -> Agent:
     """An agent that holds its worker and has a lease."""
-    state = agent_state.AgentState()
+    state = agent_state.AgentState(**state_options)
     worker = fake_worker.FakeWorker()
     holder = holder_module.Holder(
         state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -262,6 +262,67 @@
     assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.REFUSED}
 
 
+def test_no_run_is_started_over_a_reduced_capacity(
+    agent: one_agent.Agent,
+) -> None:
+    """Guards against starts of runs granted before the capacity was reduced."""
+    resources = ttypes.Resources(cpu_millicores=2_000, memory_bytes=1 << 20)
+    for number in range(2):
+        agent.order(one_agent.RUN, (f"j1.0.0.{number}", 1), resources=resources)
+    agent.settle()
+    assert len(agent.worker.running) == 2
+    reduced = one_agent.announcement("a1-life1", sequence=2)
+    reduced.worker.capacity.cpu_millicores = 3_000
+    agent.state.announce(reduced)
+    agent.order(one_agent.STOP, ("j1.0.0.0", 1), resources=resources)
+    agent.worker.lingering = True
+    agent.work()
+    agent.order(one_agent.RUN, ("j1.0.0.2", 1), resources=resources)
+    agent.work()
+    assert ("j1.0.0.2", 1) not in agent.worker.running
+    assert agent.ends() == {("j1.0.0.2", 1): ttypes.RunEndKind.REFUSED}
+
+
+def test_nothing_is_started_when_the_last_heartbeat_is_too_old(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts while a reduced capacity may not have arrived."""
+    agent = one_agent.make(announcement_age_limit_s=4.0)
+    agent.order(one_agent.RUN)
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 4.1)
+    agent.work()
+    assert agent.worker.calls == []
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=2))
+    agent.work()
+    assert agent.names_of_calls() == ["start"]
+
+
+def test_a_repeated_heartbeat_confirms_the_capacity(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    agent = one_agent.make(announcement_age_limit_s=4.0)
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=50))
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 4.1)
+    agent.state.announce(one_agent.announcement("a1-life1", sequence=2))
+    agent.order(one_agent.RUN)
+    agent.work()
+    assert agent.names_of_calls() == ["start"]
+
+
+def test_starts_in_progress_count_against_the_capacity(
+    agent: one_agent.Agent,
+) -> None:
+    """Guards against concurrent starts that exceed the capacity together."""
+    resources = ttypes.Resources(cpu_millicores=2_000, memory_bytes=1 << 20)
+    for number in range(3):
+        agent.order(one_agent.RUN, (f"j1.0.0.{number}", 1), resources=resources)
+    agent.settle()
+    assert len(agent.worker.running) == 2
+    assert list(agent.ends().values()) == [ttypes.RunEndKind.REFUSED]
+
+
 def test_a_deadline_never_lies_beyond_the_lease(agent: one_agent.Agent) -> None:
     agent.lease(length_s=2.0)
     agent.hold()
--- a/tests/coordination/jobs/test_agent_lives.py
+++ b/tests/coordination/jobs/test_agent_lives.py
@@ -206,3 +206,40 @@
     agent.order(one_agent.RUN, incarnation="a1-life0")
     agent.state.retire("a1-life0")
     assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.LOST}
+
+
+@pytest.mark.parametrize("cpu_millicores", [1_000, 9_000])
+def test_a_changed_capacity_is_accepted_with_the_next_heartbeat(
+    agent: one_agent.Agent, cpu_millicores: int
+) -> None:
+    """Guards against treating a changed capacity as from another writer."""
+    changed = one_agent.announcement("a1-life1", sequence=2)
+    changed.worker.capacity = ttypes.Resources(
+        cpu_millicores=cpu_millicores, memory_bytes=1 << 30
+    )
+    agent.state.announce(changed)
+    assert agent.state.worker.capacity.cpu_millicores == cpu_millicores
+
+
+def test_a_late_heartbeat_does_not_restore_an_old_capacity(
+    agent: one_agent.Agent,
+) -> None:
+    reduced = one_agent.announcement("a1-life1", sequence=3)
+    reduced.worker.capacity = ttypes.Resources(cpu_millicores=1_000)
+    agent.state.announce(reduced)
+    with pytest.raises(errors.ConflictError):
+        agent.state.announce(one_agent.announcement("a1-life1", sequence=2))
+    assert agent.state.worker.capacity.cpu_millicores == 1_000
+
+
+def test_a_heartbeat_with_a_far_higher_sequence_does_not_outdate_later_ones(
+    agent: one_agent.Agent,
+) -> None:
+    with pytest.raises(errors.ConflictError):
+        agent.state.announce(
+            one_agent.announcement("a1-life1", sequence=1 << 40)
+        )
+    reduced = one_agent.announcement("a1-life1", sequence=2)
+    reduced.worker.capacity = ttypes.Resources(cpu_millicores=1_000)
+    agent.state.announce(reduced)
+    assert agent.state.worker.capacity.cpu_millicores == 1_000
--- a/tests/coordination/jobs/test_orders.py
+++ b/tests/coordination/jobs/test_orders.py
@@ -116,3 +116,22 @@
     held = leader.since(0)
     reply = leader.since(held.version)
     assert (reply.orders, reply.removed, reply.whole) == ([], [], False)
+
+
+@pytest.mark.parametrize(
+    ("best_effort", "cpu_millicores"), [(False, 1_000), (True, 0)]
+)
+def test_an_order_to_stop_tells_what_the_run_still_reserves(
+    best_effort: bool, cpu_millicores: int
+) -> None:
+    leader = _Leader()
+    leader.state.submit(
+        builders.job("j1", builders.step(best_effort=best_effort))
+    )
+    leader.state.grant(builders.grant(builders.task(0)))
+    leader.state.cancel("j1")
+    (order,) = leader.since(0).orders
+    assert order.desire == ttypes.RunDesire.STOP
+    assert not order.best_effort
+    assert order.resources.cpu_millicores == cpu_millicores
+    assert order.resources.memory_bytes == 1 << 20
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -336,6 +336,22 @@
         _of(_job(state="failed"), *_crashed(1, 2)),
         _of(_job(state="failed"), *_crashed(1)),
     ),
+    "capacity": _Case(
+        promises.over_capacity,
+        _of(
+            _job(3),
+            *_ran(2, 50),
+            *_ran(15, 40, _OTHER),
+            happened=[_wrong(faults.Resized("side-1", 1_000), 10, 30)],
+        ),
+        _of(
+            _job(3),
+            *_ran(2, 50),
+            *_ran(12, 45, f"{_JOB}.0.0.2"),
+            *_ran(15, 40, _OTHER),
+            happened=[_wrong(faults.Resized("side-1", 1_000), 10, 30)],
+        ),
+    ),
     "timed": _Case(
         promises.before_their_time,
         _timed(*_ran(10, 11), *_ran(20, 21, f"{_JOB}.1.0.0")),
