Refuse runs on workers whose heartbeats are overdue

An agent starts no run on a worker that has sent no announcement for 4 s. A run granted to such a worker would wait there until heartbeats resume, while the worker still answers other calls and so counts as healthy. The agent now refuses the run once the announcement is 2 s overdue, and the leader places it on another worker.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -106,12 +106,17 @@
         """How many incarnations other than the worker's are remembered."""
         return self._incarnations.remembered_count
 
+    @property
+    def announcement_overdue_s(self) -> float:
+        """Seconds since the last announcement exceeded the age limit, or negative."""
+        age_s = clock.now_s() - self._announced_s
+        return age_s - self._announcement_age_limit_s
+
     @property
     def may_start(self) -> bool:
         """Whether the lease, orders and last announcement allow a start now."""
-        announcement_age_s = clock.now_s() - self._announced_s
         return (
-            announcement_age_s <= self._announcement_age_limit_s
+            self.announcement_overdue_s <= 0
             and self.lease.is_live
             and self.lease.term == self.orders_term
             and self.orders_version >= self.lease.orders_version
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -22,6 +22,9 @@
 # hold up the others.
 _THREADS_COUNT = 6
 _RETRY_S = 0.1
+# If the worker's announcement is overdue for longer than this, runs that have not
+# started are refused so that the leader can place them on another worker.
+_ANNOUNCEMENT_OVERDUE_LIMIT_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +130,9 @@
                 self._follow_stop(key, order, work, runs=runs)
             else:
                 self._begin(self._start, order, work)
+        elif self._state.announcement_overdue_s > _ANNOUNCEMENT_OVERDUE_LIMIT_S:
+            work.refused = "the worker sends no heartbeats"
+            self._follow_stop(key, order, work, runs=runs)
 
     def _refusal_reason(self, order: ttypes.RunOrder, work: _Work) -> str:
         """Why the worker cannot take a run now, or empty if it can."""
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -298,6 +298,19 @@
     assert agent.names_of_calls() == ["start"]
 
 
+def test_a_run_is_refused_when_heartbeats_are_overdue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against runs that wait indefinitely for a worker's heartbeat."""
+    agent = one_agent.make(announcement_age_limit_s=4.0)
+    agent.order(one_agent.RUN)
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 6.1)
+    agent.work()
+    assert agent.worker.calls == []
+    assert agent.ends() == {one_agent.KEY: ttypes.RunEndKind.REFUSED}
+
+
 def test_a_repeated_heartbeat_confirms_the_capacity(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
