Run evicted jobs long enough that they are evicted before they are done

The test asks that a job evicted while its agent dies goes on under a new epoch. Its jobs took 2 s; beside load they were done before the eviction was sent, and the epoch stayed 1. What is asked is unchanged.

--- a/tests/failures/test_agent_crashes.py
+++ b/tests/failures/test_agent_crashes.py
@@ -104,7 +104,7 @@
 ) -> None:
     flags = _flags(checkpoint_interval_s=600)
     agents = _start(system, failpoints, flags)
-    tasks = _apply(system, count=len(agents), run_time="2s")
+    tasks = _apply(system, count=len(agents), run_time="10s")
     for task in tasks:
         system.wait_for_state(task, "running")
     for task in tasks:
