Evacuate a data centre by an operator's order: nothing new starts there until it is taken back

Cause: the operators' API names orders that the code answered with 404.

The leader leaves out workers of an evacuated data centre; each reply of orders names the evacuated data centres under a new version, so agents refuse runs granted before. For intents the workers drain; plan evacuate and plan end-evacuation change the same state, with guards last-data-centre and service-capacity. Guards about drains moved to a module of their own. What has started runs on to its end.

--- a/marigoldsill/cli/plans.py
+++ b/marigoldsill/cli/plans.py
@@ -52,6 +52,26 @@
     _create_plan("undrain", _encode_json(name=worker), **command_options)
 
 
+@plan.command()
+@click.argument("data_centre")
+@options.command_id
+@options.add_operator_options
+def evacuate(data_centre: str, **command_options: object) -> None:
+    """Plans to move all tasks off a DATA_CENTRE and to start none there."""
+    _create_plan("evacuate", _encode_json(name=data_centre), **command_options)
+
+
+@plan.command("end-evacuation")
+@click.argument("data_centre")
+@options.command_id
+@options.add_operator_options
+def end_evacuation(data_centre: str, **command_options: object) -> None:
+    """Plans to start tasks in an evacuated DATA_CENTRE again."""
+    _create_plan(
+        "end-evacuation", _encode_json(name=data_centre), **command_options
+    )
+
+
 @plan.command()
 @click.argument("names", nargs=-1, required=True)
 @options.command_id
--- a/marigoldsill/coordination/configuration/configuration.py
+++ b/marigoldsill/coordination/configuration/configuration.py
@@ -234,4 +234,4 @@
 
 def _is_draining(tables: tables_module.Tables, name: str) -> bool:
     worker = tables.workers.get(name)
-    return worker is not None and worker.draining
+    return worker is not None and tables.is_draining(worker)
--- a/marigoldsill/coordination/configuration/endpoint_registry.py
+++ b/marigoldsill/coordination/configuration/endpoint_registry.py
@@ -3,6 +3,7 @@
 import threading
 
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
 
 
 class EndpointRegistry:
@@ -51,25 +52,30 @@
             self._endpoints.clear()
             self.version += 1
 
-    def build_routes(
-        self, workers: dict[str, ttypes.Worker]
-    ) -> list[ttypes.Route]:
+    def build_routes(self, tables: tables_module.Tables) -> list[ttypes.Route]:
         """Returns the routes for requests, one for each service and agent."""
         with self._lock:
             announced = [(a, list(e)) for a, e in self._endpoints.items()]
+        workers = tables.workers
         return [
             route
             for agent, endpoints in announced
             if agent in workers
-            for route in _build_agent_routes(workers[agent], endpoints)
+            for route in _build_agent_routes(
+                workers[agent],
+                endpoints,
+                is_draining=tables.is_draining(workers[agent]),
+            )
         ]
 
 
 def _build_agent_routes(
-    worker: ttypes.Worker, endpoints: list[ttypes.EndpointInfo]
+    worker: ttypes.Worker,
+    endpoints: list[ttypes.EndpointInfo],
+    *,
+    is_draining: bool,
 ) -> list[ttypes.Route]:
     services = sorted({e.service_name for e in endpoints})
-    is_draining = worker.draining
     return [
         ttypes.Route(
             agent=worker.name,
--- a/marigoldsill/coordination/configuration/watch_service.py
+++ b/marigoldsill/coordination/configuration/watch_service.py
@@ -100,7 +100,7 @@
                 reply.orders = orders.build_orders(tables, request.subscriber)
                 reply.orders_version = version
             else:
-                reply.routes = self._endpoints.build_routes(tables.workers)
+                reply.routes = self._endpoints.build_routes(tables)
                 reply.routes_version = version
             return reply
 
--- a/marigoldsill/coordination/discovery/referral_service.py
+++ b/marigoldsill/coordination/discovery/referral_service.py
@@ -23,5 +23,5 @@
 
     heartbeat = watch = claim = end_claim = _refer
     submit_job = job_state = cancel_job = pending_jobs = _refer
-    replace_routing = routing = _refer
+    replace_routing = routing = set_evacuation = _refer
     agent_report = agent_orders = _refer
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -53,6 +53,7 @@
         orders: Orders by (task, run).
         orders_term: Term of the leader that gave them.
         orders_version: Their version in that term.
+        evacuated_data_centres: Data centres where no run may start.
         interference_version: Version of the interference that the throttle uses.
         running: Samples of the runs that the worker listed last, by (task, run).
         complete_listings_count: How many listings had no unreadable row of a run.
@@ -82,6 +83,7 @@
         self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
         self.orders_term = 0
         self.orders_version = 0
+        self.evacuated_data_centres: frozenset[str] = frozenset()
         self.interference_version = 0
         self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.complete_listings_count = 0
@@ -123,6 +125,14 @@
             and self.orders_version >= self.lease.min_orders_version
         )
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the worker's data centre is evacuated, so that no run may start."""
+        return (
+            self.worker is not None
+            and self.worker.data_centre in self.evacuated_data_centres
+        )
+
     @property
     def is_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
@@ -271,6 +281,7 @@
                 self.orders[order.task, order.run] = order
             self.orders_term = reply.term
             self.orders_version = reply.version
+            self._update_evacuations(reply.evacuated_data_centres)
             if reply.interference is not None:
                 self.interference_version = reply.interference_version
                 self.throttle.interference_by_pair = {
@@ -281,6 +292,17 @@
             self.changed.notify_all()
             return True
 
+    def _update_evacuations(self, data_centres: Iterable[str]) -> None:
+        was_evacuated = self.is_evacuated
+        self.evacuated_data_centres = frozenset(data_centres)
+        if self.is_evacuated != was_evacuated:
+            logs.event(
+                "worker_evacuated",
+                worker_id=self.worker_id,
+                data_centre=self.worker.data_centre,
+                evacuated=self.is_evacuated,
+            )
+
     def update_lease(self, lease: Lease) -> None:
         """Sets the lease, unless a later leader than its own is known."""
         with self.changed:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -152,6 +152,8 @@
         state = self._state
         if state.worker.draining:
             return "the worker drains"
+        if state.is_evacuated:
+            return run_worker.RefusalReason.EVACUATED
         if progress.has_unanswered_start:
             # An earlier start request may have taken effect, so it is repeated.
             return ""
@@ -245,6 +247,9 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
+            if state.is_evacuated:
+                # The next round refuses the run.
+                return
             # The capacity may have changed since the call was submitted.
             if not progress.has_unanswered_start and not self._has_capacity_for(
                 order
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -35,11 +35,13 @@
 # Number of workers on which a task failed last and which its next run avoids.
 _AVOIDED_COUNT = 2
 _ENTRIES_LIMIT = 20_000
-# Refusals that concern one run and not other runs on the same worker.
-_RUN_SPECIFIC_REASONS = frozenset(
+# Refusals that say nothing about the worker's health: they concern one run, or an order
+# that the leader knows.
+_REASONS_WITHOUT_BACKOFF = frozenset(
     {
         run_worker.RefusalReason.OUTDATED,
         run_worker.RefusalReason.NO_TICKET,
+        run_worker.RefusalReason.EVACUATED,
     }
 )
 
@@ -146,7 +148,7 @@
                 self._record_failure(worker_id, end.task)
 
     def _record_refusal(self, worker_id: str, reason: str) -> None:
-        if reason in _RUN_SPECIFIC_REASONS:
+        if reason in _REASONS_WITHOUT_BACKOFF:
             return
         now_s = clock.now_s()
         refusals = self._refusals.setdefault(worker_id, _Refusals())
--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -1,6 +1,6 @@
-"""Client for an entry's calls to the leader about jobs and routing.
+"""Client for an entry's calls to the leader about jobs, routing and evacuations.
 
-All calls are idempotent, as a job has an id and a routing has a version. So a call
+All calls are idempotent, as a job or an order has an id and a routing a version. A call
 whose answer was lost is retried. If no leader answers within a limit, the call
 fails early enough for the caller to try another process.
 """
@@ -9,6 +9,7 @@
 import dataclasses
 import threading
 import time
+import uuid
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import job_metrics
@@ -93,6 +94,18 @@
         """Replaces the routing, unless a later version is in force."""
         self._call("replace_routing", routing, context=context)
 
+    def set_evacuation(
+        self, evacuation: ttypes.SetEvacuation, *, context: CallContext
+    ) -> None:
+        """Begins or ends the evacuation of a data centre.
+
+        All attempts of one call share a command id, so that an attempt that takes
+        effect late does not revert an order that was given after this call.
+        """
+        self._call(
+            "set_evacuation", evacuation, str(uuid.uuid4()), context=context
+        )
+
     def get_routing(self, *, context: CallContext) -> ttypes.RoutingReply:
         """Returns the routing in force."""
         return self._call("routing", context=context)
@@ -205,11 +218,13 @@
 
 
 def _subject_of(requests: tuple[object, ...]) -> str:
-    """The subject of a call for the log: a job id, a queue or a routing."""
+    """The subject of a call for the log: a job id, a queue, a data centre or a routing."""
     match requests:
         case (ttypes.JobAddress(path=path), *_):
             return path.rpartition("/")[2] or path
         case (ttypes.Routing(version=version),):
             return f"routing-{version}"
+        case (ttypes.SetEvacuation(data_centre=data_centre), *_):
+            return data_centre
         case _:
             return "routing"
--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -5,6 +5,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 from marigoldsill.state import state_machine
+from marigoldsill.state import tables as tables_module
 from marigoldsill.transport import logs
 
 
@@ -29,9 +30,10 @@
         }
 
     def log_command(
-        self, jobs: job_tables.JobTables, command: ttypes.Command
+        self, tables: tables_module.Tables, command: ttypes.Command
     ) -> None:
         """Logs the effects of an applied command."""
+        jobs = tables.jobs
         match state_machine.body_of(command):
             case ttypes.SubmitJob(job=job):
                 self._log_accepted(jobs, job.job_id)
@@ -55,6 +57,16 @@
                     sent=routing.version,
                     queues_count=len(jobs.queues),
                 )
+            case ttypes.SetEvacuation() as order:
+                evacuated = sorted(tables.evacuated_data_centres)
+                job_metrics.EVACUATED_DATA_CENTRES.set(len(evacuated))
+                logs.event(
+                    "evacuation_set",
+                    data_centre=order.data_centre,
+                    active=order.active,
+                    operator=order.operator_name,
+                    evacuated=",".join(evacuated),
+                )
 
     def _log_accepted(self, jobs: job_tables.JobTables, job_id: str) -> None:
         record = jobs.jobs.get(job_id)
--- a/marigoldsill/coordination/jobs/job_metrics.py
+++ b/marigoldsill/coordination/jobs/job_metrics.py
@@ -53,6 +53,10 @@
     "marigoldsill_steps_waiting",
     "Steps of jobs with tasks that wait for a worker, on the leader.",
 )
+EVACUATED_DATA_CENTRES = prometheus_client.Gauge(
+    "marigoldsill_evacuated_data_centres",
+    "Data centres where nothing new starts by an order of an operator.",
+)
 ROUND_SECONDS = prometheus_client.Histogram(
     "marigoldsill_job_round_seconds",
     "Time of one round of the leader's decisions about jobs.",
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -4,6 +4,11 @@
 state. An agent sends the version that it has and gets the changes since then, or all
 orders if the leader does not have these changes. Replies may be repeated or lost
 without effect.
+
+Each reply also names the data centres that are evacuated. A change of these is a new
+version of the orders of every agent. As a lease names the version from which runs may
+start, an agent without the news of an evacuation starts nothing once its lease is
+renewed.
 """
 
 import collections
@@ -25,14 +30,15 @@
     Attributes:
         version: The number of changes so far.
         desired: The desired state and the quota in percent of each run.
-        history: The last changes, as the version and the run that changed.
+        history: The last changes, as the version and the run that changed; None
+            for a change that concerns no run.
     """
 
     version: int = 0
     desired: dict[task_names.RunKey, tuple] = dataclasses.field(
         default_factory=dict
     )
-    history: collections.deque[tuple[int, task_names.RunKey]] = (
+    history: collections.deque[tuple[int, task_names.RunKey | None]] = (
         dataclasses.field(
             default_factory=lambda: collections.deque(maxlen=HISTORY_LIMIT)
         )
@@ -55,6 +61,7 @@
         self.evicted: set[task_names.RunKey] = set()
         self.quotas: dict[task_names.RunKey, int] = {}
         self.tickets: dict[task_names.RunKey, str] = {}
+        self._evacuated_data_centres: set[str] = set()
 
     def reset(self, tables: tables_module.Tables) -> None:
         """Computes all orders anew, as this process leads a new term."""
@@ -62,6 +69,7 @@
         self.evicted.clear()
         self.quotas.clear()
         self.tickets.clear()
+        self._evacuated_data_centres = set(tables.evacuated_data_centres)
         for agent in tables.jobs.runs_by_agent:
             self.refresh(tables, agent)
 
@@ -97,6 +105,19 @@
         agent_orders.desired = desired
         return True
 
+    def refresh_evacuations(self, tables: tables_module.Tables) -> bool:
+        """Returns whether other data centres are evacuated than at the last call.
+
+        If so, the orders of all agents get a new version.
+        """
+        if tables.evacuated_data_centres == self._evacuated_data_centres:
+            return False
+        self._evacuated_data_centres = set(tables.evacuated_data_centres)
+        for agent_orders in self._by_agent.values():
+            agent_orders.version += 1
+            agent_orders.history.append((agent_orders.version, None))
+        return True
+
     def changes_since(
         self,
         tables: tables_module.Tables,
@@ -112,14 +133,22 @@
             term: The term of this leader.
         """
         agent_orders = self._by_agent.setdefault(request.agent, _AgentOrders())
-        reply = ttypes.OrdersReply(term=term, version=agent_orders.version)
+        reply = ttypes.OrdersReply(
+            term=term,
+            version=agent_orders.version,
+            evacuated_data_centres=sorted(tables.evacuated_data_centres),
+        )
         keys: set[task_names.RunKey] = set(agent_orders.desired)
         if request.term != term or not _has_changes_since(
             agent_orders, request.version
         ):
             reply.whole = True
         else:
-            keys = {k for v, k in agent_orders.history if v > request.version}
+            keys = {
+                k
+                for v, k in agent_orders.history
+                if v > request.version and k is not None
+            }
         runs = tables.jobs.runs_by_agent.get(request.agent, {})
         reply.orders = [
             self._build_order(tables, key, runs[key], agent_orders.desired[key])
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -283,7 +283,7 @@
         )
         self._worker_refresher.mark_stale(self._service.pop_changed_agents())
         self._worker_refresher.mark_stale(view.name for view in views)
-        self._worker_refresher.refresh(jobs, now_s=now_s)
+        self._worker_refresher.refresh(self._replica.tables, now_s=now_s)
         job_metrics.LIVE_AGENTS.set(len(self._placement.index.workers))
 
     def _begin_term(self) -> None:
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -171,6 +171,21 @@
             document = self._replica.tables.jobs.routing.document
         return ttypes.RoutingReply(document=document)
 
+    def set_evacuation(
+        self, evacuation: ttypes.SetEvacuation, command_id: str
+    ) -> None:
+        """Begins or ends the evacuation of a data centre.
+
+        The orders of different callers take effect in the order of the log.
+
+        Args:
+            evacuation: The data centre, and whether it is evacuated from now on.
+            command_id: Identifies the order; a repeated one has no effect, also
+                after a later order.
+        """
+        self._require_leader(require_settled=True)
+        self.propose(command_id=command_id, set_evacuation=evacuation)
+
     def agent_report(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
         """Records an agent's report and renews its lease."""
         self._require_leader()
@@ -202,20 +217,22 @@
         self._require_leader()
         return reply
 
-    def propose(self, **body: object) -> ttypes.CommandResult:
+    def propose(
+        self, *, command_id: str = "", **body: object
+    ) -> ttypes.CommandResult:
         """Proposes a command and waits until it is applied.
 
-        The command has no id, so its result is not stored for retries.
-
         Args:
-            body: The body of the command, by the name of its field.
+            command_id: Identifies the command for retries; without one, its
+                result is not stored.
+            **body: The body of the command, by the name of its field.
 
         Raises:
             NotLeader: Another process leads; nothing was done.
             NoQuorum: No majority answers; nothing was done.
             UnknownOutcomeError: The command may still be applied.
         """
-        command = commands.new(command_id="", **body)
+        command = commands.new(command_id=command_id, **body)
         try:
             with job_metrics.COMMIT_SECONDS.time():
                 return self._replica.propose(
@@ -281,7 +298,10 @@
             return
         self._changed_agents |= agents
         self.refresh_orders(agents)
-        self._event_logger.log_command(jobs, command)
+        self._event_logger.log_command(self._replica.tables, command)
+        if self.orders.refresh_evacuations(self._replica.tables):
+            self.hub.wake_all()
+            self._on_change()
         if jobs.changed_jobs:
             self._on_change()
 
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -1,6 +1,7 @@
-"""Updates free capacity by changes of reports, runs, leases and health."""
+"""Updates free capacity by changes of reports, runs, leases, health and evacuations."""
 
 from collections.abc import Iterable
+from collections.abc import Set
 import functools
 
 from marigoldsill.coordination.job_placing import agents as agents_module
@@ -8,6 +9,7 @@
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.state import job_tables
+from marigoldsill.state import tables as tables_module
 
 # Interval of the check for expired leases of workers without runs, which no other change
 # shows. A grant also checks the lease.
@@ -43,13 +45,16 @@
         self._ineligible: set[str] = set()
         self._stale: set[str] = {view.name for view in agents.all()}
         self._leases_checked_s = 0.0
+        self._evacuated: frozenset[str] = frozenset()
 
     def mark_stale(self, agents: Iterable[str]) -> None:
         """Marks agents whose workers have to be refreshed in the next round."""
         self._stale.update(agents)
 
-    def refresh(self, jobs: job_tables.JobTables, *, now_s: float) -> None:
+    def refresh(self, tables: tables_module.Tables, *, now_s: float) -> None:
         """Refreshes agents that are stale, or whose worker was not eligible."""
+        jobs = tables.jobs
+        self._update_evacuations(tables.evacuated_data_centres)
         if now_s - self._leases_checked_s >= _LEASE_CHECK_INTERVAL_S:
             self._leases_checked_s = now_s
             workers = self._placement.index.workers
@@ -66,12 +71,25 @@
                 self._ineligible.add(name)
             self._placement.refresh(jobs, view, is_eligible=is_eligible)
 
+    def _update_evacuations(self, evacuated: Set[str]) -> None:
+        changed = self._evacuated ^ evacuated
+        if not changed:
+            return
+        self._evacuated = frozenset(evacuated)
+        self._stale.update(
+            view.name
+            for view in self._agents.all()
+            if view.worker is not None and view.worker.data_centre in changed
+        )
+
     def _is_eligible(
         self, jobs: job_tables.JobTables, view: agents_module.AgentView
     ) -> bool:
         """Whether an agent's worker may be given tasks now."""
         if view.worker is None or view.is_worker_unresponsive:
             return False
+        if view.worker.data_centre in self._evacuated:
+            return False
         if not self._leases.is_live(view.name):
             return False
         return self._health.may_start_run(
--- a/marigoldsill/coordination/plans/guards.py
+++ b/marigoldsill/coordination/plans/guards.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 
-from marigoldsill.coordination.plans import dry_run as dry_run_module
+from marigoldsill.coordination.plans import drain_guards
+from marigoldsill.coordination.plans import guard_context
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes as changes_module
 from marigoldsill.state import tables as tables_module
@@ -28,46 +28,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Observations:
-    """Recent observations of the leader that are not part of the tables.
-
-    Attributes:
-        now_unix_ms: The time of planning.
-        called_services: Services that received requests lately.
-        peak_usage_by_owner: The largest usage observed of the tasks of each owner.
-        predict_run_time_ms: Predicts how long a job takes, from its name and its
-            declared run time.
-    """
-
-    now_unix_ms: int = 0
-    called_services: set[str] = dataclasses.field(default_factory=set)
-    peak_usage_by_owner: dict[str, ttypes.Resources] = dataclasses.field(
-        default_factory=dict
-    )
-    predict_run_time_ms: Callable[[str, int], float] = (
-        lambda owner, declared_ms: declared_ms
-    )
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class GuardContext:
-    """The plan that guards check, and what they know about it.
-
-    Attributes:
-        changes: The changes that the operator requests.
-        effects: The predicted effects of the changes.
-        dry_run: The tables before and after the changes.
-        observations: Recent observations of the leader.
-    """
-
-    changes: list[ttypes.Change]
-    effects: list[ttypes.Effect]
-    dry_run: dry_run_module.DryRun
-    observations: Observations
-
-
-def check_plan(context: GuardContext) -> list[ttypes.Guard]:
+def check_plan(context: guard_context.GuardContext) -> list[ttypes.Guard]:
     """Returns all guard rails that a plan hits."""
     return [
         ttypes.Guard(name=name, message=message)
@@ -76,7 +37,7 @@
     ]
 
 
-def check_unit_slip(context: GuardContext) -> Iterator[str]:
+def check_unit_slip(context: guard_context.GuardContext) -> Iterator[str]:
     """Finds sizes and times that differ greatly from earlier ones of that name.
 
     Sizes are compared with the declared and the observed ones, and with the largest
@@ -92,7 +53,7 @@
         yield from _check_largest_worker(context, new)
 
 
-def check_live_callers(context: GuardContext) -> Iterator[str]:
+def check_live_callers(context: guard_context.GuardContext) -> Iterator[str]:
     """Finds services with callers that are removed or scaled down considerably."""
     for change in context.changes:
         old = _current_record(context.dry_run.before, change)
@@ -110,7 +71,7 @@
             )
 
 
-def check_eviction_share(context: GuardContext) -> Iterator[str]:
+def check_eviction_share(context: guard_context.GuardContext) -> Iterator[str]:
     """Checks that at most a share of the running tasks would stop or move."""
     tables = context.dry_run.before
     running_count = sum(len(names) for names in tables.tasks_by_worker.values())
@@ -130,7 +91,7 @@
         )
 
 
-def check_watcher_nowhere(context: GuardContext) -> Iterator[str]:
+def check_watcher_nowhere(context: guard_context.GuardContext) -> Iterator[str]:
     """Finds watchers that would have no worker to run on."""
     affected = {effect.subject for effect in context.effects}
     tables = context.dry_run.after
@@ -143,7 +104,7 @@
         yield f"watcher {task.owner!r} would have no worker that can hold it"
 
 
-def check_deadline_missed(context: GuardContext) -> Iterator[str]:
+def check_deadline_missed(context: guard_context.GuardContext) -> Iterator[str]:
     """Finds deadlines that cannot be met according to the predicted run times."""
     for change in context.changes:
         job = change.batch_job_after
@@ -162,37 +123,15 @@
             )
 
 
-def check_last_worker(context: GuardContext) -> Iterator[str]:
-    """Finds services that run only on workers that would be drained."""
-    drained = {
-        change.subject.partition("/")[2]
-        for change in context.changes
-        if change.verb == ttypes.ChangeVerb.DRAIN
-    }
-    tables = context.dry_run.before
-    owners = sorted(
-        {
-            task.owner
-            for worker in drained
-            for task in tables.tasks_on(worker)
-            if task.kind == ttypes.Kind.SERVICE
-        }
-    )
-    for owner in owners:
-        if _workers_of(tables, owner) <= drained:
-            yield (
-                f"service {owner!r} runs nowhere else than on {', '.join(sorted(drained))}; "
-                "it would not answer until it has started elsewhere"
-            )
-
-
-GUARDS: dict[str, Callable[[GuardContext], Iterable[str]]] = {
+GUARDS: dict[str, Callable[[guard_context.GuardContext], Iterable[str]]] = {
     "unit-slip": check_unit_slip,
     "live-callers": check_live_callers,
     "eviction-share": check_eviction_share,
     "watcher-nowhere": check_watcher_nowhere,
     "deadline-missed": check_deadline_missed,
-    "last-worker": check_last_worker,
+    "last-worker": drain_guards.check_last_worker,
+    "last-data-centre": drain_guards.check_last_data_centre,
+    "service-capacity": drain_guards.check_service_capacity,
 }
 
 
@@ -218,7 +157,7 @@
 
 
 def _check_size_slips(
-    context: GuardContext, new: object, old: object
+    context: guard_context.GuardContext, new: object, old: object
 ) -> Iterator[str]:
     peak_usage = context.observations.peak_usage_by_owner.get(new.name)
     for field in _RESOURCE_FIELDS:
@@ -244,7 +183,9 @@
             yield f"{new.name!r}: {field} is {value}, but was {known} before"
 
 
-def _check_largest_worker(context: GuardContext, new: object) -> Iterator[str]:
+def _check_largest_worker(
+    context: guard_context.GuardContext, new: object
+) -> Iterator[str]:
     workers = context.dry_run.before.workers.values()
     for field in _RESOURCE_FIELDS:
         value = getattr(new.resources, field)
@@ -267,11 +208,3 @@
 
 def _is_scaled_down(old: ttypes.Service, new: ttypes.Service) -> bool:
     return new.instances_count * SCALE_DOWN_RATIO <= old.instances_count
-
-
-def _workers_of(tables: tables_module.Tables, owner: str) -> set[str]:
-    return {
-        task.worker
-        for task in tables.tasks_of(owner)
-        if tables_module.occupies_worker(task)
-    }
--- a/marigoldsill/coordination/plans/operator_service.py
+++ b/marigoldsill/coordination/plans/operator_service.py
@@ -111,6 +111,10 @@
                     for _, task in sorted(tables.tasks.items())
                 ],
             }
+            if tables.evacuated_data_centres:
+                answer["evacuated_data_centres"] = sorted(
+                    tables.evacuated_data_centres
+                )
         # This process may have been frozen since its leadership was confirmed.
         leadership.require(self._replica)
         return answer
--- a/marigoldsill/coordination/plans/plan_commands.py
+++ b/marigoldsill/coordination/plans/plan_commands.py
@@ -9,7 +9,7 @@
 from marigoldsill.coordination.deciding import control_service
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
-from marigoldsill.coordination.plans import guards
+from marigoldsill.coordination.plans import guard_context
 from marigoldsill.coordination.plans import planning
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import intent_file
@@ -21,7 +21,16 @@
 from marigoldsill.state import state_machine
 from marigoldsill.state import tables as tables_module
 
-ACTIONS = ("apply", "remove", "drain", "undrain", "cancel", "policy")
+ACTIONS = (
+    "apply",
+    "remove",
+    "drain",
+    "undrain",
+    "evacuate",
+    "end-evacuation",
+    "cancel",
+    "policy",
+)
 _TIMEOUT_S = 3.0
 _ID_LENGTH_LIMIT = 128
 _CONFIRMATIONS = prometheus_client.Counter(
@@ -197,7 +206,7 @@
             tables = self._replica.tables.copy_for_simulation()
         return planning.Planner(
             tables=tables,
-            observations=guards.Observations(
+            observations=guard_context.Observations(
                 now_unix_ms=commands.now_unix_ms(),
                 called_services=self._service.watches.recently_called_services(),
                 peak_usage_by_owner=self._service.usage.largest_by_owner(),
@@ -234,6 +243,12 @@
                 _parse_field(body, "name", str),
                 drain=action == "drain",
             )
+        case "evacuate" | "end-evacuation":
+            return planning.changes_for_evacuation(
+                tables,
+                _parse_field(body, "name", str),
+                evacuate=action == "evacuate",
+            )
         case "cancel":
             return planning.changes_for_cancel(tables, _parse_names(body))
         case "policy":
--- a/marigoldsill/coordination/plans/planning.py
+++ b/marigoldsill/coordination/plans/planning.py
@@ -4,8 +4,10 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.plans import dry_run as dry_run_module
+from marigoldsill.coordination.plans import guard_context
 from marigoldsill.coordination.plans import guards
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import changes as changes_module
 from marigoldsill.state import tables as tables_module
 
 _KINDS = ("service", "batch_job", "watcher", "team")
@@ -22,7 +24,7 @@
     """
 
     tables: tables_module.Tables
-    observations: guards.Observations
+    observations: guard_context.Observations
     operator_name: str
 
     def make_plan(self, changes: list[ttypes.Change]) -> ttypes.Plan:
@@ -35,7 +37,7 @@
             changes=changes,
             effects=effects,
             guards=guards.check_plan(
-                guards.GuardContext(
+                guard_context.GuardContext(
                     changes=changes,
                     effects=effects,
                     dry_run=dry_run,
@@ -134,6 +136,27 @@
     ]
 
 
+def changes_for_evacuation(
+    tables: tables_module.Tables, data_centre: str, *, evacuate: bool
+) -> list[ttypes.Change]:
+    """Returns the changes that evacuate a data centre, or that end its evacuation.
+
+    Raises:
+        NotFoundError: It has no worker and is not evacuated; probably a typing error.
+    """
+    is_known = data_centre in tables.evacuated_data_centres or any(
+        worker.data_centre == data_centre for worker in tables.workers.values()
+    )
+    if not is_known:
+        raise errors.NotFoundError(
+            f"no worker is in a data centre named {data_centre!r}"
+        )
+    change = changes_module.evacuation_change(
+        tables, data_centre, evacuate=evacuate
+    )
+    return [] if change is None else [change]
+
+
 def changes_for_policy(
     tables: tables_module.Tables, policy: ttypes.Policy
 ) -> list[ttypes.Change]:
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -192,7 +192,7 @@
   50: bool draining = false       // set by an operator; kept when the worker is lost
 }
 
-enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7 }
+enum ChangeVerb { ADD = 1, REPLACE = 2, REMOVE = 3, DRAIN = 4, CANCEL = 5, POLICY = 6, UNDRAIN = 7, EVACUATE = 8, END_EVACUATION = 9 }
 
 /** One change of intent that a plan makes when confirmed. */
 struct Change {
@@ -504,6 +504,13 @@
 /** Processes without state that asked the leader where the group is. */
 struct NoteEntries { 1: list<string> addresses = [] }
 
+/** Begins or ends the evacuation of a data centre: nothing more starts there. */
+struct SetEvacuation {
+  1: string data_centre,
+  2: bool active,
+  3: string operator_name = ""
+}
+
 // The content of a log entry; exactly one body is set.
 struct Command {
   1: string command_id = "",        // same id: same answer, applied once
@@ -530,7 +537,8 @@
   66: optional ForgetJobs forget_jobs,
   67: optional RecordLearnt record_learnt,
   68: optional NoteUnresponsive note_unresponsive,
-  69: optional NoteEntries note_entries
+  69: optional NoteEntries note_entries,
+  70: optional SetEvacuation set_evacuation
 }
 
 enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
@@ -836,7 +844,8 @@
   5: list<RunId> removed = [],
   6: list<string> control_addresses = [],
   7: i64 interference_version = 0,
-  8: optional list<PairInterference> interference   // all pairs, if the version changed
+  8: optional list<PairInterference> interference,  // all pairs, if the version changed
+  9: list<string> evacuated_data_centres = []   // always complete
 }
 
 // ---------------------------------------------------- group formation
@@ -875,6 +884,8 @@
   JobReply pending_jobs(1: JobAddress address) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
   void replace_routing(1: Routing routing) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
   RoutingReply routing() throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
+  /** A repeated command id has no effect. */
+  void set_evacuation(1: SetEvacuation evacuation, 2: string command_id) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
   AgentReply agent_report(1: AgentReport report) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum),
   OrdersReply agent_orders(1: OrdersRequest request) throws (1: NotLeader not_leader, 2: NoQuorum no_quorum)
 }
@@ -992,7 +1003,8 @@
   61: list<JobRecord> jobs = [],
   62: optional RecordLearnt learnt,
   63: list<string> unresponsive_agents = [],
-  64: list<string> entry_addresses = []
+  64: list<string> entry_addresses = [],
+  65: list<string> evacuated_data_centres = []
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -149,7 +149,7 @@
 
 
 class RefusalReason:
-    """The values of `RunRefusedError.reason`: why a worker refused a call."""
+    """Why a worker or its agent refused a run: values of `RunRefusedError.reason`."""
 
     FENCED = "fenced"
     OUTDATED = "outdated"
@@ -157,3 +157,4 @@
     NO_CAPACITY = "no-room"
     NO_TICKET = "no-ticket"
     INVALID = "invalid"
+    EVACUATED = "its data centre is evacuated"
--- a/marigoldsill/state/changes.py
+++ b/marigoldsill/state/changes.py
@@ -14,6 +14,7 @@
         ttypes.EffectVerb.NEVER_RUNS,
     }
 )
+_EVACUATION_STATES = {False: "takes work", True: "evacuated"}
 _RESUMABLE = frozenset(
     {
         ttypes.TaskState.CANCELLED,
@@ -33,6 +34,29 @@
         _apply_change(tables, change, now_unix_ms)
 
 
+def evacuation_change(
+    tables: tables_module.Tables, data_centre: str, *, evacuate: bool
+) -> ttypes.Change | None:
+    """Returns the change that begins or ends an evacuation, or None if it is done.
+
+    While a data centre is evacuated, nothing new starts on its workers, and entries
+    send requests to endpoints elsewhere. It may have no known worker yet.
+    """
+    is_evacuated = data_centre in tables.evacuated_data_centres
+    if is_evacuated == evacuate:
+        return None
+    return ttypes.Change(
+        verb=(
+            ttypes.ChangeVerb.EVACUATE
+            if evacuate
+            else ttypes.ChangeVerb.END_EVACUATION
+        ),
+        subject=f"data_centre/{data_centre}",
+        before=_EVACUATION_STATES[is_evacuated],
+        after=_EVACUATION_STATES[evacuate],
+    )
+
+
 def disruptions(
     tables: tables_module.Tables, changes: Iterable[ttypes.Change]
 ) -> list[ttypes.Effect]:
@@ -68,20 +92,34 @@
             excess = [t for t in tables.tasks_of(name) if t.name not in kept]
             return _stop_effects(excess, f"{name} is scaled down")
         case ttypes.ChangeVerb.DRAIN:
+            return _move_effects(tables, name, f"{name} drains")
+        case ttypes.ChangeVerb.EVACUATE:
             return [
-                ttypes.Effect(
-                    verb=ttypes.EffectVerb.MOVE,
-                    subject=task.name,
-                    worker=name,
-                    reason=f"{name} drains",
+                effect
+                for worker in runs.workers_in(tables, name)
+                for effect in _move_effects(
+                    tables, worker.name, f"data centre {name} is evacuated"
                 )
-                for task in tables.tasks_on(name)
-                if task.state != ttypes.TaskState.STOPPING
             ]
         case _:
             return []
 
 
+def _move_effects(
+    tables: tables_module.Tables, worker: str, reason: str
+) -> list[ttypes.Effect]:
+    return [
+        ttypes.Effect(
+            verb=ttypes.EffectVerb.MOVE,
+            subject=task.name,
+            worker=worker,
+            reason=reason,
+        )
+        for task in tables.tasks_on(worker)
+        if task.state != ttypes.TaskState.STOPPING
+    ]
+
+
 def _stop_effects(tasks: list[ttypes.Task], reason: str) -> list[ttypes.Effect]:
     return [
         ttypes.Effect(
@@ -111,6 +149,10 @@
             runs.set_draining(tables, name, draining=True)
         case ttypes.ChangeVerb.UNDRAIN:
             runs.set_draining(tables, name, draining=False)
+        case ttypes.ChangeVerb.EVACUATE:
+            runs.set_evacuated(tables, name, evacuated=True)
+        case ttypes.ChangeVerb.END_EVACUATION:
+            runs.set_evacuated(tables, name, evacuated=False)
         case ttypes.ChangeVerb.POLICY:
             tables.set_policy(change.policy_after)
 
--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -1,7 +1,7 @@
 """Plans, which are recorded and later confirmed at most once.
 
 A confirmation is refused if the subjects of the plan have changed since the plan
-was made.
+was made. Evacuations can also be ordered without a plan.
 """
 
 import dataclasses
@@ -63,8 +63,7 @@
         return _refuse(
             tables, plan, refusal, confirmation.operator_name, now_unix_ms
         )
-    changes.apply(tables, plan.changes, now_unix_ms)
-    _record_versions(tables, plan, confirmation.operator_name)
+    apply_changes(tables, plan, confirmation.operator_name, now_unix_ms)
     plan = _set_state(tables, plan, ttypes.PlanState.CONFIRMED)
     audit.append(
         tables,
@@ -92,6 +91,29 @@
     return _refuse(tables, plan, reason, refusal.operator_name, now_unix_ms)
 
 
+def apply_evacuation(
+    tables: tables_module.Tables,
+    order: ttypes.SetEvacuation,
+    now_unix_ms: int,
+) -> ttypes.CommandResult:
+    """Begins or ends an evacuation at once, without a plan to confirm."""
+    change = changes.evacuation_change(
+        tables, order.data_centre, evacuate=order.active
+    )
+    if change is None:
+        return _result(tables, 0, ttypes.Outcome.ALREADY)
+    plan = ttypes.Plan(operator_name=order.operator_name, changes=[change])
+    apply_changes(tables, plan, order.operator_name, now_unix_ms)
+    audit.append(
+        tables,
+        ttypes.AuditVerb.CONFIRMED,
+        plan,
+        now_unix_ms,
+        reason="ordered without a plan",
+    )
+    return _result(tables, 0)
+
+
 def find_newer_version(
     tables: tables_module.Tables, plan: ttypes.Plan
 ) -> ttypes.SubjectVersion | None:
@@ -221,11 +243,15 @@
     return f"acknowledged {', '.join(names)}" if names else ""
 
 
-def _record_versions(
-    tables: tables_module.Tables, plan: ttypes.Plan, operator_name: str
+def apply_changes(
+    tables: tables_module.Tables,
+    plan: ttypes.Plan,
+    operator_name: str,
+    now_unix_ms: int,
 ) -> None:
-    """Records the plan's changes as a new version of each subject."""
+    """Applies a plan's changes, as a new version of each subject."""
     tables.state_version += 1
+    changes.apply(tables, plan.changes, now_unix_ms)
     for change in plan.changes:
         tables.set_version(
             ttypes.SubjectVersion(
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -113,7 +113,8 @@
 ) -> ttypes.CommandResult:
     """Adds or replaces a worker, except by one of an older incarnation.
 
-    A drain by an operator remains in effect after the worker was lost.
+    A drain by an operator remains in effect after the worker was lost. The
+    evacuation of a data centre applies to workers that join later as well.
     """
     worker = put.worker
     old = tables.workers.get(worker.name)
@@ -121,8 +122,14 @@
         return _result(tables, 0)
     if _is_outdated(tables, put.decided_term):
         return _result(tables, 0)
+    was_draining = old is not None and tables.is_draining(old)
     draining = old is not None and old.draining
-    tables.workers[worker.name] = _with_draining(worker, draining=draining)
+    worker = _with_draining(tables, worker, draining=draining)
+    tables.workers[worker.name] = worker
+    if tables.is_draining(worker) != was_draining:
+        # Entries and agents learn of a drain by the version of its worker.
+        tables.state_version += 1
+        _set_worker_version(tables, worker.name)
     return _result(tables, 1)
 
 
@@ -132,17 +139,61 @@
     """Sets whether an operator drains a worker; remains after its loss."""
     worker = tables.workers.get(name)
     if worker is not None:
-        tables.workers[name] = _with_draining(worker, draining=draining)
+        tables.workers[name] = _with_draining(tables, worker, draining=draining)
         tables.changed_workers.add(name)
 
 
-def _with_draining(worker: ttypes.Worker, *, draining: bool) -> ttypes.Worker:
-    state = worker.state
-    if state in (ttypes.WorkerState.ACTIVE, ttypes.WorkerState.DRAINING):
-        state = ttypes.WorkerState.ACTIVE
-        if draining:
-            state = ttypes.WorkerState.DRAINING
-    return records.replace(worker, state=state, draining=draining)
+def set_evacuated(
+    tables: tables_module.Tables, data_centre: str, *, evacuated: bool
+) -> None:
+    """Sets whether a data centre is evacuated, which drains all of its workers.
+
+    Called with the new state version in force, which the workers' versions get.
+    """
+    if evacuated:
+        tables.evacuated_data_centres.add(data_centre)
+    else:
+        tables.evacuated_data_centres.discard(data_centre)
+    for worker in workers_in(tables, data_centre):
+        set_draining(tables, worker.name, draining=worker.draining)
+        _set_worker_version(tables, worker.name)
+
+
+def workers_in(
+    tables: tables_module.Tables, data_centre: str
+) -> list[ttypes.Worker]:
+    """Returns the known workers of a data centre, by name."""
+    return [
+        tables.workers[name]
+        for name in sorted(tables.workers)
+        if tables.workers[name].data_centre == data_centre
+    ]
+
+
+def _set_worker_version(tables: tables_module.Tables, name: str) -> None:
+    """Records that a worker's drain changed other than by a plan about it."""
+    subject = f"worker/{name}"
+    before = tables.versions.get(subject, ttypes.SubjectVersion())
+    tables.set_version(
+        ttypes.SubjectVersion(
+            subject=subject,
+            version=tables.state_version,
+            plan_id=before.plan_id,
+            operator_name=before.operator_name,
+        )
+    )
+
+
+def _with_draining(
+    tables: tables_module.Tables, worker: ttypes.Worker, *, draining: bool
+) -> ttypes.Worker:
+    """Returns a worker with its own drain set, and the state that follows."""
+    worker = records.replace(worker, draining=draining)
+    if worker.state in (ttypes.WorkerState.ACTIVE, ttypes.WorkerState.DRAINING):
+        worker.state = ttypes.WorkerState.ACTIVE
+        if tables.is_draining(worker):
+            worker.state = ttypes.WorkerState.DRAINING
+    return worker
 
 
 def stop_permanently(
--- a/marigoldsill/state/state_machine.py
+++ b/marigoldsill/state/state_machine.py
@@ -41,11 +41,13 @@
     "record_learnt",
     "note_unresponsive",
     "note_entries",
+    "set_evacuation",
 )
 _OPERATOR_BODIES = (
     ttypes.RecordPlan,
     ttypes.ConfirmPlan,
     ttypes.RefusePlan,
+    ttypes.SetEvacuation,
 )
 
 
@@ -133,6 +135,8 @@
         ):
             tables.jobs.record_unresponsive(unresponsive, responsive)
             return _ok(tables)
+        case ttypes.SetEvacuation() as order:
+            return plans.apply_evacuation(tables, order, now_unix_ms)
         case ttypes.NoteEntries(addresses=addresses):
             tables.record_entries(addresses)
             return _ok(tables)
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -65,6 +65,8 @@
         jobs: Queues, their jobs and the runs of these.
         entry_addresses: Addresses of entries (processes without state) that sent
             requests to a leader, the most recently recorded last.
+        evacuated_data_centres: Data centres on whose workers nothing new starts;
+            a name may be that of a data centre without known workers.
     """
 
     def __init__(self):
@@ -101,6 +103,7 @@
         self.changed_tasks: set[str] = set()
         self.jobs = job_tables.JobTables()
         self.entry_addresses: dict[str, None] = {}
+        self.evacuated_data_centres: set[str] = set()
 
     def pop_changed_tasks(self) -> set[str]:
         """Returns the tasks that changed since the last call."""
@@ -210,6 +213,7 @@
         copy.state_version = self.state_version
         copy.epoch_floor = self.epoch_floor
         copy.policy = self.policy
+        copy.evacuated_data_centres = set(self.evacuated_data_centres)
         for name in _SIMULATED_TABLES:
             setattr(copy, name, dict(getattr(self, name)))
         copy.tasks_by_owner = {
@@ -220,6 +224,12 @@
         }
         return copy
 
+    def is_draining(self, worker: ttypes.Worker) -> bool:
+        """Whether a worker gets no new tasks by an order of an operator."""
+        return (
+            worker.draining or worker.data_centre in self.evacuated_data_centres
+        )
+
     def record_entries(self, addresses: Iterable[str]) -> None:
         """Records addresses of entries; the oldest over the limit are dropped."""
         for address in addresses:
@@ -260,6 +270,7 @@
                 learnt=self.jobs.learnt.to_record(),
                 unresponsive_agents=sorted(self.jobs.unresponsive_agents),
                 entry_addresses=list(self.entry_addresses),
+                evacuated_data_centres=sorted(self.evacuated_data_centres),
             )
         )
 
@@ -310,6 +321,7 @@
             tables.jobs.learnt.update(snapshot.learnt)
         tables.jobs.record_unresponsive(snapshot.unresponsive_agents, ())
         tables.record_entries(snapshot.entry_addresses)
+        tables.evacuated_data_centres = set(snapshot.evacuated_data_centres)
         tables.changed_workers = set(
             itertools.chain(tables.workers, tables.tasks_by_worker)
         )
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -47,6 +47,8 @@
         (["remove", "lookup"], "remove", {"name": "lookup"}),
         (["drain", "w1"], "drain", {"name": "w1"}),
         (["undrain", "w1"], "undrain", {"name": "w1"}),
+        (["evacuate", "dc1"], "evacuate", {"name": "dc1"}),
+        (["end-evacuation", "dc1"], "end-evacuation", {"name": "dc1"}),
         (["cancel", "a", "b"], "cancel", {"names": ["a", "b"]}),
     ],
     ids=lambda value: str(value[0]) if isinstance(value, list) else "",
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -134,7 +134,13 @@
         )
         self._start_process(name, "edge", self._ips[name], listen, data=data)
 
-    def start_side(self, name: str, *, cpu_millicores: int = 8000) -> None:
+    def start_side(
+        self,
+        name: str,
+        *,
+        cpu_millicores: int = 8000,
+        data_centre: str = "z1",
+    ) -> None:
         """Starts an agent, and its worker unless it is running."""
         ip = f"{self._block}.{100 + _number(name)}"
         control = f"{ip}:{_CONTROL_PORT}"
@@ -144,7 +150,7 @@
                 address=app,
                 control_address=self._proxy_address(control),
                 pool=POOL,
-                data_centre="z1",
+                data_centre=data_centre,
                 labels=["a", f"r1-{_number(name)}"],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
