Keep a worker quarantined for failures until a run succeeds there

Restored they looked idle and drew the next starts, until tasks had used up their attempts.

Change: a quarantine knows whether it is for a stall; progress ends only that. The test failed before.

--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -120,7 +120,7 @@
 
     def report_stall(self, worker_id: str, *, runs_count: int) -> None:
         """Quarantines a worker on which no run makes progress."""
-        if self._quarantine.quarantine(worker_id, now_s=clock.now_s()):
+        if self._quarantine.quarantine_stalled(worker_id, now_s=clock.now_s()):
             logs.event(
                 "worker_stalled",
                 level="WARNING",
@@ -129,8 +129,8 @@
             )
 
     def report_progress(self, worker_id: str) -> None:
-        """Restores a worker on which a run makes progress."""
-        if self._quarantine.restore(worker_id):
+        """Restores a worker that had stalled, as a run on it makes progress."""
+        if self._quarantine.restore_stalled(worker_id):
             logs.event("worker_restored", worker_id=worker_id, task="")
 
     def _record_end(self, end: ttypes.RunEnd) -> None:
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -47,6 +47,8 @@
         recent: When its latest runs were recorded, their families and whether they
             succeeded.
         status: Its health status.
+        is_stalled: Whether it is quarantined or on probation because it stalled, and
+            not for failures. Only then does progress restore it.
         until_s: When its quarantine ends.
         cooldown_s: How long its quarantine lasts; doubles if it fails on probation.
     """
@@ -55,6 +57,7 @@
         default_factory=lambda: collections.deque(maxlen=_RECENT_COUNT)
     )
     status: HealthStatus = HealthStatus.GOOD
+    is_stalled: bool = False
     until_s: float = 0.0
     cooldown_s: float = _COOLDOWN_S
 
@@ -121,19 +124,24 @@
             )
         return self._evaluate(worker, known, now_s)
 
-    def quarantine(self, worker: str, *, now_s: float) -> bool:
-        """Quarantines a worker for another reason; returns whether that is new."""
+    def quarantine_stalled(self, worker: str, *, now_s: float) -> bool:
+        """Quarantines a worker whose runs stalled; returns whether that is new."""
         known = self._get_or_create(worker)
         if known.status == HealthStatus.QUARANTINED:
             return False
-        self._start_quarantine(worker, known, "", now_s)
+        self._start_quarantine(worker, known, "", now_s, is_stalled=True)
         return True
 
-    def restore(self, worker: str) -> bool:
-        """Ends a quarantine or probation; returns whether there was one."""
+    def restore_stalled(self, worker: str) -> bool:
+        """Ends a quarantine or probation for a stall; returns whether there was one.
+
+        A quarantine for failures continues: a run that makes progress may still fail.
+        """
         known = self._workers.get(worker)
         if known is None or known.status == HealthStatus.GOOD:
             return False
+        if not known.is_stalled:
+            return False
         known.status = HealthStatus.GOOD
         self._quarantined.discard(worker)
         return True
@@ -205,11 +213,18 @@
         )
 
     def _start_quarantine(
-        self, worker: str, known: _Worker, reason: str, now_s: float
+        self,
+        worker: str,
+        known: _Worker,
+        reason: str,
+        now_s: float,
+        *,
+        is_stalled: bool = False,
     ) -> str:
         if known.status == HealthStatus.PROBATION:
             known.cooldown_s = min(2 * known.cooldown_s, _COOLDOWN_LIMIT_S)
         known.status = HealthStatus.QUARANTINED
+        known.is_stalled = is_stalled
         known.until_s = now_s + known.cooldown_s
         known.recent.clear()
         self._quarantined.add(worker)
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -121,6 +121,29 @@
     assert not runs.may_start_run(_FAULTY)
 
 
+def test_progress_does_not_end_a_quarantine_for_failures(runs: _Runs) -> None:
+    """Guards against a worker that draws start after start and fails them all.
+
+    Progress of a run shows that a worker has not stalled, but the run may still fail.
+    When it ended every quarantine, a worker that fails all runs was restored within
+    milliseconds, looked idle, and used up the attempts of accepted jobs.
+    """
+    for job in range(3):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    runs.health.report_progress(_FAULTY)
+    assert not runs.may_start_run(_FAULTY)
+    runs.advance_clock(2.5)
+    runs.health.report_progress(_FAULTY)
+    assert not runs.may_start_run(_FAULTY, runs_count=1)
+
+
+def test_progress_ends_a_quarantine_for_a_stall(runs: _Runs) -> None:
+    runs.health.report_stall(_FAULTY, runs_count=2)
+    assert not runs.may_start_run(_FAULTY)
+    runs.health.report_progress(_FAULTY)
+    assert runs.may_start_run(_FAULTY)
+
+
 def test_a_job_that_fails_on_all_workers_quarantines_none(runs: _Runs) -> None:
     for index in range(20):
         worker_id = (_HEALTHY, _FAULTY)[index % 2]
--- a/tests/coordination/learning/test_quarantine.py
+++ b/tests/coordination/learning/test_quarantine.py
@@ -119,8 +119,8 @@
 ) -> None:
     monkeypatch.setattr(quarantine_module, "_WORKERS_LIMIT", 10)
     quarantine = quarantine_module.Quarantine()
-    quarantine.quarantine("old", now_s=0.0)
-    quarantine.quarantine("known", now_s=0.0)
+    quarantine.quarantine_stalled("old", now_s=0.0)
+    quarantine.quarantine_stalled("known", now_s=0.0)
     for number in range(9):
         quarantine.record_failure(f"w{number}", "family", now_s=1.0)
         quarantine.record_failure("known", "family", now_s=1.0)
