Let only runs granted on probation decide on a worker's probation

A run started before a worker began to fail could end well and restore it; it also kept the worker from being probed. Likewise an earlier run's success ended the backoff of a worker that refuses starts now.

Change: a grant is kept with its time and whether the worker was on probation. Only such probes end or extend the probation and are waited for; only a run granted after a refusal ends the backoff. The test of conclusive runs grants its run on probation now, and has a second case of a run from before, which counts 0; its other cases ask for what they did before.

--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -55,6 +55,22 @@
     until_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Grant:
+    """A run whose end is still to be recorded.
+
+    Attributes:
+        worker_id: The incarnation of the worker that it was granted to.
+        granted_s: When the grant was applied.
+        is_probe: Whether the worker was on probation then, so that the run's end
+            decides on the probation.
+    """
+
+    worker_id: str
+    granted_s: float
+    is_probe: bool
+
+
 class WorkerHealth:
     """Refusals and failures of workers, by the applied commands.
 
@@ -69,7 +85,7 @@
                 effect and is logged.
         """
         self._is_leader = is_leader
-        self._granted: dict[task_names.RunKey, str] = {}
+        self._granted: dict[task_names.RunKey, _Grant] = {}
         self._refusals: dict[str, _Refusals] = {}
         self._failed_on: dict[str, tuple[str, ...]] = {}
         self._quarantine = quarantine_module.Quarantine(
@@ -81,7 +97,7 @@
         match state_machine.body_of(command):
             case ttypes.GrantRuns(grants=grants):
                 for grant in grants:
-                    self._granted[grant.task, grant.run] = grant.worker_id
+                    self._record_grant(grant)
                 _drop_oldest(self._granted)
             case ttypes.RecordRunEnds(ends=ends):
                 for end in ends:
@@ -109,6 +125,11 @@
             case quarantine_module.HealthStatus.GOOD:
                 return True
 
+    def is_probe(self, key: task_names.RunKey) -> bool:
+        """Returns whether a run was granted while its worker was on probation."""
+        grant = self._granted.get(key)
+        return grant is not None and grant.is_probe
+
     def workers_to_avoid(self, task: str) -> frozenset[str]:
         """Returns workers on which a task failed recently; needs no lock."""
         return frozenset(self._failed_on.get(task, ()))
@@ -133,19 +154,30 @@
         if self._quarantine.restore_stalled(worker_id):
             logs.event("worker_restored", worker_id=worker_id, task="")
 
+    def _record_grant(self, grant: ttypes.RunGrant) -> None:
+        status = self._quarantine.status_of(grant.worker_id)
+        self._granted[grant.task, grant.run] = _Grant(
+            worker_id=grant.worker_id,
+            granted_s=clock.now_s(),
+            is_probe=status == quarantine_module.HealthStatus.PROBATION,
+        )
+
     def _record_end(self, end: ttypes.RunEnd) -> None:
-        worker_id = self._granted.pop((end.task, end.run), "")
-        if not worker_id:
+        grant = self._granted.pop((end.task, end.run), None)
+        if grant is None:
             return
         match end.kind:
             case ttypes.RunEndKind.REFUSED:
-                self._record_refusal(worker_id, end.detail)
+                self._record_refusal(grant.worker_id, end.detail)
             case ttypes.RunEndKind.DONE:
-                self._refusals.pop(worker_id, None)
+                refusals = self._refusals.get(grant.worker_id)
+                # The end of an earlier run does not show that starts succeed again.
+                if refusals is not None and grant.granted_s > refusals.last_s:
+                    del self._refusals[grant.worker_id]
                 self._failed_on.pop(end.task, None)
-                self._record_success(worker_id, end.task)
+                self._record_success(grant, end.task)
             case ttypes.RunEndKind.FAILED:
-                self._record_failure(worker_id, end.task)
+                self._record_failure(grant, end.task)
 
     def _record_refusal(self, worker_id: str, reason: str) -> None:
         if reason in _REASONS_WITHOUT_BACKOFF:
@@ -173,19 +205,26 @@
             reason=reason,
         )
 
-    def _record_success(self, worker_id: str, task: str) -> None:
+    def _record_success(self, grant: _Grant, task: str) -> None:
         is_restored = self._quarantine.record_success(
-            worker_id, _task_family(task), now_s=clock.now_s()
+            grant.worker_id,
+            _task_family(task),
+            now_s=clock.now_s(),
+            is_probe=grant.is_probe,
         )
         if is_restored and self._is_leader():
-            logs.event("worker_restored", worker_id=worker_id, task=task)
+            logs.event("worker_restored", worker_id=grant.worker_id, task=task)
 
-    def _record_failure(self, worker_id: str, task: str) -> None:
+    def _record_failure(self, grant: _Grant, task: str) -> None:
+        worker_id = grant.worker_id
         failed_on = (*self._failed_on.get(task, ()), worker_id)
         self._failed_on[task] = failed_on[-_AVOIDED_COUNT:]
         _drop_oldest(self._failed_on)
         reason = self._quarantine.record_failure(
-            worker_id, _task_family(task), now_s=clock.now_s()
+            worker_id,
+            _task_family(task),
+            now_s=clock.now_s(),
+            is_probe=grant.is_probe,
         )
         if reason and self._is_leader():
             logs.event(
@@ -198,17 +237,20 @@
 
 
 def count_conclusive_runs(
-    jobs: job_tables.JobTables, view: agents_module.AgentView
+    jobs: job_tables.JobTables,
+    view: agents_module.AgentView,
+    health: WorkerHealth,
 ) -> int:
     """Counts the runs on a worker that will show whether it is healthy.
 
-    Long-running tasks never end, and tasks throttled to 0 make no progress. If they
+    These were granted while it was on probation. Long-running tasks never end, and tasks throttled to 0 make no progress. If they
     counted, a worker on probation would never get another run, while long-running tasks
     wait for its capacity.
     """
     return sum(
-        _is_conclusive(jobs.step_of(task), view.samples.get((task, run)))
-        for task, run in jobs.runs_by_agent.get(view.name, ())
+        health.is_probe(key)
+        and _is_conclusive(jobs.step_of(key[0]), view.samples.get(key))
+        for key in jobs.runs_by_agent.get(view.name, ())
     )
 
 
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -95,6 +95,6 @@
         return self._health.may_start_run(
             view.worker.worker_id,
             count_runs=functools.partial(
-                worker_health.count_conclusive_runs, jobs, view
+                worker_health.count_conclusive_runs, jobs, view, self._health
             ),
         )
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -91,22 +91,40 @@
         known = self._workers.get(worker)
         return known.status if known is not None else HealthStatus.GOOD
 
-    def record_success(self, worker: str, family: str, *, now_s: float) -> bool:
-        """Records a successful run; returns whether it restored the worker."""
+    def record_success(
+        self, worker: str, family: str, *, now_s: float, is_probe: bool = True
+    ) -> bool:
+        """Records a successful run; returns whether it restored the worker.
+
+        Args:
+            worker: The worker.
+            family: The family of the run's task.
+            now_s: The current time.
+            is_probe: Whether the run started since the worker is on probation;
+                ignored otherwise. Earlier runs do not decide on the probation.
+        """
         _add_worker(self._succeeded_on, family, worker)
         known = self._get_or_create(worker)
         known.recent.append((now_s, family, True))
         self._update_fleet(failed=False)
-        if known.status != HealthStatus.PROBATION:
+        if known.status != HealthStatus.PROBATION or not is_probe:
             return False
         known.status = HealthStatus.GOOD
         known.cooldown_s = self._cooldown_s
         known.recent.clear()
         return True
 
-    def record_failure(self, worker: str, family: str, *, now_s: float) -> str:
+    def record_failure(
+        self, worker: str, family: str, *, now_s: float, is_probe: bool = True
+    ) -> str:
         """Records a failed run.
 
+        Args:
+            worker: The worker.
+            family: The family of the run's task.
+            now_s: The current time.
+            is_probe: As for `record_success`.
+
         Returns:
             Why the worker is quarantined now, or an empty string.
         """
@@ -117,6 +135,8 @@
         if known.status == HealthStatus.QUARANTINED:
             return ""
         if known.status == HealthStatus.PROBATION:
+            if not is_probe:
+                return ""
             if self._blame_weight(worker, family) <= _FAILED_ELSEWHERE_WEIGHT:
                 return ""
             return self._start_quarantine(
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -30,11 +30,21 @@
         self, task: str, worker_id: str, kind: ttypes.RunEndKind, detail=""
     ) -> None:
         """Grants and ends one run."""
+        self.end(task, self.grant(task, worker_id), kind, detail)
+
+    def grant(self, task: str, worker_id: str) -> int:
+        """Grants a run and returns its number."""
         run = next(self._runs)
         grant = ttypes.RunGrant(
             task=task, run=run, agent=worker_id[:2], worker_id=worker_id
         )
         self._apply(grant_runs=ttypes.GrantRuns(grants=[grant]))
+        return run
+
+    def end(
+        self, task: str, run: int, kind: ttypes.RunEndKind, detail=""
+    ) -> None:
+        """Ends a run that was granted."""
         end = ttypes.RunEnd(task=task, run=run, kind=kind, detail=detail)
         self._apply(record_run_ends=ttypes.RecordRunEnds(ends=[end]))
 
@@ -137,6 +147,35 @@
     assert not runs.may_start_run(_FAULTY, runs_count=1)
 
 
+def test_only_a_run_granted_on_probation_ends_it(runs: _Runs) -> None:
+    """Guards against runs from before a failure that speak for what starts after it.
+
+    A worker may fail all that it starts from some moment on, while runs that it started
+    earlier end well. Such an end restored the worker, which then failed the next runs.
+    """
+    earlier = runs.grant(_task(9), _FAULTY)
+    for job in range(3):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    runs.advance_clock(2.5)
+    assert not runs.health.is_probe((_task(9), earlier))
+    runs.end(_task(9), earlier, _DONE)
+    probe = runs.grant(_task(7), _FAULTY)
+    assert runs.health.is_probe((_task(7), probe))
+    assert not runs.may_start_run(_FAULTY, runs_count=1)
+    runs.end(_task(7), probe, _DONE)
+    assert runs.may_start_run(_FAULTY, runs_count=1)
+
+
+def test_a_run_from_before_a_refusal_does_not_end_the_backoff(
+    runs: _Runs,
+) -> None:
+    earlier = runs.grant(_task(1), _FAULTY)
+    runs.advance_clock(0.1)
+    runs.run(_task(2), _FAULTY, _REFUSED, "the worker is not healthy")
+    runs.end(_task(1), earlier, _DONE)
+    assert not runs.may_start_run(_FAULTY)
+
+
 def test_progress_ends_a_quarantine_for_a_stall(runs: _Runs) -> None:
     runs.health.report_stall(_FAULTY, runs_count=2)
     assert not runs.may_start_run(_FAULTY)
@@ -175,6 +214,7 @@
     assert runs.may_start_run("a2-incarnation2")
 
 
+@pytest.mark.parametrize("is_on_probation", [True, False])
 @pytest.mark.parametrize(
     ("fields", "quota_percent", "count"),
     [
@@ -185,16 +225,29 @@
     ],
     ids=["normal", "long-running", "throttled", "throttled to 0"],
 )
-def test_a_worker_on_probation_waits_only_for_conclusive_runs(
-    fields: dict, quota_percent: int, count: int
+def test_a_worker_on_probation_waits_only_for_conclusive_probes(
+    runs: _Runs,
+    fields: dict,
+    quota_percent: int,
+    count: int,
+    is_on_probation: bool,
 ) -> None:
     state = builders.State()
     state.submit(builders.job("j1", builders.step(**fields)))
     task = builders.task_name()
-    state.grant(builders.grant(task))
+    grant = builders.grant(task)
+    state.grant(grant)
+    if is_on_probation:
+        for job in range(3):
+            runs.run(_task(job + 2), grant.worker_id, _FAILED)
+        runs.advance_clock(2.5)
+    body = ttypes.GrantRuns(grants=[grant])
+    runs.health.observe_command(commands.new(command_id="", grant_runs=body))
     sample = ttypes.RunSample(
         task=task, run=1, percent=100, quota_percent=quota_percent
     )
     view = agents_module.AgentView("a1", samples={(task, 1): sample})
-    jobs = state.tables.jobs
-    assert worker_health.count_conclusive_runs(jobs, view) == count
+    found = worker_health.count_conclusive_runs(
+        state.tables.jobs, view, runs.health
+    )
+    assert found == (count if is_on_probation else 0)
