Draw evacuations in the soak and check starts from outside

Workers of the soak stand in two data centres; one is evacuated again and again while faults are injected. No run may start there later than a lease and a delayed call after the acknowledgement. Cases for the invariant: starts before, at the bound, elsewhere and after.

--- a/soak/history.py
+++ b/soak/history.py
@@ -154,6 +154,19 @@
     agent: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evacuation:
+    """An acknowledged evacuation of a data centre.
+
+    Attributes:
+        data_centre: The data centre.
+        span: From the acknowledgement until its end was first requested.
+    """
+
+    data_centre: str
+    span: Span
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class InjectedFault:
     """A fault and the span during which it was active."""
@@ -173,6 +186,8 @@
         grants: The granted runs.
         members: The names of the processes that replicate the state.
         machines: The names of the workers' machines by address.
+        evacuations: The evacuations of data centres.
+        data_centres: The data centres of the workers' machines, by name.
         ended_ns: The end of the history.
     """
 
@@ -182,6 +197,8 @@
     grants: Sequence[Grant] = ()
     members: Sequence[str] = ()
     machines: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    evacuations: Sequence[Evacuation] = ()
+    data_centres: Mapping[str, str] = dataclasses.field(default_factory=dict)
     ended_ns: int = 0
 
     def runs(self) -> list[Run]:
@@ -242,7 +259,8 @@
     def spans_without_capacity(self, *, tasks_per_worker: int) -> list[Span]:
         """Returns when every machine was full or affected by a fault.
 
-        A machine whose worker's capacity is reduced counts as full.
+        A machine whose worker's capacity is reduced, or whose data centre is
+        evacuated, counts as full.
 
         Args:
             tasks_per_worker: How many tasks fill a worker.
@@ -253,6 +271,10 @@
         }
         for fault, span in self.capacity_reductions():
             unavailable_by_machine[fault.worker].append(span)
+        for evacuation in self.evacuations:
+            for name in names:
+                if self.data_centres.get(name) == evacuation.data_centre:
+                    unavailable_by_machine[name].append(evacuation.span)
         by_machine: dict[str, list[Span]] = {name: [] for name in names}
         for run in self.runs():
             by_machine[run.machine].append(run.span)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -38,6 +38,9 @@
 # A reduced capacity is binding after `contact_ms` of the platform and one heartbeat
 # of the soak's workers.
 CAPACITY_CHANGE_DELAY_S = 3.1
+# An agent without the news of an evacuation starts runs until its lease ends; a call that
+# a worker does not answer is carried out 0.3 s later.
+EVACUATION_LIMIT_S = LEASE_EXPIRY_S + 0.5
 # CPU that each task of the soak reserves.
 TASK_MILLICORES = 500
 # Workers of the soak hold 16 of its tasks; the capacity for one of them may be
@@ -72,6 +75,7 @@
         *refused_jobs_that_ran(history),
         *failed_without_crashes(history),
         *starts_over_capacity(history),
+        *starts_in_evacuated_data_centres(history),
         *completed_with_missing_tasks(history),
         *unfinished_jobs(history),
         *excessive_downtimes(history),
@@ -124,6 +128,22 @@
     ]
 
 
+def starts_in_evacuated_data_centres(
+    history: history_module.History,
+) -> list[str]:
+    """Finds runs started in a data centre long after its evacuation began."""
+    return [
+        f"{run.task} was started on {run.machine} in evacuated "
+        f"{evacuation.data_centre}"
+        for evacuation in history.evacuations
+        for run in history.runs()
+        if history.data_centres.get(run.machine) == evacuation.data_centre
+        and evacuation.span.started_ns + _ns(EVACUATION_LIMIT_S)
+        < run.span.started_ns
+        < evacuation.span.ended_ns
+    ]
+
+
 def _concurrent_runs_count(
     runs: list[history_module.Run], started: history_module.Run
 ) -> int:
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,8 @@
 WORKERS_COUNT = 3
 EDGES_COUNT = 6
 _DISKS_COUNT = 3
+# The workers take turns; the last data centre is evacuated from time to time.
+_DATA_CENTRES = ("z1", "z1", "z2")
 # Time after the last fault for leases to expire and tasks to start elsewhere.
 _SETTLE_LIMIT_S = 60.0
 _READ_LIMIT_S = 30.0
@@ -89,6 +91,7 @@
         folder,
         stateful_edges_count=_DISKS_COUNT,
         stateless_edges_count=edges_count - _DISKS_COUNT,
+        data_centres=_DATA_CENTRES,
         proxy_address=proxies.proxy_address,
         advertise=proxies.advertise,
     )
@@ -110,7 +113,9 @@
                 if e not in system.member_names()
             ],
         )
-        workload = workload_module.Workload(system, seed=seed)
+        workload = workload_module.Workload(
+            system, seed=seed, evacuated_data_centre=_DATA_CENTRES[-1]
+        )
         workload.start()
         injector = injector_module.Injector(
             system, proxies.named_proxies(), proxies.control_proxies()
@@ -132,6 +137,10 @@
         grants=read_grants(folder),
         members=system.member_names(),
         machines={w.address: name for name, w in system.workers.items()},
+        evacuations=workload.evacuations,
+        data_centres={
+            name: system.data_centre(name) for name in system.workers
+        },
         ended_ns=ended_ns,
     )
     return SoakResult(
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -26,6 +26,11 @@
 _OCCURRENCES_COUNTS = (1, 3)
 _DELAYS_MS = (0, 2_500)
 _INTERVALS_MS = (100, 900)
+# Evacuations: the time before each of them, and how long it lasts. The soak checks the
+# starts of the last seconds of each.
+_EVACUATION_PAUSES_S = (1.0, 5.0)
+_EVACUATION_DURATIONS_S = (10.0, 14.0)
+_EVACUATION_ATTEMPTS_COUNT = 100
 _STATES = ("queued", "running", "completed", "failed", "cancelled")
 
 
@@ -36,12 +41,28 @@
         jobs: All submitted jobs.
         violations: Descriptions of answers that violate an invariant.
         acknowledged_version: The highest acknowledged version of the configuration.
+        evacuations: The evacuations that were acknowledged.
     """
 
-    def __init__(self, system: system_module.System, *, seed: int):
+    def __init__(
+        self,
+        system: system_module.System,
+        *,
+        seed: int,
+        evacuated_data_centre: str = "",
+    ):
+        """Initializes the workload without calling the system.
+
+        Args:
+            system: The system.
+            seed: The seed of all random decisions.
+            evacuated_data_centre: Evacuated from time to time; none if empty.
+        """
         self.jobs: list[history.SubmittedJob] = []
         self.violations: list[str] = []
         self.acknowledged_version = 1
+        self.evacuations: list[history.Evacuation] = []
+        self._evacuated_data_centre = evacuated_data_centre
         self._system = system
         self._seed = seed
         self._stopping = threading.Event()
@@ -52,6 +73,7 @@
             self._replace_configurations,
             self._submit_special_jobs,
             self._submit_crashing_jobs,
+            self._evacuate_repeatedly,
         )
         self._threads = [
             threading.Thread(target=loop, args=(number,), daemon=True)
@@ -211,6 +233,43 @@
                 f"valid version {version} was refused with {answer.status}"
             )
 
+    def _evacuate_repeatedly(self, number: int) -> None:
+        numbers = random.Random(f"{self._seed} {number}")
+        data_centre = self._evacuated_data_centre
+        while data_centre and not self._stopping.wait(
+            numbers.uniform(*_EVACUATION_PAUSES_S)
+        ):
+            is_started = self._order_evacuation("Start", data_centre, numbers)
+            started_ns = time.monotonic_ns()
+            self._stopping.wait(numbers.uniform(*_EVACUATION_DURATIONS_S))
+            span = history.Span(started_ns, time.monotonic_ns())
+            if is_started:
+                self.evacuations.append(history.Evacuation(data_centre, span))
+            if not self._order_evacuation("Finish", data_centre, numbers):
+                self.violations.append(
+                    f"the end of the evacuation of {data_centre} was never "
+                    "acknowledged"
+                )
+
+    def _order_evacuation(
+        self, verb: str, data_centre: str, numbers: random.Random
+    ) -> bool:
+        """Sends an order until it is acknowledged; returns whether it was."""
+        for _ in range(_EVACUATION_ATTEMPTS_COUNT):
+            answer = self._system.call_as_operator(
+                "POST",
+                f"Evacuations.{verb}/{data_centre}",
+                edge=numbers.choice(self._system.running_edges()),
+            )
+            if answer.status == 200:
+                return True
+            if 400 <= answer.status < 500:
+                self.violations.append(
+                    f"{verb} of an evacuation was refused with {answer.status}"
+                )
+            time.sleep(_CALL_INTERVAL_S)
+        return False
+
     def read_configuration(self, edge: str) -> bool:
         """Reads and checks the configuration; returns whether it was answered."""
         min_version = self.acknowledged_version
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -66,6 +66,7 @@
         *,
         stateful_edges_count: int = 3,
         stateless_edges_count: int = 0,
+        data_centres: Sequence[str] = ("z1",),
         proxy_address: Callable[[str], str] = lambda address: address,
         advertise: Callable[[str], str] = lambda address: address,
     ):
@@ -75,6 +76,7 @@
             folder: The folder for logs, settings and state.
             stateful_edges_count: Number of edge processes with a disk.
             stateless_edges_count: Number of edge processes without a disk.
+            data_centres: The data centres of the workers, which take turns.
             proxy_address: Returns the address for calls between a worker and its
                 agent and from clients to an edge, given the callee's address; for
                 a proxy in between.
@@ -82,6 +84,7 @@
                 listen address; another host with the same port.
         """
         self.folder = folder
+        self._data_centres = data_centres
         self._proxy_address = proxy_address
         self._advertise = advertise
         self.processes: dict[str, one_process.Process] = {}
@@ -139,7 +142,7 @@
         name: str,
         *,
         cpu_millicores: int = 8000,
-        data_centre: str = "z1",
+        data_centre: str = "",
     ) -> None:
         """Starts an agent, and its worker unless it is running."""
         ip = f"{self._block}.{100 + _number(name)}"
@@ -150,7 +153,7 @@
                 address=app,
                 control_address=self._proxy_address(control),
                 pool=POOL,
-                data_centre=data_centre,
+                data_centre=data_centre or self.data_centre(name),
                 labels=["a", f"r1-{_number(name)}"],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
@@ -170,6 +173,10 @@
         else:
             self.start_edge(name)
 
+    def data_centre(self, name: str) -> str:
+        """Returns the data centre of a worker, unless it was started in another."""
+        return self._data_centres[_number(name) % len(self._data_centres)]
+
     def frontend_address(self, name: str) -> str:
         """Returns the address where an edge process serves clients."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
--- a/tests/test_soak_invariants.py
+++ b/tests/test_soak_invariants.py
@@ -154,6 +154,17 @@
     return _history(job, *lines, **fields)
 
 
+def _evacuated_history(*lines: dict) -> history_module.History:
+    """Returns a history in which side-1 is evacuated from 10 s to 50 s."""
+    span = history_module.Span(_ns(10), _ns(50))
+    return _history(
+        _job(4),
+        *lines,
+        evacuations=[history_module.Evacuation("z2", span)],
+        data_centres={"side-1": "z2", "side-2": "z1"},
+    )
+
+
 def _timed_history(*lines: dict) -> history_module.History:
     due_ns = [_ns(10), _ns(20)]
     return _history(
@@ -406,6 +417,16 @@
             ],
         ),
     ),
+    "no start in an evacuated data centre": _Case(
+        invariants.starts_in_evacuated_data_centres,
+        _evacuated_history(
+            *_run_lines(8, 60),
+            *_run_lines(10.2, 11, _OTHER),
+            *_run_lines(30, 31, f"{_JOB}.0.0.2", machine="2"),
+            *_run_lines(50.1, 51, f"{_JOB}.0.0.3"),
+        ),
+        _evacuated_history(*_run_lines(30, 31)),
+    ),
     "timed, not early": _Case(
         invariants.early_starts,
         _timed_history(
