Settle a submission that may have been accepted with the next leader

Cause: an entry gave up its search for a leader after 1.4 s also when an attempt may have taken effect. The caller was told 502, which says nothing, although the job's id lets the next leader settle it.

Change: such a call is repeated for up to 4 s within the caller's deadline; one that reached nobody is still rejected after 1.4 s with a time to come back, which is true. The test of the first failed before (UnknownOutcomeError after 1.4 s).

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -1,8 +1,9 @@
 """Client for an entry's calls to the leader about jobs, routing and evacuations.
 
 All calls are idempotent, as a job or an order has an id and a routing a version. A call
-whose answer was lost is retried. If no leader answers within a limit, the call
-fails early enough for the caller to try another process.
+whose answer was lost is retried. If no leader answers within a limit, a call that was
+not sent fails early enough for the caller to try another process; one that may have
+taken effect is repeated for longer, until a leader tells its outcome.
 """
 
 import contextlib
@@ -26,6 +27,9 @@
 # Twice the shortest election timeout, within which an ordinary election completes. A
 # caller that gets the error this early still has time to retry.
 _SEARCH_LIMIT_S = 1.4
+# If the call may have taken effect, its id lets the next leader settle the outcome. This
+# is enough for a lost leader to be noticed and for two elections.
+_SETTLE_LIMIT_S = 4.0
 _RETRY_AFTER_MS = 1_000
 _IDLE_LINKS_LIMIT = 32
 # Calls without side effects: if the answer is lost, nothing was changed.
@@ -160,7 +164,7 @@
     ) -> object:
         unknown_outcome: errors.UnknownOutcomeError | None = None
         last_failure = "the call's time was over"
-        search_end_s = time.monotonic() + _SEARCH_LIMIT_S
+        start_s = time.monotonic()
         while left_s := deadline.remaining_s():
             try:
                 return self._call_once(
@@ -173,7 +177,8 @@
             except errors.NoQuorumError as error:
                 last_failure = error.message
                 time.sleep(min(_RETRY_PAUSE_S, deadline.remaining_s()))
-            if time.monotonic() > search_end_s:
+            limit_s = _SETTLE_LIMIT_S if unknown_outcome else _SEARCH_LIMIT_S
+            if time.monotonic() - start_s > limit_s:
                 break
         if unknown_outcome is not None:
             raise unknown_outcome
--- a/tests/coordination/jobs/test_client.py
+++ b/tests/coordination/jobs/test_client.py
@@ -48,6 +48,79 @@
     assert deadline.remaining_s() > _TIMEOUT_S / 2
 
 
+class _ElectionTime:
+    """Answers of control around a change of leader, in place of real calls.
+
+    Attributes:
+        calls: The ids of the jobs that were handed in.
+    """
+
+    def __init__(
+        self, *, first_failure: errors.MarigoldsillError, lasts_s: float
+    ):
+        self.calls: list[str] = []
+        self._first_failure = first_failure
+        self._end_s = time.monotonic() + lasts_s
+
+    def call_once(
+        self, _method: str, requests: tuple, timeout_s: float
+    ) -> ttypes.JobReply:
+        self.calls.append(requests[1].job_id)
+        if time.monotonic() >= self._end_s:
+            return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
+        time.sleep(min(timeout_s, 0.1))
+        if len(self.calls) == 1:
+            raise self._first_failure
+        raise errors.NoQuorumError("no leader of control", retry_after_ms=500)
+
+
+def _submit(
+    monkeypatch: pytest.MonkeyPatch, election: _ElectionTime
+) -> ttypes.JobReply:
+    client = client_module.JobClient(
+        addresses=control_addresses.ControlAddresses(["127.0.0.1:1"])
+    )
+    monkeypatch.setattr(client, "_call_once", election.call_once)
+    return client.submit(
+        ttypes.JobAddress(host="jobs.example", path="/fast/1"),
+        ttypes.Job(job_id="1"),
+        context=client_module.CallContext(
+            deadlines.Deadline(time.monotonic() + 2.9)
+        ),
+    )
+
+
+def test_a_job_that_may_have_been_accepted_is_settled_by_the_next_leader(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an unknown outcome that the job's id could have settled.
+
+    A leader was lost after it was sent a job. The entry gave up before the next one
+    was elected, and the caller was told that the job might or might not run.
+    """
+    election = _ElectionTime(
+        first_failure=errors.UnknownOutcomeError("the leader was lost"),
+        lasts_s=2.2,
+    )
+    reply = _submit(monkeypatch, election)
+    assert reply.outcome == ttypes.JobOutcome.ACCEPTED
+    assert set(election.calls) == {"1"}
+
+
+def test_a_job_that_reached_nobody_is_rejected_early(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    election = _ElectionTime(
+        first_failure=errors.NoQuorumError("nobody", retry_after_ms=500),
+        lasts_s=60.0,
+    )
+    begin_s = time.monotonic()
+    with pytest.raises(errors.NoQuorumError) as caught:
+        _submit(monkeypatch, election)
+    assert caught.value.retry_after_ms
+    assert time.monotonic() - begin_s < 2.0
+
+
 def test_a_read_without_an_answer_is_reported_as_not_done() -> None:
     """Guards against reads that are answered as if they might have changed something.
 
