Find a worker that begins to fail after as few failures as a new one

Cause: the quarantine asked for half of a worker's last 24 runs; one with 24 good runs was quarantined only after 12 failures, 0.7 s after its first, while it drew a start each 50 ms.

Ways: the share of the last 24 runs (before); each success offsets one failure and the record starts anew when all are offset (CUSUM). The second way stays. Tests: 24 good runs, then three failures (failed before); one failure in four quarantines none.

--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -1,9 +1,12 @@
 """Quarantines workers that fail their runs, without blaming them for broken jobs.
 
 A failure counts against its worker by how the same family did on other workers: in
-full if it succeeded there, hardly if it only failed there. A worker is quarantined for
-failures of several families if its share of failures is far above the fleet's. It is
-then put on probation with one run at a time, and is restored by a successful run.
+full if it succeeded there, hardly if it only failed there. Each success offsets one
+failure, and the record starts anew when all are offset (a CUSUM test). So a worker that
+begins to fail is found after as few failures as a new one, however many runs succeeded
+there before. It is quarantined for failures of several families if its share of failures
+since then is far above the fleet's. It is then put on probation with one run at a time,
+and is restored by a successful run.
 """
 
 import collections
@@ -11,8 +14,8 @@
 import enum
 
 _RECENT_COUNT = 24
-# Minimum blame, number of blamed families and share of failures for a quarantine. The
-# share also has to exceed the fleet's by the factor.
+# Minimum blame that successes have not offset, number of blamed families and share of
+# failures for a quarantine. The share also has to exceed the fleet's by the factor.
 _MIN_BLAME = 2.5
 _MIN_FAMILIES = 2
 _MIN_FAILURE_SHARE = 0.5
@@ -200,7 +203,7 @@
         return known
 
     def _evaluate(self, worker: str, known: _Worker, now_s: float) -> str:
-        recent = [r for r in known.recent if r[0] > now_s - _WINDOW_S]
+        recent = self._runs_since_change(worker, known, now_s)
         failed = {family for _, family, succeeded in recent if not succeeded}
         blame = sum(
             self._blame_weight(worker, f)
@@ -208,7 +211,7 @@
             if not succeeded
         )
         successes_count = sum(succeeded for _, _, succeeded in recent)
-        if blame < self._min_blame:
+        if blame - successes_count < self._min_blame:
             return ""
         blamed = {f for f in failed if self._blame_weight(worker, f) > 0.5}
         if len(blamed) < _MIN_FAMILIES and not self._is_certain(blamed, worker):
@@ -225,6 +228,22 @@
         )
         return self._start_quarantine(worker, known, reason, now_s)
 
+    def _runs_since_change(
+        self, worker: str, known: _Worker, now_s: float
+    ) -> list[tuple[float, str, bool]]:
+        """Returns the recent runs since successes last offset all failures."""
+        since_change: list[tuple[float, str, bool]] = []
+        balance = 0.0
+        for run in known.recent:
+            recorded_s, family, succeeded = run
+            if recorded_s <= now_s - _WINDOW_S:
+                continue
+            balance += -1 if succeeded else self._blame_weight(worker, family)
+            since_change.append(run)
+            if balance <= 0:
+                since_change, balance = [], 0.0
+        return since_change
+
     def _is_certain(self, families: set[str], worker: str) -> bool:
         """Whether all families that fail here succeeded on other workers."""
         return bool(families) and all(
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/job_placing/test_worker_health.py
@@ -183,6 +183,29 @@
     assert runs.may_start_run(_FAULTY)
 
 
+def test_a_worker_with_a_good_record_is_quarantined_as_soon_as_a_new_one(
+    runs: _Runs,
+) -> None:
+    """Guards against a good record that hides that a worker now fails all runs.
+
+    With the share of failures among the last 24 runs, a worker with 24 good runs was
+    quarantined only after 12 failures, which come within half a second.
+    """
+    for job in range(24):
+        runs.run(_task(job), _FAULTY, _DONE)
+    for job in range(24, 27):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    assert not runs.may_start_run(_FAULTY)
+
+
+def test_occasional_failures_do_not_quarantine_a_worker(runs: _Runs) -> None:
+    for job in range(40):
+        kind = _FAILED if job % 4 == 0 else _DONE
+        runs.run(_task(job), _HEALTHY, _DONE)
+        runs.run(_task(job, 1), _FAULTY, kind)
+        assert runs.may_start_run(_FAULTY)
+
+
 def test_a_job_that_fails_on_all_workers_quarantines_none(runs: _Runs) -> None:
     for index in range(20):
         worker_id = (_HEALTHY, _FAULTY)[index % 2]
