--- a/tests/e2e/test_operators_under_failures.py
+++ b/tests/e2e/test_operators_under_failures.py
@@ -243,3 +243,50 @@
 
     assert worker()["state"] == "draining"
     assert tasks()[0]["state"] == "queued"
+
+
+def test_an_evacuation_holds_for_workers_that_join_and_for_the_next_leader(
+    system: processes.System,
+) -> None:
+    """Guards against tasks that start in a data centre that is being emptied.
+
+    An evacuation names a data centre. A worker that joins afterwards, or a leader that
+    is elected afterwards, has to apply it too.
+    """
+    controls = system.start_controls(3)
+    client = _create_client(system, "desk-1")
+    system.start_worker("worker-1")
+    _change_service(client, slots=1)
+
+    def status() -> dict:
+        return client.get("/v1/status")
+
+    processes.wait_until(
+        lambda: status()["tasks"][0]["state"] == "running", what="the service"
+    )
+    [data_centre] = {w["data_centre"] for w in status()["workers"]}
+    body = json.dumps({"name": data_centre}).encode()
+    plan = client.post("/v1/plans/evacuate", body)
+    guards = sorted(g["name"] for g in plan["guards"])
+    assert guards == ["last-data-centre", "last-worker", "service-capacity"]
+    assert _confirm_plan(client, plan["plan_id"])[0] == "GuardError"
+    acknowledged = json.dumps({"acknowledged": guards}).encode()
+    client.post(f"/v1/plans/{plan['plan_id']}/confirm", acknowledged)
+
+    names = list(system.control_addresses)
+    controls[names.index(status()["leader"])].kill()
+    system.start_worker("worker-2")
+    processes.wait_until(
+        lambda: [w["state"] for w in status()["workers"]] == ["draining"] * 2,
+        what="two draining workers",
+    )
+    assert status()["evacuated_data_centres"] == [data_centre]
+
+    plan = client.post("/v1/plans/end-evacuation", body)
+    _confirm_plan(client, plan["plan_id"])
+    processes.wait_until(
+        lambda: {w["state"] for w in status()["workers"]} == {"active"},
+        what="active workers",
+    )
+    assert "evacuated_data_centres" not in status()
+    assert status()["tasks"][0]["state"] == "running"
