--- a/benchmarks/job_rounds.py
+++ b/benchmarks/job_rounds.py
@@ -4,6 +4,7 @@
 took 5.6 times as long as 40 for as many rounds, and a round of 160 about 11 ms.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import statistics
 import time
@@ -18,6 +19,9 @@
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.jobs import orders as orders_module
+from marigoldsill.coordination.jobs import worker_refresher
+from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import state_machine
 from marigoldsill.state import tables as tables_module
@@ -27,6 +31,9 @@
 _BURST_TASKS_COUNT = 1_000
 _BURST_LIMIT_MS = 100.0
 _GROWTH_LIMIT_RATIO = 2.0
+_EVACUATION_LIMIT_MS = 100.0
+_DATA_CENTRES_COUNT = 3
+_LEASE_MS = 7_000
 _SIMULATION_SIZES = (40, 160)
 _SIMULATION_LIMIT_RATIO = 5.0
 _SIMULATION_S = 20.0
@@ -40,7 +47,7 @@
 
 
 def run() -> list[table.Row]:
-    """Measures rounds, a burst of tasks and simulations of two sizes."""
+    """Measures rounds, a burst, an evacuation and simulations of two sizes."""
     rounds_ms = {size: _round_ms(size) for size in _WORKERS_COUNTS}
     simulations_s = {
         size: _simulation_cpu_s(size) for size in _SIMULATION_SIZES
@@ -68,6 +75,13 @@
             _BURST_LIMIT_MS,
             "max",
         ),
+        table.Row(
+            "job_rounds: the round that evacuates a third of 300 workers",
+            _evacuation_ms(),
+            "ms",
+            _EVACUATION_LIMIT_MS,
+            "max",
+        ),
         *(
             table.Row(
                 f"job_rounds: {_SIMULATION_S:.0f} s of the model, {size} workers",
@@ -101,6 +115,13 @@
             tickets=tickets_module.Tickets(),
         )
         self._views = {view.name: view for view in _make_views(workers_count)}
+        self._orders = orders_module.Orders()
+        self._refresher = worker_refresher.WorkerRefresher(
+            agents=_make_agents(self._views.values()),
+            leases=_make_leases(self._views),
+            health=worker_health.WorkerHealth(),
+            placement=self._placement,
+        )
         self._updated_agents = set(self._views)
         self._now_s = 0.0
         queue = ttypes.Queue(
@@ -135,6 +156,14 @@
         )
         return self._placement.place(waiting, now_s=self._now_s)
 
+    def run_evacuation_round(self, data_centre: str) -> list[ttypes.RunGrant]:
+        """Evacuates a data centre as a leader does, and returns the grants."""
+        evacuation = ttypes.SetEvacuation(data_centre=data_centre, active=True)
+        self._apply(set_evacuation=evacuation)
+        self._orders.refresh_evacuations(self._tables)
+        self._refresher.refresh(self._tables, now_s=self._now_s)
+        return self.run_round()
+
     def apply_grants(self, grants: list[ttypes.RunGrant]) -> None:
         """Applies the grants of a round."""
         self._apply(grant_runs=ttypes.GrantRuns(grants=grants))
@@ -158,6 +187,7 @@
             worker=ttypes.PoolWorker(
                 worker_id=f"a{number}-1",
                 pool=_POOL,
+                data_centre=f"d{number % _DATA_CENTRES_COUNT}",
                 rack=f"r{number // 12}",
                 labels=[],
                 capacity=ttypes.Resources(
@@ -170,6 +200,26 @@
     ]
 
 
+def _make_agents(
+    views: Iterable[agents_module.AgentView],
+) -> agents_module.Agents:
+    """Returns agents that have reported their workers."""
+    agents = agents_module.Agents()
+    for view in views:
+        report = ttypes.AgentReport(
+            agent=view.name, incarnation=1, sequence=1, worker=view.worker
+        )
+        agents.record_report(report, now_s=0.0)
+    return agents
+
+
+def _make_leases(names: Iterable[str]) -> leases_module.LeaseTable:
+    leases = leases_module.LeaseTable()
+    for name in names:
+        leases.renew(name, lease_ms=_LEASE_MS)
+    return leases
+
+
 def _make_step(count: int, **fields: object) -> ttypes.Step:
     values = {
         "resources": ttypes.Resources(
@@ -238,6 +288,14 @@
     return elapsed_ms
 
 
+def _evacuation_ms() -> float:
+    """Returns the milliseconds of the round in which an evacuation begins."""
+    leader, _ = _make_full_leader(_BURST_WORKERS_COUNT)
+    begin_s = time.perf_counter()
+    leader.run_evacuation_round("d0")
+    return (time.perf_counter() - begin_s) * 1000
+
+
 def _simulation_cpu_s(workers_count: int) -> float:
     """Returns the processor seconds of a short simulation."""
     wide = loads.load(loads.find("wide"))
