--- a/marigoldsill/platform/configuration_http.py
+++ b/marigoldsill/platform/configuration_http.py
@@ -21,6 +21,11 @@
 _HANGUP_NOTICE_S = 0.05
 # Whether the data centre is evacuated from then on, by the name of the order.
 _EVACUATION_ORDERS = {"Evacuations.Start": True, "Evacuations.Finish": False}
+_SERVED = (
+    f"POST {http_apps.PREFIX}Config.Replace",
+    f"GET {http_apps.PREFIX}Config.Describe",
+    *(f"POST {http_apps.PREFIX}{order}/ZONE" for order in _EVACUATION_ORDERS),
+)
 _ZONE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 _OPERATOR_NAME = "platform operator"
 
@@ -52,7 +57,7 @@
                 self._client.set_evacuation(evacuation, context=context)
                 return http_apps.json_response({})
             case _:
-                raise http_apps.unknown_path_error(request)
+                raise http_apps.unknown_path_error(request, served=_SERVED)
 
     def _describe(self, context: job_client.CallContext) -> wrappers.Response:
         reply = self._client.get_routing(context=context)
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -114,7 +114,9 @@
                     {}, status=503 if self._is_stopping else 200
                 )
             case _:
-                raise http_apps.unknown_path_error(request)
+                raise http_apps.unknown_path_error(
+                    request, served=[f"GET {http_apps.PREFIX}ready"]
+                )
 
 
 def _lookup_addresses(
--- a/marigoldsill/platform/http_apps.py
+++ b/marigoldsill/platform/http_apps.py
@@ -1,6 +1,7 @@
 """Common parts of the HTTP applications for the platform."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import json
 
 from werkzeug import exceptions
@@ -10,7 +11,7 @@
 from marigoldsill.transport import logs
 
 Handler = Callable[[wrappers.Request], wrappers.Response]
-_PREFIX = "/marigoldsill/"
+PREFIX = "/marigoldsill/"
 
 
 def create_application(handle: Handler) -> Callable:
@@ -50,13 +51,21 @@
 
 def parse_call(request: wrappers.Request) -> tuple[str, str]:
     """Returns the method and the path after the prefix; an empty path without it."""
-    if not request.path.startswith(_PREFIX):
+    if not request.path.startswith(PREFIX):
         return request.method, ""
-    return request.method, request.path.removeprefix(_PREFIX)
+    return request.method, request.path.removeprefix(PREFIX)
 
 
-def unknown_path_error(request: wrappers.Request) -> errors.NotFoundError:
-    """Returns the error for a method and path that are not served."""
+def unknown_path_error(
+    request: wrappers.Request, *, served: Iterable[str]
+) -> errors.NotFoundError:
+    """Returns the error for a method and path that are not served.
+
+    Args:
+        request: The request.
+        served: What is served at this address, each as method and path.
+    """
     return errors.NotFoundError(
-        f"{request.method} {request.path[:80]!r} is nothing here"
+        f"{request.method} {request.path[:80]!r} is not served; expected "
+        f"{' or '.join(served)}"
     )
--- a/marigoldsill/platform/job_http.py
+++ b/marigoldsill/platform/job_http.py
@@ -13,6 +13,7 @@
 _REQUEST_ID_HEADER = "Request-Id"
 _REQUEST_ID_LENGTH_LIMIT = 64
 _STATUS_GONE = 410
+_SERVED = ("POST, GET or DELETE of a job's path", "GET of a queue's path")
 # Used for requests without a deadline: the shortest deadline that clients have sent.
 _DEFAULT_BUDGET_S = 3.0
 # Reserved for the transfer of the response.
@@ -42,7 +43,7 @@
             case "GET":
                 return self._count_pending(address, context)
             case _:
-                raise http_apps.unknown_path_error(request)
+                raise http_apps.unknown_path_error(request, served=_SERVED)
 
     def _submit(
         self,
--- a/marigoldsill/platform/worker_http.py
+++ b/marigoldsill/platform/worker_http.py
@@ -49,4 +49,10 @@
             )
             self._state.end_incarnation(worker_id)
             return http_apps.json_response({})
-        raise http_apps.unknown_path_error(request)
+        raise http_apps.unknown_path_error(
+            request,
+            served=[
+                f"POST {http_apps.PREFIX}{name}ID"
+                for name in (_HEARTBEAT, _DEREGISTER)
+            ],
+        )
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -224,3 +224,13 @@
             f"event=evacuation_set .*data_centre=z2 active={active} operator="
         )
         assert re.search(line, logs)
+
+
+def test_a_path_that_is_not_served_is_refused_with_those_that_are(
+    shared_system,
+) -> None:
+    answer = shared_system.call_as_operator("POST", "Evacuations.Begin/z1")
+    assert answer.status == 404
+    assert (
+        "POST /marigoldsill/Evacuations.Start/ZONE" in answer.value["message"]
+    )
