--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -11,7 +11,6 @@
 
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
-from marigoldsill.coordination.job_placing import candidate_cache
 from marigoldsill.coordination.job_placing import (
     candidates as candidates_module,
 )
@@ -23,6 +22,7 @@
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
+from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -65,14 +65,20 @@
         """
         self.index = capacity_index.CapacityIndex()
         self._interference = interference
-        self._health = health
-        self._tickets = tickets
-        self._is_live = is_live
         self._exploration = exploration.Exploration(interference)
-        self._candidate_cache = candidate_cache.CandidateCache(
+        self._candidate_cache = candidates_module.CandidateCache(
             self.index, interference
         )
         self._isolation = crash_isolation.CrashIsolation()
+        self._chooser = worker_choice.WorkerChooser(
+            index=self.index,
+            interference=interference,
+            health=health,
+            tickets=tickets,
+            isolation=self._isolation,
+            exploration=self._exploration,
+            is_live=is_live,
+        )
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
         self._gang_selector = gangs.GangSelector()
 
@@ -165,13 +171,8 @@
             now_s: The time of the round.
         """
         candidates = self._candidate_cache.get_candidates(step, pool)
-        return candidates.find_best(
-            lambda free: (
-                free.agent != agent
-                and self._isolation.admits(free.agent)
-                and self._is_live(free.agent)
-                and self._exploration.allows(free, step, now_s=now_s)
-            )
+        return self._chooser.find_other(
+            step, candidates, agent=agent, now_s=now_s
         )
 
     def reserve(
@@ -190,15 +191,15 @@
         grants = []
         has_candidates = True
         for index in waiting.waiting_indexes:
-            if self._is_isolated(waiting, index, now_s):
-                free = self._choose_worker_for_suspect(waiting, index, now_s)
+            if self._chooser.is_isolated(waiting, index, now_s):
+                free = self._chooser.choose_for_suspect(waiting, index, now_s)
             elif not has_candidates:
                 continue
             else:
                 candidates = self._candidate_cache.get_candidates(
                     waiting.step, waiting.queue.pool
                 )
-                free = self._choose_worker(waiting, index, candidates, now_s)
+                free = self._chooser.choose(waiting, index, candidates, now_s)
                 has_candidates = free is not None
             if free is not None:
                 grants.append(self._grant_task(waiting, index, free, now_s))
@@ -206,38 +207,6 @@
                 break
         return grants
 
-    def _is_isolated(
-        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
-    ) -> bool:
-        """Returns whether a task is a suspect that may start only in isolation."""
-        task = waiting.tasks[index]
-        if not task.crashes_count:
-            return False
-        name = waiting.task_name(index)
-        return not self._isolation.is_overdue(name, task, now_s=now_s)
-
-    def _choose_worker_for_suspect(
-        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
-    ) -> free_capacity.FreeCapacity | None:
-        """Returns a worker reserved for suspects where a task may start, or None."""
-        is_acceptable = self._acceptance_for(
-            waiting, now_s, allows_reserved=True
-        )
-        step, pool = waiting.step, waiting.queue.pool
-
-        def accepts(free: free_capacity.FreeCapacity) -> bool:
-            score = scoring.score_within_limits(
-                free, step, pool, self._interference
-            )
-            return score is not None and is_acceptable(free)
-
-        return self._isolation.choose(
-            waiting.tasks[index],
-            self.index.workers,
-            accepts,
-            now_s=now_s,
-        )
-
     def _place_ignoring_limits(
         self, waiting: backlog_module.WaitingStep, now_s: float
     ) -> list[ttypes.RunGrant]:
@@ -250,7 +219,7 @@
             (
                 index
                 for index in waiting.waiting_indexes
-                if not self._is_isolated(waiting, index, now_s)
+                if not self._chooser.is_isolated(waiting, index, now_s)
             ),
             None,
         )
@@ -259,7 +228,9 @@
         candidates = self._candidate_cache.get_candidates(
             waiting.step, waiting.queue.pool, ignores_limits=True
         )
-        free = candidates.find_best(self._acceptance_for(waiting, now_s))
+        free = candidates.find_best(
+            self._chooser.acceptance_for(waiting, now_s)
+        )
         if free is None:
             return []
         return [self._grant_task(waiting, index, free, now_s)]
@@ -270,7 +241,7 @@
         """Starts all members with the same run number, or none."""
         if any(task.runs or task.done for task in waiting.tasks):
             return []
-        accepts = self._acceptance_for(waiting, now_s)
+        accepts = self._chooser.acceptance_for(waiting, now_s)
         admitted = [
             free
             for free in self.index.workers.values()
@@ -309,7 +280,7 @@
             candidates.update(free.copy(), self.index.ordinal(free.agent))
         agents: list[str] = []
         for index in range(len(waiting.tasks)):
-            free = self._choose_worker(waiting, index, candidates, now_s)
+            free = self._chooser.choose(waiting, index, candidates, now_s)
             if free is None:
                 return []
             free.reserve(waiting.key, step, self._interference)
@@ -317,67 +288,6 @@
             agents.append(free.agent)
         return agents
 
-    def _choose_worker(
-        self,
-        waiting: backlog_module.WaitingStep,
-        index: int,
-        candidates: candidates_module.Candidates,
-        now_s: float,
-    ) -> free_capacity.FreeCapacity | None:
-        """Returns the best worker for a task, if possible one where it has not failed."""
-        is_acceptable = self._acceptance_for(waiting, now_s)
-
-        def accepts(free: free_capacity.FreeCapacity) -> bool:
-            return is_acceptable(free) and self._exploration.allows(
-                free, waiting.step, now_s=now_s
-            )
-
-        if waiting.tasks[index].failures_count:
-            avoided_ids = self._health.workers_to_avoid(
-                waiting.task_name(index)
-            )
-            other = candidates.find_best(
-                lambda free: (
-                    free.worker.worker_id not in avoided_ids and accepts(free)
-                )
-            )
-            if other is not None:
-                return other
-        return candidates.find_best(accepts)
-
-    def _acceptance_for(
-        self,
-        waiting: backlog_module.WaitingStep,
-        now_s: float,
-        *,
-        allows_reserved: bool = False,
-    ) -> Callable[[free_capacity.FreeCapacity], bool]:
-        """Returns the conditions of a step on a worker that its class does not cover.
-
-        Args:
-            waiting: The step.
-            now_s: The time of the round.
-            allows_reserved: Whether workers reserved for crash suspects are
-                accepted.
-        """
-        limit = waiting.step.spread_limit
-
-        def accepts(free: free_capacity.FreeCapacity) -> bool:
-            if not allows_reserved and not self._isolation.admits(free.agent):
-                return False
-            if limit and free.runs_by_step.get(waiting.key, 0) >= limit:
-                return False
-            if not self._is_live(free.agent):
-                return False
-            if not waiting.queue.advised:
-                return True
-            worker_id = free.worker.worker_id
-            return bool(
-                self._tickets.find_ticket(waiting.key, worker_id, now_s=now_s)
-            )
-
-        return accepts
-
     def _grant_task(
         self,
         waiting: backlog_module.WaitingStep,
--- /dev/null
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -0,0 +1,169 @@
+"""Chooses the worker of one task among candidates that its class allows.
+
+The task class covers what a step requires. The conditions here depend on the single task
+or on the moment: leases, tickets, spread limits, workers on which the task failed, crash
+suspects, and pairs of images that are tried on one worker first.
+"""
+
+from collections.abc import Callable
+
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import (
+    candidates as candidates_module,
+)
+from marigoldsill.coordination.job_placing import capacity_index
+from marigoldsill.coordination.job_placing import crash_isolation
+from marigoldsill.coordination.job_placing import (
+    exploration as exploration_module,
+)
+from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import scoring
+from marigoldsill.coordination.job_placing import tickets as tickets_module
+from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.protocol.generated import ttypes
+
+
+class WorkerChooser:
+    """Chooses workers for single tasks; used by one thread."""
+
+    def __init__(
+        self,
+        *,
+        index: capacity_index.CapacityIndex,
+        interference: interference_model.InterferenceModel,
+        health: worker_health.WorkerHealth,
+        tickets: tickets_module.Tickets,
+        isolation: crash_isolation.CrashIsolation,
+        exploration: exploration_module.Exploration,
+        is_live: Callable[[str], bool],
+    ):
+        """Initializes the chooser.
+
+        Args:
+            index: Workers on which tasks may start.
+            interference: The learnt interference between images.
+            health: The workers on which tasks failed.
+            tickets: The adviser's tickets.
+            isolation: The workers reserved for crash suspects.
+            exploration: The trials of pairs of images.
+            is_live: Whether an agent's lease is live.
+        """
+        self._index = index
+        self._interference = interference
+        self._health = health
+        self._tickets = tickets
+        self._isolation = isolation
+        self._exploration = exploration
+        self._is_live = is_live
+
+    def find_other(
+        self,
+        step: ttypes.Step,
+        candidates: candidates_module.Candidates,
+        *,
+        agent: str,
+        now_s: float,
+    ) -> free_capacity.FreeCapacity | None:
+        """Returns the best worker for a running task, other than its current one."""
+        return candidates.find_best(
+            lambda free: (
+                free.agent != agent
+                and self._isolation.admits(free.agent)
+                and self._is_live(free.agent)
+                and self._exploration.allows(free, step, now_s=now_s)
+            )
+        )
+
+    def is_isolated(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> bool:
+        """Returns whether a task is a suspect that may start only in isolation."""
+        task = waiting.tasks[index]
+        if not task.crashes_count:
+            return False
+        name = waiting.task_name(index)
+        return not self._isolation.is_overdue(name, task, now_s=now_s)
+
+    def choose_for_suspect(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> free_capacity.FreeCapacity | None:
+        """Returns a worker reserved for suspects where a task may start, or None."""
+        is_acceptable = self.acceptance_for(
+            waiting, now_s, allows_reserved=True
+        )
+        step, pool = waiting.step, waiting.queue.pool
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            score = scoring.score_within_limits(
+                free, step, pool, self._interference
+            )
+            return score is not None and is_acceptable(free)
+
+        return self._isolation.choose(
+            waiting.tasks[index],
+            self._index.workers,
+            accepts,
+            now_s=now_s,
+        )
+
+    def choose(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        candidates: candidates_module.Candidates,
+        now_s: float,
+    ) -> free_capacity.FreeCapacity | None:
+        """Returns the best worker for a task, if possible one where it has not failed."""
+        is_acceptable = self.acceptance_for(waiting, now_s)
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            return is_acceptable(free) and self._exploration.allows(
+                free, waiting.step, now_s=now_s
+            )
+
+        if waiting.tasks[index].failures_count:
+            avoided_ids = self._health.workers_to_avoid(
+                waiting.task_name(index)
+            )
+            other = candidates.find_best(
+                lambda free: (
+                    free.worker.worker_id not in avoided_ids and accepts(free)
+                )
+            )
+            if other is not None:
+                return other
+        return candidates.find_best(accepts)
+
+    def acceptance_for(
+        self,
+        waiting: backlog_module.WaitingStep,
+        now_s: float,
+        *,
+        allows_reserved: bool = False,
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """Returns the conditions of a step on a worker that its class does not cover.
+
+        Args:
+            waiting: The step.
+            now_s: The time of the round.
+            allows_reserved: Whether workers reserved for crash suspects are
+                accepted.
+        """
+        limit = waiting.step.spread_limit
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            if not allows_reserved and not self._isolation.admits(free.agent):
+                return False
+            if limit and free.runs_by_step.get(waiting.key, 0) >= limit:
+                return False
+            if not self._is_live(free.agent):
+                return False
+            if not waiting.queue.advised:
+                return True
+            worker_id = free.worker.worker_id
+            return bool(
+                self._tickets.find_ticket(waiting.key, worker_id, now_s=now_s)
+            )
+
+        return accepts
