Keep a late job's place in the queue while it is of use

Cause: jobs that can still be in time came before every late one. In an overload there is always one, so late jobs never ended, although many needed little more.

--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -2,9 +2,10 @@
 
 A caller is satisfied if its job ends within its objective: the run time on healthy
 workers, multiplied by the queue's stretch ratio, plus the queue's latency target. Jobs
-that can still meet it come first, ordered by the core time that they need in relation
-to their value, so that most of them meet it in an overload. Late jobs come after them,
-but are never dropped.
+are ordered by the core time that they still need in relation to their value, so that most
+of them meet it in an overload. A late job keeps its place: if late jobs came after all
+others, those that began late in an overload would never end, although many of them need
+little more time. Only jobs that are too late to be of use come last, and none is dropped.
 """
 
 from collections.abc import Collection
@@ -29,14 +30,13 @@
 
     Attributes:
         priority: The priority of its queue.
-        lateness: 0 while it can meet its objective, 1 if it is late, 2 if it is
-            too late to be of use.
+        is_too_late: Whether it will end too late to be of use.
         cost_ratio: The core time that it still needs, divided by its value, which is
             a core time as well.
     """
 
     priority: int
-    lateness: int
+    is_too_late: bool
     cost_ratio: float
 
 
@@ -70,7 +70,7 @@
         """
         if job.steps[0].long_running:
             # Time in which a long-running task does not run cannot be made up for.
-            return Rank(queue.priority, 0, 0.0)
+            return Rank(queue.priority, False, 0.0)
         start_unix_ms = job.accepted_unix_ms
         if job.repeat_count:
             start_unix_ms = (
@@ -87,9 +87,7 @@
         ]
         remaining_ms = self._critical_path_ms(job, queue, done=done)
         total_ms = now_unix_ms - start_unix_ms + remaining_ms
-        lateness = 0
-        if total_ms > objective_ms:
-            lateness = 1 + (total_ms > _TOO_LATE_RATIO * objective_ms)
+        is_too_late = total_ms > _TOO_LATE_RATIO * objective_ms
         remaining_counts = [
             sum(not task.done for task in step.tasks)
             for step in occurrence.steps
@@ -99,7 +97,7 @@
         cost_ratio = self._core_time_of_tasks_ms(
             job, queue, remaining_counts
         ) / max(1.0, value_ms)
-        return Rank(queue.priority, lateness, cost_ratio)
+        return Rank(queue.priority, is_too_late, cost_ratio)
 
     def core_time_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
         """Returns the core time of all tasks of a job, in milliseconds."""
