--- a/marigoldsill/state/plans.py
+++ b/marigoldsill/state/plans.py
@@ -165,8 +165,7 @@
             ttypes.Outcome.CONFLICT,
             f"plan {plan.plan_id} was made against state version "
             f"{plan.state_version}, but version {newer.version} of "
-            f"{newer.subject} is in force (changed by plan "
-            f"{newer.plan_id}, operator {newer.operator_name!r}). "
+            f"{newer.subject} is in force (changed by {_source_of(newer)}). "
             "Make the plan again to see what it would do now.",
         )
     if plan.state_version < tables.forgotten_version:
@@ -180,6 +179,15 @@
     return None
 
 
+def _source_of(version: ttypes.SubjectVersion) -> str:
+    """Describes what made a version, for a refusal."""
+    if version.plan_id:
+        return f"plan {version.plan_id}, operator {version.operator_name!r}"
+    if version.subject.startswith("worker/"):
+        return "an evacuation of its data centre"
+    return f"an order without a plan, operator {version.operator_name!r}"
+
+
 def _check_disruptions(
     tables: tables_module.Tables, plan: ttypes.Plan
 ) -> _Refusal | None:
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -172,14 +172,12 @@
 
 def _set_worker_version(tables: tables_module.Tables, name: str) -> None:
     """Records that a worker's drain changed other than by a plan about it."""
-    subject = f"worker/{name}"
-    before = tables.versions.get(subject, ttypes.SubjectVersion())
     tables.set_version(
         ttypes.SubjectVersion(
-            subject=subject,
+            subject=f"worker/{name}",
             version=tables.state_version,
-            plan_id=before.plan_id,
-            operator_name=before.operator_name,
+            plan_id=0,
+            operator_name="",
         )
     )
 
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -166,3 +166,14 @@
     for command in [*commands, *commands]:
         state_machine.apply(second, command)
     assert first.to_bytes() == second.to_bytes()
+
+
+def test_a_plan_about_a_worker_conflicts_with_an_evacuation_since() -> None:
+    tables = states.with_workers("w1")
+    plan_id = states.plan(
+        tables, states.change(ttypes.ChangeVerb.DRAIN, "worker/w1")
+    )
+    _set(tables, active=True)
+    result = states.confirm(tables, plan_id)
+    assert result.outcome == ttypes.Outcome.CONFLICT
+    assert "changed by an evacuation of its data centre" in result.message
