--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -7,6 +7,7 @@
 
 from marigoldsill.coordination.job_agent import capacity_check
 from marigoldsill.coordination.job_agent import cpu_throttle
+from marigoldsill.coordination.job_agent import evacuations
 from marigoldsill.coordination.job_agent import incarnations
 from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.job_agent import run_starts
@@ -53,7 +54,7 @@
         orders: Orders by (task, run).
         orders_term: Term of the leader that gave them.
         orders_version: Their version in that term.
-        evacuated_data_centres: Data centres where no run may start.
+        evacuations: Data centres where no run may start.
         interference_version: Version of the interference that the throttle uses.
         running: Samples of the runs that the worker listed last, by (task, run).
         complete_listings_count: How many listings had no unreadable row of a run.
@@ -83,7 +84,7 @@
         self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
         self.orders_term = 0
         self.orders_version = 0
-        self.evacuated_data_centres: frozenset[str] = frozenset()
+        self.evacuations = evacuations.Evacuations()
         self.interference_version = 0
         self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.complete_listings_count = 0
@@ -125,14 +126,6 @@
             and self.orders_version >= self.lease.min_orders_version
         )
 
-    @property
-    def is_evacuated(self) -> bool:
-        """Whether the worker's data centre is evacuated, so that no run may start."""
-        return (
-            self.worker is not None
-            and self.worker.data_centre in self.evacuated_data_centres
-        )
-
     @property
     def is_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
@@ -281,7 +274,7 @@
                 self.orders[order.task, order.run] = order
             self.orders_term = reply.term
             self.orders_version = reply.version
-            self._update_evacuations(reply.evacuated_data_centres)
+            self.evacuations.update(reply.evacuated_data_centres, self.worker)
             if reply.interference is not None:
                 self.interference_version = reply.interference_version
                 self.throttle.interference_by_pair = {
@@ -292,17 +285,6 @@
             self.changed.notify_all()
             return True
 
-    def _update_evacuations(self, data_centres: Iterable[str]) -> None:
-        was_evacuated = self.is_evacuated
-        self.evacuated_data_centres = frozenset(data_centres)
-        if self.is_evacuated != was_evacuated:
-            logs.event(
-                "worker_evacuated",
-                worker_id=self.worker_id,
-                data_centre=self.worker.data_centre,
-                evacuated=self.is_evacuated,
-            )
-
     def update_lease(self, lease: Lease) -> None:
         """Sets the lease, unless a later leader than its own is known."""
         with self.changed:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -152,7 +152,7 @@
         state = self._state
         if state.worker.draining:
             return "the worker drains"
-        if state.is_evacuated:
+        if state.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
         if progress.has_unanswered_start:
             # An earlier start request may have taken effect, so it is repeated.
@@ -247,7 +247,7 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            if state.is_evacuated:
+            if state.evacuations.includes(state.worker):
                 # The next round refuses the run.
                 return
             # The capacity may have changed since the call was submitted.
