Give a worker on probation one task in a round

Cause: probation promises one run at a time, but a round that found the worker free gave it as many tasks as fit: five in the test, which failed before. A worker that still fails takes an attempt of each of them.

--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -28,6 +28,8 @@
         latency_critical: Its latency-critical tasks.
         idle_millicores: Processor time that tasks are expected to leave unused.
         runs_by_step: Number of runs on it, by step.
+        starts_limit: How many more runs may start before it is refreshed; None
+            without a limit.
     """
 
     agent: str
@@ -40,6 +42,7 @@
     runs_by_step: dict[task_names.StepKey, int] = dataclasses.field(
         default_factory=dict
     )
+    starts_limit: int | None = None
 
     def fits(self, step: ttypes.Step) -> bool:
         """Returns whether the resources of one task of a step are free."""
@@ -51,6 +54,7 @@
                 or required.cpu_millicores <= self.cpu_millicores
             )
             and required.accelerators_count <= self.accelerators_count
+            and self.starts_limit != 0
         )
 
     def admits(self, step: ttypes.Step, pool: str) -> bool:
@@ -99,6 +103,8 @@
             model: The learnt interference between images.
         """
         self._subtract_task(key, step)
+        if self.starts_limit is not None:
+            self.starts_limit -= 1
         if step.tail_target_ms:
             self.latency_critical.append(model.unsampled_task(step))
         if not step.best_effort:
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -65,6 +65,7 @@
         """
         self.index = capacity_index.CapacityIndex()
         self._interference = interference
+        self._health = health
         self._exploration = exploration.Exploration(interference)
         self._candidate_cache = candidates_module.CandidateCache(
             self.index, interference
@@ -103,6 +104,9 @@
         free = free_capacity.compute_for_agent(
             jobs, view, self._interference, pending=pending.values()
         )
+        if self._health.is_on_probation(view.worker.worker_id):
+            # One run shows whether the worker is healthy.
+            free.starts_limit = 1
         self.index.put(free)
 
     def place(
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -125,6 +125,11 @@
             case quarantine_module.HealthStatus.GOOD:
                 return True
 
+    def is_on_probation(self, worker_id: str) -> bool:
+        """Returns whether the next run on a worker decides on its health."""
+        status = self._quarantine.status_of(worker_id)
+        return status == quarantine_module.HealthStatus.PROBATION
+
     def is_probe(self, key: task_names.RunKey) -> bool:
         """Returns whether a run was granted while its worker was on probation."""
         grant = self._granted.get(key)
@@ -155,11 +160,10 @@
             logs.event("worker_restored", worker_id=worker_id, task="")
 
     def _record_grant(self, grant: ttypes.RunGrant) -> None:
-        status = self._quarantine.status_of(grant.worker_id)
         self._granted[grant.task, grant.run] = _Grant(
             worker_id=grant.worker_id,
             granted_s=clock.now_s(),
-            is_probe=status == quarantine_module.HealthStatus.PROBATION,
+            is_probe=self.is_on_probation(grant.worker_id),
         )
 
     def _record_end(self, end: ttypes.RunEnd) -> None:
--- a/tests/coordination/job_placing/test_placement.py
+++ b/tests/coordination/job_placing/test_placement.py
@@ -4,6 +4,7 @@
 
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
 
@@ -362,3 +363,26 @@
     leader.set_worker("a1")
     leader.submit("j1", builders.step())
     assert leader.run_round() == {}
+
+
+def test_a_worker_on_probation_gets_one_task_in_a_round(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a batch of tasks that a failing worker fails again.
+
+    A round found a worker on probation free and gave it as many tasks as fit, although
+    a single run shows whether it is healthy.
+    """
+    harness = leader_harness.LeaderHarness()
+    now_s = 1_000.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    harness.set_worker("a1", cores=8)
+    for number in range(3):
+        harness.submit(f"f{number}")
+        [task] = harness.run_round()
+        harness.record_end(builders.run_end(task, ttypes.RunEndKind.FAILED))
+        harness.state.cancel(f"f{number}")
+    now_s += 2.5
+    harness.health.begin_due_probations()
+    harness.submit("j1", builders.step(5))
+    assert len(harness.run_round()) == 1
