Let policies reorder the waiting steps of a round, and replies reject jobs

Cause: shares, limits on jobs under way and admission need a place between the backlog and the placement, usage by queue, settings that reach the leader, and a reply that rejects a job; none existed. No policy is installed, so decisions are unchanged.

--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -9,6 +9,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
+from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
 
@@ -28,6 +29,7 @@
         "Edge",
         settings.metrics_port,
         advertise_address=settings.advertise_address,
+        scheduling=_scheduling_of(settings),
     )
 
 
@@ -39,6 +41,13 @@
     _run("side", "Side", settings.metrics_port)
 
 
+def _scheduling_of(
+    settings: settings_module.PlatformEdgeSettings,
+) -> scheduling_settings.SchedulingSettings:
+    """Returns the optional parts of the decisions that the settings switch on."""
+    return scheduling_settings.SchedulingSettings()
+
+
 def _run(
     role: str, class_name: str, metrics_port: int, **arguments: object
 ) -> None:
--- /dev/null
+++ b/marigoldsill/coordination/job_locality/__init__.py
@@ -0,0 +1,9 @@
+"""How the placement spreads tasks over racks and data centres.
+
+The modules hold decisions without state of the cluster: how long a task waits for a
+worker near its data, how a wide step is spread, and how a worker that has just
+appeared is filled. The placement calls them. Other packages use only the modules
+listed here.
+"""
+
+__all__: list[str] = []
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 
 # Length of the change log per worker. A reader that lags further has to process all
 # workers, which costs less by then.
@@ -15,7 +17,7 @@
     """The contribution of one worker to the totals of its pool."""
 
     pool: str
-    capacity_millicores: int
+    capacity: ttypes.Resources
     free_millicores: int
 
 
@@ -23,7 +25,9 @@
 class _PoolTotals:
     """Sums over the workers of a pool."""
 
-    capacity_millicores: int = 0
+    capacity: ttypes.Resources = dataclasses.field(
+        default_factory=ttypes.Resources
+    )
     free_millicores: int = 0
 
 
@@ -79,9 +83,13 @@
     def reserved_share(self, pool: str) -> float:
         """Returns the reserved share of a pool's processor time; 0 if unknown."""
         totals = self._pools.get(pool, _PoolTotals())
-        if not totals.capacity_millicores:
+        if not totals.capacity.cpu_millicores:
             return 0.0
-        return 1 - totals.free_millicores / totals.capacity_millicores
+        return 1 - totals.free_millicores / totals.capacity.cpu_millicores
+
+    def pool_capacity(self, pool: str) -> ttypes.Resources:
+        """Returns the capacity of a pool's workers; zero if the pool is unknown."""
+        return self._pools.get(pool, _PoolTotals()).capacity
 
     def _update_pool(self, agent: str) -> None:
         self._add_to_pool(self._contributions.pop(agent, None), sign=-1)
@@ -90,7 +98,7 @@
             return
         worker = free.worker
         contribution = _Contribution(
-            worker.pool, worker.capacity.cpu_millicores, free.cpu_millicores
+            worker.pool, worker.capacity, free.cpu_millicores
         )
         self._contributions[agent] = contribution
         self._add_to_pool(contribution, sign=1)
@@ -101,5 +109,6 @@
         if contribution is None:
             return
         pool = self._pools.setdefault(contribution.pool, _PoolTotals())
-        pool.capacity_millicores += sign * contribution.capacity_millicores
+        operation = amounts.add if sign > 0 else amounts.subtract
+        pool.capacity = operation(pool.capacity, contribution.capacity)
         pool.free_millicores += sign * contribution.free_millicores
--- a/marigoldsill/coordination/jobs/__init__.py
+++ b/marigoldsill/coordination/jobs/__init__.py
@@ -7,5 +7,6 @@
 __all__ = [
     "client",
     "scheduler",
+    "scheduling_settings",
     "service",
 ]
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -16,12 +16,15 @@
 from marigoldsill.coordination.job_placing import run_time_sampler
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import usage as usage_module
 from marigoldsill.coordination.jobs import evictor
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import leader_load
 from marigoldsill.coordination.jobs import learning_recorder
 from marigoldsill.coordination.jobs import lease_monitor
 from marigoldsill.coordination.jobs import retention
+from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import ticket_manager
 from marigoldsill.coordination.jobs import timetable
@@ -38,6 +41,7 @@
 _IDLE_INTERVAL_S = 0.25
 # How long a round waits for further changes, so that it decides on them together.
 _BATCH_S = 0.005
+_DEFAULT_SETTINGS = scheduling_settings.SchedulingSettings()
 
 
 class JobScheduler:
@@ -49,6 +53,7 @@
         replica: replica_module.Replica,
         job_retention_s: float,
         adviser: adviser_module.Adviser | None = None,
+        settings: scheduling_settings.SchedulingSettings = _DEFAULT_SETTINGS,
     ):
         """Initializes the scheduler.
 
@@ -57,8 +62,10 @@
             job_retention_s: How long the state of an ended job must be available.
             adviser: Gives the tickets that some queues need. If None, jobs of such
                 queues wait.
+            settings: The optional parts of the decisions.
         """
         self._replica = replica
+        self._settings = settings
         self._job_retention_s = job_retention_s
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
@@ -74,6 +81,8 @@
         self._placement: placement_module.Placement | None = None
         self._worker_refresher: worker_refresher.WorkerRefresher | None = None
         self._applied_grants: list[ttypes.RunGrant] = []
+        self._offer_policies: list[offer_policies.OfferPolicy] = []
+        self._usage = usage_module.Usage()
         self._lease_monitor: lease_monitor.LeaseMonitor | None = None
         self._load = leader_load.LeaderLoad()
         self._woken_s = 0.0
@@ -187,7 +196,8 @@
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
         job_metrics.WAITING.set(len(waiting))
-        grants = self._placement.place(waiting, now_s=now_s)
+        offered = self._offer(waiting, now_s)
+        grants = self._placement.place(offered, now_s=now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
@@ -204,6 +214,23 @@
         self._remove_expired_jobs()
         return len(grants)
 
+    def _offer(
+        self, waiting: list[backlog_module.WaitingStep], now_s: float
+    ) -> list[backlog_module.WaitingStep]:
+        """Returns the steps to place now, after all policies."""
+        if not self._offer_policies:
+            return waiting
+        context = offer_policies.RoundContext(
+            usage=self._usage,
+            capacity_of=self._placement.index.pool_capacity,
+            urgency=self._urgency,
+            now_s=now_s,
+            now_unix_ms=commands.now_unix_ms(),
+        )
+        for policy in self._offer_policies:
+            waiting = policy.offer(waiting, context)
+        return waiting
+
     def _propose_grants(self, grants: list[ttypes.RunGrant]) -> None:
         if not grants:
             return
@@ -272,6 +299,8 @@
         self._retention.observe_jobs(jobs, touched, now_s=now_s)
         self._timetable.observe_jobs(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
+        if self._offer_policies:
+            self._usage.refresh(jobs, touched)
         views = self._service.agents.take_changed()
         self._learn_from_reports(jobs, views)
         self._health.begin_due_probations()
@@ -290,6 +319,8 @@
         """Resets the scheduling state, as this process leads a new term."""
         self._term = self._service.led_term
         self._backlog = backlog_module.Backlog()
+        self._usage = usage_module.Usage()
+        self._offer_policies = self._settings.create_offer_policies()
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
         self._run_time_sampler = run_time_sampler.RunTimeSampler()
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -3,6 +3,7 @@
 from werkzeug import wrappers
 
 from marigoldsill.coordination.jobs import client as job_client
+from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.platform import adviser_client
 from marigoldsill.platform import configuration_http
@@ -18,6 +19,7 @@
 _READINESS_THREADS_COUNT = 4
 # Reserved for the end of the process after the drain, before SIGKILL.
 _STOP_MARGIN_S = 1.0
+_DEFAULT_SCHEDULING = scheduling_settings.SchedulingSettings()
 
 
 class Edge:
@@ -28,6 +30,7 @@
         settings: settings_file.PlatformSettings,
         *,
         advertise_address: str = "",
+        scheduling: scheduling_settings.SchedulingSettings = _DEFAULT_SCHEDULING,
     ):
         """Creates the process without starting it.
 
@@ -35,6 +38,7 @@
             settings: The platform's settings for this process.
             advertise_address: The address at which other processes reach this one;
                 the listen address if empty.
+            scheduling: The optional parts of the leader's decisions about jobs.
         """
         self._settings = settings
         self._node = control_node.ControlNode(
@@ -48,6 +52,7 @@
             target_voters_count=2 * settings.tolerated_losses_count + 1,
             job_retention_s=settings.job_retention_s,
             adviser=_create_adviser(settings),
+            scheduling=scheduling,
         )
         self._control_addresses = control_addresses.ControlAddresses(
             _lookup_addresses(settings)
--- a/marigoldsill/platform/job_http.py
+++ b/marigoldsill/platform/job_http.py
@@ -55,6 +55,10 @@
         job = job_bodies.decode(request.get_data(cache=False), job_id=job_id)
         reply = self._client.submit(address, job, context=context)
         _check_queue(reply, address)
+        if reply.outcome == ttypes.JobOutcome.REJECTED:
+            raise errors.OverloadedError(
+                reply.reason, retry_after_ms=reply.retry_after_ms
+            )
         return http_apps.json_response({})
 
     def _get_state(
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -750,7 +750,8 @@
 
 // --------------------------------------- jobs: entries to control
 
-enum JobOutcome { ACCEPTED = 1, NO_QUEUE = 2, NO_JOB = 3, NO_ROUTING = 4 }
+/** REJECTED: the job was not stored and never runs, unless it is submitted again. */
+enum JobOutcome { ACCEPTED = 1, NO_QUEUE = 2, NO_JOB = 3, NO_ROUTING = 4, REJECTED = 5 }
 
 /** A job named as its caller names it: by a host and a path. */
 struct JobAddress { 1: string host, 2: string path }
@@ -758,7 +759,9 @@
 struct JobReply {
   1: JobOutcome outcome,
   2: JobState state = 1,            // of the requested job
-  3: i32 pending_count = 0          // of the requested queue
+  3: i32 pending_count = 0,         // of the requested queue
+  4: i64 retry_after_ms = 0,        // REJECTED: when another attempt makes sense
+  5: string reason = ""             // REJECTED: the load that it answers
 }
 
 struct RoutingReply { 1: binary document }
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -20,6 +20,7 @@
 from marigoldsill.coordination.discovery import referral_service
 from marigoldsill.coordination.discovery import view_exchange
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
+from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol import adviser as adviser_module
@@ -40,6 +41,7 @@
 # Interval of checks whether a full disk has space again. A check costs one small write,
 # a restart of the process a second of a core.
 _DISK_CHECK_INTERVAL_S = 0.5
+_DEFAULT_SCHEDULING = scheduling_settings.SchedulingSettings()
 
 
 class ControlNode:
@@ -62,6 +64,7 @@
         target_voters_count: int,
         job_retention_s: float,
         adviser: adviser_module.Adviser | None = None,
+        scheduling: scheduling_settings.SchedulingSettings = _DEFAULT_SCHEDULING,
     ):
         """Creates the services; `start` begins to serve.
 
@@ -77,6 +80,7 @@
                 accepts requests; after the settle time it accepts them with fewer.
             job_retention_s: How long the state of an ended job must stay available.
             adviser: Issues the tickets that some queues require; None without one.
+            scheduling: The optional parts of the leader's decisions about jobs.
         """
         self.address = address
         self._member = ttypes.Member(
@@ -89,6 +93,7 @@
         self._target_voters_count = target_voters_count
         self._job_retention_s = job_retention_s
         self._adviser = adviser
+        self._scheduling = scheduling
         self._replica: replica_module.Replica | None = None
         self._scheduler: scheduler_module.JobScheduler | None = None
         self._directory = group_directory.GroupDirectory(
@@ -187,6 +192,7 @@
             replica=replica,
             job_retention_s=self._job_retention_s,
             adviser=self._adviser,
+            settings=self._scheduling,
         )
         service = service_module.JobService(
             replica=replica,
--- /dev/null
+++ b/tests/coordination/job_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission of jobs."""
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -36,7 +36,10 @@
     "placement",
     "deciding",
     "plans",
+    "job_locality",
     "job_placing",
+    "job_queueing",
+    "job_admission",
     "jobs",
     "job_agent",
 )
