Reject submissions at once in a long outage of control

Cause: while no leader answered, an entry held each submission for 1.4 s and told every caller to return after 1 s, however long the outage had lasted. Callers spent their few retries before control was back. Change: an entry follows the outage. Once it has outlasted an election, submissions get 503 at once with a delay as long as the outage so far (1 to 5 s, spread by the job's id), and the entry searches by itself. Reads and orders search as before.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -3,9 +3,11 @@
 All calls are idempotent, as a job or an order has an id and a routing a version. A call
 whose answer was lost is retried. If no leader answers within a limit, a call that was
 not sent fails early enough for the caller to try another process; one that may have
-taken effect is repeated for longer, until a leader tells its outcome.
+taken effect is repeated for longer, until a leader tells its outcome. In a longer outage
+most submissions fail at once.
 """
 
+from concurrent import futures
 import contextlib
 import dataclasses
 import threading
@@ -14,6 +16,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import job_metrics
+from marigoldsill.coordination.jobs import leader_outage
 from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.protocol.generated import ttypes
@@ -24,16 +27,16 @@
 # attempt searches for the leader again.
 _ATTEMPT_TIMEOUT_S = 0.8
 _RETRY_PAUSE_S = 0.05
-# Twice the shortest election timeout, within which an ordinary election completes. A
-# caller that gets the error this early still has time to retry.
-_SEARCH_LIMIT_S = 1.4
 # If the call may have taken effect, its id lets the next leader settle the outcome. This
 # is enough for a lost leader to be noticed and for two elections.
 _SETTLE_LIMIT_S = 4.0
-_RETRY_AFTER_MS = 1_000
 _IDLE_LINKS_LIMIT = 32
+# The search for a leader ends when no caller has come for this long.
+_CALLERS_LIMIT_S = 10.0
 # Calls without side effects: if the answer is lost, nothing was changed.
 _READ_METHODS = frozenset({"job_state", "pending_jobs", "routing"})
+# Asked for in a search for a leader: any leader answers that there is no such job.
+_NO_JOB = ttypes.JobAddress(host="", path="/")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -62,7 +65,10 @@
         self._addresses = addresses
         self._lock = threading.Lock()
         self._idle: list[control_link.ControlLink] = []
-        self._answered_s = 0.0
+        self._outage = leader_outage.LeaderOutage()
+        self._search_pool = futures.ThreadPoolExecutor(1, "leader-search")
+        self._closing = threading.Event()
+        self._last_call_s = 0.0
 
     def submit(
         self,
@@ -115,7 +121,9 @@
         return self._call("routing", context=context)
 
     def close(self) -> None:
-        """Closes the idle links."""
+        """Closes the idle links and ends the search for a leader."""
+        self._closing.set()
+        self._search_pool.shutdown(wait=False)
         with self._lock:
             links, self._idle = self._idle, []
         for link in links:
@@ -130,10 +138,12 @@
             NoQuorumError: No leader answered; nothing was done.
             UnknownOutcomeError: The call may have taken effect, or still may.
         """
-        start_s = time.monotonic()
+        start_s = self._last_call_s = time.monotonic()
         outcome = "failed"
         failure: dict[str, str] = {}
         try:
+            if method == "submit_job":
+                self._reject_in_long_outage(_subject_of(requests))
             reply = self._call_with_retries(method, requests, context.deadline)
             outcome = _outcome_of(reply)
             return reply
@@ -167,7 +177,7 @@
         start_s = time.monotonic()
         while left_s := deadline.remaining_s():
             try:
-                return self._call_once(
+                return self._attempt(
                     method, requests, min(left_s, _ATTEMPT_TIMEOUT_S)
                 )
             except errors.UnknownOutcomeError as error:
@@ -177,7 +187,9 @@
             except errors.NoQuorumError as error:
                 last_failure = error.message
                 time.sleep(min(_RETRY_PAUSE_S, deadline.remaining_s()))
-            limit_s = _SETTLE_LIMIT_S if unknown_outcome else _SEARCH_LIMIT_S
+            limit_s = leader_outage.ELECTION_LIMIT_S
+            if unknown_outcome is not None:
+                limit_s = _SETTLE_LIMIT_S
             if time.monotonic() - start_s > limit_s:
                 break
         if unknown_outcome is not None:
@@ -185,9 +197,59 @@
         raise errors.NoQuorumError(
             "no leader of control answered in time, nothing was done: "
             f"{last_failure}",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=self._outage.retry_after_ms(
+                _subject_of(requests), now_s=time.monotonic()
+            ),
         )
 
+    def _reject_in_long_outage(self, subject: str) -> None:
+        """Rejects a submission if waiting for a leader would not pay.
+
+        Raises:
+            NoQuorumError: No leader has answered for some time; nothing was sent.
+        """
+        now_s = time.monotonic()
+        if not self._outage.is_long(now_s=now_s):
+            return
+        job_metrics.OUTAGE_REJECTIONS.inc()
+        raise errors.NoQuorumError(
+            "no leader of control has answered for "
+            f"{self._outage.age_s(now_s=now_s):.1f} s; nothing was done",
+            retry_after_ms=self._outage.retry_after_ms(subject, now_s=now_s),
+        )
+
+    def _attempt(
+        self, method: str, requests: tuple[object, ...], timeout_s: float
+    ) -> object:
+        """Calls once, and records whether a leader answered."""
+        try:
+            reply = self._call_once(method, requests, timeout_s)
+        except (errors.NoQuorumError, errors.UnknownOutcomeError):
+            if self._outage.record_failure(now_s=time.monotonic()):
+                self._start_search()
+            raise
+        self._outage.record_answer(now_s=time.monotonic())
+        return reply
+
+    def _start_search(self) -> None:
+        with contextlib.suppress(RuntimeError):  # the client is being closed
+            self._search_pool.submit(self._search_leader)
+
+    def _search_leader(self) -> None:
+        """Calls control until a leader answers, once an outage is a long one.
+
+        Without callers nobody needs the result, so the search ends; the next call
+        that fails begins a new outage.
+        """
+        wait_s = leader_outage.ELECTION_LIMIT_S
+        while not self._closing.wait(wait_s) and self._outage.is_ongoing:
+            if time.monotonic() - self._last_call_s > _CALLERS_LIMIT_S:
+                self._outage.abandon()
+                return
+            wait_s = leader_outage.SEARCH_INTERVAL_S
+            with contextlib.suppress(errors.MarigoldsillError):
+                self._attempt("job_state", (_NO_JOB,), _ATTEMPT_TIMEOUT_S)
+
     def _call_once(
         self, method: str, requests: tuple[object, ...], timeout_s: float
     ) -> object:
--- a/marigoldsill/coordination/jobs/job_metrics.py
+++ b/marigoldsill/coordination/jobs/job_metrics.py
@@ -16,6 +16,10 @@
     ("call",),
     buckets=_SHORT_BUCKETS_S,
 )
+OUTAGE_REJECTIONS = prometheus_client.Counter(
+    "marigoldsill_job_outage_rejections",
+    "Submissions that an entry rejected at once, as no leader has answered it.",
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     "marigoldsill_job_commit_seconds",
     "From a command's proposal to its result, on the leader.",
