--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -16,9 +16,9 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import job_metrics
-from marigoldsill.coordination.jobs import leader_outage
 from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
+from marigoldsill.coordination.leadership import leader_outage
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 from marigoldsill.transport import logs
--- a/tests/coordination/jobs/test_leader_outage.py
+++ b/tests/coordination/leadership/test_leader_outage.py
@@ -10,8 +10,8 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import client as client_module
-from marigoldsill.coordination.jobs import leader_outage
 from marigoldsill.coordination.leadership import control_addresses
+from marigoldsill.coordination.leadership import leader_outage
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 
