Split the queue of one service from the admission of an agent

Change: ServiceQueue with its decisions stands in a module of its own; AdmissionController keeps the lock and the drains. No behaviour changes. Result: lint and the tests of requests pass.

--- a/marigoldsill/coordination/requests/admission.py
+++ b/marigoldsill/coordination/requests/admission.py
@@ -6,122 +6,16 @@
 sense: the expected time until all current requests have been answered.
 """
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import threading
 import time
 
+from marigoldsill.coordination.requests import service_queue
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 
 _ANNOUNCEMENT_VALIDITY_S = 3.0
-# Weight of a new value in the moving average of the service time.
-_SERVICE_TIME_WEIGHT = 0.1
-# Factor by which the expected time to an answer must fit into the deadline.
-_WAIT_SAFETY_FACTOR = 1.5
-# How long other endpoints are preferred to one that could not be reached.
-_UNREACHABLE_S = 1.0
-_RETRY_AFTER_MAX_MS = 30_000
-_RETRY_AFTER_MIN_MS = 50
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class EndpointSlots:
-    """An endpoint and the use of its slots.
-
-    Attributes:
-        info: The endpoint as announced.
-        in_flight_count: Number of requests that hold a slot.
-        unreachable_until_s: Until when other endpoints are preferred, as this
-            one could not be reached; on the monotonic clock.
-        is_task_draining: Whether its run is about to stop.
-    """
-
-    info: ttypes.EndpointInfo
-    in_flight_count: int = 0
-    unreachable_until_s: float = 0.0
-    is_task_draining: bool = False
-
-    @property
-    def concurrency_limit(self) -> int:
-        """Maximum number of requests: each needs a slot and a connection."""
-        return min(self.info.slots_count, self.info.connections_count)
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether it accepts no new requests."""
-        return self.is_task_draining or self.info.draining
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _WaitingRequest:
-    """A queued request, which gets either a slot or a refusal.
-
-    Attributes:
-        decided: Set once it got one of them.
-        slots: The endpoint whose slot it got.
-        refusal: Why it was refused.
-    """
-
-    decided: threading.Event
-    slots: EndpointSlots | None = None
-    refusal: ttypes.Refused | None = None
-
-
-class _ServiceQueue:
-    """The endpoints of one service and the requests that wait for them."""
-
-    def __init__(self):
-        self.endpoints: dict[str, EndpointSlots] = {}
-        self.waiters: collections.deque[_WaitingRequest] = collections.deque()
-        self.mean_service_time_s = 0.0
-
-    @property
-    def in_flight_count(self) -> int:
-        return sum(s.in_flight_count for s in self.endpoints.values())
-
-    @property
-    def slots_count(self) -> int:
-        accepting = (s for s in self.endpoints.values() if not s.is_draining)
-        return sum(s.concurrency_limit for s in accepting)
-
-    def choose_endpoint(self) -> EndpointSlots | None:
-        """The reachable endpoint with free slots and the fewest requests."""
-        now_s = time.monotonic()
-        return min(
-            (
-                s
-                for s in self.endpoints.values()
-                if not s.is_draining and s.in_flight_count < s.concurrency_limit
-            ),
-            key=lambda s: (s.unreachable_until_s > now_s, s.in_flight_count),
-            default=None,
-        )
-
-    def expected_wait_s(self) -> float:
-        """Expected time until a request that is queued now gets a slot."""
-        position = len(self.waiters) + 1
-        return self.mean_service_time_s * position / max(1, self.slots_count)
-
-    def retry_after_ms(self) -> int:
-        """Expected time until all current requests have been answered."""
-        requests_count = len(self.waiters) + self.in_flight_count
-        drain_s = (
-            self.mean_service_time_s * requests_count / max(1, self.slots_count)
-        )
-        return int(
-            min(
-                max(drain_s * 1000, _RETRY_AFTER_MIN_MS),
-                _RETRY_AFTER_MAX_MS,
-            )
-        )
-
-    def record_service_time(self, busy_s: float) -> None:
-        """Updates the mean by how long a request held its slot."""
-        weight = _SERVICE_TIME_WEIGHT if self.mean_service_time_s else 1.0
-        self.mean_service_time_s += weight * (busy_s - self.mean_service_time_s)
 
 
 class AdmissionController:
@@ -130,7 +24,7 @@
     def __init__(self, *, queue_count: int):
         self._queue_limit = queue_count
         self._lock = threading.Lock()
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[str, service_queue.ServiceQueue] = {}
         self._last_announced_s = time.monotonic()
         self._drain_reasons: frozenset[str] = frozenset()
 
@@ -158,7 +52,7 @@
             if not self._drain_reasons:
                 return
             for queue in self._queues.values():
-                self._refuse_waiters(queue, ttypes.RefusalReason.DRAINING)
+                queue.refuse_waiters(ttypes.RefusalReason.DRAINING)
 
     def drain_task(self, task: str) -> int:
         """Excludes a run's endpoints from new requests.
@@ -175,7 +69,7 @@
                 slots.is_task_draining = True
             for queue in self._queues.values():
                 if queue.endpoints and not queue.slots_count:
-                    self._refuse_waiters(queue, ttypes.RefusalReason.DRAINING)
+                    queue.refuse_waiters(ttypes.RefusalReason.DRAINING)
             return sum(s.in_flight_count for s in drained)
 
     def replace_endpoints(self, endpoints: list[ttypes.EndpointInfo]) -> None:
@@ -185,7 +79,9 @@
             known = {s.info.address: s for s in self._all_slots()}
             services = {info.service_name for info in endpoints}
             for service in services | self._queues.keys():
-                queue = self._queues.setdefault(service, _ServiceQueue())
+                queue = self._queues.setdefault(
+                    service, service_queue.ServiceQueue()
+                )
                 service_infos = [
                     e for e in endpoints if e.service_name == service
                 ]
@@ -193,11 +89,9 @@
                     info.address: _update_slots(known.get(info.address), info)
                     for info in service_infos
                 }
-                self._serve_waiters(queue)
+                queue.serve_waiters()
                 if not queue.endpoints:
-                    self._refuse_waiters(
-                        queue, ttypes.RefusalReason.NO_ENDPOINT
-                    )
+                    queue.refuse_waiters(ttypes.RefusalReason.NO_ENDPOINT)
 
     def announced_endpoints(self) -> list[ttypes.EndpointInfo]:
         """The endpoints of the last announcement, if it is still valid.
@@ -223,7 +117,7 @@
         *,
         deadline: deadlines.Deadline,
         register_cancel: Callable[[Callable[[], None]], None],
-    ) -> EndpointSlots:
+    ) -> service_queue.EndpointSlots:
         """Acquires a slot for a request, which may wait in a bounded queue.
 
         Args:
@@ -244,7 +138,7 @@
             if slots is not None:
                 slots.in_flight_count += 1
                 return slots
-            waiting = self._enqueue(queue, deadline)
+            waiting = queue.enqueue(deadline, limit=self._queue_limit)
         register_cancel(lambda: self._cancel_wait(queue, waiting))
         waiting.decided.wait(deadline.remaining_s())
         with self._lock:
@@ -253,12 +147,12 @@
             if waiting.refusal is not None:
                 raise waiting.refusal
             queue.waiters.remove(waiting)
-            raise _refusal(queue, ttypes.RefusalReason.TOO_LATE)
+            raise queue.refusal(ttypes.RefusalReason.TOO_LATE)
 
     def release(
         self,
         service: str,
-        slots: EndpointSlots,
+        slots: service_queue.EndpointSlots,
         *,
         busy_s: float,
         is_unreachable: bool,
@@ -274,11 +168,11 @@
         with self._lock:
             slots.in_flight_count -= 1
             if is_unreachable:
-                slots.unreachable_until_s = time.monotonic() + _UNREACHABLE_S
+                slots.record_unreachable()
             queue = self._queues[service]
             if busy_s > 0:
                 queue.record_service_time(busy_s)
-            self._serve_waiters(queue)
+            queue.serve_waiters()
 
     def request_counts(self, service: str = "") -> tuple[int, int]:
         """Numbers of requests in flight and queued, of one service or all."""
@@ -291,10 +185,10 @@
                 sum(len(q.waiters) for q in queues),
             )
 
-    def _all_slots(self) -> Iterable[EndpointSlots]:
+    def _all_slots(self) -> Iterable[service_queue.EndpointSlots]:
         return (s for q in self._queues.values() for s in q.endpoints.values())
 
-    def _find_queue(self, service: str) -> _ServiceQueue:
+    def _find_queue(self, service: str) -> service_queue.ServiceQueue:
         queue = self._queues.get(service)
         if queue is None or not queue.endpoints:
             raise ttypes.Refused(
@@ -303,57 +197,23 @@
         if self._drain_reasons or all(
             s.is_draining for s in queue.endpoints.values()
         ):
-            raise _refusal(queue, ttypes.RefusalReason.DRAINING)
+            raise queue.refusal(ttypes.RefusalReason.DRAINING)
         return queue
 
-    def _enqueue(
-        self, queue: _ServiceQueue, deadline: deadlines.Deadline
-    ) -> _WaitingRequest:
-        if len(queue.waiters) >= self._queue_limit:
-            raise _refusal(queue, ttypes.RefusalReason.OVERLOADED)
-        # There must be time left for the answer itself after the wait. A late
-        # answer occupies a slot and is of no use; a refusal costs nothing.
-        expected_s = queue.expected_wait_s() + queue.mean_service_time_s
-        if expected_s * _WAIT_SAFETY_FACTOR > deadline.remaining_s():
-            raise _refusal(queue, ttypes.RefusalReason.TOO_LATE)
-        waiting = _WaitingRequest(threading.Event())
-        queue.waiters.append(waiting)
-        return waiting
-
     def _cancel_wait(
-        self, queue: _ServiceQueue, waiting: _WaitingRequest
+        self,
+        queue: service_queue.ServiceQueue,
+        waiting: service_queue.WaitingRequest,
     ) -> None:
         with self._lock:
-            if waiting not in queue.waiters:
-                return
-            queue.waiters.remove(waiting)
-            waiting.refusal = _refusal(queue, ttypes.RefusalReason.CANCELLED)
-        waiting.decided.set()
-
-    def _serve_waiters(self, queue: _ServiceQueue) -> None:
-        while queue.waiters:
-            slots = queue.choose_endpoint()
-            if slots is None:
-                return
-            slots.in_flight_count += 1
-            waiting = queue.waiters.popleft()
-            waiting.slots = slots
-            waiting.decided.set()
-
-    def _refuse_waiters(
-        self, queue: _ServiceQueue, reason: ttypes.RefusalReason
-    ) -> None:
-        while queue.waiters:
-            waiting = queue.waiters.popleft()
-            waiting.refusal = _refusal(queue, reason)
-            waiting.decided.set()
+            queue.cancel(waiting)
 
 
 def _update_slots(
-    known: EndpointSlots | None, info: ttypes.EndpointInfo
-) -> EndpointSlots:
+    known: service_queue.EndpointSlots | None, info: ttypes.EndpointInfo
+) -> service_queue.EndpointSlots:
     if known is None:
-        return EndpointSlots(info)
+        return service_queue.EndpointSlots(info)
     known.info = info
     return known
 
@@ -369,14 +229,3 @@
         draining=draining,
         task=info.task,
     )
-
-
-def _refusal(
-    queue: _ServiceQueue, reason: ttypes.RefusalReason
-) -> ttypes.Refused:
-    return ttypes.Refused(
-        reason=reason,
-        retry_after_ms=queue.retry_after_ms(),
-        in_flight=queue.in_flight_count,
-        queued=len(queue.waiters),
-    )
--- a/marigoldsill/coordination/requests/agent_service.py
+++ b/marigoldsill/coordination/requests/agent_service.py
@@ -8,6 +8,7 @@
 from marigoldsill.coordination.requests import attempt_registry
 from marigoldsill.coordination.requests import request_latency
 from marigoldsill.coordination.requests import request_metrics
+from marigoldsill.coordination.requests import service_queue
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import headers as headers_module
 from marigoldsill.protocol.generated import ttypes
@@ -102,7 +103,7 @@
         self,
         request: ttypes.CallRequest,
         attempt: attempt_registry.Attempt,
-        slots: admission_module.EndpointSlots,
+        slots: service_queue.EndpointSlots,
         deadline: deadlines.Deadline,
     ) -> ttypes.CallReply:
         start_s = time.monotonic()
