Reject jobs that surely would be of no use, and bound what waits

Every submission was accepted, whatever waited: in an overload callers learnt from their lateness only, and the leader's memory had no bound. The leader now judges a job before it proposes it, from a summary of the load that rounds publish. In doubt it accepts. A job is proposed only in the term in which it was judged, so that a rejection holds whatever leader comes later.

--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -9,6 +9,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
+from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
@@ -45,7 +46,13 @@
     settings: settings_module.PlatformEdgeSettings,
 ) -> scheduling_settings.SchedulingSettings:
     """Returns the optional parts of the decisions that the settings switch on."""
-    return scheduling_settings.SchedulingSettings()
+    return scheduling_settings.SchedulingSettings(
+        admission=admission_settings.AdmissionSettings(
+            is_enabled=settings.admission == "on",
+            waiting_jobs_limit=settings.waiting_jobs_limit,
+            waiting_bytes_limit=settings.waiting_bytes_limit,
+        )
+    )
 
 
 def _run(
--- a/marigoldsill/coordination/agreement/proposals.py
+++ b/marigoldsill/coordination/agreement/proposals.py
@@ -39,9 +39,19 @@
         )
 
     def propose(
-        self, command: ttypes.Command, *, timeout_s: float
+        self,
+        command: ttypes.Command,
+        *,
+        timeout_s: float,
+        term: int | None = None,
     ) -> ttypes.CommandResult:
-        """Appends a command to the log and waits for its result."""
+        """Appends a command to the log and waits for its result.
+
+        Args:
+            command: The command.
+            timeout_s: How long to wait for the result.
+            term: The only term in which it may be appended; None for any term.
+        """
         if command.change_members is not None:
             raise errors.MembershipError(
                 "members cannot be changed by a proposal; use put_member or "
@@ -56,6 +66,11 @@
         group = self._group
         with group.lock:
             self.check_is_leader()
+            if term not in {None, group.term}:
+                raise errors.NotLeaderError(
+                    f"the command was decided in term {term}; the current term "
+                    f"is {group.term}"
+                )
             if group.pending_proposals.count >= PENDING_LIMIT:
                 raise errors.OverloadedError(
                     f"{PENDING_LIMIT} commands are already waiting to be committed",
--- a/marigoldsill/coordination/agreement/replica.py
+++ b/marigoldsill/coordination/agreement/replica.py
@@ -139,10 +139,19 @@
         self._leader_listeners.append(listener)
 
     def propose(
-        self, command: ttypes.Command, *, timeout_s: float
+        self,
+        command: ttypes.Command,
+        *,
+        timeout_s: float,
+        term: int | None = None,
     ) -> ttypes.CommandResult:
         """Replicates and applies a command, and returns its result.
 
+        Args:
+            command: The command.
+            timeout_s: How long to wait for the result.
+            term: The only term in which it may be proposed; None for any term.
+
         Raises:
             NotLeaderError: This process does not lead; nothing was done.
             NoQuorumError: No majority responds; nothing was done.
@@ -152,7 +161,9 @@
         """
         if self._node is None:
             return self._state.apply(command)
-        return self._node.proposals.propose(command, timeout_s=timeout_s)
+        return self._node.proposals.propose(
+            command, timeout_s=timeout_s, term=term
+        )
 
     def confirm_leadership(self, *, timeout_s: float) -> None:
         """Waits until a majority confirms this leader after the call.
--- a/marigoldsill/coordination/job_admission/__init__.py
+++ b/marigoldsill/coordination/job_admission/__init__.py
@@ -4,4 +4,10 @@
 without a network. Other packages use only the modules listed here.
 """
 
-__all__: list[str] = []
+__all__ = [
+    "admission",
+    "admission_settings",
+    "decision_log",
+    "load",
+    "load_publisher",
+]
--- /dev/null
+++ b/marigoldsill/coordination/job_admission/load.py
@@ -0,0 +1,198 @@
+"""A summary of what waits for a pool, and the earliest start that it allows a job.
+
+Answers an overload in which a job would wait behind others until it is of no use. The
+estimate is a lower bound: only work that ranks before the job and could use every
+capacity that the job could use counts, drained at the full capacity of the pool. A job
+that waits drops behind once it is too late itself, and the run times of those that
+started last do not delay the job.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import math
+
+from marigoldsill.coordination.job_placing import urgency as urgency_module
+from marigoldsill.protocol import task_names
+
+# How many times as fast as predicted the waiting work may run. Predictions of single
+# tasks are wrong by a factor of two; a slower pool lets more of the work drop behind.
+_SPEED_RATIOS = (2.0, 1.0, 0.5)
+
+# The order in which the scheduler serves steps.
+OrderKey = tuple[urgency_module.Rank, task_names.StepKey]
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class WaitingWork:
+    """Waiting steps of equal needs that are neighbours in the order.
+
+    Attributes:
+        last_key: The order key of the last step.
+        queue: The queue of their jobs.
+        is_best_effort: Whether they only use processor time that others leave.
+        cpu_millicores: Processor time that each task needs.
+        memory_bytes: Memory that each task needs.
+        core_ms: The core time of their waiting tasks.
+        run_ms: The run time of a task, averaged over the core time.
+        latest_start_unix_ms: When the first of the jobs is too late to be of use.
+    """
+
+    last_key: OrderKey
+    queue: str
+    is_best_effort: bool
+    cpu_millicores: int
+    memory_bytes: int
+    core_ms: float
+    run_ms: float
+    latest_start_unix_ms: float
+
+    @property
+    def priority(self) -> int:
+        """The priority of the steps' queue."""
+        return self.last_key[0].priority
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class PoolLoad:
+    """The load of one pool.
+
+    Attributes:
+        capacity_millicores: The processor time of its workers, as the highest value of
+            a recent time, since lost workers may come back.
+        no_worker_since_s: Since when no worker may run its tasks; infinite while
+            some may.
+        max_idle_s: After which time a best-effort job gets a run in any case.
+        work: What waits, in the order in which it is served.
+    """
+
+    capacity_millicores: int = 0
+    no_worker_since_s: float = math.inf
+    max_idle_s: float = 0.0
+    work: Sequence[WaitingWork] = ()
+
+    @property
+    def core_ms(self) -> float:
+        """The core time of everything that waits."""
+        return math.fsum(item.core_ms for item in self.work)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class LoadSummary:
+    """The load at one time, as published by the scheduler.
+
+    Attributes:
+        term: The term of the leader.
+        term_begun_s: When its scheduler began the term.
+        published_s: When it was published.
+        published_unix_ms: The same as wall-clock time.
+        pools: The load of each pool.
+        mean_core_times_ms: The mean core time of waiting jobs, by queue.
+        is_order_final: Whether steps of different queues are served in the order of
+            their ranks, so that no policy changes it.
+    """
+
+    term: int
+    term_begun_s: float
+    published_s: float
+    published_unix_ms: int
+    pools: Mapping[str, PoolLoad]
+    mean_core_times_ms: Mapping[str, float]
+    is_order_final: bool = True
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Demand:
+    """What a submitted job needs, by the predicted run times.
+
+    Attributes:
+        key: The order key of its first step on the critical path.
+        queue: Its queue.
+        is_best_effort: Whether that step only uses what others leave.
+        cpu_millicores: Processor time that each task of the step needs.
+        memory_bytes: Memory that each task of the step needs.
+        critical_path_ms: The length of the job's critical path.
+        useful_ms: How long after its submission its end is of use.
+    """
+
+    key: OrderKey
+    queue: str
+    is_best_effort: bool
+    cpu_millicores: int
+    memory_bytes: int
+    critical_path_ms: float
+    useful_ms: float
+
+
+def earliest_start_ms(
+    summary: LoadSummary,
+    pool: PoolLoad,
+    demand: Demand,
+    *,
+    now_s: float,
+    speed_ratio: float = 1.0,
+) -> float:
+    """Returns how long a job that is submitted now waits at least.
+
+    Args:
+        summary: The published load.
+        pool: The load of the job's pool.
+        demand: What the job needs.
+        now_s: The current time.
+        speed_ratio: How many times as fast as predicted work is done.
+    """
+    drain_rate = pool.capacity_millicores / 1_000 * speed_ratio
+    if not drain_rate:
+        return 0.0
+    core_ms = run_core_ms = 0.0
+    priority = demand.key[0].priority
+    for item in pool.work:
+        if item.last_key >= demand.key:
+            break
+        if not _surely_precedes(item, demand, summary):
+            continue
+        start_unix_ms = summary.published_unix_ms + core_ms / drain_rate
+        if (
+            item.priority == priority
+            and start_unix_ms > item.latest_start_unix_ms
+        ):
+            continue
+        core_ms += item.core_ms
+        run_core_ms += item.core_ms * item.run_ms
+    if not core_ms:
+        return 0.0
+    # The work that started last is still running when the job starts.
+    running_ms = run_core_ms / core_ms / speed_ratio
+    age_ms = (now_s - summary.published_s) * 1_000
+    start_ms = max(0.0, core_ms / drain_rate - running_ms - age_ms)
+    if demand.is_best_effort:
+        return min(start_ms, pool.max_idle_s * 1_000)
+    return start_ms
+
+
+def is_surely_too_late(
+    summary: LoadSummary, pool: PoolLoad, demand: Demand, *, now_s: float
+) -> bool:
+    """Returns whether a job would end too late to be of use in every case."""
+    slack_ms = demand.useful_ms - demand.critical_path_ms
+    fastest = max(_SPEED_RATIOS)
+    drain_rate = pool.capacity_millicores / 1_000 * fastest
+    if pool.core_ms <= slack_ms * drain_rate:
+        return False
+    return all(
+        earliest_start_ms(summary, pool, demand, now_s=now_s, speed_ratio=ratio)
+        > demand.useful_ms - demand.critical_path_ms / max(1.0, ratio)
+        for ratio in _SPEED_RATIOS
+    )
+
+
+def _surely_precedes(
+    item: WaitingWork, demand: Demand, summary: LoadSummary
+) -> bool:
+    """Returns whether work would use every capacity that a job could use."""
+    return (
+        item.cpu_millicores <= demand.cpu_millicores
+        and item.memory_bytes <= demand.memory_bytes
+        and (demand.is_best_effort or not item.is_best_effort)
+        and (summary.is_order_final or item.queue == demand.queue)
+    )
--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -98,6 +98,15 @@
         steps = itertools.chain.from_iterable(self._by_job.values())
         return sorted(steps, key=lambda step: (self._ranks[step.key], step.key))
 
+    @property
+    def mean_core_times_ms(self) -> dict[str, float]:
+        """The mean core time of waiting jobs, by queue, as of the last ranking."""
+        return self._mean_core_time_ms
+
+    def rank_of(self, step: WaitingStep) -> urgency_module.Rank:
+        """Returns the rank by which `rank_steps` ordered a step."""
+        return self._ranks[step.key]
+
     def _rank(
         self,
         step: WaitingStep,
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -327,3 +327,14 @@
             return True
         reserved_share = self.index.reserved_share(waiting.queue.pool)
         return reserved_share <= _FULL_POOL_SHARE
+
+
+def max_idle_s(*, reserved_share: float) -> float:
+    """Returns after which time a best-effort job gets a run despite interference.
+
+    Args:
+        reserved_share: The reserved share of its pool's processor time.
+    """
+    if reserved_share <= _FULL_POOL_SHARE:
+        return _IDLE_LIMIT_S
+    return _FULL_POOL_IDLE_LIMIT_S
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -71,15 +71,7 @@
         if job.steps[0].long_running:
             # Time in which a long-running task does not run cannot be made up for.
             return Rank(queue.priority, False, 0.0)
-        start_unix_ms = job.accepted_unix_ms
-        if job.repeat_count:
-            start_unix_ms = (
-                job.first_due_unix_ms + occurrence.number * job.interval_ms
-            )
-        run_time_ms = self._critical_path_ms(job, queue, done=())
-        objective_ms = (
-            queue.stretch_ratio * run_time_ms + queue.latency_target_ms
-        )
+        start_unix_ms = _start_unix_ms(job, occurrence.number)
         done = [
             number
             for number, step in enumerate(occurrence.steps)
@@ -87,23 +79,69 @@
         ]
         remaining_ms = self._critical_path_ms(job, queue, done=done)
         total_ms = now_unix_ms - start_unix_ms + remaining_ms
-        is_too_late = total_ms > _TOO_LATE_RATIO * objective_ms
+        is_too_late = total_ms > self.useful_ms(job, queue)
         remaining_counts = [
             sum(not task.done for task in step.tasks)
             for step in occurrence.steps
         ]
-        value_ms = _BASE_VALUE_SHARE * mean_core_time_ms
-        value_ms += (1 - _BASE_VALUE_SHARE) * self.core_time_ms(job, queue)
-        cost_ratio = self._core_time_of_tasks_ms(
-            job, queue, remaining_counts
-        ) / max(1.0, value_ms)
+        value_ms = self._value_ms(job, queue, mean_core_time_ms)
+        cost_ratio = (
+            self._core_time_of_tasks_ms(job, queue, remaining_counts) / value_ms
+        )
         return Rank(queue.priority, is_too_late, cost_ratio)
 
+    def rank_new(
+        self, job: ttypes.Job, queue: ttypes.Queue, *, mean_core_time_ms: float
+    ) -> Rank:
+        """Returns the rank that a job would have if it were accepted now."""
+        value_ms = self._value_ms(job, queue, mean_core_time_ms)
+        cost_ratio = self.core_time_ms(job, queue) / value_ms
+        return Rank(queue.priority, False, cost_ratio)
+
+    def useful_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
+        """Returns how long after its start the end of a job is of use."""
+        run_time_ms = self._critical_path_ms(job, queue, done=())
+        objective_ms = (
+            queue.stretch_ratio * run_time_ms + queue.latency_target_ms
+        )
+        return _TOO_LATE_RATIO * objective_ms
+
+    def useful_until_unix_ms(
+        self, job: ttypes.Job, queue: ttypes.Queue, occurrence_number: int
+    ) -> float:
+        """Returns until when the end of an occurrence of a job is of use."""
+        return _start_unix_ms(job, occurrence_number) + self.useful_ms(
+            job, queue
+        )
+
+    def longest_path_ms(
+        self, job: ttypes.Job, queue: ttypes.Queue, first: int
+    ) -> float:
+        """Returns the length of the longest path that begins with a step."""
+        ends_ms: dict[int, float] = {}
+        for number, step in enumerate(job.steps):
+            begins_ms = [ends_ms[e] for e in step.after if e in ends_ms]
+            if number == first:
+                begins_ms = [0.0]
+            if begins_ms:
+                run_ms = self.run_times.predict_ms(
+                    queue.name, step.estimated_ms
+                )
+                ends_ms[number] = max(begins_ms) + run_ms
+        return max(ends_ms.values())
+
     def core_time_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
         """Returns the core time of all tasks of a job, in milliseconds."""
         counts = [step.tasks_count for step in job.steps]
         return self._core_time_of_tasks_ms(job, queue, counts)
 
+    def _value_ms(
+        self, job: ttypes.Job, queue: ttypes.Queue, mean_core_time_ms: float
+    ) -> float:
+        value_ms = _BASE_VALUE_SHARE * mean_core_time_ms
+        value_ms += (1 - _BASE_VALUE_SHARE) * self.core_time_ms(job, queue)
+        return max(1.0, value_ms)
+
     def _core_time_of_tasks_ms(
         self, job: ttypes.Job, queue: ttypes.Queue, counts: Iterable[int]
     ) -> float:
@@ -130,3 +168,10 @@
                 )
             ends_ms.append(begin_ms + run_ms)
         return max(ends_ms)
+
+
+def _start_unix_ms(job: ttypes.Job, occurrence_number: int) -> int:
+    """Returns when an occurrence of a job was accepted or became due."""
+    if not job.repeat_count:
+        return job.accepted_unix_ms
+    return job.first_due_unix_ms + occurrence_number * job.interval_ms
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -10,6 +10,11 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.job_admission import (
+    admission as admission_module,
+)
+from marigoldsill.coordination.job_admission import decision_log
+from marigoldsill.coordination.job_admission import load_publisher
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import placement as placement_module
@@ -45,7 +50,11 @@
 
 
 class JobScheduler:
-    """Schedules jobs while this process leads."""
+    """Schedules jobs while this process leads.
+
+    Attributes:
+        admission: Decides which jobs are accepted, by the load that rounds publish.
+    """
 
     def __init__(
         self,
@@ -70,6 +79,10 @@
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency.Urgency()
+        self.admission = admission_module.Admission(
+            settings.admission, urgency=self._urgency
+        )
+        self._load_publisher: load_publisher.LoadPublisher | None = None
         self._run_time_sampler = run_time_sampler.RunTimeSampler()
         self._retention = retention.Retention(retention_s=job_retention_s)
         self._timetable = timetable.Timetable()
@@ -196,6 +209,7 @@
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
         job_metrics.WAITING.set(len(waiting))
+        self._publish_load(waiting, now_s)
         offered = self._offer(waiting, now_s)
         grants = self._placement.place(offered, now_s=now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
@@ -214,6 +228,28 @@
         self._remove_expired_jobs()
         return len(grants)
 
+    def _publish_load(
+        self, waiting: list[backlog_module.WaitingStep], now_s: float
+    ) -> None:
+        """Tells the admission the load, at intervals."""
+        if not self._load_publisher.is_due(now_s=now_s):
+            return
+        summary = self._load_publisher.summarize(
+            self._backlog,
+            waiting,
+            self._urgency,
+            self._placement,
+            pools=self._replica.tables.jobs.pools,
+            now_s=now_s,
+            now_unix_ms=commands.now_unix_ms(),
+            is_order_final=not self._offer_policies,
+        )
+        self.admission.publish(summary)
+        decision_log.record_waiting(
+            jobs_count=self.admission.waiting_count,
+            size_bytes=self.admission.waiting_bytes,
+        )
+
     def _offer(
         self, waiting: list[backlog_module.WaitingStep], now_s: float
     ) -> list[backlog_module.WaitingStep]:
@@ -299,6 +335,7 @@
         self._retention.observe_jobs(jobs, touched, now_s=now_s)
         self._timetable.observe_jobs(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
+        self.admission.observe_jobs(jobs, touched)
         if self._offer_policies:
             self._usage.refresh(jobs, touched)
         views = self._service.agents.take_changed()
@@ -319,6 +356,10 @@
         """Resets the scheduling state, as this process leads a new term."""
         self._term = self._service.led_term
         self._backlog = backlog_module.Backlog()
+        self.admission.begin_term(self._term)
+        self._load_publisher = load_publisher.LoadPublisher(
+            term=self._term, now_s=clock.now_s()
+        )
         self._usage = usage_module.Usage()
         self._offer_policies = self._settings.create_offer_policies()
         self._retention = retention.Retention(retention_s=self._job_retention_s)
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -6,8 +6,14 @@
 from marigoldsill import errors
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.configuration import watch_hub
+from marigoldsill.coordination.job_admission import (
+    admission as admission_module,
+)
+from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import decision_log
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.jobs import job_event_logger
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
@@ -18,6 +24,7 @@
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 
 # A commit takes two syncs and a round trip; a slow disk adds some hundred ms.
 _PROPOSE_TIMEOUT_S = 2.0
@@ -46,6 +53,7 @@
         is_settled: Callable[[], bool] = lambda: True,
         on_change: Callable[[], None] = lambda: None,
         referral_address: Callable[[], str] = lambda: "",
+        admission: admission_module.Admission | None = None,
     ):
         """Initializes the service.
 
@@ -57,7 +65,12 @@
             on_change: Called when the scheduler may have something to decide.
             referral_address: Returns the address to which callers are referred
                 while the replica knows no leader; empty if there is none.
+            admission: Decides which jobs are accepted, by the load that the
+                scheduler publishes; None for one that knows no load.
         """
+        self._admission = admission or admission_module.Admission(
+            admission_settings.AdmissionSettings(), urgency=urgency.Urgency()
+        )
         self._referral_address = referral_address
         self._replica = replica
         self._is_settled = is_settled
@@ -106,19 +119,33 @@
     def submit_job(
         self, address: ttypes.JobAddress, job: ttypes.Job
     ) -> ttypes.JobReply:
-        """Accepts a job; returns once a majority has stored it."""
+        """Accepts a job or rejects it; an accepted one is stored on a majority.
+
+        A rejected job was not proposed, and none of its attempts may be in the log.
+        """
         self._require_leader(require_settled=True)
         with self._replica.lock:
             if job.job_id in self._replica.tables.jobs.jobs:
                 return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
             queue = self._find_queue(address)
-        if isinstance(queue, ttypes.JobReply):
-            return queue
-        job.queue = queue.name
-        result = self.propose(submit_job=ttypes.SubmitJob(job=job))
-        if result.outcome == ttypes.Outcome.NOT_FOUND:
-            return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_QUEUE)
-        return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
+            if isinstance(queue, ttypes.JobReply):
+                return queue
+            job.queue = queue.name
+            term = self._replica.term
+            with decision_log.measure():
+                rejection = self._admission.judge(
+                    job, queue, term=term, now_s=clock.now_s()
+                )
+        if rejection is None:
+            return self._propose_job(job, term)
+        # Another leader may have accepted the job while this process was frozen.
+        self._require_leader()
+        decision_log.record_rejection(job, rejection)
+        return ttypes.JobReply(
+            outcome=ttypes.JobOutcome.REJECTED,
+            retry_after_ms=rejection.retry_after_ms,
+            reason=rejection.message,
+        )
 
     def job_state(self, address: ttypes.JobAddress) -> ttypes.JobReply:
         """Returns the state of a job."""
@@ -221,13 +248,18 @@
         return reply
 
     def propose(
-        self, *, command_id: str = "", **body: object
+        self,
+        *,
+        command_id: str = "",
+        term: int | None = None,
+        **body: object,
     ) -> ttypes.CommandResult:
         """Proposes a command and waits until it is applied.
 
         Args:
             command_id: Identifies the command for retries; without one, its
                 result is not stored.
+            term: The only term in which it may be proposed; None for any term.
             **body: The body of the command, by the name of its field.
 
         Raises:
@@ -239,11 +271,29 @@
         try:
             with job_metrics.COMMIT_SECONDS.time():
                 return self._replica.propose(
-                    command, timeout_s=_PROPOSE_TIMEOUT_S
+                    command, timeout_s=_PROPOSE_TIMEOUT_S, term=term
                 )
         except (errors.NotLeaderError, errors.NoQuorumError) as error:
             raise leadership.to_thrift_error(error) from error
 
+    def _propose_job(self, job: ttypes.Job, term: int) -> ttypes.JobReply:
+        """Proposes a job that was accepted in a term, only in that term."""
+        outcome = admission_module.ProposalOutcome.UNKNOWN
+        try:
+            result = self.propose(
+                term=term, submit_job=ttypes.SubmitJob(job=job)
+            )
+            outcome = admission_module.ProposalOutcome.DECIDED
+            if result.outcome == ttypes.Outcome.NOT_FOUND:
+                outcome = admission_module.ProposalOutcome.FAILED
+                return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_QUEUE)
+        except (ttypes.NotLeader, ttypes.NoQuorum, errors.OverloadedError):
+            outcome = admission_module.ProposalOutcome.FAILED
+            raise
+        finally:
+            self._admission.end_proposal(job.job_id, term=term, outcome=outcome)
+        return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
+
     def refresh_orders(self, agents: set[str]) -> None:
         """Computes agents' orders again and wakes the agents whose orders changed.
 
--- a/marigoldsill/roles/control_node.py
+++ b/marigoldsill/roles/control_node.py
@@ -200,6 +200,7 @@
             is_settled=self._is_settled,
             on_change=self._scheduler.wake,
             referral_address=self._directory.next_control_address,
+            admission=self._scheduler.admission,
         )
         self._thrift.add_service(
             control_link.SERVICE_NAME, ControlThrift.Processor(service)
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -17,6 +17,7 @@
 # Hosts that a process can listen on, but that others can't connect to.
 _WILDCARD_HOSTS = ("0.0.0.0", "::")
 _MEMBER_PARTS_COUNT = 3
+_SWITCH_VALUES = ("on", "off")
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -126,6 +127,15 @@
     return check
 
 
+def parse_switch(text: str) -> str:
+    """Parses "on" or "off"."""
+    if text not in _SWITCH_VALUES:
+        raise errors.SettingsError(
+            f"invalid value {text!r}: expected one of {', '.join(_SWITCH_VALUES)}"
+        )
+    return text
+
+
 def parse_url(text: str) -> str:
     """Parses an HTTP URL such as http://127.0.0.1:9000."""
     if not re.fullmatch(r"http://[^/\s]+(/\S*)?", text):
@@ -338,6 +348,23 @@
         parse_reachable_address,
         default="",
     )
+    admission: str = setting(
+        "Whether jobs may be rejected: those that surely would end too late to be of "
+        "use, and those beyond the limits of waiting jobs; on or off.",
+        parse_switch,
+        default="on",
+    )
+    waiting_jobs_limit: int = setting(
+        "Maximum number of accepted jobs that have not started.",
+        parse_integer(1, 10_000_000),
+        default=50_000,
+    )
+    waiting_bytes_limit: int = setting(
+        "Maximum memory of the records of accepted jobs that have not started, in "
+        "bytes.",
+        parse_integer(1, 1 << 40),
+        default=64 << 20,
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
