--- a/marigoldsill/coordination/job_admission/load.py
+++ b/marigoldsill/coordination/job_admission/load.py
@@ -4,7 +4,8 @@
 estimate is a lower bound: only work that ranks before the job and could use every
 capacity that the job could use counts, drained at the full capacity of the pool. A job
 that waits drops behind once it is too late itself, and the run times of those that
-started last do not delay the job.
+started last do not delay the job. Runs that have begun do not count, since any of them
+may end soon and leave its capacity to the job.
 """
 
 from collections.abc import Mapping
@@ -15,9 +16,9 @@
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
 
-# How many times as fast as predicted the waiting work may run. Predictions of single
-# tasks are wrong by a factor of two; a slower pool lets more of the work drop behind.
-_SPEED_RATIOS = (2.0, 1.0, 0.5)
+# How many times as fast as predicted the waiting work may run. Errors of single
+# predictions average out over many tasks; a slower pool lets more work drop behind.
+_SPEED_RATIOS = (1.5, 1.0, 0.67)
 
 # The order in which the scheduler serves steps.
 OrderKey = tuple[urgency_module.Rank, task_names.StepKey]
