--- a/marigoldsill/coordination/job_admission/admission.py
+++ b/marigoldsill/coordination/job_admission/admission.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Iterable
 import dataclasses
-import enum
 import math
 import threading
 
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import rejections
 from marigoldsill.coordination.job_admission import waiting_jobs
@@ -20,30 +20,16 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
+Reason = causes.Reason
 ProposalOutcome = waiting_jobs.ProposalOutcome
 
-# Agents report to a new leader one after the other, and a short outage ends by itself;
-# before that nothing is known of the capacity.
-_SETTLE_S = 10.0
 # A summary that is older says nothing about the present load.
 _SUMMARY_VALIDITY_S = 10.0
 # The share of a bound that is kept for callers that return in the time they were told.
 _RETURNS_SHARE = 0.1
-# Callers read the time to return in whole seconds.
-_MIN_WINDOW_S = 2.0
 _MAX_WINDOW_S = 30.0
 
 
-class Reason(enum.Enum):
-    """Why a job is rejected."""
-
-    TOO_LATE = "too_late"
-    NO_WORKERS = "no_workers"
-    JOBS_LIMIT = "waiting_jobs_limit"
-    BYTES_LIMIT = "waiting_bytes_limit"
-    TOO_EARLY = "returned_early"
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Rejection:
     """The rejection of a job.
@@ -57,25 +43,13 @@
         limit: What was exceeded: milliseconds, jobs or bytes.
     """
 
-    reason: Reason
+    reason: causes.Reason
     message: str
     retry_after_ms: int
     predicted_end_ms: int = 0
     limit: int = 0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Cause:
-    """Why a job has to be rejected, before the time to return is chosen."""
-
-    reason: Reason
-    message: str
-    earliest_s: float
-    window_s: float
-    predicted_end_ms: float = 0.0
-    limit: float = 0.0
-
-
 class Admission:
     """Decides on submissions in the order in which they come; thread-safe.
 
@@ -181,11 +155,13 @@
     ) -> Rejection | None:
         earlier = self._rejections.find(job.job_id)
         if earlier is not None and now_s < earlier.return_s:
-            return self._repeat_rejection(job.job_id, earlier, now_s)
+            return self._repeat_rejection(job.job_id, now_s)
         summary = self._current_summary(term, now_s)
         cause = self._find_reached_bound(job, queue, summary, now_s)
         if cause is None and summary is not None:
-            cause = self._find_hopelessness(job, queue, summary, now_s)
+            cause = causes.find_hopelessness(
+                job, queue, summary, self._urgency, now_s=now_s
+            )
         return None if cause is None else self._reject(job, cause, now_s)
 
     def _current_summary(
@@ -204,7 +180,7 @@
         queue: ttypes.Queue,
         summary: load_module.LoadSummary | None,
         now_s: float,
-    ) -> _Cause | None:
+    ) -> causes.Cause | None:
         """Returns the bound on waiting jobs that a job would exceed, if any."""
         count, total_bytes = self._waiting.count, self._waiting.total_bytes
         if not count:
@@ -219,13 +195,13 @@
         bytes_limit = self.settings.waiting_bytes_limit
         kept_bytes = bytes_limit * kept_count // jobs_limit
         if count + 1 > jobs_limit - kept_count:
-            reason, limit = Reason.JOBS_LIMIT, jobs_limit
+            reason, limit = causes.Reason.JOBS_LIMIT, jobs_limit
             message = (
                 f"{count} jobs wait and {kept_count} places are kept for callers "
                 f"that were told to return; the limit is {limit}"
             )
         elif total_bytes + size_bytes > bytes_limit - kept_bytes:
-            reason, limit = Reason.BYTES_LIMIT, bytes_limit
+            reason, limit = causes.Reason.BYTES_LIMIT, bytes_limit
             message = (
                 f"the waiting jobs have {total_bytes} bytes and this one "
                 f"{size_bytes}, {kept_bytes} are kept for callers that were told "
@@ -235,11 +211,11 @@
             return None
         place_s = self._time_per_place_s(queue, summary)
         awaited_count = self._rejections.awaited_count
-        return _Cause(
+        return causes.Cause(
             reason,
             message,
             earliest_s=place_s,
-            window_s=max(_MIN_WINDOW_S, place_s * awaited_count),
+            window_s=max(causes.MIN_WINDOW_S, place_s * awaited_count),
             limit=limit,
         )
 
@@ -262,94 +238,19 @@
         drain_s = pool.core_ms / pool.capacity_millicores
         return drain_s / max(1, self._waiting.count)
 
-    def _find_hopelessness(
-        self,
-        job: ttypes.Job,
-        queue: ttypes.Queue,
-        summary: load_module.LoadSummary,
-        now_s: float,
-    ) -> _Cause | None:
-        """Returns why a job would surely be of no use at its end, if it would."""
-        pool = summary.pools.get(queue.pool)
-        if pool is None or now_s - summary.term_begun_s < _SETTLE_S:
-            return None
-        outage_s = now_s - pool.no_worker_since_s
-        if not pool.work and outage_s < _SETTLE_S:
-            return None
-        demand = self._demand_of(job, queue, summary)
-        if outage_s >= _SETTLE_S:
-            return _find_outage(queue.pool, demand, outage_s)
-        if not load_module.is_surely_too_late(
-            summary, pool, demand, now_s=now_s
-        ):
-            return None
-        start_ms = load_module.earliest_start_ms(
-            summary, pool, demand, now_s=now_s
-        )
-        end_ms = start_ms + demand.critical_path_ms
-        earliest_s = (end_ms - demand.useful_ms) / 1_000
-        return _Cause(
-            Reason.TOO_LATE,
-            f"the job would end in {end_ms:.0f} ms at the earliest, because of the "
-            f"work that goes before it; it is of use for {demand.useful_ms:.0f} ms",
-            earliest_s=earliest_s,
-            window_s=max(_MIN_WINDOW_S, earliest_s / 2),
-            predicted_end_ms=end_ms,
-            limit=demand.useful_ms,
-        )
-
-    def _demand_of(
-        self,
-        job: ttypes.Job,
-        queue: ttypes.Queue,
-        summary: load_module.LoadSummary,
-    ) -> load_module.Demand:
-        urgency = self._urgency
-        paths_ms = {
-            number: urgency.longest_path_ms(job, queue, number)
-            for number, step in enumerate(job.steps)
-            if not step.after
-        }
-        first = max(paths_ms, key=paths_ms.get)
-        step = job.steps[first]
-        mean_core_time_ms = summary.mean_core_times_ms.get(queue.name)
-        if mean_core_time_ms is None:
-            mean_core_time_ms = urgency.core_time_ms(job, queue)
-        rank = urgency.rank_new(job, queue, mean_core_time_ms=mean_core_time_ms)
-        return load_module.Demand(
-            key=(rank, (job.job_id, 0, first)),
-            queue=queue.name,
-            is_best_effort=step.best_effort,
-            cpu_millicores=step.resources.cpu_millicores,
-            memory_bytes=step.resources.memory_bytes,
-            critical_path_ms=paths_ms[first],
-            useful_ms=urgency.useful_ms(job, queue),
-        )
-
-    def _repeat_rejection(
-        self,
-        job_id: str,
-        earlier: rejections.RememberedRejection,
-        now_s: float,
-    ) -> Rejection:
+    def _repeat_rejection(self, job_id: str, now_s: float) -> Rejection:
         """Rejects a late or early attempt at a rejected job, for the same time."""
+        earlier = self._rejections.defer(job_id, now_s=now_s)
         left_s = max(rejections.MIN_RETRY_S, earlier.return_s - now_s)
-        self._rejections.add(
-            job_id,
-            return_s=now_s + left_s,
-            is_bound_reached=earlier.is_bound_reached,
-            reason=earlier.reason,
-            now_s=now_s,
-        )
         return Rejection(
-            reason=Reason.TOO_EARLY,
+            reason=causes.Reason.TOO_EARLY,
             message=f"the job was rejected before its time to return: "
             f"{earlier.reason}",
             retry_after_ms=int(left_s * 1_000) + 1,
         )
 
     def _reject(
-        self, job: ttypes.Job, cause: _Cause, now_s: float
+        self, job: ttypes.Job, cause: causes.Cause, now_s: float
     ) -> Rejection:
         retry_s = rejections.spread_s(
             job.job_id,
@@ -360,7 +261,7 @@
             job.job_id,
             return_s=now_s + retry_s,
             is_bound_reached=cause.reason
-            in (Reason.JOBS_LIMIT, Reason.BYTES_LIMIT),
+            in (causes.Reason.JOBS_LIMIT, causes.Reason.BYTES_LIMIT),
             reason=cause.message,
             now_s=now_s,
         )
@@ -371,21 +272,3 @@
             predicted_end_ms=round(cause.predicted_end_ms),
             limit=round(cause.limit),
         )
-
-
-def _find_outage(
-    pool: str, demand: load_module.Demand, outage_s: float
-) -> _Cause | None:
-    """Returns why a job is of no use if a pool's outage lasts as long again."""
-    expected_ms = outage_s * 1_000
-    if demand.useful_ms - demand.critical_path_ms >= expected_ms:
-        return None
-    return _Cause(
-        Reason.NO_WORKERS,
-        f"no worker of pool {pool} has been available for {outage_s:.0f} s; the job "
-        f"is of use for {demand.useful_ms:.0f} ms",
-        earliest_s=outage_s,
-        window_s=max(_MIN_WINDOW_S, outage_s / 4),
-        predicted_end_ms=expected_ms + demand.critical_path_ms,
-        limit=demand.useful_ms,
-    )
--- a/marigoldsill/coordination/job_admission/load.py
+++ b/marigoldsill/coordination/job_admission/load.py
@@ -8,9 +8,12 @@
 may end soon and leave its capacity to the job.
 """
 
+import bisect
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import math
 
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -19,6 +22,7 @@
 # How many times as fast as predicted the waiting work may run. Errors of single
 # predictions average out over many tasks; a slower pool lets more work drop behind.
 _SPEED_RATIOS = (1.5, 1.0, 0.67)
+_MILLICORES_PER_CORE = 1_000
 
 # The order in which the scheduler serves steps.
 OrderKey = tuple[urgency_module.Rank, task_names.StepKey]
@@ -37,6 +41,7 @@
         core_ms: The core time of their waiting tasks.
         run_ms: The run time of a task, averaged over the core time.
         latest_start_unix_ms: When the first of the jobs is too late to be of use.
+        priority: The priority of their queue.
     """
 
     last_key: OrderKey
@@ -47,11 +52,7 @@
     core_ms: float
     run_ms: float
     latest_start_unix_ms: float
-
-    @property
-    def priority(self) -> int:
-        """The priority of the steps' queue."""
-        return self.last_key[0].priority
+    priority: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -65,17 +66,19 @@
             some may.
         max_idle_s: After which time a best-effort job gets a run in any case.
         work: What waits, in the order in which it is served.
+        core_ms: The core time of all of it.
     """
 
     capacity_millicores: int = 0
     no_worker_since_s: float = math.inf
     max_idle_s: float = 0.0
     work: Sequence[WaitingWork] = ()
+    core_ms: float = dataclasses.field(init=False)
 
-    @property
-    def core_ms(self) -> float:
-        """The core time of everything that waits."""
-        return math.fsum(item.core_ms for item in self.work)
+    def __post_init__(self):
+        """Computes the total, which every decision looks at."""
+        core_ms = math.fsum(item.core_ms for item in self.work)
+        object.__setattr__(self, "core_ms", core_ms)
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -126,12 +129,7 @@
 
 
 def earliest_start_ms(
-    summary: LoadSummary,
-    pool: PoolLoad,
-    demand: Demand,
-    *,
-    now_s: float,
-    speed_ratio: float = 1.0,
+    summary: LoadSummary, pool: PoolLoad, demand: Demand, *, now_s: float
 ) -> float:
     """Returns how long a job that is submitted now waits at least.
 
@@ -140,35 +138,9 @@
         pool: The load of the job's pool.
         demand: What the job needs.
         now_s: The current time.
-        speed_ratio: How many times as fast as predicted work is done.
     """
-    drain_rate = pool.capacity_millicores / 1_000 * speed_ratio
-    if not drain_rate:
-        return 0.0
-    core_ms = run_core_ms = 0.0
-    priority = demand.key[0].priority
-    for item in pool.work:
-        if item.last_key >= demand.key:
-            break
-        if not _surely_precedes(item, demand, summary):
-            continue
-        start_unix_ms = summary.published_unix_ms + core_ms / drain_rate
-        if (
-            item.priority == priority
-            and start_unix_ms > item.latest_start_unix_ms
-        ):
-            continue
-        core_ms += item.core_ms
-        run_core_ms += item.core_ms * item.run_ms
-    if not core_ms:
-        return 0.0
-    # The work that started last is still running when the job starts.
-    running_ms = run_core_ms / core_ms / speed_ratio
-    age_ms = (now_s - summary.published_s) * 1_000
-    start_ms = max(0.0, core_ms / drain_rate - running_ms - age_ms)
-    if demand.is_best_effort:
-        return min(start_ms, pool.max_idle_s * 1_000)
-    return start_ms
+    ahead = _work_ahead(summary, pool, demand)
+    return _drain_ms(ahead, summary, pool, demand, now_s=now_s, speed_ratio=1)
 
 
 def is_surely_too_late(
@@ -176,24 +148,80 @@
 ) -> bool:
     """Returns whether a job would end too late to be of use in every case."""
     slack_ms = demand.useful_ms - demand.critical_path_ms
-    fastest = max(_SPEED_RATIOS)
-    drain_rate = pool.capacity_millicores / 1_000 * fastest
-    if pool.core_ms <= slack_ms * drain_rate:
+    drain_rate = pool.capacity_millicores / _MILLICORES_PER_CORE
+    if pool.core_ms <= slack_ms * drain_rate * max(_SPEED_RATIOS):
         return False
+    ahead = _work_ahead(summary, pool, demand)
     return all(
-        earliest_start_ms(summary, pool, demand, now_s=now_s, speed_ratio=ratio)
+        _drain_ms(ahead, summary, pool, demand, now_s=now_s, speed_ratio=ratio)
         > demand.useful_ms - demand.critical_path_ms / max(1.0, ratio)
         for ratio in _SPEED_RATIOS
     )
 
 
-def _surely_precedes(
-    item: WaitingWork, demand: Demand, summary: LoadSummary
-) -> bool:
-    """Returns whether work would use every capacity that a job could use."""
-    return (
-        item.cpu_millicores <= demand.cpu_millicores
+def _work_ahead(
+    summary: LoadSummary, pool: PoolLoad, demand: Demand
+) -> list[tuple[float, float, float]]:
+    """Returns the work that precedes a job and would use every capacity it could use.
+
+    Returns:
+        The core time, the run time of a task and the latest start of each item, in
+        order.
+    """
+    priority = demand.key[0].priority
+    end = bisect.bisect_left(
+        pool.work, demand.key, key=lambda item: item.last_key
+    )
+    return [
+        (
+            item.core_ms,
+            item.run_ms,
+            item.latest_start_unix_ms
+            if item.priority == priority
+            else math.inf,
+        )
+        for item in itertools.islice(pool.work, end)
+        if item.cpu_millicores <= demand.cpu_millicores
         and item.memory_bytes <= demand.memory_bytes
         and (demand.is_best_effort or not item.is_best_effort)
         and (summary.is_order_final or item.queue == demand.queue)
-    )
+    ]
+
+
+def _drain_ms(
+    ahead: Iterable[tuple[float, float, float]],
+    summary: LoadSummary,
+    pool: PoolLoad,
+    demand: Demand,
+    *,
+    now_s: float,
+    speed_ratio: float,
+) -> float:
+    """Returns after which time a job starts behind some work.
+
+    Args:
+        ahead: The work as returned by `_work_ahead`.
+        summary: The published load.
+        pool: The load of the job's pool.
+        demand: What the job needs.
+        now_s: The current time.
+        speed_ratio: How many times as fast as predicted work is done.
+    """
+    drain_rate = pool.capacity_millicores / _MILLICORES_PER_CORE * speed_ratio
+    if not drain_rate:
+        return 0.0
+    published_unix_ms = summary.published_unix_ms
+    core_ms = run_core_ms = 0.0
+    for item_core_ms, run_ms, latest_start_unix_ms in ahead:
+        if published_unix_ms + core_ms / drain_rate <= latest_start_unix_ms:
+            core_ms += item_core_ms
+            run_core_ms += item_core_ms * run_ms
+    if not core_ms:
+        return 0.0
+    # The work that started last is still running when the job starts.
+    running_ms = run_core_ms / core_ms / speed_ratio
+    age_ms = (now_s - summary.published_s) * 1_000
+    start_ms = max(0.0, core_ms / drain_rate - running_ms - age_ms)
+    if demand.is_best_effort:
+        return min(start_ms, pool.max_idle_s * 1_000)
+    return start_ms
--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -18,7 +18,7 @@
 # A summary is followed by a pause of this many times the time that it took.
 _PAUSE_RATIO = 20.0
 # Bounds the time of a decision, which looks at all groups of waiting steps.
-_GROUPS_LIMIT = 400
+_GROUPS_LIMIT = 200
 # Steps whose needs are all different form a group each; the lightest groups are left
 # out, as less work that ranks before a job only makes its acceptance more likely.
 _KEPT_GROUPS_LIMIT = 2 * _GROUPS_LIMIT
@@ -42,6 +42,42 @@
     latest_start_unix_ms: float
 
 
+class _JobFacts:
+    """Derives the facts of steps; computes what depends on the job once."""
+
+    def __init__(self, urgency: urgency_module.Urgency):
+        self._urgency = urgency
+        self._occurrence: tuple[str, int] | None = None
+        self._useful_until_unix_ms = 0.0
+        self._paths_ms: list[float] = []
+
+    def of_step(self, step: backlog_module.WaitingStep) -> _StepFacts:
+        job, queue = step.job, step.queue
+        job_id, occurrence, number = step.key
+        if (job_id, occurrence) != self._occurrence:
+            self._occurrence = job_id, occurrence
+            self._paths_ms = self._urgency.longest_paths_ms(job, queue)
+            self._useful_until_unix_ms = self._urgency.useful_until_unix_ms(
+                job, queue, occurrence
+            )
+        required = step.step.resources
+        return _StepFacts(
+            group=(
+                queue.pool,
+                queue.name,
+                step.step.best_effort,
+                required.cpu_millicores,
+                required.memory_bytes,
+            ),
+            run_ms=self._urgency.run_times.predict_ms(
+                queue.name, step.step.estimated_ms
+            ),
+            latest_start_unix_ms=(
+                self._useful_until_unix_ms - self._paths_ms[number]
+            ),
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class _Group:
     """Neighbouring steps of one kind that are being summarized."""
@@ -54,7 +90,11 @@
 
 
 class LoadPublisher:
-    """Builds the summaries of one term; used by the scheduler's thread."""
+    """Builds the summaries of one term; used by the scheduler's thread.
+
+    Attributes:
+        next_s: When the next summary is due.
+    """
 
     def __init__(self, *, term: int, now_s: float):
         """Creates a publisher that has seen no worker.
@@ -64,7 +104,7 @@
             now_s: When the term began.
         """
         self._term = term
-        self._next_s = now_s
+        self.next_s = now_s
         self._begun_s = now_s
         self._facts: dict[task_names.StepKey, _StepFacts] = {}
         self._without_workers_since_s: dict[str, float] = {}
@@ -72,7 +112,7 @@
 
     def is_due(self, *, now_s: float) -> bool:
         """Whether it is time for the next summary."""
-        return now_s >= self._next_s
+        return now_s >= self.next_s
 
     def summarize(
         self,
@@ -115,7 +155,7 @@
             is_order_final=is_order_final,
         )
         took_s = clock.now_s() - begin_s
-        self._next_s = now_s + max(_INTERVAL_S, _PAUSE_RATIO * took_s)
+        self.next_s = now_s + max(_INTERVAL_S, _PAUSE_RATIO * took_s)
         return summary
 
     def _group_steps(
@@ -129,10 +169,11 @@
         before, self._facts = self._facts, {}
         open_groups: dict[tuple, _Group] = {}
         work: dict[str, list[load_module.WaitingWork]] = {}
+        job_facts = _JobFacts(urgency)
         for step in waiting:
             if not _uses_any_capacity(step):
                 continue
-            facts = before.get(step.key) or _facts_of(step, urgency)
+            facts = before.get(step.key) or job_facts.of_step(step)
             self._facts[step.key] = facts
             group = open_groups.get(facts.group)
             if group is None:
@@ -212,28 +253,6 @@
     )
 
 
-def _facts_of(
-    step: backlog_module.WaitingStep, urgency: urgency_module.Urgency
-) -> _StepFacts:
-    job, queue = step.job, step.queue
-    number = step.key[2]
-    required = step.step.resources
-    latest_start_unix_ms = urgency.useful_until_unix_ms(
-        job, queue, step.occurrence.number
-    ) - urgency.longest_path_ms(job, queue, number)
-    return _StepFacts(
-        group=(
-            queue.pool,
-            queue.name,
-            step.step.best_effort,
-            required.cpu_millicores,
-            required.memory_bytes,
-        ),
-        run_ms=urgency.run_times.predict_ms(queue.name, step.step.estimated_ms),
-        latest_start_unix_ms=latest_start_unix_ms,
-    )
-
-
 def _close(
     group: _Group,
     kind: tuple[str, str, bool, int, int],
@@ -250,5 +269,6 @@
         core_ms=group.core_ms,
         run_ms=group.run_core_ms / max(group.core_ms, 1e-9),
         latest_start_unix_ms=group.latest_start_unix_ms,
+        priority=group.last_key[0].priority,
     )
     work.setdefault(pool, []).append(item)
--- a/marigoldsill/coordination/job_admission/rejections.py
+++ b/marigoldsill/coordination/job_admission/rejections.py
@@ -26,12 +26,14 @@
     Attributes:
         first_s: When it was first rejected.
         return_s: When it may be submitted again.
+        last_return_s: The latest time to which attempts before `return_s` move it.
         is_bound_reached: Whether a bound on waiting jobs was the reason.
         reason: The reason as told to the caller.
     """
 
     first_s: float
     return_s: float
+    last_return_s: float
     is_bound_reached: bool
     reason: str
 
@@ -73,6 +75,7 @@
         self._entries[job_id] = RememberedRejection(
             first_s=now_s if before is None else before.first_s,
             return_s=return_s,
+            last_return_s=return_s + MIN_RETRY_S,
             is_bound_reached=is_bound_reached,
             reason=reason,
         )
@@ -80,6 +83,20 @@
         if len(self._entries) > _ENTRIES_LIMIT:
             self._pop(next(iter(self._entries)))
 
+    def defer(self, job_id: str, *, now_s: float) -> RememberedRejection:
+        """Returns the rejection of a job that was submitted before its time.
+
+        The caller is told the least time again, so its time to return moves as well,
+        but not for ever: a caller that repeats its attempts more often is accepted too.
+        """
+        entry = self._entries[job_id]
+        return_s = min(
+            max(entry.return_s, now_s + MIN_RETRY_S), entry.last_return_s
+        )
+        deferred = dataclasses.replace(entry, return_s=return_s)
+        self._entries[job_id] = deferred
+        return deferred
+
     def remove(self, job_id: str) -> None:
         """Removes the rejection of a job that was accepted."""
         self._pop(job_id)
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -114,21 +114,19 @@
             job, queue
         )
 
-    def longest_path_ms(
-        self, job: ttypes.Job, queue: ttypes.Queue, first: int
-    ) -> float:
-        """Returns the length of the longest path that begins with a step."""
-        ends_ms: dict[int, float] = {}
-        for number, step in enumerate(job.steps):
-            begins_ms = [ends_ms[e] for e in step.after if e in ends_ms]
-            if number == first:
-                begins_ms = [0.0]
-            if begins_ms:
-                run_ms = self.run_times.predict_ms(
-                    queue.name, step.estimated_ms
-                )
-                ends_ms[number] = max(begins_ms) + run_ms
-        return max(ends_ms.values())
+    def longest_paths_ms(
+        self, job: ttypes.Job, queue: ttypes.Queue
+    ) -> list[float]:
+        """Returns the length of the longest path that begins with each step."""
+        after_ms = [0.0] * len(job.steps)
+        paths_ms = [0.0] * len(job.steps)
+        for number in reversed(range(len(job.steps))):
+            step = job.steps[number]
+            run_ms = self.run_times.predict_ms(queue.name, step.estimated_ms)
+            paths_ms[number] = run_ms + after_ms[number]
+            for earlier in step.after:
+                after_ms[earlier] = max(after_ms[earlier], paths_ms[number])
+        return paths_ms
 
     def core_time_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
         """Returns the core time of all tasks of a job, in milliseconds."""
--- a/tests/coordination/job_admission/test_admission.py
+++ b/tests/coordination/job_admission/test_admission.py
@@ -80,6 +80,7 @@
             core_ms=waiting_s * 10_000,
             run_ms=0.0,
             latest_start_unix_ms=math.inf,
+            priority=0,
         )
         has_workers = no_worker_since_s == math.inf
         pool = load_module.PoolLoad(
@@ -248,6 +249,22 @@
     assert admission.submit("j2")
 
 
+def test_a_caller_that_does_not_wait_is_accepted_in_the_end() -> None:
+    """Guards against callers that push their own time to return ahead of them."""
+    admission = _Admission(waiting_jobs_limit=1)
+    assert admission.submit("j1")
+    rejection = admission.judge("j2")
+    admission.start_jobs("j1")
+    accepted_s = None
+    while accepted_s is None:
+        admission.now_s += 0.05
+        if admission.submit("j2"):
+            accepted_s = admission.now_s
+        assert admission.now_s < _NOW_S + 60
+    told_s = _NOW_S + rejection.retry_after_ms / 1_000
+    assert told_s <= accepted_s <= told_s + 1.1
+
+
 def test_a_job_that_is_being_proposed_is_not_rejected() -> None:
     """Guards against a rejection of a job that another attempt gets accepted."""
     admission = _Admission(waiting_jobs_limit=1)
--- a/tests/coordination/job_placing/test_urgency.py
+++ b/tests/coordination/job_placing/test_urgency.py
@@ -91,3 +91,34 @@
     backlog.submit("j1", 1)
     backlog.submit("j2", 9, long_running=True)
     assert backlog.rank_jobs() == ["j2", "j1"]
+
+
+def test_the_longest_path_from_each_step_follows_the_steps_after_it() -> None:
+    steps = [
+        builders.step(estimated_ms=100),
+        builders.step(estimated_ms=20, after=[0]),
+        builders.step(estimated_ms=300, after=[0]),
+        builders.step(estimated_ms=40, after=[1]),
+    ]
+    job = builders.job("j1", *steps)
+    urgency = urgency_module.Urgency()
+    assert urgency.longest_paths_ms(job, _QUEUE) == [400, 60, 300, 40]
+    assert urgency.useful_ms(job, _QUEUE) == 3 * (2 * 400 + 1_000)
+
+
+def test_a_new_job_has_the_rank_that_it_gets_once_it_is_accepted(
+    backlog: _WaitingJobs,
+) -> None:
+    for job_id, tasks_count in (("j1", 3), ("j2", 7), ("j3", 5)):
+        backlog.submit(job_id, tasks_count)
+    backlog.rank_jobs()
+    urgency = urgency_module.Urgency()
+    waiting = backlog.backlog.rank_steps(
+        urgency, now_unix_ms=builders.NOW_UNIX_MS
+    )
+    means_ms = backlog.backlog.mean_core_times_ms
+    for step in waiting:
+        new_rank = urgency.rank_new(
+            step.job, _QUEUE, mean_core_time_ms=means_ms[_QUEUE.name]
+        )
+        assert new_rank == backlog.backlog.rank_of(step)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -94,6 +94,28 @@
     assert settings.advertise_address == text
 
 
+@pytest.mark.parametrize(
+    ("name", "value", "expected"),
+    [
+        ("admission", "yes", "on, off"),
+        ("waiting_jobs_limit", "0", "from 1 to"),
+        ("waiting_jobs_limit", "many", "from 1 to"),
+        ("waiting_bytes_limit", "0", "from 1 to"),
+        ("waiting_bytes_limit", "-1", "from 1 to"),
+    ],
+)
+def test_an_invalid_bound_on_waiting_jobs_is_refused(
+    name: str, value: str, expected: str
+) -> None:
+    with pytest.raises(errors.SettingsError) as caught:
+        setting_sources.load(
+            settings_module.PlatformEdgeSettings, {name: value}
+        )
+    assert caught.value.message.startswith(setting_sources.flag_of(name))
+    assert repr(value) in caught.value.message
+    assert expected in caught.value.message
+
+
 def test_all_invalid_and_missing_settings_are_reported_at_once() -> None:
     with pytest.raises(errors.SettingsError) as caught:
         _load({"threads_count": "no"}, {"MARIGOLDSILL_HTTP_ADDRESS": "no"})
