Begin the admission's term with the first decision, keep a part of the size for returns

A rejection of the first moments of a term was forgotten by the scheduler's first round. The kept part of the size followed the number of jobs and was next to nothing with few large ones.

--- a/marigoldsill/coordination/job_admission/admission.py
+++ b/marigoldsill/coordination/job_admission/admission.py
@@ -90,10 +90,7 @@
     def begin_term(self, term: int) -> None:
         """Forgets the load and the rejections of earlier terms."""
         with self._lock:
-            self._term = term
-            self._summary = None
-            self._rejections = rejections.RejectionTable()
-            self._waiting.begin_term(term)
+            self._begin_term(term)
 
     def observe_jobs(
         self, jobs: job_tables.JobTables, job_ids: Iterable[str]
@@ -126,6 +123,7 @@
             in this term, and `end_proposal` has to be called.
         """
         with self._lock:
+            self._begin_term(term)
             rejection = None
             if self._may_reject(job):
                 self._rejections.expire(now_s=now_s)
@@ -143,6 +141,14 @@
         with self._lock:
             self._waiting.end_proposal(job_id, term=term, outcome=outcome)
 
+    def _begin_term(self, term: int) -> None:
+        if term <= self._term:
+            return
+        self._term = term
+        self._summary = None
+        self._rejections = rejections.RejectionTable()
+        self._waiting.begin_term(term)
+
     def _may_reject(self, job: ttypes.Job) -> bool:
         return (
             self.settings.is_enabled
@@ -193,7 +199,10 @@
         size_bytes = waiting_jobs.size_of(job)
         jobs_limit = self.settings.waiting_jobs_limit
         bytes_limit = self.settings.waiting_bytes_limit
-        kept_bytes = bytes_limit * kept_count // jobs_limit
+        kept_bytes = min(
+            int(bytes_limit * _RETURNS_SHARE),
+            kept_count * total_bytes // count,
+        )
         if count + 1 > jobs_limit - kept_count:
             reason, limit = causes.Reason.JOBS_LIMIT, jobs_limit
             message = (
--- a/tests/coordination/job_admission/test_admission.py
+++ b/tests/coordination/job_admission/test_admission.py
@@ -9,6 +9,7 @@
 )
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import load as load_module
+from marigoldsill.coordination.job_admission import waiting_jobs
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
@@ -162,11 +163,28 @@
     admission = _Admission()
     admission.publish(waiting_s=60.0)
     assert not admission.submit("j1")
-    admission.decider.begin_term(_TERM + 1)
     admission.term += 1
     assert admission.submit("j1")
 
 
+def test_a_rejection_outlasts_the_schedulers_begin_of_the_term() -> None:
+    """Guards against a late attempt that the first round of a term lets pass."""
+    admission = _Admission(waiting_jobs_limit=1)
+    admission.term += 1
+    assert admission.submit("j1")
+    assert not admission.submit("j2")
+    admission.decider.begin_term(admission.term)
+    admission.start_jobs("j1")
+    assert not admission.submit("j2")
+
+
+def test_places_taken_in_an_earlier_term_are_free_in_the_next() -> None:
+    admission = _Admission(waiting_jobs_limit=1)
+    assert admission.submit("j1")
+    admission.decider.begin_term(_TERM + 1)
+    assert admission.decider.waiting_count == 0
+
+
 @pytest.mark.parametrize(
     ("limits", "reason"),
     [
@@ -213,6 +231,18 @@
     assert not admission.submit("a third")
 
 
+def test_a_part_of_the_size_is_kept_for_callers_that_return() -> None:
+    size_bytes = waiting_jobs.size_of(builders.job("new", _step()))
+    admission = _Admission(waiting_bytes_limit=20 * size_bytes)
+    results = [admission.submit(f"j{number}") for number in range(10, 32)]
+    assert results == [True] * 20 + [False] * 2
+    admission.start_jobs("j10", "j11")
+    assert not admission.submit("new")
+    admission.now_s += 5.0
+    assert admission.submit("j30")
+    assert admission.submit("j31")
+
+
 def test_places_are_kept_for_a_bounded_time() -> None:
     admission = _Admission(waiting_jobs_limit=2)
     assert all(admission.submit(f"j{number}") for number in range(2))
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -1,6 +1,7 @@
 """A rejected job is in no log, whichever attempts and leaders interleave."""
 
 from collections.abc import Iterator
+import math
 import threading
 
 import pytest
@@ -11,6 +12,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import scheduling_settings
@@ -323,6 +325,76 @@
     )
 
 
+def test_the_scheduler_publishes_the_load_and_the_loss_of_all_workers(
+    replica: replica_module.Replica,
+    scheduler: scheduler_module.JobScheduler,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    summaries: list[load_module.LoadSummary] = []
+    monkeypatch.setattr(scheduler.admission, "publish", summaries.append)
+    service = _start(replica, scheduler)
+    _report_worker(service, sequence=1)
+    _submit(service, "j1")
+
+    def pool() -> load_module.PoolLoad | None:
+        return summaries[-1].pools[builders.POOL] if summaries else None
+
+    one_process.wait_until(
+        lambda: (
+            pool()
+            and pool().capacity_millicores == 500
+            and pool().no_worker_since_s == math.inf
+            and [w.last_key[1] for w in pool().work] == [("j1", 0, 0)]
+        ),
+        what="the waiting job beside the worker in a summary",
+    )
+    assert summaries[-1].term == replica.term
+    service.set_evacuation(
+        ttypes.SetEvacuation(data_centre="dc1", active=True), "order 1"
+    )
+    one_process.wait_until(
+        lambda: pool().no_worker_since_s < math.inf,
+        what="the evacuation of all workers in a summary",
+    )
+
+
+def test_the_scheduler_begins_the_term_of_the_admission(
+    replica: replica_module.Replica,
+    scheduler: scheduler_module.JobScheduler,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    terms: list[int] = []
+    monkeypatch.setattr(scheduler.admission, "begin_term", terms.append)
+    _start(replica, scheduler)
+    one_process.wait_until(lambda: terms, what="the begin of a term")
+    assert terms == [replica.term]
+
+
+def _report_worker(
+    service: service_module.JobService, *, sequence: int
+) -> None:
+    """Reports a worker that is too small for the jobs of these tests."""
+    worker = ttypes.PoolWorker(
+        worker_id="a1-incarnation1",
+        pool=builders.POOL,
+        data_centre="dc1",
+        rack="r1",
+        labels=[],
+        capacity=ttypes.Resources(cpu_millicores=500, memory_bytes=1 << 30),
+    )
+    service.agent_report(
+        ttypes.AgentReport(
+            agent="a1",
+            incarnation=1,
+            sequence=sequence,
+            worker=worker,
+            ends=[],
+            running=[],
+            worker_id=worker.worker_id,
+        )
+    )
+
+
 def _start(
     replica: replica_module.Replica, scheduler: scheduler_module.JobScheduler
 ) -> service_module.JobService:
