--- a/marigoldsill/coordination/job_admission/load.py
+++ b/marigoldsill/coordination/job_admission/load.py
@@ -55,6 +55,21 @@
     priority: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class FreeWorker:
+    """What is free of a worker after a round has placed what it could.
+
+    Attributes:
+        cpu_millicores: Processor time that no task has reserved.
+        idle_millicores: Processor time that tasks leave for best-effort tasks.
+        memory_bytes: Memory that no task has reserved.
+    """
+
+    cpu_millicores: float
+    idle_millicores: float
+    memory_bytes: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class PoolLoad:
     """The load of one pool.
@@ -65,6 +80,7 @@
         no_worker_since_s: Since when no worker may run its tasks; infinite while
             some may.
         max_idle_s: After which time a best-effort job gets a run in any case.
+        free_workers: The workers that may start tasks.
         work: What waits, in the order in which it is served.
         core_ms: The core time of all of it.
     """
@@ -72,6 +88,7 @@
     capacity_millicores: int = 0
     no_worker_since_s: float = math.inf
     max_idle_s: float = 0.0
+    free_workers: Sequence[FreeWorker] = ()
     work: Sequence[WaitingWork] = ()
     core_ms: float = dataclasses.field(init=False)
 
@@ -151,6 +168,9 @@
     drain_rate = pool.capacity_millicores / _MILLICORES_PER_CORE
     if pool.core_ms <= slack_ms * drain_rate * max(_SPEED_RATIOS):
         return False
+    if _fits_now(pool, demand):
+        # What waits is held back for a reason that may not hold back the job.
+        return False
     ahead = _work_ahead(summary, pool, demand)
     return all(
         _drain_ms(ahead, summary, pool, demand, now_s=now_s, speed_ratio=ratio)
@@ -159,6 +179,20 @@
     )
 
 
+def _fits_now(pool: PoolLoad, demand: Demand) -> bool:
+    """Returns whether a task of a job could start at once if nothing else waited."""
+    return any(
+        demand.memory_bytes <= free.memory_bytes
+        and demand.cpu_millicores
+        <= (
+            free.idle_millicores
+            if demand.is_best_effort
+            else free.cpu_millicores
+        )
+        for free in pool.free_workers
+    )
+
+
 def _work_ahead(
     summary: LoadSummary, pool: PoolLoad, demand: Demand
 ) -> list[tuple[float, float, float]]:
--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -132,7 +132,8 @@
             backlog: The waiting steps with their ranks.
             waiting: The waiting steps in order.
             urgency: The learnt run times.
-            placement: Holds the capacity of the workers on which tasks may start.
+            placement: Holds the capacity of the workers on which tasks may start,
+                after this round has placed what it could.
             pools: The names of all pools.
             now_s: The time of the round.
             now_unix_ms: The same as wall-clock time.
@@ -140,6 +141,7 @@
         """
         begin_s = clock.now_s()
         work = self._group_steps(backlog, waiting, urgency)
+        free_workers = _free_workers(placement)
         summary = load_module.LoadSummary(
             term=self._term,
             term_begun_s=self._begun_s,
@@ -147,7 +149,11 @@
             published_unix_ms=now_unix_ms,
             pools={
                 pool: self._pool_load(
-                    pool, placement, work.get(pool, []), now_s
+                    pool,
+                    placement,
+                    work.get(pool, []),
+                    free_workers.get(pool, []),
+                    now_s,
                 )
                 for pool in pools
             },
@@ -207,6 +213,7 @@
         pool: str,
         placement: placement_module.Placement,
         work: list[load_module.WaitingWork],
+        free_workers: list[load_module.FreeWorker],
         now_s: float,
     ) -> load_module.PoolLoad:
         index = placement.index
@@ -221,6 +228,7 @@
             max_idle_s=placement_module.max_idle_s(
                 reserved_share=index.reserved_share(pool)
             ),
+            free_workers=free_workers,
             work=work,
         )
 
@@ -235,6 +243,23 @@
         return recent[0][1]
 
 
+def _free_workers(
+    placement: placement_module.Placement,
+) -> dict[str, list[load_module.FreeWorker]]:
+    """Returns what is free of the workers of each pool that may start tasks."""
+    free_workers: dict[str, list[load_module.FreeWorker]] = {}
+    for free in placement.index.workers.values():
+        if free.starts_limit != 0 and not free.worker.draining:
+            free_workers.setdefault(free.worker.pool, []).append(
+                load_module.FreeWorker(
+                    cpu_millicores=free.cpu_millicores,
+                    idle_millicores=free.idle_millicores,
+                    memory_bytes=free.memory_bytes,
+                )
+            )
+    return free_workers
+
+
 def _uses_any_capacity(step: backlog_module.WaitingStep) -> bool:
     """Returns whether a step's tasks start wherever capacity is free.
 
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -209,9 +209,9 @@
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
         job_metrics.WAITING.set(len(waiting))
-        self._publish_load(waiting, now_s)
         offered = self._offer(waiting, now_s)
         grants = self._placement.place(offered, now_s=now_s)
+        self._publish_load(waiting, now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
--- a/tests/coordination/job_admission/overload_play.py
+++ b/tests/coordination/job_admission/overload_play.py
@@ -164,6 +164,7 @@
         waiting = harness.backlog.rank_steps(
             harness.urgency, now_unix_ms=_unix_ms(now_s)
         )
+        grants = harness.placement.place(waiting, now_s=clock_s)
         if self._publisher.is_due(now_s=clock_s):
             summary = self._publisher.summarize(
                 harness.backlog,
@@ -176,7 +177,6 @@
                 is_order_final=True,
             )
             self.admission.publish(summary)
-        grants = harness.placement.place(waiting, now_s=clock_s)
         harness.state.grant(*grants)
         harness.placement.update_pending_grants(grants, is_decided=True)
         for grant in grants:
--- a/tests/coordination/job_admission/test_load.py
+++ b/tests/coordination/job_admission/test_load.py
@@ -185,5 +185,30 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("free", "is_too_late"),
+    [
+        ((1_000, 0, 100), False),
+        ((999, 1_000, 100), True),
+        ((1_000, 0, 99), True),
+    ],
+    ids=["a task fits", "too few processors", "too little memory"],
+)
+def test_a_job_that_fits_beside_waiting_work_is_not_too_late(
+    free: tuple[int, int, int], *, is_too_late: bool
+) -> None:
+    """Guards against a rejection while the work that goes before is held back."""
+    cpu_millicores, idle_millicores, memory_bytes = free
+    worker = load_module.FreeWorker(
+        cpu_millicores=cpu_millicores,
+        idle_millicores=idle_millicores,
+        memory_bytes=memory_bytes,
+    )
+    summary, pool = _load(_work(), free_workers=[worker])
+    assert is_too_late == load_module.is_surely_too_late(
+        summary, pool, _demand(), now_s=_NOW_S
+    )
+
+
 def test_a_pool_without_capacity_says_nothing_about_a_start() -> None:
     assert _start_ms(_work(), capacity_millicores=0) == 0
--- a/tests/coordination/job_admission/test_load_publisher.py
+++ b/tests/coordination/job_admission/test_load_publisher.py
@@ -133,6 +133,20 @@
     assert capacity(32.0, "a1", "a2") == 16_000
 
 
+def test_workers_are_listed_with_what_is_free_of_them(leader: _Leader) -> None:
+    leader.set_worker("a2", cores=8, draining=True)
+    leader.submit("j1", builders.step(3))
+    leader.summarize(agents=("a1",))
+    leader.run_round()
+    pool = leader.summarize(agents=("a1", "a2")).pools[builders.POOL]
+    free = load_module.FreeWorker(
+        cpu_millicores=5_000,
+        idle_millicores=5_000,
+        memory_bytes=(64 << 30) - (3 << 20),
+    )
+    assert pool.free_workers == [free]
+
+
 def test_an_outage_begins_when_the_last_worker_is_lost(leader: _Leader) -> None:
     def outage_begin_s(after_s: float, *agents: str) -> float:
         summary = leader.summarize(after_s=after_s, agents=agents)
