Guarantee shares of a pool to queues, and reclaim them from borrowers

Cause: one queue could take a whole pool; others waited for its runs to end. Team quotas and shares use the same functions of amounts.

--- a/build_tools/settings_page.py
+++ b/build_tools/settings_page.py
@@ -58,7 +58,8 @@
 def _format_default(field: dataclasses.Field) -> str:
     if field.default is dataclasses.MISSING:
         return "must be given"
-    return f"`{field.default}`" if field.default != "" else "empty"
+    text = str(field.default)
+    return f"`{text}`" if text else "empty"
 
 
 if __name__ == "__main__":
--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -9,6 +9,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
+from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
@@ -45,7 +46,19 @@
     settings: settings_module.PlatformEdgeSettings,
 ) -> scheduling_settings.SchedulingSettings:
     """Returns the optional parts of the decisions that the settings switch on."""
-    return scheduling_settings.SchedulingSettings()
+    return scheduling_settings.SchedulingSettings(shares=_shares_of(settings))
+
+
+def _shares_of(
+    settings: settings_module.PlatformEdgeSettings,
+) -> shares_module.ShareSettings | None:
+    shares = settings.queue_shares.shares
+    if not shares:
+        return None
+    return shares_module.ShareSettings(
+        ratios={share.name: share.ratio for share in shares},
+        reclaim_s=settings.share_reclaim_s,
+    )
 
 
 def _run(
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -54,6 +54,9 @@
         health: worker_health.WorkerHealth,
         tickets: tickets_module.Tickets,
         is_live: Callable[[str], bool] = lambda agent: True,
+        admits: Callable[[str, backlog_module.WaitingStep], bool] = (
+            lambda agent, waiting: True
+        ),
     ):
         """Creates a placement without workers.
 
@@ -62,6 +65,8 @@
             health: The workers on which tasks failed.
             tickets: The adviser's tickets.
             is_live: Whether an agent's lease is live; checked before each grant.
+            admits: Whether a step may use an agent's worker, as its capacity is
+                not promised to others.
         """
         self.index = capacity_index.CapacityIndex()
         self._interference = interference
@@ -79,6 +84,7 @@
             isolation=self._isolation,
             exploration=self._exploration,
             is_live=is_live,
+            admits=admits,
         )
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
         self._gang_selector = gangs.GangSelector()
@@ -179,6 +185,16 @@
             step, candidates, agent=agent, now_s=now_s
         )
 
+    def accepts(
+        self,
+        waiting: backlog_module.WaitingStep,
+        free: free_capacity.FreeCapacity,
+        *,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a step may start on a worker, apart from its capacity."""
+        return self._chooser.acceptance_for(waiting, now_s)(free)
+
     def reserve(
         self,
         free: free_capacity.FreeCapacity,
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -37,6 +37,7 @@
         isolation: crash_isolation.CrashIsolation,
         exploration: exploration_module.Exploration,
         is_live: Callable[[str], bool],
+        admits: Callable[[str, backlog_module.WaitingStep], bool],
     ):
         """Initializes the chooser.
 
@@ -48,6 +49,8 @@
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
             is_live: Whether an agent's lease is live.
+            admits: Whether a step may use an agent's worker, as its capacity is
+                not promised to others.
         """
         self._index = index
         self._interference = interference
@@ -56,6 +59,7 @@
         self._isolation = isolation
         self._exploration = exploration
         self._is_live = is_live
+        self._admits = admits
 
     def find_other(
         self,
@@ -159,6 +163,8 @@
                 return False
             if not self._is_live(free.agent):
                 return False
+            if not self._admits(free.agent, waiting):
+                return False
             if not waiting.queue.advised:
                 return True
             worker_id = free.worker.worker_id
--- a/marigoldsill/coordination/job_queueing/__init__.py
+++ b/marigoldsill/coordination/job_queueing/__init__.py
@@ -6,4 +6,11 @@
 Other packages use only the modules listed here.
 """
 
-__all__ = ["offer_policies", "usage"]
+__all__ = [
+    "claims",
+    "offer_policies",
+    "reclaim",
+    "share_order",
+    "shares",
+    "usage",
+]
--- /dev/null
+++ b/marigoldsill/coordination/job_queueing/reclaim.py
@@ -0,0 +1,351 @@
+"""Chooses runs to evict for shares that are below their guarantee.
+
+Answers a queue that borrows the whole pool with long runs: when the callers of a
+guaranteed queue come back, no capacity becomes free by itself in the time that they
+can wait.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.job_queueing import claims as claims_module
+from marigoldsill.coordination.job_queueing import shares as shares_module
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+
+# Maximum number of evictions in one round, which bounds the load of agents that have to
+# checkpoint, and what a wrong decision costs.
+_EVICTIONS_LIMIT = 8
+# A task without checkpoints that has been started this often keeps its run, so that it
+# ends at some time.
+_RUNS_LIMIT = 3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunningTask:
+    """A run that may be alive on a worker.
+
+    Attributes:
+        key: Its task and run number.
+        agent: The agent of the worker.
+        step: The requirements of its task.
+        share: The share of its queue.
+        is_ending: Whether it has been told to stop.
+        lost_core_ms: The core time that an eviction would lose.
+    """
+
+    key: task_names.RunKey
+    agent: str
+    step: ttypes.Step
+    share: shares_module.ShareKey
+    is_ending: bool
+    lost_core_ms: float
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether it may be evicted, and its capacity be given to others.
+
+        An absent long-running task costs its users more than any wait. Members of a
+        gang would take the whole gang with them.
+        """
+        if self.is_ending or self.step.long_running or self.step.gang:
+            return False
+        return self.step.checkpointing or self.key[1] < _RUNS_LIMIT
+
+    @property
+    def eviction_order(self) -> tuple:
+        """Sorts runs by what an eviction costs, the cheapest first."""
+        step = self.step
+        return not step.best_effort, not step.checkpointing, self.lost_core_ms
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Demand:
+    """Tasks of one step that a share may reclaim capacity for.
+
+    Attributes:
+        waiting: The step.
+        key: Its share.
+    """
+
+    waiting: backlog_module.WaitingStep
+    key: shares_module.ShareKey
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reclaim:
+    """The runs to evict on one worker for one task.
+
+    Attributes:
+        claim: The capacity that is reclaimed.
+        evicted: The runs; none if those that are ending leave enough.
+    """
+
+    claim: claims_module.Claim
+    evicted: list[RunningTask]
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """What a decision is based on.
+
+    Attributes:
+        workers: The free capacity of the workers on which tasks may start.
+        runs: The runs on each worker.
+        statuses: What each share uses and is guaranteed.
+        claims: What is being reclaimed already.
+        accepts: Whether a step may start on a worker apart from its capacity.
+        now_s: The time now.
+    """
+
+    workers: Sequence[free_capacity.FreeCapacity]
+    runs: Mapping[str, Sequence[RunningTask]]
+    statuses: Mapping[shares_module.ShareKey, shares_module.ShareStatus]
+    claims: claims_module.Claims
+    accepts: Callable[
+        [backlog_module.WaitingStep, free_capacity.FreeCapacity], bool
+    ]
+    now_s: float
+
+
+def choose_reclaims(demands: Iterable[Demand], fleet: Fleet) -> list[Reclaim]:
+    """Returns the runs to evict now, as few as the waiting tasks need.
+
+    Args:
+        demands: The tasks for which capacity may be reclaimed, the first one first.
+        fleet: The workers, their runs and the shares.
+    """
+    return _Chooser(fleet).choose(demands)
+
+
+@dataclasses.dataclass(slots=True)
+class _Spare:
+    """What one worker has left once all runs that end have ended.
+
+    Attributes:
+        cpu_millicores: Processor time that no task has reserved.
+        idle_millicores: Processor time that tasks are expected to leave unused.
+        memory_bytes: Memory that no task has reserved.
+        accelerators_count: Accelerators that no task has reserved.
+    """
+
+    cpu_millicores: float
+    idle_millicores: float
+    memory_bytes: int
+    accelerators_count: int
+
+    def change(self, step: ttypes.Step, *, sign: int) -> None:
+        """Adds (sign 1) or subtracts (sign -1) the resources of one task."""
+        required = step.resources
+        if not step.best_effort:
+            self.cpu_millicores += sign * required.cpu_millicores
+        self.idle_millicores += sign * required.cpu_millicores
+        self.memory_bytes += sign * required.memory_bytes
+        self.accelerators_count += sign * required.accelerators_count
+
+    def fits(self, step: ttypes.Step) -> bool:
+        """Returns whether one task of a step fits."""
+        required = step.resources
+        millicores = (
+            self.idle_millicores if step.best_effort else self.cpu_millicores
+        )
+        return (
+            required.cpu_millicores <= millicores
+            and required.memory_bytes <= self.memory_bytes
+            and required.accelerators_count <= self.accelerators_count
+        )
+
+
+class _Chooser:
+    """Chooses evictions task by task; each choice counts for the next ones."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        # What shares reserve once the claimed tasks run and the evicted runs ended.
+        self._claimants = dict(fleet.statuses)
+        self._givers = dict(fleet.statuses)
+        self._evicted_keys: set[task_names.RunKey] = set()
+        self._spares: dict[str, _Spare] = {}
+        for key, status in fleet.statuses.items():
+            for claim in fleet.claims.of_share(key):
+                status = status.add(claim.step.resources)
+            self._claimants[key] = status
+        for runs in fleet.runs.values():
+            for run in runs:
+                if run.is_ending:
+                    self._give_back(run)
+
+    def choose(self, demands: Iterable[Demand]) -> list[Reclaim]:
+        """Returns the runs to evict for tasks that wait."""
+        chosen: list[Reclaim] = []
+        unmet: set[tuple] = set()
+        for demand in demands:
+            if _class_of(demand) in unmet:
+                continue
+            for _ in range(self._unclaimed_count(demand)):
+                if len(self._evicted_keys) >= _EVICTIONS_LIMIT:
+                    return chosen
+                reclaim = self._choose_for_task(demand)
+                if reclaim is None:
+                    unmet.add(_class_of(demand))
+                    break
+                chosen.append(reclaim)
+        return chosen
+
+    def _unclaimed_count(self, demand: Demand) -> int:
+        claimed_count = sum(
+            claim.step_key == demand.waiting.key
+            for claim in self._fleet.claims.of_share(demand.key)
+        )
+        return len(demand.waiting.waiting_indexes) - claimed_count
+
+    def _choose_for_task(self, demand: Demand) -> Reclaim | None:
+        resources = demand.waiting.step.resources
+        if not self._claimants[demand.key].may_reclaim(resources):
+            return None
+        options = [
+            (_cost_of(evicted), free.agent, evicted)
+            for free in self._fleet.workers
+            if (evicted := self._evictions_on(free, demand)) is not None
+        ]
+        if not options:
+            return None
+        _, agent, evicted = min(options, key=lambda option: option[:2])
+        self._evicted_keys.update(run.key for run in evicted)
+        for run in evicted:
+            self._give_back(run)
+            self._spares[agent].change(run.step, sign=1)
+        self._spares[agent].change(demand.waiting.step, sign=-1)
+        status = self._claimants[demand.key]
+        self._claimants[demand.key] = status.add(resources)
+        claim = claims_module.Claim(
+            demand.key, demand.waiting.key, demand.waiting.step, agent
+        )
+        return Reclaim(claim, evicted)
+
+    def _evictions_on(
+        self, free: free_capacity.FreeCapacity, demand: Demand
+    ) -> list[RunningTask] | None:
+        """Returns the runs to evict on a worker so that a task fits, or None."""
+        step = demand.waiting.step
+        if not self._may_use(free, demand):
+            return None
+        spare = self._spare_of(free)
+        if spare.fits(step):
+            # Either runs that end make it fit, or something else than capacity keeps
+            # the task from this worker.
+            return None if _fits_now(free, step) else []
+        spare = dataclasses.replace(spare)
+        givers: dict[shares_module.ShareKey, shares_module.ShareStatus] = {}
+        evicted: list[RunningTask] = []
+        runs = self._fleet.runs.get(free.agent, ())
+        for run in sorted(runs, key=lambda run: run.eviction_order):
+            if run.share == demand.key or not self._is_available(run):
+                continue
+            giver = givers.get(run.share, self._givers.get(run.share))
+            if giver is None or not giver.may_give_back(run.step.resources):
+                continue
+            givers[run.share] = giver.subtract(run.step.resources)
+            evicted.append(run)
+            spare.change(run.step, sign=1)
+            if spare.fits(step):
+                return _drop_needless(evicted, spare, step)
+        return None
+
+    def _may_use(
+        self, free: free_capacity.FreeCapacity, demand: Demand
+    ) -> bool:
+        step, worker = demand.waiting.step, free.worker
+        return (
+            worker.pool == demand.key.pool
+            and not worker.draining
+            and free.starts_limit is None
+            and (
+                not step.required_label or step.required_label in worker.labels
+            )
+            and not self._fleet.claims.avoids(
+                free.agent, now_s=self._fleet.now_s
+            )
+            and self._fleet.accepts(demand.waiting, free)
+        )
+
+    def _is_available(self, run: RunningTask) -> bool:
+        return run.is_evictable and run.key not in self._evicted_keys
+
+    def _spare_of(self, free: free_capacity.FreeCapacity) -> _Spare:
+        spare = self._spares.get(free.agent)
+        if spare is None:
+            spare = _Spare(
+                free.cpu_millicores,
+                free.idle_millicores,
+                free.memory_bytes,
+                free.accelerators_count,
+            )
+            for run in self._fleet.runs.get(free.agent, ()):
+                if run.is_ending:
+                    spare.change(run.step, sign=1)
+            for claim in self._fleet.claims.on_agent(free.agent):
+                spare.change(claim.step, sign=-1)
+            self._spares[free.agent] = spare
+        return spare
+
+    def _give_back(self, run: RunningTask) -> None:
+        giver = self._givers.get(run.share)
+        if giver is not None:
+            self._givers[run.share] = giver.subtract(run.step.resources)
+
+
+def _class_of(demand: Demand) -> tuple:
+    """Returns all that decides on which workers a task could start."""
+    waiting = demand.waiting
+    needs_own_class = waiting.step.spread_limit or waiting.queue.advised
+    return (
+        demand.key,
+        waiting.step.resources.cpu_millicores,
+        waiting.step.resources.memory_bytes,
+        waiting.step.resources.accelerators_count,
+        waiting.step.best_effort,
+        waiting.step.required_label,
+        waiting.key if needs_own_class else None,
+    )
+
+
+def _fits_now(free: free_capacity.FreeCapacity, step: ttypes.Step) -> bool:
+    if not free.fits(step):
+        return False
+    return (
+        not step.best_effort
+        or step.resources.cpu_millicores <= free.idle_millicores
+    )
+
+
+def _drop_needless(
+    evicted: Sequence[RunningTask], spare: _Spare, step: ttypes.Step
+) -> list[RunningTask]:
+    """Returns the evictions without those that the task does not need.
+
+    The most expensive ones are dropped first.
+    """
+    needed = list(evicted)
+    for run in reversed(evicted):
+        spare.change(run.step, sign=-1)
+        if spare.fits(step):
+            needed.remove(run)
+        else:
+            spare.change(run.step, sign=1)
+    return needed
+
+
+def _cost_of(evicted: Sequence[RunningTask]) -> tuple:
+    """Returns what evictions cost; they are compared item by item."""
+    return (
+        sum(not run.step.best_effort for run in evicted),
+        sum(not run.step.checkpointing for run in evicted),
+        len(evicted),
+        sum(run.lost_core_ms for run in evicted),
+    )
--- a/marigoldsill/coordination/job_queueing/usage.py
+++ b/marigoldsill/coordination/job_queueing/usage.py
@@ -1,6 +1,5 @@
 """Resources reserved by runs that may be alive, by job and by queue."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -9,6 +8,21 @@
 from marigoldsill.state import job_tables
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueKey:
+    """A queue as it was when one of its jobs last changed.
+
+    Attributes:
+        pool: The pool whose workers run its jobs.
+        name: Its name.
+        priority: Its priority.
+    """
+
+    pool: str
+    name: str
+    priority: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class JobUsage:
     """What the runs of one open job reserve.
@@ -16,6 +30,7 @@
     Attributes:
         queue: The name of its queue.
         pool: The pool whose workers run it.
+        priority: The priority of its queue.
         resources: The resources of its runs that may be alive.
         runs_count: Number of these runs.
         is_started: Whether any run of it has ever been granted.
@@ -23,10 +38,16 @@
 
     queue: str
     pool: str
+    priority: int
     resources: ttypes.Resources
     runs_count: int
     is_started: bool
 
+    @property
+    def queue_key(self) -> QueueKey:
+        """The queue of the job, with its pool and priority."""
+        return QueueKey(self.pool, self.queue, self.priority)
+
 
 class Usage:
     """The usage of all open jobs; only `refresh` reads the tables.
@@ -34,11 +55,13 @@
     Attributes:
         by_job: The usage of each open job.
         by_queue: The resources that runs of each queue reserve.
+        by_queue_key: The same by pool, name and priority of the queue.
     """
 
     def __init__(self):
         self.by_job: dict[str, JobUsage] = {}
         self.by_queue: dict[str, ttypes.Resources] = {}
+        self.by_queue_key: dict[QueueKey, ttypes.Resources] = {}
 
     def refresh(
         self, jobs: job_tables.JobTables, job_ids: Iterable[str]
@@ -47,27 +70,19 @@
         for job_id in job_ids:
             before = self.by_job.pop(job_id, None)
             if before is not None:
-                self._change(before.queue, amounts.subtract, before.resources)
+                amounts.subtract_from(
+                    self.by_queue, before.queue, before.resources
+                )
+                amounts.subtract_from(
+                    self.by_queue_key, before.queue_key, before.resources
+                )
             record = jobs.jobs.get(job_id)
             if record is None or not record.open:
                 continue
             after = _usage_of(record, jobs.queue_of(record))
             self.by_job[job_id] = after
-            self._change(after.queue, amounts.add, after.resources)
-
-    def _change(
-        self,
-        queue: str,
-        operation: Callable[
-            [ttypes.Resources, ttypes.Resources], ttypes.Resources
-        ],
-        resources: ttypes.Resources,
-    ) -> None:
-        total = operation(self.by_queue.get(queue, amounts.ZERO), resources)
-        if total == amounts.ZERO:
-            self.by_queue.pop(queue, None)
-        else:
-            self.by_queue[queue] = total
+            amounts.add_to(self.by_queue, after.queue, after.resources)
+            amounts.add_to(self.by_queue_key, after.queue_key, after.resources)
 
 
 def _usage_of(record: ttypes.JobRecord, queue: ttypes.Queue) -> JobUsage:
@@ -89,6 +104,7 @@
     return JobUsage(
         queue=queue.name,
         pool=queue.pool,
+        priority=queue.priority,
         resources=ttypes.Resources(
             cpu_millicores=cpu_millicores,
             memory_bytes=memory_bytes,
--- a/marigoldsill/coordination/jobs/evictor.py
+++ b/marigoldsill/coordination/jobs/evictor.py
@@ -104,6 +104,16 @@
             reason="slow because of latency-critical tasks on its worker",
         )
 
+    def evict_reclaimed(
+        self, runs: Iterable[evictions.Eviction], *, share: str
+    ) -> None:
+        """Evicts runs of other queues for a share below its guarantee."""
+        self._evict(
+            runs,
+            kind="reclaim",
+            reason=f"its capacity is guaranteed to share {share}",
+        )
+
     def _evict(
         self, runs: Iterable[evictions.Eviction], *, kind: str, reason: str
     ) -> None:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -26,6 +26,7 @@
 from marigoldsill.coordination.jobs import retention
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.jobs import share_reclaimer
 from marigoldsill.coordination.jobs import ticket_manager
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.jobs import worker_refresher
@@ -83,6 +84,7 @@
         self._applied_grants: list[ttypes.RunGrant] = []
         self._offer_policies: list[offer_policies.OfferPolicy] = []
         self._usage = usage_module.Usage()
+        self._share_reclaimer: share_reclaimer.ShareReclaimer | None = None
         self._lease_monitor: lease_monitor.LeaseMonitor | None = None
         self._load = leader_load.LeaderLoad()
         self._woken_s = 0.0
@@ -202,6 +204,16 @@
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
             self._evictor.evict_slow(slow_evictions)
+            self._share_reclaimer.reclaim(
+                self._replica.tables.jobs,
+                waiting,
+                grants,
+                placement=self._placement,
+                agents=self._service.agents,
+                orders=self._service.orders,
+                evictor=self._evictor,
+                now_s=now_s,
+            )
         # Capacity that `find_slow` reserved is free again until the task is granted there.
         self._worker_refresher.mark_stale(
             eviction.next_agent for eviction in slow_evictions
@@ -321,6 +333,9 @@
         self._backlog = backlog_module.Backlog()
         self._usage = usage_module.Usage()
         self._offer_policies = self._settings.create_offer_policies()
+        self._share_reclaimer = share_reclaimer.ShareReclaimer(
+            self._settings.shares, self._offer_policies
+        )
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
         self._run_time_sampler = run_time_sampler.RunTimeSampler()
@@ -343,6 +358,7 @@
             health=self._health,
             tickets=self._ticket_manager.tickets,
             is_live=self._service.leases.is_live,
+            admits=self._share_reclaimer.admits,
         )
         self._worker_refresher = worker_refresher.WorkerRefresher(
             agents=self._service.agents,
--- a/marigoldsill/coordination/placement/allocations.py
+++ b/marigoldsill/coordination/placement/allocations.py
@@ -87,8 +87,7 @@
         amount: ttypes.Resources,
     ) -> None:
         """Counts a grant that is not in the state yet."""
-        granted = self._granted_by_team.get(team, amounts.ZERO)
-        self._granted_by_team[team] = amounts.add(granted, amount)
+        amounts.add_to(self._granted_by_team, team, amount)
         self._granted_counts.update(
             (owner, location) for location in locations_of(record)
         )
@@ -114,8 +113,7 @@
         team = owner.team if owner is not None else ""
         allocation = _Allocation(task.owner, team, amount, locations_of(record))
         self._allocations[record.name, name] = allocation
-        before = self._by_team.get(team, amounts.ZERO)
-        self._by_team[team] = amounts.add(before, amount)
+        amounts.add_to(self._by_team, team, amount)
         for location in allocation.locations:
             self._change_count(allocation.owner, location, 1)
 
@@ -123,9 +121,7 @@
         allocation = self._allocations.pop((worker, name), None)
         if allocation is None:
             return
-        self._by_team[allocation.team] = amounts.subtract(
-            self._by_team[allocation.team], allocation.amount
-        )
+        amounts.subtract_from(self._by_team, allocation.team, allocation.amount)
         for location in allocation.locations:
             self._change_count(allocation.owner, location, -1)
 
--- a/marigoldsill/coordination/placement/placement_simulator.py
+++ b/marigoldsill/coordination/placement/placement_simulator.py
@@ -75,7 +75,9 @@
             return PredictedPlacement(
                 ttypes.EffectVerb.NEVER_RUNS, "", [], reason
             )
-        if team is not None and not self._is_within_quota(team, demand):
+        if team is not None and not amounts.within_quota(
+            self._team_total(team.name), team.quota, demand=demand
+        ):
             reason = f"team {owner.team!r} holds its quota"
             return PredictedPlacement(ttypes.EffectVerb.WAIT, "", [], reason)
         return self._place(owner, demand)
@@ -137,12 +139,6 @@
     def _urgency(self, task: ttypes.Task) -> int:
         return getattr(self._tables.owner_record(task), "urgency", 0)
 
-    def _is_within_quota(
-        self, team: ttypes.Team, demand: ttypes.Resources
-    ) -> bool:
-        total = amounts.add(self._team_total(team.name), demand)
-        return amounts.within_quota(total, team.quota)
-
     def _team_total(self, team: str) -> ttypes.Resources:
         """Resources of a team's runs and of the tasks placed so far."""
         if team not in self._by_team:
--- a/marigoldsill/coordination/placement/task_placer.py
+++ b/marigoldsill/coordination/placement/task_placer.py
@@ -234,8 +234,9 @@
         if team is None:
             return True
         allocated = self._fleet.allocations.team_total(task_view.team)
-        total = amounts.add(allocated, task_view.demand)
-        return amounts.within_quota(total, team.quota)
+        return amounts.within_quota(
+            allocated, team.quota, demand=task_view.demand
+        )
 
     def _grant(
         self,
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import fractions
 import re
 from typing import Any
 
@@ -18,6 +19,8 @@
 _WILDCARD_HOSTS = ("0.0.0.0", "::")
 _MEMBER_PARTS_COUNT = 3
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+_PRIORITY_SHARE = re.compile(r"priority-([0-9]{1,9})")
+_RATIO = re.compile(r"[0-9]{0,3}(\.[0-9]{1,9})?")
 
 
 def setting(
@@ -108,6 +111,84 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueShare:
+    """A guaranteed share in the settings.
+
+    Attributes:
+        name: The name of a queue, or "priority-N" for all queues of priority N.
+        ratio: The guaranteed part of the dominant resource of a pool.
+    """
+
+    name: str
+    ratio: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueShares:
+    """All guaranteed shares of the settings.
+
+    Attributes:
+        shares: The shares, each with another name.
+    """
+
+    shares: tuple[QueueShare, ...] = ()
+
+    def __str__(self) -> str:
+        """Returns the text of the setting."""
+        return ",".join(f"{s.name}={s.ratio:g}" for s in self.shares)
+
+
+def parse_queue_shares(text: str) -> QueueShares:
+    """Parses guaranteed shares, name=ratio separated by commas; may be empty."""
+    if not text.strip():
+        return QueueShares()
+    ratios: dict[str, fractions.Fraction] = {}
+    for entry in text.split(","):
+        name, ratio = _parse_share(entry.strip())
+        if name in ratios:
+            raise errors.SettingsError(
+                f"duplicate share {name!r} in {text!r}: expected one ratio for "
+                "each queue or priority"
+            )
+        ratios[name] = ratio
+    total = sum(ratios.values())
+    if total > 1:
+        raise errors.SettingsError(
+            f"shares {text!r} sum to {float(total):g}: expected at most 1"
+        )
+    return QueueShares(
+        tuple(QueueShare(name, float(ratio)) for name, ratio in ratios.items())
+    )
+
+
+def _parse_share(entry: str) -> tuple[str, fractions.Fraction]:
+    name, separator, ratio_text = (
+        part.strip() for part in entry.partition("=")
+    )
+    if not separator:
+        raise errors.SettingsError(
+            f"invalid share {entry[:80]!r}: expected queue=ratio or "
+            "priority-N=ratio, separated by commas"
+        )
+    if not _NAME_PATTERN.fullmatch(name):
+        raise errors.SettingsError(
+            f"invalid queue {name[:80]!r} of a share: expected 1 to 63 letters, "
+            "digits, '.', '_' and '-', with a letter or digit first"
+        )
+    priority = _PRIORITY_SHARE.fullmatch(name)
+    if priority:
+        name = f"priority-{int(priority[1])}"
+    is_number = bool(ratio_text) and _RATIO.fullmatch(ratio_text)
+    ratio = fractions.Fraction(ratio_text if is_number else 0)
+    if not 0 < ratio <= 1:
+        raise errors.SettingsError(
+            f"invalid ratio {ratio_text[:80]!r} of share {name!r}: expected a "
+            "number above 0 and at most 1, such as 0.25"
+        )
+    return name, ratio
+
+
 def parse_integer(low: int, high: int) -> Callable[[str], int]:
     """Returns a parser of whole numbers from `low` to `high`."""
 
@@ -338,6 +419,19 @@
         parse_reachable_address,
         default="",
     )
+    queue_shares: QueueShares = setting(
+        "Guaranteed shares of the dominant resource of a pool, "
+        "queue=ratio or priority-N=ratio, separated by commas, which sum to at "
+        "most 1; the same on all processes. Empty: no shares.",
+        parse_queue_shares,
+        default=QueueShares(),
+    )
+    share_reclaim_s: int = setting(
+        "How long a step of a share below its guarantee waits until runs of other "
+        "queues are evicted for it, in seconds.",
+        parse_integer(1, 3600),
+        default=2,
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldsill/state/amounts.py
+++ b/marigoldsill/state/amounts.py
@@ -1,10 +1,16 @@
 """Arithmetic on amounts of processors, memory and accelerators (resources)."""
 
+from collections.abc import Hashable
 import math
+from typing import TypeVar
 
 from marigoldsill.protocol.generated import ttypes
 
 ZERO = ttypes.Resources()
+# Tolerates rounding in comparisons of ratios.
+_RATIO_TOLERANCE = 1e-9
+
+_Key = TypeVar("_Key", bound=Hashable)
 
 
 def fits(demand: ttypes.Resources, free: ttypes.Resources) -> bool:
@@ -58,8 +64,34 @@
     )
 
 
-def within_quota(allocated: ttypes.Resources, quota: ttypes.Resources) -> bool:
-    """Whether a team's allocated resources are within its quota (0: no limit)."""
+def add_to(
+    totals: dict[_Key, ttypes.Resources], key: _Key, amount: ttypes.Resources
+) -> None:
+    """Adds an amount to the total of a key."""
+    _set_total(totals, key, add(totals.get(key, ZERO), amount))
+
+
+def subtract_from(
+    totals: dict[_Key, ttypes.Resources], key: _Key, amount: ttypes.Resources
+) -> None:
+    """Subtracts an amount from the total of a key; drops a total of zero."""
+    _set_total(totals, key, subtract(totals.get(key, ZERO), amount))
+
+
+def within_quota(
+    allocated: ttypes.Resources,
+    quota: ttypes.Resources,
+    *,
+    demand: ttypes.Resources = ZERO,
+) -> bool:
+    """Whether resources are within a team's quota (0: no limit).
+
+    Args:
+        allocated: The resources that the team has.
+        quota: Its quota.
+        demand: Further resources that it asks for.
+    """
+    allocated = add(allocated, demand)
     return (
         _is_within(allocated.cpu_millicores, quota.cpu_millicores)
         and _is_within(allocated.memory_bytes, quota.memory_bytes)
@@ -76,6 +108,32 @@
     )
 
 
+def within_share(
+    allocated: ttypes.Resources,
+    total: ttypes.Resources,
+    *,
+    ratio: float,
+    demand: ttypes.Resources = ZERO,
+) -> bool:
+    """Whether the dominant share of allocated resources is at most a ratio.
+
+    Args:
+        allocated: The resources that a queue or several queues have.
+        total: The resources of all workers.
+        ratio: The share of the total to compare with.
+        demand: Further resources that are asked for.
+    """
+    share = dominant_share(add(allocated, demand), total)
+    return share <= ratio + _RATIO_TOLERANCE
+
+
+def covers_share(
+    allocated: ttypes.Resources, total: ttypes.Resources, *, ratio: float
+) -> bool:
+    """Whether the dominant share of allocated resources is at least a ratio."""
+    return dominant_share(allocated, total) >= ratio - _RATIO_TOLERANCE
+
+
 def describe(amount: ttypes.Resources) -> str:
     """Formats an amount for people, in the units of intent files."""
     parts = [
@@ -87,5 +145,14 @@
     return ", ".join(parts)
 
 
+def _set_total(
+    totals: dict[_Key, ttypes.Resources], key: _Key, total: ttypes.Resources
+) -> None:
+    if total == ZERO:
+        totals.pop(key, None)
+    else:
+        totals[key] = total
+
+
 def _is_within(allocated: int, limit: int) -> bool:
     return not limit or allocated <= limit
