--- a/marigoldsill/coordination/job_queueing/__init__.py
+++ b/marigoldsill/coordination/job_queueing/__init__.py
@@ -7,10 +7,9 @@
 """
 
 __all__ = [
-    "claims",
     "offer_policies",
-    "reclaim",
     "share_order",
+    "share_reclaimer",
     "shares",
     "usage",
 ]
--- a/marigoldsill/coordination/job_queueing/share_filling.py
+++ b/marigoldsill/coordination/job_queueing/guaranteed_offers.py
@@ -1,4 +1,4 @@
-"""Fills guaranteed shares with waiting steps, the least filled share first."""
+"""Chooses waiting steps up to the guaranteed shares, the least used share first."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -12,7 +12,7 @@
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
-from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 
 # Shares take turns after parts of this size, relative to their guarantee.
 _PART_RATIO = 0.1
@@ -59,8 +59,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Filling:
-    """The steps that fill the guaranteed shares of a round.
+class GuaranteedOffers:
+    """The steps that are guaranteed capacity in a round.
 
     Attributes:
         parts: The parts of steps to offer first, in order.
@@ -117,10 +117,11 @@
         self._status = status
         self._progress = progress
         self._by_blocked_class: dict[_TaskClass, shares_module.ShareStatus] = {}
+        self._task_ratios: dict[_TaskClass, float] = {}
         self._offers = self._choose_offers(steps)
 
     @property
-    def filled_ratio(self) -> float:
+    def used_ratio(self) -> float:
         """How much of the guarantee is in use or offered."""
         return self._status.usage_ratio / self._status.guaranteed_ratio
 
@@ -138,12 +139,26 @@
                 status = self._status_for(task_class)
                 if status.is_covered:
                     break
-                part_count = _part_size(step, remaining_count, status)
+                part_count = remaining_count
+                if not step.step.gang:
+                    ratio = self._task_ratio(task_class, step)
+                    part_count = _part_size(remaining_count, ratio, status)
                 remaining_count -= part_count
                 self._progress.record_offer(task_class, step)
                 self._count(task_class, step, part_count)
                 yield step, part_count
 
+    def _task_ratio(
+        self, task_class: _TaskClass, step: backlog_module.WaitingStep
+    ) -> float:
+        ratio = self._task_ratios.get(task_class)
+        if ratio is None:
+            ratio = amounts.dominant_share(
+                step.step.resources, self._status.capacity
+            )
+            self._task_ratios[task_class] = ratio
+        return ratio
+
     def _status_for(self, task_class: _TaskClass) -> shares_module.ShareStatus:
         if not self._progress.is_blocked(task_class):
             return self._status
@@ -155,7 +170,7 @@
         step: backlog_module.WaitingStep,
         tasks_count: int,
     ) -> None:
-        resources = _multiply(step.step.resources, tasks_count)
+        resources = amounts.multiply(step.step.resources, tasks_count)
         if self._progress.is_blocked(task_class):
             status = self._by_blocked_class[task_class]
             self._by_blocked_class[task_class] = status.add(resources)
@@ -163,32 +178,32 @@
             self._status = self._status.add(resources)
 
 
-def fill(
+def choose(
     below: _StepsByShare,
     statuses: Mapping[shares_module.ShareKey, shares_module.ShareStatus],
     progress: Progress,
-) -> Filling:
-    """Chooses the steps that fill shares up to their guarantees.
+) -> GuaranteedOffers:
+    """Chooses steps of shares up to their guarantees.
 
     Args:
         below: The waiting steps of each share that is below its guarantee.
         statuses: What each share uses.
         progress: Which classes of tasks got grants before; records the offers.
     """
-    filling = Filling()
+    offers = GuaranteedOffers()
     shares = {
         key: _Share(steps, statuses[key], progress)
         for key, steps in below.items()
     }
-    heap = [(share.filled_ratio, key) for key, share in shares.items()]
+    heap = [(share.used_ratio, key) for key, share in shares.items()]
     heapq.heapify(heap)
     while heap:
         _, key = heapq.heappop(heap)
         offer = shares[key].next_offer()
         if offer is not None:
-            filling.add(*offer)
-            heapq.heappush(heap, (shares[key].filled_ratio, key))
-    return filling
+            offers.add(*offer)
+            heapq.heappush(heap, (shares[key].used_ratio, key))
+    return offers
 
 
 def _class_of(waiting: backlog_module.WaitingStep) -> _TaskClass:
@@ -213,19 +228,20 @@
 
 
 def _part_size(
-    waiting: backlog_module.WaitingStep,
-    tasks_count: int,
-    status: shares_module.ShareStatus,
+    tasks_count: int, task_ratio: float, status: shares_module.ShareStatus
 ) -> int:
-    """Returns how many of some tasks to offer before another share's turn."""
-    if waiting.step.gang:
-        return tasks_count
-    one = dataclasses.replace(status, allocated=waiting.step.resources)
-    if not one.usage_ratio:
+    """Returns how many of some tasks to offer before another share's turn.
+
+    Args:
+        tasks_count: The number of the tasks.
+        task_ratio: The dominant share of one of them.
+        status: What the share uses.
+    """
+    if not task_ratio:
         return tasks_count
     missing_ratio = status.guaranteed_ratio - status.usage_ratio
     part_ratio = min(missing_ratio, _PART_RATIO * status.guaranteed_ratio)
-    return max(1, min(tasks_count, math.ceil(part_ratio / one.usage_ratio)))
+    return max(1, min(tasks_count, math.ceil(part_ratio / task_ratio)))
 
 
 def _part_of(
@@ -245,11 +261,3 @@
         idle_since_s=math.inf if start else waiting.idle_since_s,
         suspects_count=suspects_count,
     )
-
-
-def _multiply(resources: ttypes.Resources, count: int) -> ttypes.Resources:
-    return ttypes.Resources(
-        cpu_millicores=resources.cpu_millicores * count,
-        memory_bytes=resources.memory_bytes * count,
-        accelerators_count=resources.accelerators_count * count,
-    )
--- a/marigoldsill/coordination/job_queueing/reclaim.py
+++ b/marigoldsill/coordination/job_queueing/reclaim.py
@@ -5,15 +5,14 @@
 can wait.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_queueing import claims as claims_module
+from marigoldsill.coordination.job_queueing import reclaim_fleet as fleet_module
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -21,47 +20,6 @@
 # Maximum number of evictions in one round, which bounds the load of agents that have to
 # checkpoint, and what a wrong decision costs.
 _EVICTIONS_LIMIT = 8
-# A task without checkpoints that has been started this often keeps its run, so that it
-# ends at some time.
-_RUNS_LIMIT = 3
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RunningTask:
-    """A run that may be alive on a worker.
-
-    Attributes:
-        key: Its task and run number.
-        agent: The agent of the worker.
-        step: The requirements of its task.
-        share: The share of its queue.
-        is_ending: Whether it has been told to stop.
-        lost_core_ms: The core time that an eviction would lose.
-    """
-
-    key: task_names.RunKey
-    agent: str
-    step: ttypes.Step
-    share: shares_module.ShareKey
-    is_ending: bool
-    lost_core_ms: float
-
-    @property
-    def is_evictable(self) -> bool:
-        """Whether it may be evicted, and its capacity be given to others.
-
-        An absent long-running task costs its users more than any wait. Members of a
-        gang would take the whole gang with them.
-        """
-        if self.is_ending or self.step.long_running or self.step.gang:
-            return False
-        return self.step.checkpointing or self.key[1] < _RUNS_LIMIT
-
-    @property
-    def eviction_order(self) -> tuple:
-        """Sorts runs by what an eviction costs, the cheapest first."""
-        step = self.step
-        return not step.best_effort, not step.checkpointing, self.lost_core_ms
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -87,33 +45,12 @@
     """
 
     claim: claims_module.Claim
-    evicted: list[RunningTask]
+    evicted: list[fleet_module.RunningTask]
 
 
-@dataclasses.dataclass(slots=True)
-class Fleet:
-    """What a decision is based on.
-
-    Attributes:
-        workers: The free capacity of the workers on which tasks may start.
-        runs: The runs on each worker.
-        statuses: What each share uses and is guaranteed.
-        claims: What is being reclaimed already.
-        accepts: Whether a step may start on a worker apart from its capacity.
-        now_s: The time now.
-    """
-
-    workers: Sequence[free_capacity.FreeCapacity]
-    runs: Mapping[str, Sequence[RunningTask]]
-    statuses: Mapping[shares_module.ShareKey, shares_module.ShareStatus]
-    claims: claims_module.Claims
-    accepts: Callable[
-        [backlog_module.WaitingStep, free_capacity.FreeCapacity], bool
-    ]
-    now_s: float
-
-
-def choose_reclaims(demands: Iterable[Demand], fleet: Fleet) -> list[Reclaim]:
+def choose_reclaims(
+    demands: Iterable[Demand], fleet: fleet_module.Fleet
+) -> list[Reclaim]:
     """Returns the runs to evict now, as few as the waiting tasks need.
 
     Args:
@@ -123,54 +60,16 @@
     return _Chooser(fleet).choose(demands)
 
 
-@dataclasses.dataclass(slots=True)
-class _Spare:
-    """What one worker has left once all runs that end have ended.
-
-    Attributes:
-        cpu_millicores: Processor time that no task has reserved.
-        idle_millicores: Processor time that tasks are expected to leave unused.
-        memory_bytes: Memory that no task has reserved.
-        accelerators_count: Accelerators that no task has reserved.
-    """
-
-    cpu_millicores: float
-    idle_millicores: float
-    memory_bytes: int
-    accelerators_count: int
-
-    def change(self, step: ttypes.Step, *, sign: int) -> None:
-        """Adds (sign 1) or subtracts (sign -1) the resources of one task."""
-        required = step.resources
-        if not step.best_effort:
-            self.cpu_millicores += sign * required.cpu_millicores
-        self.idle_millicores += sign * required.cpu_millicores
-        self.memory_bytes += sign * required.memory_bytes
-        self.accelerators_count += sign * required.accelerators_count
-
-    def fits(self, step: ttypes.Step) -> bool:
-        """Returns whether one task of a step fits."""
-        required = step.resources
-        millicores = (
-            self.idle_millicores if step.best_effort else self.cpu_millicores
-        )
-        return (
-            required.cpu_millicores <= millicores
-            and required.memory_bytes <= self.memory_bytes
-            and required.accelerators_count <= self.accelerators_count
-        )
-
-
 class _Chooser:
     """Chooses evictions task by task; each choice counts for the next ones."""
 
-    def __init__(self, fleet: Fleet):
+    def __init__(self, fleet: fleet_module.Fleet):
         self._fleet = fleet
         # What shares reserve once the claimed tasks run and the evicted runs ended.
         self._claimants = dict(fleet.statuses)
         self._givers = dict(fleet.statuses)
         self._evicted_keys: set[task_names.RunKey] = set()
-        self._spares: dict[str, _Spare] = {}
+        self._spares: dict[str, fleet_module.SpareCapacity] = {}
         for key, status in fleet.statuses.items():
             for claim in fleet.claims.of_share(key):
                 status = status.add(claim.step.resources)
@@ -230,7 +129,7 @@
 
     def _evictions_on(
         self, free: free_capacity.FreeCapacity, demand: Demand
-    ) -> list[RunningTask] | None:
+    ) -> list[fleet_module.RunningTask] | None:
         """Returns the runs to evict on a worker so that a task fits, or None."""
         step = demand.waiting.step
         if not self._may_use(free, demand):
@@ -242,7 +141,7 @@
             return None if _fits_now(free, step) else []
         spare = dataclasses.replace(spare)
         givers: dict[shares_module.ShareKey, shares_module.ShareStatus] = {}
-        evicted: list[RunningTask] = []
+        evicted: list[fleet_module.RunningTask] = []
         runs = self._fleet.runs.get(free.agent, ())
         for run in sorted(runs, key=lambda run: run.eviction_order):
             if run.share == demand.key or not self._is_available(run):
@@ -274,13 +173,15 @@
             and self._fleet.accepts(demand.waiting, free)
         )
 
-    def _is_available(self, run: RunningTask) -> bool:
+    def _is_available(self, run: fleet_module.RunningTask) -> bool:
         return run.is_evictable and run.key not in self._evicted_keys
 
-    def _spare_of(self, free: free_capacity.FreeCapacity) -> _Spare:
+    def _spare_of(
+        self, free: free_capacity.FreeCapacity
+    ) -> fleet_module.SpareCapacity:
         spare = self._spares.get(free.agent)
         if spare is None:
-            spare = _Spare(
+            spare = fleet_module.SpareCapacity(
                 free.cpu_millicores,
                 free.idle_millicores,
                 free.memory_bytes,
@@ -294,7 +195,7 @@
             self._spares[free.agent] = spare
         return spare
 
-    def _give_back(self, run: RunningTask) -> None:
+    def _give_back(self, run: fleet_module.RunningTask) -> None:
         giver = self._givers.get(run.share)
         if giver is not None:
             self._givers[run.share] = giver.subtract(run.step.resources)
@@ -325,8 +226,10 @@
 
 
 def _drop_needless(
-    evicted: Sequence[RunningTask], spare: _Spare, step: ttypes.Step
-) -> list[RunningTask]:
+    evicted: Sequence[fleet_module.RunningTask],
+    spare: fleet_module.SpareCapacity,
+    step: ttypes.Step,
+) -> list[fleet_module.RunningTask]:
     """Returns the evictions without those that the task does not need.
 
     The most expensive ones are dropped first.
@@ -341,7 +244,7 @@
     return needed
 
 
-def _cost_of(evicted: Sequence[RunningTask]) -> tuple:
+def _cost_of(evicted: Sequence[fleet_module.RunningTask]) -> tuple:
     """Returns what evictions cost; they are compared item by item."""
     return (
         sum(not run.step.best_effort for run in evicted),
--- a/marigoldsill/coordination/job_queueing/share_order.py
+++ b/marigoldsill/coordination/job_queueing/share_order.py
@@ -12,8 +12,8 @@
 import math
 
 from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_queueing import guaranteed_offers
 from marigoldsill.coordination.job_queueing import offer_policies
-from marigoldsill.coordination.job_queueing import share_filling
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.state import amounts
@@ -78,7 +78,7 @@
         ] = {}
         self.due_steps: list[DueStep] = []
         self._waits: dict[task_names.StepKey, _Wait] = {}
-        self._progress = share_filling.Progress()
+        self._progress = guaranteed_offers.Progress()
 
     def offer(
         self,
@@ -89,8 +89,13 @@
         by_share: dict[
             shares_module.ShareKey, list[backlog_module.WaitingStep]
         ] = {}
+        # Steps of a queue share one record of it.
+        keys: dict[int, shares_module.ShareKey] = {}
         for step in waiting:
-            key = self._settings.key_of(step.queue)
+            key = keys.get(id(step.queue))
+            if key is None:
+                key = self._settings.key_of(step.queue)
+                keys[id(step.queue)] = key
             by_share.setdefault(key, []).append(step)
         self._update_statuses(by_share, context)
         below = {
@@ -99,7 +104,9 @@
             if not self.statuses[key].is_covered
         }
         self._progress.observe(by_share)
-        guaranteed = share_filling.fill(below, self.statuses, self._progress)
+        guaranteed = guaranteed_offers.choose(
+            below, self.statuses, self._progress
+        )
         self._update_due_steps(below, guaranteed, context.now_s)
         rest = guaranteed.remaining(waiting)
         aged = _choose_aged(rest, context.now_s)
@@ -125,7 +132,7 @@
     def _update_due_steps(
         self,
         below: dict[shares_module.ShareKey, list[backlog_module.WaitingStep]],
-        guaranteed: share_filling.Filling,
+        guaranteed: guaranteed_offers.GuaranteedOffers,
         now_s: float,
     ) -> None:
         before = self._waits
@@ -147,6 +154,8 @@
     tasks_count = len(step.waiting_indexes)
     if before is None or tasks_count < before.tasks_count:
         return _Wait(tasks_count, now_s)
+    if tasks_count == before.tasks_count:
+        return before
     return _Wait(tasks_count, before.since_s)
 
 
--- a/marigoldsill/coordination/jobs/share_reclaimer.py
+++ b/marigoldsill/coordination/job_queueing/share_reclaimer.py
@@ -1,31 +1,35 @@
-"""Evicts runs for shares below their guarantee, and reports on shares."""
+"""Evicts runs of borrowers for shares below their guarantee."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 
+from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import evictions
+from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_queueing import claims as claims_module
 from marigoldsill.coordination.job_queueing import offer_policies
 from marigoldsill.coordination.job_queueing import reclaim as reclaim_module
+from marigoldsill.coordination.job_queueing import reclaim_fleet as fleet_module
 from marigoldsill.coordination.job_queueing import share_order
+from marigoldsill.coordination.job_queueing import share_reporter
 from marigoldsill.coordination.job_queueing import shares as shares_module
-from marigoldsill.coordination.jobs import evictor as evictor_module
-from marigoldsill.coordination.jobs import job_metrics
-from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
-from marigoldsill.transport import logs
 
-# Minimum time between two searches for runs to evict, which look at all workers.
+# Minimum time between two searches for runs to evict, and how many workers each looks
+# at. It takes some milliseconds, about as long as a round.
 _SEARCH_INTERVAL_S = 0.1
-# Minimum time between two updates of the metrics.
-_METRICS_INTERVAL_S = 1.0
-_UNGUARANTEED_LABEL = "none"
+_WORKERS_LIMIT = 32
+# The interval once no run on any worker could be evicted.
+_RETRY_INTERVAL_S = 0.5
 _NO_SHARES = shares_module.ShareSettings(ratios={}, reclaim_s=0.0)
 
 
@@ -51,19 +55,12 @@
             (p for p in policies if isinstance(p, share_order.ShareOrder)), None
         )
         self._claims = claims_module.Claims(self._settings)
-        self._waiting_shares: set[shares_module.ShareKey] = set()
-        self._measured: set[shares_module.ShareKey] = set()
+        self._reporter = share_reporter.ShareReporter()
         self._searched_s = 0.0
-        self._measured_s = 0.0
+        self._next_worker = 0
+        self._fruitless_count = 0
         if settings is not None:
-            logs.event(
-                "shares_in_force",
-                shares=",".join(
-                    f"{name}={ratio:g}"
-                    for name, ratio in settings.ratios.items()
-                ),
-                reclaim_s=settings.reclaim_s,
-            )
+            self._reporter.log_settings(settings)
 
     def admits(self, agent: str, waiting: backlog_module.WaitingStep) -> bool:
         """Returns whether a step may use a worker's capacity now."""
@@ -71,28 +68,28 @@
 
     def reclaim(
         self,
-        jobs: job_tables.JobTables,
+        replica: replica_module.Replica,
         waiting: Sequence[backlog_module.WaitingStep],
         grants: Sequence[ttypes.RunGrant],
         *,
         placement: placement_module.Placement,
         agents: agents_module.Agents,
-        orders: orders_module.Orders,
-        evictor: evictor_module.Evictor,
+        evicted: Set[task_names.RunKey],
+        evict: Callable[[Iterable[evictions.Eviction], str], None],
         now_s: float,
     ) -> None:
         """Evicts runs for steps that the round has not granted.
 
-        Called with the replica's lock held.
+        Called without the replica's lock, which is held only to read and to evict.
 
         Args:
-            jobs: The jobs, with the runs that may be alive.
+            replica: The jobs, with the runs that may be alive.
             waiting: The steps that waited at the start of the round.
             grants: The grants of the round.
             placement: The free capacity of all workers.
             agents: The agents' reports.
-            orders: Knows which runs have been evicted.
-            evictor: Evicts the chosen runs.
+            evicted: The runs that have been evicted, and have not ended.
+            evict: Evicts runs for a share.
             now_s: The time of the round.
         """
         if self._order is None:
@@ -100,28 +97,30 @@
         granted = [task_names.parse(grant.task).step_key for grant in grants]
         workers = placement.index.workers
         self._end_claims(granted, waiting, workers.keys(), now_s)
-        self._update_metrics(now_s)
-        granted_keys = set(granted)
-        due = [
-            step
-            for step in self._order.due_steps
-            if step.waiting.key not in granted_keys
-            and not step.waiting.step.gang
-        ]
-        self._log_waits(due)
-        may_begin = [
-            step
+        due = self._find_due(set(granted))
+        if self._reporter.observe(self._order.statuses, due, now_s=now_s):
+            self._fruitless_count = 0
+        demands = [
+            reclaim_module.Demand(step.waiting, step.key)
             for step in due
             if self._claims.may_begin(step.key, now_s=now_s)
         ]
-        if not may_begin or now_s - self._searched_s < _SEARCH_INTERVAL_S:
+        if not demands or not self._may_search(len(workers), now_s):
             return
         self._searched_s = now_s
+        sample = self._sample_workers(workers, demands)
+        with replica.lock:
+            runs = {
+                free.agent: self._list_runs(
+                    replica.tables.jobs, agents.get(free.agent), evicted
+                )
+                for free in sample
+            }
         reclaims = reclaim_module.choose_reclaims(
-            [reclaim_module.Demand(s.waiting, s.key) for s in may_begin],
-            reclaim_module.Fleet(
-                workers=list(workers.values()),
-                runs=self._list_runs(jobs, workers, agents, orders),
+            demands,
+            fleet_module.Fleet(
+                workers=sample,
+                runs=runs,
                 statuses=self._statuses_with(waiting, granted),
                 claims=self._claims,
                 accepts=lambda step, free: placement.accepts(
@@ -130,33 +129,67 @@
                 now_s=now_s,
             ),
         )
-        self._begin(reclaims, evictor, now_s)
+        self._fruitless_count += len(sample)
+        if reclaims:
+            self._fruitless_count = 0
+            with replica.lock:
+                self._begin(replica.tables.jobs, reclaims, evict, now_s)
+
+    def _may_search(self, workers_count: int, now_s: float) -> bool:
+        """Returns whether to look for runs; rarely after all workers had none."""
+        is_fruitless = self._fruitless_count > workers_count
+        interval_s = _RETRY_INTERVAL_S if is_fruitless else _SEARCH_INTERVAL_S
+        return now_s - self._searched_s >= interval_s
+
+    def _find_due(
+        self, granted: Collection[task_names.StepKey]
+    ) -> list[share_order.DueStep]:
+        """Returns the steps for which runs may be evicted.
+
+        A gang needs several workers at once, for which no runs are evicted.
+        """
+        return [
+            due
+            for due in self._order.due_steps
+            if due.waiting.key not in granted and not due.waiting.step.gang
+        ]
+
+    def _sample_workers(
+        self,
+        workers: Mapping[str, free_capacity.FreeCapacity],
+        demands: Iterable[reclaim_module.Demand],
+    ) -> list[free_capacity.FreeCapacity]:
+        """Returns the next workers in turn of the pools that matter."""
+        pools = {demand.key.pool for demand in demands}
+        candidates = [
+            free for free in workers.values() if free.worker.pool in pools
+        ]
+        if len(candidates) <= _WORKERS_LIMIT:
+            return candidates
+        start = self._next_worker % len(candidates)
+        self._next_worker = start + _WORKERS_LIMIT
+        return [*candidates[start:], *candidates[:start]][:_WORKERS_LIMIT]
 
     def _begin(
         self,
+        jobs: job_tables.JobTables,
         reclaims: Sequence[reclaim_module.Reclaim],
-        evictor: evictor_module.Evictor,
+        evict: Callable[[Iterable[evictions.Eviction], str], None],
         now_s: float,
     ) -> None:
         for key in sorted({reclaim.claim.key for reclaim in reclaims}):
             own = [r for r in reclaims if r.claim.key == key]
-            evicted = [run for r in own for run in r.evicted]
+            evicted = [
+                evictions.Eviction(run.key, run.agent)
+                for reclaim in own
+                for run in reclaim.evicted
+                if run.key in jobs.runs_by_agent.get(run.agent, {})
+            ]
             if not self._claims.of_share(key):
-                logs.event(
-                    "share_reclaim_started",
-                    pool=key.pool,
-                    share=key.share,
-                    tasks_count=len(own),
-                    runs_count=len(evicted),
-                )
+                self._reporter.log_started(key, len(own), len(evicted))
             self._claims.begin([r.claim for r in own], now_s=now_s)
-            job_metrics.SHARE_RECLAIMED_RUNS.labels(key.pool, key.share).inc(
-                len(evicted)
-            )
-            evictor.evict_reclaimed(
-                [evictions.Eviction(run.key, run.agent) for run in evicted],
-                share=key.share,
-            )
+            self._reporter.count_evictions(key, len(evicted))
+            evict(evicted, key.share)
 
     def _end_claims(
         self,
@@ -172,49 +205,7 @@
             now_s=now_s,
         )
         for reclaim in ended:
-            logs.event(
-                "share_reclaim_ended",
-                pool=reclaim.key.pool,
-                share=reclaim.key.share,
-                took_ms=round(reclaim.took_s * 1000),
-                granted_count=reclaim.granted_count,
-                failed_count=reclaim.failed_count,
-            )
-
-    def _log_waits(self, due: Sequence[share_order.DueStep]) -> None:
-        """Logs the shares that begin to wait for their guarantee."""
-        waiting_shares = {step.key for step in due}
-        for key in sorted(waiting_shares - self._waiting_shares):
-            first = next(step for step in due if step.key == key)
-            status = self._order.statuses[key]
-            logs.event(
-                "share_waits",
-                pool=key.pool,
-                share=key.share,
-                usage_ratio=round(status.usage_ratio, 3),
-                guaranteed_ratio=status.guaranteed_ratio,
-                step=task_names.name_of_step(first.waiting.key),
-                waited_ms=round(first.waited_s * 1000),
-            )
-        self._waiting_shares = waiting_shares
-
-    def _update_metrics(self, now_s: float) -> None:
-        if now_s - self._measured_s < _METRICS_INTERVAL_S:
-            return
-        self._measured_s = now_s
-        statuses = self._order.statuses
-        for key in self._measured - statuses.keys():
-            labels = key.pool, key.share or _UNGUARANTEED_LABEL
-            job_metrics.SHARE_USAGE_RATIO.labels(*labels).set(0)
-        self._measured.update(statuses)
-        for key, status in statuses.items():
-            labels = key.pool, key.share or _UNGUARANTEED_LABEL
-            job_metrics.SHARE_USAGE_RATIO.labels(*labels).set(
-                status.usage_ratio
-            )
-            job_metrics.SHARE_GUARANTEED_RATIO.labels(*labels).set(
-                status.guaranteed_ratio
-            )
+            self._reporter.log_ended(reclaim)
 
     def _statuses_with(
         self,
@@ -234,41 +225,36 @@
     def _list_runs(
         self,
         jobs: job_tables.JobTables,
-        workers: Iterable[str],
-        agents: agents_module.Agents,
-        orders: orders_module.Orders,
-    ) -> dict[str, list[reclaim_module.RunningTask]]:
-        """Returns the runs on the workers where tasks may start, by agent."""
-        return {
-            agent: [
-                self._describe_run(jobs, agent, live, agents, orders)
-                for live in jobs.runs_by_agent.get(agent, {}).values()
-            ]
-            for agent in workers
-        }
+        view: agents_module.AgentView,
+        evicted: Set[task_names.RunKey],
+    ) -> list[fleet_module.RunningTask]:
+        """Returns the runs that may be alive on an agent's worker."""
+        return [
+            self._describe_run(jobs, view, live, evicted)
+            for live in jobs.runs_by_agent.get(view.name, {}).values()
+        ]
 
     def _describe_run(
         self,
         jobs: job_tables.JobTables,
-        agent: str,
+        view: agents_module.AgentView,
         live: job_tables.LiveRun,
-        agents: agents_module.Agents,
-        orders: orders_module.Orders,
-    ) -> reclaim_module.RunningTask:
+        evicted: Set[task_names.RunKey],
+    ) -> fleet_module.RunningTask:
         record = jobs.jobs[live.address.job_id]
         step = record.job.steps[live.address.step]
         task = job_tables.find_task(record, live.address)
         key = (live.task, live.run)
-        view = agents.get(agent)
-        sample = None if view is None else view.samples.get(key)
-        percent = 0 if sample is None else sample.percent
-        lost_ms = 0 if step.checkpointing else percent / 100 * step.estimated_ms
-        return reclaim_module.RunningTask(
+        sample = view.samples.get(key)
+        lost_ms = 0.0
+        if sample is not None and not step.checkpointing:
+            lost_ms = sample.percent / 100 * step.estimated_ms
+        return fleet_module.RunningTask(
             key=key,
-            agent=agent,
+            agent=view.name,
             step=step,
             share=self._settings.key_of(jobs.queue_of(record)),
-            is_ending=key in orders.evicted
+            is_ending=key in evicted
             or record.state in job_tables.ENDED
             or task is None
             or task.done,
--- a/marigoldsill/coordination/job_queueing/shares.py
+++ b/marigoldsill/coordination/job_queueing/shares.py
@@ -69,43 +69,42 @@
         return totals
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
 class ShareStatus:
-    """A share in one pool at a time.
+    """A share in one pool at a time; not changed once it is created.
 
     Attributes:
         guaranteed_ratio: The guaranteed part of the capacity; 0 for none.
         allocated: What its runs reserve.
         capacity: The capacity of the pool.
+        usage_ratio: The dominant share of the capacity that its runs reserve.
     """
 
-    guaranteed_ratio: float
-    allocated: ttypes.Resources
-    capacity: ttypes.Resources
+    __slots__ = ("allocated", "capacity", "guaranteed_ratio", "usage_ratio")
 
-    @property
-    def usage_ratio(self) -> float:
-        """The dominant share of the capacity that its runs reserve."""
-        return amounts.dominant_share(self.allocated, self.capacity)
+    def __init__(
+        self,
+        *,
+        guaranteed_ratio: float,
+        allocated: ttypes.Resources,
+        capacity: ttypes.Resources,
+    ):
+        self.guaranteed_ratio = guaranteed_ratio
+        self.allocated = allocated
+        self.capacity = capacity
+        self.usage_ratio = amounts.dominant_share(allocated, capacity)
 
     @property
     def is_covered(self) -> bool:
         """Whether its runs have at least what is guaranteed."""
-        return amounts.covers_share(
-            self.allocated, self.capacity, ratio=self.guaranteed_ratio
-        )
+        return amounts.is_at_least(self.usage_ratio, self.guaranteed_ratio)
 
     def add(self, resources: ttypes.Resources) -> "ShareStatus":
         """Returns the status with further resources allocated."""
-        return dataclasses.replace(
-            self, allocated=amounts.add(self.allocated, resources)
-        )
+        return self._with_allocated(amounts.add(self.allocated, resources))
 
     def subtract(self, resources: ttypes.Resources) -> "ShareStatus":
         """Returns the status with fewer resources allocated."""
-        return dataclasses.replace(
-            self, allocated=amounts.subtract(self.allocated, resources)
-        )
+        return self._with_allocated(amounts.subtract(self.allocated, resources))
 
     def may_reclaim(self, resources: ttypes.Resources) -> bool:
         """Whether other shares have to give back resources for one more task.
@@ -116,13 +115,17 @@
         """
         if not self.guaranteed_ratio:
             return False
-        return self.allocated == amounts.ZERO or amounts.within_share(
-            self.allocated,
-            self.capacity,
-            ratio=self.guaranteed_ratio,
-            demand=resources,
+        return self.allocated == amounts.ZERO or amounts.is_at_least(
+            self.guaranteed_ratio, self.add(resources).usage_ratio
         )
 
     def may_give_back(self, resources: ttypes.Resources) -> bool:
         """Whether its runs still have what is guaranteed without some resources."""
         return self.subtract(resources).is_covered
+
+    def _with_allocated(self, allocated: ttypes.Resources) -> "ShareStatus":
+        return ShareStatus(
+            guaranteed_ratio=self.guaranteed_ratio,
+            allocated=allocated,
+            capacity=self.capacity,
+        )
--- a/marigoldsill/coordination/job_queueing/usage.py
+++ b/marigoldsill/coordination/job_queueing/usage.py
@@ -86,7 +86,7 @@
 
 
 def _usage_of(record: ttypes.JobRecord, queue: ttypes.Queue) -> JobUsage:
-    cpu_millicores = memory_bytes = accelerators_count = runs_count = 0
+    resources, runs_count = amounts.ZERO, 0
     is_started = False
     for occurrence in record.open:
         for step, step_tasks in zip(
@@ -97,19 +97,14 @@
                 task.last_run for task in step_tasks.tasks
             )
             runs_count += count
-            required = step.resources
-            cpu_millicores += count * required.cpu_millicores
-            memory_bytes += count * required.memory_bytes
-            accelerators_count += count * required.accelerators_count
+            if count:
+                used = amounts.multiply(step.resources, count)
+                resources = amounts.add(resources, used)
     return JobUsage(
         queue=queue.name,
         pool=queue.pool,
         priority=queue.priority,
-        resources=ttypes.Resources(
-            cpu_millicores=cpu_millicores,
-            memory_bytes=memory_bytes,
-            accelerators_count=accelerators_count,
-        ),
+        resources=resources,
         runs_count=runs_count,
         is_started=is_started,
     )
--- a/marigoldsill/coordination/jobs/evictor.py
+++ b/marigoldsill/coordination/jobs/evictor.py
@@ -105,7 +105,7 @@
         )
 
     def evict_reclaimed(
-        self, runs: Iterable[evictions.Eviction], *, share: str
+        self, runs: Iterable[evictions.Eviction], share: str
     ) -> None:
         """Evicts runs of other queues for a share below its guarantee."""
         self._evict(
--- a/marigoldsill/coordination/jobs/job_metrics.py
+++ b/marigoldsill/coordination/jobs/job_metrics.py
@@ -75,18 +75,3 @@
 LIVE_AGENTS = prometheus_client.Gauge(
     "marigoldsill_agents_live", "Agents whose lease is live, on the leader."
 )
-SHARE_USAGE_RATIO = prometheus_client.Gauge(
-    "marigoldsill_share_usage_ratio",
-    "Dominant share of a pool that runs of a guaranteed share reserve.",
-    ("pool", "share"),
-)
-SHARE_GUARANTEED_RATIO = prometheus_client.Gauge(
-    "marigoldsill_share_guaranteed_ratio",
-    "Guaranteed part of a pool, by share.",
-    ("pool", "share"),
-)
-SHARE_RECLAIMED_RUNS = prometheus_client.Counter(
-    "marigoldsill_share_reclaimed_runs",
-    "Runs of other queues evicted for a share below its guarantee.",
-    ("pool", "share"),
-)
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import share_reclaimer
 from marigoldsill.coordination.job_queueing import usage as usage_module
 from marigoldsill.coordination.jobs import evictor
 from marigoldsill.coordination.jobs import job_metrics
@@ -26,7 +27,6 @@
 from marigoldsill.coordination.jobs import retention
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.jobs import service as service_module
-from marigoldsill.coordination.jobs import share_reclaimer
 from marigoldsill.coordination.jobs import ticket_manager
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.jobs import worker_refresher
@@ -204,16 +204,16 @@
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
             self._evictor.evict_slow(slow_evictions)
-            self._share_reclaimer.reclaim(
-                self._replica.tables.jobs,
-                waiting,
-                grants,
-                placement=self._placement,
-                agents=self._service.agents,
-                orders=self._service.orders,
-                evictor=self._evictor,
-                now_s=now_s,
-            )
+        self._share_reclaimer.reclaim(
+            self._replica,
+            waiting,
+            grants,
+            placement=self._placement,
+            agents=self._service.agents,
+            evicted=self._service.orders.evicted,
+            evict=self._evictor.evict_reclaimed,
+            now_s=now_s,
+        )
         # Capacity that `find_slow` reserved is free again until the task is granted there.
         self._worker_refresher.mark_stale(
             eviction.next_agent for eviction in slow_evictions
--- a/marigoldsill/state/amounts.py
+++ b/marigoldsill/state/amounts.py
@@ -7,7 +7,6 @@
 from marigoldsill.protocol.generated import ttypes
 
 ZERO = ttypes.Resources()
-# Tolerates rounding in comparisons of ratios.
 _RATIO_TOLERANCE = 1e-9
 
 _Key = TypeVar("_Key", bound=Hashable)
@@ -53,6 +52,15 @@
     )
 
 
+def multiply(amount: ttypes.Resources, count: int) -> ttypes.Resources:
+    """Returns an amount taken several times."""
+    return ttypes.Resources(
+        amount.cpu_millicores * count,
+        amount.memory_bytes * count,
+        amount.accelerators_count * count,
+    )
+
+
 def scale(
     amount: ttypes.Resources, *, cpu_ratio: float, memory_ratio: float
 ) -> ttypes.Resources:
@@ -108,30 +116,9 @@
     )
 
 
-def within_share(
-    allocated: ttypes.Resources,
-    total: ttypes.Resources,
-    *,
-    ratio: float,
-    demand: ttypes.Resources = ZERO,
-) -> bool:
-    """Whether the dominant share of allocated resources is at most a ratio.
-
-    Args:
-        allocated: The resources that a queue or several queues have.
-        total: The resources of all workers.
-        ratio: The share of the total to compare with.
-        demand: Further resources that are asked for.
-    """
-    share = dominant_share(add(allocated, demand), total)
-    return share <= ratio + _RATIO_TOLERANCE
-
-
-def covers_share(
-    allocated: ttypes.Resources, total: ttypes.Resources, *, ratio: float
-) -> bool:
-    """Whether the dominant share of allocated resources is at least a ratio."""
-    return dominant_share(allocated, total) >= ratio - _RATIO_TOLERANCE
+def is_at_least(ratio: float, limit: float) -> bool:
+    """Whether a ratio reaches a limit, with a tolerance for rounding."""
+    return ratio >= limit - _RATIO_TOLERANCE
 
 
 def describe(amount: ttypes.Resources) -> str:
--- a/tests/coordination/jobs/share_harness.py
+++ b/tests/coordination/jobs/share_harness.py
@@ -1,14 +1,16 @@
 """A leader with guaranteed shares, whose workers run tasks in simulated time."""
 
+import contextlib
+import types
+
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import share_reclaimer
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.coordination.job_queueing import usage as usage_module
-from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import scheduling_settings
-from marigoldsill.coordination.jobs import share_reclaimer
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.job_placing import leader_harness
@@ -55,6 +57,9 @@
         self.placed: dict[task_names.RunKey, str] = {}
         self._started_s: dict[task_names.RunKey, float] = {}
         self._evicted_s: dict[task_names.RunKey, float] = {}
+        self.replica = types.SimpleNamespace(
+            lock=contextlib.nullcontext(), tables=self.state.tables
+        )
         self.begin_term()
 
     def begin_term(self) -> None:
@@ -72,7 +77,7 @@
         self.reclaimer = share_reclaimer.ShareReclaimer(
             settings.shares, self.policies
         )
-        self.orders = orders_module.Orders()
+        self.stopping: set[task_names.RunKey] = set()
         self.placement = placement_module.Placement(
             interference=self.interference,
             health=self.health,
@@ -109,13 +114,13 @@
         grants = self.placement.place(offered, now_s=self.now_s)
         assert self.state.grant(*grants) == len(grants)
         self.reclaimer.reclaim(
-            jobs,
+            self.replica,
             waiting,
             grants,
             placement=self.placement,
             agents=self.views,
-            orders=self.orders,
-            evictor=self,
+            evicted=self.stopping,
+            evict=self._evict,
             now_s=self.now_s,
         )
         for grant in grants:
@@ -125,13 +130,11 @@
             self.granted_s.setdefault(job_id, self.now_s)
         return {grant.task: grant.agent for grant in grants}
 
-    def evict_reclaimed(
-        self, runs: list[evictions.Eviction], *, share: str
-    ) -> None:
+    def _evict(self, runs: list[evictions.Eviction], share: str) -> None:
         """Records evictions, in place of the leader's `Evictor`."""
         for run in runs:
-            assert run.key not in self.orders.evicted
-            self.orders.evicted.add(run.key)
+            assert run.key not in self.stopping
+            self.stopping.add(run.key)
             self.evicted.append((self.now_s, run))
             self._evicted_s[run.key] = self.now_s
 
@@ -190,7 +193,7 @@
     ) -> None:
         task, run = key
         del self._started_s[key]
-        self.orders.evicted.discard(key)
+        self.stopping.discard(key)
         self.record_end(builders.run_end(task, kind, run))
         job_id = task_names.parse(task).job_id
         record = self.state.tables.jobs.jobs[job_id]
