--- /dev/null
+++ b/tests/coordination/jobs/single_leader.py
@@ -0,0 +1,81 @@
+"""A leader with a single in-memory replica, to which agents report."""
+
+from collections.abc import Iterable
+
+from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.jobs import scheduler as scheduler_module
+from marigoldsill.coordination.jobs import scheduling_settings
+from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
+
+LEASE_MS = 7_000
+_DEFAULT_SETTINGS = scheduling_settings.SchedulingSettings()
+
+
+class Leader:
+    """A leader's scheduler and service, to which agents report."""
+
+    def __init__(
+        self,
+        settings: scheduling_settings.SchedulingSettings = _DEFAULT_SETTINGS,
+    ):
+        self.replica = replica_module.Replica(
+            member=ttypes.Member(
+                name="c1", address="", http_address="", data_centre="d"
+            )
+        )
+        self.scheduler = scheduler_module.JobScheduler(
+            replica=self.replica, job_retention_s=60.0, settings=settings
+        )
+        self.service = service_module.JobService(
+            replica=self.replica,
+            lease_ms=LEASE_MS,
+            on_change=self.scheduler.wake,
+        )
+        self.sequence = 0
+        self.service.replace_routing(builders.routing())
+
+    def report(
+        self,
+        agent: str,
+        cores: int = 4,
+        ends: Iterable[ttypes.RunEnd] = (),
+    ) -> ttypes.AgentReply:
+        self.sequence += 1
+        worker = ttypes.PoolWorker(
+            worker_id=f"{agent}-incarnation1",
+            pool=builders.POOL,
+            rack="r1",
+            labels=[],
+            capacity=ttypes.Resources(
+                cpu_millicores=cores * 1_000, memory_bytes=1 << 30
+            ),
+        )
+        return self.service.agent_report(
+            ttypes.AgentReport(
+                agent=agent,
+                incarnation=1,
+                sequence=self.sequence,
+                worker=worker,
+                ends=list(ends),
+                running=[],
+                worker_id=worker.worker_id,
+            )
+        )
+
+    def submit(
+        self, job_id: str, *steps: ttypes.Step, queue: str = builders.QUEUE
+    ) -> None:
+        address = ttypes.JobAddress(
+            host="jobs.example", path=f"/{queue}/{job_id}"
+        )
+        job = builders.job(job_id, *steps)
+        self.service.submit_job(address, job)
+
+    @property
+    def runs(self) -> dict[str, list[str]]:
+        """The tasks with a run, by agent."""
+        with self.replica.lock:
+            runs = self.replica.tables.jobs.runs_by_agent
+            return {a: sorted(t for t, _ in r) for a, r in runs.items()}
--- a/tests/coordination/jobs/test_scheduler.py
+++ b/tests/coordination/jobs/test_scheduler.py
@@ -6,80 +6,19 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import placement as placement_module
-from marigoldsill.coordination.jobs import scheduler as scheduler_module
-from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.protocol.generated import ttypes
 from tests import one_process
 from tests.coordination.jobs import builders
+from tests.coordination.jobs import single_leader
 
-_LEASE_MS = 7_000
 # Maximum time of a report. The round under test is blocked for longer.
 _REPORT_TIMEOUT_S = 1.0
 
 
-class _Leader:
-    """A leader's scheduler and service, to which agents report."""
-
-    def __init__(self):
-        self.replica = replica_module.Replica(
-            member=ttypes.Member(
-                name="c1", address="", http_address="", data_centre="d"
-            )
-        )
-        self.scheduler = scheduler_module.JobScheduler(
-            replica=self.replica, job_retention_s=60.0
-        )
-        self.service = service_module.JobService(
-            replica=self.replica,
-            lease_ms=_LEASE_MS,
-            on_change=self.scheduler.wake,
-        )
-        self.sequence = 0
-        self.service.replace_routing(builders.routing())
-
-    def report(self, agent: str, cores: int = 4) -> ttypes.AgentReply:
-        self.sequence += 1
-        worker = ttypes.PoolWorker(
-            worker_id=f"{agent}-incarnation1",
-            pool=builders.POOL,
-            rack="r1",
-            labels=[],
-            capacity=ttypes.Resources(
-                cpu_millicores=cores * 1_000, memory_bytes=1 << 30
-            ),
-        )
-        return self.service.agent_report(
-            ttypes.AgentReport(
-                agent=agent,
-                incarnation=1,
-                sequence=self.sequence,
-                worker=worker,
-                ends=[],
-                running=[],
-                worker_id=worker.worker_id,
-            )
-        )
-
-    def submit(self, job_id: str, *steps: ttypes.Step) -> None:
-        address = ttypes.JobAddress(
-            host="jobs.example", path=f"/{builders.QUEUE}/{job_id}"
-        )
-        job = builders.job(job_id, *steps)
-        self.service.submit_job(address, job)
-
-    @property
-    def runs(self) -> dict[str, list[str]]:
-        """The tasks with a run, by agent."""
-        with self.replica.lock:
-            runs = self.replica.tables.jobs.runs_by_agent
-            return {a: sorted(t for t, _ in r) for a, r in runs.items()}
-
-
 @pytest.fixture
-def leader() -> Iterator[_Leader]:
-    new_leader = _Leader()
+def leader() -> Iterator[single_leader.Leader]:
+    new_leader = single_leader.Leader()
     new_leader.scheduler.start(new_leader.service)
     yield new_leader
     new_leader.scheduler.stop()
@@ -89,7 +28,9 @@
     one_process.wait_until(condition, what=what)
 
 
-def test_waiting_tasks_are_granted_as_agents_report(leader: _Leader) -> None:
+def test_waiting_tasks_are_granted_as_agents_report(
+    leader: single_leader.Leader,
+) -> None:
     leader.submit("j1", builders.step(6))
     leader.report("a1", cores=4)
     _wait_for("four runs", lambda: len(leader.runs.get("a1", ())) == 4)
@@ -98,7 +39,7 @@
 
 
 def test_reports_do_not_wait_for_a_round(
-    leader: _Leader, monkeypatch: pytest.MonkeyPatch
+    leader: single_leader.Leader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against reports and submissions that wait for a round.
 
@@ -119,7 +60,7 @@
     answered = threading.Event()
 
     def call() -> None:
-        assert leader.report("a1").lease_ms == _LEASE_MS
+        assert leader.report("a1").lease_ms == single_leader.LEASE_MS
         leader.submit("j2")
         answered.set()
 
@@ -133,7 +74,7 @@
 
 
 def test_capacity_stays_reserved_while_the_outcome_of_a_grant_is_unknown(
-    leader: _Leader, monkeypatch: pytest.MonkeyPatch
+    leader: single_leader.Leader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     lost_grants: list[dict] = []
     propose = leader.service.propose
