--- a/tests/coordination/jobs/share_harness.py
+++ b/tests/coordination/jobs/share_harness.py
@@ -1,6 +1,7 @@
 """A leader with guaranteed shares, whose workers run tasks in simulated time."""
 
 import contextlib
+import math
 import types
 
 from marigoldsill.coordination.job_placing import backlog as backlog_module
@@ -17,7 +18,7 @@
 from tests.coordination.jobs import builders
 
 ROUND_S = 0.05
-# Time in which a worker stops an evicted run.
+# Maximum time in which a worker stops an evicted run; every other run stops earlier.
 STOP_S = 0.2
 
 
@@ -56,7 +57,7 @@
         self.unreachable: set[str] = set()
         self.placed: dict[task_names.RunKey, str] = {}
         self._started_s: dict[task_names.RunKey, float] = {}
-        self._evicted_s: dict[task_names.RunKey, float] = {}
+        self._stops_s: dict[task_names.RunKey, float] = {}
         self.replica = types.SimpleNamespace(
             lock=contextlib.nullcontext(), tables=self.state.tables
         )
@@ -136,7 +137,8 @@
             assert run.key not in self.stopping
             self.stopping.add(run.key)
             self.evicted.append((self.now_s, run))
-            self._evicted_s[run.key] = self.now_s
+            stop_s = STOP_S if len(self.evicted) % 2 else STOP_S / 2
+            self._stops_s[run.key] = self.now_s + stop_s
 
     def advance(self, duration_s: float) -> None:
         """Runs rounds for some time."""
@@ -179,8 +181,7 @@
             if self.placed[key] in self.unreachable:
                 continue
             run_step = jobs.step_of(key[0])
-            stop_s = self._evicted_s.get(key, self.now_s) + STOP_S
-            if self.now_s >= stop_s - 1e-6:
+            if self.now_s >= self._stops_s.get(key, math.inf) - 1e-6:
                 self._record_end(key, ttypes.RunEndKind.STOPPED)
             elif run_step is None or (
                 not run_step.long_running
