Count all evicted runs of a share before it gives back more

Cause: a search looks at some workers only and forgot the runs evicted on others, which use capacity until they end: with 64 workers and slow stops a share gave back 8 runs where 4 were above its guarantee. Change: what all evicted runs reserve is subtracted first. The reclaim runs after the grants are proposed, so a search delays no grant.

--- a/marigoldsill/coordination/job_queueing/reclaim.py
+++ b/marigoldsill/coordination/job_queueing/reclaim.py
@@ -9,7 +9,6 @@
 from collections.abc import Sequence
 import dataclasses
 
-from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_queueing import claims as claims_module
 from marigoldsill.coordination.job_queueing import reclaim_fleet as fleet_module
@@ -22,19 +21,6 @@
 _EVICTIONS_LIMIT = 8
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Demand:
-    """Tasks of one step that a share may reclaim capacity for.
-
-    Attributes:
-        waiting: The step.
-        key: Its share.
-    """
-
-    waiting: backlog_module.WaitingStep
-    key: shares_module.ShareKey
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reclaim:
     """The runs to evict on one worker for one task.
@@ -49,15 +35,15 @@
 
 
 def choose_reclaims(
-    demands: Iterable[Demand], fleet: fleet_module.Fleet
+    due_steps: Iterable[fleet_module.DueStep], fleet: fleet_module.Fleet
 ) -> list[Reclaim]:
     """Returns the runs to evict now, as few as the waiting tasks need.
 
     Args:
-        demands: The tasks for which capacity may be reclaimed, the first one first.
+        due_steps: The steps for which capacity may be reclaimed, in order.
         fleet: The workers, their runs and the shares.
     """
-    return _Chooser(fleet).choose(demands)
+    return _Chooser(fleet).choose(due_steps)
 
 
 class _Chooser:
@@ -74,43 +60,43 @@
             for claim in fleet.claims.of_share(key):
                 status = status.add(claim.step.resources)
             self._claimants[key] = status
-        for runs in fleet.runs.values():
-            for run in runs:
-                if run.is_ending:
-                    self._give_back(run)
+        for key, resources in fleet.ending.items():
+            self._givers[key] = self._givers[key].subtract(resources)
 
-    def choose(self, demands: Iterable[Demand]) -> list[Reclaim]:
+    def choose(
+        self, due_steps: Iterable[fleet_module.DueStep]
+    ) -> list[Reclaim]:
         """Returns the runs to evict for tasks that wait."""
         chosen: list[Reclaim] = []
         unmet: set[tuple] = set()
-        for demand in demands:
-            if _class_of(demand) in unmet:
+        for due in due_steps:
+            if _class_of(due) in unmet:
                 continue
-            for _ in range(self._unclaimed_count(demand)):
+            for _ in range(self._unclaimed_count(due)):
                 if len(self._evicted_keys) >= _EVICTIONS_LIMIT:
                     return chosen
-                reclaim = self._choose_for_task(demand)
+                reclaim = self._choose_for_task(due)
                 if reclaim is None:
-                    unmet.add(_class_of(demand))
+                    unmet.add(_class_of(due))
                     break
                 chosen.append(reclaim)
         return chosen
 
-    def _unclaimed_count(self, demand: Demand) -> int:
+    def _unclaimed_count(self, due: fleet_module.DueStep) -> int:
         claimed_count = sum(
-            claim.step_key == demand.waiting.key
-            for claim in self._fleet.claims.of_share(demand.key)
+            claim.step_key == due.waiting.key
+            for claim in self._fleet.claims.of_share(due.key)
         )
-        return len(demand.waiting.waiting_indexes) - claimed_count
+        return len(due.waiting.waiting_indexes) - claimed_count
 
-    def _choose_for_task(self, demand: Demand) -> Reclaim | None:
-        resources = demand.waiting.step.resources
-        if not self._claimants[demand.key].may_reclaim(resources):
+    def _choose_for_task(self, due: fleet_module.DueStep) -> Reclaim | None:
+        resources = due.waiting.step.resources
+        if not self._claimants[due.key].may_reclaim(resources):
             return None
         options = [
             (_cost_of(evicted), free.agent, evicted)
             for free in self._fleet.workers
-            if (evicted := self._evictions_on(free, demand)) is not None
+            if (evicted := self._evictions_on(free, due)) is not None
         ]
         if not options:
             return None
@@ -119,20 +105,20 @@
         for run in evicted:
             self._give_back(run)
             self._spares[agent].change(run.step, sign=1)
-        self._spares[agent].change(demand.waiting.step, sign=-1)
-        status = self._claimants[demand.key]
-        self._claimants[demand.key] = status.add(resources)
+        self._spares[agent].change(due.waiting.step, sign=-1)
+        status = self._claimants[due.key]
+        self._claimants[due.key] = status.add(resources)
         claim = claims_module.Claim(
-            demand.key, demand.waiting.key, demand.waiting.step, agent
+            due.key, due.waiting.key, due.waiting.step, agent
         )
         return Reclaim(claim, evicted)
 
     def _evictions_on(
-        self, free: free_capacity.FreeCapacity, demand: Demand
+        self, free: free_capacity.FreeCapacity, due: fleet_module.DueStep
     ) -> list[fleet_module.RunningTask] | None:
         """Returns the runs to evict on a worker so that a task fits, or None."""
-        step = demand.waiting.step
-        if not self._may_use(free, demand):
+        step = due.waiting.step
+        if not self._may_use(free, due):
             return None
         spare = self._spare_of(free)
         if spare.fits(step):
@@ -144,7 +130,7 @@
         evicted: list[fleet_module.RunningTask] = []
         runs = self._fleet.runs.get(free.agent, ())
         for run in sorted(runs, key=lambda run: run.eviction_order):
-            if run.share == demand.key or not self._is_available(run):
+            if run.share == due.key or not self._is_available(run):
                 continue
             giver = givers.get(run.share, self._givers.get(run.share))
             if giver is None or not giver.may_give_back(run.step.resources):
@@ -157,11 +143,11 @@
         return None
 
     def _may_use(
-        self, free: free_capacity.FreeCapacity, demand: Demand
+        self, free: free_capacity.FreeCapacity, due: fleet_module.DueStep
     ) -> bool:
-        step, worker = demand.waiting.step, free.worker
+        step, worker = due.waiting.step, free.worker
         return (
-            worker.pool == demand.key.pool
+            worker.pool == due.key.pool
             and not worker.draining
             and free.starts_limit is None
             and (
@@ -170,7 +156,7 @@
             and not self._fleet.claims.avoids(
                 free.agent, now_s=self._fleet.now_s
             )
-            and self._fleet.accepts(demand.waiting, free)
+            and self._fleet.accepts(due.waiting, free)
         )
 
     def _is_available(self, run: fleet_module.RunningTask) -> bool:
@@ -201,12 +187,12 @@
             self._givers[run.share] = giver.subtract(run.step.resources)
 
 
-def _class_of(demand: Demand) -> tuple:
+def _class_of(due: fleet_module.DueStep) -> tuple:
     """Returns all that decides on which workers a task could start."""
-    waiting = demand.waiting
+    waiting = due.waiting
     needs_own_class = waiting.step.spread_limit or waiting.queue.advised
     return (
-        demand.key,
+        due.key,
         waiting.step.resources.cpu_millicores,
         waiting.step.resources.memory_bytes,
         waiting.step.resources.accelerators_count,
--- a/marigoldsill/coordination/job_queueing/reclaim_fleet.py
+++ b/marigoldsill/coordination/job_queueing/reclaim_fleet.py
@@ -17,6 +17,21 @@
 _RUNS_LIMIT = 3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DueStep:
+    """A waiting step that is guaranteed capacity and has found none for a while.
+
+    Attributes:
+        waiting: The step.
+        key: Its share.
+        waited_s: How long it has found no capacity.
+    """
+
+    waiting: backlog_module.WaitingStep
+    key: shares_module.ShareKey
+    waited_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunningTask:
     """A run that may be alive on a worker.
@@ -60,9 +75,10 @@
     """What a decision is based on.
 
     Attributes:
-        workers: The free capacity of the workers on which tasks may start.
-        runs: The runs on each worker.
+        workers: The free capacity of some workers on which tasks may start.
+        runs: The runs on each of these workers.
         statuses: What each share uses and is guaranteed.
+        ending: What each share will give back by runs that have to stop.
         claims: What is being reclaimed already.
         accepts: Whether a step may start on a worker apart from its capacity.
         now_s: The time now.
@@ -71,6 +87,7 @@
     workers: Sequence[free_capacity.FreeCapacity]
     runs: Mapping[str, Sequence[RunningTask]]
     statuses: Mapping[shares_module.ShareKey, shares_module.ShareStatus]
+    ending: Mapping[shares_module.ShareKey, ttypes.Resources]
     claims: claims_module.Claims
     accepts: Callable[
         [backlog_module.WaitingStep, free_capacity.FreeCapacity], bool
--- a/marigoldsill/coordination/job_queueing/share_order.py
+++ b/marigoldsill/coordination/job_queueing/share_order.py
@@ -14,6 +14,7 @@
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_queueing import guaranteed_offers
 from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import reclaim_fleet
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.state import amounts
@@ -23,21 +24,6 @@
 _AGED_S = 20.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DueStep:
-    """A waiting step that is guaranteed capacity and has found none for a while.
-
-    Attributes:
-        waiting: The step.
-        key: Its share.
-        waited_s: How long it has found no capacity.
-    """
-
-    waiting: backlog_module.WaitingStep
-    key: shares_module.ShareKey
-    waited_s: float
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Wait:
     """Since when a step has found no capacity.
@@ -76,7 +62,7 @@
         self.statuses: dict[
             shares_module.ShareKey, shares_module.ShareStatus
         ] = {}
-        self.due_steps: list[DueStep] = []
+        self.due_steps: list[reclaim_fleet.DueStep] = []
         self._waits: dict[task_names.StepKey, _Wait] = {}
         self._progress = guaranteed_offers.Progress()
 
@@ -141,7 +127,9 @@
             for step in itertools.chain.from_iterable(below.values())
         }
         self.due_steps = [
-            DueStep(step, self._settings.key_of(step.queue), waited_s)
+            reclaim_fleet.DueStep(
+                step, self._settings.key_of(step.queue), waited_s
+            )
             for step in guaranteed.steps
             if (waited_s := now_s - self._waits[step.key].since_s)
             >= self._settings.reclaim_s
--- a/marigoldsill/coordination/job_queueing/share_reclaimer.py
+++ b/marigoldsill/coordination/job_queueing/share_reclaimer.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from collections.abc import Set
+import itertools
 
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import agents as agents_module
@@ -22,6 +23,7 @@
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.state import job_tables
 
 # Minimum time between two searches for runs to evict, and how many workers each looks
@@ -100,35 +102,37 @@
         due = self._find_due(set(granted))
         if self._reporter.observe(self._order.statuses, due, now_s=now_s):
             self._fruitless_count = 0
-        demands = [
-            reclaim_module.Demand(step.waiting, step.key)
+        allowed = [
+            step
             for step in due
             if self._claims.may_begin(step.key, now_s=now_s)
         ]
-        if not demands or not self._may_search(len(workers), now_s):
+        if not allowed or not self._may_search(len(workers), now_s):
             return
         self._searched_s = now_s
-        sample = self._sample_workers(workers, demands)
+        sample = self._sample_workers(workers, allowed)
+        statuses = self._statuses_with(waiting, granted)
         with replica.lock:
+            jobs = replica.tables.jobs
             runs = {
                 free.agent: self._list_runs(
-                    replica.tables.jobs, agents.get(free.agent), evicted
+                    jobs, agents.get(free.agent), evicted
                 )
                 for free in sample
             }
-        reclaims = reclaim_module.choose_reclaims(
-            demands,
-            fleet_module.Fleet(
-                workers=sample,
-                runs=runs,
-                statuses=self._statuses_with(waiting, granted),
-                claims=self._claims,
-                accepts=lambda step, free: placement.accepts(
-                    step, free, now_s=now_s
-                ),
-                now_s=now_s,
+            ending = self._sum_ending(jobs, evicted, runs)
+        fleet = fleet_module.Fleet(
+            workers=sample,
+            runs=runs,
+            statuses=statuses,
+            ending={k: v for k, v in ending.items() if k in statuses},
+            claims=self._claims,
+            accepts=lambda step, free: placement.accepts(
+                step, free, now_s=now_s
             ),
+            now_s=now_s,
         )
+        reclaims = reclaim_module.choose_reclaims(allowed, fleet)
         self._fruitless_count += len(sample)
         if reclaims:
             self._fruitless_count = 0
@@ -143,7 +147,7 @@
 
     def _find_due(
         self, granted: Collection[task_names.StepKey]
-    ) -> list[share_order.DueStep]:
+    ) -> list[fleet_module.DueStep]:
         """Returns the steps for which runs may be evicted.
 
         A gang needs several workers at once, for which no runs are evicted.
@@ -157,10 +161,10 @@
     def _sample_workers(
         self,
         workers: Mapping[str, free_capacity.FreeCapacity],
-        demands: Iterable[reclaim_module.Demand],
+        due: Iterable[fleet_module.DueStep],
     ) -> list[free_capacity.FreeCapacity]:
         """Returns the next workers in turn of the pools that matter."""
-        pools = {demand.key.pool for demand in demands}
+        pools = {step.key.pool for step in due}
         candidates = [
             free for free in workers.values() if free.worker.pool in pools
         ]
@@ -234,6 +238,29 @@
             for live in jobs.runs_by_agent.get(view.name, {}).values()
         ]
 
+    def _sum_ending(
+        self,
+        jobs: job_tables.JobTables,
+        evicted: Iterable[task_names.RunKey],
+        runs: Mapping[str, Iterable[fleet_module.RunningTask]],
+    ) -> dict[shares_module.ShareKey, ttypes.Resources]:
+        """Returns what evicted runs, and others that have to stop, reserve."""
+        ending = {
+            run.key: (run.share, run.step)
+            for run in itertools.chain.from_iterable(runs.values())
+            if run.is_ending
+        }
+        for key in evicted:
+            address = task_names.parse(key[0])
+            step = jobs.step_at(address)
+            if step is not None and key not in ending:
+                queue = jobs.queue_of(jobs.jobs[address.job_id])
+                ending[key] = (self._settings.key_of(queue), step)
+        totals: dict[shares_module.ShareKey, ttypes.Resources] = {}
+        for share, step in ending.values():
+            amounts.add_to(totals, share, step.resources)
+        return totals
+
     def _describe_run(
         self,
         jobs: job_tables.JobTables,
--- a/marigoldsill/coordination/job_queueing/share_reporter.py
+++ b/marigoldsill/coordination/job_queueing/share_reporter.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 
 from marigoldsill.coordination.job_queueing import claims as claims_module
+from marigoldsill.coordination.job_queueing import reclaim_fleet
 from marigoldsill.coordination.job_queueing import share_metrics
-from marigoldsill.coordination.job_queueing import share_order
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.transport import logs
@@ -38,7 +38,7 @@
     def observe(
         self,
         statuses: Mapping[shares_module.ShareKey, shares_module.ShareStatus],
-        due: Sequence[share_order.DueStep],
+        due: Sequence[reclaim_fleet.DueStep],
         *,
         now_s: float,
     ) -> bool:
@@ -118,7 +118,7 @@
 
 
 def _log_wait(
-    step: share_order.DueStep, status: shares_module.ShareStatus
+    step: reclaim_fleet.DueStep, status: shares_module.ShareStatus
 ) -> None:
     logs.event(
         "share_waits",
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -204,6 +204,11 @@
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
             self._evictor.evict_slow(slow_evictions)
+        # Capacity that `find_slow` reserved is free again until the task is granted there.
+        self._worker_refresher.mark_stale(
+            eviction.next_agent for eviction in slow_evictions
+        )
+        self._propose_grants(grants)
         self._share_reclaimer.reclaim(
             self._replica,
             waiting,
@@ -214,11 +219,6 @@
             evict=self._evictor.evict_reclaimed,
             now_s=now_s,
         )
-        # Capacity that `find_slow` reserved is free again until the task is granted there.
-        self._worker_refresher.mark_stale(
-            eviction.next_agent for eviction in slow_evictions
-        )
-        self._propose_grants(grants)
         if due_occurrences:
             self._begin_occurrences(due_occurrences)
         if learning_record is not None:
--- a/tests/coordination/job_queueing/test_reclaim.py
+++ b/tests/coordination/job_queueing/test_reclaim.py
@@ -54,22 +54,26 @@
         self.runs = {f"a{n}": [] for n in range(1, workers_count + 1)}
         for run in runs:
             self.runs[run.agent].append(run)
+        self.ending: dict[shares_module.ShareKey, ttypes.Resources] = {}
         self.accepted = set(self.runs)
         self.draining: set[str] = set()
 
     def choose(
         self, *steps: ttypes.Step, tasks_count: int = 1
     ) -> list[reclaim_module.Reclaim]:
-        demands = [
-            reclaim_module.Demand(_waiting(step, number, tasks_count), _REPORTS)
+        due_steps = [
+            reclaim_fleet.DueStep(
+                _waiting(step, number, tasks_count), _REPORTS, waited_s=2.0
+            )
             for number, step in enumerate(steps)
         ]
         return reclaim_module.choose_reclaims(
-            demands,
+            due_steps,
             reclaim_fleet.Fleet(
                 workers=[self._free(agent) for agent in self.runs],
                 runs=self.runs,
                 statuses=self._statuses(),
+                ending=self.ending,
                 claims=self.claims,
                 accepts=lambda waiting, free: free.agent in self.accepted,
                 now_s=100.0,
@@ -217,6 +221,9 @@
     runs = [_run(f"o{number}", share=_OTHER) for number in range(2)]
     fleet = _Fleet(*runs, _run("lc", step=_step(2, long_running=True)))
     assert len(_names(fleet.choose(_step(), tasks_count=2))) == 1
+    # Its runs on other workers have to stop.
+    fleet.ending[_OTHER] = leader_harness.resources(1)
+    assert fleet.choose(_step()) == []
 
 
 def test_some_runs_are_never_evicted() -> None:
--- a/tests/coordination/jobs/test_shares_under_load.py
+++ b/tests/coordination/jobs/test_shares_under_load.py
@@ -178,6 +178,36 @@
     assert len(leader.evicted) == 16
 
 
+def test_no_share_loses_its_guarantee_to_evictions_on_many_workers() -> None:
+    """Guards against evictions that forget those on workers looked at before.
+
+    Each search for runs looks at some of the workers only.
+    """
+    leader = _create({_REPORTS: 0.5, _OTHER: 0.25}, workers_count=0)
+    for number in range(64):
+        label = "first" if number < 32 else "second"
+        leader.set_worker(f"a{number}", cores=1, labels=[label])
+    for label in ("first", "second"):
+        step = share_harness.step(
+            10, run_s=600, checkpointing=True, required_label=label
+        )
+        leader.submit(f"o-{label}", step, queue=_OTHER)
+    leader.run_round()
+    leader.submit("f", share_harness.step(64, run_s=600), queue=_FLOOD)
+    leader.advance(0.2)
+    step = share_harness.step(64, run_s=600)
+    leader.submit("r", step, queue=_REPORTS)
+    # All evictions are decided before the first one has an effect.
+    leader.unreachable.update(leader.views)
+    leader.advance(4)
+    leader.unreachable.clear()
+    leader.advance(1)
+    evicted = [run.key[0][0] for _, run in leader.evicted]
+    assert (evicted.count("o"), evicted.count("f")) == (4, 28)
+    assert len(leader.run_ids(_OTHER)) == 16
+    assert len(leader.run_ids(_REPORTS)) == 32
+
+
 def test_a_large_task_gets_a_worker_without_ping_pong() -> None:
     """Guards against evicted runs that return into the capacity they gave back.
 
