Reclaim for the rest of a step that gets single tasks

Cause: a step's clock began anew with each task that was granted, so a wide step that got one task a second never reached the time after which its share is given back. Change: the clock runs while the share is below its guarantee and tasks of the step wait.

--- a/marigoldsill/coordination/job_queueing/reclaim_fleet.py
+++ b/marigoldsill/coordination/job_queueing/reclaim_fleet.py
@@ -19,12 +19,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DueStep:
-    """A waiting step that is guaranteed capacity and has found none for a while.
+    """A step some of whose tasks wait in spite of a guarantee, and have for a while.
 
     Attributes:
         waiting: The step.
         key: Its share.
-        waited_s: How long it has found no capacity.
+        waited_s: How long it has waited while its share was below its guarantee.
     """
 
     waiting: backlog_module.WaitingStep
--- a/marigoldsill/coordination/job_queueing/share_order.py
+++ b/marigoldsill/coordination/job_queueing/share_order.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 import itertools
 import math
 
@@ -24,19 +23,6 @@
 _AGED_S = 20.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Wait:
-    """Since when a step has found no capacity.
-
-    Attributes:
-        tasks_count: Number of its waiting tasks.
-        since_s: When no task of it had been granted for the first time.
-    """
-
-    tasks_count: int
-    since_s: float
-
-
 class ShareOrder(offer_policies.OfferPolicy):
     """Offers steps of shares below their guarantee first, then all others.
 
@@ -63,7 +49,7 @@
             shares_module.ShareKey, shares_module.ShareStatus
         ] = {}
         self.due_steps: list[reclaim_fleet.DueStep] = []
-        self._waits: dict[task_names.StepKey, _Wait] = {}
+        self._waiting_since_s: dict[task_names.StepKey, float] = {}
         self._progress = guaranteed_offers.Progress()
 
     def offer(
@@ -121,9 +107,9 @@
         guaranteed: guaranteed_offers.GuaranteedOffers,
         now_s: float,
     ) -> None:
-        before = self._waits
-        self._waits = {
-            step.key: _wait_of(step, before.get(step.key), now_s)
+        before = self._waiting_since_s
+        self._waiting_since_s = {
+            step.key: before.get(step.key, now_s)
             for step in itertools.chain.from_iterable(below.values())
         }
         self.due_steps = [
@@ -131,22 +117,11 @@
                 step, self._settings.key_of(step.queue), waited_s
             )
             for step in guaranteed.steps
-            if (waited_s := now_s - self._waits[step.key].since_s)
+            if (waited_s := now_s - self._waiting_since_s[step.key])
             >= self._settings.reclaim_s
         ]
 
 
-def _wait_of(
-    step: backlog_module.WaitingStep, before: _Wait | None, now_s: float
-) -> _Wait:
-    tasks_count = len(step.waiting_indexes)
-    if before is None or tasks_count < before.tasks_count:
-        return _Wait(tasks_count, now_s)
-    if tasks_count == before.tasks_count:
-        return before
-    return _Wait(tasks_count, before.since_s)
-
-
 def _choose_aged(
     steps: Iterable[backlog_module.WaitingStep], now_s: float
 ) -> list[backlog_module.WaitingStep]:
--- a/tests/coordination/job_queueing/test_share_order.py
+++ b/tests/coordination/job_queueing/test_share_order.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-import pytest
-
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_queueing import offer_policies
@@ -213,18 +211,24 @@
     assert sum(len(step.waiting_indexes) for step in offered) == 6
 
 
-@pytest.mark.parametrize(("granted_count", "is_due"), [(0, True), (1, False)])
-def test_a_step_is_due_once_no_task_was_granted_for_a_while(
-    granted_count: int, is_due: bool
-) -> None:
+def test_a_step_is_due_once_its_tasks_have_waited_for_their_guarantee() -> None:
+    """Grants of some tasks do not help the others, which wait on."""
     policy = _policy(reports=0.3)
     step = _waiting("r", "reports", 5)
     _offer(policy, [step], now_s=100.0)
-    step.waiting_indexes = step.waiting_indexes[granted_count:]
-    _offer(policy, [step], now_s=101.5)
+    step.waiting_indexes = step.waiting_indexes[1:]
+    _offer(policy, [step], {"reports": 1}, now_s=101.9)
     assert policy.due_steps == []
-    _offer(policy, [step], now_s=102.0)
-    assert [due.waited_s for due in policy.due_steps] == [2.0] * is_due
+    _offer(policy, [step], {"reports": 1}, now_s=102.0)
+    assert [due.waited_s for due in policy.due_steps] == [2.0]
+
+
+def test_a_step_waits_anew_after_its_share_had_its_guarantee() -> None:
+    policy = _policy(reports=0.3)
+    step = _waiting("r", "reports", 5)
+    for now_s, cores in ((100.0, 0), (101.0, 3), (102.0, 2), (103.9, 2)):
+        _offer(policy, [step], {"reports": cores}, now_s=now_s)
+        assert policy.due_steps == []
 
 
 def test_a_step_of_a_share_with_its_guarantee_is_never_due() -> None:
--- a/tests/coordination/jobs/test_shares_under_load.py
+++ b/tests/coordination/jobs/test_shares_under_load.py
@@ -125,6 +125,33 @@
     assert len(leader.run_ids(_FLOOD)) == 24
 
 
+def test_a_share_that_gets_little_by_itself_is_given_the_rest() -> None:
+    """Runs of the flood end one by one, one a second."""
+    leader = _create({_REPORTS: 0.5})
+    for number in range(32):
+        step = share_harness.step(run_s=1.5 + number)
+        leader.submit(f"f{number}", step, queue=_FLOOD)
+    leader.advance(1)
+    leader.submit("f", share_harness.step(64, run_s=60), queue=_FLOOD)
+    leader.submit("r", share_harness.step(64, run_s=60), queue=_REPORTS)
+    leader.advance(1.5)
+    assert 1 <= len(leader.run_ids(_REPORTS)) <= 2
+    leader.advance(0.5 + 2 * _RECLAIM_MARGIN_S)
+    assert len(leader.run_ids(_REPORTS)) == 16
+
+
+def test_shares_whose_short_runs_turn_over_cost_no_evictions() -> None:
+    leader = _create({_REPORTS: 0.3, _OTHER: 0.3})
+    for second in range(10):
+        for queue, run_s in ((_FLOOD, 0.7), (_REPORTS, 0.33), (_OTHER, 0.41)):
+            step = share_harness.step(100, run_s=run_s)
+            leader.submit(f"{queue}{second}", step, queue=queue)
+        leader.advance(1)
+    counts = [len(leader.run_ids(q)) for q in (_FLOOD, _REPORTS, _OTHER)]
+    assert counts == [12, 10, 10]
+    assert leader.evicted == []
+
+
 def test_no_more_is_given_back_than_the_guarantee() -> None:
     leader = _create({_REPORTS: 0.25})
     _borrow_all(leader)
