--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -10,6 +10,7 @@
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
@@ -51,7 +52,20 @@
             is_enabled=settings.admission == "on",
             waiting_jobs_limit=settings.waiting_jobs_limit,
             waiting_bytes_limit=settings.waiting_bytes_limit,
-        )
+        ),
+        shares=_shares_of(settings),
+    )
+
+
+def _shares_of(
+    settings: settings_module.PlatformEdgeSettings,
+) -> shares_module.ShareSettings | None:
+    shares = settings.queue_shares.shares
+    if not shares:
+        return None
+    return shares_module.ShareSettings(
+        ratios={share.name: share.ratio for share in shares},
+        reclaim_s=settings.share_reclaim_s,
     )
 
 
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -22,6 +22,7 @@
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import share_reclaimer
 from marigoldsill.coordination.job_queueing import usage as usage_module
 from marigoldsill.coordination.jobs import evictor
 from marigoldsill.coordination.jobs import job_metrics
@@ -96,6 +97,7 @@
         self._applied_grants: list[ttypes.RunGrant] = []
         self._offer_policies: list[offer_policies.OfferPolicy] = []
         self._usage = usage_module.Usage()
+        self._share_reclaimer: share_reclaimer.ShareReclaimer | None = None
         self._lease_monitor: lease_monitor.LeaseMonitor | None = None
         self._load = leader_load.LeaderLoad()
         self._woken_s = 0.0
@@ -221,6 +223,16 @@
             eviction.next_agent for eviction in slow_evictions
         )
         self._propose_grants(grants)
+        self._share_reclaimer.reclaim(
+            self._replica,
+            waiting,
+            grants,
+            placement=self._placement,
+            agents=self._service.agents,
+            evicted=self._service.orders.evicted,
+            evict=self._evictor.evict_reclaimed,
+            now_s=now_s,
+        )
         if due_occurrences:
             self._begin_occurrences(due_occurrences)
         if learning_record is not None:
@@ -362,6 +374,9 @@
         )
         self._usage = usage_module.Usage()
         self._offer_policies = self._settings.create_offer_policies()
+        self._share_reclaimer = share_reclaimer.ShareReclaimer(
+            self._settings.shares, self._offer_policies
+        )
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
         self._run_time_sampler = run_time_sampler.RunTimeSampler()
@@ -384,6 +399,7 @@
             health=self._health,
             tickets=self._ticket_manager.tickets,
             is_live=self._service.leases.is_live,
+            admits=self._share_reclaimer.admits,
         )
         self._worker_refresher = worker_refresher.WorkerRefresher(
             agents=self._service.agents,
