--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 
+from experiments import simulation
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import load_trends
 from marigoldsill.coordination.job_placing import interference_model
@@ -15,6 +16,7 @@
 from marigoldsill.coordination.job_placing import relocation
 from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import urgency
+from marigoldsill.coordination.job_queueing import job_concurrency
 from marigoldsill.coordination.learning import utilization
 
 Policy = Callable[[], contextlib.AbstractContextManager]
@@ -44,6 +46,12 @@
     return lambda: patched_attributes(**{name: (module, value)})
 
 
+def _limit_concurrency(setting: str) -> Policy:
+    """Installs the limit on jobs under way that a value of the setting names."""
+    factory = job_concurrency.create_factory(setting)
+    return _patch(simulation, "create_offer_policies", lambda: [factory()])
+
+
 def _rank_by_arrival(_self, job, queue, _occurrence, **_: object):
     return urgency.Rank(queue.priority, False, job.accepted_unix_ms)
 
@@ -151,4 +159,8 @@
     "wide-prior": _patch(utilization, "_PAIR_VARIANCE", 0.02),
     "serving-apart": _patch(scoring, "score", _score_images_apart),
 }
-POLICIES = _BASELINES | ABLATION | _VARIANTS
+_CONCURRENCY: dict[str, Policy] = {
+    setting: _limit_concurrency(setting)
+    for setting in ("count:4", "count:8", "count:16", "predicted-end")
+}
+POLICIES = _BASELINES | ABLATION | _VARIANTS | _CONCURRENCY
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -6,6 +6,7 @@
 worker after `_CALL_DELAY_S`.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import itertools
@@ -27,6 +28,8 @@
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import usage as usage_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import state_machine
@@ -45,6 +48,9 @@
 _DRAIN_SHARE = 0.25
 _GIB = 1 << 30
 
+# Creates the offer policies of a simulation, which `policies.POLICIES` may replace.
+create_offer_policies: Callable[[], list[offer_policies.OfferPolicy]] = list
+
 
 def simulate(load: loads.Load, seed: int) -> outcomes_module.Outcome:
     """Simulates one day of a load and returns its outcome."""
@@ -83,6 +89,8 @@
             health=self._health,
             tickets=tickets_module.Tickets(),
         )
+        self._offer_policies = create_offer_policies()
+        self._usage = usage_module.Usage()
         self._relocation = relocation.Relocation()
         self._evicted: set[task_names.RunKey] = set()
         self._checkpoint_s_by_task: dict[str, float] = {}
@@ -236,7 +244,10 @@
 
     def _run_round(self) -> None:
         jobs, now_s = self._tables.jobs, self._now_s()
-        self._backlog.refresh(jobs, jobs.pop_changed_jobs(), now_s=now_s)
+        changed_jobs = jobs.pop_changed_jobs()
+        self._backlog.refresh(jobs, changed_jobs, now_s=now_s)
+        if self._offer_policies:
+            self._usage.refresh(jobs, changed_jobs)
         updated_agents, self._updated_agents = self._updated_agents, set()
         # Sorted, so that a seed always gives the same day.
         views = [self._agents[name].view for name in sorted(updated_agents)]
@@ -251,7 +262,7 @@
         waiting = self._backlog.rank_steps(
             self._urgency, now_unix_ms=int(now_s * 1000)
         )
-        grants = self._placement.place(waiting, now_s=now_s)
+        grants = self._placement.place(self._offer(waiting), now_s=now_s)
         evictions = self._relocation.choose_evictions(
             self._placement,
             now_s=now_s,
@@ -272,6 +283,21 @@
         if stopped:
             self._record_ends(stopped)
 
+    def _offer(
+        self, waiting: list[backlog_module.WaitingStep]
+    ) -> list[backlog_module.WaitingStep]:
+        now_s = self._now_s()
+        context = offer_policies.RoundContext(
+            usage=self._usage,
+            capacity_of=self._placement.index.pool_capacity,
+            urgency=self._urgency,
+            now_s=now_s,
+            now_unix_ms=int(now_s * 1000),
+        )
+        for policy in self._offer_policies:
+            waiting = policy.offer(waiting, context)
+        return waiting
+
     def _learn_from(self, views: list[agents_module.AgentView]) -> None:
         self._interference.learn(self._tables.jobs, views)
         self._run_time_sampler.exclude_slowed(views)
--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -11,7 +11,7 @@
 
 # Share of its declared processor time that a latency-critical task uses at peak load;
 # the rest is available to best-effort tasks.
-_LATENCY_CRITICAL_USED_SHARE = 0.6
+LATENCY_CRITICAL_USED_SHARE = 0.6
 _TENTHS_PER_WORKER = 10
 
 
@@ -127,9 +127,7 @@
         self, key: task_names.StepKey, step: ttypes.Step
     ) -> None:
         required = step.resources
-        used_share = (
-            _LATENCY_CRITICAL_USED_SHARE if step.tail_target_ms else 1.0
-        )
+        used_share = LATENCY_CRITICAL_USED_SHARE if step.tail_target_ms else 1.0
         self.idle_millicores -= required.cpu_millicores * used_share
         if not step.best_effort:
             self.cpu_millicores -= required.cpu_millicores
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -71,39 +71,63 @@
         if job.steps[0].long_running:
             # Time in which a long-running task does not run cannot be made up for.
             return Rank(queue.priority, False, 0.0)
-        start_unix_ms = job.accepted_unix_ms
-        if job.repeat_count:
-            start_unix_ms = (
-                job.first_due_unix_ms + occurrence.number * job.interval_ms
-            )
-        run_time_ms = self._critical_path_ms(job, queue, done=())
-        objective_ms = (
-            queue.stretch_ratio * run_time_ms + queue.latency_target_ms
+        elapsed_ms = now_unix_ms - _start_unix_ms(job, occurrence)
+        total_ms = elapsed_ms + self.remaining_path_ms(job, queue, occurrence)
+        is_too_late = total_ms > _TOO_LATE_RATIO * self._objective_ms(
+            job, queue
         )
+        value_ms = _BASE_VALUE_SHARE * mean_core_time_ms
+        value_ms += (1 - _BASE_VALUE_SHARE) * self.core_time_ms(job, queue)
+        cost_ratio = self.remaining_core_time_ms(job, queue, occurrence) / max(
+            1.0, value_ms
+        )
+        return Rank(queue.priority, is_too_late, cost_ratio)
+
+    def objective_end_unix_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns by when an occurrence of a job ends within its objective."""
+        return _start_unix_ms(job, occurrence) + self._objective_ms(job, queue)
+
+    def remaining_core_time_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns the core time of the tasks that are not done."""
+        counts = [
+            sum(not task.done for task in step.tasks)
+            for step in occurrence.steps
+        ]
+        return self._core_time_of_tasks_ms(job, queue, counts)
+
+    def remaining_path_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns the length of the critical path of the steps not done."""
         done = [
             number
             for number, step in enumerate(occurrence.steps)
             if all(task.done for task in step.tasks)
         ]
-        remaining_ms = self._critical_path_ms(job, queue, done=done)
-        total_ms = now_unix_ms - start_unix_ms + remaining_ms
-        is_too_late = total_ms > _TOO_LATE_RATIO * objective_ms
-        remaining_counts = [
-            sum(not task.done for task in step.tasks)
-            for step in occurrence.steps
-        ]
-        value_ms = _BASE_VALUE_SHARE * mean_core_time_ms
-        value_ms += (1 - _BASE_VALUE_SHARE) * self.core_time_ms(job, queue)
-        cost_ratio = self._core_time_of_tasks_ms(
-            job, queue, remaining_counts
-        ) / max(1.0, value_ms)
-        return Rank(queue.priority, is_too_late, cost_ratio)
+        return self._critical_path_ms(job, queue, done=done)
 
     def core_time_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
         """Returns the core time of all tasks of a job, in milliseconds."""
         counts = [step.tasks_count for step in job.steps]
         return self._core_time_of_tasks_ms(job, queue, counts)
 
+    def _objective_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
+        run_time_ms = self._critical_path_ms(job, queue, done=())
+        return queue.stretch_ratio * run_time_ms + queue.latency_target_ms
+
     def _core_time_of_tasks_ms(
         self, job: ttypes.Job, queue: ttypes.Queue, counts: Iterable[int]
     ) -> float:
@@ -130,3 +154,10 @@
                 )
             ends_ms.append(begin_ms + run_ms)
         return max(ends_ms)
+
+
+def _start_unix_ms(job: ttypes.Job, occurrence: ttypes.Occurrence) -> int:
+    """Returns when an occurrence was due; of a job without repeats, accepted."""
+    if job.repeat_count:
+        return job.first_due_unix_ms + occurrence.number * job.interval_ms
+    return job.accepted_unix_ms
--- a/marigoldsill/coordination/job_queueing/__init__.py
+++ b/marigoldsill/coordination/job_queueing/__init__.py
@@ -6,4 +6,9 @@
 Other packages use only the modules listed here.
 """
 
-__all__ = ["offer_policies", "usage"]
+__all__ = [
+    "concurrency_limits",
+    "job_concurrency",
+    "offer_policies",
+    "usage",
+]
--- a/marigoldsill/coordination/job_queueing/usage.py
+++ b/marigoldsill/coordination/job_queueing/usage.py
@@ -28,17 +28,34 @@
     is_started: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OpenJob:
+    """An open job; applied commands may change its occurrences meanwhile.
+
+    Attributes:
+        job: The job as submitted.
+        queue: Its queue.
+        occurrences: Its open occurrences at its last change.
+    """
+
+    job: ttypes.Job
+    queue: ttypes.Queue
+    occurrences: tuple[ttypes.Occurrence, ...]
+
+
 class Usage:
     """The usage of all open jobs; only `refresh` reads the tables.
 
     Attributes:
         by_job: The usage of each open job.
         by_queue: The resources that runs of each queue reserve.
+        open_jobs: The jobs of `by_job`.
     """
 
     def __init__(self):
         self.by_job: dict[str, JobUsage] = {}
         self.by_queue: dict[str, ttypes.Resources] = {}
+        self.open_jobs: dict[str, OpenJob] = {}
 
     def refresh(
         self, jobs: job_tables.JobTables, job_ids: Iterable[str]
@@ -46,13 +63,18 @@
         """Updates the usage of some jobs; called with the replica's lock held."""
         for job_id in job_ids:
             before = self.by_job.pop(job_id, None)
+            self.open_jobs.pop(job_id, None)
             if before is not None:
                 self._change(before.queue, amounts.subtract, before.resources)
             record = jobs.jobs.get(job_id)
             if record is None or not record.open:
                 continue
-            after = _usage_of(record, jobs.queue_of(record))
+            queue = jobs.queue_of(record)
+            after = _usage_of(record, queue)
             self.by_job[job_id] = after
+            self.open_jobs[job_id] = OpenJob(
+                record.job, queue, tuple(record.open)
+            )
             self._change(after.queue, amounts.add, after.resources)
 
     def _change(
