--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -9,6 +9,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
+from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
@@ -45,7 +46,9 @@
     settings: settings_module.PlatformEdgeSettings,
 ) -> scheduling_settings.SchedulingSettings:
     """Returns the optional parts of the decisions that the settings switch on."""
-    return scheduling_settings.SchedulingSettings()
+    return scheduling_settings.SchedulingSettings(
+        job_concurrency=concurrency_limits.parse(settings.job_concurrency),
+    )
 
 
 def _run(
--- a/marigoldsill/coordination/job_queueing/concurrency_limits.py
+++ b/marigoldsill/coordination/job_queueing/concurrency_limits.py
@@ -9,19 +9,27 @@
 from collections.abc import Sequence
 import dataclasses
 
+from marigoldsill import errors
+
+UNLIMITED = "unlimited"
+_PREDICTED_END = "predicted-end"
+_COUNT_PREFIX = "count:"
+_COUNT_LIMIT = 1_000_000
+# Predicted ends allow for the error of run times, for throttled tasks and for wide steps
+# that leave capacity unused at their end.
+_PREDICTABLE_SHARE = 0.5
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PredictedJob:
     """What a job still needs, by the learnt run times.
 
     Attributes:
-        job_id: The job.
         time_left_s: Time until the end of its objective; negative if it is late.
         critical_path_s: Length of the critical path of what is not done.
         core_time_s: Core time of the tasks that are not done.
     """
 
-    job_id: str
     time_left_s: float
     critical_path_s: float
     core_time_s: float
@@ -92,17 +100,48 @@
     ) -> bool:
         """Returns whether all jobs that are not hopeless can end in time.
 
-        They can if, for each objective, the core time of all jobs that have to end by
-        then fits into the time left. A job alone is always allowed.
+        Jobs under way share the pool, so a job has to wait for as much core time of
+        each other job as it needs itself (processor sharing). A job alone is always
+        allowed.
         """
         others = [job for job in under_way if not job.is_hopeless]
         if not others:
             return True
-        core_time_s = 0.0
-        for job in sorted(
-            [*others, candidate], key=lambda job: job.time_left_s
-        ):
-            core_time_s += job.core_time_s
-            if core_time_s > cores_count * job.time_left_s:
+        jobs = sorted([*others, candidate], key=lambda job: job.core_time_s)
+        usable_cores_count = _PREDICTABLE_SHARE * cores_count
+        smaller_core_time_s = 0.0
+        for number, job in enumerate(jobs):
+            sharing_count = len(jobs) - number
+            needed_core_s = (
+                smaller_core_time_s + sharing_count * job.core_time_s
+            )
+            if needed_core_s > usable_cores_count * job.time_left_s:
                 return False
+            smaller_core_time_s += job.core_time_s
         return True
+
+
+def parse(text: str) -> ConcurrencyLimit | None:
+    """Parses a limit; None if there is none.
+
+    Raises:
+        SettingsError: If the text names no limit.
+    """
+    if text == UNLIMITED:
+        return None
+    if text == _PREDICTED_END:
+        return PredictedEndLimit()
+    digits = text.removeprefix(_COUNT_PREFIX)
+    if digits != text and _is_count(digits):
+        return CountLimit(int(digits))
+    raise errors.SettingsError(
+        f"invalid limit on jobs under way {text!r}: expected {UNLIMITED!r}, "
+        f"{_PREDICTED_END!r} or '{_COUNT_PREFIX}N' with a whole number N from 1 "
+        f"to {_COUNT_LIMIT}"
+    )
+
+
+def _is_count(digits: str) -> bool:
+    is_number = digits.isascii() and digits.isdecimal()
+    is_short = len(digits) <= len(str(_COUNT_LIMIT))
+    return is_number and is_short and 1 <= int(digits) <= _COUNT_LIMIT
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from marigoldsill import errors
+from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.transport import addresses
 
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -152,6 +153,12 @@
     return text.upper()
 
 
+def parse_job_concurrency(text: str) -> str:
+    """Parses a limit on jobs under way, and returns its text."""
+    concurrency_limits.parse(text)
+    return text
+
+
 def parse_text(value: str) -> str:
     """Returns the text as it is; any text is valid."""
     return value
@@ -338,6 +345,13 @@
         parse_reachable_address,
         default="",
     )
+    job_concurrency: str = setting(
+        "Limit on the best-effort jobs of a pool that are under way at once: "
+        "`unlimited`; `count:N` for N jobs; `predicted-end` for as many as can all "
+        "end within their objectives. Processes that may lead need the same value.",
+        parse_job_concurrency,
+        default=concurrency_limits.UNLIMITED,
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
