--- a/marigoldsill/coordination/job_queueing/job_concurrency.py
+++ b/marigoldsill/coordination/job_queueing/job_concurrency.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import math
@@ -57,9 +58,17 @@
     other_millicores: float = 0.0
     is_saturated: bool = False
 
-    def is_full(self, capacity: ttypes.Resources) -> bool:
-        """Returns whether a job may be held back."""
+    def is_full(
+        self, capacity: ttypes.Resources, *, offered_millicores: float
+    ) -> bool:
+        """Returns whether a job may be held back.
+
+        Args:
+            capacity: The capacity of the pool.
+            offered_millicores: What jobs offered in this round will use.
+        """
         used_millicores = self.best_effort_millicores + self.other_millicores
+        used_millicores += offered_millicores
         limit_millicores = _FULL_POOL_SHARE * capacity.cpu_millicores
         # Nothing is gained by waiting for workers that are all lost.
         return 0 < limit_millicores < used_millicores
@@ -101,15 +110,15 @@
         candidates = _find_candidates(waiting, context.usage)
         self._times = {
             job_id: self._times.get(job_id) or _JobTimes()
-            for job_ids in candidates.values()
-            for job_id in job_ids
+            for jobs in candidates.values()
+            for job_id in jobs
         }
         pools = _summarize_pools(waiting, context)
         held = {
             job_id
-            for pool, job_ids in candidates.items()
+            for pool, jobs in candidates.items()
             for job_id in self._choose_held(
-                job_ids, pools[pool], context.capacity_of(pool), context
+                jobs, pools[pool], context.capacity_of(pool), context
             )
         }
         HELD_BACK.set(len(held))
@@ -118,18 +127,21 @@
 
     def _choose_held(
         self,
-        job_ids: Sequence[str],
+        candidates: Mapping[str, int],
         pool: _Pool,
         capacity: ttypes.Resources,
         context: offer_policies.RoundContext,
     ) -> list[str]:
         """Returns the jobs of one pool to hold back, of those not started."""
-        is_full = pool.is_full(capacity)
+        offered_millicores = 0
         cores_count = pool.available_cores_count(capacity)
         under_way = list(pool.under_way)
         decisions_count = 0
         held = []
-        for job_id in job_ids:
+        for job_id, millicores in candidates.items():
+            is_full = pool.is_full(
+                capacity, offered_millicores=offered_millicores
+            )
             candidate = _predict(context.usage.open_jobs[job_id], context)
             reason = self._reason_to_offer(job_id, candidate, is_full, context)
             if not reason and decisions_count < _DECISIONS_LIMIT:
@@ -146,6 +158,7 @@
             offered_s = self._times[job_id].offered_s
             if context.now_s - offered_s < _START_LIMIT_S:
                 under_way.append(candidate)
+                offered_millicores += millicores
         return held
 
     def _reason_to_offer(
@@ -207,17 +220,24 @@
 
 def _find_candidates(
     waiting: Iterable[backlog_module.WaitingStep], usage: usage_module.Usage
-) -> dict[str, list[str]]:
-    """Returns the limited jobs that have not started, by pool, in order."""
-    candidates: dict[str, dict[str, None]] = {}
+) -> dict[str, dict[str, int]]:
+    """Returns the limited jobs that have not started, by pool, in order.
+
+    The value of each is the processor time that its waiting tasks would reserve.
+    """
+    candidates: dict[str, dict[str, int]] = {}
     for step in waiting:
         job_id = step.key[0]
         job_usage = usage.by_job.get(job_id)
         if job_usage is None or job_usage.is_started:
             continue
         if _is_limited(step.job):
-            candidates.setdefault(job_usage.pool, {})[job_id] = None
-    return {pool: list(job_ids) for pool, job_ids in candidates.items()}
+            jobs = candidates.setdefault(job_usage.pool, {})
+            required = step.step.resources.cpu_millicores
+            jobs[job_id] = jobs.get(job_id, 0) + required * len(
+                step.waiting_indexes
+            )
+    return candidates
 
 
 def _summarize_pools(
