--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -94,6 +94,29 @@
     assert settings.advertise_address == text
 
 
+@pytest.mark.parametrize("text", ["", "4", "count:0", "count:x", "none"])
+def test_an_invalid_limit_on_jobs_under_way_is_refused(text: str) -> None:
+    with pytest.raises(errors.SettingsError) as caught:
+        setting_sources.load(
+            settings_module.PlatformEdgeSettings, {"job_concurrency": text}
+        )
+    assert caught.value.message.startswith("--job-concurrency")
+    assert repr(text) in caught.value.message
+    assert "expected 'unlimited', 'predicted-end' or 'count:N'" in (
+        caught.value.message
+    )
+
+
+@pytest.mark.parametrize("text", ["unlimited", "count:1", "predicted-end"])
+def test_a_limit_on_jobs_under_way_is_read_from_its_variable(text: str) -> None:
+    settings = setting_sources.load(
+        settings_module.PlatformEdgeSettings,
+        {},
+        environment={"MARIGOLDSILL_JOB_CONCURRENCY": text},
+    )
+    assert settings.job_concurrency == text
+
+
 def test_all_invalid_and_missing_settings_are_reported_at_once() -> None:
     with pytest.raises(errors.SettingsError) as caught:
         _load({"threads_count": "no"}, {"MARIGOLDSILL_HTTP_ADDRESS": "no"})
