--- a/marigoldsill/coordination/job_queueing/job_concurrency.py
+++ b/marigoldsill/coordination/job_queueing/job_concurrency.py
@@ -47,13 +47,19 @@
 )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _UnderWay:
+    """A job under way, and the priority of its queue."""
+
+    priority: int
+    predicted: concurrency_limits.PredictedJob
+
+
 @dataclasses.dataclass(slots=True)
 class _Pool:
     """What the jobs of one pool use and have under way."""
 
-    under_way: list[concurrency_limits.PredictedJob] = dataclasses.field(
-        default_factory=list
-    )
+    under_way: list[_UnderWay] = dataclasses.field(default_factory=list)
     best_effort_millicores: float = 0.0
     other_millicores: float = 0.0
     is_saturated: bool = False
@@ -142,22 +148,29 @@
             is_full = pool.is_full(
                 capacity, offered_millicores=offered_millicores
             )
-            candidate = _predict(context.usage.open_jobs[job_id], context)
+            open_job = context.usage.open_jobs[job_id]
+            candidate = _predict(open_job, context)
+            # Jobs of a later priority are not waited for.
+            others = [
+                job.predicted
+                for job in under_way
+                if job.priority <= open_job.queue.priority
+            ]
             reason = self._reason_to_offer(job_id, candidate, is_full, context)
             if not reason and decisions_count < _DECISIONS_LIMIT:
                 decisions_count += 1
                 if self._limit.allows(
-                    candidate, under_way, cores_count=cores_count
+                    candidate, others, cores_count=cores_count
                 ):
                     reason = "within the limit"
             if not reason:
-                self._record_hold(job_id, candidate, len(under_way), context)
+                self._record_hold(job_id, candidate, len(others), context)
                 held.append(job_id)
                 continue
             self._record_offer(job_id, reason, context)
             offered_s = self._times[job_id].offered_s
             if context.now_s - offered_s < _START_LIMIT_S:
-                under_way.append(candidate)
+                under_way.append(_UnderWay(open_job.queue.priority, candidate))
                 offered_millicores += millicores
         return held
 
@@ -260,7 +273,9 @@
             continue
         pool.best_effort_millicores += millicores
         if job_usage.is_started:
-            pool.under_way.append(_predict(open_job, context))
+            pool.under_way.append(
+                _UnderWay(open_job.queue.priority, _predict(open_job, context))
+            )
             pool.is_saturated |= job_id in waiting_jobs
     return pools
 
--- a/tests/coordination/job_queueing/test_job_concurrency.py
+++ b/tests/coordination/job_queueing/test_job_concurrency.py
@@ -212,6 +212,15 @@
     assert "b" not in pool.held_jobs
 
 
+def test_a_job_does_not_wait_for_jobs_of_a_later_priority() -> None:
+    pool = _pool_with_long_job_under_way()
+    urgent = played_pool.large_job("c", width=23)
+    urgent.queue = played_pool.QUICK
+    pool.submit(urgent, run_s=2.0)
+    pool.play(0.5)
+    assert pool.held_jobs == {"b"}
+
+
 @pytest.mark.parametrize("setting", _LIMITS)
 def test_a_new_leader_counts_jobs_under_way_and_stops_none(
     setting: str,
