--- a/marigoldsill/coordination/job_queueing/job_concurrency.py
+++ b/marigoldsill/coordination/job_queueing/job_concurrency.py
@@ -32,7 +32,7 @@
 # An offered job that has not started by then fits nowhere, so others need not wait
 # for it.
 _START_LIMIT_S = 1.0
-# Further jobs of a pool are decided in a later round, which bounds the time of a round.
+# Further jobs of a pool stay held back in a round, which bounds the time that it takes.
 _DECISIONS_LIMIT = 50
 _MS_PER_S = 1000
 _MILLICORES_PER_CORE = 1000
