--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -10,6 +10,7 @@
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
@@ -54,6 +55,7 @@
             waiting_bytes_limit=settings.waiting_bytes_limit,
         ),
         shares=_shares_of(settings),
+        job_concurrency=concurrency_limits.parse(settings.job_concurrency),
     )
 
 
--- a/marigoldsill/coordination/job_placing/urgency.py
+++ b/marigoldsill/coordination/job_placing/urgency.py
@@ -71,24 +71,51 @@
         if job.steps[0].long_running:
             # Time in which a long-running task does not run cannot be made up for.
             return Rank(queue.priority, False, 0.0)
+        elapsed_ms = now_unix_ms - _start_unix_ms(job, occurrence.number)
+        total_ms = elapsed_ms + self.remaining_path_ms(job, queue, occurrence)
+        is_too_late = total_ms > self.useful_ms(job, queue)
+        value_ms = self._value_ms(job, queue, mean_core_time_ms)
+        cost_ratio = (
+            self.remaining_core_time_ms(job, queue, occurrence) / value_ms
+        )
+        return Rank(queue.priority, is_too_late, cost_ratio)
+
+    def objective_end_unix_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns by when an occurrence of a job ends within its objective."""
         start_unix_ms = _start_unix_ms(job, occurrence.number)
+        return start_unix_ms + self._objective_ms(job, queue)
+
+    def remaining_core_time_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns the core time of the tasks that are not done."""
+        counts = [
+            sum(not task.done for task in step.tasks)
+            for step in occurrence.steps
+        ]
+        return self._core_time_of_tasks_ms(job, queue, counts)
+
+    def remaining_path_ms(
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        occurrence: ttypes.Occurrence,
+    ) -> float:
+        """Returns the length of the critical path of the steps not done."""
         done = [
             number
             for number, step in enumerate(occurrence.steps)
             if all(task.done for task in step.tasks)
         ]
-        remaining_ms = self._critical_path_ms(job, queue, done=done)
-        total_ms = now_unix_ms - start_unix_ms + remaining_ms
-        is_too_late = total_ms > self.useful_ms(job, queue)
-        remaining_counts = [
-            sum(not task.done for task in step.tasks)
-            for step in occurrence.steps
-        ]
-        value_ms = self._value_ms(job, queue, mean_core_time_ms)
-        cost_ratio = (
-            self._core_time_of_tasks_ms(job, queue, remaining_counts) / value_ms
-        )
-        return Rank(queue.priority, is_too_late, cost_ratio)
+        return self._critical_path_ms(job, queue, done=done)
 
     def rank_new(
         self, job: ttypes.Job, queue: ttypes.Queue, *, mean_core_time_ms: float
@@ -100,11 +127,7 @@
 
     def useful_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
         """Returns how long after its start the end of a job is of use."""
-        run_time_ms = self._critical_path_ms(job, queue, done=())
-        objective_ms = (
-            queue.stretch_ratio * run_time_ms + queue.latency_target_ms
-        )
-        return _TOO_LATE_RATIO * objective_ms
+        return _TOO_LATE_RATIO * self._objective_ms(job, queue)
 
     def useful_until_unix_ms(
         self, job: ttypes.Job, queue: ttypes.Queue, occurrence_number: int
@@ -140,6 +163,10 @@
         value_ms += (1 - _BASE_VALUE_SHARE) * self.core_time_ms(job, queue)
         return max(1.0, value_ms)
 
+    def _objective_ms(self, job: ttypes.Job, queue: ttypes.Queue) -> float:
+        run_time_ms = self._critical_path_ms(job, queue, done=())
+        return queue.stretch_ratio * run_time_ms + queue.latency_target_ms
+
     def _core_time_of_tasks_ms(
         self, job: ttypes.Job, queue: ttypes.Queue, counts: Iterable[int]
     ) -> float:
--- a/marigoldsill/coordination/job_queueing/__init__.py
+++ b/marigoldsill/coordination/job_queueing/__init__.py
@@ -7,6 +7,8 @@
 """
 
 __all__ = [
+    "concurrency_limits",
+    "job_concurrency",
     "offer_policies",
     "share_order",
     "share_reclaimer",
--- a/marigoldsill/coordination/job_queueing/usage.py
+++ b/marigoldsill/coordination/job_queueing/usage.py
@@ -49,6 +49,21 @@
         return QueueKey(self.pool, self.queue, self.priority)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OpenJob:
+    """An open job; applied commands may change its occurrences meanwhile.
+
+    Attributes:
+        job: The job as submitted.
+        queue: Its queue.
+        occurrences: Its open occurrences at its last change.
+    """
+
+    job: ttypes.Job
+    queue: ttypes.Queue
+    occurrences: tuple[ttypes.Occurrence, ...]
+
+
 class Usage:
     """The usage of all open jobs; only `refresh` reads the tables.
 
@@ -56,12 +71,14 @@
         by_job: The usage of each open job.
         by_queue: The resources that runs of each queue reserve.
         by_queue_key: The same by pool, name and priority of the queue.
+        open_jobs: The jobs of `by_job`.
     """
 
     def __init__(self):
         self.by_job: dict[str, JobUsage] = {}
         self.by_queue: dict[str, ttypes.Resources] = {}
         self.by_queue_key: dict[QueueKey, ttypes.Resources] = {}
+        self.open_jobs: dict[str, OpenJob] = {}
 
     def refresh(
         self, jobs: job_tables.JobTables, job_ids: Iterable[str]
@@ -69,6 +86,7 @@
         """Updates the usage of some jobs; called with the replica's lock held."""
         for job_id in job_ids:
             before = self.by_job.pop(job_id, None)
+            self.open_jobs.pop(job_id, None)
             if before is not None:
                 amounts.subtract_from(
                     self.by_queue, before.queue, before.resources
@@ -79,10 +97,14 @@
             record = jobs.jobs.get(job_id)
             if record is None or not record.open:
                 continue
-            after = _usage_of(record, jobs.queue_of(record))
+            queue = jobs.queue_of(record)
+            after = _usage_of(record, queue)
             self.by_job[job_id] = after
             amounts.add_to(self.by_queue, after.queue, after.resources)
             amounts.add_to(self.by_queue_key, after.queue_key, after.resources)
+            self.open_jobs[job_id] = OpenJob(
+                record.job, queue, tuple(record.open)
+            )
 
 
 def _usage_of(record: ttypes.JobRecord, queue: ttypes.Queue) -> JobUsage:
--- a/marigoldsill/coordination/jobs/scheduling_settings.py
+++ b/marigoldsill/coordination/jobs/scheduling_settings.py
@@ -1,10 +1,10 @@
 """Settings of the optional parts of the leader's decisions about jobs."""
 
-from collections.abc import Callable
 import dataclasses
-import functools
 
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_queueing import concurrency_limits
+from marigoldsill.coordination.job_queueing import job_concurrency
 from marigoldsill.coordination.job_queueing import offer_policies
 from marigoldsill.coordination.job_queueing import share_order
 from marigoldsill.coordination.job_queueing import shares as shares_module
@@ -18,18 +18,23 @@
         admission: What bounds the jobs that wait. With the default only jobs that
             surely would be of no use are rejected.
         shares: The guaranteed shares of queues; None for none.
+        job_concurrency: The limit on best-effort jobs under way in a pool; None
+            without a limit.
     """
 
     admission: admission_settings.AdmissionSettings = dataclasses.field(
         default_factory=admission_settings.AdmissionSettings
     )
     shares: shares_module.ShareSettings | None = None
+    job_concurrency: concurrency_limits.ConcurrencyLimit | None = None
 
     def create_offer_policies(self) -> list[offer_policies.OfferPolicy]:
         """Creates the policies of one term, in the order in which they apply."""
-        factories: list[Callable[[], offer_policies.OfferPolicy]] = []
+        policies: list[offer_policies.OfferPolicy] = []
         if self.shares is not None:
-            factories.append(
-                functools.partial(share_order.ShareOrder, self.shares)
+            policies.append(share_order.ShareOrder(self.shares))
+        if self.job_concurrency is not None:
+            policies.append(
+                job_concurrency.JobConcurrency(self.job_concurrency)
             )
-        return [create() for create in factories]
+        return policies
