Wait for the preferred rack as long as starting elsewhere would cost

A task whose rack was full started elsewhere at once, where it takes longer by a known ratio. It now waits if its turn in the rack is forecast before that extra run time is used up.

--- a/marigoldsill/coordination/job_locality/__init__.py
+++ b/marigoldsill/coordination/job_locality/__init__.py
@@ -6,4 +6,11 @@
 listed here.
 """
 
-__all__: list[str] = []
+__all__ = [
+    "locality_metrics",
+    "locality_settings",
+    "rack_affinity",
+    "rack_forecast",
+    "rack_waits",
+    "worker_ramp",
+]
--- /dev/null
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -0,0 +1,234 @@
+"""Lets tasks wait for a worker in their preferred rack, round by round.
+
+Within a round each rack is forecast once, when the first task could wait for it, and
+what a step may do is found once for all of its tasks.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import math
+from typing import Protocol
+
+from marigoldsill.coordination.job_locality import locality_metrics
+from marigoldsill.coordination.job_locality import locality_settings
+from marigoldsill.coordination.job_locality import rack_forecast
+from marigoldsill.coordination.job_locality import rack_waits
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
+
+
+class RackWorker(Protocol):
+    """What is needed of a worker in a rack.
+
+    Attributes:
+        worker: The worker as last reported.
+        expected_ends: When its runs are expected to end.
+    """
+
+    worker: ttypes.PoolWorker
+    expected_ends: Mapping[task_names.RunKey, rack_forecast.ExpectedEnd]
+
+    def could_run(self, step: ttypes.Step) -> bool:
+        """Returns whether a task of a step would fit if the worker were idle."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RackTask:
+    """A task that is to start.
+
+    Attributes:
+        step_key: Its step.
+        index: Its index in the step.
+        step: Its requirements.
+        queue: Its queue.
+    """
+
+    step_key: task_names.StepKey
+    index: int
+    step: ttypes.Step
+    queue: ttypes.Queue
+
+    @property
+    def key(self) -> rack_waits.TaskKey:
+        """The key of the task."""
+        return self.step_key, self.index
+
+    @property
+    def name(self) -> str:
+        """The name of the task."""
+        return task_names.name_of(*self.step_key, self.index)
+
+    @property
+    def rack_key(self) -> tuple[str, str]:
+        """The pool and the preferred rack."""
+        return self.queue.pool, self.step.preferred_rack
+
+
+class RackAffinity:
+    """The tasks that wait for racks in one term; used by one thread."""
+
+    def __init__(
+        self,
+        *,
+        settings: locality_settings.LocalitySettings,
+        workers_of: Callable[[str, str], Iterable[RackWorker]],
+        predict_run_ms: Callable[[str, float], float],
+    ):
+        """Initializes it without waiting tasks.
+
+        Args:
+            settings: What starting outside of the preferred rack costs.
+            workers_of: Returns the workers of a pool in a rack on which tasks may
+                start.
+            predict_run_ms: Predicts a run time from a queue and an estimate.
+        """
+        self._settings = settings
+        self._workers_of = workers_of
+        self._predict_run_ms = predict_run_ms
+        self._waits = rack_waits.RackWaits(
+            remote_run_ratio=settings.remote_run_ratio
+        )
+        self._forecasts: dict[tuple[str, str], rack_forecast.RackForecast] = {}
+        self._can_wait: dict[task_names.StepKey, bool] = {}
+        self._decisions: dict[rack_waits.TaskKey, rack_waits.Decision] = {}
+
+    def may_wait(self, step: ttypes.Step) -> bool:
+        """Returns whether tasks of a step may wait for a rack at all."""
+        return bool(
+            step.preferred_rack
+            and self._settings.awaits_racks
+            and not step.long_running
+            and not step.gang
+        )
+
+    def predict_run_s(self, queue: str, step: ttypes.Step, rack: str) -> float:
+        """Returns the expected run time of a step's tasks in a rack."""
+        run_s = self._predict_run_ms(queue, step.estimated_ms) / 1000
+        if step.preferred_rack not in ("", rack):
+            run_s *= self._settings.remote_run_ratio
+        return run_s
+
+    def must_wait(
+        self,
+        task: RackTask,
+        *,
+        accepts: Callable[[RackWorker], bool],
+        idle_deadline_s: float,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a task waits rather than start outside of its rack.
+
+        Args:
+            task: The task, which may wait and has no place in its rack now.
+            accepts: Whether the step may use a worker, apart from its resources.
+            idle_deadline_s: When its job would have been idle for too long.
+            now_s: The time of the round.
+        """
+        decision = self._decide(task, accepts, idle_deadline_s, now_s)
+        self._decisions[task.key] = decision
+        if decision.verdict is not rack_waits.Verdict.WAIT:
+            return False
+        if decision.is_new:
+            logs.event(
+                "rack_awaited",
+                task=task.name,
+                rack=task.step.preferred_rack,
+                limit_ms=round(decision.limit_s * 1000),
+            )
+        return True
+
+    def record_start(
+        self,
+        task: RackTask,
+        worker: RackWorker,
+        *,
+        now_s: float,
+    ) -> rack_forecast.ExpectedEnd:
+        """Records that a run of a task is granted; returns its expected end."""
+        rack = worker.worker.rack
+        self._waits.drop(task.key)
+        end_s = math.inf
+        if not task.step.long_running:
+            end_s = now_s + self.predict_run_s(task.queue.name, task.step, rack)
+        end = rack_forecast.ExpectedEnd(
+            end_s, task.step.resources.cpu_millicores
+        )
+        forecast = self._forecasts.get((task.queue.pool, rack))
+        if forecast is not None:
+            forecast.add(end)
+        if self.may_wait(task.step) and rack != task.step.preferred_rack:
+            self._report_away(task, worker)
+        return end
+
+    def end_round(self, *, now_s: float) -> None:
+        """Ends a round; capacity is forecast anew in the next one."""
+        self._forecasts.clear()
+        self._can_wait.clear()
+        self._decisions.clear()
+        locality_metrics.TASKS_WAITING_FOR_RACK.set(
+            self._waits.end_round(now_s=now_s)
+        )
+
+    def _decide(
+        self,
+        task: RackTask,
+        accepts: Callable[[RackWorker], bool],
+        idle_deadline_s: float,
+        now_s: float,
+    ) -> rack_waits.Decision:
+        if not self._has_worker(task, accepts):
+            return self._waits.decide_without_worker(task.key, now_s=now_s)
+        request = rack_waits.RackRequest(
+            task.key,
+            cpu_millicores=task.step.resources.cpu_millicores,
+            run_s=self.predict_run_s(
+                task.queue.name, task.step, task.step.preferred_rack
+            ),
+            idle_deadline_s=idle_deadline_s,
+        )
+        forecast = self._forecasts.get(task.rack_key)
+        if forecast is None:
+            forecast = self._create_forecast(task.rack_key, now_s)
+            self._forecasts[task.rack_key] = forecast
+        return self._waits.decide(request, forecast, now_s=now_s)
+
+    def _has_worker(
+        self, task: RackTask, accepts: Callable[[RackWorker], bool]
+    ) -> bool:
+        """Returns whether some worker in its preferred rack may run a task."""
+        can_wait = self._can_wait.get(task.step_key)
+        if can_wait is None:
+            can_wait = any(
+                worker.could_run(task.step) and accepts(worker)
+                for worker in self._workers_of(*task.rack_key)
+            )
+            self._can_wait[task.step_key] = can_wait
+        return can_wait
+
+    def _create_forecast(
+        self, rack_key: tuple[str, str], now_s: float
+    ) -> rack_forecast.RackForecast:
+        ends = [
+            end
+            for worker in self._workers_of(*rack_key)
+            if not worker.worker.draining
+            for end in worker.expected_ends.values()
+        ]
+        return rack_forecast.RackForecast(ends, now_s=now_s)
+
+    def _report_away(self, task: RackTask, worker: RackWorker) -> None:
+        decision = self._decisions.get(task.key)
+        reason = "no_choice" if decision is None else str(decision.verdict)
+        waited_s = 0.0 if decision is None else decision.waited_s
+        locality_metrics.RUNS_AWAY_FROM_RACK.labels(reason).inc()
+        logs.event(
+            "started_away_from_rack",
+            task=task.name,
+            rack=task.step.preferred_rack,
+            worker_id=worker.worker.worker_id,
+            reason=reason,
+            waited_ms=round(waited_s * 1000),
+        )
--- /dev/null
+++ b/marigoldsill/coordination/job_locality/rack_waits.py
@@ -0,0 +1,148 @@
+"""Delay scheduling: how long a task waits for a worker in its preferred rack.
+
+Answers many tasks that want one rack while other racks are idle. A task that starts
+elsewhere takes longer by a known ratio. It waits if its turn in the rack is expected
+before that extra run time is used up, and never longer than that, so that waiting costs
+at most what starting elsewhere would have cost. Tasks whose turn comes later start
+elsewhere at once.
+"""
+
+import dataclasses
+import enum
+
+from marigoldsill.coordination.job_locality import rack_forecast
+from marigoldsill.protocol import task_names
+
+# How long a task that is not offered keeps the time since when it waits. It is longer
+# than a few full rounds, and than a policy holds a step back for a moment.
+_UNOFFERED_LIMIT_S = 10.0
+
+# A step, and the index of one of its tasks.
+TaskKey = tuple[task_names.StepKey, int]
+
+
+class Verdict(enum.StrEnum):
+    """Whether a task waits for its rack; otherwise why it starts elsewhere."""
+
+    WAIT = "wait"
+    NO_WORKER = "no_worker"
+    TURN_TOO_LATE = "turn_too_late"
+    WAITED = "waited"
+    JOB_IDLE = "job_idle"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RackRequest:
+    """A task that could start now, but outside of its preferred rack.
+
+    Attributes:
+        key: The task.
+        cpu_millicores: The processor time that it needs.
+        run_s: Its expected run time in the rack.
+        idle_deadline_s: When its job would have been idle for too long; infinite
+            without such a limit.
+    """
+
+    key: TaskKey
+    cpu_millicores: int
+    run_s: float
+    idle_deadline_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Decision:
+    """What one task does.
+
+    Attributes:
+        verdict: Whether it waits, or why not.
+        waited_s: How long it has waited.
+        is_new: Whether it waits from now on.
+        limit_s: The maximum duration of its wait.
+    """
+
+    verdict: Verdict
+    waited_s: float
+    is_new: bool
+    limit_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Wait:
+    """The wait of one task."""
+
+    since_s: float
+    decided_s: float
+
+
+class RackWaits:
+    """Decides which tasks wait for their rack; hints of one term."""
+
+    def __init__(self, *, remote_run_ratio: float):
+        """Creates the decisions without waiting tasks.
+
+        Args:
+            remote_run_ratio: Run time outside of the preferred rack, divided by the
+                run time there.
+        """
+        self._extra_ratio = remote_run_ratio - 1
+        self._waits: dict[TaskKey, _Wait] = {}
+
+    def decide(
+        self,
+        request: RackRequest,
+        forecast: rack_forecast.RackForecast,
+        *,
+        now_s: float,
+    ) -> Decision:
+        """Decides whether a task waits, and books its turn if it does.
+
+        Args:
+            request: The task.
+            forecast: The capacity that comes free in its rack.
+            now_s: The time of the round.
+        """
+        wait = self._waits.get(request.key)
+        since_s = now_s if wait is None else wait.since_s
+        limit_s = self._extra_ratio * request.run_s
+        latest_start_s = min(since_s + limit_s, request.idle_deadline_s)
+        verdict = Verdict.WAIT
+        if now_s >= since_s + limit_s:
+            verdict = Verdict.WAITED
+        elif now_s >= request.idle_deadline_s:
+            verdict = Verdict.JOB_IDLE
+        elif (
+            forecast.book(
+                request.cpu_millicores,
+                run_s=request.run_s,
+                latest_start_s=latest_start_s,
+            )
+            is None
+        ):
+            verdict = Verdict.TURN_TOO_LATE
+        if verdict is Verdict.WAIT:
+            self._waits[request.key] = _Wait(since_s, now_s)
+        return Decision(
+            verdict,
+            waited_s=now_s - since_s,
+            is_new=wait is None,
+            limit_s=max(0.0, latest_start_s - since_s),
+        )
+
+    def decide_without_worker(self, key: TaskKey, *, now_s: float) -> Decision:
+        """Decides for a task whose rack has no worker that it may ever use."""
+        wait = self._waits.get(key)
+        waited_s = 0.0 if wait is None else now_s - wait.since_s
+        return Decision(Verdict.NO_WORKER, waited_s, is_new=False, limit_s=0.0)
+
+    def drop(self, key: TaskKey) -> None:
+        """Drops a task that starts."""
+        self._waits.pop(key, None)
+
+    def end_round(self, *, now_s: float) -> int:
+        """Drops tasks that are not offered any more; returns how many wait now."""
+        self._waits = {
+            key: wait
+            for key, wait in self._waits.items()
+            if now_s - wait.decided_s < _UNOFFERED_LIMIT_S
+        }
+        return sum(wait.decided_s >= now_s for wait in self._waits.values())
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -17,6 +17,7 @@
     """The contribution of one worker to the totals of its pool."""
 
     pool: str
+    rack: str
     capacity: ttypes.Resources
     free_millicores: int
 
@@ -43,6 +44,8 @@
         self._ordinals: dict[str, int] = {}
         self._contributions: dict[str, _Contribution] = {}
         self._pools: dict[str, _PoolTotals] = {}
+        # Agents by pool and rack; the values are unused.
+        self._racks: dict[tuple[str, str], dict[str, None]] = {}
         self._changes: list[str] = []
         self._dropped_count = 0
 
@@ -91,16 +94,27 @@
         """Returns the capacity of a pool's workers; zero if the pool is unknown."""
         return self._pools.get(pool, _PoolTotals()).capacity
 
+    def rack_workers(
+        self, pool: str, rack: str
+    ) -> list[free_capacity.FreeCapacity]:
+        """Returns the workers of a pool that are in a rack."""
+        agents = self._racks.get((pool, rack), ())
+        return [self.workers[agent] for agent in agents]
+
     def _update_pool(self, agent: str) -> None:
-        self._add_to_pool(self._contributions.pop(agent, None), sign=-1)
+        before = self._contributions.pop(agent, None)
+        self._add_to_pool(before, sign=-1)
+        if before is not None:
+            del self._racks[before.pool, before.rack][agent]
         free = self.workers.get(agent)
         if free is None:
             return
         worker = free.worker
         contribution = _Contribution(
-            worker.pool, worker.capacity, free.cpu_millicores
+            worker.pool, worker.rack, worker.capacity, free.cpu_millicores
         )
         self._contributions[agent] = contribution
+        self._racks.setdefault((worker.pool, worker.rack), {})[agent] = None
         self._add_to_pool(contribution, sign=1)
 
     def _add_to_pool(
--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -1,8 +1,12 @@
 """Free capacity of one worker, net of every run that may be alive on it."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import math
 
+from marigoldsill.coordination.job_locality import rack_forecast
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.protocol import task_names
@@ -30,6 +34,9 @@
         runs_by_step: Number of runs on it, by step.
         starts_limit: How many more runs may start before it is refreshed; None
             without a limit.
+        ramp_starts_left: How many more runs may start before it is refreshed as
+            long as another worker fits them; None without such a limit.
+        expected_ends: When its runs are expected to end, if tasks wait for racks.
     """
 
     agent: str
@@ -43,6 +50,10 @@
         default_factory=dict
     )
     starts_limit: int | None = None
+    ramp_starts_left: int | None = None
+    expected_ends: dict[task_names.RunKey, rack_forecast.ExpectedEnd] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def fits(self, step: ttypes.Step) -> bool:
         """Returns whether the resources of one task of a step are free."""
@@ -67,6 +78,21 @@
             and (not label or label in self.worker.labels)
         )
 
+    def could_run(self, step: ttypes.Step) -> bool:
+        """Returns whether a task of a step would fit on the worker if it were idle."""
+        required, capacity = step.resources, self.worker.capacity
+        label = step.required_label
+        return (
+            required.memory_bytes <= capacity.memory_bytes
+            and required.accelerators_count <= capacity.accelerators_count
+            and (
+                step.best_effort
+                or required.cpu_millicores <= capacity.cpu_millicores
+            )
+            and not self.worker.draining
+            and (not label or label in self.worker.labels)
+        )
+
     def copy(self) -> "FreeCapacity":
         """Returns an independent copy, for tentative reservations."""
         return dataclasses.replace(
@@ -75,6 +101,11 @@
             runs_by_step=dict(self.runs_by_step),
         )
 
+    @property
+    def is_within_ramp(self) -> bool:
+        """Whether its ramp allows one more run."""
+        return self.ramp_starts_left is None or self.ramp_starts_left > 0
+
     @property
     def capacity_millicores(self) -> int:
         """Processor time of the whole worker, at least 1."""
@@ -105,6 +136,8 @@
         self._subtract_task(key, step)
         if self.starts_limit is not None:
             self.starts_limit -= 1
+        if self.ramp_starts_left is not None:
+            self.ramp_starts_left -= 1
         if step.tail_target_ms:
             self.latency_critical.append(model.unsampled_task(step))
         if not step.best_effort:
@@ -187,6 +220,46 @@
     return free
 
 
+def expect_run_ends(
+    jobs: job_tables.JobTables,
+    view: agents_module.AgentView,
+    *,
+    pending: Iterable[ttypes.RunGrant],
+    before: Mapping[task_names.RunKey, rack_forecast.ExpectedEnd],
+    predict_run_s: Callable[[str, ttypes.Step, str], float],
+    now_s: float,
+) -> dict[task_names.RunKey, rack_forecast.ExpectedEnd]:
+    """Returns when the runs on an agent's worker are expected to end.
+
+    A run is predicted once, when it is first seen: by its progress if the worker has
+    reported it, else as if it began now.
+
+    Args:
+        jobs: The jobs, with the runs that may be alive.
+        view: The agent, with a worker.
+        pending: Grants to the agent that are not known to be applied.
+        before: The expected ends of runs seen before.
+        predict_run_s: Predicts a run time from a queue, a step and a rack.
+        now_s: The time now.
+    """
+    ends = {}
+    for key, address in _find_live_runs(jobs, view.name, pending):
+        end = before.get(key)
+        if end is None:
+            job = jobs.jobs[address.job_id].job
+            step = job.steps[address.step]
+            run_s = math.inf
+            if not step.long_running:
+                run_s = predict_run_s(job.queue, step, view.worker.rack)
+                sample = view.samples.get(key)
+                if sample is not None:
+                    run_s *= 1 - sample.percent / 100
+            cpu_millicores = step.resources.cpu_millicores
+            end = rack_forecast.ExpectedEnd(now_s + run_s, cpu_millicores)
+        ends[key] = end
+    return ends
+
+
 def _find_live_runs(
     jobs: job_tables.JobTables,
     agent: str,
--- a/marigoldsill/coordination/job_placing/gangs.py
+++ b/marigoldsill/coordination/job_placing/gangs.py
@@ -6,8 +6,16 @@
 import heapq
 import itertools
 
+from marigoldsill.coordination.job_placing import backlog as backlog_module
+from marigoldsill.coordination.job_placing import (
+    candidates as candidates_module,
+)
+from marigoldsill.coordination.job_placing import capacity_index
 from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import scoring
+from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -56,6 +64,51 @@
     yield list(workers)
 
 
+def choose_agents(
+    waiting: backlog_module.WaitingStep,
+    *,
+    chooser: worker_choice.WorkerChooser,
+    index: capacity_index.CapacityIndex,
+    interference: interference_model.InterferenceModel,
+    now_s: float,
+) -> list[str]:
+    """Returns an agent for each member of a gang, or none if not all members fit.
+
+    Args:
+        waiting: The gang.
+        chooser: Chooses a worker for each member.
+        index: Workers on which tasks may start; not changed.
+        interference: The learnt interference between images.
+        now_s: The time of the round.
+    """
+    step, pool = waiting.step, waiting.queue.pool
+    accepts = chooser.acceptance_for(waiting, now_s)
+    admitted = [
+        free
+        for free in index.workers.values()
+        if free.admits(step, pool) and accepts(free)
+    ]
+    for group in worker_groups(step, admitted):
+        candidates = candidates_module.Candidates(
+            lambda free: scoring.score_within_limits(
+                free, step, pool, interference
+            )
+        )
+        for free in group:
+            candidates.update(free.copy(), index.ordinal(free.agent))
+        agents: list[str] = []
+        for number in range(len(waiting.tasks)):
+            free = chooser.choose(waiting, number, candidates, now_s)
+            if free is None:
+                break
+            free.reserve(waiting.key, step, interference)
+            candidates.update(free, index.ordinal(free.agent))
+            agents.append(free.agent)
+        else:
+            return agents
+    return []
+
+
 def runs_of_incomplete_gangs(
     jobs: job_tables.JobTables, job_ids: Iterable[str]
 ) -> list[evictions.Eviction]:
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -8,7 +8,12 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 
+from marigoldsill.coordination.job_locality import locality_metrics
+from marigoldsill.coordination.job_locality import locality_settings
+from marigoldsill.coordination.job_locality import rack_affinity
+from marigoldsill.coordination.job_locality import worker_ramp
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
@@ -20,7 +25,6 @@
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
-from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.coordination.job_placing import worker_health
@@ -38,6 +42,7 @@
 # therefore waits for about the run time of large jobs.
 _FULL_POOL_SHARE = 0.6
 _FULL_POOL_IDLE_LIMIT_S = 20.0
+_DEFAULT_LOCALITY = locality_settings.LocalitySettings()
 
 
 class Placement:
@@ -54,6 +59,10 @@
         health: worker_health.WorkerHealth,
         tickets: tickets_module.Tickets,
         is_live: Callable[[str], bool] = lambda agent: True,
+        locality: locality_settings.LocalitySettings = _DEFAULT_LOCALITY,
+        predict_run_ms: Callable[[str, float], float] = (
+            lambda queue, estimated_ms: estimated_ms
+        ),
     ):
         """Creates a placement without workers.
 
@@ -62,6 +71,9 @@
             health: The workers on which tasks failed.
             tickets: The adviser's tickets.
             is_live: Whether an agent's lease is live; checked before each grant.
+            locality: Whether tasks wait for racks and workers are filled step by
+                step.
+            predict_run_ms: Predicts a run time from a queue and an estimate.
         """
         self.index = capacity_index.CapacityIndex()
         self._interference = interference
@@ -80,6 +92,15 @@
             exploration=self._exploration,
             is_live=is_live,
         )
+        self._locality = locality
+        self._rack_affinity = rack_affinity.RackAffinity(
+            settings=locality,
+            workers_of=self.index.rack_workers,
+            predict_run_ms=predict_run_ms,
+        )
+        self._ramps = worker_ramp.WorkerRamps(
+            ramp_up_s=locality.worker_ramp_up_s
+        )
         self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
         self._gang_selector = gangs.GangSelector()
 
@@ -89,6 +110,7 @@
         view: agents_module.AgentView,
         *,
         is_eligible: bool,
+        now_s: float = 0.0,
     ) -> None:
         """Recomputes the free capacity of one agent's worker.
 
@@ -96,8 +118,10 @@
             jobs: The jobs, with the runs that may be alive.
             view: The agent.
             is_eligible: Whether tasks may start on its worker.
+            now_s: The time of the round.
         """
         if not is_eligible or view.worker is None:
+            self._ramps.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
             return
         pending = self._pending.get(view.name, {})
@@ -107,8 +131,21 @@
         if self._health.is_on_probation(view.worker.worker_id):
             # One run shows whether the worker is healthy.
             free.starts_limit = 1
+        if self._locality.awaits_racks:
+            self._expect_run_ends(jobs, view, free, now_s)
+        if self._locality.ramps_workers:
+            free.ramp_starts_left = self._ramps.observe(
+                view.name,
+                view.worker.worker_id,
+                cold_s=view.worker.cold_remaining_ms / 1000,
+                now_s=now_s,
+            )
         self.index.put(free)
 
+    def due_agents(self, *, now_s: float) -> list[str]:
+        """Returns agents to refresh, as their workers may take more tasks by now."""
+        return self._ramps.due_agents(now_s=now_s)
+
     def place(
         self, steps: Sequence[backlog_module.WaitingStep], *, now_s: float
     ) -> list[ttypes.RunGrant]:
@@ -137,6 +174,10 @@
                 granted = self._place_ignoring_limits(waiting, now_s)
             grants += granted
         self._candidate_cache.end_round()
+        if self._locality.awaits_racks:
+            self._rack_affinity.end_round(now_s=now_s)
+        if self._locality.ramps_workers:
+            locality_metrics.WORKERS_RAMPING.set(self._ramps.ramping_count)
         return grants
 
     def update_pending_grants(
@@ -194,6 +235,7 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         has_candidates = True
+        may_wait = self._rack_affinity.may_wait(waiting.step)
         for index in waiting.waiting_indexes:
             if self._chooser.is_isolated(waiting, index, now_s):
                 free = self._chooser.choose_for_suspect(waiting, index, now_s)
@@ -205,6 +247,15 @@
                 )
                 free = self._chooser.choose(waiting, index, candidates, now_s)
                 has_candidates = free is not None
+                if (
+                    may_wait
+                    and free is not None
+                    and free.worker.rack != waiting.step.preferred_rack
+                    and self._must_wait_for_rack(
+                        waiting, index, now_s, is_idle=not grants
+                    )
+                ):
+                    continue
             if free is not None:
                 grants.append(self._grant_task(waiting, index, free, now_s))
             elif not waiting.suspects_count:
@@ -219,24 +270,15 @@
         It starts where it interferes least, and the agent throttles it to the speed
         that is left. This way every job makes progress, even if slowly.
         """
-        index = next(
-            (
-                index
-                for index in waiting.waiting_indexes
-                if not self._chooser.is_isolated(waiting, index, now_s)
-            ),
-            None,
-        )
-        if index is None:
-            return []
         candidates = self._candidate_cache.get_candidates(
             waiting.step, waiting.queue.pool, ignores_limits=True
         )
-        free = candidates.find_best(
-            self._chooser.acceptance_for(waiting, now_s)
+        chosen = self._chooser.choose_ignoring_limits(
+            waiting, candidates, now_s
         )
-        if free is None:
+        if chosen is None:
             return []
+        index, free = chosen
         return [self._grant_task(waiting, index, free, now_s)]
 
     def _place_gang(
@@ -245,52 +287,20 @@
         """Starts all members with the same run number, or none."""
         if any(task.runs or task.done for task in waiting.tasks):
             return []
-        accepts = self._chooser.acceptance_for(waiting, now_s)
-        admitted = [
-            free
-            for free in self.index.workers.values()
-            if free.admits(waiting.step, waiting.queue.pool) and accepts(free)
-        ]
+        agents = gangs.choose_agents(
+            waiting,
+            chooser=self._chooser,
+            index=self.index,
+            interference=self._interference,
+            now_s=now_s,
+        )
         run = 1 + max(task.last_run for task in waiting.tasks)
-        for group in gangs.worker_groups(waiting.step, admitted):
-            agents = self._choose_agents_for_gang(waiting, group, now_s)
-            if agents:
-                return [
-                    self._grant_task(
-                        waiting,
-                        index,
-                        self.index.workers[agent],
-                        now_s,
-                        run=run,
-                    )
-                    for index, agent in enumerate(agents)
-                ]
-        return []
-
-    def _choose_agents_for_gang(
-        self,
-        waiting: backlog_module.WaitingStep,
-        group: Iterable[free_capacity.FreeCapacity],
-        now_s: float,
-    ) -> list[str]:
-        """Returns an agent for each member, or none if not all members fit."""
-        step, pool = waiting.step, waiting.queue.pool
-        candidates = candidates_module.Candidates(
-            lambda free: scoring.score_within_limits(
-                free, step, pool, self._interference
+        return [
+            self._grant_task(
+                waiting, index, self.index.workers[agent], now_s, run=run
             )
-        )
-        for free in group:
-            candidates.update(free.copy(), self.index.ordinal(free.agent))
-        agents: list[str] = []
-        for index in range(len(waiting.tasks)):
-            free = self._chooser.choose(waiting, index, candidates, now_s)
-            if free is None:
-                return []
-            free.reserve(waiting.key, step, self._interference)
-            candidates.update(free, self.index.ordinal(free.agent))
-            agents.append(free.agent)
-        return agents
+            for index, agent in enumerate(agents)
+        ]
 
     def _grant_task(
         self,
@@ -308,10 +318,18 @@
             free.agent,
             now_s=now_s,
         )
+        run = run or waiting.tasks[index].last_run + 1
+        if self._locality.awaits_racks:
+            free.expected_ends[waiting.task_name(index), run] = (
+                self._rack_affinity.record_start(
+                    _rack_task(waiting, index), free, now_s=now_s
+                )
+            )
+        self._ramps.record_start(free.agent)
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
-            run=run or waiting.tasks[index].last_run + 1,
+            run=run,
             agent=free.agent,
             worker_id=free.worker.worker_id,
         )
@@ -327,3 +345,51 @@
             return True
         reserved_share = self.index.reserved_share(waiting.queue.pool)
         return reserved_share <= _FULL_POOL_SHARE
+
+    def _must_wait_for_rack(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        now_s: float,
+        *,
+        is_idle: bool,
+    ) -> bool:
+        """Returns whether a task waits, as there is no place in its rack now.
+
+        A job that is idle while much of its pool is not in use waits for a short time.
+        """
+        idle_deadline_s = math.inf
+        reserved_share = self.index.reserved_share(waiting.queue.pool)
+        if is_idle and reserved_share <= _FULL_POOL_SHARE:
+            idle_deadline_s = waiting.idle_since_s + _IDLE_LIMIT_S
+        return self._rack_affinity.must_wait(
+            _rack_task(waiting, index),
+            accepts=self._chooser.acceptance_for(waiting, now_s),
+            idle_deadline_s=idle_deadline_s,
+            now_s=now_s,
+        )
+
+    def _expect_run_ends(
+        self,
+        jobs: job_tables.JobTables,
+        view: agents_module.AgentView,
+        free: free_capacity.FreeCapacity,
+        now_s: float,
+    ) -> None:
+        before = self.index.workers.get(view.name)
+        free.expected_ends = free_capacity.expect_run_ends(
+            jobs,
+            view,
+            pending=self._pending.get(view.name, {}).values(),
+            before={} if before is None else before.expected_ends,
+            predict_run_s=self._rack_affinity.predict_run_s,
+            now_s=now_s,
+        )
+
+
+def _rack_task(
+    waiting: backlog_module.WaitingStep, index: int
+) -> rack_affinity.RackTask:
+    return rack_affinity.RackTask(
+        waiting.key, index, waiting.step, waiting.queue
+    )
--- a/marigoldsill/coordination/job_placing/scoring.py
+++ b/marigoldsill/coordination/job_placing/scoring.py
@@ -67,7 +67,8 @@
     """Scores a worker for a best-effort task without limits on interference."""
     if not free.admits(step, pool):
         return None
-    return -interference_share(free, step, model), free.idle_share
+    interference = interference_share(free, step, model)
+    return free.is_within_ramp, -interference, free.idle_share
 
 
 def score(
@@ -80,13 +81,15 @@
 
     Latency-critical tasks are packed on the largest workers, grouped by image. This
     leaves as many workers as possible for best-effort tasks that would interfere with
-    them. All other tasks share workers with them, as they do not interfere.
+    them. All other tasks share workers with them, as they do not interfere. A worker
+    whose ramp allows no more runs comes after all others.
 
     Args:
         free: The worker.
         step: The requirements of the task.
         interference: The result of `interference_share`; 0 unless best-effort.
     """
+    is_within_ramp = free.is_within_ramp
     is_near = free.worker.rack == step.preferred_rack
     is_shared = bool(free.latency_critical)
     if step.tail_target_ms:
@@ -94,11 +97,18 @@
             task.image != step.image for task in free.latency_critical
         )
         capacity = free.worker.capacity.cpu_millicores
-        return is_near, is_shared, capacity, -others_count, -free.cpu_millicores
+        return (
+            is_within_ramp,
+            is_near,
+            is_shared,
+            capacity,
+            -others_count,
+            -free.cpu_millicores,
+        )
     if step.best_effort:
         cost = interference + (0.0 if is_shared else _UNSHARED_COST)
-        return is_near, _IDLE_WEIGHT * free.idle_share - cost
-    return is_near, is_shared, free.idle_share
+        return is_within_ramp, is_near, _IDLE_WEIGHT * free.idle_share - cost
+    return is_within_ramp, is_near, is_shared, free.idle_share
 
 
 def can_start_at_full_speed(
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -343,6 +343,8 @@
             health=self._health,
             tickets=self._ticket_manager.tickets,
             is_live=self._service.leases.is_live,
+            locality=self._settings.locality,
+            predict_run_ms=self._urgency.run_times.predict_ms,
         )
         self._worker_refresher = worker_refresher.WorkerRefresher(
             agents=self._service.agents,
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -59,6 +59,7 @@
             self._leases_checked_s = now_s
             workers = self._placement.index.workers
             self._stale.update(workers.keys() - self._leases.live_agents())
+        self._stale.update(self._placement.due_agents(now_s=now_s))
         stale, self._stale = self._stale | self._ineligible, set()
         for name in sorted(stale):
             view = self._agents.get(name)
@@ -69,7 +70,9 @@
                 self._ineligible.discard(name)
             else:
                 self._ineligible.add(name)
-            self._placement.refresh(jobs, view, is_eligible=is_eligible)
+            self._placement.refresh(
+                jobs, view, is_eligible=is_eligible, now_s=now_s
+            )
 
     def _update_evacuations(self, evacuated: Set[str]) -> None:
         changed = self._evacuated ^ evacuated
