--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -9,6 +9,7 @@
 from marigoldsill import settings as settings_module
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
+from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.platform import settings_file
 from marigoldsill.transport import logs
@@ -45,7 +46,12 @@
     settings: settings_module.PlatformEdgeSettings,
 ) -> scheduling_settings.SchedulingSettings:
     """Returns the optional parts of the decisions that the settings switch on."""
-    return scheduling_settings.SchedulingSettings()
+    return scheduling_settings.SchedulingSettings(
+        locality=locality_settings.LocalitySettings(
+            spreads_racks=bool(settings.spread_racks),
+            worker_ramp_up_s=settings.worker_ramp_up_s,
+        )
+    )
 
 
 def _run(
--- a/marigoldsill/coordination/job_locality/rack_affinity.py
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -117,6 +117,7 @@
         *,
         accepts: Callable[[RackWorker], bool],
         idle_deadline_s: float,
+        used_share: float,
         now_s: float,
     ) -> bool:
         """Returns whether a task waits rather than start outside of its rack.
@@ -125,9 +126,22 @@
             task: The task, which may wait and has no place in its rack now.
             accepts: Whether the step may use a worker, apart from its resources.
             idle_deadline_s: When its job would have been idle for too long.
+            used_share: The share of its pool that is in use.
             now_s: The time of the round.
         """
-        decision = self._decide(task, accepts, idle_deadline_s, now_s)
+        decision = rack_waits.Decision(rack_waits.Verdict.NO_WORKER)
+        if self._has_worker(task, accepts):
+            request = rack_waits.RackRequest(
+                task.key,
+                cpu_millicores=task.step.resources.cpu_millicores,
+                run_s=self.predict_run_s(
+                    task.queue.name, task.step, task.step.preferred_rack
+                ),
+                idle_deadline_s=idle_deadline_s,
+                used_share=used_share,
+            )
+            forecast = self._forecast(task.rack_key, now_s)
+            decision = self._waits.decide(request, forecast, now_s=now_s)
         self._decisions[task.key] = decision
         if decision.verdict is not rack_waits.Verdict.WAIT:
             return False
@@ -149,7 +163,6 @@
     ) -> rack_forecast.ExpectedEnd:
         """Records that a run of a task is granted; returns its expected end."""
         rack = worker.worker.rack
-        self._waits.drop(task.key)
         end_s = math.inf
         if not task.step.long_running:
             end_s = now_s + self.predict_run_s(task.queue.name, task.step, rack)
@@ -160,7 +173,8 @@
         if forecast is not None:
             forecast.add(end)
         if self.may_wait(task.step) and rack != task.step.preferred_rack:
-            self._report_away(task, worker)
+            self._report_away(task, worker, now_s)
+        self._waits.drop(task.key)
         return end
 
     def end_round(self, *, now_s: float) -> None:
@@ -172,29 +186,6 @@
             self._waits.end_round(now_s=now_s)
         )
 
-    def _decide(
-        self,
-        task: RackTask,
-        accepts: Callable[[RackWorker], bool],
-        idle_deadline_s: float,
-        now_s: float,
-    ) -> rack_waits.Decision:
-        if not self._has_worker(task, accepts):
-            return self._waits.decide_without_worker(task.key, now_s=now_s)
-        request = rack_waits.RackRequest(
-            task.key,
-            cpu_millicores=task.step.resources.cpu_millicores,
-            run_s=self.predict_run_s(
-                task.queue.name, task.step, task.step.preferred_rack
-            ),
-            idle_deadline_s=idle_deadline_s,
-        )
-        forecast = self._forecasts.get(task.rack_key)
-        if forecast is None:
-            forecast = self._create_forecast(task.rack_key, now_s)
-            self._forecasts[task.rack_key] = forecast
-        return self._waits.decide(request, forecast, now_s=now_s)
-
     def _has_worker(
         self, task: RackTask, accepts: Callable[[RackWorker], bool]
     ) -> bool:
@@ -208,21 +199,27 @@
             self._can_wait[task.step_key] = can_wait
         return can_wait
 
-    def _create_forecast(
+    def _forecast(
         self, rack_key: tuple[str, str], now_s: float
     ) -> rack_forecast.RackForecast:
-        ends = [
-            end
-            for worker in self._workers_of(*rack_key)
-            if not worker.worker.draining
-            for end in worker.expected_ends.values()
-        ]
-        return rack_forecast.RackForecast(ends, now_s=now_s)
-
-    def _report_away(self, task: RackTask, worker: RackWorker) -> None:
+        forecast = self._forecasts.get(rack_key)
+        if forecast is None:
+            ends = [
+                end
+                for worker in self._workers_of(*rack_key)
+                if not worker.worker.draining
+                for end in worker.expected_ends.values()
+            ]
+            forecast = rack_forecast.RackForecast(ends, now_s=now_s)
+            self._forecasts[rack_key] = forecast
+        return forecast
+
+    def _report_away(
+        self, task: RackTask, worker: RackWorker, now_s: float
+    ) -> None:
         decision = self._decisions.get(task.key)
         reason = "no_choice" if decision is None else str(decision.verdict)
-        waited_s = 0.0 if decision is None else decision.waited_s
+        waited_s = self._waits.waited_s(task.key, now_s=now_s)
         locality_metrics.RUNS_AWAY_FROM_RACK.labels(reason).inc()
         logs.event(
             "started_away_from_rack",
--- a/marigoldsill/coordination/job_locality/rack_waits.py
+++ b/marigoldsill/coordination/job_locality/rack_waits.py
@@ -4,7 +4,8 @@
 elsewhere takes longer by a known ratio. It waits if its turn in the rack is expected
 before that extra run time is used up, and never longer than that, so that waiting costs
 at most what starting elsewhere would have cost. Tasks whose turn comes later start
-elsewhere at once.
+elsewhere at once. Where much of the pool is idle, starting elsewhere delays nobody else,
+so tasks begin to wait for a near turn only.
 """
 
 import dataclasses
@@ -13,9 +14,9 @@
 from marigoldsill.coordination.job_locality import rack_forecast
 from marigoldsill.protocol import task_names
 
-# How long a task that is not offered keeps the time since when it waits. It is longer
-# than a few full rounds, and than a policy holds a step back for a moment.
-_UNOFFERED_LIMIT_S = 10.0
+# How long a task keeps the time since when it waits while it has no choice. It is longer
+# than the rest of a pool is usually full.
+_UNOFFERED_LIMIT_S = 60.0
 
 # A step, and the index of one of its tasks.
 TaskKey = tuple[task_names.StepKey, int]
@@ -41,12 +42,14 @@
         run_s: Its expected run time in the rack.
         idle_deadline_s: When its job would have been idle for too long; infinite
             without such a limit.
+        used_share: The share of its pool that is in use, from 0 to 1.
     """
 
     key: TaskKey
     cpu_millicores: int
     run_s: float
     idle_deadline_s: float
+    used_share: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,15 +58,13 @@
 
     Attributes:
         verdict: Whether it waits, or why not.
-        waited_s: How long it has waited.
         is_new: Whether it waits from now on.
         limit_s: The maximum duration of its wait.
     """
 
     verdict: Verdict
-    waited_s: float
-    is_new: bool
-    limit_s: float
+    is_new: bool = False
+    limit_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,6 +106,12 @@
         since_s = now_s if wait is None else wait.since_s
         limit_s = self._extra_ratio * request.run_s
         latest_start_s = min(since_s + limit_s, request.idle_deadline_s)
+        latest_turn_s = latest_start_s
+        if wait is None:
+            # A task that waits already is not turned away by a short idle moment.
+            latest_turn_s = min(
+                latest_turn_s, now_s + limit_s * request.used_share
+            )
         verdict = Verdict.WAIT
         if now_s >= since_s + limit_s:
             verdict = Verdict.WAITED
@@ -114,7 +121,7 @@
             forecast.book(
                 request.cpu_millicores,
                 run_s=request.run_s,
-                latest_start_s=latest_start_s,
+                latest_start_s=latest_turn_s,
             )
             is None
         ):
@@ -123,16 +130,14 @@
             self._waits[request.key] = _Wait(since_s, now_s)
         return Decision(
             verdict,
-            waited_s=now_s - since_s,
             is_new=wait is None,
             limit_s=max(0.0, latest_start_s - since_s),
         )
 
-    def decide_without_worker(self, key: TaskKey, *, now_s: float) -> Decision:
-        """Decides for a task whose rack has no worker that it may ever use."""
+    def waited_s(self, key: TaskKey, *, now_s: float) -> float:
+        """Returns how long a task has waited; 0 if it has not."""
         wait = self._waits.get(key)
-        waited_s = 0.0 if wait is None else now_s - wait.since_s
-        return Decision(Verdict.NO_WORKER, waited_s, is_new=False, limit_s=0.0)
+        return 0.0 if wait is None else now_s - wait.since_s
 
     def drop(self, key: TaskKey) -> None:
         """Drops a task that starts."""
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -1,9 +1,11 @@
-"""Free capacity of all workers, with a change log."""
+"""Free capacity of all workers, with a change log, and grants that still reserve it."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
 from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import amounts
 
@@ -12,6 +14,33 @@
 _CHANGES_RATIO = 4
 
 
+class PendingGrants:
+    """Grants that are not known to be applied; used by one thread."""
+
+    def __init__(self):
+        self._by_agent: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
+
+    def of_agent(self, agent: str) -> Collection[ttypes.RunGrant]:
+        """Returns the pending grants to an agent."""
+        return self._by_agent.get(agent, {}).values()
+
+    def update(
+        self, grants: Iterable[ttypes.RunGrant], *, is_decided: bool
+    ) -> set[str]:
+        """Records whether the outcome of some grants is known; returns their agents."""
+        agents = set()
+        for grant in grants:
+            agents.add(grant.agent)
+            pending = self._by_agent.setdefault(grant.agent, {})
+            if is_decided:
+                pending.pop((grant.task, grant.run), None)
+            else:
+                pending[grant.task, grant.run] = grant
+            if not pending:
+                del self._by_agent[grant.agent]
+        return agents
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Contribution:
     """The contribution of one worker to the totals of its pool."""
@@ -20,6 +49,7 @@
     rack: str
     capacity: ttypes.Resources
     free_millicores: int
+    idle_millicores: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +60,7 @@
         default_factory=ttypes.Resources
     )
     free_millicores: int = 0
+    idle_millicores: float = 0.0
 
 
 class CapacityIndex:
@@ -90,6 +121,15 @@
             return 0.0
         return 1 - totals.free_millicores / totals.capacity.cpu_millicores
 
+    def used_share(self, pool: str) -> float:
+        """Returns the share of a pool that is reserved or used, the larger one."""
+        totals = self._pools.get(pool)
+        if totals is None or not totals.capacity.cpu_millicores:
+            return 0.0
+        unused_millicores = min(totals.free_millicores, totals.idle_millicores)
+        unused_share = unused_millicores / totals.capacity.cpu_millicores
+        return min(1.0, max(0.0, 1 - unused_share))
+
     def pool_capacity(self, pool: str) -> ttypes.Resources:
         """Returns the capacity of a pool's workers; zero if the pool is unknown."""
         return self._pools.get(pool, _PoolTotals()).capacity
@@ -111,7 +151,11 @@
             return
         worker = free.worker
         contribution = _Contribution(
-            worker.pool, worker.rack, worker.capacity, free.cpu_millicores
+            worker.pool,
+            worker.rack,
+            worker.capacity,
+            free.cpu_millicores,
+            free.idle_millicores,
         )
         self._contributions[agent] = contribution
         self._racks.setdefault((worker.pool, worker.rack), {})[agent] = None
@@ -126,3 +170,4 @@
         operation = amounts.add if sign > 0 else amounts.subtract
         pool.capacity = operation(pool.capacity, contribution.capacity)
         pool.free_millicores += sign * contribution.free_millicores
+        pool.idle_millicores += sign * contribution.idle_millicores
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -101,7 +101,7 @@
         self._ramps = worker_ramp.WorkerRamps(
             ramp_up_s=locality.worker_ramp_up_s
         )
-        self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
+        self._pending = capacity_index.PendingGrants()
         self._gang_selector = gangs.GangSelector()
 
     def refresh(
@@ -124,15 +124,23 @@
             self._ramps.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
             return
-        pending = self._pending.get(view.name, {})
+        pending = self._pending.of_agent(view.name)
         free = free_capacity.compute_for_agent(
-            jobs, view, self._interference, pending=pending.values()
+            jobs, view, self._interference, pending=pending
         )
         if self._health.is_on_probation(view.worker.worker_id):
             # One run shows whether the worker is healthy.
             free.starts_limit = 1
         if self._locality.awaits_racks:
-            self._expect_run_ends(jobs, view, free, now_s)
+            before = self.index.workers.get(view.name)
+            free.expected_ends = free_capacity.expect_run_ends(
+                jobs,
+                view,
+                pending=pending,
+                before={} if before is None else before.expected_ends,
+                predict_run_s=self._rack_affinity.predict_run_s,
+                now_s=now_s,
+            )
         if self._locality.ramps_workers:
             free.ramp_starts_left = self._ramps.observe(
                 view.name,
@@ -193,16 +201,7 @@
         Returns:
             The agents to refresh.
         """
-        grants = list(grants)
-        for grant in grants:
-            pending = self._pending.setdefault(grant.agent, {})
-            if is_decided:
-                pending.pop((grant.task, grant.run), None)
-            else:
-                pending[grant.task, grant.run] = grant
-            if not pending:
-                del self._pending[grant.agent]
-        return {grant.agent for grant in grants}
+        return self._pending.update(grants, is_decided=is_decided)
 
     def find_other_worker(
         self, step: ttypes.Step, pool: str, *, agent: str, now_s: float
@@ -341,10 +340,13 @@
         idle_s = now_s - waiting.idle_since_s
         if not waiting.step.best_effort or idle_s <= _IDLE_LIMIT_S:
             return False
-        if idle_s > _FULL_POOL_IDLE_LIMIT_S:
-            return True
-        reserved_share = self.index.reserved_share(waiting.queue.pool)
-        return reserved_share <= _FULL_POOL_SHARE
+        return idle_s > self._idle_limit_s(waiting.queue.pool)
+
+    def _idle_limit_s(self, pool: str) -> float:
+        """Returns how long a job may be idle, as much of its pool is in use."""
+        if self.index.reserved_share(pool) > _FULL_POOL_SHARE:
+            return _FULL_POOL_IDLE_LIMIT_S
+        return _IDLE_LIMIT_S
 
     def _must_wait_for_rack(
         self,
@@ -356,33 +358,17 @@
     ) -> bool:
         """Returns whether a task waits, as there is no place in its rack now.
 
-        A job that is idle while much of its pool is not in use waits for a short time.
+        It waits for less time while its job is idle.
         """
         idle_deadline_s = math.inf
-        reserved_share = self.index.reserved_share(waiting.queue.pool)
-        if is_idle and reserved_share <= _FULL_POOL_SHARE:
-            idle_deadline_s = waiting.idle_since_s + _IDLE_LIMIT_S
+        if is_idle:
+            limit_s = self._idle_limit_s(waiting.queue.pool)
+            idle_deadline_s = waiting.idle_since_s + limit_s
         return self._rack_affinity.must_wait(
             _rack_task(waiting, index),
             accepts=self._chooser.acceptance_for(waiting, now_s),
             idle_deadline_s=idle_deadline_s,
-            now_s=now_s,
-        )
-
-    def _expect_run_ends(
-        self,
-        jobs: job_tables.JobTables,
-        view: agents_module.AgentView,
-        free: free_capacity.FreeCapacity,
-        now_s: float,
-    ) -> None:
-        before = self.index.workers.get(view.name)
-        free.expected_ends = free_capacity.expect_run_ends(
-            jobs,
-            view,
-            pending=self._pending.get(view.name, {}).values(),
-            before={} if before is None else before.expected_ends,
-            predict_run_s=self._rack_affinity.predict_run_s,
+            used_share=self.index.used_share(waiting.queue.pool),
             now_s=now_s,
         )
 
--- a/marigoldsill/platform/edge.py
+++ b/marigoldsill/platform/edge.py
@@ -1,5 +1,7 @@
 """The process on an edge VM: serves clients and operators and may store the state."""
 
+import dataclasses
+
 from werkzeug import wrappers
 
 from marigoldsill.coordination.jobs import client as job_client
@@ -52,7 +54,7 @@
             target_voters_count=2 * settings.tolerated_losses_count + 1,
             job_retention_s=settings.job_retention_s,
             adviser=_create_adviser(settings),
-            scheduling=scheduling,
+            scheduling=with_platform_settings(scheduling, settings),
         )
         self._control_addresses = control_addresses.ControlAddresses(
             _lookup_addresses(settings)
@@ -136,6 +138,17 @@
     return [settings.internal_address, *settings.seed_addresses]
 
 
+def with_platform_settings(
+    scheduling: scheduling_settings.SchedulingSettings,
+    settings: settings_file.PlatformSettings,
+) -> scheduling_settings.SchedulingSettings:
+    """Returns the settings of decisions with what the platform decides of them."""
+    locality = dataclasses.replace(
+        scheduling.locality, remote_run_ratio=settings.remote_run_ratio
+    )
+    return dataclasses.replace(scheduling, locality=locality)
+
+
 def _create_adviser(
     settings: settings_file.PlatformSettings,
 ) -> adviser_client.PlatformAdviser | None:
--- a/marigoldsill/platform/fields.py
+++ b/marigoldsill/platform/fields.py
@@ -55,14 +55,17 @@
             raise self._invalid(name, value, f"a whole number of {low} or more")
         return value
 
-    def get_number(self, name: str, *, default: float | None = None) -> float:
-        """Returns a number that is not negative."""
+    def get_number(
+        self, name: str, *, default: float | None = None, low: float = 0.0
+    ) -> float:
+        """Returns a number of `low` or more."""
         value = self._values.get(name, default)
         is_number = isinstance(value, int | float)
+        expected = f"a number of {low:g} or more"
         if isinstance(value, bool) or not is_number:
-            raise self._invalid(name, value, "a number of 0 or more")
-        if not 0 <= value <= _INTEGER_LIMIT:
-            raise self._invalid(name, value, "a number of 0 or more")
+            raise self._invalid(name, value, expected)
+        if not low <= value <= _INTEGER_LIMIT:
+            raise self._invalid(name, value, expected)
         return float(value)
 
     def get_boolean(self, name: str, *, default: bool | None = False) -> bool:
--- a/marigoldsill/platform/settings_file.py
+++ b/marigoldsill/platform/settings_file.py
@@ -43,6 +43,8 @@
             same time.
         stop_limit_s: Time between SIGTERM and SIGKILL.
         job_retention_s: How long a job's state must be available after its end.
+        remote_run_ratio: Run time of a task outside of its preferred rack, divided
+            by its run time there.
     """
 
     name: str
@@ -62,6 +64,7 @@
     tolerated_losses_count: int
     stop_limit_s: float
     job_retention_s: float
+    remote_run_ratio: float = 1.0
 
     @property
     def internal_address(self) -> str:
@@ -148,6 +151,9 @@
             tolerated_losses_count=self._read_integer(losses, "machines", 1),
             stop_limit_s=self._read_number(bounds, "grace_s", 6.0),
             job_retention_s=self._read_number(bounds, "status_s", 120.0),
+            remote_run_ratio=self._read_number(
+                bounds, "remote_factor", 1.0, low=1.0
+            ),
         )
         if self._messages:
             raise errors.SettingsError("\n".join(self._messages))
@@ -163,9 +169,11 @@
             lambda: table.get_integer(name, default=default), 0
         )
 
-    def _read_number(self, table, name: str, default: float) -> float:
+    def _read_number(
+        self, table, name: str, default: float, low: float = 0.0
+    ) -> float:
         return self._try_read(
-            lambda: table.get_number(name, default=default), 0.0
+            lambda: table.get_number(name, default=default, low=low), low
         )
 
     def _read_ports(self) -> tuple[int, int]:
--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -338,6 +338,19 @@
         parse_reachable_address,
         default="",
     )
+    spread_racks: int = setting(
+        "1 to spread the tasks of wide steps over racks, and equally suited tasks "
+        "over data centres; 0 to use the first suited worker.",
+        parse_integer(0, 1),
+        default=0,
+    )
+    worker_ramp_up_s: int = setting(
+        "How long a worker that is added, or is back after a loss or an "
+        "evacuation, gets its tasks step by step, in seconds; longer while it "
+        "announces to be cold. 0 to give it tasks at once.",
+        parse_integer(0, 600),
+        default=0,
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/tests/coordination/job_placing/leader_harness.py
+++ b/tests/coordination/job_placing/leader_harness.py
@@ -1,5 +1,6 @@
 """A harness for tests that runs placement rounds as a leader does."""
 
+from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import interference_model
@@ -23,20 +24,37 @@
 class LeaderHarness:
     """The state and agents of a leader, on a simulated clock."""
 
-    def __init__(self, *queues: ttypes.Queue):
+    def __init__(
+        self,
+        *queues: ttypes.Queue,
+        locality: locality_settings.LocalitySettings | None = None,
+    ):
         self.state = builders.State(*queues)
+        self.locality = locality or locality_settings.LocalitySettings()
         self.interference = interference_model.InterferenceModel()
         self.backlog = backlog_module.Backlog()
         self.urgency = urgency_module.Urgency()
         self.health = worker_health.WorkerHealth()
         self.tickets = tickets_module.Tickets()
-        self.placement = placement_module.Placement(
+        self.placement = self._create_placement()
+        self.now_s = 100.0
+        self.views: dict[str, agents_module.AgentView] = {}
+        self.ineligible: set[str] = set()
+
+    def begin_term(self) -> None:
+        """Goes on as a new leader, which knows only the state and the reports."""
+        self.state.tables.jobs.changed_jobs.update(self.state.tables.jobs.jobs)
+        self.backlog = backlog_module.Backlog()
+        self.placement = self._create_placement()
+
+    def _create_placement(self) -> placement_module.Placement:
+        return placement_module.Placement(
             interference=self.interference,
             health=self.health,
             tickets=self.tickets,
+            locality=self.locality,
+            predict_run_ms=self.urgency.run_times.predict_ms,
         )
-        self.now_s = 100.0
-        self.views: dict[str, agents_module.AgentView] = {}
 
     def set_worker(self, agent: str, cores: int = 8, **fields: object) -> None:
         """Adds a worker, or replaces its description."""
@@ -56,7 +74,12 @@
         jobs = self.state.tables.jobs
         self.backlog.refresh(jobs, jobs.pop_changed_jobs(), now_s=self.now_s)
         for view in self.views.values():
-            self.placement.refresh(jobs, view, is_eligible=True)
+            self.placement.refresh(
+                jobs,
+                view,
+                is_eligible=view.name not in self.ineligible,
+                now_s=self.now_s,
+            )
         waiting = self.backlog.rank_steps(
             self.urgency, now_unix_ms=builders.NOW_UNIX_MS
         )
