--- a/marigoldsill/coordination/job_locality/__init__.py
+++ b/marigoldsill/coordination/job_locality/__init__.py
@@ -11,6 +11,7 @@
     "locality_settings",
     "rack_affinity",
     "rack_forecast",
+    "rack_spread",
     "rack_waits",
     "worker_ramp",
 ]
--- a/marigoldsill/coordination/job_placing/candidates.py
+++ b/marigoldsill/coordination/job_placing/candidates.py
@@ -66,16 +66,41 @@
         Args:
             accepts: Whether a worker is acceptable; called from the best on.
         """
+        found = self.find_similar(accepts, limit=1)
+        return found[0] if found else None
+
+    def find_similar(
+        self,
+        accepts: Callable[[free_capacity.FreeCapacity], bool],
+        *,
+        limit: int,
+        tolerance_of: Callable[[free_capacity.FreeCapacity], float] = (
+            lambda best: 0.0
+        ),
+    ) -> list[free_capacity.FreeCapacity]:
+        """Returns the best accepted worker and those that are almost as good.
+
+        Args:
+            accepts: Whether a worker is acceptable; called from the best on.
+            limit: Maximum number of workers.
+            tolerance_of: Returns from the best worker how much lower the last item of
+                a score may be; the other items have to be equal.
+        """
         checked = []
-        found = None
-        while self._heap:
+        found: list[free_capacity.FreeCapacity] = []
+        worst: tuple[float, ...] = ()
+        while self._heap and len(found) < limit:
             entry = heapq.heappop(self._heap)
             if not self._is_valid(entry):
                 continue
             checked.append(entry)
-            if accepts(entry[-1]):
-                found = entry[-1]
+            if found and entry[0] > worst:
                 break
+            if accepts(entry[-1]):
+                if not found:
+                    *equal, last = entry[0]
+                    worst = (*equal, last + tolerance_of(entry[-1]))
+                found.append(entry[-1])
         for entry in checked:
             heapq.heappush(self._heap, entry)
         return found
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -1,5 +1,6 @@
 """Free capacity of all workers, with a change log, and grants that still reserve it."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
@@ -12,6 +13,8 @@
 # Length of the change log per worker. A reader that lags further has to process all
 # workers, which costs less by then.
 _CHANGES_RATIO = 4
+# More than the number of workers of a system.
+_ORDINALS_PER_POSITION = 1 << 20
 
 
 class PendingGrants:
@@ -70,9 +73,19 @@
         workers: Free capacity of each worker, by agent.
     """
 
-    def __init__(self):
+    def __init__(self, *, interleaves_racks: bool = False):
+        """Creates an index without workers.
+
+        Args:
+            interleaves_racks: Whether the first workers of all racks are numbered
+                before the second ones; otherwise in the order of appearance.
+        """
+        self._interleaves_racks = interleaves_racks
         self.workers: dict[str, free_capacity.FreeCapacity] = {}
         self._ordinals: dict[str, int] = {}
+        self._numbered_counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._contributions: dict[str, _Contribution] = {}
         self._pools: dict[str, _PoolTotals] = {}
         # Agents by pool and rack; the values are unused.
@@ -112,7 +125,17 @@
 
     def ordinal(self, agent: str) -> int:
         """Returns an agent's number, assigned when it is first requested."""
-        return self._ordinals.setdefault(agent, len(self._ordinals))
+        ordinal = self._ordinals.get(agent)
+        if ordinal is None:
+            ordinal = len(self._ordinals)
+            contribution = self._contributions.get(agent)
+            if self._interleaves_racks and contribution is not None:
+                rack_key = contribution.pool, contribution.rack
+                position = self._numbered_counts[rack_key]
+                self._numbered_counts[rack_key] += 1
+                ordinal += position * _ORDINALS_PER_POSITION
+            self._ordinals[agent] = ordinal
+        return ordinal
 
     def reserved_share(self, pool: str) -> float:
         """Returns the reserved share of a pool's processor time; 0 if unknown."""
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.job_locality import locality_metrics
 from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_locality import rack_affinity
+from marigoldsill.coordination.job_locality import rack_spread
 from marigoldsill.coordination.job_locality import worker_ramp
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
@@ -75,7 +76,12 @@
                 step.
             predict_run_ms: Predicts a run time from a queue and an estimate.
         """
-        self.index = capacity_index.CapacityIndex()
+        self.index = capacity_index.CapacityIndex(
+            interleaves_racks=locality.spreads_racks
+        )
+        self._spread: rack_spread.RackSpread | None = None
+        if locality.spreads_racks:
+            self._spread = rack_spread.RackSpread(self.index.workers.values)
         self._interference = interference
         self._health = health
         self._exploration = exploration.Exploration(interference)
@@ -91,6 +97,7 @@
             isolation=self._isolation,
             exploration=self._exploration,
             is_live=is_live,
+            spread=self._spread,
         )
         self._locality = locality
         self._rack_affinity = rack_affinity.RackAffinity(
@@ -184,6 +191,8 @@
         self._candidate_cache.end_round()
         if self._locality.awaits_racks:
             self._rack_affinity.end_round(now_s=now_s)
+        if self._spread is not None:
+            self._spread.end_round()
         if self._locality.ramps_workers:
             locality_metrics.WORKERS_RAMPING.set(self._ramps.ramping_count)
         return grants
@@ -325,6 +334,8 @@
                 )
             )
         self._ramps.record_start(free.agent)
+        if self._spread is not None:
+            self._spread.record_start(waiting.key, waiting.step, free.worker)
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from marigoldsill.coordination.job_locality import rack_spread
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
     candidates as candidates_module,
@@ -23,6 +24,10 @@
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol.generated import ttypes
 
+# Maximum number of almost equally suited workers to choose from. They stand in as many
+# racks where racks are equally loaded.
+_SIMILAR_LIMIT = 16
+
 
 class WorkerChooser:
     """Chooses workers for single tasks; used by one thread."""
@@ -37,6 +42,7 @@
         isolation: crash_isolation.CrashIsolation,
         exploration: exploration_module.Exploration,
         is_live: Callable[[str], bool],
+        spread: rack_spread.RackSpread | None = None,
     ):
         """Initializes the chooser.
 
@@ -48,6 +54,7 @@
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
             is_live: Whether an agent's lease is live.
+            spread: Chooses among almost equally suited workers; None for the best.
         """
         self._index = index
         self._interference = interference
@@ -56,6 +63,7 @@
         self._isolation = isolation
         self._exploration = exploration
         self._is_live = is_live
+        self._spread = spread
 
     def find_other(
         self,
@@ -133,7 +141,17 @@
             )
             if other is not None:
                 return other
-        return candidates.find_best(accepts)
+        if self._spread is None or not _may_be_spread(waiting.step):
+            return candidates.find_best(accepts)
+        similar = candidates.find_similar(
+            accepts,
+            limit=_SIMILAR_LIMIT,
+            tolerance_of=lambda best: _tolerance(waiting.step, best),
+        )
+        if not similar:
+            return None
+        position = self._spread.choose(waiting.key, waiting.step, similar)
+        return similar[position]
 
     def choose_ignoring_limits(
         self,
@@ -186,3 +204,22 @@
             )
 
         return accepts
+
+
+def _may_be_spread(step: ttypes.Step) -> bool:
+    """Returns whether almost equally suited workers may be exchanged for a step.
+
+    Latency-critical tasks are packed, and others may be bound to a rack.
+    """
+    return not (step.tail_target_ms or step.preferred_rack or step.gang)
+
+
+def _tolerance(step: ttypes.Step, best: free_capacity.FreeCapacity) -> float:
+    """Returns how much less idle a worker may be than the best one.
+
+    It is the share that one task takes. The scores of best-effort tasks contain
+    interference, which spreading must not increase.
+    """
+    if step.best_effort:
+        return 0.0
+    return step.resources.cpu_millicores / best.capacity_millicores
