--- a/marigoldsill/coordination/job_locality/__init__.py
+++ b/marigoldsill/coordination/job_locality/__init__.py
@@ -7,6 +7,7 @@
 """
 
 __all__ = [
+    "locality",
     "locality_metrics",
     "locality_settings",
     "rack_affinity",
--- a/marigoldsill/coordination/job_locality/rack_affinity.py
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
+from collections.abc import MutableMapping
 import dataclasses
 import math
 from typing import Protocol
@@ -29,7 +29,7 @@
     """
 
     worker: ttypes.PoolWorker
-    expected_ends: Mapping[task_names.RunKey, rack_forecast.ExpectedEnd]
+    expected_ends: MutableMapping[task_names.RunKey, rack_forecast.ExpectedEnd]
 
     def could_run(self, step: ttypes.Step) -> bool:
         """Returns whether a task of a step would fit if the worker were idle."""
@@ -159,9 +159,10 @@
         task: RackTask,
         worker: RackWorker,
         *,
+        run: int,
         now_s: float,
-    ) -> rack_forecast.ExpectedEnd:
-        """Records that a run of a task is granted; returns its expected end."""
+    ) -> None:
+        """Records that a run of a task is granted to a worker."""
         rack = worker.worker.rack
         end_s = math.inf
         if not task.step.long_running:
@@ -169,13 +170,13 @@
         end = rack_forecast.ExpectedEnd(
             end_s, task.step.resources.cpu_millicores
         )
+        worker.expected_ends[task.name, run] = end
         forecast = self._forecasts.get((task.queue.pool, rack))
         if forecast is not None:
             forecast.add(end)
         if self.may_wait(task.step) and rack != task.step.preferred_rack:
             self._report_away(task, worker, now_s)
         self._waits.drop(task.key)
-        return end
 
     def end_round(self, *, now_s: float) -> None:
         """Ends a round; capacity is forecast anew in the next one."""
--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -7,6 +7,7 @@
 import math
 import statistics
 
+from marigoldsill.coordination.job_locality import rack_affinity
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -50,6 +51,10 @@
         """Returns the name of one of its tasks."""
         return task_names.name_of(*self.key, index)
 
+    def rack_task(self, index: int) -> rack_affinity.RackTask:
+        """Returns one of its tasks as far as it matters where it starts."""
+        return rack_affinity.RackTask(self.key, index, self.step, self.queue)
+
 
 class Backlog:
     """The waiting steps of all jobs; only `refresh` reads the tables."""
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -10,11 +10,8 @@
 from collections.abc import Sequence
 import math
 
-from marigoldsill.coordination.job_locality import locality_metrics
+from marigoldsill.coordination.job_locality import locality as locality_module
 from marigoldsill.coordination.job_locality import locality_settings
-from marigoldsill.coordination.job_locality import rack_affinity
-from marigoldsill.coordination.job_locality import rack_spread
-from marigoldsill.coordination.job_locality import worker_ramp
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
@@ -79,9 +76,12 @@
         self.index = capacity_index.CapacityIndex(
             interleaves_racks=locality.spreads_racks
         )
-        self._spread: rack_spread.RackSpread | None = None
-        if locality.spreads_racks:
-            self._spread = rack_spread.RackSpread(self.index.workers.values)
+        self._locality = locality_module.Locality(
+            settings=locality,
+            workers=self.index.workers.values,
+            workers_of=self.index.rack_workers,
+            predict_run_ms=predict_run_ms,
+        )
         self._interference = interference
         self._health = health
         self._exploration = exploration.Exploration(interference)
@@ -97,16 +97,7 @@
             isolation=self._isolation,
             exploration=self._exploration,
             is_live=is_live,
-            spread=self._spread,
-        )
-        self._locality = locality
-        self._rack_affinity = rack_affinity.RackAffinity(
-            settings=locality,
-            workers_of=self.index.rack_workers,
-            predict_run_ms=predict_run_ms,
-        )
-        self._ramps = worker_ramp.WorkerRamps(
-            ramp_up_s=locality.worker_ramp_up_s
+            spread=self._locality.spread,
         )
         self._pending = capacity_index.PendingGrants()
         self._gang_selector = gangs.GangSelector()
@@ -128,7 +119,7 @@
             now_s: The time of the round.
         """
         if not is_eligible or view.worker is None:
-            self._ramps.observe_absence(view.name, now_s=now_s)
+            self._locality.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
             return
         pending = self._pending.of_agent(view.name)
@@ -145,21 +136,17 @@
                 view,
                 pending=pending,
                 before={} if before is None else before.expected_ends,
-                predict_run_s=self._rack_affinity.predict_run_s,
-                now_s=now_s,
-            )
-        if self._locality.ramps_workers:
-            free.ramp_starts_left = self._ramps.observe(
-                view.name,
-                view.worker.worker_id,
-                cold_s=view.worker.cold_remaining_ms / 1000,
+                predict_run_s=self._locality.affinity.predict_run_s,
                 now_s=now_s,
             )
+        free.ramp_starts_left = self._locality.observe_worker(
+            view.name, view.worker, now_s=now_s
+        )
         self.index.put(free)
 
     def due_agents(self, *, now_s: float) -> list[str]:
         """Returns agents to refresh, as their workers may take more tasks by now."""
-        return self._ramps.due_agents(now_s=now_s)
+        return self._locality.due_agents(now_s=now_s)
 
     def place(
         self, steps: Sequence[backlog_module.WaitingStep], *, now_s: float
@@ -189,12 +176,7 @@
                 granted = self._place_ignoring_limits(waiting, now_s)
             grants += granted
         self._candidate_cache.end_round()
-        if self._locality.awaits_racks:
-            self._rack_affinity.end_round(now_s=now_s)
-        if self._spread is not None:
-            self._spread.end_round()
-        if self._locality.ramps_workers:
-            locality_metrics.WORKERS_RAMPING.set(self._ramps.ramping_count)
+        self._locality.end_round(now_s=now_s)
         return grants
 
     def update_pending_grants(
@@ -243,7 +225,7 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         has_candidates = True
-        may_wait = self._rack_affinity.may_wait(waiting.step)
+        may_wait = self._locality.affinity.may_wait(waiting.step)
         for index in waiting.waiting_indexes:
             if self._chooser.is_isolated(waiting, index, now_s):
                 free = self._chooser.choose_for_suspect(waiting, index, now_s)
@@ -327,15 +309,9 @@
             now_s=now_s,
         )
         run = run or waiting.tasks[index].last_run + 1
-        if self._locality.awaits_racks:
-            free.expected_ends[waiting.task_name(index), run] = (
-                self._rack_affinity.record_start(
-                    _rack_task(waiting, index), free, now_s=now_s
-                )
-            )
-        self._ramps.record_start(free.agent)
-        if self._spread is not None:
-            self._spread.record_start(waiting.key, waiting.step, free.worker)
+        self._locality.record_start(
+            waiting.rack_task(index), free.agent, free, run=run, now_s=now_s
+        )
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
@@ -375,18 +351,10 @@
         if is_idle:
             limit_s = self._idle_limit_s(waiting.queue.pool)
             idle_deadline_s = waiting.idle_since_s + limit_s
-        return self._rack_affinity.must_wait(
-            _rack_task(waiting, index),
+        return self._locality.affinity.must_wait(
+            waiting.rack_task(index),
             accepts=self._chooser.acceptance_for(waiting, now_s),
             idle_deadline_s=idle_deadline_s,
             used_share=self.index.used_share(waiting.queue.pool),
             now_s=now_s,
         )
-
-
-def _rack_task(
-    waiting: backlog_module.WaitingStep, index: int
-) -> rack_affinity.RackTask:
-    return rack_affinity.RackTask(
-        waiting.key, index, waiting.step, waiting.queue
-    )
