--- a/marigoldsill/coordination/job_locality/locality.py
+++ b/marigoldsill/coordination/job_locality/locality.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import Protocol
 
 from marigoldsill.coordination.job_locality import locality_metrics
@@ -31,7 +32,7 @@
         *,
         settings: locality_settings.LocalitySettings,
         workers: Callable[[], Iterable[rack_spread.SpreadWorker]],
-        workers_of: Callable[[str, str], Iterable[rack_affinity.RackWorker]],
+        workers_of: Callable[[str, str], Sequence[rack_affinity.RackWorker]],
         predict_run_ms: Callable[[str, float], float],
     ):
         """Begins a term.
--- a/marigoldsill/coordination/job_locality/rack_affinity.py
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -1,12 +1,12 @@
 """Lets tasks wait for a worker in their preferred rack, round by round.
 
-Within a round each rack is forecast once, when the first task could wait for it, and
-what a step may do is found once for all of its tasks.
+A rack is forecast when the first task could wait for it. The forecast and the decisions
+to wait hold for a moment, so rounds that follow each other quickly cost little.
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import MutableMapping
+from collections.abc import Sequence
 import dataclasses
 import math
 from typing import Protocol
@@ -74,7 +74,7 @@
         self,
         *,
         settings: locality_settings.LocalitySettings,
-        workers_of: Callable[[str, str], Iterable[RackWorker]],
+        workers_of: Callable[[str, str], Sequence[RackWorker]],
         predict_run_ms: Callable[[str, float], float],
     ):
         """Initializes it without waiting tasks.
@@ -111,6 +111,26 @@
             run_s *= self._settings.remote_run_ratio
         return run_s
 
+    def is_settled(
+        self,
+        step_key: task_names.StepKey,
+        index: int,
+        rack_key: tuple[str, str],
+        *,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a task goes on to wait without another decision.
+
+        Args:
+            step_key: The step of the task.
+            index: Its index in the step.
+            rack_key: The pool and the preferred rack.
+            now_s: The time of the round.
+        """
+        return self._waits.is_settled((step_key, index), now_s=now_s) and bool(
+            self._workers_of(*rack_key)
+        )
+
     def must_wait(
         self,
         task: RackTask,
@@ -172,15 +192,17 @@
         )
         worker.expected_ends[task.name, run] = end
         forecast = self._forecasts.get((task.queue.pool, rack))
-        if forecast is not None:
-            forecast.add(end)
+        # The end of a task that waited was added when its turn was booked.
+        if forecast is not None and not self._waits.is_settled(
+            task.key, now_s=now_s
+        ):
+            forecast.start(end, now_s=now_s)
         if self.may_wait(task.step) and rack != task.step.preferred_rack:
             self._report_away(task, worker, now_s)
         self._waits.drop(task.key)
 
     def end_round(self, *, now_s: float) -> None:
-        """Ends a round; capacity is forecast anew in the next one."""
-        self._forecasts.clear()
+        """Ends a round."""
         self._can_wait.clear()
         self._decisions.clear()
         locality_metrics.TASKS_WAITING_FOR_RACK.set(
@@ -204,7 +226,10 @@
         self, rack_key: tuple[str, str], now_s: float
     ) -> rack_forecast.RackForecast:
         forecast = self._forecasts.get(rack_key)
-        if forecast is None:
+        if (
+            forecast is None
+            or now_s - forecast.made_s >= rack_waits.FORECAST_VALIDITY_S
+        ):
             ends = [
                 end
                 for worker in self._workers_of(*rack_key)
--- a/marigoldsill/coordination/job_locality/rack_forecast.py
+++ b/marigoldsill/coordination/job_locality/rack_forecast.py
@@ -28,10 +28,13 @@
 
 
 class RackForecast:
-    """The capacity of one rack that comes free, as seen in one round.
+    """The capacity of one rack that comes free, as seen at one moment.
 
     It adds up the processor time of all workers of the rack, so the turn of a task
     that needs most of a worker may come later than forecast.
+
+    Attributes:
+        made_s: When it was made.
     """
 
     def __init__(self, ends: Iterable[ExpectedEnd], *, now_s: float):
@@ -41,7 +44,7 @@
             ends: The expected ends of the runs.
             now_s: The time of the round.
         """
-        self._now_s = now_s
+        self.made_s = now_s
         self._heap = [
             (_corrected_end_s(end.end_s, now_s), end.cpu_millicores)
             for end in ends
@@ -50,9 +53,16 @@
         heapq.heapify(self._heap)
         self._bookings_count = 0
 
-    def add(self, end: ExpectedEnd) -> None:
-        """Adds a run that has just been granted."""
-        if end.end_s < math.inf:
+    def start(self, end: ExpectedEnd, *, now_s: float) -> None:
+        """Adds a run that is granted without a booking.
+
+        It takes what has come free by now, or capacity that was free before.
+        """
+        run_s = end.end_s - now_s
+        if (
+            self.book(end.cpu_millicores, run_s=run_s, latest_start_s=now_s)
+            is None
+        ):
             heapq.heappush(self._heap, (end.end_s, end.cpu_millicores))
 
     def book(
--- a/marigoldsill/coordination/job_locality/rack_waits.py
+++ b/marigoldsill/coordination/job_locality/rack_waits.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import enum
+import math
 
 from marigoldsill.coordination.job_locality import rack_forecast
 from marigoldsill.protocol import task_names
@@ -17,6 +18,10 @@
 # How long a task keeps the time since when it waits while it has no choice. It is longer
 # than the rest of a pool is usually full.
 _UNOFFERED_LIMIT_S = 60.0
+# How long a forecast and the decisions to wait by it hold, unless a worker in the rack
+# fits. It bounds the cost of rounds that follow each other quickly. Decisions by one
+# forecast end together, so the tasks book their turns anew in their order.
+FORECAST_VALIDITY_S = 0.25
 
 # A step, and the index of one of its tasks.
 TaskKey = tuple[task_names.StepKey, int]
@@ -69,10 +74,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _Wait:
-    """The wait of one task."""
+    """The wait of one task.
+
+    Attributes:
+        since_s: When it began.
+        forecast_s: When the forecast was made by which the task waits.
+        end_s: When it ends at the latest.
+    """
 
     since_s: float
-    decided_s: float
+    forecast_s: float
+    end_s: float
 
 
 class RackWaits:
@@ -87,6 +99,17 @@
         """
         self._extra_ratio = remote_run_ratio - 1
         self._waits: dict[TaskKey, _Wait] = {}
+        self._pruned_s = -math.inf
+        self._waiting_count = 0
+
+    def is_settled(self, key: TaskKey, *, now_s: float) -> bool:
+        """Returns whether a decision to wait still holds."""
+        wait = self._waits.get(key)
+        return (
+            wait is not None
+            and now_s < wait.end_s
+            and now_s - wait.forecast_s < FORECAST_VALIDITY_S
+        )
 
     def decide(
         self,
@@ -127,7 +150,9 @@
         ):
             verdict = Verdict.TURN_TOO_LATE
         if verdict is Verdict.WAIT:
-            self._waits[request.key] = _Wait(since_s, now_s)
+            self._waits[request.key] = _Wait(
+                since_s, forecast.made_s, latest_start_s
+            )
         return Decision(
             verdict,
             is_new=wait is None,
@@ -145,9 +170,15 @@
 
     def end_round(self, *, now_s: float) -> int:
         """Drops tasks that are not offered any more; returns how many wait now."""
-        self._waits = {
-            key: wait
-            for key, wait in self._waits.items()
-            if now_s - wait.decided_s < _UNOFFERED_LIMIT_S
-        }
-        return sum(wait.decided_s >= now_s for wait in self._waits.values())
+        if now_s - self._pruned_s >= FORECAST_VALIDITY_S:
+            self._pruned_s = now_s
+            self._waits = {
+                key: wait
+                for key, wait in self._waits.items()
+                if now_s - wait.forecast_s < _UNOFFERED_LIMIT_S
+            }
+            self._waiting_count = sum(
+                now_s - wait.forecast_s < FORECAST_VALIDITY_S
+                for wait in self._waits.values()
+            )
+        return self._waiting_count
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -347,14 +347,22 @@
 
         It waits for less time while its job is idle.
         """
+        pool = waiting.queue.pool
+        if self._locality.affinity.is_settled(
+            waiting.key,
+            index,
+            (pool, waiting.step.preferred_rack),
+            now_s=now_s,
+        ):
+            return True
         idle_deadline_s = math.inf
         if is_idle:
-            limit_s = self._idle_limit_s(waiting.queue.pool)
+            limit_s = self._idle_limit_s(pool)
             idle_deadline_s = waiting.idle_since_s + limit_s
         return self._locality.affinity.must_wait(
             waiting.rack_task(index),
             accepts=self._chooser.acceptance_for(waiting, now_s),
             idle_deadline_s=idle_deadline_s,
-            used_share=self.index.used_share(waiting.queue.pool),
+            used_share=self.index.used_share(pool),
             now_s=now_s,
         )
--- a/tests/coordination/job_locality/test_rack_forecast.py
+++ b/tests/coordination/job_locality/test_rack_forecast.py
@@ -57,11 +57,19 @@
 
 def test_a_run_that_has_just_been_granted_comes_free_too() -> None:
     forecast = _forecast()
-    forecast.add(rack_forecast.ExpectedEnd(_NOW_S + 2, 1000))
-    forecast.add(rack_forecast.ExpectedEnd(math.inf, 1000))
+    for end_s in (_NOW_S + 2, math.inf):
+        end = rack_forecast.ExpectedEnd(end_s, 1000)
+        forecast.start(end, now_s=_NOW_S)
     assert [_book(forecast, within_s=20) for _ in range(2)] == [2, 12]
 
 
+def test_a_run_without_a_booking_takes_what_has_come_free() -> None:
+    forecast = _forecast((0.1, 1000), (5, 1000))
+    end = rack_forecast.ExpectedEnd(_NOW_S + 8.2, 1000)
+    forecast.start(end, now_s=_NOW_S + 0.2)
+    assert [_book(forecast) for _ in range(2)] == [5, 8.1]
+
+
 def test_the_number_of_tasks_that_wait_for_one_rack_is_bounded() -> None:
     forecast = _forecast(*((1, 1000) for _ in range(2000)))
     starts = [_book(forecast) for _ in range(1000)]
--- a/tests/coordination/job_locality/test_rack_waits.py
+++ b/tests/coordination/job_locality/test_rack_waits.py
@@ -100,10 +100,22 @@
     assert verdict == rack_waits.Verdict.WAITED
 
 
+def test_a_decision_to_wait_holds_for_a_moment_but_not_beyond_its_limit(
+    rack: _Rack,
+) -> None:
+    key = _REQUEST.key
+    rack.decide(100.0, free_s=100.05, run_s=0.2)
+    assert rack.waits.is_settled(key, now_s=100.05)
+    assert not rack.waits.is_settled(key, now_s=100.1)
+    rack.decide(101.0, free_s=101.0, key=(("j2", 0, 0), 0))
+    assert rack.waits.is_settled((("j2", 0, 0), 0), now_s=101.2)
+    assert not rack.waits.is_settled((("j2", 0, 0), 0), now_s=101.25)
+
+
 def test_waiting_tasks_are_counted_and_dropped(rack: _Rack) -> None:
     rack.decide(100.0, free_s=101.0)
     assert rack.waits.end_round(now_s=100.0) == 1
-    assert rack.waits.end_round(now_s=100.1) == 0
+    assert rack.waits.end_round(now_s=100.3) == 0
     assert rack.waits.waited_s(_REQUEST.key, now_s=100.5) == 0.5
     rack.waits.end_round(now_s=1000.0)
     assert rack.waits.waited_s(_REQUEST.key, now_s=1000.0) == 0
