--- a/marigoldsill/coordination/job_locality/rack_affinity.py
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -86,6 +86,7 @@
             predict_run_ms: Predicts a run time from a queue and an estimate.
         """
         self._settings = settings
+        self._awaits_racks = settings.awaits_racks
         self._workers_of = workers_of
         self._predict_run_ms = predict_run_ms
         self._waits = rack_waits.RackWaits(
@@ -98,8 +99,8 @@
     def may_wait(self, step: ttypes.Step) -> bool:
         """Returns whether tasks of a step may wait for a rack at all."""
         return bool(
-            step.preferred_rack
-            and self._settings.awaits_racks
+            self._awaits_racks
+            and step.preferred_rack
             and not step.long_running
             and not step.gang
         )
@@ -111,24 +112,24 @@
             run_s *= self._settings.remote_run_ratio
         return run_s
 
-    def is_settled(
+    def waits_unchanged(
         self,
         step_key: task_names.StepKey,
         index: int,
-        rack_key: tuple[str, str],
         *,
+        rack_version: int,
         now_s: float,
     ) -> bool:
-        """Returns whether a task goes on to wait without another decision.
+        """Returns whether a task waits, and nothing has changed for it.
 
         Args:
             step_key: The step of the task.
             index: Its index in the step.
-            rack_key: The pool and the preferred rack.
+            rack_version: Increases with each change of a worker in its rack.
             now_s: The time of the round.
         """
-        return self._waits.is_settled((step_key, index), now_s=now_s) and bool(
-            self._workers_of(*rack_key)
+        return self._waits.is_unchanged(
+            (step_key, index), rack_version=rack_version, now_s=now_s
         )
 
     def must_wait(
@@ -138,6 +139,7 @@
         accepts: Callable[[RackWorker], bool],
         idle_deadline_s: float,
         used_share: float,
+        rack_version: int,
         now_s: float,
     ) -> bool:
         """Returns whether a task waits rather than start outside of its rack.
@@ -147,8 +149,14 @@
             accepts: Whether the step may use a worker, apart from its resources.
             idle_deadline_s: When its job would have been idle for too long.
             used_share: The share of its pool that is in use.
+            rack_version: Increases with each change of a worker in its rack.
             now_s: The time of the round.
         """
+        if self._waits.is_settled(task.key, now_s=now_s) and self._workers_of(
+            *task.rack_key
+        ):
+            self._waits.record_version(task.key, rack_version=rack_version)
+            return True
         decision = rack_waits.Decision(rack_waits.Verdict.NO_WORKER)
         if self._has_worker(task, accepts):
             request = rack_waits.RackRequest(
@@ -165,6 +173,7 @@
         self._decisions[task.key] = decision
         if decision.verdict is not rack_waits.Verdict.WAIT:
             return False
+        self._waits.record_version(task.key, rack_version=rack_version)
         if decision.is_new:
             logs.event(
                 "rack_awaited",
--- a/marigoldsill/coordination/job_locality/rack_waits.py
+++ b/marigoldsill/coordination/job_locality/rack_waits.py
@@ -80,11 +80,13 @@
         since_s: When it began.
         forecast_s: When the forecast was made by which the task waits.
         end_s: When it ends at the latest.
+        rack_version: The version of the rack at which no worker in it fitted.
     """
 
     since_s: float
     forecast_s: float
     end_s: float
+    rack_version: int = -1
 
 
 class RackWaits:
@@ -111,6 +113,21 @@
             and now_s - wait.forecast_s < FORECAST_VALIDITY_S
         )
 
+    def is_unchanged(
+        self, key: TaskKey, *, rack_version: int, now_s: float
+    ) -> bool:
+        """Returns whether a task waits, and no worker in its rack has changed."""
+        wait = self._waits.get(key)
+        return (
+            wait is not None
+            and wait.rack_version == rack_version
+            and self.is_settled(key, now_s=now_s)
+        )
+
+    def record_version(self, key: TaskKey, *, rack_version: int) -> None:
+        """Records that no worker fits a waiting task at a version of its rack."""
+        self._waits[key].rack_version = rack_version
+
     def decide(
         self,
         request: RackRequest,
--- a/marigoldsill/coordination/job_placing/candidates.py
+++ b/marigoldsill/coordination/job_placing/candidates.py
@@ -66,6 +66,8 @@
         Args:
             accepts: Whether a worker is acceptable; called from the best on.
         """
+        if not self._heap:
+            return None
         found = self.find_similar(accepts, limit=1)
         return found[0] if found else None
 
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -46,10 +46,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Contribution:
-    """The contribution of one worker to the totals of its pool."""
+    """The contribution of one worker to the totals of its pool and its rack."""
 
-    pool: str
-    rack: str
+    rack_key: tuple[str, str]
     capacity: ttypes.Resources
     free_millicores: int
     idle_millicores: float
@@ -90,6 +89,9 @@
         self._pools: dict[str, _PoolTotals] = {}
         # Agents by pool and rack; the values are unused.
         self._racks: dict[tuple[str, str], dict[str, None]] = {}
+        self._rack_versions: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._changes: list[str] = []
         self._dropped_count = 0
 
@@ -130,7 +132,7 @@
             ordinal = len(self._ordinals)
             contribution = self._contributions.get(agent)
             if self._interleaves_racks and contribution is not None:
-                rack_key = contribution.pool, contribution.rack
+                rack_key = contribution.rack_key
                 position = self._numbered_counts[rack_key]
                 self._numbered_counts[rack_key] += 1
                 ordinal += position * _ORDINALS_PER_POSITION
@@ -164,32 +166,53 @@
         agents = self._racks.get((pool, rack), ())
         return [self.workers[agent] for agent in agents]
 
+    def rack_version(self, pool: str, rack: str) -> int:
+        """Returns a number that increases with each change of a worker in a rack."""
+        return self._rack_versions[pool, rack]
+
     def _update_pool(self, agent: str) -> None:
         before = self._contributions.pop(agent, None)
         self._add_to_pool(before, sign=-1)
-        if before is not None:
-            del self._racks[before.pool, before.rack][agent]
         free = self.workers.get(agent)
-        if free is None:
-            return
-        worker = free.worker
-        contribution = _Contribution(
-            worker.pool,
-            worker.rack,
-            worker.capacity,
-            free.cpu_millicores,
-            free.idle_millicores,
+        after = None
+        if free is not None:
+            worker = free.worker
+            after = _Contribution(
+                (worker.pool, worker.rack),
+                worker.capacity,
+                free.cpu_millicores,
+                free.idle_millicores,
+            )
+            self._contributions[agent] = after
+            self._add_to_pool(after, sign=1)
+        self._update_rack(
+            agent,
+            None if before is None else before.rack_key,
+            None if after is None else after.rack_key,
         )
-        self._contributions[agent] = contribution
-        self._racks.setdefault((worker.pool, worker.rack), {})[agent] = None
-        self._add_to_pool(contribution, sign=1)
+
+    def _update_rack(
+        self,
+        agent: str,
+        before: tuple[str, str] | None,
+        after: tuple[str, str] | None,
+    ) -> None:
+        if after is not None:
+            self._rack_versions[after] += 1
+        if before == after:
+            return
+        if before is not None:
+            self._rack_versions[before] += 1
+            del self._racks[before][agent]
+        if after is not None:
+            self._racks.setdefault(after, {})[agent] = None
 
     def _add_to_pool(
         self, contribution: _Contribution | None, *, sign: int
     ) -> None:
         if contribution is None:
             return
-        pool = self._pools.setdefault(contribution.pool, _PoolTotals())
+        pool = self._pools.setdefault(contribution.rack_key[0], _PoolTotals())
         operation = amounts.add if sign > 0 else amounts.subtract
         pool.capacity = operation(pool.capacity, contribution.capacity)
         pool.free_millicores += sign * contribution.free_millicores
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -229,7 +229,9 @@
         for index in waiting.waiting_indexes:
             if self._chooser.is_isolated(waiting, index, now_s):
                 free = self._chooser.choose_for_suspect(waiting, index, now_s)
-            elif not has_candidates:
+            elif not has_candidates or (
+                may_wait and self._waits_unchanged(waiting, index, now_s)
+            ):
                 continue
             else:
                 candidates = self._candidate_cache.get_candidates(
@@ -335,6 +337,19 @@
             return _FULL_POOL_IDLE_LIMIT_S
         return _IDLE_LIMIT_S
 
+    def _waits_unchanged(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> bool:
+        """Returns whether a task waits for its rack, where nothing has changed."""
+        return self._locality.affinity.waits_unchanged(
+            waiting.key,
+            index,
+            rack_version=self.index.rack_version(
+                waiting.queue.pool, waiting.step.preferred_rack
+            ),
+            now_s=now_s,
+        )
+
     def _must_wait_for_rack(
         self,
         waiting: backlog_module.WaitingStep,
@@ -348,13 +363,6 @@
         It waits for less time while its job is idle.
         """
         pool = waiting.queue.pool
-        if self._locality.affinity.is_settled(
-            waiting.key,
-            index,
-            (pool, waiting.step.preferred_rack),
-            now_s=now_s,
-        ):
-            return True
         idle_deadline_s = math.inf
         if is_idle:
             limit_s = self._idle_limit_s(pool)
@@ -364,5 +372,8 @@
             accepts=self._chooser.acceptance_for(waiting, now_s),
             idle_deadline_s=idle_deadline_s,
             used_share=self.index.used_share(pool),
+            rack_version=self.index.rack_version(
+                pool, waiting.step.preferred_rack
+            ),
             now_s=now_s,
         )
