--- a/marigoldsill/coordination/job_locality/worker_ramp.py
+++ b/marigoldsill/coordination/job_locality/worker_ramp.py
@@ -1,4 +1,4 @@
-"""Fills workers that appear step by step.
+"""Gives workers that appear their tasks step by step.
 
 Answers a worker that is added, comes back after a loss, or whose data centre is taken
 back after an evacuation: it may be cold, or about to fail again, and would otherwise get
