--- a/marigoldsill/coordination/job_placing/run_time_sampler.py
+++ b/marigoldsill/coordination/job_placing/run_time_sampler.py
@@ -1,4 +1,8 @@
-"""Samples the run times of runs that had their full speed throughout."""
+"""Samples the run times of runs that had their full speed throughout.
+
+The time of a run outside of its task's preferred rack is converted to what it would have
+taken there.
+"""
 
 from collections.abc import Iterable
 import dataclasses
@@ -42,13 +46,22 @@
     cpu_millicores: int
     is_best_effort: bool
     granted_s: float
+    preferred_rack: str = ""
     is_slowed: bool = False
+    is_away: bool = False
 
 
 class RunTimeSampler:
     """Times the runs of this term; called with the replica's lock held."""
 
-    def __init__(self):
+    def __init__(self, *, remote_run_ratio: float = 1.0):
+        """Creates a sampler without runs.
+
+        Args:
+            remote_run_ratio: Run time outside of the preferred rack, divided by the
+                run time there.
+        """
+        self._remote_run_ratio = remote_run_ratio
         self._timed_runs: dict[task_names.RunKey, _TimedRun] = {}
         self._samples: list[RunTimeSample] = []
 
@@ -69,8 +82,12 @@
         for view in views:
             for key, sample in view.samples.items():
                 run = self._timed_runs.get(key)
-                if run is not None and _is_slowed(run, sample):
+                if run is None:
+                    continue
+                if _is_slowed(run, sample):
                     run.is_slowed = True
+                if run.preferred_rack and view.worker is not None:
+                    run.is_away = view.worker.rack != run.preferred_rack
 
     def take_samples(self) -> list[RunTimeSample]:
         """Returns and clears the samples collected since the last call."""
@@ -95,6 +112,7 @@
             step.resources.cpu_millicores,
             step.best_effort,
             clock.now_s(),
+            step.preferred_rack,
         )
         if len(self._timed_runs) > _RUNS_LIMIT:
             del self._timed_runs[next(iter(self._timed_runs))]
@@ -105,6 +123,8 @@
             return
         if end.kind == ttypes.RunEndKind.DONE:
             run_ms = (clock.now_s() - run.granted_s) * 1000
+            if run.is_away:
+                run_ms /= self._remote_run_ratio
             self._samples.append(
                 RunTimeSample(run.queue, run.estimated_ms, run_ms)
             )
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -70,7 +70,9 @@
         self._service: service_module.JobService | None = None
         self._backlog = backlog_module.Backlog()
         self._urgency = urgency.Urgency()
-        self._run_time_sampler = run_time_sampler.RunTimeSampler()
+        self._run_time_sampler = run_time_sampler.RunTimeSampler(
+            remote_run_ratio=self._settings.locality.remote_run_ratio
+        )
         self._retention = retention.Retention(retention_s=job_retention_s)
         self._timetable = timetable.Timetable()
         self._learning_recorder = learning_recorder.LearningRecorder()
@@ -323,7 +325,9 @@
         self._offer_policies = self._settings.create_offer_policies()
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
-        self._run_time_sampler = run_time_sampler.RunTimeSampler()
+        self._run_time_sampler = run_time_sampler.RunTimeSampler(
+            remote_run_ratio=self._settings.locality.remote_run_ratio
+        )
         self._learning_recorder = learning_recorder.LearningRecorder()
         self._ticket_manager.begin_term()
         learnt = self._replica.tables.jobs.learnt
