--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -99,6 +99,11 @@
             is_live=is_live,
             spread=self._locality.spread,
         )
+        self._rack_queue = worker_choice.RackQueue(
+            index=self.index,
+            chooser=self._chooser,
+            affinity=self._locality.affinity,
+        )
         self._pending = capacity_index.PendingGrants()
         self._gang_selector = gangs.GangSelector()
 
@@ -225,12 +230,13 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         has_candidates = True
-        may_wait = self._locality.affinity.may_wait(waiting.step)
+        may_wait = self._rack_queue.may_wait(waiting.step)
         for index in waiting.waiting_indexes:
             if self._chooser.is_isolated(waiting, index, now_s):
                 free = self._chooser.choose_for_suspect(waiting, index, now_s)
             elif not has_candidates or (
-                may_wait and self._waits_unchanged(waiting, index, now_s)
+                may_wait
+                and self._rack_queue.waits_unchanged(waiting, index, now_s)
             ):
                 continue
             else:
@@ -239,15 +245,17 @@
                 )
                 free = self._chooser.choose(waiting, index, candidates, now_s)
                 has_candidates = free is not None
-                if (
-                    may_wait
-                    and free is not None
-                    and free.worker.rack != waiting.step.preferred_rack
-                    and self._must_wait_for_rack(
-                        waiting, index, now_s, is_idle=not grants
-                    )
-                ):
-                    continue
+                if may_wait and free is not None:
+                    limit_s = self._idle_limit_s(waiting.queue.pool)
+                    # A job is not idle any more once one of its tasks starts.
+                    if self._rack_queue.must_wait(
+                        waiting,
+                        index,
+                        free,
+                        idle_limit_s=math.inf if grants else limit_s,
+                        now_s=now_s,
+                    ):
+                        continue
             if free is not None:
                 grants.append(self._grant_task(waiting, index, free, now_s))
             elif not waiting.suspects_count:
@@ -336,44 +344,3 @@
         if self.index.reserved_share(pool) > _FULL_POOL_SHARE:
             return _FULL_POOL_IDLE_LIMIT_S
         return _IDLE_LIMIT_S
-
-    def _waits_unchanged(
-        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
-    ) -> bool:
-        """Returns whether a task waits for its rack, where nothing has changed."""
-        return self._locality.affinity.waits_unchanged(
-            waiting.key,
-            index,
-            rack_version=self.index.rack_version(
-                waiting.queue.pool, waiting.step.preferred_rack
-            ),
-            now_s=now_s,
-        )
-
-    def _must_wait_for_rack(
-        self,
-        waiting: backlog_module.WaitingStep,
-        index: int,
-        now_s: float,
-        *,
-        is_idle: bool,
-    ) -> bool:
-        """Returns whether a task waits, as there is no place in its rack now.
-
-        It waits for less time while its job is idle.
-        """
-        pool = waiting.queue.pool
-        idle_deadline_s = math.inf
-        if is_idle:
-            limit_s = self._idle_limit_s(pool)
-            idle_deadline_s = waiting.idle_since_s + limit_s
-        return self._locality.affinity.must_wait(
-            waiting.rack_task(index),
-            accepts=self._chooser.acceptance_for(waiting, now_s),
-            idle_deadline_s=idle_deadline_s,
-            used_share=self.index.used_share(pool),
-            rack_version=self.index.rack_version(
-                pool, waiting.step.preferred_rack
-            ),
-            now_s=now_s,
-        )
