--- a/tests/coordination/job_placing/test_rack_affinity.py
+++ b/tests/coordination/job_placing/test_rack_affinity.py
@@ -194,18 +194,19 @@
 
 
 def _play_hot_rack(
-    ratio: float, *, requires_rack: bool = False
+    ratio: float, *, requires_rack: bool = False, other_jobs: float = 0.2
 ) -> rack_load.RackLoad:
     """Plays jobs that prefer r1 at over twice its capacity for 10 s.
 
-    Jobs of the other racks come at half of these racks' capacity.
+    Jobs of the other racks come at half of these racks' capacity, or at a rate of
+    `other_jobs` each 0.05 s.
     """
     load = rack_load.RackLoad(_create_leader(ratio), remote_run_ratio=_RATIO)
     credits = dict.fromkeys(_RACKS, 0.0)
 
     def submit_due(load: rack_load.RackLoad) -> None:
         for rack in _RACKS:
-            credits[rack] += (0.9 if rack == "r1" else 0.2) + 1e-9
+            credits[rack] += (0.9 if rack == "r1" else other_jobs) + 1e-9
             while credits[rack] >= 1:
                 credits[rack] -= 1
                 label = rack if requires_rack else ""
@@ -252,6 +253,15 @@
     assert max(waits_s) <= max(never_s)
 
 
+def test_no_job_waits_longer_than_starting_elsewhere_costs() -> None:
+    """There is always a free worker elsewhere, so each wait is a choice."""
+    load = _play_hot_rack(_RATIO, other_jobs=0.0)
+    extra_s = _RATIO - 1
+    waits_s = [job.started_s - job.came_s for job in load.jobs.values()]
+    assert 0 < max(waits_s) <= extra_s
+    assert any(job.is_away for job in load.jobs.values())
+
+
 def test_with_ratio_one_each_grant_is_as_without_the_setting() -> None:
     """The settings that switch nothing on must not change one decision."""
     plays = []
