Wait only for ends of runs, and for workers, that serve a task

A task that reserves processor time waited for the end of best-effort runs, which reserve none, up to its limit in vain; racks are forecast apart for both kinds now. A task waited for the only worker of its rack although it had failed there, which a new run avoids. The answer whether a rack has a worker is not kept per step any more, as it differs by task and settled waits do not ask.

--- a/marigoldsill/coordination/job_locality/rack_affinity.py
+++ b/marigoldsill/coordination/job_locality/rack_affinity.py
@@ -92,8 +92,10 @@
         self._waits = rack_waits.RackWaits(
             remote_run_ratio=settings.remote_run_ratio
         )
-        self._forecasts: dict[tuple[str, str], rack_forecast.RackForecast] = {}
-        self._can_wait: dict[task_names.StepKey, bool] = {}
+        # By pool, rack and whether it is for best-effort tasks.
+        self._forecasts: dict[
+            tuple[str, str, bool], rack_forecast.RackForecast
+        ] = {}
         self._decisions: dict[rack_waits.TaskKey, rack_waits.Decision] = {}
 
     def may_wait(self, step: ttypes.Step) -> bool:
@@ -146,7 +148,7 @@
 
         Args:
             task: The task, which may wait and has no place in its rack now.
-            accepts: Whether the step may use a worker, apart from its resources.
+            accepts: Whether the task may use a worker, apart from its resources.
             idle_deadline_s: When its job would have been idle for too long.
             used_share: The share of its pool that is in use.
             rack_version: Increases with each change of a worker in its rack.
@@ -168,7 +170,7 @@
                 idle_deadline_s=idle_deadline_s,
                 used_share=used_share,
             )
-            forecast = self._forecast(task.rack_key, now_s)
+            forecast = self._forecast(task, now_s)
             decision = self._waits.decide(request, forecast, now_s=now_s)
         self._decisions[task.key] = decision
         if decision.verdict is not rack_waits.Verdict.WAIT:
@@ -196,23 +198,29 @@
         end_s = math.inf
         if not task.step.long_running:
             end_s = now_s + self.predict_run_s(task.queue.name, task.step, rack)
+        is_best_effort = task.step.best_effort
         end = rack_forecast.ExpectedEnd(
-            end_s, task.step.resources.cpu_millicores
+            end_s, task.step.resources.cpu_millicores, is_best_effort
         )
         worker.expected_ends[task.name, run] = end
-        forecast = self._forecasts.get((task.queue.pool, rack))
-        # The end of a task that waited was added when its turn was booked.
-        if forecast is not None and not self._waits.is_settled(
-            task.key, now_s=now_s
-        ):
-            forecast.start(end, now_s=now_s)
+        is_booked = self._waits.is_settled(task.key, now_s=now_s)
+        for for_best_effort in (False, True):
+            forecast = self._forecasts.get(
+                (task.queue.pool, rack, for_best_effort)
+            )
+            # The end of a task that waited was added when its turn was booked.
+            if (
+                forecast is not None
+                and (for_best_effort or not is_best_effort)
+                and not (is_booked and for_best_effort == is_best_effort)
+            ):
+                forecast.start(end, now_s=now_s)
         if self.may_wait(task.step) and rack != task.step.preferred_rack:
             self._report_away(task, worker, now_s)
         self._waits.drop(task.key)
 
     def end_round(self, *, now_s: float) -> None:
         """Ends a round."""
-        self._can_wait.clear()
         self._decisions.clear()
         locality_metrics.TASKS_WAITING_FOR_RACK.set(
             self._waits.end_round(now_s=now_s)
@@ -222,31 +230,34 @@
         self, task: RackTask, accepts: Callable[[RackWorker], bool]
     ) -> bool:
         """Returns whether some worker in its preferred rack may run a task."""
-        can_wait = self._can_wait.get(task.step_key)
-        if can_wait is None:
-            can_wait = any(
-                worker.could_run(task.step) and accepts(worker)
-                for worker in self._workers_of(*task.rack_key)
-            )
-            self._can_wait[task.step_key] = can_wait
-        return can_wait
+        return any(
+            worker.could_run(task.step) and accepts(worker)
+            for worker in self._workers_of(*task.rack_key)
+        )
 
     def _forecast(
-        self, rack_key: tuple[str, str], now_s: float
+        self, task: RackTask, now_s: float
     ) -> rack_forecast.RackForecast:
-        forecast = self._forecasts.get(rack_key)
+        """Returns the forecast of what comes free for a task in its rack.
+
+        Best-effort tasks use what other runs leave, so they profit from each end;
+        others only from the end of runs that reserve processor time.
+        """
+        key = (*task.rack_key, task.step.best_effort)
+        forecast = self._forecasts.get(key)
         if (
             forecast is None
             or now_s - forecast.made_s >= rack_waits.FORECAST_VALIDITY_S
         ):
             ends = [
                 end
-                for worker in self._workers_of(*rack_key)
+                for worker in self._workers_of(*task.rack_key)
                 if not worker.worker.draining
                 for end in worker.expected_ends.values()
+                if task.step.best_effort or not end.is_best_effort
             ]
             forecast = rack_forecast.RackForecast(ends, now_s=now_s)
-            self._forecasts[rack_key] = forecast
+            self._forecasts[key] = forecast
         return forecast
 
     def _report_away(
--- a/marigoldsill/coordination/job_locality/rack_forecast.py
+++ b/marigoldsill/coordination/job_locality/rack_forecast.py
@@ -21,10 +21,13 @@
     Attributes:
         end_s: When it is expected; infinite for a run without an end.
         cpu_millicores: The processor time that comes free then.
+        is_best_effort: Whether the run only uses processor time, which others may
+            reserve.
     """
 
     end_s: float
     cpu_millicores: int
+    is_best_effort: bool = False
 
 
 class RackForecast:
--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -254,8 +254,9 @@
                 sample = view.samples.get(key)
                 if sample is not None:
                     run_s *= 1 - sample.percent / 100
-            cpu_millicores = step.resources.cpu_millicores
-            end = rack_forecast.ExpectedEnd(now_s + run_s, cpu_millicores)
+            end = rack_forecast.ExpectedEnd(
+                now_s + run_s, step.resources.cpu_millicores, step.best_effort
+            )
         ends[key] = end
     return ends
 
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Set
 
 from marigoldsill.coordination.job_locality import rack_affinity
 from marigoldsill.coordination.job_locality import rack_spread
@@ -131,10 +132,8 @@
                 free, waiting.step, now_s=now_s
             )
 
-        if waiting.tasks[index].failures_count:
-            avoided_ids = self._health.workers_to_avoid(
-                waiting.task_name(index)
-            )
+        avoided_ids = self._avoided_ids(waiting, index)
+        if avoided_ids:
             other = candidates.find_best(
                 lambda free: (
                     free.worker.worker_id not in avoided_ids and accepts(free)
@@ -154,6 +153,16 @@
         position = self._spread.choose(waiting.key, waiting.step, similar)
         return similar[position]
 
+    def prefers(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """Returns whether a task may use a worker, and has not failed there."""
+        accepts = self.acceptance_for(waiting, now_s)
+        avoided_ids = self._avoided_ids(waiting, index)
+        return lambda free: (
+            free.worker.worker_id not in avoided_ids and accepts(free)
+        )
+
     def choose_ignoring_limits(
         self,
         waiting: backlog_module.WaitingStep,
@@ -206,6 +215,14 @@
 
         return accepts
 
+    def _avoided_ids(
+        self, waiting: backlog_module.WaitingStep, index: int
+    ) -> Set[str]:
+        """Returns the workers on which a task has failed."""
+        if not waiting.tasks[index].failures_count:
+            return frozenset()
+        return self._health.workers_to_avoid(waiting.task_name(index))
+
 
 class RackQueue:
     """The tasks that wait for a worker in their preferred rack."""
@@ -265,7 +282,7 @@
             return False
         return self._affinity.must_wait(
             waiting.rack_task(index),
-            accepts=self._chooser.acceptance_for(waiting, now_s),
+            accepts=self._chooser.prefers(waiting, index, now_s),
             idle_deadline_s=waiting.idle_since_s + idle_limit_s,
             used_share=self._index.used_share(waiting.queue.pool),
             rack_version=self._rack_version(waiting),
--- a/tests/coordination/job_placing/test_rack_affinity.py
+++ b/tests/coordination/job_placing/test_rack_affinity.py
@@ -117,6 +117,46 @@
     assert len(leader.run_round()) == 1
 
 
+def test_a_task_does_not_wait_for_capacity_that_best_effort_runs_use() -> None:
+    """Best-effort runs reserve no processor time, so their end frees none of it."""
+    leader = _create_leader()
+    leader.submit("short", _near_step(_CORES_PER_RACK, best_effort=True))
+    leader.run_round()
+    leader.submit("full", _near_step(_CORES_PER_RACK, estimated_ms=60_000))
+    leader.run_round()
+    leader.now_s += 0.8
+    leader.submit("j1", _near_step())
+    assert len(leader.run_round()) == 1
+
+
+def test_a_best_effort_task_waits_for_the_end_of_a_best_effort_run() -> None:
+    leader = _create_leader()
+    step = _near_step(_CORES_PER_RACK, best_effort=True)
+    leader.submit("full", step)
+    assert len(leader.run_round()) == _CORES_PER_RACK
+    leader.now_s += 0.9
+    leader.submit("j1", _near_step(best_effort=True))
+    assert leader.run_round() == {}
+    _end_first_runs(leader, 1)
+    agents = leader.run_round().values()
+    assert [_rack_of(agent) for agent in agents] == ["r1"]
+
+
+def test_a_task_does_not_wait_for_the_only_worker_on_which_it_failed(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    """A new run avoids that worker as long as another one fits."""
+    leader.set_worker("r9-0", cores=4, rack="r9", labels=["a"])
+    leader.submit("j1", _near_step(preferred_rack="r9"))
+    leader.submit("j2", _near_step(4, preferred_rack="r9"))
+    assert leader.run_round()[builders.task_name()] == "r9-0"
+    leader.now_s += 0.8
+    failed = builders.run_end(builders.task_name(), ttypes.RunEndKind.FAILED)
+    leader.record_end(failed)
+    agent = leader.run_round().get(builders.task_name(), "")
+    assert _rack_of(agent) in _RACKS
+
+
 def test_a_job_is_never_idle_for_long_while_its_pool_is_half_idle() -> None:
     """Guards against a long run whose extra run time would allow a long wait."""
     leader = _create_leader()
