--- a/marigoldsill/cli/platform.py
+++ b/marigoldsill/cli/platform.py
@@ -10,6 +10,7 @@
 from marigoldsill.cli import groups
 from marigoldsill.cli import options
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.coordination.jobs import scheduling_settings
@@ -56,6 +57,10 @@
         ),
         shares=_shares_of(settings),
         job_concurrency=concurrency_limits.parse(settings.job_concurrency),
+        locality=locality_settings.LocalitySettings(
+            spreads_racks=bool(settings.spread_racks),
+            worker_ramp_up_s=settings.worker_ramp_up_s,
+        ),
     )
 
 
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -8,7 +8,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 
+from marigoldsill.coordination.job_locality import locality as locality_module
+from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
@@ -20,7 +23,6 @@
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
-from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.coordination.job_placing import worker_health
@@ -38,6 +40,7 @@
 # therefore waits for about the run time of large jobs.
 _FULL_POOL_SHARE = 0.6
 _FULL_POOL_IDLE_LIMIT_S = 20.0
+_DEFAULT_LOCALITY = locality_settings.LocalitySettings()
 
 
 class Placement:
@@ -57,6 +60,10 @@
         admits: Callable[[str, backlog_module.WaitingStep], bool] = (
             lambda agent, waiting: True
         ),
+        locality: locality_settings.LocalitySettings = _DEFAULT_LOCALITY,
+        predict_run_ms: Callable[[str, float], float] = (
+            lambda queue, estimated_ms: estimated_ms
+        ),
     ):
         """Creates a placement without workers.
 
@@ -67,8 +74,19 @@
             is_live: Whether an agent's lease is live; checked before each grant.
             admits: Whether a step may use an agent's worker, as its capacity is
                 not promised to others.
+            locality: Whether tasks wait for racks and workers are filled step by
+                step.
+            predict_run_ms: Predicts a run time from a queue and an estimate.
         """
-        self.index = capacity_index.CapacityIndex()
+        self.index = capacity_index.CapacityIndex(
+            interleaves_racks=locality.spreads_racks
+        )
+        self._locality = locality_module.Locality(
+            settings=locality,
+            workers=self.index.workers.values,
+            workers_of=self.index.rack_workers,
+            predict_run_ms=predict_run_ms,
+        )
         self._interference = interference
         self._health = health
         self._exploration = exploration.Exploration(interference)
@@ -85,8 +103,14 @@
             exploration=self._exploration,
             is_live=is_live,
             admits=admits,
+            spread=self._locality.spread,
+        )
+        self._rack_queue = worker_choice.RackQueue(
+            index=self.index,
+            chooser=self._chooser,
+            affinity=self._locality.affinity,
         )
-        self._pending: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
+        self._pending = capacity_index.PendingGrants()
         self._gang_selector = gangs.GangSelector()
 
     def refresh(
@@ -95,6 +119,7 @@
         view: agents_module.AgentView,
         *,
         is_eligible: bool,
+        now_s: float = 0.0,
     ) -> None:
         """Recomputes the free capacity of one agent's worker.
 
@@ -102,19 +127,38 @@
             jobs: The jobs, with the runs that may be alive.
             view: The agent.
             is_eligible: Whether tasks may start on its worker.
+            now_s: The time of the round.
         """
         if not is_eligible or view.worker is None:
+            self._locality.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
             return
-        pending = self._pending.get(view.name, {})
+        pending = self._pending.of_agent(view.name)
         free = free_capacity.compute_for_agent(
-            jobs, view, self._interference, pending=pending.values()
+            jobs, view, self._interference, pending=pending
         )
         if self._health.is_on_probation(view.worker.worker_id):
             # One run shows whether the worker is healthy.
             free.starts_limit = 1
+        if self._locality.awaits_racks:
+            before = self.index.workers.get(view.name)
+            free.expected_ends = free_capacity.expect_run_ends(
+                jobs,
+                view,
+                pending=pending,
+                before={} if before is None else before.expected_ends,
+                predict_run_s=self._locality.affinity.predict_run_s,
+                now_s=now_s,
+            )
+        free.ramp_starts_left = self._locality.observe_worker(
+            view.name, view.worker, now_s=now_s
+        )
         self.index.put(free)
 
+    def due_agents(self, *, now_s: float) -> list[str]:
+        """Returns agents to refresh, as their workers may take more tasks by now."""
+        return self._locality.due_agents(now_s=now_s)
+
     def place(
         self, steps: Sequence[backlog_module.WaitingStep], *, now_s: float
     ) -> list[ttypes.RunGrant]:
@@ -143,6 +187,7 @@
                 granted = self._place_ignoring_limits(waiting, now_s)
             grants += granted
         self._candidate_cache.end_round()
+        self._locality.end_round(now_s=now_s)
         return grants
 
     def update_pending_grants(
@@ -158,16 +203,7 @@
         Returns:
             The agents to refresh.
         """
-        grants = list(grants)
-        for grant in grants:
-            pending = self._pending.setdefault(grant.agent, {})
-            if is_decided:
-                pending.pop((grant.task, grant.run), None)
-            else:
-                pending[grant.task, grant.run] = grant
-            if not pending:
-                del self._pending[grant.agent]
-        return {grant.agent for grant in grants}
+        return self._pending.update(grants, is_decided=is_decided)
 
     def find_other_worker(
         self, step: ttypes.Step, pool: str, *, agent: str, now_s: float
@@ -210,10 +246,14 @@
     ) -> list[ttypes.RunGrant]:
         grants = []
         has_candidates = True
+        may_wait = self._rack_queue.may_wait(waiting.step)
         for index in waiting.waiting_indexes:
             if self._chooser.is_isolated(waiting, index, now_s):
                 free = self._chooser.choose_for_suspect(waiting, index, now_s)
-            elif not has_candidates:
+            elif not has_candidates or (
+                may_wait
+                and self._rack_queue.waits_unchanged(waiting, index, now_s)
+            ):
                 continue
             else:
                 candidates = self._candidate_cache.get_candidates(
@@ -221,6 +261,21 @@
                 )
                 free = self._chooser.choose(waiting, index, candidates, now_s)
                 has_candidates = free is not None
+                if may_wait and free is not None:
+                    limit_s = max_idle_s(
+                        reserved_share=self.index.reserved_share(
+                            waiting.queue.pool
+                        )
+                    )
+                    # A job is not idle any more once one of its tasks starts.
+                    if self._rack_queue.must_wait(
+                        waiting,
+                        index,
+                        free,
+                        idle_limit_s=math.inf if grants else limit_s,
+                        now_s=now_s,
+                    ):
+                        continue
             if free is not None:
                 grants.append(self._grant_task(waiting, index, free, now_s))
             elif not waiting.suspects_count:
@@ -235,24 +290,15 @@
         It starts where it interferes least, and the agent throttles it to the speed
         that is left. This way every job makes progress, even if slowly.
         """
-        index = next(
-            (
-                index
-                for index in waiting.waiting_indexes
-                if not self._chooser.is_isolated(waiting, index, now_s)
-            ),
-            None,
-        )
-        if index is None:
-            return []
         candidates = self._candidate_cache.get_candidates(
             waiting.step, waiting.queue.pool, ignores_limits=True
         )
-        free = candidates.find_best(
-            self._chooser.acceptance_for(waiting, now_s)
+        chosen = self._chooser.choose_ignoring_limits(
+            waiting, candidates, now_s
         )
-        if free is None:
+        if chosen is None:
             return []
+        index, free = chosen
         return [self._grant_task(waiting, index, free, now_s)]
 
     def _place_gang(
@@ -261,52 +307,20 @@
         """Starts all members with the same run number, or none."""
         if any(task.runs or task.done for task in waiting.tasks):
             return []
-        accepts = self._chooser.acceptance_for(waiting, now_s)
-        admitted = [
-            free
-            for free in self.index.workers.values()
-            if free.admits(waiting.step, waiting.queue.pool) and accepts(free)
-        ]
+        agents = gangs.choose_agents(
+            waiting,
+            chooser=self._chooser,
+            index=self.index,
+            interference=self._interference,
+            now_s=now_s,
+        )
         run = 1 + max(task.last_run for task in waiting.tasks)
-        for group in gangs.worker_groups(waiting.step, admitted):
-            agents = self._choose_agents_for_gang(waiting, group, now_s)
-            if agents:
-                return [
-                    self._grant_task(
-                        waiting,
-                        index,
-                        self.index.workers[agent],
-                        now_s,
-                        run=run,
-                    )
-                    for index, agent in enumerate(agents)
-                ]
-        return []
-
-    def _choose_agents_for_gang(
-        self,
-        waiting: backlog_module.WaitingStep,
-        group: Iterable[free_capacity.FreeCapacity],
-        now_s: float,
-    ) -> list[str]:
-        """Returns an agent for each member, or none if not all members fit."""
-        step, pool = waiting.step, waiting.queue.pool
-        candidates = candidates_module.Candidates(
-            lambda free: scoring.score_within_limits(
-                free, step, pool, self._interference
+        return [
+            self._grant_task(
+                waiting, index, self.index.workers[agent], now_s, run=run
             )
-        )
-        for free in group:
-            candidates.update(free.copy(), self.index.ordinal(free.agent))
-        agents: list[str] = []
-        for index in range(len(waiting.tasks)):
-            free = self._chooser.choose(waiting, index, candidates, now_s)
-            if free is None:
-                return []
-            free.reserve(waiting.key, step, self._interference)
-            candidates.update(free, self.index.ordinal(free.agent))
-            agents.append(free.agent)
-        return agents
+            for index, agent in enumerate(agents)
+        ]
 
     def _grant_task(
         self,
@@ -324,10 +338,14 @@
             free.agent,
             now_s=now_s,
         )
+        run = run or waiting.tasks[index].last_run + 1
+        self._locality.record_start(
+            waiting.rack_task(index), free.agent, free, run=run, now_s=now_s
+        )
         self.reserve(free, waiting.key, waiting.step)
         return ttypes.RunGrant(
             task=waiting.task_name(index),
-            run=run or waiting.tasks[index].last_run + 1,
+            run=run,
             agent=free.agent,
             worker_id=free.worker.worker_id,
         )
@@ -339,10 +357,9 @@
         idle_s = now_s - waiting.idle_since_s
         if not waiting.step.best_effort or idle_s <= _IDLE_LIMIT_S:
             return False
-        if idle_s > _FULL_POOL_IDLE_LIMIT_S:
-            return True
-        reserved_share = self.index.reserved_share(waiting.queue.pool)
-        return reserved_share <= _FULL_POOL_SHARE
+        return idle_s > max_idle_s(
+            reserved_share=self.index.reserved_share(waiting.queue.pool)
+        )
 
 
 def max_idle_s(*, reserved_share: float) -> float:
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -6,7 +6,10 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Set
 
+from marigoldsill.coordination.job_locality import rack_affinity
+from marigoldsill.coordination.job_locality import rack_spread
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
     candidates as candidates_module,
@@ -23,6 +26,10 @@
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol.generated import ttypes
 
+# Maximum number of almost equally suited workers to choose from. They stand in as many
+# racks where racks are equally loaded.
+_SIMILAR_LIMIT = 16
+
 
 class WorkerChooser:
     """Chooses workers for single tasks; used by one thread."""
@@ -38,6 +45,7 @@
         exploration: exploration_module.Exploration,
         is_live: Callable[[str], bool],
         admits: Callable[[str, backlog_module.WaitingStep], bool],
+        spread: rack_spread.RackSpread | None = None,
     ):
         """Initializes the chooser.
 
@@ -51,6 +59,7 @@
             is_live: Whether an agent's lease is live.
             admits: Whether a step may use an agent's worker, as its capacity is
                 not promised to others.
+            spread: Chooses among almost equally suited workers; None for the best.
         """
         self._index = index
         self._interference = interference
@@ -60,6 +69,7 @@
         self._exploration = exploration
         self._is_live = is_live
         self._admits = admits
+        self._spread = spread
 
     def find_other(
         self,
@@ -126,10 +136,8 @@
                 free, waiting.step, now_s=now_s
             )
 
-        if waiting.tasks[index].failures_count:
-            avoided_ids = self._health.workers_to_avoid(
-                waiting.task_name(index)
-            )
+        avoided_ids = self._avoided_ids(waiting, index)
+        if avoided_ids:
             other = candidates.find_best(
                 lambda free: (
                     free.worker.worker_id not in avoided_ids and accepts(free)
@@ -137,7 +145,46 @@
             )
             if other is not None:
                 return other
-        return candidates.find_best(accepts)
+        if self._spread is None or not _may_be_spread(waiting.step):
+            return candidates.find_best(accepts)
+        similar = candidates.find_similar(
+            accepts,
+            limit=_SIMILAR_LIMIT,
+            tolerance_of=lambda best: _tolerance(waiting.step, best),
+        )
+        if not similar:
+            return None
+        position = self._spread.choose(waiting.key, waiting.step, similar)
+        return similar[position]
+
+    def prefers(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """Returns whether a task may use a worker, and has not failed there."""
+        accepts = self.acceptance_for(waiting, now_s)
+        avoided_ids = self._avoided_ids(waiting, index)
+        return lambda free: (
+            free.worker.worker_id not in avoided_ids and accepts(free)
+        )
+
+    def choose_ignoring_limits(
+        self,
+        waiting: backlog_module.WaitingStep,
+        candidates: candidates_module.Candidates,
+        now_s: float,
+    ) -> tuple[int, free_capacity.FreeCapacity] | None:
+        """Returns the first task of a step that is not isolated, and a worker for it.
+
+        Args:
+            waiting: The step.
+            candidates: The workers for it without limits on interference.
+            now_s: The time of the round.
+        """
+        for index in waiting.waiting_indexes:
+            if not self.is_isolated(waiting, index, now_s):
+                free = candidates.find_best(self.acceptance_for(waiting, now_s))
+                return None if free is None else (index, free)
+        return None
 
     def acceptance_for(
         self,
@@ -173,3 +220,101 @@
             )
 
         return accepts
+
+    def _avoided_ids(
+        self, waiting: backlog_module.WaitingStep, index: int
+    ) -> Set[str]:
+        """Returns the workers on which a task has failed."""
+        if not waiting.tasks[index].failures_count:
+            return frozenset()
+        return self._health.workers_to_avoid(waiting.task_name(index))
+
+
+class RackQueue:
+    """The tasks that wait for a worker in their preferred rack."""
+
+    def __init__(
+        self,
+        *,
+        index: capacity_index.CapacityIndex,
+        chooser: WorkerChooser,
+        affinity: rack_affinity.RackAffinity,
+    ):
+        """Initializes the queue.
+
+        Args:
+            index: Workers on which tasks may start.
+            chooser: Knows which workers a step may use.
+            affinity: Decides how long tasks wait.
+        """
+        self._index = index
+        self._chooser = chooser
+        self._affinity = affinity
+
+    def may_wait(self, step: ttypes.Step) -> bool:
+        """Returns whether tasks of a step may wait for a rack at all."""
+        return self._affinity.may_wait(step)
+
+    def waits_unchanged(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> bool:
+        """Returns whether a task waits for its rack, where nothing has changed."""
+        return self._affinity.waits_unchanged(
+            waiting.key,
+            index,
+            rack_version=self._rack_version(waiting),
+            now_s=now_s,
+        )
+
+    def must_wait(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        free: free_capacity.FreeCapacity,
+        *,
+        idle_limit_s: float,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a task waits rather than start on its best worker.
+
+        Args:
+            waiting: The step, whose tasks may wait.
+            index: The index of the task.
+            free: The best worker for it now.
+            idle_limit_s: How long its job may be idle.
+            now_s: The time of the round.
+        """
+        if free.worker.rack == waiting.step.preferred_rack:
+            return False
+        return self._affinity.must_wait(
+            waiting.rack_task(index),
+            accepts=self._chooser.prefers(waiting, index, now_s),
+            idle_deadline_s=waiting.idle_since_s + idle_limit_s,
+            used_share=self._index.used_share(waiting.queue.pool),
+            rack_version=self._rack_version(waiting),
+            now_s=now_s,
+        )
+
+    def _rack_version(self, waiting: backlog_module.WaitingStep) -> int:
+        return self._index.rack_version(
+            waiting.queue.pool, waiting.step.preferred_rack
+        )
+
+
+def _may_be_spread(step: ttypes.Step) -> bool:
+    """Returns whether almost equally suited workers may be exchanged for a step.
+
+    Latency-critical tasks are packed, and others may be bound to a rack.
+    """
+    return not (step.tail_target_ms or step.preferred_rack or step.gang)
+
+
+def _tolerance(step: ttypes.Step, best: free_capacity.FreeCapacity) -> float:
+    """Returns how much less idle a worker may be than the best one.
+
+    It is the share that one task takes. The scores of best-effort tasks contain
+    interference, which spreading must not increase.
+    """
+    if step.best_effort:
+        return 0.0
+    return step.resources.cpu_millicores / best.capacity_millicores
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -84,7 +84,9 @@
             settings.admission, urgency=self._urgency
         )
         self._load_publisher: load_publisher.LoadPublisher | None = None
-        self._run_time_sampler = run_time_sampler.RunTimeSampler()
+        self._run_time_sampler = run_time_sampler.RunTimeSampler(
+            remote_run_ratio=self._settings.locality.remote_run_ratio
+        )
         self._retention = retention.Retention(retention_s=job_retention_s)
         self._timetable = timetable.Timetable()
         self._learning_recorder = learning_recorder.LearningRecorder()
@@ -379,7 +381,9 @@
         )
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
-        self._run_time_sampler = run_time_sampler.RunTimeSampler()
+        self._run_time_sampler = run_time_sampler.RunTimeSampler(
+            remote_run_ratio=self._settings.locality.remote_run_ratio
+        )
         self._learning_recorder = learning_recorder.LearningRecorder()
         self._ticket_manager.begin_term()
         learnt = self._replica.tables.jobs.learnt
@@ -400,6 +404,8 @@
             tickets=self._ticket_manager.tickets,
             is_live=self._service.leases.is_live,
             admits=self._share_reclaimer.admits,
+            locality=self._settings.locality,
+            predict_run_ms=self._urgency.run_times.predict_ms,
         )
         self._worker_refresher = worker_refresher.WorkerRefresher(
             agents=self._service.agents,
--- a/marigoldsill/coordination/jobs/scheduling_settings.py
+++ b/marigoldsill/coordination/jobs/scheduling_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.coordination.job_queueing import job_concurrency
 from marigoldsill.coordination.job_queueing import offer_policies
@@ -20,6 +21,7 @@
         shares: The guaranteed shares of queues; None for none.
         job_concurrency: The limit on best-effort jobs under way in a pool; None
             without a limit.
+        locality: Where tasks go.
     """
 
     admission: admission_settings.AdmissionSettings = dataclasses.field(
@@ -27,6 +29,9 @@
     )
     shares: shares_module.ShareSettings | None = None
     job_concurrency: concurrency_limits.ConcurrencyLimit | None = None
+    locality: locality_settings.LocalitySettings = (
+        locality_settings.LocalitySettings()
+    )
 
     def create_offer_policies(self) -> list[offer_policies.OfferPolicy]:
         """Creates the policies of one term, in the order in which they apply."""
