Hold submissions for the first seconds of an outage; let long jobs return later

Change: submissions are rejected at once only when no leader has answered for 4 s; the delay is half of the job's estimated run time, 1 to 4 s, spread.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -143,7 +143,7 @@
         failure: dict[str, str] = {}
         try:
             if method == "submit_job":
-                self._reject_in_long_outage(_subject_of(requests))
+                self._reject_in_long_outage(requests)
             reply = self._call_with_retries(method, requests, context.deadline)
             outcome = _outcome_of(reply)
             return reply
@@ -197,12 +197,10 @@
         raise errors.NoQuorumError(
             "no leader of control answered in time, nothing was done: "
             f"{last_failure}",
-            retry_after_ms=self._outage.retry_after_ms(
-                _subject_of(requests), now_s=time.monotonic()
-            ),
+            retry_after_ms=_retry_after_ms(requests),
         )
 
-    def _reject_in_long_outage(self, subject: str) -> None:
+    def _reject_in_long_outage(self, requests: tuple[object, ...]) -> None:
         """Rejects a submission if waiting for a leader would not pay.
 
         Raises:
@@ -215,7 +213,7 @@
         raise errors.NoQuorumError(
             "no leader of control has answered for "
             f"{self._outage.age_s(now_s=now_s):.1f} s; nothing was done",
-            retry_after_ms=self._outage.retry_after_ms(subject, now_s=now_s),
+            retry_after_ms=_retry_after_ms(requests),
         )
 
     def _attempt(
@@ -277,6 +275,26 @@
             link.close()
 
 
+def _retry_after_ms(requests: tuple[object, ...]) -> int:
+    """Returns when the caller of a call that found no leader should return."""
+    run_time_ms = 0.0
+    match requests:
+        case (ttypes.JobAddress(), ttypes.Job(steps=[*steps])):
+            run_time_ms = _estimated_run_time_ms(steps)
+    return leader_outage.retry_after_ms(
+        _subject_of(requests), run_time_ms=run_time_ms
+    )
+
+
+def _estimated_run_time_ms(steps: list[ttypes.Step]) -> float:
+    """Returns the length of the critical path of a job, as its caller estimates it."""
+    ends_ms: list[float] = []
+    for step in steps:
+        begin_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
+        ends_ms.append(begin_ms + step.estimated_ms)
+    return max(ends_ms, default=0)
+
+
 def _outcome_of(reply: object) -> str:
     """The outcome of an answered call, for the log and the metrics."""
     if isinstance(reply, ttypes.JobReply):
--- a/marigoldsill/coordination/leadership/leader_outage.py
+++ b/marigoldsill/coordination/leadership/leader_outage.py
@@ -13,16 +13,22 @@
 
 # Twice the shortest election timeout, within which an ordinary election completes.
 ELECTION_LIMIT_S = 1.4
+# An outage of this age is more than a lost leader and an election that had to be
+# repeated. Only then is a leader less likely to come within `ELECTION_LIMIT_S` than not
+# to come for several times as long.
+_LONG_OUTAGE_S = 4.0
 # Interval of the entry's own attempts in an outage, which bounds how late it notices a
 # new leader.
 SEARCH_INTERVAL_S = 0.25
 # A failed attempt proves nothing after this time, which covers an interval of the search
 # and one attempt.
 _EVIDENCE_VALIDITY_S = 1.5
-# Callers retry a few times only. Each delay is as long as the outage so far, up to the
-# time in which restarted control machines are back.
+# Callers retry a few times only. A job that runs for long is of use for long, so its
+# caller may return later and cover a longer outage with its retries; to one that runs for
+# a short time each second counts. The delay is half of the run time within these bounds.
+_RUN_TIME_SHARE = 0.5
 _MIN_RETRY_AFTER_MS = 1_000
-_MAX_RETRY_AFTER_MS = 5_000
+_MAX_RETRY_AFTER_MS = 4_000
 # Callers that were rejected together return spread over this share of their delay.
 _SPREAD_SHARE = 0.3
 
@@ -72,7 +78,7 @@
         with self._lock:
             return (
                 self._since_s is not None
-                and now_s - self._since_s > ELECTION_LIMIT_S
+                and now_s - self._since_s > _LONG_OUTAGE_S
                 and now_s - self._last_failure_s <= _EVIDENCE_VALIDITY_S
             )
 
@@ -81,18 +87,17 @@
         with self._lock:
             return 0.0 if self._since_s is None else now_s - self._since_s
 
-    def retry_after_ms(self, subject: str, *, now_s: float) -> int:
-        """Returns when a rejected caller should return.
-
-        An outage is expected to last as long again as it has lasted so far.
-
-        Args:
-            subject: Names the rejected work; spreads the callers' returns.
-            now_s: The time now.
-        """
-        delay_ms = min(
-            max(1000 * self.age_s(now_s=now_s), _MIN_RETRY_AFTER_MS),
-            _MAX_RETRY_AFTER_MS,
-        )
-        position = zlib.crc32(subject.encode()) / (1 << 32)
-        return int(delay_ms * (1 + _SPREAD_SHARE * position))
+
+def retry_after_ms(subject: str, *, run_time_ms: float) -> int:
+    """Returns when a caller that found no leader should return.
+
+    Args:
+        subject: Names the rejected work; spreads the callers' returns.
+        run_time_ms: The estimated run time of the job; 0 for other calls.
+    """
+    delay_ms = min(
+        max(_RUN_TIME_SHARE * run_time_ms, _MIN_RETRY_AFTER_MS),
+        _MAX_RETRY_AFTER_MS,
+    )
+    position = zlib.crc32(subject.encode()) / (1 << 32)
+    return int(delay_ms * (1 + _SPREAD_SHARE * position))
