Reject only by facts that still hold

Causes and changes, each with a test that failed before: - A rejection was told after a term had passed between the check of leadership and the judgement, by tables that may lack what another leader accepted. The term is read before the check and compared before the answer. - Steps that waited kept the run times and the queue of their first summary. Both are compared in each summary. - The wait subtracted the mean run time; nine long tasks on ten cores counted as if they filled the pool. The longest runs that the pool holds at once are subtracted. - A best-effort job was said to wait for work that reserves processors, which it runs beside. Only best-effort work counts for it. - A command that is too large is not logged, so it takes no place.

--- a/marigoldsill/coordination/job_admission/load.py
+++ b/marigoldsill/coordination/job_admission/load.py
@@ -3,9 +3,11 @@
 Answers an overload in which a job would wait behind others until it is of no use. The
 estimate is a lower bound: only work that ranks before the job and could use every
 capacity that the job could use counts, drained at the full capacity of the pool. A job
-that waits drops behind once it is too late itself, and the run times of those that
-started last do not delay the job. Runs that have begun do not count, since any of them
-may end soon and leave its capacity to the job.
+that waits drops behind once it is too late itself, and the longest runs that the pool
+can hold at once do not delay the job, since they may start last. Best-effort work and
+other work do not delay each other: only the latter reserves processor time. Runs that
+have begun do not count, since any of them may end soon and leave its capacity to the
+job.
 """
 
 import bisect
@@ -217,7 +219,7 @@
         for item in itertools.islice(pool.work, end)
         if item.cpu_millicores <= demand.cpu_millicores
         and item.memory_bytes <= demand.memory_bytes
-        and (demand.is_best_effort or not item.is_best_effort)
+        and item.is_best_effort == demand.is_best_effort
         and (summary.is_order_final or item.queue == demand.queue)
     ]
 
@@ -245,17 +247,35 @@
     if not drain_rate:
         return 0.0
     published_unix_ms = summary.published_unix_ms
-    core_ms = run_core_ms = 0.0
+    core_ms = 0.0
+    counted = []
     for item_core_ms, run_ms, latest_start_unix_ms in ahead:
         if published_unix_ms + core_ms / drain_rate <= latest_start_unix_ms:
             core_ms += item_core_ms
-            run_core_ms += item_core_ms * run_ms
-    if not core_ms:
-        return 0.0
-    # The work that started last is still running when the job starts.
-    running_ms = run_core_ms / core_ms / speed_ratio
+            counted.append((run_ms, item_core_ms))
+    cores = pool.capacity_millicores / _MILLICORES_PER_CORE
+    running_ms = _longest_runs_core_ms(counted, cores) / drain_rate
     age_ms = (now_s - summary.published_s) * 1_000
     start_ms = max(0.0, core_ms / drain_rate - running_ms - age_ms)
     if demand.is_best_effort:
         return min(start_ms, pool.max_idle_s * 1_000)
     return start_ms
+
+
+def _longest_runs_core_ms(
+    work: Iterable[tuple[float, float]], cores: float
+) -> float:
+    """Returns the core time of the longest runs that some cores hold at once.
+
+    Args:
+        work: The run time of a task and the core time of all tasks of each item.
+        cores: The number of cores.
+    """
+    longest_core_ms = 0.0
+    for run_ms, core_ms in sorted(work, reverse=True):
+        if cores <= 0:
+            break
+        used_cores = min(cores, core_ms / max(run_ms, 1e-9))
+        longest_core_ms += used_cores * run_ms
+        cores -= used_cores
+    return longest_core_ms
--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -12,6 +12,7 @@
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
 _INTERVAL_S = 0.25
@@ -24,34 +25,62 @@
 _KEPT_GROUPS_LIMIT = 2 * _GROUPS_LIMIT
 # Workers that were lost for a shorter time are expected back.
 _CAPACITY_WINDOW_S = 30.0
+# Facts are derived anew once the predicted run time differs by more than this share.
+_DRIFT_SHARE = 0.05
 _MILLICORES_PER_CORE = 1_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _StepFacts:
-    """What does not change while a step waits, apart from what is learnt.
+    """What is worth keeping of a step from one summary to the next.
 
     Attributes:
+        queue: The queue as it was when the facts were derived.
         group: Steps with an equal group may be summarized together.
         run_ms: The predicted run time of a task.
         latest_start_unix_ms: When its job becomes too late to be of use.
     """
 
+    queue: ttypes.Queue
     group: tuple[str, str, bool, int, int]
     run_ms: float
     latest_start_unix_ms: float
 
 
 class _JobFacts:
-    """Derives the facts of steps; computes what depends on the job once."""
+    """Derives the facts of steps for one summary; computes what repeats once."""
 
     def __init__(self, urgency: urgency_module.Urgency):
         self._urgency = urgency
+        self._run_times_ms: dict[tuple[str, int], float] = {}
         self._occurrence: tuple[str, int] | None = None
         self._useful_until_unix_ms = 0.0
         self._paths_ms: list[float] = []
 
-    def of_step(self, step: backlog_module.WaitingStep) -> _StepFacts:
+    def refresh(
+        self, step: backlog_module.WaitingStep, before: _StepFacts | None
+    ) -> _StepFacts:
+        """Returns the facts of a step, those from before if they still hold."""
+        run_ms = self._predict_ms(step)
+        if (
+            before is not None
+            and before.queue is step.queue
+            and abs(run_ms - before.run_ms) <= _DRIFT_SHARE * before.run_ms
+        ):
+            return before
+        return self._derive(step, run_ms)
+
+    def _predict_ms(self, step: backlog_module.WaitingStep) -> float:
+        key = step.queue.name, step.step.estimated_ms
+        run_ms = self._run_times_ms.get(key)
+        if run_ms is None:
+            run_ms = self._urgency.run_times.predict_ms(*key)
+            self._run_times_ms[key] = run_ms
+        return run_ms
+
+    def _derive(
+        self, step: backlog_module.WaitingStep, run_ms: float
+    ) -> _StepFacts:
         job, queue = step.job, step.queue
         job_id, occurrence, number = step.key
         if (job_id, occurrence) != self._occurrence:
@@ -62,6 +91,7 @@
             )
         required = step.step.resources
         return _StepFacts(
+            queue=queue,
             group=(
                 queue.pool,
                 queue.name,
@@ -69,9 +99,7 @@
                 required.cpu_millicores,
                 required.memory_bytes,
             ),
-            run_ms=self._urgency.run_times.predict_ms(
-                queue.name, step.step.estimated_ms
-            ),
+            run_ms=run_ms,
             latest_start_unix_ms=(
                 self._useful_until_unix_ms - self._paths_ms[number]
             ),
@@ -179,7 +207,7 @@
         for step in waiting:
             if not _uses_any_capacity(step):
                 continue
-            facts = before.get(step.key) or job_facts.of_step(step)
+            facts = job_facts.refresh(step, before.get(step.key))
             self._facts[step.key] = facts
             group = open_groups.get(facts.group)
             if group is None:
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -123,6 +123,7 @@
 
         A rejected job was not proposed, and none of its attempts may be in the log.
         """
+        term = self._replica.term
         self._require_leader(require_settled=True)
         with self._replica.lock:
             if job.job_id in self._replica.tables.jobs.jobs:
@@ -131,15 +132,17 @@
             if isinstance(queue, ttypes.JobReply):
                 return queue
             job.queue = queue.name
-            term = self._replica.term
             with decision_log.measure():
                 rejection = self._admission.judge(
                     job, queue, term=term, now_s=clock.now_s()
                 )
         if rejection is None:
             return self._propose_job(job, term)
-        # Another leader may have accepted the job while this process was frozen.
+        # Another leader may have accepted the job while this process was frozen. One that
+        # leads the same term before and after the judgement has led it all the time.
         self._require_leader()
+        if self._replica.term != term:
+            raise ttypes.NoQuorum()
         decision_log.record_rejection(job, rejection)
         return ttypes.JobReply(
             outcome=ttypes.JobOutcome.REJECTED,
@@ -287,7 +290,12 @@
             if result.outcome == ttypes.Outcome.NOT_FOUND:
                 outcome = admission_module.ProposalOutcome.FAILED
                 return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_QUEUE)
-        except (ttypes.NotLeader, ttypes.NoQuorum, errors.OverloadedError):
+        except (
+            ttypes.NotLeader,
+            ttypes.NoQuorum,
+            errors.OverloadedError,
+            errors.TooLargeError,
+        ):
             outcome = admission_module.ProposalOutcome.FAILED
             raise
         finally:
--- a/tests/coordination/job_admission/test_load_publisher.py
+++ b/tests/coordination/job_admission/test_load_publisher.py
@@ -163,3 +163,33 @@
     leader.summarize()
     assert not leader.publisher.is_due(now_s=_BEGUN_S + 0.2)
     assert leader.publisher.is_due(now_s=_BEGUN_S + 10.0)
+
+
+def test_work_that_waits_is_predicted_by_what_was_learnt_meanwhile(
+    leader: _Leader,
+) -> None:
+    """Guards against a rejection by run times that have turned out far shorter."""
+    leader.submit("j1", builders.step(10, estimated_ms=9_000))
+    assert leader.summarize().pools[builders.POOL].core_ms == 90_000
+    for _ in range(200):
+        leader.urgency.run_times.observe(
+            builders.QUEUE, estimated_ms=9_000, run_ms=900
+        )
+    pool = leader.summarize(after_s=1.0).pools[builders.POOL]
+    assert pool.core_ms == pytest.approx(9_000, rel=0.1)
+    assert pool.work[0].latest_start_unix_ms < builders.NOW_UNIX_MS + 4_500
+
+
+def test_work_follows_its_queue_to_another_pool(leader: _Leader) -> None:
+    """Guards against rejections in a pool where the work no longer waits."""
+    leader.submit("j1", builders.step(10, estimated_ms=9_000))
+    assert leader.summarize().pools[builders.POOL].work
+    jobs = leader.state.tables.jobs
+    queue = builders.queue()
+    queue.pool = "other"
+    jobs.queues[builders.QUEUE] = queue
+    jobs.pools["other"] = ttypes.Pool(name="other")
+    jobs.changed_jobs.add("j1")
+    summary = leader.summarize(after_s=1.0)
+    assert not summary.pools[builders.POOL].work
+    assert summary.pools["other"].work
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -176,6 +176,7 @@
         errors.NoQuorumError("no majority"),
         errors.NotLeaderError("another leads"),
         errors.OverloadedError("too many commands"),
+        errors.TooLargeError("the command is too large"),
     ],
     ids=lambda error: error.kind,
 )
@@ -266,6 +267,70 @@
         _submit(service, "j2")
 
 
+def test_a_rejection_is_not_told_in_a_later_term_than_its_judgement(
+    replica: replica_module.Replica,
+    service: service_module.JobService,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a rejection of a job that another leader has accepted.
+
+    A process was frozen while it judged a job by its old tables, and led again before
+    it answered; meanwhile another leader had accepted the job.
+    """
+    assert _submit(service, "j1") == _ACCEPTED
+    judge = admission_module.Admission.judge
+    term = replica.term
+
+    def judge_while_terms_pass(self, *arguments, **options):
+        rejection = judge(self, *arguments, **options)
+        assert rejection is not None
+        monkeypatch.setattr(
+            replica_module.Replica, "term", property(lambda _: term + 2)
+        )
+        return rejection
+
+    monkeypatch.setattr(
+        admission_module.Admission, "judge", judge_while_terms_pass
+    )
+    with pytest.raises((ttypes.NotLeader, ttypes.NoQuorum)):
+        _submit(service, "j2")
+
+
+def test_a_term_that_begins_before_the_judgement_rejects_nothing(
+    replica: replica_module.Replica,
+    service: service_module.JobService,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a judgement by tables that lack what earlier terms accepted.
+
+    A process was frozen before it judged and went on as a candidate that had not yet
+    applied its log; it was the leader of that term once it answered.
+    """
+    assert _submit(service, "j1") == _ACCEPTED
+    find_queue = service_module.JobService._find_queue
+    term = replica.term
+
+    def begin_term_first(self, address):
+        monkeypatch.setattr(
+            replica_module.Replica, "term", property(lambda _: term + 1)
+        )
+        return find_queue(self, address)
+
+    def reject(self, *arguments, **options):
+        return admission_module.Rejection(
+            reason=admission_module.Reason.JOBS_LIMIT,
+            message="full",
+            retry_after_ms=1_000,
+        )
+
+    monkeypatch.setattr(
+        service_module.JobService, "_find_queue", begin_term_first
+    )
+    monkeypatch.setattr(admission_module.Admission, "judge", reject)
+    with pytest.raises((ttypes.NotLeader, ttypes.NoQuorum)):
+        _submit(service, "j2")
+
+
 def test_a_new_leader_accepts_what_its_log_has_and_knows_no_load(
     group: groups.LocalGroup,
 ) -> None:
