--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -8,11 +8,11 @@
 import math
 
 from marigoldsill.coordination.job_admission import load as load_module
+from marigoldsill.coordination.job_admission import step_facts
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
-from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
 _INTERVAL_S = 0.25
@@ -25,87 +25,9 @@
 _KEPT_GROUPS_LIMIT = 2 * _GROUPS_LIMIT
 # Workers that were lost for a shorter time are expected back.
 _CAPACITY_WINDOW_S = 30.0
-# Facts are derived anew once the predicted run time differs by more than this share.
-_DRIFT_SHARE = 0.05
 _MILLICORES_PER_CORE = 1_000
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _StepFacts:
-    """What is worth keeping of a step from one summary to the next.
-
-    Attributes:
-        queue: The queue as it was when the facts were derived.
-        group: Steps with an equal group may be summarized together.
-        run_ms: The predicted run time of a task.
-        latest_start_unix_ms: When its job becomes too late to be of use.
-    """
-
-    queue: ttypes.Queue
-    group: tuple[str, str, bool, int, int]
-    run_ms: float
-    latest_start_unix_ms: float
-
-
-class _JobFacts:
-    """Derives the facts of steps for one summary; computes what repeats once."""
-
-    def __init__(self, urgency: urgency_module.Urgency):
-        self._urgency = urgency
-        self._run_times_ms: dict[tuple[str, int], float] = {}
-        self._occurrence: tuple[str, int] | None = None
-        self._useful_until_unix_ms = 0.0
-        self._paths_ms: list[float] = []
-
-    def refresh(
-        self, step: backlog_module.WaitingStep, before: _StepFacts | None
-    ) -> _StepFacts:
-        """Returns the facts of a step, those from before if they still hold."""
-        run_ms = self._predict_ms(step)
-        if (
-            before is not None
-            and before.queue is step.queue
-            and abs(run_ms - before.run_ms) <= _DRIFT_SHARE * before.run_ms
-        ):
-            return before
-        return self._derive(step, run_ms)
-
-    def _predict_ms(self, step: backlog_module.WaitingStep) -> float:
-        key = step.queue.name, step.step.estimated_ms
-        run_ms = self._run_times_ms.get(key)
-        if run_ms is None:
-            run_ms = self._urgency.run_times.predict_ms(*key)
-            self._run_times_ms[key] = run_ms
-        return run_ms
-
-    def _derive(
-        self, step: backlog_module.WaitingStep, run_ms: float
-    ) -> _StepFacts:
-        job, queue = step.job, step.queue
-        job_id, occurrence, number = step.key
-        if (job_id, occurrence) != self._occurrence:
-            self._occurrence = job_id, occurrence
-            self._paths_ms = self._urgency.longest_paths_ms(job, queue)
-            self._useful_until_unix_ms = self._urgency.useful_until_unix_ms(
-                job, queue, occurrence
-            )
-        required = step.step.resources
-        return _StepFacts(
-            queue=queue,
-            group=(
-                queue.pool,
-                queue.name,
-                step.step.best_effort,
-                required.cpu_millicores,
-                required.memory_bytes,
-            ),
-            run_ms=run_ms,
-            latest_start_unix_ms=(
-                self._useful_until_unix_ms - self._paths_ms[number]
-            ),
-        )
-
-
 @dataclasses.dataclass(slots=True)
 class _Group:
     """Neighbouring steps of one kind that are being summarized."""
@@ -134,7 +56,7 @@
         self._term = term
         self.next_s = now_s
         self._begun_s = now_s
-        self._facts: dict[task_names.StepKey, _StepFacts] = {}
+        self._facts: dict[task_names.StepKey, step_facts.StepFacts] = {}
         self._without_workers_since_s: dict[str, float] = {}
         self._capacities: dict[str, collections.deque[tuple[float, int]]] = {}
 
@@ -203,7 +125,7 @@
         before, self._facts = self._facts, {}
         open_groups: dict[tuple, _Group] = {}
         work: dict[str, list[load_module.WaitingWork]] = {}
-        job_facts = _JobFacts(urgency)
+        job_facts = step_facts.FactsDeriver(urgency)
         for step in waiting:
             if not _uses_any_capacity(step):
                 continue
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -211,7 +211,6 @@
         job_metrics.WAITING.set(len(waiting))
         offered = self._offer(waiting, now_s)
         grants = self._placement.place(offered, now_s=now_s)
-        self._publish_load(waiting, now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
@@ -221,6 +220,8 @@
             eviction.next_agent for eviction in slow_evictions
         )
         self._propose_grants(grants)
+        # After the grants, which must not wait for a summary of a long backlog.
+        self._publish_load(waiting, now_s)
         if due_occurrences:
             self._begin_occurrences(due_occurrences)
         if learning_record is not None:
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -13,6 +13,7 @@
 )
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import load as load_module
+from marigoldsill.coordination.job_admission import load_publisher
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import scheduling_settings
@@ -423,6 +424,32 @@
     )
 
 
+def test_grants_do_not_wait_for_a_summary(
+    replica: replica_module.Replica,
+    scheduler: scheduler_module.JobScheduler,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts held up by a summary of a long backlog, or by its failure."""
+
+    def fail(self, *arguments: object, **options: object) -> None:
+        raise RuntimeError("no summary")
+
+    monkeypatch.setattr(
+        load_publisher.LoadPublisher, "is_due", lambda self, **_: True
+    )
+    monkeypatch.setattr(load_publisher.LoadPublisher, "summarize", fail)
+    service = _start(replica, scheduler)
+    _report_worker(service, sequence=1, cpu_millicores=1_000)
+    _submit(service, "j1")
+    one_process.wait_until(
+        lambda: (
+            replica.tables.jobs.jobs["j1"].state != ttypes.JobState.QUEUED
+            or replica.tables.jobs.runs_by_agent.get("a1")
+        ),
+        what="a run of the job",
+    )
+
+
 def test_the_scheduler_begins_the_term_of_the_admission(
     replica: replica_module.Replica,
     scheduler: scheduler_module.JobScheduler,
@@ -436,16 +463,21 @@
 
 
 def _report_worker(
-    service: service_module.JobService, *, sequence: int
+    service: service_module.JobService,
+    *,
+    sequence: int,
+    cpu_millicores: int = 500,
 ) -> None:
-    """Reports a worker that is too small for the jobs of these tests."""
+    """Reports a worker; by default one too small for the jobs of these tests."""
     worker = ttypes.PoolWorker(
         worker_id="a1-incarnation1",
         pool=builders.POOL,
         data_centre="dc1",
         rack="r1",
         labels=[],
-        capacity=ttypes.Resources(cpu_millicores=500, memory_bytes=1 << 30),
+        capacity=ttypes.Resources(
+            cpu_millicores=cpu_millicores, memory_bytes=1 << 30
+        ),
     )
     service.agent_report(
         ttypes.AgentReport(
