Accept jobs whose objective no pool can meet

A queue with a stretch factor below a third or so has jobs that are of use for a shorter time than they run. While anything waited on a full pool, all of them were rejected, also with no work before them. Such an objective says nothing about their use, so it rejects none.

--- a/marigoldsill/coordination/job_admission/causes.py
+++ b/marigoldsill/coordination/job_admission/causes.py
@@ -69,6 +69,9 @@
     if not pool.work and outage_s < _SETTLE_S:
         return None
     demand = _demand_of(job, queue, summary, urgency)
+    if demand.useful_ms <= demand.critical_path_ms:
+        # No pool can meet its objective, so that says nothing about its use.
+        return None
     if outage_s >= _SETTLE_S:
         return _find_outage(queue.pool, demand, outage_s)
     if not load_module.is_surely_too_late(summary, pool, demand, now_s=now_s):
--- a/tests/coordination/job_admission/test_admission.py
+++ b/tests/coordination/job_admission/test_admission.py
@@ -36,12 +36,16 @@
         self.decider.begin_term(_TERM)
 
     def judge(
-        self, job_id: str = "new", *steps: ttypes.Step, **fields: object
+        self,
+        job_id: str = "new",
+        *steps: ttypes.Step,
+        queue: ttypes.Queue = _QUEUE,
+        **fields: object,
     ) -> admission_module.Rejection | None:
         steps = steps or (_step(),)
         return self.decider.judge(
             builders.job(job_id, *steps, **fields),
-            _QUEUE,
+            queue,
             term=self.term,
             now_s=self.now_s,
         )
@@ -339,3 +343,17 @@
     assert not admission.submit("j1")
     admission.publish()
     assert admission.submit("j2")
+
+
+@pytest.mark.parametrize("outage_s", [0, 20])
+def test_an_objective_that_no_pool_can_meet_rejects_nothing(
+    outage_s: int,
+) -> None:
+    """Guards against queues whose jobs are all rejected while any work waits."""
+    queue = builders.queue(stretch_ratio=0.1, latency_target_ms=0)
+    admission = _Admission()
+    if outage_s:
+        admission.publish(no_worker_since_s=_NOW_S - outage_s)
+    else:
+        admission.publish(waiting_s=60.0)
+    assert admission.judge(queue=queue) is None
