--- a/marigoldsill/coordination/job_admission/__init__.py
+++ b/marigoldsill/coordination/job_admission/__init__.py
@@ -10,4 +10,5 @@
     "decision_log",
     "load",
     "load_publisher",
+    "submission_handler",
 ]
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -10,7 +10,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
-from marigoldsill.coordination.job_admission import decision_log
+from marigoldsill.coordination.job_admission import submission_handler
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import urgency
@@ -24,7 +24,6 @@
 from marigoldsill.coordination.leadership import leadership
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.transport import clock
 
 # A commit takes two syncs and a round trip; a slow disk adds some hundred ms.
 _PROPOSE_TIMEOUT_S = 2.0
@@ -68,9 +67,6 @@
             admission: Decides which jobs are accepted, by the load that the
                 scheduler publishes; None for one that knows no load.
         """
-        self._admission = admission or admission_module.Admission(
-            admission_settings.AdmissionSettings(), urgency=urgency.Urgency()
-        )
         self._referral_address = referral_address
         self._replica = replica
         self._is_settled = is_settled
@@ -89,6 +85,16 @@
         self._changed_agents: set[str] = set()
         self._event_logger = job_event_logger.JobEventLogger()
         self._queue_index = queue_index.QueueIndex()
+        self._submission_handler = submission_handler.SubmissionHandler(
+            replica=replica,
+            admission=admission
+            or admission_module.Admission(
+                admission_settings.AdmissionSettings(),
+                urgency=urgency.Urgency(),
+            ),
+            propose=self.propose,
+            require_leader=self._require_leader,
+        )
         self._report_handler = report_handler.ReportHandler(
             replica=replica,
             agents=self.agents,
@@ -123,31 +129,8 @@
 
         A rejected job was not proposed, and none of its attempts may be in the log.
         """
-        term = self._replica.term
-        self._require_leader(require_settled=True)
-        with self._replica.lock:
-            if job.job_id in self._replica.tables.jobs.jobs:
-                return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
-            queue = self._find_queue(address)
-            if isinstance(queue, ttypes.JobReply):
-                return queue
-            job.queue = queue.name
-            with decision_log.measure():
-                rejection = self._admission.judge(
-                    job, queue, term=term, now_s=clock.now_s()
-                )
-        if rejection is None:
-            return self._propose_job(job, term)
-        # Another leader may have accepted the job while this process was frozen. One that
-        # leads the same term before and after the judgement has led it all the time.
-        self._require_leader()
-        if self._replica.term != term:
-            raise ttypes.NoQuorum()
-        decision_log.record_rejection(job, rejection)
-        return ttypes.JobReply(
-            outcome=ttypes.JobOutcome.REJECTED,
-            retry_after_ms=rejection.retry_after_ms,
-            reason=rejection.message,
+        return self._submission_handler.handle(
+            job, find_queue=lambda: self._find_queue(address)
         )
 
     def job_state(self, address: ttypes.JobAddress) -> ttypes.JobReply:
@@ -279,29 +262,6 @@
         except (errors.NotLeaderError, errors.NoQuorumError) as error:
             raise leadership.to_thrift_error(error) from error
 
-    def _propose_job(self, job: ttypes.Job, term: int) -> ttypes.JobReply:
-        """Proposes a job that was accepted in a term, only in that term."""
-        outcome = admission_module.ProposalOutcome.UNKNOWN
-        try:
-            result = self.propose(
-                term=term, submit_job=ttypes.SubmitJob(job=job)
-            )
-            outcome = admission_module.ProposalOutcome.DECIDED
-            if result.outcome == ttypes.Outcome.NOT_FOUND:
-                outcome = admission_module.ProposalOutcome.FAILED
-                return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_QUEUE)
-        except (
-            ttypes.NotLeader,
-            ttypes.NoQuorum,
-            errors.OverloadedError,
-            errors.TooLargeError,
-        ):
-            outcome = admission_module.ProposalOutcome.FAILED
-            raise
-        finally:
-            self._admission.end_proposal(job.job_id, term=term, outcome=outcome)
-        return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
-
     def refresh_orders(self, agents: set[str]) -> None:
         """Computes agents' orders again and wakes the agents whose orders changed.
 
