Count work before a job only where run times are learnt

Before any run of a queue has ended, its predictions are the callers' estimates. On the test's load of three wide jobs whose estimates are four times too long, six quick jobs were rejected that end in time when everything is accepted; now none is. The play of the overload tests learns from the runs that end, as a leader does; its checks are as before and pass with and without this change.

--- a/benchmarks/job_admission.py
+++ b/benchmarks/job_admission.py
@@ -100,6 +100,11 @@
         self.publisher = load_publisher.LoadPublisher(term=_TERM, now_s=0.0)
         self._tables = tables_module.Tables()
         self._urgency = urgency_module.Urgency()
+        for number in range(_QUEUES_COUNT):
+            for estimated_ms in 2 * _ESTIMATES_MS:
+                self._urgency.run_times.observe(
+                    f"q{number}", estimated_ms=estimated_ms, run_ms=estimated_ms
+                )
         self._backlog = backlog_module.Backlog()
         self._placement = placement_module.Placement(
             interference=interference_model.InterferenceModel(),
--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -129,6 +129,9 @@
         for step in waiting:
             if not _uses_any_capacity(step):
                 continue
+            if not urgency.run_times.is_learnt(step.queue.name):
+                # Its estimates may be several times too long.
+                continue
             facts = job_facts.refresh(step, before.get(step.key))
             self._facts[step.key] = facts
             group = open_groups.get(facts.group)
--- a/marigoldsill/coordination/learning/run_times.py
+++ b/marigoldsill/coordination/learning/run_times.py
@@ -20,6 +20,9 @@
 # of a queue's work.
 _SAMPLES_LIMIT = 300.0
 _MIN_MS = 10
+# From this number of samples on, an estimate that is wrong by a factor of 7 changes a
+# prediction by less than a factor of 1.5.
+_LEARNT_SAMPLES_COUNT = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +103,11 @@
             for queue, line in self._lines.items()
         ]
 
+    def is_learnt(self, queue: str) -> bool:
+        """Whether predictions of a queue rest on runs more than on estimates."""
+        line = self._lines.get(queue)
+        return line is not None and line.count >= _LEARNT_SAMPLES_COUNT
+
     def predict_ms(self, queue: str, estimated_ms: float) -> float:
         """Returns the expected run time of a task, in milliseconds."""
         line = self._lines.get(queue)
--- a/tests/coordination/job_admission/overload_play.py
+++ b/tests/coordination/job_admission/overload_play.py
@@ -1,4 +1,7 @@
-"""Plays callers, admission and placement on a virtual clock, without a network."""
+"""Plays callers, admission and placement on a virtual clock, without a network.
+
+Run times are learnt from the runs that end, as by a leader.
+"""
 
 from collections.abc import Iterable
 import dataclasses
@@ -85,6 +88,7 @@
         self._returns_limit = returns_limit
         self._publisher = load_publisher.LoadPublisher(term=TERM, now_s=0.0)
         self._stale = set(self.harness.views)
+        self._run_s: dict[str, float] = {}
         self._ends: list[tuple[float, int, ttypes.RunEnd, str]] = []
         self._numbers = itertools.count()
 
@@ -92,7 +96,7 @@
         """Plays arrivals and the callers' returns."""
         pending = [(a.at_s, next(self._numbers), a) for a in arrivals]
         heapq.heapify(pending)
-        run_s = {a.job.job_id: a.run_s for _, _, a in pending}
+        self._run_s = {a.job.job_id: a.run_s for _, _, a in pending}
         for tick in range(round(length_s / _TICK_S)):
             now_s = tick * _TICK_S
             while pending and pending[0][0] <= now_s:
@@ -104,7 +108,7 @@
                         pending, (return_s, next(self._numbers), again)
                     )
             self._end_runs(now_s)
-            self._run_round(now_s, run_s)
+            self._run_round(now_s)
 
     def _submit(self, arrival: Arrival, now_s: float) -> float | None:
         """Submits a job; returns when its caller returns, if it does."""
@@ -141,6 +145,13 @@
         while self._ends and self._ends[0][0] <= now_s:
             _, _, end, agent = heapq.heappop(self._ends)
             job_id = end.task.split(".")[0]
+            job = state.tables.jobs.jobs[job_id].job
+            step = job.steps[0]
+            self.harness.urgency.run_times.observe(
+                job.queue,
+                estimated_ms=step.estimated_ms,
+                run_ms=self._run_s[job_id] * 1_000,
+            )
             state.apply(
                 at_unix_ms=_unix_ms(now_s),
                 record_run_ends=ttypes.RecordRunEnds(ends=[end]),
@@ -149,7 +160,7 @@
             if state.state_of(job_id) == ttypes.JobState.COMPLETED:
                 self.callers[job_id].ended_s = now_s
 
-    def _run_round(self, now_s: float, run_s: dict[str, float]) -> None:
+    def _run_round(self, now_s: float) -> None:
         harness = self.harness
         jobs = harness.state.tables.jobs
         clock_s = _START_S + now_s
@@ -183,7 +194,7 @@
             end = builders.run_end(
                 grant.task, ttypes.RunEndKind.DONE, run=grant.run
             )
-            end_s = now_s + run_s[grant.task.split(".")[0]]
+            end_s = now_s + self._run_s[grant.task.split(".")[0]]
             heapq.heappush(
                 self._ends, (end_s, next(self._numbers), end, grant.agent)
             )
--- a/tests/coordination/job_admission/test_load_publisher.py
+++ b/tests/coordination/job_admission/test_load_publisher.py
@@ -6,6 +6,7 @@
 
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import load_publisher
+from marigoldsill.coordination.learning import run_times
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
@@ -44,7 +45,11 @@
 
 
 @pytest.fixture
-def leader() -> _Leader:
+def leader(monkeypatch: pytest.MonkeyPatch) -> _Leader:
+    """A leader that trusts all estimates."""
+    monkeypatch.setattr(
+        run_times.RunTimeModel, "is_learnt", lambda self, queue: True
+    )
     new_leader = _Leader()
     for agent in ("a1", "a2"):
         new_leader.set_worker(agent, cores=8)
@@ -193,3 +198,16 @@
     summary = leader.summarize(after_s=1.0)
     assert not summary.pools[builders.POOL].work
     assert summary.pools["other"].work
+
+
+def test_work_counts_once_the_run_times_of_its_queue_are_learnt() -> None:
+    """Guards against rejections by estimates that are several times too long."""
+    leader = _Leader()
+    leader.submit("j1", builders.step(10, estimated_ms=9_000))
+    assert not leader.summarize().pools[builders.POOL].work
+    for _ in range(4):
+        leader.urgency.run_times.observe(
+            builders.QUEUE, estimated_ms=9_000, run_ms=2_000
+        )
+    pool = leader.summarize(after_s=1.0).pools[builders.POOL]
+    assert pool.core_ms < 1.5 * 20_000
--- a/tests/coordination/job_admission/test_overload.py
+++ b/tests/coordination/job_admission/test_overload.py
@@ -110,6 +110,25 @@
     )
 
 
+def test_estimates_that_are_too_long_reject_no_job_that_would_be_of_use() -> (
+    None
+):
+    """Guards against rejections before anything is known of a queue's run times."""
+    numbers = random.Random(1)
+    arrivals = _arrivals_of(numbers, "bulk", 100.0, 8, 2.0)[:3]
+    arrivals += _arrivals_of(numbers, "quick", 4.0, 1, 0.5)
+    for arrival in arrivals[:3]:
+        arrival.job.steps[0].estimated_ms *= 4
+    play = _play(arrivals)
+    unlimited = _play(arrivals, is_enabled=False)
+    assert not [
+        job_id
+        for job_id, caller in play.callers.items()
+        if caller.rejections
+        and unlimited.callers[job_id].is_done_within(_QUICK_USEFUL_S)
+    ]
+
+
 def test_admission_leaves_no_fewer_jobs_in_time() -> None:
     arrivals = _arrivals()
     play = _play(arrivals)
