--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -398,6 +398,15 @@
 ) -> None:
     summaries: list[load_module.LoadSummary] = []
     monkeypatch.setattr(scheduler.admission, "publish", summaries.append)
+    # An earlier leader has learnt the queue's run times, so that its work counts.
+    learnt = ttypes.RecordLearnt(
+        run_times=[
+            ttypes.RunTimesLine(queue=builders.QUEUE, samples_count=10.0)
+        ]
+    )
+    replica.propose(
+        ttypes.Command(command_id="", record_learnt=learnt), timeout_s=1
+    )
     service = _start(replica, scheduler)
     _report_worker(service, sequence=1)
     _submit(service, "j1")
