--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -8,6 +8,7 @@
 import math
 
 from marigoldsill.coordination.job_admission import load as load_module
+from marigoldsill.coordination.job_admission import step_facts
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -27,57 +28,6 @@
 _MILLICORES_PER_CORE = 1_000
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _StepFacts:
-    """What does not change while a step waits, apart from what is learnt.
-
-    Attributes:
-        group: Steps with an equal group may be summarized together.
-        run_ms: The predicted run time of a task.
-        latest_start_unix_ms: When its job becomes too late to be of use.
-    """
-
-    group: tuple[str, str, bool, int, int]
-    run_ms: float
-    latest_start_unix_ms: float
-
-
-class _JobFacts:
-    """Derives the facts of steps; computes what depends on the job once."""
-
-    def __init__(self, urgency: urgency_module.Urgency):
-        self._urgency = urgency
-        self._occurrence: tuple[str, int] | None = None
-        self._useful_until_unix_ms = 0.0
-        self._paths_ms: list[float] = []
-
-    def of_step(self, step: backlog_module.WaitingStep) -> _StepFacts:
-        job, queue = step.job, step.queue
-        job_id, occurrence, number = step.key
-        if (job_id, occurrence) != self._occurrence:
-            self._occurrence = job_id, occurrence
-            self._paths_ms = self._urgency.longest_paths_ms(job, queue)
-            self._useful_until_unix_ms = self._urgency.useful_until_unix_ms(
-                job, queue, occurrence
-            )
-        required = step.step.resources
-        return _StepFacts(
-            group=(
-                queue.pool,
-                queue.name,
-                step.step.best_effort,
-                required.cpu_millicores,
-                required.memory_bytes,
-            ),
-            run_ms=self._urgency.run_times.predict_ms(
-                queue.name, step.step.estimated_ms
-            ),
-            latest_start_unix_ms=(
-                self._useful_until_unix_ms - self._paths_ms[number]
-            ),
-        )
-
-
 @dataclasses.dataclass(slots=True)
 class _Group:
     """Neighbouring steps of one kind that are being summarized."""
@@ -106,7 +56,7 @@
         self._term = term
         self.next_s = now_s
         self._begun_s = now_s
-        self._facts: dict[task_names.StepKey, _StepFacts] = {}
+        self._facts: dict[task_names.StepKey, step_facts.StepFacts] = {}
         self._without_workers_since_s: dict[str, float] = {}
         self._capacities: dict[str, collections.deque[tuple[float, int]]] = {}
 
@@ -175,11 +125,14 @@
         before, self._facts = self._facts, {}
         open_groups: dict[tuple, _Group] = {}
         work: dict[str, list[load_module.WaitingWork]] = {}
-        job_facts = _JobFacts(urgency)
+        job_facts = step_facts.FactsDeriver(urgency)
         for step in waiting:
             if not _uses_any_capacity(step):
                 continue
-            facts = before.get(step.key) or job_facts.of_step(step)
+            if not urgency.run_times.is_learnt(step.queue.name):
+                # Its estimates may be several times too long.
+                continue
+            facts = job_facts.refresh(step, before.get(step.key))
             self._facts[step.key] = facts
             group = open_groups.get(facts.group)
             if group is None:
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -215,7 +215,6 @@
         job_metrics.WAITING.set(len(waiting))
         offered = self._offer(waiting, now_s)
         grants = self._placement.place(offered, now_s=now_s)
-        self._publish_load(waiting, now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
         with self._replica.lock:
             self._handle_tickets(waiting, grants, now_s)
@@ -225,6 +224,13 @@
             eviction.next_agent for eviction in slow_evictions
         )
         self._propose_grants(grants)
+        if due_occurrences:
+            self._begin_occurrences(due_occurrences)
+        if learning_record is not None:
+            self._service.propose(record_learnt=learning_record)
+        self._remove_expired_jobs()
+        # Last, as grants must not wait for a summary of a long backlog.
+        self._publish_load(waiting, now_s)
         self._share_reclaimer.reclaim(
             self._replica,
             waiting,
@@ -235,11 +241,6 @@
             evict=self._evictor.evict_reclaimed,
             now_s=now_s,
         )
-        if due_occurrences:
-            self._begin_occurrences(due_occurrences)
-        if learning_record is not None:
-            self._service.propose(record_learnt=learning_record)
-        self._remove_expired_jobs()
         return len(grants)
 
     def _publish_load(
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -13,6 +13,7 @@
 )
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import load as load_module
+from marigoldsill.coordination.job_admission import load_publisher
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import scheduling_settings
@@ -176,6 +177,7 @@
         errors.NoQuorumError("no majority"),
         errors.NotLeaderError("another leads"),
         errors.OverloadedError("too many commands"),
+        errors.TooLargeError("the command is too large"),
     ],
     ids=lambda error: error.kind,
 )
@@ -266,6 +268,70 @@
         _submit(service, "j2")
 
 
+def test_a_rejection_is_not_told_in_a_later_term_than_its_judgement(
+    replica: replica_module.Replica,
+    service: service_module.JobService,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a rejection of a job that another leader has accepted.
+
+    A process was frozen while it judged a job by its old tables, and led again before
+    it answered; meanwhile another leader had accepted the job.
+    """
+    assert _submit(service, "j1") == _ACCEPTED
+    judge = admission_module.Admission.judge
+    term = replica.term
+
+    def judge_while_terms_pass(self, *arguments, **options):
+        rejection = judge(self, *arguments, **options)
+        assert rejection is not None
+        monkeypatch.setattr(
+            replica_module.Replica, "term", property(lambda _: term + 2)
+        )
+        return rejection
+
+    monkeypatch.setattr(
+        admission_module.Admission, "judge", judge_while_terms_pass
+    )
+    with pytest.raises((ttypes.NotLeader, ttypes.NoQuorum)):
+        _submit(service, "j2")
+
+
+def test_a_term_that_begins_before_the_judgement_rejects_nothing(
+    replica: replica_module.Replica,
+    service: service_module.JobService,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a judgement by tables that lack what earlier terms accepted.
+
+    A process was frozen before it judged and went on as a candidate that had not yet
+    applied its log; it was the leader of that term once it answered.
+    """
+    assert _submit(service, "j1") == _ACCEPTED
+    find_queue = service_module.JobService._find_queue
+    term = replica.term
+
+    def begin_term_first(self, address):
+        monkeypatch.setattr(
+            replica_module.Replica, "term", property(lambda _: term + 1)
+        )
+        return find_queue(self, address)
+
+    def reject(self, *arguments, **options):
+        return admission_module.Rejection(
+            reason=admission_module.Reason.JOBS_LIMIT,
+            message="full",
+            retry_after_ms=1_000,
+        )
+
+    monkeypatch.setattr(
+        service_module.JobService, "_find_queue", begin_term_first
+    )
+    monkeypatch.setattr(admission_module.Admission, "judge", reject)
+    with pytest.raises((ttypes.NotLeader, ttypes.NoQuorum)):
+        _submit(service, "j2")
+
+
 def test_a_new_leader_accepts_what_its_log_has_and_knows_no_load(
     group: groups.LocalGroup,
 ) -> None:
@@ -332,6 +398,15 @@
 ) -> None:
     summaries: list[load_module.LoadSummary] = []
     monkeypatch.setattr(scheduler.admission, "publish", summaries.append)
+    # An earlier leader has learnt the queue's run times, so that its work counts.
+    learnt = ttypes.RecordLearnt(
+        run_times=[
+            ttypes.RunTimesLine(queue=builders.QUEUE, samples_count=10.0)
+        ]
+    )
+    replica.propose(
+        ttypes.Command(command_id="", record_learnt=learnt), timeout_s=1
+    )
     service = _start(replica, scheduler)
     _report_worker(service, sequence=1)
     _submit(service, "j1")
@@ -358,6 +433,32 @@
     )
 
 
+def test_grants_do_not_wait_for_a_summary(
+    replica: replica_module.Replica,
+    scheduler: scheduler_module.JobScheduler,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts held up by a summary of a long backlog, or by its failure."""
+
+    def fail(self, *arguments: object, **options: object) -> None:
+        raise RuntimeError("no summary")
+
+    monkeypatch.setattr(
+        load_publisher.LoadPublisher, "is_due", lambda self, **_: True
+    )
+    monkeypatch.setattr(load_publisher.LoadPublisher, "summarize", fail)
+    service = _start(replica, scheduler)
+    _report_worker(service, sequence=1, cpu_millicores=1_000)
+    _submit(service, "j1")
+    one_process.wait_until(
+        lambda: (
+            replica.tables.jobs.jobs["j1"].state != ttypes.JobState.QUEUED
+            or replica.tables.jobs.runs_by_agent.get("a1")
+        ),
+        what="a run of the job",
+    )
+
+
 def test_the_scheduler_begins_the_term_of_the_admission(
     replica: replica_module.Replica,
     scheduler: scheduler_module.JobScheduler,
@@ -371,16 +472,21 @@
 
 
 def _report_worker(
-    service: service_module.JobService, *, sequence: int
+    service: service_module.JobService,
+    *,
+    sequence: int,
+    cpu_millicores: int = 500,
 ) -> None:
-    """Reports a worker that is too small for the jobs of these tests."""
+    """Reports a worker; by default one too small for the jobs of these tests."""
     worker = ttypes.PoolWorker(
         worker_id="a1-incarnation1",
         pool=builders.POOL,
         data_centre="dc1",
         rack="r1",
         labels=[],
-        capacity=ttypes.Resources(cpu_millicores=500, memory_bytes=1 << 30),
+        capacity=ttypes.Resources(
+            cpu_millicores=cpu_millicores, memory_bytes=1 << 30
+        ),
     )
     service.agent_report(
         ttypes.AgentReport(
