Evict no reserved runs for processor time of best-effort tasks

Cause: a best-effort task reserves no processor time, so once it had started, the next task of the borrower reserved again what the evicted run had reserved, on the same worker. Change: reserved processor time of an evicted run does not count for best-effort tasks; memory and accelerators do. The new test fails without the change.

--- a/marigoldsill/coordination/job_queueing/reclaim.py
+++ b/marigoldsill/coordination/job_queueing/reclaim.py
@@ -104,7 +104,9 @@
         self._evicted_keys.update(run.key for run in evicted)
         for run in evicted:
             self._give_back(run)
-            self._spares[agent].change(run.step, sign=1)
+            self._spares[agent].change_by_eviction(
+                run.step, step=due.waiting.step, sign=1
+            )
         self._spares[agent].change(due.waiting.step, sign=-1)
         status = self._claimants[due.key]
         self._claimants[due.key] = status.add(resources)
@@ -137,7 +139,7 @@
                 continue
             givers[run.share] = giver.subtract(run.step.resources)
             evicted.append(run)
-            spare.change(run.step, sign=1)
+            spare.change_by_eviction(run.step, step=step, sign=1)
             if spare.fits(step):
                 return _drop_needless(evicted, spare, step)
         return None
@@ -222,11 +224,11 @@
     """
     needed = list(evicted)
     for run in reversed(evicted):
-        spare.change(run.step, sign=-1)
+        spare.change_by_eviction(run.step, step=step, sign=-1)
         if spare.fits(step):
             needed.remove(run)
         else:
-            spare.change(run.step, sign=1)
+            spare.change_by_eviction(run.step, step=step, sign=1)
     return needed
 
 
--- a/marigoldsill/coordination/job_queueing/reclaim_fleet.py
+++ b/marigoldsill/coordination/job_queueing/reclaim_fleet.py
@@ -120,6 +120,24 @@
         self.memory_bytes += sign * required.memory_bytes
         self.accelerators_count += sign * required.accelerators_count
 
+    def change_by_eviction(
+        self, evicted: ttypes.Step, *, step: ttypes.Step, sign: int
+    ) -> None:
+        """Adds or subtracts what an evicted run would leave to a task.
+
+        Best-effort tasks reserve no processor time, so the next task of the borrower
+        would reserve again what the evicted run reserved.
+
+        Args:
+            evicted: The step of the run.
+            step: The step of the task.
+            sign: 1 to add, -1 to subtract.
+        """
+        idle_millicores = self.idle_millicores
+        self.change(evicted, sign=sign)
+        if step.best_effort and not evicted.best_effort:
+            self.idle_millicores = idle_millicores
+
     def fits(self, step: ttypes.Step) -> bool:
         """Returns whether one task of a step fits."""
         required = step.resources
--- a/tests/coordination/job_queueing/test_reclaim.py
+++ b/tests/coordination/job_queueing/test_reclaim.py
@@ -57,6 +57,7 @@
         self.ending: dict[shares_module.ShareKey, ttypes.Resources] = {}
         self.accepted = set(self.runs)
         self.draining: set[str] = set()
+        self.free_memory_bytes = 1 << 30
 
     def choose(
         self, *steps: ttypes.Step, tasks_count: int = 1
@@ -99,7 +100,7 @@
             agent=agent,
             worker=worker,
             cpu_millicores=4_000 - reserved,
-            memory_bytes=1 << 30,
+            memory_bytes=self.free_memory_bytes,
             accelerators_count=0,
             latency_critical=[],
             idle_millicores=4_000 - used,
@@ -167,6 +168,26 @@
     assert _names(fleet.choose(_step(2))) == ["batch"]
 
 
+def test_no_reserved_processor_time_is_reclaimed_for_best_effort_tasks() -> (
+    None
+):
+    """Guards against evictions for tasks that gain nothing by them.
+
+    A best-effort task reserves no processor time, so the next task of the borrower
+    would reserve the time of the evicted run again.
+    """
+    assert _names(_Fleet(*_full()).choose(_step(best_effort=True))) == []
+
+
+def test_memory_is_reclaimed_for_best_effort_tasks() -> None:
+    """A best-effort task reserves its memory, so no other task takes it back."""
+    resources = leader_harness.resources(1, 1)
+    fleet = _Fleet(_run("f", step=builders.step(resources=resources)))
+    fleet.free_memory_bytes = 0
+    step = builders.step(resources=resources, best_effort=True)
+    assert _names(fleet.choose(step)) == ["f"]
+
+
 def test_the_cheapest_runs_are_evicted_first() -> None:
     runs = [
         _run("batch"),
