End the claim on the worker on which its task was granted

Cause: a grant ended the first claim of its step, whichever worker it was on. The capacity being reclaimed on that worker went to borrowers, and the claim that was served failed after 5 s, so its worker was avoided and its share paused. Change: a grant ends the claim on its own worker first, else another one of its step. Result: the new test fails with the former rule and passes; tests of shares pass.

--- a/marigoldsill/coordination/job_queueing/claims.py
+++ b/marigoldsill/coordination/job_queueing/claims.py
@@ -128,7 +128,7 @@
     def update(
         self,
         *,
-        granted: Iterable[task_names.StepKey],
+        granted: Iterable[tuple[task_names.StepKey, str]],
         waiting: Iterable[task_names.StepKey],
         agents: Collection[str],
         now_s: float,
@@ -136,7 +136,7 @@
         """Ends claims that are granted, failed, or no longer needed.
 
         Args:
-            granted: The step of each task granted in this round.
+            granted: The step and the agent of each task granted in this round.
             waiting: All steps that wait.
             agents: The agents on whose workers tasks may start.
             now_s: The time of the round.
@@ -147,8 +147,8 @@
         if not self._by_agent:
             return []
         waiting = set(waiting)
-        for step_key in granted:
-            self._end_granted(step_key)
+        for step_key, agent in granted:
+            self._end_granted(step_key, agent)
         for claim in [*self._until_s]:
             if claim.step_key not in waiting or claim.agent not in agents:
                 self._end(claim)
@@ -160,10 +160,12 @@
             self._describe(key, self._reclaims.pop(key), now_s) for key in ended
         ]
 
-    def _end_granted(self, step_key: task_names.StepKey) -> None:
-        claim = next((c for c in self._until_s if c.step_key == step_key), None)
-        if claim is None:
+    def _end_granted(self, step_key: task_names.StepKey, agent: str) -> None:
+        """Ends the claim of a granted task, if possible on its own worker."""
+        claims = [c for c in self._until_s if c.step_key == step_key]
+        if not claims:
             return
+        claim = next((c for c in claims if c.agent == agent), claims[0])
         self._reclaims[claim.key].granted_count += 1
         self._pauses.pop(claim.key, None)
         self._end(claim)
--- a/marigoldsill/coordination/job_queueing/share_reclaimer.py
+++ b/marigoldsill/coordination/job_queueing/share_reclaimer.py
@@ -98,7 +98,13 @@
             return
         granted = [task_names.parse(grant.task).step_key for grant in grants]
         workers = placement.index.workers
-        self._end_claims(granted, waiting, workers.keys(), now_s)
+        granted_agents = (grant.agent for grant in grants)
+        self._end_claims(
+            zip(granted, granted_agents, strict=True),
+            waiting,
+            workers.keys(),
+            now_s,
+        )
         due = self._find_due(set(granted))
         if self._reporter.observe(self._order.statuses, due, now_s=now_s):
             self._fruitless_count = 0
@@ -197,7 +203,7 @@
 
     def _end_claims(
         self,
-        granted: Sequence[task_names.StepKey],
+        granted: Iterable[tuple[task_names.StepKey, str]],
         waiting: Sequence[backlog_module.WaitingStep],
         agents: Collection[str],
         now_s: float,
--- a/tests/coordination/job_queueing/test_claims.py
+++ b/tests/coordination/job_queueing/test_claims.py
@@ -17,10 +17,12 @@
     return claims
 
 
-def _begin(claims: claims_module.Claims, count: int, *, now_s: float) -> None:
+def _begin(
+    claims: claims_module.Claims, count: int, *, now_s: float, agent: str = "a1"
+) -> None:
     claims.begin(
         [
-            claims_module.Claim(_KEY, _STEP_KEY, builders.step(), "a1")
+            claims_module.Claim(_KEY, _STEP_KEY, builders.step(), agent)
             for _ in range(count)
         ],
         now_s=now_s,
@@ -32,11 +34,12 @@
     *,
     now_s: float,
     granted_count: int = 0,
+    granted_agent: str = "a1",
     is_waiting: bool = True,
     agents: tuple[str, ...] = ("a1",),
 ) -> list[claims_module.EndedReclaim]:
     return claims.update(
-        granted=[_STEP_KEY] * granted_count,
+        granted=[(_STEP_KEY, granted_agent)] * granted_count,
         waiting=[_STEP_KEY] if is_waiting else [],
         agents=agents,
         now_s=now_s,
@@ -79,6 +82,30 @@
     assert claims.may_begin(_KEY, now_s=100.4)
 
 
+def test_a_grant_ends_the_claim_on_its_own_worker() -> None:
+    """Guards against grants that end the claim on a worker still being cleared.
+
+    Borrowers would then take what the evicted runs there give back one by one.
+    """
+    claims = _claims()
+    _begin(claims, 1, now_s=100.0, agent="a2")
+    _update(
+        claims,
+        now_s=100.2,
+        granted_count=1,
+        granted_agent="a2",
+        agents=("a1", "a2"),
+    )
+    assert not _admits(claims, "flood", "a1")
+    assert _admits(claims, "flood", "a2")
+
+
+def test_a_grant_elsewhere_ends_a_claim_that_is_not_needed() -> None:
+    claims = _claims()
+    (ended,) = _update(claims, now_s=100.2, granted_count=1, granted_agent="a2")
+    assert ended.granted_count == 1
+
+
 def test_grants_without_a_claim_end_nothing() -> None:
     claims = _claims()
     (ended,) = _update(claims, now_s=100.2, granted_count=3)
