Decide on shares although a term begins during the round

Cause: a report of a new term resets the known agents while a round decides; the round then failed (scheduler_failed) as it read the runs of an agent that is not known. Change: such an agent has no runs to evict. Result: the new test fails without the change; it, tests/lint and test_shares_under_load.py pass.

--- a/marigoldsill/coordination/job_queueing/share_reclaimer.py
+++ b/marigoldsill/coordination/job_queueing/share_reclaimer.py
@@ -235,10 +235,12 @@
     def _list_runs(
         self,
         jobs: job_tables.JobTables,
-        view: agents_module.AgentView,
+        view: agents_module.AgentView | None,
         evicted: Set[task_names.RunKey],
     ) -> list[fleet_module.RunningTask]:
         """Returns the runs that may be alive on an agent's worker."""
+        if view is None:  # a term has begun during the round
+            return []
         return [
             self._describe_run(jobs, view, live, evicted)
             for live in jobs.runs_by_agent.get(view.name, {}).values()
--- a/tests/coordination/jobs/test_shares_under_load.py
+++ b/tests/coordination/jobs/test_shares_under_load.py
@@ -288,6 +288,27 @@
     assert len(leader.evicted) <= 16
 
 
+def test_agents_that_have_not_reported_in_a_new_term_are_no_fault(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a round that fails as a term begins while it decides."""
+    leader = _create({_REPORTS: 0.25})
+    _borrow_all(leader)
+    leader.submit("r", share_harness.step(8, run_s=60), queue=_REPORTS)
+    leader.advance(2 - share_harness.ROUND_S)
+    place = leader.placement.place
+
+    def place_before_reset(*args, **options) -> list[ttypes.RunGrant]:
+        grants = place(*args, **options)
+        leader.views.clear()
+        return grants
+
+    monkeypatch.setattr(leader.placement, "place", place_before_reset)
+    leader.now_s += 1
+    leader.run_round()
+    assert leader.evicted == []
+
+
 def test_capacity_of_an_unreachable_agent_is_reclaimed_elsewhere() -> None:
     """An evicted run counts until its end is recorded."""
     leader = _create({_REPORTS: 0.25})
