Tell apart incarnations of one worker id by their start time

A worker that restarts under its id was taken for its earlier incarnation. The adapter composes the id of an incarnation from the worker's id and its start time, and checks the start time in answers. A run of the earlier incarnation that a call without an answer may still begin is stopped on the later one before its end is reported.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -9,9 +9,11 @@
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import evacuations
 from marigoldsill.coordination.job_agent import incarnations
+from marigoldsill.coordination.job_agent import late_starts
 from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.job_agent import worker_clock
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -19,6 +21,10 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
+# How long after a worker restarted under its name a call meant for its earlier
+# incarnation may still be carried out.
+_LATE_CALLS_S = 15.0
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Lease:
@@ -48,6 +54,7 @@
         worker_clock: The worker's clock.
         throttle: The CPU quotas of best-effort tasks.
         starts: Starts of runs on the current incarnation of the worker.
+        late_starts: Runs that a call meant for an earlier incarnation may begin.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         term: The highest term of a leader that is known.
@@ -58,6 +65,7 @@
         interference_version: Version of the interference that the throttle uses.
         running: Samples of the runs that the worker listed last, by (task, run).
         complete_listings_count: How many listings had no unreadable row of a run.
+        whole_listings_count: How many of them had all unacknowledged ends.
         ends: Ends to report, by (task, run).
         listed_end_number: Number of the last end that was listed.
         acknowledged_end_number: Ends up to this number are recorded by control.
@@ -78,6 +86,7 @@
         self.worker_clock = worker_clock.WorkerClock()
         self.throttle = cpu_throttle.CpuThrottle()
         self.starts = run_starts.RunStarts()
+        self.late_starts = late_starts.LateStarts()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
         self.term = 0
@@ -88,12 +97,15 @@
         self.interference_version = 0
         self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.complete_listings_count = 0
+        self.whole_listings_count = 0
         self.ends: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.listed_end_number = 0
         self.acknowledged_end_number = 0
         self.last_answer_s = clock.now_s()
         self.is_stopping = False
         self._incarnations = incarnations.Incarnations()
+        self._deregistered_id = ""
+        self._restarted_s = -math.inf
 
     @property
     def worker_id(self) -> str:
@@ -126,6 +138,19 @@
             and self.orders_version >= self.lease.min_orders_version
         )
 
+    @property
+    def has_restarted(self) -> bool:
+        """Whether the current incarnation took over the name of another one."""
+        return self._restarted_s > -math.inf
+
+    @property
+    def may_outlive_lease(self) -> bool:
+        """Whether runs may continue after the lease that the agent passed on.
+
+        A renewal meant for an earlier incarnation has a deadline on another clock.
+        """
+        return clock.now_s() - self._restarted_s < _LATE_CALLS_S
+
     @property
     def is_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
@@ -168,6 +193,18 @@
         if worker_id == self.worker_id:
             self.starts.record_unreachable()
 
+    def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
+        """Records a start request without an answer; the caller must hold the lock."""
+        worker_id = order.worker_id
+        if incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return
+        key, now_s = (order.task, order.run), clock.now_s()
+        self.late_starts.record_unanswered(key, worker_id, now_s=now_s)
+        if worker_id != self.worker_id and incarnation_ids.share_name(
+            worker_id, self.worker_id
+        ):
+            self.late_starts.add(key, worker_id, now_s=now_s)
+
     def record_started(self, order: ttypes.RunOrder) -> None:
         """Records a confirmed start and sets a best-effort run's initial quota.
 
@@ -236,26 +273,99 @@
     def confirm_incarnation(self, worker_id: str) -> None:
         """Makes an announced incarnation that has answered the current one."""
         with self.changed:
+            last_id = self._incarnations.last_current_id
             old_id = self.worker_id
             if not self._incarnations.set_current(worker_id):
                 return
             self._clear_worker()
             self.worker = self._incarnations.current.worker
-            self._last_announcement_s = clock.now_s()
+            now_s = clock.now_s()
+            self._last_announcement_s = now_s
+            self._restarted_s = -math.inf
+            if incarnation_ids.share_name(worker_id, last_id):
+                self._restarted_s = now_s
+            self.late_starts.add_unanswered(worker_id, now_s=now_s)
             self._end_stale_orders()
+            self.release_ends()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
+            if self.has_restarted:
+                logs.event(
+                    "worker_restarted",
+                    worker_id=worker_id,
+                    before=last_id,
+                    runs_count=len(self.late_starts.pending_keys),
+                )
             self.changed.notify_all()
 
-    def end_incarnation(self, worker_id: str) -> None:
-        """Records that an incarnation of the worker has ended for good."""
+    def end_incarnation(
+        self, worker_id: str, *, answering_id: str = ""
+    ) -> None:
+        """Records that an incarnation of the worker has ended for good.
+
+        Args:
+            worker_id: The incarnation that has ended.
+            answering_id: The incarnation that answered in its place, if known.
+        """
         with self.changed:
             self._incarnations.record_end(worker_id)
+            if answering_id:
+                self._incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
                 self._clear_worker()
                 logs.event("worker_gone", worker_id=worker_id)
             self._end_stale_orders()
             self.changed.notify_all()
 
+    def deregister(self, name: str) -> None:
+        """Ends the incarnation that a worker deregisters by its name.
+
+        The message may be a late one of an earlier incarnation of the same name. Then
+        the current one ends only once no process listens at its address.
+        """
+        with self.changed:
+            if incarnation_ids.share_name(name, self.worker_id):
+                self._deregistered_id = self.worker_id
+                return
+        self.end_incarnation(name)
+
+    def record_unconnected(self, worker_id: str) -> None:
+        """Records that no process listens at the address of the worker."""
+        with self.changed:
+            is_deregistered = worker_id == self._deregistered_id
+        if worker_id and is_deregistered:
+            self.end_incarnation(worker_id)
+
+    def acknowledged_for(self, worker_id: str) -> int:
+        """Returns up to which number an incarnation may discard its ends.
+
+        A later incarnation of the same name, if there is one, would discard its own.
+        """
+        with self.changed:
+            is_current = worker_id == self.worker_id
+            if not is_current or self._incarnations.has_successor(worker_id):
+                return 0
+            return self.acknowledged_end_number
+
+    def settle_late_start(self, key: task_names.RunKey) -> None:
+        """Reports the end of a run that the current incarnation refuses for good.
+
+        The caller must hold the lock.
+        """
+        end = self.late_starts.settle(key)
+        if end is not None:
+            self.ends.setdefault(key, end)
+        self.changed.notify_all()
+
+    def release_ends(self) -> None:
+        """Reports ends that no later incarnation has to confirm.
+
+        The caller must hold the lock.
+        """
+        ends = self.late_starts.take_ends(self.worker_id, now_s=clock.now_s())
+        for end in ends:
+            self.ends.setdefault((end.task, end.run), end)
+            self.changed.notify_all()
+
     def update_orders(self, reply: ttypes.OrdersReply) -> bool:
         """Updates the orders from a leader's reply.
 
@@ -300,11 +410,15 @@
             if not listing.unread_running_count:
                 # In an incomplete listing, a run that is not listed may be running.
                 self.complete_listings_count += 1
+                if not listing.is_ends_partial:
+                    self.whole_listings_count += 1
             self.running = {(r.task, r.run): r for r in listing.running}
             self._record_listed_runs(listing)
             for ended in listing.ended:
                 if ended.number > self.acknowledged_end_number:
-                    self.ends[ended.end.task, ended.end.run] = ended.end
+                    self.ends[ended.end.task, ended.end.run] = (
+                        self.late_starts.settle_listed(ended.end)
+                    )
                 self.listed_end_number = max(
                     self.listed_end_number, ended.number
                 )
@@ -351,10 +465,59 @@
         now_s = clock.now_s()
         self.starts.record_answer(now_s=now_s)
         for key in self.running:
-            self.starts.record_started(key, now_s=now_s)
+            self.starts.record_listed(key, now_s=now_s)
+        self._add_unordered_runs()
         for ended in listing.ended:
             self.starts.record_ended((ended.end.task, ended.end.run))
 
+    def _add_unordered_runs(self) -> None:
+        """Has runs stopped that the worker lists but the leader does not order.
+
+        Only a call meant for an earlier incarnation may begin such a run.
+        """
+        has_all_orders = (
+            self.lease.is_live
+            and self.lease.term == self.orders_term
+            and self.orders_version >= self.lease.min_orders_version
+        )
+        started_ms = incarnation_ids.started_unix_ms_of(self.worker_id)
+        if started_ms is None or not has_all_orders:
+            return
+        for key in self.running.keys() - self.orders.keys():
+            if not self.late_starts.is_pending(key):
+                logs.event("run_unordered", task=key[0], run=key[1])
+                self.late_starts.add(key, self.worker_id, now_s=clock.now_s())
+
+    def _may_begin_late(
+        self, key: task_names.RunKey, worker_id: str, *, was_listed: bool
+    ) -> bool:
+        """Whether a later incarnation may begin a run of one that has ended.
+
+        Args:
+            key: The run.
+            worker_id: The incarnation that it was meant for.
+            was_listed: Whether that incarnation listed it as running.
+        """
+        if self.worker is not None and worker_id != self.worker_id:
+            if not incarnation_ids.share_name(worker_id, self.worker_id):
+                return False
+        elif incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return False
+        return not was_listed or self.late_starts.is_unanswered(key)
+
+    def _record_lost(
+        self, end: ttypes.RunEnd, worker_id: str, *, was_listed: bool
+    ) -> None:
+        """Reports the loss of a run, or holds it back while the run may still begin."""
+        key = (end.task, end.run)
+        if self._may_begin_late(key, worker_id, was_listed=was_listed):
+            if key not in self.ends:
+                self.late_starts.add(
+                    key, worker_id, now_s=clock.now_s(), end=end
+                )
+        else:
+            self.ends.setdefault(key, end)
+
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
@@ -364,7 +527,8 @@
                 unresponsive_s=clock.now_s() - self.last_answer_s,
             )
             for end in ends:
-                self.ends.setdefault((end.task, end.run), end)
+                was_listed = self.starts.was_listed((end.task, end.run))
+                self._record_lost(end, self.worker_id, was_listed=was_listed)
             self.starts.clear()
         self.worker = None
         self.worker_clock.reset()
@@ -386,8 +550,12 @@
                 if self.worker is None
                 else order.worker_id != self.worker_id
             )
-            if has_ended and key not in self.ends:
-                self.ends[key] = ttypes.RunEnd(
+            if (
+                has_ended
+                and key not in self.ends
+                and not self.late_starts.is_pending(key)
+            ):
+                end = ttypes.RunEnd(
                     task=order.task,
                     run=order.run,
                     kind=ttypes.RunEndKind.LOST,
@@ -396,3 +564,4 @@
                         "known to have begun on it"
                     ),
                 )
+                self._record_lost(end, order.worker_id, was_listed=False)
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -11,6 +11,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import late_start_stopper
 from marigoldsill.coordination.job_agent import (
     lease_renewer as lease_renewer_module,
 )
@@ -37,6 +38,9 @@
         is_busy: Whether a call for the order is in progress.
         is_started: Whether the worker confirmed the start.
         has_unanswered_start: Whether a start request may still arrive at the worker.
+        start_listings_count: The count of whole listings beyond which a listing was
+            certainly made after the start.
+        is_forgotten: Whether a later listing had neither the run nor its end.
         stop_listings_count: The count of complete listings beyond which a listing was
             certainly made after the stop; 0 until the stop is confirmed.
         refusal_reason: Why the run was refused, or empty.
@@ -47,6 +51,8 @@
     is_busy: bool = False
     is_started: bool = False
     has_unanswered_start: bool = False
+    start_listings_count: int = 0
+    is_forgotten: bool = False
     stop_listings_count: int = 0
     refusal_reason: str = ""
     quota_percent: int = 100
@@ -70,6 +76,9 @@
         self._retry_s = retry_s
         self._progress_by_run: dict[task_names.RunKey, _Progress] = {}
         self._pool = futures.ThreadPoolExecutor(_THREADS_COUNT, "executor")
+        self._late_start_stopper = late_start_stopper.LateStartStopper(
+            state=state, worker=worker, pool=self._pool, retry_s=retry_s
+        )
 
     def run(self) -> None:
         """Executes orders until the agent stops."""
@@ -85,7 +94,8 @@
         with self._state.changed:
             self._state.changed.wait_for(
                 lambda: (
-                    not any(
+                    not self._late_start_stopper.is_busy
+                    and not any(
                         progress.is_busy
                         for progress in self._progress_by_run.values()
                     )
@@ -105,10 +115,10 @@
             for key, progress in self._progress_by_run.items()
             if key in state.orders or progress.is_busy
         }
+        wait_s = self._retry_s if self._late_start_stopper.reconcile() else None
         if not state.worker_id or not state.complete_listings_count:
-            return None
+            return wait_s
         now_s = clock.now_s()
-        wait_s = None
         for key, order in state.orders.items():
             if key in state.ends or order.worker_id != state.worker_id:
                 continue
@@ -128,7 +138,10 @@
         progress: _Progress,
     ) -> None:
         is_running = key in self._state.running
-        if order.desire == ttypes.RunDesire.STOP or progress.refusal_reason:
+        if self._is_forgotten(progress, is_running=is_running):
+            progress.is_forgotten = True
+            self._reconcile_stop(key, order, progress, is_running=is_running)
+        elif order.desire == ttypes.RunDesire.STOP or progress.refusal_reason:
             self._reconcile_stop(key, order, progress, is_running=is_running)
         elif is_running or progress.is_started:
             if self._state.quota_percent_for(order) != progress.quota_percent:
@@ -145,6 +158,20 @@
             progress.refusal_reason = "the worker sends no heartbeats"
             self._reconcile_stop(key, order, progress, is_running=is_running)
 
+    def _is_forgotten(self, progress: _Progress, *, is_running: bool) -> bool:
+        """Whether the worker has forgotten a run's end that it never reported.
+
+        A worker that has restarted under its name may have carried out an
+        acknowledgement of ends that was meant for its earlier incarnation.
+        """
+        state = self._state
+        return progress.is_forgotten or (
+            state.has_restarted
+            and progress.is_started
+            and not is_running
+            and state.whole_listings_count > progress.start_listings_count
+        )
+
     def _refusal_reason(
         self, order: ttypes.RunOrder, progress: _Progress
     ) -> str:
@@ -197,14 +224,15 @@
     def _record_end(self, order: ttypes.RunOrder, progress: _Progress) -> None:
         """Records the end of a run that the worker never had or does not list."""
         kind = ttypes.RunEndKind.STOPPED
-        if progress.refusal_reason:
+        detail = progress.refusal_reason or "stopped before it began"
+        if progress.is_forgotten:
+            kind = ttypes.RunEndKind.LOST
+            detail = "the worker has restarted and does not list the run's end"
+        elif progress.refusal_reason:
             kind = ttypes.RunEndKind.REFUSED
         self._state.record_end(
             ttypes.RunEnd(
-                task=order.task,
-                run=order.run,
-                kind=kind,
-                detail=progress.refusal_reason or "stopped before it began",
+                task=order.task, run=order.run, kind=kind, detail=detail
             )
         )
 
@@ -292,13 +320,22 @@
             raise
         except errors.TransportError as error:
             with state.changed:
-                if not error.sent and not had_unanswered_start:
+                if error.sent:
+                    state.record_unanswered_start(order)
+                elif not had_unanswered_start:
                     state.starts.record_not_started((order.task, order.run))
                 state.record_unreachable(order.worker_id)
             raise
+        except errors.PlatformError:
+            # The answer cannot be read.
+            with state.changed:
+                state.record_unanswered_start(order)
+            raise
         progress.has_unanswered_start = False
         with state.changed:
             progress.is_started = True
+            # A listing in progress now may have been made before the start.
+            progress.start_listings_count = state.whole_listings_count + 1
             state.record_started(order)
         state.worker_clock.record_reading(clock_ms, received_s=clock.now_s())
         logs.event(
--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -7,6 +7,7 @@
 """
 
 from marigoldsill import errors
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 
@@ -40,6 +41,10 @@
         # Both with the oldest first.
         self._candidates: dict[str, run_worker.Announcement] = {}
         self._ended_ids: dict[str, None] = {}
+        # The last incarnation that was current; it may have ended.
+        self._last_current_id = ""
+        # An incarnation that answered without having been announced.
+        self._answering_id = ""
         self._was_current_called_last = True
         self._contradiction: run_worker.Announcement | None = None
         self._contradictions_count = 0
@@ -49,6 +54,11 @@
         """The incarnation that answers, or empty."""
         return "" if self.current is None else self.current.worker.worker_id
 
+    @property
+    def last_current_id(self) -> str:
+        """The last incarnation that was current, or empty; it may have ended."""
+        return self._last_current_id
+
     @property
     def newest_announcement(self) -> run_worker.Announcement | None:
         """The newest announcement of another incarnation, or else of the current one."""
@@ -78,7 +88,7 @@
             ConflictError: It contradicts what the current incarnation has announced.
         """
         worker_id = announcement.worker.worker_id
-        if self.has_ended(worker_id):
+        if self.has_ended(worker_id) or self._is_late(worker_id):
             return False
         if worker_id == self.current_id:
             return self._record_current(announcement)
@@ -90,6 +100,18 @@
             del self._candidates[next(iter(self._candidates))]
         return True
 
+    def has_successor(self, worker_id: str) -> bool:
+        """Whether a later incarnation of the same name has been announced."""
+        return any(
+            incarnation_ids.share_name(worker_id, candidate_id)
+            for candidate_id in self._candidates
+            if candidate_id != worker_id
+        )
+
+    def record_answering(self, worker_id: str) -> None:
+        """Records an incarnation that answered a call to another one."""
+        self._answering_id = worker_id
+
     def next_id_to_call(self) -> str:
         """Returns the incarnation to call next, or empty if there is none.
 
@@ -118,6 +140,7 @@
             return False
         self.record_end(self.current_id)
         self._accept(announcement)
+        self._last_current_id = worker_id
         return True
 
     def record_end(self, worker_id: str) -> None:
@@ -136,6 +159,30 @@
         """Whether an incarnation is known to have ended."""
         return worker_id in self._ended_ids
 
+    def _is_late(self, worker_id: str) -> bool:
+        """Whether an announcement is by an earlier start than the last known one.
+
+        Only the worker's answers tell which start is the last one. They are trusted
+        also where the machine's time was set back between two starts.
+
+        Raises:
+            ConflictError: It tells no start time although its worker has one.
+        """
+        last_id = self._last_current_id
+        if not incarnation_ids.share_name(worker_id, last_id):
+            return False
+        started_ms = incarnation_ids.started_unix_ms_of(worker_id)
+        last_started_ms = incarnation_ids.started_unix_ms_of(last_id)
+        if last_started_ms is None:
+            return False
+        if started_ms is None:
+            raise errors.ConflictError(
+                f"worker {worker_id} was announced without the time of its start, but "
+                f"it answered as {last_id}; expected the start time in all its "
+                "heartbeats"
+            )
+        return started_ms < last_started_ms and worker_id != self._answering_id
+
     def _record_current(self, announcement: run_worker.Announcement) -> bool:
         gap = announcement.sequence - self.current.sequence
         has_same_properties = _has_same_properties(announcement, self.current)
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -0,0 +1,124 @@
+"""Stops runs on the current incarnation that were meant for an earlier one.
+
+A worker refuses a run that was stopped there before it began. So each run in
+`late_starts` is stopped, also if it is not listed, and its end is reported once a
+listing made after the stop does not contain it.
+"""
+
+from concurrent import futures
+import dataclasses
+
+from marigoldsill import errors
+from marigoldsill.coordination.job_agent import agent_metrics
+from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
+from marigoldsill.transport import clock
+from marigoldsill.transport import logs
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """The progress of stopping a run on one incarnation.
+
+    Attributes:
+        is_busy: Whether a call is in progress.
+        stop_listings_count: The count of complete listings beyond which a listing was
+            certainly made after the stop; 0 until the stop is confirmed.
+        retry_s: Time before which no call is made.
+    """
+
+    is_busy: bool = False
+    stop_listings_count: int = 0
+    retry_s: float = 0.0
+
+
+class LateStartStopper:
+    """Makes the calls that stop such runs."""
+
+    def __init__(
+        self,
+        *,
+        state: agent_state.AgentState,
+        worker: run_worker.RunWorker,
+        pool: futures.Executor,
+        retry_s: float,
+    ):
+        self._state = state
+        self._worker = worker
+        self._pool = pool
+        self._retry_s = retry_s
+        self._progress: dict[tuple[str, task_names.RunKey], _Progress] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call is in progress."""
+        return any(progress.is_busy for progress in self._progress.values())
+
+    def reconcile(self) -> bool:
+        """Begins the calls that are due; the caller must hold the state's lock.
+
+        Returns:
+            Whether runs remain, so that another round is necessary soon.
+        """
+        state = self._state
+        state.release_ends()
+        if not state.lease.is_live and state.may_outlive_lease:
+            for key in state.running:
+                state.late_starts.add(key, state.worker_id, now_s=clock.now_s())
+        worker_id = state.worker_id
+        self._progress = {
+            (called_id, key): progress
+            for (called_id, key), progress in self._progress.items()
+            if progress.is_busy
+            or (called_id == worker_id and state.late_starts.is_pending(key))
+        }
+        if worker_id:
+            for key in state.late_starts.pending_keys:
+                self._reconcile_run(worker_id, key)
+        return bool(state.late_starts.pending_keys)
+
+    def _reconcile_run(self, worker_id: str, key: task_names.RunKey) -> None:
+        state = self._state
+        progress = self._progress.setdefault((worker_id, key), _Progress())
+        if progress.is_busy or progress.retry_s > clock.now_s():
+            return
+        if not progress.stop_listings_count:
+            progress.is_busy = True
+            self._pool.submit(self._stop, worker_id, key, progress)
+        elif (
+            key not in state.running
+            and state.complete_listings_count > progress.stop_listings_count
+        ):
+            state.settle_late_start(key)
+
+    def _stop(
+        self, worker_id: str, key: task_names.RunKey, progress: _Progress
+    ) -> None:
+        state = self._state
+        task, run = key
+        outcome = "done"
+        try:
+            self._worker.stop(worker_id, task, run, token=state.term)
+            with state.changed:
+                # A listing in progress now may have been made before the stop.
+                progress.stop_listings_count = state.complete_listings_count + 1
+            logs.event(
+                "late_start_refused", task=task, run=run, worker_id=worker_id
+            )
+        except errors.MarigoldsillError as error:
+            outcome = error.kind
+            progress.retry_s = clock.now_s() + self._retry_s
+            logs.event(
+                "order_failed",
+                level="WARNING",
+                task=task,
+                run=run,
+                kind=error.kind,
+                reason=error.message,
+            )
+        finally:
+            agent_metrics.WORKER_CALLS.labels("stop", outcome).inc()
+            with state.changed:
+                progress.is_busy = False
+                state.changed.notify_all()
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -0,0 +1,130 @@
+"""Runs that a call meant for an earlier incarnation may begin on a later one.
+
+A worker that restarts under its name cannot tell calls meant for its earlier
+incarnation from its own, and a call without an answer may be carried out seconds later.
+The end of such a run may only be reported once the current incarnation has refused it
+for good, as the leader then grants its task elsewhere.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from marigoldsill.protocol import incarnation_ids
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+
+# How long to wait for the next incarnation of a worker that has ended. Without an agent
+# that renews the lease, a run that was begun late ends within the longest lease (about
+# 10 s) after the few seconds in which a call may still arrive.
+_SUCCESSOR_WAIT_S = 15.0
+# How long, and for how many runs, to remember start requests without an answer.
+_UNANSWERED_AGE_LIMIT_S = 60.0
+_UNANSWERED_LIMIT = 1_000
+# Ends that are reported as the worker lists them; after any other end of a late run, the
+# loss of the incarnation it was meant for is reported.
+_CONCLUSIVE_KINDS = (ttypes.RunEndKind.DONE, ttypes.RunEndKind.FAILED)
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A run to be refused by the current incarnation.
+
+    Attributes:
+        name: The name of its worker.
+        since_s: Since when it is waited for.
+        end: The end to report then, or None.
+    """
+
+    name: str
+    since_s: float
+    end: ttypes.RunEnd | None
+
+
+class LateStarts:
+    """Ends that are held back, and start requests that may still have an effect.
+
+    Not thread-safe: the owner's lock must be held for every call.
+    """
+
+    def __init__(self):
+        self._pending: dict[task_names.RunKey, _Pending] = {}
+        # Name of the worker and time of the last request, the oldest first.
+        self._unanswered: dict[task_names.RunKey, tuple[str, float]] = {}
+
+    @property
+    def pending_keys(self) -> list[task_names.RunKey]:
+        """The runs that the current incarnation must refuse."""
+        return list(self._pending)
+
+    def is_pending(self, key: task_names.RunKey) -> bool:
+        """Whether the current incarnation must refuse a run."""
+        return key in self._pending
+
+    def record_unanswered(
+        self, key: task_names.RunKey, worker_id: str, *, now_s: float
+    ) -> None:
+        """Records a start request that may still be carried out."""
+        self._unanswered.pop(key, None)
+        self._unanswered[key] = (incarnation_ids.name_of(worker_id), now_s)
+        if len(self._unanswered) > _UNANSWERED_LIMIT:
+            del self._unanswered[next(iter(self._unanswered))]
+
+    def is_unanswered(self, key: task_names.RunKey) -> bool:
+        """Whether a start request of a run may still be carried out."""
+        return key in self._unanswered
+
+    def add(
+        self,
+        key: task_names.RunKey,
+        worker_id: str,
+        *,
+        now_s: float,
+        end: ttypes.RunEnd | None = None,
+    ) -> None:
+        """Adds a run that an incarnation must refuse, and its end to report then."""
+        name = incarnation_ids.name_of(worker_id)
+        pending = self._pending.setdefault(key, _Pending(name, now_s, end))
+        if pending.end is None:
+            pending.end = end
+
+    def add_unanswered(self, worker_id: str, *, now_s: float) -> None:
+        """Adds the runs of unanswered requests to an incarnation's worker."""
+        name = incarnation_ids.name_of(worker_id)
+        for key, (called_name, sent_s) in list(self._unanswered.items()):
+            if now_s - sent_s > _UNANSWERED_AGE_LIMIT_S:
+                del self._unanswered[key]
+            elif called_name == name:
+                self.add(key, worker_id, now_s=now_s)
+
+    def settle(self, key: task_names.RunKey) -> ttypes.RunEnd | None:
+        """Removes a run that cannot begin any more; returns its end to report."""
+        pending = self._pending.pop(key, None)
+        return None if pending is None else pending.end
+
+    def settle_listed(self, end: ttypes.RunEnd) -> ttypes.RunEnd:
+        """Returns the end to report for a run that the worker lists as ended."""
+        held = self.settle((end.task, end.run))
+        is_listed_used = held is None or end.kind in _CONCLUSIVE_KINDS
+        return end if is_listed_used else held
+
+    def take_ends(
+        self, worker_id: str, *, now_s: float
+    ) -> Iterable[ttypes.RunEnd]:
+        """Removes runs that need not be waited for, and returns their ends.
+
+        Args:
+            worker_id: The current incarnation of the worker, or empty.
+            now_s: The time.
+        """
+        name = incarnation_ids.name_of(worker_id)
+        settled = [
+            key
+            for key, pending in self._pending.items()
+            if (
+                pending.name != name
+                if worker_id
+                else now_s - pending.since_s > _SUCCESSOR_WAIT_S
+            )
+        ]
+        ends = [self.settle(key) for key in settled]
+        return [end for end in ends if end is not None]
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -11,6 +11,8 @@
 _ANSWER_WAIT_MS = 1_000
 # The same while tasks that interfere with each other share the worker.
 _SHARED_ANSWER_WAIT_MS = 250
+# The same while ends of runs wait for a listing.
+_SETTLING_ANSWER_WAIT_MS = 20
 # Maximum wait until control has recorded reported ends. Before that, the worker would
 # list them again at once.
 _UNRECORDED_ENDS_WAIT_S = 0.1
@@ -49,15 +51,19 @@
         current_id = self._state.worker_id
         try:
             self.renew(worker_id)
-        except errors.OtherWorkerError:
+        except errors.OtherWorkerError as error:
             if worker_id != current_id:
                 logs.event(
                     "incarnation_refused", worker_id=worker_id, held=current_id
                 )
-            self._state.end_incarnation(worker_id)
+            self._state.end_incarnation(
+                worker_id, answering_id=error.answering_id
+            )
         except errors.MarigoldsillError as error:
             if current_id in ("", worker_id):
                 self._dependency.record_failure(error.kind, error.message)
+            if isinstance(error, errors.TransportError) and not error.sent:
+                self._state.record_unconnected(worker_id)
             with self._state.changed:
                 self._state.record_unreachable(worker_id)
                 self._state.changed.wait(_PAUSE_S)
@@ -98,6 +104,8 @@
         return ""
 
     def _answer_wait_ms(self) -> int:
+        if self._state.late_starts.pending_keys:
+            return _SETTLING_ANSWER_WAIT_MS
         return (
             _SHARED_ANSWER_WAIT_MS if self._state.is_shared else _ANSWER_WAIT_MS
         )
@@ -116,7 +124,7 @@
         listing = self._worker.renew_lease(
             worker_id,
             token=state.term,
-            acknowledged=state.acknowledged_end_number if is_known else 0,
+            acknowledged=state.acknowledged_for(worker_id),
             deadline_ms=deadline_ms,
             wait_ms=self._answer_wait_ms() if deadline_ms is not None else 0,
         )
--- a/marigoldsill/coordination/job_agent/run_starts.py
+++ b/marigoldsill/coordination/job_agent/run_starts.py
@@ -24,6 +24,7 @@
     def __init__(self):
         self._unanswered: set[task_names.RunKey] = set()
         self._started_s: dict[task_names.RunKey, float] = {}
+        self._listed: set[task_names.RunKey] = set()
         self._last_answer_s = -math.inf
         self._is_unreachable = False
 
@@ -45,8 +46,18 @@
         self._unanswered.discard(key)
         self._started_s.setdefault(key, now_s)
 
+    def record_listed(self, key: task_names.RunKey, *, now_s: float) -> None:
+        """Records that the worker lists a run as running."""
+        self.record_started(key, now_s=now_s)
+        self._listed.add(key)
+
+    def was_listed(self, key: task_names.RunKey) -> bool:
+        """Whether the worker has listed a run that has not ended."""
+        return key in self._listed
+
     def record_ended(self, key: task_names.RunKey) -> None:
         """Records that a run has ended."""
+        self._listed.discard(key)
         self._unanswered.discard(key)
         self._started_s.pop(key, None)
 
@@ -85,5 +96,6 @@
         """Removes all state before the next incarnation of the worker."""
         self._unanswered.clear()
         self._started_s.clear()
+        self._listed.clear()
         self._last_answer_s = -math.inf
         self._is_unreachable = False
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -222,7 +222,15 @@
 
 
 class OtherWorkerError(PlatformError):
-    """A different incarnation of the worker answered than the intended one."""
+    """A different incarnation of the worker answered than the intended one.
+
+    Attributes:
+        answering_id: The incarnation that answered, or empty if it did not tell.
+    """
+
+    def __init__(self, message: str, *, answering_id: str = ""):
+        super().__init__(message)
+        self.answering_id = answering_id
 
 
 class WorkerUnwellError(PlatformError):
--- a/marigoldsill/platform/fields.py
+++ b/marigoldsill/platform/fields.py
@@ -55,6 +55,10 @@
             raise self._invalid(name, value, f"a whole number of {low} or more")
         return value
 
+    def get_optional_integer(self, name: str) -> int | None:
+        """Returns an integer of at least 0, or None if the field is missing."""
+        return self.get_integer(name) if name in self._values else None
+
     def get_number(self, name: str, *, default: float | None = None) -> float:
         """Returns a number that is not negative."""
         value = self._values.get(name, default)
--- a/marigoldsill/platform/settings_file.py
+++ b/marigoldsill/platform/settings_file.py
@@ -15,6 +15,9 @@
 
 # Allows for the time from the decision to start a run until its worker starts it.
 _START_MARGIN_MS = 500
+# How workers receive instructions: by requests of their agent, rather than in the
+# answers to their heartbeats.
+_CONTROL_MODE = "request"
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -149,10 +152,24 @@
             stop_limit_s=self._read_number(bounds, "grace_s", 6.0),
             job_retention_s=self._read_number(bounds, "status_s", 120.0),
         )
+        self._check_control_mode()
         if self._messages:
             raise errors.SettingsError("\n".join(self._messages))
         return settings
 
+    def _check_control_mode(self) -> None:
+        mode = self._try_read(
+            lambda: self._values.get_string(
+                "control_mode", default=_CONTROL_MODE
+            ),
+            _CONTROL_MODE,
+        )
+        if mode != _CONTROL_MODE:
+            self._messages.append(
+                f"control_mode is {mode[:40]!r}; supported is {_CONTROL_MODE!r} only: "
+                "workers that receive instructions with their heartbeats are not served"
+            )
+
     def _read_string(self, table, name: str, default: str | None = None) -> str:
         return self._try_read(
             lambda: table.get_string(name, default=default), ""
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -12,13 +12,14 @@
 from marigoldsill import errors
 from marigoldsill.platform import fields as fields_module
 from marigoldsill.platform import job_bodies
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
 # An id is sent back to the worker in a header and logged as one word. Workers' ids
-# have about 10 characters.
+# have about 10 characters. It must not contain `incarnation_ids.SEPARATOR`.
 _WORKER_ID = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
 # Whether a worker in a state is draining.
 _DRAINING = {"ready": False, "draining": True}
@@ -29,6 +30,8 @@
 _PERCENT_LIMIT = (1 << 31) - 1
 # Maximum length of a row or a reason in a log line, in characters.
 _LOGGED_LENGTH_LIMIT = 120
+# Maximum number of ends in a listing, by the platform's specification.
+_LISTED_ENDS_LIMIT = 500
 _Row = TypeVar("_Row")
 _END_KINDS = {
     "done": ttypes.RunEndKind.DONE,
@@ -43,7 +46,7 @@
 
 
 def decode_worker_id(text: str) -> str:
-    """Checks the id of a worker's incarnation in a path and returns it.
+    """Checks the id of a worker in a path and returns it.
 
     Raises:
         BadInputError: No worker can have this id.
@@ -60,13 +63,22 @@
 ) -> run_worker.Announcement:
     """Decodes a worker's heartbeat.
 
+    Args:
+        body: The heartbeat.
+        worker_id: The id in its path. The incarnation's id is this one, or contains it
+            and the worker's start time ("born") where the worker sends that.
+
     Raises:
         BadInputError: The heartbeat is invalid, or cannot be a worker's.
     """
     heartbeat = fields_module.decode_json(body, where="the heartbeat")
     labels = _decode_labels(heartbeat)
+    incarnation_id = decode_worker_id(worker_id)
+    born_unix_ms = heartbeat.get_optional_integer("born")
+    if born_unix_ms is not None:
+        incarnation_id = incarnation_ids.compose(worker_id, born_unix_ms)
     worker = ttypes.PoolWorker(
-        worker_id=decode_worker_id(worker_id),
+        worker_id=incarnation_id,
         # "service" is the pool that the worker belongs to.
         pool=_decode_name(heartbeat, "service"),
         data_centre=_decode_name(heartbeat, "zone"),
@@ -122,14 +134,22 @@
     return labels[1] if len(labels) > 1 else ""
 
 
-def decode_listing(body: bytes) -> run_worker.RunListing:
+def decode_listing(
+    body: bytes, *, worker_id: str = ""
+) -> run_worker.RunListing:
     """Decodes the answer to a hold call; invalid rows are skipped and counted.
 
+    Args:
+        body: The answer.
+        worker_id: The incarnation that was called; empty to accept any.
+
     Raises:
+        OtherWorkerError: Another incarnation answered.
         PlatformError: The answer is invalid, or all rows of active runs are.
     """
     try:
         table = fields_module.decode_json(body, where="the worker's answer")
+        check_answering(table, worker_id=worker_id, required=True)
         clock_ms = table.get_integer("clock_ms")
         running_rows = table.get_list("running")
         ended_rows = table.get_list("ended_runs")
@@ -148,9 +168,48 @@
         ended=ended,
         unread_running_count=len(running_rows) - len(running),
         unread_ended_count=len(ended_rows) - len(ended),
+        is_ends_partial=(
+            len(ended) < len(ended_rows)
+            or len(ended_rows) >= _LISTED_ENDS_LIMIT
+        ),
     )
 
 
+def check_answering(
+    answer: fields_module.Fields, *, worker_id: str, required: bool
+) -> None:
+    """Checks that an answer is by the incarnation that was called.
+
+    Args:
+        answer: The answer.
+        worker_id: The incarnation that was called; empty to accept any.
+        required: Whether the answer must tell the start time ("born") of a worker that
+            announced it.
+
+    Raises:
+        OtherWorkerError: Another incarnation answered.
+        BadInputError: The answer does not tell the start time.
+    """
+    if not worker_id:
+        return
+    called_ms = incarnation_ids.started_unix_ms_of(worker_id)
+    born_unix_ms = answer.get_optional_integer("born")
+    if born_unix_ms is None:
+        if called_ms is not None and required:
+            raise errors.BadInputError(
+                f"born of {answer.where} is missing; accepted is the time of the "
+                "worker's start, as in its heartbeats"
+            )
+        return
+    if born_unix_ms != called_ms:
+        name = incarnation_ids.name_of(worker_id)
+        answering_id = incarnation_ids.compose(name, born_unix_ms)
+        raise errors.OtherWorkerError(
+            f"incarnation {answering_id} answered a call to {worker_id}",
+            answering_id=answering_id,
+        )
+
+
 def _decode_rows(rows: list, decode: Callable[[list], _Row]) -> list[_Row]:
     """Decodes rows; invalid ones are logged and skipped."""
     decoded = []
--- a/marigoldsill/platform/worker_client.py
+++ b/marigoldsill/platform/worker_client.py
@@ -5,6 +5,7 @@
 from marigoldsill import errors
 from marigoldsill.platform import fields as fields_module
 from marigoldsill.platform import worker_bodies
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import http_client
 
@@ -45,12 +46,12 @@
             body["last_checkpoint"] = start.checkpoint_id
         if start.ticket:
             body["ticket"] = start.ticket
-        return self._decode_clock(self._call("run-start", worker_id, body))
+        return self._order("run-start", worker_id, body)
 
     def stop(self, worker_id: str, task: str, run: int, *, token: int) -> int:
         """Stops a run."""
         body = {"task": task, "run": run, "fencing_token": token}
-        return self._decode_clock(self._call("run-stop", worker_id, body))
+        return self._order("run-stop", worker_id, body)
 
     def renew_lease(
         self,
@@ -70,7 +71,9 @@
         answer = self._call(
             "hold", worker_id, body, timeout_s=_TIMEOUT_S + wait_ms / 1000
         )
-        return worker_bodies.decode_listing(answer.body)
+        if answer.status_code != _STATUS_OK:
+            raise _error_of("hold", answer)
+        return worker_bodies.decode_listing(answer.body, worker_id=worker_id)
 
     def throttle(
         self, worker_id: str, task: str, run: int, *, percent: int, token: int
@@ -82,7 +85,32 @@
             "percent": percent,
             "fencing_token": token,
         }
-        return self._decode_clock(self._call("pace", worker_id, body))
+        return self._order("pace", worker_id, body)
+
+    def _order(self, name: str, worker_id: str, body: dict[str, object]) -> int:
+        """Calls the worker and returns its clock, in milliseconds.
+
+        Raises:
+            TransportError: No answer of this incarnation came. Another one of the same
+                id that answered has carried the order out.
+        """
+        answer = self._call(name, worker_id, body)
+        if answer.status_code == _STATUS_OTHER_WORKER:
+            raise _error_of(name, answer)
+        try:
+            table = fields_module.decode_json(answer.body, where="the answer")
+            worker_bodies.check_answering(
+                table, worker_id=worker_id, required=False
+            )
+            clock_ms = table.get_integer("clock_ms")
+        except errors.OtherWorkerError as error:
+            raise errors.TransportError(error.message, sent=True) from error
+        except errors.BadInputError as error:
+            if answer.status_code == _STATUS_OK:
+                raise errors.PlatformError(error.message) from error
+        if answer.status_code != _STATUS_OK:
+            raise _error_of(name, answer)
+        return clock_ms
 
     def _call(
         self,
@@ -92,29 +120,19 @@
         *,
         timeout_s: float = _TIMEOUT_S,
     ) -> http_client.HttpResponse:
-        answer = self._client.fetch(
+        return self._client.fetch(
             self._address,
             f"/marigoldsill/{name}",
             method="POST",
             body=json.dumps(body).encode(),
             headers=(
                 ("Content-Type", "application/json"),
-                # The incarnation of the worker that the call is for.
-                ("Target-Instance", worker_id),
+                # The worker that the call is for. All incarnations of a worker that
+                # restarts under its id have the same one.
+                ("Target-Instance", incarnation_ids.name_of(worker_id)),
             ),
             timeout_s=timeout_s,
         )
-        if answer.status_code != _STATUS_OK:
-            raise _error_of(name, answer)
-        return answer
-
-    def _decode_clock(self, answer: http_client.HttpResponse) -> int:
-        """Returns the worker's clock in an answer, in milliseconds."""
-        try:
-            table = fields_module.decode_json(answer.body, where="the answer")
-            return table.get_integer("clock_ms")
-        except errors.BadInputError as error:
-            raise errors.PlatformError(error.message) from error
 
 
 def _error_of(
--- a/marigoldsill/platform/worker_http.py
+++ b/marigoldsill/platform/worker_http.py
@@ -47,7 +47,7 @@
             worker_id = worker_bodies.decode_worker_id(
                 name.removeprefix(_DEREGISTER)
             )
-            self._state.end_incarnation(worker_id)
+            self._state.deregister(worker_id)
             return http_apps.json_response({})
         raise http_apps.unknown_path_error(
             request,
--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -70,6 +70,7 @@
         ended: Unacknowledged ends, the oldest first; may be incomplete.
         unread_running_count: Number of unreadable rows of running tasks.
         unread_ended_count: Number of unreadable rows of ends.
+        is_ends_partial: Whether an unacknowledged end may be missing in `ended`.
     """
 
     clock_ms: int
@@ -77,14 +78,17 @@
     ended: list[EndedRun]
     unread_running_count: int = 0
     unread_ended_count: int = 0
+    is_ends_partial: bool = False
 
 
 class RunWorker(abc.ABC):
     """The calls to one incarnation of a worker.
 
-    Each method raises `TransportError` if no answer came; the call may still take
-    effect later. It raises `OtherWorkerError` if another incarnation of the worker
-    answered, and `WorkerUnwellError` if the worker did not execute the call.
+    Each method raises `TransportError` if no answer of this incarnation came; the call
+    may still take effect later, also on a later incarnation of the same name (see
+    `incarnation_ids`). It raises `OtherWorkerError` if another incarnation of the worker
+    answered, and `WorkerUnwellError` if the worker did not execute the call. An order
+    that raises `OtherWorkerError` had no effect, but a lease renewal may have had.
     """
 
     @abc.abstractmethod
