--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -65,7 +65,8 @@
         interference_version: Version of the interference that the throttle uses.
         running: Samples of the runs that the worker listed last, by (task, run).
         complete_listings_count: How many listings had no unreadable row of a run.
-        whole_listings_count: How many of them had all unacknowledged ends.
+        is_listing_complete: Whether the last listing had no such row.
+        is_listing_whole: Whether it also had all unacknowledged ends.
         ends: Ends to report, by (task, run).
         listed_end_number: Number of the last end that was listed.
         acknowledged_end_number: Ends up to this number are recorded by control.
@@ -97,7 +98,8 @@
         self.interference_version = 0
         self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.complete_listings_count = 0
-        self.whole_listings_count = 0
+        self.is_listing_complete = False
+        self.is_listing_whole = False
         self.ends: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.listed_end_number = 0
         self.acknowledged_end_number = 0
@@ -407,17 +409,20 @@
     def record_listing(self, listing: run_worker.RunListing) -> None:
         """Records the runs and ends that the worker lists, and updates quotas."""
         with self.changed:
-            if not listing.unread_running_count:
+            self.is_listing_complete = not listing.unread_running_count
+            self.is_listing_whole = (
+                self.is_listing_complete and not listing.is_ends_partial
+            )
+            if self.is_listing_complete:
                 # In an incomplete listing, a run that is not listed may be running.
                 self.complete_listings_count += 1
-                if not listing.is_ends_partial:
-                    self.whole_listings_count += 1
             self.running = {(r.task, r.run): r for r in listing.running}
             self._record_listed_runs(listing)
             for ended in listing.ended:
                 if ended.number > self.acknowledged_end_number:
-                    self.ends[ended.end.task, ended.end.run] = (
-                        self.late_starts.settle_listed(ended.end)
+                    key = (ended.end.task, ended.end.run)
+                    self.ends[key] = self.late_starts.settle_listed(
+                        ended.end, self.ends.get(key)
                     )
                 self.listed_end_number = max(
                     self.listed_end_number, ended.number
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -38,7 +38,7 @@
         is_busy: Whether a call for the order is in progress.
         is_started: Whether the worker confirmed the start.
         has_unanswered_start: Whether a start request may still arrive at the worker.
-        start_listings_count: The count of whole listings beyond which a listing was
+        start_listings_count: The count of complete listings beyond which a listing was
             certainly made after the start.
         is_forgotten: Whether a later listing had neither the run nor its end.
         stop_listings_count: The count of complete listings beyond which a listing was
@@ -169,7 +169,8 @@
             state.has_restarted
             and progress.is_started
             and not is_running
-            and state.whole_listings_count > progress.start_listings_count
+            and state.is_listing_whole
+            and state.complete_listings_count > progress.start_listings_count
         )
 
     def _refusal_reason(
@@ -215,6 +216,7 @@
             self._submit(self._stop, order, progress)
         elif (
             not is_running
+            and self._state.is_listing_complete
             and self._state.complete_listings_count
             > progress.stop_listings_count
         ):
@@ -335,7 +337,7 @@
         with state.changed:
             progress.is_started = True
             # A listing in progress now may have been made before the start.
-            progress.start_listings_count = state.whole_listings_count + 1
+            progress.start_listings_count = state.complete_listings_count + 1
             state.record_started(order)
         state.worker_clock.record_reading(clock_ms, received_s=clock.now_s())
         logs.event(
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -88,6 +88,7 @@
             self._pool.submit(self._stop, worker_id, key, progress)
         elif (
             key not in state.running
+            and state.is_listing_complete
             and state.complete_listings_count > progress.stop_listings_count
         ):
             state.settle_late_start(key)
--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -20,6 +20,7 @@
 # How long, and for how many runs, to remember start requests without an answer.
 _UNANSWERED_AGE_LIMIT_S = 60.0
 _UNANSWERED_LIMIT = 1_000
+_LOST_KINDS = (ttypes.RunEndKind.LOST, ttypes.RunEndKind.CRASHED)
 # Ends that are reported as the worker lists them; after any other end of a late run, the
 # loss of the incarnation it was meant for is reported.
 _CONCLUSIVE_KINDS = (ttypes.RunEndKind.DONE, ttypes.RunEndKind.FAILED)
@@ -101,11 +102,21 @@
         pending = self._pending.pop(key, None)
         return None if pending is None else pending.end
 
-    def settle_listed(self, end: ttypes.RunEnd) -> ttypes.RunEnd:
-        """Returns the end to report for a run that the worker lists as ended."""
+    def settle_listed(
+        self, end: ttypes.RunEnd, known: ttypes.RunEnd | None
+    ) -> ttypes.RunEnd:
+        """Returns the end to report for a run that the worker lists as ended.
+
+        Args:
+            end: The listed end.
+            known: The end that is about to be reported, or None.
+        """
         held = self.settle((end.task, end.run))
-        is_listed_used = held is None or end.kind in _CONCLUSIVE_KINDS
-        return end if is_listed_used else held
+        if end.kind in _CONCLUSIVE_KINDS:
+            return end
+        if known is not None and known.kind in _LOST_KINDS:
+            return known
+        return held or end
 
     def take_ends(
         self, worker_id: str, *, now_s: float
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -100,6 +100,7 @@
             ended=list(self._ended),
             unread_running_count=len(self.running) - len(readable),
             unread_ended_count=self.unread_ended_count,
+            is_ends_partial=self.unread_ended_count > 0,
         )
 
     def throttle(
@@ -169,3 +170,45 @@
         )
         end = ttypes.RunEnd(task=task, run=run, kind=kind)
         self._ended.append(run_worker.EndedRun(next(self._numbers), end))
+
+
+class RestartingWorker(FakeWorker):
+    """A worker that keeps its name when it restarts, and then knows nothing of before.
+
+    Calls are addressed to its name, so it executes those meant for an earlier
+    incarnation; only a listing tells which incarnation made it.
+
+    Attributes:
+        is_closed: Whether no process listens at its address.
+    """
+
+    def __init__(self, incarnation: str = "w1@100"):
+        super().__init__(incarnation)
+        self.is_closed = False
+
+    def restart(self, incarnation: str) -> None:
+        """Restarts without any state."""
+        self.incarnation = incarnation
+        self.running.clear()
+        self._stopping.clear()
+        self._ended.clear()
+        self._last_ended_runs.clear()
+        self._numbers = itertools.count(1)
+        self._created_s = clock.now_s()
+
+    def renew_lease(
+        self, worker_id: str, **arguments: object
+    ) -> run_worker.RunListing:
+        """Lists runs; raises if another incarnation was addressed."""
+        if self.is_closed:
+            raise errors.TransportError("connection refused", sent=False)
+        listing = super().renew_lease(worker_id, **arguments)
+        if worker_id != self.incarnation:
+            raise errors.OtherWorkerError(
+                "another incarnation answered", answering_id=self.incarnation
+            )
+        return listing
+
+    def _check_incarnation(self, worker_id: str) -> None:
+        if worker_id.partition("@")[0] != self.incarnation.partition("@")[0]:
+            raise errors.OtherWorkerError("421")
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -115,10 +115,12 @@
         return [name for name, _ in self.worker.calls]
 
 
-def make_agent(**state_options: float) -> SteppedAgent:
+def make_agent(
+    worker: fake_worker.FakeWorker | None = None, **state_options: float
+) -> SteppedAgent:
     """Makes an agent that has a lease and has called its worker once."""
     state = agent_state.AgentState(**state_options)
-    worker = fake_worker.FakeWorker()
+    worker = worker or fake_worker.FakeWorker()
     lease_renewer = lease_renewer_module.LeaseRenewer(
         state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
     )
@@ -126,7 +128,7 @@
         state=state, worker=worker, lease_renewer=lease_renewer, retry_s=0.0
     )
     agent = SteppedAgent(worker, state, lease_renewer, executor)
-    state.record_announcement(announcement("a1-incarnation1"))
+    state.record_announcement(announcement(worker.incarnation))
     agent.receive_orders(orders=[], removed=[])
     agent.receive_lease()
     agent.renew_lease()
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -130,6 +130,24 @@
     assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.STOPPED}
 
 
+def test_unreadable_row_after_a_readable_one_does_not_end_a_stopping_run(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against a task that runs twice at a time.
+
+    The run is still listed after its stop, and then its row becomes unreadable.
+    """
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    agent.worker.has_slow_stops = True
+    agent.receive_order(stepped_agent.STOP)
+    agent.run_until_settled()
+    agent.worker.unreadable = {stepped_agent.KEY}
+    agent.run_until_settled()
+    assert list(agent.worker.running) == [stepped_agent.KEY]
+    assert agent.end_kinds() == {}
+
+
 def test_unreadable_end_does_not_cause_calls_without_a_pause(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
