Let late acknowledgements of a restarted worker cost no ends

An acknowledgement that the earlier incarnation left unanswered may be carried out by the later one, which discards the ends of its own runs. The agent starts no runs there for 5 s, and none while a later start is announced. The stand-in worker can restart under its id.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -24,6 +24,8 @@
 # How long after a worker restarted under its name a call meant for its earlier
 # incarnation may still be carried out.
 _LATE_CALLS_S = 15.0
+# The same for an acknowledgement of ends, during which the worker is not used.
+_LATE_ACKNOWLEDGEMENT_S = 5.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -108,6 +110,8 @@
         self._incarnations = incarnations.Incarnations()
         self._deregistered_id = ""
         self._restarted_s = -math.inf
+        # The last incarnation that left an acknowledgement unanswered, and when.
+        self._unanswered_acknowledgement = ("", -math.inf)
 
     @property
     def worker_id(self) -> str:
@@ -132,9 +136,14 @@
 
     @property
     def may_start(self) -> bool:
-        """Whether the lease, orders and last announcement allow a start now."""
+        """Whether the lease, orders and last announcement allow a start now.
+
+        None is made while a later incarnation of the worker's name is announced but
+        was not called yet, as it would begin the run.
+        """
         return (
             self.announcement_overdue_s <= 0
+            and not self._incarnations.has_successor(self.worker_id)
             and self.lease.is_live
             and self.lease.term == self.orders_term
             and self.orders_version >= self.lease.min_orders_version
@@ -153,6 +162,20 @@
         """
         return clock.now_s() - self._restarted_s < _LATE_CALLS_S
 
+    @property
+    def may_forget_ends(self) -> bool:
+        """Whether the worker may still carry out an acknowledgement not meant for it.
+
+        It would discard the ends of its own runs before the agent has seen them, and
+        tasks that are done would be repeated.
+        """
+        worker_id, called_s = self._unanswered_acknowledgement
+        return (
+            clock.now_s() - called_s < _LATE_ACKNOWLEDGEMENT_S
+            and worker_id != self.worker_id
+            and incarnation_ids.share_name(worker_id, self.worker_id)
+        )
+
     @property
     def is_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
@@ -337,6 +360,11 @@
         if worker_id and is_deregistered:
             self.end_incarnation(worker_id)
 
+    def record_unanswered_acknowledgement(self, worker_id: str) -> None:
+        """Records an acknowledgement that the worker may still carry out."""
+        with self.changed:
+            self._unanswered_acknowledgement = (worker_id, clock.now_s())
+
     def acknowledged_for(self, worker_id: str) -> int:
         """Returns up to which number an incarnation may discard its ends.
 
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -182,6 +182,8 @@
             return "the worker drains"
         if state.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
+        if state.may_forget_ends:
+            return "the worker has restarted and left calls unanswered before"
         if progress.has_unanswered_start:
             # An earlier start request may have taken effect, so it is repeated.
             return ""
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -121,13 +121,21 @@
         state = self._state
         is_known = worker_id == state.worker_id
         deadline_ms = self.deadline_ms() if is_known else None
-        listing = self._worker.renew_lease(
-            worker_id,
-            token=state.term,
-            acknowledged=state.acknowledged_for(worker_id),
-            deadline_ms=deadline_ms,
-            wait_ms=self._answer_wait_ms() if deadline_ms is not None else 0,
-        )
+        acknowledged = state.acknowledged_for(worker_id)
+        try:
+            listing = self._worker.renew_lease(
+                worker_id,
+                token=state.term,
+                acknowledged=acknowledged,
+                deadline_ms=deadline_ms,
+                wait_ms=(
+                    self._answer_wait_ms() if deadline_ms is not None else 0
+                ),
+            )
+        except errors.TransportError as error:
+            if acknowledged and error.timed_out:
+                state.record_unanswered_acknowledgement(worker_id)
+            raise
         self._dependency.record_success()
         state.confirm_incarnation(worker_id)
         received_s = clock.now_s()
--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -183,14 +183,17 @@
 
     Attributes:
         sent: Whether bytes of the request may have reached the peer.
+        timed_out: Whether the peer left the request unanswered, and may still execute
+            it.
     """
 
     http_status = 502
     exit_code = 7
 
-    def __init__(self, message: str, *, sent: bool):
+    def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
         super().__init__(message)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class PlatformError(MarigoldsillError):
--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -227,7 +227,9 @@
                 and curl.getinfo(pycurl.REQUEST_SIZE) > 0
             )
             raise errors.TransportError(
-                f"{method} {url}: {message}", sent=sent
+                f"{method} {url}: {message}",
+                sent=sent,
+                timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
             ) from error
         finally:
             if cancellation is not None:
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -28,6 +28,8 @@
 _HEARTBEAT_INTERVAL_S = 0.1
 _HEARTBEAT_TIMEOUT_S = 1.0
 _HOLD_WAIT_LIMIT_MS = 2_000
+# The longest lease, as in the settings of the tests' processes.
+_LEASE_LIMIT_MS = 6_000
 _NO_ANSWER_S = 3.0
 _THREADS_COUNT = 32
 _incarnation_numbers = itertools.count(1)
@@ -72,6 +74,7 @@
     Attributes:
         address: Where the agent calls the worker.
         incarnation: The id of the current incarnation.
+        born_unix_ms: When the current incarnation started, if the worker tells it.
         faults: The current faults.
         is_draining: Whether heartbeats announce the worker as draining.
         accepts_ticket: Returns whether a start is allowed for a ticket, a task and
@@ -89,7 +92,24 @@
         cpu_millicores: int,
         journal: journal_module.Journal,
         gangs: gangs_module.Gangs | None = None,
+        sends_born: bool = False,
     ):
+        """Initializes the worker.
+
+        Args:
+            address: Where the agent calls the worker.
+            control_address: Where the agent receives heartbeats.
+            pool: The worker's pool.
+            data_centre: The worker's data centre.
+            labels: The worker's labels.
+            cpu_millicores: The worker's CPU capacity.
+            journal: Where the worker writes what it does.
+            gangs: The gangs of all workers.
+            sends_born: Whether the worker tells when it started, and can therefore
+                restart under its id.
+        """
+        self._sends_born = sends_born
+        self.born_unix_ms: int | None = None
         self._gangs = gangs or gangs_module.Gangs()
         self.faults = PoolFaults()
         self.is_draining = False
@@ -110,6 +130,13 @@
         self.address = self._server.address
         self._begin_incarnation()
 
+    @property
+    def journal_id(self) -> str:
+        """The current incarnation in the journal; unlike its id, it is unique."""
+        if self.born_unix_ms is None:
+            return self.incarnation
+        return f"{self.incarnation}@{self.born_unix_ms}"
+
     def start(self) -> None:
         """Starts the server and the heartbeats."""
         self._server.start()
@@ -122,14 +149,18 @@
         self._server.stop()
         self._executor.shutdown(wait=False)
 
-    def crash(self) -> None:
-        """Loses all runs and restarts as a new incarnation."""
+    def crash(self, *, keeps_id: bool = False) -> None:
+        """Loses all runs and restarts as a new incarnation.
+
+        Args:
+            keeps_id: Whether the new incarnation has the same id.
+        """
         with self._condition:
             for run in self._runs.values():
                 self._journal_run("lost", run)
                 if run.gang is not None:
                     run.gang.leave(run.task, "lost")
-            self._begin_incarnation()
+            self._begin_incarnation(keeps_id=keeps_id)
             self._condition.notify_all()
 
     def resize(self, cpu_millicores: int) -> None:
@@ -141,8 +172,15 @@
         with self._condition:
             return {run.task: run.run for run in self._runs.values()}
 
-    def _begin_incarnation(self) -> None:
-        self.incarnation = f"i-{next(_incarnation_numbers):08x}"
+    def _begin_incarnation(self, *, keeps_id: bool = False) -> None:
+        if not keeps_id:
+            self.incarnation = f"i-{next(_incarnation_numbers):08x}"
+        self._clock_start_ms = 0
+        if self._sends_born:
+            self._clock_start_ms = _now_ms()
+            self.born_unix_ms = max(
+                (self.born_unix_ms or 0) + 1, time.time_ns() // 1_000_000
+            )
         self._sequence = itertools.count(1)
         self._end_numbers = itertools.count(1)
         self._runs: dict[str, pool_run.PoolRun] = {}
@@ -154,6 +192,12 @@
         # Ends up to this number were listed when the lease expired last.
         self._lapsed_through_number = 0
 
+    def _clock_ms(self) -> int:
+        return _now_ms() - self._clock_start_ms
+
+    def _born(self) -> dict:
+        return {"born": self.born_unix_ms} if self._sends_born else {}
+
     @wrappers.Request.application
     def _application(self, request: wrappers.Request) -> wrappers.Response:
         name = request.path.removeprefix(_PREFIX)
@@ -173,9 +217,9 @@
         try:
             answer = self._handle_order(name, body, incarnation)
         except _RefusedError as refusal:
-            answer = {"clock_ms": _now_ms(), "reason": refusal.reason}
+            answer = {"clock_ms": self._clock_ms(), "reason": refusal.reason}
             return _json(answer, status=refusal.status)
-        return _json({"clock_ms": _now_ms()} | answer)
+        return _json({"clock_ms": self._clock_ms()} | answer)
 
     def _handle_order_late(
         self, name: str, body: dict, incarnation: str
@@ -213,7 +257,7 @@
             return {}
         if run <= self._last_ended_numbers.get(task, 0) or current is not None:
             raise _RefusedError(409, "old")
-        if body["deadline_ms"] < _now_ms():
+        if body["deadline_ms"] < self._clock_ms():
             raise _RefusedError(409, "late")
         ticket = body.get("ticket", "")
         if self.accepts_ticket and not self.accepts_ticket(
@@ -263,7 +307,7 @@
         return {
             "running": [run.to_row() for run in self._runs.values()],
             "ended_runs": list(self._unacknowledged_ends),
-        }
+        } | self._born()
 
     def _acknowledge_ends(self, acked: int) -> None:
         """Removes acknowledged ends; journals those after the lease expired last."""
@@ -282,7 +326,10 @@
         return {}
 
     def _extend_lease(self, body: dict) -> None:
-        self._deadline_ms = max(self._deadline_ms, body.get("deadline_ms", 0))
+        deadline_ms = min(
+            body.get("deadline_ms", 0), self._clock_ms() + _LEASE_LIMIT_MS
+        )
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
     def _end_run(self, run: pool_run.PoolRun, outcome: str) -> None:
         del self._runs[run.task]
@@ -308,7 +355,7 @@
                 self._tick_once(_now_ms())
 
     def _tick_once(self, now_ms: int) -> None:
-        if now_ms > self._deadline_ms:
+        if self._clock_ms() > self._deadline_ms:
             for run in list(self._runs.values()):
                 self._end_run(run, "lapsed")
             self._lapsed_through_number = max(
@@ -350,9 +397,9 @@
                 "gpu": 0,
             },
             "labels": self._labels,
-            "clock_ms": _now_ms(),
+            "clock_ms": self._clock_ms(),
             "sequence": next(self._sequence),
-        }
+        } | self._born()
         self._client.fetch(
             self._control_address,
             f"{_PREFIX}Instances.Heartbeat/{self.incarnation}",
@@ -367,7 +414,7 @@
     ) -> None:
         self._journal.write(
             event,
-            worker=self.incarnation,
+            worker=self.journal_id,
             machine=self.address,
             task=run.task,
             run=run.run,
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -81,7 +81,7 @@
         """Lists running and ended runs without waiting."""
         self.called_incarnations.append(worker_id)
         if worker_id in self.unreachable_incarnations:
-            raise errors.TransportError("no answer", sent=True)
+            raise errors.TransportError("no answer", sent=True, timed_out=True)
         self._check_incarnation(worker_id)
         self.deadlines_ms.append(deadline_ms)
         self.acknowledged = max(self.acknowledged, acknowledged)
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -216,6 +216,20 @@
     assert agent.end_kinds() == {_KEY: kind}
 
 
+def test_no_run_is_started_while_a_later_start_is_announced(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against starts that a restarted worker carries out in place of the old one."""
+    _announce(agent, _NEW)
+    _order_run(agent)
+    agent.execute_orders()
+    assert agent.worker.calls == []
+    # The announcement was another writer's.
+    agent.call_incarnations(rounds_count=1)
+    agent.execute_orders()
+    assert list(agent.worker.running) == [_KEY]
+
+
 def test_start_that_the_new_incarnation_answered_is_stopped_there(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
@@ -363,6 +377,29 @@
     assert agent.worker.acknowledged == 0
 
 
+def test_no_run_is_started_while_a_late_acknowledgement_may_discard_its_end(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against repeating a task that is done.
+
+    The old incarnation left a call with its number of ends unanswered. If the new one
+    carries it out, it discards the ends of its runs before the agent has seen them.
+    """
+    agent.state.acknowledged_end_number = 57
+    agent.worker.unreachable_incarnations = {_OLD}
+    agent.call_incarnations(rounds_count=1)
+    _restart(agent)
+    _order_run(agent, _NEW)
+    agent.execute_orders()
+    assert agent.worker.calls == []
+    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 5.1)
+    _order_run(agent, _NEW, _OTHER_KEY)
+    agent.execute_orders()
+    assert list(agent.worker.running) == [_OTHER_KEY]
+
+
 def test_run_whose_end_a_late_acknowledgement_discarded_is_lost(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -69,6 +69,7 @@
         data_centres: Sequence[str] = ("z1",),
         proxy_address: Callable[[str], str] = lambda address: address,
         advertise: Callable[[str], str] = lambda address: address,
+        workers_send_born: bool = False,
     ):
         """Creates a system without starting it.
 
@@ -82,7 +83,10 @@
                 a proxy in between.
             advertise: Returns the address that an edge advertises, given its
                 listen address; another host with the same port.
+            workers_send_born: Whether workers tell when they started, and can restart
+                under their id.
         """
+        self._workers_send_born = workers_send_born
         self.folder = folder
         self._data_centres = data_centres
         self._proxy_address = proxy_address
@@ -158,6 +162,7 @@
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
                 gangs=self._gangs,
+                sends_born=self._workers_send_born,
             )
             worker.start()
             self.workers[name] = worker
