--- a/soak/faults.py
+++ b/soak/faults.py
@@ -97,9 +97,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class WorkerCrash:
-    """A worker crashes and restarts without runs, under a new id."""
+    """A worker crashes and restarts without runs.
+
+    Attributes:
+        worker: The worker.
+        keeps_id: Whether it restarts under the same id, if its workers tell when they
+            started; else under a new one.
+    """
 
     worker: str
+    keeps_id: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -344,7 +351,7 @@
             others = (*machines.stateless_edges, *machines.sides)
             return _draw_process_fault(numbers, others)
         case 1:
-            return WorkerCrash(side)
+            return WorkerCrash(side, keeps_id=numbers.random() < 0.5)
         case 2:
             return DelayedCalls(side, numbers.choice(("run-start", "run-stop")))
         case 3:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -75,8 +75,8 @@
                 self._proxies[name].set_mode(mode)
             case faults.ControlLinkFault(mode=mode):
                 self._set_control_links(fault, mode)
-            case faults.WorkerCrash(worker=worker):
-                self._system.workers[worker].crash()
+            case faults.WorkerCrash(worker=worker, keeps_id=keeps_id):
+                self._system.workers[worker].crash(keeps_id=keeps_id)
             case faults.CapacityReduction(
                 worker=worker, cpu_millicores=cpu_millicores
             ):
--- a/soak/run.py
+++ b/soak/run.py
@@ -94,6 +94,8 @@
         data_centres=_DATA_CENTRES,
         proxy_address=proxies.proxy_address,
         advertise=proxies.advertise,
+        # Half of the soaks have workers that can restart under their id.
+        workers_send_born=seed % 2 == 1,
     )
     proxies.system = system
     monitor = resource_usage.ResourceMonitor(
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -153,7 +153,8 @@
         """Loses all runs and restarts as a new incarnation.
 
         Args:
-            keeps_id: Whether the new incarnation has the same id.
+            keeps_id: Whether the new incarnation has the same id; only if the worker
+                tells when it started.
         """
         with self._condition:
             for run in self._runs.values():
@@ -173,7 +174,7 @@
             return {run.task: run.run for run in self._runs.values()}
 
     def _begin_incarnation(self, *, keeps_id: bool = False) -> None:
-        if not keeps_id:
+        if not (keeps_id and self._sends_born):
             self.incarnation = f"i-{next(_incarnation_numbers):08x}"
         self._clock_start_ms = 0
         if self._sends_born:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -233,6 +233,61 @@
         worker_bodies.decode_announcement(body, worker_id="i-1")
 
 
+@pytest.mark.parametrize(
+    "born", [None, True, 1.5, 1e12, -1, "1796321744609", 1 << 60, [], {}]
+)
+def test_an_invalid_start_time_is_refused(born: object) -> None:
+    """Guards against heartbeats of other writers that replace the worker."""
+    body = _bytes_of(_HEARTBEAT | {"born": born})
+    with pytest.raises(errors.BadInputError, match="born"):
+        worker_bodies.decode_announcement(body, worker_id="i-1")
+    listing = _bytes_of(_LISTING | {"born": born})
+    for worker_id in ("i-1", "i-1@7"):
+        with pytest.raises(errors.PlatformError, match="born") as caught:
+            worker_bodies.decode_listing(listing, worker_id=worker_id)
+        assert not isinstance(caught.value, errors.OtherWorkerError)
+
+
+def test_the_start_time_of_a_worker_is_part_of_its_incarnation() -> None:
+    announcement = worker_bodies.decode_announcement(
+        _bytes_of(_HEARTBEAT | {"born": 1796321744609}), worker_id="i-1"
+    )
+    assert announcement.worker.worker_id == "i-1@1796321744609"
+
+
+def test_an_id_cannot_contain_a_start_time() -> None:
+    for text in ("i-1@7", "@", "i-1@"):
+        with pytest.raises(errors.BadInputError, match="id"):
+            worker_bodies.decode_worker_id(text)
+
+
+def test_a_listing_of_another_start_is_another_incarnations() -> None:
+    """Guards against taking the ends of one incarnation for those of another."""
+    body = _bytes_of(_LISTING | {"born": 9})
+    for worker_id in ("i-1", "i-1@7"):
+        with pytest.raises(errors.OtherWorkerError) as caught:
+            worker_bodies.decode_listing(body, worker_id=worker_id)
+        assert caught.value.answering_id == "i-1@9"
+    assert worker_bodies.decode_listing(body, worker_id="i-1@9").running
+
+
+def test_a_listing_without_the_start_time_that_was_announced_is_unreadable() -> (
+    None
+):
+    body = _bytes_of(_LISTING)
+    with pytest.raises(errors.PlatformError, match="born") as caught:
+        worker_bodies.decode_listing(body, worker_id="i-1@7")
+    assert not isinstance(caught.value, errors.OtherWorkerError)
+    assert worker_bodies.decode_listing(body, worker_id="i-1").running
+
+
+def test_a_listing_of_500_ends_may_lack_others() -> None:
+    rows = [[number, "j.0.0.9", 1, "done", ""] for number in range(1, 501)]
+    for count, is_partial in ((499, False), (500, True)):
+        body = _bytes_of(_LISTING | {"ended_runs": rows[:count]})
+        assert worker_bodies.decode_listing(body).is_ends_partial == is_partial
+
+
 @pytest.mark.parametrize("labels", [[], ["a"]])
 def test_a_worker_without_a_rack_is_accepted(labels: list) -> None:
     body = _bytes_of(_HEARTBEAT | {"labels": labels})
--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -109,7 +109,7 @@
     system.submit("00000000000000e2", step(20), spec="work 20")
     system.wait_for_job_state("00000000000000e2", "completed")
     worker.faults.delayed_calls = {"hold"}
-    worker.faults.call_delay_s = 1.5
+    worker.faults.call_delay_s = 3.0
     # Longer than the agent's call to the worker in progress.
     time.sleep(1.2)
     worker.crash(keeps_id=True)
--- /dev/null
+++ b/tests/platform/test_worker_client.py
@@ -0,0 +1,105 @@
+"""Calls to a worker that restarts under its id, and to the adviser about it."""
+
+from collections.abc import Iterator
+import json
+
+import pytest
+from werkzeug import wrappers
+
+from marigoldsill import errors
+from marigoldsill.platform import adviser_client
+from marigoldsill.platform import worker_client
+from marigoldsill.protocol import run_worker
+from marigoldsill.transport import http_server
+
+
+class _Peer:
+    """Answers every call alike and keeps the last one."""
+
+    def __init__(self):
+        self.status = 200
+        self.answer: dict = {}
+        self.target = ""
+        self.body: dict = {}
+        self._server = http_server.HttpServer(
+            address="127.0.0.1:0", app=self._application, threads_count=2
+        )
+        self.address = self._server.address
+        self.stop = self._server.stop
+        self._server.start()
+
+    @wrappers.Request.application
+    def _application(self, request: wrappers.Request) -> wrappers.Response:
+        self.target = request.headers.get("Target-Instance", "")
+        self.body = json.loads(request.get_data())
+        return wrappers.Response(
+            json.dumps(self.answer),
+            status=self.status,
+            mimetype="application/json",
+        )
+
+
+@pytest.fixture
+def peer() -> Iterator[_Peer]:
+    peer = _Peer()
+    yield peer
+    peer.stop()
+
+
+def _start(peer: _Peer, worker_id: str = "i-1@7") -> int:
+    worker = worker_client.PlatformWorker(address=peer.address)
+    start = run_worker.RunStart("j.0.0.1", 1, "x", deadline_ms=9)
+    return worker.start(worker_id, start, token=1)
+
+
+@pytest.mark.parametrize("worker_id", ["i-1", "i-1@7"])
+def test_a_worker_is_called_by_its_id_alone(
+    peer: _Peer, worker_id: str
+) -> None:
+    peer.answer = {"clock_ms": 5}
+    assert _start(peer, worker_id) == 5
+    assert peer.target == "i-1"
+
+
+@pytest.mark.parametrize("status", [200, 409, 503])
+def test_an_order_that_another_start_answered_is_unanswered(
+    peer: _Peer, status: int
+) -> None:
+    """Guards against taking the new incarnation's answer for the old one's.
+
+    The order was carried out there, so it is not an order without an effect.
+    """
+    peer.status = status
+    peer.answer = {"clock_ms": 5, "reason": "old", "born": 9}
+    with pytest.raises(errors.TransportError) as caught:
+        _start(peer)
+    assert caught.value.sent
+
+
+def test_an_order_to_another_id_has_no_effect(peer: _Peer) -> None:
+    peer.status = 421
+    peer.answer = {"clock_ms": 5, "born": 9}
+    with pytest.raises(errors.OtherWorkerError):
+        _start(peer)
+
+
+def test_an_order_with_an_invalid_start_time_in_its_answer_is_unread(
+    peer: _Peer,
+) -> None:
+    peer.answer = {"clock_ms": 5, "born": "7"}
+    with pytest.raises(errors.PlatformError, match="born"):
+        _start(peer)
+
+
+def test_the_adviser_is_asked_about_ids_without_start_times(
+    peer: _Peer,
+) -> None:
+    peer.answer = {"good": [["i-1", "t1"], ["i-2", "t2"]]}
+    tickets = adviser_client.PlatformAdviser(address=peer.address).advise(
+        "j.0.0", ["i-1@7", "i-2", "i-3@8"], timeout_s=4.0
+    )
+    assert peer.body["workers"] == ["i-1", "i-2", "i-3"]
+    assert [(t.worker_id, t.text) for t in tickets] == [
+        ("i-1@7", "t1"),
+        ("i-2", "t2"),
+    ]
