--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -26,6 +26,8 @@
 _LATE_CALLS_S = 15.0
 # The same for an acknowledgement of ends, during which the worker is not used.
 _LATE_ACKNOWLEDGEMENT_S = 5.0
+# How long a worker may take to end after it has deregistered.
+_DEREGISTRATION_S = 10.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -108,7 +110,8 @@
         self.last_answer_s = clock.now_s()
         self.is_stopping = False
         self._incarnations = incarnations.Incarnations()
-        self._deregistered_id = ""
+        # The last incarnation whose name was deregistered, and when.
+        self._deregistration = ("", -math.inf)
         self._restarted_s = -math.inf
         # The last incarnation that left an acknowledgement unanswered, and when.
         self._unanswered_acknowledgement = ("", -math.inf)
@@ -345,20 +348,35 @@
         """Ends the incarnation that a worker deregisters by its name.
 
         The message may be a late one of an earlier incarnation of the same name. Then
-        the current one ends only once no process listens at its address.
+        the current one ends only once it does not answer (see `record_unreached`).
         """
         with self.changed:
             if incarnation_ids.share_name(name, self.worker_id):
-                self._deregistered_id = self.worker_id
+                self._deregistration = (self.worker_id, clock.now_s())
                 return
         self.end_incarnation(name)
 
-    def record_unconnected(self, worker_id: str) -> None:
-        """Records that no process listens at the address of the worker."""
+    def record_unreached(self, worker_id: str, *, is_connected: bool) -> None:
+        """Ends an incarnation that was deregistered and does not answer.
+
+        A worker drains before it deregisters. One that does not drain may be alive as
+        long as a process listens at its address.
+
+        Args:
+            worker_id: The incarnation that was called.
+            is_connected: Whether a process listens at its address.
+        """
         with self.changed:
-            is_deregistered = worker_id == self._deregistered_id
-        if worker_id and is_deregistered:
-            self.end_incarnation(worker_id)
+            deregistered_id, deregistered_s = self._deregistration
+            if (
+                not worker_id
+                or worker_id != deregistered_id
+                or worker_id != self.worker_id
+                or clock.now_s() - deregistered_s > _DEREGISTRATION_S
+                or (is_connected and not self.worker.draining)
+            ):
+                return
+        self.end_incarnation(worker_id)
 
     def record_unanswered_acknowledgement(self, worker_id: str) -> None:
         """Records an acknowledgement that the worker may still carry out."""
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -62,8 +62,8 @@
         except errors.MarigoldsillError as error:
             if current_id in ("", worker_id):
                 self._dependency.record_failure(error.kind, error.message)
-            if isinstance(error, errors.TransportError) and not error.sent:
-                self._state.record_unconnected(worker_id)
+            if isinstance(error, errors.TransportError):
+                self._state.record_unreached(worker_id, is_connected=error.sent)
             with self._state.changed:
                 self._state.record_unreachable(worker_id)
                 self._state.changed.wait(_PAUSE_S)
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -526,8 +526,37 @@
     assert list(agent.worker.running) == [_KEY]
 
 
-def test_deregistered_incarnation_ends_when_no_process_listens(
+def test_late_deregistration_does_not_end_a_worker_that_leaves_a_call_unanswered(
     agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against two runs of one task, as the worker's runs go on."""
+    _restart(agent)
+    _order_run(agent, _NEW)
+    agent.run_until_settled()
+    agent.state.deregister("w1")
+    agent.worker.unreachable_incarnations = {_NEW}
+    agent.call_incarnations(rounds_count=2)
+    assert agent.state.worker_id == _NEW
+    assert agent.end_kinds() == {}
+
+
+def test_old_deregistration_does_not_end_a_worker_that_drains_later(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    agent.state.deregister("w1")
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 11.0)
+    draining = stepped_agent.announcement(_OLD, 2)
+    draining.worker.draining = True
+    agent.state.record_announcement(draining)
+    agent.worker.unreachable_incarnations = {_OLD}
+    agent.call_incarnations(rounds_count=2)
+    assert agent.state.worker_id == _OLD
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_deregistered_incarnation_ends_when_it_does_not_answer(
+    agent: stepped_agent.SteppedAgent, is_closed: bool
 ) -> None:
     """Guards against waiting for a worker that has ended as planned."""
     _order_run(agent)
@@ -538,7 +567,8 @@
     agent.state.deregister("w1")
     agent.call_incarnations(rounds_count=1)
     assert agent.state.worker_id == _OLD
-    agent.worker.is_closed = True
+    agent.worker.is_closed = is_closed
+    agent.worker.unreachable_incarnations = {_OLD}
     agent.call_incarnations(rounds_count=1)
     assert agent.state.worker_id == ""
     assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.LOST}
