--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import evacuations
 from marigoldsill.coordination.job_agent import incarnations
+from marigoldsill.coordination.job_agent import late_calls
 from marigoldsill.coordination.job_agent import late_starts
 from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.job_agent import run_starts
@@ -21,14 +22,6 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
-# How long after a worker restarted under its name a call meant for its earlier
-# incarnation may still be carried out.
-_LATE_CALLS_S = 15.0
-# The same for an acknowledgement of ends, during which the worker is not used.
-_LATE_ACKNOWLEDGEMENT_S = 5.0
-# How long a worker may take to end after it has deregistered.
-_DEREGISTRATION_S = 10.0
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Lease:
@@ -58,6 +51,7 @@
         worker_clock: The worker's clock.
         throttle: The CPU quotas of best-effort tasks.
         starts: Starts of runs on the current incarnation of the worker.
+        late_calls: Calls that may have an effect on a later incarnation.
         late_starts: Runs that a call meant for an earlier incarnation may begin.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
@@ -91,6 +85,7 @@
         self.worker_clock = worker_clock.WorkerClock()
         self.throttle = cpu_throttle.CpuThrottle()
         self.starts = run_starts.RunStarts()
+        self.late_calls = late_calls.LateCalls()
         self.late_starts = late_starts.LateStarts()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
@@ -110,11 +105,6 @@
         self.last_answer_s = clock.now_s()
         self.is_stopping = False
         self._incarnations = incarnations.Incarnations()
-        # The last incarnation whose name was deregistered, and when.
-        self._deregistration = ("", -math.inf)
-        self._restarted_s = -math.inf
-        # The last incarnation that left an acknowledgement unanswered, and when.
-        self._unanswered_acknowledgement = ("", -math.inf)
 
     @property
     def worker_id(self) -> str:
@@ -152,33 +142,6 @@
             and self.orders_version >= self.lease.min_orders_version
         )
 
-    @property
-    def has_restarted(self) -> bool:
-        """Whether the current incarnation took over the name of another one."""
-        return self._restarted_s > -math.inf
-
-    @property
-    def may_outlive_lease(self) -> bool:
-        """Whether runs may continue after the lease that the agent passed on.
-
-        A renewal meant for an earlier incarnation has a deadline on another clock.
-        """
-        return clock.now_s() - self._restarted_s < _LATE_CALLS_S
-
-    @property
-    def may_forget_ends(self) -> bool:
-        """Whether the worker may still carry out an acknowledgement not meant for it.
-
-        It would discard the ends of its own runs before the agent has seen them, and
-        tasks that are done would be repeated.
-        """
-        worker_id, called_s = self._unanswered_acknowledgement
-        return (
-            clock.now_s() - called_s < _LATE_ACKNOWLEDGEMENT_S
-            and worker_id != self.worker_id
-            and incarnation_ids.share_name(worker_id, self.worker_id)
-        )
-
     @property
     def is_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
@@ -309,14 +272,14 @@
             self.worker = self._incarnations.current.worker
             now_s = clock.now_s()
             self._last_announcement_s = now_s
-            self._restarted_s = -math.inf
-            if incarnation_ids.share_name(worker_id, last_id):
-                self._restarted_s = now_s
+            self.late_calls.record_confirmed(
+                worker_id, last_id=last_id, now_s=now_s
+            )
             self.late_starts.add_unanswered(worker_id, now_s=now_s)
             self._end_stale_orders()
             self.release_ends()
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
-            if self.has_restarted:
+            if self.late_calls.has_restarted:
                 logs.event(
                     "worker_restarted",
                     worker_id=worker_id,
@@ -352,7 +315,9 @@
         """
         with self.changed:
             if incarnation_ids.share_name(name, self.worker_id):
-                self._deregistration = (self.worker_id, clock.now_s())
+                self.late_calls.record_deregistration(
+                    self.worker_id, now_s=clock.now_s()
+                )
                 return
         self.end_incarnation(name)
 
@@ -367,12 +332,12 @@
             is_connected: Whether a process listens at its address.
         """
         with self.changed:
-            deregistered_id, deregistered_s = self._deregistration
             if (
                 not worker_id
-                or worker_id != deregistered_id
                 or worker_id != self.worker_id
-                or clock.now_s() - deregistered_s > _DEREGISTRATION_S
+                or not self.late_calls.is_deregistered(
+                    worker_id, now_s=clock.now_s()
+                )
                 or (is_connected and not self.worker.draining)
             ):
                 return
@@ -381,7 +346,9 @@
     def record_unanswered_acknowledgement(self, worker_id: str) -> None:
         """Records an acknowledgement that the worker may still carry out."""
         with self.changed:
-            self._unanswered_acknowledgement = (worker_id, clock.now_s())
+            self.late_calls.record_unanswered_acknowledgement(
+                worker_id, now_s=clock.now_s()
+            )
 
     def acknowledged_for(self, worker_id: str) -> int:
         """Returns up to which number an incarnation may discard its ends.
@@ -539,29 +506,14 @@
                 logs.event("run_unordered", task=key[0], run=key[1])
                 self.late_starts.add(key, self.worker_id, now_s=clock.now_s())
 
-    def _may_begin_late(
-        self, key: task_names.RunKey, worker_id: str, *, was_listed: bool
-    ) -> bool:
-        """Whether a later incarnation may begin a run of one that has ended.
-
-        Args:
-            key: The run.
-            worker_id: The incarnation that it was meant for.
-            was_listed: Whether that incarnation listed it as running.
-        """
-        if self.worker is not None and worker_id != self.worker_id:
-            if not incarnation_ids.share_name(worker_id, self.worker_id):
-                return False
-        elif incarnation_ids.started_unix_ms_of(worker_id) is None:
-            return False
-        return not was_listed or self.late_starts.is_unanswered(key)
-
     def _record_lost(
         self, end: ttypes.RunEnd, worker_id: str, *, was_listed: bool
     ) -> None:
         """Reports the loss of a run, or holds it back while the run may still begin."""
         key = (end.task, end.run)
-        if self._may_begin_late(key, worker_id, was_listed=was_listed):
+        if self.late_starts.may_begin(
+            key, worker_id, current_id=self.worker_id, was_listed=was_listed
+        ):
             if key not in self.ends:
                 self.late_starts.add(
                     key, worker_id, now_s=clock.now_s(), end=end
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -166,7 +166,7 @@
         """
         state = self._state
         return progress.is_forgotten or (
-            state.has_restarted
+            state.late_calls.has_restarted
             and progress.is_started
             and not is_running
             and state.is_listing_whole
@@ -182,7 +182,9 @@
             return "the worker drains"
         if state.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
-        if state.may_forget_ends:
+        if state.late_calls.may_discard_ends(
+            state.worker_id, now_s=clock.now_s()
+        ):
             return "the worker has restarted and left calls unanswered before"
         if progress.has_unanswered_start:
             # An earlier start request may have taken effect, so it is repeated.
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -0,0 +1,72 @@
+"""How long calls that were meant for an earlier incarnation may still have an effect.
+
+A worker that restarts under its name carries out such calls, and a message that names
+the worker may be about an earlier incarnation.
+"""
+
+import math
+
+from marigoldsill.protocol import incarnation_ids
+
+# How long after a restart a lease renewal may still be carried out.
+_RENEWAL_S = 15.0
+# How long an acknowledgement of ends may still be carried out. The worker is not used
+# for this time.
+_ACKNOWLEDGEMENT_S = 5.0
+# How long a worker may take to end after it has deregistered.
+_DEREGISTRATION_S = 10.0
+
+
+class LateCalls:
+    """Times of the last restart and of calls that may have a late effect.
+
+    Not thread-safe: the owner's lock must be held for every call.
+
+    Attributes:
+        has_restarted: Whether the current incarnation took over the name of another.
+    """
+
+    def __init__(self):
+        self.has_restarted = False
+        self._restarted_s = -math.inf
+        # The incarnation that was called or deregistered last, and when.
+        self._unanswered_acknowledgement = ("", -math.inf)
+        self._deregistration = ("", -math.inf)
+
+    def record_confirmed(
+        self, worker_id: str, *, last_id: str, now_s: float
+    ) -> None:
+        """Records that an incarnation has answered after another one."""
+        self.has_restarted = incarnation_ids.share_name(worker_id, last_id)
+        self._restarted_s = now_s if self.has_restarted else -math.inf
+
+    def record_unanswered_acknowledgement(
+        self, worker_id: str, *, now_s: float
+    ) -> None:
+        """Records an acknowledgement that the worker may still carry out."""
+        self._unanswered_acknowledgement = (worker_id, now_s)
+
+    def record_deregistration(self, worker_id: str, *, now_s: float) -> None:
+        """Records a message that the worker of an incarnation ends."""
+        self._deregistration = (worker_id, now_s)
+
+    def may_extend_lease(self, *, now_s: float) -> bool:
+        """Whether a renewal with a deadline on another clock may have an effect."""
+        return now_s - self._restarted_s < _RENEWAL_S
+
+    def may_discard_ends(self, worker_id: str, *, now_s: float) -> bool:
+        """Whether an incarnation may carry out an earlier one's acknowledgement."""
+        called_id, called_s = self._unanswered_acknowledgement
+        return (
+            now_s - called_s < _ACKNOWLEDGEMENT_S
+            and called_id != worker_id
+            and incarnation_ids.share_name(called_id, worker_id)
+        )
+
+    def is_deregistered(self, worker_id: str, *, now_s: float) -> bool:
+        """Whether an incarnation may be about to end."""
+        deregistered_id, deregistered_s = self._deregistration
+        return (
+            worker_id == deregistered_id
+            and now_s - deregistered_s < _DEREGISTRATION_S
+        )
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -63,9 +63,13 @@
         """
         state = self._state
         state.release_ends()
-        if not state.lease.is_live and state.may_outlive_lease:
+        now_s = clock.now_s()
+        if not state.lease.is_live and state.late_calls.may_extend_lease(
+            now_s=now_s
+        ):
+            # The runs may continue after the lease that the agent passed on.
             for key in state.running:
-                state.late_starts.add(key, state.worker_id, now_s=clock.now_s())
+                state.late_starts.add(key, state.worker_id, now_s=now_s)
         worker_id = state.worker_id
         self._progress = {
             (called_id, key): progress
--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -70,9 +70,28 @@
         if len(self._unanswered) > _UNANSWERED_LIMIT:
             del self._unanswered[next(iter(self._unanswered))]
 
-    def is_unanswered(self, key: task_names.RunKey) -> bool:
-        """Whether a start request of a run may still be carried out."""
-        return key in self._unanswered
+    def may_begin(
+        self,
+        key: task_names.RunKey,
+        worker_id: str,
+        *,
+        current_id: str,
+        was_listed: bool,
+    ) -> bool:
+        """Whether a later incarnation may begin a run of one that has ended.
+
+        Args:
+            key: The run.
+            worker_id: The incarnation that it was meant for.
+            current_id: The current incarnation, or empty.
+            was_listed: Whether the incarnation that it was meant for listed it.
+        """
+        if current_id not in ("", worker_id):
+            if not incarnation_ids.share_name(worker_id, current_id):
+                return False
+        elif incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return False
+        return not was_listed or key in self._unanswered
 
     def add(
         self,
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -368,7 +368,7 @@
                 run.updated_ms = now_ms
             outcome = run.advance(now_ms)
             if outcome == pool_run.CRASHED:
-                self.crash()
+                self.crash(keeps_id=True)
                 return
             if outcome is not None:
                 self._end_run(run, outcome)
