Refuse a start time announced for a worker that answers without

Another writer could otherwise have stopped all starts on a worker of an earlier deployment, as its answers can't show that the announcement is not its own.

--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -166,7 +166,8 @@
         also where the machine's time was set back between two starts.
 
         Raises:
-            ConflictError: It tells no start time although its worker has one.
+            ConflictError: It tells a start time although its worker does not, or none
+                although it does.
         """
         last_id = self._last_current_id
         if not incarnation_ids.share_name(worker_id, last_id):
@@ -174,6 +175,11 @@
         started_ms = incarnation_ids.started_unix_ms_of(worker_id)
         last_started_ms = incarnation_ids.started_unix_ms_of(last_id)
         if last_started_ms is None:
+            if last_id == self.current_id:
+                raise errors.ConflictError(
+                    f"worker {last_id} was announced with the time of its start as "
+                    f"{worker_id}, but it answers without; expected no start time"
+                )
             return False
         if started_ms is None:
             raise errors.ConflictError(
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -104,8 +104,9 @@
         return ""
 
     def _answer_wait_ms(self) -> int:
-        if self._state.late_starts.pending_keys:
-            return _SETTLING_ANSWER_WAIT_MS
+        with self._state.changed:
+            if self._state.late_starts.pending_keys:
+                return _SETTLING_ANSWER_WAIT_MS
         return (
             _SHARED_ANSWER_WAIT_MS if self._state.is_shared else _ANSWER_WAIT_MS
         )
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -513,6 +513,27 @@
     assert agent.call_incarnations(rounds_count=2) == [_OLD, _OLD]
 
 
+def test_heartbeat_with_a_start_time_is_refused_if_the_worker_answers_without() -> (
+    None
+):
+    """Guards against another writer that stops all starts on a worker.
+
+    A worker that tells no start time can't show that the announcement is not its own.
+    """
+    plain = stepped_agent.make_agent(fake_worker.RestartingWorker("w1"))
+    with pytest.raises(errors.ConflictError, match="start"):
+        _announce(plain, _NEW)
+    _order_run(plain, "w1")
+    plain.run_until_settled()
+    assert list(plain.worker.running) == [_KEY]
+    # An answer with a start time is the worker's own.
+    plain.worker.restart(_NEW)
+    plain.call_incarnations(rounds_count=1)
+    _announce(plain, _NEW)
+    plain.call_incarnations(rounds_count=1)
+    assert plain.state.worker_id == _NEW
+
+
 def test_late_deregistration_of_the_old_incarnation_does_not_end_the_new_one(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
