--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -183,14 +183,17 @@
 
     Attributes:
         sent: Whether bytes of the request may have reached the peer.
+        timed_out: Whether the peer left the request unanswered, and may still execute
+            it.
     """
 
     http_status = 502
     exit_code = 7
 
-    def __init__(self, message: str, *, sent: bool):
+    def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
         super().__init__(message)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class PlatformError(MarigoldsillError):
@@ -222,7 +225,15 @@
 
 
 class OtherWorkerError(PlatformError):
-    """A different incarnation of the worker answered than the intended one."""
+    """A different incarnation of the worker answered than the intended one.
+
+    Attributes:
+        answering_id: The incarnation that answered, or empty if it did not tell.
+    """
+
+    def __init__(self, message: str, *, answering_id: str = ""):
+        super().__init__(message)
+        self.answering_id = answering_id
 
 
 class WorkerUnwellError(PlatformError):
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -75,6 +75,7 @@
         proxy_address: Callable[[str], str] = lambda address: address,
         advertise: Callable[[str], str] = lambda address: address,
         edge_environment: Mapping[str, str] = types.MappingProxyType({}),
+        workers_send_born: bool = False,
     ):
         """Creates a system without starting it.
 
@@ -89,7 +90,10 @@
             advertise: Returns the address that an edge advertises, given its
                 listen address; another host with the same port.
             edge_environment: Environment variables of all edge processes.
+            workers_send_born: Whether workers tell when they started, and can restart
+                under their id.
         """
+        self._workers_send_born = workers_send_born
         self.folder = folder
         self._data_centres = data_centres
         self._proxy_address = proxy_address
@@ -166,6 +170,7 @@
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
                 gangs=self._gangs,
+                sends_born=self._workers_send_born,
             )
             worker.start()
             self.workers[name] = worker
