--- a/marigoldsill/coordination/job_locality/rack_waits.py
+++ b/marigoldsill/coordination/job_locality/rack_waits.py
@@ -5,7 +5,8 @@
 before that extra run time is used up, and never longer than that, so that waiting costs
 at most what starting elsewhere would have cost. Tasks whose turn comes later start
 elsewhere at once. Where much of the pool is idle, starting elsewhere delays nobody else,
-so tasks begin to wait for a near turn only.
+and a queue at a rack that is full anyway only delays its tasks. So no task begins to wait
+there, and beyond that the longest wait grows with the share of the pool in use.
 """
 
 import dataclasses
@@ -23,6 +24,9 @@
 # forecast end together, so the tasks book their turns anew in their order.
 FORECAST_VALIDITY_S = 0.25
 
+# Up to this share of a pool in use, what starts elsewhere delays nobody else.
+_IDLE_POOL_SHARE = 0.6
+
 # A step, and the index of one of its tasks.
 TaskKey = tuple[task_names.StepKey, int]
 
@@ -150,7 +154,7 @@
         if wait is None:
             # A task that waits already is not turned away by a short idle moment.
             latest_turn_s = min(
-                latest_turn_s, now_s + limit_s * request.used_share
+                latest_turn_s, now_s + limit_s * _scarcity(request.used_share)
             )
         verdict = Verdict.WAIT
         if now_s >= since_s + limit_s:
@@ -199,3 +203,8 @@
                 for wait in self._waits.values()
             )
         return self._waiting_count
+
+
+def _scarcity(used_share: float) -> float:
+    """Returns how scarce a pool's capacity is: 0 where much is idle, 1 if none is."""
+    return max(0.0, (used_share - _IDLE_POOL_SHARE) / (1 - _IDLE_POOL_SHARE))
