Keep pending grants beside the agents, and look for a task before its workers

PendingGrants stood with the capacity index, which does not use it. Behaviour is unchanged; tests of job_placing, job_locality, jobs and lint passed.

--- a/marigoldsill/coordination/job_placing/agents.py
+++ b/marigoldsill/coordination/job_placing/agents.py
@@ -1,12 +1,15 @@
-"""The leader's view of agents and their workers, kept for one term.
+"""The leader's view of agents and of grants to them, kept for one term.
 
 Reports may overtake each other on two connections, so a report that is older than
 the newest recorded one is ignored.
 """
 
+from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
 import threading
 
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 
 
@@ -87,6 +90,33 @@
             return True
 
 
+class PendingGrants:
+    """Grants that are not known to be applied; used by one thread."""
+
+    def __init__(self):
+        self._by_agent: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
+
+    def of_agent(self, agent: str) -> Collection[ttypes.RunGrant]:
+        """Returns the pending grants to an agent."""
+        return self._by_agent.get(agent, {}).values()
+
+    def update(
+        self, grants: Iterable[ttypes.RunGrant], *, is_decided: bool
+    ) -> set[str]:
+        """Records whether the outcome of some grants is known; returns their agents."""
+        agents = set()
+        for grant in grants:
+            agents.add(grant.agent)
+            pending = self._by_agent.setdefault(grant.agent, {})
+            if is_decided:
+                pending.pop((grant.task, grant.run), None)
+            else:
+                pending[grant.task, grant.run] = grant
+            if not pending:
+                del self._by_agent[grant.agent]
+        return agents
+
+
 def _updated_view(
     before: AgentView, report: ttypes.AgentReport, now_s: float
 ) -> AgentView:
--- a/marigoldsill/coordination/job_placing/capacity_index.py
+++ b/marigoldsill/coordination/job_placing/capacity_index.py
@@ -1,12 +1,10 @@
-"""Free capacity of all workers, with a change log, and grants that still reserve it."""
+"""Free capacity of all workers, with a change log."""
 
 import collections
-from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
 from marigoldsill.coordination.job_placing import free_capacity
-from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import amounts
 
@@ -17,33 +15,6 @@
 _ORDINALS_PER_POSITION = 1 << 20
 
 
-class PendingGrants:
-    """Grants that are not known to be applied; used by one thread."""
-
-    def __init__(self):
-        self._by_agent: dict[str, dict[task_names.RunKey, ttypes.RunGrant]] = {}
-
-    def of_agent(self, agent: str) -> Collection[ttypes.RunGrant]:
-        """Returns the pending grants to an agent."""
-        return self._by_agent.get(agent, {}).values()
-
-    def update(
-        self, grants: Iterable[ttypes.RunGrant], *, is_decided: bool
-    ) -> set[str]:
-        """Records whether the outcome of some grants is known; returns their agents."""
-        agents = set()
-        for grant in grants:
-            agents.add(grant.agent)
-            pending = self._by_agent.setdefault(grant.agent, {})
-            if is_decided:
-                pending.pop((grant.task, grant.run), None)
-            else:
-                pending[grant.task, grant.run] = grant
-            if not pending:
-                del self._by_agent[grant.agent]
-        return agents
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Contribution:
     """The contribution of one worker to the totals of its pool and its rack."""
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -104,7 +104,7 @@
             chooser=self._chooser,
             affinity=self._locality.affinity,
         )
-        self._pending = capacity_index.PendingGrants()
+        self._pending = agents_module.PendingGrants()
         self._gang_selector = gangs.GangSelector()
 
     def refresh(
@@ -270,15 +270,17 @@
         It starts where it interferes least, and the agent throttles it to the speed
         that is left. This way every job makes progress, even if slowly.
         """
+        index = self._chooser.find_not_isolated(waiting, now_s)
+        if index is None:
+            return []
         candidates = self._candidate_cache.get_candidates(
             waiting.step, waiting.queue.pool, ignores_limits=True
         )
-        chosen = self._chooser.choose_ignoring_limits(
-            waiting, candidates, now_s
+        free = candidates.find_best(
+            self._chooser.acceptance_for(waiting, now_s)
         )
-        if chosen is None:
+        if free is None:
             return []
-        index, free = chosen
         return [self._grant_task(waiting, index, free, now_s)]
 
     def _place_gang(
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -163,23 +163,13 @@
             free.worker.worker_id not in avoided_ids and accepts(free)
         )
 
-    def choose_ignoring_limits(
-        self,
-        waiting: backlog_module.WaitingStep,
-        candidates: candidates_module.Candidates,
-        now_s: float,
-    ) -> tuple[int, free_capacity.FreeCapacity] | None:
-        """Returns the first task of a step that is not isolated, and a worker for it.
-
-        Args:
-            waiting: The step.
-            candidates: The workers for it without limits on interference.
-            now_s: The time of the round.
-        """
+    def find_not_isolated(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> int | None:
+        """Returns the first task of a step that is not isolated, or None."""
         for index in waiting.waiting_indexes:
             if not self.is_isolated(waiting, index, now_s):
-                free = candidates.find_best(self.acceptance_for(waiting, now_s))
-                return None if free is None else (index, free)
+                return index
         return None
 
     def acceptance_for(
