--- a/marigoldsill/coordination/job_locality/rack_spread.py
+++ b/marigoldsill/coordination/job_locality/rack_spread.py
@@ -141,3 +141,11 @@
                     runs[option.worker.pool, option.worker.rack] += count
             self._runs[step_key] = runs
         return runs
+
+
+def may_be_spread(step: ttypes.Step) -> bool:
+    """Returns whether almost equally suited workers may be exchanged for a step.
+
+    Latency-critical tasks are packed, and others may be bound to a rack.
+    """
+    return not (step.tail_target_ms or step.preferred_rack or step.gang)
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -141,7 +141,7 @@
             )
             if other is not None:
                 return other
-        if self._spread is None or not _may_be_spread(waiting.step):
+        if self._spread is None or not rack_spread.may_be_spread(waiting.step):
             return candidates.find_best(accepts)
         similar = candidates.find_similar(
             accepts,
@@ -285,14 +285,6 @@
         )
 
 
-def _may_be_spread(step: ttypes.Step) -> bool:
-    """Returns whether almost equally suited workers may be exchanged for a step.
-
-    Latency-critical tasks are packed, and others may be bound to a rack.
-    """
-    return not (step.tail_target_ms or step.preferred_rack or step.gang)
-
-
 def _tolerance(step: ttypes.Step, best: free_capacity.FreeCapacity) -> float:
     """Returns how much less idle a worker may be than the best one.
 
