--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -145,7 +145,7 @@
             )
             if other is not None:
                 return other
-        if self._spread is None or not _may_be_spread(waiting.step):
+        if self._spread is None or not rack_spread.may_be_spread(waiting.step):
             return candidates.find_best(accepts)
         similar = candidates.find_similar(
             accepts,
@@ -167,23 +167,13 @@
             free.worker.worker_id not in avoided_ids and accepts(free)
         )
 
-    def choose_ignoring_limits(
-        self,
-        waiting: backlog_module.WaitingStep,
-        candidates: candidates_module.Candidates,
-        now_s: float,
-    ) -> tuple[int, free_capacity.FreeCapacity] | None:
-        """Returns the first task of a step that is not isolated, and a worker for it.
-
-        Args:
-            waiting: The step.
-            candidates: The workers for it without limits on interference.
-            now_s: The time of the round.
-        """
+    def find_not_isolated(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> int | None:
+        """Returns the first task of a step that is not isolated, or None."""
         for index in waiting.waiting_indexes:
             if not self.is_isolated(waiting, index, now_s):
-                free = candidates.find_best(self.acceptance_for(waiting, now_s))
-                return None if free is None else (index, free)
+                return index
         return None
 
     def acceptance_for(
@@ -301,14 +291,6 @@
         )
 
 
-def _may_be_spread(step: ttypes.Step) -> bool:
-    """Returns whether almost equally suited workers may be exchanged for a step.
-
-    Latency-critical tasks are packed, and others may be bound to a rack.
-    """
-    return not (step.tail_target_ms or step.preferred_rack or step.gang)
-
-
 def _tolerance(step: ttypes.Step, best: free_capacity.FreeCapacity) -> float:
     """Returns how much less idle a worker may be than the best one.
 
