Split the agent's state by what it is about

The orders, the runs on the worker and the ends that control has not recorded move to modules of their own, with their state; the capacity check joins the orders, its only caller. The time of the last announcement joins the incarnations. Behaviour and tests are unchanged.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,24 +1,21 @@
 """An agent's state: its worker, its lease, its orders and unreported ends of runs."""
 
-from collections.abc import Iterable
 import dataclasses
 import math
 import threading
 
-from marigoldsill.coordination.job_agent import capacity_check
-from marigoldsill.coordination.job_agent import cpu_throttle
-from marigoldsill.coordination.job_agent import evacuations
 from marigoldsill.coordination.job_agent import incarnations
 from marigoldsill.coordination.job_agent import late_calls
 from marigoldsill.coordination.job_agent import late_starts
-from marigoldsill.coordination.job_agent import lost_worker
+from marigoldsill.coordination.job_agent import run_orders
 from marigoldsill.coordination.job_agent import run_starts
+from marigoldsill.coordination.job_agent import unreported_ends
 from marigoldsill.coordination.job_agent import worker_clock
+from marigoldsill.coordination.job_agent import worker_runs
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state import amounts
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
@@ -49,23 +46,13 @@
     Attributes:
         changed: Notified on every change.
         worker_clock: The worker's clock.
-        throttle: The CPU quotas of best-effort tasks.
-        starts: Starts of runs on the current incarnation of the worker.
         late_calls: Calls that may have an effect on a later incarnation.
-        late_starts: Runs that a call meant for an earlier incarnation may begin.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         term: The highest term of a leader that is known.
-        orders: Orders by (task, run).
-        orders_term: Term of the leader that gave them.
-        orders_version: Their version in that term.
-        evacuations: Data centres where no run may start.
-        interference_version: Version of the interference that the throttle uses.
-        running: Samples of the runs that the worker listed last, by (task, run).
-        complete_listings_count: How many listings had no unreadable row of a run.
-        is_listing_complete: Whether the last listing had no such row.
-        is_listing_whole: Whether it also had all unacknowledged ends.
-        ends: Ends to report, by (task, run).
+        run_orders: The orders of the leader.
+        runs: What is known of the runs on the worker.
+        unreported_ends: Ends to report now or later.
         listed_end_number: Number of the last end that was listed.
         acknowledged_end_number: Ends up to this number are recorded by control.
         last_answer_s: When the worker answered last.
@@ -81,25 +68,14 @@
         """
         self.changed = threading.Condition()
         self._announcement_age_limit_s = announcement_age_limit_s
-        self._last_announcement_s = clock.now_s()
         self.worker_clock = worker_clock.WorkerClock()
-        self.throttle = cpu_throttle.CpuThrottle()
-        self.starts = run_starts.RunStarts()
         self.late_calls = late_calls.LateCalls()
-        self.late_starts = late_starts.LateStarts()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
         self.term = 0
-        self.orders: dict[task_names.RunKey, ttypes.RunOrder] = {}
-        self.orders_term = 0
-        self.orders_version = 0
-        self.evacuations = evacuations.Evacuations()
-        self.interference_version = 0
-        self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
-        self.complete_listings_count = 0
-        self.is_listing_complete = False
-        self.is_listing_whole = False
-        self.ends: dict[task_names.RunKey, ttypes.RunEnd] = {}
+        self.run_orders = run_orders.RunOrders()
+        self.runs = worker_runs.WorkerRuns(self.run_orders)
+        self.unreported_ends = unreported_ends.UnreportedEnds()
         self.listed_end_number = 0
         self.acknowledged_end_number = 0
         self.last_answer_s = clock.now_s()
@@ -111,6 +87,26 @@
         """The incarnation of the worker that answers, or empty."""
         return "" if self.worker is None else self.worker.worker_id
 
+    @property
+    def orders(self) -> dict[task_names.RunKey, ttypes.RunOrder]:
+        """The orders by (task, run)."""
+        return self.run_orders.by_run
+
+    @property
+    def ends(self) -> dict[task_names.RunKey, ttypes.RunEnd]:
+        """The ends to report now, by (task, run)."""
+        return self.unreported_ends.by_run
+
+    @property
+    def late_starts(self) -> late_starts.LateStarts:
+        """Runs that a call meant for an earlier incarnation may begin."""
+        return self.unreported_ends.late_starts
+
+    @property
+    def starts(self) -> run_starts.RunStarts:
+        """Starts of runs on the current incarnation of the worker."""
+        return self.runs.starts
+
     @property
     def newest_announcement(self) -> run_worker.Announcement | None:
         """The newest announcement of another incarnation, or else of the current one."""
@@ -124,7 +120,7 @@
     @property
     def announcement_overdue_s(self) -> float:
         """Seconds since the last announcement exceeded the age limit, or negative."""
-        age_s = clock.now_s() - self._last_announcement_s
+        age_s = clock.now_s() - self._incarnations.last_announcement_s
         return age_s - self._announcement_age_limit_s
 
     @property
@@ -137,43 +133,17 @@
         return (
             self.announcement_overdue_s <= 0
             and not self._incarnations.has_successor(self.worker_id)
-            and self.lease.is_live
-            and self.lease.term == self.orders_term
-            and self.orders_version >= self.lease.min_orders_version
+            and self._has_orders_of_lease
         )
 
     @property
-    def is_shared(self) -> bool:
-        """Whether best-effort and latency-critical tasks share the worker."""
-        running_orders = [
-            o for k, o in self.orders.items() if k in self.running
-        ]
-        return any(o.best_effort for o in running_orders) and any(
-            o.tail_target_ms for o in running_orders
+    def _has_orders_of_lease(self) -> bool:
+        return (
+            self.lease.is_live
+            and self.lease.term == self.run_orders.term
+            and self.run_orders.version >= self.lease.min_orders_version
         )
 
-    def has_capacity_for(
-        self, order: ttypes.RunOrder, busy_keys: Iterable[task_names.RunKey]
-    ) -> bool:
-        """Whether a run fits into the worker's last announced capacity.
-
-        Args:
-            order: The run to start.
-            busy_keys: Runs with a call to the worker in progress; a start among
-                them may not be recorded yet.
-        """
-        keys = {*self.starts.min_ages_s(), *busy_keys}
-        keys.discard((order.task, order.run))
-        others = [self.orders[key] for key in keys if key in self.orders]
-        return capacity_check.fits(order, others, self.worker.capacity)
-
-    def quota_percent_for(self, order: ttypes.RunOrder) -> int:
-        """Returns the current quota of a run, in percent of its full speed."""
-        if not order.best_effort:
-            return order.quota_percent
-        percent = self.throttle.percent((order.task, order.run))
-        return min(order.quota_percent, percent)
-
     def record_start_sent(self, order: ttypes.RunOrder) -> None:
         """Records a start request to the worker; the caller must hold the lock."""
         if order.worker_id == self.worker_id:
@@ -186,39 +156,24 @@
 
     def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
         """Records a start request without an answer; the caller must hold the lock."""
-        worker_id = order.worker_id
-        if incarnation_ids.started_unix_ms_of(worker_id) is None:
-            return
-        key, now_s = (order.task, order.run), clock.now_s()
-        self.late_starts.record_unanswered(key, worker_id, now_s=now_s)
-        if worker_id != self.worker_id and incarnation_ids.share_name(
-            worker_id, self.worker_id
-        ):
-            self.late_starts.add(key, worker_id, now_s=now_s)
+        self.late_starts.record_unanswered(
+            (order.task, order.run),
+            order.worker_id,
+            current_id=self.worker_id,
+            now_s=clock.now_s(),
+        )
 
     def record_started(self, order: ttypes.RunOrder) -> None:
         """Records a confirmed start and sets a best-effort run's initial quota.
 
         The caller must hold the lock.
         """
-        # The answer may arrive after another incarnation was confirmed.
-        if order.worker_id == self.worker_id:
-            now_s = clock.now_s()
-            self.starts.record_started((order.task, order.run), now_s=now_s)
-            self.starts.record_answer(now_s=now_s)
-        if order.best_effort:
-            self.throttle.initial_percent(
-                order, self._latency_critical_images()
-            )
-
-    def _latency_critical_images(self) -> set[str]:
-        return {o.image for o in self.orders.values() if o.tail_target_ms}
-
-    def samples_with_quotas(self) -> list[ttypes.RunSample]:
-        """Returns samples of the runs that the worker lists, with their quotas."""
-        for key, sample in self.running.items():
-            sample.quota_percent = self.throttle.percent(key)
-        return list(self.running.values())
+        self.runs.record_started(
+            order,
+            # The answer may arrive after another incarnation was confirmed.
+            is_current=order.worker_id == self.worker_id,
+            now_s=clock.now_s(),
+        )
 
     def record_announcement(
         self, announcement: run_worker.Announcement
@@ -230,29 +185,10 @@
         """
         worker = announcement.worker
         with self.changed:
-            is_new = self._incarnations.record_announcement(announcement)
-            is_current = worker.worker_id == self.worker_id
-            # Confirms the known capacity even if the sequence is not higher.
-            if is_current and worker.capacity == self.worker.capacity:
-                self._last_announcement_s = clock.now_s()
-            if not is_new:
+            if not self._incarnations.record_announcement(announcement):
                 return
-            if is_current:
-                self._last_announcement_s = clock.now_s()
-                if worker.draining != self.worker.draining:
-                    logs.event(
-                        "worker_drains",
-                        worker_id=worker.worker_id,
-                        draining=worker.draining,
-                        remaining_ms=worker.remaining_ms,
-                    )
-                if worker.capacity != self.worker.capacity:
-                    logs.event(
-                        "worker_capacity_changed",
-                        worker_id=worker.worker_id,
-                        before=amounts.describe(self.worker.capacity),
-                        after=amounts.describe(worker.capacity),
-                    )
+            if worker.worker_id == self.worker_id:
+                incarnations.log_changes(self.worker, worker)
                 self.worker = worker
             self.changed.notify_all()
 
@@ -271,13 +207,12 @@
             self._clear_worker()
             self.worker = self._incarnations.current.worker
             now_s = clock.now_s()
-            self._last_announcement_s = now_s
             self.late_calls.record_confirmed(
                 worker_id, last_id=last_id, now_s=now_s
             )
             self.late_starts.add_unanswered(worker_id, now_s=now_s)
             self._end_stale_orders()
-            self.release_ends()
+            self.unreported_ends.release(worker_id)
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             if self.late_calls.has_restarted:
                 logs.event(
@@ -324,32 +259,19 @@
     def record_unreached(self, worker_id: str, *, is_connected: bool) -> None:
         """Ends an incarnation that was deregistered and does not answer.
 
-        A worker drains before it deregisters. One that does not drain may be alive as
-        long as a process listens at its address.
-
         Args:
             worker_id: The incarnation that was called.
             is_connected: Whether a process listens at its address.
         """
         with self.changed:
-            if (
-                not worker_id
-                or worker_id != self.worker_id
-                or not self.late_calls.is_deregistered(
-                    worker_id, now_s=clock.now_s()
-                )
-                or (is_connected and not self.worker.draining)
+            if self.worker is None or worker_id != self.worker_id:
+                return
+            if not self.late_calls.has_left(
+                self.worker, is_connected=is_connected, now_s=clock.now_s()
             ):
                 return
         self.end_incarnation(worker_id)
 
-    def record_unanswered_acknowledgement(self, worker_id: str) -> None:
-        """Records an acknowledgement that the worker may still carry out."""
-        with self.changed:
-            self.late_calls.record_unanswered_acknowledgement(
-                worker_id, now_s=clock.now_s()
-            )
-
     def acknowledged_for(self, worker_id: str) -> int:
         """Returns up to which number an incarnation may discard its ends.
 
@@ -361,26 +283,6 @@
                 return 0
             return self.acknowledged_end_number
 
-    def settle_late_start(self, key: task_names.RunKey) -> None:
-        """Reports the end of a run that the current incarnation refuses for good.
-
-        The caller must hold the lock.
-        """
-        end = self.late_starts.settle(key)
-        if end is not None:
-            self.ends.setdefault(key, end)
-        self.changed.notify_all()
-
-    def release_ends(self) -> None:
-        """Reports ends that no later incarnation has to confirm.
-
-        The caller must hold the lock.
-        """
-        ends = self.late_starts.take_ends(self.worker_id, now_s=clock.now_s())
-        for end in ends:
-            self.ends.setdefault((end.task, end.run), end)
-            self.changed.notify_all()
-
     def update_orders(self, reply: ttypes.OrdersReply) -> bool:
         """Updates the orders from a leader's reply.
 
@@ -391,21 +293,8 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            if reply.whole:
-                self.orders = {}
-            for removed in reply.removed:
-                self.orders.pop((removed.task, removed.run), None)
-            for order in reply.orders:
-                self.orders[order.task, order.run] = order
-            self.orders_term = reply.term
-            self.orders_version = reply.version
-            self.evacuations.update(reply.evacuated_data_centres, self.worker)
-            if reply.interference is not None:
-                self.interference_version = reply.interference_version
-                self.throttle.interference_by_pair = {
-                    (p.latency_critical_image, p.best_effort_image): p.added
-                    for p in reply.interference
-                }
+            self.run_orders.update(reply, self.worker)
+            self.runs.update_interference(reply)
             self._end_stale_orders()
             self.changed.notify_all()
             return True
@@ -422,31 +311,23 @@
     def record_listing(self, listing: run_worker.RunListing) -> None:
         """Records the runs and ends that the worker lists, and updates quotas."""
         with self.changed:
-            self.is_listing_complete = not listing.unread_running_count
-            self.is_listing_whole = (
-                self.is_listing_complete and not listing.is_ends_partial
-            )
-            if self.is_listing_complete:
-                # In an incomplete listing, a run that is not listed may be running.
-                self.complete_listings_count += 1
-            self.running = {(r.task, r.run): r for r in listing.running}
-            self._record_listed_runs(listing)
-            for ended in listing.ended:
-                if ended.number > self.acknowledged_end_number:
-                    key = (ended.end.task, ended.end.run)
-                    self.ends[key] = self.late_starts.settle_listed(
-                        ended.end, self.ends.get(key)
-                    )
-                self.listed_end_number = max(
-                    self.listed_end_number, ended.number
+            now_s = clock.now_s()
+            self.runs.record_listing(listing, now_s=now_s)
+            if self._has_orders_of_lease:
+                self.late_starts.add_unordered(
+                    self.runs.running.keys() - self.orders.keys(),
+                    self.worker_id,
+                    now_s=now_s,
                 )
+            self.unreported_ends.record_listed(
+                ended
+                for ended in listing.ended
+                if ended.number > self.acknowledged_end_number
+            )
+            numbers = [ended.number for ended in listing.ended]
+            self.listed_end_number = max([self.listed_end_number, *numbers])
             if self.worker is not None:
-                self.throttle.update(
-                    self.orders,
-                    self.running,
-                    capacity_millicores=self.worker.capacity.cpu_millicores,
-                    now_s=clock.now_s(),
-                )
+                self.runs.update_quotas(self.worker.capacity, now_s=now_s)
             self._end_stale_orders()
             self.changed.notify_all()
 
@@ -470,72 +351,25 @@
         """
         with self.changed:
             for end in report.ends:
-                key = (end.task, end.run)
-                self.ends.pop(key, None)
-                self.orders.pop(key, None)
+                self.orders.pop((end.task, end.run), None)
+            self.unreported_ends.remove(report.ends)
             if report.worker_id == self.worker_id:
                 self.acknowledged_end_number = max(
                     self.acknowledged_end_number, listed_end_number
                 )
             self.changed.notify_all()
 
-    def _record_listed_runs(self, listing: run_worker.RunListing) -> None:
-        now_s = clock.now_s()
-        self.starts.record_answer(now_s=now_s)
-        for key in self.running:
-            self.starts.record_listed(key, now_s=now_s)
-        self._add_unordered_runs()
-        for ended in listing.ended:
-            self.starts.record_ended((ended.end.task, ended.end.run))
-
-    def _add_unordered_runs(self) -> None:
-        """Has runs stopped that the worker lists but the leader does not order.
-
-        Only a call meant for an earlier incarnation may begin such a run.
-        """
-        has_all_orders = (
-            self.lease.is_live
-            and self.lease.term == self.orders_term
-            and self.orders_version >= self.lease.min_orders_version
-        )
-        started_ms = incarnation_ids.started_unix_ms_of(self.worker_id)
-        if started_ms is None or not has_all_orders:
-            return
-        for key in self.running.keys() - self.orders.keys():
-            if not self.late_starts.is_pending(key):
-                logs.event("run_unordered", task=key[0], run=key[1])
-                self.late_starts.add(key, self.worker_id, now_s=clock.now_s())
-
-    def _record_lost(
-        self, end: ttypes.RunEnd, worker_id: str, *, was_listed: bool
-    ) -> None:
-        """Reports the loss of a run, or holds it back while the run may still begin."""
-        key = (end.task, end.run)
-        if self.late_starts.may_begin(
-            key, worker_id, current_id=self.worker_id, was_listed=was_listed
-        ):
-            if key not in self.ends:
-                self.late_starts.add(
-                    key, worker_id, now_s=clock.now_s(), end=end
-                )
-        else:
-            self.ends.setdefault(key, end)
-
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
-            ends = lost_worker.end_runs(
+            self.unreported_ends.record_lost_worker(
                 self.worker,
                 self.starts,
                 unresponsive_s=clock.now_s() - self.last_answer_s,
             )
-            for end in ends:
-                was_listed = self.starts.was_listed((end.task, end.run))
-                self._record_lost(end, self.worker_id, was_listed=was_listed)
-            self.starts.clear()
         self.worker = None
         self.worker_clock.reset()
-        self.running = {}
+        self.runs.clear()
         self.listed_end_number = self.acknowledged_end_number = 0
         self._end_stale_orders()
 
@@ -547,24 +381,13 @@
         """
         if self.worker is None and not self._incarnations.has_ended_ids:
             return
-        for key, order in self.orders.items():
+        for order in self.orders.values():
             has_ended = (
                 self._incarnations.has_ended(order.worker_id)
                 if self.worker is None
                 else order.worker_id != self.worker_id
             )
-            if (
-                has_ended
-                and key not in self.ends
-                and not self.late_starts.is_pending(key)
-            ):
-                end = ttypes.RunEnd(
-                    task=order.task,
-                    run=order.run,
-                    kind=ttypes.RunEndKind.LOST,
-                    detail=(
-                        f"worker {order.worker_id} is gone; the run is not "
-                        "known to have begun on it"
-                    ),
+            if has_ended:
+                self.unreported_ends.record_stale(
+                    order, current_id=self.worker_id
                 )
-                self._record_lost(end, order.worker_id, was_listed=False)
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -71,6 +71,7 @@
         retry_s: float = _RETRY_S,
     ):
         self._state = state
+        self._runs = state.runs
         self._worker = worker
         self._lease_renewer = lease_renewer
         self._retry_s = retry_s
@@ -116,7 +117,7 @@
             if key in state.orders or progress.is_busy
         }
         wait_s = self._retry_s if self._late_start_stopper.reconcile() else None
-        if not state.worker_id or not state.complete_listings_count:
+        if not state.worker_id or not self._runs.complete_listings_count:
             return wait_s
         now_s = clock.now_s()
         for key, order in state.orders.items():
@@ -137,14 +138,14 @@
         order: ttypes.RunOrder,
         progress: _Progress,
     ) -> None:
-        is_running = key in self._state.running
+        is_running = key in self._runs.running
         if self._is_forgotten(progress, is_running=is_running):
             progress.is_forgotten = True
             self._reconcile_stop(key, order, progress, is_running=is_running)
         elif order.desire == ttypes.RunDesire.STOP or progress.refusal_reason:
             self._reconcile_stop(key, order, progress, is_running=is_running)
         elif is_running or progress.is_started:
-            if self._state.quota_percent_for(order) != progress.quota_percent:
+            if self._runs.quota_percent_for(order) != progress.quota_percent:
                 self._submit(self._throttle, order, progress)
         elif self._state.may_start:
             progress.refusal_reason = self._refusal_reason(order, progress)
@@ -169,8 +170,8 @@
             state.late_calls.has_restarted
             and progress.is_started
             and not is_running
-            and state.is_listing_whole
-            and state.complete_listings_count > progress.start_listings_count
+            and self._runs.is_listing_whole
+            and self._runs.is_listed_after(progress.start_listings_count)
         )
 
     def _refusal_reason(
@@ -180,7 +181,7 @@
         state = self._state
         if state.worker.draining:
             return "the worker drains"
-        if state.evacuations.includes(state.worker):
+        if state.run_orders.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
         if state.late_calls.may_discard_ends(
             state.worker_id, now_s=clock.now_s()
@@ -199,7 +200,9 @@
             for key, progress in self._progress_by_run.items()
             if progress.is_busy
         ]
-        return self._state.has_capacity_for(order, busy_keys)
+        return self._runs.has_capacity_for(
+            order, busy_keys, self._state.worker.capacity
+        )
 
     def _reconcile_stop(
         self,
@@ -218,11 +221,8 @@
             self._record_end(order, progress)
         elif not progress.stop_listings_count:
             self._submit(self._stop, order, progress)
-        elif (
-            not is_running
-            and self._state.is_listing_complete
-            and self._state.complete_listings_count
-            > progress.stop_listings_count
+        elif not is_running and self._runs.is_listed_after(
+            progress.stop_listings_count
         ):
             # After the stop it was listed neither as running nor as ended.
             self._record_end(order, progress)
@@ -281,7 +281,7 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            if state.evacuations.includes(state.worker):
+            if state.run_orders.evacuations.includes(state.worker):
                 # The next round refuses the run.
                 return
             # The capacity may have changed since the call was submitted.
@@ -340,8 +340,7 @@
         progress.has_unanswered_start = False
         with state.changed:
             progress.is_started = True
-            # A listing in progress now may have been made before the start.
-            progress.start_listings_count = state.complete_listings_count + 1
+            progress.start_listings_count = self._runs.next_listings_count
             state.record_started(order)
         state.worker_clock.record_reading(clock_ms, received_s=clock.now_s())
         logs.event(
@@ -376,8 +375,7 @@
             order.worker_id, order.task, order.run, token=state.term
         )
         with state.changed:
-            # A listing in progress now may have been made before the stop.
-            progress.stop_listings_count = state.complete_listings_count + 1
+            progress.stop_listings_count = self._runs.next_listings_count
         logs.event(
             "run_stopped",
             task=order.task,
@@ -386,7 +384,7 @@
         )
 
     def _throttle(self, order: ttypes.RunOrder, progress: _Progress) -> None:
-        percent = self._state.quota_percent_for(order)
+        percent = self._runs.quota_percent_for(order)
         self._worker.throttle(
             order.worker_id,
             order.task,
--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -10,6 +10,9 @@
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
+from marigoldsill.transport import clock
+from marigoldsill.transport import logs
 
 # Maximum number of announced incarnations that wait for a call; only one at a time is
 # real. Each waits for at most this many calls to the current one, of about a second
@@ -34,10 +37,12 @@
     Attributes:
         current: The newest accepted announcement of the incarnation that answers, or
             None.
+        last_announcement_s: When the current incarnation was announced last.
     """
 
     def __init__(self):
         self.current: run_worker.Announcement | None = None
+        self.last_announcement_s = clock.now_s()
         # Both with the oldest first.
         self._candidates: dict[str, run_worker.Announcement] = {}
         self._ended_ids: dict[str, None] = {}
@@ -193,7 +198,8 @@
         gap = announcement.sequence - self.current.sequence
         has_same_properties = _has_same_properties(announcement, self.current)
         if has_same_properties and gap <= 0:
-            self._contradiction, self._contradictions_count = None, 0
+            # Confirms the known capacity although the sequence is not higher.
+            self._accept(self.current)
             return False
         is_subsequent = 0 < gap <= _SEQUENCE_GAP_LIMIT
         if not is_subsequent or not _has_same_fixed_properties(
@@ -233,9 +239,28 @@
 
     def _accept(self, announcement: run_worker.Announcement) -> None:
         self.current = announcement
+        self.last_announcement_s = clock.now_s()
         self._contradiction, self._contradictions_count = None, 0
 
 
+def log_changes(before: ttypes.PoolWorker, after: ttypes.PoolWorker) -> None:
+    """Logs what an announcement of the current incarnation changes."""
+    if after.draining != before.draining:
+        logs.event(
+            "worker_drains",
+            worker_id=after.worker_id,
+            draining=after.draining,
+            remaining_ms=after.remaining_ms,
+        )
+    if after.capacity != before.capacity:
+        logs.event(
+            "worker_capacity_changed",
+            worker_id=after.worker_id,
+            before=amounts.describe(before.capacity),
+            after=amounts.describe(after.capacity),
+        )
+
+
 def _has_same_properties(
     one: run_worker.Announcement, other: run_worker.Announcement
 ) -> bool:
--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -7,6 +7,7 @@
 import math
 
 from marigoldsill.protocol import incarnation_ids
+from marigoldsill.protocol.generated import ttypes
 
 # How long after a restart a lease renewal may still be carried out.
 _RENEWAL_S = 15.0
@@ -63,10 +64,22 @@
             and incarnation_ids.share_name(called_id, worker_id)
         )
 
-    def is_deregistered(self, worker_id: str, *, now_s: float) -> bool:
-        """Whether an incarnation may be about to end."""
+    def has_left(
+        self, worker: ttypes.PoolWorker, *, is_connected: bool, now_s: float
+    ) -> bool:
+        """Whether an incarnation that does not answer was deregistered.
+
+        A worker drains before it deregisters. One that does not drain may be alive as
+        long as a process listens at its address.
+
+        Args:
+            worker: The incarnation that was called.
+            is_connected: Whether a process listens at its address.
+            now_s: The time.
+        """
         deregistered_id, deregistered_s = self._deregistration
         return (
-            worker_id == deregistered_id
+            worker.worker_id == deregistered_id
             and now_s - deregistered_s < _DEREGISTRATION_S
+            and (worker.draining or not is_connected)
         )
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -62,13 +62,14 @@
             Whether runs remain, so that another round is necessary soon.
         """
         state = self._state
-        state.release_ends()
+        if state.unreported_ends.release(state.worker_id):
+            state.changed.notify_all()
         now_s = clock.now_s()
         if not state.lease.is_live and state.late_calls.may_extend_lease(
             now_s=now_s
         ):
             # The runs may continue after the lease that the agent passed on.
-            for key in state.running:
+            for key in state.runs.running:
                 state.late_starts.add(key, state.worker_id, now_s=now_s)
         worker_id = state.worker_id
         self._progress = {
@@ -90,12 +91,11 @@
         if not progress.stop_listings_count:
             progress.is_busy = True
             self._pool.submit(self._stop, worker_id, key, progress)
-        elif (
-            key not in state.running
-            and state.is_listing_complete
-            and state.complete_listings_count > progress.stop_listings_count
+        elif key not in state.runs.running and state.runs.is_listed_after(
+            progress.stop_listings_count
         ):
-            state.settle_late_start(key)
+            state.unreported_ends.settle_late_start(key)
+            state.changed.notify_all()
 
     def _stop(
         self, worker_id: str, key: task_names.RunKey, progress: _Progress
@@ -106,8 +106,7 @@
         try:
             self._worker.stop(worker_id, task, run, token=state.term)
             with state.changed:
-                # A listing in progress now may have been made before the stop.
-                progress.stop_listings_count = state.complete_listings_count + 1
+                progress.stop_listings_count = state.runs.next_listings_count
             logs.event(
                 "late_start_refused", task=task, run=run, worker_id=worker_id
             )
--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -12,6 +12,7 @@
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 # How long to wait for the next incarnation of a worker that has ended. Without an agent
 # that renews the lease, a run that was begun late ends within the longest lease (about
@@ -62,13 +63,31 @@
         return key in self._pending
 
     def record_unanswered(
-        self, key: task_names.RunKey, worker_id: str, *, now_s: float
+        self,
+        key: task_names.RunKey,
+        worker_id: str,
+        *,
+        current_id: str,
+        now_s: float,
     ) -> None:
-        """Records a start request that may still be carried out."""
+        """Records a start request that may still be carried out.
+
+        Args:
+            key: The run.
+            worker_id: The incarnation that was called.
+            current_id: The current incarnation, or empty.
+            now_s: The time.
+        """
+        if incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return
         self._unanswered.pop(key, None)
         self._unanswered[key] = (incarnation_ids.name_of(worker_id), now_s)
         if len(self._unanswered) > _UNANSWERED_LIMIT:
             del self._unanswered[next(iter(self._unanswered))]
+        if worker_id != current_id and incarnation_ids.share_name(
+            worker_id, current_id
+        ):
+            self.add(key, worker_id, now_s=now_s)
 
     def may_begin(
         self,
@@ -116,6 +135,24 @@
             elif called_name == name:
                 self.add(key, worker_id, now_s=now_s)
 
+    def add_unordered(
+        self,
+        keys: Iterable[task_names.RunKey],
+        worker_id: str,
+        *,
+        now_s: float,
+    ) -> None:
+        """Adds runs that the current incarnation lists but the leader does not order.
+
+        Only a call meant for an earlier incarnation may begin such a run.
+        """
+        if incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return
+        for key in keys:
+            if key not in self._pending:
+                logs.event("run_unordered", task=key[0], run=key[1])
+                self.add(key, worker_id, now_s=now_s)
+
     def settle(self, key: task_names.RunKey) -> ttypes.RunEnd | None:
         """Removes a run that cannot begin any more; returns its end to report."""
         pending = self._pending.pop(key, None)
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -108,7 +108,9 @@
             if self._state.late_starts.pending_keys:
                 return _SETTLING_ANSWER_WAIT_MS
         return (
-            _SHARED_ANSWER_WAIT_MS if self._state.is_shared else _ANSWER_WAIT_MS
+            _SHARED_ANSWER_WAIT_MS
+            if self._state.runs.are_shared
+            else _ANSWER_WAIT_MS
         )
 
     def renew(self, worker_id: str) -> None:
@@ -135,7 +137,10 @@
             )
         except errors.TransportError as error:
             if acknowledged and error.timed_out:
-                state.record_unanswered_acknowledgement(worker_id)
+                with state.changed:
+                    state.late_calls.record_unanswered_acknowledgement(
+                        worker_id, now_s=clock.now_s()
+                    )
             raise
         self._dependency.record_success()
         state.confirm_incarnation(worker_id)
--- a/marigoldsill/coordination/job_agent/order_watch.py
+++ b/marigoldsill/coordination/job_agent/order_watch.py
@@ -49,10 +49,10 @@
                     "agent_orders",
                     ttypes.OrdersRequest(
                         agent=self._agent,
-                        term=state.orders_term,
-                        version=state.orders_version,
+                        term=state.run_orders.term,
+                        version=state.run_orders.version,
                         wait_ms=_ANSWER_WAIT_MS,
-                        interference_version=state.interference_version,
+                        interference_version=state.run_orders.interference_version,
                     ),
                     timeout_s=_ANSWER_WAIT_MS / 1000 + _TIMEOUT_MARGIN_S,
                 )
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -62,7 +62,9 @@
                 )
 
     def _interval_s(self) -> float:
-        return _SHARED_INTERVAL_S if self._state.is_shared else _INTERVAL_S
+        return (
+            _SHARED_INTERVAL_S if self._state.runs.are_shared else _INTERVAL_S
+        )
 
     def _must_report_now(self) -> bool:
         state = self._state
@@ -98,7 +100,9 @@
                 sequence=self._sequence,
                 worker=worker if self._must_report_worker() else None,
                 ends=ends,
-                running=state.samples_with_quotas() if has_samples else None,
+                running=state.runs.samples_with_quotas()
+                if has_samples
+                else None,
                 worker_id=state.worker_id,
                 worker_silent=(
                     clock.now_s() - state.last_answer_s > _UNRESPONSIVE_S
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -0,0 +1,78 @@
+"""The leader's orders to an agent, and what depends on them alone."""
+
+from collections.abc import Container
+from collections.abc import Iterable
+import functools
+
+from marigoldsill.coordination.job_agent import evacuations
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
+
+
+class RunOrders:
+    """The orders for the runs of a machine's worker.
+
+    Not thread-safe: the owner's lock must be held for every call.
+
+    Attributes:
+        by_run: Orders by (task, run).
+        term: Term of the leader that gave them.
+        version: Their version in that term.
+        evacuations: Data centres where no run may start.
+        interference_version: Version of the interference that the leader sent last.
+    """
+
+    def __init__(self):
+        self.by_run: dict[task_names.RunKey, ttypes.RunOrder] = {}
+        self.term = 0
+        self.version = 0
+        self.evacuations = evacuations.Evacuations()
+        self.interference_version = 0
+
+    @property
+    def latency_critical_images(self) -> set[str]:
+        """The images of latency-critical tasks."""
+        return {o.image for o in self.by_run.values() if o.tail_target_ms}
+
+    def update(
+        self, reply: ttypes.OrdersReply, worker: ttypes.PoolWorker | None
+    ) -> None:
+        """Updates the orders from a leader's reply; the worker is the current one."""
+        if reply.whole:
+            self.by_run = {}
+        for removed in reply.removed:
+            self.by_run.pop((removed.task, removed.run), None)
+        for order in reply.orders:
+            self.by_run[order.task, order.run] = order
+        self.term = reply.term
+        self.version = reply.version
+        self.evacuations.update(reply.evacuated_data_centres, worker)
+        if reply.interference is not None:
+            self.interference_version = reply.interference_version
+
+    def has_shared(self, running: Container[task_names.RunKey]) -> bool:
+        """Whether best-effort and latency-critical tasks are among runs."""
+        running_orders = [o for k, o in self.by_run.items() if k in running]
+        return any(o.best_effort for o in running_orders) and any(
+            o.tail_target_ms for o in running_orders
+        )
+
+    def fits(
+        self,
+        order: ttypes.RunOrder,
+        keys: Iterable[task_names.RunKey],
+        capacity: ttypes.Resources,
+    ) -> bool:
+        """Whether one more run fits into a worker's capacity.
+
+        Args:
+            order: The run to start.
+            keys: Runs that may be on the worker, including those that are being
+                stopped.
+            capacity: The capacity that the worker announced last.
+        """
+        other_keys = set(keys) - {(order.task, order.run)}
+        others = [self.by_run[key] for key in other_keys if key in self.by_run]
+        reserved = (each.resources or amounts.ZERO for each in (order, *others))
+        return amounts.fits(functools.reduce(amounts.add, reserved), capacity)
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -0,0 +1,136 @@
+"""Ends of runs that control has not recorded yet.
+
+Ends are reported at once, unless a call meant for an earlier incarnation may still
+begin the run (see `late_starts`).
+"""
+
+from collections.abc import Iterable
+
+from marigoldsill.coordination.job_agent import late_starts
+from marigoldsill.coordination.job_agent import lost_worker
+from marigoldsill.coordination.job_agent import run_starts
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+
+
+class UnreportedEnds:
+    """Ends to report now or later.
+
+    Not thread-safe: the owner's lock must be held for every call.
+
+    Attributes:
+        by_run: Ends to report now, by (task, run).
+        late_starts: Runs that a call meant for an earlier incarnation may begin, and
+            their ends.
+    """
+
+    def __init__(self):
+        self.by_run: dict[task_names.RunKey, ttypes.RunEnd] = {}
+        self.late_starts = late_starts.LateStarts()
+
+    def record_listed(self, ended: Iterable[run_worker.EndedRun]) -> None:
+        """Records ends that the worker lists and control has not recorded."""
+        for row in ended:
+            key = (row.end.task, row.end.run)
+            self.by_run[key] = self.late_starts.settle_listed(
+                row.end, self.by_run.get(key)
+            )
+
+    def remove(self, ends: Iterable[ttypes.RunEnd]) -> None:
+        """Removes ends that control has recorded."""
+        for end in ends:
+            self.by_run.pop((end.task, end.run), None)
+
+    def record_lost_worker(
+        self,
+        worker: ttypes.PoolWorker,
+        starts: run_starts.RunStarts,
+        *,
+        unresponsive_s: float,
+    ) -> None:
+        """Records the loss of the current incarnation and of its runs.
+
+        Args:
+            worker: The incarnation that has ended.
+            starts: The runs started on it.
+            unresponsive_s: Time since its last answer.
+        """
+        ends = lost_worker.end_runs(
+            worker, starts, unresponsive_s=unresponsive_s
+        )
+        for end in ends:
+            self.record_lost(
+                end,
+                worker.worker_id,
+                current_id=worker.worker_id,
+                was_listed=starts.was_listed((end.task, end.run)),
+            )
+
+    def record_lost(
+        self,
+        end: ttypes.RunEnd,
+        worker_id: str,
+        *,
+        current_id: str,
+        was_listed: bool,
+    ) -> None:
+        """Reports the loss of a run, or holds it back while the run may still begin.
+
+        Args:
+            end: The end to report.
+            worker_id: The incarnation that the run was meant for.
+            current_id: The current incarnation, or empty.
+            was_listed: Whether the incarnation that it was meant for listed it.
+        """
+        key = (end.task, end.run)
+        if self.late_starts.may_begin(
+            key, worker_id, current_id=current_id, was_listed=was_listed
+        ):
+            if key not in self.by_run:
+                self.late_starts.add(
+                    key, worker_id, now_s=clock.now_s(), end=end
+                )
+        else:
+            self.by_run.setdefault(key, end)
+
+    def record_stale(self, order: ttypes.RunOrder, *, current_id: str) -> None:
+        """Records the loss of a run whose incarnation has ended, if it has no end yet.
+
+        Args:
+            order: The order for an incarnation that has ended.
+            current_id: The current incarnation, or empty.
+        """
+        key = (order.task, order.run)
+        if key in self.by_run or self.late_starts.is_pending(key):
+            return
+        end = ttypes.RunEnd(
+            task=order.task,
+            run=order.run,
+            kind=ttypes.RunEndKind.LOST,
+            detail=(
+                f"worker {order.worker_id} is gone; the run is not known to have "
+                "begun on it"
+            ),
+        )
+        self.record_lost(
+            end, order.worker_id, current_id=current_id, was_listed=False
+        )
+
+    def settle_late_start(self, key: task_names.RunKey) -> None:
+        """Reports the end of a run that the current incarnation refuses for good."""
+        end = self.late_starts.settle(key)
+        if end is not None:
+            self.by_run.setdefault(key, end)
+
+    def release(self, current_id: str) -> bool:
+        """Reports ends that no later incarnation has to confirm.
+
+        Returns:
+            Whether there were any.
+        """
+        ends = self.late_starts.take_ends(current_id, now_s=clock.now_s())
+        for end in ends:
+            self.by_run.setdefault((end.task, end.run), end)
+        return bool(ends)
