Reject repeated attempts that began before their caller was rejected

Cause: an entry repeats an attempt of unknown outcome for up to 4 s. A caller that was rejected through another entry, with a time to return of 1 s, could have its first attempt accepted after that time, though it was told that the job never runs. Change: a call carries for how long its entry has repeated it; the leader rejects what began before the last rejection of the same job.

--- a/marigoldsill/coordination/job_admission/admission.py
+++ b/marigoldsill/coordination/job_admission/admission.py
@@ -105,7 +105,13 @@
             self._summary = summary
 
     def judge(
-        self, job: ttypes.Job, queue: ttypes.Queue, *, term: int, now_s: float
+        self,
+        job: ttypes.Job,
+        queue: ttypes.Queue,
+        *,
+        term: int,
+        now_s: float,
+        call_age_s: float = 0.0,
     ) -> Rejection | None:
         """Decides on a job that the tables lack.
 
@@ -117,6 +123,9 @@
             queue: Its queue.
             term: The term in which it would be proposed.
             now_s: The current time.
+            call_age_s: How long the caller's entry has been repeating this call. An
+                entry that does not know the outcome goes on after the caller was
+                rejected through another one.
 
         Returns:
             The rejection, or None if the job is accepted. It then has to be proposed
@@ -127,7 +136,9 @@
             rejection = None
             if self._may_reject(job):
                 self._rejections.expire(now_s=now_s)
-                rejection = self._judge(job, queue, term, now_s)
+                rejection = self._judge_rejected(
+                    job.job_id, now_s=now_s, begun_s=now_s - call_age_s
+                ) or self._judge_load(job, queue, term, now_s)
             if rejection is None:
                 self._rejections.remove(job.job_id)
                 if waiting_jobs.may_reject(job):
@@ -156,12 +167,20 @@
             and not self._waiting.is_submitted(job.job_id)
         )
 
-    def _judge(
+    def _judge_rejected(
+        self, job_id: str, *, now_s: float, begun_s: float
+    ) -> Rejection | None:
+        """Rejects an attempt that came early, or began before the last rejection."""
+        earlier = self._rejections.find(job_id)
+        if earlier is None:
+            return None
+        if now_s >= earlier.return_s and begun_s >= earlier.rejected_s:
+            return None
+        return self._repeat_rejection(job_id, now_s)
+
+    def _judge_load(
         self, job: ttypes.Job, queue: ttypes.Queue, term: int, now_s: float
     ) -> Rejection | None:
-        earlier = self._rejections.find(job.job_id)
-        if earlier is not None and now_s < earlier.return_s:
-            return self._repeat_rejection(job.job_id, now_s)
         summary = self._current_summary(term, now_s)
         cause = self._find_reached_bound(job, queue, summary, now_s)
         if cause is None and summary is not None:
--- a/marigoldsill/coordination/job_admission/rejections.py
+++ b/marigoldsill/coordination/job_admission/rejections.py
@@ -25,6 +25,7 @@
 
     Attributes:
         first_s: When it was first rejected.
+        rejected_s: When it was last rejected.
         return_s: When it may be submitted again.
         last_return_s: The latest time to which attempts before `return_s` move it.
         is_bound_reached: Whether a bound on waiting jobs was the reason.
@@ -32,6 +33,7 @@
     """
 
     first_s: float
+    rejected_s: float
     return_s: float
     last_return_s: float
     is_bound_reached: bool
@@ -74,6 +76,7 @@
         before = self._pop(job_id)
         self._entries[job_id] = RememberedRejection(
             first_s=now_s if before is None else before.first_s,
+            rejected_s=now_s,
             return_s=return_s,
             last_return_s=return_s + MIN_RETRY_S,
             is_bound_reached=is_bound_reached,
@@ -93,7 +96,9 @@
         return_s = min(
             max(entry.return_s, now_s + MIN_RETRY_S), entry.last_return_s
         )
-        deferred = dataclasses.replace(entry, return_s=return_s)
+        deferred = dataclasses.replace(
+            entry, rejected_s=now_s, return_s=return_s
+        )
         self._entries[job_id] = deferred
         return deferred
 
--- a/marigoldsill/coordination/job_admission/submission_handler.py
+++ b/marigoldsill/coordination/job_admission/submission_handler.py
@@ -54,6 +54,7 @@
         job: ttypes.Job,
         *,
         find_queue: Callable[[], ttypes.Queue | ttypes.JobReply],
+        call_age_s: float = 0.0,
     ) -> ttypes.JobReply:
         """Accepts or rejects a job.
 
@@ -61,6 +62,7 @@
             job: The job, without its queue.
             find_queue: Returns its queue, or the reply if there is none; called with
                 the replica's lock held.
+            call_age_s: How long the caller's entry has been repeating this call.
         """
         term = self._replica.term
         self._require_leader(require_settled=True)
@@ -73,7 +75,11 @@
             job.queue = queue.name
             with decision_log.measure():
                 rejection = self._admission.judge(
-                    job, queue, term=term, now_s=clock.now_s()
+                    job,
+                    queue,
+                    term=term,
+                    now_s=clock.now_s(),
+                    call_age_s=call_age_s,
                 )
         if rejection is None:
             return self._propose_job(job, term)
--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -176,6 +176,7 @@
         last_failure = "the call's time was over"
         start_s = time.monotonic()
         while left_s := deadline.remaining_s():
+            _set_call_age(requests, time.monotonic() - start_s)
             try:
                 return self._attempt(
                     method, requests, min(left_s, _ATTEMPT_TIMEOUT_S)
@@ -275,6 +276,13 @@
             link.close()
 
 
+def _set_call_age(requests: tuple[object, ...], age_s: float) -> None:
+    """Tells the leader since when a call about a job has been repeated."""
+    match requests:
+        case (ttypes.JobAddress() as address, *_):
+            address.call_age_ms = int(1000 * age_s)
+
+
 def _retry_after_ms(requests: tuple[object, ...]) -> int:
     """Returns when the caller of a call that found no leader should return."""
     run_time_ms = 0.0
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -130,7 +130,9 @@
         A rejected job was not proposed, and none of its attempts may be in the log.
         """
         return self._submission_handler.handle(
-            job, find_queue=lambda: self._find_queue(address)
+            job,
+            find_queue=lambda: self._find_queue(address),
+            call_age_s=address.call_age_ms / 1000,
         )
 
     def job_state(self, address: ttypes.JobAddress) -> ttypes.JobReply:
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -754,7 +754,11 @@
 enum JobOutcome { ACCEPTED = 1, NO_QUEUE = 2, NO_JOB = 3, NO_ROUTING = 4, REJECTED = 5 }
 
 /** A job named as its caller names it: by a host and a path. */
-struct JobAddress { 1: string host, 2: string path }
+struct JobAddress {
+  1: string host,
+  2: string path,
+  3: i64 call_age_ms = 0            // since the entry began to repeat this call
+}
 
 struct JobReply {
   1: JobOutcome outcome,
--- a/tests/coordination/job_admission/test_admission.py
+++ b/tests/coordination/job_admission/test_admission.py
@@ -299,6 +299,33 @@
     assert told_s <= accepted_s <= told_s + 1.1
 
 
+def test_an_attempt_that_began_before_the_rejection_is_never_accepted() -> None:
+    """Guards against a job that runs although its caller was told that it never does.
+
+    The caller's first entry was cut off from the leader, and its second one was told
+    that the job is rejected. The first entry repeats its attempt for some seconds, so
+    that it reached the leader after the short time to return, and was accepted.
+    """
+    admission = _Admission(waiting_jobs_limit=1)
+    assert admission.submit("other")
+    rejection = admission.judge("new")
+    begun_s = admission.now_s - 0.1
+    admission.start_jobs("other")
+    admission.now_s += rejection.retry_after_ms / 1000 + 0.5
+
+    late = admission.decider.judge(
+        builders.job("new"),
+        _QUEUE,
+        term=_TERM,
+        now_s=admission.now_s,
+        call_age_s=admission.now_s - begun_s,
+    )
+    assert late.reason == _Reason.TOO_EARLY
+
+    admission.now_s += late.retry_after_ms / 1000
+    assert admission.submit("new")
+
+
 def test_a_job_that_is_being_proposed_is_not_rejected() -> None:
     """Guards against a rejection of a job that another attempt gets accepted."""
     admission = _Admission(waiting_jobs_limit=1)
--- a/tests/coordination/jobs/test_client.py
+++ b/tests/coordination/jobs/test_client.py
@@ -143,3 +143,32 @@
             client.get_state(address, context=context)
         with pytest.raises(errors.NoQuorumError):
             client.count_pending(address, context=context)
+
+
+def test_a_repeated_call_tells_the_leader_since_when_it_is_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ages_ms: list[int] = []
+    client = client_module.JobClient(
+        addresses=control_addresses.ControlAddresses(["127.0.0.1:1"])
+    )
+
+    def call_once(
+        _method: str, requests: tuple, _timeout_s: float
+    ) -> ttypes.JobReply:
+        ages_ms.append(requests[0].call_age_ms)
+        if len(ages_ms) < 3:
+            time.sleep(0.1)
+            raise errors.UnknownOutcomeError("the leader was lost")
+        return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
+
+    monkeypatch.setattr(client, "_call_once", call_once)
+    client.submit(
+        ttypes.JobAddress(host="jobs.example", path="/fast/1"),
+        ttypes.Job(job_id="1"),
+        context=client_module.CallContext(
+            deadlines.Deadline(time.monotonic() + 2.9)
+        ),
+    )
+    client.close()
+    assert ages_ms[0] < 100 <= ages_ms[1] < ages_ms[2]
