Report a loss at once where an unanswered start was long ago

A run whose first start request was left unanswered was held back for 15 s after a planned end of its worker without a successor, however long it had worked: the wait counted from the end of the worker rather than from the call. For a listed run it now counts from the last call without an answer.

--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -33,7 +33,7 @@
 
     Attributes:
         name: The name of its worker.
-        since_s: Since when it is waited for.
+        since_s: When a call that may begin it was made at the latest.
         end: The end to report then, or None.
     """
 
@@ -112,6 +112,21 @@
             return False
         return not was_listed or key in self._unanswered
 
+    def last_call_s(
+        self, key: task_names.RunKey, *, was_listed: bool, now_s: float
+    ) -> float:
+        """Returns when a call that may still begin a run was made at the latest.
+
+        Args:
+            key: The run.
+            was_listed: Whether the incarnation that it was meant for listed it, so that
+                only calls without an answer may begin it again.
+            now_s: The time.
+        """
+        if was_listed and key in self._unanswered:
+            return self._unanswered[key][1]
+        return now_s
+
     def add(
         self,
         key: task_names.RunKey,
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -89,9 +89,10 @@
             key, worker_id, current_id=current_id, was_listed=was_listed
         ):
             if key not in self.by_run:
-                self.late_starts.add(
-                    key, worker_id, now_s=clock.now_s(), end=end
+                called_s = self.late_starts.last_call_s(
+                    key, was_listed=was_listed, now_s=clock.now_s()
                 )
+                self.late_starts.add(key, worker_id, now_s=called_s, end=end)
         else:
             self.by_run.setdefault(key, end)
 
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -616,6 +616,22 @@
     assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.CRASHED}
 
 
+def test_loss_is_reported_at_once_if_an_unanswered_start_was_long_ago(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against tasks that stay away for long after a planned end of a worker.
+
+    The first start request was left unanswered, and the run has worked for long since.
+    """
+    _start_unanswered(agent)
+    agent.run_until_settled()
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 16.0)
+    agent.state.end_incarnation(_OLD)
+    agent.execute_orders()
+    assert list(agent.end_kinds()) == [_KEY]
+
+
 def test_loss_is_reported_when_a_worker_of_another_name_follows(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
