Keep the policies of a term and their usage in one object

Change: PolicyChain applies the policies; the scheduler calls it. No behaviour changes. Result: lint and the tests of the scheduler, shares and submissions pass.

--- a/marigoldsill/coordination/job_queueing/__init__.py
+++ b/marigoldsill/coordination/job_queueing/__init__.py
@@ -10,6 +10,7 @@
     "concurrency_limits",
     "job_concurrency",
     "offer_policies",
+    "policy_chain",
     "share_order",
     "share_reclaimer",
     "shares",
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -21,9 +21,8 @@
 from marigoldsill.coordination.job_placing import run_time_sampler
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_placing import worker_health
-from marigoldsill.coordination.job_queueing import offer_policies
+from marigoldsill.coordination.job_queueing import policy_chain
 from marigoldsill.coordination.job_queueing import share_reclaimer
-from marigoldsill.coordination.job_queueing import usage as usage_module
 from marigoldsill.coordination.jobs import evictor
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import leader_load
@@ -97,8 +96,7 @@
         self._placement: placement_module.Placement | None = None
         self._worker_refresher: worker_refresher.WorkerRefresher | None = None
         self._applied_grants: list[ttypes.RunGrant] = []
-        self._offer_policies: list[offer_policies.OfferPolicy] = []
-        self._usage = usage_module.Usage()
+        self._policies = policy_chain.PolicyChain()
         self._share_reclaimer: share_reclaimer.ShareReclaimer | None = None
         self._lease_monitor: lease_monitor.LeaseMonitor | None = None
         self._load = leader_load.LeaderLoad()
@@ -213,7 +211,13 @@
             self._urgency, now_unix_ms=commands.now_unix_ms()
         )
         job_metrics.WAITING.set(len(waiting))
-        offered = self._offer(waiting, now_s)
+        offered = self._policies.offer(
+            waiting,
+            capacity_of=self._placement.index.pool_capacity,
+            urgency=self._urgency,
+            now_s=now_s,
+            now_unix_ms=commands.now_unix_ms(),
+        )
         grants = self._placement.place(offered, now_s=now_s)
         slow_evictions = self._evictor.find_slow(self._placement, now_s=now_s)
         with self._replica.lock:
@@ -257,7 +261,7 @@
             pools=self._replica.tables.jobs.pools,
             now_s=now_s,
             now_unix_ms=commands.now_unix_ms(),
-            is_order_final=not self._offer_policies,
+            is_order_final=not self._policies.policies,
         )
         self.admission.publish(summary)
         decision_log.record_waiting(
@@ -265,23 +269,6 @@
             size_bytes=self.admission.waiting_bytes,
         )
 
-    def _offer(
-        self, waiting: list[backlog_module.WaitingStep], now_s: float
-    ) -> list[backlog_module.WaitingStep]:
-        """Returns the steps to place now, after all policies."""
-        if not self._offer_policies:
-            return waiting
-        context = offer_policies.RoundContext(
-            usage=self._usage,
-            capacity_of=self._placement.index.pool_capacity,
-            urgency=self._urgency,
-            now_s=now_s,
-            now_unix_ms=commands.now_unix_ms(),
-        )
-        for policy in self._offer_policies:
-            waiting = policy.offer(waiting, context)
-        return waiting
-
     def _propose_grants(self, grants: list[ttypes.RunGrant]) -> None:
         if not grants:
             return
@@ -351,8 +338,7 @@
         self._timetable.observe_jobs(jobs, touched)
         self._backlog.refresh(jobs, touched, now_s=now_s)
         self.admission.observe_jobs(jobs, touched)
-        if self._offer_policies:
-            self._usage.refresh(jobs, touched)
+        self._policies.refresh(jobs, touched)
         views = self._service.agents.take_changed()
         self._learn_from_reports(jobs, views)
         self._health.begin_due_probations()
@@ -375,10 +361,11 @@
         self._load_publisher = load_publisher.LoadPublisher(
             term=self._term, now_s=clock.now_s()
         )
-        self._usage = usage_module.Usage()
-        self._offer_policies = self._settings.create_offer_policies()
+        self._policies = policy_chain.PolicyChain(
+            self._settings.create_offer_policies()
+        )
         self._share_reclaimer = share_reclaimer.ShareReclaimer(
-            self._settings.shares, self._offer_policies
+            self._settings.shares, self._policies.policies
         )
         self._retention = retention.Retention(retention_s=self._job_retention_s)
         self._timetable = timetable.Timetable()
