Keep an end of the old incarnation that is not reported yet

A run that is done on a worker's old incarnation, and begun again on the new one by a repeated start request, is stopped there. The listed stop replaced the unreported end, so that the task was repeated. The test failed before; tests/coordination/jobs pass.

--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -21,10 +21,15 @@
 # How long, and for how many runs, to remember start requests without an answer.
 _UNANSWERED_AGE_LIMIT_S = 60.0
 _UNANSWERED_LIMIT = 1_000
-_LOST_KINDS = (ttypes.RunEndKind.LOST, ttypes.RunEndKind.CRASHED)
 # Ends that are reported as the worker lists them; after any other end of a late run, the
 # loss of the incarnation it was meant for is reported.
 _CONCLUSIVE_KINDS = (ttypes.RunEndKind.DONE, ttypes.RunEndKind.FAILED)
+# Ends of the incarnation it was meant for that the stop of a late run does not replace.
+_KEPT_KINDS = (
+    *_CONCLUSIVE_KINDS,
+    ttypes.RunEndKind.LOST,
+    ttypes.RunEndKind.CRASHED,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,7 +190,7 @@
         held = self.settle((end.task, end.run))
         if end.kind in _CONCLUSIVE_KINDS:
             return end
-        if known is not None and known.kind in _LOST_KINDS:
+        if known is not None and known.kind in _KEPT_KINDS:
             return known
         return held or end
 
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -216,6 +216,26 @@
     assert agent.end_kinds() == {_KEY: kind}
 
 
+def test_stop_of_a_late_start_does_not_replace_an_unreported_end(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against repeating a task that the old incarnation has completed.
+
+    Control has not recorded the end yet when the worker restarts, and the new
+    incarnation begins the run again by a repeated start request.
+    """
+    _start_unanswered(agent)
+    agent.run_until_settled()
+    agent.worker.end_run(_KEY, ttypes.RunEndKind.DONE)
+    agent.renew_lease()
+    agent.worker.restart(_NEW)
+    agent.worker.run_delayed_calls()
+    _announce(agent, _NEW)
+    _settle(agent)
+    assert agent.worker.running == {}
+    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.DONE}
+
+
 def test_no_run_is_started_while_a_later_start_is_announced(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
