--- a/marigoldsill/coordination/job_admission/causes.py
+++ b/marigoldsill/coordination/job_admission/causes.py
@@ -125,7 +125,8 @@
         Reason.NO_WORKERS,
         f"no worker of pool {pool} has been available for {outage_s:.0f} s; the job "
         f"is of use for {demand.useful_ms:.0f} ms",
-        earliest_s=outage_s,
+        # A worker may be back at any time, so callers return early, but not together.
+        earliest_s=0.0,
         window_s=max(MIN_WINDOW_S, outage_s / 4),
         predicted_end_ms=expected_ms + demand.critical_path_ms,
         limit=demand.useful_ms,
