Keep the parsers of settings in a module of their own

Change: setting_parsers holds them; nothing else changes. The lint's list of modules that every layer may import names it.

--- a/marigoldsill/cli/client.py
+++ b/marigoldsill/cli/client.py
@@ -8,7 +8,7 @@
 import uuid
 
 from marigoldsill import errors
-from marigoldsill import settings as settings_module
+from marigoldsill import setting_parsers
 from marigoldsill.protocol import json_format
 from marigoldsill.transport import http_client
 
@@ -140,7 +140,7 @@
         SettingsError: An address is invalid or the token can't be read.
     """
     return Client(
-        addresses=settings_module.parse_addresses(control_http),
+        addresses=setting_parsers.parse_addresses(control_http),
         operator_name=operator,
         token=_read_token(token_file) if token_file else "",
     )
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -45,7 +45,9 @@
 )
 _MODULES_PER_FOLDER_LIMIT = 20
 _PACKAGE_DEPTH = 2
-_SHARED = frozenset({"errors", "settings", "setting_sources"})
+_SHARED = frozenset(
+    {"errors", "settings", "setting_parsers", "setting_sources"}
+)
 _FORBIDDEN_MODULES = frozenset(
     {"subprocess", "multiprocessing", "pty", "asyncio"}
 )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill import setting_parsers
 from marigoldsill import setting_sources
 from marigoldsill import settings as settings_module
 
@@ -157,7 +158,7 @@
 )
 def test_an_invalid_list_of_members_is_refused(text: str) -> None:
     with pytest.raises(errors.SettingsError):
-        settings_module.parse_members(text)
+        setting_parsers.parse_members(text)
 
 
 @pytest.mark.parametrize("settings_class", _CLASSES)
