--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -89,7 +89,8 @@
     worker = system.workers["side-1"]
     worker.faults.delayed_calls = {"run-start"}
     worker.faults.call_delay_s = 1.2
-    system.submit(_JOB, step(12), spec="work 1500")
+    # More than the other worker completes before this one is known to the leader.
+    system.submit(_JOB, step(48), spec="work 1500")
     one_process.wait_until(
         lambda: "event=order_failed" in system.processes["side-1"].text(),
         what="an unanswered start",
