Log why a worker or lease counts as over and which ends an agent concludes

The logs could not tell apart the hypotheses about tasks that run twice: worker_gone gave no reason, a run that an agent refuses without a call left no line there, and runs_lost did not say what bounded the lease. New fields and events: worker_gone reason, run_end_inferred, lease_expired. No logic changes.

tests/lint, tests/coordination/jobs and tests/coordination/leadership pass.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -224,12 +224,13 @@
             self.changed.notify_all()
 
     def end_incarnation(
-        self, worker_id: str, *, answering_id: str = ""
+        self, worker_id: str, *, reason: str, answering_id: str = ""
     ) -> None:
         """Records that an incarnation of the worker has ended for good.
 
         Args:
             worker_id: The incarnation that has ended.
+            reason: How that became known, for the log.
             answering_id: The incarnation that answered in its place, if known.
         """
         with self.changed:
@@ -238,7 +239,7 @@
                 self._incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
                 self._clear_worker()
-                logs.event("worker_gone", worker_id=worker_id)
+                logs.event("worker_gone", worker_id=worker_id, reason=reason)
             self._end_stale_orders()
             self.changed.notify_all()
 
@@ -254,7 +255,7 @@
                     self.worker_id, now_s=clock.now_s()
                 )
                 return
-        self.end_incarnation(name)
+        self.end_incarnation(name, reason="it deregistered")
 
     def record_unreached(self, worker_id: str, *, is_connected: bool) -> None:
         """Ends an incarnation that was deregistered and does not answer.
@@ -270,7 +271,9 @@
                 self.worker, is_connected=is_connected, now_s=clock.now_s()
             ):
                 return
-        self.end_incarnation(worker_id)
+        self.end_incarnation(
+            worker_id, reason="it deregistered and does not answer"
+        )
 
     def acknowledged_for(self, worker_id: str) -> int:
         """Returns up to which number an incarnation may discard its ends.
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -236,6 +236,15 @@
             detail = "the worker has restarted and does not list the run's end"
         elif progress.refusal_reason:
             kind = ttypes.RunEndKind.REFUSED
+        logs.event(
+            "run_end_inferred",
+            task=order.task,
+            run=order.run,
+            worker_id=order.worker_id,
+            kind=kind.name.lower(),
+            stop_confirmed=bool(progress.stop_listings_count),
+            reason=detail,
+        )
         self._state.record_end(
             ttypes.RunEnd(
                 task=order.task, run=order.run, kind=kind, detail=detail
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -57,7 +57,9 @@
                     "incarnation_refused", worker_id=worker_id, held=current_id
                 )
             self._state.end_incarnation(
-                worker_id, answering_id=error.answering_id
+                worker_id,
+                reason="another incarnation answered a call to it",
+                answering_id=error.answering_id,
             )
         except errors.MarigoldsillError as error:
             if current_id in ("", worker_id):
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -14,6 +14,7 @@
 import threading
 
 from marigoldsill.transport import clock
+from marigoldsill.transport import logs
 
 DRIFT_RATIO = 1.1
 MARGIN_S = 0.2
@@ -125,10 +126,20 @@
         with self._lock:
             if agent in self._closed:
                 return True
-            end_s = max(self._end_s.get(agent, 0.0), self._min_end_s)
-            end_s = min(end_s, bound_s)
-            if clock.now_s() <= end_s:
+            own_end_s = max(self._end_s.get(agent, 0.0), self._min_end_s)
+            end_s = min(own_end_s, bound_s)
+            now_s = clock.now_s()
+            if now_s <= end_s:
                 return False
+            renewed_s = self._renewed_s.get(agent)
+            logs.event(
+                "lease_expired",
+                level="WARNING",
+                agent=agent,
+                unrenewed_ms=int(1000 * (now_s - (renewed_s or self._reset_s))),
+                renewed_in_term=renewed_s is not None,
+                limited_by="log" if bound_s < own_end_s else "leader",
+            )
             self._closed.add(agent)
             self._end_s.pop(agent, None)
             return True
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -279,7 +279,7 @@
     draining = stepped_agent.announcement("a1-incarnation1", sequence=2)
     draining.worker.draining = True
     agent.state.record_announcement(draining)
-    agent.state.end_incarnation("a1-incarnation1")
+    agent.state.end_incarnation("a1-incarnation1", reason="test")
     assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.LOST}
 
 
--- a/tests/coordination/jobs/test_incarnations.py
+++ b/tests/coordination/jobs/test_incarnations.py
@@ -196,7 +196,7 @@
         agent.state.record_announcement(
             stepped_agent.announcement(f"i-other-{number}")
         )
-        agent.state.end_incarnation(f"i-ended-{number}")
+        agent.state.end_incarnation(f"i-ended-{number}", reason="test")
     assert agent.state.remembered_incarnations_count <= 2_000
     agent.call_incarnations(rounds_count=60)
     assert agent.state.worker_id == "a1-incarnation1"
@@ -210,7 +210,7 @@
 ) -> None:
     agent.receive_order(stepped_agent.RUN)
     agent.run_until_settled()
-    agent.state.end_incarnation("i-other")
+    agent.state.end_incarnation("i-other", reason="test")
     agent.run_until_settled()
     assert agent.end_kinds() == {}
     assert agent.call_incarnations(rounds_count=2) == ["a1-incarnation1"] * 2
@@ -219,9 +219,9 @@
 def test_runs_ordered_for_an_ended_incarnation_are_lost(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
-    agent.state.end_incarnation("a1-incarnation1")
+    agent.state.end_incarnation("a1-incarnation1", reason="test")
     agent.receive_order(stepped_agent.RUN, incarnation="a1-incarnation0")
-    agent.state.end_incarnation("a1-incarnation0")
+    agent.state.end_incarnation("a1-incarnation0", reason="test")
     assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.LOST}
 
 
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -126,7 +126,7 @@
     agent: stepped_agent.SteppedAgent,
 ) -> None:
     _restart(agent)
-    agent.state.end_incarnation(_NEW)
+    agent.state.end_incarnation(_NEW, reason="test")
     _announce(agent, "w1@150", 99)
     assert agent.call_incarnations(rounds_count=1) == []
 
@@ -627,7 +627,7 @@
     agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     _start_unanswered(agent)
-    agent.state.end_incarnation(_OLD)
+    agent.state.end_incarnation(_OLD, reason="test")
     agent.execute_orders()
     assert agent.end_kinds() == {}
     now_s = clock.now_s()
@@ -647,7 +647,7 @@
     agent.run_until_settled()
     now_s = clock.now_s()
     monkeypatch.setattr(clock, "now_s", lambda: now_s + 16.0)
-    agent.state.end_incarnation(_OLD)
+    agent.state.end_incarnation(_OLD, reason="test")
     agent.execute_orders()
     assert list(agent.end_kinds()) == [_KEY]
 
