Reckon with an unanswered acknowledgement of ends until it cannot be late

Callers saw a task that was done run again after its worker had restarted under its id.

Cause: the old incarnation left a call with its number of ends unanswered, and the new one may carry that out up to 12 s later and discard ends of its own (they count from 1 again). The agent kept starts away from the new incarnation for 5 s only. A run that began and ended between 5 and 12 s was recorded as lost (`executor._is_forgotten`).

Fix: the wait is the bound on late calls (LATE_CALL_LIMIT_S). So that it is rarely due, a number is sent only until it is answered, and none while the worker leaves calls unanswered; before, each call repeated it, and each call without an answer began the wait anew. Workers that cannot restart under their id are called as before.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -284,7 +284,9 @@
             is_current = worker_id == self.worker_id
             if not is_current or self._incarnations.has_successor(worker_id):
                 return 0
-            return self.acknowledged_end_number
+            return self.late_calls.acknowledgement_for(
+                worker_id, self.acknowledged_end_number
+            )
 
     def update_orders(self, reply: ttypes.OrdersReply) -> bool:
         """Updates the orders from a leader's reply.
--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -9,11 +9,10 @@
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol.generated import ttypes
 
+# How long after a call it may still be carried out if it got no answer.
+LATE_CALL_LIMIT_S = 12.0
 # How long after a restart a lease renewal may still be carried out.
 _RENEWAL_S = 15.0
-# How long an acknowledgement of ends may still be carried out. The worker is not used
-# for this time.
-_ACKNOWLEDGEMENT_S = 5.0
 # How long a worker may take to end after it has deregistered.
 _DEREGISTRATION_S = 10.0
 
@@ -32,6 +31,9 @@
         self._restarted_s = -math.inf
         # The incarnation that was called or deregistered last, and when.
         self._unanswered_acknowledgement = ("", -math.inf)
+        # The incarnation that answered an acknowledgement last, and its number.
+        self._answered_acknowledgement = ("", 0)
+        self._is_acknowledgement_withheld = False
         self._deregistration = ("", -math.inf)
 
     def record_confirmed(
@@ -41,11 +43,34 @@
         self.has_restarted = incarnation_ids.share_name(worker_id, last_id)
         self._restarted_s = now_s if self.has_restarted else -math.inf
 
+    def acknowledgement_for(self, worker_id: str, number: int) -> int:
+        """Returns up to which number a call lets an incarnation discard its ends.
+
+        If a later incarnation may carry out the call, each number is sent until it is
+        answered, and none while the worker does not answer: the later incarnation is
+        not used for a time after each one without an answer.
+
+        Args:
+            worker_id: The current incarnation.
+            number: Ends up to this number are recorded by control.
+        """
+        if incarnation_ids.started_unix_ms_of(worker_id) is None:
+            return number
+        is_answered = self._answered_acknowledgement == (worker_id, number)
+        return 0 if is_answered or self._is_acknowledgement_withheld else number
+
+    def record_answer(self, worker_id: str, *, acknowledged: int) -> None:
+        """Records that an incarnation has answered a call and its acknowledgement."""
+        self._is_acknowledgement_withheld = False
+        if acknowledged:
+            self._answered_acknowledgement = (worker_id, acknowledged)
+
     def record_unanswered_acknowledgement(
         self, worker_id: str, *, now_s: float
     ) -> None:
         """Records an acknowledgement that the worker may still carry out."""
         self._unanswered_acknowledgement = (worker_id, now_s)
+        self._is_acknowledgement_withheld = True
 
     def record_deregistration(self, worker_id: str, *, now_s: float) -> None:
         """Records a message that the worker of an incarnation ends."""
@@ -56,10 +81,13 @@
         return now_s - self._restarted_s < _RENEWAL_S
 
     def may_discard_ends(self, worker_id: str, *, now_s: float) -> bool:
-        """Whether an incarnation may carry out an earlier one's acknowledgement."""
+        """Whether an incarnation may carry out an earlier one's acknowledgement.
+
+        The end of a run that is done would be lost, so none is started until then.
+        """
         called_id, called_s = self._unanswered_acknowledgement
         return (
-            now_s - called_s < _ACKNOWLEDGEMENT_S
+            now_s - called_s < LATE_CALL_LIMIT_S
             and called_id != worker_id
             and incarnation_ids.share_name(called_id, worker_id)
         )
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -146,6 +146,8 @@
             raise
         self._dependency.record_success()
         state.confirm_incarnation(worker_id)
+        with state.changed:
+            state.late_calls.record_answer(worker_id, acknowledged=acknowledged)
         received_s = clock.now_s()
         state.worker_clock.record_reading(
             listing.clock_ms, received_s=received_s
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -23,6 +23,7 @@
         quotas: The quota that each run was given, in percent.
         deadlines_ms: The deadlines in calls of `renew_lease`, on the worker's clock.
         acknowledged: The highest number of an end that was acknowledged.
+        acknowledgements: The number in each call of `renew_lease`, answered or not.
         called_incarnations: The incarnation that each call of `renew_lease` addressed.
         unreachable_incarnations: Incarnations for which `renew_lease` gets no answer.
         unreadable: Runs whose row of the listing cannot be read.
@@ -41,6 +42,7 @@
         self.quotas: dict[task_names.RunKey, int] = {}
         self.deadlines_ms: list[int | None] = []
         self.acknowledged = 0
+        self.acknowledgements: list[int] = []
         self.called_incarnations: list[str] = []
         self.unreachable_incarnations: set[str] = set()
         self.unreadable: set[task_names.RunKey] = set()
@@ -80,6 +82,7 @@
     ) -> run_worker.RunListing:
         """Lists running and ended runs without waiting."""
         self.called_incarnations.append(worker_id)
+        self.acknowledgements.append(acknowledged)
         if worker_id in self.unreachable_incarnations:
             raise errors.TransportError("no answer", sent=True, timed_out=True)
         self._check_incarnation(worker_id)
