Keep runs on record whose lease a late renewal may extend

Cause: a worker is cut off and restarts under its id behind the cut. Renewals that got no answer are carried out by the new incarnation up to 12 s later; their deadlines are on the clock of the one before, so each extends its lease to the longest one. Its own runs are then alive after the leader's lease of the agent. The agent stops them in that case, but it can't if it is cut off again or lost; the leader records them as lost.

Fix: the agent remembers the last renewal of the earlier incarnation without an answer, and reports the current incarnation's runs with it until its latest effect. A restart without such a renewal costs nothing (test: lost with the lease as before).

Passed: tests/coordination/jobs, tests/coordination/leadership, tests/lint, tests/platform/test_restarted_workers.py, test_worker_faults.py. In tests/platform/test_failure_recovery.py, test_tasks_of_an_unresponsive_worker_run_on_another failed once ("its runs did not hold in 30.0 s", before its fault begins, at a load of 39) and passed in 3 of 3 runs after that, not traced; the others of the file passed.

--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -4,9 +4,11 @@
 the worker may be about an earlier incarnation.
 """
 
+from collections.abc import Iterable
 import math
 
 from marigoldsill.protocol import incarnation_ids
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
@@ -54,6 +56,9 @@
         self.has_restarted = False
         self.restarted_s = -math.inf
         self._answered_s = -math.inf
+        # The last renewal without an answer, of the current incarnation and of earlier
+        # ones of its name.
+        self._unanswered_renewal_s = self._late_renewal_s = -math.inf
         # The incarnation that was called or deregistered last, and when.
         self._unanswered_acknowledgement = ("", -math.inf)
         # The incarnation that answered an acknowledgement last, and its number.
@@ -79,6 +84,12 @@
         """
         self.has_restarted = incarnation_ids.share_name(worker_id, last_id)
         self.restarted_s = now_s if self.has_restarted else -math.inf
+        self._late_renewal_s = (
+            max(self._late_renewal_s, self._unanswered_renewal_s)
+            if self.has_restarted
+            else -math.inf
+        )
+        self._unanswered_renewal_s = -math.inf
         self._answered_s = now_s
         if self.has_restarted:
             logs.event(
@@ -127,6 +138,29 @@
         self._unanswered_acknowledgement = (worker_id, now_s)
         self._is_acknowledgement_withheld = True
 
+    def record_unanswered_renewal(self, *, now_s: float) -> None:
+        """Records a renewal of the lease that the worker may still carry out."""
+        self._unanswered_renewal_s = now_s
+
+    def extended_runs(
+        self, keys: Iterable[task_names.RunKey], *, now_s: float
+    ) -> list[ttypes.LateStart]:
+        """Returns those of the current incarnation's runs that may outlive its lease.
+
+        Args:
+            keys: The runs of the current incarnation.
+            now_s: The time.
+        """
+        left_s = self._late_renewal_s + self._effect_limit_s - now_s
+        if left_s <= 0:
+            return []
+        return [
+            ttypes.LateStart(
+                task=task, run=run, remaining_ms=math.ceil(1000 * left_s)
+            )
+            for task, run in keys
+        ]
+
     def record_deregistration(self, worker_id: str, *, now_s: float) -> None:
         """Records a message that the worker of an incarnation ends."""
         self._deregistration = (worker_id, now_s)
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -147,11 +147,12 @@
                 ),
             )
         except errors.TransportError as error:
-            if acknowledged and error.timed_out:
-                with state.changed:
-                    state.late_calls.record_unanswered_acknowledgement(
-                        worker_id, now_s=clock.now_s()
-                    )
+            if error.timed_out:
+                self._record_unanswered(
+                    worker_id,
+                    is_acknowledgement=acknowledged > 0,
+                    is_renewal=deadline_ms is not None,
+                )
             raise
         self._dependency.record_success()
         state.confirm_incarnation(worker_id)
@@ -173,3 +174,16 @@
             # next call at once.
             with state.changed:
                 state.changed.wait(_PAUSE_S)
+
+    def _record_unanswered(
+        self, worker_id: str, *, is_acknowledgement: bool, is_renewal: bool
+    ) -> None:
+        late_calls = self._state.late_calls
+        now_s = clock.now_s()
+        with self._state.changed:
+            if is_acknowledgement:
+                late_calls.record_unanswered_acknowledgement(
+                    worker_id, now_s=now_s
+                )
+            if is_renewal:
+                late_calls.record_unanswered_renewal(now_s=now_s)
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -112,7 +112,7 @@
                 worker_silent=(
                     sent_s - state.last_answer_s > late_calls.UNRESPONSIVE_S
                 ),
-                late_starts=state.late_starts.remaining(now_s=sent_s),
+                late_starts=self._late_runs(now_s=sent_s),
             )
         with agent_metrics.REPORT_SECONDS.time():
             reply = self._link.call(
@@ -125,6 +125,17 @@
             agent_metrics.WORKER_RUNS.set(len(report.running))
         self._apply_reply(reply, report, worker, sent_s, listed_end_number)
 
+    def _late_runs(self, *, now_s: float) -> list[ttypes.LateStart]:
+        """Returns the runs that late calls may begin, or keep alive beyond a lease."""
+        state = self._state
+        current_keys = [
+            key
+            for key, order in state.orders.items()
+            if order.worker_id == state.worker_id
+        ]
+        extended = state.late_calls.extended_runs(current_keys, now_s=now_s)
+        return extended + state.late_starts.remaining(now_s=now_s)
+
     def _apply_reply(
         self,
         reply: ttypes.AgentReply,
--- a/marigoldsill/coordination/leadership/late_start_bounds.py
+++ b/marigoldsill/coordination/leadership/late_start_bounds.py
@@ -1,11 +1,12 @@
 """Runs that may be alive although the lease of their agent has expired.
 
-A worker that restarts under its id carries out late start requests that were meant for
-its earlier incarnation. It does so without its agent if it is cut off from it. The
-agent tells which runs such requests may still begin, and how long these may then be
-alive. The log does not tell, so a new leader waits for the first report of each agent.
+A worker that restarts under its id carries out late calls that were meant for its earlier
+incarnation, also if it is cut off from its agent. The agent tells which runs such calls
+may still begin or keep alive, and how long. The log does not tell, so a new leader waits
+for the first report of each agent.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -63,10 +64,7 @@
             earlier_ends_s = before.earlier_ends_s | before.ends_s
         self._by_agent[report.agent] = _Bounds(
             incarnation=report.incarnation,
-            ends_s={
-                (late.task, late.run): now_s + late.remaining_ms / 1000
-                for late in report.late_starts
-            },
+            ends_s=_latest_ends_s(report.late_starts, now_s),
             earlier_ends_s={
                 key: end_s
                 for key, end_s in earlier_ends_s.items()
@@ -88,3 +86,15 @@
             bounds.ends_s.get(key, -math.inf),
             bounds.earlier_ends_s.get(key, -math.inf),
         )
+
+
+def _latest_ends_s(
+    late_starts: Iterable[ttypes.LateStart], now_s: float
+) -> dict[task_names.RunKey, float]:
+    """Returns the latest end of each run."""
+    ends_s: dict[task_names.RunKey, float] = {}
+    for late in late_starts:
+        key = (late.task, late.run)
+        end_s = now_s + late.remaining_ms / 1000
+        ends_s[key] = max(end_s, ends_s.get(key, end_s))
+    return ends_s
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -795,7 +795,7 @@
   6: i32 quota_percent = 100
 }
 
-/** A run that a start request without an answer may still begin on a later incarnation. */
+/** A run that a late call for an earlier incarnation may begin, or keep alive too long. */
 struct LateStart {
   1: string task,
   2: i64 run,
--- a/tests/coordination/jobs/late_start_harness.py
+++ b/tests/coordination/jobs/late_start_harness.py
@@ -1,10 +1,11 @@
 """A leader and an agent in simulated time, whose worker carries out calls late.
 
-The worker keeps its name when it restarts. Calls without an answer are carried out as
-late as possible, by whichever incarnation there is then.
+The worker keeps its name when it restarts. Calls without an answer are carried out late,
+by whichever incarnation there is then.
 """
 
 from collections.abc import Callable
+import itertools
 
 import pytest
 
@@ -34,19 +35,22 @@
 
     Attributes:
         is_cut_off: Whether no call is answered.
+        delays_s: How late unanswered calls are carried out, in turn.
     """
 
     def __init__(self, incarnation: str):
         super().__init__(incarnation)
         self.is_cut_off = False
+        self.delays_s = itertools.cycle([late_calls.LATE_CALL_LIMIT_S])
+        # When each call is due, whom it was meant for, and what it does.
         self._late: list[tuple[float, str, Callable[[], None]]] = []
         self._lease_end_s = 0.0
 
     def carry_out_late_calls(self) -> None:
         """Carries out what is due, and ends runs whose lease has expired."""
-        due_s = clock.now_s() - late_calls.LATE_CALL_LIMIT_S
-        due = [row for row in self._late if row[0] <= due_s]
-        self._late = [row for row in self._late if row[0] > due_s]
+        now_s = clock.now_s()
+        due = [row for row in self._late if row[0] <= now_s]
+        self._late = [row for row in self._late if row[0] > now_s]
         for _, incarnation, call in due:
             # On the clock of the incarnation that was called, the deadline is over.
             if incarnation != self.incarnation:
@@ -82,7 +86,8 @@
         return super()._call(name, worker_id, key, action)
 
     def _delay(self, worker_id: str, call: Callable[[], None]) -> None:
-        self._late.append((clock.now_s(), worker_id, call))
+        due_s = clock.now_s() + next(self.delays_s)
+        self._late.append((due_s, worker_id, call))
 
     def _start(self, key: tuple[str, int]) -> None:
         # The deadline was on the clock of an earlier incarnation and thus is far away.
--- a/tests/coordination/jobs/test_late_starts_at_lost_workers.py
+++ b/tests/coordination/jobs/test_late_starts_at_lost_workers.py
@@ -1,4 +1,6 @@
-"""Tests that a task is not granted again while a late start may begin its last run."""
+"""Tests that a task is not granted again while a late call may keep its last run alive."""
+
+import itertools
 
 import pytest
 
@@ -135,3 +137,42 @@
     harness.worker.restart(_NEW)
     assert harness.recorded_for_s() > _LEASE_EXPIRY_S
     harness.advance(30.0)
+
+
+@pytest.mark.parametrize("is_agent_lost", [False, True])
+def test_run_is_not_lost_while_renewals_for_an_earlier_incarnation_extend_its_lease(
+    harness: late_start_harness.Harness, is_agent_lost: bool
+) -> None:
+    """Guards against two runs of one task at a time.
+
+    The deadlines of these renewals are on the clock of the earlier incarnation.
+    """
+    harness.worker.delays_s = itertools.cycle(
+        [late_calls.LATE_CALL_LIMIT_S / 2, late_calls.LATE_CALL_LIMIT_S]
+    )
+    harness.worker.is_cut_off = True
+    harness.advance(1.5)
+    harness.worker.restart(_NEW)
+    harness.worker.is_cut_off = False
+    harness.announce(_NEW)
+    harness.advance(0.5)
+    harness.grant()
+    harness.advance(1.0)
+    assert harness.worker.running
+    harness.worker.is_cut_off = True
+    harness.is_agent_lost = is_agent_lost
+    assert harness.recorded_for_s() <= _LAST_END_S
+    harness.advance(30.0)
+
+
+def test_run_is_lost_with_the_lease_after_a_restart_that_left_no_renewal_unanswered(
+    harness: late_start_harness.Harness,
+) -> None:
+    harness.worker.restart(_NEW)
+    harness.announce(_NEW)
+    harness.advance(0.5)
+    harness.grant()
+    harness.advance(1.0)
+    assert harness.worker.running
+    harness.is_agent_lost = harness.worker.is_cut_off = True
+    assert harness.recorded_for_s() <= _LEASE_EXPIRY_S
