Remember an earlier incarnation's acknowledgement beside the current one's

Same symptom as: a task that is done may run again after its worker restarted.

Cause: only the last unanswered acknowledgement was kept. If the new incarnation left one of its own unanswered (of a run that a late start began), the one of the incarnation before was forgotten while it could still discard ends, and runs were started.

Evidence: test_acknowledgement_of_the_new_incarnation_does_not_hide_an_earlier_one before the change: "assert [('start', ('j1.0.0.0', 1))] == []".

Fix: unanswered acknowledgements (and renewals) of the current incarnation pass to those of earlier ones when another of the same name is confirmed.

Passed: tests/coordination/jobs, tests/lint, tests/platform/test_restarted_workers.py, test_worker_faults.py, test_failure_recovery.py.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -183,9 +183,7 @@
             return "the worker drains"
         if state.run_orders.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
-        if state.late_calls.may_discard_ends(
-            state.worker_id, now_s=clock.now_s()
-        ):
+        if state.late_calls.may_discard_ends(now_s=clock.now_s()):
             return "the worker has restarted and left calls unanswered before"
         if progress.has_unanswered_start:
             # An earlier start request may have taken effect, so it is repeated.
--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -56,14 +56,15 @@
         self.has_restarted = False
         self.restarted_s = -math.inf
         self._answered_s = -math.inf
-        # The last renewal without an answer, of the current incarnation and of earlier
-        # ones of its name.
+        # The last renewal and the last acknowledgement without an answer, of the current
+        # incarnation and of earlier ones of its name.
         self._unanswered_renewal_s = self._late_renewal_s = -math.inf
-        # The incarnation that was called or deregistered last, and when.
-        self._unanswered_acknowledgement = ("", -math.inf)
+        self._unanswered_acknowledgement_s = -math.inf
+        self._late_acknowledgement_s = -math.inf
         # The incarnation that answered an acknowledgement last, and its number.
         self._answered_acknowledgement = ("", 0)
         self._is_acknowledgement_withheld = False
+        # The incarnation that was deregistered last, and when.
         self._deregistration = ("", -math.inf)
 
     def record_confirmed(
@@ -84,12 +85,17 @@
         """
         self.has_restarted = incarnation_ids.share_name(worker_id, last_id)
         self.restarted_s = now_s if self.has_restarted else -math.inf
-        self._late_renewal_s = (
-            max(self._late_renewal_s, self._unanswered_renewal_s)
-            if self.has_restarted
-            else -math.inf
-        )
+        if self.has_restarted:
+            self._late_renewal_s = max(
+                self._late_renewal_s, self._unanswered_renewal_s
+            )
+            self._late_acknowledgement_s = max(
+                self._late_acknowledgement_s, self._unanswered_acknowledgement_s
+            )
+        else:
+            self._late_renewal_s = self._late_acknowledgement_s = -math.inf
         self._unanswered_renewal_s = -math.inf
+        self._unanswered_acknowledgement_s = -math.inf
         self._answered_s = now_s
         if self.has_restarted:
             logs.event(
@@ -131,11 +137,9 @@
         if acknowledged:
             self._answered_acknowledgement = (worker_id, acknowledged)
 
-    def record_unanswered_acknowledgement(
-        self, worker_id: str, *, now_s: float
-    ) -> None:
+    def record_unanswered_acknowledgement(self, *, now_s: float) -> None:
         """Records an acknowledgement that the worker may still carry out."""
-        self._unanswered_acknowledgement = (worker_id, now_s)
+        self._unanswered_acknowledgement_s = now_s
         self._is_acknowledgement_withheld = True
 
     def record_unanswered_renewal(self, *, now_s: float) -> None:
@@ -169,17 +173,12 @@
         """Whether a renewal with a deadline on another clock may have an effect."""
         return now_s - self.restarted_s < self._effect_limit_s
 
-    def may_discard_ends(self, worker_id: str, *, now_s: float) -> bool:
-        """Whether an incarnation may carry out an earlier one's acknowledgement.
+    def may_discard_ends(self, *, now_s: float) -> bool:
+        """Whether the worker may carry out an earlier incarnation's acknowledgement.
 
         The end of a run that is done would be lost, so none is started until then.
         """
-        called_id, called_s = self._unanswered_acknowledgement
-        return (
-            now_s - called_s < LATE_CALL_LIMIT_S
-            and called_id != worker_id
-            and incarnation_ids.share_name(called_id, worker_id)
-        )
+        return now_s - self._late_acknowledgement_s < LATE_CALL_LIMIT_S
 
     def has_left(
         self, worker: ttypes.PoolWorker, *, is_connected: bool, now_s: float
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -149,7 +149,6 @@
         except errors.TransportError as error:
             if error.timed_out:
                 self._record_unanswered(
-                    worker_id,
                     is_acknowledgement=acknowledged > 0,
                     is_renewal=deadline_ms is not None,
                 )
@@ -176,14 +175,12 @@
                 state.changed.wait(_PAUSE_S)
 
     def _record_unanswered(
-        self, worker_id: str, *, is_acknowledgement: bool, is_renewal: bool
+        self, *, is_acknowledgement: bool, is_renewal: bool
     ) -> None:
         late_calls = self._state.late_calls
         now_s = clock.now_s()
         with self._state.changed:
             if is_acknowledgement:
-                late_calls.record_unanswered_acknowledgement(
-                    worker_id, now_s=now_s
-                )
+                late_calls.record_unanswered_acknowledgement(now_s=now_s)
             if is_renewal:
                 late_calls.record_unanswered_renewal(now_s=now_s)
--- a/tests/coordination/jobs/test_late_acknowledgements.py
+++ b/tests/coordination/jobs/test_late_acknowledgements.py
@@ -80,6 +80,25 @@
     assert case.agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
 
 
+def test_acknowledgement_of_the_new_incarnation_does_not_hide_an_earlier_one(
+    case: _Case,
+) -> None:
+    """Guards against repeating a task that is done.
+
+    The new incarnation lists the end of a run that a late start began, and leaves its
+    acknowledgement unanswered as well.
+    """
+    case.agent.state.acknowledged_end_number = 57
+    case.renew(is_answered=False)
+    case.restart()
+    case.agent.state.acknowledged_end_number = 1
+    assert case.renew(is_answered=False) == 1
+    case.renew()
+    case.run_on_new()
+    assert case.worker.calls == []
+    assert case.agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
+
+
 def test_restarted_worker_is_used_once_no_acknowledgement_can_be_late(
     case: _Case,
 ) -> None:
