Stop runs that a previous process of an agent may have started before refusing them

Callers could get a job done twice: two runs of one task were on workers at the same time, or one started after the end of the other was acknowledged.

Cause: an agent refuses a run without calling its worker if it never sent a start request for it. Only the process knew that. One that was killed while a request was unanswered is followed by one that knows of none; it refused the run (drained worker, less capacity, overdue heartbeats), the leader granted the task elsewhere, and the worker carried out the old request.

Now each order of the first reply that a process receives counts as sent without an answer: a start is repeated, and a refusal needs a confirmed stop and a later listing. Runs granted after the restart are refused without a call, as before.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -111,11 +111,7 @@
             of the state.
         """
         state = self._state
-        self._progress_by_run = {
-            key: progress
-            for key, progress in self._progress_by_run.items()
-            if key in state.orders or progress.is_busy
-        }
+        self._update_progress_keys()
         wait_s = self._retry_s if self._late_start_stopper.reconcile() else None
         if not state.worker_id or not self._runs.complete_listings_count:
             return wait_s
@@ -123,7 +119,7 @@
         for key, order in state.orders.items():
             if key in state.ends or order.worker_id != state.worker_id:
                 continue
-            progress = self._progress_by_run.setdefault(key, _Progress())
+            progress = self._progress_by_run[key]
             if progress.is_busy:
                 continue
             if progress.retry_s > now_s:
@@ -132,6 +128,20 @@
             self._reconcile_order(key, order, progress)
         return wait_s
 
+    def _update_progress_keys(self) -> None:
+        """Adds the progress of new orders and removes that of removed ones."""
+        state = self._state
+        self._progress_by_run = {
+            key: progress
+            for key, progress in self._progress_by_run.items()
+            if key in state.orders or progress.is_busy
+        }
+        for key in state.orders.keys() - self._progress_by_run.keys():
+            # A start request of a previous process may still be carried out.
+            self._progress_by_run[key] = _Progress(
+                has_unanswered_start=key in state.run_orders.inherited_keys
+            )
+
     def _reconcile_order(
         self,
         key: task_names.RunKey,
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -17,6 +17,8 @@
 
     Attributes:
         by_run: Orders by (task, run).
+        inherited_keys: Runs that a previous process of this agent may have started:
+            those in the first reply that this process received.
         term: Term of the leader that gave them.
         version: Their version in that term.
         evacuations: Data centres where no run may start.
@@ -25,6 +27,7 @@
 
     def __init__(self):
         self.by_run: dict[task_names.RunKey, ttypes.RunOrder] = {}
+        self.inherited_keys: frozenset[task_names.RunKey] = frozenset()
         self.term = 0
         self.version = 0
         self.evacuations = evacuations.Evacuations()
@@ -45,6 +48,8 @@
             self.by_run.pop((removed.task, removed.run), None)
         for order in reply.orders:
             self.by_run[order.task, order.run] = order
+        if not self.term:
+            self.inherited_keys = frozenset(self.by_run)
         self.term = reply.term
         self.version = reply.version
         self.evacuations.update(reply.evacuated_data_centres, worker)
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -1,5 +1,6 @@
 """An agent without threads, with a fake worker, for tests that run it step by step."""
 
+from collections.abc import Sequence
 import dataclasses
 
 from marigoldsill.coordination.job_agent import agent_state
@@ -116,9 +117,18 @@
 
 
 def make_agent(
-    worker: fake_worker.FakeWorker | None = None, **state_options: float
+    worker: fake_worker.FakeWorker | None = None,
+    *,
+    first_orders: Sequence[ttypes.RunOrder] = (),
+    **state_options: float,
 ) -> SteppedAgent:
-    """Makes an agent that has a lease and has called its worker once."""
+    """Makes an agent that has a lease and has called its worker once.
+
+    Args:
+        worker: The worker; None for a new one.
+        first_orders: The orders in the first reply of the leader.
+        **state_options: Options of the agent's state.
+    """
     state = agent_state.AgentState(**state_options)
     worker = worker or fake_worker.FakeWorker()
     lease_renewer = lease_renewer_module.LeaseRenewer(
@@ -129,7 +139,7 @@
     )
     agent = SteppedAgent(worker, state, lease_renewer, executor)
     state.record_announcement(announcement(worker.incarnation))
-    agent.receive_orders(orders=[], removed=[])
+    agent.receive_orders(orders=list(first_orders), removed=[], whole=True)
     agent.receive_lease()
     agent.renew_lease()
     return agent
--- /dev/null
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -0,0 +1,63 @@
+"""Tests of an agent whose process ended while start requests were unanswered."""
+
+import pytest
+
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import fake_worker
+from tests.coordination.jobs import stepped_agent
+
+_KEY = stepped_agent.KEY
+_OTHER_KEY = ("j2.0.0.0", 1)
+_WORKER_ID = "a1-incarnation1"
+
+
+def _order(key: tuple[str, int] = _KEY) -> ttypes.RunOrder:
+    return ttypes.RunOrder(
+        task=key[0],
+        run=key[1],
+        desire=stepped_agent.RUN,
+        worker_id=_WORKER_ID,
+    )
+
+
+@pytest.fixture
+def worker() -> fake_worker.FakeWorker:
+    """A worker that has not yet carried out a start of an agent that has ended."""
+    worker = fake_worker.FakeWorker(_WORKER_ID)
+    worker.unanswered = {"start"}
+    agent = stepped_agent.make_agent(worker)
+    agent.receive_orders(orders=[_order()], removed=[])
+    agent.execute_orders()
+    assert agent.call_names() == ["start"]
+    worker.unanswered = set()
+    return worker
+
+
+def _announce(agent: stepped_agent.SteppedAgent, **changes: object) -> None:
+    announcement = stepped_agent.announcement(_WORKER_ID, 2)
+    for name, value in changes.items():
+        setattr(announcement.worker, name, value)
+    agent.state.record_announcement(announcement)
+
+
+def test_run_that_a_previous_process_may_have_started_is_stopped_before_it_is_refused(
+    worker: fake_worker.FakeWorker,
+) -> None:
+    agent = stepped_agent.make_agent(worker, first_orders=[_order()])
+    _announce(agent, draining=True)
+    agent.execute_orders()
+    assert agent.end_kinds() == {}
+    agent.run_until_settled()
+    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
+    worker.run_delayed_calls()
+    assert worker.running == {}
+
+
+def test_run_granted_after_the_restart_is_refused_without_a_call(
+    worker: fake_worker.FakeWorker,
+) -> None:
+    agent = stepped_agent.make_agent(worker)
+    _announce(agent, draining=True)
+    agent.receive_orders(orders=[_order(_OTHER_KEY)], removed=[])
+    agent.execute_orders()
+    assert agent.end_kinds() == {_OTHER_KEY: ttypes.RunEndKind.REFUSED}
