Refuse a run with an unanswered start if the worker's capacity is used up

A worker could be given more than its capacity: a start request without an answer was repeated without a look at the capacity, which the worker may have reduced since, and runs of such requests did not count as using it for other starts.

The new test failed before with {} == {('j1.0.0.0', 1): REFUSED}. The refusal now waits for a confirmed stop, so that the request cannot take effect afterwards.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -197,9 +197,6 @@
             state.worker_id, now_s=clock.now_s()
         ):
             return "the worker has restarted and left calls unanswered before"
-        if progress.has_unanswered_start:
-            # An earlier start request may have taken effect, so it is repeated.
-            return ""
         if not self._has_capacity_for(order):
             return run_worker.RefusalReason.NO_CAPACITY
         return ""
@@ -208,7 +205,7 @@
         busy_keys = [
             key
             for key, progress in self._progress_by_run.items()
-            if progress.is_busy
+            if progress.is_busy or progress.has_unanswered_start
         ]
         return self._runs.has_capacity_for(
             order, busy_keys, self._state.worker.capacity
@@ -304,9 +301,7 @@
                 # The next round refuses the run.
                 return
             # The capacity may have changed since the call was submitted.
-            if not progress.has_unanswered_start and not self._has_capacity_for(
-                order
-            ):
+            if not self._has_capacity_for(order):
                 return
         start = run_worker.RunStart(
             task=order.task,
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -63,8 +63,8 @@
 
         Args:
             order: The run to start.
-            busy_keys: Runs with a call to the worker in progress; a start among
-                them may not be recorded yet.
+            busy_keys: Runs with a call to the worker in progress or a start without
+                an answer; a start among them may not be recorded yet.
             capacity: The capacity that the worker announced last.
         """
         keys = {*self.starts.min_ages_s(), *busy_keys}
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -320,6 +320,24 @@
     assert agent.end_kinds() == {("j1.0.0.2", 1): ttypes.RunEndKind.REFUSED}
 
 
+def test_unanswered_start_is_not_repeated_beyond_a_reduced_capacity(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.worker.unanswered = {"start"}
+    resources = ttypes.Resources(cpu_millicores=2_000)
+    agent.receive_order(stepped_agent.RUN, resources=resources)
+    agent.execute_orders()
+    agent.worker.unanswered = set()
+    reduced = stepped_agent.announcement("a1-incarnation1", sequence=2)
+    reduced.worker.capacity.cpu_millicores = 1_000
+    agent.state.record_announcement(reduced)
+    agent.run_until_settled()
+    assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.REFUSED}
+    agent.worker.run_delayed_calls()
+    assert agent.worker.running == {}
+    assert agent.call_names() == ["start", "stop"]
+
+
 def test_no_run_is_started_when_the_last_heartbeat_is_too_old(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
