Resume a suspended lease only after its suspension has a place in the log

Callers saw two runs of a task at once: the leader, or a later one, counted a lease as over that had just been renewed for 7 s, and granted its runs again.

Cause: the lease monitor suspends a lease, releases the replica's lock and then proposes the note "unresponsive, at most so long". A report handled in between read the new suspension, proposed "responsive" first, resumed the lease and renewed it. The log then had "responsive" before "unresponsive", and the note bounded the renewed lease on every member.

Evidence: test_a_note_decided_before_a_renewal_does_not_bound_the_lease handles a report between the decision and the proposal of a note.

Fix: the handler reads the number of the suspension and waits until the note of that suspension was proposed; then its own record follows in the log, on all members and for all later leaders. A note whose outcome is unknown has its place in the log too, or none. An agent waits only if its report arrives while a note about it is being committed. Where the lease is suspended once more meanwhile, `resume` has no effect, as before.

Passed: tests/lint, tests/coordination/jobs, tests/coordination/leadership.

--- a/marigoldsill/coordination/jobs/lease_monitor.py
+++ b/marigoldsill/coordination/jobs/lease_monitor.py
@@ -47,7 +47,7 @@
                 )
             lost = self._lost_runs()
         if note is not None:
-            self._service.propose(note_unresponsive=note)
+            self._propose_note(note)
         if not lost:
             return
         logs.event(
@@ -57,6 +57,12 @@
             record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
         )
 
+    def _propose_note(self, note: ttypes.NoteUnresponsive) -> None:
+        try:
+            self._service.propose(note_unresponsive=note)
+        finally:
+            self._service.leases.confirm_suspensions_recorded()
+
     def _lost_runs(self) -> list[ttypes.RunEnd]:
         """The ends of all runs whose agent's lease has expired."""
         runs_by_agent = self._replica.tables.jobs.runs_by_agent
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -14,6 +14,9 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
+# Maximum wait for the record of a suspension. An agent waits 1 s for its reply.
+_RECORD_WAIT_S = 0.8
+
 
 class ReportHandler:
     """Handles reports of agents while this process leads."""
@@ -79,6 +82,12 @@
             suspension = self._leases.suspension_number(agent)
         if self._leases.is_closed(agent) or not (is_unresponsive or suspension):
             return
+        # If the record of the suspension came after the one below, it would bound the
+        # lease that is renewed then.
+        if not self._leases.wait_until_recorded(
+            suspension, timeout_s=_RECORD_WAIT_S
+        ):
+            return
         self._propose(
             note_unresponsive=ttypes.NoteUnresponsive(
                 unresponsive=[], responsive=[agent]
--- a/marigoldsill/coordination/jobs/unresponsive_agents.py
+++ b/marigoldsill/coordination/jobs/unresponsive_agents.py
@@ -4,8 +4,8 @@
 whole duration. Without these records, tasks of a lost worker would not be restarted
 during an election and for one lease after it. Once an agent is recorded as
 unresponsive, no leader renews its lease before it has recorded that the agent responds
-again. So the last renewal was before the record was proposed, and thus before any
-process applied it.
+again, at a later position of the log. So the last renewal was before the record was
+proposed, and thus before any process applied it.
 """
 
 import math
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -25,10 +25,11 @@
 
     def __init__(self):
         self._lock = threading.Lock()
+        self._suspensions_recorded = threading.Condition(self._lock)
         self._end_s: dict[str, float] = {}
         self._closed: set[str] = set()
         self._suspension_numbers: dict[str, int] = {}
-        self._suspensions_count = 0
+        self._suspensions_count = self._recorded_suspensions_count = 0
         self._renewed_s: dict[str, float] = {}
         self._min_end_s = self._reset_s = 0.0
 
@@ -68,7 +69,8 @@
     ) -> list[str]:
         """Suspends the renewal of leases that were not renewed recently.
 
-        A suspended lease is not renewed until `resume`.
+        A suspended lease is not renewed until `resume`. The caller proposes the
+        record of the suspension and then calls `confirm_suspensions_recorded`.
 
         Args:
             agents: Whose leases to check.
@@ -92,6 +94,32 @@
             )
             return suspended
 
+    def confirm_suspensions_recorded(self) -> None:
+        """Confirms that the records of all suspensions were proposed.
+
+        They need not be committed: each has its position in the log, or is not in
+        the log and never will be.
+        """
+        with self._lock:
+            self._recorded_suspensions_count = self._suspensions_count
+            self._suspensions_recorded.notify_all()
+
+    def wait_until_recorded(
+        self, suspension_number: int, *, timeout_s: float
+    ) -> bool:
+        """Waits until the record of a suspension was proposed.
+
+        Only a record that is proposed afterwards follows it in the log.
+
+        Returns:
+            Whether it was proposed in time.
+        """
+        with self._lock:
+            return self._suspensions_recorded.wait_for(
+                lambda: self._recorded_suspensions_count >= suspension_number,
+                timeout_s,
+            )
+
     def suspension_number(self, agent: str) -> int:
         """Returns the number of the agent's last suspension, 0 if not suspended."""
         with self._lock:
@@ -102,7 +130,8 @@
 
         Args:
             agent: Whose lease.
-            suspension_number: The number of the suspension to end.
+            suspension_number: The number of the suspension to end. The log records
+                its end after its begin.
         """
         with self._lock:
             if self._suspension_numbers.get(agent) == suspension_number:
