Keep a lease suspended when it is reopened

Cause: `reopen`, for an agent whose lease was closed and whose last run has ended, also ended the suspension without a record in the log. A note being proposed then bounds the new lease if a run is recorded for the agent by the time the note is applied, such as by a grant whose outcome was unknown.

Fix: only a record of the log ends a suspension. An agent that comes back after its runs were recorded as lost takes one commit more before its first lease.

--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -80,7 +80,10 @@
                 agent in self._replica.tables.jobs.unresponsive_agents
             )
             suspension = self._leases.suspension_number(agent)
-        if self._leases.is_closed(agent) or not (is_unresponsive or suspension):
+            has_runs = agent in self._replica.tables.jobs.runs_by_agent
+        if self._leases.is_closed(agent) and has_runs:
+            return
+        if not is_unresponsive and not suspension:
             return
         # If the record of the suspension came after the one below, it would bound the
         # lease that is renewed then.
@@ -106,6 +109,7 @@
                 if self._replica.tables.jobs.runs_by_agent.get(agent):
                     return
                 self._leases.reopen(agent)
-                self._leases.renew(agent, lease_ms=self._lease_ms)
+                if not self._leases.renew(agent, lease_ms=self._lease_ms):
+                    return
             reply.lease_ms = self._lease_ms
             reply.orders_version = self._orders.version(agent)
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -174,10 +174,12 @@
             return True
 
     def reopen(self, agent: str) -> None:
-        """Allows an agent a lease again, once no run on it is recorded any more."""
+        """Allows an agent a lease again, once no run on it is recorded any more.
+
+        A suspended lease remains suspended.
+        """
         with self._lock:
             self._closed.discard(agent)
-            self._suspension_numbers.pop(agent, None)
 
     def is_live(self, agent: str) -> bool:
         """Whether an agent's lease was renewed by this leader and is not over."""
--- a/tests/coordination/jobs/test_lease_monitor.py
+++ b/tests/coordination/jobs/test_lease_monitor.py
@@ -175,3 +175,21 @@
     with pytest.raises(errors.UnknownOutcomeError):
         case.check()
     assert case.report().lease_ms == single_leader.LEASE_MS
+
+
+def test_a_note_decided_before_a_lease_is_reopened_does_not_bound_it(
+    case: _Case,
+) -> None:
+    """Guards against the same where the report ends the only run of a closed lease."""
+    case.check_until(_UNRENEWED_S)
+    case.advance(_FULL_LEASE_S - _UNRENEWED_S + 0.1)
+    end = builders.run_end(builders.task_name(), ttypes.RunEndKind.LAPSED)
+
+    def report_end() -> None:
+        case.report(end)
+        # The outcome of this grant, decided before the lease expired, was unknown.
+        case.grant("j1", run=2)
+
+    case.check_with(report_end)
+    assert any(0 < note.remaining_ms < 3_000 for note in case.notes)
+    _assert_lease_lasts(case)
