Propose a note about unresponsive agents only in the term of its decision

Cause: a leader that is frozen, or loses its leadership otherwise, between the decision and the proposal of a note, and is elected anew, proposed the note in the later term. Meanwhile leaders had recorded the agent as responsive and renewed its lease.

Evidence: test_a_note_of_an_earlier_term_does_not_bound_a_renewed_lease, on a real replica that is elected again in between. Before: "DID NOT RAISE NotLeader"; with that expectation removed "assert 996.16... == inf" for the bound of a lease that was renewed in the later term.

Fix: the proposal names its term, which the replica checks as it appends.

--- a/marigoldsill/coordination/jobs/lease_monitor.py
+++ b/marigoldsill/coordination/jobs/lease_monitor.py
@@ -47,7 +47,7 @@
                 )
             lost = self._lost_runs()
         if note is not None:
-            self._propose_note(note)
+            self._propose_note(note, term)
         if not lost:
             return
         logs.event(
@@ -57,9 +57,10 @@
             record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
         )
 
-    def _propose_note(self, note: ttypes.NoteUnresponsive) -> None:
+    def _propose_note(self, note: ttypes.NoteUnresponsive, term: int) -> None:
+        """Proposes a note in its own term only, as a later leader renews leases."""
         try:
-            self._service.propose(note_unresponsive=note)
+            self._service.propose(term=term, note_unresponsive=note)
         finally:
             self._service.leases.confirm_suspensions_recorded()
 
--- a/tests/coordination/jobs/single_leader.py
+++ b/tests/coordination/jobs/single_leader.py
@@ -19,8 +19,10 @@
     def __init__(
         self,
         settings: scheduling_settings.SchedulingSettings = _DEFAULT_SETTINGS,
+        *,
+        replica: replica_module.Replica | None = None,
     ):
-        self.replica = replica_module.Replica(
+        self.replica = replica or replica_module.Replica(
             member=ttypes.Member(
                 name="c1", address="", http_address="", data_centre="d"
             )
@@ -41,6 +43,7 @@
         agent: str,
         cores: int = 4,
         ends: Iterable[ttypes.RunEnd] = (),
+        incarnation: int = 1,
     ) -> ttypes.AgentReply:
         self.sequence += 1
         worker = ttypes.PoolWorker(
@@ -55,7 +58,7 @@
         return self.service.agent_report(
             ttypes.AgentReport(
                 agent=agent,
-                incarnation=1,
+                incarnation=incarnation,
                 sequence=self.sequence,
                 worker=worker,
                 ends=list(ends),
--- /dev/null
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -0,0 +1,85 @@
+"""Tests that what a leader decided in one term has no effect in a later one."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import math
+import pathlib
+
+import pytest
+
+from marigoldsill.coordination.jobs import lease_monitor
+from marigoldsill.coordination.jobs import unresponsive_agents
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+from tests import processes
+from tests.coordination import groups
+from tests.coordination.jobs import builders
+from tests.coordination.jobs import single_leader
+
+
+class _Case:
+    """The leader of a group of one member, with a run on agent a1."""
+
+    def __init__(
+        self, group: groups.LocalGroup, monkeypatch: pytest.MonkeyPatch
+    ):
+        group.form()
+        self.leader = single_leader.Leader(replica=group.leader())
+        self.monitor = lease_monitor.LeaseMonitor(
+            replica=self.leader.replica, service=self.leader.service
+        )
+        self._propose = self.leader.service.propose
+        self._actions: dict[str, Callable[[], None]] = {}
+        monkeypatch.setattr(self.leader.service, "propose", self._run_action)
+        self.leader.report("a1")
+        self.leader.submit("j1")
+        grants = ttypes.GrantRuns(grants=[builders.grant("j1.0.0.0")])
+        self._propose(grant_runs=grants)
+
+    def before_proposal(self, body: str, action: Callable[[], None]) -> None:
+        """Calls `action` before the next proposal with a body of this name."""
+        self._actions[body] = action
+
+    def change_term(self) -> None:
+        """Makes the member lose its leadership and regain it in a later term."""
+        replica = self.leader.replica
+        group = replica._node.group
+        with group.lock:
+            group.step_down(term=group.term + 1, reason="later term")
+        processes.wait_until(lambda: replica.is_leader, what="the next term")
+
+    def _run_action(self, **body: object) -> ttypes.CommandResult:
+        for name in body:
+            if name in self._actions:
+                self._actions.pop(name)()
+        return self._propose(**body)
+
+
+@pytest.fixture
+def case(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[_Case]:
+    settings = dataclasses.replace(
+        groups.SETTINGS, election_timeout_ms=200, heartbeat_ms=30
+    )
+    group = groups.LocalGroup(tmp_path, count=1, settings=settings)
+    yield _Case(group, monkeypatch)
+    group.close()
+
+
+def test_a_note_of_an_earlier_term_does_not_bound_a_renewed_lease(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a bound on a lease by a leader that was frozen and elected anew."""
+    monkeypatch.setattr(unresponsive_agents, "UNRENEWED_S", 0.0)
+
+    def renew_in_next_term() -> None:
+        case.change_term()
+        assert case.leader.report("a1").lease_ms
+
+    case.before_proposal("note_unresponsive", renew_in_next_term)
+    with pytest.raises(ttypes.NotLeader):
+        case.monitor.check(now_s=clock.now_s())
+    with case.leader.replica.lock:
+        assert case.leader.service.unresponsive_agents.bound_s("a1") == math.inf
