Record the ends of a report only in the term in which it was checked

Callers: a task runs twice, because an end that its agent had since overruled was recorded.

Cause: the leader checks whether a later process of the agent has reported, and then proposes the ends in a report in whatever term it leads by then. A leader that is frozen or replaced in between, and elected anew, has forgotten the reports of the earlier term; the later process may have started a run that the earlier one had refused.

Evidence: test_a_report_of_a_replaced_agent_has_no_effect_in_a_later_term, with a real replica that is elected again in between. Before: "DID NOT RAISE NotLeader"; with that expectation removed "assert {} == {'a1': ['j1.0.0.0']}", the run of the later process was recorded as over.

Fix: the proposal names the term of the reply. The agent sends its ends again until they are recorded, as before.

--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -58,8 +58,10 @@
         if reply.replaced_by:
             return reply
         if report.ends:
+            # In a later term, a later process of the agent may have reported.
             self._propose(
-                record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
+                term=reply.term,
+                record_run_ends=ttypes.RecordRunEnds(ends=report.ends),
             )
         reply.ends_recorded = True
         if not self._agents.record_report(report, now_s=clock.now_s()):
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -29,13 +29,13 @@
         self.monitor = lease_monitor.LeaseMonitor(
             replica=self.leader.replica, service=self.leader.service
         )
-        self._propose = self.leader.service.propose
+        self._propose = self.leader.replica.propose
         self._actions: dict[str, Callable[[], None]] = {}
-        monkeypatch.setattr(self.leader.service, "propose", self._run_action)
+        monkeypatch.setattr(self.leader.replica, "propose", self._run_action)
         self.leader.report("a1")
         self.leader.submit("j1")
         grants = ttypes.GrantRuns(grants=[builders.grant("j1.0.0.0")])
-        self._propose(grant_runs=grants)
+        self.leader.service.propose(grant_runs=grants)
 
     def before_proposal(self, body: str, action: Callable[[], None]) -> None:
         """Calls `action` before the next proposal with a body of this name."""
@@ -49,11 +49,13 @@
             group.step_down(term=group.term + 1, reason="later term")
         processes.wait_until(lambda: replica.is_leader, what="the next term")
 
-    def _run_action(self, **body: object) -> ttypes.CommandResult:
-        for name in body:
-            if name in self._actions:
+    def _run_action(
+        self, command: ttypes.Command, **options: object
+    ) -> ttypes.CommandResult:
+        for name in list(self._actions):
+            if getattr(command, name) is not None:
                 self._actions.pop(name)()
-        return self._propose(**body)
+        return self._propose(command, **options)
 
 
 @pytest.fixture
@@ -83,3 +85,22 @@
         case.monitor.check(now_s=clock.now_s())
     with case.leader.replica.lock:
         assert case.leader.service.unresponsive_agents.bound_s("a1") == math.inf
+
+
+def test_a_report_of_a_replaced_agent_has_no_effect_in_a_later_term(
+    case: _Case,
+) -> None:
+    """Guards against ends of a replaced agent that a leader records after a freeze.
+
+    The agent's next process may have started the run that this one refused.
+    """
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+
+    def replace_agent() -> None:
+        case.change_term()
+        assert case.leader.report("a1", incarnation=2).lease_ms
+
+    case.before_proposal("record_run_ends", replace_agent)
+    with pytest.raises(ttypes.NotLeader):
+        case.leader.report("a1", ends=[refusal])
+    assert case.leader.runs == {"a1": ["j1.0.0.0"]}
