Read a worker's clock only from answers of its current incarnation

Callers: runs outlive the lease of their agent, so the leader grants them again while they run.

Cause: an agent converts the end of its lease to the worker's clock by the last answer. The answer to a start may be handled after the next incarnation was confirmed, which had reset the clock; it then set the clock of the earlier incarnation again. If that one was ahead, the next renewal or start gave the current incarnation a lease as long as it accepts, which never shortens.

Evidence: test_late_answer_of_an_earlier_incarnation_does_not_set_the_clock. Before: "assert 64000 <= 4000", a deadline 60 s after the end of the lease.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -206,6 +206,7 @@
                 return
             self._clear_worker()
             self.worker = self._incarnations.current.worker
+            self.worker_clock.reset(worker_id)
             now_s = clock.now_s()
             self.late_calls.record_confirmed(
                 worker_id, last_id=last_id, now_s=now_s
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -351,7 +351,9 @@
             progress.is_started = True
             progress.start_listings_count = self._runs.next_listings_count
             state.record_started(order)
-        state.worker_clock.record_reading(clock_ms, received_s=clock.now_s())
+        state.worker_clock.record_reading(
+            clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
+        )
         logs.event(
             "run_started",
             task=order.task,
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -148,7 +148,7 @@
         state.confirm_incarnation(worker_id)
         received_s = clock.now_s()
         state.worker_clock.record_reading(
-            listing.clock_ms, received_s=received_s
+            listing.clock_ms, worker_id=worker_id, received_s=received_s
         )
         state.last_answer_s = received_s
         state.record_listing(listing)
--- a/marigoldsill/coordination/job_agent/worker_clock.py
+++ b/marigoldsill/coordination/job_agent/worker_clock.py
@@ -13,21 +13,32 @@
 
     def __init__(self):
         self._lock = threading.Lock()
+        self._worker_id = ""
         self._reading: tuple[float, int] | None = None
 
-    def record_reading(self, clock_ms: int, *, received_s: float) -> None:
+    def record_reading(
+        self, clock_ms: int, *, worker_id: str, received_s: float
+    ) -> None:
         """Records the worker's clock as read from an answer.
 
         Args:
             clock_ms: The time of the worker's clock.
+            worker_id: The incarnation that was called. An answer of another one than
+                the current one may be handled late, and has no effect.
             received_s: When the answer arrived, on this machine's clock.
         """
         with self._lock:
-            self._reading = (received_s, clock_ms)
+            if worker_id == self._worker_id:
+                self._reading = (received_s, clock_ms)
 
-    def reset(self) -> None:
-        """Removes the last reading, as another worker has another clock."""
+    def reset(self, worker_id: str = "") -> None:
+        """Removes the last reading, as another incarnation has another clock.
+
+        Args:
+            worker_id: The incarnation that is current now, or empty.
+        """
         with self._lock:
+            self._worker_id = worker_id
             self._reading = None
 
     def to_worker_ms(self, local_s: float) -> int | None:
--- a/tests/coordination/jobs/test_incarnations.py
+++ b/tests/coordination/jobs/test_incarnations.py
@@ -6,9 +6,15 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
 from tests.coordination.jobs import stepped_agent
 
+_LEASE_S = 3.0
+# How far the clock of an incarnation is ahead of that of its successor.
+_CLOCKS_DIFFERENCE_MS = 60_000
+
 
 @pytest.fixture
 def agent() -> stepped_agent.SteppedAgent:
@@ -262,3 +268,28 @@
     reduced.worker.capacity = ttypes.Resources(cpu_millicores=1_000)
     agent.state.record_announcement(reduced)
     assert agent.state.worker.capacity.cpu_millicores == 1_000
+
+
+def test_late_answer_of_an_earlier_incarnation_does_not_set_the_clock(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against deadlines by the clock of an incarnation that has ended.
+
+    Its answer to a start is handled after its successor has answered. The successor
+    would keep its runs for longer than the agent's lease.
+    """
+    start = agent.worker.start
+
+    def start_before_crash(
+        worker_id: str, run: run_worker.RunStart, *, token: int
+    ) -> int:
+        start(worker_id, run, token=token)
+        agent.crash_worker()
+        return agent.worker.clock_ms() + _CLOCKS_DIFFERENCE_MS
+
+    monkeypatch.setattr(agent.worker, "start", start_before_crash)
+    agent.receive_lease(length_s=_LEASE_S)
+    lease_end_ms = agent.worker.clock_ms(clock.now_s() + _LEASE_S)
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    assert agent.lease_renewer.deadline_ms() <= lease_end_ms
