Grant a restarted agent a lease only after its earlier process's reports

Callers: a task runs twice after its agent was restarted.

Cause: an end that an agent reported, such as a refusal, is in the log but not committed yet when the agent's next process reports. It got a lease at once, with the orders of before, and could start the run; the task was granted again as soon as the end was committed. Commits take long where disks are slow.

Evidence: test_a_new_process_of_an_agent_gets_a_lease_after_ends_of_the_last_one delays the sync of a real log between both reports. Before: "assert 1 == 2", a lease that allowed orders older than the recorded end.

Fix: the first lease of a new incarnation waits for a record of its own, which follows those ends in the log, and so names the version of the orders after them. It costs one commit for each restart of an agent, as seen by a leader.

Passed: tests/lint, tests/coordination/jobs, tests/coordination/leadership.

--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -50,6 +50,9 @@
         self._lease_ms = lease_ms
         self._propose = propose
         self._on_change = on_change
+        # The first incarnation of each agent that reported to this process, or the last
+        # one for which all that earlier ones reported is applied.
+        self._settled_incarnations: dict[str, int] = {}
 
     def handle(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
         """Records a report, and grants the agent a lease if that is allowed."""
@@ -57,6 +60,7 @@
         reply.replaced_by = self._agents.find_newer_incarnation(report)
         if reply.replaced_by:
             return reply
+        self._settled_incarnations.setdefault(report.agent, report.incarnation)
         if report.ends:
             # In a later term, a later process of the agent may have reported.
             self._propose(
@@ -69,23 +73,28 @@
         view = self._agents.get(report.agent)
         reply.resend_worker = view is not None and view.worker is None
         if not report.worker_silent and not reply.resend_worker:
-            self._record_responsive(report.agent)
+            self._record_responsive(report.agent, report.incarnation)
             self._grant_lease(report.agent, reply)
         if report.worker is not None:
             self._on_change()
         return reply
 
-    def _record_responsive(self, agent: str) -> None:
-        """Records that an agent reports again, after which it may get a lease."""
+    def _record_responsive(self, agent: str, incarnation: int) -> None:
+        """Records that an agent reports again, after which it may get a lease.
+
+        This is also recorded of a new incarnation of the agent. Ends that an earlier
+        one reported are applied before, so the new one starts none of these runs.
+        """
         with self._replica.lock:
             is_unresponsive = (
                 agent in self._replica.tables.jobs.unresponsive_agents
             )
             suspension = self._leases.suspension_number(agent)
             has_runs = agent in self._replica.tables.jobs.runs_by_agent
+        is_settled = self._settled_incarnations[agent] == incarnation
         if self._leases.is_closed(agent) and has_runs:
             return
-        if not is_unresponsive and not suspension:
+        if is_settled and not is_unresponsive and not suspension:
             return
         # If the record of the suspension came after the one below, it would bound the
         # lease that is renewed then.
@@ -98,9 +107,11 @@
                 unresponsive=[], responsive=[agent]
             )
         )
+        self._settled_incarnations[agent] = incarnation
         # Has no effect if the agent was recorded as unresponsive again since then.
         self._leases.resume(agent, suspension_number=suspension)
-        logs.event("agent_responsive", agent=agent)
+        if is_unresponsive or suspension:
+            logs.event("agent_responsive", agent=agent)
 
     def _grant_lease(self, agent: str, reply: ttypes.AgentReply) -> None:
         """Grants a lease in a reply; an expired one only if no runs are recorded."""
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -1,22 +1,45 @@
-"""Tests that what a leader decided in one term has no effect in a later one."""
+"""Tests of the leader's decisions about agents on a real log, within and across terms.
+
+What a leader decided in one term has no effect in a later one.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import math
 import pathlib
+import threading
 
 import pytest
 
 from marigoldsill.coordination.jobs import lease_monitor
 from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import files
 from marigoldsill.transport import clock
 from tests import processes
 from tests.coordination import groups
 from tests.coordination.jobs import builders
 from tests.coordination.jobs import single_leader
 
+# Long enough for a report that waits for nothing.
+_REPORT_LIMIT_S = 0.3
+_THREAD_LIMIT_S = 10.0
+
+
+class _SlowFiles(files.Files):
+    """Files whose syncs wait while `may_sync` is not set."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.may_sync = threading.Event()
+        self.may_sync.set()
+        super().__init__(folder)
+
+    def sync(self, fd: int) -> None:
+        """Syncs once that is allowed."""
+        self.may_sync.wait()
+        super().sync(fd)
+
 
 class _Case:
     """The leader of a group of one member, with a run on agent a1."""
@@ -25,6 +48,7 @@
         self, group: groups.LocalGroup, monkeypatch: pytest.MonkeyPatch
     ):
         group.form()
+        self.disk = group.disks["m0"]
         self.leader = single_leader.Leader(replica=group.leader())
         self.monitor = lease_monitor.LeaseMonitor(
             replica=self.leader.replica, service=self.leader.service
@@ -49,6 +73,13 @@
             group.step_down(term=group.term + 1, reason="later term")
         processes.wait_until(lambda: replica.is_leader, what="the next term")
 
+    def wait_for_entry(self, last_index: int) -> None:
+        """Waits until the log, committed or not, exceeds an index."""
+        status = self.leader.replica.status
+        processes.wait_until(
+            lambda: status().last_index > last_index, what="an entry"
+        )
+
     def _run_action(
         self, command: ttypes.Command, **options: object
     ) -> ttypes.CommandResult:
@@ -65,7 +96,9 @@
     settings = dataclasses.replace(
         groups.SETTINGS, election_timeout_ms=200, heartbeat_ms=30
     )
-    group = groups.LocalGroup(tmp_path, count=1, settings=settings)
+    group = groups.LocalGroup(
+        tmp_path, count=1, settings=settings, open_files=_SlowFiles
+    )
     yield _Case(group, monkeypatch)
     group.close()
 
@@ -104,3 +137,32 @@
     with pytest.raises(ttypes.NotLeader):
         case.leader.report("a1", ends=[refusal])
     assert case.leader.runs == {"a1": ["j1.0.0.0"]}
+
+
+def test_a_new_process_of_an_agent_gets_a_lease_after_ends_of_the_last_one(
+    case: _Case,
+) -> None:
+    """Guards against starts of runs whose end is in the log but not committed.
+
+    The earlier process of the agent has refused the run. The next one must not start
+    it, as the task is granted elsewhere once the refusal is committed.
+    """
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    last_index = case.leader.replica.status().last_index
+    replies = []
+    case.disk.may_sync.clear()
+    earlier = threading.Thread(
+        target=lambda: case.leader.report("a1", ends=[refusal])
+    )
+    later = threading.Thread(
+        target=lambda: replies.append(case.leader.report("a1", incarnation=2))
+    )
+    earlier.start()
+    case.wait_for_entry(last_index)
+    later.start()
+    later.join(_REPORT_LIMIT_S)
+    case.disk.may_sync.set()
+    for thread in (earlier, later):
+        thread.join(_THREAD_LIMIT_S)
+    assert case.leader.runs == {}
+    assert replies[0].orders_version == case.leader.service.orders.version("a1")
