Record ends only from an agent's process that knows the leader's term

Callers: a task runs twice after its agent was restarted and leaders changed.

Cause: a new leader has forgotten which process of an agent reported last. A report of the earlier process that the network delivers late, such as the data in the socket of a killed process, may reach it before the next report of the later one. Its ends were recorded, although the later process may have started a run that the earlier one had refused.

Evidence: test_late_report_of_a_replaced_agent_has_no_effect_at_the_next_leader on a real replica in a later term.

Fix: reports name the latest term that the process knows, and ends in a report that names another one than the leader's are not recorded. A process that runs learns the term from the reply, and sends its ends again at once: one more report for an agent with ends, after a change of leaders, unless its orders told it the term. Reports without a term, of agents of the build before, count as before.

--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -41,6 +41,7 @@
         self._dependency = dependency_log.DependencyLog("control_reports")
         self._incarnation = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         self._sequence = 0
+        self._reply_term = 0
         self._samples_reported_s = -math.inf
         self._reported_worker: ttypes.PoolWorker | None = None
         self._must_resend_worker = True
@@ -107,6 +108,7 @@
                 worker_silent=(
                     clock.now_s() - state.last_answer_s > _UNRESPONSIVE_S
                 ),
+                known_term=max(state.term, self._reply_term),
             )
         with agent_metrics.REPORT_SECONDS.time():
             reply = self._link.call(
@@ -126,6 +128,7 @@
         sent_s: float,
         listed_end_number: int,
     ) -> None:
+        self._reply_term = max(self._reply_term, reply.term)
         if reply.replaced_by:
             self._handle_replacement(reply.replaced_by)
             return
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -61,13 +61,7 @@
         if reply.replaced_by:
             return reply
         self._settled_incarnations.setdefault(report.agent, report.incarnation)
-        if report.ends:
-            # In a later term, a later process of the agent may have reported.
-            self._propose(
-                term=reply.term,
-                record_run_ends=ttypes.RecordRunEnds(ends=report.ends),
-            )
-        reply.ends_recorded = True
+        reply.ends_recorded = self._record_ends(report, reply.term)
         if not self._agents.record_report(report, now_s=clock.now_s()):
             return reply
         view = self._agents.get(report.agent)
@@ -79,6 +73,22 @@
             self._on_change()
         return reply
 
+    def _record_ends(self, report: ttypes.AgentReport, term: int) -> bool:
+        """Records the ends in a report; returns False if they have to be sent again.
+
+        A later process of the agent may already have started a run whose end an earlier
+        one reports late. If so, it got its lease from this leader in this term, or in a
+        term before, when the earlier process did not know this term.
+        """
+        if not report.ends:
+            return True
+        if report.known_term not in (0, term):
+            return False
+        self._propose(
+            term=term, record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
+        )
+        return True
+
     def _record_responsive(self, agent: str, incarnation: int) -> None:
         """Records that an agent reports again, after which it may get a lease.
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -803,7 +803,8 @@
   5: list<RunEnd> ends = [],        // resent until recorded
   6: optional list<RunSample> running,
   7: string worker_id = "",
-  8: bool worker_silent = false
+  8: bool worker_silent = false,
+  9: i64 known_term = 0             // the latest that it knows of; 0: none
 }
 
 struct AgentReply {
--- a/tests/coordination/jobs/single_leader.py
+++ b/tests/coordination/jobs/single_leader.py
@@ -44,6 +44,7 @@
         cores: int = 4,
         ends: Iterable[ttypes.RunEnd] = (),
         incarnation: int = 1,
+        known_term: int = 0,
     ) -> ttypes.AgentReply:
         self.sequence += 1
         worker = ttypes.PoolWorker(
@@ -64,6 +65,7 @@
                 ends=list(ends),
                 running=[],
                 worker_id=worker.worker_id,
+                known_term=known_term,
             )
         )
 
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -166,3 +166,31 @@
         thread.join(_THREAD_LIMIT_S)
     assert case.leader.runs == {}
     assert replies[0].orders_version == case.leader.service.orders.version("a1")
+
+
+def test_late_report_of_a_replaced_agent_has_no_effect_at_the_next_leader(
+    case: _Case,
+) -> None:
+    """Guards against ends of a replaced agent that reach a leader late.
+
+    The network delivers the report only after the agent's next process got a lease
+    from another leader, and before it reports to this one.
+    """
+    known_term = case.leader.replica.term
+    assert case.leader.report("a1", incarnation=2).lease_ms
+    case.change_term()
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    reply = case.leader.report("a1", ends=[refusal], known_term=known_term)
+    assert not reply.ends_recorded
+    assert case.leader.runs == {"a1": ["j1.0.0.0"]}
+
+
+def test_ends_are_recorded_once_the_agent_knows_the_term(case: _Case) -> None:
+    known_term = case.leader.replica.term
+    case.change_term()
+    end = builders.run_end("j1.0.0.0", ttypes.RunEndKind.DONE)
+    reply = case.leader.report("a1", ends=[end], known_term=known_term)
+    assert not reply.ends_recorded
+    reply = case.leader.report("a1", ends=[end], known_term=reply.term)
+    assert reply.ends_recorded
+    assert case.leader.runs == {}
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -102,3 +102,15 @@
     report = case.report(after_s=0.1)
     assert report.worker is not None
     assert report.running is not None
+
+
+def test_ends_are_reported_again_with_the_term_of_the_reply(
+    case: _Case,
+) -> None:
+    case.link.reply.ends_recorded = False
+    case.record_listing(builders.run_end("j1.0.0.1", ttypes.RunEndKind.DONE))
+    case.report(after_s=0.0)
+    assert case.reporter._must_report_now()
+    report = case.report(after_s=0.0)
+    assert [end.task for end in report.ends] == ["j1.0.0.1"]
+    assert report.known_term == stepped_agent.TERM
