--- a/tests/coordination/jobs/test_lease_monitor.py
+++ b/tests/coordination/jobs/test_lease_monitor.py
@@ -8,6 +8,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import lease_monitor
+from marigoldsill.coordination.jobs import report_handler
 from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
@@ -126,6 +127,7 @@
 
 @pytest.fixture
 def case(fake_clock: _Clock, monkeypatch: pytest.MonkeyPatch) -> _Case:
+    monkeypatch.setattr(report_handler, "_RECORD_WAIT_S", _THREAD_LIMIT_S)
     return _Case(fake_clock, monkeypatch)
 
 
