--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -14,6 +14,9 @@
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
+# Maximum wait for the record of a suspension. An agent waits 1 s for its reply.
+_RECORD_WAIT_S = 0.8
+
 
 class ReportHandler:
     """Handles reports of agents while this process leads."""
@@ -47,6 +50,9 @@
         self._lease_ms = lease_ms
         self._propose = propose
         self._on_change = on_change
+        # The first incarnation of each agent that reported to this process, or the last
+        # one for which all that earlier ones reported is applied.
+        self._settled_incarnations: dict[str, int] = {}
 
     def handle(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
         """Records a report, and grants the agent a lease if that is allowed."""
@@ -54,39 +60,68 @@
         reply.replaced_by = self._agents.find_newer_incarnation(report)
         if reply.replaced_by:
             return reply
-        if report.ends:
-            self._propose(
-                record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
-            )
-        reply.ends_recorded = True
+        self._settled_incarnations.setdefault(report.agent, report.incarnation)
+        reply.ends_recorded = self._record_ends(report, reply.term)
         if not self._agents.record_report(report, now_s=clock.now_s()):
             return reply
         view = self._agents.get(report.agent)
         reply.resend_worker = view is not None and view.worker is None
         if not report.worker_silent and not reply.resend_worker:
-            self._record_responsive(report.agent)
+            self._record_responsive(report.agent, report.incarnation)
             self._grant_lease(report.agent, reply)
         if report.worker is not None:
             self._on_change()
         return reply
 
-    def _record_responsive(self, agent: str) -> None:
-        """Records that an agent reports again, after which it may get a lease."""
+    def _record_ends(self, report: ttypes.AgentReport, term: int) -> bool:
+        """Records the ends in a report; returns False if they have to be sent again.
+
+        A later process of the agent may already have started a run whose end an earlier
+        one reports late. If so, it got its lease from this leader in this term, or in a
+        term before, when the earlier process did not know this term.
+        """
+        if not report.ends:
+            return True
+        if report.known_term not in (0, term):
+            return False
+        self._propose(
+            term=term, record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
+        )
+        return True
+
+    def _record_responsive(self, agent: str, incarnation: int) -> None:
+        """Records that an agent reports again, after which it may get a lease.
+
+        This is also recorded of a new incarnation of the agent. Ends that an earlier
+        one reported are applied before, so the new one starts none of these runs.
+        """
         with self._replica.lock:
             is_unresponsive = (
                 agent in self._replica.tables.jobs.unresponsive_agents
             )
             suspension = self._leases.suspension_number(agent)
-        if self._leases.is_closed(agent) or not (is_unresponsive or suspension):
+            has_runs = agent in self._replica.tables.jobs.runs_by_agent
+        is_settled = self._settled_incarnations[agent] == incarnation
+        if self._leases.is_closed(agent) and has_runs:
+            return
+        if is_settled and not is_unresponsive and not suspension:
+            return
+        # If the record of the suspension came after the one below, it would bound the
+        # lease that is renewed then.
+        if not self._leases.wait_until_recorded(
+            suspension, timeout_s=_RECORD_WAIT_S
+        ):
             return
         self._propose(
             note_unresponsive=ttypes.NoteUnresponsive(
                 unresponsive=[], responsive=[agent]
             )
         )
+        self._settled_incarnations[agent] = incarnation
         # Has no effect if the agent was recorded as unresponsive again since then.
         self._leases.resume(agent, suspension_number=suspension)
-        logs.event("agent_responsive", agent=agent)
+        if is_unresponsive or suspension:
+            logs.event("agent_responsive", agent=agent)
 
     def _grant_lease(self, agent: str, reply: ttypes.AgentReply) -> None:
         """Grants a lease in a reply; an expired one only if no runs are recorded."""
@@ -97,6 +132,7 @@
                 if self._replica.tables.jobs.runs_by_agent.get(agent):
                     return
                 self._leases.reopen(agent)
-                self._leases.renew(agent, lease_ms=self._lease_ms)
+                if not self._leases.renew(agent, lease_ms=self._lease_ms):
+                    return
             reply.lease_ms = self._lease_ms
             reply.orders_version = self._orders.version(agent)
