Let no late orders restore a run whose end the leader has recorded

Callers saw two runs of one task at a time: an agent refused a run without a call, the leader recorded that and granted the next run elsewhere, and the agent then started the refused one.

Cause: the agent removes order and end when the leader has recorded the end, but learns only from the next lease from which version orders lack the run. Orders that were computed before (a changed quota, all orders of a new leader) and are handled between the two, or after a reply without a lease, brought the run back while the old lease was live. A reply without a lease told no version at all.

Now every reply that says the ends are recorded tells the version of the orders in which they certainly are, read under the lock that applies ends and refreshes orders, and only in the term of the reply; else the agent reports them again. The agent keeps the ended runs with that term and version until it has orders at least as new, and takes no order for them from older ones. Other orders in late replies still apply, so nothing waits longer. No field of a message changed.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -344,17 +344,19 @@
             self.changed.notify_all()
 
     def remove_reported_ends(
-        self, report: ttypes.AgentReport, listed_end_number: int
+        self,
+        report: ttypes.AgentReport,
+        reply: ttypes.AgentReply,
+        listed_end_number: int,
     ) -> None:
-        """Removes the ends in a report that control has recorded.
+        """Removes the ends in a report that control has recorded by its reply.
 
-        Args:
-            report: The report.
-            listed_end_number: Number of the last listed end that it covers.
+        The last listed end that the report covers has `listed_end_number`.
         """
         with self.changed:
-            for end in report.ends:
-                self.orders.pop((end.task, end.run), None)
+            self.run_orders.remove_ended(
+                report.ends, term=reply.term, version=reply.orders_version
+            )
             self.unreported_ends.remove(report.ends)
             if report.worker_id == self.worker_id:
                 self.acknowledged_end_number = max(
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -133,7 +133,7 @@
         if report.worker is not None:
             self._reported_worker = worker
         if reply.ends_recorded:
-            self._state.remove_reported_ends(report, listed_end_number)
+            self._state.remove_reported_ends(report, reply, listed_end_number)
         if reply.lease_ms:
             self._has_had_lease = True
             self._state.update_lease(
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -29,6 +29,9 @@
         self.version = 0
         self.evacuations = evacuations.Evacuations()
         self.interference_version = 0
+        # Runs whose end the leader has recorded, and the (term, version) from which its
+        # orders certainly lack them. Replies may arrive after later ones of reports.
+        self._ended: dict[task_names.RunKey, tuple[int, int]] = {}
 
     @property
     def latency_critical_images(self) -> set[str]:
@@ -43,14 +46,34 @@
             self.by_run = {}
         for removed in reply.removed:
             self.by_run.pop((removed.task, removed.run), None)
+        version = (reply.term, reply.version)
+        self._ended = {k: v for k, v in self._ended.items() if v > version}
         for order in reply.orders:
-            self.by_run[order.task, order.run] = order
+            if (order.task, order.run) not in self._ended:
+                self.by_run[order.task, order.run] = order
         self.term = reply.term
         self.version = reply.version
         self.evacuations.update(reply.evacuated_data_centres, worker)
         if reply.interference is not None:
             self.interference_version = reply.interference_version
 
+    def remove_ended(
+        self, ends: Iterable[ttypes.RunEnd], *, term: int, version: int
+    ) -> None:
+        """Removes the orders for runs whose end the leader has recorded.
+
+        Args:
+            ends: The ends.
+            term: The term of the leader.
+            version: The version from which its orders do not contain the runs. Older
+                orders do not restore them.
+        """
+        for end in ends:
+            key = (end.task, end.run)
+            self.by_run.pop(key, None)
+            if (term, version) > (self.term, self.version):
+                self._ended[key] = (term, version)
+
     def has_shared(self, running: Container[task_names.RunKey]) -> bool:
         """Whether best-effort and latency-critical tasks are among runs."""
         running_orders = [o for k, o in self.by_run.items() if k in running]
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -58,7 +58,11 @@
             self._propose(
                 record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
             )
-        reply.ends_recorded = True
+        with self._replica.lock:
+            if not self._leads_in(reply.term):
+                return reply
+            reply.ends_recorded = True
+            reply.orders_version = self._orders.version(report.agent)
         if not self._agents.record_report(report, now_s=clock.now_s()):
             return reply
         view = self._agents.get(report.agent)
@@ -91,7 +95,7 @@
     def _grant_lease(self, agent: str, reply: ttypes.AgentReply) -> None:
         """Grants a lease in a reply; an expired one only if no runs are recorded."""
         with self._replica.lock:
-            if not self._replica.is_leader or self._replica.term != reply.term:
+            if not self._leads_in(reply.term):
                 return
             if not self._leases.renew(agent, lease_ms=self._lease_ms):
                 if self._replica.tables.jobs.runs_by_agent.get(agent):
@@ -100,3 +104,6 @@
                 self._leases.renew(agent, lease_ms=self._lease_ms)
             reply.lease_ms = self._lease_ms
             reply.orders_version = self._orders.version(agent)
+
+    def _leads_in(self, term: int) -> bool:
+        return self._replica.is_leader and self._replica.term == term
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -223,7 +223,11 @@
         ends=list(agent.state.ends.values()),
         worker_id="a1-incarnation1",
     )
-    agent.state.remove_reported_ends(report, agent.state.listed_end_number)
+    agent.state.remove_reported_ends(
+        report,
+        ttypes.AgentReply(term=stepped_agent.TERM),
+        agent.state.listed_end_number,
+    )
     agent.renew_lease()
     agent.renew_lease()
     assert agent.end_kinds() == {}
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -299,7 +299,9 @@
     report = ttypes.AgentReport(
         agent="a1", ends=list(agent.state.ends.values()), worker_id=_OLD
     )
-    agent.state.remove_reported_ends(report, 0)
+    agent.state.remove_reported_ends(
+        report, ttypes.AgentReply(term=stepped_agent.TERM), 0
+    )
     _restart(agent)
     _settle(agent)
     agent.worker.run_delayed_calls()
@@ -364,7 +366,9 @@
     report = ttypes.AgentReport(
         agent="a1", ends=list(agent.state.ends.values()), worker_id=_NEW
     )
-    agent.state.remove_reported_ends(report, 0)
+    agent.state.remove_reported_ends(
+        report, ttypes.AgentReply(term=stepped_agent.TERM + 1), 0
+    )
     _settle(agent)
     assert agent.end_kinds() == {}
 
@@ -383,7 +387,11 @@
     report = ttypes.AgentReport(
         agent="a1", ends=list(agent.state.ends.values()), worker_id=_OLD
     )
-    agent.state.remove_reported_ends(report, agent.state.listed_end_number)
+    agent.state.remove_reported_ends(
+        report,
+        ttypes.AgentReply(term=stepped_agent.TERM),
+        agent.state.listed_end_number,
+    )
     agent.worker.restart(_NEW)
     _announce(agent, _NEW)
     # The candidate's turn comes second.
@@ -392,7 +400,9 @@
     assert agent.worker.acknowledged == 0
     assert agent.state.worker_id == _NEW
     # The agent's late report for the old incarnation acknowledges nothing either.
-    agent.state.remove_reported_ends(report, 57)
+    agent.state.remove_reported_ends(
+        report, ttypes.AgentReply(term=stepped_agent.TERM), 57
+    )
     agent.call_incarnations(rounds_count=1)
     assert agent.worker.acknowledged == 0
 
