Conclude that a run is over only from a listing with all ends

Callers saw a task that was done run again: its run was stopped (evicted, or a late start), and the agent reported it as stopped or lost while the worker had listed its end among those not yet shown.

Cause: a run that a complete listing after its stop has neither as running nor as ended counted as over. A listing is complete if each row of a running task could be read. The worker lists 500 ends at a time, and rows of ends may be unreadable, so the run's end could be missing there.

Now is_listed_after, which the executor's stops, the check for forgotten ends and the stops of late runs all use, needs a listing with all unacknowledged ends. In the common case each listing is one. Beyond 500 ends it follows once they are recorded.

tests/lint and tests/coordination/jobs pass.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -170,7 +170,6 @@
             state.late_calls.has_restarted
             and progress.is_started
             and not is_running
-            and self._runs.is_listing_whole
             and self._runs.is_listed_after(progress.start_listings_count)
         )
 
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -20,8 +20,8 @@
         throttle: The CPU quotas of best-effort tasks.
         running: Samples of the runs that the worker listed last, by (task, run).
         complete_listings_count: How many listings had no unreadable row of a run.
-        is_listing_complete: Whether the last listing had no such row.
-        is_listing_whole: Whether it also had all unacknowledged ends.
+        is_listing_whole: Whether the last listing had no such row and all unacknowledged
+            ends.
     """
 
     def __init__(self, orders: run_orders.RunOrders):
@@ -30,7 +30,6 @@
         self.throttle = cpu_throttle.CpuThrottle()
         self.running: dict[task_names.RunKey, ttypes.RunSample] = {}
         self.complete_listings_count = 0
-        self.is_listing_complete = False
         self.is_listing_whole = False
 
     @property
@@ -47,9 +46,9 @@
         return self.complete_listings_count + 1
 
     def is_listed_after(self, listings_count: int) -> bool:
-        """Whether the last listing is complete and beyond a count of complete ones."""
+        """Whether the last listing is whole and beyond a count of complete ones."""
         return (
-            self.is_listing_complete
+            self.is_listing_whole
             and self.complete_listings_count > listings_count
         )
 
@@ -105,11 +104,9 @@
         self, listing: run_worker.RunListing, *, now_s: float
     ) -> None:
         """Records the runs that the worker lists as running."""
-        self.is_listing_complete = not listing.unread_running_count
-        self.is_listing_whole = (
-            self.is_listing_complete and not listing.is_ends_partial
-        )
-        if self.is_listing_complete:
+        is_complete = not listing.unread_running_count
+        self.is_listing_whole = is_complete and not listing.is_ends_partial
+        if is_complete:
             # In an incomplete listing, a run that is not listed may be running.
             self.complete_listings_count += 1
         self.running = {(r.task, r.run): r for r in listing.running}
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -27,6 +27,8 @@
         unreachable_incarnations: Incarnations for which `renew_lease` gets no answer.
         unreadable: Runs whose row of the listing cannot be read.
         unread_ended_count: How many rows of ends cannot be read.
+        unreadable_ends: Runs whose row in the listed ends cannot be read.
+        listed_ends_limit: Maximum number of ends in a listing.
         has_slow_stops: Whether runs continue after their stop was confirmed.
     """
 
@@ -45,6 +47,8 @@
         self.unreachable_incarnations: set[str] = set()
         self.unreadable: set[task_names.RunKey] = set()
         self.unread_ended_count = 0
+        self.unreadable_ends: set[task_names.RunKey] = set()
+        self.listed_ends_limit = 500
         self.has_slow_stops = False
         self._stopping: set[task_names.RunKey] = set()
         self._ended: list[run_worker.EndedRun] = []
@@ -94,13 +98,20 @@
             for key, sample in self.running.items()
             if key not in self.unreadable
         ]
+        listed = self._ended[: self.listed_ends_limit]
+        is_read = [
+            (e.end.task, e.end.run) not in self.unreadable_ends for e in listed
+        ]
+        unread_count = self.unread_ended_count + is_read.count(False)
         return run_worker.RunListing(
             clock_ms=self.clock_ms(),
             running=readable,
-            ended=list(self._ended),
+            ended=list(itertools.compress(listed, is_read)),
             unread_running_count=len(self.running) - len(readable),
-            unread_ended_count=self.unread_ended_count,
-            is_ends_partial=self.unread_ended_count > 0,
+            unread_ended_count=unread_count,
+            is_ends_partial=(
+                unread_count > 0 or len(listed) >= self.listed_ends_limit
+            ),
         )
 
     def throttle(
