Acknowledge no end that was not read

Callers could lose the end of a run: the worker discarded it before the agent had read it, and a done task waited for ever or, once stopped, ran again.

Cause: the number of the last listed end was the highest of the readable rows, also with an unreadable one below it, and the ends up to it were acknowledged once the readable ones were recorded.

Now a listing tells how many ends come before its first unreadable row, and only these count as read. Ends after it are reported all the same, but stay listed; those that control has recorded are not reported again with each listing. If a row can be read later, as a garbled answer is followed by a sound one, all are acknowledged then.

tests/lint, tests/coordination/jobs, tests/platform/test_decoders.py and test_restarted_workers.py pass. Of tests/platform as a whole, run once at a load of 32, test_repeated_leader_changes.py failed ("not all tasks run on other workers 13.9 s after the loss"); alone it passed 3 of 3 times.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -53,7 +53,7 @@
         run_orders: The orders of the leader.
         runs: What is known of the runs on the worker.
         unreported_ends: Ends to report now or later.
-        listed_end_number: Number of the last end that was listed.
+        listed_end_number: Ends up to this number have been read in listings.
         acknowledged_end_number: Ends up to this number are recorded by control.
         last_answer_s: When the worker answered last.
         is_stopping: Whether the agent is stopping.
@@ -327,8 +327,9 @@
                 for ended in listing.ended
                 if ended.number > self.acknowledged_end_number
             )
-            numbers = [ended.number for ended in listing.ended]
-            self.listed_end_number = max([self.listed_end_number, *numbers])
+            self.listed_end_number = max(
+                self.listed_end_number, listing.read_end_number
+            )
             if self.worker is not None:
                 self.runs.update_quotas(self.worker.capacity, now_s=now_s)
             self._end_stale_orders()
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -29,19 +29,28 @@
     def __init__(self):
         self.by_run: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.late_starts = late_starts.LateStarts()
+        # Ends that control has recorded and that the worker may still list, as an
+        # unreadable end before them is not acknowledged.
+        self._recorded: dict[task_names.RunKey, ttypes.RunEnd] = {}
 
     def record_listed(self, ended: Iterable[run_worker.EndedRun]) -> None:
         """Records ends that the worker lists and control has not recorded."""
-        for row in ended:
-            key = (row.end.task, row.end.run)
-            self.by_run[key] = self.late_starts.settle_listed(
-                row.end, self.by_run.get(key)
-            )
+        listed = {(row.end.task, row.end.run): row.end for row in ended}
+        self._recorded = {
+            k: end for k, end in self._recorded.items() if k in listed
+        }
+        for key, end in listed.items():
+            if self._recorded.get(key) != end:
+                self.by_run[key] = self.late_starts.settle_listed(
+                    end, self.by_run.get(key)
+                )
 
     def remove(self, ends: Iterable[ttypes.RunEnd]) -> None:
         """Removes ends that control has recorded."""
         for end in ends:
-            self.by_run.pop((end.task, end.run), None)
+            key = (end.task, end.run)
+            self.by_run.pop(key, None)
+            self._recorded[key] = end
 
     def record_lost_worker(
         self,
--- a/marigoldsill/platform/worker_bodies.py
+++ b/marigoldsill/platform/worker_bodies.py
@@ -155,13 +155,16 @@
         ended_rows = table.get_list("ended_runs")
     except errors.BadInputError as error:
         raise errors.PlatformError(f"unreadable listing: {error}") from error
-    running = _decode_rows(running_rows, _decode_running_row)
+    running = [
+        row for row in _decode_rows(running_rows, _decode_running_row) if row
+    ]
     if running_rows and not running:
         raise errors.PlatformError(
             f"unreadable listing: none of {len(running_rows)} rows of "
             "what runs can be read"
         )
-    ended = _decode_rows(ended_rows, _decode_ended_row)
+    decoded_ends = _decode_rows(ended_rows, _decode_ended_row)
+    ended = [row for row in decoded_ends if row]
     return run_worker.RunListing(
         clock_ms=clock_ms,
         running=running,
@@ -172,6 +175,9 @@
             len(ended) < len(ended_rows)
             or len(ended_rows) >= _LISTED_ENDS_LIMIT
         ),
+        read_ended_count=(
+            decoded_ends.index(None) if None in decoded_ends else None
+        ),
     )
 
 
@@ -210,9 +216,11 @@
         )
 
 
-def _decode_rows(rows: list, decode: Callable[[list], _Row]) -> list[_Row]:
-    """Decodes rows; invalid ones are logged and skipped."""
-    decoded = []
+def _decode_rows(
+    rows: list, decode: Callable[[list], _Row]
+) -> list[_Row | None]:
+    """Decodes rows; invalid ones are logged and are None."""
+    decoded: list[_Row | None] = []
     for row in rows:
         try:
             decoded.append(decode(row))
@@ -222,6 +230,7 @@
             TypeError,
             KeyError,
         ) as error:
+            decoded.append(None)
             logs.event(
                 "row_unread",
                 level="WARNING",
--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -71,6 +71,8 @@
         unread_running_count: Number of unreadable rows of running tasks.
         unread_ended_count: Number of unreadable rows of ends.
         is_ends_partial: Whether an unacknowledged end may be missing in `ended`.
+        read_ended_count: How many ends come before the first unreadable row of an end;
+            None if there is no such row.
     """
 
     clock_ms: int
@@ -79,6 +81,13 @@
     unread_running_count: int = 0
     unread_ended_count: int = 0
     is_ends_partial: bool = False
+    read_ended_count: int | None = None
+
+    @property
+    def read_end_number(self) -> int:
+        """The number up to which no listed end is unreadable; 0 if there is none."""
+        read = self.ended[: self.read_ended_count]
+        return max((ended.number for ended in read), default=0)
 
 
 class RunWorker(abc.ABC):
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -112,6 +112,7 @@
             is_ends_partial=(
                 unread_count > 0 or len(listed) >= self.listed_ends_limit
             ),
+            read_ended_count=None if all(is_read) else is_read.index(False),
         )
 
     def throttle(
--- a/tests/coordination/jobs/test_partial_listings.py
+++ b/tests/coordination/jobs/test_partial_listings.py
@@ -86,3 +86,32 @@
     agent.worker.unreadable_ends = set()
     agent.run_until_settled()
     assert agent.end_kinds() == {_OTHER_KEY: _DONE, _KEY: _DONE}
+
+
+def test_unreadable_end_before_readable_ones_is_not_acknowledged(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against an end that the worker discards before the agent has read it."""
+    agent.worker.unreadable_ends = {_OTHER_KEY}
+    agent.renew_lease()
+    _record_ends(agent)
+    agent.run_until_settled()
+    assert agent.worker.acknowledged == 0
+    agent.worker.unreadable_ends = set()
+    agent.run_until_settled()
+    assert agent.end_kinds() == {_OTHER_KEY: _DONE}
+    _record_ends(agent)
+    agent.renew_lease()
+    assert agent.worker.acknowledged == 2
+
+
+def test_recorded_ends_after_an_unreadable_one_are_not_reported_again(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against a report with each listing, as those ends stay listed."""
+    agent.worker.unreadable_ends = {_OTHER_KEY}
+    agent.renew_lease()
+    assert agent.end_kinds() == {_KEY: _DONE}
+    _record_ends(agent)
+    agent.run_until_settled()
+    assert agent.end_kinds() == {}
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -455,6 +455,20 @@
     assert listing.unread_ended_count == 1
 
 
+def test_ends_after_an_invalid_row_do_not_count_as_read() -> None:
+    """Guards against the acknowledgement of an end that was not read."""
+    rows = [_ENDED_ROW, None, [60, *_ENDED_ROW[1:]]]
+    for end, number in ((1, 58), (2, 58), (3, 58)):
+        listing = worker_bodies.decode_listing(
+            _bytes_of(_LISTING | {"ended_runs": rows[:end]})
+        )
+        assert listing.read_end_number == number
+    listing = worker_bodies.decode_listing(
+        _bytes_of(_LISTING | {"ended_runs": rows[1:]})
+    )
+    assert listing.read_end_number == 0
+
+
 @pytest.mark.parametrize(
     "change",
     [
