Report a done run as done although a late start of it failed

Callers could see a task run again after it was done: a start without an answer was repeated, the run was done, the worker restarted under its name, carried out the first request, and that run failed, all before the first end was reported.

Cause: a listed end "failed" replaced any end that was about to be reported, also the "done" that the earlier incarnation had listed.

Evidence, on the code before: the case of a late failure in test_known_ends.py failed with "{('j1.0.0.0', 1): <RunEndKind.FAILED: 2>} != {('j1.0.0.0', 1): <RunEndKind.DONE: 1>}". Its other cases passed: a listed end replaces the inferred ends of a run that was stopped, refused or lost, in whichever order they become known.

Now a known "done" stays.

tests/lint and tests/coordination/jobs pass.

--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/job_agent/late_starts.py
@@ -188,6 +188,9 @@
             known: The end that is about to be reported, or None.
         """
         held = self.settle((end.task, end.run))
+        if known is not None and known.kind == ttypes.RunEndKind.DONE:
+            # The run of a done task may begin again on a later incarnation and fail.
+            return known
         if end.kind in _CONCLUSIVE_KINDS:
             return end
         if known is not None and known.kind in _KEPT_KINDS:
