Send no waiting start whose order was removed or changed to a stop

Callers could see two runs of one task at a time: an agent makes few calls to its worker at once, so that starts wait while others get no answer. An agent that was frozen for longer than its lease gets a new one and new orders, without the runs that were lost meanwhile, before the waiting starts have a thread.

Cause: a start checked the lease, the evacuations and the capacity again when it got its thread, but not whether its order still stood.

Evidence, on the code before: test_waiting_starts.py failed for a removed order and for a stop with "assert ('start', ('j1.0.0.19', 1)) not in [...]".

Now the order is looked up again under the lock under which the lease is checked.

tests/lint and tests/coordination/jobs pass.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -289,10 +289,9 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            if state.run_orders.evacuations.includes(state.worker):
-                # The next round refuses the run.
+            # Orders and capacity may have changed since the call was submitted.
+            if not state.run_orders.allow_start(order, state.worker):
                 return
-            # The capacity may have changed since the call was submitted.
             if not progress.has_unanswered_start and not self._has_capacity_for(
                 order
             ):
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -74,6 +74,17 @@
             if (term, version) > (self.term, self.version):
                 self._ended[key] = (term, version)
 
+    def allow_start(
+        self, order: ttypes.RunOrder, worker: ttypes.PoolWorker
+    ) -> bool:
+        """Whether a run is still to be started, and the worker is not evacuated."""
+        current = self.by_run.get((order.task, order.run))
+        return (
+            current is not None
+            and current.desire == ttypes.RunDesire.RUN
+            and not self.evacuations.includes(worker)
+        )
+
     def has_shared(self, running: Container[task_names.RunKey]) -> bool:
         """Whether best-effort and latency-critical tasks are among runs."""
         running_orders = [o for k, o in self.by_run.items() if k in running]
