Tell orders only in the term for which they were computed

Callers could see two runs of one task at a time: a process that loses its term and leads again while a request for orders waits has not computed the orders of the new term yet, and none of those that a leader in between recorded. It answered with the old ones under the new term, and with a version of the old numbering, which a lease of the new term does not exceed. In the same way a lease could name an old version.

Cause: the term of a reply was read from the replica, and nothing compared it with the term for which the orders were computed.

Now the orders have their term. A request finds no leader while it differs from the replica's, and a reply to a report has neither a lease nor recorded ends.

tests/lint, tests/coordination/jobs and tests/coordination/leadership pass.

--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -51,6 +51,7 @@
     Called with the replica's lock held.
 
     Attributes:
+        term: The term for which they were computed anew last.
         evicted: Runs that are evicted and have to stop, by (task, run).
         quotas: The quota of a run in percent of its speed, where below 100.
         tickets: The adviser's ticket of a run, where it needs one.
@@ -58,14 +59,16 @@
 
     def __init__(self):
         self._by_agent: dict[str, _AgentOrders] = {}
+        self.term = 0
         self.evicted: set[task_names.RunKey] = set()
         self.quotas: dict[task_names.RunKey, int] = {}
         self.tickets: dict[task_names.RunKey, str] = {}
         self._evacuated_data_centres: set[str] = set()
 
-    def reset(self, tables: tables_module.Tables) -> None:
+    def reset(self, tables: tables_module.Tables, *, term: int) -> None:
         """Computes all orders anew, as this process leads a new term."""
         self._by_agent = {}
+        self.term = term
         self.evicted.clear()
         self.quotas.clear()
         self.tickets.clear()
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -106,4 +106,9 @@
             reply.orders_version = self._orders.version(agent)
 
     def _leads_in(self, term: int) -> bool:
-        return self._replica.is_leader and self._replica.term == term
+        """Whether this process leads in a term, and the orders are those of it."""
+        return (
+            self._replica.is_leader
+            and self._replica.term == term
+            and self._orders.term == term
+        )
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -114,7 +114,7 @@
                 return
             self.leases.reset(lease_ms=self._lease_ms)
             self.agents.reset()
-            self.orders.reset(self._replica.tables)
+            self.orders.reset(self._replica.tables, term=term)
             job_metrics.EVACUATED_DATA_CENTRES.set(
                 len(self._replica.tables.evacuated_data_centres)
             )
@@ -222,6 +222,9 @@
             timeout_s=wait_ms / 1000,
         )
         with self._replica.lock:
+            if self.orders.term != self._replica.term:
+                # A term began during the wait, and its orders are not computed yet.
+                raise ttypes.NoQuorum()
             reply = self.orders.changes_since(
                 self._replica.tables, request, term=self._replica.term
             )
