--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -53,7 +53,7 @@
         run_orders: The orders of the leader.
         runs: What is known of the runs on the worker.
         unreported_ends: Ends to report now or later.
-        listed_end_number: Number of the last end that was listed.
+        listed_end_number: Ends up to this number have been read in listings.
         acknowledged_end_number: Ends up to this number are recorded by control.
         last_answer_s: When the worker answered last.
         is_stopping: Whether the agent is stopping.
@@ -328,8 +328,9 @@
                 for ended in listing.ended
                 if ended.number > self.acknowledged_end_number
             )
-            numbers = [ended.number for ended in listing.ended]
-            self.listed_end_number = max([self.listed_end_number, *numbers])
+            self.listed_end_number = max(
+                self.listed_end_number, listing.read_end_number
+            )
             if self.worker is not None:
                 self.runs.update_quotas(self.worker.capacity, now_s=now_s)
             self._end_stale_orders()
@@ -345,17 +346,19 @@
             self.changed.notify_all()
 
     def remove_reported_ends(
-        self, report: ttypes.AgentReport, listed_end_number: int
+        self,
+        report: ttypes.AgentReport,
+        reply: ttypes.AgentReply,
+        listed_end_number: int,
     ) -> None:
-        """Removes the ends in a report that control has recorded.
+        """Removes the ends in a report that control has recorded by its reply.
 
-        Args:
-            report: The report.
-            listed_end_number: Number of the last listed end that it covers.
+        The last listed end that the report covers has `listed_end_number`.
         """
         with self.changed:
-            for end in report.ends:
-                self.orders.pop((end.task, end.run), None)
+            self.run_orders.remove_ended(
+                report.ends, term=reply.term, version=reply.orders_version
+            )
             self.unreported_ends.remove(report.ends)
             if report.worker_id == self.worker_id:
                 self.acknowledged_end_number = max(
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -180,7 +180,6 @@
             state.late_calls.has_restarted
             and progress.is_started
             and not is_running
-            and self._runs.is_listing_whole
             and self._runs.is_listed_after(progress.start_listings_count)
         )
 
@@ -297,10 +296,9 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            if state.run_orders.evacuations.includes(state.worker):
-                # The next round refuses the run.
+            # Orders and capacity may have changed since the call was submitted.
+            if not state.run_orders.allow_start(order, state.worker):
                 return
-            # The capacity may have changed since the call was submitted.
             if not self._has_capacity_for(order):
                 return
         start = run_worker.RunStart(
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -61,7 +61,12 @@
         if reply.replaced_by:
             return reply
         self._settled_incarnations.setdefault(report.agent, report.incarnation)
-        reply.ends_recorded = self._record_ends(report, reply.term)
+        are_ends_recorded = self._record_ends(report, reply.term)
+        with self._replica.lock:
+            if not self._leads_in(reply.term):
+                return reply
+            reply.ends_recorded = are_ends_recorded
+            reply.orders_version = self._orders.version(report.agent)
         if not self._agents.record_report(report, now_s=clock.now_s()):
             return reply
         view = self._agents.get(report.agent)
@@ -126,7 +131,7 @@
     def _grant_lease(self, agent: str, reply: ttypes.AgentReply) -> None:
         """Grants a lease in a reply; an expired one only if no runs are recorded."""
         with self._replica.lock:
-            if not self._replica.is_leader or self._replica.term != reply.term:
+            if not self._leads_in(reply.term):
                 return
             if not self._leases.renew(agent, lease_ms=self._lease_ms):
                 if self._replica.tables.jobs.runs_by_agent.get(agent):
@@ -136,3 +141,11 @@
                     return
             reply.lease_ms = self._lease_ms
             reply.orders_version = self._orders.version(agent)
+
+    def _leads_in(self, term: int) -> bool:
+        """Whether this process leads in a term, and the orders are those of it."""
+        return (
+            self._replica.is_leader
+            and self._replica.term == term
+            and self._orders.term == term
+        )
