--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -111,11 +111,7 @@
             of the state.
         """
         state = self._state
-        self._progress_by_run = {
-            key: progress
-            for key, progress in self._progress_by_run.items()
-            if key in state.orders or progress.is_busy
-        }
+        self._update_progress_keys()
         wait_s = self._retry_s if self._late_start_stopper.reconcile() else None
         if not state.worker_id or not self._runs.complete_listings_count:
             return wait_s
@@ -123,7 +119,7 @@
         for key, order in state.orders.items():
             if key in state.ends or order.worker_id != state.worker_id:
                 continue
-            progress = self._progress_by_run.setdefault(key, _Progress())
+            progress = self._progress_by_run[key]
             if progress.is_busy:
                 continue
             if progress.retry_s > now_s:
@@ -132,6 +128,20 @@
             self._reconcile_order(key, order, progress)
         return wait_s
 
+    def _update_progress_keys(self) -> None:
+        """Adds the progress of new orders and removes that of removed ones."""
+        state = self._state
+        self._progress_by_run = {
+            key: progress
+            for key, progress in self._progress_by_run.items()
+            if key in state.orders or progress.is_busy
+        }
+        for key in state.orders.keys() - self._progress_by_run.keys():
+            # A start request of a previous process may still be carried out.
+            self._progress_by_run[key] = _Progress(
+                has_unanswered_start=key in state.run_orders.inherited_keys
+            )
+
     def _reconcile_order(
         self,
         key: task_names.RunKey,
@@ -170,7 +180,6 @@
             state.late_calls.has_restarted
             and progress.is_started
             and not is_running
-            and self._runs.is_listing_whole
             and self._runs.is_listed_after(progress.start_listings_count)
         )
 
@@ -185,9 +194,6 @@
             return run_worker.RefusalReason.EVACUATED
         if state.late_calls.may_discard_ends(now_s=clock.now_s()):
             return "the worker has restarted and left calls unanswered before"
-        if progress.has_unanswered_start:
-            # An earlier start request may have taken effect, so it is repeated.
-            return ""
         if not self._has_capacity_for(order):
             return run_worker.RefusalReason.NO_CAPACITY
         return ""
@@ -196,7 +202,7 @@
         busy_keys = [
             key
             for key, progress in self._progress_by_run.items()
-            if progress.is_busy
+            if progress.is_busy or progress.has_unanswered_start
         ]
         return self._runs.has_capacity_for(
             order, busy_keys, self._state.worker.capacity
@@ -288,13 +294,10 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            if state.run_orders.evacuations.includes(state.worker):
-                # The next round refuses the run.
+            # Orders and capacity may have changed since the call was submitted.
+            if not state.run_orders.allow_start(order, state.worker):
                 return
-            # The capacity may have changed since the call was submitted.
-            if not progress.has_unanswered_start and not self._has_capacity_for(
-                order
-            ):
+            if not self._has_capacity_for(order):
                 return
         start = run_worker.RunStart(
             task=order.task,
@@ -349,7 +352,9 @@
             progress.is_started = True
             progress.start_listings_count = self._runs.next_listings_count
             state.record_started(order)
-        state.worker_clock.record_reading(clock_ms, received_s=clock.now_s())
+        state.worker_clock.record_reading(
+            clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
+        )
         logs.event(
             "run_started",
             task=order.task,
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -40,6 +40,7 @@
         self._dependency = dependency_log.DependencyLog("control_reports")
         self._incarnation = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         self._sequence = 0
+        self._reply_term = 0
         self._samples_reported_s = -math.inf
         self._reported_worker: ttypes.PoolWorker | None = None
         self._must_resend_worker = True
@@ -112,6 +113,7 @@
                 worker_silent=(
                     sent_s - state.last_answer_s > late_calls.UNRESPONSIVE_S
                 ),
+                known_term=max(state.term, self._reply_term),
                 late_starts=self._late_runs(now_s=sent_s),
             )
         with agent_metrics.REPORT_SECONDS.time():
@@ -144,6 +146,7 @@
         sent_s: float,
         listed_end_number: int,
     ) -> None:
+        self._reply_term = max(self._reply_term, reply.term)
         if reply.replaced_by:
             self._handle_replacement(reply.replaced_by)
             return
@@ -151,7 +154,7 @@
         if report.worker is not None:
             self._reported_worker = worker
         if reply.ends_recorded:
-            self._state.remove_reported_ends(report, listed_end_number)
+            self._state.remove_reported_ends(report, reply, listed_end_number)
         if reply.lease_ms:
             self._has_had_lease = True
             self._state.update_lease(
--- a/marigoldsill/coordination/jobs/lease_monitor.py
+++ b/marigoldsill/coordination/jobs/lease_monitor.py
@@ -48,7 +48,7 @@
                 )
             lost = self._lost_runs(now_s)
         if note is not None:
-            self._service.propose(note_unresponsive=note)
+            self._propose_note(note, term)
         if not lost:
             return
         logs.event(
@@ -58,6 +58,13 @@
             record_run_ends=ttypes.RecordRunEnds(ends=lost, decided_term=term)
         )
 
+    def _propose_note(self, note: ttypes.NoteUnresponsive, term: int) -> None:
+        """Proposes a note in its own term only, as a later leader renews leases."""
+        try:
+            self._service.propose(term=term, note_unresponsive=note)
+        finally:
+            self._service.leases.confirm_suspensions_recorded()
+
     def _lost_runs(self, now_s: float) -> list[ttypes.RunEnd]:
         """The ends of all runs that are over as their agent's lease has expired."""
         runs_by_agent = self._replica.tables.jobs.runs_by_agent
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -811,7 +811,8 @@
   6: optional list<RunSample> running,
   7: string worker_id = "",
   8: bool worker_silent = false,
-  9: list<LateStart> late_starts = []
+  9: i64 known_term = 0,            // the latest that it knows of; 0: none
+  10: list<LateStart> late_starts = []
 }
 
 struct AgentReply {
