--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 import time
 
 from soak import connection_owners
-from soak import faults
+from soak import fault_plans
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
@@ -104,7 +104,7 @@
     try:
         monitor.start()
         system.start(workers_count=workers_count)
-        plan = faults.draw_plan(
+        plan = fault_plans.draw_plan(
             seed,
             duration_s=duration_s,
             edges=system.member_names(),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from soak import fault_plans
 from soak import faults
 from soak import proxy
 from soak import run
@@ -28,7 +29,7 @@
 
 def test_equal_seeds_give_equal_plans() -> None:
     plans = [
-        faults.draw_plan(7, duration_s=60.0, edges=_EDGES, sides=_SIDES)
+        fault_plans.draw_plan(7, duration_s=60.0, edges=_EDGES, sides=_SIDES)
         for _ in range(2)
     ]
     assert plans[0] == plans[1]
@@ -36,7 +37,9 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_disk_losses_do_not_overlap_other_faults_of_edges(seed: int) -> None:
-    plan = faults.draw_plan(seed, duration_s=120.0, edges=_EDGES, sides=_SIDES)
+    plan = fault_plans.draw_plan(
+        seed, duration_s=120.0, edges=_EDGES, sides=_SIDES
+    )
     edge_faults = [
         item for item in plan if getattr(item.fault, "process", "") in _EDGES
     ]
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -10,6 +10,7 @@
 
 from marigoldsill.transport import http_server
 from soak import connection_owners
+from soak import fault_plans
 from soak import faults
 from soak import foreign_heartbeats
 from soak import proxy
@@ -24,7 +25,7 @@
 
 
 def _plan(seed: int) -> list[faults.PlannedFault]:
-    return faults.draw_plan(
+    return fault_plans.draw_plan(
         seed,
         duration_s=60.0,
         edges=_MEMBERS,
