Draw agents that are killed with unanswered starts as capacity is reduced

The soak kept its promises before although tasks could run twice: its late requests came 0.3 s late, sooner than an agent starts again, and a restart seldom met a worker with less capacity. Drawn from a generator of its own, so the other faults of a seed stay.

--- a/soak/fault_plans.py
+++ b/soak/fault_plans.py
@@ -37,6 +37,11 @@
 _REDUCED_CAPACITIES_MILLICORES = (1_000, 2_000, 4_000)
 # Time from the end of a capacity reduction to the next one.
 _REDUCTION_INTERVALS_S = (0.5, 3.0)
+# Start requests are left unanswered for this long before an agent is killed, and carried
+# out after its restart.
+_UNANSWERED_S = (0.5, 1.5)
+_CALL_DELAYS_S = (1.5, 5.0)
+_RESTART_S = (0.2, 0.6)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,12 +79,16 @@
         stateless_edges: Edges without a disk.
     """
     machines = _Machines(tuple(edges), tuple(stateless_edges), tuple(sides))
+    # Separate generators keep the other faults of a seed unchanged.
+    reductions = list(
+        _draw_capacity_reductions(
+            random.Random(f"{seed} resizes"), duration_s, sides
+        )
+    )
     return [
         *_draw_faults(random.Random(seed), duration_s, machines),
-        # A separate generator keeps the other faults of a seed unchanged.
-        *_draw_capacity_reductions(
-            random.Random(f"{seed} resizes"), duration_s, sides
-        ),
+        *reductions,
+        *_draw_agent_restarts(random.Random(f"{seed} restarts"), reductions),
     ]
 
 
@@ -125,6 +134,30 @@
         at_s += fault_duration_s + numbers.uniform(*_REDUCTION_INTERVALS_S)
 
 
+def _draw_agent_restarts(
+    numbers: random.Random, reductions: Sequence[faults.PlannedFault]
+) -> Iterator[faults.PlannedFault]:
+    """Draws agents that are killed with unanswered starts as capacity is reduced.
+
+    An agent that refuses a run after its restart must prevent the earlier start.
+    """
+    for reduction in reductions:
+        worker = reduction.fault.worker
+        unanswered_s = numbers.uniform(*_UNANSWERED_S)
+        yield faults.PlannedFault(
+            max(0.0, reduction.at_s - unanswered_s),
+            unanswered_s,
+            faults.DelayedCalls(
+                worker, "run-start", numbers.uniform(*_CALL_DELAYS_S)
+            ),
+        )
+        yield faults.PlannedFault(
+            reduction.at_s,
+            numbers.uniform(*_RESTART_S),
+            faults.ProcessKill(worker),
+        )
+
+
 def _draw_series(
     numbers: random.Random, duration_s: float, machines: _Machines
 ) -> Iterator[faults.PlannedFault]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -80,10 +80,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DelayedCalls:
-    """A worker does not answer one kind of call and carries it out later."""
+    """A worker does not answer one kind of call and carries it out later.
+
+    Attributes:
+        worker: The worker.
+        call: The kind of call.
+        delay_s: How much later.
+    """
 
     worker: str
     call: str
+    delay_s: float = 0.3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -11,8 +11,6 @@
 from soak import proxy
 from tests.platform import system as system_module
 
-_CALL_DELAY_S = 0.3
-
 
 class Injector:
     """Starts and ends faults, for each process only one at a time.
@@ -81,10 +79,10 @@
                 worker=worker, cpu_millicores=cpu_millicores
             ):
                 self._system.workers[worker].resize(cpu_millicores)
-            case faults.DelayedCalls(worker=worker, call=call):
+            case faults.DelayedCalls(worker=worker, call=call, delay_s=delay_s):
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.delayed_calls = {call}
-                worker_faults.call_delay_s = _CALL_DELAY_S
+                worker_faults.call_delay_s = delay_s
             case faults.ForeignHeartbeats(worker=worker, seed=seed):
                 address = self._system.control_address(worker)
                 self._heartbeat_senders[fault] = (
