Order an agent's reports of ends with those of its next process

Callers could see two runs of one task at a time: an agent reports that it refused a run and is restarted; its report and the first one of the next process reach the leader together. The next process got the order for the run and a lease, and then the refusal was proposed and recorded, and the next run was granted elsewhere.

Cause: a report is checked against later processes of its agent before its ends are proposed. The record that a later process waits for before its first lease comes after ends that are in the log by then, but not after ends of a report that is between the check and the log.

Now the check, the record of the ends and that of the process are one step for reports of one agent in one term. A report waits only while another of its agent is recorded.

--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import threading
 
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.job_placing import agents as agents_module
@@ -59,32 +60,56 @@
         # The first incarnation of each agent that reported to this process, or the last
         # one for which all that earlier ones reported is applied.
         self._settled_incarnations: dict[str, int] = {}
+        self._lock = threading.Lock()
+        self._agent_locks_term = 0
+        self._agent_locks: dict[str, threading.Lock] = {}
 
     def handle(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
         """Records a report, and grants the agent a lease if that is allowed."""
         reply = ttypes.AgentReply(term=self._replica.term)
+        with self._agent_lock(report.agent, reply.term):
+            if not self._record(report, reply):
+                return reply
+        view = self._agents.get(report.agent)
+        reply.resend_worker = view is not None and view.worker is None
+        if not report.worker_silent and not reply.resend_worker:
+            self._record_responsive(report.agent, report.incarnation)
+            self._grant_lease(report.agent, reply)
+        if report.worker is not None:
+            self._on_change()
+        return reply
+
+    def _agent_lock(self, agent: str, term: int) -> threading.Lock:
+        """Returns the lock for recording an agent's reports.
+
+        It is held from the check that no later incarnation has reported until the ends
+        are applied or their outcome is unknown. It is another one in each term, as
+        ends are proposed only in the term of their report.
+        """
+        with self._lock:
+            if term > self._agent_locks_term:
+                self._agent_locks_term, self._agent_locks = term, {}
+            return self._agent_locks.setdefault(agent, threading.Lock())
+
+    def _record(
+        self, report: ttypes.AgentReport, reply: ttypes.AgentReply
+    ) -> bool:
+        """Records a report; returns False if it allows no lease."""
         reply.replaced_by = self._agents.find_newer_incarnation(report)
         if reply.replaced_by:
-            return reply
+            return False
         self._settled_incarnations.setdefault(report.agent, report.incarnation)
         are_ends_recorded = self._record_ends(report, reply.term)
         with self._replica.lock:
             if not self._leads_in(reply.term):
-                return reply
+                return False
             reply.ends_recorded = are_ends_recorded
             reply.orders_version = self._orders.version(report.agent)
             now_s = clock.now_s()
             if not self._agents.record_report(report, now_s=now_s):
-                return reply
+                return False
             self._late_start_bounds.record_report(report, now_s=now_s)
-        view = self._agents.get(report.agent)
-        reply.resend_worker = view is not None and view.worker is None
-        if not report.worker_silent and not reply.resend_worker:
-            self._record_responsive(report.agent, report.incarnation)
-            self._grant_lease(report.agent, reply)
-        if report.worker is not None:
-            self._on_change()
-        return reply
+        return True
 
     def _record_ends(self, report: ttypes.AgentReport, term: int) -> bool:
         """Records the ends in a report; returns False if they have to be sent again.
