Tell a refused connection from one without an answer

What callers saw: an agent took a call whose connection was never completed (a full or cut link) for one to an address where no process listens. With a deregistration, that was one way to report runs as lost that went on.

Cause: a failed call told only whether bytes of the request may have been sent. Not sent means refused, but also a connection attempt that timed out, or no route.

Fix: TransportError.refused, true only if the peer's machine refused the connection (ECONNREFUSED), also when curl repeats a request on a new connection after a reused one broke. A connection that breaks is not a refused one.

Evidence: before, both cases gave sent=False (a trial with a socket that is not listened on, and one with a full queue); the new tests fail without the field.

--- a/marigoldsill/errors.py
+++ b/marigoldsill/errors.py
@@ -185,15 +185,25 @@
         sent: Whether bytes of the request may have reached the peer.
         timed_out: Whether the peer left the request unanswered, and may still execute
             it.
+        refused: Whether the peer's machine refused the connection, as no process
+            listens at the address.
     """
 
     http_status = 502
     exit_code = 7
 
-    def __init__(self, message: str, *, sent: bool, timed_out: bool = False):
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        timed_out: bool = False,
+        refused: bool = False,
+    ):
         super().__init__(message)
         self.sent = sent
         self.timed_out = timed_out
+        self.refused = refused
 
 
 class PlatformError(MarigoldsillError):
--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import errno
 import io
 import socket
 import threading
@@ -230,6 +231,10 @@
                 f"{method} {url}: {message}",
                 sent=sent,
                 timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
+                refused=(
+                    code == pycurl.E_COULDNT_CONNECT
+                    and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+                ),
             ) from error
         finally:
             if cancellation is not None:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -90,6 +90,44 @@
         client.fetch(server.address, "/", timeout_s=_WAIT_S)
     assert len(server.requests) == 2
     assert caught.value.sent
+    assert caught.value.refused
+
+
+def test_refused_connection_is_told_from_one_without_an_answer():
+    """Guards against taking a process that cannot be reached for one that has ended."""
+    with contextlib.ExitStack() as stack:
+        closed = stack.enter_context(socket.socket())
+        closed.bind(("127.0.0.1", 0))
+        full = stack.enter_context(socket.socket())
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        # They fill the kernel's queue, so that another one is not completed.
+        for _ in range(3):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(full.getsockname())
+        found = {}
+        for name, listener in (("closed", closed), ("full", full)):
+            host, port = listener.getsockname()
+            with pytest.raises(errors.TransportError) as caught:
+                http_client.Client().fetch(f"{host}:{port}", "/", timeout_s=0.2)
+            error = caught.value
+            found[name] = (error.refused, error.timed_out, error.sent)
+    assert found == {
+        "closed": (True, False, False),
+        "full": (False, True, False),
+    }
+
+
+def test_broken_connection_is_not_a_refused_one(serve):
+    def close_connection(server: _Server, connection: socket.socket) -> None:
+        connection.shutdown(socket.SHUT_RDWR)
+
+    with pytest.raises(errors.TransportError) as caught:
+        http_client.Client().fetch(
+            serve(close_connection).address, "/", timeout_s=_WAIT_S
+        )
+    assert not caught.value.refused
 
 
 @pytest.mark.parametrize(
