Count a deregistered worker as ended only by evidence

What callers saw: two runs of one task at a time. A worker ends once its deregistration is acknowledged, or some seconds later without one. The agent reported its runs as lost when the message arrived, so the leader started them elsewhere while they went on.

Cause: the message was taken for the end. For a worker that tells its start time, any call without an answer was, once it was deregistered and drained. A deregistration of a worker that the agent knew by orders only (after a restart) ended it as well.

Evidence before: with real processes, a worker that continues for 1.5 s after it has deregistered: "assert find_concurrent_runs(lines) == []" failed; the same for one that also leaves calls unanswered, with a new id or the same one after a restart.

Fix: a deregistration is recorded. A second thread (DepartureWatch) calls the worker without a wait, first at once and then at pauses from 10 to 250 ms, beside a long poll in progress. The incarnation ends if another one answers, if its address refuses a connection, or if it does not answer and the last deadline that any renewal or start carried, or an earlier process of the agent may have sent, has passed on its clock (with the drift ratio and margin of the leader's leases). Its lease is not extended until it answers, so that this time does not move. No run starts on it. A worker that does not drain cannot have deregistered: the message is an earlier incarnation's or another writer's; it ends nothing unless a connection is refused, and is void after 10 s. worker_gone gives the reason of each path; worker_deregistered is new.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -12,7 +12,6 @@
 from marigoldsill.coordination.job_agent import unreported_ends
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.coordination.job_agent import worker_runs
-from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -47,6 +46,7 @@
         changed: Notified on every change.
         worker_clock: The worker's clock.
         late_calls: Calls that may have an effect on a later incarnation.
+        departures: Incarnations that were deregistered.
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         term: The highest term of a leader that is known.
@@ -70,6 +70,7 @@
         self._announcement_age_limit_s = announcement_age_limit_s
         self.worker_clock = worker_clock.WorkerClock()
         self.late_calls = late_calls.LateCalls()
+        self.departures = late_calls.Departures()
         self.worker: ttypes.PoolWorker | None = None
         self.lease = Lease()
         self.term = 0
@@ -127,11 +128,13 @@
     def may_start(self) -> bool:
         """Whether the lease, orders and last announcement allow a start now.
 
-        None is made while a later incarnation of the worker's name is announced but
-        was not called yet, as it would begin the run.
+        None is made on a worker that was deregistered, or while a later incarnation of
+        the worker's name is announced but was not called yet, as it would begin the
+        run.
         """
         return (
-            self.announcement_overdue_s <= 0
+            not self.departures.prevent_starts(self.worker_id)
+            and self.announcement_overdue_s <= 0
             and not self._incarnations.has_successor(self.worker_id)
             and self._has_orders_of_lease
         )
@@ -151,6 +154,7 @@
 
     def record_unreachable(self, worker_id: str) -> None:
         """Records a call without an answer; the caller must hold the lock."""
+        self.departures.record_unanswered(worker_id)
         if worker_id == self.worker_id:
             self.starts.record_unreachable()
 
@@ -205,6 +209,7 @@
             if not self._incarnations.set_current(worker_id):
                 return
             self._clear_worker()
+            self.departures.remove(old_id)
             self.worker = self._incarnations.current.worker
             now_s = clock.now_s()
             self.late_calls.record_confirmed(
@@ -235,6 +240,7 @@
         """
         with self.changed:
             self._incarnations.record_end(worker_id)
+            self.departures.remove(worker_id)
             if answering_id:
                 self._incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
@@ -244,35 +250,30 @@
             self.changed.notify_all()
 
     def deregister(self, name: str) -> None:
-        """Ends the incarnation that a worker deregisters by its name.
+        """Records that a worker announced its end by its name.
 
-        The message may be a late one of an earlier incarnation of the same name. Then
-        the current one ends only once it does not answer (see `record_unreached`).
+        The worker may continue for seconds, or the message may be a late one of an
+        earlier incarnation of the same name. See `lease_renewer.DepartureWatch`.
         """
         with self.changed:
-            if incarnation_ids.share_name(name, self.worker_id):
-                self.late_calls.record_deregistration(
-                    self.worker_id, now_s=clock.now_s()
-                )
-                return
-        self.end_incarnation(name, reason="it deregistered")
-
-    def record_unreached(self, worker_id: str, *, is_connected: bool) -> None:
-        """Ends an incarnation that was deregistered and does not answer.
+            self.departures.record(
+                name,
+                current=self.worker,
+                other_ids=(
+                    *self._incarnations.candidate_ids,
+                    *(order.worker_id for order in self.orders.values()),
+                ),
+                now_s=clock.now_s(),
+            )
+            self.changed.notify_all()
 
-        Args:
-            worker_id: The incarnation that was called.
-            is_connected: Whether a process listens at its address.
-        """
-        with self.changed:
-            if self.worker is None or worker_id != self.worker_id:
-                return
-            if not self.late_calls.has_left(
-                self.worker, is_connected=is_connected, now_s=clock.now_s()
-            ):
-                return
-        self.end_incarnation(
-            worker_id, reason="it deregistered and does not answer"
+    def record_answer(self, worker_id: str) -> None:
+        """Records that an incarnation answered; the caller must hold the lock."""
+        is_current = worker_id == self.worker_id
+        self.departures.record_answer(
+            worker_id,
+            may_leave=not is_current or self.worker.draining,
+            now_s=clock.now_s(),
         )
 
     def acknowledged_for(self, worker_id: str) -> int:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -286,7 +286,7 @@
     def _start(self, order: ttypes.RunOrder, progress: _Progress) -> None:
         state = self._state
         with state.changed:
-            deadline_ms = self._lease_renewer.deadline_ms()
+            deadline_ms = self._lease_renewer.issue_deadline_ms()
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/job_agent/incarnations.py
@@ -71,6 +71,11 @@
             return next(reversed(self._candidates.values()))
         return self.current
 
+    @property
+    def candidate_ids(self) -> list[str]:
+        """The announced incarnations other than the current one."""
+        return list(self._candidates)
+
     @property
     def has_ended_ids(self) -> bool:
         """Whether any incarnation is known to have ended."""
--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/job_agent/late_calls.py
@@ -1,21 +1,27 @@
-"""How long calls that were meant for an earlier incarnation may still have an effect.
+"""How long calls may still have an effect, and which deregistrations are open.
 
-A worker that restarts under its name carries out such calls, and a message that names
-the worker may be about an earlier incarnation.
+A worker that restarts under its name carries out calls that were meant for an earlier
+incarnation, and a message that names the worker may be about an earlier incarnation.
 """
 
+from collections.abc import Iterable
+import dataclasses
 import math
 
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
-# How long after a restart a lease renewal may still be carried out.
-_RENEWAL_S = 15.0
+# How long after a restart a lease renewal may still be carried out, with its effect.
+RENEWAL_S = 15.0
 # How long an acknowledgement of ends may still be carried out. The worker is not used
 # for this time.
 _ACKNOWLEDGEMENT_S = 5.0
-# How long a worker may take to end after it has deregistered.
+# How long a deregistration of a worker that does not drain is open. It drains before it
+# deregisters, so this is a message of an earlier incarnation or of another writer.
 _DEREGISTRATION_S = 10.0
+# Maximum number of deregistered incarnations; only one is real.
+_DEPARTURES_LIMIT = 8
 
 
 class LateCalls:
@@ -30,9 +36,8 @@
     def __init__(self):
         self.has_restarted = False
         self._restarted_s = -math.inf
-        # The incarnation that was called or deregistered last, and when.
+        # The incarnation that was called last, and when.
         self._unanswered_acknowledgement = ("", -math.inf)
-        self._deregistration = ("", -math.inf)
 
     def record_confirmed(
         self, worker_id: str, *, last_id: str, now_s: float
@@ -47,13 +52,14 @@
         """Records an acknowledgement that the worker may still carry out."""
         self._unanswered_acknowledgement = (worker_id, now_s)
 
-    def record_deregistration(self, worker_id: str, *, now_s: float) -> None:
-        """Records a message that the worker of an incarnation ends."""
-        self._deregistration = (worker_id, now_s)
+    @property
+    def renewals_end_s(self) -> float:
+        """When no renewal with a deadline on another clock has an effect any more."""
+        return self._restarted_s + RENEWAL_S
 
     def may_extend_lease(self, *, now_s: float) -> bool:
         """Whether a renewal with a deadline on another clock may have an effect."""
-        return now_s - self._restarted_s < _RENEWAL_S
+        return now_s < self.renewals_end_s
 
     def may_discard_ends(self, worker_id: str, *, now_s: float) -> bool:
         """Whether an incarnation may carry out an earlier one's acknowledgement."""
@@ -64,22 +70,123 @@
             and incarnation_ids.share_name(called_id, worker_id)
         )
 
-    def has_left(
-        self, worker: ttypes.PoolWorker, *, is_connected: bool, now_s: float
-    ) -> bool:
-        """Whether an incarnation that does not answer was deregistered.
 
-        A worker drains before it deregisters. One that does not drain may be alive as
-        long as a process listens at its address.
+@dataclasses.dataclass(slots=True)
+class _Departure:
+    """An open deregistration.
+
+    Attributes:
+        since_s: When it arrived.
+        is_certain: Whether the incarnation drained by then, or was not called yet.
+        is_answered: Whether the incarnation has answered the last call since then.
+    """
+
+    since_s: float
+    is_certain: bool
+    is_answered: bool = False
+
+
+class Departures:
+    """Incarnations that were deregistered and may not have ended yet.
+
+    Not thread-safe: the owner's lock must be held for every call.
+    """
+
+    def __init__(self):
+        # The oldest first.
+        self._by_id: dict[str, _Departure] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there are none."""
+        return not self._by_id
+
+    def open_ids(self, *, now_s: float) -> list[str]:
+        """Returns the incarnations, after removing outdated deregistrations."""
+        self._by_id = {
+            worker_id: departure
+            for worker_id, departure in self._by_id.items()
+            if departure.is_certain
+            or now_s - departure.since_s <= _DEREGISTRATION_S
+        }
+        return list(self._by_id)
+
+    @property
+    def last_since_s(self) -> float:
+        """When the last deregistration arrived, or negative infinity."""
+        return max((d.since_s for d in self._by_id.values()), default=-math.inf)
+
+    def since_s(self, worker_id: str) -> float:
+        """Returns when an incarnation was deregistered, or infinity."""
+        departure = self._by_id.get(worker_id)
+        return math.inf if departure is None else departure.since_s
+
+    def is_unanswered(self, worker_id: str) -> bool:
+        """Whether an incarnation was deregistered and left the last call unanswered."""
+        departure = self._by_id.get(worker_id)
+        return departure is not None and not departure.is_answered
+
+    def prevent_starts(self, worker_id: str) -> bool:
+        """Whether an incarnation was deregistered by a name that no other one has."""
+        started_ms = incarnation_ids.started_unix_ms_of(worker_id)
+        return started_ms is None and worker_id in self._by_id
+
+    def record(
+        self,
+        name: str,
+        *,
+        current: ttypes.PoolWorker | None,
+        other_ids: Iterable[str],
+        now_s: float,
+    ) -> None:
+        """Records a deregistration; a repeated one has no effect.
 
         Args:
-            worker: The incarnation that was called.
-            is_connected: Whether a process listens at its address.
+            name: The name of the worker that was deregistered.
+            current: The current incarnation, or None.
+            other_ids: Other incarnations that may not have ended; they count if the
+                current one has another name.
             now_s: The time.
         """
-        deregistered_id, deregistered_s = self._deregistration
-        return (
-            worker.worker_id == deregistered_id
-            and now_s - deregistered_s < _DEREGISTRATION_S
-            and (worker.draining or not is_connected)
-        )
+        current_id = "" if current is None else current.worker_id
+        is_current = incarnation_ids.name_of(current_id) == name
+        named_ids = {
+            worker_id
+            for worker_id in ((current_id,) if is_current else other_ids)
+            if incarnation_ids.name_of(worker_id) == name
+        }
+        for worker_id in named_ids or {name}:
+            if worker_id in self._by_id:
+                continue
+            logs.event("worker_deregistered", worker_id=worker_id)
+            self._by_id[worker_id] = _Departure(
+                now_s, is_certain=worker_id != current_id or current.draining
+            )
+            if len(self._by_id) > _DEPARTURES_LIMIT:
+                del self._by_id[next(i for i in self._by_id if i != current_id)]
+
+    def record_answer(
+        self, worker_id: str, *, may_leave: bool, now_s: float
+    ) -> None:
+        """Records an answer of an incarnation.
+
+        Args:
+            worker_id: The incarnation.
+            may_leave: Whether it announces that it drains, or is not known enough.
+            now_s: The time.
+        """
+        departure = self._by_id.get(worker_id)
+        if departure is None:
+            return
+        departure.is_answered = True
+        if not may_leave and now_s - departure.since_s > _DEREGISTRATION_S:
+            del self._by_id[worker_id]
+
+    def record_unanswered(self, worker_id: str) -> None:
+        """Records a call without an answer."""
+        if departure := self._by_id.get(worker_id):
+            departure.is_answered = False
+
+    def remove(self, worker_id: str) -> None:
+        """Removes an incarnation that has ended."""
+        self._by_id.pop(worker_id, None)
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -1,7 +1,14 @@
-"""The thread that renews the worker's lease and receives its listings."""
+"""The thread that renews the worker's lease and receives its listings.
+
+A second thread calls a worker that was deregistered until it has ended.
+"""
+
+import math
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import late_calls
+from marigoldsill.coordination.leadership import leases
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
@@ -17,6 +24,10 @@
 # list them again at once.
 _UNRECORDED_ENDS_WAIT_S = 0.1
 _PAUSE_S = 0.1
+# Pauses between calls to a deregistered worker. They grow with the time since then, as it
+# usually ends a few ms later.
+_MIN_DEPARTURE_PAUSE_S = 0.01
+_MAX_DEPARTURE_PAUSE_S = 0.25
 
 
 class LeaseRenewer:
@@ -64,8 +75,6 @@
         except errors.MarigoldsillError as error:
             if current_id in ("", worker_id):
                 self._dependency.record_failure(error.kind, error.message)
-            if isinstance(error, errors.TransportError):
-                self._state.record_unreached(worker_id, is_connected=error.sent)
             with self._state.changed:
                 self._state.record_unreachable(worker_id)
                 self._state.changed.wait(_PAUSE_S)
@@ -81,13 +90,16 @@
             return None
         return min(lease.end_s, clock.now_s() + self._lease_limit_s)
 
-    def deadline_ms(self) -> int | None:
-        """Returns the lease's end on the worker's clock, or None if either is missing."""
+    def issue_deadline_ms(self) -> int | None:
+        """Returns a deadline to send to the worker, on its clock.
+
+        It is None if there is no lease or the worker's clock is not known.
+        """
         end_s = self.lease_end_s()
         return (
             None
             if end_s is None
-            else self._state.worker_clock.to_worker_ms(end_s)
+            else self._state.worker_clock.issue_deadline_ms(end_s)
         )
 
     def _wait_for_worker(self) -> str:
@@ -125,7 +137,10 @@
         """
         state = self._state
         is_known = worker_id == state.worker_id
-        deadline_ms = self.deadline_ms() if is_known else None
+        deadline_ms = None
+        # The lease of a worker that may have ended must expire some time.
+        if is_known and not state.departures.is_unanswered(worker_id):
+            deadline_ms = self.issue_deadline_ms()
         acknowledged = state.acknowledged_for(worker_id)
         try:
             listing = self._worker.renew_lease(
@@ -151,9 +166,124 @@
             listing.clock_ms, received_s=received_s
         )
         state.last_answer_s = received_s
+        with state.changed:
+            state.record_answer(worker_id)
         state.record_listing(listing)
         if listing.unread_ended_count:
             # Unreadable ends are never acknowledged, so the worker would answer the
             # next call at once.
             with state.changed:
                 state.changed.wait(_PAUSE_S)
+
+
+class DepartureWatch:
+    """Determines when a worker that was deregistered has ended.
+
+    If the worker gets no acknowledgement, it ends some seconds later, and its runs
+    continue until then. So it has ended only once another incarnation answers, its
+    address refuses a connection, or it does not answer and its lease has expired.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: agent_state.AgentState,
+        worker: run_worker.RunWorker,
+        hold_limit_ms: int,
+    ):
+        """Initializes the watch.
+
+        Args:
+            state: The agent's state.
+            worker: The worker.
+            hold_limit_ms: The longest lease that the worker accepts.
+        """
+        self._state = state
+        self._worker = worker
+        self._lease_limit_s = hold_limit_ms / 1000
+
+    def run(self) -> None:
+        """Calls deregistered workers until the agent stops."""
+        state = self._state
+        while not state.is_stopping:
+            with state.changed:
+                state.changed.wait_for(
+                    lambda: state.is_stopping or not state.departures.is_empty
+                )
+            self.check()
+            with state.changed:
+                state.changed.wait_for(
+                    lambda: state.is_stopping, self._pause_s()
+                )
+
+    def check(self) -> None:
+        """Calls each deregistered incarnation once."""
+        with self._state.changed:
+            worker_ids = self._state.departures.open_ids(now_s=clock.now_s())
+        for worker_id in worker_ids:
+            self._check(worker_id)
+
+    def _pause_s(self) -> float:
+        age_s = clock.now_s() - self._state.departures.last_since_s
+        return min(max(age_s, _MIN_DEPARTURE_PAUSE_S), _MAX_DEPARTURE_PAUSE_S)
+
+    def _check(self, worker_id: str) -> None:
+        state = self._state
+        try:
+            self._worker.renew_lease(
+                worker_id,
+                token=state.term,
+                acknowledged=0,
+                deadline_ms=None,
+                wait_ms=0,
+            )
+        except errors.OtherWorkerError as error:
+            state.end_incarnation(
+                worker_id,
+                reason="it deregistered, and another incarnation answers",
+                answering_id=error.answering_id,
+            )
+        except errors.TransportError as error:
+            self._handle_no_answer(worker_id, error)
+        except errors.RunRefusedError:
+            self._record_answer(worker_id)
+        except errors.MarigoldsillError:
+            # It does not tell which incarnation answered.
+            return
+        else:
+            self._record_answer(worker_id)
+
+    def _record_answer(self, worker_id: str) -> None:
+        with self._state.changed:
+            self._state.record_answer(worker_id)
+
+    def _handle_no_answer(
+        self, worker_id: str, error: errors.TransportError
+    ) -> None:
+        state = self._state
+        reason = ""
+        with state.changed:
+            state.departures.record_unanswered(worker_id)
+            if error.refused:
+                reason = "it deregistered, and its address refuses connections"
+            elif clock.now_s() > self._lease_end_s(worker_id):
+                reason = "it deregistered and does not answer, and its lease has expired"
+        if reason:
+            state.end_incarnation(worker_id, reason=reason)
+
+    def _lease_end_s(self, worker_id: str) -> float:
+        """Returns when the lease of a deregistered incarnation has certainly expired.
+
+        The result is infinite if the current one may not be the one that is meant.
+        """
+        state = self._state
+        if worker_id != state.worker_id:
+            # Only an earlier process of the agent may have renewed its lease.
+            limit_s = leases.MARGIN_S + self._lease_limit_s * leases.DRIFT_RATIO
+            return state.departures.since_s(worker_id) + max(
+                limit_s, late_calls.RENEWAL_S
+            )
+        if not state.worker.draining:
+            return math.inf
+        end_s = state.worker_clock.lease_end_s(self._lease_limit_s)
+        return max(end_s, state.late_calls.renewals_end_s)
--- a/marigoldsill/coordination/job_agent/worker_clock.py
+++ b/marigoldsill/coordination/job_agent/worker_clock.py
@@ -1,7 +1,10 @@
 """Conversion of deadlines to the worker's clock, which differs from this machine's."""
 
+import math
 import threading
 
+from marigoldsill.coordination.leadership import leases
+
 
 class WorkerClock:
     """Converts times of this machine's clock to the worker's clock.
@@ -14,6 +17,8 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._reading: tuple[float, int] | None = None
+        self._first_received_s = math.inf
+        self._last_deadline_ms = 0
 
     def record_reading(self, clock_ms: int, *, received_s: float) -> None:
         """Records the worker's clock as read from an answer.
@@ -23,12 +28,16 @@
             received_s: When the answer arrived, on this machine's clock.
         """
         with self._lock:
+            if self._reading is None:
+                self._first_received_s = received_s
             self._reading = (received_s, clock_ms)
 
     def reset(self) -> None:
         """Removes the last reading, as another worker has another clock."""
         with self._lock:
             self._reading = None
+            self._first_received_s = math.inf
+            self._last_deadline_ms = 0
 
     def to_worker_ms(self, local_s: float) -> int | None:
         """Converts a time of this machine's clock to the worker's clock.
@@ -39,8 +48,41 @@
         Returns:
             The time on the worker's clock, or None before the first reading.
         """
+        with self._lock:
+            return self._convert(local_s)
+
+    def issue_deadline_ms(self, local_s: float) -> int | None:
+        """Converts a time like `to_worker_ms` and records it as sent to the worker."""
+        with self._lock:
+            deadline_ms = self._convert(local_s)
+            if deadline_ms is not None:
+                self._last_deadline_ms = max(
+                    self._last_deadline_ms, deadline_ms
+                )
+            return deadline_ms
+
+    def lease_end_s(self, limit_s: float) -> float:
+        """Returns when the worker's lease has certainly expired.
+
+        Args:
+            limit_s: The longest lease that the worker accepts. An earlier process of
+                the agent may have renewed it before the first reading.
+
+        Returns:
+            The time on this machine's clock; infinity before the first reading.
+        """
         with self._lock:
             if self._reading is None:
-                return None
+                return math.inf
             received_s, clock_ms = self._reading
+            remaining_s = max(0.0, (self._last_deadline_ms - clock_ms) / 1000)
+            return leases.MARGIN_S + max(
+                received_s + remaining_s * leases.DRIFT_RATIO,
+                self._first_received_s + limit_s * leases.DRIFT_RATIO,
+            )
+
+    def _convert(self, local_s: float) -> int | None:
+        if self._reading is None:
+            return None
+        received_s, clock_ms = self._reading
         return clock_ms + int((local_s - received_s) * 1000)
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -20,7 +20,7 @@
 from marigoldsill.transport import logs
 
 _HTTP_THREADS_COUNT = 8
-_LOOPS_COUNT = 4
+_LOOPS_COUNT = 5
 # Maximum size of a heartbeat, by the platform's specification.
 _BODY_LIMIT_BYTES = 4 << 20
 
@@ -38,6 +38,11 @@
             worker=worker,
             hold_limit_ms=settings.hold_limit_ms,
         )
+        departure_watch = lease_renewer_module.DepartureWatch(
+            state=self._state,
+            worker=worker,
+            hold_limit_ms=settings.hold_limit_ms,
+        )
         self._executor = executor_module.Executor(
             state=self._state, worker=worker, lease_renewer=lease_renewer
         )
@@ -67,6 +72,7 @@
         )
         self._loops = (
             lease_renewer.run,
+            departure_watch.run,
             self._executor.run,
             reporter.run,
             watch.run,
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -31,6 +31,8 @@
 # The longest lease, as in the settings of the tests' processes.
 _LEASE_LIMIT_MS = 6_000
 _NO_ANSWER_S = 3.0
+# Longer than an agent takes to list the runs of a worker.
+_DRAIN_S = 1.2
 _THREADS_COUNT = 32
 _incarnation_numbers = itertools.count(1)
 
@@ -113,6 +115,7 @@
         self._gangs = gangs or gangs_module.Gangs()
         self.faults = PoolFaults()
         self.is_draining = False
+        self._has_ended = False
         self.accepts_ticket: Callable[[str, str, str], bool] | None = None
         self._control_address = control_address
         self._pool = pool
@@ -144,11 +147,35 @@
         self._executor.submit(self._send_heartbeats)
 
     def stop(self) -> None:
-        """Stops without deregistering at the agent."""
+        """Stops without deregistering at the agent; has no effect a second time."""
+        if self._stopping.is_set():
+            return
         self._stopping.set()
         self._server.stop()
         self._executor.shutdown(wait=False)
 
+    def leave(self, *, end_delay_s: float = 0.0) -> None:
+        """Drains, deregisters at the agent, and ends.
+
+        Args:
+            end_delay_s: How long the worker continues after it has deregistered, as
+                if the acknowledgement were lost.
+        """
+        self.drain_and_deregister()
+        self._stopping.wait(end_delay_s)
+        with self._condition:
+            self._lose_runs()
+            self._has_ended = True
+            self._condition.notify_all()
+        self.stop()
+
+    def drain_and_deregister(self) -> None:
+        """Announces the worker's end at the agent, and continues."""
+        self.is_draining = True
+        self._send_heartbeat()
+        self._stopping.wait(_DRAIN_S)
+        self._call_agent("Deregister", {})
+
     def crash(self, *, keeps_id: bool = False) -> None:
         """Loses all runs and restarts as a new incarnation.
 
@@ -157,10 +184,7 @@
                 tells when it started.
         """
         with self._condition:
-            for run in self._runs.values():
-                self._journal_run("lost", run)
-                if run.gang is not None:
-                    run.gang.leave(run.task, "lost")
+            self._lose_runs()
             self._begin_incarnation(keeps_id=keeps_id)
             self._condition.notify_all()
 
@@ -173,6 +197,13 @@
         with self._condition:
             return {run.task: run.run for run in self._runs.values()}
 
+    def _lose_runs(self) -> None:
+        for run in self._runs.values():
+            self._journal_run("lost", run)
+            if run.gang is not None:
+                run.gang.leave(run.task, "lost")
+        self._runs.clear()
+
     def _begin_incarnation(self, *, keeps_id: bool = False) -> None:
         if not (keeps_id and self._sends_born):
             self.incarnation = f"i-{next(_incarnation_numbers):08x}"
@@ -231,6 +262,10 @@
         except _RefusedError:
             return
 
+    def _check_not_ended(self) -> None:
+        if self._has_ended:
+            raise _RefusedError(503)
+
     def _handle_order(self, name: str, body: dict, incarnation: str) -> dict:
         orders: dict[str, Callable[[dict], dict]] = {
             "run-start": self._start_run,
@@ -239,6 +274,7 @@
             "pace": self._set_pace,
         }
         with self._condition:
+            self._check_not_ended()
             # The worker may have restarted since it received the call.
             if incarnation != self.incarnation:
                 raise _RefusedError(421)
@@ -299,10 +335,13 @@
         incarnation = self.incarnation
         self._condition.wait_for(
             lambda: (
-                self._unacknowledged_ends or incarnation != self.incarnation
+                self._unacknowledged_ends
+                or incarnation != self.incarnation
+                or self._has_ended
             ),
             wait_ms / 1000,
         )
+        self._check_not_ended()
         if incarnation != self.incarnation:
             raise _RefusedError(421)
         return {
@@ -401,11 +440,14 @@
             "clock_ms": self._clock_ms(),
             "sequence": next(self._sequence),
         } | self._born()
+        self._call_agent("Heartbeat", heartbeat)
+
+    def _call_agent(self, name: str, body: dict) -> None:
         self._client.fetch(
             self._control_address,
-            f"{_PREFIX}Instances.Heartbeat/{self.incarnation}",
+            f"{_PREFIX}Instances.{name}/{self.incarnation}",
             method="POST",
-            body=json.dumps(heartbeat).encode(),
+            body=json.dumps(body).encode(),
             headers=(("Content-Type", "application/json"),),
             timeout_s=_HEARTBEAT_TIMEOUT_S,
         )
