--- a/marigoldsill/coordination/job_agent/__init__.py
+++ b/marigoldsill/coordination/job_agent/__init__.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "agent_state",
+    "departure_watch",
     "executor",
     "lease_renewer",
     "order_watch",
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -64,8 +64,6 @@
         except errors.MarigoldsillError as error:
             if current_id in ("", worker_id):
                 self._dependency.record_failure(error.kind, error.message)
-            if isinstance(error, errors.TransportError):
-                self._state.record_unreached(worker_id, is_connected=error.sent)
             with self._state.changed:
                 self._state.record_unreachable(worker_id)
                 self._state.changed.wait(_PAUSE_S)
@@ -81,10 +79,11 @@
             return None
         return min(lease.end_s, clock.now_s() + self._lease_limit_s)
 
-    def deadline_ms(self) -> int | None:
-        """Returns the lease's end on the worker's clock, or None if either is missing.
+    def issue_deadline_ms(self) -> int | None:
+        """Returns a deadline to send to the worker, on its clock.
 
-        None as well while calls that begin runs or renew the lease are withheld.
+        It is None if there is no lease, if the worker's clock is not known, or while
+        calls that begin runs or renew the lease are withheld.
         """
         state = self._state
         if state.late_calls.withholds_calls(
@@ -95,7 +94,7 @@
         return (
             None
             if end_s is None
-            else self._state.worker_clock.to_worker_ms(end_s)
+            else self._state.worker_clock.issue_deadline_ms(end_s)
         )
 
     def _wait_for_worker(self) -> str:
@@ -133,7 +132,10 @@
         """
         state = self._state
         is_known = worker_id == state.worker_id
-        deadline_ms = self.deadline_ms() if is_known else None
+        deadline_ms = None
+        # The lease of a worker that may have ended must expire some time.
+        if is_known and not state.departures.is_unanswered(worker_id):
+            deadline_ms = self.issue_deadline_ms()
         acknowledged = state.acknowledged_for(worker_id)
         called_s = clock.now_s()
         try:
@@ -167,6 +169,8 @@
             listing.clock_ms, worker_id=worker_id, received_s=received_s
         )
         state.last_answer_s = received_s
+        with state.changed:
+            state.record_answer(worker_id)
         state.record_listing(listing)
         if listing.unread_ended_count:
             # Unreadable ends are never acknowledged, so the worker would answer the
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -6,8 +6,8 @@
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
-from marigoldsill.coordination.job_agent import late_calls
 from marigoldsill.coordination.leadership import control_link
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Iterable
 
-from marigoldsill.coordination.job_agent import late_starts
 from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.job_agent import run_starts
+from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/coordination/job_agent/incarnations.py
+++ b/marigoldsill/coordination/worker_incarnations/incarnations.py
@@ -71,6 +71,11 @@
             return next(reversed(self._candidates.values()))
         return self.current
 
+    @property
+    def candidate_ids(self) -> list[str]:
+        """The announced incarnations other than the current one."""
+        return list(self._candidates)
+
     @property
     def remembered_count(self) -> int:
         """How many incarnations other than the current one are remembered."""
--- a/marigoldsill/coordination/job_agent/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -1,7 +1,7 @@
-"""How long calls that were meant for an earlier incarnation may still have an effect.
+"""How long calls may still have an effect, and which deregistrations are open.
 
-A worker that restarts under its name carries out such calls, and a message that names
-the worker may be about an earlier incarnation.
+A worker that restarts under its name carries out calls that were meant for an earlier
+incarnation, and a message that names the worker may be about an earlier incarnation.
 """
 
 from collections.abc import Iterable
@@ -20,8 +20,6 @@
 UNRESPONSIVE_S = 2.0
 # How much slower than this machine's clock the worker's clock may be.
 _CLOCK_RATIO = 1.02
-# How long a worker may take to end after it has deregistered.
-_DEREGISTRATION_S = 10.0
 
 
 def effect_limit_s(lease_limit_s: float) -> float:
@@ -64,8 +62,6 @@
         # The incarnation that answered an acknowledgement last, and its number.
         self._answered_acknowledgement = ("", 0)
         self._is_acknowledgement_withheld = False
-        # The incarnation that was deregistered last, and when.
-        self._deregistration = ("", -math.inf)
 
     def record_confirmed(
         self,
@@ -165,13 +161,14 @@
             for task, run in keys
         ]
 
-    def record_deregistration(self, worker_id: str, *, now_s: float) -> None:
-        """Records a message that the worker of an incarnation ends."""
-        self._deregistration = (worker_id, now_s)
+    @property
+    def renewals_end_s(self) -> float:
+        """When no renewal with a deadline on another clock has an effect any more."""
+        return self.restarted_s + self._effect_limit_s
 
     def may_extend_lease(self, *, now_s: float) -> bool:
         """Whether a renewal with a deadline on another clock may have an effect."""
-        return now_s - self.restarted_s < self._effect_limit_s
+        return now_s < self.renewals_end_s
 
     def may_discard_ends(self, *, now_s: float) -> bool:
         """Whether the worker may carry out an earlier incarnation's acknowledgement.
@@ -179,23 +176,3 @@
         The end of a run that is done would be lost, so none is started until then.
         """
         return now_s - self._late_acknowledgement_s < LATE_CALL_LIMIT_S
-
-    def has_left(
-        self, worker: ttypes.PoolWorker, *, is_connected: bool, now_s: float
-    ) -> bool:
-        """Whether an incarnation that does not answer was deregistered.
-
-        A worker drains before it deregisters. One that does not drain may be alive as
-        long as a process listens at its address.
-
-        Args:
-            worker: The incarnation that was called.
-            is_connected: Whether a process listens at its address.
-            now_s: The time.
-        """
-        deregistered_id, deregistered_s = self._deregistration
-        return (
-            worker.worker_id == deregistered_id
-            and now_s - deregistered_s < _DEREGISTRATION_S
-            and (worker.draining or not is_connected)
-        )
--- a/marigoldsill/coordination/job_agent/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination.job_agent import late_calls
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -4,6 +4,9 @@
 from concurrent import futures
 
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import (
+    departure_watch as departure_watch_module,
+)
 from marigoldsill.coordination.job_agent import executor as executor_module
 from marigoldsill.coordination.job_agent import (
     lease_renewer as lease_renewer_module,
@@ -20,7 +23,7 @@
 from marigoldsill.transport import logs
 
 _HTTP_THREADS_COUNT = 8
-_LOOPS_COUNT = 4
+_LOOPS_COUNT = 5
 # Maximum size of a heartbeat, by the platform's specification.
 _BODY_LIMIT_BYTES = 4 << 20
 
@@ -39,6 +42,11 @@
             worker=worker,
             hold_limit_ms=settings.hold_limit_ms,
         )
+        departure_watch = departure_watch_module.DepartureWatch(
+            state=self._state,
+            worker=worker,
+            hold_limit_ms=settings.hold_limit_ms,
+        )
         self._executor = executor_module.Executor(
             state=self._state, worker=worker, lease_renewer=lease_renewer
         )
@@ -68,6 +76,7 @@
         )
         self._loops = (
             lease_renewer.run,
+            departure_watch.run,
             self._executor.run,
             reporter.run,
             watch.run,
--- a/tests/coordination/jobs/late_start_harness.py
+++ b/tests/coordination/jobs/late_start_harness.py
@@ -10,10 +10,10 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.job_agent import late_calls
 from marigoldsill.coordination.job_agent import lease_renewer
 from marigoldsill.coordination.job_agent import reporter as reporter_module
 from marigoldsill.coordination.jobs import lease_monitor
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -4,6 +4,9 @@
 import dataclasses
 
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import (
+    departure_watch as departure_watch_module,
+)
 from marigoldsill.coordination.job_agent import executor as executor_module
 from marigoldsill.coordination.job_agent import (
     lease_renewer as lease_renewer_module,
@@ -42,6 +45,7 @@
     state: agent_state.AgentState
     lease_renewer: lease_renewer_module.LeaseRenewer
     executor: executor_module.Executor
+    departure_watch: departure_watch_module.DepartureWatch
     orders_version: int = 0
 
     def receive_order(
@@ -127,7 +131,10 @@
     executor = executor_module.Executor(
         state=state, worker=worker, lease_renewer=lease_renewer, retry_s=0.0
     )
-    return SteppedAgent(worker, state, lease_renewer, executor)
+    watch = departure_watch_module.DepartureWatch(
+        state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
+    )
+    return SteppedAgent(worker, state, lease_renewer, executor, watch)
 
 
 def make_agent(
--- a/tests/coordination/jobs/test_incarnations.py
+++ b/tests/coordination/jobs/test_incarnations.py
@@ -292,4 +292,4 @@
     lease_end_ms = agent.worker.clock_ms(clock.now_s() + _LEASE_S)
     agent.receive_order(stepped_agent.RUN)
     agent.execute_orders()
-    assert agent.lease_renewer.deadline_ms() <= lease_end_ms
+    assert agent.lease_renewer.issue_deadline_ms() <= lease_end_ms
--- a/tests/coordination/jobs/test_late_acknowledgements.py
+++ b/tests/coordination/jobs/test_late_acknowledgements.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.job_agent import late_calls
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.jobs import fake_worker
--- a/tests/coordination/jobs/test_late_starts_at_lost_workers.py
+++ b/tests/coordination/jobs/test_late_starts_at_lost_workers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marigoldsill.coordination.job_agent import late_calls
+from marigoldsill.coordination.worker_incarnations import late_calls
 from tests.coordination.jobs import late_start_harness
 
 _OLD, _NEW = late_start_harness.OLD, late_start_harness.NEW
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -41,6 +41,7 @@
     "job_queueing",
     "job_admission",
     "jobs",
+    "worker_incarnations",
     "job_agent",
 )
 _MODULES_PER_FOLDER_LIMIT = 20
