Show the replies to failed requests and the system's state when a test of requests fails

A failing check printed counts only: which entry answered what and when, and what the processes logged, was lost with the run.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -80,6 +80,9 @@
         whole: Whether it is the complete answer to the caller's own request.
         retry_after_ms: Time after which to retry, or -1 if not given.
         error: Name of the error, or empty.
+        address: Address that the request was sent to.
+        sent_s: When it was sent, on the monotonic clock.
+        ended_s: When the answer was complete or the connection failed.
     """
 
     status_code: int
@@ -87,6 +90,9 @@
     whole: bool
     retry_after_ms: int
     error: str
+    address: str = ""
+    sent_s: float = 0.0
+    ended_s: float = 0.0
 
     @property
     def is_success(self) -> bool:
@@ -109,6 +115,11 @@
         """The last answer to the caller."""
         return self.replies[-1]
 
+    @property
+    def is_good(self) -> bool:
+        """Whether the last answer is successful, complete and the caller's."""
+        return self.last_reply.is_success and self.last_reply.whole
+
 
 class LoadGenerator:
     """Sends requests at the set rate and records their answers."""
@@ -166,7 +177,13 @@
         for repeat in range(self._settings.repeats_count + 1):
             addresses = self._addresses
             address = addresses[(number + repeat) % len(addresses)]
-            reply = self._send_once(address, caller_id, keyed)
+            sent_s = time.monotonic()
+            reply = dataclasses.replace(
+                self._send_once(address, caller_id, keyed),
+                address=address,
+                sent_s=sent_s,
+                ended_s=time.monotonic(),
+            )
             replies.append(reply)
             if reply.is_success or not self._may_repeat(reply, keyed):
                 break
@@ -246,6 +263,7 @@
         duplicated_count: Keys that ran more than once.
         falsely_not_run_count: Requests reported as "not run" that had run.
         unknown_count: Requests that ended with an unknown outcome.
+        not_good: The requests whose last answer was not good.
     """
 
     asked_count: int
@@ -255,6 +273,7 @@
     duplicated_count: int
     falsely_not_run_count: int
     unknown_count: int
+    not_good: tuple[RequestRecord, ...] = dataclasses.field(repr=False)
 
 
 def check_records(
@@ -274,9 +293,7 @@
 
     return Verdict(
         asked_count=len(records),
-        good_count=sum(
-            r.last_reply.is_success and r.last_reply.whole for r in records
-        ),
+        good_count=sum(r.is_good for r in records),
         wrong_count=sum(
             reply.is_success and not reply.whole
             for r in records
@@ -290,6 +307,7 @@
             _was_told_not_run(r) and r.caller_id in run_counts for r in records
         ),
         unknown_count=sum(last_outcome(r) == "unknown" for r in records),
+        not_good=tuple(r for r in records if not r.is_good),
     )
 
 
--- a/tests/failures/test_requests_endpoint_faults.py
+++ b/tests/failures/test_requests_endpoint_faults.py
@@ -63,11 +63,11 @@
         serving_system.set_faults("worker-1", **_NO_FAULTS)
     verdict = serving_system.compare_with_journals(records)
     serving_system_module.assert_outcomes_match(verdict)
-    assert verdict.lost_count == 0, verdict
+    assert verdict.lost_count == 0, serving_system.explain(verdict)
     retryable = [r for r in records if not r.key]
     assert sum(r.last_reply.is_success for r in retryable) >= min_share * len(
         retryable
-    ), verdict
+    ), serving_system.explain(verdict)
     _wait_until_both_serve(serving_system)
 
 
--- a/tests/failures/test_requests_process_faults.py
+++ b/tests/failures/test_requests_process_faults.py
@@ -9,6 +9,7 @@
 
 from tests import processes
 from tests import serving_system as serving_system_module
+from tests import system_report
 
 _WORKERS_COUNT = 2
 _DURATION_S = 3.0
@@ -31,15 +32,19 @@
     serving_system: serving_system_module.ServingSystem, worker: str
 ) -> None:
     start_ns = time.monotonic_ns()
-    processes.wait_until(
-        lambda: any(
-            e["event"] == "request_began"
-            and e["at_ns"] > start_ns
-            and e["worker"] == worker
-            for e in serving_system.events()
-        ),
-        what=f"a request on {worker}",
-    )
+    try:
+        processes.wait_until(
+            lambda: any(
+                e["event"] == "request_began"
+                and e["at_ns"] > start_ns
+                and e["worker"] == worker
+                for e in serving_system.events()
+            ),
+            what=f"a request on {worker}",
+        )
+    except AssertionError as error:
+        error.add_note(system_report.describe(serving_system.system))
+        raise
 
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
@@ -61,13 +66,13 @@
     agent.send(signal.SIGCONT)
     verdict = serving_system.compare_with_journals(records)
     serving_system_module.assert_outcomes_match(verdict)
-    assert verdict.lost_count == 0, verdict
+    assert verdict.lost_count == 0, serving_system.explain(verdict)
     # Each has time left for the other agent, and there are enough retries for
     # all.
     retryable = [r for r in records if not r.key]
     assert sum(r.last_reply.is_success for r in retryable) >= 0.98 * len(
         retryable
-    ), verdict
+    ), serving_system.explain(verdict)
     if number == signal.SIGKILL:
         serving_system.system.start_agent("worker-1")
     serving_system.wait_until_serving("entry-1", _WORKERS_COUNT)
@@ -98,7 +103,7 @@
     lost = [r for r in records if r.replies[0].outcome == "lost"]
     assert lost, "no request was in flight at the kill"
     # The agents still ran, so executed requests are answered.
-    assert verdict.good_count == len(records), verdict
+    assert verdict.good_count == len(records), serving_system.explain(verdict)
 
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
@@ -122,7 +127,9 @@
         serving_system.system.processes[name].send(signal.SIGCONT)
     verdict = serving_system.compare_with_journals(records)
     serving_system_module.assert_outcomes_match(verdict)
-    assert all(r.last_reply.is_success for r in records if not r.key), verdict
+    assert all(r.last_reply.is_success for r in records if not r.key), (
+        serving_system.explain(verdict)
+    )
     keyed = [r for r in records if r.key]
     assert {r.last_reply.outcome for r in keyed} == {"call-not-run"}
     assert {r.last_reply.error for r in keyed} == {"NoQuorumError"}
--- a/tests/failures/test_requests_stops_and_overload.py
+++ b/tests/failures/test_requests_stops_and_overload.py
@@ -158,7 +158,7 @@
     )
     verdict = serving_system.compare_with_journals(overload)
     serving_system_module.assert_outcomes_match(verdict)
-    assert verdict.lost_count == 0, verdict
+    assert verdict.lost_count == 0, serving_system.explain(verdict)
     refused = [r for r in overload if not r.last_reply.is_success]
     assert refused
     assert all(r.last_reply.retry_after_ms > 0 for r in refused)
--- a/tests/one_process.py
+++ b/tests/one_process.py
@@ -16,6 +16,7 @@
 _POLL_S = 0.05
 _LISTENING_PORT_RANGE = (15_000, 32_000)
 _ADDRESS = re.compile(r"(http|thrift)=(\S+)")
+_STARTED = r"event=started.*\n"
 _PORT_TAKEN = re.compile(r"cannot listen at \S+: Address already in use")
 
 
@@ -115,9 +116,21 @@
 
     def addresses(self) -> dict[str, str]:
         """Returns the addresses in the "started" event, by protocol."""
-        line = self.wait_for(r"event=started.*\n")[0]
+        line = self.wait_for(_STARTED)[0]
         return dict(_ADDRESS.findall(line))
 
+    def known_addresses(self) -> dict[str, str]:
+        """Returns the same as `addresses` without a wait; may be empty."""
+        started = re.search(_STARTED, self.text())
+        return dict(_ADDRESS.findall(started[0])) if started else {}
+
+    def status(self) -> str:
+        """Returns "running", "stopped", or with which status it ended."""
+        status = self._popen.poll()
+        if status is not None:
+            return f"ended with status {status}"
+        return "stopped" if "T" in self._thread_states() else "running"
+
     def send(self, number: int) -> None:
         """Sends a signal to the process."""
         self._popen.send_signal(number)
--- a/tests/serving_system.py
+++ b/tests/serving_system.py
@@ -7,8 +7,10 @@
 import time
 
 from benchmarks import load
+from benchmarks import load_report
 from standins import journal
 from tests import processes
+from tests import system_report
 
 SERVICE = "lookup"
 _INTENT = """
@@ -129,6 +131,11 @@
         """Compares the outcomes that callers received with the journals."""
         return load.check_records(records, self.events())
 
+    def explain(self, verdict: load.Verdict) -> str:
+        """Returns the replies to failed requests and the system's state."""
+        replies = load_report.describe(verdict, addresses=self.system.entries)
+        return f"{replies}\n{system_report.describe(self.system)}"
+
 
 def assert_outcomes_match(verdict: load.Verdict) -> None:
     """Asserts that there is no wrong answer, rerun key or false "not run"."""
