Restore the system after each test of faults of request processes

When test_an_agent_that_ends_or_freezes_costs_no_truth[9] failed, it left the agent of worker-1 killed, and the two tests after it waited 30 s for a request on worker-1, which could not come: "a request on worker-1 did not hold in 30.0 s". What is killed or frozen is now restored after each test of the file, however it ended, and each entry reaches both workers again before the next one begins. No check is changed.

--- a/tests/failures/test_requests_process_faults.py
+++ b/tests/failures/test_requests_process_faults.py
@@ -28,6 +28,15 @@
         yield started_system
 
 
+@pytest.fixture(autouse=True)
+def _restored_system(
+    serving_system: serving_system_module.ServingSystem,
+) -> Iterator[None]:
+    """Keeps a test that fails from failing the tests after it."""
+    yield
+    serving_system.restore()
+
+
 def _wait_for_request(
     serving_system: serving_system_module.ServingSystem, worker: str
 ) -> None:
--- a/tests/one_process.py
+++ b/tests/one_process.py
@@ -124,6 +124,10 @@
         started = re.search(_STARTED, self.text())
         return dict(_ADDRESS.findall(started[0])) if started else {}
 
+    def has_ended(self) -> bool:
+        """Returns whether the process has ended."""
+        return self._popen.poll() is not None
+
     def status(self) -> str:
         """Returns "running", "stopped", or with which status it ended."""
         status = self._popen.poll()
--- a/tests/serving_system.py
+++ b/tests/serving_system.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import pathlib
+import signal
 import time
 
 from benchmarks import load
@@ -31,6 +32,7 @@
         self.system = processes.System(folder)
         self._loads_count = 0
         self._notice_s = 0
+        self._instances_count = 0
 
     def start(
         self,
@@ -45,6 +47,7 @@
         """Starts all processes and waits until every instance serves."""
         system = self.system
         self._notice_s = notice_s
+        self._instances_count = instances_count
         if controls_count == 1:
             system.start_control()
         else:
@@ -66,6 +69,25 @@
         """Starts or restarts an entry."""
         self.system.start_entry(name, "--notice-s", str(self._notice_s))
 
+    def restore(self) -> None:
+        """Resumes what is frozen and restarts what has ended.
+
+        Returns once requests through each entry reach every instance.
+        """
+        system = self.system
+        for name, process in tuple(system.processes.items()):
+            process.send(signal.SIGCONT)
+            if not process.has_ended():
+                continue
+            if name in system.control_addresses:
+                system.run_control(name)
+            elif name in system.workers:
+                system.start_agent(name)
+            elif name in system.entries:
+                self.start_entry(name)
+        for entry in system.entries:
+            self.wait_until_serving(entry, self._instances_count)
+
     def wait_until_serving(self, entry: str, workers_count: int) -> list[str]:
         """Waits until requests through an entry reach this many workers.
 
