--- a/marigoldsill/coordination/requests/claimed_call_runner.py
+++ b/marigoldsill/coordination/requests/claimed_call_runner.py
@@ -12,6 +12,7 @@
 from marigoldsill.coordination.requests import retries as retries_module
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import failpoints
 
 # After a repeat finds that the earlier request was not run, it claims once more.
 _CLAIM_ATTEMPTS_LIMIT = 2
@@ -57,6 +58,7 @@
                 if answer is not None:
                     return answer
                 continue
+            failpoints.reach("claim.recorded")
             with _mark_key_checked():
                 return self._dispatch(call, route, claim, retries)
         raise errors.InProgressError(
