Answer a request that the healthy agent refuses, instead of trying an ejected one

Callers saw 502 or 504 "unknown" 0.75 to 1.5 s late, or 503 without Retry-After, where 429 "not-run" with Retry-After was due at once; requests with a key ran unseen when the frozen agent resumed.

Cause: with the healthy agent excluded by its refusal, the router fell back to the ejected one, as it does for a request that has nothing to lose. The fallback remains for requests whose attempt failed. A recovered agent that is still ejected gets no refused requests until its probe.

The new test failed before with "UnknownOutcomeError: no answer" in both forms. tests/coordination/requests, tests/lint, tests/benchmarks and the other two files of requests in tests/failures passed; of 4 runs of tests/failures/test_requests_process_faults.py 2 failed in the test of the killed entry, where no agent refused for overload, so this code wasn't reached.

--- a/marigoldsill/coordination/requests/claimed_call_runner.py
+++ b/marigoldsill/coordination/requests/claimed_call_runner.py
@@ -119,7 +119,11 @@
         """Replaces the claim of an attempt that was certainly not run."""
         try:
             route = self._router.pick_route(
-                call.service, excluded_agents=excluded_agents, idempotent=False
+                call.service,
+                excluded_agents=excluded_agents,
+                idempotent=False,
+                # A refusal is a better answer than none from a failing agent.
+                healthy_only=isinstance(failure, errors.OverloadedError),
             )
             with self._end_request_on_error(route):
                 return route, self._claims.claim(call, route, supersedes=claim)
--- a/marigoldsill/coordination/requests/idempotent_call_runner.py
+++ b/marigoldsill/coordination/requests/idempotent_call_runner.py
@@ -108,7 +108,10 @@
     def _pick_next_route(self) -> ttypes.Route | None:
         try:
             return self._router.pick_route(
-                self._call.service, excluded_agents=self._excluded_agents
+                self._call.service,
+                excluded_agents=self._excluded_agents,
+                # A refusal is a better answer than none from a failing agent.
+                healthy_only=isinstance(self._failure, errors.OverloadedError),
             )
         except errors.NoEndpointError:
             if self._failure is None:
--- a/marigoldsill/coordination/requests/routing.py
+++ b/marigoldsill/coordination/requests/routing.py
@@ -108,6 +108,7 @@
         *,
         excluded_agents: frozenset[str] = frozenset(),
         idempotent: bool = True,
+        healthy_only: bool = False,
     ) -> ttypes.Route:
         """Picks a route and counts a request on it until `record_end`.
 
@@ -115,6 +116,8 @@
             service_name: Name of the service.
             excluded_agents: Agents that are not picked.
             idempotent: Whether the request is idempotent and may be a probe.
+            healthy_only: Whether ejected agents are not even picked if all
+                others are excluded.
 
         Raises:
             NoEndpointError: No agent accepts requests of the service.
@@ -139,6 +142,12 @@
                     r.agent, idempotent=idempotent
                 )
             ]
+            if healthy_only and not healthy:
+                raise errors.NoEndpointError(
+                    f"no other healthy endpoint of {service_name!r} accepts "
+                    "requests now",
+                    retry_after_ms=_NO_ENDPOINT_RETRY_AFTER_MS,
+                )
             route = self._pick_by_data_centre(
                 service, healthy or accepting, now_s
             )
