Report an end that replaced another while that was reported

Callers saw a done task run again, or its end acknowledged to the worker without a record. Cause: the reply to a report removed ends by run. If the worker listed a run as done while its refusal, stop or loss was being reported, the done end was removed with it; the next report covered the number of its row, which was acknowledged. Evidence: the new test failed with 'assert all(end in reported for end in listed)'. Only an end equal to the reported one is removed now.

The leader still counts such an end for nothing, as it has recorded the run as over.

--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -51,10 +51,14 @@
                 )
 
     def remove(self, ends: Iterable[ttypes.RunEnd]) -> None:
-        """Removes ends that control has recorded."""
+        """Removes ends that control has recorded.
+
+        An end that has replaced one of them in the meantime is still to be reported.
+        """
         for end in ends:
             key = (end.task, end.run)
-            self.by_run.pop(key, None)
+            if self.by_run.get(key) == end:
+                del self.by_run[key]
             self._recorded[key] = end
 
     def record_lost_worker(
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -1,5 +1,7 @@
 """Tests of the content of an agent's reports, and how often they have samples."""
 
+from collections.abc import Callable
+
 import pytest
 
 from marigoldsill.coordination.job_agent import agent_state
@@ -16,6 +18,7 @@
 
     def __init__(self):
         self.reports: list[ttypes.AgentReport] = []
+        self.on_report: Callable[[], None] = lambda: None
         self.reply = ttypes.AgentReply(
             term=stepped_agent.TERM, ends_recorded=True
         )
@@ -25,6 +28,7 @@
     ) -> ttypes.AgentReply:
         assert timeout_s > 0
         self.reports.append(report)
+        self.on_report()
         return self.reply
 
 
@@ -114,3 +118,24 @@
     report = case.report(after_s=0.0)
     assert [end.task for end in report.ends] == ["j1.0.0.1"]
     assert report.known_term == stepped_agent.TERM
+
+
+def test_end_listed_while_another_is_reported_is_reported_before_acknowledged(
+    case: _Case,
+) -> None:
+    """Guards against a done task whose end is acknowledged but never recorded."""
+    key = ("j1.0.0.0", 1)
+    state = case.state
+    state.run_orders.by_run[key] = ttypes.RunOrder(task=key[0], run=key[1])
+    state.record_end(builders.run_end(key[0], ttypes.RunEndKind.REFUSED))
+    listed = (
+        builders.run_end(key[0], ttypes.RunEndKind.DONE),
+        builders.run_end("j1.0.0.1", ttypes.RunEndKind.DONE),
+    )
+    case.link.on_report = lambda: case.record_listing(*listed)
+    case.report(after_s=0.0)
+    case.link.on_report = lambda: None
+    case.report(after_s=0.0)
+    reported = [end for report in case.link.reports for end in report.ends]
+    assert state.acknowledged_end_number == 2
+    assert all(end in reported for end in listed)
