Reckon with the starts of an agent's previous process when its worker restarts

Callers saw two runs of a task at once if an agent was killed with a start request unanswered and its worker restarted under its id after the new process had confirmed the run. Cause: only the executor knew of inherited orders. When the listed run was lost with its incarnation, its end was reported at once, as no unanswered request of this process was known; the leader granted the task again and the old request began it on the later incarnation. Evidence: the new test failed with 'assert {('j1.0.0.0', 1): CRASHED} == {}'. Nothing is called more often while the worker stays.

Passed: tests/coordination/jobs, tests/lint.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -225,8 +225,10 @@
             self.worker = self._incarnations.current.worker
             self.worker_clock.reset(worker_id)
             now_s = clock.now_s()
-            self.late_starts.add_unanswered(worker_id, now_s=now_s)
             self._end_stale_orders()
+            self.late_starts.add_unanswered(
+                worker_id, is_first=not last_id, now_s=now_s
+            )
             self.unreported_ends.release(worker_id)
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.late_calls.record_confirmed(
@@ -308,9 +310,14 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
+            is_first = not self.run_orders.term
             self.run_orders.update(reply, self.worker)
             self.runs.update_interference(reply)
             self._end_stale_orders()
+            if is_first:
+                # A previous process may have left their start requests unanswered.
+                for order in self.orders.values():
+                    self.record_unanswered_start(order)
             self.changed.notify_all()
             return True
 
--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -63,7 +63,7 @@
         self._answered_s = -math.inf
         self.unanswered_count = 0
         self._pending: dict[task_names.RunKey, _Pending] = {}
-        # Name of the worker and time of the last request, the oldest first.
+        # Incarnation and time of the last request, the oldest first.
         self._unanswered: dict[task_names.RunKey, tuple[str, float]] = {}
 
     @property
@@ -95,7 +95,7 @@
             return
         if self._unanswered.pop(key, None) is None:
             self.unanswered_count += 1
-        self._unanswered[key] = (incarnation_ids.name_of(worker_id), now_s)
+        self._unanswered[key] = (worker_id, now_s)
         if len(self._unanswered) > _UNANSWERED_LIMIT:
             del self._unanswered[next(iter(self._unanswered))]
         if worker_id != current_id and incarnation_ids.share_name(
@@ -112,8 +112,8 @@
         """
         self._answered_s = received_s
         self._unanswered = {
-            key: (name, sent_s)
-            for key, (name, sent_s) in self._unanswered.items()
+            key: (called_id, sent_s)
+            for key, (called_id, sent_s) in self._unanswered.items()
             if called_s - sent_s <= late_calls.LATE_CALL_LIMIT_S
         }
 
@@ -199,13 +199,24 @@
         if pending.end is None:
             pending.end = end
 
-    def add_unanswered(self, worker_id: str, *, now_s: float) -> None:
-        """Adds the runs of unanswered requests to an incarnation's worker."""
+    def add_unanswered(
+        self, worker_id: str, *, is_first: bool, now_s: float
+    ) -> None:
+        """Adds the runs of unanswered requests to an incarnation's worker.
+
+        Args:
+            worker_id: The incarnation.
+            is_first: Whether no incarnation answered before. Then requests to this one
+                begin runs that it may have.
+            now_s: The time.
+        """
         name = incarnation_ids.name_of(worker_id)
-        for key, (called_name, sent_s) in list(self._unanswered.items()):
+        for key, (called_id, sent_s) in list(self._unanswered.items()):
             if now_s > self._latest_end_s(sent_s):
                 del self._unanswered[key]
-            elif called_name == name:
+            elif is_first and called_id == worker_id:
+                continue
+            elif incarnation_ids.name_of(called_id) == name:
                 self.add(key, worker_id, called_s=sent_s)
 
     def add_unordered(
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -61,3 +61,28 @@
     agent.receive_orders(orders=[_order(_OTHER_KEY)], removed=[])
     agent.execute_orders()
     assert agent.end_kinds() == {_OTHER_KEY: ttypes.RunEndKind.REFUSED}
+
+
+def test_run_of_a_restarted_worker_is_not_lost_while_a_previous_process_may_begin_it() -> (
+    None
+):
+    """Guards against an end that precedes the late start of an agent that has ended."""
+    worker = fake_worker.RestartingWorker("w1@100")
+    first = stepped_agent.make_agent(worker)
+    worker.unanswered = {"start"}
+    first.receive_order(stepped_agent.RUN, incarnation="w1@100")
+    first.execute_orders()
+    worker.unanswered = set()
+    order = first.state.orders[_KEY]
+    agent = stepped_agent.make_agent(worker, first_orders=[order])
+    agent.run_until_settled()
+    assert list(worker.running) == [_KEY]
+    worker.restart("w1@200")
+    agent.state.record_announcement(stepped_agent.announcement("w1@200"))
+    agent.call_incarnations(rounds_count=1)
+    assert agent.state.worker_id == "w1@200"
+    assert agent.end_kinds() == {}
+    agent.run_until_settled()
+    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.CRASHED}
+    worker.run_delayed_calls()
+    assert worker.running == {}
