Do not end a run of a job, service or watcher that a late start may begin

Callers: two runs of a task at once. A run whose start request got no answer in 2 s was reported as refused, failed or lost, and granted elsewhere; the worker carried the request out afterwards, within its lease.

Cause: the agent repeats an unanswered start. - The check whether a repeat fits counted the run's own first start as another run. A run of more than half a worker was refused at the first repeat. - A repeat that the worker refused, or that was not sent, removed the record of the first request, and its refusal or failure was reported.

Evidence: four cases of two tests with a worker that carries starts out late, before: "assert <RunEventKind.REFUSED: 7> == <RunEventKind.COMPLETED: 4>" (own start); "REFUSED", "FAILED" and "LOST" for "STOPPED" (a repeat that does not fit, fails, is not sent). A third test asserts that the refusal is reported later if the first request took no effect ("assert 2 == 3" before).

Fix: unanswered starts are recorded until the worker refuses them for their lease. A repeat needs no further capacity, as the worker checks that itself. A failed repeat does not end the run; after a refused one there are no more until the first is over.

--- a/marigoldsill/coordination/runs/run_operations.py
+++ b/marigoldsill/coordination/runs/run_operations.py
@@ -41,10 +41,13 @@
         resources: Resources of the run.
         lease_end_ns: When the lease expires, on the monotonic clock; the worker
             refuses the start after that.
+        is_repeat_refused: Whether the worker left it unanswered and refused to
+            repeat it.
     """
 
     resources: ttypes.Resources
     lease_end_ns: int
+    is_repeat_refused: bool = False
 
 
 class RunOperations:
@@ -63,6 +66,7 @@
         self._lock = threading.Lock()
         self._busy: set[run_events.RunId] = set()
         self._starts: dict[run_events.RunId, StartAttempt] = {}
+        self._unanswered_starts: dict[run_events.RunId, StartAttempt] = {}
         self._pool = futures.ThreadPoolExecutor(
             _THREADS_COUNT, "run-operations"
         )
@@ -85,6 +89,11 @@
         """Removes starts that the worker lists or would refuse by now."""
         now_ns = time.monotonic_ns()
         with self._lock:
+            self._unanswered_starts = {
+                run: attempt
+                for run, attempt in self._unanswered_starts.items()
+                if attempt.lease_end_ns >= now_ns
+            }
             settled = [
                 run
                 for run, attempt in self._starts.items()
@@ -183,23 +192,28 @@
 
     def _start(self, order: ttypes.Order, lease_end_ns: int) -> None:
         failpoints.reach("start.before")
-        run = run_events.run_id_of(order)
+        # Read before the call: it may take effect while an answer is under way.
+        earlier = self._find_unanswered_start(run_events.run_id_of(order))
         try:
             self._worker.start(_start_spec(order, lease_end_ns))
         except errors.LeaseOverError:
-            self._remove_start(run)
+            self._handle_refused_start(order, earlier)
             raise
         except errors.CapacityError as error:
-            self._remove_start(run)
-            self._report(order, ttypes.RunEventKind.REFUSED, error.message)
+            self._handle_refused_start(
+                order, earlier, ttypes.RunEventKind.REFUSED, error.message
+            )
             raise
         except errors.PlatformError as error:
-            self._remove_start(run)
-            self._report(order, ttypes.RunEventKind.FAILED, error.message)
+            self._handle_refused_start(
+                order, earlier, ttypes.RunEventKind.FAILED, error.message
+            )
             raise
         except errors.TransportError as error:
-            if not error.sent:
-                self._remove_start(run)
+            if error.sent:
+                self._record_unanswered_start(order, lease_end_ns)
+            else:
+                self._handle_refused_start(order, earlier)
             raise
         failpoints.reach("start.done")
         logs.event("run_started", task=order.task, epoch=order.epoch)
@@ -233,9 +247,48 @@
         self._worker.stop(run.task, epoch=run.epoch)
         failpoints.reach("stop.done")
 
-    def _remove_start(self, run: run_events.RunId) -> None:
+    def _record_unanswered_start(
+        self, order: ttypes.Order, lease_end_ns: int
+    ) -> None:
+        run = run_events.run_id_of(order)
+        with self._lock:
+            earlier = self._unanswered_starts.get(run)
+            if earlier is not None:
+                lease_end_ns = max(lease_end_ns, earlier.lease_end_ns)
+            self._unanswered_starts[run] = StartAttempt(
+                order.resources, lease_end_ns
+            )
+            if run in self._starts:
+                self._starts[run] = self._unanswered_starts[run]
+
+    def _handle_refused_start(
+        self,
+        order: ttypes.Order,
+        earlier: StartAttempt | None,
+        kind: ttypes.RunEventKind | None = None,
+        detail: str = "",
+    ) -> None:
+        """Handles a start without effect; reports it unless an earlier one may have."""
+        run = run_events.run_id_of(order)
         with self._lock:
+            if earlier is not None:
+                self._starts[run] = dataclasses.replace(
+                    earlier, is_repeat_refused=kind is not None
+                )
+                return
             self._starts.pop(run, None)
+        if kind is not None:
+            self._report(order, kind, detail)
+
+    def _find_unanswered_start(
+        self, run: run_events.RunId
+    ) -> StartAttempt | None:
+        """Returns the latest start without an answer that may still take effect."""
+        with self._lock:
+            attempt = self._unanswered_starts.get(run)
+        if attempt is None or attempt.lease_end_ns < time.monotonic_ns():
+            return None
+        return attempt
 
     def _report(
         self, order: ttypes.Order, kind: ttypes.RunEventKind, detail: str
--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -235,6 +235,12 @@
             return
         if self._has_other_epoch(run, listed):
             return
+        attempt = self._operations.unconfirmed_starts().get(run)
+        if attempt is not None:
+            # It may start in any case, and its resources are reserved.
+            if not attempt.is_repeat_refused:
+                self._operations.start(order, lease)
+            return
         match self.worker_capacity.check_fit(order.resources):
             case worker_capacity.FitResult.FITS:
                 self.worker_capacity.reserve(order.resources)
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.coordination.runs import lease_renewer
 from marigoldsill.coordination.runs import run_reconciler
 from marigoldsill.protocol import worker_interface
@@ -21,12 +22,27 @@
 LEASE_MS = 3000
 GIB = 1 << 30
 EventKind = ttypes.RunEventKind
+_END_KINDS = (
+    EventKind.STOPPED,
+    EventKind.COMPLETED,
+    EventKind.FAILED,
+    EventKind.LOST,
+    EventKind.REFUSED,
+)
 
 
 class CountingHttpWorker(worker_interface.HttpWorker):
-    """A client of the worker that counts how often its task list was read."""
+    """A client of the worker that counts calls and may fail repeated starts."""
 
     listings_count = 0
+    starts_count = 0
+    repeat_error: errors.MarigoldsillError | None = None
+
+    def start(self, spec: worker_interface.StartSpec) -> None:
+        self.starts_count += 1
+        if self.repeat_error is not None and self.starts_count > 1:
+            raise self.repeat_error
+        super().start(spec)
 
     def tasks(self) -> list[worker_interface.PlatformTask]:
         self.listings_count += 1
@@ -103,6 +119,18 @@
             is_recorded, limit_s=20.0, what=f"{kind!r} of {task}"
         )
 
+    def wait_for_end(self) -> int:
+        """Waits until an end is recorded and returns its kind; renews the lease."""
+
+        def recorded_end() -> int | None:
+            self.grant_lease()
+            self.record_events()
+            kinds = (e.kind for e in self.recorded_events)
+            return next((k for k in kinds if k in _END_KINDS), None)
+
+        processes.wait_until(recorded_end, limit_s=20.0, what="an end")
+        return recorded_end()
+
     def wait_for_listings(self, count: int) -> None:
         """Waits until the worker's task list was read more than `count` times."""
         initial_count = self.worker_client.listings_count
@@ -370,6 +398,50 @@
     assert EventKind.LOST not in [e.kind for e in harness.recorded_events]
 
 
+def test_large_run_is_not_refused_beside_its_own_unanswered_start(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"late_ms": {"start": 2500}})
+    harness.send_orders(make_order(cores=6, run_time_ms=1))
+
+    assert harness.wait_for_end() == EventKind.COMPLETED
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        errors.CapacityError("does not fit"),
+        errors.PlatformError("start failed"),
+        errors.TransportError("no connection", sent=False),
+    ],
+    ids=["capacity", "platform", "connection"],
+)
+def test_run_with_an_unanswered_start_has_not_ended_if_a_repeat_fails(
+    harness: ReconcilerHarness, error: errors.MarigoldsillError
+) -> None:
+    harness.lease_ms = 5000
+    harness.worker.faults.update({"late_ms": {"start": 3000}})
+    harness.worker_client.repeat_error = error
+    harness.send_orders(make_order())
+    processes.wait_until(lambda: harness.worker_client.starts_count > 1)
+    harness.send_orders(make_order(desire=ttypes.Desire.STOP))
+
+    assert harness.wait_for_end() == EventKind.STOPPED
+    assert len(harness.journal_events("run_started")) == 1
+
+
+def test_run_whose_unanswered_start_took_no_effect_is_refused_later(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"hangs": ["start"]})
+    harness.worker_client.repeat_error = errors.CapacityError("does not fit")
+    harness.send_orders(make_order())
+
+    assert harness.wait_for_end() == EventKind.REFUSED
+    # Refused at the first repeat, and again when the first start was over.
+    assert harness.worker_client.starts_count == 3
+
+
 def test_completed_run_is_reported_after_a_restart(
     harness: ReconcilerHarness,
 ) -> None:
