Keep an ended run on the worker's list while a late start may begin it again

Callers: a run starts again after its completion was recorded.

Cause: a start request that got no answer is repeated, and the repeat takes effect. When the run has ended, the agent has the worker forget it, and the worker then carries out the first request, as its lease has not expired. A restarted agent does the same with requests of its earlier process.

Evidence: test_ended_run_is_not_started_again_by_a_late_request, with and without a restart of the agent.

Fix: the run is forgotten once no request without an answer can take effect any more, and no request of an earlier process. The worker ignores starts of runs on its list. Ended runs reserve nothing there. They stay longer only after an unanswered start, and for one lease after a restart of the agent.

--- a/marigoldsill/coordination/runs/run_operations.py
+++ b/marigoldsill/coordination/runs/run_operations.py
@@ -85,6 +85,10 @@
         with self._lock:
             return dict(self._starts)
 
+    def has_unanswered_start(self, run: run_events.RunId) -> bool:
+        """Whether a start that the worker left unanswered may still take effect."""
+        return self._find_unanswered_start(run) is not None
+
     def remove_settled_starts(self, listed: set[run_events.RunId]) -> None:
         """Removes starts that the worker lists or would refuse by now."""
         now_ns = time.monotonic_ns()
--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -304,7 +304,9 @@
     ) -> None:
         """Reports the end of a run, and forgets the run once that is recorded."""
         if self._outbox.has_ended(run):
-            if not self._outbox.has_pending(run):
+            if not self._outbox.has_pending(run) and not self._may_start_late(
+                run
+            ):
                 self._operations.forget(run)
             return
         failpoints.reach("end.before")
@@ -320,6 +322,13 @@
         )
         failpoints.reach("end.reported")
 
+    def _may_start_late(self, run: run_events.RunId) -> bool:
+        """Whether a request may start an ended run again unless it is listed."""
+        return (
+            not self._inherited.is_settled()
+            or self._operations.has_unanswered_start(run)
+        )
+
     def _report(
         self, run: run_events.RunId, kind: ttypes.RunEventKind, detail: str
     ) -> None:
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -442,6 +442,29 @@
     assert harness.worker_client.starts_count == 3
 
 
+@pytest.mark.parametrize("restarts", [False, True], ids=["same", "restarted"])
+def test_ended_run_is_not_started_again_by_a_late_request(
+    harness: ReconcilerHarness, restarts: bool
+) -> None:
+    harness.lease_ms = 5000
+    harness.worker.faults.update({"late_ms": {"start": 3500}})
+    harness.send_orders(make_order(run_time_ms=1))
+    processes.wait_until(lambda: harness.worker_client.starts_count == 1)
+    late_s = time.monotonic() + 4.0
+    harness.worker.faults.update({"late_ms": {}})
+    if restarts:
+        processes.wait_until(harness.run_states)
+        harness.reconciler.stop()
+        harness.start_reconciler()
+        harness.send_orders(make_order(run_time_ms=1))
+    harness.wait_for_event(EventKind.COMPLETED)
+    harness.send_orders()
+    processes.wait_until(lambda: time.monotonic() > late_s)
+
+    assert len(harness.journal_events("run_started")) == 1
+    processes.wait_until(lambda: harness.run_states() == {}, what="forgotten")
+
+
 def test_completed_run_is_reported_after_a_restart(
     harness: ReconcilerHarness,
 ) -> None:
