Settle late starts only by a list that was requested after their lease

Callers: a run is reported as lost, and granted elsewhere, although it has begun.

Cause: the agent reads the worker's list, and then counts unlisted starts whose lease has expired by then as without effect. A start may take effect after the list was read and before its lease expired; the run then goes on, as its lease is renewed. The same holds for starts of an earlier process of the agent.

Evidence: test_run_that_started_after_the_list_was_read_is_not_reported_lost, whose list is delivered late.

Fix: both checks use the time when the list was requested.

--- a/marigoldsill/coordination/runs/run_operations.py
+++ b/marigoldsill/coordination/runs/run_operations.py
@@ -89,20 +89,30 @@
         """Whether a start that the worker left unanswered may still take effect."""
         return self._find_unanswered_start(run) is not None
 
-    def remove_settled_starts(self, listed: set[run_events.RunId]) -> None:
-        """Removes starts that the worker lists or would refuse by now."""
-        now_ns = time.monotonic_ns()
+    def remove_settled_starts(
+        self, listed: set[run_events.RunId], *, listing_began_ns: int
+    ) -> None:
+        """Removes starts that the worker listed or would have refused before.
+
+        Args:
+            listed: The runs on the worker's list.
+            listing_began_ns: When the list was requested, on the monotonic clock;
+                starts may have taken effect after that.
+        """
         with self._lock:
             self._unanswered_starts = {
                 run: attempt
                 for run, attempt in self._unanswered_starts.items()
-                if attempt.lease_end_ns >= now_ns
+                if attempt.lease_end_ns >= listing_began_ns
             }
             settled = [
                 run
                 for run, attempt in self._starts.items()
                 if run in listed
-                or (attempt.lease_end_ns < now_ns and run not in self._busy)
+                or (
+                    attempt.lease_end_ns < listing_began_ns
+                    and run not in self._busy
+                )
             ]
             for run in settled:
                 del self._starts[run]
--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -10,6 +10,7 @@
 from concurrent import futures
 import dataclasses
 import threading
+import time
 
 from marigoldsill import errors
 from marigoldsill.coordination.runs import checkpoint_scheduler
@@ -69,6 +70,7 @@
         self.worker_capacity = worker_capacity.WorkerCapacity(worker=worker)
         self._orders: _Orders | None = None
         self._inherited = inherited_runs.InheritedRuns()
+        self._listing_began_ns = 0
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -156,10 +158,13 @@
         self._refresh_capacity()
         # Read before the list: a start that is in neither did not take effect.
         starts = self._operations.unconfirmed_starts()
+        self._listing_began_ns = time.monotonic_ns()
         listed = {
             run_events.RunId(t.task, t.epoch): t for t in self._worker.tasks()
         }
-        self._operations.remove_settled_starts(set(listed))
+        self._operations.remove_settled_starts(
+            set(listed), listing_began_ns=self._listing_began_ns
+        )
         for run, task in listed.items():
             if task.state != "running":
                 self._report_end(run, task)
@@ -295,7 +300,9 @@
         """Reports an unlisted run as lost, once it can no longer start."""
         if run in self._operations.unconfirmed_starts():
             return
-        if run in self._inherited and not self._inherited.is_settled():
+        if run in self._inherited and not self._inherited.is_settled(
+            at_ns=self._listing_began_ns
+        ):
             return
         self._report(run, ttypes.RunEventKind.LOST, detail)
 
@@ -324,10 +331,9 @@
 
     def _may_start_late(self, run: run_events.RunId) -> bool:
         """Whether a request may start an ended run again unless it is listed."""
-        return (
-            not self._inherited.is_settled()
-            or self._operations.has_unanswered_start(run)
-        )
+        return not self._inherited.is_settled(
+            at_ns=self._listing_began_ns
+        ) or self._operations.has_unanswered_start(run)
 
     def _report(
         self, run: run_events.RunId, kind: ttypes.RunEventKind, detail: str
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -37,6 +37,8 @@
     listings_count = 0
     starts_count = 0
     repeat_error: errors.MarigoldsillError | None = None
+    # Lists without runs are delivered no earlier than this.
+    empty_list_delayed_until_s = 0.0
 
     def start(self, spec: worker_interface.StartSpec) -> None:
         self.starts_count += 1
@@ -46,7 +48,12 @@
 
     def tasks(self) -> list[worker_interface.PlatformTask]:
         self.listings_count += 1
-        return super().tasks()
+        listed = super().tasks()
+        if not listed:
+            time.sleep(
+                max(0.0, self.empty_list_delayed_until_s - time.monotonic())
+            )
+        return listed
 
 
 class ReconcilerHarness:
@@ -430,6 +437,22 @@
     assert len(harness.journal_events("run_started")) == 1
 
 
+def test_run_that_started_after_the_list_was_read_is_not_reported_lost(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"late_ms": {"start": 2500}})
+    harness.worker_client.repeat_error = errors.TransportError(
+        "no connection", sent=False
+    )
+    harness.send_orders(make_order())
+    lease_end_s = harness.reconciler.renewer.lease.end_ns / 1e9
+    processes.wait_until(lambda: harness.worker_client.starts_count > 1)
+    harness.worker_client.empty_list_delayed_until_s = lease_end_s + 0.1
+    harness.send_orders(make_order(desire=ttypes.Desire.STOP))
+
+    assert harness.wait_for_end() == EventKind.STOPPED
+
+
 def test_run_whose_unanswered_start_took_no_effect_is_refused_later(
     harness: ReconcilerHarness,
 ) -> None:
