Send orders only to the newest agent of a name

Callers: a run starts on both of two VMs of one name.

Cause: an agent that a newer one of its name has replaced gets no further lease, but received orders as before. While its last lease was live, it started runs that were granted after the newer one had registered, and so did the newer one. A failure that the older one reported of such a run was recorded as well.

Evidence: test_replaced_agent_gets_no_orders_for_runs_of_its_successor.

Fix: an agent's watch names its incarnation; a replaced one gets no orders. The check and the orders are of one state, so an agent that gets a run was not replaced when it was granted, whichever process answers. Agents of earlier builds name none and get orders as before.

--- a/marigoldsill/coordination/configuration/subscriber.py
+++ b/marigoldsill/coordination/configuration/subscriber.py
@@ -54,6 +54,7 @@
         on_reply: Callable[[ttypes.WatchReply], None],
         partitions: network_partitions.NetworkPartitions | None = None,
         clock_s: Callable[[], float] = time.monotonic,
+        get_incarnation: Callable[[], int] = lambda: 0,
     ):
         self.configuration = configuration_module.Configuration()
         self.ready = threading.Event()
@@ -61,6 +62,7 @@
         self._role = role
         self._on_reply = on_reply
         self._clock_s = clock_s
+        self._get_incarnation = get_incarnation
         self._link = control_link.ControlLink(
             addresses=control_addresses_module.ControlAddresses(
                 control_addresses
@@ -124,6 +126,7 @@
             orders_term=self._list_term,
             orders_version=self._list_version,
             wait_ms=_POLL_TIMEOUT_MS if self.ready.is_set() else 0,
+            incarnation=self._get_incarnation(),
             called_services=self._recently_called(),
         )
 
--- a/marigoldsill/coordination/configuration/watch_service.py
+++ b/marigoldsill/coordination/configuration/watch_service.py
@@ -94,7 +94,8 @@
                 ),
             )
             version = self._list_version(request)
-            if _held_list_version(request) == (term, version):
+            held = _held_list_version(request)
+            if held == (term, version) or self._is_replaced(request):
                 return reply
             if request.role == ttypes.Role.AGENT:
                 reply.orders = orders.build_orders(tables, request.subscriber)
@@ -112,9 +113,21 @@
         current = _config_version(tables)
         if held != current and held[0] <= current[0]:
             return True
+        if self._is_replaced(request):
+            return False
         current = (self._replica.term, self._list_version(request))
         return _held_list_version(request) != current
 
+    def _is_replaced(self, request: ttypes.WatchRequest) -> bool:
+        """Whether a request is from an agent that a newer one of its name replaced.
+
+        The newer one starts the runs that are granted from then on.
+        """
+        if request.role != ttypes.Role.AGENT or not request.incarnation:
+            return False
+        worker = self._replica.tables.workers.get(request.subscriber)
+        return worker is not None and request.incarnation < worker.incarnation
+
     def orders_version(self, agent: str) -> int:
         """Returns the current version of an agent's orders.
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -716,6 +716,7 @@
   7: i64 orders_term = 0,
   8: i64 orders_version = 0,
   9: i64 wait_ms = 1000,
+  10: i64 incarnation = 0,          // of an agent; a replaced one gets no orders
   50: list<string> called_services = []   // from entries: services with recent callers
 }
 
--- a/marigoldsill/roles/agent.py
+++ b/marigoldsill/roles/agent.py
@@ -71,6 +71,7 @@
             control_addresses=settings.control_addresses,
             on_reply=self._on_reply,
             partitions=self._partitions,
+            get_incarnation=lambda: self._heartbeats.incarnation,
         )
         self._thrift = thrift_server.ThriftServer(
             address=settings.thrift_address,
--- a/tests/coordination/configuration/test_watch_service.py
+++ b/tests/coordination/configuration/test_watch_service.py
@@ -157,3 +157,30 @@
         )
     )
     assert service.watches.recently_called_services() == {"lookup"}
+
+
+def test_replaced_agent_gets_no_orders_for_runs_of_its_successor() -> None:
+    """Guards against a run that starts on both of two VMs of one name."""
+    tables = states.with_workers("w1")
+    states.apply_changes(tables, states.declare(states.service("lookup")))
+    replica, service = fakes.leading_control_service(tables)
+    successor = states.worker("w1", incarnation=2)
+    _propose(replica, put_worker=ttypes.PutWorker(worker=successor))
+    grant = ttypes.Assignment(
+        task="lookup/0", epoch=1, worker="w1", reserved=states.SMALL
+    )
+    _propose(replica, assign_runs=ttypes.AssignRuns(assignments=[grant]))
+    replies = {
+        incarnation: service.watch(
+            ttypes.WatchRequest(
+                role=_AGENT,
+                subscriber="w1",
+                incarnation=incarnation,
+                wait_ms=0,
+            )
+        )
+        for incarnation in (1, 2)
+    }
+
+    assert replies[1].orders is None
+    assert [order.task for order in replies[2].orders] == ["lookup/0"]
