Start no run that was granted before the agent's first lease

Callers: a run starts on both of two VMs of one name.

Cause: an agent starts no run of the first orders that it receives, as an earlier agent of its name may have started them. It receives these before it has registered. A run that was granted in between went to the earlier agent as well, which was not replaced yet, and both started it.

Evidence: test_new_agent_starts_no_epoch_granted_before_its_first_lease. Before: "assert <RunEventKind.COMPLETED: 4> == <RunEventKind.LOST: 6>".

Fix: runs count as inherited up to the first orders that the first lease covers. Runs granted after that are ordered from this agent only. Without a grant between both, these are the first orders, as before; with one, the run counts as lost after one lease.

--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -110,8 +110,7 @@
             ):
                 logs.event("stale_orders", term=term, version=version)
                 return False
-            if current is None:
-                self._inherited.record_runs(set(received.by_run))
+            self._inherited.record_orders(term, version, set(received.by_run))
             self._orders = received
         self._wake.set()
         return True
@@ -358,5 +357,5 @@
     ) -> None:
         current = set(orders.by_run) | set(listed)
         self._outbox.retain_runs(current)
-        self._inherited.retain_runs(current)
+        self._inherited.retain_runs(orders.term, orders.version, current)
         self._checkpoint_scheduler.retain_runs(current)
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -545,6 +545,27 @@
     assert len(harness.journal_events("run_started")) == 1
 
 
+def test_new_agent_starts_no_epoch_granted_before_its_first_lease(
+    harness: ReconcilerHarness,
+) -> None:
+    """Guards against a run that an earlier agent, not yet replaced, starts as well."""
+    harness.reconciler.stop()
+    harness.lease_ms = 1000
+    harness.start_reconciler()
+    harness.reconciler.update_orders(TERM, harness.orders_version, [])
+    harness.orders_version += 1
+    harness.grant_lease()
+    harness.reconciler.update_orders(
+        TERM, harness.orders_version, [make_order(run_time_ms=1)]
+    )
+
+    assert harness.wait_for_end() == EventKind.LOST
+    assert not harness.journal_events("run_started")
+    # Later runs are only this agent's.
+    harness.send_orders(make_order("other/0"))
+    harness.wait_for_event(EventKind.STARTED, task="other/0")
+
+
 def test_records_of_ended_runs_are_dropped(harness: ReconcilerHarness) -> None:
     for number in range(5):
         task = f"rebuild-{number}/0"
