Refuse a claimed request for good once it counts as not run

Callers: a keyed request may run twice, if its first copy reaches an agent very late.

Cause: a cancellation that reaches the agent before its request leaves a record without a claim number. A repeat of the call reads that record, records the claim as not run, and the request runs at another agent. When the agent drops the record (after 120 s, or earlier when it has 50,000), it does not refuse claims up to that number, and runs the late copy.

Evidence: test_claim_resolved_as_not_run_never_runs_after_its_cancellation. Before: "DID NOT RAISE Refused".

Fix: the answer "not run" puts the claim's number into the record.

Passed: tests/lint, tests/coordination/requests. In that run tests/failures/test_requests_process_faults.py:: test_an_entry_that_is_killed_leaves_keys_that_never_run_twice failed once ("assert 236 == 240", lost_count=4, duplicated_count=0); cause unknown. It passed 5 times after that with this change (3 alone, 2 with its file) and twice without it.

--- a/marigoldsill/coordination/requests/attempt_registry.py
+++ b/marigoldsill/coordination/requests/attempt_registry.py
@@ -172,6 +172,9 @@
                 return self._resolve_unregistered(key, request)
             if request.end and known.state == AttemptState.QUEUED:
                 _cancel(known)
+            if known.state == AttemptState.REFUSED:
+                # A cancellation that came before the request named no claim.
+                known.sequence = request.claim_sequence
             return ttypes.ResolveReply(
                 state=_claim_state(known), reply=known.reply
             )
--- a/tests/coordination/requests/test_attempt_registry.py
+++ b/tests/coordination/requests/test_attempt_registry.py
@@ -56,6 +56,18 @@
         registry.mark_running(attempt)
 
 
+def test_claim_resolved_as_not_run_never_runs_after_its_cancellation():
+    registry = attempt_registry.AttemptRegistry(records_limit=2)
+    registry.cancel("a", 1)
+    reply = registry.resolve(_resolve("a", sequence=7, end=True))
+    assert reply.state == ttypes.ClaimState.NOT_RUN
+    for name in ("b", "c"):
+        registry.mark_refused(registry.register(_request(name)))
+
+    too_old = ttypes.RefusalReason.CLAIM_TOO_OLD
+    assert _refusal_reason(registry, _request("a", sequence=7)) == too_old
+
+
 @pytest.mark.parametrize(("sequence", "is_cancelled"), [(0, True), (7, False)])
 def test_only_a_running_request_without_a_claim_is_cancelled(
     sequence: int, is_cancelled: bool
