--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -10,6 +10,7 @@
 from concurrent import futures
 import dataclasses
 import threading
+import time
 
 from marigoldsill import errors
 from marigoldsill.coordination.runs import checkpoint_scheduler
@@ -69,6 +70,7 @@
         self.worker_capacity = worker_capacity.WorkerCapacity(worker=worker)
         self._orders: _Orders | None = None
         self._inherited = inherited_runs.InheritedRuns()
+        self._listing_began_ns = 0
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -108,8 +110,7 @@
             ):
                 logs.event("stale_orders", term=term, version=version)
                 return False
-            if current is None:
-                self._inherited.record_runs(set(received.by_run))
+            self._inherited.record_orders(term, version, set(received.by_run))
             self._orders = received
         self._wake.set()
         return True
@@ -156,10 +157,13 @@
         self._refresh_capacity()
         # Read before the list: a start that is in neither did not take effect.
         starts = self._operations.unconfirmed_starts()
+        self._listing_began_ns = time.monotonic_ns()
         listed = {
             run_events.RunId(t.task, t.epoch): t for t in self._worker.tasks()
         }
-        self._operations.remove_settled_starts(set(listed))
+        self._operations.remove_settled_starts(
+            set(listed), listing_began_ns=self._listing_began_ns
+        )
         for run, task in listed.items():
             if task.state != "running":
                 self._report_end(run, task)
@@ -235,6 +239,12 @@
             return
         if self._has_other_epoch(run, listed):
             return
+        attempt = self._operations.unconfirmed_starts().get(run)
+        if attempt is not None:
+            # It may start in any case, and its resources are reserved.
+            if not attempt.is_repeat_refused:
+                self._operations.start(order, lease)
+            return
         match self.worker_capacity.check_fit(order.resources):
             case worker_capacity.FitResult.FITS:
                 self.worker_capacity.reserve(order.resources)
@@ -289,7 +299,9 @@
         """Reports an unlisted run as lost, once it can no longer start."""
         if run in self._operations.unconfirmed_starts():
             return
-        if run in self._inherited and not self._inherited.is_settled():
+        if run in self._inherited and not self._inherited.is_settled(
+            at_ns=self._listing_began_ns
+        ):
             return
         self._report(run, ttypes.RunEventKind.LOST, detail)
 
@@ -298,7 +310,9 @@
     ) -> None:
         """Reports the end of a run, and forgets the run once that is recorded."""
         if self._outbox.has_ended(run):
-            if not self._outbox.has_pending(run):
+            if not self._outbox.has_pending(run) and not self._may_start_late(
+                run
+            ):
                 self._operations.forget(run)
             return
         failpoints.reach("end.before")
@@ -314,6 +328,12 @@
         )
         failpoints.reach("end.reported")
 
+    def _may_start_late(self, run: run_events.RunId) -> bool:
+        """Whether a request may start an ended run again unless it is listed."""
+        return not self._inherited.is_settled(
+            at_ns=self._listing_began_ns
+        ) or self._operations.has_unanswered_start(run)
+
     def _report(
         self, run: run_events.RunId, kind: ttypes.RunEventKind, detail: str
     ) -> None:
@@ -337,5 +357,5 @@
     ) -> None:
         current = set(orders.by_run) | set(listed)
         self._outbox.retain_runs(current)
-        self._inherited.retain_runs(current)
+        self._inherited.retain_runs(orders.term, orders.version, current)
         self._checkpoint_scheduler.retain_runs(current)
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.coordination.runs import lease_renewer
 from marigoldsill.coordination.runs import run_reconciler
 from marigoldsill.protocol import worker_interface
@@ -21,16 +22,38 @@
 LEASE_MS = 3000
 GIB = 1 << 30
 EventKind = ttypes.RunEventKind
+_END_KINDS = (
+    EventKind.STOPPED,
+    EventKind.COMPLETED,
+    EventKind.FAILED,
+    EventKind.LOST,
+    EventKind.REFUSED,
+)
 
 
 class CountingHttpWorker(worker_interface.HttpWorker):
-    """A client of the worker that counts how often its task list was read."""
+    """A client of the worker that counts calls and may fail repeated starts."""
 
     listings_count = 0
+    starts_count = 0
+    repeat_error: errors.MarigoldsillError | None = None
+    # Lists without runs are delivered no earlier than this.
+    empty_list_delayed_until_s = 0.0
+
+    def start(self, spec: worker_interface.StartSpec) -> None:
+        self.starts_count += 1
+        if self.repeat_error is not None and self.starts_count > 1:
+            raise self.repeat_error
+        super().start(spec)
 
     def tasks(self) -> list[worker_interface.PlatformTask]:
         self.listings_count += 1
-        return super().tasks()
+        listed = super().tasks()
+        if not listed:
+            time.sleep(
+                max(0.0, self.empty_list_delayed_until_s - time.monotonic())
+            )
+        return listed
 
 
 class ReconcilerHarness:
@@ -103,6 +126,18 @@
             is_recorded, limit_s=20.0, what=f"{kind!r} of {task}"
         )
 
+    def wait_for_end(self) -> int:
+        """Waits until an end is recorded and returns its kind; renews the lease."""
+
+        def recorded_end() -> int | None:
+            self.grant_lease()
+            self.record_events()
+            kinds = (e.kind for e in self.recorded_events)
+            return next((k for k in kinds if k in _END_KINDS), None)
+
+        processes.wait_until(recorded_end, limit_s=20.0, what="an end")
+        return recorded_end()
+
     def wait_for_listings(self, count: int) -> None:
         """Waits until the worker's task list was read more than `count` times."""
         initial_count = self.worker_client.listings_count
@@ -370,6 +405,89 @@
     assert EventKind.LOST not in [e.kind for e in harness.recorded_events]
 
 
+def test_large_run_is_not_refused_beside_its_own_unanswered_start(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"late_ms": {"start": 2500}})
+    harness.send_orders(make_order(cores=6, run_time_ms=1))
+
+    assert harness.wait_for_end() == EventKind.COMPLETED
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        errors.CapacityError("does not fit"),
+        errors.PlatformError("start failed"),
+        errors.TransportError("no connection", sent=False),
+    ],
+    ids=["capacity", "platform", "connection"],
+)
+def test_run_with_an_unanswered_start_has_not_ended_if_a_repeat_fails(
+    harness: ReconcilerHarness, error: errors.MarigoldsillError
+) -> None:
+    harness.lease_ms = 5000
+    harness.worker.faults.update({"late_ms": {"start": 3000}})
+    harness.worker_client.repeat_error = error
+    harness.send_orders(make_order())
+    processes.wait_until(lambda: harness.worker_client.starts_count > 1)
+    harness.send_orders(make_order(desire=ttypes.Desire.STOP))
+
+    assert harness.wait_for_end() == EventKind.STOPPED
+    assert len(harness.journal_events("run_started")) == 1
+
+
+def test_run_that_started_after_the_list_was_read_is_not_reported_lost(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"late_ms": {"start": 2500}})
+    harness.worker_client.repeat_error = errors.TransportError(
+        "no connection", sent=False
+    )
+    harness.send_orders(make_order())
+    lease_end_s = harness.reconciler.renewer.lease.end_ns / 1e9
+    processes.wait_until(lambda: harness.worker_client.starts_count > 1)
+    harness.worker_client.empty_list_delayed_until_s = lease_end_s + 0.1
+    harness.send_orders(make_order(desire=ttypes.Desire.STOP))
+
+    assert harness.wait_for_end() == EventKind.STOPPED
+
+
+def test_run_whose_unanswered_start_took_no_effect_is_refused_later(
+    harness: ReconcilerHarness,
+) -> None:
+    harness.worker.faults.update({"hangs": ["start"]})
+    harness.worker_client.repeat_error = errors.CapacityError("does not fit")
+    harness.send_orders(make_order())
+
+    assert harness.wait_for_end() == EventKind.REFUSED
+    # Refused at the first repeat, and again when the first start was over.
+    assert harness.worker_client.starts_count == 3
+
+
+@pytest.mark.parametrize("restarts", [False, True], ids=["same", "restarted"])
+def test_ended_run_is_not_started_again_by_a_late_request(
+    harness: ReconcilerHarness, restarts: bool
+) -> None:
+    harness.lease_ms = 5000
+    harness.worker.faults.update({"late_ms": {"start": 3500}})
+    harness.send_orders(make_order(run_time_ms=1))
+    processes.wait_until(lambda: harness.worker_client.starts_count == 1)
+    late_s = time.monotonic() + 4.0
+    harness.worker.faults.update({"late_ms": {}})
+    if restarts:
+        processes.wait_until(harness.run_states)
+        harness.reconciler.stop()
+        harness.start_reconciler()
+        harness.send_orders(make_order(run_time_ms=1))
+    harness.wait_for_event(EventKind.COMPLETED)
+    harness.send_orders()
+    processes.wait_until(lambda: time.monotonic() > late_s)
+
+    assert len(harness.journal_events("run_started")) == 1
+    processes.wait_until(lambda: harness.run_states() == {}, what="forgotten")
+
+
 def test_completed_run_is_reported_after_a_restart(
     harness: ReconcilerHarness,
 ) -> None:
@@ -427,6 +545,27 @@
     assert len(harness.journal_events("run_started")) == 1
 
 
+def test_new_agent_starts_no_epoch_granted_before_its_first_lease(
+    harness: ReconcilerHarness,
+) -> None:
+    """Guards against a run that an earlier agent, not yet replaced, starts as well."""
+    harness.reconciler.stop()
+    harness.lease_ms = 1000
+    harness.start_reconciler()
+    harness.reconciler.update_orders(TERM, harness.orders_version, [])
+    harness.orders_version += 1
+    harness.grant_lease()
+    harness.reconciler.update_orders(
+        TERM, harness.orders_version, [make_order(run_time_ms=1)]
+    )
+
+    assert harness.wait_for_end() == EventKind.LOST
+    assert not harness.journal_events("run_started")
+    # Later runs are only this agent's.
+    harness.send_orders(make_order("other/0"))
+    harness.wait_for_event(EventKind.STARTED, task="other/0")
+
+
 def test_records_of_ended_runs_are_dropped(harness: ReconcilerHarness) -> None:
     for number in range(5):
         task = f"rebuild-{number}/0"
