Send no waiting start to a later incarnation than its order names

A start that waits for a thread while the worker restarts under its id was sent to the later incarnation, which begins the run; it is stopped only after that. A round compared the order's incarnation with the current one, but the start itself did not.

--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -82,11 +82,12 @@
     def allow_start(
         self, order: ttypes.RunOrder, worker: ttypes.PoolWorker
     ) -> bool:
-        """Whether a run is still to be started, and the worker is not evacuated."""
+        """Whether a run is still to be started on a worker that is not evacuated."""
         current = self.by_run.get((order.task, order.run))
         return (
             current is not None
             and current.desire == ttypes.RunDesire.RUN
+            and current.worker_id == worker.worker_id
             and not self.evacuations.includes(worker)
         )
 
