Notice a worker's restart before the agent's own from its first orders

Callers could see a job that never ends: a worker and its agent restart, and a late acknowledgement of the agent's previous process discards the end of a run. The new process had never called the earlier incarnation, so it did not know of the restart, and waited for the end. Evidence: the new test failed with KeyError: ('j2.0.0.0', 1), as no end was known. An order for an earlier incarnation of the same name shows the restart. The run is lost now, as after a restart that the process has seen; its runs are also stopped when the lease ends. If the discarded end was 'done', the task runs again: the process does not know which calls its predecessor left unanswered, and refusing starts for 12 s after each such restart costs more.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -233,7 +233,8 @@
             logs.event("worker_answers", worker_id=worker_id, before=old_id)
             self.late_calls.record_confirmed(
                 worker_id,
-                last_id=last_id,
+                last_id=last_id
+                or self.run_orders.earlier_incarnation_of(worker_id),
                 now_s=now_s,
                 late_starts_count=len(self.late_starts.pending_keys),
             )
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -5,6 +5,7 @@
 import functools
 
 from marigoldsill.coordination.job_agent import evacuations
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import amounts
@@ -91,6 +92,19 @@
             and not self.evacuations.includes(worker)
         )
 
+    def earlier_incarnation_of(self, worker_id: str) -> str:
+        """Returns an incarnation of the worker's name in the orders, or empty.
+
+        Args:
+            worker_id: The first incarnation that answered this process.
+        """
+        for order in self.by_run.values():
+            if order.worker_id != worker_id and incarnation_ids.share_name(
+                order.worker_id, worker_id
+            ):
+                return order.worker_id
+        return ""
+
     def has_shared(self, running: Container[task_names.RunKey]) -> bool:
         """Whether best-effort and latency-critical tasks are among runs."""
         running_orders = [o for k, o in self.by_run.items() if k in running]
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -86,3 +86,25 @@
     assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.CRASHED}
     worker.run_delayed_calls()
     assert worker.running == {}
+
+
+def test_run_ends_although_a_previous_process_acknowledged_its_end_late() -> (
+    None
+):
+    """Guards against a run that never ends.
+
+    The worker restarted before the new process called it for the first time.
+    """
+    worker = fake_worker.RestartingWorker("w1@200")
+    order = _order()
+    order.worker_id = "w1@100"
+    agent = stepped_agent.make_agent(worker, first_orders=[order])
+    agent.receive_order(stepped_agent.RUN, _OTHER_KEY, incarnation="w1@200")
+    agent.run_until_settled()
+    assert list(worker.running) == [_OTHER_KEY]
+    worker.end_run(_OTHER_KEY, ttypes.RunEndKind.DONE)
+    worker.renew_lease(
+        "w1@200", token=1, acknowledged=9, deadline_ms=None, wait_ms=0
+    )
+    agent.run_until_settled()
+    assert agent.end_kinds()[_OTHER_KEY] == ttypes.RunEndKind.LOST
