Reckon with the deadline of an unanswered start as with that of a renewal

A start carries a deadline that applies to all runs of the worker, also if it is refused. Carried out late by a later incarnation it extends the lease of that one's runs by the longest lease, but only renewals were remembered, so the leader could record those runs as lost while they were alive. Evidence: the new test failed in both cases with 'assert [] == [('j2.0.0.0', 1)]'. An unanswered start is recorded as a renewal of its incarnation, at once as a late one if another incarnation of the name answers already.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.worker_incarnations import incarnations
 from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.coordination.worker_incarnations import late_starts
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -172,12 +173,18 @@
 
     def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
         """Records a start request without an answer; the caller must hold the lock."""
+        now_s = clock.now_s()
         self.late_starts.record_unanswered(
             (order.task, order.run),
             order.worker_id,
             current_id=self.worker_id,
-            now_s=clock.now_s(),
+            now_s=now_s,
         )
+        # Its deadline applies to all runs of the worker that carries it out.
+        if self.worker_id in ("", order.worker_id):
+            self.late_calls.record_unanswered_renewal(now_s=now_s)
+        elif incarnation_ids.share_name(self.worker_id, order.worker_id):
+            self.late_calls.record_late_renewal(now_s=now_s)
 
     def record_started(self, order: ttypes.RunOrder) -> None:
         """Records a confirmed start and sets a best-effort run's initial quota.
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -142,6 +142,10 @@
         """Records a renewal of the lease that the worker may still carry out."""
         self._unanswered_renewal_s = now_s
 
+    def record_late_renewal(self, *, now_s: float) -> None:
+        """Records a renewal of an earlier incarnation's lease without an answer."""
+        self._late_renewal_s = now_s
+
     def extended_runs(
         self, keys: Iterable[task_names.RunKey], *, now_s: float
     ) -> list[ttypes.LateStart]:
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -676,3 +676,22 @@
     _settle(agent)
     assert agent.worker.running == {}
     assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.LOST}
+
+
+@pytest.mark.parametrize("is_answered_late", [False, True])
+def test_runs_may_outlive_the_lease_after_a_start_for_an_earlier_incarnation(
+    agent: stepped_agent.SteppedAgent, is_answered_late: bool
+) -> None:
+    """Guards against runs that are granted again while a late start extends their lease."""
+    if is_answered_late:
+        order = ttypes.RunOrder(task=_KEY[0], run=_KEY[1], worker_id=_OLD)
+        _restart(agent)
+        with agent.state.changed:
+            agent.state.record_unanswered_start(order)
+    else:
+        _start_unanswered(agent)
+        _restart(agent)
+    extended = agent.state.late_calls.extended_runs(
+        [_OTHER_KEY], now_s=clock.now_s()
+    )
+    assert [(late.task, late.run) for late in extended] == [_OTHER_KEY]
