Keep an agent's lease and the progress of its orders in modules of their own

No behaviour changes; a doubled line of a test is gone. tests/lint and tests/coordination/jobs pass.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,9 +1,9 @@
 """An agent's state: its worker, its lease, its orders and unreported ends of runs."""
 
-import dataclasses
 import math
 import threading
 
+from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.job_agent import run_orders
 from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.job_agent import unreported_ends
@@ -21,26 +21,6 @@
 from marigoldsill.transport import logs
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Lease:
-    """A leader's permission to keep runs alive and to start runs by its orders.
-
-    Attributes:
-        end_s: When the lease expires, on `clock`.
-        term: The term of the leader that granted it.
-        min_orders_version: Orders of an older version must not be started.
-    """
-
-    end_s: float = 0.0
-    term: int = 0
-    min_orders_version: int = 0
-
-    @property
-    def is_live(self) -> bool:
-        """Whether the lease has not expired."""
-        return clock.now_s() < self.end_s
-
-
 class AgentState:
     """State shared by an agent's threads; `changed` guards every field.
 
@@ -80,7 +60,7 @@
         self.late_calls = late_calls.LateCalls(effect_limit_s=effect_limit_s)
         self.departures = departures.Departures()
         self.worker: ttypes.PoolWorker | None = None
-        self.lease = Lease()
+        self.lease = lease_module.Lease()
         self.term = 0
         self.run_orders = run_orders.RunOrders()
         self.runs = worker_runs.WorkerRuns(self.run_orders)
@@ -329,7 +309,7 @@
             self.changed.notify_all()
             return True
 
-    def update_lease(self, lease: Lease) -> None:
+    def update_lease(self, lease: lease_module.Lease) -> None:
         """Sets the lease, unless a later leader than its own is known."""
         with self.changed:
             if lease.term < self.term:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -6,7 +6,6 @@
 """
 
 from concurrent import futures
-import dataclasses
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_metrics
@@ -15,6 +14,7 @@
 from marigoldsill.coordination.job_agent import (
     lease_renewer as lease_renewer_module,
 )
+from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -30,35 +30,6 @@
 _ANNOUNCEMENT_OVERDUE_LIMIT_S = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """The progress of an order.
-
-    Attributes:
-        is_busy: Whether a call for the order is in progress.
-        is_started: Whether the worker confirmed the start.
-        has_unanswered_start: Whether a start request may still arrive at the worker.
-        start_listings_count: The count of complete listings beyond which a listing was
-            certainly made after the start.
-        is_forgotten: Whether a later listing had neither the run nor its end.
-        stop_listings_count: The count of complete listings beyond which a listing was
-            certainly made after the stop; 0 until the stop is confirmed.
-        refusal_reason: Why the run was refused, or empty.
-        quota_percent: The quota that the worker confirmed.
-        retry_s: Time before which no call is made.
-    """
-
-    is_busy: bool = False
-    is_started: bool = False
-    has_unanswered_start: bool = False
-    start_listings_count: int = 0
-    is_forgotten: bool = False
-    stop_listings_count: int = 0
-    refusal_reason: str = ""
-    quota_percent: int = 100
-    retry_s: float = 0.0
-
-
 class Executor:
     """Makes the calls that bring the worker's runs in line with the orders."""
 
@@ -75,7 +46,9 @@
         self._worker = worker
         self._lease_renewer = lease_renewer
         self._retry_s = retry_s
-        self._progress_by_run: dict[task_names.RunKey, _Progress] = {}
+        self._progress_by_run: dict[
+            task_names.RunKey, order_progress.OrderProgress
+        ] = {}
         self._pool = futures.ThreadPoolExecutor(_THREADS_COUNT, "executor")
         self._late_start_stopper = late_start_stopper.LateStartStopper(
             state=state, worker=worker, pool=self._pool, retry_s=retry_s
@@ -138,7 +111,7 @@
         }
         for key in state.orders.keys() - self._progress_by_run.keys():
             # A start request of a previous process may still be carried out.
-            self._progress_by_run[key] = _Progress(
+            self._progress_by_run[key] = order_progress.OrderProgress(
                 has_unanswered_start=key in state.run_orders.inherited_keys
             )
 
@@ -146,7 +119,7 @@
         self,
         key: task_names.RunKey,
         order: ttypes.RunOrder,
-        progress: _Progress,
+        progress: order_progress.OrderProgress,
     ) -> None:
         is_running = key in self._runs.running
         if self._is_forgotten(progress, is_running=is_running):
@@ -169,7 +142,9 @@
             progress.refusal_reason = "the worker sends no heartbeats"
             self._reconcile_stop(key, order, progress, is_running=is_running)
 
-    def _is_forgotten(self, progress: _Progress, *, is_running: bool) -> bool:
+    def _is_forgotten(
+        self, progress: order_progress.OrderProgress, *, is_running: bool
+    ) -> bool:
         """Whether the worker has forgotten a run's end that it never reported.
 
         A worker that has restarted under its name may have carried out an
@@ -184,7 +159,7 @@
         )
 
     def _refusal_reason(
-        self, order: ttypes.RunOrder, progress: _Progress
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
     ) -> str:
         """Returns why the worker cannot start a run now, or empty if it can."""
         state = self._state
@@ -212,7 +187,7 @@
         self,
         key: task_names.RunKey,
         order: ttypes.RunOrder,
-        progress: _Progress,
+        progress: order_progress.OrderProgress,
         *,
         is_running: bool,
     ) -> None:
@@ -231,7 +206,9 @@
             # After the stop it was listed neither as running nor as ended.
             self._record_end(order, progress)
 
-    def _record_end(self, order: ttypes.RunOrder, progress: _Progress) -> None:
+    def _record_end(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
         """Records the end of a run that the worker never had or does not list."""
         kind = ttypes.RunEndKind.STOPPED
         detail = progress.refusal_reason or "stopped before it began"
@@ -256,13 +233,19 @@
         )
 
     def _submit(
-        self, call, order: ttypes.RunOrder, progress: _Progress
+        self,
+        call,
+        order: ttypes.RunOrder,
+        progress: order_progress.OrderProgress,
     ) -> None:
         progress.is_busy = True
         self._pool.submit(self._execute, call, order, progress)
 
     def _execute(
-        self, call, order: ttypes.RunOrder, progress: _Progress
+        self,
+        call,
+        order: ttypes.RunOrder,
+        progress: order_progress.OrderProgress,
     ) -> None:
         """Makes a call to the worker, and logs and counts its outcome."""
         outcome = "done"
@@ -287,7 +270,9 @@
                 progress.is_busy = False
                 self._state.changed.notify_all()
 
-    def _start(self, order: ttypes.RunOrder, progress: _Progress) -> None:
+    def _start(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
         state = self._state
         with state.changed:
             deadline_ms = self._lease_renewer.issue_deadline_ms()
@@ -366,7 +351,7 @@
     def _record_not_started(
         self,
         order: ttypes.RunOrder,
-        progress: _Progress,
+        progress: order_progress.OrderProgress,
         had_unanswered_start: bool,
     ) -> None:
         """Records that the last start request had no effect.
@@ -381,7 +366,9 @@
             with self._state.changed:
                 self._state.starts.record_not_started((order.task, order.run))
 
-    def _stop(self, order: ttypes.RunOrder, progress: _Progress) -> None:
+    def _stop(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
         state = self._state
         self._worker.stop(
             order.worker_id, order.task, order.run, token=state.term
@@ -395,7 +382,9 @@
             worker_id=order.worker_id,
         )
 
-    def _throttle(self, order: ttypes.RunOrder, progress: _Progress) -> None:
+    def _throttle(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
         percent = self._runs.quota_percent_for(order)
         self._worker.throttle(
             order.worker_id,
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -6,6 +6,7 @@
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import lease
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol.generated import ttypes
@@ -158,7 +159,7 @@
         if reply.lease_ms:
             self._has_had_lease = True
             self._state.update_lease(
-                agent_state.Lease(
+                lease.Lease(
                     end_s=sent_s + reply.lease_ms / 1000,
                     term=reply.term,
                     min_orders_version=reply.orders_version,
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -8,6 +8,7 @@
     departure_watch as departure_watch_module,
 )
 from marigoldsill.coordination.job_agent import executor as executor_module
+from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.job_agent import (
     lease_renewer as lease_renewer_module,
 )
@@ -75,7 +76,7 @@
         self, length_s: float = 60.0, min_orders_version: int = 0
     ) -> None:
         self.state.update_lease(
-            agent_state.Lease(
+            lease_module.Lease(
                 clock.now_s() + length_s, TERM, min_orders_version
             )
         )
--- a/tests/coordination/jobs/test_ended_orders.py
+++ b/tests/coordination/jobs/test_ended_orders.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.job_agent import reporter as reporter_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
@@ -120,7 +120,7 @@
     """Guards against a start between the removal of the ends and the new lease."""
     update_lease = agent.state.update_lease
 
-    def update_lease_after_late_orders(lease: agent_state.Lease) -> None:
+    def update_lease_after_late_orders(lease: lease_module.Lease) -> None:
         agent.execute_orders()
         _receive_late_orders(agent)
         agent.execute_orders()
--- a/tests/platform/test_advertised_addresses.py
+++ b/tests/platform/test_advertised_addresses.py
@@ -103,7 +103,6 @@
 def test_a_leader_that_no_member_can_reach_is_replaced(
     system: system_module.System, links: run.ProxyRegistry
 ) -> None:
-    system.start()
     system.start()
     system.submit(_JOB, step(2))
     system.wait_for_job_state(_JOB, "completed")
