--- a/marigoldsill/coordination/leadership/late_start_bounds.py
+++ b/marigoldsill/coordination/leadership/late_start_bounds.py
@@ -1,8 +1,8 @@
 """Runs that may be alive although the lease of their agent has expired.
 
 A worker that restarts under its id carries out late calls that were meant for its earlier
-incarnation, also if it is cut off from its agent. The agent tells which runs such calls
-may still begin or keep alive, and how long. The log does not tell, so a new leader waits
+incarnation, also if it is cut off from its agent. The agent reports which runs such calls
+may still begin or keep alive, and how long. This is not in the log, so a new leader waits
 for the first report of each agent.
 """
 
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bounds:
-    """The latest ends of late runs, as told by one incarnation of an agent.
+    """The latest ends of late runs, as reported by one incarnation of an agent.
 
     Attributes:
         incarnation: The agent's incarnation.
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -1,4 +1,4 @@
-"""How long calls may still have an effect, and which deregistrations are open.
+"""How long calls that were meant for an earlier incarnation may still have an effect.
 
 A worker that restarts under its name carries out calls that were meant for an earlier
 incarnation, and a message that names the worker may be about an earlier incarnation.
