Count a refused run as over only once its start cannot be carried out late

A start request got no answer, the agent was killed, its next process refused the run after a confirmed stop, and the leader granted the task again. Then the worker restarted under its id, knew of no stop, and carried the request out.

Cause: a stop holds only on the incarnation that confirmed it.

In test_run_that_was_stopped_on_the_old_incarnation_is_refused_by_the_new_one the end of the stopped run is not concluded at once any more, so the test records it itself; the assertions on what the new incarnation runs and reports are as before. tests/lint, tests/coordination/jobs, tests/platform/test_restarted_workers.py and test_agent_restarts.py pass.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -200,8 +200,13 @@
             self._record_end(order, progress)
         elif not progress.stop_listings_count:
             self._submit(self._stop, order, progress)
-        elif not is_running and self._runs.is_listed_after(
-            progress.stop_listings_count
+        elif (
+            not is_running
+            and self._runs.is_listed_after(progress.stop_listings_count)
+            # If the worker restarts under its id, it does not know of the stop.
+            and not self._state.late_starts.has_late_request(
+                key, now_s=clock.now_s()
+            )
         ):
             # After the stop it was listed neither as running nor as ended.
             self._record_end(order, progress)
--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -160,6 +160,13 @@
             return False
         return not was_listed or key in self._unanswered
 
+    def has_late_request(self, key: task_names.RunKey, *, now_s: float) -> bool:
+        """Whether an unanswered request for a run may still be carried out."""
+        if key not in self._unanswered:
+            return False
+        _, sent_s = self._unanswered[key]
+        return now_s - sent_s <= late_calls.LATE_CALL_LIMIT_S
+
     def last_call_s(
         self, key: task_names.RunKey, *, was_listed: bool, now_s: float
     ) -> float:
