--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -136,7 +136,7 @@
             for key, order in state.orders.items()
             if order.worker_id == state.worker_id
         ]
-        extended = state.late_calls.extended_runs(current_keys, now_s=now_s)
+        extended = state.late_calls.prolonged_runs(current_keys, now_s=now_s)
         return extended + state.late_starts.remaining(now_s=now_s)
 
     def _apply_reply(
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -146,7 +146,7 @@
         """Records a renewal of an earlier incarnation's lease without an answer."""
         self._late_renewal_s = now_s
 
-    def extended_runs(
+    def prolonged_runs(
         self, keys: Iterable[task_names.RunKey], *, now_s: float
     ) -> list[ttypes.LateStart]:
         """Returns those of the current incarnation's runs that may outlive its lease.
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -694,7 +694,7 @@
     else:
         _start_unanswered(agent)
         _restart(agent)
-    extended = agent.state.late_calls.extended_runs(
+    extended = agent.state.late_calls.prolonged_runs(
         [_OTHER_KEY], now_s=clock.now_s()
     )
     assert [(late.task, late.run) for late in extended] == [_OTHER_KEY]
