Record an answer of the worker in one step; share the recording of ends among tests

The renewer took the state's lock twice for one answer. Three tests of the agent built the same report and its reply; SteppedAgent does so for them.

--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -165,12 +165,11 @@
             state.late_starts.record_answer(
                 called_s=called_s, received_s=received_s
             )
+            state.record_answer(worker_id)
         state.worker_clock.record_reading(
             listing.clock_ms, worker_id=worker_id, received_s=received_s
         )
         state.last_answer_s = received_s
-        with state.changed:
-            state.record_answer(worker_id)
         state.record_listing(listing)
         if listing.unread_ended_count:
             # Unreadable ends are never acknowledged, so the worker would answer the
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -114,6 +114,19 @@
             self.execute_orders()
             self.renew_lease()
 
+    def record_reported_ends(self) -> ttypes.AgentReport:
+        """Lets control record the ends that the agent reports; returns the report."""
+        state = self.state
+        report = ttypes.AgentReport(
+            agent="a1",
+            ends=list(state.ends.values()),
+            worker_id=state.worker_id,
+        )
+        state.remove_reported_ends(
+            report, ttypes.AgentReply(term=TERM), state.listed_end_number
+        )
+        return report
+
     def end_kinds(self) -> dict[tuple[str, int], ttypes.RunEndKind]:
         return {key: end.kind for key, end in self.state.ends.items()}
 
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -218,16 +218,7 @@
     agent.renew_lease()
     assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.DONE}
     assert agent.worker.acknowledged == 0
-    report = ttypes.AgentReport(
-        agent="a1",
-        ends=list(agent.state.ends.values()),
-        worker_id="a1-incarnation1",
-    )
-    agent.state.remove_reported_ends(
-        report,
-        ttypes.AgentReply(term=stepped_agent.TERM),
-        agent.state.listed_end_number,
-    )
+    agent.record_reported_ends()
     agent.renew_lease()
     agent.renew_lease()
     assert agent.end_kinds() == {}
--- a/tests/coordination/jobs/test_partial_listings.py
+++ b/tests/coordination/jobs/test_partial_listings.py
@@ -23,19 +23,6 @@
     return new_agent
 
 
-def _record_ends(agent: stepped_agent.SteppedAgent) -> None:
-    """Lets control record the ends that the agent reports."""
-    state = agent.state
-    report = ttypes.AgentReport(
-        agent="a1", ends=list(state.ends.values()), worker_id=state.worker_id
-    )
-    state.remove_reported_ends(
-        report,
-        ttypes.AgentReply(term=stepped_agent.TERM),
-        state.listed_end_number,
-    )
-
-
 def test_stopped_run_with_its_end_beyond_the_listed_ones_is_done(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
@@ -44,7 +31,7 @@
     agent.receive_order(stepped_agent.STOP, _KEY)
     agent.run_until_settled()
     assert agent.end_kinds() == {_OTHER_KEY: _DONE}
-    _record_ends(agent)
+    agent.record_reported_ends()
     agent.run_until_settled()
     assert agent.end_kinds() == {_KEY: _DONE}
 
@@ -70,7 +57,7 @@
     worker.listed_ends_limit = 1
     agent.run_until_settled()
     assert agent.end_kinds() == {_OTHER_KEY: _DONE}
-    _record_ends(agent)
+    agent.record_reported_ends()
     agent.run_until_settled()
     assert agent.end_kinds() == {_KEY: _DONE}
 
@@ -94,13 +81,13 @@
     """Guards against an end that the worker discards before the agent has read it."""
     agent.worker.unreadable_ends = {_OTHER_KEY}
     agent.renew_lease()
-    _record_ends(agent)
+    agent.record_reported_ends()
     agent.run_until_settled()
     assert agent.worker.acknowledged == 0
     agent.worker.unreadable_ends = set()
     agent.run_until_settled()
     assert agent.end_kinds() == {_OTHER_KEY: _DONE}
-    _record_ends(agent)
+    agent.record_reported_ends()
     agent.renew_lease()
     assert agent.worker.acknowledged == 2
 
@@ -112,6 +99,6 @@
     agent.worker.unreadable_ends = {_OTHER_KEY}
     agent.renew_lease()
     assert agent.end_kinds() == {_KEY: _DONE}
-    _record_ends(agent)
+    agent.record_reported_ends()
     agent.run_until_settled()
     assert agent.end_kinds() == {}
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -387,14 +387,8 @@
     agent.run_until_settled()
     agent.worker.end_run(_KEY, ttypes.RunEndKind.DONE)
     agent.renew_lease()
-    report = ttypes.AgentReport(
-        agent="a1", ends=list(agent.state.ends.values()), worker_id=_OLD
-    )
-    agent.state.remove_reported_ends(
-        report,
-        ttypes.AgentReply(term=stepped_agent.TERM),
-        agent.state.listed_end_number,
-    )
+    report = agent.record_reported_ends()
+    assert report.worker_id == _OLD
     agent.worker.restart(_NEW)
     _announce(agent, _NEW)
     # The candidate's turn comes second.
