--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -142,8 +142,16 @@
 
     def record_start_sent(self, order: ttypes.RunOrder) -> None:
         """Records a start request to the worker; the caller must hold the lock."""
+        key = (order.task, order.run)
+        self.run_orders.possibly_begun_keys.add(key)
         if order.worker_id == self.worker_id:
-            self.starts.record_sent((order.task, order.run))
+            self.starts.record_sent(key)
+
+    def record_not_started(self, order: ttypes.RunOrder) -> None:
+        """Records that no start request had an effect; the caller must hold the lock."""
+        key = (order.task, order.run)
+        self.run_orders.possibly_begun_keys.discard(key)
+        self.starts.record_not_started(key)
 
     def record_unreachable(self, worker_id: str) -> None:
         """Records a call without an answer; the caller must hold the lock."""
@@ -396,6 +404,9 @@
             if self._incarnations.has_replaced(
                 order.worker_id, current_id=self.worker_id
             ):
+                key = (order.task, order.run)
                 self.unreported_ends.record_stale(
-                    order, current_id=self.worker_id
+                    order,
+                    current_id=self.worker_id,
+                    may_have_begun=key in self.run_orders.possibly_begun_keys,
                 )
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -329,7 +329,7 @@
                 if error.sent:
                     state.record_unanswered_start(order)
                 elif not had_unanswered_start:
-                    state.starts.record_not_started((order.task, order.run))
+                    state.record_not_started(order)
                 state.record_unreachable(order.worker_id)
             raise
         except errors.PlatformError:
@@ -369,7 +369,7 @@
         progress.has_unanswered_start = had_unanswered_start
         if not had_unanswered_start:
             with self._state.changed:
-                self._state.starts.record_not_started((order.task, order.run))
+                self._state.record_not_started(order)
 
     def _stop(
         self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -20,6 +20,8 @@
         by_run: Orders by (task, run).
         inherited_keys: Runs that a previous process of this agent may have started:
             those in the first reply that this process received.
+        possibly_begun_keys: Runs that a start request of this process or a previous one
+            may have begun.
         term: Term of the leader that gave them.
         version: Their version in that term.
         evacuations: Data centres where no run may start.
@@ -29,6 +31,7 @@
     def __init__(self):
         self.by_run: dict[task_names.RunKey, ttypes.RunOrder] = {}
         self.inherited_keys: frozenset[task_names.RunKey] = frozenset()
+        self.possibly_begun_keys: set[task_names.RunKey] = set()
         self.term = 0
         self.version = 0
         self.evacuations = evacuations.Evacuations()
@@ -57,6 +60,8 @@
                 self.by_run[order.task, order.run] = order
         if not self.term:
             self.inherited_keys = frozenset(self.by_run)
+            self.possibly_begun_keys = set(self.by_run)
+        self.possibly_begun_keys &= self.by_run.keys()
         self.term = reply.term
         self.version = reply.version
         self.evacuations.update(reply.evacuated_data_centres, worker)
@@ -77,6 +82,7 @@
         for end in ends:
             key = (end.task, end.run)
             self.by_run.pop(key, None)
+            self.possibly_begun_keys.discard(key)
             if (term, version) > (self.term, self.version):
                 self._ended[key] = (term, version)
 
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -114,12 +114,19 @@
         else:
             self.by_run.setdefault(key, end)
 
-    def record_stale(self, order: ttypes.RunOrder, *, current_id: str) -> None:
+    def record_stale(
+        self,
+        order: ttypes.RunOrder,
+        *,
+        current_id: str,
+        may_have_begun: bool,
+    ) -> None:
         """Records the loss of a run whose incarnation has ended, if it has no end yet.
 
         Args:
             order: The order for an incarnation that has ended.
             current_id: The current incarnation, or empty.
+            may_have_begun: Whether a start request may have begun the run there.
         """
         key = (order.task, order.run)
         if key in self.by_run or self.late_starts.is_pending(key):
@@ -129,8 +136,8 @@
             run=order.run,
             kind=ttypes.RunEndKind.LOST,
             detail=(
-                f"worker {order.worker_id} is gone; the run is not known to have "
-                "begun on it"
+                f"worker {order.worker_id} is gone; the run "
+                f"{'may have begun' if may_have_begun else 'never began'} on it"
             ),
         )
         self.record_lost(
--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -143,12 +143,16 @@
 def _log_run_ended(end: ttypes.RunEnd) -> None:
     kind = ttypes.RunEndKind(end.kind).name.lower()
     job_metrics.RUN_ENDS.labels(kind).inc()
+    crash = {}
+    if end.kind == ttypes.RunEndKind.CRASHED:
+        crash = {"suspects_count": end.suspects_count, "age_ms": end.age_ms}
     logs.event(
         "run_ended",
         task=end.task,
         run=end.run,
         kind=kind,
         reason=end.detail,
+        **crash,
     )
 
 
