Count crashes that are reported late in any order

What callers saw: a task was started after three workers had crashed under it. Cause: of crashes whose runs the leader had recorded as lost before, only those newer than the last counted one counted, as the state kept that run alone. Agents that come back from a cut report in any order: newest first, one of three crashes counted.

Each loss of a worker under a task is now remembered until an agent explains it, so each report counts once, in any order.

--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -264,6 +264,13 @@
 }
 
 /** A task of a job: one index of a step, in one occurrence. */
+/** The loss of a worker, or of the contact with it, under a run of a task. */
+struct WorkerLoss {
+  1: i64 run,
+  2: string agent,
+  3: bool is_explained = false      // an agent has reported what became of the run
+}
+
 struct JobTask {
   1: bool done = false,
   2: i64 last_run = 0,              // 0: never granted
@@ -271,9 +278,10 @@
   4: string checkpoint_id = "",     // newest known checkpoint
   5: list<JobRun> runs = [],        // runs that may be alive
   6: i32 crashes_count = 0,         // worker crashes that it is suspected of
-  7: i64 last_crashed_run = 0,      // 0: none
+  // 7 was the last run with such a crash.
   8: list<string> crashed_agents = [],  // agents of these workers, if known
-  9: i64 crash_age_ms = 0           // highest age of its runs at these crashes
+  9: i64 crash_age_ms = 0,          // highest age of its runs at these crashes
+  10: list<WorkerLoss> losses = []  // the oldest first
 }
 
 struct StepTasks { 1: list<JobTask> tasks }
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -9,9 +9,9 @@
 
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state import job_ends
 from marigoldsill.state import job_tables
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import job_ends
 
 # Maximum number of parallel runs of a task in a speculative step.
 COPIES_LIMIT = 2
@@ -108,7 +108,7 @@
     steps = [
         ttypes.StepTasks(
             tasks=[
-                ttypes.JobTask(runs=[], crashed_agents=[])
+                ttypes.JobTask(runs=[], crashed_agents=[], losses=[])
                 for _ in range(step.tasks_count)
             ]
         )
--- /dev/null
+++ b/marigoldsill/state/run_outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""What the ends of runs make of their tasks and jobs."""
--- a/marigoldsill/state/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -7,17 +7,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 from marigoldsill.state import tables as tables_module
-
-# Number of crashes at which a task fails its job. It is lower for the only suspect of a
-# crash: a worker may crash for another reason just after a start, but that is unlikely
-# to happen twice in a row.
-_SOLE_SUSPECT_CRASHES_LIMIT = 2
-_CRASHES_LIMIT = 3
-# A task that crashes workers does so at a similar age each time, so a run that exceeds
-# the ratio and margin resets the count. The margin covers the interval between two
-# listings of the worker, by which a reported age may be too low.
-_CRASH_AGE_RATIO = 2
-_CRASH_AGE_MARGIN_MS = 1_500
+from marigoldsill.state.run_outcomes import worker_losses
 
 
 def record(
@@ -46,9 +36,8 @@
     if task is None:
         return 0
     run = next((r for r in task.runs if r.run == end.run), None)
-    last_crashed_run = task.last_crashed_run
-    is_counted = _count_crash(task, end, run)
-    if run is None and task.last_crashed_run == last_crashed_run:
+    is_loss = worker_losses.record(task, end, run)
+    if run is None and not is_loss:
         return 0
     if run is not None:
         _drop(jobs, end.task, task, run)
@@ -63,9 +52,12 @@
             _take_done(tables, record, address, task, now_unix_ms)
         case ttypes.RunEndKind.FAILED:
             _take_failure(tables, record, address, task, now_unix_ms)
-        case ttypes.RunEndKind.CRASHED if is_counted and not task.done:
-            if _has_crashed_too_often(task, end):
-                _fail_crashing_job(tables, record, end, task, now_unix_ms)
+        case ttypes.RunEndKind.CRASHED if is_loss and not task.done:
+            reason = worker_losses.give_up_reason(task, end)
+            if reason:
+                end_job(
+                    tables, record, ttypes.JobState.FAILED, now_unix_ms, reason
+                )
     if task.done:
         record.open = [o for o in record.open if not _is_over(o)]
     return 1
@@ -163,65 +155,6 @@
         )
 
 
-def _count_crash(
-    task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
-) -> bool:
-    """Counts a worker crash against a suspected task, once for each run.
-
-    The leader may record a run as lost before its agent reports the crash, so runs
-    that are over count as well.
-
-    Args:
-        task: The task.
-        end: How a run of it ended.
-        run: The run, or None if its end was recorded before.
-
-    Returns:
-        Whether a crash was counted.
-    """
-    is_crash = end.kind == ttypes.RunEndKind.CRASHED
-    if not is_crash or not task.last_crashed_run < end.run <= task.last_run:
-        return False
-    task.last_crashed_run = end.run
-    if end.age_ms > (
-        _CRASH_AGE_RATIO * task.crash_age_ms + _CRASH_AGE_MARGIN_MS
-    ):
-        # The run outlived earlier crashes, so the task did not cause them.
-        task.crashes_count = task.crash_age_ms = 0
-        task.crashed_agents = []
-    if not end.suspects_count:
-        return False
-    task.crashes_count += 1
-    task.crash_age_ms = max(task.crash_age_ms, end.age_ms)
-    if run is not None:
-        task.crashed_agents = [*task.crashed_agents, run.agent]
-    return True
-
-
-def _has_crashed_too_often(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
-    """Whether a task fails its job after a crash that was counted."""
-    if task.crashes_count >= _CRASHES_LIMIT:
-        return True
-    is_sole_suspect = end.suspects_count == 1
-    return is_sole_suspect and task.crashes_count >= _SOLE_SUSPECT_CRASHES_LIMIT
-
-
-def _fail_crashing_job(
-    tables: tables_module.Tables,
-    record: ttypes.JobRecord,
-    end: ttypes.RunEnd,
-    task: ttypes.JobTask,
-    now_unix_ms: int,
-) -> None:
-    end_job(
-        tables,
-        record,
-        ttypes.JobState.FAILED,
-        now_unix_ms,
-        f"{task.crashes_count} workers crashed as task {end.task} started",
-    )
-
-
 def end_job(
     tables: tables_module.Tables,
     record: ttypes.JobRecord,
--- /dev/null
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -0,0 +1,92 @@
+"""Counts losses of workers against the tasks that may have caused them.
+
+The leader may record a run as lost before its agent reports what became of it, and
+agents that were cut off report in any order. So each loss remembers whether it was
+explained.
+"""
+
+from marigoldsill.protocol.generated import ttypes
+
+# Number of crashes at which a task fails its job. It is lower for the only suspect of a
+# crash: a worker may crash for another reason just after a start, but that is unlikely
+# to happen twice in a row.
+_SOLE_SUSPECT_CRASHES_LIMIT = 2
+_CRASHES_LIMIT = 3
+# A task that crashes workers does so at a similar age each time, so a run that exceeds
+# the ratio and margin resets the count. The margin covers the interval between two
+# listings of the worker, by which a reported age may be too low.
+_CRASH_AGE_RATIO = 2
+_CRASH_AGE_MARGIN_MS = 1_500
+# Maximum number of losses of a task to remember.
+_REMEMBERED_LIMIT = 16
+
+
+def record(
+    task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
+) -> bool:
+    """Records the loss of a worker under a run; other ends have no effect.
+
+    Args:
+        task: The task.
+        end: How a run of it ended.
+        run: The run, or None if its end was recorded before.
+
+    Returns:
+        Whether that changed what is known of the task's losses.
+    """
+    match end.kind:
+        case ttypes.RunEndKind.LOST if run is not None:
+            _remember(task, ttypes.WorkerLoss(run=run.run, agent=run.agent))
+            return True
+        case ttypes.RunEndKind.CRASHED:
+            loss = _unexplained_loss(task, end, run)
+            if loss is not None:
+                _explain(task, loss, end)
+            return loss is not None
+    return False
+
+
+def give_up_reason(task: ttypes.JobTask, end: ttypes.RunEnd) -> str:
+    """Returns why a task fails its job after a loss was recorded, or empty."""
+    is_sole_suspect = end.suspects_count == 1
+    limit = _SOLE_SUSPECT_CRASHES_LIMIT if is_sole_suspect else _CRASHES_LIMIT
+    if end.suspects_count and task.crashes_count >= limit:
+        return (
+            f"{task.crashes_count} workers crashed as task {end.task} started"
+        )
+    return ""
+
+
+def _remember(task: ttypes.JobTask, loss: ttypes.WorkerLoss) -> None:
+    # Generated records share one default list among all instances.
+    task.losses = [*task.losses, loss][-_REMEMBERED_LIMIT:]
+
+
+def _unexplained_loss(
+    task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
+) -> ttypes.WorkerLoss | None:
+    """Returns the loss that a report is the first one to explain, or None."""
+    if run is None:
+        unexplained = (loss for loss in task.losses if not loss.is_explained)
+        return next((loss for loss in unexplained if loss.run == end.run), None)
+    loss = ttypes.WorkerLoss(run=run.run, agent=run.agent)
+    _remember(task, loss)
+    return loss
+
+
+def _explain(
+    task: ttypes.JobTask, loss: ttypes.WorkerLoss, end: ttypes.RunEnd
+) -> None:
+    """Counts a crash against a suspected task."""
+    loss.is_explained = True
+    if end.age_ms > (
+        _CRASH_AGE_RATIO * task.crash_age_ms + _CRASH_AGE_MARGIN_MS
+    ):
+        # The run outlived earlier crashes, so the task did not cause them.
+        task.crashes_count = task.crash_age_ms = 0
+        task.crashed_agents = []
+    if not end.suspects_count:
+        return
+    task.crashes_count += 1
+    task.crash_age_ms = max(task.crash_age_ms, end.age_ms)
+    task.crashed_agents = [*task.crashed_agents, loss.agent]
--- a/marigoldsill/state/state_machine.py
+++ b/marigoldsill/state/state_machine.py
@@ -7,11 +7,11 @@
 
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import claims
-from marigoldsill.state import job_ends
 from marigoldsill.state import jobs
 from marigoldsill.state import plans
 from marigoldsill.state import runs
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import job_ends
 
 # Numbers of results that are stored for commands that are sent again.
 RESULTS_LIMIT = 20_000
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -1,5 +1,7 @@
 """Tests of how worker crashes count against the tasks suspected of them."""
 
+import itertools
+
 import pytest
 
 from marigoldsill.protocol.generated import ttypes
@@ -70,6 +72,31 @@
     assert [run.run for run in state.task(_TASK).runs] == [2]
 
 
+@pytest.mark.parametrize("order", list(itertools.permutations((1, 2, 3))))
+def test_crashes_reported_late_in_any_order_are_counted(
+    state: builders.State, order: tuple[int, ...]
+) -> None:
+    for run in (1, 2, 3):
+        state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, run)
+    for run in order:
+        _report(state, run, suspects_count=2)
+        _report(state, run, suspects_count=2)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_late_crash_of_a_newer_run_leaves_room_for_that_of_a_live_one(
+    state: builders.State,
+) -> None:
+    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, 1)
+    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, 2)
+    state.grant(builders.grant(_TASK, 3))
+    _report(state, 2, suspects_count=2)
+    _report(state, 1, suspects_count=2)
+    assert state.task(_TASK).crashes_count == 2
+    _report(state, 3, suspects_count=2)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
 def test_a_crash_of_a_run_that_was_never_granted_is_ignored(
     state: builders.State,
 ) -> None:
