Bound the starts of a task whose agents end with the workers it crashes

Cause: a crash counts only if the agent's process that started the run reports it. A process that was started in its place gets the order of a run on an incarnation that has ended, and reported the run as lost; the leader records the runs of a silent agent as lost as well. Lost meant that nobody is at fault.

Such a loss within a minute of the grant now counts, and the fifth one, seen or unseen, fails the job. Crashes that an agent saw keep their limits of two and three, so what is only likely needs more evidence than what was seen. An agent knows of each run whether a start request of its own or an earlier process may have begun it; a run that surely never began counts against nothing, nor does one that had worked for long. A run that works for ten minutes takes off earlier losses.

test_task_is_not_started_again_after_each_loss_that_its_agent_did_not_see failed before, as did those that count both kinds together. Tests of state, jobs and placing pass.

--- a/marigoldsill/state/run_outcomes/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -36,7 +36,7 @@
     if task is None:
         return 0
     run = next((r for r in task.runs if r.run == end.run), None)
-    is_loss = worker_losses.record(task, end, run)
+    is_loss = worker_losses.record(task, end, run, now_unix_ms)
     if run is None and not is_loss:
         return 0
     if run is not None:
@@ -52,7 +52,9 @@
             _take_done(tables, record, address, task, now_unix_ms)
         case ttypes.RunEndKind.FAILED:
             _take_failure(tables, record, address, task, now_unix_ms)
-        case ttypes.RunEndKind.CRASHED if is_loss and not task.done:
+        case ttypes.RunEndKind.CRASHED | ttypes.RunEndKind.LOST if (
+            is_loss and not task.done
+        ):
             reason = worker_losses.give_up_reason(task, end)
             if reason:
                 end_job(
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -3,6 +3,10 @@
 The leader may record a run as lost before its agent reports what became of it, and
 agents that were cut off report in any order. So each loss remembers whether it was
 explained.
+
+If the agent ended with its worker, nobody knows whether the task caused the loss. Such
+losses shortly after a start count as well, up to a higher limit than crashes of which
+the task is suspected.
 """
 
 from marigoldsill.protocol.generated import ttypes
@@ -17,12 +21,22 @@
 # listings of the worker, by which a reported age may be too low.
 _CRASH_AGE_RATIO = 2
 _CRASH_AGE_MARGIN_MS = 1_500
+# Number of losses shortly after a start at which a task fails its job, suspected or not.
+_EARLY_LOSSES_LIMIT = 5
+# A run that is recorded as lost later than this after its grant was not starting any
+# more. Covers the lease of its agent, an election and starts that are carried out late.
+_EARLY_LOSS_LIMIT_MS = 60_000
+# After this time it has outlived earlier losses even if a clock was set forward.
+_LONG_RUN_MS = 600_000
 # Maximum number of losses of a task to remember.
 _REMEMBERED_LIMIT = 16
 
 
 def record(
-    task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
+    task: ttypes.JobTask,
+    end: ttypes.RunEnd,
+    run: ttypes.JobRun | None,
+    now_unix_ms: int,
 ) -> bool:
     """Records the loss of a worker under a run; other ends have no effect.
 
@@ -30,13 +44,14 @@
         task: The task.
         end: How a run of it ended.
         run: The run, or None if its end was recorded before.
+        now_unix_ms: When the end was recorded.
 
     Returns:
         Whether that changed what is known of the task's losses.
     """
     match end.kind:
-        case ttypes.RunEndKind.LOST if run is not None:
-            _remember(task, ttypes.WorkerLoss(run=run.run, agent=run.agent))
+        case ttypes.RunEndKind.LOST if run is not None and not end.never_began:
+            _record_unexplained(task, run, now_unix_ms - run.granted_unix_ms)
             return True
         case ttypes.RunEndKind.CRASHED:
             loss = _unexplained_loss(task, end, run)
@@ -54,9 +69,31 @@
         return (
             f"{task.crashes_count} workers crashed as task {end.task} started"
         )
+    early_count = sum(loss.is_early for loss in task.losses)
+    if early_count >= _EARLY_LOSSES_LIMIT:
+        return f"{early_count} workers were lost as task {end.task} started"
     return ""
 
 
+def _record_unexplained(
+    task: ttypes.JobTask, run: ttypes.JobRun, granted_ms: int
+) -> None:
+    """Records the loss of a run that was granted some time ago."""
+    if granted_ms > _LONG_RUN_MS:
+        _forget_early(task)
+    is_early = granted_ms <= _EARLY_LOSS_LIMIT_MS
+    _remember(
+        task,
+        ttypes.WorkerLoss(run=run.run, agent=run.agent, is_early=is_early),
+    )
+
+
+def _forget_early(task: ttypes.JobTask) -> None:
+    """Takes off the losses that a task cannot have caused, as a run outlived them."""
+    for loss in task.losses:
+        loss.is_early = False
+
+
 def _remember(task: ttypes.JobTask, loss: ttypes.WorkerLoss) -> None:
     # Generated records share one default list among all instances.
     task.losses = [*task.losses, loss][-_REMEMBERED_LIMIT:]
@@ -85,6 +122,8 @@
         # The run outlived earlier crashes, so the task did not cause them.
         task.crashes_count = task.crash_age_ms = 0
         task.crashed_agents = []
+        _forget_early(task)
+    loss.is_early = bool(end.suspects_count)
     if not end.suspects_count:
         return
     task.crashes_count += 1
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -63,6 +63,33 @@
     assert agent.end_kinds() == {_OTHER_KEY: ttypes.RunEndKind.REFUSED}
 
 
+@pytest.mark.parametrize("was_started", [True, False])
+def test_run_that_may_have_crashed_its_worker_is_told_from_one_that_never_began(
+    worker: fake_worker.FakeWorker, was_started: bool
+) -> None:
+    """Guards against losses that count against no task, or against sound ones."""
+    worker.incarnation = "a1-incarnation2"
+    inherited = [_order()] if was_started else []
+    agent = stepped_agent.make_agent(worker, first_orders=inherited)
+    if not was_started:
+        agent.receive_orders(orders=[_order()], removed=[])
+    agent.execute_orders()
+    end = agent.state.ends[_KEY]
+    assert end.kind == ttypes.RunEndKind.LOST
+    assert end.never_began != was_started
+
+
+def test_run_whose_start_got_no_answer_may_have_crashed_its_worker() -> None:
+    worker = fake_worker.FakeWorker(_WORKER_ID)
+    agent = stepped_agent.make_agent(worker)
+    agent.state.record_unreachable(_WORKER_ID)
+    worker.unanswered = {"start"}
+    agent.receive_orders(orders=[_order()], removed=[])
+    agent.execute_orders()
+    agent.crash_worker()
+    assert not agent.state.ends[_KEY].never_began
+
+
 def test_run_of_a_restarted_worker_is_not_lost_while_a_previous_process_may_begin_it() -> (
     None
 ):
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -72,6 +72,64 @@
     assert [run.run for run in state.task(_TASK).runs] == [2]
 
 
+def _lose(
+    state: builders.State, run: int, *, at_unix_ms: int = 0, **fields: bool
+) -> None:
+    """Grants a run and records that its worker was lost, but not why."""
+    assert state.grant(builders.grant(_TASK, run, f"a{run}")) == 1
+    end = builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)
+    for name, value in fields.items():
+        setattr(end, name, value)
+    record = ttypes.RecordRunEnds(ends=[end])
+    state.apply(
+        at_unix_ms=at_unix_ms or builders.NOW_UNIX_MS, record_run_ends=record
+    )
+
+
+def test_task_is_not_started_again_after_each_loss_that_its_agent_did_not_see(
+    state: builders.State,
+) -> None:
+    for run in range(1, 5):
+        _lose(state, run)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    _lose(state, 5)
+    assert state.state_of() == ttypes.JobState.FAILED
+    reason = state.tables.jobs.jobs["j1"].reason
+    assert reason == f"5 workers were lost as task {_TASK} started"
+
+
+@pytest.mark.parametrize("unseen_count", [1, 2, 3, 4])
+def test_losses_that_agents_saw_and_did_not_see_count_together(
+    state: builders.State, unseen_count: int
+) -> None:
+    for run in range(1, unseen_count + 1):
+        _lose(state, run)
+    runs = itertools.count(unseen_count + 1)
+    while state.state_of() == ttypes.JobState.RUNNING:
+        _crash(state, next(runs), suspects_count=5)
+    assert next(runs) <= 6
+
+
+def test_runs_that_never_began_or_began_long_ago_do_not_fail_a_job(
+    state: builders.State,
+) -> None:
+    for run in range(1, 9):
+        _lose(state, run, never_began=True)
+    for run in range(9, 20):
+        _lose(state, run, at_unix_ms=builders.NOW_UNIX_MS + 70_000)
+    assert state.state_of() == ttypes.JobState.RUNNING
+
+
+def test_run_that_works_for_long_takes_off_earlier_losses(
+    state: builders.State,
+) -> None:
+    for run in range(1, 5):
+        _lose(state, run)
+    _lose(state, 5, at_unix_ms=builders.NOW_UNIX_MS + 3_600_000)
+    _lose(state, 6)
+    assert state.state_of() == ttypes.JobState.RUNNING
+
+
 @pytest.mark.parametrize("order", list(itertools.permutations((1, 2, 3))))
 def test_crashes_reported_late_in_any_order_are_counted(
     state: builders.State, order: tuple[int, ...]
