Count losses of workers under a task that is not suspected

A task whose runs are older than 5 s at the crash, or 0.5 to 5 s with a younger run beside them, is never a suspect, and a run on a worker that drains was excused even if it had just begun. Such a task was started again after each worker that it crashed.

Crashes under a task now count towards the limit of five losses up to an age of 30 s, and only those at similar ages: workers that crash for other reasons do so at all ages of a run. The field of an end says so: it is excused if it never began or if the shutdown was planned.

test_task_that_crashes_workers_without_being_suspected_fails_its_job failed before for ages of 10 ms to 25 s. Tests of state and agents pass.

--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -24,6 +24,7 @@
     }
     # A draining worker shuts down as planned, so no run is suspected.
     suspects = frozenset() if worker.draining else starts.crash_suspects()
+    startups = starts.startups()
     agent_metrics.WORKER_LOSSES.labels(
         "planned" if worker.draining else "unplanned"
     ).inc()
@@ -51,6 +52,8 @@
             ),
             suspects_count=len(suspects) if (task, run) in suspects else 0,
             age_ms=age_ms,
+            # No shutdown is planned for the moment in which a run begins.
+            is_excused=worker.draining and (task, run) not in startups,
         )
         for (task, run), age_ms in ages_ms.items()
     ]
--- a/marigoldsill/coordination/job_agent/run_starts.py
+++ b/marigoldsill/coordination/job_agent/run_starts.py
@@ -81,6 +81,14 @@
             ages_s[key] = max(0.0, self._last_answer_s - started_s)
         return ages_s
 
+    def startups(self) -> frozenset[task_names.RunKey]:
+        """Returns the runs that may not have lived longer than a startup."""
+        return frozenset(
+            key
+            for key, age_s in self.min_ages_s().items()
+            if age_s < _STARTUP_S
+        )
+
     def crash_suspects(self) -> frozenset[task_names.RunKey]:
         """Returns the runs to suspect if the worker has crashed."""
         ages_s = self.min_ages_s()
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -139,7 +139,7 @@
                 f"worker {order.worker_id} is gone; the run "
                 f"{'may have begun' if may_have_begun else 'never began'} on it"
             ),
-            never_began=not may_have_begun,
+            is_excused=not may_have_begun,
         )
         self.record_lost(
             end, order.worker_id, current_id=current_id, was_listed=False
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -269,7 +269,8 @@
   1: i64 run,
   2: string agent,
   3: bool is_explained = false,     // an agent has reported what became of the run
-  4: bool is_early = false          // the run may have been in its startup
+  4: bool is_early = false,         // the run may have been in its startup
+  5: i64 age_ms = 0                 // lower bound of the run's age
 }
 
 struct JobTask {
@@ -466,7 +467,7 @@
   5: string detail = "",
   6: i32 suspects_count = 0,        // CRASHED: runs suspected of the crash; 0: not this one
   7: i64 age_ms = 0,                // lower bound of the run's age at the loss of its worker
-  8: bool never_began = false       // LOST: no start request can have begun it
+  8: bool is_excused = false       // LOST: the run did not cause the loss
 }
 
 struct RecordRunEnds {
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -26,6 +26,8 @@
 # A run that is recorded as lost later than this after its grant was not starting any
 # more. Covers the lease of its agent, an election and starts that are carried out late.
 _EARLY_LOSS_LIMIT_MS = 60_000
+# The same for the age of a run that its agent saw.
+_EARLY_AGE_LIMIT_MS = 30_000
 # After this time it has outlived earlier losses even if a clock was set forward.
 _LONG_RUN_MS = 600_000
 # Maximum number of losses of a task to remember.
@@ -50,7 +52,7 @@
         Whether that changed what is known of the task's losses.
     """
     match end.kind:
-        case ttypes.RunEndKind.LOST if run is not None and not end.never_began:
+        case ttypes.RunEndKind.LOST if run is not None and not end.is_excused:
             _record_unexplained(task, run, now_unix_ms - run.granted_unix_ms)
             return True
         case ttypes.RunEndKind.CRASHED:
@@ -80,7 +82,8 @@
 ) -> None:
     """Records the loss of a run that was granted some time ago."""
     if granted_ms > _LONG_RUN_MS:
-        _forget_early(task)
+        for loss in task.losses:
+            loss.is_early = False
     is_early = granted_ms <= _EARLY_LOSS_LIMIT_MS
     _remember(
         task,
@@ -88,12 +91,6 @@
     )
 
 
-def _forget_early(task: ttypes.JobTask) -> None:
-    """Takes off the losses that a task cannot have caused, as a run outlived them."""
-    for loss in task.losses:
-        loss.is_early = False
-
-
 def _remember(task: ttypes.JobTask, loss: ttypes.WorkerLoss) -> None:
     # Generated records share one default list among all instances.
     task.losses = [*task.losses, loss][-_REMEMBERED_LIMIT:]
@@ -122,10 +119,20 @@
         # The run outlived earlier crashes, so the task did not cause them.
         task.crashes_count = task.crash_age_ms = 0
         task.crashed_agents = []
-        _forget_early(task)
-    loss.is_early = bool(end.suspects_count)
+    for other in task.losses:
+        other.is_early &= _are_similar_ages(other.age_ms, end.age_ms)
+    loss.is_explained = True
+    loss.age_ms = end.age_ms
+    # A task that is not suspected may be at fault as well, if it crashes workers later
+    # than most tasks do or was beside one that had just started.
+    loss.is_early = end.age_ms <= _EARLY_AGE_LIMIT_MS
     if not end.suspects_count:
         return
     task.crashes_count += 1
     task.crash_age_ms = max(task.crash_age_ms, end.age_ms)
     task.crashed_agents = [*task.crashed_agents, loss.agent]
+
+
+def _are_similar_ages(one_ms: int, other_ms: int) -> bool:
+    low_ms, high_ms = sorted((one_ms, other_ms))
+    return high_ms <= _CRASH_AGE_RATIO * low_ms + _CRASH_AGE_MARGIN_MS
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -278,6 +278,20 @@
     assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.LOST}
 
 
+@pytest.mark.parametrize(("age_s", "is_excused"), [(0.0, False), (1.0, True)])
+def test_run_is_excused_by_a_planned_shutdown_unless_it_has_just_begun(
+    agent: stepped_agent.SteppedAgent, age_s: float, is_excused: bool
+) -> None:
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    draining = stepped_agent.announcement("a1-incarnation1", sequence=2)
+    draining.worker.draining = True
+    agent.state.record_announcement(draining)
+    agent.state.starts.record_answer(now_s=clock.now_s() + age_s)
+    agent.crash_worker()
+    assert agent.state.ends[stepped_agent.KEY].is_excused == is_excused
+
+
 def test_start_on_a_draining_worker_is_refused(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -64,7 +64,7 @@
 
 
 @pytest.mark.parametrize("was_started", [True, False])
-def test_run_that_may_have_crashed_its_worker_is_told_from_one_that_never_began(
+def test_run_that_may_have_crashed_its_worker_is_told_from_one_that_is_excused(
     worker: fake_worker.FakeWorker, was_started: bool
 ) -> None:
     """Guards against losses that count against no task, or against sound ones."""
@@ -76,7 +76,7 @@
     agent.execute_orders()
     end = agent.state.ends[_KEY]
     assert end.kind == ttypes.RunEndKind.LOST
-    assert end.never_began != was_started
+    assert end.is_excused != was_started
 
 
 def test_run_whose_start_got_no_answer_may_have_crashed_its_worker() -> None:
@@ -87,7 +87,7 @@
     agent.receive_orders(orders=[_order()], removed=[])
     agent.execute_orders()
     agent.crash_worker()
-    assert not agent.state.ends[_KEY].never_began
+    assert not agent.state.ends[_KEY].is_excused
 
 
 def test_run_of_a_restarted_worker_is_not_lost_while_a_previous_process_may_begin_it() -> (
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -110,16 +110,34 @@
     assert next(runs) <= 6
 
 
-def test_runs_that_never_began_or_began_long_ago_do_not_fail_a_job(
+def test_runs_that_is_excused_or_began_long_ago_do_not_fail_a_job(
     state: builders.State,
 ) -> None:
     for run in range(1, 9):
-        _lose(state, run, never_began=True)
+        _lose(state, run, is_excused=True)
     for run in range(9, 20):
         _lose(state, run, at_unix_ms=builders.NOW_UNIX_MS + 70_000)
     assert state.state_of() == ttypes.JobState.RUNNING
 
 
+@pytest.mark.parametrize("age_ms", [10, 600, 6_000, 25_000])
+def test_task_that_crashes_workers_without_being_suspected_fails_its_job(
+    state: builders.State, age_ms: int
+) -> None:
+    for run in range(1, 6):
+        assert state.state_of() != ttypes.JobState.FAILED
+        _crash(state, run, suspects_count=0, age_ms=age_ms + 10 * run)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_workers_that_crash_at_all_ages_of_a_task_do_not_fail_its_job(
+    state: builders.State,
+) -> None:
+    for run, age_s in enumerate((20, 30, 8, 29, 4, 15, 3, 25, 10, 40), 1):
+        _crash(state, run, suspects_count=0, age_ms=1_000 * age_s)
+    assert state.state_of() == ttypes.JobState.RUNNING
+
+
 def test_run_that_works_for_long_takes_off_earlier_losses(
     state: builders.State,
 ) -> None:
