Take off the loss of a run whose worker turns out to have outlived it

An agent that was cut off for longer than its lease lists the ends of its runs when it is back: the worker was there all the time, so its task did not crash it. The loss that the leader had recorded still counted, so a sound task could be given up after five cuts of its agents. Such an end takes the loss off, once. Only an end of a run that may be alive keeps a checkpoint or completes a task, as before.

test_run_whose_worker_outlived_it_counts_as_no_loss failed before. Tests of state and of job commands pass.

--- a/marigoldsill/state/run_outcomes/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -39,18 +39,18 @@
     is_loss = worker_losses.record(task, end, run, now_unix_ms)
     if run is None and not is_loss:
         return 0
+    jobs.changed_jobs.add(address.job_id)
     if run is not None:
         _drop(jobs, end.task, task, run)
-    jobs.changed_jobs.add(address.job_id)
-    if end.checkpoint_id:
-        _keep_checkpoint(record, address, task, end.checkpoint_id)
+        if end.checkpoint_id:
+            _keep_checkpoint(record, address, task, end.checkpoint_id)
     if record.state in job_tables.ENDED:
         _close_if_over(record)
         return 1
     match end.kind:
-        case ttypes.RunEndKind.DONE:
+        case ttypes.RunEndKind.DONE if run is not None:
             _take_done(tables, record, address, task, now_unix_ms)
-        case ttypes.RunEndKind.FAILED:
+        case ttypes.RunEndKind.FAILED if run is not None:
             _take_failure(tables, record, address, task, now_unix_ms)
         case ttypes.RunEndKind.CRASHED | ttypes.RunEndKind.LOST if (
             is_loss and not task.done
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -40,7 +40,7 @@
     run: ttypes.JobRun | None,
     now_unix_ms: int,
 ) -> bool:
-    """Records the loss of a worker under a run; other ends have no effect.
+    """Records the loss of a worker under a run, or that there was none after all.
 
     Args:
         task: The task.
@@ -60,6 +60,9 @@
             if loss is not None:
                 _explain(task, loss, end)
             return loss is not None
+        case _ if run is None:
+            # Only a worker that has outlived the run, or never had it, lists its end.
+            return _remove_unexplained(task, end)
     return False
 
 
@@ -96,13 +99,29 @@
     task.losses = [*task.losses, loss][-_REMEMBERED_LIMIT:]
 
 
+def _remove_unexplained(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
+    loss = _find_unexplained(task, end)
+    if loss is None or (
+        end.kind == ttypes.RunEndKind.LOST and not end.is_excused
+    ):
+        return False
+    task.losses = [other for other in task.losses if other is not loss]
+    return True
+
+
+def _find_unexplained(
+    task: ttypes.JobTask, end: ttypes.RunEnd
+) -> ttypes.WorkerLoss | None:
+    unexplained = (loss for loss in task.losses if not loss.is_explained)
+    return next((loss for loss in unexplained if loss.run == end.run), None)
+
+
 def _unexplained_loss(
     task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
 ) -> ttypes.WorkerLoss | None:
     """Returns the loss that a report is the first one to explain, or None."""
     if run is None:
-        unexplained = (loss for loss in task.losses if not loss.is_explained)
-        return next((loss for loss in unexplained if loss.run == end.run), None)
+        return _find_unexplained(task, end)
     loss = ttypes.WorkerLoss(run=run.run, agent=run.agent)
     _remember(task, loss)
     return loss
@@ -112,7 +131,6 @@
     task: ttypes.JobTask, loss: ttypes.WorkerLoss, end: ttypes.RunEnd
 ) -> None:
     """Counts a crash against a suspected task."""
-    loss.is_explained = True
     if end.age_ms > (
         _CRASH_AGE_RATIO * task.crash_age_ms + _CRASH_AGE_MARGIN_MS
     ):
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -138,6 +138,37 @@
     assert state.state_of() == ttypes.JobState.RUNNING
 
 
+@pytest.mark.parametrize(
+    "kind",
+    [
+        ttypes.RunEndKind.LAPSED,
+        ttypes.RunEndKind.STOPPED,
+        ttypes.RunEndKind.REFUSED,
+        ttypes.RunEndKind.DONE,
+    ],
+)
+def test_run_whose_worker_outlived_it_counts_as_no_loss(
+    state: builders.State, kind: ttypes.RunEndKind
+) -> None:
+    """Guards against sound tasks that are given up after cuts of their agents."""
+    for run in range(1, 9):
+        _lose(state, run)
+        end = builders.run_end(_TASK, kind, run, checkpoint_id=f"late {run}")
+        state.end(end)
+        state.end(end)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    task = state.task(_TASK)
+    assert (task.losses, task.done, task.checkpoint_id) == ([], False, "")
+
+
+def test_loss_that_is_recorded_twice_counts_once(state: builders.State) -> None:
+    for run in range(1, 5):
+        _lose(state, run)
+        state.end(builders.run_end(_TASK, ttypes.RunEndKind.LOST, run))
+    assert state.state_of() == ttypes.JobState.RUNNING
+    assert len(state.task(_TASK).losses) == 4
+
+
 def test_run_that_works_for_long_takes_off_earlier_losses(
     state: builders.State,
 ) -> None:
