Count runs without an order against the capacity while the worker has them

The agent's check before a start summed only the runs that it has an order for. A run that the worker still lists, one that it stops slowly and one whose start request got no answer all counted as nothing once the leader had removed the order, and a start that does not fit beside them followed (LIMIT). The leader removes orders without a word of that worker: the end of one member of a gang stands for all, and a lease that has expired ends all runs of its agent.

Removed orders are now remembered until a listing lacks the run and no late start request can begin it. Tests of jobs pass.

--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -2,13 +2,29 @@
 
 from collections.abc import Container
 from collections.abc import Iterable
+import dataclasses
 import functools
 
 from marigoldsill.coordination.job_agent import evacuations
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import amounts
+from marigoldsill.transport import clock
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _RemovedOrder:
+    """An order that the leader removed, whose run the worker may still have.
+
+    Attributes:
+        resources: What the run reserves.
+        removed_s: When the order was removed.
+    """
+
+    resources: ttypes.Resources
+    removed_s: float
 
 
 class RunOrders:
@@ -36,6 +52,7 @@
         self.version = 0
         self.evacuations = evacuations.Evacuations()
         self.interference_version = 0
+        self._removed: dict[task_names.RunKey, _RemovedOrder] = {}
         # Runs whose end the leader has recorded, and the (term, version) from which its
         # orders certainly lack them. Replies may arrive after later ones of reports.
         self._ended: dict[task_names.RunKey, tuple[int, int]] = {}
@@ -49,8 +66,8 @@
         self, reply: ttypes.OrdersReply, worker: ttypes.PoolWorker | None
     ) -> None:
         """Updates the orders from a leader's reply; the worker is the current one."""
-        if reply.whole:
-            self.by_run = {}
+        before = self.by_run
+        self.by_run = {} if reply.whole else dict(before)
         for removed in reply.removed:
             self.by_run.pop((removed.task, removed.run), None)
         version = (reply.term, reply.version)
@@ -58,6 +75,7 @@
         for order in reply.orders:
             if (order.task, order.run) not in self._ended:
                 self.by_run[order.task, order.run] = order
+        self._record_removed(before)
         if not self.term:
             self.inherited_keys = frozenset(self.by_run)
             self.possibly_begun_keys = set(self.by_run)
@@ -68,6 +86,31 @@
         if reply.interference is not None:
             self.interference_version = reply.interference_version
 
+    def _record_removed(
+        self, before: dict[task_names.RunKey, ttypes.RunOrder]
+    ) -> None:
+        removed_s = clock.now_s()
+        for key in before.keys() - self.by_run.keys():
+            resources = before[key].resources or amounts.ZERO
+            self._removed[key] = _RemovedOrder(resources, removed_s)
+
+    def forget_removed(
+        self, running: Container[task_names.RunKey], *, now_s: float
+    ) -> None:
+        """Forgets removed orders whose runs the worker does not have.
+
+        Args:
+            running: The runs that the worker lists.
+            now_s: The time.
+        """
+        self._removed = {
+            key: removed
+            for key, removed in self._removed.items()
+            if key in running
+            # A start request without an answer may still be carried out.
+            or now_s - removed.removed_s <= late_calls.LATE_CALL_LIMIT_S
+        }
+
     def remove_ended(
         self, ends: Iterable[ttypes.RunEnd], *, term: int, version: int
     ) -> None:
@@ -133,6 +176,7 @@
             capacity: The capacity that the worker announced last.
         """
         other_keys = set(keys) - {(order.task, order.run)}
-        others = [self.by_run[key] for key in other_keys if key in self.by_run]
+        orders = self._removed | self.by_run
+        others = [orders[key] for key in other_keys if key in orders]
         reserved = (each.resources or amounts.ZERO for each in (order, *others))
         return amounts.fits(functools.reduce(amounts.add, reserved), capacity)
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -110,6 +110,7 @@
             # In an incomplete listing, a run that is not listed may be running.
             self.complete_listings_count += 1
         self.running = {(r.task, r.run): r for r in listing.running}
+        self._orders.forget_removed(self.running, now_s=now_s)
         self.starts.record_answer(now_s=now_s)
         for key in self.running:
             self.starts.record_listed(key, now_s=now_s)
