Stop runs that no leader orders on every worker, not on restarted ones only

Nothing ended a run that the worker lists and the leader does not order, where workers do not restart under their id: the agent renews the lease for all runs of the worker, so the run held its room for as long as it liked. A new process of the agent does not even know what it reserves. Such runs are now stopped there as well, once the agent has the orders of its lease.

Tests of jobs pass.

--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -235,10 +235,10 @@
     ) -> None:
         """Adds runs that the current incarnation lists but the leader does not order.
 
-        Only a call meant for an earlier incarnation may begin such a run.
+        A call meant for an earlier incarnation may have begun such a run, or the leader
+        has recorded its end by other evidence. Nothing else would end it, as the lease
+        is renewed for all runs of the worker.
         """
-        if incarnation_ids.started_unix_ms_of(worker_id) is None:
-            return
         for key in keys:
             if key not in self._pending:
                 logs.event("run_unordered", task=key[0], run=key[1])
--- a/tests/coordination/jobs/test_removed_orders.py
+++ b/tests/coordination/jobs/test_removed_orders.py
@@ -67,6 +67,32 @@
     assert list(agent.worker.running) == [_KEY]
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_run_without_an_order_is_stopped(
+    agent: stepped_agent.SteppedAgent, is_restarted: bool
+) -> None:
+    """Guards against runs that no leader knows and each renewal keeps alive."""
+    _order(agent, _KEY)
+    agent.renew_lease()
+    if is_restarted:
+        agent = stepped_agent.make_agent(agent.worker)
+    else:
+        _remove_order(agent, whole=False)
+    agent.run_until_settled()
+    assert agent.worker.running == {}
+
+
+def test_run_without_an_order_is_not_stopped_before_orders_of_the_lease_are_known(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    _order(agent, _KEY)
+    agent.renew_lease()
+    agent.receive_lease(min_orders_version=agent.orders_version + 2)
+    _remove_order(agent, whole=False)
+    agent.run_until_settled()
+    assert list(agent.worker.running) == [_KEY]
+
+
 def test_capacity_is_free_once_a_run_without_an_order_has_ended(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
