Start tasks apart after two losses that no agent saw, and on other workers

Only tasks whose crash an agent had seen were isolated.

Two early losses now make a task a suspect and three an exclusive one, and a task avoids agents where it was lost while another worker fits. The list of crashed agents is part of the losses, so its field is gone.

Both new tests failed before: of thirty tasks started together, sound ones were lost five times (bound: three), and a task was started four times on the worker that it was lost with.

--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -12,6 +12,7 @@
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
+from marigoldsill.state.run_outcomes import worker_losses
 
 # Ranks change only slowly, with time and with the learnt run times.
 _RANKS_VALIDITY_MS = 250
@@ -217,6 +218,6 @@
         # Members of a gang start together, so they cannot be isolated.
         return 0
     return sum(
-        task.crashes_count > 0 and not task.done and not task.runs
+        worker_losses.is_suspect(task) and not task.done and not task.runs
         for task in tasks
     )
--- a/marigoldsill/coordination/job_placing/crash_isolation.py
+++ b/marigoldsill/coordination/job_placing/crash_isolation.py
@@ -12,6 +12,7 @@
 
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state.run_outcomes import worker_losses
 
 # How long starts on a worker are observed before a suspect starts there: covers the
 # commit of the grant, the order to the agent, the start and a crash at startup.
@@ -111,7 +112,7 @@
             agent: The agent on whose worker it starts.
             now_s: The time of the round.
         """
-        if task.crashes_count:
+        if worker_losses.is_suspect(task):
             self._waiting_since_s.pop(name, None)
         if self.admits(agent):
             self._started_s[agent] = now_s
@@ -126,7 +127,7 @@
         since_s = self._waiting_since_s.setdefault(name, now_s)
         limit_s = (
             _EXCLUSIVE_WAIT_LIMIT_S
-            if _needs_exclusive_start(task)
+            if worker_losses.needs_exclusive_start(task)
             else _WAIT_LIMIT_S
         )
         return now_s - since_s >= limit_s
@@ -173,10 +174,9 @@
             and accepts(workers[agent])
         )
         # Other workers are preferred, as the fault may be the worker's own.
+        avoided = worker_losses.early_loss_agents(task)
         return min(
-            fitting,
-            key=lambda free: free.agent in task.crashed_agents,
-            default=None,
+            fitting, key=lambda free: free.agent in avoided, default=None
         )
 
     def _reserve_worker(
@@ -196,10 +196,11 @@
             for agent, free in workers.items()
             if agent not in self._reservations and accepts(free)
         )
+        avoided = worker_losses.early_loss_agents(task)
         free = min(
             fitting,
             key=lambda f: (
-                f.agent in task.crashed_agents,
+                f.agent in avoided,
                 sum(f.runs_by_step.values()),
             ),
             default=None,
@@ -219,7 +220,7 @@
             return not (
                 is_full
                 or reservation.is_exclusive
-                or _needs_exclusive_start(task)
+                or worker_losses.needs_exclusive_start(task)
             )
         others_s = self._started_s.get(agent, -math.inf)
         return (
@@ -232,10 +233,5 @@
     ) -> None:
         is_first = reservation.started_s != now_s
         reservation.group_count = 1 if is_first else reservation.group_count + 1
-        reservation.is_exclusive = _needs_exclusive_start(task)
+        reservation.is_exclusive = worker_losses.needs_exclusive_start(task)
         reservation.started_s = now_s
-
-
-def _needs_exclusive_start(task: ttypes.JobTask) -> bool:
-    """Whether a suspect must not start together with others."""
-    return task.crashes_count > 1
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -25,6 +25,7 @@
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state.run_outcomes import worker_losses
 
 # Maximum number of almost equally suited workers to choose from. They stand in as many
 # racks where racks are equally loaded.
@@ -94,7 +95,7 @@
     ) -> bool:
         """Returns whether a task is a suspect that may start only in isolation."""
         task = waiting.tasks[index]
-        if not task.crashes_count:
+        if not worker_losses.is_suspect(task):
             return False
         name = waiting.task_name(index)
         return not self._isolation.is_overdue(name, task, now_s=now_s)
@@ -136,12 +137,9 @@
                 free, waiting.step, now_s=now_s
             )
 
-        avoided_ids = self._avoided_ids(waiting, index)
-        if avoided_ids:
+        if self._has_avoided(waiting, index):
             other = candidates.find_best(
-                lambda free: (
-                    free.worker.worker_id not in avoided_ids and accepts(free)
-                )
+                self._not_avoided(waiting, index, accepts)
             )
             if other is not None:
                 return other
@@ -160,12 +158,9 @@
     def prefers(
         self, waiting: backlog_module.WaitingStep, index: int, now_s: float
     ) -> Callable[[free_capacity.FreeCapacity], bool]:
-        """Returns whether a task may use a worker, and has not failed there."""
+        """Returns whether a task may use a worker, and has neither failed nor been lost there."""
         accepts = self.acceptance_for(waiting, now_s)
-        avoided_ids = self._avoided_ids(waiting, index)
-        return lambda free: (
-            free.worker.worker_id not in avoided_ids and accepts(free)
-        )
+        return self._not_avoided(waiting, index, accepts)
 
     def find_not_isolated(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -211,13 +206,29 @@
 
         return accepts
 
-    def _avoided_ids(
+    def _has_avoided(
         self, waiting: backlog_module.WaitingStep, index: int
-    ) -> Set[str]:
-        """Returns the workers on which a task has failed."""
-        if not waiting.tasks[index].failures_count:
-            return frozenset()
-        return self._health.workers_to_avoid(waiting.task_name(index))
+    ) -> bool:
+        task = waiting.tasks[index]
+        return bool(task.failures_count or task.losses)
+
+    def _not_avoided(
+        self,
+        waiting: backlog_module.WaitingStep,
+        index: int,
+        accepts: Callable[[free_capacity.FreeCapacity], bool],
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """Returns the condition that a task neither failed nor was lost on a worker."""
+        task = waiting.tasks[index]
+        failed_ids: Set[str] = frozenset()
+        if task.failures_count:
+            failed_ids = self._health.workers_to_avoid(waiting.task_name(index))
+        lost_agents = worker_losses.early_loss_agents(task)
+        return lambda free: (
+            free.worker.worker_id not in failed_ids
+            and free.agent not in lost_agents
+            and accepts(free)
+        )
 
 
 class RackQueue:
--- a/marigoldsill/coordination/job_queueing/guaranteed_offers.py
+++ b/marigoldsill/coordination/job_queueing/guaranteed_offers.py
@@ -13,6 +13,7 @@
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.state import amounts
+from marigoldsill.state.run_outcomes import worker_losses
 
 # Shares take turns after parts of this size, relative to their guarantee.
 _PART_RATIO = 0.1
@@ -252,7 +253,7 @@
         return waiting
     indexes = waiting.waiting_indexes[start:end]
     suspects_count = waiting.suspects_count and sum(
-        waiting.tasks[index].crashes_count > 0 for index in indexes
+        worker_losses.is_suspect(waiting.tasks[index]) for index in indexes
     )
     return dataclasses.replace(
         waiting,
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -281,7 +281,7 @@
   5: list<JobRun> runs = [],        // runs that may be alive
   6: i32 crashes_count = 0,         // worker crashes that it is suspected of
   // 7 was the last run with such a crash.
-  8: list<string> crashed_agents = [],  // agents of these workers, if known
+  // 8 was the agents of these workers.
   9: i64 crash_age_ms = 0,          // highest age of its runs at these crashes
   10: list<WorkerLoss> losses = []  // the oldest first
 }
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -108,7 +108,7 @@
     steps = [
         ttypes.StepTasks(
             tasks=[
-                ttypes.JobTask(runs=[], crashed_agents=[], losses=[])
+                ttypes.JobTask(runs=[], losses=[])
                 for _ in range(step.tasks_count)
             ]
         )
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -30,6 +30,8 @@
 _EARLY_AGE_LIMIT_MS = 30_000
 # After this time it has outlived earlier losses even if a clock was set forward.
 _LONG_RUN_MS = 600_000
+# Number of such losses from which a task is a suspect without a crash that an agent saw.
+_SUSPECT_LOSSES = 2
 # Maximum number of losses of a task to remember.
 _REMEMBERED_LIMIT = 16
 
@@ -66,6 +68,21 @@
     return False
 
 
+def is_suspect(task: ttypes.JobTask) -> bool:
+    """Whether a task may have crashed its workers, so that it starts apart."""
+    return task.crashes_count > 0 or _early_count(task) >= _SUSPECT_LOSSES
+
+
+def needs_exclusive_start(task: ttypes.JobTask) -> bool:
+    """Whether a suspect must not start together with other suspects."""
+    return task.crashes_count > 1 or _early_count(task) > _SUSPECT_LOSSES
+
+
+def early_loss_agents(task: ttypes.JobTask) -> set[str]:
+    """Returns the agents whose workers were lost shortly after the task began."""
+    return {loss.agent for loss in task.losses if loss.is_early}
+
+
 def give_up_reason(task: ttypes.JobTask, end: ttypes.RunEnd) -> str:
     """Returns why a task fails its job after a loss was recorded, or empty."""
     is_sole_suspect = end.suspects_count == 1
@@ -74,12 +91,16 @@
         return (
             f"{task.crashes_count} workers crashed as task {end.task} started"
         )
-    early_count = sum(loss.is_early for loss in task.losses)
+    early_count = _early_count(task)
     if early_count >= _EARLY_LOSSES_LIMIT:
         return f"{early_count} workers were lost as task {end.task} started"
     return ""
 
 
+def _early_count(task: ttypes.JobTask) -> int:
+    return sum(loss.is_early for loss in task.losses)
+
+
 def _record_unexplained(
     task: ttypes.JobTask, run: ttypes.JobRun, granted_ms: int
 ) -> None:
@@ -136,7 +157,6 @@
     ):
         # The run outlived earlier crashes, so the task did not cause them.
         task.crashes_count = task.crash_age_ms = 0
-        task.crashed_agents = []
     for other in task.losses:
         other.is_early &= _are_similar_ages(other.age_ms, end.age_ms)
     loss.is_explained = True
@@ -148,7 +168,6 @@
         return
     task.crashes_count += 1
     task.crash_age_ms = max(task.crash_age_ms, end.age_ms)
-    task.crashed_agents = [*task.crashed_agents, loss.agent]
 
 
 def _are_similar_ages(one_ms: int, other_ms: int) -> bool:
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -151,6 +151,52 @@
     assert len(granted) == 2
 
 
+def _lose_runs(
+    leader: leader_harness.LeaderHarness, tasks: list[str], run: int
+) -> None:
+    """Records that workers were lost under tasks, which no agent has seen."""
+    leader.state.end(
+        *(builders.run_end(t, ttypes.RunEndKind.LOST, run) for t in tasks)
+    )
+
+
+def test_tasks_lost_together_are_told_apart_before_they_are_given_up(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    """Guards against sound tasks that are lost with the same one again and again."""
+    leader.submit("j1", builders.step(30))
+    tasks = [builders.task_name(number) for number in range(30)]
+    runs = dict.fromkeys(tasks, 0)
+    for _ in range(200):
+        granted = leader.run_round()
+        for task in granted:
+            runs[task] += 1
+        lost_agent = granted.get(tasks[0])
+        for task, agent in granted.items():
+            if agent == lost_agent:
+                _lose_runs(leader, [task], runs[task])
+        leader.now_s += 0.25
+    assert leader.state.state_of() == ttypes.JobState.FAILED
+    assert runs[tasks[0]] == 5
+    assert max(runs[task] for task in tasks[1:]) <= 3
+
+
+def test_task_starts_on_another_worker_after_it_was_lost_with_one(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    leader.submit("j1", builders.step())
+    task = builders.task_name()
+    agents = []
+    for run in range(1, 5):
+        granted = {}
+        while task not in granted:
+            granted = leader.run_round()
+            leader.now_s += 0.25
+        agents.append(granted[task])
+        _lose_runs(leader, [task], run)
+    assert len(set(agents)) == 4
+
+
 def test_a_reserved_worker_is_released_when_no_suspect_waits(
     leader: leader_harness.LeaderHarness,
 ) -> None:
