Test a crashing task whose agents end with its workers on real processes

Each agent is killed between the start and the crash, and restarted after it, so that nobody sees a crash. The task is given up after five starts.

--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -1,5 +1,6 @@
 """Tasks that crash the workers that start them."""
 
+from tests import one_process
 from tests.platform import system as system_module
 
 step = system_module.step
@@ -51,6 +52,46 @@
     system.wait_for_job_state("00000000000000e3", "failed")
 
 
+def test_a_task_whose_crashes_no_agent_sees_is_given_up(
+    system: system_module.System,
+) -> None:
+    """Guards against unlimited restarts where each agent ends with its worker."""
+    job_id = "00000000000000e4"
+    system.start(workers_count=3)
+    system.submit(job_id, step(1), spec="crash 300")
+    handled_count = 0
+
+    def kill_agents_of_new_starts() -> bool:
+        nonlocal handled_count
+        for start in _find_starts(system, job_id)[handled_count:]:
+            handled_count += 1
+            name = next(
+                name
+                for name, worker in system.workers.items()
+                if worker.address == start["machine"]
+            )
+            system.kill(name)
+            _wait_for_loss(system, start)
+            system.restart(name)
+        return system.get_job_state(job_id).value.get("state") == "failed"
+
+    one_process.wait_until(
+        kill_agents_of_new_starts, limit_s=60.0, what="the failed job"
+    )
+    assert len(_find_starts(system, job_id)) == 5
+
+
+def _wait_for_loss(system: system_module.System, start: dict) -> None:
+    def is_lost() -> bool:
+        return any(
+            line["event"] == "lost"
+            and (line["task"], line["run"]) == (start["task"], start["run"])
+            for line in system.read_journal()
+        )
+
+    one_process.wait_until(is_lost, what="the crash")
+
+
 def _find_starts(system: system_module.System, job_id: str) -> list[dict]:
     return [
         line
