Reckon with starts of an agent's previous process up to its first lease

A restarted agent took only the runs of its first reply for those that its previous process may have started. If a leader that has been replaced sends that reply, runs that the next leader granted are missing: the agent refused them without a stop while a late start could still begin them, and called their loss excused.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -72,6 +72,7 @@
         self.last_answer_s = clock.now_s()
         self.is_stopping = False
         self._incarnations = incarnations.Incarnations()
+        self._are_inherited_known = False
 
     @property
     def worker_id(self) -> str:
@@ -306,14 +307,18 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            is_first = not self.run_orders.term
-            self.run_orders.update(reply, self.worker)
+            before = self.orders
+            are_inherited = not self._are_inherited_known
+            self.run_orders.update(
+                reply, self.worker, are_inherited=are_inherited
+            )
+            self._are_inherited_known |= self._has_orders_of_lease
             self.runs.update_interference(reply)
             self._end_stale_orders()
-            if is_first:
+            if are_inherited:
                 # A previous process may have left their start requests unanswered.
-                for order in self.orders.values():
-                    self.record_unanswered_start(order)
+                for key in self.orders.keys() - before.keys():
+                    self.record_unanswered_start(self.orders[key])
             self.changed.notify_all()
             return True
 
@@ -324,6 +329,7 @@
                 return
             self.term = lease.term
             self.lease = lease
+            self._are_inherited_known |= self._has_orders_of_lease
             self.changed.notify_all()
 
     def record_listing(self, listing: run_worker.RunListing) -> None:
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -35,7 +35,8 @@
     Attributes:
         by_run: Orders by (task, run).
         inherited_keys: Runs that a previous process of this agent may have started:
-            those in the first reply that this process received.
+            those in its first replies, up to the one that covers its first lease. A
+            leader that was replaced may have sent the very first one.
         possibly_begun_keys: Runs that a start request of this process or a previous one
             may have begun.
         term: Term of the leader that gave them.
@@ -63,9 +64,19 @@
         return {o.image for o in self.by_run.values() if o.tail_target_ms}
 
     def update(
-        self, reply: ttypes.OrdersReply, worker: ttypes.PoolWorker | None
+        self,
+        reply: ttypes.OrdersReply,
+        worker: ttypes.PoolWorker | None,
+        *,
+        are_inherited: bool,
     ) -> None:
-        """Updates the orders from a leader's reply; the worker is the current one."""
+        """Updates the orders from a leader's reply.
+
+        Args:
+            reply: The reply.
+            worker: The current incarnation of the worker.
+            are_inherited: Whether a previous process may have started new ones.
+        """
         before = self.by_run
         self.by_run = {} if reply.whole else dict(before)
         for removed in reply.removed:
@@ -76,9 +87,9 @@
             if (order.task, order.run) not in self._ended:
                 self.by_run[order.task, order.run] = order
         self._record_removed(before)
-        if not self.term:
-            self.inherited_keys = frozenset(self.by_run)
-            self.possibly_begun_keys = set(self.by_run)
+        if are_inherited:
+            self.inherited_keys |= self.by_run.keys()
+            self.possibly_begun_keys |= self.by_run.keys()
         self.possibly_begun_keys &= self.by_run.keys()
         self.term = reply.term
         self.version = reply.version
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -53,6 +53,26 @@
     assert worker.running == {}
 
 
+def test_run_in_orders_of_the_next_leader_may_have_been_started_before(
+    worker: fake_worker.FakeWorker,
+) -> None:
+    """Guards against a first reply by a leader that was replaced and lacks a grant."""
+    agent = stepped_agent.build_agent(worker)
+    agent.state.record_announcement(stepped_agent.announcement(_WORKER_ID))
+    last_term = stepped_agent.TERM - 1
+    agent.receive_orders(term=last_term, orders=[], removed=[], whole=True)
+    agent.receive_orders(orders=[_order()], removed=[], whole=True)
+    agent.receive_lease()
+    agent.renew_lease()
+    _announce(agent, draining=True)
+    agent.execute_orders()
+    assert agent.end_kinds() == {}
+    agent.run_until_settled()
+    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
+    worker.run_delayed_calls()
+    assert worker.running == {}
+
+
 def test_run_granted_after_the_restart_is_refused_without_a_call(
     worker: fake_worker.FakeWorker,
 ) -> None:
