--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -6,8 +6,11 @@
 from marigoldsill.state import job_tables
 from marigoldsill.state import state_machine
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import worker_losses
 from marigoldsill.transport import logs
 
+_LOSSES = (ttypes.RunEndKind.CRASHED, ttypes.RunEndKind.LOST)
+
 
 class JobEventLogger:
     """Logs what applied commands changed, and observes the metrics of jobs.
@@ -45,7 +48,7 @@
             case ttypes.RecordRunEnds(ends=ends):
                 for end in ends:
                     _log_run_ended(end)
-                    _log_crash(jobs, end)
+                    _log_loss(jobs, end)
                 ids = {task_names.parse(end.task).job_id for end in ends}
                 self._log_ended(jobs, ids, command.proposed_unix_ms)
             case ttypes.CancelJob(job_id=job_id):
@@ -156,19 +159,29 @@
     )
 
 
-def _log_crash(jobs: job_tables.JobTables, end: ttypes.RunEnd) -> None:
-    """Logs that a task is suspected of having crashed its worker."""
-    task = jobs.find_by_name(end.task) if end.suspects_count else None
+def _log_loss(jobs: job_tables.JobTables, end: ttypes.RunEnd) -> None:
+    """Logs that a task may have crashed its worker."""
+    task = jobs.find_by_name(end.task) if end.kind in _LOSSES else None
     if task is None:
         return
-    logs.event(
-        "crash_suspected",
-        level="WARNING",
-        task=end.task,
-        run=end.run,
-        suspects_count=end.suspects_count,
-        crashes_count=task.crashes_count,
-    )
+    losses_count = worker_losses.early_count(task)
+    if end.suspects_count:
+        logs.event(
+            "crash_suspected",
+            level="WARNING",
+            task=end.task,
+            run=end.run,
+            suspects_count=end.suspects_count,
+            crashes_count=task.crashes_count,
+            losses_count=losses_count,
+        )
+    elif any(loss.run == end.run and loss.is_early for loss in task.losses):
+        logs.event(
+            "crash_possible",
+            task=end.task,
+            run=end.run,
+            losses_count=losses_count,
+        )
 
 
 def _kind_of(step: ttypes.Step) -> str:
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -68,14 +68,19 @@
     return False
 
 
+def early_count(task: ttypes.JobTask) -> int:
+    """Returns how many workers were lost shortly after the task began there."""
+    return sum(loss.is_early for loss in task.losses)
+
+
 def is_suspect(task: ttypes.JobTask) -> bool:
     """Whether a task may have crashed its workers, so that it starts apart."""
-    return task.crashes_count > 0 or _early_count(task) >= _SUSPECT_LOSSES
+    return task.crashes_count > 0 or early_count(task) >= _SUSPECT_LOSSES
 
 
 def needs_exclusive_start(task: ttypes.JobTask) -> bool:
     """Whether a suspect must not start together with other suspects."""
-    return task.crashes_count > 1 or _early_count(task) > _SUSPECT_LOSSES
+    return task.crashes_count > 1 or early_count(task) > _SUSPECT_LOSSES
 
 
 def early_loss_agents(task: ttypes.JobTask) -> set[str]:
@@ -91,16 +96,12 @@
         return (
             f"{task.crashes_count} workers crashed as task {end.task} started"
         )
-    early_count = _early_count(task)
-    if early_count >= _EARLY_LOSSES_LIMIT:
-        return f"{early_count} workers were lost as task {end.task} started"
+    losses_count = early_count(task)
+    if losses_count >= _EARLY_LOSSES_LIMIT:
+        return f"{losses_count} workers were lost as task {end.task} started"
     return ""
 
 
-def _early_count(task: ttypes.JobTask) -> int:
-    return sum(loss.is_early for loss in task.losses)
-
-
 def _record_unexplained(
     task: ttypes.JobTask, run: ttypes.JobRun, granted_ms: int
 ) -> None:
