Give up batch jobs of intent files that lose worker after worker

A batch job that loses five VMs in a row within a minute of the grant now fails, with a reason that says so. One that works longer in between begins to count anew; services and watchers are never given up.

--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -151,7 +151,7 @@
   STOPPING = 4,      // chosen for eviction, cancelled or removed; may be alive
   DONE = 5,
   CANCELLED = 6,
-  FAILED = 7,        // failed by itself attempts_limit times
+  FAILED = 7,        // failed by itself attempts_limit times, or lost with workers
   IMPOSSIBLE = 8     // no worker has the capacity for it
 }
 
@@ -173,6 +173,7 @@
   14: bool final_stop = false,    // STOPPING leads to CANCELLED, not QUEUED
   15: Resources reserved,         // what the grant reserved on the worker
   16: bool throttled = false,
+  17: i32 losses_count = 0,       // workers lost in a row shortly after its start
   40: i64 absent_since_unix_ms = 0, // end of its last long run
   41: i64 running_since_unix_ms = 0 // its start was recorded then
 }
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -22,10 +22,10 @@
 _CRASH_AGE_RATIO = 2
 _CRASH_AGE_MARGIN_MS = 1_500
 # Number of losses shortly after a start at which a task fails its job, suspected or not.
-_EARLY_LOSSES_LIMIT = 5
+EARLY_LOSSES_LIMIT = 5
 # A run that is recorded as lost later than this after its grant was not starting any
 # more. Covers the lease of its agent, an election and starts that are carried out late.
-_EARLY_LOSS_LIMIT_MS = 60_000
+EARLY_LOSS_LIMIT_MS = 60_000
 # The same for the age of a run that its agent saw.
 _EARLY_AGE_LIMIT_MS = 30_000
 # After this time it has outlived earlier losses even if a clock was set forward.
@@ -97,7 +97,7 @@
             f"{task.crashes_count} workers crashed as task {end.task} started"
         )
     losses_count = early_count(task)
-    if losses_count >= _EARLY_LOSSES_LIMIT:
+    if losses_count >= EARLY_LOSSES_LIMIT:
         return f"{losses_count} workers were lost as task {end.task} started"
     return ""
 
@@ -109,7 +109,7 @@
     if granted_ms > _LONG_RUN_MS:
         for loss in task.losses:
             loss.is_early = False
-    is_early = granted_ms <= _EARLY_LOSS_LIMIT_MS
+    is_early = granted_ms <= EARLY_LOSS_LIMIT_MS
     _remember(
         task,
         ttypes.WorkerLoss(run=run.run, agent=run.agent, is_early=is_early),
--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -8,6 +8,7 @@
 from marigoldsill.protocol import records
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import batch_losses
 
 _WAITING = (ttypes.TaskState.QUEUED, ttypes.TaskState.IMPOSSIBLE)
 _LIVE = (ttypes.TaskState.ASSIGNED, ttypes.TaskState.RUNNING)
@@ -287,6 +288,9 @@
             _complete(tables, task, event, now_unix_ms)
         case ttypes.RunEventKind.FAILED:
             _fail(tables, task, event, now_unix_ms)
+        case ttypes.RunEventKind.LOST:
+            if not batch_losses.give_up(tables, task, now_unix_ms):
+                _requeue(tables, tables.tasks[task.name], event, now_unix_ms)
         case _:
             _requeue(tables, task, event, now_unix_ms)
     return 1
--- a/tests/state/states.py
+++ b/tests/state/states.py
@@ -13,14 +13,18 @@
 
 
 def apply(
-    tables: tables_module.Tables, *, command_id: str = "", **body: object
+    tables: tables_module.Tables,
+    *,
+    command_id: str = "",
+    at_unix_ms: int = 1_000,
+    **body: object,
 ) -> ttypes.CommandResult:
     """Applies a command with one body."""
     return state_machine.apply(
         tables,
         ttypes.Command(
             command_id=command_id or f"command-{next(_ids)}",
-            proposed_unix_ms=1_000,
+            proposed_unix_ms=at_unix_ms,
             **body,
         ),
     )
