Start nothing beside a run of which no order is known

A new process of an agent does not know what a run reserves that its worker lists and no leader orders, so the run counted as nothing and a start that does not fit beside it followed. Starts now wait until the run, which is being stopped, has ended.

Tests of jobs pass.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -121,7 +121,8 @@
 
         None is made on a worker that was deregistered, or while a later incarnation of
         the worker's name is announced but was not called yet, as it would begin the
-        run.
+        run. Nor is one while the worker has a run that reserves nobody knows what, until
+        that is stopped.
         """
         return (
             not self.departures.prevent_starts(self.worker_id)
@@ -131,6 +132,7 @@
                 self.worker_id, now_s=clock.now_s()
             )
             and self._has_orders_of_lease
+            and self.run_orders.knows_all(self.runs.running)
         )
 
     @property
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -122,6 +122,10 @@
             or now_s - removed.removed_s <= late_calls.LATE_CALL_LIMIT_S
         }
 
+    def knows_all(self, keys: Iterable[task_names.RunKey]) -> bool:
+        """Whether it is known what each of some runs reserves."""
+        return all(key in self.by_run or key in self._removed for key in keys)
+
     def remove_ended(
         self, ends: Iterable[ttypes.RunEnd], *, term: int, version: int
     ) -> None:
--- a/tests/coordination/jobs/test_removed_orders.py
+++ b/tests/coordination/jobs/test_removed_orders.py
@@ -67,6 +67,21 @@
     assert list(agent.worker.running) == [_KEY]
 
 
+def test_no_run_starts_beside_one_that_reserves_an_unknown_capacity(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against starts beside runs of a previous process that nobody ordered."""
+    agent.worker.has_slow_stops = True
+    _order(agent, _KEY)
+    agent = stepped_agent.make_agent(agent.worker)
+    _order(agent, _NEXT_KEY)
+    agent.run_until_settled()
+    assert list(agent.worker.running) == [_KEY]
+    agent.worker.has_slow_stops = False
+    agent.run_until_settled()
+    assert list(agent.worker.running) == [_NEXT_KEY]
+
+
 @pytest.mark.parametrize("is_restarted", [False, True])
 def test_run_without_an_order_is_stopped(
     agent: stepped_agent.SteppedAgent, is_restarted: bool
