--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -72,7 +72,6 @@
         self.last_answer_s = clock.now_s()
         self.is_stopping = False
         self._incarnations = incarnations.Incarnations()
-        self._are_inherited_known = False
 
     @property
     def worker_id(self) -> str:
@@ -131,18 +130,10 @@
             and not self.late_calls.withholds_calls(
                 self.worker_id, now_s=clock.now_s()
             )
-            and self._has_orders_of_lease
+            and self.run_orders.are_covered_by(self.lease)
             and self.run_orders.knows_all(self.runs.running)
         )
 
-    @property
-    def _has_orders_of_lease(self) -> bool:
-        return (
-            self.lease.is_live
-            and self.lease.term == self.run_orders.term
-            and self.run_orders.version >= self.lease.min_orders_version
-        )
-
     def record_start_sent(self, order: ttypes.RunOrder) -> None:
         """Records a start request to the worker; the caller must hold the lock."""
         key = (order.task, order.run)
@@ -309,18 +300,13 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            before = self.orders
-            are_inherited = not self._are_inherited_known
-            self.run_orders.update(
-                reply, self.worker, are_inherited=are_inherited
-            )
-            self._are_inherited_known |= self._has_orders_of_lease
+            inherited = self.run_orders.update(reply, self.worker)
+            self.run_orders.record_lease(self.lease)
+            # A previous process may have left their start requests unanswered.
+            for order in inherited:
+                self.record_unanswered_start(order)
             self.runs.update_interference(reply)
             self._end_stale_orders()
-            if are_inherited:
-                # A previous process may have left their start requests unanswered.
-                for key in self.orders.keys() - before.keys():
-                    self.record_unanswered_start(self.orders[key])
             self.changed.notify_all()
             return True
 
@@ -331,7 +317,7 @@
                 return
             self.term = lease.term
             self.lease = lease
-            self._are_inherited_known |= self._has_orders_of_lease
+            self.run_orders.record_lease(lease)
             self.changed.notify_all()
 
     def record_listing(self, listing: run_worker.RunListing) -> None:
@@ -339,7 +325,7 @@
         with self.changed:
             now_s = clock.now_s()
             self.runs.record_listing(listing, now_s=now_s)
-            if self._has_orders_of_lease:
+            if self.run_orders.are_covered_by(self.lease):
                 self.late_starts.add_unordered(
                     self.runs.running.keys() - self.orders.keys(),
                     self.worker_id,
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -6,6 +6,7 @@
 import functools
 
 from marigoldsill.coordination.job_agent import evacuations
+from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
@@ -53,6 +54,7 @@
         self.version = 0
         self.evacuations = evacuations.Evacuations()
         self.interference_version = 0
+        self._are_inherited_known = False
         self._removed: dict[task_names.RunKey, _RemovedOrder] = {}
         # Runs whose end the leader has recorded, and the (term, version) from which its
         # orders certainly lack them. Replies may arrive after later ones of reports.
@@ -67,15 +69,15 @@
         self,
         reply: ttypes.OrdersReply,
         worker: ttypes.PoolWorker | None,
-        *,
-        are_inherited: bool,
-    ) -> None:
+    ) -> list[ttypes.RunOrder]:
         """Updates the orders from a leader's reply.
 
         Args:
             reply: The reply.
             worker: The current incarnation of the worker.
-            are_inherited: Whether a previous process may have started new ones.
+
+        Returns:
+            The new orders for runs that a previous process may have started.
         """
         before = self.by_run
         self.by_run = {} if reply.whole else dict(before)
@@ -87,15 +89,30 @@
             if (order.task, order.run) not in self._ended:
                 self.by_run[order.task, order.run] = order
         self._record_removed(before)
-        if are_inherited:
-            self.inherited_keys |= self.by_run.keys()
-            self.possibly_begun_keys |= self.by_run.keys()
+        inherited_keys: set[task_names.RunKey] = set()
+        if not self._are_inherited_known:
+            inherited_keys = self.by_run.keys() - before.keys()
+        self.inherited_keys |= inherited_keys
+        self.possibly_begun_keys |= inherited_keys
         self.possibly_begun_keys &= self.by_run.keys()
         self.term = reply.term
         self.version = reply.version
         self.evacuations.update(reply.evacuated_data_centres, worker)
         if reply.interference is not None:
             self.interference_version = reply.interference_version
+        return [self.by_run[key] for key in inherited_keys]
+
+    def are_covered_by(self, lease: lease_module.Lease) -> bool:
+        """Whether a lease is live and allows starts by these orders."""
+        return (
+            lease.is_live
+            and lease.term == self.term
+            and self.version >= lease.min_orders_version
+        )
+
+    def record_lease(self, lease: lease_module.Lease) -> None:
+        """Ends the inheritance of runs with the first lease that covers the orders."""
+        self._are_inherited_known |= self.are_covered_by(lease)
 
     def _record_removed(
         self, before: dict[task_names.RunKey, ttypes.RunOrder]
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -75,7 +75,9 @@
 
 def is_suspect(task: ttypes.JobTask) -> bool:
     """Whether a task may have crashed its workers, so that it starts apart."""
-    return task.crashes_count > 0 or early_count(task) >= _SUSPECT_LOSSES
+    if task.crashes_count:
+        return True
+    return bool(task.losses) and early_count(task) >= _SUSPECT_LOSSES
 
 
 def needs_exclusive_start(task: ttypes.JobTask) -> bool:
