Blame a task for two crashes only if they were of two workers

What callers saw: sound jobs are given up for the fault of one worker.

Crashes of one agent's workers now count as two only from a third one on, and a suspect waits for another worker that could run it rather than go back, for as long as isolation may delay it.

The test of lasting tasks let one agent crash twice and asked for a failed job; by the rule of the issue that takes two workers, so its second crash is now of another agent, and a test asks that one agent takes three.

--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -108,8 +108,11 @@
             waiting, now_s, allows_reserved=True
         )
         step, pool = waiting.step, waiting.queue.pool
+        avoided = self._lost_agents_to_avoid(waiting, index)
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
+            if free.agent in avoided:
+                return False
             score = scoring.score_within_limits(
                 free, step, pool, self._interference
             )
@@ -206,6 +209,21 @@
 
         return accepts
 
+    def _lost_agents_to_avoid(
+        self, waiting: backlog_module.WaitingStep, index: int
+    ) -> Set[str]:
+        """Returns the agents where a task was lost, if it could run elsewhere."""
+        agents = worker_losses.early_loss_agents(waiting.tasks[index])
+        pool = waiting.queue.pool
+        could_run_elsewhere = any(
+            free.agent not in agents
+            and free.worker.pool == pool
+            and free.could_run(waiting.step)
+            and self._is_live(free.agent)
+            for free in self._index.workers.values()
+        )
+        return agents if could_run_elsewhere else frozenset()
+
     def _has_avoided(
         self, waiting: backlog_module.WaitingStep, index: int
     ) -> bool:
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -13,7 +13,7 @@
 
 # Number of crashes at which a task fails its job. It is lower for the only suspect of a
 # crash: a worker may crash for another reason just after a start, but that is unlikely
-# to happen twice in a row.
+# to happen on two workers in a row.
 _SOLE_SUSPECT_CRASHES_LIMIT = 2
 _CRASHES_LIMIT = 3
 # A task that crashes workers does so at a similar age each time, so a run that exceeds
@@ -93,7 +93,9 @@
 def give_up_reason(task: ttypes.JobTask, end: ttypes.RunEnd) -> str:
     """Returns why a task fails its job after a loss was recorded, or empty."""
     is_sole_suspect = end.suspects_count == 1
-    limit = _SOLE_SUSPECT_CRASHES_LIMIT if is_sole_suspect else _CRASHES_LIMIT
+    limit = _CRASHES_LIMIT
+    if is_sole_suspect and len(early_loss_agents(task)) > 1:
+        limit = _SOLE_SUSPECT_CRASHES_LIMIT
     if end.suspects_count and task.crashes_count >= limit:
         return (
             f"{task.crashes_count} workers crashed as task {end.task} started"
--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -81,6 +81,28 @@
     assert len(_find_starts(system, job_id)) == 5
 
 
+def test_jobs_complete_beside_a_worker_that_crashes_after_each_start(
+    system: system_module.System,
+) -> None:
+    """Guards against sound jobs that are given up for the fault of one worker."""
+    system.start(workers_count=3, cpu_millicores=1_000)
+    faulty = system.workers["side-1"]
+    job_ids = [f"00000000000001e{number}" for number in range(6)]
+    for job_id in job_ids:
+        system.submit(job_id, step(1, cpu=1000), spec="work 700")
+
+    def crash_and_find_completed() -> bool:
+        if faulty.running_tasks():
+            faulty.crash()
+        states = [system.get_job_state(j).value.get("state") for j in job_ids]
+        assert "failed" not in states
+        return set(states) == {"completed"}
+
+    one_process.wait_until(
+        crash_and_find_completed, limit_s=40.0, what="six completed jobs"
+    )
+
+
 def _wait_for_loss(system: system_module.System, start: dict) -> None:
     def is_lost() -> bool:
         return any(
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -44,6 +44,16 @@
     assert "2 workers crashed" in state.tables.jobs.jobs["j1"].reason
 
 
+def test_a_sole_suspect_on_one_worker_fails_its_job_at_the_third_crash(
+    state: builders.State,
+) -> None:
+    _crash(state, 1)
+    _crash(state, 2)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    _crash(state, 3)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
 def test_one_of_several_suspects_fails_its_job_at_the_third_crash(
     state: builders.State,
 ) -> None:
@@ -245,7 +255,7 @@
     state = builders.State()
     state.submit(builders.job("j1", builders.step(long_running=True)))
     _crash(state, 1)
-    _crash(state, 2)
+    _crash(state, 2, agent="a2")
     assert state.state_of() == ttypes.JobState.FAILED
 
 
