--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -40,17 +40,23 @@
     agent.state.record_announcement(announcement)
 
 
-def test_run_that_a_previous_process_may_have_started_is_stopped_before_it_is_refused(
-    worker: fake_worker.FakeWorker,
+def _check_stopped_before_it_is_refused(
+    agent: stepped_agent.SteppedAgent,
 ) -> None:
-    agent = stepped_agent.make_agent(worker, first_orders=[_order()])
     _announce(agent, draining=True)
     agent.execute_orders()
     assert agent.end_kinds() == {}
     agent.run_until_settled()
     assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
-    worker.run_delayed_calls()
-    assert worker.running == {}
+    agent.worker.run_delayed_calls()
+    assert agent.worker.running == {}
+
+
+def test_run_that_a_previous_process_may_have_started_is_stopped_before_it_is_refused(
+    worker: fake_worker.FakeWorker,
+) -> None:
+    agent = stepped_agent.make_agent(worker, first_orders=[_order()])
+    _check_stopped_before_it_is_refused(agent)
 
 
 def test_run_in_orders_of_the_next_leader_may_have_been_started_before(
@@ -64,13 +70,7 @@
     agent.receive_orders(orders=[_order()], removed=[], whole=True)
     agent.receive_lease()
     agent.renew_lease()
-    _announce(agent, draining=True)
-    agent.execute_orders()
-    assert agent.end_kinds() == {}
-    agent.run_until_settled()
-    assert agent.end_kinds() == {_KEY: ttypes.RunEndKind.REFUSED}
-    worker.run_delayed_calls()
-    assert worker.running == {}
+    _check_stopped_before_it_is_refused(agent)
 
 
 def test_run_granted_after_the_restart_is_refused_without_a_call(
