Let the soak's attempts to end an evacuation outlast a loss of power

Two losses of power of all machines overlapped, by the plan from 8.8 to 21.7 s; no process logged a line for 15 s, and the soak's 100 attempts, 0.1 s apart, were all refused a connection in that time. The promise has no bound in time, so the soak now makes 300.

--- a/soak/workload.py
+++ b/soak/workload.py
@@ -30,7 +30,8 @@
 # starts of the last seconds of each.
 _EVACUATION_PAUSES_S = (1.0, 5.0)
 _EVACUATION_DURATIONS_S = (10.0, 14.0)
-_EVACUATION_ATTEMPTS_COUNT = 100
+# The attempts outlast the longest loss of power of all machines.
+_EVACUATION_ATTEMPTS_COUNT = 300
 _STATES = ("queued", "running", "completed", "failed", "cancelled")
 
 
