--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -140,9 +140,11 @@
                 free, waiting.step, now_s=now_s
             )
 
-        if self._has_avoided(waiting, index):
+        failed_ids = self._failed_ids(waiting, index)
+        lost_agents = worker_losses.early_loss_agents(waiting.tasks[index])
+        if failed_ids or lost_agents:
             other = candidates.find_best(
-                self._not_avoided(waiting, index, accepts)
+                _excluding(accepts, failed_ids, lost_agents)
             )
             if other is not None:
                 return other
@@ -162,8 +164,11 @@
         self, waiting: backlog_module.WaitingStep, index: int, now_s: float
     ) -> Callable[[free_capacity.FreeCapacity], bool]:
         """Returns whether a task may use a worker, and has neither failed nor been lost there."""
-        accepts = self.acceptance_for(waiting, now_s)
-        return self._not_avoided(waiting, index, accepts)
+        return _excluding(
+            self.acceptance_for(waiting, now_s),
+            self._failed_ids(waiting, index),
+            worker_losses.early_loss_agents(waiting.tasks[index]),
+        )
 
     def find_not_isolated(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -224,29 +229,26 @@
         )
         return agents if could_run_elsewhere else frozenset()
 
-    def _has_avoided(
+    def _failed_ids(
         self, waiting: backlog_module.WaitingStep, index: int
-    ) -> bool:
-        task = waiting.tasks[index]
-        return bool(task.failures_count or task.losses)
-
-    def _not_avoided(
-        self,
-        waiting: backlog_module.WaitingStep,
-        index: int,
-        accepts: Callable[[free_capacity.FreeCapacity], bool],
-    ) -> Callable[[free_capacity.FreeCapacity], bool]:
-        """Returns the condition that a task neither failed nor was lost on a worker."""
-        task = waiting.tasks[index]
-        failed_ids: Set[str] = frozenset()
-        if task.failures_count:
-            failed_ids = self._health.workers_to_avoid(waiting.task_name(index))
-        lost_agents = worker_losses.early_loss_agents(task)
-        return lambda free: (
-            free.worker.worker_id not in failed_ids
-            and free.agent not in lost_agents
-            and accepts(free)
-        )
+    ) -> Set[str]:
+        """Returns the workers on which a task has failed."""
+        if not waiting.tasks[index].failures_count:
+            return frozenset()
+        return self._health.workers_to_avoid(waiting.task_name(index))
+
+
+def _excluding(
+    accepts: Callable[[free_capacity.FreeCapacity], bool],
+    failed_ids: Set[str],
+    lost_agents: Set[str],
+) -> Callable[[free_capacity.FreeCapacity], bool]:
+    """Returns a condition without workers where a task has failed or was lost."""
+    return lambda free: (
+        free.worker.worker_id not in failed_ids
+        and free.agent not in lost_agents
+        and accepts(free)
+    )
 
 
 class RackQueue:
