Tell removed orders whose runs may last, and runs of a step on a worker, in the logs

The logs could not tell the hypotheses on starts over a spread limit apart: an order that was removed while the worker may have its run left no line, and neither run_granted nor run_started said how many runs of the step are there. No logic changes.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,5 +1,6 @@
 """An agent's state: its worker, its lease, its orders and unreported ends of runs."""
 
+from collections.abc import Set
 import math
 import threading
 
@@ -300,7 +301,9 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
+            before = set(self.orders)
             inherited = self.run_orders.update(reply, self.worker)
+            self._log_removed_early(before - self.orders.keys())
             self.run_orders.record_lease(self.lease)
             # A previous process may have left their start requests unanswered.
             for order in inherited:
@@ -374,6 +377,16 @@
                 )
             self.changed.notify_all()
 
+    def _log_removed_early(self, keys: Set[task_names.RunKey]) -> None:
+        """Logs removed orders whose runs the worker may still have."""
+        for task, run in keys & self.runs.held_keys():
+            logs.event(
+                "order_removed_early",
+                task=task,
+                run=run,
+                is_listed=(task, run) in self.runs.running,
+            )
+
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -342,6 +342,7 @@
             progress.is_started = True
             progress.start_listings_count = self._runs.next_listings_count
             state.record_started(order)
+            step_runs_count = self._runs.count_of_step(order.task)
         state.worker_clock.record_reading(
             clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
         )
@@ -351,6 +352,7 @@
             run=order.run,
             worker_id=order.worker_id,
             token=token,
+            step_runs_count=step_runs_count,
         )
 
     def _record_not_started(
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -69,6 +69,18 @@
         keys = {*self.starts.min_ages_s(), *busy_keys}
         return self._orders.fits(order, keys, capacity)
 
+    def held_keys(self) -> set[task_names.RunKey]:
+        """Returns the runs that the worker may have, whether ordered or not."""
+        return self.starts.min_ages_s().keys() | self.running.keys()
+
+    def count_of_step(self, task: str) -> int:
+        """Returns how many runs of a task's step the worker may have."""
+        step_name = task_names.step_name_of(task)
+        return sum(
+            task_names.step_name_of(other) == step_name
+            for other, _ in self.held_keys()
+        )
+
     def quota_percent_for(self, order: ttypes.RunOrder) -> int:
         """Returns the current quota of a run, in percent of its full speed."""
         if not order.best_effort:
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/job_placing/worker_health.py
@@ -212,7 +212,7 @@
     def _record_success(self, grant: _Grant, task: str) -> None:
         is_restored = self._quarantine.record_success(
             grant.worker_id,
-            _task_family(task),
+            task_names.step_name_of(task),
             now_s=clock.now_s(),
             is_probe=grant.is_probe,
         )
@@ -226,7 +226,8 @@
         _drop_oldest(self._failed_on)
         reason = self._quarantine.record_failure(
             worker_id,
-            _task_family(task),
+            # Tasks of a step fail alike if the fault is their own.
+            task_names.step_name_of(task),
             now_s=clock.now_s(),
             is_probe=grant.is_probe,
         )
@@ -266,12 +267,6 @@
     return sample is None or sample.quota_percent > 0
 
 
-def _task_family(task: str) -> str:
-    """Returns a task's step; its tasks fail alike if the fault is their own."""
-    step_name, _, _ = task.rpartition(".")
-    return step_name
-
-
 def _drop_oldest(entries: dict) -> None:
     while len(entries) > _ENTRIES_LIMIT:
         del entries[next(iter(entries))]
--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -42,7 +42,7 @@
                 self._log_accepted(jobs, job.job_id)
             case ttypes.GrantRuns(grants=grants):
                 for grant in grants:
-                    _log_granted(grant)
+                    _log_granted(jobs, grant)
                 ids = {task_names.parse(g.task).job_id for g in grants}
                 self._observe_first_grants(jobs, ids, command.proposed_unix_ms)
             case ttypes.RecordRunEnds(ends=ends):
@@ -132,14 +132,17 @@
             )
 
 
-def _log_granted(grant: ttypes.RunGrant) -> None:
+def _log_granted(jobs: job_tables.JobTables, grant: ttypes.RunGrant) -> None:
     job_metrics.GRANTS.inc()
+    step_key = task_names.parse(grant.task).step_key
+    runs = jobs.runs_by_agent.get(grant.agent, {}).values()
     logs.event(
         "run_granted",
         task=grant.task,
         run=grant.run,
         agent=grant.agent,
         worker_id=grant.worker_id,
+        step_runs_count=sum(r.address.step_key == step_key for r in runs),
     )
 
 
--- a/marigoldsill/protocol/task_names.py
+++ b/marigoldsill/protocol/task_names.py
@@ -45,6 +45,11 @@
     return f"{job_id}.{occurrence}.{step}"
 
 
+def step_name_of(task: str) -> str:
+    """Returns the name of the step that a task belongs to, by the task's name."""
+    return task.rpartition(".")[0]
+
+
 def parse(name: str) -> TaskAddress:
     """Parses the name of a task.
 
