Count runs without an order against spread limits, and start no task beside itself

Callers would see a step's tasks on one worker beyond its limit, and one task twice at the same time.

Cause: the agent's last check before a start was of resources alone, as an order did not tell its step's limit. Beside a run whose order had been removed, and that was stopped slowly or whose start request got no answer, a sibling that fits was started, and so was the next run of the same task. The record of such runs had gaps of its own: start requests of a previous process, requests sent while another one was unanswered, and an order removed between the check and the request.

Change: orders have the limit of their step. Removed orders are kept if a start request may have begun the run and no end of it is known, until the worker lists its end, refuses it for good, or no request can be late. These runs count against resources and limits and are stopped at once, not only when they are listed. A start over the limit is refused; a run beside another one of its task waits, as its task would otherwise be granted to another worker beside it. A start is recorded in the step of its last check.

RunOrders.inherited_keys is gone, possibly_begun_keys has these runs.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -4,9 +4,9 @@
 import math
 import threading
 
+from marigoldsill.coordination.held_runs import run_starts
 from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.job_agent import run_orders
-from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.job_agent import unreported_ends
 from marigoldsill.coordination.job_agent import worker_clock
 from marigoldsill.coordination.job_agent import worker_runs
@@ -145,7 +145,7 @@
     def record_not_started(self, order: ttypes.RunOrder) -> None:
         """Records that no start request had an effect; the caller must hold the lock."""
         key = (order.task, order.run)
-        self.run_orders.possibly_begun_keys.discard(key)
+        self.run_orders.record_not_started(key)
         self.starts.record_not_started(key)
 
     def record_unreachable(self, worker_id: str) -> None:
@@ -211,6 +211,8 @@
             if not self._incarnations.set_current(worker_id):
                 return
             self._clear_worker()
+            if not incarnation_ids.share_name(worker_id, last_id):
+                self.run_orders.removed.clear()
             self.departures.remove(old_id)
             self.worker = self._incarnations.current.worker
             self.worker_clock.reset(worker_id)
@@ -301,9 +303,11 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            before = set(self.orders)
-            inherited = self.run_orders.update(reply, self.worker)
-            self._log_removed_early(before - self.orders.keys())
+            before = set(self.run_orders.removed.keys)
+            inherited = self.run_orders.update(
+                reply, self.worker, ended=self.ends
+            )
+            self._log_removed_early(self.run_orders.removed.keys - before)
             self.run_orders.record_lease(self.lease)
             # A previous process may have left their start requests unanswered.
             for order in inherited:
@@ -330,7 +334,7 @@
             self.runs.record_listing(listing, now_s=now_s)
             if self.run_orders.are_covered_by(self.lease):
                 self.late_starts.add_unordered(
-                    self.runs.running.keys() - self.orders.keys(),
+                    self.runs.held_keys() - self.orders.keys(),
                     self.worker_id,
                     now_s=now_s,
                 )
@@ -351,11 +355,20 @@
         """Records an end that the worker will not list."""
         with self.changed:
             key = (end.task, end.run)
-            self.starts.record_ended(key)
+            self.runs.record_ended(key)
             if key not in self.ends and key in self.orders:
                 self.ends[key] = end
             self.changed.notify_all()
 
+    def settle_late_start(self, key: task_names.RunKey) -> None:
+        """Records that the current incarnation refuses a run for good.
+
+        The caller must hold the lock.
+        """
+        self.runs.record_ended(key)
+        self.unreported_ends.settle_late_start(key)
+        self.changed.notify_all()
+
     def remove_reported_ends(
         self,
         report: ttypes.AgentReport,
@@ -379,7 +392,7 @@
 
     def _log_removed_early(self, keys: Set[task_names.RunKey]) -> None:
         """Logs removed orders whose runs the worker may still have."""
-        for task, run in keys & self.runs.held_keys():
+        for task, run in keys:
             logs.event(
                 "order_removed_early",
                 task=task,
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -95,7 +95,7 @@
             progress = self._progress_by_run[key]
             if progress.is_busy:
                 continue
-            if progress.retry_s > now_s:
+            if progress.retry_s > now_s or self._must_wait(order, progress):
                 wait_s = self._retry_s
                 continue
             self._reconcile_order(key, order, progress)
@@ -110,9 +110,9 @@
             if key in state.orders or progress.is_busy
         }
         for key in state.orders.keys() - self._progress_by_run.keys():
-            # A start request of a previous process may still be carried out.
+            # An earlier start request may still be carried out.
             self._progress_by_run[key] = order_progress.OrderProgress(
-                has_unanswered_start=key in state.run_orders.inherited_keys
+                has_unanswered_start=key in state.run_orders.possibly_begun_keys
             )
 
     def _reconcile_order(
@@ -142,6 +142,22 @@
             progress.refusal_reason = "the worker sends no heartbeats"
             self._reconcile_stop(key, order, progress, is_running=is_running)
 
+    def _must_wait(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> bool:
+        """Whether nothing may be done for a run before an earlier one of its task ends.
+
+        If it were refused, its task would run elsewhere beside the earlier run.
+        """
+        is_sent = (
+            progress.is_started
+            or progress.has_unanswered_start
+            or (order.task, order.run) in self._runs.running
+        )
+        return not is_sent and self._runs.may_have_other_run(
+            order, self._busy_keys()
+        )
+
     def _is_forgotten(
         self, progress: order_progress.OrderProgress, *, is_running: bool
     ) -> bool:
@@ -169,19 +185,16 @@
             return run_worker.RefusalReason.EVACUATED
         if state.late_calls.may_discard_ends(now_s=clock.now_s()):
             return "the worker has restarted and left calls unanswered before"
-        if not self._has_capacity_for(order):
-            return run_worker.RefusalReason.NO_CAPACITY
-        return ""
+        return self._runs.refusal_reason(
+            order, self._busy_keys(), state.worker.capacity
+        )
 
-    def _has_capacity_for(self, order: ttypes.RunOrder) -> bool:
-        busy_keys = [
+    def _busy_keys(self) -> list[task_names.RunKey]:
+        return [
             key
             for key, progress in self._progress_by_run.items()
             if progress.is_busy or progress.has_unanswered_start
         ]
-        return self._runs.has_capacity_for(
-            order, busy_keys, self._state.worker.capacity
-        )
 
     def _reconcile_stop(
         self,
@@ -284,11 +297,18 @@
             token = state.term
             if deadline_ms is None or not state.may_start:
                 return
-            # Orders and capacity may have changed since the call was submitted.
+            # Orders, capacity and runs may have changed since the call was submitted.
             if not state.run_orders.allow_start(order, state.worker):
                 return
-            if not self._has_capacity_for(order):
+            busy_keys = self._busy_keys()
+            if self._runs.may_have_other_run(order, busy_keys):
+                return
+            if self._runs.refusal_reason(
+                order, busy_keys, state.worker.capacity
+            ):
                 return
+            # Recorded in the same step, as the order may be removed at any time.
+            state.record_start_sent(order)
         start = run_worker.RunStart(
             task=order.task,
             run=order.run,
@@ -299,8 +319,6 @@
         )
         had_unanswered_start = progress.has_unanswered_start
         progress.has_unanswered_start = True
-        with state.changed:
-            state.record_start_sent(order)
         try:
             with agent_metrics.WORKER_START_SECONDS.time():
                 clock_ms = self._worker.start(
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -98,8 +98,7 @@
         elif key not in state.runs.running and state.runs.is_listed_after(
             progress.stop_listings_count
         ):
-            state.unreported_ends.settle_late_start(key)
-            state.changed.notify_all()
+            state.settle_late_start(key)
 
     def _stop(
         self, worker_id: str, key: task_names.RunKey, progress: _Progress
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -1,7 +1,7 @@
 """Ends the runs of a lost worker and marks those that may have crashed it."""
 
+from marigoldsill.coordination.held_runs import run_starts
 from marigoldsill.coordination.job_agent import agent_metrics
-from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Container
 from collections.abc import Iterable
-import dataclasses
 import functools
 
+from marigoldsill.coordination.held_runs import removed_orders
 from marigoldsill.coordination.job_agent import evacuations
 from marigoldsill.coordination.job_agent import lease as lease_module
-from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -15,19 +14,6 @@
 from marigoldsill.transport import clock
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _RemovedOrder:
-    """An order that the leader removed, whose run the worker may still have.
-
-    Attributes:
-        resources: What the run reserves.
-        removed_s: When the order was removed.
-    """
-
-    resources: ttypes.Resources
-    removed_s: float
-
-
 class RunOrders:
     """The orders for the runs of a machine's worker.
 
@@ -35,11 +21,11 @@
 
     Attributes:
         by_run: Orders by (task, run).
-        inherited_keys: Runs that a previous process of this agent may have started:
-            those in its first replies, up to the one that covers its first lease. A
-            leader that was replaced may have sent the very first one.
-        possibly_begun_keys: Runs that a start request of this process or a previous one
-            may have begun.
+        possibly_begun_keys: Ordered runs that a start request of this process or a
+            previous one may have begun. The latter are those in the first replies, up to
+            the one that covers the first lease. A leader that was replaced may have sent
+            the very first one.
+        removed: Runs without an order that the worker may have.
         term: Term of the leader that gave them.
         version: Their version in that term.
         evacuations: Data centres where no run may start.
@@ -48,14 +34,13 @@
 
     def __init__(self):
         self.by_run: dict[task_names.RunKey, ttypes.RunOrder] = {}
-        self.inherited_keys: frozenset[task_names.RunKey] = frozenset()
         self.possibly_begun_keys: set[task_names.RunKey] = set()
+        self.removed = removed_orders.RemovedOrders()
         self.term = 0
         self.version = 0
         self.evacuations = evacuations.Evacuations()
         self.interference_version = 0
         self._are_inherited_known = False
-        self._removed: dict[task_names.RunKey, _RemovedOrder] = {}
         # Runs whose end the leader has recorded, and the (term, version) from which its
         # orders certainly lack them. Replies may arrive after later ones of reports.
         self._ended: dict[task_names.RunKey, tuple[int, int]] = {}
@@ -69,12 +54,15 @@
         self,
         reply: ttypes.OrdersReply,
         worker: ttypes.PoolWorker | None,
+        *,
+        ended: Container[task_names.RunKey],
     ) -> list[ttypes.RunOrder]:
         """Updates the orders from a leader's reply.
 
         Args:
             reply: The reply.
             worker: The current incarnation of the worker.
+            ended: Runs that have ended on the worker.
 
         Returns:
             The new orders for runs that a previous process may have started.
@@ -88,13 +76,11 @@
         for order in reply.orders:
             if (order.task, order.run) not in self._ended:
                 self.by_run[order.task, order.run] = order
-        self._record_removed(before)
         inherited_keys: set[task_names.RunKey] = set()
         if not self._are_inherited_known:
             inherited_keys = self.by_run.keys() - before.keys()
-        self.inherited_keys |= inherited_keys
         self.possibly_begun_keys |= inherited_keys
-        self.possibly_begun_keys &= self.by_run.keys()
+        self._move_removed(before, ended)
         self.term = reply.term
         self.version = reply.version
         self.evacuations.update(reply.evacuated_data_centres, worker)
@@ -114,34 +100,33 @@
         """Ends the inheritance of runs with the first lease that covers the orders."""
         self._are_inherited_known |= self.are_covered_by(lease)
 
-    def _record_removed(
-        self, before: dict[task_names.RunKey, ttypes.RunOrder]
+    def _move_removed(
+        self,
+        before: dict[task_names.RunKey, ttypes.RunOrder],
+        ended: Container[task_names.RunKey],
     ) -> None:
-        removed_s = clock.now_s()
+        """Keeps removed orders whose runs the worker may have, and drops restored ones."""
+        now_s = clock.now_s()
         for key in before.keys() - self.by_run.keys():
-            resources = before[key].resources or amounts.ZERO
-            self._removed[key] = _RemovedOrder(resources, removed_s)
-
-    def forget_removed(
-        self, running: Container[task_names.RunKey], *, now_s: float
-    ) -> None:
-        """Forgets removed orders whose runs the worker does not have.
+            if key in self.possibly_begun_keys and key not in ended:
+                self.removed.add(before[key], now_s=now_s)
+        self.possibly_begun_keys |= self.removed.keys
+        self.possibly_begun_keys &= self.by_run.keys()
+        for key in self.possibly_begun_keys:
+            self.removed.discard(key)
 
-        Args:
-            running: The runs that the worker lists.
-            now_s: The time.
-        """
-        self._removed = {
-            key: removed
-            for key, removed in self._removed.items()
-            if key in running
-            # A start request without an answer may still be carried out.
-            or now_s - removed.removed_s <= late_calls.LATE_CALL_LIMIT_S
-        }
+    def record_not_started(self, key: task_names.RunKey) -> None:
+        """Records that no start request for a run has taken effect."""
+        self.possibly_begun_keys.discard(key)
+        self.removed.discard(key)
 
     def knows_all(self, keys: Iterable[task_names.RunKey]) -> bool:
         """Whether it is known what each of some runs reserves."""
-        return all(key in self.by_run or key in self._removed for key in keys)
+        return all(self.knows(key) for key in keys)
+
+    def knows(self, key: task_names.RunKey) -> bool:
+        """Whether a run is ordered, or was and may still be on the worker."""
+        return key in self.by_run or key in self.removed.keys
 
     def remove_ended(
         self, ends: Iterable[ttypes.RunEnd], *, term: int, version: int
@@ -196,19 +181,26 @@
     def fits(
         self,
         order: ttypes.RunOrder,
-        keys: Iterable[task_names.RunKey],
+        others: Iterable[task_names.RunKey],
         capacity: ttypes.Resources,
     ) -> bool:
         """Whether one more run fits into a worker's capacity.
 
         Args:
             order: The run to start.
-            keys: Runs that may be on the worker, including those that are being
-                stopped.
+            others: The other runs that may be on the worker, including those that are
+                being stopped. What they reserve is known.
             capacity: The capacity that the worker announced last.
         """
-        other_keys = set(keys) - {(order.task, order.run)}
-        orders = self._removed | self.by_run
-        others = [orders[key] for key in other_keys if key in orders]
-        reserved = (each.resources or amounts.ZERO for each in (order, *others))
-        return amounts.fits(functools.reduce(amounts.add, reserved), capacity)
+        reserved = map(self._resources_of, others)
+        return amounts.fits(
+            functools.reduce(
+                amounts.add, reserved, order.resources or amounts.ZERO
+            ),
+            capacity,
+        )
+
+    def _resources_of(self, key: task_names.RunKey) -> ttypes.Resources:
+        if key in self.by_run:
+            return self.by_run[key].resources or amounts.ZERO
+        return self.removed.resources_of(key) or amounts.ZERO
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Iterable
 
+from marigoldsill.coordination.held_runs import run_starts
 from marigoldsill.coordination.job_agent import lost_worker
-from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from marigoldsill.coordination.held_runs import run_starts
 from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import run_orders
-from marigoldsill.coordination.job_agent import run_starts
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -52,35 +52,58 @@
             and self.complete_listings_count > listings_count
         )
 
-    def has_capacity_for(
-        self,
-        order: ttypes.RunOrder,
-        busy_keys: Iterable[task_names.RunKey],
-        capacity: ttypes.Resources,
-    ) -> bool:
-        """Whether a run fits into a capacity of the worker.
+    def held_keys(
+        self, busy_keys: Iterable[task_names.RunKey] = ()
+    ) -> set[task_names.RunKey]:
+        """Returns the runs that the worker may have, whether ordered or not.
 
         Args:
-            order: The run to start.
             busy_keys: Runs with a call to the worker in progress or a start without
                 an answer; a start among them may not be recorded yet.
-            capacity: The capacity that the worker announced last.
         """
-        keys = {*self.starts.min_ages_s(), *busy_keys}
-        return self._orders.fits(order, keys, capacity)
-
-    def held_keys(self) -> set[task_names.RunKey]:
-        """Returns the runs that the worker may have, whether ordered or not."""
-        return self.starts.min_ages_s().keys() | self.running.keys()
+        started = {*self.starts.min_ages_s(), *busy_keys}
+        return {
+            *filter(self._orders.knows, started),
+            *self._orders.removed.keys,
+            *self.running,
+        }
 
     def count_of_step(self, task: str) -> int:
         """Returns how many runs of a task's step the worker may have."""
-        step_name = task_names.step_name_of(task)
-        return sum(
-            task_names.step_name_of(other) == step_name
-            for other, _ in self.held_keys()
+        return _count_of_step(task, self.held_keys())
+
+    def may_have_other_run(
+        self,
+        order: ttypes.RunOrder,
+        busy_keys: Iterable[task_names.RunKey],
+    ) -> bool:
+        """Whether the worker may have another run of a task."""
+        return any(
+            task == order.task and run != order.run
+            for task, run in self.held_keys(busy_keys)
         )
 
+    def refusal_reason(
+        self,
+        order: ttypes.RunOrder,
+        busy_keys: Iterable[task_names.RunKey],
+        capacity: ttypes.Resources,
+    ) -> str:
+        """Returns why a run cannot start beside what the worker may have, or empty.
+
+        Args:
+            order: The run to start.
+            busy_keys: See `held_keys`.
+            capacity: The capacity that the worker announced last.
+        """
+        others = self.held_keys(busy_keys) - {(order.task, order.run)}
+        if not self._orders.fits(order, others, capacity):
+            return run_worker.RefusalReason.NO_CAPACITY
+        limit = order.spread_limit
+        if limit and _count_of_step(order.task, others) >= limit:
+            return run_worker.RefusalReason.SPREAD_LIMIT
+        return ""
+
     def quota_percent_for(self, order: ttypes.RunOrder) -> int:
         """Returns the current quota of a run, in percent of its full speed."""
         if not order.best_effort:
@@ -122,12 +145,17 @@
             # In an incomplete listing, a run that is not listed may be running.
             self.complete_listings_count += 1
         self.running = {(r.task, r.run): r for r in listing.running}
-        self._orders.forget_removed(self.running, now_s=now_s)
+        self._orders.removed.discard_unlisted(self.running, now_s=now_s)
         self.starts.record_answer(now_s=now_s)
         for key in self.running:
             self.starts.record_listed(key, now_s=now_s)
         for ended in listing.ended:
-            self.starts.record_ended((ended.end.task, ended.end.run))
+            self.record_ended((ended.end.task, ended.end.run))
+
+    def record_ended(self, key: task_names.RunKey) -> None:
+        """Records that a run has ended on the worker or will never begin."""
+        self.starts.record_ended(key)
+        self._orders.removed.discard(key)
 
     def update_interference(self, reply: ttypes.OrdersReply) -> None:
         """Updates the interference that the quotas depend on, if a reply has it."""
@@ -152,3 +180,8 @@
             capacity_millicores=capacity.cpu_millicores,
             now_s=now_s,
         )
+
+
+def _count_of_step(task: str, keys: Iterable[task_names.RunKey]) -> int:
+    step_name = task_names.step_name_of(task)
+    return sum(task_names.step_name_of(other) == step_name for other, _ in keys)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -852,7 +852,8 @@
   10: i64 tail_target_ms = 0,       // latency target for its own users
   11: string image = "",
   12: i64 cpu_millicores = 0,
-  13: Resources resources           // reserved by the run; also set for STOP
+  13: Resources resources,          // reserved by the run; also set for STOP
+  14: i32 spread_limit = 0          // runs of its step on one worker; 0 for no limit
 }
 
 struct RunId { 1: string task, 2: i64 run }
--- a/marigoldsill/protocol/run_worker.py
+++ b/marigoldsill/protocol/run_worker.py
@@ -171,3 +171,4 @@
     NO_TICKET = "no-ticket"
     INVALID = "invalid"
     EVACUATED = "its data centre is evacuated"
+    SPREAD_LIMIT = "the worker may have as many runs of the step as its limit"
--- a/tests/coordination/jobs/test_orders.py
+++ b/tests/coordination/jobs/test_orders.py
@@ -149,3 +149,11 @@
     assert not order.best_effort
     assert order.resources.cpu_millicores == cpu_millicores
     assert order.resources.memory_bytes == 1 << 20
+
+
+def test_an_order_to_run_has_the_spread_limit_of_the_step() -> None:
+    leader = _Leader()
+    leader.state.submit(builders.job("j1", builders.step(spread_limit=2)))
+    leader.state.grant(builders.grant(builders.task_name(0)))
+    (order,) = leader.changes_since(0).orders
+    assert order.spread_limit == 2
--- a/tests/coordination/jobs/test_run_starts.py
+++ b/tests/coordination/jobs/test_run_starts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination.job_agent import run_starts
+from marigoldsill.coordination.held_runs import run_starts
 
 _KEY, _OTHER_KEY = ("j1.0.0.0", 1), ("j1.0.0.1", 1)
 
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -42,6 +42,7 @@
     "job_admission",
     "jobs",
     "worker_incarnations",
+    "held_runs",
     "job_agent",
 )
 _MODULES_PER_FOLDER_LIMIT = 20
