Propose grants only in the term in which they were chosen

Cause: the state machine checks neither capacity nor spread limits, the chooser of the leader does. Grants were proposed in any term, so a leader that lost its term between choice and proposal and led again proposed what it had chosen before the grants of another leader: two tasks of a step on a worker whose limit is one, or more than fits.

Change: the proposal names its term, as reports and notes do.

Evidence: test_a_grant_of_an_earlier_term_is_not_proposed failed before (both runs on a1).

--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -274,8 +274,9 @@
             return
         is_decided = True
         try:
+            # Another leader may have granted runs between two terms of this one.
             result = self._service.propose(
-                grant_runs=ttypes.GrantRuns(grants=grants)
+                term=self._term, grant_runs=ttypes.GrantRuns(grants=grants)
             )
             outdated_count = len(grants) - result.applied_count
             job_metrics.OUTDATED_GRANTS.inc(outdated_count)
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -89,6 +89,13 @@
         return self._propose(command, **options)
 
 
+    def start_scheduler(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Starts the scheduler without its loop, for single rounds."""
+        scheduler = self.leader.scheduler
+        monkeypatch.setattr(scheduler, "_loop", lambda: None)
+        scheduler.start(self.leader.service)
+
+
 @pytest.fixture
 def case(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
@@ -196,3 +203,22 @@
     reply = case.leader.report("a1", ends=[end], known_term=reply.term)
     assert reply.ends_recorded
     assert case.leader.runs == {}
+
+
+def test_a_grant_of_an_earlier_term_is_not_proposed(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against runs over a limit beside those that another leader granted."""
+    case.start_scheduler(monkeypatch)
+    service = case.leader.service
+
+    def grant_sibling_in_next_term() -> None:
+        case.change_term()
+        grants = [builders.grant("j2.0.0.1")]
+        service.propose(grant_runs=ttypes.GrantRuns(grants=grants))
+
+    case.leader.submit("j2", builders.step(2, spread_limit=1))
+    case.before_proposal("grant_runs", grant_sibling_in_next_term)
+    with pytest.raises(ttypes.NotLeader):
+        case.leader.scheduler._run_round()
+    assert case.leader.runs == {"a1": ["j1.0.0.0", "j2.0.0.1"]}
