Evict a slow run only for a worker that its step may use

Cause: of all choices of a worker, the one for a run that is to be evicted did not look at the spread limit. It evicted a run for a worker that already had as many of its step as allowed; the task then waited, or went back to where it was slow.

Evidence: test_slow_run_is_evicted_only_for_a_worker_that_its_step_may_use[1-0] failed before (evicted for a2).

--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -78,6 +78,13 @@
             and (not label or label in self.worker.labels)
         )
 
+    def is_within_spread_limit(
+        self, key: task_names.StepKey, step: ttypes.Step
+    ) -> bool:
+        """Returns whether one more task of a step is within its limit for a worker."""
+        limit = step.spread_limit
+        return not limit or self.runs_by_step.get(key, 0) < limit
+
     def could_run(self, step: ttypes.Step) -> bool:
         """Returns whether a task of a step would fit on the worker if it were idle."""
         required, capacity = step.resources, self.worker.capacity
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -206,11 +206,18 @@
         return self._pending.update(grants, is_decided=is_decided)
 
     def find_other_worker(
-        self, step: ttypes.Step, pool: str, *, agent: str, now_s: float
+        self,
+        key: task_names.StepKey,
+        step: ttypes.Step,
+        pool: str,
+        *,
+        agent: str,
+        now_s: float,
     ) -> free_capacity.FreeCapacity | None:
         """Returns the best worker for a running task, other than its current one.
 
         Args:
+            key: The step of the task.
             step: The requirements of the task.
             pool: The pool of the step's queue.
             agent: The agent of its current worker.
@@ -218,7 +225,7 @@
         """
         candidates = self._candidate_cache.get_candidates(step, pool)
         return self._chooser.find_other(
-            step, candidates, agent=agent, now_s=now_s
+            key, step, candidates, agent=agent, now_s=now_s
         )
 
     def accepts(
--- a/marigoldsill/coordination/job_placing/relocation.py
+++ b/marigoldsill/coordination/job_placing/relocation.py
@@ -88,11 +88,11 @@
             run = self._due.pop(key)
             if is_evicted(key):
                 continue
+            step_key = task_names.parse(key[0]).step_key
             free = placement.find_other_worker(
-                run.step, run.pool, agent=run.agent, now_s=now_s
+                step_key, run.step, run.pool, agent=run.agent, now_s=now_s
             )
             if free is not None:
-                step_key = task_names.parse(key[0]).step_key
                 placement.reserve(free, step_key, run.step)
                 chosen.append(evictions.Eviction(key, run.agent, free.agent))
         return chosen
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -24,6 +24,7 @@
 from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state.run_outcomes import worker_losses
 
@@ -74,6 +75,7 @@
 
     def find_other(
         self,
+        key: task_names.StepKey,
         step: ttypes.Step,
         candidates: candidates_module.Candidates,
         *,
@@ -84,6 +86,7 @@
         return candidates.find_best(
             lambda free: (
                 free.agent != agent
+                and free.is_within_spread_limit(key, step)
                 and self._isolation.admits(free.agent)
                 and self._is_live(free.agent)
                 and self._exploration.allows(free, step, now_s=now_s)
@@ -194,12 +197,11 @@
             allows_reserved: Whether workers reserved for crash suspects are
                 accepted.
         """
-        limit = waiting.step.spread_limit
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
             if not allows_reserved and not self._isolation.admits(free.agent):
                 return False
-            if limit and free.runs_by_step.get(waiting.key, 0) >= limit:
+            if not free.is_within_spread_limit(waiting.key, waiting.step):
                 return False
             if not self._is_live(free.agent):
                 return False
--- a/tests/coordination/job_placing/test_free_capacity.py
+++ b/tests/coordination/job_placing/test_free_capacity.py
@@ -106,7 +106,7 @@
         workers = self.placement.index.workers.values()
         for step in (_BATCH, _BEST_EFFORT, _LATENCY_CRITICAL):
             best = self.placement.find_other_worker(
-                step, builders.POOL, agent="", now_s=self.now_s
+                ("", 0, 0), step, builders.POOL, agent="", now_s=self.now_s
             )
             scores = {
                 free.agent: scoring.score_within_limits(
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -88,7 +88,6 @@
                 self._actions.pop(name)()
         return self._propose(command, **options)
 
-
     def start_scheduler(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Starts the scheduler without its loop, for single rounds."""
         scheduler = self.leader.scheduler
