Split the executor of an agent; CPU throttling gets a package of its own

As job_agent had too many modules, cpu_throttle and load_trends moved to a package that needs nothing else of it. No logic changes; tests of agents, layers and documents pass.

--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -9,8 +9,8 @@
 import contextlib
 
 from experiments import simulation
-from marigoldsill.coordination.job_agent import cpu_throttle
-from marigoldsill.coordination.job_agent import load_trends
+from marigoldsill.coordination.cpu_throttling import cpu_throttle
+from marigoldsill.coordination.cpu_throttling import load_trends
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement
 from marigoldsill.coordination.job_placing import relocation
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -18,7 +18,7 @@
 from experiments import loads
 from experiments import outcomes as outcomes_module
 from experiments import simulated_workers
-from marigoldsill.coordination.job_agent import cpu_throttle
+from marigoldsill.coordination.cpu_throttling import cpu_throttle
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import interference_model
--- a/marigoldsill/coordination/job_agent/cpu_throttle.py
+++ b/marigoldsill/coordination/cpu_throttling/cpu_throttle.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-from marigoldsill.coordination.job_agent import load_trends
+from marigoldsill.coordination.cpu_throttling import load_trends
 from marigoldsill.coordination.learning import utilization
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -0,0 +1,169 @@
+"""The calls to the worker that carry out orders: starts, stops and quotas."""
+
+from marigoldsill import errors
+from marigoldsill.coordination.job_agent import agent_metrics
+from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import (
+    lease_renewer as lease_renewer_module,
+)
+from marigoldsill.coordination.job_agent import order_progress
+from marigoldsill.coordination.job_agent import start_checks
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+from marigoldsill.transport import logs
+
+
+class OrderCalls:
+    """Makes single calls, and records their effects in the state and the progress."""
+
+    def __init__(
+        self,
+        *,
+        state: agent_state.AgentState,
+        worker: run_worker.RunWorker,
+        lease_renewer: lease_renewer_module.LeaseRenewer,
+        checks: start_checks.StartChecks,
+    ):
+        self._state = state
+        self._runs = state.runs
+        self._worker = worker
+        self._lease_renewer = lease_renewer
+        self._checks = checks
+
+    def start(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
+        """Starts a run on the worker, if it may still start.
+
+        Raises:
+            RunRefusedError: The start came too late.
+            OtherWorkerError: Another incarnation answered.
+            WorkerUnwellError: The worker is not healthy.
+            TransportError: No answer came.
+        """
+        state = self._state
+        with state.changed:
+            deadline_ms = self._lease_renewer.issue_deadline_ms()
+            token = state.term
+            if deadline_ms is None or not state.may_start:
+                return
+            if not self._checks.allow_request(order):
+                return
+            # Recorded in the same step, as the order may be removed at any time.
+            state.record_start_sent(order)
+        start = run_worker.RunStart(
+            task=order.task,
+            run=order.run,
+            command=order.command,
+            deadline_ms=deadline_ms,
+            checkpoint_id=order.checkpoint_id,
+            ticket=order.ticket,
+        )
+        had_unanswered_start = progress.has_unanswered_start
+        progress.has_unanswered_start = True
+        try:
+            with agent_metrics.WORKER_START_SECONDS.time():
+                clock_ms = self._worker.start(
+                    order.worker_id, start, token=token
+                )
+        except errors.RunRefusedError as error:
+            self._record_not_started(order, progress, had_unanswered_start)
+            if error.reason == run_worker.RefusalReason.TOO_LATE:
+                raise
+            progress.refusal_reason = error.reason
+            logs.event(
+                "start_refused",
+                task=order.task,
+                run=order.run,
+                worker_id=order.worker_id,
+                reason=error.reason,
+            )
+            return
+        except (errors.OtherWorkerError, errors.WorkerUnwellError) as error:
+            self._record_not_started(order, progress, had_unanswered_start)
+            if isinstance(error, errors.WorkerUnwellError):
+                progress.refusal_reason = "the worker is not healthy"
+            raise
+        except errors.TransportError as error:
+            with state.changed:
+                if error.sent:
+                    state.record_unanswered_start(order)
+                elif not had_unanswered_start:
+                    state.record_not_started(order)
+                state.record_unreachable(order.worker_id)
+            raise
+        except errors.PlatformError:
+            # The answer cannot be read.
+            with state.changed:
+                state.record_unanswered_start(order)
+            raise
+        progress.has_unanswered_start = False
+        with state.changed:
+            progress.is_started = True
+            progress.start_listings_count = self._runs.next_listings_count
+            state.record_started(order)
+            step_runs_count = self._runs.count_of_step(order.task)
+        state.worker_clock.record_reading(
+            clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
+        )
+        logs.event(
+            "run_started",
+            task=order.task,
+            run=order.run,
+            worker_id=order.worker_id,
+            token=token,
+            step_runs_count=step_runs_count,
+        )
+
+    def _record_not_started(
+        self,
+        order: ttypes.RunOrder,
+        progress: order_progress.OrderProgress,
+        had_unanswered_start: bool,
+    ) -> None:
+        """Records that the last start request had no effect.
+
+        Args:
+            order: The order to start the run.
+            progress: The progress of the order.
+            had_unanswered_start: Whether an earlier request may still take effect.
+        """
+        progress.has_unanswered_start = had_unanswered_start
+        if not had_unanswered_start:
+            with self._state.changed:
+                self._state.record_not_started(order)
+
+    def stop(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
+        """Stops a run on the worker."""
+        state = self._state
+        self._worker.stop(
+            order.worker_id, order.task, order.run, token=state.term
+        )
+        with state.changed:
+            progress.stop_listings_count = self._runs.next_listings_count
+        logs.event(
+            "run_stopped",
+            task=order.task,
+            run=order.run,
+            worker_id=order.worker_id,
+        )
+
+    def throttle(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> None:
+        """Sets the quota of a run on the worker."""
+        percent = self._runs.quota_percent_for(order)
+        self._worker.throttle(
+            order.worker_id,
+            order.task,
+            order.run,
+            percent=percent,
+            token=self._state.term,
+        )
+        progress.quota_percent = percent
+        logs.event(
+            "run_throttled", task=order.task, run=order.run, percent=percent
+        )
--- a/marigoldsill/coordination/job_agent/order_progress.py
+++ b/marigoldsill/coordination/job_agent/order_progress.py
@@ -1,7 +1,10 @@
-"""How far an agent's executor is with an order."""
+"""How far an agent's executor is with its orders."""
 
 import dataclasses
 
+from marigoldsill.coordination.job_agent import run_orders as run_orders_module
+from marigoldsill.protocol import task_names
+
 
 @dataclasses.dataclass(slots=True)
 class OrderProgress:
@@ -30,3 +33,43 @@
     refusal_reason: str = ""
     quota_percent: int = 100
     retry_s: float = 0.0
+
+
+class ProgressTable:
+    """The progress of all orders.
+
+    Not thread-safe: the owner's lock must be held for every call.
+
+    Attributes:
+        by_run: The progress by (task, run).
+    """
+
+    def __init__(self):
+        self.by_run: dict[task_names.RunKey, OrderProgress] = {}
+
+    @property
+    def is_any_busy(self) -> bool:
+        """Whether a call for an order is in progress."""
+        return any(progress.is_busy for progress in self.by_run.values())
+
+    @property
+    def unsettled_keys(self) -> list[task_names.RunKey]:
+        """Runs with a call in progress or a start without an answer."""
+        return [
+            key
+            for key, progress in self.by_run.items()
+            if progress.is_busy or progress.has_unanswered_start
+        ]
+
+    def update(self, orders: run_orders_module.RunOrders) -> None:
+        """Adds the progress of new orders and removes that of removed ones."""
+        self.by_run = {
+            key: progress
+            for key, progress in self.by_run.items()
+            if key in orders.by_run or progress.is_busy
+        }
+        for key in orders.by_run.keys() - self.by_run.keys():
+            # An earlier start request may still be carried out.
+            self.by_run[key] = OrderProgress(
+                has_unanswered_start=key in orders.possibly_begun_keys
+            )
--- /dev/null
+++ b/marigoldsill/coordination/job_agent/start_checks.py
@@ -0,0 +1,70 @@
+"""Decides whether a run may start beside what the worker may have."""
+
+from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import order_progress
+from marigoldsill.protocol import run_worker
+from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import clock
+
+
+class StartChecks:
+    """Checks starts when they are due, and once more before the request is sent.
+
+    Not thread-safe: the lock of the agent's state must be held for every call.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: agent_state.AgentState,
+        progress: order_progress.ProgressTable,
+    ):
+        self._state = state
+        self._runs = state.runs
+        self._progress = progress
+
+    def must_wait(
+        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
+    ) -> bool:
+        """Whether nothing may be done for a run before another one of its task ends.
+
+        If it were refused, its task would run elsewhere beside the other run.
+        """
+        is_sent = (
+            progress.is_started
+            or progress.has_unanswered_start
+            or (order.task, order.run) in self._runs.running
+        )
+        return not is_sent and self._has_other_run(order)
+
+    def refusal_reason(self, order: ttypes.RunOrder) -> str:
+        """Returns why the worker cannot start a run now, or empty if it can."""
+        state = self._state
+        if state.worker.draining:
+            return "the worker drains"
+        if state.run_orders.evacuations.includes(state.worker):
+            return run_worker.RefusalReason.EVACUATED
+        if state.late_calls.may_discard_ends(now_s=clock.now_s()):
+            return "the worker has restarted and left calls unanswered before"
+        return self._conflict(order)
+
+    def allow_request(self, order: ttypes.RunOrder) -> bool:
+        """Whether a request to start a run may be sent at this moment.
+
+        Orders, capacity and runs may have changed since the start was due.
+        """
+        return (
+            self._state.run_orders.allow_start(order, self._state.worker)
+            and not self._has_other_run(order)
+            and not self._conflict(order)
+        )
+
+    def _has_other_run(self, order: ttypes.RunOrder) -> bool:
+        return self._runs.may_have_other_run(
+            order, self._progress.unsettled_keys
+        )
+
+    def _conflict(self, order: ttypes.RunOrder) -> str:
+        return self._runs.refusal_reason(
+            order, self._progress.unsettled_keys, self._state.worker.capacity
+        )
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
+from marigoldsill.coordination.cpu_throttling import cpu_throttle
 from marigoldsill.coordination.held_runs import run_starts
-from marigoldsill.coordination.job_agent import cpu_throttle
 from marigoldsill.coordination.job_agent import run_orders
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
--- a/tests/coordination/jobs/test_cpu_throttle.py
+++ b/tests/coordination/jobs/test_cpu_throttle.py
@@ -1,6 +1,6 @@
 """Tests of the quotas of best-effort tasks beside a latency-critical one."""
 
-from marigoldsill.coordination.job_agent import cpu_throttle
+from marigoldsill.coordination.cpu_throttling import cpu_throttle
 from marigoldsill.protocol.generated import ttypes
 
 _CAPACITY_MILLICORES = 32_000
--- a/tests/coordination/jobs/test_load_trends.py
+++ b/tests/coordination/jobs/test_load_trends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldsill.coordination.job_agent import load_trends
+from marigoldsill.coordination.cpu_throttling import load_trends
 
 _KEY = ("desk.0.0.0", 1)
 
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -42,6 +42,7 @@
     "job_admission",
     "jobs",
     "worker_incarnations",
+    "cpu_throttling",
     "held_runs",
     "job_agent",
 )
