--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -201,7 +201,7 @@
         order.resources = _reserved_resources(step)
         if desire == ttypes.RunDesire.RUN:
             order.best_effort = step.best_effort
-            order.spread_limit = step.spread_limit
+            order.spread_limit = step.spread_limit or None
             task = job_tables.find_task(record, address)
             order.tail_target_ms = step.tail_target_ms
             order.image = step.image
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -853,7 +853,7 @@
   11: string image = "",
   12: i64 cpu_millicores = 0,
   13: Resources resources,          // reserved by the run; also set for STOP
-  14: i32 spread_limit = 0          // runs of its step on one worker; 0 for no limit
+  14: optional i32 spread_limit     // maximum of runs of its step on one worker
 }
 
 struct RunId { 1: string task, 2: i64 run }
