Grant nothing to agents that have stopped reporting

What callers saw: a job of long-running tasks was shown as failed although none of its tasks was at fault ("5 workers were lost as task ... started").

Cause: an agent counted as usable until its lease had expired, up to 7.9 s after its last report, although it was known as unresponsive after 2.5 s. Tasks of lost agents were granted to the next silent ones. Each such run was lost with the lease, and as nobody knows whether it began, the loss counted against its task; the fifth gives it up. In the trace runs 1, 2 and 3 of one task went to agents that had been recorded as unresponsive 3.2, 3.6 and 5.0 s before.

--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -71,7 +71,8 @@
             interference: The learnt interference between images.
             health: The workers on which tasks failed.
             tickets: The adviser's tickets.
-            is_live: Whether an agent's lease is live; checked before each grant.
+            is_live: Whether an agent's lease is live and was renewed recently; checked
+                before each grant.
             admits: Whether a step may use an agent's worker, as its capacity is
                 not promised to others.
             locality: Whether tasks wait for racks and workers are filled step by
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -58,7 +58,7 @@
             tickets: The adviser's tickets.
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
-            is_live: Whether an agent's lease is live.
+            is_live: Whether an agent's lease is live and was renewed recently.
             admits: Whether a step may use an agent's worker, as its capacity is
                 not promised to others.
             spread: Chooses among almost equally suited workers; None for the best.
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -391,7 +391,7 @@
             interference=self._service.interference,
             health=self._health,
             tickets=self._ticket_manager.tickets,
-            is_live=self._service.leases.is_live,
+            is_live=self._service.is_responsive,
             admits=self._share_reclaimer.admits,
             locality=self._settings.locality,
             predict_run_ms=self._urgency.run_times.predict_ms,
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -282,6 +282,16 @@
         if changed:
             self.hub.wake(changed)
 
+    def is_responsive(self, agent: str) -> bool:
+        """Whether an agent's lease is live and was renewed recently.
+
+        A run granted to another one waits until the lease has expired, and its loss
+        would count against its task.
+        """
+        return self.leases.is_live(agent) and self.leases.was_renewed_within(
+            agent, unresponsive_agents.UNRENEWED_S
+        )
+
     def pop_changed_agents(self) -> set[str]:
         """Returns the agents whose runs changed since the last call.
 
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -185,6 +185,11 @@
         """Whether an agent's lease was renewed by this leader and is not over."""
         return self._end_s.get(agent, 0.0) >= clock.now_s()
 
+    def was_renewed_within(self, agent: str, seconds: float) -> bool:
+        """Whether this leader has renewed an agent's lease in the last seconds."""
+        renewed_s = self._renewed_s.get(agent, -math.inf)
+        return clock.now_s() - renewed_s <= seconds
+
     def live_agents(self) -> set[str]:
         """Returns agents whose lease was renewed by this leader and is not over."""
         now_s = clock.now_s()
