Keep a removed order of a previous process until another incarnation answers

Cause: the first answer of the worker to a new process of its agent counted as another incarnation, and what was known of removed orders was dropped. A run that the process before may have started, and whose order was removed before that answer, then counted against nothing.

Evidence: test_order_of_a_previous_process_counts_if_it_is_removed_before_the_worker_answers failed before (both runs of a step with a limit of one).

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -211,7 +211,7 @@
             if not self._incarnations.set_current(worker_id):
                 return
             self._clear_worker()
-            if not incarnation_ids.share_name(worker_id, last_id):
+            if last_id and not incarnation_ids.share_name(worker_id, last_id):
                 self.run_orders.removed.clear()
             self.departures.remove(old_id)
             self.worker = self._incarnations.current.worker
--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -233,7 +233,7 @@
         *,
         now_s: float,
     ) -> None:
-        """Adds runs that the current incarnation lists but the leader does not order.
+        """Adds runs that the current incarnation may have but the leader does not order.
 
         A call meant for an earlier incarnation may have begun such a run, or the leader
         has recorded its end by other evidence. Nothing else would end it, as the lease
--- a/tests/coordination/jobs/test_spread_limits.py
+++ b/tests/coordination/jobs/test_spread_limits.py
@@ -152,6 +152,26 @@
     assert list(agent.worker.running) == [_KEY]
 
 
+def test_order_of_a_previous_process_counts_if_it_is_removed_before_the_worker_answers() -> (
+    None
+):
+    worker = _with_unanswered_start().worker
+    agent = stepped_agent.build_agent(worker)
+    agent.state.record_announcement(
+        stepped_agent.announcement(worker.incarnation)
+    )
+    agent.receive_orders(orders=[_order()], removed=[], whole=True)
+    agent.receive_orders(
+        orders=[_order(_SIBLING_KEY)],
+        removed=[ttypes.RunId(task=_KEY[0], run=_KEY[1])],
+    )
+    agent.receive_lease()
+    agent.renew_lease()
+    agent.execute_orders()
+    assert _SIBLING_KEY not in worker.running
+    assert len(_runs_of_first_step(worker)) <= 1
+
+
 def test_run_that_the_worker_refused_leaves_room_for_a_sibling() -> None:
     agent = stepped_agent.make_agent()
     agent.worker.refusal = run_worker.RefusalReason.TOO_LATE
