Derive once what a worker may have beside a run, in the checks before its start

The last check before a request built the set of runs that the worker may have twice, and the reasons stood in two modules that passed them on. The conditions are now in start_checks.py alone.

--- a/marigoldsill/coordination/job_agent/start_checks.py
+++ b/marigoldsill/coordination/job_agent/start_checks.py
@@ -1,8 +1,11 @@
 """Decides whether a run may start beside what the worker may have."""
 
+from collections.abc import Set
+
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
@@ -35,7 +38,7 @@
             or progress.has_unanswered_start
             or (order.task, order.run) in self._runs.running
         )
-        return not is_sent and self._has_other_run(order)
+        return not is_sent and _has_task(order, self._others(order))
 
     def refusal_reason(self, order: ttypes.RunOrder) -> str:
         """Returns why the worker cannot start a run now, or empty if it can."""
@@ -46,25 +49,38 @@
             return run_worker.RefusalReason.EVACUATED
         if state.late_calls.may_discard_ends(now_s=clock.now_s()):
             return "the worker has restarted and left calls unanswered before"
-        return self._conflict(order)
+        return self._conflict(order, self._others(order))
 
     def allow_request(self, order: ttypes.RunOrder) -> bool:
         """Whether a request to start a run may be sent at this moment.
 
         Orders, capacity and runs may have changed since the start was due.
         """
-        return (
-            self._state.run_orders.allow_start(order, self._state.worker)
-            and not self._has_other_run(order)
-            and not self._conflict(order)
+        if not self._state.run_orders.allow_start(order, self._state.worker):
+            return False
+        others = self._others(order)
+        return not _has_task(order, others) and not self._conflict(
+            order, others
         )
 
-    def _has_other_run(self, order: ttypes.RunOrder) -> bool:
-        return self._runs.may_have_other_run(
-            order, self._progress.unsettled_keys
-        )
+    def _others(self, order: ttypes.RunOrder) -> set[task_names.RunKey]:
+        """Returns the runs other than the ordered one that the worker may have."""
+        held_keys = self._runs.held_keys(self._progress.unsettled_keys)
+        return held_keys - {(order.task, order.run)}
 
-    def _conflict(self, order: ttypes.RunOrder) -> str:
-        return self._runs.refusal_reason(
-            order, self._progress.unsettled_keys, self._state.worker.capacity
-        )
+    def _conflict(
+        self, order: ttypes.RunOrder, others: Set[task_names.RunKey]
+    ) -> str:
+        """Returns why a run cannot start beside others, or empty if it can."""
+        state = self._state
+        if not state.run_orders.fits(order, others, state.worker.capacity):
+            return run_worker.RefusalReason.NO_CAPACITY
+        limit = order.spread_limit
+        if limit and task_names.count_of_step(order.task, others) >= limit:
+            return run_worker.RefusalReason.SPREAD_LIMIT
+        return ""
+
+
+def _has_task(order: ttypes.RunOrder, keys: Set[task_names.RunKey]) -> bool:
+    """Whether a run of an order's task is among some."""
+    return any(task == order.task for task, _ in keys)
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -70,39 +70,7 @@
 
     def count_of_step(self, task: str) -> int:
         """Returns how many runs of a task's step the worker may have."""
-        return _count_of_step(task, self.held_keys())
-
-    def may_have_other_run(
-        self,
-        order: ttypes.RunOrder,
-        busy_keys: Iterable[task_names.RunKey],
-    ) -> bool:
-        """Whether the worker may have another run of a task."""
-        return any(
-            task == order.task and run != order.run
-            for task, run in self.held_keys(busy_keys)
-        )
-
-    def refusal_reason(
-        self,
-        order: ttypes.RunOrder,
-        busy_keys: Iterable[task_names.RunKey],
-        capacity: ttypes.Resources,
-    ) -> str:
-        """Returns why a run cannot start beside what the worker may have, or empty.
-
-        Args:
-            order: The run to start.
-            busy_keys: See `held_keys`.
-            capacity: The capacity that the worker announced last.
-        """
-        others = self.held_keys(busy_keys) - {(order.task, order.run)}
-        if not self._orders.fits(order, others, capacity):
-            return run_worker.RefusalReason.NO_CAPACITY
-        limit = order.spread_limit
-        if limit and _count_of_step(order.task, others) >= limit:
-            return run_worker.RefusalReason.SPREAD_LIMIT
-        return ""
+        return task_names.count_of_step(task, self.held_keys())
 
     def quota_percent_for(self, order: ttypes.RunOrder) -> int:
         """Returns the current quota of a run, in percent of its full speed."""
@@ -180,8 +148,3 @@
             capacity_millicores=capacity.cpu_millicores,
             now_s=now_s,
         )
-
-
-def _count_of_step(task: str, keys: Iterable[task_names.RunKey]) -> int:
-    step_name = task_names.step_name_of(task)
-    return sum(task_names.step_name_of(other) == step_name for other, _ in keys)
--- a/marigoldsill/protocol/task_names.py
+++ b/marigoldsill/protocol/task_names.py
@@ -1,5 +1,6 @@
 """Names of the tasks of jobs: "job.occurrence.step.index"."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from marigoldsill import errors
@@ -50,6 +51,12 @@
     return task.rpartition(".")[0]
 
 
+def count_of_step(task: str, keys: Iterable[RunKey]) -> int:
+    """Returns how many of some runs are of a task's step."""
+    step_name = step_name_of(task)
+    return sum(step_name_of(other) == step_name for other, _ in keys)
+
+
 def parse(name: str) -> TaskAddress:
     """Parses the name of a task.
 
