Let the model worker inherit restarts and delayed calls from the fake worker

It repeated the restart of RestartingWorker and the signature of renew_lease, and kept unanswered calls twice. The restart is FakeWorker's now, and what becomes of a call without an answer is one method.

--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -60,32 +60,21 @@
         )
 
     def renew_lease(
-        self,
-        worker_id: str,
-        *,
-        token: int,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
+        self, worker_id: str, **arguments: object
     ) -> run_worker.RunListing:
         """Extends the lease and lists runs."""
 
         def extend() -> None:
-            self._check_incarnation(worker_id)
             self.expire_runs()
-            self._deadline_ms = max(self._deadline_ms, deadline_ms or 0)
+            deadline_ms = arguments["deadline_ms"] or 0
+            self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
         if "renew" in self.unanswered:
-            self.late_calls.append((clock.now_s(), extend))
+            self._delay(worker_id, extend)
             raise errors.TransportError("no answer", sent=True, timed_out=True)
+        self._check_incarnation(worker_id)
         extend()
-        return super().renew_lease(
-            worker_id,
-            token=token,
-            acknowledged=acknowledged,
-            deadline_ms=deadline_ms,
-            wait_ms=wait_ms,
-        )
+        return super().renew_lease(worker_id, **arguments)
 
     def expire_runs(self) -> None:
         """Ends all runs if their lease has expired."""
@@ -93,30 +82,25 @@
             for key in list(self.running):
                 self._end(key, ttypes.RunEndKind.LAPSED)
 
-    def restart(self) -> None:
+    def restart_as_next(self) -> None:
         """Crashes and starts again as another incarnation."""
         self._incarnations_count += 1
-        self.incarnation = f"{self._name}-incarnation{self._incarnations_count}"
+        self.restart(f"{self._name}-incarnation{self._incarnations_count}")
         self._deadline_ms = 0
-        self.running.clear()
-        self._stopping.clear()
-        self._ended.clear()
-        self._last_ended_runs.clear()
-        self._created_s = clock.now_s()
 
     def _call(
         self, name: str, worker_id: str, key: task_names.RunKey, action
     ) -> int:
         self.expire_runs()
-        if name in self.unanswered:
-            self.late_calls.append(
-                (
-                    clock.now_s(),
-                    lambda: (self._check_incarnation(worker_id), action()),
-                )
-            )
         return super()._call(name, worker_id, key, action)
 
+    def _delay(self, worker_id: str, action) -> None:
+        def call() -> None:
+            self._check_incarnation(worker_id)
+            action()
+
+        self.late_calls.append((clock.now_s(), call))
+
     def _begin(self, key: task_names.RunKey, deadline_ms: int) -> None:
         self.expire_runs()
         if self.clock_ms() > deadline_ms:
@@ -294,7 +278,7 @@
 
     def restart_worker(self, name: str) -> None:
         """Crashes a worker, which comes back as another incarnation."""
-        self.workers[name].restart()
+        self.workers[name].restart_as_next()
         self._announce(name)
 
     def announce_capacity(self, name: str, *, cores: int) -> None:
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -135,6 +135,16 @@
         """Ends a run without a call to stop it."""
         self._end(key, kind)
 
+    def restart(self, incarnation: str) -> None:
+        """Restarts without any state."""
+        self.incarnation = incarnation
+        self.running.clear()
+        self._stopping.clear()
+        self._ended.clear()
+        self._last_ended_runs.clear()
+        self._numbers = itertools.count(1)
+        self._created_s = clock.now_s()
+
     def run_delayed_calls(self) -> None:
         """Executes the calls that were not answered."""
         calls, self.delayed_calls = self.delayed_calls, []
@@ -152,11 +162,15 @@
         if self.is_unwell:
             raise errors.WorkerUnwellError("503")
         if name in self.unanswered:
-            self.delayed_calls.append(action)
+            self._delay(worker_id, action)
             raise errors.TransportError("no answer", sent=True)
         action()
         return self.clock_ms()
 
+    def _delay(self, worker_id: str, action) -> None:
+        """Keeps a call that gets no answer."""
+        self.delayed_calls.append(action)
+
     def _check_incarnation(self, worker_id: str) -> None:
         if worker_id != self.incarnation:
             raise errors.OtherWorkerError("421")
@@ -203,16 +217,6 @@
     def __init__(self, incarnation: str = "w1@100"):
         super().__init__(incarnation)
 
-    def restart(self, incarnation: str) -> None:
-        """Restarts without any state."""
-        self.incarnation = incarnation
-        self.running.clear()
-        self._stopping.clear()
-        self._ended.clear()
-        self._last_ended_runs.clear()
-        self._numbers = itertools.count(1)
-        self._created_s = clock.now_s()
-
     def renew_lease(
         self, worker_id: str, **arguments: object
     ) -> run_worker.RunListing:
--- a/tests/coordination/jobs/test_cluster_model.py
+++ b/tests/coordination/jobs/test_cluster_model.py
@@ -1,6 +1,7 @@
 """Random sequences of faults around a leader, its agents and their workers."""
 
 from collections.abc import Callable
+import contextlib
 import os
 
 import hypothesis
@@ -184,8 +185,7 @@
 def test_unanswered_start_of_a_restarted_agent_begins_nothing_beside_the_next_run() -> (
     None
 ):
-    cluster = cluster_model.Cluster("a1", "a2")
-    try:
+    with contextlib.closing(cluster_model.Cluster("a1", "a2")) as cluster:
         cluster.announce_capacity("a2", cores=0)
         cluster.run_in_turn(rounds_count=2, pause_s=0.3)
         cluster.submit(builders.step(long_running=True))
@@ -198,5 +198,3 @@
         cluster.run_in_turn(rounds_count=2, pause_s=0.3)
         assert cluster.violations == []
         assert list(cluster.workers["a2"].running) == [("j0.0.0.0", 2)]
-    finally:
-        cluster.close()
