--- /dev/null
+++ b/marigoldsill/coordination/job_learning/__init__.py
@@ -0,0 +1,6 @@
+"""What the leader learns of jobs' run times and interference, and its records.
+
+Other packages use only the modules listed here.
+"""
+
+__all__ = ["term_learning"]
--- /dev/null
+++ b/tests/coordination/job_learning/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the policies between the backlog and the placement."""
--- a/tests/coordination/jobs/test_learning_recorder.py
+++ b/tests/coordination/job_learning/test_learning_recorder.py
@@ -3,8 +3,8 @@
 import pytest
 
 from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.job_learning import learning_recorder
 from marigoldsill.coordination.job_placing import interference_model
-from marigoldsill.coordination.jobs import learning_recorder
 from marigoldsill.coordination.jobs import scheduler as scheduler_module
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.leadership import commands
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -38,6 +38,7 @@
     "plans",
     "job_locality",
     "job_placing",
+    "job_learning",
     "job_queueing",
     "job_admission",
     "jobs",
