Tell orders with the term that was compared with theirs

The handler of agents' requests compared the term of the orders with the replica's and then read the replica's term again for the reply. If the process lost its term between the two and leads again, its orders of the earlier term are told as those of the later one, also runs whose end a leader in between has recorded; with a lease of the later term an agent may start them.

Evidence: test_orders_are_told_with_the_term_that_was_compared failed with "assert 3 == 1" (the term of the reply).

Change: the term is read once. The same in report_handler compares with the term of the reply already.

--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -227,14 +227,16 @@
             timeout_s=wait_ms / 1000,
         )
         with self._replica.lock:
-            if self.orders.term != self._replica.term:
+            # Read once, as it may change at any moment.
+            term = self._replica.term
+            if self.orders.term != term:
                 # A term began during the wait, and its orders are not computed yet.
                 raise ttypes.NoQuorum()
             reply = self.orders.changes_since(
-                self._replica.tables, request, term=self._replica.term
+                self._replica.tables, request, term=term
             )
             known_version = (request.term, request.interference_version)
-            if known_version != (self._replica.term, self.interference.version):
+            if known_version != (term, self.interference.version):
                 reply.interference_version = self.interference.version
                 reply.interference = self.interference.published_pairs()
             members = self._replica.tables.members
--- a/tests/coordination/jobs/test_order_terms.py
+++ b/tests/coordination/jobs/test_order_terms.py
@@ -4,6 +4,8 @@
 have recorded ends and granted runs in between.
 """
 
+import itertools
+
 import pytest
 
 from marigoldsill.coordination.agreement import replica as replica_module
@@ -48,6 +50,26 @@
         leader.service.agent_orders(ttypes.OrdersRequest(agent="a1"))
 
 
+def test_orders_are_told_with_the_term_that_was_compared(
+    leader: single_leader.Leader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the same if the term changes right after it was compared."""
+    computed_term = leader.replica.term
+    later_terms = itertools.repeat(computed_term + 2)
+
+    def change_term() -> None:
+        terms = itertools.chain((computed_term,), later_terms)
+        monkeypatch.setattr(
+            replica_module.Replica, "term", property(lambda _: next(terms))
+        )
+
+    monkeypatch.setattr(
+        leader.service.hub, "wait", lambda *_, **__: change_term()
+    )
+    reply = leader.service.agent_orders(ttypes.OrdersRequest(agent="a1"))
+    assert reply.term == computed_term
+
+
 def test_orders_of_a_later_term_are_told_once_they_are_computed(
     leader: single_leader.Leader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
