Test that losses decided in an earlier term end no renewed run

Without the term in the losses of lease_monitor.py the test fails with "assert {} == {'a1': ['j1.0.0.0']}"; no other test of tests/coordination/jobs that was tried did (leader_terms, lease_monitor, scheduler, job_commands).

--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -128,6 +128,23 @@
         assert case.leader.service.unresponsive_agents.bound_s("a1") == math.inf
 
 
+def test_losses_decided_in_an_earlier_term_do_not_end_a_renewed_run(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against losses by a leader that was frozen and elected anew."""
+
+    def renew_in_next_term() -> None:
+        case.change_term()
+        assert case.leader.report("a1").lease_ms
+
+    monkeypatch.setattr(
+        case.leader.service.leases, "close_if_expired", lambda *_, **__: True
+    )
+    case.before_proposal("record_run_ends", renew_in_next_term)
+    case.monitor.check(now_s=clock.now_s())
+    assert case.leader.runs == {"a1": ["j1.0.0.0"]}
+
+
 def test_a_report_of_a_replaced_agent_has_no_effect_in_a_later_term(
     case: _Case,
 ) -> None:
