Send each call to a worker by HTTP once, also for services and batch jobs

The same cause as in the calls to the platform's workers: a start that is written on a kept-alive connection which then breaks was sent again by curl, and the refusal of the second copy was taken for the whole call, so that the run could be placed elsewhere beside the first copy's.

tests/protocol/test_worker_interface.py::test_a_start_whose_connection_breaks_is_unanswered failed before with "CapacityError: {"clock_ms":5}".

--- a/marigoldsill/platform/worker_client.py
+++ b/marigoldsill/platform/worker_client.py
@@ -133,7 +133,7 @@
                 ("Target-Instance", incarnation_ids.name_of(worker_id)),
             ),
             timeout_s=timeout_s,
-            # Its answer would hide that the first copy was sent.
+            # The answer to a second copy would hide that the first one was sent.
             single_copy=True,
         )
 
--- a/marigoldsill/protocol/worker_interface.py
+++ b/marigoldsill/protocol/worker_interface.py
@@ -219,6 +219,8 @@
             body=data,
             headers=(("Content-Type", "application/json"),),
             timeout_s=_TIMEOUT_S,
+            # The answer to a second copy would hide that the first one was sent.
+            single_copy=body is not None,
         )
         if answer.status_code == 409:
             raise errors.CapacityError(_error_detail(answer))
