Test that a late report of a replaced agent has no effect in its term

Without the refusal of report_handler.py it fails with "assert {} == {'a1': ['j1.0.0.0']}": the newest-report check comes after the ends were recorded.

--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -193,6 +193,18 @@
     assert replies[0].orders_version == case.leader.service.orders.version("a1")
 
 
+def test_late_report_of_a_replaced_agent_has_no_effect_in_its_term(
+    case: _Case,
+) -> None:
+    """Guards against ends of a run that the agent's next process may have started."""
+    known_term = case.leader.replica.term
+    assert case.leader.report("a1", incarnation=2).lease_ms
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    reply = case.leader.report("a1", ends=[refusal], known_term=known_term)
+    assert reply.replaced_by == 2
+    assert case.leader.runs == {"a1": ["j1.0.0.0"]}
+
+
 def test_late_report_of_a_replaced_agent_has_no_effect_at_the_next_leader(
     case: _Case,
 ) -> None:
