--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -139,3 +139,22 @@
     reported = [end for report in case.link.reports for end in report.ends]
     assert state.acknowledged_end_number == 2
     assert all(end in reported for end in listed)
+
+
+def test_lease_counts_from_the_time_the_report_was_sent(case: _Case) -> None:
+    """Guards against a lease that its leader counts as over while the agent uses it."""
+
+    def answer_late() -> None:
+        case.now_s += 0.9
+
+    case.link.on_report = answer_late
+    case.link.reply.lease_ms = 7_000
+    sent_s = case.now_s
+    case.report(after_s=0.0)
+    assert case.state.lease.end_s == sent_s + 7.0
+
+
+def test_agent_whose_worker_does_not_answer_says_so(case: _Case) -> None:
+    """Guards against deadlines converted at an old reading of the worker's clock."""
+    silent = [case.report(after_s=0.7).worker_silent for _ in range(4)]
+    assert silent == [False, False, True, True]
