--- a/marigoldsill/platform/worker_client.py
+++ b/marigoldsill/platform/worker_client.py
@@ -47,7 +47,8 @@
             body["last_checkpoint"] = start.checkpoint_id
         if start.ticket:
             body["ticket"] = start.ticket
-        return self._order("run-start", worker_id, body)
+        # The answer to another copy would hide that the first may begin the run.
+        return self._order("run-start", worker_id, body, single_copy=True)
 
     def stop(self, worker_id: str, task: str, run: int, *, token: int) -> int:
         """Stops a run."""
@@ -88,14 +89,21 @@
         }
         return self._order("pace", worker_id, body)
 
-    def _order(self, name: str, worker_id: str, body: dict[str, object]) -> int:
+    def _order(
+        self,
+        name: str,
+        worker_id: str,
+        body: dict[str, object],
+        *,
+        single_copy: bool = False,
+    ) -> int:
         """Calls the worker and returns its clock, in milliseconds.
 
         Raises:
             TransportError: No answer of this incarnation came. Another one of the same
                 id that answered has carried the order out.
         """
-        answer = self._call(name, worker_id, body)
+        answer = self._call(name, worker_id, body, single_copy=single_copy)
         if answer.status_code == _STATUS_OTHER_WORKER:
             raise _error_of(name, answer)
         try:
@@ -120,6 +128,7 @@
         body: dict[str, object],
         *,
         timeout_s: float = _TIMEOUT_S,
+        single_copy: bool = False,
     ) -> http_client.HttpResponse:
         return self._client.fetch(
             self._address,
@@ -133,8 +142,7 @@
                 ("Target-Instance", incarnation_ids.name_of(worker_id)),
             ),
             timeout_s=timeout_s,
-            # Its answer would hide that the first copy was sent.
-            single_copy=True,
+            single_copy=single_copy,
         )
 
 
