--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -12,7 +12,9 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.coordination.jobs import lease_monitor
+from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files
@@ -193,6 +195,19 @@
     assert replies[0].orders_version == case.leader.service.orders.version("a1")
 
 
+def test_a_new_process_gets_no_lease_while_ends_of_the_last_one_may_be_recorded(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the same if the handler of the earlier report has given up."""
+    monkeypatch.setattr(service_module, "_PROPOSE_TIMEOUT_S", 0.1)
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    case.disk.may_sync.clear()
+    with pytest.raises(errors.UnknownOutcomeError):
+        case.leader.report("a1", ends=[refusal])
+    with pytest.raises(errors.UnknownOutcomeError):
+        case.leader.report("a1", incarnation=2)
+
+
 def test_late_report_of_a_replaced_agent_has_no_effect_in_its_term(
     case: _Case,
 ) -> None:
