Send starts to the workers of intents once as well

The same cause in the other client of workers: protocol/worker_interface.py starts runs on kept-alive connections, and took the answer to the second copy that curl sends on a broken one for the whole call. A refusal of it (409, 410 or any other error) counted as a start without an effect.

Evidence: tests/protocol/test_worker_interface.py failed with "marigoldsill.errors.PlatformError: /start gave 503: {}" where it asks for a call without an answer. The server that breaks off is in tests/raw_sockets.py now, for both clients.

By reading; no play or run of processes has shown it there.

--- a/marigoldsill/protocol/worker_interface.py
+++ b/marigoldsill/protocol/worker_interface.py
@@ -185,7 +185,8 @@
 
     def start(self, spec: StartSpec) -> None:
         """Starts a run."""
-        self._call("POST", "/start", dataclasses.asdict(spec))
+        # The answer to another copy would hide that the first may begin the run.
+        self._call("POST", "/start", dataclasses.asdict(spec), single_copy=True)
 
     def renew(self, *, lease_end_ns: int) -> None:
         """Renews all leases."""
@@ -210,7 +211,12 @@
         self._call("POST", "/forget", {"task": task, "epoch": epoch})
 
     def _call(
-        self, method: str, path: str, body: dict[str, object] | None = None
+        self,
+        method: str,
+        path: str,
+        body: dict[str, object] | None = None,
+        *,
+        single_copy: bool = False,
     ) -> Any:
         data = json.dumps(body).encode() if body is not None else b""
         answer = http_client.fetch(
@@ -219,6 +225,7 @@
             body=data,
             headers=(("Content-Type", "application/json"),),
             timeout_s=_TIMEOUT_S,
+            single_copy=single_copy,
         )
         if answer.status_code == 409:
             raise errors.CapacityError(_error_detail(answer))
--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -176,9 +176,12 @@
     body: bytes = b"",
     headers: tuple[tuple[str, str], ...] = (),
     timeout_s: float,
+    single_copy: bool = False,
 ) -> HttpResponse:
     """Makes one HTTP call to a URL such as http://host:port/path.
 
+    See `Client.fetch` for the arguments.
+
     Raises:
         TransportError: No complete response came.
     """
@@ -190,6 +193,7 @@
         body=body,
         headers=headers,
         timeout_s=timeout_s,
+        single_copy=single_copy,
     )
 
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -1,10 +1,7 @@
 """Calls to a worker that restarts under its id, and to the adviser about it."""
 
 from collections.abc import Iterator
-import contextlib
 import json
-import socket
-import threading
 
 import pytest
 from werkzeug import wrappers
@@ -14,6 +11,7 @@
 from marigoldsill.platform import worker_client
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import http_server
+from tests import raw_sockets
 
 
 class _Peer:
@@ -108,32 +106,10 @@
         _start(peer)
 
 
-def _serve_once_then_break(listener: socket.socket) -> None:
-    """Answers a request, breaks off at the next one, and answers the rest with 503."""
-    answers = iter((b"200 OK", b""))
-    with contextlib.suppress(OSError):
-        while True:
-            connection, _ = listener.accept()
-            while connection.recv(65_536):
-                status = next(answers, b"503 Unwell")
-                if not status:
-                    connection.close()
-                    break
-                connection.sendall(
-                    b"HTTP/1.1 " + status + b"\r\nContent-Length: 14\r\n\r\n"
-                    b'{"clock_ms":5}'
-                )
-
-
 def test_a_start_whose_connection_breaks_is_unanswered() -> None:
     """Guards against a refusal of a second copy that hides that the first was sent."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        threading.Thread(
-            target=_serve_once_then_break, args=(listener,), daemon=True
-        ).start()
-        worker = worker_client.PlatformWorker(
-            address=f"127.0.0.1:{listener.getsockname()[1]}"
-        )
+    with raw_sockets.breaking_server(b'{"clock_ms":5}') as address:
+        worker = worker_client.PlatformWorker(address=address)
         start = run_worker.RunStart("j.0.0.1", 1, "x", deadline_ms=9)
         assert worker.start("i-1", start, token=1) == 5
         with pytest.raises(errors.TransportError) as caught:
