Test that closed leases and resigned leaders renew nothing

With a lease reopened while runs are recorded the first fails with "assert not 7000"; with both checks of the role undone after a report the second fails with "DID NOT RAISE NotLeader" (each alone suffices).

--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -13,6 +13,7 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.jobs import lease_monitor
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import unresponsive_agents
@@ -208,6 +209,25 @@
         case.leader.report("a1", incarnation=2)
 
 
+def test_leader_that_resigns_during_a_report_grants_no_lease(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leases by a leader that its successor need not wait for."""
+    agents = case.leader.service.agents
+    get_view = agents.get
+
+    def resign(agent: str) -> agents_module.AgentView | None:
+        group = case.leader.replica._node.group
+        with group.lock:
+            group.stopping = True
+            group.step_down(term=group.term, reason="stopping")
+        return get_view(agent)
+
+    monkeypatch.setattr(agents, "get", resign)
+    with pytest.raises(ttypes.NotLeader):
+        case.leader.report("a1")
+
+
 def test_late_report_of_a_replaced_agent_has_no_effect_in_its_term(
     case: _Case,
 ) -> None:
--- a/tests/coordination/jobs/test_lease_monitor.py
+++ b/tests/coordination/jobs/test_lease_monitor.py
@@ -170,6 +170,16 @@
     assert case.report().lease_ms == single_leader.LEASE_MS
 
 
+def test_a_closed_lease_is_not_renewed_while_its_losses_are_not_recorded(
+    case: _Case,
+) -> None:
+    """Guards against runs that go on while their loss is on its way to the log."""
+    case.advance(_FULL_LEASE_S + 0.1)
+    assert case.leader.service.leases.close_if_expired("a1")
+    assert not case.report().lease_ms
+    assert case.leader.runs
+
+
 def test_a_report_waits_for_no_note_that_is_not_answered(case: _Case) -> None:
     case.check_until(_UNRENEWED_S - _CHECK_INTERVAL_S)
     case.advance(_CHECK_INTERVAL_S)
