--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -180,7 +180,7 @@
 ) -> HttpResponse:
     """Makes one HTTP call to a URL such as http://host:port/path.
 
-    The arguments are those of `Client.fetch`.
+    See `Client.fetch` for the arguments.
 
     Raises:
         TransportError: No complete response came.
--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -12,7 +12,10 @@
 
 import pytest
 
+from marigoldsill import errors
+from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.jobs import lease_monitor
+from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import unresponsive_agents
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import files
@@ -193,6 +196,50 @@
     assert replies[0].orders_version == case.leader.service.orders.version("a1")
 
 
+def test_a_new_process_gets_no_lease_while_ends_of_the_last_one_may_be_recorded(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the same if the handler of the earlier report has given up."""
+    monkeypatch.setattr(service_module, "_PROPOSE_TIMEOUT_S", 0.1)
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    case.disk.may_sync.clear()
+    with pytest.raises(errors.UnknownOutcomeError):
+        case.leader.report("a1", ends=[refusal])
+    with pytest.raises(errors.UnknownOutcomeError):
+        case.leader.report("a1", incarnation=2)
+
+
+def test_leader_that_resigns_during_a_report_grants_no_lease(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leases by a leader that its successor need not wait for."""
+    agents = case.leader.service.agents
+    get_view = agents.get
+
+    def resign(agent: str) -> agents_module.AgentView | None:
+        group = case.leader.replica._node.group
+        with group.lock:
+            group.stopping = True
+            group.step_down(term=group.term, reason="stopping")
+        return get_view(agent)
+
+    monkeypatch.setattr(agents, "get", resign)
+    with pytest.raises(ttypes.NotLeader):
+        case.leader.report("a1")
+
+
+def test_late_report_of_a_replaced_agent_has_no_effect_in_its_term(
+    case: _Case,
+) -> None:
+    """Guards against ends of a run that the agent's next process may have started."""
+    known_term = case.leader.replica.term
+    assert case.leader.report("a1", incarnation=2).lease_ms
+    refusal = builders.run_end("j1.0.0.0", ttypes.RunEndKind.REFUSED)
+    reply = case.leader.report("a1", ends=[refusal], known_term=known_term)
+    assert reply.replaced_by == 2
+    assert case.leader.runs == {"a1": ["j1.0.0.0"]}
+
+
 def test_late_report_of_a_replaced_agent_has_no_effect_at_the_next_leader(
     case: _Case,
 ) -> None:
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -11,7 +11,7 @@
 from marigoldsill.platform import worker_client
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import http_server
-from tests import breaking_server
+from tests import raw_sockets
 
 
 class _Peer:
@@ -106,9 +106,9 @@
         _start(peer)
 
 
-def test_an_order_whose_connection_breaks_is_unanswered() -> None:
+def test_a_start_whose_connection_breaks_is_unanswered() -> None:
     """Guards against a refusal of a second copy that hides that the first was sent."""
-    with breaking_server.serve("503 Unwell") as address:
+    with raw_sockets.breaking_server(b'{"clock_ms":5}') as address:
         worker = worker_client.PlatformWorker(address=address)
         start = run_worker.RunStart("j.0.0.1", 1, "x", deadline_ms=9)
         assert worker.start("i-1", start, token=1) == 5
