Tell callers at an entry's own limit when capacity should be free

What callers saw: while claims were slow, the living entry refused keyed calls at its own limit (429, call-not-run) and asked each to come back after 200 ms, again and again: one entry sent 615 such refusals beside 191 answers. Callers used up their attempts while nothing could have been served.

Cause: the time was a constant, or the last one that an agent had ever named. Neither follows from the calls in flight, which took 1 s and more here, while docs/REQUESTS.md promises that Retry-After says when there should be room.

Change: the time follows from the calls in flight: their usual duration, or twice the age of the median one in a stall, and no later than the median of their deadlines, when half of them are over. A time that an agent named counts until it has passed. Who is admitted is unchanged.

--- a/marigoldsill/coordination/requests/call_dispatcher.py
+++ b/marigoldsill/coordination/requests/call_dispatcher.py
@@ -74,7 +74,7 @@
         max_in_flight = self._limits.max_in_flight(
             self._router.slots_count(call.service)
         )
-        with limit.admit(max_in_flight=max_in_flight):
+        with limit.admit(max_in_flight=max_in_flight, deadline=call.deadline):
             try:
                 answer = self._run_by_kind(call)
             except errors.OverloadedError as error:
--- a/marigoldsill/coordination/requests/concurrency_limits.py
+++ b/marigoldsill/coordination/requests/concurrency_limits.py
@@ -7,10 +7,13 @@
 
 from collections.abc import Iterator
 import contextlib
+import dataclasses
+import itertools
 import threading
 import time
 
 from marigoldsill import errors
+from marigoldsill.transport import deadlines
 
 _MIN_LIMIT = 4
 _IN_FLIGHT_PER_SLOT = 2
@@ -19,49 +22,109 @@
 _DECREASE_FACTOR = 0.95
 # Minimum time between two decreases.
 _DECREASE_INTERVAL_S = 0.05
-_RETRY_AFTER_MS = 200
+_RETRY_AFTER_MIN_MS = 50
+# Weight of a new value in the moving average of the duration.
+_DURATION_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _CallInFlight:
+    """A call in flight.
+
+    Attributes:
+        start_s: When it was admitted, on the monotonic clock.
+        deadline: When it ends at the latest.
+    """
+
+    start_s: float
+    deadline: deadlines.Deadline
+
+
+class _CallsInFlight:
+    """The calls in flight, in the order of their admission."""
+
+    def __init__(self):
+        # Only the keys are used; a dict keeps their order.
+        self._calls: dict[_CallInFlight, None] = {}
+        self._mean_duration_s = 0.0
+
+    @property
+    def count(self) -> int:
+        """Number of calls in flight."""
+        return len(self._calls)
+
+    def add(self, deadline: deadlines.Deadline) -> _CallInFlight:
+        """Adds a call that begins now."""
+        call = _CallInFlight(time.monotonic(), deadline)
+        self._calls[call] = None
+        return call
+
+    def remove(self, call: _CallInFlight) -> None:
+        """Removes a call that ends now."""
+        del self._calls[call]
+        duration_s = time.monotonic() - call.start_s
+        weight = _DURATION_WEIGHT if self._mean_duration_s else 1.0
+        self._mean_duration_s += weight * (duration_s - self._mean_duration_s)
+
+    def expected_capacity_s(self) -> float:
+        """Returns the time until about half of the calls should have ended.
+
+        Durations of earlier calls say nothing about a stall, so each call is
+        expected to take at least as long as the first ones have taken: twice the
+        age of the median call, which does not depend on a single slow one. Half
+        of the calls end by the median of their deadlines.
+        """
+        if not self._calls:
+            return 0.0
+        middle = len(self._calls) // 2
+        median = next(itertools.islice(self._calls, middle, None))
+        age_s = time.monotonic() - median.start_s
+        remaining_s = sorted(c.deadline.remaining_s() for c in self._calls)
+        return min(max(self._mean_duration_s, 2 * age_s), remaining_s[middle])
 
 
 class ConcurrencyLimit:
     """The concurrency limit of one service.
 
-    It is adjusted by additive increase and multiplicative decrease.
-
-    Attributes:
-        in_flight_count: Number of requests in flight.
+    It is adjusted by additive increase and multiplicative decrease. A refusal
+    says when there should be free capacity: when calls in flight should have
+    ended, and not before the time that an agent named when it refused a request.
     """
 
     def __init__(self):
         self._lock = threading.Lock()
         self._limit = float("inf")
         self._last_decrease_s = 0.0
-        self._retry_after_ms = _RETRY_AFTER_MS
-        self.in_flight_count = 0
+        self._agents_capacity_s = 0.0
+        self._calls = _CallsInFlight()
 
     @contextlib.contextmanager
-    def admit(self, *, max_in_flight: int) -> Iterator[None]:
+    def admit(
+        self, *, max_in_flight: int, deadline: deadlines.Deadline
+    ) -> Iterator[None]:
         """Counts a request as in flight during the context.
 
         Args:
             max_in_flight: The maximum of the limit.
+            deadline: The request's deadline.
 
         Raises:
             OverloadedError: The limit is reached; the request was not run.
         """
         with self._lock:
             limit = min(self._limit, max_in_flight)
-            if self.in_flight_count >= limit:
+            if self._calls.count >= limit:
                 raise errors.OverloadedError(
-                    f"{self.in_flight_count} requests of the service are in "
+                    f"{self._calls.count} requests of the service are in "
                     f"flight; the current limit is {int(limit)}",
-                    retry_after_ms=self._retry_after_ms,
+                    retry_after_ms=self._expected_capacity_ms(),
                 )
-            self.in_flight_count += 1
+            call = self._calls.add(deadline)
         try:
             yield
         finally:
             with self._lock:
-                self.in_flight_count -= 1
+                self._calls.remove(call)
 
     def record_answer(self) -> None:
         """Increases the limit a little, as an agent had free capacity."""
@@ -72,15 +135,22 @@
         """Decreases the limit, as agents had no free capacity."""
         now_s = time.monotonic()
         with self._lock:
-            self._retry_after_ms = retry_after_ms or _RETRY_AFTER_MS
+            self._agents_capacity_s = now_s + (retry_after_ms or 0) / 1000
             if now_s < self._last_decrease_s + _DECREASE_INTERVAL_S:
                 return
             self._last_decrease_s = now_s
             self._limit = max(
                 _MIN_LIMIT,
-                min(self._limit, self.in_flight_count) * _DECREASE_FACTOR,
+                min(self._limit, self._calls.count) * _DECREASE_FACTOR,
             )
 
+    def _expected_capacity_ms(self) -> int:
+        capacity_s = max(
+            self._calls.expected_capacity_s(),
+            self._agents_capacity_s - time.monotonic(),
+        )
+        return max(_RETRY_AFTER_MIN_MS, int(capacity_s * 1000))
+
 
 class ConcurrencyLimits:
     """The limits of all services of one entry."""
