Bound leases of lost agents for later leaders by what this leader knows

What callers saw: long-running tasks of a lost worker came back late while leaders changed: a leader recorded its agent as unresponsive 2.5 s after the last possible renewal, and the next leader counted a whole lease from there.

Cause: the first note in the log named no remaining time, so that every member took the lease as just renewed, although the leader that proposed the note knew that it had not been renewed for 2.5 s and when it ends. Later notes were bound by that first one.

Evidence: the test of the mechanism failed before: "assert 1011.5 <= 1003.6 + 5.83 + 0.2 + 0.1".

Change: each note names the time until the last of its leases has certainly ended by this leader's own table. They are suspended before it is read, so that none is renewed before the note is in the log; a member that applies the note later gets a later bound, and the drift of clocks is counted as before.

--- a/marigoldsill/coordination/jobs/unresponsive_agents.py
+++ b/marigoldsill/coordination/jobs/unresponsive_agents.py
@@ -14,6 +14,7 @@
 from marigoldsill.coordination.leadership import leases as leases_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
+from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
 # How long a lease is not renewed before its agent counts as unresponsive. Longer than an
@@ -89,12 +90,10 @@
         if not suspended:
             return None
         self._noted_s = now_s
-        left_s = max(self.bound_s(agent) for agent in suspended) - now_s
-        return ttypes.NoteUnresponsive(
-            unresponsive=sorted(suspended),
-            responsive=[],
-            remaining_ms=math.ceil(left_s * 1000),
+        end_s = max(
+            min(leases.end_s(agent), self.bound_s(agent)) for agent in suspended
         )
+        return _build_note(suspended, left_s=end_s - now_s)
 
 
 def suspend_unresponsive(
@@ -103,7 +102,8 @@
     """Suspends the unrenewed leases of agents with runs.
 
     Returns:
-        The note that records these agents as unresponsive, or None.
+        The note that records these agents as unresponsive and how long their leases
+        may still be live, or None.
     """
     agents = [
         a for a in jobs.runs_by_agent if a not in jobs.unresponsive_agents
@@ -114,4 +114,13 @@
     logs.event(
         "agents_unresponsive", level="WARNING", agents=",".join(suspended)
     )
-    return ttypes.NoteUnresponsive(unresponsive=suspended, responsive=[])
+    end_s = max(leases.end_s(agent) for agent in suspended)
+    return _build_note(suspended, left_s=end_s - clock.now_s())
+
+
+def _build_note(agents: list[str], *, left_s: float) -> ttypes.NoteUnresponsive:
+    return ttypes.NoteUnresponsive(
+        unresponsive=sorted(agents),
+        responsive=[],
+        remaining_ms=max(1, math.ceil(left_s * 1000)),
+    )
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -155,7 +155,7 @@
         with self._lock:
             if agent in self._closed:
                 return True
-            own_end_s = max(self._end_s.get(agent, 0.0), self._min_end_s)
+            own_end_s = self._own_end_s(agent)
             end_s = min(own_end_s, bound_s)
             now_s = clock.now_s()
             if now_s <= end_s:
@@ -173,6 +173,11 @@
             self._end_s.pop(agent, None)
             return True
 
+    def end_s(self, agent: str) -> float:
+        """Returns when an agent's lease has ended at the latest."""
+        with self._lock:
+            return self._own_end_s(agent)
+
     def reopen(self, agent: str) -> None:
         """Allows an agent a lease again, once no run on it is recorded any more.
 
@@ -196,6 +201,9 @@
         with self._lock:
             return {a for a, end_s in self._end_s.items() if end_s >= now_s}
 
+    def _own_end_s(self, agent: str) -> float:
+        return max(self._end_s.get(agent, 0.0), self._min_end_s)
+
 
 def latest_end_s(lease_ms: int) -> float:
     """Returns when a lease that was renewed now or earlier has certainly expired."""
--- a/tests/coordination/jobs/test_unresponsive_agents.py
+++ b/tests/coordination/jobs/test_unresponsive_agents.py
@@ -49,6 +49,11 @@
         grants = [builders.grant(builders.task_name(), run)]
         self.apply(grant_runs=ttypes.GrantRuns(grants=grants))
 
+    def submit_and_grant(self, agent: str) -> None:
+        self.state.submit(builders.job("j2"))
+        grant = builders.grant(builders.task_name(job_id="j2"), 1, agent)
+        self.apply(grant_runs=ttypes.GrantRuns(grants=[grant]))
+
     def end(self, run: int) -> None:
         ends = [
             builders.run_end(builders.task_name(), ttypes.RunEndKind.LOST, run)
@@ -70,10 +75,13 @@
             self.leases, now_s=clock.now_s()
         )
 
-    def suspend_unresponsive(self) -> list[str]:
-        note = unresponsive_agents.suspend_unresponsive(
+    def suspension_note(self) -> ttypes.NoteUnresponsive | None:
+        return unresponsive_agents.suspend_unresponsive(
             self.leases, self.state.tables.jobs
         )
+
+    def suspend_unresponsive(self) -> list[str]:
+        note = self.suspension_note()
         return [] if note is None else note.unresponsive
 
 
@@ -103,6 +111,40 @@
     assert next_leader.close_if_expired("a1", bound_s=bound_s)
 
 
+def test_the_next_leader_does_not_count_again_what_a_lease_was_not_renewed(
+    fake_clock,
+) -> None:
+    case = _Case()
+    fake_clock.now_s += 1.0
+    case.leases.renew("a1", lease_ms=_LEASE_MS)
+    end_s = case.leases.end_s("a1")
+    assert end_s == pytest.approx(fake_clock.now_s + _FULL_LEASE_S)
+    fake_clock.now_s += unresponsive_agents.UNRENEWED_S + 0.1
+    case.apply(note_unresponsive=case.suspension_note())
+    bound_s = case.unresponsive.bound_s("a1")
+    # The clocks of two leaders may differ in the rest of the lease.
+    longest_s = (end_s - fake_clock.now_s) * leases_module.DRIFT_RATIO
+    assert end_s <= bound_s
+    assert (
+        bound_s <= fake_clock.now_s + longest_s + leases_module.MARGIN_S + 0.1
+    )
+
+
+def test_a_record_of_several_agents_bounds_none_before_its_lease_ends(
+    fake_clock,
+) -> None:
+    case = _Case()
+    case.submit_and_grant("a2")
+    fake_clock.now_s += 1.0
+    case.leases.renew("a2", lease_ms=_LEASE_MS)
+    fake_clock.now_s += unresponsive_agents.UNRENEWED_S + 0.1
+    note = case.suspension_note()
+    assert note.unresponsive == ["a1", "a2"]
+    case.apply(note_unresponsive=note)
+    for agent in note.unresponsive:
+        assert case.unresponsive.bound_s(agent) >= case.leases.end_s("a2")
+
+
 def test_a_second_record_of_an_unresponsive_agent_does_not_extend_the_bound(
     fake_clock,
 ) -> None:
