--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -3,7 +3,6 @@
 from concurrent import futures
 import itertools
 import json
-import math
 import pathlib
 import statistics
 
@@ -11,6 +10,7 @@
 import loguru
 
 from experiments import loads
+from experiments import pairs
 from experiments import policies
 from experiments import simulation
 from marigoldsill import errors
@@ -31,9 +31,6 @@
     "use_idle",
     "use_thrown_away",
 )
-# In standard errors. At two, about one in twenty comparisons of equal policies
-# is marked as a difference.
-_SIGNIFICANT_ERRORS = 2.0
 
 ValuesByFigure = dict[str, list[float]]
 
@@ -133,26 +130,14 @@
         cells = [f"{statistics.fmean(first[key]):26.3f}"]
         for name in names[1:]:
             mean = statistics.fmean(results[name][key])
-            difference, error = paired_difference(
+            difference, error = pairs.paired_difference(
                 first[key], results[name][key]
             )
-            is_significant = abs(difference) > _SIGNIFICANT_ERRORS * error
-            mark = "*" if is_significant and difference else " "
+            mark = "*" if pairs.is_significant(difference, error) else " "
             cells.append(f"{mean:9.3f} {difference:+7.3f}±{error:.3f}{mark}")
         lines.append(f"{key:18}" + "".join(f"{cell:>26}" for cell in cells))
     return "\n".join(lines)
 
 
-def paired_difference(
-    before: list[float], after: list[float]
-) -> tuple[float, float]:
-    """Returns the mean difference by seed and its standard error."""
-    differences = [b - a for a, b in zip(before, after, strict=True)]
-    if len(differences) < 2:
-        return differences[0], math.inf
-    error = statistics.stdev(differences) / math.sqrt(len(differences))
-    return statistics.fmean(differences), error
-
-
 if __name__ == "__main__":
     main()
--- a/tests/experiments/test_simulation.py
+++ b/tests/experiments/test_simulation.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from experiments import __main__ as command
 from experiments import loads
+from experiments import pairs
 from experiments import policies
 from experiments import simulation
 from marigoldsill import errors
@@ -77,7 +77,7 @@
 
 
 def test_differences_are_paired_by_seed() -> None:
-    mean, error = command.paired_difference([1.0, 5.0, 9.0], [2.0, 6.0, 10.0])
+    mean, error = pairs.paired_difference([1.0, 5.0, 9.0], [2.0, 6.0, 10.0])
     assert (mean, error) == (1.0, 0.0)
 
 
