Test that neither a later term nor an older report gets a lease

Undone one at a time: without the check of the term before a lease is granted, "assert not 7000" (the reply has the lease of a term that the process lost meanwhile); without the check of the sequence of reports, the same in the other test.

--- a/tests/coordination/jobs/test_leader_terms.py
+++ b/tests/coordination/jobs/test_leader_terms.py
@@ -228,6 +228,22 @@
         case.leader.report("a1")
 
 
+def test_no_lease_is_granted_in_a_later_term_than_that_of_the_report(
+    case: _Case, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a lease by what the process knew in the earlier term."""
+    agents = case.leader.service.agents
+    get_view = agents.get
+
+    def lead_again(agent: str) -> agents_module.AgentView | None:
+        view = get_view(agent)
+        case.change_term()
+        return view
+
+    monkeypatch.setattr(agents, "get", lead_again)
+    assert not case.leader.report("a1").lease_ms
+
+
 def test_late_report_of_a_replaced_agent_has_no_effect_in_its_term(
     case: _Case,
 ) -> None:
--- a/tests/coordination/jobs/test_lease_monitor.py
+++ b/tests/coordination/jobs/test_lease_monitor.py
@@ -180,6 +180,12 @@
     assert case.leader.runs
 
 
+def test_an_older_report_renews_no_lease(case: _Case) -> None:
+    """Guards against what an older report tells in place of a newer one."""
+    case.leader.sequence -= 2
+    assert not case.report().lease_ms
+
+
 def test_a_report_waits_for_no_note_that_is_not_answered(case: _Case) -> None:
     case.check_until(_UNRENEWED_S - _CHECK_INTERVAL_S)
     case.advance(_CHECK_INTERVAL_S)
