Let the cluster model reach what it checks

Nobody saw a fault; the model passed 300 examples with the check for another run of the same task undone (start_checks._has_task returns False), as its sequences were mostly stuck: faults ended only by heal, workers were filled for good by long-running tasks, and most steps had a limit that hid the check.

Faults now end by themselves after a drawn time, all run in turn after most steps, late calls are carried out after a drawn delay, jobs without a limit and jobs that end by themselves are as frequent as others, jobs are cancelled, and no more than three are open.

--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -5,112 +5,28 @@
 and carry out calls late that they left unanswered.
 """
 
+import collections
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 from unittest import mock
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import lease_renewer
 from marigoldsill.coordination.job_agent import reporter as reporter_module
-from marigoldsill.coordination.worker_incarnations import late_calls
-from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state import job_tables
 from marigoldsill.transport import clock
 from tests.coordination.jobs import builders
-from tests.coordination.jobs import fake_worker
+from tests.coordination.jobs import model_checks
+from tests.coordination.jobs import model_worker
 from tests.coordination.jobs import single_leader
 from tests.coordination.jobs import stepped_agent
 
-WORKER_CORES = 4
-# The worker's clock is slower than that of its agent.
-_WORKER_CLOCK_RATIO = 0.98
-
-
-class ModelWorker(fake_worker.FakeWorker):
-    """A worker that starts what it is told to start, and checks each start.
-
-    Attributes:
-        late_calls: When each unanswered call was made, and the call.
-    """
-
-    def __init__(self, name: str, check_start: Callable[["ModelWorker"], None]):
-        super().__init__(f"{name}-incarnation1")
-        self._name = name
-        self._check_start = check_start
-        self._incarnations_count = 1
-        self._deadline_ms = 0
-        self.late_calls: list[tuple[float, Callable[[], None]]] = []
-
-    def clock_ms(self, at_s: float | None = None) -> int:
-        """Returns the worker's clock."""
-        local_s = clock.now_s() if at_s is None else at_s
-        passed_s = local_s - self._created_s
-        return 1_000 + int(passed_s * 1_000 * _WORKER_CLOCK_RATIO)
-
-    def start(
-        self, worker_id: str, start: run_worker.RunStart, *, token: int
-    ) -> int:
-        """Starts a run whose deadline has not passed."""
-        key = (start.task, start.run)
-        return self._call(
-            "start", worker_id, key, lambda: self._begin(key, start.deadline_ms)
-        )
-
-    def renew_lease(
-        self, worker_id: str, **arguments: object
-    ) -> run_worker.RunListing:
-        """Extends the lease and lists runs."""
-
-        def extend() -> None:
-            self.expire_runs()
-            deadline_ms = arguments["deadline_ms"] or 0
-            self._deadline_ms = max(self._deadline_ms, deadline_ms)
-
-        if "renew" in self.unanswered:
-            self._delay(worker_id, extend)
-            raise errors.TransportError("no answer", sent=True, timed_out=True)
-        self._check_incarnation(worker_id)
-        extend()
-        return super().renew_lease(worker_id, **arguments)
-
-    def expire_runs(self) -> None:
-        """Ends all runs if their lease has expired."""
-        if self.clock_ms() > self._deadline_ms:
-            for key in list(self.running):
-                self._end(key, ttypes.RunEndKind.LAPSED)
-
-    def restart_as_next(self) -> None:
-        """Crashes and starts again as another incarnation."""
-        self._incarnations_count += 1
-        self.restart(f"{self._name}-incarnation{self._incarnations_count}")
-        self._deadline_ms = 0
-
-    def _call(
-        self, name: str, worker_id: str, key: task_names.RunKey, action
-    ) -> int:
-        self.expire_runs()
-        return super()._call(name, worker_id, key, action)
-
-    def _delay(self, worker_id: str, action) -> None:
-        def call() -> None:
-            self._check_incarnation(worker_id)
-            action()
-
-        self.late_calls.append((clock.now_s(), call))
-
-    def _begin(self, key: task_names.RunKey, deadline_ms: int) -> None:
-        self.expire_runs()
-        if self.clock_ms() > deadline_ms:
-            reason = run_worker.RefusalReason.TOO_LATE
-            raise errors.RunRefusedError("409", reason=reason)
-        self._deadline_ms = max(self._deadline_ms, deadline_ms)
-        before = set(self.running)
-        self._start(key)
-        if key not in before:
-            self._check_start(self)
+WORKER_CORES = model_checks.WORKER_CORES
+# How long tasks work that are not long-running.
+_WORK_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,8 +60,8 @@
 
     Attributes:
         names: The names of the agents.
-        violations: What was wrong with starts, as seen at the workers.
         workers: The workers by the name of their agent.
+        links: The connections of the agents to the leader.
     """
 
     def __init__(self, *names: str):
@@ -158,14 +74,23 @@
         self._patches.enter_context(
             mock.patch.object(lease_renewer, "_PAUSE_S", 0.0)
         )
-        self.violations: list[str] = []
         self._steps: dict[str, ttypes.Step] = {}
+        # When faults end, and how.
+        self._fault_ends: list[tuple[float, Callable[[], None]]] = []
         self.leader = single_leader.Leader()
         self.leader.scheduler._loop = lambda: None
         self.leader.scheduler.start(self.leader.service)
+        self._checks = model_checks.StartChecks(
+            step_of=self._step_of, tables=lambda: self.leader.replica.tables
+        )
+        self.leader.replica.on_applied(self._count_command)
         self.workers = {
-            name: ModelWorker(name, self._check_start) for name in names
+            name: model_worker.ModelWorker(
+                name, work_s_of=self._work_s_of, on_start=self._checks.check
+            )
+            for name in names
         }
+        self._checks.workers = self.workers
         self.links = {name: _Link(self.leader) for name in self.names}
         self._agents: dict[str, stepped_agent.SteppedAgent] = {}
         self._reporters: dict[str, reporter_module.Reporter] = {}
@@ -174,6 +99,16 @@
         for name in self.names:
             self._start_agent(name)
 
+    @property
+    def violations(self) -> list[str]:
+        """What was wrong with starts, as seen at the workers."""
+        return self._checks.violations
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """How often each kind of event occurred."""
+        return self._checks.counts
+
     def close(self) -> None:
         """Stops all threads."""
         self.leader.scheduler.stop()
@@ -206,8 +141,11 @@
             keys = [key for each in runs.values() for key in each]
         if not keys:
             return
-        task, run = keys[position % len(keys)]
+        task, run = key = keys[position % len(keys)]
         end = ttypes.RunEnd(task=task, run=run, kind=ttypes.RunEndKind.LOST)
+        is_running = any(key in each.running for each in self.workers.values())
+        self.counts["ends concluded early"] += 1
+        self.counts["ends concluded of a run on its worker"] += is_running
         self.leader.service.propose(
             record_run_ends=ttypes.RecordRunEnds(ends=[end])
         )
@@ -240,23 +178,24 @@
         self._agents[name].execute_orders()
 
     def pass_time(self, seconds: float) -> None:
-        """Moves the clock; leases expire, and calls become too late to take effect."""
+        """Moves the clock; runs and leases end, and calls become too late.
+
+        Faults end whose time is over.
+        """
         self._now_s += seconds
         for worker in self.workers.values():
             worker.expire_runs()
-            worker.late_calls = [
-                (sent_s, call)
-                for sent_s, call in worker.late_calls
-                if self._now_s - sent_s < late_calls.LATE_CALL_LIMIT_S
-            ]
+            worker.run_due_calls()
+        due = [end for end_s, end in self._fault_ends if end_s <= self._now_s]
+        self._fault_ends = [
+            row for row in self._fault_ends if row[0] > self._now_s
+        ]
+        for end in due:
+            end()
 
     def run_late_call(self, name: str, position: int) -> None:
         """Lets a worker carry out a call that it left unanswered."""
-        calls = self.workers[name].late_calls
-        if calls:
-            _, call = calls.pop(position % len(calls))
-            with contextlib.suppress(errors.MarigoldsillError):
-                call()
+        self.workers[name].run_late_call(position)
 
     def end_run(
         self, name: str, position: int, kind: ttypes.RunEndKind
@@ -278,16 +217,56 @@
 
     def restart_worker(self, name: str) -> None:
         """Crashes a worker, which comes back as another incarnation."""
+        self.counts["changes of incarnation"] += 1
         self.workers[name].restart_as_next()
         self._announce(name)
 
-    def announce_capacity(self, name: str, *, cores: int) -> None:
-        """Lets a worker announce another capacity than before."""
+    def announce_capacity(
+        self, name: str, *, cores: int, duration_s: float = math.inf
+    ) -> None:
+        """Lets a worker announce another capacity for a time."""
         self._cores[name] = cores
         self._announce(name)
+        if duration_s < math.inf:
+            self._end_later(
+                duration_s,
+                lambda: self.announce_capacity(name, cores=WORKER_CORES),
+            )
+
+    def leave_unanswered(
+        self, name: str, call: str, *, duration_s: float, lateness_s: float
+    ) -> None:
+        """Lets a worker leave a kind of calls unanswered for a time.
+
+        It carries them out so much later, or not by itself.
+        """
+        self.workers[name].lateness_s = lateness_s
+        unanswered = self.workers[name].unanswered
+        unanswered.add(call)
+        self._end_later(duration_s, lambda: unanswered.discard(call))
 
-    def start_without_answers(self, name: str) -> None:
+    def stop_slowly(self, name: str, *, duration_s: float) -> None:
+        """Lets runs continue after their stop for a time."""
+        worker = self.workers[name]
+        worker.has_slow_stops = True
+        self._end_later(
+            duration_s, lambda: setattr(worker, "has_slow_stops", False)
+        )
+
+    def cut_off(
+        self, name: str, *, is_one_way: bool, duration_s: float
+    ) -> None:
+        """Cuts an agent off from the leader, or only the replies, for a time."""
+        link = self.links[name]
+        fault = "is_reply_lost" if is_one_way else "is_cut"
+        setattr(link, fault, True)
+        self._end_later(duration_s, lambda: setattr(link, fault, False))
+
+    def start_without_answers(
+        self, name: str, *, lateness_s: float = math.inf
+    ) -> None:
         """Lets a worker answer no start while all run in turn."""
+        self.workers[name].lateness_s = lateness_s
         self.workers[name].unanswered.add("start")
         self.run_in_turn(rounds_count=1, pause_s=0.3)
         self.workers[name].unanswered.discard("start")
@@ -295,13 +274,14 @@
     def heal(self) -> None:
         """Carries out all late calls, and ends all faults."""
         self.run_in_turn(rounds_count=2, pause_s=0.3)
-        for name in self.names:
-            while self.workers[name].late_calls:
-                self.run_late_call(name, 0)
+        for worker in self.workers.values():
+            while worker.late_calls:
+                worker.run_late_call(0)
+        self._fault_ends = []
         for name in self.names:
             self.announce_capacity(name, cores=WORKER_CORES)
             self.links[name].is_cut = self.links[name].is_reply_lost = False
-            self.workers[name].unanswered = set()
+            self.workers[name].unanswered.clear()
             self.workers[name].has_slow_stops = False
 
     def run_in_turn(self, *, rounds_count: int, pause_s: float) -> None:
@@ -328,6 +308,7 @@
             for key, order in agent.state.orders.items()
             if order.desire == ttypes.RunDesire.RUN
             and key not in self.workers[name].running
+            and key not in agent.state.ends
         ]
 
     def unordered_runs(self) -> list[task_names.RunKey]:
@@ -342,6 +323,9 @@
     def _read_clock(self) -> float:
         return self._now_s
 
+    def _end_later(self, duration_s: float, end: Callable[[], None]) -> None:
+        self._fault_ends.append((self._now_s + duration_s, end))
+
     def _start_agent(self, name: str) -> None:
         agent = stepped_agent.build_agent(self.workers[name])
         self._agents[name] = agent
@@ -363,38 +347,11 @@
     def _step_of(self, task: str) -> ttypes.Step:
         return self._steps[task_names.parse(task).job_id]
 
-    def _check_start(self, worker: ModelWorker) -> None:
-        """Checks what a worker has after a run began on it."""
-        key = list(worker.running)[-1]
-        task, _ = key
-        step = self._step_of(task)
-        cores = sum(
-            self._step_of(other).resources.cpu_millicores
-            for other, _ in worker.running
-        )
-        if cores > WORKER_CORES * 1_000:
-            self.violations.append(f"{key} began over the capacity")
-        step_name = task_names.step_name_of(task)
-        siblings_count = sum(
-            task_names.step_name_of(other) == step_name
-            for other, _ in worker.running
-        )
-        if 0 < step.spread_limit < siblings_count:
-            self.violations.append(f"{key} began over the spread limit")
-        runs_count = sum(
-            other == task
-            for each in self.workers.values()
-            for other, _ in each.running
-        )
-        if runs_count > 1:
-            self.violations.append(f"{key} began beside another run")
-        if self._is_recorded_as_done(task):
-            self.violations.append(f"{key} began after its task was done")
-
-    def _is_recorded_as_done(self, task: str) -> bool:
-        jobs = self.leader.replica.tables.jobs
-        record = jobs.jobs[task_names.parse(task).job_id]
-        if record.state == ttypes.JobState.COMPLETED:
-            return True
-        found = job_tables.find_task(record, task_names.parse(task))
-        return found is not None and found.done
+    def _work_s_of(self, task: str) -> float:
+        return math.inf if self._step_of(task).long_running else _WORK_S
+
+    def _count_command(self, command: ttypes.Command) -> None:
+        if command.record_run_ends is not None:
+            self.counts.update(
+                map(model_checks.kind_of_end, command.record_run_ends.ends)
+            )
