Let the cluster model change leaders, lose and reorder calls, and lose all at once

The model had one leader in one process that never lost a term, and calls that were carried out in order. Reports are lost, repeated, delayed and overtaken, also those of an earlier process of the agent; other calls happen while a reply of the leader or an answer of the worker is under way; agents are away for a time or replaced while calls are under way; workers drain, deregister and leave, refuse connections, check fencing tokens, and limit leases to the longest. All processes are lost at once. Workers that keep their name have a machine of their own, so that what is found there is told apart.

--- a/tests/coordination/jobs/cluster_machine.py
+++ b/tests/coordination/jobs/cluster_machine.py
@@ -1,135 +1,76 @@
 """State machines that bring faults about around a leader, its agents and their workers."""
 
 import collections
-from collections.abc import Callable
 import math
+import os
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
-from marigoldsill.protocol.generated import ttypes
-from tests.coordination.jobs import builders
+from tests.coordination.jobs import cluster_faults
 from tests.coordination.jobs import cluster_model
-
-# Late calls are over, leases have expired and backoffs have ended by then.
-_SETTLING_ROUNDS = 80
-# More jobs than these would fill the workers for good.
-_OPEN_JOBS_LIMIT = 3
-
-_agents = strategies.runner().flatmap(
-    lambda machine: strategies.sampled_from(machine.cluster.names)
+from tests.coordination.jobs import model_worker
+from tests.coordination.jobs import working_machine
+
+# More examples with fresh seeds, by hand:
+# MODEL_EXAMPLES=2000 MODEL_SEED=any pytest -s tests/coordination/jobs/test_cluster_model.py
+_EXAMPLES_COUNT = int(os.environ.get("MODEL_EXAMPLES", "40"))
+_HAS_FIXED_SEED = not os.environ.get("MODEL_SEED")
+SETTINGS = hypothesis.settings(
+    max_examples=_EXAMPLES_COUNT,
+    stateful_step_count=40,
+    derandomize=_HAS_FIXED_SEED,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
 )
-_positions = strategies.integers(0, 7)
-_rounds = strategies.integers(0, 3)
 _durations_s = strategies.sampled_from([0.5, 2.0, 5.0, 12.0])
 _latenesses_s = strategies.sampled_from([0.2, 0.8, 2.5, 5.0, 9.0, math.inf])
 _calls = strategies.sampled_from(["start", "stop", "renew"])
-_cores = strategies.integers(1, 3)
-_spread_limits = strategies.sampled_from([0, 0, 1, 2])
-_ACTS = (
-    cluster_model.Cluster.deliver_orders,
-    cluster_model.Cluster.execute,
-    cluster_model.Cluster.renew,
-    cluster_model.Cluster.report,
+_LEADER_CALLS = (
+    cluster_faults.FaultyCluster.deliver_orders,
+    cluster_faults.FaultyCluster.report,
+)
+_acts_before_reply = strategies.lists(
+    strategies.sampled_from(
+        [
+            *working_machine.ACTS,
+            cluster_faults.schedule,
+            cluster_faults.change_leader,
+            cluster_faults.FaultyCluster.restart_worker,
+        ]
+    ),
+    min_size=1,
+    max_size=4,
+)
+# The agent's other threads act while its executor waits for an answer.
+_acts_before_answer = strategies.lists(
+    strategies.sampled_from(
+        [
+            cluster_faults.FaultyCluster.deliver_orders,
+            cluster_faults.FaultyCluster.renew,
+            cluster_faults.FaultyCluster.report,
+            cluster_faults.FaultyCluster.restart_agent,
+            cluster_faults.FaultyCluster.restart_worker,
+            cluster_faults.schedule,
+        ]
+    ),
+    min_size=1,
+    max_size=4,
 )
 
 
-class ClusterMachine(stateful.RuleBasedStateMachine):
-    """Checks each start at the workers, and that everything settles.
-
-    Most faults end by themselves, and everything runs in turn after most steps, so that
-    the system works most of the time.
-    """
+class ClusterMachine(working_machine.WorkingMachine):
+    """Two agents, in all the faults of the model."""
 
-    AGENTS = ("a1", "a2")
-    # What all examples have reached.
     reached: collections.Counter[str] = collections.Counter()
 
-    def __init__(self):
-        super().__init__()
-        self.cluster = cluster_model.Cluster(*self.AGENTS)
-        self._open_jobs: list[str] = []
-
-    def teardown(self) -> None:
-        try:
-            self.cluster.settle(rounds_count=_SETTLING_ROUNDS)
-            assert self.cluster.violations == []
-            assert self.cluster.unexecuted_orders() == []
-            assert self.cluster.unordered_runs() == []
-        finally:
-            self.cluster.close()
-            self._count()
-
-    @stateful.initialize()
-    def start_runs(self) -> None:
-        self.submit(1, 1, 0, long_running=True, rounds_count=0)
-        self.submit(2, 1, 1, long_running=True, rounds_count=2)
-
-    @stateful.rule(
-        tasks_count=strategies.integers(1, 3),
-        cores=_cores,
-        spread_limit=_spread_limits,
-        long_running=strategies.booleans(),
-        rounds_count=_rounds,
-    )
-    def submit(
-        self,
-        tasks_count: int,
-        cores: int,
-        spread_limit: int,
-        long_running: bool,
-        rounds_count: int,
-    ) -> None:
-        if len(self._open_jobs) >= _OPEN_JOBS_LIMIT:
-            self.cluster.cancel(self._open_jobs.pop(0))
-        resources = ttypes.Resources(
-            cpu_millicores=cores * 1_000, memory_bytes=1 << 20
-        )
-        step = builders.step(
-            tasks_count,
-            resources=resources,
-            spread_limit=spread_limit,
-            long_running=long_running,
-        )
-        self._open_jobs.append(self.cluster.submit(step))
-        self._run(rounds_count)
-
-    @stateful.rule(position=_positions, rounds_count=_rounds)
-    def cancel(self, position: int, rounds_count: int) -> None:
-        if self._open_jobs:
-            index = position % len(self._open_jobs)
-            self.cluster.cancel(self._open_jobs.pop(index))
-        self._run(rounds_count)
-
-    @stateful.rule(rounds_count=strategies.integers(1, 6))
-    def run_in_turn(self, rounds_count: int) -> None:
-        self._run(rounds_count)
-
-    @stateful.rule(name=_agents, act=strategies.sampled_from(_ACTS))
-    def act(
-        self, name: str, act: Callable[[cluster_model.Cluster, str], None]
-    ) -> None:
-        act(self.cluster, name)
-
-    @stateful.rule()
-    def schedule(self) -> None:
-        self.cluster.schedule()
-
     @stateful.rule(
-        seconds=strategies.sampled_from([0.2, 1.0, 3.0, 9.0]),
-        rounds_count=_rounds,
-    )
-    def pass_time(self, seconds: float, rounds_count: int) -> None:
-        self.cluster.pass_time(seconds)
-        self._run(rounds_count)
-
-    @stateful.rule(
-        name=_agents,
+        name=working_machine.agents,
         call=_calls,
         duration_s=_durations_s,
         lateness_s=_latenesses_s,
-        rounds_count=_rounds,
+        rounds_count=working_machine.rounds,
     )
     def leave_calls_unanswered(
         self,
@@ -145,10 +86,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=_agents,
-        spread_limit=_spread_limits,
+        name=working_machine.agents,
+        spread_limit=working_machine.spread_limits,
         lateness_s=_latenesses_s,
-        rounds_count=_rounds,
+        rounds_count=working_machine.rounds,
     )
     def start_without_answers(
         self,
@@ -162,10 +103,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=_agents,
-        cores=strategies.integers(0, cluster_model.WORKER_CORES),
+        name=working_machine.agents,
+        cores=strategies.integers(0, cluster_faults.WORKER_CORES),
         duration_s=_durations_s,
-        rounds_count=_rounds,
+        rounds_count=working_machine.rounds,
     )
     def announce_capacity(
         self, name: str, cores: int, duration_s: float, rounds_count: int
@@ -173,7 +114,11 @@
         self.cluster.announce_capacity(name, cores=cores, duration_s=duration_s)
         self._run(rounds_count)
 
-    @stateful.rule(name=_agents, duration_s=_durations_s, rounds_count=_rounds)
+    @stateful.rule(
+        name=working_machine.agents,
+        duration_s=_durations_s,
+        rounds_count=working_machine.rounds,
+    )
     def stop_slowly(
         self, name: str, duration_s: float, rounds_count: int
     ) -> None:
@@ -181,65 +126,133 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=_agents,
-        is_one_way=strategies.booleans(),
+        name=working_machine.agents,
+        fault=strategies.sampled_from(["is_cut", "is_reply_lost", "is_late"]),
         duration_s=_durations_s,
-        rounds_count=_rounds,
+        rounds_count=working_machine.rounds,
     )
     def cut_off(
-        self, name: str, is_one_way: bool, duration_s: float, rounds_count: int
+        self, name: str, fault: str, duration_s: float, rounds_count: int
     ) -> None:
-        self.cluster.cut_off(name, is_one_way=is_one_way, duration_s=duration_s)
+        self.cluster.cut_off(name, fault, duration_s=duration_s)
         self._run(rounds_count)
 
-    @stateful.rule(name=_agents, position=_positions, rounds_count=_rounds)
-    def run_late_call(
-        self, name: str, position: int, rounds_count: int
+    @stateful.rule(
+        name=working_machine.agents, rounds_count=working_machine.rounds
+    )
+    def restart_agent(self, name: str, rounds_count: int) -> None:
+        self.cluster.restart_agent(name)
+        self._run(rounds_count)
+
+    @stateful.rule(
+        name=working_machine.agents, rounds_count=working_machine.rounds
+    )
+    def restart_worker(self, name: str, rounds_count: int) -> None:
+        self.cluster.restart_worker(name)
+        self._run(rounds_count)
+
+    @stateful.rule(
+        name=working_machine.agents,
+        duration_s=_durations_s,
+        rounds_count=working_machine.rounds,
+    )
+    def stop_agent(
+        self, name: str, duration_s: float, rounds_count: int
     ) -> None:
-        self.cluster.run_late_call(name, position)
+        self.cluster.stop_agent(name, duration_s=duration_s)
         self._run(rounds_count)
 
     @stateful.rule(
-        name=_agents,
-        position=_positions,
-        kind=strategies.sampled_from(
-            [ttypes.RunEndKind.DONE, ttypes.RunEndKind.FAILED]
-        ),
-        rounds_count=_rounds,
+        name=working_machine.agents,
+        leaves_after_s=strategies.sampled_from([0.0, 0.5, 2.0, 8.0]),
+        rounds_count=working_machine.rounds,
     )
-    def end_run(
-        self,
-        name: str,
-        position: int,
-        kind: ttypes.RunEndKind,
-        rounds_count: int,
+    def leave(
+        self, name: str, leaves_after_s: float, rounds_count: int
     ) -> None:
-        self.cluster.end_run(name, position, kind)
+        self.cluster.drain(name)
+        self._run(rounds_count)
+        self.cluster.deregister(name, leaves_after_s=leaves_after_s)
         self._run(rounds_count)
 
-    @stateful.rule(name=_agents, rounds_count=_rounds)
-    def restart_agent(self, name: str, rounds_count: int) -> None:
-        self.cluster.restart_agent(name)
+    @stateful.rule(
+        keeps_logged=strategies.booleans(), rounds_count=working_machine.rounds
+    )
+    def change_leader(self, keeps_logged: bool, rounds_count: int) -> None:
+        self.cluster.change_leader(keeps_logged=keeps_logged)
         self._run(rounds_count)
 
-    @stateful.rule(name=_agents, rounds_count=_rounds)
-    def restart_worker(self, name: str, rounds_count: int) -> None:
-        self.cluster.restart_worker(name)
+    @stateful.rule(
+        name=strategies.sampled_from(cluster_model.CONTROL_NAMES),
+        rounds_count=working_machine.rounds,
+    )
+    def restart_control(self, name: str, rounds_count: int) -> None:
+        self.cluster.restart_control(name)
         self._run(rounds_count)
 
-    @stateful.invariant()
-    def starts_were_allowed(self) -> None:
-        assert self.cluster.violations == []
+    @stateful.rule(rounds_count=working_machine.rounds)
+    def lose_proposal(self, rounds_count: int) -> None:
+        self.cluster.lose_proposal()
+        self._run(rounds_count)
 
-    def _run(self, rounds_count: int) -> None:
-        self.cluster.run_in_turn(rounds_count=rounds_count, pause_s=0.3)
+    @stateful.rule(
+        rounds_before_count=strategies.integers(1, 8),
+        returns=strategies.booleans(),
+        rounds_count=working_machine.rounds,
+    )
+    def lose_term_before_proposal(
+        self, rounds_before_count: int, returns: bool, rounds_count: int
+    ) -> None:
+        self.cluster.lose_term_before_proposal(
+            rounds_count=rounds_before_count, returns=returns
+        )
+        self._run(rounds_count)
 
-    def _count(self) -> None:
-        self.reached["examples"] += 1
-        self.reached.update(self.cluster.counts)
-        for name, count in self.cluster.counts.items():
-            if count:
-                hypothesis.event(name)
+    @stateful.rule(rounds_count=working_machine.rounds)
+    def lose_power(self, rounds_count: int) -> None:
+        self.cluster.lose_power()
+        self._run(rounds_count)
+
+    @stateful.rule(
+        name=working_machine.agents,
+        position=working_machine.positions,
+        rounds_count=working_machine.rounds,
+    )
+    def deliver_late_report(
+        self, name: str, position: int, rounds_count: int
+    ) -> None:
+        self.cluster.deliver_late_report(name, position)
+        self._run(rounds_count)
+
+    @stateful.rule(
+        name=working_machine.agents,
+        act=strategies.sampled_from(_LEADER_CALLS),
+        acts_before_reply=_acts_before_reply,
+        rounds_count=working_machine.rounds,
+    )
+    def call_slowly(
+        self,
+        name: str,
+        act: cluster_faults.Act,
+        acts_before_reply: list[cluster_faults.Act],
+        rounds_count: int,
+    ) -> None:
+        self.cluster.call_slowly(name, act, acts_before_reply)
+        self._run(rounds_count)
+
+    @stateful.rule(
+        name=working_machine.agents,
+        acts_before_answer=_acts_before_answer,
+        rounds_count=working_machine.rounds,
+    )
+    def execute_slowly(
+        self,
+        name: str,
+        acts_before_answer: list[cluster_faults.Act],
+        rounds_count: int,
+    ) -> None:
+        self.cluster.execute_slowly(name, acts_before_answer)
+        self._run(rounds_count)
 
 
 class ConcludingMachine(ClusterMachine):
@@ -251,7 +264,16 @@
     AGENTS = ("a1",)
     reached: collections.Counter[str] = collections.Counter()
 
-    @stateful.rule(position=_positions, rounds_count=_rounds)
+    @stateful.rule(
+        position=working_machine.positions, rounds_count=working_machine.rounds
+    )
     def conclude_end(self, position: int, rounds_count: int) -> None:
         self.cluster.conclude_end(position)
         self._run(rounds_count)
+
+
+class RestartingMachine(ClusterMachine):
+    """Agents whose workers keep their names when they restart."""
+
+    WORKER_TYPE = model_worker.RestartingModelWorker
+    reached: collections.Counter[str] = collections.Counter()
--- a/tests/coordination/jobs/model_checks.py
+++ b/tests/coordination/jobs/model_checks.py
@@ -98,10 +98,11 @@
 
 def kind_of_end(end: ttypes.RunEnd) -> str:
     """Returns the name under which the record of an end is counted."""
-    if end.detail.startswith("the lease of"):
+    detail = end.detail or ""
+    if detail.startswith("the lease of"):
         return "ends by a lease"
-    if "never began" in end.detail:
+    if "never began" in detail:
         return "ends of runs that never began"
-    if end.detail.startswith("stopped before"):
+    if detail.startswith("stopped before"):
         return "inferred ends"
-    return f"ends as {end.kind.name.lower()}"
+    return f"ends as {ttypes.RunEndKind(end.kind).name.lower()}"
--- a/tests/coordination/jobs/model_worker.py
+++ b/tests/coordination/jobs/model_worker.py
@@ -11,6 +11,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.jobs import fake_worker
+from tests.coordination.jobs import stepped_agent
 
 # The worker's clock is slower than that of its agent.
 _CLOCK_RATIO = 0.98
@@ -40,6 +41,8 @@
 
     Attributes:
         late_calls: The calls without an answer, which may still be carried out.
+        before_answer: Called once before the next call that was carried out is
+            answered, if not None.
         lateness_s: How late calls without an answer are carried out by themselves.
         incarnations_count: How many incarnations there were.
     """
@@ -58,14 +61,16 @@
             work_s_of: Returns how long the runs of a task take.
             on_start: Called after each start, with whether its call was late.
         """
-        super().__init__(f"{name}-incarnation1")
         self._name = name
+        super().__init__(self._incarnation_id(1))
         self._work_s_of = work_s_of
         self._on_start = on_start
         self._deadline_ms = 0
         self._began_s: dict[task_names.RunKey, float] = {}
         self._is_late = False
+        self._token = 0
         self.incarnations_count = 1
+        self.before_answer: Callable[[], None] | None = None
         self.lateness_s = math.inf
         self.late_calls: list[_LateCall] = []
 
@@ -80,9 +85,22 @@
     ) -> int:
         """Starts a run whose deadline has not passed."""
         key = (start.task, start.run)
-        return self._call(
-            "start", worker_id, key, lambda: self._begin(key, start.deadline_ms)
-        )
+
+        def begin() -> None:
+            self._check_token(token)
+            self._begin(key, start.deadline_ms)
+
+        return self._call("start", worker_id, key, begin)
+
+    def stop(self, worker_id: str, task: str, run: int, *, token: int) -> int:
+        """Stops a run."""
+        key = (task, run)
+
+        def stop() -> None:
+            self._check_token(token)
+            self._stop(key)
+
+        return self._call("stop", worker_id, key, stop)
 
     def renew_lease(
         self, worker_id: str, **arguments: object
@@ -91,15 +109,18 @@
 
         def extend() -> None:
             self.expire_runs()
-            deadline_ms = arguments["deadline_ms"] or 0
-            self._deadline_ms = max(self._deadline_ms, deadline_ms)
+            self._check_token(arguments["token"])
+            self._extend_lease(arguments["deadline_ms"] or 0)
 
+        self._check_open()
         if "renew" in self.unanswered:
             self._keep("renew", worker_id, None, extend)
             raise errors.TransportError("no answer", sent=True, timed_out=True)
         self._check_incarnation(worker_id)
         extend()
-        return super().renew_lease(worker_id, **arguments)
+        listing = super().renew_lease(worker_id, **arguments)
+        self._wait_for_answer()
+        return listing
 
     def expire_runs(self) -> None:
         """Ends runs that are done, and all runs if their lease has expired."""
@@ -114,8 +135,14 @@
     def restart_as_next(self) -> None:
         """Crashes and starts again as another incarnation."""
         self.incarnations_count += 1
-        self.restart(f"{self._name}-incarnation{self.incarnations_count}")
-        self._deadline_ms = 0
+        self.restart(self._incarnation_id(self.incarnations_count))
+        self._deadline_ms = self._token = 0
+        self.is_closed = False
+
+    def leave(self) -> None:
+        """Ends with all runs; another incarnation may follow."""
+        self.running.clear()
+        self.is_closed = True
 
     def has_late_start(self, task: str) -> bool:
         """Whether a start of some run of a task may still be carried out."""
@@ -152,15 +179,36 @@
         finally:
             self._is_late = False
 
+    def _incarnation_id(self, number: int) -> str:
+        return f"{self._name}-incarnation{number}"
+
     def _call(
         self, name: str, worker_id: str, key: task_names.RunKey, action
     ) -> int:
         self.expire_runs()
+        self._check_open()
         if name in self.unanswered:
             self.calls.append((name, key))
             self._keep(name, worker_id, key, action)
             raise errors.TransportError("no answer", sent=True)
-        return super()._call(name, worker_id, key, action)
+        clock_ms = super()._call(name, worker_id, key, action)
+        self._wait_for_answer()
+        return clock_ms
+
+    def _wait_for_answer(self) -> None:
+        before_answer, self.before_answer = self.before_answer, None
+        if before_answer is not None:
+            before_answer()
+
+    def _check_open(self) -> None:
+        if self.is_closed:
+            raise errors.TransportError("refused", sent=False, refused=True)
+
+    def _check_token(self, token: int) -> None:
+        if token < self._token:
+            reason = run_worker.RefusalReason.FENCED
+            raise errors.RunRefusedError("409", reason=reason)
+        self._token = token
 
     def _keep(
         self,
@@ -170,6 +218,7 @@
         action: Callable[[], None],
     ) -> None:
         def call() -> None:
+            self._check_open()
             self._check_incarnation(worker_id)
             action()
 
@@ -177,14 +226,28 @@
         due_s = now_s + self.lateness_s
         self.late_calls.append(_LateCall(name, key, now_s, due_s, call))
 
+    def _extend_lease(self, deadline_ms: int) -> None:
+        limit_ms = self.clock_ms() + stepped_agent.HOLD_LIMIT_MS
+        self._deadline_ms = max(self._deadline_ms, min(deadline_ms, limit_ms))
+
     def _begin(self, key: task_names.RunKey, deadline_ms: int) -> None:
         self.expire_runs()
         if self.clock_ms() > deadline_ms:
             reason = run_worker.RefusalReason.TOO_LATE
             raise errors.RunRefusedError("409", reason=reason)
-        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        self._extend_lease(deadline_ms)
         if key in self.running:
             return
         self._start(key)
         self._began_s[key] = clock.now_s()
         self._on_start(self, key, self._is_late)
+
+
+class RestartingModelWorker(ModelWorker, fake_worker.RestartingWorker):
+    """A worker that keeps its name when it restarts.
+
+    It carries out late calls that were meant for an earlier incarnation.
+    """
+
+    def _incarnation_id(self, number: int) -> str:
+        return f"{self._name}@{100 * number}"
--- a/tests/coordination/jobs/single_leader.py
+++ b/tests/coordination/jobs/single_leader.py
@@ -36,7 +36,8 @@
             on_change=self.scheduler.wake,
         )
         self.sequence = 0
-        self.service.replace_routing(builders.routing())
+        if self.replica.is_leader:
+            self.service.replace_routing(builders.routing())
 
     def report(
         self,
