Begin no keyed request that has less time left than recent answers took

What callers saw: while claims were slow, calls with a key ended as 502 "unknown", and so did each repeat of them: the keys were lost.

Cause: the claim used up the time of the call; the agent then began the request in a free slot with 10 to 80 ms left for work of 100 ms, and cut it off at the deadline. What has begun and was cut off stays unknown.

Evidence: with the check taken out the tests of the mechanism fail: "Failed: DID NOT RAISE Refused" for a free slot, for a slot that comes late, and for a request that was cut off before.

Change: the agent refuses such a request (too late, not run) before it begins. The bound is the fastest of the last 20 whole answers of the last 10 s. Without one nothing is refused, so that a service that has become faster gets requests again. Idempotent requests are begun as before.

--- a/marigoldsill/coordination/requests/admission.py
+++ b/marigoldsill/coordination/requests/admission.py
@@ -116,13 +116,18 @@
         service: str,
         *,
         deadline: deadlines.Deadline,
+        idempotent: bool,
         register_cancel: Callable[[Callable[[], None]], None],
     ) -> service_queue.EndpointSlots:
         """Acquires a slot for a request, which may wait in a bounded queue.
 
+        A request that is not idempotent gets no slot if no recent answer was fast
+        enough for its deadline: once it has begun, its outcome would remain unknown.
+
         Args:
             service: Name of the service.
             deadline: The request's deadline.
+            idempotent: Whether the request may run more than once.
             register_cancel: Called when the request is queued, with a function
                 that cancels its wait.
 
@@ -134,6 +139,8 @@
         """
         with self._lock:
             queue = self._find_queue(service)
+            if not idempotent and queue.is_too_late(deadline):
+                raise queue.refusal(ttypes.RefusalReason.TOO_LATE)
             slots = None if queue.waiters else queue.choose_endpoint()
             if slots is not None:
                 slots.in_flight_count += 1
@@ -143,7 +150,11 @@
         waiting.decided.wait(deadline.remaining_s())
         with self._lock:
             if waiting.slots is not None:
-                return waiting.slots
+                if idempotent or not queue.is_too_late(deadline):
+                    return waiting.slots
+                waiting.slots.in_flight_count -= 1
+                queue.serve_waiters()
+                raise queue.refusal(ttypes.RefusalReason.TOO_LATE)
             if waiting.refusal is not None:
                 raise waiting.refusal
             queue.waiters.remove(waiting)
@@ -155,6 +166,7 @@
         slots: service_queue.EndpointSlots,
         *,
         busy_s: float,
+        is_answered: bool,
         is_unreachable: bool,
     ) -> None:
         """Releases a slot.
@@ -163,6 +175,7 @@
             service: Name of the service.
             slots: The endpoint that `acquire` returned.
             busy_s: How long the request held the slot; 0 if it was not run.
+            is_answered: Whether the request got its whole answer.
             is_unreachable: Whether the endpoint could not be reached.
         """
         with self._lock:
@@ -172,6 +185,8 @@
             queue = self._queues[service]
             if busy_s > 0:
                 queue.record_service_time(busy_s)
+            if is_answered:
+                queue.record_answer(busy_s)
             queue.serve_waiters()
 
     def request_counts(self, service: str = "") -> tuple[int, int]:
--- a/marigoldsill/coordination/requests/agent_service.py
+++ b/marigoldsill/coordination/requests/agent_service.py
@@ -61,6 +61,7 @@
             slots = self._admission.acquire(
                 request.service_name,
                 deadline=deadline,
+                idempotent=request.idempotent,
                 register_cancel=lambda cancel: (
                     self._registry.set_cancel_callback(attempt, cancel)
                 ),
@@ -108,7 +109,7 @@
     ) -> ttypes.CallReply:
         start_s = time.monotonic()
         busy_s = 0.0
-        is_unreachable = False
+        is_answered = is_unreachable = False
         try:
             if deadline.has_passed():
                 self._registry.mark_refused(attempt)
@@ -116,6 +117,7 @@
             self._registry.mark_running(attempt)
             answer = self._fetch(slots.info, request, attempt, deadline)
             busy_s = time.monotonic() - start_s
+            is_answered = True
         except ttypes.Refused as error:
             is_unreachable = error.reason == ttypes.RefusalReason.NO_ENDPOINT
             _count_refusal(error.reason)
@@ -128,6 +130,7 @@
                 request.service_name,
                 slots,
                 busy_s=busy_s,
+                is_answered=is_answered,
                 is_unreachable=is_unreachable,
             )
         self._latency.record(slots.info.task, busy_s)
--- a/marigoldsill/coordination/requests/service_queue.py
+++ b/marigoldsill/coordination/requests/service_queue.py
@@ -17,6 +17,10 @@
 _WAIT_SAFETY_FACTOR = 1.5
 # How long other endpoints are preferred to one that could not be reached.
 _UNREACHABLE_S = 1.0
+# How long the duration of an answered request bounds what a request needs, and the
+# number of these durations.
+_ANSWER_VALIDITY_S = 10.0
+_ANSWERS_COUNT = 20
 _RETRY_AFTER_MAX_MS = 30_000
 _RETRY_AFTER_MIN_MS = 50
 
@@ -81,6 +85,10 @@
         self.endpoints: dict[str, EndpointSlots] = {}
         self.waiters: collections.deque[WaitingRequest] = collections.deque()
         self.mean_service_time_s = 0.0
+        # When requests were answered and how long each held its slot.
+        self._answers: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=_ANSWERS_COUNT)
+        )
 
     @property
     def in_flight_count(self) -> int:
@@ -129,6 +137,22 @@
         weight = _SERVICE_TIME_WEIGHT if self.mean_service_time_s else 1.0
         self.mean_service_time_s += weight * (busy_s - self.mean_service_time_s)
 
+    def record_answer(self, busy_s: float) -> None:
+        """Records how long an answered request held its slot."""
+        self._answers.append((time.monotonic(), busy_s))
+
+    def is_too_late(self, deadline: deadlines.Deadline) -> bool:
+        """Whether less time is left than any recent answer took.
+
+        Without an answer for a while this is not known, so that a service that
+        has become faster gets requests again.
+        """
+        oldest_s = time.monotonic() - _ANSWER_VALIDITY_S
+        return deadline.remaining_s() < min(
+            (busy_s for at_s, busy_s in self._answers if at_s > oldest_s),
+            default=0.0,
+        )
+
     def enqueue(
         self, deadline: deadlines.Deadline, *, limit: int
     ) -> WaitingRequest:
--- a/tests/coordination/requests/test_admission.py
+++ b/tests/coordination/requests/test_admission.py
@@ -30,10 +30,17 @@
     return admission
 
 
-def _acquire(admission, service: str = "a", budget_s: float = _LONG_S):
+def _acquire(
+    admission,
+    service: str = "a",
+    budget_s: float = _LONG_S,
+    *,
+    idempotent: bool = True,
+):
     return admission.acquire(
         service,
         deadline=deadlines.Deadline.after(budget_s),
+        idempotent=idempotent,
         register_cancel=lambda cancel: None,
     )
 
@@ -54,7 +61,9 @@
 def test_full_queue_refuses_at_once_with_a_retry_after_time():
     admission = _create_admission(a=1)
     slots = _acquire(admission)
-    admission.release("a", slots, busy_s=2.0, is_unreachable=False)
+    admission.release(
+        "a", slots, busy_s=2.0, is_answered=True, is_unreachable=False
+    )
     _acquire(admission)
     with futures.ThreadPoolExecutor(1) as pool:
         queued = pool.submit(_acquire, admission)
@@ -64,14 +73,20 @@
         assert caught.value.reason == ttypes.RefusalReason.OVERLOADED
         # One slot, with two requests of 2 s each: one in flight, one queued.
         assert caught.value.retry_after_ms == 4000
-        admission.release("a", slots, busy_s=2.0, is_unreachable=False)
+        admission.release(
+            "a", slots, busy_s=2.0, is_answered=True, is_unreachable=False
+        )
         assert queued.result() is slots
 
 
 def test_request_is_refused_at_once_if_its_wait_exceeds_the_deadline():
     admission = _create_admission(a=1)
     admission.release(
-        "a", _acquire(admission), busy_s=40.0, is_unreachable=False
+        "a",
+        _acquire(admission),
+        busy_s=40.0,
+        is_answered=True,
+        is_unreachable=False,
     )
     _acquire(admission)
     reason = _refusal_reason(lambda: _acquire(admission, budget_s=_LONG_S))
@@ -121,6 +136,7 @@
             admission.acquire,
             "a",
             deadline=deadlines.Deadline.after(_LONG_S),
+            idempotent=True,
             register_cancel=cancels.append,
         )
         _wait_until_queued(admission)
@@ -145,9 +161,70 @@
         time.sleep(0.002)
         with lock:
             in_flight[0] -= 1
-        admission.release("a", slots, busy_s=0.002, is_unreachable=False)
+        admission.release(
+            "a", slots, busy_s=0.002, is_answered=True, is_unreachable=False
+        )
 
     with futures.ThreadPoolExecutor(20) as pool:
         list(pool.map(lambda _: run_request(), range(60)))
     assert maximum[0] == 3
     assert admission.request_counts() == (0, 0)
+
+
+def _release(admission, slots, *, busy_s: float, is_answered: bool = True):
+    admission.release(
+        "a",
+        slots,
+        busy_s=busy_s,
+        is_answered=is_answered,
+        is_unreachable=False,
+    )
+
+
+def test_keyed_request_that_cannot_be_answered_in_time_is_not_begun() -> None:
+    # It was begun in a free slot and cut off, and its key stayed unknown for ever.
+    admission = _create_admission(a=2)
+    for busy_s in (0.6, 0.4, 0.5):
+        _release(admission, _acquire(admission), busy_s=busy_s)
+    reason = _refusal_reason(
+        lambda: _acquire(admission, budget_s=0.3, idempotent=False)
+    )
+    assert reason == ttypes.RefusalReason.TOO_LATE
+    assert admission.request_counts() == (0, 0)
+    for idempotent, budget_s in ((False, 0.45), (True, 0.3)):
+        assert _acquire(admission, budget_s=budget_s, idempotent=idempotent)
+
+
+def test_keyed_request_whose_slot_comes_too_late_is_not_begun() -> None:
+    admission = _create_admission(a=1)
+    _release(admission, _acquire(admission), busy_s=0.2)
+    slots = _acquire(admission)
+    with futures.ThreadPoolExecutor(1) as pool:
+        queued = pool.submit(
+            _acquire, admission, budget_s=0.65, idempotent=False
+        )
+        _wait_until_queued(admission)
+        time.sleep(0.5)
+        _release(admission, slots, busy_s=0.5)
+        assert _refusal_reason(queued.result) == ttypes.RefusalReason.TOO_LATE
+    assert admission.request_counts() == (0, 0)
+
+
+def test_keyed_requests_are_begun_again_when_answers_are_old(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    admission = _create_admission(a=1)
+    _release(admission, _acquire(admission), busy_s=5.0)
+    now_s = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now_s + 11.0)
+    assert _acquire(admission, budget_s=0.3, idempotent=False)
+
+
+def test_request_that_was_cut_off_does_not_count_as_a_fast_answer() -> None:
+    admission = _create_admission(a=1)
+    _release(admission, _acquire(admission), busy_s=0.5)
+    _release(admission, _acquire(admission), busy_s=0.1, is_answered=False)
+    reason = _refusal_reason(
+        lambda: _acquire(admission, budget_s=0.3, idempotent=False)
+    )
+    assert reason == ttypes.RefusalReason.TOO_LATE
