--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -183,6 +183,22 @@
     assert caught.value.sent
 
 
+def test_single_copy_on_a_new_connection_counts_as_sent(serve):
+    def close_connection(server: _Server, connection: socket.socket) -> None:
+        connection.shutdown(socket.SHUT_RDWR)
+
+    with pytest.raises(errors.TransportError) as caught:
+        http_client.Client().fetch(
+            serve(close_connection).address,
+            "/",
+            method="POST",
+            body=b"x",
+            timeout_s=_WAIT_S,
+            single_copy=True,
+        )
+    assert caught.value.sent
+
+
 def test_single_copy_is_sent_although_the_server_closed_an_idle_connection(
     serve,
 ):
