--- a/tests/coordination/jobs/test_grants_to_silent_agents.py
+++ b/tests/coordination/jobs/test_grants_to_silent_agents.py
@@ -25,8 +25,8 @@
         for _ in range(cluster_model.WORKER_CORES + 1):
             cluster.submit(builders.step())
         cluster.run_in_turn(rounds_count=2, pause_s=0.1)
-        assert "a1" not in cluster.leader.runs
-        assert len(cluster.leader.runs["a2"]) == cluster_model.WORKER_CORES
+        assert "a1" not in cluster.leader.jobs.runs
+        assert len(cluster.leader.jobs.runs["a2"]) == cluster_model.WORKER_CORES
 
 
 def test_agent_gets_runs_once_it_reports_again() -> None:
@@ -35,4 +35,4 @@
             cluster.submit(builders.step())
         cluster.links["a1"].is_cut = False
         cluster.run_in_turn(rounds_count=3, pause_s=0.1)
-        assert len(cluster.leader.runs["a1"]) == 1
+        assert len(cluster.leader.jobs.runs["a1"]) == 1
