--- a/marigoldsill/coordination/runs/run_operations.py
+++ b/marigoldsill/coordination/runs/run_operations.py
@@ -218,6 +218,9 @@
                 order, earlier, ttypes.RunEventKind.REFUSED, error.message
             )
             raise
+        except errors.UnexpectedStatusError:
+            self._record_unanswered_start(order, lease_end_ns)
+            raise
         except errors.PlatformError as error:
             self._handle_refused_start(
                 order, earlier, ttypes.RunEventKind.FAILED, error.message
--- a/marigoldsill/protocol/worker_interface.py
+++ b/marigoldsill/protocol/worker_interface.py
@@ -13,6 +13,9 @@
 from marigoldsill.transport import http_client
 
 _TIMEOUT_S = 2.0
+_STATUS_OK = 200
+# With these the platform did nothing: the request is invalid, or the operation failed.
+_REFUSED_STATUSES = range(400, 501)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -231,11 +234,24 @@
             raise errors.CapacityError(_error_detail(answer))
         if answer.status_code == 410:
             raise errors.LeaseOverError(_error_detail(answer))
-        if answer.status_code >= 400:
+        if answer.status_code in _REFUSED_STATUSES:
             raise errors.PlatformError(
                 f"{path} gave {answer.status_code}: {_error_detail(answer)}"
             )
+        if answer.status_code != _STATUS_OK:
+            raise errors.UnexpectedStatusError(
+                f"{path} gave {answer.status_code}: {_error_detail(answer)}"
+            )
+        return _decode(path, answer)
+
+
+def _decode(path: str, answer: http_client.HttpResponse) -> Any:
+    try:
         return json.loads(answer.body) if answer.body else None
+    except ValueError as error:
+        raise errors.UnexpectedStatusError(
+            f"{path} gave an unreadable answer: {error}"
+        ) from error
 
 
 def _error_detail(answer: http_client.HttpResponse) -> str:
--- a/tests/coordination/runs/test_run_reconciler.py
+++ b/tests/coordination/runs/test_run_reconciler.py
@@ -37,6 +37,8 @@
     listings_count = 0
     starts_count = 0
     repeat_error: errors.MarigoldsillError | None = None
+    # Raised after the first start was carried out.
+    first_start_error: errors.MarigoldsillError | None = None
     # Lists without runs are delivered no earlier than this.
     empty_list_delayed_until_s = 0.0
 
@@ -45,6 +47,8 @@
         if self.repeat_error is not None and self.starts_count > 1:
             raise self.repeat_error
         super().start(spec)
+        if self.first_start_error is not None and self.starts_count == 1:
+            raise self.first_start_error
 
     def tasks(self) -> list[worker_interface.PlatformTask]:
         self.listings_count += 1
@@ -437,6 +441,18 @@
     assert len(harness.journal_events("run_started")) == 1
 
 
+def test_run_that_began_although_its_start_had_an_unexpected_status_completes(
+    harness: ReconcilerHarness,
+) -> None:
+    """Guards against a task that is placed again beside its live run."""
+    harness.worker_client.first_start_error = errors.UnexpectedStatusError(
+        "/start gave 502"
+    )
+    harness.send_orders(make_order(run_time_ms=1))
+
+    assert harness.wait_for_end() == EventKind.COMPLETED
+
+
 def test_run_that_started_after_the_list_was_read_is_not_reported_lost(
     harness: ReconcilerHarness,
 ) -> None:
