Give an attempt all of the time if no other agent takes requests

What callers saw: with one of two agents killed, calls without a key ended as 502 "unknown" after 0.76 to 0.82 s of their 1.5 s, while the other agent was alive and behind by a moment; no retry was denied.

Cause: an attempt that another may follow gets half of the time, so that the rest serves for another agent. That was decided by the number of retries alone. With no other agent left, the attempt was cut off and nothing followed.

Change: an attempt gets all of the time if no agent that was not tried accepts requests.

--- a/marigoldsill/coordination/requests/idempotent_call_runner.py
+++ b/marigoldsill/coordination/requests/idempotent_call_runner.py
@@ -123,9 +123,10 @@
     ) -> attempts_module.Answer | None:
         self._excluded_agents |= {route.agent}
         self._attempt_number += 1
-        deadline = self._runner.attempt_deadline(
-            self._call, is_last=self._retries.is_exhausted
+        is_last = self._retries.is_exhausted or not self._router.has_route(
+            self._call.service, excluded_agents=self._excluded_agents
         )
+        deadline = self._runner.attempt_deadline(self._call, is_last=is_last)
         start_s = time.monotonic()
         target = attempts_module.Target(
             route, self._request_id, self._attempt_number
--- a/marigoldsill/coordination/requests/routing.py
+++ b/marigoldsill/coordination/requests/routing.py
@@ -155,6 +155,18 @@
             service.outlier_detector.record_start(route.agent)
             return route
 
+    def has_route(
+        self, service_name: str, *, excluded_agents: frozenset[str]
+    ) -> bool:
+        """Whether any other agent accepts requests of a service now."""
+        with self._lock:
+            service = self._services.get(service_name)
+            return service is not None and bool(
+                self._accepting_routes(
+                    service, excluded_agents, time.monotonic()
+                )
+            )
+
     def record_end(self, route: ttypes.Route) -> None:
         """Records the end of a request on a route."""
         with self._lock:
--- a/tests/coordination/requests/test_retries.py
+++ b/tests/coordination/requests/test_retries.py
@@ -7,6 +7,8 @@
 from marigoldsill.coordination.requests import idempotent_call_runner
 from marigoldsill.coordination.requests import retries as retries_module
 from marigoldsill.coordination.requests import retry_budget
+from marigoldsill.coordination.requests import routing
+from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 from marigoldsill.transport import hangups
 
@@ -78,3 +80,54 @@
         _create_call(), is_last=is_last
     ).remaining_s()
     assert left_s == pytest.approx(10.0 * share, abs=1.0)
+
+
+class _UnansweredAttempts:
+    """Records how long each attempt may take; none is answered."""
+
+    def __init__(self):
+        self.budgets_s: dict[str, float] = {}
+
+    def run(
+        self,
+        call: attempts.Call,
+        target: attempts.Target,
+        deadline: deadlines.Deadline,
+    ) -> attempts.Answer:
+        self.budgets_s[target.route.agent] = deadline.remaining_s()
+        raise errors.UnknownOutcomeError("no answer")
+
+
+def _attempt_budgets_s(*agents: str) -> list[float]:
+    router = routing.Router(data_centre="dc1", seed=1)
+    router.replace_routes(
+        [
+            ttypes.Route(
+                agent=agent,
+                agent_address=f"{agent}:1",
+                data_centre="dc1",
+                service_name="s",
+                slots_count=2,
+            )
+            for agent in agents
+        ]
+    )
+    runner = _UnansweredAttempts()
+    call = _create_call()
+    calls = idempotent_call_runner.IdempotentCallRunner(
+        router=router, attempt_runner=runner
+    )
+    with pytest.raises(errors.UnknownOutcomeError):
+        calls.run(call, _create_retries(call))
+    return list(runner.budgets_s.values())
+
+
+def test_attempt_at_the_only_agent_gets_all_of_the_time():
+    # It got half of it, and the call ended with the other half left.
+    assert _attempt_budgets_s("a1") == [pytest.approx(10.0, abs=1.0)]
+
+
+def test_attempt_leaves_time_for_another_agent():
+    first_s, second_s = _attempt_budgets_s("a1", "a2")
+    assert first_s == pytest.approx(5.0, abs=1.0)
+    assert second_s == pytest.approx(10.0, abs=1.0)
