Let calls of the cluster model wait until they are to be made, and machines lose contact

The executor's calls ran in threads as soon as they were begun, so nothing could happen between a check and its request, and a process that was replaced made no more calls. They are queued now: other acts happen before they are made and before they are answered, and the calls of a replaced process are made later. An agent and then its worker lose contact until the end of their leases, in small steps around it.

--- a/tests/coordination/jobs/cluster_faults.py
+++ b/tests/coordination/jobs/cluster_faults.py
@@ -8,9 +8,11 @@
 from tests.coordination.jobs import cluster_model
 
 WORKER_CORES = cluster_model.WORKER_CORES
+# Longer than leases, and than most runs.
+_QUIET_ROUNDS = 18
 # A call under way is answered within this time, or not at all.
-_ANSWER_S = 0.8
-# Something that an agent does, or that happens to it.
+ANSWER_S = 0.8
+# Something that an agent does, or that happens meanwhile.
 Act = Callable[["FaultyCluster", str], None]
 
 
@@ -38,7 +40,6 @@
         """Starts a new process of an agent."""
         self._stopped.discard(name)
         self.counts["agents replaced"] += 1
-        self._agents[name].executor._pool.shutdown(wait=False)
         self._start_agent(name)
 
     def restart_worker(self, name: str) -> None:
@@ -214,25 +215,42 @@
         """Lets an agent act, and other acts happen before the reply of the leader."""
 
         def act_before_reply() -> None:
-            for each in acts_before_reply:
-                each(self, name)
-            self.pass_time(_ANSWER_S)
+            self._act(name, acts_before_reply)
+            self.pass_time(ANSWER_S)
 
         self.links[name].before_reply = act_before_reply
         act(self, name)
         self.links[name].before_reply = None
 
-    def execute_slowly(self, name: str, acts_before_answer: list[Act]) -> None:
-        """Lets an agent call its worker, and acts happen before the first answer."""
-
-        def act_before_answer() -> None:
-            for each in acts_before_answer:
-                each(self, name)
+    def execute_slowly(
+        self,
+        name: str,
+        *,
+        acts_before_calls: list[Act],
+        acts_before_answer: list[Act],
+    ) -> None:
+        """Lets an agent call its worker, and acts happen meanwhile.
 
-        self.workers[name].before_answer = act_before_answer
-        self.execute(name)
+        Args:
+            name: The agent. If another process replaces it, the calls are those of the
+                earlier one, which was frozen.
+            acts_before_calls: What happens before the calls that were begun are made.
+            acts_before_answer: What happens before the first answer.
+        """
+        if name in self._stopped:
+            return
+        calls = self._begin_calls(name)
+        self._act(name, acts_before_calls)
+        self.workers[name].before_answer = lambda: self._act(
+            name, acts_before_answer
+        )
+        calls.execute()
         self.workers[name].before_answer = None
 
+    def _act(self, name: str, acts: list[Act]) -> None:
+        for each in acts:
+            each(self, name)
+
     def heal(self) -> None:
         """Carries out all late calls, and ends all faults."""
         self.run_in_turn(rounds_count=2, pause_s=0.3)
@@ -255,19 +273,20 @@
             self.announce_capacity(name, cores=WORKER_CORES)
 
     def settle(self, *, rounds_count: int) -> None:
-        """Lets everything run without faults."""
+        """Lets everything run without faults until nothing changes any more."""
         self.heal()
-        self.run_in_turn(rounds_count=rounds_count, pause_s=0.5)
+        quiet_rounds_count = 0
+        for _ in range(rounds_count):
+            committed_count = len(self.group.committed)
+            self.run_in_turn(rounds_count=1, pause_s=0.5)
+            quiet_rounds_count += 1
+            if len(self.group.committed) > committed_count:
+                quiet_rounds_count = 0
+            is_settled = (
+                not self.unexecuted_orders() and not self.unordered_runs()
+            )
+            if is_settled and quiet_rounds_count >= _QUIET_ROUNDS:
+                return
 
     def _end_later(self, duration_s: float, end: Callable[[], None]) -> None:
         self._fault_ends.append((self._now_s + duration_s, end))
-
-
-def schedule(cluster: FaultyCluster, _name: str) -> None:
-    """Runs a round of the leader."""
-    cluster.schedule()
-
-
-def change_leader(cluster: FaultyCluster, _name: str) -> None:
-    """Begins a term of the other control process."""
-    cluster.change_leader(keeps_logged=True)
--- a/tests/coordination/jobs/cluster_machine.py
+++ b/tests/coordination/jobs/cluster_machine.py
@@ -2,28 +2,16 @@
 
 import collections
 import math
-import os
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import cluster_acts
 from tests.coordination.jobs import cluster_faults
 from tests.coordination.jobs import cluster_model
-from tests.coordination.jobs import model_worker
 from tests.coordination.jobs import working_machine
 
-# More examples with fresh seeds, by hand:
-# MODEL_EXAMPLES=2000 MODEL_SEED=any pytest -s tests/coordination/jobs/test_cluster_model.py
-_EXAMPLES_COUNT = int(os.environ.get("MODEL_EXAMPLES", "40"))
-_HAS_FIXED_SEED = not os.environ.get("MODEL_SEED")
-SETTINGS = hypothesis.settings(
-    max_examples=_EXAMPLES_COUNT,
-    stateful_step_count=40,
-    derandomize=_HAS_FIXED_SEED,
-    deadline=None,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
 _durations_s = strategies.sampled_from([0.5, 2.0, 5.0, 12.0])
 _latenesses_s = strategies.sampled_from([0.2, 0.8, 2.5, 5.0, 9.0, math.inf])
 _calls = strategies.sampled_from(["start", "stop", "renew"])
@@ -35,16 +23,16 @@
     strategies.sampled_from(
         [
             *working_machine.ACTS,
-            cluster_faults.schedule,
-            cluster_faults.change_leader,
+            cluster_acts.schedule,
+            cluster_acts.change_leader,
             cluster_faults.FaultyCluster.restart_worker,
         ]
     ),
     min_size=1,
     max_size=4,
 )
-# The agent's other threads act while its executor waits for an answer.
-_acts_before_answer = strategies.lists(
+# The agent's other threads act while its executor calls the worker.
+_acts_during_calls = strategies.lists(
     strategies.sampled_from(
         [
             cluster_faults.FaultyCluster.deliver_orders,
@@ -52,10 +40,11 @@
             cluster_faults.FaultyCluster.report,
             cluster_faults.FaultyCluster.restart_agent,
             cluster_faults.FaultyCluster.restart_worker,
-            cluster_faults.schedule,
+            cluster_acts.schedule,
+            cluster_acts.pass_answer_time,
+            cluster_acts.lose_capacity,
         ]
     ),
-    min_size=1,
     max_size=4,
 )
 
@@ -98,7 +87,9 @@
         lateness_s: float,
         rounds_count: int,
     ) -> None:
-        self.submit(1, 1, spread_limit, long_running=True, rounds_count=0)
+        self.submit(
+            1, 1, spread_limit, long_running=True, work_s=0.0, rounds_count=0
+        )
         self.cluster.start_without_answers(name, lateness_s=lateness_s)
         self._run(rounds_count)
 
@@ -208,6 +199,27 @@
         )
         self._run(rounds_count)
 
+    @stateful.rule(
+        name=working_machine.agents,
+        duration_s=strategies.sampled_from([3.0, 8.5]),
+        rounds_before_count=strategies.integers(0, 4),
+        rounds_count=working_machine.rounds,
+    )
+    def lose_contact(
+        self,
+        name: str,
+        duration_s: float,
+        rounds_before_count: int,
+        rounds_count: int,
+    ) -> None:
+        cluster_acts.lose_contact(
+            self.cluster,
+            name,
+            duration_s=duration_s,
+            rounds_before_count=rounds_before_count,
+        )
+        self._run(rounds_count)
+
     @stateful.rule(rounds_count=working_machine.rounds)
     def lose_power(self, rounds_count: int) -> None:
         self.cluster.lose_power()
@@ -242,16 +254,22 @@
 
     @stateful.rule(
         name=working_machine.agents,
-        acts_before_answer=_acts_before_answer,
+        acts_before_calls=_acts_during_calls,
+        acts_before_answer=_acts_during_calls,
         rounds_count=working_machine.rounds,
     )
     def execute_slowly(
         self,
         name: str,
+        acts_before_calls: list[cluster_faults.Act],
         acts_before_answer: list[cluster_faults.Act],
         rounds_count: int,
     ) -> None:
-        self.cluster.execute_slowly(name, acts_before_answer)
+        self.cluster.execute_slowly(
+            name,
+            acts_before_calls=acts_before_calls,
+            acts_before_answer=acts_before_answer,
+        )
         self._run(rounds_count)
 
 
@@ -265,15 +283,14 @@
     reached: collections.Counter[str] = collections.Counter()
 
     @stateful.rule(
-        position=working_machine.positions, rounds_count=working_machine.rounds
+        position=working_machine.positions,
+        kind=strategies.sampled_from(
+            [ttypes.RunEndKind.LOST, ttypes.RunEndKind.DONE]
+        ),
+        rounds_count=working_machine.rounds,
     )
-    def conclude_end(self, position: int, rounds_count: int) -> None:
-        self.cluster.conclude_end(position)
+    def conclude_end(
+        self, position: int, kind: ttypes.RunEndKind, rounds_count: int
+    ) -> None:
+        self.cluster.conclude_end(position, kind)
         self._run(rounds_count)
-
-
-class RestartingMachine(ClusterMachine):
-    """Agents whose workers keep their names when they restart."""
-
-    WORKER_TYPE = model_worker.RestartingModelWorker
-    reached: collections.Counter[str] = collections.Counter()
--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -18,6 +18,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.jobs import builders
+from tests.coordination.jobs import model_agent
 from tests.coordination.jobs import model_checks
 from tests.coordination.jobs import model_control
 from tests.coordination.jobs import model_link
@@ -27,8 +28,6 @@
 WORKER_CORES = model_checks.WORKER_CORES
 CONTROL_NAMES = ("c1", "c2")
 _CONTROL_ERRORS = (errors.MarigoldsillError, ttypes.NotLeader, ttypes.NoQuorum)
-# How long tasks work that are not long-running.
-_WORK_S = 2.0
 
 
 class Cluster:
@@ -63,6 +62,7 @@
             mock.patch.object(lease_renewer, "_PAUSE_S", 0.0)
         )
         self._steps: dict[str, ttypes.Step] = {}
+        self._work_s: dict[str, float] = {}
         # When faults end, and how.
         self._fault_ends: list[tuple[float, Callable[[], None]]] = []
         self.group = model_control.ModelGroup()
@@ -84,6 +84,7 @@
             name: model_link.ModelLink(lambda: self.leader)
             for name in self.names
         }
+        self._calls: dict[str, model_agent.CallQueue] = {}
         self._agents: dict[str, stepped_agent.SteppedAgent] = {}
         self._reporters: dict[str, reporter_module.Reporter] = {}
         self._sequence = 0
@@ -112,14 +113,13 @@
         """Stops all threads."""
         for control in self.controls.values():
             control.stop()
-        for agent in self._agents.values():
-            agent.executor._pool.shutdown(wait=False)
         self._patches.close()
 
-    def submit(self, step: ttypes.Step) -> str:
-        """Submits a job of one step; returns its id."""
+    def submit(self, step: ttypes.Step, *, work_s: float = 2.0) -> str:
+        """Submits a job of one step whose runs take a time; returns its id."""
         job_id = f"j{len(self._steps)}"
         self._steps[job_id] = step
+        self._work_s[job_id] = math.inf if step.long_running else work_s
         with contextlib.suppress(*_CONTROL_ERRORS):
             self.leader.jobs.submit(job_id, step)
         return job_id
@@ -136,16 +136,23 @@
         """Runs a round of the leader."""
         self.leader.run_round()
 
-    def conclude_end(self, position: int) -> None:
-        """Lets the leader record a run as lost that may be on its worker."""
+    def conclude_end(
+        self,
+        position: int,
+        kind: ttypes.RunEndKind = ttypes.RunEndKind.LOST,
+    ) -> None:
+        """Lets the leader record an end of a run that may be on its worker."""
         with self.leader.replica.lock:
             runs = self.leader.replica.tables.jobs.runs_by_agent
             keys = [key for each in runs.values() for key in each]
         if not keys:
             return
         task, run = key = keys[position % len(keys)]
-        end = ttypes.RunEnd(task=task, run=run, kind=ttypes.RunEndKind.LOST)
         is_running = any(key in each.running for each in self.workers.values())
+        if not is_running:
+            # Its start may be under way, and would begin a task that is done.
+            kind = ttypes.RunEndKind.LOST
+        end = ttypes.RunEnd(task=task, run=run, kind=kind)
         self.counts["ends concluded early"] += 1
         self.counts["ends concluded of a run on its worker"] += is_running
         with contextlib.suppress(*_CONTROL_ERRORS):
@@ -184,8 +191,9 @@
 
     def execute(self, name: str) -> None:
         """Lets an agent make the calls that are due."""
-        if name not in self._stopped:
-            self._agents[name].execute_orders()
+        if name in self._stopped:
+            return
+        self._begin_calls(name).execute()
 
     def pass_time(self, seconds: float) -> None:
         """Moves the clock; runs and leases end, and calls become too late.
@@ -251,8 +259,15 @@
             lambda command: self._count_command(control, command)
         )
 
+    def _begin_calls(self, name: str) -> model_agent.CallQueue:
+        """Lets an agent begin the calls that are due; returns them."""
+        agent = self._agents[name]
+        with agent.state.changed:
+            agent.executor.reconcile()
+        return self._calls[name]
+
     def _start_agent(self, name: str) -> None:
-        agent = stepped_agent.build_agent(self.workers[name])
+        agent, self._calls[name] = model_agent.build_agent(self.workers[name])
         self._agents[name] = agent
         self._reporters[name] = reporter_module.Reporter(
             agent=name, state=agent.state, link=self.links[name]
@@ -274,7 +289,7 @@
         return self._steps[task_names.parse(task).job_id]
 
     def _work_s_of(self, task: str) -> float:
-        return math.inf if self._step_of(task).long_running else _WORK_S
+        return self._work_s[task_names.parse(task).job_id]
 
     def _count_command(
         self, control: model_control.Control, command: ttypes.Command
--- a/tests/coordination/jobs/test_cluster_model.py
+++ b/tests/coordination/jobs/test_cluster_model.py
@@ -8,6 +8,7 @@
 from tests.coordination.jobs import builders
 from tests.coordination.jobs import cluster_faults
 from tests.coordination.jobs import cluster_machine
+from tests.coordination.jobs import model_settings
 
 _MACHINES = (
     cluster_machine.ClusterMachine,
@@ -15,9 +16,9 @@
 )
 
 TestCluster = cluster_machine.ClusterMachine.TestCase
-TestCluster.settings = cluster_machine.SETTINGS
+TestCluster.settings = model_settings.SETTINGS
 TestConcludingLeader = cluster_machine.ConcludingMachine.TestCase
-TestConcludingLeader.settings = cluster_machine.SETTINGS
+TestConcludingLeader.settings = model_settings.SETTINGS
 
 
 @pytest.fixture(autouse=True)
--- a/tests/coordination/jobs/test_restarting_cluster_model.py
+++ b/tests/coordination/jobs/test_restarting_cluster_model.py
@@ -4,14 +4,15 @@
 
 import pytest
 
-from tests.coordination.jobs import cluster_machine
+from tests.coordination.jobs import model_settings
+from tests.coordination.jobs import restarting_machine
 
-TestRestartingWorkers = cluster_machine.RestartingMachine.TestCase
-TestRestartingWorkers.settings = cluster_machine.SETTINGS
+TestRestartingWorkers = restarting_machine.RestartingMachine.TestCase
+TestRestartingWorkers.settings = model_settings.SETTINGS
 
 
 @pytest.fixture(autouse=True)
 def print_reached() -> Iterator[None]:
     """Prints what the examples have reached."""
     yield
-    cluster_machine.RestartingMachine.print_reached()
+    restarting_machine.RestartingMachine.print_reached()
--- a/tests/coordination/jobs/working_machine.py
+++ b/tests/coordination/jobs/working_machine.py
@@ -66,7 +66,11 @@
             assert self.cluster.unexecuted_orders() == []
             assert self.cluster.unordered_runs() == []
         except AssertionError:
-            self.reached.setdefault(FIRST_FAILURE, self.reached["examples"] + 1)
+            if FIRST_FAILURE not in self.reached:
+                self.reached[FIRST_FAILURE] = self.reached["examples"] + 1
+                print(
+                    "first failure:", self.cluster.violations or "not settled"
+                )
             raise
         finally:
             self.cluster.close()
@@ -74,14 +78,15 @@
 
     @stateful.initialize()
     def start_runs(self) -> None:
-        self.submit(1, 1, 0, long_running=True, rounds_count=0)
-        self.submit(2, 1, 1, long_running=True, rounds_count=2)
+        self.submit(1, 1, 0, long_running=True, work_s=0.0, rounds_count=0)
+        self.submit(2, 1, 1, long_running=False, work_s=15.0, rounds_count=2)
 
     @stateful.rule(
         tasks_count=strategies.integers(1, 3),
         cores=_cores,
         spread_limit=spread_limits,
         long_running=strategies.booleans(),
+        work_s=strategies.sampled_from([1.0, 4.0, 15.0]),
         rounds_count=rounds,
     )
     def submit(
@@ -90,6 +95,7 @@
         cores: int,
         spread_limit: int,
         long_running: bool,
+        work_s: float,
         rounds_count: int,
     ) -> None:
         if len(self._open_jobs) >= _OPEN_JOBS_LIMIT:
@@ -103,7 +109,7 @@
             spread_limit=spread_limit,
             long_running=long_running,
         )
-        self._open_jobs.append(self.cluster.submit(step))
+        self._open_jobs.append(self.cluster.submit(step, work_s=work_s))
         self._run(rounds_count)
 
     @stateful.rule(position=positions, rounds_count=rounds)
