--- a/tests/coordination/jobs/cluster_acts.py
+++ b/tests/coordination/jobs/cluster_acts.py
@@ -29,6 +29,19 @@
     cluster.announce_capacity(name, cores=1, duration_s=2.0)
 
 
+def evict(cluster: cluster_faults.FaultyCluster, position: int) -> None:
+    """Lets the leader evict a run, which then continues elsewhere."""
+    jobs = cluster.leader.jobs
+    with cluster.leader.replica.lock:
+        runs = cluster.leader.replica.tables.jobs.runs_by_agent
+        keys = [(agent, key) for agent, each in runs.items() for key in each]
+        if keys:
+            agent, key = keys[position % len(keys)]
+            cluster.counts["evictions"] += 1
+            jobs.service.orders.evicted.add(key)
+            jobs.service.refresh_orders({agent})
+
+
 def lose_contact(
     cluster: cluster_faults.FaultyCluster,
     name: str,
--- a/tests/coordination/jobs/cluster_machine.py
+++ b/tests/coordination/jobs/cluster_machine.py
@@ -12,6 +12,9 @@
 from tests.coordination.jobs import cluster_model
 from tests.coordination.jobs import working_machine
 
+_agents = working_machine.agents
+_positions = working_machine.positions
+_rounds = working_machine.rounds
 _durations_s = strategies.sampled_from([0.5, 2.0, 5.0, 12.0])
 _latenesses_s = strategies.sampled_from([0.2, 0.8, 2.5, 5.0, 9.0, math.inf])
 _calls = strategies.sampled_from(["start", "stop", "renew"])
@@ -55,11 +58,11 @@
     reached: collections.Counter[str] = collections.Counter()
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         call=_calls,
         duration_s=_durations_s,
         lateness_s=_latenesses_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def leave_calls_unanswered(
         self,
@@ -75,10 +78,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         spread_limit=working_machine.spread_limits,
         lateness_s=_latenesses_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def start_without_answers(
         self,
@@ -94,10 +97,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         cores=strategies.integers(0, cluster_faults.WORKER_CORES),
         duration_s=_durations_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def announce_capacity(
         self, name: str, cores: int, duration_s: float, rounds_count: int
@@ -106,9 +109,9 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         duration_s=_durations_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def stop_slowly(
         self, name: str, duration_s: float, rounds_count: int
@@ -117,10 +120,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         fault=strategies.sampled_from(["is_cut", "is_reply_lost", "is_late"]),
         duration_s=_durations_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def cut_off(
         self, name: str, fault: str, duration_s: float, rounds_count: int
@@ -128,24 +131,20 @@
         self.cluster.cut_off(name, fault, duration_s=duration_s)
         self._run(rounds_count)
 
-    @stateful.rule(
-        name=working_machine.agents, rounds_count=working_machine.rounds
-    )
+    @stateful.rule(name=_agents, rounds_count=_rounds)
     def restart_agent(self, name: str, rounds_count: int) -> None:
         self.cluster.restart_agent(name)
         self._run(rounds_count)
 
-    @stateful.rule(
-        name=working_machine.agents, rounds_count=working_machine.rounds
-    )
+    @stateful.rule(name=_agents, rounds_count=_rounds)
     def restart_worker(self, name: str, rounds_count: int) -> None:
         self.cluster.restart_worker(name)
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         duration_s=_durations_s,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def stop_agent(
         self, name: str, duration_s: float, rounds_count: int
@@ -154,9 +153,9 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         leaves_after_s=strategies.sampled_from([0.0, 0.5, 2.0, 8.0]),
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def leave(
         self, name: str, leaves_after_s: float, rounds_count: int
@@ -166,22 +165,20 @@
         self.cluster.deregister(name, leaves_after_s=leaves_after_s)
         self._run(rounds_count)
 
-    @stateful.rule(
-        keeps_logged=strategies.booleans(), rounds_count=working_machine.rounds
-    )
+    @stateful.rule(keeps_logged=strategies.booleans(), rounds_count=_rounds)
     def change_leader(self, keeps_logged: bool, rounds_count: int) -> None:
         self.cluster.change_leader(keeps_logged=keeps_logged)
         self._run(rounds_count)
 
     @stateful.rule(
         name=strategies.sampled_from(cluster_model.CONTROL_NAMES),
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def restart_control(self, name: str, rounds_count: int) -> None:
         self.cluster.restart_control(name)
         self._run(rounds_count)
 
-    @stateful.rule(rounds_count=working_machine.rounds)
+    @stateful.rule(rounds_count=_rounds)
     def lose_proposal(self, rounds_count: int) -> None:
         self.cluster.lose_proposal()
         self._run(rounds_count)
@@ -189,7 +186,7 @@
     @stateful.rule(
         rounds_before_count=strategies.integers(1, 8),
         returns=strategies.booleans(),
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def lose_term_before_proposal(
         self, rounds_before_count: int, returns: bool, rounds_count: int
@@ -200,10 +197,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         duration_s=strategies.sampled_from([3.0, 8.5]),
         rounds_before_count=strategies.integers(0, 4),
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def lose_contact(
         self,
@@ -220,15 +217,20 @@
         )
         self._run(rounds_count)
 
-    @stateful.rule(rounds_count=working_machine.rounds)
+    @stateful.rule(position=_positions, rounds_count=_rounds)
+    def evict(self, position: int, rounds_count: int) -> None:
+        cluster_acts.evict(self.cluster, position)
+        self._run(rounds_count)
+
+    @stateful.rule(rounds_count=_rounds)
     def lose_power(self, rounds_count: int) -> None:
         self.cluster.lose_power()
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
-        position=working_machine.positions,
-        rounds_count=working_machine.rounds,
+        name=_agents,
+        position=_positions,
+        rounds_count=_rounds,
     )
     def deliver_late_report(
         self, name: str, position: int, rounds_count: int
@@ -237,10 +239,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         act=strategies.sampled_from(_LEADER_CALLS),
         acts_before_reply=_acts_before_reply,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def call_slowly(
         self,
@@ -253,10 +255,10 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=working_machine.agents,
+        name=_agents,
         acts_before_calls=_acts_during_calls,
         acts_before_answer=_acts_during_calls,
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def execute_slowly(
         self,
@@ -283,11 +285,11 @@
     reached: collections.Counter[str] = collections.Counter()
 
     @stateful.rule(
-        position=working_machine.positions,
+        position=_positions,
         kind=strategies.sampled_from(
             [ttypes.RunEndKind.LOST, ttypes.RunEndKind.DONE]
         ),
-        rounds_count=working_machine.rounds,
+        rounds_count=_rounds,
     )
     def conclude_end(
         self, position: int, kind: ttypes.RunEndKind, rounds_count: int
