--- a/marigoldsill/coordination/jobs/unresponsive_agents.py
+++ b/marigoldsill/coordination/jobs/unresponsive_agents.py
@@ -122,5 +122,6 @@
     return ttypes.NoteUnresponsive(
         unresponsive=sorted(agents),
         responsive=[],
+        # Without a remaining time, the note stands for a whole lease.
         remaining_ms=max(1, math.ceil(left_s * 1000)),
     )
