--- a/marigoldsill/transport/http_client.py
+++ b/marigoldsill/transport/http_client.py
@@ -253,6 +253,8 @@
                 code not in _NOT_SENT_CODES
                 and curl.getinfo(pycurl.REQUEST_SIZE) > 0
             )
+            if code == pycurl.E_SEND_FAIL_REWIND:
+                message = "connection broke; the request was not sent again"
             raise errors.TransportError(
                 f"{method} {url}: {message}",
                 sent=sent,
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -162,6 +162,7 @@
     assert caught.value.sent
     second_requests = [r for r in server.requests if b"/second" in r]
     assert len(second_requests) == sent_count
+    assert "rewind" not in caught.value.message
 
 
 @pytest.mark.parametrize(
