Send a call to the adviser once, also on a connection that breaks

The adviser's client says that it sends one request without retries. curl repeats an unmarked one if a kept-alive connection breaks, so the adviser works on two, and its 429 for the second one was taken for both.

--- a/marigoldsill/platform/adviser_client.py
+++ b/marigoldsill/platform/adviser_client.py
@@ -39,6 +39,7 @@
             body=json.dumps({"step": step, "workers": [*ids_by_name]}).encode(),
             headers=(("Content-Type", "application/json"),),
             timeout_s=timeout_s,
+            single_copy=True,
         )
         if answer.status_code == _STATUS_BUSY:
             raise errors.AdviserBusyError("the adviser accepts no calls now")
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -137,3 +137,13 @@
         ("i-1@7", "t1"),
         ("i-2", "t2"),
     ]
+
+
+def test_the_adviser_gets_one_request_for_a_call_whose_connection_breaks() -> (
+    None
+):
+    with raw_sockets.breaking_server(b'{"good":[]}') as address:
+        adviser = adviser_client.PlatformAdviser(address=address)
+        assert not adviser.advise("j.0.0", ["i-1"], timeout_s=4.0)
+        with pytest.raises(errors.TransportError, match="not sent again"):
+            adviser.advise("j.0.0", ["i-1"], timeout_s=4.0)
