Count a renewal whose connection broke as one that may be late

What callers would see, on workers that keep their id when they restart: a task that is done runs again, or runs beside the next run of it.

Cause: a call that renews the lease or acknowledges ends counted as unanswered after a time-out only. If its connection breaks, the worker may carry it out late all the same; the next incarnation then discards the end of a run that is done, or lets its runs outlive the lease that is known. And curl sent such a call again by itself, so that the answer to the second copy hid the first.

Change: on such workers the call is sent once, and an error after sending counts as unanswered, whatever its kind. Each worker that crashes breaks the call in flight, and an unanswered acknowledgement keeps the next incarnation idle for 12 s; so a call with an acknowledgement asks for an answer within 20 ms, and the long one that follows has none.

--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -2,6 +2,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
@@ -11,7 +12,8 @@
 _ANSWER_WAIT_MS = 1_000
 # The same while tasks that interfere with each other share the worker.
 _SHARED_ANSWER_WAIT_MS = 250
-# The same while ends of runs wait for a listing, and after a call without an answer.
+# The same while ends of runs wait for a listing, after a call without an answer, and
+# for an acknowledgement that a later incarnation may carry out.
 _SHORT_ANSWER_WAIT_MS = 20
 # Maximum wait until control has recorded reported ends. Before that, the worker would
 # list them again at once.
@@ -113,7 +115,11 @@
                 state.changed.wait()
         return ""
 
-    def _answer_wait_ms(self) -> int:
+    def _answer_wait_ms(self, worker_id: str, *, acknowledged: int) -> int:
+        # If the call gets no answer, a later incarnation of the same name is not used
+        # for a time. So a call with an acknowledgement is in flight for a short time.
+        if acknowledged and incarnation_ids.keeps_name(worker_id):
+            return _SHORT_ANSWER_WAIT_MS
         # Where connections break again and again, no answer that waits ever arrives, and
         # the worker would count as unresponsive.
         if not self._is_last_call_answered:
@@ -150,12 +156,14 @@
                 acknowledged=acknowledged,
                 deadline_ms=deadline_ms,
                 wait_ms=(
-                    self._answer_wait_ms() if deadline_ms is not None else 0
+                    self._answer_wait_ms(worker_id, acknowledged=acknowledged)
+                    if deadline_ms is not None
+                    else 0
                 ),
             )
         except errors.TransportError as error:
             self._is_last_call_answered = False
-            if error.timed_out:
+            if error.sent:
                 self._record_unanswered(
                     is_acknowledgement=acknowledged > 0,
                     is_renewal=deadline_ms is not None,
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -105,7 +105,7 @@
         """Whether calls that begin runs or renew the lease must not be made now."""
         return (
             now_s - self._answered_s > UNRESPONSIVE_S
-            and incarnation_ids.started_unix_ms_of(worker_id) is not None
+            and incarnation_ids.keeps_name(worker_id)
         )
 
     def acknowledgement_for(self, worker_id: str, number: int) -> int:
@@ -119,7 +119,7 @@
             worker_id: The current incarnation.
             number: Ends up to this number are recorded by control.
         """
-        if incarnation_ids.started_unix_ms_of(worker_id) is None:
+        if not incarnation_ids.keeps_name(worker_id):
             return number
         is_answered = self._answered_acknowledgement == (worker_id, number)
         return 0 if is_answered or self._is_acknowledgement_withheld else number
--- a/marigoldsill/platform/worker_client.py
+++ b/marigoldsill/platform/worker_client.py
@@ -71,7 +71,12 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         answer = self._call(
-            "hold", worker_id, body, timeout_s=_TIMEOUT_S + wait_ms / 1000
+            "hold",
+            worker_id,
+            body,
+            timeout_s=_TIMEOUT_S + wait_ms / 1000,
+            # A later incarnation may carry out the first of two copies.
+            single_copy=incarnation_ids.keeps_name(worker_id),
         )
         if answer.status_code != _STATUS_OK:
             raise _error_of("hold", answer)
--- a/marigoldsill/protocol/incarnation_ids.py
+++ b/marigoldsill/protocol/incarnation_ids.py
@@ -23,6 +23,14 @@
     return int(started) if started else None
 
 
+def keeps_name(incarnation_id: str) -> bool:
+    """Whether the incarnation's worker keeps its name when it restarts.
+
+    A later incarnation then carries out calls that were meant for this one.
+    """
+    return SEPARATOR in incarnation_id
+
+
 def share_name(one_id: str, other_id: str) -> bool:
     """Whether calls to one incarnation may be carried out by the other."""
     has_start = SEPARATOR in one_id or SEPARATOR in other_id
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -27,7 +27,10 @@
         acknowledged: The highest number of an end that was acknowledged.
         acknowledgements: The number in each call of `renew_lease`, answered or not.
         called_incarnations: The incarnation that each call of `renew_lease` addressed.
+        waits_ms: How long the answer to each call of `renew_lease` may be delayed.
         unreachable_incarnations: Incarnations for which `renew_lease` gets no answer.
+        breaks_connections: Whether the connections of unanswered calls of `renew_lease`
+            break, rather than that the calls time out.
         unreadable: Runs whose row of the listing cannot be read.
         unread_ended_count: How many rows of ends cannot be read.
         unreadable_ends: Runs whose row in the listed ends cannot be read.
@@ -50,7 +53,9 @@
         self.acknowledged = 0
         self.acknowledgements: list[int] = []
         self.called_incarnations: list[str] = []
+        self.waits_ms: list[int] = []
         self.unreachable_incarnations: set[str] = set()
+        self.breaks_connections = False
         self.unreadable: set[task_names.RunKey] = set()
         self.unread_ended_count = 0
         self.unreadable_ends: set[task_names.RunKey] = set()
@@ -96,8 +101,9 @@
             )
         self.called_incarnations.append(worker_id)
         self.acknowledgements.append(acknowledged)
+        self.waits_ms.append(wait_ms)
         if worker_id in self.unreachable_incarnations:
-            raise errors.TransportError("no answer", sent=True, timed_out=True)
+            raise self._unanswered_error()
         self._check_incarnation(worker_id)
         self.deadlines_ms.append(deadline_ms)
         self.acknowledged = max(self.acknowledged, acknowledged)
@@ -157,6 +163,11 @@
             except errors.PlatformError:
                 continue
 
+    def _unanswered_error(self) -> errors.TransportError:
+        return errors.TransportError(
+            "no answer", sent=True, timed_out=not self.breaks_connections
+        )
+
     def _call(
         self, name: str, worker_id: str, key: task_names.RunKey, action
     ) -> int:
--- a/tests/coordination/jobs/test_late_acknowledgements.py
+++ b/tests/coordination/jobs/test_late_acknowledgements.py
@@ -16,6 +16,7 @@
 _OLD, _NEW = "w1@100", "w1@200"
 _KEY = stepped_agent.KEY
 _LAST_S = late_calls.LATE_CALL_LIMIT_S
+_LONGEST_ANSWER_WAIT_MS = 100
 
 
 class _Case:
@@ -63,11 +64,13 @@
     return _Case(monkeypatch, _OLD)
 
 
+@pytest.mark.parametrize("breaks_connections", [False, True])
 @pytest.mark.parametrize("age_s", [0.5, 8.0, _LAST_S - 0.1])
 def test_late_acknowledgement_does_not_discard_the_end_of_a_run_that_is_done(
-    case: _Case, age_s: float
+    case: _Case, age_s: float, breaks_connections: bool
 ) -> None:
     """Guards against repeating a task that is done."""
+    case.worker.breaks_connections = breaks_connections
     case.agent.state.acknowledged_end_number = 57
     assert case.renew(is_answered=False) == 57
     case.now_s += age_s
@@ -124,6 +127,17 @@
     assert list(case.worker.running) == [_KEY]
 
 
+def test_acknowledgement_that_may_be_late_is_in_a_call_that_is_answered_soon(
+    case: _Case,
+) -> None:
+    """Guards against an idle worker after each restart with a call in flight."""
+    case.agent.state.acknowledged_end_number = 57
+    assert case.renew() == 57
+    assert case.worker.waits_ms[-1] <= _LONGEST_ANSWER_WAIT_MS
+    assert case.renew() == 0
+    assert case.worker.waits_ms[-1] > _LONGEST_ANSWER_WAIT_MS
+
+
 def test_unanswered_acknowledgement_is_repeated_after_the_next_answer(
     case: _Case,
 ) -> None:
--- a/tests/coordination/jobs/test_late_starts_at_lost_workers.py
+++ b/tests/coordination/jobs/test_late_starts_at_lost_workers.py
@@ -139,14 +139,18 @@
     harness.advance(30.0)
 
 
+@pytest.mark.parametrize("breaks_connections", [False, True])
 @pytest.mark.parametrize("is_agent_lost", [False, True])
 def test_run_is_not_lost_while_renewals_for_an_earlier_incarnation_extend_its_lease(
-    harness: late_start_harness.Harness, is_agent_lost: bool
+    harness: late_start_harness.Harness,
+    is_agent_lost: bool,
+    breaks_connections: bool,
 ) -> None:
     """Guards against two runs of one task at a time.
 
     The deadlines of these renewals are on the clock of the earlier incarnation.
     """
+    harness.worker.breaks_connections = breaks_connections
     harness.worker.delays_s = itertools.cycle(
         [late_calls.LATE_CALL_LIMIT_S / 2, late_calls.LATE_CALL_LIMIT_S]
     )
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -53,6 +53,14 @@
     return worker.start(worker_id, start, token=1)
 
 
+def _renew(
+    worker: worker_client.PlatformWorker, worker_id: str
+) -> run_worker.RunListing:
+    return worker.renew_lease(
+        worker_id, token=1, acknowledged=3, deadline_ms=9, wait_ms=0
+    )
+
+
 @pytest.mark.parametrize("worker_id", ["i-1", "i-1@7"])
 def test_a_worker_is_called_by_its_id_alone(
     peer: _Peer, worker_id: str
@@ -117,6 +125,19 @@
         assert caught.value.sent
 
 
+def test_a_renewal_that_may_be_late_is_unanswered_if_its_connection_breaks() -> (
+    None
+):
+    """Guards against an answer to a second copy that hides that the first is late."""
+    listing = b'{"clock_ms":5,"running":[],"ended_runs":[],"born":7}'
+    with raw_sockets.breaking_server(listing) as address:
+        worker = worker_client.PlatformWorker(address=address)
+        assert _renew(worker, "i-1@7").clock_ms == 5
+        with pytest.raises(errors.TransportError) as caught:
+            _renew(worker, "i-1@7")
+        assert caught.value.sent
+
+
 def test_an_order_with_an_invalid_start_time_in_its_answer_is_unread(
     peer: _Peer,
 ) -> None:
