Retry a request that reached no endpoint without a token

What callers saw: after an agent had ended, calls that it had cut off got 502 although another agent was free; marigoldsill_retries_denied_total rose. Cause: the first calls that found the agent gone used up the retries, one token each, which are meant to keep load from growing. Such a call has put no load on any endpoint. Change: it needs no token; it is retried twice at most, as before. Evidence: test_retries_of_a_request_that_reached_no_endpoint_need_no_budget gets no retry without the change.

--- a/marigoldsill/coordination/requests/retries.py
+++ b/marigoldsill/coordination/requests/retries.py
@@ -52,7 +52,10 @@
         backoff_s = random_backoff_s(self._retries_count + 1)
         if self._call.deadline.remaining_s() <= backoff_s:
             return False
-        if not self._budget.try_acquire():
+        # A request that reached no endpoint has put no load on any, so its retry adds
+        # none.
+        needs_token = not isinstance(error, errors.NoEndpointError)
+        if needs_token and not self._budget.try_acquire():
             request_metrics.RETRIES_DENIED.labels(
                 service=self._call.service
             ).inc()
--- a/tests/coordination/requests/test_retries.py
+++ b/tests/coordination/requests/test_retries.py
@@ -65,6 +65,14 @@
     assert retries.wait_before_retry(errors.DrainingError("x"))
 
 
+def test_retries_of_a_request_that_reached_no_endpoint_need_no_budget():
+    # Calls that found an agent ended used up the retries of those that it had cut off.
+    retries = _create_retries(_create_call(), tokens=0)
+    error = errors.NoEndpointError("x")
+    allowed = [retries.wait_before_retry(error) for _ in range(4)]
+    assert allowed == [True, True, False, False]
+
+
 @pytest.mark.parametrize(
     ("duration_s", "is_last", "share"),
     [(0.01, False, 0.5), (0.01, True, 1.0), (4.0, False, 1.0)],
