Take a token for a retry only if there is an agent for it

What callers saw: calls whose agent had ended got 502 although another one was free. Cause: a call that the only healthy agent refused took a token for a retry, and found only then that no agent was left for it; the token was missing for calls that had one. Change: the route is looked for first, for calls with a key and without. Evidence: test_refused_request_without_another_agent_takes_no_token fails for both without the change.

--- a/marigoldsill/coordination/requests/claimed_call_runner.py
+++ b/marigoldsill/coordination/requests/claimed_call_runner.py
@@ -84,7 +84,14 @@
                 )
                 raise
             except errors.NotRunError as error:
-                if not retries.wait_before_retry(error):
+                # Without another agent a retry would take a token for nothing.
+                has_route = self._router.has_route(
+                    call.service,
+                    excluded_agents=excluded_agents,
+                    idempotent=False,
+                    healthy_only=_is_refusal(error),
+                )
+                if not has_route or not retries.wait_before_retry(error):
                     self._claims.record_end_in_background(
                         claim, ttypes.ClaimState.NOT_RUN
                     )
@@ -123,7 +130,7 @@
                 excluded_agents=excluded_agents,
                 idempotent=False,
                 # A refusal is a better answer than none from a failing agent.
-                healthy_only=isinstance(failure, errors.OverloadedError),
+                healthy_only=_is_refusal(failure),
             )
             with self._end_request_on_error(route):
                 return route, self._claims.claim(call, route, supersedes=claim)
@@ -143,6 +150,10 @@
             raise
 
 
+def _is_refusal(error: errors.NotRunError) -> bool:
+    return isinstance(error, errors.OverloadedError)
+
+
 @contextlib.contextmanager
 def _mark_key_checked() -> Iterator[None]:
     """Marks errors that apply to all calls with the key, not just to this one."""
--- a/marigoldsill/coordination/requests/idempotent_call_runner.py
+++ b/marigoldsill/coordination/requests/idempotent_call_runner.py
@@ -102,16 +102,33 @@
             answer = self._run_attempt(route)
             if answer is not None and not answer.is_failure:
                 return answer
-            if not self._retries.wait_before_retry(self._failure):
+            if not self._may_retry():
                 return self._final_answer()
 
+    def _may_retry(self) -> bool:
+        # Without another agent a retry would take a token for nothing.
+        return self._has_next_route(
+            healthy_only=self._is_refused
+        ) and self._retries.wait_before_retry(self._failure)
+
+    @property
+    def _is_refused(self) -> bool:
+        return isinstance(self._failure, errors.OverloadedError)
+
+    def _has_next_route(self, *, healthy_only: bool) -> bool:
+        return self._router.has_route(
+            self._call.service,
+            excluded_agents=self._excluded_agents,
+            healthy_only=healthy_only,
+        )
+
     def _pick_next_route(self) -> ttypes.Route | None:
         try:
             return self._router.pick_route(
                 self._call.service,
                 excluded_agents=self._excluded_agents,
                 # A refusal is a better answer than none from a failing agent.
-                healthy_only=isinstance(self._failure, errors.OverloadedError),
+                healthy_only=self._is_refused,
             )
         except errors.NoEndpointError:
             if self._failure is None:
@@ -126,9 +143,7 @@
         is_last = (
             self._retries.is_exhausted
             # An ejected agent would most likely not use the time that is left for it.
-            or not self._router.has_healthy_route(
-                self._call.service, excluded_agents=self._excluded_agents
-            )
+            or not self._has_next_route(healthy_only=True)
         )
         deadline = self._runner.attempt_deadline(self._call, is_last=is_last)
         start_s = time.monotonic()
--- a/marigoldsill/coordination/requests/routing.py
+++ b/marigoldsill/coordination/requests/routing.py
@@ -161,18 +161,25 @@
             service.outlier_detector.record_start(route.agent)
             return route
 
-    def has_healthy_route(
-        self, service_name: str, *, excluded_agents: frozenset[str]
+    def has_route(
+        self,
+        service_name: str,
+        *,
+        excluded_agents: frozenset[str],
+        idempotent: bool = True,
+        healthy_only: bool = False,
     ) -> bool:
-        """Whether another agent that is not ejected accepts idempotent requests."""
+        """Whether `pick_route` finds a route now."""
         with self._lock:
             service = self._services.get(service_name)
             if service is None:
                 return False
-            accepting = self._accepting_routes(
+            routes = self._accepting_routes(
                 service, excluded_agents, time.monotonic()
             )
-            return bool(service.healthy_routes(accepting, idempotent=True))
+            if healthy_only:
+                routes = service.healthy_routes(routes, idempotent=idempotent)
+            return bool(routes)
 
     def record_end(self, route: ttypes.Route) -> None:
         """Records the end of a request on a route."""
--- a/tests/coordination/requests/test_retries_after_overload.py
+++ b/tests/coordination/requests/test_retries_after_overload.py
@@ -85,12 +85,13 @@
     )
 
 
-@pytest.mark.parametrize("key", ["", "k"])
-def test_refused_request_is_not_moved_to_an_ejected_agent(key: str):
-    # It got an unknown outcome there, in place of a prompt "not run".
-    router, runner, claims = _create_router(), _AttemptRunner(), _Claims()
-    call = _create_call(key)
-    retries = retries_module.Retries(call, retry_budget.RetryBudget())
+def _run_refused_call(
+    key: str,
+    runner: _AttemptRunner,
+    claims: _Claims,
+    budget: retry_budget.RetryBudget,
+) -> errors.OverloadedError:
+    router, call = _create_router(), _create_call(key)
     call_runner = (
         claimed_call_runner.ClaimedCallRunner(
             router=router, attempt_runner=runner, claims=claims, resolver=None
@@ -101,12 +102,28 @@
         )
     )
     with pytest.raises(errors.OverloadedError) as raised:
-        call_runner.run(call, retries)
+        call_runner.run(call, retries_module.Retries(call, budget))
+    return raised.value
+
+
+@pytest.mark.parametrize("key", ["", "k"])
+def test_refused_request_is_not_moved_to_an_ejected_agent(key: str):
+    # It got an unknown outcome there, in place of a prompt "not run".
+    runner, claims = _AttemptRunner(), _Claims()
+    error = _run_refused_call(key, runner, claims, retry_budget.RetryBudget())
     assert runner.agents == ["full"]
-    assert raised.value.retry_after_ms == 50
+    assert error.retry_after_ms == 50
     assert claims.ends == ([ttypes.ClaimState.NOT_RUN] if key else [])
 
 
+@pytest.mark.parametrize("key", ["", "k"])
+def test_refused_request_without_another_agent_takes_no_token(key: str):
+    # Refused calls used up the retries of calls whose agent had ended.
+    budget = retry_budget.RetryBudget(burst_count=1.0)
+    _run_refused_call(key, _AttemptRunner(), _Claims(), budget)
+    assert budget.try_acquire()
+
+
 def test_request_that_failed_is_moved_to_an_ejected_agent():
     router = _create_router()
     route = router.pick_route(_SERVICE, excluded_agents=frozenset({"full"}))
