Measure the usual duration of attempts at the other agents only

What callers saw: with one endpoint that did not answer, calls without a key got 502 or 504 after all of their time, though another endpoint was free. Cause: attempts that were not answered counted in the service's usual duration; three times that soon exceeded the deadline, so that each attempt got all of the time and none was left for another agent. Change: each agent has a mean of its own; an attempt leaves time for another one unless three times the mean of the fastest other healthy agent takes longer. Loads and health of a service's agents are a module of their own now. Evidence: test_agent_that_does_not_answer_leaves_time_for_one_that_does ends with an unknown outcome without the change; a service that is slow everywhere still gets all of the time (test_attempt_leaves_time_for_another_if_two_usually_fit, same three cases, which now record durations at the router).

--- a/marigoldsill/coordination/requests/idempotent_call_runner.py
+++ b/marigoldsill/coordination/requests/idempotent_call_runner.py
@@ -10,12 +10,11 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 
-# An attempt that may be followed by another leaves time for it, unless the attempts
-# of the service usually take too long for two: an attempt gets this share of the time
-# left, or this multiple of the mean duration if that is longer.
+# An attempt that may be followed by another leaves time for it, unless attempts at the
+# other agents usually take too long for two: an attempt gets this share of the time
+# left, or this multiple of their mean duration if that is longer.
 _ATTEMPT_SHARE = 0.5
 _MEAN_DURATION_FACTOR = 3.0
-_MEAN_DURATION_WEIGHT = 0.1
 
 
 class IdempotentCallRunner:
@@ -29,7 +28,6 @@
     ):
         self._router = router
         self._attempt_runner = attempt_runner
-        self._mean_duration_s: dict[str, float] = {}
 
     def run(
         self, call: attempts_module.Call, retries: retries_module.Retries
@@ -41,48 +39,20 @@
             UnknownOutcomeError: An attempt may have run.
         """
         return _CallExecution(
-            self, self._router, self._attempt_runner, call, retries
+            self._router, self._attempt_runner, call, retries
         ).run()
 
-    def attempt_deadline(
-        self, call: attempts_module.Call, *, is_last: bool
-    ) -> deadlines.Deadline:
-        """Returns the deadline of one attempt.
-
-        Args:
-            call: The call.
-            is_last: Whether no other attempt can follow.
-        """
-        if is_last:
-            return call.deadline
-        usual_duration_s = (
-            self._mean_duration_s.get(call.service, 0.0) * _MEAN_DURATION_FACTOR
-        )
-        share_s = call.deadline.remaining_s() * _ATTEMPT_SHARE
-        return call.deadline.limited_to(max(usual_duration_s, share_s))
-
-    def record_duration(self, service: str, duration_s: float) -> None:
-        """Updates the mean duration of attempts, answered or not."""
-        mean_duration_s = self._mean_duration_s.get(service, duration_s)
-        # An update that is lost to another thread is harmless.
-        self._mean_duration_s[service] = (
-            mean_duration_s
-            + _MEAN_DURATION_WEIGHT * (duration_s - mean_duration_s)
-        )
-
 
 class _CallExecution:
     """The execution of one call with the results of its attempts so far."""
 
     def __init__(
         self,
-        runner: IdempotentCallRunner,
         router: routing.Router,
         attempt_runner: attempts_module.AttemptRunner,
         call: attempts_module.Call,
         retries: retries_module.Retries,
     ):
-        self._runner = runner
         self._router = router
         self._attempt_runner = attempt_runner
         self._call = call
@@ -107,21 +77,17 @@
 
     def _may_retry(self) -> bool:
         # Without another agent a retry would take a token for nothing.
-        return self._has_next_route(
-            healthy_only=self._is_refused
-        ) and self._retries.wait_before_retry(self._failure)
+        has_route = self._router.has_route(
+            self._call.service,
+            excluded_agents=self._excluded_agents,
+            healthy_only=self._is_refused,
+        )
+        return has_route and self._retries.wait_before_retry(self._failure)
 
     @property
     def _is_refused(self) -> bool:
         return isinstance(self._failure, errors.OverloadedError)
 
-    def _has_next_route(self, *, healthy_only: bool) -> bool:
-        return self._router.has_route(
-            self._call.service,
-            excluded_agents=self._excluded_agents,
-            healthy_only=healthy_only,
-        )
-
     def _pick_next_route(self) -> ttypes.Route | None:
         try:
             return self._router.pick_route(
@@ -140,12 +106,7 @@
     ) -> attempts_module.Answer | None:
         self._excluded_agents |= {route.agent}
         self._attempt_number += 1
-        is_last = (
-            self._retries.is_exhausted
-            # An ejected agent would most likely not use the time that is left for it.
-            or not self._has_next_route(healthy_only=True)
-        )
-        deadline = self._runner.attempt_deadline(self._call, is_last=is_last)
+        deadline = self._attempt_deadline()
         start_s = time.monotonic()
         target = attempts_module.Target(
             route, self._request_id, self._attempt_number
@@ -153,13 +114,13 @@
         try:
             answer = self._attempt_runner.run(self._call, target, deadline)
         except errors.UnknownOutcomeError as error:
-            self._record_duration(start_s)
+            self._router.record_duration(route, time.monotonic() - start_s)
             self._failure = self._unknown_outcome = error
             return None
         except errors.NotRunError as error:
             self._failure = error
             return None
-        self._record_duration(start_s)
+        self._router.record_duration(route, time.monotonic() - start_s)
         if answer.is_failure:
             self._failed_answer = answer
             self._failure = errors.UnknownOutcomeError(
@@ -167,9 +128,20 @@
             )
         return answer
 
-    def _record_duration(self, start_s: float) -> None:
-        self._runner.record_duration(
-            self._call.service, time.monotonic() - start_s
+    def _attempt_deadline(self) -> deadlines.Deadline:
+        deadline = self._call.deadline
+        # An ejected agent would most likely not use the time that is left for it, and
+        # one that does not answer must not make attempts at it longer.
+        others_duration_s = self._router.others_duration_s(
+            self._call.service, excluded_agents=self._excluded_agents
+        )
+        if self._retries.is_exhausted or others_duration_s is None:
+            return deadline
+        return deadline.limited_to(
+            max(
+                others_duration_s * _MEAN_DURATION_FACTOR,
+                deadline.remaining_s() * _ATTEMPT_SHARE,
+            )
         )
 
     def _final_answer(self) -> attempts_module.Answer:
--- a/marigoldsill/coordination/requests/routing.py
+++ b/marigoldsill/coordination/requests/routing.py
@@ -1,83 +1,19 @@
 """Chooses the agent for a request to an entry."""
 
-import dataclasses
 import random
 import threading
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination.requests import outlier_detection
 from marigoldsill.coordination.requests import request_metrics
+from marigoldsill.coordination.requests import service_routes
 from marigoldsill.protocol.generated import ttypes
 
-# Age at which a load report no longer counts; its weight decreases linearly.
-_REPORT_VALIDITY_S = 1.0
 # How long an agent is excluded that refused a request because it drains.
 _DRAINING_EXCLUSION_S = 2.0
 _NO_ENDPOINT_RETRY_AFTER_MS = 500
 
 
-@dataclasses.dataclass(slots=True)
-class _AgentLoad:
-    """The load of one agent.
-
-    Attributes:
-        own_requests_count: Number of this entry's requests in flight.
-        other_requests_count: Number of other entries' requests, as reported by
-            the agent.
-        reported_s: When it was reported, on the monotonic clock.
-        draining_until_s: Until when the agent is excluded, as it drains.
-    """
-
-    own_requests_count: int = 0
-    other_requests_count: float = 0.0
-    reported_s: float = 0.0
-    draining_until_s: float = 0.0
-
-    def total(self, now_s: float) -> float:
-        """Number of requests; the weight of a report decreases with its age."""
-        age_ratio = (now_s - self.reported_s) / _REPORT_VALIDITY_S
-        return self.own_requests_count + self.other_requests_count * max(
-            0.0, 1.0 - age_ratio
-        )
-
-
-class _ServiceRoutes:
-    """The routes of one service with the load and health of its agents."""
-
-    def __init__(self):
-        self.routes: list[ttypes.Route] = []
-        self.loads: dict[str, _AgentLoad] = {}
-        self.outlier_detector = outlier_detection.OutlierDetector()
-
-    def replace_routes(self, routes: list[ttypes.Route]) -> None:
-        agents = {route.agent for route in routes}
-        self.routes = routes
-        self.outlier_detector.retain_agents(agents)
-        # An agent whose route no longer drains gets requests again at once.
-        for route in routes:
-            load = self.loads.setdefault(route.agent, _AgentLoad())
-            if not route.draining:
-                load.draining_until_s = 0.0
-        self.loads = {
-            agent: load
-            for agent, load in self.loads.items()
-            if agent in agents or load.own_requests_count
-        }
-
-    def healthy_routes(
-        self, routes: list[ttypes.Route], *, idempotent: bool
-    ) -> list[ttypes.Route]:
-        """Returns the routes to agents that are not ejected or due for a probe."""
-        return [
-            route
-            for route in routes
-            if self.outlier_detector.is_usable(
-                route.agent, idempotent=idempotent
-            )
-        ]
-
-
 class Router:
     """Picks the less loaded of two random agents.
 
@@ -89,14 +25,16 @@
         self._data_centre = data_centre
         self._random = random.Random(seed)
         self._lock = threading.Lock()
-        self._services: dict[str, _ServiceRoutes] = {}
+        self._services: dict[str, service_routes.ServiceRoutes] = {}
 
     def replace_routes(self, routes: list[ttypes.Route]) -> None:
         """Replaces the routes of all services."""
         with self._lock:
             service_names = {route.service_name for route in routes}
             for name in service_names | self._services.keys():
-                service = self._services.setdefault(name, _ServiceRoutes())
+                service = self._services.setdefault(
+                    name, service_routes.ServiceRoutes()
+                )
                 service.replace_routes(
                     [r for r in routes if r.service_name == name]
                 )
@@ -138,9 +76,7 @@
         with self._lock:
             service = self._services.get(service_name)
             accepting = (
-                self._accepting_routes(service, excluded_agents, now_s)
-                if service
-                else []
+                service.accepting_routes(excluded_agents) if service else []
             )
             if not accepting:
                 raise errors.NoEndpointError(
@@ -174,9 +110,7 @@
             service = self._services.get(service_name)
             if service is None:
                 return False
-            routes = self._accepting_routes(
-                service, excluded_agents, time.monotonic()
-            )
+            routes = service.accepting_routes(excluded_agents)
             if healthy_only:
                 routes = service.healthy_routes(routes, idempotent=idempotent)
             return bool(routes)
@@ -203,6 +137,33 @@
                 )
                 load.reported_s = time.monotonic()
 
+    def record_duration(self, route: ttypes.Route, duration_s: float) -> None:
+        """Records the duration of an idempotent attempt, answered or not."""
+        with self._lock:
+            load = self._find_load(route)
+            if load is not None:
+                load.record_duration(duration_s)
+
+    def others_duration_s(
+        self, service_name: str, *, excluded_agents: frozenset[str]
+    ) -> float | None:
+        """Returns the mean duration of attempts at the fastest of other agents.
+
+        It is 0 before the first attempt at one has ended, and None without another
+        agent that accepts requests and is not ejected.
+        """
+        with self._lock:
+            service = self._services.get(service_name)
+            if service is None:
+                return None
+            routes = service.healthy_routes(
+                service.accepting_routes(excluded_agents), idempotent=True
+            )
+            if not routes:
+                return None
+            means_s = (service.loads[r.agent].mean_duration_s for r in routes)
+            return min((m for m in means_s if m is not None), default=0.0)
+
     def record_draining(self, route: ttypes.Route) -> None:
         """Excludes an agent that refused because it drains.
 
@@ -233,22 +194,11 @@
         if is_ejected:
             request_metrics.EJECTIONS.labels(service=route.service_name).inc()
 
-    def _accepting_routes(
+    def _pick_by_data_centre(
         self,
-        service: _ServiceRoutes,
-        excluded_agents: frozenset[str],
+        service: service_routes.ServiceRoutes,
+        routes: list[ttypes.Route],
         now_s: float,
-    ) -> list[ttypes.Route]:
-        return [
-            route
-            for route in service.routes
-            if not route.draining
-            and route.agent not in excluded_agents
-            and service.loads[route.agent].draining_until_s <= now_s
-        ]
-
-    def _pick_by_data_centre(
-        self, service: _ServiceRoutes, routes: list[ttypes.Route], now_s: float
     ) -> ttypes.Route:
         """A local route, or a remote one if it is less loaded than a full one."""
         local = [r for r in routes if r.data_centre == self._data_centre]
@@ -264,7 +214,10 @@
         return remote_route if remote_load < load else route
 
     def _pick_less_loaded(
-        self, service: _ServiceRoutes, routes: list[ttypes.Route], now_s: float
+        self,
+        service: service_routes.ServiceRoutes,
+        routes: list[ttypes.Route],
+        now_s: float,
     ) -> tuple[float, ttypes.Route]:
         """The less loaded of two random routes, with its load per slot."""
         pair = self._random.sample(routes, min(2, len(routes)))
@@ -274,6 +227,8 @@
         ]
         return min(loads, key=lambda item: item[0])
 
-    def _find_load(self, route: ttypes.Route) -> _AgentLoad | None:
+    def _find_load(
+        self, route: ttypes.Route
+    ) -> service_routes.AgentLoad | None:
         service = self._services.get(route.service_name)
         return service.loads.get(route.agent) if service else None
