Count a job as waiting until a worker has begun a run of it

What callers saw: `pending` of a queue counted a job as begun from its first grant on.

Cause: `pending` counted jobs in the state `QUEUED`, which a grant ends.

Change: a job has begun once a report lists a run of it, or the log has an end or a checkpoint that only a run can have (done, failed, an explained crash). The first is kept by the leader for its term; a later leader counts such a job as waiting until the agent's first report to it, within 1 s, so it tells too many rather than too few. The bound on waiting jobs of the admission still counts jobs without a grant: it limits what waits for the scheduler, and grants are limited by the capacity.

--- a/marigoldsill/coordination/job_admission/__init__.py
+++ b/marigoldsill/coordination/job_admission/__init__.py
@@ -7,6 +7,7 @@
 __all__ = [
     "admission",
     "admission_settings",
+    "begun_jobs",
     "decision_log",
     "load",
     "load_publisher",
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -8,6 +8,9 @@
 import threading
 
 from marigoldsill.coordination.agreement import replica as replica_module
+from marigoldsill.coordination.job_admission import (
+    begun_jobs as begun_jobs_module,
+)
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.leadership import (
@@ -32,6 +35,7 @@
         agents: agents_module.Agents,
         leases: leases_module.LeaseTable,
         late_start_bounds: bounds_module.LateStartBounds,
+        begun_jobs: begun_jobs_module.BegunJobs,
         orders: orders_module.Orders,
         lease_ms: int,
         propose: Callable[..., ttypes.CommandResult],
@@ -44,6 +48,7 @@
             agents: The agents that reported in this term.
             leases: The leases that this leader granted.
             late_start_bounds: Runs that may be alive after these leases.
+            begun_jobs: The jobs that have begun.
             orders: The orders of this term.
             lease_ms: The duration of a lease.
             propose: Proposes a command; its body is passed by the name of its field.
@@ -53,6 +58,7 @@
         self._agents = agents
         self._leases = leases
         self._late_start_bounds = late_start_bounds
+        self._begun_jobs = begun_jobs
         self._orders = orders
         self._lease_ms = lease_ms
         self._propose = propose
@@ -109,6 +115,9 @@
             if not self._agents.record_report(report, now_s=now_s):
                 return False
             self._late_start_bounds.record_report(report, now_s=now_s)
+            self._begun_jobs.record_listed(
+                self._replica.tables.jobs, report.running or ()
+            )
         return True
 
     def _record_ends(self, report: ttypes.AgentReport, term: int) -> bool:
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -10,6 +10,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import begun_jobs
 from marigoldsill.coordination.job_admission import submission_handler
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
@@ -85,6 +86,7 @@
             replica=replica, lease_ms=lease_ms
         )
         self.late_start_bounds = late_start_bounds.LateStartBounds()
+        self._begun_jobs = begun_jobs.BegunJobs()
         self._changed_agents: set[str] = set()
         self._event_logger = job_event_logger.JobEventLogger()
         self._queue_index = queue_index.QueueIndex()
@@ -103,6 +105,7 @@
             agents=self.agents,
             leases=self.leases,
             late_start_bounds=self.late_start_bounds,
+            begun_jobs=self._begun_jobs,
             orders=self.orders,
             lease_ms=lease_ms,
             propose=self.propose,
@@ -119,6 +122,7 @@
             self.leases.reset(lease_ms=self._lease_ms)
             self.agents.reset()
             self.late_start_bounds.reset(now_s=clock.now_s())
+            self._begun_jobs.reset()
             self.orders.reset(self._replica.tables, term=term)
             job_metrics.EVACUATED_DATA_CENTRES.set(
                 len(self._replica.tables.evacuated_data_centres)
@@ -164,7 +168,7 @@
         return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
 
     def pending_jobs(self, address: ttypes.JobAddress) -> ttypes.JobReply:
-        """Returns how many accepted jobs of a queue have not started."""
+        """Returns of how many accepted jobs of a queue no worker has begun a run."""
         self._require_leader()
         with self._replica.lock:
             queue = self._find_queue(address)
@@ -173,7 +177,9 @@
             else:
                 reply = ttypes.JobReply(
                     outcome=ttypes.JobOutcome.ACCEPTED,
-                    pending_count=self._pending_count(queue.name),
+                    pending_count=self._begun_jobs.count_waiting(
+                        self._replica.tables.jobs, queue.name
+                    ),
                 )
         self._require_leader()
         return reply
@@ -324,14 +330,6 @@
         job_id = queue_index.job_id_of(address)
         return self._replica.tables.jobs.jobs.get(job_id)
 
-    def _pending_count(self, queue: str) -> int:
-        return sum(
-            record.job.queue == queue
-            and record.state == ttypes.JobState.QUEUED
-            and not record.job.repeat_count
-            for record in self._replica.tables.jobs.jobs.values()
-        )
-
     def _on_applied(self, command: ttypes.Command) -> None:
         jobs = self._replica.tables.jobs
         self.unresponsive_agents.observe_command(command)
