Carry out each late call of the stand-in worker after its own delay

Cause: late calls shared six threads, each of which a call held for its delay, and the delay was read when a thread was free. Six unanswered starts held up all calls behind them, stops among them: by reading, a seventh start in a row comes after two delays instead of one.

Change: each late call waits in a thread of its own, for the delay at its arrival.

--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -241,9 +241,14 @@
             return _json({}, status=421)
         body = json.loads(request.get_data() or b"{}")
         if name in self.faults.delayed_calls:
-            self._executor.submit(
-                self._handle_order_late, name, body, self.incarnation
+            # A thread for each, as a limited number of them would delay later calls.
+            late_call = threading.Timer(
+                self.faults.call_delay_s,
+                self._handle_order_late,
+                (name, body, self.incarnation),
             )
+            late_call.daemon = True
+            late_call.start()
             self._stopping.wait(_NO_ANSWER_S)
             return wrappers.Response(status=500)
         try:
@@ -256,7 +261,8 @@
     def _handle_order_late(
         self, name: str, body: dict, incarnation: str
     ) -> None:
-        self._stopping.wait(self.faults.call_delay_s)
+        if self._stopping.is_set():
+            return
         try:
             self._handle_order(name, body, incarnation)
         except _RefusedError:
