Refuse a run at once whose start could not be sent

What callers saw: a task granted to a worker that refused connections was held there until the worker answered a stop or its loss was concluded. Cause: a start request that was not sent left its order marked as one whose start may still arrive, so the refusal waited for an answered stop. Evidence: test_start_that_was_not_sent_is_refused_without_a_stop, seen failing without the change (no end, an unanswered stop). Change: such a request leaves the order as it was before it; an earlier request without an answer still counts.

--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -86,11 +86,11 @@
                 progress.refusal_reason = "the worker is not healthy"
             raise
         except errors.TransportError as error:
+            if not error.sent:
+                self._record_not_started(order, progress, had_unanswered_start)
             with state.changed:
                 if error.sent:
                     state.record_unanswered_start(order)
-                elif not had_unanswered_start:
-                    state.record_not_started(order)
                 state.record_unreachable(order.worker_id)
             raise
         except errors.PlatformError as error:
--- a/tests/coordination/jobs/test_concluded_ends.py
+++ b/tests/coordination/jobs/test_concluded_ends.py
@@ -75,6 +75,26 @@
     assert agent.state.runs.held_keys() == {stepped_agent.KEY}
 
 
+def test_start_that_was_not_sent_is_refused_without_a_stop(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusals that wait for a worker to confirm a stop it cannot get."""
+
+    def refuse_connection(*_: object, **__: object) -> int:
+        raise errors.TransportError("connection refused", sent=False)
+
+    monkeypatch.setattr(agent.worker, "start", refuse_connection)
+    agent.worker.unanswered = {"stop"}
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    draining = stepped_agent.announcement("a1-incarnation1", sequence=2)
+    draining.worker.draining = True
+    agent.state.record_announcement(draining)
+    agent.execute_orders()
+    assert agent.call_names() == []
+    assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.REFUSED}
+
+
 def test_start_with_an_unexpected_status_is_refused_only_after_a_stop(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
