Let the soak draw series of faults of one kind

With `--series` a soak has, beside its plan, groups of series: one kind of fault every 0.3 to 1.5 s for 3 to 8 s (resets, refused calls, late starts, workers born anew, agents and leaders killed, pauses, reloads). New faults: ConnectionReset, RefusedCalls (the stand-in worker answers a share of calls with 429 or 503 and does nothing) and LeaderKill, which the history records as the kill of the member that led.

No check of promises was changed. A reset is an instant, as a crash of a worker, and excuses no time away; a worker that refuses calls has a fault meanwhile, as one that answers late.

tests/test_soak_links.py::test_every_kind_of_fault_is_drawn compared single draws with all kinds. Three kinds come in series alone now, so it asks for all others in single draws and for these three in series; the distance of disk losses is checked for series too.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,11 @@
     default=run_module.EDGES_COUNT,
     help="Edge processes, three of which have a disk.",
 )
+@click.option(
+    "--series",
+    is_flag=True,
+    help="Also repeat faults of one kind several times in series.",
+)
 @click.option(
     "--logs",
     type=click.Path(path_type=pathlib.Path),
@@ -41,6 +46,7 @@
     seconds: float,
     workers: int,
     edges: int,
+    series: bool,
     logs: pathlib.Path | None,
 ) -> None:
     """Runs soaks one after another; exits with 1 if an invariant was violated."""
@@ -58,6 +64,7 @@
             duration_s=seconds,
             workers_count=workers,
             edges_count=edges,
+            has_series=series,
         )
         failed_count += bool(result.violations)
         click.echo(
--- a/soak/fault_plans.py
+++ b/soak/fault_plans.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
-import dataclasses
 import random
 
 from soak import faults
+from soak import machines as machines_module
 from soak import proxy
 
 # Time between the starts of two faults, and their duration; some faults overlap.
@@ -44,23 +44,6 @@
 _RESTART_S = (0.2, 0.6)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Machines:
-    """The machines that faults affect: edges with and without a disk, and sides."""
-
-    members: tuple[str, ...]
-    stateless_edges: tuple[str, ...]
-    sides: tuple[str, ...]
-
-    @property
-    def edges(self) -> tuple[str, ...]:
-        return (*self.members, *self.stateless_edges)
-
-    @property
-    def all(self) -> tuple[str, ...]:
-        return (*self.edges, *self.sides)
-
-
 def draw_plan(
     seed: int,
     *,
@@ -78,7 +61,9 @@
         sides: The workers' machines.
         stateless_edges: Edges without a disk.
     """
-    machines = _Machines(tuple(edges), tuple(stateless_edges), tuple(sides))
+    machines = machines_module.Machines(
+        tuple(edges), tuple(stateless_edges), tuple(sides)
+    )
     # Separate generators keep the other faults of a seed unchanged.
     reductions = list(
         _draw_capacity_reductions(
@@ -93,7 +78,9 @@
 
 
 def _draw_faults(
-    numbers: random.Random, duration_s: float, machines: _Machines
+    numbers: random.Random,
+    duration_s: float,
+    machines: machines_module.Machines,
 ) -> Iterator[faults.PlannedFault]:
     is_series = numbers.random() < _SERIES_SHARE
     draw_disk_plan = _draw_series if is_series else _draw_disk_losses
@@ -107,7 +94,7 @@
         fault_duration_s = _draw_duration_s(numbers)
         is_member_fault = numbers.random() < _MEMBER_SHARE
         if is_member_fault and not any(
-            _is_close(loss, at_s, fault_duration_s) for loss in disk_losses
+            is_close(loss, at_s, fault_duration_s) for loss in disk_losses
         ):
             yield faults.PlannedFault(
                 at_s, fault_duration_s, _draw_member_fault(numbers, machines)
@@ -159,7 +146,9 @@
 
 
 def _draw_series(
-    numbers: random.Random, duration_s: float, machines: _Machines
+    numbers: random.Random,
+    duration_s: float,
+    machines: machines_module.Machines,
 ) -> Iterator[faults.PlannedFault]:
     """Draws a lost disk, a change of the seeds and then a loss of power."""
     disk_s = numbers.uniform(*_SERIES_DISK_LOSS_S)
@@ -176,7 +165,9 @@
 
 
 def _draw_disk_losses(
-    numbers: random.Random, duration_s: float, machines: _Machines
+    numbers: random.Random,
+    duration_s: float,
+    machines: machines_module.Machines,
 ) -> Iterator[faults.PlannedFault]:
     at_s = numbers.uniform(*_FIRST_DISK_LOSS_S)
     while at_s < duration_s:
@@ -191,7 +182,7 @@
     return numbers.uniform(*(_LONG_DURATIONS_S if is_long else _DURATIONS_S))
 
 
-def _is_close(
+def is_close(
     disk: faults.PlannedFault, at_s: float, fault_duration_s: float
 ) -> bool:
     """Whether a fault of a member would be too close to a lost disk."""
@@ -202,7 +193,7 @@
 
 
 def _draw_member_fault(
-    numbers: random.Random, machines: _Machines
+    numbers: random.Random, machines: machines_module.Machines
 ) -> faults.Fault:
     match numbers.randrange(12):
         case 0:
@@ -232,7 +223,7 @@
 
 
 def _draw_other_fault(
-    numbers: random.Random, machines: _Machines
+    numbers: random.Random, machines: machines_module.Machines
 ) -> faults.Fault:
     side = numbers.choice(machines.sides)
     match numbers.randrange(9):
@@ -285,7 +276,9 @@
     return faults.ControlLinkFault(one, other, is_both, mode)
 
 
-def _draw_seeds(numbers: random.Random, machines: _Machines) -> tuple[str, ...]:
+def _draw_seeds(
+    numbers: random.Random, machines: machines_module.Machines
+) -> tuple[str, ...]:
     """Draws seeds from all edges, or only from those without a disk."""
     is_stateless = numbers.random() < _STATELESS_SEEDS_SHARE
     names = machines.stateless_edges if is_stateless else ()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,11 @@
     process: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaderKill:
+    """The leader at that time is killed and later started again."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ProcessTermination:
     """A process gets SIGTERM and is started again after its end."""
@@ -93,6 +98,21 @@
     delay_s: float = 0.3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RefusedCalls:
+    """A worker refuses some calls, as an unhealthy one does.
+
+    Attributes:
+        worker: The worker.
+        share: The share of calls that are refused.
+        status: The status of the refusals.
+    """
+
+    worker: str
+    share: float
+    status: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CapacityReduction:
     """A worker's CPU capacity is reduced temporarily."""
@@ -109,6 +129,17 @@
     seed: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConnectionReset:
+    """The open connections to machines are reset once.
+
+    Those to a worker's machine lead to the worker and to its agent, those to an edge's
+    machine come from callers and from other processes.
+    """
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LinkFault:
     """The connections to a machine's address are disturbed.
@@ -141,6 +172,7 @@
 
 Fault = (
     ProcessKill
+    | LeaderKill
     | ProcessTermination
     | ProcessPause
     | ProcessReload
@@ -150,8 +182,10 @@
     | SeedsChange
     | WorkerCrash
     | DelayedCalls
+    | RefusedCalls
     | CapacityReduction
     | ForeignHeartbeats
+    | ConnectionReset
     | LinkFault
     | ControlLinkFault
 )
--- a/soak/history.py
+++ b/soak/history.py
@@ -304,10 +304,11 @@
 
 
 def _end_ns(item: faults.PlannedFault, started_ns: int, ended_ns: int) -> int:
-    # A crashed worker restarts at once.
-    return (
-        started_ns if isinstance(item.fault, faults.WorkerCrash) else ended_ns
+    # A crashed worker restarts at once, and so do connections that were reset.
+    is_instant = isinstance(
+        item.fault, faults.WorkerCrash | faults.ConnectionReset
     )
+    return started_ns if is_instant else ended_ns
 
 
 def _affected_names(
@@ -325,8 +326,14 @@
             return ()
         case faults.LinkFault(name=name):
             return (name,)
-        case faults.WorkerCrash(worker=name) | faults.DelayedCalls(worker=name):
+        case (
+            faults.WorkerCrash(worker=name)
+            | faults.DelayedCalls(worker=name)
+            | faults.RefusedCalls(worker=name)
+        ):
             return (name,)
+        case faults.ConnectionReset(names=names):
+            return names
         case (
             faults.ProcessKill()
             | faults.ProcessTermination()
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -1,5 +1,6 @@
 """Injects planned faults into a system of processes."""
 
+import dataclasses
 import heapq
 import itertools
 import shutil
@@ -25,6 +26,7 @@
         system: system_module.System,
         proxies: dict[str, proxy.Proxy],
         control_proxies: dict[str, proxy.Proxy],
+        proxies_by_machine: dict[str, list[proxy.Proxy]],
     ):
         """Creates an injector without active faults.
 
@@ -33,10 +35,12 @@
             proxies: Proxies before workers and frontends, by machine.
             control_proxies: Proxies before the addresses that edges advertise to other
                 processes, by edge.
+            proxies_by_machine: All proxies before addresses of each machine.
         """
         self._system = system
         self._proxies = proxies
         self._control_proxies = control_proxies
+        self._proxies_by_machine = proxies_by_machine
         self._heartbeat_senders: dict[
             faults.Fault, foreign_heartbeats.HeartbeatSender
         ] = {}
@@ -61,11 +65,24 @@
             if not is_start:
                 self._end_fault(item.fault)
                 self.ended_ns[item] = time.monotonic_ns()
-            elif self._start_fault(item.fault):
+                continue
+            item = self._name_leader(item)
+            if item is not None and self._start_fault(item.fault):
                 self.started_ns[item] = time.monotonic_ns()
                 end = (at_s + item.duration_s, next(sequence), item, False)
                 heapq.heappush(pending, end)
 
+    def _name_leader(
+        self, item: faults.PlannedFault
+    ) -> faults.PlannedFault | None:
+        """Returns a fault with the current leader as its process; None if there is none."""
+        if not isinstance(item.fault, faults.LeaderKill):
+            return item
+        leader = self._system.find_current_leader()
+        if leader is None:
+            return None
+        return dataclasses.replace(item, fault=faults.ProcessKill(leader))
+
     def _start_fault(self, fault: faults.Fault) -> bool:
         """Starts a fault; returns False if its process has another one."""
         match fault:
@@ -83,6 +100,14 @@
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.delayed_calls = {call}
                 worker_faults.call_delay_s = delay_s
+            case faults.RefusedCalls(worker=worker, share=share, status=status):
+                worker_faults = self._system.workers[worker].faults
+                worker_faults.refused_share = share
+                worker_faults.refused_status = status
+            case faults.ConnectionReset(names=names):
+                for name in names:
+                    for each in self._proxies_by_machine[name]:
+                        each.reset_connections()
             case faults.ForeignHeartbeats(worker=worker, seed=seed):
                 address = self._system.control_address(worker)
                 self._heartbeat_senders[fault] = (
@@ -150,11 +175,17 @@
                 self._set_control_links(fault, proxy.PassThrough())
             case faults.DelayedCalls(worker=worker):
                 self._system.workers[worker].faults.delayed_calls = set()
+            case faults.RefusedCalls(worker=worker):
+                self._system.workers[worker].faults.refused_share = 0.0
             case faults.CapacityReduction(worker=worker):
                 self._system.workers[worker].resize(faults.CAPACITY_MILLICORES)
             case faults.ForeignHeartbeats():
                 self._heartbeat_senders.pop(fault).stop()
-            case faults.WorkerCrash() | faults.SeedsChange():
+            case (
+                faults.WorkerCrash()
+                | faults.SeedsChange()
+                | faults.ConnectionReset()
+            ):
                 pass
             case faults.PowerLoss(processes=names):
                 self._end_group_fault(fault, names)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -136,15 +136,19 @@
                 if caller.is_among(names):
                     _reset(connection)
 
-    def stop(self) -> None:
-        """Stops listening and resets all connections."""
-        self._stopping.set()
-        self._listener.close()
+    def reset_connections(self) -> None:
+        """Resets the open connections; leaves the modes as they are."""
         with self._lock:
             connections = list(self._callers_by_connection)
         for connection in connections:
             _reset(connection)
 
+    def stop(self) -> None:
+        """Stops listening and resets all connections."""
+        self._stopping.set()
+        self._listener.close()
+        self.reset_connections()
+
     def _current_mode(self, caller: _Caller) -> Mode:
         with self._lock:
             modes = list(reversed(self._modes.items()))
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,12 +7,14 @@
 import re
 import time
 
-from soak import connection_owners
 from soak import fault_plans
+from soak import fault_series
+from soak import faults
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
-from soak import proxy
+from soak import machines as machines_module
+from soak import proxy_registry
 from soak import resource_usage
 from soak import workload as workload_module
 from tests import one_process
@@ -76,6 +78,7 @@
     duration_s: float,
     workers_count: int = WORKERS_COUNT,
     edges_count: int = EDGES_COUNT,
+    has_series: bool = False,
 ) -> SoakResult:
     """Runs one soak; the logs stay in the folder.
 
@@ -85,8 +88,9 @@
         duration_s: How long faults are injected.
         workers_count: The number of workers, each with an agent.
         edges_count: The number of edge processes, three of which have a disk.
+        has_series: Whether series of faults come beside the others.
     """
-    proxies = ProxyRegistry()
+    proxies = proxy_registry.ProxyRegistry()
     system = system_module.System(
         folder,
         stateful_edges_count=_DISKS_COUNT,
@@ -104,23 +108,16 @@
     try:
         monitor.start()
         system.start(workers_count=workers_count)
-        plan = fault_plans.draw_plan(
-            seed,
-            duration_s=duration_s,
-            edges=system.member_names(),
-            sides=list(system.workers),
-            stateless_edges=[
-                e
-                for e in system.running_edges()
-                if e not in system.member_names()
-            ],
-        )
+        plan = _draw_plan(seed, duration_s, system, has_series=has_series)
         workload = workload_module.Workload(
             system, seed=seed, evacuated_data_centre=_DATA_CENTRES[-1]
         )
         workload.start()
         injector = injector_module.Injector(
-            system, proxies.named_proxies(), proxies.control_proxies()
+            system,
+            proxies.named_proxies(),
+            proxies.control_proxies(),
+            proxies.proxies_by_machine(),
         )
         injector.inject(plan)
         workload.stop()
@@ -151,9 +148,8 @@
         jobs_count=sum(job.accepted for job in workload.jobs),
         violations=workload.violations + invariants.violations(history),
         folder=folder,
-        replay_arguments=(
-            f"--seeds 1 --first {seed} --seconds {duration_s:g} "
-            f"--workers {workers_count} --edges {edges_count}"
+        replay_arguments=replay_arguments(
+            seed, duration_s, workers_count, edges_count, has_series=has_series
         ),
         longest_downtime_s=max(
             (
@@ -167,65 +163,50 @@
     )
 
 
-class ProxyRegistry:
-    """The proxies before the addresses of a system.
-
-    Attributes:
-        system: The system.
-    """
-
-    def __init__(self):
-        self.system: system_module.System | None = None
-        self._connection_owners = connection_owners.ConnectionOwners(self._pids)
-        self._by_target: dict[str, proxy.Proxy] = {}
-
-    def proxy_address(self, target: str) -> str:
-        """Returns the address of the proxy before an address."""
-        if target not in self._by_target:
-            self._by_target[target] = proxy.Proxy(target)
-        return self._by_target[target].address
-
-    def advertise(self, target: str) -> str:
-        """Like `proxy_address`, but the proxy has the same port on another loopback host."""
-        host, _, port = target.rpartition(":")
-        first, second, third, last = host.split(".")
-        address = f"{first}.{second}.{int(third) + 1}.{last}:{port}"
-        if target not in self._by_target:
-            self._by_target[target] = proxy.Proxy(
-                target,
-                address=address,
-                identify_caller=self._connection_owners.find_owner,
-            )
-        return address
-
-    def named_proxies(self) -> dict[str, proxy.Proxy]:
-        """Returns the proxies of workers and of edges' frontends by machine."""
-        system = self.system
-        targets = {name: w.address for name, w in system.workers.items()}
-        targets |= {
-            name: system.frontend_address(name)
-            for name in system.running_edges()
-        }
-        for target in targets.values():
-            self.proxy_address(target)
-        return {name: self._by_target[t] for name, t in targets.items()}
-
-    def control_proxies(self) -> dict[str, proxy.Proxy]:
-        """Returns the proxies between processes by the called edge."""
-        by_address = {each.address: each for each in self._by_target.values()}
-        names = self.system.running_edges()
-        return {
-            name: by_address[self.system.advertised_address(name)]
-            for name in names
-        }
+def replay_arguments(
+    seed: int,
+    duration_s: float,
+    workers_count: int,
+    edges_count: int,
+    *,
+    has_series: bool,
+) -> str:
+    """Returns the arguments that run a soak again."""
+    return (
+        f"--seeds 1 --first {seed} --seconds {duration_s:g} "
+        f"--workers {workers_count} --edges {edges_count}"
+        f"{' --series' if has_series else ''}"
+    )
 
-    def _pids(self) -> dict[str, int]:
-        return {n: p.pid for n, p in list(self.system.processes.items())}
 
-    def stop(self) -> None:
-        """Stops all proxies."""
-        for each in self._by_target.values():
-            each.stop()
+def _draw_plan(
+    seed: int,
+    duration_s: float,
+    system: system_module.System,
+    *,
+    has_series: bool,
+) -> list[faults.PlannedFault]:
+    members = system.member_names()
+    machines = machines_module.Machines(
+        members=tuple(members),
+        stateless_edges=tuple(
+            name for name in system.running_edges() if name not in members
+        ),
+        sides=tuple(system.workers),
+    )
+    plan = fault_plans.draw_plan(
+        seed,
+        duration_s=duration_s,
+        edges=machines.members,
+        sides=machines.sides,
+        stateless_edges=machines.stateless_edges,
+    )
+    if not has_series:
+        return plan
+    series = fault_series.draw_series(
+        seed, duration_s=duration_s, machines=machines, other_faults=plan
+    )
+    return [*plan, *series]
 
 
 def wait_until_settled(
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 import json
+import random
 import threading
 import time
 
@@ -45,6 +46,9 @@
         delayed_calls: Calls, such as "run-start", that get no answer and are
             carried out later.
         call_delay_s: The delay of these calls.
+        refused_share: The share of calls that are refused as by an unhealthy worker,
+            which has then done nothing.
+        refused_status: The status of these refusals.
         refuses_orders: Every order but "hold" is refused with status 503.
         fails_starts: Every run fails as soon as it is started.
         is_stalled: Runs make no progress.
@@ -54,6 +58,8 @@
 
     delayed_calls: set[str] = dataclasses.field(default_factory=set)
     call_delay_s: float = 0.3
+    refused_share: float = 0.0
+    refused_status: int = 503
     refuses_orders: bool = False
     fails_starts: bool = False
     is_stalled: bool = False
@@ -239,6 +245,8 @@
         incarnation = request.headers.get("Target-Instance", self.incarnation)
         if incarnation != self.incarnation:
             return _json({}, status=421)
+        if random.random() < self.faults.refused_share:
+            return _json({}, status=self.faults.refused_status)
         body = json.loads(request.get_data() or b"{}")
         if name in self.faults.delayed_calls:
             self._executor.submit(
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import re
 import types
 
 from marigoldsill import errors
@@ -23,6 +24,7 @@
 HOST = "jobs.example"
 POOL = "desk"
 _JSON = ("Content-Type", "application/json")
+_LEADER_ELECTED = re.compile(r" event=leader_elected .*?term=(\d+)")
 _SETTINGS = """
 node_name = "{name}"
 ip = "{ip}"
@@ -238,6 +240,16 @@
         }
         return max(elected, key=elected.get)
 
+    def find_current_leader(self) -> str | None:
+        """Returns the running member that was elected last, by the logs, if any."""
+        terms = {
+            name: int(term)
+            for name in self.member_names()
+            if not self.processes[name].has_ended()
+            for term in _LEADER_ELECTED.findall(self.processes[name].text())
+        }
+        return max(terms, key=terms.get, default=None)
+
     def data_folder(self, name: str) -> pathlib.Path:
         """Returns the folder where an edge process stores its state."""
         return self.folder / f"{name}.data"
--- a/tests/platform/test_advertised_addresses.py
+++ b/tests/platform/test_advertised_addresses.py
@@ -6,7 +6,7 @@
 import pytest
 
 from soak import proxy
-from soak import run
+from soak import proxy_registry
 from tests import one_process
 from tests.platform import journal_invariants
 from tests.platform import system as system_module
@@ -18,16 +18,16 @@
 
 
 @pytest.fixture
-def links() -> Iterator[run.ProxyRegistry]:
+def links() -> Iterator[proxy_registry.ProxyRegistry]:
     """Proxies at the advertised addresses."""
-    links = run.ProxyRegistry()
+    links = proxy_registry.ProxyRegistry()
     yield links
     links.stop()
 
 
 @pytest.fixture
 def system(
-    links: run.ProxyRegistry, tmp_path: pathlib.Path
+    links: proxy_registry.ProxyRegistry, tmp_path: pathlib.Path
 ) -> Iterator[system_module.System]:
     """Three edges with a disk, one without, behind proxies; the test starts them."""
     system = system_module.System(
@@ -59,7 +59,7 @@
 
 
 def test_only_advertised_addresses_reach_other_processes(
-    system: system_module.System, links: run.ProxyRegistry
+    system: system_module.System, links: proxy_registry.ProxyRegistry
 ) -> None:
     """Guards against members and leaders that are known by a listen address.
 
@@ -101,7 +101,7 @@
 
 
 def test_a_leader_that_no_member_can_reach_is_replaced(
-    system: system_module.System, links: run.ProxyRegistry
+    system: system_module.System, links: proxy_registry.ProxyRegistry
 ) -> None:
     system.start()
     system.submit(_JOB, step(2))
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -17,7 +17,9 @@
         (histories.LINK, "side-1", 5),
         (faults.DelayedCalls("side-1", "run-start"), "side-1", 5),
         (faults.DiskLoss("edge-1"), "edge-1", 5),
-        # The worker restarts at once.
+        (faults.RefusedCalls("side-1", 0.5, 503), "side-1", 5),
+        # The worker restarts at once, and so do connections.
+        (faults.ConnectionReset(("edge-1", "side-1")), "side-1", 2),
         (faults.WorkerCrash("side-1"), "side-1", 2),
     ],
 )
@@ -53,6 +55,10 @@
         (faults.PowerLoss(("edge-1", "side-1")), {"edge-1", "side-1"}),
         (faults.GroupTermination(("edge-1", "edge-2")), {"edge-1", "edge-2"}),
         (faults.SeedsChange(("edge-1",)), set()),
+        (
+            faults.ConnectionReset(("edge-1", "side-1")),
+            _FIRST_MEMBER_AND_SIDE,
+        ),
         (_control_link_fault("side-1", "edge-1", both_ways=False), {"side-1"}),
         # Has no disk, so no process needs it to reach the members.
         (_control_link_fault("side-1", "edge-4", both_ways=False), set()),
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -11,8 +11,10 @@
 from marigoldsill.transport import http_server
 from soak import connection_owners
 from soak import fault_plans
+from soak import fault_series
 from soak import faults
 from soak import foreign_heartbeats
+from soak import machines
 from soak import proxy
 from tests import one_process
 
@@ -22,6 +24,11 @@
 _TIMEOUT_S = 10.0
 _SHORT_TIMEOUT_S = 0.3
 _SEEDS = range(40)
+_SERIES_ONLY = {
+    faults.ConnectionReset,
+    faults.LeaderKill,
+    faults.RefusedCalls,
+}
 
 
 def _plan(seed: int) -> list[faults.PlannedFault]:
@@ -34,6 +41,15 @@
     )
 
 
+def _draw_series(seed: int) -> list[faults.PlannedFault]:
+    return fault_series.draw_series(
+        seed,
+        duration_s=60.0,
+        machines=machines.Machines(_MEMBERS, _STATELESS_EDGES, _SIDES),
+        other_faults=_plan(seed),
+    )
+
+
 def _affected_members(fault: faults.Fault) -> set[str]:
     """Returns the members that a fault stops or partitions from each other."""
     match fault:
@@ -44,6 +60,10 @@
         case faults.ControlLinkFault(callers=callers, targets=targets):
             parts = [set(p) & set(_MEMBERS) for p in (callers, targets)]
             return parts[0] | parts[1] if all(parts) else set()
+        case faults.LeaderKill():
+            return set(_MEMBERS)
+        case faults.ConnectionReset(names=names):
+            return set(names) & set(_MEMBERS)
         case _:
             return {getattr(fault, "process", "")} & set(_MEMBERS)
 
@@ -52,7 +72,11 @@
 def test_disk_losses_do_not_overlap_stops_or_partitions_of_members(
     seed: int,
 ) -> None:
-    plan = [item for item in _plan(seed) if _affected_members(item.fault)]
+    plan = [
+        item
+        for item in (*_plan(seed), *_draw_series(seed))
+        if _affected_members(item.fault)
+    ]
     for loss in plan:
         if isinstance(loss.fault, faults.DiskLoss):
             overlapping = [
@@ -66,7 +90,11 @@
 
 def test_every_kind_of_fault_is_drawn() -> None:
     drawn = {type(item.fault) for seed in _SEEDS for item in _plan(seed)}
-    assert drawn == set(faults.Fault.__args__)
+    assert drawn == set(faults.Fault.__args__) - _SERIES_ONLY
+    in_series = {
+        type(item.fault) for seed in _SEEDS for item in _draw_series(seed)
+    }
+    assert in_series >= _SERIES_ONLY
 
 
 def test_seeds_are_drawn_from_all_edges_or_only_from_stateless_ones() -> None:
@@ -155,6 +183,26 @@
     assert other_accepted.recv(10) == b"passes"
 
 
+def test_a_reset_leaves_the_modes_and_new_connections_as_they_are(
+    pair: _TwoCallers,
+) -> None:
+    open_connection = pair.connect("one")
+    pair.accept_from(open_connection)
+    pair.proxy.set_mode(proxy.Blackhole(), callers=["one"])
+    pair.proxy.reset_connections()
+    with pytest.raises(ConnectionResetError):
+        open_connection.recv(10)
+    other = pair.connect("other")
+    pair.accept_from(other).sendall(b"passes")
+    assert other.recv(10) == b"passes"
+    other.settimeout(_SHORT_TIMEOUT_S)
+    one = pair.connect("one")
+    one.settimeout(_SHORT_TIMEOUT_S)
+    one.sendall(b"held back")
+    with pytest.raises(TimeoutError):
+        one.recv(10)
+
+
 def test_overlapping_modes_end_independently(pair: _TwoCallers) -> None:
     caller = pair.connect("one")
     accepted = pair.accept_from(caller)
