Keep routes after a change of leader until agents have announced again

Cause: a new leader knows no endpoints and answered each entry's watch at once with the empty list, then with a part of it; entries replace their routes by it. Change: entries with routes of an earlier leader get new ones once each agent that was not lost has announced its endpoints or its lease is over, as docs/DESIGN.md says. Evidence: test_new_leader_withdraws_no_route_before_agents_had_time_to_announce gets [] in both cases without the change.

--- a/marigoldsill/coordination/configuration/endpoint_registry.py
+++ b/marigoldsill/coordination/configuration/endpoint_registry.py
@@ -1,5 +1,6 @@
 """Registry of the endpoints that agents announced: soft state of the leader."""
 
+from collections.abc import Iterable
 import threading
 
 from marigoldsill.protocol.generated import ttypes
@@ -16,13 +17,21 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._endpoints: dict[str, list[ttypes.EndpointInfo]] = {}
+        self._awaited_agents: set[str] = set()
         self.version = 1
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all agents of earlier leaders have announced or are lost."""
+        with self._lock:
+            return not self._awaited_agents
+
     def set_endpoints(
         self, agent: str, endpoints: list[ttypes.EndpointInfo]
     ) -> bool:
         """Replaces an agent's endpoints, and returns whether anything changed."""
         with self._lock:
+            self._awaited_agents.discard(agent)
             if self._endpoints.get(agent) == endpoints:
                 return False
             self._endpoints[agent] = endpoints
@@ -35,9 +44,13 @@
             return agent in self._endpoints
 
     def remove_agent(self, agent: str) -> bool:
-        """Removes an agent, and returns whether it was known."""
+        """Removes an agent, and returns whether it was known or awaited."""
         with self._lock:
-            known = self._endpoints.pop(agent, None) is not None
+            known = (
+                self._endpoints.pop(agent, None) is not None
+                or agent in self._awaited_agents
+            )
+            self._awaited_agents.discard(agent)
             self.version += known
             return known
 
@@ -46,10 +59,15 @@
         with self._lock:
             self.version += 1
 
-    def reset(self) -> None:
-        """Removes all endpoints, as a new leader does."""
+    def reset(self, awaited_agents: Iterable[str] = ()) -> None:
+        """Removes all endpoints, as a new leader does.
+
+        Args:
+            awaited_agents: The agents that should announce their endpoints again.
+        """
         with self._lock:
             self._endpoints.clear()
+            self._awaited_agents = set(awaited_agents)
             self.version += 1
 
     def build_routes(self, tables: tables_module.Tables) -> list[ttypes.Route]:
--- a/marigoldsill/coordination/configuration/watch_service.py
+++ b/marigoldsill/coordination/configuration/watch_service.py
@@ -93,10 +93,9 @@
                     tables, request.config_version, request.config_checksum
                 ),
             )
-            version = self._list_version(request)
-            held = _held_list_version(request)
-            if held == (term, version) or self._is_replaced(request):
+            if not self._has_list_changes(request):
                 return reply
+            version = self._list_version(request)
             if request.role == ttypes.Role.AGENT:
                 reply.orders = orders.build_orders(tables, request.subscriber)
                 reply.orders_version = version
@@ -113,10 +112,19 @@
         current = _config_version(tables)
         if held != current and held[0] <= current[0]:
             return True
-        if self._is_replaced(request):
+        return self._has_list_changes(request)
+
+    def _has_list_changes(self, request: ttypes.WatchRequest) -> bool:
+        """Whether a subscriber's orders or routes are to be replaced."""
+        term = self._replica.term
+        held_term, held_version = _held_list_version(request)
+        if (held_term, held_version) == (term, self._list_version(request)):
             return False
-        current = (self._replica.term, self._list_version(request))
-        return _held_list_version(request) != current
+        if request.role == ttypes.Role.AGENT:
+            return not self._is_replaced(request)
+        # Routes of an earlier leader serve better than a part of this one's.
+        is_of_earlier_leader = held_version and held_term < term
+        return self._endpoints.is_complete or not is_of_earlier_leader
 
     def _is_replaced(self, request: ttypes.WatchRequest) -> bool:
         """Whether a request is from an agent that a newer one of its name replaced.
--- a/marigoldsill/coordination/deciding/control_service.py
+++ b/marigoldsill/coordination/deciding/control_service.py
@@ -76,9 +76,14 @@
                 return
             self.led_term = term
             lease_ms = self._replica.tables.longest_lease_ms
+            agents = [
+                worker.name
+                for worker in self._replica.tables.workers.values()
+                if worker.state != ttypes.WorkerState.LOST
+            ]
         self._heartbeat_handler.reset()
         self.leases.reset(lease_ms=lease_ms)
-        self.endpoints.reset()
+        self.endpoints.reset(awaited_agents=agents)
         self.watches.reset()
 
     def heartbeat(self, heartbeat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
--- a/tests/coordination/configuration/test_watch_service.py
+++ b/tests/coordination/configuration/test_watch_service.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marigoldsill.coordination.configuration import watch_service
+from marigoldsill.coordination.deciding import control_service
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
@@ -184,3 +185,64 @@
 
     assert replies[1].orders is None
     assert [order.task for order in replies[2].orders] == ["lookup/0"]
+
+
+def _routed_agents(reply: ttypes.WatchReply) -> list[str] | None:
+    if reply.routes is None:
+        return None
+    return sorted(route.agent for route in reply.routes)
+
+
+def _announce(service: control_service.ControlService, agent: str) -> None:
+    endpoint = ttypes.EndpointInfo(
+        service_name="lookup",
+        address=f"{agent}:1",
+        slots_count=4,
+        connections_count=8,
+    )
+    service.endpoints.set_endpoints(agent, [endpoint])
+
+
+def _lead_again(
+    replica: fakes.FakeReplica, service: control_service.ControlService
+) -> None:
+    replica.term += 1
+    service.become_leader()
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_new_leader_withdraws_no_route_before_agents_had_time_to_announce(
+    is_lost: bool,
+) -> None:
+    # Entries refused all requests until the first heartbeats reached a new leader.
+    replica, service = fakes.leading_control_service(
+        states.with_workers("w1", "w2")
+    )
+    for agent in ("w1", "w2"):
+        _announce(service, agent)
+    request = _current_request(service.watches, replica, "entry-1", _ENTRY)
+    _lead_again(replica, service)
+    assert _routed_agents(service.watch(request)) is None
+    _announce(service, "w1")
+    assert _routed_agents(service.watch(request)) is None
+    if is_lost:
+        service.remove_agent("w2")
+    else:
+        _announce(service, "w2")
+    expected = ["w1"] if is_lost else ["w1", "w2"]
+    assert _routed_agents(service.watch(request)) == expected
+
+
+def test_new_leader_gives_a_restarted_entry_the_routes_that_it_knows() -> None:
+    replica, service = fakes.leading_control_service(
+        states.with_workers("w1", "w2")
+    )
+    _lead_again(replica, service)
+    _announce(service, "w1")
+    request = ttypes.WatchRequest(role=_ENTRY, subscriber="entry-1", wait_ms=0)
+    reply = service.watch(request)
+    assert _routed_agents(reply) == ["w1"]
+    request.routes_term = reply.term
+    request.routes_version = reply.routes_version
+    _announce(service, "w2")
+    assert _routed_agents(service.watch(request)) == ["w1", "w2"]
