Measure how long claims wait for a connection to control, and how long their calls take

Keyed calls wait in the entry's limit while they claim; when they were refused for seconds, no figure told a wait for one of the 16 connections from a slow commit. marigoldsill_claim_link_wait_seconds and marigoldsill_claim_seconds do. No change of behaviour; tests of requests pass.

--- a/marigoldsill/coordination/requests/claims_client.py
+++ b/marigoldsill/coordination/requests/claims_client.py
@@ -229,7 +229,8 @@
         *,
         timeout_s: float = _CLAIM_TIMEOUT_S,
     ) -> ttypes.CommandResult:
-        with self._acquire_link(timeout_s) as link:
+        latency = request_metrics.CLAIM_LATENCY.labels(call=method)
+        with self._acquire_link(timeout_s) as link, latency.time():
             return link.call(method, request, timeout_s=max(0.01, timeout_s))
 
     @contextlib.contextmanager
@@ -237,7 +238,8 @@
         self, timeout_s: float
     ) -> Iterator[control_link.ControlLink]:
         try:
-            link = self._links.get(timeout=max(0.0, timeout_s))
+            with request_metrics.CLAIM_LINK_WAIT.time():
+                link = self._links.get(timeout=max(0.0, timeout_s))
         except queue.Empty as error:
             raise errors.NoQuorumError(
                 f"all {_LINKS_COUNT} connections to control are in use; the "
--- a/marigoldsill/coordination/requests/request_metrics.py
+++ b/marigoldsill/coordination/requests/request_metrics.py
@@ -66,6 +66,17 @@
     "Claims asked for, by what came of it.",
     ("result",),
 )
+CLAIM_LINK_WAIT = prometheus_client.Histogram(
+    "marigoldsill_claim_link_wait_seconds",
+    "Wait of a claim or its end for a free connection to control.",
+    buckets=_BUCKETS_S,
+)
+CLAIM_LATENCY = prometheus_client.Histogram(
+    "marigoldsill_claim_seconds",
+    "Time of a claim's or its end's call to control.",
+    ("call",),
+    buckets=_BUCKETS_S,
+)
 CLAIM_ENDS_PENDING = prometheus_client.Gauge(
     "marigoldsill_claim_ends_pending",
     "Ends of claims not recorded yet.",
