Let calls that return after a refusal go before new ones

Cause: whoever came first after a call had ended got its place, and all that were refused were told the same time, so that they came together and most were refused again. Change: the entry keeps the keys that it refused in their order. Each is told the time when its turn should come; from then on room is kept for it for a second, against later ones. At most half of the limit is kept, and only for the share of such calls that has returned so far, so that callers who never come back cost nothing. Agents' refusals count in the same way.

--- a/marigoldsill/coordination/requests/call_dispatcher.py
+++ b/marigoldsill/coordination/requests/call_dispatcher.py
@@ -74,11 +74,15 @@
         max_in_flight = self._limits.max_in_flight(
             self._router.slots_count(call.service)
         )
-        with limit.admit(max_in_flight=max_in_flight, deadline=call.deadline):
+        with limit.admit(
+            max_in_flight=max_in_flight, deadline=call.deadline, key=call.key
+        ):
             try:
                 answer = self._run_by_kind(call)
             except errors.OverloadedError as error:
-                limit.record_overload(retry_after_ms=error.retry_after_ms)
+                limit.record_overload(
+                    retry_after_ms=error.retry_after_ms, key=call.key
+                )
                 raise
         limit.record_answer()
         return answer
--- a/marigoldsill/coordination/requests/concurrency_limits.py
+++ b/marigoldsill/coordination/requests/concurrency_limits.py
@@ -13,6 +13,7 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.requests import expected_returns
 from marigoldsill.transport import deadlines
 
 _MIN_LIMIT = 4
@@ -23,6 +24,9 @@
 # Minimum time between two decreases.
 _DECREASE_INTERVAL_S = 0.05
 _RETRY_AFTER_MIN_MS = 50
+_RETRY_AFTER_MAX_MS = 30_000
+# Maximum share of the limit that is kept free for calls that return.
+_RETURNS_SHARE = 0.5
 # Weight of a new value in the moving average of the duration.
 _DURATION_WEIGHT = 0.1
 
@@ -97,28 +101,37 @@
         self._last_decrease_s = 0.0
         self._agents_capacity_s = 0.0
         self._calls = _CallsInFlight()
+        self._returns = expected_returns.ExpectedReturns()
 
     @contextlib.contextmanager
     def admit(
-        self, *, max_in_flight: int, deadline: deadlines.Deadline
+        self,
+        *,
+        max_in_flight: int,
+        deadline: deadlines.Deadline,
+        key: str = "",
     ) -> Iterator[None]:
         """Counts a request as in flight during the context.
 
         Args:
             max_in_flight: The maximum of the limit.
             deadline: The request's deadline.
+            key: Its idempotency key, or empty. A call that returns with its key
+                after a refusal goes before later ones.
 
         Raises:
-            OverloadedError: The limit is reached; the request was not run.
+            OverloadedError: The limit is reached, or room is kept for calls that
+                were refused before; the request was not run.
         """
         with self._lock:
+            self._returns.record_arrival(key)
             limit = min(self._limit, max_in_flight)
-            if self._calls.count >= limit:
-                raise errors.OverloadedError(
-                    f"{self._calls.count} requests of the service are in "
-                    f"flight; the current limit is {int(limit)}",
-                    retry_after_ms=self._expected_capacity_ms(),
-                )
+            kept_count = min(
+                self._returns.due_count_before(key), limit * _RETURNS_SHARE
+            )
+            if self._calls.count + int(kept_count) >= limit:
+                raise self._refuse(key, limit)
+            self._returns.remove(key)
             call = self._calls.add(deadline)
         try:
             yield
@@ -131,11 +144,15 @@
         with self._lock:
             self._limit += 1 / max(1.0, self._limit)
 
-    def record_overload(self, *, retry_after_ms: int | None) -> None:
+    def record_overload(
+        self, *, retry_after_ms: int | None, key: str = ""
+    ) -> None:
         """Decreases the limit, as agents had no free capacity."""
         now_s = time.monotonic()
+        retry_after_s = (retry_after_ms or 0) / 1000
         with self._lock:
-            self._agents_capacity_s = now_s + (retry_after_ms or 0) / 1000
+            self._agents_capacity_s = now_s + retry_after_s
+            self._returns.record_refusal(key, retry_after_s=retry_after_s)
             if now_s < self._last_decrease_s + _DECREASE_INTERVAL_S:
                 return
             self._last_decrease_s = now_s
@@ -144,12 +161,28 @@
                 min(self._limit, self._calls.count) * _DECREASE_FACTOR,
             )
 
-    def _expected_capacity_ms(self) -> int:
+    def _refuse(self, key: str, limit: float) -> errors.OverloadedError:
+        retry_after_ms = self._expected_capacity_ms(key)
+        self._returns.record_refusal(key, retry_after_s=retry_after_ms / 1000)
+        return errors.OverloadedError(
+            f"{self._calls.count} requests of the service are in flight; the "
+            f"current limit is {int(limit)}",
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _expected_capacity_ms(self, key: str) -> int:
+        # Half of the calls end in each such time; calls refused before come first.
+        turns_count = 1 + self._returns.count_before(key) / max(
+            1.0, self._calls.count / 2
+        )
         capacity_s = max(
-            self._calls.expected_capacity_s(),
+            self._calls.expected_capacity_s() * turns_count,
             self._agents_capacity_s - time.monotonic(),
         )
-        return max(_RETRY_AFTER_MIN_MS, int(capacity_s * 1000))
+        return min(
+            max(_RETRY_AFTER_MIN_MS, int(capacity_s * 1000)),
+            _RETRY_AFTER_MAX_MS,
+        )
 
 
 class ConcurrencyLimits:
