Let claims of all calls in flight wait for their commits at once

What callers saw: with slow commits, keyed calls were refused at the entry's limit, and got 503 NoQuorumError 'all 16 connections to control are in use' while control had a majority. Cause: a claim holds one of 16 connections until it is committed, so that the entry's rate is 16 divided by the time of a commit, shared with the ends of claims; calls that waited for one filled the entry's limit. Each connection also had to find a new leader by itself. Change: up to 64 connections, the one used last first, 16 kept open when idle; each call goes to the leader that another one found, until a call to it fails. The new tests are of the pool, which did not exist; with 16 connections test_claims_of_all_slots_wait_for_their_commits_at_once fails.

--- a/marigoldsill/coordination/leadership/control_link.py
+++ b/marigoldsill/coordination/leadership/control_link.py
@@ -43,6 +43,17 @@
         self._lock = threading.Lock()
         self._connection: thrift_client.Connection | None = None
 
+    @property
+    def address(self) -> str:
+        """The address that the next call tries first."""
+        return self._current
+
+    def set_address(self, address: str) -> None:
+        """Makes the next call try an address first."""
+        with self._lock:
+            if address != self._current:
+                self._set_address(address)
+
     def call(self, method: str, *requests: object, timeout_s: float) -> object:
         """Calls the leader, searching for it among the known addresses.
 
--- a/marigoldsill/coordination/requests/claims_client.py
+++ b/marigoldsill/coordination/requests/claims_client.py
@@ -1,28 +1,21 @@
 """Client for claims: an entry claims a key before a request, then records its end."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
 from concurrent import futures
-import contextlib
 import dataclasses
 import hashlib
-import queue
 import threading
 import time
 import uuid
 
 from marigoldsill import errors
-from marigoldsill.coordination.leadership import (
-    control_addresses as control_addresses_module,
-)
-from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.requests import attempts
+from marigoldsill.coordination.requests import control_link_pool
 from marigoldsill.coordination.requests import request_metrics
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
 from marigoldsill.transport import network_partitions
 
-_LINKS_COUNT = 16
 _CLAIM_TIMEOUT_S = 1.0
 _NO_QUORUM_BACKOFF_S = 0.3
 _BACKGROUND_THREADS_COUNT = 4
@@ -80,18 +73,9 @@
     ):
         self._entry = entry
         self._retention_ms = int(retention_s * 1000)
-        self._links: queue.SimpleQueue[control_link.ControlLink] = (
-            queue.SimpleQueue()
+        self._links = control_link_pool.ControlLinkPool(
+            control_addresses=control_addresses, partitions=partitions
         )
-        for _ in range(_LINKS_COUNT):
-            self._links.put(
-                control_link.ControlLink(
-                    addresses=control_addresses_module.ControlAddresses(
-                        control_addresses
-                    ),
-                    partitions=partitions,
-                )
-            )
         self._no_quorum_until_s = 0.0
         self._lock = threading.Lock()
         self._pending_count = 0
@@ -230,27 +214,9 @@
         timeout_s: float = _CLAIM_TIMEOUT_S,
     ) -> ttypes.CommandResult:
         latency = request_metrics.CLAIM_LATENCY.labels(call=method)
-        with self._acquire_link(timeout_s) as link, latency.time():
+        with self._links.acquire(timeout_s=timeout_s) as link, latency.time():
             return link.call(method, request, timeout_s=max(0.01, timeout_s))
 
-    @contextlib.contextmanager
-    def _acquire_link(
-        self, timeout_s: float
-    ) -> Iterator[control_link.ControlLink]:
-        try:
-            with request_metrics.CLAIM_LINK_WAIT.time():
-                link = self._links.get(timeout=max(0.0, timeout_s))
-        except queue.Empty as error:
-            raise errors.NoQuorumError(
-                f"all {_LINKS_COUNT} connections to control are in use; the "
-                "request was not run",
-                retry_after_ms=1000,
-            ) from error
-        try:
-            yield link
-        finally:
-            self._links.put(link)
-
     def _run_in_background(self, run: Callable[[], None]) -> None:
         with self._lock:
             if self._pending_count >= _PENDING_ENDS_LIMIT:
