Move the limits on requests to a package of their own

Concurrency limits, expected returns, the retry budget and the queue of a service decide without a network and import nothing of the package; no logic is changed. Lint and the tests of requests pass.

--- a/marigoldsill/coordination/requests/concurrency_limits.py
+++ b/marigoldsill/coordination/request_limits/concurrency_limits.py
@@ -13,7 +13,7 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination.requests import expected_returns
+from marigoldsill.coordination.request_limits import expected_returns
 from marigoldsill.transport import deadlines
 
 _MIN_LIMIT = 4
@@ -120,7 +120,7 @@
                 after a refusal goes before later ones.
 
         Raises:
-            OverloadedError: The limit is reached, or room is kept for calls that
+            OverloadedError: The limit is reached, or capacity is kept for calls that
                 were refused before; the request was not run.
         """
         with self._lock:
--- a/marigoldsill/coordination/requests/admission.py
+++ b/marigoldsill/coordination/requests/admission.py
@@ -11,7 +11,7 @@
 import threading
 import time
 
-from marigoldsill.coordination.requests import service_queue
+from marigoldsill.coordination.request_limits import service_queue
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 
--- a/marigoldsill/coordination/requests/agent_service.py
+++ b/marigoldsill/coordination/requests/agent_service.py
@@ -4,11 +4,11 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.request_limits import service_queue
 from marigoldsill.coordination.requests import admission as admission_module
 from marigoldsill.coordination.requests import attempt_registry
 from marigoldsill.coordination.requests import request_latency
 from marigoldsill.coordination.requests import request_metrics
-from marigoldsill.coordination.requests import service_queue
 from marigoldsill.protocol import codec
 from marigoldsill.protocol import headers as headers_module
 from marigoldsill.protocol.generated import ttypes
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -30,6 +30,7 @@
     "leadership",
     "discovery",
     "configuration",
+    "request_limits",
     "requests",
     "runs",
     "learning",
