Record agents that a new leader has not heard of for 1.5 s

Cause: a leader records an agent as unresponsive 2.5 s after its election at the earliest. One that ends before leaves no record, so the next leader has to count a whole lease from its own election, as the one before may have renewed it.

Change: of an agent that has not reported in the term, 1.5 s after its begin; once renewed, 2.5 s after the last renewal as before. A record that comes too early costs one more record when the agent reports, and no lease: no leader renews before that.

Evidence: test_a_leader_that_ends_2_2_s_after_its_election_leaves_a_bound fails without the change. test_only_leases_not_renewed_for_a_while_are_suspended tested the bound of 2.5 s from the begin of a term; it now tests that of 1.5 s there and that of 2.5 s after a renewal, from both sides as before.

--- a/marigoldsill/coordination/jobs/unresponsive_agents.py
+++ b/marigoldsill/coordination/jobs/unresponsive_agents.py
@@ -8,6 +8,7 @@
 proposed, and thus before any process applied it.
 """
 
+from collections.abc import Iterable
 import math
 
 from marigoldsill.coordination.agreement import replica as replica_module
@@ -21,6 +22,10 @@
 # agent takes to find a new leader: its reports are 1 s apart, and a report to a leader
 # that does not answer times out after 1 s.
 UNRENEWED_S = 2.5
+# The same from the begin of a term for an agent that has not reported in it. Agents look
+# for a leader during the election. A leader that ends before this time leaves no record,
+# so that the next one counts a whole lease.
+UNRENEWED_IN_TERM_S = 1.5
 _NOTE_INTERVAL_S = 1.0
 
 
@@ -86,7 +91,7 @@
             return None
         agents = self._replica.tables.jobs.unresponsive_agents
         live = [agent for agent in agents if self.bound_s(agent) > now_s]
-        suspended = leases.suspend_unrenewed(live, unrenewed_s=UNRENEWED_S)
+        suspended = _suspend_unrenewed(leases, live)
         if not suspended:
             return None
         self._noted_s = now_s
@@ -108,7 +113,7 @@
     agents = [
         a for a in jobs.runs_by_agent if a not in jobs.unresponsive_agents
     ]
-    suspended = leases.suspend_unrenewed(agents, unrenewed_s=UNRENEWED_S)
+    suspended = _suspend_unrenewed(leases, agents)
     if not suspended:
         return None
     logs.event(
@@ -118,6 +123,16 @@
     return _build_note(suspended, left_s=end_s - clock.now_s())
 
 
+def _suspend_unrenewed(
+    leases: leases_module.LeaseTable, agents: Iterable[str]
+) -> list[str]:
+    return leases.suspend_unrenewed(
+        agents,
+        unrenewed_s=UNRENEWED_S,
+        unrenewed_in_term_s=UNRENEWED_IN_TERM_S,
+    )
+
+
 def _build_note(agents: list[str], *, left_s: float) -> ttypes.NoteUnresponsive:
     return ttypes.NoteUnresponsive(
         unresponsive=sorted(agents),
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -65,7 +65,11 @@
             return agent in self._closed
 
     def suspend_unrenewed(
-        self, agents: Iterable[str], *, unrenewed_s: float
+        self,
+        agents: Iterable[str],
+        *,
+        unrenewed_s: float,
+        unrenewed_in_term_s: float = math.inf,
     ) -> list[str]:
         """Suspends the renewal of leases that were not renewed recently.
 
@@ -75,18 +79,24 @@
         Args:
             agents: Whose leases to check.
             unrenewed_s: Time without a renewal after which a lease is suspended.
+            unrenewed_in_term_s: The same, from the begin of the term, for leases that
+                this leader has not renewed yet.
 
         Returns:
             Those of `agents` whose lease is suspended.
         """
-        oldest_renewal_s = clock.now_s() - unrenewed_s
+        now_s = clock.now_s()
+        limit_in_term_s = min(unrenewed_s, unrenewed_in_term_s)
         with self._lock:
             suspended = [
                 agent
                 for agent in agents
                 if agent in self._suspension_numbers
-                or max(self._renewed_s.get(agent, 0.0), self._reset_s)
-                < oldest_renewal_s
+                or (
+                    now_s - self._renewed_s[agent] > unrenewed_s
+                    if agent in self._renewed_s
+                    else now_s - self._reset_s > limit_in_term_s
+                )
             ]
             self._suspensions_count += 1
             self._suspension_numbers |= dict.fromkeys(
--- a/tests/coordination/jobs/test_unresponsive_agents.py
+++ b/tests/coordination/jobs/test_unresponsive_agents.py
@@ -198,10 +198,12 @@
 
 def test_only_leases_not_renewed_for_a_while_are_suspended(fake_clock) -> None:
     case = _Case()
-    fake_clock.now_s += unresponsive_agents.UNRENEWED_S - 0.1
+    fake_clock.now_s += unresponsive_agents.UNRENEWED_IN_TERM_S - 0.1
     assert case.suspend_unresponsive() == []
     assert case.leases.renew("a1", lease_ms=_LEASE_MS)
-    fake_clock.now_s += unresponsive_agents.UNRENEWED_S + 0.1
+    fake_clock.now_s += unresponsive_agents.UNRENEWED_S - 0.1
+    assert case.suspend_unresponsive() == []
+    fake_clock.now_s += 0.2
     assert case.suspend_unresponsive() == ["a1"]
     assert not case.leases.renew("a1", lease_ms=_LEASE_MS)
     # The proposal of the note may have failed, so it is due until it is in the log.
@@ -210,6 +212,23 @@
     assert case.suspend_unresponsive() == []
 
 
+def test_a_leader_that_ends_2_2_s_after_its_election_leaves_a_bound(
+    fake_clock,
+) -> None:
+    """Guards against leaders that each count a whole lease of a lost agent."""
+    case = _Case()
+    end_s = case.leases.end_s("a1")
+    fake_clock.now_s += 2.2
+    note = case.suspension_note()
+    assert note is not None
+    case.apply(note_unresponsive=note)
+    next_leader = leases_module.LeaseTable()
+    fake_clock.now_s += 0.8
+    next_leader.reset(lease_ms=_LEASE_MS)
+    bound_s = case.unresponsive.bound_s("a1")
+    assert end_s <= bound_s < next_leader.end_s("a1") - 2.0
+
+
 def test_a_lease_is_renewed_only_after_its_latest_suspension_is_resumed(
     fake_clock,
 ) -> None:
