Break the renewal that waits at the stand-in worker when it crashes

Cause: a renewal that waited for an end went on waiting on the next incarnation of the same id. A process that crashes breaks its connections.

Change: the stand-in closes the connection of such a renewal.

Evidence: test_a_crash_breaks_the_renewal_that_waits_for_an_end fails without the change.

--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 import json
+import socket
 import threading
 import time
 
@@ -70,6 +71,10 @@
         self.reason = reason
 
 
+class _CrashedError(Exception):
+    """The worker has crashed during a call, which breaks its connection."""
+
+
 class PoolWorker:
     """A worker of the platform.
 
@@ -116,6 +121,7 @@
         self.faults = PoolFaults()
         self.is_draining = False
         self._has_ended = False
+        self._crashes_count = 0
         self.accepts_ticket: Callable[[str, str, str], bool] | None = None
         self._control_address = control_address
         self._pool = pool
@@ -184,6 +190,7 @@
                 tells when it started.
         """
         with self._condition:
+            self._crashes_count += 1
             self._lose_runs()
             self._begin_incarnation(keeps_id=keeps_id)
             self._condition.notify_all()
@@ -253,6 +260,9 @@
             return wrappers.Response(status=500)
         try:
             answer = self._handle_order(name, body, incarnation)
+        except _CrashedError:
+            request.environ["werkzeug.socket"].shutdown(socket.SHUT_RDWR)
+            return wrappers.Response(status=500)
         except _RefusedError as refusal:
             answer = {"clock_ms": self._clock_ms(), "reason": refusal.reason}
             return _json(answer, status=refusal.status)
@@ -338,18 +348,18 @@
         self._acknowledge_ends(body.get("acked_through", 0))
         self._extend_lease(body)
         wait_ms = min(body.get("wait_ms", 0), _HOLD_WAIT_LIMIT_MS)
-        incarnation = self.incarnation
+        crashes_count = self._crashes_count
         self._condition.wait_for(
             lambda: (
                 self._unacknowledged_ends
-                or incarnation != self.incarnation
+                or crashes_count != self._crashes_count
                 or self._has_ended
             ),
             wait_ms / 1000,
         )
         self._check_not_ended()
-        if incarnation != self.incarnation:
-            raise _RefusedError(421)
+        if crashes_count != self._crashes_count:
+            raise _CrashedError()
         return {
             "running": [run.to_row() for run in self._runs.values()],
             "ended_runs": list(self._unacknowledged_ends),
--- a/tests/test_stand_in_late_calls.py
+++ b/tests/test_stand_in_late_calls.py
@@ -1,9 +1,11 @@
-"""Tests of the stand-in worker's calls that get no answer and are carried out late."""
+"""Tests of the stand-in worker's calls that get no answer, or that a crash breaks."""
 
 from collections.abc import Iterator
 import contextlib
 import json
 import pathlib
+import threading
+import time
 
 import pytest
 
@@ -35,6 +37,7 @@
         labels=[],
         cpu_millicores=8_000,
         journal=journal_module.Journal(str(journal_path)),
+        sends_born=True,
     )
     new_worker.start()
     yield new_worker
@@ -73,3 +76,23 @@
         ),
         what="the start of the later call's run",
     )
+
+
+def test_a_crash_breaks_the_renewal_that_waits_for_an_end(
+    worker: pool_worker.PoolWorker,
+) -> None:
+    """Guards against agents that learn of a restart only when the wait is over."""
+    body = {"fencing_token": 1, "deadline_ms": 1 << 40, "wait_ms": 2_000}
+    begun_s = time.monotonic()
+    crash = threading.Timer(0.2, worker.crash, kwargs={"keeps_id": True})
+    crash.start()
+    with pytest.raises(errors.TransportError):
+        http_client.fetch(
+            f"http://{worker.address}/marigoldsill/hold",
+            method="POST",
+            body=json.dumps(body).encode(),
+            timeout_s=10.0,
+            single_copy=True,
+        )
+    assert time.monotonic() - begun_s < 2.0
+    crash.join()
