--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak import invariants
 from soak import machines as machines_module
 from soak import proxy_registry
+from soak import recorded_ends
 from soak import resource_usage
 from soak import workload as workload_module
 from tests import one_process
@@ -142,11 +143,18 @@
         },
         ended_ns=ended_ns,
     )
+    ends = recorded_ends.read(
+        folder, clock_offset_ns=time.time_ns() - time.monotonic_ns()
+    )
     return SoakResult(
         seed=seed,
         faults_count=len(plan),
         jobs_count=sum(job.accepted for job in workload.jobs),
-        violations=workload.violations + invariants.violations(history),
+        violations=[
+            *workload.violations,
+            *invariants.violations(history),
+            *recorded_ends.violations(history, ends),
+        ],
         folder=folder,
         replay_arguments=replay_arguments(
             seed, duration_s, workers_count, edges_count, has_series=has_series
