Queue up to 100 requests of a service at an agent by default

What callers saw: with one of two agents ended, a burst of 50 calls (a stall of 0.6 s at 80/s) got 24 times 429 from the other one, with 1.2 s of 1.5 s left, though all of them were 0.25 s of its work. Cause: the queue was full at 20, before the check of the expected wait could decide, which docs/REQUESTS.md says comes first. Evidence: test_default_queue_takes_what_can_be_answered_in_time queues 20 in place of 50 and 26 with the old default.

--- a/marigoldsill/settings.py
+++ b/marigoldsill/settings.py
@@ -193,7 +193,7 @@
     queue_count: int = setting(
         "Maximum number of requests that wait for a slot of one service.",
         setting_parsers.parse_integer(0, 10_000),
-        default=20,
+        default=100,
     )
     drain_limit_s: int = setting(
         "How long requests in flight may take after SIGTERM, in seconds.",
--- a/tests/coordination/requests/test_admission.py
+++ b/tests/coordination/requests/test_admission.py
@@ -1,11 +1,14 @@
 """Tests of an agent's admission control."""
 
 from concurrent import futures
+import dataclasses
+import itertools
 import threading
 import time
 
 import pytest
 
+from marigoldsill import settings
 from marigoldsill.coordination.requests import admission as admission_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
@@ -13,8 +16,10 @@
 _LONG_S = 20.0
 
 
-def _create_admission(**services: int) -> admission_module.AdmissionController:
-    admission = admission_module.AdmissionController(queue_count=1)
+def _create_admission(
+    *, queue_count: int = 1, **services: int
+) -> admission_module.AdmissionController:
+    admission = admission_module.AdmissionController(queue_count=queue_count)
     admission.replace_endpoints(
         [
             ttypes.EndpointInfo(
@@ -228,3 +233,42 @@
         lambda: _acquire(admission, budget_s=0.3, idempotent=False)
     )
     assert reason == ttypes.RefusalReason.TOO_LATE
+
+
+def _default_queue_count() -> int:
+    [field] = (
+        f
+        for f in dataclasses.fields(settings.AgentSettings)
+        if f.name == "queue_count"
+    )
+    return field.default
+
+
+@pytest.mark.parametrize(
+    ("work_s", "budget_s", "queued_count"), [(0.05, 1.5, 50), (0.2, 1.1, 26)]
+)
+def test_default_queue_takes_what_can_be_answered_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+    work_s: float,
+    budget_s: float,
+    queued_count: int,
+) -> None:
+    # With 20 at most, requests were refused that would have waited 0.2 of 1.5 s.
+    now_s = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now_s)
+    admission = _create_admission(queue_count=_default_queue_count(), a=10)
+    _release(admission, _acquire(admission), busy_s=work_s)
+    with futures.ThreadPoolExecutor(60) as pool:
+        burst = [
+            pool.submit(_acquire, admission, "a", budget_s) for _ in range(60)
+        ]
+        decided = itertools.islice(
+            futures.as_completed(burst), 60 - queued_count
+        )
+        refused = [c for c in decided if c.exception() is not None]
+        counts = admission.request_counts()
+        admission.set_draining("stop", draining=True)
+    assert counts == (10, queued_count)
+    assert {c.exception().reason for c in refused} <= {
+        ttypes.RefusalReason.TOO_LATE
+    }
