Move an entry's limits on calls and retries to a package of their own

The package call_limits holds concurrency_limits, expected_returns and retry_budget, below requests in the order of tests/lint/test_layers.py. Two comments used a retired word. No change of behaviour.

--- a/marigoldsill/coordination/requests/concurrency_limits.py
+++ b/marigoldsill/coordination/call_limits/concurrency_limits.py
@@ -13,7 +13,7 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination.requests import expected_returns
+from marigoldsill.coordination.call_limits import expected_returns
 from marigoldsill.transport import deadlines
 
 _MIN_LIMIT = 4
@@ -25,7 +25,7 @@
 _DECREASE_INTERVAL_S = 0.05
 _RETRY_AFTER_MIN_MS = 50
 _RETRY_AFTER_MAX_MS = 30_000
-# Maximum share of the limit that is kept free for calls that return.
+# Maximum share of the limit that is reserved for calls that return.
 _RETURNS_SHARE = 0.5
 # Weight of a new value in the moving average of the duration.
 _DURATION_WEIGHT = 0.1
@@ -120,16 +120,16 @@
                 after a refusal goes before later ones.
 
         Raises:
-            OverloadedError: The limit is reached, or room is kept for calls that
-                were refused before; the request was not run.
+            OverloadedError: The limit is reached, or what is left is reserved for
+                calls that were refused before; the request was not run.
         """
         with self._lock:
             self._returns.record_arrival(key)
             limit = min(self._limit, max_in_flight)
-            kept_count = min(
+            reserved_count = min(
                 self._returns.due_count_before(key), limit * _RETURNS_SHARE
             )
-            if self._calls.count + int(kept_count) >= limit:
+            if self._calls.count + int(reserved_count) >= limit:
                 raise self._refuse(key, limit)
             self._returns.remove(key)
             call = self._calls.add(deadline)
--- a/marigoldsill/coordination/requests/expected_returns.py
+++ b/marigoldsill/coordination/call_limits/expected_returns.py
@@ -1,7 +1,7 @@
 """The calls that were refused for overload and told when to return.
 
 A call that returns with its idempotency key goes before calls that were never
-refused. Not all callers return, so room is kept only for the share that did so far.
+refused. Not all callers return, so capacity is reserved only for the share that did.
 """
 
 from collections.abc import Iterator
--- a/marigoldsill/coordination/requests/call_dispatcher.py
+++ b/marigoldsill/coordination/requests/call_dispatcher.py
@@ -3,6 +3,8 @@
 import threading
 
 from marigoldsill import errors
+from marigoldsill.coordination.call_limits import concurrency_limits
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import agent_connection_pool
 from marigoldsill.coordination.requests import attempts as attempts_module
 from marigoldsill.coordination.requests import (
@@ -10,10 +12,8 @@
 )
 from marigoldsill.coordination.requests import claimed_call_runner
 from marigoldsill.coordination.requests import claims_client
-from marigoldsill.coordination.requests import concurrency_limits
 from marigoldsill.coordination.requests import idempotent_call_runner
 from marigoldsill.coordination.requests import retries as retries_module
-from marigoldsill.coordination.requests import retry_budget
 from marigoldsill.coordination.requests import routing
 from marigoldsill.transport import network_partitions
 
--- a/marigoldsill/coordination/requests/retries.py
+++ b/marigoldsill/coordination/requests/retries.py
@@ -4,9 +4,9 @@
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import attempts
 from marigoldsill.coordination.requests import request_metrics
-from marigoldsill.coordination.requests import retry_budget
 
 _RETRIES_LIMIT = 2
 _DRAINING_RETRIES_LIMIT = 10
--- /dev/null
+++ b/tests/coordination/call_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package requests."""
--- a/tests/coordination/requests/test_concurrency_limits.py
+++ b/tests/coordination/call_limits/test_concurrency_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.requests import concurrency_limits
+from marigoldsill.coordination.call_limits import concurrency_limits
 from marigoldsill.transport import deadlines
 
 _LIMIT = 8
@@ -172,7 +172,9 @@
     assert refusals_ms[-1] == pytest.approx(550, abs=1)
 
 
-def test_no_room_is_kept_for_callers_that_never_return(clock, limit) -> None:
+def test_nothing_is_reserved_for_callers_that_never_return(
+    clock, limit
+) -> None:
     for number in range(100):
         _refuse_in_turn(clock, limit, [f"key-{number}"])
         clock.now_s += 2.0
--- a/tests/coordination/requests/test_retries_after_overload.py
+++ b/tests/coordination/requests/test_retries_after_overload.py
@@ -3,11 +3,11 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import attempts
 from marigoldsill.coordination.requests import claimed_call_runner
 from marigoldsill.coordination.requests import idempotent_call_runner
 from marigoldsill.coordination.requests import retries as retries_module
-from marigoldsill.coordination.requests import retry_budget
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
--- a/tests/coordination/requests/test_routing.py
+++ b/tests/coordination/requests/test_routing.py
@@ -6,8 +6,8 @@
 import pytest
 
 from marigoldsill import errors
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import outlier_detection
-from marigoldsill.coordination.requests import retry_budget
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -30,6 +30,7 @@
     "leadership",
     "discovery",
     "configuration",
+    "call_limits",
     "requests",
     "runs",
     "learning",
