--- a/marigoldsill/coordination/requests/call_dispatcher.py
+++ b/marigoldsill/coordination/requests/call_dispatcher.py
@@ -3,8 +3,8 @@
 import threading
 
 from marigoldsill import errors
-from marigoldsill.coordination.request_limits import concurrency_limits
-from marigoldsill.coordination.request_limits import retry_budget
+from marigoldsill.coordination.call_limits import concurrency_limits
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import agent_connection_pool
 from marigoldsill.coordination.requests import attempts as attempts_module
 from marigoldsill.coordination.requests import (
--- a/marigoldsill/coordination/requests/retries.py
+++ b/marigoldsill/coordination/requests/retries.py
@@ -4,7 +4,7 @@
 import time
 
 from marigoldsill import errors
-from marigoldsill.coordination.request_limits import retry_budget
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import attempts
 from marigoldsill.coordination.requests import request_metrics
 
--- a/tests/coordination/request_limits/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package request_limits."""
--- a/tests/coordination/requests/test_retries_after_overload.py
+++ b/tests/coordination/requests/test_retries_after_overload.py
@@ -3,7 +3,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.request_limits import retry_budget
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import attempts
 from marigoldsill.coordination.requests import claimed_call_runner
 from marigoldsill.coordination.requests import idempotent_call_runner
--- a/tests/coordination/requests/test_routing.py
+++ b/tests/coordination/requests/test_routing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from marigoldsill import errors
-from marigoldsill.coordination.request_limits import retry_budget
+from marigoldsill.coordination.call_limits import retry_budget
 from marigoldsill.coordination.requests import outlier_detection
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
--- a/tests/lint/test_layers.py
+++ b/tests/lint/test_layers.py
@@ -30,7 +30,7 @@
     "leadership",
     "discovery",
     "configuration",
-    "request_limits",
+    "call_limits",
     "requests",
     "runs",
     "learning",
