Keep one record of the runs that a worker may hold

Change: held_runs.HeldRuns has each run that the worker may hold, with one method for each event; the former modules are moved into it, not copied. OrderProgress keeps only what the executor does. The room, the limit of a step, the same task, the known listed runs, the crash suspects, the conclusion after a stop and the stops of what nobody ordered read it. A start that is due is in it too, so StartChecks needs no progress of orders.

Different from before, in rare races only: a run that has left the record (ended, or unlisted and too old to begin late) is not restored by a late answer to its start, so it can't be reported as lost or suspected with a later crash; what was answered for an order is known also if the order is removed and given again; a stop of a run that was never sent holds no capacity while it is called.

RunStarts said that requests sent while the worker is unreachable start nothing. They may: they hold capacity, but are not suspected of a crash (test_start_sent_to_an_unreachable_worker_may_begin_its_run).

Tests: test_run_starts.py becomes test_held_runs.py with the same assertions, made through the events; state.starts and state.runs.held_keys of test_agent.py and test_concluded_ends.py become state.held. Guards name the moved code; 'refusal' and 'unanswered-start' undo the same facts in the record.

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 _AGENT = "marigoldsill/coordination/job_agent"
+_HELD = "marigoldsill/coordination/held_runs"
 _JOBS = "marigoldsill/coordination/jobs"
 _LEADERSHIP = "marigoldsill/coordination/leadership"
 _TWO_AGENTS = "TestCluster"
@@ -49,7 +50,7 @@
     "capacity": Guard(
         "a start within the capacity",
         f"{_AGENT}/start_checks.py",
-        "if not state.run_orders.fits(order, others, state.worker.capacity):",
+        "if not self._fits(order, others):",
         "if False:",
         _ONE_AGENT,
     ),
@@ -64,21 +65,21 @@
     ),
     "removed-order": Guard(
         "a run whose order was removed",
-        f"{_AGENT}/run_orders.py",
-        "self.removed.add(before[key], now_s=now_s)",
-        "pass",
+        f"{_HELD}/held_runs.py",
+        "run.removed_s = now_s",
+        "self._forget_order(key, run)",
         _ONE_AGENT,
     ),
     "inherited-order": Guard(
         "a run that an earlier process of the agent may have started",
         f"{_AGENT}/run_orders.py",
-        "self.possibly_begun_keys |= inherited_keys",
+        "self._held.record_inherited(order)",
         "pass",
     ),
     "unknown-run": Guard(
         "a start beside runs that nobody ordered",
         f"{_AGENT}/agent_state.py",
-        "and self.run_orders.knows_all(self.runs.running)",
+        "and self.held.knows_all_listed()",
         "",
         _ONE_AGENT,
     ),
@@ -109,21 +110,20 @@
     "unanswered-start": Guard(
         "the end of a run that was refused after an unanswered start",
         f"{_AGENT}/executor.py",
-        "and not progress.has_unanswered_start\n",
-        "\n",
+        "not self._held.may_have_begun(key)",
+        "not self._held.is_started(key)",
     ),
     "listed-stop": Guard(
         "the end of a run that was stopped and isn't listed",
-        f"{_AGENT}/executor.py",
-        "and self._runs.is_listed_after(progress.stop_listings_count)",
+        f"{_HELD}/held_runs.py",
+        "and self.listings.is_last_after(run.stop_listings_count)",
         "",
     ),
     "refusal": Guard(
         "the end of a run whose last start was refused",
-        f"{_AGENT}/order_calls.py",
-        "        progress.has_unanswered_start = had_unanswered_start\n"
-        "        if not had_unanswered_start:",
-        "        progress.has_unanswered_start = False\n        if True:",
+        f"{_HELD}/held_runs.py",
+        "        if not run.has_unanswered_start:",
+        "        run.has_unanswered_start = False\n        if True:",
     ),
     "lost-incarnation": Guard(
         "the end of a run of an incarnation that doesn't answer",
--- a/marigoldsill/coordination/held_runs/__init__.py
+++ b/marigoldsill/coordination/held_runs/__init__.py
@@ -1,6 +1,6 @@
-"""What a worker may hold that its orders do not tell: starts, and runs without an order."""
+"""What a worker may hold, whatever its orders say: one record of runs."""
 
 __all__ = [
-    "removed_orders",
-    "run_starts",
+    "crash_suspects",
+    "held_runs",
 ]
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -4,7 +4,7 @@
 import math
 import threading
 
-from marigoldsill.coordination.held_runs import run_starts
+from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import lease as lease_module
 from marigoldsill.coordination.job_agent import run_orders
 from marigoldsill.coordination.job_agent import unreported_ends
@@ -33,8 +33,9 @@
         worker: The worker, once it has answered; None before.
         lease: The newest lease.
         term: The highest term of a leader that is known.
+        held: The runs that the worker may hold.
         run_orders: The orders of the leader.
-        runs: What is known of the runs on the worker.
+        runs: Samples and quotas of the runs on the worker.
         unreported_ends: Ends to report now or later.
         listed_end_number: Ends up to this number have been read in listings.
         acknowledged_end_number: Ends up to this number are recorded by control.
@@ -63,8 +64,9 @@
         self.worker: ttypes.PoolWorker | None = None
         self.lease = lease_module.Lease()
         self.term = 0
-        self.run_orders = run_orders.RunOrders()
-        self.runs = worker_runs.WorkerRuns(self.run_orders)
+        self.held = held_runs.HeldRuns()
+        self.run_orders = run_orders.RunOrders(self.held)
+        self.runs = worker_runs.WorkerRuns(self.run_orders, self.held)
         self.unreported_ends = unreported_ends.UnreportedEnds(
             effect_limit_s=effect_limit_s
         )
@@ -94,11 +96,6 @@
         """Runs that a call meant for an earlier incarnation may begin."""
         return self.unreported_ends.late_starts
 
-    @property
-    def starts(self) -> run_starts.RunStarts:
-        """Starts of runs on the current incarnation of the worker."""
-        return self.runs.starts
-
     @property
     def newest_announcement(self) -> run_worker.Announcement | None:
         """The newest announcement of another incarnation, or else of the current one."""
@@ -132,30 +129,39 @@
                 self.worker_id, now_s=clock.now_s()
             )
             and self.run_orders.are_covered_by(self.lease)
-            and self.run_orders.knows_all(self.runs.running)
+            and self.held.knows_all_listed()
         )
 
     def record_start_sent(self, order: ttypes.RunOrder) -> None:
         """Records a start request to the worker; the caller must hold the lock."""
-        key = (order.task, order.run)
-        self.run_orders.possibly_begun_keys.add(key)
-        if order.worker_id == self.worker_id:
-            self.starts.record_sent(key)
+        self.held.record_start_sent(
+            order, is_current=order.worker_id == self.worker_id
+        )
+
+    def record_start_not_sent(self, order: ttypes.RunOrder) -> None:
+        """Records that a start is not due any more; the caller must hold the lock."""
+        self.held.record_start_not_sent((order.task, order.run))
 
     def record_not_started(self, order: ttypes.RunOrder) -> None:
-        """Records that no start request had an effect; the caller must hold the lock."""
-        key = (order.task, order.run)
-        self.run_orders.record_not_started(key)
-        self.starts.record_not_started(key)
+        """Records that the last start request had no effect.
+
+        The caller must hold the lock.
+        """
+        self.held.record_not_started((order.task, order.run))
 
     def record_unreachable(self, worker_id: str) -> None:
         """Records a call without an answer; the caller must hold the lock."""
         self.departures.record_unanswered(worker_id)
         if worker_id == self.worker_id:
-            self.starts.record_unreachable()
+            self.held.record_unreachable()
 
     def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
         """Records a start request without an answer; the caller must hold the lock."""
+        self.held.record_start_unanswered((order.task, order.run))
+        self._record_late_start(order)
+
+    def _record_late_start(self, order: ttypes.RunOrder) -> None:
+        """Records that a later incarnation may carry out a start request."""
         now_s = clock.now_s()
         self.late_starts.record_unanswered(
             (order.task, order.run),
@@ -174,12 +180,13 @@
 
         The caller must hold the lock.
         """
-        self.runs.record_started(
-            order,
+        self.held.record_start_answered(
+            (order.task, order.run),
             # The answer may arrive after another incarnation was confirmed.
             is_current=order.worker_id == self.worker_id,
             now_s=clock.now_s(),
         )
+        self.runs.set_initial_quota(order)
 
     def record_announcement(
         self, announcement: run_worker.Announcement
@@ -212,7 +219,7 @@
                 return
             self._clear_worker()
             if last_id and not incarnation_ids.share_name(worker_id, last_id):
-                self.run_orders.removed.clear()
+                self.held.record_other_worker()
             self.departures.remove(old_id)
             self.worker = self._incarnations.current.worker
             self.worker_clock.reset(worker_id)
@@ -303,15 +310,15 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            before = set(self.run_orders.removed.keys)
+            before = self.held.removed_keys()
             inherited = self.run_orders.update(
                 reply, self.worker, ended=self.ends
             )
-            self._log_removed_early(self.run_orders.removed.keys - before)
+            self._log_removed_early(self.held.removed_keys() - before)
             self.run_orders.record_lease(self.lease)
             # A previous process may have left their start requests unanswered.
             for order in inherited:
-                self.record_unanswered_start(order)
+                self._record_late_start(order)
             self.runs.update_interference(reply)
             self._end_stale_orders()
             self.changed.notify_all()
@@ -331,10 +338,10 @@
         """Records the runs and ends that the worker lists, and updates quotas."""
         with self.changed:
             now_s = clock.now_s()
-            self.runs.record_listing(listing, now_s=now_s)
+            self.held.record_listing(listing, self.orders, now_s=now_s)
             if self.run_orders.are_covered_by(self.lease):
                 self.late_starts.add_unordered(
-                    self.runs.held_keys() - self.orders.keys(),
+                    self.held.held_keys() - self.orders.keys(),
                     self.worker_id,
                     now_s=now_s,
                 )
@@ -355,7 +362,7 @@
         """Records an end that the worker will not list."""
         with self.changed:
             key = (end.task, end.run)
-            self.runs.record_ended(key)
+            self.held.record_ended(key)
             if key not in self.ends and key in self.orders:
                 self.ends[key] = end
             self.changed.notify_all()
@@ -365,7 +372,7 @@
 
         The caller must hold the lock.
         """
-        self.runs.record_ended(key)
+        self.held.record_ended(key)
         self.unreported_ends.settle_late_start(key)
         self.changed.notify_all()
 
@@ -397,7 +404,7 @@
                 "order_removed_early",
                 task=task,
                 run=run,
-                is_listed=(task, run) in self.runs.running,
+                is_listed=(task, run) in self.held.listed,
             )
 
     def _clear_worker(self) -> None:
@@ -405,12 +412,12 @@
         if self.worker is not None:
             self.unreported_ends.record_lost_worker(
                 self.worker,
-                self.starts,
+                self.held,
                 unresponsive_s=clock.now_s() - self.last_answer_s,
             )
         self.worker = None
         self.worker_clock.reset()
-        self.runs.clear()
+        self.held.record_incarnation_ended()
         self.listed_end_number = self.acknowledged_end_number = 0
         self._end_stale_orders()
 
@@ -428,5 +435,5 @@
                 self.unreported_ends.record_stale(
                     order,
                     current_id=self.worker_id,
-                    may_have_begun=key in self.run_orders.possibly_begun_keys,
+                    may_have_begun=self.held.may_have_begun(key),
                 )
--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -45,11 +45,10 @@
     ):
         self._state = state
         self._runs = state.runs
+        self._held = state.held
         self._retry_s = retry_s
         self._progress = order_progress.ProgressTable()
-        self._checks = start_checks.StartChecks(
-            state=state, progress=self._progress
-        )
+        self._checks = start_checks.StartChecks(state)
         self._calls = order_calls.OrderCalls(
             state=state,
             worker=worker,
@@ -90,7 +89,7 @@
         state = self._state
         self._progress.update(state.run_orders)
         wait_s = self._retry_s if self._late_start_stopper.reconcile() else None
-        if not state.worker_id or not self._runs.complete_listings_count:
+        if not state.worker_id or not self._held.listings.complete_count:
             return wait_s
         now_s = clock.now_s()
         for key, order in state.orders.items():
@@ -99,9 +98,7 @@
             progress = self._progress.by_run[key]
             if progress.is_busy:
                 continue
-            if progress.retry_s > now_s or self._checks.must_wait(
-                order, progress
-            ):
+            if progress.retry_s > now_s or self._checks.must_wait(order):
                 wait_s = self._retry_s
                 continue
             self._reconcile_order(key, order, progress)
@@ -113,41 +110,37 @@
         order: ttypes.RunOrder,
         progress: order_progress.OrderProgress,
     ) -> None:
-        is_running = key in self._runs.running
-        if self._is_forgotten(progress, is_running=is_running):
+        if self._is_forgotten(key, progress):
             progress.is_forgotten = True
-            self._reconcile_stop(key, order, progress, is_running=is_running)
+            self._reconcile_stop(key, order, progress)
         elif order.desire == ttypes.RunDesire.STOP or progress.refusal_reason:
-            self._reconcile_stop(key, order, progress, is_running=is_running)
-        elif is_running or progress.is_started:
+            self._reconcile_stop(key, order, progress)
+        elif key in self._held.listed or self._held.is_started(key):
             if self._runs.quota_percent_for(order) != progress.quota_percent:
                 self._submit(self._calls.throttle, order, progress)
         elif self._state.may_start:
             progress.refusal_reason = self._checks.refusal_reason(order)
             if progress.refusal_reason:
-                self._reconcile_stop(
-                    key, order, progress, is_running=is_running
-                )
+                self._reconcile_stop(key, order, progress)
             else:
+                self._held.record_start_due(order)
                 self._submit(self._calls.start, order, progress)
         elif self._state.announcement_overdue_s > _ANNOUNCEMENT_OVERDUE_LIMIT_S:
             progress.refusal_reason = "the worker sends no heartbeats"
-            self._reconcile_stop(key, order, progress, is_running=is_running)
+            self._reconcile_stop(key, order, progress)
 
     def _is_forgotten(
-        self, progress: order_progress.OrderProgress, *, is_running: bool
+        self,
+        key: task_names.RunKey,
+        progress: order_progress.OrderProgress,
     ) -> bool:
         """Whether the worker has forgotten a run's end that it never reported.
 
         A worker that has restarted under its name may have carried out an
         acknowledgement of ends that was meant for its earlier incarnation.
         """
-        state = self._state
         return progress.is_forgotten or (
-            state.late_calls.has_restarted
-            and progress.is_started
-            and not is_running
-            and self._runs.is_listed_after(progress.start_listings_count)
+            self._state.late_calls.has_restarted and self._held.is_missing(key)
         )
 
     def _reconcile_stop(
@@ -155,27 +148,22 @@
         key: task_names.RunKey,
         order: ttypes.RunOrder,
         progress: order_progress.OrderProgress,
-        *,
-        is_running: bool,
     ) -> None:
         was_never_sent = (
-            not progress.is_started
-            and not progress.has_unanswered_start
-            and not is_running
+            not self._held.may_have_begun(key) and key not in self._held.listed
         )
         if was_never_sent and progress.refusal_reason:
             self._record_end(order, progress)
-        elif not progress.stop_listings_count:
+        elif not self._held.is_stop_answered(key):
+            self._held.record_stop_sent(order)
             self._submit(self._calls.stop, order, progress)
         elif (
-            not is_running
-            and self._runs.is_listed_after(progress.stop_listings_count)
+            self._held.is_gone_after_stop(key)
             # If the worker restarts under its id, it does not know of the stop.
             and not self._state.late_starts.has_late_request(
                 key, now_s=clock.now_s()
             )
         ):
-            # After the stop it was listed neither as running nor as ended.
             self._record_end(order, progress)
 
     def _record_end(
@@ -195,7 +183,7 @@
             run=order.run,
             worker_id=order.worker_id,
             kind=kind.name.lower(),
-            stop_confirmed=bool(progress.stop_listings_count),
+            stop_confirmed=self._held.is_stop_answered((order.task, order.run)),
             reason=detail,
         )
         self._state.record_end(
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -69,7 +69,7 @@
             now_s=now_s
         ):
             # The runs may continue after the lease that the agent passed on.
-            for key in state.runs.running:
+            for key in state.held.listed:
                 state.late_starts.add(
                     key,
                     state.worker_id,
@@ -95,7 +95,7 @@
         if not progress.stop_listings_count:
             progress.is_busy = True
             self._pool.submit(self._stop, worker_id, key, progress)
-        elif key not in state.runs.running and state.runs.is_listed_after(
+        elif key not in state.held.listed and state.held.listings.is_last_after(
             progress.stop_listings_count
         ):
             state.settle_late_start(key)
@@ -109,7 +109,7 @@
         try:
             self._worker.stop(worker_id, task, run, token=state.term)
             with state.changed:
-                progress.stop_listings_count = state.runs.next_listings_count
+                progress.stop_listings_count = state.held.listings.next_count
             logs.event(
                 "late_start_refused", task=task, run=run, worker_id=worker_id
             )
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -1,6 +1,7 @@
 """Ends the runs of a lost worker and marks those that may have crashed it."""
 
-from marigoldsill.coordination.held_runs import run_starts
+from marigoldsill.coordination.held_runs import crash_suspects
+from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import logs
@@ -8,7 +9,7 @@
 
 def end_runs(
     worker: ttypes.PoolWorker,
-    starts: run_starts.RunStarts,
+    held: held_runs.HeldRuns,
     *,
     unresponsive_s: float,
 ) -> list[ttypes.RunEnd]:
@@ -16,15 +17,16 @@
 
     Args:
         worker: The incarnation that has ended.
-        starts: The runs started on it.
+        held: The runs that it may have.
         unresponsive_s: Time since its last answer.
     """
-    ages_ms = {
-        key: int(1000 * age_s) for key, age_s in starts.min_ages_s().items()
-    }
+    ages_s = held.min_ages_s()
+    ages_ms = {key: int(1000 * age_s) for key, age_s in ages_s.items()}
     # A draining worker shuts down as planned, so no run is suspected.
-    suspects = frozenset() if worker.draining else starts.crash_suspects()
-    startups = starts.startups()
+    suspects = (
+        frozenset() if worker.draining else crash_suspects.suspects(ages_s)
+    )
+    startups = crash_suspects.startups(ages_s)
     agent_metrics.WORKER_LOSSES.labels(
         "planned" if worker.draining else "unplanned"
     ).inc()
--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.coordination.job_agent import start_checks
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
@@ -46,9 +47,12 @@
         with state.changed:
             deadline_ms = self._lease_renewer.issue_deadline_ms()
             token = state.term
-            if deadline_ms is None or not state.may_start:
-                return
-            if not self._checks.allow_request(order):
+            if (
+                deadline_ms is None
+                or not state.may_start
+                or not self._checks.allow_request(order)
+            ):
+                state.record_start_not_sent(order)
                 return
             # Recorded in the same step, as the order may be removed at any time.
             state.record_start_sent(order)
@@ -60,15 +64,13 @@
             checkpoint_id=order.checkpoint_id,
             ticket=order.ticket,
         )
-        had_unanswered_start = progress.has_unanswered_start
-        progress.has_unanswered_start = True
         try:
             with agent_metrics.WORKER_START_SECONDS.time():
                 clock_ms = self._worker.start(
                     order.worker_id, start, token=token
                 )
         except errors.RunRefusedError as error:
-            self._record_not_started(order, progress, had_unanswered_start)
+            self._record_not_started(order)
             if error.reason == run_worker.RefusalReason.TOO_LATE:
                 raise
             progress.refusal_reason = error.reason
@@ -81,16 +83,16 @@
             )
             return
         except (errors.OtherWorkerError, errors.WorkerUnwellError) as error:
-            self._record_not_started(order, progress, had_unanswered_start)
+            self._record_not_started(order)
             if isinstance(error, errors.WorkerUnwellError):
                 progress.refusal_reason = "the worker is not healthy"
             raise
         except errors.TransportError as error:
-            if not error.sent:
-                self._record_not_started(order, progress, had_unanswered_start)
             with state.changed:
                 if error.sent:
                     state.record_unanswered_start(order)
+                else:
+                    state.record_not_started(order)
                 state.record_unreachable(order.worker_id)
             raise
         except errors.PlatformError as error:
@@ -100,12 +102,11 @@
             with state.changed:
                 state.record_unanswered_start(order)
             raise
-        progress.has_unanswered_start = False
         with state.changed:
-            progress.is_started = True
-            progress.start_listings_count = self._runs.next_listings_count
             state.record_started(order)
-            step_runs_count = self._runs.count_of_step(order.task)
+            step_runs_count = task_names.count_of_step(
+                order.task, state.held.held_keys()
+            )
         state.worker_clock.record_reading(
             clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
         )
@@ -118,23 +119,10 @@
             step_runs_count=step_runs_count,
         )
 
-    def _record_not_started(
-        self,
-        order: ttypes.RunOrder,
-        progress: order_progress.OrderProgress,
-        had_unanswered_start: bool,
-    ) -> None:
-        """Records that the last start request had no effect.
-
-        Args:
-            order: The order to start the run.
-            progress: The progress of the order.
-            had_unanswered_start: Whether an earlier request may still take effect.
-        """
-        progress.has_unanswered_start = had_unanswered_start
-        if not had_unanswered_start:
-            with self._state.changed:
-                self._state.record_not_started(order)
+    def _record_not_started(self, order: ttypes.RunOrder) -> None:
+        """Records that the last start request had no effect."""
+        with self._state.changed:
+            self._state.record_not_started(order)
 
     def stop(
         self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
@@ -145,7 +133,7 @@
             order.worker_id, order.task, order.run, token=state.term
         )
         with state.changed:
-            progress.stop_listings_count = self._runs.next_listings_count
+            state.held.record_stop_answered((order.task, order.run))
         logs.event(
             "run_stopped",
             task=order.task,
--- a/marigoldsill/coordination/job_agent/order_progress.py
+++ b/marigoldsill/coordination/job_agent/order_progress.py
@@ -12,24 +12,14 @@
 
     Attributes:
         is_busy: Whether a call for the order is in progress.
-        is_started: Whether the worker confirmed the start.
-        has_unanswered_start: Whether a start request may still arrive at the worker.
-        start_listings_count: The count of complete listings beyond which a listing was
-            certainly made after the start.
         is_forgotten: Whether a later listing had neither the run nor its end.
-        stop_listings_count: The count of complete listings beyond which a listing was
-            certainly made after the stop; 0 until the stop is confirmed.
         refusal_reason: Why the run was refused, or empty.
         quota_percent: The quota that the worker confirmed.
         retry_s: Time before which no call is made.
     """
 
     is_busy: bool = False
-    is_started: bool = False
-    has_unanswered_start: bool = False
-    start_listings_count: int = 0
     is_forgotten: bool = False
-    stop_listings_count: int = 0
     refusal_reason: str = ""
     quota_percent: int = 100
     retry_s: float = 0.0
@@ -52,15 +42,6 @@
         """Whether a call for an order is in progress."""
         return any(progress.is_busy for progress in self.by_run.values())
 
-    @property
-    def unsettled_keys(self) -> list[task_names.RunKey]:
-        """Runs with a call in progress or a start without an answer."""
-        return [
-            key
-            for key, progress in self.by_run.items()
-            if progress.is_busy or progress.has_unanswered_start
-        ]
-
     def update(self, orders: run_orders_module.RunOrders) -> None:
         """Adds the progress of new orders and removes that of removed ones."""
         self.by_run = {
@@ -69,7 +50,4 @@
             if key in orders.by_run or progress.is_busy
         }
         for key in orders.by_run.keys() - self.by_run.keys():
-            # An earlier start request may still be carried out.
-            self.by_run[key] = OrderProgress(
-                has_unanswered_start=key in orders.possibly_begun_keys
-            )
+            self.by_run[key] = OrderProgress()
--- a/marigoldsill/coordination/job_agent/start_checks.py
+++ b/marigoldsill/coordination/job_agent/start_checks.py
@@ -1,12 +1,13 @@
 """Decides whether a run may start beside what the worker may have."""
 
 from collections.abc import Set
+import functools
 
 from marigoldsill.coordination.job_agent import agent_state
-from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import amounts
 from marigoldsill.transport import clock
 
 
@@ -16,28 +17,17 @@
     Not thread-safe: the lock of the agent's state must be held for every call.
     """
 
-    def __init__(
-        self,
-        *,
-        state: agent_state.AgentState,
-        progress: order_progress.ProgressTable,
-    ):
+    def __init__(self, state: agent_state.AgentState):
         self._state = state
-        self._runs = state.runs
-        self._progress = progress
+        self._held = state.held
 
-    def must_wait(
-        self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
-    ) -> bool:
+    def must_wait(self, order: ttypes.RunOrder) -> bool:
         """Whether nothing may be done for a run before another one of its task ends.
 
         If it were refused, its task would run elsewhere beside the other run.
         """
-        is_sent = (
-            progress.is_started
-            or progress.has_unanswered_start
-            or (order.task, order.run) in self._runs.running
-        )
+        key = (order.task, order.run)
+        is_sent = self._held.may_have_begun(key) or key in self._held.listed
         return not is_sent and _has_task(order, self._others(order))
 
     def refusal_reason(self, order: ttypes.RunOrder) -> str:
@@ -65,21 +55,30 @@
 
     def _others(self, order: ttypes.RunOrder) -> set[task_names.RunKey]:
         """Returns the runs other than the ordered one that the worker may have."""
-        held_keys = self._runs.held_keys(self._progress.unsettled_keys)
-        return held_keys - {(order.task, order.run)}
+        return self._held.held_keys() - {(order.task, order.run)}
 
     def _conflict(
         self, order: ttypes.RunOrder, others: Set[task_names.RunKey]
     ) -> str:
         """Returns why a run cannot start beside others, or empty if it can."""
-        state = self._state
-        if not state.run_orders.fits(order, others, state.worker.capacity):
+        if not self._fits(order, others):
             return run_worker.RefusalReason.NO_CAPACITY
         limit = order.spread_limit
         if limit and task_names.count_of_step(order.task, others) >= limit:
             return run_worker.RefusalReason.SPREAD_LIMIT
         return ""
 
+    def _fits(
+        self, order: ttypes.RunOrder, others: Set[task_names.RunKey]
+    ) -> bool:
+        """Whether a run fits beside others into the capacity announced last."""
+        reserved = functools.reduce(
+            amounts.add,
+            self._held.resources_of(others),
+            order.resources or amounts.ZERO,
+        )
+        return amounts.fits(reserved, self._state.worker.capacity)
+
 
 def _has_task(order: ttypes.RunOrder, keys: Set[task_names.RunKey]) -> bool:
     """Whether a run of an order's task is among some."""
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from marigoldsill.coordination.held_runs import run_starts
+from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import lost_worker
 from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import run_worker
@@ -64,7 +64,7 @@
     def record_lost_worker(
         self,
         worker: ttypes.PoolWorker,
-        starts: run_starts.RunStarts,
+        held: held_runs.HeldRuns,
         *,
         unresponsive_s: float,
     ) -> None:
@@ -72,18 +72,16 @@
 
         Args:
             worker: The incarnation that has ended.
-            starts: The runs started on it.
+            held: The runs that it may have.
             unresponsive_s: Time since its last answer.
         """
-        ends = lost_worker.end_runs(
-            worker, starts, unresponsive_s=unresponsive_s
-        )
+        ends = lost_worker.end_runs(worker, held, unresponsive_s=unresponsive_s)
         for end in ends:
             self.record_lost(
                 end,
                 worker.worker_id,
                 current_id=worker.worker_id,
-                was_listed=starts.was_listed((end.task, end.run)),
+                was_listed=held.was_listed((end.task, end.run)),
             )
 
     def record_lost(
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -87,10 +87,10 @@
     agent.worker.unanswered = {"start"}
     agent.receive_order(stepped_agent.RUN)
     agent.execute_orders()
-    assert list(agent.state.starts.min_ages_s()) == [stepped_agent.KEY]
+    assert list(agent.state.held.min_ages_s()) == [stepped_agent.KEY]
     agent.receive_order(stepped_agent.STOP)
     agent.run_until_settled()
-    assert agent.state.starts.min_ages_s() == {}
+    assert agent.state.held.min_ages_s() == {}
 
 
 def test_refusal_after_an_unanswered_start_is_reported_only_after_a_stop(
@@ -287,7 +287,7 @@
     draining = stepped_agent.announcement("a1-incarnation1", sequence=2)
     draining.worker.draining = True
     agent.state.record_announcement(draining)
-    agent.state.starts.record_answer(now_s=clock.now_s() + age_s)
+    agent.state.held.record_answer(now_s=clock.now_s() + age_s)
     agent.crash_worker()
     assert agent.state.ends[stepped_agent.KEY].is_excused == is_excused
 
--- a/tests/coordination/jobs/test_concluded_ends.py
+++ b/tests/coordination/jobs/test_concluded_ends.py
@@ -72,7 +72,7 @@
     monkeypatch.setattr(agent.worker, "start", refuse_connection)
     agent.execute_orders()
     agent.receive_orders(orders=[], removed=[], whole=True)
-    assert agent.state.runs.held_keys() == {stepped_agent.KEY}
+    assert agent.state.held.held_keys() == {stepped_agent.KEY}
 
 
 def test_start_that_was_not_sent_is_refused_without_a_stop(
