Ask the record whether a worker is shared and what nobody ordered

The listings of a worker that runs best-effort beside latency-critical tasks follow each other more quickly; a run whose order was removed early did not count for that. The record answers it now for each listed run whose order is known (test_a_run_without_an_order_in_force_still_shares_its_worker).

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -116,8 +116,8 @@
     "listed-stop": Guard(
         "the end of a run that was stopped and isn't listed",
         f"{_HELD}/held_runs.py",
-        "and self.listings.is_last_after(run.stop_listings_count)",
-        "",
+        "count > 0 and self.listings.lack(key, after_count=count)",
+        "count > 0 and key not in self.listed",
     ),
     "refusal": Guard(
         "the end of a run whose last start was refused",
--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -15,6 +15,7 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.transport import logs
 
 # Stands for each run that is not in the record.
 _UNKNOWN = held_run.HeldRun(order=None)
@@ -45,12 +46,12 @@
         held = {key for key, run in self._by_run.items() if run.is_held}
         return held | self.listed.keys()
 
-    def removed_keys(self) -> set[task_names.RunKey]:
-        """Returns the runs whose order was removed while the worker may have them."""
+    def unordered_keys(self) -> set[task_names.RunKey]:
+        """Returns the runs that the worker may hold without an order in force."""
         return {
             key
             for key, run in self._by_run.items()
-            if run.removed_s is not None
+            if run.order is None or run.removed_s is not None
         }
 
     def resources_of(
@@ -59,6 +60,18 @@
         """Returns what each of some of its runs reserves."""
         return [self._by_run[key].resources for key in keys]
 
+    @property
+    def are_shared(self) -> bool:
+        """Whether best-effort and latency-critical tasks share the worker."""
+        orders = [
+            run.order
+            for run in map(self._get, self.listed)
+            if run.order is not None
+        ]
+        return any(o.best_effort for o in orders) and any(
+            o.tail_target_ms for o in orders
+        )
+
     def knows_all_listed(self) -> bool:
         """Whether it is known what each listed run reserves."""
         return all(self._get(key).order is not None for key in self.listed)
@@ -78,10 +91,8 @@
     def is_missing(self, key: task_names.RunKey) -> bool:
         """Whether a later listing has neither a started run nor its end."""
         run = self._get(key)
-        return (
-            run.is_started
-            and key not in self.listed
-            and self.listings.is_last_after(run.start_listings_count)
+        return run.is_started and self.listings.lack(
+            key, after_count=run.start_listings_count
         )
 
     def is_stop_answered(self, key: task_names.RunKey) -> bool:
@@ -90,12 +101,8 @@
 
     def is_gone_after_stop(self, key: task_names.RunKey) -> bool:
         """Whether a listing made after an answered stop has neither a run nor its end."""
-        run = self._get(key)
-        return (
-            run.stop_listings_count > 0
-            and key not in self.listed
-            and self.listings.is_last_after(run.stop_listings_count)
-        )
+        count = self._get(key).stop_listings_count
+        return count > 0 and self.listings.lack(key, after_count=count)
 
     def min_ages_s(self) -> dict[task_names.RunKey, float]:
         """Returns the minimum age of each run that may be on the current incarnation."""
@@ -136,6 +143,12 @@
             return
         if run.may_have_begun and not has_ended:
             run.removed_s = now_s
+            logs.event(
+                "order_removed_early",
+                task=key[0],
+                run=key[1],
+                is_listed=key in self.listed,
+            )
         else:
             self._forget_order(key, run)
 
@@ -279,8 +292,9 @@
 
     def record_other_worker(self) -> None:
         """Records that the worker refuses calls meant for its earlier incarnations."""
-        for key in self.removed_keys():
-            self._forget_order(key, self._by_run[key])
+        for key, run in list(self._by_run.items()):
+            if run.removed_s is not None:
+                self._forget_order(key, run)
 
     def _get(self, key: task_names.RunKey) -> held_run.HeldRun:
         return self._by_run.get(key, _UNKNOWN)
--- a/marigoldsill/coordination/held_runs/listings.py
+++ b/marigoldsill/coordination/held_runs/listings.py
@@ -29,9 +29,18 @@
         """
         return self.complete_count + 1
 
-    def is_last_after(self, count: int) -> bool:
-        """Whether the last one is whole and beyond a count of complete ones."""
-        return self._is_whole and self.complete_count > count
+    def lack(self, key: task_names.RunKey, *, after_count: int) -> bool:
+        """Whether the last one has neither a run nor its end.
+
+        Args:
+            key: The run.
+            after_count: The count of complete ones beyond which the last one has to be.
+        """
+        return (
+            key not in self.running
+            and self._is_whole
+            and self.complete_count > after_count
+        )
 
     def record(self, listing: run_worker.RunListing) -> None:
         """Records a listing."""
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,6 +1,5 @@
 """An agent's state: its worker, its lease, its orders and unreported ends of runs."""
 
-from collections.abc import Set
 import math
 import threading
 
@@ -310,11 +309,9 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            before = self.held.removed_keys()
             inherited = self.run_orders.update(
                 reply, self.worker, ended=self.ends
             )
-            self._log_removed_early(self.held.removed_keys() - before)
             self.run_orders.record_lease(self.lease)
             # A previous process may have left their start requests unanswered.
             for order in inherited:
@@ -341,7 +338,7 @@
             self.held.record_listing(listing, self.orders, now_s=now_s)
             if self.run_orders.are_covered_by(self.lease):
                 self.late_starts.add_unordered(
-                    self.held.held_keys() - self.orders.keys(),
+                    self.held.unordered_keys(),
                     self.worker_id,
                     now_s=now_s,
                 )
@@ -397,16 +394,6 @@
                 )
             self.changed.notify_all()
 
-    def _log_removed_early(self, keys: Set[task_names.RunKey]) -> None:
-        """Logs removed orders whose runs the worker may still have."""
-        for task, run in keys:
-            logs.event(
-                "order_removed_early",
-                task=task,
-                run=run,
-                is_listed=(task, run) in self.held.listed,
-            )
-
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -95,8 +95,8 @@
         if not progress.stop_listings_count:
             progress.is_busy = True
             self._pool.submit(self._stop, worker_id, key, progress)
-        elif key not in state.held.listed and state.held.listings.is_last_after(
-            progress.stop_listings_count
+        elif state.held.listings.lack(
+            key, after_count=progress.stop_listings_count
         ):
             state.settle_late_start(key)
 
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -123,7 +123,7 @@
                 return _SHORT_ANSWER_WAIT_MS
         return (
             _SHARED_ANSWER_WAIT_MS
-            if self._state.runs.are_shared
+            if self._state.held.are_shared
             else _ANSWER_WAIT_MS
         )
 
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -65,7 +65,7 @@
 
     def _interval_s(self) -> float:
         return (
-            _SHARED_INTERVAL_S if self._state.runs.are_shared else _INTERVAL_S
+            _SHARED_INTERVAL_S if self._state.held.are_shared else _INTERVAL_S
         )
 
     def _must_report_now(self) -> bool:
--- a/marigoldsill/coordination/job_agent/run_orders.py
+++ b/marigoldsill/coordination/job_agent/run_orders.py
@@ -145,10 +145,3 @@
             ):
                 return order.worker_id
         return ""
-
-    def has_shared(self, running: Container[task_names.RunKey]) -> bool:
-        """Whether best-effort and latency-critical tasks are among runs."""
-        running_orders = [o for k, o in self.by_run.items() if k in running]
-        return any(o.best_effort for o in running_orders) and any(
-            o.tail_target_ms for o in running_orders
-        )
--- a/marigoldsill/coordination/job_agent/worker_runs.py
+++ b/marigoldsill/coordination/job_agent/worker_runs.py
@@ -20,11 +20,6 @@
         self._held = held
         self.throttle = cpu_throttle.CpuThrottle()
 
-    @property
-    def are_shared(self) -> bool:
-        """Whether best-effort and latency-critical tasks share the worker."""
-        return self._orders.has_shared(self._held.listed)
-
     def quota_percent_for(self, order: ttypes.RunOrder) -> int:
         """Returns the current quota of a run, in percent of its full speed."""
         if not order.best_effort:
--- a/tests/coordination/jobs/test_held_runs.py
+++ b/tests/coordination/jobs/test_held_runs.py
@@ -128,3 +128,22 @@
         _start(held, key, now_s=100.0 - age_s)
     held.record_answer(now_s=100.0)
     assert crash_suspects.suspects(held.min_ages_s()) == suspects
+
+
+def test_a_run_without_an_order_in_force_still_shares_its_worker(
+    held: held_runs.HeldRuns,
+) -> None:
+    """Guards against slow listings beside a run whose order was removed early."""
+    order = ttypes.RunOrder(task=_KEY[0], run=_KEY[1], best_effort=True)
+    held.record_start_sent(order, is_current=True)
+    order = ttypes.RunOrder(
+        task=_OTHER_KEY[0], run=_OTHER_KEY[1], tail_target_ms=100
+    )
+    held.record_start_sent(order, is_current=True)
+    _list_runs(held, _KEY, now_s=1.0)
+    assert not held.are_shared
+    _list_runs(held, _KEY, _OTHER_KEY, now_s=2.0)
+    assert held.are_shared
+    held.record_order_removed(_KEY, has_ended=False, now_s=2.0)
+    assert held.are_shared
+    assert held.unordered_keys() == {_KEY}
