Split an agent's state into what it knows and the events that change it

The calls to the worker write starts to the record of held runs themselves, and LateCalls tells which lease an unanswered start renews. Behaviour is unchanged. The guard 'unknown-run' names the new module.

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -78,7 +78,7 @@
     ),
     "unknown-run": Guard(
         "a start beside runs that nobody ordered",
-        f"{_AGENT}/agent_state.py",
+        f"{_AGENT}/agent_record.py",
         "and self.held.knows_all_listed()",
         "",
         _ONE_AGENT,
--- a/marigoldsill/coordination/held_runs/held_run.py
+++ b/marigoldsill/coordination/held_runs/held_run.py
@@ -1,5 +1,6 @@
 """A run that a worker may hold, whatever its order says."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -24,7 +25,8 @@
         order: The last order for it; None if it is listed without one, so that nobody
             knows what it reserves.
         removed_s: When the leader removed the order although the worker may have the
-            run, or None.
+            run, or None. It removes an order once it has recorded the run's end, which
+            it may have concluded, or not have from the worker.
         request: The start request in progress.
         has_unanswered_start: Whether an earlier start request, of this process or a
             previous one, may still arrive at the worker or have begun the run.
@@ -103,3 +105,11 @@
         """Records that the current incarnation does not have it any more."""
         self.is_sent_reachably = self.was_listed = False
         self.started_s = None
+
+
+def share_worker(runs: Iterable[HeldRun]) -> bool:
+    """Whether best-effort and latency-critical tasks are among runs."""
+    orders = [run.order for run in runs if run.order is not None]
+    return any(o.best_effort for o in orders) and any(
+        o.tail_target_ms for o in orders
+    )
--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -1,9 +1,7 @@
 """The record of the runs that a worker may hold, with one method for each event.
 
-A run is in it from the first sign that the worker may hold it: an order that a previous
-process may have carried out, a request of this one, or a listing. It leaves with its
-order or, if the worker may have it then, when its end is known, or when the worker
-neither lists it nor may begin it any more.
+A run is in it from the first sign that the worker may hold it. It leaves with its order
+or, if the worker may have it then, once it has ended or can't begin any more.
 """
 
 from collections.abc import Iterable
@@ -63,14 +61,7 @@
     @property
     def are_shared(self) -> bool:
         """Whether best-effort and latency-critical tasks share the worker."""
-        orders = [
-            run.order
-            for run in map(self._get, self.listed)
-            if run.order is not None
-        ]
-        return any(o.best_effort for o in orders) and any(
-            o.tail_target_ms for o in orders
-        )
+        return held_run.share_worker(map(self._get, self.listed))
 
     def knows_all_listed(self) -> bool:
         """Whether it is known what each listed run reserves."""
@@ -130,9 +121,6 @@
     ) -> None:
         """Records that a run is not ordered any more.
 
-        The leader removes an order once it has recorded the end of its run. It may have
-        concluded that end, or recorded it for another reason than the worker's word.
-
         Args:
             key: The run.
             has_ended: Whether it has ended on the worker.
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,18 +1,8 @@
-"""An agent's state: its worker, its lease, its orders and unreported ends of runs."""
+"""The events that change what an agent knows of its worker, orders and runs."""
 
-import math
-import threading
-
-from marigoldsill.coordination.held_runs import held_runs
+from marigoldsill.coordination.job_agent import agent_record
 from marigoldsill.coordination.job_agent import lease as lease_module
-from marigoldsill.coordination.job_agent import run_orders
-from marigoldsill.coordination.job_agent import unreported_ends
-from marigoldsill.coordination.job_agent import worker_clock
-from marigoldsill.coordination.job_agent import worker_runs
-from marigoldsill.coordination.worker_incarnations import departures
 from marigoldsill.coordination.worker_incarnations import incarnations
-from marigoldsill.coordination.worker_incarnations import late_calls
-from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -21,132 +11,8 @@
 from marigoldsill.transport import logs
 
 
-class AgentState:
-    """State shared by an agent's threads; `changed` guards every field.
-
-    Attributes:
-        changed: Notified on every change.
-        worker_clock: The worker's clock.
-        late_calls: Calls that may have an effect on a later incarnation.
-        departures: Incarnations that were deregistered.
-        worker: The worker, once it has answered; None before.
-        lease: The newest lease.
-        term: The highest term of a leader that is known.
-        held: The runs that the worker may hold.
-        run_orders: The orders of the leader.
-        runs: Samples and quotas of the runs on the worker.
-        unreported_ends: Ends to report now or later.
-        listed_end_number: Ends up to this number have been read in listings.
-        acknowledged_end_number: Ends up to this number are recorded by control.
-        last_answer_s: When the worker answered last.
-        is_stopping: Whether the agent is stopping.
-    """
-
-    def __init__(
-        self,
-        *,
-        announcement_age_limit_s: float = math.inf,
-        lease_limit_s: float = 6.0,
-    ):
-        """Initializes the state without a worker.
-
-        Args:
-            announcement_age_limit_s: Maximum age of the capacity for a start.
-            lease_limit_s: The longest lease that the worker accepts.
-        """
-        effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
-        self.changed = threading.Condition()
-        self._announcement_age_limit_s = announcement_age_limit_s
-        self.worker_clock = worker_clock.WorkerClock()
-        self.late_calls = late_calls.LateCalls(effect_limit_s=effect_limit_s)
-        self.departures = departures.Departures()
-        self.worker: ttypes.PoolWorker | None = None
-        self.lease = lease_module.Lease()
-        self.term = 0
-        self.held = held_runs.HeldRuns()
-        self.run_orders = run_orders.RunOrders(self.held)
-        self.runs = worker_runs.WorkerRuns(self.run_orders, self.held)
-        self.unreported_ends = unreported_ends.UnreportedEnds(
-            effect_limit_s=effect_limit_s
-        )
-        self.listed_end_number = 0
-        self.acknowledged_end_number = 0
-        self.last_answer_s = clock.now_s()
-        self.is_stopping = False
-        self._incarnations = incarnations.Incarnations()
-
-    @property
-    def worker_id(self) -> str:
-        """The incarnation of the worker that answers, or empty."""
-        return "" if self.worker is None else self.worker.worker_id
-
-    @property
-    def orders(self) -> dict[task_names.RunKey, ttypes.RunOrder]:
-        """The orders by (task, run)."""
-        return self.run_orders.by_run
-
-    @property
-    def ends(self) -> dict[task_names.RunKey, ttypes.RunEnd]:
-        """The ends to report now, by (task, run)."""
-        return self.unreported_ends.by_run
-
-    @property
-    def late_starts(self) -> late_starts.LateStarts:
-        """Runs that a call meant for an earlier incarnation may begin."""
-        return self.unreported_ends.late_starts
-
-    @property
-    def newest_announcement(self) -> run_worker.Announcement | None:
-        """The newest announcement of another incarnation, or else of the current one."""
-        return self._incarnations.newest_announcement
-
-    @property
-    def remembered_incarnations_count(self) -> int:
-        """How many incarnations other than the current one are remembered."""
-        return self._incarnations.remembered_count
-
-    @property
-    def announcement_overdue_s(self) -> float:
-        """Seconds since the last announcement exceeded the age limit, or negative."""
-        age_s = clock.now_s() - self._incarnations.last_announcement_s
-        return age_s - self._announcement_age_limit_s
-
-    @property
-    def may_start(self) -> bool:
-        """Whether the lease, orders and last announcement allow a start now.
-
-        None is made on a worker that was deregistered, or while a later incarnation of
-        the worker's name is announced but was not called yet, as it would begin the
-        run. Nor is one while the worker has a run that reserves nobody knows what, until
-        that is stopped.
-        """
-        return (
-            not self.departures.prevent_starts(self.worker_id)
-            and self.announcement_overdue_s <= 0
-            and not self._incarnations.has_successor(self.worker_id)
-            and not self.late_calls.withholds_calls(
-                self.worker_id, now_s=clock.now_s()
-            )
-            and self.run_orders.are_covered_by(self.lease)
-            and self.held.knows_all_listed()
-        )
-
-    def record_start_sent(self, order: ttypes.RunOrder) -> None:
-        """Records a start request to the worker; the caller must hold the lock."""
-        self.held.record_start_sent(
-            order, is_current=order.worker_id == self.worker_id
-        )
-
-    def record_start_not_sent(self, order: ttypes.RunOrder) -> None:
-        """Records that a start is not due any more; the caller must hold the lock."""
-        self.held.record_start_not_sent((order.task, order.run))
-
-    def record_not_started(self, order: ttypes.RunOrder) -> None:
-        """Records that the last start request had no effect.
-
-        The caller must hold the lock.
-        """
-        self.held.record_not_started((order.task, order.run))
+class AgentState(agent_record.AgentRecord):
+    """An agent's record, with one method for each event that changes it."""
 
     def record_unreachable(self, worker_id: str) -> None:
         """Records a call without an answer; the caller must hold the lock."""
@@ -168,24 +34,9 @@
             current_id=self.worker_id,
             now_s=now_s,
         )
-        # Its deadline applies to all runs of the worker that carries it out.
-        if self.worker_id in ("", order.worker_id):
-            self.late_calls.record_unanswered_renewal(now_s=now_s)
-        elif incarnation_ids.share_name(self.worker_id, order.worker_id):
-            self.late_calls.record_late_renewal(now_s=now_s)
-
-    def record_started(self, order: ttypes.RunOrder) -> None:
-        """Records a confirmed start and sets a best-effort run's initial quota.
-
-        The caller must hold the lock.
-        """
-        self.held.record_start_answered(
-            (order.task, order.run),
-            # The answer may arrive after another incarnation was confirmed.
-            is_current=order.worker_id == self.worker_id,
-            now_s=clock.now_s(),
+        self.late_calls.record_unanswered_start(
+            order.worker_id, current_id=self.worker_id, now_s=now_s
         )
-        self.runs.set_initial_quota(order)
 
     def record_announcement(
         self, announcement: run_worker.Announcement
@@ -197,7 +48,7 @@
         """
         worker = announcement.worker
         with self.changed:
-            if not self._incarnations.record_announcement(announcement):
+            if not self.incarnations.record_announcement(announcement):
                 return
             if worker.worker_id == self.worker_id:
                 incarnations.log_changes(self.worker, worker)
@@ -207,20 +58,20 @@
     def next_incarnation(self) -> str:
         """Returns the incarnation of the worker to call next, or empty."""
         with self.changed:
-            return self._incarnations.next_id_to_call() if self.term else ""
+            return self.incarnations.next_id_to_call() if self.term else ""
 
     def confirm_incarnation(self, worker_id: str) -> None:
         """Makes an announced incarnation that has answered the current one."""
         with self.changed:
-            last_id = self._incarnations.last_current_id
+            last_id = self.incarnations.last_current_id
             old_id = self.worker_id
-            if not self._incarnations.set_current(worker_id):
+            if not self.incarnations.set_current(worker_id):
                 return
             self._clear_worker()
             if last_id and not incarnation_ids.share_name(worker_id, last_id):
                 self.held.record_other_worker()
             self.departures.remove(old_id)
-            self.worker = self._incarnations.current.worker
+            self.worker = self.incarnations.current.worker
             self.worker_clock.reset(worker_id)
             now_s = clock.now_s()
             self._end_stale_orders()
@@ -249,10 +100,10 @@
             answering_id: The incarnation that answered in its place, if known.
         """
         with self.changed:
-            self._incarnations.record_end(worker_id)
+            self.incarnations.record_end(worker_id)
             self.departures.remove(worker_id)
             if answering_id:
-                self._incarnations.record_answering(answering_id)
+                self.incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
                 self._clear_worker()
                 logs.event("worker_gone", worker_id=worker_id, reason=reason)
@@ -270,7 +121,7 @@
                 name,
                 current=self.worker,
                 other_ids=(
-                    *self._incarnations.candidate_ids,
+                    *self.incarnations.candidate_ids,
                     *(order.worker_id for order in self.orders.values()),
                 ),
                 now_s=clock.now_s(),
@@ -293,7 +144,7 @@
         """
         with self.changed:
             is_current = worker_id == self.worker_id
-            if not is_current or self._incarnations.has_successor(worker_id):
+            if not is_current or self.incarnations.has_successor(worker_id):
                 return 0
             return self.late_calls.acknowledgement_for(
                 worker_id, self.acknowledged_end_number
@@ -415,7 +266,7 @@
         that is not the current incarnation is an earlier one.
         """
         for order in self.orders.values():
-            if self._incarnations.has_replaced(
+            if self.incarnations.has_replaced(
                 order.worker_id, current_id=self.worker_id
             ):
                 key = (order.task, order.run)
--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -52,10 +52,12 @@
                 or not state.may_start
                 or not self._checks.allow_request(order)
             ):
-                state.record_start_not_sent(order)
+                state.held.record_start_not_sent((order.task, order.run))
                 return
             # Recorded in the same step, as the order may be removed at any time.
-            state.record_start_sent(order)
+            state.held.record_start_sent(
+                order, is_current=order.worker_id == state.worker_id
+            )
         start = run_worker.RunStart(
             task=order.task,
             run=order.run,
@@ -92,7 +94,7 @@
                 if error.sent:
                     state.record_unanswered_start(order)
                 else:
-                    state.record_not_started(order)
+                    state.held.record_not_started((order.task, order.run))
                 state.record_unreachable(order.worker_id)
             raise
         except errors.PlatformError as error:
@@ -103,7 +105,13 @@
                 state.record_unanswered_start(order)
             raise
         with state.changed:
-            state.record_started(order)
+            state.held.record_start_answered(
+                (order.task, order.run),
+                # The answer may arrive after another incarnation was confirmed.
+                is_current=order.worker_id == state.worker_id,
+                now_s=clock.now_s(),
+            )
+            self._runs.set_initial_quota(order)
             step_runs_count = task_names.count_of_step(
                 order.task, state.held.held_keys()
             )
@@ -122,7 +130,7 @@
     def _record_not_started(self, order: ttypes.RunOrder) -> None:
         """Records that the last start request had no effect."""
         with self._state.changed:
-            self._state.record_not_started(order)
+            self._state.held.record_not_started((order.task, order.run))
 
     def stop(
         self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -142,9 +142,20 @@
         """Records a renewal of the lease that the worker may still carry out."""
         self._unanswered_renewal_s = now_s
 
-    def record_late_renewal(self, *, now_s: float) -> None:
-        """Records a renewal of an earlier incarnation's lease without an answer."""
-        self._late_renewal_s = now_s
+    def record_unanswered_start(
+        self, worker_id: str, *, current_id: str, now_s: float
+    ) -> None:
+        """Records a start request, which renews the lease of whoever carries it out.
+
+        Args:
+            worker_id: The incarnation that was called.
+            current_id: The current incarnation, or empty.
+            now_s: The time.
+        """
+        if current_id in ("", worker_id):
+            self._unanswered_renewal_s = now_s
+        elif incarnation_ids.share_name(current_id, worker_id):
+            self._late_renewal_s = now_s
 
     def prolonged_runs(
         self, keys: Iterable[task_names.RunKey], *, now_s: float
