--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -56,7 +56,7 @@
         self, keys: Iterable[task_names.RunKey]
     ) -> list[ttypes.Resources]:
         """Returns what each of some of its runs reserves."""
-        return [self._by_run[key].resources for key in keys]
+        return [self._get(key).resources for key in keys]
 
     @property
     def are_shared(self) -> bool:
