--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -1,19 +1,8 @@
-"""An agent's state: its worker, its lease, its orders and unreported ends of runs."""
+"""The events that change what an agent knows of its worker, orders and runs."""
 
-from collections.abc import Set
-import math
-import threading
-
-from marigoldsill.coordination.held_runs import run_starts
+from marigoldsill.coordination.job_agent import agent_record
 from marigoldsill.coordination.job_agent import lease as lease_module
-from marigoldsill.coordination.job_agent import run_orders
-from marigoldsill.coordination.job_agent import unreported_ends
-from marigoldsill.coordination.job_agent import worker_clock
-from marigoldsill.coordination.job_agent import worker_runs
-from marigoldsill.coordination.worker_incarnations import departures
 from marigoldsill.coordination.worker_incarnations import incarnations
-from marigoldsill.coordination.worker_incarnations import late_calls
-from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -22,140 +11,22 @@
 from marigoldsill.transport import logs
 
 
-class AgentState:
-    """State shared by an agent's threads; `changed` guards every field.
-
-    Attributes:
-        changed: Notified on every change.
-        worker_clock: The worker's clock.
-        late_calls: Calls that may have an effect on a later incarnation.
-        departures: Incarnations that were deregistered.
-        worker: The worker, once it has answered; None before.
-        lease: The newest lease.
-        term: The highest term of a leader that is known.
-        run_orders: The orders of the leader.
-        runs: What is known of the runs on the worker.
-        unreported_ends: Ends to report now or later.
-        listed_end_number: Ends up to this number have been read in listings.
-        acknowledged_end_number: Ends up to this number are recorded by control.
-        last_answer_s: When the worker answered last.
-        is_stopping: Whether the agent is stopping.
-    """
-
-    def __init__(
-        self,
-        *,
-        announcement_age_limit_s: float = math.inf,
-        lease_limit_s: float = 6.0,
-    ):
-        """Initializes the state without a worker.
-
-        Args:
-            announcement_age_limit_s: Maximum age of the capacity for a start.
-            lease_limit_s: The longest lease that the worker accepts.
-        """
-        effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
-        self.changed = threading.Condition()
-        self._announcement_age_limit_s = announcement_age_limit_s
-        self.worker_clock = worker_clock.WorkerClock()
-        self.late_calls = late_calls.LateCalls(effect_limit_s=effect_limit_s)
-        self.departures = departures.Departures()
-        self.worker: ttypes.PoolWorker | None = None
-        self.lease = lease_module.Lease()
-        self.term = 0
-        self.run_orders = run_orders.RunOrders()
-        self.runs = worker_runs.WorkerRuns(self.run_orders)
-        self.unreported_ends = unreported_ends.UnreportedEnds(
-            effect_limit_s=effect_limit_s
-        )
-        self.listed_end_number = 0
-        self.acknowledged_end_number = 0
-        self.last_answer_s = clock.now_s()
-        self.is_stopping = False
-        self._incarnations = incarnations.Incarnations()
-
-    @property
-    def worker_id(self) -> str:
-        """The incarnation of the worker that answers, or empty."""
-        return "" if self.worker is None else self.worker.worker_id
-
-    @property
-    def orders(self) -> dict[task_names.RunKey, ttypes.RunOrder]:
-        """The orders by (task, run)."""
-        return self.run_orders.by_run
-
-    @property
-    def ends(self) -> dict[task_names.RunKey, ttypes.RunEnd]:
-        """The ends to report now, by (task, run)."""
-        return self.unreported_ends.by_run
-
-    @property
-    def late_starts(self) -> late_starts.LateStarts:
-        """Runs that a call meant for an earlier incarnation may begin."""
-        return self.unreported_ends.late_starts
-
-    @property
-    def starts(self) -> run_starts.RunStarts:
-        """Starts of runs on the current incarnation of the worker."""
-        return self.runs.starts
-
-    @property
-    def newest_announcement(self) -> run_worker.Announcement | None:
-        """The newest announcement of another incarnation, or else of the current one."""
-        return self._incarnations.newest_announcement
-
-    @property
-    def remembered_incarnations_count(self) -> int:
-        """How many incarnations other than the current one are remembered."""
-        return self._incarnations.remembered_count
-
-    @property
-    def announcement_overdue_s(self) -> float:
-        """Seconds since the last announcement exceeded the age limit, or negative."""
-        age_s = clock.now_s() - self._incarnations.last_announcement_s
-        return age_s - self._announcement_age_limit_s
-
-    @property
-    def may_start(self) -> bool:
-        """Whether the lease, orders and last announcement allow a start now.
-
-        None is made on a worker that was deregistered, or while a later incarnation of
-        the worker's name is announced but was not called yet, as it would begin the
-        run. Nor is one while the worker has a run that reserves nobody knows what, until
-        that is stopped.
-        """
-        return (
-            not self.departures.prevent_starts(self.worker_id)
-            and self.announcement_overdue_s <= 0
-            and not self._incarnations.has_successor(self.worker_id)
-            and not self.late_calls.withholds_calls(
-                self.worker_id, now_s=clock.now_s()
-            )
-            and self.run_orders.are_covered_by(self.lease)
-            and self.run_orders.knows_all(self.runs.running)
-        )
-
-    def record_start_sent(self, order: ttypes.RunOrder) -> None:
-        """Records a start request to the worker; the caller must hold the lock."""
-        key = (order.task, order.run)
-        self.run_orders.possibly_begun_keys.add(key)
-        if order.worker_id == self.worker_id:
-            self.starts.record_sent(key)
-
-    def record_not_started(self, order: ttypes.RunOrder) -> None:
-        """Records that no start request had an effect; the caller must hold the lock."""
-        key = (order.task, order.run)
-        self.run_orders.record_not_started(key)
-        self.starts.record_not_started(key)
+class AgentState(agent_record.AgentRecord):
+    """An agent's record, with one method for each event that changes it."""
 
     def record_unreachable(self, worker_id: str) -> None:
         """Records a call without an answer; the caller must hold the lock."""
         self.departures.record_unanswered(worker_id)
         if worker_id == self.worker_id:
-            self.starts.record_unreachable()
+            self.held.record_unreachable()
 
     def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
         """Records a start request without an answer; the caller must hold the lock."""
+        self.held.record_start_unanswered((order.task, order.run))
+        self._record_late_start(order)
+
+    def _record_late_start(self, order: ttypes.RunOrder) -> None:
+        """Records that a later incarnation may carry out a start request."""
         now_s = clock.now_s()
         self.late_starts.record_unanswered(
             (order.task, order.run),
@@ -163,22 +34,8 @@
             current_id=self.worker_id,
             now_s=now_s,
         )
-        # Its deadline applies to all runs of the worker that carries it out.
-        if self.worker_id in ("", order.worker_id):
-            self.late_calls.record_unanswered_renewal(now_s=now_s)
-        elif incarnation_ids.share_name(self.worker_id, order.worker_id):
-            self.late_calls.record_late_renewal(now_s=now_s)
-
-    def record_started(self, order: ttypes.RunOrder) -> None:
-        """Records a confirmed start and sets a best-effort run's initial quota.
-
-        The caller must hold the lock.
-        """
-        self.runs.record_started(
-            order,
-            # The answer may arrive after another incarnation was confirmed.
-            is_current=order.worker_id == self.worker_id,
-            now_s=clock.now_s(),
+        self.late_calls.record_unanswered_start(
+            order.worker_id, current_id=self.worker_id, now_s=now_s
         )
 
     def record_announcement(
@@ -191,7 +48,7 @@
         """
         worker = announcement.worker
         with self.changed:
-            if not self._incarnations.record_announcement(announcement):
+            if not self.incarnations.record_announcement(announcement):
                 return
             if worker.worker_id == self.worker_id:
                 incarnations.log_changes(self.worker, worker)
@@ -201,20 +58,20 @@
     def next_incarnation(self) -> str:
         """Returns the incarnation of the worker to call next, or empty."""
         with self.changed:
-            return self._incarnations.next_id_to_call() if self.term else ""
+            return self.incarnations.next_id_to_call() if self.term else ""
 
     def confirm_incarnation(self, worker_id: str) -> None:
         """Makes an announced incarnation that has answered the current one."""
         with self.changed:
-            last_id = self._incarnations.last_current_id
+            last_id = self.incarnations.last_current_id
             old_id = self.worker_id
-            if not self._incarnations.set_current(worker_id):
+            if not self.incarnations.set_current(worker_id):
                 return
             self._clear_worker()
             if last_id and not incarnation_ids.share_name(worker_id, last_id):
-                self.run_orders.removed.clear()
+                self.held.record_other_worker()
             self.departures.remove(old_id)
-            self.worker = self._incarnations.current.worker
+            self.worker = self.incarnations.current.worker
             self.worker_clock.reset(worker_id)
             now_s = clock.now_s()
             self._end_stale_orders()
@@ -243,10 +100,10 @@
             answering_id: The incarnation that answered in its place, if known.
         """
         with self.changed:
-            self._incarnations.record_end(worker_id)
+            self.incarnations.record_end(worker_id)
             self.departures.remove(worker_id)
             if answering_id:
-                self._incarnations.record_answering(answering_id)
+                self.incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
                 self._clear_worker()
                 logs.event("worker_gone", worker_id=worker_id, reason=reason)
@@ -264,7 +121,7 @@
                 name,
                 current=self.worker,
                 other_ids=(
-                    *self._incarnations.candidate_ids,
+                    *self.incarnations.candidate_ids,
                     *(order.worker_id for order in self.orders.values()),
                 ),
                 now_s=clock.now_s(),
@@ -287,7 +144,7 @@
         """
         with self.changed:
             is_current = worker_id == self.worker_id
-            if not is_current or self._incarnations.has_successor(worker_id):
+            if not is_current or self.incarnations.has_successor(worker_id):
                 return 0
             return self.late_calls.acknowledgement_for(
                 worker_id, self.acknowledged_end_number
@@ -303,15 +160,13 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
-            before = set(self.run_orders.removed.keys)
             inherited = self.run_orders.update(
                 reply, self.worker, ended=self.ends
             )
-            self._log_removed_early(self.run_orders.removed.keys - before)
             self.run_orders.record_lease(self.lease)
             # A previous process may have left their start requests unanswered.
             for order in inherited:
-                self.record_unanswered_start(order)
+                self._record_late_start(order)
             self.runs.update_interference(reply)
             self._end_stale_orders()
             self.changed.notify_all()
@@ -331,10 +186,10 @@
         """Records the runs and ends that the worker lists, and updates quotas."""
         with self.changed:
             now_s = clock.now_s()
-            self.runs.record_listing(listing, now_s=now_s)
+            self.held.record_listing(listing, self.orders, now_s=now_s)
             if self.run_orders.are_covered_by(self.lease):
                 self.late_starts.add_unordered(
-                    self.runs.held_keys() - self.orders.keys(),
+                    self.held.unordered_keys(),
                     self.worker_id,
                     now_s=now_s,
                 )
@@ -355,7 +210,7 @@
         """Records an end that the worker will not list."""
         with self.changed:
             key = (end.task, end.run)
-            self.runs.record_ended(key)
+            self.held.record_ended(key)
             if key not in self.ends and key in self.orders:
                 self.ends[key] = end
             self.changed.notify_all()
@@ -365,7 +220,7 @@
 
         The caller must hold the lock.
         """
-        self.runs.record_ended(key)
+        self.held.record_ended(key)
         self.unreported_ends.settle_late_start(key)
         self.changed.notify_all()
 
@@ -390,27 +245,17 @@
                 )
             self.changed.notify_all()
 
-    def _log_removed_early(self, keys: Set[task_names.RunKey]) -> None:
-        """Logs removed orders whose runs the worker may still have."""
-        for task, run in keys:
-            logs.event(
-                "order_removed_early",
-                task=task,
-                run=run,
-                is_listed=(task, run) in self.runs.running,
-            )
-
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
             self.unreported_ends.record_lost_worker(
                 self.worker,
-                self.starts,
+                self.held,
                 unresponsive_s=clock.now_s() - self.last_answer_s,
             )
         self.worker = None
         self.worker_clock.reset()
-        self.runs.clear()
+        self.held.record_incarnation_ended()
         self.listed_end_number = self.acknowledged_end_number = 0
         self._end_stale_orders()
 
@@ -421,12 +266,12 @@
         that is not the current incarnation is an earlier one.
         """
         for order in self.orders.values():
-            if self._incarnations.has_replaced(
+            if self.incarnations.has_replaced(
                 order.worker_id, current_id=self.worker_id
             ):
                 key = (order.task, order.run)
                 self.unreported_ends.record_stale(
                     order,
                     current_id=self.worker_id,
-                    may_have_begun=key in self.run_orders.possibly_begun_keys,
+                    may_have_begun=self.held.may_have_begun(key),
                 )
--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.coordination.job_agent import start_checks
 from marigoldsill.protocol import run_worker
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
@@ -46,12 +47,17 @@
         with state.changed:
             deadline_ms = self._lease_renewer.issue_deadline_ms()
             token = state.term
-            if deadline_ms is None or not state.may_start:
-                return
-            if not self._checks.allow_request(order):
+            if (
+                deadline_ms is None
+                or not state.may_start
+                or not self._checks.allow_request(order)
+            ):
+                state.held.record_start_not_sent((order.task, order.run))
                 return
             # Recorded in the same step, as the order may be removed at any time.
-            state.record_start_sent(order)
+            state.held.record_start_sent(
+                order, is_current=order.worker_id == state.worker_id
+            )
         start = run_worker.RunStart(
             task=order.task,
             run=order.run,
@@ -60,15 +66,13 @@
             checkpoint_id=order.checkpoint_id,
             ticket=order.ticket,
         )
-        had_unanswered_start = progress.has_unanswered_start
-        progress.has_unanswered_start = True
         try:
             with agent_metrics.WORKER_START_SECONDS.time():
                 clock_ms = self._worker.start(
                     order.worker_id, start, token=token
                 )
         except errors.RunRefusedError as error:
-            self._record_not_started(order, progress, had_unanswered_start)
+            self._record_not_started(order)
             if error.reason == run_worker.RefusalReason.TOO_LATE:
                 raise
             progress.refusal_reason = error.reason
@@ -81,16 +85,16 @@
             )
             return
         except (errors.OtherWorkerError, errors.WorkerUnwellError) as error:
-            self._record_not_started(order, progress, had_unanswered_start)
+            self._record_not_started(order)
             if isinstance(error, errors.WorkerUnwellError):
                 progress.refusal_reason = "the worker is not healthy"
             raise
         except errors.TransportError as error:
-            if not error.sent:
-                self._record_not_started(order, progress, had_unanswered_start)
             with state.changed:
                 if error.sent:
                     state.record_unanswered_start(order)
+                else:
+                    state.held.record_not_started((order.task, order.run))
                 state.record_unreachable(order.worker_id)
             raise
         except errors.PlatformError as error:
@@ -100,12 +104,17 @@
             with state.changed:
                 state.record_unanswered_start(order)
             raise
-        progress.has_unanswered_start = False
         with state.changed:
-            progress.is_started = True
-            progress.start_listings_count = self._runs.next_listings_count
-            state.record_started(order)
-            step_runs_count = self._runs.count_of_step(order.task)
+            state.held.record_start_answered(
+                (order.task, order.run),
+                # The answer may arrive after another incarnation was confirmed.
+                is_current=order.worker_id == state.worker_id,
+                now_s=clock.now_s(),
+            )
+            self._runs.set_initial_quota(order)
+            step_runs_count = task_names.count_of_step(
+                order.task, state.held.held_keys()
+            )
         state.worker_clock.record_reading(
             clock_ms, worker_id=order.worker_id, received_s=clock.now_s()
         )
@@ -118,23 +127,10 @@
             step_runs_count=step_runs_count,
         )
 
-    def _record_not_started(
-        self,
-        order: ttypes.RunOrder,
-        progress: order_progress.OrderProgress,
-        had_unanswered_start: bool,
-    ) -> None:
-        """Records that the last start request had no effect.
-
-        Args:
-            order: The order to start the run.
-            progress: The progress of the order.
-            had_unanswered_start: Whether an earlier request may still take effect.
-        """
-        progress.has_unanswered_start = had_unanswered_start
-        if not had_unanswered_start:
-            with self._state.changed:
-                self._state.record_not_started(order)
+    def _record_not_started(self, order: ttypes.RunOrder) -> None:
+        """Records that the last start request had no effect."""
+        with self._state.changed:
+            self._state.held.record_not_started((order.task, order.run))
 
     def stop(
         self, order: ttypes.RunOrder, progress: order_progress.OrderProgress
@@ -145,7 +141,7 @@
             order.worker_id, order.task, order.run, token=state.term
         )
         with state.changed:
-            progress.stop_listings_count = self._runs.next_listings_count
+            state.held.record_stop_answered((order.task, order.run))
         logs.event(
             "run_stopped",
             task=order.task,
