Let the cluster model reach the guards that it did not find

Cause: the model saw a wrong conclusion only if another run began beside the first one, reports of a replaced process arrived before the next one had a lease, faults of proposals hit any proposal, and a refusal that nobody records, orders of a frozen agent, silent deregistrations and slow stops of unlisted runs almost never came together.

Change: each recorded end is checked against the workers, each request for a start against the announced capacity; a new process has a connection of its own; faults of proposals name their kind; `cluster_scenarios` and `scenario_machine` bring the faults about that come together; runs that were never ordered appear. `lease-term` is a guard of its own, and `old-reply` is doubled by it: with either alone undone its sequence holds.

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -22,6 +22,7 @@
         code: The code of the guard, which occurs once in the module.
         undone: What replaces it.
         machine: The test of the cluster model that has to find it.
+        doubled_by: Guards that prevent the same by themselves; they are undone with it.
     """
 
     protects: str
@@ -29,6 +30,7 @@
     code: str
     undone: str
     machine: str = _TWO_AGENTS
+    doubled_by: tuple[str, ...] = ()
 
 
 GUARDS = {
@@ -87,6 +89,13 @@
         f"{_AGENT}/agent_state.py",
         "if reply.term < self.term:",
         "if False:",
+        doubled_by=("lease-term",),
+    ),
+    "lease-term": Guard(
+        "a start by orders of another term than that of the lease",
+        f"{_AGENT}/run_orders.py",
+        "and lease.term == self.term",
+        "",
     ),
     "old-lease": Guard(
         "the lease in a reply of an earlier term",
--- a/build_tools/undo_guards.py
+++ b/build_tools/undo_guards.py
@@ -1,4 +1,4 @@
-"""Undoes guards one at a time in copies of the sources, and runs the cluster model.
+"""Undoes guards one at a time, or with those that double them, in copies of the sources, and runs the cluster model.
 
 Run as `python -m build_tools.undo_guards --folder FOLDER [GUARD ...]`. Prints for each
 guard whether the model finds that it is undone, after how many examples and how long,
@@ -62,12 +62,13 @@
         found = "not found"
         if self.is_found:
             found = f"found, example {self.examples_count}"
-        protects = guards_module.GUARDS[self.name].protects
+        guard = guards_module.GUARDS[self.name]
+        undone = " and ".join((self.name, *guard.doubled_by))
         steps = f"{len(self.sequence)} steps"
         if len(self.sequence) <= _SHORT_SEQUENCE:
             steps = "; ".join(self.sequence)
         return (
-            f"| {self.name} | {protects} | {found} | "
+            f"| {undone} | {guard.protects} | {found} | "
             f"{self.duration_s:.0f} s | {self.violation} | {steps} |"
         )
 
@@ -155,7 +156,8 @@
     guard = find_guard(name)
     copy = folder / name
     make_copy(copy)
-    undo(guard, copy)
+    for each in (guard, *map(find_guard, guard.doubled_by)):
+        undo(each, copy)
     environment = os.environ | {
         "PYTHONPATH": str(copy),
         "MODEL_EXAMPLES": str(examples_count),
--- /dev/null
+++ b/tests/coordination/jobs/cluster_control_faults.py
@@ -0,0 +1,64 @@
+"""Faults of the control processes of the cluster model."""
+
+from collections.abc import Callable
+
+from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import cluster_model
+from tests.coordination.jobs import model_control
+
+# Whether a proposal is of a certain kind.
+IsAwaited = Callable[[ttypes.Command], bool]
+
+
+class ControlFaults(cluster_model.Cluster):
+    """A cluster in which faults of control can be brought about."""
+
+    def elect(self, name: str, *, keeps_logged: bool) -> None:
+        """Begins a term of a control process."""
+        self.counts["terms"] += 1
+        self.group.elect(self.controls[name].replica, keeps_logged=keeps_logged)
+
+    def change_leader(self, *, keeps_logged: bool) -> None:
+        """Begins a term of the control process that does not lead."""
+        leader = self.leader.replica.member.name
+        self.elect(
+            next(name for name in self.controls if name != leader),
+            keeps_logged=keeps_logged,
+        )
+
+    def restart_control(self, name: str) -> None:
+        """Starts a control process anew, from a snapshot, after it lost any lead."""
+        if self.leader is self.controls[name]:
+            self.change_leader(keeps_logged=True)
+        self.controls[name].stop()
+        self._start_control(name)
+
+    def lose_proposal(
+        self, is_awaited: IsAwaited = model_control.is_any
+    ) -> None:
+        """Leaves the outcome of the leader's next proposal of a kind unknown."""
+        self.counts["proposals of unknown outcome"] += 1
+        self.group.is_awaited = is_awaited
+        self.group.is_next_unknown = True
+
+    def lose_term(self, *, rounds_count: int, returns: bool) -> None:
+        """Lets another process lead for some rounds.
+
+        Args:
+            rounds_count: How many rounds all run in turn.
+            returns: Whether the process that led before leads again then.
+        """
+        self.counts["terms lost before a proposal"] += 1
+        name = self.leader.replica.member.name
+        self.change_leader(keeps_logged=True)
+        self.run_in_turn(rounds_count=rounds_count, pause_s=0.3)
+        if returns:
+            self.elect(name, keeps_logged=True)
+            self.run_in_turn(rounds_count=1, pause_s=0.3)
+
+    def call_before_proposal(
+        self, is_awaited: IsAwaited, action: Callable[[], None]
+    ) -> None:
+        """Calls an action once before the next proposal of a kind."""
+        self.group.is_awaited = is_awaited
+        self.group.before_proposal = action
--- a/tests/coordination/jobs/cluster_faults.py
+++ b/tests/coordination/jobs/cluster_faults.py
@@ -4,19 +4,22 @@
 import math
 
 from marigoldsill.protocol import incarnation_ids
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
+from tests.coordination.jobs import cluster_control_faults
 from tests.coordination.jobs import cluster_model
+from tests.coordination.jobs import model_control
+from tests.coordination.jobs import model_jobs
 
 WORKER_CORES = cluster_model.WORKER_CORES
-# Longer than leases, and than most runs.
-_QUIET_ROUNDS = 18
 # A call under way is answered within this time, or not at all.
 ANSWER_S = 0.8
 # Something that an agent does, or that happens meanwhile.
 Act = Callable[["FaultyCluster", str], None]
 
 
-class FaultyCluster(cluster_model.Cluster):
+class FaultyCluster(cluster_control_faults.ControlFaults):
     """A cluster in which faults can be brought about."""
 
     def run_late_call(self, name: str, position: int) -> None:
@@ -32,14 +35,41 @@
         if not keys:
             return
         key = keys[position % len(keys)]
-        if self._step_of(key[0]).long_running:
+        if self._jobs.step_of(key[0]).long_running:
             kind = ttypes.RunEndKind.FAILED
         worker.end_run(key, kind)
 
+    def begin_unordered_run(self, name: str, *, cores: int) -> bool:
+        """Begins a run that was never ordered, if its agent learns of it at once.
+
+        Returns:
+            Whether it began.
+        """
+        worker = self.workers[name]
+        step = builders.step(
+            long_running=True, resources=model_jobs.resources_of(cores)
+        )
+        free_millicores = WORKER_CORES * 1_000 - sum(
+            self._jobs.step_of(task).resources.cpu_millicores
+            for task, _ in worker.running
+        )
+        if worker.late_calls or free_millicores < cores * 1_000:
+            return False
+        job_id = self._jobs.add(step, work_s=0.0)
+        key = (task_names.name_of(job_id, 0, 0, 0), 1)
+        worker.begin_unordered(key)
+        self.renew(name)
+        is_known = key in self.agents[name].state.runs.running
+        if not is_known:
+            worker.forget(key)
+        self.counts["runs that were never ordered"] += is_known
+        return is_known
+
     def restart_agent(self, name: str) -> None:
         """Starts a new process of an agent."""
         self._stopped.discard(name)
         self.counts["agents replaced"] += 1
+        self.links[name].replace_connection()
         self._start_agent(name)
 
     def restart_worker(self, name: str) -> None:
@@ -81,6 +111,13 @@
             duration_s, lambda: setattr(worker, "has_slow_stops", False)
         )
 
+    def freeze_agent(self, name: str, *, duration_s: float) -> None:
+        """Passes time in which an agent does nothing, while all others run in turn."""
+        self.counts["agents frozen"] += 1
+        self._stopped.add(name)
+        self.run_in_turn(rounds_count=int(duration_s / 0.5), pause_s=0.5)
+        self._stopped.discard(name)
+
     def cut_off(self, name: str, fault: str, *, duration_s: float) -> None:
         """Gives an agent's connection to the leader a fault for a time.
 
@@ -127,7 +164,7 @@
             return
         self.counts["deregistrations"] += 1
         if name not in self._stopped:
-            self._agents[name].state.deregister(
+            self.agents[name].state.deregister(
                 incarnation_ids.name_of(incarnation)
             )
 
@@ -142,52 +179,6 @@
 
         self.end_later(leaves_after_s, leave)
 
-    def elect(self, name: str, *, keeps_logged: bool) -> None:
-        """Begins a term of a control process."""
-        self.counts["terms"] += 1
-        self.group.elect(self.controls[name].replica, keeps_logged=keeps_logged)
-
-    def change_leader(self, *, keeps_logged: bool) -> None:
-        """Begins a term of the control process that does not lead."""
-        leader = self.leader.replica.member.name
-        self.elect(
-            next(name for name in self.controls if name != leader),
-            keeps_logged=keeps_logged,
-        )
-
-    def restart_control(self, name: str) -> None:
-        """Starts a control process anew, from a snapshot, after it lost any lead."""
-        if self.leader is self.controls[name]:
-            self.change_leader(keeps_logged=True)
-        self.controls[name].stop()
-        self._start_control(name)
-
-    def lose_proposal(self) -> None:
-        """Leaves the outcome of the leader's next proposal unknown."""
-        self.counts["proposals of unknown outcome"] += 1
-        self.group.is_next_unknown = True
-
-    def lose_term_before_proposal(
-        self, *, rounds_count: int, returns: bool
-    ) -> None:
-        """Lets another process lead from before the next proposal for some rounds.
-
-        Args:
-            rounds_count: How many rounds all run in turn before the proposal is made.
-            returns: Whether its proposer leads again by then.
-        """
-
-        def lose_term() -> None:
-            self.counts["terms lost before a proposal"] += 1
-            name = self.leader.replica.member.name
-            self.change_leader(keeps_logged=True)
-            self.run_in_turn(rounds_count=rounds_count, pause_s=0.3)
-            if returns:
-                self.elect(name, keeps_logged=True)
-                self.run_in_turn(rounds_count=1, pause_s=0.3)
-
-        self.group.before_proposal = lose_term
-
     def lose_power(self) -> None:
         """Restarts all processes at once."""
         for name in self.names:
@@ -244,7 +235,9 @@
         self.workers[name].before_answer = lambda: self._act(
             name, acts_before_answer
         )
+        self._is_caller_replaced = calls is not self._calls[name]
         calls.execute()
+        self._is_caller_replaced = False
         self.workers[name].before_answer = None
 
     def _act(self, name: str, acts: list[Act]) -> None:
@@ -260,6 +253,7 @@
         self._fault_ends = []
         self.group.before_proposal = None
         self.group.is_next_unknown = False
+        self.group.is_awaited = model_control.is_any
         self.group.commit_logged()
         for name, worker in self.workers.items():
             self.links[name].heal()
@@ -272,22 +266,6 @@
                 self.restart_agent(name)
             self.announce_capacity(name, cores=WORKER_CORES)
 
-    def settle(self, *, rounds_count: int) -> None:
-        """Lets everything run without faults until nothing changes any more."""
-        self.heal()
-        quiet_rounds_count = 0
-        for _ in range(rounds_count):
-            committed_count = len(self.group.committed)
-            self.run_in_turn(rounds_count=1, pause_s=0.5)
-            quiet_rounds_count += 1
-            if len(self.group.committed) > committed_count:
-                quiet_rounds_count = 0
-            is_settled = (
-                not self.unexecuted_orders() and not self.unordered_runs()
-            )
-            if is_settled and quiet_rounds_count >= _QUIET_ROUNDS:
-                return
-
     def end_later(self, duration_s: float, end: Callable[[], None]) -> None:
         """Ends a fault after a time."""
         self._fault_ends.append((self._now_s + duration_s, end))
--- a/tests/coordination/jobs/cluster_machine.py
+++ b/tests/coordination/jobs/cluster_machine.py
@@ -6,10 +6,11 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import cluster_acts
 from tests.coordination.jobs import cluster_faults
+from tests.coordination.jobs import cluster_scenarios
 from tests.coordination.jobs import cluster_strategies
+from tests.coordination.jobs import model_control
 from tests.coordination.jobs import working_machine
 
 _agents = working_machine.agents
@@ -49,7 +50,7 @@
         name=_agents,
         spread_limit=working_machine.spread_limits,
         lateness_s=_latenesses_s,
-        acts_after=cluster_strategies.acts_after_starts,
+        acts_after=cluster_strategies.act_after_starts,
         rounds_count=_rounds,
     )
     def start_without_answers(
@@ -163,8 +164,11 @@
     def lose_term_before_proposal(
         self, rounds_before_count: int, returns: bool, rounds_count: int
     ) -> None:
-        self.cluster.lose_term_before_proposal(
-            rounds_count=rounds_before_count, returns=returns
+        self.cluster.call_before_proposal(
+            model_control.is_any,
+            lambda: self.cluster.lose_term(
+                rounds_count=rounds_before_count, returns=returns
+            ),
         )
         self._run(rounds_count)
 
@@ -181,7 +185,7 @@
         rounds_before_count: int,
         rounds_count: int,
     ) -> None:
-        cluster_acts.lose_contact(
+        cluster_scenarios.lose_contact(
             self.cluster,
             name,
             duration_s=duration_s,
@@ -245,38 +249,3 @@
             acts_before_answer=acts_before_answer,
         )
         self._run(rounds_count)
-
-
-class ConcludingMachine(ClusterMachine):
-    """A leader that takes runs for lost which its only worker may have.
-
-    Every task returns to that worker, so its agent alone has to prevent wrong starts.
-    """
-
-    AGENTS = ("a1",)
-    reached: collections.Counter[str] = collections.Counter()
-
-    @stateful.rule(
-        position=_positions,
-        kind=strategies.sampled_from(
-            [ttypes.RunEndKind.LOST, ttypes.RunEndKind.DONE]
-        ),
-        rounds_count=_rounds,
-    )
-    def conclude_end(
-        self, position: int, kind: ttypes.RunEndKind, rounds_count: int
-    ) -> None:
-        self.cluster.conclude_end(position, kind)
-        self._run(rounds_count)
-
-    @stateful.rule(
-        positions=strategies.lists(_positions, min_size=1, max_size=3),
-        rounds_count=_rounds,
-    )
-    def conclude_ends_in_turn(
-        self, positions: list[int], rounds_count: int
-    ) -> None:
-        for position in positions:
-            self._run(1)
-            self.cluster.conclude_end(position)
-        self._run(rounds_count)
--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -7,13 +7,15 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Set
 import contextlib
-import math
+import functools
 from unittest import mock
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import lease_renewer
 from marigoldsill.coordination.job_agent import reporter as reporter_module
+from marigoldsill.coordination.jobs import report_handler
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -21,6 +23,7 @@
 from tests.coordination.jobs import model_agent
 from tests.coordination.jobs import model_checks
 from tests.coordination.jobs import model_control
+from tests.coordination.jobs import model_jobs
 from tests.coordination.jobs import model_link
 from tests.coordination.jobs import model_worker
 from tests.coordination.jobs import stepped_agent
@@ -28,8 +31,6 @@
 WORKER_CORES = model_checks.WORKER_CORES
 CONTROL_NAMES = ("c1", "c2")
 _CONTROL_ERRORS = (errors.MarigoldsillError, ttypes.NotLeader, ttypes.NoQuorum)
-# Enough for an agent to report an end, and for the leader to remove its order.
-_REPORTING_ROUNDS = 4
 
 
 class Cluster:
@@ -41,6 +42,7 @@
         controls: The control processes by name.
         workers: The workers by the name of their agent.
         links: The connections of the agents to the leader.
+        agents: The processes of the agents.
     """
 
     def __init__(
@@ -63,8 +65,11 @@
         self._patches.enter_context(
             mock.patch.object(lease_renewer, "_PAUSE_S", 0.0)
         )
-        self._steps: dict[str, ttypes.Step] = {}
-        self._work_s: dict[str, float] = {}
+        # Nothing happens during a wait.
+        self._patches.enter_context(
+            mock.patch.object(report_handler, "_RECORD_WAIT_S", 0.0)
+        )
+        self._jobs = model_jobs.ModelJobs()
         # When faults end, and how.
         self._fault_ends: list[tuple[float, Callable[[], None]]] = []
         self.group = model_control.ModelGroup()
@@ -73,11 +78,15 @@
         for name in CONTROL_NAMES[1:]:
             self._start_control(name)
         self._checks = model_checks.StartChecks(
-            step_of=self._step_of, tables=lambda: self.leader.replica.tables
+            step_of=self._jobs.step_of,
+            tables=lambda: self.leader.replica.tables,
         )
         self.workers = {
             name: worker_type(
-                name, work_s_of=self._work_s_of, on_start=self._checks.check
+                name,
+                work_s_of=self._jobs.work_s_of,
+                on_start=self._checks.check,
+                on_request=functools.partial(self._check_request, name),
             )
             for name in names
         }
@@ -87,12 +96,14 @@
             for name in self.names
         }
         self._calls: dict[str, model_agent.CallQueue] = {}
-        self._agents: dict[str, stepped_agent.SteppedAgent] = {}
+        self.agents: dict[str, stepped_agent.SteppedAgent] = {}
         self._reporters: dict[str, reporter_module.Reporter] = {}
         self._sequence = 0
         self._cores = dict.fromkeys(names, WORKER_CORES)
         self._draining: set[str] = set()
         self._stopped: set[str] = set()
+        # Whether the calls of a process are made that another one has replaced.
+        self._is_caller_replaced = False
         for name in self.names:
             self._start_agent(name)
 
@@ -119,9 +130,7 @@
 
     def submit(self, step: ttypes.Step, *, work_s: float = 2.0) -> str:
         """Submits a job of one step whose runs take a time; returns its id."""
-        job_id = f"j{len(self._steps)}"
-        self._steps[job_id] = step
-        self._work_s[job_id] = math.inf if step.long_running else work_s
+        job_id = self._jobs.add(step, work_s=work_s)
         with contextlib.suppress(*_CONTROL_ERRORS):
             self.leader.jobs.submit(job_id, step)
         return job_id
@@ -154,7 +163,8 @@
         if not is_running:
             # Its start may be under way, and would begin a task that is done.
             kind = ttypes.RunEndKind.LOST
-        end = ttypes.RunEnd(task=task, run=run, kind=kind)
+        detail = model_control.CONCLUDED
+        end = ttypes.RunEnd(task=task, run=run, kind=kind, detail=detail)
         self.counts["ends concluded early"] += 1
         self.counts["ends concluded of a run on its worker"] += is_running
         with contextlib.suppress(*_CONTROL_ERRORS):
@@ -166,7 +176,7 @@
         """Gives an agent the leader's orders."""
         if name in self._stopped:
             return
-        state = self._agents[name].state
+        state = self.agents[name].state
         request = ttypes.OrdersRequest(
             agent=name,
             term=state.run_orders.term,
@@ -186,7 +196,7 @@
         """Lets an agent call its worker, to renew the lease and to list runs."""
         if name in self._stopped:
             return
-        agent = self._agents[name]
+        agent = self.agents[name]
         if worker_id := agent.lease_renewer.next_incarnation():
             agent.lease_renewer.try_renew(worker_id)
         agent.departure_watch.check()
@@ -226,32 +236,6 @@
                 self.report(name)
             self.pass_time(pause_s)
 
-    def unexecuted_orders(self) -> list[ttypes.RunOrder]:
-        """Returns the orders to run what is not on the worker."""
-        return [
-            order
-            for name, agent in self._agents.items()
-            for key, order in agent.state.orders.items()
-            if order.desire == ttypes.RunDesire.RUN
-            and key not in self.workers[name].running
-        ]
-
-    def stuck_orders(self) -> list[ttypes.RunOrder]:
-        """Returns the orders to run that no report of an end removes in some rounds."""
-        before = self.unexecuted_orders()
-        if before:
-            self.run_in_turn(rounds_count=_REPORTING_ROUNDS, pause_s=0.5)
-        return [order for order in self.unexecuted_orders() if order in before]
-
-    def unordered_runs(self) -> list[task_names.RunKey]:
-        """Returns the runs on workers that their agents have no order for."""
-        return [
-            key
-            for name, agent in self._agents.items()
-            for key in self.workers[name].running
-            if key not in agent.state.orders
-        ]
-
     def _read_clock(self) -> float:
         return self._now_s
 
@@ -266,17 +250,18 @@
         control.replica.on_applied(
             lambda command: self._count_command(control, command)
         )
+        control.replica.on_ends = lambda keys: self._check_ends(control, keys)
 
     def _begin_calls(self, name: str) -> model_agent.CallQueue:
         """Lets an agent begin the calls that are due; returns them."""
-        agent = self._agents[name]
+        agent = self.agents[name]
         with agent.state.changed:
             agent.executor.reconcile()
         return self._calls[name]
 
     def _start_agent(self, name: str) -> None:
         agent, self._calls[name] = model_agent.build_agent(self.workers[name])
-        self._agents[name] = agent
+        self.agents[name] = agent
         self._reporters[name] = reporter_module.Reporter(
             agent=name, state=agent.state, link=self.links[name]
         )
@@ -291,13 +276,23 @@
         announcement.worker.draining = name in self._draining
         cores = self._cores[name]
         announcement.worker.capacity.cpu_millicores = cores * 1_000
-        self._agents[name].state.record_announcement(announcement)
+        self.agents[name].state.record_announcement(announcement)
 
-    def _step_of(self, task: str) -> ttypes.Step:
-        return self._steps[task_names.parse(task).job_id]
+    def _check_ends(
+        self, control: model_control.Control, keys: Set[task_names.RunKey]
+    ) -> None:
+        if control is self.leader:
+            self._checks.check_ends(keys)
 
-    def _work_s_of(self, task: str) -> float:
-        return self._work_s[task_names.parse(task).job_id]
+    def _check_request(
+        self,
+        name: str,
+        worker: model_worker.ModelWorker,
+        key: task_names.RunKey,
+    ) -> None:
+        known = self.agents[name].state.worker
+        if known is not None and not self._is_caller_replaced:
+            self._checks.check_request(worker, key, known.capacity)
 
     def _count_command(
         self, control: model_control.Control, command: ttypes.Command
--- a/tests/coordination/jobs/cluster_strategies.py
+++ b/tests/coordination/jobs/cluster_strategies.py
@@ -4,6 +4,7 @@
 
 from tests.coordination.jobs import cluster_acts
 from tests.coordination.jobs import cluster_faults
+from tests.coordination.jobs import cluster_scenarios
 from tests.coordination.jobs import working_machine
 
 LEADER_CALLS = (
@@ -39,13 +40,28 @@
     ),
     max_size=4,
 )
+_acts_after_starts = strategies.sampled_from(
+    [
+        cluster_acts.be_unwell,
+        cluster_acts.lose_capacity,
+        cluster_faults.FaultyCluster.restart_agent,
+    ]
+)
+act_after_starts = strategies.lists(_acts_after_starts, max_size=1)
 acts_after_starts = strategies.lists(
-    strategies.sampled_from(
-        [
-            cluster_acts.be_unwell,
-            cluster_acts.lose_capacity,
-            cluster_faults.FaultyCluster.restart_agent,
-        ]
-    ),
-    max_size=1,
+    _acts_after_starts, max_size=2, unique=True
+)
+refusal_reasons = strategies.sampled_from(
+    [cluster_acts.be_unwell, cluster_acts.lose_capacity]
+)
+faults_of_records = strategies.sampled_from(
+    [
+        cluster_scenarios.meet_before_note,
+        cluster_scenarios.lose_term_before_losses,
+    ]
+)
+# What an agent does first once it acts again; its threads act in any order. It gets a lease
+# of a new leader by its second report.
+acts_after_pause = strategies.permutations(
+    [*cluster_acts.TURN, cluster_faults.FaultyCluster.report]
 )
--- a/tests/coordination/jobs/model_checks.py
+++ b/tests/coordination/jobs/model_checks.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from marigoldsill.protocol import task_names
@@ -68,6 +69,30 @@
         if self._is_recorded_as_done(task):
             self.violations.append(f"{key} began after its task was done")
 
+    def check_request(
+        self,
+        worker: model_worker.ModelWorker,
+        key: task_names.RunKey,
+        capacity: ttypes.Resources,
+    ) -> None:
+        """Checks that a run that is requested fits into the announced capacity."""
+        cores = sum(
+            self._step_of(task).resources.cpu_millicores
+            for task, _ in {key, *worker.running}
+        )
+        if cores > capacity.cpu_millicores:
+            self.violations.append(f"{key} was requested over the capacity")
+
+    def check_ends(self, keys: Iterable[task_names.RunKey]) -> None:
+        """Checks that runs whose end was recorded are on no worker."""
+        for worker in self.workers.values():
+            worker.expire_runs()
+            self.violations += [
+                f"{key} was recorded as ended while it runs"
+                for key in keys
+                if key in worker.running
+            ]
+
     def _count(
         self, key: task_names.RunKey, step: ttypes.Step, is_late: bool
     ) -> None:
--- a/tests/coordination/jobs/model_link.py
+++ b/tests/coordination/jobs/model_link.py
@@ -29,8 +29,8 @@
         self.is_late = False
         self.before_reply: Callable[[], None] | None = None
         self.is_reporting = False
-        # Reports that may still arrive, with the processes they were sent to.
-        self._late: list[tuple[model_control.Control, bytes]] = []
+        # Reports that may still arrive.
+        self._late: list[bytes] = []
 
     @property
     def late_reports_count(self) -> int:
@@ -41,6 +41,13 @@
         """Ends all faults."""
         self.is_cut = self.is_reply_lost = self.is_late = False
 
+    def replace_connection(self) -> None:
+        """Ends the faults of the connection of a process, which another one replaces.
+
+        The reports of the earlier process may still arrive.
+        """
+        self.is_reply_lost = self.is_late = False
+
     def drop_late_reports(self) -> None:
         """Drops the reports that have not arrived."""
         self._late = []
@@ -53,7 +60,7 @@
             raise errors.TransportError("cut off", sent=False)
         leader = self._leader_of()
         if self.is_late or self.is_reply_lost:
-            self._late.append((leader, codec.encode(report)))
+            self._late.append(codec.encode(report))
             del self._late[:-_LATE_REPORTS_LIMIT]
         if self.is_late:
             raise errors.TransportError("no answer", sent=True, timed_out=True)
@@ -79,11 +86,15 @@
         return reply
 
     def deliver_late_report(self, position: int) -> bool:
-        """Lets a report arrive late, or once more; returns whether it was handled."""
-        process, data = self._late.pop(position % len(self._late))
+        """Lets a report arrive late, or once more; returns whether it was handled.
+
+        An agent tries all control processes, so it was on its way to any of them.
+        """
+        data = self._late.pop(position % len(self._late))
         report = codec.decode(ttypes.AgentReport(), data)
+        leader = self._leader_of()
         try:
-            _call(lambda: process.jobs.service.agent_report(report))
+            _call(lambda: leader.jobs.service.agent_report(report))
         except errors.MarigoldsillError:
             return False
         return True
--- a/tests/coordination/jobs/model_worker.py
+++ b/tests/coordination/jobs/model_worker.py
@@ -53,6 +53,7 @@
         *,
         work_s_of: Callable[[str], float],
         on_start: Callable[["ModelWorker", task_names.RunKey, bool], None],
+        on_request: Callable[["ModelWorker", task_names.RunKey], None],
     ):
         """Initializes the worker without runs.
 
@@ -60,11 +61,13 @@
             name: The name of its agent.
             work_s_of: Returns how long the runs of a task take.
             on_start: Called after each start, with whether its call was late.
+            on_request: Called before each request to start a run is handled.
         """
         self._name = name
         super().__init__(self._incarnation_id(1))
         self._work_s_of = work_s_of
         self._on_start = on_start
+        self._on_request = on_request
         self._deadline_ms = 0
         self._began_s: dict[task_names.RunKey, float] = {}
         self._is_late = False
@@ -85,6 +88,8 @@
     ) -> int:
         """Starts a run whose deadline has not passed."""
         key = (start.task, start.run)
+        self.expire_runs()
+        self._on_request(self, key)
 
         def begin() -> None:
             self._check_token(token)
@@ -144,6 +149,15 @@
         self.running.clear()
         self.is_closed = True
 
+    def begin_unordered(self, key: task_names.RunKey) -> None:
+        """Begins a run by a request of another writer."""
+        self._start(key)
+        self._began_s[key] = clock.now_s()
+
+    def forget(self, key: task_names.RunKey) -> None:
+        """Takes back the begin of a run."""
+        self.running.pop(key, None)
+
     def has_late_start(self, task: str) -> bool:
         """Whether a start of some run of a task may still be carried out."""
         return any(
--- a/tests/coordination/jobs/test_cluster_model.py
+++ b/tests/coordination/jobs/test_cluster_model.py
@@ -7,17 +7,17 @@
 
 from tests.coordination.jobs import builders
 from tests.coordination.jobs import cluster_faults
-from tests.coordination.jobs import cluster_machine
 from tests.coordination.jobs import model_settings
+from tests.coordination.jobs import scenario_machine
 
 _MACHINES = (
-    cluster_machine.ClusterMachine,
-    cluster_machine.ConcludingMachine,
+    scenario_machine.ScenarioMachine,
+    scenario_machine.ConcludingMachine,
 )
 
-TestCluster = cluster_machine.ClusterMachine.TestCase
+TestCluster = scenario_machine.ScenarioMachine.TestCase
 TestCluster.settings = model_settings.SETTINGS
-TestConcludingLeader = cluster_machine.ConcludingMachine.TestCase
+TestConcludingLeader = scenario_machine.ConcludingMachine.TestCase
 TestConcludingLeader.settings = model_settings.SETTINGS
 
 
--- a/tests/coordination/jobs/working_machine.py
+++ b/tests/coordination/jobs/working_machine.py
@@ -9,7 +9,10 @@
 
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
+from tests.coordination.jobs import cluster_acts
 from tests.coordination.jobs import cluster_faults
+from tests.coordination.jobs import cluster_settling
+from tests.coordination.jobs import model_jobs
 from tests.coordination.jobs import model_worker
 
 # Late calls are over, leases have expired and backoffs have ended by then.
@@ -23,14 +26,9 @@
 )
 positions = strategies.integers(0, 7)
 rounds = strategies.integers(0, 3)
-_cores = strategies.integers(1, 3)
+cores = strategies.integers(1, 3)
 spread_limits = strategies.sampled_from([0, 0, 1, 2])
-ACTS = (
-    cluster_faults.FaultyCluster.deliver_orders,
-    cluster_faults.FaultyCluster.execute,
-    cluster_faults.FaultyCluster.renew,
-    cluster_faults.FaultyCluster.report,
-)
+ACTS = cluster_acts.TURN
 
 
 class WorkingMachine(stateful.RuleBasedStateMachine):
@@ -61,10 +59,10 @@
 
     def teardown(self) -> None:
         try:
-            self.cluster.settle(rounds_count=_SETTLING_ROUNDS)
+            cluster_settling.settle(self.cluster, rounds_count=_SETTLING_ROUNDS)
             assert self.cluster.violations == []
-            assert self.cluster.stuck_orders() == []
-            assert self.cluster.unordered_runs() == []
+            assert cluster_settling.stuck_orders(self.cluster) == []
+            assert cluster_settling.unordered_runs(self.cluster) == []
         except AssertionError:
             if FIRST_FAILURE not in self.reached:
                 self.reached[FIRST_FAILURE] = self.reached["examples"] + 1
@@ -83,7 +81,7 @@
 
     @stateful.rule(
         tasks_count=strategies.integers(1, 3),
-        cores=_cores,
+        cores=cores,
         spread_limit=spread_limits,
         long_running=strategies.booleans(),
         work_s=strategies.sampled_from([1.0, 4.0, 15.0]),
@@ -100,9 +98,7 @@
     ) -> None:
         if len(self._open_jobs) >= _OPEN_JOBS_LIMIT:
             self.cluster.cancel(self._open_jobs.pop(0))
-        resources = ttypes.Resources(
-            cpu_millicores=cores * 1_000, memory_bytes=1 << 20
-        )
+        resources = model_jobs.resources_of(cores)
         step = builders.step(
             tasks_count,
             resources=resources,
