Let calls of the cluster model be two requests when a connection breaks

The model had calls only.

Change: a call of the model whose connection breaks is carried out late by its first request and answered by a second one, unless the real platform client asks for a single request, which the model reads from it. `single-request` is a guard of build_tools.

Evidence: with `single_copy=True` taken from the start in worker_client.py, the sequence test_a_start_that_may_have_been_sent_twice_is_not_refused_by_one_answer fails; with it, it passes, as do the other sequences.

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -134,6 +134,12 @@
         "        if not had_unanswered_start:",
         "        progress.has_unanswered_start = False\n        if True:",
     ),
+    "single-request": Guard(
+        "the end of a run whose start was refused on a second connection",
+        "marigoldsill/platform/worker_client.py",
+        'return self._order("run-start", worker_id, body, single_copy=True)',
+        'return self._order("run-start", worker_id, body)',
+    ),
     "lost-incarnation": Guard(
         "the end of a run of an incarnation that doesn't answer",
         "marigoldsill/coordination/worker_incarnations/incarnations.py",
--- a/tests/coordination/jobs/cluster_faults.py
+++ b/tests/coordination/jobs/cluster_faults.py
@@ -103,6 +103,19 @@
         unanswered.add(call)
         self.end_later(duration_s, lambda: unanswered.discard(call))
 
+    def break_connections(
+        self, name: str, call: str, *, duration_s: float, lateness_s: float
+    ) -> None:
+        """Lets the connections of a kind of calls to a worker break for a time.
+
+        The first request of each call is carried out so much later.
+        """
+        self.counts["broken connections"] += 1
+        self.workers[name].lateness_s = lateness_s
+        breaking = self.workers[name].breaking
+        breaking.add(call)
+        self.end_later(duration_s, lambda: breaking.discard(call))
+
     def stop_slowly(self, name: str, *, duration_s: float) -> None:
         """Lets runs continue after their stop for a time."""
         worker = self.workers[name]
@@ -259,6 +272,7 @@
             self.links[name].heal()
             self.links[name].before_reply = worker.before_answer = None
             worker.unanswered.clear()
+            worker.breaking.clear()
             worker.has_slow_stops = worker.is_unwell = False
             if name in self._draining:
                 self.restart_worker(name)
--- a/tests/coordination/jobs/cluster_scenarios.py
+++ b/tests/coordination/jobs/cluster_scenarios.py
@@ -117,6 +117,24 @@
         act(cluster, name)
 
 
+def refuse_second_requests(
+    cluster: _Cluster, name: str, *, lateness_s: float
+) -> None:
+    """Breaks connections of starts to a worker that refuses what is sent again.
+
+    Args:
+        cluster: The cluster.
+        name: The agent of the worker.
+        lateness_s: How late the first requests are carried out.
+    """
+    cluster.schedule()
+    cluster.deliver_orders(name)
+    cluster.break_connections(
+        name, "start", duration_s=2.0, lateness_s=lateness_s
+    )
+    refuse_starts(cluster, name, cluster_acts.be_unwell)
+
+
 def evict_unlisted_runs(
     cluster: _Cluster, name: str, *, call: str, lateness_s: float
 ) -> None:
--- a/tests/coordination/jobs/model_worker.py
+++ b/tests/coordination/jobs/model_worker.py
@@ -11,6 +11,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.jobs import fake_worker
+from tests.coordination.jobs import model_requests
 from tests.coordination.jobs import stepped_agent
 
 # The worker's clock is slower than that of its agent.
@@ -43,6 +44,9 @@
         late_calls: The calls without an answer, which may still be carried out.
         before_answer: Called once before the next call that was carried out is
             answered, if not None.
+        breaking: Names of calls whose connection breaks after it was reused. The first
+            request is carried out late; unless the client sends the call once, a second
+            one is sent and answered.
         lateness_s: How late calls without an answer are carried out by themselves.
         incarnations_count: How many incarnations there were.
     """
@@ -74,6 +78,7 @@
         self._token = 0
         self.incarnations_count = 1
         self.before_answer: Callable[[], None] | None = None
+        self.breaking: set[str] = set()
         self.lateness_s = math.inf
         self.late_calls: list[_LateCall] = []
 
@@ -121,6 +126,7 @@
         if "renew" in self.unanswered:
             self._keep("renew", worker_id, None, extend)
             raise errors.TransportError("no answer", sent=True, timed_out=True)
+        self._break_connection("renew", worker_id, None, extend)
         self._check_incarnation(worker_id)
         extend()
         listing = super().renew_lease(worker_id, **arguments)
@@ -205,10 +211,29 @@
             self.calls.append((name, key))
             self._keep(name, worker_id, key, action)
             raise errors.TransportError("no answer", sent=True)
+        self._break_connection(name, worker_id, key, action)
         clock_ms = super()._call(name, worker_id, key, action)
         self._wait_for_answer()
         return clock_ms
 
+    def _break_connection(
+        self,
+        name: str,
+        worker_id: str,
+        key: task_names.RunKey | None,
+        action: Callable[[], None],
+    ) -> None:
+        """Leaves a first request for later if the connection of a call breaks.
+
+        Raises:
+            TransportError: The client does not send it again.
+        """
+        if name not in self.breaking:
+            return
+        self._keep(name, worker_id, key, action)
+        if model_requests.is_sent_once(name):
+            raise errors.TransportError("connection reset", sent=True)
+
     def _wait_for_answer(self) -> None:
         before_answer, self.before_answer = self.before_answer, None
         if before_answer is not None:
--- a/tests/coordination/jobs/scenario_machine.py
+++ b/tests/coordination/jobs/scenario_machine.py
@@ -17,6 +17,7 @@
 _agents = working_machine.agents
 _positions = working_machine.positions
 _rounds = working_machine.rounds
+_latenesses_s = strategies.sampled_from([0.8, 2.5, 5.0])
 
 
 class ScenarioMachine(cluster_machine.ClusterMachine):
@@ -26,7 +27,7 @@
 
     @stateful.rule(
         name=_agents,
-        lateness_s=strategies.sampled_from([0.8, 2.5, 5.0]),
+        lateness_s=_latenesses_s,
         acts_after=cluster_strategies.acts_after_starts,
         rounds_count=_rounds,
     )
@@ -43,6 +44,36 @@
             act(self.cluster, name)
         self._run(rounds_count)
 
+    @stateful.rule(
+        name=_agents,
+        call=strategies.sampled_from(["start", "stop", "renew"]),
+        duration_s=strategies.sampled_from([0.5, 2.0, 5.0]),
+        lateness_s=_latenesses_s,
+        rounds_count=_rounds,
+    )
+    def break_connections(
+        self,
+        name: str,
+        call: str,
+        duration_s: float,
+        lateness_s: float,
+        rounds_count: int,
+    ) -> None:
+        self.cluster.break_connections(
+            name, call, duration_s=duration_s, lateness_s=lateness_s
+        )
+        self._run(rounds_count)
+
+    @stateful.rule(name=_agents, lateness_s=_latenesses_s, rounds_count=_rounds)
+    def refuse_second_requests(
+        self, name: str, lateness_s: float, rounds_count: int
+    ) -> None:
+        self._submit_task()
+        cluster_scenarios.refuse_second_requests(
+            self.cluster, name, lateness_s=lateness_s
+        )
+        self._run(rounds_count)
+
     @stateful.rule(
         name=_agents,
         fault_of_records=cluster_strategies.faults_of_records,
--- a/tests/coordination/jobs/test_guard_sequences.py
+++ b/tests/coordination/jobs/test_guard_sequences.py
@@ -185,6 +185,15 @@
     assert cluster.workers["a1"].running
 
 
+def test_a_start_that_may_have_been_sent_twice_is_not_refused_by_one_answer(
+    cluster: _Cluster,
+) -> None:
+    _grant(cluster)
+    cluster_scenarios.refuse_second_requests(cluster, "a1", lateness_s=0.8)
+    _run(cluster)
+    assert cluster.counts["broken connections"] == 1
+
+
 def test_a_start_that_was_due_before_the_capacity_shrank_is_not_requested(
     cluster: _Cluster,
 ) -> None:
