Bring evacuations and gangs about in the cluster model

Starts that are due while something happens were rare, as an order was mostly carried out in the turn it came in.

Change: each agent has a data centre, which is evacuated for a time; gangs are submitted, and are done only while all members run; starts that are due meet the acts of other threads. A request for a start on a worker that its agent knows to be evacuated is a violation. Evacuations end when faults are healed.

--- a/tests/coordination/jobs/cluster_control_faults.py
+++ b/tests/coordination/jobs/cluster_control_faults.py
@@ -1,6 +1,7 @@
 """Faults of the control processes of the cluster model."""
 
 from collections.abc import Callable
+import contextlib
 
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import cluster_model
@@ -33,6 +34,29 @@
         self.controls[name].stop()
         self._start_control(name)
 
+    def evacuate(self, name: str, *, duration_s: float) -> None:
+        """Evacuates the data centre of an agent for a time."""
+        self.counts["evacuations"] += 1
+        self._set_evacuation(name, is_active=True)
+        self.end_later(
+            duration_s, lambda: self._set_evacuation(name, is_active=False)
+        )
+
+    def end_evacuations(self) -> None:
+        """Ends the evacuations of all data centres."""
+        evacuated = set(self.leader.replica.tables.evacuated_data_centres)
+        for name in self.names:
+            if cluster_model.data_centre_of(name) in evacuated:
+                self._set_evacuation(name, is_active=False)
+
+    def _set_evacuation(self, name: str, *, is_active: bool) -> None:
+        evacuation = ttypes.SetEvacuation(
+            data_centre=cluster_model.data_centre_of(name), active=is_active
+        )
+        command_id = f"evacuation {len(self.group.committed)}"
+        with contextlib.suppress(*cluster_model.CONTROL_ERRORS):
+            self.leader.jobs.service.set_evacuation(evacuation, command_id)
+
     def lose_proposal(
         self, is_awaited: IsAwaited = model_control.is_any
     ) -> None:
@@ -62,3 +86,7 @@
         """Calls an action once before the next proposal of a kind."""
         self.group.is_awaited = is_awaited
         self.group.before_proposal = action
+
+    def end_later(self, duration_s: float, end: Callable[[], None]) -> None:
+        """Ends a fault after a time."""
+        self._fault_ends.append((self._now_s + duration_s, end))
--- a/tests/coordination/jobs/cluster_faults.py
+++ b/tests/coordination/jobs/cluster_faults.py
@@ -1,6 +1,7 @@
 """Faults of the cluster model; most end by themselves after a time."""
 
 from collections.abc import Callable
+import itertools
 import math
 
 from marigoldsill.protocol import incarnation_ids
@@ -29,16 +30,29 @@
     def end_run(
         self, name: str, position: int, kind: ttypes.RunEndKind
     ) -> None:
-        """Ends a run on a worker; long-running tasks only fail."""
+        """Ends a run on a worker.
+
+        Long-running tasks only fail, as do members of a gang that not all run.
+        """
         worker = self.workers[name]
         keys = list(worker.running)
         if not keys:
             return
         key = keys[position % len(keys)]
-        if self._jobs.step_of(key[0]).long_running:
+        if not self._may_be_done(key[0]):
             kind = ttypes.RunEndKind.FAILED
         worker.end_run(key, kind)
 
+    def _may_be_done(self, task: str) -> bool:
+        step = self._jobs.step_of(task)
+        running = itertools.chain.from_iterable(
+            worker.running for worker in self.workers.values()
+        )
+        members_count = task_names.count_of_step(task, running)
+        return not step.long_running and not (
+            step.gang and members_count < step.tasks_count
+        )
+
     def begin_unordered_run(self, name: str, *, cores: int) -> bool:
         """Begins a run that was never ordered, if its agent learns of it at once.
 
@@ -268,6 +282,7 @@
         self.group.is_next_unknown = False
         self.group.is_awaited = model_control.is_any
         self.group.commit_logged()
+        self.end_evacuations()
         for name, worker in self.workers.items():
             self.links[name].heal()
             self.links[name].before_reply = worker.before_answer = None
@@ -279,7 +294,3 @@
             if name in self._stopped:
                 self.restart_agent(name)
             self.announce_capacity(name, cores=WORKER_CORES)
-
-    def end_later(self, duration_s: float, end: Callable[[], None]) -> None:
-        """Ends a fault after a time."""
-        self._fault_ends.append((self._now_s + duration_s, end))
--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -30,7 +30,12 @@
 
 WORKER_CORES = model_checks.WORKER_CORES
 CONTROL_NAMES = ("c1", "c2")
-_CONTROL_ERRORS = (errors.MarigoldsillError, ttypes.NotLeader, ttypes.NoQuorum)
+CONTROL_ERRORS = (errors.MarigoldsillError, ttypes.NotLeader, ttypes.NoQuorum)
+
+
+def data_centre_of(name: str) -> str:
+    """Returns the data centre of an agent."""
+    return f"data centre of {name}"
 
 
 class Cluster:
@@ -131,7 +136,7 @@
     def submit(self, step: ttypes.Step, *, work_s: float = 2.0) -> str:
         """Submits a job of one step whose runs take a time; returns its id."""
         job_id = self._jobs.add(step, work_s=work_s)
-        with contextlib.suppress(*_CONTROL_ERRORS):
+        with contextlib.suppress(*CONTROL_ERRORS):
             self.leader.jobs.submit(job_id, step)
         return job_id
 
@@ -140,7 +145,7 @@
         address = ttypes.JobAddress(
             host="jobs.example", path=f"/{builders.QUEUE}/{job_id}"
         )
-        with contextlib.suppress(*_CONTROL_ERRORS):
+        with contextlib.suppress(*CONTROL_ERRORS):
             self.leader.jobs.service.cancel_job(address)
 
     def schedule(self) -> None:
@@ -167,7 +172,7 @@
         end = ttypes.RunEnd(task=task, run=run, kind=kind, detail=detail)
         self.counts["ends concluded early"] += 1
         self.counts["ends concluded of a run on its worker"] += is_running
-        with contextlib.suppress(*_CONTROL_ERRORS):
+        with contextlib.suppress(*CONTROL_ERRORS):
             self.leader.jobs.service.propose(
                 record_run_ends=ttypes.RecordRunEnds(ends=[end])
             )
@@ -182,14 +187,14 @@
             term=state.run_orders.term,
             version=state.run_orders.version,
         )
-        with contextlib.suppress(*_CONTROL_ERRORS):
+        with contextlib.suppress(*CONTROL_ERRORS):
             state.update_orders(self.links[name].orders(request))
 
     def report(self, name: str) -> None:
         """Lets an agent report to the leader, unless one of its reports is under way."""
         if name in self._stopped or self.links[name].is_reporting:
             return
-        with contextlib.suppress(*_CONTROL_ERRORS):
+        with contextlib.suppress(*CONTROL_ERRORS):
             self._reporters[name]._report()
 
     def renew(self, name: str) -> None:
@@ -273,6 +278,7 @@
             self.workers[name].incarnation, self._sequence
         )
         announcement.worker.pool = builders.POOL
+        announcement.worker.data_centre = data_centre_of(name)
         announcement.worker.draining = name in self._draining
         cores = self._cores[name]
         announcement.worker.capacity.cpu_millicores = cores * 1_000
@@ -290,9 +296,12 @@
         worker: model_worker.ModelWorker,
         key: task_names.RunKey,
     ) -> None:
-        known = self.agents[name].state.worker
-        if known is not None and not self._is_caller_replaced:
-            self._checks.check_request(worker, key, known.capacity)
+        state = self.agents[name].state
+        if state.worker is None or self._is_caller_replaced:
+            return
+        self._checks.check_request(worker, key, state.worker.capacity)
+        if state.run_orders.evacuations.includes(state.worker):
+            self.violations.append(f"{key} was requested in an evacuation")
 
     def _count_command(
         self, control: model_control.Control, command: ttypes.Command
--- a/tests/coordination/jobs/cluster_scenarios.py
+++ b/tests/coordination/jobs/cluster_scenarios.py
@@ -117,6 +117,30 @@
         act(cluster, name)
 
 
+def start_slowly(
+    cluster: _Cluster,
+    name: str,
+    *,
+    acts_before_calls: list[cluster_faults.Act],
+    acts_before_answer: list[cluster_faults.Act],
+) -> None:
+    """Lets an agent start what it is ordered to, and acts happen meanwhile.
+
+    Args:
+        cluster: The cluster.
+        name: The agent.
+        acts_before_calls: What happens before the requests are sent.
+        acts_before_answer: What happens before the first answer.
+    """
+    cluster.schedule()
+    cluster.deliver_orders(name)
+    cluster.execute_slowly(
+        name,
+        acts_before_calls=acts_before_calls,
+        acts_before_answer=acts_before_answer,
+    )
+
+
 def refuse_second_requests(
     cluster: _Cluster, name: str, *, lateness_s: float
 ) -> None:
--- a/tests/coordination/jobs/model_checks.py
+++ b/tests/coordination/jobs/model_checks.py
@@ -100,6 +100,7 @@
         self.counts["starts"] += 1
         self.counts["starts without a limit"] += not step.spread_limit
         self.counts["later runs"] += run > 1
+        self.counts["starts of gangs"] += step.gang
         self.counts["late starts"] += is_late
         self.counts["starts beside a start under way"] += any(
             worker.has_late_start(task) for worker in self.workers.values()
--- a/tests/coordination/jobs/model_jobs.py
+++ b/tests/coordination/jobs/model_jobs.py
@@ -22,7 +22,8 @@
         """Adds a job; returns its id."""
         job_id = f"j{len(self._steps)}"
         self._steps[job_id] = step
-        self._work_s[job_id] = math.inf if step.long_running else work_s
+        is_endless = step.long_running or step.gang
+        self._work_s[job_id] = math.inf if is_endless else work_s
         return job_id
 
     def step_of(self, task: str) -> ttypes.Step:
--- a/tests/coordination/jobs/scenario_machine.py
+++ b/tests/coordination/jobs/scenario_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from marigoldsill.protocol.generated import ttypes
+from tests.coordination.jobs import builders
 from tests.coordination.jobs import cluster_faults
 from tests.coordination.jobs import cluster_machine
 from tests.coordination.jobs import cluster_scenarios
@@ -44,6 +45,23 @@
             act(self.cluster, name)
         self._run(rounds_count)
 
+    @stateful.rule(tasks_count=strategies.integers(2, 3), rounds_count=_rounds)
+    def submit_gang(self, tasks_count: int, rounds_count: int) -> None:
+        self.submit_step(
+            builders.step(tasks_count, gang=True),
+            work_s=0.0,
+            rounds_count=rounds_count,
+        )
+
+    @stateful.rule(
+        name=_agents,
+        duration_s=strategies.sampled_from([0.5, 2.0, 5.0, 12.0]),
+        rounds_count=_rounds,
+    )
+    def evacuate(self, name: str, duration_s: float, rounds_count: int) -> None:
+        self.cluster.evacuate(name, duration_s=duration_s)
+        self._run(rounds_count)
+
     @stateful.rule(
         name=_agents,
         call=strategies.sampled_from(["start", "stop", "renew"]),
@@ -191,15 +209,40 @@
         self._run(rounds_count)
 
     @stateful.rule(
-        name=_agents, cores=working_machine.cores, rounds_count=_rounds
+        name=_agents,
+        cores=working_machine.cores,
+        ordered_cores=working_machine.cores,
+        rounds_count=_rounds,
     )
     def begin_unordered_run(
-        self, name: str, cores: int, rounds_count: int
+        self, name: str, cores: int, ordered_cores: int, rounds_count: int
     ) -> None:
-        self.submit(1, 3, 0, long_running=True, work_s=0.0, rounds_count=0)
+        self._submit_task(ordered_cores)
         cluster_scenarios.begin_unordered_run(self.cluster, name, cores=cores)
         self._run(rounds_count)
 
+    @stateful.rule(
+        name=_agents,
+        acts_before_calls=cluster_strategies.acts_during_calls,
+        acts_before_answer=cluster_strategies.acts_during_calls,
+        rounds_count=_rounds,
+    )
+    def start_slowly(
+        self,
+        name: str,
+        acts_before_calls: list[cluster_faults.Act],
+        acts_before_answer: list[cluster_faults.Act],
+        rounds_count: int,
+    ) -> None:
+        self._submit_task()
+        cluster_scenarios.start_slowly(
+            self.cluster,
+            name,
+            acts_before_calls=acts_before_calls,
+            acts_before_answer=acts_before_answer,
+        )
+        self._run(rounds_count)
+
     @stateful.rule(
         name=_agents,
         leaves_after_s=strategies.sampled_from([2.0, 8.0]),
@@ -213,8 +256,8 @@
         )
         self._run(rounds_count)
 
-    def _submit_task(self) -> None:
-        self.submit(1, 1, 0, long_running=True, work_s=0.0, rounds_count=0)
+    def _submit_task(self, cores: int = 1) -> None:
+        self.submit(1, cores, 0, long_running=True, work_s=0.0, rounds_count=0)
 
 
 class ConcludingMachine(ScenarioMachine):
--- a/tests/coordination/jobs/working_machine.py
+++ b/tests/coordination/jobs/working_machine.py
@@ -96,15 +96,20 @@
         work_s: float,
         rounds_count: int,
     ) -> None:
-        if len(self._open_jobs) >= _OPEN_JOBS_LIMIT:
-            self.cluster.cancel(self._open_jobs.pop(0))
-        resources = model_jobs.resources_of(cores)
         step = builders.step(
             tasks_count,
-            resources=resources,
+            resources=model_jobs.resources_of(cores),
             spread_limit=spread_limit,
             long_running=long_running,
         )
+        self.submit_step(step, work_s=work_s, rounds_count=rounds_count)
+
+    def submit_step(
+        self, step: ttypes.Step, *, work_s: float, rounds_count: int
+    ) -> None:
+        """Submits a job of one step, and cancels the oldest one of too many."""
+        if len(self._open_jobs) >= _OPEN_JOBS_LIMIT:
+            self.cluster.cancel(self._open_jobs.pop(0))
         self._open_jobs.append(self.cluster.submit(step, work_s=work_s))
         self._run(rounds_count)
 
