--- a/tests/build_tools/test_undo_guards.py
+++ b/tests/build_tools/test_undo_guards.py
@@ -24,6 +24,22 @@
         undo_guards.undo(guard, tmp_path)
 
 
+@pytest.mark.parametrize(
+    "name", [name for name, each in guards.GUARDS.items() if each.doubled_by]
+)
+def test_a_guard_can_be_undone_with_those_that_double_it(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    guard = guards.GUARDS[name]
+    undone = [guard, *map(undo_guards.find_guard, guard.doubled_by)]
+    for path in {each.path for each in undone}:
+        (tmp_path / path).parent.mkdir(parents=True, exist_ok=True)
+        (tmp_path / path).write_text((_ROOT / path).read_text())
+    for each in undone:
+        undo_guards.undo(each, tmp_path)
+        assert each.code not in (tmp_path / each.path).read_text()
+
+
 def test_an_unknown_guard_is_named_with_the_known_ones(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/coordination/jobs/cluster_model.py
+++ b/tests/coordination/jobs/cluster_model.py
@@ -152,31 +152,6 @@
         """Runs a round of the leader."""
         self.leader.run_round()
 
-    def conclude_end(
-        self,
-        position: int,
-        kind: ttypes.RunEndKind = ttypes.RunEndKind.LOST,
-    ) -> None:
-        """Lets the leader record an end of a run that may be on its worker."""
-        with self.leader.replica.lock:
-            runs = self.leader.replica.tables.jobs.runs_by_agent
-            keys = [key for each in runs.values() for key in each]
-        if not keys:
-            return
-        task, run = key = keys[position % len(keys)]
-        is_running = any(key in each.running for each in self.workers.values())
-        if not is_running:
-            # Its start may be under way, and would begin a task that is done.
-            kind = ttypes.RunEndKind.LOST
-        detail = model_control.CONCLUDED
-        end = ttypes.RunEnd(task=task, run=run, kind=kind, detail=detail)
-        self.counts["ends concluded early"] += 1
-        self.counts["ends concluded of a run on its worker"] += is_running
-        with contextlib.suppress(*CONTROL_ERRORS):
-            self.leader.jobs.service.propose(
-                record_run_ends=ttypes.RecordRunEnds(ends=[end])
-            )
-
     def deliver_orders(self, name: str) -> None:
         """Gives an agent the leader's orders."""
         if name in self._stopped:
