--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -23,6 +23,7 @@
         code: The code of the guard, which occurs once in the module.
         undone: What replaces it.
         machine: The test of the cluster model that has to find it.
+        doubled_by: Guards that prevent the same by themselves; they are undone with it.
     """
 
     protects: str
@@ -30,6 +31,7 @@
     code: str
     undone: str
     machine: str = _TWO_AGENTS
+    doubled_by: tuple[str, ...] = ()
 
 
 GUARDS = {
@@ -88,6 +90,13 @@
         f"{_AGENT}/agent_state.py",
         "if reply.term < self.term:",
         "if False:",
+        doubled_by=("lease-term",),
+    ),
+    "lease-term": Guard(
+        "a start by orders of another term than that of the lease",
+        f"{_AGENT}/run_orders.py",
+        "and lease.term == self.term",
+        "",
     ),
     "old-lease": Guard(
         "the lease in a reply of an earlier term",
@@ -125,6 +134,12 @@
         "        if not run.has_unanswered_start:",
         "        run.has_unanswered_start = False\n        if True:",
     ),
+    "single-request": Guard(
+        "the end of a run whose start was refused on a second connection",
+        "marigoldsill/platform/worker_client.py",
+        'return self._order("run-start", worker_id, body, single_copy=True)',
+        'return self._order("run-start", worker_id, body)',
+    ),
     "lost-incarnation": Guard(
         "the end of a run of an incarnation that doesn't answer",
         "marigoldsill/coordination/worker_incarnations/incarnations.py",
