--- a/tests/coordination/jobs/cluster_faults.py
+++ b/tests/coordination/jobs/cluster_faults.py
@@ -73,7 +73,7 @@
         key = (task_names.name_of(job_id, 0, 0, 0), 1)
         worker.begin_unordered(key)
         self.renew(name)
-        is_known = key in self.agents[name].state.runs.running
+        is_known = key in self.agents[name].state.held.listed
         if not is_known:
             worker.forget(key)
         self.counts["runs that were never ordered"] += is_known
