--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -11,6 +11,8 @@
 import dataclasses
 import itertools
 import json
+import random
+import socket
 import threading
 import time
 
@@ -45,6 +47,9 @@
         delayed_calls: Calls, such as "run-start", that get no answer and are
             carried out later.
         call_delay_s: The delay of these calls.
+        refused_share: The share of calls that are refused as by an unhealthy worker,
+            which has then done nothing.
+        refused_status: The status of these refusals.
         refuses_orders: Every order but "hold" is refused with status 503.
         fails_starts: Every run fails as soon as it is started.
         is_stalled: Runs make no progress.
@@ -54,6 +59,8 @@
 
     delayed_calls: set[str] = dataclasses.field(default_factory=set)
     call_delay_s: float = 0.3
+    refused_share: float = 0.0
+    refused_status: int = 503
     refuses_orders: bool = False
     fails_starts: bool = False
     is_stalled: bool = False
@@ -70,6 +77,10 @@
         self.reason = reason
 
 
+class _CrashedError(Exception):
+    """The worker has crashed during a call, which breaks its connection."""
+
+
 class PoolWorker:
     """A worker of the platform.
 
@@ -116,6 +127,7 @@
         self.faults = PoolFaults()
         self.is_draining = False
         self._has_ended = False
+        self._crashes_count = 0
         self.accepts_ticket: Callable[[str, str, str], bool] | None = None
         self._control_address = control_address
         self._pool = pool
@@ -184,6 +196,7 @@
                 tells when it started.
         """
         with self._condition:
+            self._crashes_count += 1
             self._lose_runs()
             self._begin_incarnation(keeps_id=keeps_id)
             self._condition.notify_all()
@@ -239,15 +252,25 @@
         incarnation = request.headers.get("Target-Instance", self.incarnation)
         if incarnation != self.incarnation:
             return _json({}, status=421)
+        if random.random() < self.faults.refused_share:
+            return _json({}, status=self.faults.refused_status)
         body = json.loads(request.get_data() or b"{}")
         if name in self.faults.delayed_calls:
-            self._executor.submit(
-                self._handle_order_late, name, body, self.incarnation
+            # A thread for each, as a limited number of them would delay later calls.
+            late_call = threading.Timer(
+                self.faults.call_delay_s,
+                self._handle_order_late,
+                (name, body, self.incarnation),
             )
+            late_call.daemon = True
+            late_call.start()
             self._stopping.wait(_NO_ANSWER_S)
             return wrappers.Response(status=500)
         try:
             answer = self._handle_order(name, body, incarnation)
+        except _CrashedError:
+            request.environ["werkzeug.socket"].shutdown(socket.SHUT_RDWR)
+            return wrappers.Response(status=500)
         except _RefusedError as refusal:
             answer = {"clock_ms": self._clock_ms(), "reason": refusal.reason}
             return _json(answer, status=refusal.status)
@@ -256,7 +279,8 @@
     def _handle_order_late(
         self, name: str, body: dict, incarnation: str
     ) -> None:
-        self._stopping.wait(self.faults.call_delay_s)
+        if self._stopping.is_set():
+            return
         try:
             self._handle_order(name, body, incarnation)
         except _RefusedError:
@@ -332,18 +356,18 @@
         self._acknowledge_ends(body.get("acked_through", 0))
         self._extend_lease(body)
         wait_ms = min(body.get("wait_ms", 0), _HOLD_WAIT_LIMIT_MS)
-        incarnation = self.incarnation
+        crashes_count = self._crashes_count
         self._condition.wait_for(
             lambda: (
                 self._unacknowledged_ends
-                or incarnation != self.incarnation
+                or crashes_count != self._crashes_count
                 or self._has_ended
             ),
             wait_ms / 1000,
         )
         self._check_not_ended()
-        if incarnation != self.incarnation:
-            raise _RefusedError(421)
+        if crashes_count != self._crashes_count:
+            raise _CrashedError()
         return {
             "running": [run.to_row() for run in self._runs.values()],
             "ended_runs": list(self._unacknowledged_ends),
