Abort no connection for a caller that left once its call has ended

What callers may see: 502 unknown, with a key for ever, because another caller left. Found by reading, not in a trace. Order of events: an idempotent call is refused (or its outcome is unknown); its connection to the agent goes back to the pool and carries a keyed call; the first caller disconnects before its callback is removed, and the callback aborts the connection. The same is possible after an answer, as the callback ran outside the lock that removes it. Change: the callback is removed before the connection is released, and runs under the lock.

--- a/marigoldsill/coordination/requests/attempts.py
+++ b/marigoldsill/coordination/requests/attempts.py
@@ -122,10 +122,8 @@
             )
         request = _build_request(call, target, left_s)
         connection = self._connections.acquire(target.route.agent_address)
-        if call.idempotent:
-            call.hangup.set_callback(connection.abort)
         try:
-            reply = connection.call("call", request, timeout_s=left_s)
+            reply = _exchange(call, request, connection, timeout_s=left_s)
         except ttypes.Refused as error:
             self._connections.release(connection)
             raise self._refusal_error(call, target, error) from error
@@ -138,8 +136,6 @@
             raise self._transport_error(
                 call, target, connection, error
             ) from error
-        finally:
-            call.hangup.set_callback(None)
         return self._verified_answer(reply, target, connection)
 
     def _verified_answer(
@@ -239,6 +235,23 @@
         return errors.UnknownOutcomeError(error.message)
 
 
+def _exchange(
+    call: Call,
+    request: ttypes.CallRequest,
+    connection: thrift_client.Connection,
+    *,
+    timeout_s: float,
+) -> ttypes.CallReply:
+    """Sends a request; a caller that disconnects meanwhile aborts an idempotent one."""
+    if call.idempotent:
+        call.hangup.set_callback(connection.abort)
+    try:
+        return connection.call("call", request, timeout_s=timeout_s)
+    finally:
+        # Before the connection is released, as it may carry another call then.
+        call.hangup.set_callback(None)
+
+
 def _build_request(
     call: Call, target: Target, left_s: float
 ) -> ttypes.CallRequest:
--- a/marigoldsill/transport/hangups.py
+++ b/marigoldsill/transport/hangups.py
@@ -18,6 +18,9 @@
 class Hangup:
     """Whether the caller of a request has disconnected, with a callback for it.
 
+    Once `set_callback` has replaced a callback, it runs no more: what it aborts may
+    serve another request by then. A callback must be short, as it runs under a lock.
+
     Attributes:
         is_disconnected: Whether the caller has disconnected.
     """
@@ -33,17 +36,15 @@
         """Sets the function to call on disconnection; calls it now if already due."""
         with self._lock:
             self._callback = callback
-            is_due = self.is_disconnected and callback is not None
-        if is_due:
-            callback()
+            if self.is_disconnected and callback is not None:
+                callback()
 
     def record_disconnect(self) -> None:
         """Records that the caller has disconnected and calls the callback."""
         with self._lock:
             self.is_disconnected = True
-            callback = self._callback
-        if callback is not None:
-            callback()
+            if self._callback is not None:
+                self._callback()
 
 
 class HangupWatcher:
--- /dev/null
+++ b/tests/transport/test_hangups.py
@@ -0,0 +1,34 @@
+"""Tests of what happens when callers disconnect."""
+
+from concurrent import futures
+import threading
+
+from marigoldsill.transport import hangups
+
+
+def test_callback_that_was_removed_does_not_run_any_more() -> None:
+    # It aborted a connection that carried another caller's request by then.
+    hangup = hangups.Hangup()
+    has_begun, may_end = threading.Event(), threading.Event()
+
+    def abort() -> None:
+        has_begun.set()
+        may_end.wait()
+
+    hangup.set_callback(abort)
+    with futures.ThreadPoolExecutor(2) as pool:
+        pool.submit(hangup.record_disconnect)
+        has_begun.wait()
+        removal = pool.submit(hangup.set_callback, None)
+        is_removed_early = bool(futures.wait([removal], timeout=0.2).done)
+        may_end.set()
+        removal.result()
+    assert not is_removed_early
+
+
+def test_callback_is_called_if_the_caller_was_gone_before() -> None:
+    hangup = hangups.Hangup()
+    hangup.record_disconnect()
+    calls = []
+    hangup.set_callback(lambda: calls.append("abort"))
+    assert calls == ["abort"]
