Check that a disconnection is of the connection that is watched

What callers may see: no answer, as the entry takes them for gone. Found by reading, not in a trace. Order of events: a caller disconnects as its request ends; its event is read, its descriptor closed and given to a new caller, whose request is found under the descriptor. Change: the event counts only if the watched connection is closed. Evidence: without the check test_event_of_an_earlier_connection_is_not_of_one_with_its_descriptor fails.

--- a/marigoldsill/transport/hangups.py
+++ b/marigoldsill/transport/hangups.py
@@ -85,10 +85,22 @@
             with contextlib.suppress(OSError):
                 self._epoll.unregister(descriptor)
 
+    def handle_event(self, descriptor: int) -> None:
+        """Records a disconnection, unless the event was of an earlier connection."""
+        with self._lock:
+            hangup = self._hangups.get(descriptor)
+            # The descriptor is of this request's connection while the lock is held.
+            is_due = hangup is not None and _is_disconnected(descriptor)
+        if is_due:
+            hangup.record_disconnect()
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             for descriptor, _ in self._epoll.poll(_POLL_TIMEOUT_S):
-                with self._lock:
-                    hangup = self._hangups.get(descriptor)
-                if hangup is not None:
-                    hangup.record_disconnect()
+                self.handle_event(descriptor)
+
+
+def _is_disconnected(descriptor: int) -> bool:
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP | select.POLLHUP)
+    return bool(poller.poll(0))
--- a/tests/transport/test_hangups.py
+++ b/tests/transport/test_hangups.py
@@ -1,6 +1,7 @@
 """Tests of what happens when callers disconnect."""
 
 from concurrent import futures
+import socket
 import threading
 
 from marigoldsill.transport import hangups
@@ -32,3 +33,16 @@
     calls = []
     hangup.set_callback(lambda: calls.append("abort"))
     assert calls == ["abort"]
+
+
+def test_event_of_an_earlier_connection_is_not_of_one_with_its_descriptor():
+    # The new caller counted as gone, so that its request was aborted.
+    watcher = hangups.HangupWatcher()
+    ours, theirs = socket.socketpair()
+    with watcher.watched(ours) as hangup:
+        watcher.handle_event(ours.fileno())
+        assert not hangup.is_disconnected
+        theirs.close()
+        watcher.handle_event(ours.fileno())
+        assert hangup.is_disconnected
+    ours.close()
