--- a/marigoldsill/transport/hangups.py
+++ b/marigoldsill/transport/hangups.py
@@ -18,6 +18,9 @@
 class Hangup:
     """Whether the caller of a request has disconnected, with a callback for it.
 
+    Once `set_callback` has replaced a callback, it runs no more: what it aborts may
+    serve another request by then. A callback must be short, as it runs under a lock.
+
     Attributes:
         is_disconnected: Whether the caller has disconnected.
     """
@@ -33,17 +36,15 @@
         """Sets the function to call on disconnection; calls it now if already due."""
         with self._lock:
             self._callback = callback
-            is_due = self.is_disconnected and callback is not None
-        if is_due:
-            callback()
+            if self.is_disconnected and callback is not None:
+                callback()
 
     def record_disconnect(self) -> None:
         """Records that the caller has disconnected and calls the callback."""
         with self._lock:
             self.is_disconnected = True
-            callback = self._callback
-        if callback is not None:
-            callback()
+            if self._callback is not None:
+                self._callback()
 
 
 class HangupWatcher:
@@ -84,10 +85,22 @@
             with contextlib.suppress(OSError):
                 self._epoll.unregister(descriptor)
 
+    def handle_event(self, descriptor: int) -> None:
+        """Records a disconnection, unless the event was of an earlier connection."""
+        with self._lock:
+            hangup = self._hangups.get(descriptor)
+            # The descriptor is of this request's connection while the lock is held.
+            is_due = hangup is not None and _is_disconnected(descriptor)
+        if is_due:
+            hangup.record_disconnect()
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             for descriptor, _ in self._epoll.poll(_POLL_TIMEOUT_S):
-                with self._lock:
-                    hangup = self._hangups.get(descriptor)
-                if hangup is not None:
-                    hangup.record_disconnect()
+                self.handle_event(descriptor)
+
+
+def _is_disconnected(descriptor: int) -> bool:
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP | select.POLLHUP)
+    return bool(poller.poll(0))
