Start overdue suspects of two crashes apart from each other

Cause: a suspect that waits for longer than isolation may delay it starts on any worker. Where no capacity was free for a while, all suspects of one crash are overdue at the same time and start on one worker at once, with the task that crashes it. The third crash then counts against each.

A step whose suspect finds no worker still places its other tasks. Members of a gang are not isolated, as before.

Evidence: test_overdue_suspects_of_two_crashes_do_not_start_together fails without the change.

Not mended: a task that is done in the tick of a crash counts as crashed, as no agent can know of its end.

--- a/marigoldsill/coordination/job_placing/crash_isolation.py
+++ b/marigoldsill/coordination/job_placing/crash_isolation.py
@@ -64,6 +64,9 @@
         self._reservations: dict[str, _Reservation] = {}
         self._started_s: dict[str, float] = {}
         self._waiting_since_s: dict[str, float] = {}
+        # The last start of a suspect by agent, and of one that starts exclusively.
+        self._suspect_s: dict[str, float] = {}
+        self._exclusive_s: dict[str, float] = {}
         self._reserved_limit = 1
         self._group_limit = 1
         self._searches_left = _SEARCHES_LIMIT
@@ -114,6 +117,9 @@
         """
         if worker_losses.is_suspect(task):
             self._waiting_since_s.pop(name, None)
+            self._suspect_s[agent] = now_s
+        if worker_losses.needs_exclusive_start(task):
+            self._exclusive_s[agent] = now_s
         if self.admits(agent):
             self._started_s[agent] = now_s
 
@@ -132,6 +138,21 @@
         )
         return now_s - since_s >= limit_s
 
+    def may_start_overdue(
+        self, task: ttypes.JobTask, agent: str, *, now_s: float
+    ) -> bool:
+        """Whether a task that isolation delays no longer may start on a worker.
+
+        One whose next crash may fail its job still starts beside no other suspect:
+        suspects that are overdue together may have the cause of the crash among them.
+        """
+        others_s = self._exclusive_s.get(agent, -math.inf)
+        if worker_losses.needs_exclusive_start(task):
+            others_s = self._suspect_s.get(agent, -math.inf)
+        elif not worker_losses.is_suspect(task):
+            return True
+        return now_s - others_s >= _OBSERVATION_S
+
     def choose(
         self,
         task: ttypes.JobTask,
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -29,6 +29,7 @@
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
+from marigoldsill.state.run_outcomes import worker_losses
 
 # Maximum number of grants in one round, which bounds the size of a command.
 _GRANTS_LIMIT = 300
@@ -268,7 +269,9 @@
                     waiting.step, waiting.queue.pool
                 )
                 free = self._chooser.choose(waiting, index, candidates, now_s)
-                has_candidates = free is not None
+                has_candidates = free is not None or worker_losses.is_suspect(
+                    waiting.tasks[index]
+                )
                 if may_wait and free is not None:
                     limit_s = max_idle_s(
                         reserved_share=self.index.reserved_share(
@@ -305,7 +308,7 @@
             waiting.step, waiting.queue.pool, ignores_limits=True
         )
         free = candidates.find_best(
-            self._chooser.acceptance_for(waiting, now_s)
+            self._chooser.acceptance_of_task(waiting, index, now_s)
         )
         if free is None:
             return []
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -136,7 +136,7 @@
         now_s: float,
     ) -> free_capacity.FreeCapacity | None:
         """Returns the best worker for a task, if possible one where it has not failed."""
-        is_acceptable = self.acceptance_for(waiting, now_s)
+        is_acceptable = self.acceptance_of_task(waiting, index, now_s)
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
             return is_acceptable(free) and self._exploration.allows(
@@ -182,6 +182,20 @@
                 return index
         return None
 
+    def acceptance_of_task(
+        self, waiting: backlog_module.WaitingStep, index: int, now_s: float
+    ) -> Callable[[free_capacity.FreeCapacity], bool]:
+        """Returns the conditions of a task that isolation does not delay."""
+        is_acceptable = self.acceptance_for(waiting, now_s)
+        task = waiting.tasks[index]
+
+        def accepts(free: free_capacity.FreeCapacity) -> bool:
+            return is_acceptable(free) and self._isolation.may_start_overdue(
+                task, free.agent, now_s=now_s
+            )
+
+        return accepts
+
     def acceptance_for(
         self,
         waiting: backlog_module.WaitingStep,
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -120,6 +120,32 @@
     assert all(len(set(granted)) == len(granted) for granted in starts)
 
 
+def test_overdue_suspects_of_two_crashes_do_not_start_together() -> None:
+    """Guards against a crashing task that takes all jobs with it that were beside it.
+
+    Suspects of two crashes waited for 10 s and then began on one worker at once, and five
+    sound jobs failed with the one that crashed it.
+    """
+    leader = leader_harness.LeaderHarness()
+    for name in ("a1", "a2"):
+        leader.set_worker(name, cores=8)
+    tasks = _submit_suspects(leader, 6)
+    _run_rounds(leader, duration_s=4.0)
+    _report_crash(leader, *tasks, run=2)
+    for name in ("a1", "a2"):
+        leader.set_worker(name, cores=0)
+    assert not _run_rounds(leader, duration_s=10.0)
+    for name in ("a1", "a2"):
+        leader.set_worker(name, cores=8)
+    granted = {}
+    for _ in range(len(tasks)):
+        together = leader.run_round()
+        assert len(set(together.values())) == len(together)
+        granted |= together
+        leader.now_s += _OBSERVATION_S
+    assert set(granted) == set(tasks)
+
+
 def test_a_suspect_starts_on_another_worker_first(
     leader: leader_harness.LeaderHarness,
 ) -> None:
