Count a renewal answered with an unexpected status as one that may be late

What callers would see, on workers that keep their id: a done task again, or a run that outlives its recorded end, if a renewal or acknowledgement is answered with a status that tells no outcome, or can't be read, and is carried out late by the next incarnation.

Change: each error counts unless it says that the worker did nothing.

--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -161,9 +161,10 @@
                     else 0
                 ),
             )
-        except errors.TransportError as error:
-            self._is_last_call_answered = False
-            if error.sent:
+        except errors.MarigoldsillError as error:
+            if isinstance(error, errors.TransportError):
+                self._is_last_call_answered = False
+            if _may_have_effect(error):
                 self._record_unanswered(
                     is_acknowledgement=acknowledged > 0,
                     is_renewal=deadline_ms is not None,
@@ -202,3 +203,18 @@
                 late_calls.record_unanswered_acknowledgement(now_s=now_s)
             if is_renewal:
                 late_calls.record_unanswered_renewal(now_s=now_s)
+
+
+def _may_have_effect(error: errors.MarigoldsillError) -> bool:
+    """Whether a call that failed may have been carried out, or may be late."""
+    match error:
+        case errors.TransportError():
+            return error.sent
+        case (
+            errors.OtherWorkerError()
+            | errors.WorkerUnwellError()
+            | errors.RunRefusedError()
+        ):
+            return False
+        case _:
+            return True
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -8,6 +8,10 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
+NO_ANSWER = errors.TransportError("no answer", sent=True, timed_out=True)
+BROKEN_CONNECTION = errors.TransportError("connection broke", sent=True)
+UNEXPECTED_STATUS = errors.UnexpectedStatusError("500")
+
 
 class FakeWorker(run_worker.RunWorker):
     """Starts, stops and lists runs without delay.
@@ -29,8 +33,7 @@
         called_incarnations: The incarnation that each call of `renew_lease` addressed.
         waits_ms: How long the answer to each call of `renew_lease` may be delayed.
         unreachable_incarnations: Incarnations for which `renew_lease` gets no answer.
-        breaks_connections: Whether the connections of unanswered calls of `renew_lease`
-            break, rather than that the calls time out.
+        unanswered_error: What calls of `renew_lease` without an answer raise.
         unreadable: Runs whose row of the listing cannot be read.
         unread_ended_count: How many rows of ends cannot be read.
         unreadable_ends: Runs whose row in the listed ends cannot be read.
@@ -55,7 +58,7 @@
         self.called_incarnations: list[str] = []
         self.waits_ms: list[int] = []
         self.unreachable_incarnations: set[str] = set()
-        self.breaks_connections = False
+        self.unanswered_error: errors.MarigoldsillError = NO_ANSWER
         self.unreadable: set[task_names.RunKey] = set()
         self.unread_ended_count = 0
         self.unreadable_ends: set[task_names.RunKey] = set()
@@ -103,7 +106,7 @@
         self.acknowledgements.append(acknowledged)
         self.waits_ms.append(wait_ms)
         if worker_id in self.unreachable_incarnations:
-            raise self._unanswered_error()
+            raise self.unanswered_error
         self._check_incarnation(worker_id)
         self.deadlines_ms.append(deadline_ms)
         self.acknowledged = max(self.acknowledged, acknowledged)
@@ -163,11 +166,6 @@
             except errors.PlatformError:
                 continue
 
-    def _unanswered_error(self) -> errors.TransportError:
-        return errors.TransportError(
-            "no answer", sent=True, timed_out=not self.breaks_connections
-        )
-
     def _call(
         self, name: str, worker_id: str, key: task_names.RunKey, action
     ) -> int:
--- a/tests/coordination/jobs/late_start_harness.py
+++ b/tests/coordination/jobs/late_start_harness.py
@@ -65,7 +65,7 @@
         if self.is_cut_off:
             if deadline_ms is not None:
                 self._delay(worker_id, self._extend_lease)
-            raise self._unanswered_error()
+            raise self.unanswered_error
         if deadline_ms is not None:
             self._extend_lease()
         return super().renew_lease(
--- a/tests/coordination/jobs/test_late_acknowledgements.py
+++ b/tests/coordination/jobs/test_late_acknowledgements.py
@@ -17,6 +17,11 @@
 _KEY = stepped_agent.KEY
 _LAST_S = late_calls.LATE_CALL_LIMIT_S
 _LONGEST_ANSWER_WAIT_MS = 100
+_UNANSWERED_ERRORS = [
+    fake_worker.NO_ANSWER,
+    fake_worker.BROKEN_CONNECTION,
+    fake_worker.UNEXPECTED_STATUS,
+]
 
 
 class _Case:
@@ -64,13 +69,13 @@
     return _Case(monkeypatch, _OLD)
 
 
-@pytest.mark.parametrize("breaks_connections", [False, True])
+@pytest.mark.parametrize("unanswered_error", _UNANSWERED_ERRORS)
 @pytest.mark.parametrize("age_s", [0.5, 8.0, _LAST_S - 0.1])
 def test_late_acknowledgement_does_not_discard_the_end_of_a_run_that_is_done(
-    case: _Case, age_s: float, breaks_connections: bool
+    case: _Case, age_s: float, unanswered_error: errors.MarigoldsillError
 ) -> None:
     """Guards against repeating a task that is done."""
-    case.worker.breaks_connections = breaks_connections
+    case.worker.unanswered_error = unanswered_error
     case.agent.state.acknowledged_end_number = 57
     assert case.renew(is_answered=False) == 57
     case.now_s += age_s
--- a/tests/coordination/jobs/test_late_starts_at_lost_workers.py
+++ b/tests/coordination/jobs/test_late_starts_at_lost_workers.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.coordination.worker_incarnations import late_calls
+from tests.coordination.jobs import fake_worker
 from tests.coordination.jobs import late_start_harness
 
 _OLD, _NEW = late_start_harness.OLD, late_start_harness.NEW
@@ -16,6 +18,12 @@
     2.0 + late_calls.LATE_CALL_LIMIT_S + late_start_harness.LONGEST_LEASE_S + 1
 )
 
+_UNANSWERED_ERRORS = [
+    fake_worker.NO_ANSWER,
+    fake_worker.BROKEN_CONNECTION,
+    fake_worker.UNEXPECTED_STATUS,
+]
+
 
 @pytest.fixture
 def harness(
@@ -139,18 +147,18 @@
     harness.advance(30.0)
 
 
-@pytest.mark.parametrize("breaks_connections", [False, True])
+@pytest.mark.parametrize("unanswered_error", _UNANSWERED_ERRORS)
 @pytest.mark.parametrize("is_agent_lost", [False, True])
 def test_run_is_not_lost_while_renewals_for_an_earlier_incarnation_extend_its_lease(
     harness: late_start_harness.Harness,
     is_agent_lost: bool,
-    breaks_connections: bool,
+    unanswered_error: errors.MarigoldsillError,
 ) -> None:
     """Guards against two runs of one task at a time.
 
     The deadlines of these renewals are on the clock of the earlier incarnation.
     """
-    harness.worker.breaks_connections = breaks_connections
+    harness.worker.unanswered_error = unanswered_error
     harness.worker.delays_s = itertools.cycle(
         [late_calls.LATE_CALL_LIMIT_S / 2, late_calls.LATE_CALL_LIMIT_S]
     )
