--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -2,7 +2,6 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
-from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
@@ -12,8 +11,7 @@
 _ANSWER_WAIT_MS = 1_000
 # The same while tasks that interfere with each other share the worker.
 _SHARED_ANSWER_WAIT_MS = 250
-# The same while ends of runs wait for a listing, after a call without an answer, and
-# for an acknowledgement that a later incarnation may carry out.
+# The same while ends of runs wait for a listing, and after a call without an answer.
 _SHORT_ANSWER_WAIT_MS = 20
 # Maximum wait until control has recorded reported ends. Before that, the worker would
 # list them again at once.
@@ -115,11 +113,7 @@
                 state.changed.wait()
         return ""
 
-    def _answer_wait_ms(self, worker_id: str, *, acknowledged: int) -> int:
-        # If the call gets no answer, a later incarnation of the same name is not used
-        # for a time. So a call with an acknowledgement is in flight for a short time.
-        if acknowledged and incarnation_ids.keeps_name(worker_id):
-            return _SHORT_ANSWER_WAIT_MS
+    def _answer_wait_ms(self) -> int:
         # Where connections break again and again, no answer that waits ever arrives, and
         # the worker would count as unresponsive.
         if not self._is_last_call_answered:
@@ -156,9 +150,7 @@
                 acknowledged=acknowledged,
                 deadline_ms=deadline_ms,
                 wait_ms=(
-                    self._answer_wait_ms(worker_id, acknowledged=acknowledged)
-                    if deadline_ms is not None
-                    else 0
+                    self._answer_wait_ms() if deadline_ms is not None else 0
                 ),
             )
         except errors.MarigoldsillError as error:
