--- a/build_tools/undo_guards.py
+++ b/build_tools/undo_guards.py
@@ -1,4 +1,6 @@
-"""Undoes guards one at a time, or with those that double them, in copies of the sources, and runs the cluster model.
+"""Undoes guards in copies of the sources, and runs the cluster model.
+
+Guards are undone one at a time, or together with those that double them.
 
 Run as `python -m build_tools.undo_guards --folder FOLDER [GUARD ...]`. Prints for each
 guard whether the model finds that it is undone, after how many examples and how long,
