--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -816,10 +817,12 @@
     record = Record(folder / "record.txt")
     record.write(f"the case runs with TROUBLE={int(has_trouble)}")
     system = System(record, **options)
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         status = play(system, has_trouble)
-    except CaseError as error:
-        record.write(f"the case could not run: {error}")
+    except Exception as error:  # its exit status would tell of a broken rule
+        record.write(f"the case could not run: {error!r}")
         status = NOT_RUN
     finally:
         system.stop()
