Name the losses for which a job is given up

A job that was failed for losses of workers said only how many there were, so losses without evidence (a lease that ran out), crashes that agents saw and runs that never began could not be told apart. Each recorded loss now keeps the incarnation of the worker, the time since the run's grant, the number of suspects and whether an agent reported it or a leader concluded it. The job's reason lists those that counted; crash_suspected and crash_possible have the same fields. No change of what is counted.

The test that compared the whole reason compares the whole new one.

--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -167,6 +167,15 @@
     task = jobs.find_by_name(end.task) if end.kind in _LOSSES else None
     if task is None:
         return
+    loss = next((loss for loss in task.losses if loss.run == end.run), None)
+    if loss is None or not (end.suspects_count or loss.is_early):
+        return
+    observed = {
+        "agent": loss.agent,
+        "worker_id": loss.worker_id,
+        "recorded_by": "agent" if loss.is_from_agent else "leader",
+        "since_grant_ms": loss.since_grant_ms,
+    }
     losses_count = worker_losses.early_count(task)
     if end.suspects_count:
         logs.event(
@@ -174,15 +183,17 @@
             level="WARNING",
             task=end.task,
             run=end.run,
+            **observed,
             suspects_count=end.suspects_count,
             crashes_count=task.crashes_count,
             losses_count=losses_count,
         )
-    elif any(loss.run == end.run and loss.is_early for loss in task.losses):
+    else:
         logs.event(
             "crash_possible",
             task=end.task,
             run=end.run,
+            **observed,
             losses_count=losses_count,
         )
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -264,16 +264,20 @@
   5: string checkpoint_id = ""      // checkpoint to resume from
 }
 
-/** A task of a job: one index of a step, in one occurrence. */
 /** The loss of a worker, or of the contact with it, under a run of a task. */
 struct WorkerLoss {
   1: i64 run,
   2: string agent,
   3: bool is_explained = false,     // an agent has reported what became of the run
   4: bool is_early = false,         // the run may have been in its startup
-  5: i64 age_ms = 0                 // lower bound of the run's age
+  5: i64 age_ms = 0,                // lower bound of the run's age
+  6: string worker_id = "",         // the incarnation that was lost
+  7: i64 since_grant_ms = 0,        // from the run's grant until the loss was recorded
+  8: i32 suspects_count = 0,        // runs suspected of the crash; 0: not this one
+  9: bool is_from_agent = false     // an agent reported it; else a leader concluded it
 }
 
+/** A task of a job: one index of a step, in one occurrence. */
 struct JobTask {
   1: bool done = false,
   2: i64 last_run = 0,              // 0: never granted
--- a/marigoldsill/state/run_outcomes/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -22,12 +22,20 @@
     """
     if 0 < report.decided_term < tables.leader_term:
         return ttypes.CommandResult()
-    applied = sum(_record_end(tables, end, now_unix_ms) for end in report.ends)
+    is_from_agent = not report.decided_term
+    applied = sum(
+        _record_end(tables, end, now_unix_ms, is_from_agent=is_from_agent)
+        for end in report.ends
+    )
     return ttypes.CommandResult(applied_count=applied)
 
 
 def _record_end(
-    tables: tables_module.Tables, end: ttypes.RunEnd, now_unix_ms: int
+    tables: tables_module.Tables,
+    end: ttypes.RunEnd,
+    now_unix_ms: int,
+    *,
+    is_from_agent: bool,
 ) -> int:
     jobs = tables.jobs
     address = task_names.parse(end.task)
@@ -36,7 +44,9 @@
     if task is None:
         return 0
     run = next((r for r in task.runs if r.run == end.run), None)
-    is_loss = worker_losses.record(task, end, run, now_unix_ms)
+    is_loss = worker_losses.record(
+        task, end, run, now_unix_ms, is_from_agent=is_from_agent
+    )
     if run is None and not is_loss:
         return 0
     jobs.changed_jobs.add(address.job_id)
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -9,6 +9,8 @@
 the task is suspected.
 """
 
+from collections.abc import Iterable
+
 from marigoldsill.protocol.generated import ttypes
 
 # Number of crashes at which a task fails its job. It is lower for the only suspect of a
@@ -41,6 +43,8 @@
     end: ttypes.RunEnd,
     run: ttypes.JobRun | None,
     now_unix_ms: int,
+    *,
+    is_from_agent: bool,
 ) -> bool:
     """Records the loss of a worker under a run, or that there was none after all.
 
@@ -49,16 +53,19 @@
         end: How a run of it ended.
         run: The run, or None if its end was recorded before.
         now_unix_ms: When the end was recorded.
+        is_from_agent: Whether an agent reported the end; else a leader concluded it.
 
     Returns:
         Whether that changed what is known of the task's losses.
     """
     match end.kind:
         case ttypes.RunEndKind.LOST if run is not None and not end.is_excused:
-            _record_unexplained(task, run, now_unix_ms - run.granted_unix_ms)
+            loss = _remember_loss(task, run, now_unix_ms)
+            loss.is_from_agent = is_from_agent
+            _record_unexplained(task, loss)
             return True
         case ttypes.RunEndKind.CRASHED:
-            loss = _unexplained_loss(task, end, run)
+            loss = _unexplained_loss(task, end, run, now_unix_ms)
             if loss is not None:
                 _explain(task, loss, end)
             return loss is not None
@@ -97,32 +104,62 @@
     if is_sole_suspect and len(early_loss_agents(task)) > 1:
         limit = _SOLE_SUSPECT_CRASHES_LIMIT
     if end.suspects_count and task.crashes_count >= limit:
+        counted = [loss for loss in task.losses if loss.suspects_count]
         return (
-            f"{task.crashes_count} workers crashed as task {end.task} started"
+            f"{task.crashes_count} workers crashed as task {end.task} started: "
+            f"{describe(counted)}"
         )
     losses_count = early_count(task)
     if losses_count >= EARLY_LOSSES_LIMIT:
-        return f"{losses_count} workers were lost as task {end.task} started"
+        counted = [loss for loss in task.losses if loss.is_early]
+        return (
+            f"{losses_count} workers were lost as task {end.task} started: "
+            f"{describe(counted)}"
+        )
     return ""
 
 
-def _record_unexplained(
-    task: ttypes.JobTask, run: ttypes.JobRun, granted_ms: int
-) -> None:
-    """Records the loss of a run that was granted some time ago."""
-    if granted_ms > _LONG_RUN_MS:
-        for loss in task.losses:
-            loss.is_early = False
-    is_early = granted_ms <= EARLY_LOSS_LIMIT_MS
-    _remember(
-        task,
-        ttypes.WorkerLoss(run=run.run, agent=run.agent, is_early=is_early),
+def describe(losses: Iterable[ttypes.WorkerLoss]) -> str:
+    """Returns which workers were lost under which runs, and who recorded it."""
+    return "; ".join(map(_describe_loss, losses))
+
+
+def _describe_loss(loss: ttypes.WorkerLoss) -> str:
+    if loss.is_explained:
+        cause = (
+            f"crashed, age {loss.age_ms} ms (suspects: {loss.suspects_count})"
+        )
+    elif loss.is_from_agent:
+        cause = "lost, reported by its agent"
+    else:
+        cause = "lost, concluded by the leader"
+    return (
+        f"run {loss.run} on {loss.agent} worker {loss.worker_id} {cause}, "
+        f"{loss.since_grant_ms} ms after its grant"
     )
 
 
-def _remember(task: ttypes.JobTask, loss: ttypes.WorkerLoss) -> None:
+def _record_unexplained(task: ttypes.JobTask, loss: ttypes.WorkerLoss) -> None:
+    """Counts the loss of a run of which nobody knows the reason."""
+    if loss.since_grant_ms > _LONG_RUN_MS:
+        for other in task.losses:
+            other.is_early = False
+    loss.is_early = loss.since_grant_ms <= EARLY_LOSS_LIMIT_MS
+
+
+def _remember_loss(
+    task: ttypes.JobTask, run: ttypes.JobRun, now_unix_ms: int
+) -> ttypes.WorkerLoss:
+    """Returns the loss of a run, which the task remembers from now on."""
+    loss = ttypes.WorkerLoss(
+        run=run.run,
+        agent=run.agent,
+        worker_id=run.worker_id,
+        since_grant_ms=now_unix_ms - run.granted_unix_ms,
+    )
     # Generated records share one default list among all instances.
     task.losses = [*task.losses, loss][-_REMEMBERED_LIMIT:]
+    return loss
 
 
 def _remove_unexplained(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
@@ -143,14 +180,15 @@
 
 
 def _unexplained_loss(
-    task: ttypes.JobTask, end: ttypes.RunEnd, run: ttypes.JobRun | None
+    task: ttypes.JobTask,
+    end: ttypes.RunEnd,
+    run: ttypes.JobRun | None,
+    now_unix_ms: int,
 ) -> ttypes.WorkerLoss | None:
     """Returns the loss that a report is the first one to explain, or None."""
     if run is None:
         return _find_unexplained(task, end)
-    loss = ttypes.WorkerLoss(run=run.run, agent=run.agent)
-    _remember(task, loss)
-    return loss
+    return _remember_loss(task, run, now_unix_ms)
 
 
 def _explain(
@@ -164,8 +202,9 @@
         task.crashes_count = task.crash_age_ms = 0
     for other in task.losses:
         other.is_early &= _are_similar_ages(other.age_ms, end.age_ms)
-    loss.is_explained = True
+    loss.is_explained = loss.is_from_agent = True
     loss.age_ms = end.age_ms
+    loss.suspects_count = end.suspects_count
     # A task that is not suspected may be at fault as well, if it crashes workers later
     # than most tasks do or was beside one that had just started.
     loss.is_early = end.age_ms <= _EARLY_AGE_LIMIT_MS
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -104,8 +104,49 @@
     assert state.state_of() == ttypes.JobState.RUNNING
     _lose(state, 5)
     assert state.state_of() == ttypes.JobState.FAILED
+    losses = "; ".join(
+        f"run {run} on a{run} worker a{run}-incarnation1 lost, reported by its "
+        "agent, 0 ms after its grant"
+        for run in range(1, 6)
+    )
+    assert state.tables.jobs.jobs["j1"].reason == (
+        f"5 workers were lost as task {_TASK} started: {losses}"
+    )
+
+
+def test_reason_of_a_failed_job_names_the_crashes_that_counted(
+    state: builders.State,
+) -> None:
+    _crash(state, 1, agent="a1", age_ms=20)
+    _crash(state, 2, agent="a2", age_ms=30)
+    reason = state.tables.jobs.jobs["j1"].reason
+    assert reason.startswith(f"2 workers crashed as task {_TASK} started: run")
+    for run in (1, 2):
+        assert (
+            f"run {run} on a{run} worker a{run}-incarnation1 crashed, "
+            f"age {10 + 10 * run} ms (suspects: 1)" in reason
+        )
+
+
+@pytest.mark.parametrize(
+    ("decided_term", "recorder"), [(0, "agent"), (1, "leader")]
+)
+def test_reason_of_a_failed_job_says_who_recorded_its_losses(
+    state: builders.State, decided_term: int, recorder: str
+) -> None:
+    for run in range(1, 6):
+        state.grant(builders.grant(_TASK, run))
+        state.apply(
+            record_run_ends=ttypes.RecordRunEnds(
+                ends=[builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)],
+                decided_term=decided_term,
+            )
+        )
     reason = state.tables.jobs.jobs["j1"].reason
-    assert reason == f"5 workers were lost as task {_TASK} started"
+    assert (
+        reason.count({"agent": "reported", "leader": "concluded"}[recorder])
+        == 5
+    )
 
 
 @pytest.mark.parametrize("unseen_count", [1, 2, 3, 4])
