Check that workers crashed under a task before its job failed

The check of the soak that a job is failed only after crashes counted the runs that ended with their worker over the whole history. Now only crashes count that came before a leader recorded the failure, or before a caller was told of it where no log has the record, each worker once, and runs that ended as failed count if they are as many as the route allows attempts.

The history in which both crashes come with the second one after the failure passed the check before and is found now. The histories with runs that were done, stopped, lapsed or of another task were found before too and keep it so. Restarts after crashes were counted whatever the age of the runs was; a test with changing ages shows that.

--- a/soak/history.py
+++ b/soak/history.py
@@ -73,6 +73,7 @@
         cancelling: Whether a cancellation was sent.
         cancel_sent_ns: When it was first sent.
         cancel_acknowledged_ns: When it was acknowledged; 0 if never.
+        failed_ns: When an answer first reported the job as failed; 0 if none did.
         completed: Whether any answer reported the job as completed.
         state: The state last reported; empty if none.
     """
@@ -88,6 +89,7 @@
     cancelling: bool = False
     cancel_sent_ns: int = 0
     cancel_acknowledged_ns: int = 0
+    failed_ns: int = 0
     completed: bool = False
     state: str = ""
 
@@ -129,6 +131,7 @@
         task: The name of the task.
         number: The number of the run.
         machine: The name of the worker's machine.
+        worker: The incarnation of the worker.
         span: From the start of the run to its end, or to the end of the history.
         outcome: How the run ended; empty if it has not ended.
     """
@@ -136,6 +139,7 @@
     task: str
     number: int
     machine: str
+    worker: str
     span: Span
     outcome: str
 
@@ -188,6 +192,7 @@
         machines: The names of the workers' machines by address.
         evacuations: The evacuations of data centres.
         data_centres: The data centres of the workers' machines, by name.
+        failures_ns: When a leader recorded a job as failed, by the id of the job.
         ended_ns: The end of the history.
     """
 
@@ -199,8 +204,14 @@
     machines: Mapping[str, str] = dataclasses.field(default_factory=dict)
     evacuations: Sequence[Evacuation] = ()
     data_centres: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    failures_ns: Mapping[str, int] = dataclasses.field(default_factory=dict)
     ended_ns: int = 0
 
+    def failed_ns(self, job: SubmittedJob) -> int:
+        """Returns when a job failed, at the latest; 0 if it is not known to have."""
+        times_ns = (job.failed_ns, self.failures_ns.get(job.job_id, 0))
+        return min(filter(None, times_ns), default=0)
+
     def runs(self) -> list[Run]:
         """Returns all runs in the order of their starts."""
         ends = {
@@ -213,6 +224,7 @@
                 line["task"],
                 line["run"],
                 self.machines.get(line["machine"], line["machine"]),
+                line["worker"],
                 Span(line["at_ns"], end.get("at_ns", self.ended_ns)),
                 end.get("how", end.get("event", "")),
             )
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -33,8 +33,10 @@
 FAULT_EFFECT_S = 3.0
 # Unix times of jobs are in whole milliseconds.
 EARLY_TOLERANCE_S = 0.002
-# A job may fail once a task of it has lost this many workers.
+# A job may fail once this many workers have crashed under a task of it.
 MIN_CRASHES_TO_FAIL = 2
+# A job fails once a task of it has failed as often as the route of the soak allows.
+MAX_ATTEMPTS = 3
 # A reduced capacity is binding after `contact_ms` of the platform and one heartbeat
 # of the soak's workers.
 CAPACITY_CHANGE_DELAY_S = 3.1
@@ -98,16 +100,30 @@
 
 
 def failed_without_crashes(history: history_module.History) -> list[str]:
-    """Finds failed jobs of which no task had lost two workers."""
-    crashes = collections.Counter(
-        run.task for run in history.runs() if run.outcome == "lost"
-    )
+    """Finds failed jobs of which no task had failed or crashed workers often enough.
+
+    A worker crashed under a task only if it had a run of it then. Runs that were done,
+    stopped or lapsed before do not count, nor those that never began there, nor crashes
+    after the job had failed.
+    """
+    workers: dict[str, set[str]] = collections.defaultdict(set)
+    failures: collections.Counter[str] = collections.Counter()
+    failed_ns = {job.job_id: history.failed_ns(job) for job in history.jobs}
+    for run in history.runs():
+        if run.span.ended_ns > failed_ns.get(run.job_id, 0):
+            continue
+        if run.outcome == "lost":
+            workers[run.task].add(run.worker)
+        elif run.outcome == "failed":
+            failures[run.task] += 1
     return [
         f"{job.job_id} failed after too few worker crashes"
         for job in history.jobs
         if job.state == "failed"
         and all(
-            crashes[task] < MIN_CRASHES_TO_FAIL for task in job.task_names()
+            len(workers[task]) < MIN_CRASHES_TO_FAIL
+            and failures[task] < MAX_ATTEMPTS
+            for task in job.task_names()
         )
     ]
 
--- a/soak/recorded_ends.py
+++ b/soak/recorded_ends.py
@@ -14,11 +14,15 @@
 from soak import history as history_module
 
 # The logs have whole milliseconds of a clock that may be adjusted meanwhile.
-_TOLERANCE_S = 0.05
+_TOLERANCE_NS = 50_000_000
 _RUN_ENDED = re.compile(
     r"^time=(\S+) .*? event=run_ended .*?task=(\S+) run=(\d+) kind=(\S+)",
     re.MULTILINE,
 )
+_JOB_FAILED = re.compile(
+    r"^time=(\S+) .*? event=job_ended .*?job=(\S+) .*?state=failed ",
+    re.MULTILINE,
+)
 _TIME_FORMAT = "%Y-%m-%dT%H:%M:%S.%f%z"
 
 
@@ -55,6 +59,28 @@
     ]
 
 
+def read_failures(
+    folder: pathlib.Path, *, clock_offset_ns: int
+) -> dict[str, int]:
+    """Returns when a leader first recorded each failed job, by its id.
+
+    Args:
+        folder: The folder of the logs.
+        clock_offset_ns: The Unix time less the monotonic clock.
+    """
+    latest_first = sorted(
+        (
+            (_unix_ns(time) - clock_offset_ns + _TOLERANCE_NS, job_id)
+            for path in folder.glob("*.log")
+            for time, job_id in _JOB_FAILED.findall(
+                path.read_text(errors="replace")
+            )
+        ),
+        reverse=True,
+    )
+    return {job_id: at_ns for at_ns, job_id in latest_first}
+
+
 def violations(
     history: history_module.History, ends: list[RecordedEnd]
 ) -> Iterator[str]:
@@ -66,7 +92,7 @@
         end = first_ends.get((run.task, run.number))
         if end is None:
             continue
-        latest_ns = end.at_ns + int(_TOLERANCE_S * history_module.NS_PER_S)
+        latest_ns = end.at_ns + _TOLERANCE_NS
         if run.span.started_ns > latest_ns:
             yield f"{run.task} run {run.number} began after its end as {end.kind}"
         elif run.span.ended_ns > latest_ns:
--- a/soak/run.py
+++ b/soak/run.py
@@ -128,6 +128,7 @@
         monitor.stop()
         system.stop()
         proxies.stop()
+    clock_offset_ns = time.time_ns() - time.monotonic_ns()
     history = history_module.History(
         lines=[x for x in system.read_journal() if x["at_ns"] <= ended_ns],
         jobs=workload.jobs,
@@ -141,11 +142,12 @@
         data_centres={
             name: system.data_centre(name) for name in system.workers
         },
+        failures_ns=recorded_ends.read_failures(
+            folder, clock_offset_ns=clock_offset_ns
+        ),
         ended_ns=ended_ns,
     )
-    ends = recorded_ends.read(
-        folder, clock_offset_ns=time.time_ns() - time.monotonic_ns()
-    )
+    ends = recorded_ends.read(folder, clock_offset_ns=clock_offset_ns)
     return SoakResult(
         seed=seed,
         faults_count=len(plan),
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -115,6 +115,8 @@
             self.violations.append(
                 f"{job.job_id} was reported as completed, then {state}"
             )
+        if state == "failed" and not job.failed_ns:
+            job.failed_ns = time.monotonic_ns()
         job.completed = job.completed or state == "completed"
         job.state = state or job.state
         return answer.status != 0
--- a/tests/soak_histories.py
+++ b/tests/soak_histories.py
@@ -1,5 +1,8 @@
 """Builders of soak histories, for tests of the soak's checks."""
 
+from collections.abc import Iterable
+import itertools
+
 from soak import faults
 from soak import history as history_module
 from soak import proxy
@@ -90,14 +93,36 @@
     )
 
 
-def crashed_runs(*at_s: float, spec: str = "work 100") -> list[dict]:
-    """Returns the lines of runs of one task, each ended by a crash of its worker."""
+def crashed_runs(
+    *at_s: float,
+    spec: str = "work 100",
+    task: str = TASK,
+    first_run: int = 1,
+    ages_s: Iterable[float] = (),
+) -> list[dict]:
+    """Returns the lines of runs of one task, each ended by a crash of its worker.
+
+    Args:
+        *at_s: When each run starts.
+        spec: What the task does.
+        task: The name of the task.
+        first_run: The number of the first run.
+        ages_s: The age of each run at the crash; half a second if there are no more.
+    """
     return [
         run_line
-        for run, start_s in enumerate(at_s, 1)
+        for run, (start_s, age_s) in enumerate(
+            zip(
+                at_s,
+                itertools.chain(ages_s, itertools.repeat(0.5)),
+                strict=False,
+            ),
+            first_run,
+        )
+        for worker in ({"worker": f"i-1@{run}"},)
         for run_line in (
-            line("started", start_s, run=run, spec=spec),
-            line("lost", start_s + 0.5, run=run),
+            line("started", start_s, task, run, spec=spec, **worker),
+            line("lost", start_s + age_s, task, run, **worker),
         )
     ]
 
--- a/tests/test_soak_invariants.py
+++ b/tests/test_soak_invariants.py
@@ -31,6 +31,15 @@
     )
 
 
+def _failed_history(*lines: dict, **fields: object) -> history_module.History:
+    """Returns a history in which the job is reported as failed at its end."""
+    job = histories.submitted_job(2, state="failed", failed_ns=histories.ns(99))
+    return histories.history(job, *lines, **fields)
+
+
+_JOB = histories.JOB
+# The ages at which a task crashes its workers, from its first run to its last one.
+_CRASH_AGES_S = (0.2, 2.0, 6.0, 0.2, 2.0, 6.0)
 _TOO_LATE_S = 10 + invariants.RESTART_LIMIT_S + 0.5
 _IN_TIME_S = 10 + invariants.RESTART_LIMIT_S - 0.5
 # Successive faults that affect one member each, never most of them.
@@ -290,14 +299,94 @@
         histories.crashed_runs(1, 2, 3, 4, 5, 6),
         histories.crashed_runs(1, 2, 3, 4, 5, 6, spec="crash 10"),
     ),
+    "restarts after crashes at different ages": _rule(
+        journal_invariants.find_restarts_after_crashes,
+        "was restarted too often after crashes",
+        histories.crashed_runs(
+            1, 5, 12, 20, 25, spec="crash 200 2000 6000", ages_s=_CRASH_AGES_S
+        ),
+        histories.crashed_runs(
+            1,
+            5,
+            12,
+            20,
+            25,
+            32,
+            spec="crash 200 2000 6000",
+            ages_s=_CRASH_AGES_S,
+        ),
+    ),
     "failed after crashes": _Case(
         invariants.failed_without_crashes,
-        histories.history(
-            histories.submitted_job(state="failed"),
+        _failed_history(*histories.crashed_runs(1, 2)),
+        _failed_history(*histories.crashed_runs(1)),
+    ),
+    "failed after crashes, not after runs that were done": _Case(
+        invariants.failed_without_crashes,
+        _failed_history(
+            *histories.run_lines(2, 3),
+            *histories.crashed_runs(4, 5, first_run=2),
+        ),
+        _failed_history(
+            *histories.run_lines(2, 3),
+            *histories.run_lines(4, 5, run=2),
+            *histories.crashed_runs(6, first_run=3),
+        ),
+    ),
+    "failed after crashes, not after runs that were stopped or lapsed": _Case(
+        invariants.failed_without_crashes,
+        _failed_history(
+            *histories.run_lines(2, 3, how="stopped"),
+            *histories.crashed_runs(4, 5, first_run=2),
+        ),
+        _failed_history(
+            *histories.run_lines(2, 3, how="stopped"),
+            *histories.run_lines(4, 5, run=2, how="lapsed"),
+            *histories.crashed_runs(6, first_run=3),
+        ),
+    ),
+    "failed after crashes, not before them": _Case(
+        invariants.failed_without_crashes,
+        _failed_history(
+            *histories.crashed_runs(10, 20),
+            failures_ns={_JOB: histories.ns(21)},
+        ),
+        _failed_history(
+            *histories.crashed_runs(10, 20),
+            failures_ns={_JOB: histories.ns(19)},
+        ),
+    ),
+    "failed after crashes under one task": _Case(
+        invariants.failed_without_crashes,
+        _failed_history(
             *histories.crashed_runs(1, 2),
+            *histories.crashed_runs(1, task=histories.OTHER),
         ),
-        histories.history(
-            histories.submitted_job(state="failed"), *histories.crashed_runs(1)
+        _failed_history(
+            *histories.crashed_runs(1),
+            *histories.crashed_runs(1, task=histories.OTHER),
+        ),
+    ),
+    "failed after failed attempts": _Case(
+        invariants.failed_without_crashes,
+        _failed_history(
+            *(
+                line
+                for run in range(1, invariants.MAX_ATTEMPTS + 1)
+                for line in histories.run_lines(
+                    run, run + 0.5, run=run, how="failed"
+                )
+            )
+        ),
+        _failed_history(
+            *(
+                line
+                for run in range(1, invariants.MAX_ATTEMPTS)
+                for line in histories.run_lines(
+                    run, run + 0.5, run=run, how="failed"
+                )
+            ),
+            *histories.crashed_runs(9, first_run=9),
         ),
     ),
     "capacity": _Case(
--- a/tests/test_soak_recorded_ends.py
+++ b/tests/test_soak_recorded_ends.py
@@ -12,6 +12,13 @@
     "name=edge-1 pid=7 task=" + histories.TASK + " run={run} kind=refused "
     'reason="the worker is not healthy"\n'
 )
+_FAILED_LOG = (
+    "time=1970-01-01T00:01:{second}+0000 level=INFO event=job_ended role=edge "
+    "name=edge-1 pid=7 job="
+    + histories.JOB
+    + " queue=fast state={state} age_ms=5 "
+    'reason="a reason"\n'
+)
 
 
 def _recorded(
@@ -68,3 +75,19 @@
         _recorded(9.5),
         _recorded(11.0, run=2),
     ]
+
+
+def test_the_first_record_of_a_failed_job_is_read(
+    tmp_path: pathlib.Path,
+) -> None:
+    (tmp_path / "edge-1.log").write_text(
+        _FAILED_LOG.format(second="11.000", state="failed")
+    )
+    (tmp_path / "edge-2.log").write_text(
+        _FAILED_LOG.format(second="02.000", state="completed")
+        + _FAILED_LOG.format(second="09.500", state="failed")
+    )
+    failures_ns = recorded_ends.read_failures(
+        tmp_path, clock_offset_ns=histories.ns(60.0)
+    )
+    assert failures_ns == {histories.JOB: histories.ns(9.55)}
