Lose workers in series in the soak, beside jobs begun often

Soaks seldom lost the same task more than twice, so what counts against a task was hardly tried with processes. The generators are of their own, so the plans of other seeds stay the same.

A crash in the stand-in depends on the age of the run now, also for a run that has a checkpoint; "crash 200 2000" crashes at these ages in turn.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,11 @@
     is_flag=True,
     help="Also repeat faults of one kind several times in series.",
 )
+@click.option(
+    "--losses",
+    is_flag=True,
+    help="Also lose workers in series, beside jobs for which that matters.",
+)
 @click.option(
     "--logs",
     type=click.Path(path_type=pathlib.Path),
@@ -47,6 +52,7 @@
     workers: int,
     edges: int,
     series: bool,
+    losses: bool,
     logs: pathlib.Path | None,
 ) -> None:
     """Runs soaks one after another; exits with 1 if an invariant was violated."""
@@ -65,6 +71,7 @@
             workers_count=workers,
             edges_count=edges,
             has_series=series,
+            has_losses=losses,
         )
         failed_count += bool(result.violations)
         click.echo(
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,12 +7,14 @@
 import re
 import time
 
+from soak import fault_losses
 from soak import fault_plans
 from soak import fault_series
 from soak import faults
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
+from soak import loss_jobs
 from soak import machines as machines_module
 from soak import proxy_registry
 from soak import recorded_ends
@@ -80,6 +82,7 @@
     workers_count: int = WORKERS_COUNT,
     edges_count: int = EDGES_COUNT,
     has_series: bool = False,
+    has_losses: bool = False,
 ) -> SoakResult:
     """Runs one soak; the logs stay in the folder.
 
@@ -90,6 +93,8 @@
         workers_count: The number of workers, each with an agent.
         edges_count: The number of edge processes, three of which have a disk.
         has_series: Whether series of faults come beside the others.
+        has_losses: Whether workers are lost in series, beside jobs for which that
+            matters.
     """
     proxies = proxy_registry.ProxyRegistry()
     system = system_module.System(
@@ -109,9 +114,18 @@
     try:
         monitor.start()
         system.start(workers_count=workers_count)
-        plan = _draw_plan(seed, duration_s, system, has_series=has_series)
+        plan = _draw_plan(
+            seed,
+            duration_s,
+            system,
+            has_series=has_series,
+            has_losses=has_losses,
+        )
         workload = workload_module.Workload(
-            system, seed=seed, evacuated_data_centre=_DATA_CENTRES[-1]
+            system,
+            seed=seed,
+            evacuated_data_centre=_DATA_CENTRES[-1],
+            sources=loss_jobs.SOURCES if has_losses else (),
         )
         workload.start()
         injector = injector_module.Injector(
@@ -159,7 +173,12 @@
         ],
         folder=folder,
         replay_arguments=replay_arguments(
-            seed, duration_s, workers_count, edges_count, has_series=has_series
+            seed,
+            duration_s,
+            workers_count,
+            edges_count,
+            has_series=has_series,
+            has_losses=has_losses,
         ),
         longest_downtime_s=max(
             (
@@ -180,12 +199,14 @@
     edges_count: int,
     *,
     has_series: bool,
+    has_losses: bool,
 ) -> str:
     """Returns the arguments that run a soak again."""
     return (
         f"--seeds 1 --first {seed} --seconds {duration_s:g} "
         f"--workers {workers_count} --edges {edges_count}"
         f"{' --series' if has_series else ''}"
+        f"{' --losses' if has_losses else ''}"
     )
 
 
@@ -195,6 +216,7 @@
     system: system_module.System,
     *,
     has_series: bool,
+    has_losses: bool,
 ) -> list[faults.PlannedFault]:
     members = system.member_names()
     machines = machines_module.Machines(
@@ -211,12 +233,19 @@
         sides=machines.sides,
         stateless_edges=machines.stateless_edges,
     )
-    if not has_series:
-        return plan
-    series = fault_series.draw_series(
-        seed, duration_s=duration_s, machines=machines, other_faults=plan
+    series = (
+        fault_series.draw_series(
+            seed, duration_s=duration_s, machines=machines, other_faults=plan
+        )
+        if has_series
+        else ()
+    )
+    losses = (
+        fault_losses.draw_losses(seed, duration_s=duration_s, machines=machines)
+        if has_losses
+        else ()
     )
-    return [*plan, *series]
+    return [*plan, *series, *losses]
 
 
 def wait_until_settled(
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -1,6 +1,8 @@
 """Clients and an operator that use a system and check its answers."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
+import functools
 import random
 import threading
 import time
@@ -33,6 +35,8 @@
 # The attempts outlast the longest loss of power of all machines.
 _EVACUATION_ATTEMPTS_COUNT = 300
 _STATES = ("queued", "running", "completed", "failed", "cancelled")
+# Draws a job with its id and its body.
+_DrawJob = Callable[[str, random.Random], tuple[history.SubmittedJob, dict]]
 
 
 class Workload:
@@ -51,6 +55,7 @@
         *,
         seed: int,
         evacuated_data_centre: str = "",
+        sources: Sequence[tuple[float, _DrawJob]] = (),
     ):
         """Initializes the workload without calling the system.
 
@@ -58,6 +63,8 @@
             system: The system.
             seed: The seed of all random decisions.
             evacuated_data_centre: Evacuated from time to time; none if empty.
+            sources: Further jobs: the time from one to the next, in seconds, and
+                what draws one.
         """
         self.jobs: list[history.SubmittedJob] = []
         self.violations: list[str] = []
@@ -75,6 +82,10 @@
             self._submit_special_jobs,
             self._submit_crashing_jobs,
             self._evacuate_repeatedly,
+            *(
+                functools.partial(self._submit_drawn_jobs, interval_s, draw_job)
+                for interval_s, draw_job in sources
+            ),
         )
         self._threads = [
             threading.Thread(target=loop, args=(number,), daemon=True)
@@ -190,6 +201,16 @@
             }
             self._submit_job(history.SubmittedJob(job_id, [1]), body, numbers)
 
+    def _submit_drawn_jobs(
+        self, interval_s: float, draw_job: _DrawJob, number: int
+    ) -> None:
+        numbers = random.Random(f"{self._seed} {number}")
+        for count in range(1_000_000):
+            if self._stopping.wait(interval_s):
+                return
+            job, body = draw_job(f"{number:04x}{count:012x}", numbers)
+            self._submit_job(job, body, numbers)
+
     def _submit_job(
         self, job: history.SubmittedJob, body: dict, numbers: random.Random
     ) -> None:
--- a/standins/pool_run.py
+++ b/standins/pool_run.py
@@ -1,8 +1,9 @@
 """A run on the stand-in of the platform's worker.
 
 The spec defines what a run does: "work 300" takes 300 ms, "fail 100" fails after
-100 ms, "crash 10" crashes its worker after 10 ms, "last" runs until it is stopped,
-"gang 3 200" waits for a gang of three and then takes 200 ms.
+100 ms, "crash 10" crashes its worker after 10 ms, "crash 10 2000" after 10 ms and
+2 s in turn, "last" runs until it is stopped, "gang 3 200" waits for a gang of three
+and then takes 200 ms.
 """
 
 import dataclasses
@@ -57,9 +58,17 @@
     @property
     def work_ms(self) -> float:
         """The total work of the run."""
+        if self.kind == "crash":
+            ages_ms = self.spec.split()[1:]
+            return float(ages_ms[(self.run - 1) % len(ages_ms)])
         number = self.spec.rpartition(" ")[2]
         return float(number) if number.isdecimal() else 50.0
 
+    def resume(self, checkpoint: str) -> None:
+        """Continues from a checkpoint; a crash depends on the run's own age."""
+        if self.kind != "crash":
+            self.progress_ms = float(checkpoint or 0)
+
     def advance(self, now_ms: int) -> str | None:
         """Updates the progress; returns the outcome if the run ends.
 
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -332,7 +332,7 @@
             started_ms=_now_ms(),
             updated_ms=_now_ms(),
         )
-        started.progress_ms = float(body.get("last_checkpoint") or 0)
+        started.resume(body.get("last_checkpoint") or "")
         if started.gang_size:
             started.gang = self._gangs.get(task, run, started.gang_size)
             started.gang.join(task)
--- a/tests/test_soak_series.py
+++ b/tests/test_soak_series.py
@@ -154,13 +154,20 @@
 
 
 @pytest.mark.parametrize(
-    ("has_series", "ending"),
-    [(False, "--edges 6"), (True, "--edges 6 --series")],
+    ("has_series", "has_losses", "ending"),
+    [
+        (False, False, "--edges 6"),
+        (True, False, "--edges 6 --series"),
+        (False, True, "--edges 6 --losses"),
+    ],
 )
 def test_the_command_that_replays_a_soak_tells_of_series(
-    has_series: bool, ending: str
+    has_series: bool, has_losses: bool, ending: str
 ) -> None:
-    assert run.replay_arguments(7, 15.0, 3, 6, has_series=has_series) == (
+    arguments = run.replay_arguments(
+        7, 15.0, 3, 6, has_series=has_series, has_losses=has_losses
+    )
+    assert arguments == (
         f"--seeds 1 --first 7 --seconds 15 --workers 3 {ending}"
     )
 
