--- a/soak/loss_jobs.py
+++ b/soak/loss_jobs.py
@@ -35,4 +35,4 @@
 
 
 # The time from one job to the next, in seconds, and what draws a job.
-SOURCES = ((0.4, draw_long_job), (7.0, draw_crashing_job))
+SOURCES = ((1.0, draw_long_job), (10.0, draw_crashing_job))
