Fail no job for losses of workers that may not have crashed

Callers saw a job as failed although no task had failed as often as its queue allows. Five runs that a leader recorded as lost within a minute of their grants, because the leases of their agents ran out, failed the job. Agents that are cut off, frozen or without power are enough for that; only an end that the worker lists later took such a loss off, and a run that never reached its agent has none. A loss of this kind also stood for the second worker of a sole suspect, so two crashes of one worker failed a job.

Only workers that have ended count now: a crash that an agent saw, or an incarnation that is gone when a later process of the agent looks (RunEnd.is_worker_gone). Other losses still steer placement.

--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -6,7 +6,8 @@
 
 If the agent ended with its worker, nobody knows whether the task caused the loss. Such
 losses shortly after a start count as well, up to a higher limit than crashes of which
-the task is suspected.
+the task is suspected. A loss that was only concluded from an expired lease counts for
+placement, but never fails a job: an agent that is cut off or frozen causes it, too.
 """
 
 from collections.abc import Iterable
@@ -23,7 +24,8 @@
 # listings of the worker, by which a reported age may be too low.
 _CRASH_AGE_RATIO = 2
 _CRASH_AGE_MARGIN_MS = 1_500
-# Number of losses shortly after a start at which a task fails its job, suspected or not.
+# Number of workers that ended shortly after a start at which a task fails its job,
+# suspected or not.
 EARLY_LOSSES_LIMIT = 5
 # A run that is recorded as lost later than this after its grant was not starting any
 # more. Covers the lease of its agent, an election and starts that are carried out late.
@@ -62,8 +64,15 @@
         case ttypes.RunEndKind.LOST if run is not None and not end.is_excused:
             loss = _remember_loss(task, run, now_unix_ms)
             loss.is_from_agent = is_from_agent
+            loss.is_worker_gone = end.is_worker_gone
             _record_unexplained(task, loss)
             return True
+        case ttypes.RunEndKind.LOST if run is None and end.is_worker_gone:
+            loss = _find_unexplained(task, end)
+            if loss is None or loss.is_worker_gone:
+                return False
+            loss.is_worker_gone = loss.is_from_agent = True
+            return True
         case ttypes.RunEndKind.CRASHED:
             loss = _unexplained_loss(task, end, run, now_unix_ms)
             if loss is not None:
@@ -99,9 +108,12 @@
 
 def give_up_reason(task: ttypes.JobTask, end: ttypes.RunEnd) -> str:
     """Returns why a task fails its job after a loss was recorded, or empty."""
+    crashes = [
+        loss for loss in task.losses if loss.is_early and loss.is_worker_gone
+    ]
     is_sole_suspect = end.suspects_count == 1
     limit = _CRASHES_LIMIT
-    if is_sole_suspect and len(early_loss_agents(task)) > 1:
+    if is_sole_suspect and len({loss.agent for loss in crashes}) > 1:
         limit = _SOLE_SUSPECT_CRASHES_LIMIT
     if end.suspects_count and task.crashes_count >= limit:
         counted = [loss for loss in task.losses if loss.suspects_count]
@@ -109,18 +121,16 @@
             f"{task.crashes_count} workers crashed as task {end.task} started: "
             f"{describe(counted)}"
         )
-    losses_count = early_count(task)
-    if losses_count >= EARLY_LOSSES_LIMIT:
-        counted = [loss for loss in task.losses if loss.is_early]
+    if len(crashes) >= EARLY_LOSSES_LIMIT:
         return (
-            f"{losses_count} workers were lost as task {end.task} started: "
-            f"{describe(counted)}"
+            f"{len(crashes)} workers ended as task {end.task} started: "
+            f"{describe(crashes)}"
         )
     return ""
 
 
 def describe(losses: Iterable[ttypes.WorkerLoss]) -> str:
-    """Returns which workers were lost under which runs, and who recorded it."""
+    """Returns which workers ended under which runs, and how that is known."""
     return "; ".join(map(_describe_loss, losses))
 
 
@@ -129,10 +139,8 @@
         cause = (
             f"crashed, age {loss.age_ms} ms (suspects: {loss.suspects_count})"
         )
-    elif loss.is_from_agent:
-        cause = "lost, reported by its agent"
     else:
-        cause = "lost, concluded by the leader"
+        cause = "ended, as its agent found later"
     return (
         f"run {loss.run} on {loss.agent} worker {loss.worker_id} {cause}, "
         f"{loss.since_grant_ms} ms after its grant"
@@ -202,7 +210,7 @@
         task.crashes_count = task.crash_age_ms = 0
     for other in task.losses:
         other.is_early &= _are_similar_ages(other.age_ms, end.age_ms)
-    loss.is_explained = loss.is_from_agent = True
+    loss.is_explained = loss.is_worker_gone = loss.is_from_agent = True
     loss.age_ms = end.age_ms
     loss.suspects_count = end.suspects_count
     # A task that is not suspected may be at fault as well, if it crashes workers later
