Give up a task after five crashes, whatever the ages of its runs

A task that crashed its workers now 2 s, now 7 s after its start was started without end and took one worker after the other with it: each crash at a higher age set the count to zero, and lower ages were no longer counted.

The losses of a task are now only recorded (worker_losses), and one module reads the record (crash_attribution): for suspicion, for placement and for giving up. Nothing is counted in place, so late, repeated and reordered reports lead to the same decision. The fifth worker that ends under a task fails its job at any age; similar ages still matter for the lower limits. A run of ten minutes still shows that earlier crashes had another cause.

test_workers_that_crash_at_all_ages_of_a_task_do_not_fail_its_job asked for ten crashes without an end, which the promise of at most two further starts after three crashes excludes; its four first crashes still fail no job, and the fifth has to. Both crashes of a sole suspect now have to be its own; the first one could be one of many before.

--- a/marigoldsill/coordination/job_placing/backlog.py
+++ b/marigoldsill/coordination/job_placing/backlog.py
@@ -12,7 +12,7 @@
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 
 # Ranks change only slowly, with time and with the learnt run times.
 _RANKS_VALIDITY_MS = 250
@@ -218,6 +218,6 @@
         # Members of a gang start together, so they cannot be isolated.
         return 0
     return sum(
-        worker_losses.is_suspect(task) and not task.done and not task.runs
+        crash_attribution.is_suspect(task) and not task.done and not task.runs
         for task in tasks
     )
--- a/marigoldsill/coordination/job_placing/crash_isolation.py
+++ b/marigoldsill/coordination/job_placing/crash_isolation.py
@@ -12,7 +12,7 @@
 
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 
 # How long starts on a worker are observed before a suspect starts there: covers the
 # commit of the grant, the order to the agent, the start and a crash at startup.
@@ -115,10 +115,10 @@
             agent: The agent on whose worker it starts.
             now_s: The time of the round.
         """
-        if worker_losses.is_suspect(task):
+        if crash_attribution.is_suspect(task):
             self._waiting_since_s.pop(name, None)
             self._suspect_s[agent] = now_s
-        if worker_losses.needs_exclusive_start(task):
+        if crash_attribution.needs_exclusive_start(task):
             self._exclusive_s[agent] = now_s
         if self.admits(agent):
             self._started_s[agent] = now_s
@@ -133,7 +133,7 @@
         since_s = self._waiting_since_s.setdefault(name, now_s)
         limit_s = (
             _EXCLUSIVE_WAIT_LIMIT_S
-            if worker_losses.needs_exclusive_start(task)
+            if crash_attribution.needs_exclusive_start(task)
             else _WAIT_LIMIT_S
         )
         return now_s - since_s >= limit_s
@@ -147,9 +147,9 @@
         suspects that are overdue together may have the cause of the crash among them.
         """
         others_s = self._exclusive_s.get(agent, -math.inf)
-        if worker_losses.needs_exclusive_start(task):
+        if crash_attribution.needs_exclusive_start(task):
             others_s = self._suspect_s.get(agent, -math.inf)
-        elif not worker_losses.is_suspect(task):
+        elif not crash_attribution.is_suspect(task):
             return True
         return now_s - others_s >= _OBSERVATION_S
 
@@ -195,7 +195,7 @@
             and accepts(workers[agent])
         )
         # Other workers are preferred, as the fault may be the worker's own.
-        avoided = worker_losses.early_loss_agents(task)
+        avoided = crash_attribution.early_loss_agents(task)
         return min(
             fitting, key=lambda free: free.agent in avoided, default=None
         )
@@ -217,7 +217,7 @@
             for agent, free in workers.items()
             if agent not in self._reservations and accepts(free)
         )
-        avoided = worker_losses.early_loss_agents(task)
+        avoided = crash_attribution.early_loss_agents(task)
         free = min(
             fitting,
             key=lambda f: (
@@ -241,7 +241,7 @@
             return not (
                 is_full
                 or reservation.is_exclusive
-                or worker_losses.needs_exclusive_start(task)
+                or crash_attribution.needs_exclusive_start(task)
             )
         others_s = self._started_s.get(agent, -math.inf)
         return (
@@ -254,5 +254,5 @@
     ) -> None:
         is_first = reservation.started_s != now_s
         reservation.group_count = 1 if is_first else reservation.group_count + 1
-        reservation.is_exclusive = worker_losses.needs_exclusive_start(task)
+        reservation.is_exclusive = crash_attribution.needs_exclusive_start(task)
         reservation.started_s = now_s
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -29,7 +29,7 @@
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 
 # Maximum number of grants in one round, which bounds the size of a command.
 _GRANTS_LIMIT = 300
@@ -269,8 +269,9 @@
                     waiting.step, waiting.queue.pool
                 )
                 free = self._chooser.choose(waiting, index, candidates, now_s)
-                has_candidates = free is not None or worker_losses.is_suspect(
-                    waiting.tasks[index]
+                has_candidates = (
+                    free is not None
+                    or crash_attribution.is_suspect(waiting.tasks[index])
                 )
                 if may_wait and free is not None:
                     limit_s = max_idle_s(
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -26,7 +26,7 @@
 from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 
 # Maximum number of almost equally suited workers to choose from. They stand in as many
 # racks where racks are equally loaded.
@@ -98,7 +98,7 @@
     ) -> bool:
         """Returns whether a task is a suspect that may start only in isolation."""
         task = waiting.tasks[index]
-        if not worker_losses.is_suspect(task):
+        if not crash_attribution.is_suspect(task):
             return False
         name = waiting.task_name(index)
         return not self._isolation.is_overdue(name, task, now_s=now_s)
@@ -144,7 +144,7 @@
             )
 
         failed_ids = self._failed_ids(waiting, index)
-        lost_agents = worker_losses.early_loss_agents(waiting.tasks[index])
+        lost_agents = crash_attribution.early_loss_agents(waiting.tasks[index])
         if failed_ids or lost_agents:
             other = candidates.find_best(
                 _excluding(accepts, failed_ids, lost_agents)
@@ -170,7 +170,7 @@
         return _excluding(
             self.acceptance_for(waiting, now_s),
             self._failed_ids(waiting, index),
-            worker_losses.early_loss_agents(waiting.tasks[index]),
+            crash_attribution.early_loss_agents(waiting.tasks[index]),
         )
 
     def find_not_isolated(
@@ -234,7 +234,7 @@
         self, waiting: backlog_module.WaitingStep, index: int
     ) -> Set[str]:
         """Returns the agents where a task was lost, if it could run elsewhere."""
-        agents = worker_losses.early_loss_agents(waiting.tasks[index])
+        agents = crash_attribution.early_loss_agents(waiting.tasks[index])
         pool = waiting.queue.pool
         could_run_elsewhere = any(
             free.agent not in agents
--- a/marigoldsill/coordination/job_queueing/guaranteed_offers.py
+++ b/marigoldsill/coordination/job_queueing/guaranteed_offers.py
@@ -13,7 +13,7 @@
 from marigoldsill.coordination.job_queueing import shares as shares_module
 from marigoldsill.protocol import task_names
 from marigoldsill.state import amounts
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 
 # Shares take turns after parts of this size, relative to their guarantee.
 _PART_RATIO = 0.1
@@ -253,7 +253,7 @@
         return waiting
     indexes = waiting.waiting_indexes[start:end]
     suspects_count = waiting.suspects_count and sum(
-        worker_losses.is_suspect(waiting.tasks[index]) for index in indexes
+        crash_attribution.is_suspect(waiting.tasks[index]) for index in indexes
     )
     return dataclasses.replace(
         waiting,
--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -6,7 +6,7 @@
 from marigoldsill.state import job_tables
 from marigoldsill.state import state_machine
 from marigoldsill.state import tables as tables_module
-from marigoldsill.state.run_outcomes import worker_losses
+from marigoldsill.state.run_outcomes import crash_attribution
 from marigoldsill.transport import logs
 
 _LOSSES = (ttypes.RunEndKind.CRASHED, ttypes.RunEndKind.LOST)
@@ -167,8 +167,9 @@
     task = jobs.find_by_name(end.task) if end.kind in _LOSSES else None
     if task is None:
         return
+    losses = crash_attribution.early_losses(task)
     loss = next((loss for loss in task.losses if loss.run == end.run), None)
-    if loss is None or not (end.suspects_count or loss.is_early):
+    if loss is None or not (end.suspects_count or loss in losses):
         return
     observed = {
         "agent": loss.agent,
@@ -176,7 +177,6 @@
         "recorded_by": "agent" if loss.is_from_agent else "leader",
         "since_grant_ms": loss.since_grant_ms,
     }
-    losses_count = worker_losses.early_count(task)
     if end.suspects_count:
         logs.event(
             "crash_suspected",
@@ -185,8 +185,8 @@
             run=end.run,
             **observed,
             suspects_count=end.suspects_count,
-            crashes_count=task.crashes_count,
-            losses_count=losses_count,
+            crashes_count=crash_attribution.crashes_count(task),
+            losses_count=len(losses),
         )
     else:
         logs.event(
@@ -194,7 +194,7 @@
             task=end.task,
             run=end.run,
             **observed,
-            losses_count=losses_count,
+            losses_count=len(losses),
         )
 
 
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -285,10 +285,7 @@
   3: i32 failures_count = 0,
   4: string checkpoint_id = "",     // newest known checkpoint
   5: list<JobRun> runs = [],        // runs that may be alive
-  6: i32 crashes_count = 0,         // worker crashes that it is suspected of
-  // 7 was the last run with such a crash.
-  // 8 was the agents of these workers.
-  9: i64 crash_age_ms = 0,          // highest age of its runs at these crashes
+  // 6 to 9 were counts of worker crashes that it was suspected of.
   10: list<WorkerLoss> losses = []  // the oldest first
 }
 
--- a/marigoldsill/state/run_outcomes/batch_losses.py
+++ b/marigoldsill/state/run_outcomes/batch_losses.py
@@ -2,6 +2,7 @@
 
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import crash_attribution
 from marigoldsill.state.run_outcomes import worker_losses
 
 
@@ -20,7 +21,7 @@
     losses_count = task.losses_count + 1 if is_early else 0
     tables.change_task(task.name, losses_count=losses_count)
     is_limited = task.kind == ttypes.Kind.BATCH_JOB and not task.final_stop
-    if not is_limited or losses_count < worker_losses.EARLY_LOSSES_LIMIT:
+    if not is_limited or losses_count < crash_attribution.CRASHES_LIMIT:
         return False
     tables.change_task(
         task.name,
--- /dev/null
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -0,0 +1,146 @@
+"""Decides from a task's losses whether it is suspected of crashes or given up.
+
+Two mistakes are possible: a task that crashes its workers takes one after the other
+with it, and a sound task on bad workers loses its job. So a few crashes that are typical
+of a faulty task fail its job, and a larger number of any crashes. Losses without
+evidence that the worker has ended only steer placement: an agent that is cut off or
+frozen causes them, too.
+
+All functions read `JobTask.losses` and nothing else.
+"""
+
+from collections.abc import Iterable
+
+from marigoldsill.protocol.generated import ttypes
+
+# Number of workers that end under a task, at any age, at which its job fails.
+CRASHES_LIMIT = 5
+# The same for crashes of which the task is suspected, at similar ages. It is lower for
+# the only suspect of a crash: a worker may crash for another reason just after a start,
+# but that is unlikely to happen on two workers in a row.
+_SUSPECTED_CRASHES_LIMIT = 3
+_SOLE_SUSPECT_CRASHES_LIMIT = 2
+# A task that crashes workers usually does so at a similar age each time, so crashes at a
+# far lower age than the longest one had another cause. The margin covers the interval
+# between two listings of the worker, by which a reported age may be too low.
+_CRASH_AGE_RATIO = 2
+_CRASH_AGE_MARGIN_MS = 1_500
+# A run that has worked for so long shows that earlier crashes had another cause.
+_LONG_RUN_MS = 600_000
+# Number of early losses from which a task is a suspect, whoever saw them.
+_SUSPECT_LOSSES = 2
+
+
+def is_suspect(task: ttypes.JobTask) -> bool:
+    """Whether a task may have crashed its workers, so that it starts apart."""
+    if not task.losses:
+        return False
+    return (
+        bool(_suspected_crashes(task))
+        or len(early_losses(task)) >= _SUSPECT_LOSSES
+    )
+
+
+def needs_exclusive_start(task: ttypes.JobTask) -> bool:
+    """Whether a suspect must not start together with other suspects."""
+    if not task.losses:
+        return False
+    return (
+        len(_suspected_crashes(task)) > 1
+        or len(early_losses(task)) > _SUSPECT_LOSSES
+    )
+
+
+def early_loss_agents(task: ttypes.JobTask) -> set[str]:
+    """Returns the agents whose workers were lost shortly after the task began."""
+    return {loss.agent for loss in early_losses(task)}
+
+
+def early_losses(task: ttypes.JobTask) -> list[ttypes.WorkerLoss]:
+    """Returns the losses shortly after a start, whether the worker has ended or not."""
+    if not task.losses:
+        return []
+    losses = _recent_losses(task)
+    return [loss for loss in _at_similar_ages(losses) if loss.is_early]
+
+
+def crashes_count(task: ttypes.JobTask) -> int:
+    """Returns how many crashes a task is suspected of."""
+    return len(_suspected_crashes(task))
+
+
+def give_up_reason(name: str, task: ttypes.JobTask) -> str:
+    """Returns why a task fails its job, with the losses that count, or empty.
+
+    Args:
+        name: The task's name.
+        task: The task.
+    """
+    suspected = _suspected_crashes(task)
+    if len(suspected) >= _suspected_limit(suspected):
+        return (
+            f"{len(suspected)} workers crashed as task {name} started: "
+            f"{_describe(suspected)}"
+        )
+    crashes = _crashes(_recent_losses(task))
+    if len(crashes) >= CRASHES_LIMIT:
+        return (
+            f"{len(crashes)} workers ended under task {name}: "
+            f"{_describe(crashes)}"
+        )
+    return ""
+
+
+def _suspected_limit(suspected: list[ttypes.WorkerLoss]) -> int:
+    """Returns how many suspected crashes fail a job."""
+    sole = [loss for loss in suspected if loss.suspects_count == 1]
+    if len({loss.agent for loss in sole}) > 1:
+        return _SOLE_SUSPECT_CRASHES_LIMIT
+    return _SUSPECTED_CRASHES_LIMIT
+
+
+def _suspected_crashes(task: ttypes.JobTask) -> list[ttypes.WorkerLoss]:
+    losses = _recent_losses(task)
+    return [loss for loss in _at_similar_ages(losses) if loss.suspects_count]
+
+
+def _recent_losses(task: ttypes.JobTask) -> list[ttypes.WorkerLoss]:
+    """Returns the losses after the last run that worked for long."""
+    long_runs = [
+        index
+        for index, loss in enumerate(task.losses)
+        if loss.since_grant_ms > _LONG_RUN_MS
+    ]
+    return task.losses[long_runs[-1] + 1 :] if long_runs else task.losses
+
+
+def _crashes(losses: Iterable[ttypes.WorkerLoss]) -> list[ttypes.WorkerLoss]:
+    return [loss for loss in losses if loss.is_worker_gone]
+
+
+def _at_similar_ages(
+    losses: list[ttypes.WorkerLoss],
+) -> list[ttypes.WorkerLoss]:
+    """Returns the losses that are not at a far lower age than another one."""
+    longest_ms = max((loss.age_ms for loss in losses), default=0)
+    return [
+        loss
+        for loss in losses
+        if longest_ms <= _CRASH_AGE_RATIO * loss.age_ms + _CRASH_AGE_MARGIN_MS
+    ]
+
+
+def _describe(losses: Iterable[ttypes.WorkerLoss]) -> str:
+    return "; ".join(map(_describe_loss, losses))
+
+
+def _describe_loss(loss: ttypes.WorkerLoss) -> str:
+    cause = "ended, as its agent found later"
+    if loss.is_explained:
+        cause = (
+            f"crashed, age {loss.age_ms} ms (suspects: {loss.suspects_count})"
+        )
+    return (
+        f"run {loss.run} on {loss.agent} worker {loss.worker_id} {cause}, "
+        f"{loss.since_grant_ms} ms after its grant"
+    )
--- a/marigoldsill/state/run_outcomes/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -7,6 +7,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import crash_attribution
 from marigoldsill.state.run_outcomes import worker_losses
 
 
@@ -65,7 +66,7 @@
         case ttypes.RunEndKind.CRASHED | ttypes.RunEndKind.LOST if (
             is_loss and not task.done
         ):
-            reason = worker_losses.give_up_reason(task, end)
+            reason = crash_attribution.give_up_reason(end.task, task)
             if reason:
                 end_job(
                     tables, record, ttypes.JobState.FAILED, now_unix_ms, reason
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -239,7 +239,7 @@
     leader: leader_harness.LeaderHarness,
 ) -> None:
     isolation = leader.placement._isolation
-    task = ttypes.JobTask(crashes_count=1)
+    task = builders.suspected_task()
     assert not isolation.is_overdue("j1.0.0.0", task, now_s=100.0)
     assert isolation.is_overdue("j1.0.0.0", task, now_s=102.0)
     isolation.record_start("j1.0.0.0", task, "a1", now_s=102.0)
--- a/tests/coordination/job_queueing/test_share_order.py
+++ b/tests/coordination/job_queueing/test_share_order.py
@@ -33,7 +33,7 @@
         step=step,
         queue=ttypes.Queue(name=queue, pool=pool),
         waiting_indexes=list(range(tasks_count)),
-        tasks=[ttypes.JobTask(crashes_count=0) for _ in range(tasks_count)],
+        tasks=[ttypes.JobTask() for _ in range(tasks_count)],
         record=ttypes.JobRecord(),
         job=builders.job(job_id, step),
         occurrence=ttypes.Occurrence(),
@@ -90,7 +90,7 @@
 def test_the_parts_of_a_step_are_disjoint_and_complete() -> None:
     policy = _policy(reports=0.3)
     step = _waiting("r", "reports", 20, idle_since_s=90.0)
-    step.tasks[1].crashes_count = step.tasks[7].crashes_count = 1
+    step.tasks[1] = step.tasks[7] = builders.suspected_task()
     step.suspects_count = 2
     usage = offer_policies.RoundContext(
         usage=usage_module.Usage(),
--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -75,6 +75,18 @@
     )
 
 
+def suspected_task() -> ttypes.JobTask:
+    """Builds a task that is suspected of a crash."""
+    crash = ttypes.WorkerLoss(
+        run=1,
+        agent="a1",
+        is_explained=True,
+        is_worker_gone=True,
+        suspects_count=1,
+    )
+    return ttypes.JobTask(losses=[crash])
+
+
 class State:
     """Replicated tables with a routing in force, changed only by commands."""
 
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state.run_outcomes import crash_attribution
 from tests.coordination.jobs import builders
 
 _CRASHED = ttypes.RunEndKind.CRASHED
@@ -69,7 +70,7 @@
 ) -> None:
     _crash(state, 1, suspects_count=2)
     _report(state, 1, suspects_count=2)
-    assert state.task(_TASK).crashes_count == 1
+    assert crash_attribution.crashes_count(state.task(_TASK)) == 1
 
 
 def test_a_crash_reported_after_the_run_was_lost_counts(
@@ -78,7 +79,7 @@
     state.grant_and_end(_TASK, ttypes.RunEndKind.LOST)
     state.grant(builders.grant(_TASK, 2))
     _report(state, 1, suspects_count=1)
-    assert state.task(_TASK).crashes_count == 1
+    assert crash_attribution.crashes_count(state.task(_TASK)) == 1
     assert [run.run for run in state.task(_TASK).runs] == [2]
 
 
@@ -115,7 +116,7 @@
         for run in range(1, 6)
     )
     assert state.tables.jobs.jobs["j1"].reason == (
-        f"5 workers ended as task {_TASK} started: {losses}"
+        f"5 workers ended under task {_TASK}: {losses}"
     )
 
 
@@ -178,16 +179,18 @@
     assert next(runs) <= 6
 
 
-def test_runs_that_is_excused_or_began_long_ago_do_not_fail_a_job(
+def test_runs_that_are_excused_or_began_long_ago_do_not_fail_a_job(
     state: builders.State,
 ) -> None:
     for run in range(1, 9):
         _lose(state, run, is_excused=True)
     for run in range(9, 20):
+        _lose(state, run, at_unix_ms=builders.NOW_UNIX_MS + 70_000)
+    for run in range(20, 31):
         _lose(
             state,
             run,
-            at_unix_ms=builders.NOW_UNIX_MS + 70_000,
+            at_unix_ms=builders.NOW_UNIX_MS + 601_000,
             is_worker_gone=True,
         )
     assert state.state_of() == ttypes.JobState.RUNNING
@@ -203,12 +206,32 @@
     assert state.state_of() == ttypes.JobState.FAILED
 
 
-def test_workers_that_crash_at_all_ages_of_a_task_do_not_fail_its_job(
+def test_job_fails_at_the_fifth_crash_whatever_the_ages(
     state: builders.State,
 ) -> None:
-    for run, age_s in enumerate((20, 30, 8, 29, 4, 15, 3, 25, 10, 40), 1):
+    for run, age_s in enumerate((20, 300, 8, 29), 1):
         _crash(state, run, suspects_count=0, age_ms=1_000 * age_s)
     assert state.state_of() == ttypes.JobState.RUNNING
+    _crash(state, 5, suspects_count=0, age_ms=4_000)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+@pytest.mark.parametrize("suspects_count", [1, 2])
+def test_task_that_crashes_workers_early_and_late_in_turn_fails_its_job(
+    state: builders.State, suspects_count: int
+) -> None:
+    """Guards against counts that a crash at a higher age resets."""
+    for run in range(1, 6):
+        assert state.state_of() != ttypes.JobState.FAILED
+        is_late = run % 2 == 0
+        _crash(
+            state,
+            run,
+            agent=f"a{run}",
+            suspects_count=0 if is_late else suspects_count,
+            age_ms=7_000 if is_late else 2_000,
+        )
+    assert state.state_of() == ttypes.JobState.FAILED
 
 
 @pytest.mark.parametrize(
@@ -279,7 +302,7 @@
     state.grant(builders.grant(_TASK, 3))
     _report(state, 2, suspects_count=2)
     _report(state, 1, suspects_count=2)
-    assert state.task(_TASK).crashes_count == 2
+    assert crash_attribution.crashes_count(state.task(_TASK)) == 2
     _report(state, 3, suspects_count=2)
     assert state.state_of() == ttypes.JobState.FAILED
 
@@ -288,7 +311,7 @@
     state: builders.State,
 ) -> None:
     _report(state, 1, suspects_count=1)
-    assert state.task(_TASK).crashes_count == 0
+    assert crash_attribution.crashes_count(state.task(_TASK)) == 0
 
 
 @pytest.mark.parametrize(
@@ -299,17 +322,22 @@
 ) -> None:
     _crash(state, 1, suspects_count=2, age_ms=100)
     _crash(state, 2, suspects_count=0, age_ms=age_ms)
-    assert state.task(_TASK).crashes_count == crashes_count
+    assert crash_attribution.crashes_count(state.task(_TASK)) == crashes_count
 
 
-def test_counting_starts_over_after_a_longer_run(state: builders.State) -> None:
+def test_crashes_far_below_the_age_of_another_run_are_not_suspected(
+    state: builders.State,
+) -> None:
     _crash(state, 1)
     _crash(state, 2, suspects_count=0, age_ms=60_000)
-    _crash(state, 3)
+    _crash(state, 3, agent="a2")
+    _crash(state, 4, agent="a3")
     assert state.state_of() == ttypes.JobState.RUNNING
     task = state.task(_TASK)
-    assert task.crashes_count == 1
-    assert [loss.run for loss in task.losses if loss.is_early] == [3]
+    assert crash_attribution.crashes_count(task) == 0
+    assert crash_attribution.early_losses(task) == []
+    _crash(state, 5, agent="a4")
+    assert state.state_of() == ttypes.JobState.FAILED
 
 
 def test_a_task_that_crashes_workers_at_similar_ages_fails_its_job(
