Count crashes only of workers that are known to have begun a run

Callers saw jobs fail of which no run, or one, had ever begun: the start request got no answer, the worker crashed, and its agent held the crash against the run at an age of 0 ms. Three of these failed a job; runs that a restarted agent found gone counted as well.

An agent now says of each loss whether the worker had begun the run: it answered the start or listed the run. Others are not suspected of a crash. Five workers that ended under a task fail its job only if two of them had surely begun it. A later process of an agent does not know what its predecessor had started, so agents report at once that a run of a task with losses has begun, and the leader completes what the later process reports.

--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -71,6 +71,10 @@
         """Whether a start request for a run was answered with success."""
         return self._get(key).is_started
 
+    def has_begun(self, key: task_names.RunKey) -> bool:
+        """Whether the current incarnation is known to have begun a run."""
+        return self._get(key).started_s is not None
+
     def may_have_begun(self, key: task_names.RunKey) -> bool:
         """Whether a start request may have begun a run, on any incarnation."""
         return self._get(key).may_have_begun
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -52,8 +52,14 @@
                 f"worker {worker.worker_id} is gone; the run was on it for "
                 f"{age_ms} ms or more"
             ),
-            suspects_count=len(suspects) if (task, run) in suspects else 0,
+            # The worker may have crashed before it began a run without an answer.
+            suspects_count=(
+                len(suspects)
+                if (task, run) in suspects and held.has_begun((task, run))
+                else 0
+            ),
             age_ms=age_ms,
+            has_begun=held.has_begun((task, run)),
             # No shutdown is planned for the moment in which a run begins.
             is_excused=worker.draining and (task, run) not in startups,
         )
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -9,6 +9,7 @@
 from marigoldsill.coordination.job_agent import lease
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.worker_incarnations import late_calls
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
@@ -47,6 +48,7 @@
         self._must_resend_worker = True
         self._has_had_lease = False
         self._reported_unanswered_count = 0
+        self._reported_begun: set[task_names.RunKey] = set()
 
     def run(self) -> None:
         """Sends reports until the agent stops."""
@@ -76,8 +78,18 @@
             or state.late_starts.unanswered_count
             != self._reported_unanswered_count
             or self._must_report_worker()
+            or not self._begun_runs() <= self._reported_begun
         )
 
+    def _begun_runs(self) -> set[task_names.RunKey]:
+        """Returns the runs that have begun and whose orders ask to report that."""
+        state = self._state
+        return {
+            key
+            for key, order in state.orders.items()
+            if order.must_report_start and state.held.has_begun(key)
+        }
+
     def _must_report_worker(self) -> bool:
         return self._state.worker is not None and (
             self._must_resend_worker
@@ -99,6 +111,7 @@
             ends = list(state.ends.values())[:_ENDS_LIMIT]
             listed_end_number = state.listed_end_number
             unanswered_count = state.late_starts.unanswered_count
+            begun = self._begun_runs()
             if len(ends) < len(state.ends):
                 listed_end_number = 0
             report = ttypes.AgentReport(
@@ -116,6 +129,10 @@
                 ),
                 known_term=max(state.term, self._reply_term),
                 late_starts=self._late_runs(now_s=sent_s),
+                begun=[
+                    ttypes.RunId(task=task, run=run)
+                    for task, run in begun - self._reported_begun
+                ],
             )
         with agent_metrics.REPORT_SECONDS.time():
             reply = self._link.call(
@@ -123,6 +140,7 @@
             )
         self._dependency.record_success()
         self._reported_unanswered_count = unanswered_count
+        self._reported_begun = begun
         if has_samples:
             self._samples_reported_s = sent_s
             agent_metrics.WORKER_RUNS.set(len(report.running))
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -209,6 +209,8 @@
             run = next(r for r in task.runs if r.run == live.run)
             order.command = record.job.command
             order.checkpoint_id = run.checkpoint_id
+            # If the agent ends with its worker, nobody else knows that the run began.
+            order.must_report_start = bool(task.losses)
         return order
 
 
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -12,6 +12,7 @@
     begun_jobs as begun_jobs_module,
 )
 from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.jobs import begun_runs as begun_runs_module
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.leadership import (
     late_start_bounds as bounds_module,
@@ -36,6 +37,7 @@
         leases: leases_module.LeaseTable,
         late_start_bounds: bounds_module.LateStartBounds,
         begun_jobs: begun_jobs_module.BegunJobs,
+        begun_runs: begun_runs_module.BegunRuns,
         orders: orders_module.Orders,
         lease_ms: int,
         propose: Callable[..., ttypes.CommandResult],
@@ -49,6 +51,7 @@
             leases: The leases that this leader granted.
             late_start_bounds: Runs that may be alive after these leases.
             begun_jobs: The jobs that have begun.
+            begun_runs: The live runs that have begun.
             orders: The orders of this term.
             lease_ms: The duration of a lease.
             propose: Proposes a command; its body is passed by the name of its field.
@@ -59,6 +62,7 @@
         self._leases = leases
         self._late_start_bounds = late_start_bounds
         self._begun_jobs = begun_jobs
+        self._begun_runs = begun_runs
         self._orders = orders
         self._lease_ms = lease_ms
         self._propose = propose
@@ -118,6 +122,7 @@
             self._begun_jobs.record_listed(
                 self._replica.tables.jobs, report.running or ()
             )
+            self._begun_runs.record_report(self._replica.tables.jobs, report)
         return True
 
     def _record_ends(self, report: ttypes.AgentReport, term: int) -> bool:
@@ -131,6 +136,8 @@
             return True
         if report.known_term not in (0, term):
             return False
+        with self._replica.lock:
+            self._begun_runs.complete_ends(report.agent, report.ends)
         self._propose(
             term=term, record_run_ends=ttypes.RecordRunEnds(ends=report.ends)
         )
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import urgency
+from marigoldsill.coordination.jobs import begun_runs
 from marigoldsill.coordination.jobs import job_event_logger
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
@@ -87,6 +88,7 @@
         )
         self.late_start_bounds = late_start_bounds.LateStartBounds()
         self._begun_jobs = begun_jobs.BegunJobs()
+        self._begun_runs = begun_runs.BegunRuns()
         self._changed_agents: set[str] = set()
         self._event_logger = job_event_logger.JobEventLogger()
         self._queue_index = queue_index.QueueIndex()
@@ -106,6 +108,7 @@
             leases=self.leases,
             late_start_bounds=self.late_start_bounds,
             begun_jobs=self._begun_jobs,
+            begun_runs=self._begun_runs,
             orders=self.orders,
             lease_ms=lease_ms,
             propose=self.propose,
@@ -123,6 +126,7 @@
             self.agents.reset()
             self.late_start_bounds.reset(now_s=clock.now_s())
             self._begun_jobs.reset()
+            self._begun_runs.reset()
             self.orders.reset(self._replica.tables, term=term)
             job_metrics.EVACUATED_DATA_CENTRES.set(
                 len(self._replica.tables.evacuated_data_centres)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -275,7 +275,8 @@
   7: i64 since_grant_ms = 0,        // from the run's grant until the loss was recorded
   8: i32 suspects_count = 0,        // runs suspected of the crash; 0: not this one
   9: bool is_from_agent = false,    // an agent reported it; else a leader concluded it
-  10: bool is_worker_gone = false   // an agent knows that the incarnation has ended
+  10: bool is_worker_gone = false,  // an agent knows that the incarnation has ended
+  11: bool has_begun = false        // the incarnation is known to have begun the run
 }
 
 /** A task of a job: one index of a step, in one occurrence. */
@@ -471,7 +472,8 @@
   6: i32 suspects_count = 0,        // CRASHED: runs suspected of the crash; 0: not this one
   7: i64 age_ms = 0,                // lower bound of the run's age at the loss of its worker
   8: bool is_excused = false,      // LOST: the run did not cause the loss
-  9: bool is_worker_gone = false   // LOST: its worker's incarnation has ended for good
+  9: bool is_worker_gone = false,  // LOST: its worker's incarnation has ended for good
+  10: bool has_begun = false       // LOST, CRASHED: that incarnation had begun the run
 }
 
 struct RecordRunEnds {
@@ -818,6 +820,8 @@
   3: i64 remaining_ms               // until it is certainly over, if it has begun
 }
 
+struct RunId { 1: string task, 2: i64 run }
+
 struct AgentReport {
   1: string agent,
   2: i64 incarnation,
@@ -828,7 +832,8 @@
   7: string worker_id = "",
   8: bool worker_silent = false,
   9: i64 known_term = 0,            // the latest that it knows of; 0: none
-  10: list<LateStart> late_starts = []
+  10: list<LateStart> late_starts = [],
+  11: list<RunId> begun = []        // begun runs whose orders ask to report that
 }
 
 struct AgentReply {
@@ -856,11 +861,10 @@
   11: string image = "",
   12: i64 cpu_millicores = 0,
   13: Resources resources,          // reserved by the run; also set for STOP
-  14: optional i32 spread_limit     // maximum of runs of its step on one worker
+  14: optional i32 spread_limit,    // maximum of runs of its step on one worker
+  15: bool must_report_start = false // report at once that the run has begun
 }
 
-struct RunId { 1: string task, 2: i64 run }
-
 struct OrdersRequest {
   1: string agent,
   2: i64 term = 0,                  // of the subscriber's version
--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -2,9 +2,10 @@
 
 Two mistakes are possible: a task that crashes its workers takes one after the other
 with it, and a sound task on bad workers loses its job. So a few crashes that are typical
-of a faulty task fail its job, and a larger number of any crashes. Losses without
-evidence that the worker has ended only steer placement: an agent that is cut off or
-frozen causes them, too.
+of a faulty task fail its job, and a larger number of any crashes. Some of the larger
+number may have come before the worker began the run, as nobody knows if a start request
+got no answer or the agent ended as well. Losses without evidence that the worker has
+ended only steer placement: an agent that is cut off or frozen causes them, too.
 
 All functions read `JobTask.losses` and nothing else.
 """
@@ -15,6 +16,8 @@
 
 # Number of workers that end under a task, at any age, at which its job fails.
 CRASHES_LIMIT = 5
+# How many of them are known to have begun the run.
+_BEGUN_CRASHES_MIN = 2
 # The same for crashes of which the task is suspected, at similar ages. It is lower for
 # the only suspect of a crash: a worker may crash for another reason just after a start,
 # but that is unlikely to happen on two workers in a row.
@@ -83,7 +86,8 @@
             f"{_describe(suspected)}"
         )
     crashes = _crashes(_recent_losses(task))
-    if len(crashes) >= CRASHES_LIMIT:
+    begun_count = sum(loss.has_begun for loss in crashes)
+    if len(crashes) >= CRASHES_LIMIT and begun_count >= _BEGUN_CRASHES_MIN:
         return (
             f"{len(crashes)} workers ended under task {name}: "
             f"{_describe(crashes)}"
@@ -140,6 +144,8 @@
         cause = (
             f"crashed, age {loss.age_ms} ms (suspects: {loss.suspects_count})"
         )
+    if not loss.has_begun:
+        cause += ", not known to have begun it"
     return (
         f"run {loss.run} on {loss.agent} worker {loss.worker_id} {cause}, "
         f"{loss.since_grant_ms} ms after its grant"
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -63,11 +63,13 @@
         loss.is_early = loss.since_grant_ms <= EARLY_LOSS_LIMIT_MS
         loss.is_from_agent = is_from_agent
         loss.is_worker_gone = end.is_worker_gone
+        loss.has_begun = end.has_begun
         return True
     loss = _find_unexplained(task, end) if end.is_worker_gone else None
     if loss is None or loss.is_worker_gone:
         return False
     loss.is_worker_gone = loss.is_from_agent = True
+    loss.has_begun = end.has_begun
     return True
 
 
@@ -86,6 +88,7 @@
         return False
     loss.is_explained = loss.is_worker_gone = loss.is_from_agent = True
     loss.age_ms = end.age_ms
+    loss.has_begun = end.has_begun
     loss.suspects_count = end.suspects_count
     loss.is_early = end.age_ms <= _EARLY_AGE_LIMIT_MS
     return True
@@ -104,8 +107,8 @@
     # Generated records share one default list among all instances.
     losses = [*task.losses, loss]
     if len(losses) > _REMEMBERED_LIMIT:
-        # False sorts before True, so the oldest loss without evidence goes first.
-        losses.remove(min(losses[:-1], key=lambda each: each.is_worker_gone))
+        # The oldest of those with the least evidence goes first.
+        losses.remove(min(losses[:-1], key=_evidence_of))
     task.losses = losses
     return loss
 
@@ -123,3 +126,8 @@
 ) -> ttypes.WorkerLoss | None:
     unexplained = (loss for loss in task.losses if not loss.is_explained)
     return next((loss for loss in unexplained if loss.run == end.run), None)
+
+
+def _evidence_of(loss: ttypes.WorkerLoss) -> tuple[bool, bool]:
+    """Returns a sort key: how much is known of a loss."""
+    return loss.is_worker_gone, loss.has_begun
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -236,6 +236,27 @@
     assert end.suspects_count == 1
 
 
+def test_run_whose_start_got_no_answer_is_not_suspected_of_a_crash(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against jobs that fail for crashes of workers that never began them."""
+    agent.worker.unanswered = {"start"}
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    agent.crash_worker()
+    end = agent.state.ends[stepped_agent.KEY]
+    assert (end.suspects_count, end.has_begun) == (0, False)
+
+
+def test_run_that_the_worker_has_begun_is_known_to_have_begun_at_a_crash(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    agent.crash_worker()
+    assert agent.state.ends[stepped_agent.KEY].has_begun
+
+
 def test_run_whose_start_was_never_sent_is_lost_in_a_crash(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -80,6 +80,38 @@
     assert report.worker.worker_id == "a1-incarnation1"
 
 
+def test_begin_of_a_run_is_reported_at_once_if_its_order_asks_for_that(
+    case: _Case,
+) -> None:
+    """Guards against crashes that nobody knows if the agent ends as well."""
+    case.report(after_s=0.0)
+    orders = [
+        ttypes.RunOrder(
+            task=f"j1.0.0.{number}",
+            run=1,
+            desire=ttypes.RunDesire.RUN,
+            worker_id="a1-incarnation1",
+            must_report_start=number == 1,
+        )
+        for number in (1, 2)
+    ]
+    case.state.update_orders(
+        ttypes.OrdersReply(
+            term=stepped_agent.TERM, version=1, orders=orders, removed=[]
+        )
+    )
+    assert not case.reporter._must_report_now()
+    for order in orders:
+        case.state.held.record_start_due(order)
+        case.state.held.record_start_answered(
+            (order.task, order.run), is_current=True, now_s=case.now_s
+        )
+    assert case.reporter._must_report_now()
+    report = case.report(after_s=0.1)
+    assert [run.task for run in report.begun] == ["j1.0.0.1"]
+    assert not case.reporter._must_report_now()
+
+
 def test_end_is_reported_at_once_without_samples(case: _Case) -> None:
     """Guards against frequent ends that make the leader read the same samples again.
 
