--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -274,7 +274,9 @@
   6: string worker_id = "",         // the incarnation that was lost
   7: i64 since_grant_ms = 0,        // from the run's grant until the loss was recorded
   8: i32 suspects_count = 0,        // runs suspected of the crash; 0: not this one
-  9: bool is_from_agent = false     // an agent reported it; else a leader concluded it
+  9: bool is_from_agent = false,    // an agent reported it; else a leader concluded it
+  10: bool is_worker_gone = false,  // an agent knows that the incarnation has ended
+  11: bool has_begun = false        // the incarnation is known to have begun the run
 }
 
 /** A task of a job: one index of a step, in one occurrence. */
@@ -284,10 +286,7 @@
   3: i32 failures_count = 0,
   4: string checkpoint_id = "",     // newest known checkpoint
   5: list<JobRun> runs = [],        // runs that may be alive
-  6: i32 crashes_count = 0,         // worker crashes that it is suspected of
-  // 7 was the last run with such a crash.
-  // 8 was the agents of these workers.
-  9: i64 crash_age_ms = 0,          // highest age of its runs at these crashes
+  // 6 to 9 were counts of worker crashes that it was suspected of.
   10: list<WorkerLoss> losses = []  // the oldest first
 }
 
@@ -472,7 +471,9 @@
   5: string detail = "",
   6: i32 suspects_count = 0,        // CRASHED: runs suspected of the crash; 0: not this one
   7: i64 age_ms = 0,                // lower bound of the run's age at the loss of its worker
-  8: bool is_excused = false       // LOST: the run did not cause the loss
+  8: bool is_excused = false,      // LOST: the run did not cause the loss
+  9: bool is_worker_gone = false,  // LOST: its worker's incarnation has ended for good
+  10: bool has_begun = false       // LOST, CRASHED: that incarnation had begun the run
 }
 
 struct RecordRunEnds {
@@ -819,6 +820,8 @@
   3: i64 remaining_ms               // until it is certainly over, if it has begun
 }
 
+struct RunId { 1: string task, 2: i64 run }
+
 struct AgentReport {
   1: string agent,
   2: i64 incarnation,
@@ -829,7 +832,8 @@
   7: string worker_id = "",
   8: bool worker_silent = false,
   9: i64 known_term = 0,            // the latest that it knows of; 0: none
-  10: list<LateStart> late_starts = []
+  10: list<LateStart> late_starts = [],
+  11: list<RunId> begun = []        // begun runs whose orders ask to report that
 }
 
 struct AgentReply {
@@ -857,11 +861,10 @@
   11: string image = "",
   12: i64 cpu_millicores = 0,
   13: Resources resources,          // reserved by the run; also set for STOP
-  14: optional i32 spread_limit     // maximum of runs of its step on one worker
+  14: optional i32 spread_limit,    // maximum of runs of its step on one worker
+  15: bool must_report_start = false // report at once that the run has begun
 }
 
-struct RunId { 1: string task, 2: i64 run }
-
 struct OrdersRequest {
   1: string agent,
   2: i64 term = 0,                  // of the subscriber's version
