--- a/tests/test_soak_losses.py
+++ b/tests/test_soak_losses.py
@@ -1,6 +1,7 @@
 """Tests of losses of workers in series and of the jobs beside them."""
 
 import collections
+import hashlib
 import itertools
 import random
 
@@ -19,6 +20,16 @@
 )
 _SEEDS = range(20)
 _DURATION_S = 40.0
+# SHA-256 of the losses of recorded seeds within 30 s, the first 16 digits.
+_RECORDED_DURATION_S = 30.0
+_RECORDED_LOSSES = {
+    10301: "71ce6f65ff51a224",
+    10302: "02ac5bb2d8c06e6f",
+    10303: "8e160b34f134b843",
+    10305: "ef61397d221d38f5",
+    20301: "c926e054993ef2a9",
+    20303: "464ff26bf189734c",
+}
 _MIN_OUTAGES_COUNT = 4
 _MAX_OUTAGE_PAUSE_S = 1.5
 _MIN_CRASH_INTERVAL_S, _MAX_CRASH_INTERVAL_S = 1.2, 2.0
@@ -60,6 +71,15 @@
     return found
 
 
+@pytest.mark.parametrize("seed", _RECORDED_LOSSES)
+def test_recorded_seeds_keep_their_losses(seed: int) -> None:
+    losses = fault_losses.draw_losses(
+        seed, duration_s=_RECORDED_DURATION_S, machines=_MACHINES
+    )
+    digest = hashlib.sha256(repr(losses).encode()).hexdigest()
+    assert digest.startswith(_RECORDED_LOSSES[seed])
+
+
 def test_equal_seeds_give_equal_losses() -> None:
     assert _draw(7) == _draw(7)
     assert _draw(7) != _draw(8)
