Reserve the ports that test processes draw across processes

Each drawn port is now a lock on one byte of a file that all test processes of a user open, held for the process's next 500 draws.

--- a/tests/one_process.py
+++ b/tests/one_process.py
@@ -1,7 +1,10 @@
 """Starts one process of the project on loopback and waits for conditions."""
 
+import collections
 from collections.abc import Callable
 import contextlib
+import fcntl
+import functools
 import os
 import pathlib
 import random
@@ -10,11 +13,15 @@
 import socket
 import subprocess
 import sys
+import tempfile
+import threading
 import time
 
 WAIT_LIMIT_S = 30.0
 _POLL_S = 0.05
 _LISTENING_PORT_RANGE = (15_000, 32_000)
+# More than any test has at a time; a session draws thousands.
+_RESERVED_PORTS_LIMIT = 500
 _ADDRESS = re.compile(r"(http|thrift)=(\S+)")
 _STARTED = r"event=started.*\n"
 _PORT_TAKEN = re.compile(r"cannot listen at \S+: Address already in use")
@@ -51,13 +58,52 @@
     """Returns a loopback address whose port is currently free.
 
     The port is below the range that the system uses for outgoing connections:
-    one of those could take the port before a process starts or restarts.
+    one of those could take the port before a process starts or restarts. No other
+    process of this user draws it among the next `_RESERVED_PORTS_LIMIT` draws.
     """
     while True:
         port = random.SystemRandom().randrange(*_LISTENING_PORT_RANGE)
         with contextlib.suppress(OSError):
             socket.create_server(("127.0.0.1", port)).close()
-            return f"127.0.0.1:{port}"
+            if _port_reservations().reserve(port):
+                return f"127.0.0.1:{port}"
+
+
+class _PortReservations:
+    """The ports that this process drew last; other test processes skip them.
+
+    Each is a lock on one byte of a file that all test processes open, so that the
+    reservations of a process end with it.
+    """
+
+    def __init__(self, path: pathlib.Path | None = None):
+        path = path or pathlib.Path(
+            tempfile.gettempdir(), f"marigoldsill-test-ports-{os.getuid()}"
+        )
+        # Opened once: closing it elsewhere would release the locks of this process.
+        self._file = path.open("ab")
+        self._ports: collections.deque[int] = collections.deque()
+        self._lock = threading.Lock()
+
+    def reserve(self, port: int) -> bool:
+        """Reserves a port unless it is reserved; may release the oldest one."""
+        with self._lock:
+            # A lock never conflicts with another one of the same process.
+            if port in self._ports:
+                return False
+            try:
+                fcntl.lockf(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+            except BlockingIOError:
+                return False
+            self._ports.append(port)
+            if len(self._ports) > _RESERVED_PORTS_LIMIT:
+                oldest = self._ports.popleft()
+                fcntl.lockf(self._file, fcntl.LOCK_UN, 1, oldest)
+            return True
+
+
+# Opened by the process that draws, since a fork does not inherit locks.
+_port_reservations = functools.cache(_PortReservations)
 
 
 class Process:
