Refuse heartbeats of a service that no configuration names

What callers saw: another writer sent heartbeats each 0.4 s with the id of a worker and a service that is in no configuration.

Cause: the rule that three contradicting heartbeats in a row are the worker's own compared no pool with the configuration. A writer that sends more often than the worker always gets three in a row.

Fix: the leader names the pools in each reply with orders. Of two announcements of one incarnation, the one whose pool does not exist never replaces the other and does not count as a contradiction; the one whose pool exists replaces the other at once, whatever the sequences. Between two pools that both exist, the rule of three holds as before, and its tests are unchanged.

Who knows the configuration, and how old that is: only the leader does. An agent asks for its orders without a pause, and each reply waits for at most 1 s, so its view is about a second old, or as old as its last reply while it is cut off. Therefore no worker is refused for its pool alone: - before the first configuration nothing is known, and the rule of three holds; - a new incarnation is taken whatever its pool, and one that repeats its pool is accepted also after the pool was removed, so that a worker that drains gets its acknowledgement; - pools of accepted jobs count beside those of the configuration, as such jobs continue on workers of a pool that is no longer routed to; - where an old view prefers the wrong one of two announcements, the worker's next heartbeat after the next reply corrects it. Left as it is: a foreign heartbeat with a pool that exists and another label or zone wins with three in a row, as the users' sentence is about a service that "isn't named here".

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -160,6 +160,7 @@
             if reply.term < self.term:
                 return False
             self.term = reply.term
+            self.incarnations.pools.update(reply.pools)
             inherited = self.run_orders.update(
                 reply, self.worker, ended=self.ends
             )
--- a/marigoldsill/coordination/jobs/orders.py
+++ b/marigoldsill/coordination/jobs/orders.py
@@ -9,6 +9,9 @@
 version of the orders of every agent. As a lease names the version from which runs may
 start, an agent without the news of an evacuation starts nothing once its lease is
 renewed.
+
+Each reply names the pools that workers may belong to as well. Their changes are no new
+version, as an agent only needs them to refuse announcements of other writers.
 """
 
 import collections
@@ -140,6 +143,7 @@
             term=term,
             version=agent_orders.version,
             evacuated_data_centres=sorted(tables.evacuated_data_centres),
+            pools=sorted(tables.jobs.used_pools),
         )
         keys: set[task_names.RunKey] = set(agent_orders.desired)
         if request.term != term or not _has_changes_since(
--- a/marigoldsill/coordination/worker_incarnations/__init__.py
+++ b/marigoldsill/coordination/worker_incarnations/__init__.py
@@ -5,8 +5,10 @@
 """
 
 __all__ = [
+    "contradictions",
     "departures",
     "incarnations",
+    "known_pools",
     "late_calls",
     "late_starts",
 ]
--- a/marigoldsill/coordination/worker_incarnations/incarnations.py
+++ b/marigoldsill/coordination/worker_incarnations/incarnations.py
@@ -7,6 +7,8 @@
 """
 
 from marigoldsill import errors
+from marigoldsill.coordination.worker_incarnations import contradictions
+from marigoldsill.coordination.worker_incarnations import known_pools
 from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
@@ -22,10 +24,6 @@
 # late, but not a thousand incarnations late; an incarnation that is no longer remembered
 # is called again, and the worker refuses the call again.
 _ENDED_LIMIT = 1_000
-# This number of contradicting heartbeats in a row, with no heartbeat that repeats the
-# accepted properties between them, comes from the worker itself: a heartbeat of another
-# writer may have come first, before the agent knew its worker.
-_CONTRADICTIONS_LIMIT = 3
 # Largest gap in sequence numbers across which a heartbeat is accepted at once. It
 # allows for lost heartbeats; a larger gap suggests another writer.
 _SEQUENCE_GAP_LIMIT = 100
@@ -38,9 +36,11 @@
         current: The newest accepted announcement of the incarnation that answers, or
             None.
         last_announcement_s: When the current incarnation was announced last.
+        pools: The pools that an announcement may name.
     """
 
     def __init__(self):
+        self.pools = known_pools.KnownPools()
         self.current: run_worker.Announcement | None = None
         self.last_announcement_s = clock.now_s()
         # Both with the oldest first.
@@ -51,8 +51,7 @@
         # An incarnation that answered without having been announced.
         self._answering_id = ""
         self._was_current_called_last = True
-        self._contradiction: run_worker.Announcement | None = None
-        self._contradictions_count = 0
+        self._contradictions = contradictions.Contradictions(self.pools)
 
     @property
     def current_id(self) -> str:
@@ -98,7 +97,7 @@
         if worker_id == self.current_id:
             return self._record_current(announcement)
         known = self._candidates.get(worker_id)
-        if known is not None and known.sequence >= announcement.sequence:
+        if known is not None and not self._is_newer(announcement, known):
             return False
         self._candidates[worker_id] = announcement
         if len(self._candidates) > _CANDIDATES_LIMIT:
@@ -205,53 +204,44 @@
             )
         return started_ms < last_started_ms and worker_id != self._answering_id
 
+    def _is_newer(
+        self,
+        announcement: run_worker.Announcement,
+        known: run_worker.Announcement,
+    ) -> bool:
+        """Whether an announcement replaces a known one of the same candidate.
+
+        Raises:
+            ConflictError: It names another pool, which does not exist.
+        """
+        pool, known_pool = announcement.worker.pool, known.worker.pool
+        self.pools.check(pool, instead_of=known_pool)
+        return (
+            self.pools.only_has(pool, not_pool=known_pool)
+            or announcement.sequence > known.sequence
+        )
+
     def _record_current(self, announcement: run_worker.Announcement) -> bool:
         gap = announcement.sequence - self.current.sequence
-        has_same_properties = _has_same_properties(announcement, self.current)
+        has_same_properties = contradictions.has_same_properties(
+            announcement, self.current
+        )
         if has_same_properties and gap <= 0:
             # Confirms the known capacity although the sequence is not higher.
             self._accept(self.current)
             return False
         is_subsequent = 0 < gap <= _SEQUENCE_GAP_LIMIT
-        if not is_subsequent or not _has_same_fixed_properties(
+        if not is_subsequent or not contradictions.has_same_fixed_properties(
             announcement, self.current
         ):
-            self._check_contradiction(announcement)
+            self._contradictions.check(announcement, self.current)
         self._accept(announcement)
         return True
 
-    def _check_contradiction(
-        self, announcement: run_worker.Announcement
-    ) -> None:
-        """Refuses an announcement that contradicts the current one, until repeated.
-
-        Raises:
-            ConflictError: It was not repeated often enough yet.
-        """
-        is_repeated = (
-            self._contradiction is not None
-            and _has_same_properties(announcement, self._contradiction)
-            and announcement.sequence > self._contradiction.sequence
-        )
-        self._contradictions_count = (
-            self._contradictions_count + 1 if is_repeated else 1
-        )
-        self._contradiction = announcement
-        if self._contradictions_count < _CONTRADICTIONS_LIMIT:
-            worker = announcement.worker
-            raise errors.ConflictError(
-                f"incarnation {worker.worker_id} belongs to pool "
-                f"{self.current.worker.pool!r} but was announced with pool "
-                f"{worker.pool[:40]!r}, labels {worker.labels[:2]!r} and sequence "
-                f"{announcement.sequence} after {self.current.sequence}; expected the "
-                "same pool, data centre and labels in all heartbeats of an "
-                "incarnation, and capacity changes only in subsequent heartbeats"
-            )
-
     def _accept(self, announcement: run_worker.Announcement) -> None:
         self.current = announcement
         self.last_announcement_s = clock.now_s()
-        self._contradiction, self._contradictions_count = None, 0
+        self._contradictions.clear()
 
 
 def log_changes(before: ttypes.PoolWorker, after: ttypes.PoolWorker) -> None:
@@ -270,23 +260,3 @@
             before=amounts.describe(before.capacity),
             after=amounts.describe(after.capacity),
         )
-
-
-def _has_same_properties(
-    one: run_worker.Announcement, other: run_worker.Announcement
-) -> bool:
-    """Whether two announcements agree on the capacity and all fixed properties."""
-    has_same_capacity = one.worker.capacity == other.worker.capacity
-    return has_same_capacity and _has_same_fixed_properties(one, other)
-
-
-def _has_same_fixed_properties(
-    one: run_worker.Announcement, other: run_worker.Announcement
-) -> bool:
-    """Whether two announcements agree on all fixed properties."""
-    return _fixed_properties(one.worker) == _fixed_properties(other.worker)
-
-
-def _fixed_properties(worker: ttypes.PoolWorker) -> tuple:
-    """Returns the properties of a worker that never change in an incarnation."""
-    return worker.pool, worker.data_centre, worker.labels
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -879,7 +879,8 @@
   6: list<string> control_addresses = [],
   7: i64 interference_version = 0,
   8: optional list<PairInterference> interference,  // all pairs, if the version changed
-  9: list<string> evacuated_data_centres = []   // always complete
+  9: list<string> evacuated_data_centres = [],  // always complete
+  10: list<string> pools = []       // that workers may belong to; empty: not known yet
 }
 
 // ---------------------------------------------------- group formation
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -45,6 +45,7 @@
         routing: The operators' routing with the highest version.
         queues: Its queues by name.
         pools: Its pools by name.
+        used_pools: Names of its pools, and of those of the jobs' queues.
         jobs: All jobs that have not been removed, by id.
         runs_by_agent: Runs that may be alive, by agent, then (task, run).
         changed_agents: Agents whose runs changed since `pop_changed_agents`.
@@ -58,6 +59,7 @@
         self.routing = ttypes.Routing()
         self.queues: dict[str, ttypes.Queue] = {}
         self.pools: dict[str, ttypes.Pool] = {}
+        self.used_pools: set[str] = set()
         self.jobs: dict[str, ttypes.JobRecord] = {}
         self.runs_by_agent: dict[str, dict[tuple[str, int], LiveRun]] = {}
         self.changed_agents: set[str] = set()
@@ -70,11 +72,16 @@
         self.routing = routing
         self.queues = {queue.name: queue for queue in routing.queues}
         self.pools = {pool.name: pool for pool in routing.pools}
+        # Jobs that were accepted before continue in a pool that is no longer routed to.
+        self.used_pools = {*self.pools} | {
+            record.queue.pool for record in self.jobs.values()
+        }
 
     def add_job(self, record: ttypes.JobRecord) -> None:
         """Adds a job and indexes its runs that may be alive."""
         job_id = record.job.job_id
         self.jobs[job_id] = record
+        self.used_pools.add(record.queue.pool)
         self.changed_jobs.add(job_id)
         for name, _, task in tasks_of(record):
             for run in task.runs:
--- a/tests/coordination/jobs/test_incarnations.py
+++ b/tests/coordination/jobs/test_incarnations.py
@@ -3,12 +3,15 @@
 Another writer is any process other than the worker that sends heartbeats to the agent.
 """
 
+from collections.abc import Iterable
+
 import pytest
 
 from marigoldsill import errors
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
+from tests.coordination.jobs import fake_worker
 from tests.coordination.jobs import stepped_agent
 
 _LEASE_S = 3.0
@@ -194,6 +197,107 @@
     assert agent.state.worker.pool == "pool"
 
 
+def _announce_other_pool(
+    agent: stepped_agent.SteppedAgent,
+    incarnation: str = "a1-incarnation1",
+    pool: str = "no-pool",
+    sequences: Iterable[int] = range(1_000, 1_005),
+) -> int:
+    """Announces the worker under another pool; returns how often that was refused."""
+    refused_count = 0
+    for sequence in sequences:
+        other = stepped_agent.announcement(incarnation, sequence=sequence)
+        other.worker.pool = pool
+        try:
+            agent.state.record_announcement(other)
+        except errors.ConflictError:
+            refused_count += 1
+    return refused_count
+
+
+@pytest.mark.parametrize("first_sequence", [2, 1_000])
+def test_repeated_heartbeats_of_an_unknown_pool_do_not_outvote_the_worker(
+    agent: stepped_agent.SteppedAgent, first_sequence: int
+) -> None:
+    """Guards against an idle worker that gets no tasks while another writer announces it.
+
+    The other writer's heartbeats come several times as often as the worker's own.
+    """
+    agent.receive_orders(orders=[], removed=[], pools=["pool"])
+    for number in range(2, 6):
+        sequences = range(first_sequence, first_sequence + 5)
+        assert _announce_other_pool(agent, sequences=sequences) == 5
+        agent.state.record_announcement(
+            stepped_agent.announcement("a1-incarnation1", sequence=number)
+        )
+    assert agent.state.worker.pool == "pool"
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    assert list(agent.worker.running) == [stepped_agent.KEY]
+
+
+def test_heartbeats_of_an_unknown_pool_do_not_delay_a_changed_zone(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.receive_orders(orders=[], removed=[], pools=["pool"])
+    for sequence in (2, 3, 4):
+        _announce_other_pool(agent)
+        own = stepped_agent.announcement("a1-incarnation1", sequence=sequence)
+        own.worker.data_centre = "dc2"
+        if sequence < 4:
+            with pytest.raises(errors.ConflictError):
+                agent.state.record_announcement(own)
+    agent.state.record_announcement(own)
+    assert agent.state.worker.data_centre == "dc2"
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_worker_replaces_an_earlier_heartbeat_of_an_unknown_pool(
+    is_confirmed: bool,
+) -> None:
+    """Guards against a worker out of use after another writer announced it first.
+
+    The agent has restarted, and both go on with their heartbeats. Those of the other
+    writer come more often and have a higher sequence.
+    """
+    agent = stepped_agent.build_agent(fake_worker.FakeWorker())
+    _announce_other_pool(agent)
+    agent.receive_orders(orders=[], removed=[], pools=["pool"])
+    if is_confirmed:
+        agent.renew_lease()
+        assert agent.state.worker.pool == "no-pool"
+    agent.state.record_announcement(
+        stepped_agent.announcement("a1-incarnation1", sequence=2)
+    )
+    assert _announce_other_pool(agent, sequences=range(2_000, 2_005)) == 5
+    agent.renew_lease()
+    assert agent.state.worker.pool == "pool"
+
+
+def test_worker_of_a_pool_that_the_agent_does_not_know_yet_is_used(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against refusing workers whose pool was added or removed a moment ago."""
+    for pools in (["pool"], ["other"], []):
+        agent.receive_orders(orders=[], removed=[], pools=pools)
+        agent.state.record_announcement(
+            stepped_agent.announcement("a1-incarnation1", sequence=2)
+        )
+    restarted = stepped_agent.announcement("a1-incarnation2")
+    restarted.worker.pool = "new"
+    agent.worker.incarnation = "a1-incarnation2"
+    agent.state.record_announcement(restarted)
+    agent.renew_lease()
+    assert agent.state.worker.pool == "new"
+    # Another writer of a pool that was removed gains at most until the news arrives.
+    _announce_other_pool(agent, "a1-incarnation2", pool="other")
+    agent.receive_orders(orders=[], removed=[], pools=["new"])
+    agent.state.record_announcement(
+        run_worker.Announcement(restarted.worker, sequence=2)
+    )
+    assert agent.state.worker.pool == "new"
+
+
 def test_number_of_remembered_incarnations_is_limited(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
--- a/tests/coordination/jobs/test_orders.py
+++ b/tests/coordination/jobs/test_orders.py
@@ -4,6 +4,7 @@
 
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import tables as tables_module
 from tests.coordination.jobs import builders
 
 _TERM = 3
@@ -157,3 +158,17 @@
     leader.state.grant(builders.grant(builders.task_name(0)))
     (order,) = leader.changes_since(0).orders
     assert order.spread_limit == 2
+
+
+def test_replies_name_the_pools_of_the_routing_and_of_accepted_jobs(
+    leader: _Leader,
+) -> None:
+    """Guards against refusing workers that run the jobs of a removed pool."""
+    new_routing = builders.routing(2, queues=[])
+    new_routing.pools = [ttypes.Pool(name="new")]
+    leader.state.apply(
+        replace_routing=ttypes.ReplaceRouting(routing=new_routing)
+    )
+    assert leader.changes_since(0).pools == ["new", builders.POOL]
+    restored = tables_module.Tables.from_bytes(leader.state.tables.to_bytes())
+    assert restored.jobs.used_pools == {"new", builders.POOL}
--- a/tests/platform/test_foreign_heartbeats.py
+++ b/tests/platform/test_foreign_heartbeats.py
@@ -151,3 +151,36 @@
     body = b" " * (_SIZE_LIMIT_BYTES + 1)
     assert sender.send(f"Heartbeat/{worker_id}", body) in (0, 413)
     assert sender.send("Heartbeat/i-other", b" " * _SIZE_LIMIT_BYTES) == 400
+
+
+def test_heartbeats_of_an_unknown_service_do_not_outvote_the_worker(
+    system_with_run,
+) -> None:
+    """Guards against a job that stays queued beside the idle worker that can run it.
+
+    Another writer sends heartbeats with the worker's id and a service that is in no
+    configuration, several times as often as the worker sends its own.
+    """
+    worker = system_with_run.workers["side-1"]
+    sender = _MessageSender(system_with_run.control_address("side-1"))
+    statuses = set()
+    sequences = itertools.count(1)
+
+    def is_completed_beside_other_heartbeats() -> bool:
+        for sequence in itertools.islice(sequences, 5):
+            body = _heartbeat(service="no-pool", sequence=sequence)
+            call = f"Heartbeat/{worker.incarnation}"
+            statuses.add(sender.send(call, json.dumps(body).encode()))
+        state = system_with_run.get_job_state(job_id).value.get("state")
+        return state == "completed"
+
+    job_id = "00000000000000d3"
+    worker.faults.skips_heartbeats = True
+    assert not is_completed_beside_other_heartbeats()
+    worker.faults.skips_heartbeats = False
+    system_with_run.submit(job_id, system_module.step())
+    one_process.wait_until(
+        is_completed_beside_other_heartbeats,
+        what="the job's end while another writer sends heartbeats",
+    )
+    assert statuses == {409}
