Drop a submission whose caller has left before it is proposed

What callers saw: a client sent a job to a machine that was frozen, left, and cancelled the job through another machine, which answered 410.

Cause: nobody asked whether the caller was still there, as is done for orders of evacuations. The entry also repeated an unanswered submission for callers that had gone meanwhile.

Fix: the entry looks at the caller's socket right before each attempt to hand a job in. That is a system call without a wait (an evacuation waits 50 ms for the watcher, which no submission should). Once the caller has left, the job is not sent any more: refused as not run if no attempt was sent, else left unknown. As for evacuations and calls, a caller that only shuts down its sending side counts as gone; it is told the truth, 503 and not run.

--- a/marigoldsill/coordination/jobs/client.py
+++ b/marigoldsill/coordination/jobs/client.py
@@ -7,6 +7,7 @@
 most submissions fail at once.
 """
 
+from collections.abc import Callable
 from concurrent import futures
 import contextlib
 import dataclasses
@@ -16,6 +17,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.jobs import job_metrics
+from marigoldsill.coordination.leadership import call_facts
 from marigoldsill.coordination.leadership import control_addresses
 from marigoldsill.coordination.leadership import control_link
 from marigoldsill.coordination.leadership import leader_outage
@@ -41,15 +43,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallContext:
-    """The deadline and the request id of a call.
+    """The deadline and the request id of a call, and whether it is still needed.
 
     Attributes:
         deadline: When the caller stops waiting.
         request_id: The id that the caller gave the request; may be empty.
+        is_abandoned: Returns whether the caller has disconnected, after which the call
+            is not sent any more.
     """
 
     deadline: deadlines.Deadline
     request_id: str = ""
+    is_abandoned: Callable[[], bool] = lambda: False
 
 
 class JobClient:
@@ -136,6 +141,7 @@
 
         Raises:
             NoQuorumError: No leader answered; nothing was done.
+            NotRunError: The caller disconnected before the call was sent.
             UnknownOutcomeError: The call may have taken effect, or still may.
         """
         start_s = self._last_call_s = time.monotonic()
@@ -144,8 +150,8 @@
         try:
             if method == "submit_job":
                 self._reject_in_long_outage(requests)
-            reply = self._call_with_retries(method, requests, context.deadline)
-            outcome = _outcome_of(reply)
+            reply = self._call_with_retries(method, requests, context)
+            outcome = call_facts.outcome_of(reply)
             return reply
         except errors.MarigoldsillError as error:
             outcome = error.kind
@@ -158,7 +164,7 @@
             logs.event(
                 "job_call",
                 call=method,
-                about=_subject_of(requests),
+                about=call_facts.subject_of(requests),
                 request=context.request_id,
                 outcome=outcome,
                 took_ms=round(took_s * 1000),
@@ -170,13 +176,19 @@
         self,
         method: str,
         requests: tuple[object, ...],
-        deadline: deadlines.Deadline,
+        context: CallContext,
     ) -> object:
+        deadline = context.deadline
         unknown_outcome: errors.UnknownOutcomeError | None = None
         last_failure = "the call's time was over"
         start_s = time.monotonic()
         while left_s := deadline.remaining_s():
-            _set_call_age(requests, time.monotonic() - start_s)
+            if context.is_abandoned():
+                raise unknown_outcome or errors.NotRunError(
+                    "the caller has disconnected; nothing was done",
+                    retry_after_ms=call_facts.retry_after_ms(requests),
+                )
+            call_facts.set_age(requests, time.monotonic() - start_s)
             try:
                 return self._attempt(
                     method, requests, min(left_s, _ATTEMPT_TIMEOUT_S)
@@ -198,7 +210,7 @@
         raise errors.NoQuorumError(
             "no leader of control answered in time, nothing was done: "
             f"{last_failure}",
-            retry_after_ms=_retry_after_ms(requests),
+            retry_after_ms=call_facts.retry_after_ms(requests),
         )
 
     def _reject_in_long_outage(self, requests: tuple[object, ...]) -> None:
@@ -214,7 +226,7 @@
         raise errors.NoQuorumError(
             "no leader of control has answered for "
             f"{self._outage.age_s(now_s=now_s):.1f} s; nothing was done",
-            retry_after_ms=_retry_after_ms(requests),
+            retry_after_ms=call_facts.retry_after_ms(requests),
         )
 
     def _attempt(
@@ -274,50 +286,3 @@
                 return
         with contextlib.suppress(OSError):
             link.close()
-
-
-def _set_call_age(requests: tuple[object, ...], age_s: float) -> None:
-    """Tells the leader since when a call about a job has been repeated."""
-    match requests:
-        case (ttypes.JobAddress() as address, *_):
-            address.call_age_ms = int(1000 * age_s)
-
-
-def _retry_after_ms(requests: tuple[object, ...]) -> int:
-    """Returns when the caller of a call that found no leader should return."""
-    run_time_ms = 0.0
-    match requests:
-        case (ttypes.JobAddress(), ttypes.Job(steps=[*steps])):
-            run_time_ms = _estimated_run_time_ms(steps)
-    return leader_outage.retry_after_ms(
-        _subject_of(requests), run_time_ms=run_time_ms
-    )
-
-
-def _estimated_run_time_ms(steps: list[ttypes.Step]) -> float:
-    """Returns the length of the critical path of a job, as its caller estimates it."""
-    ends_ms: list[float] = []
-    for step in steps:
-        begin_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
-        ends_ms.append(begin_ms + step.estimated_ms)
-    return max(ends_ms, default=0)
-
-
-def _outcome_of(reply: object) -> str:
-    """The outcome of an answered call, for the log and the metrics."""
-    if isinstance(reply, ttypes.JobReply):
-        return ttypes.JobOutcome(reply.outcome).name.lower()
-    return "done"
-
-
-def _subject_of(requests: tuple[object, ...]) -> str:
-    """The subject of a call for the log: a job id, a queue, a data centre or a routing."""
-    match requests:
-        case (ttypes.JobAddress(path=path), *_):
-            return path.rpartition("/")[2] or path
-        case (ttypes.Routing(version=version),):
-            return f"routing-{version}"
-        case (ttypes.SetEvacuation(data_centre=data_centre), *_):
-            return data_centre
-        case _:
-            return "routing"
--- a/marigoldsill/coordination/leadership/__init__.py
+++ b/marigoldsill/coordination/leadership/__init__.py
@@ -8,6 +8,7 @@
 __all__ = [
     "audit_logger",
     "change_set",
+    "call_facts",
     "commands",
     "control_addresses",
     "control_link",
--- a/marigoldsill/platform/job_http.py
+++ b/marigoldsill/platform/job_http.py
@@ -1,5 +1,7 @@
 """HTTP interface for clients of the platform: jobs and queues."""
 
+import dataclasses
+
 from werkzeug import wrappers
 
 from marigoldsill import errors
@@ -8,6 +10,7 @@
 from marigoldsill.platform import job_bodies
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
+from marigoldsill.transport import http_server
 
 _DEADLINE_HEADER = "Request-Deadline"
 _REQUEST_ID_HEADER = "Request-Id"
@@ -53,6 +56,10 @@
     ) -> wrappers.Response:
         job_id = address.path.rpartition("/")[2]
         job = job_bodies.decode(request.get_data(cache=False), job_id=job_id)
+        # A process that was frozen reads old requests when it continues. Their callers
+        # may have cancelled the job elsewhere since.
+        hangup = request.environ[http_server.HANGUP_KEY]
+        context = dataclasses.replace(context, is_abandoned=hangup.poll)
         reply = self._client.submit(address, job, context=context)
         _check_queue(reply, address)
         if reply.outcome == ttypes.JobOutcome.REJECTED:
--- a/marigoldsill/transport/hangups.py
+++ b/marigoldsill/transport/hangups.py
@@ -25,9 +25,16 @@
         is_disconnected: Whether the caller has disconnected.
     """
 
-    __slots__ = ("_callback", "_lock", "is_disconnected")
+    __slots__ = ("_callback", "_descriptor", "_lock", "is_disconnected")
 
-    def __init__(self):
+    def __init__(self, descriptor: int | None = None):
+        """Initializes a hangup of a connected caller.
+
+        Args:
+            descriptor: The caller's socket, open as long as the hangup is in use; None
+                for a caller that cannot be seen to disconnect.
+        """
+        self._descriptor = descriptor
         self._lock = threading.Lock()
         self._callback: Callable[[], None] | None = None
         self.is_disconnected = False
@@ -39,6 +46,17 @@
             if self.is_disconnected and callback is not None:
                 callback()
 
+    def poll(self) -> bool:
+        """Looks at the socket, without waiting for the watcher to notice.
+
+        Returns:
+            Whether the caller has disconnected.
+        """
+        has_socket = self._descriptor is not None
+        if has_socket and _is_disconnected(self._descriptor):
+            self.record_disconnect()
+        return self.is_disconnected
+
     def record_disconnect(self) -> None:
         """Records that the caller has disconnected and calls the callback."""
         with self._lock:
@@ -69,8 +87,8 @@
     @contextlib.contextmanager
     def watched(self, connection: socket.socket):
         """Watches a connection while the context is open."""
-        hangup = Hangup()
         descriptor = connection.fileno()
+        hangup = Hangup(descriptor)
         with self._lock:
             self._hangups[descriptor] = hangup
         try:
--- a/tests/coordination/jobs/test_client.py
+++ b/tests/coordination/jobs/test_client.py
@@ -75,7 +75,9 @@
 
 
 def _submit(
-    monkeypatch: pytest.MonkeyPatch, election: _ElectionTime
+    monkeypatch: pytest.MonkeyPatch,
+    election: _ElectionTime,
+    **context: object,
 ) -> ttypes.JobReply:
     client = client_module.JobClient(
         addresses=control_addresses.ControlAddresses(["127.0.0.1:1"])
@@ -85,7 +87,7 @@
         ttypes.JobAddress(host="jobs.example", path="/fast/1"),
         ttypes.Job(job_id="1"),
         context=client_module.CallContext(
-            deadlines.Deadline(time.monotonic() + 2.9)
+            deadlines.Deadline(time.monotonic() + 2.9), **context
         ),
     )
 
@@ -121,6 +123,29 @@
     assert time.monotonic() - begin_s < 2.0
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [
+        errors.NoQuorumError("nobody", retry_after_ms=500),
+        errors.UnknownOutcomeError("the leader was lost"),
+    ],
+)
+def test_a_job_is_not_sent_any_more_once_its_caller_has_left(
+    monkeypatch: pytest.MonkeyPatch, failure: errors.MarigoldsillError
+) -> None:
+    """Guards against a job that is accepted after its caller cancelled it elsewhere."""
+    election = _ElectionTime(first_failure=failure, lasts_s=0.5)
+    with pytest.raises(
+        (errors.NotRunError, errors.UnknownOutcomeError)
+    ) as caught:
+        _submit(
+            monkeypatch, election, is_abandoned=lambda: bool(election.calls)
+        )
+    assert election.calls == ["1"]
+    is_unknown = isinstance(failure, errors.UnknownOutcomeError)
+    assert (caught.value is failure) == is_unknown
+
+
 def test_a_read_without_an_answer_is_reported_as_not_done() -> None:
     """Guards against reads that are answered as if they might have changed something.
 
--- a/tests/transport/test_hangups.py
+++ b/tests/transport/test_hangups.py
@@ -46,3 +46,13 @@
         watcher.handle_event(ours.fileno())
         assert hangup.is_disconnected
     ours.close()
+
+
+def test_poll_sees_a_disconnection_that_the_watcher_has_not_noticed() -> None:
+    watcher = hangups.HangupWatcher()
+    ours, theirs = socket.socketpair()
+    with ours, watcher.watched(ours) as hangup:
+        assert not hangup.poll()
+        theirs.close()
+        assert hangup.poll()
+        assert hangup.is_disconnected
