Refuse a job for a while after its cancelling was answered with no such job

What callers saw: a client got no answer to its submission, cancelled the job through another process and was told 410, no such job. The submission was still on its way (an entry that is frozen while its caller waits, bytes behind a cut connection, a leader that answers late), was accepted afterwards, and ran.

Cause: the leader looked the job up, and kept no note of a cancellation of a job that it did not know.

Fix: each cancellation goes through the log. That of an unknown job is kept there, and a submission of the id that comes later in the log is refused with 429 and the remaining time as Retry-After. That is no race with a submission in flight any more either: the log decides which came first. - Bound in time: 30 s by the time in the log's commands. An entry sends one submission for 4 s at most (its own limit), and the last bytes before a cut arrive after at most twice its length, as TCP doubles its pauses: 4 + 2 x 13 s. A client that cancels an id by mistake is served 30 s later, 60 s at most where clocks of leaders differ, and at once if they differ by more. - Bound in number: 1,000, the oldest are dropped; ids of over 128 characters are not stored.

What it costs is one commit for a cancellation of an unknown job, which was a read before.

Evidence: on the code before, the test of the group failed (the job was accepted), as did that of the whole system with a caller that waits (200 rather than 429).

--- a/marigoldsill/coordination/job_admission/causes.py
+++ b/marigoldsill/coordination/job_admission/causes.py
@@ -22,6 +22,7 @@
     JOBS_LIMIT = "waiting_jobs_limit"
     BYTES_LIMIT = "waiting_bytes_limit"
     TOO_EARLY = "returned_early"
+    CANCELLED = "cancelled"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/marigoldsill/coordination/job_admission/submission_handler.py
+++ b/marigoldsill/coordination/job_admission/submission_handler.py
@@ -1,7 +1,8 @@
 """Handles submissions on the leader: judges a job, then rejects or proposes it.
 
 Answers callers that send one job through several entries, and leaders that are frozen
-or replaced meanwhile: a job whose caller is told that it was rejected is in no log.
+or replaced meanwhile: a job whose caller is told that it was rejected is in no log, or
+was refused there for an earlier cancellation.
 """
 
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from marigoldsill.coordination.job_admission import (
     admission as admission_module,
 )
+from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import decision_log
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -88,12 +90,7 @@
         self._require_leader()
         if self._replica.term != term:
             raise ttypes.NoQuorum()
-        decision_log.record_rejection(job, rejection)
-        return ttypes.JobReply(
-            outcome=ttypes.JobOutcome.REJECTED,
-            retry_after_ms=rejection.retry_after_ms,
-            reason=rejection.message,
-        )
+        return _reject(job, rejection)
 
     def _propose_job(self, job: ttypes.Job, term: int) -> ttypes.JobReply:
         """Proposes a job that was accepted in a term, only in that term."""
@@ -106,9 +103,36 @@
             if result.outcome == ttypes.Outcome.NOT_FOUND:
                 outcome = _Outcome.FAILED
                 return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_QUEUE)
+            if result.outcome == ttypes.Outcome.CANCELLED:
+                outcome = _Outcome.FAILED
+                return _reject(job, _cancelled_rejection(result))
         except _NOTHING_DONE:
             outcome = _Outcome.FAILED
             raise
         finally:
             self._admission.end_proposal(job.job_id, term=term, outcome=outcome)
         return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
+
+
+def _reject(
+    job: ttypes.Job, rejection: admission_module.Rejection
+) -> ttypes.JobReply:
+    decision_log.record_rejection(job, rejection)
+    return ttypes.JobReply(
+        outcome=ttypes.JobOutcome.REJECTED,
+        retry_after_ms=rejection.retry_after_ms,
+        reason=rejection.message,
+    )
+
+
+def _cancelled_rejection(
+    result: ttypes.CommandResult,
+) -> admission_module.Rejection:
+    return admission_module.Rejection(
+        reason=causes.Reason.CANCELLED,
+        message=(
+            "the job was cancelled before it arrived; its id can be used again in "
+            f"{result.retry_after_ms} ms"
+        ),
+        retry_after_ms=result.retry_after_ms,
+    )
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -136,7 +136,7 @@
     ) -> ttypes.JobReply:
         """Accepts a job or rejects it; an accepted one is stored on a majority.
 
-        A rejected job was not proposed, and none of its attempts may be in the log.
+        A rejected job was not stored, and none of its attempts may be.
         """
         return self._submission_handler.handle(
             job,
@@ -156,15 +156,16 @@
         return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED, state=state)
 
     def cancel_job(self, address: ttypes.JobAddress) -> ttypes.JobReply:
-        """Cancels a job; returns once a majority has stored that."""
+        """Cancels a job; returns once a majority has stored that.
+
+        That of a job that is not known is stored as well, as its submission may still
+        arrive.
+        """
         self._require_leader(require_settled=True)
-        with self._replica.lock:
-            record = self._find_job(address)
-            job_id = "" if record is None else record.job.job_id
-        if not job_id:
-            self._require_leader()
+        job_id = queue_index.job_id_of(address)
+        result = self.propose(cancel_job=ttypes.CancelJob(job_id=job_id))
+        if result.outcome == ttypes.Outcome.NOT_FOUND:
             return ttypes.JobReply(outcome=ttypes.JobOutcome.NO_JOB)
-        self.propose(cancel_job=ttypes.CancelJob(job_id=job_id))
         return ttypes.JobReply(outcome=ttypes.JobOutcome.ACCEPTED)
 
     def pending_jobs(self, address: ttypes.JobAddress) -> ttypes.JobReply:
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -557,7 +557,7 @@
   70: optional SetEvacuation set_evacuation
 }
 
-enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7 }
+enum Outcome { OK = 1, CONFLICT = 2, NOT_FOUND = 3, GUARDED = 4, STALE = 5, KEY_REUSED = 6, ALREADY = 7, CANCELLED = 8 }
 
 /** What applying a command gave; stored for its command id. */
 struct CommandResult {
@@ -566,7 +566,8 @@
   3: i64 plan_id = 0,
   4: string message = "",
   5: optional Claim claim,
-  6: i32 applied_count = 0          // of the batch, how many took effect
+  6: i32 applied_count = 0,         // of the batch, how many took effect
+  7: i64 retry_after_ms = 0         // CANCELLED: when the id may be used again
 }
 
 // ------------------------------------------------------- replication
@@ -782,7 +783,7 @@
   2: JobState state = 1,            // of the requested job
   3: i32 pending_count = 0,         // of the requested queue
   4: i64 retry_after_ms = 0,        // REJECTED: when another attempt makes sense
-  5: string reason = ""             // REJECTED: the load that it answers
+  5: string reason = ""             // REJECTED: the load or the cancellation that it answers
 }
 
 struct RoutingReply { 1: binary document }
@@ -1009,6 +1010,9 @@
 
 struct StoredResult { 1: string command_id, 2: CommandResult result }
 
+/** A cancellation of a job that was not known. */
+struct EarlyCancellation { 1: string job_id, 2: i64 cancelled_unix_ms }
+
 /** All tables of the replicated state. */
 struct TablesSnapshot {
   1: i64 state_version,
@@ -1039,7 +1043,8 @@
   62: optional RecordLearnt learnt,
   63: list<string> unresponsive_agents = [],
   64: list<string> entry_addresses = [],
-  65: list<string> evacuated_data_centres = []
+  65: list<string> evacuated_data_centres = [],
+  70: list<EarlyCancellation> early_cancellations = []
 }
 
 /** What a control process must remember about itself; one file. */
--- a/marigoldsill/state/job_tables.py
+++ b/marigoldsill/state/job_tables.py
@@ -10,6 +10,7 @@
 
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import early_cancellations
 from marigoldsill.state import learnt_values as learnt_values_module
 
 ENDED = frozenset(
@@ -51,6 +52,7 @@
         changed_agents: Agents whose runs changed since `pop_changed_agents`.
         changed_jobs: Jobs that changed since `pop_changed_jobs`.
         learnt: What leaders have learnt of run times and interference.
+        early_cancellations: Cancellations of jobs that were not known.
         unresponsive_agents: Agents with runs whose lease a leader renews only
             after it has recorded that they respond again.
     """
@@ -64,6 +66,7 @@
         self.runs_by_agent: dict[str, dict[tuple[str, int], LiveRun]] = {}
         self.changed_agents: set[str] = set()
         self.changed_jobs: set[str] = set()
+        self.early_cancellations = early_cancellations.EarlyCancellations()
         self.learnt = learnt_values_module.LearntValues()
         self.unresponsive_agents: set[str] = set()
 
--- a/marigoldsill/state/jobs.py
+++ b/marigoldsill/state/jobs.py
@@ -31,10 +31,17 @@
 def submit(
     tables: tables_module.Tables, job: ttypes.Job, now_unix_ms: int
 ) -> ttypes.CommandResult:
-    """Accepts a job; one with a known id is ignored."""
+    """Accepts a job; one with a known id is ignored, one cancelled before refused."""
     jobs = tables.jobs
     if job.job_id in jobs.jobs:
         return _result(ttypes.Outcome.ALREADY)
+    cancelled_ms = jobs.early_cancellations.remaining_ms(
+        job.job_id, now_unix_ms=now_unix_ms
+    )
+    if cancelled_ms:
+        return ttypes.CommandResult(
+            outcome=ttypes.Outcome.CANCELLED, retry_after_ms=cancelled_ms
+        )
     queue = jobs.queues.get(job.queue)
     if queue is None:
         return _result(ttypes.Outcome.NOT_FOUND)
@@ -67,9 +74,13 @@
 def cancel(
     tables: tables_module.Tables, job_id: str, now_unix_ms: int
 ) -> ttypes.CommandResult:
-    """Cancels a job; one that has ended is not changed."""
+    """Cancels a job; one that has ended is not changed.
+
+    Of a job that is not known, the cancellation is kept for a while.
+    """
     record = tables.jobs.jobs.get(job_id)
     if record is None:
+        tables.jobs.early_cancellations.record(job_id, now_unix_ms=now_unix_ms)
         return _result(ttypes.Outcome.NOT_FOUND)
     if record.state in job_tables.ENDED:
         return _result(ttypes.Outcome.ALREADY)
--- a/marigoldsill/state/tables.py
+++ b/marigoldsill/state/tables.py
@@ -271,6 +271,7 @@
                 unresponsive_agents=sorted(self.jobs.unresponsive_agents),
                 entry_addresses=list(self.entry_addresses),
                 evacuated_data_centres=sorted(self.evacuated_data_centres),
+                early_cancellations=self.jobs.early_cancellations.to_records(),
             )
         )
 
@@ -319,6 +320,7 @@
             tables.jobs.add_job(job)
         if snapshot.learnt is not None:
             tables.jobs.learnt.update(snapshot.learnt)
+        tables.jobs.early_cancellations.restore(snapshot.early_cancellations)
         tables.jobs.record_unresponsive(snapshot.unresponsive_agents, ())
         tables.record_entries(snapshot.entry_addresses)
         tables.evacuated_data_centres = set(snapshot.evacuated_data_centres)
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -86,6 +86,32 @@
     assert service.cancel_job(address).outcome == ttypes.JobOutcome.NO_JOB
 
 
+def test_a_job_that_was_cancelled_first_is_rejected_also_by_the_next_leader(
+    group: groups.LocalGroup,
+) -> None:
+    """Guards against a job that runs after its cancelling was answered with no_job.
+
+    The submission is on its way while the caller cancels it through another process.
+    """
+    group.form()
+    old = group.leader()
+    old_service = _service(old)
+    old_service.replace_routing(builders.routing())
+    address = ttypes.JobAddress(
+        host="jobs.example", path=f"/{builders.QUEUE}/j1"
+    )
+    assert old_service.cancel_job(address).outcome == ttypes.JobOutcome.NO_JOB
+    assert _submit(old_service, "j1") == _REJECTED
+    group.stop(old.member.name)
+    new_service = _service(group.leader())
+    reply = new_service.submit_job(address, builders.job("j1"))
+    assert reply.outcome == _REJECTED
+    assert reply.retry_after_ms > 20_000
+    assert "cancelled before" in reply.reason
+    # It has taken no place from the one job that may wait.
+    assert _submit(new_service, "j2") == _ACCEPTED
+
+
 def test_a_rejection_has_a_reason_and_a_time_to_return(
     service: service_module.JobService,
 ) -> None:
