Count a run of a gang as one attempt, however many members fail in it

What callers saw: a gang was shown as `failed` after its first run, on a queue whose tasks may fail twice, if two of its members failed in that run. Cause: `_take_failure` added the failures of all members. Each member has failed once in such a run, and the gang once. Change: a member of a gang keeps the numbers of its runs that failed (`JobTask.failed_runs`), and the attempts of the gang are the distinct ones of all members. They stay the same for any order of the ends, for ends that come in several commands, and for an end of an earlier run that comes late. The count for plain tasks, copies and gangs is in state/run_outcomes/attempts.py. A gang still begins no run after as many failed runs as its queue allows, also if another member failed each time. No claim is stricter than the rule: no member has failed more runs than its gang, so a task isn't started after its limit either. Gangs of records written before have no numbers of failed runs, so their earlier attempts don't count.

--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -288,7 +288,8 @@
   // 7 was the last run with such a crash.
   // 8 was the agents of these workers.
   9: i64 crash_age_ms = 0,          // highest age of its runs at these crashes
-  10: list<WorkerLoss> losses = []  // the oldest first
+  10: list<WorkerLoss> losses = [], // the oldest first
+  11: optional list<i64> failed_runs // of a gang's member: its runs that ended as failed
 }
 
 struct StepTasks { 1: list<JobTask> tasks }
--- a/marigoldsill/state/run_outcomes/job_ends.py
+++ b/marigoldsill/state/run_outcomes/job_ends.py
@@ -7,6 +7,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 from marigoldsill.state import tables as tables_module
+from marigoldsill.state.run_outcomes import attempts
 from marigoldsill.state.run_outcomes import worker_losses
 
 
@@ -61,7 +62,7 @@
         case ttypes.RunEndKind.DONE if run is not None:
             _take_done(tables, record, address, task, now_unix_ms)
         case ttypes.RunEndKind.FAILED if run is not None:
-            _take_failure(tables, record, address, task, now_unix_ms)
+            _take_failure(tables, record, address, task, run.run, now_unix_ms)
         case ttypes.RunEndKind.CRASHED | ttypes.RunEndKind.LOST if (
             is_loss and not task.done
         ):
@@ -148,22 +149,22 @@
     record: ttypes.JobRecord,
     address: task_names.TaskAddress,
     task: ttypes.JobTask,
+    run: int,
     now_unix_ms: int,
 ) -> None:
-    task.failures_count += 1
     step = record.job.steps[address.step]
-    if step.long_running or task.done:
+    attempts.record_failure(task, step, run)
+    if task.done:
         return
     members = _members(record, address, task)
-    failures_count = sum(member.failures_count for member in members)
-    limit = tables.jobs.queue_of(record).attempts_limit
-    if failures_count >= limit:
+    if attempts.are_exhausted(step, members, tables.jobs.queue_of(record)):
         end_job(
             tables,
             record,
             ttypes.JobState.FAILED,
             now_unix_ms,
-            f"step {address.step} failed {failures_count} times",
+            f"step {address.step} failed "
+            f"{attempts.failed_count(step, members)} times",
         )
 
 
