--- a/benchmarks/job_rounds.py
+++ b/benchmarks/job_rounds.py
@@ -18,10 +18,10 @@
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.jobs import worker_refresher
 from marigoldsill.coordination.leadership import leases as leases_module
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import state_machine
 from marigoldsill.state import tables as tables_module
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -19,17 +19,17 @@
 from experiments import outcomes as outcomes_module
 from experiments import simulated_workers
 from marigoldsill.coordination.cpu_throttling import cpu_throttle
+from marigoldsill.coordination.job_learning import run_time_sampler
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import relocation
-from marigoldsill.coordination.job_placing import run_time_sampler
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.job_queueing import offer_policies
 from marigoldsill.coordination.job_queueing import usage as usage_module
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import state_machine
--- a/marigoldsill/coordination/job_admission/load_publisher.py
+++ b/marigoldsill/coordination/job_admission/load_publisher.py
@@ -11,6 +11,7 @@
 from marigoldsill.coordination.job_admission import step_facts
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import placement as placement_module
+from marigoldsill.coordination.job_placing import step_placement
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol import task_names
 from marigoldsill.transport import clock
@@ -178,7 +179,7 @@
         return load_module.PoolLoad(
             capacity_millicores=self._recent_capacity(pool, millicores, now_s),
             no_worker_since_s=self._without_workers_since_s.get(pool, math.inf),
-            max_idle_s=placement_module.max_idle_s(
+            max_idle_s=step_placement.max_idle_s(
                 reserved_share=index.reserved_share(pool)
             ),
             free_workers=free_workers,
--- a/marigoldsill/coordination/job_learning/__init__.py
+++ b/marigoldsill/coordination/job_learning/__init__.py
@@ -3,4 +3,4 @@
 Other packages use only the modules listed here.
 """
 
-__all__ = ["term_learning"]
+__all__ = ["run_time_sampler", "term_learning"]
--- a/marigoldsill/coordination/job_learning/term_learning.py
+++ b/marigoldsill/coordination/job_learning/term_learning.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 
 from marigoldsill.coordination.job_learning import learning_recorder
+from marigoldsill.coordination.job_learning import run_time_sampler
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
-from marigoldsill.coordination.job_placing import run_time_sampler
 from marigoldsill.coordination.learning import run_times as run_times_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -14,10 +14,10 @@
     "gangs",
     "placement",
     "relocation",
-    "run_time_sampler",
     "interference_model",
     "stall_detector",
+    "step_placement",
     "tickets",
+    "trials",
     "urgency",
-    "worker_health",
 ]
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import math
 
 from marigoldsill.coordination.job_locality import locality as locality_module
 from marigoldsill.coordination.job_locality import locality_settings
@@ -19,28 +18,22 @@
 )
 from marigoldsill.coordination.job_placing import capacity_index
 from marigoldsill.coordination.job_placing import crash_isolation
-from marigoldsill.coordination.job_placing import exploration
+from marigoldsill.coordination.job_placing import (
+    exploration as exploration_module,
+)
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import step_placement
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import worker_choice
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
-from marigoldsill.state.run_outcomes import worker_losses
 
 # Maximum number of grants in one round, which bounds the size of a command.
 _GRANTS_LIMIT = 300
-# A job without a running task for this long gets one regardless of interference: no
-# job may be idle for 3 s while less than half of a pool is in use.
-_IDLE_LIMIT_S = 2.0
-# Such a start costs the users of the disturbed tasks about as much as it gains. While
-# more than this share of a pool is reserved, which is that half plus a margin, a job
-# therefore waits for about the run time of large jobs.
-_FULL_POOL_SHARE = 0.6
-_FULL_POOL_IDLE_LIMIT_S = 20.0
 _DEFAULT_LOCALITY = locality_settings.LocalitySettings()
 
 
@@ -91,7 +84,7 @@
         )
         self._interference = interference
         self._health = health
-        self._exploration = exploration.Exploration(interference)
+        exploration = exploration_module.Exploration(interference)
         self._candidate_cache = candidates_module.CandidateCache(
             self.index, interference
         )
@@ -102,18 +95,22 @@
             health=health,
             tickets=tickets,
             isolation=self._isolation,
-            exploration=self._exploration,
+            exploration=exploration,
             is_live=is_live,
             admits=admits,
             spread=self._locality.spread,
         )
-        self._rack_queue = worker_choice.RackQueue(
+        self._pending = agents_module.PendingGrants()
+        self._gang_selector = gangs.GangSelector()
+        self._step_placement = step_placement.StepPlacement(
             index=self.index,
+            interference=interference,
+            candidate_cache=self._candidate_cache,
             chooser=self._chooser,
-            affinity=self._locality.affinity,
+            isolation=self._isolation,
+            exploration=exploration,
+            locality=self._locality,
         )
-        self._pending = agents_module.PendingGrants()
-        self._gang_selector = gangs.GangSelector()
 
     def refresh(
         self,
@@ -135,13 +132,25 @@
             self._locality.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
             return
+        free = self._compute_free(jobs, view, now_s)
+        if self._health.is_on_probation(view.worker.worker_id):
+            # One run shows whether the worker is healthy.
+            free.starts_limit = 1
+        free.ramp_starts_left = self._locality.observe_worker(
+            view.name, view.worker, now_s=now_s
+        )
+        self.index.put(free)
+
+    def _compute_free(
+        self,
+        jobs: job_tables.JobTables,
+        view: agents_module.AgentView,
+        now_s: float,
+    ) -> free_capacity.FreeCapacity:
         pending = self._pending.of_agent(view.name)
         free = free_capacity.compute_for_agent(
             jobs, view, self._interference, pending=pending
         )
-        if self._health.is_on_probation(view.worker.worker_id):
-            # One run shows whether the worker is healthy.
-            free.starts_limit = 1
         if self._locality.awaits_racks:
             before = self.index.workers.get(view.name)
             free.expected_ends = free_capacity.expect_run_ends(
@@ -152,10 +161,7 @@
                 predict_run_s=self._locality.affinity.predict_run_s,
                 now_s=now_s,
             )
-        free.ramp_starts_left = self._locality.observe_worker(
-            view.name, view.worker, now_s=now_s
-        )
-        self.index.put(free)
+        return free
 
     def due_agents(self, *, now_s: float) -> list[str]:
         """Returns agents to refresh, as their workers may take more tasks by now."""
@@ -180,14 +186,9 @@
         for waiting in steps:
             if len(grants) >= _GRANTS_LIMIT:
                 break
-            if waiting.step.gang:
-                if waiting.key in gang_keys:
-                    grants += self._place_gang(waiting, now_s)
+            if waiting.step.gang and waiting.key not in gang_keys:
                 continue
-            granted = self._place_step(waiting, now_s)
-            if not granted and self._is_idle_too_long(waiting, now_s):
-                granted = self._place_ignoring_limits(waiting, now_s)
-            grants += granted
+            grants += self._step_placement.place(waiting, now_s)
         self._candidate_cache.end_round()
         self._locality.end_round(now_s=now_s)
         return grants
@@ -247,140 +248,4 @@
         step: ttypes.Step,
     ) -> None:
         """Reserves the resources of one task until its worker is refreshed."""
-        free.reserve(key, step, self._interference)
-        self.index.record_change(free.agent)
-
-    def _place_step(
-        self, waiting: backlog_module.WaitingStep, now_s: float
-    ) -> list[ttypes.RunGrant]:
-        grants = []
-        has_candidates = True
-        may_wait = self._rack_queue.may_wait(waiting.step)
-        for index in waiting.waiting_indexes:
-            if self._chooser.is_isolated(waiting, index, now_s):
-                free = self._chooser.choose_for_suspect(waiting, index, now_s)
-            elif not has_candidates or (
-                may_wait
-                and self._rack_queue.waits_unchanged(waiting, index, now_s)
-            ):
-                continue
-            else:
-                candidates = self._candidate_cache.get_candidates(
-                    waiting.step, waiting.queue.pool
-                )
-                free = self._chooser.choose(waiting, index, candidates, now_s)
-                has_candidates = free is not None or worker_losses.is_suspect(
-                    waiting.tasks[index]
-                )
-                if may_wait and free is not None:
-                    limit_s = max_idle_s(
-                        reserved_share=self.index.reserved_share(
-                            waiting.queue.pool
-                        )
-                    )
-                    # A job is not idle any more once one of its tasks starts.
-                    if self._rack_queue.must_wait(
-                        waiting,
-                        index,
-                        free,
-                        idle_limit_s=math.inf if grants else limit_s,
-                        now_s=now_s,
-                    ):
-                        continue
-            if free is not None:
-                grants.append(self._grant_task(waiting, index, free, now_s))
-            elif not waiting.suspects_count:
-                break
-        return grants
-
-    def _place_ignoring_limits(
-        self, waiting: backlog_module.WaitingStep, now_s: float
-    ) -> list[ttypes.RunGrant]:
-        """Starts one task of an idle job without limits on interference.
-
-        It starts where it interferes least, and the agent throttles it to the speed
-        that is left. This way every job makes progress, even if slowly.
-        """
-        index = self._chooser.find_not_isolated(waiting, now_s)
-        if index is None:
-            return []
-        candidates = self._candidate_cache.get_candidates(
-            waiting.step, waiting.queue.pool, ignores_limits=True
-        )
-        free = candidates.find_best(
-            self._chooser.acceptance_of_task(waiting, index, now_s)
-        )
-        if free is None:
-            return []
-        return [self._grant_task(waiting, index, free, now_s)]
-
-    def _place_gang(
-        self, waiting: backlog_module.WaitingStep, now_s: float
-    ) -> list[ttypes.RunGrant]:
-        """Starts all members with the same run number, or none."""
-        if any(task.runs or task.done for task in waiting.tasks):
-            return []
-        agents = gangs.choose_agents(
-            waiting,
-            chooser=self._chooser,
-            index=self.index,
-            interference=self._interference,
-            now_s=now_s,
-        )
-        run = 1 + max(task.last_run for task in waiting.tasks)
-        return [
-            self._grant_task(
-                waiting, index, self.index.workers[agent], now_s, run=run
-            )
-            for index, agent in enumerate(agents)
-        ]
-
-    def _grant_task(
-        self,
-        waiting: backlog_module.WaitingStep,
-        index: int,
-        free: free_capacity.FreeCapacity,
-        now_s: float,
-        *,
-        run: int | None = None,
-    ) -> ttypes.RunGrant:
-        self._exploration.record_start(free, waiting.step, now_s=now_s)
-        self._isolation.record_start(
-            waiting.task_name(index),
-            waiting.tasks[index],
-            free.agent,
-            now_s=now_s,
-        )
-        run = run or waiting.tasks[index].last_run + 1
-        self._locality.record_start(
-            waiting.rack_task(index), free.agent, free, run=run, now_s=now_s
-        )
-        self.reserve(free, waiting.key, waiting.step)
-        return ttypes.RunGrant(
-            task=waiting.task_name(index),
-            run=run,
-            agent=free.agent,
-            worker_id=free.worker.worker_id,
-        )
-
-    def _is_idle_too_long(
-        self, waiting: backlog_module.WaitingStep, now_s: float
-    ) -> bool:
-        """Returns whether a best-effort job has been idle for too long."""
-        idle_s = now_s - waiting.idle_since_s
-        if not waiting.step.best_effort or idle_s <= _IDLE_LIMIT_S:
-            return False
-        return idle_s > max_idle_s(
-            reserved_share=self.index.reserved_share(waiting.queue.pool)
-        )
-
-
-def max_idle_s(*, reserved_share: float) -> float:
-    """Returns after which time a best-effort job gets a run despite interference.
-
-    Args:
-        reserved_share: The reserved share of its pool's processor time.
-    """
-    if reserved_share <= _FULL_POOL_SHARE:
-        return _IDLE_LIMIT_S
-    return _FULL_POOL_IDLE_LIMIT_S
+        self._step_placement.reserve(free, key, step)
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -23,7 +23,7 @@
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state.run_outcomes import worker_losses
--- a/marigoldsill/coordination/jobs/evictor.py
+++ b/marigoldsill/coordination/jobs/evictor.py
@@ -10,9 +10,9 @@
 from marigoldsill.coordination.job_placing import relocation
 from marigoldsill.coordination.job_placing import stall_detector
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import service as service_module
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.state import job_tables
 from marigoldsill.transport import logs
 
--- a/marigoldsill/coordination/jobs/scheduler.py
+++ b/marigoldsill/coordination/jobs/scheduler.py
@@ -9,13 +9,13 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_placing import urgency
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import leader_load
 from marigoldsill.coordination.jobs import lease_monitor
 from marigoldsill.coordination.jobs import scheduling_settings
 from marigoldsill.coordination.jobs import scheduling_term
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import ticket_manager
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import adviser as adviser_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
--- a/marigoldsill/coordination/jobs/scheduling_term.py
+++ b/marigoldsill/coordination/jobs/scheduling_term.py
@@ -18,7 +18,6 @@
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.job_queueing import policy_chain
 from marigoldsill.coordination.job_queueing import share_reclaimer
 from marigoldsill.coordination.jobs import evictor
@@ -30,6 +29,7 @@
 from marigoldsill.coordination.jobs import timetable
 from marigoldsill.coordination.jobs import worker_refresher
 from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -6,8 +6,9 @@
 
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import placement as placement_module
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.job_placing import trials
 from marigoldsill.coordination.leadership import leases as leases_module
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.state import job_tables
 from marigoldsill.state import tables as tables_module
 
@@ -98,6 +99,6 @@
         return self._health.may_start_run(
             view.worker.worker_id,
             count_runs=functools.partial(
-                worker_health.count_conclusive_runs, jobs, view, self._health
+                trials.count_conclusive_runs, jobs, view, self._health
             ),
         )
--- a/marigoldsill/coordination/learning/__init__.py
+++ b/marigoldsill/coordination/learning/__init__.py
@@ -13,4 +13,5 @@
     "run_times",
     "utilization",
     "usage",
+    "worker_health",
 ]
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -13,6 +13,8 @@
 import dataclasses
 import enum
 
+from marigoldsill.coordination.learning import blame as blame_module
+
 _RECENT_COUNT = 24
 # Minimum blame that successes have not offset, number of blamed families and share of
 # failures for a quarantine. The share also has to exceed the fleet's by the factor.
@@ -20,15 +22,10 @@
 _MIN_FAMILIES = 2
 _MIN_FAILURE_SHARE = 0.5
 _FLEET_SHARE_FACTOR = 3.0
-# Blame for one failure, by how its family did on other workers.
-_SUCCEEDED_ELSEWHERE_WEIGHT = 1.0
-_UNKNOWN_WEIGHT = 0.6
-_FAILED_ELSEWHERE_WEIGHT = 0.05
 _FLEET_DECAY = 0.999
 _COOLDOWN_S = 30.0
 _COOLDOWN_LIMIT_S = 1920.0
 _WINDOW_S = 600.0
-_FAMILIES_LIMIT = 20_000
 # Several times the number of workers of one control group. The limit is needed where
 # every start of a worker counts as another worker, so that their number keeps growing.
 _WORKERS_LIMIT = 20_000
@@ -83,8 +80,7 @@
         self._min_blame = min_blame
         self._cooldown_s = cooldown_s
         self._workers: dict[str, _Worker] = {}
-        self._succeeded_on: dict[str, collections.deque[str]] = {}
-        self._failed_on: dict[str, collections.deque[str]] = {}
+        self._blame = blame_module.Blame()
         self._fleet_failed = 0.0
         self._fleet_count = 0.0
         self._quarantined: set[str] = set()
@@ -106,7 +102,7 @@
             is_probe: Whether the run started since the worker is on probation;
                 ignored otherwise. Earlier runs do not decide on the probation.
         """
-        _add_worker(self._succeeded_on, family, worker)
+        self._blame.record_success(worker, family)
         known = self._get_or_create(worker)
         known.recent.append((now_s, family, True))
         self._update_fleet(failed=False)
@@ -131,7 +127,7 @@
         Returns:
             Why the worker is quarantined now, or an empty string.
         """
-        _add_worker(self._failed_on, family, worker)
+        self._blame.record_failure(worker, family)
         known = self._get_or_create(worker)
         known.recent.append((now_s, family, False))
         self._update_fleet(failed=True)
@@ -140,7 +136,10 @@
         if known.status == HealthStatus.PROBATION:
             if not is_probe:
                 return ""
-            if self._blame_weight(worker, family) <= _FAILED_ELSEWHERE_WEIGHT:
+            if (
+                self._blame.weight(worker, family)
+                <= blame_module.FAILED_ELSEWHERE_WEIGHT
+            ):
                 return ""
             return self._start_quarantine(
                 worker, known, "failed again when probed", now_s
@@ -206,14 +205,14 @@
         recent = self._runs_since_change(worker, known, now_s)
         failed = {family for _, family, succeeded in recent if not succeeded}
         blame = sum(
-            self._blame_weight(worker, f)
+            self._blame.weight(worker, f)
             for _, f, succeeded in recent
             if not succeeded
         )
         successes_count = sum(succeeded for _, _, succeeded in recent)
         if blame - successes_count < self._min_blame:
             return ""
-        blamed = {f for f in failed if self._blame_weight(worker, f) > 0.5}
+        blamed = {f for f in failed if self._blame.weight(worker, f) > 0.5}
         if len(blamed) < _MIN_FAMILIES and not self._is_certain(blamed, worker):
             return ""
         share = blame / (blame + successes_count)
@@ -238,7 +237,7 @@
             recorded_s, family, succeeded = run
             if recorded_s <= now_s - _WINDOW_S:
                 continue
-            balance += -1 if succeeded else self._blame_weight(worker, family)
+            balance += -1 if succeeded else self._blame.weight(worker, family)
             since_change.append(run)
             if balance <= 0:
                 since_change, balance = [], 0.0
@@ -247,7 +246,8 @@
     def _is_certain(self, families: set[str], worker: str) -> bool:
         """Whether all families that fail here succeeded on other workers."""
         return bool(families) and all(
-            self._blame_weight(worker, family) >= _SUCCEEDED_ELSEWHERE_WEIGHT
+            self._blame.weight(worker, family)
+            >= blame_module.SUCCEEDED_ELSEWHERE_WEIGHT
             for family in families
         )
 
@@ -269,26 +269,6 @@
         self._quarantined.add(worker)
         return reason
 
-    def _blame_weight(self, worker: str, family: str) -> float:
-        if any(w != worker for w in self._succeeded_on.get(family, ())):
-            return _SUCCEEDED_ELSEWHERE_WEIGHT
-        if any(w != worker for w in self._failed_on.get(family, ())):
-            return _FAILED_ELSEWHERE_WEIGHT
-        return _UNKNOWN_WEIGHT
-
     def _update_fleet(self, *, failed: bool) -> None:
         self._fleet_count = self._fleet_count * _FLEET_DECAY + 1
         self._fleet_failed = self._fleet_failed * _FLEET_DECAY + failed
-
-
-def _add_worker(
-    workers_by_family: dict[str, collections.deque[str]],
-    family: str,
-    worker: str,
-) -> None:
-    if family not in workers_by_family:
-        if len(workers_by_family) >= _FAMILIES_LIMIT:
-            workers_by_family.pop(next(iter(workers_by_family)))
-        workers_by_family[family] = collections.deque(maxlen=4)
-    if worker not in workers_by_family[family]:
-        workers_by_family[family].append(worker)
--- a/marigoldsill/coordination/job_placing/worker_health.py
+++ b/marigoldsill/coordination/learning/worker_health.py
@@ -9,22 +9,14 @@
 from collections.abc import Callable
 import dataclasses
 
-from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.learning import quarantine as quarantine_module
-from marigoldsill.protocol import run_worker
+from marigoldsill.coordination.learning import refusal_backoff
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.state import job_tables
 from marigoldsill.state import state_machine
 from marigoldsill.transport import clock
 from marigoldsill.transport import logs
 
-# The backoff after a refusal, which doubles with each further one. A refused start costs
-# a commit and a call, and the task waits for both.
-_BACKOFF_S = 0.5
-_BACKOFF_LIMIT_S = 4.0
-# A refusal this long after the last one restarts the backoff.
-_REFUSALS_APART_S = 10.0
 # Weighted failures that quarantine a worker. Three failures of tasks that are not known
 # to fail elsewhere, or two of tasks that succeeded elsewhere, are enough: a worker that
 # fails runs immediately takes a task from the queue every few milliseconds.
@@ -35,24 +27,6 @@
 # Number of workers on which a task failed last and which its next run avoids.
 _AVOIDED_COUNT = 2
 _ENTRIES_LIMIT = 20_000
-# Refusals that say nothing about the worker's health: they concern one run, or an order
-# that the leader knows.
-_REASONS_WITHOUT_BACKOFF = frozenset(
-    {
-        run_worker.RefusalReason.OUTDATED,
-        run_worker.RefusalReason.NO_TICKET,
-        run_worker.RefusalReason.EVACUATED,
-    }
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _Refusals:
-    """The recent refusals of a worker, and the end of its backoff."""
-
-    count: int = 0
-    last_s: float = 0.0
-    until_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -86,7 +60,7 @@
         """
         self._is_leader = is_leader
         self._granted: dict[task_names.RunKey, _Grant] = {}
-        self._refusals: dict[str, _Refusals] = {}
+        self._refusals = refusal_backoff.RefusalBackoff(is_leader=is_leader)
         self._failed_on: dict[str, tuple[str, ...]] = {}
         self._quarantine = quarantine_module.Quarantine(
             min_blame=_MIN_FAILURES, cooldown_s=_COOLDOWN_S
@@ -111,11 +85,9 @@
         Args:
             worker_id: The incarnation of the worker.
             count_runs: Counts the runs on it that will show whether it is healthy,
-                as `count_conclusive_runs` does; called only for a worker on
-                probation.
+                called only for a worker on probation.
         """
-        refusals = self._refusals.get(worker_id)
-        if refusals is not None and clock.now_s() < refusals.until_s:
+        if self._refusals.is_active(worker_id):
             return False
         match self._quarantine.status_of(worker_id):
             case quarantine_module.HealthStatus.QUARANTINED:
@@ -172,43 +144,16 @@
             return
         match end.kind:
             case ttypes.RunEndKind.REFUSED:
-                self._record_refusal(grant.worker_id, end.detail)
+                self._refusals.record_refusal(grant.worker_id, end.detail)
             case ttypes.RunEndKind.DONE:
-                refusals = self._refusals.get(grant.worker_id)
-                # The end of an earlier run does not show that starts succeed again.
-                if refusals is not None and grant.granted_s > refusals.last_s:
-                    del self._refusals[grant.worker_id]
+                self._refusals.record_success(
+                    grant.worker_id, granted_s=grant.granted_s
+                )
                 self._failed_on.pop(end.task, None)
                 self._record_success(grant, end.task)
             case ttypes.RunEndKind.FAILED:
                 self._record_failure(grant, end.task)
 
-    def _record_refusal(self, worker_id: str, reason: str) -> None:
-        if reason in _REASONS_WITHOUT_BACKOFF:
-            return
-        now_s = clock.now_s()
-        refusals = self._refusals.setdefault(worker_id, _Refusals())
-        if now_s < refusals.until_s:
-            # A refusal of the same batch of starts.
-            return
-        if now_s - refusals.last_s > _REFUSALS_APART_S:
-            refusals.count = 0
-        backoff_s = min(_BACKOFF_S * 2**refusals.count, _BACKOFF_LIMIT_S)
-        refusals.count += 1
-        refusals.last_s = now_s
-        refusals.until_s = now_s + backoff_s
-        _drop_oldest(self._refusals)
-        if not self._is_leader():
-            return
-        logs.event(
-            "worker_backoff",
-            level="WARNING",
-            worker_id=worker_id,
-            backoff_s=backoff_s,
-            refusals_count=refusals.count,
-            reason=reason,
-        )
-
     def _record_success(self, grant: _Grant, task: str) -> None:
         is_restored = self._quarantine.record_success(
             grant.worker_id,
@@ -241,32 +186,6 @@
             )
 
 
-def count_conclusive_runs(
-    jobs: job_tables.JobTables,
-    view: agents_module.AgentView,
-    health: WorkerHealth,
-) -> int:
-    """Counts the runs on a worker that will show whether it is healthy.
-
-    These were granted while it was on probation. Long-running tasks never end, and tasks throttled to 0 make no progress. If they
-    counted, a worker on probation would never get another run, while long-running tasks
-    wait for its capacity.
-    """
-    return sum(
-        health.is_probe(key)
-        and _is_conclusive(jobs.step_of(key[0]), view.samples.get(key))
-        for key in jobs.runs_by_agent.get(view.name, ())
-    )
-
-
-def _is_conclusive(
-    step: ttypes.Step | None, sample: ttypes.RunSample | None
-) -> bool:
-    if step is None or step.long_running:
-        return False
-    return sample is None or sample.quota_percent > 0
-
-
 def _drop_oldest(entries: dict) -> None:
     while len(entries) > _ENTRIES_LIMIT:
         del entries[next(iter(entries))]
--- a/tests/coordination/job_placing/test_run_time_sampler.py
+++ b/tests/coordination/job_learning/test_run_time_sampler.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from marigoldsill.coordination.job_learning import run_time_sampler
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import run_time_sampler
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
--- a/tests/coordination/job_placing/leader_harness.py
+++ b/tests/coordination/job_placing/leader_harness.py
@@ -7,8 +7,8 @@
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
 
--- a/tests/coordination/job_placing/test_free_capacity.py
+++ b/tests/coordination/job_placing/test_free_capacity.py
@@ -12,7 +12,7 @@
 from marigoldsill.coordination.job_placing import scoring
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
 
--- a/tests/coordination/job_queueing/played_pool.py
+++ b/tests/coordination/job_queueing/played_pool.py
@@ -9,9 +9,9 @@
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
 from marigoldsill.coordination.job_placing import urgency as urgency_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.job_queueing import offer_policies
 from marigoldsill.coordination.job_queueing import usage as usage_module
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.job_placing import leader_harness
--- a/tests/coordination/jobs/test_worker_refresher.py
+++ b/tests/coordination/jobs/test_worker_refresher.py
@@ -5,8 +5,8 @@
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import tickets as tickets_module
-from marigoldsill.coordination.job_placing import worker_health
 from marigoldsill.coordination.jobs import worker_refresher
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/learning/test_worker_health.py
@@ -5,8 +5,9 @@
 import pytest
 
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.job_placing import trials
 from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -270,7 +271,5 @@
         task=task, run=1, percent=100, quota_percent=quota_percent
     )
     view = agents_module.AgentView("a1", samples={(task, 1): sample})
-    found = worker_health.count_conclusive_runs(
-        state.tables.jobs, view, runs.health
-    )
+    found = trials.count_conclusive_runs(state.tables.jobs, view, runs.health)
     assert found == (count if is_on_probation else 0)
