Start what no other worker takes on a worker on probation

Cause: a worker on probation gets one run at a time. A gang starts as a whole or not at all, so its second member never fitted, and only a run that is done ends a probation. Change: a step that nothing was granted to for the limit that idle jobs have (2 s; 20 s while more than 60% of the pool is reserved; always 2 s for tasks that last) may start on a worker on probation beside its probe, and a gang with all members there that fit nowhere else (job_placing/trials.py). Such starts on one worker are 2 s apart, a backoff after refusals holds, and a task that chose to wait for its rack isn't moved. The wait counts by step, not by job, so a task that lasts doesn't wait for the others of its job. What starts on a healthy worker starts there as before.

--- a/marigoldsill/coordination/job_placing/free_capacity.py
+++ b/marigoldsill/coordination/job_placing/free_capacity.py
@@ -142,7 +142,7 @@
         """
         self._subtract_task(key, step)
         if self.starts_limit is not None:
-            self.starts_limit -= 1
+            self.starts_limit = max(0, self.starts_limit - 1)
         if self.ramp_starts_left is not None:
             self.ramp_starts_left -= 1
         if step.tail_target_ms:
--- a/marigoldsill/coordination/job_placing/gangs.py
+++ b/marigoldsill/coordination/job_placing/gangs.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import heapq
 import itertools
+import types
 
 from marigoldsill.coordination.job_placing import backlog as backlog_module
 from marigoldsill.coordination.job_placing import (
@@ -22,6 +24,9 @@
 
 # Gangs tried in one round. Each attempt copies all workers that admit the gang.
 _GANGS_LIMIT = 4
+_NO_WORKERS: Mapping[str, free_capacity.FreeCapacity] = types.MappingProxyType(
+    {}
+)
 
 
 class GangSelector:
@@ -71,6 +76,7 @@
     index: capacity_index.CapacityIndex,
     interference: interference_model.InterferenceModel,
     now_s: float,
+    fallback: Mapping[str, free_capacity.FreeCapacity] = _NO_WORKERS,
 ) -> list[str]:
     """Returns an agent for each member of a gang, or none if not all members fit.
 
@@ -80,20 +86,23 @@
         index: Workers on which tasks may start; not changed.
         interference: The learnt interference between images.
         now_s: The time of the round.
+        fallback: Workers by agent that are used where no other fits, in place of
+            the ones in the index; not changed.
     """
     step, pool = waiting.step, waiting.queue.pool
     accepts = chooser.acceptance_for(waiting, now_s)
     admitted = [
         free
-        for free in index.workers.values()
+        for free in (index.workers | fallback).values()
         if free.admits(step, pool) and accepts(free)
     ]
+
+    def score(free: free_capacity.FreeCapacity) -> scoring.Score | None:
+        found = scoring.score_within_limits(free, step, pool, interference)
+        return None if found is None else (free.agent not in fallback, *found)
+
     for group in worker_groups(step, admitted):
-        candidates = candidates_module.Candidates(
-            lambda free: scoring.score_within_limits(
-                free, step, pool, interference
-            )
-        )
+        candidates = candidates_module.Candidates(score)
         for free in group:
             candidates.update(free.copy(), index.ordinal(free.agent))
         agents: list[str] = []
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -26,6 +26,7 @@
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import step_placement
 from marigoldsill.coordination.job_placing import tickets as tickets_module
+from marigoldsill.coordination.job_placing import trials as trials_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import task_names
@@ -102,6 +103,13 @@
         )
         self._pending = agents_module.PendingGrants()
         self._gang_selector = gangs.GangSelector()
+        self._waits = trials_module.Waits()
+        self._trials = trials_module.Trials(
+            health=health,
+            index=self.index,
+            interference=interference,
+            chooser=self._chooser,
+        )
         self._step_placement = step_placement.StepPlacement(
             index=self.index,
             interference=interference,
@@ -110,6 +118,8 @@
             isolation=self._isolation,
             exploration=exploration,
             locality=self._locality,
+            trials=self._trials,
+            waits=self._waits,
         )
 
     def refresh(
@@ -118,6 +128,7 @@
         view: agents_module.AgentView,
         *,
         is_eligible: bool,
+        is_withheld: bool = False,
         now_s: float = 0.0,
     ) -> None:
         """Recomputes the free capacity of one agent's worker.
@@ -126,16 +137,21 @@
             jobs: The jobs, with the runs that may be alive.
             view: The agent.
             is_eligible: Whether tasks may start on its worker.
+            is_withheld: Whether only the health of its worker excludes that.
             now_s: The time of the round.
         """
+        self._trials.discard(view.name)
         if not is_eligible or view.worker is None:
             self._locality.observe_absence(view.name, now_s=now_s)
             self.index.remove(view.name)
+            if is_withheld:
+                self._trials.put(self._compute_free(jobs, view, now_s))
             return
         free = self._compute_free(jobs, view, now_s)
         if self._health.is_on_probation(view.worker.worker_id):
             # One run shows whether the worker is healthy.
             free.starts_limit = 1
+            self._trials.put(free)
         free.ramp_starts_left = self._locality.observe_worker(
             view.name, view.worker, now_s=now_s
         )
@@ -179,6 +195,8 @@
             workers_count=len(self.index.workers),
             now_s=now_s,
         )
+        self._waits.begin_round(steps, now_s=now_s)
+        self._trials.begin_round()
         gang_keys = self._gang_selector.choose(
             step.key for step in steps if step.step.gang
         )
--- a/marigoldsill/coordination/job_placing/step_placement.py
+++ b/marigoldsill/coordination/job_placing/step_placement.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import trials as trials_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -43,6 +44,8 @@
         isolation: crash_isolation.CrashIsolation,
         exploration: exploration_module.Exploration,
         locality: locality_module.Locality,
+        trials: trials_module.Trials,
+        waits: trials_module.Waits,
     ):
         """Initializes the placement.
 
@@ -54,6 +57,8 @@
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
             locality: Whether tasks wait for racks.
+            trials: Workers on probation.
+            waits: How long steps have waited for a start.
         """
         self._index = index
         self._interference = interference
@@ -65,6 +70,8 @@
         self._rack_queue = worker_choice.RackQueue(
             index=index, chooser=chooser, affinity=locality.affinity
         )
+        self._trials = trials
+        self._waits = waits
 
     def place(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -76,10 +83,15 @@
             now_s: The time of the round.
         """
         if waiting.step.gang:
-            return self._place_gang(waiting, now_s)
-        granted = self._place_step(waiting, now_s)
-        if not granted and self._is_idle_too_long(waiting, now_s):
-            granted = self._place_ignoring_limits(waiting, now_s)
+            granted = self._place_gang(waiting, now_s)
+        else:
+            granted = self._place_step(waiting, now_s)
+            if not granted and self._is_idle_too_long(waiting, now_s):
+                granted = self._place_ignoring_limits(waiting, now_s)
+        if not granted and self._needs_trial(waiting, now_s):
+            granted = self._place_on_trial(waiting, now_s)
+        if granted:
+            self._waits.record_start(waiting.key, now_s=now_s)
         return granted
 
     def reserve(
@@ -91,6 +103,52 @@
         """Reserves the resources of one task until its worker is refreshed."""
         free.reserve(key, step, self._interference)
         self._index.record_change(free.agent)
+        self._trials.discard(free.agent)
+
+    def _needs_trial(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> bool:
+        """Returns whether no healthy worker has taken a step for too long."""
+        if not self._trials.has_workers:
+            return False
+        limit_s = _IDLE_LIMIT_S
+        if not waiting.step.long_running:
+            limit_s = max_idle_s(
+                reserved_share=self._index.reserved_share(waiting.queue.pool)
+            )
+        if self._waits.wait_s(waiting.key, now_s=now_s) < limit_s:
+            return False
+        return not self._waits_for_rack(waiting, now_s)
+
+    def _waits_for_rack(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> bool:
+        """Returns whether a step could start, and prefers to wait for its rack."""
+        if waiting.step.gang or not self._rack_queue.may_wait(waiting.step):
+            return False
+        candidates = self._candidate_cache.get_candidates(
+            waiting.step, waiting.queue.pool
+        )
+        accepts = self._chooser.acceptance_for(waiting, now_s)
+        return candidates.find_best(accepts) is not None
+
+    def _place_on_trial(
+        self, waiting: backlog_module.WaitingStep, now_s: float
+    ) -> list[ttypes.RunGrant]:
+        run = None
+        if waiting.step.gang:
+            if _has_begun(waiting):
+                return []
+            run = _gang_run(waiting)
+        chosen = self._trials.choose(
+            waiting,
+            ignores_limits=self._is_idle_too_long(waiting, now_s),
+            now_s=now_s,
+        )
+        return [
+            self._grant_task(waiting, index, free, now_s, run=run)
+            for index, free in chosen
+        ]
 
     def _place_step(
         self, waiting: backlog_module.WaitingStep, now_s: float
@@ -160,7 +218,7 @@
         self, waiting: backlog_module.WaitingStep, now_s: float
     ) -> list[ttypes.RunGrant]:
         """Starts all members with the same run number, or none."""
-        if any(task.runs or task.done for task in waiting.tasks):
+        if _has_begun(waiting):
             return []
         agents = gangs.choose_agents(
             waiting,
@@ -169,7 +227,7 @@
             interference=self._interference,
             now_s=now_s,
         )
-        run = 1 + max(task.last_run for task in waiting.tasks)
+        run = _gang_run(waiting)
         return [
             self._grant_task(
                 waiting, index, self._index.workers[agent], now_s, run=run
@@ -217,6 +275,15 @@
         )
 
 
+def _has_begun(waiting: backlog_module.WaitingStep) -> bool:
+    return any(task.runs or task.done for task in waiting.tasks)
+
+
+def _gang_run(waiting: backlog_module.WaitingStep) -> int:
+    """Returns the next run number of all members of a gang."""
+    return 1 + max(task.last_run for task in waiting.tasks)
+
+
 def max_idle_s(*, reserved_share: float) -> float:
     """Returns after which time a best-effort job gets a run despite interference.
 
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -134,8 +134,19 @@
         index: int,
         candidates: candidates_module.Candidates,
         now_s: float,
+        *,
+        may_spread: bool = True,
     ) -> free_capacity.FreeCapacity | None:
-        """Returns the best worker for a task, if possible one where it has not failed."""
+        """Returns the best worker for a task, if possible one where it has not failed.
+
+        Args:
+            waiting: The step of the task.
+            index: The index of the task.
+            candidates: The workers for its class.
+            now_s: The time of the round.
+            may_spread: Whether an almost equally suited worker may be returned; all
+                candidates have to be in the index then.
+        """
         is_acceptable = self.acceptance_of_task(waiting, index, now_s)
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
@@ -151,7 +162,8 @@
             )
             if other is not None:
                 return other
-        if self._spread is None or not rack_spread.may_be_spread(waiting.step):
+        may_spread = may_spread and rack_spread.may_be_spread(waiting.step)
+        if self._spread is None or not may_spread:
             return candidates.find_best(accepts)
         similar = candidates.find_similar(
             accepts,
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -66,13 +66,18 @@
             view = self._agents.get(name)
             if view is None:
                 continue
-            is_eligible = self._is_eligible(jobs, view)
+            is_usable = self._is_usable(view)
+            is_eligible = is_usable and self._is_healthy(jobs, view)
             if is_eligible:
                 self._ineligible.discard(name)
             else:
                 self._ineligible.add(name)
             self._placement.refresh(
-                jobs, view, is_eligible=is_eligible, now_s=now_s
+                jobs,
+                view,
+                is_eligible=is_eligible,
+                is_withheld=is_usable and not is_eligible,
+                now_s=now_s,
             )
 
     def _update_evacuations(self, evacuated: Set[str]) -> None:
@@ -86,16 +91,17 @@
             if view.worker is not None and view.worker.data_centre in changed
         )
 
-    def _is_eligible(
-        self, jobs: job_tables.JobTables, view: agents_module.AgentView
-    ) -> bool:
-        """Whether an agent's worker may be given tasks now."""
+    def _is_usable(self, view: agents_module.AgentView) -> bool:
+        """Whether an agent's worker may be given tasks if it is healthy."""
         if view.worker is None or view.is_worker_unresponsive:
             return False
         if view.worker.data_centre in self._evacuated:
             return False
-        if not self._leases.is_live(view.name):
-            return False
+        return self._leases.is_live(view.name)
+
+    def _is_healthy(
+        self, jobs: job_tables.JobTables, view: agents_module.AgentView
+    ) -> bool:
         return self._health.may_start_run(
             view.worker.worker_id,
             count_runs=functools.partial(
--- a/marigoldsill/coordination/learning/worker_health.py
+++ b/marigoldsill/coordination/learning/worker_health.py
@@ -2,12 +2,14 @@
 
 A worker that refuses starts gets none for an exponentially growing backoff. A worker
 that fails runs of tasks that succeed elsewhere is quarantined, and then put on probation
-with one run. A task that failed on a worker avoids it if there is another. This state
-applies to one incarnation of a worker, and is lost when this process ends.
+with one run, or more for a step that no other worker takes. A task that failed on a
+worker avoids it if there is another. This state applies to one incarnation of a worker,
+and is lost when this process ends.
 """
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 from marigoldsill.coordination.learning import quarantine as quarantine_module
 from marigoldsill.coordination.learning import refusal_backoff
@@ -24,6 +26,9 @@
 # It is short, as a quarantine costs the capacity of a worker, and afterwards a single
 # failed run is enough to quarantine the worker again.
 _COOLDOWN_S = 2.0
+# For steps that no other worker takes, trials of a worker are this far apart. A trial
+# that fails costs the step an attempt.
+_TRIAL_INTERVAL_S = 2.0
 # Number of workers on which a task failed last and which its next run avoids.
 _AVOIDED_COUNT = 2
 _ENTRIES_LIMIT = 20_000
@@ -62,6 +67,8 @@
         self._granted: dict[task_names.RunKey, _Grant] = {}
         self._refusals = refusal_backoff.RefusalBackoff(is_leader=is_leader)
         self._failed_on: dict[str, tuple[str, ...]] = {}
+        # When runs that decide on probations were last granted, by worker.
+        self._probed_s: dict[str, float] = {}
         self._quarantine = quarantine_module.Quarantine(
             min_blame=_MIN_FAILURES, cooldown_s=_COOLDOWN_S
         )
@@ -97,6 +104,25 @@
             case quarantine_module.HealthStatus.GOOD:
                 return True
 
+    def may_try_run(self, worker_id: str) -> bool:
+        """Returns whether a step without another worker may start on one now.
+
+        It may start beside a run that probes the worker, as such a run may take
+        any time. Needs no lock.
+        """
+        if self._refusals.is_active(worker_id):
+            return False
+        probed_s = self._probed_s.get(worker_id, -math.inf)
+        return (
+            self.is_on_probation(worker_id)
+            and clock.now_s() - probed_s >= _TRIAL_INTERVAL_S
+        )
+
+    def is_quarantined(self, worker_id: str) -> bool:
+        """Returns whether a worker gets no runs as it failed or stalled."""
+        status = self._quarantine.status_of(worker_id)
+        return status == quarantine_module.HealthStatus.QUARANTINED
+
     def is_on_probation(self, worker_id: str) -> bool:
         """Returns whether the next run on a worker decides on its health."""
         status = self._quarantine.status_of(worker_id)
@@ -132,10 +158,14 @@
             logs.event("worker_restored", worker_id=worker_id, task="")
 
     def _record_grant(self, grant: ttypes.RunGrant) -> None:
+        now_s = clock.now_s()
+        is_probe = self.is_on_probation(grant.worker_id)
+        if is_probe:
+            self._probed_s.pop(grant.worker_id, None)
+            self._probed_s[grant.worker_id] = now_s
+            _drop_oldest(self._probed_s)
         self._granted[grant.task, grant.run] = _Grant(
-            worker_id=grant.worker_id,
-            granted_s=clock.now_s(),
-            is_probe=self.is_on_probation(grant.worker_id),
+            worker_id=grant.worker_id, granted_s=now_s, is_probe=is_probe
         )
 
     def _record_end(self, end: ttypes.RunEnd) -> None:
--- a/tests/coordination/job_placing/leader_harness.py
+++ b/tests/coordination/job_placing/leader_harness.py
@@ -73,13 +73,7 @@
         """Places and grants waiting tasks; returns agents by task."""
         jobs = self.state.tables.jobs
         self.backlog.refresh(jobs, jobs.pop_changed_jobs(), now_s=self.now_s)
-        for view in self.views.values():
-            self.placement.refresh(
-                jobs,
-                view,
-                is_eligible=view.name not in self.ineligible,
-                now_s=self.now_s,
-            )
+        self.refresh_workers()
         waiting = self.backlog.rank_steps(
             self.urgency, now_unix_ms=builders.NOW_UNIX_MS
         )
@@ -92,6 +86,16 @@
         )
         return {grant.task: grant.agent for grant in grants}
 
+    def refresh_workers(self) -> None:
+        """Computes the free capacity of all workers."""
+        for view in self.views.values():
+            self.placement.refresh(
+                self.state.tables.jobs,
+                view,
+                is_eligible=view.name not in self.ineligible,
+                now_s=self.now_s,
+            )
+
     def report_tail(
         self, agent: str, task: str, *, tail_ms: int, after_s: float = 1.0
     ) -> None:
--- a/tests/coordination/learning/test_worker_health.py
+++ b/tests/coordination/learning/test_worker_health.py
@@ -230,6 +230,24 @@
     assert runs.may_start_run(_FAULTY, runs_count=5)
 
 
+def test_trials_of_a_worker_on_probation_are_spaced_out(
+    runs: _Runs,
+) -> None:
+    for job in range(3):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    assert not runs.health.may_try_run(_FAULTY)
+    runs.advance_clock(2.5)
+    assert runs.health.may_try_run(_FAULTY)
+    runs.grant(_task(7), _FAULTY)
+    runs.advance_clock(1.5)
+    assert not runs.health.may_try_run(_FAULTY)
+    runs.advance_clock(0.5)
+    assert runs.health.may_try_run(_FAULTY)
+    runs.run(_task(8), _FAULTY, _REFUSED, "room")
+    runs.advance_clock(0.25)
+    assert not runs.health.may_try_run(_FAULTY)
+
+
 def test_a_new_incarnation_of_a_worker_starts_without_failures(
     runs: _Runs,
 ) -> None:
