--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -287,7 +287,8 @@
   4: string checkpoint_id = "",     // newest known checkpoint
   5: list<JobRun> runs = [],        // runs that may be alive
   // 6 to 9 were counts of worker crashes that it was suspected of.
-  10: list<WorkerLoss> losses = []  // the oldest first
+  10: list<WorkerLoss> losses = [], // the oldest first
+  11: optional list<i64> failed_runs // of a gang's member: its runs that ended as failed
 }
 
 struct StepTasks { 1: list<JobTask> tasks }
--- a/tests/coordination/job_placing/test_worker_health.py
+++ b/tests/coordination/learning/test_worker_health.py
@@ -5,8 +5,9 @@
 import pytest
 
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import worker_health
+from marigoldsill.coordination.job_placing import trials
 from marigoldsill.coordination.leadership import commands
+from marigoldsill.coordination.learning import worker_health
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -229,6 +230,24 @@
     assert runs.may_start_run(_FAULTY, runs_count=5)
 
 
+def test_trials_of_a_worker_on_probation_are_spaced_out(
+    runs: _Runs,
+) -> None:
+    for job in range(3):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    assert not runs.health.may_try_run(_FAULTY)
+    runs.advance_clock(2.5)
+    assert runs.health.may_try_run(_FAULTY)
+    runs.grant(_task(7), _FAULTY)
+    runs.advance_clock(1.5)
+    assert not runs.health.may_try_run(_FAULTY)
+    runs.advance_clock(0.5)
+    assert runs.health.may_try_run(_FAULTY)
+    runs.run(_task(8), _FAULTY, _REFUSED, "room")
+    runs.advance_clock(0.25)
+    assert not runs.health.may_try_run(_FAULTY)
+
+
 def test_a_new_incarnation_of_a_worker_starts_without_failures(
     runs: _Runs,
 ) -> None:
@@ -270,7 +289,5 @@
         task=task, run=1, percent=100, quota_percent=quota_percent
     )
     view = agents_module.AgentView("a1", samples={(task, 1): sample})
-    found = worker_health.count_conclusive_runs(
-        state.tables.jobs, view, runs.health
-    )
+    found = trials.count_conclusive_runs(state.tables.jobs, view, runs.health)
     assert found == (count if is_on_probation else 0)
