--- a/marigoldsill/coordination/job_admission/__init__.py
+++ b/marigoldsill/coordination/job_admission/__init__.py
@@ -8,6 +8,7 @@
     "admission",
     "admission_settings",
     "begun_jobs",
+    "begun_runs",
     "decision_log",
     "load",
     "load_publisher",
--- a/marigoldsill/coordination/jobs/begun_runs.py
+++ b/marigoldsill/coordination/job_admission/begun_runs.py
@@ -1,6 +1,6 @@
 """Runs that workers are known to have begun, as their agents reported.
 
-A process of an agent that finds its worker gone does not know which runs an earlier
+A process of an agent that finds its worker ended does not know which runs an earlier
 process had started there. The leader may know.
 """
 
@@ -39,4 +39,6 @@
         """Marks reported losses of runs that are known to have begun."""
         begun = self._by_agent.get(agent, set())
         for end in ends:
-            end.has_begun |= end.is_worker_gone and (end.task, end.run) in begun
+            end.has_begun |= (
+                end.has_worker_ended and (end.task, end.run) in begun
+            )
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -138,7 +138,7 @@
                 f"{'may have begun' if may_have_begun else 'never began'} on it"
             ),
             is_excused=not may_have_begun,
-            is_worker_gone=may_have_begun,
+            has_worker_ended=may_have_begun,
         )
         self.record_lost(
             end, order.worker_id, current_id=current_id, was_listed=False
--- a/marigoldsill/coordination/jobs/report_handler.py
+++ b/marigoldsill/coordination/jobs/report_handler.py
@@ -11,8 +11,10 @@
 from marigoldsill.coordination.job_admission import (
     begun_jobs as begun_jobs_module,
 )
+from marigoldsill.coordination.job_admission import (
+    begun_runs as begun_runs_module,
+)
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.jobs import begun_runs as begun_runs_module
 from marigoldsill.coordination.jobs import orders as orders_module
 from marigoldsill.coordination.leadership import (
     late_start_bounds as bounds_module,
--- a/marigoldsill/coordination/jobs/service.py
+++ b/marigoldsill/coordination/jobs/service.py
@@ -11,11 +11,11 @@
 )
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import begun_jobs
+from marigoldsill.coordination.job_admission import begun_runs
 from marigoldsill.coordination.job_admission import submission_handler
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import interference_model
 from marigoldsill.coordination.job_placing import urgency
-from marigoldsill.coordination.jobs import begun_runs
 from marigoldsill.coordination.jobs import job_event_logger
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import orders as orders_module
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -275,7 +275,7 @@
   7: i64 since_grant_ms = 0,        // from the run's grant until the loss was recorded
   8: i32 suspects_count = 0,        // runs suspected of the crash; 0: not this one
   9: bool is_from_agent = false,    // an agent reported it; else a leader concluded it
-  10: bool is_worker_gone = false,  // an agent knows that the incarnation has ended
+  10: bool has_worker_ended = false,  // an agent knows that the incarnation has ended
   11: bool has_begun = false        // the incarnation is known to have begun the run
 }
 
@@ -473,7 +473,7 @@
   6: i32 suspects_count = 0,        // CRASHED: runs suspected of the crash; 0: not this one
   7: i64 age_ms = 0,                // lower bound of the run's age at the loss of its worker
   8: bool is_excused = false,      // LOST: the run did not cause the loss
-  9: bool is_worker_gone = false,  // LOST: its worker's incarnation has ended for good
+  9: bool has_worker_ended = false,  // LOST: its worker's incarnation has ended for good
   10: bool has_begun = false       // LOST, CRASHED: that incarnation had begun the run
 }
 
--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -119,7 +119,7 @@
 
 
 def _crashes(losses: Iterable[ttypes.WorkerLoss]) -> list[ttypes.WorkerLoss]:
-    return [loss for loss in losses if loss.is_worker_gone]
+    return [loss for loss in losses if loss.has_worker_ended]
 
 
 def _at_similar_ages(
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -62,13 +62,13 @@
         loss = _remember_loss(task, run, now_unix_ms)
         loss.is_early = loss.since_grant_ms <= EARLY_LOSS_LIMIT_MS
         loss.is_from_agent = is_from_agent
-        loss.is_worker_gone = end.is_worker_gone
+        loss.has_worker_ended = end.has_worker_ended
         loss.has_begun = end.has_begun
         return True
-    loss = _find_unexplained(task, end) if end.is_worker_gone else None
-    if loss is None or loss.is_worker_gone:
+    loss = _find_unexplained(task, end) if end.has_worker_ended else None
+    if loss is None or loss.has_worker_ended:
         return False
-    loss.is_worker_gone = loss.is_from_agent = True
+    loss.has_worker_ended = loss.is_from_agent = True
     loss.has_begun = end.has_begun
     return True
 
@@ -86,7 +86,7 @@
         loss = _remember_loss(task, run, now_unix_ms)
     if loss is None:
         return False
-    loss.is_explained = loss.is_worker_gone = loss.is_from_agent = True
+    loss.is_explained = loss.has_worker_ended = loss.is_from_agent = True
     loss.age_ms = end.age_ms
     loss.has_begun = end.has_begun
     loss.suspects_count = end.suspects_count
@@ -130,4 +130,4 @@
 
 def _evidence_of(loss: ttypes.WorkerLoss) -> tuple[bool, bool]:
     """Returns a sort key: how much is known of a loss."""
-    return loss.is_worker_gone, loss.has_begun
+    return loss.has_worker_ended, loss.has_begun
--- a/tests/coordination/jobs/test_begun_runs.py
+++ b/tests/coordination/job_admission/test_begun_runs.py
@@ -66,10 +66,10 @@
     leader.service.agent_report(_report(1, 2, begun=begun, running=running))
     leader.service.agent_report(_report(2, 1))
     end = builders.run_end(_TASK, ttypes.RunEndKind.LOST)
-    end.is_worker_gone = True
+    end.has_worker_ended = True
     leader.service.agent_report(_report(2, 2, ends=[end]))
     (loss,) = leader.replica.tables.jobs.find_by_name(_TASK).losses
-    assert (loss.is_worker_gone, loss.has_begun) == (True, has_begun)
+    assert (loss.has_worker_ended, loss.has_begun) == (True, has_begun)
 
 
 def test_order_of_a_task_that_lost_a_worker_asks_to_report_its_begin(
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -183,7 +183,7 @@
     """Records that workers ended under tasks, as later agents have found."""
     ends = [builders.run_end(t, ttypes.RunEndKind.LOST, run) for t in tasks]
     for end in ends:
-        end.is_worker_gone = end.has_begun = True
+        end.has_worker_ended = end.has_begun = True
     leader.state.end(*ends)
 
 
--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -81,7 +81,7 @@
         run=1,
         agent="a1",
         is_explained=True,
-        is_worker_gone=True,
+        has_worker_ended=True,
         suspects_count=1,
     )
     return ttypes.JobTask(losses=[crash])
--- a/tests/coordination/jobs/test_agent_restarts.py
+++ b/tests/coordination/jobs/test_agent_restarts.py
@@ -96,7 +96,7 @@
     agent.execute_orders()
     end = agent.state.ends[_KEY]
     assert end.kind == ttypes.RunEndKind.LOST
-    assert end.is_worker_gone == was_started
+    assert end.has_worker_ended == was_started
     assert end.is_excused != was_started
 
 
--- a/tests/state/test_crash_attribution.py
+++ b/tests/state/test_crash_attribution.py
@@ -21,7 +21,7 @@
 
     Attributes:
         kind: The end that its agent reports; None if none is ever reported.
-        is_worker_gone: Whether a LOST run's worker is reported as gone.
+        has_worker_ended: Whether a LOST run's worker is reported as gone.
         has_begun: Whether the run is known to have begun at a crash.
         is_lease_lost: Whether the leader records the run as lost before.
         agent: The number of its agent.
@@ -32,7 +32,7 @@
     """
 
     kind: ttypes.RunEndKind | None
-    is_worker_gone: bool
+    has_worker_ended: bool
     has_begun: bool
     is_lease_lost: bool
     agent: int
@@ -45,7 +45,7 @@
     def is_crash(self) -> bool:
         """Whether control learns that the worker has ended under the run."""
         return self.kind == ttypes.RunEndKind.CRASHED or (
-            self.kind == ttypes.RunEndKind.LOST and self.is_worker_gone
+            self.kind == ttypes.RunEndKind.LOST and self.has_worker_ended
         )
 
     def end(self, run: int) -> ttypes.RunEnd:
@@ -55,8 +55,8 @@
             end.age_ms = self.age_ms
             end.suspects_count = self.suspects_count * self.has_begun
         end.has_begun = self.is_crash and self.has_begun
-        end.is_worker_gone = (
-            self.kind == ttypes.RunEndKind.LOST and self.is_worker_gone
+        end.has_worker_ended = (
+            self.kind == ttypes.RunEndKind.LOST and self.has_worker_ended
         )
         return end
 
@@ -74,7 +74,7 @@
             None,
         ]
     ),
-    is_worker_gone=strategies.booleans(),
+    has_worker_ended=strategies.booleans(),
     has_begun=strategies.booleans(),
     is_lease_lost=strategies.booleans(),
     agent=strategies.integers(1, 3),
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -11,7 +11,7 @@
 _CRASHED = ttypes.RunEndKind.CRASHED
 _TASK = builders.task_name()
 # A later process of the agent finds that the worker has ended under the run.
-_GONE = {"is_worker_gone": True, "has_begun": True}
+_GONE = {"has_worker_ended": True, "has_begun": True}
 
 
 @pytest.fixture
@@ -139,7 +139,7 @@
 ) -> None:
     _crash(state, 1, suspects_count=0)
     for run in range(2, 12):
-        _lose(state, run, is_worker_gone=True)
+        _lose(state, run, has_worker_ended=True)
     assert state.state_of() == ttypes.JobState.RUNNING
     _crash(state, 12, suspects_count=0)
     assert state.state_of() == ttypes.JobState.FAILED
@@ -152,7 +152,7 @@
         assert state.state_of() != ttypes.JobState.FAILED
         _lose(state, run, decided_term=1)
         end = builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)
-        end.is_worker_gone = end.has_begun = True
+        end.has_worker_ended = end.has_begun = True
         state.end(end)
         state.end(end)
     assert state.state_of() == ttypes.JobState.FAILED
@@ -275,7 +275,7 @@
     for run in range(1, 5):
         _lose(state, run, **_GONE)
         end = builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)
-        end.is_worker_gone = end.has_begun = True
+        end.has_worker_ended = end.has_begun = True
         state.end(end)
     assert state.state_of() == ttypes.JobState.RUNNING
     assert len(state.task(_TASK).losses) == 4
