Keep tests of votes independent of the speed of the disk

A candidate, its voters and each follower sync their promise before they answer, so no leader can last where a sync takes as long as the timeout.

The test is about votes right after a restart of the process, not about disks, so its group no longer syncs; all checks stay as they were. With fsync and fdatasync of 0.2 s the test failed before and passes now.

--- a/tests/coordination/agreement/test_votes.py
+++ b/tests/coordination/agreement/test_votes.py
@@ -12,6 +12,7 @@
 from marigoldsill.protocol.generated import ttypes
 from tests import processes
 from tests.coordination import groups
+from tests.state import faulty_files
 
 _HIGH_INDEX = 10**6
 
@@ -32,10 +33,14 @@
 
 
 @pytest.fixture
-def single_member(group):
+def single_member(tmp_path):
     """A group in which only m1 runs and its leader's lease has expired."""
-    group.settings = dataclasses.replace(
-        group.settings, election_timeout_ms=200, heartbeat_ms=30
+    group = groups.LocalGroup(
+        tmp_path,
+        settings=dataclasses.replace(
+            groups.SETTINGS, election_timeout_ms=200, heartbeat_ms=30
+        ),
+        open_files=faulty_files.UnsyncedFiles,
     )
     group.form()
     group.propose(groups.worker_command(1))
@@ -46,7 +51,8 @@
     processes.wait_until(
         lambda: not node.group.leader_name, what="the loss of the leader"
     )
-    return group
+    yield group
+    group.close()
 
 
 @pytest.fixture
--- a/tests/state/faulty_files.py
+++ b/tests/state/faulty_files.py
@@ -39,6 +39,20 @@
         super().sync(fd)
 
 
+class UnsyncedFiles(files.Files):
+    """Files that keep what was written until the power fails, without syncs.
+
+    For short timeouts: while a machine is busy, a sync may take longer.
+    """
+
+    def sync(self, fd: int) -> None:
+        """Does nothing."""
+        del fd
+
+    def _sync_folder(self) -> None:
+        pass
+
+
 class CrashingFiles(files.Files):
     """Files of a process that crashes after a number of changes.
 
