Start crash suspects on workers that have not restarted themselves

A suspect was started on the reserved worker with the fewest runs, and one that has just restarted has none, so it was the next to crash.

Suspects prefer workers that have not replaced an incarnation within the last minute, after those where the task was lost itself. It is a preference only: if all have restarted, or none is free within the limits of isolation, they start as before.

--- a/marigoldsill/coordination/job_placing/crash_isolation.py
+++ b/marigoldsill/coordination/job_placing/crash_isolation.py
@@ -11,6 +11,7 @@
 import math
 
 from marigoldsill.coordination.job_placing import free_capacity
+from marigoldsill.coordination.learning import worker_restarts
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state.run_outcomes import crash_attribution
 
@@ -60,13 +61,20 @@
 class CrashIsolation:
     """Reserves workers for crash suspects; used by one thread."""
 
-    def __init__(self):
+    def __init__(self, *, restarts: worker_restarts.WorkerRestarts):
+        """Initializes the isolation without reservations.
+
+        Args:
+            restarts: Which workers have restarted. A sound suspect on a worker that
+                crashes by itself would be taken for the cause.
+        """
         self._reservations: dict[str, _Reservation] = {}
         self._started_s: dict[str, float] = {}
         self._waiting_since_s: dict[str, float] = {}
         # The last start of a suspect by agent, and of one that starts exclusively.
         self._suspect_s: dict[str, float] = {}
         self._exclusive_s: dict[str, float] = {}
+        self._restarts = restarts
         self._reserved_limit = 1
         self._group_limit = 1
         self._searches_left = _SEARCHES_LIMIT
@@ -172,9 +180,20 @@
             accepts: Whether a worker fits the suspect.
             now_s: The time of the round.
         """
-        free = self._find_reserved(task, workers, accepts, now_s)
-        if free is None and self._reserve_worker(task, workers, accepts, now_s):
+        preference = self._preference(task, now_s)
+
+        def is_steady(free: free_capacity.FreeCapacity) -> bool:
+            return accepts(free) and not any(preference(free))
+
+        free = self._find_reserved(task, workers, is_steady, now_s)
+        if free is None:
+            self._reserve_worker(task, workers, is_steady, now_s)
+            free = self._find_reserved(task, workers, is_steady, now_s)
+        if free is None and not self._has_reserved(workers, is_steady):
             free = self._find_reserved(task, workers, accepts, now_s)
+            if free is None:
+                self._reserve_worker(task, workers, accepts, now_s)
+                free = self._find_reserved(task, workers, accepts, now_s)
         if free is None:
             return None
         self._record_suspect_start(self._reservations[free.agent], task, now_s)
@@ -194,10 +213,18 @@
             and self._may_start(agent, task, now_s)
             and accepts(workers[agent])
         )
-        # Other workers are preferred, as the fault may be the worker's own.
-        avoided = crash_attribution.early_loss_agents(task)
-        return min(
-            fitting, key=lambda free: free.agent in avoided, default=None
+        return min(fitting, key=self._preference(task, now_s), default=None)
+
+    def _has_reserved(
+        self,
+        workers: Mapping[str, free_capacity.FreeCapacity],
+        accepts: Acceptance,
+    ) -> bool:
+        """Whether an accepted worker is reserved, on which a suspect may start soon."""
+        return any(
+            accepts(workers[agent])
+            for agent in self._reservations
+            if agent in workers
         )
 
     def _reserve_worker(
@@ -206,29 +233,35 @@
         workers: Mapping[str, free_capacity.FreeCapacity],
         accepts: Acceptance,
         now_s: float,
-    ) -> bool:
+    ) -> None:
         """Reserves the worker with the fewest runs, within the limits."""
         is_limited = len(self._reservations) >= self._reserved_limit
         if is_limited or not self._searches_left:
-            return False
+            return
         self._searches_left -= 1
         fitting = (
             free
             for agent, free in workers.items()
             if agent not in self._reservations and accepts(free)
         )
-        avoided = crash_attribution.early_loss_agents(task)
+        preference = self._preference(task, now_s)
         free = min(
             fitting,
-            key=lambda f: (
-                f.agent in avoided,
-                sum(f.runs_by_step.values()),
-            ),
+            key=lambda f: (*preference(f), sum(f.runs_by_step.values())),
             default=None,
         )
         if free is not None:
             self._reservations[free.agent] = _Reservation(reserved_s=now_s)
-        return free is not None
+
+    def _preference(
+        self, task: ttypes.JobTask, now_s: float
+    ) -> Callable[[free_capacity.FreeCapacity], tuple[bool, bool]]:
+        """Returns a sort key of workers, the ones with the least own faults first."""
+        avoided = crash_attribution.early_loss_agents(task)
+        return lambda free: (
+            free.agent in avoided,
+            self._restarts.has_restarted(free.agent, now_s=now_s),
+        )
 
     def _may_start(
         self, agent: str, task: ttypes.JobTask, now_s: float
--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -29,6 +29,7 @@
 from marigoldsill.coordination.job_placing import trials as trials_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.coordination.learning import worker_health
+from marigoldsill.coordination.learning import worker_restarts
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
@@ -89,7 +90,10 @@
         self._candidate_cache = candidates_module.CandidateCache(
             self.index, interference
         )
-        self._isolation = crash_isolation.CrashIsolation()
+        self._restarts = worker_restarts.WorkerRestarts()
+        self._isolation = crash_isolation.CrashIsolation(
+            restarts=self._restarts
+        )
         self._chooser = worker_choice.WorkerChooser(
             index=self.index,
             interference=interference,
@@ -147,6 +151,7 @@
             if is_withheld:
                 self._trials.put(self._compute_free(jobs, view, now_s))
             return
+        self._restarts.observe(view.name, view.worker.worker_id, now_s=now_s)
         free = self._compute_free(jobs, view, now_s)
         if self._health.is_on_probation(view.worker.worker_id):
             # One run shows whether the worker is healthy.
--- a/marigoldsill/coordination/learning/__init__.py
+++ b/marigoldsill/coordination/learning/__init__.py
@@ -14,4 +14,5 @@
     "utilization",
     "usage",
     "worker_health",
+    "worker_restarts",
 ]
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -244,3 +244,43 @@
     assert isolation.is_overdue("j1.0.0.0", task, now_s=102.0)
     isolation.record_start("j1.0.0.0", task, "a1", now_s=102.0)
     assert not isolation.is_overdue("j1.0.0.0", task, now_s=110.0)
+
+
+def _restart_workers(
+    leader: leader_harness.LeaderHarness, *agents: str
+) -> None:
+    leader.refresh_workers()
+    for agent in agents:
+        leader.views[agent].worker.worker_id = f"{agent}-incarnation2"
+    leader.refresh_workers()
+
+
+def test_suspect_starts_on_a_worker_that_has_not_crashed_itself(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    """Guards against sound tasks that are given up for workers that crash again."""
+    _restart_workers(leader, "a1", "a2", "a3")
+    tasks = _submit_suspects(leader, 6)
+    granted = _run_rounds(leader, duration_s=1.5)
+    assert granted.keys() == set(tasks)
+    assert set(granted.values()) <= {"a4", "a5"}
+
+
+def test_suspect_starts_although_all_workers_have_restarted(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    _restart_workers(leader, "a1", "a2", "a3", "a4", "a5")
+    tasks = _submit_suspects(leader, 1)
+    granted = _run_rounds(leader, duration_s=1.0)
+    assert granted.keys() == set(tasks)
+
+
+def test_suspect_starts_on_a_worker_that_restarted_long_ago(
+    leader: leader_harness.LeaderHarness,
+) -> None:
+    _restart_workers(leader, "a1", "a2", "a3", "a4")
+    leader.now_s += 61.0
+    leader.ineligible.add("a5")
+    tasks = _submit_suspects(leader, 1)
+    granted = _run_rounds(leader, duration_s=1.0)
+    assert granted.keys() == set(tasks)
