--- a/marigoldsill/coordination/job_admission/begun_jobs.py
+++ b/marigoldsill/coordination/job_admission/begun_jobs.py
@@ -87,5 +87,5 @@
         task.done
         or task.failures_count
         or task.checkpoint_id
-        or any(loss.is_explained for loss in task.losses)
+        or any(loss.has_begun for loss in task.losses)
     )
--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -104,8 +104,11 @@
 
 
 def _suspected_crashes(task: ttypes.JobTask) -> list[ttypes.WorkerLoss]:
-    losses = _recent_losses(task)
-    return [loss for loss in _at_similar_ages(losses) if loss.suspects_count]
+    return [
+        loss
+        for loss in _one_per_worker(_at_similar_ages(_recent_losses(task)))
+        if loss.suspects_count and loss.has_begun
+    ]
 
 
 def _recent_losses(task: ttypes.JobTask) -> list[ttypes.WorkerLoss]:
@@ -113,13 +116,29 @@
     long_runs = [
         index
         for index, loss in enumerate(task.losses)
-        if loss.since_grant_ms > _LONG_RUN_MS
+        if (loss.age_ms if loss.is_explained else loss.since_grant_ms)
+        > _LONG_RUN_MS
     ]
     return task.losses[long_runs[-1] + 1 :] if long_runs else task.losses
 
 
 def _crashes(losses: Iterable[ttypes.WorkerLoss]) -> list[ttypes.WorkerLoss]:
-    return [loss for loss in losses if loss.has_worker_ended]
+    return _one_per_worker(loss for loss in losses if loss.has_worker_ended)
+
+
+def _one_per_worker(
+    losses: Iterable[ttypes.WorkerLoss],
+) -> list[ttypes.WorkerLoss]:
+    """Returns the loss of each incarnation that tells most, in their order."""
+    by_worker: dict[tuple[str, str], ttypes.WorkerLoss] = {}
+    for loss in losses:
+        known = by_worker.setdefault((loss.agent, loss.worker_id), loss)
+        if (loss.has_begun, loss.suspects_count) > (
+            known.has_begun,
+            known.suspects_count,
+        ):
+            by_worker[loss.agent, loss.worker_id] = loss
+    return list(by_worker.values())
 
 
 def _at_similar_ages(
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -115,7 +115,8 @@
 
 def _remove_unexplained(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
     loss = _find_unexplained(task, end)
-    if loss is None:
+    # A later incarnation may have listed the end of a run that it began late.
+    if loss is None or loss.has_worker_ended:
         return False
     task.losses = [other for other in task.losses if other is not loss]
     return True
--- a/tests/coordination/job_admission/test_begun_jobs.py
+++ b/tests/coordination/job_admission/test_begun_jobs.py
@@ -85,10 +85,19 @@
 def test_a_job_has_begun_if_a_run_ended_that_was_never_listed(
     leader: _Leader, kind: ttypes.RunEndKind
 ) -> None:
-    leader.list_runs(ends=[builders.run_end(_TASK, kind)])
+    end = builders.run_end(_TASK, kind)
+    end.has_begun = kind == ttypes.RunEndKind.CRASHED
+    leader.list_runs(ends=[end])
     assert leader.waiting_count == 0
 
 
+def test_a_job_waits_if_its_worker_crashed_before_it_is_known_to_have_begun(
+    leader: _Leader,
+) -> None:
+    leader.list_runs(ends=[builders.run_end(_TASK, ttypes.RunEndKind.CRASHED)])
+    assert leader.waiting_count == 1
+
+
 def test_a_job_with_a_done_task_has_begun(leader: _Leader) -> None:
     leader.list_runs(ends=[builders.run_end(_TASK, ttypes.RunEndKind.DONE)])
     assert leader.waiting_count == 0
--- a/tests/coordination/job_placing/test_crash_isolation.py
+++ b/tests/coordination/job_placing/test_crash_isolation.py
@@ -24,6 +24,7 @@
     for task in tasks:
         end = builders.run_end(task, ttypes.RunEndKind.CRASHED, run)
         end.suspects_count = len(tasks)
+        end.has_begun = True
         leader.state.end(end)
 
 
@@ -202,6 +203,9 @@
         for task, agent in granted.items():
             if agent == lost_agent:
                 _lose_runs(leader, [task], runs[task])
+        if lost_agent:
+            worker = leader.views[lost_agent].worker
+            worker.worker_id = f"{lost_agent}-lost-at-{leader.now_s}"
         leader.now_s += 0.25
     assert leader.state.state_of() == ttypes.JobState.FAILED
     assert runs[tasks[0]] == 5
--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -82,6 +82,7 @@
         agent="a1",
         is_explained=True,
         has_worker_ended=True,
+        has_begun=True,
         suspects_count=1,
     )
     return ttypes.JobTask(losses=[crash])
--- a/tests/state/test_crash_attribution.py
+++ b/tests/state/test_crash_attribution.py
@@ -85,6 +85,13 @@
 )
 
 
+def _grant(run: int, case: _Case) -> ttypes.RunGrant:
+    """Builds a grant for an incarnation that has no other run."""
+    grant = builders.grant(_TASK, run, f"a{case.agent}")
+    grant.worker_id = f"a{case.agent}-incarnation{run}"
+    return grant
+
+
 class _Play:
     """Applies cases to a job of one task until it ends."""
 
@@ -100,7 +107,7 @@
 
     def run(self, run: int, case: _Case) -> None:
         """Grants a run and records what becomes of it and of earlier ones."""
-        self.state.grant(builders.grant(_TASK, run, f"a{case.agent}"))
+        self.state.grant(_grant(run, case))
         if case.is_lease_lost or case.kind is None:
             self._record(
                 builders.run_end(_TASK, ttypes.RunEndKind.LOST, run),
@@ -175,7 +182,7 @@
         state = builders.State()
         state.submit(builders.job())
         for run, case in enumerate(cases, 1):
-            state.grant(builders.grant(_TASK, run, f"a{case.agent}"))
+            state.grant(_grant(run, case))
             state.end(builders.run_end(_TASK, ttypes.RunEndKind.LOST, run))
         for number in numbers:
             state.end(cases[number].end(number + 1))
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -24,10 +24,17 @@
 def _crash(
     state: builders.State, run: int, *, agent: str = "a1", **fields: int
 ) -> None:
-    assert state.grant(builders.grant(_TASK, run, agent)) == 1
+    assert state.grant(_grant(run, agent)) == 1
     _report(state, run, **fields)
 
 
+def _grant(run: int, agent: str = "a1") -> ttypes.RunGrant:
+    """Builds a grant for an incarnation that has no other run of the task."""
+    grant = builders.grant(_TASK, run, agent)
+    grant.worker_id = f"{agent}-incarnation{run}"
+    return grant
+
+
 def _report(
     state: builders.State, run: int, *, suspects_count: int = 1, age_ms: int = 0
 ) -> None:
@@ -79,8 +86,8 @@
 def test_a_crash_reported_after_the_run_was_lost_counts(
     state: builders.State,
 ) -> None:
-    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST)
-    state.grant(builders.grant(_TASK, 2))
+    _lose(state, 1)
+    state.grant(_grant(2))
     _report(state, 1, suspects_count=1)
     assert crash_attribution.crashes_count(state.task(_TASK)) == 1
     assert [run.run for run in state.task(_TASK).runs] == [2]
@@ -95,7 +102,7 @@
     **fields: bool,
 ) -> None:
     """Grants a run and records that its worker was lost, but not why."""
-    assert state.grant(builders.grant(_TASK, run, f"a{run}")) == 1
+    assert state.grant(_grant(run, f"a{run}")) == 1
     end = builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)
     for name, value in fields.items():
         setattr(end, name, value)
@@ -114,7 +121,7 @@
     _lose(state, 5, **_GONE)
     assert state.state_of() == ttypes.JobState.FAILED
     losses = "; ".join(
-        f"run {run} on a{run} worker a{run}-incarnation1 ended, as its agent "
+        f"run {run} on a{run} worker a{run}-incarnation{run} ended, as its agent "
         "found later, 0 ms after its grant"
         for run in range(1, 6)
     )
@@ -158,6 +165,52 @@
     assert state.state_of() == ttypes.JobState.FAILED
 
 
+def test_runs_on_one_worker_count_as_one_crash(state: builders.State) -> None:
+    for run in range(1, 7):
+        state.grant(builders.grant(_TASK, run))
+        end = builders.run_end(_TASK, ttypes.RunEndKind.LOST, run)
+        state.end(end)
+    for run in range(1, 7):
+        _report(state, run, suspects_count=3)
+    assert state.state_of() == ttypes.JobState.RUNNING
+
+
+def test_suspicion_without_a_begun_run_fails_no_job(
+    state: builders.State,
+) -> None:
+    """Guards against reports of agents that suspect unanswered starts."""
+    for run in range(1, 4):
+        state.grant(_grant(run, f"a{run}"))
+        end = builders.run_end(_TASK, _CRASHED, run)
+        end.suspects_count = 1
+        state.end(end)
+    assert state.state_of() == ttypes.JobState.RUNNING
+
+
+def test_crash_that_is_recorded_late_does_not_excuse_earlier_ones(
+    state: builders.State,
+) -> None:
+    for run in range(1, 6):
+        state.grant(_grant(run, f"a{run}"))
+        end = builders.run_end(_TASK, _CRASHED, run)
+        end.has_begun = True
+        end.age_ms = 10
+        late_ms = 700_000 if run in (3, 5) else 0
+        state.apply(
+            at_unix_ms=builders.NOW_UNIX_MS + late_ms,
+            record_run_ends=ttypes.RecordRunEnds(ends=[end]),
+        )
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_end_listed_by_a_later_incarnation_takes_off_no_crash(
+    state: builders.State,
+) -> None:
+    _lose(state, 1, **_GONE)
+    state.end(builders.run_end(_TASK, ttypes.RunEndKind.STOPPED, 1))
+    assert len(state.task(_TASK).losses) == 1
+
+
 def test_loss_without_evidence_is_no_second_worker_of_a_sole_suspect(
     state: builders.State,
 ) -> None:
@@ -176,7 +229,7 @@
     assert reason.startswith(f"2 workers crashed as task {_TASK} started: run")
     for run in (1, 2):
         assert (
-            f"run {run} on a{run} worker a{run}-incarnation1 crashed, "
+            f"run {run} on a{run} worker a{run}-incarnation{run} crashed, "
             f"age {10 + 10 * run} ms (suspects: 1)" in reason
         )
 
@@ -301,7 +354,7 @@
     state: builders.State, order: tuple[int, ...]
 ) -> None:
     for run in (1, 2, 3):
-        state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, run)
+        _lose(state, run)
     for run in order:
         _report(state, run, suspects_count=2)
         _report(state, run, suspects_count=2)
@@ -311,9 +364,9 @@
 def test_late_crash_of_a_newer_run_leaves_room_for_that_of_a_live_one(
     state: builders.State,
 ) -> None:
-    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, 1)
-    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, 2)
-    state.grant(builders.grant(_TASK, 3))
+    _lose(state, 1)
+    _lose(state, 2)
+    state.grant(_grant(3))
     _report(state, 2, suspects_count=2)
     _report(state, 1, suspects_count=2)
     assert crash_attribution.crashes_count(state.task(_TASK)) == 2
@@ -392,7 +445,7 @@
     state: builders.State,
 ) -> None:
     _crash(state, 1, suspects_count=2)
-    state.grant_and_end(_TASK, ttypes.RunEndKind.LOST, run=2)
+    _lose(state, 2)
     state.tables.jobs.pop_changed_jobs()
     _report(state, 2, suspects_count=0, age_ms=60_000)
     assert state.tables.jobs.pop_changed_jobs() == {"j1"}
