Hold a crash against the runs that were on the worker as it ended

On the other side runs were held responsible that could not have been on the worker any more: their stop was answered, or the worker had been silent for longer than its lease, so that they may have lapsed before. How long it was silent ends with the first call that broke off. A worker that deregistered without a heartbeat that it drains has not crashed either.

The contact with the worker is a class of its own. The fake worker of the tests left calls unanswered by a broken connection; it now lets them time out unless a test asks for the other.

--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -6,10 +6,10 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import math
 
 from marigoldsill.coordination.held_runs import held_run
 from marigoldsill.coordination.held_runs import listings
+from marigoldsill.coordination.held_runs import worker_contact
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -26,13 +26,13 @@
 
     Attributes:
         listings: The worker's listings.
+        contact: The contact with the worker.
     """
 
     def __init__(self):
         self.listings = listings.Listings()
         self._by_run: dict[task_names.RunKey, held_run.HeldRun] = {}
-        self._last_answer_s = -math.inf
-        self._is_unreachable = False
+        self.contact = worker_contact.WorkerContact()
 
     @property
     def listed(self) -> dict[task_names.RunKey, ttypes.RunSample]:
@@ -102,7 +102,7 @@
     def min_ages_s(self) -> dict[task_names.RunKey, float]:
         """Returns the minimum age of each run that may be on the current incarnation."""
         ages_s = {
-            key: run.min_age_s(self._last_answer_s)
+            key: run.min_age_s(self.contact.last_answer_s)
             for key, run in self._by_run.items()
         }
         return {k: age_s for k, age_s in ages_s.items() if age_s is not None}
@@ -170,14 +170,24 @@
         """
         run = self._get_or_add(order)
         run.request = held_run.StartRequest.SENT
-        if is_current and run.started_s is None and not self._is_unreachable:
+        if is_current and run.started_s is None and not self.contact.is_lost:
             run.is_sent_reachably = True
 
-    def record_start_unanswered(self, key: task_names.RunKey) -> None:
-        """Records that no answer tells whether a start request had an effect."""
+    def record_start_unanswered(
+        self, key: task_names.RunKey, *, is_broken: bool = False
+    ) -> None:
+        """Records that no answer tells whether a start request had an effect.
+
+        Args:
+            key: The run.
+            is_broken: Whether the connection broke during the request, as it does if
+                the worker crashes then.
+        """
         if run := self._by_run.get(key):
             run.request = held_run.StartRequest.NONE
             run.has_unanswered_start = True
+            if is_broken and run.is_sent_reachably:
+                self.contact.broken_starts.add(key)
 
     def record_not_started(self, key: task_names.RunKey) -> None:
         """Records that the last start request had no effect; an earlier one still may."""
@@ -201,7 +211,7 @@
             now_s: The time.
         """
         if is_current:
-            self.record_answer(now_s=now_s)
+            self.contact.record_answer(now_s=now_s)
         run = self._by_run.get(key)
         if run is None:
             return
@@ -221,15 +231,6 @@
         if run := self._by_run.get(key):
             run.stop_listings_count = self.listings.next_count
 
-    def record_answer(self, *, now_s: float) -> None:
-        """Records the time of the worker's last answer."""
-        self._last_answer_s = now_s
-        self._is_unreachable = False
-
-    def record_unreachable(self) -> None:
-        """Records that a call to the worker got no answer."""
-        self._is_unreachable = True
-
     def record_listing(
         self,
         listing: run_worker.RunListing,
@@ -244,7 +245,7 @@
             orders: The orders that are in force.
             now_s: The time.
         """
-        self.record_answer(now_s=now_s)
+        self.contact.record_answer(now_s=now_s)
         self.listings.record(listing)
         for key in self.listed:
             run = self._by_run.setdefault(
@@ -272,8 +273,7 @@
     def record_incarnation_ended(self) -> None:
         """Records that the current incarnation of the worker has ended."""
         self.listings.clear()
-        self._last_answer_s = -math.inf
-        self._is_unreachable = False
+        self.contact = worker_contact.WorkerContact()
         for run in self._by_run.values():
             run.record_off_worker()
         self._by_run = {
--- /dev/null
+++ b/marigoldsill/coordination/held_runs/worker_contact.py
@@ -0,0 +1,50 @@
+"""When the worker answered last, and how the contact with it was lost since."""
+
+import math
+
+from marigoldsill.protocol import task_names
+
+
+class WorkerContact:
+    """The contact with the current incarnation of the worker.
+
+    Not thread-safe: the owner's lock must be held for every call.
+
+    Attributes:
+        last_answer_s: When it answered last; negative infinity if it has not.
+        is_lost: Whether a call since then got no answer.
+        broken_starts: Runs whose start request broke off since then.
+    """
+
+    def __init__(self):
+        self.last_answer_s = -math.inf
+        self.is_lost = False
+        self.broken_starts: set[task_names.RunKey] = set()
+        # When the first call since the last answer broke off, or infinity.
+        self._broken_s = math.inf
+
+    def record_answer(self, *, now_s: float) -> None:
+        """Records an answer."""
+        self.last_answer_s = now_s
+        self.is_lost = False
+        self.broken_starts.clear()
+        self._broken_s = math.inf
+
+    def record_loss(self, *, now_s: float, is_broken: bool) -> None:
+        """Records a call without an answer.
+
+        Args:
+            now_s: The time.
+            is_broken: Whether its connection was refused or broke, as it does if the
+                worker crashes.
+        """
+        if is_broken and not self.is_lost:
+            self._broken_s = now_s
+        self.is_lost = True
+
+    def silence_s(self, *, now_s: float) -> float:
+        """Returns how long it did not answer before it ended, at most.
+
+        It ended when a call broke off, or at an unknown time before now.
+        """
+        return min(self._broken_s, now_s) - self.last_answer_s
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -14,15 +14,34 @@
 class AgentState(agent_record.AgentRecord):
     """An agent's record, with one method for each event that changes it."""
 
-    def record_unreachable(self, worker_id: str) -> None:
-        """Records a call without an answer; the caller must hold the lock."""
+    def record_unreachable(
+        self, worker_id: str, *, is_broken: bool = False
+    ) -> None:
+        """Records a call without an answer; the caller must hold the lock.
+
+        Args:
+            worker_id: The incarnation that was called.
+            is_broken: Whether the connection was refused or broke.
+        """
         self.departures.record_unanswered(worker_id)
         if worker_id == self.worker_id:
-            self.held.record_unreachable()
+            self.held.contact.record_loss(
+                now_s=clock.now_s(), is_broken=is_broken
+            )
+
+    def record_unanswered_start(
+        self, order: ttypes.RunOrder, *, is_broken: bool = False
+    ) -> None:
+        """Records a start request without an answer; the caller must hold the lock.
 
-    def record_unanswered_start(self, order: ttypes.RunOrder) -> None:
-        """Records a start request without an answer; the caller must hold the lock."""
-        self.held.record_start_unanswered((order.task, order.run))
+        Args:
+            order: The order to start the run.
+            is_broken: Whether the connection broke during the request.
+        """
+        self.held.record_start_unanswered(
+            (order.task, order.run),
+            is_broken=is_broken and order.worker_id == self.worker_id,
+        )
         self._record_late_start(order)
 
     def _record_late_start(self, order: ttypes.RunOrder) -> None:
@@ -101,12 +120,12 @@
         """
         with self.changed:
             self.incarnations.record_end(worker_id)
-            self.departures.remove(worker_id)
             if answering_id:
                 self.incarnations.record_answering(answering_id)
             if worker_id == self.worker_id:
                 self._clear_worker()
                 logs.event("worker_gone", worker_id=worker_id, reason=reason)
+            self.departures.remove(worker_id)
             self._end_stale_orders()
             self.changed.notify_all()
 
@@ -249,9 +268,12 @@
     def _clear_worker(self) -> None:
         """Ends the runs of the current incarnation and clears its state."""
         if self.worker is not None:
+            # A worker that crashes does not deregister.
+            is_deregistered = self.departures.is_known(self.worker_id)
             self.unreported_ends.record_lost_worker(
                 self.worker,
                 self.held,
+                is_planned=self.worker.draining or is_deregistered,
                 unresponsive_s=clock.now_s() - self.last_answer_s,
             )
         self.worker = None
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -66,7 +66,11 @@
             if current_id in ("", worker_id):
                 self._dependency.record_failure(error.kind, error.message)
             with self._state.changed:
-                self._state.record_unreachable(worker_id)
+                self._state.record_unreachable(
+                    worker_id,
+                    is_broken=isinstance(error, errors.TransportError)
+                    and not error.timed_out,
+                )
                 self._state.changed.wait(_PAUSE_S)
 
     def next_incarnation(self) -> str:
--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -92,10 +92,14 @@
         except errors.TransportError as error:
             with state.changed:
                 if error.sent:
-                    state.record_unanswered_start(order)
+                    state.record_unanswered_start(
+                        order, is_broken=not error.timed_out
+                    )
                 else:
                     state.held.record_not_started((order.task, order.run))
-                state.record_unreachable(order.worker_id)
+                state.record_unreachable(
+                    order.worker_id, is_broken=not error.timed_out
+                )
             raise
         except errors.PlatformError as error:
             # The answer cannot be read, or tells neither success nor a refusal.
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -8,6 +8,7 @@
 
 from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import lost_worker
+from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -26,12 +27,14 @@
             their ends.
     """
 
-    def __init__(self, *, effect_limit_s: float):
+    def __init__(self, *, lease_limit_s: float):
         """Initializes the ends without any.
 
         Args:
-            effect_limit_s: See `late_calls.effect_limit_s`.
+            lease_limit_s: The longest lease that the worker accepts.
         """
+        self._lease_limit_s = lease_limit_s
+        effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
         self.by_run: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.late_starts = late_starts.LateStarts(effect_limit_s=effect_limit_s)
         # Ends that control has recorded and that the worker may still list, as an
@@ -66,6 +69,7 @@
         worker: ttypes.PoolWorker,
         held: held_runs.HeldRuns,
         *,
+        is_planned: bool,
         unresponsive_s: float,
     ) -> None:
         """Records the loss of the current incarnation and of its runs.
@@ -73,9 +77,16 @@
         Args:
             worker: The incarnation that has ended.
             held: The runs that it may have.
+            is_planned: Whether it announced that it drains, or its end.
             unresponsive_s: Time since its last answer.
         """
-        ends = lost_worker.end_runs(worker, held, unresponsive_s=unresponsive_s)
+        ends = lost_worker.end_runs(
+            worker,
+            held,
+            is_planned=is_planned,
+            unresponsive_s=unresponsive_s,
+            lease_limit_s=self._lease_limit_s,
+        )
         for end in ends:
             self.record_lost(
                 end,
--- a/marigoldsill/coordination/worker_incarnations/departures.py
+++ b/marigoldsill/coordination/worker_incarnations/departures.py
@@ -65,6 +65,10 @@
         departure = self._by_id.get(worker_id)
         return math.inf if departure is None else departure.since_s
 
+    def is_known(self, worker_id: str) -> bool:
+        """Whether an incarnation was deregistered."""
+        return worker_id in self._by_id
+
     def is_unanswered(self, worker_id: str) -> bool:
         """Whether an incarnation was deregistered and left the last call unanswered."""
         departure = self._by_id.get(worker_id)
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -172,7 +172,7 @@
             raise errors.WorkerUnwellError("503")
         if name in self.unanswered:
             self._delay(worker_id, action)
-            raise errors.TransportError("no answer", sent=True)
+            raise self.unanswered_error
         action()
         if name == "start" and self.has_unexpected_status:
             raise errors.UnexpectedStatusError("500")
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -5,6 +5,7 @@
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
+from tests.coordination.jobs import fake_worker
 from tests.coordination.jobs import stepped_agent
 
 
@@ -248,6 +249,75 @@
     assert (end.suspects_count, end.has_begun) == (0, False)
 
 
+def test_run_whose_start_request_broke_off_may_have_crashed_its_worker(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    """Guards against unlimited restarts of a task whose start is never answered."""
+    agent.worker.unanswered = {"start"}
+    agent.worker.unanswered_error = fake_worker.BROKEN_CONNECTION
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    agent.crash_worker()
+    end = agent.state.ends[stepped_agent.KEY]
+    assert (end.suspects_count, end.has_begun) == (0, True)
+
+
+def test_run_whose_start_request_broke_off_long_before_a_crash_did_not_cause_it(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.worker.unanswered = {"start"}
+    agent.worker.unanswered_error = fake_worker.BROKEN_CONNECTION
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    agent.renew_lease()
+    agent.crash_worker()
+    assert not agent.state.ends[stepped_agent.KEY].has_begun
+
+
+def test_run_that_was_stopped_before_a_crash_is_not_held_against_its_task(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.receive_order(stepped_agent.RUN)
+    agent.execute_orders()
+    agent.receive_order(stepped_agent.STOP)
+    agent.worker.has_slow_stops = True
+    agent.execute_orders()
+    agent.crash_worker()
+    end = agent.state.ends[stepped_agent.KEY]
+    assert (end.suspects_count, end.has_begun) == (0, False)
+
+
+@pytest.mark.parametrize(
+    ("broken_after_s", "has_begun"), [(1.0, True), (30.0, False), (None, False)]
+)
+def test_run_that_may_have_lapsed_before_a_crash_is_not_held_against_its_task(
+    monkeypatch: pytest.MonkeyPatch,
+    broken_after_s: float | None,
+    has_begun: bool,
+) -> None:
+    """Guards against jobs that fail for crashes of workers that were cut off before."""
+    agent = stepped_agent.make_agent()
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    now_s = clock.now_s()
+    if broken_after_s is not None:
+        monkeypatch.setattr(clock, "now_s", lambda: now_s + broken_after_s)
+        agent.state.record_unreachable("a1-incarnation1", is_broken=True)
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 60.0)
+    agent.crash_worker()
+    assert agent.state.ends[stepped_agent.KEY].has_begun == has_begun
+
+
+def test_run_of_a_worker_that_deregistered_is_not_held_against_its_task(
+    agent: stepped_agent.SteppedAgent,
+) -> None:
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    agent.state.deregister(agent.worker.incarnation)
+    agent.crash_worker()
+    assert agent.end_kinds() == {stepped_agent.KEY: ttypes.RunEndKind.LOST}
+
+
 def test_run_that_the_worker_has_begun_is_known_to_have_begun_at_a_crash(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
@@ -308,7 +378,7 @@
     draining = stepped_agent.announcement("a1-incarnation1", sequence=2)
     draining.worker.draining = True
     agent.state.record_announcement(draining)
-    agent.state.held.record_answer(now_s=clock.now_s() + age_s)
+    agent.state.held.contact.record_answer(now_s=clock.now_s() + age_s)
     agent.crash_worker()
     assert agent.state.ends[stepped_agent.KEY].is_excused == is_excused
 
--- a/tests/coordination/jobs/test_held_runs.py
+++ b/tests/coordination/jobs/test_held_runs.py
@@ -46,9 +46,9 @@
 ) -> None:
     _start(held, _KEY, now_s=10.0)
     _list_runs(held, _KEY, now_s=11.0)
-    held.record_answer(now_s=12.5)
+    held.contact.record_answer(now_s=12.5)
     _start(held, _OTHER_KEY, now_s=13.0)
-    held.record_answer(now_s=12.5)
+    held.contact.record_answer(now_s=12.5)
     assert held.min_ages_s() == {_KEY: 2.5, _OTHER_KEY: 0.0}
 
 
@@ -56,7 +56,7 @@
     held: held_runs.HeldRuns,
 ) -> None:
     _send(held, _KEY)
-    held.record_answer(now_s=12.5)
+    held.contact.record_answer(now_s=12.5)
     assert held.min_ages_s() == {_KEY: 0.0}
     held.record_not_started(_KEY)
     assert held.min_ages_s() == {}
@@ -80,7 +80,7 @@
     held: held_runs.HeldRuns,
 ) -> None:
     _send(held, _KEY)
-    held.record_unreachable()
+    held.contact.record_loss(now_s=1.0, is_broken=False)
     _send(held, _OTHER_KEY)
     assert crash_suspects.suspects(held.min_ages_s()) == {_KEY}
 
@@ -88,7 +88,7 @@
 def test_start_sent_to_an_unreachable_worker_may_begin_its_run(
     held: held_runs.HeldRuns,
 ) -> None:
-    held.record_unreachable()
+    held.contact.record_loss(now_s=1.0, is_broken=False)
     _send(held, _KEY)
     held.record_start_unanswered(_KEY)
     assert held.held_keys() == {_KEY}
@@ -126,7 +126,7 @@
 ) -> None:
     for key, age_s in ages_s.items():
         _start(held, key, now_s=100.0 - age_s)
-    held.record_answer(now_s=100.0)
+    held.contact.record_answer(now_s=100.0)
     assert crash_suspects.suspects(held.min_ages_s()) == suspects
 
 
