Know runs as begun only on the incarnation that they were granted to

A start that is carried out late by the next incarnation of a worker was reported as running and taken for a begin on the lost one, so that a crash counted under a run that never began there. A worker that drained and ended as planned while its agent restarted counted as crashed; the leader had been told that it drains. And a begin that was reported to a leader that has been replaced, or did not record the report, was not reported again.

--- a/marigoldsill/coordination/job_admission/begun_runs.py
+++ b/marigoldsill/coordination/job_admission/begun_runs.py
@@ -19,21 +19,46 @@
 
     def __init__(self):
         self._by_agent: dict[str, set[task_names.RunKey]] = {}
+        # Incarnations that drain; their end is no crash.
+        self._draining_ids: set[str] = set()
 
     def reset(self) -> None:
         """Drops all runs at the start of a term."""
         self._by_agent = {}
+        self._draining_ids = set()
 
     def record_report(
         self, jobs: job_tables.JobTables, report: ttypes.AgentReport
     ) -> None:
-        """Records the runs that a report names as running or begun."""
-        begun = self._by_agent.get(report.agent, set()).union(
+        """Records the runs that a report names as running or begun.
+
+        They count only for the incarnation that they were granted to: a later one of
+        the same name may begin a run late.
+        """
+        self._record_draining(report.worker)
+        reported = {
             (run.task, run.run)
             for run in (*(report.running or ()), *report.begun)
-        )
-        live = jobs.runs_by_agent.get(report.agent, {}).keys()
-        self._by_agent[report.agent] = begun & live
+        }
+        known = self._by_agent.get(report.agent, set())
+        live = jobs.runs_by_agent.get(report.agent, {})
+        self._by_agent[report.agent] = {
+            key
+            for key, run in live.items()
+            if run.worker_id not in self._draining_ids
+            and (
+                key in known
+                or (key in reported and run.worker_id == report.worker_id)
+            )
+        }
+
+    def _record_draining(self, worker: ttypes.PoolWorker | None) -> None:
+        if worker is None:
+            return
+        if worker.draining:
+            self._draining_ids.add(worker.worker_id)
+        else:
+            self._draining_ids.discard(worker.worker_id)
 
     def complete_ends(self, agent: str, ends: Iterable[ttypes.RunEnd]) -> None:
         """Marks reported losses of runs that are known to have begun."""
--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -87,7 +87,9 @@
         return {
             key
             for key, order in state.orders.items()
-            if order.must_report_start and state.held.has_begun(key)
+            if order.must_report_start
+            and order.worker_id == state.worker_id
+            and state.held.has_begun(key)
         }
 
     def _must_report_worker(self) -> bool:
@@ -140,7 +142,11 @@
             )
         self._dependency.record_success()
         self._reported_unanswered_count = unanswered_count
-        self._reported_begun = begun
+        if reply.term != self._reply_term or not reply.ends_recorded:
+            # This leader may not know what an earlier one was told.
+            self._reported_begun = set()
+        else:
+            self._reported_begun = begun
         if has_samples:
             self._samples_reported_s = sent_s
             agent_metrics.WORKER_RUNS.set(len(report.running))
--- a/tests/coordination/job_admission/test_begun_runs.py
+++ b/tests/coordination/job_admission/test_begun_runs.py
@@ -48,6 +48,15 @@
     return new_leader
 
 
+def _report_loss(leader: single_leader.Leader) -> ttypes.WorkerLoss:
+    """Reports by a later process that the worker has ended under the run."""
+    end = builders.run_end(_TASK, ttypes.RunEndKind.LOST)
+    end.has_worker_ended = True
+    leader.service.agent_report(_report(2, 2, ends=[end]))
+    (loss,) = leader.replica.tables.jobs.find_by_name(_TASK).losses
+    return loss
+
+
 @pytest.mark.parametrize(
     ("begun", "running", "has_begun"),
     [
@@ -65,13 +74,29 @@
 ) -> None:
     leader.service.agent_report(_report(1, 2, begun=begun, running=running))
     leader.service.agent_report(_report(2, 1))
-    end = builders.run_end(_TASK, ttypes.RunEndKind.LOST)
-    end.has_worker_ended = True
-    leader.service.agent_report(_report(2, 2, ends=[end]))
-    (loss,) = leader.replica.tables.jobs.find_by_name(_TASK).losses
+    loss = _report_loss(leader)
     assert (loss.has_worker_ended, loss.has_begun) == (True, has_begun)
 
 
+def test_run_that_a_later_incarnation_began_had_not_begun_on_the_lost_one(
+    leader: single_leader.Leader,
+) -> None:
+    """Guards against crashes that are held against a start carried out late."""
+    leader.service.agent_report(_report(2, 1, running=[_sample()]))
+    assert not _report_loss(leader).has_begun
+
+
+def test_planned_end_of_a_worker_is_no_crash_after_a_restart_of_its_agent(
+    leader: single_leader.Leader,
+) -> None:
+    report = _report(1, 2, running=[_sample()])
+    report.worker.draining = True
+    leader.service.agent_report(report)
+    leader.service.agent_report(_report(1, 3, running=[_sample()], worker=None))
+    leader.service.agent_report(_report(2, 1))
+    assert not _report_loss(leader).has_begun
+
+
 def test_order_of_a_task_that_lost_a_worker_asks_to_report_its_begin(
     leader: single_leader.Leader,
 ) -> None:
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -110,6 +110,9 @@
     report = case.report(after_s=0.1)
     assert [run.task for run in report.begun] == ["j1.0.0.1"]
     assert not case.reporter._must_report_now()
+    case.link.reply.term += 1
+    case.report(after_s=1.0)
+    assert case.reporter._must_report_now()
 
 
 def test_end_is_reported_at_once_without_samples(case: _Case) -> None:
