End a quarantine early for a step that no other worker takes

What callers saw: a job that only one worker can run could wait for up to 32 minutes although that worker was sound again, as each run that failed on probation doubles the quarantine. Where two runs hung for their own fault, each report of the worker prolonged it, so it never ended. Cause: the length of a quarantine didn't depend on whether anything waits for the worker. All other quarantines last as before. It holds for plain tasks, copies, gangs and tasks that last.

--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -179,6 +179,10 @@
             )
         return free
 
+    def take_wanted(self) -> set[str]:
+        """Returns, once, the quarantined workers that steps without another need."""
+        return self._trials.take_wanted()
+
     def due_agents(self, *, now_s: float) -> list[str]:
         """Returns agents to refresh, as their workers may take more tasks by now."""
         return self._locality.due_agents(now_s=now_s)
--- a/marigoldsill/coordination/job_placing/step_placement.py
+++ b/marigoldsill/coordination/job_placing/step_placement.py
@@ -57,7 +57,7 @@
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
             locality: Whether tasks wait for racks.
-            trials: Workers on probation.
+            trials: Workers on probation or in quarantine.
             waits: How long steps have waited for a start.
         """
         self._index = index
--- a/marigoldsill/coordination/job_placing/trials.py
+++ b/marigoldsill/coordination/job_placing/trials.py
@@ -1,9 +1,9 @@
 """Starts steps that have no other worker on workers that recently failed runs.
 
-A worker on probation gets one run at a time. That keeps tasks from a worker that would
-fail them, but a task, or a gang, may fit nowhere else. A step that has waited too long
-may therefore start beside the run that probes a worker, and a gang with all its members.
-Such trials of one worker are spaced out in time.
+A worker on probation gets one run at a time, and one in quarantine none. That keeps tasks
+from a worker that would fail them, but a task, or a gang, may fit nowhere else. A step
+that has waited too long may therefore start beside the run that probes a worker, and a
+gang with all its members. Such trials of one worker are spaced out in time.
 """
 
 from collections.abc import Iterable
@@ -77,8 +77,11 @@
         self._interference = interference
         self._chooser = chooser
         self._on_probation: dict[str, free_capacity.FreeCapacity] = {}
-        # The ones of these to try in a round.
+        self._quarantined: dict[str, free_capacity.FreeCapacity] = {}
+        # Of these in a round: the ones to try now, and the ones nobody wants yet.
         self._due: dict[str, free_capacity.FreeCapacity] = {}
+        self._unwanted: dict[str, free_capacity.FreeCapacity] = {}
+        self._wanted: set[str] = set()
 
     def begin_round(self) -> None:
         """Determines the workers that may be tried in a round."""
@@ -87,16 +90,20 @@
             for agent, free in self._on_probation.items()
             if self._health.may_try_run(free.worker.worker_id)
         }
+        self._unwanted = dict(self._quarantined)
 
     @property
     def has_workers(self) -> bool:
-        """Whether a step could find a worker to try."""
-        return bool(self._due)
+        """Whether a step could find a worker to try, now or later."""
+        return bool(self._due or self._unwanted)
 
     def put(self, free: free_capacity.FreeCapacity) -> None:
-        """Adds a worker if it is on probation."""
+        """Adds a worker if it is on probation or in quarantine."""
         self.discard(free.agent)
-        if self._health.is_on_probation(free.worker.worker_id):
+        worker_id = free.worker.worker_id
+        if self._health.is_quarantined(worker_id):
+            self._quarantined[free.agent] = free
+        elif self._health.is_on_probation(worker_id):
             self._on_probation[free.agent] = dataclasses.replace(
                 free.copy(), starts_limit=None
             )
@@ -104,8 +111,14 @@
     def discard(self, agent: str) -> None:
         """Removes a worker until it is put again."""
         self._on_probation.pop(agent, None)
+        self._quarantined.pop(agent, None)
         self._due.pop(agent, None)
 
+    def take_wanted(self) -> set[str]:
+        """Returns and forgets the quarantined workers that steps wait for."""
+        wanted, self._wanted = self._wanted, set()
+        return wanted
+
     def choose(
         self,
         waiting: backlog_module.WaitingStep,
@@ -115,14 +128,21 @@
     ) -> list[Choice]:
         """Returns starts for a step that has no other worker; none if there is none.
 
+        Without any, quarantined workers that it could use are wanted.
+
         Args:
             waiting: The step.
             ignores_limits: Whether interference does not limit where it starts.
             now_s: The time of the round.
         """
-        if waiting.step.gang:
-            return self._choose_for_gang(waiting, now_s)
-        return self._choose_for_task(waiting, ignores_limits, now_s)
+        chosen: list[Choice] = []
+        if self._due and waiting.step.gang:
+            chosen = self._choose_for_gang(waiting, now_s)
+        elif self._due:
+            chosen = self._choose_for_task(waiting, ignores_limits, now_s)
+        if not chosen:
+            self._want(waiting, now_s)
+        return chosen
 
     def _choose_for_task(
         self,
@@ -168,6 +188,14 @@
         """Returns the record of a worker on which its starts are reserved."""
         return self._index.workers.get(agent) or self._due[agent]
 
+    def _want(self, waiting: backlog_module.WaitingStep, now_s: float) -> None:
+        step, pool = waiting.step, waiting.queue.pool
+        accepts = self._chooser.acceptance_for(waiting, now_s)
+        for agent, free in list(self._unwanted.items()):
+            if free.admits(step, pool) and accepts(free):
+                self._wanted.add(free.worker.worker_id)
+                del self._unwanted[agent]
+
 
 def count_conclusive_runs(
     jobs: job_tables.JobTables,
--- a/marigoldsill/coordination/jobs/scheduling_term.py
+++ b/marigoldsill/coordination/jobs/scheduling_term.py
@@ -155,6 +155,8 @@
         self._learning.learn_from_reports(jobs, views)
         self._health.begin_due_probations()
         self._evictor.evict_stalled(jobs, views)
+        # Else a worker that reports a stall each round would never be tried.
+        self._health.begin_wanted_probations(self._placement.take_wanted())
         self._evictor.evict_incomplete_gangs(jobs, touched)
         applied, self._applied_grants = self._applied_grants, []
         self._worker_refresher.mark_stale(
--- a/marigoldsill/coordination/learning/quarantine.py
+++ b/marigoldsill/coordination/learning/quarantine.py
@@ -10,8 +10,10 @@
 """
 
 import collections
+from collections.abc import Set
 import dataclasses
 import enum
+import math
 
 from marigoldsill.coordination.learning import blame as blame_module
 
@@ -61,6 +63,11 @@
     until_s: float = 0.0
     cooldown_s: float = _COOLDOWN_S
 
+    @property
+    def began_s(self) -> float:
+        """When its quarantine began."""
+        return self.until_s - self.cooldown_s
+
 
 class Quarantine:
     """Tracks failures by worker and family, and quarantines workers."""
@@ -175,10 +182,28 @@
         known.until_s = now_s + known.cooldown_s
         self._quarantined.add(worker)
 
-    def begin_probations(self, *, now_s: float) -> list[str]:
-        """Puts workers whose quarantine has ended on probation and returns them."""
+    def begin_probations(
+        self,
+        *,
+        now_s: float,
+        wanted: Set[str] = frozenset(),
+        wanted_cooldown_s: float = math.inf,
+    ) -> list[str]:
+        """Puts workers whose quarantine has ended on probation and returns them.
+
+        Args:
+            now_s: The current time.
+            wanted: Workers whose quarantine lasts no longer than that time.
+            wanted_cooldown_s: That time.
+        """
         due = [
-            w for w in self._quarantined if self._workers[w].until_s <= now_s
+            worker
+            for worker in self._quarantined
+            if self._workers[worker].until_s <= now_s
+            or (
+                worker in wanted
+                and self._workers[worker].began_s + wanted_cooldown_s <= now_s
+            )
         ]
         for worker in due:
             self._workers[worker].status = HealthStatus.PROBATION
--- a/marigoldsill/coordination/learning/worker_health.py
+++ b/marigoldsill/coordination/learning/worker_health.py
@@ -2,12 +2,13 @@
 
 A worker that refuses starts gets none for an exponentially growing backoff. A worker
 that fails runs of tasks that succeed elsewhere is quarantined, and then put on probation
-with one run, or more for a step that no other worker takes. A task that failed on a
-worker avoids it if there is another. This state applies to one incarnation of a worker,
-and is lost when this process ends.
+with one run; both restrict less a step that no other worker takes. A task that failed on
+a worker avoids it if there is another. This state applies to one incarnation of a
+worker, and is lost when this process ends.
 """
 
 from collections.abc import Callable
+from collections.abc import Set
 import dataclasses
 import math
 
@@ -26,8 +27,9 @@
 # It is short, as a quarantine costs the capacity of a worker, and afterwards a single
 # failed run is enough to quarantine the worker again.
 _COOLDOWN_S = 2.0
-# For steps that no other worker takes, trials of a worker are this far apart. A trial
-# that fails costs the step an attempt.
+# For a step that no other worker takes, a quarantine lasts no longer than this, and
+# trials of a worker are this far apart. A trial that fails costs the step an attempt.
+_WANTED_COOLDOWN_S = 4.0
 _TRIAL_INTERVAL_S = 2.0
 # Number of workers on which a task failed last and which its next run avoids.
 _AVOIDED_COUNT = 2
@@ -139,7 +141,15 @@
 
     def begin_due_probations(self) -> None:
         """Puts workers whose quarantine is over on probation."""
-        for worker_id in self._quarantine.begin_probations(now_s=clock.now_s()):
+        self.begin_wanted_probations(frozenset())
+
+    def begin_wanted_probations(self, worker_ids: Set[str]) -> None:
+        """Does so earlier for workers that steps without another one wait for."""
+        for worker_id in self._quarantine.begin_probations(
+            now_s=clock.now_s(),
+            wanted=worker_ids,
+            wanted_cooldown_s=_WANTED_COOLDOWN_S,
+        ):
             logs.event("worker_probed", worker_id=worker_id)
 
     def report_stall(self, worker_id: str, *, runs_count: int) -> None:
--- a/tests/coordination/job_placing/test_trials.py
+++ b/tests/coordination/job_placing/test_trials.py
@@ -1,4 +1,4 @@
-"""Tests of starts on workers on probation of what no other worker takes."""
+"""Tests of starts on workers on probation or in quarantine that nothing else takes."""
 
 from collections.abc import Iterable
 
@@ -55,6 +55,7 @@
         locality: locality_settings.LocalitySettings | None = None,
     ):
         super().__init__(*queues, locality=locality)
+        self.stalled_ids: set[str] = set()
         self._failed_count = 0
         self._refresher = worker_refresher.WorkerRefresher(
             agents=_Views(self.views),
@@ -69,6 +70,9 @@
 
     def refresh_workers(self) -> None:
         self.health.begin_due_probations()
+        for worker_id in self.stalled_ids:
+            self.health.report_stall(worker_id, runs_count=2)
+        self.health.begin_wanted_probations(self.placement.take_wanted())
         changed_agents = self.state.tables.jobs.pop_changed_agents()
         self._refresher.mark_stale(changed_agents)
         self._refresher.refresh(self.state.tables, now_s=self.now_s)
@@ -200,6 +204,43 @@
     assert len(leader.play(_IDLE_LIMIT_S)) == 2
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"long_running": True}, {"speculative": True}, {"gang": True}],
+    ids=["plain", "lasting", "copied", "gang"],
+)
+def test_a_step_does_not_wait_for_a_long_quarantine_of_its_only_worker(
+    leader: _Leader, fields: dict
+) -> None:
+    """Guards against a wait that doubles with each probe that fails."""
+    leader.set_worker("a1")
+    leader.set_worker("a2", labels=[_LABEL])
+    worker_id = leader.views["a2"].worker.worker_id
+    leader.fail_runs_on("a2", _LABEL)
+    for number in range(5):
+        while leader.health.is_quarantined(worker_id):
+            leader.now_s += 1
+            leader.health.begin_due_probations()
+        leader.submit(f"p{number}", _labelled())
+        [task] = leader.run_round()
+        leader.record_end(builders.run_end(task, _FAILED))
+        leader.state.cancel(f"p{number}")
+    leader.submit("j1", _labelled(**fields))
+    [started_s] = leader.play(5.0).values()
+    assert 4.0 <= started_s <= 4.5
+
+
+def test_a_task_starts_on_its_only_worker_although_two_others_hang_there(
+    leader: _Leader,
+) -> None:
+    """Guards against reports of a stall that prolong a quarantine without end."""
+    leader.set_worker("a2", labels=[_LABEL])
+    leader.stalled_ids.add(leader.views["a2"].worker.worker_id)
+    leader.play(20.0)
+    leader.submit("j1", _labelled())
+    assert list(leader.play(5.0)) == [builders.task_name()]
+
+
 def test_trials_of_a_worker_that_fails_all_runs_are_spaced_out(
     leader: _Leader,
 ) -> None:
--- a/tests/coordination/learning/test_worker_health.py
+++ b/tests/coordination/learning/test_worker_health.py
@@ -248,6 +248,24 @@
     assert not runs.health.may_try_run(_FAULTY)
 
 
+def test_a_worker_that_is_wanted_leaves_quarantine_earlier(
+    runs: _Runs,
+) -> None:
+    for job in range(3):
+        runs.run(_task(job), _FAULTY, _FAILED)
+    for job in range(3, 6):
+        while runs.health.is_quarantined(_FAULTY):
+            runs.advance_clock(1.0)
+        runs.run(_task(job), _FAULTY, _FAILED)
+    runs.advance_clock(3.0)
+    runs.health.begin_wanted_probations({_FAULTY})
+    assert runs.health.is_quarantined(_FAULTY)
+    runs.advance_clock(1.0)
+    assert runs.health.is_quarantined(_FAULTY)
+    runs.health.begin_wanted_probations({_FAULTY})
+    assert runs.health.is_on_probation(_FAULTY)
+
+
 def test_a_new_incarnation_of_a_worker_starts_without_failures(
     runs: _Runs,
 ) -> None:
