Request tickets for workers on probation that an advised step may try

What callers would see: a job of a queue with an adviser still waits for the end of a probe, or of a long quarantine, on the only worker that may run it. Cause: tickets were requested for the workers of usual starts only, and a step without a ticket could neither be tried elsewhere nor end a quarantine. Change: requests name the workers that may be tried in a round as well, and a step may want a worker in quarantine before it has a ticket for it. Evidence: two cases of tests/coordination/job_placing/test_trials.py; one fails with each half undone.

--- a/marigoldsill/coordination/job_placing/placement.py
+++ b/marigoldsill/coordination/job_placing/placement.py
@@ -183,6 +183,10 @@
         """Returns, once, the quarantined workers that steps without another need."""
         return self._trials.take_wanted()
 
+    def workers_to_advise(self) -> list[free_capacity.FreeCapacity]:
+        """Returns the workers for which a waiting step may need a ticket."""
+        return list((self._trials.due_workers | self.index.workers).values())
+
     def due_agents(self, *, now_s: float) -> list[str]:
         """Returns agents to refresh, as their workers may take more tasks by now."""
         return self._locality.due_agents(now_s=now_s)
--- a/marigoldsill/coordination/job_placing/trials.py
+++ b/marigoldsill/coordination/job_placing/trials.py
@@ -97,6 +97,11 @@
         """Whether a step could find a worker to try, now or later."""
         return bool(self._due or self._unwanted)
 
+    @property
+    def due_workers(self) -> dict[str, free_capacity.FreeCapacity]:
+        """The workers, by agent, that may be tried in this round."""
+        return dict(self._due)
+
     def put(self, free: free_capacity.FreeCapacity) -> None:
         """Adds a worker if it is on probation or in quarantine."""
         self.discard(free.agent)
@@ -190,7 +195,10 @@
 
     def _want(self, waiting: backlog_module.WaitingStep, now_s: float) -> None:
         step, pool = waiting.step, waiting.queue.pool
-        accepts = self._chooser.acceptance_for(waiting, now_s)
+        # Tickets are requested once the worker is on probation.
+        accepts = self._chooser.acceptance_for(
+            waiting, now_s, needs_ticket=False
+        )
         for agent, free in list(self._unwanted.items()):
             if free.admits(step, pool) and accepts(free):
                 self._wanted.add(free.worker.worker_id)
--- a/marigoldsill/coordination/job_placing/worker_choice.py
+++ b/marigoldsill/coordination/job_placing/worker_choice.py
@@ -214,6 +214,7 @@
         now_s: float,
         *,
         allows_reserved: bool = False,
+        needs_ticket: bool = True,
     ) -> Callable[[free_capacity.FreeCapacity], bool]:
         """Returns the conditions of a step on a worker that its class does not cover.
 
@@ -222,6 +223,8 @@
             now_s: The time of the round.
             allows_reserved: Whether workers reserved for crash suspects are
                 accepted.
+            needs_ticket: Whether the adviser's ticket is required, if the queue has
+                an adviser.
         """
 
         def accepts(free: free_capacity.FreeCapacity) -> bool:
@@ -233,7 +236,7 @@
                 return False
             if not self._admits(free.agent, waiting):
                 return False
-            if not waiting.queue.advised:
+            if not (needs_ticket and waiting.queue.advised):
                 return True
             worker_id = free.worker.worker_id
             return bool(
--- a/marigoldsill/coordination/jobs/scheduling_term.py
+++ b/marigoldsill/coordination/jobs/scheduling_term.py
@@ -272,7 +272,7 @@
         self._ticket_manager.attach_tickets(
             jobs, grants, self._service.orders, now_s=now_s
         )
-        workers = self._placement.index.workers.values()
+        workers = self._placement.workers_to_advise()
         self._ticket_manager.request_tickets(waiting, workers, now_s=now_s)
 
     def _begin_occurrences(self, due: list[ttypes.OccurrenceDue]) -> None:
--- a/tests/coordination/job_placing/test_trials.py
+++ b/tests/coordination/job_placing/test_trials.py
@@ -6,7 +6,9 @@
 
 from marigoldsill.coordination.job_locality import locality_settings
 from marigoldsill.coordination.job_placing import agents as agents_module
+from marigoldsill.coordination.jobs import ticket_requester
 from marigoldsill.coordination.jobs import worker_refresher
+from marigoldsill.protocol import adviser
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.job_placing import leader_harness
@@ -15,6 +17,7 @@
 _FAILED = ttypes.RunEndKind.FAILED
 _DONE = ttypes.RunEndKind.DONE
 _LABEL = "b"
+_ADVISED = "advised"
 _ROUND_S = 0.25
 # How long an accepted job may have nothing running beside free capacity.
 _IDLE_LIMIT_S = 3.0
@@ -83,9 +86,36 @@
         while self.now_s - began_s <= duration_s:
             for task in self.run_round():
                 started_s.setdefault(task, self.now_s - began_s)
+            self.answer_requests()
             self.now_s += _ROUND_S
         return started_s
 
+    def submit_advised(self, job_id: str, *steps: ttypes.Step) -> None:
+        job = builders.job(job_id, *steps)
+        job.queue = _ADVISED
+        self.state.submit(job)
+
+    def answer_requests(self) -> None:
+        """Answers as an adviser does that allows all steps on all workers."""
+        for waiting in self.backlog.rank_steps(
+            self.urgency, now_unix_ms=builders.NOW_UNIX_MS
+        ):
+            if not waiting.queue.advised:
+                continue
+            for request in ticket_requester.build_requests(
+                [waiting],
+                self.placement.workers_to_advise(),
+                self.tickets,
+                now_s=self.now_s,
+            ):
+                self.tickets.record_answer(
+                    request.key,
+                    request.worker_ids,
+                    [adviser.Ticket(i, "ticket") for i in request.worker_ids],
+                    valid_ms=request.valid_ms,
+                    now_s=self.now_s,
+                )
+
     def fail_runs_on(self, agent: str, label: str = "") -> None:
         """Fails runs of several jobs on a worker until it is in quarantine."""
         worker_id = self.views[agent].worker.worker_id
@@ -98,6 +128,19 @@
                 self.record_end(builders.run_end(task, _FAILED))
             self.state.cancel(job_id)
 
+    def prolong_quarantine(self, agent: str) -> None:
+        """Has a labelled worker fail probes until it is in a long quarantine."""
+        worker_id = self.views[agent].worker.worker_id
+        self.fail_runs_on(agent, _LABEL)
+        for number in range(5):
+            while self.health.is_quarantined(worker_id):
+                self.now_s += 1
+                self.health.begin_due_probations()
+            self.submit(f"p{number}", _labelled())
+            [task] = self.run_round()
+            self.record_end(builders.run_end(task, _FAILED))
+            self.state.cancel(f"p{number}")
+
     def begin_probation(self, agent: str, label: str = "") -> None:
         """Has a worker fail until its first quarantine is over."""
         self.fail_runs_on(agent, label)
@@ -115,7 +158,10 @@
 
 @pytest.fixture
 def leader(monkeypatch: pytest.MonkeyPatch) -> _Leader:
-    leader = _Leader(builders.queue(attempts_limit=100))
+    leader = _Leader(
+        builders.queue(attempts_limit=100),
+        builders.queue(_ADVISED, advised=True, advice_validity_ms=10_000),
+    )
     monkeypatch.setattr(clock, "now_s", lambda: leader.now_s)
     return leader
 
@@ -215,16 +261,7 @@
     """Guards against a wait that doubles with each probe that fails."""
     leader.set_worker("a1")
     leader.set_worker("a2", labels=[_LABEL])
-    worker_id = leader.views["a2"].worker.worker_id
-    leader.fail_runs_on("a2", _LABEL)
-    for number in range(5):
-        while leader.health.is_quarantined(worker_id):
-            leader.now_s += 1
-            leader.health.begin_due_probations()
-        leader.submit(f"p{number}", _labelled())
-        [task] = leader.run_round()
-        leader.record_end(builders.run_end(task, _FAILED))
-        leader.state.cancel(f"p{number}")
+    leader.prolong_quarantine("a2")
     leader.submit("j1", _labelled(**fields))
     [started_s] = leader.play(5.0).values()
     assert 4.0 <= started_s <= 4.5
@@ -241,6 +278,27 @@
     assert list(leader.play(5.0)) == [builders.task_name()]
 
 
+def test_an_advised_step_starts_on_its_only_worker_beside_a_probe(
+    leader: _Leader,
+) -> None:
+    """Guards against a step that gets no ticket as its worker gets no runs."""
+    leader.set_worker("a1")
+    leader.set_worker("a2", labels=[_LABEL])
+    leader.begin_probation("a2", _LABEL)
+    leader.occupy("a2", _LABEL)
+    leader.submit_advised("j1", _labelled())
+    assert list(leader.play(_IDLE_LIMIT_S)) == [builders.task_name()]
+
+
+def test_an_advised_step_ends_a_long_quarantine_of_its_only_worker(
+    leader: _Leader,
+) -> None:
+    leader.set_worker("a2", labels=[_LABEL])
+    leader.prolong_quarantine("a2")
+    leader.submit_advised("j1", _labelled())
+    assert list(leader.play(5.0)) == [builders.task_name()]
+
+
 def test_trials_of_a_worker_that_fails_all_runs_are_spaced_out(
     leader: _Leader,
 ) -> None:
