--- a/marigoldsill/coordination/job_learning/__init__.py
+++ b/marigoldsill/coordination/job_learning/__init__.py
@@ -1,6 +1,6 @@
-"""What the leader learns of jobs' run times and interference, and its records.
+"""What the leader learns of run times, stalls and interference, and its records.
 
 Other packages use only the modules listed here.
 """
 
-__all__ = ["run_time_sampler", "term_learning"]
+__all__ = ["run_time_sampler", "stall_detector", "term_learning"]
--- a/marigoldsill/coordination/job_placing/__init__.py
+++ b/marigoldsill/coordination/job_placing/__init__.py
@@ -15,7 +15,6 @@
     "placement",
     "relocation",
     "interference_model",
-    "stall_detector",
     "step_placement",
     "tickets",
     "trials",
--- a/marigoldsill/coordination/job_placing/step_placement.py
+++ b/marigoldsill/coordination/job_placing/step_placement.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import rack_queue
 from marigoldsill.coordination.job_placing import trials as trials_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.protocol import task_names
@@ -67,7 +68,7 @@
         self._isolation = isolation
         self._exploration = exploration
         self._locality = locality
-        self._rack_queue = worker_choice.RackQueue(
+        self._rack_queue = rack_queue.RackQueue(
             index=index, chooser=chooser, affinity=locality.affinity
         )
         self._trials = trials
--- a/marigoldsill/coordination/jobs/evictor.py
+++ b/marigoldsill/coordination/jobs/evictor.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from marigoldsill.coordination.job_learning import stall_detector
 from marigoldsill.coordination.job_placing import agents as agents_module
 from marigoldsill.coordination.job_placing import evictions
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import placement as placement_module
 from marigoldsill.coordination.job_placing import relocation
-from marigoldsill.coordination.job_placing import stall_detector
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.coordination.jobs import job_metrics
 from marigoldsill.coordination.jobs import service as service_module
--- a/tests/coordination/job_placing/test_stall_detector.py
+++ b/tests/coordination/job_learning/test_stall_detector.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from marigoldsill.coordination.job_learning import stall_detector
 from marigoldsill.coordination.job_placing import agents as agents_module
-from marigoldsill.coordination.job_placing import stall_detector
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.jobs import builders
