--- a/marigoldsill/coordination/jobs/scheduling_term.py
+++ b/marigoldsill/coordination/jobs/scheduling_term.py
@@ -155,6 +155,8 @@
         self._learning.learn_from_reports(jobs, views)
         self._health.begin_due_probations()
         self._evictor.evict_stalled(jobs, views)
+        # Else a worker that reports a stall each round would never be tried.
+        self._health.begin_wanted_probations(self._placement.take_wanted())
         self._evictor.evict_incomplete_gangs(jobs, touched)
         applied, self._applied_grants = self._applied_grants, []
         self._worker_refresher.mark_stale(
@@ -270,7 +272,7 @@
         self._ticket_manager.attach_tickets(
             jobs, grants, self._service.orders, now_s=now_s
         )
-        workers = self._placement.index.workers.values()
+        workers = self._placement.workers_to_advise()
         self._ticket_manager.request_tickets(waiting, workers, now_s=now_s)
 
     def _begin_occurrences(self, due: list[ttypes.OccurrenceDue]) -> None:
