Give up no batch job of an intent for expired leases

The same class as the jobs that failed for losses without evidence, found by a review of all places that end a task: a batch job was failed after five leases that ran out in a row within a minute of their grants. Only losses that an agent reports count now. The new test fails on the code before at the fifth loss.

--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -86,7 +86,13 @@
     if _is_outdated(tables, record.decided_term):
         return _result(tables, 0)
     applied = sum(
-        _record_event(tables, event, now_unix_ms) for event in record.events
+        _record_event(
+            tables,
+            event,
+            now_unix_ms,
+            is_from_agent=not record.decided_term,
+        )
+        for event in record.events
     )
     return _result(tables, applied)
 
@@ -262,7 +268,11 @@
 
 
 def _record_event(
-    tables: tables_module.Tables, event: ttypes.RunEvent, now_unix_ms: int
+    tables: tables_module.Tables,
+    event: ttypes.RunEvent,
+    now_unix_ms: int,
+    *,
+    is_from_agent: bool,
 ) -> int:
     task = _task_in_epoch(tables, event.task, event.epoch)
     if task is None or not tables_module.occupies_worker(task):
@@ -288,7 +298,8 @@
             _complete(tables, task, event, now_unix_ms)
         case ttypes.RunEventKind.FAILED:
             _fail(tables, task, event, now_unix_ms)
-        case ttypes.RunEventKind.LOST:
+        # An expired lease, as of an agent that is cut off, is no sign of a crash.
+        case ttypes.RunEventKind.LOST if is_from_agent:
             if not batch_losses.give_up(tables, task, now_unix_ms):
                 _requeue(tables, tables.tasks[task.name], event, now_unix_ms)
         case _:
--- a/tests/state/test_lost_batch_jobs.py
+++ b/tests/state/test_lost_batch_jobs.py
@@ -19,7 +19,11 @@
 
 
 def _lose(
-    tables: tables_module.Tables, *, epoch: int, after_ms: int = _EARLY_MS
+    tables: tables_module.Tables,
+    *,
+    epoch: int,
+    after_ms: int = _EARLY_MS,
+    decided_term: int = 0,
 ) -> ttypes.Task:
     """Grants a run and records the loss of its worker."""
     states.apply(
@@ -31,7 +35,7 @@
         tables,
         at_unix_ms=granted_unix_ms + after_ms,
         record_run_events=commands.run_event(
-            ttypes.RunEventKind.LOST, epoch=epoch
+            ttypes.RunEventKind.LOST, epoch=epoch, decided_term=decided_term
         ),
     )
     return tables.tasks["rebuild/0"]
@@ -54,6 +58,13 @@
         assert task.state == ttypes.TaskState.QUEUED
 
 
+def test_batch_job_is_not_given_up_for_expired_leases_of_its_workers() -> None:
+    tables = _tables(states.batch_job("rebuild"))
+    for epoch in range(1, 9):
+        task = _lose(tables, epoch=epoch, decided_term=1)
+        assert task.state == ttypes.TaskState.QUEUED
+
+
 @pytest.mark.parametrize("declare", [states.service, states.watcher])
 def test_services_and_watchers_are_never_given_up(declare) -> None:
     tables = _tables(declare("rebuild"))
