Isolate only tasks whose lost runs had begun, and search once for a worker

A task is a suspect by unseen losses only if two of the runs had begun. The preference stays an order of workers, without a search or wait of its own.

--- a/marigoldsill/coordination/job_placing/crash_isolation.py
+++ b/marigoldsill/coordination/job_placing/crash_isolation.py
@@ -180,20 +180,10 @@
             accepts: Whether a worker fits the suspect.
             now_s: The time of the round.
         """
-        preference = self._preference(task, now_s)
-
-        def is_steady(free: free_capacity.FreeCapacity) -> bool:
-            return accepts(free) and not any(preference(free))
-
-        free = self._find_reserved(task, workers, is_steady, now_s)
+        free = self._find_reserved(task, workers, accepts, now_s)
         if free is None:
-            self._reserve_worker(task, workers, is_steady, now_s)
-            free = self._find_reserved(task, workers, is_steady, now_s)
-        if free is None and not self._has_reserved(workers, is_steady):
+            self._reserve_worker(task, workers, accepts, now_s)
             free = self._find_reserved(task, workers, accepts, now_s)
-            if free is None:
-                self._reserve_worker(task, workers, accepts, now_s)
-                free = self._find_reserved(task, workers, accepts, now_s)
         if free is None:
             return None
         self._record_suspect_start(self._reservations[free.agent], task, now_s)
@@ -215,18 +205,6 @@
         )
         return min(fitting, key=self._preference(task, now_s), default=None)
 
-    def _has_reserved(
-        self,
-        workers: Mapping[str, free_capacity.FreeCapacity],
-        accepts: Acceptance,
-    ) -> bool:
-        """Whether an accepted worker is reserved, on which a suspect may start soon."""
-        return any(
-            accepts(workers[agent])
-            for agent in self._reservations
-            if agent in workers
-        )
-
     def _reserve_worker(
         self,
         task: ttypes.JobTask,
--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -2,10 +2,10 @@
 
 Two mistakes are possible: a task that crashes its workers takes one after the other
 with it, and a sound task on bad workers loses its job. So a few crashes that are typical
-of a faulty task fail its job, and a larger number of any crashes. Some of the larger
-number may have come before the worker began the run, as nobody knows if a start request
-got no answer or the agent ended as well. Losses without evidence that the worker has
-ended only steer placement: an agent that is cut off or frozen causes them, too.
+of a faulty task fail its job, and a larger number of any crashes. Two of these at least
+must be known to have come after the begin of the run. It is not known where a start
+request timed out, or the agent ended as well. Losses without evidence that the worker
+has ended only steer placement: an agent that is cut off or frozen causes them, too.
 
 All functions read `JobTask.losses` and nothing else.
 """
@@ -30,7 +30,7 @@
 _CRASH_AGE_MARGIN_MS = 1_500
 # A run that has worked for so long shows that earlier crashes had another cause.
 _LONG_RUN_MS = 600_000
-# Number of early losses from which a task is a suspect, whoever saw them.
+# Number of early losses of begun runs from which a task is a suspect, whoever saw them.
 _SUSPECT_LOSSES = 2
 
 
@@ -40,7 +40,7 @@
         return False
     return (
         bool(_suspected_crashes(task))
-        or len(early_losses(task)) >= _SUSPECT_LOSSES
+        or _early_begun_count(task) >= _SUSPECT_LOSSES
     )
 
 
@@ -50,7 +50,7 @@
         return False
     return (
         len(_suspected_crashes(task)) > 1
-        or len(early_losses(task)) > _SUSPECT_LOSSES
+        or _early_begun_count(task) > _SUSPECT_LOSSES
     )
 
 
@@ -95,6 +95,10 @@
     return ""
 
 
+def _early_begun_count(task: ttypes.JobTask) -> int:
+    return sum(loss.has_begun for loss in early_losses(task))
+
+
 def _suspected_limit(suspected: list[ttypes.WorkerLoss]) -> int:
     """Returns how many suspected crashes fail a job."""
     sole = [loss for loss in suspected if loss.suspects_count == 1]
