--- a/tests/platform/test_crashing_tasks.py
+++ b/tests/platform/test_crashing_tasks.py
@@ -1,5 +1,8 @@
 """Tasks that crash the workers that start them."""
 
+import pytest
+
+from standins import pool_worker
 from tests import one_process
 from tests.platform import system as system_module
 
@@ -81,6 +84,25 @@
     assert len(_find_starts(system, job_id)) == 5
 
 
+def test_a_task_that_crashes_each_worker_during_its_start_fails_its_job(
+    system: system_module.System, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against unlimited restarts of a task whose start is never answered."""
+    job_id = "00000000000000e5"
+    start_run = pool_worker.PoolWorker._start_run
+
+    def start_and_crash(worker: pool_worker.PoolWorker, body: dict) -> dict:
+        start_run(worker, body)
+        worker.crash()
+        raise pool_worker._CrashedError
+
+    monkeypatch.setattr(pool_worker.PoolWorker, "_start_run", start_and_crash)
+    system.start(workers_count=3)
+    system.submit(job_id, step(1), spec="work 50")
+    system.wait_for_job_state(job_id, "failed")
+    assert 2 <= len(_find_starts(system, job_id)) <= 5
+
+
 def test_jobs_complete_beside_a_worker_that_crashes_after_each_start(
     system: system_module.System,
 ) -> None:
