--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -12,9 +12,9 @@
 from marigoldsill.coordination.cpu_throttling import cpu_throttle
 from marigoldsill.coordination.cpu_throttling import load_trends
 from marigoldsill.coordination.job_placing import interference_model
-from marigoldsill.coordination.job_placing import placement
 from marigoldsill.coordination.job_placing import relocation
 from marigoldsill.coordination.job_placing import scoring
+from marigoldsill.coordination.job_placing import step_placement
 from marigoldsill.coordination.job_placing import urgency
 from marigoldsill.coordination.job_queueing import concurrency_limits
 from marigoldsill.coordination.job_queueing import job_concurrency
@@ -92,8 +92,8 @@
     "shortest-first": _patch(urgency.Urgency, "rank", _rank_by_core_time),
     "no-sharing": lambda: patched_attributes(
         interference_share=(scoring, _full_interference),
-        _IDLE_LIMIT_S=(placement, _NEVER),
-        _FULL_POOL_IDLE_LIMIT_S=(placement, _NEVER),
+        _IDLE_LIMIT_S=(step_placement, _NEVER),
+        _FULL_POOL_IDLE_LIMIT_S=(step_placement, _NEVER),
     ),
 }
 # Each disables or changes one mechanism and leaves all others unchanged.
@@ -114,10 +114,12 @@
         load_trends.LoadTrends, "expected_rise", lambda _self, _key: 0.0
     ),
     "no-idle-start": lambda: patched_attributes(
-        _IDLE_LIMIT_S=(placement, _NEVER),
-        _FULL_POOL_IDLE_LIMIT_S=(placement, _NEVER),
+        _IDLE_LIMIT_S=(step_placement, _NEVER),
+        _FULL_POOL_IDLE_LIMIT_S=(step_placement, _NEVER),
+    ),
+    "idle-start-at-once": _patch(
+        step_placement, "_FULL_POOL_IDLE_LIMIT_S", 2.0
     ),
-    "idle-start-at-once": _patch(placement, "_FULL_POOL_IDLE_LIMIT_S", 2.0),
     "no-moves": _patch(
         relocation.Relocation, "choose_evictions", lambda *_, **__: []
     ),
@@ -152,8 +154,8 @@
     "disturbance-0.2": _patch(scoring, "_INTERFERENCE_LIMIT", 0.2),
     "disturbance-0.3": _patch(scoring, "_INTERFERENCE_LIMIT", 0.3),
     "disturbance-0.5": _patch(scoring, "_INTERFERENCE_LIMIT", 0.5),
-    "idle-start-10": _patch(placement, "_FULL_POOL_IDLE_LIMIT_S", 10.0),
-    "idle-start-40": _patch(placement, "_FULL_POOL_IDLE_LIMIT_S", 40.0),
+    "idle-start-10": _patch(step_placement, "_FULL_POOL_IDLE_LIMIT_S", 10.0),
+    "idle-start-40": _patch(step_placement, "_FULL_POOL_IDLE_LIMIT_S", 40.0),
     "start-limit-0.85": _patch(
         scoring, "_START_LIMIT", utilization.from_latency_ratio(0.85)
     ),
