--- a/marigoldsill/state/runs.py
+++ b/marigoldsill/state/runs.py
@@ -86,12 +86,7 @@
     if _is_outdated(tables, record.decided_term):
         return _result(tables, 0)
     applied = sum(
-        _record_event(
-            tables,
-            event,
-            now_unix_ms,
-            is_from_agent=not record.decided_term,
-        )
+        _record_event(tables, event, record.decided_term, now_unix_ms)
         for event in record.events
     )
     return _result(tables, applied)
@@ -270,9 +265,8 @@
 def _record_event(
     tables: tables_module.Tables,
     event: ttypes.RunEvent,
+    decided_term: int,
     now_unix_ms: int,
-    *,
-    is_from_agent: bool,
 ) -> int:
     task = _task_in_epoch(tables, event.task, event.epoch)
     if task is None or not tables_module.occupies_worker(task):
@@ -299,7 +293,7 @@
         case ttypes.RunEventKind.FAILED:
             _fail(tables, task, event, now_unix_ms)
         # An expired lease, as of an agent that is cut off, is no sign of a crash.
-        case ttypes.RunEventKind.LOST if is_from_agent:
+        case ttypes.RunEventKind.LOST if not decided_term:
             if not batch_losses.give_up(tables, task, now_unix_ms):
                 _requeue(tables, tables.tasks[task.name], event, now_unix_ms)
         case _:
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from marigoldsill import errors
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
@@ -237,38 +238,35 @@
     assert end.suspects_count == 1
 
 
-def test_run_whose_start_got_no_answer_is_not_suspected_of_a_crash(
-    agent: stepped_agent.SteppedAgent,
+def _start_without_answer(
+    agent: stepped_agent.SteppedAgent, error: errors.TransportError
 ) -> None:
-    """Guards against jobs that fail for crashes of workers that never began them."""
     agent.worker.unanswered = {"start"}
+    agent.worker.unanswered_error = error
     agent.receive_order(stepped_agent.RUN)
     agent.execute_orders()
-    agent.crash_worker()
-    end = agent.state.ends[stepped_agent.KEY]
-    assert (end.suspects_count, end.has_begun) == (0, False)
 
 
-def test_run_whose_start_request_broke_off_may_have_crashed_its_worker(
+@pytest.mark.parametrize(
+    ("error", "has_begun"),
+    [(fake_worker.NO_ANSWER, False), (fake_worker.BROKEN_CONNECTION, True)],
+)
+def test_run_has_begun_at_a_crash_only_if_its_start_request_broke_off(
     agent: stepped_agent.SteppedAgent,
+    error: errors.TransportError,
+    has_begun: bool,
 ) -> None:
-    """Guards against unlimited restarts of a task whose start is never answered."""
-    agent.worker.unanswered = {"start"}
-    agent.worker.unanswered_error = fake_worker.BROKEN_CONNECTION
-    agent.receive_order(stepped_agent.RUN)
-    agent.execute_orders()
+    """Guards against jobs that fail for workers that never began them."""
+    _start_without_answer(agent, error)
     agent.crash_worker()
     end = agent.state.ends[stepped_agent.KEY]
-    assert (end.suspects_count, end.has_begun) == (0, True)
+    assert (end.suspects_count, end.has_begun) == (0, has_begun)
 
 
 def test_run_whose_start_request_broke_off_long_before_a_crash_did_not_cause_it(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
-    agent.worker.unanswered = {"start"}
-    agent.worker.unanswered_error = fake_worker.BROKEN_CONNECTION
-    agent.receive_order(stepped_agent.RUN)
-    agent.execute_orders()
+    _start_without_answer(agent, fake_worker.BROKEN_CONNECTION)
     agent.renew_lease()
     agent.crash_worker()
     assert not agent.state.ends[stepped_agent.KEY].has_begun
