--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -268,7 +268,7 @@
 struct WorkerLoss {
   1: i64 run,
   2: string agent,
-  3: bool is_explained = false,     // an agent has reported what became of the run
+  3: bool is_crash_seen = false,    // the agent that had the run reported the crash
   4: bool is_early = false,         // the run may have been in its startup
   5: i64 age_ms = 0,                // lower bound of the run's age
   6: string worker_id = "",         // the incarnation that was lost
--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -16,11 +16,11 @@
 
 # Number of workers that end under a task, at any age, at which its job fails.
 CRASHES_LIMIT = 5
-# How many of them are known to have begun the run.
+# How many of these workers must be known to have begun the run.
 _BEGUN_CRASHES_MIN = 2
-# The same for crashes of which the task is suspected, at similar ages. It is lower for
-# the only suspect of a crash: a worker may crash for another reason just after a start,
-# but that is unlikely to happen on two workers in a row.
+# Number of crashes at similar ages, of which the task is suspected, at which its job
+# fails. It is lower for the only suspect of a crash: a worker may crash for another
+# reason just after a start, but that is unlikely to happen on two workers in a row.
 _SUSPECTED_CRASHES_LIMIT = 3
 _SOLE_SUSPECT_CRASHES_LIMIT = 2
 # A task that crashes workers usually does so at a similar age each time, so crashes at a
@@ -120,7 +120,7 @@
     long_runs = [
         index
         for index, loss in enumerate(task.losses)
-        if (loss.age_ms if loss.is_explained else loss.since_grant_ms)
+        if (loss.age_ms if loss.is_crash_seen else loss.since_grant_ms)
         > _LONG_RUN_MS
     ]
     return task.losses[long_runs[-1] + 1 :] if long_runs else task.losses
@@ -163,7 +163,7 @@
 
 def _describe_loss(loss: ttypes.WorkerLoss) -> str:
     cause = "ended, as its agent found later"
-    if loss.is_explained:
+    if loss.is_crash_seen:
         cause = (
             f"crashed, age {loss.age_ms} ms (suspects: {loss.suspects_count})"
         )
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -1,8 +1,8 @@
 """Records losses of workers under the runs of a task, with what is known of each.
 
 The leader may record a run as lost before its agent reports what became of it, and
-agents that were cut off report in any order. So each loss remembers whether it was
-explained. `crash_attribution` reads the record.
+agents that were cut off report in any order. So a loss may learn later, once, that its
+agent saw the worker crash. `crash_attribution` reads the record.
 """
 
 from marigoldsill.protocol.generated import ttypes
@@ -45,7 +45,7 @@
             return _record_crash(task, end, run, now_unix_ms)
         case _ if run is None:
             # Only a worker that has outlived the run, or never had it, lists its end.
-            return _remove_unexplained(task, end)
+            return _withdraw(task, end)
     return False
 
 
@@ -65,7 +65,7 @@
         loss.has_worker_ended = end.has_worker_ended
         loss.has_begun = end.has_begun
         return True
-    loss = _find_unexplained(task, end) if end.has_worker_ended else None
+    loss = _find_unseen(task, end) if end.has_worker_ended else None
     if loss is None or loss.has_worker_ended:
         return False
     loss.has_worker_ended = loss.is_from_agent = True
@@ -81,12 +81,12 @@
 ) -> bool:
     """Records a crash that an agent saw; only the first report of a run counts."""
     if run is None:
-        loss = _find_unexplained(task, end)
+        loss = _find_unseen(task, end)
     else:
         loss = _remember_loss(task, run, now_unix_ms)
     if loss is None:
         return False
-    loss.is_explained = loss.has_worker_ended = loss.is_from_agent = True
+    loss.is_crash_seen = loss.has_worker_ended = loss.is_from_agent = True
     loss.age_ms = end.age_ms
     loss.has_begun = end.has_begun
     loss.suspects_count = end.suspects_count
@@ -113,8 +113,8 @@
     return loss
 
 
-def _remove_unexplained(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
-    loss = _find_unexplained(task, end)
+def _withdraw(task: ttypes.JobTask, end: ttypes.RunEnd) -> bool:
+    loss = _find_unseen(task, end)
     # A later incarnation may have listed the end of a run that it began late.
     if loss is None or loss.has_worker_ended:
         return False
@@ -122,11 +122,11 @@
     return True
 
 
-def _find_unexplained(
+def _find_unseen(
     task: ttypes.JobTask, end: ttypes.RunEnd
 ) -> ttypes.WorkerLoss | None:
-    unexplained = (loss for loss in task.losses if not loss.is_explained)
-    return next((loss for loss in unexplained if loss.run == end.run), None)
+    unseen = (loss for loss in task.losses if not loss.is_crash_seen)
+    return next((loss for loss in unseen if loss.run == end.run), None)
 
 
 def _evidence_of(loss: ttypes.WorkerLoss) -> tuple[bool, bool]:
--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -80,7 +80,7 @@
     crash = ttypes.WorkerLoss(
         run=1,
         agent="a1",
-        is_explained=True,
+        is_crash_seen=True,
         has_worker_ended=True,
         has_begun=True,
         suspects_count=1,
