--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -149,16 +149,22 @@
 def _log_run_ended(end: ttypes.RunEnd) -> None:
     kind = ttypes.RunEndKind(end.kind).name.lower()
     job_metrics.RUN_ENDS.labels(kind).inc()
-    crash = {}
-    if end.kind == ttypes.RunEndKind.CRASHED:
-        crash = {"suspects_count": end.suspects_count, "age_ms": end.age_ms}
+    loss = {}
+    if end.kind in _LOSSES:
+        loss = {
+            "suspects_count": end.suspects_count,
+            "age_ms": end.age_ms,
+            "has_begun": end.has_begun,
+            "worker_ended": end.has_worker_ended
+            or end.kind == ttypes.RunEndKind.CRASHED,
+        }
     logs.event(
         "run_ended",
         task=end.task,
         run=end.run,
         kind=kind,
         reason=end.detail,
-        **crash,
+        **loss,
     )
 
 
--- a/tests/coordination/jobs/test_job_event_logger.py
+++ b/tests/coordination/jobs/test_job_event_logger.py
@@ -57,3 +57,6 @@
     assert fields["worker_id"] == "a1-incarnation1"
     assert fields["since_grant_ms"] == 20
     assert fields["recorded_by"] == recorded_by
+    crashed = kind == ttypes.RunEndKind.CRASHED
+    assert events["run_ended"]["worker_ended"] == crashed
+    assert events["run_ended"]["has_begun"] is False
