--- a/marigoldsill/coordination/job_placing/step_placement.py
+++ b/marigoldsill/coordination/job_placing/step_placement.py
@@ -15,6 +15,7 @@
 from marigoldsill.coordination.job_placing import free_capacity
 from marigoldsill.coordination.job_placing import gangs
 from marigoldsill.coordination.job_placing import interference_model
+from marigoldsill.coordination.job_placing import rack_queue
 from marigoldsill.coordination.job_placing import trials as trials_module
 from marigoldsill.coordination.job_placing import worker_choice
 from marigoldsill.protocol import task_names
@@ -57,7 +58,7 @@
             isolation: The workers reserved for crash suspects.
             exploration: The trials of pairs of images.
             locality: Whether tasks wait for racks.
-            trials: Workers on probation.
+            trials: Workers on probation or in quarantine.
             waits: How long steps have waited for a start.
         """
         self._index = index
@@ -67,7 +68,7 @@
         self._isolation = isolation
         self._exploration = exploration
         self._locality = locality
-        self._rack_queue = worker_choice.RackQueue(
+        self._rack_queue = rack_queue.RackQueue(
             index=index, chooser=chooser, affinity=locality.affinity
         )
         self._trials = trials
