--- a/marigoldsill/coordination/job_placing/trials.py
+++ b/marigoldsill/coordination/job_placing/trials.py
@@ -212,9 +212,9 @@
 ) -> int:
     """Counts the runs on a worker that will show whether it is healthy.
 
-    These were granted while it was on probation. Long-running tasks never end, and tasks throttled to 0 make no progress. If they
-    counted, a worker on probation would never get another run, while long-running tasks
-    wait for its capacity.
+    These were granted while it was on probation. Long-running tasks never end, and tasks
+    throttled to 0 make no progress. If they counted, a worker on probation would never
+    get another run, while long-running tasks wait for its capacity.
     """
     return sum(
         health.is_probe(key)
