--- a/marigoldsill/coordination/job_admission/begun_runs.py
+++ b/marigoldsill/coordination/job_admission/begun_runs.py
@@ -19,13 +19,13 @@
 
     def __init__(self):
         self._by_agent: dict[str, set[task_names.RunKey]] = {}
-        # Incarnations that drain; their end is no crash.
-        self._draining_ids: set[str] = set()
+        # The incarnation of each agent's worker that drains; its end is no crash.
+        self._draining_ids: dict[str, str] = {}
 
     def reset(self) -> None:
         """Drops all runs at the start of a term."""
         self._by_agent = {}
-        self._draining_ids = set()
+        self._draining_ids = {}
 
     def record_report(
         self, jobs: job_tables.JobTables, report: ttypes.AgentReport
@@ -35,7 +35,7 @@
         They count only for the incarnation that they were granted to: a later one of
         the same name may begin a run late.
         """
-        self._record_draining(report.worker)
+        self._record_draining(report.agent, report.worker)
         reported = {
             (run.task, run.run)
             for run in (*(report.running or ()), *report.begun)
@@ -45,20 +45,21 @@
         self._by_agent[report.agent] = {
             key
             for key, run in live.items()
-            if run.worker_id not in self._draining_ids
+            if run.worker_id != self._draining_ids.get(report.agent)
             and (
                 key in known
                 or (key in reported and run.worker_id == report.worker_id)
             )
         }
 
-    def _record_draining(self, worker: ttypes.PoolWorker | None) -> None:
+    def _record_draining(
+        self, agent: str, worker: ttypes.PoolWorker | None
+    ) -> None:
         if worker is None:
             return
+        self._draining_ids.pop(agent, None)
         if worker.draining:
-            self._draining_ids.add(worker.worker_id)
-        else:
-            self._draining_ids.discard(worker.worker_id)
+            self._draining_ids[agent] = worker.worker_id
 
     def complete_ends(self, agent: str, ends: Iterable[ttypes.RunEnd]) -> None:
         """Marks reported losses of runs that are known to have begun."""
