Tell the leader for how long a restarted worker refuses starts

Cause: where a worker restarts under its name with an acknowledgement of ends unanswered, its agent starts no run there for 12 s, as the late acknowledgement would discard unseen ends. The leader only learnt of each refusal. It granted runs there again and again, ten for the task that was away, and each refusal doubled the backoff of the worker, up to 4 s. So the worker stayed unused for up to 4 s after it could start runs, while the other workers, which had restarted too, refused as well.

Class: an agent knows until when it can't do something, and the leader guesses it from refusals.

Change: reports say for how long the worker refuses all starts, from the first report of its incarnation. The leader gives it no run until then, and runs right after. Drawn-out backoffs stay for refusals whose end nobody knows.

The tests of the report and of the refresher fail without the change.

--- a/marigoldsill/coordination/job_agent/reporter.py
+++ b/marigoldsill/coordination/job_agent/reporter.py
@@ -135,6 +135,9 @@
                     ttypes.RunId(task=task, run=run)
                     for task, run in begun - self._reported_begun
                 ],
+                starts_refused_ms=math.ceil(
+                    1000 * state.late_calls.starts_refused_s(now_s=sent_s)
+                ),
             )
         with agent_metrics.REPORT_SECONDS.time():
             reply = self._link.call(
--- a/marigoldsill/coordination/job_agent/start_checks.py
+++ b/marigoldsill/coordination/job_agent/start_checks.py
@@ -37,7 +37,7 @@
             return "the worker drains"
         if state.run_orders.evacuations.includes(state.worker):
             return run_worker.RefusalReason.EVACUATED
-        if state.late_calls.may_discard_ends(now_s=clock.now_s()):
+        if state.late_calls.starts_refused_s(now_s=clock.now_s()):
             return "the worker has restarted and left calls unanswered before"
         return self._conflict(order, self._others(order))
 
--- a/marigoldsill/coordination/job_placing/agents.py
+++ b/marigoldsill/coordination/job_placing/agents.py
@@ -23,6 +23,7 @@
         sequence: The sequence number of its newest report.
         worker: Its worker, or None before the first description.
         is_worker_unresponsive: Whether the worker does not answer its agent.
+        starts_refused_until_s: Until when the worker refuses all starts.
         samples: The runs that the worker listed, by (task, run).
         sampled_s: When the newest samples arrived.
     """
@@ -32,6 +33,7 @@
     sequence: int = 0
     worker: ttypes.PoolWorker | None = None
     is_worker_unresponsive: bool = False
+    starts_refused_until_s: float = 0.0
     samples: dict[tuple[str, int], ttypes.RunSample] = dataclasses.field(
         default_factory=dict
     )
@@ -136,6 +138,7 @@
         sequence=report.sequence,
         worker=worker,
         is_worker_unresponsive=report.worker_silent,
+        starts_refused_until_s=now_s + report.starts_refused_ms / 1000,
         samples=samples,
         sampled_s=sampled_s,
     )
--- a/marigoldsill/coordination/jobs/worker_refresher.py
+++ b/marigoldsill/coordination/jobs/worker_refresher.py
@@ -66,7 +66,7 @@
             view = self._agents.get(name)
             if view is None:
                 continue
-            is_usable = self._is_usable(view)
+            is_usable = self._is_usable(view, now_s)
             is_eligible = is_usable and self._is_healthy(jobs, view)
             if is_eligible:
                 self._ineligible.discard(name)
@@ -91,10 +91,12 @@
             if view.worker is not None and view.worker.data_centre in changed
         )
 
-    def _is_usable(self, view: agents_module.AgentView) -> bool:
+    def _is_usable(self, view: agents_module.AgentView, now_s: float) -> bool:
         """Whether an agent's worker may be given tasks if it is healthy."""
         if view.worker is None or view.is_worker_unresponsive:
             return False
+        if now_s < view.starts_refused_until_s:
+            return False
         if view.worker.data_centre in self._evacuated:
             return False
         return self._leases.is_live(view.name)
--- a/marigoldsill/coordination/worker_incarnations/late_calls.py
+++ b/marigoldsill/coordination/worker_incarnations/late_calls.py
@@ -185,9 +185,11 @@
         """Whether a renewal with a deadline on another clock may have an effect."""
         return now_s < self.renewals_end_s
 
-    def may_discard_ends(self, *, now_s: float) -> bool:
-        """Whether the worker may carry out an earlier incarnation's acknowledgement.
+    def starts_refused_s(self, *, now_s: float) -> float:
+        """Returns for how long the worker must start no run; 0 if it may start one.
 
-        The end of a run that is done would be lost, so none is started until then.
+        It may carry out an earlier incarnation's acknowledgement until then, and the
+        end of a run that is done would be lost.
         """
-        return now_s - self._late_acknowledgement_s < LATE_CALL_LIMIT_S
+        end_s = self._late_acknowledgement_s + LATE_CALL_LIMIT_S
+        return max(0.0, end_s - now_s)
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -835,7 +835,8 @@
   8: bool worker_silent = false,
   9: i64 known_term = 0,            // the latest that it knows of; 0: none
   10: list<LateStart> late_starts = [],
-  11: list<RunId> begun = []        // begun runs whose orders ask to report that
+  11: list<RunId> begun = [],       // begun runs whose orders ask to report that
+  12: i64 starts_refused_ms = 0     // for how long its worker refuses all starts
 }
 
 struct AgentReply {
--- a/tests/coordination/jobs/test_reporter.py
+++ b/tests/coordination/jobs/test_reporter.py
@@ -193,3 +193,25 @@
     """Guards against deadlines converted at an old reading of the worker's clock."""
     silent = [case.report(after_s=0.7).worker_silent for _ in range(4)]
     assert silent == [False, False, True, True]
+
+
+def test_report_says_for_how_long_a_restarted_worker_refuses_starts(
+    case: _Case,
+) -> None:
+    """Guards against starts that the leader sends in vain and then delays."""
+    _confirm(case, "w1@100")
+    assert case.report(after_s=0.0).starts_refused_ms == 0
+    case.state.late_calls.record_unanswered_acknowledgement(now_s=case.now_s)
+    assert case.report(after_s=1.0).starts_refused_ms == 0
+    case.now_s += 0.5
+    _confirm(case, "w1@200")
+    refused_ms = [
+        case.report(after_s=after_s).starts_refused_ms
+        for after_s in (0.0, 4.0, 6.5)
+    ]
+    assert refused_ms == [10_500, 6_500, 0]
+
+
+def _confirm(case: _Case, incarnation: str) -> None:
+    case.state.record_announcement(stepped_agent.announcement(incarnation))
+    case.state.confirm_incarnation(incarnation)
--- a/tests/coordination/jobs/test_worker_refresher.py
+++ b/tests/coordination/jobs/test_worker_refresher.py
@@ -42,7 +42,9 @@
             placement=self.placement,
         )
 
-    def report(self, agent: str, *, now_s: float) -> None:
+    def report(
+        self, agent: str, *, now_s: float, starts_refused_ms: int = 0
+    ) -> None:
         worker = ttypes.PoolWorker(
             worker_id=agent,
             pool=builders.POOL,
@@ -52,7 +54,11 @@
             capacity=leader_harness.resources(16),
         )
         report = ttypes.AgentReport(
-            agent=agent, incarnation=1, sequence=1, worker=worker
+            agent=agent,
+            incarnation=1,
+            sequence=1,
+            worker=worker,
+            starts_refused_ms=starts_refused_ms,
         )
         self.agents.record_report(report, now_s=now_s)
         self.refresher.mark_stale([agent])
@@ -87,3 +93,14 @@
     refresher.state.tables.evacuated_data_centres.remove("dc1")
     refresher.refresh(60.0)
     assert refresher.starts_left("a1") == 1
+
+
+def test_a_worker_that_refuses_all_starts_is_used_as_soon_as_it_may() -> None:
+    """Guards against backoffs that outlast the time in which it has to refuse."""
+    refresher = _Refresher()
+    refresher.report("a1", now_s=1.0, starts_refused_ms=11_500)
+    assert refresher.placement.index.workers == {}
+    refresher.refresh(12.4)
+    assert refresher.placement.index.workers == {}
+    refresher.refresh(12.5)
+    assert list(refresher.placement.index.workers) == ["a1"]
