Ask for prompt answers to acknowledgements where a worker keeps its name

Cause: an acknowledgement of ends went out with the next renewal, which waits up to a second for the end of another run. A worker that crashed meanwhile left it unanswered, and its next incarnation started no run for 12 s. On a busy worker, an acknowledgement was under way nearly all the time, so nearly every crash cost those 12 s.

Change: on a worker that keeps its name, a renewal with an acknowledgement asks for an answer at once; the next one waits as before. It is one call more for each batch of ends there, none on workers with an id for each start.

test_worker_that_crashes_soon_after_the_end_of_a_run_is_used_at_once fails without the change.

--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -2,6 +2,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.transport import clock
 from marigoldsill.transport import dependency_log
@@ -117,7 +118,11 @@
                 state.changed.wait()
         return ""
 
-    def _answer_wait_ms(self) -> int:
+    def _answer_wait_ms(self, worker_id: str, *, acknowledged: int) -> int:
+        # No run would start on a later incarnation for a time if the worker crashed
+        # before it answers an acknowledgement.
+        if acknowledged and incarnation_ids.keeps_name(worker_id):
+            return 0
         # Where connections break again and again, no answer that waits ever arrives, and
         # the worker would count as unresponsive.
         if not self._is_last_call_answered:
@@ -154,7 +159,9 @@
                 acknowledged=acknowledged,
                 deadline_ms=deadline_ms,
                 wait_ms=(
-                    self._answer_wait_ms() if deadline_ms is not None else 0
+                    self._answer_wait_ms(worker_id, acknowledged=acknowledged)
+                    if deadline_ms is not None
+                    else 0
                 ),
             )
         except errors.MarigoldsillError as error:
--- a/tests/coordination/jobs/test_late_acknowledgements.py
+++ b/tests/coordination/jobs/test_late_acknowledgements.py
@@ -8,6 +8,7 @@
 
 from marigoldsill import errors
 from marigoldsill.coordination.worker_incarnations import late_calls
+from marigoldsill.protocol import run_worker
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 from tests.coordination.jobs import fake_worker
@@ -23,13 +24,32 @@
 ]
 
 
+class _Worker(fake_worker.RestartingWorker):
+    """A worker that may crash while a call waits for the end of a run.
+
+    Attributes:
+        crashes_in_waits: Whether the next call that waits breaks off.
+    """
+
+    crashes_in_waits = False
+
+    def renew_lease(
+        self, worker_id: str, *, wait_ms: int, **arguments: object
+    ) -> run_worker.RunListing:
+        """Lists runs, unless that has to wait for a crash."""
+        listing = super().renew_lease(worker_id, wait_ms=wait_ms, **arguments)
+        if wait_ms and self.crashes_in_waits:
+            raise fake_worker.BROKEN_CONNECTION
+        return listing
+
+
 class _Case:
     """A stepped agent with a fake clock, and a worker that keeps its name."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, incarnation: str):
         self.now_s = 1_000.0
         monkeypatch.setattr(clock, "now_s", lambda: self.now_s)
-        self.worker = fake_worker.RestartingWorker(incarnation)
+        self.worker = _Worker(incarnation)
         self.agent = stepped_agent.make_agent(self.worker)
 
     def renew(self, *, is_answered: bool = True) -> int:
@@ -131,6 +151,21 @@
     assert list(case.worker.running) == [_KEY]
 
 
+def test_worker_that_crashes_soon_after_the_end_of_a_run_is_used_at_once(
+    case: _Case,
+) -> None:
+    """Guards against workers that refuse all starts after most of their crashes."""
+    case.worker.crashes_in_waits = True
+    case.agent.state.acknowledged_end_number = 57
+    for _ in range(3):
+        case.renew()
+    assert case.worker.acknowledged == 57
+    case.worker.crashes_in_waits = False
+    case.restart()
+    case.run_on_new()
+    assert list(case.worker.running) == [_KEY]
+
+
 def test_unanswered_acknowledgement_is_repeated_after_the_next_answer(
     case: _Case,
 ) -> None:
