Let a worker be known before its test drains it

The agent logs a change of what its worker announces. On the busy machine the first heartbeat that it took already said that the worker drains, so nothing changed and there was nothing to log. Shown by a worker that drains from its first heartbeat: the line never comes.

The test waits for the agent's first contact with the worker before it drains it. What it checks, and its limits, stay.

--- a/tests/platform/test_worker_faults.py
+++ b/tests/platform/test_worker_faults.py
@@ -47,6 +47,11 @@
 def test_a_draining_worker_gets_no_new_runs(system) -> None:
     system.start(workers_count=2)
     draining_worker = system.workers["side-1"]
+    # Only a change of what the worker has announced before is logged.
+    one_process.wait_until(
+        lambda: "event=worker_answers" in system.processes["side-1"].text(),
+        what="the first heartbeat of the worker",
+    )
     draining_worker.is_draining = True
     one_process.wait_until(
         lambda: "event=worker_drains" in system.processes["side-1"].text(),
