Let an agent continue its runs until one of them is recorded as lost

Its agent was killed for about 4 s and needed as long to start; meanwhile a leader was elected. 0.5 s later the lease was over by the log, and the leader closed it. The agent reported 0.5 s after that. It got no lease, as it still had runs on record, and these were not recorded as lost either, as late calls of the agent's previous process might begin them. So the agent, its worker and the run it could have started waited 13 s for each other.

Cause: a lease was closed once it had expired. It has to be closed only while a loss of its runs is on its way to the log.

Class: something is given up for good before the decision that needs it.

Change: the leader closes an expired lease with the first of its runs that it records as lost. Until then a report renews it, as within the lease: the runs are still granted to that agent and nowhere else, and a start that is sent twice to the same incarnation begins one run.

test_an_agent_that_reports_soon_after_an_election_continues_its_runs fails without the change; its counterpart for an agent that doesn't report passes on both.

--- a/marigoldsill/coordination/jobs/lease_monitor.py
+++ b/marigoldsill/coordination/jobs/lease_monitor.py
@@ -1,11 +1,14 @@
 """Records runs as lost once the lease of their agent has expired."""
 
+from collections.abc import Mapping
 import math
 
 from marigoldsill.coordination.agreement import replica as replica_module
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.coordination.jobs import unresponsive_agents
+from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
+from marigoldsill.state import job_tables
 from marigoldsill.transport import logs
 
 _INTERVAL_S = 0.1
@@ -67,34 +70,48 @@
 
     def _lost_runs(self, now_s: float) -> list[ttypes.RunEnd]:
         """The ends of all runs that are over as their agent's lease has expired."""
-        runs_by_agent = self._replica.tables.jobs.runs_by_agent
         lost = []
         awaited = set()
-        for agent, runs in runs_by_agent.items():
-            if not self._service.leases.close_if_expired(
-                agent, bound_s=self._service.unresponsive_agents.bound_s(agent)
-            ):
+        leases = self._service.leases
+        for agent, runs in self._replica.tables.jobs.runs_by_agent.items():
+            bound_s = self._service.unresponsive_agents.bound_s(agent)
+            if not leases.has_expired(agent, bound_s=bound_s):
                 continue
-            detail = f"the lease of {agent} ran out"
-            for (task, run), live in runs.items():
-                if self._service.late_start_bounds.may_be_alive(
-                    agent, live, now_s=now_s
-                ):
-                    awaited.add(agent)
-                    continue
-                lost.append(
-                    ttypes.RunEnd(
-                        task=task,
-                        run=run,
-                        kind=ttypes.RunEndKind.LOST,
-                        detail=detail,
-                    )
-                )
+            over = self._runs_over(agent, runs, now_s)
+            if len(over) < len(runs):
+                awaited.add(agent)
+            # As long as no loss is recorded, the agent may continue its runs.
+            if over and leases.close_if_expired(agent, bound_s=bound_s):
+                lost += [_lost(agent, key) for key in over]
         self._log_awaited(awaited)
         return lost
 
+    def _runs_over(
+        self,
+        agent: str,
+        runs: Mapping[task_names.RunKey, job_tables.LiveRun],
+        now_s: float,
+    ) -> list[task_names.RunKey]:
+        """Returns the runs of an expired lease that no late call may begin."""
+        bounds = self._service.late_start_bounds
+        return [
+            key
+            for key, live in runs.items()
+            if not bounds.may_be_alive(agent, live, now_s=now_s)
+        ]
+
     def _log_awaited(self, awaited: set[str]) -> None:
         """Logs agents some of whose runs may be alive after their lease."""
         for agent in sorted(awaited - self._awaited_agents):
             logs.event("late_starts_awaited", level="WARNING", agent=agent)
         self._awaited_agents = awaited
+
+
+def _lost(agent: str, key: task_names.RunKey) -> ttypes.RunEnd:
+    task, run = key
+    return ttypes.RunEnd(
+        task=task,
+        run=run,
+        kind=ttypes.RunEndKind.LOST,
+        detail=f"the lease of {agent} ran out",
+    )
--- a/marigoldsill/coordination/leadership/leases.py
+++ b/marigoldsill/coordination/leadership/leases.py
@@ -147,6 +147,16 @@
             if self._suspension_numbers.get(agent) == suspension_number:
                 del self._suspension_numbers[agent]
 
+    def has_expired(self, agent: str, *, bound_s: float = math.inf) -> bool:
+        """Whether an agent's lease has certainly expired.
+
+        Args:
+            agent: Whose lease.
+            bound_s: The latest end of the lease, if known for another reason.
+        """
+        with self._lock:
+            return self._has_expired(agent, bound_s)
+
     def close_if_expired(
         self, agent: str, *, bound_s: float = math.inf
     ) -> bool:
@@ -163,24 +173,10 @@
             Whether the lease is closed.
         """
         with self._lock:
-            if agent in self._closed:
-                return True
-            own_end_s = self._own_end_s(agent)
-            end_s = min(own_end_s, bound_s)
-            now_s = clock.now_s()
-            if now_s <= end_s:
+            if not self._has_expired(agent, bound_s):
                 return False
-            renewed_s = self._renewed_s.get(agent)
-            logs.event(
-                "lease_expired",
-                level="WARNING",
-                agent=agent,
-                unrenewed_ms=int(1000 * (now_s - (renewed_s or self._reset_s))),
-                renewed_in_term=renewed_s is not None,
-                limited_by="log" if bound_s < own_end_s else "leader",
-            )
-            self._closed.add(agent)
-            self._end_s.pop(agent, None)
+            if agent not in self._closed:
+                self._close(agent, bound_s)
             return True
 
     def end_s(self, agent: str) -> float:
@@ -211,6 +207,25 @@
         with self._lock:
             return {a for a, end_s in self._end_s.items() if end_s >= now_s}
 
+    def _has_expired(self, agent: str, bound_s: float) -> bool:
+        return agent in self._closed or clock.now_s() > min(
+            self._own_end_s(agent), bound_s
+        )
+
+    def _close(self, agent: str, bound_s: float) -> None:
+        renewed_s = self._renewed_s.get(agent)
+        since_s = self._reset_s if renewed_s is None else renewed_s
+        logs.event(
+            "lease_expired",
+            level="WARNING",
+            agent=agent,
+            unrenewed_ms=int(1000 * (clock.now_s() - since_s)),
+            renewed_in_term=renewed_s is not None,
+            limited_by="log" if bound_s < self._own_end_s(agent) else "leader",
+        )
+        self._closed.add(agent)
+        self._end_s.pop(agent, None)
+
     def _own_end_s(self, agent: str) -> float:
         return max(self._end_s.get(agent, 0.0), self._min_end_s)
 
--- a/tests/coordination/jobs/test_lease_monitor.py
+++ b/tests/coordination/jobs/test_lease_monitor.py
@@ -23,6 +23,7 @@
 # Long enough for a report that waits for nothing.
 _REPORT_LIMIT_S = 0.2
 _THREAD_LIMIT_S = 10.0
+_WORKER = "a1-incarnation1"
 
 
 class _Clock:
@@ -70,8 +71,11 @@
         self.replies.append(self.leader.report("a1", ends=ends))
         return self.replies[-1]
 
-    def grant(self, job_id: str, run: int = 1) -> None:
+    def grant(
+        self, job_id: str, run: int = 1, *, worker_id: str = _WORKER
+    ) -> None:
         grant = builders.grant(builders.task_name(job_id=job_id), run)
+        grant.worker_id = worker_id
         grants = ttypes.GrantRuns(grants=[grant])
         assert self._propose(grant_runs=grants).applied_count == 1
 
@@ -138,6 +142,15 @@
     case.leader.service.leases.reset(lease_ms=single_leader.LEASE_MS)
 
 
+def _elect_with_late_run(case: _Case) -> None:
+    """Makes the leader a new one after the lease of a run that may begin late."""
+    case.report(builders.run_end(builders.task_name(), ttypes.RunEndKind.DONE))
+    case.leader.submit("j2")
+    case.grant("j2", worker_id="w1@100")
+    _lead_with_record(case, recorded_ago_s=_FULL_LEASE_S + 0.1)
+    case.leader.service.late_start_bounds.reset(now_s=clock.now_s())
+
+
 def _assert_lease_lasts(case: _Case) -> None:
     """Asserts that neither the leader nor the log ends a lease just renewed."""
     assert case.replies[-1].lease_ms == single_leader.LEASE_MS
@@ -180,6 +193,29 @@
     assert case.leader.runs
 
 
+def test_an_agent_that_reports_soon_after_an_election_continues_its_runs(
+    case: _Case,
+) -> None:
+    """Guards against runs that wait for late calls although their agent is back."""
+    _elect_with_late_run(case)
+    case.check()
+    runs = case.leader.runs
+    assert case.report().lease_ms == single_leader.LEASE_MS
+    case.check_until(_LEASE_S)
+    assert runs
+    assert case.leader.runs == runs
+
+
+def test_runs_of_an_agent_that_does_not_report_after_an_election_are_lost(
+    case: _Case,
+) -> None:
+    _elect_with_late_run(case)
+    case.check_until(2.4)
+    assert case.leader.runs
+    case.check_until(0.5)
+    assert case.leader.runs == {}
+
+
 def test_an_older_report_renews_no_lease(case: _Case) -> None:
     """Guards against what an older report tells in place of a newer one."""
     case.leader.sequence -= 2
