Gather what is known of a worker's loss before ending its runs

The function that ends the runs of a lost worker intersected the same sets for each run and asked twice, by different rules, whether a run had begun. One dataclass now holds the sets, computed once. The time without an answer that is only logged is that since the last listing, so it is named after it: the silence that decides on the runs is another one. Behaviour is unchanged.

--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -274,7 +274,7 @@
                 self.worker,
                 self.held,
                 is_planned=self.worker.draining or is_deregistered,
-                unresponsive_s=clock.now_s() - self.last_answer_s,
+                unlisted_s=clock.now_s() - self.last_answer_s,
             )
         self.worker = None
         self.worker_clock.reset()
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -1,5 +1,8 @@
 """Ends the runs of a lost worker and marks those that may have crashed it."""
 
+from collections.abc import Iterable
+import dataclasses
+
 from marigoldsill.coordination.held_runs import crash_suspects
 from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import agent_metrics
@@ -9,12 +12,33 @@
 from marigoldsill.transport import logs
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    """What is known of the runs of a lost worker.
+
+    Attributes:
+        is_planned: Whether the worker announced that it drains, or its end.
+        ages_ms: The minimum age of each run that may have been on it.
+        had_begun: Runs that were probably on it as it ended.
+        startups: Runs that may not have lived longer than a startup.
+        suspects: Runs that may have crashed it.
+        blamed: The suspects that certainly began, and were probably on it.
+    """
+
+    is_planned: bool
+    ages_ms: dict[task_names.RunKey, int]
+    had_begun: set[task_names.RunKey]
+    startups: frozenset[task_names.RunKey]
+    suspects: frozenset[task_names.RunKey]
+    blamed: frozenset[task_names.RunKey]
+
+
 def end_runs(
     worker: ttypes.PoolWorker,
     held: held_runs.HeldRuns,
     *,
     is_planned: bool,
-    unresponsive_s: float,
+    unlisted_s: float,
     lease_limit_s: float,
 ) -> list[ttypes.RunEnd]:
     """Logs and counts the loss of a worker, and returns the ends of its runs.
@@ -23,14 +47,10 @@
         worker: The incarnation that has ended.
         held: The runs that it may have.
         is_planned: Whether it announced that it drains, or its end.
-        unresponsive_s: Time since its last answer.
+        unlisted_s: Time since its last listing.
         lease_limit_s: The longest lease that it accepts.
     """
-    had_begun = _begun_runs(held, lease_limit_s=lease_limit_s)
-    ages_s = held.min_ages_s()
-    ages_ms = {key: int(1000 * age_s) for key, age_s in ages_s.items()}
-    suspects = frozenset() if is_planned else crash_suspects.suspects(ages_s)
-    startups = crash_suspects.startups(ages_s)
+    loss = _assess(held, is_planned=is_planned, lease_limit_s=lease_limit_s)
     agent_metrics.WORKER_LOSSES.labels(
         "planned" if is_planned else "unplanned"
     ).inc()
@@ -39,42 +59,37 @@
         level="WARNING",
         worker_id=worker.worker_id,
         draining=worker.draining,
-        silent_ms=int(1000 * unresponsive_s),
-        runs_count=len(ages_ms),
-        youngest_ms=min(ages_ms.values(), default=0),
-        suspects_count=len(suspects),
+        silent_ms=int(1000 * unlisted_s),
+        runs_count=len(loss.ages_ms),
+        youngest_ms=min(loss.ages_ms.values(), default=0),
+        suspects_count=len(loss.suspects),
+    )
+    return [_end_of(key, worker.worker_id, loss) for key in loss.ages_ms]
+
+
+def _assess(
+    held: held_runs.HeldRuns, *, is_planned: bool, lease_limit_s: float
+) -> _Loss:
+    ages_s = held.min_ages_s()
+    had_begun = _begun_runs(held, ages_s, lease_limit_s=lease_limit_s)
+    suspects = frozenset() if is_planned else crash_suspects.suspects(ages_s)
+    # The worker may have crashed before it began a run without an answer.
+    blamed = frozenset(filter(held.has_begun, suspects & had_begun))
+    return _Loss(
+        is_planned=is_planned,
+        ages_ms={key: int(1000 * age_s) for key, age_s in ages_s.items()},
+        had_begun=had_begun,
+        startups=crash_suspects.startups(ages_s),
+        suspects=suspects,
+        blamed=blamed,
     )
-    kind = ttypes.RunEndKind.CRASHED
-    if is_planned:
-        kind = ttypes.RunEndKind.LOST
-    return [
-        ttypes.RunEnd(
-            task=task,
-            run=run,
-            kind=kind,
-            detail=(
-                f"worker {worker.worker_id} is gone; the run was on it for "
-                f"{age_ms} ms or more"
-            ),
-            # The worker may have crashed before it began a run without an answer.
-            suspects_count=(
-                len(suspects)
-                if (task, run) in suspects & had_begun
-                and held.has_begun((task, run))
-                else 0
-            ),
-            age_ms=age_ms,
-            has_begun=(task, run) in had_begun,
-            # No shutdown is planned for the moment in which a run begins.
-            is_excused=is_planned and (task, run) not in startups,
-            has_worker_ended=is_planned and (task, run) in startups,
-        )
-        for (task, run), age_ms in ages_ms.items()
-    ]
 
 
 def _begun_runs(
-    held: held_runs.HeldRuns, *, lease_limit_s: float
+    held: held_runs.HeldRuns,
+    candidates: Iterable[task_names.RunKey],
+    *,
+    lease_limit_s: float,
 ) -> set[task_names.RunKey]:
     """Returns the runs that were probably on the worker as it ended.
 
@@ -85,7 +100,34 @@
         return set()
     return {
         key
-        for key in held.min_ages_s()
+        for key in candidates
         if (held.has_begun(key) or key in held.contact.broken_starts)
         and not held.is_stop_answered(key)
     }
+
+
+def _end_of(
+    key: task_names.RunKey, worker_id: str, loss: _Loss
+) -> ttypes.RunEnd:
+    task, run = key
+    age_ms = loss.ages_ms[key]
+    is_startup = key in loss.startups
+    return ttypes.RunEnd(
+        task=task,
+        run=run,
+        kind=(
+            ttypes.RunEndKind.LOST
+            if loss.is_planned
+            else ttypes.RunEndKind.CRASHED
+        ),
+        detail=(
+            f"worker {worker_id} is gone; the run was on it for "
+            f"{age_ms} ms or more"
+        ),
+        suspects_count=len(loss.suspects) if key in loss.blamed else 0,
+        age_ms=age_ms,
+        has_begun=key in loss.had_begun,
+        # No shutdown is planned for the moment in which a run begins.
+        is_excused=loss.is_planned and not is_startup,
+        has_worker_ended=loss.is_planned and is_startup,
+    )
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -70,7 +70,7 @@
         held: held_runs.HeldRuns,
         *,
         is_planned: bool,
-        unresponsive_s: float,
+        unlisted_s: float,
     ) -> None:
         """Records the loss of the current incarnation and of its runs.
 
@@ -78,13 +78,13 @@
             worker: The incarnation that has ended.
             held: The runs that it may have.
             is_planned: Whether it announced that it drains, or its end.
-            unresponsive_s: Time since its last answer.
+            unlisted_s: Time since its last listing.
         """
         ends = lost_worker.end_runs(
             worker,
             held,
             is_planned=is_planned,
-            unresponsive_s=unresponsive_s,
+            unlisted_s=unlisted_s,
             lease_limit_s=self._lease_limit_s,
         )
         for end in ends:
