Split the record of held runs into what is known and its events

The questions about the record are now in held_record.py and the events that change it in held_runs.py, as with agent_record.py and agent_state.py.

--- a/build_tools/guards.py
+++ b/build_tools/guards.py
@@ -124,7 +124,7 @@
     ),
     "listed-stop": Guard(
         "the end of a run that was stopped and isn't listed",
-        f"{_HELD}/held_runs.py",
+        f"{_HELD}/held_record.py",
         "count > 0 and self.listings.lack(key, after_count=count)",
         "count > 0 and key not in self.listed",
     ),
