Move an agent's questions beside its record

The next incarnation to call and the number up to which ends may be discarded are read only, so they are now methods of the record. The code is moved as it was.

--- a/marigoldsill/coordination/job_agent/agent_record.py
+++ b/marigoldsill/coordination/job_agent/agent_record.py
@@ -129,3 +129,21 @@
             and self.run_orders.are_covered_by(self.lease)
             and self.held.knows_all_listed()
         )
+
+    def next_incarnation(self) -> str:
+        """Returns the incarnation of the worker to call next, or empty."""
+        with self.changed:
+            return self.incarnations.next_id_to_call() if self.term else ""
+
+    def acknowledged_for(self, worker_id: str) -> int:
+        """Returns up to which number an incarnation may discard its ends.
+
+        A later incarnation of the same name, if there is one, would discard its own.
+        """
+        with self.changed:
+            is_current = worker_id == self.worker_id
+            if not is_current or self.incarnations.has_successor(worker_id):
+                return 0
+            return self.late_calls.acknowledgement_for(
+                worker_id, self.acknowledged_end_number
+            )
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -74,11 +74,6 @@
                 self.worker = worker
             self.changed.notify_all()
 
-    def next_incarnation(self) -> str:
-        """Returns the incarnation of the worker to call next, or empty."""
-        with self.changed:
-            return self.incarnations.next_id_to_call() if self.term else ""
-
     def confirm_incarnation(self, worker_id: str) -> None:
         """Makes an announced incarnation that has answered the current one."""
         with self.changed:
@@ -156,19 +151,6 @@
             now_s=clock.now_s(),
         )
 
-    def acknowledged_for(self, worker_id: str) -> int:
-        """Returns up to which number an incarnation may discard its ends.
-
-        A later incarnation of the same name, if there is one, would discard its own.
-        """
-        with self.changed:
-            is_current = worker_id == self.worker_id
-            if not is_current or self.incarnations.has_successor(worker_id):
-                return 0
-            return self.late_calls.acknowledgement_for(
-                worker_id, self.acknowledged_end_number
-            )
-
     def update_orders(self, reply: ttypes.OrdersReply) -> bool:
         """Updates the orders from a leader's reply.
 
