--- a/marigoldsill/coordination/requests/agent_service.py
+++ b/marigoldsill/coordination/requests/agent_service.py
@@ -14,6 +14,7 @@
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
 from marigoldsill.transport import http_client
+from marigoldsill.transport.curl import cancellation as cancellation_module
 
 _OWN_HEADERS = frozenset(
     {
@@ -151,7 +152,7 @@
             (headers_module.REQUEST_ID, request.request_id),
             (headers_module.TIMEOUT_MS, str(int(left_s * 1000))),
         )
-        cancellation = http_client.Cancellation()
+        cancellation = cancellation_module.Cancellation()
         self._registry.set_cancel_callback(attempt, cancellation.cancel)
         try:
             answer = self._client.fetch(
--- /dev/null
+++ b/marigoldsill/transport/curl/__init__.py
@@ -0,0 +1,1 @@
+"""Single HTTP calls with curl, on one connection each."""
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -11,6 +11,7 @@
 
 from marigoldsill import errors
 from marigoldsill.transport import http_client
+from marigoldsill.transport.curl import cancellation as cancellation_module
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 _WAIT_S = 5.0
@@ -247,7 +248,7 @@
 
 def test_another_thread_cancels_a_call_at_once(serve):
     server = serve(lambda server, connection: None)
-    cancellation = http_client.Cancellation()
+    cancellation = cancellation_module.Cancellation()
 
     def cancel() -> None:
         while not server.requests:
