Take the buckets of workers out of the index of free capacity

The search and its buckets are now in worker_buckets.py, and callers ask them directly.

tests/coordination/placement, tests/coordination/deciding and tests/coordination/plans pass.

--- a/marigoldsill/coordination/placement/capacity_index.py
+++ b/marigoldsill/coordination/placement/capacity_index.py
@@ -1,29 +1,19 @@
 """An index of the workers by free capacity, updated incrementally.
 
 No event causes a scan of all workers: a worker is refreshed when its record or
-its runs change, and candidates come from buckets of workers with about the
-same free processor time.
+its runs change, and candidates come from buckets (see `worker_buckets`).
 """
 
-import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import itertools
-import math
-import random
 
+from marigoldsill.coordination.placement import worker_buckets
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import amounts
 from marigoldsill.state import tables as tables_module
 
-# Each bucket covers free processor time up to 1.5 times that of the one below.
-_LOG_BUCKET_RATIO = math.log(1.5)
-_BUCKETS_COUNT = 48
-_FULL_SCAN_LIMIT = 32
-_DRAWS_PER_CANDIDATE = 4
-
 
 @dataclasses.dataclass(slots=True)
 class WorkerView:
@@ -42,42 +32,20 @@
     is_schedulable: bool
 
 
-class _Bucket:
-    """A set of names that supports random draws in constant time."""
-
-    __slots__ = ("_positions", "names")
-
-    def __init__(self):
-        self.names: list[str] = []
-        self._positions: dict[str, int] = {}
-
-    def add(self, name: str) -> None:
-        self._positions[name] = len(self.names)
-        self.names.append(name)
-
-    def remove(self, name: str) -> None:
-        position = self._positions.pop(name)
-        last = self.names.pop()
-        if last != name:
-            self.names[position] = last
-            self._positions[last] = position
-
-
 class CapacityIndex:
     """Free capacity by worker, and workers by free capacity.
 
     Attributes:
         views: The workers by name.
+        schedulable: Those that may be given new runs, by free processor time.
         increases_count: How often the free capacity of a worker may have
             increased.
     """
 
     def __init__(self, *, seed: int = 1):
         self.views: dict[str, WorkerView] = {}
+        self.schedulable = worker_buckets.WorkerBuckets(seed=seed)
         self.increases_count = 0
-        self._random = random.Random(seed)
-        self._buckets: dict[str, list[_Bucket]] = {}
-        self._bucket_keys: dict[str, tuple[str, int]] = {}
         self._holds: dict[str, dict[str, ttypes.Resources]] = {}
         self._capacity_counts: dict[tuple[int, int, int], int] = {}
 
@@ -107,7 +75,7 @@
         self._count_capacity(old, record)
         if record is None:
             self.views.pop(name, None)
-            self._update_bucket(name, None)
+            self.schedulable.remove(name)
             return None
         charges = {
             task: charge(tables.tasks[task])
@@ -125,7 +93,7 @@
             and record.state == ttypes.WorkerState.ACTIVE,
         )
         self.views[name] = view
-        self._update_bucket(name, view)
+        self._update_buckets(name, view)
         if view.is_schedulable and (
             old is None or not _is_no_larger(view.free, old.free)
         ):
@@ -136,14 +104,14 @@
         """Subtracts a grant that is not in the state yet."""
         view = self.views[name]
         view.free = amounts.subtract(view.free, demand)
-        self._update_bucket(name, view)
+        self._update_buckets(name, view)
 
     def add_free(self, name: str, amount: ttypes.Resources) -> None:
         """Adds capacity that is no longer held."""
         view = self.views.get(name)
         if view is not None:
             view.free = amounts.add(view.free, amount)
-            self._update_bucket(name, view)
+            self._update_buckets(name, view)
 
     def set_hold(self, name: str, task: str, demand: ttypes.Resources) -> None:
         """Holds capacity for a task from the next `refresh` on."""
@@ -166,94 +134,12 @@
             ttypes.Resources(*capacity) for capacity in self._capacity_counts
         )
 
-    def data_centres(self) -> list[str]:
-        """Data centres that have had a schedulable worker."""
-        return list(self._buckets)
-
-    def find_candidates(
-        self,
-        demand: ttypes.Resources,
-        *,
-        limit: int,
-        data_centre: str | None = None,
-    ) -> list[str]:
-        """Finds schedulable workers that have the demanded capacity free.
-
-        Args:
-            demand: The resources that must be free.
-            limit: The maximum number of workers in a random sample. If few
-                workers come into question, all that fit are returned.
-            data_centre: The only data centre to search, or None for all.
-        """
-        low = _bucket_index(demand.cpu_millicores)
-        centres = [data_centre] if data_centre else self._buckets
-        buckets = [
-            bucket.names
-            for centre in centres
-            for bucket in self._buckets.get(centre, [])[low:]
-            if bucket.names
-        ]
-        total = sum(map(len, buckets))
-        if total <= _FULL_SCAN_LIMIT:
-            return [
-                name
-                for names in buckets
-                for name in names
-                if amounts.fits(demand, self.views[name].free)
-            ]
-        return self._sample(demand, buckets, total, limit)
-
-    def sample_schedulable(self, limit: int) -> list[str]:
-        """A random sample of schedulable workers, whatever they have free."""
-        buckets = [
-            bucket.names
-            for buckets in self._buckets.values()
-            for bucket in buckets
-            if bucket.names
-        ]
-        total = sum(map(len, buckets))
-        if total <= limit:
-            return [name for names in buckets for name in names]
-        demand = ttypes.Resources(-(1 << 60), -(1 << 60), -(1 << 30))
-        return self._sample(demand, buckets, total, limit)
-
-    def _sample(
-        self,
-        demand: ttypes.Resources,
-        buckets: list[list[str]],
-        total: int,
-        limit: int,
-    ) -> list[str]:
-        found: dict[str, None] = {}
-        ends = list(itertools.accumulate(map(len, buckets)))
-        for _ in range(limit * _DRAWS_PER_CANDIDATE):
-            position = int(self._random.random() * total)
-            bucket = bisect.bisect_right(ends, position)
-            name = buckets[bucket][position - ends[bucket]]
-            if amounts.fits(demand, self.views[name].free):
-                found[name] = None
-                if len(found) >= limit:
-                    break
-        return list(found)
-
-    def _update_bucket(self, name: str, view: WorkerView | None) -> None:
-        old = self._bucket_keys.get(name)
-        new = None
-        if view is not None and view.is_schedulable:
+    def _update_buckets(self, name: str, view: WorkerView) -> None:
+        if view.is_schedulable:
             centre = view.record.data_centre
-            new = (centre, _bucket_index(view.free.cpu_millicores))
-        if new == old:
-            return
-        if old is not None:
-            self._buckets[old[0]][old[1]].remove(name)
-            del self._bucket_keys[name]
-        if new is not None:
-            if new[0] not in self._buckets:
-                self._buckets[new[0]] = [
-                    _Bucket() for _ in range(_BUCKETS_COUNT)
-                ]
-            self._buckets[new[0]][new[1]].add(name)
-            self._bucket_keys[name] = new
+            self.schedulable.put(name, centre, view.free)
+        else:
+            self.schedulable.remove(name)
 
     def _count_capacity(
         self, old: WorkerView | None, record: ttypes.Worker | None
@@ -300,13 +186,6 @@
     return ttypes.Resources(cpu, memory, accelerators)
 
 
-def _bucket_index(cpu_millicores: int) -> int:
-    if cpu_millicores < 1:
-        return 0
-    position = int(math.log(cpu_millicores) / _LOG_BUCKET_RATIO) + 1
-    return min(position, _BUCKETS_COUNT - 1)
-
-
 def _as_tuple(capacity: ttypes.Resources) -> tuple[int, int, int]:
     return (
         capacity.cpu_millicores,
--- a/marigoldsill/coordination/placement/task_placer.py
+++ b/marigoldsill/coordination/placement/task_placer.py
@@ -282,7 +282,7 @@
         victim_set = self._evictor.find_victims(
             tables,
             task_view,
-            self._fleet.capacity_index.sample_schedulable(_WORKERS_LIMIT),
+            self._fleet.capacity_index.schedulable.sample_any(_WORKERS_LIMIT),
             now=now,
             clear_batch=_excludes_batch(tables.policy, task_view),
         )
@@ -308,7 +308,7 @@
             return
         names = [
             name
-            for name in self._fleet.capacity_index.sample_schedulable(
+            for name in self._fleet.capacity_index.schedulable.sample_any(
                 _WORKERS_LIMIT
             )
             if not self._fleet.colocated_runs(name).services
--- a/marigoldsill/coordination/placement/worker_selection.py
+++ b/marigoldsill/coordination/placement/worker_selection.py
@@ -94,17 +94,17 @@
         """
         index = self._fleet.capacity_index
         if task_view.task.kind != ttypes.Kind.SERVICE:
-            return index.find_candidates(
+            return index.schedulable.find(
                 task_view.demand, limit=_CANDIDATES_COUNT
             )
         centres = sorted(
-            index.data_centres(),
+            index.schedulable.data_centres(),
             key=lambda centre: self._fleet.allocations.count_instances(
                 task_view.task.owner, allocations.data_centre_location(centre)
             ),
         )
         found = (
-            index.find_candidates(
+            index.schedulable.find(
                 task_view.demand, limit=_CANDIDATES_COUNT, data_centre=centre
             )
             for centre in centres
