Parse operators' requests apart from the commands of plans

The code is moved as it was.

tests/coordination/plans, tests/cli and tests/state/test_plans.py pass.

--- a/marigoldsill/coordination/plans/plan_commands.py
+++ b/marigoldsill/coordination/plans/plan_commands.py
@@ -1,7 +1,5 @@
 """Creates and confirms the plans of operators as replicated commands."""
 
-import json
-
 import prometheus_client
 
 from marigoldsill import errors
@@ -9,28 +7,15 @@
 from marigoldsill.coordination.deciding import control_service
 from marigoldsill.coordination.leadership import commands
 from marigoldsill.coordination.leadership import leadership
+from marigoldsill.coordination.plans import change_requests
 from marigoldsill.coordination.plans import guard_context
 from marigoldsill.coordination.plans import planning
 from marigoldsill.protocol import codec
-from marigoldsill.protocol import intent_file
-from marigoldsill.protocol import policy_file
-from marigoldsill.protocol import toml_document
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import changes
 from marigoldsill.state import plans
 from marigoldsill.state import state_machine
-from marigoldsill.state import tables as tables_module
 
-ACTIONS = (
-    "apply",
-    "remove",
-    "drain",
-    "undrain",
-    "evacuate",
-    "end-evacuation",
-    "cancel",
-    "policy",
-)
 _TIMEOUT_S = 3.0
 _ID_LENGTH_LIMIT = 128
 _CONFIRMATIONS = prometheus_client.Counter(
@@ -62,7 +47,7 @@
         """Creates and records a plan without applying it.
 
         Args:
-            action: One of `ACTIONS`.
+            action: One of `change_requests.ACTIONS`.
             body: The request body; its format depends on the action.
             operator_name: The operator who requests the plan.
             command_id: The operator's id of the command; a resend has the same.
@@ -188,7 +173,7 @@
         self, action: str, body: bytes, operator_name: str
     ) -> ttypes.Plan:
         planner = self._new_planner(operator_name)
-        requested = _requested_changes(planner.tables, action, body)
+        requested = change_requests.parse(planner.tables, action, body)
         if not requested:
             raise errors.ConflictError(
                 "nothing would change: all of it is in force already"
@@ -227,40 +212,6 @@
         return self._replica.propose(command, timeout_s=_TIMEOUT_S)
 
 
-def _requested_changes(
-    tables: tables_module.Tables, action: str, body: bytes
-) -> list[ttypes.Change]:
-    match action:
-        case "apply":
-            return planning.changes_for_apply(tables, intent_file.parse(body))
-        case "remove":
-            return planning.changes_for_remove(
-                tables, _parse_field(body, "name", str)
-            )
-        case "drain" | "undrain":
-            return planning.changes_for_drain(
-                tables,
-                _parse_field(body, "name", str),
-                drain=action == "drain",
-            )
-        case "evacuate" | "end-evacuation":
-            return planning.changes_for_evacuation(
-                tables,
-                _parse_field(body, "name", str),
-                evacuate=action == "evacuate",
-            )
-        case "cancel":
-            return planning.changes_for_cancel(tables, _parse_names(body))
-        case "policy":
-            return planning.changes_for_policy(
-                tables, policy_file.parse(body, tables.policy)
-            )
-        case _:
-            raise errors.BadInputError(
-                f"invalid action {action!r}: expected one of {', '.join(ACTIONS)}"
-            )
-
-
 def _scoped_command_id(
     operator_name: str, verb: str, subject: str, client_id: str, body: bytes
 ) -> str:
@@ -297,27 +248,3 @@
             raise errors.StalePlanError(result.message)
         case _:
             raise errors.ConflictError(result.message)
-
-
-def _parse_names(body: bytes) -> list[str]:
-    names = _parse_field(body, "names", list)
-    if not all(isinstance(name, str) for name in names):
-        raise errors.BadInputError(
-            f"invalid 'names' {names!r}: expected a list of strings"
-        )
-    return names
-
-
-def _parse_field(body: bytes, name: str, kind: type) -> object:
-    try:
-        value = json.loads(body)[name]
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        raise errors.BadInputError(
-            f"invalid body: expected a JSON object with {name!r}"
-        ) from error
-    if not isinstance(value, kind):
-        raise errors.BadInputError(
-            f"invalid {name!r} {toml_document.short_repr(value)}: "
-            f"expected a {kind.__name__}"
-        )
-    return value
