Separate the bounds on waiting jobs from the decision on a job

The names of two enums that admission.py passed on are gone; their users import the modules that define them.

tests/coordination/job_admission and tests/coordination/jobs/ test_submissions.py pass.

--- a/marigoldsill/coordination/job_admission/admission.py
+++ b/marigoldsill/coordination/job_admission/admission.py
@@ -8,25 +8,20 @@
 
 from collections.abc import Iterable
 import dataclasses
-import math
 import threading
 
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import rejections
+from marigoldsill.coordination.job_admission import waiting_bounds
 from marigoldsill.coordination.job_admission import waiting_jobs
 from marigoldsill.coordination.job_placing import urgency as urgency_module
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.state import job_tables
 
-Reason = causes.Reason
-ProposalOutcome = waiting_jobs.ProposalOutcome
-
 # A summary that is older says nothing about the present load.
 _SUMMARY_VALIDITY_S = 10.0
-# The share of a bound that is kept for callers that return in the time they were told.
-_RETURNS_SHARE = 0.1
 _MAX_WINDOW_S = 30.0
 
 
@@ -146,7 +141,7 @@
             return rejection
 
     def end_proposal(
-        self, job_id: str, *, term: int, outcome: ProposalOutcome
+        self, job_id: str, *, term: int, outcome: waiting_jobs.ProposalOutcome
     ) -> None:
         """Records how the proposal of an accepted job ended."""
         with self._lock:
@@ -182,7 +177,15 @@
         self, job: ttypes.Job, queue: ttypes.Queue, term: int, now_s: float
     ) -> Rejection | None:
         summary = self._current_summary(term, now_s)
-        cause = self._find_reached_bound(job, queue, summary, now_s)
+        cause = waiting_bounds.find_reached(
+            job,
+            queue,
+            settings=self.settings,
+            waiting=self._waiting,
+            rejected=self._rejections,
+            summary=summary,
+            now_s=now_s,
+        )
         if cause is None and summary is not None:
             cause = causes.find_hopelessness(
                 job, queue, summary, self._urgency, now_s=now_s
@@ -199,73 +202,6 @@
         is_old = now_s - summary.published_s > _SUMMARY_VALIDITY_S
         return None if is_old else summary
 
-    def _find_reached_bound(
-        self,
-        job: ttypes.Job,
-        queue: ttypes.Queue,
-        summary: load_module.LoadSummary | None,
-        now_s: float,
-    ) -> causes.Cause | None:
-        """Returns the bound on waiting jobs that a job would exceed, if any."""
-        count, total_bytes = self._waiting.count, self._waiting.total_bytes
-        if not count:
-            # A job that alone exceeds the size would otherwise never be accepted.
-            return None
-        is_returning = self._rejections.is_returning(job.job_id, now_s=now_s)
-        kept_count = 0
-        if not is_returning:
-            kept_count = self._count_kept_places()
-        size_bytes = waiting_jobs.size_of(job)
-        jobs_limit = self.settings.waiting_jobs_limit
-        bytes_limit = self.settings.waiting_bytes_limit
-        kept_bytes = min(
-            int(bytes_limit * _RETURNS_SHARE),
-            kept_count * total_bytes // count,
-        )
-        if count + 1 > jobs_limit - kept_count:
-            reason, limit = causes.Reason.JOBS_LIMIT, jobs_limit
-            message = (
-                f"{count} jobs wait and {kept_count} places are kept for callers "
-                f"that were told to return; the limit is {limit}"
-            )
-        elif total_bytes + size_bytes > bytes_limit - kept_bytes:
-            reason, limit = causes.Reason.BYTES_LIMIT, bytes_limit
-            message = (
-                f"the waiting jobs have {total_bytes} bytes and this one "
-                f"{size_bytes}, {kept_bytes} are kept for callers that were told "
-                f"to return; the limit is {limit}"
-            )
-        else:
-            return None
-        place_s = self._time_per_place_s(queue, summary)
-        awaited_count = self._rejections.awaited_count
-        return causes.Cause(
-            reason,
-            message,
-            earliest_s=place_s,
-            window_s=max(causes.MIN_WINDOW_S, place_s * awaited_count),
-            limit=limit,
-        )
-
-    def _count_kept_places(self) -> int:
-        """Returns how many places are kept for callers that may return."""
-        limit = self.settings.waiting_jobs_limit
-        return min(
-            math.ceil(limit * _RETURNS_SHARE),
-            limit // 2,
-            self._rejections.awaited_count,
-        )
-
-    def _time_per_place_s(
-        self, queue: ttypes.Queue, summary: load_module.LoadSummary | None
-    ) -> float:
-        """Returns after which time another waiting job of a pool will have started."""
-        pool = None if summary is None else summary.pools.get(queue.pool)
-        if pool is None or not pool.capacity_millicores:
-            return 0.0
-        drain_s = pool.core_ms / pool.capacity_millicores
-        return drain_s / max(1, self._waiting.count)
-
     def _repeat_rejection(self, job_id: str, now_s: float) -> Rejection:
         """Rejects a late or early attempt at a rejected job, for the same time."""
         earlier = self._rejections.defer(job_id, now_s=now_s)
--- a/marigoldsill/coordination/job_admission/submission_handler.py
+++ b/marigoldsill/coordination/job_admission/submission_handler.py
@@ -14,10 +14,11 @@
 )
 from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import decision_log
+from marigoldsill.coordination.job_admission import waiting_jobs
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import clock
 
-_Outcome = admission_module.ProposalOutcome
+_Outcome = waiting_jobs.ProposalOutcome
 _NOTHING_DONE = (
     ttypes.NotLeader,
     ttypes.NoQuorum,
--- a/tests/coordination/job_admission/overload_play.py
+++ b/tests/coordination/job_admission/overload_play.py
@@ -13,6 +13,7 @@
 )
 from marigoldsill.coordination.job_admission import admission_settings
 from marigoldsill.coordination.job_admission import load_publisher
+from marigoldsill.coordination.job_admission import waiting_jobs
 from marigoldsill.protocol.generated import ttypes
 from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
@@ -133,7 +134,7 @@
         self.admission.end_proposal(
             job_id,
             term=TERM,
-            outcome=admission_module.ProposalOutcome.DECIDED,
+            outcome=waiting_jobs.ProposalOutcome.DECIDED,
         )
         self.max_waiting_count = max(
             self.max_waiting_count, self.admission.waiting_count
--- a/tests/coordination/job_admission/test_admission.py
+++ b/tests/coordination/job_admission/test_admission.py
@@ -8,6 +8,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import waiting_jobs
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -19,8 +20,8 @@
 _QUEUE = builders.queue()
 # Three times 1.5 * 1 s + 250 ms.
 _USEFUL_MS = 14_250
-_Outcome = admission_module.ProposalOutcome
-_Reason = admission_module.Reason
+_Outcome = waiting_jobs.ProposalOutcome
+_Reason = causes.Reason
 
 
 class _Admission:
--- a/tests/coordination/job_admission/test_overload.py
+++ b/tests/coordination/job_admission/test_overload.py
@@ -3,10 +3,8 @@
 import collections
 import random
 
-from marigoldsill.coordination.job_admission import (
-    admission as admission_module,
-)
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import causes
 from tests.coordination.job_admission import overload_play
 from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
@@ -104,7 +102,7 @@
         for job_id in rejected
     )
     assert all(
-        rejection.reason is admission_module.Reason.TOO_LATE
+        rejection.reason is causes.Reason.TOO_LATE
         for job_id in rejected
         for rejection in play.callers[job_id].rejections
     )
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -12,6 +12,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import load_publisher
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -345,7 +346,7 @@
 
     def reject(self, *arguments, **options):
         return admission_module.Rejection(
-            reason=admission_module.Reason.JOBS_LIMIT,
+            reason=causes.Reason.JOBS_LIMIT,
             message="full",
             retry_after_ms=1_000,
         )
