Separate what an agent reports of runs from their reconciliation

What became of a run is now reported by run_reporter.py, which also knows when that is certain, and the orders of one version are a class in agent_orders.py that tells which are older. Behaviour is unchanged.

tests/coordination/runs passes.

--- a/marigoldsill/coordination/runs/run_reconciler.py
+++ b/marigoldsill/coordination/runs/run_reconciler.py
@@ -8,16 +8,17 @@
 
 from collections.abc import Callable
 from concurrent import futures
-import dataclasses
 import threading
 import time
 
 from marigoldsill import errors
+from marigoldsill.coordination.runs import agent_orders
 from marigoldsill.coordination.runs import checkpoint_scheduler
 from marigoldsill.coordination.runs import inherited_runs
 from marigoldsill.coordination.runs import lease_renewer
 from marigoldsill.coordination.runs import run_events
 from marigoldsill.coordination.runs import run_operations
+from marigoldsill.coordination.runs import run_reporter
 from marigoldsill.coordination.runs import worker_capacity
 from marigoldsill.protocol import worker_interface
 from marigoldsill.protocol.generated import ttypes
@@ -25,18 +26,6 @@
 from marigoldsill.transport import logs
 
 _RECONCILE_INTERVAL_S = 0.5
-_END_KIND_BY_STATE = {
-    "completed": ttypes.RunEventKind.COMPLETED,
-    "failed": ttypes.RunEventKind.FAILED,
-    "stopped": ttypes.RunEventKind.STOPPED,
-}
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Orders:
-    term: int
-    version: int
-    by_run: dict[run_events.RunId, ttypes.Order]
 
 
 class RunReconciler:
@@ -68,9 +57,13 @@
         )
         self.renewer = lease_renewer.LeaseRenewer(worker=worker)
         self.worker_capacity = worker_capacity.WorkerCapacity(worker=worker)
-        self._orders: _Orders | None = None
+        self._orders: agent_orders.AgentOrders | None = None
         self._inherited = inherited_runs.InheritedRuns()
-        self._listing_began_ns = 0
+        self._reporter = run_reporter.RunReporter(
+            outbox=self._outbox,
+            operations=self._operations,
+            inherited=self._inherited,
+        )
         self._pool = futures.ThreadPoolExecutor(1, "run-keeper")
 
     def start(self) -> None:
@@ -99,15 +92,9 @@
         Returns:
             False if the current orders are newer or from a later leader.
         """
-        received = _Orders(
-            term, version, {run_events.run_id_of(o): o for o in orders}
-        )
+        received = agent_orders.AgentOrders.of(term, version, orders)
         with self._lock:
-            current = self._orders
-            if current is not None and (term, version) < (
-                current.term,
-                current.version,
-            ):
+            if received.is_older_than(self._orders):
                 logs.event("stale_orders", term=term, version=version)
                 return False
             self._inherited.record_orders(term, version, set(received.by_run))
@@ -133,7 +120,7 @@
     def acknowledge(self, event_ids: list[int]) -> None:
         """Drops events that control has recorded."""
         recorded = self._outbox.acknowledge(event_ids)
-        if any(event.kind in _END_KIND_BY_STATE.values() for event in recorded):
+        if any(map(run_reporter.is_listed_end, recorded)):
             failpoints.reach("end.acknowledged")
         if recorded:
             self._wake.set()
@@ -157,16 +144,17 @@
         self._refresh_capacity()
         # Read before the list: a start that is in neither did not take effect.
         starts = self._operations.unconfirmed_starts()
-        self._listing_began_ns = time.monotonic_ns()
+        listing_began_ns = time.monotonic_ns()
         listed = {
             run_events.RunId(t.task, t.epoch): t for t in self._worker.tasks()
         }
         self._operations.remove_settled_starts(
-            set(listed), listing_began_ns=self._listing_began_ns
+            set(listed), listing_began_ns=listing_began_ns
         )
+        self._reporter.listing_began_ns = listing_began_ns
         for run, task in listed.items():
             if task.state != "running":
-                self._report_end(run, task)
+                self._reporter.report_end(run, task)
         with self._lock:
             orders = self._orders
         if orders is None:
@@ -193,7 +181,7 @@
 
     def _stop_unordered(
         self,
-        orders: _Orders,
+        orders: agent_orders.AgentOrders,
         listed: dict[run_events.RunId, worker_interface.PlatformTask],
     ) -> None:
         for run, task in listed.items():
@@ -218,7 +206,7 @@
             case ttypes.Desire.RUN | ttypes.Desire.THROTTLE:
                 self._update_running(run, order, task)
             case _ if task is None:
-                self._report_lost(run, "not on the worker")
+                self._reporter.report_lost(run, "not on the worker")
             case ttypes.Desire.CHECKPOINT_AND_STOP:
                 self._evict(run, order)
             case _:
@@ -235,7 +223,7 @@
         # started is either listed or lost.
         was_started = order.started or self._outbox.has_started(run)
         if was_started or run in self._inherited:
-            self._report_lost(run, "the worker lost the run")
+            self._reporter.report_lost(run, "the worker lost the run")
             return
         if self._has_other_epoch(run, listed):
             return
@@ -252,7 +240,7 @@
             case worker_capacity.FitResult.WAITS:
                 logs.event("start_waits", level="DEBUG", task=run.task)
             case worker_capacity.FitResult.TOO_LARGE:
-                self._report(
+                self._reporter.report(
                     run,
                     ttypes.RunEventKind.REFUSED,
                     f"it does not fit: {self.worker_capacity.describe_reserved()}",
@@ -265,7 +253,7 @@
         task: worker_interface.PlatformTask,
     ) -> None:
         if not order.started:
-            self._report(run, ttypes.RunEventKind.STARTED, "")
+            self._reporter.report(run, ttypes.RunEventKind.STARTED, "")
         throttled = order.desire == ttypes.Desire.THROTTLE
         if throttled != task.throttled:
             self._operations.throttle(order, throttled=throttled)
@@ -295,64 +283,9 @@
         others = running | set(self._operations.unconfirmed_starts())
         return any(o.task == run.task and o != run for o in others)
 
-    def _report_lost(self, run: run_events.RunId, detail: str) -> None:
-        """Reports an unlisted run as lost, once it can no longer start."""
-        if run in self._operations.unconfirmed_starts():
-            return
-        if run in self._inherited and not self._inherited.is_settled(
-            at_ns=self._listing_began_ns
-        ):
-            return
-        self._report(run, ttypes.RunEventKind.LOST, detail)
-
-    def _report_end(
-        self, run: run_events.RunId, task: worker_interface.PlatformTask
-    ) -> None:
-        """Reports the end of a run, and forgets the run once that is recorded."""
-        if self._outbox.has_ended(run):
-            if not self._outbox.has_pending(run) and not self._may_start_late(
-                run
-            ):
-                self._operations.forget(run)
-            return
-        failpoints.reach("end.before")
-        self._outbox.add(
-            ttypes.RunEvent(
-                task=run.task,
-                epoch=run.epoch,
-                kind=_END_KIND_BY_STATE[task.state],
-                checkpoint_id=task.checkpoint_id,
-                worked_ms=task.checkpoint_worked_ms,
-                detail=task.detail,
-            )
-        )
-        failpoints.reach("end.reported")
-
-    def _may_start_late(self, run: run_events.RunId) -> bool:
-        """Whether a request may start an ended run again unless it is listed."""
-        return not self._inherited.is_settled(
-            at_ns=self._listing_began_ns
-        ) or self._operations.has_unanswered_start(run)
-
-    def _report(
-        self, run: run_events.RunId, kind: ttypes.RunEventKind, detail: str
-    ) -> None:
-        logs.event(
-            "run_reported",
-            task=run.task,
-            epoch=run.epoch,
-            kind=ttypes.RunEventKind(kind).name.lower(),
-            reason=detail,
-        )
-        self._outbox.add(
-            ttypes.RunEvent(
-                task=run.task, epoch=run.epoch, kind=kind, detail=detail
-            )
-        )
-
     def _drop_old_records(
         self,
-        orders: _Orders,
+        orders: agent_orders.AgentOrders,
         listed: dict[run_events.RunId, worker_interface.PlatformTask],
     ) -> None:
         current = set(orders.by_run) | set(listed)
