Build reports of agents in one place in the tests of jobs

Six test modules built the same worker and the same report of an agent by hand. Two builders now do so. Workers are described as before, but that of test_end_reports.py has memory as well, which its grants don't ask for. No assertion changed.

The tests of these modules and all others that use single_leader pass.

--- a/tests/coordination/jobs/builders.py
+++ b/tests/coordination/jobs/builders.py
@@ -75,6 +75,44 @@
     )
 
 
+def pool_worker(
+    agent: str = "a1", *, cores: int = 4, **fields: object
+) -> ttypes.PoolWorker:
+    """Builds the first incarnation of an agent's worker."""
+    values = {
+        "pool": POOL,
+        "rack": "r1",
+        "labels": [],
+        "capacity": ttypes.Resources(
+            cpu_millicores=cores * 1_000, memory_bytes=1 << 30
+        ),
+    }
+    return ttypes.PoolWorker(
+        worker_id=f"{agent}-incarnation1", **(values | fields)
+    )
+
+
+def agent_report(
+    agent: str,
+    worker: ttypes.PoolWorker,
+    *ends: ttypes.RunEnd,
+    sequence: int,
+    incarnation: int = 1,
+    known_term: int = 0,
+) -> ttypes.AgentReport:
+    """Builds a report of an agent whose worker runs nothing."""
+    return ttypes.AgentReport(
+        agent=agent,
+        incarnation=incarnation,
+        sequence=sequence,
+        worker=worker,
+        ends=list(ends),
+        running=[],
+        worker_id=worker.worker_id,
+        known_term=known_term,
+    )
+
+
 def suspected_task() -> ttypes.JobTask:
     """Builds a task that is suspected of a crash."""
     crash = ttypes.WorkerLoss(
--- a/tests/coordination/jobs/single_leader.py
+++ b/tests/coordination/jobs/single_leader.py
@@ -48,24 +48,13 @@
         known_term: int = 0,
     ) -> ttypes.AgentReply:
         self.sequence += 1
-        worker = ttypes.PoolWorker(
-            worker_id=f"{agent}-incarnation1",
-            pool=builders.POOL,
-            rack="r1",
-            labels=[],
-            capacity=ttypes.Resources(
-                cpu_millicores=cores * 1_000, memory_bytes=1 << 30
-            ),
-        )
         return self.service.agent_report(
-            ttypes.AgentReport(
-                agent=agent,
-                incarnation=incarnation,
+            builders.agent_report(
+                agent,
+                builders.pool_worker(agent, cores=cores),
+                *ends,
                 sequence=self.sequence,
-                worker=worker,
-                ends=list(ends),
-                running=[],
-                worker_id=worker.worker_id,
+                incarnation=incarnation,
                 known_term=known_term,
             )
         )
--- a/tests/coordination/jobs/test_end_reports.py
+++ b/tests/coordination/jobs/test_end_reports.py
@@ -17,20 +17,12 @@
 def _report(
     incarnation: int, sequence: int, *ends: ttypes.RunEnd
 ) -> ttypes.AgentReport:
-    return ttypes.AgentReport(
-        agent="a1",
-        incarnation=incarnation,
+    return builders.agent_report(
+        "a1",
+        builders.pool_worker("a1"),
+        *ends,
         sequence=sequence,
-        worker=ttypes.PoolWorker(
-            worker_id="a1-incarnation1",
-            pool=builders.POOL,
-            rack="r1",
-            labels=[],
-            capacity=ttypes.Resources(cpu_millicores=4_000),
-        ),
-        ends=list(ends),
-        running=[],
-        worker_id="a1-incarnation1",
+        incarnation=incarnation,
     )
 
 
--- a/tests/coordination/jobs/test_evacuations.py
+++ b/tests/coordination/jobs/test_evacuations.py
@@ -47,24 +47,11 @@
         ends: tuple[ttypes.RunEnd, ...] = (),
     ) -> ttypes.AgentReply:
         """Reports an agent and its worker; returns the leader's reply."""
-        worker = ttypes.PoolWorker(
-            worker_id=f"{agent}-incarnation1",
-            pool=builders.POOL,
-            data_centre=data_centre,
-            rack="r1",
-            labels=[],
-            capacity=ttypes.Resources(
-                cpu_millicores=cores * 1_000, memory_bytes=1 << 30
-            ),
+        worker = builders.pool_worker(
+            agent, cores=cores, data_centre=data_centre
         )
-        report = ttypes.AgentReport(
-            agent=agent,
-            incarnation=1,
-            sequence=next(self._numbers),
-            worker=worker,
-            ends=list(ends),
-            running=[],
-            worker_id=worker.worker_id,
+        report = builders.agent_report(
+            agent, worker, *ends, sequence=next(self._numbers)
         )
         return self.service.agent_report(report)
 
--- a/tests/coordination/jobs/test_job_concurrency_limit.py
+++ b/tests/coordination/jobs/test_job_concurrency_limit.py
@@ -44,24 +44,10 @@
         )
         scheduler.start(service)
         schedulers.append(scheduler)
-        worker = ttypes.PoolWorker(
-            worker_id="a1-incarnation1",
-            pool=builders.POOL,
-            rack="r1",
-            labels=[],
-            capacity=leader_harness.resources(9, 64),
-        )
-        service.agent_report(
-            ttypes.AgentReport(
-                agent="a1",
-                incarnation=1,
-                sequence=1,
-                worker=worker,
-                ends=[],
-                running=[],
-                worker_id=worker.worker_id,
-            )
+        worker = builders.pool_worker(
+            "a1", capacity=leader_harness.resources(9, 64)
         )
+        service.agent_report(builders.agent_report("a1", worker, sequence=1))
         return service, replica
 
     yield start
--- a/tests/coordination/jobs/test_locality.py
+++ b/tests/coordination/jobs/test_locality.py
@@ -12,7 +12,6 @@
 from marigoldsill.coordination.jobs import service as service_module
 from marigoldsill.protocol.generated import ttypes
 from tests import one_process
-from tests.coordination.job_placing import leader_harness
 from tests.coordination.jobs import builders
 
 
@@ -41,22 +40,11 @@
         self.scheduler.start(self.service)
 
     def report(self, agent: str, *ends: ttypes.RunEnd) -> None:
-        worker = ttypes.PoolWorker(
-            worker_id=f"{agent}-incarnation1",
-            pool=builders.POOL,
-            data_centre="d",
-            rack=f"rack-{agent}",
-            labels=[],
-            capacity=leader_harness.resources(2),
+        worker = builders.pool_worker(
+            agent, cores=2, data_centre="d", rack=f"rack-{agent}"
         )
-        report = ttypes.AgentReport(
-            agent=agent,
-            incarnation=1,
-            sequence=next(self._numbers),
-            worker=worker,
-            ends=list(ends),
-            running=[],
-            worker_id=worker.worker_id,
+        report = builders.agent_report(
+            agent, worker, *ends, sequence=next(self._numbers)
         )
         self.service.agent_report(report)
 
--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -505,27 +505,11 @@
     cpu_millicores: int = 500,
 ) -> None:
     """Reports a worker; by default one too small for the jobs of these tests."""
-    worker = ttypes.PoolWorker(
-        worker_id="a1-incarnation1",
-        pool=builders.POOL,
-        data_centre="dc1",
-        rack="r1",
-        labels=[],
-        capacity=ttypes.Resources(
-            cpu_millicores=cpu_millicores, memory_bytes=1 << 30
-        ),
-    )
-    service.agent_report(
-        ttypes.AgentReport(
-            agent="a1",
-            incarnation=1,
-            sequence=sequence,
-            worker=worker,
-            ends=[],
-            running=[],
-            worker_id=worker.worker_id,
-        )
+    capacity = ttypes.Resources(
+        cpu_millicores=cpu_millicores, memory_bytes=1 << 30
     )
+    worker = builders.pool_worker("a1", data_centre="dc1", capacity=capacity)
+    service.agent_report(builders.agent_report("a1", worker, sequence=sequence))
 
 
 def _start(
