Record the outcome of an agent's calls to its worker in one place

The executor of orders and the stopper of late starts each logged and counted the outcome of a call, set the time of the next one and ended the progress, in the same lines. The progress of a call now does so, in a context around the call. Behaviour is unchanged.

--- a/marigoldsill/coordination/job_agent/executor.py
+++ b/marigoldsill/coordination/job_agent/executor.py
@@ -7,8 +7,6 @@
 
 from concurrent import futures
 
-from marigoldsill import errors
-from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
 from marigoldsill.coordination.job_agent import late_start_stopper
 from marigoldsill.coordination.job_agent import (
@@ -208,23 +206,11 @@
         progress: order_progress.OrderProgress,
     ) -> None:
         """Makes a call to the worker, and logs and counts its outcome."""
-        outcome = "done"
-        try:
+        # The names of the methods are values of the metric's label "call".
+        with progress.end_call(
+            call.__name__,
+            (order.task, order.run),
+            changed=self._state.changed,
+            pause_s=self._retry_s,
+        ):
             call(order, progress)
-        except errors.MarigoldsillError as error:
-            outcome = error.kind
-            progress.retry_s = clock.now_s() + self._retry_s
-            logs.event(
-                "order_failed",
-                level="WARNING",
-                task=order.task,
-                run=order.run,
-                kind=error.kind,
-                reason=error.message,
-            )
-        finally:
-            # The names of the methods are values of the metric's label "call".
-            agent_metrics.WORKER_CALLS.labels(call.__name__, outcome).inc()
-            with self._state.changed:
-                progress.is_busy = False
-                self._state.changed.notify_all()
--- a/marigoldsill/coordination/job_agent/late_start_stopper.py
+++ b/marigoldsill/coordination/job_agent/late_start_stopper.py
@@ -8,9 +8,8 @@
 from concurrent import futures
 import dataclasses
 
-from marigoldsill import errors
-from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import agent_state
+from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.transport import clock
@@ -18,19 +17,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Progress:
+class _Progress(order_progress.CallProgress):
     """The progress of stopping a run on one incarnation.
 
     Attributes:
-        is_busy: Whether a call is in progress.
         stop_listings_count: The count of complete listings beyond which a listing was
             certainly made after the stop; 0 until the stop is confirmed.
-        retry_s: Time before which no call is made.
     """
 
-    is_busy: bool = False
     stop_listings_count: int = 0
-    retry_s: float = 0.0
 
 
 class LateStartStopper:
@@ -105,27 +100,12 @@
     ) -> None:
         state = self._state
         task, run = key
-        outcome = "done"
-        try:
+        with progress.end_call(
+            "stop", key, changed=state.changed, pause_s=self._retry_s
+        ):
             self._worker.stop(worker_id, task, run, token=state.term)
             with state.changed:
                 progress.stop_listings_count = state.held.listings.next_count
             logs.event(
                 "late_start_refused", task=task, run=run, worker_id=worker_id
             )
-        except errors.MarigoldsillError as error:
-            outcome = error.kind
-            progress.retry_s = clock.now_s() + self._retry_s
-            logs.event(
-                "order_failed",
-                level="WARNING",
-                task=task,
-                run=run,
-                kind=error.kind,
-                reason=error.message,
-            )
-        finally:
-            agent_metrics.WORKER_CALLS.labels("stop", outcome).inc()
-            with state.changed:
-                progress.is_busy = False
-                state.changed.notify_all()
--- a/marigoldsill/coordination/job_agent/order_progress.py
+++ b/marigoldsill/coordination/job_agent/order_progress.py
@@ -1,28 +1,82 @@
-"""How far an agent's executor is with its orders."""
+"""How far an agent is with its calls to the worker."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
+import threading
 
+from marigoldsill import errors
+from marigoldsill.coordination.job_agent import agent_metrics
 from marigoldsill.coordination.job_agent import run_orders as run_orders_module
 from marigoldsill.protocol import task_names
+from marigoldsill.transport import clock
+from marigoldsill.transport import logs
 
 
 @dataclasses.dataclass(slots=True)
-class OrderProgress:
+class CallProgress:
+    """The progress of the calls about a run.
+
+    Attributes:
+        is_busy: Whether a call is in progress.
+        retry_s: Time before which no call is made.
+    """
+
+    is_busy: bool = False
+    retry_s: float = 0.0
+
+    @contextlib.contextmanager
+    def end_call(
+        self,
+        name: str,
+        key: task_names.RunKey,
+        *,
+        changed: threading.Condition,
+        pause_s: float,
+    ) -> Iterator[None]:
+        """Logs and counts the outcome of the call made in the context, and ends it.
+
+        Args:
+            name: The name of the call.
+            key: The run.
+            changed: Guards the progress, and is notified of the end.
+            pause_s: Time until another call if this one fails.
+        """
+        outcome = "done"
+        try:
+            yield
+        except errors.MarigoldsillError as error:
+            outcome = error.kind
+            self.retry_s = clock.now_s() + pause_s
+            task, run = key
+            logs.event(
+                "order_failed",
+                level="WARNING",
+                task=task,
+                run=run,
+                kind=error.kind,
+                reason=error.message,
+            )
+        finally:
+            agent_metrics.WORKER_CALLS.labels(name, outcome).inc()
+            with changed:
+                self.is_busy = False
+                changed.notify_all()
+
+
+@dataclasses.dataclass(slots=True)
+class OrderProgress(CallProgress):
     """The progress of an order.
 
     Attributes:
-        is_busy: Whether a call for the order is in progress.
         is_forgotten: Whether a later listing had neither the run nor its end.
         refusal_reason: Why the run was refused, or empty.
         quota_percent: The quota that the worker confirmed.
-        retry_s: Time before which no call is made.
     """
 
-    is_busy: bool = False
     is_forgotten: bool = False
     refusal_reason: str = ""
     quota_percent: int = 100
-    retry_s: float = 0.0
 
 
 class ProgressTable:
