--- a/tests/coordination/requests/test_attempts.py
+++ b/tests/coordination/requests/test_attempts.py
@@ -7,8 +7,8 @@
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol import codec
 from marigoldsill.protocol.generated import ttypes
-from marigoldsill.transport import deadlines
 from marigoldsill.transport import hangups
+from tests.coordination.requests import builders
 
 _ROUTE = ttypes.Route(
     agent="a1",
@@ -65,17 +65,7 @@
     if isinstance(reply, ttypes.CallReply):
         reply.body_digest = codec.digest(reply.body)
     hangup = hangups.Hangup()
-    call = attempts.Call(
-        service="s",
-        method="GET",
-        path="/",
-        headers=(),
-        body=b"",
-        key="",
-        idempotent=True,
-        deadline=deadlines.Deadline.after(10.0),
-        hangup=hangup,
-    )
+    call = builders.call(hangup=hangup)
     connection = _Connection(reply)
     router = routing.Router(data_centre="dc1", seed=1)
     router.replace_routes([_ROUTE])
--- a/tests/coordination/requests/test_retries.py
+++ b/tests/coordination/requests/test_retries.py
@@ -12,21 +12,7 @@
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
-from marigoldsill.transport import hangups
-
-
-def _create_call(*, budget_s: float = 10.0) -> attempts.Call:
-    return attempts.Call(
-        service="s",
-        method="GET",
-        path="/",
-        headers=(),
-        body=b"",
-        key="",
-        idempotent=True,
-        deadline=deadlines.Deadline.after(budget_s),
-        hangup=hangups.Hangup(),
-    )
+from tests.coordination.requests import builders
 
 
 def _create_retries(call: attempts.Call, *, tokens: float = 10.0):
@@ -35,7 +21,7 @@
 
 
 def test_request_is_retried_at_most_twice():
-    retries = _create_retries(_create_call())
+    retries = _create_retries(builders.call())
     allowed = [
         retries.wait_before_retry(errors.OverloadedError("x")) for _ in range(4)
     ]
@@ -43,19 +29,19 @@
 
 
 def test_no_retry_without_budget():
-    assert not _create_retries(_create_call(), tokens=0).wait_before_retry(
+    assert not _create_retries(builders.call(), tokens=0).wait_before_retry(
         errors.OverloadedError("x")
     )
 
 
 def test_no_retry_after_the_deadline():
-    assert not _create_retries(_create_call(budget_s=0)).wait_before_retry(
+    assert not _create_retries(builders.call(budget_s=0)).wait_before_retry(
         errors.OverloadedError("x")
     )
 
 
 def test_no_retry_after_the_caller_has_disconnected():
-    call = _create_call()
+    call = builders.call()
     call.hangup.record_disconnect()
     assert not _create_retries(call).wait_before_retry(
         errors.OverloadedError("x")
@@ -63,13 +49,13 @@
 
 
 def test_retry_after_a_draining_refusal_needs_no_budget():
-    retries = _create_retries(_create_call(), tokens=0)
+    retries = _create_retries(builders.call(), tokens=0)
     assert retries.wait_before_retry(errors.DrainingError("x"))
 
 
 def test_retries_of_a_request_that_reached_no_endpoint_need_no_budget():
     # Calls that found an agent ended used up the retries of those that it had cut off.
-    retries = _create_retries(_create_call(), tokens=0)
+    retries = _create_retries(builders.call(), tokens=0)
     error = errors.NoEndpointError("x")
     allowed = [retries.wait_before_retry(error) for _ in range(4)]
     assert allowed == [True, True, False, False]
@@ -117,7 +103,7 @@
     router: routing.Router, *, is_last: bool = False
 ) -> list[float]:
     runner = _UnansweredAttempts()
-    call = _create_call()
+    call = builders.call()
     retries = _create_retries(call)
     while is_last and not retries.is_exhausted:
         retries.wait_before_retry(errors.OverloadedError("x"))
@@ -198,6 +184,6 @@
     )
     for _ in range(10):
         router.record_load(routes["well"], in_flight=9, queued=0)
-        call = _create_call()
+        call = builders.call()
         assert calls.run(call, _create_retries(call)).status_code == 200
     assert runner.budgets_s == [pytest.approx(5.0)] * 10
--- a/tests/coordination/requests/test_retries_after_overload.py
+++ b/tests/coordination/requests/test_retries_after_overload.py
@@ -11,9 +11,9 @@
 from marigoldsill.coordination.requests import routing
 from marigoldsill.protocol.generated import ttypes
 from marigoldsill.transport import deadlines
-from marigoldsill.transport import hangups
+from tests.coordination.requests import builders
 
-_SERVICE = "s"
+_SERVICE = builders.SERVICE
 
 
 class _AttemptRunner:
@@ -72,16 +72,8 @@
 
 
 def _create_call(key: str) -> attempts.Call:
-    return attempts.Call(
-        service=_SERVICE,
-        method="POST" if key else "GET",
-        path="/",
-        headers=(),
-        body=b"",
-        key=key,
-        idempotent=not key,
-        deadline=deadlines.Deadline.after(10.0),
-        hangup=hangups.Hangup(),
+    return builders.call(
+        method="POST" if key else "GET", key=key, idempotent=not key
     )
 
 
