--- a/tests/roles/test_control_node.py
+++ b/tests/roles/test_control_node.py
@@ -10,6 +10,21 @@
 from tests import one_process
 
 
+def _create_node(data_folder: pathlib.Path) -> control_node.ControlNode:
+    """Returns a node that founds a group by itself."""
+    address = one_process.free_address()
+    return control_node.ControlNode(
+        name="edge-1",
+        address=address,
+        data_centre="dc1",
+        data_folder=str(data_folder),
+        first_start=True,
+        seed_addresses=[address],
+        target_voters_count=1,
+        job_retention_s=120.0,
+    )
+
+
 def test_a_node_on_a_full_disk_waits_for_space(
     monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
 ) -> None:
@@ -21,17 +36,7 @@
         return has_space
 
     monkeypatch.setattr(disk_space, "has_free_space", has_free_space)
-    address = one_process.free_address()
-    node = control_node.ControlNode(
-        name="edge-1",
-        address=address,
-        data_centre="dc1",
-        data_folder=str(tmp_path / "data"),
-        first_start=True,
-        seed_addresses=[address],
-        target_voters_count=1,
-        job_retention_s=120.0,
-    )
+    node = _create_node(tmp_path / "data")
     node.start()
     try:
         one_process.wait_until(
@@ -65,17 +70,7 @@
     def fail_to_open(**_: object) -> None:
         raise storage_error
 
-    address = one_process.free_address()
-    node = control_node.ControlNode(
-        name="edge-1",
-        address=address,
-        data_centre="dc1",
-        data_folder=str(tmp_path / "data"),
-        first_start=True,
-        seed_addresses=[address],
-        target_voters_count=1,
-        job_retention_s=120.0,
-    )
+    node = _create_node(tmp_path / "data")
     node.start()
     monkeypatch.setattr(control_node.replica_module, "Replica", fail_to_open)
     has_space = True
