Build a worker's heartbeat in one place in the tests of the platform

Two test modules spelled out the same body, apart from the fields that each sets. No assertion changed; tests/platform/test_foreign_heartbeats.py and tests/platform/test_restarted_workers.py pass.

--- a/tests/platform/test_foreign_heartbeats.py
+++ b/tests/platform/test_foreign_heartbeats.py
@@ -10,6 +10,7 @@
 from marigoldsill import errors
 from marigoldsill.transport import http_client
 from tests import one_process
+from tests.platform import heartbeats
 from tests.platform import system as system_module
 
 _PATH = "/marigoldsill/Instances."
@@ -23,19 +24,7 @@
 
 def _heartbeat(**fields: object) -> dict[str, object]:
     """Returns a valid heartbeat."""
-    return {
-        "service": system_module.POOL,
-        "address": "127.0.0.1:9",
-        "zone": "z1",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "capacity": {"cpu": 8000, "mem_mb": 64_000, "gpu": 0},
-        "labels": ["a", "r1-1"],
-        "clock_ms": 1,
-        "sequence": 1 << 40,
-    } | fields
+    return heartbeats.body(**({"clock_ms": 1, "sequence": 1 << 40} | fields))
 
 
 def _invalid_bodies() -> Iterable[bytes]:
--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -11,6 +11,7 @@
 from standins import adviser as adviser_module
 from standins import pool_worker
 from tests import one_process
+from tests.platform import heartbeats
 from tests.platform import journal_invariants
 from tests.platform import system as system_module
 
@@ -38,18 +39,9 @@
 ) -> http_client.HttpResponse:
     """Sends an agent a message as if by its worker."""
     worker = system.workers["side-1"]
-    body = {
-        "service": system_module.POOL,
-        "address": worker.address,
-        "zone": "z1",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "capacity": {"cpu": 8000, "mem_mb": 64_000, "gpu": 0},
-        "labels": ["a", "r1-1"],
-        "sequence": 1 << 20,
-    } | fields
+    body = heartbeats.body(
+        **({"address": worker.address, "sequence": 1 << 20} | fields)
+    )
     return http_client.Client().fetch(
         system.control_address("side-1"),
         f"/marigoldsill/Instances.{call}/{worker.incarnation}",
