--- a/tests/coordination/jobs/test_submissions.py
+++ b/tests/coordination/jobs/test_submissions.py
@@ -12,6 +12,7 @@
     admission as admission_module,
 )
 from marigoldsill.coordination.job_admission import admission_settings
+from marigoldsill.coordination.job_admission import causes
 from marigoldsill.coordination.job_admission import load as load_module
 from marigoldsill.coordination.job_admission import load_publisher
 from marigoldsill.coordination.job_placing import urgency as urgency_module
@@ -345,7 +346,7 @@
 
     def reject(self, *arguments, **options):
         return admission_module.Rejection(
-            reason=admission_module.Reason.JOBS_LIMIT,
+            reason=causes.Reason.JOBS_LIMIT,
             message="full",
             retry_after_ms=1_000,
         )
@@ -504,27 +505,11 @@
     cpu_millicores: int = 500,
 ) -> None:
     """Reports a worker; by default one too small for the jobs of these tests."""
-    worker = ttypes.PoolWorker(
-        worker_id="a1-incarnation1",
-        pool=builders.POOL,
-        data_centre="dc1",
-        rack="r1",
-        labels=[],
-        capacity=ttypes.Resources(
-            cpu_millicores=cpu_millicores, memory_bytes=1 << 30
-        ),
-    )
-    service.agent_report(
-        ttypes.AgentReport(
-            agent="a1",
-            incarnation=1,
-            sequence=sequence,
-            worker=worker,
-            ends=[],
-            running=[],
-            worker_id=worker.worker_id,
-        )
+    capacity = ttypes.Resources(
+        cpu_millicores=cpu_millicores, memory_bytes=1 << 30
     )
+    worker = builders.pool_worker("a1", data_centre="dc1", capacity=capacity)
+    service.agent_report(builders.agent_report("a1", worker, sequence=sequence))
 
 
 def _start(
