Fail jobs for few crashes only if their runs were at work

Cause: two crashes of a sole suspect, or three at similar ages, fail a job. They counted for each run that the agent had seen begin. A run that was done, and whose end the agent had not read as the worker crashed, counted, too: while renewals are refused or time out, or while the agent pauses until the ends that it has reported are recorded.

Change: the agent says for how long a run may have been over before the crash (`RunEnd.unseen_ms`), and these two limits count a crash only if that is at most 25 ms. It is 0 if a renewal that waits for ends broke off after 0.1 s and within its wait: the worker answers such a call as soon as a run ends, and the connection delivers that answer before it breaks. A shorter call may have met a worker that had crashed, a longer one a cut link. A refusal or a timeout after the break takes it back, as the worker may have lived on; refused connections do not, so a worker may stay away. Otherwise it is the time since the run was listed or its start answered. The limit of five ended workers, suspicion and placement are unchanged.

What a task that crashes its workers looks like: an agent with nothing to report always has a renewal waiting, so a crash breaks one, whatever the run's age. If that one is younger than 0.1 s, the crash just after the answer to the start counts by that answer. A client that sends the renewal again, to the next incarnation, gets 421 after the same wait. A worker that freezes before it dies looks like a cut link, a start that breaks off was never known to have begun, and an agent that is killed saw nothing: these count for the limit of five, as before.

The tests of the state report crashes with the new field, as agents do. The one of another copy of a done task lacked `has_begun`, so it could not fail; it has it now.

--- a/marigoldsill/coordination/held_runs/held_run.py
+++ b/marigoldsill/coordination/held_runs/held_run.py
@@ -37,6 +37,7 @@
         is_sent_reachably: Whether a start request to the current incarnation was sent
             while that one answered, and may have begun the run.
         started_s: When it was first known to be on the current incarnation, or None.
+        seen_s: When it was last known to be at work there, or None.
         was_listed: Whether the current incarnation has listed it.
     """
 
@@ -49,6 +50,7 @@
     stop_listings_count: int = 0
     is_sent_reachably: bool = False
     started_s: float | None = None
+    seen_s: float | None = None
     was_listed: bool = False
 
     @property
@@ -98,13 +100,14 @@
     def record_on_worker(self, *, now_s: float) -> None:
         """Records that the current incarnation has it."""
         self.is_sent_reachably = False
+        self.seen_s = now_s
         if self.started_s is None:
             self.started_s = now_s
 
     def record_off_worker(self) -> None:
         """Records that the current incarnation does not have it any more."""
         self.is_sent_reachably = self.was_listed = False
-        self.started_s = None
+        self.started_s = self.seen_s = None
 
 
 def share_worker(runs: Iterable[HeldRun]) -> bool:
--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -83,6 +83,10 @@
         """Whether the current incarnation has listed a run that has not ended."""
         return self._get(key).was_listed
 
+    def seen_s(self, key: task_names.RunKey) -> float | None:
+        """Returns when the current incarnation last had a run, or None."""
+        return self._get(key).seen_s
+
     def is_missing(self, key: task_names.RunKey) -> bool:
         """Whether a later listing has neither a started run nor its end."""
         run = self._get(key)
--- a/marigoldsill/coordination/job_agent/lease_renewer.py
+++ b/marigoldsill/coordination/job_agent/lease_renewer.py
@@ -146,6 +146,7 @@
         if is_known and not state.departures.is_unanswered(worker_id):
             deadline_ms = self.issue_deadline_ms()
         acknowledged = state.acknowledged_for(worker_id)
+        wait_ms = self._answer_wait_ms() if deadline_ms is not None else 0
         called_s = clock.now_s()
         try:
             listing = self._worker.renew_lease(
@@ -153,13 +154,13 @@
                 token=state.term,
                 acknowledged=acknowledged,
                 deadline_ms=deadline_ms,
-                wait_ms=(
-                    self._answer_wait_ms() if deadline_ms is not None else 0
-                ),
+                wait_ms=wait_ms,
             )
         except errors.MarigoldsillError as error:
             if isinstance(error, errors.TransportError):
                 self._is_last_call_answered = False
+            if _has_broken(error):
+                self._record_broken_wait(worker_id, called_s, wait_ms)
             if _may_have_effect(error):
                 self._record_unanswered(
                     is_acknowledgement=acknowledged > 0,
@@ -189,6 +190,16 @@
             with state.changed:
                 state.changed.wait(_PAUSE_S)
 
+    def _record_broken_wait(
+        self, worker_id: str, called_s: float, wait_ms: int
+    ) -> None:
+        """Records a call that may have broken off while it waited for an end."""
+        with self._state.changed:
+            if worker_id == self._state.worker_id:
+                self._state.held.contact.record_broken_wait(
+                    duration_s=clock.now_s() - called_s, limit_s=wait_ms / 1000
+                )
+
     def _record_unanswered(
         self, *, is_acknowledgement: bool, is_renewal: bool
     ) -> None:
@@ -201,6 +212,19 @@
                 late_calls.record_unanswered_renewal(now_s=now_s)
 
 
+def _has_broken(error: errors.MarigoldsillError) -> bool:
+    """Whether the connection of a call broke, as it does if the worker crashes."""
+    match error:
+        case errors.TransportError():
+            return not error.timed_out
+        case errors.OtherWorkerError():
+            # The call was sent again, to the next incarnation. One that has the same
+            # id may have waited itself.
+            return not error.answering_id
+        case _:
+            return False
+
+
 def _may_have_effect(error: errors.MarigoldsillError) -> bool:
     """Whether a call that failed may have been carried out, or may be late."""
     match error:
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -68,11 +68,20 @@
             # No shutdown is planned for the moment in which a run begins.
             is_excused=is_planned and (task, run) not in startups,
             has_worker_ended=is_planned and (task, run) in startups,
+            unseen_ms=-1 if is_planned else _unseen_ms(held, (task, run)),
         )
         for (task, run), age_ms in ages_ms.items()
     ]
 
 
+def _unseen_ms(held: held_runs.HeldRuns, key: task_names.RunKey) -> int:
+    """Returns for how long a run may have been over at the crash; -1 if unknown."""
+    seen_s = held.seen_s(key)
+    if seen_s is None:
+        return -1
+    return int(1000 * held.contact.unseen_s(seen_s, now_s=clock.now_s()))
+
+
 def _begun_runs(
     held: held_runs.HeldRuns, *, lease_limit_s: float
 ) -> set[task_names.RunKey]:
--- a/marigoldsill/coordination/jobs/job_event_logger.py
+++ b/marigoldsill/coordination/jobs/job_event_logger.py
@@ -155,6 +155,7 @@
             "suspects_count": end.suspects_count,
             "age_ms": end.age_ms,
             "has_begun": end.has_begun,
+            "unseen_ms": end.unseen_ms,
             "worker_ended": end.has_worker_ended
             or end.kind == ttypes.RunEndKind.CRASHED,
         }
--- a/marigoldsill/protocol/marigoldsill.thrift
+++ b/marigoldsill/protocol/marigoldsill.thrift
@@ -276,7 +276,8 @@
   8: i32 suspects_count = 0,        // runs suspected of the crash; 0: not this one
   9: bool is_from_agent = false,    // an agent reported it; else a leader concluded it
   10: bool has_worker_ended = false,  // an agent knows that the incarnation has ended
-  11: bool has_begun = false        // the incarnation is known to have begun the run
+  11: bool has_begun = false,       // the incarnation is known to have begun the run
+  12: i64 unseen_ms = -1            // see RunEnd
 }
 
 /** A task of a job: one index of a step, in one occurrence. */
@@ -474,7 +475,9 @@
   7: i64 age_ms = 0,                // lower bound of the run's age at the loss of its worker
   8: bool is_excused = false,      // LOST: the run did not cause the loss
   9: bool has_worker_ended = false,  // LOST: its worker's incarnation has ended for good
-  10: bool has_begun = false       // LOST, CRASHED: that incarnation had begun the run
+  10: bool has_begun = false,      // LOST, CRASHED: that incarnation had begun the run
+  // CRASHED: time between the last sign that it was at work and the crash; -1: unknown
+  11: i64 unseen_ms = -1
 }
 
 struct RecordRunEnds {
--- a/marigoldsill/state/run_outcomes/worker_losses.py
+++ b/marigoldsill/state/run_outcomes/worker_losses.py
@@ -90,6 +90,7 @@
     loss.age_ms = end.age_ms
     loss.has_begun = end.has_begun
     loss.suspects_count = end.suspects_count
+    loss.unseen_ms = end.unseen_ms
     loss.is_early = end.age_ms <= _EARLY_AGE_LIMIT_MS
     return True
 
--- a/tests/state/test_crash_attribution.py
+++ b/tests/state/test_crash_attribution.py
@@ -13,6 +13,7 @@
 _MIN_CRASHES_TO_FAIL = 2
 # Two starts more than the three crashes after which a task is limited.
 _CRASHES_LIMIT = 5
+_UNSEEN_LIMIT_MS = 25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +28,7 @@
         agent: The number of its agent.
         suspects_count: The number of suspects of a crash.
         age_ms: The run's age at a crash.
+        unseen_ms: For how long the run may have been over at a crash.
         delay: After how many further runs the agent reports.
         reports_count: How often it reports.
     """
@@ -38,6 +40,7 @@
     agent: int
     suspects_count: int
     age_ms: int
+    unseen_ms: int
     delay: int
     reports_count: int
 
@@ -48,12 +51,22 @@
             self.kind == ttypes.RunEndKind.LOST and self.has_worker_ended
         )
 
+    @property
+    def is_at_work_at_crash(self) -> bool:
+        """Whether control learns that the run was at work as its worker crashed."""
+        return (
+            self.kind == ttypes.RunEndKind.CRASHED
+            and self.has_begun
+            and 0 <= self.unseen_ms <= _UNSEEN_LIMIT_MS
+        )
+
     def end(self, run: int) -> ttypes.RunEnd:
         """Returns the end that the agent reports."""
         end = builders.run_end(_TASK, self.kind, run)
         if self.kind == ttypes.RunEndKind.CRASHED:
             end.age_ms = self.age_ms
             end.suspects_count = self.suspects_count * self.has_begun
+            end.unseen_ms = self.unseen_ms
         end.has_begun = self.is_crash and self.has_begun
         end.has_worker_ended = (
             self.kind == ttypes.RunEndKind.LOST and self.has_worker_ended
@@ -80,6 +93,7 @@
     agent=strategies.integers(1, 3),
     suspects_count=strategies.integers(0, 3),
     age_ms=strategies.sampled_from([0, 10, 400, 2_000, 7_000, 31_000, 300_000]),
+    unseen_ms=strategies.sampled_from([0, 0, 20, 100, 2_000, -1]),
     delay=strategies.integers(0, 4),
     reports_count=strategies.integers(1, 2),
 )
@@ -98,7 +112,7 @@
     def __init__(self):
         self.state = builders.State()
         self.state.submit(builders.job())
-        self.crashes_count = self.begun_count = 0
+        self.crashes_count = self.begun_count = self.at_work_count = 0
         self._reports: list[tuple[int, int, _Case]] = []
 
     @property
@@ -128,6 +142,7 @@
                 return
             self.crashes_count += case.is_crash
             self.begun_count += case.is_crash and case.has_begun
+            self.at_work_count += case.is_at_work_at_crash
             for _ in range(case.reports_count):
                 self._record(case.end(run))
 
@@ -162,6 +177,7 @@
     )
     if play.has_failed:
         assert play.begun_count >= _MIN_CRASHES_TO_FAIL
+        assert is_limited or play.at_work_count >= _MIN_CRASHES_TO_FAIL
     else:
         assert not is_limited
 
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -36,12 +36,18 @@
 
 
 def _report(
-    state: builders.State, run: int, *, suspects_count: int = 1, age_ms: int = 0
+    state: builders.State,
+    run: int,
+    *,
+    suspects_count: int = 1,
+    age_ms: int = 0,
+    unseen_ms: int = 0,
 ) -> None:
     end = builders.run_end(_TASK, _CRASHED, run)
     end.suspects_count = suspects_count
     end.age_ms = age_ms
     end.has_begun = True
+    end.unseen_ms = unseen_ms
     state.end(end)
 
 
@@ -183,10 +189,37 @@
         state.grant(_grant(run, f"a{run}"))
         end = builders.run_end(_TASK, _CRASHED, run)
         end.suspects_count = 1
+        end.unseen_ms = 0
         state.end(end)
     assert state.state_of() == ttypes.JobState.RUNNING
 
 
+@pytest.mark.parametrize("unseen_ms", [-1, 26, 10_000])
+def test_job_is_not_failed_for_few_crashes_before_which_its_runs_may_have_ended(
+    state: builders.State, unseen_ms: int
+) -> None:
+    for run in range(1, 5):
+        _crash(state, run, agent=f"a{run}", unseen_ms=unseen_ms)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    assert crash_attribution.is_suspect(state.task(_TASK))
+    _crash(state, 5, unseen_ms=unseen_ms)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+@pytest.mark.parametrize("unseen_run", [1, 2])
+def test_crash_before_which_a_run_may_have_ended_takes_off_no_other_crash(
+    state: builders.State, unseen_run: int
+) -> None:
+    for run in range(1, 4):
+        _crash(
+            state,
+            run,
+            agent=f"a{run}",
+            unseen_ms=500 if run == unseen_run else 25,
+        )
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
 def test_crash_that_is_recorded_late_does_not_excuse_earlier_ones(
     state: builders.State,
 ) -> None:
@@ -431,6 +464,8 @@
     copied = builders.task_name(job_id="j2")
     crash = builders.run_end(copied, _CRASHED, 1)
     crash.suspects_count = 1
+    crash.has_begun = True
+    crash.unseen_ms = 0
     state.grant(builders.grant(copied, 1, "a1"))
     state.end(crash)
     state.grant(builders.grant(copied, 2, "a1"))
