--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -23,6 +23,7 @@
         startups: Runs that may not have lived longer than a startup.
         suspects: Runs that may have crashed it.
         blamed: The suspects that certainly began, and were probably on it.
+        unseen_ms: For how long each run may have been over at a crash, or -1.
     """
 
     is_planned: bool
@@ -31,6 +32,7 @@
     startups: frozenset[task_names.RunKey]
     suspects: frozenset[task_names.RunKey]
     blamed: frozenset[task_names.RunKey]
+    unseen_ms: dict[task_names.RunKey, int]
 
 
 def end_runs(
@@ -82,9 +84,20 @@
         startups=crash_suspects.startups(ages_s),
         suspects=suspects,
         blamed=blamed,
+        unseen_ms=(
+            {} if is_planned else {key: _unseen_ms(held, key) for key in ages_s}
+        ),
     )
 
 
+def _unseen_ms(held: held_runs.HeldRuns, key: task_names.RunKey) -> int:
+    """Returns for how long a run may have been over at the crash; -1 if unknown."""
+    seen_s = held.seen_s(key)
+    if seen_s is None:
+        return -1
+    return int(1000 * held.contact.unseen_s(seen_s, now_s=clock.now_s()))
+
+
 def _begun_runs(
     held: held_runs.HeldRuns,
     candidates: Iterable[task_names.RunKey],
@@ -130,4 +143,5 @@
         # No shutdown is planned for the moment in which a run begins.
         is_excused=loss.is_planned and not is_startup,
         has_worker_ended=loss.is_planned and is_startup,
+        unseen_ms=loss.unseen_ms.get(key, -1),
     )
