Take no start for begun that a later incarnation has answered

Cause: where a worker restarts under its name, an answer to a start needn't say which incarnation gave it. A start for an idle worker that had crashed, answered by its next incarnation, was booked as begun on the crashed one. The next listing showed the restart, and the run counted as its only suspect: two such starts failed a sound job. The answer also hid that other calls had broken off, so a run that had crashed the worker counted as not begun.

Class: an answer is taken as being of the incarnation that was called, without evidence.

Change: every answer has the worker's steady clock, which starts anew with each incarnation. An answer to a start that shows less than the clock must have shown as it was sent counts as none, so the run is dealt with as one that the later incarnation may begin late.

test_run_whose_start_the_next_incarnation_answers_crashed_no_worker fails on the code before.

--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -8,6 +8,7 @@
 )
 from marigoldsill.coordination.job_agent import order_progress
 from marigoldsill.coordination.job_agent import start_checks
+from marigoldsill.protocol import incarnation_ids
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
 from marigoldsill.protocol.generated import ttypes
@@ -58,6 +59,7 @@
             state.held.record_start_sent(
                 order, is_current=order.worker_id == state.worker_id
             )
+            earliest_ms = state.worker_clock.earliest_ms(clock.now_s())
         start = run_worker.RunStart(
             task=order.task,
             run=order.run,
@@ -71,6 +73,7 @@
                 clock_ms = self._worker.start(
                     order.worker_id, start, token=token
                 )
+            _check_clock(order.worker_id, clock_ms, earliest_ms=earliest_ms)
         except errors.RunRefusedError as error:
             self._record_not_started(order)
             if error.reason == run_worker.RefusalReason.TOO_LATE:
@@ -169,3 +172,18 @@
         logs.event(
             "run_throttled", task=order.task, run=order.run, percent=percent
         )
+
+
+def _check_clock(worker_id: str, clock_ms: int, *, earliest_ms: int) -> None:
+    """Checks that the incarnation that was called has answered a start.
+
+    Raises:
+        TransportError: A later one of the same name did, and may have begun the run.
+    """
+    if incarnation_ids.keeps_name(worker_id) and clock_ms < earliest_ms:
+        raise errors.TransportError(
+            f"a start on {worker_id} was answered at {clock_ms} ms of the worker's "
+            f"clock; expected {earliest_ms} ms or later, so it has restarted",
+            sent=True,
+            timed_out=True,
+        )
--- a/marigoldsill/coordination/job_agent/worker_clock.py
+++ b/marigoldsill/coordination/job_agent/worker_clock.py
@@ -63,6 +63,21 @@
         with self._lock:
             return self._convert(local_s)
 
+    def earliest_ms(self, local_s: float) -> int:
+        """Returns the lowest time that the worker's clock may show at a time.
+
+        The clock of a later incarnation starts anew and shows less.
+
+        Args:
+            local_s: The time on this machine's clock.
+        """
+        with self._lock:
+            if self._reading is None:
+                return 0
+            received_s, clock_ms = self._reading
+            elapsed_s = max(0.0, local_s - received_s)
+            return clock_ms + int(1000 * elapsed_s / leases.DRIFT_RATIO)
+
     def issue_deadline_ms(self, local_s: float) -> int | None:
         """Converts a time like `to_worker_ms` and records it as sent to the worker."""
         with self._lock:
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -62,6 +62,25 @@
     agent.execute_orders()
 
 
+def test_run_whose_start_the_next_incarnation_answers_crashed_no_worker(
+    agent: stepped_agent.SteppedAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against jobs that are failed for crashes before their runs."""
+    now_s = clock.now_s()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    now_s += 1.0
+    agent.renew_lease()
+    _order_run(agent)
+    agent.worker.restart(_NEW)
+    agent.execute_orders()
+    assert _KEY in agent.worker.running
+    _announce(agent, _NEW)
+    _settle(agent)
+    (end,) = agent.state.ends.values()
+    assert not end.has_begun
+    assert not end.suspects_count
+
+
 def test_runs_are_lost_at_once_when_the_new_incarnation_has_answered(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
