Call the longest lease of a worker by one name in its agent

The renewer of the lease and the watch of departures took hold_limit_ms, which all other code of the agent calls lease_limit_s, and converted it each for itself. Now the agent converts it once.

--- a/marigoldsill/coordination/job_agent/departure_watch.py
+++ b/marigoldsill/coordination/job_agent/departure_watch.py
@@ -28,18 +28,18 @@
         *,
         state: agent_state.AgentState,
         worker: run_worker.RunWorker,
-        hold_limit_ms: int,
+        lease_limit_s: float,
     ):
         """Initializes the watch.
 
         Args:
             state: The agent's state.
             worker: The worker.
-            hold_limit_ms: The longest lease that the worker accepts.
+            lease_limit_s: The longest lease that the worker accepts.
         """
         self._state = state
         self._worker = worker
-        self._lease_limit_s = hold_limit_ms / 1000
+        self._lease_limit_s = lease_limit_s
 
     def run(self) -> None:
         """Calls deregistered workers until the agent stops."""
--- a/marigoldsill/platform/side.py
+++ b/marigoldsill/platform/side.py
@@ -32,20 +32,21 @@
     """The agent process: serves one worker and reports to the leader."""
 
     def __init__(self, settings: settings_file.PlatformSettings):
+        lease_limit_s = settings.hold_limit_ms / 1000
         self._state = agent_state.AgentState(
             announcement_age_limit_s=settings.announcement_age_limit_ms / 1000,
-            lease_limit_s=settings.hold_limit_ms / 1000,
+            lease_limit_s=lease_limit_s,
         )
         worker = worker_client.PlatformWorker(address=settings.worker_address)
         lease_renewer = lease_renewer_module.LeaseRenewer(
             state=self._state,
             worker=worker,
-            hold_limit_ms=settings.hold_limit_ms,
+            lease_limit_s=lease_limit_s,
         )
         departure_watch = departure_watch_module.DepartureWatch(
             state=self._state,
             worker=worker,
-            hold_limit_ms=settings.hold_limit_ms,
+            lease_limit_s=lease_limit_s,
         )
         self._executor = executor_module.Executor(
             state=self._state, worker=worker, lease_renewer=lease_renewer
--- a/tests/coordination/jobs/stepped_agent.py
+++ b/tests/coordination/jobs/stepped_agent.py
@@ -140,13 +140,13 @@
     """Builds an agent that knows nothing of its worker or a leader."""
     state = agent_state.AgentState(**state_options)
     lease_renewer = lease_renewer_module.LeaseRenewer(
-        state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
+        state=state, worker=worker, lease_limit_s=HOLD_LIMIT_MS / 1000
     )
     executor = executor_module.Executor(
         state=state, worker=worker, lease_renewer=lease_renewer, retry_s=0.0
     )
     watch = departure_watch_module.DepartureWatch(
-        state=state, worker=worker, hold_limit_ms=HOLD_LIMIT_MS
+        state=state, worker=worker, lease_limit_s=HOLD_LIMIT_MS / 1000
     )
     return SteppedAgent(worker, state, lease_renewer, executor, watch)
 
