Correct names and docstrings about a worker's incarnations

has_replaced told whether an incarnation is replaced, not whether it has replaced one. The time of the last answer is that of the last listing, and a deregistered incarnation may leave if it is not the current one. Loop variables of late starts say what they hold. Behaviour is unchanged.

--- a/marigoldsill/coordination/job_agent/agent_record.py
+++ b/marigoldsill/coordination/job_agent/agent_record.py
@@ -36,7 +36,8 @@
         unreported_ends: Ends to report now or later.
         listed_end_number: Ends up to this number have been read in listings.
         acknowledged_end_number: Ends up to this number are recorded by control.
-        last_answer_s: When the worker answered last.
+        last_answer_s: When the worker listed its runs last, or else when the agent
+            began.
         is_stopping: Whether the agent is stopping.
         incarnations: The incarnations of the worker that are announced or have ended.
     """
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -271,7 +271,7 @@
         that is not the current incarnation is an earlier one.
         """
         for order in self.orders.values():
-            if self.incarnations.has_replaced(
+            if self.incarnations.is_replaced(
                 order.worker_id, current_id=self.worker_id
             ):
                 key = (order.task, order.run)
--- a/marigoldsill/coordination/worker_incarnations/departures.py
+++ b/marigoldsill/coordination/worker_incarnations/departures.py
@@ -120,7 +120,7 @@
 
         Args:
             worker_id: The incarnation.
-            may_leave: Whether it announces that it drains, or is not known enough.
+            may_leave: Whether it announces that it drains, or is not the current one.
             now_s: The time.
         """
         departure = self._by_id.get(worker_id)
--- a/marigoldsill/coordination/worker_incarnations/incarnations.py
+++ b/marigoldsill/coordination/worker_incarnations/incarnations.py
@@ -163,7 +163,7 @@
         """Whether an incarnation is known to have ended."""
         return worker_id in self._ended_ids
 
-    def has_replaced(self, worker_id: str, *, current_id: str) -> bool:
+    def is_replaced(self, worker_id: str, *, current_id: str) -> bool:
         """Whether an incarnation that was current before has certainly ended.
 
         Args:
--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -118,11 +118,13 @@
         }
 
     def remaining(self, *, now_s: float) -> list[ttypes.LateStart]:
-        """Returns the runs that may still begin or be alive then, and for how long.
+        """Returns the runs that may still begin or be alive, and for how long.
 
         The times hold also if the worker does not answer from now on.
         """
-        called_s = {key: row[1] for key, row in self._unanswered.items()}
+        called_s = {
+            key: sent_s for key, (_, sent_s) in self._unanswered.items()
+        }
         for key, pending in self._pending.items():
             called_s[key] = max(pending.called_s, called_s.get(key, -math.inf))
         return [
@@ -130,11 +132,11 @@
                 task=task,
                 run=run,
                 remaining_ms=math.ceil(
-                    1000 * (self._latest_end_s(each_s) - now_s)
+                    1000 * (self._latest_end_s(last_s) - now_s)
                 ),
             )
-            for (task, run), each_s in called_s.items()
-            if self._latest_end_s(each_s) > now_s
+            for (task, run), last_s in called_s.items()
+            if self._latest_end_s(last_s) > now_s
         ]
 
     def may_begin(
