Compute once how long a late start may still have an effect

The time that remains of a late start was computed once to choose the runs and again to report it.

The tests of tests/coordination that name late starts pass, and test_agent.py and test_restarted_workers.py of tests/coordination/jobs.

--- a/marigoldsill/coordination/worker_incarnations/late_starts.py
+++ b/marigoldsill/coordination/worker_incarnations/late_starts.py
@@ -129,14 +129,10 @@
             called_s[key] = max(pending.called_s, called_s.get(key, -math.inf))
         return [
             ttypes.LateStart(
-                task=task,
-                run=run,
-                remaining_ms=math.ceil(
-                    1000 * (self._latest_end_s(last_s) - now_s)
-                ),
+                task=task, run=run, remaining_ms=math.ceil(1000 * left_s)
             )
             for (task, run), last_s in called_s.items()
-            if self._latest_end_s(last_s) > now_s
+            if (left_s := self._latest_end_s(last_s) - now_s) > 0
         ]
 
     def may_begin(
