Count a lease as expired once the last deadline sent has passed

Cause: a run is not held against its task if its lease had expired before its worker ended. That was decided from the longest lease that the worker accepts, 10 s on some deployments, but leaders grant 7 s, and no later deadline was sent. After a silence of 8.5 s, a run that had lapsed at 7 s counted as begun and as the only suspect of the end of an idle worker.

Change: the lease has expired once the last deadline sent has certainly passed; the longest accepted lease stays a bound.

test_run_whose_lease_had_expired_before_a_crash_is_not_held_against_its_task fails on the code before for a silence of 4.5 s on a lease of 3 s.

--- a/marigoldsill/coordination/held_runs/worker_contact.py
+++ b/marigoldsill/coordination/held_runs/worker_contact.py
@@ -61,12 +61,9 @@
         if _WAITING_S <= duration_s <= limit_s:
             self._was_waiting = True
 
-    def silence_s(self, *, now_s: float) -> float:
-        """Returns how long it did not answer before it ended, at most.
-
-        It ended when a call broke off, or at an unknown time before now.
-        """
-        return min(self._broken_s, now_s) - self.last_answer_s
+    def ended_s(self, *, now_s: float) -> float:
+        """Returns when it ended at the latest, which is when a call broke off, or now."""
+        return min(self._broken_s, now_s)
 
     def unseen_s(self, seen_s: float, *, now_s: float) -> float:
         """Returns for how long a run may have been over before the worker ended.
@@ -77,4 +74,4 @@
         """
         if self._was_waiting:
             return 0.0
-        return min(self._broken_s, now_s) - seen_s
+        return self.ended_s(now_s=now_s) - seen_s
--- a/marigoldsill/coordination/job_agent/agent_record.py
+++ b/marigoldsill/coordination/job_agent/agent_record.py
@@ -57,6 +57,7 @@
         effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
         self.changed = threading.Condition()
         self._announcement_age_limit_s = announcement_age_limit_s
+        self._lease_limit_s = lease_limit_s
         self.worker_clock = worker_clock.WorkerClock()
         self.late_calls = late_calls.LateCalls(effect_limit_s=effect_limit_s)
         self.departures = departures.Departures()
@@ -131,6 +132,13 @@
             and self.held.knows_all_listed()
         )
 
+    def lease_end_s(self) -> float:
+        """Returns when the lease of the worker's runs has certainly expired."""
+        return min(
+            self.worker_clock.lease_end_s(self._lease_limit_s),
+            self.held.contact.last_answer_s + self._lease_limit_s,
+        )
+
     def next_incarnation(self) -> str:
         """Returns the incarnation of the worker to call next, or empty."""
         with self.changed:
--- a/marigoldsill/coordination/job_agent/agent_state.py
+++ b/marigoldsill/coordination/job_agent/agent_state.py
@@ -257,6 +257,7 @@
                 self.held,
                 is_planned=self.worker.draining or is_deregistered,
                 unlisted_s=clock.now_s() - self.last_answer_s,
+                lease_end_s=self.lease_end_s(),
             )
         self.worker = None
         self.worker_clock.reset()
--- a/marigoldsill/coordination/job_agent/lost_worker.py
+++ b/marigoldsill/coordination/job_agent/lost_worker.py
@@ -41,7 +41,7 @@
     *,
     is_planned: bool,
     unlisted_s: float,
-    lease_limit_s: float,
+    lease_end_s: float,
 ) -> list[ttypes.RunEnd]:
     """Logs and counts the loss of a worker, and returns the ends of its runs.
 
@@ -50,9 +50,9 @@
         held: The runs that it may have.
         is_planned: Whether it announced that it drains, or its end.
         unlisted_s: Time since its last listing.
-        lease_limit_s: The longest lease that it accepts.
+        lease_end_s: When the lease of its runs had certainly expired.
     """
-    loss = _assess(held, is_planned=is_planned, lease_limit_s=lease_limit_s)
+    loss = _assess(held, is_planned=is_planned, lease_end_s=lease_end_s)
     agent_metrics.WORKER_LOSSES.labels(
         "planned" if is_planned else "unplanned"
     ).inc()
@@ -70,10 +70,10 @@
 
 
 def _assess(
-    held: held_runs.HeldRuns, *, is_planned: bool, lease_limit_s: float
+    held: held_runs.HeldRuns, *, is_planned: bool, lease_end_s: float
 ) -> _Loss:
     ages_s = held.min_ages_s()
-    had_begun = _begun_runs(held, ages_s, lease_limit_s=lease_limit_s)
+    had_begun = _begun_runs(held, ages_s, lease_end_s=lease_end_s)
     suspects = frozenset() if is_planned else crash_suspects.suspects(ages_s)
     # The worker may have crashed before it began a run without an answer.
     blamed = frozenset(filter(held.has_begun, suspects & had_begun))
@@ -102,14 +102,14 @@
     held: held_runs.HeldRuns,
     candidates: Iterable[task_names.RunKey],
     *,
-    lease_limit_s: float,
+    lease_end_s: float,
 ) -> set[task_names.RunKey]:
     """Returns the runs that were probably on the worker as it ended.
 
     They had begun, or their start request broke off, and neither were they stopped nor
     may their lease have expired by then.
     """
-    if held.contact.silence_s(now_s=clock.now_s()) > lease_limit_s:
+    if held.contact.ended_s(now_s=clock.now_s()) > lease_end_s:
         return set()
     return {
         key
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -33,7 +33,6 @@
         Args:
             lease_limit_s: The longest lease that the worker accepts.
         """
-        self._lease_limit_s = lease_limit_s
         effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
         self.by_run: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.late_starts = late_starts.LateStarts(effect_limit_s=effect_limit_s)
@@ -71,6 +70,7 @@
         *,
         is_planned: bool,
         unlisted_s: float,
+        lease_end_s: float,
     ) -> None:
         """Records the loss of the current incarnation and of its runs.
 
@@ -79,13 +79,14 @@
             held: The runs that it may have.
             is_planned: Whether it announced that it drains, or its end.
             unlisted_s: Time since its last listing.
+            lease_end_s: When the lease of its runs had certainly expired.
         """
         ends = lost_worker.end_runs(
             worker,
             held,
             is_planned=is_planned,
             unlisted_s=unlisted_s,
-            lease_limit_s=self._lease_limit_s,
+            lease_end_s=lease_end_s,
         )
         for end in ends:
             self.record_lost(
--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -306,6 +306,24 @@
     assert agent.state.ends[stepped_agent.KEY].has_begun == has_begun
 
 
+@pytest.mark.parametrize(
+    ("silence_s", "has_begun"), [(3.0, True), (4.5, False)]
+)
+def test_run_whose_lease_had_expired_before_a_crash_is_not_held_against_its_task(
+    monkeypatch: pytest.MonkeyPatch, silence_s: float, has_begun: bool
+) -> None:
+    """Guards against leases counted as live up to the longest that workers accept."""
+    agent = stepped_agent.make_agent()
+    now_s = clock.now_s() + 59.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    agent.receive_lease(length_s=3.0)
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    now_s += silence_s
+    agent.crash_worker()
+    assert agent.state.ends[stepped_agent.KEY].has_begun == has_begun
+
+
 def test_run_of_a_worker_that_deregistered_is_not_held_against_its_task(
     agent: stepped_agent.SteppedAgent,
 ) -> None:
