--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -147,6 +147,57 @@
     assert state.state_of() == ttypes.JobState.RUNNING
 
 
+def test_losses_of_workers_that_live_on_do_not_count_beside_crashes(
+    state: builders.State,
+) -> None:
+    for run in (1, 2):
+        _crash(state, run, suspects_count=0)
+    for run in range(3, 10):
+        _lose(state, run, has_begun=True)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    for run in range(10, 13):
+        _crash(state, run, suspects_count=0)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_many_losses_of_workers_that_live_on_displace_no_crash(
+    state: builders.State,
+) -> None:
+    """Guards against tasks that crash workers on and on between other losses."""
+    for run in range(1, 5):
+        _crash(state, run, suspects_count=0)
+    for run in range(5, 30):
+        _lose(state, run)
+    assert state.state_of() == ttypes.JobState.RUNNING
+    _crash(state, 30, suspects_count=0)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_run_that_had_begun_counts_for_a_worker_that_lost_two_runs(
+    state: builders.State,
+) -> None:
+    """Guards against crashes that an earlier run on the same worker hides."""
+    agents = ["a1", "a2", "a3", "a4", "a5", "a1", "a2"]
+    for run, agent in enumerate(agents, 1):
+        assert state.state_of() != ttypes.JobState.FAILED
+        assert state.grant(builders.grant(_TASK, run, agent)) == 1
+        end = builders.run_end(_TASK, _CRASHED, run)
+        end.has_begun = run > 5
+        state.end(end)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
+def test_task_is_no_suspect_for_losses_before_it_had_begun(
+    state: builders.State,
+) -> None:
+    for run in (1, 2, 3):
+        _lose(state, run)
+    assert not crash_attribution.is_suspect(state.task(_TASK))
+    for run in (4, 5):
+        _lose(state, run, has_begun=True)
+    assert crash_attribution.is_suspect(state.task(_TASK))
+
+
 def test_job_is_not_failed_for_crashes_before_its_task_is_known_to_have_begun(
     state: builders.State,
 ) -> None:
