--- a/tests/coordination/jobs/test_agent.py
+++ b/tests/coordination/jobs/test_agent.py
@@ -306,6 +306,37 @@
     assert agent.state.ends[stepped_agent.KEY].has_begun == has_begun
 
 
+@pytest.mark.parametrize("name", ["start", "renewal"])
+@pytest.mark.parametrize(
+    ("error", "has_begun"),
+    [(fake_worker.BROKEN_CONNECTION, True), (fake_worker.NO_ANSWER, False)],
+)
+def test_crash_is_known_to_come_when_a_call_breaks_off_not_when_it_times_out(
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    error: errors.TransportError,
+    has_begun: bool,
+) -> None:
+    """Guards against cut links that are taken for crashes, and the reverse."""
+    agent = stepped_agent.make_agent()
+    agent.receive_order(stepped_agent.RUN)
+    agent.run_until_settled()
+    now_s = clock.now_s() + 1.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    agent.worker.unanswered_error = error
+    if name == "start":
+        agent.worker.unanswered = {"start"}
+        agent.receive_order(stepped_agent.RUN, ("j2.0.0.0", 1))
+        agent.execute_orders()
+    else:
+        agent.worker.unreachable_incarnations = {agent.worker.incarnation}
+        agent.call_incarnations(rounds_count=1)
+    now_s += 60.0
+    agent.worker.unreachable_incarnations = set()
+    agent.crash_worker()
+    assert agent.state.ends[stepped_agent.KEY].has_begun == has_begun
+
+
 @pytest.mark.parametrize(
     ("silence_s", "has_begun"), [(3.0, True), (4.5, False)]
 )
