Split the soak's long modules

Spans of time, the bounds, downtimes, invariants of gangs, which machines a fault affects, drawn jobs and the plan of a whole soak are modules of their own now. Draws and checks are the same; the tests of recorded plans pass unchanged.

--- a/soak/history.py
+++ b/soak/history.py
@@ -1,59 +1,13 @@
-"""The history of a soak: its jobs, runs and faults, and spans of time.
-
-All times are from the machine's monotonic clock, in nanoseconds.
-"""
+"""The history of a soak: its jobs, runs and faults."""
 
 from collections.abc import Iterable
-from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 
+from soak import fault_effects
 from soak import faults
-
-NS_PER_S = 1_000_000_000
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Span:
-    """A span of time."""
-
-    started_ns: int
-    ended_ns: int
-
-    @property
-    def duration_s(self) -> float:
-        """The length of the span."""
-        return (self.ended_ns - self.started_ns) / NS_PER_S
-
-    def subtract(self, others: Iterable["Span"]) -> Iterator["Span"]:
-        """Yields the parts of the span that are in none of the others."""
-        rest_ns = self.started_ns
-        for other in sorted(others, key=lambda span: span.started_ns):
-            end_ns = min(other.started_ns, self.ended_ns)
-            if end_ns > rest_ns:
-                yield Span(rest_ns, end_ns)
-            rest_ns = max(rest_ns, other.ended_ns)
-        if self.ended_ns > rest_ns:
-            yield Span(rest_ns, self.ended_ns)
-
-
-def overlaps(spans: Iterable[Span], *, min_count: int = 1) -> list[Span]:
-    """Returns the spans during which at least `min_count` of some spans overlap."""
-    changes = sorted(
-        change
-        for span in spans
-        for change in ((span.started_ns, 1), (span.ended_ns, -1))
-    )
-    found: list[Span] = []
-    depth, started_ns = 0, 0
-    for at_ns, change in changes:
-        previous_depth, depth = depth, depth + change
-        if previous_depth < min_count <= depth:
-            started_ns = at_ns
-        elif depth < min_count <= previous_depth and at_ns > started_ns:
-            found.append(Span(started_ns, at_ns))
-    return found
+from soak import time_spans
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,7 +94,7 @@
     number: int
     machine: str
     worker: str
-    span: Span
+    span: time_spans.Span
     outcome: str
 
     @property
@@ -168,7 +122,7 @@
     """
 
     data_centre: str
-    span: Span
+    span: time_spans.Span
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -176,7 +130,7 @@
     """A fault and the span during which it was active."""
 
     fault: faults.Fault
-    span: Span
+    span: time_spans.Span
 
 
 @dataclasses.dataclass(slots=True)
@@ -225,7 +179,7 @@
                 line["run"],
                 self.machines.get(line["machine"], line["machine"]),
                 line["worker"],
-                Span(line["at_ns"], end.get("at_ns", self.ended_ns)),
+                time_spans.Span(line["at_ns"], end.get("at_ns", self.ended_ns)),
                 end.get("how", end.get("event", "")),
             )
             for line in self.lines
@@ -233,7 +187,7 @@
             for end in (ends.get(_run_key(line), {}),)
         ]
 
-    def fault_spans(self, name: str) -> list[Span]:
+    def fault_spans(self, name: str) -> list[time_spans.Span]:
         """Returns when a machine or a process was affected by a fault.
 
         The proxy before a member's frontend serves only clients and does not
@@ -242,25 +196,32 @@
         return [
             injected.span
             for injected in self.injected_faults
-            if name in _affected_names(injected.fault, self.members)
+            if name
+            in fault_effects.affected_names(injected.fault, self.members)
             and not (
                 name in self.members
                 and isinstance(injected.fault, faults.LinkFault)
             )
         ]
 
-    def majority_fault_spans(self) -> list[Span]:
+    def fault_spans_of(self, names: Iterable[str]) -> list[time_spans.Span]:
+        """Returns when any of some machines and processes was affected by a fault."""
+        return [span for name in names for span in self.fault_spans(name)]
+
+    def majority_fault_spans(self) -> list[time_spans.Span]:
         """Returns when the members without a fault were no majority."""
         spans = [
             span
             for name in self.members
-            for span in overlaps(self.fault_spans(name))
+            for span in time_spans.overlaps(self.fault_spans(name))
         ]
-        return overlaps(spans, min_count=max(1, (len(self.members) + 1) // 2))
+        return time_spans.overlaps(
+            spans, min_count=max(1, (len(self.members) + 1) // 2)
+        )
 
     def capacity_reductions(
         self,
-    ) -> list[tuple[faults.CapacityReduction, Span]]:
+    ) -> list[tuple[faults.CapacityReduction, time_spans.Span]]:
         """Returns the capacity reductions with their times."""
         return [
             (injected.fault, injected.span)
@@ -268,7 +229,9 @@
             if isinstance(injected.fault, faults.CapacityReduction)
         ]
 
-    def spans_without_capacity(self, *, tasks_per_worker: int) -> list[Span]:
+    def spans_without_capacity(
+        self, *, tasks_per_worker: int
+    ) -> list[time_spans.Span]:
         """Returns when every machine was full or affected by a fault.
 
         A machine whose worker's capacity is reduced, or whose data centre is
@@ -287,19 +250,21 @@
             for name in names:
                 if self.data_centres.get(name) == evacuation.data_centre:
                     unavailable_by_machine[name].append(evacuation.span)
-        by_machine: dict[str, list[Span]] = {name: [] for name in names}
+        by_machine: dict[str, list[time_spans.Span]] = {
+            name: [] for name in names
+        }
         for run in self.runs():
             by_machine[run.machine].append(run.span)
         for name, spans in by_machine.items():
-            unavailable_by_machine[name] += overlaps(
+            unavailable_by_machine[name] += time_spans.overlaps(
                 spans, min_count=tasks_per_worker
             )
         unavailable = [
             span
             for each in unavailable_by_machine.values()
-            for span in overlaps(each)
+            for span in time_spans.overlaps(each)
         ]
-        return overlaps(unavailable, min_count=max(1, len(names)))
+        return time_spans.overlaps(unavailable, min_count=max(1, len(names)))
 
 
 def injected_faults(
@@ -309,7 +274,8 @@
     """Returns the faults that started, with their times."""
     return [
         InjectedFault(
-            item.fault, Span(at_ns, _end_ns(item, at_ns, ended_ns[item]))
+            item.fault,
+            time_spans.Span(at_ns, _end_ns(item, at_ns, ended_ns[item])),
         )
         for item, at_ns in started_ns.items()
     ]
@@ -323,66 +289,5 @@
     return started_ns if is_instant else ended_ns
 
 
-def _affected_names(
-    fault: faults.Fault, members: Sequence[str]
-) -> Sequence[str]:
-    """Returns the machines and processes whose work a fault may interrupt."""
-    match fault:
-        case (
-            faults.ProcessReload()
-            | faults.SeedsChange()
-            | faults.ForeignHeartbeats()
-        ):
-            return ()
-        case faults.CapacityReduction():
-            return ()
-        case faults.LinkFault(name=name):
-            return (name,)
-        case (
-            faults.WorkerCrash(worker=name)
-            | faults.DelayedCalls(worker=name)
-            | faults.RefusedCalls(worker=name)
-        ):
-            return (name,)
-        case faults.ConnectionReset(names=names):
-            return names
-        case (
-            faults.ProcessKill()
-            | faults.ProcessTermination()
-            | faults.ProcessPause()
-        ):
-            return (fault.process,)
-        case faults.DiskLoss(process=name):
-            return (name,)
-        case faults.PowerLoss() | faults.GroupTermination():
-            return fault.processes
-        case faults.ControlLinkFault():
-            return _disconnected_names(fault, members)
-
-
-def _disconnected_names(
-    fault: faults.ControlLinkFault, members: Sequence[str]
-) -> Sequence[str]:
-    """Returns the processes whose calls to members are disturbed.
-
-    Of the members themselves, only those on the smaller side of the fault count.
-    """
-    directions = [(fault.callers, fault.targets)]
-    if fault.both_ways:
-        directions.append((fault.targets, fault.callers))
-    non_members = [
-        name
-        for callers, targets in directions
-        if set(targets) & set(members)
-        for name in callers
-        if name not in members
-    ]
-    sides = [
-        [name for name in side if name in members]
-        for side in (fault.callers, fault.targets)
-    ]
-    return (*non_members, *min(sides, key=len))
-
-
 def _run_key(line: dict) -> tuple[str, str, int]:
     return line["worker"], line["task"], line["run"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,15 +7,12 @@
 import re
 import time
 
-from soak import fault_losses
-from soak import fault_plans
-from soak import fault_series
-from soak import faults
+from soak import downtimes
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
 from soak import loss_jobs
-from soak import machines as machines_module
+from soak import plans
 from soak import proxy_registry
 from soak import recorded_ends
 from soak import resource_usage
@@ -114,7 +111,7 @@
     try:
         monitor.start()
         system.start(workers_count=workers_count)
-        plan = _draw_plan(
+        plan = plans.draw_plan(
             seed,
             duration_s,
             system,
@@ -172,7 +169,7 @@
             *recorded_ends.violations(history, ends),
         ],
         folder=folder,
-        replay_arguments=replay_arguments(
+        replay_arguments=plans.replay_arguments(
             seed,
             duration_s,
             workers_count,
@@ -183,7 +180,7 @@
         longest_downtime_s=max(
             (
                 downtime.duration_s
-                for _, downtime in invariants.unexplained_downtimes(history)
+                for _, downtime in downtimes.unexplained_downtimes(history)
             ),
             default=0.0,
         ),
@@ -192,62 +189,6 @@
     )
 
 
-def replay_arguments(
-    seed: int,
-    duration_s: float,
-    workers_count: int,
-    edges_count: int,
-    *,
-    has_series: bool,
-    has_losses: bool,
-) -> str:
-    """Returns the arguments that run a soak again."""
-    return (
-        f"--seeds 1 --first {seed} --seconds {duration_s:g} "
-        f"--workers {workers_count} --edges {edges_count}"
-        f"{' --series' if has_series else ''}"
-        f"{' --losses' if has_losses else ''}"
-    )
-
-
-def _draw_plan(
-    seed: int,
-    duration_s: float,
-    system: system_module.System,
-    *,
-    has_series: bool,
-    has_losses: bool,
-) -> list[faults.PlannedFault]:
-    members = system.member_names()
-    machines = machines_module.Machines(
-        members=tuple(members),
-        stateless_edges=tuple(
-            name for name in system.running_edges() if name not in members
-        ),
-        sides=tuple(system.workers),
-    )
-    plan = fault_plans.draw_plan(
-        seed,
-        duration_s=duration_s,
-        edges=machines.members,
-        sides=machines.sides,
-        stateless_edges=machines.stateless_edges,
-    )
-    series = (
-        fault_series.draw_series(
-            seed, duration_s=duration_s, machines=machines, other_faults=plan
-        )
-        if has_series
-        else ()
-    )
-    losses = (
-        fault_losses.draw_losses(seed, duration_s=duration_s, machines=machines)
-        if has_losses
-        else ()
-    )
-    return [*plan, *series, *losses]
-
-
 def wait_until_settled(
     system: system_module.System, workload: workload_module.Workload
 ) -> None:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -7,7 +7,9 @@
 import threading
 import time
 
+from soak import drawn_jobs
 from soak import history
+from soak import time_spans
 from tests.platform import system as system_module
 
 _CALL_INTERVAL_S = 0.1
@@ -20,14 +22,8 @@
 _SPECIAL_INTERVAL_S = 0.4
 _LONG_RUNNING_LIMIT = 4
 _SPECIAL_CANCEL_SHARE = 0.3
-# Jobs whose task crashes its worker: the time between two of them, and the range of
-# the time from a start to the crash.
+# Time between two jobs whose task crashes its worker.
 _CRASHING_INTERVAL_S = 3.0
-_CRASH_DELAYS_MS = (1, 300)
-# Timed jobs: the number of occurrences, the delay of the first one, and the interval.
-_OCCURRENCES_COUNTS = (1, 3)
-_DELAYS_MS = (0, 2_500)
-_INTERVALS_MS = (100, 900)
 # Evacuations: the time before each of them, and how long it lasts. The soak checks the
 # starts of the last seconds of each.
 _EVACUATION_PAUSES_S = (1.0, 5.0)
@@ -80,7 +76,11 @@
             self._poll_jobs,
             self._replace_configurations,
             self._submit_special_jobs,
-            self._submit_crashing_jobs,
+            functools.partial(
+                self._submit_drawn_jobs,
+                _CRASHING_INTERVAL_S,
+                drawn_jobs.draw_crashing_job,
+            ),
             self._evacuate_repeatedly,
             *(
                 functools.partial(self._submit_drawn_jobs, interval_s, draw_job)
@@ -170,10 +170,10 @@
         """Submits long-running jobs, gangs and timed jobs, and cancels some."""
         numbers = random.Random(f"{self._seed} {number}")
         factories: tuple[Callable, ...] = (
-            _long_running_job,
-            _long_running_job,
-            _gang_job,
-            _timed_job,
+            drawn_jobs.draw_long_running_job,
+            drawn_jobs.draw_long_running_job,
+            drawn_jobs.draw_gang_job,
+            drawn_jobs.draw_timed_job,
         )
         for count in range(1_000_000):
             if self._stopping.wait(_SPECIAL_INTERVAL_S):
@@ -188,19 +188,6 @@
             if job.accepted and numbers.random() < _SPECIAL_CANCEL_SHARE:
                 self.cancel(job, numbers)
 
-    def _submit_crashing_jobs(self, number: int) -> None:
-        """Submits jobs with a task that crashes every worker that starts it."""
-        numbers = random.Random(f"{self._seed} {number}")
-        for count in range(1_000_000):
-            if self._stopping.wait(_CRASHING_INTERVAL_S):
-                return
-            job_id = f"{number:04x}{count:012x}"
-            body = {
-                "spec": f"crash {numbers.randint(*_CRASH_DELAYS_MS)}",
-                "steps": [system_module.step()],
-            }
-            self._submit_job(history.SubmittedJob(job_id, [1]), body, numbers)
-
     def _submit_drawn_jobs(
         self, interval_s: float, draw_job: _DrawJob, number: int
     ) -> None:
@@ -266,7 +253,7 @@
             is_started = self._order_evacuation("Start", data_centre, numbers)
             started_ns = time.monotonic_ns()
             self._stopping.wait(numbers.uniform(*_EVACUATION_DURATIONS_S))
-            span = history.Span(started_ns, time.monotonic_ns())
+            span = time_spans.Span(started_ns, time.monotonic_ns())
             if is_started:
                 self.evacuations.append(history.Evacuation(data_centre, span))
             if not self._order_evacuation("Finish", data_centre, numbers):
@@ -308,41 +295,3 @@
                 f"{min_version} was acknowledged before"
             )
         return True
-
-
-def _long_running_job(
-    job_id: str, numbers: random.Random
-) -> tuple[history.SubmittedJob, dict]:
-    step = system_module.step(numbers.randint(1, 2), long_running=True)
-    job = history.SubmittedJob(job_id, [step["count"]], long_running=True)
-    return job, {"spec": "last", "steps": [step]}
-
-
-def _gang_job(
-    job_id: str, numbers: random.Random
-) -> tuple[history.SubmittedJob, dict]:
-    step = system_module.step(numbers.randint(2, 4), gang=True)
-    job = history.SubmittedJob(job_id, [step["count"]], gang=True)
-    spec = f"gang {step['count']} {numbers.randint(100, 1_000)}"
-    return job, {"spec": spec, "steps": [step]}
-
-
-def _timed_job(
-    job_id: str, numbers: random.Random
-) -> tuple[history.SubmittedJob, dict]:
-    steps = [system_module.step(), system_module.step(after=[0])]
-    delay_ms = numbers.randint(*_DELAYS_MS)
-    interval_ms = numbers.randint(*_INTERVALS_MS)
-    now_ns, now_unix_ms = time.monotonic_ns(), time.time_ns() // 1_000_000
-    due_ns = [
-        now_ns + (delay_ms + number * interval_ms) * 1_000_000
-        for number in range(numbers.randint(*_OCCURRENCES_COUNTS))
-    ]
-    job = history.SubmittedJob(job_id, [1, 1], due_ns=due_ns)
-    return job, {
-        "spec": f"work {numbers.randint(20, 400)}",
-        "steps": steps,
-        "repeat_count": len(due_ns),
-        "initial_delay_ms": now_unix_ms + delay_ms,
-        "interval_ms": interval_ms,
-    }
--- a/tests/soak_histories.py
+++ b/tests/soak_histories.py
@@ -6,6 +6,7 @@
 from soak import faults
 from soak import history as history_module
 from soak import proxy
+from soak import time_spans
 
 JOB = "0000000000000001"
 TASK = f"{JOB}.0.0.0"
@@ -17,7 +18,7 @@
 
 
 def ns(at_s: float) -> int:
-    return int(at_s * history_module.NS_PER_S)
+    return int(at_s * time_spans.NS_PER_S)
 
 
 def line(
@@ -66,7 +67,7 @@
 
 def injected_fault(fault: faults.Fault, started_s: float, ended_s: float):
     return history_module.InjectedFault(
-        fault, history_module.Span(ns(started_s), ns(ended_s))
+        fault, time_spans.Span(ns(started_s), ns(ended_s))
     )
 
 
@@ -152,7 +153,7 @@
 
 def evacuated_history(*lines: dict) -> history_module.History:
     """Returns a history in which side-1 is evacuated from 10 s to 50 s."""
-    span = history_module.Span(ns(10), ns(50))
+    span = time_spans.Span(ns(10), ns(50))
     return history(
         submitted_job(4),
         *lines,
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -5,6 +5,7 @@
 from soak import faults
 from soak import history as history_module
 from soak import proxy
+from soak import time_spans
 from tests import soak_histories as histories
 
 _FIRST_MEMBER = {"edge-1"}
@@ -33,9 +34,7 @@
     spans = histories.history(
         histories.submitted_job(), injected_faults=injected_faults
     ).fault_spans(name)
-    assert spans == [
-        history_module.Span(histories.ns(2), histories.ns(ended_s))
-    ]
+    assert spans == [time_spans.Span(histories.ns(2), histories.ns(ended_s))]
 
 
 def _control_link_fault(
--- a/tests/test_soak_invariants.py
+++ b/tests/test_soak_invariants.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from soak import bounds
+from soak import downtimes
 from soak import faults
+from soak import gang_invariants
 from soak import history as history_module
 from soak import invariants
 from tests import soak_histories as histories
@@ -40,8 +43,8 @@
 _JOB = histories.JOB
 # The ages at which a task crashes its workers, from its first run to its last one.
 _CRASH_AGES_S = (0.2, 2.0, 6.0, 0.2, 2.0, 6.0)
-_TOO_LATE_S = 10 + invariants.RESTART_LIMIT_S + 0.5
-_IN_TIME_S = 10 + invariants.RESTART_LIMIT_S - 0.5
+_TOO_LATE_S = 10 + bounds.RESTART_LIMIT_S + 0.5
+_IN_TIME_S = 10 + bounds.RESTART_LIMIT_S - 0.5
 # Successive faults that affect one member each, never most of them.
 _LEADERS_IN_SERIES = [
     histories.injected_fault(
@@ -56,7 +59,7 @@
 _FULL_WORKERS = [
     line
     for machine in ("1", "2")
-    for index in range(invariants.TASKS_PER_WORKER)
+    for index in range(bounds.TASKS_PER_WORKER)
     for line in histories.run_lines(
         9, 20, f"{'b' * 16}.0.0.{index}{machine}", machine=machine
     )
@@ -161,12 +164,12 @@
         ),
     ),
     "long-running, restarted": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.restarted_at(_IN_TIME_S),
         histories.restarted_at(_TOO_LATE_S),
     ),
     "long-running, never started": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.history(
             histories.submitted_job(long_running=True),
             histories.line("started", 2),
@@ -174,12 +177,12 @@
         histories.history(histories.submitted_job(long_running=True)),
     ),
     "long-running, leaders change in series": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.restarted_at(_IN_TIME_S, injected_faults=_LEADERS_IN_SERIES),
         histories.restarted_at(_TOO_LATE_S, injected_faults=_LEADERS_IN_SERIES),
     ),
     "long-running, fault of its machine": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.restarted_at(
             _TOO_LATE_S,
             injected_faults=[histories.injected_fault(histories.LINK, 9, 12)],
@@ -190,7 +193,7 @@
         ),
     ),
     "long-running, fault of the machine that was granted it": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.restarted_at(
             _TOO_LATE_S,
             injected_faults=[
@@ -207,7 +210,7 @@
         ),
     ),
     "long-running, faults of most members": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.restarted_at(
             _TOO_LATE_S, injected_faults=_FAULTS_OF_MOST_MEMBERS
         ),
@@ -216,7 +219,7 @@
         ),
     ),
     "long-running, no free capacity": _Case(
-        invariants.excessive_downtimes,
+        downtimes.excessive_downtimes,
         histories.long_running_history(
             *_FULL_WORKERS,
             histories.line("started", _TOO_LATE_S + 8, run=2, machine="2"),
@@ -247,13 +250,13 @@
         invariants.runs_after_cancellation,
         histories.cancelled_history(
             *histories.run_lines(
-                2, 20 + invariants.CANCELLATION_LIMIT_S - 0.5, how="stopped"
+                2, 20 + bounds.CANCELLATION_LIMIT_S - 0.5, how="stopped"
             )
         ),
         histories.cancelled_history(histories.line("started", 2)),
     ),
     "gang, waits in vain": _Case(
-        invariants.incomplete_gangs,
+        gang_invariants.incomplete_gangs,
         histories.gang_history(
             *histories.run_lines(2, 5),
             *histories.run_lines(2.5, 5, histories.OTHER),
@@ -261,7 +264,7 @@
         histories.gang_history(*histories.run_lines(2, 5, how="alone")),
     ),
     "gang, waits in vain after a fault": _Case(
-        invariants.incomplete_gangs,
+        gang_invariants.incomplete_gangs,
         histories.gang_history(
             *histories.run_lines(20, 23, how="alone"),
             injected_faults=[
@@ -277,7 +280,7 @@
         ),
     ),
     "gang, incomplete": _Case(
-        invariants.incomplete_gangs,
+        gang_invariants.incomplete_gangs,
         histories.gang_history(
             *histories.run_lines(2, 50),
             *histories.run_lines(4, 50, histories.OTHER),
@@ -372,7 +375,7 @@
         _failed_history(
             *(
                 line
-                for run in range(1, invariants.MAX_ATTEMPTS + 1)
+                for run in range(1, bounds.MAX_ATTEMPTS + 1)
                 for line in histories.run_lines(
                     run, run + 0.5, run=run, how="failed"
                 )
@@ -381,7 +384,7 @@
         _failed_history(
             *(
                 line
-                for run in range(1, invariants.MAX_ATTEMPTS)
+                for run in range(1, bounds.MAX_ATTEMPTS)
                 for line in histories.run_lines(
                     run, run + 0.5, run=run, how="failed"
                 )
--- a/tests/test_soak_series.py
+++ b/tests/test_soak_series.py
@@ -12,7 +12,7 @@
 from soak import faults
 from soak import injector
 from soak import machines as machines_module
-from soak import run
+from soak import plans
 
 _MACHINES = machines_module.Machines(
     members=("edge-1", "edge-2", "edge-3"),
@@ -164,7 +164,7 @@
 def test_the_command_that_replays_a_soak_tells_of_series(
     has_series: bool, has_losses: bool, ending: str
 ) -> None:
-    arguments = run.replay_arguments(
+    arguments = plans.replay_arguments(
         7, 15.0, 3, 6, has_series=has_series, has_losses=has_losses
     )
     assert arguments == (
