Have clients of the soak leave before an answer and cancel elsewhere

A caller that got no answer may cancel its job at another edge, also before the submission is read. A job whose cancellation found no such job must neither run nor be accepted; an acknowledged one makes the job known, and the other checks apply to it. Series of seeds without the option draw the same plans. Orders of evacuations are a module of their own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,6 +40,11 @@
     is_flag=True,
     help="Also lose workers in series, beside jobs for which that matters.",
 )
+@click.option(
+    "--misbehaviour",
+    is_flag=True,
+    help="Also have clients that leave, bad workers and other writers' heartbeats.",
+)
 @click.option(
     "--logs",
     type=click.Path(path_type=pathlib.Path),
@@ -53,6 +58,7 @@
     edges: int,
     series: bool,
     losses: bool,
+    misbehaviour: bool,
     logs: pathlib.Path | None,
 ) -> None:
     """Runs soaks one after another; exits with 1 if an invariant was violated."""
@@ -72,6 +78,7 @@
             edges_count=edges,
             has_series=series,
             has_losses=losses,
+            has_misbehaviour=misbehaviour,
         )
         failed_count += bool(result.violations)
         click.echo(
--- a/soak/drawn_jobs.py
+++ b/soak/drawn_jobs.py
@@ -64,3 +64,12 @@
         "steps": [system_module.step()],
     }
     return history.SubmittedJob(job_id, [1]), body
+
+
+# The draws of jobs that are neither plain nor crash their workers.
+SPECIAL_DRAWS = (
+    draw_long_running_job,
+    draw_long_running_job,
+    draw_gang_job,
+    draw_timed_job,
+)
--- a/soak/history.py
+++ b/soak/history.py
@@ -27,6 +27,7 @@
         cancelling: Whether a cancellation was sent.
         cancel_sent_ns: When it was first sent.
         cancel_acknowledged_ns: When it was acknowledged; 0 if never.
+        cancelled_unknown: Whether the acknowledgement was that there is no such job.
         failed_ns: When an answer first reported the job as failed; 0 if none did.
         completed: Whether any answer reported the job as completed.
         state: The state last reported; empty if none.
@@ -43,6 +44,7 @@
     cancelling: bool = False
     cancel_sent_ns: int = 0
     cancel_acknowledged_ns: int = 0
+    cancelled_unknown: bool = False
     failed_ns: int = 0
     completed: bool = False
     state: str = ""
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -8,6 +8,7 @@
 import collections
 
 from soak import bounds
+from soak import cancellations
 from soak import downtimes
 from soak import gang_invariants
 from soak import history as history_module
@@ -47,7 +48,8 @@
         *unfinished_jobs(history),
         *downtimes.excessive_downtimes(history),
         *not_running_at_the_end(history),
-        *runs_after_cancellation(history),
+        *cancellations.runs_after_cancellation(history),
+        *cancellations.unknown_jobs_that_ran(history),
         *gang_invariants.incomplete_gangs(history),
         *early_starts(history),
         *unrequested_tasks(history),
@@ -174,21 +176,6 @@
     ]
 
 
-def runs_after_cancellation(history: history_module.History) -> list[str]:
-    """Finds runs that started or continued too long after a cancellation."""
-    limits_ns = {
-        job.job_id: job.cancel_acknowledged_ns
-        + time_spans.ns(bounds.CANCELLATION_LIMIT_S)
-        for job in history.jobs
-        if job.cancel_acknowledged_ns
-    }
-    return [
-        f"{run.task} ran after its job was cancelled"
-        for run in history.runs()
-        if run.span.ended_ns > limits_ns.get(run.job_id, history.ended_ns)
-    ]
-
-
 def early_starts(history: history_module.History) -> list[str]:
     """Finds tasks that started before their occurrence was due."""
     due_ns = {
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -5,6 +5,7 @@
 from soak import fault_series
 from soak import faults
 from soak import machines as machines_module
+from soak import misbehaviour_plans
 from tests.platform import system as system_module
 
 
@@ -15,6 +16,7 @@
     *,
     has_series: bool,
     has_losses: bool,
+    has_misbehaviour: bool,
 ) -> list[faults.PlannedFault]:
     """Draws the faults of one soak.
 
@@ -24,6 +26,7 @@
         system: The system whose machines are affected.
         has_series: Whether series of faults come beside the others.
         has_losses: Whether workers are lost in series.
+        has_misbehaviour: Whether there are also faults beside which others misbehave.
     """
     members = system.member_names()
     machines = machines_module.Machines(
@@ -52,7 +55,12 @@
         if has_losses
         else ()
     )
-    return [*plan, *series, *losses]
+    misbehaviour = (
+        misbehaviour_plans.draw(seed, duration_s=duration_s, machines=machines)
+        if has_misbehaviour
+        else ()
+    )
+    return [*plan, *series, *losses, *misbehaviour]
 
 
 def replay_arguments(
@@ -63,6 +71,7 @@
     *,
     has_series: bool,
     has_losses: bool,
+    has_misbehaviour: bool,
 ) -> str:
     """Returns the arguments that run a soak again."""
     return (
@@ -70,4 +79,5 @@
         f"--workers {workers_count} --edges {edges_count}"
         f"{' --series' if has_series else ''}"
         f"{' --losses' if has_losses else ''}"
+        f"{' --misbehaviour' if has_misbehaviour else ''}"
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
+from soak import leaving_clients
 from soak import loss_jobs
 from soak import plans
 from soak import proxy_registry
@@ -80,6 +81,7 @@
     edges_count: int = EDGES_COUNT,
     has_series: bool = False,
     has_losses: bool = False,
+    has_misbehaviour: bool = False,
 ) -> SoakResult:
     """Runs one soak; the logs stay in the folder.
 
@@ -92,6 +94,8 @@
         has_series: Whether series of faults come beside the others.
         has_losses: Whether workers are lost in series, beside jobs for which that
             matters.
+        has_misbehaviour: Whether there are also clients that leave before an answer,
+            bad workers and heartbeats of other writers under workers' ids.
     """
     proxies = proxy_registry.ProxyRegistry()
     system = system_module.System(
@@ -117,12 +121,15 @@
             system,
             has_series=has_series,
             has_losses=has_losses,
+            has_misbehaviour=has_misbehaviour,
         )
         workload = workload_module.Workload(
             system,
             seed=seed,
             evacuated_data_centre=_DATA_CENTRES[-1],
-            sources=loss_jobs.SOURCES if has_losses else (),
+            clients=_further_clients(
+                has_losses=has_losses, has_misbehaviour=has_misbehaviour
+            ),
         )
         workload.start()
         injector = injector_module.Injector(
@@ -176,6 +183,7 @@
             edges_count,
             has_series=has_series,
             has_losses=has_losses,
+            has_misbehaviour=has_misbehaviour,
         ),
         longest_downtime_s=max(
             (
@@ -189,6 +197,16 @@
     )
 
 
+def _further_clients(
+    *, has_losses: bool, has_misbehaviour: bool
+) -> list[tuple[float, workload_module.Act]]:
+    sources = loss_jobs.SOURCES if has_losses else ()
+    return [
+        *((s, workload_module.submitter(draw)) for s, draw in sources),
+        *(leaving_clients.CLIENTS if has_misbehaviour else ()),
+    ]
+
+
 def wait_until_settled(
     system: system_module.System, workload: workload_module.Workload
 ) -> None:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -8,15 +8,16 @@
 import time
 
 from soak import drawn_jobs
+from soak import evacuations
 from soak import history
-from soak import time_spans
 from tests.platform import system as system_module
 
 _CALL_INTERVAL_S = 0.1
 _ATTEMPTS_COUNT = 5
 _CANCEL_SHARE = 0.1
 _REFUSALS = (404, 429, 503)
-_ACKNOWLEDGEMENTS = (200, 410)
+_GONE = 410
+_ACKNOWLEDGEMENTS = (200, _GONE)
 # Long-running jobs are submitted and cancelled, so that they hold only a small part
 # of the capacity.
 _SPECIAL_INTERVAL_S = 0.4
@@ -24,21 +25,20 @@
 _SPECIAL_CANCEL_SHARE = 0.3
 # Time between two jobs whose task crashes its worker.
 _CRASHING_INTERVAL_S = 3.0
-# Evacuations: the time before each of them, and how long it lasts. The soak checks the
-# starts of the last seconds of each.
-_EVACUATION_PAUSES_S = (1.0, 5.0)
-_EVACUATION_DURATIONS_S = (10.0, 14.0)
-# The attempts outlast the longest loss of power of all machines.
-_EVACUATION_ATTEMPTS_COUNT = 300
 _STATES = ("queued", "running", "completed", "failed", "cancelled")
 # Draws a job with its id and its body.
-_DrawJob = Callable[[str, random.Random], tuple[history.SubmittedJob, dict]]
+DrawJob = Callable[[str, random.Random], tuple[history.SubmittedJob, dict]]
+# What a client does with one job, given the workload and the job's id.
+Act = Callable[["Workload", str, random.Random], None]
 
 
 class Workload:
     """Uses a system from its own threads.
 
     Attributes:
+        system: The system.
+        seed: The seed of all random decisions.
+        stopping: Set once the threads are to stop.
         jobs: All submitted jobs.
         violations: Descriptions of answers that violate an invariant.
         acknowledged_version: The highest acknowledged version of the configuration.
@@ -51,7 +51,7 @@
         *,
         seed: int,
         evacuated_data_centre: str = "",
-        sources: Sequence[tuple[float, _DrawJob]] = (),
+        clients: Sequence[tuple[float, Act]] = (),
     ):
         """Initializes the workload without calling the system.
 
@@ -59,33 +59,32 @@
             system: The system.
             seed: The seed of all random decisions.
             evacuated_data_centre: Evacuated from time to time; none if empty.
-            sources: Further jobs: the time from one to the next, in seconds, and
-                what draws one.
+            clients: Further clients: the time from one job to the next, in seconds,
+                and what the client does with each.
         """
         self.jobs: list[history.SubmittedJob] = []
         self.violations: list[str] = []
         self.acknowledged_version = 1
         self.evacuations: list[history.Evacuation] = []
-        self._evacuated_data_centre = evacuated_data_centre
-        self._system = system
-        self._seed = seed
-        self._stopping = threading.Event()
+        self.system = system
+        self.seed = seed
+        self.stopping = threading.Event()
+        batch_client = self._client(
+            _CALL_INTERVAL_S, Workload._submit_batch_job
+        )
         loops = (
-            self._submit_batch_jobs,
-            self._submit_batch_jobs,
+            batch_client,
+            batch_client,
             self._poll_jobs,
             self._replace_configurations,
-            self._submit_special_jobs,
-            functools.partial(
-                self._submit_drawn_jobs,
-                _CRASHING_INTERVAL_S,
-                drawn_jobs.draw_crashing_job,
+            self._client(_SPECIAL_INTERVAL_S, Workload._submit_special_job),
+            self._client(
+                _CRASHING_INTERVAL_S, submitter(drawn_jobs.draw_crashing_job)
             ),
-            self._evacuate_repeatedly,
-            *(
-                functools.partial(self._submit_drawn_jobs, interval_s, draw_job)
-                for interval_s, draw_job in sources
+            functools.partial(
+                evacuations.evacuate_repeatedly, self, evacuated_data_centre
             ),
+            *(self._client(s, act) for s, act in clients),
         )
         self._threads = [
             threading.Thread(target=loop, args=(number,), daemon=True)
@@ -99,14 +98,14 @@
 
     def stop(self) -> None:
         """Stops after the current calls."""
-        self._stopping.set()
+        self.stopping.set()
         for thread in self._threads:
             thread.join()
 
     def check_job(self, job: history.SubmittedJob, *, edge: str) -> bool:
         """Requests a job's state and checks it; returns whether there was an answer."""
         was_completed, was_accepted = job.completed, job.accepted
-        answer = self._system.get_job_state(job.job_id, edge=edge)
+        answer = self.system.get_job_state(job.job_id, edge=edge)
         state = answer.value.get("state", "")
         if answer.status == 410 and was_accepted:
             self.violations.append(f"{job.job_id} was accepted, then unknown")
@@ -132,109 +131,115 @@
         job.state = state or job.state
         return answer.status != 0
 
-    def cancel(self, job: history.SubmittedJob, numbers: random.Random) -> None:
+    def cancel(
+        self,
+        job: history.SubmittedJob,
+        numbers: random.Random,
+        *,
+        avoided_edge: str = "",
+    ) -> None:
         """Cancels a job, with retries until the cancellation is acknowledged."""
+        edges = [e for e in self.system.running_edges() if e != avoided_edge]
         job.cancel_sent_ns = job.cancel_sent_ns or time.monotonic_ns()
         job.cancelling = True
         for _ in range(_ATTEMPTS_COUNT):
-            edge = numbers.choice(self._system.running_edges())
+            edge = numbers.choice(edges)
             path = f"/fast/{job.job_id}"
-            answer = self._system.call("DELETE", path, edge=edge)
+            answer = self.system.call("DELETE", path, edge=edge)
             if answer.status == 410 and job.accepted:
                 self.violations.append(
                     f"{job.job_id} was accepted, then unknown"
                 )
             if answer.status in _ACKNOWLEDGEMENTS:
                 job.cancel_acknowledged_ns = time.monotonic_ns()
+                job.cancelled_unknown = answer.status == _GONE
+                if answer.status == 200:
+                    self._note_acceptance(job)
                 return
 
-    def _submit_batch_jobs(self, number: int) -> None:
-        numbers = random.Random(f"{self._seed} {number}")
-        for count in range(1_000_000):
-            if self._stopping.wait(_CALL_INTERVAL_S):
-                return
-            job_id = f"{number:04x}{count:012x}"
-            steps = [
-                system_module.step(numbers.randint(1, 3)),
-                system_module.step(numbers.randint(1, 3), after=[0]),
-            ]
-            job = history.SubmittedJob(
-                job_id, [step["count"] for step in steps]
-            )
-            body = {"spec": f"work {numbers.randint(20, 400)}", "steps": steps}
-            self._submit_job(job, body, numbers)
-            if job.accepted and numbers.random() < _CANCEL_SHARE:
-                self.cancel(job, numbers)
+    def _client(self, interval_s: float, act: Act) -> Callable[[int], None]:
+        """Returns what a thread runs for a client that acts at intervals."""
+        return functools.partial(self._act_repeatedly, interval_s, act)
 
-    def _submit_special_jobs(self, number: int) -> None:
-        """Submits long-running jobs, gangs and timed jobs, and cancels some."""
-        numbers = random.Random(f"{self._seed} {number}")
-        factories: tuple[Callable, ...] = (
-            drawn_jobs.draw_long_running_job,
-            drawn_jobs.draw_long_running_job,
-            drawn_jobs.draw_gang_job,
-            drawn_jobs.draw_timed_job,
-        )
+    def _act_repeatedly(self, interval_s: float, act: Act, number: int) -> None:
+        numbers = random.Random(f"{self.seed} {number}")
         for count in range(1_000_000):
-            if self._stopping.wait(_SPECIAL_INTERVAL_S):
+            if self.stopping.wait(interval_s):
                 return
-            job, body = numbers.choice(factories)(
-                f"{number:04x}{count:012x}", numbers
-            )
-            self._submit_job(job, body, numbers)
-            long_running = [j for j in self.jobs if j.expected_running_tasks()]
-            if len(long_running) > _LONG_RUNNING_LIMIT:
-                self.cancel(long_running[0], numbers)
-            if job.accepted and numbers.random() < _SPECIAL_CANCEL_SHARE:
-                self.cancel(job, numbers)
+            act(self, f"{number:04x}{count:012x}", numbers)
 
-    def _submit_drawn_jobs(
-        self, interval_s: float, draw_job: _DrawJob, number: int
-    ) -> None:
-        numbers = random.Random(f"{self._seed} {number}")
-        for count in range(1_000_000):
-            if self._stopping.wait(interval_s):
-                return
-            job, body = draw_job(f"{number:04x}{count:012x}", numbers)
-            self._submit_job(job, body, numbers)
+    def _submit_batch_job(self, job_id: str, numbers: random.Random) -> None:
+        steps = [
+            system_module.step(numbers.randint(1, 3)),
+            system_module.step(numbers.randint(1, 3), after=[0]),
+        ]
+        job = history.SubmittedJob(job_id, [step["count"] for step in steps])
+        body = {"spec": f"work {numbers.randint(20, 400)}", "steps": steps}
+        self.submit_job(job, body, numbers)
+        if job.accepted and numbers.random() < _CANCEL_SHARE:
+            self.cancel(job, numbers)
+
+    def _submit_special_job(self, job_id: str, numbers: random.Random) -> None:
+        """Submits a long-running job, a gang or a timed job, and cancels some."""
+        job, body = numbers.choice(drawn_jobs.SPECIAL_DRAWS)(job_id, numbers)
+        self.submit_job(job, body, numbers)
+        long_running = [j for j in self.jobs if j.expected_running_tasks()]
+        if len(long_running) > _LONG_RUNNING_LIMIT:
+            self.cancel(long_running[0], numbers)
+        if job.accepted and numbers.random() < _SPECIAL_CANCEL_SHARE:
+            self.cancel(job, numbers)
 
-    def _submit_job(
+    def submit_job(
         self, job: history.SubmittedJob, body: dict, numbers: random.Random
     ) -> None:
+        """Submits a job, with retries until it is accepted."""
         self.jobs.append(job)
         for _ in range(_ATTEMPTS_COUNT):
-            edge = numbers.choice(self._system.running_edges())
-            path = f"/fast/{job.job_id}"
-            answer = self._system.call("POST", path, body, edge=edge)
-            job.refused = job.refused and answer.status in _REFUSALS
-            if answer.status == 200:
-                job.accepted_ns = time.monotonic_ns()
-                job.accepted = True
+            self.submit_once(job, body, numbers)
+            if job.accepted:
                 return
 
+    def submit_once(
+        self, job: history.SubmittedJob, body: dict, numbers: random.Random
+    ) -> None:
+        """Submits a job at any edge and records the answer."""
+        edge = numbers.choice(self.system.running_edges())
+        answer = self.system.call(
+            "POST", f"/fast/{job.job_id}", body, edge=edge
+        )
+        self.note_submission(job, answer.status)
+
+    def note_submission(self, job: history.SubmittedJob, status: int) -> None:
+        """Records the answer to a submission; the status is 0 if there was none."""
+        job.refused = job.refused and status in _REFUSALS
+        if status == 200:
+            self._note_acceptance(job)
+
+    def _note_acceptance(self, job: history.SubmittedJob) -> None:
+        job.accepted_ns = job.accepted_ns or time.monotonic_ns()
+        job.accepted = True
+
     def _poll_jobs(self, number: int) -> None:
-        numbers = random.Random(f"{self._seed} {number}")
-        while not self._stopping.wait(_CALL_INTERVAL_S):
+        numbers = random.Random(f"{self.seed} {number}")
+        while not self.stopping.wait(_CALL_INTERVAL_S):
             if self.jobs:
-                edge = numbers.choice(self._system.running_edges())
+                edge = numbers.choice(self.system.running_edges())
                 self.check_job(numbers.choice(self.jobs), edge=edge)
 
     def _replace_configurations(self, number: int) -> None:
-        numbers = random.Random(f"{self._seed} {number}")
+        numbers = random.Random(f"{self.seed} {number}")
         version = self.acknowledged_version
-        while not self._stopping.wait(_CALL_INTERVAL_S):
+        while not self.stopping.wait(_CALL_INTERVAL_S):
             version += numbers.randint(1, 3)
             self.replace_configuration(
-                version, numbers.choice(self._system.running_edges())
-            )
-            self.read_configuration(
-                numbers.choice(self._system.running_edges())
+                version, numbers.choice(self.system.running_edges())
             )
+            self.read_configuration(numbers.choice(self.system.running_edges()))
 
     def replace_configuration(self, version: int, edge: str) -> None:
         """Sends a valid configuration and checks the answer."""
         body = system_module.configuration(version)
-        answer = self._system.call_as_operator(
+        answer = self.system.call_as_operator(
             "POST", "Config.Replace", body, edge=edge
         )
         if answer.status == 200:
@@ -244,47 +249,10 @@
                 f"valid version {version} was refused with {answer.status}"
             )
 
-    def _evacuate_repeatedly(self, number: int) -> None:
-        numbers = random.Random(f"{self._seed} {number}")
-        data_centre = self._evacuated_data_centre
-        while data_centre and not self._stopping.wait(
-            numbers.uniform(*_EVACUATION_PAUSES_S)
-        ):
-            is_started = self._order_evacuation("Start", data_centre, numbers)
-            started_ns = time.monotonic_ns()
-            self._stopping.wait(numbers.uniform(*_EVACUATION_DURATIONS_S))
-            span = time_spans.Span(started_ns, time.monotonic_ns())
-            if is_started:
-                self.evacuations.append(history.Evacuation(data_centre, span))
-            if not self._order_evacuation("Finish", data_centre, numbers):
-                self.violations.append(
-                    f"the end of the evacuation of {data_centre} was never "
-                    "acknowledged"
-                )
-
-    def _order_evacuation(
-        self, verb: str, data_centre: str, numbers: random.Random
-    ) -> bool:
-        """Sends an order until it is acknowledged; returns whether it was."""
-        for _ in range(_EVACUATION_ATTEMPTS_COUNT):
-            answer = self._system.call_as_operator(
-                "POST",
-                f"Evacuations.{verb}/{data_centre}",
-                edge=numbers.choice(self._system.running_edges()),
-            )
-            if answer.status == 200:
-                return True
-            if 400 <= answer.status < 500:
-                self.violations.append(
-                    f"{verb} of an evacuation was refused with {answer.status}"
-                )
-            time.sleep(_CALL_INTERVAL_S)
-        return False
-
     def read_configuration(self, edge: str) -> bool:
         """Reads and checks the configuration; returns whether it was answered."""
         min_version = self.acknowledged_version
-        answer = self._system.call_as_operator(
+        answer = self.system.call_as_operator(
             "GET", "Config.Describe", edge=edge
         )
         if answer.status != 200:
@@ -295,3 +263,12 @@
                 f"{min_version} was acknowledged before"
             )
         return True
+
+
+def submitter(draw_job: DrawJob) -> Act:
+    """Returns a client's act that submits a drawn job."""
+
+    def submit(workload: Workload, job_id: str, numbers: random.Random) -> None:
+        workload.submit_job(*draw_job(job_id, numbers), numbers)
+
+    return submit
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -197,6 +197,10 @@
         """Returns the address where an edge process serves clients."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
+    def client_address(self, name: str) -> str:
+        """Returns the address where clients call an edge process, maybe a proxy's."""
+        return self._proxy_address(self.frontend_address(name))
+
     def control_address(self, name: str) -> str:
         """Returns the address where a process serves operators or its worker."""
         return f"{self._settings[name]['ip']}:{_CONTROL_PORT}"
--- a/tests/test_soak_invariants.py
+++ b/tests/test_soak_invariants.py
@@ -6,6 +6,7 @@
 import pytest
 
 from soak import bounds
+from soak import cancellations
 from soak import downtimes
 from soak import faults
 from soak import gang_invariants
@@ -239,7 +240,7 @@
         histories.long_running_history(),
     ),
     "cancelled, started again": _Case(
-        invariants.runs_after_cancellation,
+        cancellations.runs_after_cancellation,
         histories.cancelled_history(*histories.run_lines(2, 21, how="stopped")),
         histories.cancelled_history(
             *histories.run_lines(2, 21, how="stopped"),
@@ -247,7 +248,7 @@
         ),
     ),
     "cancelled, not stopped": _Case(
-        invariants.runs_after_cancellation,
+        cancellations.runs_after_cancellation,
         histories.cancelled_history(
             *histories.run_lines(
                 2, 20 + bounds.CANCELLATION_LIMIT_S - 0.5, how="stopped"
--- a/tests/test_soak_series.py
+++ b/tests/test_soak_series.py
@@ -154,18 +154,20 @@
 
 
 @pytest.mark.parametrize(
-    ("has_series", "has_losses", "ending"),
+    ("options", "ending"),
     [
-        (False, False, "--edges 6"),
-        (True, False, "--edges 6 --series"),
-        (False, True, "--edges 6 --losses"),
+        (set(), "--edges 6"),
+        ({"has_series"}, "--edges 6 --series"),
+        ({"has_losses"}, "--edges 6 --losses"),
+        ({"has_misbehaviour"}, "--edges 6 --misbehaviour"),
     ],
 )
-def test_the_command_that_replays_a_soak_tells_of_series(
-    has_series: bool, has_losses: bool, ending: str
+def test_the_command_that_replays_a_soak_tells_of_its_options(
+    options: set[str], ending: str
 ) -> None:
+    names = ("has_series", "has_losses", "has_misbehaviour")
     arguments = plans.replay_arguments(
-        7, 15.0, 3, 6, has_series=has_series, has_losses=has_losses
+        7, 15.0, 3, 6, **{name: name in options for name in names}
     )
     assert arguments == (
         f"--seeds 1 --first 7 --seconds 15 --workers 3 {ending}"
