Have gangs beside bad workers in the soak

A gang that only a formerly bad worker could run once stayed queued, and one was given up after failures of several members in one run.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -18,6 +18,10 @@
 # `contact_ms` of the platform: a fault may have effects for this long after its end,
 # as RULES of the platform says on gangs. An election takes no longer.
 FAULT_EFFECT_S = 3.0
+# `finish_s` of the platform: once faults have been over for this long, nothing of a job
+# may be missing for `IDLE_LIMIT_S` while there is capacity for it.
+FINISH_S = 14.0
+IDLE_LIMIT_S = 3.0
 # Unix times of jobs are in whole milliseconds.
 EARLY_TOLERANCE_S = 0.002
 # A job may fail once this many workers have crashed under a task of it.
--- a/soak/drawn_jobs.py
+++ b/soak/drawn_jobs.py
@@ -1,11 +1,14 @@
 """Draws the jobs of a soak that are not plain batch jobs."""
 
+from collections.abc import Callable
 import random
 import time
 
 from soak import history
 from tests.platform import system as system_module
 
+# Draws a job with its id and its body.
+DrawJob = Callable[[str, random.Random], tuple[history.SubmittedJob, dict]]
 # The range of the time from a start to the crash of the worker.
 _CRASH_DELAYS_MS = (1, 300)
 # Timed jobs: the number of occurrences, the delay of the first one, and the interval.
--- a/soak/fault_effects.py
+++ b/soak/fault_effects.py
@@ -24,6 +24,7 @@
             faults.WorkerCrash(worker=name)
             | faults.DelayedCalls(worker=name)
             | faults.RefusedCalls(worker=name)
+            | faults.BadWorker(worker=name)
         ):
             return (name,)
         case faults.ConnectionReset(names=names):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,21 @@
     status: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BadWorker:
+    """A worker refuses some starts, or some of its runs fail at once.
+
+    Attributes:
+        worker: The worker.
+        refused_share: The share of starts that are refused.
+        failed_share: The share of runs that fail.
+    """
+
+    worker: str
+    refused_share: float = 0.0
+    failed_share: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CapacityReduction:
     """A worker's CPU capacity is reduced temporarily."""
@@ -183,6 +198,7 @@
     | WorkerCrash
     | DelayedCalls
     | RefusedCalls
+    | BadWorker
     | CapacityReduction
     | ForeignHeartbeats
     | ConnectionReset
--- a/soak/history.py
+++ b/soak/history.py
@@ -19,6 +19,7 @@
         task_counts: The number of tasks of each step.
         long_running: Whether the tasks run until the job is cancelled.
         gang: Whether the tasks of each step are a gang.
+        machine: The only machine whose worker may run the job; empty for any.
         due_ns: When each occurrence is due; a single 0 for a job that may start
             at once.
         accepted: Whether the submission was acknowledged.
@@ -37,6 +38,7 @@
     task_counts: list[int]
     long_running: bool = False
     gang: bool = False
+    machine: str = ""
     due_ns: list[int] = dataclasses.field(default_factory=lambda: [0])
     accepted: bool = False
     accepted_ns: int = 0
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -104,6 +104,10 @@
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.refused_share = share
                 worker_faults.refused_status = status
+            case faults.BadWorker(worker=worker):
+                self._set_bad_shares(
+                    worker, fault.refused_share, fault.failed_share
+                )
             case faults.ConnectionReset(names=names):
                 for name in names:
                     for each in self._proxies_by_machine[name]:
@@ -122,6 +126,13 @@
                 return self._start_process_fault(fault)
         return True
 
+    def _set_bad_shares(
+        self, worker: str, refused_share: float, failed_share: float
+    ) -> None:
+        worker_faults = self._system.workers[worker].faults
+        worker_faults.refused_starts_share = refused_share
+        worker_faults.failed_share = failed_share
+
     def _set_control_links(
         self, fault: faults.ControlLinkFault, mode: proxy.Mode
     ) -> None:
@@ -177,6 +188,8 @@
                 self._system.workers[worker].faults.delayed_calls = set()
             case faults.RefusedCalls(worker=worker):
                 self._system.workers[worker].faults.refused_share = 0.0
+            case faults.BadWorker(worker=worker):
+                self._set_bad_shares(worker, 0.0, 0.0)
             case faults.CapacityReduction(worker=worker):
                 self._system.workers[worker].resize(faults.CAPACITY_MILLICORES)
             case faults.ForeignHeartbeats():
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import time
 
 from soak import downtimes
+from soak import gang_jobs
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
@@ -128,7 +129,9 @@
             seed=seed,
             evacuated_data_centre=_DATA_CENTRES[-1],
             clients=_further_clients(
-                has_losses=has_losses, has_misbehaviour=has_misbehaviour
+                system,
+                has_losses=has_losses,
+                has_misbehaviour=has_misbehaviour,
             ),
         )
         workload.start()
@@ -198,9 +201,11 @@
 
 
 def _further_clients(
-    *, has_losses: bool, has_misbehaviour: bool
+    system: system_module.System, *, has_losses: bool, has_misbehaviour: bool
 ) -> list[tuple[float, workload_module.Act]]:
-    sources = loss_jobs.SOURCES if has_losses else ()
+    sources = [*loss_jobs.SOURCES] if has_losses else []
+    if has_misbehaviour:
+        sources.append(gang_jobs.source(list(system.workers)))
     return [
         *((s, workload_module.submitter(draw)) for s, draw in sources),
         *(leaving_clients.CLIENTS if has_misbehaviour else ()),
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -26,8 +26,6 @@
 # Time between two jobs whose task crashes its worker.
 _CRASHING_INTERVAL_S = 3.0
 _STATES = ("queued", "running", "completed", "failed", "cancelled")
-# Draws a job with its id and its body.
-DrawJob = Callable[[str, random.Random], tuple[history.SubmittedJob, dict]]
 # What a client does with one job, given the workload and the job's id.
 Act = Callable[["Workload", str, random.Random], None]
 
@@ -265,7 +263,7 @@
         return True
 
 
-def submitter(draw_job: DrawJob) -> Act:
+def submitter(draw_job: drawn_jobs.DrawJob) -> Act:
     """Returns a client's act that submits a drawn job."""
 
     def submit(workload: Workload, job_id: str, numbers: random.Random) -> None:
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -19,6 +19,7 @@
         (faults.DelayedCalls("side-1", "run-start"), "side-1", 5),
         (faults.DiskLoss("edge-1"), "edge-1", 5),
         (faults.RefusedCalls("side-1", 0.5, 503), "side-1", 5),
+        (faults.BadWorker("side-1", failed_share=1.0), "side-1", 5),
         # The worker restarts at once, and so do connections.
         (faults.ConnectionReset(("edge-1", "side-1")), "side-1", 2),
         (faults.WorkerCrash("side-1"), "side-1", 2),
