Have other writers misuse workers' ids in the soak

Heartbeats of another writer under a worker's true id once outvoted the worker's own. Stand-in workers record when their own heartbeats are refused, and a soak finds one whose are refused for over 1 s, whatever faults there are.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -22,6 +22,9 @@
 # may be missing for `IDLE_LIMIT_S` while there is capacity for it.
 FINISH_S = 14.0
 IDLE_LIMIT_S = 3.0
+# An agent may refuse some heartbeats of its own worker, which come every 0.1 s, until
+# they are repeated, but not for longer.
+HEARTBEAT_REFUSAL_LIMIT_S = 1.0
 # Unix times of jobs are in whole milliseconds.
 EARLY_TOLERANCE_S = 0.002
 # A job may fail once this many workers have crashed under a task of it.
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -1,10 +1,10 @@
 """An operator that evacuates a data centre from time to time."""
 
+import dataclasses
 import random
 import time
 import typing
 
-from soak import history
 from soak import time_spans
 
 if typing.TYPE_CHECKING:
@@ -19,6 +19,19 @@
 _CALL_INTERVAL_S = 0.1
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evacuation:
+    """An acknowledged evacuation of a data centre.
+
+    Attributes:
+        data_centre: The data centre.
+        span: From the acknowledgement until its end was first requested.
+    """
+
+    data_centre: str
+    span: time_spans.Span
+
+
 def evacuate_repeatedly(
     workload: "workload_module.Workload", data_centre: str, number: int
 ) -> None:
@@ -32,7 +45,7 @@
         workload.stopping.wait(numbers.uniform(*_DURATIONS_S))
         span = time_spans.Span(started_ns, time.monotonic_ns())
         if is_started:
-            workload.evacuations.append(history.Evacuation(data_centre, span))
+            workload.evacuations.append(Evacuation(data_centre, span))
         if not _send_order(workload, "Finish", data_centre, numbers):
             workload.violations.append(
                 f"the end of the evacuation of {data_centre} was never "
--- a/soak/fault_effects.py
+++ b/soak/fault_effects.py
@@ -14,6 +14,7 @@
             faults.ProcessReload()
             | faults.SeedsChange()
             | faults.ForeignHeartbeats()
+            | faults.MisusedId()
         ):
             return ()
         case faults.CapacityReduction():
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -144,6 +144,14 @@
     seed: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MisusedId:
+    """An agent gets heartbeats of another writer under the id of its worker."""
+
+    worker: str
+    seed: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConnectionReset:
     """The open connections to machines are reset once.
@@ -201,6 +209,7 @@
     | BadWorker
     | CapacityReduction
     | ForeignHeartbeats
+    | MisusedId
     | ConnectionReset
     | LinkFault
     | ControlLinkFault
--- a/soak/foreign_heartbeats.py
+++ b/soak/foreign_heartbeats.py
@@ -26,6 +26,8 @@
     "clock_ms": 0,
 }
 _INVALID_VALUES = (None, -1, 1e400, "x", [], {}, [[]], "\ud800", True)
+# Of no field's type.
+MISTYPED_VALUES = (None, -1, [[]], "\ud800", True)
 _MALFORMED_BODIES = (
     b"",
     b"{",
@@ -38,11 +40,11 @@
 
 
 class HeartbeatSender:
-    """Sends such requests to one agent from its own thread."""
+    """Sends heartbeats of unknown workers and malformed requests to one agent from its own thread."""
 
     def __init__(self, address: str, *, seed: int):
         self._address = address
-        self._numbers = random.Random(seed)
+        self.numbers = random.Random(seed)
         self._client = http_client.Client()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -57,30 +59,32 @@
         self._thread.join()
 
     def _run(self) -> None:
-        while not self._stopping.wait(self._numbers.uniform(*_INTERVALS_S)):
+        while not self._stopping.wait(self.numbers.uniform(*_INTERVALS_S)):
             # The agent may be down or close the connection.
             with contextlib.suppress(errors.TransportError, OSError):
-                self._send_random()
+                self.send_random()
 
-    def _send_random(self) -> None:
-        incarnation = f"i-other-{self._numbers.randrange(3)}"
-        heartbeat = _HEARTBEAT | {"sequence": self._numbers.randrange(1000)}
-        match self._numbers.randrange(5):
+    def send_random(self) -> None:
+        """Sends one drawn request."""
+        incarnation = f"i-other-{self.numbers.randrange(3)}"
+        heartbeat = _HEARTBEAT | {"sequence": self.numbers.randrange(1000)}
+        match self.numbers.randrange(5):
             case 0:
-                self._post(incarnation, json.dumps(heartbeat).encode())
+                self.post(incarnation, json.dumps(heartbeat).encode())
             case 1:
-                del heartbeat[self._numbers.choice(list(heartbeat))]
-                self._post(incarnation, json.dumps(heartbeat).encode())
+                del heartbeat[self.numbers.choice(list(heartbeat))]
+                self.post(incarnation, json.dumps(heartbeat).encode())
             case 2:
-                field = self._numbers.choice((*heartbeat, "state", "service"))
-                heartbeat[field] = self._numbers.choice(_INVALID_VALUES)
-                self._post(incarnation, json.dumps(heartbeat).encode())
+                field = self.numbers.choice((*heartbeat, "state", "service"))
+                heartbeat[field] = self.numbers.choice(_INVALID_VALUES)
+                self.post(incarnation, json.dumps(heartbeat).encode())
             case 3:
-                self._post(incarnation, self._numbers.choice(_MALFORMED_BODIES))
+                self.post(incarnation, self.numbers.choice(_MALFORMED_BODIES))
             case _:
-                self._send_bytes(self._numbers.randbytes(200))
+                self._send_bytes(self.numbers.randbytes(200))
 
-    def _post(self, incarnation: str, body: bytes) -> None:
+    def post(self, incarnation: str, body: bytes) -> None:
+        """Sends a heartbeat under the id of an incarnation."""
         self._client.fetch(
             self._address,
             f"{_HEARTBEAT_PATH}{incarnation}",
--- a/soak/history.py
+++ b/soak/history.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import dataclasses
 
+from soak import evacuations as evacuations_module
 from soak import fault_effects
 from soak import faults
 from soak import time_spans
@@ -116,19 +117,6 @@
     agent: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Evacuation:
-    """An acknowledged evacuation of a data centre.
-
-    Attributes:
-        data_centre: The data centre.
-        span: From the acknowledgement until its end was first requested.
-    """
-
-    data_centre: str
-    span: time_spans.Span
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class InjectedFault:
     """A fault and the span during which it was active."""
@@ -151,6 +139,8 @@
         evacuations: The evacuations of data centres.
         data_centres: The data centres of the workers' machines, by name.
         failures_ns: When a leader recorded a job as failed, by the id of the job.
+        heartbeat_refusals: When workers' own heartbeats were refused in a row, by the
+            name of the machine.
         ended_ns: The end of the history.
     """
 
@@ -160,9 +150,12 @@
     grants: Sequence[Grant] = ()
     members: Sequence[str] = ()
     machines: Mapping[str, str] = dataclasses.field(default_factory=dict)
-    evacuations: Sequence[Evacuation] = ()
+    evacuations: Sequence[evacuations_module.Evacuation] = ()
     data_centres: Mapping[str, str] = dataclasses.field(default_factory=dict)
     failures_ns: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    heartbeat_refusals: Mapping[str, Sequence[time_spans.Span]] = (
+        dataclasses.field(default_factory=dict)
+    )
     ended_ns: int = 0
 
     def failed_ns(self, job: SubmittedJob) -> int:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,6 +9,7 @@
 
 from soak import faults
 from soak import foreign_heartbeats
+from soak import misused_ids
 from soak import proxy
 from tests.platform import system as system_module
 
@@ -118,6 +119,13 @@
                     foreign_heartbeats.HeartbeatSender(address, seed=seed)
                 )
                 self._heartbeat_senders[fault].start()
+            case faults.MisusedId(worker=worker, seed=seed):
+                self._heartbeat_senders[fault] = misused_ids.MisusedIdSender(
+                    self._system.control_address(worker),
+                    worker=self._system.workers[worker],
+                    seed=seed,
+                )
+                self._heartbeat_senders[fault].start()
             case faults.SeedsChange(names=names):
                 self._system.change_seeds(*names)
             case faults.PowerLoss() | faults.GroupTermination():
@@ -192,7 +200,7 @@
                 self._set_bad_shares(worker, 0.0, 0.0)
             case faults.CapacityReduction(worker=worker):
                 self._system.workers[worker].resize(faults.CAPACITY_MILLICORES)
-            case faults.ForeignHeartbeats():
+            case faults.ForeignHeartbeats() | faults.MisusedId():
                 self._heartbeat_senders.pop(fault).stop()
             case (
                 faults.WorkerCrash()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -55,6 +55,7 @@
         *gang_invariants.idle_gangs(history),
         *early_starts(history),
         *unrequested_tasks(history),
+        *outvoted_workers(history),
     ]
 
 
@@ -209,3 +210,13 @@
         for run in history.runs()
         if run.task not in submitted
     ]
+
+
+def outvoted_workers(history: history_module.History) -> list[str]:
+    """Finds workers whose own heartbeats were refused for too long."""
+    return [
+        f"{name} had its heartbeats refused for {span.duration_s:.1f} s"
+        for name, spans in history.heartbeat_refusals.items()
+        for span in spans
+        if span.duration_s > bounds.HEARTBEAT_REFUSAL_LIMIT_S
+    ]
--- a/soak/misbehaviour_plans.py
+++ b/soak/misbehaviour_plans.py
@@ -18,6 +18,9 @@
 # The share of spells in which a worker is bad at each start, and how often else.
 _ALWAYS_SHARE = 0.5
 _BAD_SHARES = (0.3, 0.8)
+# How long another writer uses a worker's id, and the time until the next one does.
+_MISUSES_S = (1.0, 5.0)
+_MISUSE_PAUSES_S = (0.5, 2.0)
 
 
 def draw(
@@ -32,6 +35,7 @@
     """
     pause_numbers = random.Random(f"{seed} pauses")
     worker_numbers = random.Random(f"{seed} bad workers")
+    id_numbers = random.Random(f"{seed} misused ids")
     limit = max(1, int(_BAD_WORKERS_SHARE * len(machines.sides)))
     workers = worker_numbers.sample(
         machines.sides, worker_numbers.randint(1, limit)
@@ -42,6 +46,7 @@
             _draw_bad_spells(worker_numbers, duration_s, worker)
             for worker in workers
         ),
+        *_draw_misused_ids(id_numbers, duration_s, machines),
     ]
 
 
@@ -73,3 +78,17 @@
             fault = faults.BadWorker(worker, failed_share=share)
         yield faults.PlannedFault(at_s, spell_s, fault)
         at_s += spell_s + numbers.uniform(*_GOOD_SPELLS_S)
+
+
+def _draw_misused_ids(
+    numbers: random.Random,
+    duration_s: float,
+    machines: machines_module.Machines,
+) -> Iterator[faults.PlannedFault]:
+    at_s = numbers.uniform(*_MISUSE_PAUSES_S)
+    while at_s < duration_s:
+        misuse_s = numbers.uniform(*_MISUSES_S)
+        worker = numbers.choice(machines.sides)
+        fault = faults.MisusedId(worker, numbers.randrange(1 << 32))
+        yield faults.PlannedFault(at_s, misuse_s, fault)
+        at_s += misuse_s + numbers.uniform(*_MISUSE_PAUSES_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak import proxy_registry
 from soak import recorded_ends
 from soak import resource_usage
+from soak import time_spans
 from soak import workload as workload_module
 from tests import one_process
 from tests.platform import system as system_module
@@ -166,6 +167,10 @@
         failures_ns=recorded_ends.read_failures(
             folder, clock_offset_ns=clock_offset_ns
         ),
+        heartbeat_refusals={
+            name: [time_spans.Span(*x) for x in worker.heartbeat_refusals_ns]
+            for name, worker in system.workers.items()
+        },
         ended_ns=ended_ns,
     )
     ends = recorded_ends.read(folder, clock_offset_ns=clock_offset_ns)
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -63,7 +63,7 @@
         self.jobs: list[history.SubmittedJob] = []
         self.violations: list[str] = []
         self.acknowledged_version = 1
-        self.evacuations: list[history.Evacuation] = []
+        self.evacuations: list[evacuations.Evacuation] = []
         self.system = system
         self.seed = seed
         self.stopping = threading.Event()
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -61,6 +61,8 @@
         born_unix_ms: When the current incarnation started, if the worker tells it.
         faults: The current faults.
         is_draining: Whether heartbeats announce the worker as draining.
+        heartbeat_refusals_ns: When heartbeats were refused in a row, the first and the
+            last one of each row.
         accepts_ticket: Returns whether a start is allowed for a ticket, a task and
             this worker's incarnation; None if starts need no ticket.
     """
@@ -97,6 +99,8 @@
         self._gangs = gangs or gangs_module.Gangs()
         self.faults = pool_faults.PoolFaults()
         self.is_draining = False
+        self.heartbeat_refusals_ns: list[tuple[int, int]] = []
+        self._has_refusals = False
         self._has_ended = False
         self._crashes_count = 0
         self.accepts_ticket: Callable[[str, str, str], bool] | None = None
@@ -419,8 +423,9 @@
                 # The agent is not reachable; the next heartbeat tries again.
                 continue
 
-    def _send_heartbeat(self) -> None:
-        heartbeat = {
+    def build_heartbeat(self, sequence: int) -> dict:
+        """Returns the body of a heartbeat of the current incarnation."""
+        return {
             "service": self._pool,
             "address": self.address,
             "zone": self._data_centre,
@@ -435,12 +440,24 @@
             },
             "labels": self._labels,
             "clock_ms": self._clock_ms(),
-            "sequence": next(self._sequence),
+            "sequence": sequence,
         } | self._born()
-        self._call_agent("Heartbeat", heartbeat)
 
-    def _call_agent(self, name: str, body: dict) -> None:
-        self._client.fetch(
+    def _send_heartbeat(self) -> None:
+        status = self._call_agent(
+            "Heartbeat", self.build_heartbeat(next(self._sequence))
+        )
+        is_refusal = 400 <= status < 500
+        if is_refusal:
+            now_ns = time.monotonic_ns()
+            first_ns = now_ns
+            if self._has_refusals:
+                first_ns, _ = self.heartbeat_refusals_ns.pop()
+            self.heartbeat_refusals_ns.append((first_ns, now_ns))
+        self._has_refusals = is_refusal
+
+    def _call_agent(self, name: str, body: dict) -> int:
+        answer = self._client.fetch(
             self._control_address,
             f"{_PREFIX}Instances.{name}/{self.incarnation}",
             method="POST",
@@ -448,6 +465,7 @@
             headers=(("Content-Type", "application/json"),),
             timeout_s=_HEARTBEAT_TIMEOUT_S,
         )
+        return answer.status_code
 
     def _journal_run(
         self, event: str, run: pool_run.PoolRun, **fields: object
--- a/tests/soak_histories.py
+++ b/tests/soak_histories.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import itertools
 
+from soak import evacuations
 from soak import faults
 from soak import history as history_module
 from soak import proxy
@@ -157,7 +158,7 @@
     return history(
         submitted_job(4),
         *lines,
-        evacuations=[history_module.Evacuation("z2", span)],
+        evacuations=[evacuations.Evacuation("z2", span)],
         data_centres={"side-1": "z2", "side-2": "z1"},
     )
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -102,6 +102,7 @@
     "fault",
     [
         faults.ProcessReload("edge-1"),
+        faults.MisusedId("edge-1", 1),
         faults.LinkFault("edge-1", proxy.Blackhole()),
     ],
 )
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -24,7 +24,7 @@
 _TIMEOUT_S = 10.0
 _SHORT_TIMEOUT_S = 0.3
 _SEEDS = range(40)
-_MISBEHAVIOUR_ONLY = {faults.BadWorker}
+_MISBEHAVIOUR_ONLY = {faults.BadWorker, faults.MisusedId}
 _SERIES_ONLY = {
     faults.ConnectionReset,
     faults.LeaderKill,
