Have each writer that misuses an id send one kind of heartbeat

A writer that mixed kinds let the worker's own properties, with another address, vote for the worker. One that keeps to an unknown service outvotes the worker where the agent does not refuse the service.

--- a/soak/misused_ids.py
+++ b/soak/misused_ids.py
@@ -17,7 +17,7 @@
 class MisusedIdSender(foreign_heartbeats.HeartbeatSender):
     """Sends the worker's own heartbeats with one change, several times in a row.
 
-    They are mistyped, or name another address or an unknown service.
+    All of one sender are mistyped, or name another address, or an unknown service.
     """
 
     def __init__(
@@ -25,6 +25,8 @@
     ):
         super().__init__(address, seed=seed)
         self._worker = worker
+        # The worker's own properties in some of them would let it outvote the others.
+        self._kind = self.numbers.randrange(3)
         self._sequences = itertools.count(self.numbers.choice(_FIRST_SEQUENCES))
 
     def send_random(self) -> None:
@@ -37,7 +39,7 @@
 
     def draw_change(self) -> dict[str, object]:
         """Draws how heartbeats differ from the worker's own."""
-        match self.numbers.randrange(3):
+        match self._kind:
             case 0:
                 state = self.numbers.choice(("ready", "draining"))
                 return {"service": _UNKNOWN_SERVICE, "state": state}
