--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,21 @@
     status: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BadWorker:
+    """A worker refuses some starts, or some of its runs fail at once.
+
+    Attributes:
+        worker: The worker.
+        refused_share: The share of starts that are refused.
+        failed_share: The share of runs that fail.
+    """
+
+    worker: str
+    refused_share: float = 0.0
+    failed_share: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CapacityReduction:
     """A worker's CPU capacity is reduced temporarily."""
@@ -129,6 +144,14 @@
     seed: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MisusedId:
+    """An agent gets heartbeats of another writer under the id of its worker."""
+
+    worker: str
+    seed: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConnectionReset:
     """The open connections to machines are reset once.
@@ -183,8 +206,10 @@
     | WorkerCrash
     | DelayedCalls
     | RefusedCalls
+    | BadWorker
     | CapacityReduction
     | ForeignHeartbeats
+    | MisusedId
     | ConnectionReset
     | LinkFault
     | ControlLinkFault
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,6 +9,7 @@
 
 from soak import faults
 from soak import foreign_heartbeats
+from soak import misused_ids
 from soak import proxy
 from tests.platform import system as system_module
 
@@ -104,6 +105,10 @@
                 worker_faults = self._system.workers[worker].faults
                 worker_faults.refused_share = share
                 worker_faults.refused_status = status
+            case faults.BadWorker(worker=worker):
+                self._set_bad_shares(
+                    worker, fault.refused_share, fault.failed_share
+                )
             case faults.ConnectionReset(names=names):
                 for name in names:
                     for each in self._proxies_by_machine[name]:
@@ -114,6 +119,13 @@
                     foreign_heartbeats.HeartbeatSender(address, seed=seed)
                 )
                 self._heartbeat_senders[fault].start()
+            case faults.MisusedId(worker=worker, seed=seed):
+                self._heartbeat_senders[fault] = misused_ids.MisusedIdSender(
+                    self._system.control_address(worker),
+                    worker=self._system.workers[worker],
+                    seed=seed,
+                )
+                self._heartbeat_senders[fault].start()
             case faults.SeedsChange(names=names):
                 self._system.change_seeds(*names)
             case faults.PowerLoss() | faults.GroupTermination():
@@ -122,6 +134,13 @@
                 return self._start_process_fault(fault)
         return True
 
+    def _set_bad_shares(
+        self, worker: str, refused_share: float, failed_share: float
+    ) -> None:
+        worker_faults = self._system.workers[worker].faults
+        worker_faults.refused_starts_share = refused_share
+        worker_faults.failed_share = failed_share
+
     def _set_control_links(
         self, fault: faults.ControlLinkFault, mode: proxy.Mode
     ) -> None:
@@ -177,9 +196,11 @@
                 self._system.workers[worker].faults.delayed_calls = set()
             case faults.RefusedCalls(worker=worker):
                 self._system.workers[worker].faults.refused_share = 0.0
+            case faults.BadWorker(worker=worker):
+                self._set_bad_shares(worker, 0.0, 0.0)
             case faults.CapacityReduction(worker=worker):
                 self._system.workers[worker].resize(faults.CAPACITY_MILLICORES)
-            case faults.ForeignHeartbeats():
+            case faults.ForeignHeartbeats() | faults.MisusedId():
                 self._heartbeat_senders.pop(fault).stop()
             case (
                 faults.WorkerCrash()
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,18 +7,18 @@
 import re
 import time
 
-from soak import fault_losses
-from soak import fault_plans
-from soak import fault_series
-from soak import faults
+from soak import downtimes
+from soak import gang_jobs
 from soak import history as history_module
 from soak import injector as injector_module
 from soak import invariants
+from soak import leaving_clients
 from soak import loss_jobs
-from soak import machines as machines_module
+from soak import plans
 from soak import proxy_registry
 from soak import recorded_ends
 from soak import resource_usage
+from soak import time_spans
 from soak import workload as workload_module
 from tests import one_process
 from tests.platform import system as system_module
@@ -83,6 +83,7 @@
     edges_count: int = EDGES_COUNT,
     has_series: bool = False,
     has_losses: bool = False,
+    has_misbehaviour: bool = False,
 ) -> SoakResult:
     """Runs one soak; the logs stay in the folder.
 
@@ -95,6 +96,8 @@
         has_series: Whether series of faults come beside the others.
         has_losses: Whether workers are lost in series, beside jobs for which that
             matters.
+        has_misbehaviour: Whether there are also clients that leave before an answer,
+            bad workers and heartbeats of other writers under workers' ids.
     """
     proxies = proxy_registry.ProxyRegistry()
     system = system_module.System(
@@ -114,18 +117,23 @@
     try:
         monitor.start()
         system.start(workers_count=workers_count)
-        plan = _draw_plan(
+        plan = plans.draw_plan(
             seed,
             duration_s,
             system,
             has_series=has_series,
             has_losses=has_losses,
+            has_misbehaviour=has_misbehaviour,
         )
         workload = workload_module.Workload(
             system,
             seed=seed,
             evacuated_data_centre=_DATA_CENTRES[-1],
-            sources=loss_jobs.SOURCES if has_losses else (),
+            clients=_further_clients(
+                system,
+                has_losses=has_losses,
+                has_misbehaviour=has_misbehaviour,
+            ),
         )
         workload.start()
         injector = injector_module.Injector(
@@ -159,6 +167,10 @@
         failures_ns=recorded_ends.read_failures(
             folder, clock_offset_ns=clock_offset_ns
         ),
+        heartbeat_refusals={
+            name: [time_spans.Span(*x) for x in worker.heartbeat_refusals_ns]
+            for name, worker in system.workers.items()
+        },
         ended_ns=ended_ns,
     )
     ends = recorded_ends.read(folder, clock_offset_ns=clock_offset_ns)
@@ -172,18 +184,19 @@
             *recorded_ends.violations(history, ends),
         ],
         folder=folder,
-        replay_arguments=replay_arguments(
+        replay_arguments=plans.replay_arguments(
             seed,
             duration_s,
             workers_count,
             edges_count,
             has_series=has_series,
             has_losses=has_losses,
+            has_misbehaviour=has_misbehaviour,
         ),
         longest_downtime_s=max(
             (
                 downtime.duration_s
-                for _, downtime in invariants.unexplained_downtimes(history)
+                for _, downtime in downtimes.unexplained_downtimes(history)
             ),
             default=0.0,
         ),
@@ -192,60 +205,16 @@
     )
 
 
-def replay_arguments(
-    seed: int,
-    duration_s: float,
-    workers_count: int,
-    edges_count: int,
-    *,
-    has_series: bool,
-    has_losses: bool,
-) -> str:
-    """Returns the arguments that run a soak again."""
-    return (
-        f"--seeds 1 --first {seed} --seconds {duration_s:g} "
-        f"--workers {workers_count} --edges {edges_count}"
-        f"{' --series' if has_series else ''}"
-        f"{' --losses' if has_losses else ''}"
-    )
-
-
-def _draw_plan(
-    seed: int,
-    duration_s: float,
-    system: system_module.System,
-    *,
-    has_series: bool,
-    has_losses: bool,
-) -> list[faults.PlannedFault]:
-    members = system.member_names()
-    machines = machines_module.Machines(
-        members=tuple(members),
-        stateless_edges=tuple(
-            name for name in system.running_edges() if name not in members
-        ),
-        sides=tuple(system.workers),
-    )
-    plan = fault_plans.draw_plan(
-        seed,
-        duration_s=duration_s,
-        edges=machines.members,
-        sides=machines.sides,
-        stateless_edges=machines.stateless_edges,
-    )
-    series = (
-        fault_series.draw_series(
-            seed, duration_s=duration_s, machines=machines, other_faults=plan
-        )
-        if has_series
-        else ()
-    )
-    losses = (
-        fault_losses.draw_losses(seed, duration_s=duration_s, machines=machines)
-        if has_losses
-        else ()
-    )
-    return [*plan, *series, *losses]
+def _further_clients(
+    system: system_module.System, *, has_losses: bool, has_misbehaviour: bool
+) -> list[tuple[float, workload_module.Act]]:
+    sources = [*loss_jobs.SOURCES] if has_losses else []
+    if has_misbehaviour:
+        sources.append(gang_jobs.source(list(system.workers)))
+    return [
+        *((s, workload_module.submitter(draw)) for s, draw in sources),
+        *(leaving_clients.CLIENTS if has_misbehaviour else ()),
+    ]
 
 
 def wait_until_settled(
--- a/standins/pool_worker.py
+++ b/standins/pool_worker.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 from concurrent import futures
-import dataclasses
 import itertools
 import json
 import random
@@ -23,6 +22,7 @@
 from marigoldsill.transport import http_server
 from standins import gangs as gangs_module
 from standins import journal as journal_module
+from standins import pool_faults
 from standins import pool_run
 
 _PREFIX = "/marigoldsill/"
@@ -39,35 +39,6 @@
 _incarnation_numbers = itertools.count(1)
 
 
-@dataclasses.dataclass(slots=True)
-class PoolFaults:
-    """The current faults.
-
-    Attributes:
-        delayed_calls: Calls, such as "run-start", that get no answer and are
-            carried out later.
-        call_delay_s: The delay of these calls.
-        refused_share: The share of calls that are refused as by an unhealthy worker,
-            which has then done nothing.
-        refused_status: The status of these refusals.
-        refuses_orders: Every order but "hold" is refused with status 503.
-        fails_starts: Every run fails as soon as it is started.
-        is_stalled: Runs make no progress.
-        is_unresponsive: No call is answered and no heartbeat is sent.
-        skips_heartbeats: No heartbeat is sent, as between two rare ones.
-    """
-
-    delayed_calls: set[str] = dataclasses.field(default_factory=set)
-    call_delay_s: float = 0.3
-    refused_share: float = 0.0
-    refused_status: int = 503
-    refuses_orders: bool = False
-    fails_starts: bool = False
-    is_stalled: bool = False
-    is_unresponsive: bool = False
-    skips_heartbeats: bool = False
-
-
 class _RefusedError(Exception):
     """An order is refused; holds the HTTP status and the reason."""
 
@@ -90,6 +61,8 @@
         born_unix_ms: When the current incarnation started, if the worker tells it.
         faults: The current faults.
         is_draining: Whether heartbeats announce the worker as draining.
+        heartbeat_refusals_ns: When heartbeats were refused in a row, the first and the
+            last one of each row.
         accepts_ticket: Returns whether a start is allowed for a ticket, a task and
             this worker's incarnation; None if starts need no ticket.
     """
@@ -124,8 +97,10 @@
         self._sends_born = sends_born
         self.born_unix_ms: int | None = None
         self._gangs = gangs or gangs_module.Gangs()
-        self.faults = PoolFaults()
+        self.faults = pool_faults.PoolFaults()
         self.is_draining = False
+        self.heartbeat_refusals_ns: list[tuple[int, int]] = []
+        self._has_refusals = False
         self._has_ended = False
         self._crashes_count = 0
         self.accepts_ticket: Callable[[str, str, str], bool] | None = None
@@ -304,6 +279,8 @@
                 raise _RefusedError(421)
             if self.faults.refuses_orders and name != "hold":
                 raise _RefusedError(503)
+            if name == "run-start" and self.faults.refuses_next_start():
+                raise _RefusedError(503)
             token = body.get("fencing_token", 0)
             if token < self._token:
                 raise _RefusedError(409, "fence")
@@ -338,7 +315,7 @@
             started.gang.join(task)
         self._runs[task] = started
         self._journal_run("started", started, spec=started.spec)
-        if self.faults.fails_starts:
+        if self.faults.fails_next_start():
             self._end_run(started, "failed")
         return {}
 
@@ -446,8 +423,9 @@
                 # The agent is not reachable; the next heartbeat tries again.
                 continue
 
-    def _send_heartbeat(self) -> None:
-        heartbeat = {
+    def build_heartbeat(self, sequence: int) -> dict:
+        """Returns the body of a heartbeat of the current incarnation."""
+        return {
             "service": self._pool,
             "address": self.address,
             "zone": self._data_centre,
@@ -462,12 +440,24 @@
             },
             "labels": self._labels,
             "clock_ms": self._clock_ms(),
-            "sequence": next(self._sequence),
+            "sequence": sequence,
         } | self._born()
-        self._call_agent("Heartbeat", heartbeat)
 
-    def _call_agent(self, name: str, body: dict) -> None:
-        self._client.fetch(
+    def _send_heartbeat(self) -> None:
+        status = self._call_agent(
+            "Heartbeat", self.build_heartbeat(next(self._sequence))
+        )
+        is_refusal = 400 <= status < 500
+        if is_refusal:
+            now_ns = time.monotonic_ns()
+            first_ns = now_ns
+            if self._has_refusals:
+                first_ns, _ = self.heartbeat_refusals_ns.pop()
+            self.heartbeat_refusals_ns.append((first_ns, now_ns))
+        self._has_refusals = is_refusal
+
+    def _call_agent(self, name: str, body: dict) -> int:
+        answer = self._client.fetch(
             self._control_address,
             f"{_PREFIX}Instances.{name}/{self.incarnation}",
             method="POST",
@@ -475,6 +465,7 @@
             headers=(("Content-Type", "application/json"),),
             timeout_s=_HEARTBEAT_TIMEOUT_S,
         )
+        return answer.status_code
 
     def _journal_run(
         self, event: str, run: pool_run.PoolRun, **fields: object
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -169,7 +169,7 @@
                 control_address=self._proxy_address(control),
                 pool=POOL,
                 data_centre=data_centre or self.data_centre(name),
-                labels=["a", f"r1-{_number(name)}"],
+                labels=["a", machine_label(name)],
                 cpu_millicores=cpu_millicores,
                 journal=self._journal,
                 gangs=self._gangs,
@@ -197,6 +197,10 @@
         """Returns the address where an edge process serves clients."""
         return f"{self._ips[name]}:{_FRONTEND_PORT}"
 
+    def client_address(self, name: str) -> str:
+        """Returns the address where clients call an edge process, maybe a proxy's."""
+        return self._proxy_address(self.frontend_address(name))
+
     def control_address(self, name: str) -> str:
         """Returns the address where a process serves operators or its worker."""
         return f"{self._settings[name]['ip']}:{_CONTROL_PORT}"
@@ -422,6 +426,11 @@
     return int(name.rpartition("-")[2])
 
 
+def machine_label(name: str) -> str:
+    """Returns the label that only the worker of one machine has."""
+    return f"r1-{_number(name)}"
+
+
 def configuration(
     version: int, *, routes: list[dict] | None = None, **fields: object
 ) -> dict[str, object]:
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -5,6 +5,7 @@
 from soak import faults
 from soak import history as history_module
 from soak import proxy
+from soak import time_spans
 from tests import soak_histories as histories
 
 _FIRST_MEMBER = {"edge-1"}
@@ -18,6 +19,7 @@
         (faults.DelayedCalls("side-1", "run-start"), "side-1", 5),
         (faults.DiskLoss("edge-1"), "edge-1", 5),
         (faults.RefusedCalls("side-1", 0.5, 503), "side-1", 5),
+        (faults.BadWorker("side-1", failed_share=1.0), "side-1", 5),
         # The worker restarts at once, and so do connections.
         (faults.ConnectionReset(("edge-1", "side-1")), "side-1", 2),
         (faults.WorkerCrash("side-1"), "side-1", 2),
@@ -33,9 +35,7 @@
     spans = histories.history(
         histories.submitted_job(), injected_faults=injected_faults
     ).fault_spans(name)
-    assert spans == [
-        history_module.Span(histories.ns(2), histories.ns(ended_s))
-    ]
+    assert spans == [time_spans.Span(histories.ns(2), histories.ns(ended_s))]
 
 
 def _control_link_fault(
@@ -102,6 +102,7 @@
     "fault",
     [
         faults.ProcessReload("edge-1"),
+        faults.MisusedId("edge-1", 1),
         faults.LinkFault("edge-1", proxy.Blackhole()),
     ],
 )
