Ask for evidence of work at two crashes, not at each

Cause: agents of busy workers pause while control records ends, so about half of the crashes by tasks that do crash their workers came without evidence that the run was at work. With evidence asked for at each of the two or three crashes, most of these tasks took five workers.

Change: two of the suspected crashes need it, as two of the five ends need a begin. A job with one real crash and two unread ends still goes on.

--- a/marigoldsill/state/run_outcomes/crash_attribution.py
+++ b/marigoldsill/state/run_outcomes/crash_attribution.py
@@ -4,9 +4,9 @@
 with it, and a sound task on bad workers loses its job. So a few crashes that are typical
 of a faulty task fail its job, and a larger number of any crashes. Two of these at least
 must be known to have come after the begin of the run. It is not known where a start
-request timed out, or the agent ended as well. The few crashes must be known to have come
-before the end of the run, too: a run may be done, and its worker crash before the agent
-reads that. Losses without evidence that the worker has ended only steer placement: an
+request timed out, or the agent ended as well. Two of the few crashes must be known to
+have come before the end of the run, too: a run may be done, and its worker crash before
+the agent reads that. Losses without evidence that the worker has ended only steer placement: an
 agent that is cut off or frozen causes them, too.
 
 All functions read `JobTask.losses` and nothing else.
@@ -25,6 +25,8 @@
 # reason just after a start, but that is unlikely to happen on two workers in a row.
 _SUSPECTED_CRASHES_LIMIT = 3
 _SOLE_SUSPECT_CRASHES_LIMIT = 2
+# Before how many of these crashes the run must be known to have been at work.
+_AT_WORK_CRASHES_MIN = 2
 # A run that may have been over for at most this long counts as at work at the crash.
 _UNSEEN_LIMIT_MS = 25
 # A task that crashes workers usually does so at a similar age each time, so crashes at a
@@ -83,10 +85,12 @@
         name: The task's name.
         task: The task.
     """
-    suspected = [
-        loss for loss in _suspected_crashes(task) if _was_at_work(loss)
-    ]
-    if len(suspected) >= _suspected_limit(suspected):
+    suspected = _suspected_crashes(task)
+    at_work_count = sum(map(_was_at_work, suspected))
+    if (
+        len(suspected) >= _suspected_limit(suspected)
+        and at_work_count >= _AT_WORK_CRASHES_MIN
+    ):
         return (
             f"{len(suspected)} workers crashed as task {name} started: "
             f"{_describe(suspected)}"
--- a/tests/state/test_job_crashes.py
+++ b/tests/state/test_job_crashes.py
@@ -220,6 +220,18 @@
     assert state.state_of() == ttypes.JobState.FAILED
 
 
+@pytest.mark.parametrize(("at_work_count", "crashes_count"), [(1, 5), (2, 3)])
+def test_one_of_several_suspects_must_have_been_at_work_at_two_crashes(
+    state: builders.State, at_work_count: int, crashes_count: int
+) -> None:
+    """Guards against a job that fails for one crash and two unread ends."""
+    for run in range(1, crashes_count + 1):
+        assert state.state_of() != ttypes.JobState.FAILED
+        unseen_ms = 0 if run <= at_work_count else 500
+        _crash(state, run, suspects_count=6, unseen_ms=unseen_ms)
+    assert state.state_of() == ttypes.JobState.FAILED
+
+
 def test_crash_that_is_recorded_late_does_not_excuse_earlier_ones(
     state: builders.State,
 ) -> None:
