--- a/tests/test_soak_gangs.py
+++ b/tests/test_soak_gangs.py
@@ -31,6 +31,7 @@
 _DURATION_S = 30.0
 _FAULT = histories.injected_fault(faults.BadWorker("side-1"), 5, 10)
 _CALM_S = 10 + bounds.FINISH_S
+_TASK_NUMBERS = itertools.count()
 _TASKS_PER_WORKER = faults.CAPACITY_MILLICORES // bounds.TASK_MILLICORES
 
 
@@ -116,7 +117,6 @@
 def _start_runs(worker: pool_worker.PoolWorker, count: int) -> list[int]:
     """Starts runs of new tasks and returns the statuses."""
     client = http_client.Client()
-    first = len(worker.running_tasks()) + 100 * random.randrange(1_000)
     return [
         client.fetch(
             worker.address,
@@ -124,7 +124,7 @@
             method="POST",
             body=json.dumps(
                 {
-                    "task": f"j.0.0.{first + index}",
+                    "task": f"j.0.0.{next(_TASK_NUMBERS)}",
                     "run": 1,
                     "spec": "last",
                     "deadline_ms": worker._clock_ms() + 5_000,
@@ -133,7 +133,7 @@
             ).encode(),
             timeout_s=5.0,
         ).status_code
-        for index in range(count)
+        for _ in range(count)
     ]
 
 
