Hold back starts once a later incarnation has answered one

The agent knew of the restart by the worker's clock, but not yet which incarnation is there, so it sent copies for the one that had ended.

Change: no start is sent to the worker until it has listed its runs again, which tells its incarnation.

test_run_whose_start_the_next_incarnation_answers_crashed_no_worker, which now looks at the calls, fails on the code before.

--- a/marigoldsill/coordination/held_runs/held_runs.py
+++ b/marigoldsill/coordination/held_runs/held_runs.py
@@ -157,6 +157,7 @@
             now_s: The time.
         """
         self.contact.record_answer(now_s=now_s)
+        self.contact.has_successor = False
         self.listings.record(listing)
         for key in self.listed:
             run = self._by_run.setdefault(
--- a/marigoldsill/coordination/held_runs/worker_contact.py
+++ b/marigoldsill/coordination/held_runs/worker_contact.py
@@ -17,12 +17,14 @@
         last_answer_s: When it answered last; negative infinity if it has not.
         is_lost: Whether a call since then got no answer.
         broken_starts: Runs whose start request broke off since then.
+        has_successor: Whether another incarnation has answered since the last listing.
     """
 
     def __init__(self):
         self.last_answer_s = -math.inf
         self.is_lost = False
         self.broken_starts: set[task_names.RunKey] = set()
+        self.has_successor = False
         # When the first call since the last answer broke off, or infinity.
         self._broken_s = math.inf
         # Whether the worker was waiting for an end of a run as it ended.
--- a/marigoldsill/coordination/job_agent/agent_record.py
+++ b/marigoldsill/coordination/job_agent/agent_record.py
@@ -117,14 +117,15 @@
         """Whether the lease, orders and last announcement allow a start now.
 
         None is made on a worker that was deregistered, or while a later incarnation of
-        the worker's name is announced but was not called yet, as it would begin the
-        run. Nor is one while the worker has a run that reserves nobody knows what, until
-        that is stopped.
+        the worker's name is announced or has answered but is not current yet, as it
+        would begin the run. Nor is one while the worker has a run that reserves nobody
+        knows what, until that is stopped.
         """
         return (
             not self.departures.prevent_starts(self.worker_id)
             and self.announcement_overdue_s <= 0
             and not self.incarnations.has_successor(self.worker_id)
+            and not self.held.contact.has_successor
             and not self.late_calls.withholds_calls(
                 self.worker_id, now_s=clock.now_s()
             )
--- a/marigoldsill/coordination/job_agent/order_calls.py
+++ b/marigoldsill/coordination/job_agent/order_calls.py
@@ -73,7 +73,7 @@
                 clock_ms = self._worker.start(
                     order.worker_id, start, token=token
                 )
-            _check_clock(order.worker_id, clock_ms, earliest_ms=earliest_ms)
+            self._check_clock(order, clock_ms, earliest_ms=earliest_ms)
         except errors.RunRefusedError as error:
             self._record_not_started(order)
             if error.reason == run_worker.RefusalReason.TOO_LATE:
@@ -134,6 +134,27 @@
             step_runs_count=step_runs_count,
         )
 
+    def _check_clock(
+        self, order: ttypes.RunOrder, clock_ms: int, *, earliest_ms: int
+    ) -> None:
+        """Checks that the incarnation that was called has answered a start.
+
+        Raises:
+            TransportError: A later one of the same name did, and may have begun the run.
+        """
+        worker_id = order.worker_id
+        if not incarnation_ids.keeps_name(worker_id) or clock_ms >= earliest_ms:
+            return
+        with self._state.changed:
+            if worker_id == self._state.worker_id:
+                self._state.held.contact.has_successor = True
+        raise errors.TransportError(
+            f"a start on {worker_id} was answered at {clock_ms} ms of the worker's "
+            f"clock; expected {earliest_ms} ms or later, so it has restarted",
+            sent=True,
+            timed_out=True,
+        )
+
     def _record_not_started(self, order: ttypes.RunOrder) -> None:
         """Records that the last start request had no effect."""
         with self._state.changed:
@@ -172,18 +193,3 @@
         logs.event(
             "run_throttled", task=order.task, run=order.run, percent=percent
         )
-
-
-def _check_clock(worker_id: str, clock_ms: int, *, earliest_ms: int) -> None:
-    """Checks that the incarnation that was called has answered a start.
-
-    Raises:
-        TransportError: A later one of the same name did, and may have begun the run.
-    """
-    if incarnation_ids.keeps_name(worker_id) and clock_ms < earliest_ms:
-        raise errors.TransportError(
-            f"a start on {worker_id} was answered at {clock_ms} ms of the worker's "
-            f"clock; expected {earliest_ms} ms or later, so it has restarted",
-            sent=True,
-            timed_out=True,
-        )
--- a/tests/coordination/jobs/test_restarted_workers.py
+++ b/tests/coordination/jobs/test_restarted_workers.py
@@ -74,6 +74,8 @@
     agent.worker.restart(_NEW)
     agent.execute_orders()
     assert _KEY in agent.worker.running
+    agent.execute_orders()
+    assert agent.worker.calls == [("start", _KEY)]
     _announce(agent, _NEW)
     _settle(agent)
     (end,) = agent.state.ends.values()
