Compute once how long calls of an agent may have an effect

UnreportedEnds took the longest lease of a worker while it decided on lapsed runs itself. Since it doesn't any more, it needed the lease only to compute the effect limit that its owner has just computed. It takes that limit again.

--- a/marigoldsill/coordination/job_agent/agent_record.py
+++ b/marigoldsill/coordination/job_agent/agent_record.py
@@ -68,7 +68,7 @@
         self.run_orders = run_orders.RunOrders(self.held)
         self.runs = worker_runs.WorkerRuns(self.run_orders, self.held)
         self.unreported_ends = unreported_ends.UnreportedEnds(
-            lease_limit_s=lease_limit_s
+            effect_limit_s=effect_limit_s
         )
         self.listed_end_number = 0
         self.acknowledged_end_number = 0
--- a/marigoldsill/coordination/job_agent/unreported_ends.py
+++ b/marigoldsill/coordination/job_agent/unreported_ends.py
@@ -8,7 +8,6 @@
 
 from marigoldsill.coordination.held_runs import held_runs
 from marigoldsill.coordination.job_agent import lost_worker
-from marigoldsill.coordination.worker_incarnations import late_calls
 from marigoldsill.coordination.worker_incarnations import late_starts
 from marigoldsill.protocol import run_worker
 from marigoldsill.protocol import task_names
@@ -27,13 +26,12 @@
             their ends.
     """
 
-    def __init__(self, *, lease_limit_s: float):
+    def __init__(self, *, effect_limit_s: float):
         """Initializes the ends without any.
 
         Args:
-            lease_limit_s: The longest lease that the worker accepts.
+            effect_limit_s: See `late_calls.effect_limit_s`.
         """
-        effect_limit_s = late_calls.effect_limit_s(lease_limit_s)
         self.by_run: dict[task_names.RunKey, ttypes.RunEnd] = {}
         self.late_starts = late_starts.LateStarts(effect_limit_s=effect_limit_s)
         # Ends that control has recorded and that the worker may still list, as an
