--- a/soak/foreign_heartbeats.py
+++ b/soak/foreign_heartbeats.py
@@ -8,23 +8,13 @@
 
 from marigoldsill import errors
 from marigoldsill.transport import http_client
+from tests.platform import heartbeats
 
 # Shorter and longer than the 0.1 s between the heartbeats of the agent's worker.
 _INTERVALS_S = (0.02, 0.2)
 _TIMEOUT_S = 1.0
 _HEARTBEAT_PATH = "/marigoldsill/Instances.Heartbeat/"
-_HEARTBEAT = {
-    "service": "desk",
-    "address": "127.0.0.1:1",
-    "zone": "z1",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_remaining_ms": 0,
-    "capacity": {"cpu": 8000, "mem_mb": 64_000, "gpu": 0},
-    "labels": ["a", "r1-1"],
-    "clock_ms": 0,
-}
+_HEARTBEAT = heartbeats.body(address="127.0.0.1:1", clock_ms=0)
 _INVALID_VALUES = (None, -1, 1e400, "x", [], {}, [[]], "\ud800", True)
 # Of no field's type.
 MISTYPED_VALUES = (None, -1, [[]], "\ud800", True)
