--- a/tests/test_soak_gangs.py
+++ b/tests/test_soak_gangs.py
@@ -1,7 +1,6 @@
 """Tests of gangs beside bad workers in soaks, and of the checks of gangs."""
 
 import itertools
-import json
 import pathlib
 import random
 import types
@@ -18,9 +17,9 @@
 from soak import invariants
 from soak import machines as machines_module
 from soak import misbehaviour_plans
-from standins import journal
 from standins import pool_worker
 from tests import soak_histories as histories
+from tests import stand_in_workers
 
 _MACHINES = machines_module.Machines(
     members=("edge-1", "edge-2", "edge-3"),
@@ -100,39 +99,17 @@
 
 @pytest.fixture
 def worker(tmp_path: pathlib.Path):
-    worker = pool_worker.PoolWorker(
-        address="127.0.0.1:0",
-        control_address="127.0.0.1:1",
-        pool="desk",
-        data_centre="z1",
-        labels=[],
-        cpu_millicores=8_000,
-        journal=journal.Journal(str(tmp_path / "journal")),
-    )
-    worker.start()
-    yield worker
-    worker.stop()
+    with stand_in_workers.serving(tmp_path) as new_worker:
+        yield new_worker
 
 
 def _start_runs(worker: pool_worker.PoolWorker, count: int) -> list[int]:
     """Starts runs of new tasks and returns the statuses."""
     client = http_client.Client()
     return [
-        client.fetch(
-            worker.address,
-            "/marigoldsill/run-start",
-            method="POST",
-            body=json.dumps(
-                {
-                    "task": f"j.0.0.{next(_TASK_NUMBERS)}",
-                    "run": 1,
-                    "spec": "last",
-                    "deadline_ms": worker._clock_ms() + 5_000,
-                    "fencing_token": 1,
-                }
-            ).encode(),
-            timeout_s=5.0,
-        ).status_code
+        stand_in_workers.start_run(
+            worker, task=f"j.0.0.{next(_TASK_NUMBERS)}", client=client
+        )
         for _ in range(count)
     ]
 
--- a/tests/test_soak_refusals.py
+++ b/tests/test_soak_refusals.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 from concurrent import futures
-import json
 import pathlib
 import time
 import types
@@ -14,53 +13,17 @@
 from soak import faults
 from soak import injector
 from soak import proxy
-from standins import journal
 from standins import pool_worker
 from tests import one_process
+from tests import stand_in_workers
 
 _CALL_DELAY_S = 1.0
 
 
 @pytest.fixture
 def worker(tmp_path: pathlib.Path) -> Iterator[pool_worker.PoolWorker]:
-    worker = pool_worker.PoolWorker(
-        address="127.0.0.1:0",
-        control_address="127.0.0.1:1",
-        pool="desk",
-        data_centre="z1",
-        labels=[],
-        cpu_millicores=8_000,
-        journal=journal.Journal(str(tmp_path / "journal")),
-    )
-    worker.start()
-    yield worker
-    worker.stop()
-
-
-def _start_run(
-    worker: pool_worker.PoolWorker,
-    *,
-    task: str = "j.0.0.0",
-    address: str = "",
-    client: http_client.Client | None = None,
-    **options: bool,
-) -> int:
-    body = {
-        "task": task,
-        "run": 1,
-        "spec": "last",
-        "deadline_ms": worker._clock_ms() + 5_000,
-        "fencing_token": 1,
-    }
-    answer = (client or http_client.Client()).fetch(
-        address or worker.address,
-        "/marigoldsill/run-start",
-        method="POST",
-        body=json.dumps(body).encode(),
-        timeout_s=5.0,
-        **options,
-    )
-    return answer.status_code
+    with stand_in_workers.serving(tmp_path) as new_worker:
+        yield new_worker
 
 
 @pytest.mark.parametrize("status", [429, 503])
@@ -72,10 +35,10 @@
     )
     refusals = faults.RefusedCalls("side-1", 1.0, status)
     tested._start_fault(refusals)
-    assert _start_run(worker) == status
+    assert stand_in_workers.start_run(worker) == status
     assert worker.running_tasks() == {}
     tested._end_fault(refusals)
-    assert _start_run(worker) == 200
+    assert stand_in_workers.start_run(worker) == 200
     assert worker.running_tasks() == {"j.0.0.0": 1}
 
 
@@ -84,7 +47,8 @@
 ) -> None:
     worker.faults.refused_share = 0.5
     statuses = {
-        _start_run(worker, task=f"j.0.0.{index}") for index in range(40)
+        stand_in_workers.start_run(worker, task=f"j.0.0.{index}")
+        for index in range(40)
     }
     assert statuses == {200, 503}
 
@@ -101,7 +65,7 @@
         worker.faults.call_delay_s = _CALL_DELAY_S
 
     def _start(self, **options: object) -> int:
-        return _start_run(
+        return stand_in_workers.start_run(
             self._worker,
             address=self._proxy.address,
             client=self._client,
